--- /dev/null
+++ b/src/protocol/codec.ts
@@ -0,0 +1,49 @@
+/**
+ * Encodes messages with MessagePack. The message's type goes as its number and its fields by position, so
+ * that a message costs its content and not its field names; nested objects go as maps.
+ */
+import { Packr } from 'msgpackr';
+import { MESSAGE_FIELDS, type Message } from './messages.js';
+
+/** A frame that is not a message of this protocol. */
+export interface DecodeError {
+  type: 'malformedMessage';
+  reason: string;
+}
+
+/** The outcome of decoding one frame. */
+export type Decoded = { ok: true; message: Message } | { ok: false; error: DecodeError };
+
+const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true });
+const TYPES = Object.keys(MESSAGE_FIELDS) as Array<Message['type']>;
+const TYPE_NUMBERS = new Map(TYPES.map((type, index) => [type, index]));
+
+/** The bytes of `message`. */
+export function encode(message: Message): Buffer {
+  const fields = message as unknown as Record<string, unknown>;
+  const values = MESSAGE_FIELDS[message.type].map((name) => fields[name]);
+  values[0] = TYPE_NUMBERS.get(message.type);
+  return packr.pack(values);
+}
+
+/** The message in `frame`, or why there is none. */
+export function decode(frame: Uint8Array): Decoded {
+  let values: unknown;
+  try {
+    values = packr.unpack(frame);
+  } catch (cause) {
+    return malformed(String(cause));
+  }
+  if (!Array.isArray(values)) return malformed('not a sequence of fields');
+  const type = TYPES[values[0] as number];
+  if (type === undefined) return malformed(`unknown message number ${String(values[0])}`);
+  const names = MESSAGE_FIELDS[type];
+  if (values.length !== names.length) return malformed(`${type} has ${values.length} fields`);
+  const message: Record<string, unknown> = { type };
+  for (let index = 1; index < names.length; index++) message[names[index]] = values[index] ?? undefined;
+  return { ok: true, message: message as unknown as Message };
+}
+
+function malformed(reason: string): Decoded {
+  return { ok: false, error: { type: 'malformedMessage', reason } };
+}
--- /dev/null
+++ b/src/protocol/messages.ts
@@ -0,0 +1,179 @@
+/**
+ * The messages between the system's own processes. Every message is an object with a `type`; the codec sends
+ * the fields in the order given in {@link MESSAGE_FIELDS}, without their names.
+ */
+import type { Digest, Manifest } from '../model/manifest.js';
+import type { RefusalReason } from '../systems/distribution/commands.js';
+import type { Grant, Objective, PeerInfo } from '../systems/distribution/transfer.js';
+
+/** Short name of a version on the wire: the first 48 bits of its digest. Chunks are verified all the same. */
+export type TransferKey = number;
+
+const TRANSFER_KEY_DIGITS = 12;
+
+/** The short name of `version`. */
+export function transferKeyOf(version: Digest): TransferKey {
+  return Number.parseInt(version.slice(0, TRANSFER_KEY_DIGITS), 16);
+}
+
+/** First message on every connection: who the connecting process is. */
+export interface HelloMessage {
+  type: 'hello';
+  role: 'agent' | 'entry';
+  peer: PeerInfo;
+}
+
+/** Chunk exchange between agents. */
+export type ExchangeMessage =
+  | { type: 'greet'; transfer: TransferKey; have: Uint8Array }
+  | { type: 'announce'; transfer: TransferKey; chunks: number[]; queueLength: number }
+  | { type: 'request'; transfer: TransferKey; chunk: number; have: number; urgent: boolean }
+  | { type: 'cancel'; transfer: TransferKey; chunk: number }
+  | { type: 'refuse'; transfer: TransferKey; chunk: number; reason: RefusalReason; queueLength: number }
+  | { type: 'chunk'; transfer: TransferKey; chunk: number; queueLength: number; data: Uint8Array };
+
+/** Between an agent and the coordinator of a burst. */
+export type BurstMessage =
+  | { type: 'join'; version: Digest; chunkCount: number; objective: Objective; have: Uint8Array }
+  | { type: 'leave'; version: Digest }
+  | { type: 'report'; transfer: TransferKey; have: number; starving: number[] }
+  | {
+      type: 'grantEnded';
+      transfer: TransferKey;
+      grantId: number;
+      chunk: number | undefined;
+      succeeded: boolean;
+    }
+  | { type: 'neighbours'; transfer: TransferKey; peers: PeerInfo[] }
+  | { type: 'grant'; transfer: TransferKey; grant: Grant };
+
+/** How far an agent is with one version. */
+export interface VersionProgress {
+  version: Digest;
+  /** Bytes of it in memory. */
+  bytesHeld: number;
+  bytesTotal: number;
+  /** True when the engine itself reports this version as loaded. */
+  ready: boolean;
+}
+
+/** What an agent tells of itself. */
+export interface AgentStatus {
+  /** Grows with each status of the same process. */
+  sequence: number;
+  info: PeerInfo;
+  /** Address of the agent's HTTP interface for operators. */
+  operatorAddress: string;
+  backEnd: 'engine' | 'service';
+  /** Name of the plain service, or of the machine's pool of engines. */
+  pool: string;
+  leaving: boolean;
+  versions: VersionProgress[];
+  /** Requests in progress at the back end. */
+  active: number;
+  /** Requests that the back end runs at the same time. */
+  capacity: number;
+}
+
+/** What one agent is to do, as decided by the placement duty. */
+export interface Assignment {
+  deployment: string;
+  tenant: string;
+  model: string;
+  version: Digest;
+  places: string[];
+  priority: number;
+  objective: Objective;
+  /** Revision of the declaration that the assignment follows; it fences orders to the engine. */
+  revision: number;
+}
+
+/** Between an agent and its home entry. */
+export type HomeMessage =
+  | { type: 'status'; status: AgentStatus }
+  | { type: 'assignments'; revision: number; assignments: Assignment[]; entries: EntryInfo[] }
+  | { type: 'fetchManifest'; version: Digest }
+  | { type: 'manifest'; version: Digest; manifest: Manifest };
+
+/** An entry as its peers and agents know it. */
+export interface EntryInfo {
+  id: string;
+  /** `host:port` for the system's own processes. */
+  address: string;
+  /** `host:port` for callers and operators. */
+  callerAddress: string;
+  place: string;
+  zone: string;
+  leaving: boolean;
+}
+
+/** Between entries. */
+export type EntryMessage =
+  | { type: 'entryStatus'; entry: EntryInfo; revision: number }
+  | { type: 'agents'; statuses: AgentStatus[]; gone: string[] };
+
+/** Why an agent did not run a request. */
+export type CallRefusal = 'leaving' | 'overloaded' | 'wrongVersion' | 'notReady' | 'backEndUnreachable';
+
+/** One caller's request, between an entry and an agent. */
+export type CallMessage =
+  | {
+      type: 'call';
+      callId: string;
+      attempt: number;
+      /** Version that must answer, or empty for a plain service. */
+      version: Digest;
+      method: string;
+      path: string;
+      contentType: string;
+      body: Uint8Array;
+      /** Time left for the whole answer, in milliseconds. */
+      timeLeft: number;
+    }
+  | { type: 'callCancel'; callId: string; attempt: number }
+  | { type: 'callHead'; callId: string; attempt: number; status: number; contentType: string }
+  | { type: 'callData'; callId: string; attempt: number; sequence: number; data: Uint8Array }
+  | { type: 'callEnd'; callId: string; attempt: number; frames: number }
+  | { type: 'callRefused'; callId: string; attempt: number; reason: CallRefusal; retryAfter: number }
+  | { type: 'callFailed'; callId: string; attempt: number; reason: string; ran: 'no' | 'yes' | 'unknown' };
+
+/** Any message between the system's processes. */
+export type Message =
+  | HelloMessage
+  | ExchangeMessage
+  | BurstMessage
+  | HomeMessage
+  | EntryMessage
+  | CallMessage
+  | { type: 'ping' };
+
+/** Names of the fields of each message, in wire order. A change here is a change of the protocol. */
+export const MESSAGE_FIELDS: { [T in Message['type']]: ReadonlyArray<string> } = {
+  hello: ['type', 'role', 'peer'],
+  greet: ['type', 'transfer', 'have'],
+  announce: ['type', 'transfer', 'chunks', 'queueLength'],
+  request: ['type', 'transfer', 'chunk', 'have', 'urgent'],
+  cancel: ['type', 'transfer', 'chunk'],
+  refuse: ['type', 'transfer', 'chunk', 'reason', 'queueLength'],
+  chunk: ['type', 'transfer', 'chunk', 'queueLength', 'data'],
+  join: ['type', 'version', 'chunkCount', 'objective', 'have'],
+  leave: ['type', 'version'],
+  report: ['type', 'transfer', 'have', 'starving'],
+  grantEnded: ['type', 'transfer', 'grantId', 'chunk', 'succeeded'],
+  neighbours: ['type', 'transfer', 'peers'],
+  grant: ['type', 'transfer', 'grant'],
+  status: ['type', 'status'],
+  assignments: ['type', 'revision', 'assignments', 'entries'],
+  fetchManifest: ['type', 'version'],
+  manifest: ['type', 'version', 'manifest'],
+  entryStatus: ['type', 'entry', 'revision'],
+  agents: ['type', 'statuses', 'gone'],
+  call: ['type', 'callId', 'attempt', 'version', 'method', 'path', 'contentType', 'body', 'timeLeft'],
+  callCancel: ['type', 'callId', 'attempt'],
+  callHead: ['type', 'callId', 'attempt', 'status', 'contentType'],
+  callData: ['type', 'callId', 'attempt', 'sequence', 'data'],
+  callEnd: ['type', 'callId', 'attempt', 'frames'],
+  callRefused: ['type', 'callId', 'attempt', 'reason', 'retryAfter'],
+  callFailed: ['type', 'callId', 'attempt', 'reason', 'ran'],
+  ping: ['type'],
+};
--- /dev/null
+++ b/src/systems/distribution/limits.ts
@@ -0,0 +1,46 @@
+/** Limits of the chunk exchange. Durations are in milliseconds of the tick's clock. */
+export interface DistributionLimits {
+  /** Chunk requests that one machine keeps open over all its transfers. */
+  requestsInFlight: number;
+  /** Chunk requests that one machine keeps open at one peer. */
+  requestsPerPeer: number;
+  /** Requests that a machine queues before it refuses further ones as busy. */
+  uploadQueue: number;
+  /** Chunks that a machine sends at the same time. */
+  uploadsActive: number;
+  /** Shortest time before an unanswered request is given up. */
+  requestTimeoutFloor: number;
+  /** A request is given up after this many times the usual answer time. */
+  requestTimeoutFactor: number;
+  /** Time for which a peer that refused as busy is not asked again. */
+  busyBackoff: number;
+  /** Time for which a peer that let a request time out is not asked again; doubles with each strike. */
+  stallBackoff: number;
+  /** Corrupt chunks after which a peer is not asked again in this transfer. */
+  corruptLimit: number;
+  /** Longest time between two announcements of new chunks to neighbours. */
+  announceInterval: number;
+  /** Shortest time between two announcements; in between, a quarter of the usual answer time. */
+  announceIntervalFloor: number;
+  /** Time between two progress reports to the coordinator. */
+  reportInterval: number;
+  /** A missing chunk that no neighbour has offered for this long is reported as starving. */
+  starvationTime: number;
+}
+
+/** Defaults, measured with `thistleway bench burst`; see docs/design/distribution.md. */
+export const DEFAULT_DISTRIBUTION_LIMITS: DistributionLimits = {
+  requestsInFlight: 12,
+  requestsPerPeer: 2,
+  uploadQueue: 16,
+  uploadsActive: 2,
+  requestTimeoutFloor: 2_000,
+  requestTimeoutFactor: 4,
+  busyBackoff: 60,
+  stallBackoff: 1_000,
+  corruptLimit: 2,
+  announceInterval: 500,
+  announceIntervalFloor: 20,
+  reportInterval: 5_000,
+  starvationTime: 3_000,
+};
--- /dev/null
+++ b/src/systems/distribution/node.ts
@@ -0,0 +1,320 @@
+/**
+ * The chunk exchange of one machine: event handlers that write the tables, and a tick that runs the systems
+ * over them. It does no I/O and reads no clock; agents, the simulation and hollow processes all run it.
+ *
+ * @example
+ * ```ts
+ * const node = new DistributionNode({ place, limits, random });
+ * node.startTransfer({ version, chunkCount: 256, priority: 0, allowedPlaces }, now);
+ * node.addNeighbour(version, peerInfo);
+ * for (const command of node.tick(now)) carryOut(command);
+ * ```
+ */
+import { ChunkSet } from '../../model/chunk-set.js';
+import type { Digest } from '../../model/manifest.js';
+import type { Random } from '../../model/random.js';
+import { announceChunks, reportProgress } from './announcing.js';
+import type { DistributionCommand, RefusalReason } from './commands.js';
+import type { DistributionLimits } from './limits.js';
+import { expireRequests } from './request-expiry.js';
+import { forgetRequest, type RequestContext, selectRequests, useGrants } from './request-selection.js';
+import {
+  createNeighbour,
+  createTransfer,
+  type Grant,
+  noteAvailable,
+  type PeerId,
+  type PeerInfo,
+  type RequestRow,
+  removeNeighbour,
+  type Transfer,
+  type TransferInit,
+} from './transfer.js';
+import { selectUploads, type UploadTable } from './upload-selection.js';
+
+/** Weight of the newest answer time in the smoothed one. */
+const ANSWER_TIME_WEIGHT = 0.1;
+
+/** What a node is created from. */
+export interface DistributionNodeInit {
+  limits: DistributionLimits;
+  random: Random;
+}
+
+/** A peer's request for a chunk. */
+export interface ChunkRequest {
+  version: Digest;
+  chunk: number;
+  /** Chunks that the peer has. */
+  have: number;
+  urgent: boolean;
+}
+
+/** The chunk exchange of one machine. */
+export class DistributionNode {
+  readonly transfers = new Map<Digest, Transfer>();
+  readonly uploads: UploadTable = { queued: [], active: 0 };
+  readonly #limits: DistributionLimits;
+  readonly #random: Random;
+  #commands: DistributionCommand[] = [];
+
+  constructor(init: DistributionNodeInit) {
+    this.#limits = init.limits;
+    this.#random = init.random;
+  }
+
+  /** Starts a transfer, or updates priority and places of one that runs. */
+  startTransfer(init: TransferInit, now: number): Transfer {
+    const running = this.transfers.get(init.version);
+    if (running !== undefined) {
+      running.priority = init.priority;
+      running.allowedPlaces = init.allowedPlaces;
+      this.#dropForbiddenNeighbours(running, now);
+      return running;
+    }
+    const transfer = createTransfer(init, now);
+    this.transfers.set(init.version, transfer);
+    return transfer;
+  }
+
+  /** Ends a transfer: its open requests are cancelled and its queued uploads refused. */
+  stopTransfer(version: Digest): void {
+    const transfer = this.transfers.get(version);
+    if (transfer === undefined) return;
+    for (const { chunk, peer } of transfer.requests.values()) {
+      if (peer !== undefined) this.#commands.push({ type: 'cancel', version, chunk, peer });
+    }
+    this.transfers.delete(version);
+    for (const row of this.#takeQueued((upload) => upload.version === version)) {
+      this.#refuse(row.peer, version, row.chunk, 'absent');
+    }
+  }
+
+  /** Adds a peer that may be asked and greets it; peers in places that the version may not reach are left out. */
+  addNeighbour(version: Digest, info: PeerInfo): void {
+    const transfer = this.transfers.get(version);
+    if (transfer === undefined || !transfer.allowedPlaces.has(info.place)) return;
+    if (transfer.neighbours.has(info.id)) return;
+    transfer.neighbours.set(info.id, createNeighbour(transfer, info));
+    this.#commands.push({ type: 'greet', version, peer: info, have: transfer.have.toBytes() });
+  }
+
+  /** A peer greets with all that it has; the greeting is returned once. */
+  onGreeting(info: PeerInfo, version: Digest, have: Uint8Array): void {
+    this.addNeighbour(version, info);
+    const transfer = this.transfers.get(version);
+    const neighbour = transfer?.neighbours.get(info.id);
+    if (transfer === undefined || neighbour === undefined) return;
+    for (const chunk of ChunkSet.fromBytes(transfer.have.capacity, have).values()) {
+      noteAvailable(transfer, neighbour, chunk);
+    }
+  }
+
+  /** A neighbour told which chunks it has got. */
+  onAnnounce(version: Digest, peer: PeerId, chunks: readonly number[], queueLength: number): void {
+    const transfer = this.transfers.get(version);
+    const neighbour = transfer?.neighbours.get(peer);
+    if (transfer === undefined || neighbour === undefined) return;
+    neighbour.queueLength = queueLength;
+    for (const chunk of chunks) noteAvailable(transfer, neighbour, chunk);
+  }
+
+  /** A peer asks for a chunk. Only machines in allowed places are served. */
+  onRequest(peer: PeerInfo, request: ChunkRequest, now: number): void {
+    const { version, chunk } = request;
+    const transfer = this.transfers.get(version);
+    if (transfer === undefined || !transfer.have.has(chunk))
+      return this.#refuse(peer.id, version, chunk, 'absent');
+    if (!transfer.allowedPlaces.has(peer.place)) return this.#refuse(peer.id, version, chunk, 'place');
+    if (this.uploads.queued.length >= this.#limits.uploadQueue && !request.urgent) {
+      return this.#refuse(peer.id, version, chunk, 'busy');
+    }
+    this.uploads.queued.push({
+      peer: peer.id,
+      version,
+      chunk,
+      peerHave: request.have,
+      urgent: request.urgent,
+      priority: transfer.priority,
+      queuedAt: now,
+    });
+  }
+
+  /** A peer no longer wants a chunk. */
+  onCancel(peer: PeerId, version: Digest, chunk: number): void {
+    this.#takeQueued((row) => row.peer === peer && row.version === version && row.chunk === chunk);
+  }
+
+  /** A peer will not send a chunk that was asked of it. */
+  onRefused(
+    peer: PeerId,
+    version: Digest,
+    chunk: number,
+    reason: RefusalReason,
+    queueLength: number,
+    now: number,
+  ): void {
+    const transfer = this.transfers.get(version);
+    const request = transfer?.requests.get(chunk);
+    if (transfer === undefined || request === undefined || request.peer !== peer) return;
+    this.#endRequest(transfer, request, false);
+    const neighbour = transfer.neighbours.get(peer);
+    if (neighbour === undefined) return;
+    neighbour.queueLength = queueLength;
+    if (reason === 'busy') neighbour.suspendedUntil = now + this.#limits.busyBackoff;
+    else removeNeighbour(transfer, peer, now);
+  }
+
+  /** A chunk came whole and matched its digest. Returns false when it was not wanted any more. */
+  onChunk(
+    version: Digest,
+    chunk: number,
+    peer: PeerId | undefined,
+    queueLength: number,
+    now: number,
+  ): boolean {
+    const transfer = this.transfers.get(version);
+    if (transfer === undefined) return false;
+    const neighbour = peer === undefined ? undefined : transfer.neighbours.get(peer);
+    if (neighbour !== undefined) {
+      neighbour.queueLength = queueLength;
+      neighbour.stalls = 0;
+    }
+    const request = transfer.requests.get(chunk);
+    if (request !== undefined) this.#answerRequest(transfer, request, peer, now);
+    if (!transfer.have.add(chunk)) return false;
+    transfer.unannounced.push(chunk);
+    return true;
+  }
+
+  /** A chunk came that did not match its digest: it is not kept, and its sender pays for it. */
+  onCorruptChunk(version: Digest, chunk: number, peer: PeerId | undefined, now: number): void {
+    const transfer = this.transfers.get(version);
+    if (transfer === undefined) return;
+    const request = transfer.requests.get(chunk);
+    if (request !== undefined && request.peer === peer) this.#endRequest(transfer, request, false);
+    const neighbour = peer === undefined ? undefined : transfer.neighbours.get(peer);
+    if (neighbour === undefined) return;
+    neighbour.corruptChunks++;
+    neighbour.suspendedUntil = now + this.#limits.stallBackoff;
+    if (neighbour.corruptChunks >= this.#limits.corruptLimit)
+      removeNeighbour(transfer, neighbour.info.id, now);
+  }
+
+  /** A draw from the origin failed. */
+  onDrawFailed(version: Digest, chunk: number): void {
+    const transfer = this.transfers.get(version);
+    const request = transfer?.requests.get(chunk);
+    if (transfer === undefined || request === undefined || request.peer !== undefined) return;
+    this.#endRequest(transfer, request, false);
+  }
+
+  /** The coordinator lets this machine fetch a chunk from outside its region or from the origin. */
+  onGrant(version: Digest, grant: Grant): void {
+    const transfer = this.transfers.get(version);
+    if (transfer !== undefined && this.#mayUse(transfer, grant)) {
+      transfer.grants.push(grant);
+      return;
+    }
+    const { grantId, chunk } = grant;
+    this.#commands.push({ type: 'grantEnded', version, grantId, chunk, succeeded: false });
+  }
+
+  /** The connection to a peer is gone, or could not be made. */
+  onPeerLost(peer: PeerId, now: number): void {
+    this.#takeQueued((row) => row.peer === peer);
+    for (const transfer of this.transfers.values()) {
+      for (const request of [...transfer.requests.values()]) {
+        if (request.peer === peer) this.#endRequest(transfer, request, false);
+      }
+      removeNeighbour(transfer, peer, now);
+    }
+  }
+
+  /** An upload that a `send` command started has ended, whole or not. */
+  onUploadEnded(): void {
+    this.uploads.active--;
+  }
+
+  /** Runs the systems over the tables; `now` is in milliseconds. */
+  tick(now: number): DistributionCommand[] {
+    const commands = this.#commands;
+    this.#commands = [];
+    const context: RequestContext = {
+      now,
+      limits: this.#limits,
+      random: this.#random,
+      inFlight: this.#requestsInFlight(),
+      commands,
+    };
+    for (const transfer of this.#byPriority()) {
+      expireRequests(transfer, context);
+      useGrants(transfer, context);
+      if (!transfer.have.complete) selectRequests(transfer, context);
+      announceChunks(transfer, now, this.#limits, this.uploads.queued.length, commands);
+      reportProgress(transfer, now, this.#limits, commands);
+    }
+    selectUploads(this.uploads, this.#limits, commands);
+    return commands;
+  }
+
+  #mayUse(transfer: Transfer, grant: Grant): boolean {
+    return grant.source.type === 'origin' || transfer.allowedPlaces.has(grant.source.peer.place);
+  }
+
+  #byPriority(): Transfer[] {
+    const transfers = [...this.transfers.values()];
+    return transfers.length < 2 ? transfers : transfers.sort((a, b) => b.priority - a.priority);
+  }
+
+  #requestsInFlight(): number {
+    let count = 0;
+    for (const transfer of this.transfers.values()) {
+      for (const request of transfer.requests.values()) {
+        if (request.grantId === undefined) count++;
+      }
+    }
+    return count;
+  }
+
+  #answerRequest(transfer: Transfer, request: RequestRow, peer: PeerId | undefined, now: number): void {
+    if (request.peer === peer && request.grantId === undefined) {
+      const answerTime = now - request.requestedAt;
+      const usual = transfer.usualAnswerTime === 0 ? answerTime : transfer.usualAnswerTime;
+      transfer.usualAnswerTime = usual + ANSWER_TIME_WEIGHT * (answerTime - usual);
+    }
+    if (request.peer !== undefined && request.peer !== peer) {
+      this.#commands.push({
+        type: 'cancel',
+        version: transfer.version,
+        chunk: request.chunk,
+        peer: request.peer,
+      });
+    }
+    this.#endRequest(transfer, request, true);
+  }
+
+  #endRequest(transfer: Transfer, request: RequestRow, succeeded: boolean): void {
+    forgetRequest(transfer, request);
+    const { chunk, grantId } = request;
+    if (grantId === undefined) return;
+    this.#commands.push({ type: 'grantEnded', version: transfer.version, grantId, chunk, succeeded });
+  }
+
+  #dropForbiddenNeighbours(transfer: Transfer, now: number): void {
+    for (const { info } of [...transfer.neighbours.values()]) {
+      if (!transfer.allowedPlaces.has(info.place)) removeNeighbour(transfer, info.id, now);
+    }
+  }
+
+  #refuse(peer: PeerId, version: Digest, chunk: number, reason: RefusalReason): void {
+    const queueLength = this.uploads.queued.length;
+    this.#commands.push({ type: 'refuse', version, chunk, peer, reason, queueLength });
+  }
+
+  #takeQueued(matches: (row: UploadTable['queued'][number]) => boolean): UploadTable['queued'] {
+    const taken = this.uploads.queued.filter(matches);
+    if (taken.length > 0) this.uploads.queued = this.uploads.queued.filter((row) => !matches(row));
+    return taken;
+  }
+}
--- /dev/null
+++ b/tools/build.mjs
@@ -0,0 +1,43 @@
+/**
+ * Builds `dist/thistleway.cjs`, one bundle with every role. Roles are imported lazily, so that a process
+ * pays memory only for the modules of its own role. With `--binary` the bundle is also put into a copy of
+ * the Node.js executable (`dist/thistleway`), by Node's single-executable support.
+ */
+import { execFileSync } from 'node:child_process';
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { build } from 'esbuild';
+
+const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
+mkdirSync('dist', { recursive: true });
+
+await build({
+  entryPoints: ['src/cli/main.ts'],
+  outfile: 'dist/thistleway.cjs',
+  bundle: true,
+  platform: 'node',
+  format: 'cjs',
+  target: 'node20',
+  mainFields: ['module', 'main'],
+  define: { THISTLEWAY_VERSION: JSON.stringify(version) },
+  external: ['msgpackr-extract', 'bufferutil', 'utf-8-validate'],
+  logLevel: 'warning',
+  legalComments: 'none',
+});
+
+if (process.argv.includes('--binary')) {
+  const configuration = {
+    main: 'dist/thistleway.cjs',
+    output: 'dist/sea.blob',
+    disableExperimentalSEAWarning: true,
+  };
+  writeFileSync('dist/sea-config.json', JSON.stringify(configuration));
+  execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea-config.json'], { stdio: 'ignore' });
+  copyFileSync(process.execPath, 'dist/thistleway');
+  chmodSync('dist/thistleway', 0o755);
+  const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+  execFileSync(
+    'node_modules/.bin/postject',
+    ['dist/thistleway', 'NODE_SEA_BLOB', 'dist/sea.blob', '--sentinel-fuse', fuse],
+    { stdio: 'ignore' },
+  );
+}
