--- /dev/null
+++ b/bench/processes/child.ts
@@ -0,0 +1,103 @@
+/** Processes of the system and its stand-ins, started for a demonstration or a measurement and ended after it. */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { isSea } from 'node:sea';
+
+const START_TIMEOUT = 20_000;
+const READY_CHECK_INTERVAL = 50;
+
+/** A free port of the loopback address. */
+export async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return `127.0.0.1:${port}`;
+}
+
+/** A started process. */
+export interface StartedProcess {
+  name: string;
+  pid: number;
+  child: ChildProcess;
+  /** Arguments, for starting it again under the same settings. */
+  arguments: string[];
+  /** Last lines that it wrote to standard error. */
+  errors: string[];
+}
+
+/** All processes of one run; they end with it. */
+export class ProcessGroup {
+  readonly #folder = mkdtempSync(join(tmpdir(), 'thistleway-'));
+  readonly #processes = new Map<string, StartedProcess>();
+
+  constructor() {
+    process.once('exit', () => this.stopAll());
+    process.once('SIGINT', () => process.exit(130));
+    process.once('SIGTERM', () => process.exit(143));
+  }
+
+  /** Starts `thistleway COMMAND --config F` with these settings. */
+  start(name: string, command: string[], settings: object): StartedProcess {
+    const file = join(this.#folder, `${name}.jsonc`);
+    writeFileSync(file, JSON.stringify(settings, undefined, 2));
+    return this.#spawn(name, [...command, '--config', file]);
+  }
+
+  /** Starts a process again with the settings that it had. */
+  restart(name: string): StartedProcess {
+    const earlier = this.get(name);
+    return this.#spawn(name, earlier.arguments);
+  }
+
+  get(name: string): StartedProcess {
+    const found = this.#processes.get(name);
+    if (found === undefined) throw new Error(`no process ${name}`);
+    return found;
+  }
+
+  /** Ends a process at once. */
+  kill(name: string, signal: NodeJS.Signals = 'SIGKILL'): void {
+    this.get(name).child.kill(signal);
+  }
+
+  stopAll(): void {
+    for (const { child } of this.#processes.values()) child.kill('SIGKILL');
+    this.#processes.clear();
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  #spawn(name: string, commandLine: string[]): StartedProcess {
+    const script = isSea() ? [] : [process.argv[1]];
+    const child = spawn(process.execPath, [...script, ...commandLine], {
+      stdio: ['ignore', 'ignore', 'pipe'],
+    });
+    const errors: string[] = [];
+    child.stderr?.on('data', (data: Buffer) => {
+      errors.push(...data.toString('utf8').trimEnd().split('\n'));
+      errors.splice(0, Math.max(0, errors.length - 20));
+    });
+    const started: StartedProcess = { name, pid: child.pid ?? 0, child, arguments: commandLine, errors };
+    this.#processes.set(name, started);
+    return started;
+  }
+}
+
+/** Waits until `url` answers. */
+export async function waitForHttp(url: string): Promise<void> {
+  const endsAt = performance.now() + START_TIMEOUT;
+  while (performance.now() < endsAt) {
+    try {
+      const answer = await fetch(url, { signal: AbortSignal.timeout(1_000) });
+      await answer.arrayBuffer();
+      if (answer.status < 500) return;
+    } catch {
+      // Not there yet.
+    }
+    await new Promise((resolve) => setTimeout(resolve, READY_CHECK_INTERVAL));
+  }
+  throw new Error(`${url} does not answer`);
+}
--- /dev/null
+++ b/bench/processes/cluster.ts
@@ -0,0 +1,160 @@
+/** A whole system of real processes on the loopback address: platform, entries, agents and their back ends. */
+
+import type { PlatformFaults } from '../../emulator/platform/platform.js';
+import type { OriginVersion } from '../../emulator/platform/weights.js';
+import { OriginWeights } from '../../emulator/platform/weights.js';
+import type { PlatformEmulatorSettings } from '../../src/settings/schemas.js';
+import { freeAddress, ProcessGroup, waitForHttp } from './child.js';
+
+/** Where a machine stands. */
+export interface MachineLocation {
+  place: string;
+  region: string;
+  zone: string;
+}
+
+/** An entry machine. */
+export interface EntryPlan extends MachineLocation {
+  name: string;
+}
+
+/** A back-end machine with its agent. */
+export interface AgentPlan extends MachineLocation {
+  name: string;
+  /** Name of the plain service, or undefined for an engine of the pool `pool`. */
+  service?: string;
+  pool?: string;
+}
+
+/** What to build. */
+export interface ClusterPlan {
+  entries: EntryPlan[];
+  agents: AgentPlan[];
+  versions: PlatformEmulatorSettings['origin']['versions'];
+  originBytesPerSecond: number;
+  machineBytesPerSecond: number;
+  machineDuplex: 'shared' | 'full';
+  weightsMemoryBytes: number;
+  strategy?: 'swarm' | 'tree' | 'origin';
+  engine?: { loadMilliseconds?: number; stepMilliseconds?: number };
+  /** How long callers may keep an entry's address, in seconds. */
+  addressLifetimeSeconds?: number;
+}
+
+/** Addresses of a started entry. */
+export interface StartedEntry extends EntryPlan {
+  callers: string;
+  peers: string;
+}
+
+/** Addresses of a started agent. */
+export interface StartedAgent extends AgentPlan {
+  peers: string;
+  operators: string;
+  backEnd: string;
+}
+
+/** A running system. */
+export class Cluster {
+  readonly processes = new ProcessGroup();
+  readonly plan: ClusterPlan;
+  readonly versions: OriginVersion[];
+  platform = '';
+  entries: StartedEntry[] = [];
+  agents: StartedAgent[] = [];
+
+  constructor(plan: ClusterPlan) {
+    this.plan = plan;
+    this.versions = new OriginWeights(plan.versions).versions;
+  }
+
+  /** Starts everything and waits until it answers. */
+  async start(): Promise<void> {
+    await this.#startPlatform();
+    this.entries = await Promise.all(
+      this.plan.entries.map(async (entry) => ({
+        ...entry,
+        callers: await freeAddress(),
+        peers: await freeAddress(),
+      })),
+    );
+    for (const entry of this.entries) this.#startEntry(entry);
+    for (const agent of this.plan.agents) this.agents.push(await this.#startAgent(agent));
+    await Promise.all(this.entries.map((entry) => waitForHttp(`http://${entry.callers}/status`)));
+    await Promise.all(this.agents.map((agent) => waitForHttp(`http://${agent.operators}/status`)));
+  }
+
+  stop(): void {
+    this.processes.stopAll();
+  }
+
+  /** Sets what fails in the platform. */
+  async setFaults(faults: Partial<PlatformFaults>): Promise<void> {
+    await fetch(`http://${this.platform}/faults`, { method: 'POST', body: JSON.stringify(faults) });
+  }
+
+  /** What the platform's stand-in says truly happened. */
+  async platformAudit(): Promise<{ originBytes: number; originChunks: number }> {
+    return (await fetch(`http://${this.platform}/audit`)).json() as never;
+  }
+
+  /** The first entry that serves. */
+  get entry(): StartedEntry {
+    return this.entries[0];
+  }
+
+  async #startPlatform(): Promise<void> {
+    this.platform = await freeAddress();
+    const origin = { bytesPerSecond: this.plan.originBytesPerSecond, versions: this.plan.versions };
+    this.processes.start('platform', ['emulate', 'platform'], { listen: this.platform, origin });
+    await waitForHttp(`http://${this.platform}/audit`);
+  }
+
+  #startEntry(entry: StartedEntry): void {
+    const { name, place, region, zone, callers, peers } = entry;
+    const platform = `http://${this.platform}`;
+    this.processes.start(name, ['entry'], {
+      place,
+      region,
+      zone,
+      listen: { callers, peers },
+      entries: this.entries.filter((other) => other !== entry).map((other) => other.peers),
+      platform: {
+        tables: `${platform}/tables`,
+        objects: `${platform}/objects`,
+        machines: `${platform}/machines`,
+      },
+      bursts: { strategy: this.plan.strategy ?? 'swarm' },
+      discovery: { addressLifetimeSeconds: this.plan.addressLifetimeSeconds ?? 20 },
+      log: { level: 'warn' },
+    });
+  }
+
+  async #startAgent(agent: AgentPlan): Promise<StartedAgent> {
+    const { name, place, region, zone, service, pool } = agent;
+    const [peers, operators, backEnd] = [await freeAddress(), await freeAddress(), await freeAddress()];
+    const url = `http://${backEnd}`;
+    if (service === undefined) {
+      this.processes.start(`${name}-engine`, ['emulate', 'engine'], { listen: backEnd, ...this.plan.engine });
+    } else {
+      this.processes.start(`${name}-service`, ['emulate', 'service'], { listen: backEnd });
+    }
+    this.processes.start(name, ['agent'], {
+      place,
+      region,
+      zone,
+      listen: { peers, operators },
+      entries: this.entries.map((entry) => entry.peers),
+      backEnd:
+        service === undefined ? { kind: 'engine', url, pool } : { kind: 'service', url, name: service },
+      origin: `http://${this.platform}/origin`,
+      weights: {
+        memoryBytes: this.plan.weightsMemoryBytes,
+        linkBytesPerSecond: this.plan.machineBytesPerSecond,
+        linkDuplex: this.plan.machineDuplex,
+      },
+      log: { level: 'warn' },
+    });
+    return { ...agent, peers, operators, backEnd };
+  }
+}
--- a/bench/simulation/burst-simulation.ts
+++ b/bench/simulation/burst-simulation.ts
@@ -23,6 +23,8 @@
 
 /** Bytes that TCP/IP and WebSocket framing add to a message. */
 const FRAME_OVERHEAD_BYTES = 46;
+/** A causal stamp of the usual size. */
+const STAMP = 1.8e15;
 /** Events of one machine within this time are handled by one tick, in milliseconds. */
 const TICK_DELAY = 2;
 /** Each machine ticks at least this often, in milliseconds. */
@@ -424,10 +426,10 @@
   #sizeOf(message: Message): number {
     const variable =
       message.type === 'announce' || message.type === 'report' || message.type === 'neighbours';
-    if (variable) return encode(message).byteLength + FRAME_OVERHEAD_BYTES;
+    if (variable) return encode(message, STAMP).byteLength + FRAME_OVERHEAD_BYTES;
     let size = this.#sizes.get(message.type);
     if (size === undefined) {
-      size = encode(message).byteLength + FRAME_OVERHEAD_BYTES;
+      size = encode(message, STAMP).byteLength + FRAME_OVERHEAD_BYTES;
       this.#sizes.set(message.type, size);
     }
     return size;
--- /dev/null
+++ b/emulator/service/service.ts
@@ -0,0 +1,30 @@
+/** The stand-in for a plain service: every path answers after a while; `GET /audit` tells what truly ran. */
+import type { Startable } from '../../src/model/startable.js';
+import { application, delay, httpServer, readBody } from '../../src/server/http-server.js';
+import type { ServiceEmulatorSettings } from '../../src/settings/schemas.js';
+
+/** One run of a call. */
+interface ServiceRun {
+  method: string;
+  path: string;
+  /** The caller's idempotency key, or empty. */
+  key: string;
+}
+
+/** Creates the stand-in. */
+export function serviceEmulator(settings: ServiceEmulatorSettings): Startable {
+  const runs: ServiceRun[] = [];
+  const app = application();
+  app.use(async (context) => {
+    if (context.path === '/audit') {
+      context.body = { runs };
+      return;
+    }
+    const body = await readBody(context);
+    const run = { method: context.method, path: context.path, key: context.get('idempotency-key') };
+    runs.push(run);
+    await delay(settings.callMilliseconds);
+    context.body = { ...run, run: runs.length, received: body.toString('utf8') };
+  });
+  return httpServer(settings.listen, app.callback());
+}
--- /dev/null
+++ b/src/agent/agent.ts
@@ -0,0 +1,287 @@
+/**
+ * The role of a back-end machine: the only way to the local engine or plain service. Composition of chunk
+ * exchange, version loading, admission, and the link to the home entry.
+ */
+
+import { randomBytes } from 'node:crypto';
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import { type EngineClient, httpEngineClient } from '../engine/engine-client.js';
+import type { Digest } from '../model/manifest.js';
+import { hash32, type Random, rendezvousOrder, seededRandom } from '../model/random.js';
+import { type Startable, StartableGroup } from '../model/startable.js';
+import { HybridClock } from '../observability/hybrid-clock.js';
+import { createLog, type Log } from '../observability/log.js';
+import { Metrics, trafficMetrics } from '../observability/metrics.js';
+import { Timeline } from '../observability/timeline.js';
+import { httpOrigin, type Origin } from '../platform/origin.js';
+import {
+  type Connection,
+  type ConnectionContext,
+  ConnectionListener,
+  createTrafficCounters,
+} from '../protocol/connection.js';
+import type { AgentStatus, EntryInfo, Message } from '../protocol/messages.js';
+import { httpServer } from '../server/http-server.js';
+import type { AgentSettings } from '../settings/schemas.js';
+import type { PeerInfo } from '../systems/distribution/transfer.js';
+import { engineBackEnd, serviceBackEnd } from './back-ends.js';
+import { BurstLinks } from './burst-links.js';
+import { type BackEnd, Calls } from './calls.js';
+import { ChunkStore } from './chunk-store.js';
+import { EntryLink } from './entry-link.js';
+import { Exchange } from './exchange.js';
+import { operatorApi } from './operator-api.js';
+import { VersionLoader } from './version-loader.js';
+import { Versions } from './versions.js';
+
+/** Shortest time between two statuses to the home entry, in milliseconds. */
+const STATUS_MIN_INTERVAL = 200;
+/** Time between two statuses when nothing changed, and between two reviews of the assignments. */
+const STATUS_IDLE_INTERVAL = 2_000;
+
+/** Creates an agent from its settings. */
+export function createAgent(settings: AgentSettings): Agent {
+  const identity = `${settings.listen.peers}#${randomBytes(4).toString('hex')}`;
+  const container = createContainer<AgentComponents>({ injectionMode: InjectionMode.PROXY, strict: true });
+  container.register({
+    settings: asValue(settings),
+    identity: asValue(identity),
+    random: asValue(seededRandom(hash32(identity))),
+    clock: asValue(new HybridClock()),
+    log: asFunction(() => createLog(`agent ${identity}`, settings.log.level)).singleton(),
+    timeline: asFunction(({ clock }: AgentComponents) => new Timeline(identity, clock)).singleton(),
+    origin: asFunction(() => httpOrigin(settings.origin)).singleton(),
+    store: asFunction(() => new ChunkStore(settings.weights.memoryBytes)).singleton(),
+    engine: asFunction(() => httpEngineClient(settings.backEnd.url)).singleton(),
+    metrics: asFunction(() => new Metrics('agent')).singleton(),
+    agent: asFunction((components: AgentComponents) => new Agent(components)).singleton(),
+  });
+  return container.resolve('agent');
+}
+
+/** What an agent is composed of. */
+export interface AgentComponents {
+  settings: AgentSettings;
+  /** Identity of this process; another process at the same address has another one. */
+  identity: string;
+  random: Random;
+  clock: HybridClock;
+  log: Log;
+  timeline: Timeline;
+  origin: Origin;
+  store: ChunkStore;
+  engine: EngineClient;
+  metrics: Metrics;
+  agent: Agent;
+}
+
+/** A running agent. */
+export class Agent implements Startable {
+  readonly #components: AgentComponents;
+  readonly #info: PeerInfo;
+  readonly #counters = createTrafficCounters();
+  readonly #exchange: Exchange;
+  readonly #loader: VersionLoader;
+  readonly #calls: Calls;
+  readonly #home: EntryLink;
+  readonly #bursts: BurstLinks;
+  readonly #versions: Versions;
+  readonly #parts: StartableGroup;
+  #entries: EntryInfo[] = [];
+  #sequence = 0;
+  #statusTimer: NodeJS.Timeout | undefined;
+  #idleTimer: NodeJS.Timeout | undefined;
+
+  constructor(components: AgentComponents) {
+    const { settings, identity, random, clock, log, timeline, store, engine } = components;
+    this.#components = components;
+    const { place, region, zone } = settings;
+    this.#info = { id: identity, address: settings.listen.peers, place, region, zone };
+    const context: ConnectionContext = {
+      clock,
+      counters: this.#counters,
+      hello: () => ({ type: 'hello', role: 'agent', peer: this.#info }),
+    };
+    this.#loader = new VersionLoader({ engine, store, timeline, log });
+    this.#calls = new Calls(this.#createBackEnd(), settings.backEnd.capacity);
+    this.#exchange = new Exchange(
+      { context, store, origin: components.origin, timeline, log },
+      { ...settings.weights, seed: hash32(identity) },
+      {
+        onVerified: (version, chunk, data) => this.#loader.stageEarly(version, chunk, data),
+        onComplete: (version) => this.#versions.onComplete(version),
+        onCoordinatorMessage: (version, message) => this.#bursts.send(version, message),
+      },
+    );
+    const entries = () => this.#liveEntries();
+    this.#bursts = new BurstLinks({ context, random, timeline, exchange: this.#exchange, entries });
+    this.#home = new EntryLink({
+      context,
+      random,
+      candidates: () => this.#homeCandidates(),
+      onOpen: () => this.#sendStatus(),
+      onMessage: (message) => this.#onHomeMessage(message),
+    });
+    this.#versions = new Versions({
+      exchange: this.#exchange,
+      bursts: this.#bursts,
+      loader: this.#loader,
+      timeline,
+      log,
+      requestManifest: (version) => this.#home.send({ type: 'fetchManifest', version }),
+      requestsInProgress: (version) => this.#calls.activeFor(version),
+    });
+    this.#loader.onChange = () => this.#onVersionsChanged();
+    this.#calls.onChange = () => this.#scheduleStatus();
+    const listener = new ConnectionListener(settings.listen.peers, context, (connection) =>
+      this.#accept(connection),
+    );
+    const server = httpServer(settings.listen.operators, this.#operatorApi().callback());
+    const engineParts = settings.backEnd.kind === 'engine' ? [this.#loader] : [];
+    this.#parts = new StartableGroup([...engineParts, this.#exchange, listener, server, this.#home]);
+    this.#addMetrics();
+  }
+
+  async start(): Promise<void> {
+    this.#components.timeline.record({ type: 'processStarted', role: 'agent' });
+    await this.#parts.start();
+    this.#idleTimer = setInterval(() => this.#onIdle(), STATUS_IDLE_INTERVAL);
+    this.#components.log.info('agent serves', { place: this.#info.place, zone: this.#info.zone });
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#idleTimer);
+    clearTimeout(this.#statusTimer);
+    await this.#bursts.stop();
+    await this.#parts.stop();
+  }
+
+  /** Takes no new work from now on; what is in progress goes on. */
+  drain(): void {
+    if (this.#calls.leaving) return;
+    this.#calls.leaving = true;
+    this.#components.timeline.record({ type: 'processLeaving' });
+    this.#components.log.info('agent leaves');
+    this.#sendStatus();
+  }
+
+  /** Requests in progress. */
+  get active(): number {
+    return this.#calls.active;
+  }
+
+  #createBackEnd(): BackEnd {
+    const { backEnd } = this.#components.settings;
+    if (backEnd.kind === 'service') return serviceBackEnd(backEnd.url);
+    return engineBackEnd(this.#components.engine, this.#loader);
+  }
+
+  #accept(connection: Connection): void {
+    if (connection.remote.role === 'agent') this.#exchange.accept(connection);
+    else this.#calls.serve(connection);
+  }
+
+  /** Addresses of the entries that are not leaving; the settings' list until the home entry told others. */
+  #liveEntries(): string[] {
+    const live = this.#entries.filter((entry) => !entry.leaving).map((entry) => entry.address);
+    return live.length > 0 ? live : this.#components.settings.entries;
+  }
+
+  /** The entries of the own zone first, then those of the own place; among equals by rendezvous hash. */
+  #homeCandidates(): string[] {
+    const { place, zone, id } = this.#info;
+    const known = new Map(this.#entries.map((entry) => [entry.address, entry]));
+    const distance = (address: string): number => {
+      const entry = known.get(address);
+      if (entry?.zone === zone) return 0;
+      return entry?.place === place ? 1 : 2;
+    };
+    return rendezvousOrder(id, this.#liveEntries()).sort((a, b) => distance(a) - distance(b));
+  }
+
+  #onHomeMessage(message: Message): void {
+    if (message.type === 'manifest') return this.#versions.onManifest(message.version, message.manifest);
+    if (message.type === 'manifestUnavailable') {
+      return this.#versions.onManifestUnavailable(message.version, message.reason);
+    }
+    if (message.type !== 'assignments') return;
+    this.#entries = message.entries;
+    this.#versions.assign(message.assignments, message.revision);
+  }
+
+  #onVersionsChanged(): void {
+    this.#versions.review();
+    this.#scheduleStatus();
+  }
+
+  #onIdle(): void {
+    this.#versions.review();
+    this.#sendStatus();
+  }
+
+  #scheduleStatus(): void {
+    this.#statusTimer ??= setTimeout(() => this.#sendStatus(), STATUS_MIN_INTERVAL);
+  }
+
+  #sendStatus(): void {
+    clearTimeout(this.#statusTimer);
+    this.#statusTimer = undefined;
+    this.#home.send({ type: 'status', status: this.#status() });
+  }
+
+  #status(): AgentStatus {
+    const { backEnd, listen } = this.#components.settings;
+    return {
+      sequence: ++this.#sequence,
+      info: this.#info,
+      operatorAddress: listen.operators,
+      backEnd: backEnd.kind,
+      pool: backEnd.kind === 'engine' ? backEnd.pool : backEnd.name,
+      leaving: this.#calls.leaving,
+      versions: this.#versions.progress(),
+      active: this.#calls.active,
+      capacity: backEnd.capacity,
+    };
+  }
+
+  #operatorApi() {
+    const { metrics, timeline } = this.#components;
+    return operatorApi({
+      metrics: () => metrics.text(),
+      status: () => ({ ...this.#status(), home: this.#home.address }),
+      timeline: () => timeline.entries(),
+      drain: () => this.drain(),
+    });
+  }
+
+  #addMetrics(): void {
+    const { metrics, store } = this.#components;
+    metrics.add([
+      trafficMetrics(this.#counters),
+      {
+        name: 'calls',
+        help: 'Requests by outcome',
+        label: 'outcome',
+        read: () => ({ ...this.#calls.counters }),
+      },
+      { name: 'calls_in_progress', help: 'Requests in progress', read: () => this.#calls.active },
+      { name: 'chunk_store_bytes', help: 'Bytes of weights in memory', read: () => store.usedBytes },
+      {
+        name: 'versions_ready',
+        help: 'Versions that the engine reports',
+        read: () => this.#loader.ready.size,
+      },
+      {
+        name: 'transfer_chunks',
+        help: 'Chunks held of each running transfer',
+        label: 'version',
+        read: () => this.#chunksHeld(),
+      },
+    ]);
+  }
+
+  #chunksHeld(): Record<Digest, number> {
+    const transfers = [...this.#exchange.node.transfers.values()];
+    return Object.fromEntries(transfers.map((transfer) => [transfer.version, transfer.have.size]));
+  }
+}
--- /dev/null
+++ b/src/agent/back-ends.ts
@@ -0,0 +1,36 @@
+/** The two kinds of back end that an agent can stand before: a model engine and a plain service. */
+import type { EngineClient } from '../engine/engine-client.js';
+import { openHttp } from '../platform/http.js';
+import type { BackEnd, CallRequest } from './calls.js';
+import type { VersionLoader } from './version-loader.js';
+
+const CANCEL_TIMEOUT = 2_000;
+
+/** A model engine: a request runs only with the exact version that it names. */
+export function engineBackEnd(engine: EngineClient, loader: VersionLoader): BackEnd {
+  return {
+    admits: (version) => (loader.ready.has(version) ? undefined : 'wrongVersion'),
+    run(call, signal) {
+      const body = JSON.parse(Buffer.from(call.body).toString('utf8')) as object;
+      return engine.complete({ ...body, request_id: requestIdOf(call), version: call.version }, signal);
+    },
+    cancel: (call) => void engine.cancel(requestIdOf(call), AbortSignal.timeout(CANCEL_TIMEOUT)),
+  };
+}
+
+/** A plain service at `url`: requests are passed through. */
+export function serviceBackEnd(url: string): BackEnd {
+  return {
+    admits: () => undefined,
+    run(call, signal) {
+      const method = call.method as 'GET' | 'PUT' | 'POST' | 'DELETE';
+      const bytes = call.body.byteLength === 0 ? undefined : call.body;
+      return openHttp({ service: 'plainService', method, url: `${url}${call.path}`, bytes, signal });
+    },
+    cancel: () => {},
+  };
+}
+
+function requestIdOf(call: CallRequest): string {
+  return `${call.callId}-${call.attempt}`;
+}
--- /dev/null
+++ b/src/agent/calls.ts
@@ -0,0 +1,200 @@
+/**
+ * Admission and running of requests at the back end. A refusal says at once that the request did not run;
+ * an answer ends with an explicit end that names the number of its frames.
+ */
+import { type HttpStream, neverConnected } from '../platform/http.js';
+import type { Connection } from '../protocol/connection.js';
+import type { CallMessage, CallRefusal } from '../protocol/messages.js';
+
+/** Requests beyond the back end's capacity that may wait in it, as a share of the capacity. */
+const QUEUE_SHARE = 1;
+/** Time after which a refused caller may come back, in milliseconds. */
+const RETRY_AFTER: Record<CallRefusal, number> = {
+  leaving: 0,
+  overloaded: 500,
+  wrongVersion: 0,
+  notReady: 1_000,
+  backEndUnreachable: 1_000,
+};
+/** Last event of a whole streamed answer. */
+const STREAM_END = 'data: [DONE]';
+
+/** A request as it comes from an entry. */
+export type CallRequest = CallMessage & { type: 'call' };
+
+/** The back end behind this agent. */
+export interface BackEnd {
+  /** Whether a request for this version may run now; undefined when it may. */
+  admits(version: string): CallRefusal | undefined;
+  /** Begins to run a request; the answer is streamed. Throws what the client library throws. */
+  run(call: CallRequest, signal: AbortSignal): Promise<HttpStream>;
+  /** Ends a request that nobody waits for any more. */
+  cancel(call: CallRequest): void;
+}
+
+/** What has become of calls, for metrics. */
+export interface CallCounters {
+  started: number;
+  answered: number;
+  refused: number;
+  failed: number;
+  cancelled: number;
+}
+
+interface ActiveCall {
+  call: CallRequest;
+  abort: AbortController;
+}
+
+/** The calls of one agent. */
+export class Calls {
+  readonly counters: CallCounters = { started: 0, answered: 0, refused: 0, failed: 0, cancelled: 0 };
+  /** Called when the number of requests in progress changed. */
+  onChange: () => void = () => {};
+  leaving = false;
+  readonly #backEnd: BackEnd;
+  readonly #capacity: number;
+  readonly #active = new Map<string, ActiveCall>();
+
+  constructor(backEnd: BackEnd, capacity: number) {
+    this.#backEnd = backEnd;
+    this.#capacity = capacity;
+  }
+
+  get active(): number {
+    return this.#active.size;
+  }
+
+  /** Requests in progress for a version. */
+  activeFor(version: string): number {
+    let count = 0;
+    for (const { call } of this.#active.values()) {
+      if (call.version === version) count++;
+    }
+    return count;
+  }
+
+  /** Serves the calls that come over a connection from an entry. */
+  serve(connection: Connection): void {
+    const own = new Set<string>();
+    connection.handleMessages((message) => {
+      if (message.type === 'call') {
+        own.add(keyOf(message));
+        void this.#run(connection, message).finally(() => own.delete(keyOf(message)));
+      }
+      if (message.type === 'callCancel') this.#cancel(keyOf(message));
+    });
+    connection.onClose = () => {
+      for (const key of own) this.#cancel(key);
+    };
+  }
+
+  async #run(connection: Connection, call: CallRequest): Promise<void> {
+    const { callId, attempt } = call;
+    const refusal = this.#refusal(call);
+    if (refusal !== undefined) {
+      this.counters.refused++;
+      connection.send({
+        type: 'callRefused',
+        callId,
+        attempt,
+        reason: refusal,
+        retryAfter: RETRY_AFTER[refusal],
+      });
+      return;
+    }
+    const abort = new AbortController();
+    this.#active.set(keyOf(call), { call, abort });
+    this.counters.started++;
+    this.onChange();
+    const signal = AbortSignal.any([abort.signal, AbortSignal.timeout(call.timeLeft)]);
+    try {
+      await this.#relay(connection, call, signal);
+    } finally {
+      this.#active.delete(keyOf(call));
+      this.onChange();
+    }
+  }
+
+  #refusal(call: CallRequest): CallRefusal | undefined {
+    if (this.leaving) return 'leaving';
+    if (this.#active.size >= this.#capacity * (1 + QUEUE_SHARE)) return 'overloaded';
+    return this.#backEnd.admits(call.version);
+  }
+
+  async #relay(connection: Connection, call: CallRequest, signal: AbortSignal): Promise<void> {
+    const { callId, attempt } = call;
+    let stream: HttpStream;
+    try {
+      stream = await this.#backEnd.run(call, signal);
+    } catch (cause) {
+      return this.#failToStart(connection, call, cause);
+    }
+    if (stream.statusCode === 409 && call.version !== '') {
+      await stream.body.dump();
+      this.counters.refused++;
+      connection.send({ type: 'callRefused', callId, attempt, reason: 'wrongVersion', retryAfter: 0 });
+      return;
+    }
+    const contentType = String(stream.headers['content-type'] ?? 'application/octet-stream');
+    connection.send({ type: 'callHead', callId, attempt, status: stream.statusCode, contentType });
+    try {
+      const frames = await this.#relayBody(
+        connection,
+        call,
+        stream,
+        contentType.startsWith('text/event-stream'),
+      );
+      this.counters.answered++;
+      connection.send({ type: 'callEnd', callId, attempt, frames });
+    } catch (cause) {
+      this.counters.failed++;
+      this.#backEnd.cancel(call);
+      connection.send({ type: 'callFailed', callId, attempt, reason: String(cause), ran: 'yes' });
+    }
+  }
+
+  #failToStart(connection: Connection, call: CallRequest, cause: unknown): void {
+    const { callId, attempt } = call;
+    if (neverConnected(cause)) {
+      this.counters.refused++;
+      const retryAfter = RETRY_AFTER.backEndUnreachable;
+      connection.send({ type: 'callRefused', callId, attempt, reason: 'backEndUnreachable', retryAfter });
+      return;
+    }
+    this.counters.failed++;
+    this.#backEnd.cancel(call);
+    connection.send({ type: 'callFailed', callId, attempt, reason: String(cause), ran: 'unknown' });
+  }
+
+  /** Passes the body on frame by frame; throws when it ends before it is whole. */
+  async #relayBody(
+    connection: Connection,
+    call: CallRequest,
+    stream: HttpStream,
+    isEventStream: boolean,
+  ): Promise<number> {
+    const { callId, attempt } = call;
+    let sequence = 0;
+    let tail = '';
+    for await (const part of stream.body) {
+      const data = part as Buffer;
+      tail = (tail + data.toString('latin1')).slice(-STREAM_END.length * 2);
+      connection.send({ type: 'callData', callId, attempt, sequence: sequence++, data });
+    }
+    if (isEventStream && !tail.includes(STREAM_END)) throw new Error('the stream ended before its end mark');
+    return sequence;
+  }
+
+  #cancel(key: string): void {
+    const active = this.#active.get(key);
+    if (active === undefined) return;
+    this.counters.cancelled++;
+    active.abort.abort();
+    this.#backEnd.cancel(active.call);
+  }
+}
+
+function keyOf(call: { callId: string; attempt: number }): string {
+  return `${call.callId}/${call.attempt}`;
+}
--- /dev/null
+++ b/src/agent/errors.ts
@@ -0,0 +1,8 @@
+/** Errors of the agent's own layer. */
+import type { Digest } from '../model/manifest.js';
+
+/** Why an assigned version is not being served yet. */
+export type VersionError =
+  | { type: 'manifestUnavailable'; version: Digest; reason: string }
+  | { type: 'manifestMismatch'; version: Digest }
+  | { type: 'memoryBudgetExceeded'; version: Digest; neededBytes: number };
--- /dev/null
+++ b/src/agent/exchange.ts
@@ -0,0 +1,351 @@
+/**
+ * The chunk exchange of an agent: carries out what the distribution systems decide. It verifies every chunk
+ * before the systems hear of it, and keeps chunk traffic within the link's rate.
+ */
+import { ChunkSet } from '../model/chunk-set.js';
+import { type Digest, digestOf, type Manifest } from '../model/manifest.js';
+import { Pacer } from '../model/pacer.js';
+import { seededRandom } from '../model/random.js';
+import type { Startable } from '../model/startable.js';
+import type { Log } from '../observability/log.js';
+import type { Timeline } from '../observability/timeline.js';
+import type { Origin } from '../platform/origin.js';
+import type { Connection, ConnectionContext } from '../protocol/connection.js';
+import { type Assignment, type Message, type TransferKey, transferKeyOf } from '../protocol/messages.js';
+import type { DistributionCommand } from '../systems/distribution/commands.js';
+import { DEFAULT_DISTRIBUTION_LIMITS } from '../systems/distribution/limits.js';
+import { DistributionNode } from '../systems/distribution/node.js';
+import type { Grant, PeerInfo } from '../systems/distribution/transfer.js';
+import type { ChunkStore } from './chunk-store.js';
+import { PeerLinks } from './peer-links.js';
+
+/** Time between two ticks when nothing happens, in milliseconds. */
+const IDLE_TICK_INTERVAL = 50;
+/** Time for one draw from the origin, in milliseconds. */
+const DRAW_TIMEOUT = 30_000;
+/** Chunks in a row that a peer may send unasked (late answers to cancelled requests) before they are dropped. */
+const MAX_UNASKED_CHUNKS = 16;
+
+/** A transfer of this agent. */
+interface ActiveTransfer {
+  version: Digest;
+  manifest: Manifest;
+}
+
+/** What the exchange tells the rest of the agent. */
+export interface ExchangeEvents {
+  /** A chunk came that was not here, and matches its digest. */
+  onVerified(version: Digest, chunk: number, data: Buffer): void;
+  /** A version is whole and verified. */
+  onComplete(version: Digest): void;
+  /** For the coordinator of the burst. */
+  onCoordinatorMessage(version: Digest, message: Message): void;
+}
+
+/** What the exchange works with. */
+export interface ExchangeComponents {
+  context: ConnectionContext;
+  store: ChunkStore;
+  origin: Origin;
+  timeline: Timeline;
+  log: Log;
+}
+
+/** Link and randomness of the exchange. */
+export interface ExchangeInit {
+  linkBytesPerSecond: number;
+  linkDuplex: 'shared' | 'full';
+  seed: number;
+}
+
+/** The chunk exchange of one agent. */
+export class Exchange implements Startable {
+  readonly node: DistributionNode;
+  readonly #transfers = new Map<TransferKey, ActiveTransfer>();
+  readonly #links: PeerLinks;
+  readonly #components: ExchangeComponents;
+  readonly #events: ExchangeEvents;
+  readonly #outgoing: Pacer;
+  readonly #incoming: Pacer;
+  readonly #stopping = new AbortController();
+  readonly #unaskedChunks = new Map<string, number>();
+  #timer: NodeJS.Timeout | undefined;
+  #tickQueued = false;
+
+  constructor(components: ExchangeComponents, init: ExchangeInit, events: ExchangeEvents) {
+    this.#components = components;
+    this.#events = events;
+    this.node = new DistributionNode({
+      limits: DEFAULT_DISTRIBUTION_LIMITS,
+      random: seededRandom(init.seed),
+    });
+    this.#outgoing = new Pacer(init.linkBytesPerSecond);
+    this.#incoming = init.linkDuplex === 'shared' ? this.#outgoing : new Pacer(init.linkBytesPerSecond);
+    this.#links = new PeerLinks(components.context, {
+      onMessage: (peer, message) => this.#onPeerMessage(peer, message),
+      onLost: (peer) => this.#act(() => this.node.onPeerLost(peer, performance.now())),
+    });
+  }
+
+  async start(): Promise<void> {
+    this.#timer = setInterval(() => this.#tick(), IDLE_TICK_INTERVAL);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#stopping.abort();
+    this.#links.closeAll();
+  }
+
+  /** Takes over a connection that another agent opened. */
+  accept(connection: Connection): void {
+    this.#links.accept(connection);
+  }
+
+  /** Starts to fetch a version; returns false when the memory budget has no room for it. */
+  begin(assignment: Assignment, manifest: Manifest): boolean {
+    const { version, priority } = assignment;
+    const allowedPlaces = new Set(assignment.places);
+    const running = this.#transfers.has(transferKeyOf(version));
+    if (!running && !this.#components.store.pin(manifest)) return false;
+    const have = this.#chunksHeld(manifest);
+    const chunkCount = manifest.chunks.length;
+    this.#transfers.set(transferKeyOf(version), { version, manifest });
+    this.#act(() =>
+      this.node.startTransfer({ version, chunkCount, priority, allowedPlaces, have }, performance.now()),
+    );
+    if (running) return true;
+    this.#components.timeline.record({
+      type: 'transferStarted',
+      version,
+      chunks: chunkCount,
+      alreadyHeld: have.size,
+    });
+    if (have.complete) this.#complete(version);
+    return true;
+  }
+
+  /** Stops a version: nothing more is fetched or served of it, and its memory may be reused. */
+  end(version: Digest): void {
+    const transfer = this.#transfers.get(transferKeyOf(version));
+    if (transfer === undefined) return;
+    this.#transfers.delete(transferKeyOf(version));
+    this.#components.store.unpin(transfer.manifest);
+    this.#components.timeline.record({ type: 'transferStopped', version });
+    this.#act(() => this.node.stopTransfer(version));
+  }
+
+  /** The chunks of a running transfer that are here, or undefined. */
+  held(version: Digest): ChunkSet | undefined {
+    return this.node.transfers.get(version)?.have;
+  }
+
+  /** The manifest of a running transfer, or undefined. */
+  manifest(version: Digest): Manifest | undefined {
+    return this.#transfers.get(transferKeyOf(version))?.manifest;
+  }
+
+  /** The coordinator names peers to exchange with. */
+  onNeighbours(key: TransferKey, peers: readonly PeerInfo[]): void {
+    const transfer = this.#transfers.get(key);
+    if (transfer === undefined) return;
+    this.#act(() => {
+      for (const peer of peers) this.node.addNeighbour(transfer.version, peer);
+    });
+  }
+
+  /** The coordinator grants a draw from the origin or from outside the region. */
+  onGrant(key: TransferKey, grant: Grant): void {
+    const transfer = this.#transfers.get(key);
+    if (transfer !== undefined) this.#act(() => this.node.onGrant(transfer.version, grant));
+  }
+
+  #chunksHeld(manifest: Manifest): ChunkSet {
+    const have = new ChunkSet(manifest.chunks.length);
+    for (const [index, chunk] of manifest.chunks.entries()) {
+      if (this.#components.store.get(chunk.digest) !== undefined) have.add(index);
+    }
+    return have;
+  }
+
+  /** Runs a handler that writes the tables, and a tick soon after. */
+  #act(handle: () => void): void {
+    handle();
+    if (this.#tickQueued) return;
+    this.#tickQueued = true;
+    setImmediate(() => {
+      this.#tickQueued = false;
+      this.#tick();
+    });
+  }
+
+  #tick(): void {
+    if (this.#stopping.signal.aborted) return;
+    for (const command of this.node.tick(performance.now())) this.#carryOut(command);
+  }
+
+  #carryOut(command: DistributionCommand): void {
+    const transfer = transferKeyOf(command.version);
+    switch (command.type) {
+      case 'greet':
+        return this.#links.send(command.peer, { type: 'greet', transfer, have: command.have });
+      case 'request': {
+        const { chunk, have, urgent } = command;
+        return this.#links.send(command.peer, { type: 'request', transfer, chunk, have, urgent });
+      }
+      case 'cancel':
+        return void this.#links.sendIfConnected(command.peer, {
+          type: 'cancel',
+          transfer,
+          chunk: command.chunk,
+        });
+      case 'refuse': {
+        const { chunk, reason, queueLength } = command;
+        if (reason === 'place') this.#noteRefusal(command);
+        return void this.#links.sendIfConnected(command.peer, {
+          type: 'refuse',
+          transfer,
+          chunk,
+          reason,
+          queueLength,
+        });
+      }
+      case 'announce': {
+        const { chunks, queueLength } = command;
+        for (const peer of command.peers) {
+          this.#links.sendIfConnected(peer, { type: 'announce', transfer, chunks, queueLength });
+        }
+        return;
+      }
+      case 'send':
+        return void this.#sendChunk(command.version, command.chunk, command.peer, command.queueLength);
+      case 'draw':
+        return void this.#draw(command.version, command.chunk);
+      case 'report': {
+        const { version, have, starving } = command;
+        return this.#events.onCoordinatorMessage(version, { type: 'report', transfer, have, starving });
+      }
+      case 'grantEnded': {
+        const { version, grantId, chunk, succeeded } = command;
+        const message: Message = { type: 'grantEnded', transfer, grantId, chunk, succeeded };
+        return this.#events.onCoordinatorMessage(version, message);
+      }
+    }
+  }
+
+  #noteRefusal({ version, chunk, peer, reason }: DistributionCommand & { type: 'refuse' }): void {
+    this.#components.timeline.record({ type: 'chunkRefused', version, chunk, peer, reason });
+  }
+
+  async #sendChunk(version: Digest, chunk: number, peer: string, queueLength: number): Promise<void> {
+    const data = this.#chunkData(version, chunk);
+    if (data !== undefined) {
+      await this.#outgoing.take(data.byteLength, this.#stopping.signal);
+      this.#links.sendIfConnected(peer, {
+        type: 'chunk',
+        transfer: transferKeyOf(version),
+        chunk,
+        queueLength,
+        data,
+      });
+    }
+    this.#act(() => this.node.onUploadEnded());
+  }
+
+  #chunkData(version: Digest, chunk: number): Buffer | undefined {
+    const manifest = this.manifest(version);
+    const entry = manifest?.chunks[chunk];
+    return entry === undefined ? undefined : this.#components.store.get(entry.digest);
+  }
+
+  async #draw(version: Digest, chunk: number): Promise<void> {
+    const entry = this.manifest(version)?.chunks[chunk];
+    if (entry === undefined) return;
+    const signal = AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(DRAW_TIMEOUT)]);
+    const drawn = await this.#components.origin.chunk(entry.digest, signal);
+    if (!drawn.ok) return this.#act(() => this.node.onDrawFailed(version, chunk));
+    await this.#incoming.take(drawn.value.byteLength, this.#stopping.signal);
+    this.#receive(version, chunk, undefined, drawn.value, 0);
+  }
+
+  #onPeerMessage(peer: PeerInfo, message: Message): void {
+    if (!('transfer' in message)) return;
+    const transfer = this.#transfers.get(message.transfer);
+    if (transfer === undefined) return this.#refuseUnknown(peer, message);
+    const { version } = transfer;
+    const now = performance.now();
+    switch (message.type) {
+      case 'greet':
+        return this.#act(() => this.node.onGreeting(peer, version, message.have));
+      case 'announce':
+        return this.#act(() => this.node.onAnnounce(version, peer.id, message.chunks, message.queueLength));
+      case 'request':
+        return this.#act(() => this.node.onRequest(peer, { ...message, version }, now));
+      case 'cancel':
+        return this.#act(() => this.node.onCancel(peer.id, version, message.chunk));
+      case 'refuse': {
+        const { chunk, reason, queueLength } = message;
+        return this.#act(() => this.node.onRefused(peer.id, version, chunk, reason, queueLength, now));
+      }
+      case 'chunk':
+        return void this.#onChunkMessage(peer, version, message);
+      default:
+    }
+  }
+
+  #refuseUnknown(peer: PeerInfo, message: Message): void {
+    if (message.type !== 'request') return;
+    const { transfer, chunk } = message;
+    const refusal: Message = { type: 'refuse', transfer, chunk, reason: 'absent', queueLength: 0 };
+    this.#links.sendIfConnected(peer.id, refusal);
+  }
+
+  async #onChunkMessage(
+    peer: PeerInfo,
+    version: Digest,
+    message: Message & { type: 'chunk' },
+  ): Promise<void> {
+    const expected = this.node.transfers.get(version)?.requests.get(message.chunk);
+    if (expected?.peer === peer.id) this.#unaskedChunks.delete(peer.id);
+    else if (!this.#toleratesUnasked(peer)) return;
+    // A copy: the frame's own buffer may be a slice of a larger one.
+    const data = Buffer.from(message.data);
+    await this.#incoming.take(data.byteLength, this.#stopping.signal);
+    this.#receive(version, message.chunk, peer.id, data, message.queueLength);
+  }
+
+  #toleratesUnasked(peer: PeerInfo): boolean {
+    const count = (this.#unaskedChunks.get(peer.id) ?? 0) + 1;
+    this.#unaskedChunks.set(peer.id, count);
+    return count <= MAX_UNASKED_CHUNKS;
+  }
+
+  #receive(
+    version: Digest,
+    chunk: number,
+    from: string | undefined,
+    data: Buffer,
+    queueLength: number,
+  ): void {
+    const entry = this.manifest(version)?.chunks[chunk];
+    if (entry === undefined) return;
+    if (digestOf(data) !== entry.digest) {
+      this.#components.timeline.record({ type: 'corruptChunk', version, chunk, from: from ?? 'origin' });
+      this.#components.log.warn('corrupt chunk dropped', { version, chunk, from: from ?? 'origin' });
+      return this.#act(() => this.node.onCorruptChunk(version, chunk, from, performance.now()));
+    }
+    this.#components.store.put(entry.digest, data);
+    let isNew = false;
+    this.#act(() => {
+      isNew = this.node.onChunk(version, chunk, from, queueLength, performance.now());
+    });
+    if (!isNew) return;
+    this.#events.onVerified(version, chunk, data);
+    if (this.held(version)?.complete) this.#complete(version);
+  }
+
+  #complete(version: Digest): void {
+    this.#components.timeline.record({ type: 'transferCompleted', version });
+    this.#events.onComplete(version);
+  }
+}
--- /dev/null
+++ b/src/agent/peer-links.ts
@@ -0,0 +1,88 @@
+/** The connections of an agent to other agents: dialled when first needed, shared by all transfers. */
+
+import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
+import type { Message } from '../protocol/messages.js';
+import type { PeerId, PeerInfo } from '../systems/distribution/transfer.js';
+
+/** Messages kept for a peer that is being dialled. */
+const MAX_WAITING = 256;
+
+/** A link that is open, or being opened. */
+interface PeerLink {
+  connection: Connection | undefined;
+  waiting: Message[];
+}
+
+/** What the links tell. */
+export interface PeerLinkEvents {
+  onMessage(peer: PeerInfo, message: Message): void;
+  onLost(peer: PeerId): void;
+}
+
+/** The links of one agent. */
+export class PeerLinks {
+  readonly #links = new Map<PeerId, PeerLink>();
+  readonly #context: ConnectionContext;
+  readonly #events: PeerLinkEvents;
+  readonly #closing = new AbortController();
+
+  constructor(context: ConnectionContext, events: PeerLinkEvents) {
+    this.#context = context;
+    this.#events = events;
+  }
+
+  /** Takes over a connection that a peer opened. */
+  accept(connection: Connection): void {
+    this.#adopt(connection);
+  }
+
+  /** Sends to a peer, dialling it first if need be. */
+  send(peer: PeerInfo, message: Message): void {
+    const link = this.#links.get(peer.id) ?? this.#dial(peer);
+    if (link.connection !== undefined) link.connection.send(message);
+    else if (link.waiting.length < MAX_WAITING) link.waiting.push(message);
+  }
+
+  /** Sends to a peer that is connected; returns false when it is not. */
+  sendIfConnected(peer: PeerId, message: Message): boolean {
+    return this.#links.get(peer)?.connection?.send(message) ?? false;
+  }
+
+  closeAll(): void {
+    this.#closing.abort();
+    for (const link of [...this.#links.values()]) link.connection?.close();
+  }
+
+  #dial(peer: PeerInfo): PeerLink {
+    const link: PeerLink = { connection: undefined, waiting: [] };
+    this.#links.set(peer.id, link);
+    void connect(peer.address, this.#context, this.#closing.signal).then((outcome) => {
+      // A process replaced under the same address is another peer.
+      if (outcome.ok && outcome.value.remote.peer.id === peer.id) return this.#adopt(outcome.value);
+      if (outcome.ok) outcome.value.close();
+      if (this.#links.get(peer.id) !== link) return;
+      this.#links.delete(peer.id);
+      this.#events.onLost(peer.id);
+    });
+    return link;
+  }
+
+  #adopt(connection: Connection): void {
+    const { peer } = connection.remote;
+    const earlier = this.#links.get(peer.id);
+    const waiting = earlier?.connection === undefined ? (earlier?.waiting ?? []) : [];
+    const replaced = earlier?.connection;
+    this.#links.set(peer.id, { connection, waiting: [] });
+    connection.handleMessages((message) => this.#events.onMessage(peer, message));
+    connection.onClose = () => this.#lost(peer.id, connection);
+    for (const message of waiting) connection.send(message);
+    // Both sides may have dialled: the earlier connection stays open for what is under way on it.
+    if (replaced?.open) replaced.onClose = () => {};
+  }
+
+  #lost(peer: PeerId, connection: Connection): void {
+    if (this.#links.get(peer)?.connection !== connection) return;
+    this.#links.delete(peer);
+    this.#events.onLost(peer);
+  }
+}
--- /dev/null
+++ b/src/agent/version-loader.ts
@@ -0,0 +1,194 @@
+/**
+ * Brings whole, verified versions into the engine by fenced orders, and takes old ones out. A version counts
+ * as ready only while the engine itself reports its digest.
+ */
+import type { EngineClient, EngineState } from '../engine/engine-client.js';
+import type { Digest, Manifest } from '../model/manifest.js';
+import type { Startable } from '../model/startable.js';
+import type { Log } from '../observability/log.js';
+import type { Timeline } from '../observability/timeline.js';
+import type { ChunkStore } from './chunk-store.js';
+
+/** Time between two readings of the engine's state, in milliseconds. */
+const STATE_INTERVAL = 250;
+const CALL_TIMEOUT = 5_000;
+/** Time until a failed load is tried again, in milliseconds. */
+const LOAD_RETRY_DELAY = 1_000;
+
+/** What the loader works with. */
+export interface VersionLoaderComponents {
+  engine: EngineClient;
+  store: ChunkStore;
+  timeline: Timeline;
+  log: Log;
+}
+
+/** The loader of one agent. */
+export class VersionLoader implements Startable {
+  /** Called when the set of ready versions or the reported load changed. */
+  onChange: () => void = () => {};
+  readonly #components: VersionLoaderComponents;
+  readonly #stopping = new AbortController();
+  readonly #loading = new Set<Digest>();
+  readonly #ready = new Set<Digest>();
+  /** Versions that an order to unload is out for. */
+  readonly #retiring = new Set<Digest>();
+  /** Chunks handed to the engine, or on the way to it, by version and index. */
+  readonly #staging = new Map<string, Promise<boolean>>();
+  #wanted = new Set<Digest>();
+  #epoch: number | undefined;
+  #active = 0;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(components: VersionLoaderComponents) {
+    this.#components = components;
+  }
+
+  /** The versions that the engine reports as loaded, by the digest that it computed itself. */
+  get ready(): ReadonlySet<Digest> {
+    return this.#ready;
+  }
+
+  /** Requests in progress as the engine last reported. */
+  get active(): number {
+    return this.#active;
+  }
+
+  async start(): Promise<void> {
+    await this.#refresh();
+    this.#timer = setInterval(() => void this.#refresh(), STATE_INTERVAL);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#stopping.abort();
+  }
+
+  /** Begins to stage a verified chunk while the rest of its version is still on the way. */
+  stageEarly(version: Digest, chunk: number, data: Buffer): void {
+    this.#wanted.add(version);
+    void this.#stage(version, chunk, data);
+  }
+
+  /** Stages and loads a version whose chunks are all in the store; tries again until it is ready or unwanted. */
+  async load(version: Digest, manifest: Manifest, revision: number): Promise<void> {
+    if (this.#loading.has(version) || this.#ready.has(version)) return;
+    this.#loading.add(version);
+    this.#wanted.add(version);
+    try {
+      while (this.#wanted.has(version) && !this.#ready.has(version) && !this.#stopping.signal.aborted) {
+        await this.#tryLoad(version, manifest, revision);
+        await pause(LOAD_RETRY_DELAY, this.#stopping.signal);
+      }
+    } finally {
+      this.#loading.delete(version);
+    }
+  }
+
+  /** Takes a version out of the engine. It counts as not ready from the first moment on. */
+  async unload(version: Digest, revision: number): Promise<void> {
+    this.#wanted.delete(version);
+    this.#retiring.add(version);
+    if (this.#ready.delete(version)) this.onChange();
+    this.#forgetStaged(version);
+    const unloaded = await this.#order('unload', version, revision);
+    if (unloaded) this.#components.timeline.record({ type: 'versionUnloaded', version });
+    else this.#retiring.delete(version);
+  }
+
+  async #tryLoad(version: Digest, manifest: Manifest, revision: number): Promise<void> {
+    for (const [chunk, { digest }] of manifest.chunks.entries()) {
+      const data = this.#components.store.get(digest);
+      if (data === undefined || !(await this.#stage(version, chunk, data))) return;
+    }
+    if (!(await this.#order('load', version, revision))) return;
+    this.#forgetStaged(version);
+    const deadline = performance.now() + CALL_TIMEOUT;
+    while (!this.#ready.has(version) && performance.now() < deadline && !this.#stopping.signal.aborted) {
+      await this.#refresh();
+      await pause(STATE_INTERVAL / 5, this.#stopping.signal);
+    }
+  }
+
+  /** Stages a chunk once; a failed try is forgotten, so that the next one asks the engine again. */
+  #stage(version: Digest, chunk: number, data: Buffer): Promise<boolean> {
+    const key = `${version}/${chunk}`;
+    let staging = this.#staging.get(key);
+    if (staging === undefined) {
+      staging = this.#components.engine.stage(version, chunk, data, this.#callSignal()).then((outcome) => {
+        if (!outcome.ok) this.#staging.delete(key);
+        return outcome.ok;
+      });
+      this.#staging.set(key, staging);
+    }
+    return staging;
+  }
+
+  #forgetStaged(version: Digest): void {
+    for (const key of this.#staging.keys()) {
+      if (key.startsWith(version)) this.#staging.delete(key);
+    }
+  }
+
+  async #order(kind: 'load' | 'unload', version: Digest, revision: number): Promise<boolean> {
+    const { engine, timeline, log } = this.#components;
+    const epoch = await this.#claim();
+    if (epoch === undefined) return false;
+    timeline.record({ type: 'orderSent', order: kind, version, revision });
+    const outcome = await engine.order({ kind, version, fence: { epoch, revision } }, this.#callSignal());
+    if (outcome.ok) return true;
+    timeline.record({ type: 'orderRefused', order: kind, version, reason: outcome.error.type });
+    log.warn('order refused', { order: kind, version, reason: outcome.error.reason });
+    return false;
+  }
+
+  async #claim(): Promise<number | undefined> {
+    if (this.#epoch !== undefined) return this.#epoch;
+    const claimed = await this.#components.engine.claim(this.#callSignal());
+    if (claimed.ok) this.#epoch = claimed.value;
+    return this.#epoch;
+  }
+
+  async #refresh(): Promise<void> {
+    const state = await this.#components.engine.state(this.#callSignal());
+    if (this.#stopping.signal.aborted) return;
+    this.#takeState(state.ok ? state.value : { versions: [], fence: { epoch: 0, revision: 0 }, active: 0 });
+  }
+
+  #takeState(state: EngineState): void {
+    const exact = state.versions.filter((row) => row.state === 'loaded' && row.loadedDigest === row.version);
+    const reported = new Set(exact.map((row) => row.version));
+    for (const version of this.#retiring) {
+      if (!reported.delete(version)) this.#retiring.delete(version);
+    }
+    const loaded: ReadonlySet<Digest> = reported;
+    const gone = [...this.#ready].filter((version) => !loaded.has(version));
+    const fresh = [...loaded].filter((version) => !this.#ready.has(version));
+    for (const version of gone) this.#ready.delete(version);
+    for (const version of fresh) {
+      this.#ready.add(version);
+      this.#components.timeline.record({ type: 'versionReady', version });
+    }
+    const changed = gone.length > 0 || fresh.length > 0 || state.active !== this.#active;
+    this.#active = state.active;
+    if (changed) this.onChange();
+  }
+
+  #callSignal(): AbortSignal {
+    return AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(CALL_TIMEOUT)]);
+  }
+}
+
+function pause(milliseconds: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, milliseconds);
+    signal.addEventListener(
+      'abort',
+      () => {
+        clearTimeout(timer);
+        resolve();
+      },
+      { once: true },
+    );
+  });
+}
--- /dev/null
+++ b/src/agent/versions.ts
@@ -0,0 +1,132 @@
+/**
+ * What an agent does about its assignments: fetch each version's manifest, join the burst, load what is whole,
+ * and take out what is no longer assigned once its successor is ready.
+ */
+import { type Digest, isManifestOf, type Manifest, totalBytes } from '../model/manifest.js';
+import type { Log } from '../observability/log.js';
+import type { Timeline } from '../observability/timeline.js';
+import type { Assignment, VersionProgress } from '../protocol/messages.js';
+import type { BurstLinks } from './burst-links.js';
+import type { VersionError } from './errors.js';
+import type { Exchange } from './exchange.js';
+import type { VersionLoader } from './version-loader.js';
+
+/** What the versions work with. */
+export interface VersionsComponents {
+  exchange: Exchange;
+  bursts: BurstLinks;
+  loader: VersionLoader;
+  timeline: Timeline;
+  log: Log;
+  /** Asks the home entry for a manifest; it comes through {@link Versions.onManifest}. */
+  requestManifest: (version: Digest) => void;
+  /** Requests that run here with a version. */
+  requestsInProgress: (version: Digest) => number;
+}
+
+/** The versions of one agent. */
+export class Versions {
+  readonly #components: VersionsComponents;
+  readonly #manifests = new Map<Digest, Manifest>();
+  #assignments: Assignment[] = [];
+  #revision = 0;
+  readonly #problems = new Map<Digest, VersionError>();
+
+  constructor(components: VersionsComponents) {
+    this.#components = components;
+  }
+
+  /** Takes new assignments; older ones than those in force are ignored. */
+  assign(assignments: Assignment[], revision: number): void {
+    if (revision < this.#revision) return;
+    this.#revision = revision;
+    const known = new Set(this.#assignments.map((row) => row.version));
+    this.#assignments = assignments;
+    for (const { deployment, version } of assignments) {
+      if (!known.has(version)) this.#components.timeline.record({ type: 'assigned', deployment, version });
+    }
+    this.review();
+  }
+
+  /** A manifest came; it is used only if it is the one that the version names. */
+  onManifest(version: Digest, manifest: Manifest): void {
+    if (!isManifestOf(manifest, version)) {
+      this.#problems.set(version, { type: 'manifestMismatch', version });
+      return this.#components.log.error('manifest does not match its version', { version });
+    }
+    this.#manifests.set(version, manifest);
+    this.#problems.delete(version);
+    this.review();
+  }
+
+  /** There is no manifest to be had; it is asked for again at the next review. */
+  onManifestUnavailable(version: Digest, reason: string): void {
+    this.#problems.set(version, { type: 'manifestUnavailable', version, reason });
+  }
+
+  /** A version is whole and verified. */
+  onComplete(version: Digest): void {
+    const assignment = this.#assignments.find((row) => row.version === version);
+    const manifest = this.#manifests.get(version);
+    if (assignment === undefined || manifest === undefined) return;
+    void this.#components.loader.load(version, manifest, assignment.revision);
+  }
+
+  /** Brings transfers and engine in line with the assignments; called again until nothing is left to do. */
+  review(): void {
+    const wanted = new Set(this.#assignments.map((row) => row.version));
+    this.#endUnwantedTransfers(wanted);
+    for (const assignment of this.#assignments) this.#pursue(assignment);
+    this.#unloadSuperseded(wanted);
+  }
+
+  /** How far each version is. */
+  progress(): VersionProgress[] {
+    const { loader, exchange } = this.#components;
+    const versions = new Set([...this.#assignments.map((row) => row.version), ...loader.ready]);
+    return [...versions].map((version) => {
+      const manifest = this.#manifests.get(version);
+      const bytesTotal = manifest === undefined ? 0 : totalBytes(manifest);
+      const held = exchange.held(version);
+      const share = held === undefined ? 0 : held.size / held.capacity;
+      const bytesHeld = Math.round(bytesTotal * share);
+      const ready = loader.ready.has(version);
+      const problem = ready ? '' : (this.#problems.get(version)?.type ?? '');
+      return { version, bytesHeld, bytesTotal, ready, problem };
+    });
+  }
+
+  #pursue(assignment: Assignment): void {
+    const { version } = assignment;
+    const { loader, exchange, bursts, requestManifest } = this.#components;
+    if (loader.ready.has(version) && exchange.held(version) === undefined) return;
+    const manifest = this.#manifests.get(version);
+    if (manifest === undefined) return requestManifest(version);
+    if (!exchange.begin(assignment, manifest)) {
+      const neededBytes = totalBytes(manifest);
+      this.#problems.set(version, { type: 'memoryBudgetExceeded', version, neededBytes });
+      return;
+    }
+    this.#problems.delete(version);
+    bursts.join(assignment);
+  }
+
+  #endUnwantedTransfers(wanted: ReadonlySet<Digest>): void {
+    const { exchange, bursts } = this.#components;
+    for (const version of [...exchange.node.transfers.keys()]) {
+      if (wanted.has(version)) continue;
+      bursts.leave(version);
+      exchange.end(version);
+    }
+  }
+
+  #unloadSuperseded(wanted: ReadonlySet<Digest>): void {
+    const { loader, requestsInProgress } = this.#components;
+    const successorReady = [...wanted].every((version) => loader.ready.has(version));
+    if (!successorReady || this.#revision === 0) return;
+    for (const version of loader.ready) {
+      if (wanted.has(version) || requestsInProgress(version) > 0) continue;
+      void loader.unload(version, this.#revision);
+    }
+  }
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,51 @@
+/** The command line: one binary with all roles. */
+import { Builtins, Cli } from 'clipanion';
+import {
+  ApplyCommand,
+  DeleteCommand,
+  DiffCommand,
+  DrainCommand,
+  GetCommand,
+  StatusCommand,
+  TimelineCommand,
+  WatchCommand,
+} from './operators.js';
+import { EXIT_USAGE } from './process.js';
+import { AgentCommand, EmulateCommand, EntryCommand } from './roles.js';
+
+declare const THISTLEWAY_VERSION: string;
+
+const COMMANDS = [
+  EntryCommand,
+  AgentCommand,
+  EmulateCommand,
+  ApplyCommand,
+  DiffCommand,
+  GetCommand,
+  DeleteCommand,
+  StatusCommand,
+  WatchCommand,
+  DrainCommand,
+  TimelineCommand,
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+];
+
+async function main(): Promise<number> {
+  const cli = new Cli({
+    binaryName: 'thistleway',
+    binaryLabel: 'thistleway',
+    binaryVersion: THISTLEWAY_VERSION,
+  });
+  for (const command of COMMANDS) cli.register(command);
+  const commandLine = process.argv.slice(2);
+  try {
+    cli.process(commandLine.length === 0 ? ['--help'] : commandLine);
+  } catch (cause) {
+    process.stderr.write(cli.error(cause));
+    return EXIT_USAGE;
+  }
+  return cli.run(commandLine.length === 0 ? ['--help'] : commandLine);
+}
+
+void main().then((exitCode) => process.exit(exitCode));
--- /dev/null
+++ b/src/cli/operators.ts
@@ -0,0 +1,280 @@
+/** The operators' commands: declarations in, progress and time lines out. */
+import { randomUUID } from 'node:crypto';
+import { Command, Option } from 'clipanion';
+import { stampTime } from '../observability/hybrid-clock.js';
+import { mergeTimelines, type TimelineEntry } from '../observability/timeline.js';
+import type { AgentStatus, EntryInfo } from '../protocol/messages.js';
+import type { DeploymentStatus } from '../resources/deployment-status.js';
+import type { ApplyAnswer } from '../resources/resource-api.js';
+import { formatPlan, type PlannedChange, plan, readDeclarations } from './declarations.js';
+import { EntryClient } from './entry-client.js';
+import { CommandFailure, EXIT_CONFLICT, EXIT_UNKNOWN, EXIT_USAGE, ThistlewayCommand } from './process.js';
+
+const WAIT_INTERVAL = 500;
+/** Tries to learn what became of an operation whose answer was lost, one a second. */
+const OPERATION_TRIES = 10;
+
+/** What every operators' command has. */
+abstract class OperatorCommand extends ThistlewayCommand {
+  entry = Option.String('--entry', '127.0.0.1:8080', { description: 'address of an entry (host:port)' });
+
+  protected get client(): EntryClient {
+    return new EntryClient(this.entry);
+  }
+
+  protected print(text: string): void {
+    this.context.stdout.write(`${text}\n`);
+  }
+}
+
+/** `thistleway diff -f PATH`. */
+export class DiffCommand extends OperatorCommand {
+  static override paths = [['diff']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'show what apply would change; exit code 1 when there is something',
+  });
+  files = Option.String('-f,--file', { required: true, description: 'file or folder of declarations' });
+  prune = Option.Boolean('--prune', false, { description: 'also delete what is not declared' });
+
+  async perform(): Promise<number> {
+    const declarations = readDeclarations(this.files);
+    const { items } = await this.client.resources();
+    const changes = plan(declarations, items, this.prune);
+    this.print(formatPlan(changes));
+    return changes.some((change) => change.action !== 'keep') ? 1 : 0;
+  }
+}
+
+/** `thistleway apply -f PATH [--prune] [--wait]`. */
+export class ApplyCommand extends OperatorCommand {
+  static override paths = [['apply']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'apply declarations as one transaction',
+    details:
+      'Exit codes: 0 in force, 2 bad declarations, 3 conflict with another operator, 4 outcome unknown or not reached in time.',
+  });
+  files = Option.String('-f,--file', { required: true, description: 'file or folder of declarations' });
+  prune = Option.Boolean('--prune', false, { description: 'also delete what is not declared' });
+  wait = Option.Boolean('--wait', false, { description: 'wait until all replicas are ready' });
+  timeout = Option.String('--timeout', '600', { description: 'seconds to wait' });
+
+  async perform(): Promise<number> {
+    const declarations = readDeclarations(this.files);
+    const { items } = await this.client.resources();
+    const changes = plan(declarations, items, this.prune).filter((change) => change.action !== 'keep');
+    if (changes.length === 0) this.print('nothing to change');
+    else this.print(`${formatPlan(changes)}\naccepted at revision ${await this.#apply(changes)}`);
+    if (this.wait)
+      await this.#waitUntilReady(declarations.map((declaration) => declaration.value.metadata.name));
+    return 0;
+  }
+
+  async #apply(changes: PlannedChange[]): Promise<number> {
+    const operationId = randomUUID();
+    const kept = changes.filter((change) => change.value !== undefined);
+    const answer = await this.client.apply({
+      operationId,
+      resources: kept.map(({ value, revision }) => ({ resource: value, revision })),
+      deletes: changes
+        .filter((change) => change.action === 'delete')
+        .map(({ key, revision }) => ({ key, revision })),
+    });
+    return this.#revisionOf(answer, operationId);
+  }
+
+  async #revisionOf(answer: ApplyAnswer, operationId: string): Promise<number> {
+    switch (answer.type) {
+      case 'accepted':
+        return answer.revision;
+      case 'rejected': {
+        const lines = answer.problems.map(
+          ({ resource, field, message }) => `${resource} ${field}: ${message}`,
+        );
+        throw new CommandFailure(lines.join('\n'), EXIT_USAGE);
+      }
+      case 'conflict': {
+        const lines = answer.rows.map(
+          ({ key, revision, expected }) =>
+            `${key}: changed by another operator (revision ${revision}, not ${expected})`,
+        );
+        throw new CommandFailure(lines.join('\n'), EXIT_CONFLICT);
+      }
+      case 'unavailable':
+        throw new CommandFailure(`not accepted; come back in ${answer.retryAfter} ms`, EXIT_UNKNOWN);
+      case 'unknown':
+        return this.#resolve(operationId);
+    }
+  }
+
+  /** The platform's answer was lost: its log of operations tells whether the change took effect. */
+  async #resolve(operationId: string): Promise<number> {
+    for (let attempt = 0; attempt < OPERATION_TRIES; attempt++) {
+      const found = await this.client.operation(operationId);
+      if (found.type === 'accepted') return found.revision ?? 0;
+      if (found.type === 'notAccepted') throw new CommandFailure('not accepted; apply again', EXIT_UNKNOWN);
+      await pause(1_000);
+    }
+    throw new CommandFailure(`outcome unknown: ask for operation ${operationId}`, EXIT_UNKNOWN);
+  }
+
+  async #waitUntilReady(names: string[]): Promise<void> {
+    const endsAt = performance.now() + Number(this.timeout) * 1_000;
+    while (performance.now() < endsAt) {
+      const { deployments } = await this.client.status();
+      const own = deployments.filter((deployment) => names.includes(deployment.name));
+      for (const deployment of own) this.print(formatStatus(deployment));
+      if (own.every((deployment) => deployment.waitsFor === '')) return;
+      await pause(WAIT_INTERVAL);
+    }
+    throw new CommandFailure('not all replicas are ready in time', EXIT_UNKNOWN);
+  }
+}
+
+/** `thistleway get [KIND]`. */
+export class GetCommand extends OperatorCommand {
+  static override paths = [['get']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'print the resources in force',
+  });
+  kind = Option.String({ required: false });
+
+  async perform(): Promise<number> {
+    const { items } = await this.client.resources(this.kind);
+    this.print(JSON.stringify(items, undefined, 2));
+    return 0;
+  }
+}
+
+/** `thistleway delete KIND/NAME`. */
+export class DeleteCommand extends OperatorCommand {
+  static override paths = [['delete']];
+  static override usage = Command.Usage({ category: 'Operators', description: 'delete a resource' });
+  key = Option.String({ required: true });
+
+  async perform(): Promise<number> {
+    const { items } = await this.client.resources();
+    const found = items.find((item) => item.key === this.key);
+    if (found === undefined) throw new CommandFailure(`there is no ${this.key}`, EXIT_USAGE);
+    const { key, revision } = found;
+    const answer = await this.client.apply({
+      operationId: randomUUID(),
+      resources: [],
+      deletes: [{ key, revision }],
+    });
+    if (answer.type === 'accepted') return 0;
+    throw new CommandFailure(
+      JSON.stringify(answer),
+      answer.type === 'conflict' ? EXIT_CONFLICT : EXIT_UNKNOWN,
+    );
+  }
+}
+
+/** `thistleway status`. */
+export class StatusCommand extends OperatorCommand {
+  static override paths = [['status']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'show the progress of deployments',
+  });
+
+  async perform(): Promise<number> {
+    const { revision, deployments } = await this.client.status();
+    this.print(`revision ${revision}`);
+    for (const deployment of deployments) this.print(formatStatus(deployment));
+    return 0;
+  }
+}
+
+/** `thistleway watch`. */
+export class WatchCommand extends OperatorCommand {
+  static override paths = [['watch']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'print changes of resources as lines of JSON until interrupted',
+  });
+  since = Option.String('--since', '0', { description: 'revision after which to begin' });
+
+  async perform(): Promise<number> {
+    const { openHttp } = await import('../platform/http.js');
+    const url = `http://${this.entry}/apis/v1/watch?since=${this.since}`;
+    const interrupted = new AbortController();
+    process.once('SIGINT', () => interrupted.abort());
+    const { signal } = interrupted;
+    const stream = await openHttp({ service: 'entry', method: 'GET', url, signal });
+    try {
+      for await (const part of stream.body) this.context.stdout.write(part);
+    } catch (cause) {
+      if (!signal.aborted) throw new CommandFailure(`the watch ended: ${String(cause)}`, EXIT_UNKNOWN);
+    }
+    return 0;
+  }
+}
+
+/** `thistleway drain ADDRESS`. */
+export class DrainCommand extends ThistlewayCommand {
+  static override paths = [['drain']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'let an entry (callers address) or agent (operators address) take no new work',
+  });
+  address = Option.String({ required: true });
+
+  async perform(): Promise<number> {
+    await new EntryClient(this.address).post('/drain');
+    this.context.stdout.write(`${this.address} leaves\n`);
+    return 0;
+  }
+}
+
+/** `thistleway timeline`. */
+export class TimelineCommand extends OperatorCommand {
+  static override paths = [['timeline']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'print the events of all processes in causal order',
+  });
+  json = Option.Boolean('--json', false, { description: 'one JSON object a line' });
+
+  async perform(): Promise<number> {
+    const { entries, agents } = await this.client.get<{ entries: EntryInfo[]; agents: AgentStatus[] }>(
+      '/status',
+    );
+    const addresses = [
+      ...entries.map((entry) => entry.callerAddress),
+      ...agents.map((agent) => agent.operatorAddress),
+    ];
+    const timelines = await Promise.all(addresses.map((address) => this.#fetch(address)));
+    for (const entry of mergeTimelines(timelines))
+      this.print(this.json ? JSON.stringify(entry) : formatEvent(entry));
+    return 0;
+  }
+
+  async #fetch(address: string): Promise<TimelineEntry[]> {
+    try {
+      return await new EntryClient(address).get<TimelineEntry[]>('/timeline');
+    } catch (cause) {
+      this.context.stderr.write(`${address}: no time line: ${String(cause)}\n`);
+      return [];
+    }
+  }
+}
+
+function formatEvent({ stamp, process, event }: TimelineEntry): string {
+  const { type, ...fields } = event;
+  const details = Object.entries(fields).map(([name, value]) => `${name}=${value}`);
+  return [new Date(stampTime(stamp)).toISOString(), process.padEnd(26), type, ...details].join(' ');
+}
+
+function formatStatus(status: DeploymentStatus): string {
+  const { name, replicasReady, replicasWanted, bytesHeld, bytesNeeded, waitsFor, version } = status;
+  const share = bytesNeeded === 0 ? 0 : Math.floor((100 * bytesHeld) / bytesNeeded);
+  const state = waitsFor === '' ? 'complete' : `waits for ${waitsFor}`;
+  return `${name} ${version.slice(0, 12)}: ${replicasReady}/${replicasWanted} ready, ${share}% of bytes, ${state}`;
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/cli/process.ts
@@ -0,0 +1,78 @@
+/** How a role runs as a process: started, drained on a first signal, stopped when its work has ended. */
+import { existsSync, readFileSync } from 'node:fs';
+import { Command } from 'clipanion';
+import type { ZodType } from 'zod';
+import type { Startable } from '../model/startable.js';
+import { formatProblem, readDocument } from '../settings/document.js';
+
+/** Exit code for bad arguments, settings or files. */
+export const EXIT_USAGE = 2;
+/** Exit code for a conflict with another operator. */
+export const EXIT_CONFLICT = 3;
+/** Exit code when the outcome is not known, or not reached in time. */
+export const EXIT_UNKNOWN = 4;
+
+/** Longest wait for requests in progress at a planned stop, in milliseconds. */
+const DRAIN_LIMIT = 120_000;
+const DRAIN_CHECK_INTERVAL = 50;
+
+/** Ends the command with a message and a code. */
+export class CommandFailure extends Error {
+  readonly exitCode: number;
+
+  constructor(message: string, exitCode: number) {
+    super(message);
+    this.exitCode = exitCode;
+  }
+}
+
+/** A command whose failures are printed without a stack and become exit codes. */
+export abstract class ThistlewayCommand extends Command {
+  /** What the command does; returns the exit code. */
+  abstract perform(): Promise<number>;
+
+  async execute(): Promise<number> {
+    try {
+      return await this.perform();
+    } catch (cause) {
+      if (!(cause instanceof CommandFailure)) throw cause;
+      this.context.stderr.write(`${cause.message}\n`);
+      return cause.exitCode;
+    }
+  }
+}
+
+/** Reads a settings file; every problem is reported with file, line and field. */
+export function readSettings<T>(file: string, schema: ZodType<T>): T {
+  if (!existsSync(file)) throw new CommandFailure(`${file}:1: there is no such file`, EXIT_USAGE);
+  const read = readDocument(file, readFileSync(file, 'utf8'), schema);
+  if (read.ok) return read.value;
+  throw new CommandFailure(read.problems.map(formatProblem).join('\n'), EXIT_USAGE);
+}
+
+/** A role that can be drained before it is stopped. */
+export interface Drainable extends Startable {
+  drain(): void;
+  /** Requests in progress. */
+  readonly active: number;
+}
+
+/** Runs a part until a signal; a role that can be drained ends its requests first. */
+export async function runUntilSignal(part: Startable | Drainable, minDrainMilliseconds = 0): Promise<void> {
+  await part.start();
+  await new Promise<void>((resolve) => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+  if ('drain' in part) await drainFully(part, minDrainMilliseconds);
+  await part.stop();
+}
+
+async function drainFully(part: Drainable, minMilliseconds: number): Promise<void> {
+  const startedAt = performance.now();
+  part.drain();
+  const elapsed = () => performance.now() - startedAt;
+  while (elapsed() < DRAIN_LIMIT && (elapsed() < minMilliseconds || part.active > 0)) {
+    await new Promise((resolve) => setTimeout(resolve, DRAIN_CHECK_INTERVAL));
+  }
+}
--- /dev/null
+++ b/src/entry/caller-api.ts
@@ -0,0 +1,189 @@
+/**
+ * The HTTP interface for callers: the OpenAI shape of chat completions for models, plain pass-through for
+ * services, and discovery of entries. The tenant is named by the header `x-thistleway-tenant`.
+ */
+import Router from '@koa/router';
+import type Koa from 'koa';
+import type { EntryInfo } from '../protocol/messages.js';
+import type { ModelDeployment, Service } from '../resources/schemas.js';
+import { readBody } from '../server/http-server.js';
+import type { CallRouter, RoutedCall } from './call-router.js';
+import type { Configuration } from './configuration.js';
+import { discover } from './discovery.js';
+import { CALL_ERROR_STATUS, type CallError } from './errors.js';
+
+/** Header that names the caller's tenant. */
+const TENANT_HEADER = 'x-thistleway-tenant';
+/** Header by which a caller sets the time for the whole answer, in milliseconds. */
+const DEADLINE_HEADER = 'x-thistleway-deadline';
+const SAFE_METHODS = new Set(['GET', 'HEAD']);
+
+/** What the interface works with. */
+export interface CallerApiComponents {
+  configuration: Configuration;
+  router: CallRouter;
+  self: () => EntryInfo;
+  /** All entries known, this one included. */
+  entries: () => EntryInfo[];
+  addressLifetimeSeconds: number;
+  defaultDeadline: number;
+  maxInProgress: number;
+}
+
+/** The interface of one entry. */
+export class CallerApi {
+  readonly #components: CallerApiComponents;
+  #inProgress = 0;
+
+  constructor(components: CallerApiComponents) {
+    this.#components = components;
+  }
+
+  /** Requests of callers in progress. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
+  routes(): Router {
+    const router = new Router();
+    router.get('/v1/entries', (context) => this.#discover(context));
+    router.get('/v1/models', (context) => this.#listModels(context));
+    router.post('/v1/chat/completions', (context) => this.#complete(context));
+    router.all(/^\/services\/([^/]+)(\/.*)?$/, (context) => this.#callService(context));
+    return router;
+  }
+
+  #discover(context: Koa.Context): void {
+    const { configuration, entries, addressLifetimeSeconds } = this.#components;
+    const tenant = context.get(TENANT_HEADER);
+    const model = typeof context.query.model === 'string' ? context.query.model : undefined;
+    const deployment = configuration
+      .deployments()
+      .find(({ value }) => value.spec.model === model && value.spec.tenant === tenant);
+    const places = deployment?.value.spec.places;
+    context.body = discover(entries(), places, addressLifetimeSeconds);
+  }
+
+  #listModels(context: Koa.Context): void {
+    const tenant = context.get(TENANT_HEADER);
+    const own = this.#components.configuration
+      .deployments()
+      .filter(({ value }) => value.spec.tenant === tenant);
+    const data = own.map(({ value }) => ({ id: value.spec.model, object: 'model', owned_by: tenant }));
+    context.body = { object: 'list', data };
+  }
+
+  async #complete(context: Koa.Context): Promise<void> {
+    const body = await readBody(context);
+    const model = modelOf(body);
+    if (model === undefined) {
+      return this.#refuse(context, { type: 'malformedRequest', ran: 'no', reason: 'no "model" in the body' });
+    }
+    const tenant = context.get(TENANT_HEADER);
+    const found = this.#components.configuration
+      .deployments()
+      .find(({ value }) => value.spec.tenant === tenant && value.spec.model === model);
+    if (found === undefined) return this.#refuse(context, { type: 'unknownModel', ran: 'no' });
+    await this.#route(context, this.#modelCall(context, found.value, body));
+  }
+
+  #modelCall(context: Koa.Context, deployment: ModelDeployment, body: Buffer): RoutedCall {
+    const placement = this.#components.configuration.placement(deployment.metadata.name)?.value;
+    const { version, pool, places } = deployment.spec;
+    const versions = [version, placement?.version, placement?.previousVersion].filter((v) => v !== undefined);
+    return {
+      places,
+      versions,
+      eligible: ({ status }) => status.backEnd === 'engine' && status.pool === pool,
+      repeatable: true,
+      method: 'POST',
+      path: '/v1/chat/completions',
+      contentType: 'application/json',
+      body,
+      deadline: this.#deadlineOf(context),
+    };
+  }
+
+  async #callService(context: Koa.Context): Promise<void> {
+    const [, name, path = '/'] = /^\/services\/([^/]+)(\/.*)?$/.exec(context.path) ?? [];
+    const tenant = context.get(TENANT_HEADER);
+    const found = this.#components.configuration
+      .services()
+      .find(({ value }) => value.metadata.name === name && value.spec.tenant === tenant);
+    if (found === undefined) return this.#refuse(context, { type: 'unknownService', ran: 'no' });
+    const body = await readBody(context);
+    await this.#route(context, this.#serviceCall(context, found.value, path, body));
+  }
+
+  #serviceCall(context: Koa.Context, service: Service, path: string, body: Buffer): RoutedCall {
+    const { places, repeatable } = service.spec;
+    const query = context.querystring === '' ? '' : `?${context.querystring}`;
+    return {
+      places,
+      versions: undefined,
+      eligible: ({ status }) => status.backEnd === 'service' && status.pool === service.metadata.name,
+      repeatable: SAFE_METHODS.has(context.method) || repeatable.some((prefix) => path.startsWith(prefix)),
+      method: context.method,
+      path: `${path}${query}`,
+      contentType: context.get('content-type'),
+      body,
+      deadline: this.#deadlineOf(context),
+    };
+  }
+
+  async #route(context: Koa.Context, call: RoutedCall): Promise<void> {
+    const { self, entries, maxInProgress, router, addressLifetimeSeconds } = this.#components;
+    if (!call.places.includes(self().place)) {
+      const allowed = discover(entries(), call.places, addressLifetimeSeconds).entries;
+      const addresses = allowed.map((entry) => entry.address);
+      return this.#refuse(context, { type: 'placeNotAllowed', ran: 'no', entries: addresses });
+    }
+    if (this.#inProgress >= maxInProgress) {
+      return this.#refuse(context, { type: 'noCapacity', ran: 'no', retryAfter: 1_000 });
+    }
+    this.#inProgress++;
+    try {
+      await this.#relay(context, call, router);
+    } finally {
+      this.#inProgress--;
+    }
+  }
+
+  async #relay(context: Koa.Context, call: RoutedCall, router: CallRouter): Promise<void> {
+    const { res } = context;
+    const gone = new AbortController();
+    res.once('close', () => gone.abort());
+    const sink = {
+      head: (status: number, contentType: string, agent: string) => {
+        context.respond = false;
+        res.writeHead(status, { 'content-type': contentType, 'x-thistleway-agent': agent });
+      },
+      data: (data: Uint8Array) => void res.write(data),
+    };
+    const outcome = await router.route(call, sink, gone.signal);
+    if (outcome.ok) return void res.end();
+    // A cut answer must not pass for a whole one: the connection ends without the end of the body.
+    if (res.headersSent) return void res.destroy();
+    this.#refuse(context, outcome.error);
+  }
+
+  #refuse(context: Koa.Context, error: CallError): void {
+    context.status = CALL_ERROR_STATUS[error.type];
+    if ('retryAfter' in error) context.set('retry-after', String(Math.ceil(error.retryAfter / 1_000)));
+    context.body = { error: { ...error, notRun: error.ran === 'no' } };
+  }
+
+  #deadlineOf(context: Koa.Context): number {
+    const asked = Number(context.get(DEADLINE_HEADER));
+    return Number.isFinite(asked) && asked > 0 ? asked : this.#components.defaultDeadline;
+  }
+}
+
+function modelOf(body: Buffer): string | undefined {
+  try {
+    const { model } = JSON.parse(body.toString('utf8')) as { model?: unknown };
+    return typeof model === 'string' ? model : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/entry/configuration.ts
@@ -0,0 +1,131 @@
+/**
+ * The configuration in force at an entry: the rows of the platform's tables, taken in by revision. A row is
+ * replaced only by one of a higher revision, so a late or lagging answer changes nothing back.
+ */
+import type { Random } from '../model/random.js';
+import type { Startable } from '../model/startable.js';
+import type { Timeline } from '../observability/timeline.js';
+import type { Row, TableService } from '../platform/table-service.js';
+import type { ModelDeployment, Resource, Service } from '../resources/schemas.js';
+import type { Placement } from '../systems/placement.js';
+
+/** Shortest time between two readings and the random part of it, in milliseconds. */
+const POLL_MIN = 300;
+const POLL_SPREAD = 200;
+const READ_TIMEOUT = 3_000;
+
+/** Names of the tables. */
+export const TABLES = { resources: 'resources', placements: 'placements', leases: 'leases' } as const;
+
+/** What the configuration works with. */
+export interface ConfigurationComponents {
+  tables: TableService;
+  random: Random;
+  timeline: Timeline;
+}
+
+/** Figures of the reading, for metrics. */
+export interface ConfigurationCounters {
+  reads: number;
+  failedReads: number;
+}
+
+/** The configuration as this entry knows it. */
+export class Configuration implements Startable {
+  readonly counters: ConfigurationCounters = { reads: 0, failedReads: 0 };
+  readonly #components: ConfigurationComponents;
+  readonly #rows = new Map<string, Row>();
+  readonly #listeners = new Set<(rows: Row[]) => void>();
+  readonly #stopping = new AbortController();
+  #revision = 0;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(components: ConfigurationComponents) {
+    this.#components = components;
+  }
+
+  /** The revision up to which this entry knows all rows. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  async start(): Promise<void> {
+    await this.poll();
+    this.#schedule();
+  }
+
+  async stop(): Promise<void> {
+    clearTimeout(this.#timer);
+    this.#stopping.abort();
+  }
+
+  /** Calls `listener` with the rows of each change. Returns the end of it. */
+  listen(listener: (rows: Row[]) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Reads what has changed since the known revision. */
+  async poll(): Promise<void> {
+    this.counters.reads++;
+    const signal = AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(READ_TIMEOUT)]);
+    const read = await this.#components.tables.changes(this.#revision, signal);
+    if (!read.ok) {
+      this.counters.failedReads++;
+      return;
+    }
+    this.#take(read.value.rows, read.value.revision);
+  }
+
+  /** The row, or undefined where there is none. */
+  row(table: string, key: string): Row | undefined {
+    return this.#rows.get(`${table}/${key}`);
+  }
+
+  /** The rows of a table. */
+  rows(table: string): Row[] {
+    return [...this.#rows.values()].filter((row) => row.table === table);
+  }
+
+  deployments(): Array<{ value: ModelDeployment; revision: number }> {
+    return this.#resources<ModelDeployment>('ModelDeployment');
+  }
+
+  services(): Array<{ value: Service; revision: number }> {
+    return this.#resources<Service>('Service');
+  }
+
+  placement(deployment: string): { value: Placement; revision: number } | undefined {
+    const row = this.row(TABLES.placements, deployment);
+    return row === undefined ? undefined : { value: row.value as Placement, revision: row.revision };
+  }
+
+  #resources<T extends Resource>(kind: T['kind']): Array<{ value: T; revision: number }> {
+    return this.rows(TABLES.resources)
+      .filter((row) => (row.value as Resource).kind === kind)
+      .map((row) => ({ value: row.value as T, revision: row.revision }));
+  }
+
+  #take(rows: Row[], revision: number): void {
+    const fresh = rows.filter((row) => row.revision > (this.row(row.table, row.key)?.revision ?? 0));
+    for (const row of fresh) {
+      if (row.value === null) this.#rows.delete(`${row.table}/${row.key}`);
+      else this.#rows.set(`${row.table}/${row.key}`, row);
+    }
+    if (revision <= this.#revision) return;
+    this.#revision = revision;
+    if (fresh.length === 0) return;
+    const declared = fresh.some((row) => row.table !== TABLES.leases);
+    if (declared) this.#components.timeline.record({ type: 'configurationApplied', revision });
+    for (const listener of this.#listeners) listener(fresh);
+  }
+
+  #schedule(): void {
+    const wait = POLL_MIN + this.#components.random.fraction() * POLL_SPREAD;
+    this.#timer = setTimeout(() => void this.poll().finally(() => this.#reschedule()), wait);
+  }
+
+  #reschedule(): void {
+    if (!this.#stopping.signal.aborted) this.#schedule();
+  }
+}
--- /dev/null
+++ b/src/entry/discovery.ts
@@ -0,0 +1,23 @@
+/** Which entries a caller may use, nearest first, and for how long it may keep the answer. */
+import type { EntryInfo } from '../protocol/messages.js';
+
+/** The answer of `GET /v1/entries`. */
+export interface DiscoveryAnswer {
+  /** `host:port` of each entry. */
+  entries: Array<{ address: string; place: string; zone: string }>;
+  /** Time for which the answer may be kept, in seconds. */
+  validSeconds: number;
+}
+
+/** The entries in `places` (all where undefined) that do not leave. */
+export function discover(
+  known: readonly EntryInfo[],
+  places: readonly string[] | undefined,
+  validSeconds: number,
+): DiscoveryAnswer {
+  const entries = known
+    .filter((entry) => !entry.leaving)
+    .filter((entry) => places === undefined || places.includes(entry.place))
+    .map(({ callerAddress, place, zone }) => ({ address: callerAddress, place, zone }));
+  return { entries, validSeconds };
+}
--- /dev/null
+++ b/src/entry/duty-lease.ts
@@ -0,0 +1,108 @@
+/** One duty held under a lease of the table service; every write of the holder depends on the lease's row. */
+import { randomUUID } from 'node:crypto';
+import type { Startable } from '../model/startable.js';
+import type { Timeline } from '../observability/timeline.js';
+import type { RowCondition, RowWrite, TableService, TransactionOutcome } from '../platform/table-service.js';
+import { decideLease, type LeaseObservation, type LeaseRow } from '../systems/lease.js';
+import { type Configuration, TABLES } from './configuration.js';
+
+const REVIEW_INTERVAL = 250;
+const WRITE_TIMEOUT = 3_000;
+
+/** What a lease works with. */
+export interface DutyLeaseComponents {
+  configuration: Configuration;
+  tables: TableService;
+  timeline: Timeline;
+  /** Identity of this process. */
+  self: string;
+}
+
+/** The lease of one duty. */
+export class DutyLease implements Startable {
+  /** Called about every `REVIEW_INTERVAL` milliseconds while this process believes to hold the lease. */
+  onHeld: () => Promise<void> = async () => {};
+  readonly #duty: string;
+  readonly #components: DutyLeaseComponents;
+  readonly #stopping = new AbortController();
+  #observation: LeaseObservation = { row: undefined, revision: 0, seenAt: performance.now() };
+  #heldEpoch: number | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(duty: string, components: DutyLeaseComponents) {
+    this.#duty = duty;
+    this.#components = components;
+  }
+
+  /** Whether this process believes to hold the lease; only a conditional write proves it. */
+  get held(): boolean {
+    return this.#heldEpoch !== undefined;
+  }
+
+  async start(): Promise<void> {
+    this.#schedule();
+  }
+
+  async stop(): Promise<void> {
+    clearTimeout(this.#timer);
+    this.#stopping.abort();
+  }
+
+  /** Writes on the condition that the lease's row is the one this process knows. */
+  async write(conditions: RowCondition[], writes: RowWrite[]): Promise<boolean> {
+    const fence = { table: TABLES.leases, key: this.#duty, revision: this.#observation.revision };
+    const outcome = await this.#transact([fence, ...conditions], writes);
+    await this.#components.configuration.poll();
+    return outcome?.type === 'committed';
+  }
+
+  async #review(): Promise<void> {
+    this.#observe();
+    const decision = decideLease(this.#observation, this.#components.self, performance.now());
+    if (decision.type === 'write') await this.#renew(decision.row);
+    if (this.held) await this.onHeld();
+  }
+
+  #observe(): void {
+    const { configuration, self } = this.#components;
+    const row = configuration.row(TABLES.leases, this.#duty);
+    const revision = row?.revision ?? 0;
+    if (revision !== this.#observation.revision) {
+      this.#observation = { row: row?.value as LeaseRow | undefined, revision, seenAt: performance.now() };
+    }
+    const holder = this.#observation.row;
+    this.#setHeld(holder?.holder === self ? holder.epoch : undefined);
+  }
+
+  async #renew(row: LeaseRow): Promise<void> {
+    const { configuration } = this.#components;
+    if (configuration.counters.reads === configuration.counters.failedReads) return;
+    const condition = { table: TABLES.leases, key: this.#duty, revision: this.#observation.revision };
+    const write = { table: TABLES.leases, key: this.#duty, value: row };
+    const outcome = await this.#transact([condition], [write]);
+    // Whatever the answer, the row itself tells: a lost answer is found out by reading.
+    if (outcome !== undefined) await configuration.poll();
+    this.#observe();
+  }
+
+  #setHeld(epoch: number | undefined): void {
+    if (epoch === this.#heldEpoch) return;
+    const { timeline } = this.#components;
+    const duty = this.#duty;
+    if (this.#heldEpoch !== undefined) timeline.record({ type: 'leaseLost', duty, epoch: this.#heldEpoch });
+    if (epoch !== undefined) timeline.record({ type: 'leaseAcquired', duty, epoch });
+    this.#heldEpoch = epoch;
+  }
+
+  async #transact(conditions: RowCondition[], writes: RowWrite[]): Promise<TransactionOutcome | undefined> {
+    const signal = AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(WRITE_TIMEOUT)]);
+    const transaction = { operationId: randomUUID(), conditions, writes };
+    const outcome = await this.#components.tables.transact(transaction, signal);
+    return outcome.ok ? outcome.value : undefined;
+  }
+
+  #schedule(): void {
+    if (this.#stopping.signal.aborted) return;
+    this.#timer = setTimeout(() => void this.#review().finally(() => this.#schedule()), REVIEW_INTERVAL);
+  }
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,235 @@
+/**
+ * The role of an entry machine: callers' and operators' interfaces, the home of agents, the coordination of
+ * bursts, and any duty whose lease this entry holds.
+ */
+
+import { randomBytes } from 'node:crypto';
+import Router from '@koa/router';
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import Koa from 'koa';
+import { hash32, type Random, seededRandom } from '../model/random.js';
+import { type Startable, StartableGroup } from '../model/startable.js';
+import { HybridClock } from '../observability/hybrid-clock.js';
+import { createLog, type Log } from '../observability/log.js';
+import { Metrics, trafficMetrics } from '../observability/metrics.js';
+import { Timeline } from '../observability/timeline.js';
+import { httpObjectStore, type ObjectStore } from '../platform/object-store.js';
+import { httpTableService, type TableService } from '../platform/table-service.js';
+import {
+  type Connection,
+  type ConnectionContext,
+  ConnectionListener,
+  createTrafficCounters,
+  type TrafficCounters,
+} from '../protocol/connection.js';
+import type { EntryInfo } from '../protocol/messages.js';
+import { resourceApi } from '../resources/resource-api.js';
+import { httpServer } from '../server/http-server.js';
+import type { EntrySettings } from '../settings/schemas.js';
+import { AgentDirectory } from './agent-directory.js';
+import { BurstDuty } from './burst-duty.js';
+import { CallLinks } from './call-links.js';
+import { CallRouter } from './call-router.js';
+import { CallerApi } from './caller-api.js';
+import { Configuration } from './configuration.js';
+import { DutyLease } from './duty-lease.js';
+import { EntryMesh } from './entry-mesh.js';
+import { HomeAgents } from './home-agents.js';
+import { PlacementDuty } from './placement-duty.js';
+
+/** What an entry is composed of. */
+export interface EntryComponents {
+  settings: EntrySettings;
+  /** Identity of this process. */
+  identity: string;
+  random: Random;
+  clock: HybridClock;
+  counters: TrafficCounters;
+  log: Log;
+  timeline: Timeline;
+  metrics: Metrics;
+  tables: TableService;
+  objects: ObjectStore;
+  configuration: Configuration;
+  directory: AgentDirectory;
+  bursts: BurstDuty;
+  entry: Entry;
+}
+
+/** Creates an entry from its settings. */
+export function createEntry(settings: EntrySettings): Entry {
+  const identity = `${settings.listen.peers}#${randomBytes(4).toString('hex')}`;
+  const container = createContainer<EntryComponents>({ injectionMode: InjectionMode.PROXY, strict: true });
+  container.register({
+    settings: asValue(settings),
+    identity: asValue(identity),
+    random: asValue(seededRandom(hash32(identity))),
+    clock: asValue(new HybridClock()),
+    counters: asValue(createTrafficCounters()),
+    log: asFunction(() => createLog(`entry ${identity}`, settings.log.level)).singleton(),
+    timeline: asFunction(({ clock }: EntryComponents) => new Timeline(identity, clock)).singleton(),
+    metrics: asFunction(() => new Metrics('entry')).singleton(),
+    tables: asFunction(() => httpTableService(settings.platform.tables)).singleton(),
+    objects: asFunction(() => httpObjectStore(settings.platform.objects)).singleton(),
+    configuration: asFunction(
+      ({ tables, random, timeline }: EntryComponents) => new Configuration({ tables, random, timeline }),
+    ).singleton(),
+    directory: asFunction(() => new AgentDirectory()).singleton(),
+    bursts: asFunction(
+      ({ timeline }: EntryComponents) => new BurstDuty(timeline, settings.bursts.strategy),
+    ).singleton(),
+    entry: asFunction((components: EntryComponents) => new Entry(components)).singleton(),
+  });
+  return container.resolve('entry');
+}
+
+/** A running entry. */
+export class Entry implements Startable {
+  readonly #components: EntryComponents;
+  readonly #context: ConnectionContext;
+  readonly #mesh: EntryMesh;
+  readonly #home: HomeAgents;
+  readonly #links: CallLinks;
+  readonly #router: CallRouter;
+  readonly #callers: CallerApi;
+  readonly #lease: DutyLease;
+  readonly #parts: StartableGroup;
+  #leaving = false;
+
+  constructor(components: EntryComponents) {
+    const { settings, random, configuration, directory, timeline, tables, objects, bursts } = components;
+    this.#components = components;
+    this.#context = this.#createContext();
+    const self = () => this.info();
+    const revision = () => configuration.revision;
+    this.#mesh = new EntryMesh(settings.entries, { context: this.#context, directory, self, revision });
+    const shared = { configuration, directory, timeline, objects };
+    this.#home = new HomeAgents({ ...shared, self, mesh: this.#mesh, bursts });
+    this.#links = new CallLinks(this.#context);
+    this.#router = new CallRouter({ directory, links: this.#links, random });
+    this.#callers = new CallerApi({
+      configuration,
+      router: this.#router,
+      self,
+      entries: () => [this.info(), ...this.#mesh.entries.values()],
+      addressLifetimeSeconds: settings.discovery.addressLifetimeSeconds,
+      defaultDeadline: settings.calls.deadline,
+      maxInProgress: settings.calls.inProgress,
+    });
+    this.#lease = new DutyLease('placement', { configuration, tables, timeline, self: components.identity });
+    new PlacementDuty({ configuration, directory, lease: this.#lease, timeline });
+    const accept = (connection: Connection) => this.#accept(connection);
+    const listener = new ConnectionListener(settings.listen.peers, this.#context, accept);
+    const server = httpServer(settings.listen.callers, this.#application().callback());
+    this.#parts = new StartableGroup([configuration, bursts, listener, this.#mesh, this.#lease, server]);
+    this.#addMetrics();
+  }
+
+  async start(): Promise<void> {
+    this.#components.timeline.record({ type: 'processStarted', role: 'entry' });
+    await this.#parts.start();
+    const { place, zone, listen } = this.#components.settings;
+    this.#components.log.info('entry serves', { place, zone, callers: listen.callers });
+  }
+
+  async stop(): Promise<void> {
+    await this.#parts.stop();
+    await this.#links.stop();
+  }
+
+  /** Withdraws from discovery; callers that hold the address are still served. */
+  drain(): void {
+    if (this.#leaving) return;
+    this.#leaving = true;
+    this.#components.timeline.record({ type: 'processLeaving' });
+    this.#components.log.info('entry leaves');
+    this.#mesh.announceSelf();
+    this.#home.tellAll();
+  }
+
+  /** Requests in progress. */
+  get active(): number {
+    return this.#callers.inProgress;
+  }
+
+  /** What this entry says of itself. */
+  info(): EntryInfo {
+    const { settings, identity } = this.#components;
+    const { place, zone, listen } = settings;
+    const leaving = this.#leaving;
+    return { id: identity, address: listen.peers, callerAddress: listen.callers, place, zone, leaving };
+  }
+
+  #createContext(): ConnectionContext {
+    const { clock, counters, settings, identity } = this.#components;
+    const { place, region, zone, listen } = settings;
+    const peer = { id: identity, address: listen.peers, place, region, zone };
+    return { clock, counters, hello: () => ({ type: 'hello', role: 'entry', peer }) };
+  }
+
+  #accept(connection: Connection): void {
+    if (connection.remote.role === 'agent') this.#home.accept(connection);
+    else this.#mesh.accept(connection);
+  }
+
+  #application(): Koa {
+    const { configuration, tables, directory } = this.#components;
+    const app = new Koa();
+    app.silent = true;
+    for (const router of [
+      this.#callers.routes(),
+      resourceApi({ configuration, tables, directory }),
+      this.#operatorRoutes(),
+    ]) {
+      app.use(router.routes());
+    }
+    return app;
+  }
+
+  #operatorRoutes(): Router {
+    const { metrics, timeline, directory, configuration } = this.#components;
+    const router = new Router();
+    router.get('/metrics', async (context) => {
+      context.type = 'text/plain; version=0.0.4';
+      context.body = await metrics.text();
+    });
+    router.get('/timeline', (context) => {
+      context.body = timeline.entries();
+    });
+    router.get('/status', (context) => {
+      const agents = [...directory.rows.values()].map(({ status, home }) => ({ ...status, home }));
+      const entries = [this.info(), ...this.#mesh.entries.values()];
+      context.body = { entry: this.info(), revision: configuration.revision, entries, agents };
+    });
+    router.post('/drain', (context) => {
+      this.drain();
+      context.status = 202;
+      context.body = { leaving: true };
+    });
+    return router;
+  }
+
+  #addMetrics(): void {
+    const { metrics, counters, configuration, directory, bursts } = this.#components;
+    metrics.add([
+      trafficMetrics(counters),
+      {
+        name: 'calls',
+        help: 'Requests by outcome',
+        label: 'outcome',
+        read: () => ({ ...this.#router.counters }),
+      },
+      { name: 'calls_in_progress', help: 'Requests in progress', read: () => this.#callers.inProgress },
+      { name: 'configuration_revision', help: 'Revision in force here', read: () => configuration.revision },
+      {
+        name: 'configuration_reads',
+        help: 'Readings of the table service',
+        label: 'outcome',
+        read: () => ({ ...configuration.counters }),
+      },
+      { name: 'agents_known', help: 'Agents known here', read: () => directory.rows.size },
+      { name: 'agents_homed', help: 'Agents homed here', read: () => this.#home.size },
+      { name: 'bursts_coordinated', help: 'Bursts coordinated here', read: () => bursts.active },
+    ]);
+  }
+}
--- /dev/null
+++ b/src/entry/home-agents.ts
@@ -0,0 +1,139 @@
+/** The agents that have chosen this entry as their home: their news in, their assignments out. */
+import type { Manifest } from '../model/manifest.js';
+import { failure, type Result, success } from '../model/result.js';
+import type { Timeline } from '../observability/timeline.js';
+import { manifestKey, type ObjectStore } from '../platform/object-store.js';
+import type { Connection } from '../protocol/connection.js';
+import type { Assignment, EntryInfo, Message } from '../protocol/messages.js';
+import type { AgentDirectory } from './agent-directory.js';
+import type { BurstDuty } from './burst-duty.js';
+import type { Configuration } from './configuration.js';
+import type { EntryMesh } from './entry-mesh.js';
+
+const OBJECT_TIMEOUT = 5_000;
+
+/** What the home works with. */
+export interface HomeAgentsComponents {
+  self: () => EntryInfo;
+  configuration: Configuration;
+  directory: AgentDirectory;
+  mesh: EntryMesh;
+  bursts: BurstDuty;
+  objects: ObjectStore;
+  timeline: Timeline;
+}
+
+/** The home that one entry gives to agents. */
+export class HomeAgents {
+  readonly #components: HomeAgentsComponents;
+  readonly #connections = new Map<string, Connection>();
+  /** What each agent was last told, so that it is told only of changes. */
+  readonly #told = new Map<string, string>();
+  /** Manifests by version; they never change. */
+  readonly #manifests = new Map<string, Promise<Result<Manifest, string>>>();
+
+  constructor(components: HomeAgentsComponents) {
+    this.#components = components;
+    components.configuration.listen(() => this.tellAll());
+    components.mesh.onChange = () => this.tellAll();
+  }
+
+  /** Number of agents homed here. */
+  get size(): number {
+    return this.#connections.size;
+  }
+
+  /** Takes over a connection that an agent opened, as its home or to join a burst. */
+  accept(connection: Connection): void {
+    connection.handleMessages((message) => this.#onMessage(connection, message));
+    connection.onClose = () => this.#lost(connection);
+  }
+
+  /** Tells every agent homed here what is news to it. */
+  tellAll(): void {
+    for (const id of this.#connections.keys()) this.#tell(id);
+  }
+
+  #onMessage(connection: Connection, message: Message): void {
+    if (this.#components.bursts.handle(connection, message)) return;
+    if (message.type === 'status') this.#onStatus(connection, message);
+    if (message.type === 'fetchManifest') void this.#sendManifest(connection, message.version);
+  }
+
+  #onStatus(connection: Connection, message: Message & { type: 'status' }): void {
+    const { directory, mesh, timeline, self } = this.#components;
+    const { id } = connection.remote.peer;
+    if (this.#connections.get(id) !== connection) {
+      this.#connections.set(id, connection);
+      this.#told.delete(id);
+      timeline.record({ type: 'agentConnected', agent: id });
+    }
+    directory.update(message.status, self().id);
+    mesh.agentChanged(id);
+    this.#tell(id);
+  }
+
+  #tell(id: string): void {
+    const connection = this.#connections.get(id);
+    const { configuration, mesh, self } = this.#components;
+    const row = this.#components.directory.rows.get(id);
+    if (connection === undefined || row === undefined || configuration.revision === 0) return;
+    const assignments = this.#assignmentsOf(row.status.info.address);
+    const entries = [self(), ...mesh.entries.values()];
+    const news = JSON.stringify([assignments, entries]);
+    if (this.#told.get(id) === news) return;
+    this.#told.set(id, news);
+    connection.send({ type: 'assignments', revision: configuration.revision, assignments, entries });
+  }
+
+  #assignmentsOf(address: string): Assignment[] {
+    const { configuration } = this.#components;
+    return configuration.deployments().flatMap(({ value, revision }) => {
+      const placement = configuration.placement(value.metadata.name)?.value;
+      if (placement === undefined || !placement.machines.includes(address)) return [];
+      const { tenant, model, places, priority, objective } = value.spec;
+      // Until the placement follows a new declaration, the version placed earlier stays assigned.
+      const { version } = placement;
+      const deployment = value.metadata.name;
+      return [{ deployment, tenant, model, version, places, priority, objective, revision }];
+    });
+  }
+
+  async #sendManifest(connection: Connection, version: string): Promise<void> {
+    let fetching = this.#manifests.get(version);
+    if (fetching === undefined) {
+      fetching = this.#fetchManifest(version);
+      this.#manifests.set(version, fetching);
+    }
+    const fetched = await fetching;
+    if (fetched.ok) {
+      connection.send({ type: 'manifest', version, manifest: fetched.value });
+      return;
+    }
+    this.#manifests.delete(version);
+    connection.send({ type: 'manifestUnavailable', version, reason: fetched.error });
+  }
+
+  async #fetchManifest(version: string): Promise<Result<Manifest, string>> {
+    const { objects } = this.#components;
+    const fetched = await objects.get(manifestKey(version), AbortSignal.timeout(OBJECT_TIMEOUT));
+    if (!fetched.ok) return failure(`the object store has no manifest: ${fetched.error.type}`);
+    try {
+      return success(JSON.parse(fetched.value.toString('utf8')) as Manifest);
+    } catch {
+      return failure('the manifest is not JSON');
+    }
+  }
+
+  #lost(connection: Connection): void {
+    const { directory, mesh, bursts, timeline, self } = this.#components;
+    const { id } = connection.remote.peer;
+    bursts.lost(connection);
+    if (this.#connections.get(id) !== connection) return;
+    this.#connections.delete(id);
+    this.#told.delete(id);
+    directory.remove(id, self().id);
+    mesh.agentGone(id);
+    timeline.record({ type: 'agentLost', agent: id });
+  }
+}
--- /dev/null
+++ b/src/entry/placement-duty.ts
@@ -0,0 +1,80 @@
+/** The placement of deployments on machines, decided by whichever entry holds the lease of the duty. */
+import type { Timeline } from '../observability/timeline.js';
+import {
+  type DeploymentRow,
+  type MachineRow,
+  type Placement,
+  placeDeployments,
+} from '../systems/placement.js';
+import type { AgentDirectory } from './agent-directory.js';
+import { type Configuration, TABLES } from './configuration.js';
+import type { DutyLease } from './duty-lease.js';
+
+/** Time after which the machines known here count as all there are, in milliseconds. */
+const SETTLING_TIME = 1_500;
+
+/** What the duty works with. */
+export interface PlacementDutyComponents {
+  configuration: Configuration;
+  directory: AgentDirectory;
+  lease: DutyLease;
+  timeline: Timeline;
+}
+
+/** The placement duty of one entry; it acts only while the lease is held. */
+export class PlacementDuty {
+  readonly #components: PlacementDutyComponents;
+  readonly #startedAt = performance.now();
+
+  constructor(components: PlacementDutyComponents) {
+    this.#components = components;
+    components.lease.onHeld = () => this.#review();
+  }
+
+  async #review(): Promise<void> {
+    // An entry that has just started knows few machines; it must not take the others for gone.
+    if (performance.now() - this.#startedAt < SETTLING_TIME) return;
+    const { configuration } = this.#components;
+    const earlier = new Map<string, Placement>();
+    for (const row of configuration.rows(TABLES.placements)) earlier.set(row.key, row.value as Placement);
+    const placements = placeDeployments(this.#deployments(), this.#machines(), earlier);
+    for (const [deployment, placement] of placements) await this.#write(deployment, placement);
+    for (const deployment of earlier.keys()) {
+      if (!placements.has(deployment)) await this.#write(deployment, undefined);
+    }
+  }
+
+  #deployments(): DeploymentRow[] {
+    return this.#components.configuration.deployments().map(({ value }) => {
+      const { version, pool, places, replicas, priority } = value.spec;
+      return { name: value.metadata.name, version, pool, places, replicas, priority };
+    });
+  }
+
+  #machines(): MachineRow[] {
+    const engines = [...this.#components.directory.rows.values()].filter(
+      (row) => row.status.backEnd === 'engine',
+    );
+    return engines.map(({ status }) => ({
+      address: status.info.address,
+      place: status.info.place,
+      pool: status.pool,
+      leaving: status.leaving,
+    }));
+  }
+
+  async #write(deployment: string, placement: Placement | undefined): Promise<void> {
+    const { configuration, lease, timeline } = this.#components;
+    const row = configuration.row(TABLES.placements, deployment);
+    if (row !== undefined && JSON.stringify(row.value) === JSON.stringify(placement)) return;
+    const table = TABLES.placements;
+    const key = deployment;
+    const written = await lease.write(
+      [{ table, key, revision: row?.revision ?? 0 }],
+      [{ table, key, value: placement ?? null }],
+    );
+    if (!written || placement === undefined) return;
+    const { version, machines } = placement;
+    timeline.record({ type: 'placementWritten', deployment, version, agents: machines.length });
+  }
+}
--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,56 @@
+/** Prometheus metrics of a process; figures that other parts count are read when the metrics are asked for. */
+import { collectDefaultMetrics, Gauge, Registry } from 'prom-client';
+import type { TrafficCounters } from '../protocol/connection.js';
+
+/** One figure: its name (with unit), its help text, and where it is read. */
+export interface MetricSource {
+  name: string;
+  help: string;
+  read: () => number | Record<string, number>;
+  /** Name of the label that the keys of a record become. */
+  label?: string;
+}
+
+/** The metrics of one process. */
+export class Metrics {
+  readonly #registry = new Registry();
+
+  constructor(role: string) {
+    this.#registry.setDefaultLabels({ role });
+    collectDefaultMetrics({ register: this.#registry, prefix: 'thistleway_' });
+  }
+
+  /** Adds figures. */
+  add(sources: readonly MetricSource[]): void {
+    for (const { name, help, read, label } of sources) {
+      const labelNames = label === undefined ? [] : [label];
+      const registers = [this.#registry];
+      new Gauge({
+        name: `thistleway_${name}`,
+        help,
+        labelNames,
+        registers,
+        collect() {
+          const value = read();
+          if (typeof value === 'number') return this.set(value);
+          for (const [key, figure] of Object.entries(value)) this.set({ [label!]: key }, figure);
+        },
+      });
+    }
+  }
+
+  /** The metrics in the Prometheus text format. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+}
+
+/** Bytes between the system's own processes. */
+export function trafficMetrics(counters: TrafficCounters): MetricSource {
+  return {
+    name: 'traffic_bytes_total',
+    help: 'Bytes between processes of the system, with framing, by kind and direction',
+    label: 'kind',
+    read: () => ({ ...counters }),
+  };
+}
--- /dev/null
+++ b/src/observability/timeline.ts
@@ -0,0 +1,67 @@
+/** The time line of one process: a bounded ring of its latest changes of state. */
+import type { HybridClock, Stamp } from './hybrid-clock.js';
+
+/** What can happen. A new kind of event is added here first. */
+export type TimelineEvent =
+  | { type: 'processStarted'; role: string }
+  | { type: 'processLeaving' }
+  | { type: 'leaseAcquired'; duty: string; epoch: number }
+  | { type: 'leaseLost'; duty: string; epoch: number }
+  | { type: 'configurationApplied'; revision: number }
+  | { type: 'placementWritten'; deployment: string; version: string; agents: number }
+  | { type: 'agentConnected'; agent: string }
+  | { type: 'agentLost'; agent: string }
+  | { type: 'assigned'; deployment: string; version: string }
+  | { type: 'transferStarted'; version: string; chunks: number; alreadyHeld: number }
+  | { type: 'transferCompleted'; version: string }
+  | { type: 'transferStopped'; version: string }
+  | { type: 'corruptChunk'; version: string; chunk: number; from: string }
+  | { type: 'chunkRefused'; version: string; chunk: number; peer: string; reason: string }
+  | { type: 'orderSent'; order: string; version: string; revision: number }
+  | { type: 'orderRefused'; order: string; version: string; reason: string }
+  | { type: 'versionReady'; version: string }
+  | { type: 'versionUnloaded'; version: string }
+  | { type: 'burstJoined'; version: string; coordinator: string }
+  | { type: 'burstMemberJoined'; version: string; agent: string };
+
+/** An event with its place in the causal order. */
+export interface TimelineEntry {
+  stamp: Stamp;
+  /** Identity of the process. */
+  process: string;
+  event: TimelineEvent;
+}
+
+/** Default number of events kept. */
+const DEFAULT_CAPACITY = 2_000;
+
+/** The ring of one process. */
+export class Timeline {
+  readonly #entries: TimelineEntry[] = [];
+  #next = 0;
+  readonly #process: string;
+  readonly #clock: HybridClock;
+  readonly #capacity: number;
+
+  constructor(process: string, clock: HybridClock, capacity = DEFAULT_CAPACITY) {
+    this.#process = process;
+    this.#clock = clock;
+    this.#capacity = capacity;
+  }
+
+  /** Notes an event; the oldest one goes when the ring is full. */
+  record(event: TimelineEvent): void {
+    this.#entries[this.#next % this.#capacity] = { stamp: this.#clock.next(), process: this.#process, event };
+    this.#next++;
+  }
+
+  /** The events kept, oldest first. */
+  entries(): TimelineEntry[] {
+    return mergeTimelines([this.#entries]);
+  }
+}
+
+/** All events of several processes in causal order. */
+export function mergeTimelines(timelines: ReadonlyArray<readonly TimelineEntry[]>): TimelineEntry[] {
+  return timelines.flat().sort((a, b) => a.stamp - b.stamp || (a.process < b.process ? -1 : 1));
+}
--- /dev/null
+++ b/src/platform/http.ts
@@ -0,0 +1,95 @@
+/** The HTTP client that the platform's and the back ends' clients share. */
+import { Agent, type Dispatcher, request } from 'undici';
+import { failure, type Result, success } from '../model/result.js';
+import type { PlatformError } from './errors.js';
+
+/** Connections kept to one server. */
+const CONNECTIONS = 32;
+const CONNECT_TIMEOUT = 2_000;
+/** Time until a server that says nothing else may be asked again, in milliseconds. */
+const DEFAULT_RETRY_AFTER = 1_000;
+
+const dispatcher = new Agent({ connections: CONNECTIONS, connect: { timeout: CONNECT_TIMEOUT } });
+
+/** What to send. */
+export interface HttpCall {
+  /** Name of the called service, for errors. */
+  service: string;
+  method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+  url: string;
+  /** Sent as JSON. */
+  json?: unknown;
+  /** Sent as it is. */
+  bytes?: Uint8Array;
+  signal: AbortSignal;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  status: number;
+  body: Buffer;
+}
+
+/** The answer's headers, and its body as a stream. */
+export type HttpStream = Dispatcher.ResponseData;
+
+/** Sends a call and reads the whole answer; statuses below 500 other than 429 are answers, not errors. */
+export async function callHttp(call: HttpCall): Promise<Result<HttpAnswer, PlatformError>> {
+  let stream: HttpStream;
+  try {
+    stream = await openHttp(call);
+  } catch (cause) {
+    return failure(errorOf(call, cause));
+  }
+  try {
+    const body = Buffer.from(await stream.body.arrayBuffer());
+    const { statusCode } = stream;
+    if (statusCode < 500 && statusCode !== 429) return success({ status: statusCode, body });
+    return failure(unavailable(call, `status ${statusCode}`, retryAfterOf(stream)));
+  } catch (cause) {
+    return failure({ type: 'outcomeUnknown', service: call.service, reason: String(cause) });
+  }
+}
+
+/** Sends a call and returns as soon as the headers are there. Throws what the client library throws. */
+export function openHttp(call: HttpCall): Promise<HttpStream> {
+  const body = call.json === undefined ? call.bytes : JSON.stringify(call.json);
+  const contentType = call.json === undefined ? 'application/octet-stream' : 'application/json';
+  return request(call.url, {
+    method: call.method,
+    body: body as Buffer | string | undefined,
+    headers: body === undefined ? {} : { 'content-type': contentType },
+    signal: call.signal,
+    dispatcher,
+  });
+}
+
+/** Reads an answer as JSON. */
+export function parseJson<T>(service: string, answer: HttpAnswer): Result<T, PlatformError> {
+  try {
+    return success(JSON.parse(answer.body.toString('utf8')) as T);
+  } catch (cause) {
+    return failure({ type: 'malformedAnswer', service, reason: String(cause) });
+  }
+}
+
+/** True when the connection was never made, so that the server cannot have seen the call. */
+export function neverConnected(cause: unknown): boolean {
+  const code = (cause as { code?: string }).code;
+  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' || code === 'EHOSTUNREACH';
+}
+
+function errorOf(call: HttpCall, cause: unknown): PlatformError {
+  if (neverConnected(cause) || call.method === 'GET')
+    return unavailable(call, String(cause), DEFAULT_RETRY_AFTER);
+  return { type: 'outcomeUnknown', service: call.service, reason: String(cause) };
+}
+
+function unavailable(call: HttpCall, reason: string, retryAfter: number): PlatformError {
+  return { type: 'unavailable', service: call.service, retryAfter, reason };
+}
+
+function retryAfterOf(stream: HttpStream): number {
+  const seconds = Number(stream.headers['retry-after']);
+  return Number.isFinite(seconds) && seconds > 0 ? seconds * 1_000 : DEFAULT_RETRY_AFTER;
+}
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -3,6 +3,7 @@
  * that a message costs its content and not its field names; nested objects go as maps.
  */
 import { Packr } from 'msgpackr';
+import type { Stamp } from '../observability/hybrid-clock.js';
 import { MESSAGE_FIELDS, type Message } from './messages.js';
 
 /** A frame that is not a message of this protocol. */
@@ -12,17 +13,18 @@
 }
 
 /** The outcome of decoding one frame. */
-export type Decoded = { ok: true; message: Message } | { ok: false; error: DecodeError };
+export type Decoded = { ok: true; message: Message; stamp: Stamp } | { ok: false; error: DecodeError };
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true });
 const TYPES = Object.keys(MESSAGE_FIELDS) as Array<Message['type']>;
 const TYPE_NUMBERS = new Map(TYPES.map((type, index) => [type, index]));
 
-/** The bytes of `message`. */
-export function encode(message: Message): Buffer {
+/** The bytes of `message`; `stamp` is the sender's causal clock. */
+export function encode(message: Message, stamp: Stamp): Buffer {
   const fields = message as unknown as Record<string, unknown>;
   const values = MESSAGE_FIELDS[message.type].map((name) => fields[name]);
   values[0] = TYPE_NUMBERS.get(message.type);
+  values.push(stamp);
   return packr.pack(values);
 }
 
@@ -38,10 +40,11 @@
   const type = TYPES[values[0] as number];
   if (type === undefined) return malformed(`unknown message number ${String(values[0])}`);
   const names = MESSAGE_FIELDS[type];
-  if (values.length !== names.length) return malformed(`${type} has ${values.length} fields`);
+  if (values.length !== names.length + 1) return malformed(`${type} has ${values.length - 1} fields`);
   const message: Record<string, unknown> = { type };
   for (let index = 1; index < names.length; index++) message[names[index]] = values[index] ?? undefined;
-  return { ok: true, message: message as unknown as Message };
+  const stamp = Number(values[names.length]);
+  return { ok: true, message: message as unknown as Message, stamp };
 }
 
 function malformed(reason: string): Decoded {
--- /dev/null
+++ b/src/protocol/connection.ts
@@ -0,0 +1,259 @@
+/**
+ * Connections between the system's own processes: messages over WebSocket frames, a hello in both directions
+ * first, and a heartbeat that ends a connection whose other side has gone silent.
+ */
+import { createServer, type Server } from 'node:http';
+import { type RawData, WebSocket, WebSocketServer } from 'ws';
+import { failure, type Result, success } from '../model/result.js';
+import type { Startable } from '../model/startable.js';
+import type { HybridClock } from '../observability/hybrid-clock.js';
+import { decode, encode } from './codec.js';
+import type { HelloMessage, Message } from './messages.js';
+
+/** Time between two heartbeats, in milliseconds. */
+const HEARTBEAT_INTERVAL = 1_000;
+/** A connection on which nothing came for this long is ended, in milliseconds. */
+const SILENCE_LIMIT = 3_500;
+/** Time for the other side's hello, in milliseconds. */
+const HELLO_TIMEOUT = 2_000;
+/** Largest frame accepted, in bytes. */
+const MAX_FRAME_BYTES = 80 * 2 ** 20;
+/** Bytes that WebSocket and TCP/IP add to a frame. */
+const FRAME_OVERHEAD_BYTES = 46;
+
+/** Why there is no connection. */
+export type ConnectionError = { type: 'peerUnreachable'; address: string; reason: string };
+
+/** Bytes sent and received by one process, as it counts them. */
+export interface TrafficCounters {
+  controlSent: number;
+  controlReceived: number;
+  chunksSent: number;
+  chunksReceived: number;
+  callsSent: number;
+  callsReceived: number;
+  malformedMessages: number;
+}
+
+/** Counters at zero. */
+export function createTrafficCounters(): TrafficCounters {
+  return {
+    controlSent: 0,
+    controlReceived: 0,
+    chunksSent: 0,
+    chunksReceived: 0,
+    callsSent: 0,
+    callsReceived: 0,
+    malformedMessages: 0,
+  };
+}
+
+/** What every connection of a process shares. */
+export interface ConnectionContext {
+  clock: HybridClock;
+  counters: TrafficCounters;
+  /** What this process says of itself; read anew for each connection. */
+  hello: () => HelloMessage;
+}
+
+/** An open connection after both hellos. */
+export class Connection {
+  /** What the other side said of itself. */
+  readonly remote: HelloMessage;
+  onClose: () => void = () => {};
+  readonly #socket: WebSocket;
+  readonly #context: ConnectionContext;
+  readonly #heartbeat: NodeJS.Timeout;
+  #heardAt = performance.now();
+  #open = true;
+  #handler: ((message: Message) => void) | undefined;
+  /** Messages that came before there was a handler. */
+  #pending: Message[] = [];
+
+  constructor(socket: WebSocket, remote: HelloMessage, context: ConnectionContext) {
+    this.#socket = socket;
+    this.#context = context;
+    this.remote = remote;
+    socket.on('message', (data) => this.#receive(data));
+    socket.on('pong', () => this.#noteLife());
+    socket.on('ping', () => this.#noteLife());
+    socket.on('close', () => this.#closed());
+    socket.on('error', () => socket.terminate());
+    this.#heartbeat = setInterval(() => this.#beat(), HEARTBEAT_INTERVAL);
+  }
+
+  get open(): boolean {
+    return this.#open;
+  }
+
+  /** Sets who handles messages; those that came before are handled at once. */
+  handleMessages(handler: (message: Message) => void): void {
+    this.#handler = handler;
+    for (const message of this.#pending.splice(0)) handler(message);
+  }
+
+  /** Bytes handed over and not yet taken by the operating system. */
+  get bufferedBytes(): number {
+    return this.#socket.bufferedAmount;
+  }
+
+  /** Sends a message; returns false when the connection is gone. */
+  send(message: Message): boolean {
+    if (!this.#open) return false;
+    const frame = encode(message, this.#context.clock.next());
+    countFrame(this.#context.counters, message, frame.byteLength, 'Sent');
+    this.#socket.send(frame);
+    return true;
+  }
+
+  /** Ends the connection at once. */
+  close(): void {
+    this.#socket.terminate();
+    this.#closed();
+  }
+
+  #receive(data: RawData): void {
+    this.#noteLife();
+    const bytes = data as Buffer;
+    const decoded = decode(bytes);
+    if (!decoded.ok) {
+      this.#context.counters.malformedMessages++;
+      return this.close();
+    }
+    this.#context.clock.observe(decoded.stamp);
+    countFrame(this.#context.counters, decoded.message, bytes.byteLength, 'Received');
+    if (this.#handler === undefined) this.#pending.push(decoded.message);
+    else this.#handler(decoded.message);
+  }
+
+  #noteLife(): void {
+    this.#heardAt = performance.now();
+  }
+
+  #beat(): void {
+    if (performance.now() - this.#heardAt > SILENCE_LIMIT) return this.close();
+    if (this.#socket.readyState === WebSocket.OPEN) this.#socket.ping();
+    this.#context.counters.controlSent += FRAME_OVERHEAD_BYTES;
+    this.#context.counters.controlReceived += FRAME_OVERHEAD_BYTES;
+  }
+
+  #closed(): void {
+    if (!this.#open) return;
+    this.#open = false;
+    clearInterval(this.#heartbeat);
+    this.onClose();
+  }
+}
+
+/** Opens a connection to `address` (`host:port`). */
+export function connect(
+  address: string,
+  context: ConnectionContext,
+  signal: AbortSignal,
+): Promise<Result<Connection, ConnectionError>> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve(unreachable(address, 'aborted'));
+    const socket = new WebSocket(`ws://${address}`, {
+      perMessageDeflate: false,
+      maxPayload: MAX_FRAME_BYTES,
+      handshakeTimeout: HELLO_TIMEOUT,
+    });
+    const abort = () => socket.terminate();
+    signal.addEventListener('abort', abort, { once: true });
+    socket.once('open', () => socket.send(encode(context.hello(), context.clock.next())));
+    awaitHello(socket, context, (outcome) => {
+      signal.removeEventListener('abort', abort);
+      resolve(typeof outcome === 'string' ? unreachable(address, outcome) : success(outcome));
+    });
+  });
+}
+
+/** Accepts connections at `address`. */
+export class ConnectionListener implements Startable {
+  readonly #address: string;
+  readonly #context: ConnectionContext;
+  readonly #onConnection: (connection: Connection) => void;
+  #http: Server | undefined;
+  #sockets: WebSocketServer | undefined;
+
+  constructor(address: string, context: ConnectionContext, onConnection: (connection: Connection) => void) {
+    this.#address = address;
+    this.#context = context;
+    this.#onConnection = onConnection;
+  }
+
+  async start(): Promise<void> {
+    const [host, port] = this.#address.split(':');
+    const http = createServer();
+    const options = { server: http, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES };
+    const sockets = new WebSocketServer(options);
+    sockets.on('connection', (socket) => this.#accept(socket));
+    await new Promise<void>((resolve, reject) => {
+      sockets.once('error', reject);
+      http.listen(Number(port), host, resolve);
+    });
+    this.#http = http;
+    this.#sockets = sockets;
+  }
+
+  async stop(): Promise<void> {
+    for (const socket of this.#sockets?.clients ?? []) socket.terminate();
+    this.#sockets?.close();
+    this.#http?.closeAllConnections();
+    await new Promise<void>((resolve) =>
+      this.#http === undefined ? resolve() : this.#http.close(() => resolve()),
+    );
+    this.#http = undefined;
+  }
+
+  #accept(socket: WebSocket): void {
+    awaitHello(socket, this.#context, (outcome) => {
+      if (typeof outcome === 'string') return;
+      socket.send(encode(this.#context.hello(), this.#context.clock.next()));
+      this.#onConnection(outcome);
+    });
+  }
+}
+
+/** Takes the first message, which must be a hello; reports a connection or the reason for none. */
+function awaitHello(
+  socket: WebSocket,
+  context: ConnectionContext,
+  done: (outcome: Connection | string) => void,
+): void {
+  let settled = false;
+  const fail = (reason: string) => {
+    if (settled) return;
+    settled = true;
+    clearTimeout(timer);
+    socket.terminate();
+    done(reason);
+  };
+  const timer = setTimeout(() => fail('no hello in time'), HELLO_TIMEOUT);
+  socket.on('error', (cause) => fail(String(cause)));
+  socket.once('close', () => fail('closed before the hello'));
+  socket.once('message', (data) => {
+    const decoded = decode(data as Buffer);
+    if (!decoded.ok || decoded.message.type !== 'hello') return fail('the first message is not a hello');
+    settled = true;
+    clearTimeout(timer);
+    context.clock.observe(decoded.stamp);
+    done(new Connection(socket, decoded.message, context));
+  });
+}
+
+function unreachable(address: string, reason: string): { ok: false; error: ConnectionError } {
+  return failure({ type: 'peerUnreachable', address, reason });
+}
+
+function countFrame(
+  counters: TrafficCounters,
+  message: Message,
+  bytes: number,
+  direction: 'Sent' | 'Received',
+): void {
+  const size = bytes + FRAME_OVERHEAD_BYTES;
+  if (message.type === 'chunk') counters[`chunks${direction}`] += size;
+  else if (message.type.startsWith('call')) counters[`calls${direction}`] += size;
+  else counters[`control${direction}`] += size;
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -55,6 +55,8 @@
   bytesTotal: number;
   /** True when the engine itself reports this version as loaded. */
   ready: boolean;
+  /** What stands in the way, empty where nothing does. */
+  problem: string;
 }
 
 /** What an agent tells of itself. */
@@ -93,7 +95,8 @@
   | { type: 'status'; status: AgentStatus }
   | { type: 'assignments'; revision: number; assignments: Assignment[]; entries: EntryInfo[] }
   | { type: 'fetchManifest'; version: Digest }
-  | { type: 'manifest'; version: Digest; manifest: Manifest };
+  | { type: 'manifest'; version: Digest; manifest: Manifest }
+  | { type: 'manifestUnavailable'; version: Digest; reason: string };
 
 /** An entry as its peers and agents know it. */
 export interface EntryInfo {
@@ -166,6 +169,7 @@
   assignments: ['type', 'revision', 'assignments', 'entries'],
   fetchManifest: ['type', 'version'],
   manifest: ['type', 'version', 'manifest'],
+  manifestUnavailable: ['type', 'version', 'reason'],
   entryStatus: ['type', 'entry', 'revision'],
   agents: ['type', 'statuses', 'gone'],
   call: ['type', 'callId', 'attempt', 'version', 'method', 'path', 'contentType', 'body', 'timeLeft'],
--- /dev/null
+++ b/src/resources/resource-api.ts
@@ -0,0 +1,174 @@
+/**
+ * The HTTP interface for operators: resources with revisions, applied as one transaction, and watched.
+ *
+ * - `GET /apis/v1/resources[?kind=K]`: all resources with their revisions.
+ * - `POST /apis/v1/apply`: `{ operationId, resources: [{ resource, revision? }], deletes: [{ key, revision? }] }`.
+ * - `GET /apis/v1/operations/:id`: what became of an apply whose answer was lost.
+ * - `GET /apis/v1/watch?since=R`: changes after revision R as lines of JSON.
+ * - `GET /apis/v1/status`: progress of every deployment.
+ */
+import Router from '@koa/router';
+import type Koa from 'koa';
+import type { AgentDirectory } from '../entry/agent-directory.js';
+import { type Configuration, TABLES } from '../entry/configuration.js';
+import type { RowCondition, RowWrite, TableService } from '../platform/table-service.js';
+import { readBody } from '../server/http-server.js';
+import { deploymentStatus } from './deployment-status.js';
+import { type Resource, resource, resourceKey } from './schemas.js';
+
+const WRITE_TIMEOUT = 5_000;
+
+/** What an operator asks to change, all or nothing. */
+export interface ApplyRequest {
+  operationId: string;
+  /** With a revision, the resource must still have it; 0 means that it must not exist. */
+  resources: Array<{ resource: unknown; revision?: number }>;
+  deletes: Array<{ key: string; revision?: number }>;
+}
+
+/** What became of it. */
+export type ApplyAnswer =
+  | { type: 'accepted'; revision: number }
+  | { type: 'rejected'; problems: Array<{ resource: string; field: string; message: string }> }
+  | { type: 'conflict'; rows: Array<{ key: string; revision: number; expected: number }> }
+  /** The platform's answer was lost: ask for the operation. */
+  | { type: 'unknown'; operationId: string; retryAfter: number }
+  | { type: 'unavailable'; retryAfter: number };
+
+const APPLY_STATUS: Record<ApplyAnswer['type'], number> = {
+  accepted: 200,
+  rejected: 400,
+  conflict: 409,
+  unknown: 202,
+  unavailable: 503,
+};
+
+/** What the interface works with. */
+export interface ResourceApiComponents {
+  configuration: Configuration;
+  tables: TableService;
+  directory: AgentDirectory;
+}
+
+/** Creates the interface. */
+export function resourceApi(components: ResourceApiComponents): Router {
+  const { configuration, directory } = components;
+  const router = new Router({ prefix: '/apis/v1' });
+  router.get('/resources', (context) => {
+    const rows = configuration.rows(TABLES.resources);
+    const wanted = rows.filter(
+      (row) => context.query.kind === undefined || row.key.startsWith(`${context.query.kind}/`),
+    );
+    const items = wanted.map(({ key, value, revision }) => ({ key, value, revision }));
+    context.body = { revision: configuration.revision, items };
+  });
+  router.post('/apply', async (context) => {
+    const answer = await apply(components, await readRequest(context));
+    context.status = APPLY_STATUS[answer.type];
+    if ('retryAfter' in answer) context.set('retry-after', String(Math.ceil(answer.retryAfter / 1_000)));
+    context.body = answer;
+  });
+  router.get('/operations/:id', async (context) => {
+    const found = await components.tables.operation(context.params.id, AbortSignal.timeout(WRITE_TIMEOUT));
+    if (found.ok) context.body = { type: 'accepted', revision: found.value };
+    else if (found.error.type === 'notFound') context.body = { type: 'notAccepted' };
+    else {
+      context.status = 503;
+      context.body = { type: 'unavailable', retryAfter: 1_000 };
+    }
+  });
+  router.get('/watch', (context) => watch(context, configuration));
+  router.get('/status', (context) => {
+    const deployments = configuration
+      .deployments()
+      .map((entry) => deploymentStatus(entry, configuration, directory));
+    context.body = { revision: configuration.revision, deployments };
+  });
+  return router;
+}
+
+async function readRequest(context: Koa.Context): Promise<ApplyRequest> {
+  return JSON.parse((await readBody(context)).toString('utf8')) as ApplyRequest;
+}
+
+async function apply(components: ResourceApiComponents, request: ApplyRequest): Promise<ApplyAnswer> {
+  const checked = checkResources(request);
+  if (!checked.ok) return { type: 'rejected', problems: checked.problems };
+  const transaction = toTransaction(request, checked.resources);
+  const outcome = await components.tables.transact(transaction, AbortSignal.timeout(WRITE_TIMEOUT));
+  if (!outcome.ok) {
+    const { error } = outcome;
+    if (error.type === 'unavailable') return { type: 'unavailable', retryAfter: error.retryAfter };
+    return { type: 'unknown', operationId: request.operationId, retryAfter: 1_000 };
+  }
+  if (outcome.value.type === 'conflict') return conflictOf(outcome.value.rows, transaction.conditions);
+  void components.configuration.poll();
+  return { type: 'accepted', revision: outcome.value.revision };
+}
+
+function conflictOf(rows: Array<{ key: string; revision: number }>, conditions: RowCondition[]): ApplyAnswer {
+  const expected = new Map(conditions.map((condition) => [condition.key, condition.revision]));
+  return {
+    type: 'conflict',
+    rows: rows.map(({ key, revision }) => ({ key, revision, expected: expected.get(key) ?? 0 })),
+  };
+}
+
+type CheckedResources =
+  | { ok: true; resources: Array<{ value: Resource; revision?: number }> }
+  | { ok: false; problems: Array<{ resource: string; field: string; message: string }> };
+
+function checkResources(request: ApplyRequest): CheckedResources {
+  const resources: Array<{ value: Resource; revision?: number }> = [];
+  const problems: Array<{ resource: string; field: string; message: string }> = [];
+  for (const [index, entry] of request.resources.entries()) {
+    const parsed = resource.safeParse(entry.resource);
+    if (parsed.success) resources.push({ value: parsed.data, revision: entry.revision });
+    for (const issue of parsed.error?.issues ?? []) {
+      problems.push({
+        resource: `#${index}`,
+        field: issue.path.map(String).join('.'),
+        message: issue.message,
+      });
+    }
+  }
+  return problems.length > 0 ? { ok: false, problems } : { ok: true, resources };
+}
+
+function toTransaction(request: ApplyRequest, resources: Array<{ value: Resource; revision?: number }>) {
+  const table = TABLES.resources;
+  const conditions: RowCondition[] = [];
+  const writes: RowWrite[] = [];
+  for (const { value, revision } of resources) {
+    const key = resourceKey(value);
+    if (revision !== undefined) conditions.push({ table, key, revision });
+    writes.push({ table, key, value });
+  }
+  for (const { key, revision } of request.deletes) {
+    if (revision !== undefined) conditions.push({ table, key, revision });
+    writes.push({ table, key, value: null });
+  }
+  return { operationId: request.operationId, conditions, writes };
+}
+
+/** Streams changes of resources as lines of JSON, beginning with what changed after `since`. */
+function watch(context: Koa.Context, configuration: Configuration): void {
+  const since = Number(context.query.since ?? 0);
+  context.respond = false;
+  const { res } = context;
+  res.writeHead(200, { 'content-type': 'application/x-ndjson' });
+  const send = (event: object) => res.write(`${JSON.stringify(event)}\n`);
+  for (const row of configuration.rows(TABLES.resources)) {
+    if (row.revision > since)
+      send({ type: 'changed', key: row.key, revision: row.revision, value: row.value });
+  }
+  send({ type: 'bookmark', revision: configuration.revision });
+  const end = configuration.listen((rows) => {
+    for (const { table, key, value, revision } of rows) {
+      if (table !== TABLES.resources) continue;
+      send({ type: value === null ? 'deleted' : 'changed', key, revision, value });
+    }
+    send({ type: 'bookmark', revision: configuration.revision });
+  });
+  res.once('close', end);
+}
