Bench of bursts over real processes and in virtual time, and the demonstration

Cause: no measurement judged the burst from outside. Found by the bench: a call with a fractional time left ended the agent, and the entry's retries then ended three more; times are whole now, a message that its handler cannot take ends the connection only, and a repeatable request is retried once after a loss.

--- /dev/null
+++ b/bench/processes/caller.ts
@@ -0,0 +1,113 @@
+/** A caller for the benches: streamed answers, each checked to be whole, its own, and of one version. */
+import { setTimeout as pause } from 'node:timers/promises';
+import { BENCH_TENANT } from './observation.js';
+
+const REQUEST_TIMEOUT = 20_000;
+
+/** What became of the requests. */
+export interface CallerCounts {
+  sent: number;
+  answeredWhole: number;
+  refusedNotRun: number;
+  /** No whole answer, and not refused as not run. */
+  lost: number;
+  /** Answers whose events name more than one version. */
+  mixedVersions: number;
+  /** Answers to another request. */
+  crossed: number;
+  /** Whole answers by version. */
+  byVersion: Record<string, number>;
+}
+
+/** One event of a streamed answer. */
+interface StreamEvent {
+  system_fingerprint: string;
+  choices: Array<{ delta: { content: string }; finish_reason: string | null }>;
+}
+
+/** Sends requests for a model at a steady rate until it is stopped. */
+export class Caller {
+  readonly counts: CallerCounts = {
+    sent: 0,
+    answeredWhole: 0,
+    refusedNotRun: 0,
+    lost: 0,
+    mixedVersions: 0,
+    crossed: 0,
+    byVersion: {},
+  };
+  readonly #entries: readonly string[];
+  readonly #model: string;
+  readonly #tenant: string;
+  readonly #pending = new Set<Promise<void>>();
+  #running = false;
+
+  constructor(entries: readonly string[], model: string, tenant = BENCH_TENANT) {
+    this.#entries = entries;
+    this.#model = model;
+    this.#tenant = tenant;
+  }
+
+  /** Sends a request every `interval` milliseconds, going round the entries. */
+  start(interval: number): void {
+    this.#running = true;
+    void this.#loop(interval);
+  }
+
+  /** Sends no more, and returns when every request has ended. */
+  async stop(): Promise<void> {
+    this.#running = false;
+    await Promise.all(this.#pending);
+  }
+
+  /** Sends one request and checks its answer. */
+  async call(maxTokens = 16): Promise<void> {
+    const number = this.counts.sent++;
+    const topic = `topic${number}`;
+    const entry = this.#entries[number % this.#entries.length];
+    const messages = [{ role: 'user', content: `please explain ${topic}` }];
+    const body = JSON.stringify({ model: this.#model, stream: true, max_tokens: maxTokens, messages });
+    try {
+      const answer = await fetch(`http://${entry}/v1/chat/completions`, {
+        method: 'POST',
+        headers: { 'x-thistleway-tenant': this.#tenant },
+        body,
+        signal: AbortSignal.timeout(REQUEST_TIMEOUT),
+      });
+      const text = await answer.text();
+      if (answer.ok) this.#check(text, topic, maxTokens);
+      else if ((JSON.parse(text) as { error: { notRun: boolean } }).error.notRun) this.counts.refusedNotRun++;
+      else this.counts.lost++;
+    } catch {
+      this.counts.lost++;
+    }
+  }
+
+  #check(text: string, topic: string, maxTokens: number): void {
+    const lines = text.split('\n\n').filter((line) => line.startsWith('data: '));
+    const events = lines
+      .filter((line) => line !== 'data: [DONE]')
+      .map((line) => JSON.parse(line.slice(6)) as StreamEvent);
+    const content = events.map((event) => event.choices[0].delta.content).join('');
+    const expected = Array.from({ length: maxTokens }, (_, index) => `${topic}-${index} `).join('');
+    const versions = new Set(events.map((event) => event.system_fingerprint));
+    if (versions.size > 1) this.counts.mixedVersions++;
+    if (!content.startsWith(topic)) this.counts.crossed++;
+    if (lines.at(-1) !== 'data: [DONE]' || content !== expected) {
+      this.counts.lost++;
+      return;
+    }
+    this.counts.answeredWhole++;
+    for (const version of versions)
+      this.counts.byVersion[version] = (this.counts.byVersion[version] ?? 0) + 1;
+  }
+
+  async #loop(interval: number): Promise<void> {
+    while (this.#running) {
+      const request = this.call();
+      this.#pending.add(request);
+      void request.finally(() => this.#pending.delete(request));
+      await pause(interval);
+    }
+  }
+}
--- a/bench/processes/child.ts
+++ b/bench/processes/child.ts
@@ -9,13 +9,28 @@
 const START_TIMEOUT = 20_000;
 const READY_CHECK_INTERVAL = 50;
 
-/** A free port of the loopback address. */
+/** Ports below the range from which the operating system takes those of outgoing connections. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 32_000;
+
+const given = new Set<number>();
+
+/** A free port of the loopback address, given once by this process. */
 export async function freeAddress(): Promise<string> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (given.has(port) || !(await isFree(port))) continue;
+    given.add(port);
+    return `127.0.0.1:${port}`;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as { port: number };
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return `127.0.0.1:${port}`;
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
 
 /** A started process. */
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -248,7 +248,12 @@
     const { metrics, timeline } = this.#components;
     return operatorApi({
       metrics: () => metrics.text(),
-      status: () => ({ ...this.#status(), home: this.#home.address }),
+      status: () => ({
+        ...this.#status(),
+        home: this.#home.address,
+        exchange: this.#exchange.counters,
+        traffic: this.#counters,
+      }),
       timeline: () => timeline.entries(),
       drain: () => this.drain(),
     });
@@ -264,6 +269,12 @@
         label: 'outcome',
         read: () => ({ ...this.#calls.counters }),
       },
+      {
+        name: 'exchange',
+        help: 'Chunk exchange',
+        label: 'count',
+        read: () => ({ ...this.#exchange.counters }),
+      },
       { name: 'calls_in_progress', help: 'Requests in progress', read: () => this.#calls.active },
       { name: 'chunk_store_bytes', help: 'Bytes of weights in memory', read: () => store.usedBytes },
       {
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -16,6 +16,8 @@
   notReady: 1_000,
   backEndUnreachable: 1_000,
 };
+/** Longest time that a request may take, in milliseconds. */
+const MAX_TIME_LEFT = 3_600_000;
 /** Last event of a whole streamed answer. */
 const STREAM_END = 'data: [DONE]';
 
@@ -107,7 +109,7 @@
     this.#active.set(keyOf(call), { call, abort });
     this.counters.started++;
     this.onChange();
-    const signal = AbortSignal.any([abort.signal, AbortSignal.timeout(call.timeLeft)]);
+    const signal = AbortSignal.any([abort.signal, AbortSignal.timeout(timeLeftOf(call))]);
     try {
       await this.#relay(connection, call, signal);
     } finally {
@@ -195,6 +197,12 @@
   }
 }
 
+/** The time left as the timers take it; a sender may say anything. */
+function timeLeftOf(call: CallRequest): number {
+  const milliseconds = Math.ceil(Number(call.timeLeft));
+  return Number.isFinite(milliseconds) ? Math.min(Math.max(milliseconds, 1), MAX_TIME_LEFT) : 1;
+}
+
 function keyOf(call: { callId: string; attempt: number }): string {
   return `${call.callId}/${call.attempt}`;
 }
--- a/src/agent/exchange.ts
+++ b/src/agent/exchange.ts
@@ -2,6 +2,7 @@
  * The chunk exchange of an agent: carries out what the distribution systems decide. It verifies every chunk
  * before the systems hear of it, and keeps chunk traffic within the link's rate.
  */
+import { setMaxListeners } from 'node:events';
 import { ChunkSet } from '../model/chunk-set.js';
 import { type Digest, digestOf, type Manifest } from '../model/manifest.js';
 import { Pacer } from '../model/pacer.js';
@@ -42,6 +43,17 @@
   onCoordinatorMessage(version: Digest, message: Message): void;
 }
 
+/** Counts of one exchange, for metrics and benches. */
+export interface ExchangeCounters {
+  chunksFromPeers: number;
+  chunksFromOrigin: number;
+  /** Bytes of chunks that came from machines of other regions. */
+  crossRegionBytes: number;
+  corruptChunks: number;
+  /** Requests refused because the asking machine lies in a place that is not allowed. */
+  placeRefusals: number;
+}
+
 /** What the exchange works with. */
 export interface ExchangeComponents {
   context: ConnectionContext;
@@ -61,10 +73,18 @@
 /** The chunk exchange of one agent. */
 export class Exchange implements Startable {
   readonly node: DistributionNode;
+  readonly counters: ExchangeCounters = {
+    chunksFromPeers: 0,
+    chunksFromOrigin: 0,
+    crossRegionBytes: 0,
+    corruptChunks: 0,
+    placeRefusals: 0,
+  };
   readonly #transfers = new Map<TransferKey, ActiveTransfer>();
   readonly #links: PeerLinks;
   readonly #components: ExchangeComponents;
   readonly #events: ExchangeEvents;
+  readonly #region: string;
   readonly #outgoing: Pacer;
   readonly #incoming: Pacer;
   readonly #stopping = new AbortController();
@@ -79,6 +99,9 @@
       limits: DEFAULT_DISTRIBUTION_LIMITS,
       random: seededRandom(init.seed),
     });
+    // Every paced chunk listens to it.
+    setMaxListeners(0, this.#stopping.signal);
+    this.#region = components.context.hello().peer.region;
     this.#outgoing = new Pacer(init.linkBytesPerSecond);
     this.#incoming = init.linkDuplex === 'shared' ? this.#outgoing : new Pacer(init.linkBytesPerSecond);
     this.#links = new PeerLinks(components.context, {
@@ -234,6 +257,7 @@
   }
 
   #noteRefusal({ version, chunk, peer, reason }: DistributionCommand & { type: 'refuse' }): void {
+    this.counters.placeRefusals++;
     this.#components.timeline.record({ type: 'chunkRefused', version, chunk, peer, reason });
   }
 
@@ -261,9 +285,9 @@
   async #draw(version: Digest, chunk: number): Promise<void> {
     const entry = this.manifest(version)?.chunks[chunk];
     if (entry === undefined) return;
-    const signal = AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(DRAW_TIMEOUT)]);
-    const drawn = await this.#components.origin.chunk(entry.digest, signal);
+    const drawn = await this.#components.origin.chunk(entry.digest, AbortSignal.timeout(DRAW_TIMEOUT));
     if (!drawn.ok) return this.#act(() => this.node.onDrawFailed(version, chunk));
+    this.counters.chunksFromOrigin++;
     await this.#incoming.take(drawn.value.byteLength, this.#stopping.signal);
     this.#receive(version, chunk, undefined, drawn.value, 0);
   }
@@ -310,6 +334,8 @@
     else if (!this.#toleratesUnasked(peer)) return;
     // A copy: the frame's own buffer may be a slice of a larger one.
     const data = Buffer.from(message.data);
+    this.counters.chunksFromPeers++;
+    if (peer.region !== this.#region) this.counters.crossRegionBytes += data.byteLength;
     await this.#incoming.take(data.byteLength, this.#stopping.signal);
     this.#receive(version, message.chunk, peer.id, data, message.queueLength);
   }
@@ -330,6 +356,7 @@
     const entry = this.manifest(version)?.chunks[chunk];
     if (entry === undefined) return;
     if (digestOf(data) !== entry.digest) {
+      this.counters.corruptChunks++;
       this.#components.timeline.record({ type: 'corruptChunk', version, chunk, from: from ?? 'origin' });
       this.#components.log.warn('corrupt chunk dropped', { version, chunk, from: from ?? 'origin' });
       return this.#act(() => this.node.onCorruptChunk(version, chunk, from, performance.now()));
--- a/src/agent/version-loader.ts
+++ b/src/agent/version-loader.ts
@@ -175,7 +175,7 @@
   }
 
   #callSignal(): AbortSignal {
-    return AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(CALL_TIMEOUT)]);
+    return AbortSignal.timeout(CALL_TIMEOUT);
   }
 }
 
--- /dev/null
+++ b/src/cli/bench.ts
@@ -0,0 +1,124 @@
+/** `thistleway bench burst`: measures a burst and prints one JSON object as its last line. */
+import { Option } from 'clipanion';
+import type { BurstReport } from '../../bench/burst-report.js';
+import type { DistributionStrategy } from '../systems/distribution/neighbour-selection.js';
+import type { Objective } from '../systems/distribution/transfer.js';
+import { CommandFailure, EXIT_USAGE, ThistlewayCommand } from './process.js';
+
+/** One run of the table. */
+interface BurstRun {
+  name: string;
+  run: () => Promise<BurstReport>;
+}
+
+/** `thistleway demo`. */
+export class DemoCommand extends ThistlewayCommand {
+  static override paths = [['demo']];
+  static override usage = ThistlewayCommand.Usage({
+    category: 'Development',
+    description: "run both users' systems on this machine: a burst, then requests; ends by itself",
+  });
+
+  async perform(): Promise<number> {
+    const { runDemo } = await import('../../bench/demo/demo.js');
+    return (await runDemo(this.context.stdout)) ? 0 : 1;
+  }
+}
+
+/** `thistleway bench burst`. */
+export class BenchBurstCommand extends ThistlewayCommand {
+  static override paths = [['bench', 'burst']];
+  static override usage = ThistlewayCommand.Usage({
+    category: 'Development',
+    description: 'measure how a model reaches N machines',
+    examples: [
+      ['24 real machines', 'thistleway bench burst --machines 24 --json'],
+      ['780 machines in virtual time', 'thistleway bench burst --machines 780 --simulated --json'],
+    ],
+  });
+  machines = Option.String('--machines', '24', { description: 'number of machines' });
+  objective = Option.String('--objective', 'fastest', { description: 'fastest or leastOriginBytes' });
+  strategy = Option.String('--strategy', 'swarm', { description: 'swarm, or the baselines tree and origin' });
+  faults = Option.String('--faults', 'none', {
+    description: 'none, table (all cases), or the name of a case',
+  });
+  duplex = Option.String('--duplex', 'shared', {
+    description: 'shared: both directions draw on one budget; full',
+  });
+  simulated = Option.Boolean('--simulated', false, { description: 'in virtual time' });
+  seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
+  json = Option.Boolean('--json', false, { description: 'print the report as JSON' });
+
+  async perform(): Promise<number> {
+    const runs = this.simulated ? await this.#simulatedRuns() : await this.#realRuns();
+    const reports: BurstReport[] = [];
+    for (const { name, run } of runs) {
+      this.context.stderr.write(`burst, faults: ${name}\n`);
+      reports.push(await run());
+    }
+    this.#print(reports);
+    return reports.every(isSound) ? 0 : 1;
+  }
+
+  async #simulatedRuns(): Promise<BurstRun[]> {
+    const { simulateBurst } = await import('../../bench/simulation/simulated-burst.js');
+    const { SIMULATED_FAULTS } = await import('../../bench/simulation/faults.js');
+    return this.#select(SIMULATED_FAULTS).map((fault) => ({
+      name: fault?.name ?? 'none',
+      run: async () => simulateBurst({ ...this.#init(), fault }),
+    }));
+  }
+
+  async #realRuns(): Promise<BurstRun[]> {
+    const { runRealBurst } = await import('../../bench/processes/real-burst.js');
+    const { PROCESS_FAULTS } = await import('../../bench/processes/faults.js');
+    return this.#select(PROCESS_FAULTS).map((fault) => ({
+      name: fault?.name ?? 'none',
+      run: () => runRealBurst({ ...this.#init(), fault }),
+    }));
+  }
+
+  #select<T extends { name: string }>(cases: readonly T[]): Array<T | undefined> {
+    if (this.faults === 'none') return [undefined];
+    if (this.faults === 'table') return [...cases];
+    const found = cases.find((fault) => fault.name === this.faults);
+    const names = cases.map((fault) => fault.name).join(', ');
+    if (found === undefined)
+      throw new CommandFailure(`no fault "${this.faults}"; there are ${names}`, EXIT_USAGE);
+    return [found];
+  }
+
+  #init() {
+    return {
+      machines: Number(this.machines),
+      objective: this.#oneOf<Objective>('objective', this.objective, ['fastest', 'leastOriginBytes']),
+      strategy: this.#oneOf<DistributionStrategy>('strategy', this.strategy, ['swarm', 'tree', 'origin']),
+      duplex: this.#oneOf<'shared' | 'full'>('duplex', this.duplex, ['shared', 'full']),
+      seed: Number(this.seed),
+    };
+  }
+
+  #oneOf<T extends string>(name: string, value: string, allowed: readonly T[]): T {
+    const found = allowed.find((candidate) => candidate === value);
+    if (found !== undefined) return found;
+    throw new CommandFailure(`--${name} must be one of ${allowed.join(', ')}, not "${value}"`, EXIT_USAGE);
+  }
+
+  #print(reports: BurstReport[]): void {
+    const { stdout } = this.context;
+    if (!this.json) {
+      for (const report of reports) stdout.write(`${JSON.stringify(report, undefined, 2)}\n`);
+      return;
+    }
+    const whole = reports.length === 1 ? reports[0] : { cases: reports, sound: reports.every(isSound) };
+    stdout.write(`${JSON.stringify(whole)}\n`);
+  }
+}
+
+/** A burst is sound when it ended and broke none of the promises; how fast it was is another matter. */
+function isSound(report: BurstReport): boolean {
+  const { placeBreaches, unverifiedChunksPassedOn, partialLoads, mixedVersionAnswers } = report;
+  return (
+    report.complete && placeBreaches + unverifiedChunksPassedOn + partialLoads + mixedVersionAnswers === 0
+  );
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,6 @@
 /** The command line: one binary with all roles. */
 import { Builtins, Cli } from 'clipanion';
+import { BenchBurstCommand, DemoCommand } from './bench.js';
 import {
   ApplyCommand,
   DeleteCommand,
@@ -27,6 +28,8 @@
   WatchCommand,
   DrainCommand,
   TimelineCommand,
+  BenchBurstCommand,
+  DemoCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
--- a/src/entry/call-links.ts
+++ b/src/entry/call-links.ts
@@ -65,7 +65,6 @@
 export class CallLinks {
   readonly #links = new Map<string, Promise<Result<CallLink, ConnectionError>>>();
   readonly #context: ConnectionContext;
-  readonly #stopping = new AbortController();
 
   constructor(context: ConnectionContext) {
     this.#context = context;
@@ -83,7 +82,6 @@
   }
 
   async stop(): Promise<void> {
-    this.#stopping.abort();
     for (const link of this.#links.values()) {
       const outcome = await link;
       if (outcome.ok) outcome.value.close();
@@ -91,8 +89,7 @@
   }
 
   async #dial(agent: PeerInfo): Promise<Result<CallLink, ConnectionError>> {
-    const signal = AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(DIAL_TIMEOUT)]);
-    const outcome = await connect(agent.address, this.#context, signal);
+    const outcome = await connect(agent.address, this.#context, AbortSignal.timeout(DIAL_TIMEOUT));
     if (!outcome.ok) return outcome;
     if (outcome.value.remote.peer.id === agent.id) return success(new CallLink(outcome.value));
     outcome.value.close();
--- a/src/entry/call-router.ts
+++ b/src/entry/call-router.ts
@@ -13,6 +13,8 @@
 
 /** Attempts for one request, the first included. */
 const MAX_ATTEMPTS = 4;
+/** Retries of a repeatable request whose back end was lost: it may be the request that ends them. */
+const MAX_RETRIES_AFTER_LOSS = 1;
 /** Time for which a back end that failed is not used, in milliseconds. */
 const SUSPENSION = 1_000;
 /** Time after which a caller may come back when nothing has room, in milliseconds. */
@@ -89,6 +91,7 @@
     const callId = randomUUID();
     const endsAt = performance.now() + call.deadline;
     const excluded = new Set<string>();
+    let losses = 0;
     let error: CallError = { type: 'noCapacity', ran: 'no', retryAfter: NO_CAPACITY_RETRY_AFTER };
     for (let attempt = 1; attempt <= MAX_ATTEMPTS && !signal.aborted; attempt++) {
       const outcome = await this.#attempt(call, callId, attempt, endsAt, excluded, sink, signal);
@@ -101,7 +104,8 @@
       if (outcome.type === 'notRun') continue;
       error = { type: 'backEndFailed', ran: outcome.ran, reason: outcome.reason };
       const mayRepeat = outcome.ran === 'no' || call.repeatable;
-      if (outcome.headSent || !mayRepeat) break;
+      if (outcome.ran !== 'no') losses++;
+      if (outcome.headSent || !mayRepeat || losses > MAX_RETRIES_AFTER_LOSS) break;
       this.counters.retries++;
     }
     if (error.ran === 'no') this.counters.refused++;
@@ -118,7 +122,7 @@
     sink: AnswerSink,
     signal: AbortSignal,
   ): Promise<AttemptOutcome | undefined> {
-    const timeLeft = endsAt - performance.now();
+    const timeLeft = Math.ceil(endsAt - performance.now());
     const query = { places: call.places, versions: call.versions, excluded, now: performance.now() };
     const route = chooseRoute(this.#replicas(call), query, this.#components.random);
     if (route === undefined || timeLeft <= 0) return undefined;
@@ -181,7 +185,6 @@
 class AttemptAnswer {
   mustCancel = false;
   onSettled: () => void = () => {};
-  readonly #call: CallMessage & { type: 'call' };
   readonly #agent: string;
   readonly #sink: AnswerSink;
   readonly #resolve: (outcome: AttemptOutcome) => void;
@@ -196,7 +199,6 @@
     sink: AnswerSink,
     resolve: (outcome: AttemptOutcome) => void,
   ) {
-    this.#call = call;
     this.#agent = agent;
     this.#sink = sink;
     this.#resolve = resolve;
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -39,6 +39,8 @@
   readonly #stopping = new AbortController();
   #revision = 0;
   #timer: NodeJS.Timeout | undefined;
+  #reading: Promise<void> | undefined;
+  #following: Promise<void> | undefined;
 
   constructor(components: ConfigurationComponents) {
     this.#components = components;
@@ -65,11 +67,30 @@
     return () => this.#listeners.delete(listener);
   }
 
-  /** Reads what has changed since the known revision. */
-  async poll(): Promise<void> {
+  /** Reads what has changed since the known revision; a call during a reading makes one more follow. */
+  poll(): Promise<void> {
+    if (this.#following !== undefined) return this.#following;
+    if (this.#reading === undefined) {
+      this.#reading = this.#read().finally(() => {
+        this.#reading = undefined;
+      });
+      return this.#reading;
+    }
+    this.#following = this.#reading.then(() => {
+      this.#following = undefined;
+      return this.poll();
+    });
+    return this.#following;
+  }
+
+  /** Another process knows this revision: it is read at once if it is news here. */
+  hint(revision: number): void {
+    if (revision > this.#revision) void this.poll();
+  }
+
+  async #read(): Promise<void> {
     this.counters.reads++;
-    const signal = AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(READ_TIMEOUT)]);
-    const read = await this.#components.tables.changes(this.#revision, signal);
+    const read = await this.#components.tables.changes(this.#revision, AbortSignal.timeout(READ_TIMEOUT));
     if (!read.ok) {
       this.counters.failedReads++;
       return;
--- a/src/entry/duty-lease.ts
+++ b/src/entry/duty-lease.ts
@@ -28,6 +28,7 @@
   #observation: LeaseObservation = { row: undefined, revision: 0, seenAt: performance.now() };
   #heldEpoch: number | undefined;
   #timer: NodeJS.Timeout | undefined;
+  #reviewing = false;
 
   constructor(duty: string, components: DutyLeaseComponents) {
     this.#duty = duty;
@@ -40,6 +41,9 @@
   }
 
   async start(): Promise<void> {
+    this.#components.configuration.listen((rows) => {
+      if (rows.some((row) => row.table === TABLES.resources)) this.#wake();
+    });
     this.#schedule();
   }
 
@@ -95,14 +99,27 @@
   }
 
   async #transact(conditions: RowCondition[], writes: RowWrite[]): Promise<TransactionOutcome | undefined> {
-    const signal = AbortSignal.any([this.#stopping.signal, AbortSignal.timeout(WRITE_TIMEOUT)]);
+    const signal = AbortSignal.timeout(WRITE_TIMEOUT);
     const transaction = { operationId: randomUUID(), conditions, writes };
     const outcome = await this.#components.tables.transact(transaction, signal);
     return outcome.ok ? outcome.value : undefined;
   }
 
   #schedule(): void {
-    if (this.#stopping.signal.aborted) return;
-    this.#timer = setTimeout(() => void this.#review().finally(() => this.#schedule()), REVIEW_INTERVAL);
+    if (!this.#stopping.signal.aborted) this.#timer = setTimeout(() => this.#run(), REVIEW_INTERVAL);
+  }
+
+  /** Reviews at once, unless a review is under way. */
+  #wake(): void {
+    if (!this.#reviewing) this.#run();
+  }
+
+  #run(): void {
+    clearTimeout(this.#timer);
+    this.#reviewing = true;
+    void this.#review().finally(() => {
+      this.#reviewing = false;
+      this.#schedule();
+    });
   }
 }
--- a/src/entry/entry-mesh.ts
+++ b/src/entry/entry-mesh.ts
@@ -15,6 +15,8 @@
   self: () => EntryInfo;
   /** The revision of the configuration in force here. */
   revision: () => number;
+  /** Another entry has this revision in force. */
+  onRevision: (revision: number) => void;
 }
 
 /** The mesh as one entry sees it. */
@@ -118,8 +120,10 @@
 
   #onMessage(from: string, message: Message): void {
     if (message.type === 'entryStatus') {
+      this.#components.onRevision(message.revision);
+      const changed = JSON.stringify(this.entries.get(from)) !== JSON.stringify(message.entry);
       this.entries.set(from, message.entry);
-      this.onChange();
+      if (changed) this.onChange();
     }
     if (message.type !== 'agents') return;
     for (const status of message.statuses) this.#components.directory.update(status, from);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -31,7 +31,7 @@
 import { CallLinks } from './call-links.js';
 import { CallRouter } from './call-router.js';
 import { CallerApi } from './caller-api.js';
-import { Configuration } from './configuration.js';
+import { Configuration, TABLES } from './configuration.js';
 import { DutyLease } from './duty-lease.js';
 import { EntryMesh } from './entry-mesh.js';
 import { HomeAgents } from './home-agents.js';
@@ -102,7 +102,16 @@
     this.#context = this.#createContext();
     const self = () => this.info();
     const revision = () => configuration.revision;
-    this.#mesh = new EntryMesh(settings.entries, { context: this.#context, directory, self, revision });
+    this.#mesh = new EntryMesh(settings.entries, {
+      context: this.#context,
+      directory,
+      self,
+      revision,
+      onRevision: (known) => configuration.hint(known),
+    });
+    configuration.listen((rows) => {
+      if (rows.some((row) => row.table !== TABLES.leases)) this.#mesh.announceSelf();
+    });
     const shared = { configuration, directory, timeline, objects };
     this.#home = new HomeAgents({ ...shared, self, mesh: this.#mesh, bursts });
     this.#links = new CallLinks(this.#context);
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -64,19 +64,22 @@
   readonly #socket: WebSocket;
   readonly #context: ConnectionContext;
   readonly #heartbeat: NodeJS.Timeout;
+  readonly #dialled: boolean;
   #heardAt = performance.now();
+  #sentAt = performance.now();
   #open = true;
   #handler: ((message: Message) => void) | undefined;
   /** Messages that came before there was a handler. */
   #pending: Message[] = [];
 
-  constructor(socket: WebSocket, remote: HelloMessage, context: ConnectionContext) {
+  constructor(socket: WebSocket, remote: HelloMessage, context: ConnectionContext, dialled: boolean) {
+    this.#dialled = dialled;
     this.#socket = socket;
     this.#context = context;
     this.remote = remote;
     socket.on('message', (data) => this.#receive(data));
-    socket.on('pong', () => this.#noteLife());
-    socket.on('ping', () => this.#noteLife());
+    socket.on('pong', () => this.#heardPong());
+    socket.on('ping', () => this.#answered());
     socket.on('close', () => this.#closed());
     socket.on('error', () => socket.terminate());
     this.#heartbeat = setInterval(() => this.#beat(), HEARTBEAT_INTERVAL);
@@ -89,7 +92,7 @@
   /** Sets who handles messages; those that came before are handled at once. */
   handleMessages(handler: (message: Message) => void): void {
     this.#handler = handler;
-    for (const message of this.#pending.splice(0)) handler(message);
+    for (const message of this.#pending.splice(0)) this.#handle(handler, message);
   }
 
   /** Bytes handed over and not yet taken by the operating system. */
@@ -103,6 +106,7 @@
     const frame = encode(message, this.#context.clock.next());
     countFrame(this.#context.counters, message, frame.byteLength, 'Sent');
     this.#socket.send(frame);
+    this.#sentAt = performance.now();
     return true;
   }
 
@@ -123,18 +127,44 @@
     this.#context.clock.observe(decoded.stamp);
     countFrame(this.#context.counters, decoded.message, bytes.byteLength, 'Received');
     if (this.#handler === undefined) this.#pending.push(decoded.message);
-    else this.#handler(decoded.message);
+    else this.#handle(this.#handler, decoded.message);
+  }
+
+  /** A message that its handler cannot take ends the connection, never the process. */
+  #handle(handler: (message: Message) => void, message: Message): void {
+    try {
+      handler(message);
+    } catch {
+      this.#context.counters.malformedMessages++;
+      this.close();
+    }
   }
 
   #noteLife(): void {
     this.#heardAt = performance.now();
   }
 
+  /** The side that dialled asks for a sign of life when either direction has been quiet. */
   #beat(): void {
-    if (performance.now() - this.#heardAt > SILENCE_LIMIT) return this.close();
-    if (this.#socket.readyState === WebSocket.OPEN) this.#socket.ping();
+    const now = performance.now();
+    if (now - this.#heardAt > SILENCE_LIMIT) return this.close();
+    const quiet = now - Math.min(this.#heardAt, this.#sentAt) >= HEARTBEAT_INTERVAL;
+    if (!this.#dialled || !quiet || this.#socket.readyState !== WebSocket.OPEN) return;
+    this.#socket.ping();
+    this.#sentAt = now;
     this.#context.counters.controlSent += FRAME_OVERHEAD_BYTES;
+  }
+
+  #heardPong(): void {
+    this.#noteLife();
+    this.#context.counters.controlReceived += FRAME_OVERHEAD_BYTES;
+  }
+
+  /** The WebSocket library answers each ping by itself. */
+  #answered(): void {
+    this.#noteLife();
     this.#context.counters.controlReceived += FRAME_OVERHEAD_BYTES;
+    this.#context.counters.controlSent += FRAME_OVERHEAD_BYTES;
   }
 
   #closed(): void {
@@ -161,7 +191,7 @@
     const abort = () => socket.terminate();
     signal.addEventListener('abort', abort, { once: true });
     socket.once('open', () => socket.send(encode(context.hello(), context.clock.next())));
-    awaitHello(socket, context, (outcome) => {
+    awaitHello(socket, context, true, (outcome) => {
       signal.removeEventListener('abort', abort);
       resolve(typeof outcome === 'string' ? unreachable(address, outcome) : success(outcome));
     });
@@ -207,7 +237,7 @@
   }
 
   #accept(socket: WebSocket): void {
-    awaitHello(socket, this.#context, (outcome) => {
+    awaitHello(socket, this.#context, false, (outcome) => {
       if (typeof outcome === 'string') return;
       socket.send(encode(this.#context.hello(), this.#context.clock.next()));
       this.#onConnection(outcome);
@@ -219,6 +249,7 @@
 function awaitHello(
   socket: WebSocket,
   context: ConnectionContext,
+  dialled: boolean,
   done: (outcome: Connection | string) => void,
 ): void {
   let settled = false;
@@ -238,7 +269,7 @@
     settled = true;
     clearTimeout(timer);
     context.clock.observe(decoded.stamp);
-    done(new Connection(socket, decoded.message, context));
+    done(new Connection(socket, decoded.message, context, dialled));
   });
 }
 
--- a/src/systems/distribution/announcing.ts
+++ b/src/systems/distribution/announcing.ts
@@ -5,7 +5,7 @@
 
 /** Most starving chunks named in one report. */
 const STARVING_IN_REPORT = 16;
-const ANNOUNCE_SHARE_OF_ANSWER_TIME = 0.25;
+const ANNOUNCE_SHARE_OF_ANSWER_TIME = 0.5;
 
 /** Announces the chunks that came since the last announcement to the neighbours that lack some. */
 export function announceChunks(
--- a/src/systems/distribution/limits.ts
+++ b/src/systems/distribution/limits.ts
@@ -20,7 +20,7 @@
   corruptLimit: number;
   /** Longest time between two announcements of new chunks to neighbours. */
   announceInterval: number;
-  /** Shortest time between two announcements; in between, a quarter of the usual answer time. */
+  /** Shortest time between two announcements; in between, half of the usual answer time. */
   announceIntervalFloor: number;
   /** Time between two progress reports to the coordinator. */
   reportInterval: number;
