--- /dev/null
+++ b/test/agent/calls.test.ts
@@ -0,0 +1,136 @@
+import { Readable } from 'node:stream';
+import { describe, expect, it } from 'vitest';
+import { type BackEnd, type CallRequest, Calls } from '../../src/agent/calls.js';
+import type { HttpStream } from '../../src/platform/http.js';
+import type { Connection } from '../../src/protocol/connection.js';
+import type { Message } from '../../src/protocol/messages.js';
+import { until } from '../support.js';
+
+const VERSION = 'a'.repeat(64);
+
+/** A connection whose other side is the test. */
+function connectionTo(sent: Message[]) {
+  let handler: (message: Message) => void = () => {};
+  const connection = {
+    send: (message: Message) => sent.push(message) > 0,
+    handleMessages: (given: (message: Message) => void) => {
+      handler = given;
+    },
+    onClose: () => {},
+  };
+  return { connection: connection as unknown as Connection, receive: (message: Message) => handler(message) };
+}
+
+function call(fields: Partial<CallRequest> = {}): CallRequest {
+  return {
+    type: 'call',
+    callId: 'c',
+    attempt: 1,
+    version: VERSION,
+    method: 'POST',
+    path: '/',
+    contentType: 'application/json',
+    body: Buffer.from('{}'),
+    timeLeft: 10_000,
+    ...fields,
+  };
+}
+
+/** A back end that answers with `parts` as an event stream. */
+function backEnd(parts: string[], overrides: Partial<BackEnd> = {}): BackEnd & { runs: number } {
+  const made = {
+    runs: 0,
+    admits: () => undefined,
+    async run() {
+      made.runs++;
+      const body = Readable.from(parts.map((part) => Buffer.from(part)));
+      return {
+        statusCode: 200,
+        headers: { 'content-type': 'text/event-stream' },
+        body,
+      } as unknown as HttpStream;
+    },
+    cancel: () => {},
+    ...overrides,
+  };
+  return made;
+}
+
+async function outcomeOf(calls: Calls, request: CallRequest): Promise<Message[]> {
+  const sent: Message[] = [];
+  const { connection, receive } = connectionTo(sent);
+  calls.serve(connection);
+  receive(request);
+  await until(
+    () => sent.some(({ type }) => type === 'callEnd' || type === 'callRefused' || type === 'callFailed'),
+    'end',
+  );
+  return sent;
+}
+
+describe('calls at an agent', () => {
+  it('passes a whole answer on and names the number of its frames', async () => {
+    const sent = await outcomeOf(new Calls(backEnd(['data: one\n\n', 'data: [DONE]\n\n']), 1), call());
+    expect(sent.map(({ type }) => type)).toEqual(['callHead', 'callData', 'callData', 'callEnd']);
+    expect(sent.at(-1)).toMatchObject({ frames: 2 });
+  });
+
+  it('never passes a cut stream off as a whole one', async () => {
+    const sent = await outcomeOf(new Calls(backEnd(['data: one\n\n']), 1), call());
+    expect(sent.at(-1)).toMatchObject({ type: 'callFailed', ran: 'yes' });
+  });
+
+  it.each([
+    ['it is leaving', { leaving: true }, {}, 'leaving'],
+    ['the version is not loaded', {}, { admits: () => 'wrongVersion' as const }, 'wrongVersion'],
+    [
+      'the back end takes no connection',
+      {},
+      { run: () => Promise.reject(Object.assign(new Error(), { code: 'ECONNREFUSED' })) },
+      'backEndUnreachable',
+    ],
+  ])('refuses at once, as not run, when %s', async (_, state, overrides, reason) => {
+    const calls = Object.assign(new Calls(backEnd([], overrides), 1), state);
+    expect(await outcomeOf(calls, call())).toMatchObject([{ type: 'callRefused', reason }]);
+  });
+
+  it('does not say "not run" when the connection broke after the request had been sent', async () => {
+    const broken = backEnd([], {
+      run: () => Promise.reject(Object.assign(new Error(), { code: 'ECONNRESET' })),
+    });
+    expect(await outcomeOf(new Calls(broken, 1), call())).toMatchObject([
+      { type: 'callFailed', ran: 'unknown' },
+    ]);
+  });
+
+  it('refuses what exceeds its bounds', async () => {
+    const never = backEnd([], { run: () => new Promise<HttpStream>(() => {}) });
+    const calls = new Calls(never, 1);
+    const sent: Message[] = [];
+    const { connection, receive } = connectionTo(sent);
+    calls.serve(connection);
+    for (let attempt = 1; attempt <= 3; attempt++) receive(call({ attempt }));
+    expect(sent).toMatchObject([{ type: 'callRefused', attempt: 3, reason: 'overloaded' }]);
+  });
+
+  it.each([59_975.829, -1, Number.NaN, 1e12])('takes a time left of %d without harm', async (timeLeft) => {
+    const sent = await outcomeOf(new Calls(backEnd(['data: [DONE]\n\n']), 1), call({ timeLeft }));
+    expect(sent.at(-1)?.type).toMatch(/callEnd|callFailed/);
+  });
+
+  it('cancels at the back end when the entry is gone', async () => {
+    const cancelled: string[] = [];
+    const never = backEnd([], {
+      run: (_, signal) =>
+        new Promise((_resolve, reject) => signal.addEventListener('abort', () => reject(new Error()))),
+      cancel: (request) => cancelled.push(request.callId),
+    });
+    const calls = new Calls(never, 1);
+    const { connection, receive } = connectionTo([]);
+    calls.serve(connection);
+    receive(call());
+    connection.onClose();
+    await until(() => calls.active === 0, 'the call ended');
+    expect(cancelled).toContain('c');
+  });
+});
--- /dev/null
+++ b/test/entry/call-router.test.ts
@@ -0,0 +1,144 @@
+import { describe, expect, it } from 'vitest';
+import { AgentDirectory } from '../../src/entry/agent-directory.js';
+import type { CallLinks, CallListener } from '../../src/entry/call-links.js';
+import { CallRouter, type RoutedCall } from '../../src/entry/call-router.js';
+import { seededRandom } from '../../src/model/random.js';
+import type { AgentStatus, CallMessage } from '../../src/protocol/messages.js';
+import { peer } from '../support.js';
+
+const VERSION = 'a'.repeat(64);
+
+/** What an agent answers to a call; `lost` breaks the connection, `unreachable` never had one. */
+type Script = Array<Omit<CallMessage & { callId?: string }, 'callId' | 'attempt'> | 'lost'> | 'unreachable';
+
+const WHOLE: Script = [
+  { type: 'callHead', status: 200, contentType: 'text/plain' },
+  { type: 'callData', sequence: 0, data: Buffer.from('one') },
+  { type: 'callData', sequence: 1, data: Buffer.from('two') },
+  { type: 'callEnd', frames: 2 },
+] as never;
+const REFUSED: Script = [{ type: 'callRefused', reason: 'overloaded', retryAfter: 1 }] as never;
+
+function status(name: string, place = 'place-a'): AgentStatus {
+  return {
+    sequence: 1,
+    info: peer(name, place),
+    operatorAddress: '',
+    backEnd: 'engine',
+    pool: 'p',
+    leaving: false,
+    versions: [{ version: VERSION, bytesHeld: 0, bytesTotal: 0, ready: true, problem: '' }],
+    active: 0,
+    capacity: 4,
+  };
+}
+
+/** A router before agents that answer by script; the first agent listed is always tried first. */
+function routerBefore(scripts: Record<string, Script>, place = 'place-a') {
+  const directory = new AgentDirectory();
+  for (const [index, name] of Object.keys(scripts).entries()) {
+    directory.update({ ...status(name, place), active: index }, 'home');
+  }
+  const ran: string[] = [];
+  const links = {
+    to: async ({ id }: { id: string }) => {
+      const script = scripts[id];
+      if (script === 'unreachable') return { ok: false, error: { type: 'peerUnreachable' } };
+      return { ok: true, value: linkTo(id, script, ran) };
+    },
+  } as unknown as CallLinks;
+  return { router: new CallRouter({ directory, links, random: seededRandom(1) }), ran };
+}
+
+function linkTo(id: string, script: Exclude<Script, 'unreachable'>, ran: string[]) {
+  return {
+    start(call: CallMessage & { type: 'call' }, listener: CallListener) {
+      ran.push(id);
+      const { callId, attempt } = call;
+      queueMicrotask(() => {
+        for (const step of script) {
+          if (step === 'lost') listener.onLost();
+          else listener.onFrame({ ...step, callId, attempt } as CallMessage);
+        }
+      });
+      return true;
+    },
+    end: () => {},
+  };
+}
+
+async function route(router: CallRouter, overrides: Partial<RoutedCall> = {}) {
+  const received: string[] = [];
+  const sink = {
+    head: () => {},
+    data: (data: Uint8Array) => void received.push(Buffer.from(data).toString()),
+  };
+  const call: RoutedCall = {
+    places: ['place-a'],
+    versions: [VERSION],
+    eligible: () => true,
+    repeatable: true,
+    method: 'POST',
+    path: '/',
+    contentType: '',
+    body: Buffer.alloc(0),
+    deadline: 1_000,
+    ...overrides,
+  };
+  return { outcome: await router.route(call, sink, new AbortController().signal), received };
+}
+
+describe('routing of calls', () => {
+  it('brings back the whole answer', async () => {
+    const { outcome, received } = await route(routerBefore({ a: WHOLE }).router);
+    expect(outcome.ok).toBe(true);
+    expect(received).toEqual(['one', 'two']);
+  });
+
+  it.each([
+    ['refused it', REFUSED],
+    ['could not be reached', 'unreachable' as const],
+  ])('asks another back end when one %s', async (_, script) => {
+    const { router, ran } = routerBefore({ a: script, b: WHOLE });
+    expect((await route(router, { repeatable: false })).outcome.ok).toBe(true);
+    expect(ran.at(-1)).toBe('b');
+  });
+
+  it('never hands a call over a second time that may not be repeated and may have run', async () => {
+    const { router, ran } = routerBefore({ a: ['lost'], b: WHOLE });
+    const { outcome } = await route(router, { repeatable: false });
+    expect(outcome).toMatchObject({ ok: false, error: { type: 'backEndFailed', ran: 'unknown' } });
+    expect(ran).toEqual(['a']);
+  });
+
+  it('repeats a repeatable call once after a loss, and not through all back ends', async () => {
+    const { router, ran } = routerBefore({ a: ['lost'], b: ['lost'], c: ['lost'], d: WHOLE });
+    expect((await route(router)).outcome.ok).toBe(false);
+    expect(ran).toEqual(['a', 'b']);
+  });
+
+  it.each([
+    ['a frame is missing', [WHOLE[0], WHOLE[2], WHOLE[3]]],
+    ['the end names more frames than came', [WHOLE[0], WHOLE[1], WHOLE[3]]],
+    ['a frame comes twice', [WHOLE[0], WHOLE[1], WHOLE[1], WHOLE[2], WHOLE[3]]],
+    ['the connection is lost in the middle', [WHOLE[0], WHOLE[1], 'lost']],
+  ])('takes no answer for whole when %s', async (_, script) => {
+    const { router, ran } = routerBefore({ a: script as Script, b: WHOLE });
+    const { outcome } = await route(router);
+    expect(outcome.ok).toBe(false);
+    expect(ran).toEqual(['a']);
+  });
+
+  it('uses no back end in another place, and says at once when to come back', async () => {
+    const { router, ran } = routerBefore({ a: WHOLE }, 'place-b');
+    const { outcome } = await route(router);
+    expect(outcome).toMatchObject({ ok: false, error: { type: 'noCapacity', ran: 'no', retryAfter: 1_000 } });
+    expect(ran).toEqual([]);
+  });
+
+  it('uses no back end that has another version', async () => {
+    const { router, ran } = routerBefore({ a: WHOLE });
+    expect((await route(router, { versions: ['b'.repeat(64)] })).outcome.ok).toBe(false);
+    expect(ran).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/entry/configuration.test.ts
@@ -0,0 +1,70 @@
+import { describe, expect, it } from 'vitest';
+import { Configuration } from '../../src/entry/configuration.js';
+import { seededRandom } from '../../src/model/random.js';
+import { failure, success } from '../../src/model/result.js';
+import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { Timeline } from '../../src/observability/timeline.js';
+import type { Changes, Row, TableService } from '../../src/platform/table-service.js';
+
+/** A table service that answers each reading with the next of `answers`. */
+function configurationReading(answers: Array<Changes | 'down'>): Configuration {
+  const down = { type: 'unavailable' as const, service: 'tableService', retryAfter: 1, reason: 'test' };
+  const tables = {
+    changes: async () => {
+      const answer = answers.shift() ?? 'down';
+      return answer === 'down' ? failure(down) : success(answer);
+    },
+  } as unknown as TableService;
+  const timeline = new Timeline('test', new HybridClock());
+  return new Configuration({ tables, random: seededRandom(1), timeline });
+}
+
+function row(key: string, revision: number, value: unknown = revision): Row {
+  return { table: 'resources', key, value, revision };
+}
+
+describe('the configuration of an entry', () => {
+  it('takes in what changed', async () => {
+    const configuration = configurationReading([
+      { revision: 2, rows: [row('a', 1), row('b', 2)] },
+      { revision: 3, rows: [row('a', 3, null)] },
+    ]);
+    await configuration.poll();
+    await configuration.poll();
+    expect(configuration.revision).toBe(3);
+    expect(configuration.rows('resources').map(({ key }) => key)).toEqual(['b']);
+  });
+
+  it.each([
+    ['a lagging reading', { revision: 1, rows: [row('a', 1)] }],
+    ['a reading of a store that was rolled back', { revision: 2, rows: [row('a', 2, 'other')] }],
+    ['an empty reading of an old revision', { revision: 0, rows: [] }],
+  ])('does not revert after %s', async (_, late) => {
+    const configuration = configurationReading([{ revision: 5, rows: [row('a', 5)] }, late]);
+    await configuration.poll();
+    await configuration.poll();
+    expect(configuration.revision).toBe(5);
+    expect(configuration.row('resources', 'a')).toMatchObject({ value: 5, revision: 5 });
+  });
+
+  it('keeps what is in force while the store is down', async () => {
+    const configuration = configurationReading([{ revision: 5, rows: [row('a', 5)] }, 'down']);
+    await configuration.poll();
+    await configuration.poll();
+    expect(configuration.row('resources', 'a')).toBeDefined();
+    expect(configuration.counters).toEqual({ reads: 2, failedReads: 1 });
+  });
+
+  it('reads again at once when another process knows a later revision, and only then', async () => {
+    const configuration = configurationReading([
+      { revision: 5, rows: [] },
+      { revision: 6, rows: [] },
+    ]);
+    await configuration.poll();
+    configuration.hint(5);
+    configuration.hint(6);
+    await configuration.poll();
+    expect(configuration.revision).toBe(6);
+    expect(configuration.counters.reads).toBeLessThanOrEqual(3);
+  });
+});
--- /dev/null
+++ b/test/protocol/codec.test.ts
@@ -0,0 +1,70 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { mergeTimelines, Timeline } from '../../src/observability/timeline.js';
+import { decode, encode } from '../../src/protocol/codec.js';
+import { MESSAGE_FIELDS, type Message } from '../../src/protocol/messages.js';
+import { peer } from '../support.js';
+
+const MESSAGES: Message[] = [
+  { type: 'hello', role: 'agent', peer: peer('a') },
+  { type: 'greet', transfer: 2 ** 47, have: new Uint8Array([1, 2]) },
+  { type: 'announce', transfer: 1, chunks: [1, 2, 500], queueLength: 3 },
+  { type: 'request', transfer: 1, chunk: 2, have: 3, urgent: true },
+  { type: 'chunk', transfer: 1, chunk: 2, queueLength: 0, data: new Uint8Array(5) },
+  { type: 'grant', transfer: 1, grant: { grantId: 1, chunk: 2, source: { type: 'peer', peer: peer('b') } } },
+  { type: 'grantEnded', transfer: 1, grantId: 1, chunk: undefined, succeeded: false },
+  { type: 'ping' },
+];
+
+describe('the codec', () => {
+  it.each(MESSAGES.map((message) => [message.type, message] as const))(
+    'brings %s back as it was',
+    (_, message) => {
+      const decoded = decode(encode(message, 42));
+      expect(decoded).toMatchObject({ ok: true, stamp: 42 });
+      const back = (decoded as { message: Record<string, unknown> }).message;
+      for (const [name, value] of Object.entries(message)) {
+        if (value instanceof Uint8Array)
+          expect(Buffer.from(back[name] as Uint8Array)).toEqual(Buffer.from(value));
+        else expect(back[name]).toEqual(value);
+      }
+    },
+  );
+
+  it('keeps the messages that are sent most often small', () => {
+    const request: Message = { type: 'request', transfer: 2 ** 47, chunk: 500, have: 400, urgent: false };
+    expect(encode(request, 1.8e15).byteLength).toBeLessThanOrEqual(32);
+  });
+
+  it('takes any bytes without throwing', () => {
+    fc.assert(
+      fc.property(fc.uint8Array({ maxLength: 64 }), (bytes) => {
+        const decoded = decode(bytes);
+        if (decoded.ok) expect(Object.keys(MESSAGE_FIELDS)).toContain(decoded.message.type);
+        else expect(decoded.error.type).toBe('malformedMessage');
+      }),
+      { seed: 1, numRuns: 2_000 },
+    );
+  });
+});
+
+describe('the time line', () => {
+  it('puts an effect after its cause, whatever the clocks say', () => {
+    const ahead = new HybridClock(() => 2_000);
+    const behind = new HybridClock(() => 1_000);
+    const first = new Timeline('ahead', ahead);
+    const second = new Timeline('behind', behind);
+    first.record({ type: 'processStarted', role: 'cause' });
+    behind.observe(ahead.next());
+    second.record({ type: 'processStarted', role: 'effect' });
+    const merged = mergeTimelines([second.entries(), first.entries()]);
+    expect(merged.map(({ event }) => 'role' in event && event.role)).toEqual(['cause', 'effect']);
+  });
+
+  it('keeps only the latest events', () => {
+    const timeline = new Timeline('a', new HybridClock(), 3);
+    for (let epoch = 0; epoch < 10; epoch++) timeline.record({ type: 'leaseLost', duty: 'd', epoch });
+    expect(timeline.entries().map(({ event }) => 'epoch' in event && event.epoch)).toEqual([7, 8, 9]);
+  });
+});
