--- a/src/entry/placement-duty.ts
+++ b/src/entry/placement-duty.ts
@@ -67,14 +67,15 @@
     const { configuration, lease, timeline } = this.#components;
     const row = configuration.row(TABLES.placements, deployment);
     if (row !== undefined && JSON.stringify(row.value) === JSON.stringify(placement)) return;
+    if (placement !== undefined) {
+      const { version, machines } = placement;
+      timeline.record({ type: 'placementDecided', deployment, version, agents: machines.length });
+    }
     const table = TABLES.placements;
     const key = deployment;
-    const written = await lease.write(
+    await lease.write(
       [{ table, key, revision: row?.revision ?? 0 }],
       [{ table, key, value: placement ?? null }],
     );
-    if (!written || placement === undefined) return;
-    const { version, machines } = placement;
-    timeline.record({ type: 'placementWritten', deployment, version, agents: machines.length });
   }
 }
--- a/src/observability/timeline.ts
+++ b/src/observability/timeline.ts
@@ -8,7 +8,7 @@
   | { type: 'leaseAcquired'; duty: string; epoch: number }
   | { type: 'leaseLost'; duty: string; epoch: number }
   | { type: 'configurationApplied'; revision: number }
-  | { type: 'placementWritten'; deployment: string; version: string; agents: number }
+  | { type: 'placementDecided'; deployment: string; version: string; agents: number }
   | { type: 'agentConnected'; agent: string }
   | { type: 'agentLost'; agent: string }
   | { type: 'assigned'; deployment: string; version: string }
--- a/test/systems/burst-coordinator.test.ts
+++ b/test/systems/burst-coordinator.test.ts
@@ -116,22 +116,23 @@
   });
 
   it.each([
-    ['the machine is gone', (c: BurstCoordinator, m: string) => c.onLeave(m)],
+    ['the machine is gone', 0, (c: BurstCoordinator, m: string) => c.onLeave(m)],
     [
       'the draw failed',
+      0,
       (c: BurstCoordinator, m: string, g: Grant) => c.onGrantEnded(m, g.grantId, g.chunk, false),
     ],
-    ['nothing is heard in time', () => {}],
-  ])('gives a draw to another machine when %s', (_, fail) => {
+    ['nothing is heard in time', DEFAULT_COORDINATOR_LIMITS.grantTimeout, () => {}],
+  ])('gives a draw to another machine when %s', (_, from, fail) => {
     const coordinator = coordinatorFor('leastOriginBytes', { originDraws: 1 });
     join(coordinator, 'first');
     join(coordinator, 'second');
     const [{ member, grant }] = grantsIn(coordinator.tick(0));
     const granted: Array<number | undefined> = [];
     fail(coordinator, member, grant);
-    for (let round = 0; round < 100; round++) {
-      const { grantTimeout, originBackoffCeiling } = DEFAULT_COORDINATOR_LIMITS;
-      for (const next of grantsIn(coordinator.tick(grantTimeout + (round + 1) * originBackoffCeiling))) {
+    const { originBackoff, grantTimeout } = DEFAULT_COORDINATOR_LIMITS;
+    for (let now = from; now < from + grantTimeout; now += originBackoff) {
+      for (const next of grantsIn(coordinator.tick(now))) {
         granted.push(next.grant.chunk);
         coordinator.onGrantEnded(next.member, next.grant.grantId, next.grant.chunk, true);
       }
--- /dev/null
+++ b/tools/guards.mjs
@@ -0,0 +1,193 @@
+/**
+ * Shows that tests can fail: each guard below is taken out of a copy of the code, and the test named beside it
+ * must then fail. `npm run guards` prints the table; a guard whose absence no test notices is an error.
+ */
+import { spawnSync } from 'node:child_process';
+import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+
+const DISTRIBUTION = 'src/systems/distribution';
+
+/** What is taken out: `find` becomes `replace`; `fault` names what then goes wrong. */
+const GUARDS = [
+  {
+    fault: 'corrupt chunks are kept',
+    file: 'src/agent/exchange.ts',
+    find: 'digestOf(data) !== entry.digest',
+    replace: 'digestOf(data) === ""',
+    test: 'test/agent/exchange.test.ts',
+  },
+  {
+    fault: 'machines in forbidden places are served',
+    file: `${DISTRIBUTION}/node.ts`,
+    find: '!transfer.allowedPlaces.has(peer.place)',
+    replace: 'false',
+    test: 'test/agent/exchange.test.ts test/simulation/burst.test.ts',
+  },
+  {
+    fault: 'machines in forbidden places are asked',
+    file: `${DISTRIBUTION}/node.ts`,
+    find: '|| !transfer.allowedPlaces.has(info.place)',
+    replace: '',
+    test: 'test/systems/distribution-node.test.ts',
+  },
+  {
+    fault: 'stalled machines are waited for',
+    file: `${DISTRIBUTION}/request-expiry.ts`,
+    find: 'request.deadline > context.now',
+    replace: 'true',
+    test: 'test/systems/distribution-node.test.ts',
+  },
+  {
+    fault: 'requests at a dead machine stay open',
+    file: `${DISTRIBUTION}/node.ts`,
+    find: 'if (request.peer === peer) this.#endRequest(transfer, request, false);',
+    replace: '',
+    test: 'test/systems/distribution-node.test.ts',
+  },
+  {
+    fault: 'senders of corrupt chunks are asked again',
+    file: `${DISTRIBUTION}/node.ts`,
+    find: 'neighbour.corruptChunks >= this.#limits.corruptLimit',
+    replace: 'false',
+    test: 'test/systems/distribution-node.test.ts',
+  },
+  {
+    fault: 'draws of a machine that died are not given to another',
+    file: `${DISTRIBUTION}/coordinator.ts`,
+    find: 'if (grant.member === id || usesAsSource)',
+    replace: 'if (usesAsSource)',
+    test: 'test/systems/burst-coordinator.test.ts',
+  },
+  {
+    fault: 'draws that get no answer are not given to another',
+    file: `${DISTRIBUTION}/coordinator.ts`,
+    find: 'grant.deadline <= now',
+    replace: 'false',
+    test: 'test/systems/burst-coordinator.test.ts',
+  },
+  {
+    fault: 'draws from the origin are not rationed',
+    file: `${DISTRIBUTION}/coordinator.ts`,
+    find: 'return this.#init.limits.originDraws;',
+    replace: 'return 1_000;',
+    test: 'test/systems/burst-coordinator.test.ts',
+  },
+  {
+    fault: 'a new coordinator draws what machines have already',
+    file: `${DISTRIBUTION}/coordinator.ts`,
+    find: 'for (const chunk of have.values()) this.#markPresent(region, chunk, info.id);',
+    replace: '',
+    test: 'test/systems/burst-coordinator.test.ts',
+  },
+  {
+    fault: 'a failing origin holds back chunks that peers offer',
+    file: `${DISTRIBUTION}/coordinator.ts`,
+    find: "if (this.#originFailures > 0 && strategy === 'swarm') return false;",
+    replace: '',
+    also: { file: `${DISTRIBUTION}/limits.ts`, find: 'drawTimeout: 20_000', replace: 'drawTimeout: 90_000' },
+    extra: {
+      file: `${DISTRIBUTION}/request-selection.ts`,
+      find: 'return moveOverdueRequests(transfer, context);',
+      replace: 'return;',
+    },
+    test: 'test/simulation/burst.test.ts',
+  },
+  {
+    fault: 'transfers of lower priority go first',
+    file: `${DISTRIBUTION}/node.ts`,
+    find: 'b.priority - a.priority',
+    replace: 'a.priority - b.priority',
+    test: 'test/systems/distribution-node.test.ts',
+  },
+  {
+    fault: 'a version that was stopped is served on',
+    file: `${DISTRIBUTION}/node.ts`,
+    find: 'this.transfers.delete(version);',
+    replace: '',
+    test: 'test/systems/distribution-node.test.ts',
+  },
+  {
+    fault: 'chunks shared with the old version are fetched again',
+    file: 'src/agent/exchange.ts',
+    find: 'if (this.#components.store.get(chunk.digest) !== undefined) have.add(index);',
+    replace: '',
+    test: 'test/agent/exchange.test.ts',
+  },
+  {
+    fault: 'an engine that loaded something else counts as ready',
+    file: 'src/agent/version-loader.ts',
+    find: "row.state === 'loaded' && row.loadedDigest === row.version",
+    replace: "row.state === 'loaded'",
+    test: 'test/agent/version-loader.test.ts',
+  },
+  {
+    fault: 'an incomplete version is ordered to load',
+    file: 'src/agent/version-loader.ts',
+    find: 'if (data === undefined || !(await this.#stage(version, chunk, data))) return;',
+    replace: 'if (data !== undefined) await this.#stage(version, chunk, data);',
+    test: 'test/agent/version-loader.test.ts',
+  },
+  {
+    fault: 'weights exceed their memory budget',
+    file: 'src/agent/chunk-store.ts',
+    find: 'this.#pinnedBytes + needed > this.#budgetBytes',
+    replace: 'false',
+    test: 'test/agent/chunk-store.test.ts',
+  },
+  {
+    fault: 'a cut stream passes for a whole answer',
+    file: 'src/agent/calls.ts',
+    find: 'isEventStream && !tail.includes(STREAM_END)',
+    replace: 'false',
+    test: 'test/agent/calls.test.ts',
+  },
+  {
+    fault: 'a request that may have run is handed over again',
+    file: 'src/entry/call-router.ts',
+    find: "outcome.ran === 'no' || call.repeatable",
+    replace: 'true',
+    test: 'test/entry/call-router.test.ts',
+  },
+  {
+    fault: 'configuration reverts',
+    file: 'src/entry/configuration.ts',
+    find: 'row.revision > (this.row(row.table, row.key)?.revision ?? 0)',
+    replace: 'true',
+    test: 'test/entry/configuration.test.ts',
+  },
+];
+
+const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
+for (const name of [
+  'src',
+  'test',
+  'bench',
+  'emulator',
+  'package.json',
+  'tsconfig.json',
+  'vitest.config.ts',
+]) {
+  cpSync(name, join(root, name), { recursive: true });
+}
+symlinkSync(resolve('node_modules'), join(root, 'node_modules'));
+process.once('exit', () => rmSync(root, { recursive: true, force: true }));
+
+let unnoticed = 0;
+for (const guard of GUARDS) {
+  const edits = [guard, guard.also, guard.extra].filter((edit) => edit !== undefined);
+  const originals = edits.map(({ file }) => readFileSync(join(root, file), 'utf8'));
+  for (const [index, { file, find, replace }] of edits.entries()) {
+    if (!originals[index].includes(find))
+      throw new Error(`${file} has no "${find}": mend the table of guards`);
+    writeFileSync(join(root, file), originals[index].replace(find, replace));
+  }
+  const run = spawnSync('npx', ['vitest', 'run', ...guard.test.split(' ')], { cwd: root, stdio: 'ignore' });
+  for (const [index, { file }] of edits.entries()) writeFileSync(join(root, file), originals[index]);
+  const noticed = run.status !== 0;
+  if (!noticed) unnoticed++;
+  console.log(`${noticed ? 'fails as it should' : 'NOT NOTICED       '}  ${guard.fault}`);
+}
+console.log(`guards: ${GUARDS.length - unnoticed} passed, ${unnoticed} failed`);
+process.exit(unnoticed === 0 ? 0 : 1);
--- a/tools/spec.mjs
+++ b/tools/spec.mjs
@@ -18,7 +18,9 @@
     spawnSync('apt-get', ['install', '-y', 'spin'], { stdio: 'ignore' });
     if (spawnSync(name, versionArguments).error === undefined) return;
   }
-  console.error(`${name} is missing: install it with the system's package manager (Debian: apt-get install ${name})`);
+  console.error(
+    `${name} is missing: install it with the system's package manager (Debian: apt-get install ${name})`,
+  );
   process.exit(1);
 }
 
@@ -29,7 +31,10 @@
   const definitions = guards.map((guard) => `-D${guard}`);
   execFileSync('spin', ['-a', ...definitions, model], { cwd: WORK, stdio: 'pipe' });
   execFileSync('cc', ['-O1', '-DCOLLAPSE', '-o', 'pan', 'pan.c'], { cwd: WORK, stdio: 'pipe' });
-  const run = spawnSync('./pan', ['-a', `-m${SEARCH_DEPTH}`, '-N', property], { cwd: WORK, encoding: 'utf8' });
+  const run = spawnSync('./pan', ['-a', `-m${SEARCH_DEPTH}`, '-N', property], {
+    cwd: WORK,
+    encoding: 'utf8',
+  });
   const errors = /errors: (\d+)/.exec(run.stdout)?.[1];
   const states = /(\d+) states, stored/.exec(run.stdout)?.[1];
   if (errors === undefined || /search depth too small|out of memory/.test(run.stdout)) {
@@ -43,7 +48,10 @@
   const lines = readFileSync(join(SPEC, file), 'utf8').matchAll(/^ltl (\w+) .*\/\* ([A-Z_+ ]+) \*\/$/gm);
   return [...lines].map(([, name, variants]) => ({
     name,
-    variants: variants.trim().split(/\s+/).map((variant) => variant.split('+')),
+    variants: variants
+      .trim()
+      .split(/\s+/)
+      .map((variant) => variant.split('+')),
   }));
 }
 
@@ -61,7 +69,9 @@
     for (const guards of variants) {
       const broken = check(model, name, guards);
       const refuted = broken.errors > 0;
-      console.log(`${refuted ? 'refuted' : 'NOT REFUTED'}   without ${guards.join(', ')}: ${broken.states} states`);
+      console.log(
+        `${refuted ? 'refuted' : 'NOT REFUTED'}   without ${guards.join(', ')}: ${broken.states} states`,
+      );
       if (refuted) passed++;
       else failed++;
     }
