Errors of the command line apart from its library

Cause: the test of the examples could not be collected: it reached the command-line library through the reading of declarations, and that library's module form does not load in the test runner.

--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -3,7 +3,8 @@
 import type { BurstReport } from '../../bench/burst-report.js';
 import type { DistributionStrategy } from '../systems/distribution/neighbour-selection.js';
 import type { Objective } from '../systems/distribution/transfer.js';
-import { CommandFailure, EXIT_USAGE, ThistlewayCommand } from './process.js';
+import { ThistlewayCommand } from './command.js';
+import { CommandFailure, EXIT_USAGE } from './errors.js';
 
 /** One run of the table. */
 interface BurstRun {
--- a/src/cli/declarations.ts
+++ b/src/cli/declarations.ts
@@ -4,7 +4,7 @@
 import { type Resource, resource, resourceKey } from '../resources/schemas.js';
 import { type DocumentProblem, formatProblem, readDocument } from '../settings/document.js';
 import type { ResourceItem } from './entry-client.js';
-import { CommandFailure, EXIT_USAGE } from './process.js';
+import { CommandFailure, EXIT_USAGE } from './errors.js';
 
 /** A declared resource and the file that declares it. */
 export interface Declaration {
--- a/src/cli/entry-client.ts
+++ b/src/cli/entry-client.ts
@@ -3,7 +3,7 @@
 import type { DeploymentStatus } from '../resources/deployment-status.js';
 import type { ApplyAnswer, ApplyRequest } from '../resources/resource-api.js';
 import type { Resource } from '../resources/schemas.js';
-import { CommandFailure, EXIT_UNKNOWN } from './process.js';
+import { CommandFailure, EXIT_UNKNOWN } from './errors.js';
 
 const CALL_TIMEOUT = 10_000;
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 /** The command line: one binary with all roles. */
 import { Builtins, Cli } from 'clipanion';
 import { BenchBurstCommand, DemoCommand } from './bench.js';
+import { EXIT_USAGE } from './errors.js';
 import {
   ApplyCommand,
   DeleteCommand,
@@ -11,7 +12,6 @@
   TimelineCommand,
   WatchCommand,
 } from './operators.js';
-import { EXIT_USAGE } from './process.js';
 import { AgentCommand, EmulateCommand, EntryCommand } from './roles.js';
 
 declare const THISTLEWAY_VERSION: string;
--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -6,9 +6,10 @@
 import type { AgentStatus, EntryInfo } from '../protocol/messages.js';
 import type { DeploymentStatus } from '../resources/deployment-status.js';
 import type { ApplyAnswer } from '../resources/resource-api.js';
+import { ThistlewayCommand } from './command.js';
 import { formatPlan, type PlannedChange, plan, readDeclarations } from './declarations.js';
 import { EntryClient } from './entry-client.js';
-import { CommandFailure, EXIT_CONFLICT, EXIT_UNKNOWN, EXIT_USAGE, ThistlewayCommand } from './process.js';
+import { CommandFailure, EXIT_CONFLICT, EXIT_UNKNOWN, EXIT_USAGE } from './errors.js';
 
 const WAIT_INTERVAL = 500;
 /** Tries to learn what became of an operation whose answer was lost, one a second. */
--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -1,47 +1,14 @@
 /** How a role runs as a process: started, drained on a first signal, stopped when its work has ended. */
 import { existsSync, readFileSync } from 'node:fs';
-import { Command } from 'clipanion';
 import type { ZodType } from 'zod';
 import type { Startable } from '../model/startable.js';
 import { formatProblem, readDocument } from '../settings/document.js';
-
-/** Exit code for bad arguments, settings or files. */
-export const EXIT_USAGE = 2;
-/** Exit code for a conflict with another operator. */
-export const EXIT_CONFLICT = 3;
-/** Exit code when the outcome is not known, or not reached in time. */
-export const EXIT_UNKNOWN = 4;
+import { CommandFailure, EXIT_USAGE } from './errors.js';
 
 /** Longest wait for requests in progress at a planned stop, in milliseconds. */
 const DRAIN_LIMIT = 120_000;
 const DRAIN_CHECK_INTERVAL = 50;
 
-/** Ends the command with a message and a code. */
-export class CommandFailure extends Error {
-  readonly exitCode: number;
-
-  constructor(message: string, exitCode: number) {
-    super(message);
-    this.exitCode = exitCode;
-  }
-}
-
-/** A command whose failures are printed without a stack and become exit codes. */
-export abstract class ThistlewayCommand extends Command {
-  /** What the command does; returns the exit code. */
-  abstract perform(): Promise<number>;
-
-  async execute(): Promise<number> {
-    try {
-      return await this.perform();
-    } catch (cause) {
-      if (!(cause instanceof CommandFailure)) throw cause;
-      this.context.stderr.write(`${cause.message}\n`);
-      return cause.exitCode;
-    }
-  }
-}
-
 /** Reads a settings file; every problem is reported with file, line and field. */
 export function readSettings<T>(file: string, schema: ZodType<T>): T {
   if (!existsSync(file)) throw new CommandFailure(`${file}:1: there is no such file`, EXIT_USAGE);
--- a/src/cli/roles.ts
+++ b/src/cli/roles.ts
@@ -7,7 +7,8 @@
   platformEmulatorSettings,
   serviceEmulatorSettings,
 } from '../settings/schemas.js';
-import { readSettings, runUntilSignal, ThistlewayCommand } from './process.js';
+import { ThistlewayCommand } from './command.js';
+import { readSettings, runUntilSignal } from './process.js';
 
 /** `thistleway entry --config F`. */
 export class EntryCommand extends ThistlewayCommand {
