Calls that may not be repeated: one owner a key, kept outcomes, honest 'not run'

Cause: a plain service's call was passed through with no key; a caller's retry through another entry ran it again. Weighed: a claim row a key (dead in an outage, 7,600 writes a second at the size), leases on hash slots (two holders whenever a clock or a pause is wrong), one owner a key with its process's memory (chosen; no write a call).

--- a/bench/processes/child.ts
+++ b/bench/processes/child.ts
@@ -68,6 +68,13 @@
     return this.#spawn(name, earlier.arguments);
   }
 
+  /** Returns when a process has ended. */
+  async ended(name: string): Promise<void> {
+    const { child } = this.get(name);
+    if (child.exitCode !== null || child.signalCode !== null) return;
+    await new Promise<void>((resolve) => child.once('exit', () => resolve()));
+  }
+
   get(name: string): StartedProcess {
     const found = this.#processes.get(name);
     if (found === undefined) throw new Error(`no process ${name}`);
--- a/bench/processes/cluster.ts
+++ b/bench/processes/cluster.ts
@@ -52,6 +52,8 @@
   peers: string;
   operators: string;
   backEnd: string;
+  /** When its agent process was started again, in milliseconds since 1970. */
+  restartedAt?: number;
 }
 
 /** A running system. */
@@ -82,12 +84,19 @@
     for (const agent of this.plan.agents) this.agents.push(await this.#startAgent(agent));
     await Promise.all(this.entries.map((entry) => waitForHttp(`http://${entry.callers}/status`)));
     await Promise.all(this.agents.map((agent) => waitForHttp(`http://${agent.operators}/status`)));
+    await this.listMachines(this.agents);
   }
 
   stop(): void {
     this.processes.stopAll();
   }
 
+  /** Sets which machines the platform lists as live, some time later. */
+  async listMachines(agents: readonly StartedAgent[]): Promise<void> {
+    const machines = agents.map(({ peers }) => ({ address: peers, state: 'live' }));
+    await fetch(`http://${this.platform}/machines`, { method: 'PUT', body: JSON.stringify(machines) });
+  }
+
   /** Sets what fails in the platform. */
   async setFaults(faults: Partial<PlatformFaults>): Promise<void> {
     await fetch(`http://${this.platform}/faults`, { method: 'POST', body: JSON.stringify(faults) });
--- a/emulator/engine/engine.ts
+++ b/emulator/engine/engine.ts
@@ -30,10 +30,12 @@
 }
 
 /** What truly ran. */
-interface EngineRun {
+export interface EngineRun {
   id: string;
   version: string;
   runs: number;
+  /** When it last began, in milliseconds since 1970. */
+  at: number;
   state: string;
   tokens: number;
 }
@@ -57,7 +59,7 @@
   readonly #settings: EngineEmulatorSettings;
   readonly #weights: EngineWeights;
   readonly #batch: Batch;
-  readonly #runs = new Map<string, number>();
+  readonly #runs = new Map<string, { runs: number; at: number }>();
   #role = 'serving';
   /** Loads of the past, so that an old one can be reported. */
   readonly #loadHistory: Array<{ at: number; active: number }> = [];
@@ -158,7 +160,7 @@
       maxTokens: call.max_tokens ?? DEFAULT_MAX_TOKENS,
       priority: call.priority ?? 0,
     };
-    this.#runs.set(request.id, (this.#runs.get(request.id) ?? 0) + 1);
+    this.#runs.set(request.id, { runs: (this.#runs.get(request.id)?.runs ?? 0) + 1, at: Date.now() });
     await this.#answer(context, this.#batch.add(request), call.stream === true, 0);
   }
 
@@ -240,10 +242,10 @@
   }
 
   #auditRuns(): EngineRun[] {
-    return [...this.#runs].map(([id, runs]) => {
+    return [...this.#runs].map(([id, { runs, at }]) => {
       const request = this.#batch.requests.get(id);
       const { version = '', state = 'forgotten', tokens = [] } = request ?? {};
-      return { id, version, runs, state, tokens: tokens.length };
+      return { id, version, runs, at, state, tokens: tokens.length };
     });
   }
 }
--- a/emulator/service/service.ts
+++ b/emulator/service/service.ts
@@ -4,11 +4,13 @@
 import type { ServiceEmulatorSettings } from '../../src/settings/schemas.js';
 
 /** One run of a call. */
-interface ServiceRun {
+export interface ServiceRun {
   method: string;
   path: string;
   /** The caller's idempotency key, or empty. */
   key: string;
+  /** When it began, in milliseconds since 1970. */
+  at: number;
 }
 
 /** Creates the stand-in. */
@@ -21,7 +23,12 @@
       return;
     }
     const body = await readBody(context);
-    const run = { method: context.method, path: context.path, key: context.get('idempotency-key') };
+    const run = {
+      method: context.method,
+      path: context.path,
+      key: context.get('idempotency-key'),
+      at: Date.now(),
+    };
     runs.push(run);
     await delay(settings.callMilliseconds);
     context.body = { ...run, run: runs.length, received: body.toString('utf8') };
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -24,12 +24,14 @@
 import { httpServer } from '../server/http-server.js';
 import type { AgentSettings } from '../settings/schemas.js';
 import type { PeerInfo } from '../systems/distribution/transfer.js';
+import type { OwnersRow } from '../systems/ownership.js';
 import { engineBackEnd, serviceBackEnd } from './back-ends.js';
 import { BurstLinks } from './burst-links.js';
 import { type BackEnd, Calls } from './calls.js';
 import { ChunkStore } from './chunk-store.js';
 import { EntryLink } from './entry-link.js';
 import { Exchange } from './exchange.js';
+import { KeyOwnership } from './key-ownership.js';
 import { operatorApi } from './operator-api.js';
 import { VersionLoader } from './version-loader.js';
 import { Versions } from './versions.js';
@@ -83,6 +85,8 @@
   readonly #exchange: Exchange;
   readonly #loader: VersionLoader;
   readonly #calls: Calls;
+  /** Of a service's agent: which keys it owns. */
+  readonly #ownership: KeyOwnership | undefined;
   readonly #home: EntryLink;
   readonly #bursts: BurstLinks;
   readonly #versions: Versions;
@@ -103,7 +107,10 @@
       hello: () => ({ type: 'hello', role: 'agent', peer: this.#info }),
     };
     this.#loader = new VersionLoader({ engine, store, timeline, log });
-    this.#calls = new Calls(this.#createBackEnd(), settings.backEnd.capacity);
+    if (settings.backEnd.kind === 'service') {
+      this.#ownership = new KeyOwnership(settings.listen.peers, () => performance.now());
+    }
+    this.#calls = new Calls(this.#createBackEnd(), settings.backEnd.capacity, this.#ownership);
     this.#exchange = new Exchange(
       { context, store, origin: components.origin, timeline, log },
       { ...settings.weights, seed: hash32(identity) },
@@ -119,8 +126,14 @@
       context,
       random,
       candidates: () => this.#homeCandidates(),
-      onOpen: () => this.#sendStatus(),
+      onOpen: (_, dialledAt) => {
+        this.#ownership?.confirm(dialledAt);
+        this.#sendStatus();
+      },
       onMessage: (message) => this.#onHomeMessage(message),
+      onConfirmed: (sentAt) => {
+        if (this.#ownership?.confirm(sentAt) === false) this.#home.reconnect();
+      },
     });
     this.#versions = new Versions({
       exchange: this.#exchange,
@@ -159,7 +172,7 @@
   /** Takes no new work from now on; what is in progress goes on. */
   drain(): void {
     if (this.#calls.leaving) return;
-    this.#calls.leaving = true;
+    this.#calls.leave();
     this.#components.timeline.record({ type: 'processLeaving' });
     this.#components.log.info('agent leaves');
     this.#sendStatus();
@@ -206,9 +219,15 @@
     }
     if (message.type !== 'assignments') return;
     this.#entries = message.entries;
+    this.#followOwners(message.owners);
     this.#versions.assign(message.assignments, message.revision);
   }
 
+  #followOwners(owners: OwnersRow | undefined): void {
+    if (owners === undefined || this.#ownership === undefined) return;
+    if (this.#ownership.follow(owners)) this.#sendStatus();
+  }
+
   #onVersionsChanged(): void {
     this.#versions.review();
     this.#scheduleStatus();
@@ -241,6 +260,7 @@
       versions: this.#versions.progress(),
       active: this.#calls.active,
       capacity: backEnd.capacity,
+      ownership: this.#ownership?.claim(),
     };
   }
 
@@ -275,6 +295,12 @@
         label: 'count',
         read: () => ({ ...this.#exchange.counters }),
       },
+      {
+        name: 'once_calls',
+        help: 'Calls that may not be repeated, by outcome',
+        label: 'outcome',
+        read: () => ({ ...this.#calls.onceCounters }),
+      },
       { name: 'calls_in_progress', help: 'Requests in progress', read: () => this.#calls.active },
       { name: 'chunk_store_bytes', help: 'Bytes of weights in memory', read: () => store.usedBytes },
       {
--- a/src/agent/back-ends.ts
+++ b/src/agent/back-ends.ts
@@ -25,7 +25,8 @@
     run(call, signal) {
       const method = call.method as 'GET' | 'PUT' | 'POST' | 'DELETE';
       const bytes = call.body.byteLength === 0 ? undefined : call.body;
-      return openHttp({ service: 'plainService', method, url: `${url}${call.path}`, bytes, signal });
+      const headers = call.once === undefined ? undefined : { 'idempotency-key': call.once.key };
+      return openHttp({ service: 'plainService', method, url: `${url}${call.path}`, bytes, headers, signal });
     },
     cancel: () => {},
   };
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -5,9 +5,13 @@
 import { type HttpStream, neverConnected } from '../platform/http.js';
 import type { Connection } from '../protocol/connection.js';
 import type { CallMessage, CallRefusal } from '../protocol/messages.js';
+import type { KeyOwnership } from './key-ownership.js';
+import { OnceCalls, type OnceCounters } from './once-calls.js';
 
 /** Requests beyond the back end's capacity that may wait in it, as a share of the capacity. */
 const QUEUE_SHARE = 1;
+/** Time for which a leaving owner of keys still takes calls with them, in milliseconds. */
+const OWNER_LEAVING_GRACE = 1_500;
 /** Time after which a refused caller may come back, in milliseconds. */
 const RETRY_AFTER: Record<CallRefusal, number> = {
   leaving: 0,
@@ -15,6 +19,7 @@
   wrongVersion: 0,
   notReady: 1_000,
   backEndUnreachable: 1_000,
+  notOwner: 100,
 };
 /** Longest time that a request may take, in milliseconds. */
 const MAX_TIME_LEFT = 3_600_000;
@@ -53,18 +58,36 @@
   readonly counters: CallCounters = { started: 0, answered: 0, refused: 0, failed: 0, cancelled: 0 };
   /** Called when the number of requests in progress changed. */
   onChange: () => void = () => {};
-  leaving = false;
+  #leavingSince: number | undefined;
+  readonly #onceCalls: OnceCalls;
   readonly #backEnd: BackEnd;
   readonly #capacity: number;
   readonly #active = new Map<string, ActiveCall>();
 
-  constructor(backEnd: BackEnd, capacity: number) {
+  constructor(backEnd: BackEnd, capacity: number, ownership?: KeyOwnership) {
     this.#backEnd = backEnd;
     this.#capacity = capacity;
+    this.#onceCalls = new OnceCalls({ backEnd, ownership, onChange: () => this.onChange() });
   }
 
+  /** Requests in progress. */
   get active(): number {
-    return this.#active.size;
+    return this.#active.size + this.#onceCalls.active;
+  }
+
+  /** True once no new work is taken, or is about to be. */
+  get leaving(): boolean {
+    return this.#leavingSince !== undefined;
+  }
+
+  /** What has become of calls that may not be repeated. */
+  get onceCounters(): OnceCounters {
+    return this.#onceCalls.counters;
+  }
+
+  /** Takes no new work from now on. */
+  leave(): void {
+    this.#leavingSince ??= performance.now();
   }
 
   /** Requests in progress for a version. */
@@ -92,18 +115,11 @@
   }
 
   async #run(connection: Connection, call: CallRequest): Promise<void> {
-    const { callId, attempt } = call;
+    if (call.once !== undefined) return this.#onceCalls.run(connection, call, call.once, this.#refusal(call));
     const refusal = this.#refusal(call);
     if (refusal !== undefined) {
       this.counters.refused++;
-      connection.send({
-        type: 'callRefused',
-        callId,
-        attempt,
-        reason: refusal,
-        retryAfter: RETRY_AFTER[refusal],
-      });
-      return;
+      return refuseCall(connection, call, refusal, true);
     }
     const abort = new AbortController();
     this.#active.set(keyOf(call), { call, abort });
@@ -119,11 +135,17 @@
   }
 
   #refusal(call: CallRequest): CallRefusal | undefined {
-    if (this.leaving) return 'leaving';
-    if (this.#active.size >= this.#capacity * (1 + QUEUE_SHARE)) return 'overloaded';
+    if (this.#refusesNewWork(call)) return 'leaving';
+    if (this.active >= this.#capacity * (1 + QUEUE_SHARE)) return 'overloaded';
     return this.#backEnd.admits(call.version);
   }
 
+  /** A leaving owner of keys takes calls for a moment longer: only it may run them until its keys have moved. */
+  #refusesNewWork(call: CallRequest): boolean {
+    if (this.#leavingSince === undefined) return false;
+    return call.once === undefined || performance.now() - this.#leavingSince > OWNER_LEAVING_GRACE;
+  }
+
   async #relay(connection: Connection, call: CallRequest, signal: AbortSignal): Promise<void> {
     const { callId, attempt } = call;
     let stream: HttpStream;
@@ -135,8 +157,7 @@
     if (stream.statusCode === 409 && call.version !== '') {
       await stream.body.dump();
       this.counters.refused++;
-      connection.send({ type: 'callRefused', callId, attempt, reason: 'wrongVersion', retryAfter: 0 });
-      return;
+      return refuseCall(connection, call, 'wrongVersion', true);
     }
     const contentType = String(stream.headers['content-type'] ?? 'application/octet-stream');
     connection.send({ type: 'callHead', callId, attempt, status: stream.statusCode, contentType });
@@ -160,9 +181,7 @@
     const { callId, attempt } = call;
     if (neverConnected(cause)) {
       this.counters.refused++;
-      const retryAfter = RETRY_AFTER.backEndUnreachable;
-      connection.send({ type: 'callRefused', callId, attempt, reason: 'backEndUnreachable', retryAfter });
-      return;
+      return refuseCall(connection, call, 'backEndUnreachable', true);
     }
     this.counters.failed++;
     this.#backEnd.cancel(call);
@@ -198,11 +217,23 @@
 }
 
 /** The time left as the timers take it; a sender may say anything. */
-function timeLeftOf(call: CallRequest): number {
+export function timeLeftOf(call: CallRequest): number {
   const milliseconds = Math.ceil(Number(call.timeLeft));
   return Number.isFinite(milliseconds) ? Math.min(Math.max(milliseconds, 1), MAX_TIME_LEFT) : 1;
 }
 
+/** Tells the entry that a call was not taken, and whether it provably did not run. */
+export function refuseCall(
+  connection: Connection,
+  call: CallRequest,
+  reason: CallRefusal,
+  notRun: boolean,
+): void {
+  const { callId, attempt } = call;
+  const retryAfter = RETRY_AFTER[reason];
+  connection.send({ type: 'callRefused', callId, attempt, reason, notRun, retryAfter });
+}
+
 function keyOf(call: { callId: string; attempt: number }): string {
   return `${call.callId}/${call.attempt}`;
 }
--- a/src/agent/entry-link.ts
+++ b/src/agent/entry-link.ts
@@ -17,8 +17,11 @@
   random: Random;
   /** The entries to try, the preferred one first; read anew for each try. */
   candidates: () => string[];
-  onOpen: (address: string) => void;
+  /** A connection that began to be made at the given time is open; its messages come after this. */
+  onOpen: (address: string, dialledAt: number) => void;
   onMessage: (message: Message) => void;
+  /** The entry has answered a sign of life that was sent at the given time. */
+  onConfirmed?: (sentAt: number) => void;
 }
 
 /** One kept connection. */
@@ -49,6 +52,11 @@
     this.#connection?.close();
   }
 
+  /** Ends the connection, so that another is made. */
+  reconnect(): void {
+    this.#connection?.close();
+  }
+
   /** Sends a message; it is lost when no entry is connected. */
   send(message: Message): boolean {
     return this.#connection?.send(message) ?? false;
@@ -58,6 +66,7 @@
     const candidates = this.#init.candidates();
     if (candidates.length === 0) return this.#retry();
     const address = candidates[this.#attempt % candidates.length];
+    const dialledAt = performance.now();
     const outcome = await connect(address, this.#init.context, this.#stopping.signal);
     if (this.#stopping.signal.aborted) return outcome.ok ? outcome.value.close() : undefined;
     if (!outcome.ok) {
@@ -69,7 +78,8 @@
     this.#address = address;
     this.#attempt = 0;
     connection.onClose = () => this.#lost(connection);
-    this.#init.onOpen(address);
+    connection.onConfirmed = this.#init.onConfirmed ?? (() => {});
+    this.#init.onOpen(address, dialledAt);
     connection.handleMessages(this.#init.onMessage);
   }
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,6 @@
 /** The command line: one binary with all roles. */
 import { Builtins, Cli } from 'clipanion';
-import { BenchBurstCommand, DemoCommand } from './bench.js';
+import { BenchBurstCommand, BenchRequestsCommand, DemoCommand } from './bench.js';
 import { EXIT_USAGE } from './errors.js';
 import {
   ApplyCommand,
@@ -29,6 +29,7 @@
   DrainCommand,
   TimelineCommand,
   BenchBurstCommand,
+  BenchRequestsCommand,
   DemoCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
--- a/src/entry/agent-directory.ts
+++ b/src/entry/agent-directory.ts
@@ -7,6 +7,8 @@
 /** An agent as this entry knows it. */
 export interface AgentRow {
   status: AgentStatus;
+  /** When the status came here, by this entry's clock. */
+  receivedAt: number;
   /** Identity of the agent's home entry. */
   home: string;
   /** When the home entry was lost, by this entry's clock; undefined while it is there. */
@@ -28,7 +30,7 @@
     const known = this.rows.get(status.info.id);
     if (known !== undefined && known.status.sequence > status.sequence) return;
     this.#dropOthersAt(status);
-    this.rows.set(status.info.id, { status, home, homeLostAt: undefined });
+    this.rows.set(status.info.id, { status, receivedAt: performance.now(), home, homeLostAt: undefined });
     this.#notify();
   }
 
--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -4,24 +4,33 @@
  */
 import Router from '@koa/router';
 import type Koa from 'koa';
+import type { Result } from '../model/result.js';
 import type { EntryInfo } from '../protocol/messages.js';
 import type { ModelDeployment, Service } from '../resources/schemas.js';
 import { readBody } from '../server/http-server.js';
+import type { AnswerSink } from './attempt.js';
 import type { CallRouter, RoutedCall } from './call-router.js';
 import type { Configuration } from './configuration.js';
 import { discover } from './discovery.js';
 import { CALL_ERROR_STATUS, type CallError } from './errors.js';
+import type { OnceRouter } from './once-router.js';
 
 /** Header that names the caller's tenant. */
 const TENANT_HEADER = 'x-thistleway-tenant';
 /** Header by which a caller sets the time for the whole answer, in milliseconds. */
 const DEADLINE_HEADER = 'x-thistleway-deadline';
+/** Headers of calls that may not be repeated: the key, the number of the attempt, and the time since the first. */
+const KEY_HEADER = 'idempotency-key';
+const ATTEMPT_HEADER = 'idempotency-attempt';
+const ELAPSED_HEADER = 'idempotency-elapsed';
+const MAX_KEY_LENGTH = 200;
 const SAFE_METHODS = new Set(['GET', 'HEAD']);
 
 /** What the interface works with. */
 export interface CallerApiComponents {
   configuration: Configuration;
   router: CallRouter;
+  onceRouter: OnceRouter;
   self: () => EntryInfo;
   /** All entries known, this one included. */
   entries: () => EntryInfo[];
@@ -111,8 +120,16 @@
       .services()
       .find(({ value }) => value.metadata.name === name && value.spec.tenant === tenant);
     if (found === undefined) return this.#refuse(context, { type: 'unknownService', ran: 'no' });
+    const receivedAt = performance.now();
     const body = await readBody(context);
-    await this.#route(context, this.#serviceCall(context, found.value, path, body));
+    const call = this.#serviceCall(context, found.value, path, body);
+    if (call.repeatable) return this.#route(context, call);
+    const key = context.get(KEY_HEADER);
+    if (key === '' || key.length > MAX_KEY_LENGTH) {
+      const reason = `this call may not be repeated: it needs a header ${KEY_HEADER} of 1 to ${MAX_KEY_LENGTH} characters`;
+      return this.#refuse(context, { type: 'malformedRequest', ran: 'no', reason });
+    }
+    await this.#routeOnce(context, call, { service: found.value.metadata.name, key, receivedAt });
   }
 
   #serviceCall(context: Koa.Context, service: Service, path: string, body: Buffer): RoutedCall {
@@ -131,25 +148,54 @@
     };
   }
 
-  async #route(context: Koa.Context, call: RoutedCall): Promise<void> {
-    const { self, entries, maxInProgress, router, addressLifetimeSeconds } = this.#components;
+  #route(context: Koa.Context, call: RoutedCall): Promise<void> {
+    const { router } = this.#components;
+    return this.#admit(context, call, 'no', (sink, signal) => router.route(call, sink, signal));
+  }
+
+  #routeOnce(
+    context: Koa.Context,
+    call: RoutedCall,
+    once: { service: string; key: string; receivedAt: number },
+  ): Promise<void> {
+    const attempt = Math.max(1, Math.floor(Number(context.get(ATTEMPT_HEADER)) || 1));
+    const named = context.get(ELAPSED_HEADER);
+    const elapsed = attempt === 1 ? 0 : named === '' ? Number.POSITIVE_INFINITY : Math.max(0, Number(named));
+    const { method, path, contentType, body, deadline } = call;
+    const input = { ...once, attempt, elapsed, method, path, contentType, body, deadline };
+    // Of an earlier attempt this entry knows nothing: what it refuses by itself may have run.
+    const ran = attempt === 1 ? 'no' : 'unknown';
+    const { onceRouter } = this.#components;
+    return this.#admit(context, call, ran, (sink, signal) => onceRouter.route(input, sink, signal));
+  }
+
+  async #admit(
+    context: Koa.Context,
+    call: RoutedCall,
+    ran: 'no' | 'unknown',
+    route: (sink: AnswerSink, signal: AbortSignal) => Promise<Result<void, CallError>>,
+  ): Promise<void> {
+    const { self, entries, maxInProgress, addressLifetimeSeconds } = this.#components;
     if (!call.places.includes(self().place)) {
       const allowed = discover(entries(), call.places, addressLifetimeSeconds).entries;
       const addresses = allowed.map((entry) => entry.address);
-      return this.#refuse(context, { type: 'placeNotAllowed', ran: 'no', entries: addresses });
+      return this.#refuse(context, { type: 'placeNotAllowed', ran, entries: addresses });
     }
     if (this.#inProgress >= maxInProgress) {
-      return this.#refuse(context, { type: 'noCapacity', ran: 'no', retryAfter: 1_000 });
+      return this.#refuse(context, { type: 'noCapacity', ran, retryAfter: 1_000 });
     }
     this.#inProgress++;
     try {
-      await this.#relay(context, call, router);
+      await this.#relay(context, route);
     } finally {
       this.#inProgress--;
     }
   }
 
-  async #relay(context: Koa.Context, call: RoutedCall, router: CallRouter): Promise<void> {
+  async #relay(
+    context: Koa.Context,
+    route: (sink: AnswerSink, signal: AbortSignal) => Promise<Result<void, CallError>>,
+  ): Promise<void> {
     const { res } = context;
     const gone = new AbortController();
     res.once('close', () => gone.abort());
@@ -160,7 +206,7 @@
       },
       data: (data: Uint8Array) => void res.write(data),
     };
-    const outcome = await router.route(call, sink, gone.signal);
+    const outcome = await route(sink, gone.signal);
     if (outcome.ok) return void res.end();
     // A cut answer must not pass for a whole one: the connection ends without the end of the body.
     if (res.headersSent) return void res.destroy();
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -15,7 +15,12 @@
 const READ_TIMEOUT = 3_000;
 
 /** Names of the tables. */
-export const TABLES = { resources: 'resources', placements: 'placements', leases: 'leases' } as const;
+export const TABLES = {
+  resources: 'resources',
+  placements: 'placements',
+  leases: 'leases',
+  owners: 'owners',
+} as const;
 
 /** What the configuration works with. */
 export interface ConfigurationComponents {
@@ -39,8 +44,8 @@
   readonly #stopping = new AbortController();
   #revision = 0;
   #timer: NodeJS.Timeout | undefined;
-  #reading: Promise<void> | undefined;
-  #following: Promise<void> | undefined;
+  #reading: Promise<boolean> | undefined;
+  #following: Promise<boolean> | undefined;
 
   constructor(components: ConfigurationComponents) {
     this.#components = components;
@@ -67,8 +72,11 @@
     return () => this.#listeners.delete(listener);
   }
 
-  /** Reads what has changed since the known revision; a call during a reading makes one more follow. */
-  poll(): Promise<void> {
+  /**
+   * Reads what has changed since the known revision; returns whether the store answered. The reading begins after
+   * the call: during another one, one more follows.
+   */
+  poll(): Promise<boolean> {
     if (this.#following !== undefined) return this.#following;
     if (this.#reading === undefined) {
       this.#reading = this.#read().finally(() => {
@@ -88,14 +96,15 @@
     if (revision > this.#revision) void this.poll();
   }
 
-  async #read(): Promise<void> {
+  async #read(): Promise<boolean> {
     this.counters.reads++;
     const read = await this.#components.tables.changes(this.#revision, AbortSignal.timeout(READ_TIMEOUT));
     if (!read.ok) {
       this.counters.failedReads++;
-      return;
+      return false;
     }
     this.#take(read.value.rows, read.value.revision);
+    return true;
   }
 
   /** The row, or undefined where there is none. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -13,6 +13,7 @@
 import { createLog, type Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
 import { Timeline } from '../observability/timeline.js';
+import { httpMachineList, type MachineList } from '../platform/machine-list.js';
 import { httpObjectStore, type ObjectStore } from '../platform/object-store.js';
 import { httpTableService, type TableService } from '../platform/table-service.js';
 import {
@@ -35,6 +36,9 @@
 import { DutyLease } from './duty-lease.js';
 import { EntryMesh } from './entry-mesh.js';
 import { HomeAgents } from './home-agents.js';
+import { MachineWatch } from './machine-watch.js';
+import { OnceRouter } from './once-router.js';
+import { OwnersDuty } from './owners-duty.js';
 import { PlacementDuty } from './placement-duty.js';
 
 /** What an entry is composed of. */
@@ -50,6 +54,7 @@
   metrics: Metrics;
   tables: TableService;
   objects: ObjectStore;
+  machineList: MachineList;
   configuration: Configuration;
   directory: AgentDirectory;
   bursts: BurstDuty;
@@ -71,6 +76,7 @@
     metrics: asFunction(() => new Metrics('entry')).singleton(),
     tables: asFunction(() => httpTableService(settings.platform.tables)).singleton(),
     objects: asFunction(() => httpObjectStore(settings.platform.objects)).singleton(),
+    machineList: asFunction(() => httpMachineList(settings.platform.machines)).singleton(),
     configuration: asFunction(
       ({ tables, random, timeline }: EntryComponents) => new Configuration({ tables, random, timeline }),
     ).singleton(),
@@ -91,6 +97,7 @@
   readonly #home: HomeAgents;
   readonly #links: CallLinks;
   readonly #router: CallRouter;
+  readonly #onceRouter: OnceRouter;
   readonly #callers: CallerApi;
   readonly #lease: DutyLease;
   readonly #parts: StartableGroup;
@@ -116,9 +123,11 @@
     this.#home = new HomeAgents({ ...shared, self, mesh: this.#mesh, bursts });
     this.#links = new CallLinks(this.#context);
     this.#router = new CallRouter({ directory, links: this.#links, random });
+    this.#onceRouter = new OnceRouter({ configuration, directory, links: this.#links });
     this.#callers = new CallerApi({
       configuration,
       router: this.#router,
+      onceRouter: this.#onceRouter,
       self,
       entries: () => [this.info(), ...this.#mesh.entries.values()],
       addressLifetimeSeconds: settings.discovery.addressLifetimeSeconds,
@@ -126,7 +135,14 @@
       maxInProgress: settings.calls.inProgress,
     });
     this.#lease = new DutyLease('placement', { configuration, tables, timeline, self: components.identity });
-    new PlacementDuty({ configuration, directory, lease: this.#lease, timeline });
+    const lease = this.#lease;
+    const placement = new PlacementDuty({ configuration, directory, lease, timeline });
+    const machines = new MachineWatch(components.machineList);
+    const owners = new OwnersDuty({ configuration, directory, lease, machines });
+    lease.onHeld = async () => {
+      await placement.review();
+      await owners.review();
+    };
     const accept = (connection: Connection) => this.#accept(connection);
     const listener = new ConnectionListener(settings.listen.peers, this.#context, accept);
     const server = httpServer(settings.listen.callers, this.#application().callback());
@@ -228,6 +244,12 @@
         label: 'outcome',
         read: () => ({ ...this.#router.counters }),
       },
+      {
+        name: 'once_calls',
+        help: 'Calls that may not be repeated, by outcome',
+        label: 'outcome',
+        read: () => ({ ...this.#onceRouter.counters }),
+      },
       { name: 'calls_in_progress', help: 'Requests in progress', read: () => this.#callers.inProgress },
       { name: 'configuration_revision', help: 'Revision in force here', read: () => configuration.revision },
       {
--- a/src/entry/errors.ts
+++ b/src/entry/errors.ts
@@ -8,12 +8,14 @@
   | { type: 'unknownModel'; ran: 'no' }
   | { type: 'unknownService'; ran: 'no' }
   /** This entry lies in a place where the answer may not travel. */
-  | { type: 'placeNotAllowed'; ran: 'no'; entries: string[] }
+  | { type: 'placeNotAllowed'; ran: Ran; entries: string[] }
   | { type: 'malformedRequest'; ran: 'no'; reason: string }
   /** `retryAfter` is in milliseconds. */
-  | { type: 'noCapacity'; ran: 'no'; retryAfter: number }
+  | { type: 'noCapacity'; ran: Ran; retryAfter: number }
   | { type: 'entryLeaving'; ran: 'no'; retryAfter: number }
   | { type: 'deadlineExceeded'; ran: Ran }
+  /** Nothing proves that the key has not run; asking again with the same key tells more. */
+  | { type: 'outcomeUnknown'; ran: 'unknown'; retryAfter: number; reason: string }
   | { type: 'backEndFailed'; ran: Ran; reason: string };
 
 /** HTTP status of each error. */
@@ -25,5 +27,6 @@
   noCapacity: 503,
   entryLeaving: 503,
   deadlineExceeded: 504,
+  outcomeUnknown: 504,
   backEndFailed: 502,
 };
--- a/src/entry/home-agents.ts
+++ b/src/entry/home-agents.ts
@@ -5,9 +5,10 @@
 import { manifestKey, type ObjectStore } from '../platform/object-store.js';
 import type { Connection } from '../protocol/connection.js';
 import type { Assignment, EntryInfo, Message } from '../protocol/messages.js';
+import type { OwnersRow } from '../systems/ownership.js';
 import type { AgentDirectory } from './agent-directory.js';
 import type { BurstDuty } from './burst-duty.js';
-import type { Configuration } from './configuration.js';
+import { type Configuration, TABLES } from './configuration.js';
 import type { EntryMesh } from './entry-mesh.js';
 
 const OBJECT_TIMEOUT = 5_000;
@@ -29,6 +30,8 @@
   readonly #connections = new Map<string, Connection>();
   /** What each agent was last told, so that it is told only of changes. */
   readonly #told = new Map<string, string>();
+  /** Agents whose owners' list was read from the store after they connected: only that may be told to them. */
+  readonly #vouched = new Set<string>();
   /** Manifests by version; they never change. */
   readonly #manifests = new Map<string, Promise<Result<Manifest, string>>>();
 
@@ -66,11 +69,21 @@
     if (this.#connections.get(id) !== connection) {
       this.#connections.set(id, connection);
       this.#told.delete(id);
+      this.#vouched.delete(id);
       timeline.record({ type: 'agentConnected', agent: id });
     }
     directory.update(message.status, self().id);
     mesh.agentChanged(id);
     this.#tell(id);
+    if (message.status.backEnd === 'service' && !this.#vouched.has(id)) void this.#vouch(id, connection);
+  }
+
+  /** Reads the store once for a connected agent; while the store is down, its next status tries again. */
+  async #vouch(id: string, connection: Connection): Promise<void> {
+    const read = await this.#components.configuration.poll();
+    if (!read || this.#connections.get(id) !== connection) return;
+    this.#vouched.add(id);
+    this.#tell(id);
   }
 
   #tell(id: string): void {
@@ -80,10 +93,15 @@
     if (connection === undefined || row === undefined || configuration.revision === 0) return;
     const assignments = this.#assignmentsOf(row.status.info.address);
     const entries = [self(), ...mesh.entries.values()];
-    const news = JSON.stringify([assignments, entries]);
+    const owners = this.#vouched.has(id) ? this.#ownersOf(row.status.pool) : undefined;
+    const news = JSON.stringify([assignments, entries, owners]);
     if (this.#told.get(id) === news) return;
     this.#told.set(id, news);
-    connection.send({ type: 'assignments', revision: configuration.revision, assignments, entries });
+    connection.send({ type: 'assignments', revision: configuration.revision, assignments, entries, owners });
+  }
+
+  #ownersOf(service: string): OwnersRow | undefined {
+    return this.#components.configuration.row(TABLES.owners, service)?.value as OwnersRow | undefined;
   }
 
   #assignmentsOf(address: string): Assignment[] {
@@ -132,6 +150,7 @@
     if (this.#connections.get(id) !== connection) return;
     this.#connections.delete(id);
     this.#told.delete(id);
+    this.#vouched.delete(id);
     directory.remove(id, self().id);
     mesh.agentGone(id);
     timeline.record({ type: 'agentLost', agent: id });
--- /dev/null
+++ b/src/entry/owners-duty.ts
@@ -0,0 +1,55 @@
+/** The owners of keys of every service, decided by whichever entry holds the lease of the placement duty. */
+import { decideOwners, type OwnerCandidate, type OwnersRow } from '../systems/ownership.js';
+import type { AgentDirectory } from './agent-directory.js';
+import { type Configuration, TABLES } from './configuration.js';
+import type { DutyLease } from './duty-lease.js';
+import type { MachineWatch } from './machine-watch.js';
+
+/** What the duty works with. */
+export interface OwnersDutyComponents {
+  configuration: Configuration;
+  directory: AgentDirectory;
+  lease: DutyLease;
+  machines: MachineWatch;
+}
+
+/** The duty of one entry; it acts only while the lease is held. */
+export class OwnersDuty {
+  readonly #components: OwnersDutyComponents;
+
+  constructor(components: OwnersDutyComponents) {
+    this.#components = components;
+  }
+
+  /** Writes the lists that should change. */
+  async review(): Promise<void> {
+    for (const { value } of this.#components.configuration.services()) {
+      await this.#reviewService(value.metadata.name, value.spec.places);
+    }
+  }
+
+  async #reviewService(service: string, places: readonly string[]): Promise<void> {
+    const { configuration, lease, machines } = this.#components;
+    const row = configuration.row(TABLES.owners, service);
+    const owners = row?.value as OwnersRow | undefined;
+    const candidates = this.#candidates(service, places);
+    const connected = new Set(candidates.map((candidate) => candidate.address));
+    const outOfSight = (owners?.owners ?? []).filter((address) => !connected.has(address));
+    const next = decideOwners(owners, candidates, await machines.dead(outOfSight));
+    if (next === undefined) return;
+    const table = TABLES.owners;
+    const key = service;
+    await lease.write([{ table, key, revision: row?.revision ?? 0 }], [{ table, key, value: next }]);
+  }
+
+  #candidates(service: string, places: readonly string[]): OwnerCandidate[] {
+    const rows = [...this.#components.directory.rows.values()].filter(({ status }) => {
+      return status.backEnd === 'service' && status.pool === service && places.includes(status.info.place);
+    });
+    return rows.map(({ status }) => ({
+      address: status.info.address,
+      leaving: status.leaving,
+      acknowledgedEpoch: status.ownership?.movesAcknowledged ? status.ownership.epoch : undefined,
+    }));
+  }
+}
--- a/src/entry/placement-duty.ts
+++ b/src/entry/placement-duty.ts
@@ -28,10 +28,10 @@
 
   constructor(components: PlacementDutyComponents) {
     this.#components = components;
-    components.lease.onHeld = () => this.#review();
   }
 
-  async #review(): Promise<void> {
+  /** Writes the placements that should change. */
+  async review(): Promise<void> {
     // An entry that has just started knows few machines; it must not take the others for gone.
     if (performance.now() - this.#startedAt < SETTLING_TIME) return;
     const { configuration } = this.#components;
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -21,6 +21,8 @@
   json?: unknown;
   /** Sent as it is. */
   bytes?: Uint8Array;
+  /** Sent besides the content type. */
+  headers?: Record<string, string>;
   signal: AbortSignal;
 }
 
@@ -58,7 +60,7 @@
   return request(call.url, {
     method: call.method,
     body: body as Buffer | string | undefined,
-    headers: body === undefined ? {} : { 'content-type': contentType },
+    headers: body === undefined ? call.headers : { 'content-type': contentType, ...call.headers },
     signal: call.signal,
     dispatcher,
   });
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -61,12 +61,15 @@
   /** What the other side said of itself. */
   readonly remote: HelloMessage;
   onClose: () => void = () => {};
+  /** Called when the other side has answered a sign of life that was sent at the given time. */
+  onConfirmed: (sentAt: number) => void = () => {};
   readonly #socket: WebSocket;
   readonly #context: ConnectionContext;
   readonly #heartbeat: NodeJS.Timeout;
   readonly #dialled: boolean;
   #heardAt = performance.now();
   #sentAt = performance.now();
+  #pingedAt = performance.now();
   #open = true;
   #handler: ((message: Message) => void) | undefined;
   /** Messages that came before there was a handler. */
@@ -144,19 +147,25 @@
     this.#heardAt = performance.now();
   }
 
-  /** The side that dialled asks for a sign of life when either direction has been quiet. */
+  /**
+   * The side that dialled asks for a sign of life when either direction has been quiet; an entry is always asked,
+   * since agents must know that it still knows them.
+   */
   #beat(): void {
     const now = performance.now();
     if (now - this.#heardAt > SILENCE_LIMIT) return this.close();
     const quiet = now - Math.min(this.#heardAt, this.#sentAt) >= HEARTBEAT_INTERVAL;
-    if (!this.#dialled || !quiet || this.#socket.readyState !== WebSocket.OPEN) return;
+    const isDue = quiet || this.remote.role === 'entry';
+    if (!this.#dialled || !isDue || this.#socket.readyState !== WebSocket.OPEN) return;
     this.#socket.ping();
     this.#sentAt = now;
+    this.#pingedAt = now;
     this.#context.counters.controlSent += FRAME_OVERHEAD_BYTES;
   }
 
   #heardPong(): void {
     this.#noteLife();
+    this.onConfirmed(this.#pingedAt);
     this.#context.counters.controlReceived += FRAME_OVERHEAD_BYTES;
   }
 
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -5,6 +5,8 @@
 import type { Digest, Manifest } from '../model/manifest.js';
 import type { RefusalReason } from '../systems/distribution/commands.js';
 import type { Grant, Objective, PeerInfo } from '../systems/distribution/transfer.js';
+import type { KeyedCall } from '../systems/once-ledger.js';
+import type { OwnersRow } from '../systems/ownership.js';
 
 /** Short name of a version on the wire: the first 48 bits of its digest. Chunks are verified all the same. */
 export type TransferKey = number;
@@ -75,6 +77,17 @@
   active: number;
   /** Requests that the back end runs at the same time. */
   capacity: number;
+  /** For a service: the owners' list that this process follows, and for how long it has. */
+  ownership: OwnershipClaim | undefined;
+}
+
+/** What an agent says of its part in owning keys. */
+export interface OwnershipClaim {
+  epoch: number;
+  /** Time for which this process has followed the list of this epoch, in milliseconds. */
+  heldFor: number;
+  /** True when it takes no keys any more that move under the list to come. */
+  movesAcknowledged: boolean;
 }
 
 /** What one agent is to do, as decided by the placement duty. */
@@ -93,7 +106,14 @@
 /** Between an agent and its home entry. */
 export type HomeMessage =
   | { type: 'status'; status: AgentStatus }
-  | { type: 'assignments'; revision: number; assignments: Assignment[]; entries: EntryInfo[] }
+  | {
+      type: 'assignments';
+      revision: number;
+      assignments: Assignment[];
+      entries: EntryInfo[];
+      /** For the agent of a service: who owns its keys. */
+      owners: OwnersRow | undefined;
+    }
   | { type: 'fetchManifest'; version: Digest }
   | { type: 'manifest'; version: Digest; manifest: Manifest }
   | { type: 'manifestUnavailable'; version: Digest; reason: string };
@@ -115,8 +135,21 @@
   | { type: 'entryStatus'; entry: EntryInfo; revision: number }
   | { type: 'agents'; statuses: AgentStatus[]; gone: string[] };
 
+/** What a call that may not be repeated carries. */
+export interface OnceCall extends KeyedCall {
+  /** Epoch of the owners' list by which the agent was chosen. */
+  epoch: number;
+}
+
 /** Why an agent did not run a request. */
-export type CallRefusal = 'leaving' | 'overloaded' | 'wrongVersion' | 'notReady' | 'backEndUnreachable';
+export type CallRefusal =
+  | 'leaving'
+  | 'overloaded'
+  | 'wrongVersion'
+  | 'notReady'
+  | 'backEndUnreachable'
+  /** The agent does not own the key, or not under that epoch. */
+  | 'notOwner';
 
 /** One caller's request, between an entry and an agent. */
 export type CallMessage =
@@ -132,12 +165,21 @@
       body: Uint8Array;
       /** Time left for the whole answer, in milliseconds. */
       timeLeft: number;
+      /** For a call that may not be repeated. */
+      once: OnceCall | undefined;
     }
   | { type: 'callCancel'; callId: string; attempt: number }
   | { type: 'callHead'; callId: string; attempt: number; status: number; contentType: string }
   | { type: 'callData'; callId: string; attempt: number; sequence: number; data: Uint8Array }
   | { type: 'callEnd'; callId: string; attempt: number; frames: number }
-  | { type: 'callRefused'; callId: string; attempt: number; reason: CallRefusal; retryAfter: number }
+  | {
+      type: 'callRefused';
+      callId: string;
+      attempt: number;
+      reason: CallRefusal;
+      notRun: boolean;
+      retryAfter: number;
+    }
   | { type: 'callFailed'; callId: string; attempt: number; reason: string; ran: 'no' | 'yes' | 'unknown' };
 
 /** Any message between the system's processes. */
@@ -166,18 +208,18 @@
   neighbours: ['type', 'transfer', 'peers'],
   grant: ['type', 'transfer', 'grant'],
   status: ['type', 'status'],
-  assignments: ['type', 'revision', 'assignments', 'entries'],
+  assignments: ['type', 'revision', 'assignments', 'entries', 'owners'],
   fetchManifest: ['type', 'version'],
   manifest: ['type', 'version', 'manifest'],
   manifestUnavailable: ['type', 'version', 'reason'],
   entryStatus: ['type', 'entry', 'revision'],
   agents: ['type', 'statuses', 'gone'],
-  call: ['type', 'callId', 'attempt', 'version', 'method', 'path', 'contentType', 'body', 'timeLeft'],
+  call: ['type', 'callId', 'attempt', 'version', 'method', 'path', 'contentType', 'body', 'timeLeft', 'once'],
   callCancel: ['type', 'callId', 'attempt'],
   callHead: ['type', 'callId', 'attempt', 'status', 'contentType'],
   callData: ['type', 'callId', 'attempt', 'sequence', 'data'],
   callEnd: ['type', 'callId', 'attempt', 'frames'],
-  callRefused: ['type', 'callId', 'attempt', 'reason', 'retryAfter'],
+  callRefused: ['type', 'callId', 'attempt', 'reason', 'notRun', 'retryAfter'],
   callFailed: ['type', 'callId', 'attempt', 'reason', 'ran'],
   ping: ['type'],
 };
