--- a/bench/demo/users.ts
+++ b/bench/demo/users.ts
@@ -8,6 +8,7 @@
   type Service,
 } from '../../src/resources/schemas.js';
 import type { PlatformEmulatorSettings } from '../../src/settings/schemas.js';
+import { DEFAULT_TENANT_LIMITS } from '../../src/systems/admission.js';
 import type { AgentPlan, EntryPlan } from '../processes/cluster.js';
 
 const MEBIBYTE = 2 ** 20;
@@ -121,18 +122,20 @@
       apiVersion: API_VERSION,
       kind: 'Service',
       metadata: { name },
-      spec: { tenant: plan.name, places: plan.places, repeatable },
+      spec: { tenant: plan.name, places: plan.places, priority: 0, repeatable },
     })),
   };
 }
 
+const tenantSpec = { title: '', limits: DEFAULT_TENANT_LIMITS };
+
 /** Everything that a user declares. */
 export function declarationsOf(user: DemoUser): Resource[] {
   const tenant = {
     apiVersion: API_VERSION,
     kind: 'Tenant',
     metadata: { name: user.name },
-    spec: { title: '' },
+    spec: tenantSpec,
   } as const;
   return [tenant, user.deployment, ...user.services];
 }
--- a/bench/processes/caller.ts
+++ b/bench/processes/caller.ts
@@ -68,8 +68,8 @@
   }
 
   /** Sends one request without waiting for its answer. */
-  startOne(): void {
-    const request = this.call();
+  startOne(maxTokens?: number): void {
+    const request = this.call(maxTokens);
     this.#pending.add(request);
     void request.finally(() => this.#pending.delete(request));
   }
--- a/bench/processes/footprint.ts
+++ b/bench/processes/footprint.ts
@@ -71,14 +71,19 @@
   const controlAfter = await controlBytes(engines);
   const few = await loadCost(cluster, names, idle, rate, TOKENS_FEW);
   const many = await loadCost(cluster, names, idle, rate, TOKENS_MANY);
-  const perToken = (role: 'entry' | 'agent') => (many.cost[role] - few.cost[role]) / (TOKENS_MANY - TOKENS_FEW);
+  const perToken = (role: 'entry' | 'agent') =>
+    (many.cost[role] - few.cost[role]) / (TOKENS_MANY - TOKENS_FEW);
   const perRequest = (role: 'entry' | 'agent') => few.cost[role] - perToken(role) * TOKENS_FEW;
   return {
     entries: names.entry.length,
     agents: cluster.agents.length,
     idle,
     idleControlBytesPerAgent: Math.round((controlAfter - controlBefore) / IDLE_SECONDS / engines.length),
-    load: { requestsPerSecond: few.cost.requestsPerSecond, entry: many.use.entry, engineAgent: many.use.engineAgent },
+    load: {
+      requestsPerSecond: few.cost.requestsPerSecond,
+      entry: many.use.entry,
+      engineAgent: many.use.engineAgent,
+    },
     entryMicrosecondsPerRequest: Math.round(perRequest('entry')),
     entryMicrosecondsPerToken: Math.round(perToken('entry')),
     agentMicrosecondsPerRequest: Math.round(perRequest('agent')),
@@ -90,7 +95,12 @@
 type RoleUse = Record<'entry' | 'engineAgent' | 'serviceAgent', RoleFootprint>;
 
 /** Use of each role while `run` goes on, which takes `seconds`. */
-async function during(cluster: Cluster, names: RoleNames, seconds: number, run: () => Promise<void>): Promise<RoleUse> {
+async function during(
+  cluster: Cluster,
+  names: RoleNames,
+  seconds: number,
+  run: () => Promise<void>,
+): Promise<RoleUse> {
   const before = cpuSeconds(cluster, names);
   await run();
   const after = cpuSeconds(cluster, names);
--- a/bench/processes/request-bench.ts
+++ b/bench/processes/request-bench.ts
@@ -3,19 +3,19 @@
 import type { Histogram } from 'hdr-histogram-js';
 import type { EngineRun } from '../../emulator/engine/engine.js';
 import type { ServiceRun } from '../../emulator/service/service.js';
-import { API_VERSION } from '../../src/resources/schemas.js';
 import { Caller } from './caller.js';
-import { Cluster, type StartedAgent } from './cluster.js';
+import type { Cluster, StartedAgent } from './cluster.js';
 import { createHistogram } from './histogram.js';
-import {
-  applyDeployment,
-  applyResources,
-  BENCH_TENANT,
-  engineState,
-  getJson,
-  waitForAgents,
-} from './observation.js';
+import { BENCH_TENANT, getJson } from './observation.js';
 import { OnceCaller } from './once-caller.js';
+import {
+  createBenchCluster,
+  declareBenchResources,
+  enginesOf,
+  MODEL,
+  SERVICE,
+  servicesOf,
+} from './request-cluster.js';
 import type { RequestFault } from './request-faults.js';
 
 /** What to run. */
@@ -50,105 +50,26 @@
   once: { sent: number; answeredWhole: number; refusedNotRun: number; unknown: number };
 }
 
-const PLACES = ['place-0', 'place-1', 'place-2'];
-const ENGINES = 6;
-const SERVICES = 3;
-const MODEL = 'model';
-const SERVICE = 'control';
-const MODEL_BYTES = 2 ** 20;
 /** Share of the requests that may not be repeated. */
 const ONCE_SHARE = 0.3;
 const FAULT_AT = 2_000;
 /** Time after which work at a leaving machine is a breach, in milliseconds. */
 const LEAVING_LIMIT = 2_000;
 const LATENCY_PAIRS = 300;
-const LIFETIME_SECONDS = 3;
 const MICROSECONDS = 1_000;
 
 /** Runs the load and reports it. */
 export async function runRequestBench(init: RequestBenchInit): Promise<RequestReport> {
-  const cluster = createCluster(init.seed);
+  const cluster = createBenchCluster(init.seed);
   try {
     await cluster.start();
-    await waitForAgents(cluster);
-    await declare(cluster);
+    await declareBenchResources(cluster);
     return await measure(init, cluster);
   } finally {
     cluster.stop();
   }
 }
 
-function createCluster(seed: number): Cluster {
-  const location = (index: number) => {
-    const place = PLACES[index % PLACES.length];
-    return { place, region: place, zone: `${place}-a` };
-  };
-  return new Cluster({
-    entries: [0, 1, 2].map((index) => ({ name: `entry-${index}`, ...location(index) })),
-    agents: [
-      ...Array.from({ length: ENGINES }, (_, index) => ({
-        name: `engine-${index}`,
-        pool: 'gpu',
-        ...location(index),
-      })),
-      ...Array.from({ length: SERVICES }, (_, index) => ({
-        name: `control-${index}`,
-        service: SERVICE,
-        ...location(index),
-      })),
-    ],
-    versions: [
-      { label: 'first', bytes: MODEL_BYTES, chunkBytes: 2 ** 16, seed, unchangedShare: 1, changedSeed: 0 },
-    ],
-    originBytesPerSecond: 8 * MODEL_BYTES,
-    machineBytesPerSecond: 4 * MODEL_BYTES,
-    machineDuplex: 'shared',
-    weightsMemoryBytes: 4 * MODEL_BYTES,
-    engine: { stepMilliseconds: 15 },
-    addressLifetimeSeconds: LIFETIME_SECONDS,
-  });
-}
-
-async function declare(cluster: Cluster): Promise<void> {
-  const spec = { tenant: BENCH_TENANT, places: PLACES, repeatable: ['/look'] };
-  await applyResources(cluster, [
-    { apiVersion: API_VERSION, kind: 'Service', metadata: { name: SERVICE }, spec },
-  ]);
-  const { version } = cluster.versions[0];
-  await applyDeployment(cluster, {
-    name: MODEL,
-    pool: 'gpu',
-    places: PLACES,
-    replicas: ENGINES,
-    version,
-    objective: 'fastest',
-  });
-  const engines = enginesOf(cluster);
-  for (;;) {
-    const states = await Promise.all(engines.map(engineState));
-    const ready = states.every((state) => state?.versions.some((row) => row.loadedDigest === version));
-    if (ready && (await ownersSettled(cluster))) return;
-    await pause(100);
-  }
-}
-
-/** True once every service agent follows a list of owners. */
-async function ownersSettled(cluster: Cluster): Promise<boolean> {
-  for (const agent of servicesOf(cluster)) {
-    const status = await getJson<{ ownership?: { heldFor: number } }>(`http://${agent.operators}/status`);
-    if ((status?.ownership?.heldFor ?? 0) < 1_000) return false;
-  }
-  return true;
-}
-
-function enginesOf(cluster: Cluster): StartedAgent[] {
-  return cluster.agents.filter((agent) => agent.service === undefined);
-}
-
-function servicesOf(cluster: Cluster): StartedAgent[] {
-  return cluster.agents.filter((agent) => agent.service !== undefined);
-}
-
 async function measure(init: RequestBenchInit, cluster: Cluster): Promise<RequestReport> {
   const addresses = cluster.entries.map((entry) => entry.callers);
   const caller = new Caller(addresses, MODEL);
--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -149,6 +149,24 @@
   }
 }
 
+/** `thistleway bench footprint`. */
+export class BenchFootprintCommand extends ThistlewayCommand {
+  static override paths = [['bench', 'footprint']];
+  static override usage = ThistlewayCommand.Usage({
+    category: 'Development',
+    description: 'measure processor time, memory and control bytes of real processes',
+  });
+  rate = Option.String('--rate', '60', { description: 'requests a second' });
+  seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
+
+  async perform(): Promise<number> {
+    const { measureFootprint } = await import('../../bench/processes/footprint.js');
+    const report = await measureFootprint(Number(this.rate), Number(this.seed));
+    this.context.stdout.write(`${JSON.stringify(report)}\n`);
+    return 0;
+  }
+}
+
 function keepsPromises(report: RequestReport, planned: boolean): boolean {
   const { lost, crossed, ranTwice, falseNotRun, newWorkAfterLeaving, cut } = report;
   return lost + crossed + ranTwice + falseNotRun + newWorkAfterLeaving + (planned ? cut : 0) === 0;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,6 @@
 /** The command line: one binary with all roles. */
 import { Builtins, Cli } from 'clipanion';
-import { BenchBurstCommand, BenchRequestsCommand, DemoCommand } from './bench.js';
+import { BenchBurstCommand, BenchFootprintCommand, BenchRequestsCommand, DemoCommand } from './bench.js';
 import { EXIT_USAGE } from './errors.js';
 import {
   ApplyCommand,
@@ -30,6 +30,7 @@
   TimelineCommand,
   BenchBurstCommand,
   BenchRequestsCommand,
+  BenchFootprintCommand,
   DemoCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
--- /dev/null
+++ b/src/entry/admission.ts
@@ -0,0 +1,77 @@
+/** Lets callers' requests in as the admission table decides, and tells those that are refused at once. */
+import type { Startable } from '../model/startable.js';
+import {
+  type AdmissionDecision,
+  type AdmissionLimits,
+  type AdmissionRefusal,
+  AdmissionTable,
+  type TenantLimits,
+} from '../systems/admission.js';
+
+const EXPIRY_INTERVAL = 50;
+
+/** Counts by refusal, for metrics. */
+export type AdmissionCounters = Record<AdmissionRefusal | 'started', number>;
+
+/** A request that was let in, or why it was not. */
+export type Admitted =
+  | { type: 'started'; finish: () => void }
+  | { type: 'refused'; reason: AdmissionRefusal };
+
+/** The admission of one entry. */
+export class Admission implements Startable {
+  readonly counters: AdmissionCounters = { started: 0, tenantLimit: 0, entryFull: 0, shed: 0, queueTime: 0 };
+  readonly #table: AdmissionTable;
+  readonly #waiting = new Map<number, (admitted: Admitted) => void>();
+  #nextId = 1;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(limits: AdmissionLimits, limitsOf: (tenant: string) => TenantLimits) {
+    this.#table = new AdmissionTable(limits, limitsOf);
+  }
+
+  /** Requests that run or wait. */
+  get inProgress(): number {
+    return this.#table.inProgress + this.#table.queued;
+  }
+
+  async start(): Promise<void> {
+    this.#timer = setInterval(() => this.#apply(this.#table.expire(performance.now())), EXPIRY_INTERVAL);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+  }
+
+  /** Returns when the request may run, or at once when it may not; ends the wait when the caller has gone. */
+  enter(tenant: string, priority: number, signal: AbortSignal): Promise<Admitted> {
+    const id = this.#nextId++;
+    return new Promise((resolve) => {
+      this.#waiting.set(id, resolve);
+      signal.addEventListener('abort', () => this.#leave(id), { once: true });
+      this.#apply(this.#table.offer({ id, tenant, priority }, performance.now()));
+    });
+  }
+
+  #leave(id: number): void {
+    const waiting = this.#waiting.get(id);
+    if (waiting === undefined) return;
+    this.#waiting.delete(id);
+    this.#apply(this.#table.finish(id));
+    waiting({ type: 'refused', reason: 'queueTime' });
+  }
+
+  #apply(decisions: AdmissionDecision[]): void {
+    for (const decision of decisions) {
+      const waiting = this.#waiting.get(decision.id);
+      this.#waiting.delete(decision.id);
+      if (decision.type === 'refuse') {
+        this.counters[decision.reason]++;
+        waiting?.({ type: 'refused', reason: decision.reason });
+        continue;
+      }
+      this.counters.started++;
+      waiting?.({ type: 'started', finish: () => this.#apply(this.#table.finish(decision.id)) });
+    }
+  }
+}
--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -8,6 +8,8 @@
 import type { EntryInfo } from '../protocol/messages.js';
 import type { ModelDeployment, Service } from '../resources/schemas.js';
 import { readBody } from '../server/http-server.js';
+import type { AdmissionRefusal } from '../systems/admission.js';
+import type { Admission } from './admission.js';
 import type { AnswerSink } from './attempt.js';
 import type { CallRouter, RoutedCall } from './call-router.js';
 import type { Configuration } from './configuration.js';
@@ -24,6 +26,13 @@
 const ATTEMPT_HEADER = 'idempotency-attempt';
 const ELAPSED_HEADER = 'idempotency-elapsed';
 const MAX_KEY_LENGTH = 200;
+/** Time after which a caller that was not let in may come back, in milliseconds. */
+const ADMISSION_RETRY_AFTER: Record<AdmissionRefusal, number> = {
+  tenantLimit: 1_000,
+  entryFull: 1_000,
+  shed: 2_000,
+  queueTime: 2_000,
+};
 const SAFE_METHODS = new Set(['GET', 'HEAD']);
 
 /** What the interface works with. */
@@ -36,13 +45,18 @@
   entries: () => EntryInfo[];
   addressLifetimeSeconds: number;
   defaultDeadline: number;
-  maxInProgress: number;
+  admission: Admission;
+}
+
+/** A request with what admission goes by. */
+interface AdmittedCall extends RoutedCall {
+  tenant: string;
+  priority: number;
 }
 
 /** The interface of one entry. */
 export class CallerApi {
   readonly #components: CallerApiComponents;
-  #inProgress = 0;
 
   constructor(components: CallerApiComponents) {
     this.#components = components;
@@ -50,7 +64,7 @@
 
   /** Requests of callers in progress. */
   get inProgress(): number {
-    return this.#inProgress;
+    return this.#components.admission.inProgress;
   }
 
   routes(): Router {
@@ -96,11 +110,13 @@
     await this.#route(context, this.#modelCall(context, found.value, body));
   }
 
-  #modelCall(context: Koa.Context, deployment: ModelDeployment, body: Buffer): RoutedCall {
+  #modelCall(context: Koa.Context, deployment: ModelDeployment, body: Buffer): AdmittedCall {
     const placement = this.#components.configuration.placement(deployment.metadata.name)?.value;
-    const { version, pool, places } = deployment.spec;
+    const { version, pool, places, tenant, priority } = deployment.spec;
     const versions = [version, placement?.version, placement?.previousVersion].filter((v) => v !== undefined);
     return {
+      tenant,
+      priority,
       places,
       versions,
       eligible: ({ status }) => status.backEnd === 'engine' && status.pool === pool,
@@ -132,10 +148,12 @@
     await this.#routeOnce(context, call, { service: found.value.metadata.name, key, receivedAt });
   }
 
-  #serviceCall(context: Koa.Context, service: Service, path: string, body: Buffer): RoutedCall {
-    const { places, repeatable } = service.spec;
+  #serviceCall(context: Koa.Context, service: Service, path: string, body: Buffer): AdmittedCall {
+    const { places, repeatable, tenant, priority } = service.spec;
     const query = context.querystring === '' ? '' : `?${context.querystring}`;
     return {
+      tenant,
+      priority,
       places,
       versions: undefined,
       eligible: ({ status }) => status.backEnd === 'service' && status.pool === service.metadata.name,
@@ -148,14 +166,14 @@
     };
   }
 
-  #route(context: Koa.Context, call: RoutedCall): Promise<void> {
+  #route(context: Koa.Context, call: AdmittedCall): Promise<void> {
     const { router } = this.#components;
     return this.#admit(context, call, 'no', (sink, signal) => router.route(call, sink, signal));
   }
 
   #routeOnce(
     context: Koa.Context,
-    call: RoutedCall,
+    call: AdmittedCall,
     once: { service: string; key: string; receivedAt: number },
   ): Promise<void> {
     const attempt = Math.max(1, Math.floor(Number(context.get(ATTEMPT_HEADER)) || 1));
@@ -171,34 +189,36 @@
 
   async #admit(
     context: Koa.Context,
-    call: RoutedCall,
+    call: AdmittedCall,
     ran: 'no' | 'unknown',
     route: (sink: AnswerSink, signal: AbortSignal) => Promise<Result<void, CallError>>,
   ): Promise<void> {
-    const { self, entries, maxInProgress, addressLifetimeSeconds } = this.#components;
+    const { self, entries, admission, addressLifetimeSeconds } = this.#components;
     if (!call.places.includes(self().place)) {
       const allowed = discover(entries(), call.places, addressLifetimeSeconds).entries;
       const addresses = allowed.map((entry) => entry.address);
       return this.#refuse(context, { type: 'placeNotAllowed', ran, entries: addresses });
     }
-    if (this.#inProgress >= maxInProgress) {
-      return this.#refuse(context, { type: 'noCapacity', ran, retryAfter: 1_000 });
+    const gone = new AbortController();
+    context.res.once('close', () => gone.abort());
+    const admitted = await admission.enter(call.tenant, call.priority, gone.signal);
+    if (admitted.type === 'refused') {
+      const retryAfter = ADMISSION_RETRY_AFTER[admitted.reason];
+      return this.#refuse(context, { type: 'noCapacity', ran, retryAfter });
     }
-    this.#inProgress++;
     try {
-      await this.#relay(context, route);
+      await this.#relay(context, route, gone.signal);
     } finally {
-      this.#inProgress--;
+      admitted.finish();
     }
   }
 
   async #relay(
     context: Koa.Context,
     route: (sink: AnswerSink, signal: AbortSignal) => Promise<Result<void, CallError>>,
+    signal: AbortSignal,
   ): Promise<void> {
     const { res } = context;
-    const gone = new AbortController();
-    res.once('close', () => gone.abort());
     const sink = {
       head: (status: number, contentType: string, agent: string) => {
         context.respond = false;
@@ -206,7 +226,7 @@
       },
       data: (data: Uint8Array) => void res.write(data),
     };
-    const outcome = await route(sink, gone.signal);
+    const outcome = await route(sink, signal);
     if (outcome.ok) return void res.end();
     // A cut answer must not pass for a whole one: the connection ends without the end of the body.
     if (res.headersSent) return void res.destroy();
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -6,7 +6,7 @@
 import type { Startable } from '../model/startable.js';
 import type { Timeline } from '../observability/timeline.js';
 import type { Row, TableService } from '../platform/table-service.js';
-import type { ModelDeployment, Resource, Service } from '../resources/schemas.js';
+import type { ModelDeployment, Resource, Service, Tenant } from '../resources/schemas.js';
 import type { Placement } from '../systems/placement.js';
 
 /** Shortest time between two readings and the random part of it, in milliseconds. */
@@ -125,6 +125,10 @@
     return this.#resources<Service>('Service');
   }
 
+  tenant(name: string): Tenant | undefined {
+    return this.row(TABLES.resources, `Tenant/${name}`)?.value as Tenant | undefined;
+  }
+
   placement(deployment: string): { value: Placement; revision: number } | undefined {
     const row = this.row(TABLES.placements, deployment);
     return row === undefined ? undefined : { value: row.value as Placement, revision: row.revision };
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -27,6 +27,8 @@
 import { resourceApi } from '../resources/resource-api.js';
 import { httpServer } from '../server/http-server.js';
 import type { EntrySettings } from '../settings/schemas.js';
+import { DEFAULT_TENANT_LIMITS } from '../systems/admission.js';
+import { Admission } from './admission.js';
 import { AgentDirectory } from './agent-directory.js';
 import { BurstDuty } from './burst-duty.js';
 import { CallLinks } from './call-links.js';
@@ -98,6 +100,7 @@
   readonly #links: CallLinks;
   readonly #router: CallRouter;
   readonly #onceRouter: OnceRouter;
+  readonly #admission: Admission;
   readonly #callers: CallerApi;
   readonly #lease: DutyLease;
   readonly #parts: StartableGroup;
@@ -123,6 +126,9 @@
     this.#home = new HomeAgents({ ...shared, self, mesh: this.#mesh, bursts });
     this.#links = new CallLinks(this.#context);
     this.#router = new CallRouter({ directory, links: this.#links, random });
+    this.#admission = new Admission(settings.calls, (tenant) => {
+      return configuration.tenant(tenant)?.spec.limits ?? DEFAULT_TENANT_LIMITS;
+    });
     this.#onceRouter = new OnceRouter({ configuration, directory, links: this.#links });
     this.#callers = new CallerApi({
       configuration,
@@ -132,7 +138,7 @@
       entries: () => [this.info(), ...this.#mesh.entries.values()],
       addressLifetimeSeconds: settings.discovery.addressLifetimeSeconds,
       defaultDeadline: settings.calls.deadline,
-      maxInProgress: settings.calls.inProgress,
+      admission: this.#admission,
     });
     this.#lease = new DutyLease('placement', { configuration, tables, timeline, self: components.identity });
     const lease = this.#lease;
@@ -146,7 +152,15 @@
     const accept = (connection: Connection) => this.#accept(connection);
     const listener = new ConnectionListener(settings.listen.peers, this.#context, accept);
     const server = httpServer(settings.listen.callers, this.#application().callback());
-    this.#parts = new StartableGroup([configuration, bursts, listener, this.#mesh, this.#lease, server]);
+    this.#parts = new StartableGroup([
+      configuration,
+      bursts,
+      this.#admission,
+      listener,
+      this.#mesh,
+      this.#lease,
+      server,
+    ]);
     this.#addMetrics();
   }
 
@@ -250,6 +264,12 @@
         label: 'outcome',
         read: () => ({ ...this.#onceRouter.counters }),
       },
+      {
+        name: 'admission',
+        help: 'Requests by admission',
+        label: 'outcome',
+        read: () => ({ ...this.#admission.counters }),
+      },
       { name: 'calls_in_progress', help: 'Requests in progress', read: () => this.#callers.inProgress },
       { name: 'configuration_revision', help: 'Revision in force here', read: () => configuration.revision },
       {
--- a/src/resources/schemas.ts
+++ b/src/resources/schemas.ts
@@ -1,5 +1,6 @@
 /** The resources that operators declare. */
 import { z } from 'zod';
+import { DEFAULT_TENANT_LIMITS } from '../systems/admission.js';
 
 /** Version of the resource API. */
 export const API_VERSION = 'thistleway/v1';
@@ -41,6 +42,8 @@
   spec: z.strictObject({
     tenant: name,
     places: z.array(name).min(1),
+    /** Higher goes first at an entry that is full. */
+    priority: z.number().int().min(0).max(1_000).default(0),
     /** Paths (by prefix) whose calls may be repeated; GET and HEAD always may. */
     repeatable: z.array(z.string().startsWith('/')).default([]),
   }),
@@ -51,7 +54,18 @@
   apiVersion: z.literal(API_VERSION),
   kind: z.literal('Tenant'),
   metadata,
-  spec: z.strictObject({ title: z.string().default('') }),
+  spec: z.strictObject({
+    title: z.string().default(''),
+    /** What the tenant may have at one entry. */
+    limits: z
+      .strictObject({
+        /** Requests that run at the same time. */
+        inProgress: z.number().int().min(1).default(DEFAULT_TENANT_LIMITS.inProgress),
+        /** Requests that wait. */
+        queued: z.number().int().min(0).default(DEFAULT_TENANT_LIMITS.queued),
+      })
+      .prefault({}),
+  }),
 });
 
 /** Any resource. */
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -45,8 +45,12 @@
     .strictObject({
       /** Time for a whole answer where the caller names none. */
       deadline: z.number().int().min(100).default(60_000),
-      /** Requests that wait or run at this entry before further ones are refused. */
+      /** Requests that run at this entry at the same time. */
       inProgress: z.number().int().min(1).default(2_000),
+      /** Requests that wait for one of these to end. */
+      queued: z.number().int().min(0).default(500),
+      /** Longest wait of a request. */
+      queueTime: z.number().int().min(0).default(2_000),
     })
     .prefault({}),
   log,
--- /dev/null
+++ b/src/systems/admission.ts
@@ -0,0 +1,155 @@
+/**
+ * Which requests of callers may run at an entry. Each tenant has limits of its own; what the entry has room for is
+ * shared fairly between tenants, higher priority first; a queue that is full sheds the lowest priority.
+ *
+ * @example
+ * ```ts
+ * for (const decision of table.offer({ id, tenant, priority }, now)) apply(decision);
+ * ```
+ */
+
+/** Limits of one tenant at one entry. */
+export interface TenantLimits {
+  /** Requests that run at the same time. */
+  inProgress: number;
+  /** Requests that wait. */
+  queued: number;
+}
+
+/** Limits of an entry. */
+export interface AdmissionLimits {
+  /** Requests that run at the same time, over all tenants. */
+  inProgress: number;
+  /** Requests that wait, over all tenants. */
+  queued: number;
+  /** Longest wait, in milliseconds. */
+  queueTime: number;
+}
+
+/** A request that asks to run. */
+export interface AdmissionRequest {
+  id: number;
+  tenant: string;
+  /** Higher goes first. */
+  priority: number;
+}
+
+/** Why a request is not let in. */
+export type AdmissionRefusal = 'tenantLimit' | 'entryFull' | 'shed' | 'queueTime';
+
+/** What becomes of a request, of this one or of another that waited. */
+export type AdmissionDecision =
+  | { type: 'start'; id: number }
+  | { type: 'refuse'; id: number; reason: AdmissionRefusal };
+
+interface QueuedRow extends AdmissionRequest {
+  queuedAt: number;
+}
+
+/** Limits of a tenant for which none are declared. */
+export const DEFAULT_TENANT_LIMITS: TenantLimits = { inProgress: 500, queued: 200 };
+
+/** The requests of one entry. */
+export class AdmissionTable {
+  readonly #limits: AdmissionLimits;
+  readonly #limitsOf: (tenant: string) => TenantLimits;
+  readonly #running = new Map<number, string>();
+  readonly #runningOf = new Map<string, number>();
+  #queue: QueuedRow[] = [];
+
+  /** @param limitsOf - the limits of a tenant, read anew for each decision */
+  constructor(limits: AdmissionLimits, limitsOf: (tenant: string) => TenantLimits) {
+    this.#limits = limits;
+    this.#limitsOf = limitsOf;
+  }
+
+  get inProgress(): number {
+    return this.#running.size;
+  }
+
+  get queued(): number {
+    return this.#queue.length;
+  }
+
+  /** A request comes; decides on it at once, or lets it wait. */
+  offer(request: AdmissionRequest, now: number): AdmissionDecision[] {
+    const limits = this.#limitsOf(request.tenant);
+    const isFirst = this.#queue.every((row) => !this.#mayStart(row));
+    if (isFirst && this.#mayStart(request)) return [this.#start(request)];
+    const ownQueued = this.#queue.filter((row) => row.tenant === request.tenant).length;
+    if (ownQueued >= limits.queued) return [{ type: 'refuse', id: request.id, reason: 'tenantLimit' }];
+    const shed = this.#queue.length >= this.#limits.queued ? this.#lowest(request) : undefined;
+    if (this.#queue.length >= this.#limits.queued && shed === undefined) {
+      return [{ type: 'refuse', id: request.id, reason: 'entryFull' }];
+    }
+    this.#queue = this.#queue.filter((row) => row !== shed);
+    this.#queue.push({ ...request, queuedAt: now });
+    return shed === undefined ? [] : [{ type: 'refuse', id: shed.id, reason: 'shed' }];
+  }
+
+  /** A request has ended, or its caller has gone while it waited: others may start. */
+  finish(id: number): AdmissionDecision[] {
+    const tenant = this.#running.get(id);
+    this.#queue = this.#queue.filter((row) => row.id !== id);
+    if (tenant === undefined) return [];
+    this.#running.delete(id);
+    this.#runningOf.set(tenant, (this.#runningOf.get(tenant) ?? 1) - 1);
+    return this.#startWaiting();
+  }
+
+  /** Refuses what has waited too long. */
+  expire(now: number): AdmissionDecision[] {
+    const late = this.#queue.filter((row) => now - row.queuedAt >= this.#limits.queueTime);
+    this.#queue = this.#queue.filter((row) => !late.includes(row));
+    return late.map((row) => ({ type: 'refuse', id: row.id, reason: 'queueTime' }));
+  }
+
+  #startWaiting(): AdmissionDecision[] {
+    const decisions: AdmissionDecision[] = [];
+    for (;;) {
+      const next = this.#nextWaiting();
+      if (next === undefined) return decisions;
+      this.#queue = this.#queue.filter((row) => row !== next);
+      decisions.push(this.#start(next));
+    }
+  }
+
+  /** Highest priority first; among equals the tenant that runs least; then whoever came first. */
+  #nextWaiting(): QueuedRow | undefined {
+    let best: QueuedRow | undefined;
+    for (const row of this.#queue) {
+      if (!this.#mayStart(row)) continue;
+      if (best === undefined || this.#goesBefore(row, best)) best = row;
+    }
+    return best;
+  }
+
+  #goesBefore(a: QueuedRow, b: QueuedRow): boolean {
+    if (a.priority !== b.priority) return a.priority > b.priority;
+    return this.#runningFor(a.tenant) < this.#runningFor(b.tenant);
+  }
+
+  #mayStart(request: AdmissionRequest): boolean {
+    if (this.#running.size >= this.#limits.inProgress) return false;
+    return this.#runningFor(request.tenant) < this.#limitsOf(request.tenant).inProgress;
+  }
+
+  #start(request: AdmissionRequest): AdmissionDecision {
+    this.#running.set(request.id, request.tenant);
+    this.#runningOf.set(request.tenant, this.#runningFor(request.tenant) + 1);
+    return { type: 'start', id: request.id };
+  }
+
+  #runningFor(tenant: string): number {
+    return this.#runningOf.get(tenant) ?? 0;
+  }
+
+  /** The waiting request of the lowest priority, the latest of these, if it is lower than that of `request`. */
+  #lowest(request: AdmissionRequest): QueuedRow | undefined {
+    let lowest: QueuedRow | undefined;
+    for (const row of this.#queue) {
+      if (lowest === undefined || row.priority <= lowest.priority) lowest = row;
+    }
+    return lowest !== undefined && lowest.priority < request.priority ? lowest : undefined;
+  }
+}
