Back-pressure for slow callers, a budget for repetitions, links that can be cut in the bench

Cause: an answer to a slow caller was kept in the entry's memory without bound; repetitions after losses had no bound over requests; cut links had not been tried. Tests: an agent sends at most a window of 256 KiB beyond what the caller took; after 20 saved repetitions one in ten requests earns another.

--- a/bench/processes/child.ts
+++ b/bench/processes/child.ts
@@ -44,15 +44,28 @@
   errors: string[];
 }
 
+const liveGroups = new Set<ProcessGroup>();
+let endsGroups = false;
+
+/** Whatever ends this process ends the processes that it started. */
+function endGroupsWithProcess(): void {
+  if (endsGroups) return;
+  endsGroups = true;
+  process.once('exit', () => {
+    for (const group of liveGroups) group.stopAll();
+  });
+  process.once('SIGINT', () => process.exit(130));
+  process.once('SIGTERM', () => process.exit(143));
+}
+
 /** All processes of one run; they end with it. */
 export class ProcessGroup {
   readonly #folder = mkdtempSync(join(tmpdir(), 'thistleway-'));
   readonly #processes = new Map<string, StartedProcess>();
 
   constructor() {
-    process.once('exit', () => this.stopAll());
-    process.once('SIGINT', () => process.exit(130));
-    process.once('SIGTERM', () => process.exit(143));
+    endGroupsWithProcess();
+    liveGroups.add(this);
   }
 
   /** Starts `thistleway COMMAND --config F` with these settings. */
@@ -89,6 +102,7 @@
   stopAll(): void {
     for (const { child } of this.#processes.values()) child.kill('SIGKILL');
     this.#processes.clear();
+    liveGroups.delete(this);
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
--- a/bench/processes/cluster.ts
+++ b/bench/processes/cluster.ts
@@ -5,6 +5,7 @@
 import { OriginWeights } from '../../emulator/platform/weights.js';
 import type { PlatformEmulatorSettings } from '../../src/settings/schemas.js';
 import { freeAddress, ProcessGroup, waitForHttp } from './child.js';
+import { CuttableLink } from './cuttable-link.js';
 
 /** Where a machine stands. */
 export interface MachineLocation {
@@ -21,6 +22,8 @@
 /** A back-end machine with its agent. */
 export interface AgentPlan extends MachineLocation {
   name: string;
+  /** Whether the others reach it by a link that can be cut. */
+  cuttable?: boolean;
   /** Name of the plain service, or undefined for an engine of the pool `pool`. */
   service?: string;
   pool?: string;
@@ -52,6 +55,8 @@
   peers: string;
   operators: string;
   backEnd: string;
+  /** The link by which the others reach it, where it can be cut. */
+  link?: CuttableLink;
   /** When its agent process was started again, in milliseconds since 1970. */
   restartedAt?: number;
 }
@@ -89,6 +94,7 @@
 
   stop(): void {
     this.processes.stopAll();
+    for (const { link } of this.agents) link?.stop();
   }
 
   /** Sets which machines the platform lists as live, some time later. */
@@ -143,6 +149,8 @@
     const { name, place, region, zone, service, pool } = agent;
     const [peers, operators, backEnd] = [await freeAddress(), await freeAddress(), await freeAddress()];
     const url = `http://${backEnd}`;
+    const link = agent.cuttable ? new CuttableLink(await freeAddress(), peers) : undefined;
+    await link?.start();
     if (service === undefined) {
       this.processes.start(`${name}-engine`, ['emulate', 'engine'], { listen: backEnd, ...this.plan.engine });
     } else {
@@ -153,6 +161,7 @@
       region,
       zone,
       listen: { peers, operators },
+      advertisedPeers: link?.address,
       entries: this.entries.map((entry) => entry.peers),
       backEnd:
         service === undefined ? { kind: 'engine', url, pool } : { kind: 'service', url, name: service },
@@ -164,6 +173,6 @@
       },
       log: { level: 'warn' },
     });
-    return { ...agent, peers, operators, backEnd };
+    return { ...agent, peers: link?.address ?? peers, operators, backEnd, link };
   }
 }
--- /dev/null
+++ b/bench/processes/cuttable-link.ts
@@ -0,0 +1,67 @@
+/** A link on the loopback address that can be cut, one way or both: what is sent while it is cut waits, as with TCP. */
+import { createServer, type Server, Socket } from 'node:net';
+
+/** Directions in which nothing passes. */
+export type Cut = 'none' | 'toTarget' | 'fromTarget' | 'both';
+
+/** A link from `address` to `target` (`host:port`). */
+export class CuttableLink {
+  readonly address: string;
+  readonly #target: string;
+  readonly #pairs = new Set<{ near: Socket; far: Socket }>();
+  #server: Server | undefined;
+  #cut: Cut = 'none';
+
+  constructor(address: string, target: string) {
+    this.address = address;
+    this.#target = target;
+  }
+
+  async start(): Promise<void> {
+    const [host, port] = this.address.split(':');
+    const server = createServer((near) => this.#join(near));
+    await new Promise<void>((resolve) => server.listen(Number(port), host, resolve));
+    this.#server = server;
+  }
+
+  /** Cuts the link, or lets it pass again. */
+  cut(cut: Cut): void {
+    this.#cut = cut;
+    for (const pair of this.#pairs) this.#apply(pair);
+  }
+
+  stop(): void {
+    this.#server?.close();
+    for (const { near, far } of this.#pairs) {
+      near.destroy();
+      far.destroy();
+    }
+  }
+
+  #join(near: Socket): void {
+    const [host, port] = this.#target.split(':');
+    const far = new Socket();
+    far.connect(Number(port), host);
+    const pair = { near, far };
+    this.#pairs.add(pair);
+    for (const [from, to] of [
+      [near, far],
+      [far, near],
+    ]) {
+      from.on('data', (data) => to.write(data));
+      from.on('error', () => to.destroy());
+      from.on('close', () => {
+        to.destroy();
+        this.#pairs.delete(pair);
+      });
+    }
+    this.#apply(pair);
+  }
+
+  #apply({ near, far }: { near: Socket; far: Socket }): void {
+    if (this.#cut === 'toTarget' || this.#cut === 'both') near.pause();
+    else near.resume();
+    if (this.#cut === 'fromTarget' || this.#cut === 'both') far.pause();
+    else far.resume();
+  }
+}
--- a/bench/processes/request-cluster.ts
+++ b/bench/processes/request-cluster.ts
@@ -33,11 +33,13 @@
       ...Array.from({ length: ENGINES }, (_, index) => ({
         name: `engine-${index}`,
         pool: 'gpu',
+        cuttable: index === 0,
         ...location(index),
       })),
       ...Array.from({ length: SERVICES }, (_, index) => ({
         name: `control-${index}`,
         service: SERVICE,
+        cuttable: index === 0,
         ...location(index),
       })),
     ],
--- a/bench/processes/request-faults.ts
+++ b/bench/processes/request-faults.ts
@@ -1,6 +1,7 @@
 /** The fault cases of the request path, over real processes. Times in milliseconds from the begin of the load. */
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Cluster, StartedAgent } from './cluster.js';
+import type { Cut } from './cuttable-link.js';
 
 /** What a case may act on. */
 export interface RequestFaultContext {
@@ -19,6 +20,9 @@
 }
 
 const DRAIN_TIME = 4_000;
+/** Longer and shorter than the silence after which a connection is ended. */
+const CUT_TIME = 6_000;
+const SHORT_CUT_TIME = 1_500;
 
 async function freeze(cluster: Cluster, name: string, milliseconds: number): Promise<void> {
   cluster.processes.kill(name, 'SIGSTOP');
@@ -26,6 +30,17 @@
   cluster.processes.kill(name, 'SIGCONT');
 }
 
+async function cutLinks(
+  { engines, services }: RequestFaultContext,
+  cut: Cut,
+  milliseconds: number,
+): Promise<void> {
+  const links = [engines[0].link, services[0].link];
+  for (const link of links) link?.cut(cut);
+  await pause(milliseconds);
+  for (const link of links) link?.cut('none');
+}
+
 async function replace(cluster: Cluster, name: string): Promise<void> {
   cluster.processes.kill(name);
   await pause(300);
@@ -66,6 +81,10 @@
     name: 'serviceFrozen',
     inject: ({ cluster, services }) => freeze(cluster, `${services[0].name}-service`, 5_000),
   },
+  { name: 'linkCutBothWays', inject: (context) => cutLinks(context, 'both', CUT_TIME) },
+  { name: 'linkCutToAgents', inject: (context) => cutLinks(context, 'toTarget', CUT_TIME) },
+  { name: 'linkCutFromAgents', inject: (context) => cutLinks(context, 'fromTarget', CUT_TIME) },
+  { name: 'linkCutShortly', inject: (context) => cutLinks(context, 'both', SHORT_CUT_TIME) },
   { name: 'storeDown', inject: ({ cluster }) => cluster.setFaults({ tablesDown: true, objectsDown: true }) },
   { name: 'storeSlow', inject: ({ cluster }) => cluster.setFaults({ tablesDelay: 2_500 }) },
   { name: 'storeAnswersLost', inject: ({ cluster }) => cluster.setFaults({ loseAnswers: 50 }) },
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -100,7 +100,8 @@
     const { settings, identity, random, clock, log, timeline, store, engine } = components;
     this.#components = components;
     const { place, region, zone } = settings;
-    this.#info = { id: identity, address: settings.listen.peers, place, region, zone };
+    const address = settings.advertisedPeers ?? settings.listen.peers;
+    this.#info = { id: identity, address, place, region, zone };
     const context: ConnectionContext = {
       clock,
       counters: this.#counters,
@@ -108,7 +109,7 @@
     };
     this.#loader = new VersionLoader({ engine, store, timeline, log });
     if (settings.backEnd.kind === 'service') {
-      this.#ownership = new KeyOwnership(settings.listen.peers, () => performance.now());
+      this.#ownership = new KeyOwnership(address, () => performance.now());
     }
     this.#calls = new Calls(this.#createBackEnd(), settings.backEnd.capacity, this.#ownership);
     this.#exchange = new Exchange(
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -7,6 +7,7 @@
 import type { CallMessage, CallRefusal } from '../protocol/messages.js';
 import type { KeyOwnership } from './key-ownership.js';
 import { OnceCalls, type OnceCounters } from './once-calls.js';
+import { SendWindow } from './send-window.js';
 
 /** Requests beyond the back end's capacity that may wait in it, as a share of the capacity. */
 const QUEUE_SHARE = 1;
@@ -51,6 +52,14 @@
 interface ActiveCall {
   call: CallRequest;
   abort: AbortController;
+  window: SendWindow;
+}
+
+/** How a body is passed on. */
+interface RelayOptions {
+  window: SendWindow;
+  signal: AbortSignal;
+  isEventStream: boolean;
 }
 
 /** The calls of one agent. */
@@ -105,9 +114,12 @@
     connection.handleMessages((message) => {
       if (message.type === 'call') {
         own.add(keyOf(message));
-        void this.#run(connection, message).finally(() => own.delete(keyOf(message)));
+        void this.#run(connection, message)
+          .catch(() => connection.close())
+          .finally(() => own.delete(keyOf(message)));
       }
       if (message.type === 'callCancel') this.#cancel(keyOf(message));
+      if (message.type === 'callTaken') this.#active.get(keyOf(message))?.window.taken(message.bytes);
     });
     connection.onClose = () => {
       for (const key of own) this.#cancel(key);
@@ -122,12 +134,13 @@
       return refuseCall(connection, call, refusal, true);
     }
     const abort = new AbortController();
-    this.#active.set(keyOf(call), { call, abort });
+    const window = new SendWindow();
+    this.#active.set(keyOf(call), { call, abort, window });
     this.counters.started++;
     this.onChange();
     const signal = AbortSignal.any([abort.signal, AbortSignal.timeout(timeLeftOf(call))]);
     try {
-      await this.#relay(connection, call, signal);
+      await this.#relay(connection, call, window, signal);
     } finally {
       this.#active.delete(keyOf(call));
       this.onChange();
@@ -146,7 +159,12 @@
     return call.once === undefined || performance.now() - this.#leavingSince > OWNER_LEAVING_GRACE;
   }
 
-  async #relay(connection: Connection, call: CallRequest, signal: AbortSignal): Promise<void> {
+  async #relay(
+    connection: Connection,
+    call: CallRequest,
+    window: SendWindow,
+    signal: AbortSignal,
+  ): Promise<void> {
     const { callId, attempt } = call;
     let stream: HttpStream;
     try {
@@ -162,12 +180,11 @@
     const contentType = String(stream.headers['content-type'] ?? 'application/octet-stream');
     connection.send({ type: 'callHead', callId, attempt, status: stream.statusCode, contentType });
     try {
-      const frames = await this.#relayBody(
-        connection,
-        call,
-        stream,
-        contentType.startsWith('text/event-stream'),
-      );
+      const frames = await this.#relayBody(connection, call, stream, {
+        window,
+        signal,
+        isEventStream: contentType.startsWith('text/event-stream'),
+      });
       this.counters.answered++;
       connection.send({ type: 'callEnd', callId, attempt, frames });
     } catch (cause) {
@@ -193,7 +210,7 @@
     connection: Connection,
     call: CallRequest,
     stream: HttpStream,
-    isEventStream: boolean,
+    { window, signal, isEventStream }: RelayOptions,
   ): Promise<number> {
     const { callId, attempt } = call;
     let sequence = 0;
@@ -201,7 +218,9 @@
     for await (const part of stream.body) {
       const data = part as Buffer;
       tail = (tail + data.toString('latin1')).slice(-STREAM_END.length * 2);
+      await window.room(signal);
       connection.send({ type: 'callData', callId, attempt, sequence: sequence++, data });
+      window.sent(data.byteLength);
     }
     if (isEventStream && !tail.includes(STREAM_END)) throw new Error('the stream ended before its end mark');
     return sequence;
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -3,10 +3,14 @@
 import type { CallLink, CallListener } from './call-links.js';
 import type { Ran } from './errors.js';
 
+/** Bytes of an answer that are told to the agent as taken at a time: a quarter of its window. */
+const TAKEN_STEP = 64 * 1_024;
+
 /** Where an answer goes. */
 export interface AnswerSink {
   head(status: number, contentType: string, agent: string): void;
-  data(data: Uint8Array): void;
+  /** Takes a part of the answer; returns undefined when it is taken, or a promise while the caller is slow. */
+  data(data: Uint8Array): Promise<void> | undefined;
 }
 
 /** What became of an attempt. */
@@ -27,7 +31,8 @@
   signal: AbortSignal,
 ): Promise<AttemptOutcome> {
   return new Promise((resolve) => {
-    const answer = new AttemptAnswer(call.timeLeft, link.remoteId, sink, (outcome) => {
+    const taken = (bytes: number) => link.taken(call.callId, call.attempt, bytes);
+    const answer = new AttemptAnswer(call.timeLeft, link.remoteId, sink, taken, (outcome) => {
       signal.removeEventListener('abort', cancel);
       link.end(call.callId, call.attempt, answer.mustCancel);
       resolve(outcome);
@@ -44,15 +49,25 @@
   mustCancel = false;
   readonly #agent: string;
   readonly #sink: AnswerSink;
+  readonly #taken: (bytes: number) => void;
   readonly #settled: (outcome: AttemptOutcome) => void;
+  /** Bytes taken and not yet told to the agent. */
+  #untold = 0;
   readonly #timer: NodeJS.Timeout;
   #frames = 0;
   #headSent = false;
   #isSettled = false;
 
-  constructor(timeLeft: number, agent: string, sink: AnswerSink, settled: (outcome: AttemptOutcome) => void) {
+  constructor(
+    timeLeft: number,
+    agent: string,
+    sink: AnswerSink,
+    taken: (bytes: number) => void,
+    settled: (outcome: AttemptOutcome) => void,
+  ) {
     this.#agent = agent;
     this.#sink = sink;
+    this.#taken = taken;
     this.#settled = settled;
     this.#timer = setTimeout(() => this.abandon('the deadline has passed'), timeLeft);
   }
@@ -66,7 +81,7 @@
       case 'callData':
         if (message.sequence !== this.#frames) return this.abandon('a frame of the answer is missing');
         this.#frames++;
-        return this.#sink.data(message.data);
+        return this.#pass(message.data);
       case 'callEnd':
         if (message.frames !== this.#frames) return this.abandon('frames of the answer are missing');
         return this.#settle({ type: 'answered' });
@@ -80,6 +95,20 @@
     }
   }
 
+  #pass(data: Uint8Array): void {
+    const slow = this.#sink.data(data);
+    if (slow === undefined) return this.#noteTaken(data.byteLength);
+    void slow.then(() => this.#noteTaken(data.byteLength));
+  }
+
+  /** Tells the agent of what the caller has taken, a part of its window at a time. */
+  #noteTaken(bytes: number): void {
+    this.#untold += bytes;
+    if (this.#untold < TAKEN_STEP) return;
+    this.#taken(this.#untold);
+    this.#untold = 0;
+  }
+
   onLost(): void {
     this.#fail('unknown', 'the connection to the back end was lost');
   }
--- a/src/entry/call-links.ts
+++ b/src/entry/call-links.ts
@@ -56,6 +56,11 @@
     if (cancel) this.#connection.send({ type: 'callCancel', callId, attempt });
   }
 
+  /** The caller has taken bytes of an answer. */
+  taken(callId: string, attempt: number, bytes: number): void {
+    this.#connection.send({ type: 'callTaken', callId, attempt, bytes });
+  }
+
   close(): void {
     this.#connection.close();
   }
--- a/src/entry/call-router.ts
+++ b/src/entry/call-router.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Random } from '../model/random.js';
 import { failure, type Result, success } from '../model/result.js';
+import { RetryBudget } from '../systems/retry-budget.js';
 import { chooseRoute, type ReplicaRow } from '../systems/routing.js';
 import type { AgentDirectory, AgentRow } from './agent-directory.js';
 import { type AnswerSink, type AttemptOutcome, attemptCall, type CallHandOver } from './attempt.js';
@@ -66,6 +67,7 @@
     refused: 0,
   };
   readonly #components: CallRouterComponents;
+  readonly #budget = new RetryBudget();
   readonly #ownActive = new Map<string, number>();
   readonly #suspended = new Map<string, number>();
 
@@ -76,6 +78,7 @@
   /** Routes a request; returns once the whole answer has gone to `sink`, or why there is none. */
   async route(call: RoutedCall, sink: AnswerSink, signal: AbortSignal): Promise<Result<void, CallError>> {
     this.counters.routed++;
+    this.#budget.earn();
     const callId = randomUUID();
     const { method, path, contentType, body } = call;
     const endsAt = performance.now() + call.deadline;
@@ -103,7 +106,7 @@
       error = { type: 'backEndFailed', ran: outcome.ran, reason: outcome.reason };
       const mayRepeat = outcome.ran === 'no' || call.repeatable;
       if (outcome.ran !== 'no') losses++;
-      if (outcome.headSent || !mayRepeat || losses > MAX_RETRIES_AFTER_LOSS) break;
+      if (outcome.headSent || !mayRepeat || losses > MAX_RETRIES_AFTER_LOSS || !this.#budget.spend()) break;
       this.counters.retries++;
     }
     if (error.ran === 'no') this.counters.refused++;
--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -224,7 +224,10 @@
         context.respond = false;
         res.writeHead(status, { 'content-type': contentType, 'x-thistleway-agent': agent });
       },
-      data: (data: Uint8Array) => void res.write(data),
+      data: (data: Uint8Array) => {
+        if (res.write(data)) return undefined;
+        return new Promise<void>((resolve) => res.once('drain', resolve));
+      },
     };
     const outcome = await route(sink, signal);
     if (outcome.ok) return void res.end();
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -169,6 +169,8 @@
       once: OnceCall | undefined;
     }
   | { type: 'callCancel'; callId: string; attempt: number }
+  /** The caller has taken bytes of the answer: as many more may be sent. */
+  | { type: 'callTaken'; callId: string; attempt: number; bytes: number }
   | { type: 'callHead'; callId: string; attempt: number; status: number; contentType: string }
   | { type: 'callData'; callId: string; attempt: number; sequence: number; data: Uint8Array }
   | { type: 'callEnd'; callId: string; attempt: number; frames: number }
@@ -216,6 +218,7 @@
   agents: ['type', 'statuses', 'gone'],
   call: ['type', 'callId', 'attempt', 'version', 'method', 'path', 'contentType', 'body', 'timeLeft', 'once'],
   callCancel: ['type', 'callId', 'attempt'],
+  callTaken: ['type', 'callId', 'attempt', 'bytes'],
   callHead: ['type', 'callId', 'attempt', 'status', 'contentType'],
   callData: ['type', 'callId', 'attempt', 'sequence', 'data'],
   callEnd: ['type', 'callId', 'attempt', 'frames'],
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -65,6 +65,8 @@
     /** For operators (HTTP). */
     operators: address,
   }),
+  /** Address that others are told for `listen.peers`, where it differs. */
+  advertisedPeers: address.optional(),
   /** Addresses, for the system's own processes, of the entries that this agent may use as its home. */
   entries: z.array(address).min(1, 'must name at least one entry'),
   backEnd: z.discriminatedUnion('kind', [
--- a/test/agent/calls.test.ts
+++ b/test/agent/calls.test.ts
@@ -1,6 +1,7 @@
 import { Readable } from 'node:stream';
 import { describe, expect, it } from 'vitest';
 import { type BackEnd, type CallRequest, Calls } from '../../src/agent/calls.js';
+import { WINDOW_BYTES } from '../../src/agent/send-window.js';
 import type { HttpStream } from '../../src/platform/http.js';
 import type { Connection } from '../../src/protocol/connection.js';
 import type { Message } from '../../src/protocol/messages.js';
@@ -115,6 +116,24 @@
     expect(sent).toMatchObject([{ type: 'callRefused', attempt: 3, reason: 'overloaded' }]);
   });
 
+  it('sends no more than the caller takes', async () => {
+    const parts = Array.from({ length: 100 }, () => 'x'.repeat(16 * 1_024));
+    const calls = new Calls(backEnd([...parts, 'data: [DONE]\n\n']), 1);
+    const sent: Message[] = [];
+    const { connection, receive } = connectionTo(sent);
+    calls.serve(connection);
+    receive(call());
+    const bytes = () => sent.reduce((sum, m) => sum + (m.type === 'callData' ? m.data.byteLength : 0), 0);
+    await until(() => bytes() >= WINDOW_BYTES, 'a full window');
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect(bytes()).toBeLessThanOrEqual(WINDOW_BYTES + 16 * 1_024);
+    while (!sent.some(({ type }) => type === 'callEnd')) {
+      receive({ type: 'callTaken', callId: 'c', attempt: 1, bytes: 64 * 1_024 });
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    expect(sent.at(-1)).toMatchObject({ type: 'callEnd', frames: 101 });
+  });
+
   it.each([59_975.829, -1, Number.NaN, 1e12])('takes a time left of %d without harm', async (timeLeft) => {
     const sent = await outcomeOf(new Calls(backEnd(['data: [DONE]\n\n']), 1), call({ timeLeft }));
     expect(sent.at(-1)?.type).toMatch(/callEnd|callFailed/);
--- a/test/entry/call-router.test.ts
+++ b/test/entry/call-router.test.ts
@@ -65,6 +65,7 @@
       return true;
     },
     end: () => {},
+    taken: () => {},
   };
 }
 
@@ -72,7 +73,10 @@
   const received: string[] = [];
   const sink = {
     head: () => {},
-    data: (data: Uint8Array) => void received.push(Buffer.from(data).toString()),
+    data: (data: Uint8Array) => {
+      received.push(Buffer.from(data).toString());
+      return undefined;
+    },
   };
   const call: RoutedCall = {
     places: ['place-a'],
@@ -130,6 +134,15 @@
     expect(ran).toEqual(['a']);
   });
 
+  it('stops repeating once its budget is spent', async () => {
+    const { router } = routerBefore({ a: ['lost'], b: WHOLE });
+    let answered = 0;
+    for (let call = 0; call < 60; call++) answered += (await route(router)).outcome.ok ? 1 : 0;
+    // 20 saved up and one earned by every tenth request.
+    expect(answered).toBeGreaterThanOrEqual(20);
+    expect(answered).toBeLessThanOrEqual(26);
+  });
+
   it('uses no back end in another place, and says at once when to come back', async () => {
     const { router, ran } = routerBefore({ a: WHOLE }, 'place-b');
     const { outcome } = await route(router);
