--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -167,6 +167,27 @@
   }
 }
 
+/** `thistleway bench routing`. */
+export class BenchRoutingCommand extends ThistlewayCommand {
+  static override paths = [['bench', 'routing']];
+  static override usage = ThistlewayCommand.Usage({
+    category: 'Development',
+    description: 'compare ways to use prefix caches, in virtual time',
+  });
+  rate = Option.String('--rate', '80', { description: 'requests a second over 8 replicas' });
+  prefixes = Option.String('--prefixes', '20', { description: 'number of different prompt prefixes' });
+  seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
+
+  async perform(): Promise<number> {
+    const { compareRouting } = await import('../../bench/simulation/routing-simulation.js');
+    const [rate, prefixes, seed] = [this.rate, this.prefixes, this.seed].map(Number);
+    this.context.stdout.write(
+      `${JSON.stringify({ rate, prefixes, cases: compareRouting(rate, prefixes, seed) })}\n`,
+    );
+    return 0;
+  }
+}
+
 function keepsPromises(report: RequestReport, planned: boolean): boolean {
   const { lost, crossed, ranTwice, falseNotRun, newWorkAfterLeaving, cut } = report;
   return lost + crossed + ranTwice + falseNotRun + newWorkAfterLeaving + (planned ? cut : 0) === 0;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,12 @@
 /** The command line: one binary with all roles. */
 import { Builtins, Cli } from 'clipanion';
-import { BenchBurstCommand, BenchFootprintCommand, BenchRequestsCommand, DemoCommand } from './bench.js';
+import {
+  BenchBurstCommand,
+  BenchFootprintCommand,
+  BenchRequestsCommand,
+  BenchRoutingCommand,
+  DemoCommand,
+} from './bench.js';
 import { EXIT_USAGE } from './errors.js';
 import {
   ApplyCommand,
@@ -31,6 +37,7 @@
   BenchBurstCommand,
   BenchRequestsCommand,
   BenchFootprintCommand,
+  BenchRoutingCommand,
   DemoCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
--- a/src/entry/call-router.ts
+++ b/src/entry/call-router.ts
@@ -27,6 +27,8 @@
   places: readonly string[];
   /** Versions that may answer, or undefined for a plain service. */
   versions: readonly string[] | undefined;
+  /** Beginning of the prompt, where it is long enough to be worth finding in a cache. */
+  prefix: string | undefined;
   /** Which agents may serve it, besides place and version. */
   eligible: (agent: AgentRow) => boolean;
   /** Whether it may run more than once. */
@@ -123,7 +125,13 @@
     signal: AbortSignal,
   ): Promise<AttemptOutcome | undefined> {
     const timeLeft = Math.ceil(endsAt - performance.now());
-    const query = { places: call.places, versions: call.versions, excluded, now: performance.now() };
+    const query = {
+      places: call.places,
+      versions: call.versions,
+      excluded,
+      prefix: call.prefix,
+      now: performance.now(),
+    };
     const route = chooseRoute(this.#replicas(call), query, this.#components.random);
     if (route === undefined || timeLeft <= 0) return undefined;
     const { replica, version } = route;
--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -33,6 +33,9 @@
   shed: 2_000,
   queueTime: 2_000,
 };
+/** Shortest beginning of a prompt by which a replica is chosen, and how much of it counts. */
+const MIN_PREFIX_CHARACTERS = 256;
+const MAX_PREFIX_CHARACTERS = 1_024;
 const SAFE_METHODS = new Set(['GET', 'HEAD']);
 
 /** What the interface works with. */
@@ -98,19 +101,24 @@
 
   async #complete(context: Koa.Context): Promise<void> {
     const body = await readBody(context);
-    const model = modelOf(body);
-    if (model === undefined) {
+    const prompt = promptOf(body);
+    if (prompt === undefined) {
       return this.#refuse(context, { type: 'malformedRequest', ran: 'no', reason: 'no "model" in the body' });
     }
     const tenant = context.get(TENANT_HEADER);
     const found = this.#components.configuration
       .deployments()
-      .find(({ value }) => value.spec.tenant === tenant && value.spec.model === model);
+      .find(({ value }) => value.spec.tenant === tenant && value.spec.model === prompt.model);
     if (found === undefined) return this.#refuse(context, { type: 'unknownModel', ran: 'no' });
-    await this.#route(context, this.#modelCall(context, found.value, body));
+    await this.#route(context, this.#modelCall(context, found.value, body, prompt.prefix));
   }
 
-  #modelCall(context: Koa.Context, deployment: ModelDeployment, body: Buffer): AdmittedCall {
+  #modelCall(
+    context: Koa.Context,
+    deployment: ModelDeployment,
+    body: Buffer,
+    prefix: string | undefined,
+  ): AdmittedCall {
     const placement = this.#components.configuration.placement(deployment.metadata.name)?.value;
     const { version, pool, places, tenant, priority } = deployment.spec;
     const versions = [version, placement?.version, placement?.previousVersion].filter((v) => v !== undefined);
@@ -119,6 +127,7 @@
       priority,
       places,
       versions,
+      prefix,
       eligible: ({ status }) => status.backEnd === 'engine' && status.pool === pool,
       repeatable: true,
       method: 'POST',
@@ -156,6 +165,7 @@
       priority,
       places,
       versions: undefined,
+      prefix: undefined,
       eligible: ({ status }) => status.backEnd === 'service' && status.pool === service.metadata.name,
       repeatable: SAFE_METHODS.has(context.method) || repeatable.some((prefix) => path.startsWith(prefix)),
       method: context.method,
@@ -248,11 +258,19 @@
   }
 }
 
-function modelOf(body: Buffer): string | undefined {
+/** What routing needs of a completion's body; undefined where it is not one. */
+function promptOf(body: Buffer): { model: string; prefix: string | undefined } | undefined {
   try {
-    const { model } = JSON.parse(body.toString('utf8')) as { model?: unknown };
-    return typeof model === 'string' ? model : undefined;
+    const { model, messages } = JSON.parse(body.toString('utf8')) as { model?: unknown; messages?: unknown };
+    return typeof model === 'string' ? { model, prefix: prefixOf(messages) } : undefined;
   } catch {
     return undefined;
   }
 }
+
+/** The beginning of the first message, if it is long enough to be worth finding in a cache. */
+function prefixOf(messages: unknown): string | undefined {
+  const first = Array.isArray(messages) ? (messages[0] as { content?: unknown } | undefined) : undefined;
+  if (typeof first?.content !== 'string' || first.content.length < MIN_PREFIX_CHARACTERS) return undefined;
+  return first.content.slice(0, MAX_PREFIX_CHARACTERS);
+}
--- a/src/systems/routing.ts
+++ b/src/systems/routing.ts
@@ -1,5 +1,8 @@
-/** Chooses the back end for a request: hard filters first, then the least loaded one. */
-import type { Random } from '../model/random.js';
+/**
+ * Chooses the back end for a request: hard filters first, then the lowest cost, which is load and, for prompts with a
+ * long beginning, distance from the replica that has probably read that beginning before.
+ */
+import { type Random, rendezvousOrder } from '../model/random.js';
 
 /** A back end as routing sees it. */
 export interface ReplicaRow {
@@ -26,6 +29,8 @@
   versions: readonly string[] | undefined;
   /** Back ends that refused this request already. */
   excluded: ReadonlySet<string>;
+  /** Beginning of the prompt, where it is long enough to be worth finding in a cache. */
+  prefix: string | undefined;
   now: number;
 }
 
@@ -35,6 +40,19 @@
   version: string;
 }
 
+/** What it costs, in shares of a full back end, to leave the first replica of a prefix's order. */
+const AFFINITY_COST = 0.5;
+/** What each further place in the order costs, so that all entries leave it for the same next one. */
+const AFFINITY_STEP = 0.02;
+
+/**
+ * What it costs to send a prompt to the replica at `rank` of its prefix's order: that replica has probably not read
+ * the prefix yet. In units of the load of a full back end.
+ */
+export function affinityCost(rank: number): number {
+  return rank === 0 ? 0 : AFFINITY_COST + rank * AFFINITY_STEP;
+}
+
 /** Chooses a back end, or undefined where none fits. */
 export function chooseRoute(
   replicas: readonly ReplicaRow[],
@@ -44,10 +62,11 @@
   let best: Route | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   let ties = 0;
+  const ranks = ranksFor(query.prefix, replicas);
   for (const replica of replicas) {
     const version = usableVersion(replica, query);
     if (version === undefined) continue;
-    const cost = costOf(replica);
+    const cost = costOf(replica) + affinityCost(ranks?.get(replica.id) ?? 0);
     if (cost > bestCost) continue;
     ties = cost < bestCost ? 1 : ties + 1;
     bestCost = cost;
@@ -56,6 +75,19 @@
   return best;
 }
 
+/** The place of each replica in the prefix's order; the same at every entry, without a message. */
+function ranksFor(
+  prefix: string | undefined,
+  replicas: readonly ReplicaRow[],
+): Map<string, number> | undefined {
+  if (prefix === undefined) return undefined;
+  const order = rendezvousOrder(
+    prefix,
+    replicas.map((replica) => replica.id),
+  );
+  return new Map(order.map((id, rank) => [id, rank]));
+}
+
 function usableVersion(replica: ReplicaRow, query: RouteQuery): string | undefined {
   if (replica.leaving || query.excluded.has(replica.id) || replica.suspendedUntil > query.now)
     return undefined;
--- a/test/entry/call-router.test.ts
+++ b/test/entry/call-router.test.ts
@@ -81,6 +81,7 @@
   const call: RoutedCall = {
     places: ['place-a'],
     versions: [VERSION],
+    prefix: undefined,
     eligible: () => true,
     repeatable: true,
     method: 'POST',
--- a/test/systems/decisions.test.ts
+++ b/test/systems/decisions.test.ts
@@ -1,7 +1,9 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { seededRandom } from '../../src/model/random.js';
 import { decideLease, LEASE_DURATION, LEASE_RENEWAL_INTERVAL } from '../../src/systems/lease.js';
 import { type DeploymentRow, type MachineRow, placeDeployments } from '../../src/systems/placement.js';
+import { chooseRoute, type ReplicaRow } from '../../src/systems/routing.js';
 
 describe('leases', () => {
   const held = { row: { holder: 'other', epoch: 3 }, revision: 7, seenAt: 1_000 };
@@ -37,6 +39,62 @@
   });
 });
 
+describe('routing', () => {
+  function replica(id: string, ownActive = 0): ReplicaRow {
+    const ready = ['v'];
+    return {
+      id,
+      place: 'a',
+      zone: 'a',
+      leaving: false,
+      ready,
+      reportedActive: 0,
+      ownActive,
+      capacity: 10,
+      suspendedUntil: 0,
+    };
+  }
+  const query = {
+    places: ['a'],
+    versions: ['v'],
+    excluded: new Set<string>(),
+    prefix: 'long beginning',
+    now: 0,
+  };
+  const names = ['r1', 'r2', 'r3', 'r4'];
+  const route = (rows: ReplicaRow[], overrides = {}, seed = 1) =>
+    chooseRoute(rows, { ...query, ...overrides }, seededRandom(seed))?.replica.id;
+
+  it('sends prompts with the same beginning to the same replica, whichever entry decides', () => {
+    const rows = names.map((name) => replica(name));
+    const chosen = route(rows);
+    for (let seed = 2; seed < 20; seed++) expect(route([...rows].reverse(), {}, seed)).toBe(chosen);
+  });
+
+  it('leaves that replica when it is much busier than the others, all entries for the same next one', () => {
+    const preferred = route(names.map((name) => replica(name)))!;
+    const rows = names.map((name) => replica(name, name === preferred ? 9 : 0));
+    const next = route(rows);
+    expect(next).not.toBe(preferred);
+    for (let seed = 2; seed < 20; seed++) expect(route(rows, {}, seed)).toBe(next);
+    expect(route(names.map((name) => replica(name, name === preferred ? 4 : 0)))).toBe(preferred);
+  });
+
+  it('goes by load alone where there is no long beginning', () => {
+    const rows = names.map((name, index) => replica(name, index === 2 ? 0 : 1));
+    expect(route(rows, { prefix: undefined })).toBe('r3');
+  });
+
+  it.each([
+    ['is leaving', { leaving: true }],
+    ['lies in another place', { place: 'b' }],
+    ['has another version', { ready: ['w'] }],
+    ['was just lost', { suspendedUntil: 1 }],
+  ])('never chooses a replica that %s', (_, fault) => {
+    expect(route([{ ...replica('r1'), ...fault }])).toBeUndefined();
+  });
+});
+
 describe('placement', () => {
   const deployment: DeploymentRow = {
     name: 'd',
