Entries in zones: relays between zones, loads inside, configuration pushed

Cause: entries exchanged every agent's status all to all and each read the store: at 400 entries 0.6 MB/s of statuses at each, 399 connections and 1,000 readings a second (derived). Now: all to all inside a zone; the lowest live entry of each zone is its relay to the others and reads the store for it; what lasts of a status goes everywhere, loads stay in the zone; rows read by one are passed to all.

--- a/bench/processes/caller.ts
+++ b/bench/processes/caller.ts
@@ -18,6 +18,8 @@
   cut: number;
   /** Neither a whole answer nor any clear word. */
   lost: number;
+  /** The lost ones by what the caller saw. */
+  lostBy: Record<string, number>;
   /** Answers whose events name more than one version. */
   mixedVersions: number;
   /** Answers to another request. */
@@ -42,6 +44,7 @@
     unknown: 0,
     cut: 0,
     lost: 0,
+    lostBy: {},
     mixedVersions: 0,
     crossed: 0,
     byVersion: {},
@@ -107,8 +110,11 @@
     } catch (cause) {
       const code = ((cause as Error).cause as { code?: string } | undefined)?.code;
       if (code === 'ECONNREFUSED') return false;
-      if (code === 'UND_ERR_SOCKET' || (cause as Error).message === 'terminated') this.counts.cut++;
-      else this.counts.lost++;
+      // The connection broke: the caller sees that there is no whole answer.
+      const isCut =
+        code === 'UND_ERR_SOCKET' || code === 'ECONNRESET' || (cause as Error).message === 'terminated';
+      if (isCut) this.counts.cut++;
+      else this.#noteLost(code ?? (cause as Error).name);
     }
     return true;
   }
@@ -128,6 +134,11 @@
     return text;
   }
 
+  #noteLost(reason: string): void {
+    this.counts.lost++;
+    this.counts.lostBy[reason] = (this.counts.lostBy[reason] ?? 0) + 1;
+  }
+
   #noteRefusal({ error }: { error: { ran: string } }): void {
     if (error.ran === 'no') this.counts.refusedNotRun++;
     else this.counts.unknown++;
@@ -144,7 +155,7 @@
     if (versions.size > 1) this.counts.mixedVersions++;
     if (!content.startsWith(topic)) this.counts.crossed++;
     if (lines.at(-1) !== 'data: [DONE]' || content !== expected) {
-      this.counts.lost++;
+      this.#noteLost('incomplete');
       return;
     }
     this.counts.answeredWhole++;
--- a/bench/processes/cluster.ts
+++ b/bench/processes/cluster.ts
@@ -133,7 +133,9 @@
       region,
       zone,
       listen: { callers, peers },
-      entries: this.entries.filter((other) => other !== entry).map((other) => other.peers),
+      entries: this.entries
+        .filter((other) => other !== entry)
+        .map((other) => ({ address: other.peers, zone: other.zone })),
       platform: {
         tables: `${platform}/tables`,
         objects: `${platform}/objects`,
@@ -162,7 +164,7 @@
       zone,
       listen: { peers, operators },
       advertisedPeers: link?.address,
-      entries: this.entries.map((entry) => entry.peers),
+      entries: this.entries.map((entry) => ({ address: entry.peers, zone: entry.zone })),
       backEnd:
         service === undefined ? { kind: 'engine', url, pool } : { kind: 'service', url, name: service },
       origin: `http://${this.platform}/origin`,
--- a/bench/processes/request-bench.ts
+++ b/bench/processes/request-bench.ts
@@ -38,6 +38,7 @@
   unknown: number;
   /** Requests that got neither a whole answer nor any clear word. */
   lost: number;
+  lostBy: Record<string, number>;
   cut: number;
   crossed: number;
   ranTwice: number;
@@ -163,6 +164,7 @@
     refusedNotRun: counts.refusedNotRun + once.refusedNotRun,
     unknown: counts.unknown + once.unknown,
     lost: counts.lost + (once.sent - once.answeredWhole - once.refusedNotRun - once.unknown),
+    lostBy: counts.lostBy,
     cut: counts.cut,
     crossed: counts.crossed + once.crossed,
     ranTwice: [...byKey.values()].filter((count) => count > 1).length,
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -24,6 +24,7 @@
 import { httpServer } from '../server/http-server.js';
 import type { AgentSettings } from '../settings/schemas.js';
 import type { PeerInfo } from '../systems/distribution/transfer.js';
+import { lowestOfEachZone } from '../systems/entry-topology.js';
 import type { OwnersRow } from '../systems/ownership.js';
 import { engineBackEnd, serviceBackEnd } from './back-ends.js';
 import { BurstLinks } from './burst-links.js';
@@ -121,8 +122,8 @@
         onCoordinatorMessage: (version, message) => this.#bursts.send(version, message),
       },
     );
-    const entries = () => this.#liveEntries();
-    this.#bursts = new BurstLinks({ context, random, timeline, exchange: this.#exchange, entries });
+    const coordinators = () => this.#coordinators();
+    this.#bursts = new BurstLinks({ context, random, timeline, exchange: this.#exchange, coordinators });
     this.#home = new EntryLink({
       context,
       random,
@@ -198,13 +199,21 @@
   /** Addresses of the entries that are not leaving; the settings' list until the home entry told others. */
   #liveEntries(): string[] {
     const live = this.#entries.filter((entry) => !entry.leaving).map((entry) => entry.address);
-    return live.length > 0 ? live : this.#components.settings.entries;
+    return live.length > 0 ? live : this.#components.settings.entries.map((entry) => entry.address);
+  }
+
+  /** The entries that may coordinate a burst: the same for all agents, the lowest of each zone. */
+  #coordinators(): string[] {
+    const lowest = lowestOfEachZone(this.#entries).map((entry) => entry.address);
+    return lowest.length > 0 ? lowest : this.#liveEntries();
   }
 
   /** The entries of the own zone first, then those of the own place; among equals by rendezvous hash. */
   #homeCandidates(): string[] {
     const { place, zone, id } = this.#info;
-    const known = new Map(this.#entries.map((entry) => [entry.address, entry]));
+    const known = new Map<string, { zone: string; place?: string }>();
+    for (const entry of [...this.#components.settings.entries, ...this.#entries])
+      known.set(entry.address, entry);
     const distance = (address: string): number => {
       const entry = known.get(address);
       if (entry?.zone === zone) return 0;
--- a/src/agent/burst-links.ts
+++ b/src/agent/burst-links.ts
@@ -14,8 +14,8 @@
   random: Random;
   timeline: Timeline;
   exchange: Exchange;
-  /** Addresses of the entries that are known to be live. */
-  entries: () => string[];
+  /** Addresses of the entries that may coordinate a burst. */
+  coordinators: () => string[];
 }
 
 /** The links of one agent. */
@@ -31,11 +31,11 @@
   join(assignment: Assignment): void {
     const { version, objective } = assignment;
     if (this.#links.has(version)) return;
-    const { context, random, timeline, exchange, entries } = this.#components;
+    const { context, random, timeline, exchange, coordinators } = this.#components;
     const link = new EntryLink({
       context,
       random,
-      candidates: () => rendezvousOrder(version, entries()),
+      candidates: () => rendezvousOrder(version, coordinators()),
       onOpen: (coordinator) => {
         const have = exchange.held(version);
         if (have === undefined) return;
--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -6,6 +6,7 @@
 import type { AgentStatus, EntryInfo } from '../protocol/messages.js';
 import type { DeploymentStatus } from '../resources/deployment-status.js';
 import type { ApplyAnswer, ResolveAnswer } from '../resources/resource-api.js';
+import type { ModelDeployment } from '../resources/schemas.js';
 import { ThistlewayCommand } from './command.js';
 import { formatPlan, type PlannedChange, plan, readDeclarations } from './declarations.js';
 import { EntryClient } from './entry-client.js';
@@ -67,8 +68,8 @@
     const changes = plan(declarations, items, this.prune).filter((change) => change.action !== 'keep');
     if (changes.length === 0) this.print('nothing to change');
     else this.print(`${formatPlan(changes)}\naccepted at revision ${await this.#apply(changes)}`);
-    if (this.wait)
-      await this.#waitUntilReady(declarations.map((declaration) => declaration.value.metadata.name));
+    const deployments = declarations.filter(({ value }) => value.kind === 'ModelDeployment');
+    if (this.wait) await this.#waitUntilReady(deployments.map(({ value }) => value as ModelDeployment));
     return 0;
   }
 
@@ -130,13 +131,18 @@
     throw new CommandFailure(`outcome unknown: ask for operation ${operationId}`, EXIT_UNKNOWN);
   }
 
-  async #waitUntilReady(names: string[]): Promise<void> {
+  /** Waits until the entry knows the declared versions, and all their replicas are ready. */
+  async #waitUntilReady(declared: ModelDeployment[]): Promise<void> {
     const endsAt = performance.now() + Number(this.timeout) * 1_000;
     while (performance.now() < endsAt) {
       const { deployments } = await this.client.status();
-      const own = deployments.filter((deployment) => names.includes(deployment.name));
+      const own = declared.flatMap(({ metadata, spec }) => {
+        return (
+          deployments.find(({ name, version }) => name === metadata.name && version === spec.version) ?? []
+        );
+      });
       for (const deployment of own) this.print(formatStatus(deployment));
-      if (own.every((deployment) => deployment.waitsFor === '')) return;
+      if (own.length === declared.length && own.every(({ waitsFor }) => waitsFor === '')) return;
       await pause(WAIT_INTERVAL);
     }
     throw new CommandFailure('not all replicas are ready in time', EXIT_UNKNOWN);
--- a/src/entry/agent-directory.ts
+++ b/src/entry/agent-directory.ts
@@ -1,5 +1,5 @@
 /** The agents that an entry knows: its own ones, and those that other entries are home to. */
-import type { AgentStatus } from '../protocol/messages.js';
+import type { AgentStatus, GoneAgent } from '../protocol/messages.js';
 
 /** Time for which the agents of a lost entry are kept, so that they can find another, in milliseconds. */
 const LOST_HOME_GRACE = 5_000;
@@ -11,6 +11,8 @@
   receivedAt: number;
   /** Identity of the agent's home entry. */
   home: string;
+  /** The home entry's zone, which need not be the agent's own. */
+  homeZone: string;
   /** When the home entry was lost, by this entry's clock; undefined while it is there. */
   homeLostAt: number | undefined;
 }
@@ -25,20 +27,46 @@
     this.#listeners.add(listener);
   }
 
-  /** Takes a status in, unless a later one of the same process is known. */
-  update(status: AgentStatus, home: string): void {
+  /** Takes a status in, unless it or a later one of the same process is known; returns whether it was news. */
+  update(status: AgentStatus, home: string, homeZone: string): boolean {
     const known = this.rows.get(status.info.id);
-    if (known !== undefined && known.status.sequence > status.sequence) return;
+    const isSame = known?.status.sequence === status.sequence && known.home === home;
+    if (known !== undefined && (isSame || known.status.sequence > status.sequence)) return false;
     this.#dropOthersAt(status);
-    this.rows.set(status.info.id, { status, receivedAt: performance.now(), home, homeLostAt: undefined });
+    this.rows.set(status.info.id, {
+      status,
+      receivedAt: performance.now(),
+      home,
+      homeZone,
+      homeLostAt: undefined,
+    });
     this.#notify();
+    return true;
   }
 
-  /** Removes an agent that its home entry has lost; other homes' news of it are kept. */
-  remove(id: string, home: string): void {
-    if (this.rows.get(id)?.home !== home) return;
+  /** Takes loads in; they change nothing else. */
+  updateLoads(loads: ReadonlyArray<{ id: string; active: number }>): void {
+    for (const { id, active } of loads) {
+      const row = this.rows.get(id);
+      if (row !== undefined) row.status = { ...row.status, active };
+    }
+  }
+
+  /** Removes an agent, unless a later status of it is known; returns whether it was there. */
+  remove(id: string, sequence: number): boolean {
+    const known = this.rows.get(id);
+    if (known === undefined || known.status.sequence > sequence) return false;
     this.rows.delete(id);
     this.#notify();
+    return true;
+  }
+
+  /** Removes the agents with a home in a zone that are not among `present`. */
+  keepOnly(zone: string, present: ReadonlySet<string>): void {
+    for (const [id, { homeZone }] of this.rows) {
+      if (homeZone === zone && !present.has(id)) this.rows.delete(id);
+    }
+    this.#notify();
   }
 
   /** The connection to an entry is gone: its agents get some time to report through another one. */
@@ -48,15 +76,16 @@
     }
   }
 
-  /** Removes agents whose time to report through another entry is over. */
-  expire(now: number): void {
-    let changed = false;
+  /** Removes agents whose time to report through another entry is over; returns them. */
+  expire(now: number): GoneAgent[] {
+    const gone: GoneAgent[] = [];
     for (const [id, row] of this.rows) {
       if (row.homeLostAt === undefined || now - row.homeLostAt < LOST_HOME_GRACE) continue;
       this.rows.delete(id);
-      changed = true;
+      gone.push({ id, sequence: row.status.sequence });
     }
-    if (changed) this.#notify();
+    if (gone.length > 0) this.#notify();
+    return gone;
   }
 
   /** The agents whose home is `home`. */
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -13,6 +13,8 @@
 const POLL_MIN = 300;
 const POLL_SPREAD = 200;
 const READ_TIMEOUT = 3_000;
+/** Time without news after which an entry reads the store although another one does it for the zone. */
+const QUIET_LIMIT = 4_000;
 
 /** Names of the tables. */
 export const TABLES = {
@@ -39,12 +41,17 @@
 /** The configuration as this entry knows it. */
 export class Configuration implements Startable {
   readonly counters: ConfigurationCounters = { reads: 0, failedReads: 0 };
+  /** Called with the rows that a reading of the store brought, and the revision before it. */
+  onRead: (base: number, revision: number, rows: Row[]) => void = () => {};
+  /** Whether this entry reads the store for its zone; the others are told, and read only when nothing comes. */
+  isReader: () => boolean = () => true;
   readonly #components: ConfigurationComponents;
   readonly #rows = new Map<string, Row>();
   readonly #listeners = new Set<(rows: Row[]) => void>();
   readonly #stopping = new AbortController();
   #revision = 0;
   #timer: NodeJS.Timeout | undefined;
+  #heardAt = 0;
   #reading: Promise<boolean> | undefined;
   #following: Promise<boolean> | undefined;
 
@@ -104,7 +111,10 @@
       this.counters.failedReads++;
       return false;
     }
-    this.#take(read.value.rows, read.value.revision);
+    const base = this.#revision;
+    const { rows, revision } = read.value;
+    this.take(rows, revision);
+    if (revision > base) this.onRead(base, revision, rows);
     return true;
   }
 
@@ -113,6 +123,11 @@
     return this.#rows.get(`${table}/${key}`);
   }
 
+  /** All rows that are not deleted. */
+  allRows(): Row[] {
+    return [...this.#rows.values()];
+  }
+
   /** The rows of a table. */
   rows(table: string): Row[] {
     return [...this.#rows.values()].filter((row) => row.table === table);
@@ -141,7 +156,9 @@
       .map((row) => ({ value: row.value as T, revision: row.revision }));
   }
 
-  #take(rows: Row[], revision: number): void {
+  /** Takes rows in that changed since the known revision, from the store or from another entry. */
+  take(rows: readonly Row[], revision: number): void {
+    this.#heardAt = performance.now();
     const fresh = rows.filter((row) => row.revision > (this.row(row.table, row.key)?.revision ?? 0));
     for (const row of fresh) {
       if (row.value === null) this.#rows.delete(`${row.table}/${row.key}`);
@@ -157,7 +174,12 @@
 
   #schedule(): void {
     const wait = POLL_MIN + this.#components.random.fraction() * POLL_SPREAD;
-    this.#timer = setTimeout(() => void this.poll().finally(() => this.#reschedule()), wait);
+    this.#timer = setTimeout(() => void this.#readIfDue().finally(() => this.#reschedule()), wait);
+  }
+
+  async #readIfDue(): Promise<void> {
+    const isQuiet = performance.now() - this.#heardAt > QUIET_LIMIT;
+    if (this.isReader() || isQuiet) await this.poll();
   }
 
   #reschedule(): void {
--- a/src/entry/duty-lease.ts
+++ b/src/entry/duty-lease.ts
@@ -16,6 +16,8 @@
   timeline: Timeline;
   /** Identity of this process. */
   self: string;
+  /** Whether this process may take the lease over from another. */
+  mayTakeOver: () => boolean;
 }
 
 /** The lease of one duty. */
@@ -63,7 +65,9 @@
   async #review(): Promise<void> {
     this.#observe();
     const decision = decideLease(this.#observation, this.#components.self, performance.now());
-    if (decision.type === 'write') await this.#renew(decision.row);
+    const isOwn = this.#observation.row?.holder === this.#components.self;
+    if (decision.type === 'write' && (isOwn || this.#components.mayTakeOver()))
+      await this.#renew(decision.row);
     if (this.held) await this.onHeld();
   }
 
--- a/src/entry/entry-mesh.ts
+++ b/src/entry/entry-mesh.ts
@@ -1,140 +1,316 @@
-/** The connections between entries: each tells the others of itself and of the agents it is home to. */
+/**
+ * What entries tell one another: who they are, which agents they are home to, and the configuration in force. News
+ * goes to the entries of the own zone; the zone's relay passes it to the other zones' relays, and these to their
+ * zones. Loads change fast and stay inside the zone; what changes seldom goes everywhere.
+ */
 import type { Startable } from '../model/startable.js';
-import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
-import type { EntryInfo, Message } from '../protocol/messages.js';
+import type { Row } from '../platform/table-service.js';
+import type { ConnectionContext } from '../protocol/connection.js';
+import type { AgentStatus, EntryInfo, GoneAgent, Message } from '../protocol/messages.js';
+import type { ConfiguredEntry } from '../systems/entry-topology.js';
 import type { AgentDirectory } from './agent-directory.js';
+import type { Configuration } from './configuration.js';
+import type { EntryDirectory } from './entry-directory.js';
+import { type MeshLink, MeshLinks } from './mesh-links.js';
 
-/** Time between two rounds of news to the other entries, in milliseconds. */
-const NEWS_INTERVAL = 250;
+/** Time between two messages with loads, in milliseconds. */
+const LOADS_INTERVAL = 2_000;
+/** Time after which a zone without a link counts as lost, in milliseconds. */
+const ZONE_LOST_AFTER = 10_000;
 
 /** What the mesh works with. */
 export interface EntryMeshComponents {
   context: ConnectionContext;
   directory: AgentDirectory;
+  entries: EntryDirectory;
+  configuration: Configuration;
   /** What this entry says of itself. */
   self: () => EntryInfo;
-  /** The revision of the configuration in force here. */
-  revision: () => number;
-  /** Another entry has this revision in force. */
-  onRevision: (revision: number) => void;
 }
 
 /** The mesh as one entry sees it. */
 export class EntryMesh implements Startable {
-  /** Other entries by identity. */
-  readonly entries = new Map<string, EntryInfo>();
   /** Called when an entry came, changed or went. */
   onChange: () => void = () => {};
-  readonly #addresses: readonly string[];
   readonly #components: EntryMeshComponents;
-  readonly #connections = new Map<string, Connection>();
-  readonly #stopping = new AbortController();
-  /** Agents that are news to the others, and agents that are gone. */
-  readonly #changed = new Set<string>();
-  readonly #gone = new Set<string>();
-  #timer: NodeJS.Timeout | undefined;
-  #dialling = new Set<string>();
-
-  constructor(addresses: readonly string[], components: EntryMeshComponents) {
-    this.#addresses = addresses;
+  readonly #links: MeshLinks;
+  /** Agents homed here that are news: to the zone, and of these to all zones; and those that are gone. */
+  readonly #changedNear = new Set<string>();
+  readonly #changedFar = new Set<string>();
+  #gone: GoneAgent[] = [];
+  /** What was last told of each agent: to all zones, to this one, and of its load. */
+  readonly #toldFar = new Map<string, string>();
+  readonly #toldNear = new Map<string, string>();
+  readonly #toldLoads = new Map<string, number>();
+  #loadsToldAt = 0;
+  readonly #zoneLostAt = new Map<string, number>();
+
+  constructor(configured: readonly ConfiguredEntry[], components: EntryMeshComponents) {
     this.#components = components;
+    const { address, zone } = components.self();
+    this.#links = new MeshLinks({ address, zone }, configured, components.context, {
+      onOpen: (link) => this.#greet(link),
+      onMessage: (link, message) => this.#onMessage(link, message),
+      onLost: (link) => this.#lost(link),
+      onReview: () => this.#review(),
+    });
+    components.configuration.onRead = (base, revision, rows) => {
+      this.#flood({ type: 'configuration', base, revision, rows });
+    };
+  }
+
+  /** True when this entry connects its zone to the others, and reads the store for it. */
+  get isRelay(): boolean {
+    return this.#links.isRelay;
   }
 
-  async start(): Promise<void> {
-    this.#timer = setInterval(() => this.#round(), NEWS_INTERVAL);
-    this.#round();
+  start(): Promise<void> {
+    return this.#links.start();
   }
 
-  async stop(): Promise<void> {
-    clearInterval(this.#timer);
-    this.#stopping.abort();
-    for (const connection of this.#connections.values()) connection.close();
+  stop(): Promise<void> {
+    return this.#links.stop();
   }
 
   /** Takes over a connection that another entry opened. */
-  accept(connection: Connection): void {
-    const { id } = connection.remote.peer;
-    this.#connections.get(id)?.close();
-    this.#connections.set(id, connection);
-    connection.handleMessages((message) => this.#onMessage(id, message));
-    connection.onClose = () => this.#lost(id, connection);
-    this.#sendSelf(connection);
-    const statuses = this.#components.directory.homedAt(this.#components.self().id);
-    connection.send({ type: 'agents', statuses, gone: [] });
+  accept(connection: Parameters<MeshLinks['accept']>[0]): void {
+    this.#links.accept(connection);
   }
 
-  /** Notes that an agent homed here has changed. */
-  agentChanged(id: string): void {
-    this.#gone.delete(id);
-    this.#changed.add(id);
+  /** Notes that an agent homed here has told something. */
+  agentChanged(status: AgentStatus): void {
+    const { id } = status.info;
+    const near = nearPartOf(status);
+    if (this.#toldNear.get(id) === near) return;
+    this.#toldNear.set(id, near);
+    this.#changedNear.add(id);
+    const lasting = lastingPartOf(status);
+    if (this.#toldFar.get(id) === lasting) return;
+    this.#toldFar.set(id, lasting);
+    this.#changedFar.add(id);
   }
 
   /** Notes that an agent homed here is gone. */
-  agentGone(id: string): void {
-    this.#changed.delete(id);
-    this.#gone.add(id);
+  agentGone(id: string, sequence: number): void {
+    this.#changedNear.delete(id);
+    this.#changedFar.delete(id);
+    this.#toldFar.delete(id);
+    this.#toldNear.delete(id);
+    this.#toldLoads.delete(id);
+    this.#gone.push({ id, sequence });
   }
 
   /** Tells the others at once of a change of this entry itself. */
   announceSelf(): void {
-    for (const connection of this.#connections.values()) this.#sendSelf(connection);
+    this.#flood({ type: 'entryNews', infos: [this.#components.self()], gone: [], snapshotOf: undefined });
+  }
+
+  /** This entry as the home of agents. */
+  #homeHere(): { home: string; homeZone: string } {
+    const { id, zone } = this.#components.self();
+    return { home: id, homeZone: zone };
   }
 
-  #round(): void {
-    this.#components.directory.expire(performance.now());
-    this.#dialMissing();
+  #flood(message: Message): void {
+    this.#links.sendNear(message);
+    this.#links.sendFar(message);
+  }
+
+  #review(): void {
+    const { directory } = this.#components;
+    const expired = directory.expire(performance.now());
+    if (expired.length > 0 && this.isRelay) this.#sendFarGone(expired);
+    this.#dropLostZones();
     this.#sendNews();
+    this.#sendLoads();
   }
 
-  /** Of two entries the one with the lower address dials, so that there is one connection. */
-  #dialMissing(): void {
-    const own = this.#components.self().address;
-    const connected = new Set([...this.#connections.values()].map((open) => open.remote.peer.address));
-    for (const address of this.#addresses) {
-      if (address <= own || connected.has(address) || this.#dialling.has(address)) continue;
-      this.#dialling.add(address);
-      void connect(address, this.#components.context, this.#stopping.signal).then((outcome) => {
-        this.#dialling.delete(address);
-        if (outcome.ok) this.accept(outcome.value);
-      });
-    }
+  /** Loads that have changed, every few seconds: what an entry sent there itself it knows at once. */
+  #sendLoads(): void {
+    const { directory, self } = this.#components;
+    if (performance.now() - this.#loadsToldAt < LOADS_INTERVAL) return;
+    this.#loadsToldAt = performance.now();
+    const loads = directory.homedAt(self().id).map(({ info, active }) => ({ id: info.id, active }));
+    const changed = loads.filter(({ id, active }) => (this.#toldLoads.get(id) ?? 0) !== active);
+    for (const { id, active } of changed) this.#toldLoads.set(id, active);
+    if (changed.length > 0) this.#links.sendNear({ type: 'agentLoads', loads: changed });
   }
 
   #sendNews(): void {
-    if (this.#changed.size === 0 && this.#gone.size === 0) return;
+    const gone = this.#gone.splice(0);
+    const near = this.#statusesOf(this.#changedNear);
+    const far = this.#statusesOf(this.#changedFar);
+    if (near.length > 0 || gone.length > 0) {
+      this.#links.sendNear({ type: 'agentNews', statuses: near, gone, ...this.#homeHere() });
+    }
+    if (far.length > 0 || gone.length > 0) {
+      this.#links.sendFar({ type: 'agentNews', statuses: far, gone, ...this.#homeHere() });
+    }
+  }
+
+  #sendFarGone(gone: GoneAgent[]): void {
+    this.#links.sendFar({ type: 'agentNews', statuses: [], gone, ...this.#homeHere() });
+  }
+
+  #statusesOf(ids: Set<string>): AgentStatus[] {
+    const statuses = [...ids].flatMap((id) => this.#components.directory.rows.get(id)?.status ?? []);
+    ids.clear();
+    return statuses;
+  }
+
+  /** Tells a new link what it may not know: the zone's entries and agents, and here and there all others too. */
+  #greet(link: MeshLink): void {
+    const { self, entries, directory, configuration } = this.#components;
+    const own = self();
+    this.#zoneLostAt.delete(link.entry.zone);
+    const send = (message: Message) => link.connection.send(message);
+    send({ type: 'entryNews', infos: [own], gone: [], snapshotOf: undefined });
+    const agents = directory.homedAt(own.id);
+    send({ type: 'agentNews', statuses: agents, gone: [], ...this.#homeHere() });
+    if (!link.near) this.#sendZone(link, own.zone, [own, ...entries.ofZone(own.zone)]);
+    if (link.near && this.isRelay) {
+      for (const zone of new Set([...entries.rows.values()].map((info) => info.zone))) {
+        if (zone !== own.zone) this.#sendZone(link, zone, entries.ofZone(zone));
+      }
+    }
+    const { revision } = configuration;
+    if (revision > 0) send({ type: 'configuration', base: 0, revision, rows: configuration.allRows() });
+  }
+
+  #sendZone(link: MeshLink, zone: string, infos: EntryInfo[]): void {
     const { directory } = this.#components;
-    const statuses = [...this.#changed].flatMap((id) => directory.rows.get(id)?.status ?? []);
-    const message: Message = { type: 'agents', statuses, gone: [...this.#gone] };
-    this.#changed.clear();
-    this.#gone.clear();
-    for (const connection of this.#connections.values()) connection.send(message);
-  }
-
-  #sendSelf(connection: Connection): void {
-    connection.send({
-      type: 'entryStatus',
-      entry: this.#components.self(),
-      revision: this.#components.revision(),
-    });
+    link.connection.send({ type: 'entryNews', infos, gone: [], snapshotOf: zone });
+    const byHome = new Map<string, AgentStatus[]>();
+    for (const { status, home, homeZone } of directory.rows.values()) {
+      if (homeZone === zone) byHome.set(home, [...(byHome.get(home) ?? []), status]);
+    }
+    for (const [home, statuses] of byHome) {
+      link.connection.send({ type: 'agentNews', statuses, gone: [], home, homeZone: zone });
+    }
+    const present = [...byHome.values()].flat().map((status) => status.info.id);
+    link.connection.send({ type: 'agentsOfZone', zone, present });
   }
 
-  #onMessage(from: string, message: Message): void {
-    if (message.type === 'entryStatus') {
-      this.#components.onRevision(message.revision);
-      const changed = JSON.stringify(this.entries.get(from)) !== JSON.stringify(message.entry);
-      this.entries.set(from, message.entry);
-      if (changed) this.onChange();
+  #onMessage(link: MeshLink, message: Message): void {
+    switch (message.type) {
+      case 'entryNews':
+        return this.#onEntryNews(link, message);
+      case 'agentNews':
+        return this.#onAgentNews(link, message);
+      case 'agentLoads':
+        return this.#components.directory.updateLoads(message.loads);
+      case 'agentsOfZone':
+        this.#components.directory.keepOnly(message.zone, new Set(message.present));
+        return this.#passOn(link, message);
+      case 'configuration':
+        return this.#onConfiguration(link, message);
+      default:
     }
-    if (message.type !== 'agents') return;
-    for (const status of message.statuses) this.#components.directory.update(status, from);
-    for (const id of message.gone) this.#components.directory.remove(id, from);
   }
 
-  #lost(id: string, connection: Connection): void {
-    if (this.#connections.get(id) !== connection) return;
-    this.#connections.delete(id);
-    this.entries.delete(id);
-    this.#components.directory.homeLost(id, performance.now());
+  #onEntryNews(link: MeshLink, message: Message & { type: 'entryNews' }): void {
+    const { entries, self } = this.#components;
+    const fresh = entries.update(message.infos.filter((info) => info.id !== self().id));
+    const gone = entries.remove(this.#goneOf(message));
+    if (fresh.length === 0 && gone.length === 0) return;
+    this.#passOn(link, { type: 'entryNews', infos: fresh, gone, snapshotOf: undefined });
     this.onChange();
   }
+
+  #goneOf({ gone, snapshotOf, infos }: Message & { type: 'entryNews' }): string[] {
+    if (snapshotOf === undefined) return gone;
+    const present = new Set(infos.map((info) => info.id));
+    const missing = this.#components.entries.ofZone(snapshotOf).filter((info) => !present.has(info.id));
+    return [...gone, ...missing.map((info) => info.id)];
+  }
+
+  #onAgentNews(link: MeshLink, message: Message & { type: 'agentNews' }): void {
+    const { directory } = this.#components;
+    const { home, homeZone, statuses, gone } = message;
+    const fresh = statuses.filter((status) => directory.update(status, home, homeZone));
+    const removed = gone.filter(({ id, sequence }) => directory.remove(id, sequence));
+    if (link.near && this.isRelay) {
+      const lasting = fresh.filter((status) => this.#isNewsFar(status));
+      for (const { id } of removed) this.#toldFar.delete(id);
+      if (lasting.length === 0 && removed.length === 0) return;
+      return this.#links.sendFar({ ...message, statuses: lasting, gone: removed });
+    }
+    if (!link.near && (fresh.length > 0 || removed.length > 0)) {
+      this.#links.sendNear({ ...message, statuses: fresh, gone: removed });
+    }
+  }
+
+  #isNewsFar(status: AgentStatus): boolean {
+    const lasting = lastingPartOf(status);
+    if (this.#toldFar.get(status.info.id) === lasting) return false;
+    this.#toldFar.set(status.info.id, lasting);
+    return true;
+  }
+
+  #onConfiguration(link: MeshLink, message: { base: number; revision: number; rows: Row[] }): void {
+    const { configuration } = this.#components;
+    const { base, revision, rows } = message;
+    const known = configuration.revision;
+    if (revision <= known) return;
+    // With a gap in between, the rows alone do not make the revision: the store is read.
+    if (base > known) return configuration.hint(revision);
+    configuration.take(rows, revision);
+    this.#passOn(link, { type: 'configuration', base: known, revision, rows });
+  }
+
+  /** What comes from the zone goes to the other zones, and the other way round; nothing goes back where it came from. */
+  #passOn(from: MeshLink, message: Message): void {
+    if (from.near) this.#links.sendFar(message);
+    else this.#links.sendNear(message);
+  }
+
+  #lost(link: MeshLink): void {
+    const { directory, entries } = this.#components;
+    if (!link.near) {
+      if (!this.#links.hasLinkTo(link.entry.zone)) this.#zoneLostAt.set(link.entry.zone, performance.now());
+      return;
+    }
+    directory.homeLost(link.id, performance.now());
+    if (entries.remove([link.id]).length === 0) return;
+    if (this.isRelay)
+      this.#links.sendFar({ type: 'entryNews', infos: [], gone: [link.id], snapshotOf: undefined });
+    this.onChange();
+  }
+
+  /** A zone that has had no link for long is lost: its entries and agents are taken out here and in this zone. */
+  #dropLostZones(): void {
+    const { directory, entries } = this.#components;
+    for (const [zone, lostAt] of this.#zoneLostAt) {
+      if (performance.now() - lostAt < ZONE_LOST_AFTER) continue;
+      this.#zoneLostAt.delete(zone);
+      if (this.#links.hasLinkTo(zone) || !this.isRelay) continue;
+      const gone = entries.remove(entries.ofZone(zone).map((info) => info.id));
+      directory.keepOnly(zone, new Set());
+      this.#links.sendNear({ type: 'entryNews', infos: [], gone, snapshotOf: undefined });
+      this.#links.sendNear({ type: 'agentsOfZone', zone, present: [] });
+      this.onChange();
+    }
+  }
+}
+
+/** What of a status concerns entries of its zone at once: not its load, and a transfer in tenths. */
+function nearPartOf(status: AgentStatus): string {
+  const shares = status.versions.map(({ bytesHeld, bytesTotal }) =>
+    Math.floor((10 * bytesHeld) / (bytesTotal || 1)),
+  );
+  return `${lastingPartOf(status)}${shares.join()}`;
+}
+
+/** What of a status concerns entries of other zones: not its load, and not how far a transfer is. */
+function lastingPartOf({ info, leaving, pool, capacity, versions, ownership }: AgentStatus): string {
+  const ready = versions.map(({ version, ready, problem }) => [version, ready, problem]);
+  return JSON.stringify([
+    info,
+    leaving,
+    pool,
+    capacity,
+    ready,
+    ownership?.epoch,
+    ownership?.movesAcknowledged,
+  ]);
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -34,8 +34,9 @@
 import { CallLinks } from './call-links.js';
 import { CallRouter } from './call-router.js';
 import { CallerApi } from './caller-api.js';
-import { Configuration, TABLES } from './configuration.js';
+import { Configuration } from './configuration.js';
 import { DutyLease } from './duty-lease.js';
+import { EntryDirectory } from './entry-directory.js';
 import { EntryMesh } from './entry-mesh.js';
 import { HomeAgents } from './home-agents.js';
 import { MachineWatch } from './machine-watch.js';
@@ -60,6 +61,7 @@
   machineList: MachineList;
   configuration: Configuration;
   directory: AgentDirectory;
+  entries: EntryDirectory;
   bursts: BurstDuty;
   entry: Entry;
 }
@@ -84,6 +86,7 @@
       ({ tables, random, timeline }: EntryComponents) => new Configuration({ tables, random, timeline }),
     ).singleton(),
     directory: asFunction(() => new AgentDirectory()).singleton(),
+    entries: asFunction(() => new EntryDirectory()).singleton(),
     bursts: asFunction(
       ({ timeline }: EntryComponents) => new BurstDuty(timeline, settings.bursts.strategy),
     ).singleton(),
@@ -106,24 +109,24 @@
   readonly #lease: DutyLease;
   readonly #parts: StartableGroup;
   #leaving = false;
+  #sequence = 0;
 
   constructor(components: EntryComponents) {
-    const { settings, random, configuration, directory, timeline, tables, objects, bursts } = components;
+    const { settings, random, configuration, directory, entries, timeline, tables, objects, bursts } =
+      components;
     this.#components = components;
     this.#context = this.#createContext();
     const self = () => this.info();
-    const revision = () => configuration.revision;
+    const _revision = () => configuration.revision;
     this.#mesh = new EntryMesh(settings.entries, {
       context: this.#context,
       directory,
+      entries,
+      configuration,
       self,
-      revision,
-      onRevision: (known) => configuration.hint(known),
-    });
-    configuration.listen((rows) => {
-      if (rows.some((row) => row.table !== TABLES.leases)) this.#mesh.announceSelf();
     });
-    const shared = { configuration, directory, timeline, objects };
+    configuration.isReader = () => this.#mesh.isRelay;
+    const shared = { configuration, directory, entries, timeline, objects };
     this.#home = new HomeAgents({ ...shared, self, mesh: this.#mesh, bursts });
     this.#links = new CallLinks(this.#context);
     this.#router = new CallRouter({ directory, links: this.#links, random });
@@ -136,12 +139,18 @@
       router: this.#router,
       onceRouter: this.#onceRouter,
       self,
-      entries: () => [this.info(), ...this.#mesh.entries.values()],
+      entries: () => [this.info(), ...entries.rows.values()],
       addressLifetimeSeconds: settings.discovery.addressLifetimeSeconds,
       defaultDeadline: settings.calls.deadline,
       admission: this.#admission,
     });
-    this.#lease = new DutyLease('placement', { configuration, tables, timeline, self: components.identity });
+    this.#lease = new DutyLease('placement', {
+      configuration,
+      tables,
+      timeline,
+      self: components.identity,
+      mayTakeOver: () => this.#mesh.isRelay,
+    });
     const lease = this.#lease;
     const placement = new PlacementDuty({ configuration, directory, lease, timeline });
     const machines = new MachineWatch(components.machineList);
@@ -183,6 +192,7 @@
   drain(): void {
     if (this.#leaving) return;
     this.#leaving = true;
+    this.#sequence++;
     this.#components.timeline.record({ type: 'processLeaving' });
     this.#components.log.info('entry leaves');
     this.#mesh.announceSelf();
@@ -199,7 +209,16 @@
     const { settings, identity } = this.#components;
     const { place, zone, listen } = settings;
     const leaving = this.#leaving;
-    return { id: identity, address: listen.peers, callerAddress: listen.callers, place, zone, leaving };
+    const sequence = this.#sequence;
+    return {
+      id: identity,
+      address: listen.peers,
+      callerAddress: listen.callers,
+      place,
+      zone,
+      leaving,
+      sequence,
+    };
   }
 
   #createContext(): ConnectionContext {
@@ -240,7 +259,7 @@
     });
     router.get('/status', (context) => {
       const agents = [...directory.rows.values()].map(({ status, home }) => ({ ...status, home }));
-      const entries = [this.info(), ...this.#mesh.entries.values()];
+      const entries = [this.info(), ...this.#components.entries.rows.values()];
       context.body = { entry: this.info(), revision: configuration.revision, entries, agents };
     });
     router.post('/drain', (context) => {
--- a/src/entry/home-agents.ts
+++ b/src/entry/home-agents.ts
@@ -5,10 +5,12 @@
 import { manifestKey, type ObjectStore } from '../platform/object-store.js';
 import type { Connection } from '../protocol/connection.js';
 import type { Assignment, EntryInfo, Message } from '../protocol/messages.js';
+import { lowestOfEachZone } from '../systems/entry-topology.js';
 import type { OwnersRow } from '../systems/ownership.js';
 import type { AgentDirectory } from './agent-directory.js';
 import type { BurstDuty } from './burst-duty.js';
 import { type Configuration, TABLES } from './configuration.js';
+import type { EntryDirectory } from './entry-directory.js';
 import type { EntryMesh } from './entry-mesh.js';
 
 const OBJECT_TIMEOUT = 5_000;
@@ -18,6 +20,7 @@
   self: () => EntryInfo;
   configuration: Configuration;
   directory: AgentDirectory;
+  entries: EntryDirectory;
   mesh: EntryMesh;
   bursts: BurstDuty;
   objects: ObjectStore;
@@ -72,8 +75,8 @@
       this.#vouched.delete(id);
       timeline.record({ type: 'agentConnected', agent: id });
     }
-    directory.update(message.status, self().id);
-    mesh.agentChanged(id);
+    directory.update(message.status, self().id, self().zone);
+    mesh.agentChanged(message.status);
     this.#tell(id);
     if (message.status.backEnd === 'service' && !this.#vouched.has(id)) void this.#vouch(id, connection);
   }
@@ -88,11 +91,11 @@
 
   #tell(id: string): void {
     const connection = this.#connections.get(id);
-    const { configuration, mesh, self } = this.#components;
+    const { configuration } = this.#components;
     const row = this.#components.directory.rows.get(id);
     if (connection === undefined || row === undefined || configuration.revision === 0) return;
     const assignments = this.#assignmentsOf(row.status.info.address);
-    const entries = [self(), ...mesh.entries.values()];
+    const entries = this.#entriesFor();
     const owners = this.#vouched.has(id) ? this.#ownersOf(row.status.pool) : undefined;
     const news = JSON.stringify([assignments, entries, owners]);
     if (this.#told.get(id) === news) return;
@@ -100,6 +103,14 @@
     connection.send({ type: 'assignments', revision: configuration.revision, assignments, entries, owners });
   }
 
+  /** The entries of this zone, for homes, and the lowest entry of each zone, for the coordination of bursts. */
+  #entriesFor(): EntryInfo[] {
+    const { self, entries } = this.#components;
+    const known = [self(), ...entries.rows.values()];
+    const lowest = lowestOfEachZone(known);
+    return known.filter((info) => info.zone === self().zone || lowest.includes(info));
+  }
+
   #ownersOf(service: string): OwnersRow | undefined {
     return this.#components.configuration.row(TABLES.owners, service)?.value as OwnersRow | undefined;
   }
@@ -144,15 +155,16 @@
   }
 
   #lost(connection: Connection): void {
-    const { directory, mesh, bursts, timeline, self } = this.#components;
+    const { directory, mesh, bursts, timeline } = this.#components;
     const { id } = connection.remote.peer;
     bursts.lost(connection);
     if (this.#connections.get(id) !== connection) return;
     this.#connections.delete(id);
     this.#told.delete(id);
     this.#vouched.delete(id);
-    directory.remove(id, self().id);
-    mesh.agentGone(id);
+    const sequence = directory.rows.get(id)?.status.sequence ?? 0;
+    directory.remove(id, sequence);
+    mesh.agentGone(id, sequence);
     timeline.record({ type: 'agentLost', agent: id });
   }
 }
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -24,6 +24,7 @@
   ['grantId', 'chunk', 'source'],
   ['type', 'peer'],
   ['type'],
+  ['id', 'active'],
 ];
 
 const packr = new Packr({
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -3,6 +3,7 @@
  * the fields in the order given in {@link MESSAGE_FIELDS}, without their names.
  */
 import type { Digest, Manifest } from '../model/manifest.js';
+import type { Row } from '../platform/table-service.js';
 import type { RefusalReason } from '../systems/distribution/commands.js';
 import type { Grant, Objective, PeerInfo } from '../systems/distribution/transfer.js';
 import type { KeyedCall } from '../systems/once-ledger.js';
@@ -128,12 +129,28 @@
   place: string;
   zone: string;
   leaving: boolean;
+  /** Grows with each change of what the same process says. */
+  sequence: number;
+}
+
+/** An agent that is gone, and the last status that this is about. */
+export interface GoneAgent {
+  id: string;
+  sequence: number;
 }
 
 /** Between entries. */
 export type EntryMessage =
-  | { type: 'entryStatus'; entry: EntryInfo; revision: number }
-  | { type: 'agents'; statuses: AgentStatus[]; gone: string[] };
+  /** With `snapshotOf`, the infos are all entries of that zone. */
+  | { type: 'entryNews'; infos: EntryInfo[]; gone: string[]; snapshotOf: string | undefined }
+  /** Agents whose home is the entry `home` of the zone `homeZone`. */
+  | { type: 'agentNews'; statuses: AgentStatus[]; gone: GoneAgent[]; home: string; homeZone: string }
+  /** Loads of agents, inside a zone: identity and requests in progress. */
+  | { type: 'agentLoads'; loads: Array<{ id: string; active: number }> }
+  /** All agents with a home in a zone: others are gone. */
+  | { type: 'agentsOfZone'; zone: string; present: string[] }
+  /** Rows of the platform's tables that changed after revision `base`. */
+  | { type: 'configuration'; base: number; revision: number; rows: Row[] };
 
 /** What a call that may not be repeated carries. */
 export interface OnceCall extends KeyedCall {
@@ -214,8 +231,11 @@
   fetchManifest: ['type', 'version'],
   manifest: ['type', 'version', 'manifest'],
   manifestUnavailable: ['type', 'version', 'reason'],
-  entryStatus: ['type', 'entry', 'revision'],
-  agents: ['type', 'statuses', 'gone'],
+  entryNews: ['type', 'infos', 'gone', 'snapshotOf'],
+  agentNews: ['type', 'statuses', 'gone', 'home', 'homeZone'],
+  agentLoads: ['type', 'loads'],
+  agentsOfZone: ['type', 'zone', 'present'],
+  configuration: ['type', 'base', 'revision', 'rows'],
   call: ['type', 'callId', 'attempt', 'version', 'method', 'path', 'contentType', 'body', 'timeLeft', 'once'],
   callCancel: ['type', 'callId', 'attempt'],
   callTaken: ['type', 'callId', 'attempt', 'bytes'],
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -26,8 +26,8 @@
     /** For the system's own processes. */
     peers: address,
   }),
-  /** Addresses, for the system's own processes, of the entries that share state with this one. */
-  entries: z.array(address).default([]),
+  /** The other entries, of all zones: their addresses for the system's own processes. */
+  entries: z.array(z.strictObject({ address, zone: name })).default([]),
   platform: z.strictObject({ tables: url, objects: url, machines: url }),
   bursts: z
     .strictObject({
@@ -67,8 +67,8 @@
   }),
   /** Address that others are told for `listen.peers`, where it differs. */
   advertisedPeers: address.optional(),
-  /** Addresses, for the system's own processes, of the entries that this agent may use as its home. */
-  entries: z.array(address).min(1, 'must name at least one entry'),
+  /** Entries that this agent may use as its home, those of its own zone first. */
+  entries: z.array(z.strictObject({ address, zone: name })).min(1, 'must name at least one entry'),
   backEnd: z.discriminatedUnion('kind', [
     z.strictObject({
       kind: z.literal('engine'),
--- a/test/entry/call-router.test.ts
+++ b/test/entry/call-router.test.ts
@@ -38,7 +38,7 @@
 function routerBefore(scripts: Record<string, Script>, place = 'place-a') {
   const directory = new AgentDirectory();
   for (const [index, name] of Object.keys(scripts).entries()) {
-    directory.update({ ...status(name, place), active: index }, 'home');
+    directory.update({ ...status(name, place), active: index }, 'home', 'zone');
   }
   const ran: string[] = [];
   const links = {
--- a/test/settings/document.test.ts
+++ b/test/settings/document.test.ts
@@ -6,7 +6,7 @@
   // A comment.
   "place": "riga", "region": "baltics", "zone": "riga-a",
   "listen": { "peers": "127.0.0.1:9000", "operators": "127.0.0.1:9001" },
-  "entries": ["127.0.0.1:9100"],
+  "entries": [{ "address": "127.0.0.1:9100", "zone": "riga-a" }],
   "backEnd": { "kind": "engine", "url": "http://127.0.0.1:9200", "pool": "gpu" },
   "origin": "http://127.0.0.1:9300/origin",
   "weights": { "memoryBytes": 1000, "linkBytesPerSecond": 1000 },
