Mesh of entries: whoever has a link passes news on, and a stopping entry spreads none

Cause: tests with two entries a zone showed two faults that one entry a zone cannot show. A link to another zone may end at an entry that is not the relay; news then stopped there (an entry knew one of three others). And an entry that stopped told other zones that its neighbours were gone, since it had lost them.

--- a/src/entry/entry-mesh.ts
+++ b/src/entry/entry-mesh.ts
@@ -119,7 +119,7 @@
   #review(): void {
     const { directory } = this.#components;
     const expired = directory.expire(performance.now());
-    if (expired.length > 0 && this.isRelay) this.#sendFarGone(expired);
+    if (expired.length > 0) this.#sendFarGone(expired);
     this.#dropLostZones();
     this.#sendNews();
     this.#sendLoads();
@@ -168,7 +168,7 @@
     const agents = directory.homedAt(own.id);
     send({ type: 'agentNews', statuses: agents, gone: [], ...this.#homeHere() });
     if (!link.near) this.#sendZone(link, own.zone, [own, ...entries.ofZone(own.zone)]);
-    if (link.near && this.isRelay) {
+    if (link.near && this.#links.hasFarLinks) {
       for (const zone of new Set([...entries.rows.values()].map((info) => info.zone))) {
         if (zone !== own.zone) this.#sendZone(link, zone, entries.ofZone(zone));
       }
@@ -200,6 +200,8 @@
       case 'agentLoads':
         return this.#components.directory.updateLoads(message.loads);
       case 'agentsOfZone':
+        // Whoever passes this on has a link to that zone.
+        this.#zoneLostAt.delete(message.zone);
         this.#components.directory.keepOnly(message.zone, new Set(message.present));
         return this.#passOn(link, message);
       case 'configuration':
@@ -229,13 +231,13 @@
     const { home, homeZone, statuses, gone } = message;
     const fresh = statuses.filter((status) => directory.update(status, home, homeZone));
     const removed = gone.filter(({ id, sequence }) => directory.remove(id, sequence));
-    if (link.near && this.isRelay) {
+    if (link.near) {
       const lasting = fresh.filter((status) => this.#isNewsFar(status));
       for (const { id } of removed) this.#toldFar.delete(id);
       if (lasting.length === 0 && removed.length === 0) return;
       return this.#links.sendFar({ ...message, statuses: lasting, gone: removed });
     }
-    if (!link.near && (fresh.length > 0 || removed.length > 0)) {
+    if (fresh.length > 0 || removed.length > 0) {
       this.#links.sendNear({ ...message, statuses: fresh, gone: removed });
     }
   }
@@ -272,8 +274,7 @@
     }
     directory.homeLost(link.id, performance.now());
     if (entries.remove([link.id]).length === 0) return;
-    if (this.isRelay)
-      this.#links.sendFar({ type: 'entryNews', infos: [], gone: [link.id], snapshotOf: undefined });
+    this.#links.sendFar({ type: 'entryNews', infos: [], gone: [link.id], snapshotOf: undefined });
     this.onChange();
   }
 
@@ -283,7 +284,7 @@
     for (const [zone, lostAt] of this.#zoneLostAt) {
       if (performance.now() - lostAt < ZONE_LOST_AFTER) continue;
       this.#zoneLostAt.delete(zone);
-      if (this.#links.hasLinkTo(zone) || !this.isRelay) continue;
+      if (this.#links.hasLinkTo(zone)) continue;
       const gone = entries.remove(entries.ofZone(zone).map((info) => info.id));
       directory.keepOnly(zone, new Set());
       this.#links.sendNear({ type: 'entryNews', infos: [], gone, snapshotOf: undefined });
--- a/src/entry/mesh-links.ts
+++ b/src/entry/mesh-links.ts
@@ -93,7 +93,12 @@
     }
   }
 
-  /** Zones with a link to this entry, and whether the link's other side is still there. */
+  /** True when this entry has links to other zones: as the relay, or because it was reached in its place. */
+  get hasFarLinks(): boolean {
+    return [...this.#links.values()].some((link) => !link.near);
+  }
+
+  /** Whether an entry of the zone is linked here. */
   hasLinkTo(zone: string): boolean {
     return [...this.#links.values()].some((link) => link.entry.zone === zone);
   }
@@ -125,6 +130,7 @@
   #lost(link: MeshLink): void {
     if (this.#links.get(link.id) !== link) return;
     this.#links.delete(link.id);
-    this.#events.onLost(link);
+    // What this entry loses because it stops itself is no news.
+    if (!this.#stopping.signal.aborted) this.#events.onLost(link);
   }
 }
--- /dev/null
+++ b/test/entry/entry-mesh.test.ts
@@ -0,0 +1,213 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import { AgentDirectory } from '../../src/entry/agent-directory.js';
+import { Configuration } from '../../src/entry/configuration.js';
+import { EntryDirectory } from '../../src/entry/entry-directory.js';
+import { EntryMesh } from '../../src/entry/entry-mesh.js';
+import { seededRandom } from '../../src/model/random.js';
+import { failure, success } from '../../src/model/result.js';
+import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { Timeline } from '../../src/observability/timeline.js';
+import type { Changes, TableService } from '../../src/platform/table-service.js';
+import { ConnectionListener, createTrafficCounters } from '../../src/protocol/connection.js';
+import type { AgentStatus } from '../../src/protocol/messages.js';
+import type { ConfiguredEntry } from '../../src/systems/entry-topology.js';
+import { peer, until } from '../support.js';
+
+/** A store that every test entry reads; each reading is counted. */
+const store = { down: false, reads: 0, changes: { revision: 1, rows: [] } as Changes };
+const tables = {
+  changes: async () => {
+    store.reads++;
+    if (store.down) return failure({ type: 'unavailable' as const, service: '', retryAfter: 1, reason: '' });
+    return success(store.changes);
+  },
+} as unknown as TableService;
+
+interface TestEntry {
+  id: string;
+  directory: AgentDirectory;
+  entries: EntryDirectory;
+  configuration: Configuration;
+  mesh: EntryMesh;
+  stop(): Promise<void>;
+}
+
+const running: TestEntry[] = [];
+
+afterEach(async () => {
+  for (const entry of running.splice(0)) await entry.stop();
+  Object.assign(store, { down: false, reads: 0, changes: { revision: 1, rows: [] } });
+});
+
+async function startEntry(
+  self: ConfiguredEntry,
+  all: readonly ConfiguredEntry[],
+  name: string,
+): Promise<TestEntry> {
+  const id = `${self.address}#${name}`;
+  const clock = new HybridClock();
+  const info = {
+    id,
+    address: self.address,
+    callerAddress: '',
+    place: 'p',
+    zone: self.zone,
+    leaving: false,
+    sequence: 0,
+  };
+  const hello = () => {
+    return {
+      type: 'hello',
+      role: 'entry',
+      peer: { ...peer(id), address: self.address, zone: self.zone },
+    } as const;
+  };
+  const context = { clock, counters: createTrafficCounters(), hello };
+  const directory = new AgentDirectory();
+  const entries = new EntryDirectory();
+  const timeline = new Timeline(id, clock);
+  const configuration = new Configuration({ tables, random: seededRandom(1), timeline });
+  const others = all.filter((entry) => entry.address !== self.address);
+  const mesh = new EntryMesh(others, { context, directory, entries, configuration, self: () => info });
+  configuration.isReader = () => mesh.isRelay;
+  const listener = new ConnectionListener(self.address, context, (connection) => mesh.accept(connection));
+  await listener.start();
+  await mesh.start();
+  const stop = async () => {
+    await mesh.stop();
+    await listener.stop();
+    await configuration.stop();
+  };
+  const entry = { id, directory, entries, configuration, mesh, stop };
+  running.push(entry);
+  return entry;
+}
+
+/** Two zones of two entries each, in the order of their addresses inside each zone. */
+async function startZones(): Promise<{ all: ConfiguredEntry[]; started: TestEntry[] }> {
+  const addresses = [await freeAddress(), await freeAddress(), await freeAddress(), await freeAddress()];
+  const [a, b, c, d] = addresses.sort();
+  const all = [a, b].map((address) => ({ address, zone: 'zone-a' }));
+  all.push(...[c, d].map((address) => ({ address, zone: 'zone-b' })));
+  const started: TestEntry[] = [];
+  for (const entry of all) started.push(await startEntry(entry, all, '1'));
+  await until(() => started.every(({ entries }) => entries.rows.size === 3), 'all entries known to all');
+  return { all, started };
+}
+
+function status(name: string, sequence: number, overrides: Partial<AgentStatus> = {}): AgentStatus {
+  const info = { ...peer(name), zone: 'zone-a' };
+  return {
+    sequence,
+    info,
+    operatorAddress: '',
+    backEnd: 'engine',
+    pool: 'p',
+    leaving: false,
+    versions: [],
+    active: 0,
+    capacity: 4,
+    ownership: undefined,
+    ...overrides,
+  };
+}
+
+/** An agent homed at `entry` tells its status. */
+function tell(entry: TestEntry, told: AgentStatus): void {
+  entry.directory.update(told, entry.id, 'zone-a');
+  entry.mesh.agentChanged(told);
+}
+
+const knows = (entry: TestEntry, id: string) => entry.directory.rows.has(id);
+
+describe('the mesh of entries', () => {
+  it('has one relay a zone', async () => {
+    const { started } = await startZones();
+    expect(started.map(({ mesh }) => mesh.isRelay)).toEqual([true, false, true, false]);
+  });
+
+  it('brings an agent to all entries of all zones, and its load to those of its zone only', async () => {
+    const { started } = await startZones();
+    tell(started[1], status('agent', 1));
+    await until(() => started.every((entry) => knows(entry, 'agent')), 'the agent known to all');
+    tell(started[1], status('agent', 2, { active: 3 }));
+    await until(() => started[0].directory.rows.get('agent')?.status.active === 3, 'its load');
+    expect(started.slice(2).map(({ directory }) => directory.rows.get('agent')?.status.active)).toEqual([
+      0, 0,
+    ]);
+    tell(started[1], status('agent', 3, { active: 3, leaving: true }));
+    await until(
+      () => started.every(({ directory }) => directory.rows.get('agent')?.status.leaving),
+      'it is leaving',
+    );
+  });
+
+  it('takes an agent that is gone out everywhere', async () => {
+    const { started } = await startZones();
+    tell(started[1], status('agent', 1));
+    await until(() => started.every((entry) => knows(entry, 'agent')), 'the agent known to all');
+    started[1].directory.remove('agent', 1);
+    started[1].mesh.agentGone('agent', 1);
+    await until(() => started.every((entry) => !knows(entry, 'agent')), 'the agent gone from all');
+  });
+
+  it('does not take out an agent that has told something through another home meanwhile', async () => {
+    const { started } = await startZones();
+    tell(started[1], status('agent', 1));
+    await until(() => started.every((entry) => knows(entry, 'agent')), 'the agent known to all');
+    tell(started[0], status('agent', 2));
+    started[1].mesh.agentGone('agent', 1);
+    tell(started[1], status('marker', 1));
+    await until(
+      () => started.every((entry) => knows(entry, 'marker')),
+      'the marker, after the news of the loss',
+    );
+    expect(started.every((entry) => knows(entry, 'agent'))).toBe(true);
+  });
+
+  it('goes on with another relay when the relay dies', async () => {
+    const { started } = await startZones();
+    await started[0].stop();
+    await until(() => started[1].mesh.isRelay, 'the next entry as the relay');
+    tell(started[1], status('agent', 1));
+    await until(
+      () => knows(started[2], 'agent') && knows(started[3], 'agent'),
+      'the agent in the other zone',
+    );
+    await until(
+      () => started.slice(1).every(({ entries }) => entries.rows.size === 2),
+      'the loss of the entry',
+    );
+  });
+
+  it('brings rows that one entry read to all, without a reading of theirs', async () => {
+    const { started } = await startZones();
+    store.changes = { revision: 7, rows: [{ table: 'resources', key: 'k', value: 1, revision: 7 }] };
+    await started[1].configuration.poll();
+    await until(
+      () => started.every(({ configuration }) => configuration.revision === 7),
+      'the revision everywhere',
+    );
+    expect(started.every(({ configuration }) => configuration.row('resources', 'k') !== undefined)).toBe(
+      true,
+    );
+    expect(store.reads).toBe(1);
+  });
+
+  it('gives a replaced entry the configuration in force and all agents while the store is down', async () => {
+    const { all, started } = await startZones();
+    store.changes = { revision: 7, rows: [{ table: 'resources', key: 'k', value: 1, revision: 7 }] };
+    await started[1].configuration.poll();
+    tell(started[1], status('agent', 1));
+    await until(() => started.every((entry) => knows(entry, 'agent')), 'the agent known to all');
+    store.down = true;
+    await started[3].stop();
+    const replaced = await startEntry(all[3], all, '2');
+    await until(
+      () => replaced.configuration.revision === 7 && knows(replaced, 'agent'),
+      'all that the old one knew',
+    );
+    expect(replaced.configuration.row('resources', 'k')).toBeDefined();
+  });
+});
