Entries tell everything again every 2 s, so that overtaken news is repaired

Cause: with 7 entries in 3 zones, 2 of 5 starts left entries without some agents or entries for good: news that an entry in between knew already was not passed on to one that did not. Telling everything again is too much for 400 entries.

--- a/src/entry/entry-mesh.ts
+++ b/src/entry/entry-mesh.ts
@@ -15,6 +15,8 @@
 
 /** Time between two messages with loads, in milliseconds. */
 const LOADS_INTERVAL = 2_000;
+/** Time between two times at which everything is told again, in milliseconds; too short for 400 entries. */
+const REPAIR_INTERVAL = 2_000;
 /** Time after which a zone without a link counts as lost, in milliseconds. */
 const ZONE_LOST_AFTER = 10_000;
 
@@ -43,6 +45,7 @@
   readonly #toldNear = new Map<string, string>();
   readonly #toldLoads = new Map<string, number>();
   #loadsToldAt = 0;
+  #repairedAt = 0;
   readonly #zoneLostAt = new Map<string, number>();
 
   constructor(configured: readonly ConfiguredEntry[], components: EntryMeshComponents) {
@@ -123,6 +126,24 @@
     this.#dropLostZones();
     this.#sendNews();
     this.#sendLoads();
+    this.#repair();
+  }
+
+  /** Tells everything again now and then: news may have been overtaken by older lists on another way. */
+  #repair(): void {
+    if (performance.now() - this.#repairedAt < REPAIR_INTERVAL) return;
+    this.#repairedAt = performance.now();
+    const { self, entries, directory } = this.#components;
+    const own = self();
+    this.#links.sendNear({ type: 'entryNews', infos: [own], gone: [], snapshotOf: undefined });
+    this.#links.sendNear({
+      type: 'agentNews',
+      statuses: directory.homedAt(own.id),
+      gone: [],
+      ...this.#homeHere(),
+    });
+    for (const link of this.#links.farLinks)
+      this.#sendZone(link, own.zone, [own, ...entries.ofZone(own.zone)]);
   }
 
   /** Loads that have changed, every few seconds: what an entry sent there itself it knows at once. */
@@ -214,8 +235,10 @@
     const { entries, self } = this.#components;
     const fresh = entries.update(message.infos.filter((info) => info.id !== self().id));
     const gone = entries.remove(this.#goneOf(message));
+    const infos = link.near ? fresh : message.infos;
+    if (infos.length === 0 && gone.length === 0) return;
+    this.#passOn(link, { type: 'entryNews', infos, gone, snapshotOf: undefined });
     if (fresh.length === 0 && gone.length === 0) return;
-    this.#passOn(link, { type: 'entryNews', infos: fresh, gone, snapshotOf: undefined });
     this.onChange();
   }
 
@@ -237,8 +260,8 @@
       if (lasting.length === 0 && removed.length === 0) return;
       return this.#links.sendFar({ ...message, statuses: lasting, gone: removed });
     }
-    if (fresh.length > 0 || removed.length > 0) {
-      this.#links.sendNear({ ...message, statuses: fresh, gone: removed });
+    if (statuses.length > 0 || removed.length > 0) {
+      this.#links.sendNear({ ...message, gone: removed });
     }
   }
 
--- a/src/entry/mesh-links.ts
+++ b/src/entry/mesh-links.ts
@@ -98,6 +98,11 @@
     return [...this.#links.values()].some((link) => !link.near);
   }
 
+  /** The links to other zones. */
+  get farLinks(): MeshLink[] {
+    return [...this.#links.values()].filter((link) => !link.near);
+  }
+
   /** Whether an entry of the zone is linked here. */
   hasLinkTo(zone: string): boolean {
     return [...this.#links.values()].some((link) => link.entry.zone === zone);
