Messages of one turn go in one frame; ticks only while there is work

Cause looked for: an entry and an agent spend 3 to 4 ms of processor time on a request. A profile over 6,000 requests shows no hot place in our code; a wake-up of a process costs about 0.18 ms here (a timer every 50 ms: 0.37% of a core), and head, data and end of an answer went as three frames, each of which wakes the other side. Making a DOMException for each request whose connection ends took 51 us at an entry.

Change: messages of one turn of the event loop go in one frame; reasons for giving a request up are made once; the exchange ticks only while something moves; observers of a lease look once a second. Ruled out: AbortSignal.any (15 us a request).

--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -24,6 +24,9 @@
 };
 /** Longest time that a request may take, in milliseconds. */
 const MAX_TIME_LEFT = 3_600_000;
+/** Why a request is ended before its answer; one object each, since making an error takes long. */
+const DEADLINE_PASSED = new Error('the deadline has passed');
+const NOBODY_WAITS = new Error('nobody waits for the answer');
 /** Last event of a whole streamed answer. */
 const STREAM_END = 'data: [DONE]';
 
@@ -138,10 +141,11 @@
     this.#active.set(keyOf(call), { call, abort, window });
     this.counters.started++;
     this.onChange();
-    const signal = AbortSignal.any([abort.signal, AbortSignal.timeout(timeLeftOf(call))]);
+    const timer = setTimeout(() => abort.abort(DEADLINE_PASSED), timeLeftOf(call));
     try {
-      await this.#relay(connection, call, window, signal);
+      await this.#relay(connection, call, window, abort.signal);
     } finally {
+      clearTimeout(timer);
       this.#active.delete(keyOf(call));
       this.onChange();
     }
@@ -230,7 +234,7 @@
     const active = this.#active.get(key);
     if (active === undefined) return;
     this.counters.cancelled++;
-    active.abort.abort();
+    active.abort.abort(NOBODY_WAITS);
     this.#backEnd.cancel(active.call);
   }
 }
--- a/src/agent/exchange.ts
+++ b/src/agent/exchange.ts
@@ -110,12 +110,11 @@
     });
   }
 
-  async start(): Promise<void> {
-    this.#timer = setInterval(() => this.#tickIfBusy(), TICK_INTERVAL);
-  }
+  /** Nothing ticks until a first transfer begins. */
+  async start(): Promise<void> {}
 
   async stop(): Promise<void> {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
     this.#stopping.abort();
     this.#links.closeAll();
   }
@@ -203,15 +202,20 @@
   }
 
   /** Once all transfers are complete and nothing is queued, only messages cause ticks. */
-  #tickIfBusy(): void {
+  get #isBusy(): boolean {
     const { transfers, uploads } = this.node;
-    const isBusy = [...transfers.values()].some((row) => !row.have.complete || row.unannounced.length > 0);
-    if (isBusy || uploads.queued.length > 0) this.#tick();
+    const isMoving = [...transfers.values()].some((row) => !row.have.complete || row.unannounced.length > 0);
+    return isMoving || uploads.queued.length > 0;
   }
 
   #tick(): void {
     if (this.#stopping.signal.aborted) return;
     for (const command of this.node.tick(performance.now())) this.#carryOut(command);
+    if (this.#timer !== undefined || !this.#isBusy) return;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      this.#tick();
+    }, TICK_INTERVAL);
   }
 
   #carryOut(command: DistributionCommand): void {
--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -36,6 +36,8 @@
 /** Shortest beginning of a prompt by which a replica is chosen, and how much of it counts. */
 const MIN_PREFIX_CHARACTERS = 256;
 const MAX_PREFIX_CHARACTERS = 1_024;
+/** Why a request is given up; one object, since an error made for each costs as much as the routing. */
+const CALLER_GONE = new Error('the caller has gone');
 const SAFE_METHODS = new Set(['GET', 'HEAD']);
 
 /** What the interface works with. */
@@ -210,7 +212,7 @@
       return this.#refuse(context, { type: 'placeNotAllowed', ran, entries: addresses });
     }
     const gone = new AbortController();
-    context.res.once('close', () => gone.abort());
+    context.res.once('close', () => gone.abort(CALLER_GONE));
     const admitted = await admission.enter(call.tenant, call.priority, gone.signal);
     if (admitted.type === 'refused') {
       const retryAfter = ADMISSION_RETRY_AFTER[admitted.reason];
--- a/src/entry/duty-lease.ts
+++ b/src/entry/duty-lease.ts
@@ -6,7 +6,9 @@
 import { decideLease, type LeaseObservation, type LeaseRow } from '../systems/lease.js';
 import { type Configuration, TABLES } from './configuration.js';
 
-const REVIEW_INTERVAL = 250;
+/** Time between two reviews of a holder, and of a process that may have to take over, in milliseconds. */
+const HOLDER_INTERVAL = 250;
+const OBSERVER_INTERVAL = 1_000;
 const WRITE_TIMEOUT = 3_000;
 
 /** What a lease works with. */
@@ -22,7 +24,7 @@
 
 /** The lease of one duty. */
 export class DutyLease implements Startable {
-  /** Called about every `REVIEW_INTERVAL` milliseconds while this process believes to hold the lease. */
+  /** Called about every `HOLDER_INTERVAL` milliseconds while this process believes to hold the lease. */
   onHeld: () => Promise<void> = async () => {};
   readonly #duty: string;
   readonly #components: DutyLeaseComponents;
@@ -110,7 +112,8 @@
   }
 
   #schedule(): void {
-    if (!this.#stopping.signal.aborted) this.#timer = setTimeout(() => this.#run(), REVIEW_INTERVAL);
+    const wait = this.held ? HOLDER_INTERVAL : OBSERVER_INTERVAL;
+    if (!this.#stopping.signal.aborted) this.#timer = setTimeout(() => this.#run(), wait);
   }
 
   /** Reviews at once, unless a review is under way. */
--- a/src/entry/mesh-links.ts
+++ b/src/entry/mesh-links.ts
@@ -1,4 +1,5 @@
 /** The connections of an entry to other entries, kept as the topology says. */
+import { setMaxListeners } from 'node:events';
 import type { Startable } from '../model/startable.js';
 import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
@@ -55,6 +56,8 @@
     this.#configured = configured;
     this.#context = context;
     this.#events = events;
+    // Every connection that is being made listens to it.
+    setMaxListeners(0, this.#stopping.signal);
   }
 
   /** True when no connected entry of the zone comes before this one. */
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -12,8 +12,14 @@
   reason: string;
 }
 
-/** The outcome of decoding one frame. */
-export type Decoded = { ok: true; message: Message; stamp: Stamp } | { ok: false; error: DecodeError };
+/** A message with the sender's causal clock, and what it took of the frame. */
+export interface StampedMessage {
+  message: Message;
+  stamp: Stamp;
+}
+
+/** The outcome of decoding one frame, which holds one message or several. */
+export type Decoded = { ok: true; messages: StampedMessage[] } | { ok: false; error: DecodeError };
 
 /**
  * Nested objects that are sent often: their field names are known on both sides and are not sent. Other objects
@@ -59,23 +65,33 @@
   return packr.pack(values);
 }
 
-/** The message in `frame`, or why there is none. */
+/** The messages in `frame`, one encoding after the other, or why there are none. */
 export function decode(frame: Uint8Array): Decoded {
-  let values: unknown;
+  let encodings: unknown;
   try {
-    values = packr.unpack(frame);
+    encodings = packr.unpackMultiple(frame as Buffer);
   } catch (cause) {
     return malformed(String(cause));
   }
-  if (!Array.isArray(values)) return malformed('not a sequence of fields');
+  const messages: StampedMessage[] = [];
+  for (const values of encodings as unknown[]) {
+    const message = messageOf(values);
+    if (typeof message === 'string') return malformed(message);
+    messages.push(message);
+  }
+  return messages.length === 0 ? malformed('no message') : { ok: true, messages };
+}
+
+/** The message in these values, or what is wrong with them. */
+function messageOf(values: unknown): StampedMessage | string {
+  if (!Array.isArray(values)) return 'not a sequence of fields';
   const type = TYPES[values[0] as number];
-  if (type === undefined) return malformed(`unknown message number ${String(values[0])}`);
+  if (type === undefined) return `unknown message number ${String(values[0])}`;
   const names = MESSAGE_FIELDS[type];
-  if (values.length !== names.length + 1) return malformed(`${type} has ${values.length - 1} fields`);
+  if (values.length !== names.length + 1) return `${type} has ${values.length - 1} fields`;
   const message: Record<string, unknown> = { type };
   for (let index = 1; index < names.length; index++) message[names[index]] = values[index] ?? undefined;
-  const stamp = Number(values[names.length]);
-  return { ok: true, message: message as unknown as Message, stamp };
+  return { message: message as unknown as Message, stamp: Number(values[names.length]) };
 }
 
 function malformed(reason: string): Decoded {
