Bench of requests: entries' links cut, entries restarted one by one, warm latencies

Cause: the bench cut only links from entries to agents, restarted no entry under load, counted latencies of processes whose code was not yet compiled, through links of its own, and began before all entries knew all replicas (a few refusals in cases that refuse nothing).

Change: entries can have an advertised address, so that a link before one can be cut; cases entryLinkCut* and entriesRestartOneByOne; 400 pairs before latencies count; the load begins when every entry knows every replica. The event loop's lag is sampled every 500 ms (was 10): 100 wake-ups a second of an idle process. A lease's renewal waits for the next reading of the store.

--- a/bench/processes/cluster.ts
+++ b/bench/processes/cluster.ts
@@ -17,6 +17,8 @@
 /** An entry machine. */
 export interface EntryPlan extends MachineLocation {
   name: string;
+  /** Whether the other processes reach it by a link that can be cut. */
+  cuttable?: boolean;
 }
 
 /** A back-end machine with its agent. */
@@ -47,7 +49,10 @@
 /** Addresses of a started entry. */
 export interface StartedEntry extends EntryPlan {
   callers: string;
+  /** Where other processes reach it. */
   peers: string;
+  /** The link by which they do, where it can be cut. */
+  link?: CuttableLink;
 }
 
 /** Addresses of a started agent. */
@@ -79,11 +84,12 @@
   async start(): Promise<void> {
     await this.#startPlatform();
     this.entries = await Promise.all(
-      this.plan.entries.map(async (entry) => ({
-        ...entry,
-        callers: await freeAddress(),
-        peers: await freeAddress(),
-      })),
+      this.plan.entries.map(async (entry) => {
+        const [callers, listened] = [await freeAddress(), await freeAddress()];
+        const link = entry.cuttable ? new CuttableLink(await freeAddress(), listened) : undefined;
+        await link?.start();
+        return { ...entry, callers, peers: link?.address ?? listened, link };
+      }),
     );
     for (const entry of this.entries) this.#startEntry(entry);
     for (const agent of this.plan.agents) this.agents.push(await this.#startAgent(agent));
@@ -94,7 +100,7 @@
 
   stop(): void {
     this.processes.stopAll();
-    for (const { link } of this.agents) link?.stop();
+    for (const { link } of [...this.agents, ...this.entries]) link?.stop();
   }
 
   /** Sets which machines the platform lists as live, some time later. */
@@ -126,13 +132,14 @@
   }
 
   #startEntry(entry: StartedEntry): void {
-    const { name, place, region, zone, callers, peers } = entry;
+    const { name, place, region, zone, callers, peers, link } = entry;
     const platform = `http://${this.platform}`;
     this.processes.start(name, ['entry'], {
       place,
       region,
       zone,
-      listen: { callers, peers },
+      listen: { callers, peers: link?.target ?? peers },
+      advertisedPeers: link?.address,
       entries: this.entries
         .filter((other) => other !== entry)
         .map((other) => ({ address: other.peers, zone: other.zone })),
--- a/bench/processes/cuttable-link.ts
+++ b/bench/processes/cuttable-link.ts
@@ -7,14 +7,14 @@
 /** A link from `address` to `target` (`host:port`). */
 export class CuttableLink {
   readonly address: string;
-  readonly #target: string;
+  readonly target: string;
   readonly #pairs = new Set<{ near: Socket; far: Socket }>();
   #server: Server | undefined;
   #cut: Cut = 'none';
 
   constructor(address: string, target: string) {
     this.address = address;
-    this.#target = target;
+    this.target = target;
   }
 
   async start(): Promise<void> {
@@ -39,7 +39,7 @@
   }
 
   #join(near: Socket): void {
-    const [host, port] = this.#target.split(':');
+    const [host, port] = this.target.split(':');
     const far = new Socket();
     far.connect(Number(port), host);
     const pair = { near, far };
--- a/bench/processes/request-bench.ts
+++ b/bench/processes/request-bench.ts
@@ -56,12 +56,14 @@
 const FAULT_AT = 2_000;
 /** Time after which work at a leaving machine is a breach, in milliseconds. */
 const LEAVING_LIMIT = 2_000;
-const LATENCY_PAIRS = 300;
+/** Pairs sent before latencies count, so that the code of all processes is compiled, and pairs that count. */
+const WARM_UP_PAIRS = 400;
+const LATENCY_PAIRS = 400;
 const MICROSECONDS = 1_000;
 
 /** Runs the load and reports it. */
 export async function runRequestBench(init: RequestBenchInit): Promise<RequestReport> {
-  const cluster = createBenchCluster(init.seed);
+  const cluster = createBenchCluster(init.seed, init.fault !== undefined);
   try {
     await cluster.start();
     await declareBenchResources(cluster);
@@ -119,7 +121,8 @@
       await pause(1_000 / rate);
     }
   })();
-  for (let pair = 0; pair < LATENCY_PAIRS; pair++) {
+  for (let pair = 0; pair < WARM_UP_PAIRS + LATENCY_PAIRS; pair++) {
+    if (pair === WARM_UP_PAIRS) for (const histogram of [direct, through]) histogram.reset();
     const { callers } = cluster.entries[pair % cluster.entries.length];
     await timeGet(`http://${services[pair % services.length].backEnd}/look`, direct);
     await timeGet(`http://${callers}/services/${SERVICE}/look`, through);
--- a/bench/processes/request-cluster.ts
+++ b/bench/processes/request-cluster.ts
@@ -1,5 +1,6 @@
 /** The system that the benches of the request path run on. */
 import { setTimeout as pause } from 'node:timers/promises';
+import type { AgentStatus } from '../../src/protocol/messages.js';
 import { API_VERSION } from '../../src/resources/schemas.js';
 import { Cluster, type StartedAgent } from './cluster.js';
 import {
@@ -21,25 +22,32 @@
 const MODEL_BYTES = 2 ** 20;
 const LIFETIME_SECONDS = 3;
 
-/** Three entries, six engines and three agents of a plain service, in three places. */
-export function createBenchCluster(seed: number): Cluster {
+/**
+ * Three entries, six engines and three agents of a plain service, in three places. With `cuttable`, an entry, an engine
+ * and a service are reached through links of this process, which cost time of their own.
+ */
+export function createBenchCluster(seed: number, cuttable = false): Cluster {
   const location = (index: number) => {
     const place = PLACES[index % PLACES.length];
     return { place, region: place, zone: `${place}-a` };
   };
   return new Cluster({
-    entries: [0, 1, 2].map((index) => ({ name: `entry-${index}`, ...location(index) })),
+    entries: [0, 1, 2].map((index) => ({
+      name: `entry-${index}`,
+      cuttable: cuttable && index === 1,
+      ...location(index),
+    })),
     agents: [
       ...Array.from({ length: ENGINES }, (_, index) => ({
         name: `engine-${index}`,
         pool: 'gpu',
-        cuttable: index === 0,
+        cuttable: cuttable && index === 0,
         ...location(index),
       })),
       ...Array.from({ length: SERVICES }, (_, index) => ({
         name: `control-${index}`,
         service: SERVICE,
-        cuttable: index === 0,
+        cuttable: cuttable && index === 0,
         ...location(index),
       })),
     ],
@@ -75,11 +83,23 @@
   for (;;) {
     const states = await Promise.all(engines.map(engineState));
     const ready = states.every((state) => state?.versions.some((row) => row.loadedDigest === version));
-    if (ready && (await ownersSettled(cluster))) return;
+    if (ready && (await ownersSettled(cluster)) && (await entriesKnow(cluster, version))) return;
     await pause(100);
   }
 }
 
+/** True once every entry knows of all replicas that they are ready. */
+async function entriesKnow(cluster: Cluster, version: string): Promise<boolean> {
+  for (const entry of cluster.entries) {
+    const status = await getJson<{ agents: AgentStatus[] }>(`http://${entry.callers}/status`);
+    const ready = (status?.agents ?? []).filter((agent) =>
+      agent.versions.some((row) => row.version === version && row.ready),
+    );
+    if (ready.length < ENGINES) return false;
+  }
+  return true;
+}
+
 /** True once every service agent follows a list of owners. */
 async function ownersSettled(cluster: Cluster): Promise<boolean> {
   for (const agent of servicesOf(cluster)) {
--- a/bench/processes/request-faults.ts
+++ b/bench/processes/request-faults.ts
@@ -1,5 +1,6 @@
 /** The fault cases of the request path, over real processes. Times in milliseconds from the begin of the load. */
 import { setTimeout as pause } from 'node:timers/promises';
+import { waitForHttp } from './child.js';
 import type { Cluster, StartedAgent } from './cluster.js';
 import type { Cut } from './cuttable-link.js';
 
@@ -41,6 +42,13 @@
   for (const link of links) link?.cut('none');
 }
 
+async function cutEntryLink({ cluster }: RequestFaultContext, cut: Cut): Promise<void> {
+  const { link } = cluster.entries[1];
+  link?.cut(cut);
+  await pause(CUT_TIME);
+  link?.cut('none');
+}
+
 async function replace(cluster: Cluster, name: string): Promise<void> {
   cluster.processes.kill(name);
   await pause(300);
@@ -85,6 +93,9 @@
   { name: 'linkCutToAgents', inject: (context) => cutLinks(context, 'toTarget', CUT_TIME) },
   { name: 'linkCutFromAgents', inject: (context) => cutLinks(context, 'fromTarget', CUT_TIME) },
   { name: 'linkCutShortly', inject: (context) => cutLinks(context, 'both', SHORT_CUT_TIME) },
+  { name: 'entryLinkCutBothWays', inject: (context) => cutEntryLink(context, 'both') },
+  { name: 'entryLinkCutToEntry', inject: (context) => cutEntryLink(context, 'toTarget') },
+  { name: 'entryLinkCutFromEntry', inject: (context) => cutEntryLink(context, 'fromTarget') },
   { name: 'storeDown', inject: ({ cluster }) => cluster.setFaults({ tablesDown: true, objectsDown: true }) },
   { name: 'storeSlow', inject: ({ cluster }) => cluster.setFaults({ tablesDelay: 2_500 }) },
   { name: 'storeAnswersLost', inject: ({ cluster }) => cluster.setFaults({ loseAnswers: 50 }) },
@@ -138,6 +149,18 @@
     planned: true,
     inject: async ({ cluster }) => cluster.processes.kill('entry-1', 'SIGTERM'),
   },
+  {
+    name: 'entriesRestartOneByOne',
+    planned: true,
+    inject: async ({ cluster }) => {
+      for (const { name, callers } of cluster.entries) {
+        cluster.processes.kill(name, 'SIGTERM');
+        await cluster.processes.ended(name);
+        cluster.processes.restart(name);
+        await waitForHttp(`http://${callers}/status`);
+      }
+    },
+  },
   {
     name: 'agentsRestartOneByOne',
     planned: true,
--- a/src/entry/duty-lease.ts
+++ b/src/entry/duty-lease.ts
@@ -89,9 +89,11 @@
     if (configuration.counters.reads === configuration.counters.failedReads) return;
     const condition = { table: TABLES.leases, key: this.#duty, revision: this.#observation.revision };
     const write = { table: TABLES.leases, key: this.#duty, value: row };
+    const isRenewal = this.held;
     const outcome = await this.#transact([condition], [write]);
-    // Whatever the answer, the row itself tells: a lost answer is found out by reading.
-    if (outcome !== undefined) await configuration.poll();
+    // Whatever the answer, the row itself tells: a lost answer is found out by reading. A renewal can wait for the
+    // next reading.
+    if (outcome?.type === 'conflict' || (outcome !== undefined && !isRenewal)) await configuration.poll();
     this.#observe();
   }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -208,12 +208,12 @@
   /** What this entry says of itself. */
   info(): EntryInfo {
     const { settings, identity } = this.#components;
-    const { place, zone, listen } = settings;
+    const { place, zone, listen, advertisedPeers } = settings;
     const leaving = this.#leaving;
     const sequence = this.#sequence;
     return {
       id: identity,
-      address: listen.peers,
+      address: advertisedPeers ?? listen.peers,
       callerAddress: listen.callers,
       place,
       zone,
@@ -224,8 +224,8 @@
 
   #createContext(): ConnectionContext {
     const { clock, counters, settings, identity } = this.#components;
-    const { place, region, zone, listen } = settings;
-    const peer = { id: identity, address: listen.peers, place, region, zone };
+    const { place, region, zone } = settings;
+    const peer = { id: identity, address: this.info().address, place, region, zone };
     return { clock, counters, hello: () => ({ type: 'hello', role: 'entry', peer }) };
   }
 
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -2,6 +2,9 @@
 import { collectDefaultMetrics, Gauge, Registry } from 'prom-client';
 import type { TrafficCounters } from '../protocol/connection.js';
 
+/** Time between two samples of the event loop's lag, in milliseconds: the library's 10 wake an idle process for it. */
+const EVENT_LOOP_SAMPLE_INTERVAL = 500;
+
 /** One figure: its name (with unit), its help text, and where it is read. */
 export interface MetricSource {
   name: string;
@@ -17,7 +20,11 @@
 
   constructor(role: string) {
     this.#registry.setDefaultLabels({ role });
-    collectDefaultMetrics({ register: this.#registry, prefix: 'thistleway_' });
+    collectDefaultMetrics({
+      register: this.#registry,
+      prefix: 'thistleway_',
+      eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL,
+    });
   }
 
   /** Adds figures. */
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -26,6 +26,8 @@
     /** For the system's own processes. */
     peers: address,
   }),
+  /** Address that other processes are told for `listen.peers`, where it differs. */
+  advertisedPeers: address.optional(),
   /** The other entries, of all zones: their addresses for the system's own processes. */
   entries: z.array(z.strictObject({ address, zone: name })).default([]),
   platform: z.strictObject({ tables: url, objects: url, machines: url }),
