Scale run of configuration: 400 entries and 2,300 agents, hollow beside real

Cause of its first failure (397 of 397 entries incomplete after 180 s): each entry told each of its agents again on every status, lease renewal and change of an entry, writing 42 entries as JSON each time; components were looked up in the container on each use; what to dial was worked out every 250 ms; each agent's news went as a message of its own. A profile of a host at 120 entries shows 6 of 16 s in there. Ruled out: a storm as before (120 entries became complete), the store (74 readings a second).

Change: agents are told on news of entries after 250 ms, of configuration at once, of leases never; news of a home are gathered for 100 ms; the dialling is worked out after changes only; rows of the configuration lie by table. An entry without configuration answers callers 503 with a time to come back; it said 404 for models that are declared.

--- a/bench/processes/footprint.ts
+++ b/bench/processes/footprint.ts
@@ -1,13 +1,11 @@
 /** `thistleway bench footprint`: processor time, memory and control bytes of real processes, idle and under load. */
-import { readFileSync } from 'node:fs';
 import { setTimeout as pause } from 'node:timers/promises';
 import { Caller } from './caller.js';
 import type { Cluster, StartedAgent } from './cluster.js';
 import { getJson } from './observation.js';
+import { type ProcessUse, processUse } from './process-use.js';
 import { createBenchCluster, declareBenchResources, MODEL } from './request-cluster.js';
 
-/** Kernel clock ticks a second, as Linux reports processor time. */
-const TICKS_PER_SECOND = 100;
 const IDLE_SECONDS = 10;
 const LOAD_SECONDS = 10;
 /** Time after the start that is not measured: modules are compiled. */
@@ -105,7 +103,7 @@
   await run();
   const after = cpuSeconds(cluster, names);
   const use = (role: keyof RoleNames): RoleFootprint => ({
-    residentMegabytes: Math.max(...names[role].map((name) => residentMegabytes(cluster, name))),
+    residentMegabytes: Math.max(...names[role].map((name) => useOf(cluster, name).residentMegabytes)),
     cpuPercent: Math.round(((after[role] - before[role]) / seconds / names[role].length) * 10_000) / 100,
   });
   return { entry: use('entry'), engineAgent: use('engineAgent'), serviceAgent: use('serviceAgent') };
@@ -141,21 +139,13 @@
 }
 
 function cpuSeconds(cluster: Cluster, names: RoleNames): Record<keyof RoleNames, number> {
-  const sum = (role: keyof RoleNames) => names[role].reduce((total, name) => total + cpuOf(cluster, name), 0);
+  const sum = (role: keyof RoleNames) =>
+    names[role].reduce((total, name) => total + useOf(cluster, name).cpuSeconds, 0);
   return { entry: sum('entry'), engineAgent: sum('engineAgent'), serviceAgent: sum('serviceAgent') };
 }
 
-/** Processor time of a process so far, user and system, in seconds. */
-function cpuOf(cluster: Cluster, name: string): number {
-  const stat = readFileSync(`/proc/${cluster.processes.get(name).pid}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
-}
-
-function residentMegabytes(cluster: Cluster, name: string): number {
-  const status = readFileSync(`/proc/${cluster.processes.get(name).pid}/status`, 'utf8');
-  const kibibytes = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]);
-  return Math.round((kibibytes * 1_024) / 100_000) / 10;
+function useOf(cluster: Cluster, name: string): ProcessUse {
+  return processUse(cluster.processes.get(name).pid);
 }
 
 async function controlBytes(agents: readonly StartedAgent[]): Promise<number> {
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -7,7 +7,7 @@
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
 import { type EngineClient, httpEngineClient } from '../engine/engine-client.js';
 import type { Digest } from '../model/manifest.js';
-import { hash32, type Random, rendezvousOrder, seededRandom } from '../model/random.js';
+import { hash32, type Random, seededRandom } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import { HybridClock } from '../observability/hybrid-clock.js';
 import { createLog, type Log } from '../observability/log.js';
@@ -32,6 +32,7 @@
 import { ChunkStore } from './chunk-store.js';
 import { EntryLink } from './entry-link.js';
 import { Exchange } from './exchange.js';
+import { homeCandidates, liveEntries } from './home-candidates.js';
 import { KeyOwnership } from './key-ownership.js';
 import { operatorApi } from './operator-api.js';
 import { VersionLoader } from './version-loader.js';
@@ -127,7 +128,7 @@
     this.#home = new EntryLink({
       context,
       random,
-      candidates: () => this.#homeCandidates(),
+      candidates: () => homeCandidates(this.#info, settings.entries, this.#entries),
       onOpen: (_, dialledAt) => {
         this.#ownership?.confirm(dialledAt);
         this.#sendStatus();
@@ -196,30 +197,10 @@
     else this.#calls.serve(connection);
   }
 
-  /** Addresses of the entries that are not leaving; the settings' list until the home entry told others. */
-  #liveEntries(): string[] {
-    const live = this.#entries.filter((entry) => !entry.leaving).map((entry) => entry.address);
-    return live.length > 0 ? live : this.#components.settings.entries.map((entry) => entry.address);
-  }
-
   /** The entries that may coordinate a burst: the same for all agents, the lowest of each zone. */
   #coordinators(): string[] {
     const lowest = lowestOfEachZone(this.#entries).map((entry) => entry.address);
-    return lowest.length > 0 ? lowest : this.#liveEntries();
-  }
-
-  /** The entries of the own zone first, then those of the own place; among equals by rendezvous hash. */
-  #homeCandidates(): string[] {
-    const { place, zone, id } = this.#info;
-    const known = new Map<string, { zone: string; place?: string }>();
-    for (const entry of [...this.#components.settings.entries, ...this.#entries])
-      known.set(entry.address, entry);
-    const distance = (address: string): number => {
-      const entry = known.get(address);
-      if (entry?.zone === zone) return 0;
-      return entry?.place === place ? 1 : 2;
-    };
-    return rendezvousOrder(id, this.#liveEntries()).sort((a, b) => distance(a) - distance(b));
+    return lowest.length > 0 ? lowest : liveEntries(this.#components.settings.entries, this.#entries);
   }
 
   #onHomeMessage(message: Message): void {
--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -2,10 +2,12 @@
 import { Option } from 'clipanion';
 import type { BurstReport } from '../../bench/burst-report.js';
 import type { RequestReport } from '../../bench/processes/request-bench.js';
+import type { ConfigReport } from '../../bench/scale/config-bench.js';
 import type { DistributionStrategy } from '../systems/distribution/neighbour-selection.js';
 import type { Objective } from '../systems/distribution/transfer.js';
 import { ThistlewayCommand } from './command.js';
 import { CommandFailure, EXIT_USAGE } from './errors.js';
+import { readSettings, runUntilSignal } from './process.js';
 
 /** One run of the table. */
 interface BurstRun {
@@ -167,6 +169,51 @@
   }
 }
 
+/** `thistleway bench config`. */
+export class BenchConfigCommand extends ThistlewayCommand {
+  static override paths = [['bench', 'config']];
+  static override usage = ThistlewayCommand.Usage({
+    category: 'Development',
+    description: 'measure changes of configuration at size, hollow processes beside real ones',
+    examples: [['The size to design for', 'thistleway bench config --entries 400 --agents 2300 --json']],
+  });
+  entries = Option.String('--entries', '40', { description: 'number of entries' });
+  agents = Option.String('--agents', '230', { description: 'number of agents' });
+  changes = Option.String('--changes', '40', { description: 'changes to declare, two a second' });
+  faults = Option.String('--faults', 'none', {
+    description: 'none, table (all cases), or the name of a case',
+  });
+  seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
+  json = Option.Boolean('--json', false, { description: 'print the report as JSON' });
+
+  async perform(): Promise<number> {
+    const { runConfigBench } = await import('../../bench/scale/config-bench.js');
+    const { CONFIG_FAULTS } = await import('../../bench/scale/config-faults.js');
+    const [entries, agents, changes, seed] = [this.entries, this.agents, this.changes, this.seed].map(Number);
+    const reports: ConfigReport[] = [];
+    for (const fault of selectFaults(this.faults, CONFIG_FAULTS)) {
+      this.context.stderr.write(`config, faults: ${fault?.name ?? 'none'}\n`);
+      reports.push(await runConfigBench({ entries, agents, changes, seed, fault }));
+    }
+    const sound = reports.every((report) => report.acceptedLost + report.reverts + report.servedOlder === 0);
+    const whole = reports.length === 1 ? reports[0] : { cases: reports, sound };
+    this.context.stdout.write(`${this.json ? JSON.stringify(whole) : JSON.stringify(whole, undefined, 2)}\n`);
+    return sound ? 0 : 1;
+  }
+}
+
+/** `thistleway bench hollow`: a part of `bench config`, started by it. */
+export class BenchHollowCommand extends ThistlewayCommand {
+  static override paths = [['bench', 'hollow']];
+  config = Option.String('--config', { required: true, description: 'settings file (JSON with comments)' });
+
+  async perform(): Promise<number> {
+    const { HollowHost, hollowHostSettings } = await import('../../bench/scale/hollow-host.js');
+    await runUntilSignal(new HollowHost(readSettings(this.config, hollowHostSettings)));
+    return 0;
+  }
+}
+
 /** `thistleway bench routing`. */
 export class BenchRoutingCommand extends ThistlewayCommand {
   static override paths = [['bench', 'routing']];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,7 +2,9 @@
 import { Builtins, Cli } from 'clipanion';
 import {
   BenchBurstCommand,
+  BenchConfigCommand,
   BenchFootprintCommand,
+  BenchHollowCommand,
   BenchRequestsCommand,
   BenchRoutingCommand,
   DemoCommand,
@@ -36,6 +38,8 @@
   TimelineCommand,
   BenchBurstCommand,
   BenchRequestsCommand,
+  BenchConfigCommand,
+  BenchHollowCommand,
   BenchFootprintCommand,
   BenchRoutingCommand,
   DemoCommand,
--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -33,6 +33,8 @@
   shed: 2_000,
   queueTime: 2_000,
 };
+/** Time after which an entry without a configuration may be asked again, in milliseconds. */
+const NOT_CONFIGURED_RETRY_AFTER = 1_000;
 /** Shortest beginning of a prompt by which a replica is chosen, and how much of it counts. */
 const MIN_PREFIX_CHARACTERS = 256;
 const MAX_PREFIX_CHARACTERS = 1_024;
@@ -74,6 +76,8 @@
 
   routes(): Router {
     const router = new Router();
+    router.use('/v1', (context, next) => this.#requireConfiguration(context, next));
+    router.use('/services', (context, next) => this.#requireConfiguration(context, next));
     router.get('/v1/entries', (context) => this.#discover(context));
     router.get('/v1/models', (context) => this.#listModels(context));
     router.post('/v1/chat/completions', (context) => this.#complete(context));
@@ -81,6 +85,12 @@
     return router;
   }
 
+  /** Until it holds a configuration, an entry answers nothing that it might have to take back. */
+  async #requireConfiguration(context: Koa.Context, next: Koa.Next): Promise<void> {
+    if (this.#components.configuration.revision > 0) return next();
+    this.#refuse(context, { type: 'notConfigured', ran: 'no', retryAfter: NOT_CONFIGURED_RETRY_AFTER });
+  }
+
   #discover(context: Koa.Context): void {
     const { configuration, entries, addressLifetimeSeconds } = this.#components;
     const tenant = context.get(TENANT_HEADER);
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -46,7 +46,8 @@
   /** Whether this entry reads the store for its zone; the others are told, and read only when nothing comes. */
   isReader: () => boolean = () => true;
   readonly #components: ConfigurationComponents;
-  readonly #rows = new Map<string, Row>();
+  /** Rows by table and key. */
+  readonly #tables = new Map<string, Map<string, Row>>();
   readonly #listeners = new Set<(rows: Row[]) => void>();
   readonly #stopping = new AbortController();
   #revision = 0;
@@ -120,17 +121,17 @@
 
   /** The row, or undefined where there is none. */
   row(table: string, key: string): Row | undefined {
-    return this.#rows.get(`${table}/${key}`);
+    return this.#tables.get(table)?.get(key);
   }
 
   /** All rows that are not deleted. */
   allRows(): Row[] {
-    return [...this.#rows.values()];
+    return [...this.#tables.values()].flatMap((rows) => [...rows.values()]);
   }
 
   /** The rows of a table. */
   rows(table: string): Row[] {
-    return [...this.#rows.values()].filter((row) => row.table === table);
+    return [...(this.#tables.get(table)?.values() ?? [])];
   }
 
   deployments(): Array<{ value: ModelDeployment; revision: number }> {
@@ -161,8 +162,8 @@
     this.#heardAt = performance.now();
     const fresh = rows.filter((row) => row.revision > (this.row(row.table, row.key)?.revision ?? 0));
     for (const row of fresh) {
-      if (row.value === null) this.#rows.delete(`${row.table}/${row.key}`);
-      else this.#rows.set(`${row.table}/${row.key}`, row);
+      if (row.value === null) this.#tables.get(row.table)?.delete(row.key);
+      else this.#tableOf(row).set(row.key, row);
     }
     if (revision <= this.#revision) return;
     this.#revision = revision;
@@ -172,6 +173,12 @@
     for (const listener of this.#listeners) listener(fresh);
   }
 
+  #tableOf({ table }: Row): Map<string, Row> {
+    const rows = this.#tables.get(table) ?? new Map<string, Row>();
+    this.#tables.set(table, rows);
+    return rows;
+  }
+
   #schedule(): void {
     const wait = POLL_MIN + this.#components.random.fraction() * POLL_SPREAD;
     this.#timer = setTimeout(() => void this.#readIfDue().finally(() => this.#reschedule()), wait);
--- a/src/entry/entry-mesh.ts
+++ b/src/entry/entry-mesh.ts
@@ -13,6 +13,8 @@
 import type { EntryDirectory } from './entry-directory.js';
 import { type MeshLink, MeshLinks } from './mesh-links.js';
 
+/** Time in which changes of agents homed here are gathered, in milliseconds. */
+const NEWS_DELAY = 100;
 /** Time between two messages with loads, in milliseconds. */
 const LOADS_INTERVAL = 2_000;
 /** Time between two digests of what is offered on a link, in milliseconds. */
@@ -40,6 +42,7 @@
   readonly #zones: Set<string>;
   /** What was last published of each agent homed here. */
   readonly #published = new Map<string, string>();
+  #newsTimer: NodeJS.Timeout | undefined;
   readonly #toldLoads = new Map<string, string>();
   readonly #startedAt = performance.now();
   #loadsToldAt = 0;
@@ -84,6 +87,7 @@
   }
 
   stop(): Promise<void> {
+    clearTimeout(this.#newsTimer);
     return this.#links.stop();
   }
 
@@ -99,6 +103,7 @@
     if (this.#published.get(id) !== lasting) {
       this.#published.set(id, lasting);
       this.#membership.publish([withoutLoad(status)], []);
+      this.#sendNewsSoon();
     }
     this.#components.directory.refresh(status);
   }
@@ -108,11 +113,20 @@
     this.#published.delete(id);
     this.#toldLoads.delete(id);
     this.#membership.publish([], [id]);
+    this.#sendNewsSoon();
   }
 
   /** Tells the others at once of a change of this entry itself. */
   announceSelf(): void {
-    this.#membership.publish([], [], this.#components.self());
+    this.#membership.publishSelf(this.#components.self());
+    this.#membership.sendOwnNews();
+  }
+
+  #sendNewsSoon(): void {
+    this.#newsTimer ??= setTimeout(() => {
+      this.#newsTimer = undefined;
+      this.#membership.sendOwnNews();
+    }, NEWS_DELAY);
   }
 
   #review(): void {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -68,6 +68,11 @@
 
 /** Creates an entry from its settings. */
 export function createEntry(settings: EntrySettings): Entry {
+  return composeEntry(settings).entry;
+}
+
+/** The parts of an entry; those that are not asked for are made when they are. */
+export function composeEntry(settings: EntrySettings): EntryComponents {
   const identity = `${settings.listen.peers}#${randomBytes(4).toString('hex')}`;
   const container = createContainer<EntryComponents>({ injectionMode: InjectionMode.PROXY, strict: true });
   container.register({
@@ -92,12 +97,14 @@
     ).singleton(),
     entry: asFunction((components: EntryComponents) => new Entry(components)).singleton(),
   });
-  return container.resolve('entry');
+  return container.cradle;
 }
 
 /** A running entry. */
 export class Entry implements Startable {
   readonly #components: EntryComponents;
+  /** What does not change of this entry's word on itself. */
+  readonly #self: Omit<EntryInfo, 'leaving' | 'sequence'>;
   readonly #context: ConnectionContext;
   readonly #mesh: EntryMesh;
   readonly #home: HomeAgents;
@@ -115,6 +122,14 @@
     const { settings, random, configuration, directory, entries, timeline, tables, objects, bursts } =
       components;
     this.#components = components;
+    const { place, zone, listen, advertisedPeers } = settings;
+    this.#self = {
+      id: components.identity,
+      address: advertisedPeers ?? listen.peers,
+      callerAddress: listen.callers,
+      place,
+      zone,
+    };
     this.#context = this.#createContext();
     const self = () => this.info();
     this.#mesh = new EntryMesh(settings.entries, {
@@ -207,25 +222,13 @@
 
   /** What this entry says of itself. */
   info(): EntryInfo {
-    const { settings, identity } = this.#components;
-    const { place, zone, listen, advertisedPeers } = settings;
-    const leaving = this.#leaving;
-    const sequence = this.#sequence;
-    return {
-      id: identity,
-      address: advertisedPeers ?? listen.peers,
-      callerAddress: listen.callers,
-      place,
-      zone,
-      leaving,
-      sequence,
-    };
+    return { ...this.#self, leaving: this.#leaving, sequence: this.#sequence };
   }
 
   #createContext(): ConnectionContext {
-    const { clock, counters, settings, identity } = this.#components;
-    const { place, region, zone } = settings;
-    const peer = { id: identity, address: this.info().address, place, region, zone };
+    const { clock, counters, settings } = this.#components;
+    const { id, address, place, zone } = this.#self;
+    const peer = { id, address, place, region: settings.region, zone };
     return { clock, counters, hello: () => ({ type: 'hello', role: 'entry', peer }) };
   }
 
--- a/src/entry/errors.ts
+++ b/src/entry/errors.ts
@@ -13,6 +13,8 @@
   /** `retryAfter` is in milliseconds. */
   | { type: 'noCapacity'; ran: Ran; retryAfter: number }
   | { type: 'entryLeaving'; ran: 'no'; retryAfter: number }
+  /** This entry has no configuration yet: it cannot tell what is allowed. */
+  | { type: 'notConfigured'; ran: 'no'; retryAfter: number }
   | { type: 'deadlineExceeded'; ran: Ran }
   /** Nothing proves that the key has not run; asking again with the same key tells more. */
   | { type: 'outcomeUnknown'; ran: 'unknown'; retryAfter: number; reason: string }
@@ -26,6 +28,7 @@
   malformedRequest: 400,
   noCapacity: 503,
   entryLeaving: 503,
+  notConfigured: 503,
   deadlineExceeded: 504,
   outcomeUnknown: 504,
   backEndFailed: 502,
--- a/src/entry/home-agents.ts
+++ b/src/entry/home-agents.ts
@@ -14,6 +14,11 @@
 import type { EntryMesh } from './entry-mesh.js';
 
 const OBJECT_TIMEOUT = 5_000;
+/** Time in which news of entries are gathered before agents are told, in milliseconds. */
+const ENTRIES_DELAY = 250;
+
+/** Tables of which agents are told. */
+const TOLD_TABLES: ReadonlySet<string> = new Set([TABLES.resources, TABLES.placements, TABLES.owners]);
 
 /** What the home works with. */
 export interface HomeAgentsComponents {
@@ -35,13 +40,18 @@
   readonly #told = new Map<string, string>();
   /** Agents whose owners' list was read from the store after they connected: only that may be told to them. */
   readonly #vouched = new Set<string>();
+  /** What agents are told of entries, and the same as text; undefined after a change. */
+  #entries: { infos: EntryInfo[]; text: string } | undefined;
+  #entriesTimer: NodeJS.Timeout | undefined;
   /** Manifests by version; they never change. */
   readonly #manifests = new Map<string, Promise<Result<Manifest, string>>>();
 
   constructor(components: HomeAgentsComponents) {
     this.#components = components;
-    components.configuration.listen(() => this.tellAll());
-    components.mesh.onChange = () => this.tellAll();
+    components.configuration.listen((rows) => {
+      if (rows.some(({ table }) => TOLD_TABLES.has(table))) this.tellAll();
+    });
+    components.mesh.onChange = () => this.#onEntriesChanged();
   }
 
   /** Number of agents homed here. */
@@ -57,9 +67,17 @@
 
   /** Tells every agent homed here what is news to it. */
   tellAll(): void {
+    this.#entries = undefined;
     for (const id of this.#connections.keys()) this.#tell(id);
   }
 
+  #onEntriesChanged(): void {
+    this.#entriesTimer ??= setTimeout(() => {
+      this.#entriesTimer = undefined;
+      this.tellAll();
+    }, ENTRIES_DELAY);
+  }
+
   #onMessage(connection: Connection, message: Message): void {
     if (this.#components.bursts.handle(connection, message)) return;
     if (message.type === 'status') this.#onStatus(connection, message);
@@ -76,7 +94,7 @@
       timeline.record({ type: 'agentConnected', agent: id });
     }
     mesh.agentChanged(message.status);
-    this.#tell(id);
+    if (!this.#told.has(id)) this.#tell(id);
     if (message.status.backEnd === 'service' && !this.#vouched.has(id)) void this.#vouch(id, connection);
   }
 
@@ -94,20 +112,23 @@
     const row = this.#components.directory.rows.get(id);
     if (connection === undefined || row === undefined || configuration.revision === 0) return;
     const assignments = this.#assignmentsOf(row.status.info.address);
-    const entries = this.#entriesFor();
+    this.#entries ??= this.#entriesFor();
+    const { infos: entries, text } = this.#entries;
     const owners = this.#vouched.has(id) ? this.#ownersOf(row.status.pool) : undefined;
-    const news = JSON.stringify([assignments, entries, owners]);
+    const news = `${JSON.stringify([assignments, owners])}${text}`;
     if (this.#told.get(id) === news) return;
     this.#told.set(id, news);
     connection.send({ type: 'assignments', revision: configuration.revision, assignments, entries, owners });
   }
 
   /** The entries of this zone, for homes, and the lowest entry of each zone, for the coordination of bursts. */
-  #entriesFor(): EntryInfo[] {
+  #entriesFor(): { infos: EntryInfo[]; text: string } {
     const { self, entries } = this.#components;
-    const known = [self(), ...entries.rows.values()];
-    const lowest = lowestOfEachZone(known);
-    return known.filter((info) => info.zone === self().zone || lowest.includes(info));
+    const own = self();
+    const known = [own, ...entries.rows.values()];
+    const lowest = new Set(lowestOfEachZone(known));
+    const infos = known.filter((info) => info.zone === own.zone || lowest.has(info));
+    return { infos, text: JSON.stringify(infos) };
   }
 
   #ownersOf(service: string): OwnersRow | undefined {
--- a/src/entry/mesh-links.ts
+++ b/src/entry/mesh-links.ts
@@ -44,6 +44,8 @@
   readonly #unreachable = new Map<string, number>();
   readonly #stopping = new AbortController();
   #startedAt = performance.now();
+  /** False while nothing has changed since there was nothing to dial. */
+  #mayHaveToDial = true;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -136,12 +138,18 @@
     for (const [address, until] of this.#unreachable) {
       if (until <= now) this.#unreachable.delete(address);
     }
+    if (this.#mayHaveToDial) this.#dialMissing(now);
+    this.#events.onReview();
+  }
+
+  #dialMissing(now: number): void {
     const connected = [...this.#connected(), ...this.#dialling.values()];
     const unreachable = new Set(this.#unreachable.keys());
     const knowsOwnZone = now - this.#startedAt >= OWN_ZONE_TIME || this.#isZoneConnected();
     const view = { self: this.#self, configured: this.#configured, connected, unreachable, knowsOwnZone };
-    for (const entry of entriesToDial(view)) void this.#dial(entry);
-    this.#events.onReview();
+    const missing = entriesToDial(view);
+    this.#mayHaveToDial = missing.length > 0 || !knowsOwnZone || this.#dialling.size > 0;
+    for (const entry of missing) void this.#dial(entry);
   }
 
   async #dial(entry: ConfiguredEntry): Promise<void> {
@@ -155,6 +163,7 @@
   #lost(link: MeshLink): void {
     if (this.#links.get(link.id) !== link) return;
     this.#links.delete(link.id);
+    this.#mayHaveToDial = true;
     // What this entry loses because it stops itself is no news.
     if (!this.#stopping.signal.aborted) this.#events.onLost(link);
   }
--- a/src/systems/membership/membership.ts
+++ b/src/systems/membership/membership.ts
@@ -12,6 +12,7 @@
  * const membership = new Membership(self, { send, onAgentsChanged, onEntriesChanged });
  * membership.linkOpened('10.0.0.2:7000#1f', 'zone-a');
  * membership.publish([status], []);
+ * membership.sendOwnNews();
  * ```
  */
 import type { AgentStatus, EntryInfo, HomeNews, MembershipMessage } from '../../protocol/messages.js';
@@ -47,10 +48,18 @@
   died: boolean;
 }
 
+/** What was published and not sent yet: identities of agents, and the entry's word on itself if that changed. */
+interface UnsentNews {
+  changed: Set<string>;
+  gone: Set<string>;
+  info: EntryInfo | undefined;
+}
+
 /** The membership as one entry knows it. */
 export class Membership {
   readonly #output: MembershipOutput;
   readonly #own: HomeRecord;
+  #unsent: UnsentNews = { changed: new Set(), gone: new Set(), info: undefined };
   readonly #records = new Map<string, HomeRecord>();
   readonly #candidates = new AgentCandidates();
   readonly #links = new Map<string, Link>();
@@ -81,13 +90,47 @@
     });
   }
 
-  /** Changes the own record: agents homed here that have told something, and those that are gone. */
-  publish(statuses: readonly AgentStatus[], gone: readonly string[], info?: EntryInfo): void {
-    const base = this.#own.version;
-    const news = { type: 'homeNews', home: this.#own.info.id, info, base, version: base + 1 } as const;
-    this.#apply({ ...news, statuses: [...statuses], gone: [...gone] });
-    for (const near of [true, false])
-      this.#sendToClass(near, { ...news, statuses: [...statuses], gone: [...gone] });
+  /**
+   * Changes the own record: agents homed here that have told something, and those that are gone. It counts here at
+   * once; the others are told by {@link sendOwnNews}.
+   */
+  publish(statuses: readonly AgentStatus[], gone: readonly string[]): void {
+    const changed = this.#change(this.#own, statuses, gone);
+    for (const id of gone) {
+      this.#unsent.changed.delete(id);
+      this.#unsent.gone.add(id);
+    }
+    for (const { info } of statuses) {
+      this.#unsent.gone.delete(info.id);
+      this.#unsent.changed.add(info.id);
+    }
+    if (changed.size > 0) this.#output.onAgentsChanged(changed);
+  }
+
+  /** Changes what the own record says of this entry itself. */
+  publishSelf(info: EntryInfo): void {
+    this.#own.info = info;
+    this.#unsent.info = info;
+  }
+
+  /** Sends what was published since the last time, as the next version. */
+  sendOwnNews(): void {
+    const { changed, gone, info } = this.#unsent;
+    if (changed.size + gone.size === 0 && info === undefined) return;
+    this.#unsent = { changed: new Set(), gone: new Set(), info: undefined };
+    const base = this.#own.version++;
+    const statuses = [...changed].map((id) => this.#own.agents.get(id)!);
+    const home = this.#own.info.id;
+    const news: HomeNews = {
+      type: 'homeNews',
+      home,
+      info,
+      base,
+      version: base + 1,
+      statuses,
+      gone: [...gone],
+    };
+    for (const near of [true, false]) this.#sendToClass(near, news);
   }
 
   /** A link to another entry is open. */
@@ -176,8 +219,18 @@
     record.version = version;
     const named = new Set(statuses.map((status) => status.info.id));
     const removed = base === 0 ? [...record.agents.keys()].filter((id) => !named.has(id)) : gone;
+    const changed = this.#change(record, statuses, removed);
+    if (info !== undefined) record.info = info;
+    if (changed.size > 0) this.#output.onAgentsChanged(changed);
+    if (info !== undefined) this.#output.onEntriesChanged();
+    return outcome;
+  }
+
+  /** Changes the agents of a record; returns the addresses at which somebody else may count now. */
+  #change(record: HomeRecord, statuses: readonly AgentStatus[], gone: readonly string[]): Set<string> {
+    const home = record.info.id;
     const changed = new Set<string>();
-    for (const id of removed) {
+    for (const id of gone) {
       const status = record.agents.get(id);
       if (status === undefined) continue;
       record.agents.delete(id);
@@ -187,10 +240,7 @@
       record.agents.set(status.info.id, status);
       changed.add(this.#candidates.set(home, status));
     }
-    if (info !== undefined) record.info = info;
-    if (changed.size > 0) this.#output.onAgentsChanged(changed);
-    if (info !== undefined) this.#output.onEntriesChanged();
-    return outcome;
+    return changed;
   }
 
   /** A link offers a home's record no more. */
--- /dev/null
+++ b/test/entry/caller-api.test.ts
@@ -0,0 +1,90 @@
+import Koa from 'koa';
+import { afterEach, describe, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import { Admission } from '../../src/entry/admission.js';
+import type { CallRouter } from '../../src/entry/call-router.js';
+import { CallerApi } from '../../src/entry/caller-api.js';
+import { Configuration } from '../../src/entry/configuration.js';
+import type { OnceRouter } from '../../src/entry/once-router.js';
+import { seededRandom } from '../../src/model/random.js';
+import type { Startable } from '../../src/model/startable.js';
+import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { Timeline } from '../../src/observability/timeline.js';
+import type { Row, TableService } from '../../src/platform/table-service.js';
+import { API_VERSION } from '../../src/resources/schemas.js';
+import { httpServer } from '../../src/server/http-server.js';
+import { DEFAULT_TENANT_LIMITS } from '../../src/systems/admission.js';
+
+const SELF = {
+  id: 'e',
+  address: 'e',
+  callerAddress: 'e',
+  place: 'here',
+  zone: 'z',
+  leaving: false,
+  sequence: 0,
+};
+const SERVICE: Row = {
+  table: 'resources',
+  key: 'Service/control',
+  revision: 1,
+  value: {
+    apiVersion: API_VERSION,
+    kind: 'Service',
+    metadata: { name: 'control' },
+    spec: { tenant: 't', places: ['elsewhere'], priority: 0, repeatable: [] },
+  },
+};
+
+let server: Startable | undefined;
+
+afterEach(async () => server?.stop());
+
+/** An entry's interface with nothing behind it, over a configuration of these rows. */
+async function serve(rows: Row[]): Promise<string> {
+  const timeline = new Timeline('e', new HybridClock());
+  const configuration = new Configuration({ tables: {} as TableService, random: seededRandom(1), timeline });
+  if (rows.length > 0) configuration.take(rows, 1);
+  const limits = { inProgress: 1, queued: 0, queueTime: 0 };
+  const api = new CallerApi({
+    configuration,
+    router: {} as CallRouter,
+    onceRouter: {} as OnceRouter,
+    self: () => SELF,
+    entries: () => [SELF],
+    addressLifetimeSeconds: 5,
+    defaultDeadline: 1_000,
+    admission: new Admission(limits, () => DEFAULT_TENANT_LIMITS),
+  });
+  const address = await freeAddress();
+  const app = new Koa();
+  app.use(api.routes().routes());
+  server = httpServer(address, app.callback());
+  await server.start();
+  return `http://${address}`;
+}
+
+describe('the interface for callers', () => {
+  it.each(['/v1/entries', '/v1/models', '/services/control/look'])(
+    'answers %s without a configuration by "not run" and when to come back, never by "not found"',
+    async (path) => {
+      const answer = await fetch(`${await serve([])}${path}`, { headers: { 'x-thistleway-tenant': 't' } });
+      expect(answer.status).toBe(503);
+      expect(answer.headers.get('retry-after')).toBe('1');
+      expect(await answer.json()).toMatchObject({ error: { type: 'notConfigured', notRun: true } });
+    },
+  );
+
+  it.each([
+    ['a service that is not declared', 'other', 404, 'unknownService'],
+    ['a service of another tenant', 'control', 404, 'unknownService', 'stranger'],
+    ['a service whose answers may not travel here', 'control', 421, 'placeNotAllowed'],
+  ])('refuses %s as not run', async (_, name, status, type, tenant = 't') => {
+    const base = await serve([SERVICE]);
+    const answer = await fetch(`${base}/services/${name}/look`, {
+      headers: { 'x-thistleway-tenant': tenant },
+    });
+    expect(answer.status).toBe(status);
+    expect(await answer.json()).toMatchObject({ error: { type, notRun: true } });
+  });
+});
--- a/test/systems/membership.test.ts
+++ b/test/systems/membership.test.ts
@@ -46,6 +46,12 @@
     this.entries.get(b)!.linkLost(a, this.now);
   }
 
+  /** Changes an entry's record and tells the others. */
+  publish(id: string, statuses: AgentStatus[], gone: string[]): void {
+    this.entries.get(id)!.publish(statuses, gone);
+    this.entries.get(id)!.sendOwnNews();
+  }
+
   /** Loses what is on its way from one entry to another. */
   lose(from: string, to: string): void {
     this.#queues.set(`${from}>${to}`, []);
@@ -129,7 +135,7 @@
 describe('membership', () => {
   it('brings each entry and its agents to all entries', () => {
     const made = network(FAR);
-    made.entries.get('a3')!.publish([status('agent', 1)], []);
+    made.publish('a3', [status('agent', 1)], []);
     made.settle();
     expect(homes(made, 'agent')).toEqual(IDS.map(() => 'a3'));
     for (const membership of made.entries.values()) expect(membership.entries.length).toBe(IDS.length - 1);
@@ -139,7 +145,7 @@
     const made = network(allPairs());
     made.settle();
     const before = made.delivered;
-    made.entries.get('a3')!.publish([status('agent', 1)], []);
+    made.publish('a3', [status('agent', 1)], []);
     made.settle();
     expect(homes(made, 'agent')).toEqual(IDS.map(() => 'a3'));
     expect(made.delivered - before).toBeLessThanOrEqual(IDS.length * IDS.length);
@@ -157,30 +163,30 @@
 
   it('keeps an agent that moved to another home, whichever news comes first', () => {
     const made = network(FAR);
-    made.entries.get('a1')!.publish([status('agent', 1)], []);
+    made.publish('a1', [status('agent', 1)], []);
     made.settle();
-    made.entries.get('b2')!.publish([status('agent', 2)], []);
-    made.entries.get('a1')!.publish([], ['agent']);
+    made.publish('b2', [status('agent', 2)], []);
+    made.publish('a1', [], ['agent']);
     made.settle();
     expect(homes(made, 'agent')).toEqual(IDS.map(() => 'b2'));
   });
 
   it('takes the process that appeared last at an address, also when the old one is named again', () => {
     const made = network(FAR);
-    made.entries.get('a1')!.publish([status('old', 5, 'machine')], []);
+    made.publish('a1', [status('old', 5, 'machine')], []);
     made.settle();
-    made.entries.get('a2')!.publish([status('new', 1, 'machine')], []);
-    made.entries.get('a1')!.publish([status('old', 6, 'machine')], []);
+    made.publish('a2', [status('new', 1, 'machine')], []);
+    made.publish('a1', [status('old', 6, 'machine')], []);
     made.settle();
     expect(made.entries.get('c1')!.agentAt('machine')?.status.info.id).toBe('new');
-    made.entries.get('a1')!.publish([], ['old']);
+    made.publish('a1', [], ['old']);
     made.settle();
     expect(homes(made, 'machine')).toEqual(IDS.map(() => 'a2'));
   });
 
   it('takes an entry that died out at once, and its agents after a grace', () => {
     const made = network(FAR);
-    made.entries.get('a3')!.publish([status('agent', 1)], []);
+    made.publish('a3', [status('agent', 1)], []);
     made.settle();
     for (const id of ['a1', 'a2']) made.cut('a3', id);
     made.settle();
@@ -193,7 +199,7 @@
 
   it('keeps a zone whose link is made again in time, and drops one that stays out of reach', () => {
     const made = network([['a1', 'b1']]);
-    made.entries.get('b2')!.publish([status('agent', 1)], []);
+    made.publish('b2', [status('agent', 1)], []);
     made.settle();
     made.cut('a1', 'b1');
     made.settle();
@@ -225,9 +231,9 @@
   it('asks for the whole record when the change before was lost', () => {
     const made = network(FAR);
     made.settle();
-    made.entries.get('a3')!.publish([status('first', 1)], []);
+    made.publish('a3', [status('first', 1)], []);
     made.lose('a3', 'a1');
-    made.entries.get('a3')!.publish([status('second', 1)], []);
+    made.publish('a3', [status('second', 1)], []);
     made.settle();
     expect(homes(made, 'first')).toEqual(IDS.map(() => 'a3'));
   });
@@ -235,7 +241,7 @@
   it('finds by digests what was lost', () => {
     const made = network(FAR);
     made.settle();
-    made.entries.get('a3')!.publish([status('agent', 1)], []);
+    made.publish('a3', [status('agent', 1)], []);
     made.lose('a3', 'a1');
     made.settle();
     expect(made.entries.get('a1')!.agentAt('agent')).toBeUndefined();
@@ -271,8 +277,8 @@
         if (action.type === 'agent') {
           const { home, agent } = action;
           const earlier = at.get(agent);
-          if (earlier !== undefined && earlier !== home) made.entries.get(earlier)!.publish([], [agent]);
-          made.entries.get(home)!.publish([status(agent, ++sequence)], []);
+          if (earlier !== undefined && earlier !== home) made.publish(earlier, [], [agent]);
+          made.publish(home, [status(agent, ++sequence)], []);
           at.set(agent, home);
         }
       }
