Deleted resources stay deleted; watches go on with deletions or say 'too old'

Cause, found by reading for what a watch needs: an entry took rows of any revision higher than its own row's, and for a deleted row that is none, so a lagging or late reading brought a deleted tenant or deployment back; and the whole configuration that a neighbour sends on a new link holds no deletions, so an entry that was behind kept what was deleted meanwhile, for ever.

Change: only rows above the known revision count; a whole configuration takes out what it does not hold; deletions are remembered (1,000) for watches, and a watch that begins before them is answered 410 (the command says so). A watch that does not read is ended at 1 MiB.

--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -221,6 +221,10 @@
     process.once('SIGINT', () => interrupted.abort());
     const { signal } = interrupted;
     const stream = await openHttp({ service: 'entry', method: 'GET', url, signal });
+    if (stream.statusCode === 410) {
+      const reason = `the entry does not know what was deleted after revision ${this.since}`;
+      throw new CommandFailure(`${reason}: watch again from 0`, EXIT_UNKNOWN);
+    }
     try {
       for await (const part of stream.body) this.context.stdout.write(part);
     } catch (cause) {
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -1,6 +1,6 @@
 /**
- * The configuration in force at an entry: the rows of the platform's tables, taken in by revision. A row is
- * replaced only by one of a higher revision, so a late or lagging answer changes nothing back.
+ * The configuration in force at an entry: the rows of the platform's tables, taken in by revision. Only rows of a higher
+ * revision than the known one count, so a late or lagging answer changes nothing back and revives nothing.
  */
 import type { Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
@@ -16,6 +16,9 @@
 /** Time without news after which an entry reads the store although another one does it for the zone. */
 const QUIET_LIMIT = 4_000;
 
+/** Deletions of resources that are remembered. */
+const DELETIONS_KEPT = 1_000;
+
 /** Names of the tables. */
 export const TABLES = {
   resources: 'resources',
@@ -50,6 +53,9 @@
   readonly #tables = new Map<string, Map<string, Row>>();
   readonly #listeners = new Set<(rows: Row[]) => void>();
   readonly #stopping = new AbortController();
+  /** The latest deletions of resources, for watches that were away; all of them from this revision on. */
+  readonly #deleted: Row[] = [];
+  #deletionsKnownFrom = 0;
   #revision = 0;
   #timer: NodeJS.Timeout | undefined;
   #heardAt = 0;
@@ -114,7 +120,7 @@
     }
     const base = this.#revision;
     const { rows, revision } = read.value;
-    this.take(rows, revision);
+    this.take(base, rows, revision);
     if (revision > base) this.onRead(base, revision, rows);
     return true;
   }
@@ -157,15 +163,19 @@
       .map((row) => ({ value: row.value as T, revision: row.revision }));
   }
 
-  /** Takes rows in that changed since the known revision, from the store or from another entry. */
-  take(rows: readonly Row[], revision: number): void {
+  /**
+   * Takes rows in that changed after revision `base`, from the store or from another entry; with base 0 all rows there
+   * are. Rows of a revision that is known already are not news, or were deleted since.
+   */
+  take(base: number, rows: readonly Row[], revision: number): void {
     this.#heardAt = performance.now();
-    const fresh = rows.filter((row) => row.revision > (this.row(row.table, row.key)?.revision ?? 0));
-    for (const row of fresh) {
-      if (row.value === null) this.#tables.get(row.table)?.delete(row.key);
-      else this.#tableOf(row).set(row.key, row);
-    }
-    if (revision <= this.#revision) return;
+    const known = this.#revision;
+    if (revision <= known) return;
+    const changed = rows.filter((row) => row.revision > known);
+    const removed = base === 0 && known > 0 ? this.#missingFrom(rows, revision) : [];
+    const fresh = [...changed, ...removed];
+    for (const row of fresh) this.#put(row);
+    if (known === 0) this.#deletionsKnownFrom = revision;
     this.#revision = revision;
     if (fresh.length === 0) return;
     const declared = fresh.some((row) => row.table !== TABLES.leases);
@@ -173,6 +183,28 @@
     for (const listener of this.#listeners) listener(fresh);
   }
 
+  /** Resources deleted after revision `since`, or undefined where this entry does not know all of them. */
+  deletedSince(since: number): Row[] | undefined {
+    if (this.#revision === 0 || since < this.#deletionsKnownFrom) return undefined;
+    return this.#deleted.filter((row) => row.revision > since);
+  }
+
+  /** As deletions, the rows known here that the whole configuration does not hold. */
+  #missingFrom(whole: readonly Row[], revision: number): Row[] {
+    const held = new Set(whole.map(({ table, key }) => `${table}/${key}`));
+    const missing = this.allRows().filter(({ table, key }) => !held.has(`${table}/${key}`));
+    return missing.map(({ table, key }) => ({ table, key, value: null, revision }));
+  }
+
+  #put(row: Row): void {
+    if (row.value !== null) return void this.#tableOf(row).set(row.key, row);
+    this.#tables.get(row.table)?.delete(row.key);
+    if (row.table !== TABLES.resources) return;
+    this.#deleted.push(row);
+    if (this.#deleted.length <= DELETIONS_KEPT) return;
+    this.#deletionsKnownFrom = this.#deleted.shift()!.revision;
+  }
+
   #tableOf({ table }: Row): Map<string, Row> {
     const rows = this.#tables.get(table) ?? new Map<string, Row>();
     this.#tables.set(table, rows);
--- a/src/entry/entry-mesh.ts
+++ b/src/entry/entry-mesh.ts
@@ -7,6 +7,7 @@
 import type { ConnectionContext } from '../protocol/connection.js';
 import type { AgentLoad, AgentStatus, EntryInfo, Message } from '../protocol/messages.js';
 import type { ConfiguredEntry } from '../systems/entry-topology.js';
+import { type ConfigurationNews, HeldBackNews } from '../systems/held-back-news.js';
 import { Membership } from '../systems/membership/membership.js';
 import type { AgentDirectory } from './agent-directory.js';
 import type { Configuration } from './configuration.js';
@@ -17,6 +18,8 @@
 const NEWS_DELAY = 100;
 /** Time between two messages with loads, in milliseconds. */
 const LOADS_INTERVAL = 2_000;
+/** Longest wait of news that nobody waits for; shorter than the time after which an entry reads the store itself. */
+const PATIENT_NEWS_INTERVAL = 2_000;
 /** Time between two digests of what is offered on a link, in milliseconds. */
 const DIGEST_INTERVAL = 4_000;
 /** Time after the start from which an entry goes by the zones that it hears of, in milliseconds. */
@@ -44,6 +47,8 @@
   readonly #published = new Map<string, string>();
   #newsTimer: NodeJS.Timeout | undefined;
   readonly #toldLoads = new Map<string, string>();
+  readonly #heldBackNear = new HeldBackNews(PATIENT_NEWS_INTERVAL);
+  readonly #heldBackFar = new HeldBackNews(Number.POSITIVE_INFINITY);
   readonly #startedAt = performance.now();
   #loadsToldAt = 0;
   #digestsSentAt = 0;
@@ -63,11 +68,7 @@
       onAgentsChanged: (addresses) => this.#updateAgents(addresses),
       onEntriesChanged: () => this.#updateEntries(),
     });
-    components.configuration.onRead = (base, revision, rows) => {
-      const news: Message = { type: 'configuration', base, revision, rows };
-      this.#links.sendNear(news);
-      this.#links.sendFar(news);
-    };
+    components.configuration.onRead = (base, revision, rows) => this.#tellRead({ base, revision, rows });
   }
 
   /** True when this entry reads the store for its zone, and may take duties over. */
@@ -187,6 +188,15 @@
     }
   }
 
+  /** Tells what this entry read. Other zones read for themselves, so renewals of leases are never told there. */
+  #tellRead(news: ConfigurationNews): void {
+    const now = performance.now();
+    const near = this.#heldBackNear.add(news, now);
+    const far = this.#heldBackFar.add(news, now);
+    if (near !== undefined) this.#links.sendNear({ type: 'configuration', ...near });
+    if (far !== undefined) this.#links.sendFar({ type: 'configuration', ...far });
+  }
+
   #onConfiguration(link: MeshLink, message: { base: number; revision: number; rows: Row[] }): void {
     const { configuration } = this.#components;
     const { base, revision, rows } = message;
@@ -194,7 +204,7 @@
     if (revision <= known) return;
     // With a gap in between, the rows alone do not make the revision: the store is read.
     if (base > known) return configuration.hint(revision);
-    configuration.take(rows, revision);
+    configuration.take(base, rows, revision);
     const news: Message = { type: 'configuration', base: known, revision, rows };
     if (link.near) this.#links.sendFar(news);
     else this.#links.sendNear(news);
--- a/src/resources/resource-api.ts
+++ b/src/resources/resource-api.ts
@@ -11,7 +11,7 @@
 import type Koa from 'koa';
 import type { AgentDirectory } from '../entry/agent-directory.js';
 import { type Configuration, TABLES } from '../entry/configuration.js';
-import type { RowCondition, RowWrite, TableService } from '../platform/table-service.js';
+import type { Row, RowCondition, RowWrite, TableService } from '../platform/table-service.js';
 import { readBody } from '../server/http-server.js';
 import { deploymentStatus } from './deployment-status.js';
 import { type Resource, resource, resourceKey } from './schemas.js';
@@ -51,6 +51,8 @@
   unavailable: 503,
 };
 const RESOLVE_RETRY_AFTER = 1_000;
+/** Bytes of a watch that may lie unread before it is ended. */
+const MAX_UNREAD_BYTES = 2 ** 20;
 
 const APPLY_STATUS: Record<ApplyAnswer['type'], number> = {
   accepted: 200,
@@ -186,24 +188,38 @@
   return { operationId: request.operationId, conditions, writes };
 }
 
-/** Streams changes of resources as lines of JSON, beginning with what changed after `since`. */
+/**
+ * Streams changes of resources as lines of JSON, beginning with what changed after `since`: 0 for all resources. Answers
+ * 410 where this entry does not know what was deleted since then: list, and watch from the list's revision.
+ */
 function watch(context: Koa.Context, configuration: Configuration): void {
   const since = Number(context.query.since ?? 0);
+  const deleted = since === 0 ? [] : configuration.deletedSince(since);
+  if (deleted === undefined) {
+    context.status = 410;
+    context.body = { error: { type: 'tooOld', since, revision: configuration.revision } };
+    return;
+  }
   context.respond = false;
   const { res } = context;
   res.writeHead(200, { 'content-type': 'application/x-ndjson' });
-  const send = (event: object) => res.write(`${JSON.stringify(event)}\n`);
-  for (const row of configuration.rows(TABLES.resources)) {
-    if (row.revision > since)
-      send({ type: 'changed', key: row.key, revision: row.revision, value: row.value });
-  }
-  send({ type: 'bookmark', revision: configuration.revision });
+  const send = (row: Row) => {
+    if (row.table !== TABLES.resources) return;
+    const { key, value, revision } = row;
+    const type = value === null ? 'deleted' : 'changed';
+    res.write(`${JSON.stringify({ type, key, revision, value })}\n`);
+  };
+  const bookmark = () => {
+    res.write(`${JSON.stringify({ type: 'bookmark', revision: configuration.revision })}\n`);
+    // Who does not read is not waited for: it may come back with its last bookmark.
+    if (res.writableLength > MAX_UNREAD_BYTES) res.destroy();
+  };
+  const changed = configuration.rows(TABLES.resources).filter((row) => row.revision > since);
+  for (const row of [...changed, ...deleted].sort((a, b) => a.revision - b.revision)) send(row);
+  bookmark();
   const end = configuration.listen((rows) => {
-    for (const { table, key, value, revision } of rows) {
-      if (table !== TABLES.resources) continue;
-      send({ type: value === null ? 'deleted' : 'changed', key, revision, value });
-    }
-    send({ type: 'bookmark', revision: configuration.revision });
+    for (const row of rows) send(row);
+    bookmark();
   });
   res.once('close', end);
 }
--- a/test/entry/caller-api.test.ts
+++ b/test/entry/caller-api.test.ts
@@ -44,7 +44,7 @@
 async function serve(rows: Row[]): Promise<string> {
   const timeline = new Timeline('e', new HybridClock());
   const configuration = new Configuration({ tables: {} as TableService, random: seededRandom(1), timeline });
-  if (rows.length > 0) configuration.take(rows, 1);
+  if (rows.length > 0) configuration.take(0, rows, 1);
   const limits = { inProgress: 1, queued: 0, queueTime: 0 };
   const api = new CallerApi({
     configuration,
--- a/test/entry/configuration.test.ts
+++ b/test/entry/configuration.test.ts
@@ -47,6 +47,44 @@
     expect(configuration.row('resources', 'a')).toMatchObject({ value: 5, revision: 5 });
   });
 
+  it.each([
+    ['a lagging reading', { revision: 2, rows: [row('a', 1)] }],
+    ['a late reading that goes further', { revision: 6, rows: [row('a', 1), row('b', 6)] }],
+  ])('brings nothing deleted back after %s', async (_, late) => {
+    const configuration = configurationReading([
+      { revision: 2, rows: [row('a', 1)] },
+      { revision: 5, rows: [row('a', 5, null)] },
+      late,
+    ]);
+    for (let reading = 0; reading < 3; reading++) await configuration.poll();
+    expect(configuration.row('resources', 'a')).toBeUndefined();
+  });
+
+  it('takes out what the whole configuration of another entry does not hold any more', () => {
+    const configuration = configurationReading([]);
+    configuration.take(0, [row('a', 1), row('b', 2)], 2);
+    const told: Row[] = [];
+    configuration.listen((rows) => told.push(...rows));
+    configuration.take(0, [row('b', 2), row('c', 5)], 5);
+    expect(configuration.rows('resources').map(({ key }) => key)).toEqual(['b', 'c']);
+    expect(told).toContainEqual(row('a', 5, null));
+  });
+
+  it.each([
+    ['nothing is known yet', 0, undefined],
+    ['the watcher was last told before this entry knew anything', 3, undefined],
+    ['the watcher was told of all but a deletion', 5, ['a']],
+    ['the watcher was told of everything', 6, []],
+  ])('tells what was deleted since a revision, or that it cannot: %s', async (_, since, deleted) => {
+    const configuration = configurationReading([
+      { revision: 4, rows: [row('a', 4)] },
+      { revision: 5, rows: [row('b', 5)] },
+      { revision: 6, rows: [row('a', 6, null)] },
+    ]);
+    for (let reading = 0; reading < 3; reading++) await configuration.poll();
+    expect(configuration.deletedSince(since)?.map(({ key }) => key)).toEqual(deleted);
+  });
+
   it('keeps what is in force while the store is down', async () => {
     const configuration = configurationReading([{ revision: 5, rows: [row('a', 5)] }, 'down']);
     await configuration.poll();
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -154,8 +154,8 @@
   {
     fault: 'configuration reverts',
     file: 'src/entry/configuration.ts',
-    find: 'row.revision > (this.row(row.table, row.key)?.revision ?? 0)',
-    replace: 'true',
+    find: 'if (revision <= known) return;',
+    replace: '',
     test: 'test/entry/configuration.test.ts',
   },
   {
@@ -207,6 +207,27 @@
     replace: 'return next();',
     test: 'test/entry/caller-api.test.ts',
   },
+  {
+    fault: 'a deleted resource comes back',
+    file: 'src/entry/configuration.ts',
+    find: 'rows.filter((row) => row.revision > known)',
+    replace: 'rows.filter((row) => row.revision > (this.row(row.table, row.key)?.revision ?? 0))',
+    test: 'test/entry/configuration.test.ts',
+  },
+  {
+    fault: 'a deletion that another entry made is never learnt',
+    file: 'src/entry/configuration.ts',
+    find: 'base === 0 && known > 0',
+    replace: 'false',
+    test: 'test/entry/configuration.test.ts',
+  },
+  {
+    fault: 'news of the configuration claim revisions that they do not hold',
+    file: 'src/systems/held-back-news.ts',
+    find: 'this.#held.revision === news.base',
+    replace: 'true',
+    test: 'test/systems/held-back-news.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
