--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -234,6 +234,26 @@
   }
 }
 
+/** `thistleway schema KIND`. */
+export class SchemaCommand extends ThistlewayCommand {
+  static override paths = [['schema']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'print the JSON Schema of a kind of resource, for editors',
+  });
+  kind = Option.String({ required: true });
+
+  async perform(): Promise<number> {
+    const { jsonSchemaOf, RESOURCE_KINDS } = await import('../resources/json-schemas.js');
+    const kind = RESOURCE_KINDS.find((known) => known === this.kind);
+    if (kind === undefined) {
+      throw new CommandFailure(`no kind "${this.kind}"; there are ${RESOURCE_KINDS.join(', ')}`, EXIT_USAGE);
+    }
+    this.context.stdout.write(`${JSON.stringify(jsonSchemaOf(kind), undefined, 2)}\n`);
+    return 0;
+  }
+}
+
 /** `thistleway drain ADDRESS`. */
 export class DrainCommand extends ThistlewayCommand {
   static override paths = [['drain']];
