A row of an agent keeps its date when the same news comes again

Cause, found by reading: a whole record that comes over a new link dated all its agents anew. The date tells for how long a process has owned its keys, as a lower bound; so nothing unsafe followed, but callers' retries of keyed calls were answered 'unknown' for longer than need be, after any reconnection between zones.

--- a/src/entry/agent-directory.ts
+++ b/src/entry/agent-directory.ts
@@ -23,16 +23,22 @@
     this.#listeners.add(listener);
   }
 
-  /** Sets who stands at an address; a load that its home told of stays. */
+  /**
+   * Sets who stands at an address. What the same home has told of the same process already, or something later, stays
+   * as it is: its age tells for how long a process has owned its keys.
+   */
   set(address: string, told: { status: AgentStatus; home: string; homeZone: string } | undefined): void {
     const earlier = this.#byAddress.get(address);
     const known = earlier === undefined ? undefined : this.rows.get(earlier);
+    const isSame =
+      known !== undefined && known.status.info.id === told?.status.info.id && known.home === told.home;
+    if (isSame && known.status.sequence >= told!.status.sequence) return;
     if (earlier !== undefined && earlier !== told?.status.info.id) this.rows.delete(earlier);
     if (told === undefined) this.#byAddress.delete(address);
     else {
       const { status, home, homeZone } = told;
       const { id } = status.info;
-      const isSame = known?.status.info.id === id && known.home === home;
+      // A load that its home told of stays until the next.
       const active = isSame ? known.status.active : status.active;
       this.#byAddress.set(address, id);
       this.rows.set(id, { status: { ...status, active }, receivedAt: performance.now(), home, homeZone });
