Manifests of versions that nobody wants are forgotten

Cause, found by reading: agents and entries kept every manifest for ever. Agents keep those of versions assigned or served, entries the last four asked for.

--- a/src/agent/versions.ts
+++ b/src/agent/versions.ts
@@ -76,6 +76,7 @@
   review(): void {
     const wanted = new Set(this.#assignments.map((row) => row.version));
     this.#endUnwantedTransfers(wanted);
+    this.#forgetUnwanted(wanted);
     for (const assignment of this.#assignments) this.#pursue(assignment);
     this.#unloadSuperseded(wanted);
   }
@@ -120,6 +121,16 @@
     }
   }
 
+  /** A manifest of a large model takes about a megabyte: it is kept only while its version is wanted or served. */
+  #forgetUnwanted(wanted: ReadonlySet<Digest>): void {
+    const { loader } = this.#components;
+    for (const version of [...this.#manifests.keys(), ...this.#problems.keys()]) {
+      if (wanted.has(version) || loader.ready.has(version)) continue;
+      this.#manifests.delete(version);
+      this.#problems.delete(version);
+    }
+  }
+
   #unloadSuperseded(wanted: ReadonlySet<Digest>): void {
     const { loader, requestsInProgress } = this.#components;
     const successorReady = [...wanted].every((version) => loader.ready.has(version));
--- a/src/entry/home-agents.ts
+++ b/src/entry/home-agents.ts
@@ -15,6 +15,8 @@
 import type { EntryMesh } from './entry-mesh.js';
 
 const OBJECT_TIMEOUT = 5_000;
+/** Manifests kept: one of a large model takes about a megabyte, and several versions come a day. */
+const MANIFESTS_KEPT = 4;
 /** Time in which news of entries are gathered before agents are told, in milliseconds. */
 const ENTRIES_DELAY = 250;
 
@@ -44,7 +46,7 @@
   /** What agents are told of entries, and the same as text; undefined after a change. */
   #entries: { infos: EntryInfo[]; text: string } | undefined;
   #entriesTimer: NodeJS.Timeout | undefined;
-  /** Manifests by version; they never change. */
+  /** The manifests asked for last, by version; they never change. */
   readonly #manifests = new Map<string, Promise<Result<Manifest, string>>>();
 
   constructor(components: HomeAgentsComponents) {
@@ -156,6 +158,8 @@
     if (fetching === undefined) {
       fetching = this.#fetchManifest(version);
       this.#manifests.set(version, fetching);
+      const [oldest] = this.#manifests.keys();
+      if (this.#manifests.size > MANIFESTS_KEPT) this.#manifests.delete(oldest);
     }
     const fetched = await fetching;
     if (fetched.ok) {
--- /dev/null
+++ b/test/agent/versions.test.ts
@@ -0,0 +1,74 @@
+import { describe, expect, it } from 'vitest';
+import { OriginWeights } from '../../emulator/platform/weights.js';
+import { Versions, type VersionsComponents } from '../../src/agent/versions.js';
+import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { Timeline } from '../../src/observability/timeline.js';
+import type { Assignment } from '../../src/protocol/messages.js';
+
+const [first, second] = new OriginWeights(
+  ['first', 'second'].map((label, seed) => ({
+    label,
+    bytes: 64,
+    chunkBytes: 64,
+    seed,
+    unchangedShare: 1,
+    changedSeed: 0,
+  })),
+).versions;
+
+function assignment(version: string): Assignment {
+  return {
+    deployment: 'd',
+    tenant: 't',
+    model: 'm',
+    version,
+    places: ['place-a'],
+    priority: 0,
+    objective: 'fastest',
+    revision: 1,
+  };
+}
+
+/** Versions over an exchange and an engine that never get anywhere; manifests asked for are noted. */
+function versionsNoting(asked: string[], ready: Set<string>): Versions {
+  const nothing = () => undefined;
+  const parts = {
+    exchange: { node: { transfers: new Map() }, begin: () => true, held: nothing, end: nothing },
+    bursts: { join: nothing, leave: nothing },
+    loader: { ready, load: nothing, unload: nothing },
+    log: {},
+    timeline: new Timeline('a', new HybridClock()),
+    requestManifest: (version: string) => asked.push(version),
+    requestsInProgress: () => 0,
+  };
+  return new Versions(parts as unknown as VersionsComponents);
+}
+
+describe('the versions of an agent', () => {
+  it('forgets the manifest of a version that is not wanted any more', () => {
+    const asked: string[] = [];
+    const versions = versionsNoting(asked, new Set());
+    versions.assign([assignment(first.version)], 1);
+    versions.onManifest(first.version, first.manifest);
+    versions.assign([assignment(second.version)], 2);
+    versions.assign([assignment(first.version)], 3);
+    expect(asked).toEqual([first.version, second.version, first.version]);
+  });
+
+  it('keeps that of a version that is served until another is ready', () => {
+    const asked: string[] = [];
+    const versions = versionsNoting(asked, new Set([first.version]));
+    versions.assign([assignment(first.version)], 1);
+    versions.onManifest(first.version, first.manifest);
+    versions.assign([assignment(second.version)], 2);
+    expect(versions.progress().find(({ version }) => version === first.version)?.bytesTotal).toBe(64);
+  });
+
+  it('ignores assignments of an older revision', () => {
+    const asked: string[] = [];
+    const versions = versionsNoting(asked, new Set());
+    versions.assign([assignment(second.version)], 2);
+    versions.assign([assignment(first.version)], 1);
+    expect(asked).toEqual([second.version]);
+  });
+});
