Offers on links stand in a module of their own

Links and that rule are now Offers, with classes of links by name. No change of behaviour; tests of the membership unchanged but for the flag's name.

--- a/src/entry/entry-mesh.ts
+++ b/src/entry/entry-mesh.ts
@@ -164,7 +164,7 @@
 
   #greet(link: MeshLink): void {
     const { configuration } = this.#components;
-    this.#membership.linkOpened(link.id, link.near);
+    this.#membership.linkOpened(link.id, link.near ? 'near' : 'far');
     if (link.near) link.connection.send({ type: 'agentLoads', loads: this.#ownLoads() });
     const { revision } = configuration;
     const rows = configuration.allRows();
--- a/src/systems/membership/membership.ts
+++ b/src/systems/membership/membership.ts
@@ -10,7 +10,7 @@
  *
  * ```ts
  * const membership = new Membership(self, { send, onAgentsChanged, onEntriesChanged });
- * membership.linkOpened('10.0.0.2:7000#1f', 'zone-a');
+ * membership.linkOpened('10.0.0.2:7000#1f', 'near');
  * membership.publish([status], []);
  * membership.sendOwnNews();
  * ```
@@ -18,6 +18,7 @@
 import type { AgentStatus, EntryInfo, HomeNews, MembershipMessage } from '../../protocol/messages.js';
 import { type AgentCandidate, AgentCandidates } from './agent-candidates.js';
 import { digestPart, type HomeRecord, judgeNews, wholeNews } from './home-record.js';
+import { LINK_CLASSES, type LinkClass, type OfferLink, Offers } from './offers.js';
 
 /** Time for which the agents of an entry that died are kept, so that they can report elsewhere, in milliseconds. */
 export const DIED_GRACE = 5_000;
@@ -34,14 +35,6 @@
   onEntriesChanged(): void;
 }
 
-interface Link {
-  id: string;
-  /** True for an entry of the own zone. */
-  near: boolean;
-  /** Versions of the records that the other side offers, by home. */
-  offered: Map<string, number>;
-}
-
 interface Retirement {
   at: number;
   /** True when the entry was seen to go: it is then no address for callers any more. */
@@ -62,13 +55,14 @@
   #unsent: UnsentNews = { changed: new Set(), gone: new Set(), info: undefined };
   readonly #records = new Map<string, HomeRecord>();
   readonly #candidates = new AgentCandidates();
-  readonly #links = new Map<string, Link>();
+  readonly #offers: Offers;
   readonly #retirements = new Map<string, Retirement>();
 
   constructor(self: EntryInfo, output: MembershipOutput) {
     this.#own = { info: self, version: 1, agents: new Map() };
     this.#records.set(self.id, this.#own);
     this.#output = output;
+    this.#offers = new Offers(self.id);
   }
 
   /** The other entries that callers may be sent to. */
@@ -85,7 +79,7 @@
 
   /** Whether some link, other than `without`, offers a record of the zone. */
   hears(zone: string, without?: string): boolean {
-    return [...this.#links.values()].some((link) => {
+    return [...this.#offers.links.values()].some((link) => {
       return link.id !== without && this.#offeredOf(link, zone).length > 0;
     });
   }
@@ -130,28 +124,29 @@
       statuses,
       gone: [...gone],
     };
-    for (const near of [true, false]) this.#sendToClass(near, news);
+    for (const linkClass of LINK_CLASSES) this.#sendToClass(linkClass, news);
   }
 
   /** A link to another entry is open. */
-  linkOpened(id: string, near: boolean): void {
-    const link: Link = { id, near, offered: new Map() };
-    this.#links.set(id, link);
-    for (const record of this.#offersTo(near)) this.#output.send(id, wholeNews(record));
-    if (!near) this.#sendOffered(link, this.#own.info.zone);
+  linkOpened(id: string, linkClass: LinkClass): void {
+    const link = this.#offers.open(id, linkClass);
+    for (const record of this.#offeredTo(linkClass)) this.#output.send(id, wholeNews(record));
+    if (linkClass === 'far') this.#sendOffered(link, this.#own.info.zone);
   }
 
   /** A link is gone. An entry of the own zone is then taken for dead, those of other zones for out of reach. */
   linkLost(id: string, now: number): void {
-    const link = this.#links.get(id);
+    const link = this.#offers.links.get(id);
     if (link === undefined) return;
-    for (const home of [...link.offered.keys()]) this.#withdraw(link, home, link.near && home === id, now);
-    this.#links.delete(id);
+    for (const home of [...link.offered.keys()]) {
+      this.#withdraw(link, home, link.linkClass === 'near' && home === id, now);
+    }
+    this.#offers.links.delete(id);
   }
 
   /** Takes a message in that came over a link. */
   receive(id: string, message: MembershipMessage, now: number): void {
-    const link = this.#links.get(id);
+    const link = this.#offers.links.get(id);
     if (link === undefined) return;
     switch (message.type) {
       case 'homeNews':
@@ -185,28 +180,26 @@
 
   /** Sends each link a digest of what is offered there, so that the other side finds out what it lacks. */
   sendDigests(): void {
-    for (const near of [true, false]) {
-      const digests = digestsByZone(
-        this.#offersTo(near).map(({ info, version }) => [info.zone, info.id, version]),
-      );
-      this.#sendToClass(near, { type: 'homesDigest', digests: [...digests] });
+    for (const linkClass of LINK_CLASSES) {
+      const offered = this.#offeredTo(linkClass);
+      const rows = offered.map(({ info, version }): DigestRow => [info.zone, info.id, version]);
+      this.#sendToClass(linkClass, { type: 'homesDigest', digests: [...digestsByZone(rows)] });
     }
   }
 
-  #onNews(link: Link, news: HomeNews): void {
+  #onNews(link: OfferLink, news: HomeNews): void {
     const { home, version } = news;
     if (home === this.#own.info.id) return;
-    const before = [true, false].map((near) => this.#isOfferedTo(near, home));
+    const before = this.#offers.classesFor(home);
     const outcome = this.#apply(news);
     if (outcome === 'gap') return this.#output.send(link.id, { type: 'homeWanted', home });
     link.offered.set(home, version);
     this.#reveal(home);
-    [true, false].forEach((near, index) => {
-      if (!this.#isOfferedTo(near, home)) return;
+    for (const linkClass of this.#offers.classesFor(home)) {
       // Who was not offered the record before may know nothing of it.
-      if (!before[index]) this.#sendToClass(near, wholeNews(this.#records.get(home)!));
-      else if (outcome === 'applied') this.#sendToClass(near, news);
-    });
+      if (!before.has(linkClass)) this.#sendToClass(linkClass, wholeNews(this.#records.get(home)!));
+      else if (outcome === 'applied') this.#sendToClass(linkClass, news);
+    }
   }
 
   #apply(news: HomeNews): 'applied' | 'known' | 'gap' {
@@ -244,17 +237,17 @@
   }
 
   /** A link offers a home's record no more. */
-  #withdraw(link: Link, home: string, died: boolean, now: number): void {
-    const before = [true, false].map((near) => this.#isOfferedTo(near, home));
+  #withdraw(link: OfferLink, home: string, died: boolean, now: number): void {
+    const before = this.#offers.classesFor(home);
     if (!link.offered.delete(home)) {
       if (died) this.#markDied(home, now);
       return;
     }
-    [true, false].forEach((near, index) => {
-      if (!before[index] || this.#isOfferedTo(near, home)) return;
-      this.#sendToClass(near, { type: 'homesGone', homes: [home], died });
-    });
-    if ([...this.#links.values()].some(({ offered }) => offered.has(home))) return;
+    const after = this.#offers.classesFor(home);
+    for (const linkClass of before) {
+      if (!after.has(linkClass)) this.#sendToClass(linkClass, { type: 'homesGone', homes: [home], died });
+    }
+    if (this.#offers.isHeard(home)) return;
     this.#retirements.set(home, { at: now + (died ? DIED_GRACE : UNREACHED_GRACE), died });
     if (died) this.#output.onEntriesChanged();
   }
@@ -275,29 +268,27 @@
     if (retirement.died) this.#output.onEntriesChanged();
   }
 
-  #onDigest(link: Link, told: ReadonlyMap<string, number>): void {
-    const offered = [...link.offered].map(([home, version]): [string, string, number] => [
-      this.#records.get(home)!.info.zone,
-      home,
-      version,
-    ]);
+  #onDigest(link: OfferLink, told: ReadonlyMap<string, number>): void {
+    const offered = [...link.offered].map(
+      ([home, version]): DigestRow => [this.#records.get(home)!.info.zone, home, version],
+    );
     const known = digestsByZone(offered);
     for (const zone of new Set([...told.keys(), ...known.keys()])) {
       if (told.get(zone) !== known.get(zone)) this.#output.send(link.id, { type: 'homesWanted', zone });
     }
   }
 
-  #sendOffered(link: Link, zone: string): void {
-    const offered = this.#offersTo(link.near).filter(({ info }) => info.zone === zone);
+  #sendOffered(link: OfferLink, zone: string): void {
+    const offered = this.#offeredTo(link.linkClass).filter(({ info }) => info.zone === zone);
     const homes = offered.map(({ info, version }): [string, number] => [info.id, version]);
     this.#output.send(link.id, { type: 'homesOffered', zone, homes });
   }
 
-  #onOffered(link: Link, zone: string, homes: ReadonlyMap<string, number>, now: number): void {
+  #onOffered(link: OfferLink, zone: string, homes: ReadonlyMap<string, number>, now: number): void {
     for (const home of this.#offeredOf(link, zone)) {
       if (!homes.has(home)) this.#withdraw(link, home, false, now);
     }
-    if (!link.near) this.#noteMissing(zone, homes, now);
+    if (link.linkClass === 'far') this.#noteMissing(zone, homes, now);
     for (const [home, version] of homes) {
       const known = this.#records.get(home);
       if (link.offered.get(home) === version || known === this.#own) continue;
@@ -312,45 +303,35 @@
     for (const home of this.#retirements.keys()) {
       const isOfZone = this.#records.get(home)!.info.zone === zone;
       if (!isOfZone || homes.has(home) || !this.#markDied(home, now)) continue;
-      this.#sendToClass(true, { type: 'homesGone', homes: [home], died: true });
+      this.#sendToClass('near', { type: 'homesGone', homes: [home], died: true });
     }
   }
 
-  #onWanted(link: Link, home: string): void {
+  #onWanted(link: OfferLink, home: string): void {
     const record = this.#records.get(home);
-    if (record !== undefined && this.#isOfferedTo(link.near, home)) {
+    if (record !== undefined && this.#offers.isOfferedTo(link.linkClass, home)) {
       return this.#output.send(link.id, wholeNews(record));
     }
     this.#output.send(link.id, { type: 'homesGone', homes: [home], died: false });
   }
 
-  /** Whether the record of a home is offered on links inside the zone (`near`), or on those to other zones. */
-  #isOfferedTo(near: boolean, home: string): boolean {
-    if (home === this.#own.info.id) return true;
-    if (near) return [...this.#links.values()].some((link) => !link.near && link.offered.has(home));
-    const direct = this.#links.get(home);
-    return direct?.near === true && direct.offered.has(home);
-  }
-
-  #offersTo(near: boolean): HomeRecord[] {
-    return [...this.#records.values()].filter(({ info }) => this.#isOfferedTo(near, info.id));
+  #offeredTo(linkClass: LinkClass): HomeRecord[] {
+    return [...this.#records.values()].filter(({ info }) => this.#offers.isOfferedTo(linkClass, info.id));
   }
 
-  #offeredOf(link: Link, zone: string): string[] {
+  #offeredOf(link: OfferLink, zone: string): string[] {
     return [...link.offered.keys()].filter((home) => this.#records.get(home)?.info.zone === zone);
   }
 
-  #sendToClass(near: boolean, message: MembershipMessage): void {
-    for (const link of this.#links.values()) {
-      if (link.near === near) this.#output.send(link.id, message);
-    }
+  #sendToClass(linkClass: LinkClass, message: MembershipMessage): void {
+    for (const link of this.#offers.linksOf(linkClass)) this.#output.send(link.id, message);
   }
 }
 
+type DigestRow = [zone: string, home: string, version: number];
+
 /** One digest a zone of rows of zone, home and version. */
-function digestsByZone(
-  rows: ReadonlyArray<[zone: string, home: string, version: number]>,
-): Map<string, number> {
+function digestsByZone(rows: readonly DigestRow[]): Map<string, number> {
   const digests = new Map<string, number>();
   for (const [zone, home, version] of rows) {
     digests.set(zone, ((digests.get(zone) ?? 0) ^ digestPart(home, version)) >>> 0);
--- a/test/systems/membership.test.ts
+++ b/test/systems/membership.test.ts
@@ -32,11 +32,11 @@
 
   connect(a: string, b: string): void {
     if (this.#queues.has(`${a}>${b}`)) return;
-    const near = this.#zones.get(a) === this.#zones.get(b);
+    const linkClass = this.#zones.get(a) === this.#zones.get(b) ? 'near' : 'far';
     this.#queues.set(`${a}>${b}`, []);
     this.#queues.set(`${b}>${a}`, []);
-    this.entries.get(a)!.linkOpened(b, near);
-    this.entries.get(b)!.linkOpened(a, near);
+    this.entries.get(a)!.linkOpened(b, linkClass);
+    this.entries.get(b)!.linkOpened(a, linkClass);
   }
 
   cut(a: string, b: string): void {
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -161,8 +161,8 @@
   {
     fault: 'news of entries circles for ever',
     file: `${MEMBERSHIP}/membership.ts`,
-    find: "else if (outcome === 'applied') this.#sendToClass(near, news);",
-    replace: 'else this.#sendToClass(near, news);',
+    find: "else if (outcome === 'applied') this.#sendToClass(linkClass, news);",
+    replace: 'else this.#sendToClass(linkClass, news);',
     test: 'test/systems/membership.test.ts',
   },
   {
@@ -182,7 +182,7 @@
   {
     fault: 'an entry that died with the link to its zone is told to callers',
     file: `${MEMBERSHIP}/membership.ts`,
-    find: 'if (!link.near) this.#noteMissing(zone, homes, now);',
+    find: "if (link.linkClass === 'far') this.#noteMissing(zone, homes, now);",
     replace: '',
     test: 'test/systems/membership.test.ts',
   },
