Benches with fault cases share their options and their report

Reading as a newcomer: bench requests and bench config each spelt out the same options and the same end. No change of what they print.

--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -117,8 +117,24 @@
   );
 }
 
+/** A bench that runs cases of faults and reports each. */
+abstract class FaultBenchCommand extends ThistlewayCommand {
+  faults = Option.String('--faults', 'none', {
+    description: 'none, table (all cases), or the name of a case',
+  });
+  seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
+  json = Option.Boolean('--json', false, { description: 'print the report as JSON' });
+
+  /** Prints the reports, or the only one; returns the exit code. */
+  protected printReports(reports: object[], sound: boolean): number {
+    const whole = reports.length === 1 ? reports[0] : { cases: reports, sound };
+    this.context.stdout.write(`${this.json ? JSON.stringify(whole) : JSON.stringify(whole, undefined, 2)}\n`);
+    return sound ? 0 : 1;
+  }
+}
+
 /** `thistleway bench requests`. */
-export class BenchRequestsCommand extends ThistlewayCommand {
+export class BenchRequestsCommand extends FaultBenchCommand {
   static override paths = [['bench', 'requests']];
   static override usage = ThistlewayCommand.Usage({
     category: 'Development',
@@ -127,11 +143,6 @@
   });
   seconds = Option.String('--seconds', '15', { description: 'length of the load' });
   rate = Option.String('--rate', '100', { description: 'requests a second' });
-  faults = Option.String('--faults', 'none', {
-    description: 'none, table (all cases), or the name of a case',
-  });
-  seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
-  json = Option.Boolean('--json', false, { description: 'print the report as JSON' });
 
   async perform(): Promise<number> {
     const { runRequestBench } = await import('../../bench/processes/request-bench.js');
@@ -145,9 +156,7 @@
       reports.push(report);
       sound = sound && keepsPromises(report, fault?.planned ?? false);
     }
-    const whole = reports.length === 1 ? reports[0] : { cases: reports, sound };
-    this.context.stdout.write(`${this.json ? JSON.stringify(whole) : JSON.stringify(whole, undefined, 2)}\n`);
-    return sound ? 0 : 1;
+    return this.printReports(reports, sound);
   }
 }
 
@@ -170,7 +179,7 @@
 }
 
 /** `thistleway bench config`. */
-export class BenchConfigCommand extends ThistlewayCommand {
+export class BenchConfigCommand extends FaultBenchCommand {
   static override paths = [['bench', 'config']];
   static override usage = ThistlewayCommand.Usage({
     category: 'Development',
@@ -180,11 +189,6 @@
   entries = Option.String('--entries', '40', { description: 'number of entries' });
   agents = Option.String('--agents', '230', { description: 'number of agents' });
   changes = Option.String('--changes', '40', { description: 'changes to declare, two a second' });
-  faults = Option.String('--faults', 'none', {
-    description: 'none, table (all cases), or the name of a case',
-  });
-  seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
-  json = Option.Boolean('--json', false, { description: 'print the report as JSON' });
 
   async perform(): Promise<number> {
     const { runConfigBench } = await import('../../bench/scale/config-bench.js');
@@ -196,9 +200,7 @@
       reports.push(await runConfigBench({ entries, agents, changes, seed, fault }));
     }
     const sound = reports.every((report) => report.acceptedLost + report.reverts + report.servedOlder === 0);
-    const whole = reports.length === 1 ? reports[0] : { cases: reports, sound };
-    this.context.stdout.write(`${this.json ? JSON.stringify(whole) : JSON.stringify(whole, undefined, 2)}\n`);
-    return sound ? 0 : 1;
+    return this.printReports(reports, sound);
   }
 }
 
