Clients of the platform's services stand in src/clients

Cause: a folder platform/ at the root, which translates the users' pages, is to come; nobody should take one for the other.

--- a/bench/scale/hollow-host.ts
+++ b/bench/scale/hollow-host.ts
@@ -5,9 +5,9 @@
  */
 import Router from '@koa/router';
 import { z } from 'zod';
+import type { Row } from '../../src/clients/table-service.js';
 import { composeEntry, type EntryComponents } from '../../src/entry/entry.js';
 import type { Startable } from '../../src/model/startable.js';
-import type { Row } from '../../src/platform/table-service.js';
 import type { TrafficCounters } from '../../src/protocol/connection.js';
 import { application, httpServer, readJson } from '../../src/server/http-server.js';
 import { HollowAgent } from './hollow-agent.js';
--- a/emulator/platform/platform.ts
+++ b/emulator/platform/platform.ts
@@ -5,11 +5,11 @@
  */
 import Router from '@koa/router';
 import type Koa from 'koa';
+import type { ListedMachine } from '../../src/clients/machine-list.js';
+import { manifestKey } from '../../src/clients/object-store.js';
+import type { Transaction } from '../../src/clients/table-service.js';
 import { Pacer } from '../../src/model/pacer.js';
 import type { Startable } from '../../src/model/startable.js';
-import type { ListedMachine } from '../../src/platform/machine-list.js';
-import { manifestKey } from '../../src/platform/object-store.js';
-import type { Transaction } from '../../src/platform/table-service.js';
 import { application, delay, httpServer, readBody, readJson } from '../../src/server/http-server.js';
 import type { PlatformEmulatorSettings } from '../../src/settings/schemas.js';
 import { TableStore } from './table-store.js';
--- a/emulator/platform/table-store.ts
+++ b/emulator/platform/table-store.ts
@@ -1,5 +1,5 @@
 /** The tables of the stand-in: rows with revisions, conditional transactions, a log of operations. */
-import type { Changes, Row, Transaction, TransactionOutcome } from '../../src/platform/table-service.js';
+import type { Changes, Row, Transaction, TransactionOutcome } from '../../src/clients/table-service.js';
 
 /** A transactional table store in memory. */
 export class TableStore {
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -5,6 +5,7 @@
 
 import { randomBytes } from 'node:crypto';
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import { httpOrigin, type Origin } from '../clients/origin.js';
 import { type EngineClient, httpEngineClient } from '../engine/engine-client.js';
 import type { Digest } from '../model/manifest.js';
 import { hash32, type Random, seededRandom } from '../model/random.js';
@@ -13,7 +14,6 @@
 import { createLog, type Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
 import { Timeline } from '../observability/timeline.js';
-import { httpOrigin, type Origin } from '../platform/origin.js';
 import {
   type Connection,
   type ConnectionContext,
--- a/src/agent/back-ends.ts
+++ b/src/agent/back-ends.ts
@@ -1,6 +1,7 @@
 /** The two kinds of back end that an agent can stand before: a model engine and a plain service. */
+
+import { openHttp } from '../clients/http.js';
 import type { EngineClient } from '../engine/engine-client.js';
-import { openHttp } from '../platform/http.js';
 import type { BackEnd, CallRequest } from './calls.js';
 import type { VersionLoader } from './version-loader.js';
 
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -2,7 +2,7 @@
  * Admission and running of requests at the back end. A refusal says at once that the request did not run;
  * an answer ends with an explicit end that names the number of its frames.
  */
-import { type HttpStream, neverConnected } from '../platform/http.js';
+import { type HttpStream, neverConnected } from '../clients/http.js';
 import type { Connection } from '../protocol/connection.js';
 import type { CallMessage, CallRefusal } from '../protocol/messages.js';
 import type { KeyOwnership } from './key-ownership.js';
--- a/src/agent/exchange.ts
+++ b/src/agent/exchange.ts
@@ -3,6 +3,7 @@
  * before the systems hear of it, and keeps chunk traffic within the link's rate.
  */
 import { setMaxListeners } from 'node:events';
+import type { Origin } from '../clients/origin.js';
 import { ChunkSet } from '../model/chunk-set.js';
 import { type Digest, digestOf, type Manifest } from '../model/manifest.js';
 import { Pacer } from '../model/pacer.js';
@@ -10,7 +11,6 @@
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
 import type { Timeline } from '../observability/timeline.js';
-import type { Origin } from '../platform/origin.js';
 import type { Connection, ConnectionContext } from '../protocol/connection.js';
 import { type Assignment, type Message, type TransferKey, transferKeyOf } from '../protocol/messages.js';
 import type { DistributionCommand } from '../systems/distribution/commands.js';
--- a/src/agent/once-calls.ts
+++ b/src/agent/once-calls.ts
@@ -2,7 +2,7 @@
  * Calls that may not be repeated: a key runs at most once in this process, and only while this process owns it.
  * A run goes on when its caller has gone, and its outcome is kept for whoever asks with the same key.
  */
-import { type HttpStream, neverConnected } from '../platform/http.js';
+import { type HttpStream, neverConnected } from '../clients/http.js';
 import type { Connection } from '../protocol/connection.js';
 import type { CallRefusal, OnceCall } from '../protocol/messages.js';
 import { type KeptOutcome, OnceLedger } from '../systems/once-ledger.js';
--- a/src/cli/entry-client.ts
+++ b/src/cli/entry-client.ts
@@ -1,5 +1,5 @@
 /** What the operators' commands ask of an entry. */
-import { callHttp, parseJson } from '../platform/http.js';
+import { callHttp, parseJson } from '../clients/http.js';
 import type { DeploymentStatus } from '../resources/deployment-status.js';
 import type { ApplyAnswer, ApplyRequest, ResolveAnswer } from '../resources/resource-api.js';
 import type { Resource } from '../resources/schemas.js';
--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -215,7 +215,7 @@
   since = Option.String('--since', '0', { description: 'revision after which to begin' });
 
   async perform(): Promise<number> {
-    const { openHttp } = await import('../platform/http.js');
+    const { openHttp } = await import('../clients/http.js');
     const url = `http://${this.entry}/apis/v1/watch?since=${this.since}`;
     const interrupted = new AbortController();
     process.once('SIGINT', () => interrupted.abort());
--- a/src/engine/engine-client.ts
+++ b/src/engine/engine-client.ts
@@ -1,8 +1,9 @@
 /** The client of the model engine beside an agent. */
+
+import type { PlatformError } from '../clients/errors.js';
+import { callHttp, type HttpStream, openHttp, parseJson } from '../clients/http.js';
 import type { Digest } from '../model/manifest.js';
 import { failure, type Result, success } from '../model/result.js';
-import type { PlatformError } from '../platform/errors.js';
-import { callHttp, type HttpStream, openHttp, parseJson } from '../platform/http.js';
 
 /** Fences an order: the engine refuses one that is older than the latest it took. */
 export interface OrderFence {
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -2,10 +2,11 @@
  * The configuration in force at an entry: the rows of the platform's tables, taken in by revision. Only rows of a higher
  * revision than the known one count, so a late or lagging answer changes nothing back and revives nothing.
  */
+
+import type { Row, TableService } from '../clients/table-service.js';
 import type { Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import type { Timeline } from '../observability/timeline.js';
-import type { Row, TableService } from '../platform/table-service.js';
 import type { ModelDeployment, Resource, Service, Tenant } from '../resources/schemas.js';
 import type { Placement } from '../systems/placement.js';
 
--- a/src/entry/duty-lease.ts
+++ b/src/entry/duty-lease.ts
@@ -1,8 +1,8 @@
 /** One duty held under a lease of the table service; every write of the holder depends on the lease's row. */
 import { randomUUID } from 'node:crypto';
+import type { RowCondition, RowWrite, TableService, TransactionOutcome } from '../clients/table-service.js';
 import type { Startable } from '../model/startable.js';
 import type { Timeline } from '../observability/timeline.js';
-import type { RowCondition, RowWrite, TableService, TransactionOutcome } from '../platform/table-service.js';
 import { decideLease, type LeaseObservation, type LeaseRow } from '../systems/lease.js';
 import { type Configuration, TABLES } from './configuration.js';
 
--- a/src/entry/entry-mesh.ts
+++ b/src/entry/entry-mesh.ts
@@ -2,8 +2,9 @@
  * What entries tell one another, over the links of {@link MeshLinks}: who they are and which agents they are home to
  * ({@link Membership}), the configuration in force, and, inside a zone, loads, which change fast.
  */
+
+import type { Row } from '../clients/table-service.js';
 import type { Startable } from '../model/startable.js';
-import type { Row } from '../platform/table-service.js';
 import type { ConnectionContext } from '../protocol/connection.js';
 import type { AgentLoad, AgentStatus, EntryInfo, Message } from '../protocol/messages.js';
 import type { ConfiguredEntry } from '../systems/entry-topology.js';
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -7,15 +7,15 @@
 import Router from '@koa/router';
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
 import Koa from 'koa';
+import { httpMachineList, type MachineList } from '../clients/machine-list.js';
+import { httpObjectStore, type ObjectStore } from '../clients/object-store.js';
+import { httpTableService, type TableService } from '../clients/table-service.js';
 import { hash32, type Random, seededRandom } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import { HybridClock } from '../observability/hybrid-clock.js';
 import { createLog, type Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
 import { Timeline } from '../observability/timeline.js';
-import { httpMachineList, type MachineList } from '../platform/machine-list.js';
-import { httpObjectStore, type ObjectStore } from '../platform/object-store.js';
-import { httpTableService, type TableService } from '../platform/table-service.js';
 import {
   type Connection,
   type ConnectionContext,
--- a/src/entry/home-agents.ts
+++ b/src/entry/home-agents.ts
@@ -1,8 +1,9 @@
 /** The agents that have chosen this entry as their home: their news in, their assignments out. */
+
+import { manifestKey, type ObjectStore } from '../clients/object-store.js';
 import type { Manifest } from '../model/manifest.js';
 import { failure, type Result, success } from '../model/result.js';
 import type { Timeline } from '../observability/timeline.js';
-import { manifestKey, type ObjectStore } from '../platform/object-store.js';
 import type { Connection } from '../protocol/connection.js';
 import type { Assignment, EntryInfo, Message } from '../protocol/messages.js';
 import type { PeerInfo } from '../systems/distribution/transfer.js';
--- a/src/entry/machine-watch.ts
+++ b/src/entry/machine-watch.ts
@@ -1,5 +1,5 @@
 /** Which machines the platform's list has dropped for so long that their processes count as dead. */
-import type { MachineList } from '../platform/machine-list.js';
+import type { MachineList } from '../clients/machine-list.js';
 
 /** Time between two readings of the list, in milliseconds. */
 const READ_INTERVAL = 2_000;
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -2,8 +2,9 @@
  * The messages between the system's own processes. Every message is an object with a `type`; the codec sends
  * the fields in the order given in {@link MESSAGE_FIELDS}, without their names.
  */
+
+import type { Row } from '../clients/table-service.js';
 import type { Digest, Manifest } from '../model/manifest.js';
-import type { Row } from '../platform/table-service.js';
 import type { RefusalReason } from '../systems/distribution/commands.js';
 import type { Grant, Objective, PeerInfo } from '../systems/distribution/transfer.js';
 import type { KeyedCall } from '../systems/once-ledger.js';
--- a/src/resources/resource-api.ts
+++ b/src/resources/resource-api.ts
@@ -9,9 +9,9 @@
  */
 import Router from '@koa/router';
 import type Koa from 'koa';
+import type { Row, RowCondition, RowWrite, TableService } from '../clients/table-service.js';
 import type { AgentDirectory } from '../entry/agent-directory.js';
 import { type Configuration, TABLES } from '../entry/configuration.js';
-import type { Row, RowCondition, RowWrite, TableService } from '../platform/table-service.js';
 import { readBody } from '../server/http-server.js';
 import { deploymentStatus } from './deployment-status.js';
 import { type Resource, resource, resourceKey } from './schemas.js';
--- a/src/systems/held-back-news.ts
+++ b/src/systems/held-back-news.ts
@@ -3,7 +3,7 @@
  * matter, or after a while. What is sent covers a range of revisions without a gap: whoever knows its base knows all
  * rows up to its revision.
  */
-import type { Row } from '../platform/table-service.js';
+import type { Row } from '../clients/table-service.js';
 
 /** Rows changed after revision `base`, up to `revision`. */
 export interface ConfigurationNews {
--- a/test/agent/calls.test.ts
+++ b/test/agent/calls.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { type BackEnd, type CallRequest, Calls } from '../../src/agent/calls.js';
 import { WINDOW_BYTES } from '../../src/agent/send-window.js';
-import type { HttpStream } from '../../src/platform/http.js';
+import type { HttpStream } from '../../src/clients/http.js';
 import type { Connection } from '../../src/protocol/connection.js';
 import type { Message } from '../../src/protocol/messages.js';
 import { until } from '../support.js';
--- a/test/agent/exchange.test.ts
+++ b/test/agent/exchange.test.ts
@@ -1,11 +1,11 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { ChunkStore } from '../../src/agent/chunk-store.js';
 import { Exchange } from '../../src/agent/exchange.js';
+import type { Origin } from '../../src/clients/origin.js';
 import { buildManifest, type Manifest, versionOf } from '../../src/model/manifest.js';
 import { failure, success } from '../../src/model/result.js';
 import { silentLog } from '../../src/observability/log.js';
 import type { Timeline } from '../../src/observability/timeline.js';
-import type { Origin } from '../../src/platform/origin.js';
 import { type Connection, ConnectionListener, connect } from '../../src/protocol/connection.js';
 import { type Assignment, type Message, transferKeyOf } from '../../src/protocol/messages.js';
 import type { PeerInfo } from '../../src/systems/distribution/transfer.js';
--- a/test/contracts/platform.test.ts
+++ b/test/contracts/platform.test.ts
@@ -1,12 +1,12 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
 import { platformEmulator } from '../../emulator/platform/platform.js';
+import { httpMachineList } from '../../src/clients/machine-list.js';
+import { httpObjectStore, manifestKey, type ObjectStore } from '../../src/clients/object-store.js';
+import { httpOrigin, type Origin } from '../../src/clients/origin.js';
+import { httpTableService, type TableService } from '../../src/clients/table-service.js';
 import { digestOf, isManifestOf, type Manifest } from '../../src/model/manifest.js';
 import type { Startable } from '../../src/model/startable.js';
-import { httpMachineList } from '../../src/platform/machine-list.js';
-import { httpObjectStore, manifestKey, type ObjectStore } from '../../src/platform/object-store.js';
-import { httpOrigin, type Origin } from '../../src/platform/origin.js';
-import { httpTableService, type TableService } from '../../src/platform/table-service.js';
 import { platformEmulatorSettings } from '../../src/settings/schemas.js';
 import { until } from '../support.js';
 
--- a/test/entry/caller-api.test.ts
+++ b/test/entry/caller-api.test.ts
@@ -1,6 +1,7 @@
 import Koa from 'koa';
 import { afterEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
+import type { Row, TableService } from '../../src/clients/table-service.js';
 import { Admission } from '../../src/entry/admission.js';
 import type { CallRouter } from '../../src/entry/call-router.js';
 import { CallerApi } from '../../src/entry/caller-api.js';
@@ -10,7 +11,6 @@
 import type { Startable } from '../../src/model/startable.js';
 import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { Timeline } from '../../src/observability/timeline.js';
-import type { Row, TableService } from '../../src/platform/table-service.js';
 import { API_VERSION } from '../../src/resources/schemas.js';
 import { httpServer } from '../../src/server/http-server.js';
 import { DEFAULT_TENANT_LIMITS } from '../../src/systems/admission.js';
--- a/test/entry/entry-mesh.test.ts
+++ b/test/entry/entry-mesh.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
+import type { Changes, TableService } from '../../src/clients/table-service.js';
 import { AgentDirectory } from '../../src/entry/agent-directory.js';
 import { Configuration } from '../../src/entry/configuration.js';
 import { EntryDirectory } from '../../src/entry/entry-directory.js';
@@ -8,7 +9,6 @@
 import { failure, success } from '../../src/model/result.js';
 import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { Timeline } from '../../src/observability/timeline.js';
-import type { Changes, TableService } from '../../src/platform/table-service.js';
 import { ConnectionListener, createTrafficCounters } from '../../src/protocol/connection.js';
 import type { AgentStatus } from '../../src/protocol/messages.js';
 import type { ConfiguredEntry } from '../../src/systems/entry-topology.js';
--- a/test/entry/machine-watch.test.ts
+++ b/test/entry/machine-watch.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { MachineList } from '../../src/clients/machine-list.js';
 import { MachineWatch } from '../../src/entry/machine-watch.js';
 import { failure, success } from '../../src/model/result.js';
-import type { MachineList } from '../../src/platform/machine-list.js';
 
 /** The platform's list as the tests set it; undefined while it does not answer. */
 let listed: string[] | undefined;
--- a/test/resources/watch.test.ts
+++ b/test/resources/watch.test.ts
@@ -1,13 +1,13 @@
 import Koa from 'koa';
 import { afterEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
+import type { Row, TableService } from '../../src/clients/table-service.js';
 import { AgentDirectory } from '../../src/entry/agent-directory.js';
 import { Configuration } from '../../src/entry/configuration.js';
 import { seededRandom } from '../../src/model/random.js';
 import type { Startable } from '../../src/model/startable.js';
 import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { Timeline } from '../../src/observability/timeline.js';
-import type { Row, TableService } from '../../src/platform/table-service.js';
 import { resourceApi } from '../../src/resources/resource-api.js';
 import { httpServer } from '../../src/server/http-server.js';
 
--- a/test/systems/held-back-news.test.ts
+++ b/test/systems/held-back-news.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import type { Row } from '../../src/platform/table-service.js';
+import type { Row } from '../../src/clients/table-service.js';
 import { type ConfigurationNews, HeldBackNews } from '../../src/systems/held-back-news.js';
 
 function news(base: number, revision: number, table: string, key = 'k'): ConfigurationNews {
