--- a/src/clients/object-store.ts
+++ b/src/clients/object-store.ts
@@ -9,6 +9,12 @@
   put(key: string, data: Uint8Array, signal: AbortSignal): Promise<Result<void, PlatformError>>;
 }
 
+/** An object store that can tell which objects there are. */
+export interface ListedObjectStore extends ObjectStore {
+  /** Names of the objects that begin with `prefix`. */
+  list(prefix: string, signal: AbortSignal): Promise<Result<string[], PlatformError>>;
+}
+
 const SERVICE = 'objectStore';
 
 /** Creates a client of the object store at `url`. */
--- /dev/null
+++ b/src/clients/watched-tables.ts
@@ -0,0 +1,60 @@
+/**
+ * A table service whose changes can be waited for. Rows lie in tables and partitions; each carries the revision, of one
+ * counter for all tables, that wrote it. History is kept for a limited time only.
+ */
+import type { Result } from '../model/result.js';
+import type { PlatformError } from './errors.js';
+
+/** A row as it stands; `value` is undefined in a list of changes where the row was deleted. */
+export interface StoredRow {
+  table: string;
+  partition: string;
+  key: string;
+  value: Buffer | undefined;
+  revision: number;
+}
+
+/** Rows as of one revision. */
+export interface RowsAt {
+  rows: StoredRow[];
+  revision: number;
+}
+
+/** Requires that a row has a certain revision; 0 requires that there is none. */
+export interface StoredRowCondition {
+  table: string;
+  partition: string;
+  key: string;
+  revision: number;
+}
+
+/** Writes a row, or deletes it where `value` is undefined. */
+export interface StoredRowWrite {
+  table: string;
+  partition: string;
+  key: string;
+  value: Buffer | undefined;
+}
+
+/** What became of a transaction. */
+export type StoreOutcome = { type: 'committed'; revision: number } | { type: 'conflict'; rows: StoredRow[] };
+
+/** Why changes cannot be listed. */
+export type ChangesError = PlatformError | { type: 'historyForgotten' };
+
+/** The table service. */
+export interface WatchedTables {
+  /** All rows of a partition, as of one moment. */
+  read(table: string, partition: string, signal: AbortSignal): Promise<Result<RowsAt, PlatformError>>;
+  /** The rows of a table changed after `revision`; waits up to `wait` milliseconds for one. */
+  changes(
+    query: { table: string; after: number; wait: number },
+    signal: AbortSignal,
+  ): Promise<Result<RowsAt, ChangesError>>;
+  /** All of the writes if every condition holds, or none. */
+  transact(
+    conditions: StoredRowCondition[],
+    writes: StoredRowWrite[],
+    signal: AbortSignal,
+  ): Promise<Result<StoreOutcome, PlatformError>>;
+}
--- /dev/null
+++ b/src/fleet/fleet-view.ts
@@ -0,0 +1,90 @@
+/**
+ * What one process believes about the deployment: the configuration in force, the back ends, the versions that the
+ * operator has named. Every part only moves forward; who told it, the store or a peer, makes no difference.
+ */
+import { type BackEndChange, BackEndList, type BackEndListState } from './back-end-list.js';
+import type { FleetConfiguration } from './configuration.js';
+import { type NamedVersion, NamedVersions } from './named-versions.js';
+import { RouteTable } from './route-table.js';
+
+/** A configuration as the operator wrote it, to be passed on, and as it was understood. */
+export interface ConfigurationDocument {
+  document: Buffer;
+  configuration: FleetConfiguration;
+}
+
+/** Told when a belief changes. */
+export interface FleetListener {
+  onConfiguration?(table: RouteTable): void;
+  onBackEnds?(changes: readonly BackEndChange[]): void;
+  onNamedVersion?(named: NamedVersion): void;
+}
+
+/** The beliefs of one process. */
+export class FleetView {
+  readonly backEnds = new BackEndList();
+  readonly versions = new NamedVersions();
+  readonly #listeners: FleetListener[] = [];
+  #routes: RouteTable | undefined;
+  #document: Buffer | undefined;
+
+  /** The configuration in force; undefined before any was heard of. */
+  get routes(): RouteTable | undefined {
+    return this.#routes;
+  }
+
+  /** The configuration in force as the operator wrote it. */
+  get document(): Buffer | undefined {
+    return this.#document;
+  }
+
+  /** Revision of the configuration in force; 0 before any was heard of. */
+  get configurationRevision(): number {
+    return this.#routes?.configuration.revision ?? 0;
+  }
+
+  /** True once requests can be routed. */
+  get complete(): boolean {
+    return this.#routes !== undefined && this.backEnds.revision > 0;
+  }
+
+  listen(listener: FleetListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes a configuration if it is newer than the one in force. */
+  takeConfiguration({ document, configuration }: ConfigurationDocument): boolean {
+    if (this.#routes !== undefined && configuration.revision <= this.configurationRevision) return false;
+    this.#routes = new RouteTable(configuration);
+    this.#document = document;
+    for (const listener of this.#listeners) listener.onConfiguration?.(this.#routes);
+    return true;
+  }
+
+  takeNamedVersion(named: NamedVersion): void {
+    if (!this.versions.note(named)) return;
+    for (const listener of this.#listeners) listener.onNamedVersion?.(named);
+  }
+
+  /** Takes changes of the list of back ends up to `revision`. */
+  takeBackEndChanges(changes: readonly BackEndChange[], revision: number): void {
+    this.#tell(this.backEnds.apply(changes, revision));
+  }
+
+  /** Takes a whole list of back ends if it is newer. */
+  takeBackEnds(state: BackEndListState): void {
+    this.#tell(this.backEnds.replace(state));
+  }
+
+  /**
+   * Takes removals that were held back; they are older than the list's revision, and hold unless the record came back.
+   */
+  takeHeldRemovals(changes: readonly BackEndChange[]): void {
+    this.#tell(this.backEnds.apply(changes, this.backEnds.revision));
+  }
+
+  #tell(changes: readonly BackEndChange[]): void {
+    if (changes.length === 0) return;
+    for (const listener of this.#listeners) listener.onBackEnds?.(changes);
+  }
+}
--- /dev/null
+++ b/src/fleet/store-sync.ts
@@ -0,0 +1,168 @@
+/**
+ * Keeps the fleet view in step with the store. Back ends whose records lapsed while the store was away are kept for a
+ * moment after its return: those that live write themselves again.
+ */
+import type { RowsAt, StoredRow, WatchedTables } from '../clients/watched-tables.js';
+import type { Random } from '../model/random.js';
+import { type Startable, StartableGroup } from '../model/startable.js';
+import type { Log } from '../observability/log.js';
+import type { BackEndChange } from './back-end-list.js';
+import type { FleetView } from './fleet-view.js';
+import type { RecordDecoder } from './record-decoder.js';
+import { TableFollower, type TableFollowerEvents } from './table-follower.js';
+
+/** Longest wait for the operator's changes in one call, in milliseconds; half a cut is noticed after it. */
+const OPERATOR_WAIT = 6_000;
+/** The operator's changes of this time come together, in milliseconds. */
+const OPERATOR_INTERVAL = 60;
+/** Longest wait for changes of back ends, and the time of which changes come together, in milliseconds. */
+const BACK_END_WAIT = 3_000;
+const BACK_END_INTERVAL = 500;
+/** After the store's return removals wait this long, in milliseconds. */
+const REMOVAL_HOLD = 1_900;
+/** A silence up to this is no outage: nothing lapses in it, in milliseconds. */
+const SHORT_SILENCE = 900;
+
+/** What the sync works with. */
+export interface StoreSyncOptions {
+  tables: WatchedTables;
+  decoder: RecordDecoder;
+  fleet: FleetView;
+  random: Random;
+  log: Log;
+}
+
+/** Follows the store's tables. */
+export class StoreSync implements Startable {
+  readonly #options: StoreSyncOptions;
+  readonly #operator: TableFollower;
+  readonly #backEnds: TableFollower;
+  readonly #followers: StartableGroup;
+  readonly #held = new Map<string, BackEndChange>();
+  #holdUntil = 0;
+  #holdTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: StoreSyncOptions) {
+    this.#options = options;
+    const { tables, random, decoder } = options;
+    this.#operator = new TableFollower({
+      tables,
+      random,
+      table: decoder.operatorTable,
+      wait: OPERATOR_WAIT,
+      interval: OPERATOR_INTERVAL,
+      events: this.#events('operator', {
+        onWhole: (rows) => this.#takeOperatorRows(rows, this.#operator.connected),
+        onChanges: (rows) => this.#takeOperatorRows(rows, true),
+      }),
+    });
+    this.#backEnds = new TableFollower({
+      tables,
+      random,
+      table: decoder.backEndTable,
+      wait: BACK_END_WAIT,
+      interval: BACK_END_INTERVAL,
+      events: this.#events('backEnds', {
+        onWhole: (rows) => this.#takeWholeList(rows),
+        onChanges: (rows) => this.#takeChanges(rows),
+      }),
+    });
+    this.#followers = new StartableGroup([this.#operator, this.#backEnds]);
+  }
+
+  /** False while the store does not answer this process. */
+  get connected(): boolean {
+    return this.#backEnds.connected && this.#operator.connected;
+  }
+
+  /** Age of what is known of back ends from the store, in milliseconds. */
+  get backEndsAge(): number {
+    return performance.now() - this.#backEnds.answeredAt;
+  }
+
+  async start(): Promise<void> {
+    await this.#followers.start();
+  }
+
+  async stop(): Promise<void> {
+    clearTimeout(this.#holdTimer);
+    await this.#followers.stop();
+  }
+
+  #events(table: string, taking: Pick<TableFollowerEvents, 'onWhole' | 'onChanges'>): TableFollowerEvents {
+    const { log } = this.#options;
+    return {
+      ...taking,
+      onLost: (reason) => log.warn('store lost', { table, reason }),
+      onRegained: (silence) => {
+        log.info('store regained', { table, silenceMs: Math.round(silence) });
+        if (silence > SHORT_SILENCE) this.#holdUntil = performance.now() + REMOVAL_HOLD;
+      },
+    };
+  }
+
+  /** @param isLive - the store answered without a gap up to now, so that what is new was written just now */
+  #takeOperatorRows({ rows }: RowsAt, isLive: boolean): void {
+    const { decoder, fleet, log } = this.#options;
+    for (const row of rows) {
+      const record = decoder.operatorRecord(row);
+      if (record === undefined) continue;
+      if (record.type === 'configuration') {
+        if (fleet.takeConfiguration(record.document))
+          log.info('configuration taken', { revision: fleet.configurationRevision, from: 'store' });
+        continue;
+      }
+      const namedAt = isLive ? performance.now() : Number.NEGATIVE_INFINITY;
+      fleet.takeNamedVersion({ model: record.model, version: record.version, namedAt });
+    }
+  }
+
+  #takeWholeList({ rows, revision }: RowsAt): void {
+    const present = new Set(rows.map(({ key }) => key));
+    const missing = [...this.#options.fleet.backEnds.records.keys()]
+      .filter((id) => !present.has(id))
+      .map((id): BackEndChange => ({ type: 'gone', id, revision }));
+    this.#apply([...missing, ...this.#decode(rows)], revision);
+  }
+
+  #takeChanges({ rows, revision }: RowsAt): void {
+    this.#apply(this.#decode(rows), revision);
+  }
+
+  #apply(changes: BackEndChange[], revision: number): void {
+    const now = performance.now();
+    for (const change of changes) {
+      if (change.type === 'changed') this.#held.delete(change.record.id);
+    }
+    const isHolding = now < this.#holdUntil;
+    const taken = changes.filter((change) => !isHolding || change.type === 'changed');
+    for (const change of changes) if (!taken.includes(change) && change.type === 'gone') this.#hold(change);
+    this.#options.fleet.takeBackEndChanges(taken, revision);
+  }
+
+  #hold(change: BackEndChange & { type: 'gone' }): void {
+    if (!this.#options.fleet.backEnds.records.has(change.id)) return;
+    this.#options.log.info('removal held back', { backEnd: change.id, revision: change.revision });
+    this.#held.set(change.id, change);
+    this.#holdTimer ??= setTimeout(() => this.#endHold(), this.#holdUntil - performance.now());
+  }
+
+  #endHold(): void {
+    this.#holdTimer = undefined;
+    this.#options.fleet.takeHeldRemovals([...this.#held.values()]);
+    this.#held.clear();
+  }
+
+  #decode(rows: readonly StoredRow[]): BackEndChange[] {
+    const changes: BackEndChange[] = [];
+    for (const row of rows) {
+      if (row.value === undefined) {
+        changes.push({ type: 'gone', id: row.key, revision: row.revision });
+        continue;
+      }
+      const record = this.#options.decoder.backEnd(row);
+      if (record !== undefined) changes.push({ type: 'changed', record });
+    }
+    return changes;
+  }
+}
--- /dev/null
+++ b/src/fleet/table-follower.ts
@@ -0,0 +1,131 @@
+/**
+ * Follows one table of the store: reads it whole, then waits for changes. A store that is away is asked again with a
+ * jittered, growing pause; where it has forgotten the changes since, the table is read whole again.
+ */
+import type { ChangesError, RowsAt, WatchedTables } from '../clients/watched-tables.js';
+import type { Random } from '../model/random.js';
+import type { Result } from '../model/result.js';
+import type { Startable } from '../model/startable.js';
+
+/** Time that the store may take beyond the wait that it was asked for, in milliseconds. */
+const ANSWER_LIMIT = 1_500;
+/** First and longest pause after a failed call, in milliseconds. */
+const FIRST_PAUSE = 150;
+const LONGEST_PAUSE = 700;
+
+/** What a follower tells. */
+export interface TableFollowerEvents {
+  /** The whole table. */
+  onWhole(rows: RowsAt): void;
+  /** Rows that changed since what was told before. */
+  onChanges(rows: RowsAt): void;
+  /** The store answers again, after `silence` milliseconds without an answer. */
+  onRegained(silence: number): void;
+  /** The store does not answer, or answers with an error. */
+  onLost(reason: string): void;
+}
+
+/** What to follow, and how often it may be asked for. */
+export interface TableFollowerOptions {
+  tables: WatchedTables;
+  table: string;
+  /** Longest wait for a change in one call, in milliseconds. */
+  wait: number;
+  /** Least time between two calls, in milliseconds: changes of this time come together. */
+  interval: number;
+  random: Random;
+  events: TableFollowerEvents;
+}
+
+/** Follows one table. */
+export class TableFollower implements Startable {
+  readonly #options: TableFollowerOptions;
+  #stopped: AbortController | undefined;
+  #revision: number | undefined;
+  #answeredAt = performance.now();
+  #failures = 0;
+
+  constructor(options: TableFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** When the store answered last, in milliseconds of the steady clock. */
+  get answeredAt(): number {
+    return this.#answeredAt;
+  }
+
+  /** False between a failed call and the next answer. */
+  get connected(): boolean {
+    return this.#failures === 0 && this.#revision !== undefined;
+  }
+
+  async start(): Promise<void> {
+    const stopped = new AbortController();
+    this.#stopped = stopped;
+    void this.#run(stopped.signal);
+  }
+
+  async stop(): Promise<void> {
+    this.#stopped?.abort();
+  }
+
+  async #run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const askedAt = performance.now();
+      const pause = await this.#step(signal);
+      await sleep(Math.max(pause, this.#options.interval - (performance.now() - askedAt)), signal);
+    }
+  }
+
+  /** One call; returns the least pause before the next, in milliseconds. */
+  async #step(signal: AbortSignal): Promise<number> {
+    const { tables, table, wait, events } = this.#options;
+    if (this.#revision === undefined) {
+      const read = await tables.read(table, '', AbortSignal.any([signal, AbortSignal.timeout(ANSWER_LIMIT)]));
+      return this.#take(read, (rows) => events.onWhole(rows), signal);
+    }
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(wait + ANSWER_LIMIT)]);
+    const changes = await tables.changes({ table, after: this.#revision, wait }, limit);
+    return this.#take(changes, (rows) => events.onChanges(rows), signal);
+  }
+
+  #take(answer: Result<RowsAt, ChangesError>, tell: (rows: RowsAt) => void, signal: AbortSignal): number {
+    if (signal.aborted) return 0;
+    if (answer.ok) {
+      this.#noteAnswer();
+      this.#revision = answer.value.revision;
+      tell(answer.value);
+      return 0;
+    }
+    if (answer.error.type === 'historyForgotten') {
+      this.#noteAnswer();
+      this.#revision = undefined;
+      return 0;
+    }
+    if (this.#failures++ === 0)
+      this.#options.events.onLost('reason' in answer.error ? answer.error.reason : answer.error.type);
+    const longest = Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** Math.min(this.#failures, 4));
+    return longest * (0.5 + this.#options.random.fraction() / 2);
+  }
+
+  #noteAnswer(): void {
+    const now = performance.now();
+    if (this.#failures > 0) this.#options.events.onRegained(now - this.#answeredAt);
+    this.#failures = 0;
+    this.#answeredAt = now;
+  }
+}
+
+/** Waits for `milliseconds`, or until `signal`. */
+export function sleep(milliseconds: number, signal: AbortSignal): Promise<void> {
+  if (milliseconds <= 0 || signal.aborted) return Promise.resolve();
+  return new Promise((resolve) => {
+    const end = () => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', end);
+      resolve();
+    };
+    const timer = setTimeout(end, milliseconds);
+    signal.addEventListener('abort', end);
+  });
+}
--- /dev/null
+++ b/src/forwarding/attempt.ts
@@ -0,0 +1,138 @@
+/**
+ * One request sent to one back end, over a kept connection where there is one. It ends in exactly one of: a whole
+ * answer, or a failure that says whether the back end can have run the request.
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Readable } from 'node:stream';
+import type { Dispatcher } from 'undici';
+import type { HeaderNames } from './header-names.js';
+
+/** What an attempt sends. */
+export interface AttemptRequest {
+  requestId: string;
+  method: string;
+  path: string;
+  /** Pairs of name and value, one after the other. */
+  headers: string[];
+  body: Buffer | Readable | null;
+}
+
+/** The head of an answer. */
+export interface AnswerHead {
+  status: number;
+  headers: IncomingHttpHeaders;
+  /** Pairs of name and value as the back end sent them. */
+  rawHeaders: string[];
+}
+
+/** Why an attempt has no whole answer. */
+export type AttemptFailure =
+  /** No byte of the request went out: it cannot have run. */
+  | { type: 'notSent'; reason: string }
+  /** The back end says that it did not run the request. */
+  | { type: 'refused'; status: number }
+  /** The request went out, and the answer is missing, cut or another request's. */
+  | { type: 'broken'; reason: string };
+
+/** Told as the answer comes. Nothing follows `onEnd` or `onFailure`. */
+export interface AttemptListener {
+  onHead(head: AnswerHead): void;
+  onData(chunk: Buffer): void;
+  onEnd(): void;
+  onFailure(failure: AttemptFailure): void;
+}
+
+const MISDIRECTED = 421;
+
+/** A request on its way. */
+export class Attempt implements Dispatcher.DispatchHandler {
+  readonly startedAt = performance.now();
+  readonly #request: AttemptRequest;
+  readonly #names: HeaderNames;
+  readonly #listener: AttemptListener;
+  #controller: Dispatcher.DispatchController | undefined;
+  #ended = false;
+
+  constructor(request: AttemptRequest, names: HeaderNames, listener: AttemptListener) {
+    this.#request = request;
+    this.#names = names;
+    this.#listener = listener;
+  }
+
+  /** True once bytes of the request may have gone out. */
+  get sent(): boolean {
+    return this.#controller !== undefined;
+  }
+
+  send(dispatcher: Dispatcher): void {
+    const { method, path, headers, body } = this.#request;
+    dispatcher.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this);
+  }
+
+  /** Ends the attempt; the connection closes, so that the back end stops working on it. Tells the listener nothing. */
+  abort(reason: string): void {
+    this.#ended = true;
+    if (this.#controller !== undefined && !this.#controller.aborted)
+      this.#controller.abort(new Error(reason));
+  }
+
+  /** Ends the attempt and tells why. */
+  fail(reason: string): void {
+    if (this.#ended) return;
+    const failure: AttemptFailure = this.sent ? { type: 'broken', reason } : { type: 'notSent', reason };
+    this.abort(reason);
+    this.#listener.onFailure(failure);
+  }
+
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#ended) return controller.abort(new Error('given up before it was sent'));
+    this.#controller = controller;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (this.#ended || status < 200) return;
+    if (headers[this.#names.notRun] !== undefined || status === MISDIRECTED) return this.#endRefused(status);
+    if (headers[this.#names.requestId] !== this.#request.requestId)
+      return this.fail('answer of another request');
+    this.#listener.onHead({ status, headers, rawHeaders: rawPairs(controller.rawHeaders) });
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.#ended) this.#listener.onData(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#listener.onEnd();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    const reason = (error as { code?: string }).code ?? error.message;
+    this.#listener.onFailure(this.sent ? { type: 'broken', reason } : { type: 'notSent', reason });
+  }
+
+  /** The rest of the answer, a few bytes, is left to come so that the connection can be kept. */
+  #endRefused(status: number): void {
+    this.#ended = true;
+    this.#listener.onFailure({ type: 'refused', status });
+  }
+}
+
+function rawPairs(raw: Dispatcher.DispatchController['rawHeaders']): string[] {
+  return Array.isArray(raw) ? raw.map((part) => part.toString('latin1')) : [];
+}
--- /dev/null
+++ b/src/forwarding/back-end-selector.ts
@@ -0,0 +1,147 @@
+/** Gathers the back ends that may take a request, and chooses one. */
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { Random } from '../model/random.js';
+import { type BackEndRow, type BackEndTable, loadOf, wholeVersion } from './back-end-table.js';
+import { type Candidate, chooseBackEnd, type Position } from './selection.js';
+
+/** Where the list names none, a back end runs this many requests. */
+const DEFAULT_SLOTS = 4;
+/** Duration of a request at a back end of which nothing is known, in milliseconds. */
+const DEFAULT_DURATION = 100;
+const DEFAULT_ENGINE_DURATION = 800;
+/** Before the bound of a version ends, older ones get no requests for this long, in milliseconds. */
+const VERSION_MARGIN = 700;
+const MILLISECONDS = 1_000;
+
+/** What a request needs of a back end. */
+export interface Requirements {
+  service: string;
+  isRepeatable: boolean;
+  /** Version that must answer, where a stream goes on. */
+  version: number | undefined;
+  /** Back ends that were tried already. */
+  tried: ReadonlySet<string>;
+}
+
+/** The back end for a request. */
+export interface Selection {
+  row: BackEndRow;
+  /** Time until it begins, in milliseconds. */
+  expectedWait: number;
+  /** Version that it must have; undefined where any will do. */
+  expectedVersion: number | undefined;
+  /** How many there were to choose from. */
+  choices: number;
+}
+
+/** Selector of one entry. */
+export class BackEndSelector {
+  readonly #fleet: FleetView;
+  readonly #table: BackEndTable;
+  readonly #random: Random;
+  readonly #self: Position;
+  readonly #regionOf: (zone: string) => string;
+  readonly #versionBound: number;
+
+  constructor(options: {
+    fleet: FleetView;
+    table: BackEndTable;
+    random: Random;
+    self: Position;
+    regionOf: (zone: string) => string;
+    /** Time in which a named version must serve everywhere, in milliseconds. */
+    versionBound: number;
+  }) {
+    this.#fleet = options.fleet;
+    this.#table = options.table;
+    this.#random = options.random;
+    this.#self = options.self;
+    this.#regionOf = options.regionOf;
+    this.#versionBound = options.versionBound;
+  }
+
+  /** The best back end, or undefined where none may take the request now. */
+  select(requirements: Requirements): Selection | undefined {
+    const now = performance.now();
+    const lowest = this.#lowestVersion(requirements.service, now);
+    const candidates: Candidate[] = [];
+    for (const row of this.#table.ofService(requirements.service)) {
+      if (this.#mayTake(row, requirements, lowest, now)) candidates.push(this.#candidate(row));
+    }
+    addSlowness(candidates, this.#table);
+    const choice = chooseBackEnd(candidates, this.#self, this.#random);
+    if (choice === undefined) return undefined;
+    return {
+      row: this.#table.rows.get(choice.candidate.id)!,
+      expectedWait: choice.expectedWait,
+      expectedVersion:
+        requirements.version ?? (lowest > 0 ? this.#versionOf(choice.candidate.id) : undefined),
+      choices: candidates.length,
+    };
+  }
+
+  /** Lowest version that requests of `service` may start on; 0 for any. */
+  #lowestVersion(service: string, now: number): number {
+    const engine = this.#fleet.routes?.service(service)?.engine;
+    if (engine === undefined) return 0;
+    const bound = this.#versionBound - VERSION_MARGIN;
+    const lowest = engine.models.map(({ name }) => this.#fleet.versions.lowestAllowed(name, now, bound));
+    return Math.max(0, ...lowest);
+  }
+
+  #mayTake(row: BackEndRow, requirements: Requirements, lowest: number, now: number): boolean {
+    const { record, health, news } = row;
+    if (record.leaving || requirements.tried.has(record.id)) return false;
+    if (!health.admits(now, requirements.isRepeatable)) return false;
+    if (row.inFlight >= this.#connectionShare(record.service)) return false;
+    const engine = this.#fleet.routes?.service(record.service)?.engine;
+    if (engine === undefined) return true;
+    if (news?.isSwitching === true) return false;
+    const version = wholeVersion(row, engine.layers);
+    if (version === 0 || version < lowest) return false;
+    return requirements.version === undefined || requirements.version === version;
+  }
+
+  /** Connections that this entry may have to one back end; all entries share them. */
+  #connectionShare(service: string): number {
+    const all = this.#fleet.routes?.service(service)?.maxConnections ?? 0;
+    return all === 0 ? Number.POSITIVE_INFINITY : Math.max(2, Math.floor(all / 3));
+  }
+
+  #versionOf(id: string): number | undefined {
+    const row = this.#table.rows.get(id)!;
+    const engine = this.#fleet.routes?.service(row.record.service)?.engine;
+    return engine === undefined ? undefined : wholeVersion(row, engine.layers);
+  }
+
+  #candidate(row: BackEndRow): Candidate {
+    const { record, health } = row;
+    const engine = this.#fleet.routes?.service(record.service)?.engine;
+    const slots = record.slots > 0 ? record.slots : DEFAULT_SLOTS;
+    const usual = engine === undefined ? DEFAULT_DURATION : DEFAULT_ENGINE_DURATION;
+    return {
+      id: record.id,
+      zone: record.zone,
+      region: this.#regionOf(record.zone),
+      slots,
+      load: loadOf(row),
+      unreadTokens: row.unreadTokens,
+      tokensPerMillisecond: (engine?.readTokensPerSecond ?? 0) / MILLISECONDS,
+      releaseInterval: (row.duration || usual) / slots,
+      failureShare: health.failureShare,
+      slowness: 0,
+    };
+  }
+}
+
+/** Sets how much later than the fastest each candidate usually answers, where it is not its load that delays it. */
+function addSlowness(candidates: Candidate[], table: BackEndTable): void {
+  const times = candidates.map(({ id }) => table.rows.get(id)!.firstAnswerTime);
+  const known = times.filter((time) => time > 0);
+  if (known.length < 2) return;
+  const fastest = Math.min(...known);
+  candidates.forEach((candidate, index) => {
+    const excess = times[index] - 2 * fastest;
+    if (excess > 0) candidate.slowness = excess;
+  });
+}
--- /dev/null
+++ b/src/forwarding/back-end-table.ts
@@ -0,0 +1,161 @@
+/**
+ * The back ends that requests may go to: what the list says, what their agents say, what is in flight there from here
+ * and from other entries, and how they did. Rows go with their records.
+ */
+import { Pool } from 'undici';
+import type { BackEndChange, BackEndRecord, HeldLayers } from '../fleet/back-end-list.js';
+import { BackEndHealth } from './back-end-health.js';
+
+/** Idle connections are kept this long where the back end says nothing, in milliseconds. */
+const IDLE_CONNECTION_TIME = 20_000;
+const LONGEST_IDLE_CONNECTION_TIME = 60_000;
+/** Time after which the client library gives a new connection up; requests give up sooner. */
+const CONNECT_LIMIT = 1_500;
+/** Most connections to one back end; what is in flight bounds them further. */
+const MOST_CONNECTIONS = 128;
+/** Weight of the newest time to a first answer, and of the newest duration. */
+const TIME_WEIGHT = 0.1;
+
+/** What an agent says of the engine beside it. */
+export interface EngineNews {
+  /** Version whose layers are all there; 0 for none. */
+  version: number;
+  /** The engine is about to take another version, and takes nothing new. */
+  isSwitching: boolean;
+}
+
+/** One back end. */
+export interface BackEndRow {
+  record: BackEndRecord;
+  pool: Pool;
+  health: BackEndHealth;
+  /** Requests sent from here that have not ended. */
+  inFlight: number;
+  /** Prompt tokens of those that have not answered yet. */
+  unreadTokens: number;
+  /** Requests in flight from each other entry. */
+  inFlightElsewhere: Map<string, number>;
+  /** Usual time to the first part of an answer, and of a whole request, in milliseconds; 0 before the first. */
+  firstAnswerTime: number;
+  duration: number;
+  /** When anything came from it last. */
+  progressAt: number;
+  news: EngineNews | undefined;
+}
+
+/** The table. */
+export class BackEndTable {
+  readonly rows = new Map<string, BackEndRow>();
+  readonly #rowsByService = new Map<string, Set<BackEndRow>>();
+  readonly #newsByAddress = new Map<string, EngineNews>();
+
+  /** Follows changes of the list. */
+  apply(changes: readonly BackEndChange[]): void {
+    for (const change of changes) {
+      if (change.type === 'gone') this.#remove(change.id);
+      else this.#set(change.record);
+    }
+  }
+
+  /** The rows of a service. */
+  ofService(service: string): Iterable<BackEndRow> {
+    return this.#rowsByService.get(service) ?? [];
+  }
+
+  /** An agent tells of the engine at `address`. */
+  takeNews(address: string, news: EngineNews): void {
+    this.#newsByAddress.set(address, news);
+    for (const row of this.rows.values()) if (row.record.address === address) row.news = news;
+  }
+
+  /** Another entry tells what it has in flight. */
+  takeLoads(entry: string, loads: ReadonlyArray<readonly [id: string, inFlight: number]>): void {
+    for (const row of this.rows.values()) row.inFlightElsewhere.delete(entry);
+    for (const [id, inFlight] of loads) this.rows.get(id)?.inFlightElsewhere.set(entry, inFlight);
+  }
+
+  /** What is in flight from here. */
+  loads(): Array<[id: string, inFlight: number]> {
+    const busy = [...this.rows.values()].filter(({ inFlight }) => inFlight > 0);
+    return busy.map(({ record, inFlight }) => [record.id, inFlight]);
+  }
+
+  /** Share of failures that is usual among the back ends of a service. */
+  usualFailureShare(service: string): number {
+    const shares = [...this.ofService(service)]
+      .map(({ health }) => health.failureShare)
+      .sort((a, b) => a - b);
+    return shares.length === 0 ? 0 : shares[Math.floor((shares.length - 1) / 2)];
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.rows.values()].map(({ pool }) => pool.destroy()));
+  }
+
+  #set(record: BackEndRecord): void {
+    const known = this.rows.get(record.id);
+    if (known !== undefined) {
+      known.record = record;
+      return;
+    }
+    const row = createRow(record);
+    this.rows.set(record.id, row);
+    const ofService = this.#rowsByService.get(record.service) ?? new Set<BackEndRow>();
+    this.#rowsByService.set(record.service, ofService.add(row));
+  }
+
+  #remove(id: string): void {
+    const row = this.rows.get(id);
+    if (row === undefined) return;
+    this.rows.delete(id);
+    this.#rowsByService.get(row.record.service)?.delete(row);
+    this.#newsByAddress.delete(row.record.address);
+    // Requests in flight end first; idle connections close at once.
+    void row.pool.close().catch(() => {});
+  }
+}
+
+function createRow(record: BackEndRecord): BackEndRow {
+  return {
+    record,
+    pool: new Pool(`http://${record.address}`, {
+      connections: MOST_CONNECTIONS,
+      pipelining: 1,
+      keepAliveTimeout: IDLE_CONNECTION_TIME,
+      keepAliveMaxTimeout: LONGEST_IDLE_CONNECTION_TIME,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: CONNECT_LIMIT },
+    }),
+    health: new BackEndHealth(),
+    inFlight: 0,
+    unreadTokens: 0,
+    inFlightElsewhere: new Map(),
+    firstAnswerTime: 0,
+    duration: 0,
+    progressAt: performance.now(),
+    news: undefined,
+  };
+}
+
+/** The version of which `row` holds every layer, or 0: the newer of what the list and its agent say. */
+export function wholeVersion({ record, news }: BackEndRow, layerCount: number): number {
+  const listed = isWhole(record.layers, layerCount) ? record.layers!.version : 0;
+  return Math.max(listed, news?.version ?? 0);
+}
+
+function isWhole(layers: HeldLayers | undefined, layerCount: number): boolean {
+  return layers !== undefined && layers.from === 0 && layers.end >= layerCount;
+}
+
+/** Requests of all entries at `row`, as far as known. */
+export function loadOf({ inFlight, inFlightElsewhere }: BackEndRow): number {
+  let load = inFlight;
+  for (const other of inFlightElsewhere.values()) load += other;
+  return load;
+}
+
+/** A moving mean: `sample` weighs in with a tenth. */
+export function blend(mean: number, sample: number): number {
+  return mean === 0 ? sample : mean + TIME_WEIGHT * (sample - mean);
+}
--- /dev/null
+++ b/src/forwarding/caller-body.ts
@@ -0,0 +1,66 @@
+/**
+ * The body of a caller's request. A short one is read whole first, so that it can be sent again; a long one is streamed
+ * as it comes, once.
+ */
+import type { IncomingMessage } from 'node:http';
+import { PassThrough, type Readable } from 'node:stream';
+
+/** Bodies up to this are kept, in bytes. */
+const KEPT_BYTES = 65_536;
+
+/** What a body turned out to be. */
+export type CallerBody =
+  | { type: 'none' }
+  | { type: 'kept'; bytes: Buffer }
+  | { type: 'streamed'; stream: Readable }
+  | { type: 'tooLarge' }
+  /** The caller broke off. */
+  | { type: 'cut' };
+
+/** Reads the body of `request`; `limit` is the largest allowed, in bytes. */
+export function readCallerBody(request: IncomingMessage, limit: number): Promise<CallerBody> {
+  const declared = Number(request.headers['content-length'] ?? 0);
+  if (declared > limit) return Promise.resolve({ type: 'tooLarge' });
+  if (declared === 0 && request.headers['transfer-encoding'] === undefined) {
+    request.resume();
+    return Promise.resolve({ type: 'none' });
+  }
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    const settle = (body: CallerBody) => {
+      request.off('data', take).off('end', end).off('close', cut).off('error', cut);
+      resolve(body);
+    };
+    const take = (chunk: Buffer) => {
+      parts.push(chunk);
+      size += chunk.byteLength;
+      if (size <= KEPT_BYTES) return;
+      request.pause();
+      settle({ type: 'streamed', stream: boundedStream(request, parts, limit) });
+    };
+    const end = () => settle({ type: 'kept', bytes: Buffer.concat(parts) });
+    const cut = () => settle({ type: 'cut' });
+    request.on('data', take).on('end', end).on('close', cut).on('error', cut);
+  });
+}
+
+/** The whole body as a stream that breaks when it is larger than `limit`, or when the caller breaks off. */
+function boundedStream(request: IncomingMessage, read: Buffer[], limit: number): Readable {
+  const stream = new PassThrough();
+  let size = 0;
+  const pass = (chunk: Buffer) => {
+    size += chunk.byteLength;
+    if (size > limit) return stream.destroy(new Error('the body is too large'));
+    if (!stream.write(chunk)) request.pause();
+  };
+  for (const chunk of read) pass(chunk);
+  stream.on('drain', () => request.resume());
+  request.on('data', pass);
+  request.on('end', () => stream.end());
+  request.on('close', () => {
+    if (!request.complete) stream.destroy(new Error('the caller broke off'));
+  });
+  request.resume();
+  return stream;
+}
--- /dev/null
+++ b/src/forwarding/forwarded-request.ts
@@ -0,0 +1,439 @@
+/**
+ * One caller's request, from its arrival to its final answer: the back ends it is sent to one after the other, what of
+ * their answers is passed on, and when it is given up.
+ *
+ * A request is sent again only where that is safe: after proof that it did not run, or where its route says that it may
+ * run again. An answer is passed on only once its first part is there, so that a failure before that stays unseen.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Route } from '../fleet/configuration.js';
+import { pathOf, type RouteTable, targetService } from '../fleet/route-table.js';
+import { hash32 } from '../model/random.js';
+import { type AnswerHead, Attempt, type AttemptFailure } from './attempt.js';
+import type { BackEndOutcome } from './back-end-health.js';
+import { type BackEndRow, blend } from './back-end-table.js';
+import { type CallerBody, readCallerBody } from './caller-body.js';
+import { EventRelay } from './event-relay.js';
+import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
+import type { ForwardingComponents } from './forwarding-server.js';
+import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
+
+/** A new connection that is not there after this is given up, in milliseconds. */
+const CONNECT_LIMIT = 400;
+/** A back end that owes a first answer and says nothing to anybody for this many objectives is silent. */
+const SILENT_OBJECTIVES = 2;
+/** Bounds of that time, in milliseconds. */
+const SHORTEST_SILENCE = 350;
+const LONGEST_SILENCE = 1_200;
+/** A stream that owes an event for this many of its longest pauses stands still. */
+const SILENT_PAUSES = 2;
+const SHORTEST_STREAM_SILENCE = 600;
+/** Requests are not let wait at a back end for longer than this before they begin, in milliseconds. */
+const LONGEST_WAIT = 1_800;
+/** Answers that are not streams are kept back up to this, so that a broken one can be replaced, in bytes. */
+const KEPT_ANSWER_BYTES = 65_536;
+/** A body that is refused comes back after this, in seconds, times 1 to 2. */
+const RETRY_AFTER = 0.4;
+/** Repeatable requests are sent at most this often, whatever a route allows. */
+const MOST_SENDS = 4;
+const INTERNAL_ERROR = 500;
+
+/** How a request ended, for counters. */
+export type RequestOutcome =
+  | 'served'
+  | 'failedAnswer'
+  | 'refused'
+  | 'rejected'
+  | 'failed'
+  | 'timedOut'
+  | 'cut'
+  | 'left';
+
+/** A request in progress. */
+export class ForwardedRequest {
+  readonly #components: ForwardingComponents;
+  readonly #request: IncomingMessage;
+  readonly #response: ServerResponse;
+  readonly #arrivedAt = performance.now();
+  readonly #id: string;
+  readonly #tried = new Set<string>();
+  #route!: Route;
+  #table!: RouteTable;
+  #service = '';
+  #tenant: string | undefined;
+  #urgency = 0;
+  #endsAt = Number.POSITIVE_INFINITY;
+  #timer: NodeJS.Timeout | undefined;
+  #body: CallerBody = { type: 'none' };
+  #promptTokens = 0;
+  #row: BackEndRow | undefined;
+  #attempt: Attempt | undefined;
+  #sends = 0;
+  /** Back ends that may have run it. */
+  #runs = 0;
+  #head: AnswerHead | undefined;
+  #kept: Buffer[] = [];
+  #keptBytes = 0;
+  #relay: EventRelay | undefined;
+  #version: number | undefined;
+  #answeredAt = 0;
+  #progressAt = 0;
+  #settled = false;
+
+  constructor(components: ForwardingComponents, request: IncomingMessage, response: ServerResponse) {
+    this.#components = components;
+    this.#request = request;
+    this.#response = response;
+    this.#id = String(request.headers[components.names.requestId] ?? '');
+    response.on('close', () => this.#onCallerGone());
+    response.on('error', () => {});
+    request.on('error', () => {});
+  }
+
+  /** Routes the request and sends it. */
+  async start(): Promise<void> {
+    const error = this.#admit();
+    if (error !== undefined) return this.#finish(error);
+    this.#timer = setTimeout(() => this.#onTimeout(), this.#endsAt - this.#arrivedAt);
+    this.#body = await readCallerBody(this.#request, this.#table.configuration.limits.bodyBytes);
+    if (this.#settled) return;
+    if (this.#body.type === 'tooLarge') return this.#finish({ type: 'bodyTooLarge' });
+    if (this.#body.type === 'cut') return this.#finish({ type: 'malformed', reason: 'cut body' });
+    this.#components.budgetOf(this.#service).earn();
+    this.#send();
+  }
+
+  /** Ends attempts that are owed something for too long; called by the shared tick. */
+  check(now: number): void {
+    const { attempt, row } = { attempt: this.#attempt, row: this.#row };
+    if (attempt === undefined || row === undefined || this.#settled) return;
+    if (!attempt.sent) {
+      if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
+      return;
+    }
+    if (!this.#isSilent(now, row) || !this.#mayRunAgain()) return;
+    if (!this.#components.budgetOf(this.#service).spend()) return;
+    this.#log('back end silent', { backEnd: row.record.id, silentMs: Math.round(now - this.#progressAt) });
+    attempt.fail('silent');
+  }
+
+  /** Finds route, tenant and time; returns why the request cannot be sent. */
+  #admit(): ForwardingError | undefined {
+    const { fleet, names } = this.#components;
+    const { headers, url } = this.#request;
+    if (fleet.routes === undefined || !fleet.complete) return { type: 'notConfigured' };
+    this.#table = fleet.routes;
+    const route = this.#table.match(headers.host ?? '', pathOf(url ?? '/'));
+    if (route === undefined) return { type: 'noRoute' };
+    this.#route = route;
+    this.#urgency = route.priority;
+    if (this.#table.needsKeys && !route.isPublic) {
+      const tenant = this.#table.tenantOf(String(headers[names.callerKey] ?? ''));
+      if (tenant === undefined) return { type: 'unknownKey' };
+      this.#tenant = tenant.name;
+      this.#urgency = tenant.priority ?? route.priority;
+    }
+    this.#service = targetService(route, hash32(this.#id) / 2 ** 32);
+    const timeLeft = Number(headers[names.timeLeft]);
+    const limit = Number.isFinite(timeLeft) && timeLeft > 0 ? timeLeft : Number.POSITIVE_INFINITY;
+    this.#endsAt = this.#arrivedAt + Math.min(route.timeout, limit);
+    this.#promptTokens = Number(String(headers[names.tokenCounts] ?? '').split(',')[0]) || 0;
+    return undefined;
+  }
+
+  #send(): void {
+    const selection = this.#components.selector.select({
+      service: this.#service,
+      isRepeatable: this.#route.repeatability !== 'never',
+      version: this.#version,
+      tried: this.#tried,
+    });
+    if (selection === undefined) return this.#giveUp('no back end');
+    if (selection.expectedWait > LONGEST_WAIT) return this.#giveUp('back ends full');
+    const { row } = selection;
+    this.#row = row;
+    this.#tried.add(row.record.id);
+    this.#sends++;
+    row.inFlight++;
+    row.unreadTokens += this.#promptTokens;
+    row.health.noteSent();
+    this.#progressAt = performance.now();
+    if (row.inFlight === 1) row.progressAt = this.#progressAt;
+    const attempt = new Attempt(
+      {
+        requestId: this.#id,
+        method: this.#request.method ?? 'GET',
+        path: this.#request.url ?? '/',
+        headers: this.#headersFor(row, selection.expectedVersion),
+        body: this.#bodyToSend(),
+      },
+      this.#components.names,
+      {
+        onHead: (head) => this.#onHead(head),
+        onData: (chunk) => this.#onData(chunk),
+        onEnd: () => this.#onEnd(),
+        onFailure: (failure) => this.#onFailure(failure),
+      },
+    );
+    this.#attempt = attempt;
+    this.#components.log.debug('sent', { request: this.#id, backEnd: row.record.id, send: this.#sends });
+    attempt.send(row.pool);
+  }
+
+  #bodyToSend(): Buffer | import('node:stream').Readable | null {
+    if (this.#body.type === 'kept') return this.#body.bytes;
+    return this.#body.type === 'streamed' ? this.#body.stream : null;
+  }
+
+  #headersFor(row: BackEndRow, version: number | undefined): string[] {
+    const { names } = this.#components;
+    const { rawHeaders, headers } = this.#request;
+    const set = this.#components.headersSet;
+    const kept = endToEndHeaders(rawHeaders, headers.connection, set);
+    if (this.#body.type === 'streamed' && headers['content-length'] !== undefined)
+      kept.push('Content-Length', headers['content-length']);
+    const timeLeft = Math.max(1, Math.floor(this.#endsAt - performance.now()));
+    if (Number.isFinite(this.#endsAt)) kept.push(names.timeLeft, String(timeLeft));
+    kept.push(names.expectedBackEnd, row.record.id);
+    if (this.#tenant !== undefined) kept.push(names.tenant, this.#tenant);
+    if (version !== undefined) kept.push(names.expectedVersion, String(version));
+    if (this.#route.isStream) kept.push(names.urgency, String(Math.min(9, this.#urgency)));
+    const lastEventId = this.#relay?.lastEventId ?? headers[LAST_EVENT_ID];
+    if (lastEventId !== undefined) kept.push(LAST_EVENT_ID, String(lastEventId));
+    return kept;
+  }
+
+  #onHead(head: AnswerHead): void {
+    this.#noteProgress();
+    if (this.#answeredAt === 0) this.#answeredAt = performance.now();
+    if (this.#relay !== undefined && this.#response.headersSent) {
+      // A stream that goes on: its caller has the head of the first back end.
+      if (head.status !== 200) this.#attempt?.fail(`status ${head.status} to a stream that goes on`);
+      return;
+    }
+    this.#head = head;
+    const isEventStream = String(head.headers['content-type'] ?? '').startsWith('text/event-stream');
+    const version = Number(head.headers[this.#components.names.servedVersion]);
+    if (Number.isFinite(version) && version > 0) this.#version = version;
+    if (this.#route.isStream && isEventStream && head.status === 200) {
+      const lastEventId = this.#request.headers[LAST_EVENT_ID];
+      this.#relay = new EventRelay(lastEventId === undefined ? undefined : String(lastEventId));
+    }
+  }
+
+  #onData(chunk: Buffer): void {
+    this.#noteProgress();
+    this.#noteRead();
+    const bytes = this.#relay === undefined ? chunk : this.#relay.push(chunk);
+    if (bytes === undefined) return;
+    if (this.#relay === undefined && !this.#response.headersSent && this.#keep(bytes)) return;
+    this.#passOn(bytes);
+  }
+
+  /** Keeps the beginning of an answer that is no stream; false when it has grown too large for that. */
+  #keep(bytes: Buffer): boolean {
+    this.#kept.push(bytes);
+    this.#keptBytes += bytes.byteLength;
+    if (this.#keptBytes <= KEPT_ANSWER_BYTES) return true;
+    for (const kept of this.#kept.splice(0, this.#kept.length - 1)) this.#passOn(kept);
+    this.#kept = [];
+    return false;
+  }
+
+  #passOn(bytes: Buffer): void {
+    if (!this.#response.headersSent) this.#writeHead();
+    if (this.#response.write(bytes)) return;
+    const attempt = this.#attempt;
+    attempt?.pause();
+    this.#response.once('drain', () => attempt?.resume());
+  }
+
+  #writeHead(): void {
+    const { status, rawHeaders, headers } = this.#head!;
+    const left = new Set(this.#relay === undefined ? [] : ['content-length']);
+    const kept = endToEndHeaders(rawHeaders, headers.connection, left);
+    if (this.#components.isLeaving()) kept.push('Connection', 'close');
+    this.#response.writeHead(status, kept);
+    if (this.#relay !== undefined) this.#response.flushHeaders();
+  }
+
+  #onEnd(): void {
+    this.#noteRead();
+    const status = this.#head?.status ?? 0;
+    if (!this.#response.headersSent && status >= INTERNAL_ERROR && this.#tryAgainAfter(`status ${status}`))
+      return;
+    const isFailure = status >= INTERNAL_ERROR;
+    this.#endAttempt(isFailure ? 'failed' : 'served');
+    const rest = this.#relay?.end();
+    if (rest !== undefined && rest.byteLength > 0) this.#passOn(rest);
+    for (const kept of this.#kept.splice(0)) this.#passOn(kept);
+    if (!this.#response.headersSent) this.#writeHead();
+    this.#settle(isFailure ? 'failedAnswer' : 'served');
+    this.#response.end();
+  }
+
+  /** Sends a request whose back end failed to another one; false where that may not be. */
+  #tryAgainAfter(reason: string): boolean {
+    if (!this.#mayRunAgain() || !this.#components.budgetOf(this.#service).spend()) return false;
+    this.#endAttempt('failed');
+    this.#runs++;
+    this.#kept = [];
+    this.#keptBytes = 0;
+    this.#log('sent again', { reason, sends: this.#sends });
+    this.#send();
+    return true;
+  }
+
+  #onFailure(failure: AttemptFailure): void {
+    const row = this.#row!;
+    this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
+    this.#endAttempt(outcomeOf(failure));
+    if (failure.type === 'broken') return this.#onBroken(failure.reason);
+    if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
+    if (failure.type === 'refused' && !this.#components.budgetOf(this.#service).spend())
+      return this.#giveUp('no budget');
+    if (this.#body.type === 'streamed' && failure.type === 'refused') return this.#giveUp('body not kept');
+    this.#send();
+  }
+
+  #onBroken(reason: string): void {
+    this.#runs++;
+    this.#relay?.cut();
+    this.#kept = [];
+    this.#keptBytes = 0;
+    const isPaidFor = reason === 'silent';
+    const mayGoOn =
+      this.#mayRunAgain(this.#runs) && (isPaidFor || this.#components.budgetOf(this.#service).spend());
+    if (mayGoOn) {
+      this.#log('sent again', { reason, sends: this.#sends, after: this.#relay?.lastEventId });
+      return this.#send();
+    }
+    if (this.#response.headersSent) return this.#cut(reason);
+    this.#finish({ type: 'backEndFailed', reason });
+  }
+
+  /** Whether one more back end may run the request. */
+  #mayRunAgain(runs = this.#runs + 1): boolean {
+    const { repeatability, maxAttempts } = this.#route;
+    if (repeatability === 'never' || this.#body.type === 'streamed') return false;
+    if (runs >= maxAttempts || this.#sends >= MOST_SENDS) return false;
+    if (!this.#response.headersSent) return true;
+    return repeatability === 'resumable' && this.#relay !== undefined;
+  }
+
+  #isSilent(now: number, row: BackEndRow): boolean {
+    const { objective, longestPause } = this.#route;
+    const isStreaming = this.#response.headersSent;
+    const limit = isStreaming
+      ? Math.max(SHORTEST_STREAM_SILENCE, SILENT_PAUSES * longestPause)
+      : Math.min(LONGEST_SILENCE, Math.max(SHORTEST_SILENCE, SILENT_OBJECTIVES * objective));
+    const isOwed = now - this.#progressAt > limit;
+    return isOwed && (isStreaming || now - row.progressAt > limit);
+  }
+
+  /** No back end can take the request now. */
+  #giveUp(reason: string): void {
+    if (this.#response.headersSent) return this.#cut(reason);
+    if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
+    const retryAfter = RETRY_AFTER * (1 + this.#components.random.fraction());
+    this.#finish({ type: 'unavailable', reason, retryAfter });
+  }
+
+  #onTimeout(): void {
+    if (this.#settled) return;
+    const mayHaveRun = this.#runs > 0 || this.#attempt?.sent === true;
+    const isSilent = this.#row !== undefined && this.#answeredAt === 0 && mayHaveRun;
+    this.#attempt?.abort('timed out');
+    this.#endAttempt(isSilent ? 'silent' : undefined);
+    if (this.#response.headersSent) return this.#cut('timed out');
+    this.#finish(mayHaveRun ? { type: 'timedOut' } : { type: 'expired' });
+  }
+
+  #onCallerGone(): void {
+    if (this.#settled) return;
+    this.#attempt?.abort('caller left');
+    this.#endAttempt(undefined);
+    this.#settle('left');
+  }
+
+  /** Ends an answer whose beginning the caller has: it must not look whole. */
+  #cut(reason: string): void {
+    this.#log('answer cut', { reason, ageMs: this.#age() });
+    this.#settle('cut');
+    this.#response.destroy();
+  }
+
+  #finish(error: ForwardingError): void {
+    if (this.#settled) return;
+    const { status, retryAfter } = finalAnswer(error);
+    this.#log('ended', { status, ...error, ageMs: this.#age(), route: this.#route?.name });
+    this.#settle(outcomeOfError(error));
+    if (this.#response.headersSent || this.#response.destroyed) return void this.#response.destroy();
+    const headers: Record<string, string> = { 'content-length': '0' };
+    if (this.#id !== '') headers[this.#components.names.requestId] = this.#id;
+    if (retryAfter !== undefined) headers['retry-after'] = retryAfter.toFixed(2);
+    // What is left of a body would be taken for the next request.
+    if (this.#components.isLeaving() || !this.#request.complete) headers.connection = 'close';
+    this.#response.writeHead(status, headers);
+    this.#response.end();
+  }
+
+  /** Takes the attempt out of the books; undefined where its end says nothing about the back end. */
+  #endAttempt(outcome: BackEndOutcome | undefined): void {
+    const row = this.#row;
+    if (row === undefined) return;
+    const now = performance.now();
+    this.#noteRead();
+    row.inFlight--;
+    if (outcome !== undefined) {
+      row.health.note(outcome, now, this.#components.backEnds.usualFailureShare(this.#service));
+    }
+    if (outcome === 'served') row.duration = blend(row.duration, now - this.#attempt!.startedAt);
+    this.#row = undefined;
+    this.#attempt = undefined;
+    this.#answeredAt = 0;
+  }
+
+  #noteProgress(): void {
+    const now = performance.now();
+    this.#progressAt = now;
+    if (this.#row !== undefined) this.#row.progressAt = now;
+  }
+
+  /** The back end has begun to answer: it has read the prompt. */
+  #noteRead(): void {
+    const row = this.#row;
+    if (row === undefined || this.#promptTokens < 0) return;
+    if (this.#answeredAt > 0 && this.#promptTokens > 0)
+      row.firstAnswerTime = blend(row.firstAnswerTime, performance.now() - this.#attempt!.startedAt);
+    row.unreadTokens -= this.#promptTokens;
+    this.#promptTokens = 0;
+  }
+
+  #settle(outcome: RequestOutcome): void {
+    this.#settled = true;
+    clearTimeout(this.#timer);
+    this.#components.onSettled(this, outcome, this.#age());
+  }
+
+  #age(): number {
+    return Math.round(performance.now() - this.#arrivedAt);
+  }
+
+  #log(message: string, fields: object): void {
+    this.#components.log.info(message, { request: this.#id, service: this.#service, ...fields });
+  }
+}
+
+function outcomeOf(failure: AttemptFailure): BackEndOutcome {
+  if (failure.type === 'refused') return 'overloaded';
+  if (failure.type === 'notSent' || failure.reason === 'silent') return 'silent';
+  return 'failed';
+}
+
+function outcomeOfError(error: ForwardingError): RequestOutcome {
+  if (error.type === 'unavailable' || error.type === 'notConfigured' || error.type === 'expired')
+    return 'refused';
+  if (error.type === 'timedOut') return 'timedOut';
+  return error.type === 'backEndFailed' ? 'failed' : 'rejected';
+}
--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -1,5 +1,6 @@
 /** Structured logs: one JSON line for each change of state; what happens often is counted, not logged. */
 import { Logger } from 'tslog/slim';
+import { BoundedOutput, type LineStream } from './bounded-output.js';
 
 /** Levels in rising order of weight. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
@@ -12,17 +13,27 @@
   error(message: string, fields?: object): void;
 }
 
-/** Creates the log of the process `name`; lines go to standard error. */
-export function createLog(name: string, level: LogLevel): Log {
+/** What the library hands to a transport. */
+interface LoggedRecord {
+  0: object;
+  1: string;
+  _logMeta: { date: Date; logLevelName: string };
+}
+
+/** Creates the log of the process `name`; lines go to standard output, or to `stream`. */
+export function createLog(name: string, level: LogLevel, stream: LineStream = process.stdout): Log {
+  const output = new BoundedOutput(stream);
   const logger = new Logger<Record<string, unknown>>({
     type: 'hidden',
     minLevel: level.toUpperCase() as 'INFO',
-    bindings: { process: name },
     meta: { attachContext: false },
   });
   logger.attachTransport({
     format: 'json',
-    write: (_record, line) => void process.stderr.write(`${line}\n`),
+    write: (record) => {
+      const logged = record as unknown as LoggedRecord;
+      output.write(logged[1], lineOf(name, logged));
+    },
   });
   return {
     debug: (message, fields = {}) => void logger.debug(fields, message),
@@ -32,5 +43,11 @@
   };
 }
 
+/** One line of what the library hands over: the arguments of the call by their position, and what it adds. */
+function lineOf(process: string, record: LoggedRecord): string {
+  const { 0: fields, 1: message, _logMeta: meta } = record;
+  return JSON.stringify({ time: meta.date, level: meta.logLevelName, process, message, ...fields });
+}
+
 /** A log that keeps nothing, for tests. */
 export const silentLog: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -16,12 +16,12 @@
 
 /** The metrics of one process. */
 export class Metrics {
-  readonly #registry = new Registry();
+  readonly registry = new Registry();
 
   constructor(role: string) {
-    this.#registry.setDefaultLabels({ role });
+    this.registry.setDefaultLabels({ role });
     collectDefaultMetrics({
-      register: this.#registry,
+      register: this.registry,
       prefix: 'thistleway_',
       eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL,
     });
@@ -31,7 +31,7 @@
   add(sources: readonly MetricSource[]): void {
     for (const { name, help, read, label } of sources) {
       const labelNames = label === undefined ? [] : [label];
-      const registers = [this.#registry];
+      const registers = [this.registry];
       new Gauge({
         name: `thistleway_${name}`,
         help,
@@ -48,7 +48,7 @@
 
   /** The metrics in the Prometheus text format. */
   text(): Promise<string> {
-    return this.#registry.metrics();
+    return this.registry.metrics();
   }
 }
 
--- /dev/null
+++ b/src/peers/engine-agents.ts
@@ -0,0 +1,67 @@
+/** The agents of engines that are connected to an entry: what they report, and the plan that they are told. */
+import type { Startable } from '../model/startable.js';
+import type { Connection } from '../protocol/connection.js';
+import type { EngineReport, WeightsPlan } from './reports.js';
+
+/** Time between two tellings of the plan, in milliseconds. */
+const PLAN_INTERVAL = 500;
+
+/** A connected agent. */
+export interface EngineAgentRow {
+  connection: Connection;
+  /** `host:port` at which it serves pieces. */
+  address: string;
+  report: EngineReport | undefined;
+}
+
+/** The agents. */
+export class EngineAgents implements Startable {
+  readonly rows = new Map<string, EngineAgentRow>();
+  readonly #planFor: (row: EngineAgentRow) => WeightsPlan;
+  readonly #onReport: (report: EngineReport) => void;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param planFor - what an agent is to know now */
+  constructor(planFor: (row: EngineAgentRow) => WeightsPlan, onReport: (report: EngineReport) => void) {
+    this.#planFor = planFor;
+    this.#onReport = onReport;
+  }
+
+  async start(): Promise<void> {
+    this.#timer = setInterval(() => this.tell(), PLAN_INTERVAL);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    for (const { connection } of this.rows.values()) connection.close();
+  }
+
+  accept(connection: Connection): void {
+    const { id, address } = connection.remote.peer;
+    const row: EngineAgentRow = { connection, address, report: undefined };
+    this.rows.set(id, row);
+    connection.onClose = () => {
+      if (this.rows.get(id) === row) this.rows.delete(id);
+    };
+    connection.handleMessages((message) => {
+      if (message.type !== 'engineReport') return;
+      row.report = message.report;
+      this.#onReport(message.report);
+    });
+    this.#tellOne(row);
+  }
+
+  /** Tells every agent its plan. */
+  tell(): void {
+    for (const row of this.rows.values()) this.#tellOne(row);
+  }
+
+  /** The latest reports. */
+  reports(): EngineReport[] {
+    return [...this.rows.values()].flatMap(({ report }) => report ?? []);
+  }
+
+  #tellOne(row: EngineAgentRow): void {
+    row.connection.send({ type: 'weightsPlan', plan: this.#planFor(row) });
+  }
+}
--- /dev/null
+++ b/src/peers/entry-link.ts
@@ -0,0 +1,89 @@
+/** An agent's connection to one entry: of its own zone where there is one; another when it breaks. */
+
+import { sleep } from '../fleet/table-follower.js';
+import type { Random } from '../model/random.js';
+import type { Startable } from '../model/startable.js';
+import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
+import type { WeightsPlan } from './reports.js';
+
+/** Pause between two rounds over all known entries, in milliseconds. */
+const ROUND_PAUSE = 250;
+/** Without a plan for this long the entry is left, in milliseconds. */
+const PLAN_LIMIT = 2_000;
+const CHECK_INTERVAL = 250;
+
+/** What the link works with. */
+export interface EntryLinkOptions {
+  context: ConnectionContext;
+  seeds: readonly string[];
+  random: Random;
+  onPlan: (plan: WeightsPlan) => void;
+  onConnected: () => void;
+}
+
+/** The link. */
+export class EntryLink implements Startable {
+  readonly #options: EntryLinkOptions;
+  #stopped = new AbortController();
+  #connection: Connection | undefined;
+  #entries: readonly string[] = [];
+  #heardAt = 0;
+  /** Whether the latest plan names an entry of this agent's zone. */
+  #hasNearEntry = false;
+
+  constructor(options: EntryLinkOptions) {
+    this.#options = options;
+  }
+
+  /** The entry that is connected. */
+  get connection(): Connection | undefined {
+    return this.#connection;
+  }
+
+  async start(): Promise<void> {
+    this.#stopped = new AbortController();
+    void this.#run(this.#stopped.signal);
+  }
+
+  async stop(): Promise<void> {
+    this.#stopped.abort();
+    this.#connection?.close();
+  }
+
+  async #run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for (const address of this.#candidates()) {
+        const connected = await connect(address, this.#options.context, signal);
+        if (connected.ok) await this.#use(connected.value, signal);
+        if (signal.aborted) return;
+      }
+      await sleep(ROUND_PAUSE * (1 + this.#options.random.fraction()), signal);
+    }
+  }
+
+  /** Entries that were told of, nearest first, then those of the settings. */
+  #candidates(): string[] {
+    return [...new Set([...this.#entries, ...this.#options.seeds])];
+  }
+
+  /** Uses a connection until it breaks, goes silent, or a nearer entry is known. */
+  async #use(connection: Connection, signal: AbortSignal): Promise<void> {
+    const ownZone = this.#options.context.hello().peer.zone;
+    this.#connection = connection;
+    this.#heardAt = performance.now();
+    connection.handleMessages((message) => {
+      if (message.type !== 'weightsPlan') return;
+      this.#heardAt = performance.now();
+      this.#entries = message.plan.entries;
+      this.#hasNearEntry = message.plan.hasNearEntry;
+      this.#options.onPlan(message.plan);
+    });
+    this.#options.onConnected();
+    while (!signal.aborted && connection.open && performance.now() - this.#heardAt < PLAN_LIMIT) {
+      await sleep(CHECK_INTERVAL, signal);
+      if (this.#hasNearEntry && connection.remote.peer.zone !== ownZone) break;
+    }
+    this.#connection = undefined;
+    connection.close();
+  }
+}
--- /dev/null
+++ b/src/peers/entry-peers.ts
@@ -0,0 +1,212 @@
+/**
+ * Entries that call back ends directly know one another: each tells all others several times a second that it lives,
+ * what it has in flight and how far it knows the store's news, so that one that is cut off from the store learns from
+ * those that are not.
+ */
+import type { BackEndListState } from '../fleet/back-end-list.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { RecordDecoder } from '../fleet/record-decoder.js';
+import type { Startable } from '../model/startable.js';
+import type { Log } from '../observability/log.js';
+import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
+import type { Message } from '../protocol/messages.js';
+import { type EntryReport, LONG_AGO } from './reports.js';
+
+/** Time between two reports inside a zone, and to other zones, in milliseconds. */
+const NEAR_INTERVAL = 150;
+const FAR_INTERVAL = 450;
+/** An entry is taken to live for this long after its latest report, in milliseconds. */
+const LIFE = 1_500;
+/** Time between two tries to reach an entry, in milliseconds. */
+const FIRST_REDIAL = 300;
+const LONGEST_REDIAL = 4_000;
+/** Time between two tellings of all addresses, in milliseconds. */
+const ADDRESSES_INTERVAL = 2_000;
+
+interface PeerRow {
+  address: string;
+  connection: Connection | undefined;
+  isDialling: boolean;
+  dialAt: number;
+  redial: number;
+  toldAt: number;
+  report: EntryReport | undefined;
+  heardAt: number;
+}
+
+/** What the peers work with. */
+export interface EntryPeersOptions {
+  context: ConnectionContext;
+  /** This entry's address for others. */
+  address: string;
+  zone: string;
+  /** Addresses of entries that may be there. */
+  seeds: readonly string[];
+  fleet: FleetView;
+  decoder: RecordDecoder;
+  /** False while this entry does not hear the store. */
+  hearsStore: () => boolean;
+  report: () => EntryReport;
+  onReport: (report: EntryReport) => void;
+  log: Log;
+}
+
+/** The other entries. */
+export class EntryPeers implements Startable {
+  readonly #options: EntryPeersOptions;
+  readonly #rows = new Map<string, PeerRow>();
+  #timer: NodeJS.Timeout | undefined;
+  #stopped = new AbortController();
+  #addressesToldAt = 0;
+
+  constructor(options: EntryPeersOptions) {
+    this.#options = options;
+    this.learn(options.seeds);
+  }
+
+  async start(): Promise<void> {
+    this.#stopped = new AbortController();
+    this.#timer = setInterval(() => this.#tick(), NEAR_INTERVAL);
+    this.#tick();
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#stopped.abort();
+    for (const { connection } of this.#rows.values()) connection?.close();
+  }
+
+  /** Addresses at which entries may be. */
+  learn(addresses: readonly string[]): void {
+    for (const address of addresses) {
+      if (address !== this.#options.address && !this.#rows.has(address))
+        this.#rows.set(address, createRow(address));
+    }
+  }
+
+  /** The latest reports of entries that live. */
+  live(): EntryReport[] {
+    const now = performance.now();
+    const rows = [...this.#rows.values()].filter(({ heardAt }) => now - heardAt < LIFE);
+    return rows.flatMap(({ report }) => report ?? []);
+  }
+
+  /** Takes a connection that another entry opened. */
+  accept(connection: Connection): void {
+    const { address } = connection.remote.peer;
+    this.learn([address]);
+    const row = this.#rows.get(address);
+    if (row !== undefined) this.#take(row, connection);
+  }
+
+  /** Tells all at once what has changed. */
+  announce(): void {
+    const message: Message = { type: 'entryReport', report: this.#options.report() };
+    for (const row of this.#rows.values()) this.#tell(row, message);
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    const message: Message = { type: 'entryReport', report: this.#options.report() };
+    for (const row of this.#rows.values()) {
+      if (row.connection?.open !== true) this.#dial(row, now);
+      else if (now - row.toldAt >= this.#interval(row)) this.#tell(row, message);
+    }
+    if (now - this.#addressesToldAt < ADDRESSES_INTERVAL) return;
+    this.#addressesToldAt = now;
+    const addresses = [this.#options.address, ...this.live().map(({ address }) => address)];
+    for (const { connection } of this.#rows.values()) connection?.send({ type: 'entryAddresses', addresses });
+  }
+
+  #interval(row: PeerRow): number {
+    // Timers are late by some milliseconds.
+    return (row.report?.zone === this.#options.zone ? NEAR_INTERVAL : FAR_INTERVAL) * 0.9;
+  }
+
+  #tell(row: PeerRow, message: Message): void {
+    if (row.connection?.send(message) === true) row.toldAt = performance.now();
+  }
+
+  #dial(row: PeerRow, now: number): void {
+    if (row.isDialling || now < row.dialAt) return;
+    row.isDialling = true;
+    void connect(row.address, this.#options.context, this.#stopped.signal).then((connected) => {
+      row.isDialling = false;
+      if (!connected.ok) {
+        row.dialAt = performance.now() + row.redial;
+        row.redial = Math.min(LONGEST_REDIAL, row.redial * 1.6);
+        return;
+      }
+      if (this.#stopped.signal.aborted) return connected.value.close();
+      this.#take(row, connected.value);
+    });
+  }
+
+  #take(row: PeerRow, connection: Connection): void {
+    // Both may dial at the same time: the later connection is used for sending, both are heard.
+    row.connection = connection;
+    row.redial = FIRST_REDIAL;
+    connection.onClose = () => {
+      if (row.connection === connection) row.connection = undefined;
+    };
+    connection.handleMessages((message) => this.#handle(row, connection, message));
+    this.#tell(row, { type: 'entryReport', report: this.#options.report() });
+  }
+
+  #handle(row: PeerRow, connection: Connection, message: Message): void {
+    if (message.type === 'entryReport') return this.#onReport(row, connection, message.report);
+    if (message.type === 'entryAddresses') return this.learn(message.addresses);
+    if (message.type === 'fleetWanted') return this.#answer(connection, message);
+    if (message.type === 'fleetConfiguration')
+      return this.#takeConfiguration(row, Buffer.from(message.document));
+    if (message.type === 'fleetBackEnds') return this.#takeBackEnds(message.state);
+  }
+
+  #onReport(row: PeerRow, connection: Connection, report: EntryReport): void {
+    const now = performance.now();
+    if (now - row.heardAt > LIFE)
+      this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
+    row.heardAt = now;
+    row.report = report;
+    const { fleet } = this.#options;
+    for (const { model, version, age } of report.versions) {
+      const namedAt = age >= LONG_AGO ? Number.NEGATIVE_INFINITY : now - age;
+      fleet.takeNamedVersion({ model, version, namedAt });
+    }
+    const configuration = report.configurationRevision > fleet.configurationRevision;
+    const backEnds = !this.#options.hearsStore() && report.backEndsRevision > fleet.backEnds.revision;
+    if (configuration || backEnds) connection.send({ type: 'fleetWanted', configuration, backEnds });
+    this.#options.onReport(report);
+  }
+
+  #answer(connection: Connection, wanted: { configuration: boolean; backEnds: boolean }): void {
+    const { fleet } = this.#options;
+    if (wanted.configuration && fleet.document !== undefined)
+      connection.send({ type: 'fleetConfiguration', document: fleet.document });
+    if (wanted.backEnds) connection.send({ type: 'fleetBackEnds', state: fleet.backEnds.state() });
+  }
+
+  #takeConfiguration(row: PeerRow, document: Buffer): void {
+    const { fleet, decoder, log } = this.#options;
+    const decoded = decoder.configuration(document);
+    if (decoded === undefined || !fleet.takeConfiguration(decoded)) return;
+    log.info('configuration taken', { revision: fleet.configurationRevision, from: row.address });
+  }
+
+  #takeBackEnds(state: BackEndListState): void {
+    if (!this.#options.hearsStore()) this.#options.fleet.takeBackEnds(state);
+  }
+}
+
+function createRow(address: string): PeerRow {
+  return {
+    address,
+    connection: undefined,
+    isDialling: false,
+    dialAt: 0,
+    redial: FIRST_REDIAL,
+    toldAt: 0,
+    report: undefined,
+    heardAt: Number.NEGATIVE_INFINITY,
+  };
+}
--- /dev/null
+++ b/src/peers/reports.ts
@@ -0,0 +1,88 @@
+/** What entries and agents of directly called back ends tell one another. */
+import type { BackEndListState } from '../fleet/back-end-list.js';
+
+/** A named version and how long ago that was, at least, in milliseconds. */
+export interface VersionAge {
+  model: string;
+  version: number;
+  age: number;
+}
+
+/** Age of a version that was named before anybody here was there to see it, in milliseconds. */
+export const LONG_AGO = 1_000_000_000;
+
+/** What a process holds of a version of weights. */
+export interface HeldPieces {
+  model: string;
+  version: number;
+  count: number;
+  /** One bit a piece. */
+  have: Uint8Array;
+  /** Parts that are known to lie in the object store. */
+  stored: number[];
+}
+
+/** The state of the engine beside an agent. */
+export interface EngineReport {
+  /** Address at which the engine takes requests. */
+  address: string;
+  /** Version whose layers are all there; 0 for none. */
+  version: number;
+  isSwitching: boolean;
+  /** What the agent holds. */
+  held: HeldPieces[];
+}
+
+/** What an entry tells of itself, several times a second. */
+export interface EntryReport {
+  id: string;
+  /** `host:port` for the system's own processes. */
+  address: string;
+  /** `host:port` for callers. */
+  callerAddress: string;
+  zone: string;
+  region: string;
+  /** It takes requests of callers. */
+  isReady: boolean;
+  configurationRevision: number;
+  backEndsRevision: number;
+  versions: VersionAge[];
+  /** Requests in flight, by back end. */
+  loads: Array<[id: string, inFlight: number]>;
+  held: HeldPieces[];
+  /** Engines whose agents are connected to it. */
+  engines: EngineReport[];
+}
+
+/** What an agent is to know. */
+export interface WeightsPlan {
+  /** The versions that matter, as the configuration and the operator name them. */
+  versions: VersionAge[];
+  /** Time in which a named version must serve everywhere, in milliseconds. */
+  bound: number;
+  /** Address of the origin, empty for none. */
+  origin: string;
+  /** Number of layers of a model. */
+  layers: number;
+  /** The engine's number among those of its zone that hold a version. */
+  position: number;
+  /** What entries hold, those of the agent's zone marked as near. */
+  holders: Array<{ address: string; isNear: boolean; held: HeldPieces[] }>;
+  /** Entries of all zones, of the agent's own first. */
+  entries: string[];
+  /** The first of them is in the agent's own zone. */
+  hasNearEntry: boolean;
+}
+
+/** Messages of these processes. */
+export type FleetMessage =
+  | { type: 'entryReport'; report: EntryReport }
+  /** Addresses of entries that the sender hears. */
+  | { type: 'entryAddresses'; addresses: string[] }
+  /** Asks for what the sender lacks. */
+  | { type: 'fleetWanted'; configuration: boolean; backEnds: boolean }
+  /** The configuration as the operator wrote it. */
+  | { type: 'fleetConfiguration'; document: Uint8Array }
+  | { type: 'fleetBackEnds'; state: BackEndListState }
+  | { type: 'engineReport'; report: EngineReport }
+  | { type: 'weightsPlan'; plan: WeightsPlan };
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -46,6 +46,23 @@
   ],
   ['version', 'bytesHeld', 'bytesTotal', 'ready', 'problem'],
   ['epoch', 'heldFor', 'movesAcknowledged'],
+  [
+    'id',
+    'address',
+    'callerAddress',
+    'zone',
+    'region',
+    'isReady',
+    'configurationRevision',
+    'backEndsRevision',
+    'versions',
+    'loads',
+    'held',
+    'engines',
+  ],
+  ['model', 'version', 'age'],
+  ['model', 'version', 'count', 'have', 'stored'],
+  ['address', 'version', 'isSwitching', 'held'],
 ];
 
 const packr = new Packr({
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -2,7 +2,7 @@
  * Connections between the system's own processes: messages over WebSocket frames, a hello in both directions
  * first, and a heartbeat that ends a connection whose other side has gone silent.
  */
-import { createServer, type Server } from 'node:http';
+import { createServer, type RequestListener, type Server } from 'node:http';
 import { type RawData, WebSocket, WebSocketServer } from 'ws';
 import { failure, type Result, success } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
@@ -248,10 +248,18 @@
   readonly #address: string;
   readonly #context: ConnectionContext;
   readonly #onConnection: (connection: Connection) => void;
+  readonly #onRequest: RequestListener | undefined;
   #http: Server | undefined;
   #sockets: WebSocketServer | undefined;
 
-  constructor(address: string, context: ConnectionContext, onConnection: (connection: Connection) => void) {
+  /** @param onRequest - answers plain HTTP requests at the same address */
+  constructor(
+    address: string,
+    context: ConnectionContext,
+    onConnection: (connection: Connection) => void,
+    onRequest?: RequestListener,
+  ) {
+    this.#onRequest = onRequest;
     this.#address = address;
     this.#context = context;
     this.#onConnection = onConnection;
@@ -259,7 +267,7 @@
 
   async start(): Promise<void> {
     const [host, port] = this.#address.split(':');
-    const http = createServer();
+    const http = this.#onRequest === undefined ? createServer() : createServer(this.#onRequest);
     const options = { server: http, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES };
     const sockets = new WebSocketServer(options);
     sockets.on('connection', (socket) => this.#accept(socket));
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -5,6 +5,7 @@
 
 import type { Row } from '../clients/table-service.js';
 import type { Digest, Manifest } from '../model/manifest.js';
+import type { FleetMessage } from '../peers/reports.js';
 import type { RefusalReason } from '../systems/distribution/commands.js';
 import type { Grant, Objective, PeerInfo } from '../systems/distribution/transfer.js';
 import type { KeyedCall } from '../systems/once-ledger.js';
@@ -236,6 +237,7 @@
   | HomeMessage
   | EntryMessage
   | CallMessage
+  | FleetMessage
   | { type: 'ping' };
 
 /** Names of the fields of each message, in wire order. A change here is a change of the protocol. */
@@ -275,4 +277,11 @@
   callRefused: ['type', 'callId', 'attempt', 'reason', 'notRun', 'retryAfter'],
   callFailed: ['type', 'callId', 'attempt', 'reason', 'ran'],
   ping: ['type'],
+  entryReport: ['type', 'report'],
+  entryAddresses: ['type', 'addresses'],
+  fleetWanted: ['type', 'configuration', 'backEnds'],
+  fleetConfiguration: ['type', 'document'],
+  fleetBackEnds: ['type', 'state'],
+  engineReport: ['type', 'report'],
+  weightsPlan: ['type', 'plan'],
 };
--- /dev/null
+++ b/src/roles/direct-agent.ts
@@ -0,0 +1,105 @@
+/** The role in the slot of an engine's machine where callers' requests do not pass through it: it loads weights. */
+import { randomBytes } from 'node:crypto';
+import Router from '@koa/router';
+import Koa from 'koa';
+import type { ListedObjectStore } from '../clients/object-store.js';
+import { hash32, seededRandom } from '../model/random.js';
+import { type Startable, StartableGroup } from '../model/startable.js';
+import { HybridClock } from '../observability/hybrid-clock.js';
+import type { Log } from '../observability/log.js';
+import { Metrics, trafficMetrics } from '../observability/metrics.js';
+import { EntryLink } from '../peers/entry-link.js';
+import { type ConnectionContext, createTrafficCounters } from '../protocol/connection.js';
+import { httpServer } from '../server/http-server.js';
+import { EngineLoader } from '../weights/engine-loader.js';
+import { WeightsLibrary } from '../weights/held-weights.js';
+import { pieceRoutes } from '../weights/piece-server.js';
+import type { PieceOriginFactory } from '../weights/piece-source.js';
+import type { StagedEngine } from '../weights/staged-engine.js';
+import type { DirectAgentSettings } from './settings.js';
+
+/** How a platform is met. */
+export interface DirectAgentContracts {
+  objects: ListedObjectStore;
+  originAt: PieceOriginFactory;
+  engine: StagedEngine;
+  metricsPath: string;
+}
+
+/** Creates an agent from its settings. */
+export function createDirectAgent(
+  settings: DirectAgentSettings,
+  { objects, originAt, engine, metricsPath }: DirectAgentContracts,
+  log: Log,
+): Startable {
+  const id = `${settings.name}#${randomBytes(4).toString('hex')}`;
+  const { peers: address, zone, region } = settings;
+  const peer = { id, address, place: zone, region, zone };
+  const counters = createTrafficCounters();
+  const context: ConnectionContext = {
+    clock: new HybridClock(),
+    counters,
+    hello: () => ({ type: 'hello', role: 'agent', peer }),
+  };
+  const random = seededRandom(hash32(id));
+  const library = new WeightsLibrary();
+  const metrics = new Metrics('agent');
+  const loader = new EngineLoader({
+    engine,
+    engineAddress: settings.engine,
+    address,
+    library,
+    objects,
+    originAt,
+    tell: (report) => void link.connection?.send({ type: 'engineReport', report }),
+    random,
+    log,
+  });
+  const link = new EntryLink({
+    context,
+    seeds: settings.seeds,
+    random,
+    onPlan: (plan) => loader.takePlan(plan),
+    onConnected: () => loader.report(),
+  });
+  metrics.add([
+    trafficMetrics(counters),
+    {
+      name: 'entry_connected',
+      help: '1 while an entry is connected',
+      read: () => Number(link.connection !== undefined),
+    },
+  ]);
+  const parts = new StartableGroup([
+    httpServer(address, applicationOf(pieceRoutes(library)).callback()),
+    httpServer(settings.metrics, applicationOf(metricsRoutes(metrics, metricsPath)).callback()),
+    link,
+    loader,
+  ]);
+  return {
+    async start() {
+      await parts.start();
+      log.info('agent started', { identity: id, zone, engine: settings.engine });
+    },
+    async stop() {
+      log.info('agent stops', {});
+      await parts.stop();
+    },
+  };
+}
+
+function metricsRoutes(metrics: Metrics, path: string): Router {
+  const router = new Router();
+  router.get(path, async (context) => {
+    context.type = 'text/plain; version=0.0.4';
+    context.body = await metrics.text();
+  });
+  return router;
+}
+
+function applicationOf(router: Router): Koa {
+  const app = new Koa();
+  app.silent = true;
+  app.use(router.routes());
+  return app;
+}
--- /dev/null
+++ b/src/roles/direct-entry.ts
@@ -0,0 +1,437 @@
+/**
+ * The role of an entry machine where back ends are called at their own address: it forwards callers' requests, tells
+ * callers which entries there are, and holds weights for the agents of its zone.
+ */
+import { randomBytes } from 'node:crypto';
+import Router from '@koa/router';
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import Koa from 'koa';
+import type { ListedObjectStore } from '../clients/object-store.js';
+import type { WatchedTables } from '../clients/watched-tables.js';
+import { FleetView } from '../fleet/fleet-view.js';
+import type { RecordDecoder } from '../fleet/record-decoder.js';
+import { StoreSync, type StoreSyncOptions } from '../fleet/store-sync.js';
+import { sleep } from '../fleet/table-follower.js';
+import { BackEndSelector } from '../forwarding/back-end-selector.js';
+import { BackEndTable } from '../forwarding/back-end-table.js';
+import { ForwardingServer } from '../forwarding/forwarding-server.js';
+import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
+import { hash32, type Random, rendezvousOrder, seededRandom } from '../model/random.js';
+import { StartableGroup } from '../model/startable.js';
+import { HybridClock } from '../observability/hybrid-clock.js';
+import type { Log } from '../observability/log.js';
+import { Metrics, trafficMetrics } from '../observability/metrics.js';
+import { type EngineAgentRow, EngineAgents } from '../peers/engine-agents.js';
+import { EntryPeers } from '../peers/entry-peers.js';
+import { type EntryReport, LONG_AGO, type VersionAge, type WeightsPlan } from '../peers/reports.js';
+import {
+  type Connection,
+  type ConnectionContext,
+  ConnectionListener,
+  createTrafficCounters,
+  type TrafficCounters,
+} from '../protocol/connection.js';
+import { httpServer } from '../server/http-server.js';
+import { RetryBudget } from '../systems/retry-budget.js';
+import { CollectionDuty } from '../weights/collection-duty.js';
+import { WeightsLibrary, type WeightsVersion } from '../weights/held-weights.js';
+import { pieceRoutes } from '../weights/piece-server.js';
+import type { PieceOriginFactory } from '../weights/piece-source.js';
+import type { DirectEntrySettings } from './settings.js';
+
+/** Share of the common budget for repetitions that this entry uses by itself. */
+const BUDGET_SHARE = 0.75;
+/** Entries that the slack of the budget is divided among, at least. */
+const SLACK_SHARES = 16;
+/** After the order to stop, callers that hold the address are served for as long as they keep it, and this. */
+const LEAVING_MARGIN = 700;
+/** Before the process would be killed it ends by itself, in milliseconds. */
+const KILL_MARGIN = 700;
+const DRAIN_CHECK = 50;
+/** After a start, an entry without the store waits this long for others that know more, in milliseconds. */
+const MOST_ADDRESSES = 64;
+const MILLISECONDS = 1_000;
+
+/** How a platform is met. */
+export interface DirectEntryContracts {
+  decoder: RecordDecoder;
+  tables: WatchedTables;
+  objects: ListedObjectStore;
+  originAt: PieceOriginFactory;
+  headers: HeaderNames;
+  /** Routes of the platform's checks and of callers that look for entries. */
+  readyRoutes: (isReady: () => boolean) => Router;
+  directoryRoutes: (addresses: (zone: string, region: string) => string[], lifetimeSeconds: number) => Router;
+  metricsPath: string;
+}
+
+/** What an entry is composed of. */
+export interface DirectEntryComponents extends DirectEntryContracts {
+  settings: DirectEntrySettings;
+  /** Identity of this process. */
+  identity: string;
+  random: Random;
+  log: Log;
+  metrics: Metrics;
+  counters: TrafficCounters;
+  context: ConnectionContext;
+  fleet: FleetView;
+  sync: StoreSync;
+  backEnds: BackEndTable;
+  selector: BackEndSelector;
+  library: WeightsLibrary;
+  directEntry: DirectEntry;
+}
+
+/** Creates an entry from its settings. */
+export function createDirectEntry(
+  settings: DirectEntrySettings,
+  contracts: DirectEntryContracts,
+  log: Log,
+): DirectEntry {
+  const identity = `${settings.name}#${randomBytes(4).toString('hex')}`;
+  const container = createContainer<DirectEntryComponents>({
+    injectionMode: InjectionMode.PROXY,
+    strict: true,
+  });
+  for (const [name, value] of Object.entries(contracts)) container.register(name, asValue(value));
+  container.register({
+    settings: asValue(settings),
+    identity: asValue(identity),
+    random: asValue(seededRandom(hash32(identity))),
+    log: asValue(log),
+    metrics: asFunction(() => new Metrics('entry')).singleton(),
+    counters: asValue(createTrafficCounters()),
+    context: asFunction(({ counters }: DirectEntryComponents) =>
+      contextOf(settings, identity, counters),
+    ).singleton(),
+    fleet: asFunction(() => new FleetView()).singleton(),
+    sync: asFunction(
+      (components: DirectEntryComponents) => new StoreSync(storeSyncOptions(components)),
+    ).singleton(),
+    backEnds: asFunction(() => new BackEndTable()).singleton(),
+    selector: asFunction(createSelector).singleton(),
+    library: asFunction(() => new WeightsLibrary()).singleton(),
+    directEntry: asFunction((components: DirectEntryComponents) => new DirectEntry(components)).singleton(),
+  });
+  return container.cradle.directEntry;
+}
+
+/** The container's own object cannot be spread: it resolves every part as it is read. */
+function storeSyncOptions({ tables, decoder, fleet, random, log }: DirectEntryComponents): StoreSyncOptions {
+  return { tables, decoder, fleet, random, log };
+}
+
+function contextOf(settings: DirectEntrySettings, id: string, counters: TrafficCounters): ConnectionContext {
+  const { peers: address, zone, region } = settings;
+  const peer = { id, address, place: zone, region, zone };
+  return { clock: new HybridClock(), counters, hello: () => ({ type: 'hello', role: 'entry', peer }) };
+}
+
+function createSelector({ fleet, backEnds, random, settings }: DirectEntryComponents): BackEndSelector {
+  const { zone, region, regions, versionBound } = settings;
+  const regionOf = (name: string) => regions[name] ?? name;
+  return new BackEndSelector({
+    fleet,
+    table: backEnds,
+    random,
+    self: { zone, region },
+    regionOf,
+    versionBound,
+  });
+}
+
+/** A running entry. */
+export class DirectEntry {
+  readonly #components: DirectEntryComponents;
+  readonly #peers: EntryPeers;
+  readonly #agents: EngineAgents;
+  readonly #collection: CollectionDuty;
+  readonly #forwarding: ForwardingServer;
+  readonly #parts: StartableGroup;
+  readonly #budgets = new Map<string, RetryBudget>();
+  #leaving = false;
+  #announcing = false;
+
+  constructor(components: DirectEntryComponents) {
+    const { settings, fleet, backEnds, sync, library, log, random, metrics, context } = components;
+    this.#components = components;
+    fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
+    this.#peers = new EntryPeers({
+      context,
+      address: settings.peers,
+      zone: settings.zone,
+      seeds: settings.seeds,
+      fleet,
+      decoder: components.decoder,
+      hearsStore: () => sync.connected,
+      report: () => this.#report(),
+      onReport: (report) => this.#onPeerReport(report),
+      log,
+    });
+    this.#agents = new EngineAgents(
+      (row) => this.#planFor(row),
+      ({ address, version, isSwitching }) => {
+        backEnds.takeNews(address, { version, isSwitching });
+        this.#announce();
+      },
+    );
+    this.#collection = new CollectionDuty({
+      self: { id: components.identity, zone: settings.zone },
+      fleet,
+      library,
+      objects: components.objects,
+      originAt: components.originAt,
+      peers: () => this.#peers.live(),
+      agents: () => [...this.#agents.rows.values()],
+      servedVersions: () => this.#servedVersions(),
+      versionBound: settings.versionBound,
+      onHeldChanged: () => this.#announce(),
+      random,
+      log,
+    });
+    this.#forwarding = new ForwardingServer(
+      settings.callers,
+      {
+        names: components.headers,
+        headersSet: headersSet(components.headers),
+        fleet,
+        backEnds,
+        selector: components.selector,
+        random,
+        log,
+        budgetOf: (service) => this.#budgetOf(service),
+        isLeaving: () => this.#leaving,
+      },
+      metrics,
+    );
+    const accept = (connection: Connection) => this.#accept(connection);
+    const pieces = applicationOf(pieceRoutes(library));
+    const directory = components.directoryRoutes(
+      (zone, region) => this.addresses(zone, region),
+      settings.addressLifetimeSeconds,
+    );
+    this.#parts = new StartableGroup([
+      new ConnectionListener(settings.peers, context, accept, pieces.callback()),
+      sync,
+      this.#peers,
+      this.#agents,
+      this.#collection,
+      this.#forwarding,
+      httpServer(settings.ready, applicationOf(components.readyRoutes(() => this.isReady)).callback()),
+      httpServer(settings.directory, applicationOf(directory).callback()),
+      httpServer(settings.metrics, applicationOf(this.#metricsRoutes()).callback()),
+    ]);
+    this.#addMetrics();
+  }
+
+  /** True while callers may be sent here. */
+  get isReady(): boolean {
+    return !this.#leaving && this.#components.fleet.complete;
+  }
+
+  async start(): Promise<void> {
+    const { log, settings, identity } = this.#components;
+    await this.#parts.start();
+    log.info('entry started', { identity, zone: settings.zone, callers: settings.callers });
+  }
+
+  /** Leaves the directory at once, serves those that hold the address, ends what is in progress, and stops. */
+  async leave(): Promise<void> {
+    const { log, settings } = this.#components;
+    const startedAt = performance.now();
+    const elapsed = () => performance.now() - startedAt;
+    this.#leaving = true;
+    this.#peers.announce();
+    log.info('entry leaves', { inProgress: this.#forwarding.active });
+    const served = settings.addressLifetimeSeconds * MILLISECONDS + LEAVING_MARGIN;
+    const latest = settings.graceTime - KILL_MARGIN;
+    while (elapsed() < latest && (elapsed() < served || this.#forwarding.active > 0)) {
+      await sleep(DRAIN_CHECK, new AbortController().signal);
+    }
+    this.#forwarding.closeIdle();
+    log.info('entry stops', { inProgress: this.#forwarding.active, tookMs: Math.round(elapsed()) });
+    await this.#parts.stop();
+    await this.#components.backEnds.stop();
+  }
+
+  /** Addresses of entries that take requests, for a caller of `zone`: those of its region where there are any. */
+  addresses(zone: string, region: string): string[] {
+    const ready = [this.#report(), ...this.#peers.live()].filter(({ isReady }) => isReady);
+    const ofRegion = ready.filter((entry) => entry.region === region);
+    const ofZone = ofRegion.filter((entry) => entry.zone === zone);
+    const chosen = [ofZone, ofRegion, ready].find((entries) => entries.length >= 2) ?? ready;
+    return chosen.slice(0, MOST_ADDRESSES).map(({ callerAddress }) => callerAddress);
+  }
+
+  #accept(connection: Connection): void {
+    if (connection.remote.role === 'agent') this.#agents.accept(connection);
+    else this.#peers.accept(connection);
+  }
+
+  #report(): EntryReport {
+    const { identity, settings, fleet, backEnds } = this.#components;
+    return {
+      id: identity,
+      address: settings.peers,
+      callerAddress: settings.callers,
+      zone: settings.zone,
+      region: settings.region,
+      isReady: this.isReady,
+      configurationRevision: fleet.configurationRevision,
+      backEndsRevision: fleet.backEnds.revision,
+      versions: this.#versionAges(),
+      loads: backEnds.loads(),
+      held: this.#collection.held(),
+      engines: this.#agents.reports().map((report) => ({ ...report, held: [] })),
+    };
+  }
+
+  #versionAges(): VersionAge[] {
+    const now = performance.now();
+    return this.#components.fleet.versions.all().map(({ model, version, namedAt }) => ({
+      model,
+      version,
+      age: Math.min(LONG_AGO, Math.round(now - namedAt)),
+    }));
+  }
+
+  /** Tells peers and agents of what changed, once for all changes of a moment. */
+  #announce(): void {
+    if (this.#announcing) return;
+    this.#announcing = true;
+    setTimeout(() => {
+      this.#announcing = false;
+      this.#peers.announce();
+      this.#agents.tell();
+    }, DRAIN_CHECK);
+  }
+
+  #onPeerReport(report: EntryReport): void {
+    const { backEnds } = this.#components;
+    backEnds.takeLoads(report.id, report.loads);
+    for (const { address, version, isSwitching } of report.engines) {
+      backEnds.takeNews(address, { version, isSwitching });
+    }
+  }
+
+  #planFor({ address, connection, report }: EngineAgentRow): WeightsPlan {
+    const { fleet, settings } = this.#components;
+    const { zone } = connection.remote.peer;
+    const configuration = fleet.routes?.configuration;
+    const ages = this.#versionAges();
+    const versions = this.#collection.wanted().map(({ model, version }) => {
+      const known = ages.find((one) => one.model === model && one.version === version);
+      return known ?? { model, version, age: LONG_AGO };
+    });
+    const entries = [this.#report(), ...this.#peers.live()];
+    const near = entries.filter((entry) => entry.zone === zone);
+    const holders = entries
+      .filter(({ held }) => held.length > 0)
+      .map((entry) => ({ address: entry.address, isNear: entry.zone === zone, held: entry.held }));
+    const far = entries.filter((entry) => entry.zone !== zone);
+    return {
+      versions,
+      bound: settings.versionBound,
+      origin: configuration?.origin?.address ?? '',
+      layers: configuration?.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
+      position: this.#positionOf(report?.address ?? '', zone),
+      holders,
+      entries: [...orderFor(address, near), ...orderFor(address, far)],
+      hasNearEntry: near.length > 0,
+    };
+  }
+
+  /** Number of the engine at `address` among those of its zone. */
+  #positionOf(address: string, zone: string): number {
+    const rows = [...this.#components.backEnds.rows.values()];
+    const addresses = rows
+      .filter(({ record }) => record.zone === zone && record.layers !== undefined)
+      .map(({ record }) => record.address);
+    return Math.max(0, addresses.sort().indexOf(address));
+  }
+
+  /** The version that most engines hold, of each model. */
+  #servedVersions(): WeightsVersion[] {
+    const { fleet } = this.#components;
+    const engines = fleet.routes?.configuration.services.filter(({ engine }) => engine !== undefined) ?? [];
+    return engines.flatMap(({ name, engine }) => {
+      const counts = new Map<number, number>();
+      for (const { record } of this.#components.backEnds.ofService(name)) {
+        const version = record.layers?.version ?? 0;
+        if (version > 0) counts.set(version, (counts.get(version) ?? 0) + 1);
+      }
+      const [most] = [...counts].sort((a, b) => b[1] - a[1]);
+      return most === undefined
+        ? []
+        : engine!.models.map((model) => ({ model: model.name, version: most[0] }));
+    });
+  }
+
+  #budgetOf(service: string): RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const { share, slack } = this.#components.settings.retries;
+    const budget = new RetryBudget({
+      earnedByRequest: share * BUDGET_SHARE,
+      savedAtMost: Math.max(2, slack / SLACK_SHARES),
+    });
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+
+  #metricsRoutes(): Router {
+    const { metrics, metricsPath } = this.#components;
+    const router = new Router();
+    router.get(metricsPath, async (context) => {
+      context.type = 'text/plain; version=0.0.4';
+      context.body = await metrics.text();
+    });
+    return router;
+  }
+
+  #addMetrics(): void {
+    const { metrics, counters, fleet, backEnds, sync } = this.#components;
+    metrics.add([
+      trafficMetrics(counters),
+      {
+        name: 'configuration_revision',
+        help: 'Revision in force here',
+        read: () => fleet.configurationRevision,
+      },
+      { name: 'back_ends_known', help: 'Back ends known here', read: () => backEnds.rows.size },
+      { name: 'entries_live', help: 'Other entries that live', read: () => this.#peers.live().length },
+      { name: 'agents_connected', help: 'Agents connected here', read: () => this.#agents.rows.size },
+      { name: 'store_connected', help: '1 while the store answers', read: () => Number(sync.connected) },
+    ]);
+  }
+}
+
+/** Names of the headers that callers may not set. */
+function headersSet(names: HeaderNames): ReadonlySet<string> {
+  const { callerKey, tenant, expectedBackEnd, expectedVersion, urgency, timeLeft } = names;
+  return new Set([
+    callerKey,
+    tenant,
+    expectedBackEnd,
+    expectedVersion,
+    urgency,
+    timeLeft,
+    'content-length',
+    LAST_EVENT_ID,
+  ]);
+}
+
+function orderFor(agent: string, entries: readonly EntryReport[]): string[] {
+  return rendezvousOrder(
+    agent,
+    entries.map(({ address }) => address),
+  );
+}
+
+function applicationOf(router: Router): Koa {
+  const app = new Koa();
+  app.silent = true;
+  app.use(router.routes());
+  return app;
+}
--- a/src/systems/retry-budget.ts
+++ b/src/systems/retry-budget.ts
@@ -3,18 +3,29 @@
  * fail get no storm on top.
  */
 
-/** Repetitions earned by each request. */
-const EARNED_BY_REQUEST = 0.1;
-/** Most repetitions that can be saved up. */
-const SAVED_AT_MOST = 20;
+/** What a budget allows. */
+export interface RetryBudgetLimits {
+  /** Repetitions earned by each request. */
+  earnedByRequest: number;
+  /** Most repetitions that can be saved up. */
+  savedAtMost: number;
+}
+
+const DEFAULT_LIMITS: RetryBudgetLimits = { earnedByRequest: 0.1, savedAtMost: 20 };
 
 /** The budget of one entry. */
 export class RetryBudget {
-  #saved = SAVED_AT_MOST;
+  readonly #limits: RetryBudgetLimits;
+  #saved: number;
+
+  constructor(limits: RetryBudgetLimits = DEFAULT_LIMITS) {
+    this.#limits = limits;
+    this.#saved = limits.savedAtMost;
+  }
 
   /** A request was routed. */
   earn(): void {
-    this.#saved = Math.min(SAVED_AT_MOST, this.#saved + EARNED_BY_REQUEST);
+    this.#saved = Math.min(this.#limits.savedAtMost, this.#saved + this.#limits.earnedByRequest);
   }
 
   /** Takes one repetition, if there is one. */
--- /dev/null
+++ b/src/weights/collection-duty.ts
@@ -0,0 +1,381 @@
+/**
+ * Brings the versions that matter into an entry's memory, from which the agents of its zone fetch them. One entry of a
+ * zone, by rendezvous hash, fetches from outside the zone; one of all draws from the origin and puts the version into
+ * the object store, for machines that lose everything. Others step in when nothing comes: no step needs one certain
+ * machine, and two that do the same cost bytes, never correctness.
+ */
+import type { ListedObjectStore } from '../clients/object-store.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import { sleep } from '../fleet/table-follower.js';
+import { ChunkSet } from '../model/chunk-set.js';
+import { type Random, rendezvousOrder } from '../model/random.js';
+import type { Startable } from '../model/startable.js';
+import type { Log } from '../observability/log.js';
+import type { EngineAgentRow } from '../peers/engine-agents.js';
+import type { EntryReport, HeldPieces } from '../peers/reports.js';
+import {
+  type HeldWeights,
+  keyOf,
+  type PieceManifest,
+  type WeightsLibrary,
+  type WeightsVersion,
+} from './held-weights.js';
+import { PieceFetcher } from './piece-fetcher.js';
+import type { PieceOrigin, PieceOriginFactory, PieceSource } from './piece-source.js';
+import {
+  fetchManifest,
+  holds,
+  objectSource,
+  originSource,
+  partsOf,
+  processSource,
+  storedManifestKey,
+  storedPrefix,
+} from './piece-sources.js';
+
+/** Time between two looks at what is wanted, in milliseconds. */
+const REVIEW_INTERVAL = 200;
+/** Time for one small call, in milliseconds. */
+const CALL_LIMIT = 1_000;
+/** The object store is asked again what it has after this, in milliseconds. */
+const LISTING_INTERVAL = 2_000;
+/** Time for one object, in milliseconds. */
+const OBJECT_LIMIT = 3_000;
+/** Time for a batch from another process, and for a piece of the origin, in milliseconds. */
+const BATCH_LIMIT = 2_000;
+const ORIGIN_LIMIT = 1_500;
+/** Pieces of one answer of an entry, and of an agent whose link is narrow. */
+const ENTRY_BATCH = 12;
+const AGENT_BATCH = 2;
+/** Without news for this long an entry that is not responsible fetches as well, in milliseconds, times its place. */
+const STAND_IN_PATIENCE = 1_200;
+/** Entries of other zones are asked after this, in milliseconds: their bytes are dear. */
+const FAR_PATIENCE = 700;
+/** The origin is asked for a version that engines hold only after this, in milliseconds. */
+const HELD_ELSEWHERE_PATIENCE = 10_000;
+const ORIGIN_PARALLEL = 5;
+
+/** What the duty works with. */
+export interface CollectionDutyOptions {
+  self: { id: string; zone: string };
+  fleet: FleetView;
+  library: WeightsLibrary;
+  objects: ListedObjectStore;
+  originAt: PieceOriginFactory;
+  /** Other entries that live. */
+  peers: () => EntryReport[];
+  /** Agents that are connected here. */
+  agents: () => EngineAgentRow[];
+  /** The version that most engines hold, where the operator has named none. */
+  servedVersions: () => WeightsVersion[];
+  /** Time in which a named version must serve everywhere, in milliseconds. */
+  versionBound: number;
+  onHeldChanged: () => void;
+  random: Random;
+  log: Log;
+}
+
+interface Collection {
+  version: WeightsVersion;
+  stopped: AbortController;
+  held: HeldWeights | undefined;
+  /** Parts that are known to lie in the object store. */
+  stored: Set<number>;
+  /** True once the object store has said what it has. */
+  isListed: boolean;
+  listedAt: number;
+  /** Parts that are being put. */
+  putting: Set<number>;
+}
+
+/** The duty. */
+export class CollectionDuty implements Startable {
+  readonly #options: CollectionDutyOptions;
+  readonly #collections = new Map<string, Collection>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: CollectionDutyOptions) {
+    this.#options = options;
+    options.library.onPiece = (held) => this.#onPiece(held);
+    options.fleet.listen({ onNamedVersion: () => this.review(), onConfiguration: () => this.review() });
+  }
+
+  async start(): Promise<void> {
+    this.#timer = setInterval(() => this.review(), REVIEW_INTERVAL);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    for (const { stopped } of this.#collections.values()) stopped.abort();
+  }
+
+  /** The versions that matter now: the newest named of each model, those whose bound has not passed, what serves. */
+  wanted(): WeightsVersion[] {
+    const { fleet, versionBound, servedVersions } = this.#options;
+    const now = performance.now();
+    const named = fleet.versions.all().filter(({ model, version, namedAt }) => {
+      return version === fleet.versions.newest(model)?.version || now < namedAt + versionBound;
+    });
+    const served = servedVersions().filter(({ model }) => fleet.versions.newest(model) === undefined);
+    return [...named, ...served].map(({ model, version }) => ({ model, version }));
+  }
+
+  /** What is held here, for others. */
+  held(): HeldPieces[] {
+    return [...this.#collections.values()].flatMap(({ version, held, stored }) => {
+      if (held === undefined) return [];
+      return [{ ...version, count: held.have.capacity, have: held.have.toBytes(), stored: [...stored] }];
+    });
+  }
+
+  /** Starts and ends collections. */
+  review(): void {
+    const wanted = new Map(this.wanted().map((version) => [keyOf(version), version]));
+    for (const [key, collection] of this.#collections) {
+      if (wanted.has(key)) continue;
+      collection.stopped.abort();
+      this.#collections.delete(key);
+    }
+    for (const [key, version] of wanted) if (!this.#collections.has(key)) this.#begin(key, version);
+  }
+
+  #begin(key: string, version: WeightsVersion): void {
+    const collection: Collection = {
+      version,
+      stopped: new AbortController(),
+      held: undefined,
+      stored: new Set(),
+      isListed: false,
+      listedAt: Number.NEGATIVE_INFINITY,
+      putting: new Set(),
+    };
+    this.#collections.set(key, collection);
+    this.#options.log.info('collecting version', { ...version, responsible: this.#place(collection) });
+    void this.#collect(collection);
+  }
+
+  async #collect(collection: Collection): Promise<void> {
+    const { signal } = collection.stopped;
+    const { library, random, log, onHeldChanged } = this.#options;
+    void this.#list(collection, signal);
+    const manifest = await this.#manifest(collection.version, signal);
+    if (manifest === undefined) return;
+    const held = library.open(manifest);
+    collection.held = held;
+    onHeldChanged();
+    const fetcher = new PieceFetcher({
+      held,
+      library,
+      sources: () => this.#sources(collection, held),
+      mayAsk: () => true,
+      random,
+      log,
+    });
+    await fetcher.run(signal);
+    if (signal.aborted) return;
+    await this.#keepStored(collection, held, signal);
+  }
+
+  /** Asks everybody for the manifest, in turn, until it is there. */
+  async #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
+    while (!signal.aborted) {
+      const limit = () => AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
+      const known = this.#options.library.of(version);
+      if (known !== undefined) return known.manifest;
+      for (const { address } of this.#peersHolding(version)) {
+        const answer = await fetchManifest(address, version, limit());
+        if (answer.ok) return answer.value;
+      }
+      const origin = this.#origin();
+      const drawn = await origin?.manifest(version, limit());
+      if (drawn?.ok) return drawn.value;
+      const stored = await this.#options.objects.get(storedManifestKey(version), limit());
+      const parsed = stored.ok ? parseManifest(stored.value, version) : undefined;
+      if (parsed !== undefined) return parsed;
+      await sleep(REVIEW_INTERVAL, signal);
+    }
+    return undefined;
+  }
+
+  #sources(collection: Collection, held: HeldWeights): PieceSource[] {
+    const { manifest } = held;
+    const { version } = collection;
+    const place = this.#place(collection);
+    const standIn = place.inZone * STAND_IN_PATIENCE;
+    const sources: PieceSource[] = [];
+    for (const { peer, have } of this.#holders(version)) {
+      const isNear = peer.zone === this.#options.self.zone;
+      sources.push(
+        processSource({
+          name: `entry ${peer.address}`,
+          address: peer.address,
+          manifest,
+          has: holds(have),
+          patience: isNear ? 0 : FAR_PATIENCE + standIn,
+          parallel: 2,
+          batchSize: ENTRY_BATCH,
+          batchTime: BATCH_LIMIT,
+        }),
+      );
+    }
+    const stored = this.#storedParts(collection);
+    const { objects } = this.#options;
+    sources.push(objectSource({ objects, manifest, stored, patience: standIn, batchTime: OBJECT_LIMIT }));
+    for (const { address, report } of this.#options.agents()) {
+      const there = report?.held.find((other) => keyOf(other) === keyOf(version));
+      if (there === undefined) continue;
+      const have = ChunkSet.fromBytes(there.count, there.have);
+      sources.push(
+        processSource({
+          name: `agent ${address}`,
+          address,
+          manifest,
+          has: holds(have),
+          patience: standIn,
+          parallel: 1,
+          batchSize: AGENT_BATCH,
+          batchTime: BATCH_LIMIT,
+        }),
+      );
+    }
+    const origin = this.#origin();
+    if (origin === undefined) return sources;
+    const isServed = this.#options.servedVersions().some((served) => keyOf(served) === keyOf(version));
+    const patience = (isServed ? HELD_ELSEWHERE_PATIENCE : 0) + place.overall * STAND_IN_PATIENCE;
+    sources.push(
+      originSource({
+        origin,
+        version,
+        patience,
+        parallel: ORIGIN_PARALLEL,
+        batchTime: ORIGIN_LIMIT,
+        mayDraw: () => collection.isListed,
+      }),
+    );
+    return sources;
+  }
+
+  /** This entry's place in the order of those responsible: in its zone and overall; 0 is the first. */
+  #place({ version }: Collection): { inZone: number; overall: number } {
+    const { self, peers } = this.#options;
+    const entries = [self, ...peers()];
+    const key = keyOf(version);
+    const near = entries.filter(({ zone }) => zone === self.zone).map(({ id }) => id);
+    const overall = rendezvousOrder(
+      key,
+      entries.map(({ id }) => id),
+    );
+    // The first of all is the first of its zone.
+    const inZone = rendezvousOrder(key, near);
+    return { inZone: inZone.indexOf(self.id), overall: overall.indexOf(self.id) };
+  }
+
+  #holders(version: WeightsVersion): Array<{ peer: EntryReport; have: ChunkSet }> {
+    return this.#peersHolding(version).map((peer) => {
+      const { have, count } = peer.held.find((held) => keyOf(held) === keyOf(version))!;
+      return { peer, have: ChunkSet.fromBytes(count, have) };
+    });
+  }
+
+  /** Peers that hold something of `version`, those of this zone first. */
+  #peersHolding(version: WeightsVersion): EntryReport[] {
+    const holding = this.#options
+      .peers()
+      .filter(({ held }) => held.some((one) => keyOf(one) === keyOf(version)));
+    const isFar = ({ zone }: EntryReport) => Number(zone !== this.#options.self.zone);
+    return holding.sort((a, b) => isFar(a) - isFar(b));
+  }
+
+  /** Parts in the object store, as this entry and its peers know. */
+  #storedParts({ version, stored }: Collection): Set<number> {
+    for (const { held } of this.#options.peers()) {
+      const there = held.find((one) => keyOf(one) === keyOf(version));
+      for (const index of there?.stored ?? []) stored.add(index);
+    }
+    return stored;
+  }
+
+  /** Learns what lies in the object store; the origin is not drawn from before that is known, or cannot be. */
+  async #list(collection: Collection, signal: AbortSignal): Promise<void> {
+    const { objects, log } = this.#options;
+    while (!signal.aborted) {
+      collection.listedAt = performance.now();
+      const prefix = storedPrefix(collection.version);
+      const names = await objects.list(prefix, AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]));
+      collection.isListed = true;
+      if (names.ok) {
+        for (const name of names.value) {
+          const index = Number(name.slice(prefix.length));
+          if (Number.isInteger(index)) collection.stored.add(index);
+        }
+        return;
+      }
+      log.warn('object store lost', { ...collection.version, reason: names.error.type });
+      await sleep(LISTING_INTERVAL, signal);
+    }
+  }
+
+  #onPiece(held: HeldWeights): void {
+    const collection = this.#collections.get(keyOf(held.manifest));
+    if (collection === undefined) return;
+    this.#options.onHeldChanged();
+    if (this.#place(collection).overall === 0)
+      void this.#putParts(collection, held, collection.stopped.signal);
+  }
+
+  /** Puts parts that are whole here and not in the object store yet. */
+  async #putParts(collection: Collection, held: HeldWeights, signal: AbortSignal): Promise<void> {
+    if (!collection.isListed) return;
+    const stored = this.#storedParts(collection);
+    const due = partsOf(held.manifest).filter(
+      ({ index, pieces }) =>
+        !stored.has(index) && !collection.putting.has(index) && pieces.every((piece) => held.have.has(piece)),
+    );
+    for (const { index, key, pieces } of due) {
+      collection.putting.add(index);
+      const bytes = Buffer.concat(pieces.map((piece) => held.piece(piece)!));
+      const put = await this.#options.objects.put(
+        key,
+        bytes,
+        AbortSignal.any([signal, AbortSignal.timeout(OBJECT_LIMIT)]),
+      );
+      collection.putting.delete(index);
+      if (put.ok) collection.stored.add(index);
+      this.#options.onHeldChanged();
+    }
+  }
+
+  /** Sees to it that a whole version lies in the object store, whoever was to put it there. */
+  async #keepStored(collection: Collection, held: HeldWeights, signal: AbortSignal): Promise<void> {
+    const parts = partsOf(held.manifest);
+    let isManifestStored = false;
+    while (!signal.aborted) {
+      await sleep(LISTING_INTERVAL * (0.5 + this.#options.random.fraction()), signal);
+      if (this.#place(collection).overall !== 0) continue;
+      await this.#putParts(collection, held, signal);
+      if (isManifestStored || this.#storedParts(collection).size < parts.length) continue;
+      const key = storedManifestKey(collection.version);
+      const bytes = Buffer.from(JSON.stringify(held.manifest));
+      const put = await this.#options.objects.put(
+        key,
+        bytes,
+        AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]),
+      );
+      isManifestStored = put.ok;
+    }
+  }
+
+  #origin(): PieceOrigin | undefined {
+    const endpoint = this.#options.fleet.routes?.configuration.origin;
+    return endpoint === undefined ? undefined : this.#options.originAt(endpoint.address);
+  }
+}
+
+function parseManifest(bytes: Buffer, { model, version }: WeightsVersion): PieceManifest | undefined {
+  try {
+    const manifest = JSON.parse(bytes.toString('utf8')) as PieceManifest;
+    return manifest.model === model && manifest.version === version ? manifest : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/weights/engine-loader.ts
@@ -0,0 +1,430 @@
+/**
+ * Brings the engine beside this process to the versions that its entry tells of: fetches the pieces, lays them into the
+ * engine's stage, reads them back, and orders the engine to take them when its turn has come. It needs no other process
+ * to give orders: where no entry answers, it goes to the object store and the origin by itself.
+ */
+import type { ListedObjectStore } from '../clients/object-store.js';
+import { NamedVersions } from '../fleet/named-versions.js';
+import { sleep } from '../fleet/table-follower.js';
+import { ChunkSet } from '../model/chunk-set.js';
+import { digestOf } from '../model/manifest.js';
+import { hash32, type Random } from '../model/random.js';
+import type { Startable } from '../model/startable.js';
+import type { Log } from '../observability/log.js';
+import { type EngineReport, type HeldPieces, LONG_AGO, type WeightsPlan } from '../peers/reports.js';
+import {
+  type HeldWeights,
+  keyOf,
+  type PieceManifest,
+  type WeightsLibrary,
+  type WeightsVersion,
+} from './held-weights.js';
+import { PieceFetcher } from './piece-fetcher.js';
+import type { PieceOriginFactory, PieceSource } from './piece-source.js';
+import { fetchManifest, holds, objectSource, originSource, partsOf, processSource } from './piece-sources.js';
+import type { EngineState, StagedEngine } from './staged-engine.js';
+import { isWorthTaking, switchTime } from './switch-schedule.js';
+
+/** Time between two looks at the engine, in milliseconds. */
+const LOOK_INTERVAL = 250;
+/** The engine is reported at least this often, in milliseconds. */
+const REPORT_INTERVAL = 1_000;
+const CALL_LIMIT = 1_000;
+const BATCH_LIMIT = 4_000;
+const ORIGIN_LIMIT = 4_000;
+/** Pieces of one answer of an entry. */
+const ENTRY_BATCH = 3;
+/** The object store, and at last the origin, are asked after this without a piece, in milliseconds, times 1 to 2. */
+const OBJECT_PATIENCE = 1_200;
+const FAR_PATIENCE = 2_000;
+const ORIGIN_PATIENCE = 6_000;
+/** Pieces that are laid into the stage at the same time. */
+const STAGE_PARALLEL = 4;
+/** An older version waits while a newer one gets pieces more often than this, in milliseconds. */
+const NEWER_FIRST = 700;
+/** The engine is told of as switching this long before the order, in milliseconds, so that nothing new comes. */
+const NOTICE = 60;
+
+interface Fetch {
+  stopped: AbortController;
+  held: HeldWeights | undefined;
+  fetcher: PieceFetcher | undefined;
+}
+
+/** What the loader works with. */
+export interface EngineLoaderOptions {
+  engine: StagedEngine;
+  /** Address at which the engine takes requests. */
+  engineAddress: string;
+  /** `host:port` of this process, which is no source for itself. */
+  address: string;
+  library: WeightsLibrary;
+  objects: ListedObjectStore;
+  originAt: PieceOriginFactory;
+  tell: (report: EngineReport) => void;
+  random: Random;
+  log: Log;
+}
+
+/** The loader. */
+export class EngineLoader implements Startable {
+  readonly #options: EngineLoaderOptions;
+  readonly #versions = new NamedVersions();
+  readonly #fetches = new Map<string, Fetch>();
+  readonly #impatience: number;
+  /** When all pieces of each version were here. */
+  readonly #completeAt = new Map<string, number>();
+  #stopped = new AbortController();
+  #plan: WeightsPlan | undefined;
+  #engine: EngineState | undefined;
+  #isSwitching = false;
+  #isAdvancing = false;
+  /** Version whose pieces lie in the stage, as far as this process knows. */
+  #stagedVersion = 0;
+  #isStageRead = false;
+  #reportedAt = 0;
+  #reported = '';
+
+  constructor(options: EngineLoaderOptions) {
+    this.#options = options;
+    this.#impatience = 1 + options.random.fraction();
+  }
+
+  async start(): Promise<void> {
+    this.#stopped = new AbortController();
+    void this.#run(this.#stopped.signal);
+  }
+
+  async stop(): Promise<void> {
+    this.#stopped.abort();
+    for (const { stopped } of this.#fetches.values()) stopped.abort();
+  }
+
+  /** Takes what an entry tells. */
+  takePlan(plan: WeightsPlan): void {
+    this.#plan = plan;
+    const now = performance.now();
+    for (const { model, version, age } of plan.versions) {
+      const namedAt = age >= LONG_AGO ? Number.NEGATIVE_INFINITY : now - age;
+      const isNews = this.#versions.note({ model, version, namedAt });
+      if (isNews) this.#options.log.info('version wanted', { model, version, ageMs: Math.round(age) });
+    }
+    this.#reviewFetches();
+  }
+
+  /** Tells an entry that has just been connected. */
+  report(): void {
+    this.#reported = '';
+    this.#tell();
+  }
+
+  async #run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#look(signal);
+      await sleep(LOOK_INTERVAL, signal);
+    }
+  }
+
+  async #look(signal: AbortSignal): Promise<void> {
+    const state = await this.#options.engine.state(this.#limit(signal));
+    const wasReachable = this.#engine !== undefined;
+    this.#engine = state.ok ? state.value : undefined;
+    if (wasReachable !== state.ok)
+      this.#options.log.info(state.ok ? 'engine regained' : 'engine lost', {
+        address: this.#options.engineAddress,
+      });
+    this.#tell();
+    if (!state.ok) {
+      this.#isStageRead = false;
+      return;
+    }
+    if (!this.#isStageRead) await this.#readStage(state.value, signal);
+    await this.#advance(state.value, signal);
+  }
+
+  /** Version whose layers the engine holds, all of them; 0 for none. */
+  get #wholeVersion(): number {
+    const layers = this.#engine?.layers;
+    const count = this.#plan?.layers ?? Number.POSITIVE_INFINITY;
+    return layers !== undefined && layers.from === 0 && layers.end >= count ? layers.version : 0;
+  }
+
+  /** Takes over what lies in the stage already: others can have it from here. */
+  async #readStage(state: EngineState, signal: AbortSignal): Promise<void> {
+    const version = this.#wholeVersion;
+    if (this.#plan === undefined) return;
+    this.#isStageRead = true;
+    if (version === 0) return;
+    const manifest = await this.#manifest({ model: state.model, version }, signal);
+    if (manifest === undefined) {
+      this.#isStageRead = false;
+      return;
+    }
+    const held = this.#options.library.open(manifest);
+    for (const index of held.missing()) {
+      const bytes = await this.#options.engine.staged(state.model, index, this.#limit(signal));
+      if (bytes.ok && bytes.value !== undefined) this.#options.library.add(held, index, bytes.value);
+    }
+    this.#options.log.info('stage read', { ...manifestName(held), pieces: held.have.size });
+  }
+
+  /** Begins and ends fetches as the plan says. */
+  #reviewFetches(): void {
+    const wanted = new Map(
+      this.#plan!.versions.map(({ model, version }) => [keyOf({ model, version }), { model, version }]),
+    );
+    for (const [key, fetch] of this.#fetches) {
+      if (wanted.has(key)) continue;
+      fetch.stopped.abort();
+      this.#fetches.delete(key);
+    }
+    for (const [key, version] of wanted) {
+      if (this.#fetches.has(key)) continue;
+      const fetch: Fetch = { stopped: new AbortController(), held: undefined, fetcher: undefined };
+      this.#fetches.set(key, fetch);
+      void this.#fetch(fetch, version);
+    }
+  }
+
+  async #fetch(fetch: Fetch, version: WeightsVersion): Promise<void> {
+    const { signal } = fetch.stopped;
+    const { library, random, log } = this.#options;
+    const manifest = await this.#manifest(version, signal);
+    if (manifest === undefined) return;
+    const held = library.open(manifest);
+    fetch.held = held;
+    const sources = () => this.#sources(held);
+    const mayAsk = () => this.#mayAsk(version);
+    fetch.fetcher = new PieceFetcher({ held, library, sources, mayAsk, random, log });
+    await fetch.fetcher.run(signal);
+    this.#completeAt.set(keyOf(version), performance.now());
+    if (!signal.aborted && this.#engine !== undefined) await this.#advance(this.#engine, signal);
+  }
+
+  /** A version waits while a newer one of its model makes progress, and where the engine holds it or a newer one. */
+  #mayAsk({ model, version }: WeightsVersion): boolean {
+    if (this.#engine === undefined || this.#wholeVersion >= version) return false;
+    const now = performance.now();
+    for (const { held, fetcher } of this.#fetches.values()) {
+      if (held === undefined || fetcher === undefined || held.manifest.model !== model) continue;
+      if (held.manifest.version > version && !held.complete && now - fetcher.progressAt < NEWER_FIRST)
+        return false;
+    }
+    return true;
+  }
+
+  async #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
+    while (!signal.aborted) {
+      const known = this.#options.library.of(version);
+      if (known !== undefined) return known.manifest;
+      const holders =
+        this.#plan?.holders.filter(({ held }) => held.some((one) => keyOf(one) === keyOf(version))) ?? [];
+      for (const { address } of holders) {
+        const answer = await fetchManifest(address, version, this.#limit(signal));
+        if (answer.ok) return answer.value;
+      }
+      const origin = this.#plan?.origin;
+      if (origin !== undefined && origin !== '') {
+        const answer = await this.#options.originAt(origin).manifest(version, this.#limit(signal));
+        if (answer.ok) return answer.value;
+      }
+      await sleep(LOOK_INTERVAL, signal);
+    }
+    return undefined;
+  }
+
+  #sources(held: HeldWeights): PieceSource[] {
+    const plan = this.#plan!;
+    const { manifest } = held;
+    const offset = hash32(this.#options.address);
+    const stored = new Set<number>();
+    const sources: PieceSource[] = [];
+    plan.holders.forEach(({ address, held: heldThere, isNear }) => {
+      const there = heldThere.find((one) => keyOf(one) === keyOf(manifest));
+      if (there === undefined) return;
+      for (const index of there.stored) stored.add(index);
+      sources.push(
+        processSource({
+          name: `entry ${address}`,
+          address,
+          manifest,
+          has: holds(ChunkSet.fromBytes(there.count, there.have)),
+          patience: isNear ? 0 : FAR_PATIENCE * this.#impatience,
+          parallel: 1,
+          batchSize: ENTRY_BATCH,
+          batchTime: BATCH_LIMIT,
+          offset,
+        }),
+      );
+    });
+    if (plan.holders.length === 0) for (const { index } of partsOf(manifest)) stored.add(index);
+    const { objects, originAt } = this.#options;
+    const patience = OBJECT_PATIENCE * this.#impatience;
+    sources.push(objectSource({ objects, manifest, stored, patience, batchTime: BATCH_LIMIT }));
+    if (plan.origin === '') return sources;
+    sources.push(
+      originSource({
+        origin: originAt(plan.origin),
+        version: manifest,
+        patience: ORIGIN_PATIENCE * this.#impatience,
+        parallel: 2,
+        batchTime: ORIGIN_LIMIT,
+        mayDraw: () => true,
+      }),
+    );
+    return sources;
+  }
+
+  /** Lays the newest whole version into the stage, and orders the engine to take it when its turn has come. */
+  async #advance(state: EngineState, signal: AbortSignal): Promise<void> {
+    if (state.isBusy || this.#isAdvancing) return;
+    this.#isAdvancing = true;
+    const held = this.#next(state);
+    if (held !== undefined) {
+      await this.#stage(held, signal);
+      if (performance.now() >= this.#switchTime(held)) await this.#switch(held, state, signal);
+    }
+    this.#isAdvancing = false;
+  }
+
+  /** The version that the engine should take next: the newest that is whole here and newer than the engine's. */
+  #next(state: EngineState): HeldWeights | undefined {
+    const whole = this.#options.library
+      .all()
+      .filter(({ complete, manifest }) => complete && (state.model === '' || manifest.model === state.model))
+      .filter(({ manifest }) => manifest.version > this.#wholeVersion)
+      .sort((a, b) => b.manifest.version - a.manifest.version);
+    return whole.find((held) => this.#isWorthwhile(held));
+  }
+
+  /** A version that a newer one is about to replace is left out by some; by none that serves nothing. */
+  #isWorthwhile({ manifest }: HeldWeights): boolean {
+    const newest = this.#versions.newest(manifest.model)?.version ?? 0;
+    if (this.#wholeVersion === 0 || performance.now() > this.#expiry(manifest.model)) return true;
+    return isWorthTaking(this.#plan?.position ?? 0, manifest.version, newest);
+  }
+
+  #switchTime({ manifest }: HeldWeights): number {
+    const named = this.#versions.all().find((one) => keyOf(one) === keyOf(manifest));
+    return switchTime({
+      version: this.#wholeVersion,
+      expiresAt: this.#expiry(manifest.model),
+      namedAt: named?.namedAt ?? Number.NEGATIVE_INFINITY,
+      completeAt: this.#completeAt.get(keyOf(manifest)) ?? 0,
+      bound: this.#plan?.bound ?? 0,
+      position: this.#plan?.position ?? 0,
+    });
+  }
+
+  /** Until when requests may start on the engine's version: some while after the next newer one was named. */
+  #expiry(model: string): number {
+    const newer = this.#versions
+      .all()
+      .filter((one) => one.model === model && one.version > this.#wholeVersion);
+    return Math.min(...newer.map(({ namedAt }) => namedAt + (this.#plan?.bound ?? 0)));
+  }
+
+  async #stage(held: HeldWeights, signal: AbortSignal): Promise<void> {
+    const { model, version, digests } = held.manifest;
+    if (this.#stagedVersion === version) return;
+    await eachOf([...digests.keys()], STAGE_PARALLEL, async (index) => {
+      await this.#options.engine.stage(model, index, held.piece(index)!, this.#limit(signal));
+    });
+    this.#stagedVersion = version;
+  }
+
+  async #switch(held: HeldWeights, state: EngineState, signal: AbortSignal): Promise<void> {
+    const { model, version } = held.manifest;
+    const serves = this.#wholeVersion > 0;
+    if (!(await this.#verifyStage(held, signal))) return;
+    this.#isSwitching = true;
+    this.#tell();
+    if (serves) await sleep(NOTICE, signal);
+    const order = { model, version, expectedSequence: state.sequence };
+    const outcome = await this.#options.engine.start(order, this.#limit(signal));
+    const answer = outcome.ok ? outcome.value : outcome.error;
+    this.#options.log.info('engine ordered', { ...order, from: this.#wholeVersion, answer });
+    await this.#awaitVersion(version, outcome.ok && outcome.value.type === 'taken', signal);
+    this.#isSwitching = false;
+    this.#tell();
+  }
+
+  /** Waits until the engine holds `version`, or is not busy any more. */
+  async #awaitVersion(version: number, wasTaken: boolean, signal: AbortSignal): Promise<void> {
+    if (!wasTaken) return;
+    while (!signal.aborted) {
+      await sleep(LOOK_INTERVAL / 2, signal);
+      const state = await this.#options.engine.state(this.#limit(signal));
+      this.#engine = state.ok ? state.value : undefined;
+      if (!state.ok || this.#wholeVersion >= version || !state.value.isBusy) break;
+    }
+    this.#options.log.info('engine holds', { version: this.#wholeVersion });
+  }
+
+  /** Reads every piece back and replaces those that have turned bad; false where one cannot be mended. */
+  async #verifyStage(held: HeldWeights, signal: AbortSignal): Promise<boolean> {
+    const { model, digests } = held.manifest;
+    let isWhole = true;
+    await eachOf([...digests.keys()], STAGE_PARALLEL, async (index) => {
+      const isGood = async () => {
+        const bytes = await this.#options.engine.staged(model, index, this.#limit(signal));
+        return bytes.ok && bytes.value !== undefined && digestOf(bytes.value) === digests[index];
+      };
+      if (await isGood()) return;
+      this.#options.log.info('staged piece was bad', { ...manifestName(held), piece: index });
+      await this.#options.engine.stage(model, index, held.piece(index)!, this.#limit(signal));
+      if (!(await isGood())) isWhole = false;
+    });
+    return isWhole;
+  }
+
+  #tell(): void {
+    const report: EngineReport = {
+      address: this.#options.engineAddress,
+      version: this.#wholeVersion,
+      isSwitching: this.#isSwitching || this.#engine?.isBusy === true,
+      held: this.#held(),
+    };
+    const text = JSON.stringify([
+      report.version,
+      report.isSwitching,
+      report.held.map(({ version, have }) => [version, have]),
+    ]);
+    const now = performance.now();
+    if (text === this.#reported && now - this.#reportedAt < REPORT_INTERVAL) return;
+    this.#reported = text;
+    this.#reportedAt = now;
+    this.#options.tell(report);
+  }
+
+  #held(): HeldPieces[] {
+    return this.#options.library.all().map(({ manifest, have }) => ({
+      model: manifest.model,
+      version: manifest.version,
+      count: have.capacity,
+      have: have.toBytes(),
+      stored: [],
+    }));
+  }
+
+  #limit(signal: AbortSignal): AbortSignal {
+    return AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
+  }
+}
+
+function manifestName({ manifest }: HeldWeights): WeightsVersion {
+  return { model: manifest.model, version: manifest.version };
+}
+
+/** Runs `work` for each item, `parallel` at a time. */
+async function eachOf<T>(
+  items: readonly T[],
+  parallel: number,
+  work: (item: T) => Promise<void>,
+): Promise<void> {
+  const rest = [...items];
+  const worker = async () => {
+    for (let item = rest.shift(); item !== undefined; item = rest.shift()) await work(item);
+  };
+  await Promise.all(Array.from({ length: parallel }, worker));
+}
--- /dev/null
+++ b/src/weights/piece-fetcher.ts
@@ -0,0 +1,136 @@
+/**
+ * Fetches the missing pieces of one version from sources in order of preference. A source that fails or gives corrupt
+ * bytes rests for a while; a dear one is asked only when nothing comes from the others.
+ */
+
+import { sleep } from '../fleet/table-follower.js';
+import type { Random } from '../model/random.js';
+import type { Log } from '../observability/log.js';
+import type { HeldWeights, WeightsLibrary } from './held-weights.js';
+import type { PieceSource } from './piece-source.js';
+
+/** Longest time between two looks at the sources, in milliseconds. */
+const TICK = 60;
+/** A piece that is on its way for longer may be asked of another source, in milliseconds. */
+const OVERDUE = 1_500;
+/** First and longest rest of a source that failed, in milliseconds. */
+const FIRST_REST = 150;
+const LONGEST_REST = 2_000;
+
+interface SourceRow {
+  open: number;
+  failures: number;
+  restsUntil: number;
+}
+
+/** What a fetcher works with. */
+export interface PieceFetcherOptions {
+  held: HeldWeights;
+  library: WeightsLibrary;
+  /** In order of preference; read anew at each look, as sources come and go. */
+  sources: () => PieceSource[];
+  /** False while others go first. */
+  mayAsk: () => boolean;
+  random: Random;
+  log: Log;
+}
+
+/** Fetches one version. */
+export class PieceFetcher {
+  readonly #options: PieceFetcherOptions;
+  readonly #rows = new Map<string, SourceRow>();
+  /** When each piece that is on its way was asked for. */
+  readonly #asked = new Map<number, number>();
+  readonly #counts = new Map<string, number>();
+  #progressAt = performance.now();
+  #wake: () => void = () => {};
+
+  constructor(options: PieceFetcherOptions) {
+    this.#options = options;
+  }
+
+  /** When a piece came last, in milliseconds of the steady clock. */
+  get progressAt(): number {
+    return this.#progressAt;
+  }
+
+  /** Returns when the version is whole, or at `signal`. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { held, log } = this.#options;
+    const startedAt = performance.now();
+    this.#progressAt = startedAt;
+    while (!held.complete && !signal.aborted) {
+      if (this.#options.mayAsk()) this.#ask(signal);
+      await Promise.race([sleep(TICK, signal), new Promise<void>((resolve) => (this.#wake = resolve))]);
+    }
+    if (!held.complete) return;
+    const { model, version } = held.manifest;
+    const from = Object.fromEntries(this.#counts);
+    log.info('version fetched', { model, version, from, tookMs: Math.round(performance.now() - startedAt) });
+  }
+
+  #ask(signal: AbortSignal): void {
+    const now = performance.now();
+    for (const source of this.#options.sources()) {
+      if (now - this.#progressAt < source.patience) continue;
+      const row = this.#row(source);
+      while (row.open < source.parallel && now >= row.restsUntil) {
+        const batch = source.nextBatch(this.#wanted(now));
+        if (batch.length === 0) break;
+        void this.#fetch(source, row, batch, signal);
+      }
+    }
+  }
+
+  #wanted(now: number): number[] {
+    return this.#options.held
+      .missing()
+      .filter((index) => now - (this.#asked.get(index) ?? -OVERDUE) >= OVERDUE);
+  }
+
+  async #fetch(
+    source: PieceSource,
+    row: SourceRow,
+    batch: readonly number[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    row.open++;
+    const askedAt = performance.now();
+    for (const index of batch) this.#asked.set(index, askedAt);
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(source.batchTime)]);
+    const answer = await source.fetch(batch, limit);
+    row.open--;
+    for (const index of batch) if (this.#asked.get(index) === askedAt) this.#asked.delete(index);
+    const kept = answer.ok
+      ? answer.value.filter(([index, bytes]) => this.#keep(source, index, bytes)).length
+      : 0;
+    if (kept === batch.length) row.failures = 0;
+    else if (!signal.aborted)
+      this.#rest(source, row, answer.ok ? 'missing or corrupt pieces' : answer.error.reason);
+    this.#wake();
+  }
+
+  #keep(source: PieceSource, index: number, bytes: Buffer): boolean {
+    const { held, library } = this.#options;
+    const isNew = !held.have.has(index);
+    if (!library.add(held, index, bytes)) return false;
+    this.#progressAt = performance.now();
+    if (isNew) this.#counts.set(source.name, (this.#counts.get(source.name) ?? 0) + 1);
+    return true;
+  }
+
+  #rest(source: PieceSource, row: SourceRow, reason: string): void {
+    const rest = Math.min(LONGEST_REST, FIRST_REST * 2 ** row.failures++);
+    row.restsUntil = performance.now() + rest * (0.5 + this.#options.random.fraction() / 2);
+    const { model, version } = this.#options.held.manifest;
+    this.#options.log.info('piece source failed', { source: source.name, model, version, reason });
+  }
+
+  #row(source: PieceSource): SourceRow {
+    const known = this.#rows.get(source.name);
+    if (known !== undefined) return known;
+    const row = { open: 0, failures: 0, restsUntil: 0 };
+    this.#rows.set(source.name, row);
+    return row;
+  }
+}
--- /dev/null
+++ b/src/weights/piece-sources.ts
@@ -0,0 +1,178 @@
+/** The sources of pieces: other processes of the system, the object store, the origin. */
+import { callHttp, parseJson } from '../clients/http.js';
+import type { ObjectStore } from '../clients/object-store.js';
+import type { ChunkSet } from '../model/chunk-set.js';
+import { failure, type Result, success } from '../model/result.js';
+import type { PieceManifest, WeightsVersion } from './held-weights.js';
+import { keyOf } from './held-weights.js';
+import { manifestPath, piecesPath } from './piece-server.js';
+import type { PieceOrigin, PieceSource, PieceSourceError, Pieces } from './piece-source.js';
+
+/** Objects into which the pieces of a version are put together. */
+const OBJECTS_OF_VERSION = 8;
+
+/** Another process of the system that holds pieces. */
+export function processSource(options: {
+  name: string;
+  /** `host:port` at which it serves pieces. */
+  address: string;
+  manifest: PieceManifest;
+  /** What it is known to hold. */
+  has: (index: number) => boolean;
+  patience: number;
+  parallel: number;
+  /** Pieces in one answer. */
+  batchSize: number;
+  batchTime: number;
+  /** A number that spreads several receivers over the pieces. */
+  offset?: number;
+}): PieceSource {
+  const { name, address, manifest, has, patience, parallel, batchSize, batchTime, offset = 0 } = options;
+  return {
+    name,
+    patience,
+    parallel,
+    batchTime,
+    nextBatch: (wanted) => rotate(wanted.filter(has), offset).slice(0, batchSize),
+    async fetch(batch, signal) {
+      const url = `http://${address}${piecesPath(manifest.model, manifest.version, batch)}`;
+      const answer = await callHttp({ service: 'pieces', method: 'GET', url, signal });
+      if (!answer.ok) return failed('reason' in answer.error ? answer.error.reason : answer.error.type);
+      if (answer.value.status !== 200) return failed(`status ${answer.value.status}`);
+      return success(split(answer.value.body, batch, manifest.pieceBytes));
+    },
+  };
+}
+
+/** Asks another process for the manifest of a version. */
+export async function fetchManifest(
+  address: string,
+  { model, version }: WeightsVersion,
+  signal: AbortSignal,
+): Promise<Result<PieceManifest, PieceSourceError>> {
+  const url = `http://${address}${manifestPath(model, version)}`;
+  const answer = await callHttp({ service: 'manifest', method: 'GET', url, signal });
+  if (!answer.ok || answer.value.status !== 200) return failed('no manifest there');
+  const parsed = parseJson<PieceManifest>('manifest', answer.value);
+  return parsed.ok ? parsed : failed(parsed.error.type);
+}
+
+/** Several pieces of a version that lie in one object. */
+export interface StoredPart {
+  index: number;
+  key: string;
+  pieces: number[];
+}
+
+/** The objects of a version. */
+export function partsOf(manifest: PieceManifest): StoredPart[] {
+  const count = manifest.digests.length;
+  const size = Math.ceil(count / OBJECTS_OF_VERSION);
+  const parts: StoredPart[] = [];
+  for (let first = 0; first < count; first += size) {
+    const pieces = Array.from({ length: Math.min(size, count - first) }, (_, offset) => first + offset);
+    parts.push({ index: parts.length, key: partKey(manifest, parts.length), pieces });
+  }
+  return parts;
+}
+
+/** Key of the manifest of a version in the object store. */
+export function storedManifestKey(version: WeightsVersion): string {
+  return objectName(`${keyOf(version)}/manifest`);
+}
+
+/** What the keys of a version begin with. */
+export function storedPrefix(version: WeightsVersion): string {
+  return objectName(`${keyOf(version)}/`);
+}
+
+/** The object store. */
+export function objectSource(options: {
+  objects: ObjectStore;
+  manifest: PieceManifest;
+  /** Indexes of the parts that lie there. */
+  stored: ReadonlySet<number>;
+  patience: number;
+  batchTime: number;
+}): PieceSource {
+  const { objects, manifest, stored, patience, batchTime } = options;
+  const parts = partsOf(manifest);
+  return {
+    name: 'objects',
+    patience,
+    batchTime,
+    parallel: 2,
+    nextBatch(wanted) {
+      const missing = new Set(wanted);
+      const part = parts.find(
+        ({ index, pieces }) => stored.has(index) && pieces.every((piece) => missing.has(piece)),
+      );
+      if (part !== undefined) return part.pieces;
+      const some = parts.find(
+        ({ index, pieces }) => stored.has(index) && pieces.some((piece) => missing.has(piece)),
+      );
+      return some === undefined ? [] : some.pieces.filter((piece) => missing.has(piece));
+    },
+    async fetch(batch, signal) {
+      const part = parts.find(({ pieces }) => pieces.includes(batch[0]))!;
+      const answer = await objects.get(part.key, signal);
+      if (!answer.ok) return failed('reason' in answer.error ? answer.error.reason : answer.error.type);
+      const all = split(answer.value, part.pieces, manifest.pieceBytes);
+      return success(all.filter(([index]) => batch.includes(index)));
+    },
+  };
+}
+
+/** The origin of weights. */
+export function originSource(options: {
+  origin: PieceOrigin;
+  version: WeightsVersion;
+  patience: number;
+  parallel: number;
+  batchTime: number;
+  mayDraw: () => boolean;
+}): PieceSource {
+  const { origin, version, patience, parallel, batchTime, mayDraw } = options;
+  return {
+    name: 'origin',
+    patience,
+    parallel,
+    batchTime,
+    nextBatch: (wanted) => (mayDraw() ? wanted.slice(0, 1) : []),
+    async fetch([index], signal) {
+      const piece = await origin.piece(version, index, signal);
+      return piece.ok ? success<Pieces>([[index, piece.value]]) : piece;
+    },
+  };
+}
+
+/** Whether a set of pieces, as told by another process, holds `index`. */
+export function holds(have: ChunkSet | undefined): (index: number) => boolean {
+  return (index) => have?.has(index) ?? false;
+}
+
+function partKey(manifest: PieceManifest, index: number): string {
+  return objectName(`${keyOf(manifest)}/${index}`);
+}
+
+/** Keys of objects are one path segment. */
+function objectName(path: string): string {
+  return `weights.${path.replaceAll('/', '.')}`;
+}
+
+function split(bytes: Buffer, indexes: readonly number[], pieceBytes: number): Pieces {
+  return indexes.map((index, position) => [
+    index,
+    bytes.subarray(position * pieceBytes, (position + 1) * pieceBytes),
+  ]);
+}
+
+function rotate(items: number[], offset: number): number[] {
+  if (items.length === 0) return items;
+  const start = offset % items.length;
+  return [...items.slice(start), ...items.slice(0, start)];
+}
+
+function failed(reason: string): { ok: false; error: PieceSourceError } {
+  return failure({ type: 'sourceFailed', reason });
+}
--- /dev/null
+++ b/src/weights/staged-engine.ts
@@ -0,0 +1,40 @@
+/** The contract of an engine that loads weights from a stage on its own machine. */
+import type { HeldLayers } from '../fleet/back-end-list.js';
+import type { Result } from '../model/result.js';
+import type { WeightsVersion } from './held-weights.js';
+
+/** Why a call to the engine has no result. */
+export type EngineError = { type: 'engineUnreachable'; reason: string };
+
+/** The state of an engine. */
+export interface EngineState {
+  /** The model that it serves or is to serve; empty where it tells none. */
+  model: string;
+  /** Undefined where it holds none. */
+  layers: HeldLayers | undefined;
+  /** An order is being carried out. */
+  isBusy: boolean;
+  /** Orders that it has taken. */
+  sequence: number;
+}
+
+/** What became of an order. */
+export type OrderOutcome =
+  /** It is being carried out, or holds already. */
+  | { type: 'taken' }
+  /** It does not fit the engine's state, or a newer order was given. */
+  | { type: 'refused'; status: number };
+
+/** The engine beside this process. */
+export interface StagedEngine {
+  state(signal: AbortSignal): Promise<Result<EngineState, EngineError>>;
+  /** Lays a piece into the stage, which holds one version of a model. */
+  stage(model: string, index: number, bytes: Buffer, signal: AbortSignal): Promise<Result<void, EngineError>>;
+  /** What lies in the stage; undefined for nothing. */
+  staged(model: string, index: number, signal: AbortSignal): Promise<Result<Buffer | undefined, EngineError>>;
+  /** Orders the engine to take what lies in the stage once its requests have ended. */
+  start(
+    order: WeightsVersion & { expectedSequence: number },
+    signal: AbortSignal,
+  ): Promise<Result<OrderOutcome, EngineError>>;
+}
--- /dev/null
+++ b/src/weights/switch-schedule.ts
@@ -0,0 +1,48 @@
+/**
+ * When an engine may go over to another version. An engine that does takes nothing new until its requests have ended,
+ * so the engines of a zone go in waves inside the bound in which a version must serve.
+ */
+
+/** Waves in which the engines of a zone go. */
+export const SWITCH_WAVES = 3;
+/** Shares of the bound: between two waves, and after which no engine waits any more. */
+const BETWEEN_WAVES = 0.17;
+const LAST_WAVE = 0.8;
+/** An engine whose version may not serve any more within this time has nothing to lose, in milliseconds. */
+const EXPIRY_MARGIN = 1_000;
+
+/** What the time depends on. Times are in milliseconds of the steady clock. */
+export interface SwitchSituation {
+  /** The engine's version; 0 where it holds none. */
+  version: number;
+  /** Until when requests may start on that version; infinite where no newer one is named. */
+  expiresAt: number;
+  /** When the new version was named, and when all its pieces were here. */
+  namedAt: number;
+  completeAt: number;
+  /** Time in which it must serve everywhere. */
+  bound: number;
+  /** The engine's number among those of its zone. */
+  position: number;
+}
+
+/** The wave of the engine at `position`, from 0. */
+export function waveOf(position: number): number {
+  return position % SWITCH_WAVES;
+}
+
+/** The earliest time for the switch: an engine that serves nothing waits for nothing. */
+export function switchTime(situation: SwitchSituation): number {
+  const { version, expiresAt, namedAt, completeAt, bound, position } = situation;
+  if (version === 0) return Number.NEGATIVE_INFINITY;
+  const turn = completeAt + waveOf(position) * BETWEEN_WAVES * bound;
+  return Math.min(turn, namedAt + LAST_WAVE * bound, expiresAt - EXPIRY_MARGIN);
+}
+
+/**
+ * Whether the engine should take a version although a newer one is named: those of the last wave wait for the newer
+ * one, so that they have it at once when the version that they hold expires.
+ */
+export function isWorthTaking(position: number, version: number, newest: number): boolean {
+  return version >= newest || waveOf(position) < SWITCH_WAVES - 1;
+}
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,18 +1,21 @@
 /**
  * Builds `dist/thistleway.cjs`, one bundle with every role. Roles are imported lazily, so that a process
  * pays memory only for the modules of its own role. With `--binary` the bundle is also put into a copy of
- * the Node.js executable (`dist/thistleway`), by Node's single-executable support.
+ * the Node.js executable (`dist/thistleway`), by Node's single-executable support. With `--platform` the bundle for
+ * the users' platform is built instead, at `target/thistleway.cjs`.
  */
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
-mkdirSync('dist', { recursive: true });
+const isForPlatform = process.argv.includes('--platform');
+const folder = isForPlatform ? 'target' : 'dist';
+mkdirSync(folder, { recursive: true });
 
 await build({
-  entryPoints: ['src/cli/main.ts'],
-  outfile: 'dist/thistleway.cjs',
+  entryPoints: [isForPlatform ? 'platform/main.ts' : 'src/cli/main.ts'],
+  outfile: `${folder}/thistleway.cjs`,
   bundle: true,
   platform: 'node',
   format: 'cjs',
