--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -51,6 +51,8 @@
 const STAND_IN_PATIENCE = 1_200;
 /** Entries of other zones are asked after this, in milliseconds: their bytes are dear. */
 const FAR_PATIENCE = 700;
+/** Entries that are not responsible ask the origin after this and {@link STAND_IN_PATIENCE}, in milliseconds. */
+const ORIGIN_STAND_IN_PATIENCE = 1_300;
 /** The origin is asked for a version that engines hold only after this, in milliseconds. */
 const HELD_ELSEWHERE_PATIENCE = 10_000;
 const ORIGIN_PARALLEL = 5;
@@ -241,7 +243,9 @@
     const origin = this.#origin();
     if (origin === undefined) return sources;
     const isServed = this.#options.servedVersions().some((served) => keyOf(served) === keyOf(version));
-    const patience = (isServed ? HELD_ELSEWHERE_PATIENCE : 0) + place.overall * STAND_IN_PATIENCE;
+    const patience =
+      (isServed ? HELD_ELSEWHERE_PATIENCE : 0) +
+      (place.overall > 0 ? ORIGIN_STAND_IN_PATIENCE + place.overall * STAND_IN_PATIENCE : 0);
     sources.push(
       originSource({
         origin,
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -19,7 +19,7 @@
   type WeightsLibrary,
   type WeightsVersion,
 } from './held-weights.js';
-import { PieceFetcher } from './piece-fetcher.js';
+import { type FetchPace, PieceFetcher } from './piece-fetcher.js';
 import type { PieceOriginFactory, PieceSource } from './piece-source.js';
 import { fetchManifest, holds, objectSource, originSource, partsOf, processSource } from './piece-sources.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
@@ -38,10 +38,13 @@
 const OBJECT_PATIENCE = 1_200;
 const FAR_PATIENCE = 2_000;
 const ORIGIN_PATIENCE = 6_000;
+/** An engine that serves nothing has its link for itself; one that serves shares it with its requests. */
+const IDLE_PACE: FetchPace = { open: 2, batch: ENTRY_BATCH, share: 1 };
+const SERVING_PACE: FetchPace = { open: 2, batch: 1, share: 1 };
 /** Pieces that are laid into the stage at the same time. */
 const STAGE_PARALLEL = 4;
-/** An older version waits while a newer one gets pieces more often than this, in milliseconds. */
-const NEWER_FIRST = 700;
+/** A version of which no piece came for this long does not hold others up, in milliseconds. */
+const STALLED = 700;
 /** The engine is told of as switching this long before the order, in milliseconds, so that nothing new comes. */
 const NOTICE = 60;
 
@@ -195,24 +198,40 @@
     fetch.held = held;
     const sources = () => this.#sources(held);
     const mayAsk = () => this.#mayAsk(version);
-    fetch.fetcher = new PieceFetcher({ held, library, sources, mayAsk, random, log });
+    const pace = () => (this.#wholeVersion === 0 ? IDLE_PACE : SERVING_PACE);
+    fetch.fetcher = new PieceFetcher({ held, library, sources, mayAsk, pace, random, log });
     await fetch.fetcher.run(signal);
     this.#completeAt.set(keyOf(version), performance.now());
     if (!signal.aborted && this.#engine !== undefined) await this.#advance(this.#engine, signal);
   }
 
-  /** A version waits while a newer one of its model makes progress, and where the engine holds it or a newer one. */
+  /**
+   * Versions are fetched one after the other, in the order of their naming; one that this engine will leave out comes
+   * last. One that makes no progress lets the others go first.
+   */
   #mayAsk({ model, version }: WeightsVersion): boolean {
     if (this.#engine === undefined || this.#wholeVersion >= version) return false;
     const now = performance.now();
     for (const { held, fetcher } of this.#fetches.values()) {
-      if (held === undefined || fetcher === undefined || held.manifest.model !== model) continue;
-      if (held.manifest.version > version && !held.complete && now - fetcher.progressAt < NEWER_FIRST)
-        return false;
+      if (held === undefined || fetcher === undefined || held.complete || held.manifest.model !== model)
+        continue;
+      if (now - fetcher.progressAt > STALLED || this.#wholeVersion >= held.manifest.version) continue;
+      if (this.#goesBefore(held.manifest, { model, version })) return false;
     }
     return true;
   }
 
+  /** Whether `one` is fetched before `other`. */
+  #goesBefore(one: WeightsVersion, other: WeightsVersion): boolean {
+    if (one.version === other.version) return false;
+    const newest = this.#versions.newest(one.model)?.version ?? 0;
+    const position = this.#plan?.position ?? 0;
+    const isLeftOut = (version: number) =>
+      this.#wholeVersion === 0 || !isWorthTaking(position, version, newest);
+    const older = Math.min(one.version, other.version);
+    return isLeftOut(older) ? one.version > other.version : one.version < other.version;
+  }
+
   async #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
     while (!signal.aborted) {
       const known = this.#options.library.of(version);
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -17,12 +17,29 @@
 const FIRST_REST = 150;
 const LONGEST_REST = 2_000;
 
+/** A source that was resorted to and gives is asked on for this long after its latest piece, in milliseconds. */
+const RESORTED = 2_000;
+
 interface SourceRow {
   open: number;
+  /** Until when it is asked without waiting for its patience to end. */
+  resortedUntil: number;
   failures: number;
   restsUntil: number;
 }
 
+/** How fast pieces are asked for, so that other traffic of the link does not wait behind them. */
+export interface FetchPace {
+  /** Batches that are open at the same time, over all sources. */
+  open: number;
+  /** Pieces of one batch. */
+  batch: number;
+  /** Share of the time in which batches are on their way, above 0 and up to 1. */
+  share: number;
+}
+
+const UNLIMITED: FetchPace = { open: Number.POSITIVE_INFINITY, batch: Number.POSITIVE_INFINITY, share: 1 };
+
 /** What a fetcher works with. */
 export interface PieceFetcherOptions {
   held: HeldWeights;
@@ -31,6 +48,8 @@
   sources: () => PieceSource[];
   /** False while others go first. */
   mayAsk: () => boolean;
+  /** How much of the link may be used; read anew at each look. Without it there is no limit. */
+  pace?: () => FetchPace;
   random: Random;
   log: Log;
 }
@@ -44,6 +63,8 @@
   readonly #counts = new Map<string, number>();
   #progressAt = performance.now();
   #wake: () => void = () => {};
+  #open = 0;
+  #pausesUntil = 0;
 
   constructor(options: PieceFetcherOptions) {
     this.#options = options;
@@ -71,11 +92,13 @@
 
   #ask(signal: AbortSignal): void {
     const now = performance.now();
+    const pace = this.#pace();
+    if (now < this.#pausesUntil) return;
     for (const source of this.#options.sources()) {
-      if (now - this.#progressAt < source.patience) continue;
       const row = this.#row(source);
-      while (row.open < source.parallel && now >= row.restsUntil) {
-        const batch = source.nextBatch(this.#wanted(now));
+      if (now - this.#progressAt < source.patience && now >= row.resortedUntil) continue;
+      while (row.open < source.parallel && now >= row.restsUntil && this.#open < pace.open) {
+        const batch = source.nextBatch(this.#wanted(now)).slice(0, pace.batch);
         if (batch.length === 0) break;
         void this.#fetch(source, row, batch, signal);
       }
@@ -95,21 +118,37 @@
     signal: AbortSignal,
   ): Promise<void> {
     row.open++;
+    this.#open++;
     const askedAt = performance.now();
     for (const index of batch) this.#asked.set(index, askedAt);
     const limit = AbortSignal.any([signal, AbortSignal.timeout(source.batchTime)]);
     const answer = await source.fetch(batch, limit);
     row.open--;
+    this.#open--;
+    this.#pause(performance.now() - askedAt, signal);
     for (const index of batch) if (this.#asked.get(index) === askedAt) this.#asked.delete(index);
     const kept = answer.ok
       ? answer.value.filter(([index, bytes]) => this.#keep(source, index, bytes)).length
       : 0;
+    if (kept > 0) row.resortedUntil = performance.now() + RESORTED;
     if (kept === batch.length) row.failures = 0;
     else if (!signal.aborted)
       this.#rest(source, row, answer.ok ? 'missing or corrupt pieces' : answer.error.reason);
     this.#wake();
   }
 
+  /** After a batch the link is left to others for a while. */
+  #pause(tookMilliseconds: number, signal: AbortSignal): void {
+    const pause = tookMilliseconds * (1 / this.#pace().share - 1);
+    if (pause <= 0) return;
+    this.#pausesUntil = performance.now() + pause;
+    void sleep(pause, signal).then(() => this.#wake());
+  }
+
+  #pace(): FetchPace {
+    return this.#options.pace?.() ?? UNLIMITED;
+  }
+
   #keep(source: PieceSource, index: number, bytes: Buffer): boolean {
     const { held, library } = this.#options;
     const isNew = !held.have.has(index);
@@ -129,7 +168,7 @@
   #row(source: PieceSource): SourceRow {
     const known = this.#rows.get(source.name);
     if (known !== undefined) return known;
-    const row = { open: 0, failures: 0, restsUntil: 0 };
+    const row = { open: 0, resortedUntil: 0, failures: 0, restsUntil: 0 };
     this.#rows.set(source.name, row);
     return row;
   }
