--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -1,16 +1,21 @@
 /** Gathers the back ends that may take a request, and chooses one. */
+import type { EngineShape } from '../fleet/configuration.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
 import { type BackEndRow, type BackEndTable, loadOf, wholeVersion } from './back-end-table.js';
-import { type Candidate, chooseBackEnd, type Position } from './selection.js';
+import { type Candidate, chooseBackEnd, expectedWait, type Position } from './selection.js';
 
 /** Where the list names none, a back end runs this many requests. */
 const DEFAULT_SLOTS = 4;
 /** Duration of a request at a back end of which nothing is known, in milliseconds. */
 const DEFAULT_DURATION = 100;
 const DEFAULT_ENGINE_DURATION = 800;
-/** Before the bound of a version ends, older ones get no requests for this long, in milliseconds. */
+/**
+ * Before the bound of a version ends, older ones get no requests for this long, in milliseconds, and for this many of
+ * the times that requests usually wait there: what counts is when a request begins.
+ */
 const VERSION_MARGIN = 700;
+const VERSION_MARGIN_WAITS = 1.5;
 const MILLISECONDS = 1_000;
 
 /** What a request needs of a back end. */
@@ -63,10 +68,9 @@
   /** The best back end, or undefined where none may take the request now. */
   select(requirements: Requirements): Selection | undefined {
     const now = performance.now();
-    const lowest = this.#lowestVersion(requirements.service, now);
     const candidates: Candidate[] = [];
     for (const row of this.#table.ofService(requirements.service)) {
-      if (this.#mayTake(row, requirements, lowest, now)) candidates.push(this.#candidate(row));
+      if (this.#mayTake(row, requirements, now)) candidates.push(this.#candidate(row));
     }
     addSlowness(candidates, this.#table);
     const choice = chooseBackEnd(candidates, this.#self, this.#random);
@@ -74,22 +78,20 @@
     return {
       row: this.#table.rows.get(choice.candidate.id)!,
       expectedWait: choice.expectedWait,
-      expectedVersion:
-        requirements.version ?? (lowest > 0 ? this.#versionOf(choice.candidate.id) : undefined),
+      expectedVersion: requirements.version ?? this.#expectedVersion(choice.candidate.id, now),
       choices: candidates.length,
     };
   }
 
-  /** Lowest version that requests of `service` may start on; 0 for any. */
-  #lowestVersion(service: string, now: number): number {
-    const engine = this.#fleet.routes?.service(service)?.engine;
-    if (engine === undefined) return 0;
-    const bound = this.#versionBound - VERSION_MARGIN;
-    const lowest = engine.models.map(({ name }) => this.#fleet.versions.lowestAllowed(name, now, bound));
+  /** Lowest version that a request may start on after `wait` milliseconds; 0 for any. */
+  #lowestVersion(engine: EngineShape, now: number, wait: number): number {
+    const lowest = engine.models.map(({ name }) => {
+      return this.#fleet.versions.lowestAllowed(name, now + wait, this.#versionBound);
+    });
     return Math.max(0, ...lowest);
   }
 
-  #mayTake(row: BackEndRow, requirements: Requirements, lowest: number, now: number): boolean {
+  #mayTake(row: BackEndRow, requirements: Requirements, now: number): boolean {
     const { record, health, news } = row;
     if (record.leaving || requirements.tried.has(record.id)) return false;
     if (!health.admits(now, requirements.isRepeatable)) return false;
@@ -98,7 +100,8 @@
     if (engine === undefined) return true;
     if (news?.isSwitching === true) return false;
     const version = wholeVersion(row, engine.layers);
-    if (version === 0 || version < lowest) return false;
+    const wait = VERSION_MARGIN + VERSION_MARGIN_WAITS * this.#usualWait(row);
+    if (version === 0 || version < this.#lowestVersion(engine, now, wait)) return false;
     return requirements.version === undefined || requirements.version === version;
   }
 
@@ -108,10 +111,17 @@
     return all === 0 ? Number.POSITIVE_INFINITY : Math.max(2, Math.floor(all / 3));
   }
 
-  #versionOf(id: string): number | undefined {
+  /** Time for which requests wait at `row` before they begin, in milliseconds. */
+  #usualWait(row: BackEndRow): number {
+    return Math.max(row.firstAnswerTime, expectedWait(this.#candidate(row)));
+  }
+
+  /** The version that a back end is asked to have, once an older one may not answer any more. */
+  #expectedVersion(id: string, now: number): number | undefined {
     const row = this.#table.rows.get(id)!;
     const engine = this.#fleet.routes?.service(row.record.service)?.engine;
-    return engine === undefined ? undefined : wholeVersion(row, engine.layers);
+    if (engine === undefined || this.#lowestVersion(engine, now, 0) === 0) return undefined;
+    return wholeVersion(row, engine.layers);
   }
 
   #candidate(row: BackEndRow): Candidate {
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -103,6 +103,16 @@
     this.#send();
   }
 
+  /** Ends a request that this process cannot handle: a fault of its own takes down one request, never the process. */
+  abandon(cause: unknown): void {
+    this.#components.log.error('request abandoned', {
+      request: this.#id,
+      cause: String((cause as Error)?.stack ?? cause),
+    });
+    this.#attempt?.abort('abandoned');
+    this.#finish({ type: 'backEndFailed', reason: 'fault of this process' });
+  }
+
   /** Ends attempts that are owed something for too long; called by the shared tick. */
   check(now: number): void {
     const { attempt, row } = { attempt: this.#attempt, row: this.#row };
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -113,7 +113,7 @@
     const forwarded = new ForwardedRequest(this.#components, request, response);
     this.#active.add(forwarded);
     this.#timer ??= setInterval(() => this.#check(), CHECK_INTERVAL);
-    void forwarded.start();
+    forwarded.start().catch((cause) => forwarded.abandon(cause));
   }
 
   #check(): void {
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -193,8 +193,11 @@
     log.info('configuration taken', { revision: fleet.configurationRevision, from: row.address });
   }
 
-  #takeBackEnds(state: BackEndListState): void {
-    if (!this.#options.hearsStore()) this.#options.fleet.takeBackEnds(state);
+  #takeBackEnds({ revision, records }: BackEndListState): void {
+    if (this.#options.hearsStore()) return;
+    // The codec carries no undefined.
+    const whole = records.map((record) => ({ ...record, layers: record.layers ?? undefined }));
+    this.#options.fleet.takeBackEnds({ revision, records: whole });
   }
 }
 
