--- a/src/fleet/configuration.ts
+++ b/src/fleet/configuration.ts
@@ -58,6 +58,8 @@
   pieceBytes: number;
   /** Prompt tokens that an engine reads in a second. */
   readTokensPerSecond: number;
+  /** Time in which a full engine writes one token of each of its requests. */
+  tokenTime: number;
 }
 
 /** A service of back ends. */
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -2,7 +2,13 @@
 import type { EngineShape } from '../fleet/configuration.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
-import { type BackEndRow, type BackEndTable, loadOf, wholeVersion } from './back-end-table.js';
+import {
+  type BackEndRow,
+  type BackEndTable,
+  loadOf,
+  longestRecentAnswer,
+  wholeVersion,
+} from './back-end-table.js';
 import { type Candidate, chooseBackEnd, expectedWait, type Position } from './selection.js';
 
 /** Where the list names none, a back end runs this many requests. */
@@ -14,14 +20,19 @@
  * Before the bound of a version ends, older ones get no requests for this long, in milliseconds, and for this many of
  * the times that requests usually wait there: what counts is when a request begins.
  */
-const VERSION_MARGIN = 700;
+const VERSION_MARGIN = 900;
 const VERSION_MARGIN_WAITS = 1.5;
+/** Where most slots are taken, requests of others that are not known of yet make the wait longer, in milliseconds. */
+const VERSION_MARGIN_BUSY = 1_600;
+const BUSY_SHARE = 0.8;
 const MILLISECONDS = 1_000;
 
 /** What a request needs of a back end. */
 export interface Requirements {
   service: string;
   isRepeatable: boolean;
+  /** Tokens that the answer may have; 0 where that is not known. */
+  answerTokens: number;
   /** Version that must answer, where a stream goes on. */
   version: number | undefined;
   /** Back ends that were tried already. */
@@ -70,7 +81,8 @@
     const now = performance.now();
     const candidates: Candidate[] = [];
     for (const row of this.#table.ofService(requirements.service)) {
-      if (this.#mayTake(row, requirements, now)) candidates.push(this.#candidate(row));
+      if (this.#mayTake(row, requirements, now))
+        candidates.push(this.#candidate(row, requirements.answerTokens, now));
     }
     addSlowness(candidates, this.#table);
     const choice = chooseBackEnd(candidates, this.#self, this.#random);
@@ -100,20 +112,34 @@
     if (engine === undefined) return true;
     if (news?.isSwitching === true) return false;
     const version = wholeVersion(row, engine.layers);
-    const wait = VERSION_MARGIN + VERSION_MARGIN_WAITS * this.#usualWait(row);
-    if (version === 0 || version < this.#lowestVersion(engine, now, wait)) return false;
+    if (version === 0 || version < this.#lowestVersion(engine, now, this.#versionMargin(row, now)))
+      return false;
     return requirements.version === undefined || requirements.version === version;
   }
 
+  /** Time for which a request of this duration would hold up the switch that is due there, in milliseconds. */
+  #overhang({ news }: BackEndRow, duration: number, now: number): number {
+    if (news === undefined || news.switchAt === Number.POSITIVE_INFINITY) return 0;
+    return Math.max(0, now + duration - news.switchAt);
+  }
+
   /** Connections that this entry may have to one back end; all entries share them. */
   #connectionShare(service: string): number {
     const all = this.#fleet.routes?.service(service)?.maxConnections ?? 0;
     return all === 0 ? Number.POSITIVE_INFINITY : Math.max(2, Math.floor(all / 3));
   }
 
+  /** Time before the bound of its version from which `row` gets no more requests, in milliseconds. */
+  #versionMargin(row: BackEndRow, now: number): number {
+    const isBusy = loadOf(row) >= BUSY_SHARE * row.record.slots;
+    return (
+      VERSION_MARGIN + VERSION_MARGIN_WAITS * this.#usualWait(row, now) + (isBusy ? VERSION_MARGIN_BUSY : 0)
+    );
+  }
+
   /** Time for which requests wait at `row` before they begin, in milliseconds. */
-  #usualWait(row: BackEndRow): number {
-    return Math.max(row.firstAnswerTime, expectedWait(this.#candidate(row)));
+  #usualWait(row: BackEndRow, now: number): number {
+    return Math.max(longestRecentAnswer(row, now), expectedWait(this.#candidate(row, 0, now)));
   }
 
   /** The version that a back end is asked to have, once an older one may not answer any more. */
@@ -124,7 +150,7 @@
     return wholeVersion(row, engine.layers);
   }
 
-  #candidate(row: BackEndRow): Candidate {
+  #candidate(row: BackEndRow, answerTokens: number, now: number): Candidate {
     const { record, health } = row;
     const engine = this.#fleet.routes?.service(record.service)?.engine;
     const slots = record.slots > 0 ? record.slots : DEFAULT_SLOTS;
@@ -140,6 +166,7 @@
       releaseInterval: (row.duration || usual) / slots,
       failureShare: health.failureShare,
       slowness: 0,
+      overhang: this.#overhang(row, answerTokens * (row.timePerToken || (engine?.tokenTime ?? 0)), now),
     };
   }
 }
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -15,6 +15,9 @@
 const MOST_CONNECTIONS = 128;
 /** Weight of the newest time to a first answer, and of the newest duration. */
 const TIME_WEIGHT = 0.1;
+/** The longest of the latest times fades by this with each answer, and halves in this time without any, in milliseconds. */
+const ANSWER_TIME_FADING = 0.9;
+const ANSWER_TIME_HALF_LIFE = 500;
 
 /** What an agent says of the engine beside it. */
 export interface EngineNews {
@@ -22,6 +25,8 @@
   version: number;
   /** The engine is about to take another version, and takes nothing new. */
   isSwitching: boolean;
+  /** When it is to be ordered to, in milliseconds of the steady clock; infinite where that is not due. */
+  switchAt: number;
 }
 
 /** One back end. */
@@ -35,9 +40,14 @@
   unreadTokens: number;
   /** Requests in flight from each other entry. */
   inFlightElsewhere: Map<string, number>;
+  /** Longest of the latest times to a first answer, which fades, and when it was noted, in milliseconds. */
+  longestAnswerTime: number;
+  answeredAt: number;
   /** Usual time to the first part of an answer, and of a whole request, in milliseconds; 0 before the first. */
   firstAnswerTime: number;
   duration: number;
+  /** Usual time of a request for each token that its answer may have, in milliseconds; 0 before the first. */
+  timePerToken: number;
   /** When anything came from it last. */
   progressAt: number;
   news: EngineNews | undefined;
@@ -131,8 +141,11 @@
     inFlight: 0,
     unreadTokens: 0,
     inFlightElsewhere: new Map(),
+    longestAnswerTime: 0,
+    answeredAt: 0,
     firstAnswerTime: 0,
     duration: 0,
+    timePerToken: 0,
     progressAt: performance.now(),
     news: undefined,
   };
@@ -155,6 +168,18 @@
   return load;
 }
 
+/** Notes the time to a first answer. */
+export function noteFirstAnswer(row: BackEndRow, milliseconds: number, now: number): void {
+  row.longestAnswerTime = Math.max(milliseconds, row.longestAnswerTime * ANSWER_TIME_FADING);
+  row.firstAnswerTime = blend(row.firstAnswerTime, milliseconds);
+  row.answeredAt = now;
+}
+
+/** The time to a first answer that is to be reckoned with; old news fade. */
+export function longestRecentAnswer({ longestAnswerTime, answeredAt }: BackEndRow, now: number): number {
+  return longestAnswerTime * 0.5 ** ((now - answeredAt) / ANSWER_TIME_HALF_LIFE);
+}
+
 /** A moving mean: `sample` weighs in with a tenth. */
 export function blend(mean: number, sample: number): number {
   return mean === 0 ? sample : mean + TIME_WEIGHT * (sample - mean);
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -11,7 +11,7 @@
 import { hash32 } from '../model/random.js';
 import { type AnswerHead, Attempt, type AttemptFailure } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
-import { type BackEndRow, blend } from './back-end-table.js';
+import { type BackEndRow, blend, noteFirstAnswer } from './back-end-table.js';
 import { type CallerBody, readCallerBody } from './caller-body.js';
 import { EventRelay } from './event-relay.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
@@ -66,6 +66,8 @@
   #timer: NodeJS.Timeout | undefined;
   #body: CallerBody = { type: 'none' };
   #promptTokens = 0;
+  /** Tokens that the answer may have. */
+  #answerTokens = 0;
   #row: BackEndRow | undefined;
   #attempt: Attempt | undefined;
   #sends = 0;
@@ -147,7 +149,9 @@
     const timeLeft = Number(headers[names.timeLeft]);
     const limit = Number.isFinite(timeLeft) && timeLeft > 0 ? timeLeft : Number.POSITIVE_INFINITY;
     this.#endsAt = this.#arrivedAt + Math.min(route.timeout, limit);
-    this.#promptTokens = Number(String(headers[names.tokenCounts] ?? '').split(',')[0]) || 0;
+    const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
+    this.#promptTokens = Number(promptTokens) || 0;
+    this.#answerTokens = Number(answerTokens) || 0;
     return undefined;
   }
 
@@ -155,6 +159,7 @@
     const selection = this.#components.selector.select({
       service: this.#service,
       isRepeatable: this.#route.repeatability !== 'never',
+      answerTokens: this.#answerTokens,
       version: this.#version,
       tried: this.#tried,
     });
@@ -398,7 +403,12 @@
     if (outcome !== undefined) {
       row.health.note(outcome, now, this.#components.backEnds.usualFailureShare(this.#service));
     }
-    if (outcome === 'served') row.duration = blend(row.duration, now - this.#attempt!.startedAt);
+    if (outcome === 'served') {
+      const took = now - this.#attempt!.startedAt;
+      row.duration = blend(row.duration, took);
+      if (this.#answerTokens > 0) row.timePerToken = blend(row.timePerToken, took / this.#answerTokens);
+      this.#log('served', { backEnd: row.record.id, tookMs: Math.round(took), tokens: this.#answerTokens });
+    }
     this.#row = undefined;
     this.#attempt = undefined;
     this.#answeredAt = 0;
@@ -415,7 +425,7 @@
     const row = this.#row;
     if (row === undefined || this.#promptTokens < 0) return;
     if (this.#answeredAt > 0 && this.#promptTokens > 0)
-      row.firstAnswerTime = blend(row.firstAnswerTime, performance.now() - this.#attempt!.startedAt);
+      noteFirstAnswer(row, performance.now() - this.#attempt!.startedAt, performance.now());
     row.unreadTokens -= this.#promptTokens;
     this.#promptTokens = 0;
   }
--- a/src/forwarding/selection.ts
+++ b/src/forwarding/selection.ts
@@ -27,6 +27,8 @@
   failureShare: number;
   /** Extra time of its first answers compared with its fastest peers, in milliseconds. */
   slowness: number;
+  /** Time for which the request would hold up a switch of versions that is due there, in milliseconds. */
+  overhang: number;
 }
 
 /** A choice, with what it rests on. */
@@ -43,6 +45,8 @@
 const FULLNESS_COST = 25;
 /** What a certain failure would cost, in milliseconds. */
 const FAILURE_COST = 600;
+/** What holding a switch up costs for each millisecond: meanwhile the back end takes nothing new. */
+const OVERHANG_COST = 0.4;
 /** Candidates this close are alike, in milliseconds. */
 const ALIKE = 2;
 
@@ -80,6 +84,7 @@
     reading +
     candidate.slowness +
     candidate.failureShare * FAILURE_COST +
+    candidate.overhang * OVERHANG_COST +
     (candidate.load / candidate.slots) * FULLNESS_COST
   );
 }
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -62,7 +62,7 @@
   ],
   ['model', 'version', 'age'],
   ['model', 'version', 'count', 'have', 'stored'],
-  ['address', 'version', 'isSwitching', 'held'],
+  ['address', 'version', 'isSwitching', 'switchesIn', 'held'],
 ];
 
 const packr = new Packr({
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -13,7 +13,7 @@
 import { StoreSync, type StoreSyncOptions } from '../fleet/store-sync.js';
 import { sleep } from '../fleet/table-follower.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
-import { BackEndTable } from '../forwarding/back-end-table.js';
+import { BackEndTable, type EngineNews } from '../forwarding/back-end-table.js';
 import { ForwardingServer } from '../forwarding/forwarding-server.js';
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
 import { hash32, type Random, rendezvousOrder, seededRandom } from '../model/random.js';
@@ -23,7 +23,13 @@
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
 import { type EngineAgentRow, EngineAgents } from '../peers/engine-agents.js';
 import { EntryPeers } from '../peers/entry-peers.js';
-import { type EntryReport, LONG_AGO, type VersionAge, type WeightsPlan } from '../peers/reports.js';
+import {
+  type EngineReport,
+  type EntryReport,
+  LONG_AGO,
+  type VersionAge,
+  type WeightsPlan,
+} from '../peers/reports.js';
 import {
   type Connection,
   type ConnectionContext,
@@ -171,8 +177,8 @@
     });
     this.#agents = new EngineAgents(
       (row) => this.#planFor(row),
-      ({ address, version, isSwitching }) => {
-        backEnds.takeNews(address, { version, isSwitching });
+      (report) => {
+        backEnds.takeNews(report.address, engineNews(report));
         this.#announce();
       },
     );
@@ -310,9 +316,7 @@
   #onPeerReport(report: EntryReport): void {
     const { backEnds } = this.#components;
     backEnds.takeLoads(report.id, report.loads);
-    for (const { address, version, isSwitching } of report.engines) {
-      backEnds.takeNews(address, { version, isSwitching });
-    }
+    for (const engine of report.engines) backEnds.takeNews(engine.address, engineNews(engine));
   }
 
   #planFor({ address, connection, report }: EngineAgentRow): WeightsPlan {
@@ -407,6 +411,12 @@
   }
 }
 
+function engineNews({ version, isSwitching, switchesIn }: EngineReport): EngineNews {
+  // The codec carries no undefined in lists.
+  const switchAt = performance.now() + (switchesIn ?? Number.POSITIVE_INFINITY);
+  return { version, isSwitching, switchAt };
+}
+
 /** Names of the headers that callers may not set. */
 function headersSet(names: HeaderNames): ReadonlySet<string> {
   const { callerKey, tenant, expectedBackEnd, expectedVersion, urgency, timeLeft } = names;
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -205,7 +205,8 @@
     const place = this.#place(collection);
     const standIn = place.inZone * STAND_IN_PATIENCE;
     const sources: PieceSource[] = [];
-    for (const { peer, have } of this.#holders(version)) {
+    const holders = this.#holders(version);
+    for (const { peer, have } of holders) {
       const isNear = peer.zone === this.#options.self.zone;
       sources.push(
         processSource({
@@ -242,6 +243,11 @@
     }
     const origin = this.#origin();
     if (origin === undefined) return sources;
+    const storedPieces = new Set(
+      partsOf(manifest).flatMap(({ index, pieces }) => (stored.has(index) ? pieces : [])),
+    );
+    const isElsewhere = (index: number) =>
+      storedPieces.has(index) || holders.some(({ have }) => have.has(index));
     const isServed = this.#options.servedVersions().some((served) => keyOf(served) === keyOf(version));
     const patience =
       (isServed ? HELD_ELSEWHERE_PATIENCE : 0) +
@@ -253,14 +259,15 @@
         patience,
         parallel: ORIGIN_PARALLEL,
         batchTime: ORIGIN_LIMIT,
-        mayDraw: () => collection.isListed,
+        mayDraw: (index) => collection.isListed && !isElsewhere(index),
+        offset: Math.floor((place.overall * manifest.digests.length) / Math.max(1, place.count)),
       }),
     );
     return sources;
   }
 
   /** This entry's place in the order of those responsible: in its zone and overall; 0 is the first. */
-  #place({ version }: Collection): { inZone: number; overall: number } {
+  #place({ version }: Collection): { inZone: number; overall: number; count: number } {
     const { self, peers } = this.#options;
     const entries = [self, ...peers()];
     const key = keyOf(version);
@@ -271,7 +278,7 @@
     );
     // The first of all is the first of its zone.
     const inZone = rendezvousOrder(key, near);
-    return { inZone: inZone.indexOf(self.id), overall: overall.indexOf(self.id) };
+    return { inZone: inZone.indexOf(self.id), overall: overall.indexOf(self.id), count: overall.length };
   }
 
   #holders(version: WeightsVersion): Array<{ peer: EntryReport; have: ChunkSet }> {
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -289,6 +289,7 @@
         parallel: 2,
         batchTime: ORIGIN_LIMIT,
         mayDraw: () => true,
+        offset: offset % manifest.digests.length,
       }),
     );
     return sources;
@@ -301,7 +302,8 @@
     const held = this.#next(state);
     if (held !== undefined) {
       await this.#stage(held, signal);
-      if (performance.now() >= this.#switchTime(held)) await this.#switch(held, state, signal);
+      if (performance.now() >= this.#switchTime(held, this.#completeAt.get(keyOf(held.manifest)) ?? 0))
+        await this.#switch(held, state, signal);
     }
     this.#isAdvancing = false;
   }
@@ -323,13 +325,13 @@
     return isWorthTaking(this.#plan?.position ?? 0, manifest.version, newest);
   }
 
-  #switchTime({ manifest }: HeldWeights): number {
+  #switchTime({ manifest }: HeldWeights, completeAt: number): number {
     const named = this.#versions.all().find((one) => keyOf(one) === keyOf(manifest));
     return switchTime({
       version: this.#wholeVersion,
       expiresAt: this.#expiry(manifest.model),
       namedAt: named?.namedAt ?? Number.NEGATIVE_INFINITY,
-      completeAt: this.#completeAt.get(keyOf(manifest)) ?? 0,
+      completeAt,
       bound: this.#plan?.bound ?? 0,
       position: this.#plan?.position ?? 0,
     });
@@ -343,6 +345,20 @@
     return Math.min(...newer.map(({ namedAt }) => namedAt + (this.#plan?.bound ?? 0)));
   }
 
+  /** Time until the engine is to be ordered to take a version, as far as can be told; undefined where none is due. */
+  #switchesIn(): number | undefined {
+    if (this.#wholeVersion === 0 || this.#isSwitching) return undefined;
+    const now = performance.now();
+    const due = [...this.#fetches.values()].flatMap(({ held, fetcher }) => {
+      if (held === undefined || fetcher === undefined || held.manifest.version <= this.#wholeVersion)
+        return [];
+      if (!this.#isWorthwhile(held)) return [];
+      const completeAt = this.#completeAt.get(keyOf(held.manifest)) ?? fetcher.expectedEnd;
+      return Math.max(now, this.#switchTime(held, completeAt)) - now;
+    });
+    return due.length === 0 ? undefined : Math.min(...due);
+  }
+
   async #stage(held: HeldWeights, signal: AbortSignal): Promise<void> {
     const { model, version, digests } = held.manifest;
     if (this.#stagedVersion === version) return;
@@ -402,6 +418,7 @@
       address: this.#options.engineAddress,
       version: this.#wholeVersion,
       isSwitching: this.#isSwitching || this.#engine?.isBusy === true,
+      switchesIn: this.#switchesIn(),
       held: this.#held(),
     };
     const text = JSON.stringify([
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -15,7 +15,7 @@
 const OVERDUE = 1_500;
 /** First and longest rest of a source that failed, in milliseconds. */
 const FIRST_REST = 150;
-const LONGEST_REST = 2_000;
+const LONGEST_REST = 500;
 
 /** A source that was resorted to and gives is asked on for this long after its latest piece, in milliseconds. */
 const RESORTED = 2_000;
@@ -63,6 +63,8 @@
   readonly #counts = new Map<string, number>();
   #progressAt = performance.now();
   #wake: () => void = () => {};
+  #startedAt = 0;
+  #sizeAtStart = 0;
   #open = 0;
   #pausesUntil = 0;
 
@@ -75,10 +77,20 @@
     return this.#progressAt;
   }
 
+  /** When the version will be whole at the present rate, in milliseconds of the steady clock; infinite without one. */
+  get expectedEnd(): number {
+    const { size, capacity } = this.#options.held.have;
+    const got = size - this.#sizeAtStart;
+    if (got <= 0) return Number.POSITIVE_INFINITY;
+    return this.#progressAt + ((this.#progressAt - this.#startedAt) / got) * (capacity - size);
+  }
+
   /** Returns when the version is whole, or at `signal`. */
   async run(signal: AbortSignal): Promise<void> {
     const { held, log } = this.#options;
     const startedAt = performance.now();
+    this.#startedAt = startedAt;
+    this.#sizeAtStart = held.have.size;
     this.#progressAt = startedAt;
     while (!held.complete && !signal.aborted) {
       if (this.#options.mayAsk()) this.#ask(signal);
--- a/src/weights/piece-sources.ts
+++ b/src/weights/piece-sources.ts
@@ -130,15 +130,18 @@
   patience: number;
   parallel: number;
   batchTime: number;
-  mayDraw: () => boolean;
+  /** Whether a piece is to be drawn: not where another process has it. */
+  mayDraw: (index: number) => boolean;
+  /** Where to begin, so that several that draw at the same time draw different pieces. */
+  offset: number;
 }): PieceSource {
-  const { origin, version, patience, parallel, batchTime, mayDraw } = options;
+  const { origin, version, patience, parallel, batchTime, mayDraw, offset } = options;
   return {
     name: 'origin',
     patience,
     parallel,
     batchTime,
-    nextBatch: (wanted) => (mayDraw() ? wanted.slice(0, 1) : []),
+    nextBatch: (wanted) => rotateFrom(wanted, offset).filter(mayDraw).slice(0, 1),
     async fetch([index], signal) {
       const piece = await origin.piece(version, index, signal);
       return piece.ok ? success<Pieces>([[index, piece.value]]) : piece;
@@ -167,6 +170,11 @@
   ]);
 }
 
+/** The indexes from `start` on, then those before it. */
+function rotateFrom(indexes: readonly number[], start: number): number[] {
+  return [...indexes.filter((index) => index >= start), ...indexes.filter((index) => index < start)];
+}
+
 function rotate(items: number[], offset: number): number[] {
   if (items.length === 0) return items;
   const start = offset % items.length;
