Recovery: agents read the store when no entry tells, one copy a region, requests wait for capacity in sight

Cause: after a loss of power agents waited for connections to machines that were still dark (2 s each); two entries of a region drew the whole version over an 18 Mbit/s link between regions; all requests of 5 s were refused twice.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
+import type { BackEndConnections } from './back-end-connections.js';
 import type { HeaderNames } from './header-names.js';
 
 /** What an attempt sends. */
@@ -50,6 +51,7 @@
   readonly #request: AttemptRequest;
   readonly #names: HeaderNames;
   readonly #listener: AttemptListener;
+  #connections: BackEndConnections | undefined;
   #controller: Dispatcher.DispatchController | undefined;
   #ended = false;
 
@@ -64,9 +66,10 @@
     return this.#controller !== undefined;
   }
 
-  send(dispatcher: Dispatcher): void {
+  send(connections: BackEndConnections): void {
     const { method, path, headers, body } = this.#request;
-    dispatcher.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this);
+    this.#connections = connections;
+    connections.pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this);
   }
 
   /** Ends the attempt; the connection closes, so that the back end stops working on it. Tells the listener nothing. */
@@ -115,6 +118,7 @@
 
   onResponseEnd(): void {
     if (this.#ended) return;
+    if (this.#connections?.isInterrupted === true) return this.fail('reset before its end');
     this.#ended = true;
     this.#listener.onEnd();
   }
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -26,6 +26,8 @@
 const VERSION_MARGIN_BUSY = 1_600;
 const BUSY_SHARE = 0.8;
 const MILLISECONDS = 1_000;
+/** Usual time from the order to take a version to its first request, in milliseconds. */
+const SWITCH_TIME = 400;
 
 /** What a request needs of a back end. */
 export interface Requirements {
@@ -46,6 +48,8 @@
   expectedWait: number;
   /** Version that it must have; undefined where any will do. */
   expectedVersion: number | undefined;
+  /** Version that it is believed to have; 0 for none. */
+  version: number;
   /** How many there were to choose from. */
   choices: number;
 }
@@ -87,14 +91,38 @@
     addSlowness(candidates, this.#table);
     const choice = chooseBackEnd(candidates, this.#self, this.#random);
     if (choice === undefined) return undefined;
+    const row = this.#table.rows.get(choice.candidate.id)!;
     return {
-      row: this.#table.rows.get(choice.candidate.id)!,
+      row,
+      version: wholeVersion(row, this.#fleet.routes?.service(requirements.service)?.engine?.layers ?? 0),
       expectedWait: choice.expectedWait,
       expectedVersion: requirements.version ?? this.#expectedVersion(choice.candidate.id, now),
       choices: candidates.length,
     };
   }
 
+  /**
+   * Time until an engine of `service` is expected to take requests, in milliseconds; infinite where none is in sight,
+   * undefined where capacity is there, only not for every request.
+   */
+  expectedCapacity(service: string): number | undefined {
+    const now = performance.now();
+    const engine = this.#fleet.routes?.service(service)?.engine;
+    if (engine === undefined) return undefined;
+    let soonest = Number.POSITIVE_INFINITY;
+    for (const row of this.#table.ofService(service)) {
+      const { record, news } = row;
+      if (record.leaving) continue;
+      const version = wholeVersion(row, engine.layers);
+      const serves = version > 0 && version >= this.#lowestVersion(engine, now, 0);
+      if (serves && news?.isSwitching !== true) return undefined;
+      if (news === undefined) continue;
+      const readyAt = news.isSwitching ? now + SWITCH_TIME : news.switchAt + SWITCH_TIME;
+      soonest = Math.min(soonest, Math.max(0, readyAt - now));
+    }
+    return soonest;
+  }
+
   /** Lowest version that a request may start on after `wait` milliseconds; 0 for any. */
   #lowestVersion(engine: EngineShape, now: number, wait: number): number {
     const lowest = engine.models.map(({ name }) => {
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -2,17 +2,10 @@
  * The back ends that requests may go to: what the list says, what their agents say, what is in flight there from here
  * and from other entries, and how they did. Rows go with their records.
  */
-import { Pool } from 'undici';
 import type { BackEndChange, BackEndRecord, HeldLayers } from '../fleet/back-end-list.js';
+import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
 
-/** Idle connections are kept this long where the back end says nothing, in milliseconds. */
-const IDLE_CONNECTION_TIME = 20_000;
-const LONGEST_IDLE_CONNECTION_TIME = 60_000;
-/** Time after which the client library gives a new connection up; requests give up sooner. */
-const CONNECT_LIMIT = 1_500;
-/** Most connections to one back end; what is in flight bounds them further. */
-const MOST_CONNECTIONS = 128;
 /** Weight of the newest time to a first answer, and of the newest duration. */
 const TIME_WEIGHT = 0.1;
 /** The longest of the latest times fades by this with each answer, and halves in this time without any, in milliseconds. */
@@ -32,7 +25,7 @@
 /** One back end. */
 export interface BackEndRow {
   record: BackEndRecord;
-  pool: Pool;
+  connections: BackEndConnections;
   health: BackEndHealth;
   /** Requests sent from here that have not ended. */
   inFlight: number;
@@ -99,7 +92,7 @@
   }
 
   async stop(): Promise<void> {
-    await Promise.all([...this.rows.values()].map(({ pool }) => pool.destroy()));
+    await Promise.all([...this.rows.values()].map(({ connections }) => connections.destroy()));
   }
 
   #set(record: BackEndRecord): void {
@@ -120,23 +113,14 @@
     this.rows.delete(id);
     this.#rowsByService.get(row.record.service)?.delete(row);
     this.#newsByAddress.delete(row.record.address);
-    // Requests in flight end first; idle connections close at once.
-    void row.pool.close().catch(() => {});
+    void row.connections.close().catch(() => {});
   }
 }
 
 function createRow(record: BackEndRecord): BackEndRow {
   return {
     record,
-    pool: new Pool(`http://${record.address}`, {
-      connections: MOST_CONNECTIONS,
-      pipelining: 1,
-      keepAliveTimeout: IDLE_CONNECTION_TIME,
-      keepAliveMaxTimeout: LONGEST_IDLE_CONNECTION_TIME,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: { timeout: CONNECT_LIMIT },
-    }),
+    connections: new BackEndConnections(record.address),
     health: new BackEndHealth(),
     inFlight: 0,
     unreadTokens: 0,
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -11,7 +11,7 @@
 import { hash32 } from '../model/random.js';
 import { type AnswerHead, Attempt, type AttemptFailure } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
-import { type BackEndRow, blend, noteFirstAnswer } from './back-end-table.js';
+import { type BackEndRow, blend, loadOf, noteFirstAnswer } from './back-end-table.js';
 import { type CallerBody, readCallerBody } from './caller-body.js';
 import { EventRelay } from './event-relay.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
@@ -32,11 +32,19 @@
 const LONGEST_WAIT = 1_800;
 /** Answers that are not streams are kept back up to this, so that a broken one can be replaced, in bytes. */
 const KEPT_ANSWER_BYTES = 65_536;
-/** A body that is refused comes back after this, in seconds, times 1 to 2. */
+/** A request that is refused comes back after this, in seconds, times 1 to 2. */
 const RETRY_AFTER = 0.4;
+/** Callers are not asked to wait longer than this for capacity that is to come, in seconds. */
+const LONGEST_RETRY_AFTER = 2;
+/** A request waits here for capacity that is expected within this time, and no longer than this, in milliseconds. */
+const CAPACITY_IN_SIGHT = 1_000;
+const LONGEST_HOLD = 1_300;
+/** Urgency of requests that cannot be in time any more: the last. */
+const LATE_URGENCY = 9;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
 const MOST_SENDS = 4;
 const INTERNAL_ERROR = 500;
+const MILLISECONDS = 1_000;
 
 /** How a request ended, for counters. */
 export type RequestOutcome =
@@ -73,11 +81,17 @@
   #sends = 0;
   /** Back ends that may have run it. */
   #runs = 0;
+  /** Since when it waits for capacity. */
+  #heldSince: number | undefined;
   #head: AnswerHead | undefined;
   #kept: Buffer[] = [];
   #keptBytes = 0;
   #relay: EventRelay | undefined;
   #version: number | undefined;
+  /** True once the back end has read the prompt, or the attempt has ended. */
+  #isRead = true;
+  /** Time to the first part of the answer, in milliseconds. */
+  #firstAnswerAfter: number | undefined;
   #answeredAt = 0;
   #progressAt = 0;
   #settled = false;
@@ -117,6 +131,7 @@
 
   /** Ends attempts that are owed something for too long; called by the shared tick. */
   check(now: number): void {
+    if (this.#heldSince !== undefined && !this.#settled) return this.#send();
     const { attempt, row } = { attempt: this.#attempt, row: this.#row };
     if (attempt === undefined || row === undefined || this.#settled) return;
     if (!attempt.sent) {
@@ -163,7 +178,8 @@
       version: this.#version,
       tried: this.#tried,
     });
-    if (selection === undefined) return this.#giveUp('no back end');
+    if (selection === undefined) return this.#holdOrGiveUp();
+    this.#heldSince = undefined;
     if (selection.expectedWait > LONGEST_WAIT) return this.#giveUp('back ends full');
     const { row } = selection;
     this.#row = row;
@@ -171,6 +187,8 @@
     this.#sends++;
     row.inFlight++;
     row.unreadTokens += this.#promptTokens;
+    this.#isRead = false;
+    this.#firstAnswerAfter = undefined;
     row.health.noteSent();
     this.#progressAt = performance.now();
     if (row.inFlight === 1) row.progressAt = this.#progressAt;
@@ -191,8 +209,28 @@
       },
     );
     this.#attempt = attempt;
-    this.#components.log.debug('sent', { request: this.#id, backEnd: row.record.id, send: this.#sends });
-    attempt.send(row.pool);
+    this.#log('sent', {
+      send: this.#sends,
+      backEnd: row.record.id,
+      load: loadOf(row),
+      waitMs: Math.round(selection.expectedWait),
+      choices: selection.choices,
+      version: selection.version,
+      configuration: this.#table.configuration.revision,
+    });
+    attempt.send(row.connections);
+  }
+
+  /** Waits for capacity that is in sight; gives up at once where it is not. */
+  #holdOrGiveUp(): void {
+    const now = performance.now();
+    const capacity = this.#components.selector.expectedCapacity(this.#service);
+    const wasHeld = this.#heldSince !== undefined;
+    this.#heldSince ??= now;
+    const isInSight = capacity !== undefined && capacity < CAPACITY_IN_SIGHT;
+    const mayWait = now - this.#heldSince < LONGEST_HOLD && !this.#response.headersSent;
+    if (!isInSight || !mayWait) return this.#giveUp('no back end', capacity);
+    if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity) });
   }
 
   #bodyToSend(): Buffer | import('node:stream').Readable | null {
@@ -212,7 +250,8 @@
     kept.push(names.expectedBackEnd, row.record.id);
     if (this.#tenant !== undefined) kept.push(names.tenant, this.#tenant);
     if (version !== undefined) kept.push(names.expectedVersion, String(version));
-    if (this.#route.isStream) kept.push(names.urgency, String(Math.min(9, this.#urgency)));
+    if (this.#route.isStream)
+      kept.push(names.urgency, String(this.#isLate ? LATE_URGENCY : Math.min(LATE_URGENCY, this.#urgency)));
     const lastEventId = this.#relay?.lastEventId ?? headers[LAST_EVENT_ID];
     if (lastEventId !== undefined) kept.push(LAST_EVENT_ID, String(lastEventId));
     return kept;
@@ -347,13 +386,21 @@
   }
 
   /** No back end can take the request now. */
-  #giveUp(reason: string): void {
+  #giveUp(reason: string, capacity = 0): void {
+    this.#heldSince = undefined;
     if (this.#response.headersSent) return this.#cut(reason);
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
-    const retryAfter = RETRY_AFTER * (1 + this.#components.random.fraction());
+    const soon = RETRY_AFTER * (1 + this.#components.random.fraction());
+    const retryAfter = Math.min(LONGEST_RETRY_AFTER, soon + capacity / MILLISECONDS);
     this.#finish({ type: 'unavailable', reason, retryAfter });
   }
 
+  /** True where the answer cannot be in time any more: a caller that asks again has less time left than its route gives. */
+  get #isLate(): boolean {
+    const spent = this.#arrivedAt + this.#route.timeout - this.#endsAt;
+    return spent + performance.now() - this.#arrivedAt > this.#route.objective;
+  }
+
   #onTimeout(): void {
     if (this.#settled) return;
     const mayHaveRun = this.#runs > 0 || this.#attempt?.sent === true;
@@ -407,7 +454,12 @@
       const took = now - this.#attempt!.startedAt;
       row.duration = blend(row.duration, took);
       if (this.#answerTokens > 0) row.timePerToken = blend(row.timePerToken, took / this.#answerTokens);
-      this.#log('served', { backEnd: row.record.id, tookMs: Math.round(took), tokens: this.#answerTokens });
+      this.#log('served', {
+        backEnd: row.record.id,
+        tookMs: Math.round(took),
+        firstMs: this.#firstAnswerAfter,
+        version: this.#version,
+      });
     }
     this.#row = undefined;
     this.#attempt = undefined;
@@ -423,11 +475,13 @@
   /** The back end has begun to answer: it has read the prompt. */
   #noteRead(): void {
     const row = this.#row;
-    if (row === undefined || this.#promptTokens < 0) return;
-    if (this.#answeredAt > 0 && this.#promptTokens > 0)
-      noteFirstAnswer(row, performance.now() - this.#attempt!.startedAt, performance.now());
+    if (row === undefined || this.#isRead) return;
+    this.#isRead = true;
     row.unreadTokens -= this.#promptTokens;
-    this.#promptTokens = 0;
+    if (this.#answeredAt === 0) return;
+    const now = performance.now();
+    this.#firstAnswerAfter = Math.round(now - this.#attempt!.startedAt);
+    if (this.#route.isStream) noteFirstAnswer(row, this.#firstAnswerAfter, now);
   }
 
   #settle(outcome: RequestOutcome): void {
--- a/src/peers/entry-link.ts
+++ b/src/peers/entry-link.ts
@@ -11,6 +11,10 @@
 /** Without a plan for this long the entry is left, in milliseconds. */
 const PLAN_LIMIT = 2_000;
 const CHECK_INTERVAL = 250;
+/** Time between the first words to one entry and to the next, in milliseconds. */
+const STAGGER = 120;
+/** A try that takes longer is given up: a machine that comes back would be noticed late, in milliseconds. */
+const DIAL_LIMIT = 700;
 
 /** What the link works with. */
 export interface EntryLinkOptions {
@@ -52,15 +56,35 @@
 
   async #run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      for (const address of this.#candidates()) {
-        const connected = await connect(address, this.#options.context, signal);
-        if (connected.ok) await this.#use(connected.value, signal);
-        if (signal.aborted) return;
-      }
-      await sleep(ROUND_PAUSE * (1 + this.#options.random.fraction()), signal);
+      const connection = await this.#dial(signal);
+      if (connection !== undefined) await this.#use(connection, signal);
+      else await sleep(ROUND_PAUSE * (1 + this.#options.random.fraction()), signal);
     }
   }
 
+  /**
+   * Asks the candidates, a moment after one another, until one answers: one that is cut off would answer nothing for
+   * long.
+   */
+  async #dial(signal: AbortSignal): Promise<Connection | undefined> {
+    const others = new AbortController();
+    const round = AbortSignal.any([signal, others.signal]);
+    const first = new Promise<Connection | undefined>((resolve) => {
+      const tries = this.#candidates().map(async (address, place) => {
+        await sleep(place * STAGGER, round);
+        if (round.aborted) return;
+        const limit = AbortSignal.any([round, AbortSignal.timeout(DIAL_LIMIT)]);
+        const connected = await connect(address, this.#options.context, limit);
+        if (!connected.ok) return;
+        if (round.aborted) return connected.value.close();
+        others.abort();
+        resolve(connected.value);
+      });
+      void Promise.all(tries).then(() => resolve(undefined));
+    });
+    return first;
+  }
+
   /** Entries that were told of, nearest first, then those of the settings. */
   #candidates(): string[] {
     return [...new Set([...this.#entries, ...this.#options.seeds])];
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -20,6 +20,8 @@
 /** Time between two tries to reach an entry, in milliseconds. */
 const FIRST_REDIAL = 300;
 const LONGEST_REDIAL = 4_000;
+/** A try that takes longer is given up: a machine that comes back would be noticed late, in milliseconds. */
+const DIAL_LIMIT = 700;
 /** Time between two tellings of all addresses, in milliseconds. */
 const ADDRESSES_INTERVAL = 2_000;
 
@@ -130,7 +132,8 @@
   #dial(row: PeerRow, now: number): void {
     if (row.isDialling || now < row.dialAt) return;
     row.isDialling = true;
-    void connect(row.address, this.#options.context, this.#stopped.signal).then((connected) => {
+    const limit = AbortSignal.any([this.#stopped.signal, AbortSignal.timeout(DIAL_LIMIT)]);
+    void connect(row.address, this.#options.context, limit).then((connected) => {
       row.isDialling = false;
       if (!connected.ok) {
         row.dialAt = performance.now() + row.redial;
--- a/src/roles/direct-agent.ts
+++ b/src/roles/direct-agent.ts
@@ -3,6 +3,8 @@
 import Router from '@koa/router';
 import Koa from 'koa';
 import type { ListedObjectStore } from '../clients/object-store.js';
+import type { WatchedTables } from '../clients/watched-tables.js';
+import type { RecordDecoder } from '../fleet/record-decoder.js';
 import { hash32, seededRandom } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import { HybridClock } from '../observability/hybrid-clock.js';
@@ -16,6 +18,7 @@
 import { pieceRoutes } from '../weights/piece-server.js';
 import type { PieceOriginFactory } from '../weights/piece-source.js';
 import type { StagedEngine } from '../weights/staged-engine.js';
+import { StorePlan } from '../weights/store-plan.js';
 import type { DirectAgentSettings } from './settings.js';
 
 /** How a platform is met. */
@@ -23,13 +26,15 @@
   objects: ListedObjectStore;
   originAt: PieceOriginFactory;
   engine: StagedEngine;
+  tables: WatchedTables;
+  decoder: RecordDecoder;
   metricsPath: string;
 }
 
 /** Creates an agent from its settings. */
 export function createDirectAgent(
   settings: DirectAgentSettings,
-  { objects, originAt, engine, metricsPath }: DirectAgentContracts,
+  { objects, originAt, engine, tables, decoder, metricsPath }: DirectAgentContracts,
   log: Log,
 ): Startable {
   const id = `${settings.name}#${randomBytes(4).toString('hex')}`;
@@ -75,6 +80,7 @@
     httpServer(settings.metrics, applicationOf(metricsRoutes(metrics, metricsPath)).callback()),
     link,
     loader,
+    new StorePlan({ tables, decoder, versionBound: settings.versionBound, loader, log }),
   ]);
   return {
     async start() {
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -8,7 +8,7 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import { sleep } from '../fleet/table-follower.js';
 import { ChunkSet } from '../model/chunk-set.js';
-import { type Random, rendezvousOrder } from '../model/random.js';
+import { hash32, type Random, rendezvousOrder } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
@@ -24,6 +24,7 @@
 import type { PieceOrigin, PieceOriginFactory, PieceSource } from './piece-source.js';
 import {
   fetchManifest,
+  fetchStoredManifest,
   holds,
   objectSource,
   originSource,
@@ -191,9 +192,8 @@
       const origin = this.#origin();
       const drawn = await origin?.manifest(version, limit());
       if (drawn?.ok) return drawn.value;
-      const stored = await this.#options.objects.get(storedManifestKey(version), limit());
-      const parsed = stored.ok ? parseManifest(stored.value, version) : undefined;
-      if (parsed !== undefined) return parsed;
+      const stored = await fetchStoredManifest(this.#options.objects, version, limit());
+      if (stored !== undefined) return stored;
       await sleep(REVIEW_INTERVAL, signal);
     }
     return undefined;
@@ -223,7 +223,16 @@
     }
     const stored = this.#storedParts(collection);
     const { objects } = this.#options;
-    sources.push(objectSource({ objects, manifest, stored, patience: standIn, batchTime: OBJECT_LIMIT }));
+    sources.push(
+      objectSource({
+        objects,
+        manifest,
+        stored,
+        patience: standIn,
+        batchTime: OBJECT_LIMIT,
+        offset: hash32(this.#options.self.id),
+      }),
+    );
     for (const { address, report } of this.#options.agents()) {
       const there = report?.held.find((other) => keyOf(other) === keyOf(version));
       if (there === undefined) continue;
@@ -381,12 +390,3 @@
     return endpoint === undefined ? undefined : this.#options.originAt(endpoint.address);
   }
 }
-
-function parseManifest(bytes: Buffer, { model, version }: WeightsVersion): PieceManifest | undefined {
-  try {
-    const manifest = JSON.parse(bytes.toString('utf8')) as PieceManifest;
-    return manifest.model === model && manifest.version === version ? manifest : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -21,7 +21,15 @@
 } from './held-weights.js';
 import { type FetchPace, PieceFetcher } from './piece-fetcher.js';
 import type { PieceOriginFactory, PieceSource } from './piece-source.js';
-import { fetchManifest, holds, objectSource, originSource, partsOf, processSource } from './piece-sources.js';
+import {
+  fetchManifest,
+  fetchStoredManifest,
+  holds,
+  objectSource,
+  originSource,
+  partsOf,
+  processSource,
+} from './piece-sources.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
 import { isWorthTaking, switchTime } from './switch-schedule.js';
 
@@ -115,6 +123,11 @@
     this.#reviewFetches();
   }
 
+  /** True once an entry, or the store, has told what to load. */
+  get hasPlan(): boolean {
+    return this.#plan !== undefined;
+  }
+
   /** Tells an entry that has just been connected. */
   report(): void {
     this.#reported = '';
@@ -247,6 +260,8 @@
         const answer = await this.#options.originAt(origin).manifest(version, this.#limit(signal));
         if (answer.ok) return answer.value;
       }
+      const stored = await fetchStoredManifest(this.#options.objects, version, this.#limit(signal));
+      if (stored !== undefined) return stored;
       await sleep(LOOK_INTERVAL, signal);
     }
     return undefined;
@@ -276,10 +291,12 @@
         }),
       );
     });
-    if (plan.holders.length === 0) for (const { index } of partsOf(manifest)) stored.add(index);
     const { objects, originAt } = this.#options;
+    const isAlone = plan.holders.length === 0;
+    if (isAlone) for (const { index } of partsOf(manifest)) stored.add(index);
+    // Links between regions carry one copy a second: many agents at the store would share it.
     const patience = OBJECT_PATIENCE * this.#impatience;
-    sources.push(objectSource({ objects, manifest, stored, patience, batchTime: BATCH_LIMIT }));
+    sources.push(objectSource({ objects, manifest, stored, patience, batchTime: BATCH_LIMIT, offset }));
     if (plan.origin === '') return sources;
     sources.push(
       originSource({
@@ -347,16 +364,17 @@
 
   /** Time until the engine is to be ordered to take a version, as far as can be told; undefined where none is due. */
   #switchesIn(): number | undefined {
-    if (this.#wholeVersion === 0 || this.#isSwitching) return undefined;
+    if (this.#isSwitching) return undefined;
     const now = performance.now();
     const due = [...this.#fetches.values()].flatMap(({ held, fetcher }) => {
       if (held === undefined || fetcher === undefined || held.manifest.version <= this.#wholeVersion)
         return [];
       if (!this.#isWorthwhile(held)) return [];
       const completeAt = this.#completeAt.get(keyOf(held.manifest)) ?? fetcher.expectedEnd;
-      return Math.max(now, this.#switchTime(held, completeAt)) - now;
+      return Math.max(now, completeAt, this.#switchTime(held, completeAt)) - now;
     });
-    return due.length === 0 ? undefined : Math.min(...due);
+    const next = Math.min(...due);
+    return Number.isFinite(next) ? next : undefined;
   }
 
   async #stage(held: HeldWeights, signal: AbortSignal): Promise<void> {
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -110,7 +110,8 @@
       const row = this.#row(source);
       if (now - this.#progressAt < source.patience && now >= row.resortedUntil) continue;
       while (row.open < source.parallel && now >= row.restsUntil && this.#open < pace.open) {
-        const batch = source.nextBatch(this.#wanted(now)).slice(0, pace.batch);
+        const next = source.nextBatch(this.#wanted(now));
+        const batch = source.isDivisible ? next.slice(0, pace.batch) : next;
         if (batch.length === 0) break;
         void this.#fetch(source, row, batch, signal);
       }
--- a/src/weights/piece-source.ts
+++ b/src/weights/piece-source.ts
@@ -18,6 +18,8 @@
   readonly parallel: number;
   /** Time for one batch, in milliseconds. */
   readonly batchTime: number;
+  /** False where a part of a batch costs as much as all of it. */
+  readonly isDivisible: boolean;
   /** Of the pieces that are wanted those to ask for next; empty where it has none. */
   nextBatch(wanted: readonly number[]): number[];
   fetch(batch: readonly number[], signal: AbortSignal): Promise<Result<Pieces, PieceSourceError>>;
--- a/src/weights/piece-sources.ts
+++ b/src/weights/piece-sources.ts
@@ -33,6 +33,7 @@
     patience,
     parallel,
     batchTime,
+    isDivisible: true,
     nextBatch: (wanted) => rotate(wanted.filter(has), offset).slice(0, batchSize),
     async fetch(batch, signal) {
       const url = `http://${address}${piecesPath(manifest.model, manifest.version, batch)}`;
@@ -57,6 +58,25 @@
   return parsed.ok ? parsed : failed(parsed.error.type);
 }
 
+/** Reads the manifest of a version from the object store; undefined where it is not there, or cannot be read. */
+export async function fetchStoredManifest(
+  objects: ObjectStore,
+  version: WeightsVersion,
+  signal: AbortSignal,
+): Promise<PieceManifest | undefined> {
+  const stored = await objects.get(storedManifestKey(version), signal);
+  return stored.ok ? parseManifest(stored.value, version) : undefined;
+}
+
+function parseManifest(bytes: Buffer, { model, version }: WeightsVersion): PieceManifest | undefined {
+  try {
+    const manifest = JSON.parse(bytes.toString('utf8')) as PieceManifest;
+    return manifest.model === model && manifest.version === version ? manifest : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /** Several pieces of a version that lie in one object. */
 export interface StoredPart {
   index: number;
@@ -94,14 +114,17 @@
   stored: ReadonlySet<number>;
   patience: number;
   batchTime: number;
+  /** A number that spreads receivers that do not know of one another over the parts. */
+  offset: number;
 }): PieceSource {
-  const { objects, manifest, stored, patience, batchTime } = options;
-  const parts = partsOf(manifest);
+  const { objects, manifest, stored, patience, batchTime, offset } = options;
+  const parts = rotate(partsOf(manifest), offset);
   return {
     name: 'objects',
     patience,
     batchTime,
     parallel: 2,
+    isDivisible: false,
     nextBatch(wanted) {
       const missing = new Set(wanted);
       const part = parts.find(
@@ -141,6 +164,7 @@
     patience,
     parallel,
     batchTime,
+    isDivisible: true,
     nextBatch: (wanted) => rotateFrom(wanted, offset).filter(mayDraw).slice(0, 1),
     async fetch([index], signal) {
       const piece = await origin.piece(version, index, signal);
@@ -175,7 +199,7 @@
   return [...indexes.filter((index) => index >= start), ...indexes.filter((index) => index < start)];
 }
 
-function rotate(items: number[], offset: number): number[] {
+function rotate<T>(items: T[], offset: number): T[] {
   if (items.length === 0) return items;
   const start = offset % items.length;
   return [...items.slice(start), ...items.slice(0, start)];
--- /dev/null
+++ b/src/weights/store-plan.ts
@@ -0,0 +1,86 @@
+/**
+ * What an agent is to load, read from the store: for the moments in which no entry tells, as when all machines start
+ * again together.
+ */
+import type { WatchedTables } from '../clients/watched-tables.js';
+import type { FleetConfiguration } from '../fleet/configuration.js';
+import type { RecordDecoder } from '../fleet/record-decoder.js';
+import { sleep } from '../fleet/table-follower.js';
+import type { Startable } from '../model/startable.js';
+import type { Log } from '../observability/log.js';
+import { LONG_AGO, type VersionAge, type WeightsPlan } from '../peers/reports.js';
+import type { EngineLoader } from './engine-loader.js';
+
+/** An entry has this long to tell before the store is asked, and again between two tries, in milliseconds. */
+const ENTRY_PATIENCE = 250;
+const RETRY_PAUSE = 1_500;
+const CALL_LIMIT = 1_000;
+
+/** What the plan is read with. */
+export interface StorePlanOptions {
+  tables: WatchedTables;
+  decoder: RecordDecoder;
+  /** Time in which a named version must serve everywhere, in milliseconds. */
+  versionBound: number;
+  loader: EngineLoader;
+  log: Log;
+}
+
+/** Asks the store until there is a plan from anywhere. */
+export class StorePlan implements Startable {
+  readonly #options: StorePlanOptions;
+  #stopped = new AbortController();
+
+  constructor(options: StorePlanOptions) {
+    this.#options = options;
+  }
+
+  async start(): Promise<void> {
+    this.#stopped = new AbortController();
+    void this.#run(this.#stopped.signal);
+  }
+
+  async stop(): Promise<void> {
+    this.#stopped.abort();
+  }
+
+  async #run(signal: AbortSignal): Promise<void> {
+    await sleep(ENTRY_PATIENCE, signal);
+    while (!signal.aborted && !this.#options.loader.hasPlan) {
+      const plan = await this.#read(signal);
+      if (plan !== undefined && !this.#options.loader.hasPlan) {
+        this.#options.log.info('plan read from the store', { versions: plan.versions });
+        this.#options.loader.takePlan(plan);
+        return;
+      }
+      await sleep(RETRY_PAUSE, signal);
+    }
+  }
+
+  /** The newest named versions; undefined where the store does not answer, or none is named. */
+  async #read(signal: AbortSignal): Promise<WeightsPlan | undefined> {
+    const { tables, decoder, versionBound } = this.#options;
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
+    const read = await tables.read(decoder.operatorTable, '', limit);
+    if (!read.ok) return undefined;
+    let configuration: FleetConfiguration | undefined;
+    const versions: VersionAge[] = [];
+    for (const row of read.value.rows) {
+      const record = decoder.operatorRecord(row);
+      if (record?.type === 'configuration') configuration = record.document.configuration;
+      if (record?.type === 'namedVersion')
+        versions.push({ model: record.model, version: record.version, age: LONG_AGO });
+    }
+    if (configuration === undefined || versions.length === 0) return undefined;
+    return {
+      versions,
+      bound: versionBound,
+      origin: configuration.origin?.address ?? '',
+      layers: configuration.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
+      position: 0,
+      holders: [],
+      entries: [],
+      hasNearEntry: false,
+    };
+  }
+}
