--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -7,6 +7,7 @@
   type BackEndTable,
   loadOf,
   longestRecentAnswer,
+  longestWait,
   wholeVersion,
 } from './back-end-table.js';
 import { type Candidate, chooseBackEnd, expectedWait, type Position } from './selection.js';
@@ -24,7 +25,7 @@
 const VERSION_MARGIN_WAITS = 1.5;
 /** Where most slots are taken, requests of others that are not known of yet make the wait longer, in milliseconds. */
 const VERSION_MARGIN_BUSY = 1_600;
-const BUSY_SHARE = 0.8;
+const BUSY_SHARE = 0.6;
 const MILLISECONDS = 1_000;
 /** Usual time from the order to take a version to its first request, in milliseconds. */
 const SWITCH_TIME = 400;
@@ -167,7 +168,11 @@
 
   /** Time for which requests wait at `row` before they begin, in milliseconds. */
   #usualWait(row: BackEndRow, now: number): number {
-    return Math.max(longestRecentAnswer(row, now), expectedWait(this.#candidate(row, 0, now)));
+    return Math.max(
+      longestRecentAnswer(row, now),
+      longestWait(row, now),
+      expectedWait(this.#candidate(row, 0, now)),
+    );
   }
 
   /** The version that a back end is asked to have, once an older one may not answer any more. */
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -10,7 +10,9 @@
 const TIME_WEIGHT = 0.1;
 /** The longest of the latest times fades by this with each answer, and halves in this time without any, in milliseconds. */
 const ANSWER_TIME_FADING = 0.9;
-const ANSWER_TIME_HALF_LIFE = 500;
+const ANSWER_TIME_HALF_LIFE = 1_500;
+/** What an agent says of the load holds for this long, in milliseconds. */
+const LOAD_LIFE = 600;
 
 /** What an agent says of the engine beside it. */
 export interface EngineNews {
@@ -18,6 +20,9 @@
   version: number;
   /** The engine is about to take another version, and takes nothing new. */
   isSwitching: boolean;
+  /** Requests of all callers that ran or waited there, and when that was told. */
+  load: number;
+  toldAt: number;
   /** When it is to be ordered to, in milliseconds of the steady clock; infinite where that is not due. */
   switchAt: number;
 }
@@ -29,7 +34,9 @@
   health: BackEndHealth;
   /** Requests sent from here that have not ended. */
   inFlight: number;
-  /** Prompt tokens of those that have not answered yet. */
+  /** Those that have not answered yet, oldest first. */
+  unanswered: Set<{ readonly startedAt: number }>;
+  /** Their prompt tokens. */
   unreadTokens: number;
   /** Requests in flight from each other entry. */
   inFlightElsewhere: Map<string, number>;
@@ -50,7 +57,6 @@
 export class BackEndTable {
   readonly rows = new Map<string, BackEndRow>();
   readonly #rowsByService = new Map<string, Set<BackEndRow>>();
-  readonly #newsByAddress = new Map<string, EngineNews>();
 
   /** Follows changes of the list. */
   apply(changes: readonly BackEndChange[]): void {
@@ -67,7 +73,6 @@
 
   /** An agent tells of the engine at `address`. */
   takeNews(address: string, news: EngineNews): void {
-    this.#newsByAddress.set(address, news);
     for (const row of this.rows.values()) if (row.record.address === address) row.news = news;
   }
 
@@ -112,7 +117,6 @@
     if (row === undefined) return;
     this.rows.delete(id);
     this.#rowsByService.get(row.record.service)?.delete(row);
-    this.#newsByAddress.delete(row.record.address);
     void row.connections.close().catch(() => {});
   }
 }
@@ -123,6 +127,7 @@
     connections: new BackEndConnections(record.address),
     health: new BackEndHealth(),
     inFlight: 0,
+    unanswered: new Set(),
     unreadTokens: 0,
     inFlightElsewhere: new Map(),
     longestAnswerTime: 0,
@@ -145,11 +150,18 @@
   return layers !== undefined && layers.from === 0 && layers.end >= layerCount;
 }
 
-/** Requests of all entries at `row`, as far as known. */
-export function loadOf({ inFlight, inFlightElsewhere }: BackEndRow): number {
+/** Requests of all entries at `row`, as far as known: the more of what entries and its agent say. */
+export function loadOf({ inFlight, inFlightElsewhere, news }: BackEndRow, now = performance.now()): number {
   let load = inFlight;
   for (const other of inFlightElsewhere.values()) load += other;
-  return load;
+  const isFresh = news !== undefined && now - news.toldAt < LOAD_LIFE;
+  return isFresh ? Math.max(load, news.load) : load;
+}
+
+/** For how long the request that waits longest at `row` has had no answer, in milliseconds. */
+export function longestWait({ unanswered }: BackEndRow, now: number): number {
+  const [oldest] = unanswered;
+  return oldest === undefined ? 0 : now - oldest.startedAt;
 }
 
 /** Notes the time to a first answer. */
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -218,6 +218,7 @@
       version: selection.version,
       configuration: this.#table.configuration.revision,
     });
+    row.unanswered.add(attempt);
     attempt.send(row.connections);
   }
 
@@ -478,6 +479,7 @@
     if (row === undefined || this.#isRead) return;
     this.#isRead = true;
     row.unreadTokens -= this.#promptTokens;
+    if (this.#attempt !== undefined) row.unanswered.delete(this.#attempt);
     if (this.#answeredAt === 0) return;
     const now = performance.now();
     this.#firstAnswerAfter = Math.round(now - this.#attempt!.startedAt);
--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -29,6 +29,8 @@
   /** Version whose layers are all there; 0 for none. */
   version: number;
   isSwitching: boolean;
+  /** Requests of all callers that run or wait there. */
+  load: number;
   /** Time until it is to be ordered to take another version, in milliseconds; undefined where none is due. */
   switchesIn: number | undefined;
   /** What the agent holds. */
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -411,10 +411,10 @@
   }
 }
 
-function engineNews({ version, isSwitching, switchesIn }: EngineReport): EngineNews {
+function engineNews({ version, isSwitching, load, switchesIn }: EngineReport): EngineNews {
+  const toldAt = performance.now();
   // The codec carries no undefined in lists.
-  const switchAt = performance.now() + (switchesIn ?? Number.POSITIVE_INFINITY);
-  return { version, isSwitching, switchAt };
+  return { version, isSwitching, load, toldAt, switchAt: toldAt + (switchesIn ?? Number.POSITIVE_INFINITY) };
 }
 
 /** Names of the headers that callers may not set. */
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -37,6 +37,8 @@
 const LOOK_INTERVAL = 250;
 /** The engine is reported at least this often, in milliseconds. */
 const REPORT_INTERVAL = 1_000;
+/** A change of the load that is told at once. */
+const TOLD_LOAD_STEP = 3;
 const CALL_LIMIT = 1_000;
 const BATCH_LIMIT = 4_000;
 const ORIGIN_LIMIT = 4_000;
@@ -436,12 +438,14 @@
       address: this.#options.engineAddress,
       version: this.#wholeVersion,
       isSwitching: this.#isSwitching || this.#engine?.isBusy === true,
+      load: this.#engine?.load ?? 0,
       switchesIn: this.#switchesIn(),
       held: this.#held(),
     };
     const text = JSON.stringify([
       report.version,
       report.isSwitching,
+      Math.round(report.load / TOLD_LOAD_STEP),
       report.held.map(({ version, have }) => [version, have]),
     ]);
     const now = performance.now();
--- a/src/weights/staged-engine.ts
+++ b/src/weights/staged-engine.ts
@@ -14,6 +14,8 @@
   layers: HeldLayers | undefined;
   /** An order is being carried out. */
   isBusy: boolean;
+  /** Requests of all callers that run or wait there. */
+  load: number;
   /** Orders that it has taken. */
   sequence: number;
 }
