--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -31,7 +31,7 @@
   processSource,
 } from './piece-sources.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
-import { isWorthTaking, switchTime } from './switch-schedule.js';
+import { shouldSkip, switchTime } from './switch-schedule.js';
 
 /** Time between two looks at the engine, in milliseconds. */
 const LOOK_INTERVAL = 250;
@@ -51,8 +51,13 @@
 /** An engine that serves nothing has its link for itself; one that serves shares it with its requests. */
 const IDLE_PACE: FetchPace = { open: 2, batch: ENTRY_BATCH, share: 1 };
 const SERVING_PACE: FetchPace = { open: 2, batch: 1, share: 1 };
+/** A piece that takes this long comes over a narrow link, in milliseconds: requests would wait behind several. */
+const SLOW_PIECE = 250;
+const NARROW_PACE: FetchPace = { open: 1, batch: 1, share: 0.5 };
 /** Pieces that are laid into the stage at the same time. */
 const STAGE_PARALLEL = 4;
+/** Time to fetch a version where nothing is known of it yet, in milliseconds. */
+const USUAL_FETCH = 3_600;
 /** A version of which no piece came for this long does not hold others up, in milliseconds. */
 const STALLED = 700;
 /** The engine is told of as switching this long before the order, in milliseconds, so that nothing new comes. */
@@ -213,7 +218,7 @@
     fetch.held = held;
     const sources = () => this.#sources(held);
     const mayAsk = () => this.#mayAsk(version);
-    const pace = () => (this.#wholeVersion === 0 ? IDLE_PACE : SERVING_PACE);
+    const pace = () => this.#pace(fetch.fetcher);
     fetch.fetcher = new PieceFetcher({ held, library, sources, mayAsk, pace, random, log });
     await fetch.fetcher.run(signal);
     this.#completeAt.set(keyOf(version), performance.now());
@@ -236,15 +241,16 @@
     return true;
   }
 
+  #pace(fetcher: PieceFetcher | undefined): FetchPace {
+    if (this.#wholeVersion === 0) return IDLE_PACE;
+    return (fetcher?.batchTime ?? 0) > SLOW_PIECE ? NARROW_PACE : SERVING_PACE;
+  }
+
   /** Whether `one` is fetched before `other`. */
   #goesBefore(one: WeightsVersion, other: WeightsVersion): boolean {
     if (one.version === other.version) return false;
-    const newest = this.#versions.newest(one.model)?.version ?? 0;
-    const position = this.#plan?.position ?? 0;
-    const isLeftOut = (version: number) =>
-      this.#wholeVersion === 0 || !isWorthTaking(position, version, newest);
-    const older = Math.min(one.version, other.version);
-    return isLeftOut(older) ? one.version > other.version : one.version < other.version;
+    const older = one.version < other.version ? one : other;
+    return this.#isWorthwhile(older) ? one.version < other.version : one.version > other.version;
   }
 
   async #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
@@ -334,14 +340,33 @@
       .filter(({ complete, manifest }) => complete && (state.model === '' || manifest.model === state.model))
       .filter(({ manifest }) => manifest.version > this.#wholeVersion)
       .sort((a, b) => b.manifest.version - a.manifest.version);
-    return whole.find((held) => this.#isWorthwhile(held));
+    return whole.find(({ manifest }) => this.#isWorthwhile(manifest));
+  }
+
+  /** False for a version that is left out because a newer one will be here in time. */
+  #isWorthwhile(version: WeightsVersion): boolean {
+    const { model } = version;
+    const newest = this.#versions.newest(model);
+    const own = this.#versions.all().find((one) => keyOf(one) === keyOf(version));
+    if (newest === undefined || own === undefined || newest.version <= version.version) return true;
+    if (this.#wholeVersion === 0) return false;
+    return !shouldSkip({
+      namedAt: own.namedAt,
+      newestNamedAt: newest.namedAt,
+      newestCompleteAt: this.#expectedCompletion(newest),
+      expiresAt: this.#expiry(model),
+      bound: this.#plan?.bound ?? 0,
+      position: this.#plan?.position ?? 0,
+    });
   }
 
-  /** A version that a newer one is about to replace is left out by some; by none that serves nothing. */
-  #isWorthwhile({ manifest }: HeldWeights): boolean {
-    const newest = this.#versions.newest(manifest.model)?.version ?? 0;
-    if (this.#wholeVersion === 0 || performance.now() > this.#expiry(manifest.model)) return true;
-    return isWorthTaking(this.#plan?.position ?? 0, manifest.version, newest);
+  /** When all pieces of a version will be here, as far as can be told; one that stands still will never be. */
+  #expectedCompletion(version: WeightsVersion): number {
+    const fetch = this.#fetches.get(keyOf(version));
+    if (fetch?.held?.complete === true) return performance.now();
+    if (fetch?.fetcher === undefined) return performance.now() + USUAL_FETCH;
+    if (performance.now() - fetch.fetcher.progressAt > STALLED) return Number.POSITIVE_INFINITY;
+    return Math.min(fetch.fetcher.expectedEnd, performance.now() + USUAL_FETCH);
   }
 
   #switchTime({ manifest }: HeldWeights, completeAt: number): number {
@@ -371,7 +396,7 @@
     const due = [...this.#fetches.values()].flatMap(({ held, fetcher }) => {
       if (held === undefined || fetcher === undefined || held.manifest.version <= this.#wholeVersion)
         return [];
-      if (!this.#isWorthwhile(held)) return [];
+      if (!this.#isWorthwhile(held.manifest)) return [];
       const completeAt = this.#completeAt.get(keyOf(held.manifest)) ?? fetcher.expectedEnd;
       return Math.max(now, completeAt, this.#switchTime(held, completeAt)) - now;
     });
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -66,6 +66,7 @@
   #startedAt = 0;
   #sizeAtStart = 0;
   #open = 0;
+  #batchTime = 0;
   #pausesUntil = 0;
 
   constructor(options: PieceFetcherOptions) {
@@ -77,6 +78,11 @@
     return this.#progressAt;
   }
 
+  /** Time that the latest batch took, in milliseconds. */
+  get batchTime(): number {
+    return this.#batchTime;
+  }
+
   /** When the version will be whole at the present rate, in milliseconds of the steady clock; infinite without one. */
   get expectedEnd(): number {
     const { size, capacity } = this.#options.held.have;
@@ -138,7 +144,8 @@
     const answer = await source.fetch(batch, limit);
     row.open--;
     this.#open--;
-    this.#pause(performance.now() - askedAt, signal);
+    this.#batchTime = performance.now() - askedAt;
+    this.#pause(this.#batchTime, signal);
     for (const index of batch) if (this.#asked.get(index) === askedAt) this.#asked.delete(index);
     const kept = answer.ok
       ? answer.value.filter(([index, bytes]) => this.#keep(source, index, bytes)).length
--- a/src/weights/switch-schedule.ts
+++ b/src/weights/switch-schedule.ts
@@ -11,6 +11,11 @@
 /** An engine whose version may not serve any more within this time has nothing to lose, in milliseconds. */
 const EXPIRY_MARGIN = 1_000;
 
+/** Share of the bound up to which two versions follow each other closely. */
+const CLOSE_NAMINGS = 0.3;
+/** A version that is left out must be replaced this long before it would be missed, in milliseconds. */
+const SKIP_MARGIN = 300;
+
 /** What the time depends on. Times are in milliseconds of the steady clock. */
 export interface SwitchSituation {
   /** The engine's version; 0 where it holds none. */
@@ -39,10 +44,26 @@
   return Math.min(turn, namedAt + LAST_WAVE * bound, expiresAt - EXPIRY_MARGIN);
 }
 
+/** What it depends on whether a version is taken although a newer one is named. Times as above. */
+export interface SkipSituation {
+  /** When the version, and the newest one, were named. */
+  namedAt: number;
+  newestNamedAt: number;
+  /** When all pieces of the newest will be here, as far as can be told. */
+  newestCompleteAt: number;
+  /** Until when requests may start on the engine's version. */
+  expiresAt: number;
+  bound: number;
+  position: number;
+}
+
 /**
- * Whether the engine should take a version although a newer one is named: those of the last wave wait for the newer
- * one, so that they have it at once when the version that they hold expires.
+ * Whether the engine should leave a version out, as a newer one will be here before its own expires. Of versions that
+ * follow closely only the newest is taken: each switch costs seconds of service. Of others those of the last wave leave
+ * the older one out, so that some engines serve while the rest go over.
  */
-export function isWorthTaking(position: number, version: number, newest: number): boolean {
-  return version >= newest || waveOf(position) < SWITCH_WAVES - 1;
+export function shouldSkip(situation: SkipSituation): boolean {
+  const { namedAt, newestNamedAt, newestCompleteAt, expiresAt, bound, position } = situation;
+  if (newestCompleteAt > expiresAt - SKIP_MARGIN) return false;
+  return newestNamedAt - namedAt < CLOSE_NAMINGS * bound || waveOf(position) === SWITCH_WAVES - 1;
 }
