--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -26,6 +26,8 @@
 /** Where most slots are taken, requests of others that are not known of yet make the wait longer, in milliseconds. */
 const VERSION_MARGIN_BUSY = 1_600;
 const BUSY_SHARE = 0.6;
+/** This long before the bound of a version requests no longer queue where an older one serves, in milliseconds. */
+const EXPIRY_NOTICE = 3_500;
 const MILLISECONDS = 1_000;
 /** Usual time from the order to take a version to its first request, in milliseconds. */
 const SWITCH_TIME = 400;
@@ -63,6 +65,7 @@
   readonly #self: Position;
   readonly #regionOf: (zone: string) => string;
   readonly #versionBound: number;
+  readonly #entryCount: () => number;
 
   constructor(options: {
     fleet: FleetView;
@@ -72,6 +75,8 @@
     regionOf: (zone: string) => string;
     /** Time in which a named version must serve everywhere, in milliseconds. */
     versionBound: number;
+    /** Entries that send requests, this one among them. */
+    entryCount: () => number;
   }) {
     this.#fleet = options.fleet;
     this.#table = options.table;
@@ -79,6 +84,7 @@
     this.#self = options.self;
     this.#regionOf = options.regionOf;
     this.#versionBound = options.versionBound;
+    this.#entryCount = options.entryCount;
   }
 
   /** The best back end, or undefined where none may take the request now. */
@@ -143,6 +149,7 @@
     const version = wholeVersion(row, engine.layers);
     if (version === 0 || version < this.#lowestVersion(engine, now, this.#versionMargin(row, now)))
       return false;
+    if (version < this.#lowestVersion(engine, now, EXPIRY_NOTICE) && this.#wouldQueue(row)) return false;
     return requirements.version === undefined || requirements.version === version;
   }
 
@@ -158,6 +165,15 @@
     return all === 0 ? Number.POSITIVE_INFINITY : Math.max(2, Math.floor(all / 3));
   }
 
+  /**
+   * Whether a request may have to wait at `row`. Entries learn of one another's requests late and choose alike, so each
+   * uses its share of the slots only.
+   */
+  #wouldQueue(row: BackEndRow): boolean {
+    const share = Math.max(1, Math.floor(row.record.slots / this.#entryCount()));
+    return row.inFlight >= share || loadOf(row) >= row.record.slots;
+  }
+
   /** Time before the bound of its version from which `row` gets no more requests, in milliseconds. */
   #versionMargin(row: BackEndRow, now: number): number {
     const isBusy = loadOf(row) >= BUSY_SHARE * row.record.slots;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -39,6 +39,8 @@
 /** A request waits here for capacity that is expected within this time, and no longer than this, in milliseconds. */
 const CAPACITY_IN_SIGHT = 1_000;
 const LONGEST_HOLD = 1_300;
+/** Where back ends serve, but none may take a request, one is free soon or not, in milliseconds. */
+const SHORT_HOLD = 250;
 /** Urgency of requests that cannot be in time any more: the last. */
 const LATE_URGENCY = 9;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
@@ -228,10 +230,11 @@
     const capacity = this.#components.selector.expectedCapacity(this.#service);
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
-    const isInSight = capacity !== undefined && capacity < CAPACITY_IN_SIGHT;
-    const mayWait = now - this.#heldSince < LONGEST_HOLD && !this.#response.headersSent;
+    const isInSight = capacity === undefined ? this.#route.isStream : capacity < CAPACITY_IN_SIGHT;
+    const longest = capacity === undefined ? SHORT_HOLD : LONGEST_HOLD;
+    const mayWait = now - this.#heldSince < longest && !this.#response.headersSent;
     if (!isInSight || !mayWait) return this.#giveUp('no back end', capacity);
-    if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity) });
+    if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
   #bodyToSend(): Buffer | import('node:stream').Readable | null {
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -84,7 +84,6 @@
   fleet: FleetView;
   sync: StoreSync;
   backEnds: BackEndTable;
-  selector: BackEndSelector;
   library: WeightsLibrary;
   directEntry: DirectEntry;
 }
@@ -116,7 +115,6 @@
       (components: DirectEntryComponents) => new StoreSync(storeSyncOptions(components)),
     ).singleton(),
     backEnds: asFunction(() => new BackEndTable()).singleton(),
-    selector: asFunction(createSelector).singleton(),
     library: asFunction(() => new WeightsLibrary()).singleton(),
     directEntry: asFunction((components: DirectEntryComponents) => new DirectEntry(components)).singleton(),
   });
@@ -134,19 +132,6 @@
   return { clock: new HybridClock(), counters, hello: () => ({ type: 'hello', role: 'entry', peer }) };
 }
 
-function createSelector({ fleet, backEnds, random, settings }: DirectEntryComponents): BackEndSelector {
-  const { zone, region, regions, versionBound } = settings;
-  const regionOf = (name: string) => regions[name] ?? name;
-  return new BackEndSelector({
-    fleet,
-    table: backEnds,
-    random,
-    self: { zone, region },
-    regionOf,
-    versionBound,
-  });
-}
-
 /** A running entry. */
 export class DirectEntry {
   readonly #components: DirectEntryComponents;
@@ -203,7 +188,7 @@
         headersSet: headersSet(components.headers),
         fleet,
         backEnds,
-        selector: components.selector,
+        selector: this.#createSelector(),
         random,
         log,
         budgetOf: (service) => this.#budgetOf(service),
@@ -270,6 +255,20 @@
     return chosen.slice(0, MOST_ADDRESSES).map(({ callerAddress }) => callerAddress);
   }
 
+  #createSelector(): BackEndSelector {
+    const { fleet, backEnds, random, settings } = this.#components;
+    const { zone, region, regions, versionBound } = settings;
+    return new BackEndSelector({
+      fleet,
+      table: backEnds,
+      random,
+      self: { zone, region },
+      regionOf: (name) => regions[name] ?? name,
+      versionBound,
+      entryCount: () => this.#peers.live().length + 1,
+    });
+  }
+
   #accept(connection: Connection): void {
     if (connection.remote.role === 'agent') this.#agents.accept(connection);
     else this.#peers.accept(connection);
