A fresh process takes no version for new; a lost store is asked without waiting; contract of stores and its tests

Cause, each found by a test that failed first: versions that were there at a start were dated as named just then, so a restarted entry allowed older ones for 8 s more; after an outage the operator's table counted as lost until its waiting call ended, up to 6 s later.

--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -52,8 +52,8 @@
       wait: OPERATOR_WAIT,
       interval: OPERATOR_INTERVAL,
       events: this.#events('operator', {
-        onWhole: (rows) => this.#takeOperatorRows(rows, this.#operator.connected),
-        onChanges: (rows) => this.#takeOperatorRows(rows, true),
+        onWhole: (rows, since) => this.#takeOperatorRows(rows, since),
+        onChanges: (rows, since) => this.#takeOperatorRows(rows, since),
       }),
     });
     this.#backEnds = new TableFollower({
@@ -101,8 +101,8 @@
     };
   }
 
-  /** @param isLive - the store answered without a gap up to now, so that what is new was written just now */
-  #takeOperatorRows({ rows }: RowsAt, isLive: boolean): void {
+  /** @param since - what is new was written after this, in milliseconds of the steady clock */
+  #takeOperatorRows({ rows }: RowsAt, since: number): void {
     const { decoder, fleet, log } = this.#options;
     for (const row of rows) {
       const record = decoder.operatorRecord(row);
@@ -112,8 +112,7 @@
           log.info('configuration taken', { revision: fleet.configurationRevision, from: 'store' });
         continue;
       }
-      const namedAt = isLive ? performance.now() : Number.NEGATIVE_INFINITY;
-      fleet.takeNamedVersion({ model: record.model, version: record.version, namedAt });
+      fleet.takeNamedVersion({ model: record.model, version: record.version, namedAt: since });
     }
   }
 
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -15,10 +15,10 @@
 
 /** What a follower tells. */
 export interface TableFollowerEvents {
-  /** The whole table. */
-  onWhole(rows: RowsAt): void;
-  /** Rows that changed since what was told before. */
-  onChanges(rows: RowsAt): void;
+  /** The whole table; what is new in it was written after `since`, in milliseconds of the steady clock. */
+  onWhole(rows: RowsAt, since: number): void;
+  /** Rows that changed since what was told before, all after `since`. */
+  onChanges(rows: RowsAt, since: number): void;
   /** The store answers again, after `silence` milliseconds without an answer. */
   onRegained(silence: number): void;
   /** The store does not answer, or answers with an error. */
@@ -44,6 +44,7 @@
   #revision: number | undefined;
   #answeredAt = performance.now();
   #failures = 0;
+  #wasHeard = false;
 
   constructor(options: TableFollowerOptions) {
     this.#options = options;
@@ -82,23 +83,29 @@
     const { tables, table, wait, events } = this.#options;
     if (this.#revision === undefined) {
       const read = await tables.read(table, '', AbortSignal.any([signal, AbortSignal.timeout(ANSWER_LIMIT)]));
-      return this.#take(read, (rows) => events.onWhole(rows), signal);
+      return this.#take(read, (rows, since) => events.onWhole(rows, since), signal);
     }
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(wait + ANSWER_LIMIT)]);
-    const changes = await tables.changes({ table, after: this.#revision, wait }, limit);
-    return this.#take(changes, (rows) => events.onChanges(rows), signal);
+    // A store that was lost is asked for an answer at once: that it is back must not wait for a change.
+    const patience = this.#failures > 0 ? 0 : wait;
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(patience + ANSWER_LIMIT)]);
+    const changes = await tables.changes({ table, after: this.#revision, wait: patience }, limit);
+    return this.#take(changes, (rows, since) => events.onChanges(rows, since), signal);
   }
 
-  #take(answer: Result<RowsAt, ChangesError>, tell: (rows: RowsAt) => void, signal: AbortSignal): number {
+  #take(
+    answer: Result<RowsAt, ChangesError>,
+    tell: (rows: RowsAt, since: number) => void,
+    signal: AbortSignal,
+  ): number {
     if (signal.aborted) return 0;
     if (answer.ok) {
+      const since = this.#heardSince();
       this.#noteAnswer();
       this.#revision = answer.value.revision;
-      tell(answer.value);
+      tell(answer.value, since);
       return 0;
     }
     if (answer.error.type === 'historyForgotten') {
-      this.#noteAnswer();
       this.#revision = undefined;
       return 0;
     }
@@ -108,10 +115,17 @@
     return longest * (0.5 + this.#options.random.fraction() / 2);
   }
 
+  /** After when that which is new now was written: just now where nothing was missed. */
+  #heardSince(): number {
+    if (!this.#wasHeard) return Number.NEGATIVE_INFINITY;
+    return this.connected ? performance.now() : this.#answeredAt;
+  }
+
   #noteAnswer(): void {
     const now = performance.now();
     if (this.#failures > 0) this.#options.events.onRegained(now - this.#answeredAt);
     this.#failures = 0;
+    this.#wasHeard = true;
     this.#answeredAt = now;
   }
 }
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -100,7 +100,7 @@
     this.#progressAt = startedAt;
     while (!held.complete && !signal.aborted) {
       if (this.#options.mayAsk()) this.#ask(signal);
-      await Promise.race([sleep(TICK, signal), new Promise<void>((resolve) => (this.#wake = resolve))]);
+      await this.#nextLook(signal);
     }
     if (!held.complete) return;
     const { model, version } = held.manifest;
@@ -108,6 +108,20 @@
     log.info('version fetched', { model, version, from, tookMs: Math.round(performance.now() - startedAt) });
   }
 
+  /** Waits for a tick, or until something has come. */
+  #nextLook(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        signal.removeEventListener('abort', end);
+        resolve();
+      };
+      const timer = setTimeout(end, TICK);
+      signal.addEventListener('abort', end);
+      this.#wake = end;
+    });
+  }
+
   #ask(signal: AbortSignal): void {
     const now = performance.now();
     const pace = this.#pace();
--- /dev/null
+++ b/test/contracts/store-contract.ts
@@ -0,0 +1,106 @@
+/** What every client of a store keeps, whatever store is behind it. */
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { MemoryStore } from '../../emulator/store/memory-store.js';
+import type { ListedObjectStore } from '../../src/clients/object-store.js';
+import type { WatchedTables } from '../../src/clients/watched-tables.js';
+
+/** A client, and the store behind it. */
+export interface StoreUnderTest {
+  tables: WatchedTables;
+  objects: ListedObjectStore;
+  behind: MemoryStore;
+}
+
+const forever = () => new AbortController().signal;
+const row = (key: string, text: string) => ({
+  table: 'things',
+  partition: '',
+  key,
+  value: Buffer.from(text),
+});
+
+/** The suite; `create` makes a new store and its client. */
+export function storeContract(name: string, create: () => Promise<StoreUnderTest>): void {
+  describe(`${name} keeps the contract of a store`, () => {
+    let store: StoreUnderTest;
+    beforeEach(async () => {
+      store = await create();
+    });
+
+    it('commits all writes of a transaction whose conditions hold, and reads them', async () => {
+      const { tables } = store;
+      const outcome = await tables.transact([], [row('a', 'one'), row('b', 'two')], forever());
+      expect(outcome).toMatchObject({ ok: true, value: { type: 'committed' } });
+      const read = await tables.read('things', '', forever());
+      expect(read.ok && read.value.rows.map(({ key, value }) => [key, value?.toString()])).toEqual([
+        ['a', 'one'],
+        ['b', 'two'],
+      ]);
+    });
+
+    it('commits nothing where a condition fails, and tells the rows as they are', async () => {
+      const { tables } = store;
+      await tables.transact([], [row('a', 'one')], forever());
+      const absent = { table: 'things', partition: '', key: 'a', revision: 0 };
+      const outcome = await tables.transact([absent], [row('a', 'two')], forever());
+      expect(outcome).toMatchObject({ ok: true, value: { type: 'conflict', rows: [{ key: 'a' }] } });
+      const read = await tables.read('things', '', forever());
+      expect(read.ok && read.value.rows[0].value?.toString()).toBe('one');
+    });
+
+    it('tells changes after a revision, deletions among them', async () => {
+      const { tables, behind } = store;
+      const first = behind.write('things', 'a', 'one');
+      behind.write('things', 'a', undefined);
+      const changes = await tables.changes({ table: 'things', after: first, wait: 0 }, forever());
+      expect(changes).toMatchObject({ ok: true, value: { rows: [{ key: 'a', value: undefined }] } });
+    });
+
+    it('waits for a change', async () => {
+      const { tables, behind } = store;
+      const waiting = tables.changes({ table: 'things', after: behind.revision, wait: 20_000 }, forever());
+      setTimeout(() => behind.write('things', 'late', 'here'), 30);
+      expect(await waiting).toMatchObject({ ok: true, value: { rows: [{ key: 'late' }] } });
+    });
+
+    it('says so where the history since is forgotten', async () => {
+      const { tables, behind } = store;
+      behind.write('things', 'a', 'one');
+      behind.forgetHistory();
+      const changes = await tables.changes({ table: 'things', after: 0, wait: 0 }, forever());
+      expect(changes).toMatchObject({ ok: false, error: { type: 'historyForgotten' } });
+    });
+
+    it('reports a store that is down as unavailable', async () => {
+      store.behind.faults.down = true;
+      const read = await store.tables.read('things', '', forever());
+      expect(read).toMatchObject({ ok: false, error: { type: 'unavailable' } });
+    });
+
+    it('gives a silent store up at the signal', async () => {
+      store.behind.faults.silent = true;
+      const read = await store.tables.read('things', '', AbortSignal.timeout(40));
+      expect(read.ok).toBe(false);
+    });
+
+    it('does not know what became of a write whose answer was lost', async () => {
+      store.behind.faults.losesAnswers = true;
+      const outcome = await store.tables.transact([], [row('a', 'one')], forever());
+      expect(outcome).toMatchObject({ ok: false, error: { type: 'outcomeUnknown' } });
+    });
+
+    it('keeps, lists and misses objects', async () => {
+      const { objects } = store;
+      await objects.put('weights.m.1.0', Buffer.from('bytes'), forever());
+      expect(await objects.get('weights.m.1.0', forever())).toMatchObject({ ok: true });
+      expect(await objects.list('weights.m.', forever())).toMatchObject({
+        ok: true,
+        value: ['weights.m.1.0'],
+      });
+      expect(await objects.get('nothing', forever())).toMatchObject({
+        ok: false,
+        error: { type: 'notFound' },
+      });
+    });
+  });
+}
--- /dev/null
+++ b/test/fleet/beliefs.test.ts
@@ -0,0 +1,133 @@
+/** What a process believes: only forward, whoever tells. */
+import { describe, expect, it } from 'vitest';
+import { BackEndList, type BackEndRecord } from '../../src/fleet/back-end-list.js';
+import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import { NamedVersions } from '../../src/fleet/named-versions.js';
+import { pathOf, RouteTable, targetService } from '../../src/fleet/route-table.js';
+
+function record(id: string, revision: number, changes: Partial<BackEndRecord> = {}): BackEndRecord {
+  return {
+    id,
+    service: 's',
+    address: `10.0.0.1:${id}`,
+    zone: 'z',
+    slots: 4,
+    leaving: false,
+    layers: undefined,
+    revision,
+    ...changes,
+  };
+}
+
+function configuration(revision: number, prefixes: string[] = []): FleetConfiguration {
+  const routes = prefixes.map(
+    (pathPrefix): Route => ({
+      name: pathPrefix,
+      host: 'Api.example',
+      pathPrefix,
+      targets: [{ service: 's', weight: 1 }],
+      isStream: false,
+      repeatability: 'always',
+      timeout: 1_000,
+      objective: 100,
+      longestPause: 0,
+      priority: 1,
+      maxAttempts: 1,
+      isPublic: true,
+    }),
+  );
+  const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
+  return { revision, routes, services: [], origin: undefined, limits, tenants: undefined };
+}
+
+describe('routes', () => {
+  const table = new RouteTable(configuration(1, ['/', '/a/', '/a/b/']));
+
+  it.each([
+    ['/a/b/c', '/a/b/'],
+    ['/a/b', '/a/'],
+    ['/a/', '/a/'],
+    ['/ab/c', '/'],
+    ['/', '/'],
+  ])('%s leads to the longest prefix, %s', (path, prefix) => {
+    expect(table.match('api.example:80', path)?.pathPrefix).toBe(prefix);
+  });
+
+  it('knows no other host', () => expect(table.match('other.example', '/a/')).toBeUndefined());
+
+  it('leaves the query out', () => expect(pathOf('/a/b?c=/d/')).toBe('/a/b'));
+
+  it('splits by weight', () => {
+    const route = {
+      ...configuration(1, ['/']).routes[0],
+      targets: [
+        { service: 'x', weight: 90 },
+        { service: 'y', weight: 10 },
+      ],
+    };
+    expect(targetService(route, 0.89)).toBe('x');
+    expect(targetService(route, 0.91)).toBe('y');
+    expect(targetService(route, 0.999999)).toBe('y');
+  });
+});
+
+describe('the configuration', () => {
+  it('never goes back', () => {
+    const fleet = new FleetView();
+    expect(fleet.takeConfiguration({ document: Buffer.from('5'), configuration: configuration(5) })).toBe(
+      true,
+    );
+    expect(fleet.takeConfiguration({ document: Buffer.from('4'), configuration: configuration(4) })).toBe(
+      false,
+    );
+    expect(fleet.configurationRevision).toBe(5);
+    expect(fleet.document?.toString()).toBe('5');
+  });
+});
+
+describe('the list of back ends', () => {
+  it('takes newer records and removals, and passes older ones over', () => {
+    const list = new BackEndList();
+    list.apply([{ type: 'changed', record: record('1', 4) }], 4);
+    expect(list.apply([{ type: 'changed', record: record('1', 3, { leaving: true }) }], 3)).toEqual([]);
+    expect(list.apply([{ type: 'gone', id: '1', revision: 3 }], 4)).toEqual([]);
+    expect(list.apply([{ type: 'gone', id: '1', revision: 6 }], 6)).toHaveLength(1);
+    expect(list.revision).toBe(6);
+  });
+
+  it('does not take back what it knows to be gone', () => {
+    const list = new BackEndList();
+    list.apply([{ type: 'changed', record: record('1', 4) }], 4);
+    list.apply([{ type: 'gone', id: '1', revision: 5 }], 5);
+    expect(list.apply([{ type: 'changed', record: record('1', 4) }], 4)).toEqual([]);
+    expect(list.records.size).toBe(0);
+  });
+
+  it('takes a whole list only if it is newer', () => {
+    const list = new BackEndList();
+    list.replace({ revision: 5, records: [record('1', 2), record('2', 5)] });
+    expect(list.replace({ revision: 4, records: [] })).toEqual([]);
+    const changes = list.replace({ revision: 9, records: [record('2', 5)] });
+    expect(changes).toEqual([{ type: 'gone', id: '1', revision: 9 }]);
+  });
+});
+
+describe('named versions', () => {
+  it('forbid older ones from their bound on, each from its own naming', () => {
+    const versions = new NamedVersions();
+    versions.note({ model: 'm', version: 2, namedAt: 1_000 });
+    versions.note({ model: 'm', version: 3, namedAt: 5_000 });
+    expect(versions.lowestAllowed('m', 8_999, 8_000)).toBe(0);
+    expect(versions.lowestAllowed('m', 9_000, 8_000)).toBe(2);
+    expect(versions.lowestAllowed('m', 13_000, 8_000)).toBe(3);
+  });
+
+  it('count from the earliest time that anybody tells', () => {
+    const versions = new NamedVersions();
+    expect(versions.note({ model: 'm', version: 2, namedAt: 5_000 })).toBe(true);
+    expect(versions.note({ model: 'm', version: 2, namedAt: 3_000 })).toBe(false);
+    expect(versions.note({ model: 'm', version: 2, namedAt: 9_000 })).toBe(false);
+    expect(versions.newest('m')?.namedAt).toBe(3_000);
+  });
+});
--- /dev/null
+++ b/test/fleet/store-sync.test.ts
@@ -0,0 +1,118 @@
+/** Following the store through its faults. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+import { StoreSync } from '../../src/fleet/store-sync.js';
+import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
+import { until } from '../support.js';
+
+const LIMITS = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
+
+const decoder: RecordDecoder = {
+  operatorTable: 'operator',
+  backEndTable: 'backEnds',
+  operatorRecord(row) {
+    if (row.value === undefined) return undefined;
+    if (row.key === 'configuration')
+      return { type: 'configuration', document: decoder.configuration(row.value)! };
+    return { type: 'namedVersion', model: row.key, version: Number(row.value.toString()) };
+  },
+  configuration: (document) => ({
+    document,
+    configuration: {
+      revision: Number(document.toString()),
+      routes: [],
+      services: [],
+      origin: undefined,
+      limits: LIMITS,
+      tenants: undefined,
+    },
+  }),
+  backEnd: (row) => ({
+    id: row.key,
+    service: 's',
+    address: '127.0.0.1:1',
+    zone: 'z',
+    slots: 1,
+    leaving: row.value!.toString() === 'leaving',
+    layers: undefined,
+    revision: row.revision,
+  }),
+};
+
+let store: MemoryStore;
+let fleet: FleetView;
+let sync: StoreSync;
+
+const ids = () => [...fleet.backEnds.records.keys()].sort();
+
+beforeEach(async () => {
+  store = new MemoryStore();
+  store.write('operator', 'configuration', '1');
+  store.write('operator', 'model', '1');
+  store.write('backEnds', 'one', 'ready');
+  store.write('backEnds', 'two', 'ready');
+  fleet = new FleetView();
+  sync = new StoreSync({ tables: store, decoder, fleet, random: seededRandom(1), log: silentLog });
+  await sync.start();
+  await until(() => fleet.complete, 'the first reading');
+});
+
+afterEach(() => sync.stop());
+
+describe('a process that follows the store', () => {
+  it('takes what is there and what changes', async () => {
+    expect(fleet.configurationRevision).toBe(1);
+    expect(ids()).toEqual(['one', 'two']);
+    store.write('operator', 'configuration', '2');
+    store.write('backEnds', 'two', 'leaving');
+    await until(() => fleet.configurationRevision === 2, 'the configuration');
+    await until(() => fleet.backEnds.records.get('two')?.leaving === true, 'the leaving back end');
+  });
+
+  it('takes a removal at once while the store answers', async () => {
+    store.write('backEnds', 'one', undefined);
+    await until(() => ids().length === 1, 'the removal');
+  });
+
+  it('reads all again where the history is forgotten, and compares', async () => {
+    store.faults.down = true;
+    await until(() => !sync.connected, 'the loss');
+    store.write('backEnds', 'one', undefined);
+    store.write('operator', 'configuration', '3');
+    store.forgetHistory();
+    store.faults.down = false;
+    await until(() => fleet.configurationRevision === 3, 'the configuration');
+    await until(() => ids().join() === 'two', 'the removal');
+  });
+
+  it('keeps back ends that lapsed while the store was away, until they are back or are not', async () => {
+    const seen: string[] = [];
+    fleet.listen({
+      onBackEnds: (changes) => {
+        for (const change of changes) if (change.type === 'gone') seen.push(change.id);
+      },
+    });
+    store.faults.down = true;
+    await until(() => !sync.connected, 'the loss');
+    // The outage must be longer than what passes for a hiccup.
+    await new Promise((resolve) => setTimeout(resolve, 1_200));
+    store.write('backEnds', 'one', undefined);
+    store.write('backEnds', 'two', undefined);
+    store.faults.down = false;
+    await until(() => sync.connected && fleet.backEnds.revision === store.revision, 'the return');
+    expect(ids()).toEqual(['one', 'two']);
+    store.write('backEnds', 'one', 'ready');
+    await until(() => ids().join() === 'one', 'the one that is still missing is gone');
+    expect(seen).toEqual(['two']);
+  });
+
+  it('dates a version that it sees being named, and none that was there before', async () => {
+    expect(fleet.versions.newest('model')).toMatchObject({ version: 1, namedAt: Number.NEGATIVE_INFINITY });
+    store.write('operator', 'model', '2');
+    await until(() => fleet.versions.newest('model')?.version === 2, 'the version');
+    expect(fleet.versions.newest('model')?.namedAt).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/test/observability/bounded-output.test.ts
@@ -0,0 +1,58 @@
+import { describe, expect, it } from 'vitest';
+import { BoundedOutput } from '../../src/observability/bounded-output.js';
+import { createLog } from '../../src/observability/log.js';
+
+/** A reader that may have stopped. */
+class Reader {
+  readonly lines: string[] = [];
+  stopped = false;
+  writableLength = 0;
+
+  write(text: string): void {
+    if (this.stopped) this.writableLength += text.length;
+    else this.lines.push(text);
+  }
+}
+
+describe('bounded output', () => {
+  it('writes so many lines of a kind a second, and tells how many it left out', () => {
+    const reader = new Reader();
+    let now = 0;
+    const output = new BoundedOutput(reader, () => now);
+    for (let count = 0; count < 100; count++) output.write('often', `line ${count}`);
+    output.write('rare', 'one');
+    const written = reader.lines.length;
+    expect(written).toBeLessThan(60);
+    now = 1_000;
+    output.write('often', 'next');
+    expect(JSON.parse(reader.lines[written])).toEqual({ message: 'lines left out', often: 101 - written });
+  });
+
+  it('holds a bounded amount for a reader that has stopped', () => {
+    const reader = new Reader();
+    reader.stopped = true;
+    let now = 0;
+    const output = new BoundedOutput(reader, () => now);
+    for (let second = 0; second < 1_000; second++) {
+      now = second * 1_000;
+      for (let count = 0; count < 40; count++) output.write('often', 'x'.repeat(100));
+    }
+    expect(reader.writableLength).toBeLessThan(300_000);
+  });
+});
+
+describe('a log', () => {
+  it('writes one JSON line with level, process, message and fields', () => {
+    const reader = new Reader();
+    createLog('entry-1', 'info', reader).info('sent', { request: 'r1', load: 3 });
+    const line = JSON.parse(reader.lines[0]);
+    expect(line).toMatchObject({
+      level: 'INFO',
+      process: 'entry-1',
+      message: 'sent',
+      request: 'r1',
+      load: 3,
+    });
+    expect(Date.parse(line.time)).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/test/platform/records.test.ts
@@ -0,0 +1,125 @@
+/** What the operator and the workers write, as the product reads it. */
+import { describe, expect, it } from 'vitest';
+import { heldLayers, platformRecords } from '../../platform/records.js';
+import { agentSettings, entrySettings, parseSettings } from '../../platform/settings.js';
+
+const CONFIGURATION = {
+  version: 7,
+  routes: [
+    {
+      name: 'r-1',
+      host: 'voka93.example',
+      path_prefix: '/filo73/',
+      kind: 'stream',
+      timeout_ms: 6_000,
+      slo_ms: 401,
+      priority: 1,
+      split: [
+        { service: 'huvo11a', weight: 90 },
+        { service: 'kafi81c', weight: 10 },
+      ],
+      max_attempts: 2,
+      public: false,
+      resumable: true,
+      gap_target_ms: 300,
+    },
+    { name: 'r-2', host: 'h', path_prefix: '/', kind: 'non_idempotent', service: 'kafi81c', max_attempts: 1 },
+  ],
+  services: [
+    {
+      name: 'huvo11a',
+      max_conns: 424,
+      engine: {
+        slots: 16,
+        models: [{ name: 'm' }],
+        step_ms: 7.4,
+        per_seq_ms: 0.05,
+        layers: 16,
+        chunks: 48,
+        chunk_bytes: 49_152,
+      },
+    },
+    { name: 'kafi81c', origin: '172.20.0.3:8006', max_conns: 48 },
+  ],
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 4_194_304,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+  },
+  tenants: [{ name: 'bozi300', api_keys: ['k1', 'k2'], priority: 1 }],
+};
+
+const row = (key: string, value: unknown, revision = 3) => ({
+  table: 'op',
+  partition: '',
+  key,
+  value: Buffer.from(JSON.stringify(value)),
+  revision,
+});
+
+describe('records of the users', () => {
+  it('give a configuration', () => {
+    const record = platformRecords.operatorRecord(row('config', CONFIGURATION));
+    expect(record).toMatchObject({
+      type: 'configuration',
+      document: {
+        configuration: {
+          revision: 7,
+          routes: [
+            {
+              repeatability: 'resumable',
+              isStream: true,
+              longestPause: 300,
+              targets: [{ weight: 90 }, { weight: 10 }],
+            },
+            { repeatability: 'never', targets: [{ service: 'kafi81c', weight: 1 }] },
+          ],
+          origin: { service: 'kafi81c', address: '172.20.0.3:8006' },
+          tenants: [{ keys: ['k1', 'k2'] }],
+        },
+      },
+    });
+  });
+
+  it('give a named version, and nothing for a deleted or unreadable row', () => {
+    const named = platformRecords.operatorRecord(row('version/m', { model: 'm', version: 2 }));
+    expect(named).toEqual({ type: 'namedVersion', model: 'm', version: 2 });
+    expect(platformRecords.operatorRecord({ ...row('config', {}), value: undefined })).toBeUndefined();
+    expect(platformRecords.operatorRecord({ ...row('config', {}), value: Buffer.from('{') })).toBeUndefined();
+  });
+
+  it('give a back end with the layers that it holds', () => {
+    const server = { service: 's', address: '10.0.0.1:1', zone: 'z', slots: 4, state: 'draining' };
+    const layers = { from: 0, target_version: 16, version: 2 };
+    expect(platformRecords.backEnd(row('i-1', { ...server, layers }))).toMatchObject({
+      id: 'i-1',
+      leaving: true,
+      layers: { from: 0, end: 16, version: 2 },
+    });
+    expect(heldLayers({ from: 0, target_version: 0, version: 0 })).toBeUndefined();
+  });
+
+  it('give settings of both roles', () => {
+    const document = {
+      node_name: 'n',
+      machine_class: 'front',
+      ip: '10.0.0.1',
+      zone: 'z',
+      region: 'r',
+      port_range: [7_700, 7_715],
+      zones: { z: 'r' },
+      app: '10.0.0.1:8001',
+      listen: { front: '10.0.0.1:1', ready: '10.0.0.1:2', control: '10.0.0.1:3', directory: '10.0.0.1:4' },
+      bounds: { grace_s: 8, version_ms: 8_000, unknown_bound: 3 },
+      platform: { address: '10.0.0.9:9' },
+    };
+    const parsed = parseSettings(JSON.stringify(document));
+    expect(entrySettings(parsed)).toMatchObject({
+      callers: '10.0.0.1:1',
+      peers: '10.0.0.1:3',
+      graceTime: 8_000,
+    });
+    expect(agentSettings(parsed)).toMatchObject({ engine: '10.0.0.1:8001', peers: '10.0.0.1:7700' });
+  });
+});
--- /dev/null
+++ b/test/platform/wire-store.ts
@@ -0,0 +1,101 @@
+/** The wire of the users' store before the product's stand-in: a server that speaks as their pages have it. */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { MemoryStore } from '../../emulator/store/memory-store.js';
+import type { StoredRow } from '../../src/clients/watched-tables.js';
+
+/** Starts the server; returns its address and its end. */
+export async function wireStore(behind: MemoryStore): Promise<{ address: string; stop: () => void }> {
+  const server = createServer((request, response) => {
+    void answer(behind, request, response).catch(() => response.destroy());
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  return {
+    address,
+    stop: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+async function answer(
+  behind: MemoryStore,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const url = new URL(request.url ?? '/', 'http://store');
+  const closed = new AbortController();
+  response.on('close', () => closed.abort());
+  const { signal } = closed;
+  const json = (status: number, body: unknown) => {
+    response.writeHead(status, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(body));
+  };
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  const body = Buffer.concat(parts);
+  const [, , call, name = ''] = url.pathname.split('/');
+  const query = url.searchParams;
+  if (behind.faults.down) return json(503, { error: 'down' });
+  switch (call) {
+    case 'rows-get': {
+      const read = await behind.read(query.get('table') ?? '', query.get('part') ?? '', signal);
+      if (read.ok)
+        json(200, { rows: read.value.rows.map(wireRow), more: false, ver: read.value.revision, now_ms: 1 });
+      return;
+    }
+    case 'rows-feed': {
+      const after = Number(query.get('after_rev'));
+      const changes = await behind.changes(
+        { table: query.get('table') ?? '', after, wait: Number(query.get('wait_ms')) },
+        signal,
+      );
+      if (changes.ok)
+        return json(200, { rows: changes.value.rows.map(wireRow), ver: changes.value.revision, now_ms: 1 });
+      return json(410, { error: 'history' });
+    }
+    case 'rows-tx': {
+      const { expected_rev = [], put = [], remove = [] } = JSON.parse(body.toString('utf8'));
+      const named = ({ table, part, private_key }: Record<string, string>) => ({
+        table,
+        partition: part,
+        key: private_key,
+      });
+      const outcome = await behind.transact(
+        expected_rev.map((row: Record<string, string>) => ({ ...named(row), revision: Number(row.ver) })),
+        [
+          ...put.map((row: Record<string, string>) => ({
+            ...named(row),
+            value: Buffer.from(row.value, 'base64'),
+          })),
+          ...remove.map((row: Record<string, string>) => ({ ...named(row), value: undefined })),
+        ],
+        signal,
+      );
+      if (!outcome.ok) return void response.destroy();
+      if (outcome.value.type === 'conflict')
+        return json(412, { rows: outcome.value.rows.map(wireRow), ver: behind.revision });
+      return json(200, { ver: outcome.value.revision, now_ms: 1 });
+    }
+    case 'blob-put':
+      await behind.put(name, body, signal);
+      return json(200, {});
+    case 'blob-get': {
+      const found = await behind.get(name, signal);
+      if (!found.ok) return json(404, {});
+      response.end(found.value);
+      return;
+    }
+    case 'blob-list': {
+      const names = await behind.list(query.get('path_prefix') ?? '', signal);
+      return json(200, { names: names.ok ? names.value : [], more: false });
+    }
+  }
+}
+
+function wireRow({ table, partition, key, value, revision }: StoredRow): object {
+  const name = { table, part: partition, private_key: key, ver: revision };
+  return value === undefined ? { ...name, gone: true } : { ...name, value: value.toString('base64') };
+}
--- /dev/null
+++ b/test/weights/weights.test.ts
@@ -0,0 +1,284 @@
+/** Pieces of weights: held, fetched, laid into an engine's stage and taken in turn. */
+import { describe, expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { ChunkSet } from '../../src/model/chunk-set.js';
+import { digestOf } from '../../src/model/manifest.js';
+import { seededRandom } from '../../src/model/random.js';
+import { failure, success } from '../../src/model/result.js';
+import { silentLog } from '../../src/observability/log.js';
+import type { EngineReport, WeightsPlan } from '../../src/peers/reports.js';
+import { EngineLoader } from '../../src/weights/engine-loader.js';
+import { HeldWeights, type PieceManifest, WeightsLibrary } from '../../src/weights/held-weights.js';
+import { PieceFetcher } from '../../src/weights/piece-fetcher.js';
+import type { PieceOrigin, PieceSource } from '../../src/weights/piece-source.js';
+import { objectSource, originSource, partsOf } from '../../src/weights/piece-sources.js';
+import type { EngineState, StagedEngine } from '../../src/weights/staged-engine.js';
+import { shouldSkip, switchTime, waveOf } from '../../src/weights/switch-schedule.js';
+import { until } from '../support.js';
+
+const PIECES = 12;
+const pieceOf = (version: number, index: number) =>
+  Buffer.from(`piece ${index} of version ${version}`.padEnd(32));
+
+function manifestOf(version: number): PieceManifest {
+  const digests = Array.from({ length: PIECES }, (_, index) => digestOf(pieceOf(version, index)));
+  return { model: 'm', version, pieceBytes: 32, digests };
+}
+
+function source(name: string, changes: Partial<PieceSource>): PieceSource {
+  return {
+    name,
+    patience: 0,
+    parallel: 1,
+    batchTime: 1_000,
+    isDivisible: true,
+    nextBatch: (wanted) => wanted.slice(0, 2),
+    fetch: async (batch) => success(batch.map((index) => [index, pieceOf(1, index)])),
+    ...changes,
+  };
+}
+
+async function fetchAll(sources: PieceSource[]): Promise<HeldWeights> {
+  const library = new WeightsLibrary();
+  const held = library.open(manifestOf(1));
+  const options = {
+    held,
+    library,
+    sources: () => sources,
+    mayAsk: () => true,
+    random: seededRandom(3),
+    log: silentLog,
+  };
+  await new PieceFetcher(options).run(AbortSignal.timeout(15_000));
+  return held;
+}
+
+describe('held weights', () => {
+  it('keep a piece only with the digest of its manifest', () => {
+    const held = new HeldWeights(manifestOf(1));
+    expect(held.add(0, pieceOf(1, 0))).toBe(true);
+    expect(held.add(1, pieceOf(2, 1))).toBe(false);
+    expect(held.missing()).toHaveLength(PIECES - 1);
+  });
+
+  it('forget the oldest of many versions', () => {
+    const library = new WeightsLibrary();
+    for (const version of [1, 2, 3, 4]) library.open(manifestOf(version));
+    expect(library.all().map(({ manifest }) => manifest.version)).toEqual([2, 3, 4]);
+  });
+});
+
+describe('a fetcher', () => {
+  it('takes corrupt pieces from elsewhere', async () => {
+    const corrupt = source('corrupt', {
+      fetch: async (batch) => success(batch.map((index) => [index, pieceOf(9, index)])),
+    });
+    const held = await fetchAll([corrupt, source('good', {})]);
+    expect(held.complete).toBe(true);
+  });
+
+  it('turns to a dear source when the others give nothing, and stays with it', async () => {
+    let asked = 0;
+    const failing = source('failing', {
+      fetch: async () => failure({ type: 'sourceFailed', reason: 'down' }),
+    });
+    const dear = source('dear', {
+      patience: 200,
+      nextBatch: (wanted) => wanted.slice(0, 1),
+      fetch: async (batch) => {
+        asked++;
+        return success(batch.map((index) => [index, pieceOf(1, index)]));
+      },
+    });
+    const startedAt = performance.now();
+    const held = await fetchAll([failing, dear]);
+    expect(held.complete).toBe(true);
+    expect(asked).toBe(PIECES);
+    // Waiting for its patience before each piece would take twelve times as long.
+    expect(performance.now() - startedAt).toBeLessThan(200 * PIECES);
+  });
+
+  it('draws from the origin only what nobody else has', async () => {
+    const drawn: number[] = [];
+    const origin: PieceOrigin = {
+      manifest: async () => success(manifestOf(1)),
+      piece: async (_version, index) => {
+        drawn.push(index);
+        return success(pieceOf(1, index));
+      },
+    };
+    const elsewhere = source('peer', {
+      nextBatch: (wanted) => wanted.filter((index) => index < 6).slice(0, 2),
+    });
+    const fromOrigin = originSource({
+      origin,
+      version: manifestOf(1),
+      patience: 0,
+      parallel: 3,
+      batchTime: 1_000,
+      mayDraw: (index) => index >= 6,
+      offset: 9,
+    });
+    const held = await fetchAll([elsewhere, fromOrigin]);
+    expect(held.complete).toBe(true);
+    expect(drawn[0]).toBe(9);
+    expect(drawn.sort((a, b) => a - b)).toEqual([6, 7, 8, 9, 10, 11]);
+  });
+
+  it('reads whole objects of the object store', async () => {
+    const objects = new MemoryStore();
+    const manifest = manifestOf(1);
+    const parts = partsOf(manifest);
+    for (const { key, pieces } of parts) {
+      await objects.put(
+        key,
+        Buffer.concat(pieces.map((index) => pieceOf(1, index))),
+        AbortSignal.timeout(1_000),
+      );
+    }
+    const stored = new Set(parts.map(({ index }) => index));
+    const held = await fetchAll([
+      objectSource({ objects, manifest, stored, patience: 0, batchTime: 1_000, offset: 2 }),
+    ]);
+    expect(held.complete).toBe(true);
+    expect(objects.calls.get).toBe(parts.length);
+  });
+});
+
+describe('the turn of an engine', () => {
+  const situation = { version: 1, expiresAt: 9_000, namedAt: 1_000, completeAt: 4_000, bound: 8_000 };
+
+  it('comes at once where it serves nothing', () => {
+    expect(switchTime({ ...situation, version: 0, position: 2 })).toBe(Number.NEGATIVE_INFINITY);
+  });
+
+  it('comes in waves, and before its version expires', () => {
+    const times = [0, 1, 2].map((position) => switchTime({ ...situation, position }));
+    expect(times[0]).toBe(4_000);
+    expect(times[1]).toBeGreaterThan(times[0]);
+    expect(times[2]).toBeGreaterThan(times[1]);
+    expect(times[2]).toBeLessThan(situation.expiresAt);
+    expect(waveOf(3)).toBe(0);
+  });
+
+  it('leaves out a version that another follows closely, if that will be here in time', () => {
+    const closely = { namedAt: 1_000, newestNamedAt: 3_000, expiresAt: 9_000, bound: 8_000, position: 0 };
+    expect(shouldSkip({ ...closely, newestCompleteAt: 7_000 })).toBe(true);
+    expect(shouldSkip({ ...closely, newestCompleteAt: Number.POSITIVE_INFINITY })).toBe(false);
+    const later = { ...closely, newestNamedAt: 5_000, newestCompleteAt: 8_500 };
+    expect([0, 1, 2].map((position) => shouldSkip({ ...later, position }))).toEqual([false, false, true]);
+  });
+});
+
+/** An engine with a stage, whose pieces can turn bad. */
+class FakeEngine implements StagedEngine {
+  readonly stageArea = new Map<number, Buffer>();
+  readonly orders: number[] = [];
+  layers: EngineState['layers'];
+  badOnce = new Set<number>();
+
+  async state() {
+    return success({ model: 'm', layers: this.layers, isBusy: false, load: 0, sequence: this.orders.length });
+  }
+
+  async stage(_model: string, index: number, bytes: Buffer) {
+    this.stageArea.set(index, this.badOnce.delete(index) ? Buffer.from('rotten') : bytes);
+    return success(undefined);
+  }
+
+  async staged(_model: string, index: number) {
+    return success(this.stageArea.get(index));
+  }
+
+  async start({ version }: { version: number }) {
+    const isWhole = Array.from({ length: PIECES }, (_, index) => index).every((index) =>
+      this.stageArea.get(index)?.equals(pieceOf(version, index)),
+    );
+    if (!isWhole) throw new Error('ordered to take bad pieces');
+    this.orders.push(version);
+    this.layers = { from: 0, end: 16, version };
+    return success({ type: 'taken' } as const);
+  }
+}
+
+function planOf(versions: Array<[version: number, age: number]>): WeightsPlan {
+  return {
+    versions: versions.map(([version, age]) => ({ model: 'm', version, age })),
+    bound: 8_000,
+    origin: 'origin',
+    layers: 16,
+    position: 0,
+    holders: [],
+    entries: [],
+    hasNearEntry: false,
+  };
+}
+
+describe('the loader beside an engine', () => {
+  const origin: PieceOrigin = {
+    manifest: async ({ version }) => success(manifestOf(version)),
+    piece: async ({ version }, index) => success(pieceOf(version, index)),
+  };
+
+  async function objectsWith(...versions: number[]): Promise<MemoryStore> {
+    const objects = new MemoryStore();
+    for (const version of versions) {
+      for (const { key, pieces } of partsOf(manifestOf(version))) {
+        await objects.put(
+          key,
+          Buffer.concat(pieces.map((index) => pieceOf(version, index))),
+          AbortSignal.timeout(1_000),
+        );
+      }
+    }
+    return objects;
+  }
+
+  async function run(
+    engine: FakeEngine,
+    plan: WeightsPlan,
+    done: (reports: EngineReport[]) => boolean,
+  ): Promise<EngineReport[]> {
+    const reports: EngineReport[] = [];
+    const loader = new EngineLoader({
+      engine,
+      engineAddress: 'engine',
+      address: 'agent',
+      library: new WeightsLibrary(),
+      objects: await objectsWith(1, 2),
+      originAt: () => origin,
+      tell: (report) => reports.push(report),
+      random: seededRandom(5),
+      log: silentLog,
+    });
+    await loader.start();
+    loader.takePlan(plan);
+    await until(() => done(reports), 'the engine');
+    await loader.stop();
+    return reports;
+  }
+
+  it('loads an empty engine without any entry, and tells what it holds', async () => {
+    const engine = new FakeEngine();
+    const reports = await run(engine, planOf([[2, 1_000_000_000]]), (told) => told.at(-1)?.version === 2);
+    expect(engine.orders).toEqual([2]);
+    const { held } = reports.at(-1)!;
+    expect(ChunkSet.fromBytes(held[0].count, held[0].have).complete).toBe(true);
+  });
+
+  it('mends pieces that turned bad in the stage before it orders', async () => {
+    const engine = new FakeEngine();
+    engine.badOnce = new Set([3, 7]);
+    await run(engine, planOf([[1, 1_000_000_000]]), () => engine.orders.length > 0);
+    expect(engine.orders).toEqual([1]);
+  });
+
+  it('says before it orders that the engine is about to switch', async () => {
+    const engine = new FakeEngine();
+    engine.layers = { from: 0, end: 16, version: 1 };
+    const reports = await run(engine, planOf([[2, 7_500]]), (told) => told.at(-1)?.version === 2);
+    const switching = reports.findIndex(({ isSwitching }) => isSwitching);
+    expect(switching).toBeGreaterThanOrEqual(0);
+    expect(reports[switching].version).toBe(1);
+  });
+});
