--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -44,6 +44,18 @@
   tried: ReadonlySet<string>;
 }
 
+/** Why a back end may not take a request. */
+export type Exclusion =
+  | 'leaving'
+  | 'tried'
+  | 'suspended'
+  | 'connections'
+  | 'switching'
+  | 'noWeights'
+  | 'expired'
+  | 'expiring'
+  | 'otherVersion';
+
 /** The back end for a request. */
 export interface Selection {
   row: BackEndRow;
@@ -92,7 +104,7 @@
     const now = performance.now();
     const candidates: Candidate[] = [];
     for (const row of this.#table.ofService(requirements.service)) {
-      if (this.#mayTake(row, requirements, now))
+      if (this.#exclusion(row, requirements, now) === undefined)
         candidates.push(this.#candidate(row, requirements.answerTokens, now));
     }
     addSlowness(candidates, this.#table);
@@ -138,19 +150,42 @@
     return Math.max(0, ...lowest);
   }
 
-  #mayTake(row: BackEndRow, requirements: Requirements, now: number): boolean {
-    const { record, health, news } = row;
-    if (record.leaving || requirements.tried.has(record.id)) return false;
-    if (!health.admits(now, requirements.isRepeatable)) return false;
-    if (row.inFlight >= this.#connectionShare(record.service)) return false;
+  /** How many back ends of the service are left out, by the reason, for logs. */
+  exclusions(requirements: Requirements): Partial<Record<Exclusion, number>> {
+    const now = performance.now();
+    const counts: Partial<Record<Exclusion, number>> = {};
+    for (const row of this.#table.ofService(requirements.service)) {
+      const exclusion = this.#exclusion(row, requirements, now);
+      if (exclusion !== undefined) counts[exclusion] = (counts[exclusion] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  /** Why `row` may not take the request now; undefined where it may. */
+  #exclusion(row: BackEndRow, requirements: Requirements, now: number): Exclusion | undefined {
+    const { record, health } = row;
+    if (record.leaving) return 'leaving';
+    if (requirements.tried.has(record.id)) return 'tried';
+    if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
+    if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
     const engine = this.#fleet.routes?.service(record.service)?.engine;
-    if (engine === undefined) return true;
-    if (news?.isSwitching === true) return false;
+    return engine === undefined ? undefined : this.#versionExclusion(row, engine, requirements, now);
+  }
+
+  /** Why the weights of `row` keep it from taking the request. */
+  #versionExclusion(
+    row: BackEndRow,
+    engine: EngineShape,
+    requirements: Requirements,
+    now: number,
+  ): Exclusion | undefined {
+    if (row.news?.isSwitching === true) return 'switching';
     const version = wholeVersion(row, engine.layers);
-    if (version === 0 || version < this.#lowestVersion(engine, now, this.#versionMargin(row, now)))
-      return false;
-    if (version < this.#lowestVersion(engine, now, EXPIRY_NOTICE) && this.#wouldQueue(row)) return false;
-    return requirements.version === undefined || requirements.version === version;
+    if (version === 0) return 'noWeights';
+    if (version < this.#lowestVersion(engine, now, this.#versionMargin(row, now))) return 'expired';
+    if (version < this.#lowestVersion(engine, now, EXPIRY_NOTICE) && this.#wouldQueue(row)) return 'expiring';
+    const isOther = requirements.version !== undefined && requirements.version !== version;
+    return isOther ? 'otherVersion' : undefined;
   }
 
   /** Time for which a request of this duration would hold up the switch that is due there, in milliseconds. */
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -11,6 +11,7 @@
 import { hash32 } from '../model/random.js';
 import { type AnswerHead, Attempt, type AttemptFailure } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
+import type { Requirements } from './back-end-selector.js';
 import { type BackEndRow, blend, loadOf, noteFirstAnswer } from './back-end-table.js';
 import { type CallerBody, readCallerBody } from './caller-body.js';
 import { EventRelay } from './event-relay.js';
@@ -173,13 +174,7 @@
   }
 
   #send(): void {
-    const selection = this.#components.selector.select({
-      service: this.#service,
-      isRepeatable: this.#route.repeatability !== 'never',
-      answerTokens: this.#answerTokens,
-      version: this.#version,
-      tried: this.#tried,
-    });
+    const selection = this.#components.selector.select(this.#requirements());
     if (selection === undefined) return this.#holdOrGiveUp();
     this.#heldSince = undefined;
     if (selection.expectedWait > LONGEST_WAIT) return this.#giveUp('back ends full');
@@ -224,6 +219,16 @@
     attempt.send(row.connections);
   }
 
+  #requirements(): Requirements {
+    return {
+      service: this.#service,
+      isRepeatable: this.#route.repeatability !== 'never',
+      answerTokens: this.#answerTokens,
+      version: this.#version,
+      tried: this.#tried,
+    };
+  }
+
   /** Waits for capacity that is in sight; gives up at once where it is not. */
   #holdOrGiveUp(): void {
     const now = performance.now();
@@ -233,7 +238,11 @@
     const isInSight = capacity === undefined ? this.#route.isStream : capacity < CAPACITY_IN_SIGHT;
     const longest = capacity === undefined ? SHORT_HOLD : LONGEST_HOLD;
     const mayWait = now - this.#heldSince < longest && !this.#response.headersSent;
-    if (!isInSight || !mayWait) return this.#giveUp('no back end', capacity);
+    if (!isInSight || !mayWait) {
+      const excluded = this.#components.selector.exclusions(this.#requirements());
+      this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
+      return this.#giveUp('no back end', capacity);
+    }
     if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
