--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -47,6 +47,7 @@
   readonly #latency: Histogram;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
+  #acceptedAt = 0;
 
   constructor(address: string, components: Omit<ForwardingComponents, 'onSettled'>, metrics: Metrics) {
     this.#address = address;
@@ -97,8 +98,14 @@
     });
   }
 
-  /** Ends idle connections; those in use end with their answers. */
-  closeIdle(): void {
+  /** Time since the latest request came, in milliseconds. */
+  get quietFor(): number {
+    return performance.now() - this.#acceptedAt;
+  }
+
+  /** Takes no new connection and ends idle ones; those in use end with their answers. */
+  close(): void {
+    this.#server?.close();
     this.#server?.closeIdleConnections();
   }
 
@@ -112,6 +119,7 @@
   #accept(request: IncomingMessage, response: ServerResponse): void {
     const forwarded = new ForwardedRequest(this.#components, request, response);
     this.#active.add(forwarded);
+    this.#acceptedAt = performance.now();
     this.#timer ??= setInterval(() => this.#check(), CHECK_INTERVAL);
     forwarded.start().catch((cause) => forwarded.abandon(cause));
   }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -49,12 +49,14 @@
 const BUDGET_SHARE = 0.75;
 /** Entries that the slack of the budget is divided among, at least. */
 const SLACK_SHARES = 16;
-/** After the order to stop, callers that hold the address are served for as long as they keep it, and this. */
-const LEAVING_MARGIN = 700;
+/** After the order to stop, callers are served for as long as some keep the address, or until none has come for this. */
+const QUIET = 800;
+/** Time for what is in progress once nothing new is taken, in milliseconds. */
+const CLOSING_TIME = 1_500;
 /** Before the process would be killed it ends by itself, in milliseconds. */
 const KILL_MARGIN = 700;
 const DRAIN_CHECK = 50;
-/** After a start, an entry without the store waits this long for others that know more, in milliseconds. */
+/** Addresses in one answer to a caller. */
 const MOST_ADDRESSES = 64;
 const MILLISECONDS = 1_000;
 
@@ -235,12 +237,14 @@
     this.#leaving = true;
     this.#peers.announce();
     log.info('entry leaves', { inProgress: this.#forwarding.active });
-    const served = settings.addressLifetimeSeconds * MILLISECONDS + LEAVING_MARGIN;
     const latest = settings.graceTime - KILL_MARGIN;
-    while (elapsed() < latest && (elapsed() < served || this.#forwarding.active > 0)) {
-      await sleep(DRAIN_CHECK, new AbortController().signal);
-    }
-    this.#forwarding.closeIdle();
+    const lifetime = settings.addressLifetimeSeconds * MILLISECONDS;
+    const isServed = () =>
+      elapsed() >= lifetime && (this.#forwarding.quietFor > QUIET || elapsed() >= 3 * lifetime);
+    while (elapsed() < latest - CLOSING_TIME && !isServed()) await pause();
+    // From here on nothing new is taken, so that no request is read and then cut.
+    this.#forwarding.close();
+    while (elapsed() < latest && this.#forwarding.active > 0) await pause();
     log.info('entry stops', { inProgress: this.#forwarding.active, tookMs: Math.round(elapsed()) });
     await this.#parts.stop();
     await this.#components.backEnds.stop();
@@ -438,6 +442,10 @@
   );
 }
 
+function pause(): Promise<void> {
+  return sleep(DRAIN_CHECK, new AbortController().signal);
+}
+
 function applicationOf(router: Router): Koa {
   const app = new Koa();
   app.silent = true;
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -45,6 +45,8 @@
 /** Time for a batch from another process, and for a piece of the origin, in milliseconds. */
 const BATCH_LIMIT = 2_000;
 const ORIGIN_LIMIT = 1_500;
+/** A piece that is on its way for longer is asked of another source as well, in milliseconds. */
+const OVERDUE = 1_500;
 /** Pieces of one answer of an entry, and of an agent whose link is narrow. */
 const ENTRY_BATCH = 12;
 const AGENT_BATCH = 2;
@@ -171,6 +173,7 @@
       library,
       sources: () => this.#sources(collection, held),
       mayAsk: () => true,
+      overdue: OVERDUE,
       random,
       log,
     });
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -40,6 +40,7 @@
 /** A change of the load that is told at once. */
 const TOLD_LOAD_STEP = 3;
 const CALL_LIMIT = 1_000;
+/** Asking for a piece again while it is on its way would fill a narrow link with copies: it has until this. */
 const BATCH_LIMIT = 4_000;
 const ORIGIN_LIMIT = 4_000;
 /** Pieces of one answer of an entry. */
@@ -219,7 +220,16 @@
     const sources = () => this.#sources(held);
     const mayAsk = () => this.#mayAsk(version);
     const pace = () => this.#pace(fetch.fetcher);
-    fetch.fetcher = new PieceFetcher({ held, library, sources, mayAsk, pace, random, log });
+    fetch.fetcher = new PieceFetcher({
+      held,
+      library,
+      sources,
+      mayAsk,
+      pace,
+      overdue: BATCH_LIMIT,
+      random,
+      log,
+    });
     await fetch.fetcher.run(signal);
     this.#completeAt.set(keyOf(version), performance.now());
     if (!signal.aborted && this.#engine !== undefined) await this.#advance(this.#engine, signal);
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -11,8 +11,6 @@
 
 /** Longest time between two looks at the sources, in milliseconds. */
 const TICK = 60;
-/** A piece that is on its way for longer may be asked of another source, in milliseconds. */
-const OVERDUE = 1_500;
 /** First and longest rest of a source that failed, in milliseconds. */
 const FIRST_REST = 150;
 const LONGEST_REST = 500;
@@ -50,6 +48,8 @@
   mayAsk: () => boolean;
   /** How much of the link may be used; read anew at each look. Without it there is no limit. */
   pace?: () => FetchPace;
+  /** A piece that is on its way for longer may be asked of another source, in milliseconds. */
+  overdue: number;
   random: Random;
   log: Log;
 }
@@ -139,9 +139,8 @@
   }
 
   #wanted(now: number): number[] {
-    return this.#options.held
-      .missing()
-      .filter((index) => now - (this.#asked.get(index) ?? -OVERDUE) >= OVERDUE);
+    const { held, overdue } = this.#options;
+    return held.missing().filter((index) => now - (this.#asked.get(index) ?? -overdue) >= overdue);
   }
 
   async #fetch(
--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -46,6 +46,7 @@
     library,
     sources: () => sources,
     mayAsk: () => true,
+    overdue: 1_500,
     random: seededRandom(3),
     log: silentLog,
   };
