--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -17,7 +17,7 @@
 import { ForwardingServer } from '../forwarding/forwarding-server.js';
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
 import { hash32, type Random, rendezvousOrder, seededRandom } from '../model/random.js';
-import { StartableGroup } from '../model/startable.js';
+import { type Startable, StartableGroup } from '../model/startable.js';
 import { HybridClock } from '../observability/hybrid-clock.js';
 import type { Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
@@ -135,7 +135,7 @@
 }
 
 /** A running entry. */
-export class DirectEntry {
+export class DirectEntry implements Startable {
   readonly #components: DirectEntryComponents;
   readonly #peers: EntryPeers;
   readonly #agents: EngineAgents;
@@ -246,6 +246,10 @@
     this.#forwarding.close();
     while (elapsed() < latest && this.#forwarding.active > 0) await pause();
     log.info('entry stops', { inProgress: this.#forwarding.active, tookMs: Math.round(elapsed()) });
+    await this.stop();
+  }
+
+  async stop(): Promise<void> {
     await this.#parts.stop();
     await this.#components.backEnds.stop();
   }
