--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -29,6 +29,8 @@
 /** This long before the bound of a version requests no longer queue where an older one serves, in milliseconds. */
 const EXPIRY_NOTICE = 3_500;
 const MILLISECONDS = 1_000;
+/** A back end that answered late gets a request again after this, in milliseconds. */
+const SLOWNESS_LIFE = 4_000;
 /** Usual time from the order to take a version to its first request, in milliseconds. */
 const SWITCH_TIME = 400;
 
@@ -107,7 +109,7 @@
       if (this.#exclusion(row, requirements, now) === undefined)
         candidates.push(this.#candidate(row, requirements.answerTokens, now));
     }
-    addSlowness(candidates, this.#table);
+    addSlowness(candidates, this.#table, now);
     const choice = chooseBackEnd(candidates, this.#self, this.#random);
     if (choice === undefined) return undefined;
     const row = this.#table.rows.get(choice.candidate.id)!;
@@ -255,9 +257,12 @@
   }
 }
 
-/** Sets how much later than the fastest each candidate usually answers, where it is not its load that delays it. */
-function addSlowness(candidates: Candidate[], table: BackEndTable): void {
-  const times = candidates.map(({ id }) => table.rows.get(id)!.firstAnswerTime);
+/** Sets how much later than the fastest each candidate answers by its latest answers; without any it is tried again. */
+function addSlowness(candidates: Candidate[], table: BackEndTable, now: number): void {
+  const times = candidates.map(({ id }) => {
+    const { firstAnswerTime, answeredAt } = table.rows.get(id)!;
+    return now - answeredAt < SLOWNESS_LIFE ? firstAnswerTime : 0;
+  });
   const known = times.filter((time) => time > 0);
   if (known.length < 2) return;
   const fastest = Math.min(...known);
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -455,7 +455,7 @@
     if (this.#answeredAt === 0) return;
     const now = performance.now();
     this.#firstAnswerAfter = Math.round(now - this.#attempt!.startedAt);
-    if (this.#route.isStream) noteFirstAnswer(row, this.#firstAnswerAfter, now);
+    noteFirstAnswer(row, this.#firstAnswerAfter, now);
   }
 
   #settle(outcome: RequestOutcome): void {
