--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -75,11 +75,6 @@
     return this.#backEnds.connected && this.#operator.connected;
   }
 
-  /** Age of what is known of back ends from the store, in milliseconds. */
-  get backEndsAge(): number {
-    return performance.now() - this.#backEnds.answeredAt;
-  }
-
   async start(): Promise<void> {
     await this.#followers.start();
   }
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -50,11 +50,6 @@
     this.#options = options;
   }
 
-  /** When the store answered last, in milliseconds of the steady clock. */
-  get answeredAt(): number {
-    return this.#answeredAt;
-  }
-
   /** False between a failed call and the next answer. */
   get connected(): boolean {
     return this.#failures === 0 && this.#revision !== undefined;
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -56,6 +56,8 @@
 /** Before the process would be killed it ends by itself, in milliseconds. */
 const KILL_MARGIN = 700;
 const DRAIN_CHECK = 50;
+/** Changes of this time are told to peers and agents together, in milliseconds. */
+const ANNOUNCE_DELAY = 50;
 /** Addresses in one answer to a caller. */
 const MOST_ADDRESSES = 64;
 const MILLISECONDS = 1_000;
@@ -317,7 +319,7 @@
       this.#announcing = false;
       this.#peers.announce();
       this.#agents.tell();
-    }, DRAIN_CHECK);
+    }, ANNOUNCE_DELAY);
   }
 
   #onPeerReport(report: EntryReport): void {
