--- a/src/roles/direct-agent.ts
+++ b/src/roles/direct-agent.ts
@@ -1,7 +1,5 @@
 /** The role in the slot of an engine's machine where callers' requests do not pass through it: it loads weights. */
 import { randomBytes } from 'node:crypto';
-import Router from '@koa/router';
-import Koa from 'koa';
 import type { ListedObjectStore } from '../clients/object-store.js';
 import type { WatchedTables } from '../clients/watched-tables.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
@@ -10,9 +8,10 @@
 import { HybridClock } from '../observability/hybrid-clock.js';
 import type { Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
+import { metricsServer } from '../observability/metrics-server.js';
 import { EntryLink } from '../peers/entry-link.js';
 import { type ConnectionContext, createTrafficCounters } from '../protocol/connection.js';
-import { httpServer } from '../server/http-server.js';
+import { httpServer, listenerOf } from '../server/http-server.js';
 import { EngineLoader } from '../weights/engine-loader.js';
 import { WeightsLibrary } from '../weights/held-weights.js';
 import { pieceRoutes } from '../weights/piece-server.js';
@@ -76,8 +75,8 @@
     },
   ]);
   const parts = new StartableGroup([
-    httpServer(address, applicationOf(pieceRoutes(library)).callback()),
-    httpServer(settings.metrics, applicationOf(metricsRoutes(metrics, metricsPath)).callback()),
+    httpServer(address, listenerOf(pieceRoutes(library))),
+    metricsServer(settings.metrics, metricsPath, metrics),
     link,
     loader,
     new StorePlan({ tables, decoder, versionBound: settings.versionBound, loader, log }),
@@ -93,19 +92,3 @@
     },
   };
 }
-
-function metricsRoutes(metrics: Metrics, path: string): Router {
-  const router = new Router();
-  router.get(path, async (context) => {
-    context.type = 'text/plain; version=0.0.4';
-    context.body = await metrics.text();
-  });
-  return router;
-}
-
-function applicationOf(router: Router): Koa {
-  const app = new Koa();
-  app.silent = true;
-  app.use(router.routes());
-  return app;
-}
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -3,9 +3,8 @@
  * callers which entries there are, and holds weights for the agents of its zone.
  */
 import { randomBytes } from 'node:crypto';
-import Router from '@koa/router';
+import type Router from '@koa/router';
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
-import Koa from 'koa';
 import type { ListedObjectStore } from '../clients/object-store.js';
 import type { WatchedTables } from '../clients/watched-tables.js';
 import { FleetView } from '../fleet/fleet-view.js';
@@ -21,6 +20,7 @@
 import { HybridClock } from '../observability/hybrid-clock.js';
 import type { Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
+import { metricsServer } from '../observability/metrics-server.js';
 import { type EngineAgentRow, EngineAgents } from '../peers/engine-agents.js';
 import { EntryPeers } from '../peers/entry-peers.js';
 import {
@@ -37,7 +37,7 @@
   createTrafficCounters,
   type TrafficCounters,
 } from '../protocol/connection.js';
-import { httpServer } from '../server/http-server.js';
+import { httpServer, listenerOf } from '../server/http-server.js';
 import { RetryBudget } from '../systems/retry-budget.js';
 import { CollectionDuty } from '../weights/collection-duty.js';
 import { WeightsLibrary, type WeightsVersion } from '../weights/held-weights.js';
@@ -201,21 +201,21 @@
       metrics,
     );
     const accept = (connection: Connection) => this.#accept(connection);
-    const pieces = applicationOf(pieceRoutes(library));
+    const pieces = listenerOf(pieceRoutes(library));
     const directory = components.directoryRoutes(
       (zone, region) => this.addresses(zone, region),
       settings.addressLifetimeSeconds,
     );
     this.#parts = new StartableGroup([
-      new ConnectionListener(settings.peers, context, accept, pieces.callback()),
+      new ConnectionListener(settings.peers, context, accept, pieces),
       sync,
       this.#peers,
       this.#agents,
       this.#collection,
       this.#forwarding,
-      httpServer(settings.ready, applicationOf(components.readyRoutes(() => this.isReady)).callback()),
-      httpServer(settings.directory, applicationOf(directory).callback()),
-      httpServer(settings.metrics, applicationOf(this.#metricsRoutes()).callback()),
+      httpServer(settings.ready, listenerOf(components.readyRoutes(() => this.isReady))),
+      httpServer(settings.directory, listenerOf(directory)),
+      metricsServer(settings.metrics, components.metricsPath, metrics),
     ]);
     this.#addMetrics();
   }
@@ -393,16 +393,6 @@
     return budget;
   }
 
-  #metricsRoutes(): Router {
-    const { metrics, metricsPath } = this.#components;
-    const router = new Router();
-    router.get(metricsPath, async (context) => {
-      context.type = 'text/plain; version=0.0.4';
-      context.body = await metrics.text();
-    });
-    return router;
-  }
-
   #addMetrics(): void {
     const { metrics, counters, fleet, backEnds, sync } = this.#components;
     metrics.add([
@@ -451,10 +441,3 @@
 function pause(): Promise<void> {
   return sleep(DRAIN_CHECK, new AbortController().signal);
 }
-
-function applicationOf(router: Router): Koa {
-  const app = new Koa();
-  app.silent = true;
-  app.use(router.routes());
-  return app;
-}
--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -1,5 +1,6 @@
 /** An HTTP server on a given address that can be stopped at once. */
 import { createServer, type RequestListener, type Server } from 'node:http';
+import type Router from '@koa/router';
 import Koa from 'koa';
 import type { Startable } from '../model/startable.js';
 
@@ -33,6 +34,13 @@
   return app;
 }
 
+/** What answers requests by the routes of `router`. */
+export function listenerOf(router: Router): RequestListener {
+  const app = application();
+  app.use(router.routes());
+  return app.callback();
+}
+
 /** Reads the whole body of a request. */
 export async function readBody(context: Koa.Context): Promise<Buffer> {
   const parts: Buffer[] = [];
