Requests that come again wait for capacity in sight; reports among entries no longer grow with their square

Tests in test/forwarding/capacity.test.ts; 4 of the first 8 failed on the code before.

Reports become rarer with the number of entries, changes of load wait for them, one encoding serves all, plans name five entries, entries no longer ping one another, the list of back ends is read every 0.9 s at the most.

--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -18,6 +18,9 @@
 /** Longest wait for changes of back ends, and the time of which changes come together, in milliseconds. */
 const BACK_END_WAIT = 3_000;
 const BACK_END_INTERVAL = 500;
+/** With more readers than this each asks more rarely, but at least after this time, in milliseconds. */
+const FREQUENT_READERS = 10;
+const LONGEST_BACK_END_INTERVAL = 900;
 /** After the store's return removals wait this long, in milliseconds. */
 const REMOVAL_HOLD = 1_900;
 /** A silence up to this is no outage: nothing lapses in it, in milliseconds. */
@@ -38,6 +41,8 @@
   readonly #operator: TableFollower;
   readonly #backEnds: TableFollower;
   readonly #followers: StartableGroup;
+  /** Processes that read the list of back ends from the store, this one among them. */
+  readerCount: () => number = () => 1;
   readonly #held = new Map<string, BackEndChange>();
   #holdUntil = 0;
   #holdTimer: NodeJS.Timeout | undefined;
@@ -50,7 +55,7 @@
       random,
       table: decoder.operatorTable,
       wait: OPERATOR_WAIT,
-      interval: OPERATOR_INTERVAL,
+      interval: () => OPERATOR_INTERVAL,
       events: this.#events('operator', {
         onWhole: (rows, since) => this.#takeOperatorRows(rows, since),
         onChanges: (rows, since) => this.#takeOperatorRows(rows, since),
@@ -61,7 +66,7 @@
       random,
       table: decoder.backEndTable,
       wait: BACK_END_WAIT,
-      interval: BACK_END_INTERVAL,
+      interval: () => this.#backEndInterval(),
       events: this.#events('backEnds', {
         onWhole: (rows) => this.#takeWholeList(rows),
         onChanges: (rows) => this.#takeChanges(rows),
@@ -84,6 +89,11 @@
     await this.#followers.stop();
   }
 
+  #backEndInterval(): number {
+    const rarity = Math.max(1, this.readerCount() / FREQUENT_READERS);
+    return Math.min(LONGEST_BACK_END_INTERVAL, BACK_END_INTERVAL * rarity);
+  }
+
   #events(table: string, taking: Pick<TableFollowerEvents, 'onWhole' | 'onChanges'>): TableFollowerEvents {
     const { log } = this.#options;
     return {
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -31,8 +31,8 @@
   table: string;
   /** Longest wait for a change in one call, in milliseconds. */
   wait: number;
-  /** Least time between two calls, in milliseconds: changes of this time come together. */
-  interval: number;
+  /** Least time between two calls, in milliseconds: changes of this time come together; read anew at each call. */
+  interval: () => number;
   random: Random;
   events: TableFollowerEvents;
 }
@@ -69,7 +69,7 @@
     while (!signal.aborted) {
       const askedAt = performance.now();
       const pause = await this.#step(signal);
-      await sleep(Math.max(pause, this.#options.interval - (performance.now() - askedAt)), signal);
+      await sleep(Math.max(pause, this.#options.interval() - (performance.now() - askedAt)), signal);
     }
   }
 
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -38,6 +38,8 @@
 export interface Requirements {
   service: string;
   isRepeatable: boolean;
+  /** False where it is to go only where it begins at once. */
+  mayQueue: boolean;
   /** Tokens that the answer may have; 0 where that is not known. */
   answerTokens: number;
   /** Version that must answer, where a stream goes on. */
@@ -52,6 +54,7 @@
   | 'tried'
   | 'suspended'
   | 'connections'
+  | 'full'
   | 'switching'
   | 'noWeights'
   | 'expired'
@@ -171,7 +174,10 @@
     if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
     if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
     const engine = this.#fleet.routes?.service(record.service)?.engine;
-    return engine === undefined ? undefined : this.#versionExclusion(row, engine, requirements, now);
+    const exclusion =
+      engine === undefined ? undefined : this.#versionExclusion(row, engine, requirements, now);
+    if (exclusion !== undefined) return exclusion;
+    return !requirements.mayQueue && this.#wouldQueue(row) ? 'full' : undefined;
   }
 
   /** Why the weights of `row` keep it from taking the request. */
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -13,11 +13,15 @@
 const ANSWER_TIME_HALF_LIFE = 1_500;
 /** What an agent says of the load holds for this long, in milliseconds. */
 const LOAD_LIFE = 600;
+/** What an agent has read of its engine's version goes before the list for this long, in milliseconds. */
+const VERSION_LIFE = 2_500;
 
 /** What an agent says of the engine beside it. */
 export interface EngineNews {
-  /** Version whose layers are all there; 0 for none. */
+  /** Version whose layers are all there; 0 for none, or where that is not known. */
   version: number;
+  /** The agent reads the engine's state: what it tells is newer than the list. */
+  isReached: boolean;
   /** The engine is about to take another version, and takes nothing new. */
   isSwitching: boolean;
   /** Requests of all callers that ran or waited there, and when that was told. */
@@ -140,8 +144,16 @@
   };
 }
 
-/** The version of which `row` holds every layer, or 0: the newer of what the list and its agent say. */
-export function wholeVersion({ record, news }: BackEndRow, layerCount: number): number {
+/**
+ * The version of which `row` holds every layer, or 0: what its agent has read there lately; else the newer of what the
+ * list and the agent say. The list goes on telling of an engine that lost everything until its record lapses.
+ */
+export function wholeVersion(
+  { record, news }: BackEndRow,
+  layerCount: number,
+  now = performance.now(),
+): number {
+  if (news?.isReached === true && now - news.toldAt < VERSION_LIFE) return news.version;
   const listed = isWhole(record.layers, layerCount) ? record.layers!.version : 0;
   return Math.max(listed, news?.version ?? 0);
 }
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -12,7 +12,7 @@
 import { hash32 } from '../model/random.js';
 import { type AnswerHead, Attempt, type AttemptFailure } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
-import type { Requirements, Selection } from './back-end-selector.js';
+import type { Requirements } from './back-end-selector.js';
 import { type BackEndRow, blend, loadOf, noteFirstAnswer } from './back-end-table.js';
 import { CallerAnswer } from './caller-answer.js';
 import { type CallerBody, readCallerBody } from './caller-body.js';
@@ -32,19 +32,22 @@
 const SHORTEST_STREAM_SILENCE = 600;
 /** Requests are not let wait at a back end for longer than this before they begin, in milliseconds. */
 const LONGEST_WAIT = 1_800;
-/** Those that cannot be in time any more leave the queues of back ends to the others, in milliseconds. */
-const LONGEST_WAIT_LATE = 500;
+/** A first request for a stream is to begin within this share of its objective: the rest of it goes to its prompt. */
+const WAIT_SHARE = 0.6;
+const SHORTEST_WAIT_LIMIT = 150;
 /** A request that is refused comes back after this, in seconds, times 1 to 2. */
 const RETRY_AFTER = 0.4;
+/** A caller whose time is short by more than this has asked before, in milliseconds. */
+const REPEATED_AFTER = 150;
 /** Callers are not asked to wait longer than this for capacity that is to come, in seconds. */
 const LONGEST_RETRY_AFTER = 2;
-/** A request waits here for capacity that is expected within this time, and no longer than this, in milliseconds. */
-const CAPACITY_IN_SIGHT = 1_500;
-const LONGEST_HOLD = 1_800;
-/** Where back ends serve, but none may take a request, one is free soon or not, in milliseconds. */
-const SHORT_HOLD = 250;
-/** Urgency of requests that cannot be in time any more: the last. */
+/** A request that can still be in time waits here for capacity no longer than this, in milliseconds. */
+const SHORT_HOLD = 45;
+/** One that has come again waits for capacity as long as this is left of its time afterwards, in milliseconds. */
+const TIME_TO_SERVE = 1_200;
+/** Urgency of requests that cannot be in time any more, the last, and of those that have come again. */
 const LATE_URGENCY = 9;
+const REPEATED_URGENCY = 8;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
 const MOST_SENDS = 4;
 const INTERNAL_ERROR = 500;
@@ -175,8 +178,7 @@
   #send(): void {
     const selection = this.#components.selector.select(this.#requirements());
     if (selection === undefined) return this.#holdOrGiveUp();
-    if (selection.expectedWait > LONGEST_WAIT) return this.#giveUp('back ends full');
-    if (this.#isHeldBack(selection)) return;
+    if (selection.expectedWait > this.#longestWait) return this.#giveUp('back ends full');
     this.#heldSince = undefined;
     const { row } = selection;
     this.#row = row;
@@ -219,16 +221,22 @@
     attempt.send(row.connections);
   }
 
-  /** A late request that has waited for capacity goes on waiting while others fill it; first ones are not held back. */
-  #isHeldBack({ expectedWait }: Selection): boolean {
-    if (this.#heldSince === undefined || expectedWait <= LONGEST_WAIT_LATE) return false;
-    return this.#isLate && performance.now() - this.#heldSince < LONGEST_HOLD;
+  /** How long the request may have to wait at a back end, in milliseconds. */
+  get #longestWait(): number {
+    if (!this.#route.isStream || !this.#mayQueue) return LONGEST_WAIT;
+    return Math.max(SHORTEST_WAIT_LIMIT, WAIT_SHARE * this.#route.objective);
+  }
+
+  /** The queues of back ends are for those that can be in time: a caller that comes again waits here for a free slot. */
+  get #mayQueue(): boolean {
+    return this.#sends > 0 || !this.#isLastChance;
   }
 
   #requirements(): Requirements {
     return {
       service: this.#service,
       isRepeatable: this.#route.repeatability !== 'never',
+      mayQueue: this.#mayQueue,
       answerTokens: this.#answerTokens,
       version: this.#version,
       tried: this.#tried,
@@ -241,9 +249,9 @@
     const capacity = this.#components.selector.expectedCapacity(this.#service);
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
-    const isInSight = capacity === undefined ? this.#route.isStream : capacity < CAPACITY_IN_SIGHT;
-    const longest = capacity === undefined ? SHORT_HOLD : LONGEST_HOLD;
-    const mayWait = now - this.#heldSince < longest && !this.#answer.started;
+    // Where back ends serve, but none may take a request, one is free soon or not.
+    const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < this.#holdsUntil;
+    const mayWait = now < this.#holdsUntil && !this.#answer.started;
     if (!isInSight || !mayWait) {
       const excluded = this.#components.selector.exclusions(this.#requirements());
       this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
@@ -252,6 +260,15 @@
     if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
+  /**
+   * Until when the request may wait here for capacity. A first one is better refused and served at once when it comes
+   * again; one that has come again has no further chance.
+   */
+  get #holdsUntil(): number {
+    if (this.#isLastChance) return this.#endsAt - TIME_TO_SERVE;
+    return (this.#heldSince ?? performance.now()) + SHORT_HOLD;
+  }
+
   #bodyToSend(): Buffer | Readable | null {
     if (this.#body.type === 'kept') return this.#body.bytes;
     return this.#body.type === 'streamed' ? this.#body.stream : null;
@@ -269,8 +286,7 @@
     kept.push(names.expectedBackEnd, row.record.id);
     if (this.#tenant !== undefined) kept.push(names.tenant, this.#tenant);
     if (version !== undefined) kept.push(names.expectedVersion, String(version));
-    if (this.#route.isStream)
-      kept.push(names.urgency, String(this.#isLate ? LATE_URGENCY : Math.min(LATE_URGENCY, this.#urgency)));
+    if (this.#route.isStream) kept.push(names.urgency, String(this.#urgencyNow));
     const { lastEventId } = this.#answer;
     if (lastEventId !== undefined) kept.push(LAST_EVENT_ID, lastEventId);
     return kept;
@@ -368,10 +384,30 @@
     this.#finish({ type: 'unavailable', reason, retryAfter });
   }
 
-  /** True where the answer cannot be in time any more: a caller that asks again has less time left than its route gives. */
+  /** True where a refusal would be the caller's last answer. */
+  get #isLastChance(): boolean {
+    return this.#route.isStream && this.#isRepeated && !this.#answer.started;
+  }
+
+  /** What the caller has used up of its time before this request: one that asks again has less left. */
+  get #spentBefore(): number {
+    return this.#arrivedAt + this.#route.timeout - this.#endsAt;
+  }
+
+  /** True where the caller has asked before. */
+  get #isRepeated(): boolean {
+    return this.#spentBefore > REPEATED_AFTER;
+  }
+
+  /** True where the answer cannot be in time any more, counted from this request. */
   get #isLate(): boolean {
-    const spent = this.#arrivedAt + this.#route.timeout - this.#endsAt;
-    return spent + performance.now() - this.#arrivedAt > this.#route.objective;
+    return performance.now() - this.#arrivedAt > this.#route.objective;
+  }
+
+  /** Urgency at the back end's queue: first those that can be in time, then those that have come again. */
+  get #urgencyNow(): number {
+    if (this.#isLate) return LATE_URGENCY;
+    return this.#isRepeated ? REPEATED_URGENCY : Math.min(this.#urgency, REPEATED_URGENCY);
   }
 
   #onTimeout(): void {
--- a/src/peers/engine-agents.ts
+++ b/src/peers/engine-agents.ts
@@ -4,7 +4,7 @@
 import type { EngineReport, WeightsPlan } from './reports.js';
 
 /** Time between two tellings of the plan, in milliseconds. */
-const PLAN_INTERVAL = 500;
+const PLAN_INTERVAL = 700;
 
 /** A connected agent. */
 export interface EngineAgentRow {
@@ -18,11 +18,17 @@
 export class EngineAgents implements Startable {
   readonly rows = new Map<string, EngineAgentRow>();
   readonly #planFor: (row: EngineAgentRow) => WeightsPlan;
-  readonly #onReport: (report: EngineReport) => void;
+  readonly #onReport: (report: EngineReport, before: EngineReport | undefined) => void;
   #timer: NodeJS.Timeout | undefined;
 
-  /** @param planFor - what an agent is to know now */
-  constructor(planFor: (row: EngineAgentRow) => WeightsPlan, onReport: (report: EngineReport) => void) {
+  /**
+   * @param planFor - what an agent is to know now
+   * @param onReport - takes what an agent reports, with what it reported before
+   */
+  constructor(
+    planFor: (row: EngineAgentRow) => WeightsPlan,
+    onReport: (report: EngineReport, before: EngineReport | undefined) => void,
+  ) {
     this.#planFor = planFor;
     this.#onReport = onReport;
   }
@@ -45,8 +51,9 @@
     };
     connection.handleMessages((message) => {
       if (message.type !== 'engineReport') return;
+      const before = row.report;
       row.report = message.report;
-      this.#onReport(message.report);
+      this.#onReport(message.report, before);
     });
     this.#tellOne(row);
   }
--- a/src/peers/entry-link.ts
+++ b/src/peers/entry-link.ts
@@ -9,7 +9,7 @@
 /** Pause between two rounds over all known entries, in milliseconds. */
 const ROUND_PAUSE = 250;
 /** Without a plan for this long the entry is left, in milliseconds. */
-const PLAN_LIMIT = 2_000;
+const PLAN_LIMIT = 2_200;
 const CHECK_INTERVAL = 250;
 /** Time between the first words to one entry and to the next, in milliseconds. */
 const STAGGER = 120;
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -8,15 +8,17 @@
 import type { RecordDecoder } from '../fleet/record-decoder.js';
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
-import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
+import {
+  type Connection,
+  type ConnectionContext,
+  connect,
+  type EncodedMessage,
+  encodeForMany,
+} from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
+import { REPORT_TICK, reportInterval, reportLife } from './report-rate.js';
 import { type EntryReport, LONG_AGO } from './reports.js';
 
-/** Time between two reports inside a zone, and to other zones, in milliseconds. */
-const NEAR_INTERVAL = 150;
-const FAR_INTERVAL = 450;
-/** An entry is taken to live for this long after its latest report, in milliseconds. */
-const LIFE = 1_500;
 /** Time between two tries to reach an entry, in milliseconds. */
 const FIRST_REDIAL = 300;
 const LONGEST_REDIAL = 4_000;
@@ -68,7 +70,7 @@
 
   async start(): Promise<void> {
     this.#stopped = new AbortController();
-    this.#timer = setInterval(() => this.#tick(), NEAR_INTERVAL);
+    this.#timer = setInterval(() => this.#tick(), REPORT_TICK);
     this.#tick();
   }
 
@@ -89,7 +91,9 @@
   /** The latest reports of entries that live. */
   live(): EntryReport[] {
     const now = performance.now();
-    const rows = [...this.#rows.values()].filter(({ heardAt }) => now - heardAt < LIFE);
+    const rows = [...this.#rows.values()].filter(
+      (row) => now - row.heardAt < reportLife(this.#isNear(row), this.#rows.size),
+    );
     return rows.flatMap(({ report }) => report ?? []);
   }
 
@@ -101,32 +105,44 @@
     if (row !== undefined) this.#take(row, connection);
   }
 
-  /** Tells all at once what has changed. */
-  announce(): void {
-    const message: Message = { type: 'entryReport', report: this.#options.report() };
-    for (const row of this.#rows.values()) this.#tell(row, message);
+  /** Tells at once what has changed: all entries, or those of the own zone. */
+  announce(audience: 'all' | 'zone'): void {
+    const message = this.#encodedReport();
+    for (const row of this.#rows.values()) {
+      if (audience === 'all' || this.#isNear(row)) this.#tell(row, message);
+    }
   }
 
   #tick(): void {
     const now = performance.now();
-    const message: Message = { type: 'entryReport', report: this.#options.report() };
+    const due: PeerRow[] = [];
     for (const row of this.#rows.values()) {
       if (row.connection?.open !== true) this.#dial(row, now);
-      else if (now - row.toldAt >= this.#interval(row)) this.#tell(row, message);
+      // Timers are late by some milliseconds.
+      else if (now - row.toldAt >= reportInterval(this.#isNear(row), this.#rows.size) * 0.9) due.push(row);
+    }
+    if (due.length > 0) {
+      const message = this.#encodedReport();
+      for (const row of due) this.#tell(row, message);
     }
     if (now - this.#addressesToldAt < ADDRESSES_INTERVAL) return;
     this.#addressesToldAt = now;
     const addresses = [this.#options.address, ...this.live().map(({ address }) => address)];
-    for (const { connection } of this.#rows.values()) connection?.send({ type: 'entryAddresses', addresses });
+    const message = encodeForMany({ type: 'entryAddresses', addresses }, this.#options.context);
+    for (const { connection } of this.#rows.values()) connection?.sendEncoded(message);
+  }
+
+  #encodedReport(): EncodedMessage {
+    const message: Message = { type: 'entryReport', report: this.#options.report() };
+    return encodeForMany(message, this.#options.context);
   }
 
-  #interval(row: PeerRow): number {
-    // Timers are late by some milliseconds.
-    return (row.report?.zone === this.#options.zone ? NEAR_INTERVAL : FAR_INTERVAL) * 0.9;
+  #isNear({ report }: PeerRow): boolean {
+    return report?.zone === this.#options.zone;
   }
 
-  #tell(row: PeerRow, message: Message): void {
-    if (row.connection?.send(message) === true) row.toldAt = performance.now();
+  #tell(row: PeerRow, message: EncodedMessage): void {
+    if (row.connection?.sendEncoded(message) === true) row.toldAt = performance.now();
   }
 
   #dial(row: PeerRow, now: number): void {
@@ -153,7 +169,7 @@
       if (row.connection === connection) row.connection = undefined;
     };
     connection.handleMessages((message) => this.#handle(row, connection, message));
-    this.#tell(row, { type: 'entryReport', report: this.#options.report() });
+    this.#tell(row, this.#encodedReport());
   }
 
   #handle(row: PeerRow, connection: Connection, message: Message): void {
@@ -167,7 +183,7 @@
 
   #onReport(row: PeerRow, connection: Connection, report: EntryReport): void {
     const now = performance.now();
-    if (now - row.heardAt > LIFE)
+    if (now - row.heardAt > reportLife(this.#isNear(row), this.#rows.size))
       this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
     row.heardAt = now;
     row.report = report;
--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -26,8 +26,10 @@
 export interface EngineReport {
   /** Address at which the engine takes requests. */
   address: string;
-  /** Version whose layers are all there; 0 for none. */
+  /** Version whose layers are all there; 0 for none, or where that is not known. */
   version: number;
+  /** The engine answers its agent: what is told of it is what it holds, whatever the list of back ends says. */
+  isReached: boolean;
   isSwitching: boolean;
   /** Requests of all callers that run or wait there. */
   load: number;
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -62,7 +62,7 @@
   ],
   ['model', 'version', 'age'],
   ['model', 'version', 'count', 'have', 'stored'],
-  ['address', 'version', 'isSwitching', 'load', 'switchesIn', 'held'],
+  ['address', 'version', 'isReached', 'isSwitching', 'load', 'switchesIn', 'held'],
 ];
 
 const packr = new Packr({
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -43,6 +43,17 @@
 
 type TrafficClass = 'control' | 'chunks' | 'calls';
 
+/** A message as it goes to several connections: encoding it once costs less than once for each. */
+export interface EncodedMessage {
+  bytes: Buffer;
+  trafficClass: TrafficClass;
+}
+
+/** Encodes a message for several connections of one process. */
+export function encodeForMany(message: Message, { clock }: ConnectionContext): EncodedMessage {
+  return { bytes: encode(message, clock.next()), trafficClass: trafficClassOf(message) };
+}
+
 /** Counters at zero. */
 export function createTrafficCounters(): TrafficCounters {
   return {
@@ -121,8 +132,15 @@
    */
   send(message: Message): boolean {
     if (!this.#open) return false;
-    const encoded = encode(message, this.#context.clock.next());
-    const trafficClass = trafficClassOf(message);
+    return this.#enqueue(encode(message, this.#context.clock.next()), trafficClassOf(message));
+  }
+
+  /** Sends a message that is encoded already; returns false when the connection is gone. */
+  sendEncoded({ bytes, trafficClass }: EncodedMessage): boolean {
+    return this.#open && this.#enqueue(bytes, trafficClass);
+  }
+
+  #enqueue(encoded: Buffer, trafficClass: TrafficClass): true {
     this.#context.counters[`${trafficClass}Sent`] += encoded.byteLength;
     if (encoded.byteLength > BATCHED_BYTES) this.#flush();
     if (this.#outgoing.push(encoded) === 1) {
@@ -184,14 +202,15 @@
   }
 
   /**
-   * The side that dialled asks for a sign of life when either direction has been quiet; an entry is always asked,
-   * since agents must know that it still knows them.
+   * The side that dialled asks for a sign of life when either direction has been quiet; an agent always asks its
+   * entry, since it must know that it is still known there.
    */
   #beat(): void {
     const now = performance.now();
     if (now - this.#heardAt > SILENCE_LIMIT) return this.close();
     const quiet = now - Math.min(this.#heardAt, this.#sentAt) >= HEARTBEAT_INTERVAL;
-    const isDue = quiet || this.remote.role === 'entry';
+    const isHome = this.remote.role === 'entry' && this.#context.hello().role === 'agent';
+    const isDue = quiet || isHome;
     if (!this.#dialled || !isDue || this.#socket.readyState !== WebSocket.OPEN) return;
     this.#socket.ping();
     this.#sentAt = now;
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -56,8 +56,11 @@
 /** Before the process would be killed it ends by itself, in milliseconds. */
 const KILL_MARGIN = 700;
 const DRAIN_CHECK = 50;
-/** Changes of this time are told to peers and agents together, in milliseconds. */
-const ANNOUNCE_DELAY = 50;
+/** Changes of this time are told to peers and agents together, by who is told, in milliseconds. */
+const ANNOUNCE_DELAY = { all: 50, zone: 120 };
+/** Entries that an agent is told of: holders and those to connect to, of its own zone and of others. */
+const NEAR_ENTRIES = 3;
+const FAR_ENTRIES = 2;
 /** Addresses in one answer to a caller. */
 const MOST_ADDRESSES = 64;
 const MILLISECONDS = 1_000;
@@ -146,7 +149,7 @@
   readonly #parts: StartableGroup;
   readonly #budgets = new Map<string, RetryBudget>();
   #leaving = false;
-  #announcing = false;
+  #announcement: 'all' | 'zone' | undefined;
 
   constructor(components: DirectEntryComponents) {
     const { settings, fleet, backEnds, sync, library, log, random, metrics, context } = components;
@@ -164,11 +167,12 @@
       onReport: (report) => this.#onPeerReport(report),
       log,
     });
+    sync.readerCount = () => this.#peers.live().length + 1;
     this.#agents = new EngineAgents(
       (row) => this.#planFor(row),
-      (report) => {
+      (report, before) => {
         backEnds.takeNews(report.address, engineNews(report));
-        this.#announce();
+        if (before === undefined || hasChangedService(before, report)) this.#announce('all');
       },
     );
     this.#collection = new CollectionDuty({
@@ -181,7 +185,7 @@
       agents: () => [...this.#agents.rows.values()],
       servedVersions: () => this.#servedVersions(),
       versionBound: settings.versionBound,
-      onHeldChanged: () => this.#announce(),
+      onHeldChanged: () => this.#announce('zone'),
       random,
       log,
     });
@@ -237,7 +241,7 @@
     const startedAt = performance.now();
     const elapsed = () => performance.now() - startedAt;
     this.#leaving = true;
-    this.#peers.announce();
+    this.#peers.announce('all');
     log.info('entry leaves', { inProgress: this.#forwarding.active });
     const latest = settings.graceTime - KILL_MARGIN;
     const lifetime = settings.addressLifetimeSeconds * MILLISECONDS;
@@ -311,15 +315,17 @@
     }));
   }
 
-  /** Tells peers and agents of what changed, once for all changes of a moment. */
-  #announce(): void {
-    if (this.#announcing) return;
-    this.#announcing = true;
-    setTimeout(() => {
-      this.#announcing = false;
-      this.#peers.announce();
-      this.#agents.tell();
-    }, ANNOUNCE_DELAY);
+  /** Tells what changed, once for all changes of a moment: an engine's service to all, what is held to this zone. */
+  #announce(audience: 'all' | 'zone'): void {
+    if (this.#announcement === undefined) setTimeout(() => this.#tellChanges(), ANNOUNCE_DELAY[audience]);
+    if (this.#announcement !== 'all') this.#announcement = audience;
+  }
+
+  #tellChanges(): void {
+    const audience = this.#announcement ?? 'zone';
+    this.#announcement = undefined;
+    this.#peers.announce(audience);
+    this.#agents.tell();
   }
 
   #onPeerReport(report: EntryReport): void {
@@ -338,11 +344,19 @@
       return known ?? { model, version, age: LONG_AGO };
     });
     const entries = [this.#report(), ...this.#peers.live()];
-    const near = entries.filter((entry) => entry.zone === zone);
-    const holders = entries
-      .filter(({ held }) => held.length > 0)
-      .map((entry) => ({ address: entry.address, isNear: entry.zone === zone, held: entry.held }));
-    const far = entries.filter((entry) => entry.zone !== zone);
+    const near = orderFor(
+      address,
+      entries.filter((entry) => entry.zone === zone),
+    );
+    const far = orderFor(
+      address,
+      entries.filter((entry) => entry.zone !== zone),
+    );
+    const holders = [
+      ...near.filter(({ held }) => held.length > 0).slice(0, NEAR_ENTRIES),
+      ...far.filter(({ held }) => held.length > 0).slice(0, FAR_ENTRIES),
+    ].map((entry) => ({ address: entry.address, isNear: entry.zone === zone, held: entry.held }));
+    const toConnect = [...near.slice(0, NEAR_ENTRIES), ...far.slice(0, FAR_ENTRIES)];
     return {
       versions,
       bound: settings.versionBound,
@@ -350,7 +364,7 @@
       layers: configuration?.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
       position: this.#positionOf(report?.address ?? '', zone),
       holders,
-      entries: [...orderFor(address, near), ...orderFor(address, far)],
+      entries: toConnect.map((entry) => entry.address),
       hasNearEntry: near.length > 0,
     };
   }
@@ -410,10 +424,17 @@
   }
 }
 
-function engineNews({ version, isSwitching, load, switchesIn }: EngineReport): EngineNews {
+function engineNews({ version, isReached, isSwitching, load, switchesIn }: EngineReport): EngineNews {
   const toldAt = performance.now();
   // The codec carries no undefined in lists.
-  return { version, isSwitching, load, toldAt, switchAt: toldAt + (switchesIn ?? Number.POSITIVE_INFINITY) };
+  return {
+    version,
+    isReached,
+    isSwitching,
+    load,
+    toldAt,
+    switchAt: toldAt + (switchesIn ?? Number.POSITIVE_INFINITY),
+  };
 }
 
 /** Names of the headers that callers may not set. */
@@ -431,10 +452,19 @@
   ]);
 }
 
-function orderFor(agent: string, entries: readonly EntryReport[]): string[] {
-  return rendezvousOrder(
-    agent,
-    entries.map(({ address }) => address),
+/** The entries in the order in which `agent` prefers them. */
+function orderFor(agent: string, entries: readonly EntryReport[]): EntryReport[] {
+  const byAddress = new Map(entries.map((entry) => [entry.address, entry]));
+  return rendezvousOrder(agent, [...byAddress.keys()]).map((address) => byAddress.get(address)!);
+}
+
+/** Whether what requests may be sent to an engine depends on has changed; its load is told with the next report. */
+function hasChangedService(before: EngineReport, after: EngineReport): boolean {
+  return (
+    before.version !== after.version ||
+    before.isReached !== after.isReached ||
+    before.isSwitching !== after.isSwitching ||
+    before.address !== after.address
   );
 }
 
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -35,6 +35,8 @@
 
 /** Time between two looks at the engine, in milliseconds. */
 const LOOK_INTERVAL = 250;
+/** The same where the engine serves and nothing is due there, in milliseconds. */
+const CALM_LOOK_INTERVAL = 400;
 /** The engine is reported at least this often, in milliseconds. */
 const REPORT_INTERVAL = 1_000;
 /** A change of the load that is told at once. */
@@ -145,10 +147,16 @@
   async #run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.#look(signal);
-      await sleep(LOOK_INTERVAL, signal);
+      await sleep(this.#isCalm ? CALM_LOOK_INTERVAL : LOOK_INTERVAL, signal);
     }
   }
 
+  /** True where the engine serves the newest version that is wanted. */
+  get #isCalm(): boolean {
+    const newest = Math.max(0, ...(this.#plan?.versions ?? []).map(({ version }) => version));
+    return this.#wholeVersion > 0 && this.#wholeVersion >= newest;
+  }
+
   async #look(signal: AbortSignal): Promise<void> {
     const state = await this.#options.engine.state(this.#limit(signal));
     const wasReachable = this.#engine !== undefined;
@@ -407,7 +415,8 @@
       if (held === undefined || fetcher === undefined || held.manifest.version <= this.#wholeVersion)
         return [];
       if (!this.#isWorthwhile(held.manifest)) return [];
-      const completeAt = this.#completeAt.get(keyOf(held.manifest)) ?? fetcher.expectedEnd;
+      const completeAt =
+        this.#completeAt.get(keyOf(held.manifest)) ?? this.#expectedCompletion(held.manifest);
       return Math.max(now, completeAt, this.#switchTime(held, completeAt)) - now;
     });
     const next = Math.min(...due);
@@ -472,6 +481,7 @@
     const report: EngineReport = {
       address: this.#options.engineAddress,
       version: this.#wholeVersion,
+      isReached: this.#engine !== undefined && this.#plan !== undefined,
       isSwitching: this.#isSwitching || this.#engine?.isBusy === true,
       load: this.#engine?.load ?? 0,
       switchesIn: this.#switchesIn(),
@@ -479,6 +489,7 @@
     };
     const text = JSON.stringify([
       report.version,
+      report.isReached,
       report.isSwitching,
       Math.round(report.load / TOLD_LOAD_STEP),
       report.held.map(({ version, have }) => [version, have]),
--- a/src/weights/store-plan.ts
+++ b/src/weights/store-plan.ts
@@ -12,7 +12,7 @@
 import type { EngineLoader } from './engine-loader.js';
 
 /** An entry has this long to tell before the store is asked, and again between two tries, in milliseconds. */
-const ENTRY_PATIENCE = 250;
+const ENTRY_PATIENCE = 30;
 const RETRY_PAUSE = 1_500;
 const CALL_LIMIT = 1_000;
 
--- /dev/null
+++ b/test/forwarding/capacity.test.ts
@@ -0,0 +1,138 @@
+/** Requests for engines when none can take them at once. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import type { EngineNews } from '../../src/forwarding/back-end-table.js';
+import { ForwardingHarness } from './forwarding-harness.js';
+import { reply, StandInBackEnd } from './stand-in-back-end.js';
+
+const LAYERS = 4;
+const TIMEOUT = 6_000;
+
+const CONFIGURATION: FleetConfiguration = {
+  revision: 1,
+  routes: [
+    {
+      name: 'write',
+      host: 'api.example',
+      pathPrefix: '/write/',
+      targets: [{ service: 'engines', weight: 1 }],
+      isStream: true,
+      repeatability: 'resumable',
+      timeout: TIMEOUT,
+      objective: 400,
+      longestPause: 300,
+      priority: 1,
+      maxAttempts: 2,
+      isPublic: true,
+    },
+  ],
+  services: [
+    {
+      name: 'engines',
+      maxConnections: 0,
+      engine: {
+        slots: 4,
+        models: [{ name: 'm' }],
+        layers: LAYERS,
+        pieceCount: 8,
+        pieceBytes: 16,
+        readTokensPerSecond: 30_000,
+        tokenTime: 8,
+      },
+    },
+  ],
+  origin: undefined,
+  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
+  tenants: undefined,
+};
+
+const LISTED = { layers: { from: 0, end: LAYERS, version: 1 } };
+/** What a caller that was refused two seconds ago sends. */
+const COMES_AGAIN = { headers: { 'x-time-left': String(TIMEOUT - 2_000) } };
+const COMES_FIRST = { headers: { 'x-time-left': String(TIMEOUT) } };
+
+let engine: StandInBackEnd;
+let forwarding: ForwardingHarness;
+
+/** The engine's agent tells, as of now. */
+function tell(news: Partial<EngineNews>): void {
+  const toldAt = performance.now();
+  forwarding.backEnds.takeNews(engine.address, {
+    version: 0,
+    isReached: true,
+    isSwitching: false,
+    load: 0,
+    toldAt,
+    switchAt: Number.POSITIVE_INFINITY,
+    ...news,
+  });
+}
+
+beforeEach(async () => {
+  engine = await new StandInBackEnd(reply(200, 'served')).start();
+  forwarding = new ForwardingHarness('engines');
+  await forwarding.start(CONFIGURATION);
+  forwarding.list(['one', engine, LISTED]);
+});
+
+afterEach(async () => {
+  await forwarding.stop();
+  await engine.stop();
+});
+
+describe('an engine that lost its weights', () => {
+  it('gets nothing although the list still tells of them', async () => {
+    tell({ version: 0 });
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(503);
+    expect(engine.requests).toHaveLength(0);
+  });
+
+  it('is believed by the list where its agent does not reach it', async () => {
+    tell({ version: 0, isReached: false });
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+  });
+
+  it('is believed by the list once its agent has long said nothing', async () => {
+    tell({ version: 0, toldAt: performance.now() - 10_000 });
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+  });
+});
+
+describe('while no engine serves', () => {
+  it('a first request is refused and told to come back when one is expected', async () => {
+    tell({ switchAt: performance.now() + 1_000 });
+    const answer = await forwarding.send('/write/', COMES_FIRST);
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThanOrEqual(1);
+  });
+
+  it('one that comes again waits for an engine that is expected in its time, and is served by it', async () => {
+    tell({ switchAt: performance.now() + 300 });
+    const answer = forwarding.send('/write/', COMES_AGAIN);
+    setTimeout(() => tell({ version: 1 }), 300);
+    expect(await answer).toMatchObject({ status: 200, body: 'served' });
+  });
+
+  it('one that comes again is refused at once where none is expected in its time', async () => {
+    tell({ switchAt: performance.now() + TIMEOUT });
+    expect((await forwarding.send('/write/', COMES_AGAIN)).status).toBe(503);
+  });
+});
+
+describe('where every slot is taken', () => {
+  it('one that comes again waits for a slot, and leaves the queue of the engine to first ones', async () => {
+    tell({ version: 1, load: 4 });
+    const again = forwarding.send('/write/', COMES_AGAIN);
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+    expect(engine.requests).toHaveLength(1);
+    tell({ version: 1, load: 0 });
+    expect((await again).status).toBe(200);
+  });
+
+  it('a first request is refused at once where it could not begin in time', async () => {
+    tell({ version: 1, load: 40 });
+    const answer = await forwarding.send('/write/', COMES_FIRST);
+    expect(answer.status).toBe(503);
+    expect(engine.requests).toHaveLength(0);
+  });
+});
--- /dev/null
+++ b/test/forwarding/forwarding-harness.ts
@@ -0,0 +1,153 @@
+/** An entry's forwarding on a free port, with a fleet that a test declares, and a caller. */
+import { request as httpRequest } from 'node:http';
+import { freeAddress } from '../../bench/processes/child.js';
+import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
+import { BackEndTable } from '../../src/forwarding/back-end-table.js';
+import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
+import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
+import { Metrics } from '../../src/observability/metrics.js';
+import { RetryBudget } from '../../src/systems/retry-budget.js';
+import type { StandInBackEnd } from './stand-in-back-end.js';
+
+/** Names of headers that no platform has. */
+export const NAMES = {
+  requestId: 'x-request',
+  timeLeft: 'x-time-left',
+  callerKey: 'x-key',
+  tenant: 'x-tenant',
+  expectedBackEnd: 'x-back-end',
+  expectedVersion: 'x-expected-version',
+  urgency: 'x-urgency',
+  notRun: 'x-not-run',
+  servedVersion: 'x-version',
+  tokenCounts: 'x-tokens',
+};
+
+/** What a caller got. */
+export interface Answer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+  /** False where the answer broke off. */
+  whole: boolean;
+}
+
+/** What a caller sends besides the path. */
+export interface SentRequest {
+  method?: string;
+  headers?: Record<string, string>;
+  body?: string | Buffer;
+}
+
+/** Forwarding that runs. */
+export class ForwardingHarness {
+  readonly fleet = new FleetView();
+  readonly backEnds = new BackEndTable();
+  readonly #service: string;
+  #server: ForwardingServer | undefined;
+  #address = '';
+  #requests = 0;
+
+  /** @param service - the service of the back ends that are listed */
+  constructor(service: string) {
+    this.#service = service;
+    this.fleet.listen({ onBackEnds: (changes) => this.backEnds.apply(changes) });
+  }
+
+  /** `host:port` for callers. */
+  get address(): string {
+    return this.#address;
+  }
+
+  async start(configuration: FleetConfiguration): Promise<void> {
+    const { fleet, backEnds } = this;
+    const random = seededRandom(7);
+    const selector = new BackEndSelector({
+      fleet,
+      table: backEnds,
+      random,
+      self: { zone: 'zone-a', region: 'region-a' },
+      regionOf: () => 'region-a',
+      versionBound: 8_000,
+      entryCount: () => 1,
+    });
+    const budget = new RetryBudget({ earnedByRequest: 1, savedAtMost: 10 });
+    const headersSet = new Set([
+      'x-key',
+      'x-tenant',
+      'x-back-end',
+      'x-time-left',
+      'content-length',
+      'last-event-id',
+    ]);
+    this.#address = await freeAddress();
+    this.#server = new ForwardingServer(
+      this.#address,
+      {
+        names: NAMES,
+        headersSet,
+        fleet,
+        backEnds,
+        selector,
+        random,
+        log: silentLog,
+        budgetOf: () => budget,
+        isLeaving: () => false,
+      },
+      new Metrics('test'),
+    );
+    await this.#server.start();
+    fleet.takeConfiguration({ document: Buffer.from(''), configuration });
+  }
+
+  async stop(): Promise<void> {
+    await this.#server?.stop();
+    await this.backEnds.stop();
+  }
+
+  /** Lists these back ends and no others. */
+  list(...backEnds: Array<[id: string, backEnd: StandInBackEnd, changes?: Partial<BackEndRecord>]>): void {
+    const revision = this.fleet.backEnds.revision + 1;
+    this.fleet.takeBackEnds({
+      revision,
+      records: backEnds.map(([id, backEnd, changes]) => ({
+        id,
+        service: this.#service,
+        address: backEnd.address,
+        zone: 'zone-a',
+        slots: 4,
+        leaving: false,
+        layers: undefined,
+        revision,
+        ...changes,
+      })),
+    });
+  }
+
+  /** Sends a request as a caller does. */
+  send(path: string, { method = 'GET', headers, body }: SentRequest = {}): Promise<Answer> {
+    const [host, port] = this.#address.split(':');
+    const all = { host: 'api.example', 'x-request': `r${++this.#requests}`, 'x-key': 'key-a', ...headers };
+    return new Promise((resolve, reject) => {
+      const sent = httpRequest({ host, port, path, method, headers: all }, (response) => {
+        const parts: Buffer[] = [];
+        const end = () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(parts).toString('utf8'),
+            whole: response.complete,
+          });
+        response.on('data', (part) => parts.push(part));
+        response.on('end', end);
+        response.on('error', end);
+      });
+      sent.on('error', reject);
+      sent.end(body);
+    });
+  }
+}
--- a/test/forwarding/forwarding.test.ts
+++ b/test/forwarding/forwarding.test.ts
@@ -1,33 +1,11 @@
 /** Requests of callers through an entry's forwarding to stand-in back ends. */
 import { request as httpRequest } from 'node:http';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { freeAddress } from '../../bench/processes/child.js';
 import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
-import { FleetView } from '../../src/fleet/fleet-view.js';
-import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
-import { BackEndTable } from '../../src/forwarding/back-end-table.js';
-import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
-import { seededRandom } from '../../src/model/random.js';
-import { silentLog } from '../../src/observability/log.js';
-import { Metrics } from '../../src/observability/metrics.js';
-import { RetryBudget } from '../../src/systems/retry-budget.js';
 import { until } from '../support.js';
+import { ForwardingHarness } from './forwarding-harness.js';
 import { events, raw, reply, StandInBackEnd } from './stand-in-back-end.js';
 
-const NAMES = {
-  requestId: 'x-request',
-  timeLeft: 'x-time-left',
-  callerKey: 'x-key',
-  tenant: 'x-tenant',
-  expectedBackEnd: 'x-back-end',
-  expectedVersion: 'x-expected-version',
-  urgency: 'x-urgency',
-  notRun: 'x-not-run',
-  servedVersion: 'x-version',
-  tokenCounts: 'x-tokens',
-};
-const POSITION = { zone: 'zone-a', region: 'region-a' };
-
 function route(name: string, changes: Partial<Route> = {}): Route {
   return {
     name,
@@ -61,117 +39,22 @@
   tenants: [{ name: 'tenant-a', keys: ['key-a'], priority: 2 }],
 };
 
-interface Answer {
-  status: number;
-  headers: Record<string, string | string[] | undefined>;
-  body: string;
-  /** False where the answer broke off. */
-  whole: boolean;
-}
-
 let first: StandInBackEnd;
 let second: StandInBackEnd;
-let fleet: FleetView;
-let backEnds: BackEndTable;
-let server: ForwardingServer;
-let address: string;
-let requests = 0;
-
-function list(...records: Array<[id: string, backEnd: StandInBackEnd]>): void {
-  fleet.takeBackEnds({
-    revision: fleet.backEnds.revision + 1,
-    records: records.map(([id, backEnd]) => ({
-      id,
-      service: 'billing',
-      address: backEnd.address,
-      zone: 'zone-a',
-      slots: 4,
-      leaving: false,
-      layers: undefined,
-      revision: fleet.backEnds.revision + 1,
-    })),
-  });
-}
-
-function send(
-  path: string,
-  options: { method?: string; headers?: Record<string, string>; body?: string | Buffer } = {},
-): Promise<Answer> {
-  const [host, port] = address.split(':');
-  const headers = {
-    host: 'api.example',
-    'x-request': `r${++requests}`,
-    'x-key': 'key-a',
-    ...options.headers,
-  };
-  return new Promise((resolve, reject) => {
-    const sent = httpRequest({ host, port, path, method: options.method ?? 'GET', headers }, (response) => {
-      const parts: Buffer[] = [];
-      const end = () =>
-        resolve({
-          status: response.statusCode ?? 0,
-          headers: response.headers,
-          body: Buffer.concat(parts).toString('utf8'),
-          whole: response.complete,
-        });
-      response.on('data', (part) => parts.push(part));
-      response.on('end', end);
-      response.on('error', end);
-    });
-    sent.on('error', reject);
-    sent.end(options.body);
-  });
-}
+let forwarding: ForwardingHarness;
+const send: ForwardingHarness['send'] = (path, request) => forwarding.send(path, request);
+const list: ForwardingHarness['list'] = (...listed) => forwarding.list(...listed);
 
 beforeEach(async () => {
   first = await new StandInBackEnd(reply(200, 'first')).start();
   second = await new StandInBackEnd(reply(200, 'second')).start();
-  fleet = new FleetView();
-  backEnds = new BackEndTable();
-  fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
-  const random = seededRandom(7);
-  const selector = new BackEndSelector({
-    fleet,
-    table: backEnds,
-    random,
-    self: POSITION,
-    regionOf: () => 'region-a',
-    versionBound: 8_000,
-    entryCount: () => 1,
-  });
-  const budget = new RetryBudget({ earnedByRequest: 1, savedAtMost: 10 });
-  address = await freeAddress();
-  const headersSet = new Set([
-    'x-key',
-    'x-tenant',
-    'x-back-end',
-    'x-time-left',
-    'content-length',
-    'last-event-id',
-  ]);
-  server = new ForwardingServer(
-    address,
-    {
-      names: NAMES,
-      headersSet,
-      fleet,
-      backEnds,
-      selector,
-      random,
-      log: silentLog,
-      budgetOf: () => budget,
-      isLeaving: () => false,
-    },
-    new Metrics('test'),
-  );
-  await server.start();
-  fleet.takeConfiguration({ document: Buffer.from(''), configuration: CONFIGURATION });
+  forwarding = new ForwardingHarness('billing');
+  await forwarding.start(CONFIGURATION);
   list(['one', first]);
 });
 
 afterEach(async () => {
-  await server.stop();
-  await backEnds.stop();
+  await forwarding.stop();
   await Promise.all([first.stop(), second.stop()]);
 });
 
@@ -209,7 +92,10 @@
   });
 
   it('gets 503 with the time to come back while nothing is known, never 404', async () => {
-    fleet.takeConfiguration({ document: Buffer.from(''), configuration: { ...CONFIGURATION, revision: 2 } });
+    forwarding.fleet.takeConfiguration({
+      document: Buffer.from(''),
+      configuration: { ...CONFIGURATION, revision: 2 },
+    });
     list();
     const answer = await send('/read/');
     expect(answer.status).toBe(503);
@@ -224,7 +110,7 @@
 
   it('is stopped at its back end when the caller leaves', async () => {
     first.answer(() => {});
-    const [host, port] = address.split(':');
+    const [host, port] = forwarding.address.split(':');
     const headers = { host: 'api.example', 'x-request': 'leaving', 'x-key': 'key-a' };
     const sent = httpRequest({ host, port, path: '/read/', headers });
     sent.on('error', () => {});
