--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -43,7 +43,8 @@
   onFailure(failure: AttemptFailure): void;
 }
 
-const MISDIRECTED = 421;
+/** Status of a back end that is not the one that was meant, or does not hold what was asked for. */
+export const MISDIRECTED = 421;
 
 /** A request on its way. */
 export class Attempt implements Dispatcher.DispatchHandler {
--- a/src/forwarding/back-end-health.ts
+++ b/src/forwarding/back-end-health.ts
@@ -12,7 +12,9 @@
   /** Nothing came from it: no connection, or silence. */
   | 'silent'
   /** It refused, as it is full. */
-  | 'overloaded';
+  | 'overloaded'
+  /** It refused, as it is not the one that was meant, or does not hold what was asked for. */
+  | 'misdirected';
 
 /** Weight of the newest outcome. */
 const OUTCOME_WEIGHT = 0.12;
@@ -25,6 +27,8 @@
 const LONGEST_SUSPENSION = 6_000;
 /** After a refusal it is left out this long, in milliseconds. */
 const OVERLOAD_PAUSE = 120;
+/** What was believed of it was wrong: it is left out this long, or until there is news of it, in milliseconds. */
+const MISDIRECTED_PAUSE = 1_000;
 
 /** The health of one back end as this process sees it. */
 export class BackEndHealth {
@@ -52,6 +56,11 @@
     return isRepeatable && now >= this.#suspendedUntil && !this.#isProbed;
   }
 
+  /** There is news of what it holds. */
+  noteNews(): void {
+    this.#pausedUntil = 0;
+  }
+
   /** A request goes there. */
   noteSent(): void {
     if (this.suspended) this.#isProbed = true;
@@ -60,8 +69,8 @@
   /** @param usualShare - share of failures that is usual among its peers */
   note(outcome: BackEndOutcome, now: number, usualShare: number): void {
     this.#isProbed = false;
-    if (outcome === 'overloaded') {
-      this.#pausedUntil = now + OVERLOAD_PAUSE;
+    if (outcome === 'overloaded' || outcome === 'misdirected') {
+      this.#pausedUntil = now + (outcome === 'overloaded' ? OVERLOAD_PAUSE : MISDIRECTED_PAUSE);
       return;
     }
     if (outcome === 'served') {
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -77,7 +77,11 @@
 
   /** An agent tells of the engine at `address`. */
   takeNews(address: string, news: EngineNews): void {
-    for (const row of this.rows.values()) if (row.record.address === address) row.news = news;
+    for (const row of this.rows.values()) {
+      if (row.record.address !== address) continue;
+      if (row.news?.version !== news.version) row.health.noteNews();
+      row.news = news;
+    }
   }
 
   /** Another entry tells what it has in flight. */
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -10,7 +10,7 @@
 import type { Route } from '../fleet/configuration.js';
 import { pathOf, type RouteTable, targetService } from '../fleet/route-table.js';
 import { hash32 } from '../model/random.js';
-import { type AnswerHead, Attempt, type AttemptFailure } from './attempt.js';
+import { type AnswerHead, Attempt, type AttemptFailure, MISDIRECTED } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
 import type { Requirements } from './back-end-selector.js';
 import { type BackEndRow, blend, loadOf, noteFirstAnswer } from './back-end-table.js';
@@ -510,7 +510,7 @@
 }
 
 function outcomeOf(failure: AttemptFailure): BackEndOutcome {
-  if (failure.type === 'refused') return 'overloaded';
+  if (failure.type === 'refused') return failure.status === MISDIRECTED ? 'misdirected' : 'overloaded';
   if (failure.type === 'notSent' || failure.reason === 'silent') return 'silent';
   return 'failed';
 }
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -83,12 +83,16 @@
     return this.#batchTime;
   }
 
-  /** When the version will be whole at the present rate, in milliseconds of the steady clock; infinite without one. */
+  /**
+   * When the version will be whole at the rate since the start, in milliseconds of the steady clock; infinite without
+   * one. Time without a piece counts: an end that drew near while nothing came would be believed by those who wait.
+   */
   get expectedEnd(): number {
     const { size, capacity } = this.#options.held.have;
     const got = size - this.#sizeAtStart;
     if (got <= 0) return Number.POSITIVE_INFINITY;
-    return this.#progressAt + ((this.#progressAt - this.#startedAt) / got) * (capacity - size);
+    const now = performance.now();
+    return now + ((now - this.#startedAt) / got) * (capacity - size);
   }
 
   /** Returns when the version is whole, or at `signal`. */
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -98,6 +98,18 @@
   });
 });
 
+describe('an engine that says that it is not the one that was meant', () => {
+  it('is left alone until there is news of it', async () => {
+    engine.answer(reply(421, '', { 'x-not-run': '1' }));
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(503);
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(503);
+    expect(engine.requests).toHaveLength(1);
+    engine.answer(reply(200, 'served'));
+    tell({ version: 1 });
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+  });
+});
+
 describe('while no engine serves', () => {
   it('a first request is refused and told to come back when one is expected', async () => {
     tell({ switchAt: performance.now() + 1_000 });
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -2,7 +2,8 @@
  * Builds `dist/thistleway.cjs`, one bundle with every role. Roles are imported lazily, so that a process
  * pays memory only for the modules of its own role. With `--binary` the bundle is also put into a copy of
  * the Node.js executable (`dist/thistleway`), by Node's single-executable support. With `--platform` the bundle for
- * the users' platform is built instead, at `target/thistleway.cjs`.
+ * the users' platform is built instead, at `target/roles.cjs`, with a launcher at `target/thistleway.cjs` and the
+ * compiled code of each role.
  */
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
@@ -15,7 +16,8 @@
 
 await build({
   entryPoints: [isForPlatform ? 'platform/main.ts' : 'src/cli/main.ts'],
-  outfile: `${folder}/thistleway.cjs`,
+  outfile: `${folder}/${isForPlatform ? 'roles' : 'thistleway'}.cjs`,
+  charset: 'ascii',
   bundle: true,
   platform: 'node',
   format: 'cjs',
@@ -27,6 +29,20 @@
   legalComments: 'none',
 });
 
+if (isForPlatform) {
+  copyFileSync('tools/launcher.cjs', `${folder}/thistleway.cjs`);
+  for (const [role, flags] of rolesOf(readFileSync('deploy/system.toml', 'utf8')))
+    execFileSync(process.execPath, [...flags, `${folder}/thistleway.cjs`, 'load', role], {
+      stdio: 'inherit',
+    });
+}
+
+/** The roles of a deploy file with the flags of Node.js: compiled code fits only the flags it was made with. */
+function rolesOf(deployFile) {
+  const runs = deployFile.matchAll(/^run = "node (.*) target\/thistleway\.cjs (\S+)"$/gm);
+  return [...runs].map(([, flags, role]) => [role, flags.split(' ')]);
+}
+
 if (process.argv.includes('--binary')) {
   const configuration = {
     main: 'dist/thistleway.cjs',
