A soak: the real programs as processes, faults from outside, callers that judge every answer

Entries and agents run as processes at loopback addresses of their own, before stand-ins of the store and the workers; links to the store and to workers are cut, slowed and reset, processes killed, paused, told to stop.

--- a/bench/processes/cuttable-link.ts
+++ b/bench/processes/cuttable-link.ts
@@ -1,4 +1,7 @@
-/** A link on the loopback address that can be cut, one way or both: what is sent while it is cut waits, as with TCP. */
+/**
+ * A link on the loopback address that can be cut, one way or both: what is sent while it is cut waits, as with TCP. It
+ * can also be slow, or reset what passes.
+ */
 import { createServer, type Server, Socket } from 'node:net';
 
 /** Directions in which nothing passes. */
@@ -11,6 +14,8 @@
   readonly #pairs = new Set<{ near: Socket; far: Socket }>();
   #server: Server | undefined;
   #cut: Cut = 'none';
+  /** What passes is late by this, in milliseconds. */
+  delay = 0;
 
   constructor(address: string, target: string) {
     this.address = address;
@@ -30,6 +35,14 @@
     for (const pair of this.#pairs) this.#apply(pair);
   }
 
+  /** Resets all connections that pass here. */
+  reset(): void {
+    for (const { near, far } of this.#pairs) {
+      near.resetAndDestroy();
+      far.destroy();
+    }
+  }
+
   stop(): void {
     this.#server?.close();
     for (const { near, far } of this.#pairs) {
@@ -50,7 +63,7 @@
     ]) {
       // Without it the link itself would hold small messages back for tens of milliseconds.
       from.setNoDelay(true);
-      from.on('data', (data) => to.write(data));
+      from.on('data', (data) => this.#pass(data, to));
       from.on('error', () => to.destroy());
       from.on('close', () => {
         to.destroy();
@@ -60,6 +73,12 @@
     this.#apply(pair);
   }
 
+  /** Timers of the same delay end in the order in which they began. */
+  #pass(data: Buffer, to: Socket): void {
+    if (this.delay === 0) to.write(data);
+    else setTimeout(() => to.write(data), this.delay);
+  }
+
   #apply({ near, far }: { near: Socket; far: Socket }): void {
     if (this.#cut === 'toTarget' || this.#cut === 'both') near.pause();
     else near.resume();
--- /dev/null
+++ b/test/platform/soak/main.ts
@@ -0,0 +1,176 @@
+/**
+ * A soak: the real programs as processes, faults from outside, callers that judge every answer; then quiet, in which
+ * everything must serve by the newest configuration and version again.
+ *
+ * `npm run soak -- [--seed S] [--seeds N] [--seconds T]` prints each seed's outcome; a seed that breaks a promise prints
+ * its time line and keeps its logs, and the exit code is 1.
+ */
+import { readFileSync, rmSync } from 'node:fs';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { seededRandom } from '../../../src/model/random.js';
+import { judgeAnswer, judgeRuns, type SentRequest, SoakCaller, sendRequest } from './callers.js';
+import { provoke } from './faults.js';
+import { SoakWorld } from './world.js';
+
+const CALLERS = 10;
+const SECOND = 1_000;
+/** Longest time from the last fault until everything must serve as declared, in milliseconds. */
+const RECOVERY_LIMIT = 14_000;
+const START_LIMIT = 15_000;
+const PROBE_PAUSE = 200;
+const SUBNETS = 250;
+
+/** What one seed showed. */
+interface SeedOutcome {
+  violations: string[];
+  timeline: string[];
+  statuses: Record<string, number>;
+  recoveredAfter: number | undefined;
+}
+
+async function pause(milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** What an entry does not yet do as declared; undefined where it does all. */
+async function probe(
+  world: SoakWorld,
+  entry: string,
+  sent: SentRequest[],
+  name: string,
+): Promise<string | undefined> {
+  const ask = async (kind: SentRequest['kind'], path: string) => {
+    const answer = await sendRequest(entry, undefined, {
+      id: `${name}-${sent.length}`,
+      kind,
+      path,
+      body: 'probe',
+    });
+    sent.push(answer);
+    return answer;
+  };
+  const stream = await ask('write', '/write/probe');
+  if (stream.status !== 200) return `a stream gets ${stream.status}`;
+  const version = Number(stream.headers['weight-versions']);
+  if (version !== world.weightsVersion) return `version ${version} answers, not ${world.weightsVersion}`;
+  const once = await ask('once', '/once/probe');
+  if (once.status !== 200) return `a request that runs once gets ${once.status}`;
+  const added = await ask('again', `/added-${world.configurationVersion}/probe`);
+  if (added.status !== 200) return `the newest route gets ${added.status}`;
+  const removed = await ask('again', `/added-${world.configurationVersion - 1}/probe`);
+  return removed.status === 404 ? undefined : `a removed route gets ${removed.status}`;
+}
+
+/** Waits until every entry does as declared; returns how long that took, or what was still missing. */
+async function untilDeclared(world: SoakWorld, limit: number, sent: SentRequest[]): Promise<number | string> {
+  const startedAt = performance.now();
+  for (;;) {
+    const missing: string[] = [];
+    for (const { callers } of world.entryAddresses()) {
+      const lacks = await probe(world, callers, sent, `probe-${callers}`);
+      if (lacks !== undefined) missing.push(`${callers}: ${lacks}`);
+    }
+    const took = performance.now() - startedAt;
+    if (missing.length === 0) return took;
+    if (took > limit) return missing.join('; ');
+    await pause(PROBE_PAUSE);
+  }
+}
+
+async function playSeed(seed: number, seconds: number, folder: string): Promise<SeedOutcome> {
+  const world = new SoakWorld(folder, 1 + (seed % SUBNETS));
+  const random = seededRandom(seed);
+  const probes: SentRequest[] = [];
+  const callers = Array.from({ length: CALLERS }, (_, index) => {
+    return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index));
+  });
+  try {
+    await world.start();
+    // The first configuration has a predecessor of which no route is left.
+    world.configure();
+    const started = await untilDeclared(world, START_LIMIT, probes);
+    if (typeof started === 'string') return failedToStart(started);
+    const running = callers.map((caller) => caller.run());
+    const timeline = await provoke(world, random, AbortSignal.timeout(seconds * SECOND));
+    world.heal();
+    const recovered = await untilDeclared(world, RECOVERY_LIMIT, probes);
+    for (const caller of callers) caller.stop();
+    await Promise.all(running);
+    const sent = [...callers.flatMap((caller) => caller.sent), ...probes];
+    const violations = [
+      ...callers.flatMap((caller) => caller.violations),
+      ...probes.filter(({ path }) => !path.startsWith('/added-')).flatMap(judgeAnswer),
+      ...judgeRuns(world, sent),
+      ...world.log.violations,
+      ...(typeof recovered === 'string' ? [`RECOVER: ${recovered}`] : []),
+    ];
+    return {
+      violations,
+      timeline,
+      statuses: countStatuses(sent),
+      recoveredAfter: typeof recovered === 'number' ? Math.round(recovered) : undefined,
+    };
+  } finally {
+    world.stop();
+  }
+}
+
+function failedToStart(reason: string): SeedOutcome {
+  return { violations: [`START: ${reason}`], timeline: [], statuses: {}, recoveredAfter: undefined };
+}
+
+function countStatuses(sent: readonly SentRequest[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { status, isWhole } of sent) {
+    const outcome = status === undefined ? 'none' : isWhole ? String(status) : 'cut';
+    counts[outcome] = (counts[outcome] ?? 0) + 1;
+  }
+  return counts;
+}
+
+/** Seeds that failed once, with their causes: they are played again with each run without a seed of its own. */
+function keptSeeds(): number[] {
+  const kept = JSON.parse(readFileSync('test/platform/soak/kept-seeds.json', 'utf8')) as Array<{
+    seed: number;
+  }>;
+  return kept.map(({ seed }) => seed);
+}
+
+async function main(): Promise<void> {
+  const { values } = parseArgs({
+    options: {
+      seed: { type: 'string' },
+      seeds: { type: 'string', default: '1' },
+      seconds: { type: 'string', default: '12' },
+      folder: { type: 'string', default: 'target/soak' },
+    },
+  });
+  const first = values.seed === undefined ? Date.now() % 1_000_000 : Number(values.seed);
+  const fresh = Array.from({ length: Number(values.seeds) }, (_, index) => first + index);
+  let failed = 0;
+  for (const seed of [...(values.seed === undefined ? [] : keptSeeds()), ...fresh]) {
+    const folder = join(values.folder, String(seed));
+    rmSync(folder, { recursive: true, force: true });
+    const outcome = await playSeed(seed, Number(values.seconds), folder);
+    const { violations, timeline, statuses, recoveredAfter } = outcome;
+    const line = {
+      seed,
+      violations: violations.length,
+      faults: timeline.length,
+      recoveredAfter,
+      ...statuses,
+    };
+    process.stdout.write(`${JSON.stringify(line)}\n`);
+    if (violations.length === 0) {
+      rmSync(folder, { recursive: true, force: true });
+      continue;
+    }
+    failed++;
+    process.stdout.write(`${[...violations.slice(0, 20), ...timeline, `logs: ${folder}`].join('\n')}\n`);
+  }
+  process.stdout.write(`soak: ${fresh.length} fresh seeds, ${failed} failed\n`);
+  process.exit(failed > 0 ? 1 : 0);
+}
+
+void main();
--- /dev/null
+++ b/test/platform/soak/world.ts
@@ -0,0 +1,277 @@
+/**
+ * The world of a soak: entries and agents as real processes, each at a loopback address of its own, before stand-ins of
+ * the store and the workers. Every way from a process to the store, and to each worker, leads over a link that can fail.
+ */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { closeSync, mkdirSync, openSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { CuttableLink } from '../../../bench/processes/cuttable-link.js';
+import { MemoryStore } from '../../../emulator/store/memory-store.js';
+import { wireStore } from '../wire-store.js';
+import { RunLog, StandInEngine, StandInOrigin, StandInService, type StandInWorker } from './workers.js';
+
+export const ENTRIES = 3;
+const ENGINES = 4;
+const SERVICES = 2;
+const ZONES = ['zone-a', 'zone-b'];
+export const HOST = 'soak.example';
+export const KEY = 'key-of-tenant';
+export const TENANT = 'tenant-a';
+/** Time-out of every route, in milliseconds. */
+export const ROUTE_TIMEOUT = 3_000;
+/** Time in which a named version must serve everywhere, in milliseconds. */
+const VERSION_BOUND = 8_000;
+const GRACE_SECONDS = 4;
+const HEARTBEAT = 600;
+/** Time after which a process that ended is started again, in milliseconds. */
+const RESTART_DELAY = 200;
+const ROLE_MEMORY_MB = 120;
+
+/** One process of the system. */
+export interface SystemProcess {
+  name: string;
+  role: 'entry' | 'agent';
+  settings: object;
+  /** The way to the store. */
+  storeLink: CuttableLink;
+  child: ChildProcess | undefined;
+  /** False while it is to stay away. */
+  isWanted: boolean;
+}
+
+interface ListedWorker {
+  worker: StandInWorker;
+  zone: string;
+  link: CuttableLink;
+}
+
+/** The world. */
+export class SoakWorld {
+  readonly store = new MemoryStore();
+  readonly log = new RunLog();
+  readonly processes: SystemProcess[] = [];
+  readonly workers: ListedWorker[] = [];
+  readonly #folder: string;
+  readonly #subnet: number;
+  #origin: StandInOrigin;
+  #stopStore: () => void = () => {};
+  #heartbeat: NodeJS.Timeout | undefined;
+  #configurationVersion = 0;
+  #weightsVersion = 1;
+  #beats = 0;
+  #workersStarted = 0;
+  #stopped = false;
+
+  /** @param subnet - 1 to 250: the loopback network 127.`subnet`.0.0 is used */
+  constructor(folder: string, subnet: number) {
+    this.#folder = folder;
+    this.#subnet = subnet;
+    this.#origin = new StandInOrigin(this.#address(9, 1, 8_000));
+    mkdirSync(folder, { recursive: true });
+  }
+
+  get configurationVersion(): number {
+    return this.#configurationVersion;
+  }
+
+  get weightsVersion(): number {
+    return this.#weightsVersion;
+  }
+
+  /** Addresses of entries for callers and for look-ups. */
+  entryAddresses(): Array<{ callers: string; directory: string }> {
+    return Array.from({ length: ENTRIES }, (_, index) => ({
+      callers: this.#address(1, index + 1, 8_005),
+      directory: this.#address(1, index + 1, 8_009),
+    }));
+  }
+
+  async start(): Promise<void> {
+    const wire = await wireStore(this.store);
+    this.#stopStore = wire.stop;
+    await this.#origin.start();
+    this.configure();
+    this.store.write('op', 'version/m', JSON.stringify({ model: 'm', version: 1 }));
+    for (let index = 1; index <= ENGINES; index++) await this.#addEngine(index, 1);
+    for (let index = 1; index <= SERVICES; index++) await this.#addService(index);
+    for (let index = 1; index <= ENTRIES; index++) await this.#addProcess('entry', index, wire.address);
+    for (let index = 1; index <= ENGINES; index++) await this.#addProcess('agent', index, wire.address);
+    this.#beat();
+    this.#heartbeat = setInterval(() => this.#beat(), HEARTBEAT);
+    for (const started of this.processes) this.spawn(started);
+  }
+
+  /** Ends all that was started here, by its own identity. */
+  stop(): void {
+    this.#stopped = true;
+    clearInterval(this.#heartbeat);
+    for (const { child, storeLink } of this.processes) {
+      child?.kill('SIGCONT');
+      child?.kill('SIGKILL');
+      storeLink.stop();
+    }
+    for (const { worker, link } of this.workers) {
+      worker.stop();
+      link.stop();
+    }
+    this.#origin.stop();
+    this.#stopStore();
+  }
+
+  /** Writes the next configuration: the route of every third version goes again with the next. */
+  configure(): void {
+    const version = ++this.#configurationVersion;
+    const route = (name: string, kind: string, service: string, more: object = {}) => ({
+      name,
+      host: HOST,
+      path_prefix: `/${name}/`,
+      kind,
+      service,
+      timeout_ms: ROUTE_TIMEOUT,
+      slo_ms: 400,
+      max_attempts: kind === 'non_idempotent' ? 1 : 2,
+      priority: 1,
+      ...more,
+    });
+    const configuration = {
+      version,
+      routes: [
+        route('write', 'stream', 'engines', { resumable: true, gap_target_ms: 300 }),
+        route('once', 'non_idempotent', 'plain'),
+        route('again', 'idempotent', 'plain'),
+        route(`added-${version}`, 'idempotent', 'plain'),
+      ],
+      services: [
+        {
+          name: 'engines',
+          max_conns: 100,
+          engine: { slots: 8, models: [{ name: 'm' }], layers: 4, chunks: 8, chunk_bytes: 4_096, step_ms: 1 },
+        },
+        { name: 'plain', max_conns: 100 },
+        { name: 'weights', origin: this.#origin.address },
+      ],
+      limits: { max_body_bytes: 1_000_000, idle_timeout_ms: 5_000 },
+      tenants: [{ name: TENANT, api_keys: [KEY] }],
+    };
+    this.store.write('op', 'config', JSON.stringify(configuration));
+  }
+
+  /** Names new weights. */
+  bumpVersion(): void {
+    const version = ++this.#weightsVersion;
+    this.store.write('op', 'version/m', JSON.stringify({ model: 'm', version }));
+  }
+
+  /** Starts a process, and again whenever it ends. */
+  spawn(started: SystemProcess): void {
+    if (this.#stopped || !started.isWanted) return;
+    const output = openSync(join(this.#folder, `${started.name}.log`), 'a');
+    const flags = [`--max-old-space-size=${ROLE_MEMORY_MB}`, 'target/thistleway.cjs', started.role];
+    const child = spawn(process.execPath, flags, {
+      stdio: ['ignore', output, output],
+      env: { ...process.env, THISTLEWAY_BOOT: join(this.#folder, `${started.name}.json`) },
+    });
+    closeSync(output);
+    started.child = child;
+    child.once('exit', () => {
+      started.child = undefined;
+      setTimeout(() => this.spawn(started), RESTART_DELAY);
+    });
+  }
+
+  /** A worker ends as in a crash; its record lapses, and another comes in its place without weights. */
+  async replaceWorker(place: number): Promise<void> {
+    const { worker, link } = this.workers[place];
+    worker.stop();
+    link.stop();
+    await new Promise((resolve) => setTimeout(resolve, HEARTBEAT));
+    if (this.#stopped) return;
+    this.store.write('servers', worker.id, undefined);
+    if (worker instanceof StandInEngine) await this.#addEngine(place + 1, 0, place);
+    else await this.#addService(place - ENGINES + 1, place);
+    this.#beat();
+  }
+
+  /** Heals everything that a fault may have left. */
+  heal(): void {
+    Object.assign(this.store.faults, { down: false, silent: false, losesAnswers: false });
+    for (const { storeLink, child, isWanted } of this.processes) {
+      storeLink.cut('none');
+      storeLink.delay = 0;
+      if (isWanted) child?.kill('SIGCONT');
+    }
+    for (const { link } of this.workers) {
+      link.cut('none');
+      link.delay = 0;
+    }
+  }
+
+  #address(kind: number, index: number, port: number): string {
+    return `127.${this.#subnet}.${kind}.${index}:${port}`;
+  }
+
+  async #addEngine(index: number, version: number, place = this.workers.length): Promise<void> {
+    const id = `i-engine-${++this.#workersStarted}`;
+    const address = this.#address(3, index, 8_001);
+    const worker = new StandInEngine({ id, service: 'engines', address, log: this.log, version });
+    await this.#list(worker, index, place, this.#address(5, index, 8_001));
+  }
+
+  async #addService(index: number, place = this.workers.length): Promise<void> {
+    const id = `i-plain-${++this.#workersStarted}`;
+    const address = this.#address(4, index, 8_001);
+    const worker = new StandInService({ id, service: 'plain', address, log: this.log });
+    await this.#list(worker, index, place, this.#address(6, index, 8_001));
+  }
+
+  async #list(worker: StandInWorker, index: number, place: number, linkAddress: string): Promise<void> {
+    const link = new CuttableLink(linkAddress, worker.address);
+    await worker.start();
+    await link.start();
+    this.workers[place] = { worker, zone: ZONES[index % ZONES.length], link };
+  }
+
+  async #addProcess(role: 'entry' | 'agent', index: number, store: string): Promise<void> {
+    const kind = role === 'entry' ? 1 : 2;
+    const name = `${role}-${index}`;
+    const storeLink = new CuttableLink(this.#address(7, kind * 10 + index, 8_007), store);
+    await storeLink.start();
+    const zone = ZONES[index % ZONES.length];
+    const at = (port: number) => this.#address(kind, index, port);
+    const settings = {
+      node_name: name,
+      machine_class: role === 'entry' ? 'front' : 'side',
+      ip: `127.${this.#subnet}.${kind}.${index}`,
+      zone,
+      region: zone,
+      port_range: [7_700, 7_715],
+      seeds: [1, 2].map((seed) => this.#address(1, seed, 8_000)),
+      zones: Object.fromEntries(ZONES.map((one) => [one, one])),
+      // Requests reach an engine over its link; its agent is on its machine.
+      app: this.#address(5, index, 8_001),
+      listen: { front: at(8_005), ready: at(8_002), control: at(8_000), directory: at(8_009) },
+      bounds: { grace_s: GRACE_SECONDS, version_ms: VERSION_BOUND, ttl_max_s: 1 },
+      platform: { address: storeLink.address },
+    };
+    writeFileSync(join(this.#folder, `${name}.json`), JSON.stringify(settings));
+    this.processes.push({ name, role, settings, storeLink, child: undefined, isWanted: true });
+  }
+
+  /** Workers keep themselves in the store; while it is away their writes come to nothing. */
+  #beat(): void {
+    const { down, silent } = this.store.faults;
+    if (down || silent) return;
+    this.#beats++;
+    for (const { worker, zone, link } of this.workers) {
+      const record = {
+        service: worker.service,
+        address: link.address,
+        zone,
+        state: worker.leaving ? 'draining' : 'ready',
+        seq: this.#beats,
+        ...worker.record(),
+      };
+      this.store.write('servers', worker.id, JSON.stringify(record));
+    }
+  }
+}
