--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
   DemoCommand,
 } from './bench.js';
 import { EXIT_USAGE } from './errors.js';
+import { ExplainCommand } from './explain.js';
 import {
   ApplyCommand,
   DeleteCommand,
@@ -38,6 +39,7 @@
   WatchCommand,
   DrainCommand,
   TimelineCommand,
+  ExplainCommand,
   BenchBurstCommand,
   BenchRequestsCommand,
   BenchConfigCommand,
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -422,6 +422,7 @@
 
   #onCallerGone(): void {
     if (this.#settled) return;
+    this.#log('caller left', { backEnd: this.#row?.record.id, ageMs: this.#age() });
     this.#attempt?.abort('caller left');
     this.#endAttempt(undefined);
     this.#settle('left');
