--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -19,6 +19,7 @@
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
+import { RequestTiming } from './request-timing.js';
 
 /** A new connection that is not there after this is given up, in milliseconds. */
 const CONNECT_LIMIT = 400;
@@ -30,24 +31,10 @@
 /** A stream that owes an event for this many of its longest pauses stands still. */
 const SILENT_PAUSES = 2;
 const SHORTEST_STREAM_SILENCE = 600;
-/** Requests are not let wait at a back end for longer than this before they begin, in milliseconds. */
-const LONGEST_WAIT = 1_800;
-/** A first request for a stream is to begin within this share of its objective: the rest of it goes to its prompt. */
-const WAIT_SHARE = 0.6;
-const SHORTEST_WAIT_LIMIT = 150;
 /** A request that is refused comes back after this, in seconds, times 1 to 2. */
 const RETRY_AFTER = 0.4;
-/** A caller whose time is short by more than this has asked before, in milliseconds. */
-const REPEATED_AFTER = 150;
 /** Callers are not asked to wait longer than this for capacity that is to come, in seconds. */
 const LONGEST_RETRY_AFTER = 2;
-/** A request that can still be in time waits here for capacity no longer than this, in milliseconds. */
-const SHORT_HOLD = 45;
-/** One that has come again waits for capacity as long as this is left of its time afterwards, in milliseconds. */
-const TIME_TO_SERVE = 1_200;
-/** Urgency of requests that cannot be in time any more, the last, and of those that have come again. */
-const LATE_URGENCY = 9;
-const REPEATED_URGENCY = 8;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
 const MOST_SENDS = 4;
 const INTERNAL_ERROR = 500;
@@ -77,7 +64,8 @@
   #service = '';
   #tenant: string | undefined;
   #urgency = 0;
-  #endsAt = Number.POSITIVE_INFINITY;
+  /** Known once its route is. */
+  #timing!: RequestTiming;
   #timer: NodeJS.Timeout | undefined;
   #body: CallerBody = { type: 'none' };
   #promptTokens = 0;
@@ -115,7 +103,7 @@
   async start(): Promise<void> {
     const error = this.#admit();
     if (error !== undefined) return this.#finish(error);
-    this.#timer = setTimeout(() => this.#onTimeout(), this.#endsAt - this.#arrivedAt);
+    this.#timer = setTimeout(() => this.#onTimeout(), this.#timing.endsAt - this.#arrivedAt);
     this.#body = await readCallerBody(this.#request, this.#table.configuration.limits.bodyBytes);
     if (this.#settled) return;
     if (this.#body.type === 'tooLarge') return this.#finish({ type: 'bodyTooLarge' });
@@ -167,8 +155,7 @@
     }
     this.#service = targetService(route, hash32(this.#id) / 2 ** 32);
     const timeLeft = Number(headers[names.timeLeft]);
-    const limit = Number.isFinite(timeLeft) && timeLeft > 0 ? timeLeft : Number.POSITIVE_INFINITY;
-    this.#endsAt = this.#arrivedAt + Math.min(route.timeout, limit);
+    this.#timing = new RequestTiming(this.#arrivedAt, route, timeLeft > 0 ? timeLeft : undefined);
     const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
     this.#promptTokens = Number(promptTokens) || 0;
     this.#answerTokens = Number(answerTokens) || 0;
@@ -178,7 +165,8 @@
   #send(): void {
     const selection = this.#components.selector.select(this.#requirements());
     if (selection === undefined) return this.#holdOrGiveUp();
-    if (selection.expectedWait > this.#longestWait) return this.#giveUp('back ends full');
+    if (selection.expectedWait > this.#timing.longestWait(this.#sends > 0))
+      return this.#giveUp('back ends full');
     this.#heldSince = undefined;
     const { row } = selection;
     this.#row = row;
@@ -221,22 +209,12 @@
     attempt.send(row.connections);
   }
 
-  /** How long the request may have to wait at a back end, in milliseconds. */
-  get #longestWait(): number {
-    if (!this.#route.isStream || !this.#mayQueue) return LONGEST_WAIT;
-    return Math.max(SHORTEST_WAIT_LIMIT, WAIT_SHARE * this.#route.objective);
-  }
-
-  /** The queues of back ends are for those that can be in time: a caller that comes again waits here for a free slot. */
-  get #mayQueue(): boolean {
-    return this.#sends > 0 || !this.#isLastChance;
-  }
-
   #requirements(): Requirements {
     return {
       service: this.#service,
       isRepeatable: this.#route.repeatability !== 'never',
-      mayQueue: this.#mayQueue,
+      // The queues of back ends are for those that can be in time: one that comes again waits here for a free slot.
+      mayQueue: this.#sends > 0 || !this.#timing.isLastChance,
       answerTokens: this.#answerTokens,
       version: this.#version,
       tried: this.#tried,
@@ -250,8 +228,9 @@
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
     // Where back ends serve, but none may take a request, one is free soon or not.
-    const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < this.#holdsUntil;
-    const mayWait = now < this.#holdsUntil && !this.#answer.started;
+    const holdsUntil = this.#timing.holdsUntil(this.#heldSince);
+    const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < holdsUntil;
+    const mayWait = now < holdsUntil && !this.#answer.started;
     if (!isInSight || !mayWait) {
       const excluded = this.#components.selector.exclusions(this.#requirements());
       this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
@@ -260,15 +239,6 @@
     if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
-  /**
-   * Until when the request may wait here for capacity. A first one is better refused and served at once when it comes
-   * again; one that has come again has no further chance.
-   */
-  get #holdsUntil(): number {
-    if (this.#isLastChance) return this.#endsAt - TIME_TO_SERVE;
-    return (this.#heldSince ?? performance.now()) + SHORT_HOLD;
-  }
-
   #bodyToSend(): Buffer | Readable | null {
     if (this.#body.type === 'kept') return this.#body.bytes;
     return this.#body.type === 'streamed' ? this.#body.stream : null;
@@ -281,12 +251,13 @@
     const kept = endToEndHeaders(rawHeaders, headers.connection, set);
     if (this.#body.type === 'streamed' && headers['content-length'] !== undefined)
       kept.push('Content-Length', headers['content-length']);
-    const timeLeft = Math.max(1, Math.floor(this.#endsAt - performance.now()));
-    if (Number.isFinite(this.#endsAt)) kept.push(names.timeLeft, String(timeLeft));
+    const timeLeft = Math.max(1, Math.floor(this.#timing.endsAt - performance.now()));
+    if (Number.isFinite(this.#timing.endsAt)) kept.push(names.timeLeft, String(timeLeft));
     kept.push(names.expectedBackEnd, row.record.id);
     if (this.#tenant !== undefined) kept.push(names.tenant, this.#tenant);
     if (version !== undefined) kept.push(names.expectedVersion, String(version));
-    if (this.#route.isStream) kept.push(names.urgency, String(this.#urgencyNow));
+    if (this.#route.isStream)
+      kept.push(names.urgency, String(this.#timing.urgency(this.#urgency, performance.now())));
     const { lastEventId } = this.#answer;
     if (lastEventId !== undefined) kept.push(LAST_EVENT_ID, lastEventId);
     return kept;
@@ -384,32 +355,6 @@
     this.#finish({ type: 'unavailable', reason, retryAfter });
   }
 
-  /** True where a refusal would be the caller's last answer. */
-  get #isLastChance(): boolean {
-    return this.#route.isStream && this.#isRepeated && !this.#answer.started;
-  }
-
-  /** What the caller has used up of its time before this request: one that asks again has less left. */
-  get #spentBefore(): number {
-    return this.#arrivedAt + this.#route.timeout - this.#endsAt;
-  }
-
-  /** True where the caller has asked before. */
-  get #isRepeated(): boolean {
-    return this.#spentBefore > REPEATED_AFTER;
-  }
-
-  /** True where the answer cannot be in time any more, counted from this request. */
-  get #isLate(): boolean {
-    return performance.now() - this.#arrivedAt > this.#route.objective;
-  }
-
-  /** Urgency at the back end's queue: first those that can be in time, then those that have come again. */
-  get #urgencyNow(): number {
-    if (this.#isLate) return LATE_URGENCY;
-    return this.#isRepeated ? REPEATED_URGENCY : Math.min(this.#urgency, REPEATED_URGENCY);
-  }
-
   #onTimeout(): void {
     if (this.#settled) return;
     const mayHaveRun = this.#runs > 0 || this.#attempt?.sent === true;
--- /dev/null
+++ b/src/forwarding/request-timing.ts
@@ -0,0 +1,64 @@
+/**
+ * The time of one request: when it must end, and what follows for how it waits. A caller that was refused comes again
+ * once, so a first request that cannot be in time is better refused at once, while one that has come again waits for
+ * whatever is free before its time is over. Times are in milliseconds of the steady clock.
+ */
+import type { Route } from '../fleet/configuration.js';
+
+/** Requests are not let wait at a back end for longer than this before they begin, in milliseconds. */
+const LONGEST_WAIT = 1_800;
+/** A first request for a stream is to begin within this share of its objective: the rest of it goes to its prompt. */
+const WAIT_SHARE = 0.6;
+const SHORTEST_WAIT_LIMIT = 150;
+/** A caller whose time is short by more than this has asked before, in milliseconds. */
+const REPEATED_AFTER = 150;
+/** A request that can still be in time waits here for capacity no longer than this, in milliseconds. */
+const SHORT_HOLD = 45;
+/** One that has come again waits for capacity as long as this is left of its time afterwards, in milliseconds. */
+const TIME_TO_SERVE = 1_200;
+/** Urgency of requests that cannot be in time any more, the last, and of those that have come again. */
+const LATE_URGENCY = 9;
+const REPEATED_URGENCY = 8;
+
+/** The time of one request. */
+export class RequestTiming {
+  readonly arrivedAt: number;
+  /** Until when it must have its final answer. */
+  readonly endsAt: number;
+  readonly #route: Route;
+
+  /** @param timeLeft - what its caller waits, in milliseconds; undefined where that is not told */
+  constructor(arrivedAt: number, route: Route, timeLeft: number | undefined) {
+    this.arrivedAt = arrivedAt;
+    this.endsAt = arrivedAt + Math.min(route.timeout, timeLeft ?? Number.POSITIVE_INFINITY);
+    this.#route = route;
+  }
+
+  /** True where a refusal would be the caller's last answer: it has less time than its route gives, so it asked before. */
+  get isLastChance(): boolean {
+    const spentBefore = this.arrivedAt + this.#route.timeout - this.endsAt;
+    return this.#route.isStream && spentBefore > REPEATED_AFTER;
+  }
+
+  /** True where the answer cannot be in time any more. */
+  isLate(now: number): boolean {
+    return now - this.arrivedAt > this.#route.objective;
+  }
+
+  /** How long it may have to wait at a back end; one that was sent before is not given up for a wait. */
+  longestWait(wasSent: boolean): number {
+    if (!this.#route.isStream || wasSent || this.isLastChance) return LONGEST_WAIT;
+    return Math.max(SHORTEST_WAIT_LIMIT, WAIT_SHARE * this.#route.objective);
+  }
+
+  /** Until when it waits here for capacity, if it does so since `heldSince`. */
+  holdsUntil(heldSince: number): number {
+    return this.isLastChance ? this.endsAt - TIME_TO_SERVE : heldSince + SHORT_HOLD;
+  }
+
+  /** Urgency at the back end's queue: first those that can be in time, then those that have come again. */
+  urgency(usual: number, now: number): number {
+    if (this.isLate(now)) return LATE_URGENCY;
+    return this.isLastChance ? REPEATED_URGENCY : Math.min(usual, REPEATED_URGENCY);
+  }
+}
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -7,11 +7,11 @@
 import { NamedVersions } from '../fleet/named-versions.js';
 import { sleep } from '../fleet/table-follower.js';
 import { ChunkSet } from '../model/chunk-set.js';
-import { digestOf } from '../model/manifest.js';
 import { hash32, type Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
 import { type EngineReport, type HeldPieces, LONG_AGO, type WeightsPlan } from '../peers/reports.js';
+import { EngineStage } from './engine-stage.js';
 import {
   type HeldWeights,
   keyOf,
@@ -57,8 +57,6 @@
 /** A piece that takes this long comes over a narrow link, in milliseconds: requests would wait behind several. */
 const SLOW_PIECE = 250;
 const NARROW_PACE: FetchPace = { open: 1, batch: 1, share: 0.5 };
-/** Pieces that are laid into the stage at the same time. */
-const STAGE_PARALLEL = 4;
 /** Time to fetch a version where nothing is known of it yet, in milliseconds. */
 const USUAL_FETCH = 3_600;
 /** A version of which no piece came for this long does not hold others up, in milliseconds. */
@@ -90,6 +88,7 @@
 /** The loader. */
 export class EngineLoader implements Startable {
   readonly #options: EngineLoaderOptions;
+  readonly #stage: EngineStage;
   readonly #versions = new NamedVersions();
   readonly #fetches = new Map<string, Fetch>();
   readonly #impatience: number;
@@ -100,14 +99,13 @@
   #engine: EngineState | undefined;
   #isSwitching = false;
   #isAdvancing = false;
-  /** Version whose pieces lie in the stage, as far as this process knows. */
-  #stagedVersion = 0;
   #isStageRead = false;
   #reportedAt = 0;
   #reported = '';
 
   constructor(options: EngineLoaderOptions) {
     this.#options = options;
+    this.#stage = new EngineStage(options.engine, options.log);
     this.#impatience = 1 + options.random.fraction();
   }
 
@@ -192,12 +190,8 @@
       this.#isStageRead = false;
       return;
     }
-    const held = this.#options.library.open(manifest);
-    for (const index of held.missing()) {
-      const bytes = await this.#options.engine.staged(state.model, index, this.#limit(signal));
-      if (bytes.ok && bytes.value !== undefined) this.#options.library.add(held, index, bytes.value);
-    }
-    this.#options.log.info('stage read', { ...manifestName(held), pieces: held.have.size });
+    const { library } = this.#options;
+    await this.#stage.read(library.open(manifest), library, signal);
   }
 
   /** Begins and ends fetches as the plan says. */
@@ -344,7 +338,7 @@
     this.#isAdvancing = true;
     const held = this.#next(state);
     if (held !== undefined) {
-      await this.#stage(held, signal);
+      await this.#stage.lay(held, signal);
       if (performance.now() >= this.#switchTime(held, this.#completeAt.get(keyOf(held.manifest)) ?? 0))
         await this.#switch(held, state, signal);
     }
@@ -423,19 +417,10 @@
     return Number.isFinite(next) ? next : undefined;
   }
 
-  async #stage(held: HeldWeights, signal: AbortSignal): Promise<void> {
-    const { model, version, digests } = held.manifest;
-    if (this.#stagedVersion === version) return;
-    await eachOf([...digests.keys()], STAGE_PARALLEL, async (index) => {
-      await this.#options.engine.stage(model, index, held.piece(index)!, this.#limit(signal));
-    });
-    this.#stagedVersion = version;
-  }
-
   async #switch(held: HeldWeights, state: EngineState, signal: AbortSignal): Promise<void> {
     const { model, version } = held.manifest;
     const serves = this.#wholeVersion > 0;
-    if (!(await this.#verifyStage(held, signal))) return;
+    if (!(await this.#stage.verify(held, signal))) return;
     this.#isSwitching = true;
     this.#tell();
     if (serves) await sleep(NOTICE, signal);
@@ -460,23 +445,6 @@
     this.#options.log.info('engine holds', { version: this.#wholeVersion });
   }
 
-  /** Reads every piece back and replaces those that have turned bad; false where one cannot be mended. */
-  async #verifyStage(held: HeldWeights, signal: AbortSignal): Promise<boolean> {
-    const { model, digests } = held.manifest;
-    let isWhole = true;
-    await eachOf([...digests.keys()], STAGE_PARALLEL, async (index) => {
-      const isGood = async () => {
-        const bytes = await this.#options.engine.staged(model, index, this.#limit(signal));
-        return bytes.ok && bytes.value !== undefined && digestOf(bytes.value) === digests[index];
-      };
-      if (await isGood()) return;
-      this.#options.log.info('staged piece was bad', { ...manifestName(held), piece: index });
-      await this.#options.engine.stage(model, index, held.piece(index)!, this.#limit(signal));
-      if (!(await isGood())) isWhole = false;
-    });
-    return isWhole;
-  }
-
   #tell(): void {
     const report: EngineReport = {
       address: this.#options.engineAddress,
@@ -515,20 +483,3 @@
     return AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
   }
 }
-
-function manifestName({ manifest }: HeldWeights): WeightsVersion {
-  return { model: manifest.model, version: manifest.version };
-}
-
-/** Runs `work` for each item, `parallel` at a time. */
-async function eachOf<T>(
-  items: readonly T[],
-  parallel: number,
-  work: (item: T) => Promise<void>,
-): Promise<void> {
-  const rest = [...items];
-  const worker = async () => {
-    for (let item = rest.shift(); item !== undefined; item = rest.shift()) await work(item);
-  };
-  await Promise.all(Array.from({ length: parallel }, worker));
-}
--- /dev/null
+++ b/test/forwarding/request-timing.test.ts
@@ -0,0 +1,54 @@
+/** How a request waits, by its time. */
+import { describe, expect, it } from 'vitest';
+import type { Route } from '../../src/fleet/configuration.js';
+import { RequestTiming } from '../../src/forwarding/request-timing.js';
+
+const ROUTE: Route = {
+  name: 'write',
+  host: 'api.example',
+  pathPrefix: '/',
+  targets: [],
+  isStream: true,
+  repeatability: 'resumable',
+  timeout: 6_000,
+  objective: 400,
+  longestPause: 300,
+  priority: 1,
+  maxAttempts: 2,
+  isPublic: true,
+};
+const ARRIVED = 10_000;
+const first = new RequestTiming(ARRIVED, ROUTE, 6_030);
+const again = new RequestTiming(ARRIVED, ROUTE, 4_000);
+
+describe('the time of a request', () => {
+  it('ends with its route or its caller, whichever is first', () => {
+    expect(first.endsAt).toBe(ARRIVED + 6_000);
+    expect(again.endsAt).toBe(ARRIVED + 4_000);
+    expect(new RequestTiming(ARRIVED, ROUTE, undefined).endsAt).toBe(ARRIVED + 6_000);
+  });
+
+  it('tells a caller that comes again by what it has left', () => {
+    expect(first.isLastChance).toBe(false);
+    expect(again.isLastChance).toBe(true);
+    expect(new RequestTiming(ARRIVED, { ...ROUTE, isStream: false }, 4_000).isLastChance).toBe(false);
+  });
+
+  it('holds a first one for a moment, and one that comes again as long as it can still be served', () => {
+    expect(first.holdsUntil(ARRIVED)).toBeLessThan(ARRIVED + 100);
+    expect(again.holdsUntil(ARRIVED)).toBe(again.endsAt - 1_200);
+  });
+
+  it('lets a first one queue only as long as it can be in time, and never gives up what was sent for a wait', () => {
+    expect(first.longestWait(false)).toBe(240);
+    expect(first.longestWait(true)).toBe(1_800);
+    expect(again.longestWait(false)).toBe(1_800);
+  });
+
+  it('puts first ones before those that come again, and those before late ones', () => {
+    expect(first.urgency(1, ARRIVED)).toBe(1);
+    expect(again.urgency(1, ARRIVED)).toBe(8);
+    expect(first.urgency(1, ARRIVED + 401)).toBe(9);
+    expect(again.urgency(1, ARRIVED + 401)).toBe(9);
+  });
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -294,7 +294,7 @@
   {
     fault: 'an engine is ordered to take pieces that turned bad',
     file: 'src/weights/engine-loader.ts',
-    find: 'if (!(await this.#verifyStage(held, signal))) return;',
+    find: 'if (!(await this.#stage.verify(held, signal))) return;',
     replace: '',
     test: 'test/weights/weights.test.ts',
   },
@@ -305,6 +305,34 @@
     replace: '',
     test: 'test/weights/weights.test.ts',
   },
+  {
+    fault: 'an engine that lost its weights gets requests as long as the list tells of them',
+    file: 'src/forwarding/back-end-table.ts',
+    find: 'if (news?.isReached === true && now - news.toldAt < VERSION_LIFE) return news.version;',
+    replace: '',
+    test: 'test/forwarding/capacity.test.ts',
+  },
+  {
+    fault: 'a back end that is not the one that was meant is asked on and on',
+    file: 'src/forwarding/back-end-health.ts',
+    find: "outcome === 'overloaded' ? OVERLOAD_PAUSE : MISDIRECTED_PAUSE",
+    replace: '0',
+    test: 'test/forwarding/capacity.test.ts',
+  },
+  {
+    fault: 'a request that comes again is refused although capacity is in sight',
+    file: 'src/forwarding/request-timing.ts',
+    find: 'return this.isLastChance ? this.endsAt - TIME_TO_SERVE : heldSince + SHORT_HOLD;',
+    replace: 'return heldSince + SHORT_HOLD;',
+    test: 'test/forwarding/capacity.test.ts',
+  },
+  {
+    fault: 'what entries tell one another grows with the square of their number',
+    file: 'src/peers/report-rate.ts',
+    find: 'Math.max(1, peerCount / FREQUENT_PEERS)',
+    replace: '1',
+    test: 'test/peers/report-rate.test.ts',
+  },
   {
     fault: 'a slow reader of the log holds memory without bound',
     file: 'src/observability/bounded-output.ts',
