An engine is expected when its fetch can end; draws from the origin pass on soon and begin apart

A plan of an entry that knew no version yet gave fetches up. Both have a test that failed on the code before. The next two step in after 0.6 and 1.2 s, begin apart whatever the number of entries, and tell all at once what they drew.

--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -135,12 +135,12 @@
     if (engine === undefined) return undefined;
     let soonest = Number.POSITIVE_INFINITY;
     for (const row of this.#table.ofService(service)) {
-      const { record, news } = row;
+      const { record, news, health } = row;
       if (record.leaving) continue;
       const version = wholeVersion(row, engine.layers);
       const serves = version > 0 && version >= this.#lowestVersion(engine, now, 0);
-      if (serves && news?.isSwitching !== true) return undefined;
-      if (news === undefined) continue;
+      if (serves && news?.isSwitching !== true && health.admits(now, true)) return undefined;
+      if (news === undefined || (serves && !news.isSwitching)) continue;
       const readyAt = news.isSwitching ? now + SWITCH_TIME : news.switchAt + SWITCH_TIME;
       soonest = Math.min(soonest, Math.max(0, readyAt - now));
     }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -185,7 +185,7 @@
       agents: () => [...this.#agents.rows.values()],
       servedVersions: () => this.#servedVersions(),
       versionBound: settings.versionBound,
-      onHeldChanged: () => this.#announce('zone'),
+      onHeldChanged: (isDrawing) => this.#announce(isDrawing ? 'all' : 'zone'),
       random,
       log,
     });
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -54,8 +54,11 @@
 const STAND_IN_PATIENCE = 1_200;
 /** Entries of other zones are asked after this, in milliseconds: their bytes are dear. */
 const FAR_PATIENCE = 700;
-/** Entries that are not responsible ask the origin after this and {@link STAND_IN_PATIENCE}, in milliseconds. */
-const ORIGIN_STAND_IN_PATIENCE = 1_300;
+/** The next entry draws from the origin when no piece came for this long, in milliseconds; two step in so soon. */
+const ORIGIN_STAND_IN_PATIENCE = 600;
+const QUICK_STAND_INS = 2;
+/** Several that draw begin this share of a version apart, whatever their number (the golden ratio). */
+const DRAW_STRIDE = 0.618;
 /** The origin is asked for a version that engines hold only after this, in milliseconds. */
 const HELD_ELSEWHERE_PATIENCE = 10_000;
 const ORIGIN_PARALLEL = 5;
@@ -75,7 +78,8 @@
   servedVersions: () => WeightsVersion[];
   /** Time in which a named version must serve everywhere, in milliseconds. */
   versionBound: number;
-  onHeldChanged: () => void;
+  /** @param isDrawing - others that could draw too should know of it at once */
+  onHeldChanged: (isDrawing: boolean) => void;
   random: Random;
   log: Log;
 }
@@ -167,7 +171,7 @@
     if (manifest === undefined) return;
     const held = library.open(manifest);
     collection.held = held;
-    onHeldChanged();
+    onHeldChanged(false);
     const fetcher = new PieceFetcher({
       held,
       library,
@@ -261,9 +265,7 @@
     const isElsewhere = (index: number) =>
       storedPieces.has(index) || holders.some(({ have }) => have.has(index));
     const isServed = this.#options.servedVersions().some((served) => keyOf(served) === keyOf(version));
-    const patience =
-      (isServed ? HELD_ELSEWHERE_PATIENCE : 0) +
-      (place.overall > 0 ? ORIGIN_STAND_IN_PATIENCE + place.overall * STAND_IN_PATIENCE : 0);
+    const patience = (isServed ? HELD_ELSEWHERE_PATIENCE : 0) + drawPatience(place.overall);
     sources.push(
       originSource({
         origin,
@@ -272,7 +274,7 @@
         parallel: ORIGIN_PARALLEL,
         batchTime: ORIGIN_LIMIT,
         mayDraw: (index) => collection.isListed && !isElsewhere(index),
-        offset: Math.floor((place.overall * manifest.digests.length) / Math.max(1, place.count)),
+        offset: Math.floor(((place.overall * DRAW_STRIDE) % 1) * manifest.digests.length),
       }),
     );
     return sources;
@@ -341,9 +343,9 @@
   #onPiece(held: HeldWeights): void {
     const collection = this.#collections.get(keyOf(held.manifest));
     if (collection === undefined) return;
-    this.#options.onHeldChanged();
-    if (this.#place(collection).overall === 0)
-      void this.#putParts(collection, held, collection.stopped.signal);
+    const place = this.#place(collection).overall;
+    this.#options.onHeldChanged(place <= QUICK_STAND_INS);
+    if (place === 0) void this.#putParts(collection, held, collection.stopped.signal);
   }
 
   /** Puts parts that are whole here and not in the object store yet. */
@@ -364,7 +366,7 @@
       );
       collection.putting.delete(index);
       if (put.ok) collection.stored.add(index);
-      this.#options.onHeldChanged();
+      this.#options.onHeldChanged(true);
     }
   }
 
@@ -393,3 +395,9 @@
     return endpoint === undefined ? undefined : this.#options.originAt(endpoint.address);
   }
 }
+
+/** Time without a piece after which the entry at `place` in the order draws from the origin, in milliseconds. */
+export function drawPatience(place: number): number {
+  const quick = Math.min(place, QUICK_STAND_INS) * ORIGIN_STAND_IN_PATIENCE;
+  return quick + Math.max(0, place - QUICK_STAND_INS) * STAND_IN_PATIENCE;
+}
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -120,7 +120,9 @@
   }
 
   /** Takes what an entry tells. */
-  takePlan(plan: WeightsPlan): void {
+  takePlan(told: WeightsPlan): void {
+    // An entry that has just started knows of no version yet: what is being fetched goes on.
+    const plan = told.versions.length === 0 ? { ...told, versions: this.#plan?.versions ?? [] } : told;
     this.#plan = plan;
     const now = performance.now();
     for (const { model, version, age } of plan.versions) {
@@ -233,6 +235,7 @@
       log,
     });
     await fetch.fetcher.run(signal);
+    if (!held.complete) return;
     this.#completeAt.set(keyOf(version), performance.now());
     if (!signal.aborted && this.#engine !== undefined) await this.#advance(this.#engine, signal);
   }
--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -7,6 +7,7 @@
 import { failure, success } from '../../src/model/result.js';
 import { silentLog } from '../../src/observability/log.js';
 import type { EngineReport, WeightsPlan } from '../../src/peers/reports.js';
+import { drawPatience } from '../../src/weights/collection-duty.js';
 import { EngineLoader } from '../../src/weights/engine-loader.js';
 import { HeldWeights, type PieceManifest, WeightsLibrary } from '../../src/weights/held-weights.js';
 import { PieceFetcher } from '../../src/weights/piece-fetcher.js';
@@ -54,6 +55,13 @@
   return held;
 }
 
+describe('draws from the origin', () => {
+  it('pass to the next two entries soon when no piece comes, to the others later', () => {
+    expect([0, 1, 2].map(drawPatience)).toEqual([0, 600, 1_200]);
+    expect(drawPatience(3) - drawPatience(2)).toBeGreaterThan(600);
+  });
+});
+
 describe('held weights', () => {
   it('keep a piece only with the digest of its manifest', () => {
     const held = new HeldWeights(manifestOf(1));
@@ -239,6 +247,7 @@
     engine: FakeEngine,
     plan: WeightsPlan,
     done: (reports: EngineReport[]) => boolean,
+    later?: WeightsPlan,
   ): Promise<EngineReport[]> {
     const reports: EngineReport[] = [];
     const loader = new EngineLoader({
@@ -254,6 +263,7 @@
     });
     await loader.start();
     loader.takePlan(plan);
+    if (later !== undefined) loader.takePlan(later);
     await until(() => done(reports), 'the engine');
     await loader.stop();
     return reports;
@@ -267,6 +277,42 @@
     expect(ChunkSet.fromBytes(held[0].count, held[0].have).complete).toBe(true);
   });
 
+  it('does not expect the engine at once while pieces are missing, though a version is wanted, not, and again', async () => {
+    const reports: EngineReport[] = [];
+    const loader = new EngineLoader({
+      engine: new FakeEngine(),
+      engineAddress: 'engine',
+      address: 'agent',
+      library: new WeightsLibrary(),
+      objects: new MemoryStore(),
+      originAt: () => ({ ...origin, piece: async () => failure({ type: 'sourceFailed', reason: 'away' }) }),
+      tell: (report) => reports.push(report),
+      random: seededRandom(5),
+      log: silentLog,
+    });
+    await loader.start();
+    for (const version of [3, 2, 3]) {
+      loader.takePlan(planOf([[version, 1_000_000_000]]));
+      await until(() => reports.at(-1)?.held.some((held) => held.version === version) === true, 'a manifest');
+    }
+    const told = reports.length;
+    await until(() => reports.length > told + 1, 'more reports');
+    await loader.stop();
+    for (const { switchesIn } of reports) expect(switchesIn ?? Number.POSITIVE_INFINITY).toBeGreaterThan(500);
+  });
+
+  it('goes on with its fetch where an entry that has just started knows of no version', async () => {
+    const engine = new FakeEngine();
+    const reports = await run(
+      engine,
+      planOf([[2, 1_000_000_000]]),
+      (told) => told.at(-1)?.version === 2,
+      planOf([]),
+    );
+    expect(engine.orders).toEqual([2]);
+    expect(reports.at(-1)?.version).toBe(2);
+  });
+
   it('mends pieces that turned bad in the stage before it orders', async () => {
     const engine = new FakeEngine();
     engine.badOnce = new Set([3, 7]);
