--- a/src/fleet/configuration.ts
+++ b/src/fleet/configuration.ts
@@ -33,6 +33,8 @@
   objective: number;
   /** Longest pause between two events of a stream that is still in time; 0 where none is declared. */
   longestPause: number;
+  /** After this without an event, the first one too, a caller of a stream leaves, in milliseconds. */
+  patience: number;
   /** 0 is the most urgent. */
   priority: number;
   /** The most back ends that one request may be sent to. */
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -16,6 +16,8 @@
 const SHORT_HOLD = 45;
 /** One that has come again waits for capacity as long as this is left of its time afterwards, in milliseconds. */
 const TIME_TO_SERVE = 1_200;
+/** Its caller leaves when no event comes: this is left of its patience for the way to the first one, in milliseconds. */
+const TIME_TO_FIRST_EVENT = 700;
 /** Urgency of requests that cannot be in time any more, the last, and of those that have come again. */
 const LATE_URGENCY = 9;
 const REPEATED_URGENCY = 8;
@@ -53,7 +55,9 @@
 
   /** Until when it waits here for capacity, if it does so since `heldSince`. */
   holdsUntil(heldSince: number): number {
-    return this.isLastChance ? this.endsAt - TIME_TO_SERVE : heldSince + SHORT_HOLD;
+    if (!this.isLastChance) return heldSince + SHORT_HOLD;
+    const patienceEnds = this.arrivedAt + this.#route.patience;
+    return Math.min(this.endsAt - TIME_TO_SERVE, patienceEnds - TIME_TO_FIRST_EVENT);
   }
 
   /** Urgency at the back end's queue: first those that can be in time, then those that have come again. */
--- a/test/fleet/beliefs.test.ts
+++ b/test/fleet/beliefs.test.ts
@@ -32,6 +32,7 @@
       timeout: 1_000,
       objective: 100,
       longestPause: 0,
+      patience: 2_400,
       priority: 1,
       maxAttempts: 1,
       isPublic: true,
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -21,6 +21,7 @@
       timeout: TIMEOUT,
       objective: 400,
       longestPause: 300,
+      patience: 2_400,
       priority: 1,
       maxAttempts: 2,
       isPublic: true,
--- a/test/forwarding/forwarding.test.ts
+++ b/test/forwarding/forwarding.test.ts
@@ -17,6 +17,7 @@
     timeout: 5_000,
     objective: 200,
     longestPause: 0,
+    patience: 2_400,
     priority: 1,
     maxAttempts: 2,
     isPublic: false,
--- a/test/forwarding/request-timing.test.ts
+++ b/test/forwarding/request-timing.test.ts
@@ -13,6 +13,7 @@
   timeout: 6_000,
   objective: 400,
   longestPause: 300,
+  patience: 2_400,
   priority: 1,
   maxAttempts: 2,
   isPublic: true,
@@ -36,7 +37,12 @@
 
   it('holds a first one for a moment, and one that comes again as long as it can still be served', () => {
     expect(first.holdsUntil(ARRIVED)).toBeLessThan(ARRIVED + 100);
-    expect(again.holdsUntil(ARRIVED)).toBe(again.endsAt - 1_200);
+    const short = new RequestTiming(ARRIVED, ROUTE, 2_000);
+    expect(short.holdsUntil(ARRIVED)).toBe(short.endsAt - 1_200);
+  });
+
+  it('holds none so long that its caller would leave before the first event', () => {
+    expect(again.holdsUntil(ARRIVED)).toBe(ARRIVED + 2_400 - 700);
   });
 
   it('lets a first one queue only as long as it can be in time, and never gives up what was sent for a wait', () => {
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -71,6 +71,7 @@
               repeatability: 'resumable',
               isStream: true,
               longestPause: 300,
+              patience: 2_400,
               targets: [{ weight: 90 }, { weight: 10 }],
             },
             { repeatability: 'never', targets: [{ service: 'kafi81c', weight: 1 }] },
--- a/test/roles/direct-entry.test.ts
+++ b/test/roles/direct-entry.test.ts
@@ -28,6 +28,7 @@
       timeout: 5_000,
       objective: 500,
       longestPause: 0,
+      patience: 2_400,
       priority: 1,
       maxAttempts: 1,
       isPublic: true,
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -322,10 +322,17 @@
   {
     fault: 'a request that comes again is refused although capacity is in sight',
     file: 'src/forwarding/request-timing.ts',
-    find: 'return this.isLastChance ? this.endsAt - TIME_TO_SERVE : heldSince + SHORT_HOLD;',
+    find: 'if (!this.isLastChance) return heldSince + SHORT_HOLD;',
     replace: 'return heldSince + SHORT_HOLD;',
     test: 'test/forwarding/capacity.test.ts',
   },
+  {
+    fault: 'a request is held until its caller has left',
+    file: 'src/forwarding/request-timing.ts',
+    find: 'Math.min(this.endsAt - TIME_TO_SERVE, patienceEnds - TIME_TO_FIRST_EVENT)',
+    replace: 'this.endsAt - TIME_TO_SERVE',
+    test: 'test/forwarding/request-timing.test.ts',
+  },
   {
     fault: 'what entries tell one another grows with the square of their number',
     file: 'src/peers/report-rate.ts',
