A line of the log that will not be written costs nothing, others are rendered once

Cause: in a profile of an entry under 180 requests a second 14% of its processor time went into log lines, of which most were left out by their bound after they had been rendered twice.

--- a/src/observability/bounded-output.ts
+++ b/src/observability/bounded-output.ts
@@ -30,13 +30,23 @@
 
   /** Writes a line of a kind, or counts it as left out. */
   write(kind: string, line: string): void {
+    if (this.admits(kind)) this.put(line);
+  }
+
+  /** Whether one more line of a kind may be written; where not, it counts as left out. */
+  admits(kind: string): boolean {
     const now = this.#clock();
     if (now - this.#windowStart >= WINDOW) this.#beginWindow(now);
     const count = (this.#counts.get(kind) ?? 0) + 1;
     this.#counts.set(kind, count);
-    if (count <= LINES_OF_KIND && this.#stream.writableLength < WAITING_BYTES)
-      this.#stream.write(`${line}\n`);
-    else this.#leftOut.set(kind, (this.#leftOut.get(kind) ?? 0) + 1);
+    if (count <= LINES_OF_KIND && this.#stream.writableLength < WAITING_BYTES) return true;
+    this.#leftOut.set(kind, (this.#leftOut.get(kind) ?? 0) + 1);
+    return false;
+  }
+
+  /** Writes a line that was admitted. */
+  put(line: string): void {
+    this.#stream.write(`${line}\n`);
   }
 
   #beginWindow(now: number): void {
--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -5,6 +5,8 @@
 /** Levels in rising order of weight. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
+const LEVELS: readonly LogLevel[] = ['debug', 'info', 'warn', 'error'];
+
 /** A log of one process. */
 export interface Log {
   debug(message: string, fields?: object): void;
@@ -29,18 +31,17 @@
     meta: { attachContext: false },
   });
   logger.attachTransport({
-    format: 'json',
-    write: (record) => {
-      const logged = record as unknown as LoggedRecord;
-      output.write(logged[1], lineOf(name, logged));
-    },
+    format: (record) => lineOf(name, record as unknown as LoggedRecord),
+    write: (_record, line) => output.put(line),
   });
-  return {
-    debug: (message, fields = {}) => void logger.debug(fields, message),
-    info: (message, fields = {}) => void logger.info(fields, message),
-    warn: (message, fields = {}) => void logger.warn(fields, message),
-    error: (message, fields = {}) => void logger.error(fields, message),
+  // A line that will not be written costs nothing: under load that is most of them.
+  const write = (at: LogLevel) => {
+    if (LEVELS.indexOf(at) < LEVELS.indexOf(level)) return () => {};
+    return (message: string, fields: object = {}) => {
+      if (output.admits(message)) logger[at](fields, message);
+    };
   };
+  return { debug: write('debug'), info: write('info'), warn: write('warn'), error: write('error') };
 }
 
 /** One line of what the library hands over: the arguments of the call by their position, and what it adds. */
