--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -2,31 +2,15 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import type { EngineNews } from '../../src/forwarding/back-end-table.js';
-import { ForwardingHarness } from './forwarding-harness.js';
+import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
 const LAYERS = 4;
-const TIMEOUT = 6_000;
+const TIMEOUT = STREAM_ROUTE.timeout;
 
 const CONFIGURATION: FleetConfiguration = {
   revision: 1,
-  routes: [
-    {
-      name: 'write',
-      host: 'api.example',
-      pathPrefix: '/write/',
-      targets: [{ service: 'engines', weight: 1 }],
-      isStream: true,
-      repeatability: 'resumable',
-      timeout: TIMEOUT,
-      objective: 400,
-      longestPause: 300,
-      patience: 2_400,
-      priority: 1,
-      maxAttempts: 2,
-      isPublic: true,
-    },
-  ],
+  routes: [STREAM_ROUTE],
   services: [
     {
       name: 'engines',
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -2,7 +2,7 @@
 import { request as httpRequest } from 'node:http';
 import { freeAddress } from '../../bench/processes/child.js';
 import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
-import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import { BackEndTable } from '../../src/forwarding/back-end-table.js';
@@ -27,6 +27,23 @@
   tokenCounts: 'x-tokens',
 };
 
+/** A route to engines, as the users have it. */
+export const STREAM_ROUTE: Route = {
+  name: 'write',
+  host: 'api.example',
+  pathPrefix: '/write/',
+  targets: [{ service: 'engines', weight: 1 }],
+  isStream: true,
+  repeatability: 'resumable',
+  timeout: 6_000,
+  objective: 400,
+  longestPause: 300,
+  patience: 2_400,
+  priority: 1,
+  maxAttempts: 2,
+  isPublic: true,
+};
+
 /** What a caller got. */
 export interface Answer {
   status: number;
--- a/test/forwarding/request-timing.test.ts
+++ b/test/forwarding/request-timing.test.ts
@@ -1,43 +1,28 @@
 /** How a request waits, by its time. */
 import { describe, expect, it } from 'vitest';
-import type { Route } from '../../src/fleet/configuration.js';
 import { RequestTiming } from '../../src/forwarding/request-timing.js';
+import { STREAM_ROUTE } from './forwarding-harness.js';
 
-const ROUTE: Route = {
-  name: 'write',
-  host: 'api.example',
-  pathPrefix: '/',
-  targets: [],
-  isStream: true,
-  repeatability: 'resumable',
-  timeout: 6_000,
-  objective: 400,
-  longestPause: 300,
-  patience: 2_400,
-  priority: 1,
-  maxAttempts: 2,
-  isPublic: true,
-};
 const ARRIVED = 10_000;
-const first = new RequestTiming(ARRIVED, ROUTE, 6_030);
-const again = new RequestTiming(ARRIVED, ROUTE, 4_000);
+const first = new RequestTiming(ARRIVED, STREAM_ROUTE, 6_030);
+const again = new RequestTiming(ARRIVED, STREAM_ROUTE, 4_000);
 
 describe('the time of a request', () => {
   it('ends with its route or its caller, whichever is first', () => {
     expect(first.endsAt).toBe(ARRIVED + 6_000);
     expect(again.endsAt).toBe(ARRIVED + 4_000);
-    expect(new RequestTiming(ARRIVED, ROUTE, undefined).endsAt).toBe(ARRIVED + 6_000);
+    expect(new RequestTiming(ARRIVED, STREAM_ROUTE, undefined).endsAt).toBe(ARRIVED + 6_000);
   });
 
   it('tells a caller that comes again by what it has left', () => {
     expect(first.isLastChance).toBe(false);
     expect(again.isLastChance).toBe(true);
-    expect(new RequestTiming(ARRIVED, { ...ROUTE, isStream: false }, 4_000).isLastChance).toBe(false);
+    expect(new RequestTiming(ARRIVED, { ...STREAM_ROUTE, isStream: false }, 4_000).isLastChance).toBe(false);
   });
 
   it('holds a first one for a moment, and one that comes again as long as it can still be served', () => {
     expect(first.holdsUntil(ARRIVED)).toBeLessThan(ARRIVED + 100);
-    const short = new RequestTiming(ARRIVED, ROUTE, 2_000);
+    const short = new RequestTiming(ARRIVED, STREAM_ROUTE, 2_000);
     expect(short.holdsUntil(ARRIVED)).toBe(short.endsAt - 1_200);
   });
 
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -21,31 +21,22 @@
 
 const between = (random: Random, least: number, most: number) => least + random.below(most - least);
 
-const FAULTS: Fault[] = [
-  {
-    name: 'process killed',
-    begin(world, random) {
-      const struck = one(world.processes, random);
-      signal(struck, 'SIGKILL');
-      return { lasts: 0, end: nothing, about: struck.name };
-    },
-  },
-  {
-    name: 'process told to stop',
-    begin(world, random) {
-      const struck = one(world.processes, random);
-      signal(struck, 'SIGTERM');
-      return { lasts: 0, end: nothing, about: struck.name };
-    },
-  },
-  {
-    name: 'settings told to have changed',
+/** One process gets a signal. */
+function signalled(name: string, which: NodeJS.Signals): Fault {
+  return {
+    name,
     begin(world, random) {
       const struck = one(world.processes, random);
-      signal(struck, 'SIGHUP');
+      signal(struck, which);
       return { lasts: 0, end: nothing, about: struck.name };
     },
-  },
+  };
+}
+
+const FAULTS: Fault[] = [
+  signalled('process killed', 'SIGKILL'),
+  signalled('process told to stop', 'SIGTERM'),
+  signalled('settings told to have changed', 'SIGHUP'),
   {
     name: 'process paused',
     begin(world, random) {
--- a/test/roles/direct-entry.test.ts
+++ b/test/roles/direct-entry.test.ts
@@ -12,6 +12,7 @@
 import { createDirectEntry, type DirectEntry } from '../../src/roles/direct-entry.js';
 import type { DirectEntrySettings } from '../../src/roles/settings.js';
 import type { PieceOriginFactory } from '../../src/weights/piece-source.js';
+import { NAMES } from '../forwarding/forwarding-harness.js';
 import { reply, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
 
@@ -59,19 +60,6 @@
   piece: async () => failure({ type: 'sourceFailed', reason: 'none' }),
 });
 
-const HEADERS = {
-  requestId: 'x-request',
-  timeLeft: 'x-time-left',
-  callerKey: 'x-key',
-  tenant: 'x-tenant',
-  expectedBackEnd: 'x-back-end',
-  expectedVersion: 'x-expected-version',
-  urgency: 'x-urgency',
-  notRun: 'x-not-run',
-  servedVersion: 'x-version',
-  tokenCounts: 'x-tokens',
-};
-
 interface RunningEntry {
   entry: DirectEntry;
   settings: DirectEntrySettings;
@@ -107,7 +95,7 @@
       tables: store,
       objects: store,
       originAt: noOrigin,
-      headers: HEADERS,
+      headers: NAMES,
       readyRoutes: empty,
       directoryRoutes: empty,
       metricsPath: '/metrics',
