--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -191,7 +191,9 @@
     const version = wholeVersion(row, engine.layers);
     if (version === 0) return 'noWeights';
     if (version < this.#lowestVersion(engine, now, this.#versionMargin(row, now))) return 'expired';
-    if (version < this.#lowestVersion(engine, now, EXPIRY_NOTICE) && this.#wouldQueue(row)) return 'expiring';
+    // One that may not queue is overtaken there by those that can be in time: it could begin after the bound.
+    const mayBeLate = !requirements.mayQueue || this.#wouldQueue(row);
+    if (version < this.#lowestVersion(engine, now, EXPIRY_NOTICE) && mayBeLate) return 'expiring';
     const isOther = requirements.version !== undefined && requirements.version !== version;
     return isOther ? 'otherVersion' : undefined;
   }
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -54,9 +54,9 @@
 const STAND_IN_PATIENCE = 1_200;
 /** Entries of other zones are asked after this, in milliseconds: their bytes are dear. */
 const FAR_PATIENCE = 700;
-/** The next entry draws from the origin when no piece came for this long, in milliseconds; two step in so soon. */
-const ORIGIN_STAND_IN_PATIENCE = 600;
-const QUICK_STAND_INS = 2;
+/** The next entry draws from the origin when no piece came for this long, in milliseconds; three step in so soon. */
+const ORIGIN_STAND_IN_PATIENCE = 300;
+const QUICK_STAND_INS = 3;
 /** Several that draw begin this share of a version apart, whatever their number (the golden ratio). */
 const DRAW_STRIDE = 0.618;
 /** The origin is asked for a version that engines hold only after this, in milliseconds. */
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -116,6 +116,15 @@
   });
 });
 
+describe('an engine whose version expires in three seconds', () => {
+  it('gets first requests, and none that others overtake in its queue', async () => {
+    tell({ version: 1 });
+    forwarding.fleet.takeNamedVersion({ model: 'm', version: 2, namedAt: performance.now() - 5_000 });
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+    expect((await forwarding.send('/write/', COMES_AGAIN)).status).toBe(503);
+  });
+});
+
 describe('where every slot is taken', () => {
   it('one that comes again waits for a slot, and leaves the queue of the engine to first ones', async () => {
     tell({ version: 1, load: 4 });
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -333,6 +333,13 @@
     replace: 'this.endsAt - TIME_TO_SERVE',
     test: 'test/forwarding/request-timing.test.ts',
   },
+  {
+    fault: 'a request that others overtake goes to an engine whose version expires soon',
+    file: 'src/forwarding/back-end-selector.ts',
+    find: 'const mayBeLate = !requirements.mayQueue || this.#wouldQueue(row);',
+    replace: 'const mayBeLate = this.#wouldQueue(row);',
+    test: 'test/forwarding/capacity.test.ts',
+  },
   {
     fault: 'what entries tell one another grows with the square of their number',
     file: 'src/peers/report-rate.ts',
