--- a/src/observability/request-history.ts
+++ b/src/observability/request-history.ts
@@ -50,9 +50,7 @@
   const handlers = new Set(own.map(({ process }) => process));
   const from = Math.min(...own.map(({ time }) => time)) - BELIEFS_BEFORE;
   const until = Math.max(...own.map(({ time }) => time));
-  const backEnds = new Set(
-    own.map(({ fields }) => fields.backEnd).filter((backEnd) => backEnd !== undefined),
-  );
+  const backEnds = new Set(own.flatMap(({ fields }) => backEndOf(fields) ?? []));
   const beliefs = lines.filter(({ request, process, time, fields }) => {
     if (request !== undefined || time < from || time > until) return false;
     return handlers.has(process) || backEnds.has(backEndOf(fields) ?? '');
