Naming times are kept in the store's time, and only narrowed

Cause: NamedVersions kept the earlier of two times. Change: what is known of a naming is a time before which it cannot have been; the latest of all such times holds. Processes exchange it in the store's steady clock, so that a message that lies unread does not make it later; a version that is read again, after lost history or rewritten, is no news. A process that knows nothing forbids older versions.

--- a/emulator/store/memory-store.ts
+++ b/emulator/store/memory-store.ts
@@ -63,7 +63,7 @@
     const rows = [...this.#rows.values()]
       .filter((row) => row.table === table && row.partition === partition)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
-    return success({ rows, revision: this.#revision });
+    return success({ rows, revision: this.#revision, storeTime: performance.now() });
   }
 
   async changes(
@@ -75,7 +75,11 @@
     if (this.#newRows(table, after).length === 0) await this.#change(wait, signal);
     if (after < this.#oldest) return failure({ type: 'historyForgotten' });
     if (this.faults.down) return failure(this.#unavailable());
-    return success({ rows: this.#newRows(table, after), revision: this.#revision });
+    return success({
+      rows: this.#newRows(table, after),
+      revision: this.#revision,
+      storeTime: performance.now(),
+    });
   }
 
   async transact(
--- a/src/clients/watched-tables.ts
+++ b/src/clients/watched-tables.ts
@@ -18,6 +18,8 @@
 export interface RowsAt {
   rows: StoredRow[];
   revision: number;
+  /** The store's steady clock at that moment, in milliseconds. */
+  storeTime: number;
 }
 
 /** Requires that a row has a certain revision; 0 requires that there is none. */
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -6,6 +6,7 @@
 import type { FleetConfiguration } from './configuration.js';
 import { type NamedVersion, NamedVersions } from './named-versions.js';
 import { RouteTable } from './route-table.js';
+import { StoreClock } from './store-clock.js';
 
 /** A configuration as the operator wrote it, to be passed on, and as it was understood. */
 export interface ConfigurationDocument {
@@ -23,7 +24,9 @@
 /** The beliefs of one process. */
 export class FleetView {
   readonly backEnds = new BackEndList();
-  readonly versions = new NamedVersions();
+  /** The store's clock, in whose time processes tell one another when something happened. */
+  readonly clock = new StoreClock();
+  readonly versions = new NamedVersions(this.clock);
   readonly #listeners: FleetListener[] = [];
   #routes: RouteTable | undefined;
   #document: Buffer | undefined;
--- a/src/fleet/named-versions.ts
+++ b/src/fleet/named-versions.ts
@@ -1,14 +1,20 @@
 /**
  * The versions of weights that the operator has named, and since when. A version must serve everywhere within a bound
  * from its naming; from then on no request may start on an older one.
+ *
+ * Nobody is told when a version was named. Each process knows a time before which it cannot have been: the store's time
+ * at the last answer that did not hold it yet. The latest of all such times is the closest to the truth and never after
+ * it, so processes exchange them and keep the maximum. A process that has just started knows none (minus infinity) and
+ * forbids older versions at once, until the store's history or a peer tells it more.
  */
+import type { StoreClock } from './store-clock.js';
 
 /** One version of a model that was named. */
 export interface NamedVersion {
   model: string;
   version: number;
-  /** Latest time at which it can have been named, in milliseconds of this process's steady clock. */
-  namedAt: number;
+  /** It was not named before this, in milliseconds of the store's clock; minus infinity where nothing is known. */
+  notBefore: number;
 }
 
 /** Versions of a model that are remembered. */
@@ -16,15 +22,20 @@
 
 /** All named versions that matter. */
 export class NamedVersions {
+  readonly #clock: StoreClock;
   readonly #byModel = new Map<string, NamedVersion[]>();
 
-  /** Notes a version; of two times the earlier one counts, as each is a latest possible one. Returns true for news. */
+  constructor(clock: StoreClock) {
+    this.#clock = clock;
+  }
+
+  /** Notes a version, or that one was named later than was known. Returns true for a new version. */
   note(named: NamedVersion): boolean {
     const versions = this.#byModel.get(named.model) ?? [];
     this.#byModel.set(named.model, versions);
     const known = versions.find(({ version }) => version === named.version);
     if (known !== undefined) {
-      known.namedAt = Math.min(known.namedAt, named.namedAt);
+      known.notBefore = Math.max(known.notBefore, named.notBefore);
       return false;
     }
     versions.push({ ...named });
@@ -41,12 +52,17 @@
   /** The lowest version of `model` that requests may start on at `now`, `bound` milliseconds after a naming. */
   lowestAllowed(model: string, now: number, bound: number): number {
     let lowest = 0;
-    for (const { version, namedAt } of this.#byModel.get(model) ?? []) {
-      if (namedAt + bound <= now) lowest = Math.max(lowest, version);
+    for (const named of this.#byModel.get(model) ?? []) {
+      if (this.namedAt(named) + bound <= now) lowest = Math.max(lowest, named.version);
     }
     return lowest;
   }
 
+  /** The earliest time at which a version can have been named, in milliseconds of this process's steady clock. */
+  namedAt({ notBefore }: NamedVersion): number {
+    return this.#clock.localTimeAt(notBefore);
+  }
+
   /** Everything that is remembered. */
   all(): NamedVersion[] {
     return [...this.#byModel.values()].flat();
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -43,16 +43,20 @@
   readonly #followers: StartableGroup;
   /** Processes that read the list of back ends from the store, this one among them. */
   readerCount: () => number = () => 1;
+  /** The newest version of each model that the store has told of. */
+  readonly #versionsRead = new Map<string, number>();
   readonly #held = new Map<string, BackEndChange>();
   #holdUntil = 0;
   #holdTimer: NodeJS.Timeout | undefined;
 
   constructor(options: StoreSyncOptions) {
     this.#options = options;
-    const { tables, random, decoder } = options;
+    const { tables, random, decoder, fleet } = options;
+    const { clock } = fleet;
     this.#operator = new TableFollower({
       tables,
       random,
+      clock,
       table: decoder.operatorTable,
       wait: OPERATOR_WAIT,
       interval: () => OPERATOR_INTERVAL,
@@ -64,6 +68,7 @@
     this.#backEnds = new TableFollower({
       tables,
       random,
+      clock,
       table: decoder.backEndTable,
       wait: BACK_END_WAIT,
       interval: () => this.#backEndInterval(),
@@ -106,7 +111,7 @@
     };
   }
 
-  /** @param since - what is new was written after this, in milliseconds of the steady clock */
+  /** @param since - what is new was written after this, in milliseconds of the store's clock */
   #takeOperatorRows({ rows }: RowsAt, since: number): void {
     const { decoder, fleet, log } = this.#options;
     for (const row of rows) {
@@ -117,10 +122,18 @@
           log.info('configuration taken', { revision: fleet.configurationRevision, from: 'store' });
         continue;
       }
-      fleet.takeNamedVersion({ model: record.model, version: record.version, namedAt: since });
+      const notBefore = this.#isNew(record) ? since : Number.NEGATIVE_INFINITY;
+      fleet.takeNamedVersion({ model: record.model, version: record.version, notBefore });
     }
   }
 
+  /** False for a version that is read again, as after lost history: it was named before. */
+  #isNew({ model, version }: { model: string; version: number }): boolean {
+    if (version <= (this.#versionsRead.get(model) ?? 0)) return false;
+    this.#versionsRead.set(model, version);
+    return true;
+  }
+
   #takeWholeList({ rows, revision }: RowsAt): void {
     const present = new Set(rows.map(({ key }) => key));
     const missing = [...this.#options.fleet.backEnds.records.keys()]
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -6,16 +6,22 @@
 import type { Random } from '../model/random.js';
 import type { Result } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
+import type { StoreClock } from './store-clock.js';
 
 /** Time that the store may take beyond the wait that it was asked for, in milliseconds. */
 const ANSWER_LIMIT = 1_500;
 /** First and longest pause after a failed call, in milliseconds. */
 const FIRST_PAUSE = 150;
 const LONGEST_PAUSE = 700;
+/**
+ * Calls that follow one another within this leave no gap in which a change could have stayed unseen for longer, in
+ * milliseconds: the interval between calls (60 ms for what is timed), and one packet that is lost and sent again.
+ */
+const GAPLESS = 400;
 
 /** What a follower tells. */
 export interface TableFollowerEvents {
-  /** The whole table; what is new in it was written after `since`, in milliseconds of the steady clock. */
+  /** The whole table; what is new in it was written after `since`, in milliseconds of the store's clock. */
   onWhole(rows: RowsAt, since: number): void;
   /** Rows that changed since what was told before, all after `since`. */
   onChanges(rows: RowsAt, since: number): void;
@@ -33,6 +39,8 @@
   wait: number;
   /** Least time between two calls, in milliseconds: changes of this time come together; read anew at each call. */
   interval: () => number;
+  /** Learns the store's time from each answer. */
+  clock: StoreClock;
   random: Random;
   events: TableFollowerEvents;
 }
@@ -43,8 +51,9 @@
   #stopped: AbortController | undefined;
   #revision: number | undefined;
   #answeredAt = performance.now();
+  /** The store's time at its latest answer; minus infinity before the first. */
+  #storeTime = Number.NEGATIVE_INFINITY;
   #failures = 0;
-  #wasHeard = false;
 
   constructor(options: TableFollowerOptions) {
     this.#options = options;
@@ -75,27 +84,30 @@
 
   /** One call; returns the least pause before the next, in milliseconds. */
   async #step(signal: AbortSignal): Promise<number> {
-    const { tables, table, wait, events } = this.#options;
+    const { tables, table, wait, events, clock } = this.#options;
+    const askedAt = clock.isKnown ? clock.storeTimeAt(performance.now()) : Number.POSITIVE_INFINITY;
+    const gap = askedAt - this.#storeTime;
     if (this.#revision === undefined) {
       const read = await tables.read(table, '', AbortSignal.any([signal, AbortSignal.timeout(ANSWER_LIMIT)]));
-      return this.#take(read, (rows, since) => events.onWhole(rows, since), signal);
+      return this.#take(read, gap, (rows, since) => events.onWhole(rows, since), signal);
     }
     // A store that was lost is asked for an answer at once: that it is back must not wait for a change.
     const patience = this.#failures > 0 ? 0 : wait;
     const limit = AbortSignal.any([signal, AbortSignal.timeout(patience + ANSWER_LIMIT)]);
     const changes = await tables.changes({ table, after: this.#revision, wait: patience }, limit);
-    return this.#take(changes, (rows, since) => events.onChanges(rows, since), signal);
+    return this.#take(changes, gap, (rows, since) => events.onChanges(rows, since), signal);
   }
 
   #take(
     answer: Result<RowsAt, ChangesError>,
+    gap: number,
     tell: (rows: RowsAt, since: number) => void,
     signal: AbortSignal,
   ): number {
     if (signal.aborted) return 0;
     if (answer.ok) {
-      const since = this.#heardSince();
-      this.#noteAnswer();
+      const since = this.#writtenSince(answer.value, gap);
+      this.#noteAnswer(answer.value);
       this.#revision = answer.value.revision;
       tell(answer.value, since);
       return 0;
@@ -110,17 +122,21 @@
     return longest * (0.5 + this.#options.random.fraction() / 2);
   }
 
-  /** After when that which is new now was written: just now where nothing was missed. */
-  #heardSince(): number {
-    if (!this.#wasHeard) return Number.NEGATIVE_INFINITY;
-    return this.connected ? performance.now() : this.#answeredAt;
+  /**
+   * After when that which is new in an answer was written, in the store's time. The store answers a waiting call as soon
+   * as there is a change, so without a gap before the call it was written just before the answer.
+   * @param gap - time between the answer before and this call, in milliseconds
+   */
+  #writtenSince({ storeTime }: RowsAt, gap: number): number {
+    return gap <= GAPLESS ? Math.max(this.#storeTime, storeTime - GAPLESS) : this.#storeTime;
   }
 
-  #noteAnswer(): void {
+  #noteAnswer({ storeTime }: RowsAt): void {
     const now = performance.now();
+    this.#options.clock.note(storeTime, now);
+    this.#storeTime = storeTime;
     if (this.#failures > 0) this.#options.events.onRegained(now - this.#answeredAt);
     this.#failures = 0;
-    this.#wasHeard = true;
     this.#answeredAt = now;
   }
 }
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -17,7 +17,7 @@
 } from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
 import { REPORT_TICK, reportInterval, reportLife } from './report-rate.js';
-import { type EntryReport, LONG_AGO } from './reports.js';
+import type { EntryReport } from './reports.js';
 
 /** Time between two tries to reach an entry, in milliseconds. */
 const FIRST_REDIAL = 300;
@@ -188,10 +188,8 @@
     row.heardAt = now;
     row.report = report;
     const { fleet } = this.#options;
-    for (const { model, version, age } of report.versions) {
-      const namedAt = age >= LONG_AGO ? Number.NEGATIVE_INFINITY : now - age;
-      fleet.takeNamedVersion({ model, version, namedAt });
-    }
+    fleet.clock.note(report.storeTime, now);
+    for (const named of report.versions) fleet.takeNamedVersion(named);
     const configuration = report.configurationRevision > fleet.configurationRevision;
     const backEnds = !this.#options.hearsStore() && report.backEndsRevision > fleet.backEnds.revision;
     if (configuration || backEnds) connection.send({ type: 'fleetWanted', configuration, backEnds });
--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -1,15 +1,6 @@
 /** What entries and agents of directly called back ends tell one another. */
 import type { BackEndListState } from '../fleet/back-end-list.js';
-
-/** A named version and how long ago that was, at least, in milliseconds. */
-export interface VersionAge {
-  model: string;
-  version: number;
-  age: number;
-}
-
-/** Age of a version that was named before anybody here was there to see it, in milliseconds. */
-export const LONG_AGO = 1_000_000_000;
+import type { NamedVersion } from '../fleet/named-versions.js';
 
 /** What a process holds of a version of weights. */
 export interface HeldPieces {
@@ -52,7 +43,9 @@
   isReady: boolean;
   configurationRevision: number;
   backEndsRevision: number;
-  versions: VersionAge[];
+  /** The store's time as it is told, in milliseconds; minus infinity where the sender does not know it. */
+  storeTime: number;
+  versions: NamedVersion[];
   /** Requests in flight, by back end. */
   loads: Array<[id: string, inFlight: number]>;
   held: HeldPieces[];
@@ -63,7 +56,9 @@
 /** What an agent is to know. */
 export interface WeightsPlan {
   /** The versions that matter, as the configuration and the operator name them. */
-  versions: VersionAge[];
+  versions: NamedVersion[];
+  /** The store's time as it is told, in milliseconds; minus infinity where the sender does not know it. */
+  storeTime: number;
   /** Time in which a named version must serve everywhere, in milliseconds. */
   bound: number;
   /** Address of the origin, empty for none. */
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -23,13 +23,7 @@
 import { metricsServer } from '../observability/metrics-server.js';
 import { type EngineAgentRow, EngineAgents } from '../peers/engine-agents.js';
 import { EntryPeers } from '../peers/entry-peers.js';
-import {
-  type EngineReport,
-  type EntryReport,
-  LONG_AGO,
-  type VersionAge,
-  type WeightsPlan,
-} from '../peers/reports.js';
+import type { EngineReport, EntryReport, WeightsPlan } from '../peers/reports.js';
 import {
   type Connection,
   type ConnectionContext,
@@ -299,22 +293,14 @@
       isReady: this.isReady,
       configurationRevision: fleet.configurationRevision,
       backEndsRevision: fleet.backEnds.revision,
-      versions: this.#versionAges(),
+      storeTime: fleet.clock.storeTimeAt(performance.now()),
+      versions: fleet.versions.all(),
       loads: backEnds.loads(),
       held: this.#collection.held(),
       engines: this.#agents.reports().map((report) => ({ ...report, held: [] })),
     };
   }
 
-  #versionAges(): VersionAge[] {
-    const now = performance.now();
-    return this.#components.fleet.versions.all().map(({ model, version, namedAt }) => ({
-      model,
-      version,
-      age: Math.min(LONG_AGO, Math.round(now - namedAt)),
-    }));
-  }
-
   /** Tells what changed, once for all changes of a moment: an engine's service to all, what is held to this zone. */
   #announce(audience: 'all' | 'zone'): void {
     if (this.#announcement === undefined) setTimeout(() => this.#tellChanges(), ANNOUNCE_DELAY[audience]);
@@ -338,10 +324,10 @@
     const { fleet, settings } = this.#components;
     const { zone } = connection.remote.peer;
     const configuration = fleet.routes?.configuration;
-    const ages = this.#versionAges();
+    const named = fleet.versions.all();
     const versions = this.#collection.wanted().map(({ model, version }) => {
-      const known = ages.find((one) => one.model === model && one.version === version);
-      return known ?? { model, version, age: LONG_AGO };
+      const known = named.find((one) => one.model === model && one.version === version);
+      return known ?? { model, version, notBefore: Number.NEGATIVE_INFINITY };
     });
     const entries = [this.#report(), ...this.#peers.live()];
     const near = orderFor(
@@ -359,6 +345,7 @@
     const toConnect = [...near.slice(0, NEAR_ENTRIES), ...far.slice(0, FAR_ENTRIES)];
     return {
       versions,
+      storeTime: fleet.clock.storeTimeAt(performance.now()),
       bound: settings.versionBound,
       origin: configuration?.origin?.address ?? '',
       layers: configuration?.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -122,8 +122,9 @@
   wanted(): WeightsVersion[] {
     const { fleet, versionBound, servedVersions } = this.#options;
     const now = performance.now();
-    const named = fleet.versions.all().filter(({ model, version, namedAt }) => {
-      return version === fleet.versions.newest(model)?.version || now < namedAt + versionBound;
+    const named = fleet.versions.all().filter((one) => {
+      const isNewest = one.version === fleet.versions.newest(one.model)?.version;
+      return isNewest || now < fleet.versions.namedAt(one) + versionBound;
     });
     const served = servedVersions().filter(({ model }) => fleet.versions.newest(model) === undefined);
     return [...named, ...served].map(({ model, version }) => ({ model, version }));
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -5,12 +5,13 @@
  */
 import type { ListedObjectStore } from '../clients/object-store.js';
 import { NamedVersions } from '../fleet/named-versions.js';
+import { StoreClock } from '../fleet/store-clock.js';
 import { sleep } from '../fleet/table-follower.js';
 import { ChunkSet } from '../model/chunk-set.js';
 import { hash32, type Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
-import { type EngineReport, type HeldPieces, LONG_AGO, type WeightsPlan } from '../peers/reports.js';
+import type { EngineReport, HeldPieces, WeightsPlan } from '../peers/reports.js';
 import { EngineStage } from './engine-stage.js';
 import {
   type HeldWeights,
@@ -89,7 +90,8 @@
 export class EngineLoader implements Startable {
   readonly #options: EngineLoaderOptions;
   readonly #stage: EngineStage;
-  readonly #versions = new NamedVersions();
+  readonly #clock = new StoreClock();
+  readonly #versions = new NamedVersions(this.#clock);
   readonly #fetches = new Map<string, Fetch>();
   readonly #impatience: number;
   /** When all pieces of each version were here. */
@@ -125,10 +127,11 @@
     const plan = told.versions.length === 0 ? { ...told, versions: this.#plan?.versions ?? [] } : told;
     this.#plan = plan;
     const now = performance.now();
-    for (const { model, version, age } of plan.versions) {
-      const namedAt = age >= LONG_AGO ? Number.NEGATIVE_INFINITY : now - age;
-      const isNews = this.#versions.note({ model, version, namedAt });
-      if (isNews) this.#options.log.info('version wanted', { model, version, ageMs: Math.round(age) });
+    this.#clock.note(plan.storeTime, now);
+    for (const named of plan.versions) {
+      if (!this.#versions.note(named)) continue;
+      const ageMs = Math.round(now - this.#versions.namedAt(named));
+      this.#options.log.info('version wanted', { model: named.model, version: named.version, ageMs });
     }
     this.#reviewFetches();
   }
@@ -366,8 +369,8 @@
     if (newest === undefined || own === undefined || newest.version <= version.version) return true;
     if (this.#wholeVersion === 0) return false;
     return !shouldSkip({
-      namedAt: own.namedAt,
-      newestNamedAt: newest.namedAt,
+      namedAt: this.#versions.namedAt(own),
+      newestNamedAt: this.#versions.namedAt(newest),
       newestCompleteAt: this.#expectedCompletion(newest),
       expiresAt: this.#expiry(model),
       bound: this.#plan?.bound ?? 0,
@@ -389,7 +392,7 @@
     return switchTime({
       version: this.#wholeVersion,
       expiresAt: this.#expiry(manifest.model),
-      namedAt: named?.namedAt ?? Number.NEGATIVE_INFINITY,
+      namedAt: named === undefined ? Number.NEGATIVE_INFINITY : this.#versions.namedAt(named),
       completeAt,
       bound: this.#plan?.bound ?? 0,
       position: this.#plan?.position ?? 0,
@@ -401,7 +404,7 @@
     const newer = this.#versions
       .all()
       .filter((one) => one.model === model && one.version > this.#wholeVersion);
-    return Math.min(...newer.map(({ namedAt }) => namedAt + (this.#plan?.bound ?? 0)));
+    return Math.min(...newer.map((one) => this.#versions.namedAt(one) + (this.#plan?.bound ?? 0)));
   }
 
   /** Time until the engine is to be ordered to take a version, as far as can be told; undefined where none is due. */
--- a/src/weights/store-plan.ts
+++ b/src/weights/store-plan.ts
@@ -4,11 +4,12 @@
  */
 import type { WatchedTables } from '../clients/watched-tables.js';
 import type { FleetConfiguration } from '../fleet/configuration.js';
+import type { NamedVersion } from '../fleet/named-versions.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
 import { sleep } from '../fleet/table-follower.js';
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
-import { LONG_AGO, type VersionAge, type WeightsPlan } from '../peers/reports.js';
+import type { WeightsPlan } from '../peers/reports.js';
 import type { EngineLoader } from './engine-loader.js';
 
 /** An entry has this long to tell before the store is asked, and again between two tries, in milliseconds. */
@@ -64,16 +65,17 @@
     const read = await tables.read(decoder.operatorTable, '', limit);
     if (!read.ok) return undefined;
     let configuration: FleetConfiguration | undefined;
-    const versions: VersionAge[] = [];
+    const versions: NamedVersion[] = [];
     for (const row of read.value.rows) {
       const record = decoder.operatorRecord(row);
       if (record?.type === 'configuration') configuration = record.document.configuration;
       if (record?.type === 'namedVersion')
-        versions.push({ model: record.model, version: record.version, age: LONG_AGO });
+        versions.push({ model: record.model, version: record.version, notBefore: Number.NEGATIVE_INFINITY });
     }
     if (configuration === undefined || versions.length === 0) return undefined;
     return {
       versions,
+      storeTime: read.value.storeTime,
       bound: versionBound,
       origin: configuration.origin?.address ?? '',
       layers: configuration.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
