A switch of an engine hangs on the engine alone, and drops requests that go on elsewhere

Cause: the wait for a switch ran under the signal of the fetch that led to it; when the version left the plan it ended, and the agent told of an engine that holds nothing and is lost. And each order waited for the longest request, 1.4 to 2.6 s of an engine's service. Change: EngineSwitch gives the order and waits by itself. Plans are made in a module of their own, sources and the search for manifests too.

--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -67,6 +67,8 @@
   layers: number;
   /** The engine's number among those of its zone that hold a version. */
   position: number;
+  /** Requests that run at the engine can go on at others while it takes another version. */
+  canMoveRequests: boolean;
   /** What entries hold, those of the agent's zone marked as near. */
   holders: Array<{ address: string; isNear: boolean; held: HeldPieces[] }>;
   /** Entries of all zones, of the agent's own first. */
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -15,15 +15,15 @@
 import { BackEndTable, type EngineNews } from '../forwarding/back-end-table.js';
 import { ForwardingServer } from '../forwarding/forwarding-server.js';
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
-import { hash32, type Random, rendezvousOrder, seededRandom } from '../model/random.js';
+import { hash32, type Random, seededRandom } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import { HybridClock } from '../observability/hybrid-clock.js';
 import type { Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
 import { metricsServer } from '../observability/metrics-server.js';
-import { type EngineAgentRow, EngineAgents } from '../peers/engine-agents.js';
+import { EngineAgents } from '../peers/engine-agents.js';
 import { EntryPeers } from '../peers/entry-peers.js';
-import type { EngineReport, EntryReport, WeightsPlan } from '../peers/reports.js';
+import type { EngineReport, EntryReport } from '../peers/reports.js';
 import {
   type Connection,
   type ConnectionContext,
@@ -34,10 +34,11 @@
 import { httpServer, listenerOf } from '../server/http-server.js';
 import { RetryBudget } from '../systems/retry-budget.js';
 import { CollectionDuty } from '../weights/collection-duty.js';
-import { WeightsLibrary, type WeightsVersion } from '../weights/held-weights.js';
+import { WeightsLibrary } from '../weights/held-weights.js';
 import { pieceRoutes } from '../weights/piece-server.js';
 import type { PieceOriginFactory } from '../weights/piece-source.js';
 import type { DirectEntrySettings } from './settings.js';
+import { servedVersions, WeightsPlanner } from './weights-planner.js';
 
 /** Share of the common budget for repetitions that this entry uses by itself. */
 const BUDGET_SHARE = 0.75;
@@ -52,9 +53,6 @@
 const DRAIN_CHECK = 50;
 /** Changes of this time are told to peers and agents together, by who is told, in milliseconds. */
 const ANNOUNCE_DELAY = { all: 50, zone: 120 };
-/** Entries that an agent is told of: holders and those to connect to, of its own zone and of others. */
-const NEAR_ENTRIES = 3;
-const FAR_ENTRIES = 2;
 /** Addresses in one answer to a caller. */
 const MOST_ADDRESSES = 64;
 const MILLISECONDS = 1_000;
@@ -139,6 +137,7 @@
   readonly #peers: EntryPeers;
   readonly #agents: EngineAgents;
   readonly #collection: CollectionDuty;
+  readonly #planner: WeightsPlanner;
   readonly #forwarding: ForwardingServer;
   readonly #parts: StartableGroup;
   readonly #budgets = new Map<string, RetryBudget>();
@@ -163,7 +162,7 @@
     });
     sync.readerCount = () => this.#peers.live().length + 1;
     this.#agents = new EngineAgents(
-      (row) => this.#planFor(row),
+      (row) => this.#planner.planFor(row),
       (report, before) => {
         backEnds.takeNews(report.address, engineNews(report));
         if (before === undefined || hasChangedService(before, report)) this.#announce('all');
@@ -177,12 +176,19 @@
       originAt: components.originAt,
       peers: () => this.#peers.live(),
       agents: () => [...this.#agents.rows.values()],
-      servedVersions: () => this.#servedVersions(),
+      servedVersions: () => servedVersions(fleet.routes?.configuration.services ?? [], backEnds),
       versionBound: settings.versionBound,
       onHeldChanged: (isDrawing) => this.#announce(isDrawing ? 'all' : 'zone'),
       random,
       log,
     });
+    this.#planner = new WeightsPlanner({
+      fleet,
+      backEnds,
+      versionBound: settings.versionBound,
+      wanted: () => this.#collection.wanted(),
+      entries: () => [this.#report(), ...this.#peers.live()],
+    });
     this.#forwarding = new ForwardingServer(
       settings.callers,
       {
@@ -320,68 +326,6 @@
     for (const engine of report.engines) backEnds.takeNews(engine.address, engineNews(engine));
   }
 
-  #planFor({ address, connection, report }: EngineAgentRow): WeightsPlan {
-    const { fleet, settings } = this.#components;
-    const { zone } = connection.remote.peer;
-    const configuration = fleet.routes?.configuration;
-    const named = fleet.versions.all();
-    const versions = this.#collection.wanted().map(({ model, version }) => {
-      const known = named.find((one) => one.model === model && one.version === version);
-      return known ?? { model, version, notBefore: Number.NEGATIVE_INFINITY };
-    });
-    const entries = [this.#report(), ...this.#peers.live()];
-    const near = orderFor(
-      address,
-      entries.filter((entry) => entry.zone === zone),
-    );
-    const far = orderFor(
-      address,
-      entries.filter((entry) => entry.zone !== zone),
-    );
-    const holders = [
-      ...near.filter(({ held }) => held.length > 0).slice(0, NEAR_ENTRIES),
-      ...far.filter(({ held }) => held.length > 0).slice(0, FAR_ENTRIES),
-    ].map((entry) => ({ address: entry.address, isNear: entry.zone === zone, held: entry.held }));
-    const toConnect = [...near.slice(0, NEAR_ENTRIES), ...far.slice(0, FAR_ENTRIES)];
-    return {
-      versions,
-      storeTime: fleet.clock.storeTimeAt(performance.now()),
-      bound: settings.versionBound,
-      origin: configuration?.origin?.address ?? '',
-      layers: configuration?.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
-      position: this.#positionOf(report?.address ?? '', zone),
-      holders,
-      entries: toConnect.map((entry) => entry.address),
-      hasNearEntry: near.length > 0,
-    };
-  }
-
-  /** Number of the engine at `address` among those of its zone. */
-  #positionOf(address: string, zone: string): number {
-    const rows = [...this.#components.backEnds.rows.values()];
-    const addresses = rows
-      .filter(({ record }) => record.zone === zone && record.layers !== undefined)
-      .map(({ record }) => record.address);
-    return Math.max(0, addresses.sort().indexOf(address));
-  }
-
-  /** The version that most engines hold, of each model. */
-  #servedVersions(): WeightsVersion[] {
-    const { fleet } = this.#components;
-    const engines = fleet.routes?.configuration.services.filter(({ engine }) => engine !== undefined) ?? [];
-    return engines.flatMap(({ name, engine }) => {
-      const counts = new Map<number, number>();
-      for (const { record } of this.#components.backEnds.ofService(name)) {
-        const version = record.layers?.version ?? 0;
-        if (version > 0) counts.set(version, (counts.get(version) ?? 0) + 1);
-      }
-      const [most] = [...counts].sort((a, b) => b[1] - a[1]);
-      return most === undefined
-        ? []
-        : engine!.models.map((model) => ({ model: model.name, version: most[0] }));
-    });
-  }
-
   #budgetOf(service: string): RetryBudget {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
@@ -439,12 +383,6 @@
   ]);
 }
 
-/** The entries in the order in which `agent` prefers them. */
-function orderFor(agent: string, entries: readonly EntryReport[]): EntryReport[] {
-  const byAddress = new Map(entries.map((entry) => [entry.address, entry]));
-  return rendezvousOrder(agent, [...byAddress.keys()]).map((address) => byAddress.get(address)!);
-}
-
 /** Whether what requests may be sent to an engine depends on has changed; its load is told with the next report. */
 function hasChangedService(before: EngineReport, after: EngineReport): boolean {
   return (
--- /dev/null
+++ b/src/roles/weights-planner.ts
@@ -0,0 +1,118 @@
+/** What an entry tells an agent: versions, who holds pieces, whom to connect to, and how the engine may switch. */
+import type { BackEndService } from '../fleet/configuration.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import { type BackEndTable, wholeVersion } from '../forwarding/back-end-table.js';
+import { rendezvousOrder } from '../model/random.js';
+import type { EngineAgentRow } from '../peers/engine-agents.js';
+import type { EntryReport, WeightsPlan } from '../peers/reports.js';
+import type { WeightsVersion } from '../weights/held-weights.js';
+import { canMoveRequests } from '../weights/request-moves.js';
+
+/** Entries that an agent is told of: holders and those to connect to, of its own zone and of others. */
+const NEAR_ENTRIES = 3;
+const FAR_ENTRIES = 2;
+
+/** What the planner works with. */
+export interface WeightsPlannerOptions {
+  fleet: FleetView;
+  backEnds: BackEndTable;
+  /** Time in which a named version must serve everywhere, in milliseconds. */
+  versionBound: number;
+  /** The versions that matter. */
+  wanted: () => WeightsVersion[];
+  /** All entries that live, this one among them. */
+  entries: () => EntryReport[];
+}
+
+/** Makes the plans of agents. */
+export class WeightsPlanner {
+  readonly #options: WeightsPlannerOptions;
+
+  constructor(options: WeightsPlannerOptions) {
+    this.#options = options;
+  }
+
+  /** What the agent of `row` is to know now. */
+  planFor({ address, connection, report }: EngineAgentRow): WeightsPlan {
+    const { fleet, versionBound } = this.#options;
+    const { zone } = connection.remote.peer;
+    const configuration = fleet.routes?.configuration;
+    const entries = entriesFor(address, this.#options.entries());
+    const near = entries.filter((entry) => entry.zone === zone);
+    const far = entries.filter((entry) => entry.zone !== zone);
+    const isHolder = ({ held }: EntryReport) => held.length > 0;
+    const holders = [
+      ...near.filter(isHolder).slice(0, NEAR_ENTRIES),
+      ...far.filter(isHolder).slice(0, FAR_ENTRIES),
+    ].map((entry) => ({ address: entry.address, isNear: entry.zone === zone, held: entry.held }));
+    const toConnect = [...near.slice(0, NEAR_ENTRIES), ...far.slice(0, FAR_ENTRIES)];
+    return {
+      versions: this.#versions(),
+      storeTime: fleet.clock.storeTimeAt(performance.now()),
+      bound: versionBound,
+      origin: configuration?.origin?.address ?? '',
+      layers: configuration?.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
+      position: this.#positionOf(report?.address ?? '', zone),
+      canMoveRequests: this.#canMoveRequests(report?.address ?? ''),
+      holders,
+      entries: toConnect.map((entry) => entry.address),
+      hasNearEntry: near.length > 0,
+    };
+  }
+
+  #versions(): WeightsPlan['versions'] {
+    const named = this.#options.fleet.versions.all();
+    return this.#options.wanted().map(({ model, version }) => {
+      const known = named.find((one) => one.model === model && one.version === version);
+      return known ?? { model, version, notBefore: Number.NEGATIVE_INFINITY };
+    });
+  }
+
+  /** Number of the engine at `address` among those of its zone. */
+  #positionOf(address: string, zone: string): number {
+    const rows = [...this.#options.backEnds.rows.values()];
+    const addresses = rows
+      .filter(({ record }) => record.zone === zone && record.layers !== undefined)
+      .map(({ record }) => record.address);
+    return Math.max(0, addresses.sort().indexOf(address));
+  }
+
+  /** Whether other engines can go on with the requests of the one at `address`. */
+  #canMoveRequests(address: string): boolean {
+    const { fleet, backEnds } = this.#options;
+    const own = [...backEnds.rows.values()].find(({ record }) => record.address === address);
+    const { routes } = fleet;
+    const layers = own && routes?.service(own.record.service)?.engine?.layers;
+    if (own === undefined || routes === undefined || layers === undefined) return false;
+    const leading = routes.configuration.routes.filter(({ targets }) =>
+      targets.some(({ service }) => service === own.record.service),
+    );
+    const others = [...backEnds.ofService(own.record.service)]
+      .filter((row) => row !== own && !row.record.leaving)
+      .map((row) => ({ version: wholeVersion(row, layers), isSwitching: row.news?.isSwitching === true }));
+    return canMoveRequests(leading, wholeVersion(own, layers), others);
+  }
+}
+
+/** The entries in the order in which `agent` prefers them. */
+function entriesFor(agent: string, entries: readonly EntryReport[]): EntryReport[] {
+  const byAddress = new Map(entries.map((entry) => [entry.address, entry]));
+  return rendezvousOrder(agent, [...byAddress.keys()]).map((address) => byAddress.get(address)!);
+}
+
+/** The version that most engines hold, of each model. */
+export function servedVersions(
+  services: readonly BackEndService[],
+  backEnds: BackEndTable,
+): WeightsVersion[] {
+  return services.flatMap(({ name, engine }) => {
+    if (engine === undefined) return [];
+    const counts = new Map<number, number>();
+    for (const { record } of backEnds.ofService(name)) {
+      const version = record.layers?.version ?? 0;
+      if (version > 0) counts.set(version, (counts.get(version) ?? 0) + 1);
+    }
+    const [most] = [...counts].sort((a, b) => b[1] - a[1]);
+    return most === undefined ? [] : engine.models.map(({ name: model }) => ({ model, version: most[0] }));
+  });
+}
--- /dev/null
+++ b/src/weights/agent-sources.ts
@@ -0,0 +1,75 @@
+/** Where an agent fetches pieces from: near entries first, then the object store, far entries, the origin. */
+import type { ObjectStore } from '../clients/object-store.js';
+import { ChunkSet } from '../model/chunk-set.js';
+import type { WeightsPlan } from '../peers/reports.js';
+import { keyOf, type PieceManifest } from './held-weights.js';
+import type { PieceOriginFactory, PieceSource } from './piece-source.js';
+import { holds, objectSource, originSource, partsOf, processSource } from './piece-sources.js';
+
+/** Asking for a piece again while it is on its way would fill a narrow link with copies: it has until this, in milliseconds. */
+export const BATCH_LIMIT = 4_000;
+const ORIGIN_LIMIT = 4_000;
+/** Pieces of one answer of an entry. */
+export const ENTRY_BATCH = 3;
+/**
+ * Without a piece for this long, in milliseconds times `impatience`, the object store, far entries and the origin are
+ * asked too. Links between regions carry about one copy a second: many agents at the store would share it.
+ */
+const OBJECT_PATIENCE = 1_200;
+const FAR_PATIENCE = 2_000;
+const ORIGIN_PATIENCE = 6_000;
+const ORIGIN_PARALLEL = 2;
+
+/** What the sources are made of. */
+export interface AgentSourceOptions {
+  plan: WeightsPlan;
+  manifest: PieceManifest;
+  objects: ObjectStore;
+  originAt: PieceOriginFactory;
+  /** Spreads agents that do not know of one another over the pieces. */
+  offset: number;
+  /** 1 to 2: agents do not turn to a dear source all at once. */
+  impatience: number;
+}
+
+/** The sources of one version, in order of preference. */
+export function agentSources(options: AgentSourceOptions): PieceSource[] {
+  const { plan, manifest, objects, originAt, offset, impatience } = options;
+  const stored = new Set<number>();
+  const sources: PieceSource[] = [];
+  for (const { address, held, isNear } of plan.holders) {
+    const there = held.find((one) => keyOf(one) === keyOf(manifest));
+    if (there === undefined) continue;
+    for (const index of there.stored) stored.add(index);
+    sources.push(
+      processSource({
+        name: `entry ${address}`,
+        address,
+        manifest,
+        has: holds(ChunkSet.fromBytes(there.count, there.have)),
+        patience: isNear ? 0 : FAR_PATIENCE * impatience,
+        parallel: 1,
+        batchSize: ENTRY_BATCH,
+        batchTime: BATCH_LIMIT,
+        offset,
+      }),
+    );
+  }
+  // An agent that no entry has told anything asks for every part.
+  if (plan.holders.length === 0) for (const { index } of partsOf(manifest)) stored.add(index);
+  const patience = OBJECT_PATIENCE * impatience;
+  sources.push(objectSource({ objects, manifest, stored, patience, batchTime: BATCH_LIMIT, offset }));
+  if (plan.origin === '') return sources;
+  sources.push(
+    originSource({
+      origin: originAt(plan.origin),
+      version: manifest,
+      patience: ORIGIN_PATIENCE * impatience,
+      parallel: ORIGIN_PARALLEL,
+      batchTime: ORIGIN_LIMIT,
+      mayDraw: () => true,
+      offset: offset % manifest.digests.length,
+    }),
+  );
+  return sources;
+}
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -20,11 +20,10 @@
   type WeightsLibrary,
   type WeightsVersion,
 } from './held-weights.js';
+import { findManifest } from './manifest-search.js';
 import { PieceFetcher } from './piece-fetcher.js';
 import type { PieceOrigin, PieceOriginFactory, PieceSource } from './piece-source.js';
 import {
-  fetchManifest,
-  fetchStoredManifest,
   holds,
   objectSource,
   originSource,
@@ -187,24 +186,10 @@
     await this.#keepStored(collection, held, signal);
   }
 
-  /** Asks everybody for the manifest, in turn, until it is there. */
-  async #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
-    while (!signal.aborted) {
-      const limit = () => AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
-      const known = this.#options.library.of(version);
-      if (known !== undefined) return known.manifest;
-      for (const { address } of this.#peersHolding(version)) {
-        const answer = await fetchManifest(address, version, limit());
-        if (answer.ok) return answer.value;
-      }
-      const origin = this.#origin();
-      const drawn = await origin?.manifest(version, limit());
-      if (drawn?.ok) return drawn.value;
-      const stored = await fetchStoredManifest(this.#options.objects, version, limit());
-      if (stored !== undefined) return stored;
-      await sleep(REVIEW_INTERVAL, signal);
-    }
-    return undefined;
+  #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
+    const { library, objects } = this.#options;
+    const processes = () => this.#peersHolding(version).map(({ address }) => address);
+    return findManifest(version, { library, processes, origin: () => this.#origin(), objects }, signal);
   }
 
   #sources(collection: Collection, held: HeldWeights): PieceSource[] {
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -7,12 +7,13 @@
 import { NamedVersions } from '../fleet/named-versions.js';
 import { StoreClock } from '../fleet/store-clock.js';
 import { sleep } from '../fleet/table-follower.js';
-import { ChunkSet } from '../model/chunk-set.js';
 import { hash32, type Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
 import type { EngineReport, HeldPieces, WeightsPlan } from '../peers/reports.js';
+import { agentSources, BATCH_LIMIT, ENTRY_BATCH } from './agent-sources.js';
 import { EngineStage } from './engine-stage.js';
+import { EngineSwitch } from './engine-switch.js';
 import {
   type HeldWeights,
   keyOf,
@@ -20,17 +21,9 @@
   type WeightsLibrary,
   type WeightsVersion,
 } from './held-weights.js';
+import { findManifest } from './manifest-search.js';
 import { type FetchPace, PieceFetcher } from './piece-fetcher.js';
 import type { PieceOriginFactory, PieceSource } from './piece-source.js';
-import {
-  fetchManifest,
-  fetchStoredManifest,
-  holds,
-  objectSource,
-  originSource,
-  partsOf,
-  processSource,
-} from './piece-sources.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
 import { shouldSkip, switchTime } from './switch-schedule.js';
 
@@ -43,15 +36,6 @@
 /** A change of the load that is told at once. */
 const TOLD_LOAD_STEP = 3;
 const CALL_LIMIT = 1_000;
-/** Asking for a piece again while it is on its way would fill a narrow link with copies: it has until this. */
-const BATCH_LIMIT = 4_000;
-const ORIGIN_LIMIT = 4_000;
-/** Pieces of one answer of an entry. */
-const ENTRY_BATCH = 3;
-/** The object store, and at last the origin, are asked after this without a piece, in milliseconds, times 1 to 2. */
-const OBJECT_PATIENCE = 1_200;
-const FAR_PATIENCE = 2_000;
-const ORIGIN_PATIENCE = 6_000;
 /** An engine that serves nothing has its link for itself; one that serves shares it with its requests. */
 const IDLE_PACE: FetchPace = { open: 2, batch: ENTRY_BATCH, share: 1 };
 const SERVING_PACE: FetchPace = { open: 2, batch: 1, share: 1 };
@@ -62,8 +46,6 @@
 const USUAL_FETCH = 3_600;
 /** A version of which no piece came for this long does not hold others up, in milliseconds. */
 const STALLED = 700;
-/** The engine is told of as switching this long before the order, in milliseconds, so that nothing new comes. */
-const NOTICE = 60;
 
 interface Fetch {
   stopped: AbortController;
@@ -90,6 +72,7 @@
 export class EngineLoader implements Startable {
   readonly #options: EngineLoaderOptions;
   readonly #stage: EngineStage;
+  readonly #engineSwitch: EngineSwitch;
   readonly #clock = new StoreClock();
   readonly #versions = new NamedVersions(this.#clock);
   readonly #fetches = new Map<string, Fetch>();
@@ -99,7 +82,6 @@
   #stopped = new AbortController();
   #plan: WeightsPlan | undefined;
   #engine: EngineState | undefined;
-  #isSwitching = false;
   #isAdvancing = false;
   #isStageRead = false;
   #reportedAt = 0;
@@ -108,6 +90,14 @@
   constructor(options: EngineLoaderOptions) {
     this.#options = options;
     this.#stage = new EngineStage(options.engine, options.log);
+    this.#engineSwitch = new EngineSwitch({
+      engine: options.engine,
+      onState: (state) => {
+        this.#engine = state;
+      },
+      onChange: () => this.#tell(),
+      log: options.log,
+    });
     this.#impatience = 1 + options.random.fraction();
   }
 
@@ -240,7 +230,9 @@
     await fetch.fetcher.run(signal);
     if (!held.complete) return;
     this.#completeAt.set(keyOf(version), performance.now());
-    if (!signal.aborted && this.#engine !== undefined) await this.#advance(this.#engine, signal);
+    // Not under the signal of this fetch: what is done for the engine goes on when the version is not wanted any more.
+    if (!signal.aborted && this.#engine !== undefined)
+      await this.#advance(this.#engine, this.#stopped.signal);
   }
 
   /**
@@ -271,71 +263,22 @@
     return this.#isWorthwhile(older) ? one.version < other.version : one.version > other.version;
   }
 
-  async #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
-    while (!signal.aborted) {
-      const known = this.#options.library.of(version);
-      if (known !== undefined) return known.manifest;
-      const holders =
-        this.#plan?.holders.filter(({ held }) => held.some((one) => keyOf(one) === keyOf(version))) ?? [];
-      for (const { address } of holders) {
-        const answer = await fetchManifest(address, version, this.#limit(signal));
-        if (answer.ok) return answer.value;
-      }
-      const origin = this.#plan?.origin;
-      if (origin !== undefined && origin !== '') {
-        const answer = await this.#options.originAt(origin).manifest(version, this.#limit(signal));
-        if (answer.ok) return answer.value;
-      }
-      const stored = await fetchStoredManifest(this.#options.objects, version, this.#limit(signal));
-      if (stored !== undefined) return stored;
-      await sleep(LOOK_INTERVAL, signal);
-    }
-    return undefined;
+  #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
+    const { library, objects, originAt } = this.#options;
+    const isHolder = ({ held }: { held: HeldPieces[] }) => held.some((one) => keyOf(one) === keyOf(version));
+    const processes = () => (this.#plan?.holders ?? []).filter(isHolder).map(({ address }) => address);
+    const origin = () => {
+      const address = this.#plan?.origin ?? '';
+      return address === '' ? undefined : originAt(address);
+    };
+    return findManifest(version, { library, processes, origin, objects }, signal);
   }
 
-  #sources(held: HeldWeights): PieceSource[] {
+  #sources({ manifest }: HeldWeights): PieceSource[] {
+    const { objects, originAt, address } = this.#options;
     const plan = this.#plan!;
-    const { manifest } = held;
-    const offset = hash32(this.#options.address);
-    const stored = new Set<number>();
-    const sources: PieceSource[] = [];
-    plan.holders.forEach(({ address, held: heldThere, isNear }) => {
-      const there = heldThere.find((one) => keyOf(one) === keyOf(manifest));
-      if (there === undefined) return;
-      for (const index of there.stored) stored.add(index);
-      sources.push(
-        processSource({
-          name: `entry ${address}`,
-          address,
-          manifest,
-          has: holds(ChunkSet.fromBytes(there.count, there.have)),
-          patience: isNear ? 0 : FAR_PATIENCE * this.#impatience,
-          parallel: 1,
-          batchSize: ENTRY_BATCH,
-          batchTime: BATCH_LIMIT,
-          offset,
-        }),
-      );
-    });
-    const { objects, originAt } = this.#options;
-    const isAlone = plan.holders.length === 0;
-    if (isAlone) for (const { index } of partsOf(manifest)) stored.add(index);
-    // Links between regions carry one copy a second: many agents at the store would share it.
-    const patience = OBJECT_PATIENCE * this.#impatience;
-    sources.push(objectSource({ objects, manifest, stored, patience, batchTime: BATCH_LIMIT, offset }));
-    if (plan.origin === '') return sources;
-    sources.push(
-      originSource({
-        origin: originAt(plan.origin),
-        version: manifest,
-        patience: ORIGIN_PATIENCE * this.#impatience,
-        parallel: 2,
-        batchTime: ORIGIN_LIMIT,
-        mayDraw: () => true,
-        offset: offset % manifest.digests.length,
-      }),
-    );
-    return sources;
+    const impatience = this.#impatience;
+    return agentSources({ plan, manifest, objects, originAt, offset: hash32(address), impatience });
   }
 
   /** Lays the newest whole version into the stage, and orders the engine to take it when its turn has come. */
@@ -409,7 +352,7 @@
 
   /** Time until the engine is to be ordered to take a version, as far as can be told; undefined where none is due. */
   #switchesIn(): number | undefined {
-    if (this.#isSwitching) return undefined;
+    if (this.#engineSwitch.isRunning) return undefined;
     const now = performance.now();
     const due = [...this.#fetches.values()].flatMap(({ held, fetcher }) => {
       if (held === undefined || fetcher === undefined || held.manifest.version <= this.#wholeVersion)
@@ -424,31 +367,11 @@
   }
 
   async #switch(held: HeldWeights, state: EngineState, signal: AbortSignal): Promise<void> {
-    const { model, version } = held.manifest;
-    const serves = this.#wholeVersion > 0;
     if (!(await this.#stage.verify(held, signal))) return;
-    this.#isSwitching = true;
-    this.#tell();
-    if (serves) await sleep(NOTICE, signal);
-    const order = { model, version, expectedSequence: state.sequence };
-    const outcome = await this.#options.engine.start(order, this.#limit(signal));
-    const answer = outcome.ok ? outcome.value : outcome.error;
-    this.#options.log.info('engine ordered', { ...order, from: this.#wholeVersion, answer });
-    await this.#awaitVersion(version, outcome.ok && outcome.value.type === 'taken', signal);
-    this.#isSwitching = false;
-    this.#tell();
-  }
-
-  /** Waits until the engine holds `version`, or is not busy any more. */
-  async #awaitVersion(version: number, wasTaken: boolean, signal: AbortSignal): Promise<void> {
-    if (!wasTaken) return;
-    while (!signal.aborted) {
-      await sleep(LOOK_INTERVAL / 2, signal);
-      const state = await this.#options.engine.state(this.#limit(signal));
-      this.#engine = state.ok ? state.value : undefined;
-      if (!state.ok || this.#wholeVersion >= version || !state.value.isBusy) break;
-    }
-    this.#options.log.info('engine holds', { version: this.#wholeVersion });
+    const { model, version } = held.manifest;
+    const running = this.#plan?.canMoveRequests === true ? 'drop' : 'finish';
+    const order = { target: { model, version }, state, served: this.#wholeVersion, running } as const;
+    await this.#engineSwitch.run(order, signal);
   }
 
   #tell(): void {
@@ -456,7 +379,7 @@
       address: this.#options.engineAddress,
       version: this.#wholeVersion,
       isReached: this.#engine !== undefined && this.#plan !== undefined,
-      isSwitching: this.#isSwitching || this.#engine?.isBusy === true,
+      isSwitching: this.#engineSwitch.isRunning || this.#engine?.isBusy === true,
       load: this.#engine?.load ?? 0,
       switchesIn: this.#switchesIn(),
       held: this.#held(),
--- /dev/null
+++ b/src/weights/engine-switch.ts
@@ -0,0 +1,90 @@
+/**
+ * One engine's change to another version: the notice, the order, and the wait until the engine holds it. It hangs on
+ * nothing but the engine: that the version is not wanted any more, or its fetch has ended, does not end it, as an order
+ * that was taken cannot be taken back.
+ */
+import { sleep } from '../fleet/table-follower.js';
+import type { Log } from '../observability/log.js';
+import type { WeightsVersion } from './held-weights.js';
+import type { EngineState, RunningRequests, StagedEngine } from './staged-engine.js';
+
+/** Notice of a switch before the order, in milliseconds: the time to tell entries, so that nothing new comes. */
+const NOTICE = 60;
+/** Time between two looks at an engine that carries an order out, in milliseconds. */
+const LOOK_INTERVAL = 60;
+const CALL_LIMIT = 1_000;
+
+/** What a switch works with. */
+export interface EngineSwitchOptions {
+  engine: StagedEngine;
+  /** Takes each state that was read; undefined where the engine did not answer. */
+  onState: (state: EngineState | undefined) => void;
+  /** Called when a switch begins and ends. */
+  onChange: () => void;
+  log: Log;
+}
+
+/** What is ordered. */
+export interface SwitchOrder {
+  target: WeightsVersion;
+  /** The engine's state before. */
+  state: EngineState;
+  /** Version that it serves; 0 for none. */
+  served: number;
+  /** What becomes of the requests that run there. */
+  running: RunningRequests;
+}
+
+/** The switches of one engine, one at a time. */
+export class EngineSwitch {
+  readonly #options: EngineSwitchOptions;
+  #isRunning = false;
+
+  constructor(options: EngineSwitchOptions) {
+    this.#options = options;
+  }
+
+  /** True from the notice until the engine has carried the order out, or did not take it. */
+  get isRunning(): boolean {
+    return this.#isRunning;
+  }
+
+  /** Orders the engine to take `order.target`; ends when that is done or has failed, or at `signal`. */
+  async run(order: SwitchOrder, signal: AbortSignal): Promise<void> {
+    this.#isRunning = true;
+    this.#options.onChange();
+    if (order.served > 0) await sleep(NOTICE, signal);
+    if (await this.#order(order, signal)) await this.#awaitEnd(order.target, signal);
+    this.#isRunning = false;
+    this.#options.onChange();
+  }
+
+  /** True where the engine has taken the order. */
+  async #order({ target, state, served, running }: SwitchOrder, signal: AbortSignal): Promise<boolean> {
+    const { model, version } = target;
+    const order = { model, version, running, expectedSequence: state.sequence };
+    const outcome = await this.#options.engine.start(order, limited(signal));
+    const answer = outcome.ok ? outcome.value : outcome.error;
+    this.#options.log.info('engine ordered', { ...order, from: served, load: state.load, answer });
+    // An order without an answer may have been taken: the engine's state tells.
+    return !outcome.ok || outcome.value.type === 'taken';
+  }
+
+  async #awaitEnd({ version }: WeightsVersion, signal: AbortSignal): Promise<void> {
+    const startedAt = performance.now();
+    while (!signal.aborted) {
+      await sleep(LOOK_INTERVAL, signal);
+      const state = await this.#options.engine.state(limited(signal));
+      this.#options.onState(state.ok ? state.value : undefined);
+      if (state.ok && state.value.isBusy) continue;
+      const layers = state.ok ? state.value.layers : undefined;
+      const tookMs = Math.round(performance.now() - startedAt);
+      this.#options.log.info('switch ended', { wanted: version, layers, isReached: state.ok, tookMs });
+      return;
+    }
+  }
+}
+
+function limited(signal: AbortSignal): AbortSignal {
+  return AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
+}
--- a/src/weights/staged-engine.ts
+++ b/src/weights/staged-engine.ts
@@ -27,6 +27,20 @@
   /** It does not fit the engine's state, or a newer order was given. */
   | { type: 'refused'; status: number };
 
+/** What becomes of the requests that run at an engine when it takes another version. */
+export type RunningRequests =
+  /** The engine takes nothing new and waits for them. */
+  | 'finish'
+  /** The engine drops them at once; who sent them goes on with them elsewhere. */
+  | 'drop';
+
+/** The order to take what lies in the stage. */
+export interface StartOrder extends WeightsVersion {
+  running: RunningRequests;
+  /** Orders that the engine has taken so far; with any other number it refuses. */
+  expectedSequence: number;
+}
+
 /** The engine beside this process. */
 export interface StagedEngine {
   state(signal: AbortSignal): Promise<Result<EngineState, EngineError>>;
@@ -34,9 +48,6 @@
   stage(model: string, index: number, bytes: Buffer, signal: AbortSignal): Promise<Result<void, EngineError>>;
   /** What lies in the stage; undefined for nothing. */
   staged(model: string, index: number, signal: AbortSignal): Promise<Result<Buffer | undefined, EngineError>>;
-  /** Orders the engine to take what lies in the stage once its requests have ended. */
-  start(
-    order: WeightsVersion & { expectedSequence: number },
-    signal: AbortSignal,
-  ): Promise<Result<OrderOutcome, EngineError>>;
+  /** Orders the engine to take what lies in the stage. */
+  start(order: StartOrder, signal: AbortSignal): Promise<Result<OrderOutcome, EngineError>>;
 }
--- a/src/weights/store-plan.ts
+++ b/src/weights/store-plan.ts
@@ -80,6 +80,7 @@
       origin: configuration.origin?.address ?? '',
       layers: configuration.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
       position: 0,
+      canMoveRequests: false,
       holders: [],
       entries: [],
       hasNearEntry: false,
--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -13,7 +13,7 @@
 import { PieceFetcher } from '../../src/weights/piece-fetcher.js';
 import type { PieceOrigin, PieceSource } from '../../src/weights/piece-source.js';
 import { objectSource, originSource, partsOf } from '../../src/weights/piece-sources.js';
-import type { EngineState, StagedEngine } from '../../src/weights/staged-engine.js';
+import type { EngineState, StagedEngine, StartOrder } from '../../src/weights/staged-engine.js';
 import { shouldSkip, switchTime, waveOf } from '../../src/weights/switch-schedule.js';
 import { until } from '../support.js';
 
@@ -183,11 +183,18 @@
 class FakeEngine implements StagedEngine {
   readonly stageArea = new Map<number, Buffer>();
   readonly orders: number[] = [];
+  /** What became of running requests with each order. */
+  readonly running: StartOrder['running'][] = [];
+  /** Looks at the engine for which an order keeps it busy. */
+  busyLooks = 0;
   layers: EngineState['layers'];
   badOnce = new Set<number>();
 
   async state() {
-    return success({ model: 'm', layers: this.layers, isBusy: false, load: 0, sequence: this.orders.length });
+    const isBusy = this.busyLooks > 0;
+    if (isBusy) this.busyLooks--;
+    const layers = isBusy ? { from: 0, end: 0, version: 0 } : this.layers;
+    return success({ model: 'm', layers, isBusy, load: 0, sequence: this.orders.length });
   }
 
   async stage(_model: string, index: number, bytes: Buffer) {
@@ -199,7 +206,8 @@
     return success(this.stageArea.get(index));
   }
 
-  async start({ version }: { version: number }) {
+  async start({ version, running }: StartOrder) {
+    this.running.push(running);
     const isWhole = Array.from({ length: PIECES }, (_, index) => index).every((index) =>
       this.stageArea.get(index)?.equals(pieceOf(version, index)),
     );
@@ -218,6 +226,7 @@
     origin: 'origin',
     layers: 16,
     position: 0,
+    canMoveRequests: false,
     holders: [],
     entries: [],
     hasNearEntry: false,
@@ -321,6 +330,48 @@
     expect(engine.orders).toEqual([1]);
   });
 
+  it('lets the engine drop what runs only where that can go on elsewhere', async () => {
+    for (const canMoveRequests of [false, true]) {
+      const engine = new FakeEngine();
+      engine.layers = { from: 0, end: 16, version: 1 };
+      await run(engine, { ...planOf([[2, 7_500]]), canMoveRequests }, (told) => told.at(-1)?.version === 2);
+      expect(engine.running).toEqual([canMoveRequests ? 'drop' : 'finish']);
+    }
+  });
+
+  it('waits for a switch whose version is not wanted any more, and tells no engine as lost or empty', async () => {
+    const engine = new FakeEngine();
+    engine.layers = { from: 0, end: 16, version: 1 };
+    engine.start = async (order) => {
+      engine.busyLooks = 8;
+      // The next version leaves the one that was ordered out of the plan.
+      later!();
+      return FakeEngine.prototype.start.call(engine, order);
+    };
+    const reports: EngineReport[] = [];
+    const loader = new EngineLoader({
+      engine,
+      engineAddress: 'engine',
+      address: 'agent',
+      library: new WeightsLibrary(),
+      objects: await objectsWith(2),
+      originAt: () => ({ ...origin, piece: async () => failure({ type: 'sourceFailed', reason: 'away' }) }),
+      tell: (report) => reports.push(report),
+      random: seededRandom(5),
+      log: silentLog,
+    });
+    const later = () => loader.takePlan(planOf([[3, 0]]));
+    await loader.start();
+    loader.takePlan(planOf([[2, 7_500]]));
+    await until(() => reports.at(-1)?.version === 2, 'the version that was ordered');
+    await loader.stop();
+    const told = reports.filter(({ isReached }) => isReached);
+    // Whoever hears that an engine holds nothing, and is not switching, sends nothing there until its next report.
+    expect(told.filter(({ version, isSwitching }) => version === 0 && !isSwitching)).toEqual([]);
+    const first = reports.findIndex(({ isReached }) => isReached);
+    expect(reports.slice(first).every(({ isReached }) => isReached)).toBe(true);
+  });
+
   it('says before it orders that the engine is about to switch', async () => {
     const engine = new FakeEngine();
     engine.layers = { from: 0, end: 16, version: 1 };
