Entries that start together find one another at once

Cause: an entry told the addresses that it knows every 2 s. Change: who hears an entry for the first time tells all addresses 40 ms later; who learns an address dials at once.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -20,12 +20,17 @@
 import type { EntryReport } from './reports.js';
 
 /** Time between two tries to reach an entry, in milliseconds. */
-const FIRST_REDIAL = 300;
+const FIRST_REDIAL = 150;
 const LONGEST_REDIAL = 4_000;
 /** A try that takes longer is given up: a machine that comes back would be noticed late, in milliseconds. */
 const DIAL_LIMIT = 700;
 /** Time between two tellings of all addresses, in milliseconds. */
 const ADDRESSES_INTERVAL = 2_000;
+/**
+ * New addresses are told after this, in milliseconds: entries that start together know only the seeds, and fetch
+ * weights twice until they know of one another.
+ */
+const NEW_ADDRESSES_DELAY = 40;
 
 interface PeerRow {
   address: string;
@@ -50,6 +55,8 @@
   decoder: RecordDecoder;
   /** False while this entry does not hear the store. */
   hearsStore: () => boolean;
+  /** Time between two tellings of all addresses, in milliseconds. */
+  addressesInterval?: number;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
   log: Log;
@@ -61,7 +68,8 @@
   readonly #rows = new Map<string, PeerRow>();
   #timer: NodeJS.Timeout | undefined;
   #stopped = new AbortController();
-  #addressesToldAt = 0;
+  #addressesToldAt = performance.now();
+  #newAddressesTimer: NodeJS.Timeout | undefined;
 
   constructor(options: EntryPeersOptions) {
     this.#options = options;
@@ -76,6 +84,7 @@
 
   async stop(): Promise<void> {
     clearInterval(this.#timer);
+    clearTimeout(this.#newAddressesTimer);
     this.#stopped.abort();
     for (const { connection } of this.#rows.values()) connection?.close();
   }
@@ -125,13 +134,25 @@
       const message = this.#encodedReport();
       for (const row of due) this.#tell(row, message);
     }
-    if (now - this.#addressesToldAt < ADDRESSES_INTERVAL) return;
-    this.#addressesToldAt = now;
+    const { addressesInterval = ADDRESSES_INTERVAL } = this.#options;
+    if (now - this.#addressesToldAt >= addressesInterval) this.#tellAddresses();
+  }
+
+  #tellAddresses(): void {
+    this.#addressesToldAt = performance.now();
     const addresses = [this.#options.address, ...this.live().map(({ address }) => address)];
     const message = encodeForMany({ type: 'entryAddresses', addresses }, this.#options.context);
     for (const { connection } of this.#rows.values()) connection?.sendEncoded(message);
   }
 
+  /** Tells soon that an entry was heard for the first time; those that come meanwhile are told together. */
+  #tellNewAddresses(): void {
+    this.#newAddressesTimer ??= setTimeout(() => {
+      this.#newAddressesTimer = undefined;
+      this.#tellAddresses();
+    }, NEW_ADDRESSES_DELAY);
+  }
+
   #encodedReport(): EncodedMessage {
     const message: Message = { type: 'entryReport', report: this.#options.report() };
     return encodeForMany(message, this.#options.context);
@@ -174,7 +195,7 @@
 
   #handle(row: PeerRow, connection: Connection, message: Message): void {
     if (message.type === 'entryReport') return this.#onReport(row, connection, message.report);
-    if (message.type === 'entryAddresses') return this.learn(message.addresses);
+    if (message.type === 'entryAddresses') return this.#learnAndDial(message.addresses);
     if (message.type === 'fleetWanted') return this.#answer(connection, message);
     if (message.type === 'fleetConfiguration')
       return this.#takeConfiguration(row, Buffer.from(message.document));
@@ -183,8 +204,10 @@
 
   #onReport(row: PeerRow, connection: Connection, report: EntryReport): void {
     const now = performance.now();
-    if (now - row.heardAt > reportLife(this.#isNear(row), this.#rows.size))
+    if (now - row.heardAt > reportLife(this.#isNear(row), this.#rows.size)) {
       this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
+      this.#tellNewAddresses();
+    }
     row.heardAt = now;
     row.report = report;
     const { fleet } = this.#options;
@@ -196,6 +219,14 @@
     this.#options.onReport(report);
   }
 
+  #learnAndDial(addresses: readonly string[]): void {
+    const known = this.#rows.size;
+    this.learn(addresses);
+    if (this.#rows.size === known) return;
+    const now = performance.now();
+    for (const row of this.#rows.values()) if (row.connection === undefined) this.#dial(row, now);
+  }
+
   #answer(connection: Connection, wanted: { configuration: boolean; backEnds: boolean }): void {
     const { fleet } = this.#options;
     if (wanted.configuration && fleet.document !== undefined)
--- /dev/null
+++ b/test/peers/entry-peers.test.ts
@@ -0,0 +1,85 @@
+/** Entries that find one another. */
+import { afterEach, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { silentLog } from '../../src/observability/log.js';
+import { EntryPeers } from '../../src/peers/entry-peers.js';
+import type { EntryReport } from '../../src/peers/reports.js';
+import {
+  type ConnectionContext,
+  ConnectionListener,
+  createTrafficCounters,
+} from '../../src/protocol/connection.js';
+import { until } from '../support.js';
+
+const started: Array<{ stop(): Promise<void> }> = [];
+
+afterEach(async () => {
+  for (const part of started.splice(0).reverse()) await part.stop();
+});
+
+function reportOf(id: string, address: string): EntryReport {
+  return {
+    id,
+    address,
+    callerAddress: address,
+    zone: 'zone-a',
+    region: 'region-a',
+    isReady: true,
+    configurationRevision: 0,
+    backEndsRevision: 0,
+    storeTime: Number.NEGATIVE_INFINITY,
+    versions: [],
+    loads: [],
+    held: [],
+    engines: [],
+  };
+}
+
+async function startEntry(id: string, address: string, seeds: string[]): Promise<EntryPeers> {
+  const context: ConnectionContext = {
+    clock: new HybridClock(),
+    counters: createTrafficCounters(),
+    hello: () => ({
+      type: 'hello',
+      role: 'entry',
+      peer: { id, address, place: 'zone-a', region: 'region-a', zone: 'zone-a' },
+    }),
+  };
+  const peers = new EntryPeers({
+    context,
+    address,
+    zone: 'zone-a',
+    seeds,
+    fleet: new FleetView(),
+    decoder: {} as RecordDecoder,
+    hearsStore: () => true,
+    // None are told in their turn while this test runs.
+    addressesInterval: 3_600_000,
+    report: () => reportOf(id, address),
+    onReport: () => {},
+    log: silentLog,
+  });
+  const listener = new ConnectionListener(
+    address,
+    context,
+    (connection) => peers.accept(connection),
+    (_request, response) => void response.writeHead(404).end(),
+  );
+  await listener.start();
+  await peers.start();
+  started.push(listener, peers);
+  return peers;
+}
+
+it('entries that know only a seed hear one another as soon as the seed has heard them', async () => {
+  const [seed, one, two] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
+  const first = await startEntry('one', one, [seed]);
+  const second = await startEntry('two', two, [seed]);
+  const hub = await startEntry('seed', seed, []);
+  await until(() => hub.live().length === 2, 'the seed to hear both');
+  await until(() => first.live().length === 2, 'the first to hear the second');
+  await until(() => second.live().length === 2, 'the second to hear the first');
+});
