--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -16,6 +16,8 @@
  */
 const EXPIRY_MARGIN = 600;
 const EXPIRY_MARGIN_WAITS = 1.5;
+/** Requests that cannot be in time leave the rest of a back end's slots to those that can. */
+const LATE_SHARE = 0.5;
 /** Share of the slots that requests of other entries may have taken since they were heard of. */
 const UNSEEN_SHARE = 0.25;
 /** Where the agent says nothing of the engine's load, its queue may be longer by this, in milliseconds. */
@@ -180,7 +182,7 @@
     const exclusion =
       engine === undefined ? undefined : this.#versionExclusion(row, engine, requirements, now);
     if (exclusion !== undefined) return exclusion;
-    return !requirements.mayQueue && this.#wouldQueue(row) ? 'full' : undefined;
+    return !requirements.mayQueue && this.#isFullForLate(row) ? 'full' : undefined;
   }
 
   /** Why the weights of `row` keep it from taking the request. */
@@ -211,12 +213,13 @@
   }
 
   /**
-   * Whether a request may have to wait at `row`. Entries learn of one another's requests late and choose alike, so each
-   * uses its share of the slots only.
+   * Whether a request that cannot be in time would keep one waiting that can. Entries learn of one another's requests
+   * late and choose alike, so each uses its share of the slots only.
    */
-  #wouldQueue(row: BackEndRow): boolean {
-    const share = Math.max(1, Math.floor(row.record.slots / this.#entryCount()));
-    return row.inFlight >= share || loadOf(row) >= row.record.slots;
+  #isFullForLate(row: BackEndRow): boolean {
+    const slots = LATE_SHARE * row.record.slots;
+    const share = Math.max(1, Math.floor(slots / this.#entryCount()));
+    return row.inFlight >= share || loadOf(row) >= slots;
   }
 
   /** Time before the version of `row` expires from which it gets no more requests, in milliseconds. */
--- a/src/weights/agent-sources.ts
+++ b/src/weights/agent-sources.ts
@@ -13,10 +13,13 @@
 export const ENTRY_BATCH = 3;
 /**
  * Without a piece for this long, in milliseconds times `impatience`, the object store, far entries and the origin are
- * asked too. Links between regions carry about one copy a second: many agents at the store would share it.
+ * asked too. Links between regions carry about one copy a second: agents at the store would delay the entries, on whose
+ * copy those of the whole zone wait.
  */
 const OBJECT_PATIENCE = 1_200;
+const OBJECT_PATIENCE_BESIDE_ENTRY = 2_000;
 const FAR_PATIENCE = 2_000;
+const OBJECT_PARALLEL = 2;
 const ORIGIN_PATIENCE = 6_000;
 const ORIGIN_PARALLEL = 2;
 
@@ -57,8 +60,17 @@
   }
   // An agent that no entry has told anything asks for every part.
   if (plan.holders.length === 0) for (const { index } of partsOf(manifest)) stored.add(index);
-  const patience = OBJECT_PATIENCE * impatience;
-  sources.push(objectSource({ objects, manifest, stored, patience, batchTime: BATCH_LIMIT, offset }));
+  sources.push(
+    objectSource({
+      objects,
+      manifest,
+      stored,
+      patience: (plan.hasNearEntry ? OBJECT_PATIENCE_BESIDE_ENTRY : OBJECT_PATIENCE) * impatience,
+      parallel: OBJECT_PARALLEL,
+      batchTime: BATCH_LIMIT,
+      offset,
+    }),
+  );
   if (plan.origin === '') return sources;
   sources.push(
     originSource({
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -61,6 +61,11 @@
 /** The origin is asked for a version that engines hold only after this, in milliseconds. */
 const HELD_ELSEWHERE_PATIENCE = 10_000;
 const ORIGIN_PARALLEL = 5;
+/**
+ * Parts that are read from the object store at the same time. An entry that has heard no other of its zone may not be
+ * the only one: those that start together would share the link between regions for a copy each.
+ */
+const OBJECT_PARALLEL = 2;
 
 /** What the duty works with. */
 export interface CollectionDutyOptions {
@@ -215,15 +220,17 @@
       );
     }
     const stored = this.#storedParts(collection);
-    const { objects } = this.#options;
+    const { objects, self, peers } = this.#options;
+    const isAlone = !peers().some(({ zone }) => zone === self.zone);
     sources.push(
       objectSource({
         objects,
         manifest,
         stored,
         patience: standIn,
+        parallel: isAlone ? 1 : OBJECT_PARALLEL,
         batchTime: OBJECT_LIMIT,
-        offset: hash32(this.#options.self.id),
+        offset: hash32(self.id),
       }),
     );
     for (const { address, report } of this.#options.agents()) {
--- a/src/weights/piece-sources.ts
+++ b/src/weights/piece-sources.ts
@@ -113,17 +113,19 @@
   /** Indexes of the parts that lie there. */
   stored: ReadonlySet<number>;
   patience: number;
+  /** Parts that are read at the same time. */
+  parallel: number;
   batchTime: number;
   /** A number that spreads receivers that do not know of one another over the parts. */
   offset: number;
 }): PieceSource {
-  const { objects, manifest, stored, patience, batchTime, offset } = options;
+  const { objects, manifest, stored, patience, parallel, batchTime, offset } = options;
   const parts = rotate(partsOf(manifest), offset);
   return {
     name: 'objects',
     patience,
     batchTime,
-    parallel: 2,
+    parallel,
     isDivisible: false,
     nextBatch(wanted) {
       const missing = new Set(wanted);
--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -147,7 +147,7 @@
     }
     const stored = new Set(parts.map(({ index }) => index));
     const held = await fetchAll([
-      objectSource({ objects, manifest, stored, patience: 0, batchTime: 1_000, offset: 2 }),
+      objectSource({ objects, manifest, stored, patience: 0, parallel: 2, batchTime: 1_000, offset: 2 }),
     ]);
     expect(held.complete).toBe(true);
     expect(objects.calls.get).toBe(parts.length);
