--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -90,6 +90,7 @@
     const engineOf = (row: BackEndRow) => ({
       version: wholeVersion(row, layers),
       isSwitching: row.news?.isSwitching === true,
+      switchesIn: (row.news?.switchAt ?? Number.POSITIVE_INFINITY) - performance.now(),
       slots: row.record.slots,
       load: loadOf(row),
     });
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -51,8 +51,8 @@
 const AGENT_BATCH = 2;
 /** Without news for this long an entry that is not responsible fetches as well, in milliseconds, times its place. */
 const STAND_IN_PATIENCE = 1_200;
-/** Entries of other zones are asked after this, in milliseconds: their bytes are dear. */
-const FAR_PATIENCE = 700;
+/** Entries of other zones are asked after this, in milliseconds: their bytes are dear, those of the origin are dearer. */
+const FAR_PATIENCE = 300;
 /** The next entry draws from the origin when no piece came for this long, in milliseconds; three step in so soon. */
 const ORIGIN_STAND_IN_PATIENCE = 300;
 const QUICK_STAND_INS = 3;
@@ -258,7 +258,12 @@
     const isElsewhere = (index: number) =>
       storedPieces.has(index) || holders.some(({ have }) => have.has(index));
     const isServed = this.#options.servedVersions().some((served) => keyOf(served) === keyOf(version));
-    const patience = (isServed ? HELD_ELSEWHERE_PATIENCE : 0) + drawPatience(place.overall);
+    // What another entry has drawn comes from there; drawing beside it would halve the rate of both.
+    const isDrawnElsewhere = place.overall > 0 && holders.some(({ have }) => have.size > 0);
+    const patience =
+      (isServed ? HELD_ELSEWHERE_PATIENCE : 0) +
+      (isDrawnElsewhere ? FAR_PATIENCE : 0) +
+      drawPatience(place.overall);
     sources.push(
       originSource({
         origin,
--- a/src/weights/switch-schedule.ts
+++ b/src/weights/switch-schedule.ts
@@ -3,14 +3,16 @@
  * so the engines of a zone go in waves inside the bound in which a version must serve.
  */
 
-/** Waves in which the engines of a zone go. */
-export const SWITCH_WAVES = 3;
+/** Waves in which the engines of a zone go: an engine whose requests go on elsewhere is away for 0.4 s (measured). */
+export const SWITCH_WAVES = 6;
 /** Shares of the bound: between two waves, and after which no engine waits any more. */
-const BETWEEN_WAVES = 0.17;
+const BETWEEN_WAVES = 0.07;
 const LAST_WAVE = 0.8;
 /** An engine whose version may not serve any more within this time has nothing to lose, in milliseconds. */
 const EXPIRY_MARGIN = 1_000;
 
+/** Of this many engines one leaves out a version that another follows. */
+const SKIP_EVERY = 3;
 /** Share of the bound up to which two versions follow each other closely. */
 const CLOSE_NAMINGS = 0.3;
 /** A version that is left out must be replaced this long before it would be missed, in milliseconds. */
@@ -59,11 +61,11 @@
 
 /**
  * Whether the engine should leave a version out, as a newer one will be here before its own expires. Of versions that
- * follow closely only the newest is taken: each switch costs seconds of service. Of others those of the last wave leave
- * the older one out, so that some engines serve while the rest go over.
+ * follow closely only the newest is taken: each switch costs service. Of others a third leave the older one out, so that
+ * some engines serve while the rest go over.
  */
 export function shouldSkip(situation: SkipSituation): boolean {
   const { namedAt, newestNamedAt, newestCompleteAt, expiresAt, bound, position } = situation;
   if (newestCompleteAt > expiresAt - SKIP_MARGIN) return false;
-  return newestNamedAt - namedAt < CLOSE_NAMINGS * bound || waveOf(position) === SWITCH_WAVES - 1;
+  return newestNamedAt - namedAt < CLOSE_NAMINGS * bound || position % SKIP_EVERY === SKIP_EVERY - 1;
 }
