thistleway losses: when service was lost in a run, and for which reasons

One line for each span and service from the logs of all processes, and the switches of engines with the time of each.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -1,9 +1,9 @@
 /** `thistleway explain`: what the logs tell of one request. */
-import { readFileSync } from 'node:fs';
 import { Command, Option } from 'clipanion';
-import { formatHistory, historyOf, parseLogLine } from '../observability/request-history.js';
+import { formatHistory, historyOf } from '../observability/request-history.js';
 import { ThistlewayCommand } from './command.js';
-import { CommandFailure, EXIT_UNKNOWN, EXIT_USAGE } from './errors.js';
+import { EXIT_UNKNOWN } from './errors.js';
+import { readLogs } from './logs.js';
 
 /** `thistleway explain ID FILE...`. */
 export class ExplainCommand extends ThistlewayCommand {
@@ -18,8 +18,7 @@
   files = Option.Rest({ required: 1 });
 
   async perform(): Promise<number> {
-    const lines = this.files.flatMap((file) => readLines(file)).flatMap((text) => parseLogLine(text) ?? []);
-    const history = historyOf(this.id, lines);
+    const history = historyOf(this.id, readLogs(this.files));
     if (history.length === 0) {
       this.context.stderr.write(`no line names ${this.id}; a caller that asks again uses another id\n`);
       return EXIT_UNKNOWN;
@@ -28,11 +27,3 @@
     return 0;
   }
 }
-
-function readLines(file: string): string[] {
-  try {
-    return readFileSync(file, 'utf8').split('\n');
-  } catch (cause) {
-    throw new CommandFailure(`${file} cannot be read: ${String(cause)}`, EXIT_USAGE);
-  }
-}
--- /dev/null
+++ b/src/cli/losses.ts
@@ -0,0 +1,32 @@
+/** `thistleway losses`: when service was lost in a run, and for which reasons. */
+import { Command, Option } from 'clipanion';
+import { formatLosses, lossTable, switchOutages } from '../observability/loss-table.js';
+import { ThistlewayCommand } from './command.js';
+import { CommandFailure, EXIT_UNKNOWN, EXIT_USAGE } from './errors.js';
+import { readLogs } from './logs.js';
+
+/** `thistleway losses [--step SECONDS] FILE...`. */
+export class LossesCommand extends ThistlewayCommand {
+  static override paths = [['losses']];
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'show from the logs of all processes when service was lost, and why',
+    details:
+      'One line for each span and service: attempts, answers, refusals with the reasons for which back ends were left out; then the switches of engines to other versions, with the time that each took.',
+  });
+  step = Option.String('--step', '1', { description: 'length of a span, in seconds' });
+  files = Option.Rest({ required: 1 });
+
+  async perform(): Promise<number> {
+    const step = Number(this.step);
+    if (!(step > 0)) throw new CommandFailure('--step takes a number of seconds above 0', EXIT_USAGE);
+    const lines = readLogs(this.files).sort((one, other) => one.time - other.time);
+    const rows = lossTable(lines, step);
+    if (rows.length === 0) {
+      this.context.stderr.write('no line tells of a request\n');
+      return EXIT_UNKNOWN;
+    }
+    this.context.stdout.write(`${formatLosses(rows, switchOutages(lines)).join('\n')}\n`);
+    return 0;
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
 } from './bench.js';
 import { EXIT_USAGE } from './errors.js';
 import { ExplainCommand } from './explain.js';
+import { LossesCommand } from './losses.js';
 import {
   ApplyCommand,
   DeleteCommand,
@@ -40,6 +41,7 @@
   DrainCommand,
   TimelineCommand,
   ExplainCommand,
+  LossesCommand,
   BenchBurstCommand,
   BenchRequestsCommand,
   BenchConfigCommand,
