--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -17,7 +17,7 @@
 const EXPIRY_MARGIN = 600;
 const EXPIRY_MARGIN_WAITS = 1.5;
 /** Requests that cannot be in time leave the rest of a back end's slots to those that can. */
-const LATE_SHARE = 0.5;
+const LATE_SHARE = 0.75;
 /** Share of the slots that requests of other entries may have taken since they were heard of. */
 const UNSEEN_SHARE = 0.25;
 /** Where the agent says nothing of the engine's load, its queue may be longer by this, in milliseconds. */
