One attempt's use of a back end has a module of its own

forwarded-request kept the table's books of each attempt beside the request's own state; BackEndUse keeps them. No change of behaviour; the set of unanswered attempts, which nothing reads any more, is gone.

--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -35,8 +35,6 @@
   health: BackEndHealth;
   /** Requests sent from here that have not ended. */
   inFlight: number;
-  /** Those that have not answered yet, oldest first. */
-  unanswered: Set<{ readonly startedAt: number }>;
   /** Their prompt tokens. */
   unreadTokens: number;
   /** Requests in flight from each other entry. */
@@ -131,7 +129,6 @@
     connections: new BackEndConnections(record.address),
     health: new BackEndHealth(),
     inFlight: 0,
-    unanswered: new Set(),
     unreadTokens: 0,
     inFlightElsewhere: new Map(),
     answeredAt: 0,
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -13,7 +13,8 @@
 import { type AnswerHead, Attempt, type AttemptFailure, MISDIRECTED } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
 import type { Requirements } from './back-end-selector.js';
-import { type BackEndRow, blend, loadOf, noteFirstAnswer } from './back-end-table.js';
+import { type BackEndRow, loadOf } from './back-end-table.js';
+import { BackEndUse } from './back-end-use.js';
 import { CallerAnswer } from './caller-answer.js';
 import { type CallerBody, readCallerBody } from './caller-body.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
@@ -71,8 +72,8 @@
   #promptTokens = 0;
   /** Tokens that the answer may have. */
   #answerTokens = 0;
-  #row: BackEndRow | undefined;
-  #attempt: Attempt | undefined;
+  /** The attempt in progress and its back end. */
+  #use: BackEndUse | undefined;
   #sends = 0;
   /** Back ends that may have run it. */
   #runs = 0;
@@ -80,12 +81,6 @@
   #heldSince: number | undefined;
   readonly #answer: CallerAnswer;
   #version: number | undefined;
-  /** True once the back end has read the prompt, or the attempt has ended. */
-  #isRead = true;
-  /** Time to the first part of the answer, in milliseconds. */
-  #firstAnswerAfter: number | undefined;
-  #answeredAt = 0;
-  #progressAt = 0;
   #settled = false;
 
   constructor(components: ForwardingComponents, request: IncomingMessage, response: ServerResponse) {
@@ -118,25 +113,26 @@
       request: this.#id,
       cause: String((cause as Error)?.stack ?? cause),
     });
-    this.#attempt?.abort('abandoned');
+    this.#use?.attempt.abort('abandoned');
     this.#finish({ type: 'backEndFailed', reason: 'fault of this process' });
   }
 
   /** Ends attempts that are owed something for too long; called by the shared tick. */
   check(now: number): void {
     if (this.#heldSince !== undefined && !this.#settled) return this.#send();
-    const { attempt, row } = { attempt: this.#attempt, row: this.#row };
-    if (attempt === undefined || row === undefined || this.#settled) return;
+    const use = this.#use;
+    if (use === undefined || this.#settled) return;
+    const { attempt, row } = use;
     if (!attempt.sent) {
       if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
       return;
     }
     if (!this.#mayRunAgain()) return;
-    if (this.#answeredAt === 0 && this.#components.selector.mustWithdraw(row, now))
+    if (!use.hasAnswered && this.#components.selector.mustWithdraw(row, now))
       return attempt.withdraw('version expires');
-    if (!this.#isSilent(now, row)) return;
+    if (!this.#isSilent(now, use)) return;
     if (!this.#components.budgetOf(this.#service).spend(performance.now())) return;
-    this.#log('back end silent', { backEnd: row.record.id, silentMs: Math.round(now - this.#progressAt) });
+    this.#log('back end silent', { backEnd: row.record.id, silentMs: Math.round(now - use.progressAt) });
     attempt.fail('silent');
   }
 
@@ -172,16 +168,8 @@
       return this.#giveUp('back ends full');
     this.#heldSince = undefined;
     const { row } = selection;
-    this.#row = row;
     this.#tried.add(row.record.id);
     this.#sends++;
-    row.inFlight++;
-    row.unreadTokens += this.#promptTokens;
-    this.#isRead = false;
-    this.#firstAnswerAfter = undefined;
-    row.health.noteSent();
-    this.#progressAt = performance.now();
-    if (row.inFlight === 1) row.progressAt = this.#progressAt;
     const attempt = new Attempt(
       {
         requestId: this.#id,
@@ -198,7 +186,7 @@
         onFailure: (failure) => this.#onFailure(failure),
       },
     );
-    this.#attempt = attempt;
+    this.#use = new BackEndUse(row, attempt, this.#promptTokens, this.#answerTokens);
     this.#log('sent', {
       send: this.#sends,
       backEnd: row.record.id,
@@ -208,7 +196,6 @@
       version: selection.version,
       configuration: this.#table.configuration.revision,
     });
-    row.unanswered.add(attempt);
     attempt.send(row.connections);
   }
 
@@ -268,23 +255,22 @@
   }
 
   #onHead(head: AnswerHead): void {
-    this.#noteProgress();
-    if (this.#answeredAt === 0) this.#answeredAt = performance.now();
+    this.#use?.noteHead();
     const goesOn = this.#answer.started;
     if (!this.#answer.begin(head))
-      return this.#attempt?.fail(`status ${head.status} to a stream that goes on`);
+      return this.#use?.attempt.fail(`status ${head.status} to a stream that goes on`);
     const version = Number(head.headers[this.#components.names.servedVersion]);
     if (!goesOn && Number.isFinite(version) && version > 0) this.#version = version;
   }
 
   #onData(chunk: Buffer): void {
-    this.#noteProgress();
-    this.#noteRead();
-    this.#answer.push(chunk, this.#attempt!);
+    const use = this.#use!;
+    use.notePart();
+    this.#answer.push(chunk, use.attempt);
   }
 
   #onEnd(): void {
-    this.#noteRead();
+    this.#use?.noteRead();
     const { status, started } = this.#answer;
     const isFailure = status >= INTERNAL_ERROR;
     if (isFailure && !started && this.#tryAgainAfter(`status ${status}`)) return;
@@ -306,7 +292,7 @@
   }
 
   #onFailure(failure: AttemptFailure): void {
-    const row = this.#row!;
+    const { row } = this.#use!;
     this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
     this.#endAttempt(outcomeOf(failure));
     if (failure.type === 'broken' || failure.type === 'withdrawn') return this.#onBroken(failure.reason);
@@ -341,13 +327,13 @@
     return repeatability === 'resumable' && this.#answer.isEventStream;
   }
 
-  #isSilent(now: number, row: BackEndRow): boolean {
+  #isSilent(now: number, { row, progressAt }: BackEndUse): boolean {
     const { objective, longestPause } = this.#route;
     const isStreaming = this.#answer.started;
     const limit = isStreaming
       ? Math.max(SHORTEST_STREAM_SILENCE, SILENT_PAUSES * longestPause)
       : Math.min(LONGEST_SILENCE, Math.max(SHORTEST_SILENCE, SILENT_OBJECTIVES * objective));
-    const isOwed = now - this.#progressAt > limit;
+    const isOwed = now - progressAt > limit;
     return isOwed && (isStreaming || now - row.progressAt > limit);
   }
 
@@ -363,9 +349,9 @@
 
   #onTimeout(): void {
     if (this.#settled) return;
-    const mayHaveRun = this.#runs > 0 || this.#attempt?.sent === true;
-    const isSilent = this.#row !== undefined && this.#answeredAt === 0 && mayHaveRun;
-    this.#attempt?.abort('timed out');
+    const mayHaveRun = this.#runs > 0 || this.#use?.attempt.sent === true;
+    const isSilent = this.#use?.hasAnswered === false && mayHaveRun;
+    this.#use?.attempt.abort('timed out');
     this.#endAttempt(isSilent ? 'silent' : undefined);
     if (this.#answer.started) return this.#cut('timed out');
     this.#finish(mayHaveRun ? { type: 'timedOut' } : { type: 'expired' });
@@ -373,8 +359,8 @@
 
   #onCallerGone(): void {
     if (this.#settled) return;
-    this.#log('caller left', { backEnd: this.#row?.record.id, ageMs: this.#age() });
-    this.#attempt?.abort('caller left');
+    this.#log('caller left', { backEnd: this.#use?.row.record.id, ageMs: this.#age() });
+    this.#use?.attempt.abort('caller left');
     this.#endAttempt(undefined);
     this.#settle('left');
   }
@@ -403,47 +389,21 @@
 
   /** Takes the attempt out of the books; undefined where its end says nothing about the back end. */
   #endAttempt(outcome: BackEndOutcome | undefined): void {
-    const row = this.#row;
-    if (row === undefined) return;
-    const now = performance.now();
-    this.#noteRead();
-    row.inFlight--;
-    if (outcome !== undefined) {
-      row.health.note(outcome, now, this.#components.backEnds.usualFailureShare(this.#service));
-    }
-    if (outcome === 'served') {
-      const took = now - this.#attempt!.startedAt;
-      row.duration = blend(row.duration, took);
-      if (this.#answerTokens > 0) row.timePerToken = blend(row.timePerToken, took / this.#answerTokens);
-      this.#log('served', {
-        backEnd: row.record.id,
-        tookMs: Math.round(took),
-        firstMs: this.#firstAnswerAfter,
-        version: this.#version,
-      });
-    }
-    this.#row = undefined;
-    this.#attempt = undefined;
-    this.#answeredAt = 0;
-  }
-
-  #noteProgress(): void {
-    const now = performance.now();
-    this.#progressAt = now;
-    if (this.#row !== undefined) this.#row.progressAt = now;
-  }
-
-  /** The back end has begun to answer: it has read the prompt. */
-  #noteRead(): void {
-    const row = this.#row;
-    if (row === undefined || this.#isRead) return;
-    this.#isRead = true;
-    row.unreadTokens -= this.#promptTokens;
-    if (this.#attempt !== undefined) row.unanswered.delete(this.#attempt);
-    if (this.#answeredAt === 0) return;
-    const now = performance.now();
-    this.#firstAnswerAfter = Math.round(now - this.#attempt!.startedAt);
-    noteFirstAnswer(row, this.#firstAnswerAfter, now);
+    const use = this.#use;
+    if (use === undefined) return;
+    this.#use = undefined;
+    const took = use.end();
+    const { record, health } = use.row;
+    if (outcome !== undefined)
+      health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
+    if (outcome !== 'served') return;
+    use.noteServed(took);
+    this.#log('served', {
+      backEnd: record.id,
+      tookMs: Math.round(took),
+      firstMs: use.firstAnswerAfter,
+      version: this.#version,
+    });
   }
 
   #settle(outcome: RequestOutcome): void {
