--- a/test/roles/direct-entry.test.ts
+++ b/test/roles/direct-entry.test.ts
@@ -167,6 +167,8 @@
     write(one.store, 4);
     await until(async () => (await send(two, '/4/')).status === 200, 'the next configuration');
     expect((await send(two, '/1/')).status).toBe(404);
+    // That the other is ready comes with its next report, whenever that is.
+    await until(() => one.entry.addresses('zone-a', 'region-a').length === 2, 'both in the directory');
     expect(one.entry.addresses('zone-a', 'region-a').sort()).toEqual(
       [one.settings.callers, two.settings.callers].sort(),
     );
