--- /dev/null
+++ b/src/peers/dialling.ts
@@ -0,0 +1,41 @@
+/**
+ * How long a try to reach an entry may take, and when it is made again. A machine without power answers nothing, and what
+ * was sent to it before it came back is sent again only after a second: a short try that is made anew finds it sooner.
+ * Later tries are longer and rarer, for entries that are slow and machines that stay away. Times are in milliseconds.
+ */
+
+/** Limit of the first try: a busy entry has answered within 0.1 s wherever that was measured. */
+const FIRST_LIMIT = 250;
+const LONGEST_LIMIT = 700;
+/** Pause after the first failed try. */
+const FIRST_PAUSE = 100;
+/** Each failed try makes the next limit and pause longer by this factor. */
+const GROWTH = 1.5;
+
+/** The tries of one address, or of one round over several. */
+export class Dialling {
+  readonly #longestPause: number;
+  #failures = 0;
+
+  /** @param longestPause - between two tries, in milliseconds */
+  constructor(longestPause: number) {
+    this.#longestPause = longestPause;
+  }
+
+  /** Time that the next try may take. */
+  get limit(): number {
+    return Math.min(LONGEST_LIMIT, FIRST_LIMIT * GROWTH ** this.#failures);
+  }
+
+  /** A try has failed; returns the pause before the next. */
+  noteFailure(): number {
+    const pause = Math.min(this.#longestPause, FIRST_PAUSE * GROWTH ** this.#failures);
+    this.#failures++;
+    return pause;
+  }
+
+  /** A try was answered. */
+  noteSuccess(): void {
+    this.#failures = 0;
+  }
+}
--- a/src/peers/entry-link.ts
+++ b/src/peers/entry-link.ts
@@ -4,17 +4,16 @@
 import type { Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
+import { Dialling } from './dialling.js';
 import type { WeightsPlan } from './reports.js';
 
-/** Pause between two rounds over all known entries, in milliseconds. */
-const ROUND_PAUSE = 250;
+/** Longest pause between two rounds over all known entries, in milliseconds. */
+const LONGEST_ROUND_PAUSE = 400;
 /** Without a plan for this long the entry is left, in milliseconds. */
 const PLAN_LIMIT = 2_200;
 const CHECK_INTERVAL = 250;
 /** Time between the first words to one entry and to the next, in milliseconds. */
 const STAGGER = 120;
-/** A try that takes longer is given up: a machine that comes back would be noticed late, in milliseconds. */
-const DIAL_LIMIT = 700;
 
 /** What the link works with. */
 export interface EntryLinkOptions {
@@ -32,6 +31,7 @@
   #connection: Connection | undefined;
   #entries: readonly string[] = [];
   #heardAt = 0;
+  readonly #dialling = new Dialling(LONGEST_ROUND_PAUSE);
   /** Whether the latest plan names an entry of this agent's zone. */
   #hasNearEntry = false;
 
@@ -57,8 +57,13 @@
   async #run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const connection = await this.#dial(signal);
-      if (connection !== undefined) await this.#use(connection, signal);
-      else await sleep(ROUND_PAUSE * (1 + this.#options.random.fraction()), signal);
+      if (connection !== undefined) {
+        this.#dialling.noteSuccess();
+        await this.#use(connection, signal);
+        continue;
+      }
+      const pause = this.#dialling.noteFailure();
+      await sleep(pause * (0.5 + this.#options.random.fraction() / 2), signal);
     }
   }
 
@@ -73,7 +78,7 @@
       const tries = this.#candidates().map(async (address, place) => {
         await sleep(place * STAGGER, round);
         if (round.aborted) return;
-        const limit = AbortSignal.any([round, AbortSignal.timeout(DIAL_LIMIT)]);
+        const limit = AbortSignal.any([round, AbortSignal.timeout(this.#dialling.limit)]);
         const connected = await connect(address, this.#options.context, limit);
         if (!connected.ok) return;
         if (round.aborted) return connected.value.close();
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -16,14 +16,12 @@
   encodeForMany,
 } from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
+import { Dialling } from './dialling.js';
 import { REPORT_TICK, reportInterval, reportLife } from './report-rate.js';
 import type { EntryReport } from './reports.js';
 
-/** Time between two tries to reach an entry, in milliseconds. */
-const FIRST_REDIAL = 150;
+/** Longest time between two tries to reach an entry, in milliseconds. */
 const LONGEST_REDIAL = 4_000;
-/** A try that takes longer is given up: a machine that comes back would be noticed late, in milliseconds. */
-const DIAL_LIMIT = 700;
 /** Time between two tellings of all addresses, in milliseconds. */
 const ADDRESSES_INTERVAL = 2_000;
 /**
@@ -37,7 +35,7 @@
   connection: Connection | undefined;
   isDialling: boolean;
   dialAt: number;
-  redial: number;
+  dialling: Dialling;
   toldAt: number;
   report: EntryReport | undefined;
   heardAt: number;
@@ -169,12 +167,11 @@
   #dial(row: PeerRow, now: number): void {
     if (row.isDialling || now < row.dialAt) return;
     row.isDialling = true;
-    const limit = AbortSignal.any([this.#stopped.signal, AbortSignal.timeout(DIAL_LIMIT)]);
+    const limit = AbortSignal.any([this.#stopped.signal, AbortSignal.timeout(row.dialling.limit)]);
     void connect(row.address, this.#options.context, limit).then((connected) => {
       row.isDialling = false;
       if (!connected.ok) {
-        row.dialAt = performance.now() + row.redial;
-        row.redial = Math.min(LONGEST_REDIAL, row.redial * 1.6);
+        row.dialAt = performance.now() + row.dialling.noteFailure();
         return;
       }
       if (this.#stopped.signal.aborted) return connected.value.close();
@@ -185,7 +182,7 @@
   #take(row: PeerRow, connection: Connection): void {
     // Both may dial at the same time: the later connection is used for sending, both are heard.
     row.connection = connection;
-    row.redial = FIRST_REDIAL;
+    row.dialling.noteSuccess();
     connection.onClose = () => {
       if (row.connection === connection) row.connection = undefined;
     };
@@ -255,7 +252,7 @@
     connection: undefined,
     isDialling: false,
     dialAt: 0,
-    redial: FIRST_REDIAL,
+    dialling: new Dialling(LONGEST_REDIAL),
     toldAt: 0,
     report: undefined,
     heardAt: Number.NEGATIVE_INFINITY,
