--- a/src/peers/dialling.ts
+++ b/src/peers/dialling.ts
@@ -22,9 +22,9 @@
     this.#longestPause = longestPause;
   }
 
-  /** Time that the next try may take. */
+  /** Time that the next try may take; a whole number, as abort signals take no other. */
   get limit(): number {
-    return Math.min(LONGEST_LIMIT, FIRST_LIMIT * GROWTH ** this.#failures);
+    return Math.round(Math.min(LONGEST_LIMIT, FIRST_LIMIT * GROWTH ** this.#failures));
   }
 
   /** A try has failed; returns the pause before the next. */
--- a/test/peers/dialling.test.ts
+++ b/test/peers/dialling.test.ts
@@ -13,6 +13,14 @@
   expect(tries).toBeGreaterThanOrEqual(3);
 });
 
+it('every limit is one that a signal can be given', () => {
+  const dialling = new Dialling(4_000);
+  for (let tries = 0; tries < 12; tries++) {
+    expect(AbortSignal.timeout(dialling.limit).aborted).toBe(false);
+    dialling.noteFailure();
+  }
+});
+
 it('tries become longer and rarer, up to their bounds, until one is answered', () => {
   const dialling = new Dialling(400);
   const first = dialling.limit;
