--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -109,6 +109,18 @@
     expect(seen).toEqual(['two']);
   });
 
+  it('holds a back end for leaving, once it has heard of it, while the store is away and a peer knows less', async () => {
+    store.write('backEnds', 'one', 'leaving');
+    await until(() => fleet.backEnds.records.get('one')?.leaving === true, 'the notice');
+    const { revision } = fleet.backEnds.records.get('one')!;
+    store.faults.down = true;
+    await until(() => !sync.connected, 'the loss');
+    const older = { ...fleet.backEnds.records.get('one')!, leaving: false, revision: revision - 1 };
+    fleet.takeBackEnds({ revision: fleet.backEnds.revision - 1, records: [older] });
+    fleet.takeBackEnds({ revision: fleet.backEnds.revision + 1, records: [older] });
+    expect(fleet.backEnds.records.get('one')?.leaving).toBe(true);
+  });
+
   it('dates a version that it sees being named, and none that was there before', async () => {
     expect(fleet.versions.newest('model')).toMatchObject({
       version: 1,
