--- a/src/fleet/store-clock.ts
+++ b/src/fleet/store-clock.ts
@@ -6,7 +6,7 @@
 /** A window of estimates, in milliseconds: clocks that drift by 50 parts in a million part by 30 ms in it. */
 const WINDOW = 600_000;
 
-/** Converts between the store's clock and `performance.now()`. Times are in milliseconds. */
+/** Converts between the store's clock and this process's `performance.now()`. Times are in milliseconds. */
 export class StoreClock {
   /** Least difference seen of the receiver's time to the store's, of this window and of the one before. */
   #difference = Number.POSITIVE_INFINITY;
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -16,9 +16,9 @@
  */
 const EXPIRY_MARGIN = 600;
 const EXPIRY_MARGIN_WAITS = 1.5;
-/** Requests that cannot be in time leave the rest of a back end's slots to those that can. */
+/** Share of a back end's slots that requests which cannot be in time may take: the rest is for those that can. */
 const LATE_SHARE = 0.75;
-/** Share of the slots that requests of other entries may have taken since they were heard of. */
+/** Share of the slots assumed to be taken by requests of other entries that have not been reported yet (150 to 450 ms). */
 const UNSEEN_SHARE = 0.25;
 /** Where the agent says nothing of the engine's load, its queue may be longer by this, in milliseconds. */
 const UNKNOWN_LOAD_MARGIN = 1_600;
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -33,20 +33,20 @@
 const CALM_LOOK_INTERVAL = 400;
 /** The engine is reported at least this often, in milliseconds. */
 const REPORT_INTERVAL = 1_000;
-/** A change of the load that is told at once. */
+/** Report at once when the load has changed by this many requests: one report a second is due anyway. */
 const TOLD_LOAD_STEP = 3;
 const CALL_LIMIT = 1_000;
-/** An engine that serves nothing has its link for itself; one that serves shares it with its requests. */
+/** Fetch rates: an engine without weights leaves its whole link to the fetch, one that serves shares it with requests. */
 const IDLE_PACE: FetchPace = { open: 2, batch: ENTRY_BATCH, share: 1 };
 const SERVING_PACE: FetchPace = { open: 2, batch: 1, share: 1 };
-/** A piece that takes this long comes over a narrow link, in milliseconds: requests would wait behind several. */
+/** Above this time per piece the link is narrow, in milliseconds: several pieces at a time would delay requests. */
 const SLOW_PIECE = 250;
 const NARROW_PACE: FetchPace = { open: 1, batch: 1, share: 0.5 };
 /** Time to fetch a version before this agent has fetched one, in milliseconds: 3.5 to 4.3 s were measured. */
 const FIRST_FETCH = 4_000;
-/** A change of the time at which the engine is expected to switch that is told at once, in milliseconds. */
+/** Report at once when the expected time of the switch has moved by this much, in milliseconds. */
 const TOLD_SWITCH_STEP = 400;
-/** A version of which no piece came for this long does not hold others up, in milliseconds. */
+/** A fetch without a piece for this long is stalled and lets the next version go first, in milliseconds. */
 const STALLED = 700;
 
 interface Fetch {
@@ -173,7 +173,7 @@
     await this.#advance(state.value, signal);
   }
 
-  /** Version whose layers the engine holds, all of them; 0 for none. */
+  /** The version of which the engine holds every layer; 0 for none. */
   get #wholeVersion(): number {
     const layers = this.#engine?.layers;
     const count = this.#plan?.layers ?? Number.POSITIVE_INFINITY;
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -7,7 +7,7 @@
 import type { HeldWeights, WeightsLibrary } from './held-weights.js';
 import type { StagedEngine } from './staged-engine.js';
 
-/** Pieces that are laid down or read back at the same time. */
+/** Pieces that are written or read back concurrently; the stage is on this machine. */
 const PARALLEL = 4;
 const CALL_LIMIT = 1_000;
 
