--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -370,6 +370,10 @@
     expect(told.filter(({ version, isSwitching }) => version === 0 && !isSwitching)).toEqual([]);
     const first = reports.findIndex(({ isReached }) => isReached);
     expect(reports.slice(first).every(({ isReached }) => isReached)).toBe(true);
+    // From the notice until it holds the version it takes nothing, whatever is wanted meanwhile.
+    const noticed = reports.findIndex(({ isSwitching }) => isSwitching);
+    const held = reports.findIndex(({ version }) => version === 2);
+    expect(reports.slice(noticed, held).every(({ isSwitching }) => isSwitching)).toBe(true);
   });
 
   it('says before it orders that the engine is about to switch', async () => {
