--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -6,6 +6,7 @@
 import type { Random } from '../model/random.js';
 import type { Result } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
+import { withLimit } from '../model/time-limit.js';
 import type { StoreClock } from './store-clock.js';
 
 /** Time that the store may take beyond the wait that it was asked for, in milliseconds. */
@@ -88,12 +89,12 @@
     const askedAt = clock.isKnown ? clock.storeTimeAt(performance.now()) : Number.POSITIVE_INFINITY;
     const gap = askedAt - this.#storeTime;
     if (this.#revision === undefined) {
-      const read = await tables.read(table, '', AbortSignal.any([signal, AbortSignal.timeout(ANSWER_LIMIT)]));
+      const read = await tables.read(table, '', withLimit(signal, ANSWER_LIMIT));
       return this.#take(read, gap, (rows, since) => events.onWhole(rows, since), signal);
     }
     // A store that was lost is asked for an answer at once: that it is back must not wait for a change.
     const patience = this.#failures > 0 ? 0 : wait;
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(patience + ANSWER_LIMIT)]);
+    const limit = withLimit(signal, patience + ANSWER_LIMIT);
     const changes = await tables.changes({ table, after: this.#revision, wait: patience }, limit);
     return this.#take(changes, gap, (rows, since) => events.onChanges(rows, since), signal);
   }
--- a/src/forwarding/selection.ts
+++ b/src/forwarding/selection.ts
@@ -49,7 +49,7 @@
 const FAILURE_COST = 600;
 /** What each millisecond by which a request outlasts the engine's version costs: it is moved, or holds the switch up. */
 const OVERHANG_COST = 0.4;
-/** The same for a request that is cut if it has to move again. */
+/** The same for a request that is cut if it has to move again: more than any distance or queue. */
 const CUT_COST = 4;
 /** Candidates this close are alike, in milliseconds. */
 const ALIKE = 2;
--- a/src/peers/entry-link.ts
+++ b/src/peers/entry-link.ts
@@ -3,6 +3,7 @@
 import { sleep } from '../fleet/table-follower.js';
 import type { Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
+import { withLimit } from '../model/time-limit.js';
 import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
 import { Dialling } from './dialling.js';
 import type { WeightsPlan } from './reports.js';
@@ -78,7 +79,7 @@
       const tries = this.#candidates().map(async (address, place) => {
         await sleep(place * STAGGER, round);
         if (round.aborted) return;
-        const limit = AbortSignal.any([round, AbortSignal.timeout(this.#dialling.limit)]);
+        const limit = withLimit(round, this.#dialling.limit);
         const connected = await connect(address, this.#options.context, limit);
         if (!connected.ok) return;
         if (round.aborted) return connected.value.close();
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -7,6 +7,7 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
 import type { Startable } from '../model/startable.js';
+import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import {
   type Connection,
@@ -26,7 +27,7 @@
 const ADDRESSES_INTERVAL = 2_000;
 /**
  * New addresses are told after this, in milliseconds: entries that start together know only the seeds, and fetch
- * weights twice until they know of one another.
+ * weights twice until they know of one another. Several that come up in one moment are told together.
  */
 const NEW_ADDRESSES_DELAY = 40;
 
@@ -167,7 +168,7 @@
   #dial(row: PeerRow, now: number): void {
     if (row.isDialling || now < row.dialAt) return;
     row.isDialling = true;
-    const limit = AbortSignal.any([this.#stopped.signal, AbortSignal.timeout(row.dialling.limit)]);
+    const limit = withLimit(this.#stopped.signal, row.dialling.limit);
     void connect(row.address, this.#options.context, limit).then((connected) => {
       row.isDialling = false;
       if (!connected.ok) {
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -10,6 +10,7 @@
 import { ChunkSet } from '../model/chunk-set.js';
 import { hash32, type Random, rendezvousOrder } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
+import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
 import type { EntryReport, HeldPieces } from '../peers/reports.js';
@@ -324,7 +325,7 @@
     while (!signal.aborted) {
       collection.listedAt = performance.now();
       const prefix = storedPrefix(collection.version);
-      const names = await objects.list(prefix, AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]));
+      const names = await objects.list(prefix, withLimit(signal, CALL_LIMIT));
       collection.isListed = true;
       if (names.ok) {
         for (const name of names.value) {
@@ -357,11 +358,7 @@
     for (const { index, key, pieces } of due) {
       collection.putting.add(index);
       const bytes = Buffer.concat(pieces.map((piece) => held.piece(piece)!));
-      const put = await this.#options.objects.put(
-        key,
-        bytes,
-        AbortSignal.any([signal, AbortSignal.timeout(OBJECT_LIMIT)]),
-      );
+      const put = await this.#options.objects.put(key, bytes, withLimit(signal, OBJECT_LIMIT));
       collection.putting.delete(index);
       if (put.ok) collection.stored.add(index);
       this.#options.onHeldChanged(true);
@@ -379,11 +376,7 @@
       if (isManifestStored || this.#storedParts(collection).size < parts.length) continue;
       const key = storedManifestKey(collection.version);
       const bytes = Buffer.from(JSON.stringify(held.manifest));
-      const put = await this.#options.objects.put(
-        key,
-        bytes,
-        AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]),
-      );
+      const put = await this.#options.objects.put(key, bytes, withLimit(signal, CALL_LIMIT));
       isManifestStored = put.ok;
     }
   }
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -9,6 +9,7 @@
 import { sleep } from '../fleet/table-follower.js';
 import { hash32, type Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
+import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { EngineReport, HeldPieces, WeightsPlan } from '../peers/reports.js';
 import { agentSources, BATCH_LIMIT, ENTRY_BATCH } from './agent-sources.js';
@@ -157,7 +158,7 @@
   }
 
   async #look(signal: AbortSignal): Promise<void> {
-    const state = await this.#options.engine.state(this.#limit(signal));
+    const state = await this.#options.engine.state(withLimit(signal, CALL_LIMIT));
     const wasReachable = this.#engine !== undefined;
     this.#engine = state.ok ? state.value : undefined;
     if (wasReachable !== state.ok)
@@ -433,8 +434,4 @@
       stored: [],
     }));
   }
-
-  #limit(signal: AbortSignal): AbortSignal {
-    return AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
-  }
 }
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -3,6 +3,7 @@
  * before the engine is ordered to take them, as they may turn bad there.
  */
 import { digestOf } from '../model/manifest.js';
+import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { HeldWeights, WeightsLibrary } from './held-weights.js';
 import type { StagedEngine } from './staged-engine.js';
@@ -28,7 +29,7 @@
     const { model, version, digests } = held.manifest;
     if (this.#version === version) return;
     await eachOf([...digests.keys()], async (index) => {
-      await this.#engine.stage(model, index, held.piece(index)!, limited(signal));
+      await this.#engine.stage(model, index, held.piece(index)!, withLimit(signal, CALL_LIMIT));
     });
     this.#version = version;
   }
@@ -39,12 +40,12 @@
     let isWhole = true;
     await eachOf([...digests.keys()], async (index) => {
       const isGood = async () => {
-        const bytes = await this.#engine.staged(model, index, limited(signal));
+        const bytes = await this.#engine.staged(model, index, withLimit(signal, CALL_LIMIT));
         return bytes.ok && bytes.value !== undefined && digestOf(bytes.value) === digests[index];
       };
       if (await isGood()) return;
       this.#log.info('staged piece was bad', { model, version, piece: index });
-      await this.#engine.stage(model, index, held.piece(index)!, limited(signal));
+      await this.#engine.stage(model, index, held.piece(index)!, withLimit(signal, CALL_LIMIT));
       if (!(await isGood())) isWhole = false;
     });
     return isWhole;
@@ -54,17 +55,13 @@
   async read(held: HeldWeights, library: WeightsLibrary, signal: AbortSignal): Promise<void> {
     const { model, version } = held.manifest;
     for (const index of held.missing()) {
-      const bytes = await this.#engine.staged(model, index, limited(signal));
+      const bytes = await this.#engine.staged(model, index, withLimit(signal, CALL_LIMIT));
       if (bytes.ok && bytes.value !== undefined) library.add(held, index, bytes.value);
     }
     this.#log.info('stage read', { model, version, pieces: held.have.size });
   }
 }
 
-function limited(signal: AbortSignal): AbortSignal {
-  return AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
-}
-
 /** Runs `work` for each item, some at a time. */
 async function eachOf<T>(items: readonly T[], work: (item: T) => Promise<void>): Promise<void> {
   const rest = [...items];
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -4,6 +4,7 @@
  * that was taken cannot be taken back.
  */
 import { sleep } from '../fleet/table-follower.js';
+import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { WeightsVersion } from './held-weights.js';
 import type { EngineState, RunningRequests, StagedEngine } from './staged-engine.js';
@@ -63,7 +64,7 @@
   async #order({ target, state, served, running }: SwitchOrder, signal: AbortSignal): Promise<boolean> {
     const { model, version } = target;
     const order = { model, version, running, expectedSequence: state.sequence };
-    const outcome = await this.#options.engine.start(order, limited(signal));
+    const outcome = await this.#options.engine.start(order, withLimit(signal, CALL_LIMIT));
     const answer = outcome.ok ? outcome.value : outcome.error;
     this.#options.log.info('engine ordered', { ...order, from: served, load: state.load, answer });
     // An order without an answer may have been taken: the engine's state tells.
@@ -74,7 +75,7 @@
     const startedAt = performance.now();
     while (!signal.aborted) {
       await sleep(LOOK_INTERVAL, signal);
-      const state = await this.#options.engine.state(limited(signal));
+      const state = await this.#options.engine.state(withLimit(signal, CALL_LIMIT));
       this.#options.onState(state.ok ? state.value : undefined);
       if (state.ok && state.value.isBusy) continue;
       const layers = state.ok ? state.value.layers : undefined;
@@ -84,7 +85,3 @@
     }
   }
 }
-
-function limited(signal: AbortSignal): AbortSignal {
-  return AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
-}
--- a/src/weights/manifest-search.ts
+++ b/src/weights/manifest-search.ts
@@ -1,6 +1,7 @@
 /** Finds the manifest of a version at whoever has it. */
 import type { ObjectStore } from '../clients/object-store.js';
 import { sleep } from '../fleet/table-follower.js';
+import { withLimit } from '../model/time-limit.js';
 import type { PieceManifest, WeightsLibrary, WeightsVersion } from './held-weights.js';
 import type { PieceOrigin } from './piece-source.js';
 import { fetchManifest, fetchStoredManifest } from './piece-sources.js';
@@ -26,7 +27,7 @@
   { library, processes, origin, objects }: ManifestHolders,
   signal: AbortSignal,
 ): Promise<PieceManifest | undefined> {
-  const limit = () => AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
+  const limit = () => withLimit(signal, CALL_LIMIT);
   while (!signal.aborted) {
     const known = library.of(version);
     if (known !== undefined) return known.manifest;
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -5,6 +5,7 @@
 
 import { sleep } from '../fleet/table-follower.js';
 import type { Random } from '../model/random.js';
+import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { HeldWeights, WeightsLibrary } from './held-weights.js';
 import type { PieceSource } from './piece-source.js';
@@ -165,7 +166,7 @@
     this.#open++;
     const askedAt = performance.now();
     for (const index of batch) this.#asked.set(index, askedAt);
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(source.batchTime)]);
+    const limit = withLimit(signal, source.batchTime);
     const answer = await source.fetch(batch, limit);
     row.open--;
     this.#open--;
--- a/src/weights/store-plan.ts
+++ b/src/weights/store-plan.ts
@@ -8,6 +8,7 @@
 import type { RecordDecoder } from '../fleet/record-decoder.js';
 import { sleep } from '../fleet/table-follower.js';
 import type { Startable } from '../model/startable.js';
+import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { WeightsPlan } from '../peers/reports.js';
 import type { EngineLoader } from './engine-loader.js';
@@ -61,7 +62,7 @@
   /** The newest named versions; undefined where the store does not answer, or none is named. */
   async #read(signal: AbortSignal): Promise<WeightsPlan | undefined> {
     const { tables, decoder, versionBound } = this.#options;
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(CALL_LIMIT)]);
+    const limit = withLimit(signal, CALL_LIMIT);
     const read = await tables.read(decoder.operatorTable, '', limit);
     if (!read.ok) return undefined;
     let configuration: FleetConfiguration | undefined;
--- a/src/weights/switch-schedule.ts
+++ b/src/weights/switch-schedule.ts
@@ -5,7 +5,10 @@
 
 /** Waves in which the engines of a zone go: an engine whose requests go on elsewhere is away for 0.4 s (measured). */
 export const SWITCH_WAVES = 6;
-/** Shares of the bound: between two waves, and after which no engine waits any more. */
+/**
+ * Shares of the bound: between two waves (0.56 s of 8 s, longer than one engine is away), and after which no engine waits
+ * any more. Chosen.
+ */
 const BETWEEN_WAVES = 0.07;
 const LAST_WAVE = 0.8;
 /** An engine whose version may not serve any more within this time has nothing to lose, in milliseconds. */
