--- /dev/null
+++ b/test/roles/direct-entry-drain.test.ts
@@ -0,0 +1,177 @@
+/** An entry that is told to stop: what it takes it ends, and whoever it cannot serve is told at once. */
+import { Agent } from 'node:http';
+import { connect, type Socket } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { seededRandom } from '../../src/model/random.js';
+import { reply, type Script, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
+import { until } from '../support.js';
+import { type Received, type RunningEntry, send, startEntry, stopEntries, write } from './running-entry.js';
+
+const EVENT_INTERVAL = 100;
+const SLOTS = 1_000;
+
+let backEnd: StandInBackEnd;
+
+/** Streams for as many milliseconds as the last part of the path says. */
+const streamAsAsked: Script = (request, response) => {
+  const lasts = Number((request.url ?? '').split('/').at(-1));
+  const startedAt = performance.now();
+  response.writeHead(200, {
+    'x-request': String(request.headers['x-request']),
+    'content-type': 'text/event-stream',
+  });
+  let id = 0;
+  const timer = setInterval(() => {
+    response.write(`id: ${++id}\ndata: word ${id}\n\n`);
+    if (performance.now() - startedAt < lasts) return;
+    clearInterval(timer);
+    response.end();
+  }, EVENT_INTERVAL);
+  response.on('close', () => clearInterval(timer));
+};
+
+/** What became of one request. */
+interface Outcome {
+  id: string;
+  received: Received | { error: string };
+}
+
+/** Sends `path` for good or bad; never rejects. */
+async function outcomeOf(entry: RunningEntry, path: string, id: string, agent?: Agent): Promise<Outcome> {
+  try {
+    return { id, received: await send(entry, path, { requestId: id, agent }) };
+  } catch (cause) {
+    return { id, received: { error: String((cause as NodeJS.ErrnoException).code) } };
+  }
+}
+
+function isRefusal(received: Outcome['received']): boolean {
+  return 'status' in received && received.status === 503 && received.close && received.whole;
+}
+
+function isServed(received: Outcome['received']): boolean {
+  return 'status' in received && received.status === 200 && received.whole;
+}
+
+beforeEach(async () => {
+  backEnd = await new StandInBackEnd(streamAsAsked).start();
+});
+
+afterEach(async () => {
+  await stopEntries();
+  await backEnd.stop();
+});
+
+async function startServing(changes: Parameters<typeof startEntry>[2]): Promise<RunningEntry> {
+  const entry = await startEntry('one', [], changes);
+  write(entry.store, 1, backEnd, SLOTS);
+  await until(() => entry.entry.isReady, 'the configuration');
+  return entry;
+}
+
+describe('an entry that is told to stop', () => {
+  it('cuts no stream that it passed on, and refuses the others at once', async () => {
+    const SHORTEST = 150;
+    const LONGEST = 4_500;
+    const SEND_INTERVAL = 25;
+    const one = await startServing({ graceTime: 6_000 });
+    const random = seededRandom(11);
+    const kept = new Agent({ keepAlive: true });
+    const sent: Array<Promise<Outcome>> = [];
+    let isStopped = false;
+    const sendOne = () => {
+      const lasts = Math.round(SHORTEST + random.fraction() ** 2 * (LONGEST - SHORTEST));
+      const agent = sent.length % 2 === 0 ? kept : undefined;
+      sent.push(outcomeOf(one, `/stream/${lasts}`, `s${sent.length}`, agent));
+    };
+    const timer = setInterval(sendOne, SEND_INTERVAL);
+    await until(() => sent.length > 20, 'streams in progress');
+    const sentBefore = sent.length;
+    const left = one.entry.leave().then(() => {
+      isStopped = true;
+    });
+    await until(() => isStopped, 'the end of the entry');
+    clearInterval(timer);
+    await left;
+    const outcomes = await Promise.all(sent);
+    kept.destroy();
+    const passedOn = new Set(backEnd.requests.map(({ headers }) => String(headers['x-request'])));
+    const cut = outcomes.filter(({ id, received }) => passedOn.has(id) && !isServed(received));
+    expect(cut).toEqual([]);
+    const silent = outcomes.filter(
+      ({ id, received }) =>
+        !passedOn.has(id) &&
+        !isRefusal(received) &&
+        !('error' in received && received.error === 'ECONNREFUSED'),
+    );
+    expect(silent).toEqual([]);
+    const takenWhileLeaving = outcomes.slice(sentBefore).filter(({ received }) => isServed(received));
+    expect(takenWhileLeaving.length).toBeGreaterThan(0);
+    const refused = outcomes.flatMap(({ received }) => (isRefusal(received) ? [received as Received] : []));
+    for (const { retryAfter } of refused) expect(Number(retryAfter)).toBeLessThan(0.5);
+  });
+
+  it('ends a kept connection whose answer began before the order, after that answer', async () => {
+    const one = await startServing({ graceTime: 8_000, addressLifetimeSeconds: 0.2 });
+    const early = new RawCaller(one.settings.callers);
+    early.send('/stream/1800', 'early');
+    await until(() => early.text.includes('data: word 1\n'), 'the head of the answer');
+    const other = outcomeOf(one, '/stream/4000', 'other');
+    await until(() => backEnd.requests.length === 2, 'another stream');
+    let isOtherOver = false;
+    void other.then(() => {
+      isOtherOver = true;
+    });
+    const left = one.entry.leave();
+    await until(() => early.text.endsWith('0\r\n\r\n'), 'the end of the answer');
+    await until(() => early.isEnded, 'the end of the connection');
+    expect(isOtherOver).toBe(false);
+    expect((await other).received).toMatchObject({ status: 200, whole: true });
+    await left;
+    expect(backEnd.requests.length).toBe(2);
+  });
+
+  it('serves on a kept connection while it takes requests, and tells its caller to leave it', async () => {
+    const one = await startServing({ graceTime: 8_000, addressLifetimeSeconds: 1 });
+    backEnd.answer(reply(200, 'done'));
+    const agent = new Agent({ keepAlive: true });
+    expect(await send(one, '/1/', { agent })).toMatchObject({ status: 200, close: false });
+    const left = one.entry.leave();
+    expect(await send(one, '/1/', { agent })).toMatchObject({ status: 200, close: true });
+    await left;
+    agent.destroy();
+  });
+
+  it('answers what waits at the last moment instead of closing its connection', async () => {
+    const one = await startServing({ graceTime: 1_500 });
+    backEnd.answer(() => {});
+    const waiting = outcomeOf(one, '/1/', 'waits');
+    await until(() => backEnd.requests.length === 1, 'the request at its back end');
+    await one.entry.leave();
+    // It may have run, so that its caller is not told the contrary.
+    expect((await waiting).received).toMatchObject({ status: 504, close: true, whole: true });
+  });
+});
+
+/** A caller that writes requests on one connection, whatever it is told. */
+class RawCaller {
+  text = '';
+  isEnded = false;
+  readonly #socket: Socket;
+
+  constructor(address: string) {
+    const [host, port] = address.split(':');
+    this.#socket = connect(Number(port), host);
+    this.#socket.on('data', (bytes) => {
+      this.text += bytes.toString('latin1');
+    });
+    this.#socket.on('error', () => {});
+    this.#socket.on('end', () => {
+      this.isEnded = true;
+    });
+  }
+
+  send(path: string, requestId: string): void {
+    this.#socket.write(`GET ${path} HTTP/1.1\r\nHost: api.example\r\nX-Request: ${requestId}\r\n\r\n`);
+  }
+}
--- /dev/null
+++ b/test/roles/running-entry.ts
@@ -0,0 +1,183 @@
+/** An entry as a whole process would run, on a stand-in store, for tests of its role. */
+import { type Agent, request as httpRequest } from 'node:http';
+import Router from '@koa/router';
+import { freeAddress } from '../../bench/processes/child.js';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+import { failure } from '../../src/model/result.js';
+import { silentLog } from '../../src/observability/log.js';
+import { createDirectEntry, type DirectEntry } from '../../src/roles/direct-entry.js';
+import type { DirectEntrySettings } from '../../src/roles/settings.js';
+import type { PieceOriginFactory } from '../../src/weights/piece-source.js';
+import { NAMES } from '../forwarding/forwarding-harness.js';
+import type { StandInBackEnd } from '../forwarding/stand-in-back-end.js';
+
+const configurationOf = (revision: number): FleetConfiguration => ({
+  revision,
+  routes: [
+    {
+      name: 'route',
+      host: 'api.example',
+      pathPrefix: `/${revision}/`,
+      targets: [{ service: 'billing', weight: 1 }],
+      isStream: false,
+      repeatability: 'never',
+      timeout: 5_000,
+      objective: 500,
+      longestPause: 0,
+      patience: 2_400,
+      priority: 1,
+      maxAttempts: 1,
+      isPublic: true,
+    },
+    {
+      name: 'stream',
+      host: 'api.example',
+      pathPrefix: '/stream/',
+      targets: [{ service: 'billing', weight: 1 }],
+      isStream: true,
+      repeatability: 'never',
+      timeout: 5_000,
+      objective: 500,
+      longestPause: 500,
+      patience: 2_400,
+      priority: 1,
+      maxAttempts: 1,
+      isPublic: true,
+    },
+  ],
+  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
+  origin: undefined,
+  limits: { headerBytes: 16_384, bodyBytes: 100_000, headerTimeout: 5_000, idleTimeout: 10_000 },
+  tenants: undefined,
+});
+
+/** Rows hold JSON of the product's own records. */
+const decoder: RecordDecoder = {
+  operatorTable: 'operator',
+  backEndTable: 'backEnds',
+  operatorRecord: (row) =>
+    row.value && { type: 'configuration', document: decoder.configuration(row.value)! },
+  configuration: (document) => ({ document, configuration: configurationOf(Number(document.toString())) }),
+  backEnd: (row) => ({
+    ...(JSON.parse(row.value!.toString()) as BackEndRecord),
+    id: row.key,
+    revision: row.revision,
+  }),
+};
+
+const noOrigin: PieceOriginFactory = () => ({
+  manifest: async () => failure({ type: 'sourceFailed', reason: 'none' }),
+  piece: async () => failure({ type: 'sourceFailed', reason: 'none' }),
+});
+
+/** One entry. */
+export interface RunningEntry {
+  entry: DirectEntry;
+  settings: DirectEntrySettings;
+  store: MemoryStore;
+}
+
+/** Entries that run. */
+const running: RunningEntry[] = [];
+
+/** Starts an entry that knows nothing yet. */
+export async function startEntry(
+  name: string,
+  seeds: string[],
+  changes: Partial<DirectEntrySettings> = {},
+): Promise<RunningEntry> {
+  const store = new MemoryStore();
+  const settings: DirectEntrySettings = {
+    name,
+    zone: 'zone-a',
+    region: 'region-a',
+    regions: { 'zone-a': 'region-a' },
+    peers: await freeAddress(),
+    metrics: await freeAddress(),
+    callers: await freeAddress(),
+    ready: await freeAddress(),
+    directory: await freeAddress(),
+    seeds,
+    versionBound: 8_000,
+    addressLifetimeSeconds: 1,
+    graceTime: 6_000,
+    retries: { share: 0.2, slack: 100, span: 10_000 },
+    ...changes,
+  };
+  const empty = () => new Router();
+  const entry = createDirectEntry(
+    settings,
+    {
+      decoder,
+      tables: store,
+      objects: store,
+      originAt: noOrigin,
+      headers: NAMES,
+      readyRoutes: empty,
+      directoryRoutes: empty,
+      metricsPath: '/metrics',
+    },
+    silentLog,
+  );
+  await entry.start();
+  const started = { entry, settings, store };
+  running.push(started);
+  return started;
+}
+
+/** Stops every entry that a test started. */
+export async function stopEntries(): Promise<void> {
+  await Promise.all(running.splice(0).map(({ entry }) => entry.stop()));
+}
+
+/** Writes a configuration and a back end to an entry's store. */
+export function write(store: MemoryStore, revision: number, backEnd: StandInBackEnd, slots = 4): void {
+  store.write('operator', 'configuration', String(revision));
+  const record = { service: 'billing', address: backEnd.address, zone: 'zone-a', slots, leaving: false };
+  store.write('backEnds', 'one', JSON.stringify(record));
+}
+
+/** What a caller got. */
+export interface Received {
+  status: number;
+  /** The caller is told to use its connection no more. */
+  close: boolean;
+  whole: boolean;
+  retryAfter: string | undefined;
+}
+
+/** How a caller sends. */
+export interface Sending {
+  requestId?: string;
+  /** Keeps connections; without it each request has one of its own. */
+  agent?: Agent;
+}
+
+/** Sends a request; rejects where its connection ends before the head of an answer. */
+export function send(
+  { settings }: RunningEntry,
+  path: string,
+  { requestId = 'r1', agent }: Sending = {},
+): Promise<Received> {
+  const [host, port] = settings.callers.split(':');
+  return new Promise((resolve, reject) => {
+    const headers = { host: 'api.example', 'x-request': requestId };
+    const sent = httpRequest({ host, port, path, headers, agent }, (response) => {
+      const end = () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          close: response.headers.connection === 'close',
+          whole: response.complete,
+          retryAfter: response.headers['retry-after'],
+        });
+      response.resume();
+      response.on('end', end);
+      response.on('error', end);
+    });
+    sent.on('error', reject);
+    sent.end();
+  });
+}
