Repetitions: the entry's part of the shared budget is a module of its own, and is counted

Cause: what an entry may repeat was composed inside the role, where no test could use the very same code with many entries, and nothing told how many repetitions were granted and denied, so the hypotheses about BUDGET could not be told apart from a process's figures. Change: createEntryRetryWindow in src/systems, with the constants as they were. The window counts what it granted and denied; figures `repetitions` (by service) and `entries_known`. Entries tell one another the most entries that they have known since their start.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -17,6 +17,7 @@
   encodeForMany,
 } from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
+import type { EntriesKnown } from '../systems/entry-retry-window.js';
 import { Dialling } from './dialling.js';
 import { REPORT_TICK, reportInterval, reportLife } from './report-rate.js';
 import type { EntryReport } from './reports.js';
@@ -105,6 +106,18 @@
     return rows.flatMap(({ report }) => report ?? []);
   }
 
+  /** What this entry knows of how many entries there are. It forgets none: those that it does not hear may live. */
+  known(): EntriesKnown {
+    const { address, seeds } = this.#options;
+    const told = [...this.#rows.values()].map(({ report }) => report?.entriesKnown ?? 0);
+    const heardSeeds = seeds.filter((seed) => seed === address || this.#rows.get(seed)?.report !== undefined);
+    return {
+      live: this.live().length + 1,
+      known: Math.max(this.#rows.size + 1, ...told),
+      hasHeardMostSeeds: 2 * heardSeeds.length > seeds.length || seeds.length === 0,
+    };
+  }
+
   /** Takes a connection that another entry opened. */
   accept(connection: Connection): void {
     const { address } = connection.remote.peer;
--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -46,6 +46,8 @@
   /** The store's time as it is told, in milliseconds; minus infinity where the sender does not know it. */
   storeTime: number;
   versions: NamedVersion[];
+  /** Most entries that it has known since its start, or was told of by another. */
+  entriesKnown: number;
   /** Requests in flight, by back end. */
   loads: Array<[id: string, inFlight: number]>;
   held: HeldPieces[];
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -32,7 +32,8 @@
   type TrafficCounters,
 } from '../protocol/connection.js';
 import { httpServer, listenerOf } from '../server/http-server.js';
-import { RetryWindow } from '../systems/retry-window.js';
+import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
+import type { RetryWindow } from '../systems/retry-window.js';
 import { CollectionDuty } from '../weights/collection-duty.js';
 import { WeightsLibrary } from '../weights/held-weights.js';
 import { pieceRoutes } from '../weights/piece-server.js';
@@ -40,14 +41,6 @@
 import type { DirectEntrySettings } from './settings.js';
 import { servedVersions, WeightsPlanner } from './weights-planner.js';
 
-/** Share of the repetitions that its requests allow which this entry uses: counts of others may differ a little. */
-const BUDGET_SHARE = 0.9;
-/**
- * The slack of all entries is divided among this many for each that lives, and among this many at least: an entry that
- * starts again has forgotten what it spent.
- */
-const SLACK_SHARES_BY_ENTRY = 1.8;
-const LEAST_SLACK_SHARES = 16;
 /** After the order to stop, callers are served for as long as some keep the address, or until none has come for this. */
 const QUIET = 800;
 /**
@@ -148,6 +141,7 @@
   readonly #forwarding: ForwardingServer;
   readonly #parts: StartableGroup;
   readonly #budgets = new Map<string, RetryWindow>();
+  readonly #createdAt = performance.now();
   #leaving = false;
   #announcement: 'all' | 'zone' | undefined;
 
@@ -308,6 +302,7 @@
       backEndsRevision: fleet.backEnds.revision,
       storeTime: fleet.clock.storeTimeAt(performance.now()),
       versions: fleet.versions.all(),
+      entriesKnown: this.#peers.known().known,
       loads: backEnds.loads(),
       held: this.#collection.held(),
       engines: this.#agents.reports().map((report) => ({ ...report, held: [] })),
@@ -336,18 +331,21 @@
   #budgetOf(service: string): RetryWindow {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
-    const { share, slack, span } = this.#components.settings.retries;
-    const shares = () =>
-      Math.max(LEAST_SLACK_SHARES, SLACK_SHARES_BY_ENTRY * (this.#peers.live().length + 1));
-    const budget = new RetryWindow({
-      span,
-      share: share * BUDGET_SHARE,
-      slack: () => Math.max(2, slack / shares()),
-    });
+    const { retries } = this.#components.settings;
+    const budget = createEntryRetryWindow(retries, () => this.#peers.known(), this.#createdAt);
     this.#budgets.set(service, budget);
     return budget;
   }
 
+  #repetitionCounts(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const [service, { granted, denied }] of this.#budgets) {
+      counts[`${service} granted`] = granted;
+      counts[`${service} denied`] = denied;
+    }
+    return counts;
+  }
+
   #addMetrics(): void {
     const { metrics, counters, fleet, backEnds, sync } = this.#components;
     metrics.add([
@@ -358,6 +356,13 @@
         read: () => fleet.configurationRevision,
       },
       { name: 'back_ends_known', help: 'Back ends known here', read: () => backEnds.rows.size },
+      {
+        name: 'repetitions',
+        help: 'Repetitions that the budget was asked for since the start, by service and what came of them',
+        label: 'kind',
+        read: () => this.#repetitionCounts(),
+      },
+      { name: 'entries_known', help: 'Entries known since the start', read: () => this.#peers.known().known },
       { name: 'entries_live', help: 'Other entries that live', read: () => this.#peers.live().length },
       { name: 'agents_connected', help: 'Agents connected here', read: () => this.#agents.rows.size },
       { name: 'store_connected', help: '1 while the store answers', read: () => Number(sync.connected) },
--- a/src/systems/retry-window.ts
+++ b/src/systems/retry-window.ts
@@ -28,11 +28,23 @@
 export class RetryWindow {
   readonly #limits: RetryWindowLimits;
   #parts: Part[] = [];
+  #granted = 0;
+  #denied = 0;
 
   constructor(limits: RetryWindowLimits) {
     this.#limits = limits;
   }
 
+  /** Repetitions that were granted since the start. */
+  get granted(): number {
+    return this.#granted;
+  }
+
+  /** Repetitions that were asked for and denied since the start. */
+  get denied(): number {
+    return this.#denied;
+  }
+
   /** A request was routed. */
   earn(now: number): void {
     this.#partAt(now).requests++;
@@ -40,6 +52,13 @@
 
   /** Takes one repetition, if there is one. */
   spend(now: number): boolean {
+    const isGranted = this.#take(now);
+    if (isGranted) this.#granted++;
+    else this.#denied++;
+    return isGranted;
+  }
+
+  #take(now: number): boolean {
     const part = this.#partAt(now);
     const { share, slack } = this.#limits;
     // A span that ends now begins inside the oldest part: its repetitions count, its requests do not.
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -32,6 +32,7 @@
     backEndsRevision: 0,
     storeTime: Number.NEGATIVE_INFINITY,
     versions: [],
+    entriesKnown: 1,
     loads: [],
     held: [],
     engines: [],
