An answer that a stop cuts is told as such, with the time since the order

Cause: The stop of an entry closes connections, which shows as `caller left` and counts as `left`: its log cannot tell a caller who went from an answer that the entry cut, nor when the request had come.

Change: `DrainSchedule` holds the time of the order to stop. Requests that a stop ends have the outcome `stopped` and a line `answer cut` with the reason `stop` and the back end. Each line about a request tells `sinceStopMs` once the order has come. The histogram `thistleway_drain_arrival_seconds` has the time from the order to the arrival by outcome, and the line `entry stops` has number and latest arrival by outcome, as metrics of a process that ends are seldom read.

Result: test/forwarding/drain.test.ts passes: one stream that the stop cuts counts as `stopped` with its arrival, none as `left`. No change of what is taken or cut.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -41,7 +41,7 @@
 const INTERNAL_ERROR = 500;
 const MILLISECONDS = 1_000;
 
-/** How a request ended, for counters. */
+/** How a request ended, for counters: `stopped` by the stop of this process, `left` by its caller. */
 export type RequestOutcome =
   | 'served'
   | 'failedAnswer'
@@ -50,6 +50,7 @@
   | 'failed'
   | 'timedOut'
   | 'cut'
+  | 'stopped'
   | 'left';
 
 /** A request in progress. */
@@ -57,7 +58,8 @@
   readonly #components: ForwardingComponents;
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
-  readonly #arrivedAt = performance.now();
+  /** When it arrived, in milliseconds of the steady clock. */
+  readonly arrivedAt = performance.now();
   readonly #id: string;
   readonly #tried = new Set<string>();
   #route!: Route;
@@ -88,7 +90,7 @@
     this.#request = request;
     this.#response = response;
     this.#id = String(request.headers[components.names.requestId] ?? '');
-    this.#answer = new CallerAnswer(request, response, components.isLeaving);
+    this.#answer = new CallerAnswer(request, response, () => components.drain.isUnderWay);
     response.on('close', () => this.#onCallerGone());
     response.on('error', () => {});
     request.on('error', () => {});
@@ -98,7 +100,7 @@
   async start(): Promise<void> {
     const error = this.#admit();
     if (error !== undefined) return this.#finish(error);
-    this.#timer = setTimeout(() => this.#onTimeout(), this.#timing.endsAt - this.#arrivedAt);
+    this.#timer = setTimeout(() => this.#onTimeout(), this.#timing.endsAt - this.arrivedAt);
     this.#body = await readCallerBody(this.#request, this.#table.configuration.limits.bodyBytes);
     if (this.#settled) return;
     if (this.#body.type === 'tooLarge') return this.#finish({ type: 'bodyTooLarge' });
@@ -117,6 +119,16 @@
     this.#finish({ type: 'backEndFailed', reason: 'fault of this process' });
   }
 
+  /** Ends a request that has not ended when this process does. */
+  stop(): void {
+    if (this.#settled) return;
+    this.#log('answer cut', { reason: 'stop', backEnd: this.#use?.row.record.id, ageMs: this.#age() });
+    this.#use?.attempt.abort('stop');
+    this.#endAttempt(undefined);
+    this.#settle('stopped');
+    this.#response.destroy();
+  }
+
   /** Ends attempts that are owed something for too long; called by the shared tick. */
   check(now: number): void {
     if (this.#heldSince !== undefined && !this.#settled) return this.#send();
@@ -154,7 +166,7 @@
     }
     this.#service = targetService(route, hash32(this.#id) / 2 ** 32);
     const timeLeft = Number(headers[names.timeLeft]);
-    this.#timing = new RequestTiming(this.#arrivedAt, route, timeLeft > 0 ? timeLeft : undefined);
+    this.#timing = new RequestTiming(this.arrivedAt, route, timeLeft > 0 ? timeLeft : undefined);
     const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
     this.#promptTokens = Number(promptTokens) || 0;
     this.#answerTokens = Number(answerTokens) || 0;
@@ -382,7 +394,7 @@
     if (this.#id !== '') headers[this.#components.names.requestId] = this.#id;
     if (retryAfter !== undefined) headers['retry-after'] = retryAfter.toFixed(2);
     // What is left of a body would be taken for the next request.
-    if (this.#components.isLeaving() || !this.#request.complete) headers.connection = 'close';
+    if (this.#components.drain.isUnderWay || !this.#request.complete) headers.connection = 'close';
     this.#response.writeHead(status, headers);
     this.#response.end();
   }
@@ -413,11 +425,14 @@
   }
 
   #age(): number {
-    return Math.round(performance.now() - this.#arrivedAt);
+    return Math.round(performance.now() - this.arrivedAt);
   }
 
   #log(message: string, fields: object): void {
-    this.#components.log.info(message, { request: this.#id, service: this.#service, ...fields });
+    const { drain, log } = this.#components;
+    const sinceStop = drain.elapsed(performance.now());
+    const ofStop = sinceStop === undefined ? {} : { sinceStopMs: Math.round(sinceStop) };
+    log.info(message, { request: this.#id, service: this.#service, ...ofStop, ...fields });
   }
 }
 
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -7,9 +7,11 @@
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
+import type { DrainSchedule } from '../systems/drain-schedule.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import { type ArrivalsWithOutcome, DrainFigures } from './drain-figures.js';
 import { ForwardedRequest, type RequestOutcome } from './forwarded-request.js';
 import type { HeaderNames } from './header-names.js';
 
@@ -34,7 +36,8 @@
   random: Random;
   log: Log;
   budgetOf(service: string): RetryWindow;
-  isLeaving(): boolean;
+  /** Of the stop of this process. */
+  drain: DrainSchedule;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
 }
 
@@ -45,6 +48,7 @@
   readonly #active = new Set<ForwardedRequest>();
   readonly #counters: Partial<Record<RequestOutcome, number>> = {};
   readonly #latency: Histogram;
+  readonly #drainFigures: DrainFigures;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #acceptedAt = 0;
@@ -62,6 +66,7 @@
       buckets: LATENCY_BUCKETS,
       registers: [metrics.registry],
     });
+    this.#drainFigures = new DrainFigures(metrics);
     metrics.add([
       {
         name: 'forwarded',
@@ -78,6 +83,11 @@
     return this.#active.size;
   }
 
+  /** What became of requests that arrived after the order to stop. */
+  get arrivalsWhileDraining(): Readonly<Partial<Record<RequestOutcome, ArrivalsWithOutcome>>> {
+    return this.#drainFigures.byOutcome;
+  }
+
   async start(): Promise<void> {
     const [host, port] = this.#address.split(':');
     const server = createServer(
@@ -111,6 +121,7 @@
 
   async stop(): Promise<void> {
     clearInterval(this.#timer);
+    for (const request of this.#active) request.stop();
     this.#server?.closeAllConnections();
     this.#server?.close();
     this.#server = undefined;
@@ -136,5 +147,7 @@
     this.#active.delete(request);
     this.#counters[outcome] = (this.#counters[outcome] ?? 0) + 1;
     this.#latency.observe({ outcome }, milliseconds / 1_000);
+    const arrival = this.#components.drain.elapsed(request.arrivedAt);
+    if (arrival !== undefined && arrival >= 0) this.#drainFigures.note(outcome, arrival);
   }
 }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -32,6 +32,7 @@
   type TrafficCounters,
 } from '../protocol/connection.js';
 import { httpServer, listenerOf } from '../server/http-server.js';
+import { DrainSchedule } from '../systems/drain-schedule.js';
 import { RetryWindow } from '../systems/retry-window.js';
 import { CollectionDuty } from '../weights/collection-duty.js';
 import { WeightsLibrary } from '../weights/held-weights.js';
@@ -148,7 +149,7 @@
   readonly #forwarding: ForwardingServer;
   readonly #parts: StartableGroup;
   readonly #budgets = new Map<string, RetryWindow>();
-  #leaving = false;
+  readonly #drain = new DrainSchedule();
   #announcement: 'all' | 'zone' | undefined;
 
   constructor(components: DirectEntryComponents) {
@@ -207,7 +208,7 @@
         random,
         log,
         budgetOf: (service) => this.#budgetOf(service),
-        isLeaving: () => this.#leaving,
+        drain: this.#drain,
       },
       metrics,
     );
@@ -233,7 +234,7 @@
 
   /** True while callers may be sent here. */
   get isReady(): boolean {
-    return !this.#leaving && this.#components.fleet.complete;
+    return !this.#drain.isUnderWay && this.#components.fleet.complete;
   }
 
   async start(): Promise<void> {
@@ -247,7 +248,7 @@
     const { log, settings } = this.#components;
     const startedAt = performance.now();
     const elapsed = () => performance.now() - startedAt;
-    this.#leaving = true;
+    this.#drain.begin(startedAt);
     this.#peers.announce('all');
     log.info('entry leaves', { inProgress: this.#forwarding.active });
     const latest = settings.graceTime - KILL_MARGIN;
@@ -258,7 +259,11 @@
     // From here on nothing new is taken, so that no request is read and then cut.
     this.#forwarding.close();
     while (elapsed() < latest && this.#forwarding.active > 0) await pause();
-    log.info('entry stops', { inProgress: this.#forwarding.active, tookMs: Math.round(elapsed()) });
+    log.info('entry stops', {
+      inProgress: this.#forwarding.active,
+      tookMs: Math.round(elapsed()),
+      arrivals: this.#forwarding.arrivalsWhileDraining,
+    });
     await this.stop();
   }
 
--- /dev/null
+++ b/test/forwarding/drain.test.ts
@@ -0,0 +1,61 @@
+/** Forwarding while its process stops. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import { until } from '../support.js';
+import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
+import { events, StandInBackEnd } from './stand-in-back-end.js';
+
+const CONFIGURATION: FleetConfiguration = {
+  revision: 1,
+  routes: [{ ...STREAM_ROUTE, targets: [{ service: 'billing', weight: 1 }] }],
+  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
+  origin: undefined,
+  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
+  tenants: undefined,
+};
+
+let backEnd: StandInBackEnd;
+let forwarding: ForwardingHarness;
+
+beforeEach(async () => {
+  backEnd = await new StandInBackEnd((request, response) => {
+    const headers = {
+      'x-request': String(request.headers['x-request']),
+      'content-type': 'text/event-stream',
+    };
+    response.writeHead(200, headers);
+    response.write(events(1, 1));
+  }).start();
+  forwarding = new ForwardingHarness('billing');
+  await forwarding.start(CONFIGURATION);
+  forwarding.list(['one', backEnd]);
+});
+
+afterEach(async () => {
+  await forwarding.stop();
+  await backEnd.stop();
+});
+
+async function figure(name: string): Promise<string[]> {
+  const lines = (await forwarding.metrics.text()).split('\n');
+  return lines.filter((line) => line.startsWith(`thistleway_${name}`));
+}
+
+describe('an answer that the stop of the process cuts', () => {
+  it('counts as stopped, not as that of a caller who left, with the time of its arrival', async () => {
+    forwarding.drain.begin(performance.now());
+    const answer = forwarding.send('/write/a');
+    await until(() => backEnd.requests.length === 1, 'the request at its back end');
+    await until(async () => (await figure('forwarded_in_progress'))[0]?.endsWith(' 1'), 'the request');
+    // The caller has the head of the answer.
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    await forwarding.stop();
+    expect((await answer).whole).toBe(false);
+    const outcomes = await figure('forwarded{');
+    expect(outcomes.some((line) => line.includes('outcome="stopped"') && line.endsWith(' 1'))).toBe(true);
+    expect(outcomes.some((line) => line.includes('outcome="left"'))).toBe(false);
+    const arrivals = await figure('drain_arrival_seconds_count');
+    expect(arrivals).toHaveLength(1);
+    expect(arrivals[0]).toMatch(/outcome="stopped".* 1$/);
+  });
+});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -10,6 +10,7 @@
 import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
+import { DrainSchedule } from '../../src/systems/drain-schedule.js';
 import { RetryWindow } from '../../src/systems/retry-window.js';
 import type { StandInBackEnd } from './stand-in-back-end.js';
 
@@ -64,6 +65,8 @@
 export class ForwardingHarness {
   readonly fleet = new FleetView();
   readonly backEnds = new BackEndTable();
+  readonly metrics = new Metrics('test');
+  readonly drain = new DrainSchedule();
   readonly #service: string;
   #server: ForwardingServer | undefined;
   #address = '';
@@ -113,9 +116,9 @@
         random,
         log: silentLog,
         budgetOf: () => budget,
-        isLeaving: () => false,
+        drain: this.drain,
       },
-      new Metrics('test'),
+      this.metrics,
     );
     await this.#server.start();
     fleet.takeConfiguration({ document: Buffer.from(''), configuration });
