An entry that leaves takes only what it can end, and answers what it read

Cause: An entry that leaves took requests until a fixed time before its end and closed the connections of what then ran. A stream may take as long as its route allows, 6 s; one that was held and then sent late was cut. A connection whose answer began before the order stayed open after it and could bring another request. The listener was closed with connections in its queue, which resets them.

Change: `DrainSchedule` (src/systems) says until when connections are taken and whether what begins now ends in time. `LongestDurations` says how long a request of a route and size may take: 1.35 times the longest of 16 or more in the last 10 to 20 s, or its whole time limit where less is known, or while long ones cannot have ended yet. A request that cannot end is refused at once (503, `Connection: close`, Retry-After 0.05 to 0.1 s), also one that waits for capacity. At the last moment whoever has no part of an answer is told: 503 if it was not sent, 504 if it may have run. After the close a kept connection ends with its answer; one whose caller could not be told stays for 0.3 s, in which a next request is told. The listener is closed right after the event loop has accepted what was there. The stop of the parts is bounded by 0.3 s. Addresses live so long that callers that keep them three times as long leave 3.1 s for the last answers: 1 s at a grace time of 8 s, 2 s before.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -36,6 +36,8 @@
 const RETRY_AFTER = 0.4;
 /** Callers are not asked to wait longer than this for capacity that is to come, in seconds. */
 const LONGEST_RETRY_AFTER = 2;
+/** Time after which another process can have a request that this one has no time for, in seconds, times 1 to 2. */
+const RETRY_ELSEWHERE = 0.05;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
 const MOST_SENDS = 4;
 const INTERNAL_ERROR = 500;
@@ -119,9 +121,15 @@
     this.#finish({ type: 'backEndFailed', reason: 'fault of this process' });
   }
 
-  /** Ends a request that has not ended when this process does. */
+  /** Ends a request that has not ended when this process does: whoever has no part of an answer yet is told. */
   stop(): void {
     if (this.#settled) return;
+    const mayHaveRun = this.#mayHaveRun;
+    if (!this.#answer.started) {
+      this.#use?.attempt.abort('stop');
+      this.#endAttempt(undefined);
+      return mayHaveRun ? this.#finish({ type: 'stopped' }) : this.#refuseForStop();
+    }
     this.#log('answer cut', { reason: 'stop', backEnd: this.#use?.row.record.id, ageMs: this.#age() });
     this.#use?.attempt.abort('stop');
     this.#endAttempt(undefined);
@@ -135,6 +143,7 @@
     const use = this.#use;
     if (use === undefined || this.#settled) return;
     const { attempt, row } = use;
+    this.#noteAge(attempt, now);
     if (!attempt.sent) {
       if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
       return;
@@ -174,6 +183,7 @@
   }
 
   #send(): void {
+    if (!this.#canEnd()) return this.#refuseForStop();
     const selection = this.#components.selector.select(this.#requirements());
     if (selection === undefined) return this.#holdOrGiveUp();
     if (selection.expectedWait > this.#timing.longestWait(this.#sends > 0))
@@ -199,6 +209,7 @@
       },
     );
     this.#use = new BackEndUse(row, attempt, this.#promptTokens, this.#answerTokens);
+    this.#components.durations.noteSent(this.#route.name, this.#answerTokens, attempt.startedAt);
     this.#log('sent', {
       send: this.#sends,
       backEnd: row.record.id,
@@ -234,6 +245,7 @@
     const holdsUntil = this.#timing.holdsUntil(this.#heldSince);
     const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < holdsUntil;
     const mayWait = now < holdsUntil && !this.#answer.started;
+    if (!this.#canEnd(capacity)) return this.#refuseForStop();
     if (!isInSight || !mayWait) {
       const excluded = this.#components.selector.exclusions(this.#requirements());
       this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
@@ -242,6 +254,39 @@
     if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
+  /**
+   * Whether the answer can be whole before this process stops, if the request is sent after `wait` milliseconds: within
+   * the time that requests of its kind took lately, or else within the time that it has.
+   */
+  #canEnd(wait = 0): boolean {
+    const { drain, durations } = this.#components;
+    if (!drain.isUnderWay || this.#answer.started) return true;
+    const now = performance.now();
+    const timeLeft = this.#timing.endsAt - now - wait;
+    const expected = durations.expected(this.#route.name, this.#answerTokens, timeLeft, now) ?? timeLeft;
+    return drain.canEnd(now + wait, Math.min(timeLeft, expected));
+  }
+
+  /** While requests are taken only if they can end, those in progress tell how slow back ends have become. */
+  #noteAge({ startedAt }: Attempt, now: number): void {
+    const { drain, durations } = this.#components;
+    if (drain.isUnderWay) durations.noteAge(this.#route.name, this.#answerTokens, now - startedAt, now);
+  }
+
+  /** Refuses what this process has no time for: another one can take it now. */
+  #refuseForStop(): void {
+    this.#heldSince = undefined;
+    const reason = 'stop';
+    if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
+    const retryAfter = RETRY_ELSEWHERE * (1 + this.#components.random.fraction());
+    this.#finish({ type: 'unavailable', reason, retryAfter });
+  }
+
+  /** True where the promise that the request has not run cannot be made. */
+  get #mayHaveRun(): boolean {
+    return this.#runs > 0 || this.#use?.attempt.sent === true;
+  }
+
   #bodyToSend(): Buffer | Readable | null {
     if (this.#body.type === 'kept') return this.#body.bytes;
     return this.#body.type === 'streamed' ? this.#body.stream : null;
@@ -361,7 +406,7 @@
 
   #onTimeout(): void {
     if (this.#settled) return;
-    const mayHaveRun = this.#runs > 0 || this.#use?.attempt.sent === true;
+    const mayHaveRun = this.#mayHaveRun;
     const isSilent = this.#use?.hasAnswered === false && mayHaveRun;
     this.#use?.attempt.abort('timed out');
     this.#endAttempt(isSilent ? 'silent' : undefined);
@@ -406,6 +451,7 @@
     this.#use = undefined;
     const took = use.end();
     const { record, health } = use.row;
+    this.#components.durations.noteEnded(this.#route.name, this.#answerTokens, took, performance.now());
     if (outcome !== undefined)
       health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
     if (outcome !== 'served') return;
@@ -447,5 +493,6 @@
   if (error.type === 'unavailable' || error.type === 'notConfigured' || error.type === 'expired')
     return 'refused';
   if (error.type === 'timedOut') return 'timedOut';
+  if (error.type === 'stopped') return 'stopped';
   return error.type === 'backEndFailed' ? 'failed' : 'rejected';
 }
--- a/src/forwarding/forwarding-errors.ts
+++ b/src/forwarding/forwarding-errors.ts
@@ -14,6 +14,8 @@
   | { type: 'timedOut' }
   /** Its time was over before it was sent; it has not run. */
   | { type: 'expired' }
+  /** This process ends before the answer is there; it may have run. */
+  | { type: 'stopped' }
   /** Its back end failed while it may have run. */
   | { type: 'backEndFailed'; reason: string };
 
@@ -45,6 +47,7 @@
     case 'expired':
       return { status: 503, retryAfter: SHORT_RETRY_AFTER };
     case 'timedOut':
+    case 'stopped':
       return { status: 504, retryAfter: undefined };
     case 'backEndFailed':
       return { status: 502, retryAfter: undefined };
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -5,9 +5,11 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
+import { endsWithin } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
 import type { DrainSchedule } from '../systems/drain-schedule.js';
+import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
@@ -22,6 +24,13 @@
 /** Idle connections of callers outlast what they were told by this, in milliseconds. */
 const IDLE_MARGIN = 1_000;
 const DEFAULT_IDLE_TIMEOUT = 30_000;
+/** Last answers are given this long to go out at a stop, in milliseconds: callers that do not read are not waited for. */
+const FLUSH_LIMIT = 150;
+/**
+ * After an answer that could not tell its caller to leave the connection, the connection stays open this long once no new
+ * ones are taken, in milliseconds: a caller that is busy sends its next request within a round trip, far less.
+ */
+const LINGER = 300;
 /** Bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
 
@@ -38,6 +47,7 @@
   budgetOf(service: string): RetryWindow;
   /** Of the stop of this process. */
   drain: DrainSchedule;
+  durations: LongestDurations;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
 }
 
@@ -52,11 +62,21 @@
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #acceptedAt = 0;
+  /** When an answer ended that may have begun before the order to stop. */
+  #answeredUntoldAt = Number.NEGATIVE_INFINITY;
+  /** Answers that have not gone out. */
+  readonly #responses = new Set<ServerResponse>();
+  #onFlushed: () => void = () => {};
 
-  constructor(address: string, components: Omit<ForwardingComponents, 'onSettled'>, metrics: Metrics) {
+  constructor(
+    address: string,
+    components: Omit<ForwardingComponents, 'onSettled' | 'durations'>,
+    metrics: Metrics,
+  ) {
     this.#address = address;
     this.#components = {
       ...components,
+      durations: new LongestDurations(),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
     this.#latency = new Histogram({
@@ -113,21 +133,36 @@
     return performance.now() - this.#acceptedAt;
   }
 
-  /** Takes no new connection and ends idle ones; those in use end with their answers. */
-  close(): void {
-    this.#server?.close();
-    this.#server?.closeIdleConnections();
+  /**
+   * Takes no new connection and ends idle ones. Those in use end with their answers: at once where the caller was told, and
+   * otherwise when it has had the time to send its next request there, whose answer tells it.
+   */
+  async close(): Promise<void> {
+    // Right after the event loop has accepted and read what was there, so that as little as can be is reset unread.
+    await new Promise((resolve) => setImmediate(resolve));
+    if (this.#server === undefined) return;
+    this.#server.keepAliveTimeout = LINGER;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** True once nothing is in progress and no caller may still be using a connection that it was not told to leave. */
+  get isSettled(): boolean {
+    return this.active === 0 && performance.now() - this.#answeredUntoldAt > LINGER;
   }
 
   async stop(): Promise<void> {
     clearInterval(this.#timer);
     for (const request of this.#active) request.stop();
+    await endsWithin(this.#flushed(), FLUSH_LIMIT);
     this.#server?.closeAllConnections();
     this.#server?.close();
     this.#server = undefined;
   }
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
+    this.#responses.add(response);
+    response.once('close', () => this.#onResponseClosed(response));
     const forwarded = new ForwardedRequest(this.#components, request, response);
     this.#active.add(forwarded);
     this.#acceptedAt = performance.now();
@@ -135,6 +170,23 @@
     forwarded.start().catch((cause) => forwarded.abandon(cause));
   }
 
+  #arrivedAfterOrder({ arrivedAt }: ForwardedRequest): boolean {
+    return (this.#components.drain.elapsed(arrivedAt) ?? -1) >= 0;
+  }
+
+  /** Resolves when each answer has gone out, or its caller has. */
+  #flushed(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#onFlushed = resolve;
+      if (this.#responses.size === 0) resolve();
+    });
+  }
+
+  #onResponseClosed(response: ServerResponse): void {
+    this.#responses.delete(response);
+    if (this.#responses.size === 0) this.#onFlushed();
+  }
+
   #check(): void {
     const now = performance.now();
     for (const request of this.#active) request.check(now);
@@ -145,9 +197,10 @@
 
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
+    if (!this.#arrivedAfterOrder(request)) this.#answeredUntoldAt = performance.now();
     this.#counters[outcome] = (this.#counters[outcome] ?? 0) + 1;
     this.#latency.observe({ outcome }, milliseconds / 1_000);
-    const arrival = this.#components.drain.elapsed(request.arrivedAt);
-    if (arrival !== undefined && arrival >= 0) this.#drainFigures.note(outcome, arrival);
+    if (!this.#arrivedAfterOrder(request)) return;
+    this.#drainFigures.note(outcome, this.#components.drain.elapsed(request.arrivedAt) ?? 0);
   }
 }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -17,6 +17,7 @@
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
 import { hash32, type Random, seededRandom } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
+import { endsWithin } from '../model/time-limit.js';
 import { HybridClock } from '../observability/hybrid-clock.js';
 import type { Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
@@ -49,16 +50,9 @@
  */
 const SLACK_SHARES_BY_ENTRY = 1.8;
 const LEAST_SLACK_SHARES = 16;
-/** After the order to stop, callers are served for as long as some keep the address, or until none has come for this. */
-const QUIET = 800;
-/**
- * Time for what is in progress once nothing new is taken, in milliseconds: streams of 60 events took up to 2.9 s beside a
- * full load (a stream of 2.3 s was cut by 1.5 s).
- */
-const CLOSING_TIME = 3_000;
-/** Before the process would be killed it ends by itself, in milliseconds. */
-const KILL_MARGIN = 700;
 const DRAIN_CHECK = 50;
+/** Parts that have not ended after this are left to the end of the process, in milliseconds: it must come before a kill. */
+const STOP_LIMIT = 300;
 /** Changes of this time are told to peers and agents together, by who is told, in milliseconds. */
 const ANNOUNCE_DELAY = { all: 50, zone: 120 };
 /** Addresses in one answer to a caller. */
@@ -149,12 +143,16 @@
   readonly #forwarding: ForwardingServer;
   readonly #parts: StartableGroup;
   readonly #budgets = new Map<string, RetryWindow>();
-  readonly #drain = new DrainSchedule();
+  readonly #drain: DrainSchedule;
   #announcement: 'all' | 'zone' | undefined;
 
   constructor(components: DirectEntryComponents) {
     const { settings, fleet, backEnds, sync, library, log, random, metrics, context } = components;
     this.#components = components;
+    this.#drain = new DrainSchedule({
+      graceTime: settings.graceTime,
+      addressLifetime: settings.addressLifetimeSeconds * MILLISECONDS,
+    });
     fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
     this.#peers = new EntryPeers({
       context,
@@ -243,28 +241,25 @@
     log.info('entry started', { identity, zone: settings.zone, callers: settings.callers });
   }
 
-  /** Leaves the directory at once, serves those that hold the address, ends what is in progress, and stops. */
-  async leave(): Promise<void> {
-    const { log, settings } = this.#components;
-    const startedAt = performance.now();
-    const elapsed = () => performance.now() - startedAt;
-    this.#drain.begin(startedAt);
+  /**
+   * Leaves the directory at once, serves those that hold the address, ends what is in progress, and stops.
+   * @param orderedAt - when the order to stop came, in milliseconds of the steady clock
+   */
+  async leave(orderedAt = performance.now()): Promise<void> {
+    const { log } = this.#components;
+    this.#drain.begin(orderedAt);
     this.#peers.announce('all');
     log.info('entry leaves', { inProgress: this.#forwarding.active });
-    const latest = settings.graceTime - KILL_MARGIN;
-    const lifetime = settings.addressLifetimeSeconds * MILLISECONDS;
-    const isServed = () =>
-      elapsed() >= lifetime && (this.#forwarding.quietFor > QUIET || elapsed() >= 3 * lifetime);
-    while (elapsed() < latest - CLOSING_TIME && !isServed()) await pause();
-    // From here on nothing new is taken, so that no request is read and then cut.
-    this.#forwarding.close();
-    while (elapsed() < latest && this.#forwarding.active > 0) await pause();
+    while (this.#drain.takesConnections(performance.now(), this.#forwarding.quietFor)) await pause();
+    await this.#forwarding.close();
+    while (performance.now() < this.#drain.endsAt && !this.#forwarding.isSettled) await pause();
     log.info('entry stops', {
       inProgress: this.#forwarding.active,
-      tookMs: Math.round(elapsed()),
+      tookMs: Math.round(performance.now() - orderedAt),
       arrivals: this.#forwarding.arrivalsWhileDraining,
     });
-    await this.stop();
+    if (!(await endsWithin(this.stop(), STOP_LIMIT)))
+      log.warn('parts have not stopped', { after: STOP_LIMIT });
   }
 
   async stop(): Promise<void> {
--- /dev/null
+++ b/test/systems/drain-schedule.test.ts
@@ -0,0 +1,59 @@
+/** The time of a planned stop. */
+import { describe, expect, it } from 'vitest';
+import { addressLifetimeFor, DrainSchedule } from '../../src/systems/drain-schedule.js';
+
+const GRACE_TIME = 8_000;
+const LIFETIME = 1_000;
+const ORDERED_AT = 50_000;
+
+function ordered(): DrainSchedule {
+  const drain = new DrainSchedule({ graceTime: GRACE_TIME, addressLifetime: LIFETIME });
+  drain.begin(ORDERED_AT);
+  return drain;
+}
+
+describe('a drain', () => {
+  it('has no end before the order, and one that a second order does not move', () => {
+    const drain = new DrainSchedule({ graceTime: GRACE_TIME, addressLifetime: LIFETIME });
+    expect(drain.canEnd(ORDERED_AT, 60_000)).toBe(true);
+    expect(drain.takesConnections(ORDERED_AT, 60_000)).toBe(true);
+    drain.begin(ORDERED_AT);
+    const { endsAt } = drain;
+    expect(endsAt).toBeLessThan(ORDERED_AT + GRACE_TIME);
+    drain.begin(ORDERED_AT + 2_000);
+    expect(drain.endsAt).toBe(endsAt);
+  });
+
+  it('lets begin only what ends before it does', () => {
+    const drain = ordered();
+    expect(drain.canEnd(ORDERED_AT + 3_000, drain.endsAt - ORDERED_AT - 3_000)).toBe(true);
+    expect(drain.canEnd(ORDERED_AT + 3_000, drain.endsAt - ORDERED_AT - 2_999)).toBe(false);
+  });
+
+  it('takes connections for the life of addresses, and three times as long while callers come', () => {
+    const drain = ordered();
+    expect(drain.takesConnections(ORDERED_AT + LIFETIME - 1, 60_000)).toBe(true);
+    expect(drain.takesConnections(ORDERED_AT + LIFETIME, 60_000)).toBe(false);
+    expect(drain.takesConnections(ORDERED_AT + 3 * LIFETIME - 1, 10)).toBe(true);
+    expect(drain.takesConnections(ORDERED_AT + 3 * LIFETIME, 10)).toBe(false);
+  });
+
+  it('takes none after its end, however long addresses live', () => {
+    const drain = new DrainSchedule({ graceTime: GRACE_TIME, addressLifetime: 60_000 });
+    drain.begin(ORDERED_AT);
+    expect(drain.takesConnections(drain.endsAt - 1, 10)).toBe(true);
+    expect(drain.takesConnections(drain.endsAt, 10)).toBe(false);
+  });
+});
+
+describe('the life of addresses', () => {
+  it('leaves time for the last answers within the time of a stop', () => {
+    expect(addressLifetimeFor(8_000)).toBe(1_000);
+    expect(addressLifetimeFor(10_000)).toBe(2_000);
+    expect(addressLifetimeFor(60_000)).toBe(2_000);
+  });
+
+  it('is a second at least', () => {
+    expect(addressLifetimeFor(2_000)).toBe(1_000);
+  });
+});
