The order to stop is heard for the whole life of a process

Cause: `process.once('SIGTERM')` was set after the start and heard one signal: a second one, or one during the start, met no handler and ended the process at once with every answer in progress.

Change: `StopOrder` listens before anything is started and until the end; the first signal counts, later ones change nothing. `startUntilOrdered` lets a start end that is under way, for 1 s at most.

--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -3,6 +3,7 @@
 import { setFlagsFromString } from 'node:v8';
 import type { ZodType } from 'zod';
 import type { Startable } from '../model/startable.js';
+import { StopOrder, startUntilOrdered } from '../model/stop-order.js';
 import { formatProblem, readDocument } from '../settings/document.js';
 import { CommandFailure, EXIT_USAGE } from './errors.js';
 
@@ -33,13 +34,9 @@
   setFlagsFromString('--semi-space-growth-factor=1');
 }
 
-/** Runs a part until a signal; a role that can be drained ends its requests first. */
+/** Runs a part until the first signal; a role that can be drained ends its requests first, whatever signals follow. */
 export async function runUntilSignal(part: Startable | Drainable, minDrainMilliseconds = 0): Promise<void> {
-  await part.start();
-  await new Promise<void>((resolve) => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
-  });
+  await startUntilOrdered(part, new StopOrder(['SIGTERM', 'SIGINT']));
   if ('drain' in part) await drainFully(part, minDrainMilliseconds);
   await part.stop();
 }
--- /dev/null
+++ b/test/model/stop-order.test.ts
@@ -0,0 +1,53 @@
+/** The order to stop a process, at whatever time it comes. */
+import { EventEmitter } from 'node:events';
+import { expect, it, vi } from 'vitest';
+import { StopOrder, startUntilOrdered } from '../../src/model/stop-order.js';
+
+it('is the first signal; later ones are heard and change nothing', async () => {
+  const signals = new EventEmitter();
+  const order = new StopOrder(['SIGTERM', 'SIGINT'], signals);
+  expect(signals.emit('SIGTERM')).toBe(true);
+  const orderedAt = await order.given;
+  // `emit` returns whether anybody listens: a signal without a listener ends a process.
+  expect(signals.emit('SIGTERM')).toBe(true);
+  expect(signals.emit('SIGINT')).toBe(true);
+  expect(await order.given).toBe(orderedAt);
+});
+
+it('that comes during a start lets the start end', async () => {
+  const signals = new EventEmitter();
+  const order = new StopOrder(['SIGTERM'], signals);
+  let endStart: () => void = () => {};
+  const part = { start: () => new Promise<void>((resolve) => (endStart = resolve)) };
+  let isOrdered = false;
+  const ordered = startUntilOrdered(part, order).then(() => {
+    isOrdered = true;
+  });
+  signals.emit('SIGTERM');
+  await new Promise((resolve) => setImmediate(resolve));
+  expect(isOrdered).toBe(false);
+  endStart();
+  await ordered;
+});
+
+it('does not wait for a start that hangs', async () => {
+  vi.useFakeTimers();
+  try {
+    const signals = new EventEmitter();
+    const ordered = startUntilOrdered(
+      { start: () => new Promise<void>(() => {}) },
+      new StopOrder(['SIGTERM'], signals),
+    );
+    signals.emit('SIGTERM');
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(await ordered).toBeTypeOf('number');
+  } finally {
+    vi.useRealTimers();
+  }
+});
+
+it('does not hide that a start failed', async () => {
+  const order = new StopOrder(['SIGTERM'], new EventEmitter());
+  const part = { start: () => Promise.reject(new Error('address in use')) };
+  await expect(startUntilOrdered(part, order)).rejects.toThrow('address in use');
+});
