An entry with agents of its own tells callers to leave, and counts what it is reading

While it left, an entry answered on kept connections without `Connection: close`, so that callers went on using them until its stop closed them. A request whose body was still coming counted as none, so that the stop could close its connection in the middle. The process waited for its parts to stop without a limit.

Change: The interface for callers counts a request from its arrival until its answer is out, and sets `Connection: close` once the entry has withdrawn. The count of the admission, which nothing reads any more, goes. The process leaves parts that have not stopped after 5 s to its end.

Result: Two new tests in test/entry/caller-api.test.ts fail before (`expected 'keep-alive' to be 'close'`; the request whose body is coming is never counted) and pass now, 8 of 8.

--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -4,12 +4,15 @@
 import type { ZodType } from 'zod';
 import type { Startable } from '../model/startable.js';
 import { StopOrder, startUntilOrdered } from '../model/stop-order.js';
+import { endsWithin } from '../model/time-limit.js';
 import { formatProblem, readDocument } from '../settings/document.js';
 import { CommandFailure, EXIT_USAGE } from './errors.js';
 
 /** Longest wait for requests in progress at a planned stop, in milliseconds. */
 const DRAIN_LIMIT = 120_000;
 const DRAIN_CHECK_INTERVAL = 50;
+/** Parts that have not stopped after this are left to the end of the process, in milliseconds. */
+const STOP_LIMIT = 5_000;
 
 /** Reads a settings file; every problem is reported with file, line and field. */
 export function readSettings<T>(file: string, schema: ZodType<T>): T {
@@ -38,7 +41,7 @@
 export async function runUntilSignal(part: Startable | Drainable, minDrainMilliseconds = 0): Promise<void> {
   await startUntilOrdered(part, new StopOrder(['SIGTERM', 'SIGINT']));
   if ('drain' in part) await drainFully(part, minDrainMilliseconds);
-  await part.stop();
+  await endsWithin(part.stop(), STOP_LIMIT);
 }
 
 async function drainFully(part: Drainable, minMilliseconds: number): Promise<void> {
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -30,11 +30,6 @@
     this.#table = new AdmissionTable(limits, limitsOf);
   }
 
-  /** Requests that run or wait. */
-  get inProgress(): number {
-    return this.#table.inProgress + this.#table.queued;
-  }
-
   /** Nothing runs until a first request waits. */
   async start(): Promise<void> {}
 
--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -64,18 +64,20 @@
 /** The interface of one entry. */
 export class CallerApi {
   readonly #components: CallerApiComponents;
+  #inProgress = 0;
 
   constructor(components: CallerApiComponents) {
     this.#components = components;
   }
 
-  /** Requests of callers in progress. */
+  /** Requests of callers from their arrival until their answer is out: those whose body is coming are among them. */
   get inProgress(): number {
-    return this.#components.admission.inProgress;
+    return this.#inProgress;
   }
 
   routes(): Router {
     const router = new Router();
+    router.use((context, next) => this.#track(context, next));
     router.use('/v1', (context, next) => this.#requireConfiguration(context, next));
     router.use('/services', (context, next) => this.#requireConfiguration(context, next));
     router.get('/v1/entries', (context) => this.#discover(context));
@@ -85,6 +87,18 @@
     return router;
   }
 
+  async #track(context: Koa.Context, next: Koa.Next): Promise<void> {
+    this.#inProgress++;
+    context.res.once('close', () => this.#inProgress--);
+    await next();
+    this.#tellLeaving(context);
+  }
+
+  /** A caller of an entry that leaves is to use its connection no more; called before the head of an answer. */
+  #tellLeaving({ res }: Koa.Context): void {
+    if (this.#components.self().leaving && !res.headersSent) res.setHeader('connection', 'close');
+  }
+
   /** Until it holds a configuration, an entry answers nothing that it might have to take back. */
   async #requireConfiguration(context: Koa.Context, next: Koa.Next): Promise<void> {
     if (this.#components.configuration.revision > 0) return next();
@@ -244,6 +258,7 @@
     const sink = {
       head: (status: number, contentType: string, agent: string) => {
         context.respond = false;
+        this.#tellLeaving(context);
         res.writeHead(status, { 'content-type': contentType, 'x-thistleway-agent': agent });
       },
       data: (data: Uint8Array) => {
--- a/test/entry/caller-api.test.ts
+++ b/test/entry/caller-api.test.ts
@@ -1,3 +1,4 @@
+import { request as httpRequest } from 'node:http';
 import Koa from 'koa';
 import { afterEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
@@ -14,6 +15,7 @@
 import { API_VERSION } from '../../src/resources/schemas.js';
 import { httpServer } from '../../src/server/http-server.js';
 import { DEFAULT_TENANT_LIMITS } from '../../src/systems/admission.js';
+import { until } from '../support.js';
 
 const SELF = {
   id: 'e',
@@ -37,20 +39,24 @@
 };
 
 let server: Startable | undefined;
+let api: CallerApi;
+/** Whether the entry has withdrawn from discovery. */
+let leaving = false;
 
 afterEach(async () => server?.stop());
 
 /** An entry's interface with nothing behind it, over a configuration of these rows. */
 async function serve(rows: Row[]): Promise<string> {
+  leaving = false;
   const timeline = new Timeline('e', new HybridClock());
   const configuration = new Configuration({ tables: {} as TableService, random: seededRandom(1), timeline });
   if (rows.length > 0) configuration.take(0, rows, 1);
   const limits = { inProgress: 1, queued: 0, queueTime: 0 };
-  const api = new CallerApi({
+  api = new CallerApi({
     configuration,
     router: {} as CallRouter,
     onceRouter: {} as OnceRouter,
-    self: () => SELF,
+    self: () => ({ ...SELF, leaving }),
     entries: () => [SELF],
     addressLifetimeSeconds: 5,
     defaultDeadline: 1_000,
@@ -87,4 +93,27 @@
     expect(answer.status).toBe(status);
     expect(await answer.json()).toMatchObject({ error: { type, notRun: true } });
   });
+
+  it('tells callers to leave their connections once the entry leaves', async () => {
+    const base = await serve([SERVICE]);
+    const look = () => fetch(`${base}/services/control/look`, { headers: { 'x-thistleway-tenant': 't' } });
+    expect((await look()).headers.get('connection')).toBe('keep-alive');
+    leaving = true;
+    expect((await look()).headers.get('connection')).toBe('close');
+    expect((await fetch(`${base}/v1/entries`)).headers.get('connection')).toBe('close');
+  });
+
+  it('counts a request as in progress from its arrival until its answer is out', async () => {
+    const base = await serve([SERVICE]);
+    const sent = httpRequest(`${base}/services/control/look`, {
+      method: 'POST',
+      headers: { 'x-thistleway-tenant': 't', 'content-length': '4' },
+    });
+    const answered = new Promise((resolve) => sent.once('response', (answer) => resolve(answer.resume())));
+    sent.write('bo');
+    await until(() => api.inProgress === 1, 'the request whose body is coming');
+    sent.end('dy');
+    await answered;
+    await until(() => api.inProgress === 0, 'the end of its answer');
+  });
 });
