Durations are forgotten with their requests; a drain waits until answers are out

A drain was over once back ends had answered, though a slow caller had not read all. A configuration that came after the close set the time of idle connections back.

Change: The time since when a kind is known goes with its period. Only whole answers count; what was broken off tells the least that it would have taken. A drain waits until answers are out. After the close the time of idle connections stays.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -143,7 +143,8 @@
     const use = this.#use;
     if (use === undefined || this.#settled) return;
     const { attempt, row } = use;
-    this.#noteAge(attempt, now);
+    // While requests are taken only if they can end, those in progress tell how slow back ends have become.
+    if (this.#components.drain.isUnderWay) this.#noteDuration(attempt, false);
     if (!attempt.sent) {
       if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
       return;
@@ -267,10 +268,12 @@
     return drain.canEnd(now + wait, Math.min(timeLeft, expected));
   }
 
-  /** While requests are taken only if they can end, those in progress tell how slow back ends have become. */
-  #noteAge({ startedAt }: Attempt, now: number): void {
-    const { drain, durations } = this.#components;
-    if (drain.isUnderWay) durations.noteAge(this.#route.name, this.#answerTokens, now - startedAt, now);
+  /** What has not ended with a whole answer would have taken longer than it has. */
+  #noteDuration({ startedAt, sent }: Attempt, isWhole: boolean): void {
+    const { durations } = this.#components;
+    const now = performance.now();
+    if (isWhole) durations.noteEnded(this.#route.name, this.#answerTokens, now - startedAt, now);
+    else if (sent) durations.noteAge(this.#route.name, this.#answerTokens, now - startedAt, now);
   }
 
   /** Refuses what this process has no time for: another one can take it now. */
@@ -451,7 +454,7 @@
     this.#use = undefined;
     const took = use.end();
     const { record, health } = use.row;
-    this.#components.durations.noteEnded(this.#route.name, this.#answerTokens, took, performance.now());
+    this.#noteDuration(use.attempt, outcome === 'served');
     if (outcome !== undefined)
       health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
     if (outcome !== 'served') return;
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -62,6 +62,7 @@
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #acceptedAt = 0;
+  #isClosed = false;
   /** When an answer ended that may have begun before the order to stop. */
   #answeredUntoldAt = Number.NEGATIVE_INFINITY;
   /** Answers that have not gone out. */
@@ -122,6 +123,7 @@
     this.#server = server;
     this.#components.fleet.listen({
       onConfiguration: ({ configuration }) => {
+        if (this.#isClosed) return;
         server.keepAliveTimeout = configuration.limits.idleTimeout + IDLE_MARGIN;
         server.headersTimeout = configuration.limits.headerTimeout + IDLE_MARGIN;
       },
@@ -141,14 +143,15 @@
     // Right after the event loop has accepted and read what was there, so that as little as can be is reset unread.
     await new Promise((resolve) => setImmediate(resolve));
     if (this.#server === undefined) return;
+    this.#isClosed = true;
     this.#server.keepAliveTimeout = LINGER;
     this.#server.close();
     this.#server.closeIdleConnections();
   }
 
-  /** True once nothing is in progress and no caller may still be using a connection that it was not told to leave. */
+  /** True once each answer is out and no caller may still be using a connection that it was not told to leave. */
   get isSettled(): boolean {
-    return this.active === 0 && performance.now() - this.#answeredUntoldAt > LINGER;
+    return this.#responses.size === 0 && performance.now() - this.#answeredUntoldAt > LINGER;
   }
 
   async stop(): Promise<void> {
--- a/src/systems/longest-durations.ts
+++ b/src/systems/longest-durations.ts
@@ -12,6 +12,8 @@
 
 /** Requests of one kind and size within a period. */
 interface Seen {
+  /** Since when such requests have been sent without a longer gap. */
+  since: number;
   count: number;
   longest: number;
 }
@@ -22,12 +24,10 @@
   #previous = new Map<string, Seen>();
   #periodEndsAt = Number.NEGATIVE_INFINITY;
   #largestSize = 0;
-  readonly #firstSentAt = new Map<string, number>();
 
   /** A request of `kind` for an answer of `tokens` is sent. */
   noteSent(kind: string, tokens: number, now: number): void {
-    const key = keyOf(kind, sizeOf(tokens));
-    if (!this.#firstSentAt.has(key)) this.#firstSentAt.set(key, now);
+    this.#seen(kind, tokens, now);
   }
 
   /** One that is in progress has taken `duration` so far. */
@@ -53,10 +53,11 @@
     let longest = 0;
     for (let size = sizeOf(tokens); size <= this.#largestSize && count < ENOUGH_REQUESTS; size++) {
       const key = keyOf(kind, size);
-      if (now - (this.#firstSentAt.get(key) ?? now) < limit) continue;
-      for (const seen of [this.#current.get(key), this.#previous.get(key)]) {
-        count += seen?.count ?? 0;
-        longest = Math.max(longest, seen?.longest ?? 0);
+      const both = [this.#current.get(key), this.#previous.get(key)].filter((seen) => seen !== undefined);
+      if (both.length === 0 || now - both[0].since < limit) continue;
+      for (const seen of both) {
+        count += seen.count;
+        longest = Math.max(longest, seen.longest);
       }
     }
     return count < ENOUGH_REQUESTS ? undefined : longest * PROLONGATION;
@@ -69,7 +70,7 @@
     const key = keyOf(kind, size);
     const known = this.#current.get(key);
     if (known !== undefined) return known;
-    const created = { count: 0, longest: 0 };
+    const created = { since: this.#previous.get(key)?.since ?? now, count: 0, longest: 0 };
     this.#current.set(key, created);
     return created;
   }
