Whether a request can still end is a unit of its own; a finished drain lets nothing begin

Cause: `forwarded-request` had grown by the judgement of durations. A drain that is over early, as nothing is in progress, gave the last answers up to 0.15 s to go out, in which a request on a kept connection would have been sent to a back end and cut.

Change: `TimeToEnd` (src/forwarding) judges and notes for one request. `DrainSchedule.finish` ends the drain at that moment; what is read afterwards is refused.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -21,6 +21,7 @@
 import type { ForwardingComponents } from './forwarding-server.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
 import { RequestTiming } from './request-timing.js';
+import { TimeToEnd } from './time-to-end.js';
 
 /** A new connection that is not there after this is given up, in milliseconds. */
 const CONNECT_LIMIT = 400;
@@ -71,6 +72,7 @@
   #urgency = 0;
   /** Known once its route is. */
   #timing!: RequestTiming;
+  #timeToEnd!: TimeToEnd;
   #timer: NodeJS.Timeout | undefined;
   #body: CallerBody = { type: 'none' };
   #promptTokens = 0;
@@ -143,8 +145,7 @@
     const use = this.#use;
     if (use === undefined || this.#settled) return;
     const { attempt, row } = use;
-    // While requests are taken only if they can end, those in progress tell how slow back ends have become.
-    if (this.#components.drain.isUnderWay) this.#noteDuration(attempt, false);
+    this.#timeToEnd.noteProgress(attempt, now);
     if (!attempt.sent) {
       if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
       return;
@@ -180,6 +181,7 @@
     const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
     this.#promptTokens = Number(promptTokens) || 0;
     this.#answerTokens = Number(answerTokens) || 0;
+    this.#timeToEnd = new TimeToEnd(this.#components, route.name, this.#answerTokens, this.#timing.endsAt);
     return undefined;
   }
 
@@ -210,7 +212,7 @@
       },
     );
     this.#use = new BackEndUse(row, attempt, this.#promptTokens, this.#answerTokens);
-    this.#components.durations.noteSent(this.#route.name, this.#answerTokens, attempt.startedAt);
+    this.#timeToEnd.noteSent(attempt);
     this.#log('sent', {
       send: this.#sends,
       backEnd: row.record.id,
@@ -255,25 +257,9 @@
     if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
-  /**
-   * Whether the answer can be whole before this process stops, if the request is sent after `wait` milliseconds: within
-   * the time that requests of its kind took lately, or else within the time that it has.
-   */
+  /** Whether it can still end before this process does, if it is sent after `wait` milliseconds; a begun answer goes on. */
   #canEnd(wait = 0): boolean {
-    const { drain, durations } = this.#components;
-    if (!drain.isUnderWay || this.#answer.started) return true;
-    const now = performance.now();
-    const timeLeft = this.#timing.endsAt - now - wait;
-    const expected = durations.expected(this.#route.name, this.#answerTokens, timeLeft, now) ?? timeLeft;
-    return drain.canEnd(now + wait, Math.min(timeLeft, expected));
-  }
-
-  /** What has not ended with a whole answer would have taken longer than it has. */
-  #noteDuration({ startedAt, sent }: Attempt, isWhole: boolean): void {
-    const { durations } = this.#components;
-    const now = performance.now();
-    if (isWhole) durations.noteEnded(this.#route.name, this.#answerTokens, now - startedAt, now);
-    else if (sent) durations.noteAge(this.#route.name, this.#answerTokens, now - startedAt, now);
+    return this.#answer.started || this.#timeToEnd.suffices(performance.now(), wait);
   }
 
   /** Refuses what this process has no time for: another one can take it now. */
@@ -454,7 +440,7 @@
     this.#use = undefined;
     const took = use.end();
     const { record, health } = use.row;
-    this.#noteDuration(use.attempt, outcome === 'served');
+    this.#timeToEnd.noteEnded(use.attempt, outcome === 'served', performance.now());
     if (outcome !== undefined)
       health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
     if (outcome !== 'served') return;
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -8,7 +8,6 @@
 import { endsWithin } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
-import type { DrainSchedule } from '../systems/drain-schedule.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import type { BackEndSelector } from './back-end-selector.js';
@@ -16,6 +15,7 @@
 import { type ArrivalsWithOutcome, DrainFigures } from './drain-figures.js';
 import { ForwardedRequest, type RequestOutcome } from './forwarded-request.js';
 import type { HeaderNames } from './header-names.js';
+import type { TimeToEndComponents } from './time-to-end.js';
 
 /** Time between two looks at requests in progress, in milliseconds. */
 const CHECK_INTERVAL = 50;
@@ -35,7 +35,7 @@
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
 
 /** What requests are forwarded with. */
-export interface ForwardingComponents {
+export interface ForwardingComponents extends TimeToEndComponents {
   names: HeaderNames;
   /** Names that callers may not set, as this system does. */
   headersSet: ReadonlySet<string>;
@@ -45,9 +45,6 @@
   random: Random;
   log: Log;
   budgetOf(service: string): RetryWindow;
-  /** Of the stop of this process. */
-  drain: DrainSchedule;
-  durations: LongestDurations;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
 }
 
@@ -156,6 +153,8 @@
 
   async stop(): Promise<void> {
     clearInterval(this.#timer);
+    // What is still read while the last answers go out is refused.
+    this.#components.drain.finish(performance.now());
     for (const request of this.#active) request.stop();
     await endsWithin(this.#flushed(), FLUSH_LIMIT);
     this.#server?.closeAllConnections();
--- a/src/systems/drain-schedule.ts
+++ b/src/systems/drain-schedule.ts
@@ -37,6 +37,7 @@
 export class DrainSchedule {
   readonly #limits: DrainLimits;
   #orderedAt: number | undefined;
+  #finishedAt: number | undefined;
 
   constructor(limits: DrainLimits) {
     this.#limits = limits;
@@ -47,6 +48,12 @@
     this.#orderedAt ??= now;
   }
 
+  /** The process ends at `now`, maybe before it must: what comes from now on cannot end any more. */
+  finish(now: number): void {
+    this.begin(now);
+    this.#finishedAt ??= now;
+  }
+
   /** True from the order to stop on. */
   get isUnderWay(): boolean {
     return this.#orderedAt !== undefined;
@@ -60,7 +67,8 @@
   /** When the process ends by itself, whatever is in progress; infinite before the order. */
   get endsAt(): number {
     if (this.#orderedAt === undefined) return Number.POSITIVE_INFINITY;
-    return this.#orderedAt + Math.max(0, this.#limits.graceTime - KILL_MARGIN);
+    const latest = this.#orderedAt + Math.max(0, this.#limits.graceTime - KILL_MARGIN);
+    return Math.min(latest, this.#finishedAt ?? latest);
   }
 
   /** Whether what begins at `now` and takes `duration` ends before the process does. */
--- a/test/systems/drain-schedule.test.ts
+++ b/test/systems/drain-schedule.test.ts
@@ -38,6 +38,13 @@
     expect(drain.takesConnections(ORDERED_AT + 3 * LIFETIME, 10)).toBe(false);
   });
 
+  it('lets nothing begin once it is finished, though it would have had time', () => {
+    const drain = ordered();
+    drain.finish(ORDERED_AT + 1_500);
+    expect(drain.canEnd(ORDERED_AT + 1_510, 1)).toBe(false);
+    expect(drain.takesConnections(ORDERED_AT + 1_510, 10)).toBe(false);
+  });
+
   it('takes none after its end, however long addresses live', () => {
     const drain = new DrainSchedule({ graceTime: GRACE_TIME, addressLifetime: 60_000 });
     drain.begin(ORDERED_AT);
