Guards of the drain

Cause: Nothing showed that the tests of the drain notice when a guard is missing.

Change: Five entries in the table of guards: taking what cannot end, short requests that have ended before long ones, kept connections after the close, answers at the end of a stop, the second order to stop.

--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -403,6 +403,41 @@
     replace: 'count <= LINES_OF_KIND',
     test: 'test/observability/bounded-output.test.ts',
   },
+  {
+    fault: 'an entry that leaves takes requests that it cannot end',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: 'this.#answer.started || this.#timeToEnd.suffices(performance.now(), wait)',
+    replace: 'wait >= 0',
+    test: 'test/roles/direct-entry-drain.test.ts',
+  },
+  {
+    fault: 'long requests are taken for short ones while only short ones have ended',
+    file: 'src/systems/longest-durations.ts',
+    find: ' || now - both[0].since < limit',
+    replace: '',
+    test: 'test/systems/longest-durations.test.ts',
+  },
+  {
+    fault: 'a connection whose caller could not be told to leave it stays open',
+    file: 'src/forwarding/forwarding-server.ts',
+    find: 'this.#server.keepAliveTimeout = LINGER;',
+    replace: '',
+    test: 'test/roles/direct-entry-drain.test.ts',
+  },
+  {
+    fault: 'who waits for an answer at the end of a stop is not told',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: 'if (!this.#answer.started) {',
+    replace: 'if (this.#settled) {',
+    test: 'test/roles/direct-entry-drain.test.ts',
+  },
+  {
+    fault: 'a second order to stop ends the process at once',
+    file: 'src/model/stop-order.ts',
+    find: 'source.on(',
+    replace: '(source as NodeJS.Process).once(',
+    test: 'test/model/stop-order.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
