A test of an order to stop during the start

Cause: That a start under way ends first, and the process by itself, was shown for a stand-in part only.

Change: test/platform/stop.test.ts starts the entry with its settings in a pipe, so that the order comes while the start waits for them.

--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -1,6 +1,7 @@
 /** The entry of the bundle as a process that is told to stop, before a stand-in of the platform's store. */
-import { type ChildProcess, spawn } from 'node:child_process';
+import { type ChildProcess, execFileSync, spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { open } from 'node:fs/promises';
 import { request as httpRequest } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -81,10 +82,17 @@
   stopStore();
 });
 
+/** Starts an entry; its settings are in a file. */
 async function startProcess(): Promise<EntryProcess> {
-  const ip = `127.${SUBNET}.77.${++started}`;
+  const file = join(folder, `entry-${++started}.json`);
   const callers = await freeAddress();
-  const settings = {
+  writeFileSync(file, settingsOf(callers));
+  return spawnEntry(file, callers);
+}
+
+function settingsOf(callers: string): string {
+  const ip = `127.${SUBNET}.77.${started}`;
+  return JSON.stringify({
     node_name: `entry-${started}`,
     machine_class: 'front',
     ip,
@@ -95,12 +103,13 @@
     listen: { front: callers, ready: `${ip}:8002`, control: `${ip}:8000`, directory: `${ip}:8009` },
     bounds: { grace_s: GRACE_SECONDS, ttl_max_s: 1 },
     platform: { address: storeAddress },
-  };
-  const file = join(folder, `entry-${started}.json`);
-  writeFileSync(file, JSON.stringify(settings));
+  });
+}
+
+function spawnEntry(settingsFile: string, callers: string): EntryProcess {
   const child = spawn(process.execPath, [join(folder, 'roles.cjs'), 'entry'], {
     stdio: ['ignore', 'pipe', 'pipe'],
-    env: { ...process.env, THISTLEWAY_BOOT: file },
+    env: { ...process.env, THISTLEWAY_BOOT: settingsFile },
   });
   const exit = new Promise<{ code: number | null; signal: NodeJS.Signals | null }>((resolve) =>
     child.once('exit', (code, signal) => resolve({ code, signal })),
@@ -172,3 +181,19 @@
   expect(await answer).toMatchObject({ status: 504, whole: true });
   expect(await ended).toEqual({ code: 0, signal: null });
 });
+
+it('an order to stop during the start lets the start end, and the process ends by itself', async () => {
+  // The process reads its settings from a pipe, so that its start goes on when the test writes them.
+  const pipe = join(folder, `entry-${++started}.pipe`);
+  execFileSync('mkfifo', [pipe]);
+  const callers = await freeAddress();
+  const one = spawnEntry(pipe, callers);
+  const settings = await open(pipe, 'w');
+  one.child.kill('SIGTERM');
+  const ended = endInTime(one);
+  await settings.writeFile(settingsOf(callers));
+  await settings.close();
+  expect(await ended).toEqual({ code: 0, signal: null });
+  expect(one.output).toContain('entry leaves');
+  expect(one.output).toContain('entry stops');
+});
