A drain waits for connections that were taken just before its close

Cause: A run of the whole suite failed once in test/roles/direct-entry.test.ts: a caller got ECONNRESET where it should have been refused the connection. Where nothing was in progress at the close, the stop followed at once and closed connections that had been taken a moment before and whose request had not been read.

Change: After the close a drain goes on for the 0.3 s in which callers may still send on connections that they were not told to leave.

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -27,8 +27,9 @@
 /** Last answers are given this long to go out at a stop, in milliseconds: callers that do not read are not waited for. */
 const FLUSH_LIMIT = 150;
 /**
- * After an answer that could not tell its caller to leave the connection, the connection stays open this long once no new
- * ones are taken, in milliseconds: a caller that is busy sends its next request within a round trip, far less.
+ * Once no new connections are taken, those whose callers could not be told to leave them stay open for this, in
+ * milliseconds: after the close, when the last ones have just been opened, and after an answer that began before the order
+ * to stop. A caller that is busy sends its next request within a round trip, far less.
  */
 const LINGER = 300;
 /** Bounds of the latency histogram, in seconds. */
@@ -60,8 +61,8 @@
   #timer: NodeJS.Timeout | undefined;
   #acceptedAt = 0;
   #isClosed = false;
-  /** When an answer ended that may have begun before the order to stop. */
-  #answeredUntoldAt = Number.NEGATIVE_INFINITY;
+  /** Since when callers may be sending on connections that they were not told to leave: the close, and early answers. */
+  #lingersSince = Number.NEGATIVE_INFINITY;
   /** Answers that have not gone out. */
   readonly #responses = new Set<ServerResponse>();
   #onFlushed: () => void = () => {};
@@ -141,6 +142,7 @@
     await new Promise((resolve) => setImmediate(resolve));
     if (this.#server === undefined) return;
     this.#isClosed = true;
+    this.#lingersSince = performance.now();
     this.#server.keepAliveTimeout = LINGER;
     this.#server.close();
     this.#server.closeIdleConnections();
@@ -148,7 +150,7 @@
 
   /** True once each answer is out and no caller may still be using a connection that it was not told to leave. */
   get isSettled(): boolean {
-    return this.#responses.size === 0 && performance.now() - this.#answeredUntoldAt > LINGER;
+    return this.#responses.size === 0 && performance.now() - this.#lingersSince > LINGER;
   }
 
   async stop(): Promise<void> {
@@ -199,7 +201,7 @@
 
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
-    if (!this.#arrivedAfterOrder(request)) this.#answeredUntoldAt = performance.now();
+    if (!this.#arrivedAfterOrder(request)) this.#lingersSince = performance.now();
     this.#counters[outcome] = (this.#counters[outcome] ?? 0) + 1;
     this.#latency.observe({ outcome }, milliseconds / 1_000);
     if (!this.#arrivedAfterOrder(request)) return;
--- a/test/forwarding/drain.test.ts
+++ b/test/forwarding/drain.test.ts
@@ -1,4 +1,5 @@
 /** Forwarding while its process stops. */
+import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { until } from '../support.js';
@@ -59,3 +60,26 @@
     expect(arrivals[0]).toMatch(/outcome="stopped".* 1$/);
   });
 });
+
+describe('a connection that was taken just before the close', () => {
+  it('is waited for, and its request is answered', async () => {
+    const [host, port] = forwarding.address.split(':');
+    const socket = connect(Number(port), host);
+    let text = '';
+    socket.on('data', (bytes) => {
+      text += bytes.toString('latin1');
+    });
+    await new Promise((resolve) => socket.once('connect', resolve));
+    forwarding.drain.begin(performance.now());
+    await forwarding.close();
+    expect(forwarding.isSettled).toBe(false);
+    forwarding.drain.finish(performance.now());
+    socket.write('GET /write/a HTTP/1.1\r\nHost: api.example\r\nX-Request: late\r\n\r\n');
+    await until(() => text.includes('\r\n\r\n'), 'an answer');
+    expect(text).toMatch(/^HTTP\/1\.1 503 /);
+    expect(text.toLowerCase()).toContain('connection: close');
+    expect(backEnd.requests).toHaveLength(0);
+    await until(() => forwarding.isSettled, 'the end');
+    socket.destroy();
+  });
+});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -129,6 +129,16 @@
     await this.backEnds.stop();
   }
 
+  /** Takes no new connection. */
+  async close(): Promise<void> {
+    await this.#server?.close();
+  }
+
+  /** Whether the process may end. */
+  get isSettled(): boolean {
+    return this.#server?.isSettled ?? true;
+  }
+
   /** Lists these back ends and no others. */
   list(...backEnds: Array<[id: string, backEnd: StandInBackEnd, changes?: Partial<BackEndRecord>]>): void {
     const revision = this.fleet.backEnds.revision + 1;
