LOST: an entry that is told to stop takes only what it can end

Change: a schedule of the stop; what cannot end is refused at once; what a stop cuts is told as such.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -21,6 +21,7 @@
 import type { ForwardingComponents } from './forwarding-server.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
 import { RequestTiming } from './request-timing.js';
+import { TimeToEnd } from './time-to-end.js';
 
 /** A new connection that is not there after this is given up, in milliseconds. */
 const CONNECT_LIMIT = 400;
@@ -36,12 +37,14 @@
 const RETRY_AFTER = 0.4;
 /** Callers are not asked to wait longer than this for capacity that is to come, in seconds. */
 const LONGEST_RETRY_AFTER = 2;
+/** Time after which another process can have a request that this one has no time for, in seconds, times 1 to 2. */
+const RETRY_ELSEWHERE = 0.05;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
 const MOST_SENDS = 4;
 const INTERNAL_ERROR = 500;
 const MILLISECONDS = 1_000;
 
-/** How a request ended, for counters. */
+/** How a request ended, for counters: `stopped` by the stop of this process, `left` by its caller. */
 export type RequestOutcome =
   | 'served'
   | 'failedAnswer'
@@ -50,6 +53,7 @@
   | 'failed'
   | 'timedOut'
   | 'cut'
+  | 'stopped'
   | 'left';
 
 /** A request in progress. */
@@ -57,7 +61,8 @@
   readonly #components: ForwardingComponents;
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
-  readonly #arrivedAt = performance.now();
+  /** When it arrived, in milliseconds of the steady clock. */
+  readonly arrivedAt = performance.now();
   readonly #id: string;
   readonly #tried = new Set<string>();
   #route!: Route;
@@ -67,6 +72,7 @@
   #urgency = 0;
   /** Known once its route is. */
   #timing!: RequestTiming;
+  #timeToEnd!: TimeToEnd;
   #timer: NodeJS.Timeout | undefined;
   #body: CallerBody = { type: 'none' };
   #promptTokens = 0;
@@ -88,7 +94,7 @@
     this.#request = request;
     this.#response = response;
     this.#id = String(request.headers[components.names.requestId] ?? '');
-    this.#answer = new CallerAnswer(request, response, components.isLeaving);
+    this.#answer = new CallerAnswer(request, response, () => components.drain.isUnderWay);
     response.on('close', () => this.#onCallerGone());
     response.on('error', () => {});
     request.on('error', () => {});
@@ -98,7 +104,7 @@
   async start(): Promise<void> {
     const error = this.#admit();
     if (error !== undefined) return this.#finish(error);
-    this.#timer = setTimeout(() => this.#onTimeout(), this.#timing.endsAt - this.#arrivedAt);
+    this.#timer = setTimeout(() => this.#onTimeout(), this.#timing.endsAt - this.arrivedAt);
     this.#body = await readCallerBody(this.#request, this.#table.configuration.limits.bodyBytes);
     if (this.#settled) return;
     if (this.#body.type === 'tooLarge') return this.#finish({ type: 'bodyTooLarge' });
@@ -117,12 +123,29 @@
     this.#finish({ type: 'backEndFailed', reason: 'fault of this process' });
   }
 
+  /** Ends a request that has not ended when this process does: whoever has no part of an answer yet is told. */
+  stop(): void {
+    if (this.#settled) return;
+    const mayHaveRun = this.#mayHaveRun;
+    if (!this.#answer.started) {
+      this.#use?.attempt.abort('stop');
+      this.#endAttempt(undefined);
+      return mayHaveRun ? this.#finish({ type: 'stopped' }) : this.#refuseForStop();
+    }
+    this.#log('answer cut', { reason: 'stop', backEnd: this.#use?.row.record.id, ageMs: this.#age() });
+    this.#use?.attempt.abort('stop');
+    this.#endAttempt(undefined);
+    this.#settle('stopped');
+    this.#response.destroy();
+  }
+
   /** Ends attempts that are owed something for too long; called by the shared tick. */
   check(now: number): void {
     if (this.#heldSince !== undefined && !this.#settled) return this.#send();
     const use = this.#use;
     if (use === undefined || this.#settled) return;
     const { attempt, row } = use;
+    this.#timeToEnd.noteProgress(attempt, now);
     if (!attempt.sent) {
       if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
       return;
@@ -154,14 +177,16 @@
     }
     this.#service = targetService(route, hash32(this.#id) / 2 ** 32);
     const timeLeft = Number(headers[names.timeLeft]);
-    this.#timing = new RequestTiming(this.#arrivedAt, route, timeLeft > 0 ? timeLeft : undefined);
+    this.#timing = new RequestTiming(this.arrivedAt, route, timeLeft > 0 ? timeLeft : undefined);
     const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
     this.#promptTokens = Number(promptTokens) || 0;
     this.#answerTokens = Number(answerTokens) || 0;
+    this.#timeToEnd = new TimeToEnd(this.#components, route.name, this.#answerTokens, this.#timing.endsAt);
     return undefined;
   }
 
   #send(): void {
+    if (!this.#canEnd()) return this.#refuseForStop();
     const selection = this.#components.selector.select(this.#requirements());
     if (selection === undefined) return this.#holdOrGiveUp();
     if (selection.expectedWait > this.#timing.longestWait(this.#sends > 0))
@@ -187,6 +212,7 @@
       },
     );
     this.#use = new BackEndUse(row, attempt, this.#promptTokens, this.#answerTokens);
+    this.#timeToEnd.noteSent(attempt);
     this.#log('sent', {
       send: this.#sends,
       backEnd: row.record.id,
@@ -222,6 +248,7 @@
     const holdsUntil = this.#timing.holdsUntil(this.#heldSince);
     const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < holdsUntil;
     const mayWait = now < holdsUntil && !this.#answer.started;
+    if (!this.#canEnd(capacity)) return this.#refuseForStop();
     if (!isInSight || !mayWait) {
       const excluded = this.#components.selector.exclusions(this.#requirements());
       this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
@@ -230,6 +257,25 @@
     if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
+  /** Whether it can still end before this process does, if it is sent after `wait` milliseconds; a begun answer goes on. */
+  #canEnd(wait = 0): boolean {
+    return this.#answer.started || this.#timeToEnd.suffices(performance.now(), wait);
+  }
+
+  /** Refuses what this process has no time for: another one can take it now. */
+  #refuseForStop(): void {
+    this.#heldSince = undefined;
+    const reason = 'stop';
+    if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
+    const retryAfter = RETRY_ELSEWHERE * (1 + this.#components.random.fraction());
+    this.#finish({ type: 'unavailable', reason, retryAfter });
+  }
+
+  /** True where the promise that the request has not run cannot be made. */
+  get #mayHaveRun(): boolean {
+    return this.#runs > 0 || this.#use?.attempt.sent === true;
+  }
+
   #bodyToSend(): Buffer | Readable | null {
     if (this.#body.type === 'kept') return this.#body.bytes;
     return this.#body.type === 'streamed' ? this.#body.stream : null;
@@ -349,7 +395,7 @@
 
   #onTimeout(): void {
     if (this.#settled) return;
-    const mayHaveRun = this.#runs > 0 || this.#use?.attempt.sent === true;
+    const mayHaveRun = this.#mayHaveRun;
     const isSilent = this.#use?.hasAnswered === false && mayHaveRun;
     this.#use?.attempt.abort('timed out');
     this.#endAttempt(isSilent ? 'silent' : undefined);
@@ -382,7 +428,7 @@
     if (this.#id !== '') headers[this.#components.names.requestId] = this.#id;
     if (retryAfter !== undefined) headers['retry-after'] = retryAfter.toFixed(2);
     // What is left of a body would be taken for the next request.
-    if (this.#components.isLeaving() || !this.#request.complete) headers.connection = 'close';
+    if (this.#components.drain.isUnderWay || !this.#request.complete) headers.connection = 'close';
     this.#response.writeHead(status, headers);
     this.#response.end();
   }
@@ -394,6 +440,7 @@
     this.#use = undefined;
     const took = use.end();
     const { record, health } = use.row;
+    this.#timeToEnd.noteEnded(use.attempt, outcome === 'served', performance.now());
     if (outcome !== undefined)
       health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
     if (outcome !== 'served') return;
@@ -413,11 +460,14 @@
   }
 
   #age(): number {
-    return Math.round(performance.now() - this.#arrivedAt);
+    return Math.round(performance.now() - this.arrivedAt);
   }
 
   #log(message: string, fields: object): void {
-    this.#components.log.info(message, { request: this.#id, service: this.#service, ...fields });
+    const { drain, log } = this.#components;
+    const sinceStop = drain.elapsed(performance.now());
+    const ofStop = sinceStop === undefined ? {} : { sinceStopMs: Math.round(sinceStop) };
+    log.info(message, { request: this.#id, service: this.#service, ...ofStop, ...fields });
   }
 }
 
@@ -432,5 +482,6 @@
   if (error.type === 'unavailable' || error.type === 'notConfigured' || error.type === 'expired')
     return 'refused';
   if (error.type === 'timedOut') return 'timedOut';
+  if (error.type === 'stopped') return 'stopped';
   return error.type === 'backEndFailed' ? 'failed' : 'rejected';
 }
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -5,13 +5,17 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
+import { endsWithin } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
+import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import { type ArrivalsWithOutcome, DrainFigures } from './drain-figures.js';
 import { ForwardedRequest, type RequestOutcome } from './forwarded-request.js';
 import type { HeaderNames } from './header-names.js';
+import type { TimeToEndComponents } from './time-to-end.js';
 
 /** Time between two looks at requests in progress, in milliseconds. */
 const CHECK_INTERVAL = 50;
@@ -20,11 +24,19 @@
 /** Idle connections of callers outlast what they were told by this, in milliseconds. */
 const IDLE_MARGIN = 1_000;
 const DEFAULT_IDLE_TIMEOUT = 30_000;
+/** Last answers are given this long to go out at a stop, in milliseconds: callers that do not read are not waited for. */
+const FLUSH_LIMIT = 150;
+/**
+ * Once no new connections are taken, those whose callers could not be told to leave them stay open for this, in
+ * milliseconds: after the close, when the last ones have just been opened, and after an answer that began before the order
+ * to stop. A caller that is busy sends its next request within a round trip, far less.
+ */
+const LINGER = 300;
 /** Bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
 
 /** What requests are forwarded with. */
-export interface ForwardingComponents {
+export interface ForwardingComponents extends TimeToEndComponents {
   names: HeaderNames;
   /** Names that callers may not set, as this system does. */
   headersSet: ReadonlySet<string>;
@@ -34,7 +46,6 @@
   random: Random;
   log: Log;
   budgetOf(service: string): RetryWindow;
-  isLeaving(): boolean;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
 }
 
@@ -45,14 +56,26 @@
   readonly #active = new Set<ForwardedRequest>();
   readonly #counters: Partial<Record<RequestOutcome, number>> = {};
   readonly #latency: Histogram;
+  readonly #drainFigures: DrainFigures;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #acceptedAt = 0;
+  #isClosed = false;
+  /** Since when callers may be sending on connections that they were not told to leave: the close, and early answers. */
+  #lingersSince = Number.NEGATIVE_INFINITY;
+  /** Answers that have not gone out. */
+  readonly #responses = new Set<ServerResponse>();
+  #onFlushed: () => void = () => {};
 
-  constructor(address: string, components: Omit<ForwardingComponents, 'onSettled'>, metrics: Metrics) {
+  constructor(
+    address: string,
+    components: Omit<ForwardingComponents, 'onSettled' | 'durations'>,
+    metrics: Metrics,
+  ) {
     this.#address = address;
     this.#components = {
       ...components,
+      durations: new LongestDurations(),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
     this.#latency = new Histogram({
@@ -62,6 +85,7 @@
       buckets: LATENCY_BUCKETS,
       registers: [metrics.registry],
     });
+    this.#drainFigures = new DrainFigures(metrics);
     metrics.add([
       {
         name: 'forwarded',
@@ -78,6 +102,11 @@
     return this.#active.size;
   }
 
+  /** What became of requests that arrived after the order to stop. */
+  get arrivalsWhileDraining(): Readonly<Partial<Record<RequestOutcome, ArrivalsWithOutcome>>> {
+    return this.#drainFigures.byOutcome;
+  }
+
   async start(): Promise<void> {
     const [host, port] = this.#address.split(':');
     const server = createServer(
@@ -92,6 +121,7 @@
     this.#server = server;
     this.#components.fleet.listen({
       onConfiguration: ({ configuration }) => {
+        if (this.#isClosed) return;
         server.keepAliveTimeout = configuration.limits.idleTimeout + IDLE_MARGIN;
         server.headersTimeout = configuration.limits.headerTimeout + IDLE_MARGIN;
       },
@@ -103,20 +133,40 @@
     return performance.now() - this.#acceptedAt;
   }
 
-  /** Takes no new connection and ends idle ones; those in use end with their answers. */
-  close(): void {
-    this.#server?.close();
-    this.#server?.closeIdleConnections();
+  /**
+   * Takes no new connection and ends idle ones. Those in use end with their answers: at once where the caller was told, and
+   * otherwise when it has had the time to send its next request there, whose answer tells it.
+   */
+  async close(): Promise<void> {
+    // Right after the event loop has accepted and read what was there, so that as little as can be is reset unread.
+    await new Promise((resolve) => setImmediate(resolve));
+    if (this.#server === undefined) return;
+    this.#isClosed = true;
+    this.#lingersSince = performance.now();
+    this.#server.keepAliveTimeout = LINGER;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** True once each answer is out and no caller may still be using a connection that it was not told to leave. */
+  get isSettled(): boolean {
+    return this.#responses.size === 0 && performance.now() - this.#lingersSince > LINGER;
   }
 
   async stop(): Promise<void> {
     clearInterval(this.#timer);
+    // What is still read while the last answers go out is refused.
+    this.#components.drain.finish(performance.now());
+    for (const request of this.#active) request.stop();
+    await endsWithin(this.#flushed(), FLUSH_LIMIT);
     this.#server?.closeAllConnections();
     this.#server?.close();
     this.#server = undefined;
   }
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
+    this.#responses.add(response);
+    response.once('close', () => this.#onResponseClosed(response));
     const forwarded = new ForwardedRequest(this.#components, request, response);
     this.#active.add(forwarded);
     this.#acceptedAt = performance.now();
@@ -124,6 +174,23 @@
     forwarded.start().catch((cause) => forwarded.abandon(cause));
   }
 
+  #arrivedAfterOrder({ arrivedAt }: ForwardedRequest): boolean {
+    return (this.#components.drain.elapsed(arrivedAt) ?? -1) >= 0;
+  }
+
+  /** Resolves when each answer has gone out, or its caller has. */
+  #flushed(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#onFlushed = resolve;
+      if (this.#responses.size === 0) resolve();
+    });
+  }
+
+  #onResponseClosed(response: ServerResponse): void {
+    this.#responses.delete(response);
+    if (this.#responses.size === 0) this.#onFlushed();
+  }
+
   #check(): void {
     const now = performance.now();
     for (const request of this.#active) request.check(now);
@@ -134,7 +201,10 @@
 
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
+    if (!this.#arrivedAfterOrder(request)) this.#lingersSince = performance.now();
     this.#counters[outcome] = (this.#counters[outcome] ?? 0) + 1;
     this.#latency.observe({ outcome }, milliseconds / 1_000);
+    if (!this.#arrivedAfterOrder(request)) return;
+    this.#drainFigures.note(outcome, this.#components.drain.elapsed(request.arrivedAt) ?? 0);
   }
 }
