Tests of when a repetition is counted: two fail on the code as it is

Cause: a request that an engine refused pays for its repetition at once. It may then wait for seconds for an engine to send it to, or end without one: the repetition arrives in a span in which it is not counted, or was paid for in vain. Change: two tests with an entry's forwarding and scripted engines. Result: 2 failed, as meant: 1 repetition is counted while the request waits, and 1 for a request that no other engine gets.

--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -1,4 +1,5 @@
 /** Requests for engines when none can take them at once. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import type { EngineNews } from '../../src/forwarding/back-end-table.js';
@@ -41,9 +42,9 @@
 let forwarding: ForwardingHarness;
 
 /** The engine's agent tells, as of now. */
-function tell(news: Partial<EngineNews>): void {
+function tell(news: Partial<EngineNews>, of = engine): void {
   const toldAt = performance.now();
-  forwarding.backEnds.takeNews(engine.address, {
+  forwarding.backEnds.takeNews(of.address, {
     version: 0,
     isReached: true,
     isSwitching: false,
@@ -117,6 +118,35 @@
   });
 });
 
+describe('a request that an engine has refused', () => {
+  it('is counted as a repetition once it goes out again, not while it waits for capacity', async () => {
+    engine.answer(reply(503, '', { 'x-not-run': '1' }));
+    tell({ version: 1 });
+    const second = await new StandInBackEnd(reply(200, 'served')).start();
+    try {
+      forwarding.list(['one', engine, LISTED], ['two', second]);
+      tell({ switchAt: performance.now() + 300 }, second);
+      const answer = forwarding.send('/write/', COMES_AGAIN);
+      await until(() => engine.requests.length === 1, 'the first engine to refuse it');
+      await sleep(200);
+      expect(forwarding.budget.granted).toBe(0);
+      tell({ version: 1 }, second);
+      expect(await answer).toMatchObject({ status: 200, body: 'served' });
+      expect(forwarding.budget.granted).toBe(1);
+    } finally {
+      await second.stop();
+    }
+  });
+
+  it('is not counted where no engine takes it in the end', async () => {
+    engine.answer(reply(503, '', { 'x-not-run': '1' }));
+    tell({ version: 1 });
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(503);
+    expect(engine.requests).toHaveLength(1);
+    expect(forwarding.budget.granted).toBe(0);
+  });
+});
+
 describe('an engine whose version expires', () => {
   const BOUND = 8_000;
   /** The next version is named so that the one before expires after `milliseconds`. */
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -64,6 +64,7 @@
 export class ForwardingHarness {
   readonly fleet = new FleetView();
   readonly backEnds = new BackEndTable();
+  readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
   #address = '';
@@ -81,7 +82,7 @@
   }
 
   async start(configuration: FleetConfiguration): Promise<void> {
-    const { fleet, backEnds } = this;
+    const { fleet, backEnds, budget } = this;
     const random = seededRandom(7);
     const selector = new BackEndSelector({
       fleet,
@@ -92,7 +93,6 @@
       versionBound: 8_000,
       entryCount: () => 1,
     });
-    const budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
     const headersSet = new Set([
       'x-key',
       'x-tenant',
