A repetition is paid for as it goes out

Cause: see the tests before: it was paid for when the back end refused or failed, seconds before it went out, or for nothing. Change: a request that has reached a back end, or may have, is a repetition from then on. Each further send takes one from the budget just before it goes out; a request that waits is refused at once when the budget has none any more. What was not sent stays unpaid, and pays again after a paid send that did not go out.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -77,6 +77,8 @@
   #sends = 0;
   /** Back ends that may have run it. */
   #runs = 0;
+  /** It has reached a back end, or may have: each further send is a repetition, and is paid for as it goes out. */
+  #isRepetition = false;
   /** Since when it waits for capacity. */
   #heldSince: number | undefined;
   readonly #answer: CallerAnswer;
@@ -131,7 +133,7 @@
     if (!use.hasAnswered && this.#components.selector.mustWithdraw(row, now))
       return attempt.withdraw('version expires');
     if (!this.#isSilent(now, use)) return;
-    if (!this.#components.budgetOf(this.#service).spend(performance.now())) return;
+    if (!this.#mayRepeat()) return;
     this.#log('back end silent', { backEnd: row.record.id, silentMs: Math.round(now - use.progressAt) });
     attempt.fail('silent');
   }
@@ -166,6 +168,8 @@
     if (selection === undefined) return this.#holdOrGiveUp();
     if (selection.expectedWait > this.#timing.longestWait(this.#sends > 0))
       return this.#giveUp('back ends full');
+    if (this.#isRepetition && !this.#components.budgetOf(this.#service).spend(performance.now()))
+      return this.#giveUp('no budget');
     this.#heldSince = undefined;
     const { row } = selection;
     this.#tried.add(row.record.id);
@@ -214,6 +218,7 @@
 
   /** Waits for capacity that is in sight; gives up at once where it is not. */
   #holdOrGiveUp(): void {
+    if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     const now = performance.now();
     const capacity = this.#components.selector.expectedCapacity(this.#service);
     const wasHeld = this.#heldSince !== undefined;
@@ -281,10 +286,10 @@
 
   /** Sends a request whose back end failed to another one; false where that may not be. */
   #tryAgainAfter(reason: string): boolean {
-    if (!this.#mayRunAgain() || !this.#components.budgetOf(this.#service).spend(performance.now()))
-      return false;
+    if (!this.#mayRunAgain() || !this.#mayRepeat()) return false;
     this.#endAttempt('failed');
     this.#runs++;
+    this.#isRepetition = true;
     this.#answer.forget();
     this.#log('sent again', { reason, sends: this.#sends });
     this.#send();
@@ -295,10 +300,10 @@
     const { row } = this.#use!;
     this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
     this.#endAttempt(outcomeOf(failure));
+    if (failure.type !== 'notSent') this.#isRepetition = true;
     if (failure.type === 'broken' || failure.type === 'withdrawn') return this.#onBroken(failure.reason);
     if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
-    if (failure.type === 'refused' && !this.#components.budgetOf(this.#service).spend(performance.now()))
-      return this.#giveUp('no budget');
+    if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     if (this.#body.type === 'streamed' && failure.type === 'refused') return this.#giveUp('body not kept');
     this.#send();
   }
@@ -306,11 +311,7 @@
   #onBroken(reason: string): void {
     this.#runs++;
     this.#answer.forget();
-    const isPaidFor = reason === 'silent';
-    const mayGoOn =
-      this.#mayRunAgain(this.#runs) &&
-      (isPaidFor || this.#components.budgetOf(this.#service).spend(performance.now()));
-    if (mayGoOn) {
+    if (this.#mayRunAgain(this.#runs) && this.#mayRepeat()) {
       this.#log('sent again', { reason, sends: this.#sends, after: this.#answer.lastEventId });
       return this.#send();
     }
@@ -318,6 +319,11 @@
     this.#finish({ type: 'backEndFailed', reason });
   }
 
+  /** Whether the budget has a repetition now; it is taken only as the request goes out, which may be later. */
+  #mayRepeat(): boolean {
+    return this.#components.budgetOf(this.#service).allows(performance.now());
+  }
+
   /** Whether one more back end may run the request. */
   #mayRunAgain(runs = this.#runs + 1): boolean {
     const { repeatability, maxAttempts } = this.#route;
