--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -67,6 +67,7 @@
   readonly backEnds = new BackEndTable();
   readonly metrics = new Metrics('test');
   readonly drain = new DrainSchedule({ graceTime: 8_000, addressLifetime: 1_000 });
+  readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
   #address = '';
@@ -84,7 +85,7 @@
   }
 
   async start(configuration: FleetConfiguration): Promise<void> {
-    const { fleet, backEnds } = this;
+    const { fleet, backEnds, budget } = this;
     const random = seededRandom(7);
     const selector = new BackEndSelector({
       fleet,
@@ -95,7 +96,6 @@
       versionBound: 8_000,
       entryCount: () => 1,
     });
-    const budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
     const headersSet = new Set([
       'x-key',
       'x-tenant',
