A kept connection that goes silent is told from a silent back end

Cause: Silence was judged by the back end as a whole, so that one dead connection to a busy back end held its request until the time was over. The client library's pool does not tell which connection a request uses, nor when it was last heard. Apart from that, a left-out back end whose one trial request ended without an outcome (its caller left, or it was withdrawn) was never tried again: the mark of the trial was taken away only by an outcome.

Change: Connections to a back end are kept by this code, one client of the library each; the latest used is used first. A request on a kept connection on which nothing came is given up after the usual limit where a request that was sent later and is no more urgent has been answered, or after four usual times to a first answer; it is sent again, to the same back end where no other can take it. Idle connections that were last heard before are closed, and those to all back ends once two are concerned within 1.5 s. Where nothing at all came from the back end, one request may try it over a new connection. A counter of silent connections; the log line of a silent back end says which it is. A trial without an outcome makes room for the next.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
+import type { BackEndConnection } from './back-end-connection.js';
 import type { BackEndConnections } from './back-end-connections.js';
 import type { HeaderNames } from './header-names.js';
 
@@ -34,6 +35,8 @@
   | { type: 'refused'; status: number }
   /** The request went out, and the answer is missing, cut or another request's. */
   | { type: 'broken'; reason: string }
+  /** Nothing came on a kept connection: it may have run. `isBackEndHeard` where the back end went on with others. */
+  | { type: 'silentConnection'; reason: string; isBackEndHeard: boolean }
   /** This process has ended it, through no fault of the back end, which may have run the request. */
   | { type: 'withdrawn'; reason: string };
 
@@ -55,6 +58,7 @@
   readonly #names: HeaderNames;
   readonly #listener: AttemptListener;
   #connections: BackEndConnections | undefined;
+  #connection: BackEndConnection | undefined;
   #controller: Dispatcher.DispatchController | undefined;
   #ended = false;
 
@@ -69,10 +73,17 @@
     return this.#controller !== undefined;
   }
 
+  /** True while nothing has come on a kept connection since it was sent there. */
+  get isOnSilentConnection(): boolean {
+    return this.sent && this.#connection?.isSilent === true;
+  }
+
   send(connections: BackEndConnections): void {
     const { method, path, headers, body } = this.#request;
     this.#connections = connections;
-    connections.pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this);
+    const options = { method: method as Dispatcher.HttpMethod, path, headers, body };
+    this.#connection = connections.dispatch(options, this);
+    if (this.#connection === undefined) this.fail('no free connection');
   }
 
   /** Ends the attempt; the connection closes, so that the back end stops working on it. Tells the listener nothing. */
@@ -90,6 +101,14 @@
     this.#listener.onFailure(failure);
   }
 
+  /** Gives up an attempt on a kept connection that went silent. */
+  failSilentConnection(isBackEndHeard: boolean): void {
+    if (this.#ended) return;
+    const reason = 'silent connection';
+    this.abort(reason);
+    this.#listener.onFailure({ type: 'silentConnection', reason, isBackEndHeard });
+  }
+
   /** Ends an attempt that could go wrong, and tells why. */
   withdraw(reason: string): void {
     if (this.#ended) return;
--- a/src/forwarding/back-end-connections.ts
+++ b/src/forwarding/back-end-connections.ts
@@ -2,38 +2,24 @@
  * Kept connections to one back end. The client library takes an answer without a length for whole when its connection is
  * reset, which it is not: whether a connection is being interrupted can be asked here while the library tells of an end.
  */
-import { buildConnector, Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+import { BackEndConnection } from './back-end-connection.js';
 
-/** Idle connections are kept this long where the back end says nothing, and at most, in milliseconds. */
-const IDLE_TIME = 20_000;
-const LONGEST_IDLE_TIME = 60_000;
-/** Time after which the client library gives a new connection up; requests give up sooner. */
-const CONNECT_LIMIT = 1_500;
 /** Most connections; what is in flight bounds them further. */
 const MOST_CONNECTIONS = 128;
 
 /** The connections. */
 export class BackEndConnections {
-  readonly pool: Pool;
+  readonly #address: string;
+  readonly #all = new Set<BackEndConnection>();
+  /** The latest used last: it is taken first, so that those that are not needed close. */
+  #idle: BackEndConnection[] = [];
   #isInterrupted = false;
+  #isClosed = false;
 
   /** @param address - `host:port` */
   constructor(address: string) {
-    const connector = buildConnector({ timeout: CONNECT_LIMIT });
-    this.pool = new Pool(`http://${address}`, {
-      connections: MOST_CONNECTIONS,
-      pipelining: 1,
-      keepAliveTimeout: IDLE_TIME,
-      keepAliveMaxTimeout: LONGEST_IDLE_TIME,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: (options, callback) =>
-        connector(options, (error, socket) => {
-          if (socket === null || error !== null) return callback(error as Error, null);
-          socket.prependListener('error', () => this.#noteInterruption());
-          callback(null, socket);
-        }),
-    });
+    this.#address = address;
   }
 
   /** True while the library handles the error of a connection: an answer that ends now is not whole. */
@@ -41,13 +27,56 @@
     return this.#isInterrupted;
   }
 
+  /**
+   * Sends a request over an idle connection or a new one; returns it, or undefined, without a word to the handler, where
+   * no more are allowed.
+   */
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): BackEndConnection | undefined {
+    const connection = this.#idle.pop() ?? this.#open();
+    connection?.dispatch(options, handler);
+    return connection;
+  }
+
+  /** Closes connections that have been idle since `time` or longer, in milliseconds of the steady clock. */
+  closeIdleSince(time: number): void {
+    const suspect = this.#idle.filter(({ idleSince }) => idleSince <= time);
+    this.#idle = this.#idle.filter(({ idleSince }) => idleSince > time);
+    for (const connection of suspect) this.#discard(connection);
+  }
+
   /** Idle connections close at once; requests in flight end first. */
   async close(): Promise<void> {
-    await this.pool.close();
+    this.#isClosed = true;
+    await Promise.all([...this.#all].map((connection) => connection.close()));
   }
 
   async destroy(): Promise<void> {
-    await this.pool.destroy();
+    this.#isClosed = true;
+    await Promise.all([...this.#all].map((connection) => connection.destroy()));
+  }
+
+  #open(): BackEndConnection | undefined {
+    if (this.#isClosed || this.#all.size >= MOST_CONNECTIONS) return undefined;
+    const connection = new BackEndConnection(this.#address, {
+      onIdle: (idle) => this.#keep(idle),
+      onClosed: (closed) => this.#discard(closed),
+      onInterruption: () => this.#noteInterruption(),
+    });
+    this.#all.add(connection);
+    return connection;
+  }
+
+  #keep(connection: BackEndConnection): void {
+    if (this.#all.has(connection) && !this.#idle.includes(connection)) this.#idle.push(connection);
+  }
+
+  #discard(connection: BackEndConnection): void {
+    this.#all.delete(connection);
+    this.#idle = this.#idle.filter((idle) => idle !== connection);
+    void connection.close().catch(() => {});
   }
 
   /** All listeners of an error run before the next tick. */
--- a/src/forwarding/back-end-health.ts
+++ b/src/forwarding/back-end-health.ts
@@ -11,6 +11,8 @@
   | 'failed'
   /** Nothing came from it: no connection, or silence. */
   | 'silent'
+  /** Nothing came from it, over a kept connection that may have gone silent while the back end works. */
+  | 'silentConnection'
   /** It refused, as it is full. */
   | 'overloaded'
   /** It refused, as it is not the one that was meant, or does not hold what was asked for. */
@@ -38,6 +40,7 @@
   #suspendedUntil = 0;
   #pausedUntil = 0;
   #isProbed = false;
+  #isInDoubt = false;
 
   /** Share of its latest requests that failed, 0 to 1. */
   get failureShare(): number {
@@ -49,9 +52,13 @@
     return this.#suspension > 0;
   }
 
-  /** Whether a request may go there now; only repeatable ones may try a suspended one. */
+  /**
+   * Whether a request may go there now; only repeatable ones may try a suspended one. One in doubt is tried by any request:
+   * over a new connection, which tells that it is not there before the request is sent.
+   */
   admits(now: number, isRepeatable: boolean): boolean {
     if (now < this.#pausedUntil) return false;
+    if (this.#isInDoubt && this.#isProbed) return false;
     if (!this.suspended) return true;
     return isRepeatable && now >= this.#suspendedUntil && !this.#isProbed;
   }
@@ -63,12 +70,28 @@
 
   /** A request goes there. */
   noteSent(): void {
-    if (this.suspended) this.#isProbed = true;
+    if (this.suspended || this.#isInDoubt) this.#isProbed = true;
+  }
+
+  /** An answer from there has begun. */
+  noteAnswering(): void {
+    this.#isInDoubt = false;
+  }
+
+  /** A request there has ended in a way that says nothing of it. */
+  noteAbandoned(): void {
+    this.#isProbed = false;
   }
 
   /** @param usualShare - share of failures that is usual among its peers */
   note(outcome: BackEndOutcome, now: number, usualShare: number): void {
     this.#isProbed = false;
+    if (outcome === 'silentConnection') {
+      this.#isInDoubt = true;
+      return;
+    }
+    const wasInDoubt = this.#isInDoubt;
+    this.#isInDoubt = false;
     if (outcome === 'overloaded' || outcome === 'misdirected') {
       this.#pausedUntil = now + (outcome === 'overloaded' ? OVERLOAD_PAUSE : MISDIRECTED_PAUSE);
       return;
@@ -83,7 +106,8 @@
     if (outcome === 'silent') this.#silences++;
     const isSuspect =
       this.#silences >= SILENCES_TO_SUSPEND || this.#failureShare > usualShare + EXCESS_TO_SUSPEND;
-    if (isSuspect || this.suspended) this.#suspend(now);
+    const isConfirmed = wasInDoubt && outcome === 'silent';
+    if (isSuspect || isConfirmed || this.suspended) this.#suspend(now);
   }
 
   #suspend(now: number): void {
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -13,6 +13,12 @@
 /** What an agent has read of its engine's version goes before the list for this long, in milliseconds. */
 const VERSION_LIFE = 2_500;
 
+/**
+ * Kept connections to two back ends that are found silent within this, in milliseconds, make those to all others suspect:
+ * chosen, above the longest time in which a silent connection that is in use is noticed.
+ */
+const SPREAD_TIME = 1_500;
+
 /** What an agent says of the engine beside it. */
 export interface EngineNews {
   /** Version whose layers are all there; 0 for none, or where that is not known. */
@@ -48,6 +54,8 @@
   timePerToken: number;
   /** When anything came from it last. */
   progressAt: number;
+  /** When the newest request that it has answered was sent, by the urgency of the request. */
+  answeredSends: Map<number, number>;
   news: EngineNews | undefined;
 }
 
@@ -55,6 +63,10 @@
 export class BackEndTable {
   readonly rows = new Map<string, BackEndRow>();
   readonly #rowsByService = new Map<string, Set<BackEndRow>>();
+  /** Kept connections found silent so far. */
+  silentConnections = 0;
+  /** The back end whose kept connection was found silent last, and when. */
+  #silentConnection: { id: string; at: number } | undefined;
 
   /** Follows changes of the list. */
   apply(changes: readonly BackEndChange[]): void {
@@ -90,6 +102,21 @@
     return busy.map(({ record, inFlight }) => [record.id, inFlight]);
   }
 
+  /**
+   * A kept connection to `row` has been silent since `since`: idle ones that were last heard before may be so too. Where
+   * another back end's has gone silent as well, that is true of all back ends.
+   */
+  noteSilentConnection(row: BackEndRow, since: number): void {
+    const now = performance.now();
+    const { id } = row.record;
+    this.silentConnections++;
+    const last = this.#silentConnection;
+    const isSpread = last !== undefined && last.id !== id && now - last.at < SPREAD_TIME;
+    const suspect = isSpread ? this.rows.values() : [row];
+    for (const { connections } of suspect) connections.closeIdleSince(since);
+    this.#silentConnection = { id, at: now };
+  }
+
   /** Share of failures that is usual among the back ends of a service. */
   usualFailureShare(service: string): number {
     const shares = [...this.ofService(service)]
@@ -136,6 +163,7 @@
     duration: 0,
     timePerToken: 0,
     progressAt: performance.now(),
+    answeredSends: new Map(),
     news: undefined,
   };
 }
@@ -174,6 +202,17 @@
   return now - toldAt < LOAD_LIFE;
 }
 
+/** A request of `urgency` that was sent at `sentAt` has been answered. */
+export function noteOvertaking({ answeredSends }: BackEndRow, urgency: number, sentAt: number): void {
+  answeredSends.set(urgency, Math.max(sentAt, answeredSends.get(urgency) ?? sentAt));
+}
+
+/** True where a request that is no more urgent than `urgency` and was sent after `sentAt` has been answered. */
+export function isOvertaken({ answeredSends }: BackEndRow, urgency: number, sentAt: number): boolean {
+  for (const [other, otherSentAt] of answeredSends) if (other >= urgency && otherSentAt > sentAt) return true;
+  return false;
+}
+
 /** Notes the time to a first answer. */
 export function noteFirstAnswer(row: BackEndRow, milliseconds: number, now: number): void {
   row.firstAnswerTime = blend(row.firstAnswerTime, milliseconds);
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -3,12 +3,20 @@
  * how long its answers take. Times are in milliseconds of the steady clock.
  */
 import type { Attempt } from './attempt.js';
-import { type BackEndRow, blend, noteFirstAnswer } from './back-end-table.js';
+import {
+  type BackEndRow,
+  type BackEndTable,
+  blend,
+  isOvertaken,
+  noteFirstAnswer,
+  noteOvertaking,
+} from './back-end-table.js';
 
 /** The use of one back end by one attempt. */
 export class BackEndUse {
   readonly row: BackEndRow;
   readonly attempt: Attempt;
+  readonly #urgency: number;
   readonly #promptTokens: number;
   readonly #answerTokens: number;
   /** True once the back end has read the prompt, or the attempt has ended. */
@@ -16,11 +24,22 @@
   #answeredAt: number | undefined;
   #firstAnswerAfter: number | undefined;
   #progressAt: number;
+  #hasSuspectedConnections = false;
 
-  /** @param answerTokens - tokens that the answer may have; 0 where that is not known */
-  constructor(row: BackEndRow, attempt: Attempt, promptTokens: number, answerTokens: number) {
+  /**
+   * @param urgency - the place that it has in the back end's queue, 0 first
+   * @param answerTokens - tokens that the answer may have; 0 where that is not known
+   */
+  constructor(
+    row: BackEndRow,
+    attempt: Attempt,
+    urgency: number,
+    promptTokens: number,
+    answerTokens: number,
+  ) {
     this.row = row;
     this.attempt = attempt;
+    this.#urgency = urgency;
     this.#promptTokens = promptTokens;
     this.#answerTokens = answerTokens;
     this.#progressAt = performance.now();
@@ -45,10 +64,17 @@
     return this.#progressAt;
   }
 
+  /** True where a request that was sent there later, and is no more urgent, has been answered. */
+  get isOvertaken(): boolean {
+    return isOvertaken(this.row, this.#urgency, this.attempt.startedAt);
+  }
+
   /** The head of an answer has come. */
   noteHead(): void {
     this.#noteProgress();
     this.#answeredAt ??= this.#progressAt;
+    this.row.health.noteAnswering();
+    noteOvertaking(this.row, this.#urgency, this.attempt.startedAt);
   }
 
   /** A part of the answer has come: the prompt has been read. */
@@ -68,6 +94,13 @@
     noteFirstAnswer(this.row, this.#firstAnswerAfter, now);
   }
 
+  /** Its kept connection is silent: the idle ones that were last heard before it was sent are not used again. */
+  suspectConnections(table: BackEndTable): void {
+    if (this.#hasSuspectedConnections) return;
+    this.#hasSuspectedConnections = true;
+    table.noteSilentConnection(this.row, this.attempt.startedAt);
+  }
+
   /** The attempt has ended; returns how long it took, in milliseconds. */
   end(): number {
     this.noteRead();
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -21,17 +21,10 @@
 import type { ForwardingComponents } from './forwarding-server.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
 import { RequestTiming } from './request-timing.js';
+import { type Silence, silenceOf } from './silence.js';
 
 /** A new connection that is not there after this is given up, in milliseconds. */
 const CONNECT_LIMIT = 400;
-/** A back end that owes a first answer and says nothing to anybody for this many objectives is silent. */
-const SILENT_OBJECTIVES = 2;
-/** Bounds of that time, in milliseconds. */
-const SHORTEST_SILENCE = 350;
-const LONGEST_SILENCE = 1_200;
-/** A stream that owes an event for this many of its longest pauses stands still. */
-const SILENT_PAUSES = 2;
-const SHORTEST_STREAM_SILENCE = 600;
 /** A request that is refused comes back after this, in seconds, times 1 to 2. */
 const RETRY_AFTER = 0.4;
 /** Callers are not asked to wait longer than this for capacity that is to come, in seconds. */
@@ -127,13 +120,21 @@
       if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
       return;
     }
+    const silence = this.#silence(now, use);
+    if (silence === 'connection') use.suspectConnections(this.#components.backEnds);
     if (!this.#mayRunAgain()) return;
     if (!use.hasAnswered && this.#components.selector.mustWithdraw(row, now))
       return attempt.withdraw('version expires');
-    if (!this.#isSilent(now, use)) return;
-    if (!this.#components.budgetOf(this.#service).spend(performance.now())) return;
-    this.#log('back end silent', { backEnd: row.record.id, silentMs: Math.round(now - use.progressAt) });
-    attempt.fail('silent');
+    if (silence !== 'none') this.#giveUpSilent(use, silence, now);
+  }
+
+  #giveUpSilent(use: BackEndUse, silence: Exclude<Silence, 'none'>, now: number): void {
+    if (!this.#components.budgetOf(this.#service).spend(now)) return;
+    const silentFor = Math.round(now - use.progressAt);
+    this.#log('back end silent', { backEnd: use.row.record.id, silence, silentMs: silentFor });
+    if (silence === 'backEnd') return use.attempt.fail('silent');
+    use.suspectConnections(this.#components.backEnds);
+    use.attempt.failSilentConnection(silence === 'connection');
   }
 
   /** Finds route, tenant and time; returns why the request cannot be sent. */
@@ -186,7 +187,8 @@
         onFailure: (failure) => this.#onFailure(failure),
       },
     );
-    this.#use = new BackEndUse(row, attempt, this.#promptTokens, this.#answerTokens);
+    const urgency = this.#timing.urgency(this.#urgency, performance.now());
+    this.#use = new BackEndUse(row, attempt, urgency, this.#promptTokens, this.#answerTokens);
     this.#log('sent', {
       send: this.#sends,
       backEnd: row.record.id,
@@ -295,7 +297,8 @@
     const { row } = this.#use!;
     this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
     this.#endAttempt(outcomeOf(failure));
-    if (failure.type === 'broken' || failure.type === 'withdrawn') return this.#onBroken(failure.reason);
+    if (failure.type === 'silentConnection') this.#allowAgain(row);
+    if (failure.type !== 'notSent' && failure.type !== 'refused') return this.#onBroken(failure);
     if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
     if (failure.type === 'refused' && !this.#components.budgetOf(this.#service).spend(performance.now()))
       return this.#giveUp('no budget');
@@ -303,10 +306,16 @@
     this.#send();
   }
 
-  #onBroken(reason: string): void {
+  /** A back end whose connection was at fault takes the request over another one where no other back end can. */
+  #allowAgain({ record }: BackEndRow): void {
+    const isOther = this.#components.selector.select(this.#requirements()) !== undefined;
+    if (!isOther) this.#tried.delete(record.id);
+  }
+
+  #onBroken({ type, reason }: AttemptFailure & { reason: string }): void {
     this.#runs++;
     this.#answer.forget();
-    const isPaidFor = reason === 'silent';
+    const isPaidFor = type === 'silentConnection' || reason === 'silent';
     const mayGoOn =
       this.#mayRunAgain(this.#runs) &&
       (isPaidFor || this.#components.budgetOf(this.#service).spend(performance.now()));
@@ -327,14 +336,19 @@
     return repeatability === 'resumable' && this.#answer.isEventStream;
   }
 
-  #isSilent(now: number, { row, progressAt }: BackEndUse): boolean {
-    const { objective, longestPause } = this.#route;
-    const isStreaming = this.#answer.started;
-    const limit = isStreaming
-      ? Math.max(SHORTEST_STREAM_SILENCE, SILENT_PAUSES * longestPause)
-      : Math.min(LONGEST_SILENCE, Math.max(SHORTEST_SILENCE, SILENT_OBJECTIVES * objective));
-    const isOwed = now - progressAt > limit;
-    return isOwed && (isStreaming || now - row.progressAt > limit);
+  #silence(now: number, use: BackEndUse): Silence {
+    const { row, attempt, progressAt, isOvertaken } = use;
+    const awaited = {
+      route: this.#route,
+      sentAt: attempt.startedAt,
+      progressAt,
+      isStreaming: this.#answer.started,
+      isOnSilentConnection: attempt.isOnSilentConnection,
+      isOvertaken,
+      backEndProgressAt: row.progressAt,
+      usualFirstAnswer: row.firstAnswerTime,
+    };
+    return silenceOf(awaited, now);
   }
 
   /** No back end can take the request now. */
@@ -349,10 +363,12 @@
 
   #onTimeout(): void {
     if (this.#settled) return;
-    const mayHaveRun = this.#runs > 0 || this.#use?.attempt.sent === true;
-    const isSilent = this.#use?.hasAnswered === false && mayHaveRun;
-    this.#use?.attempt.abort('timed out');
-    this.#endAttempt(isSilent ? 'silent' : undefined);
+    const use = this.#use;
+    const mayHaveRun = this.#runs > 0 || use?.attempt.sent === true;
+    const outcome = use === undefined ? undefined : outcomeAtTimeout(use);
+    if (use?.attempt.isOnSilentConnection) use.suspectConnections(this.#components.backEnds);
+    use?.attempt.abort('timed out');
+    this.#endAttempt(outcome);
     if (this.#answer.started) return this.#cut('timed out');
     this.#finish(mayHaveRun ? { type: 'timedOut' } : { type: 'expired' });
   }
@@ -394,8 +410,8 @@
     this.#use = undefined;
     const took = use.end();
     const { record, health } = use.row;
-    if (outcome !== undefined)
-      health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
+    if (outcome === undefined) health.noteAbandoned();
+    else health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
     if (outcome !== 'served') return;
     use.noteServed(took);
     this.#log('served', {
@@ -421,8 +437,15 @@
   }
 }
 
+/** A back end that has said nothing is silent, unless its connection alone is. */
+function outcomeAtTimeout({ attempt, hasAnswered, isOvertaken }: BackEndUse): BackEndOutcome | undefined {
+  if (hasAnswered || !attempt.sent) return undefined;
+  return attempt.isOnSilentConnection && isOvertaken ? undefined : 'silent';
+}
+
 function outcomeOf(failure: AttemptFailure): BackEndOutcome | undefined {
   if (failure.type === 'withdrawn') return undefined;
+  if (failure.type === 'silentConnection') return failure.isBackEndHeard ? undefined : 'silentConnection';
   if (failure.type === 'refused') return failure.status === MISDIRECTED ? 'misdirected' : 'overloaded';
   if (failure.type === 'notSent' || failure.reason === 'silent') return 'silent';
   return 'failed';
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -70,6 +70,11 @@
         read: () => ({ ...this.#counters }) as Record<string, number>,
       },
       { name: 'forwarded_in_progress', help: 'Requests in progress', read: () => this.active },
+      {
+        name: 'silent_connections',
+        help: 'Kept connections to back ends on which nothing came any more',
+        read: () => components.backEnds.silentConnections,
+      },
     ]);
   }
 
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -1,5 +1,5 @@
 /** An entry's forwarding on a free port, with a fleet that a test declares, and a caller. */
-import { request as httpRequest } from 'node:http';
+import { type ClientRequest, request as httpRequest } from 'node:http';
 import { freeAddress } from '../../bench/processes/child.js';
 import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
 import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
@@ -145,6 +145,16 @@
     });
   }
 
+  /** Sends a request without a body whose caller is going to leave. */
+  open(path: string): ClientRequest {
+    const [host, port] = this.#address.split(':');
+    const headers = { host: 'api.example', 'x-request': `r${++this.#requests}`, 'x-key': 'key-a' };
+    const sent = httpRequest({ host, port, path, headers });
+    sent.on('error', () => {});
+    sent.end();
+    return sent;
+  }
+
   /** Sends a request as a caller does. */
   send(path: string, { method = 'GET', headers, body }: SentRequest = {}): Promise<Answer> {
     const [host, port] = this.#address.split(':');
--- a/test/forwarding/silent-connections.test.ts
+++ b/test/forwarding/silent-connections.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
 import { SilentProxy } from '../silent-proxy.js';
+import { until } from '../support.js';
 import { type Answer, ForwardingHarness } from './forwarding-harness.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
@@ -115,3 +116,22 @@
     expect(backEnd.requests.filter(({ url }) => url === '/start/').length).toBe(4);
   });
 });
+
+describe('a back end that is left out', () => {
+  it('is tried again after the request that tried it was left by its caller', async () => {
+    backEnd.answer(() => {});
+    const silences = Array.from({ length: 3 }, () => forwarding.send('/read/').catch(() => undefined));
+    await Promise.all(silences);
+    await until(
+      () => forwarding.backEnds.rows.get('one')!.health.admits(performance.now(), true),
+      'the trial',
+    );
+    const seen = backEnd.requests.length;
+    const trial = forwarding.open('/read/');
+    await until(() => backEnd.requests.length > seen, 'the trial reaches the back end');
+    trial.destroy();
+    await until(() => forwarding.backEnds.rows.get('one')!.inFlight === 0, 'the trial has ended');
+    backEnd.answer(answer);
+    expect((await forwarding.send('/read/')).status).toBe(200);
+  });
+});
