--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -2,45 +2,11 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
-import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
 import { StoreSync } from '../../src/fleet/store-sync.js';
 import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
 import { until } from '../support.js';
-
-const LIMITS = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
-
-const decoder: RecordDecoder = {
-  operatorTable: 'operator',
-  backEndTable: 'backEnds',
-  operatorRecord(row) {
-    if (row.value === undefined) return undefined;
-    if (row.key === 'configuration')
-      return { type: 'configuration', document: decoder.configuration(row.value)! };
-    return { type: 'namedVersion', model: row.key, version: Number(row.value.toString()) };
-  },
-  configuration: (document) => ({
-    document,
-    configuration: {
-      revision: Number(document.toString()),
-      routes: [],
-      services: [],
-      origin: undefined,
-      limits: LIMITS,
-      tenants: undefined,
-    },
-  }),
-  backEnd: (row) => ({
-    id: row.key,
-    service: 's',
-    address: '127.0.0.1:1',
-    zone: 'z',
-    slots: 1,
-    leaving: row.value!.toString() === 'leaving',
-    layers: undefined,
-    revision: row.revision,
-  }),
-};
+import { textRecords as decoder } from './text-records.js';
 
 let store: MemoryStore;
 let fleet: FleetView;
--- /dev/null
+++ b/test/fleet/text-records.ts
@@ -0,0 +1,37 @@
+/** Records of a store as plain text: a configuration is its revision, a back end is `ready` or `leaving`. */
+import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+
+const LIMITS = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
+
+/** Their decoder. */
+export const textRecords: RecordDecoder = {
+  operatorTable: 'operator',
+  backEndTable: 'backEnds',
+  operatorRecord(row) {
+    if (row.value === undefined) return undefined;
+    if (row.key === 'configuration')
+      return { type: 'configuration', document: textRecords.configuration(row.value)! };
+    return { type: 'namedVersion', model: row.key, version: Number(row.value.toString()) };
+  },
+  configuration: (document) => ({
+    document,
+    configuration: {
+      revision: Number(document.toString()),
+      routes: [],
+      services: [],
+      origin: undefined,
+      limits: LIMITS,
+      tenants: undefined,
+    },
+  }),
+  backEnd: (row) => ({
+    id: row.key,
+    service: 's',
+    address: '127.0.0.1:1',
+    zone: 'z',
+    slots: 1,
+    leaving: row.value!.toString() === 'leaving',
+    layers: undefined,
+    revision: row.revision,
+  }),
+};
