Tests: callers that go, in each state of their request, and callers that do not read for a while

Cause: What runs for a caller that has closed its connection must end within 0.5 s. One test covered one state: a back end that works on a request, and a caller that closes both directions. A back end whose stream the caller does not read was never tested.

Change: Eight states (at work, streaming, streaming unread with full buffers, body coming, long body on its way, no connection yet, held, sent to a second back end), each with a caller that closes, resets, or ends its side only; and a caller that reads on after 1.5 s. No code changes.

--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -80,6 +80,11 @@
     return this.#address;
   }
 
+  /** Requests in progress. */
+  get active(): number {
+    return this.#server?.active ?? 0;
+  }
+
   async start(configuration: FleetConfiguration): Promise<void> {
     const { fleet, backEnds } = this;
     const random = seededRandom(7);
--- a/test/forwarding/stand-in-back-end.ts
+++ b/test/forwarding/stand-in-back-end.ts
@@ -15,6 +15,10 @@
   }> = [];
   /** Requests whose connection closed before their answer was whole. */
   cancelled = 0;
+  /** Requests whose connection is open and whose answer is not whole. */
+  open = 0;
+  /** Where false, bodies are left unread, and scripts are not run for requests that have one. */
+  readsBodies = true;
   #server: Server | undefined;
   #script: Script;
 
@@ -32,11 +36,16 @@
 
   async start(): Promise<this> {
     const server = createServer(async (request, response) => {
+      this.open++;
       response.on('close', () => {
+        this.open--;
         if (!response.writableFinished) this.cancelled++;
       });
+      if (!this.readsBodies) return;
       const parts: Buffer[] = [];
-      for await (const part of request) parts.push(part as Buffer);
+      // A caller that breaks off is counted above.
+      await readInto(parts, request).catch(() => {});
+      if (!request.complete) return;
       const body = Buffer.concat(parts);
       const { method = '', url = '', headers } = request;
       this.requests.push({ method, url, headers, body: body.toString('utf8') });
@@ -53,6 +62,10 @@
   }
 }
 
+async function readInto(parts: Buffer[], request: IncomingMessage): Promise<void> {
+  for await (const part of request) parts.push(part as Buffer);
+}
+
 /** Answers with a status, a body and the request's identity. */
 export function reply(status: number, body: string, headers: Record<string, string> = {}): Script {
   return (request, response) => {
