A caller that ends its side is gone, also with full buffers; one that does not read is owed nothing

Cause: That a caller has gone was told by the close of its answer, which comes only after what is buffered has gone out: a caller that does not read takes nothing more. And a back end that was not let send, as the caller did not read, counted as silent after two pauses of its stream; the answer was cut, or begun again elsewhere.

Change: The end of the caller's side ends its request and its connection. While the answer waits for the caller, the back end owes nothing.

--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -83,6 +83,11 @@
     this.noteRead();
   }
 
+  /** The caller does not read: the back end is not let send, and owes nothing at `now`. */
+  noteCallerBlocks(now: number): void {
+    this.#progressAt = now;
+  }
+
   /** The back end has read the prompt, or will not. */
   noteRead(): void {
     if (this.#isRead) return;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -75,6 +75,7 @@
   readonly #answer: CallerAnswer;
   #version: number | undefined;
   #settled = false;
+  readonly #onCallerEnded = () => this.#endCaller();
 
   constructor(components: ForwardingComponents, request: IncomingMessage, response: ServerResponse) {
     this.#components = components;
@@ -83,6 +84,8 @@
     this.#id = String(request.headers[components.names.requestId] ?? '');
     this.#answer = new CallerAnswer(request, response, components.isLeaving);
     response.on('close', () => this.#onCallerGone());
+    // The answer closes only once what is buffered has gone out, which a caller that has gone does not read.
+    request.socket.once('end', this.#onCallerEnded);
     response.on('error', () => {});
     request.on('error', () => {});
   }
@@ -120,6 +123,7 @@
       if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
       return;
     }
+    if (this.#response.writableNeedDrain) return use.noteCallerBlocks(now);
     const silence = this.#silence(now, use);
     if (silence === 'connection') use.suspectConnections(this.#components.backEnds);
     if (!this.#mayRunAgain()) return;
@@ -373,6 +377,13 @@
     this.#finish(mayHaveRun ? { type: 'timedOut' } : { type: 'expired' });
   }
 
+  /** The caller has closed its side, so that it will not read what is buffered for it either. */
+  #endCaller(): void {
+    if (this.#settled) return;
+    this.#onCallerGone();
+    this.#response.destroy();
+  }
+
   #onCallerGone(): void {
     if (this.#settled) return;
     this.#log('caller left', { backEnd: this.#use?.row.record.id, ageMs: this.#age() });
@@ -425,6 +436,7 @@
   #settle(outcome: RequestOutcome): void {
     this.#settled = true;
     clearTimeout(this.#timer);
+    this.#request.socket.off('end', this.#onCallerEnded);
     this.#components.onSettled(this, outcome, this.#age());
   }
 
