Tests: connections between entries that go silent without a reset

Cause: An entry that does not hear the others for a while takes itself for alone.

Change: A test of two entries, in one zone and in two, whose connections are silenced. No code changes.

--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -1,5 +1,5 @@
 /** Entries that find one another. */
-import { afterEach, it } from 'vitest';
+import { afterEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
@@ -12,8 +12,12 @@
   ConnectionListener,
   createTrafficCounters,
 } from '../../src/protocol/connection.js';
+import { SilentProxy } from '../silent-proxy.js';
 import { until } from '../support.js';
 
+/** Entries must hear one another again this long after their connections went silent, in milliseconds. */
+const HEARD_WITHIN = 2_800;
+
 const started: Array<{ stop(): Promise<void> }> = [];
 
 afterEach(async () => {
@@ -38,32 +42,46 @@
   };
 }
 
-async function startEntry(id: string, address: string, seeds: string[]): Promise<EntryPeers> {
+interface EntryInit {
+  /** Where it listens; at the address that it tells, where nothing is said. */
+  listensAt?: string;
+  zone?: string;
+  /** Its newest configuration. */
+  revision?: () => number;
+  onReport?: (report: EntryReport) => void;
+}
+
+async function startEntry(
+  id: string,
+  address: string,
+  seeds: string[],
+  { listensAt = address, zone = 'zone-a', revision = () => 0, onReport = () => {} }: EntryInit = {},
+): Promise<EntryPeers> {
   const context: ConnectionContext = {
     clock: new HybridClock(),
     counters: createTrafficCounters(),
     hello: () => ({
       type: 'hello',
       role: 'entry',
-      peer: { id, address, place: 'zone-a', region: 'region-a', zone: 'zone-a' },
+      peer: { id, address, place: zone, region: 'region-a', zone },
     }),
   };
   const peers = new EntryPeers({
     context,
     address,
-    zone: 'zone-a',
+    zone,
     seeds,
     fleet: new FleetView(),
     decoder: {} as RecordDecoder,
     hearsStore: () => true,
     // None are told in their turn while this test runs.
     addressesInterval: 3_600_000,
-    report: () => reportOf(id, address),
-    onReport: () => {},
+    report: () => ({ ...reportOf(id, address), zone, configurationRevision: revision() }),
+    onReport,
     log: silentLog,
   });
   const listener = new ConnectionListener(
-    address,
+    listensAt,
     context,
     (connection) => peers.accept(connection),
     (_request, response) => void response.writeHead(404).end(),
@@ -83,3 +101,27 @@
   await until(() => first.live().length === 2, 'the first to hear the second');
   await until(() => second.live().length === 2, 'the second to hear the first');
 });
+
+describe.each(['zone-a', 'zone-b'])('entries in zone-a and %s', (zone) => {
+  it('hear one another soon after their connections went silent', async () => {
+    const [listensAt, second] = await Promise.all([freeAddress(), freeAddress()]);
+    const proxy = await new SilentProxy(listensAt).start();
+    started.push(proxy);
+    let heard = 0;
+    const onReport = ({ configurationRevision }: EntryReport) => {
+      heard = Math.max(heard, configurationRevision);
+    };
+    let revision = 1;
+    await startEntry('one', proxy.address, [second], { listensAt, revision: () => revision });
+    const other = await startEntry('two', second, [proxy.address], { zone, onReport });
+    await until(() => other.live().length === 1 && heard === 1, 'both to hear one another');
+    const [forward, back] = [proxy.accepted, proxy.open];
+    expect(forward).toBeGreaterThan(0);
+    expect(back).toBeGreaterThan(0);
+    proxy.silence();
+    const silentAt = performance.now();
+    revision = 2;
+    await until(() => heard === 2, 'the newer report');
+    expect(performance.now() - silentAt).toBeLessThan(HEARD_WITHIN);
+  });
+});
