--- /dev/null
+++ b/test/peers/entry-link.test.ts
@@ -0,0 +1,61 @@
+/** An agent's link to an entry whose connections go silent without a reset. */
+import { afterEach, expect, it } from 'vitest';
+import { seededRandom } from '../../src/model/random.js';
+import { EngineAgents } from '../../src/peers/engine-agents.js';
+import { EntryLink } from '../../src/peers/entry-link.js';
+import type { EngineReport, WeightsPlan } from '../../src/peers/reports.js';
+import { ConnectionListener } from '../../src/protocol/connection.js';
+import { SilentProxy } from '../silent-proxy.js';
+import { contextAt, until } from '../support.js';
+
+/** An agent and its entry must hear one another again this long after, in milliseconds. */
+const HEARD_WITHIN = 2_800;
+
+const REPORT: EngineReport = {
+  address: '127.0.0.1:1',
+  version: 1,
+  isReached: true,
+  isSwitching: false,
+  load: 0,
+  switchesIn: undefined,
+  held: [],
+};
+
+const started: Array<{ stop(): Promise<void> }> = [];
+
+afterEach(async () => {
+  for (const part of started.splice(0).reverse()) await part.stop();
+});
+
+it('an agent and its entry hear one another soon after their connection went silent', async () => {
+  const entry = await contextAt('entry', 'place-a', 'entry');
+  const agent = await contextAt('agent');
+  let bound = 1;
+  const plan = () => ({ bound, entries: [] as string[], hasNearEntry: false }) as unknown as WeightsPlan;
+  let reported = 0;
+  const agents = new EngineAgents(plan, () => reported++);
+  const listener = new ConnectionListener(entry.info.address, entry.context, (connection) =>
+    agents.accept(connection),
+  );
+  await listener.start();
+  await agents.start();
+  const proxy = await new SilentProxy(entry.info.address).start();
+  let told = 0;
+  const link: EntryLink = new EntryLink({
+    context: agent.context,
+    seeds: [proxy.address],
+    random: seededRandom(1),
+    onPlan: (plan) => {
+      told = plan.bound;
+    },
+    onConnected: () => void link.connection?.send({ type: 'engineReport', report: REPORT }),
+  });
+  await link.start();
+  started.push(listener, agents, proxy, link);
+  await until(() => told === 1 && reported === 1, 'both');
+  proxy.silence();
+  const silentAt = performance.now();
+  bound = 2;
+  await until(() => told === 2 && reported === 2, 'both again');
+  expect(performance.now() - silentAt).toBeLessThan(HEARD_WITHIN);
+});
