Tests: requests that are unanswered at the time-out of their route

Cause: Only a request that its back end does not answer was tested at its time-out. Change: Tests of a body that is still coming, of a long one that has been sent on, of a stream that has begun, and of a hundred requests at once. No code changes.

--- a/test/forwarding/forwarding.test.ts
+++ b/test/forwarding/forwarding.test.ts
@@ -1,5 +1,6 @@
 /** Requests of callers through an entry's forwarding to stand-in back ends. */
 import { request as httpRequest } from 'node:http';
+import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
 import { until } from '../support.js';
@@ -31,6 +32,7 @@
     route('read'),
     route('start', { repeatability: 'never', maxAttempts: 2 }),
     route('short', { timeout: 300 }),
+    route('short-stream', { isStream: true, repeatability: 'resumable', timeout: 300, longestPause: 100 }),
     route('write', { isStream: true, repeatability: 'resumable', longestPause: 100 }),
     route('open', { isPublic: true }),
   ],
@@ -227,3 +229,60 @@
     expect(answer).toMatchObject({ body: events(1, 2), whole: false });
   });
 });
+
+describe('at the time-out of its route', () => {
+  /** Time from the time-out to the last word to a caller that has sent `text`, in milliseconds, with what it got. */
+  async function lastWord(text: string): Promise<{ late: number; got: string }> {
+    const [host, port] = forwarding.address.split(':');
+    const socket = connect({ host, port: Number(port) });
+    const sentAt = performance.now();
+    socket.write(text);
+    let got = '';
+    for await (const part of socket) got += part;
+    return { late: performance.now() - sentAt - 300, got };
+  }
+
+  const head = (path: string, more = '') =>
+    `POST ${path} HTTP/1.1\r\nhost: api.example\r\nx-request: late\r\nx-key: key-a\r\n${more}\r\n`;
+
+  it('a request whose body is still coming is refused', async () => {
+    const { late, got } = await lastWord(`${head('/short/a', 'content-length: 1000\r\n')}some`);
+    expect(got).toMatch(/^HTTP\/1.1 503 /);
+    expect(late).toBeLessThan(500);
+    expect(first.requests.length).toBe(0);
+  });
+
+  it('a request whose long body is still coming, and has been sent on, is answered', async () => {
+    const body = 'x'.repeat(100_000);
+    const { late, got } = await lastWord(`${head('/short/a', 'content-length: 190000\r\n')}${body}`);
+    expect(got).toMatch(/^HTTP\/1.1 504 /);
+    expect(late).toBeLessThan(500);
+  });
+
+  it('a stream that has begun is cut', async () => {
+    first.answer((request, response) => {
+      response.writeHead(200, {
+        'x-request': String(request.headers['x-request']),
+        'content-type': 'text/event-stream',
+      });
+      response.write(events(1, 2));
+    });
+    const { late, got } = await lastWord(head('/short-stream/a', 'content-length: 0\r\n'));
+    expect(got).toContain('word 2');
+    expect(got).not.toMatch(/\r\n0\r\n\r\n$/);
+    expect(late).toBeLessThan(500);
+  });
+
+  it('all of many requests at once are answered', async () => {
+    first.answer(() => {});
+    const took = await Promise.all(
+      Array.from({ length: 100 }, async () => {
+        const sentAt = performance.now();
+        const { status } = await send('/short/');
+        return { status, late: performance.now() - sentAt - 300 };
+      }),
+    );
+    expect(took.filter(({ late }) => late < 500).length).toBeGreaterThan(50);
+    expect(took.every(({ status }) => status === 504 || status === 503)).toBe(true);
+  });
+});
