Tests: more urgent kinds go first also among requests that come again

Cause: All requests that come again have urgency 8 and all late ones 9, whatever their kind: of two kinds that have both been refused once, the less urgent is served as soon as the more urgent. Priorities above 8 would count as 8.

Change: Tests of the order by rank. The test of the order named the values 8 and 9, which are no promise; in its place stands the order itself, for all ranks. The names that the tests need are there, with the behaviour of before.

Result: Three of nine fail: "expected 8 to be less than 8", "expected 8 to be 3", "expected [ 2, 5, 7 ] to deeply equal [ 0, 1, 2 ]".

--- a/src/fleet/route-table.ts
+++ b/src/fleet/route-table.ts
@@ -45,6 +45,11 @@
     return this.#services.get(name);
   }
 
+  /** Place of `priority` among those that routes and tenants have, 0 for the most urgent. */
+  rankOf(priority: number): number {
+    return priority;
+  }
+
   /** True when requests of routes that are not public must carry a key. */
   get needsKeys(): boolean {
     return this.configuration.tenants !== undefined;
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -18,6 +18,8 @@
 const TIME_TO_SERVE = 1_200;
 /** Its caller leaves when no event comes: this is left of its patience for the way to the first one, in milliseconds. */
 const TIME_TO_FIRST_EVENT = 700;
+/** Highest rank of a kind of request that counts, 0 being the most urgent. */
+export const MOST_RANK = 3;
 /** Urgency of requests that cannot be in time any more, the last, and of those that have come again. */
 const LATE_URGENCY = 9;
 const REPEATED_URGENCY = 8;
--- a/test/forwarding/request-timing.test.ts
+++ b/test/forwarding/request-timing.test.ts
@@ -1,6 +1,8 @@
 /** How a request waits, by its time. */
 import { describe, expect, it } from 'vitest';
-import { RequestTiming } from '../../src/forwarding/request-timing.js';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import { RouteTable } from '../../src/fleet/route-table.js';
+import { MOST_RANK, RequestTiming } from '../../src/forwarding/request-timing.js';
 import { STREAM_ROUTE } from './forwarding-harness.js';
 
 const ARRIVED = 10_000;
@@ -38,8 +40,37 @@
 
   it('puts first ones before those that come again, and those before late ones', () => {
     expect(first.urgency(1, ARRIVED)).toBe(1);
-    expect(again.urgency(1, ARRIVED)).toBe(8);
-    expect(first.urgency(1, ARRIVED + 401)).toBe(9);
-    expect(again.urgency(1, ARRIVED + 401)).toBe(9);
+    expect(again.urgency(1, ARRIVED)).toBeGreaterThan(first.urgency(MOST_RANK, ARRIVED));
+    expect(first.urgency(1, ARRIVED + 401)).toBeGreaterThan(again.urgency(MOST_RANK, ARRIVED));
+    expect(again.urgency(1, ARRIVED + 401)).toBe(first.urgency(1, ARRIVED + 401));
+    expect(first.urgency(MOST_RANK, ARRIVED + 401)).toBe(9);
+  });
+
+  it('puts more urgent kinds first among those that come again, and the most urgent among late ones', () => {
+    for (let rank = 1; rank <= MOST_RANK; rank++) {
+      expect(first.urgency(rank - 1, ARRIVED)).toBeLessThan(first.urgency(rank, ARRIVED));
+      expect(again.urgency(rank - 1, ARRIVED)).toBeLessThan(again.urgency(rank, ARRIVED));
+    }
+    expect(again.urgency(0, ARRIVED + 401)).toBeLessThan(again.urgency(1, ARRIVED + 401));
+  });
+
+  it('knows no more ranks than the queue of a back end has places for', () => {
+    expect(first.urgency(MOST_RANK + 5, ARRIVED)).toBe(first.urgency(MOST_RANK, ARRIVED));
+  });
+});
+
+describe('the rank of a priority', () => {
+  const configuration = (priorities: number[], tenants: Array<number | undefined>): FleetConfiguration => ({
+    revision: 1,
+    routes: priorities.map((priority) => ({ ...STREAM_ROUTE, priority })),
+    services: [],
+    origin: undefined,
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
+    tenants: tenants.map((priority, place) => ({ name: `t${place}`, keys: [`k${place}`], priority })),
+  });
+
+  it('is its place among those of routes and tenants', () => {
+    const table = new RouteTable(configuration([5, 2, 5], [7, undefined]));
+    expect([2, 5, 7].map((priority) => table.rankOf(priority))).toEqual([0, 1, 2]);
   });
 });
