More urgent kinds go first also among requests that come again, and among late ones

Cause: The urgency that a request is sent with was its priority, or one value for all that come again, or one for all late.

Change: The route table ranks the priorities that routes and tenants have. Four ranks of first requests are followed by four of those that come again and two of late ones.

Result: The three tests that failed pass. test/forwarding, test/fleet, test/roles: 112 passed.

--- a/src/fleet/route-table.ts
+++ b/src/fleet/route-table.ts
@@ -15,11 +15,15 @@
   readonly #routesByHost = new Map<string, Map<string, Route>>();
   readonly #tenantsByKey = new Map<string, DeclaredTenant>();
   readonly #services = new Map<string, BackEndService>();
+  /** Each priority that occurs, once. */
+  readonly #priorities: readonly number[];
 
   constructor(configuration: FleetConfiguration) {
     this.configuration = configuration;
     for (const route of configuration.routes) this.#routesOf(route.host).set(route.pathPrefix, route);
     for (const service of configuration.services) this.#services.set(service.name, service);
+    const priorities = [...configuration.routes, ...(configuration.tenants ?? [])].map((one) => one.priority);
+    this.#priorities = [...new Set(priorities)].filter((priority) => priority !== undefined);
     for (const tenant of configuration.tenants ?? []) {
       for (const key of tenant.keys) this.#tenantsByKey.set(key, tenant);
     }
@@ -47,7 +51,7 @@
 
   /** Place of `priority` among those that routes and tenants have, 0 for the most urgent. */
   rankOf(priority: number): number {
-    return priority;
+    return this.#priorities.filter((other) => other < priority).length;
   }
 
   /** True when requests of routes that are not public must carry a key. */
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -57,7 +57,8 @@
   #table!: RouteTable;
   #service = '';
   #tenant: string | undefined;
-  #urgency = 0;
+  /** Place of its kind among all, 0 for the most urgent. */
+  #rank = 0;
   /** Known once its route is. */
   #timing!: RequestTiming;
   #timer: NodeJS.Timeout | undefined;
@@ -150,12 +151,12 @@
     const route = this.#table.match(headers.host ?? '', pathOf(url ?? '/'));
     if (route === undefined) return { type: 'noRoute' };
     this.#route = route;
-    this.#urgency = route.priority;
+    this.#rank = this.#table.rankOf(route.priority);
     if (this.#table.needsKeys && !route.isPublic) {
       const tenant = this.#table.tenantOf(String(headers[names.callerKey] ?? ''));
       if (tenant === undefined) return { type: 'unknownKey' };
       this.#tenant = tenant.name;
-      this.#urgency = tenant.priority ?? route.priority;
+      this.#rank = this.#table.rankOf(tenant.priority ?? route.priority);
     }
     this.#service = targetService(route, hash32(this.#id) / 2 ** 32);
     const timeLeft = Number(headers[names.timeLeft]);
@@ -191,7 +192,7 @@
         onFailure: (failure) => this.#onFailure(failure),
       },
     );
-    const urgency = this.#timing.urgency(this.#urgency, performance.now());
+    const urgency = this.#timing.urgency(this.#rank, performance.now());
     this.#use = new BackEndUse(row, attempt, urgency, this.#promptTokens, this.#answerTokens);
     this.#log('sent', {
       send: this.#sends,
@@ -254,7 +255,7 @@
     if (this.#tenant !== undefined) kept.push(names.tenant, this.#tenant);
     if (version !== undefined) kept.push(names.expectedVersion, String(version));
     if (this.#route.isStream)
-      kept.push(names.urgency, String(this.#timing.urgency(this.#urgency, performance.now())));
+      kept.push(names.urgency, String(this.#timing.urgency(this.#rank, performance.now())));
     const { lastEventId } = this.#answer;
     if (lastEventId !== undefined) kept.push(LAST_EVENT_ID, lastEventId);
     return kept;
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -20,9 +20,11 @@
 const TIME_TO_FIRST_EVENT = 700;
 /** Highest rank of a kind of request that counts, 0 being the most urgent. */
 export const MOST_RANK = 3;
-/** Urgency of requests that cannot be in time any more, the last, and of those that have come again. */
+/** Urgency of the most urgent request that comes again: first requests of all ranks go before it. */
+const REPEATED_URGENCY = MOST_RANK + 1;
+/** Urgency of those that cannot be in time any more, of the most urgent rank and of the others, the last. */
+const FIRST_LATE_URGENCY = 8;
 const LATE_URGENCY = 9;
-const REPEATED_URGENCY = 8;
 
 /** The time of one request. */
 export class RequestTiming {
@@ -62,9 +64,14 @@
     return Math.min(this.endsAt - TIME_TO_SERVE, patienceEnds - TIME_TO_FIRST_EVENT);
   }
 
-  /** Urgency at the back end's queue: first those that can be in time, then those that have come again. */
-  urgency(usual: number, now: number): number {
-    if (this.isLate(now)) return LATE_URGENCY;
-    return this.isLastChance ? REPEATED_URGENCY : Math.min(usual, REPEATED_URGENCY);
+  /**
+   * Urgency at the back end's queue: first those that can be in time, then those that have come again, then late ones; of
+   * each the more urgent kinds first.
+   * @param rank - place of the kind of request, 0 for the most urgent
+   */
+  urgency(rank: number, now: number): number {
+    if (this.isLate(now)) return rank === 0 ? FIRST_LATE_URGENCY : LATE_URGENCY;
+    const place = Math.min(rank, MOST_RANK);
+    return this.isLastChance ? REPEATED_URGENCY + place : place;
   }
 }
