Tests: a request that comes again is not held where holding was in vain

Cause: While all back ends stay full, each request that comes again is held as long as its time allows, and then refused. Change: Two tests: after requests that were held in vain others are refused at once, but for a few that try; and once those are served, requests are held again. No code changes.

--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -175,3 +175,49 @@
     expect(engine.requests).toHaveLength(0);
   });
 });
+
+describe('holding requests that come again', () => {
+  /** It would be held for 300 ms. */
+  const HELD_SHORTLY = { headers: { 'x-time-left': '1500' } };
+
+  /** Statuses of `count` requests at once, with the time that each took in milliseconds. */
+  async function wave(count: number): Promise<Array<{ status: number; took: number }>> {
+    return Promise.all(
+      Array.from({ length: count }, async () => {
+        const sentAt = performance.now();
+        const { status } = await forwarding.send('/write/', HELD_SHORTLY);
+        return { status, took: performance.now() - sentAt };
+      }),
+    );
+  }
+
+  const isQuick = ({ took }: { took: number }) => took < 150;
+
+  it('ends where it was in vain: others are refused at once, but for a few that try', async () => {
+    tell({ version: 1, load: 4 });
+    const first = await wave(12);
+    expect(first.every(({ status }) => status === 503)).toBe(true);
+    expect(first.some(isQuick)).toBe(false);
+    tell({ version: 1, load: 4 });
+    const second = await wave(10);
+    expect(second.every(({ status }) => status === 503)).toBe(true);
+    expect(second.filter(isQuick).length).toBe(8);
+  });
+
+  it('begins again once those that try are served', async () => {
+    tell({ version: 1, load: 4 });
+    await wave(12);
+    for (let count = 0; count < 10; count++) {
+      tell({ version: 1, load: 4 });
+      const trial = wave(1);
+      await new Promise((resolve) => setTimeout(resolve, 60));
+      tell({ version: 1, load: 0 });
+      expect((await trial)[0].status).toBe(200);
+    }
+    tell({ version: 1, load: 4 });
+    const all = wave(6);
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    tell({ version: 1, load: 0 });
+    expect((await all).map(({ status }) => status)).toEqual(Array.from({ length: 6 }, () => 200));
+  });
+});
