Requests that come again are held only while holding is of use

Cause: Whether a request is held depended on its own time alone. While back ends stay full, all are held to the end of it, and their callers learn late what was known.

Change: The ends of waits for a busy back end are counted for each service. Where fewer than half have ended at a back end lately, only two requests are held at a time and others are refused at once; those two tell when the rest may wait again. Waits for capacity whose time is known (a switch) are not concerned.

--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -5,6 +5,7 @@
 import type { BackEndChange, BackEndRecord, HeldLayers } from '../fleet/back-end-list.js';
 import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
+import { HoldRecord } from './hold-record.js';
 
 /** Weight of the newest time to a first answer, and of the newest duration. */
 const TIME_WEIGHT = 0.1;
@@ -63,6 +64,7 @@
 export class BackEndTable {
   readonly rows = new Map<string, BackEndRow>();
   readonly #rowsByService = new Map<string, Set<BackEndRow>>();
+  readonly #holds = new Map<string, HoldRecord>();
   /** Kept connections found silent so far. */
   silentConnections = 0;
   /** The back end whose kept connection was found silent last, and when. */
@@ -81,6 +83,13 @@
     return this.#rowsByService.get(service) ?? [];
   }
 
+  /** The waits for back ends of a service. */
+  holdsOf(service: string): HoldRecord {
+    const known = this.#holds.get(service) ?? new HoldRecord();
+    this.#holds.set(service, known);
+    return known;
+  }
+
   /** An agent tells of the engine at `address`. */
   takeNews(address: string, news: EngineNews): void {
     for (const row of this.rows.values()) {
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -20,6 +20,7 @@
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
+import type { HoldEnd, HoldRecord } from './hold-record.js';
 import { RequestTiming } from './request-timing.js';
 import { type Silence, silenceOf } from './silence.js';
 
@@ -73,6 +74,8 @@
   #runs = 0;
   /** Since when it waits for capacity. */
   #heldSince: number | undefined;
+  /** Waits of this kind that it counts among, while it waits for one of many back ends to be free. */
+  #hold: HoldRecord | undefined;
   readonly #answer: CallerAnswer;
   #version: number | undefined;
   #settled = false;
@@ -173,6 +176,7 @@
     if (selection.expectedWait > this.#timing.longestWait(this.#sends > 0))
       return this.#giveUp('back ends full');
     this.#heldSince = undefined;
+    this.#endHold('sent');
     const { row } = selection;
     this.#tried.add(row.record.id);
     this.#sends++;
@@ -228,8 +232,9 @@
     // Where back ends serve, but none may take a request, one is free soon or not.
     const holdsUntil = this.#timing.holdsUntil(this.#heldSince);
     const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < holdsUntil;
-    const mayWait = now < holdsUntil && !this.#answer.started;
-    if (!isInSight || !mayWait) {
+    const mayWait = isInSight && now < holdsUntil && !this.#answer.started;
+    const waits = mayWait && (wasHeld || capacity !== undefined || this.#beginHold());
+    if (!waits) {
       const excluded = this.#components.selector.exclusions(this.#requirements());
       this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
       return this.#giveUp('no back end', capacity);
@@ -237,6 +242,21 @@
     if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
+  /** Counts the wait of a request that comes again; false where it is not to wait. A first one waits for a moment only. */
+  #beginHold(): boolean {
+    if (!this.#timing.isLastChance) return true;
+    const holds = this.#components.backEnds.holdsOf(this.#service);
+    if (!holds.allowsMore) return false;
+    holds.begin();
+    this.#hold = holds;
+    return true;
+  }
+
+  #endHold(how: HoldEnd): void {
+    this.#hold?.end(how);
+    this.#hold = undefined;
+  }
+
   #bodyToSend(): Buffer | Readable | null {
     if (this.#body.type === 'kept') return this.#body.bytes;
     return this.#body.type === 'streamed' ? this.#body.stream : null;
@@ -359,6 +379,7 @@
   /** No back end can take the request now. */
   #giveUp(reason: string, capacity = 0): void {
     this.#heldSince = undefined;
+    this.#endHold('inVain');
     if (this.#answer.started) return this.#cut(reason);
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
     const soon = RETRY_AFTER * (1 + this.#components.random.fraction());
@@ -437,6 +458,7 @@
   #settle(outcome: RequestOutcome): void {
     this.#settled = true;
     clearTimeout(this.#timer);
+    this.#endHold(outcome === 'left' ? 'left' : 'inVain');
     this.#request.socket.off('end', this.#onCallerEnded);
     this.#components.onSettled(this, outcome, this.#age());
   }
--- /dev/null
+++ b/src/forwarding/hold-record.ts
@@ -0,0 +1,44 @@
+/**
+ * Whether it has been worth the wait lately to hold requests for a free back end. While back ends stay full, a caller is
+ * better refused at once than after a wait; a few requests are held all the same, and tell when that is over.
+ */
+
+/** Weight of the newest end of a wait: chosen, so that seven in a row change what is done. */
+const END_WEIGHT = 0.1;
+/** Share of waits that must have ended at a back end: chosen. */
+const LEAST_SENT_SHARE = 0.5;
+/** Requests that may be held at the same time whatever became of others: chosen. */
+const MOST_TRIALS = 2;
+
+/** How a wait ended. */
+export type HoldEnd =
+  /** A back end has taken the request. */
+  | 'sent'
+  /** None has in its time. */
+  | 'inVain'
+  /** Its caller left before. */
+  | 'left';
+
+/** The waits for back ends of one service. */
+export class HoldRecord {
+  #held = 0;
+  #sentShare = 1;
+
+  /** False where one more request is to be refused at once. */
+  get allowsMore(): boolean {
+    return this.#sentShare >= LEAST_SENT_SHARE || this.#held < MOST_TRIALS;
+  }
+
+  /** A request waits from now on. */
+  begin(): void {
+    this.#held++;
+  }
+
+  /** A request waits no more. */
+  end(how: HoldEnd): void {
+    this.#held--;
+    if (how === 'left') return;
+    const sample = how === 'sent' ? 1 : 0;
+    this.#sentShare += END_WEIGHT * (sample - this.#sentShare);
+  }
+}
