--- /dev/null
+++ b/test/forwarding/back-end-connections.test.ts
@@ -0,0 +1,85 @@
+/** The connections that are kept to one back end. */
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { BackEndConnections } from '../../src/forwarding/back-end-connections.js';
+import { SilentProxy } from '../silent-proxy.js';
+import { until } from '../support.js';
+import { reply, StandInBackEnd } from './stand-in-back-end.js';
+
+/** More than are allowed at a time. */
+const MANY = 130;
+
+let backEnd: StandInBackEnd;
+let proxy: SilentProxy;
+let connections: BackEndConnections;
+
+beforeEach(async () => {
+  backEnd = await new StandInBackEnd(reply(200, 'whole')).start();
+  proxy = await new SilentProxy(backEnd.address).start();
+  connections = new BackEndConnections(proxy.address);
+});
+
+afterEach(async () => {
+  await connections.destroy();
+  await Promise.all([proxy.stop(), backEnd.stop()]);
+});
+
+/** Sends a request; whether it was taken, and how it ended. */
+function send(method = 'GET'): { taken: boolean; ended: Promise<'whole' | 'error'> } {
+  let taken = false;
+  const ended = new Promise<'whole' | 'error'>((resolve) => {
+    const handler = {
+      onRequestStart: () => {},
+      onResponseStart: () => {},
+      onResponseData: () => {},
+      onResponseEnd: () => resolve('whole'),
+      onResponseError: () => resolve('error'),
+    };
+    taken = connections.dispatch({ method: method as 'GET', path: '/', headers: [] }, handler) !== undefined;
+  });
+  return { taken, ended };
+}
+
+it('one that is free is used again, and one closed by the back end is not', async () => {
+  for (let count = 0; count < 3; count++) {
+    expect(await send().ended).toBe('whole');
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  expect(proxy.accepted).toBe(1);
+  backEnd.answer(reply(200, 'whole', { connection: 'close' }));
+  expect(await send().ended).toBe('whole');
+  await until(() => proxy.open === 0, 'the end of the connection');
+  expect(await send().ended).toBe('whole');
+  expect(proxy.accepted).toBe(2);
+});
+
+it('those that were idle at a time are closed, and those used since are kept', async () => {
+  backEnd.answer((request, response, body) =>
+    setTimeout(() => reply(200, 'whole')(request, response, body), 50),
+  );
+  await Promise.all([send().ended, send().ended, send().ended]);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  const time = performance.now();
+  expect(await send().ended).toBe('whole');
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  connections.closeIdleSince(time);
+  await until(() => proxy.open === 1, 'the end of two');
+  expect(await send().ended).toBe('whole');
+  expect(proxy.accepted).toBe(3);
+});
+
+it('requests that the library does not take use none up', async () => {
+  for (let count = 0; count < MANY; count++) expect(await send('no method').ended).toBe('error');
+  expect(await send().ended).toBe('whole');
+});
+
+it('there are no more than allowed', async () => {
+  backEnd.answer(() => {});
+  const sent = Array.from({ length: MANY }, () => send());
+  expect(sent.filter(({ taken }) => taken).length).toBe(128);
+});
+
+it('connections that cannot be made use none up', async () => {
+  await proxy.stop();
+  for (let count = 0; count < MANY; count++) expect(await send().ended).toBe('error');
+  expect(send().taken).toBe(true);
+});
