--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -20,19 +20,13 @@
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
+import type { HoldEnd, HoldRecord } from './hold-record.js';
 import { RequestTiming } from './request-timing.js';
+import { type Silence, silenceOf } from './silence.js';
 import { TimeToEnd } from './time-to-end.js';
 
 /** A new connection that is not there after this is given up, in milliseconds. */
 const CONNECT_LIMIT = 400;
-/** A back end that owes a first answer and says nothing to anybody for this many objectives is silent. */
-const SILENT_OBJECTIVES = 2;
-/** Bounds of that time, in milliseconds. */
-const SHORTEST_SILENCE = 350;
-const LONGEST_SILENCE = 1_200;
-/** A stream that owes an event for this many of its longest pauses stands still. */
-const SILENT_PAUSES = 2;
-const SHORTEST_STREAM_SILENCE = 600;
 /** A request that is refused comes back after this, in seconds, times 1 to 2. */
 const RETRY_AFTER = 0.4;
 /** Callers are not asked to wait longer than this for capacity that is to come, in seconds. */
@@ -69,7 +63,8 @@
   #table!: RouteTable;
   #service = '';
   #tenant: string | undefined;
-  #urgency = 0;
+  /** Place of its kind among all, 0 for the most urgent. */
+  #rank = 0;
   /** Known once its route is. */
   #timing!: RequestTiming;
   #timeToEnd!: TimeToEnd;
@@ -87,9 +82,12 @@
   #isRepetition = false;
   /** Since when it waits for capacity. */
   #heldSince: number | undefined;
+  /** Waits of this kind that it counts among, while it waits for one of many back ends to be free. */
+  #hold: HoldRecord | undefined;
   readonly #answer: CallerAnswer;
   #version: number | undefined;
   #settled = false;
+  readonly #onCallerEnded = () => this.#endCaller();
 
   constructor(components: ForwardingComponents, request: IncomingMessage, response: ServerResponse) {
     this.#components = components;
@@ -98,6 +96,8 @@
     this.#id = String(request.headers[components.names.requestId] ?? '');
     this.#answer = new CallerAnswer(request, response, () => components.drain.isUnderWay);
     response.on('close', () => this.#onCallerGone());
+    // The answer closes only once what is buffered has gone out, which a caller that has gone does not read.
+    request.socket.once('end', this.#onCallerEnded);
     response.on('error', () => {});
     request.on('error', () => {});
   }
@@ -152,13 +152,22 @@
       if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
       return;
     }
+    if (this.#response.writableNeedDrain) return use.noteCallerBlocks(now);
+    const silence = this.#silence(now, use);
+    if (silence === 'connection') use.suspectConnections(this.#components.backEnds);
     if (!this.#mayRunAgain()) return;
     if (!use.hasAnswered && this.#components.selector.mustWithdraw(row, now))
       return attempt.withdraw('version expires');
-    if (!this.#isSilent(now, use)) return;
+    if (silence !== 'none') this.#giveUpSilent(use, silence, now);
+  }
+
+  #giveUpSilent(use: BackEndUse, silence: Exclude<Silence, 'none'>, now: number): void {
     if (!this.#mayRepeat()) return;
-    this.#log('back end silent', { backEnd: row.record.id, silentMs: Math.round(now - use.progressAt) });
-    attempt.fail('silent');
+    const silentFor = Math.round(now - use.progressAt);
+    this.#log('back end silent', { backEnd: use.row.record.id, silence, silentMs: silentFor });
+    if (silence === 'backEnd') return use.attempt.fail('silent');
+    use.suspectConnections(this.#components.backEnds);
+    use.attempt.failSilentConnection(silence === 'connection');
   }
 
   /** Finds route, tenant and time; returns why the request cannot be sent. */
@@ -170,12 +179,12 @@
     const route = this.#table.match(headers.host ?? '', pathOf(url ?? '/'));
     if (route === undefined) return { type: 'noRoute' };
     this.#route = route;
-    this.#urgency = route.priority;
+    this.#rank = this.#table.rankOf(route.priority);
     if (this.#table.needsKeys && !route.isPublic) {
       const tenant = this.#table.tenantOf(String(headers[names.callerKey] ?? ''));
       if (tenant === undefined) return { type: 'unknownKey' };
       this.#tenant = tenant.name;
-      this.#urgency = tenant.priority ?? route.priority;
+      this.#rank = this.#table.rankOf(tenant.priority ?? route.priority);
     }
     this.#service = targetService(route, hash32(this.#id) / 2 ** 32);
     const timeLeft = Number(headers[names.timeLeft]);
@@ -196,6 +205,7 @@
     if (this.#isRepetition && !this.#components.budgetOf(this.#service).spend(performance.now()))
       return this.#giveUp('no budget');
     this.#heldSince = undefined;
+    this.#endHold('sent');
     const { row } = selection;
     this.#tried.add(row.record.id);
     this.#sends++;
@@ -215,7 +225,8 @@
         onFailure: (failure) => this.#onFailure(failure),
       },
     );
-    this.#use = new BackEndUse(row, attempt, this.#promptTokens, this.#answerTokens);
+    const urgency = this.#timing.urgency(this.#rank, performance.now());
+    this.#use = new BackEndUse(row, attempt, urgency, this.#promptTokens, this.#answerTokens);
     this.#timeToEnd.noteSent(attempt);
     this.#log('sent', {
       send: this.#sends,
@@ -252,9 +263,10 @@
     // Where back ends serve, but none may take a request, one is free soon or not.
     const holdsUntil = this.#timing.holdsUntil(this.#heldSince);
     const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < holdsUntil;
-    const mayWait = now < holdsUntil && !this.#answer.started;
+    const mayWait = isInSight && now < holdsUntil && !this.#answer.started;
     if (!this.#canEnd(capacity)) return this.#refuseForStop();
-    if (!isInSight || !mayWait) {
+    const waits = mayWait && (wasHeld || capacity !== undefined || this.#beginHold());
+    if (!waits) {
       const excluded = this.#components.selector.exclusions(this.#requirements());
       this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
       return this.#giveUp('no back end', capacity);
@@ -281,6 +293,21 @@
     return this.#runs > 0 || this.#use?.attempt.sent === true;
   }
 
+  /** Counts the wait of a request that comes again; false where it is not to wait. A first one waits for a moment only. */
+  #beginHold(): boolean {
+    if (!this.#timing.isLastChance) return true;
+    const holds = this.#components.backEnds.holdsOf(this.#service);
+    if (!holds.allowsMore) return false;
+    holds.begin();
+    this.#hold = holds;
+    return true;
+  }
+
+  #endHold(how: HoldEnd): void {
+    this.#hold?.end(how);
+    this.#hold = undefined;
+  }
+
   #bodyToSend(): Buffer | Readable | null {
     if (this.#body.type === 'kept') return this.#body.bytes;
     return this.#body.type === 'streamed' ? this.#body.stream : null;
@@ -299,7 +326,7 @@
     if (this.#tenant !== undefined) kept.push(names.tenant, this.#tenant);
     if (version !== undefined) kept.push(names.expectedVersion, String(version));
     if (this.#route.isStream)
-      kept.push(names.urgency, String(this.#timing.urgency(this.#urgency, performance.now())));
+      kept.push(names.urgency, String(this.#timing.urgency(this.#rank, performance.now())));
     const { lastEventId } = this.#answer;
     if (lastEventId !== undefined) kept.push(LAST_EVENT_ID, lastEventId);
     return kept;
@@ -347,14 +374,21 @@
     this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
     this.#endAttempt(outcomeOf(failure));
     if (failure.type !== 'notSent') this.#isRepetition = true;
-    if (failure.type === 'broken' || failure.type === 'withdrawn') return this.#onBroken(failure.reason);
+    if (failure.type === 'silentConnection') this.#allowAgain(row);
+    if (failure.type !== 'notSent' && failure.type !== 'refused') return this.#onBroken(failure);
     if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
     if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     if (this.#body.type === 'streamed' && failure.type === 'refused') return this.#giveUp('body not kept');
     this.#send();
   }
 
-  #onBroken(reason: string): void {
+  /** A back end whose connection was at fault takes the request over another one where no other back end can. */
+  #allowAgain({ record }: BackEndRow): void {
+    const isOther = this.#components.selector.select(this.#requirements()) !== undefined;
+    if (!isOther) this.#tried.delete(record.id);
+  }
+
+  #onBroken({ type, reason }: AttemptFailure & { reason: string }): void {
     this.#runs++;
     this.#answer.forget();
     if (this.#mayRunAgain(this.#runs) && this.#mayRepeat()) {
@@ -379,19 +413,25 @@
     return repeatability === 'resumable' && this.#answer.isEventStream;
   }
 
-  #isSilent(now: number, { row, progressAt }: BackEndUse): boolean {
-    const { objective, longestPause } = this.#route;
-    const isStreaming = this.#answer.started;
-    const limit = isStreaming
-      ? Math.max(SHORTEST_STREAM_SILENCE, SILENT_PAUSES * longestPause)
-      : Math.min(LONGEST_SILENCE, Math.max(SHORTEST_SILENCE, SILENT_OBJECTIVES * objective));
-    const isOwed = now - progressAt > limit;
-    return isOwed && (isStreaming || now - row.progressAt > limit);
+  #silence(now: number, use: BackEndUse): Silence {
+    const { row, attempt, progressAt, isOvertaken } = use;
+    const awaited = {
+      route: this.#route,
+      sentAt: attempt.startedAt,
+      progressAt,
+      isStreaming: this.#answer.started,
+      isOnSilentConnection: attempt.isOnSilentConnection,
+      isOvertaken,
+      backEndProgressAt: row.progressAt,
+      usualFirstAnswer: row.firstAnswerTime,
+    };
+    return silenceOf(awaited, now);
   }
 
   /** No back end can take the request now. */
   #giveUp(reason: string, capacity = 0): void {
     this.#heldSince = undefined;
+    this.#endHold('inVain');
     if (this.#answer.started) return this.#cut(reason);
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
     const soon = RETRY_AFTER * (1 + this.#components.random.fraction());
@@ -401,14 +441,23 @@
 
   #onTimeout(): void {
     if (this.#settled) return;
+    const use = this.#use;
     const mayHaveRun = this.#mayHaveRun;
-    const isSilent = this.#use?.hasAnswered === false && mayHaveRun;
-    this.#use?.attempt.abort('timed out');
-    this.#endAttempt(isSilent ? 'silent' : undefined);
+    const outcome = use === undefined ? undefined : outcomeAtTimeout(use);
+    if (use?.attempt.isOnSilentConnection) use.suspectConnections(this.#components.backEnds);
+    use?.attempt.abort('timed out');
+    this.#endAttempt(outcome);
     if (this.#answer.started) return this.#cut('timed out');
     this.#finish(mayHaveRun ? { type: 'timedOut' } : { type: 'expired' });
   }
 
+  /** The caller has closed its side, so that it will not read what is buffered for it either. */
+  #endCaller(): void {
+    if (this.#settled) return;
+    this.#onCallerGone();
+    this.#response.destroy();
+  }
+
   #onCallerGone(): void {
     if (this.#settled) return;
     this.#log('caller left', { backEnd: this.#use?.row.record.id, ageMs: this.#age() });
@@ -447,8 +496,8 @@
     const took = use.end();
     const { record, health } = use.row;
     this.#timeToEnd.noteEnded(use.attempt, outcome === 'served', performance.now());
-    if (outcome !== undefined)
-      health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
+    if (outcome === undefined) health.noteAbandoned();
+    else health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
     if (outcome !== 'served') return;
     use.noteServed(took);
     this.#log('served', {
@@ -462,6 +511,8 @@
   #settle(outcome: RequestOutcome): void {
     this.#settled = true;
     clearTimeout(this.#timer);
+    this.#endHold(outcome === 'left' ? 'left' : 'inVain');
+    this.#request.socket.off('end', this.#onCallerEnded);
     this.#components.onSettled(this, outcome, this.#age());
   }
 
@@ -477,8 +528,15 @@
   }
 }
 
+/** A back end that has said nothing is silent, unless its connection alone is. */
+function outcomeAtTimeout({ attempt, hasAnswered, isOvertaken }: BackEndUse): BackEndOutcome | undefined {
+  if (hasAnswered || !attempt.sent) return undefined;
+  return attempt.isOnSilentConnection && isOvertaken ? undefined : 'silent';
+}
+
 function outcomeOf(failure: AttemptFailure): BackEndOutcome | undefined {
   if (failure.type === 'withdrawn') return undefined;
+  if (failure.type === 'silentConnection') return failure.isBackEndHeard ? undefined : 'silentConnection';
   if (failure.type === 'refused') return failure.status === MISDIRECTED ? 'misdirected' : 'overloaded';
   if (failure.type === 'notSent' || failure.reason === 'silent') return 'silent';
   return 'failed';
