--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -375,7 +375,7 @@
     this.#endAttempt(outcomeOf(failure));
     if (failure.type !== 'notSent') this.#isRepetition = true;
     if (failure.type === 'silentConnection') this.#allowAgain(row);
-    if (failure.type !== 'notSent' && failure.type !== 'refused') return this.#onBroken(failure);
+    if (failure.type !== 'notSent' && failure.type !== 'refused') return this.#onBroken(failure.reason);
     if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
     if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     if (this.#body.type === 'streamed' && failure.type === 'refused') return this.#giveUp('body not kept');
@@ -388,7 +388,7 @@
     if (!isOther) this.#tried.delete(record.id);
   }
 
-  #onBroken({ type, reason }: AttemptFailure & { reason: string }): void {
+  #onBroken(reason: string): void {
     this.#runs++;
     this.#answer.forget();
     if (this.#mayRunAgain(this.#runs) && this.#mayRepeat()) {
