--- a/test/forwarding/shedding.test.ts
+++ b/test/forwarding/shedding.test.ts
@@ -30,3 +30,16 @@
     expect(report.served / report.requests).toBeGreaterThan(0.9);
   });
 });
+
+describe('back ends that refuse only when they are full', () => {
+  it('refuse next to nothing at two thirds of their load: entries do not all choose the same one', () => {
+    const report = simulateShedding({
+      ...BACK_ENDS,
+      seed: 1,
+      shedding: 0,
+      sheddingShare: 0,
+      rates: evenly(150),
+    });
+    expect(report.refusals / report.requests).toBeLessThan(0.03);
+  });
+});
