Entries take one of the nearly best back ends by chance

Back ends were alike within 2 ms of expected time only, about a slot. Change: within 10 ms, and none that is farther away than the best, so that no more requests leave their zone. The alike ones were gathered while the best was still sought, so one that was near an earlier best could stay among them; they are gathered afterwards now.

--- a/src/forwarding/selection.ts
+++ b/src/forwarding/selection.ts
@@ -59,8 +59,12 @@
 const OVERHANG_COST = 0.4;
 /** The same for a request that is cut if it has to move again: more than any distance or queue. */
 const CUT_COST = 4;
-/** Candidates this close are alike, in milliseconds. */
-const ALIKE = 2;
+/**
+ * Candidates this close are alike, in milliseconds, and one of them is taken by chance: loads of other entries are told
+ * late, and what is nearly the best would be chosen by all of them. None is farther than the best. In simulation
+ * (test/forwarding/shedding-simulation), with 42 entries and free slots: 0.015 refusals a request, 0.065 with 2 ms.
+ */
+const ALIKE = 10;
 
 /** The best of `candidates` for a request of `position`, or undefined where there is none. */
 export function chooseBackEnd(
@@ -68,16 +72,14 @@
   position: Position,
   random: Random,
 ): Choice | undefined {
-  let best: Candidate[] = [];
-  let bestCost = Number.POSITIVE_INFINITY;
-  for (const candidate of candidates) {
-    const cost = costOf(candidate, position);
-    if (cost < bestCost - ALIKE) best = [];
-    if (cost < bestCost + ALIKE) best.push(candidate);
-    bestCost = Math.min(bestCost, cost);
-  }
-  if (best.length === 0) return undefined;
-  const candidate = best[random.below(best.length)];
+  if (candidates.length === 0) return undefined;
+  const rated = candidates.map((candidate) => ({ candidate, cost: costOf(candidate, position) }));
+  const first = rated.reduce((best, one) => (one.cost < best.cost ? one : best));
+  const distance = distanceCost(first.candidate, position);
+  const alike = rated.filter(
+    ({ candidate, cost }) => cost < first.cost + ALIKE && distanceCost(candidate, position) <= distance,
+  );
+  const { candidate } = alike[random.below(alike.length)];
   return { candidate, expectedWait: expectedWait(candidate) };
 }
 
