Test: a process that stood still itself does not take the other side for dead

Cause: Connection judges silence by the time since it last heard the other side. When its own process gets no processor, the heartbeat timer fires before what is waiting in the socket is read, and the connection is closed although the other side never was silent. Change: a test in which the other side pings from a thread of its own every 300 ms while this event loop stands still for 4.5 s; and its counterpart, in which the other side is silent and must be left.

--- /dev/null
+++ b/test/protocol/connection.test.ts
@@ -0,0 +1,65 @@
+import { Worker } from 'node:worker_threads';
+import { afterEach, describe, expect, it } from 'vitest';
+import { encode } from '../../src/protocol/codec.js';
+import { type Connection, ConnectionListener } from '../../src/protocol/connection.js';
+import { contextAt, until } from '../support.js';
+
+/** Longer than the silence after which a connection is ended, in milliseconds. */
+const STANDSTILL = 4_500;
+
+/** The other side, in a thread of its own: says hello, and pings every 300 ms whatever this thread does. */
+const REMOTE = `
+  const { workerData } = require('node:worker_threads');
+  const { WebSocket } = require('ws');
+  const socket = new WebSocket('ws://' + workerData.address);
+  socket.on('error', () => {});
+  socket.on('open', () => {
+    socket.send(workerData.hello);
+    if (workerData.pings) setInterval(() => socket.readyState === 1 && socket.ping(), 300);
+  });
+`;
+
+const cleanUps: Array<() => unknown> = [];
+
+async function acceptFrom(pings: boolean): Promise<Connection> {
+  const { context } = await contextAt('this-side');
+  const { address } = context.hello().peer;
+  const accepted: Connection[] = [];
+  const listener = new ConnectionListener(address, context, (connection) => accepted.push(connection));
+  await listener.start();
+  cleanUps.push(() => listener.stop());
+  const hello = encode((await contextAt('other-side')).context.hello(), context.clock.next());
+  const remote = new Worker(REMOTE, { eval: true, workerData: { address, hello, pings } });
+  cleanUps.push(() => remote.terminate());
+  await until(() => accepted.length > 0, 'the connection');
+  return accepted[0];
+}
+
+/** Takes the processor from this thread's event loop, as a busy machine does. */
+function standStill(milliseconds: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp();
+});
+
+describe('Connection', () => {
+  it('outlives a time in which this process itself stood still', async () => {
+    const connection = await acceptFrom(true);
+    await pause(1_200);
+    standStill(STANDSTILL);
+    await pause(1_500);
+    expect(connection.open).toBe(true);
+  });
+
+  it('ends when the other side is silent while this process runs', async () => {
+    const connection = await acceptFrom(false);
+    await until(() => !connection.open, 'the end of the connection');
+    expect(connection.open).toBe(false);
+  });
+});
