A process that stood still does not count that time as the silence of others

Cause: the time since anything was heard included the time in which this process itself had no processor, and the heartbeat timer judged before what had arrived meanwhile was read. The same holds for the limit of a hello. A connection that seems silent is closed after one more turn of the event loop, so that what waits is read first; so is one without a hello in time.

--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -13,7 +13,7 @@
 
 /** Time between two heartbeats, in milliseconds. */
 const HEARTBEAT_INTERVAL = 1_000;
-/** A connection on which nothing came for this long is ended, in milliseconds. */
+/** A connection on which nothing came for this long while this process ran is ended, in milliseconds. */
 const SILENCE_LIMIT = 3_500;
 /** Time for the other side's hello, in milliseconds. */
 const HELLO_TIMEOUT = 2_000;
@@ -207,7 +207,7 @@
    */
   #beat(): void {
     const now = performance.now();
-    if (now - this.#heardAt > SILENCE_LIMIT) return this.close();
+    if (this.#isSilent(now)) return this.#closeIfSilent();
     const quiet = now - Math.min(this.#heardAt, this.#sentAt) >= HEARTBEAT_INTERVAL;
     const isHome = this.remote.role === 'entry' && this.#context.hello().role === 'agent';
     const isDue = quiet || isHome;
@@ -218,6 +218,17 @@
     this.#context.counters.controlSent += FRAME_OVERHEAD_BYTES;
   }
 
+  #isSilent(now: number): boolean {
+    return heartbeats.runningTime(this.#heardAt, now) > SILENCE_LIMIT;
+  }
+
+  /** Ends the connection unless something waits to be read: timers come before what has arrived meanwhile. */
+  #closeIfSilent(): void {
+    setImmediate(() => {
+      if (this.#open && this.#isSilent(performance.now())) this.close();
+    });
+  }
+
   #heardPong(): void {
     this.#noteLife();
     this.onConfirmed(this.#pingedAt);
@@ -332,7 +343,8 @@
     socket.terminate();
     done(reason);
   };
-  const timer = setTimeout(() => fail('no hello in time'), HELLO_TIMEOUT);
+  // A hello that has arrived by then is read first.
+  const timer = setTimeout(() => setImmediate(() => fail('no hello in time')), HELLO_TIMEOUT);
   socket.on('error', (cause) => fail(String(cause)));
   socket.once('close', () => fail('closed before the hello'));
   socket.once('message', (data) => {
