Test: a standstill of all processes of a system cuts no answer

Cause: the listed test of a change of version failed only beside heavy load; that a process without processor is taken for dead was supposed. Change: a test with two entries and two agents that stops all four for 4.5 s in the middle of 12 streams and lets them go on.

--- /dev/null
+++ b/test/cluster/standstill.test.ts
@@ -0,0 +1,87 @@
+/** A machine that gives its processes no processor for a while, as beside heavy load. */
+import { resolve } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import { afterAll, beforeAll, expect, it } from 'vitest';
+import { Caller } from '../../bench/processes/caller.js';
+import { Cluster } from '../../bench/processes/cluster.js';
+import { getJson, waitForAgents } from '../../bench/processes/observation.js';
+import type { DeploymentStatus } from '../../src/resources/deployment-status.js';
+import { until } from '../support.js';
+
+const MODEL_BYTES = 2 ** 18;
+const LOCATION = { place: 'place-0', region: 'place-0', zone: 'place-0-a' };
+/** Longer than the silence after which a connection is ended, in milliseconds. */
+const STANDSTILL = 4_500;
+/** Tokens of an answer, and the time of each, in milliseconds: an answer takes 3 s. */
+const TOKENS = 100;
+const TOKEN_TIME = 30;
+const STREAMS = 12;
+
+let cluster: Cluster;
+
+/** Processes of the system; the platform and the engines run on. */
+function systemProcesses(): string[] {
+  return [...cluster.entries, ...cluster.agents].map(({ name }) => name);
+}
+
+async function declare(version: string): Promise<void> {
+  const spec = { tenant: 'bench', model: 'model', version, pool: 'gpu', places: ['place-0'], replicas: 2 };
+  const resource = {
+    apiVersion: 'thistleway/v1',
+    kind: 'ModelDeployment',
+    metadata: { name: 'model' },
+    spec,
+  };
+  const body = JSON.stringify({ operationId: 'declare', resources: [{ resource }], deletes: [] });
+  await fetch(`http://${cluster.entry.callers}/apis/v1/apply`, { method: 'POST', body });
+  await until(async () => {
+    const status = await getJson<{ deployments: DeploymentStatus[] }>(
+      `http://${cluster.entry.callers}/apis/v1/status`,
+    );
+    return status?.deployments[0]?.version === version && status.deployments[0].waitsFor === '';
+  }, 'the version on both machines');
+}
+
+beforeAll(async () => {
+  process.argv[1] = resolve('dist/thistleway.cjs');
+  const version = { label: 'first', bytes: MODEL_BYTES, chunkBytes: 2 ** 16, seed: 1 };
+  cluster = new Cluster({
+    entries: [0, 1].map((index) => ({ name: `entry-${index}`, ...LOCATION })),
+    agents: [0, 1].map((index) => ({ name: `agent-${index}`, pool: 'gpu', ...LOCATION })),
+    versions: [{ ...version, unchangedShare: 1, changedSeed: 0 }],
+    originBytesPerSecond: 8 * MODEL_BYTES,
+    machineBytesPerSecond: 8 * MODEL_BYTES,
+    machineDuplex: 'shared',
+    weightsMemoryBytes: 4 * MODEL_BYTES,
+    engine: { stepMilliseconds: TOKEN_TIME },
+  });
+  await cluster.start();
+  await waitForAgents(cluster);
+  await declare(cluster.versions[0].version);
+});
+
+afterAll(() => {
+  for (const name of systemProcesses()) cluster.processes.kill(name, 'SIGCONT');
+  cluster.stop();
+});
+
+it('cuts no answer when all processes get no processor for a while', async () => {
+  const caller = new Caller(
+    cluster.entries.map(({ callers }) => callers),
+    'model',
+  );
+  for (let stream = 0; stream < STREAMS; stream++) caller.startOne(TOKENS);
+  await pause(1_000);
+  for (const name of systemProcesses()) cluster.processes.kill(name, 'SIGSTOP');
+  await pause(STANDSTILL);
+  for (const name of systemProcesses()) cluster.processes.kill(name, 'SIGCONT');
+  await caller.stop();
+  const { sent, answeredWhole, cut, unknown, lost } = caller.counts;
+  expect({ sent, answeredWhole, cut, unknown, lost }).toEqual({
+    sent: STREAMS,
+    answeredWhole: STREAMS,
+    cut: 0,
+    unknown: 0,
+    lost: 0,
+  });
+});
