Tests: an entry that stood still neither sends requests again nor loses its peers

Cause: the same error as in Connection, in two more places. Forwarding compares the silence of a back end, and EntryPeers the age of a report, with the steady clock, whether this process ran or not. Change: one test each, with a standstill of the event loop; standStill moves to test/support.ts.

--- /dev/null
+++ b/test/forwarding/standstill.test.ts
@@ -0,0 +1,53 @@
+/** An entry that gets no processor for a while does not take that time for the silence of its back ends. */
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import { standStill } from '../support.js';
+import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
+import { events, StandInBackEnd } from './stand-in-back-end.js';
+
+/** Above the longest silence after which a request goes to another back end, in milliseconds. */
+const STANDSTILL = 1_600;
+/** The back end answers after this, in milliseconds: within what it may take. */
+const ANSWER_TIME = 200;
+
+const CONFIGURATION: FleetConfiguration = {
+  revision: 1,
+  routes: [STREAM_ROUTE],
+  services: [{ name: 'engines', maxConnections: 0, engine: undefined }],
+  origin: undefined,
+  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
+  tenants: [],
+};
+
+let forwarding: ForwardingHarness;
+let backEnds: StandInBackEnd[];
+
+beforeEach(async () => {
+  const start = () =>
+    new StandInBackEnd((request, response) => {
+      setTimeout(() => {
+        response.writeHead(200, {
+          'x-request': String(request.headers['x-request']),
+          'content-type': 'text/event-stream',
+        });
+        response.end(events(1, 3));
+      }, ANSWER_TIME);
+    }).start();
+  backEnds = [await start(), await start()];
+  forwarding = new ForwardingHarness('engines');
+  await forwarding.start(CONFIGURATION);
+  forwarding.list(['one', backEnds[0]], ['two', backEnds[1]]);
+});
+
+afterEach(async () => {
+  await forwarding.stop();
+  await Promise.all(backEnds.map((backEnd) => backEnd.stop()));
+});
+
+it('a request is sent once though its entry stood still while the back end worked', async () => {
+  const answer = forwarding.send('/write/a');
+  await new Promise((resolve) => setTimeout(resolve, ANSWER_TIME / 2));
+  standStill(STANDSTILL);
+  expect(await answer).toMatchObject({ status: 200, body: events(1, 3), whole: true });
+  expect(backEnds.flatMap(({ requests }) => requests)).toHaveLength(1);
+});
--- /dev/null
+++ b/test/peers/standstill.test.ts
@@ -0,0 +1,64 @@
+/** Entries and agents that got no processor for a while do not take the others for dead. */
+import { afterEach, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+import { silentLog } from '../../src/observability/log.js';
+import { EntryPeers } from '../../src/peers/entry-peers.js';
+import type { EntryReport } from '../../src/peers/reports.js';
+import { ConnectionListener } from '../../src/protocol/connection.js';
+import { contextAt, standStill, until } from '../support.js';
+
+/** Longer than an entry is taken to live after its latest report, in milliseconds. */
+const STANDSTILL = 2_000;
+
+const started: Array<{ stop(): Promise<void> }> = [];
+
+afterEach(async () => {
+  for (const part of started.splice(0).reverse()) await part.stop();
+});
+
+async function startEntry(seeds: string[]): Promise<{ peers: EntryPeers; address: string }> {
+  const { context, info } = await contextAt(await freeAddress(), 'place-a', 'entry');
+  const { address, zone, region, id } = info;
+  const report = (): EntryReport => ({
+    id,
+    address,
+    callerAddress: address,
+    zone,
+    region,
+    isReady: true,
+    configurationRevision: 0,
+    backEndsRevision: 0,
+    storeTime: Number.NEGATIVE_INFINITY,
+    versions: [],
+    loads: [],
+    held: [],
+    engines: [],
+  });
+  const peers = new EntryPeers({
+    context,
+    address,
+    zone,
+    seeds,
+    fleet: new FleetView(),
+    decoder: {} as RecordDecoder,
+    hearsStore: () => true,
+    report,
+    onReport: () => {},
+    log: silentLog,
+  });
+  const listener = new ConnectionListener(address, context, (connection) => peers.accept(connection));
+  await listener.start();
+  await peers.start();
+  started.push(listener, peers);
+  return { peers, address };
+}
+
+it('an entry that stood still still knows the entries that it knew before', async () => {
+  const first = await startEntry([]);
+  const second = await startEntry([first.address]);
+  await until(() => first.peers.live().length === 1 && second.peers.live().length === 1, 'both to be heard');
+  standStill(STANDSTILL);
+  expect([first.peers.live().length, second.peers.live().length]).toEqual([1, 1]);
+});
--- a/test/protocol/connection.test.ts
+++ b/test/protocol/connection.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { encode } from '../../src/protocol/codec.js';
 import { type Connection, ConnectionListener } from '../../src/protocol/connection.js';
-import { contextAt, until } from '../support.js';
+import { contextAt, standStill, until } from '../support.js';
 
 /** Longer than the silence after which a connection is ended, in milliseconds. */
 const STANDSTILL = 4_500;
@@ -35,11 +35,6 @@
   return accepted[0];
 }
 
-/** Takes the processor from this thread's event loop, as a busy machine does. */
-function standStill(milliseconds: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
-}
-
 function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/test/support.ts
+++ b/test/support.ts
@@ -18,6 +18,11 @@
   }
 }
 
+/** Takes the processor from this thread's event loop, as a busy machine does. */
+export function standStill(milliseconds: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
 /** A peer with this name as identity and address. */
 export function peer(name: string, place = 'place-a', region = 'region-a'): PeerInfo {
   return { id: name, address: name, place, region, zone: `${region}-1` };
