Entries and agents judge silence by the time in which they ran themselves

Cause: forwarding, EntryPeers and an agent's EntryLink counted a standstill of their own process as the silence of back ends, of other entries and of the entry. Change: the three keep Standstills by the tick that they have already, and compare the time in which this process ran.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -10,6 +10,7 @@
 import type { Route } from '../fleet/configuration.js';
 import { pathOf, type RouteTable, targetService } from '../fleet/route-table.js';
 import { hash32 } from '../model/random.js';
+import type { Standstills } from '../model/standstills.js';
 import { type AnswerHead, Attempt, type AttemptFailure, MISDIRECTED } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
 import type { Requirements } from './back-end-selector.js';
@@ -118,19 +119,20 @@
   }
 
   /** Ends attempts that are owed something for too long; called by the shared tick. */
-  check(now: number): void {
+  check(now: number, standstills: Standstills): void {
     if (this.#heldSince !== undefined && !this.#settled) return this.#send();
     const use = this.#use;
     if (use === undefined || this.#settled) return;
     const { attempt, row } = use;
     if (!attempt.sent) {
-      if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
+      if (standstills.runningTime(attempt.startedAt, now) > CONNECT_LIMIT)
+        attempt.fail('no connection in time');
       return;
     }
     if (!this.#mayRunAgain()) return;
     if (!use.hasAnswered && this.#components.selector.mustWithdraw(row, now))
       return attempt.withdraw('version expires');
-    if (!this.#isSilent(now, use)) return;
+    if (!this.#isSilent(use, (since) => standstills.runningTime(since, now))) return;
     if (!this.#components.budgetOf(this.#service).spend(performance.now())) return;
     this.#log('back end silent', { backEnd: row.record.id, silentMs: Math.round(now - use.progressAt) });
     attempt.fail('silent');
@@ -327,14 +329,15 @@
     return repeatability === 'resumable' && this.#answer.isEventStream;
   }
 
-  #isSilent(now: number, { row, progressAt }: BackEndUse): boolean {
+  /** @param timeSince - time since then in which this process ran, in milliseconds */
+  #isSilent({ row, progressAt }: BackEndUse, timeSince: (since: number) => number): boolean {
     const { objective, longestPause } = this.#route;
     const isStreaming = this.#answer.started;
     const limit = isStreaming
       ? Math.max(SHORTEST_STREAM_SILENCE, SILENT_PAUSES * longestPause)
       : Math.min(LONGEST_SILENCE, Math.max(SHORTEST_SILENCE, SILENT_OBJECTIVES * objective));
-    const isOwed = now - progressAt > limit;
-    return isOwed && (isStreaming || now - row.progressAt > limit);
+    const isOwed = timeSince(progressAt) > limit;
+    return isOwed && (isStreaming || timeSince(row.progressAt) > limit);
   }
 
   /** No back end can take the request now. */
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -4,6 +4,7 @@
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
+import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
@@ -47,6 +48,7 @@
   readonly #latency: Histogram;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
+  readonly #standstills = new Standstills(CHECK_INTERVAL, performance.now());
   #acceptedAt = 0;
 
   constructor(address: string, components: Omit<ForwardingComponents, 'onSettled'>, metrics: Metrics) {
@@ -120,13 +122,19 @@
     const forwarded = new ForwardedRequest(this.#components, request, response);
     this.#active.add(forwarded);
     this.#acceptedAt = performance.now();
-    this.#timer ??= setInterval(() => this.#check(), CHECK_INTERVAL);
+    if (this.#timer === undefined) this.#beginChecks();
     forwarded.start().catch((cause) => forwarded.abandon(cause));
   }
 
+  #beginChecks(): void {
+    this.#standstills.begin(performance.now());
+    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL);
+  }
+
   #check(): void {
     const now = performance.now();
-    for (const request of this.#active) request.check(now);
+    this.#standstills.tick(now);
+    for (const request of this.#active) request.check(now, this.#standstills);
     if (this.#active.size > 0) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
--- a/src/peers/entry-link.ts
+++ b/src/peers/entry-link.ts
@@ -2,6 +2,7 @@
 
 import { sleep } from '../fleet/table-follower.js';
 import type { Random } from '../model/random.js';
+import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
@@ -109,8 +110,11 @@
       this.#options.onPlan(message.plan);
     });
     this.#options.onConnected();
-    while (!signal.aborted && connection.open && performance.now() - this.#heardAt < PLAN_LIMIT) {
+    const standstills = new Standstills(CHECK_INTERVAL, performance.now());
+    const silence = () => standstills.runningTime(this.#heardAt, performance.now());
+    while (!signal.aborted && connection.open && silence() < PLAN_LIMIT) {
       await sleep(CHECK_INTERVAL, signal);
+      standstills.tick(performance.now());
       if (this.#hasNearEntry && connection.remote.peer.zone !== ownZone) break;
     }
     this.#connection = undefined;
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -6,6 +6,7 @@
 import type { BackEndListState } from '../fleet/back-end-list.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
+import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
@@ -65,6 +66,7 @@
 export class EntryPeers implements Startable {
   readonly #options: EntryPeersOptions;
   readonly #rows = new Map<string, PeerRow>();
+  readonly #standstills = new Standstills(REPORT_TICK, performance.now());
   #timer: NodeJS.Timeout | undefined;
   #stopped = new AbortController();
   #addressesToldAt = performance.now();
@@ -77,6 +79,7 @@
 
   async start(): Promise<void> {
     this.#stopped = new AbortController();
+    this.#standstills.begin(performance.now());
     this.#timer = setInterval(() => this.#tick(), REPORT_TICK);
     this.#tick();
   }
@@ -99,9 +102,7 @@
   /** The latest reports of entries that live. */
   live(): EntryReport[] {
     const now = performance.now();
-    const rows = [...this.#rows.values()].filter(
-      (row) => now - row.heardAt < reportLife(this.#isNear(row), this.#rows.size),
-    );
+    const rows = [...this.#rows.values()].filter((row) => this.#lives(row, now));
     return rows.flatMap(({ report }) => report ?? []);
   }
 
@@ -123,6 +124,7 @@
 
   #tick(): void {
     const now = performance.now();
+    this.#standstills.tick(now);
     const due: PeerRow[] = [];
     for (const row of this.#rows.values()) {
       if (row.connection?.open !== true) this.#dial(row, now);
@@ -157,6 +159,12 @@
     return encodeForMany(message, this.#options.context);
   }
 
+  /** Only the time in which this process ran counts as the silence of another. */
+  #lives(row: PeerRow, now: number): boolean {
+    const silence = this.#standstills.runningTime(row.heardAt, now);
+    return silence < reportLife(this.#isNear(row), this.#rows.size);
+  }
+
   #isNear({ report }: PeerRow): boolean {
     return report?.zone === this.#options.zone;
   }
@@ -202,7 +210,7 @@
 
   #onReport(row: PeerRow, connection: Connection, report: EntryReport): void {
     const now = performance.now();
-    if (now - row.heardAt > reportLife(this.#isNear(row), this.#rows.size)) {
+    if (!this.#lives(row, now)) {
       this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
       this.#tellNewAddresses();
     }
