Soak: series of signals, long streams, shedding workers, silent connections, callers that leave

Change: planned stops are followed by SIGKILL after the time of grace (GRACE); entries are stopped in turn, with SIGHUP between, twice, and during a start; callers hold an answer of the directory for up to three lifetimes or stay with their connection, and read streams of 5 s; an answer cut by a planned stop alone is LOST; workers shed, and repetitions are judged by the shared budget (BUDGET); links leave open connections silent for good; callers leave in the middle, and what workers still get and do for them is judged (GONE). Sizes and the choice of faults are options.

--- a/bench/processes/cuttable-link.ts
+++ b/bench/processes/cuttable-link.ts
@@ -1,17 +1,25 @@
 /**
  * A link on the loopback address that can be cut, one way or both: what is sent while it is cut waits, as with TCP. It
- * can also be slow, or reset what passes.
+ * can also be slow, reset what passes, or leave the connections that are open silent for good while new ones pass.
  */
 import { createServer, type Server, Socket } from 'node:net';
 
 /** Directions in which nothing passes. */
 export type Cut = 'none' | 'toTarget' | 'fromTarget' | 'both';
 
+/** The two sides of one connection that passes. */
+interface Pair {
+  near: Socket;
+  far: Socket;
+  /** True once nothing passes any more, not even an end. */
+  isSilent: boolean;
+}
+
 /** A link from `address` to `target` (`host:port`). */
 export class CuttableLink {
   readonly address: string;
   readonly target: string;
-  readonly #pairs = new Set<{ near: Socket; far: Socket }>();
+  readonly #pairs = new Set<Pair>();
   #server: Server | undefined;
   #cut: Cut = 'none';
   /** What passes is late by this, in milliseconds. */
@@ -43,6 +51,14 @@
     }
   }
 
+  /** The connections that are open now go silent for good, without an end or a reset; new ones pass. */
+  silence(): void {
+    for (const pair of this.#pairs) {
+      pair.isSilent = true;
+      this.#apply(pair);
+    }
+  }
+
   stop(): void {
     this.#server?.close();
     for (const { near, far } of this.#pairs) {
@@ -55,7 +71,7 @@
     const [host, port] = this.target.split(':');
     const far = new Socket();
     far.connect(Number(port), host);
-    const pair = { near, far };
+    const pair: Pair = { near, far, isSilent: false };
     this.#pairs.add(pair);
     for (const [from, to] of [
       [near, far],
@@ -79,10 +95,10 @@
     else setTimeout(() => to.write(data), this.delay);
   }
 
-  #apply({ near, far }: { near: Socket; far: Socket }): void {
-    if (this.#cut === 'toTarget' || this.#cut === 'both') near.pause();
+  #apply({ near, far, isSilent }: Pair): void {
+    if (isSilent || this.#cut === 'toTarget' || this.#cut === 'both') near.pause();
     else near.resume();
-    if (this.#cut === 'fromTarget' || this.#cut === 'both') far.pause();
+    if (isSilent || this.#cut === 'fromTarget' || this.#cut === 'both') far.pause();
     else far.resume();
   }
 }
--- a/test/platform/soak/callers.ts
+++ b/test/platform/soak/callers.ts
@@ -1,17 +1,29 @@
 /** Callers of a soak: they look entries up, keep connections, send requests and judge every answer. */
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
 import type { Random } from '../../../src/model/random.js';
-import { EVENTS, eventData } from './workers.js';
-import { HOST, KEY, ROUTE_TIMEOUT, type SoakWorld, TENANT } from './world.js';
+import { eventData, streamShape } from './workers.js';
+import { ADDRESS_LIFETIME, HOST, KEY, LONG_TIMEOUT, ROUTE_TIMEOUT, type SoakWorld, TENANT } from './world.js';
 
 /** Longest pause between two requests of a caller, in milliseconds. */
 const LONGEST_PAUSE = 60;
+/** Times an address lifetime for which callers hold an answer of the directory: most for one, some for up to three. */
+const LONGEST_HOLD = 3;
+/** Streams of 5 s: events, and the time between two, in milliseconds. */
+const LONG_EVENTS = 25;
+const LONG_INTERVAL = 200;
+/** Long streams of one caller at a time, beside its other requests. */
+const MOST_LONG = 2;
+/** One in this many requests is left by its caller in the middle, after at most this, in milliseconds. */
+const LEFT_ONE_IN = 12;
+const LONGEST_STAY = 400;
 const PROMISES_NOT_RUN = new Set([429, 503, 408, 421]);
 
 /** A request that was sent, and how it ended. */
 export interface SentRequest {
   id: string;
-  kind: 'write' | 'once' | 'again';
+  kind: 'write' | 'long' | 'once' | 'again';
+  /** Address of the entry that it was sent to. */
+  entry: string;
   path: string;
   body: string;
   /** Undefined where no whole head came. */
@@ -20,22 +32,40 @@
   answer: string;
   /** True where the answer ended as HTTP says. */
   isWhole: boolean;
-  tookMilliseconds: number;
+  sentAt: number;
+  /** When its last byte went out; undefined where the connection never took it all. */
+  writtenAt: number | undefined;
+  endedAt: number;
+  /** When its caller left before the answer was whole. */
+  leftAt: number | undefined;
+}
+
+/** What is sent. */
+export interface RequestToSend {
+  id: string;
+  kind: SentRequest['kind'];
+  path: string;
+  body: string;
+  /** The caller leaves after this, in milliseconds. */
+  leaveAfter?: number;
 }
 
 /** Sends one request to an entry and returns how it ended. */
 export function sendRequest(
   entry: string,
   agent: Agent | undefined,
-  { id, kind, path, body }: Pick<SentRequest, 'id' | 'kind' | 'path' | 'body'>,
+  { id, kind, path, body, leaveAfter }: RequestToSend,
 ): Promise<SentRequest> {
   const [host, port] = entry.split(':');
-  const startedAt = performance.now();
+  const timeout = kind === 'long' ? LONG_TIMEOUT : ROUTE_TIMEOUT;
+  const sentAt = performance.now();
+  let writtenAt: number | undefined;
+  let leftAt: number | undefined;
   const headers = {
     Host: HOST,
     'Attempt-Id': id,
     'Api-Key': KEY,
-    'Deadline-Ms': String(ROUTE_TIMEOUT),
+    'Deadline-Ms': String(timeout),
     Tenant: 'forged',
   };
   return new Promise((resolve) => {
@@ -44,13 +74,17 @@
       resolve({
         id,
         kind,
+        entry,
         path,
         body,
         status: answer?.statusCode,
         headers: answer?.headers ?? {},
         answer: Buffer.concat(parts).toString('utf8'),
         isWhole: answer?.complete ?? false,
-        tookMilliseconds: performance.now() - startedAt,
+        sentAt,
+        writtenAt,
+        endedAt: performance.now(),
+        leftAt,
       });
     const sent = httpRequest({ host, port, path, method: 'POST', agent, headers }, (answer) => {
       answer.on('data', (part) => parts.push(part));
@@ -58,7 +92,14 @@
       answer.on('end', () => end(answer));
       answer.on('close', () => end(answer));
     });
-    const limit = setTimeout(() => sent.destroy(), ROUTE_TIMEOUT * 2);
+    const leave = () => {
+      leftAt = performance.now();
+      sent.destroy();
+    };
+    const limit = setTimeout(leave, leaveAfter ?? timeout * 2);
+    sent.on('finish', () => {
+      writtenAt = performance.now();
+    });
     sent.on('close', () => clearTimeout(limit));
     sent.on('error', () => end());
     sent.end(body);
@@ -74,7 +115,7 @@
   if (status !== 200) return broken;
   if (headers['attempt-id'] !== id) broken.push(`MIXED: ${id} got the answer of ${headers['attempt-id']}`);
   if (headers['server-seal'] === undefined) broken.push(`MIXED: ${id} got no signature`);
-  if (kind === 'write') return [...broken, ...judgeEvents(id, path, answer)];
+  if (kind === 'write' || kind === 'long') return [...broken, ...judgeEvents(id, path, answer)];
   const told = parse(answer);
   if (told?.id !== id || told?.seal !== headers['server-seal'])
     broken.push(`MIXED: ${id} got ${answer.slice(0, 80)}`);
@@ -83,7 +124,7 @@
 
 function judgeEvents(id: string, path: string, answer: string): string[] {
   let expected = '';
-  for (let event = 1; event <= EVENTS; event++)
+  for (let event = 1; event <= streamShape(path).events; event++)
     expected += `id: ${event}\ndata: ${eventData(path, event)}\n\n`;
   return answer === expected
     ? []
@@ -121,6 +162,12 @@
   readonly #random: Random;
   readonly #name: string;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 4 });
+  readonly #long = new Set<Promise<void>>();
+  /** Time for which it holds an answer of the directory, in milliseconds. */
+  readonly #hold: number;
+  /** True where it goes on with the entry that it has as long as a connection there is open. */
+  readonly #isLoyal: boolean;
+  #entry: string | undefined;
   #addresses: string[] = [];
   #askedAt = Number.NEGATIVE_INFINITY;
   #running = true;
@@ -129,14 +176,20 @@
     this.#name = name;
     this.#world = world;
     this.#random = random;
+    this.#hold = ADDRESS_LIFETIME * 1_000 * (1 + random.below(LONGEST_HOLD));
+    this.#isLoyal = random.below(2) === 0;
   }
 
   async run(): Promise<void> {
     for (let count = 0; this.#running; count++) {
       await this.#lookUp();
-      await this.#sendOne(`${this.#name}-${count}`);
+      const kind = (['write', 'write', 'long', 'once', 'again'] as const)[this.#random.below(5)];
+      const id = `${this.#name}-${count}`;
+      if (kind !== 'long') await this.#sendOne(id, kind);
+      else if (this.#long.size < MOST_LONG) this.#startLong(id);
       await new Promise((resolve) => setTimeout(resolve, this.#random.below(LONGEST_PAUSE)));
     }
+    await Promise.all(this.#long);
     this.#agent.destroy();
   }
 
@@ -144,9 +197,9 @@
     this.#running = false;
   }
 
-  /** An answer is kept for a second, and for longer where there is no new one. */
+  /** An answer is held for its time, and for longer where there is no new one. */
   async #lookUp(): Promise<void> {
-    if (performance.now() - this.#askedAt < 1_000 && this.#addresses.length > 0) return;
+    if (performance.now() - this.#askedAt < this.#hold && this.#addresses.length > 0) return;
     const entries = this.#world.entryAddresses();
     const { directory } = entries[this.#random.below(entries.length)];
     const url = `http://${directory}/v1/resolve?name=${HOST}&region=zone-a&zone=zone-a`;
@@ -161,15 +214,36 @@
     }
   }
 
-  async #sendOne(id: string): Promise<void> {
+  #startLong(id: string): void {
+    const stream = this.#sendOne(id, 'long');
+    this.#long.add(stream);
+    void stream.finally(() => this.#long.delete(stream));
+  }
+
+  async #sendOne(id: string, kind: SentRequest['kind']): Promise<void> {
     if (this.#addresses.length === 0) return;
-    const kind = (['write', 'write', 'once', 'again'] as const)[this.#random.below(4)];
-    const path = `/${kind}/${this.#random.below(1_000)}?of=${this.#name}`;
-    const entry = this.#addresses[this.#random.below(this.#addresses.length)];
-    const sent = await sendRequest(entry, this.#agent, { id, kind, path, body: `body of ${id}` });
+    const shape = kind === 'long' ? `&events=${LONG_EVENTS}&interval=${LONG_INTERVAL}` : '';
+    const path = `/${kind}/${this.#random.below(1_000)}?of=${this.#name}${shape}`;
+    const isLeft = this.#random.below(LEFT_ONE_IN) === 0;
+    const leaveAfter = isLeft ? 1 + this.#random.below(LONGEST_STAY) : undefined;
+    const toSend = { id, kind, path, body: `body of ${id}`, leaveAfter };
+    const sent = await sendRequest(this.#chooseEntry(), this.#agent, toSend);
     this.sent.push(sent);
     this.violations.push(...judgeAnswer(sent));
   }
+
+  #chooseEntry(): string {
+    const chosen = this.#addresses[this.#random.below(this.#addresses.length)];
+    if (!this.#isLoyal) return chosen;
+    if (this.#entry === undefined || !this.#isConnectedTo(this.#entry)) this.#entry = chosen;
+    return this.#entry;
+  }
+
+  #isConnectedTo(entry: string): boolean {
+    const [host, port] = entry.split(':');
+    const name = this.#agent.getName({ host, port: Number(port) });
+    return (this.#agent.freeSockets[name]?.length ?? 0) + (this.#agent.sockets[name]?.length ?? 0) > 0;
+  }
 }
 
 function parse(text: string): { id?: string; seal?: string } | undefined {
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -1,14 +1,30 @@
 /** Faults of a soak, drawn by its seed: what is done to processes, links, workers and the store, and when it ends. */
 import type { Random } from '../../../src/model/random.js';
+import { EVERYTHING } from './disruptions.js';
 import { PIECES, StandInEngine } from './workers.js';
-import type { SoakWorld, SystemProcess } from './world.js';
+import { RESTART_DELAY, type SoakWorld, type SystemProcess } from './world.js';
 
-/** One fault; it returns what ends it, and how long it lasts in milliseconds. */
+/** A fault that has begun. */
+interface BegunFault {
+  /** How long it lasts, in milliseconds. */
+  lasts: number;
+  end: () => void;
+  about: string;
+  /** Parts that it strikes without being planned. */
+  strikes?: string[];
+}
+
+/** One fault. */
 interface Fault {
   name: string;
-  begin(world: SoakWorld, random: Random): { lasts: number; end: () => void; about: string };
+  /** True where it goes on by itself and is waited for. */
+  isSeries?: boolean;
+  begin(world: SoakWorld, random: Random): BegunFault;
 }
 
+/** After a fault its parts count as struck for this long, in milliseconds: processes start and connections are made. */
+const AFTERMATH = 2_000;
+
 const nothing = () => {};
 
 function one<T>(items: readonly T[], random: Random): T {
@@ -21,22 +37,166 @@
 
 const between = (random: Random, least: number, most: number) => least + random.below(most - least);
 
-/** One process gets a signal. */
-function signalled(name: string, which: NodeJS.Signals): Fault {
-  return {
-    name,
+const entriesOf = (world: SoakWorld) => world.processes.filter(({ role }) => role === 'entry');
+
+/** Does something to parts one after the other, `gap` milliseconds apart; returns how long that takes. */
+function inTurn<T>(parts: readonly T[], gap: number, act: (part: T) => void): number {
+  for (const [place, part] of parts.entries()) setTimeout(() => act(part), place * gap);
+  return parts.length * gap;
+}
+
+/** What operators do in planned work: signals, configurations and versions, alone and in series. */
+const PLANNED: Fault[] = [
+  {
+    name: 'process told to stop',
     begin(world, random) {
       const struck = one(world.processes, random);
-      signal(struck, which);
+      world.terminate(struck);
       return { lasts: 0, end: nothing, about: struck.name };
     },
-  };
-}
+  },
+  {
+    name: 'settings told to have changed',
+    begin(world, random) {
+      const struck = one(world.processes, random);
+      signal(struck, 'SIGHUP');
+      return { lasts: 0, end: nothing, about: struck.name };
+    },
+  },
+  {
+    name: 'entries told to stop in turn',
+    isSeries: true,
+    begin(world, random) {
+      const gap = between(random, 200, 1_500);
+      const lasts = inTurn(entriesOf(world), gap, (entry) => world.terminate(entry));
+      return { lasts, end: nothing, about: `every ${gap} ms` };
+    },
+  },
+  {
+    name: 'entries told to stop in turn, with changed settings between',
+    isSeries: true,
+    begin(world, random) {
+      const gap = between(random, 400, 1_500);
+      const entries = entriesOf(world);
+      const lasts = inTurn(entries, gap, (entry) => {
+        signal(entry, 'SIGHUP');
+        setTimeout(() => world.terminate(entry), gap / 4);
+        setTimeout(() => signal(entry, 'SIGHUP'), gap / 2);
+      });
+      return { lasts, end: nothing, about: `every ${gap} ms` };
+    },
+  },
+  {
+    name: 'process told to stop twice',
+    isSeries: true,
+    begin(world, random) {
+      const struck = one(world.processes, random);
+      const gap = between(random, 20, 2_500);
+      world.terminate(struck);
+      const { child } = struck;
+      setTimeout(() => child?.kill('SIGTERM'), gap);
+      return { lasts: gap, end: nothing, about: `${struck.name} after ${gap} ms` };
+    },
+  },
+  {
+    name: 'configuration changed',
+    begin(world) {
+      world.configure();
+      return { lasts: 0, end: nothing, about: `revision ${world.configurationVersion}` };
+    },
+  },
+  {
+    name: 'version named',
+    begin(world) {
+      world.bumpVersion();
+      return { lasts: 0, end: nothing, about: `version ${world.weightsVersion}` };
+    },
+  },
+];
 
-const FAULTS: Fault[] = [
-  signalled('process killed', 'SIGKILL'),
-  signalled('process told to stop', 'SIGTERM'),
-  signalled('settings told to have changed', 'SIGHUP'),
+/** What goes wrong. */
+const UNPLANNED: Fault[] = [
+  {
+    name: 'process killed',
+    begin(world, random) {
+      const struck = one(world.processes, random);
+      signal(struck, 'SIGKILL');
+      return { lasts: 0, end: nothing, about: struck.name, strikes: [struck.name] };
+    },
+  },
+  {
+    name: 'process told to stop while it starts',
+    isSeries: true,
+    begin(world, random) {
+      const struck = one(world.processes, random);
+      const lasts = RESTART_DELAY + between(random, 0, 500);
+      signal(struck, 'SIGKILL');
+      setTimeout(() => world.terminate(struck), lasts);
+      return { lasts, end: nothing, about: `${struck.name} after ${lasts} ms`, strikes: [struck.name] };
+    },
+  },
+  {
+    name: 'worker sheds though it is healthy',
+    begin(world, random) {
+      const { worker } = one(world.workers, random);
+      worker.shedShare = between(random, 3, 11) / 10;
+      return {
+        lasts: between(random, 500, 4_000),
+        end: () => {
+          worker.shedShare = 0;
+        },
+        about: `${worker.id}, ${worker.shedShare} of its requests`,
+      };
+    },
+  },
+  {
+    name: 'all workers shed though they are healthy',
+    begin(world, random) {
+      const share = between(random, 3, 11) / 10;
+      for (const { worker } of world.workers) worker.shedShare = share;
+      return {
+        lasts: between(random, 1_000, 6_000),
+        end: () => {
+          for (const { worker } of world.workers) worker.shedShare = 0;
+        },
+        about: `${share} of their requests`,
+      };
+    },
+  },
+  {
+    name: 'connections to the store silent for good',
+    begin(world, random) {
+      const { storeLink, name } = one(world.processes, random);
+      storeLink.silence();
+      return { lasts: 0, end: nothing, about: name, strikes: [name] };
+    },
+  },
+  {
+    name: 'connections to a worker silent for good',
+    begin(world, random) {
+      const { link, worker } = one(world.workers, random);
+      link.silence();
+      return { lasts: 0, end: nothing, about: worker.id, strikes: [worker.id] };
+    },
+  },
+  {
+    name: 'connections of agents to an entry silent for good',
+    begin(world, random) {
+      const link = one(world.seedLinks, random);
+      link.silence();
+      const agents = world.processes.filter(({ role }) => role === 'agent').map(({ name }) => name);
+      return { lasts: 0, end: nothing, about: link.target, strikes: agents };
+    },
+  },
+  {
+    name: 'all open connections silent for good',
+    begin(world) {
+      for (const link of world.seedLinks) link.silence();
+      for (const { storeLink } of world.processes) storeLink.silence();
+      for (const { link } of world.workers) link.silence();
+      return { lasts: 0, end: nothing, about: 'all', strikes: [EVERYTHING] };
+    },
+  },
   {
     name: 'process paused',
     begin(world, random) {
@@ -46,6 +206,7 @@
         lasts: between(random, 200, 2_500),
         end: () => signal(struck, 'SIGCONT'),
         about: struck.name,
+        strikes: [struck.name],
       };
     },
   },
@@ -53,7 +214,7 @@
     name: 'all processes killed',
     begin(world) {
       for (const struck of world.processes) signal(struck, 'SIGKILL');
-      return { lasts: 0, end: nothing, about: 'all' };
+      return { lasts: 0, end: nothing, about: 'all', strikes: [EVERYTHING] };
     },
   },
   {
@@ -66,6 +227,7 @@
         lasts: between(random, 300, 3_000),
         end: () => storeLink.cut('none'),
         about: `${name} ${how}`,
+        strikes: [name],
       };
     },
   },
@@ -74,7 +236,7 @@
     begin(world, random) {
       const { storeLink, name } = one(world.processes, random);
       storeLink.reset();
-      return { lasts: 0, end: nothing, about: name };
+      return { lasts: 0, end: nothing, about: name, strikes: [name] };
     },
   },
   {
@@ -88,6 +250,7 @@
           storeLink.delay = 0;
         },
         about: name,
+        strikes: [name],
       };
     },
   },
@@ -101,6 +264,7 @@
         lasts: between(random, 300, 2_000),
         end: () => link.cut('none'),
         about: `${worker.id} ${how}`,
+        strikes: [worker.id],
       };
     },
   },
@@ -109,7 +273,7 @@
     begin(world, random) {
       const { link, worker } = one(world.workers, random);
       link.reset();
-      return { lasts: 0, end: nothing, about: worker.id };
+      return { lasts: 0, end: nothing, about: worker.id, strikes: [worker.id] };
     },
   },
   {
@@ -118,7 +282,7 @@
       const place = random.below(world.workers.length);
       const { id } = world.workers[place].worker;
       void world.replaceWorker(place);
-      return { lasts: 1_500, end: nothing, about: id };
+      return { lasts: 1_500, end: nothing, about: id, strikes: [id] };
     },
   },
   {
@@ -141,6 +305,7 @@
           store.faults[how] = false;
         },
         about: how,
+        strikes: [EVERYTHING],
       };
     },
   },
@@ -148,21 +313,7 @@
     name: 'history forgotten',
     begin({ store }) {
       store.forgetHistory();
-      return { lasts: 0, end: nothing, about: 'store' };
-    },
-  },
-  {
-    name: 'configuration changed',
-    begin(world) {
-      world.configure();
-      return { lasts: 0, end: nothing, about: `revision ${world.configurationVersion}` };
-    },
-  },
-  {
-    name: 'version named',
-    begin(world) {
-      world.bumpVersion();
-      return { lasts: 0, end: nothing, about: `version ${world.weightsVersion}` };
+      return { lasts: 0, end: nothing, about: 'store', strikes: [EVERYTHING] };
     },
   },
 ];
@@ -170,18 +321,30 @@
 /** Longest pause between two faults, in milliseconds: series overlap. */
 const LONGEST_PAUSE = 900;
 
+/** Which faults a seed plays: with planned work alone, everything that it harms is a loss. */
+export type FaultChoice = 'planned' | 'all';
+
 /** Provokes faults until `signal`; returns their time line. */
-export async function provoke(world: SoakWorld, random: Random, signal: AbortSignal): Promise<string[]> {
+export async function provoke(
+  world: SoakWorld,
+  random: Random,
+  signal: AbortSignal,
+  choice: FaultChoice,
+): Promise<string[]> {
   const timeline: string[] = [];
   const startedAt = performance.now();
+  const faults = choice === 'planned' ? PLANNED : [...PLANNED, ...UNPLANNED];
   const replaced = new Set<string>();
+  let seriesEndAt = startedAt;
   while (!signal.aborted) {
     await new Promise((resolve) => setTimeout(resolve, random.below(LONGEST_PAUSE)));
     if (signal.aborted) break;
-    const fault = one(FAULTS, random);
+    const fault = one(faults, random);
     // A place whose worker is being replaced is left alone until it is there.
     if (fault.name === 'worker replaced' && replaced.size > 0) continue;
-    const { lasts, end, about } = fault.begin(world, random);
+    const { lasts, end, about, strikes = [] } = fault.begin(world, random);
+    world.disruptions.note(strikes, lasts + AFTERMATH);
+    if (fault.isSeries === true) seriesEndAt = Math.max(seriesEndAt, performance.now() + lasts);
     const at = Math.round(performance.now() - startedAt);
     timeline.push(`${at} ms ${fault.name}: ${about}${lasts > 0 ? ` for ${lasts} ms` : ''}`);
     if (fault.name === 'worker replaced') replaced.add(about);
@@ -190,5 +353,6 @@
       replaced.delete(about);
     }, lasts);
   }
+  await new Promise((resolve) => setTimeout(resolve, Math.max(0, seriesEndAt - performance.now())));
   return timeline;
 }
--- /dev/null
+++ b/test/platform/soak/judges.ts
@@ -0,0 +1,124 @@
+/** Promises over time that are judged once a soak has ended: planned stops, repetitions, and callers that left. */
+import type { SentRequest } from './callers.js';
+import type { PlannedStop } from './disruptions.js';
+import type { Arrival, Run } from './workers.js';
+import { GRACE_TIME, LONG_TIMEOUT, RETRIES, ROUTE_TIMEOUT, type SoakWorld } from './world.js';
+
+/** A request that is closed sooner after its last byte, and ran nowhere, crossed the close of its connection, in milliseconds. */
+const CROSSING = 200;
+/** No disruption from this long before a request, in milliseconds: what it did to the system lasts on. */
+const CALM_BEFORE = 4_000;
+/** A request sent up to this long after the order to stop may be cut in the last part of the time of grace, in milliseconds. */
+const TAKEN_EARLY = 3_000;
+const LAST_PART = GRACE_TIME / 6;
+/** Time in which the news that a caller has left must reach its worker, in milliseconds. */
+const LEAVING_TIME = 500;
+/** Arrivals for callers that left which are too few to count, and the share of runs that may go on. */
+const FEW = 3;
+const MOST_LEFT_RUNNING = 0.25;
+const SERVICE_OF = { write: 'engines', long: 'engines', once: 'plain', again: 'plain' } as const;
+
+/** Answers that a planned stop cut though nothing else went wrong around them. */
+export function judgePlannedStops(world: SoakWorld, sent: readonly SentRequest[]): string[] {
+  const runs = runsById(world);
+  return sent.flatMap((request) => {
+    const own = runs.get(request.id) ?? [];
+    const stop = stopThatCut(world, request, own);
+    return stop === undefined ? [] : [describeLoss(request, stop, own)];
+  });
+}
+
+function stopThatCut(world: SoakWorld, request: SentRequest, runs: readonly Run[]): PlannedStop | undefined {
+  const { entry, sentAt, endedAt, isWhole, leftAt, kind } = request;
+  const timeout = kind === 'long' ? LONG_TIMEOUT : ROUTE_TIMEOUT;
+  if (isWhole || leftAt !== undefined || endedAt - sentAt >= timeout) return undefined;
+  if (!wasRead(request, runs) || runs.some(({ isBrokenOff }) => isBrokenOff)) return undefined;
+  const name = world.entryAt(entry);
+  const stop = world.disruptions.stopDuring(name, sentAt, endedAt, GRACE_TIME);
+  if (stop === undefined) return undefined;
+  const mayBeCut = sentAt <= stop.at + TAKEN_EARLY && endedAt >= stop.at + GRACE_TIME - LAST_PART;
+  const parts = [name, ...runs.map(({ worker }) => worker)];
+  const isCalm = world.disruptions.areCalm(parts, sentAt - CALM_BEFORE, endedAt);
+  return mayBeCut || !isCalm ? undefined : stop;
+}
+
+function wasRead({ status, writtenAt, endedAt }: SentRequest, runs: readonly Run[]): boolean {
+  const isLate = writtenAt !== undefined && endedAt - writtenAt > CROSSING;
+  return status !== undefined || runs.length > 0 || isLate;
+}
+
+function describeLoss(request: SentRequest, stop: PlannedStop, runs: readonly Run[]): string {
+  const { id, kind, status, sentAt, endedAt } = request;
+  const since = (at: number) => `${Math.round(at - stop.at)} ms`;
+  const answer = status === undefined ? 'no answer' : `a cut answer (${status})`;
+  return `LOST: ${id} (${kind}) at ${stop.process}, sent ${since(sentAt)} and ended ${since(endedAt)} after SIGTERM: ${answer}, ${runs.length} runs`;
+}
+
+/** Windows in which a service got more repetitions than all entries together may send. */
+export function judgeRepetitions(world: SoakWorld, sent: readonly SentRequest[]): string[] {
+  return ['engines', 'plain'].flatMap((service) => {
+    const requests = sent.filter(({ kind }) => SERVICE_OF[kind] === service).map(({ sentAt }) => sentAt);
+    const worst = worstWindow(repetitionsOf(service, world.log.arrivals), requests);
+    return worst === undefined ? [] : [`BUDGET: ${service} got ${worst}`];
+  });
+}
+
+/** When a service got a request that it, or another worker of it, had got before. */
+function repetitionsOf(service: string, arrivals: readonly Arrival[]): number[] {
+  const seen = new Set<string>();
+  const repetitions: number[] = [];
+  for (const arrival of arrivals) {
+    if (arrival.service !== service) continue;
+    if (seen.has(arrival.requestId)) repetitions.push(arrival.at);
+    seen.add(arrival.requestId);
+  }
+  return repetitions;
+}
+
+function worstWindow(repetitions: readonly number[], requests: readonly number[]): string | undefined {
+  const { share, slack, window } = RETRIES;
+  const within = (times: readonly number[], end: number) =>
+    times.filter((at) => at > end - window && at <= end).length;
+  let worst: { excess: number; text: string } | undefined;
+  for (const end of repetitions) {
+    const count = within(repetitions, end);
+    const allowedBy = [end, end - window / 2, end - window].map((at) => within(requests, at));
+    const most = Math.max(...allowedBy);
+    const excess = count - share * most - slack;
+    if (excess > (worst?.excess ?? 0))
+      worst = { excess, text: `${count} repetitions in 10 s for ${most} requests (slack ${slack})` };
+  }
+  return worst?.text;
+}
+
+/** What workers still got and did for callers that had left. */
+export function judgeDepartures(world: SoakWorld, sent: readonly SentRequest[]): string[] {
+  const left = sent.filter((request) => request.leftAt !== undefined && isCalmAround(world, request));
+  const leftAt = new Map(left.map((request) => [request.id, request.leftAt! + LEAVING_TIME]));
+  const late = world.log.arrivals.filter(({ requestId, at }) => at > (leftAt.get(requestId) ?? Infinity));
+  const lasting = world.log.runs.filter((run) => wouldLast(run, leftAt.get(run.requestId)));
+  const goingOn = lasting.filter((run) => (run.endedAt ?? Infinity) > leftAt.get(run.requestId)!);
+  const broken: string[] = [];
+  if (late.length > FEW)
+    broken.push(`GONE: ${late.length} arrivals later than 500 ms, as of ${late[0].requestId}`);
+  if (goingOn.length > FEW && goingOn.length > lasting.length * MOST_LEFT_RUNNING)
+    broken.push(`GONE: ${goingOn.length} of ${lasting.length} runs go on, as of ${goingOn[0].requestId}`);
+  return broken;
+}
+
+function isCalmAround(world: SoakWorld, { entry, sentAt, leftAt, id }: SentRequest): boolean {
+  const workers = world.log.of(id).map(({ worker }) => worker);
+  const parts = [world.entryAt(entry), ...workers];
+  return world.disruptions.areCalm(parts, sentAt - CALM_BEFORE, leftAt! + LEAVING_TIME);
+}
+
+/** Only long streams last longer than the news of a departure may take. */
+function wouldLast(run: Run, until: number | undefined): boolean {
+  return until !== undefined && run.path.startsWith('/long/') && run.at < until;
+}
+
+function runsById(world: SoakWorld): Map<string, Run[]> {
+  const byId = new Map<string, Run[]>();
+  for (const run of world.log.runs) byId.set(run.requestId, [...(byId.get(run.requestId) ?? []), run]);
+  return byId;
+}
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -2,7 +2,8 @@
  * A soak: the real programs as processes, faults from outside, callers that judge every answer; then quiet, in which
  * everything must serve by the newest configuration and version again.
  *
- * `npm run soak -- [--seed S] [--seeds N] [--seconds T]` prints each seed's outcome; a seed that breaks a promise prints
+ * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all]`
+ * prints each seed's outcome; a seed that breaks a promise prints
  * its time line and keeps its logs, and the exit code is 1.
  */
 import { readFileSync, rmSync } from 'node:fs';
@@ -10,10 +11,10 @@
 import { parseArgs } from 'node:util';
 import { seededRandom } from '../../../src/model/random.js';
 import { judgeAnswer, judgeRuns, type SentRequest, SoakCaller, sendRequest } from './callers.js';
-import { provoke } from './faults.js';
-import { SoakWorld } from './world.js';
+import { type FaultChoice, provoke } from './faults.js';
+import { judgeDepartures, judgePlannedStops, judgeRepetitions } from './judges.js';
+import { SoakWorld, type WorldSize } from './world.js';
 
-const CALLERS = 10;
 const SECOND = 1_000;
 /** Longest time from the last fault until everything must serve as declared, in milliseconds. */
 const RECOVERY_LIMIT = 14_000;
@@ -21,6 +22,17 @@
 const PROBE_PAUSE = 200;
 const SUBNETS = 250;
 
+/** How one seed is played. */
+interface SeedPlan {
+  seed: number;
+  seconds: number;
+  folder: string;
+  size: WorldSize;
+  callers: number;
+  /** Undefined where the seed decides. */
+  faults: FaultChoice | undefined;
+}
+
 /** What one seed showed. */
 interface SeedOutcome {
   violations: string[];
@@ -78,11 +90,12 @@
   }
 }
 
-async function playSeed(seed: number, seconds: number, folder: string): Promise<SeedOutcome> {
-  const world = new SoakWorld(folder, 1 + (seed % SUBNETS));
+async function playSeed({ seed, seconds, folder, size, ...plan }: SeedPlan): Promise<SeedOutcome> {
+  const world = new SoakWorld(folder, 1 + (seed % SUBNETS), size);
   const random = seededRandom(seed);
+  const faults = plan.faults ?? (random.below(2) === 0 ? 'planned' : 'all');
   const probes: SentRequest[] = [];
-  const callers = Array.from({ length: CALLERS }, (_, index) => {
+  const callers = Array.from({ length: plan.callers }, (_, index) => {
     return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index));
   });
   try {
@@ -92,8 +105,10 @@
     const started = await untilDeclared(world, START_LIMIT, probes);
     if (typeof started === 'string') return failedToStart(started);
     const running = callers.map((caller) => caller.run());
-    const timeline = await provoke(world, random, AbortSignal.timeout(seconds * SECOND));
+    const timeline = await provoke(world, random, AbortSignal.timeout(seconds * SECOND), faults);
     world.heal();
+    // Planned stops that have begun are part of the faults.
+    await world.untilStopped();
     const recovered = await untilDeclared(world, RECOVERY_LIMIT, probes);
     for (const caller of callers) caller.stop();
     await Promise.all(running);
@@ -102,7 +117,11 @@
       ...callers.flatMap((caller) => caller.violations),
       ...probes.filter(({ path }) => !path.startsWith('/added-')).flatMap(judgeAnswer),
       ...judgeRuns(world, sent),
+      ...judgePlannedStops(world, sent),
+      ...judgeRepetitions(world, sent),
+      ...judgeDepartures(world, sent),
       ...world.log.violations,
+      ...world.violations,
       ...(typeof recovered === 'string' ? [`RECOVER: ${recovered}`] : []),
     ];
     return {
@@ -122,8 +141,9 @@
 
 function countStatuses(sent: readonly SentRequest[]): Record<string, number> {
   const counts: Record<string, number> = {};
-  for (const { status, isWhole } of sent) {
-    const outcome = status === undefined ? 'none' : isWhole ? String(status) : 'cut';
+  for (const { status, isWhole, leftAt } of sent) {
+    const outcome =
+      leftAt !== undefined ? 'left' : status === undefined ? 'none' : isWhole ? String(status) : 'cut';
     counts[outcome] = (counts[outcome] ?? 0) + 1;
   }
   return counts;
@@ -144,6 +164,10 @@
       seeds: { type: 'string', default: '1' },
       seconds: { type: 'string', default: '12' },
       folder: { type: 'string', default: 'target/soak' },
+      entries: { type: 'string', default: '3' },
+      agents: { type: 'string', default: '4' },
+      callers: { type: 'string', default: '10' },
+      faults: { type: 'string' },
     },
   });
   const first = values.seed === undefined ? Date.now() % 1_000_000 : Number(values.seed);
@@ -152,7 +176,14 @@
   for (const seed of [...(values.seed === undefined ? [] : keptSeeds()), ...fresh]) {
     const folder = join(values.folder, String(seed));
     rmSync(folder, { recursive: true, force: true });
-    const outcome = await playSeed(seed, Number(values.seconds), folder);
+    const outcome = await playSeed({
+      seed,
+      seconds: Number(values.seconds),
+      folder,
+      size: { entries: Number(values.entries), agents: Number(values.agents) },
+      callers: Number(values.callers),
+      faults: values.faults as FaultChoice | undefined,
+    });
     const { violations, timeline, statuses, recoveredAfter } = outcome;
     const line = {
       seed,
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -9,8 +9,8 @@
 export const PIECES = 8;
 export const LAYERS = 4;
 const PIECE_BYTES = 4_096;
-/** Events of a stream, and the time between two, in milliseconds. */
-export const EVENTS = 6;
+/** Events of a stream whose path does not name their number, and the time between two, in milliseconds. */
+const EVENTS = 6;
 const EVENT_INTERVAL = 15;
 /** Requests that run at the same time, and that wait besides. */
 const SLOTS = 8;
@@ -23,6 +23,7 @@
 export interface Run {
   requestId: string;
   worker: string;
+  service: string;
   tenant: string;
   method: string;
   path: string;
@@ -30,11 +31,24 @@
   /** Version of the weights that ran it; 0 for a plain service. */
   version: number;
   at: number;
+  /** When the work on it ended; undefined while it goes on. */
+  endedAt: number | undefined;
+  /** True where the worker itself broke the answer off. */
+  isBrokenOff: boolean;
+}
+
+/** A request that reached a worker, whether it ran there or not. */
+export interface Arrival {
+  requestId: string;
+  service: string;
+  worker: string;
+  at: number;
 }
 
 /** All runs, and what the stand-ins saw go wrong. */
 export class RunLog {
   readonly runs: Run[] = [];
+  readonly arrivals: Arrival[] = [];
   readonly violations: string[] = [];
 
   of(requestId: string): Run[] {
@@ -47,6 +61,15 @@
   return Buffer.alloc(PIECE_BYTES, createHash('sha256').update(`${version}/${index}`).digest());
 }
 
+/** Number of events and the time between two of the stream at `path`, which names them where they are not the usual. */
+export function streamShape(path: string): { events: number; interval: number } {
+  const { searchParams } = new URL(path, 'http://engine');
+  return {
+    events: Number(searchParams.get('events') ?? EVENTS),
+    interval: Number(searchParams.get('interval') ?? EVENT_INTERVAL),
+  };
+}
+
 /** The data of an event of the stream at `path`: the same whoever writes it. */
 export function eventData(path: string, id: number): string {
   return createHash('sha256').update(`${path}/${id}`).digest('hex').slice(0, 16);
@@ -109,7 +132,10 @@
   readonly service: string;
   protected readonly log: RunLog;
   leaving = false;
+  /** Share of requests that it refuses though it is healthy. */
+  shedShare = 0;
   #runs = 0;
+  #offers = 0;
 
   constructor(options: { id: string; service: string; address: string; log: RunLog }) {
     super(options.address);
@@ -121,25 +147,38 @@
   /** What it keeps in the store besides its address and zone. */
   abstract record(): object;
 
+  /** Notes that a request came; returns whether the worker sheds it. */
+  protected takesIn(request: IncomingMessage): boolean {
+    const { id: worker, service } = this;
+    this.log.arrivals.push({ requestId: requestIdOf(request), service, worker, at: performance.now() });
+    // Evenly spread, so that what is shed depends on nothing but the share.
+    const before = Math.floor(this.#offers * this.shedShare);
+    return Math.floor(++this.#offers * this.shedShare) === before;
+  }
+
   /** Answers that the request did not run. */
   protected refuse(request: IncomingMessage, response: ServerResponse, status: number): void {
     response.writeHead(status, { 'Attempt-Id': requestIdOf(request), 'Not-Executed': '1' });
     response.end();
   }
 
-  /** Notes a run; returns the signature of its answer. */
-  protected run(request: IncomingMessage, body: Buffer, version: number): string {
-    this.log.runs.push({
+  /** Notes a run; returns it with the signature of its answer. */
+  protected run(request: IncomingMessage, body: Buffer, version: number): { run: Run; seal: string } {
+    const run: Run = {
       requestId: requestIdOf(request),
       worker: this.id,
+      service: this.service,
       tenant: String(request.headers.tenant ?? ''),
       method: request.method ?? '',
       path: request.url ?? '',
       body: body.toString('utf8'),
       version,
       at: performance.now(),
-    });
-    return `${this.id}.${++this.#runs}`;
+      endedAt: undefined,
+      isBrokenOff: false,
+    };
+    this.log.runs.push(run);
+    return { run, seal: `${this.id}.${++this.#runs}` };
   }
 
   protected isMeant(request: IncomingMessage): boolean {
@@ -154,9 +193,11 @@
   }
 
   protected handle(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
+    if (!this.takesIn(request)) return this.refuse(request, response, 503);
     if (!this.isMeant(request)) return this.refuse(request, response, 421);
-    const seal = this.run(request, body, 0);
+    const { run, seal } = this.run(request, body, 0);
     setTimeout(() => {
+      run.endedAt = performance.now();
       const id = requestIdOf(request);
       response.writeHead(200, { 'Attempt-Id': id, 'Server-Seal': seal });
       response.end(JSON.stringify({ id, seal }));
@@ -172,6 +213,8 @@
   #orders = 0;
   #active = 0;
   #waiting: Array<() => void> = [];
+  /** Break off the streams that run. */
+  readonly #running = new Set<() => void>();
 
   /** @param version - what it holds at its start, staged too; 0 for nothing */
   constructor(options: { id: string; service: string; address: string; log: RunLog; version: number }) {
@@ -226,7 +269,7 @@
     };
   }
 
-  #order(order: { version: number; expected_rev?: number }, response: ServerResponse): void {
+  #order(order: { version: number; expected_rev?: number; method?: string }, response: ServerResponse): void {
     if (this.#isBusy || (order.expected_rev !== undefined && order.expected_rev !== this.#orders))
       return json(response, 409, {});
     for (let index = 0; index < PIECES; index++) {
@@ -236,6 +279,7 @@
     this.#orders++;
     this.#isBusy = true;
     json(response, 202, {});
+    if (order.method === 'preempt') for (const breakOff of [...this.#running]) breakOff();
     void this.#take(order.version);
   }
 
@@ -248,6 +292,7 @@
   }
 
   async #generate(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
+    if (!this.takesIn(request)) return this.refuse(request, response, 503);
     const isOther = () => {
       const expected = request.headers['expect-version'];
       return expected !== undefined && Number(expected) !== this.#version;
@@ -264,18 +309,27 @@
     if (isGone) return this.#waiting.shift()?.();
     if (isOther()) return this.refuse(request, response, 421);
     this.#active++;
-    const seal = this.run(request, body, this.#version);
+    const { run, seal } = this.run(request, body, this.#version);
     response.writeHead(200, {
       'Attempt-Id': requestIdOf(request),
       'Server-Seal': seal,
       'Weight-Versions': String(this.#version),
       'Content-Type': 'text/event-stream',
     });
+    const breakOff = () => {
+      run.isBrokenOff = true;
+      response.destroy();
+    };
+    this.#running.add(breakOff);
+    const path = request.url ?? '';
+    const { events, interval } = streamShape(path);
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-    for (let id = first; id <= EVENTS && !isGone; id++) {
-      response.write(`id: ${id}\ndata: ${eventData(request.url ?? '', id)}\n\n`);
-      await pause(EVENT_INTERVAL);
+    for (let id = first; id <= events && !isGone; id++) {
+      response.write(`id: ${id}\ndata: ${eventData(path, id)}\n\n`);
+      await pause(interval);
     }
+    this.#running.delete(breakOff);
+    run.endedAt = performance.now();
     response.end();
     this.#active--;
     this.#waiting.shift()?.();
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -8,25 +8,33 @@
 import { CuttableLink } from '../../../bench/processes/cuttable-link.js';
 import { MemoryStore } from '../../../emulator/store/memory-store.js';
 import { wireStore } from '../wire-store.js';
+import { Disruptions } from './disruptions.js';
 import { RunLog, StandInEngine, StandInOrigin, StandInService, type StandInWorker } from './workers.js';
 
-export const ENTRIES = 3;
-const ENGINES = 4;
 const SERVICES = 2;
 const ZONES = ['zone-a', 'zone-b'];
 export const HOST = 'soak.example';
 export const KEY = 'key-of-tenant';
 export const TENANT = 'tenant-a';
-/** Time-out of every route, in milliseconds. */
+/** Time-out of the routes, in milliseconds; that of long streams is above their 5 s. */
 export const ROUTE_TIMEOUT = 3_000;
+export const LONG_TIMEOUT = 7_000;
 /** Time in which a named version must serve everywhere, in milliseconds. */
 const VERSION_BOUND = 8_000;
-const GRACE_SECONDS = 4;
+/** Time from SIGTERM to SIGKILL, in milliseconds, as on the platform. */
+export const GRACE_TIME = 8_000;
+/** Repetitions that all entries together may send: a share of the requests of a window, in milliseconds, and a slack. */
+export const RETRIES = { share: 0.2, slack: 30, window: 10_000 };
+/** Seconds for which an answer of the directory holds. */
+export const ADDRESS_LIFETIME = 1;
 const HEARTBEAT = 600;
 /** Time after which a process that ended is started again, in milliseconds. */
-const RESTART_DELAY = 200;
+export const RESTART_DELAY = 200;
 const ROLE_MEMORY_MB = 120;
 
+/** Entries that every process is told of. */
+const SEEDS = 2;
+
 /** One process of the system. */
 export interface SystemProcess {
   name: string;
@@ -45,12 +53,24 @@
   link: CuttableLink;
 }
 
+/** How many processes there are of each role; each agent has an engine. */
+export interface WorldSize {
+  entries: number;
+  agents: number;
+}
+
 /** The world. */
 export class SoakWorld {
   readonly store = new MemoryStore();
   readonly log = new RunLog();
+  readonly disruptions = new Disruptions();
+  /** What processes did of their own that they may not do. */
+  readonly violations: string[] = [];
   readonly processes: SystemProcess[] = [];
   readonly workers: ListedWorker[] = [];
+  /** The ways by which agents first reach the entries that they are told of. */
+  readonly seedLinks: CuttableLink[] = [];
+  readonly #size: WorldSize;
   readonly #folder: string;
   readonly #subnet: number;
   #origin: StandInOrigin;
@@ -61,9 +81,11 @@
   #beats = 0;
   #workersStarted = 0;
   #stopped = false;
+  #graceTimers = new Set<NodeJS.Timeout>();
 
   /** @param subnet - 1 to 250: the loopback network 127.`subnet`.0.0 is used */
-  constructor(folder: string, subnet: number) {
+  constructor(folder: string, subnet: number, size: WorldSize) {
+    this.#size = size;
     this.#folder = folder;
     this.#subnet = subnet;
     this.#origin = new StandInOrigin(this.#address(9, 1, 8_000));
@@ -80,22 +102,29 @@
 
   /** Addresses of entries for callers and for look-ups. */
   entryAddresses(): Array<{ callers: string; directory: string }> {
-    return Array.from({ length: ENTRIES }, (_, index) => ({
+    return Array.from({ length: this.#size.entries }, (_, index) => ({
       callers: this.#address(1, index + 1, 8_005),
       directory: this.#address(1, index + 1, 8_009),
     }));
   }
 
+  /** The name of the entry with this address for callers. */
+  entryAt(callers: string): string {
+    return `entry-${this.entryAddresses().findIndex((entry) => entry.callers === callers) + 1}`;
+  }
+
   async start(): Promise<void> {
+    const { entries, agents } = this.#size;
     const wire = await wireStore(this.store);
     this.#stopStore = wire.stop;
     await this.#origin.start();
     this.configure();
     this.store.write('op', 'version/m', JSON.stringify({ model: 'm', version: 1 }));
-    for (let index = 1; index <= ENGINES; index++) await this.#addEngine(index, 1);
+    for (let index = 1; index <= agents; index++) await this.#addEngine(index, 1);
     for (let index = 1; index <= SERVICES; index++) await this.#addService(index);
-    for (let index = 1; index <= ENTRIES; index++) await this.#addProcess('entry', index, wire.address);
-    for (let index = 1; index <= ENGINES; index++) await this.#addProcess('agent', index, wire.address);
+    for (let seed = 1; seed <= SEEDS; seed++) await this.#addSeedLink(seed);
+    for (let index = 1; index <= entries; index++) await this.#addProcess('entry', index, wire.address);
+    for (let index = 1; index <= agents; index++) await this.#addProcess('agent', index, wire.address);
     this.#beat();
     this.#heartbeat = setInterval(() => this.#beat(), HEARTBEAT);
     for (const started of this.processes) this.spawn(started);
@@ -105,6 +134,8 @@
   stop(): void {
     this.#stopped = true;
     clearInterval(this.#heartbeat);
+    for (const timer of this.#graceTimers) clearTimeout(timer);
+    for (const link of this.seedLinks) link.stop();
     for (const { child, storeLink } of this.processes) {
       child?.kill('SIGCONT');
       child?.kill('SIGKILL');
@@ -137,6 +168,11 @@
       version,
       routes: [
         route('write', 'stream', 'engines', { resumable: true, gap_target_ms: 300 }),
+        route('long', 'stream', 'engines', {
+          resumable: true,
+          gap_target_ms: 300,
+          timeout_ms: LONG_TIMEOUT,
+        }),
         route('once', 'non_idempotent', 'plain'),
         route('again', 'idempotent', 'plain'),
         route(`added-${version}`, 'idempotent', 'plain'),
@@ -173,12 +209,43 @@
     });
     closeSync(output);
     started.child = child;
-    child.once('exit', () => {
+    child.once('exit', (code) => {
       started.child = undefined;
+      for (const stop of this.disruptions.stops) {
+        if (stop.process === started.name) stop.endedAt = Math.min(stop.endedAt, performance.now());
+      }
+      if (code !== null && code !== 0)
+        this.violations.push(`EXIT: ${started.name} ended by itself with ${code}`);
       setTimeout(() => this.spawn(started), RESTART_DELAY);
     });
   }
 
+  /**
+   * Tells a process to stop as the platform does: SIGTERM, and SIGKILL once its time of grace is over. One that has to be
+   * killed though it was let run all the time breaks a promise.
+   */
+  terminate(stopped: SystemProcess): void {
+    const { child, name } = stopped;
+    if (child === undefined) return;
+    child.kill('SIGTERM');
+    const at = performance.now();
+    this.disruptions.stops.push({ process: name, at, endedAt: Number.POSITIVE_INFINITY });
+    const timer = setTimeout(() => {
+      this.#graceTimers.delete(timer);
+      if (stopped.child !== child) return;
+      if (this.disruptions.areCalm([name], at, performance.now()))
+        this.violations.push(`GRACE: ${name} outlived its time of grace`);
+      child.kill('SIGKILL');
+    }, GRACE_TIME);
+    this.#graceTimers.add(timer);
+  }
+
+  /** Returns once no process is about to stop. */
+  async untilStopped(): Promise<void> {
+    while (this.disruptions.stops.some(({ endedAt }) => endedAt === Number.POSITIVE_INFINITY))
+      await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+
   /** A worker ends as in a crash; its record lapses, and another comes in its place without weights. */
   async replaceWorker(place: number): Promise<void> {
     const { worker, link } = this.workers[place];
@@ -188,7 +255,7 @@
     if (this.#stopped) return;
     this.store.write('servers', worker.id, undefined);
     if (worker instanceof StandInEngine) await this.#addEngine(place + 1, 0, place);
-    else await this.#addService(place - ENGINES + 1, place);
+    else await this.#addService(place - this.#size.agents + 1, place);
     this.#beat();
   }
 
@@ -200,9 +267,10 @@
       storeLink.delay = 0;
       if (isWanted) child?.kill('SIGCONT');
     }
-    for (const { link } of this.workers) {
+    for (const { link, worker } of this.workers) {
       link.cut('none');
       link.delay = 0;
+      worker.shedShare = 0;
     }
   }
 
@@ -231,10 +299,16 @@
     this.workers[place] = { worker, zone: ZONES[index % ZONES.length], link };
   }
 
+  async #addSeedLink(seed: number): Promise<void> {
+    const link = new CuttableLink(this.#address(8, seed, 8_000), this.#address(1, seed, 8_000));
+    await link.start();
+    this.seedLinks.push(link);
+  }
+
   async #addProcess(role: 'entry' | 'agent', index: number, store: string): Promise<void> {
     const kind = role === 'entry' ? 1 : 2;
     const name = `${role}-${index}`;
-    const storeLink = new CuttableLink(this.#address(7, kind * 10 + index, 8_007), store);
+    const storeLink = new CuttableLink(this.#address(10 + kind, index, 8_007), store);
     await storeLink.start();
     const zone = ZONES[index % ZONES.length];
     const at = (port: number) => this.#address(kind, index, port);
@@ -245,12 +319,22 @@
       zone,
       region: zone,
       port_range: [7_700, 7_715],
-      seeds: [1, 2].map((seed) => this.#address(1, seed, 8_000)),
+      seeds:
+        role === 'entry'
+          ? [1, 2].map((seed) => this.#address(1, seed, 8_000))
+          : this.seedLinks.map(({ address }) => address),
       zones: Object.fromEntries(ZONES.map((one) => [one, one])),
       // Requests reach an engine over its link; its agent is on its machine.
       app: this.#address(5, index, 8_001),
       listen: { front: at(8_005), ready: at(8_002), control: at(8_000), directory: at(8_009) },
-      bounds: { grace_s: GRACE_SECONDS, version_ms: VERSION_BOUND, ttl_max_s: 1 },
+      bounds: {
+        grace_s: GRACE_TIME / 1_000,
+        version_ms: VERSION_BOUND,
+        ttl_max_s: ADDRESS_LIFETIME,
+        retry_budget: RETRIES.share,
+        budget_slack: RETRIES.slack,
+        budget_window_s: RETRIES.window / 1_000,
+      },
       platform: { address: storeLink.address },
     };
     writeFileSync(join(this.#folder, `${name}.json`), JSON.stringify(settings));
