Soak: a loss names the signals that made it; kept seeds say how they were played

Cause: a cut by a second SIGTERM and one by the end of the time of grace looked alike; a kept seed was replayed with the options of the run.

--- a/test/platform/soak/disruptions.ts
+++ b/test/platform/soak/disruptions.ts
@@ -40,6 +40,11 @@
     );
   }
 
+  /** How often a process was told to stop in a time. */
+  signalsTo(process: string, from: number, to: number): number {
+    return this.stops.filter((stop) => stop.process === process && stop.at >= from && stop.at <= to).length;
+  }
+
   /** The planned stop of a process into which a request falls that it was sent in this time, if any. */
   stopDuring(process: string, sentAt: number, endedAt: number, grace: number): PlannedStop | undefined {
     return this.stops.find((stop) => {
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -94,7 +94,9 @@
       const gap = between(random, 20, 2_500);
       world.terminate(struck);
       const { child } = struck;
-      setTimeout(() => child?.kill('SIGTERM'), gap);
+      setTimeout(() => {
+        if (struck.child === child) world.terminate(struck);
+      }, gap);
       return { lasts: gap, end: nothing, about: `${struck.name} after ${gap} ms` };
     },
   },
--- a/test/platform/soak/judges.ts
+++ b/test/platform/soak/judges.ts
@@ -24,7 +24,7 @@
   return sent.flatMap((request) => {
     const own = runs.get(request.id) ?? [];
     const stop = stopThatCut(world, request, own);
-    return stop === undefined ? [] : [describeLoss(request, stop, own)];
+    return stop === undefined ? [] : [describeLoss(world, request, stop, own)];
   });
 }
 
@@ -47,11 +47,18 @@
   return status !== undefined || runs.length > 0 || isLate;
 }
 
-function describeLoss(request: SentRequest, stop: PlannedStop, runs: readonly Run[]): string {
+function describeLoss(
+  world: SoakWorld,
+  request: SentRequest,
+  stop: PlannedStop,
+  runs: readonly Run[],
+): string {
   const { id, kind, status, sentAt, endedAt } = request;
   const since = (at: number) => `${Math.round(at - stop.at)} ms`;
   const answer = status === undefined ? 'no answer' : `a cut answer (${status})`;
-  return `LOST: ${id} (${kind}) at ${stop.process}, sent ${since(sentAt)} and ended ${since(endedAt)} after SIGTERM: ${answer}, ${runs.length} runs`;
+  const signals = world.disruptions.signalsTo(stop.process, stop.at, endedAt);
+  const times = `sent ${since(sentAt)} and ended ${since(endedAt)} after the first of ${signals} SIGTERM`;
+  return `LOST: ${id} (${kind}) at ${stop.process}, ${times}: ${answer}, ${runs.length} runs`;
 }
 
 /** Windows in which a service got more repetitions than all entries together may send. */
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -35,6 +35,7 @@
 
 /** What one seed showed. */
 interface SeedOutcome {
+  faults: FaultChoice;
   violations: string[];
   timeline: string[];
   statuses: Record<string, number>;
@@ -93,7 +94,8 @@
 async function playSeed({ seed, seconds, folder, size, ...plan }: SeedPlan): Promise<SeedOutcome> {
   const world = new SoakWorld(folder, 1 + (seed % SUBNETS), size);
   const random = seededRandom(seed);
-  const faults = plan.faults ?? (random.below(2) === 0 ? 'planned' : 'all');
+  const drawn: FaultChoice = random.below(2) === 0 ? 'planned' : 'all';
+  const faults = plan.faults ?? drawn;
   const probes: SentRequest[] = [];
   const callers = Array.from({ length: plan.callers }, (_, index) => {
     return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index));
@@ -103,7 +105,7 @@
     // The first configuration has a predecessor of which no route is left.
     world.configure();
     const started = await untilDeclared(world, START_LIMIT, probes);
-    if (typeof started === 'string') return failedToStart(started);
+    if (typeof started === 'string') return failedToStart(faults, started);
     const running = callers.map((caller) => caller.run());
     const timeline = await provoke(world, random, AbortSignal.timeout(seconds * SECOND), faults);
     world.heal();
@@ -125,6 +127,7 @@
       ...(typeof recovered === 'string' ? [`RECOVER: ${recovered}`] : []),
     ];
     return {
+      faults,
       violations,
       timeline,
       statuses: countStatuses(sent),
@@ -135,8 +138,8 @@
   }
 }
 
-function failedToStart(reason: string): SeedOutcome {
-  return { violations: [`START: ${reason}`], timeline: [], statuses: {}, recoveredAfter: undefined };
+function failedToStart(faults: FaultChoice, reason: string): SeedOutcome {
+  return { faults, violations: [`START: ${reason}`], timeline: [], statuses: {}, recoveredAfter: undefined };
 }
 
 function countStatuses(sent: readonly SentRequest[]): Record<string, number> {
@@ -149,12 +152,17 @@
   return counts;
 }
 
-/** Seeds that failed once, with their causes: they are played again with each run without a seed of its own. */
-function keptSeeds(): number[] {
-  const kept = JSON.parse(readFileSync('test/platform/soak/kept-seeds.json', 'utf8')) as Array<{
-    seed: number;
-  }>;
-  return kept.map(({ seed }) => seed);
+/** A seed that failed once, with how it was played and the cause. */
+interface KeptSeed {
+  seed: number;
+  seconds: number;
+  faults: FaultChoice;
+  cause: string;
+}
+
+/** The seeds that failed once: they are played again with each run without a seed of its own. */
+function keptSeeds(): KeptSeed[] {
+  return JSON.parse(readFileSync('test/platform/soak/kept-seeds.json', 'utf8')) as KeptSeed[];
 }
 
 async function main(): Promise<void> {
@@ -171,22 +179,22 @@
     },
   });
   const first = values.seed === undefined ? Date.now() % 1_000_000 : Number(values.seed);
-  const fresh = Array.from({ length: Number(values.seeds) }, (_, index) => first + index);
+  const fresh = Array.from({ length: Number(values.seeds) }, (_, index) => ({
+    seed: first + index,
+    seconds: Number(values.seconds),
+    faults: values.faults as FaultChoice | undefined,
+  }));
+  const size = { entries: Number(values.entries), agents: Number(values.agents) };
   let failed = 0;
-  for (const seed of [...(values.seed === undefined ? [] : keptSeeds()), ...fresh]) {
+  for (const play of [...(values.seed === undefined ? keptSeeds() : []), ...fresh]) {
+    const { seed } = play;
     const folder = join(values.folder, String(seed));
     rmSync(folder, { recursive: true, force: true });
-    const outcome = await playSeed({
-      seed,
-      seconds: Number(values.seconds),
-      folder,
-      size: { entries: Number(values.entries), agents: Number(values.agents) },
-      callers: Number(values.callers),
-      faults: values.faults as FaultChoice | undefined,
-    });
+    const outcome = await playSeed({ ...play, folder, size, callers: Number(values.callers) });
     const { violations, timeline, statuses, recoveredAfter } = outcome;
     const line = {
       seed,
+      choice: outcome.faults,
       violations: violations.length,
       faults: timeline.length,
       recoveredAfter,
