Soak: whatever ends it ends the processes that it started

Cause: a soak that was told to stop left its entries and agents running. Change: the world ends them with its process; SIGTERM and SIGINT end the soak in order.

--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -211,4 +211,6 @@
   process.exit(failed > 0 ? 1 : 0);
 }
 
+process.once('SIGINT', () => process.exit(130));
+process.once('SIGTERM', () => process.exit(143));
 void main();
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -71,6 +71,8 @@
   /** The ways by which agents first reach the entries that they are told of. */
   readonly seedLinks: CuttableLink[] = [];
   readonly #size: WorldSize;
+  /** Whatever ends this process ends those that it started. */
+  readonly #endWithProcess = () => this.stop();
   readonly #folder: string;
   readonly #subnet: number;
   #origin: StandInOrigin;
@@ -114,6 +116,7 @@
   }
 
   async start(): Promise<void> {
+    process.once('exit', this.#endWithProcess);
     const { entries, agents } = this.#size;
     const wire = await wireStore(this.store);
     this.#stopStore = wire.stop;
@@ -132,6 +135,7 @@
 
   /** Ends all that was started here, by its own identity. */
   stop(): void {
+    process.off('exit', this.#endWithProcess);
     this.#stopped = true;
     clearInterval(this.#heartbeat);
     for (const timer of this.#graceTimers) clearTimeout(timer);
