--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -233,7 +233,7 @@
     file: 'src/model/standstills.ts',
     find: 'return now - since - stoodStill;',
     replace: 'return now - since;',
-    test: 'test/model/standstills.test.ts test/protocol/connection.test.ts',
+    test: 'test/model/standstills.test.ts test/peers/standstill.test.ts test/forwarding/standstill.test.ts',
   },
   {
     fault: 'an answer without a length that is reset passes for whole',
