Tests of the soak's judges

Cause: a run that finds nothing does not show that its judges would. Change: LOST, BUDGET and GONE are judged on made-up runs, broken by one and kept by one, with each exception.

--- /dev/null
+++ b/test/platform/soak-judges.test.ts
@@ -0,0 +1,148 @@
+/** The judges of the soak find what they are for, and leave alone what is allowed. */
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { SentRequest } from './soak/callers.js';
+import { Disruptions } from './soak/disruptions.js';
+import { judgeDepartures, judgePlannedStops, judgeRepetitions } from './soak/judges.js';
+import { type Run, RunLog } from './soak/workers.js';
+import { RETRIES, type SoakWorld } from './soak/world.js';
+
+const START = 100_000;
+let log: RunLog;
+let disruptions: Disruptions;
+let world: SoakWorld;
+
+beforeEach(() => {
+  log = new RunLog();
+  disruptions = new Disruptions();
+  world = { log, disruptions, entryAt: () => 'entry-1' } as unknown as SoakWorld;
+});
+
+function sent(id: string, changes: Partial<SentRequest> = {}): SentRequest {
+  return {
+    id,
+    kind: 'long',
+    entry: 'address',
+    path: '/long/1',
+    body: '',
+    status: 200,
+    headers: {},
+    answer: '',
+    isWhole: true,
+    sentAt: START,
+    writtenAt: START + 1,
+    endedAt: START + 3_000,
+    leftAt: undefined,
+    ...changes,
+  };
+}
+
+function run(requestId: string, changes: Partial<Run> = {}): Run {
+  return {
+    requestId,
+    worker: 'i-1',
+    service: 'engines',
+    tenant: '',
+    method: 'POST',
+    path: '/long/1',
+    body: '',
+    version: 1,
+    at: START,
+    endedAt: START + 5_000,
+    isBrokenOff: false,
+    ...changes,
+  };
+}
+
+describe('LOST', () => {
+  const cut = { isWhole: false };
+
+  function stopAt(at: number): void {
+    disruptions.stops.push({ process: 'entry-1', at, endedAt: Number.POSITIVE_INFINITY });
+  }
+
+  it('is an answer that a planned stop cuts', () => {
+    stopAt(START + 1_000);
+    log.runs.push(run('one'));
+    expect(judgePlannedStops(world, [sent('one', cut)])).toEqual([expect.stringMatching(/^LOST: one /)]);
+  });
+
+  it('is a request that was read and gets no answer', () => {
+    stopAt(START + 1_000);
+    expect(judgePlannedStops(world, [sent('one', { ...cut, status: undefined })])).toHaveLength(1);
+  });
+
+  it.each([
+    ['is whole', {}, {}],
+    ['was left by its caller', { ...cut, leftAt: START + 10 }, {}],
+    ['was broken off by its worker', cut, { isBrokenOff: true }],
+    ['reached the time-out of its route', { ...cut, endedAt: START + 7_000 }, {}],
+    ['was sent early and cut late', { ...cut, sentAt: START + 3_500, endedAt: START + 8_000 }, {}],
+  ])('is no answer that %s', (_, changes, changesOfRun) => {
+    stopAt(START + 1_000);
+    log.runs.push(run('one', changesOfRun));
+    expect(judgePlannedStops(world, [sent('one', changes)])).toEqual([]);
+  });
+
+  it('is no request that crossed the close of its connection', () => {
+    stopAt(START + 1_000);
+    const crossing = { ...cut, status: undefined, sentAt: START + 2_000, writtenAt: START + 2_000 };
+    expect(judgePlannedStops(world, [sent('one', { ...crossing, endedAt: START + 2_100 })])).toEqual([]);
+  });
+
+  it('is nothing without a planned stop', () => {
+    log.runs.push(run('one'));
+    expect(judgePlannedStops(world, [sent('one', cut)])).toEqual([]);
+  });
+
+  it('is nothing where its worker was struck', () => {
+    const now = performance.now();
+    stopAt(now);
+    log.runs.push(run('one', { at: now }));
+    disruptions.note(['i-1'], 100);
+    const request = sent('one', { ...cut, sentAt: now - 100, writtenAt: now - 100, endedAt: now + 100 });
+    expect(judgePlannedStops(world, [request])).toEqual([]);
+  });
+});
+
+describe('BUDGET', () => {
+  /** 100 requests in a second, of which `repetitions` reach a second worker. */
+  function play(repetitions: number): string[] {
+    const requests = Array.from({ length: 100 }, (_, index) =>
+      sent(`r${index}`, { kind: 'again', sentAt: START + index * 10 }),
+    );
+    for (const { id, sentAt } of requests)
+      log.arrivals.push({ requestId: id, service: 'plain', worker: 'i-1', at: sentAt });
+    for (let index = 0; index < repetitions; index++)
+      log.arrivals.push({ requestId: `r${index}`, service: 'plain', worker: 'i-2', at: START + 1_000 });
+    return judgeRepetitions(world, requests);
+  }
+  const allowed = 100 * RETRIES.share + RETRIES.slack;
+
+  it('is broken by one repetition more than the share and the slack allow', () => {
+    expect(play(allowed + 1)).toEqual([expect.stringMatching(/^BUDGET: plain got 51 repetitions/)]);
+  });
+
+  it('is kept by as many as they allow', () => {
+    expect(play(allowed)).toEqual([]);
+  });
+});
+
+describe('GONE', () => {
+  const left = Array.from({ length: 8 }, (_, index) => sent(`r${index}`, { leftAt: START + 100 }));
+
+  it('is work that goes on at more than a quarter of the runs that would last', () => {
+    for (const { id } of left) log.runs.push(run(id, { endedAt: START + 700 }));
+    expect(judgeDepartures(world, left)).toEqual([expect.stringMatching(/^GONE: 8 of 8 runs go on/)]);
+  });
+
+  it('is no work that ends within half a second', () => {
+    for (const { id } of left) log.runs.push(run(id, { endedAt: START + 500 }));
+    expect(judgeDepartures(world, left)).toEqual([]);
+  });
+
+  it('is requests that reach a worker later', () => {
+    for (const { id: requestId } of left)
+      log.arrivals.push({ requestId, service: 'engines', worker: 'i-1', at: START + 700 });
+    expect(judgeDepartures(world, left)).toEqual([expect.stringMatching(/^GONE: 8 arrivals/)]);
+  });
+});
