--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -4,6 +4,7 @@
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
+import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
 import { endsWithin } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
@@ -59,6 +60,7 @@
   readonly #drainFigures: DrainFigures;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
+  readonly #standstills = new Standstills(CHECK_INTERVAL, performance.now());
   #acceptedAt = 0;
   #isClosed = false;
   /** Since when callers may be sending on connections that they were not told to leave: the close, and early answers. */
@@ -175,7 +177,7 @@
     const forwarded = new ForwardedRequest(this.#components, request, response);
     this.#active.add(forwarded);
     this.#acceptedAt = performance.now();
-    this.#timer ??= setInterval(() => this.#check(), CHECK_INTERVAL);
+    if (this.#timer === undefined) this.#beginChecks();
     forwarded.start().catch((cause) => forwarded.abandon(cause));
   }
 
@@ -196,9 +198,15 @@
     if (this.#responses.size === 0) this.#onFlushed();
   }
 
+  #beginChecks(): void {
+    this.#standstills.begin(performance.now());
+    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL);
+  }
+
   #check(): void {
     const now = performance.now();
-    for (const request of this.#active) request.check(now);
+    this.#standstills.tick(now);
+    for (const request of this.#active) request.check(now, this.#standstills);
     if (this.#active.size > 0) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
