A request's admission and the headers that it is sent on with are a module of their own

Change: admitted-request finds route, service, tenant, rank and time, and makes the headers; no change of what is done.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -7,10 +7,8 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
-import type { Route } from '../fleet/configuration.js';
-import { pathOf, type RouteTable, targetService } from '../fleet/route-table.js';
-import { hash32 } from '../model/random.js';
 import type { Standstills } from '../model/standstills.js';
+import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
 import { type AnswerHead, Attempt, type AttemptFailure, MISDIRECTED } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
 import type { Requirements } from './back-end-selector.js';
@@ -20,9 +18,7 @@
 import { type CallerBody, readCallerBody } from './caller-body.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
-import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
 import type { HoldEnd, HoldRecord } from './hold-record.js';
-import { RequestTiming } from './request-timing.js';
 import { type Silence, silenceOf } from './silence.js';
 import { TimeToEnd } from './time-to-end.js';
 
@@ -60,20 +56,11 @@
   readonly arrivedAt = performance.now();
   readonly #id: string;
   readonly #tried = new Set<string>();
-  #route!: Route;
-  #table!: RouteTable;
-  #service = '';
-  #tenant: string | undefined;
-  /** Place of its kind among all, 0 for the most urgent. */
-  #rank = 0;
-  /** Known once its route is. */
-  #timing!: RequestTiming;
+  /** Set before anything is sent. */
+  #admitted!: AdmittedRequest;
   #timeToEnd!: TimeToEnd;
   #timer: NodeJS.Timeout | undefined;
   #body: CallerBody = { type: 'none' };
-  #promptTokens = 0;
-  /** Tokens that the answer may have. */
-  #answerTokens = 0;
   /** The attempt in progress and its back end. */
   #use: BackEndUse | undefined;
   #sends = 0;
@@ -105,14 +92,14 @@
 
   /** Routes the request and sends it. */
   async start(): Promise<void> {
-    const error = this.#admit();
-    if (error !== undefined) return this.#finish(error);
-    this.#timer = setTimeout(() => this.#onTimeout(), this.#timing.endsAt - this.arrivedAt);
-    this.#body = await readCallerBody(this.#request, this.#table.configuration.limits.bodyBytes);
+    const rejected = this.#admit();
+    if (rejected !== undefined) return this.#finish(rejected.error, rejected.route);
+    this.#timer = setTimeout(() => this.#onTimeout(), this.#admitted.timing.endsAt - this.arrivedAt);
+    this.#body = await readCallerBody(this.#request, this.#admitted.table.configuration.limits.bodyBytes);
     if (this.#settled) return;
     if (this.#body.type === 'tooLarge') return this.#finish({ type: 'bodyTooLarge' });
     if (this.#body.type === 'cut') return this.#finish({ type: 'malformed', reason: 'cut body' });
-    this.#components.budgetOf(this.#service).earn(performance.now());
+    this.#components.budgetOf(this.#admitted.service).earn(performance.now());
     this.#send();
   }
 
@@ -172,29 +159,13 @@
     use.attempt.failSilentConnection(silence === 'connection');
   }
 
-  /** Finds route, tenant and time; returns why the request cannot be sent. */
-  #admit(): ForwardingError | undefined {
-    const { fleet, names } = this.#components;
-    const { headers, url } = this.#request;
-    if (fleet.routes === undefined || !fleet.complete) return { type: 'notConfigured' };
-    this.#table = fleet.routes;
-    const route = this.#table.match(headers.host ?? '', pathOf(url ?? '/'));
-    if (route === undefined) return { type: 'noRoute' };
-    this.#route = route;
-    this.#rank = this.#table.rankOf(route.priority);
-    if (this.#table.needsKeys && !route.isPublic) {
-      const tenant = this.#table.tenantOf(String(headers[names.callerKey] ?? ''));
-      if (tenant === undefined) return { type: 'unknownKey' };
-      this.#tenant = tenant.name;
-      this.#rank = this.#table.rankOf(tenant.priority ?? route.priority);
-    }
-    this.#service = targetService(route, hash32(this.#id) / 2 ** 32);
-    const timeLeft = Number(headers[names.timeLeft]);
-    this.#timing = new RequestTiming(this.arrivedAt, route, timeLeft > 0 ? timeLeft : undefined);
-    const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
-    this.#promptTokens = Number(promptTokens) || 0;
-    this.#answerTokens = Number(answerTokens) || 0;
-    this.#timeToEnd = new TimeToEnd(this.#components, route.name, this.#answerTokens, this.#timing.endsAt);
+  /** Takes in what the configuration says of it; returns why it cannot be sent. */
+  #admit(): RejectedRequest | undefined {
+    const admission = admit(this.#request, this.arrivedAt, this.#components);
+    if (!admission.ok) return admission.error;
+    this.#admitted = admission.value;
+    const { route, answerTokens, timing } = admission.value;
+    this.#timeToEnd = new TimeToEnd(this.#components, route.name, answerTokens, timing.endsAt);
     return undefined;
   }
 
@@ -202,21 +173,23 @@
     if (!this.#canEnd()) return this.#refuseForStop();
     const selection = this.#components.selector.select(this.#requirements());
     if (selection === undefined) return this.#holdOrGiveUp();
-    if (selection.expectedWait > this.#timing.longestWait(this.#sends > 0))
+    if (selection.expectedWait > this.#admitted.timing.longestWait(this.#sends > 0))
       return this.#giveUp('back ends full');
-    if (this.#isRepetition && !this.#components.budgetOf(this.#service).spend(performance.now()))
+    if (this.#isRepetition && !this.#components.budgetOf(this.#admitted.service).spend(performance.now()))
       return this.#giveUp('no budget');
     this.#heldSince = undefined;
     this.#endHold('sent');
     const { row } = selection;
     this.#tried.add(row.record.id);
     this.#sends++;
+    const { timing, rank, promptTokens, answerTokens } = this.#admitted;
+    const urgency = timing.urgency(rank, performance.now());
     const attempt = new Attempt(
       {
         requestId: this.#id,
         method: this.#request.method ?? 'GET',
         path: this.#request.url ?? '/',
-        headers: this.#headersFor(row, selection.expectedVersion),
+        headers: this.#headersFor(row, selection.expectedVersion, urgency),
         body: this.#bodyToSend(),
       },
       this.#components.names,
@@ -227,8 +200,7 @@
         onFailure: (failure) => this.#onFailure(failure),
       },
     );
-    const urgency = this.#timing.urgency(this.#rank, performance.now());
-    this.#use = new BackEndUse(row, attempt, urgency, this.#promptTokens, this.#answerTokens);
+    this.#use = new BackEndUse(row, attempt, urgency, promptTokens, answerTokens);
     this.#timeToEnd.noteSent(attempt);
     this.#log('sent', {
       send: this.#sends,
@@ -237,18 +209,18 @@
       waitMs: Math.round(selection.expectedWait),
       choices: selection.choices,
       version: selection.version,
-      configuration: this.#table.configuration.revision,
+      configuration: this.#admitted.table.configuration.revision,
     });
     attempt.send(row.connections);
   }
 
   #requirements(): Requirements {
     return {
-      service: this.#service,
-      isRepeatable: this.#route.repeatability !== 'never',
+      service: this.#admitted.service,
+      isRepeatable: this.#admitted.route.repeatability !== 'never',
       // The queues of back ends are for those that can be in time: one that comes again waits here for a free slot.
-      mayQueue: this.#sends > 0 || !this.#timing.isLastChance,
-      answerTokens: this.#answerTokens,
+      mayQueue: this.#sends > 0 || !this.#admitted.timing.isLastChance,
+      answerTokens: this.#admitted.answerTokens,
       goesOn: this.#answer.started,
       version: this.#version,
       tried: this.#tried,
@@ -259,12 +231,12 @@
   #holdOrGiveUp(): void {
     if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     const now = performance.now();
-    const capacity = this.#components.selector.expectedCapacity(this.#service);
+    const capacity = this.#components.selector.expectedCapacity(this.#admitted.service);
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
     // Where back ends serve, but none may take a request, one is free soon or not.
-    const holdsUntil = this.#timing.holdsUntil(this.#heldSince);
-    const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < holdsUntil;
+    const holdsUntil = this.#admitted.timing.holdsUntil(this.#heldSince);
+    const isInSight = capacity === undefined ? this.#admitted.route.isStream : now + capacity < holdsUntil;
     const mayWait = isInSight && now < holdsUntil && !this.#answer.started;
     if (!this.#canEnd(capacity)) return this.#refuseForStop();
     const waits = mayWait && (wasHeld || capacity !== undefined || this.#beginHold());
@@ -297,8 +269,8 @@
 
   /** Counts the wait of a request that comes again; false where it is not to wait. A first one waits for a moment only. */
   #beginHold(): boolean {
-    if (!this.#timing.isLastChance) return true;
-    const holds = this.#components.backEnds.holdsOf(this.#service);
+    if (!this.#admitted.timing.isLastChance) return true;
+    const holds = this.#components.backEnds.holdsOf(this.#admitted.service);
     if (!holds.allowsMore) return false;
     holds.begin();
     this.#hold = holds;
@@ -315,23 +287,15 @@
     return this.#body.type === 'streamed' ? this.#body.stream : null;
   }
 
-  #headersFor(row: BackEndRow, version: number | undefined): string[] {
-    const { names } = this.#components;
-    const { rawHeaders, headers } = this.#request;
-    const set = this.#components.headersSet;
-    const kept = endToEndHeaders(rawHeaders, headers.connection, set);
-    if (this.#body.type === 'streamed' && headers['content-length'] !== undefined)
-      kept.push('Content-Length', headers['content-length']);
-    const timeLeft = Math.max(1, Math.floor(this.#timing.endsAt - performance.now()));
-    if (Number.isFinite(this.#timing.endsAt)) kept.push(names.timeLeft, String(timeLeft));
-    kept.push(names.expectedBackEnd, row.record.id);
-    if (this.#tenant !== undefined) kept.push(names.tenant, this.#tenant);
-    if (version !== undefined) kept.push(names.expectedVersion, String(version));
-    if (this.#route.isStream)
-      kept.push(names.urgency, String(this.#timing.urgency(this.#rank, performance.now())));
-    const { lastEventId } = this.#answer;
-    if (lastEventId !== undefined) kept.push(LAST_EVENT_ID, lastEventId);
-    return kept;
+  #headersFor(row: BackEndRow, version: number | undefined, urgency: number): string[] {
+    const attempt = {
+      backEnd: row.record.id,
+      version,
+      urgency,
+      lastEventId: this.#answer.lastEventId,
+      isStreamed: this.#body.type === 'streamed',
+    };
+    return headersToSend(this.#request, this.#admitted, attempt, this.#components, performance.now());
   }
 
   #onHead(head: AnswerHead): void {
@@ -403,12 +367,12 @@
 
   /** Whether the budget has a repetition now; it is taken only as the request goes out, which may be later. */
   #mayRepeat(): boolean {
-    return this.#components.budgetOf(this.#service).allows(performance.now());
+    return this.#components.budgetOf(this.#admitted.service).allows(performance.now());
   }
 
   /** Whether one more back end may run the request. */
   #mayRunAgain(runs = this.#runs + 1): boolean {
-    const { repeatability, maxAttempts } = this.#route;
+    const { repeatability, maxAttempts } = this.#admitted.route;
     if (repeatability === 'never' || this.#body.type === 'streamed') return false;
     if (runs >= maxAttempts || this.#sends >= MOST_SENDS) return false;
     if (!this.#answer.started) return true;
@@ -419,7 +383,7 @@
   #silence(now: number, use: BackEndUse, standstills: Standstills): Silence {
     const { row, attempt, progressAt, isOvertaken } = use;
     const awaited = {
-      route: this.#route,
+      route: this.#admitted.route,
       sentAt: attempt.startedAt,
       progressAt: now - standstills.runningTime(progressAt, now),
       isStreaming: this.#answer.started,
@@ -476,10 +440,10 @@
     this.#response.destroy();
   }
 
-  #finish(error: ForwardingError): void {
+  #finish(error: ForwardingError, routeName: string | undefined = this.#admitted?.route.name): void {
     if (this.#settled) return;
     const { status, retryAfter } = finalAnswer(error);
-    this.#log('ended', { status, ...error, ageMs: this.#age(), route: this.#route?.name });
+    this.#log('ended', { status, ...error, ageMs: this.#age(), route: routeName });
     this.#settle(outcomeOfError(error));
     if (this.#answer.started || this.#response.destroyed) return void this.#response.destroy();
     const headers: Record<string, string> = { 'content-length': '0' };
@@ -500,7 +464,12 @@
     const { record, health } = use.row;
     this.#timeToEnd.noteEnded(use.attempt, outcome === 'served', performance.now());
     if (outcome === undefined) health.noteAbandoned();
-    else health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
+    else
+      health.note(
+        outcome,
+        performance.now(),
+        this.#components.backEnds.usualFailureShare(this.#admitted.service),
+      );
     if (outcome !== 'served') return;
     use.noteServed(took);
     this.#log('served', {
@@ -527,7 +496,7 @@
     const { drain, log } = this.#components;
     const sinceStop = drain.elapsed(performance.now());
     const ofStop = sinceStop === undefined ? {} : { sinceStopMs: Math.round(sinceStop) };
-    log.info(message, { request: this.#id, service: this.#service, ...ofStop, ...fields });
+    log.info(message, { request: this.#id, service: this.#admitted?.service ?? '', ...ofStop, ...fields });
   }
 }
 
