--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -413,8 +413,8 @@
   {
     fault: 'a repetition is counted before it goes out',
     file: 'src/forwarding/forwarded-request.ts',
-    find: 'return this.#components.budgetOf(this.#service).allows(performance.now());',
-    replace: 'return this.#components.budgetOf(this.#service).spend(performance.now());',
+    find: 'return this.#components.budgetOf(this.#admitted.service).allows(performance.now());',
+    replace: 'return this.#components.budgetOf(this.#admitted.service).spend(performance.now());',
     test: 'test/forwarding/capacity.test.ts',
   },
   {
