--- a/src/forwarding/back-end-health.ts
+++ b/src/forwarding/back-end-health.ts
@@ -27,13 +27,6 @@
 /** First and longest time for which it is left out, in milliseconds. */
 const FIRST_SUSPENSION = 500;
 const LONGEST_SUSPENSION = 6_000;
-/**
- * Weight of the newest refusal, or answer, in the share of requests that are refused; and the time in which that share
- * halves by itself, in milliseconds, so that one that refused is tried again. Chosen: an entry of many sends a back end
- * a request every few seconds.
- */
-const REFUSAL_WEIGHT = 0.3;
-const REFUSAL_HALF_LIFE = 10_000;
 /** After a refusal it is left out this long, in milliseconds. */
 const OVERLOAD_PAUSE = 120;
 /** What was believed of it was wrong: it is left out this long, or until there is news of it, in milliseconds. */
@@ -42,9 +35,6 @@
 /** The health of one back end as this process sees it. */
 export class BackEndHealth {
   #failureShare = 0;
-  /** Share of its latest requests that it refused, as of `#refusalsNotedAt`. */
-  #refusalShare = 0;
-  #refusalsNotedAt = 0;
   #silences = 0;
   #suspension = 0;
   #suspendedUntil = 0;
@@ -57,11 +47,6 @@
     return this.#failureShare;
   }
 
-  /** Share of its latest requests that it refused as it was full, 0 to 1; forgotten in time. */
-  refusalShare(now: number): number {
-    return this.#refusalShare * 0.5 ** ((now - this.#refusalsNotedAt) / REFUSAL_HALF_LIFE);
-  }
-
   /** True while it gets no requests but one that tries it. */
   get suspended(): boolean {
     return this.#suspension > 0;
@@ -107,7 +92,6 @@
     }
     const wasInDoubt = this.#isInDoubt;
     this.#isInDoubt = false;
-    if (outcome === 'overloaded' || outcome === 'served') this.#noteRefusal(outcome === 'overloaded', now);
     if (outcome === 'overloaded' || outcome === 'misdirected') {
       this.#pausedUntil = now + (outcome === 'overloaded' ? OVERLOAD_PAUSE : MISDIRECTED_PAUSE);
       return;
@@ -126,12 +110,6 @@
     if (isSuspect || isConfirmed || this.suspended) this.#suspend(now);
   }
 
-  #noteRefusal(isRefused: boolean, now: number): void {
-    const share = this.refusalShare(now);
-    this.#refusalShare = share + ((isRefused ? 1 : 0) - share) * REFUSAL_WEIGHT;
-    this.#refusalsNotedAt = now;
-  }
-
   #suspend(now: number): void {
     if (now < this.#suspendedUntil) return;
     this.#suspension = Math.min(LONGEST_SUSPENSION, Math.max(FIRST_SUSPENSION, this.#suspension * 2));
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -257,7 +257,6 @@
       tokensPerMillisecond: (engine?.readTokensPerSecond ?? 0) / MILLISECONDS,
       releaseInterval: (row.duration || usual) / slots,
       failureShare: health.failureShare,
-      refusalShare: health.refusalShare(now),
       slowness: 0,
       overhang: this.#overhang(row, answerTokens * (row.timePerToken || (engine?.tokenTime ?? 0)), now),
       mayNotMove: goesOn,
--- a/src/forwarding/selection.ts
+++ b/src/forwarding/selection.ts
@@ -25,8 +25,6 @@
   releaseInterval: number;
   /** Share of its latest requests that failed, 0 to 1. */
   failureShare: number;
-  /** Share of its latest requests that it refused as it was full, 0 to 1. */
-  refusalShare: number;
   /** Extra time of its first answers compared with its fastest peers, in milliseconds. */
   slowness: number;
   /** Time by which the request would outlast the engine's version there, in milliseconds. */
@@ -49,22 +47,12 @@
 const FULLNESS_COST = 25;
 /** What a certain failure would cost, in milliseconds. */
 const FAILURE_COST = 600;
-/**
- * What a certain refusal would cost, in milliseconds: less than a failure, as the request can go on elsewhere, if there
- * is a repetition left. Chosen; in simulation (test/forwarding/shedding-simulation) with four of 15 back ends that refuse
- * 0.7 of what they get there were 0.28 refusals a request with it, 0.53 without.
- */
-const REFUSAL_COST = 150;
 /** What each millisecond by which a request outlasts the engine's version costs: it is moved, or holds the switch up. */
 const OVERHANG_COST = 0.4;
 /** The same for a request that is cut if it has to move again: more than any distance or queue. */
 const CUT_COST = 4;
-/**
- * Candidates this close are alike, in milliseconds, and one of them is taken by chance: loads of other entries are told
- * late, and what is nearly the best would be chosen by all of them. None is farther than the best. In simulation
- * (test/forwarding/shedding-simulation), with 42 entries and free slots: 0.015 refusals a request, 0.065 with 2 ms.
- */
-const ALIKE = 10;
+/** Candidates this close are alike, in milliseconds. */
+const ALIKE = 2;
 
 /** The best of `candidates` for a request of `position`, or undefined where there is none. */
 export function chooseBackEnd(
@@ -72,14 +60,16 @@
   position: Position,
   random: Random,
 ): Choice | undefined {
-  if (candidates.length === 0) return undefined;
-  const rated = candidates.map((candidate) => ({ candidate, cost: costOf(candidate, position) }));
-  const first = rated.reduce((best, one) => (one.cost < best.cost ? one : best));
-  const distance = distanceCost(first.candidate, position);
-  const alike = rated.filter(
-    ({ candidate, cost }) => cost < first.cost + ALIKE && distanceCost(candidate, position) <= distance,
-  );
-  const { candidate } = alike[random.below(alike.length)];
+  let best: Candidate[] = [];
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const candidate of candidates) {
+    const cost = costOf(candidate, position);
+    if (cost < bestCost - ALIKE) best = [];
+    if (cost < bestCost + ALIKE) best.push(candidate);
+    bestCost = Math.min(bestCost, cost);
+  }
+  if (best.length === 0) return undefined;
+  const candidate = best[random.below(best.length)];
   return { candidate, expectedWait: expectedWait(candidate) };
 }
 
@@ -98,7 +88,6 @@
     reading +
     candidate.slowness +
     candidate.failureShare * FAILURE_COST +
-    candidate.refusalShare * REFUSAL_COST +
     candidate.overhang * (candidate.mayNotMove ? CUT_COST : OVERHANG_COST) +
     (candidate.load / candidate.slots) * FULLNESS_COST
   );
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -417,20 +417,6 @@
     replace: 'return this.#components.budgetOf(this.#admitted.service).spend(performance.now());',
     test: 'test/forwarding/capacity.test.ts',
   },
-  {
-    fault: 'a back end that refuses, and so is idle, draws the requests of all entries',
-    file: 'src/forwarding/selection.ts',
-    find: 'candidate.refusalShare * REFUSAL_COST',
-    replace: '0',
-    test: 'test/forwarding/shedding.test.ts',
-  },
-  {
-    fault: 'all entries choose the same back end',
-    file: 'src/forwarding/selection.ts',
-    find: 'const ALIKE = 10;',
-    replace: 'const ALIKE = 2;',
-    test: 'test/forwarding/shedding.test.ts',
-  },
   {
     fault: 'entries that start together do not hear one another',
     file: 'src/peers/entry-peers.ts',
