Test of the load of an entry that is gone; fails on the code as it is

Cause: What an entry has in flight is kept by its identity, which is new at each start, and is removed by its own next report alone. Where an entry is killed, or ends before its last report is empty, there is no such report.

Change: Two entries and a back end with one slot; one entry is stopped with a request in flight there. The other must send a request that has come again once the first is gone.

Result: fails: "expected 503 to be 200".

--- a/test/roles/direct-entry.test.ts
+++ b/test/roles/direct-entry.test.ts
@@ -4,6 +4,9 @@
 import { until } from '../support.js';
 import { type Received, send, startEntry, stopEntries, write } from './running-entry.js';
 
+/** What a caller has left that was refused before, in milliseconds. */
+const COMES_AGAIN = 2_000;
+
 let backEnd: StandInBackEnd;
 
 beforeEach(async () => {
@@ -44,6 +47,24 @@
     );
   });
 
+  it('forgets what another had in flight when that one is gone', async () => {
+    const one = await startEntry('one', []);
+    const two = await startEntry('two', [one.settings.peers]);
+    for (const { store } of [one, two]) write(store, 1, backEnd, 1);
+    await until(() => one.entry.addresses('zone-a', 'region-a').length === 2, 'both entries');
+    backEnd.answer(() => {});
+    const cut = send(one, '/1/').catch(() => {});
+    await until(() => backEnd.requests.length === 1, 'the request of the other');
+    backEnd.answer(reply(200, 'done'));
+    // One that comes again goes only where a slot is free.
+    const comeAgain = async () => (await send(two, '/stream/', { timeLeft: COMES_AGAIN })).status;
+    await until(async () => (await comeAgain()) === 503, 'the load of the other');
+    await one.entry.stop();
+    await cut;
+    await until(() => two.entry.addresses('zone-a', 'region-a').length === 1, 'the other is gone');
+    expect(await comeAgain()).toBe(200);
+  });
+
   it('that leaves is told to callers no more, serves on, and ends what is in progress', async () => {
     const one = await startEntry('one', []);
     const two = await startEntry('two', [one.settings.peers]);
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -155,17 +155,20 @@
   requestId?: string;
   /** Keeps connections; without it each request has one of its own. */
   agent?: Agent;
+  /** What the caller waits, in milliseconds; not told where it is left out. */
+  timeLeft?: number;
 }
 
 /** Sends a request; rejects where its connection ends before the head of an answer. */
 export function send(
   { settings }: RunningEntry,
   path: string,
-  { requestId = 'r1', agent }: Sending = {},
+  { requestId = 'r1', agent, timeLeft }: Sending = {},
 ): Promise<Received> {
   const [host, port] = settings.callers.split(':');
   return new Promise((resolve, reject) => {
-    const headers = { host: 'api.example', 'x-request': requestId };
+    const waits = timeLeft === undefined ? {} : { 'x-time-left': String(timeLeft) };
+    const headers = { host: 'api.example', 'x-request': requestId, ...waits };
     const sent = httpRequest({ host, port, path, headers, agent }, (response) => {
       const end = () =>
         resolve({
