What an entry had in flight is forgotten when its process is gone

Cause: Loads of other entries are kept by the identity of their process. A process that was killed, or that ended between two reports, never took its last ones back, and its successor has another identity. Back ends stayed loaded on paper until their own rows went: each round of restarts added to it, requests that come again were refused beside free slots, and near back ends were taken for full.

Change: `EntryPeers` tells once when a report has lapsed, by the time for which an entry is taken to live, or when another process reports from its address. `DirectEntry` then takes its loads out.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -46,6 +46,8 @@
   toldAt: number;
   report: EntryReport | undefined;
   heardAt: number;
+  /** Told that its latest report has lapsed. */
+  hasLapsed: boolean;
 }
 
 /** What the peers work with. */
@@ -64,6 +66,8 @@
   addressesInterval?: number;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
+  /** The process of this latest report is not heard any more, or another one has started at its address. */
+  onLapsed: (report: EntryReport) => void;
   log: Log;
 }
 
@@ -105,9 +109,7 @@
   /** The latest reports of entries that live. */
   live(): EntryReport[] {
     const now = performance.now();
-    const rows = [...this.#rows.values()].filter(
-      (row) => now - row.heardAt < reportLife(this.#isNear(row), this.#rows.size),
-    );
+    const rows = [...this.#rows.values()].filter((row) => this.#isLive(row, now));
     return rows.flatMap(({ report }) => report ?? []);
   }
 
@@ -143,6 +145,7 @@
     const due: PeerRow[] = [];
     for (const row of this.#rows.values()) {
       this.#endSilent(row);
+      this.#endLapsed(row, now);
       if (row.connection?.open !== true) this.#dial(row, now);
       // Timers are late by some milliseconds.
       else if (now - row.toldAt >= reportInterval(this.#isNear(row), this.#rows.size) * 0.9) due.push(row);
@@ -162,6 +165,12 @@
     connection.close();
   }
 
+  #endLapsed(row: PeerRow, now: number): void {
+    if (row.report === undefined || row.hasLapsed || this.#isLive(row, now)) return;
+    row.hasLapsed = true;
+    this.#options.onLapsed(row.report);
+  }
+
   #tellAddresses(): void {
     this.#addressesToldAt = performance.now();
     const addresses = [this.#options.address, ...this.live().map(({ address }) => address)];
@@ -186,6 +195,10 @@
     return report?.zone === this.#options.zone;
   }
 
+  #isLive(row: PeerRow, now: number): boolean {
+    return now - row.heardAt < reportLife(this.#isNear(row), this.#rows.size);
+  }
+
   #tell(row: PeerRow, message: EncodedMessage): void {
     if (row.connection?.sendEncoded(message) === true) row.toldAt = performance.now();
   }
@@ -227,13 +240,15 @@
 
   #onReport(row: PeerRow, connection: Connection, report: EntryReport): void {
     const now = performance.now();
-    if (now - row.heardAt > reportLife(this.#isNear(row), this.#rows.size)) {
+    if (!this.#isLive(row, now)) {
       this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
       this.#tellNewAddresses();
     }
+    const { fleet, onLapsed } = this.#options;
+    if (row.report !== undefined && row.report.id !== report.id && !row.hasLapsed) onLapsed(row.report);
     row.heardAt = now;
     row.report = report;
-    const { fleet } = this.#options;
+    row.hasLapsed = false;
     fleet.clock.note(report.storeTime, now);
     for (const named of report.versions) fleet.takeNamedVersion(named);
     const configuration = report.configurationRevision > fleet.configurationRevision;
@@ -282,5 +297,6 @@
     toldAt: 0,
     report: undefined,
     heardAt: Number.NEGATIVE_INFINITY,
+    hasLapsed: false,
   };
 }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -158,6 +158,7 @@
       hearsStore: () => sync.connected,
       report: () => this.#report(),
       onReport: (report) => this.#onPeerReport(report),
+      onLapsed: ({ id }) => backEnds.takeLoads(id, []),
       log,
     });
     sync.readerCount = () => this.#peers.live().length + 1;
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -53,13 +53,20 @@
   /** Its newest configuration. */
   revision?: () => number;
   onReport?: (report: EntryReport) => void;
+  onLapsed?: (report: EntryReport) => void;
 }
 
 async function startEntry(
   id: string,
   address: string,
   seeds: string[],
-  { listensAt = address, zone = 'zone-a', revision = () => 0, onReport = () => {} }: EntryInit = {},
+  {
+    listensAt = address,
+    zone = 'zone-a',
+    revision = () => 0,
+    onReport = () => {},
+    onLapsed = () => {},
+  }: EntryInit = {},
 ): Promise<EntryPeers> {
   const context: ConnectionContext = {
     clock: new HybridClock(),
@@ -82,6 +89,7 @@
     addressesInterval: 3_600_000,
     report: () => ({ ...reportOf(id, address), zone, configurationRevision: revision() }),
     onReport,
+    onLapsed,
     log: silentLog,
   });
   const listener = new ConnectionListener(
@@ -106,6 +114,20 @@
   await until(() => second.live().length === 2, 'the second to hear the first');
 });
 
+it('an entry that is heard no more is told of once, and one that starts again at its address replaces it', async () => {
+  const [one, two] = await Promise.all([freeAddress(), freeAddress()]);
+  const lapsed: string[] = [];
+  const first = await startEntry('one', one, [two], { onLapsed: ({ id }) => lapsed.push(id) });
+  const second = await startEntry('two#1', two, [one]);
+  await until(() => first.live().length === 1, 'the first to hear the second');
+  await second.stop();
+  await started.splice(2, 1)[0].stop();
+  await startEntry('two#2', two, [one]);
+  await until(() => lapsed.length > 0, 'the end of the former process');
+  await until(() => first.live().some(({ id }) => id === 'two#2'), 'its successor');
+  expect(lapsed).toEqual(['two#1']);
+});
+
 it('an entry takes in how many the others know, and forgets none that it does not hear any more', async () => {
   const [seed, one, silent] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
   const first = await startEntry('one', one, [seed, silent, one]);
