Test of the connections that all entries keep to a back end; fails on the code as it is

Cause: A back end accepts some connections of all callers together and resets more. Each entry keeps as many as it once had in use at the same time, up to a third of that number, for 20 s, however many entries there are: it is a shared limit of which each process takes a fixed part.

Change: Two entries and a back end that accepts two connections; each entry sends two requests at a time. Afterwards both together must keep two.

--- a/test/roles/direct-entry.test.ts
+++ b/test/roles/direct-entry.test.ts
@@ -1,8 +1,9 @@
 /** Entries as whole processes would run, on a stand-in store and scripted back ends. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { reply, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
+import { SilentProxy } from '../silent-proxy.js';
 import { until } from '../support.js';
-import { type Received, send, startEntry, stopEntries, write } from './running-entry.js';
+import { FEW_CONNECTIONS, type Received, send, startEntry, stopEntries, write } from './running-entry.js';
 
 /** What a caller has left that was refused before, in milliseconds. */
 const COMES_AGAIN = 2_000;
@@ -65,6 +66,33 @@
     expect(await comeAgain()).toBe(200);
   });
 
+  it('keeps its part of the connections that a back end accepts of all entries together', async () => {
+    const proxy = await new SilentProxy(backEnd.address).start();
+    const one = await startEntry('one', []);
+    const two = await startEntry('two', [one.settings.peers]);
+    for (const { store } of [one, two]) write(store, 1, proxy, 4, 'few');
+    await until(() => one.entry.addresses('zone-a', 'region-a').length === 2, 'the other, to the first');
+    await until(() => two.entry.addresses('zone-a', 'region-a').length === 2, 'the other, to the second');
+    let releases: Array<() => void> = [];
+    backEnd.answer((request, response, body) => {
+      releases.push(() => reply(200, 'done')(request, response, body));
+    });
+    const sent = [one, one, two, two].map((entry) => send(entry, '/few/'));
+    await until(() => releases.length === sent.length, 'all requests');
+    for (const release of releases) release();
+    const statuses = (await Promise.all(sent)).map(({ status }) => status);
+    expect(statuses).toEqual([200, 200, 200, 200]);
+    await until(() => proxy.open === FEW_CONNECTIONS, 'the end of the others');
+    // Those that are kept serve on.
+    releases = [];
+    const next = [one, two].map((entry) => send(entry, '/few/'));
+    await until(() => releases.length === next.length, 'the next requests');
+    for (const release of releases) release();
+    await Promise.all(next);
+    expect(proxy.accepted).toBe(sent.length);
+    await proxy.stop();
+  });
+
   it('that leaves is told to callers no more, serves on, and ends what is in progress', async () => {
     const one = await startEntry('one', []);
     const two = await startEntry('two', [one.settings.peers]);
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -12,7 +12,9 @@
 import type { DirectEntrySettings } from '../../src/roles/settings.js';
 import type { PieceOriginFactory } from '../../src/weights/piece-source.js';
 import { NAMES } from '../forwarding/forwarding-harness.js';
-import type { StandInBackEnd } from '../forwarding/stand-in-back-end.js';
+
+/** Connections that a back end of the service `few` accepts of all entries together. */
+export const FEW_CONNECTIONS = 2;
 
 const configurationOf = (revision: number): FleetConfiguration => ({
   revision,
@@ -47,8 +49,26 @@
       maxAttempts: 1,
       isPublic: true,
     },
+    {
+      name: 'few',
+      host: 'api.example',
+      pathPrefix: '/few/',
+      targets: [{ service: 'few', weight: 1 }],
+      isStream: false,
+      repeatability: 'never',
+      timeout: 5_000,
+      objective: 500,
+      longestPause: 0,
+      patience: 2_400,
+      priority: 1,
+      maxAttempts: 1,
+      isPublic: true,
+    },
+  ],
+  services: [
+    { name: 'billing', maxConnections: 0, engine: undefined },
+    { name: 'few', maxConnections: FEW_CONNECTIONS, engine: undefined },
   ],
-  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
   origin: undefined,
   limits: { headerBytes: 16_384, bodyBytes: 100_000, headerTimeout: 5_000, idleTimeout: 10_000 },
   tenants: undefined,
@@ -135,9 +155,15 @@
 }
 
 /** Writes a configuration and a back end to an entry's store. */
-export function write(store: MemoryStore, revision: number, backEnd: StandInBackEnd, slots = 4): void {
+export function write(
+  store: MemoryStore,
+  revision: number,
+  backEnd: { readonly address: string },
+  slots = 4,
+  service = 'billing',
+): void {
   store.write('operator', 'configuration', String(revision));
-  const record = { service: 'billing', address: backEnd.address, zone: 'zone-a', slots, leaving: false };
+  const record = { service, address: backEnd.address, zone: 'zone-a', slots, leaving: false };
   store.write('backEnds', 'one', JSON.stringify(record));
 }
 
