An entry keeps its part of the connections that a back end accepts

Cause: A back end accepts some connections of all callers together and resets more. Each entry kept those that it once had in use at the same time for 20 s, without regard to the other entries, so that free connections of some made those of others be reset, and requests on them fail.

Change: When a connection becomes free and the entry has more to that back end than the number that it accepts divided by the entries known, it is closed. Entries known are counted as for the shared budget: those that are not heard keep theirs. Where there are more entries than connections none is kept.

What it does to the number of new connections was not measured.

--- a/src/forwarding/back-end-connections.ts
+++ b/src/forwarding/back-end-connections.ts
@@ -16,10 +16,15 @@
   #idle: BackEndConnection[] = [];
   #isInterrupted = false;
   #isClosed = false;
+  readonly #mostKept: () => number;
 
-  /** @param address - `host:port` */
-  constructor(address: string) {
+  /**
+   * @param address - `host:port`
+   * @param mostKept - with more connections than this, one that is free is closed; asked at each
+   */
+  constructor(address: string, mostKept: () => number = () => MOST_CONNECTIONS) {
     this.#address = address;
+    this.#mostKept = mostKept;
   }
 
   /** True while the library handles the error of a connection: an answer that ends now is not whole. */
@@ -70,7 +75,9 @@
   }
 
   #keep(connection: BackEndConnection): void {
-    if (this.#all.has(connection) && !this.#idle.includes(connection)) this.#idle.push(connection);
+    if (!this.#all.has(connection) || this.#idle.includes(connection)) return;
+    if (this.#all.size > this.#mostKept()) this.#discard(connection);
+    else this.#idle.push(connection);
   }
 
   #discard(connection: BackEndConnection): void {
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -65,6 +65,8 @@
   readonly rows = new Map<string, BackEndRow>();
   readonly #rowsByService = new Map<string, Set<BackEndRow>>();
   readonly #holds = new Map<string, HoldRecord>();
+  /** Most connections that are kept to a back end of a service. */
+  mostConnectionsKept: (service: string) => number = () => Number.POSITIVE_INFINITY;
   /** Kept connections found silent so far. */
   silentConnections = 0;
   /** The back end whose kept connection was found silent last, and when. */
@@ -144,7 +146,7 @@
       known.record = record;
       return;
     }
-    const row = createRow(record);
+    const row = createRow(record, () => this.mostConnectionsKept(record.service));
     this.rows.set(record.id, row);
     const ofService = this.#rowsByService.get(record.service) ?? new Set<BackEndRow>();
     this.#rowsByService.set(record.service, ofService.add(row));
@@ -159,10 +161,10 @@
   }
 }
 
-function createRow(record: BackEndRecord): BackEndRow {
+function createRow(record: BackEndRecord, mostConnectionsKept: () => number): BackEndRow {
   return {
     record,
-    connections: new BackEndConnections(record.address),
+    connections: new BackEndConnections(record.address, mostConnectionsKept),
     health: new BackEndHealth(),
     inFlight: 0,
     unreadTokens: 0,
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -162,6 +162,7 @@
       log,
     });
     sync.readerCount = () => this.#peers.live().length + 1;
+    backEnds.mostConnectionsKept = (service) => this.#connectionsKept(service);
     this.#agents = new EngineAgents(
       (row) => this.#planner.planFor(row),
       (report, before) => {
@@ -329,6 +330,16 @@
     for (const engine of report.engines) backEnds.takeNews(engine.address, engineNews(engine));
   }
 
+  /**
+   * Most connections that are kept to a back end of `service`: what it accepts is divided among all entries that are
+   * known, as those that are not heard keep theirs.
+   */
+  #connectionsKept(service: string): number {
+    const accepted = this.#components.fleet.routes?.service(service)?.maxConnections ?? 0;
+    if (accepted === 0) return Number.POSITIVE_INFINITY;
+    return Math.floor(accepted / this.#peers.known().known);
+  }
+
   #budgetOf(service: string): RetryWindow {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
