Test of callers that tell of endless tokens; fails on the code as it is

Cause: The counts of tokens that a caller tells are taken as any number, also "Infinity", "1e400" or a negative one. What is added to the unread tokens of a back end and taken off again is then no number for the rest of its row; the choice of a back end finds none alike and throws. An endless answer has an endless size in `LongestDurations`, whose look at all sizes does not end while the process leaves.

Change: Such a request, then a usual one, then one while the process leaves; all are to be served.

--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -97,6 +97,20 @@
   });
 });
 
+describe('a caller that tells of tokens without end', () => {
+  it.each(['Infinity,1', '1,Infinity', '1e400,1e400', '-1e400,1'])(
+    'does no harm to others: %s',
+    async (tokens) => {
+      tell({ version: 1, switchAt: performance.now() + 60_000 });
+      const headers = { ...COMES_FIRST.headers, 'x-tokens': tokens };
+      expect((await forwarding.send('/write/', { headers })).status).toBe(200);
+      expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+      forwarding.drain.begin(performance.now());
+      expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+    },
+  );
+});
+
 describe('while no engine serves', () => {
   it('a first request is refused and told to come back when one is expected', async () => {
     tell({ switchAt: performance.now() + 1_000 });
