Counts of tokens that callers tell are whole, finite and not negative

Cause: "Infinity" in the header of token counts made the unread tokens of a back end no number for the rest of its row, after which every request of any caller at that entry ended with 502; and it made the look at all sizes in `LongestDurations` endless, which stops the process at the first request after the order to stop, so that all its answers are lost.

Change: What is no whole, finite count above 0 is taken for not told. The header goes on to the back end as it came.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -190,8 +190,8 @@
     const timeLeft = Number(headers[names.timeLeft]);
     this.#timing = new RequestTiming(this.arrivedAt, route, timeLeft > 0 ? timeLeft : undefined);
     const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
-    this.#promptTokens = Number(promptTokens) || 0;
-    this.#answerTokens = Number(answerTokens) || 0;
+    this.#promptTokens = tokenCount(promptTokens);
+    this.#answerTokens = tokenCount(answerTokens);
     this.#timeToEnd = new TimeToEnd(this.#components, route.name, this.#answerTokens, this.#timing.endsAt);
     return undefined;
   }
@@ -528,6 +528,12 @@
   }
 }
 
+/** The count that a caller tells of; 0, as where nothing is told, for what is no count, as it is reckoned with. */
+function tokenCount(text: string | undefined): number {
+  const count = Number(text);
+  return Number.isSafeInteger(count) && count > 0 ? count : 0;
+}
+
 /** A back end that has said nothing is silent, unless its connection alone is. */
 function outcomeAtTimeout({ attempt, hasAnswered, isOvertaken }: BackEndUse): BackEndOutcome | undefined {
   if (hasAnswered || !attempt.sent) return undefined;
