--- a/src/forwarding/admitted-request.ts
+++ b/src/forwarding/admitted-request.ts
@@ -59,11 +59,17 @@
     tenant: tenant?.name,
     rank: table.rankOf(tenant?.priority ?? route.priority),
     timing: new RequestTiming(arrivedAt, route, timeLeft > 0 ? timeLeft : undefined),
-    promptTokens: Number(promptTokens) || 0,
-    answerTokens: Number(answerTokens) || 0,
+    promptTokens: tokenCount(promptTokens),
+    answerTokens: tokenCount(answerTokens),
   });
 }
 
+/** The count that a caller tells of; 0, as where nothing is told, for what is no count, as it is reckoned with. */
+function tokenCount(text: string | undefined): number {
+  const count = Number(text);
+  return Number.isSafeInteger(count) && count > 0 ? count : 0;
+}
+
 /** What one attempt adds to the headers of its request. */
 export interface AttemptHeaders {
   /** The start of a back end that alone may run it. */
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -47,6 +47,8 @@
   toldAt: number;
   report: EntryReport | undefined;
   heardAt: number;
+  /** Told that its latest report has lapsed. */
+  hasLapsed: boolean;
 }
 
 /** What the peers work with. */
@@ -65,6 +67,8 @@
   addressesInterval?: number;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
+  /** The process of this latest report is not heard any more, or another one has started at its address. */
+  onLapsed: (report: EntryReport) => void;
   log: Log;
 }
 
@@ -145,6 +149,7 @@
     const due: PeerRow[] = [];
     for (const row of this.#rows.values()) {
       this.#endSilent(row);
+      this.#endLapsed(row, now);
       if (row.connection?.open !== true) this.#dial(row, now);
       // Timers are late by some milliseconds.
       else if (now - row.toldAt >= reportInterval(this.#isNear(row), this.#rows.size) * 0.9) due.push(row);
@@ -164,6 +169,12 @@
     connection.close();
   }
 
+  #endLapsed(row: PeerRow, now: number): void {
+    if (row.report === undefined || row.hasLapsed || this.#lives(row, now)) return;
+    row.hasLapsed = true;
+    this.#options.onLapsed(row.report);
+  }
+
   #tellAddresses(): void {
     this.#addressesToldAt = performance.now();
     const addresses = [this.#options.address, ...this.live().map(({ address }) => address)];
@@ -239,9 +250,11 @@
       this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
       this.#tellNewAddresses();
     }
+    const { fleet, onLapsed } = this.#options;
+    if (row.report !== undefined && row.report.id !== report.id && !row.hasLapsed) onLapsed(row.report);
     row.heardAt = now;
     row.report = report;
-    const { fleet } = this.#options;
+    row.hasLapsed = false;
     fleet.clock.note(report.storeTime, now);
     for (const named of report.versions) fleet.takeNamedVersion(named);
     const configuration = report.configurationRevision > fleet.configurationRevision;
@@ -290,5 +303,6 @@
     toldAt: 0,
     report: undefined,
     heardAt: Number.NEGATIVE_INFINITY,
+    hasLapsed: false,
   };
 }
