--- a/test/peers/standstill.test.ts
+++ b/test/peers/standstill.test.ts
@@ -47,6 +47,7 @@
     hearsStore: () => true,
     report,
     onReport: () => {},
+    onLapsed: () => {},
     log: silentLog,
   });
   const listener = new ConnectionListener(address, context, (connection) => peers.accept(connection));
