Test of a refusal that belongs to another request; fails on the code as it is

Cause: On a kept connection an extra answer to an earlier request may come where that of the next one is due. A refusal was believed before its request's identity was looked at: a request that runs was taken for one that did not.

Change: A back end answers a request that may run once with 503 or 421 and the mark of a refusal, for another request. The caller must get 502, and no other back end the request.

Result: two of two fail: "expected 200 to be 502", the second back end ran it too.

--- a/test/forwarding/forwarding.test.ts
+++ b/test/forwarding/forwarding.test.ts
@@ -147,6 +147,14 @@
     for (let count = 0; count < 4; count++) expect((await send('/read/')).body).toBe('second');
   });
 
+  it.each([503, 421])('is not taken for refused by an answer of another request: %i', async (status) => {
+    first.answer(reply(status, '', { 'x-not-run': '1', 'x-request': 'another' }));
+    list(['one', first], ['two', second, { zone: 'zone-b' }]);
+    expect((await send('/start/')).status).toBe(502);
+    expect(first.requests).toHaveLength(1);
+    expect(second.requests).toHaveLength(0);
+  });
+
   it('never passes an answer of another request on', async () => {
     first.answer((_request, response) => {
       response.writeHead(200, { 'x-request': 'another' });
