A refusal counts only for the request that it names

Cause: A refusal was believed before its request's identity was looked at. An extra answer to an earlier request, which may come on a kept connection where that of the next one is due, let a request that runs be sent to another back end, or be answered with 503, as if it had not run.

Change: A refusal, or 421, with the identity of another request breaks the attempt, which may have run. One without any identity counts as before.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -135,9 +135,12 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (this.#ended || status < 200) return;
-    if (headers[this.#names.notRun] !== undefined || status === MISDIRECTED) return this.#endRefused(status);
-    if (headers[this.#names.requestId] !== this.#request.requestId)
-      return this.fail('answer of another request');
+    const answered = headers[this.#names.requestId];
+    const isOwn = answered === this.#request.requestId;
+    const isRefused = headers[this.#names.notRun] !== undefined || status === MISDIRECTED;
+    // A back end may refuse what it has not read the identity of; an extra answer to an earlier request has one.
+    if (isRefused && (isOwn || answered === undefined)) return this.#endRefused(status);
+    if (!isOwn) return this.fail('answer of another request');
     this.#listener.onHead({ status, headers, rawHeaders: rawPairs(controller.rawHeaders) });
   }
 
