--- a/test/forwarding/back-end-connections.test.ts
+++ b/test/forwarding/back-end-connections.test.ts
@@ -1,4 +1,5 @@
 /** The connections that are kept to one back end. */
+import type { Dispatcher } from 'undici';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { BackEndConnections } from '../../src/forwarding/back-end-connections.js';
 import { SilentProxy } from '../silent-proxy.js';
@@ -67,6 +68,26 @@
   expect(proxy.accepted).toBe(3);
 });
 
+it('one whose request is given up closes, and no other is opened in its place', async () => {
+  backEnd.answer(() => {});
+  let giveUp: () => void = () => {};
+  const handler = {
+    onRequestStart: (controller: Dispatcher.DispatchController) => {
+      giveUp = () => controller.abort(new Error('given up'));
+    },
+    onResponseStart: () => {},
+    onResponseData: () => {},
+    onResponseEnd: () => {},
+    onResponseError: () => {},
+  };
+  connections.dispatch({ method: 'GET', path: '/', headers: [] }, handler);
+  await until(() => backEnd.requests.length === 1, 'the request');
+  giveUp();
+  await until(() => proxy.open === 0, 'the end of the connection');
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  expect(proxy.accepted).toBe(1);
+});
+
 it('requests that the library does not take use none up', async () => {
   for (let count = 0; count < MANY; count++) expect(await send('no method').ended).toBe('error');
   expect(await send().ended).toBe('whole');
