A connection whose request is given up is not replaced by an idle one

Cause: The client library puts a request that is aborted back into its queue until its connection has closed, and opens a new one before it finds that nothing is left to send. Each caller that left, and each attempt that was withdrawn or given up as silent, made the entry open one more connection to that back end and close it at once.

Change: A connection that ends after its request went out is destroyed with what the library still holds. One whose request has not gone out yet takes it over a new connection, as before.

--- a/src/forwarding/back-end-connection.ts
+++ b/src/forwarding/back-end-connection.ts
@@ -30,6 +30,7 @@
   #socket: Socket | undefined;
   #requests = 0;
   #bytesBefore = 0;
+  #bytesSentBefore = 0;
   #idleSince = Number.NEGATIVE_INFINITY;
 
   /** @param address - `host:port` */
@@ -50,7 +51,7 @@
         }),
     });
     this.#client.on('drain', () => this.#onFree());
-    this.#client.on('disconnect', () => listener.onClosed(this));
+    this.#client.on('disconnect', () => this.#onDisconnected());
     this.#client.on('connectionError', () => listener.onClosed(this));
   }
 
@@ -68,6 +69,7 @@
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.#requests++;
     this.#bytesBefore = this.#socket?.bytesRead ?? 0;
+    this.#bytesSentBefore = this.#socket?.bytesWritten ?? 0;
     this.#client.dispatch(options, handler);
     // A request that the library does not take ends at once, without another word of the connection.
     if (this.#isFree) queueMicrotask(() => this.#onFree());
@@ -86,6 +88,16 @@
     return this.#client.stats.size === 0;
   }
 
+  /**
+   * A request that went out has ended, or was given up: for one that was given up the library would open a new connection
+   * before it finds that nothing is left to send. One that has not gone out does so on a new connection.
+   */
+  #onDisconnected(): void {
+    const isSent = this.#socket !== undefined && this.#socket.bytesWritten > this.#bytesSentBefore;
+    if (isSent) void this.destroy().catch(() => {});
+    this.#listener.onClosed(this);
+  }
+
   #onFree(): void {
     if (!this.#isFree || this.#client.closed) return;
     const isOpen = this.#socket !== undefined && !this.#socket.destroyed;
