--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -252,8 +252,8 @@
   {
     fault: 'an answer of another request is passed on',
     file: 'src/forwarding/attempt.ts',
-    find: 'headers[this.#names.requestId] !== this.#request.requestId',
-    replace: 'false',
+    find: 'if (!isOwn) return',
+    replace: 'if (this.#ended) return',
     test: 'test/forwarding/forwarding.test.ts',
   },
   {
