--- a/test/forwarding/caller-gone.test.ts
+++ b/test/forwarding/caller-gone.test.ts
@@ -5,6 +5,7 @@
 import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
 import { until } from '../support.js';
 import { ForwardingHarness } from './forwarding-harness.js';
+import { routeNamed } from './routes.js';
 import { events, reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
 /** After this nothing may run for a caller that has gone, in milliseconds. */
@@ -13,24 +14,8 @@
 /** Events of 60 kB: more than all buffers on the way hold. */
 const FLOOD_EVENTS = 500;
 
-function route(name: string, changes: Partial<Route> = {}): Route {
-  return {
-    name,
-    host: 'api.example',
-    pathPrefix: `/${name}/`,
-    targets: [{ service: 'billing', weight: 1 }],
-    isStream: false,
-    repeatability: 'always',
-    timeout: 6_000,
-    objective: 200,
-    longestPause: 0,
-    patience: 2_400,
-    priority: 1,
-    maxAttempts: 2,
-    isPublic: true,
-    ...changes,
-  };
-}
+const route = (name: string, changes: Partial<Route> = {}) =>
+  routeNamed(name, { timeout: 6_000, ...changes });
 
 const CONFIGURATION: FleetConfiguration = {
   revision: 1,
--- a/test/forwarding/forwarding.test.ts
+++ b/test/forwarding/forwarding.test.ts
@@ -5,26 +5,11 @@
 import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
 import { until } from '../support.js';
 import { ForwardingHarness } from './forwarding-harness.js';
+import { routeNamed } from './routes.js';
 import { events, raw, reply, StandInBackEnd } from './stand-in-back-end.js';
 
-function route(name: string, changes: Partial<Route> = {}): Route {
-  return {
-    name,
-    host: 'api.example',
-    pathPrefix: `/${name}/`,
-    targets: [{ service: 'billing', weight: 1 }],
-    isStream: false,
-    repeatability: 'always',
-    timeout: 5_000,
-    objective: 200,
-    longestPause: 0,
-    patience: 2_400,
-    priority: 1,
-    maxAttempts: 2,
-    isPublic: false,
-    ...changes,
-  };
-}
+const route = (name: string, changes: Partial<Route> = {}) =>
+  routeNamed(name, { isPublic: false, ...changes });
 
 const CONFIGURATION: FleetConfiguration = {
   revision: 1,
--- a/test/forwarding/silent-connections.test.ts
+++ b/test/forwarding/silent-connections.test.ts
@@ -1,9 +1,10 @@
 /** Kept connections to back ends that go silent for good, without a reset, while new ones work. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { SilentProxy } from '../silent-proxy.js';
 import { until } from '../support.js';
 import { type Answer, ForwardingHarness } from './forwarding-harness.js';
+import { routeNamed } from './routes.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
 /** Time between two requests that keep the back end busy, in milliseconds. */
@@ -11,28 +12,9 @@
 /** A request whose connection is silent must have its answer after this at the latest, in milliseconds. */
 const NOTICED_WITHIN = 1_500;
 
-function route(name: string, changes: Partial<Route> = {}): Route {
-  return {
-    name,
-    host: 'api.example',
-    pathPrefix: `/${name}/`,
-    targets: [{ service: 'billing', weight: 1 }],
-    isStream: false,
-    repeatability: 'always',
-    timeout: 5_000,
-    objective: 200,
-    longestPause: 0,
-    patience: 2_400,
-    priority: 1,
-    maxAttempts: 2,
-    isPublic: true,
-    ...changes,
-  };
-}
-
 const CONFIGURATION: FleetConfiguration = {
   revision: 1,
-  routes: [route('read'), route('start', { repeatability: 'never', timeout: 700 })],
+  routes: [routeNamed('read'), routeNamed('start', { repeatability: 'never', timeout: 700 })],
   services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
   origin: undefined,
   limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -12,58 +12,20 @@
 import type { DirectEntrySettings } from '../../src/roles/settings.js';
 import type { PieceOriginFactory } from '../../src/weights/piece-source.js';
 import { NAMES } from '../forwarding/forwarding-harness.js';
+import { routeNamed } from '../forwarding/routes.js';
 
 /** Connections that a back end of the service `few` accepts of all entries together. */
 export const FEW_CONNECTIONS = 2;
 
+/** Requests that run at one back end at the most. */
+const ONCE = { repeatability: 'never', objective: 500, maxAttempts: 1 } as const;
+
 const configurationOf = (revision: number): FleetConfiguration => ({
   revision,
   routes: [
-    {
-      name: 'route',
-      host: 'api.example',
-      pathPrefix: `/${revision}/`,
-      targets: [{ service: 'billing', weight: 1 }],
-      isStream: false,
-      repeatability: 'never',
-      timeout: 5_000,
-      objective: 500,
-      longestPause: 0,
-      patience: 2_400,
-      priority: 1,
-      maxAttempts: 1,
-      isPublic: true,
-    },
-    {
-      name: 'stream',
-      host: 'api.example',
-      pathPrefix: '/stream/',
-      targets: [{ service: 'billing', weight: 1 }],
-      isStream: true,
-      repeatability: 'never',
-      timeout: 5_000,
-      objective: 500,
-      longestPause: 500,
-      patience: 2_400,
-      priority: 1,
-      maxAttempts: 1,
-      isPublic: true,
-    },
-    {
-      name: 'few',
-      host: 'api.example',
-      pathPrefix: '/few/',
-      targets: [{ service: 'few', weight: 1 }],
-      isStream: false,
-      repeatability: 'never',
-      timeout: 5_000,
-      objective: 500,
-      longestPause: 0,
-      patience: 2_400,
-      priority: 1,
-      maxAttempts: 1,
-      isPublic: true,
-    },
+    routeNamed('route', { ...ONCE, pathPrefix: `/${revision}/` }),
+    routeNamed('stream', { ...ONCE, isStream: true, longestPause: 500 }),
+    routeNamed('few', { ...ONCE, targets: [{ service: 'few', weight: 1 }] }),
   ],
   services: [
     { name: 'billing', maxConnections: 0, engine: undefined },
