--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -7,9 +7,8 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
-import type { Route } from '../fleet/configuration.js';
-import { pathOf, type RouteTable, targetService } from '../fleet/route-table.js';
-import { hash32 } from '../model/random.js';
+import type { Standstills } from '../model/standstills.js';
+import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
 import { type AnswerHead, Attempt, type AttemptFailure, MISDIRECTED } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
 import type { Requirements } from './back-end-selector.js';
@@ -19,29 +18,24 @@
 import { type CallerBody, readCallerBody } from './caller-body.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
-import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
-import { RequestTiming } from './request-timing.js';
+import type { HoldEnd, HoldRecord } from './hold-record.js';
+import { type Silence, silenceOf } from './silence.js';
+import { TimeToEnd } from './time-to-end.js';
 
 /** A new connection that is not there after this is given up, in milliseconds. */
 const CONNECT_LIMIT = 400;
-/** A back end that owes a first answer and says nothing to anybody for this many objectives is silent. */
-const SILENT_OBJECTIVES = 2;
-/** Bounds of that time, in milliseconds. */
-const SHORTEST_SILENCE = 350;
-const LONGEST_SILENCE = 1_200;
-/** A stream that owes an event for this many of its longest pauses stands still. */
-const SILENT_PAUSES = 2;
-const SHORTEST_STREAM_SILENCE = 600;
 /** A request that is refused comes back after this, in seconds, times 1 to 2. */
 const RETRY_AFTER = 0.4;
 /** Callers are not asked to wait longer than this for capacity that is to come, in seconds. */
 const LONGEST_RETRY_AFTER = 2;
+/** Time after which another process can have a request that this one has no time for, in seconds, times 1 to 2. */
+const RETRY_ELSEWHERE = 0.05;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
 const MOST_SENDS = 4;
 const INTERNAL_ERROR = 500;
 const MILLISECONDS = 1_000;
 
-/** How a request ended, for counters. */
+/** How a request ended, for counters: `stopped` by the stop of this process, `left` by its caller. */
 export type RequestOutcome =
   | 'served'
   | 'failedAnswer'
@@ -50,6 +44,7 @@
   | 'failed'
   | 'timedOut'
   | 'cut'
+  | 'stopped'
   | 'left';
 
 /** A request in progress. */
@@ -57,53 +52,54 @@
   readonly #components: ForwardingComponents;
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
-  readonly #arrivedAt = performance.now();
+  /** When it arrived, in milliseconds of the steady clock. */
+  readonly arrivedAt = performance.now();
   readonly #id: string;
   readonly #tried = new Set<string>();
-  #route!: Route;
-  #table!: RouteTable;
-  #service = '';
-  #tenant: string | undefined;
-  #urgency = 0;
-  /** Known once its route is. */
-  #timing!: RequestTiming;
+  /** Set before anything is sent. */
+  #admitted!: AdmittedRequest;
+  #timeToEnd!: TimeToEnd;
   #timer: NodeJS.Timeout | undefined;
   #body: CallerBody = { type: 'none' };
-  #promptTokens = 0;
-  /** Tokens that the answer may have. */
-  #answerTokens = 0;
   /** The attempt in progress and its back end. */
   #use: BackEndUse | undefined;
   #sends = 0;
   /** Back ends that may have run it. */
   #runs = 0;
+  /** It has reached a back end, or may have: each further send is a repetition, and is paid for as it goes out. */
+  #isRepetition = false;
   /** Since when it waits for capacity. */
   #heldSince: number | undefined;
+  /** Waits of this kind that it counts among, while it waits for one of many back ends to be free. */
+  #hold: HoldRecord | undefined;
   readonly #answer: CallerAnswer;
   #version: number | undefined;
   #settled = false;
+  readonly #onCallerEnded = () => this.#endCaller();
 
   constructor(components: ForwardingComponents, request: IncomingMessage, response: ServerResponse) {
     this.#components = components;
     this.#request = request;
     this.#response = response;
     this.#id = String(request.headers[components.names.requestId] ?? '');
-    this.#answer = new CallerAnswer(request, response, components.isLeaving);
+    this.#answer = new CallerAnswer(request, response, () => components.drain.isUnderWay);
     response.on('close', () => this.#onCallerGone());
+    // The answer closes only once what is buffered has gone out, which a caller that has gone does not read.
+    request.socket.once('end', this.#onCallerEnded);
     response.on('error', () => {});
     request.on('error', () => {});
   }
 
   /** Routes the request and sends it. */
   async start(): Promise<void> {
-    const error = this.#admit();
-    if (error !== undefined) return this.#finish(error);
-    this.#timer = setTimeout(() => this.#onTimeout(), this.#timing.endsAt - this.#arrivedAt);
-    this.#body = await readCallerBody(this.#request, this.#table.configuration.limits.bodyBytes);
+    const rejected = this.#admit();
+    if (rejected !== undefined) return this.#finish(rejected.error, rejected.route);
+    this.#timer = setTimeout(() => this.#onTimeout(), this.#admitted.timing.endsAt - this.arrivedAt);
+    this.#body = await readCallerBody(this.#request, this.#admitted.table.configuration.limits.bodyBytes);
     if (this.#settled) return;
     if (this.#body.type === 'tooLarge') return this.#finish({ type: 'bodyTooLarge' });
     if (this.#body.type === 'cut') return this.#finish({ type: 'malformed', reason: 'cut body' });
-    this.#components.budgetOf(this.#service).earn(performance.now());
+    this.#components.budgetOf(this.#admitted.service).earn(performance.now());
     this.#send();
   }
 
@@ -117,65 +113,83 @@
     this.#finish({ type: 'backEndFailed', reason: 'fault of this process' });
   }
 
+  /** Ends a request that has not ended when this process does: whoever has no part of an answer yet is told. */
+  stop(): void {
+    if (this.#settled) return;
+    const mayHaveRun = this.#mayHaveRun;
+    if (!this.#answer.started) {
+      this.#use?.attempt.abort('stop');
+      this.#endAttempt(undefined);
+      return mayHaveRun ? this.#finish({ type: 'stopped' }) : this.#refuseForStop();
+    }
+    this.#log('answer cut', { reason: 'stop', backEnd: this.#use?.row.record.id, ageMs: this.#age() });
+    this.#use?.attempt.abort('stop');
+    this.#endAttempt(undefined);
+    this.#settle('stopped');
+    this.#response.destroy();
+  }
+
   /** Ends attempts that are owed something for too long; called by the shared tick. */
-  check(now: number): void {
+  check(now: number, standstills: Standstills): void {
     if (this.#heldSince !== undefined && !this.#settled) return this.#send();
     const use = this.#use;
     if (use === undefined || this.#settled) return;
     const { attempt, row } = use;
+    this.#timeToEnd.noteProgress(attempt, now);
     if (!attempt.sent) {
-      if (now - attempt.startedAt > CONNECT_LIMIT) attempt.fail('no connection in time');
+      if (standstills.runningTime(attempt.startedAt, now) > CONNECT_LIMIT)
+        attempt.fail('no connection in time');
       return;
     }
+    if (this.#response.writableNeedDrain) return use.noteCallerBlocks(now);
+    const silence = this.#silence(now, use, standstills);
+    if (silence === 'connection') use.suspectConnections(this.#components.backEnds);
     if (!this.#mayRunAgain()) return;
     if (!use.hasAnswered && this.#components.selector.mustWithdraw(row, now))
       return attempt.withdraw('version expires');
-    if (!this.#isSilent(now, use)) return;
-    if (!this.#components.budgetOf(this.#service).spend(performance.now())) return;
-    this.#log('back end silent', { backEnd: row.record.id, silentMs: Math.round(now - use.progressAt) });
-    attempt.fail('silent');
-  }
-
-  /** Finds route, tenant and time; returns why the request cannot be sent. */
-  #admit(): ForwardingError | undefined {
-    const { fleet, names } = this.#components;
-    const { headers, url } = this.#request;
-    if (fleet.routes === undefined || !fleet.complete) return { type: 'notConfigured' };
-    this.#table = fleet.routes;
-    const route = this.#table.match(headers.host ?? '', pathOf(url ?? '/'));
-    if (route === undefined) return { type: 'noRoute' };
-    this.#route = route;
-    this.#urgency = route.priority;
-    if (this.#table.needsKeys && !route.isPublic) {
-      const tenant = this.#table.tenantOf(String(headers[names.callerKey] ?? ''));
-      if (tenant === undefined) return { type: 'unknownKey' };
-      this.#tenant = tenant.name;
-      this.#urgency = tenant.priority ?? route.priority;
-    }
-    this.#service = targetService(route, hash32(this.#id) / 2 ** 32);
-    const timeLeft = Number(headers[names.timeLeft]);
-    this.#timing = new RequestTiming(this.#arrivedAt, route, timeLeft > 0 ? timeLeft : undefined);
-    const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
-    this.#promptTokens = Number(promptTokens) || 0;
-    this.#answerTokens = Number(answerTokens) || 0;
+    if (silence !== 'none') this.#giveUpSilent(use, silence, now);
+  }
+
+  #giveUpSilent(use: BackEndUse, silence: Exclude<Silence, 'none'>, now: number): void {
+    if (!this.#mayRepeat()) return;
+    const silentFor = Math.round(now - use.progressAt);
+    this.#log('back end silent', { backEnd: use.row.record.id, silence, silentMs: silentFor });
+    if (silence === 'backEnd') return use.attempt.fail('silent');
+    use.suspectConnections(this.#components.backEnds);
+    use.attempt.failSilentConnection(silence === 'connection');
+  }
+
+  /** Takes in what the configuration says of it; returns why it cannot be sent. */
+  #admit(): RejectedRequest | undefined {
+    const admission = admit(this.#request, this.arrivedAt, this.#components);
+    if (!admission.ok) return admission.error;
+    this.#admitted = admission.value;
+    const { route, answerTokens, timing } = admission.value;
+    this.#timeToEnd = new TimeToEnd(this.#components, route.name, answerTokens, timing.endsAt);
     return undefined;
   }
 
   #send(): void {
+    if (!this.#canEnd()) return this.#refuseForStop();
     const selection = this.#components.selector.select(this.#requirements());
     if (selection === undefined) return this.#holdOrGiveUp();
-    if (selection.expectedWait > this.#timing.longestWait(this.#sends > 0))
+    if (selection.expectedWait > this.#admitted.timing.longestWait(this.#sends > 0))
       return this.#giveUp('back ends full');
+    if (this.#isRepetition && !this.#components.budgetOf(this.#admitted.service).spend(performance.now()))
+      return this.#giveUp('no budget');
     this.#heldSince = undefined;
+    this.#endHold('sent');
     const { row } = selection;
     this.#tried.add(row.record.id);
     this.#sends++;
+    const { timing, rank, promptTokens, answerTokens } = this.#admitted;
+    const urgency = timing.urgency(rank, performance.now());
     const attempt = new Attempt(
       {
         requestId: this.#id,
         method: this.#request.method ?? 'GET',
         path: this.#request.url ?? '/',
-        headers: this.#headersFor(row, selection.expectedVersion),
+        headers: this.#headersFor(row, selection.expectedVersion, urgency),
         body: this.#bodyToSend(),
       },
       this.#components.names,
@@ -186,7 +200,8 @@
         onFailure: (failure) => this.#onFailure(failure),
       },
     );
-    this.#use = new BackEndUse(row, attempt, this.#promptTokens, this.#answerTokens);
+    this.#use = new BackEndUse(row, attempt, urgency, promptTokens, answerTokens);
+    this.#timeToEnd.noteSent(attempt);
     this.#log('sent', {
       send: this.#sends,
       backEnd: row.record.id,
@@ -194,18 +209,18 @@
       waitMs: Math.round(selection.expectedWait),
       choices: selection.choices,
       version: selection.version,
-      configuration: this.#table.configuration.revision,
+      configuration: this.#admitted.table.configuration.revision,
     });
     attempt.send(row.connections);
   }
 
   #requirements(): Requirements {
     return {
-      service: this.#service,
-      isRepeatable: this.#route.repeatability !== 'never',
+      service: this.#admitted.service,
+      isRepeatable: this.#admitted.route.repeatability !== 'never',
       // The queues of back ends are for those that can be in time: one that comes again waits here for a free slot.
-      mayQueue: this.#sends > 0 || !this.#timing.isLastChance,
-      answerTokens: this.#answerTokens,
+      mayQueue: this.#sends > 0 || !this.#admitted.timing.isLastChance,
+      answerTokens: this.#admitted.answerTokens,
       goesOn: this.#answer.started,
       version: this.#version,
       tried: this.#tried,
@@ -214,15 +229,18 @@
 
   /** Waits for capacity that is in sight; gives up at once where it is not. */
   #holdOrGiveUp(): void {
+    if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     const now = performance.now();
-    const capacity = this.#components.selector.expectedCapacity(this.#service);
+    const capacity = this.#components.selector.expectedCapacity(this.#admitted.service);
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
     // Where back ends serve, but none may take a request, one is free soon or not.
-    const holdsUntil = this.#timing.holdsUntil(this.#heldSince);
-    const isInSight = capacity === undefined ? this.#route.isStream : now + capacity < holdsUntil;
-    const mayWait = now < holdsUntil && !this.#answer.started;
-    if (!isInSight || !mayWait) {
+    const holdsUntil = this.#admitted.timing.holdsUntil(this.#heldSince);
+    const isInSight = capacity === undefined ? this.#admitted.route.isStream : now + capacity < holdsUntil;
+    const mayWait = isInSight && now < holdsUntil && !this.#answer.started;
+    if (!this.#canEnd(capacity)) return this.#refuseForStop();
+    const waits = mayWait && (wasHeld || capacity !== undefined || this.#beginHold());
+    if (!waits) {
       const excluded = this.#components.selector.exclusions(this.#requirements());
       this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
       return this.#giveUp('no back end', capacity);
@@ -230,28 +248,54 @@
     if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
   }
 
+  /** Whether it can still end before this process does, if it is sent after `wait` milliseconds; a begun answer goes on. */
+  #canEnd(wait = 0): boolean {
+    return this.#answer.started || this.#timeToEnd.suffices(performance.now(), wait);
+  }
+
+  /** Refuses what this process has no time for: another one can take it now. */
+  #refuseForStop(): void {
+    this.#heldSince = undefined;
+    const reason = 'stop';
+    if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
+    const retryAfter = RETRY_ELSEWHERE * (1 + this.#components.random.fraction());
+    this.#finish({ type: 'unavailable', reason, retryAfter });
+  }
+
+  /** True where the promise that the request has not run cannot be made. */
+  get #mayHaveRun(): boolean {
+    return this.#runs > 0 || this.#use?.attempt.sent === true;
+  }
+
+  /** Counts the wait of a request that comes again; false where it is not to wait. A first one waits for a moment only. */
+  #beginHold(): boolean {
+    if (!this.#admitted.timing.isLastChance) return true;
+    const holds = this.#components.backEnds.holdsOf(this.#admitted.service);
+    if (!holds.allowsMore) return false;
+    holds.begin();
+    this.#hold = holds;
+    return true;
+  }
+
+  #endHold(how: HoldEnd): void {
+    this.#hold?.end(how);
+    this.#hold = undefined;
+  }
+
   #bodyToSend(): Buffer | Readable | null {
     if (this.#body.type === 'kept') return this.#body.bytes;
     return this.#body.type === 'streamed' ? this.#body.stream : null;
   }
 
-  #headersFor(row: BackEndRow, version: number | undefined): string[] {
-    const { names } = this.#components;
-    const { rawHeaders, headers } = this.#request;
-    const set = this.#components.headersSet;
-    const kept = endToEndHeaders(rawHeaders, headers.connection, set);
-    if (this.#body.type === 'streamed' && headers['content-length'] !== undefined)
-      kept.push('Content-Length', headers['content-length']);
-    const timeLeft = Math.max(1, Math.floor(this.#timing.endsAt - performance.now()));
-    if (Number.isFinite(this.#timing.endsAt)) kept.push(names.timeLeft, String(timeLeft));
-    kept.push(names.expectedBackEnd, row.record.id);
-    if (this.#tenant !== undefined) kept.push(names.tenant, this.#tenant);
-    if (version !== undefined) kept.push(names.expectedVersion, String(version));
-    if (this.#route.isStream)
-      kept.push(names.urgency, String(this.#timing.urgency(this.#urgency, performance.now())));
-    const { lastEventId } = this.#answer;
-    if (lastEventId !== undefined) kept.push(LAST_EVENT_ID, lastEventId);
-    return kept;
+  #headersFor(row: BackEndRow, version: number | undefined, urgency: number): string[] {
+    const attempt = {
+      backEnd: row.record.id,
+      version,
+      urgency,
+      lastEventId: this.#answer.lastEventId,
+      isStreamed: this.#body.type === 'streamed',
+    };
+    return headersToSend(this.#request, this.#admitted, attempt, this.#components, performance.now());
   }
 
   #onHead(head: AnswerHead): void {
@@ -281,10 +325,10 @@
 
   /** Sends a request whose back end failed to another one; false where that may not be. */
   #tryAgainAfter(reason: string): boolean {
-    if (!this.#mayRunAgain() || !this.#components.budgetOf(this.#service).spend(performance.now()))
-      return false;
+    if (!this.#mayRunAgain() || !this.#mayRepeat()) return false;
     this.#endAttempt('failed');
     this.#runs++;
+    this.#isRepetition = true;
     this.#answer.forget();
     this.#log('sent again', { reason, sends: this.#sends });
     this.#send();
@@ -295,22 +339,25 @@
     const { row } = this.#use!;
     this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
     this.#endAttempt(outcomeOf(failure));
-    if (failure.type === 'broken' || failure.type === 'withdrawn') return this.#onBroken(failure.reason);
+    if (failure.type !== 'notSent') this.#isRepetition = true;
+    if (failure.type === 'silentConnection') this.#allowAgain(row);
+    if (failure.type !== 'notSent' && failure.type !== 'refused') return this.#onBroken(failure.reason);
     if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
-    if (failure.type === 'refused' && !this.#components.budgetOf(this.#service).spend(performance.now()))
-      return this.#giveUp('no budget');
+    if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     if (this.#body.type === 'streamed' && failure.type === 'refused') return this.#giveUp('body not kept');
     this.#send();
   }
 
+  /** A back end whose connection was at fault takes the request over another one where no other back end can. */
+  #allowAgain({ record }: BackEndRow): void {
+    const isOther = this.#components.selector.select(this.#requirements()) !== undefined;
+    if (!isOther) this.#tried.delete(record.id);
+  }
+
   #onBroken(reason: string): void {
     this.#runs++;
     this.#answer.forget();
-    const isPaidFor = reason === 'silent';
-    const mayGoOn =
-      this.#mayRunAgain(this.#runs) &&
-      (isPaidFor || this.#components.budgetOf(this.#service).spend(performance.now()));
-    if (mayGoOn) {
+    if (this.#mayRunAgain(this.#runs) && this.#mayRepeat()) {
       this.#log('sent again', { reason, sends: this.#sends, after: this.#answer.lastEventId });
       return this.#send();
     }
@@ -318,28 +365,40 @@
     this.#finish({ type: 'backEndFailed', reason });
   }
 
+  /** Whether the budget has a repetition now; it is taken only as the request goes out, which may be later. */
+  #mayRepeat(): boolean {
+    return this.#components.budgetOf(this.#admitted.service).allows(performance.now());
+  }
+
   /** Whether one more back end may run the request. */
   #mayRunAgain(runs = this.#runs + 1): boolean {
-    const { repeatability, maxAttempts } = this.#route;
+    const { repeatability, maxAttempts } = this.#admitted.route;
     if (repeatability === 'never' || this.#body.type === 'streamed') return false;
     if (runs >= maxAttempts || this.#sends >= MOST_SENDS) return false;
     if (!this.#answer.started) return true;
     return repeatability === 'resumable' && this.#answer.isEventStream;
   }
 
-  #isSilent(now: number, { row, progressAt }: BackEndUse): boolean {
-    const { objective, longestPause } = this.#route;
-    const isStreaming = this.#answer.started;
-    const limit = isStreaming
-      ? Math.max(SHORTEST_STREAM_SILENCE, SILENT_PAUSES * longestPause)
-      : Math.min(LONGEST_SILENCE, Math.max(SHORTEST_SILENCE, SILENT_OBJECTIVES * objective));
-    const isOwed = now - progressAt > limit;
-    return isOwed && (isStreaming || now - row.progressAt > limit);
+  /** Times in which this process itself did not run count as no silence of others. */
+  #silence(now: number, use: BackEndUse, standstills: Standstills): Silence {
+    const { row, attempt, progressAt, isOvertaken } = use;
+    const awaited = {
+      route: this.#admitted.route,
+      sentAt: attempt.startedAt,
+      progressAt: now - standstills.runningTime(progressAt, now),
+      isStreaming: this.#answer.started,
+      isOnSilentConnection: attempt.isOnSilentConnection,
+      isOvertaken,
+      backEndProgressAt: now - standstills.runningTime(row.progressAt, now),
+      usualFirstAnswer: row.firstAnswerTime,
+    };
+    return silenceOf(awaited, now);
   }
 
   /** No back end can take the request now. */
   #giveUp(reason: string, capacity = 0): void {
     this.#heldSince = undefined;
+    this.#endHold('inVain');
     if (this.#answer.started) return this.#cut(reason);
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
     const soon = RETRY_AFTER * (1 + this.#components.random.fraction());
@@ -349,14 +408,23 @@
 
   #onTimeout(): void {
     if (this.#settled) return;
-    const mayHaveRun = this.#runs > 0 || this.#use?.attempt.sent === true;
-    const isSilent = this.#use?.hasAnswered === false && mayHaveRun;
-    this.#use?.attempt.abort('timed out');
-    this.#endAttempt(isSilent ? 'silent' : undefined);
+    const use = this.#use;
+    const mayHaveRun = this.#mayHaveRun;
+    const outcome = use === undefined ? undefined : outcomeAtTimeout(use);
+    if (use?.attempt.isOnSilentConnection) use.suspectConnections(this.#components.backEnds);
+    use?.attempt.abort('timed out');
+    this.#endAttempt(outcome);
     if (this.#answer.started) return this.#cut('timed out');
     this.#finish(mayHaveRun ? { type: 'timedOut' } : { type: 'expired' });
   }
 
+  /** The caller has closed its side, so that it will not read what is buffered for it either. */
+  #endCaller(): void {
+    if (this.#settled) return;
+    this.#onCallerGone();
+    this.#response.destroy();
+  }
+
   #onCallerGone(): void {
     if (this.#settled) return;
     this.#log('caller left', { backEnd: this.#use?.row.record.id, ageMs: this.#age() });
@@ -372,17 +440,17 @@
     this.#response.destroy();
   }
 
-  #finish(error: ForwardingError): void {
+  #finish(error: ForwardingError, routeName: string | undefined = this.#admitted?.route.name): void {
     if (this.#settled) return;
     const { status, retryAfter } = finalAnswer(error);
-    this.#log('ended', { status, ...error, ageMs: this.#age(), route: this.#route?.name });
+    this.#log('ended', { status, ...error, ageMs: this.#age(), route: routeName });
     this.#settle(outcomeOfError(error));
     if (this.#answer.started || this.#response.destroyed) return void this.#response.destroy();
     const headers: Record<string, string> = { 'content-length': '0' };
     if (this.#id !== '') headers[this.#components.names.requestId] = this.#id;
     if (retryAfter !== undefined) headers['retry-after'] = retryAfter.toFixed(2);
     // What is left of a body would be taken for the next request.
-    if (this.#components.isLeaving() || !this.#request.complete) headers.connection = 'close';
+    if (this.#components.drain.isUnderWay || !this.#request.complete) headers.connection = 'close';
     this.#response.writeHead(status, headers);
     this.#response.end();
   }
@@ -394,8 +462,14 @@
     this.#use = undefined;
     const took = use.end();
     const { record, health } = use.row;
-    if (outcome !== undefined)
-      health.note(outcome, performance.now(), this.#components.backEnds.usualFailureShare(this.#service));
+    this.#timeToEnd.noteEnded(use.attempt, outcome === 'served', performance.now());
+    if (outcome === undefined) health.noteAbandoned();
+    else
+      health.note(
+        outcome,
+        performance.now(),
+        this.#components.backEnds.usualFailureShare(this.#admitted.service),
+      );
     if (outcome !== 'served') return;
     use.noteServed(took);
     this.#log('served', {
@@ -409,20 +483,32 @@
   #settle(outcome: RequestOutcome): void {
     this.#settled = true;
     clearTimeout(this.#timer);
+    this.#endHold(outcome === 'left' ? 'left' : 'inVain');
+    this.#request.socket.off('end', this.#onCallerEnded);
     this.#components.onSettled(this, outcome, this.#age());
   }
 
   #age(): number {
-    return Math.round(performance.now() - this.#arrivedAt);
+    return Math.round(performance.now() - this.arrivedAt);
   }
 
   #log(message: string, fields: object): void {
-    this.#components.log.info(message, { request: this.#id, service: this.#service, ...fields });
+    const { drain, log } = this.#components;
+    const sinceStop = drain.elapsed(performance.now());
+    const ofStop = sinceStop === undefined ? {} : { sinceStopMs: Math.round(sinceStop) };
+    log.info(message, { request: this.#id, service: this.#admitted?.service ?? '', ...ofStop, ...fields });
   }
 }
 
+/** A back end that has said nothing is silent, unless its connection alone is. */
+function outcomeAtTimeout({ attempt, hasAnswered, isOvertaken }: BackEndUse): BackEndOutcome | undefined {
+  if (hasAnswered || !attempt.sent) return undefined;
+  return attempt.isOnSilentConnection && isOvertaken ? undefined : 'silent';
+}
+
 function outcomeOf(failure: AttemptFailure): BackEndOutcome | undefined {
   if (failure.type === 'withdrawn') return undefined;
+  if (failure.type === 'silentConnection') return failure.isBackEndHeard ? undefined : 'silentConnection';
   if (failure.type === 'refused') return failure.status === MISDIRECTED ? 'misdirected' : 'overloaded';
   if (failure.type === 'notSent' || failure.reason === 'silent') return 'silent';
   return 'failed';
@@ -432,5 +518,6 @@
   if (error.type === 'unavailable' || error.type === 'notConfigured' || error.type === 'expired')
     return 'refused';
   if (error.type === 'timedOut') return 'timedOut';
+  if (error.type === 'stopped') return 'stopped';
   return error.type === 'backEndFailed' ? 'failed' : 'rejected';
 }
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -6,6 +6,7 @@
 import type { BackEndListState } from '../fleet/back-end-list.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
+import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
@@ -17,12 +18,18 @@
   encodeForMany,
 } from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
+import type { EntriesKnown } from '../systems/entry-retry-window.js';
 import { Dialling } from './dialling.js';
 import { REPORT_TICK, reportInterval, reportLife } from './report-rate.js';
 import type { EntryReport } from './reports.js';
 
 /** Longest time between two tries to reach an entry, in milliseconds. */
 const LONGEST_REDIAL = 4_000;
+/**
+ * A connection on which nothing came for this long is replaced, in milliseconds: two signs of life are missing. With the
+ * next look and a new connection it stays below the 3 s after which a process counts as in touch again.
+ */
+const SILENCE_LIMIT = 2_300;
 /** Time between two tellings of all addresses, in milliseconds. */
 const ADDRESSES_INTERVAL = 2_000;
 /**
@@ -40,6 +47,8 @@
   toldAt: number;
   report: EntryReport | undefined;
   heardAt: number;
+  /** Told that its latest report has lapsed. */
+  hasLapsed: boolean;
 }
 
 /** What the peers work with. */
@@ -58,6 +67,8 @@
   addressesInterval?: number;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
+  /** The process of this latest report is not heard any more, or another one has started at its address. */
+  onLapsed: (report: EntryReport) => void;
   log: Log;
 }
 
@@ -65,6 +76,7 @@
 export class EntryPeers implements Startable {
   readonly #options: EntryPeersOptions;
   readonly #rows = new Map<string, PeerRow>();
+  readonly #standstills = new Standstills(REPORT_TICK, performance.now());
   #timer: NodeJS.Timeout | undefined;
   #stopped = new AbortController();
   #addressesToldAt = performance.now();
@@ -77,6 +89,7 @@
 
   async start(): Promise<void> {
     this.#stopped = new AbortController();
+    this.#standstills.begin(performance.now());
     this.#timer = setInterval(() => this.#tick(), REPORT_TICK);
     this.#tick();
   }
@@ -99,12 +112,21 @@
   /** The latest reports of entries that live. */
   live(): EntryReport[] {
     const now = performance.now();
-    const rows = [...this.#rows.values()].filter(
-      (row) => now - row.heardAt < reportLife(this.#isNear(row), this.#rows.size),
-    );
+    const rows = [...this.#rows.values()].filter((row) => this.#lives(row, now));
     return rows.flatMap(({ report }) => report ?? []);
   }
 
+  /** What this entry knows of how many entries there are. It forgets none: those that it does not hear may live. */
+  known(): EntriesKnown {
+    const { address, seeds } = this.#options;
+    const told = [...this.#rows.values()].map(({ report }) => report?.entriesKnown ?? 0);
+    const heardSeeds = seeds.filter((seed) => seed === address || this.#rows.get(seed)?.report !== undefined);
+    return {
+      known: Math.max(this.#rows.size + 1, ...told),
+      hasHeardMostSeeds: 2 * heardSeeds.length > seeds.length || seeds.length === 0,
+    };
+  }
+
   /** Takes a connection that another entry opened. */
   accept(connection: Connection): void {
     const { address } = connection.remote.peer;
@@ -123,8 +145,11 @@
 
   #tick(): void {
     const now = performance.now();
+    this.#standstills.tick(now);
     const due: PeerRow[] = [];
     for (const row of this.#rows.values()) {
+      this.#endSilent(row);
+      this.#endLapsed(row, now);
       if (row.connection?.open !== true) this.#dial(row, now);
       // Timers are late by some milliseconds.
       else if (now - row.toldAt >= reportInterval(this.#isNear(row), this.#rows.size) * 0.9) due.push(row);
@@ -137,6 +162,19 @@
     if (now - this.#addressesToldAt >= addressesInterval) this.#tellAddresses();
   }
 
+  /** A connection may go silent for good, without an end or a reset, while new ones work. */
+  #endSilent({ connection, address }: PeerRow): void {
+    if (connection === undefined || connection.quietFor <= SILENCE_LIMIT) return;
+    this.#options.log.info('entry silent', { address, silentMs: Math.round(connection.quietFor) });
+    connection.close();
+  }
+
+  #endLapsed(row: PeerRow, now: number): void {
+    if (row.report === undefined || row.hasLapsed || this.#lives(row, now)) return;
+    row.hasLapsed = true;
+    this.#options.onLapsed(row.report);
+  }
+
   #tellAddresses(): void {
     this.#addressesToldAt = performance.now();
     const addresses = [this.#options.address, ...this.live().map(({ address }) => address)];
@@ -157,6 +195,12 @@
     return encodeForMany(message, this.#options.context);
   }
 
+  /** Only the time in which this process ran counts as the silence of another. */
+  #lives(row: PeerRow, now: number): boolean {
+    const silence = this.#standstills.runningTime(row.heardAt, now);
+    return silence < reportLife(this.#isNear(row), this.#rows.size);
+  }
+
   #isNear({ report }: PeerRow): boolean {
     return report?.zone === this.#options.zone;
   }
@@ -202,13 +246,15 @@
 
   #onReport(row: PeerRow, connection: Connection, report: EntryReport): void {
     const now = performance.now();
-    if (now - row.heardAt > reportLife(this.#isNear(row), this.#rows.size)) {
+    if (!this.#lives(row, now)) {
       this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
       this.#tellNewAddresses();
     }
+    const { fleet, onLapsed } = this.#options;
+    if (row.report !== undefined && row.report.id !== report.id && !row.hasLapsed) onLapsed(row.report);
     row.heardAt = now;
     row.report = report;
-    const { fleet } = this.#options;
+    row.hasLapsed = false;
     fleet.clock.note(report.storeTime, now);
     for (const named of report.versions) fleet.takeNamedVersion(named);
     const configuration = report.configurationRevision > fleet.configurationRevision;
@@ -257,5 +303,6 @@
     toldAt: 0,
     report: undefined,
     heardAt: Number.NEGATIVE_INFINITY,
+    hasLapsed: false,
   };
 }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -17,6 +17,7 @@
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
 import { hash32, type Random, seededRandom } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
+import { endsWithin } from '../model/time-limit.js';
 import { HybridClock } from '../observability/hybrid-clock.js';
 import type { Log } from '../observability/log.js';
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
@@ -32,7 +33,9 @@
   type TrafficCounters,
 } from '../protocol/connection.js';
 import { httpServer, listenerOf } from '../server/http-server.js';
-import { RetryWindow } from '../systems/retry-window.js';
+import { DrainSchedule } from '../systems/drain-schedule.js';
+import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
+import type { RetryWindow } from '../systems/retry-window.js';
 import { CollectionDuty } from '../weights/collection-duty.js';
 import { WeightsLibrary } from '../weights/held-weights.js';
 import { pieceRoutes } from '../weights/piece-server.js';
@@ -40,24 +43,9 @@
 import type { DirectEntrySettings } from './settings.js';
 import { servedVersions, WeightsPlanner } from './weights-planner.js';
 
-/** Share of the repetitions that its requests allow which this entry uses: counts of others may differ a little. */
-const BUDGET_SHARE = 0.9;
-/**
- * The slack of all entries is divided among this many for each that lives, and among this many at least: an entry that
- * starts again has forgotten what it spent.
- */
-const SLACK_SHARES_BY_ENTRY = 1.8;
-const LEAST_SLACK_SHARES = 16;
-/** After the order to stop, callers are served for as long as some keep the address, or until none has come for this. */
-const QUIET = 800;
-/**
- * Time for what is in progress once nothing new is taken, in milliseconds: streams of 60 events took up to 2.9 s beside a
- * full load (a stream of 2.3 s was cut by 1.5 s).
- */
-const CLOSING_TIME = 3_000;
-/** Before the process would be killed it ends by itself, in milliseconds. */
-const KILL_MARGIN = 700;
 const DRAIN_CHECK = 50;
+/** Parts that have not ended after this are left to the end of the process, in milliseconds: it must come before a kill. */
+const STOP_LIMIT = 300;
 /** Changes of this time are told to peers and agents together, by who is told, in milliseconds. */
 const ANNOUNCE_DELAY = { all: 50, zone: 120 };
 /** Addresses in one answer to a caller. */
@@ -148,12 +136,17 @@
   readonly #forwarding: ForwardingServer;
   readonly #parts: StartableGroup;
   readonly #budgets = new Map<string, RetryWindow>();
-  #leaving = false;
+  readonly #createdAt = performance.now();
+  readonly #drain: DrainSchedule;
   #announcement: 'all' | 'zone' | undefined;
 
   constructor(components: DirectEntryComponents) {
     const { settings, fleet, backEnds, sync, library, log, random, metrics, context } = components;
     this.#components = components;
+    this.#drain = new DrainSchedule({
+      graceTime: settings.graceTime,
+      addressLifetime: settings.addressLifetimeSeconds * MILLISECONDS,
+    });
     fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
     this.#peers = new EntryPeers({
       context,
@@ -165,9 +158,11 @@
       hearsStore: () => sync.connected,
       report: () => this.#report(),
       onReport: (report) => this.#onPeerReport(report),
+      onLapsed: ({ id }) => backEnds.takeLoads(id, []),
       log,
     });
     sync.readerCount = () => this.#peers.live().length + 1;
+    backEnds.mostConnectionsKept = (service) => this.#connectionsKept(service);
     this.#agents = new EngineAgents(
       (row) => this.#planner.planFor(row),
       (report, before) => {
@@ -207,7 +202,7 @@
         random,
         log,
         budgetOf: (service) => this.#budgetOf(service),
-        isLeaving: () => this.#leaving,
+        drain: this.#drain,
       },
       metrics,
     );
@@ -233,7 +228,7 @@
 
   /** True while callers may be sent here. */
   get isReady(): boolean {
-    return !this.#leaving && this.#components.fleet.complete;
+    return !this.#drain.isUnderWay && this.#components.fleet.complete;
   }
 
   async start(): Promise<void> {
@@ -242,24 +237,25 @@
     log.info('entry started', { identity, zone: settings.zone, callers: settings.callers });
   }
 
-  /** Leaves the directory at once, serves those that hold the address, ends what is in progress, and stops. */
-  async leave(): Promise<void> {
-    const { log, settings } = this.#components;
-    const startedAt = performance.now();
-    const elapsed = () => performance.now() - startedAt;
-    this.#leaving = true;
+  /**
+   * Leaves the directory at once, serves those that hold the address, ends what is in progress, and stops.
+   * @param orderedAt - when the order to stop came, in milliseconds of the steady clock
+   */
+  async leave(orderedAt = performance.now()): Promise<void> {
+    const { log } = this.#components;
+    this.#drain.begin(orderedAt);
     this.#peers.announce('all');
     log.info('entry leaves', { inProgress: this.#forwarding.active });
-    const latest = settings.graceTime - KILL_MARGIN;
-    const lifetime = settings.addressLifetimeSeconds * MILLISECONDS;
-    const isServed = () =>
-      elapsed() >= lifetime && (this.#forwarding.quietFor > QUIET || elapsed() >= 3 * lifetime);
-    while (elapsed() < latest - CLOSING_TIME && !isServed()) await pause();
-    // From here on nothing new is taken, so that no request is read and then cut.
-    this.#forwarding.close();
-    while (elapsed() < latest && this.#forwarding.active > 0) await pause();
-    log.info('entry stops', { inProgress: this.#forwarding.active, tookMs: Math.round(elapsed()) });
-    await this.stop();
+    while (this.#drain.takesConnections(performance.now(), this.#forwarding.quietFor)) await pause();
+    await this.#forwarding.close();
+    while (performance.now() < this.#drain.endsAt && !this.#forwarding.isSettled) await pause();
+    log.info('entry stops', {
+      inProgress: this.#forwarding.active,
+      tookMs: Math.round(performance.now() - orderedAt),
+      arrivals: this.#forwarding.arrivalsWhileDraining,
+    });
+    if (!(await endsWithin(this.stop(), STOP_LIMIT)))
+      log.warn('parts have not stopped', { after: STOP_LIMIT });
   }
 
   async stop(): Promise<void> {
@@ -308,6 +304,7 @@
       backEndsRevision: fleet.backEnds.revision,
       storeTime: fleet.clock.storeTimeAt(performance.now()),
       versions: fleet.versions.all(),
+      entriesKnown: this.#peers.known().known,
       loads: backEnds.loads(),
       held: this.#collection.held(),
       engines: this.#agents.reports().map((report) => ({ ...report, held: [] })),
@@ -333,21 +330,34 @@
     for (const engine of report.engines) backEnds.takeNews(engine.address, engineNews(engine));
   }
 
+  /**
+   * Most connections that are kept to a back end of `service`: what it accepts is divided among all entries that are
+   * known, as those that are not heard keep theirs.
+   */
+  #connectionsKept(service: string): number {
+    const accepted = this.#components.fleet.routes?.service(service)?.maxConnections ?? 0;
+    if (accepted === 0) return Number.POSITIVE_INFINITY;
+    return Math.floor(accepted / this.#peers.known().known);
+  }
+
   #budgetOf(service: string): RetryWindow {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
-    const { share, slack, span } = this.#components.settings.retries;
-    const shares = () =>
-      Math.max(LEAST_SLACK_SHARES, SLACK_SHARES_BY_ENTRY * (this.#peers.live().length + 1));
-    const budget = new RetryWindow({
-      span,
-      share: share * BUDGET_SHARE,
-      slack: () => Math.max(2, slack / shares()),
-    });
+    const { retries } = this.#components.settings;
+    const budget = createEntryRetryWindow(retries, () => this.#peers.known(), this.#createdAt);
     this.#budgets.set(service, budget);
     return budget;
   }
 
+  #repetitionCounts(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const [service, { granted, denied }] of this.#budgets) {
+      counts[`${service} granted`] = granted;
+      counts[`${service} denied`] = denied;
+    }
+    return counts;
+  }
+
   #addMetrics(): void {
     const { metrics, counters, fleet, backEnds, sync } = this.#components;
     metrics.add([
@@ -358,6 +368,13 @@
         read: () => fleet.configurationRevision,
       },
       { name: 'back_ends_known', help: 'Back ends known here', read: () => backEnds.rows.size },
+      {
+        name: 'repetitions',
+        help: 'Repetitions that the budget was asked for since the start, by service and what came of them',
+        label: 'kind',
+        read: () => this.#repetitionCounts(),
+      },
+      { name: 'entries_known', help: 'Entries known since the start', read: () => this.#peers.known().known },
       { name: 'entries_live', help: 'Other entries that live', read: () => this.#peers.live().length },
       { name: 'agents_connected', help: 'Agents connected here', read: () => this.#agents.rows.size },
       { name: 'store_connected', help: '1 while the store answers', read: () => Number(sync.connected) },
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -1,4 +1,5 @@
 /** Requests for engines when none can take them at once. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import type { EngineNews } from '../../src/forwarding/back-end-table.js';
@@ -41,9 +42,9 @@
 let forwarding: ForwardingHarness;
 
 /** The engine's agent tells, as of now. */
-function tell(news: Partial<EngineNews>): void {
+function tell(news: Partial<EngineNews>, of = engine): void {
   const toldAt = performance.now();
-  forwarding.backEnds.takeNews(engine.address, {
+  forwarding.backEnds.takeNews(of.address, {
     version: 0,
     isReached: true,
     isSwitching: false,
@@ -96,6 +97,20 @@
   });
 });
 
+describe('a caller that tells of tokens without end', () => {
+  it.each(['Infinity,1', '1,Infinity', '1e400,1e400', '-1e400,1'])(
+    'does no harm to others: %s',
+    async (tokens) => {
+      tell({ version: 1, switchAt: performance.now() + 60_000 });
+      const headers = { ...COMES_FIRST.headers, 'x-tokens': tokens };
+      expect((await forwarding.send('/write/', { headers })).status).toBe(200);
+      expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+      forwarding.drain.begin(performance.now());
+      expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
+    },
+  );
+});
+
 describe('while no engine serves', () => {
   it('a first request is refused and told to come back when one is expected', async () => {
     tell({ switchAt: performance.now() + 1_000 });
@@ -117,6 +132,35 @@
   });
 });
 
+describe('a request that an engine has refused', () => {
+  it('is counted as a repetition once it goes out again, not while it waits for capacity', async () => {
+    engine.answer(reply(503, '', { 'x-not-run': '1' }));
+    tell({ version: 1 });
+    const second = await new StandInBackEnd(reply(200, 'served')).start();
+    try {
+      forwarding.list(['one', engine, LISTED], ['two', second]);
+      tell({ switchAt: performance.now() + 300 }, second);
+      const answer = forwarding.send('/write/', COMES_AGAIN);
+      await until(() => engine.requests.length === 1, 'the first engine to refuse it');
+      await sleep(200);
+      expect(forwarding.budget.granted).toBe(0);
+      tell({ version: 1 }, second);
+      expect(await answer).toMatchObject({ status: 200, body: 'served' });
+      expect(forwarding.budget.granted).toBe(1);
+    } finally {
+      await second.stop();
+    }
+  });
+
+  it('is not counted where no engine takes it in the end', async () => {
+    engine.answer(reply(503, '', { 'x-not-run': '1' }));
+    tell({ version: 1 });
+    expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(503);
+    expect(engine.requests).toHaveLength(1);
+    expect(forwarding.budget.granted).toBe(0);
+  });
+});
+
 describe('an engine whose version expires', () => {
   const BOUND = 8_000;
   /** The next version is named so that the one before expires after `milliseconds`. */
@@ -175,3 +219,49 @@
     expect(engine.requests).toHaveLength(0);
   });
 });
+
+describe('holding requests that come again', () => {
+  /** It would be held for 300 ms. */
+  const HELD_SHORTLY = { headers: { 'x-time-left': '1500' } };
+
+  /** Statuses of `count` requests at once, with the time that each took in milliseconds. */
+  async function wave(count: number): Promise<Array<{ status: number; took: number }>> {
+    return Promise.all(
+      Array.from({ length: count }, async () => {
+        const sentAt = performance.now();
+        const { status } = await forwarding.send('/write/', HELD_SHORTLY);
+        return { status, took: performance.now() - sentAt };
+      }),
+    );
+  }
+
+  const isQuick = ({ took }: { took: number }) => took < 150;
+
+  it('ends where it was in vain: others are refused at once, but for a few that try', async () => {
+    tell({ version: 1, load: 4 });
+    const first = await wave(12);
+    expect(first.every(({ status }) => status === 503)).toBe(true);
+    expect(first.some(isQuick)).toBe(false);
+    tell({ version: 1, load: 4 });
+    const second = await wave(10);
+    expect(second.every(({ status }) => status === 503)).toBe(true);
+    expect(second.filter(isQuick).length).toBe(8);
+  });
+
+  it('begins again once those that try are served', async () => {
+    tell({ version: 1, load: 4 });
+    await wave(12);
+    for (let count = 0; count < 10; count++) {
+      tell({ version: 1, load: 4 });
+      const trial = wave(1);
+      await new Promise((resolve) => setTimeout(resolve, 60));
+      tell({ version: 1, load: 0 });
+      expect((await trial)[0].status).toBe(200);
+    }
+    tell({ version: 1, load: 4 });
+    const all = wave(6);
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    tell({ version: 1, load: 0 });
+    expect((await all).map(({ status }) => status)).toEqual(Array.from({ length: 6 }, () => 200));
+  });
+});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -1,5 +1,5 @@
 /** An entry's forwarding on a free port, with a fleet that a test declares, and a caller. */
-import { request as httpRequest } from 'node:http';
+import { type ClientRequest, request as httpRequest } from 'node:http';
 import { freeAddress } from '../../bench/processes/child.js';
 import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
 import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
@@ -10,6 +10,7 @@
 import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
+import { DrainSchedule } from '../../src/systems/drain-schedule.js';
 import { RetryWindow } from '../../src/systems/retry-window.js';
 import type { StandInBackEnd } from './stand-in-back-end.js';
 
@@ -64,6 +65,9 @@
 export class ForwardingHarness {
   readonly fleet = new FleetView();
   readonly backEnds = new BackEndTable();
+  readonly metrics = new Metrics('test');
+  readonly drain = new DrainSchedule({ graceTime: 8_000, addressLifetime: 1_000 });
+  readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
   #address = '';
@@ -80,8 +84,13 @@
     return this.#address;
   }
 
+  /** Requests in progress. */
+  get active(): number {
+    return this.#server?.active ?? 0;
+  }
+
   async start(configuration: FleetConfiguration): Promise<void> {
-    const { fleet, backEnds } = this;
+    const { fleet, backEnds, budget } = this;
     const random = seededRandom(7);
     const selector = new BackEndSelector({
       fleet,
@@ -92,7 +101,6 @@
       versionBound: 8_000,
       entryCount: () => 1,
     });
-    const budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
     const headersSet = new Set([
       'x-key',
       'x-tenant',
@@ -113,9 +121,9 @@
         random,
         log: silentLog,
         budgetOf: () => budget,
-        isLeaving: () => false,
+        drain: this.drain,
       },
-      new Metrics('test'),
+      this.metrics,
     );
     await this.#server.start();
     fleet.takeConfiguration({ document: Buffer.from(''), configuration });
@@ -126,6 +134,16 @@
     await this.backEnds.stop();
   }
 
+  /** Takes no new connection. */
+  async close(): Promise<void> {
+    await this.#server?.close();
+  }
+
+  /** Whether the process may end. */
+  get isSettled(): boolean {
+    return this.#server?.isSettled ?? true;
+  }
+
   /** Lists these back ends and no others. */
   list(...backEnds: Array<[id: string, backEnd: StandInBackEnd, changes?: Partial<BackEndRecord>]>): void {
     const revision = this.fleet.backEnds.revision + 1;
@@ -145,6 +163,16 @@
     });
   }
 
+  /** Sends a request without a body whose caller is going to leave. */
+  open(path: string): ClientRequest {
+    const [host, port] = this.#address.split(':');
+    const headers = { host: 'api.example', 'x-request': `r${++this.#requests}`, 'x-key': 'key-a' };
+    const sent = httpRequest({ host, port, path, headers });
+    sent.on('error', () => {});
+    sent.end();
+    return sent;
+  }
+
   /** Sends a request as a caller does. */
   send(path: string, { method = 'GET', headers, body }: SentRequest = {}): Promise<Answer> {
     const [host, port] = this.#address.split(':');
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -228,6 +228,13 @@
     replace: 'true',
     test: 'test/systems/held-back-news.test.ts',
   },
+  {
+    fault: 'a process that stood still takes the others for dead',
+    file: 'src/model/standstills.ts',
+    find: 'return now - since - stoodStill;',
+    replace: 'return now - since;',
+    test: 'test/model/standstills.test.ts test/peers/standstill.test.ts test/forwarding/standstill.test.ts',
+  },
   {
     fault: 'an answer without a length that is reset passes for whole',
     file: 'src/forwarding/attempt.ts',
@@ -378,10 +385,38 @@
   {
     fault: 'repetitions exceed their share',
     file: 'src/systems/retry-window.ts',
-    find: "sum(this.#parts, 'repetitions') + 1 > allowed",
+    find: "this.#sumFrom(first, 'repetitions') + 1 > earned + slack",
     replace: 'false',
     test: 'test/systems/retry-window.test.ts',
   },
+  {
+    fault: 'repetitions of one entry rest on the same requests as those of another',
+    file: 'src/systems/retry-window.ts',
+    find: 'const halfShare = this.#limits.share / 2;',
+    replace: 'const halfShare = this.#limits.share;',
+    test: 'test/systems/entry-retry-window.test.ts',
+  },
+  {
+    fault: 'an entry that starts again has a fresh part of the slack',
+    file: 'src/systems/entry-retry-window.ts',
+    find: 'hasHeardMostSeeds && now >= slackFrom',
+    replace: 'hasHeardMostSeeds',
+    test: 'test/systems/entry-retry-window.test.ts',
+  },
+  {
+    fault: 'an entry that has heard nobody takes the slack of all',
+    file: 'src/systems/entry-retry-window.ts',
+    find: 'hasHeardMostSeeds && now >= slackFrom',
+    replace: 'now >= slackFrom',
+    test: 'test/systems/entry-retry-window.test.ts',
+  },
+  {
+    fault: 'a repetition is counted before it goes out',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: 'return this.#components.budgetOf(this.#admitted.service).allows(performance.now());',
+    replace: 'return this.#components.budgetOf(this.#admitted.service).spend(performance.now());',
+    test: 'test/forwarding/capacity.test.ts',
+  },
   {
     fault: 'entries that start together do not hear one another',
     file: 'src/peers/entry-peers.ts',
@@ -403,6 +438,41 @@
     replace: 'count <= LINES_OF_KIND',
     test: 'test/observability/bounded-output.test.ts',
   },
+  {
+    fault: 'an entry that leaves takes requests that it cannot end',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: 'this.#answer.started || this.#timeToEnd.suffices(performance.now(), wait)',
+    replace: 'wait >= 0',
+    test: 'test/roles/direct-entry-drain.test.ts',
+  },
+  {
+    fault: 'long requests are taken for short ones while only short ones have ended',
+    file: 'src/systems/longest-durations.ts',
+    find: ' || now - both[0].since < limit',
+    replace: '',
+    test: 'test/systems/longest-durations.test.ts',
+  },
+  {
+    fault: 'a connection whose caller could not be told to leave it stays open',
+    file: 'src/forwarding/forwarding-server.ts',
+    find: 'this.#server.keepAliveTimeout = LINGER;',
+    replace: '',
+    test: 'test/roles/direct-entry-drain.test.ts',
+  },
+  {
+    fault: 'who waits for an answer at the end of a stop is not told',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: 'if (!this.#answer.started) {',
+    replace: 'if (this.#settled) {',
+    test: 'test/roles/direct-entry-drain.test.ts',
+  },
+  {
+    fault: 'a second order to stop ends the process at once',
+    file: 'src/model/stop-order.ts',
+    find: 'source.on(',
+    replace: '(source as NodeJS.Process).once(',
+    test: 'test/model/stop-order.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
