--- /dev/null
+++ b/bench/simulation/simulated-engine.ts
@@ -0,0 +1,107 @@
+/**
+ * An engine that batches continuously, in virtual time: it works in passes over the requests that it has let in, reads
+ * prompts in pieces beside the tokens that it writes, and queues what exceeds its slots, the more urgent first.
+ */
+import type { VirtualClock } from './virtual-clock.js';
+
+/** The pace of an engine; times in milliseconds. The figures of the users' sheet for hundreds of machines. */
+export const ENGINE_PACE = {
+  slots: 8,
+  queue: 16,
+  step: 11.1,
+  stepPerRequest: 0.058,
+  tokensReadPerMillisecond: 21.3,
+  tokensReadPerPass: 2_048,
+  tokensPerEvent: 6,
+} as const;
+/** Length of a pass in which only prompts are read, beside the reading, in milliseconds. */
+const READING_PASS = 3;
+
+/** A request at an engine. */
+export interface EngineJob {
+  urgency: number;
+  promptTokens: number;
+  answerTokens: number;
+  /** An event has been written. */
+  onEvent(): void;
+  onEnd(): void;
+}
+
+interface RunningJob extends EngineJob {
+  unread: number;
+  written: number;
+}
+
+/** One engine. */
+export class SimulatedEngine {
+  readonly #clock: VirtualClock;
+  readonly #queue: RunningJob[] = [];
+  #running: RunningJob[] = [];
+  #isWorking = false;
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  /** Requests that run or wait. */
+  get load(): number {
+    return this.#running.length + this.#queue.length;
+  }
+
+  /** Takes a request; false where its queue is full. */
+  take(job: EngineJob): boolean {
+    if (this.load >= ENGINE_PACE.slots + ENGINE_PACE.queue) return false;
+    this.#queue.push({ ...job, unread: job.promptTokens, written: 0 });
+    if (!this.#isWorking) {
+      this.#isWorking = true;
+      this.#clock.schedule(this.#clock.now, () => this.#pass());
+    }
+    return true;
+  }
+
+  #pass(): void {
+    this.#letIn();
+    if (this.#running.length === 0) {
+      this.#isWorking = false;
+      return;
+    }
+    const read = this.#read();
+    const isWriting = this.#running.some(({ unread }) => unread <= 0);
+    const writing = ENGINE_PACE.step + ENGINE_PACE.stepPerRequest * this.#running.length;
+    const length = read / ENGINE_PACE.tokensReadPerMillisecond + (isWriting ? writing : READING_PASS);
+    this.#clock.schedule(this.#clock.now + length, () => {
+      this.#write();
+      this.#pass();
+    });
+  }
+
+  #letIn(): void {
+    while (this.#running.length < ENGINE_PACE.slots && this.#queue.length > 0) {
+      const least = Math.min(...this.#queue.map(({ urgency }) => urgency));
+      const next = this.#queue.findIndex(({ urgency }) => urgency === least);
+      this.#running.push(...this.#queue.splice(next, 1));
+    }
+  }
+
+  /** Reads prompts; returns how many tokens. */
+  #read(): number {
+    let left: number = ENGINE_PACE.tokensReadPerPass;
+    for (const job of this.#running) {
+      const part = Math.min(left, job.unread);
+      job.unread -= part;
+      left -= part;
+    }
+    return ENGINE_PACE.tokensReadPerPass - left;
+  }
+
+  #write(): void {
+    const writing = this.#running.filter(({ unread }) => unread <= 0);
+    for (const job of writing) {
+      job.written++;
+      if (job.written % ENGINE_PACE.tokensPerEvent === 0) job.onEvent();
+      if (job.written < job.answerTokens) continue;
+      this.#running = this.#running.filter((other) => other !== job);
+      job.onEnd();
+    }
+  }
+}
--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -237,6 +237,37 @@
   }
 }
 
+/** `thistleway bench placement`. */
+export class BenchPlacementCommand extends ThistlewayCommand {
+  static override paths = [['bench', 'placement']];
+  static override usage = ThistlewayCommand.Usage({
+    category: 'Development',
+    description: 'compare ways to place requests at 100 entries and 84 to 143 engines, in virtual time',
+  });
+  policy = Option.String('--policy', { description: 'one of them alone: reportedLoads, ownCounts or slots' });
+  load = Option.String('--load', '1', { description: 'share of the peak that is asked' });
+  seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
+
+  async perform(): Promise<number> {
+    const { PLACEMENT_POLICIES, simulatePlacement } = await import(
+      '../../bench/simulation/placement-simulation.js'
+    );
+    const policies = PLACEMENT_POLICIES.filter(
+      (policy) => this.policy === undefined || policy === this.policy,
+    );
+    if (policies.length === 0)
+      throw new CommandFailure(
+        `no policy "${this.policy}"; there are ${PLACEMENT_POLICIES.join(', ')}`,
+        EXIT_USAGE,
+      );
+    for (const policy of policies) {
+      const report = simulatePlacement({ policy, load: Number(this.load), seed: Number(this.seed) });
+      this.context.stdout.write(`${JSON.stringify(report)}\n`);
+    }
+    return 0;
+  }
+}
+
 function keepsPromises(report: RequestReport, planned: boolean): boolean {
   const { lost, crossed, ranTwice, falseNotRun, newWorkAfterLeaving, cut } = report;
   return lost + crossed + ranTwice + falseNotRun + newWorkAfterLeaving + (planned ? cut : 0) === 0;
--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -85,3 +85,17 @@
     return true;
   }
 }
+
+/** Whether two records say the same of a back end, whenever they were written. */
+export function isAlike(one: BackEndRecord, other: BackEndRecord): boolean {
+  return (
+    one.service === other.service &&
+    one.address === other.address &&
+    one.zone === other.zone &&
+    one.slots === other.slots &&
+    one.leaving === other.leaving &&
+    one.layers?.from === other.layers?.from &&
+    one.layers?.end === other.layers?.end &&
+    one.layers?.version === other.layers?.version
+  );
+}
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -6,23 +6,20 @@
 import type { Random } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
-import type { BackEndChange } from './back-end-list.js';
+import { type BackEndChange, isAlike } from './back-end-list.js';
 import type { FleetView } from './fleet-view.js';
 import type { RecordDecoder } from './record-decoder.js';
-import { TableFollower, type TableFollowerEvents } from './table-follower.js';
+import { TableFollower, type TableFollowerEvents, type TableNews } from './table-follower.js';
 
 /**
- * Longest wait for changes in one call, in milliseconds. A connection that goes silent is noticed after it and the time for
- * an answer: together they stay below the 3 s after which a process counts as in touch again.
+ * Longest wait for changes in one call, in milliseconds: those that this process reads for hear of it at least that often,
+ * and read by themselves when they do not. A connection that goes silent is noticed after it and the time for an answer.
  */
-const LONGEST_WAIT = 2_000;
+const LONGEST_WAIT = 900;
 /** The operator's changes of this time come together, in milliseconds. */
 const OPERATOR_INTERVAL = 60;
 /** Changes of back ends of this time come together, in milliseconds. */
 const BACK_END_INTERVAL = 500;
-/** With more readers than this each asks more rarely, but at least after this time, in milliseconds. */
-const FREQUENT_READERS = 10;
-const LONGEST_BACK_END_INTERVAL = 900;
 /** After the store's return removals wait this long, in milliseconds. */
 const REMOVAL_HOLD = 1_900;
 /** A silence up to this is no outage: nothing lapses in it, in milliseconds. */
@@ -37,14 +34,26 @@
   log: Log;
 }
 
+/** The tables that are followed. */
+export type FollowedTable = 'operator' | 'backEnds';
+
+/** What is new in the store, as one process passes it on to others. */
+export interface StoreNews extends TableNews {
+  table: FollowedTable;
+  /** Back ends that seem to be gone are kept for this long yet, in milliseconds. */
+  holdsRemovalsFor: number;
+}
+
 /** Follows the store's tables. */
 export class StoreSync implements Startable {
   readonly #options: StoreSyncOptions;
   readonly #operator: TableFollower;
   readonly #backEnds: TableFollower;
   readonly #followers: StartableGroup;
-  /** Processes that read the list of back ends from the store, this one among them. */
-  readerCount: () => number = () => 1;
+  /** False while another process reads a table and passes on what is new. */
+  isReader: (table: FollowedTable) => boolean = () => true;
+  /** Takes what this process has read, for others. */
+  onNews: (news: StoreNews) => void = () => {};
   /** The newest version of each model that the store has told of. */
   readonly #versionsRead = new Map<string, number>();
   readonly #held = new Map<string, BackEndChange>();
@@ -62,6 +71,7 @@
       table: decoder.operatorTable,
       wait: LONGEST_WAIT,
       interval: () => OPERATOR_INTERVAL,
+      rests: () => !this.isReader('operator'),
       events: this.#events('operator', {
         onWhole: (rows, since) => this.#takeOperatorRows(rows, since),
         onChanges: (rows, since) => this.#takeOperatorRows(rows, since),
@@ -73,7 +83,8 @@
       clock,
       table: decoder.backEndTable,
       wait: LONGEST_WAIT,
-      interval: () => this.#backEndInterval(),
+      interval: () => BACK_END_INTERVAL,
+      rests: () => !this.isReader('backEnds'),
       events: this.#events('backEnds', {
         onWhole: (rows) => this.#takeWholeList(rows),
         onChanges: (rows) => this.#takeChanges(rows),
@@ -96,15 +107,38 @@
     await this.#followers.stop();
   }
 
-  #backEndInterval(): number {
-    const rarity = Math.max(1, this.readerCount() / FREQUENT_READERS);
-    return Math.min(LONGEST_BACK_END_INTERVAL, BACK_END_INTERVAL * rarity);
+  /** Takes what another process has read of the store. */
+  take({ table, holdsRemovalsFor, ...news }: StoreNews): void {
+    if (holdsRemovalsFor > 0)
+      this.#holdUntil = Math.max(this.#holdUntil, performance.now() + holdsRemovalsFor);
+    (table === 'operator' ? this.#operator : this.#backEnds).take(news);
+  }
+
+  /** Passes on what is new to others; that a back end still lives is none of it. */
+  #pass(table: FollowedTable, news: TableNews): void {
+    if (!this.isReader(table)) return;
+    const holdsRemovalsFor = Math.max(0, this.#holdUntil - performance.now());
+    const rows = table === 'operator' ? news.rows : news.rows.filter((row) => this.#isNews(row));
+    this.onNews({ ...news, rows, table, holdsRemovalsFor });
+  }
+
+  #isNews(row: StoredRow): boolean {
+    const { decoder, fleet } = this.#options;
+    const known = fleet.backEnds.records.get(row.key);
+    const record = row.value === undefined ? undefined : decoder.backEnd(row);
+    if (record === undefined || known === undefined || !isAlike(record, known)) return true;
+    // Others may have held its removal back as well.
+    return this.#held.has(row.key);
   }
 
-  #events(table: string, taking: Pick<TableFollowerEvents, 'onWhole' | 'onChanges'>): TableFollowerEvents {
+  #events(
+    table: FollowedTable,
+    taking: Pick<TableFollowerEvents, 'onWhole' | 'onChanges'>,
+  ): TableFollowerEvents {
     const { log } = this.#options;
     return {
       ...taking,
+      onNews: (news) => this.#pass(table, news),
       onLost: (reason) => log.warn('store lost', { table, reason }),
       onRegained: (silence, isOutage) => {
         log.info('store regained', { table, silenceMs: Math.round(silence), isOutage });
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -2,7 +2,7 @@
  * Follows one table of the store: reads it whole, then waits for changes. A store that is away is asked again with a
  * jittered, growing pause; where it has forgotten the changes since, the table is read whole again.
  */
-import type { ChangesError, RowsAt, WatchedTables } from '../clients/watched-tables.js';
+import type { ChangesError, RowsAt, StoredRow, WatchedTables } from '../clients/watched-tables.js';
 import type { Random } from '../model/random.js';
 import type { Result } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
@@ -27,6 +27,9 @@
  */
 const GAPLESS = 400;
 
+/** Time between two looks whether the table has to be read here, in milliseconds. */
+const REST = 150;
+
 /** What a follower tells. */
 export interface TableFollowerEvents {
   /** The whole table; what is new in it was written after `since`, in milliseconds of the store's clock. */
@@ -40,6 +43,19 @@
   onRegained(silence: number, isOutage: boolean): void;
   /** The store does not answer, or answers with an error. */
   onLost(reason: string): void;
+  /** The store has answered; called before the changes are told. */
+  onNews(news: TableNews): void;
+}
+
+/** What is new in a table, as one who reads it passes it on. */
+export interface TableNews {
+  /** The news follow on what was known as of this revision. */
+  after: number;
+  revision: number;
+  storeTime: number;
+  /** What is new was written after this, in milliseconds of the store's clock. */
+  since: number;
+  rows: StoredRow[];
 }
 
 /** What to follow, and how often it may be asked for. */
@@ -50,6 +66,8 @@
   wait: number;
   /** Least time between two calls, in milliseconds: changes of this time come together; read anew at each call. */
   interval: () => number;
+  /** True while another process reads the table and passes on what is new. */
+  rests: () => boolean;
   /** Learns the store's time from each answer. */
   clock: StoreClock;
   random: Random;
@@ -67,6 +85,8 @@
   #failures = 0;
   /** True where a failed call since the latest answer was refused, and did not just stay without an answer. */
   #wasRefused = false;
+  /** What was passed on does not follow on what is known here: the table has to be read. */
+  #hasGap = false;
   /** Time of the latest answer beyond the wait that was asked for, in milliseconds. */
   #answerTime = 0;
 
@@ -91,12 +111,30 @@
 
   async #run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      if (this.#mayRest) {
+        await sleep(REST, signal);
+        continue;
+      }
       const askedAt = performance.now();
       const pause = await this.#step(signal);
       await sleep(Math.max(pause, this.#options.interval() - (performance.now() - askedAt)), signal);
     }
   }
 
+  get #mayRest(): boolean {
+    return this.#revision !== undefined && !this.#hasGap && this.#options.rests();
+  }
+
+  /** Takes what another process has read. */
+  take({ after, revision, storeTime, since, rows }: TableNews): void {
+    if (this.#revision === undefined || revision <= this.#revision) return;
+    this.#hasGap = after > this.#revision;
+    if (this.#hasGap) return;
+    this.#revision = revision;
+    this.#noteAnswer(storeTime);
+    this.#options.events.onChanges({ rows, revision, storeTime }, since);
+  }
+
   /** One call; returns the least pause before the next, in milliseconds. */
   async #step(signal: AbortSignal): Promise<number> {
     const { tables, table, wait, events, clock } = this.#options;
@@ -139,8 +177,14 @@
     if (signal.aborted) return 0;
     if (answer.ok) {
       const since = this.#writtenSince(answer.value, gap);
-      this.#noteAnswer(answer.value);
-      this.#revision = answer.value.revision;
+      const { rows, storeTime } = answer.value;
+      this.#noteAnswer(storeTime);
+      const after = this.#revision;
+      // What was passed on meanwhile may be newer.
+      const revision = Math.max(after ?? 0, answer.value.revision);
+      this.#revision = revision;
+      this.#hasGap = false;
+      if (after !== undefined) this.#options.events.onNews({ after, revision, storeTime, since, rows });
       tell(answer.value, since);
       return 0;
     }
@@ -164,10 +208,10 @@
     return gap <= GAPLESS ? Math.max(this.#storeTime, storeTime - GAPLESS) : this.#storeTime;
   }
 
-  #noteAnswer({ storeTime }: RowsAt): void {
+  #noteAnswer(storeTime: number): void {
     const now = performance.now();
     this.#options.clock.note(storeTime, now);
-    this.#storeTime = storeTime;
+    this.#storeTime = Math.max(this.#storeTime, storeTime);
     const isOutage = this.#wasRefused || this.#failures > 1;
     if (this.#failures > 0) this.#options.events.onRegained(now - this.#answeredAt, isOutage);
     this.#failures = 0;
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -2,8 +2,17 @@
 import type { EngineShape } from '../fleet/configuration.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
+import type { SlotCandidate } from '../systems/slot-search.js';
 import { type BackEndRow, type BackEndTable, isLoadTold, loadOf, wholeVersion } from './back-end-table.js';
-import { type Candidate, chooseBackEnd, expectedWait, type Position } from './selection.js';
+import {
+  ALIKE,
+  ALIKE_UNKNOWN,
+  type Candidate,
+  chooseBackEnd,
+  expectedWait,
+  type Position,
+  slotCost,
+} from './selection.js';
 
 /** Where the list names none, a back end runs this many requests. */
 const DEFAULT_SLOTS = 4;
@@ -105,25 +114,88 @@
     this.#entryCount = options.entryCount;
   }
 
-  /** The best back end, or undefined where none may take the request now. */
+  /** The best back end among those without an agent that gives out slots; undefined where none may take the request now. */
   select(requirements: Requirements): Selection | undefined {
     const now = performance.now();
+    const candidates = this.#candidates(requirements, now).filter(({ id }) => !this.#givesOutSlots(id, now));
+    const isEngine = this.#fleet.routes?.service(requirements.service)?.engine !== undefined;
+    const considered = isEngine ? this.#twoOf(candidates) : candidates;
+    const choice = chooseBackEnd(considered, this.#self, this.#random);
+    if (choice === undefined) return undefined;
+    return this.selectionOf(choice.candidate.id, requirements, choice.expectedWait, candidates.length);
+  }
+
+  /** The back end `id` as the choice for a request. */
+  selectionOf(id: string, requirements: Requirements, wait: number, choices: number): Selection {
+    const row = this.#table.rows.get(id)!;
+    return {
+      row,
+      version: wholeVersion(row, this.#fleet.routes?.service(requirements.service)?.engine?.layers ?? 0),
+      expectedWait: wait,
+      expectedVersion: requirements.version ?? this.#expectedVersion(id, performance.now()),
+      choices,
+    };
+  }
+
+  /** The engines that may take the request now and whose agents give out their slots. */
+  slotCandidates(requirements: Requirements): SlotCandidate[] {
+    const now = performance.now();
+    // Whoever holds a slot does not queue.
+    const candidates = this.#candidates({ ...requirements, mayQueue: true }, now);
+    return candidates
+      .filter(({ id }) => this.#givesOutSlots(id, now))
+      .map((candidate) => this.#slotCandidate(candidate, now));
+  }
+
+  #slotCandidate(candidate: Candidate, now: number): SlotCandidate {
+    const { id, zone } = candidate;
+    const isLoadFresh = isLoadTold(this.#table.rows.get(id)!, now);
+    return {
+      id,
+      isNear: zone === this.#self.zone,
+      cost: slotCost(candidate, this.#self, isLoadFresh),
+      spread: isLoadFresh ? ALIKE : ALIKE_UNKNOWN,
+    };
+  }
+
+  /**
+   * Whether a request is to look for a slot first: always where all engines have agents that answer, and as often as such
+   * engines are among those that may take it, so that one without an agent has its part of the requests.
+   */
+  looksForSlot(requirements: Requirements, slotCandidates: number): boolean {
+    if (slotCandidates === 0) return false;
+    const others =
+      this.#candidates({ ...requirements, mayQueue: false }, performance.now()).length - slotCandidates;
+    return others <= 0 || this.#random.below(slotCandidates + others) < slotCandidates;
+  }
+
+  #candidates(requirements: Requirements, now: number): Candidate[] {
     const candidates: Candidate[] = [];
     for (const row of this.#table.ofService(requirements.service)) {
       if (this.#exclusion(row, requirements, now) === undefined)
         candidates.push(this.#candidate(row, requirements.answerTokens, now, requirements.goesOn));
     }
     addSlowness(candidates, this.#table, now);
-    const choice = chooseBackEnd(candidates, this.#self, this.#random);
-    if (choice === undefined) return undefined;
-    const row = this.#table.rows.get(choice.candidate.id)!;
-    return {
-      row,
-      version: wholeVersion(row, this.#fleet.routes?.service(requirements.service)?.engine?.layers ?? 0),
-      expectedWait: choice.expectedWait,
-      expectedVersion: requirements.version ?? this.#expectedVersion(choice.candidate.id, now),
-      choices: candidates.length,
-    };
+    return candidates;
+  }
+
+  #givesOutSlots(id: string, now: number): boolean {
+    return this.#table.rows.get(id)?.agent?.answers(now) === true;
+  }
+
+  /**
+   * Two by chance, one of them of the own zone: what entries know of one another's requests is older than these are, so
+   * the least loaded of all would be the choice of all of them at once.
+   */
+  #twoOf(candidates: readonly Candidate[]): Candidate[] {
+    if (candidates.length <= 2) return [...candidates];
+    const near = candidates.filter(({ zone }) => zone === this.#self.zone);
+    const first = this.#oneOf(near.length > 0 ? near : candidates);
+    return [first, this.#oneOf(candidates.filter((candidate) => candidate !== first))];
+  }
+
+  #oneOf(candidates: readonly Candidate[]): Candidate {
+    return candidates[this.#random.below(candidates.length)];
   }
 
   /**
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -6,6 +6,7 @@
 import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
 import { HoldRecord } from './hold-record.js';
+import { SlotAgent } from './slot-agent.js';
 
 /** Weight of the newest time to a first answer, and of the newest duration. */
 const TIME_WEIGHT = 0.1;
@@ -28,6 +29,8 @@
   isReached: boolean;
   /** The engine is about to take another version, and takes nothing new. */
   isSwitching: boolean;
+  /** `host:port` at which the agent is asked for slots of the engine; empty where it gives out none. */
+  slotAddress: string;
   /** Requests of all callers that ran or waited there, and when that was told. */
   load: number;
   toldAt: number;
@@ -58,6 +61,8 @@
   /** When the newest request that it has answered was sent, by the urgency of the request. */
   answeredSends: Map<number, number>;
   news: EngineNews | undefined;
+  /** Who gives out its slots; undefined where nobody is known to. */
+  agent: SlotAgent | undefined;
 }
 
 /** The table. */
@@ -98,6 +103,8 @@
       if (row.record.address !== address) continue;
       if (row.news?.version !== news.version) row.health.noteNews();
       row.news = news;
+      if (news.slotAddress !== (row.agent?.address ?? ''))
+        row.agent = news.slotAddress === '' ? undefined : new SlotAgent(news.slotAddress);
     }
   }
 
@@ -176,6 +183,7 @@
     progressAt: performance.now(),
     answeredSends: new Map(),
     news: undefined,
+    agent: undefined,
   };
 }
 
--- /dev/null
+++ b/src/forwarding/engine-slots.ts
@@ -0,0 +1,35 @@
+/** The contract of whoever gives out the slots of engines. */
+
+/** A request for a slot. Times are in milliseconds. */
+export interface SlotWish {
+  /** 0 goes first. */
+  urgency: number;
+  /** For how long its caller has waited. */
+  waitedFor: number;
+  /** For how long it waits for the slot. */
+  patience: number;
+  /** Requests that the engine runs at the same time. */
+  slots: number;
+}
+
+/** Takes the answers to one request for a slot; they may never come. */
+export interface SlotAnswers {
+  onGranted(): void;
+  onQueued(): void;
+  /** The engine takes nothing now. */
+  onRefused(): void;
+  /** The agent gives out no slots yet, and knows nothing of the engine. */
+  onUnready(): void;
+}
+
+/** A request for a slot, or the slot itself once it is granted. */
+export interface SlotClaim {
+  /** Gives it back; nothing is answered any more. */
+  release(): void;
+}
+
+/** The slots of all engines whose agents give them out. */
+export interface EngineSlots {
+  /** Asks the agent at `agent` (`host:port`) for a slot of its engine. */
+  ask(agent: string, wish: SlotWish, answers: SlotAnswers): SlotClaim;
+}
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -11,15 +11,17 @@
 import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
 import { type AnswerHead, Attempt, type AttemptFailure, MISDIRECTED } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
-import type { Requirements } from './back-end-selector.js';
+import type { Requirements, Selection } from './back-end-selector.js';
 import { type BackEndRow, loadOf } from './back-end-table.js';
 import { BackEndUse } from './back-end-use.js';
 import { CallerAnswer } from './caller-answer.js';
 import { type CallerBody, readCallerBody } from './caller-body.js';
+import type { SlotClaim } from './engine-slots.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import type { HoldEnd, HoldRecord } from './hold-record.js';
 import { type Silence, silenceOf } from './silence.js';
+import { SlotSeeker } from './slot-seeker.js';
 import { TimeToEnd } from './time-to-end.js';
 
 /** A new connection that is not there after this is given up, in milliseconds. */
@@ -70,6 +72,10 @@
   #isRepetition = false;
   /** Since when it waits for capacity. */
   #heldSince: number | undefined;
+  /** Its search for a slot of an engine. */
+  #seeker: SlotSeeker | undefined;
+  /** The slot that the attempt in progress has. */
+  #claim: SlotClaim | undefined;
   /** Waits of this kind that it counts among, while it waits for one of many back ends to be free. */
   #hold: HoldRecord | undefined;
   readonly #answer: CallerAnswer;
@@ -131,7 +137,9 @@
 
   /** Ends attempts that are owed something for too long; called by the shared tick. */
   check(now: number, standstills: Standstills): void {
-    if (this.#heldSince !== undefined && !this.#settled) return this.#send();
+    if (this.#settled) return;
+    if (this.#seeker !== undefined) return this.#checkSeeker(this.#seeker, now);
+    if (this.#heldSince !== undefined) return this.#send();
     const use = this.#use;
     if (use === undefined || this.#settled) return;
     const { attempt, row } = use;
@@ -171,10 +179,75 @@
 
   #send(): void {
     if (!this.#canEnd()) return this.#refuseForStop();
+    if (!this.#seekSlot()) this.#sendWithoutSlot();
+  }
+
+  /** Looks for a slot of an engine; false where no agent is to be asked. */
+  #seekSlot(): boolean {
+    const { selector, backEnds, slots, random } = this.#components;
+    const requirements = this.#requirements();
+    const candidates = () => selector.slotCandidates(this.#requirements());
+    if (!selector.looksForSlot(requirements, candidates().length)) return false;
+    const now = performance.now();
+    this.#heldSince = undefined;
+    this.#seeker = new SlotSeeker({
+      slots,
+      table: backEnds,
+      random,
+      candidates,
+      urgency: this.#answer.started ? 0 : this.#urgency(now),
+      arrivedAt: this.arrivedAt,
+      endsAt: this.#admitted.timing.waitsForSlotUntil(now, this.#sends > 0),
+      onGranted: (row, claim) => this.#sendWithSlot(row, claim, candidates().length),
+      onWait: () => this.#onWaitForSlot(),
+      onNobody: () => {
+        this.#endSearch();
+        this.#sendWithoutSlot();
+      },
+    });
+    this.#seeker.begin();
+    return true;
+  }
+
+  /** No slot is free at once. One that comes again waits only where that has been worth it lately. */
+  #onWaitForSlot(): void {
+    if (this.#answer.started || this.#sends > 0 || this.#beginHold()) return;
+    this.#giveUp('back ends full');
+  }
+
+  #sendWithSlot(row: BackEndRow, claim: SlotClaim, choices: number): void {
+    this.#seeker = undefined;
+    this.#claim = claim;
+    if (!this.#canEnd()) return this.#refuseForStop();
+    this.#sendTo(this.#components.selector.selectionOf(row.record.id, this.#requirements(), 0, choices));
+  }
+
+  /** Gives up what waits for a slot too long. */
+  #checkSeeker(seeker: SlotSeeker, now: number): void {
+    if (!this.#canEnd()) return this.#refuseForStop();
+    if (seeker.isOver(now)) return this.#giveUp('back ends full');
+    seeker.check(now);
+  }
+
+  #endSearch(): void {
+    this.#seeker?.cancel();
+    this.#seeker = undefined;
+  }
+
+  #sendWithoutSlot(): void {
     const selection = this.#components.selector.select(this.#requirements());
     if (selection === undefined) return this.#holdOrGiveUp();
     if (selection.expectedWait > this.#admitted.timing.longestWait(this.#sends > 0))
       return this.#giveUp('back ends full');
+    this.#sendTo(selection);
+  }
+
+  #urgency(now: number): number {
+    const { timing, rank } = this.#admitted;
+    return timing.urgency(rank, now);
+  }
+
+  #sendTo(selection: Selection): void {
     if (this.#isRepetition && !this.#components.budgetOf(this.#admitted.service).spend(performance.now()))
       return this.#giveUp('no budget');
     this.#heldSince = undefined;
@@ -182,8 +255,8 @@
     const { row } = selection;
     this.#tried.add(row.record.id);
     this.#sends++;
-    const { timing, rank, promptTokens, answerTokens } = this.#admitted;
-    const urgency = timing.urgency(rank, performance.now());
+    const { promptTokens, answerTokens } = this.#admitted;
+    const urgency = this.#urgency(performance.now());
     const attempt = new Attempt(
       {
         requestId: this.#id,
@@ -209,6 +282,7 @@
       waitMs: Math.round(selection.expectedWait),
       choices: selection.choices,
       version: selection.version,
+      hasSlot: this.#claim !== undefined,
       configuration: this.#admitted.table.configuration.revision,
     });
     attempt.send(row.connections);
@@ -256,6 +330,8 @@
   /** Refuses what this process has no time for: another one can take it now. */
   #refuseForStop(): void {
     this.#heldSince = undefined;
+    this.#endSearch();
+    this.#releaseSlot();
     const reason = 'stop';
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
     const retryAfter = RETRY_ELSEWHERE * (1 + this.#components.random.fraction());
@@ -269,7 +345,7 @@
 
   /** Counts the wait of a request that comes again; false where it is not to wait. A first one waits for a moment only. */
   #beginHold(): boolean {
-    if (!this.#admitted.timing.isLastChance) return true;
+    if (!this.#admitted.timing.isLastChance || this.#hold !== undefined) return true;
     const holds = this.#components.backEnds.holdsOf(this.#admitted.service);
     if (!holds.allowsMore) return false;
     holds.begin();
@@ -350,7 +426,10 @@
 
   /** A back end whose connection was at fault takes the request over another one where no other back end can. */
   #allowAgain({ record }: BackEndRow): void {
-    const isOther = this.#components.selector.select(this.#requirements()) !== undefined;
+    const { selector } = this.#components;
+    const requirements = this.#requirements();
+    const isOther =
+      selector.slotCandidates(requirements).length > 0 || selector.select(requirements) !== undefined;
     if (!isOther) this.#tried.delete(record.id);
   }
 
@@ -398,6 +477,8 @@
   /** No back end can take the request now. */
   #giveUp(reason: string, capacity = 0): void {
     this.#heldSince = undefined;
+    this.#endSearch();
+    this.#releaseSlot();
     this.#endHold('inVain');
     if (this.#answer.started) return this.#cut(reason);
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
@@ -457,6 +538,7 @@
 
   /** Takes the attempt out of the books; undefined where its end says nothing about the back end. */
   #endAttempt(outcome: BackEndOutcome | undefined): void {
+    this.#releaseSlot();
     const use = this.#use;
     if (use === undefined) return;
     this.#use = undefined;
@@ -480,9 +562,16 @@
     });
   }
 
+  #releaseSlot(): void {
+    this.#claim?.release();
+    this.#claim = undefined;
+  }
+
   #settle(outcome: RequestOutcome): void {
     this.#settled = true;
     clearTimeout(this.#timer);
+    this.#endSearch();
+    this.#releaseSlot();
     this.#endHold(outcome === 'left' ? 'left' : 'inVain');
     this.#request.socket.off('end', this.#onCallerEnded);
     this.#components.onSettled(this, outcome, this.#age());
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -14,6 +14,7 @@
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
 import { type ArrivalsWithOutcome, DrainFigures } from './drain-figures.js';
+import type { EngineSlots } from './engine-slots.js';
 import { ForwardedRequest, type RequestOutcome } from './forwarded-request.js';
 import type { HeaderNames } from './header-names.js';
 import type { TimeToEndComponents } from './time-to-end.js';
@@ -44,6 +45,7 @@
   fleet: FleetView;
   backEnds: BackEndTable;
   selector: BackEndSelector;
+  slots: EngineSlots;
   random: Random;
   log: Log;
   budgetOf(service: string): RetryWindow;
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -57,6 +57,12 @@
     return Math.max(SHORTEST_WAIT_LIMIT, WAIT_SHARE * this.#route.objective);
   }
 
+  /** Until when it waits for a slot of an engine, if it looks for one from `now` on. */
+  waitsForSlotUntil(now: number, wasSent: boolean): number {
+    if (wasSent) return Math.min(this.endsAt, now + LONGEST_WAIT);
+    return this.isLastChance ? this.holdsUntil(now) : this.arrivedAt + this.longestWait(false);
+  }
+
   /** Until when it waits here for capacity, if it does so since `heldSince`. */
   holdsUntil(heldSince: number): number {
     if (!this.isLastChance) return heldSince + SHORT_HOLD;
--- a/src/forwarding/selection.ts
+++ b/src/forwarding/selection.ts
@@ -52,7 +52,9 @@
 /** The same for a request that is cut if it has to move again: more than any distance or queue. */
 const CUT_COST = 4;
 /** Candidates this close are alike, in milliseconds. */
-const ALIKE = 2;
+export const ALIKE = 2;
+/** Where their loads are not known, candidates this close are alike, in milliseconds: less than another region costs. */
+export const ALIKE_UNKNOWN = 40;
 
 /** The best of `candidates` for a request of `position`, or undefined where there is none. */
 export function chooseBackEnd(
@@ -86,13 +88,26 @@
     distanceCost(candidate, position) +
     expectedWait(candidate) +
     reading +
-    candidate.slowness +
-    candidate.failureShare * FAILURE_COST +
-    candidate.overhang * (candidate.mayNotMove ? CUT_COST : OVERHANG_COST) +
+    standingCost(candidate) +
     (candidate.load / candidate.slots) * FULLNESS_COST
   );
 }
 
+/**
+ * What speaks against asking for a slot of `candidate`, in milliseconds of waiting: its load counts only where it is known
+ * for fresh, as what is old is known to all alike.
+ */
+export function slotCost(candidate: Candidate, position: Position, isLoadFresh: boolean): number {
+  return isLoadFresh
+    ? costOf(candidate, position)
+    : distanceCost(candidate, position) + standingCost(candidate);
+}
+
+/** What speaks against `candidate` whatever its load and place, in milliseconds of waiting. */
+function standingCost({ slowness, failureShare, overhang, mayNotMove }: Candidate): number {
+  return slowness + failureShare * FAILURE_COST + overhang * (mayNotMove ? CUT_COST : OVERHANG_COST);
+}
+
 function distanceCost(candidate: Position, { zone, region }: Position): number {
   if (candidate.zone === zone) return 0;
   return candidate.region === region ? OTHER_ZONE_COST : OTHER_REGION_COST;
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -6,6 +6,8 @@
 import type { BackEndListState } from '../fleet/back-end-list.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
+import type { StoreNews } from '../fleet/store-sync.js';
+import type { Random } from '../model/random.js';
 import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
@@ -18,6 +20,7 @@
   encodeForMany,
 } from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
+import { lacksAddresses, toldInTurn, toldOfNew } from '../systems/address-gossip.js';
 import type { EntriesKnown } from '../systems/entry-retry-window.js';
 import { Dialling } from './dialling.js';
 import { REPORT_TICK, reportInterval, reportLife } from './report-rate.js';
@@ -30,7 +33,7 @@
  * next look and a new connection it stays below the 3 s after which a process counts as in touch again.
  */
 const SILENCE_LIMIT = 2_300;
-/** Time between two tellings of all addresses, in milliseconds. */
+/** Time between two tellings of all addresses, to all or to some, in milliseconds. */
 const ADDRESSES_INTERVAL = 2_000;
 /**
  * New addresses are told after this, in milliseconds: entries that start together know only the seeds, and fetch
@@ -65,8 +68,11 @@
   hearsStore: () => boolean;
   /** Time between two tellings of all addresses, in milliseconds. */
   addressesInterval?: number;
+  random: Random;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
+  /** Takes what the entry `id` has read of the store. */
+  onStoreNews: (news: StoreNews, id: string) => void;
   /** The process of this latest report is not heard any more, or another one has started at its address. */
   onLapsed: (report: EntryReport) => void;
   log: Log;
@@ -81,6 +87,8 @@
   #stopped = new AbortController();
   #addressesToldAt = performance.now();
   #newAddressesTimer: NodeJS.Timeout | undefined;
+  /** Entries that were heard and of which the others have not been told. */
+  #newcomers: PeerRow[] = [];
 
   constructor(options: EntryPeersOptions) {
     this.#options = options;
@@ -143,6 +151,14 @@
     }
   }
 
+  /** Passes on what was read of the store, to those of the own zone. */
+  passStoreNews(news: StoreNews): void {
+    const near = [...this.#rows.values()].filter((row) => this.#isNear(row));
+    if (near.length === 0) return;
+    const message = encodeForMany({ type: 'storeNews', news }, this.#options.context);
+    for (const { connection } of near) connection?.sendEncoded(message);
+  }
+
   #tick(): void {
     const now = performance.now();
     this.#standstills.tick(now);
@@ -175,21 +191,44 @@
     this.#options.onLapsed(row.report);
   }
 
+  /** Tells some entries, in turn by chance, of all that live. */
   #tellAddresses(): void {
     this.#addressesToldAt = performance.now();
-    const addresses = [this.#options.address, ...this.live().map(({ address }) => address)];
-    const message = encodeForMany({ type: 'entryAddresses', addresses }, this.#options.context);
-    for (const { connection } of this.#rows.values()) connection?.sendEncoded(message);
+    const message = this.#encodedAddresses();
+    for (const { connection } of toldInTurn(this.#connected(), this.#options.random))
+      connection?.sendEncoded(message);
   }
 
   /** Tells soon that an entry was heard for the first time; those that come meanwhile are told together. */
-  #tellNewAddresses(): void {
+  #tellNewAddresses(newcomer: PeerRow): void {
+    this.#newcomers.push(newcomer);
     this.#newAddressesTimer ??= setTimeout(() => {
       this.#newAddressesTimer = undefined;
-      this.#tellAddresses();
+      this.#tellNewcomers(this.#newcomers.splice(0));
     }, NEW_ADDRESSES_DELAY);
   }
 
+  /** Tells others of the newcomers, and the newcomers of those that they do not know. */
+  #tellNewcomers(newcomers: readonly PeerRow[]): void {
+    const { context, random } = this.#options;
+    const known = this.#rows.size + 1;
+    const all = this.#encodedAddresses();
+    for (const { connection, report } of newcomers)
+      if (lacksAddresses(report?.entriesKnown ?? 0, known)) connection?.sendEncoded(all);
+    const addresses = newcomers.map(({ address }) => address);
+    const message = encodeForMany({ type: 'entryAddresses', addresses }, context);
+    for (const { connection } of toldOfNew(this.#connected(), random)) connection?.sendEncoded(message);
+  }
+
+  #connected(): PeerRow[] {
+    return [...this.#rows.values()].filter(({ connection }) => connection?.open === true);
+  }
+
+  #encodedAddresses(): EncodedMessage {
+    const addresses = [this.#options.address, ...this.live().map(({ address }) => address)];
+    return encodeForMany({ type: 'entryAddresses', addresses }, this.#options.context);
+  }
+
   #encodedReport(): EncodedMessage {
     const message: Message = { type: 'entryReport', report: this.#options.report() };
     return encodeForMany(message, this.#options.context);
@@ -242,19 +281,22 @@
     if (message.type === 'fleetConfiguration')
       return this.#takeConfiguration(row, Buffer.from(message.document));
     if (message.type === 'fleetBackEnds') return this.#takeBackEnds(message.state);
+    if (message.type === 'storeNews' && row.report !== undefined)
+      return this.#options.onStoreNews(withoutNulls(message.news), row.report.id);
   }
 
   #onReport(row: PeerRow, connection: Connection, report: EntryReport): void {
     const now = performance.now();
-    if (!this.#lives(row, now)) {
-      this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
-      this.#tellNewAddresses();
-    }
+    const isNewcomer = !this.#lives(row, now);
     const { fleet, onLapsed } = this.#options;
     if (row.report !== undefined && row.report.id !== report.id && !row.hasLapsed) onLapsed(row.report);
     row.heardAt = now;
     row.report = report;
     row.hasLapsed = false;
+    if (isNewcomer) {
+      this.#options.log.info('entry heard', { entry: report.id, address: report.address, zone: report.zone });
+      this.#tellNewAddresses(row);
+    }
     fleet.clock.note(report.storeTime, now);
     for (const named of report.versions) fleet.takeNamedVersion(named);
     const configuration = report.configurationRevision > fleet.configurationRevision;
@@ -293,6 +335,15 @@
   }
 }
 
+/** The codec carries no undefined in lists: a row that is gone has no value. */
+function withoutNulls(news: StoreNews): StoreNews {
+  const rows = news.rows.map((row) => ({
+    ...row,
+    value: row.value == null ? undefined : Buffer.from(row.value),
+  }));
+  return { ...news, rows };
+}
+
 function createRow(address: string): PeerRow {
   return {
     address,
--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -1,6 +1,7 @@
 /** What entries and agents of directly called back ends tell one another. */
 import type { BackEndListState } from '../fleet/back-end-list.js';
 import type { NamedVersion } from '../fleet/named-versions.js';
+import type { StoreNews } from '../fleet/store-sync.js';
 
 /** What a process holds of a version of weights. */
 export interface HeldPieces {
@@ -17,6 +18,8 @@
 export interface EngineReport {
   /** Address at which the engine takes requests. */
   address: string;
+  /** `host:port` at which its agent is asked for slots of it. */
+  slotAddress: string;
   /** Version whose layers are all there; 0 for none, or where that is not known. */
   version: number;
   /** The engine answers its agent: what is told of it is what it holds, whatever the list of back ends says. */
@@ -89,5 +92,7 @@
   /** The configuration as the operator wrote it. */
   | { type: 'fleetConfiguration'; document: Uint8Array }
   | { type: 'fleetBackEnds'; state: BackEndListState }
+  /** What the sender has read of the store, for the others of its zone. */
+  | { type: 'storeNews'; news: StoreNews }
   | { type: 'engineReport'; report: EngineReport }
   | { type: 'weightsPlan'; plan: WeightsPlan };
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -64,7 +64,7 @@
   ],
   ['model', 'version', 'age'],
   ['model', 'version', 'count', 'have', 'stored'],
-  ['address', 'version', 'isReached', 'isSwitching', 'load', 'switchesIn', 'held'],
+  ['address', 'slotAddress', 'version', 'isReached', 'isSwitching', 'load', 'switchesIn', 'held'],
 ];
 
 const packr = new Packr({
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -6,6 +6,7 @@
 import type { Row } from '../clients/table-service.js';
 import type { Digest, Manifest } from '../model/manifest.js';
 import type { FleetMessage } from '../peers/reports.js';
+import type { SlotMessage } from '../peers/slot-messages.js';
 import type { RefusalReason } from '../systems/distribution/commands.js';
 import type { Grant, Objective, PeerInfo } from '../systems/distribution/transfer.js';
 import type { KeyedCall } from '../systems/once-ledger.js';
@@ -238,6 +239,7 @@
   | EntryMessage
   | CallMessage
   | FleetMessage
+  | SlotMessage
   | { type: 'ping' };
 
 /** Names of the fields of each message, in wire order. A change here is a change of the protocol. */
@@ -282,6 +284,13 @@
   fleetWanted: ['type', 'configuration', 'backEnds'],
   fleetConfiguration: ['type', 'document'],
   fleetBackEnds: ['type', 'state'],
+  storeNews: ['type', 'news'],
   engineReport: ['type', 'report'],
   weightsPlan: ['type', 'plan'],
+  slotAsked: ['type', 'id', 'urgency', 'waitedFor', 'patience', 'slots'],
+  slotReleased: ['type', 'id'],
+  slotGranted: ['type', 'id'],
+  slotQueued: ['type', 'id'],
+  slotRefused: ['type', 'id'],
+  slotUnready: ['type', 'id'],
 };
--- a/src/roles/direct-agent.ts
+++ b/src/roles/direct-agent.ts
@@ -10,6 +10,7 @@
 import { Metrics, trafficMetrics } from '../observability/metrics.js';
 import { metricsServer } from '../observability/metrics-server.js';
 import { EntryLink } from '../peers/entry-link.js';
+import { SlotServer } from '../peers/slot-server.js';
 import { type ConnectionContext, createTrafficCounters } from '../protocol/connection.js';
 import { httpServer, listenerOf } from '../server/http-server.js';
 import { EngineLoader } from '../weights/engine-loader.js';
@@ -48,8 +49,11 @@
   const random = seededRandom(hash32(id));
   const library = new WeightsLibrary();
   const metrics = new Metrics('agent');
+  const slots = new SlotServer(settings.slots, context);
   const loader = new EngineLoader({
     engine,
+    slotAddress: settings.slots,
+    onEngine: (observed) => slots.observe(observed),
     engineAddress: settings.engine,
     address,
     library,
@@ -73,11 +77,19 @@
       help: '1 while an entry is connected',
       read: () => Number(link.connection !== undefined),
     },
+    {
+      name: 'slot_decisions',
+      help: 'Answers to requests for slots of the engine',
+      label: 'kind',
+      read: () => slots.decisions,
+    },
+    { name: 'slots_leased', help: 'Slots that are given out', read: () => slots.leased },
   ]);
   const parts = new StartableGroup([
     httpServer(address, listenerOf(pieceRoutes(library))),
     metricsServer(settings.metrics, metricsPath, metrics),
     link,
+    slots,
     loader,
     new StorePlan({ tables, decoder, versionBound: settings.versionBound, loader, log }),
   ]);
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -9,7 +9,7 @@
 import type { WatchedTables } from '../clients/watched-tables.js';
 import { FleetView } from '../fleet/fleet-view.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
-import { StoreSync, type StoreSyncOptions } from '../fleet/store-sync.js';
+import { type FollowedTable, StoreSync, type StoreSyncOptions } from '../fleet/store-sync.js';
 import { sleep } from '../fleet/table-follower.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
 import { BackEndTable, type EngineNews } from '../forwarding/back-end-table.js';
@@ -25,6 +25,7 @@
 import { EngineAgents } from '../peers/engine-agents.js';
 import { EntryPeers } from '../peers/entry-peers.js';
 import type { EngineReport, EntryReport } from '../peers/reports.js';
+import { SlotClient } from '../peers/slot-client.js';
 import {
   type Connection,
   type ConnectionContext,
@@ -36,6 +37,7 @@
 import { DrainSchedule } from '../systems/drain-schedule.js';
 import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
 import type { RetryWindow } from '../systems/retry-window.js';
+import { StoreReaders } from '../systems/store-readers.js';
 import { CollectionDuty } from '../weights/collection-duty.js';
 import { WeightsLibrary } from '../weights/held-weights.js';
 import { pieceRoutes } from '../weights/piece-server.js';
@@ -133,6 +135,8 @@
   readonly #agents: EngineAgents;
   readonly #collection: CollectionDuty;
   readonly #planner: WeightsPlanner;
+  readonly #storeReaders: Record<FollowedTable, StoreReaders>;
+  readonly #slots: SlotClient;
   readonly #forwarding: ForwardingServer;
   readonly #parts: StartableGroup;
   readonly #budgets = new Map<string, RetryWindow>();
@@ -156,12 +160,25 @@
       fleet,
       decoder: components.decoder,
       hearsStore: () => sync.connected,
+      random,
       report: () => this.#report(),
       onReport: (report) => this.#onPeerReport(report),
-      onLapsed: ({ id }) => backEnds.takeLoads(id, []),
+      onStoreNews: (news, id) => {
+        this.#storeReaders[news.table].noteNews(id, performance.now());
+        sync.take(news);
+      },
+      onLapsed: ({ id }) => {
+        for (const readers of Object.values(this.#storeReaders)) readers.forget(id);
+        backEnds.takeLoads(id, []);
+      },
       log,
     });
-    sync.readerCount = () => this.#peers.live().length + 1;
+    this.#storeReaders = {
+      operator: new StoreReaders(settings.zone),
+      backEnds: new StoreReaders(settings.zone),
+    };
+    sync.isReader = (table) => this.#reads(table);
+    sync.onNews = (news) => this.#peers.passStoreNews(news);
     backEnds.mostConnectionsKept = (service) => this.#connectionsKept(service);
     this.#agents = new EngineAgents(
       (row) => this.#planner.planFor(row),
@@ -191,6 +208,7 @@
       wanted: () => this.#collection.wanted(),
       entries: () => [this.#report(), ...this.#peers.live()],
     });
+    this.#slots = new SlotClient(settings.slots, context, random);
     this.#forwarding = new ForwardingServer(
       settings.callers,
       {
@@ -199,6 +217,7 @@
         fleet,
         backEnds,
         selector: this.#createSelector(),
+        slots: this.#slots,
         random,
         log,
         budgetOf: (service) => this.#budgetOf(service),
@@ -218,6 +237,7 @@
       this.#peers,
       this.#agents,
       this.#collection,
+      this.#slots,
       this.#forwarding,
       httpServer(settings.ready, listenerOf(components.readyRoutes(() => this.isReady))),
       httpServer(settings.directory, listenerOf(directory)),
@@ -286,6 +306,17 @@
     });
   }
 
+  /** Whether this entry reads a table of the store, or another of its zone does and passes on what is new. */
+  #reads(table: FollowedTable): boolean {
+    const { identity, settings } = this.#components;
+    const others = this.#peers.live().filter(({ zone, isReady }) => zone === settings.zone && isReady);
+    return this.#storeReaders[table].isReader(
+      identity,
+      others.map(({ id }) => id),
+      performance.now(),
+    );
+  }
+
   #accept(connection: Connection): void {
     if (connection.remote.role === 'agent') this.#agents.accept(connection);
     else this.#peers.accept(connection);
@@ -382,13 +413,15 @@
   }
 }
 
-function engineNews({ version, isReached, isSwitching, load, switchesIn }: EngineReport): EngineNews {
+function engineNews(report: EngineReport): EngineNews {
+  const { version, isReached, isSwitching, slotAddress, load, switchesIn } = report;
   const toldAt = performance.now();
   // The codec carries no undefined in lists.
   return {
     version,
     isReached,
     isSwitching,
+    slotAddress,
     load,
     toldAt,
     switchAt: toldAt + (switchesIn ?? Number.POSITIVE_INFINITY),
--- a/src/roles/settings.ts
+++ b/src/roles/settings.ts
@@ -9,6 +9,8 @@
   regions: Record<string, string>;
   /** `host:port` for the system's own processes. */
   peers: string;
+  /** `host:port` for what entries and agents say of the slots of engines, by datagram. */
+  slots: string;
   /** `host:port` for metrics. */
   metrics: string;
   /** Addresses of entries that may be there. */
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -12,6 +12,7 @@
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { EngineReport, HeldPieces, WeightsPlan } from '../peers/reports.js';
+import type { ObservedEngine } from '../systems/slot-table.js';
 import { agentSources, BATCH_LIMIT, ENTRY_BATCH } from './agent-sources.js';
 import { EngineStage } from './engine-stage.js';
 import { EngineSwitch } from './engine-switch.js';
@@ -63,6 +64,10 @@
   engineAddress: string;
   /** `host:port` of this process, which is no source for itself. */
   address: string;
+  /** `host:port` at which slots of the engine are given out. */
+  slotAddress: string;
+  /** Takes what was read of the engine; undefined where nothing is known of it. */
+  onEngine: (engine: ObservedEngine | undefined) => void;
   library: WeightsLibrary;
   objects: ListedObjectStore;
   originAt: PieceOriginFactory;
@@ -99,10 +104,11 @@
     this.#stage = new EngineStage(options.engine, options.log);
     this.#engineSwitch = new EngineSwitch({
       engine: options.engine,
-      onState: (state) => {
-        this.#engine = state;
+      onState: (state) => this.#takeState(state),
+      onChange: () => {
+        this.#observe();
+        this.#tell();
       },
-      onChange: () => this.#tell(),
       log: options.log,
     });
     this.#impatience = 1 + options.random.fraction();
@@ -160,7 +166,7 @@
   async #look(signal: AbortSignal): Promise<void> {
     const state = await this.#options.engine.state(withLimit(signal, CALL_LIMIT));
     const wasReachable = this.#engine !== undefined;
-    this.#engine = state.ok ? state.value : undefined;
+    this.#takeState(state.ok ? state.value : undefined);
     if (wasReachable !== state.ok)
       this.#options.log.info(state.ok ? 'engine regained' : 'engine lost', {
         address: this.#options.engineAddress,
@@ -174,6 +180,25 @@
     await this.#advance(state.value, signal);
   }
 
+  #takeState(state: EngineState | undefined): void {
+    this.#engine = state;
+    this.#observe();
+  }
+
+  /** Tells who gives out the engine's slots how it stands. */
+  #observe(): void {
+    // Without a plan it is not known how many layers a whole version has.
+    if (this.#plan === undefined || this.#engine === undefined) return this.#options.onEngine(undefined);
+    this.#options.onEngine({
+      isServing: this.#wholeVersion > 0 && !this.#isSwitching,
+      load: this.#engine.load,
+    });
+  }
+
+  get #isSwitching(): boolean {
+    return this.#engineSwitch.isRunning || this.#engine?.isBusy === true;
+  }
+
   /** The version of which the engine holds every layer; 0 for none. */
   get #wholeVersion(): number {
     const layers = this.#engine?.layers;
@@ -399,9 +424,10 @@
   #tell(): void {
     const report: EngineReport = {
       address: this.#options.engineAddress,
+      slotAddress: this.#options.slotAddress,
       version: this.#wholeVersion,
       isReached: this.#engine !== undefined && this.#plan !== undefined,
-      isSwitching: this.#engineSwitch.isRunning || this.#engine?.isBusy === true,
+      isSwitching: this.#isSwitching,
       load: this.#engine?.load ?? 0,
       switchesIn: this.#switchesIn(),
       held: this.#held(),
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -48,6 +48,7 @@
     version: 0,
     isReached: true,
     isSwitching: false,
+    slotAddress: '',
     load: 0,
     toldAt,
     switchAt: Number.POSITIVE_INFINITY,
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -6,6 +6,7 @@
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import { BackEndTable } from '../../src/forwarding/back-end-table.js';
+import type { EngineSlots } from '../../src/forwarding/engine-slots.js';
 import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
 import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
@@ -67,6 +68,8 @@
   readonly backEnds = new BackEndTable();
   readonly metrics = new Metrics('test');
   readonly drain = new DrainSchedule({ graceTime: 8_000, addressLifetime: 1_000 });
+  /** Who gives out slots; nobody does until a test says so. */
+  slots: EngineSlots = { ask: () => ({ release: () => {} }) };
   readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
@@ -118,6 +121,7 @@
         fleet,
         backEnds,
         selector,
+        slots: this.slots,
         random,
         log: silentLog,
         budgetOf: () => budget,
--- /dev/null
+++ b/test/forwarding/slots.test.ts
@@ -0,0 +1,171 @@
+/** An entry's requests take the slots that agents give out, by datagrams as on machines of their own. */
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import { seededRandom } from '../../src/model/random.js';
+import { SlotClient } from '../../src/peers/slot-client.js';
+import { SlotServer } from '../../src/peers/slot-server.js';
+import { contextAt, until } from '../support.js';
+import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
+import { events, reply, StandInBackEnd } from './stand-in-back-end.js';
+
+const SLOTS = 2;
+const CONFIGURATION: FleetConfiguration = {
+  revision: 1,
+  routes: [{ ...STREAM_ROUTE, objective: 2_000 }],
+  services: [
+    {
+      name: 'engines',
+      maxConnections: 0,
+      engine: {
+        slots: SLOTS,
+        layers: 4,
+        models: [{ name: 'model' }],
+        pieceCount: 4,
+        pieceBytes: 64,
+        readTokensPerSecond: 0,
+        tokenTime: 0,
+      },
+    },
+  ],
+  origin: undefined,
+  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
+  tenants: undefined,
+};
+
+interface Engine {
+  backEnd: StandInBackEnd;
+  agent: SlotServer;
+  address: string;
+}
+
+let forwarding: ForwardingHarness;
+let client: SlotClient;
+let engines: Engine[];
+let held: Array<() => void>;
+
+/** An engine that answers when the test says so, and its agent. */
+async function startEngine(): Promise<Engine> {
+  const backEnd = await new StandInBackEnd((request, response, body) => {
+    held.push(() => reply(200, events(1, 1), { 'x-version': '1' })(request, response, body));
+  }).start();
+  const address = await freeAddress();
+  const agent = new SlotServer(address, (await contextAt('agent')).context);
+  await agent.start();
+  agent.observe({ isServing: true, load: 0 });
+  return { backEnd, agent, address };
+}
+
+function tell({ backEnd, address }: Engine, isSwitching = false): void {
+  const toldAt = performance.now();
+  const switchAt = Number.POSITIVE_INFINITY;
+  forwarding.backEnds.takeNews(backEnd.address, {
+    version: 1,
+    isReached: true,
+    isSwitching,
+    slotAddress: address,
+    load: 0,
+    toldAt,
+    switchAt,
+  });
+}
+
+function answerAll(): void {
+  for (const answer of held.splice(0)) answer();
+}
+
+function requests(): number {
+  return engines.reduce((sum, { backEnd }) => sum + backEnd.requests.length, 0);
+}
+
+beforeEach(async () => {
+  held = [];
+  engines = [await startEngine(), await startEngine()];
+  client = new SlotClient(await freeAddress(), (await contextAt('entry')).context, seededRandom(3));
+  await client.start();
+  forwarding = new ForwardingHarness('engines');
+  forwarding.slots = client;
+  await forwarding.start(CONFIGURATION);
+  const layers = { from: 0, end: 4, version: 1 };
+  forwarding.list(
+    ...engines.map(({ backEnd }, index): Parameters<ForwardingHarness['list']>[0] => [
+      `engine-${index}`,
+      backEnd,
+      { slots: SLOTS, layers },
+    ]),
+  );
+  for (const engine of engines) tell(engine);
+});
+
+afterEach(async () => {
+  answerAll();
+  await forwarding.stop();
+  await client.stop();
+  for (const { backEnd, agent } of engines) {
+    await agent.stop();
+    await backEnd.stop();
+  }
+});
+
+it('engines are filled to their slots, and one that comes free serves whoever waits', async () => {
+  const answers = Array.from({ length: 2 * SLOTS + 1 }, () => forwarding.send('/write/a'));
+  await until(() => requests() === 2 * SLOTS, 'all slots to be taken');
+  expect(engines.map(({ backEnd }) => backEnd.requests.length)).toEqual([SLOTS, SLOTS]);
+  await until(() => forwarding.active === 2 * SLOTS + 1, 'the last one to wait');
+  held.shift()?.();
+  await until(() => requests() === 2 * SLOTS + 1, 'the one that waited');
+  answerAll();
+  expect((await Promise.all(answers)).map(({ status }) => status)).toEqual(answers.map(() => 200));
+  await until(() => engines.every(({ agent }) => agent.leased === 0), 'all slots to be given back');
+});
+
+it('a caller that leaves gives back its slot, and its place among those that wait', async () => {
+  const left = Array.from({ length: 2 * SLOTS + 1 }, () => forwarding.open('/write/a'));
+  await until(() => requests() === 2 * SLOTS, 'all slots to be taken');
+  for (const one of left) one.destroy();
+  await until(() => engines.every(({ agent }) => agent.leased === 0), 'all slots to be given back');
+});
+
+it('an engine whose agent is silent is used all the same', async () => {
+  for (const { agent } of engines) await agent.stop();
+  const answers = Array.from({ length: 3 }, () => forwarding.send('/write/a'));
+  await until(() => requests() === 3, 'requests without slots');
+  answerAll();
+  expect((await Promise.all(answers)).map(({ status }) => status)).toEqual([200, 200, 200]);
+});
+
+it('an engine is used all the same while its agent, that has just started, knows nothing of it', async () => {
+  for (const [index, { agent, address }] of engines.entries()) {
+    await agent.stop();
+    engines[index].agent = new SlotServer(address, (await contextAt('agent')).context);
+    await engines[index].agent.start();
+  }
+  const answers = Array.from({ length: 3 }, () => forwarding.send('/write/a'));
+  await until(() => requests() === 3, 'requests without slots');
+  answerAll();
+  expect((await Promise.all(answers)).map(({ status }) => status)).toEqual([200, 200, 200]);
+});
+
+it('a request that waits at an engine that begins to switch goes to another', async () => {
+  const [first, second] = engines;
+  tell(second, true);
+  const answers = Array.from({ length: SLOTS + 1 }, () => forwarding.send('/write/a'));
+  await until(() => first.backEnd.requests.length === SLOTS, 'the slots of the first');
+  tell(second);
+  tell(first, true);
+  first.agent.observe({ isServing: false, load: SLOTS });
+  await until(() => second.backEnd.requests.length === 1, 'the one that waited, at the other');
+  answerAll();
+  expect((await Promise.all(answers)).map(({ status }) => status)).toEqual(answers.map(() => 200));
+});
+
+it('a request that gets no slot in its time is refused, and told when to come back', async () => {
+  const taken = Array.from({ length: 2 * SLOTS }, () => forwarding.send('/write/a'));
+  await until(() => requests() === 2 * SLOTS, 'all slots to be taken');
+  const refused = await forwarding.send('/write/a');
+  expect(refused.status).toBe(503);
+  expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+  expect(requests()).toBe(2 * SLOTS);
+  answerAll();
+  await Promise.all(taken);
+});
--- a/test/peers/entry-link.test.ts
+++ b/test/peers/entry-link.test.ts
@@ -13,6 +13,7 @@
 
 const REPORT: EngineReport = {
   address: '127.0.0.1:1',
+  slotAddress: '127.0.0.1:2',
   version: 1,
   isReached: true,
   isSwitching: false,
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -3,6 +3,7 @@
 import { freeAddress } from '../../bench/processes/child.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+import { seededRandom } from '../../src/model/random.js';
 import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { silentLog } from '../../src/observability/log.js';
 import { EntryPeers } from '../../src/peers/entry-peers.js';
@@ -85,10 +86,12 @@
     fleet: new FleetView(),
     decoder: {} as RecordDecoder,
     hearsStore: () => true,
+    random: seededRandom(1),
     // None are told in their turn while this test runs.
     addressesInterval: 3_600_000,
     report: () => ({ ...reportOf(id, address), zone, configurationRevision: revision() }),
     onReport,
+    onStoreNews: () => {},
     onLapsed,
     log: silentLog,
   });
--- a/test/peers/standstill.test.ts
+++ b/test/peers/standstill.test.ts
@@ -3,6 +3,7 @@
 import { freeAddress } from '../../bench/processes/child.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
 import { EntryPeers } from '../../src/peers/entry-peers.js';
 import type { EntryReport } from '../../src/peers/reports.js';
@@ -45,8 +46,10 @@
     fleet: new FleetView(),
     decoder: {} as RecordDecoder,
     hearsStore: () => true,
+    random: seededRandom(1),
     report,
     onReport: () => {},
+    onStoreNews: () => {},
     onLapsed: () => {},
     log: silentLog,
   });
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -71,14 +71,15 @@
   seeds: string[],
   changes: Partial<DirectEntrySettings> = {},
   log: Log = silentLog,
+  store = new MemoryStore(),
 ): Promise<RunningEntry> {
-  const store = new MemoryStore();
   const settings: DirectEntrySettings = {
     name,
     zone: 'zone-a',
     region: 'region-a',
     regions: { 'zone-a': 'region-a' },
     peers: await freeAddress(),
+    slots: await freeAddress(),
     metrics: await freeAddress(),
     callers: await freeAddress(),
     ready: await freeAddress(),
--- /dev/null
+++ b/test/roles/store-readers.test.ts
@@ -0,0 +1,97 @@
+/** Entries of one zone share the reading of the store. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { reply, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
+import { until } from '../support.js';
+import { type RunningEntry, send, startEntry, stopEntries, write } from './running-entry.js';
+
+/** Long enough for a reader to have passed on news, in milliseconds. */
+const SETTLED = 1_500;
+const WATCHED = 2_000;
+
+/** A store that tells how often one entry has asked for changes. */
+class CountedStore extends MemoryStore {
+  questions = 0;
+  readonly #shared: MemoryStore;
+
+  constructor(shared: MemoryStore) {
+    super();
+    this.#shared = shared;
+  }
+
+  override read(...call: Parameters<MemoryStore['read']>): ReturnType<MemoryStore['read']> {
+    return this.faults.down ? super.read(...call) : this.#shared.read(...call);
+  }
+
+  override changes(...call: Parameters<MemoryStore['changes']>): ReturnType<MemoryStore['changes']> {
+    this.questions++;
+    return this.faults.down ? super.changes(...call) : this.#shared.changes(...call);
+  }
+}
+
+let shared: MemoryStore;
+let backEnd: StandInBackEnd;
+let entries: Array<RunningEntry & { store: CountedStore }>;
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+async function start(name: string): Promise<void> {
+  const store = new CountedStore(shared);
+  const seeds = entries.map(({ settings }) => settings.peers);
+  const started = await startEntry(name, seeds, {}, undefined, store);
+  entries.push({ ...started, store });
+}
+
+/** Entries that ask the store, over a while. */
+async function readers(): Promise<typeof entries> {
+  const before = entries.map(({ store }) => store.questions);
+  await pause(WATCHED);
+  return entries.filter(({ store }, index) => store.questions > before[index]);
+}
+
+const serves = (entry: RunningEntry, revision: number) => async () =>
+  (await send(entry, `/${revision}/`)).status === 200;
+
+beforeEach(async () => {
+  shared = new MemoryStore();
+  backEnd = await new StandInBackEnd(reply(200, 'done')).start();
+  write(shared, 1, backEnd);
+  entries = [];
+  for (const name of ['one', 'two', 'three']) await start(name);
+  for (const { entry } of entries)
+    await until(() => entry.addresses('zone-a', 'region-a').length === 3, 'all three entries');
+  await pause(SETTLED);
+});
+
+afterEach(async () => {
+  await stopEntries();
+  await backEnd.stop();
+});
+
+describe('entries of one zone', () => {
+  it('have one of them read the store, and all take what it reads', async () => {
+    expect(await readers()).toHaveLength(1);
+    write(shared, 2, backEnd);
+    for (const entry of entries) await until(serves(entry, 2), 'the next configuration');
+  });
+
+  it('learn what is new though their reader stops', async () => {
+    const [reader] = await readers();
+    await reader.entry.stop();
+    write(shared, 2, backEnd);
+    for (const entry of entries.filter((one) => one !== reader))
+      await until(serves(entry, 2), 'the next configuration');
+  });
+
+  it('learn what is new though the store turns their reader away', async () => {
+    const [reader] = await readers();
+    reader.store.faults.down = true;
+    await pause(SETTLED);
+    write(shared, 2, backEnd);
+    for (const entry of entries) await until(serves(entry, 2), 'the next configuration');
+    shared.write('backEnds', 'one', undefined);
+    for (const entry of entries) await until(async () => !(await serves(entry, 2)()), 'the removal');
+  });
+});
--- /dev/null
+++ b/test/simulation/placement.test.ts
@@ -0,0 +1,39 @@
+/** The load of a peak that begins before the engines that were added for it have their weights, at 100 entries. */
+import { describe, expect, it } from 'vitest';
+import { type PlacementInit, simulatePlacement } from '../../bench/simulation/placement-simulation.js';
+
+const SEEDS = [1, 2, 3];
+
+function leastCredit(init: Omit<PlacementInit, 'seed'>): number {
+  return Math.min(...SEEDS.map((seed) => simulatePlacement({ ...init, seed }).credit));
+}
+
+describe('placement at hundreds of machines', () => {
+  it.each([
+    [0.84, 0.97],
+    [1, 0.96],
+    [1.2, 0.93],
+  ])('by slots keeps its credit at %f of the peak', (load, credit) => {
+    expect(leastCredit({ policy: 'slots', load })).toBeGreaterThanOrEqual(credit);
+  });
+
+  it.each([
+    [0.84, 0.8],
+    [1, 0.7],
+    [1.2, 0.6],
+  ])('by reported loads loses it at %f of the peak', (load, credit) => {
+    expect(simulatePlacement({ policy: 'reportedLoads', load, seed: 1 }).credit).toBeLessThan(credit);
+  });
+
+  it('fills no engine beyond its slots', () => {
+    expect(simulatePlacement({ policy: 'slots', load: 1.2, seed: 1 }).rejected).toBe(0);
+  });
+
+  it.each<[string, Partial<PlacementInit>]>([
+    ['a fifth of the agents is silent', { silentAgents: 0.2 }],
+    ['three in ten entries vanish with all that they have in progress', { lostEntries: 0.3 }],
+    ['one in fifty messages is lost', { lostMessages: 0.02 }],
+  ])('by slots keeps its credit though %s', (_what, fault) => {
+    expect(leastCredit({ policy: 'slots', load: 1, ...fault })).toBeGreaterThanOrEqual(0.93);
+  });
+});
--- /dev/null
+++ b/test/systems/slot-search.test.ts
@@ -0,0 +1,87 @@
+/** A request's search for a slot: whom it asks, when it asks more, and whom it leaves out. */
+import { describe, expect, it } from 'vitest';
+import { seededRandom } from '../../src/model/random.js';
+import { type SlotCandidate, SlotSearch } from '../../src/systems/slot-search.js';
+
+const NEAR: SlotCandidate[] = ['n1', 'n2', 'n3', 'n4'].map((id) => ({
+  id,
+  isNear: true,
+  cost: 0,
+  spread: 40,
+}));
+const FAR: SlotCandidate[] = ['f1', 'f2', 'f3', 'f4'].map((id) => ({
+  id,
+  isNear: false,
+  cost: 55,
+  spread: 40,
+}));
+const ALL = [...NEAR, ...FAR];
+/** After this a search has asked more, and after this an agent is silent, in milliseconds. */
+const WIDENED = 30;
+const SILENT = 150;
+
+function search(seed = 1): SlotSearch {
+  return new SlotSearch(0, seededRandom(seed));
+}
+
+const isNear = (id: string) => id.startsWith('n');
+
+describe('a search for a slot', () => {
+  it('asks two agents of its zone first, and others elsewhere only once these have none free', () => {
+    const one = search();
+    const first = one.next(ALL, 0);
+    expect(first.map(isNear)).toEqual([true, true]);
+    for (const id of first) one.noteQueued(id);
+    expect(one.next(ALL, 10)).toEqual([]);
+    const later = one.next(ALL, WIDENED);
+    expect(later.map(isNear)).toEqual([true, false, false]);
+    expect(one.next(ALL, 2 * WIDENED)).toEqual([]);
+    expect(new Set([...first, ...later]).size).toBe(5);
+  });
+
+  it('asks others in place of those that refuse or are silent', () => {
+    const one = search();
+    const [refusing, silent] = one.next(ALL, 0);
+    one.noteFailed(refusing);
+    const [third] = one.next(ALL, 5);
+    one.noteQueued(third);
+    expect(third).not.toBe(refusing);
+    expect(one.silent(SILENT)).toEqual([silent]);
+    one.noteFailed(silent);
+    expect(one.next(ALL, SILENT).length).toBeGreaterThan(0);
+  });
+
+  it('asks elsewhere at once where its zone has too few', () => {
+    expect(
+      search()
+        .next([NEAR[0], ...FAR], 0)
+        .map(isNear),
+    ).toEqual([true, false]);
+    expect(search().next(FAR, 0)).toHaveLength(2);
+  });
+
+  it('leaves out what is slow or fails while there are others', () => {
+    const slow = { ...NEAR[0], cost: 400 };
+    for (let seed = 0; seed < 20; seed++) expect(search(seed).next([slow, ...FAR], 0)).not.toContain('n1');
+    expect(search().next([slow], 0)).toEqual(['n1']);
+  });
+
+  it('asks those first whose load is known to be less', () => {
+    const fresh = NEAR.map((one, index) => ({ ...one, cost: 10 * index, spread: 2 }));
+    for (let seed = 0; seed < 20; seed++) expect(search(seed).next(fresh, 0)).toEqual(['n1', 'n2']);
+  });
+
+  it('spreads over all of a zone', () => {
+    const random = seededRandom(1);
+    const asked = new Set(Array.from({ length: 40 }, () => new SlotSearch(0, random).next(ALL, 0)).flat());
+    expect([...asked].sort()).toEqual(['n1', 'n2', 'n3', 'n4']);
+  });
+
+  it('has nothing to wait for when nobody may grant', () => {
+    const one = search();
+    expect(one.isPending).toBe(false);
+    for (const id of one.next(NEAR.slice(0, 2), 0)) one.noteFailed(id);
+    expect(one.next(NEAR.slice(0, 2), 10)).toEqual([]);
+    expect(one.isPending).toBe(false);
+  });
+});
--- /dev/null
+++ b/test/systems/slot-table.test.ts
@@ -0,0 +1,116 @@
+/** The slots of one engine: who gets the next, and what becomes of those whose entry has gone. */
+import { describe, expect, it } from 'vitest';
+import { type SlotAsk, type SlotDecision, SlotTable } from '../../src/systems/slot-table.js';
+
+const SLOTS = 2;
+/** Longer than the agent's reading of its engine lags, in milliseconds. */
+const SETTLED = 1_000;
+
+function ask(id: string, changes: Partial<SlotAsk> = {}): SlotAsk {
+  return { id, urgency: 0, waitsSince: 0, endsAt: 10_000, slots: SLOTS, ...changes };
+}
+
+function servingTable(load = 0): SlotTable {
+  const table = new SlotTable();
+  table.observe({ isServing: true, load }, 0);
+  return table;
+}
+
+function granted(decisions: readonly SlotDecision[]): string[] {
+  return decisions.filter(({ type }) => type === 'granted').map(({ id }) => id);
+}
+
+describe('the slots of an engine', () => {
+  it('are filled and no further; a request that ends lets the next one in', () => {
+    const table = servingTable();
+    expect(['a', 'b', 'c'].map((id) => table.ask(ask(id), 0).at(-1)?.type)).toEqual([
+      'granted',
+      'granted',
+      'queued',
+    ]);
+    expect(table.release('a', 10)).toEqual([{ type: 'granted', id: 'c' }]);
+    expect(table.release('b', 20)).toEqual([]);
+  });
+
+  it('go to the more urgent first, then to whoever has waited longest', () => {
+    const table = servingTable();
+    for (const id of ['a', 'b']) table.ask(ask(id), 0);
+    table.ask(ask('late', { urgency: 8, waitsSince: -500 }), 0);
+    table.ask(ask('young', { waitsSince: -10 }), 0);
+    table.ask(ask('old', { waitsSince: -90 }), 0);
+    const order = ['a', 'b', 'old'].flatMap((id) => granted(table.release(id, 10)));
+    expect(order).toEqual(['old', 'young', 'late']);
+  });
+
+  it('go to nobody whose patience is over', () => {
+    const table = servingTable();
+    for (const id of ['a', 'b']) table.ask(ask(id), 0);
+    table.ask(ask('gone', { endsAt: 50 }), 0);
+    expect(table.release('a', 60)).toEqual([]);
+    expect(table.waiting).toBe(0);
+  });
+
+  it('are granted again to a request whose grant was lost', () => {
+    const table = servingTable();
+    table.ask(ask('a'), 0);
+    expect(table.ask(ask('a'), 5)).toEqual([{ type: 'granted', id: 'a' }]);
+    expect(table.leased).toBe(1);
+  });
+
+  it('count requests that run there without one', () => {
+    const table = servingTable(1);
+    expect(granted(table.ask(ask('a'), 0))).toEqual(['a']);
+    expect(granted(table.ask(ask('b'), 0))).toEqual([]);
+    expect(granted(table.observe({ isServing: true, load: 1 }, SETTLED))).toEqual(['b']);
+  });
+
+  it('do not count a request twice that has just ended', () => {
+    const table = servingTable();
+    for (const id of ['a', 'b', 'c']) table.ask(ask(id), 0);
+    table.observe({ isServing: true, load: 2 }, SETTLED);
+    table.release('a', SETTLED);
+    // The engine still tells of the one that has ended.
+    table.observe({ isServing: true, load: 3 }, SETTLED + 10);
+    expect(granted(table.release('b', SETTLED + 20))).toEqual([]);
+    expect(granted(table.ask(ask('d'), SETTLED + 20))).toEqual(['d']);
+  });
+
+  it('come free where an entry has vanished and the engine does not run its requests', () => {
+    const table = servingTable();
+    for (const id of ['a', 'b', 'c']) table.ask(ask(id), 0);
+    table.observe({ isServing: true, load: 1 }, SETTLED);
+    expect(table.leased).toBe(2);
+    expect(granted(table.observe({ isServing: true, load: 1 }, SETTLED + 300))).toEqual(['c']);
+  });
+
+  it('stay with a request that the engine was just not seen to run yet', () => {
+    const table = servingTable();
+    table.ask(ask('a'), 0);
+    for (const at of [100, 200, 300]) table.observe({ isServing: true, load: 0 }, at);
+    expect(table.leased).toBe(1);
+  });
+
+  it('are not given out before anything is known of the engine, which may serve all the same', () => {
+    expect(new SlotTable().ask(ask('a'), 0)).toEqual([{ type: 'unready', id: 'a' }]);
+  });
+
+  it('are given out again once an engine that did not answer its agent does', () => {
+    const table = servingTable();
+    for (const id of ['a', 'b', 'c']) table.ask(ask(id), 0);
+    expect(table.lose()).toEqual([{ type: 'refused', id: 'c' }]);
+    expect(table.ask(ask('d'), 10)).toEqual([{ type: 'unready', id: 'd' }]);
+    table.observe({ isServing: true, load: 2 }, 20);
+    expect(granted(table.release('a', 30))).toEqual([]);
+    expect(granted(table.ask(ask('e'), 40))).toEqual(['e']);
+  });
+
+  it('are refused to all while the engine takes nothing new', () => {
+    const table = servingTable();
+    for (const id of ['a', 'b', 'c']) table.ask(ask(id), 0);
+    expect(table.observe({ isServing: false, load: 2 }, 10)).toEqual([{ type: 'refused', id: 'c' }]);
+    expect(table.ask(ask('d'), 20)).toEqual([{ type: 'refused', id: 'd' }]);
+    expect(granted(table.observe({ isServing: true, load: 0 }, SETTLED))).toEqual([]);
+    expect(granted(table.ask(ask('e'), SETTLED))).toEqual([]);
+    expect(granted(table.observe({ isServing: true, load: 0 }, SETTLED + 10))).toEqual(['e']);
+  });
+});
