Choosing an engine looks at each one once

Change: loads of others are summed as they are told; margins before an expiry are reckoned only where a version will expire; an engine that grants is checked alone; no pass where no more agents are to be asked.

--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -141,12 +141,33 @@
   slotCandidates(requirements: Requirements): SlotCandidate[] {
     const now = performance.now();
     // Whoever holds a slot does not queue.
-    const candidates = this.#candidates({ ...requirements, mayQueue: true }, now);
-    return candidates
+    return this.#candidates({ ...requirements, mayQueue: true }, now)
       .filter(({ id }) => this.#givesOutSlots(id, now))
       .map((candidate) => this.#slotCandidate(candidate, now));
   }
 
+  /**
+   * Whether a request is to look for a slot first: always where all engines have agents that answer, and as often as such
+   * engines are among those that may take it, so that one without an agent has its part of the requests.
+   */
+  looksForSlot(requirements: Requirements): boolean {
+    const now = performance.now();
+    let managed = 0;
+    let others = 0;
+    for (const row of this.#table.ofService(requirements.service)) {
+      const isManaged = row.agent?.answers(now) === true;
+      if (this.#exclusion(row, { ...requirements, mayQueue: isManaged }, now) !== undefined) continue;
+      if (isManaged) managed++;
+      else others++;
+    }
+    return managed > 0 && (others === 0 || this.#random.below(managed + others) < managed);
+  }
+
+  /** Whether `row` may take the request, with a slot of it. */
+  mayTakeSlot(row: BackEndRow, requirements: Requirements): boolean {
+    return this.#exclusion(row, { ...requirements, mayQueue: true }, performance.now()) === undefined;
+  }
+
   #slotCandidate(candidate: Candidate, now: number): SlotCandidate {
     const { id, zone } = candidate;
     const isLoadFresh = isLoadTold(this.#table.rows.get(id)!, now);
@@ -158,17 +179,6 @@
     };
   }
 
-  /**
-   * Whether a request is to look for a slot first: always where all engines have agents that answer, and as often as such
-   * engines are among those that may take it, so that one without an agent has its part of the requests.
-   */
-  looksForSlot(requirements: Requirements, slotCandidates: number): boolean {
-    if (slotCandidates === 0) return false;
-    const others =
-      this.#candidates({ ...requirements, mayQueue: false }, performance.now()).length - slotCandidates;
-    return others <= 0 || this.#random.below(slotCandidates + others) < slotCandidates;
-  }
-
   #candidates(requirements: Requirements, now: number): Candidate[] {
     const candidates: Candidate[] = [];
     for (const row of this.#table.ofService(requirements.service)) {
@@ -271,7 +281,10 @@
     if (row.news?.isSwitching === true) return 'switching';
     const version = wholeVersion(row, engine.layers);
     if (version === 0) return 'noWeights';
-    if (version < this.#lowestVersion(engine, now, this.#expiryMargin(row, now))) return 'expired';
+    // The margin is reckoned only where the version will expire at all: over all engines it costs more than all else.
+    const mayExpire = version < this.#lowestVersion(engine, now, this.#versionBound);
+    if (mayExpire && version < this.#lowestVersion(engine, now, this.#expiryMargin(row, now)))
+      return 'expired';
     const isOther = requirements.version !== undefined && requirements.version !== version;
     return isOther ? 'otherVersion' : undefined;
   }
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -47,8 +47,8 @@
   inFlight: number;
   /** Their prompt tokens. */
   unreadTokens: number;
-  /** Requests in flight from each other entry. */
-  inFlightElsewhere: Map<string, number>;
+  /** Requests in flight from all other entries, as they told last. */
+  inFlightElsewhere: number;
   /** When a first answer came last, in milliseconds of the steady clock. */
   answeredAt: number;
   /** Usual time to the first part of an answer, and of a whole request, in milliseconds; 0 before the first. */
@@ -70,6 +70,8 @@
   readonly rows = new Map<string, BackEndRow>();
   readonly #rowsByService = new Map<string, Set<BackEndRow>>();
   readonly #holds = new Map<string, HoldRecord>();
+  /** What each other entry has in flight, as it told last. */
+  readonly #loadsOf = new Map<string, ReadonlyArray<readonly [row: BackEndRow, inFlight: number]>>();
   /** Most connections that are kept to a back end of a service. */
   mostConnectionsKept: (service: string) => number = () => Number.POSITIVE_INFINITY;
   /** Kept connections found silent so far. */
@@ -110,8 +112,14 @@
 
   /** Another entry tells what it has in flight. */
   takeLoads(entry: string, loads: ReadonlyArray<readonly [id: string, inFlight: number]>): void {
-    for (const row of this.rows.values()) row.inFlightElsewhere.delete(entry);
-    for (const [id, inFlight] of loads) this.rows.get(id)?.inFlightElsewhere.set(entry, inFlight);
+    for (const [row, inFlight] of this.#loadsOf.get(entry) ?? []) row.inFlightElsewhere -= inFlight;
+    const taken = loads.flatMap(([id, inFlight]): Array<[BackEndRow, number]> => {
+      const row = this.rows.get(id);
+      return row === undefined ? [] : [[row, inFlight]];
+    });
+    for (const [row, inFlight] of taken) row.inFlightElsewhere += inFlight;
+    if (taken.length > 0) this.#loadsOf.set(entry, taken);
+    else this.#loadsOf.delete(entry);
   }
 
   /** What is in flight from here. */
@@ -175,7 +183,7 @@
     health: new BackEndHealth(),
     inFlight: 0,
     unreadTokens: 0,
-    inFlightElsewhere: new Map(),
+    inFlightElsewhere: 0,
     answeredAt: 0,
     firstAnswerTime: 0,
     duration: 0,
@@ -207,8 +215,7 @@
 
 /** Requests of all entries at `row`, as far as known: the more of what entries and its agent say. */
 export function loadOf({ inFlight, inFlightElsewhere, news }: BackEndRow, now = performance.now()): number {
-  let load = inFlight;
-  for (const other of inFlightElsewhere.values()) load += other;
+  const load = inFlight + inFlightElsewhere;
   return news !== undefined && isFresh(news, now) ? Math.max(load, news.load) : load;
 }
 
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -185,20 +185,19 @@
   /** Looks for a slot of an engine; false where no agent is to be asked. */
   #seekSlot(): boolean {
     const { selector, backEnds, slots, random } = this.#components;
-    const requirements = this.#requirements();
-    const candidates = () => selector.slotCandidates(this.#requirements());
-    if (!selector.looksForSlot(requirements, candidates().length)) return false;
+    if (!selector.looksForSlot(this.#requirements())) return false;
     const now = performance.now();
     this.#heldSince = undefined;
     this.#seeker = new SlotSeeker({
       slots,
       table: backEnds,
       random,
-      candidates,
+      candidates: () => selector.slotCandidates(this.#requirements()),
+      mayTake: (row) => selector.mayTakeSlot(row, this.#requirements()),
       urgency: this.#answer.started ? 0 : this.#urgency(now),
       arrivedAt: this.arrivedAt,
       endsAt: this.#admitted.timing.waitsForSlotUntil(now, this.#sends > 0),
-      onGranted: (row, claim) => this.#sendWithSlot(row, claim, candidates().length),
+      onGranted: (row, claim, asked) => this.#sendWithSlot(row, claim, asked),
       onWait: () => this.#onWaitForSlot(),
       onNobody: () => {
         this.#endSearch();
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -12,13 +12,15 @@
   random: Random;
   /** The engines that may take the request now, and whose agents give out slots. */
   candidates: () => SlotCandidate[];
+  /** Whether this engine still may, now that it has a slot for it. */
+  mayTake: (row: BackEndRow) => boolean;
   /** 0 goes first. */
   urgency: number;
   /** When the request arrived, and until when it waits for a slot, in milliseconds of the steady clock. */
   arrivedAt: number;
   endsAt: number;
   /** The first slot: whoever takes it releases the claim. The others are given back. */
-  onGranted: (row: BackEndRow, claim: SlotClaim) => void;
+  onGranted: (row: BackEndRow, claim: SlotClaim, asked: number) => void;
   /** No agent had a slot within a moment: the request waits. */
   onWait: () => void;
   /** No agent is left that may grant a slot. */
@@ -74,6 +76,7 @@
   }
 
   #ask(now: number): void {
+    if (!this.#search.wantsMore(now)) return;
     for (const id of this.#search.next(this.#options.candidates(), now)) this.#askOne(id, now);
   }
 
@@ -132,9 +135,9 @@
     const { id } = row.record;
     const claim = this.#claims.get(id);
     if (this.#isOver || claim === undefined) return;
-    if (!this.#options.candidates().some((candidate) => candidate.id === id)) return this.#goElsewhere(id);
+    if (!this.#options.mayTake(row)) return this.#goElsewhere(id);
     this.#claims.delete(id);
     this.cancel();
-    this.#options.onGranted(row, claim);
+    this.#options.onGranted(row, claim, this.#search.asked);
   }
 }
--- a/src/systems/slot-search.ts
+++ b/src/systems/slot-search.ts
@@ -55,6 +55,16 @@
     return this.#startedAt + WIDEN_AFTER;
   }
 
+  /** Agents that have been asked. */
+  get asked(): number {
+    return this.#asked.size;
+  }
+
+  /** Whether more agents are to be asked now, if there are any. */
+  wantsMore(now: number): boolean {
+    return this.#pendingCount < FIRST_ASKED || (now >= this.widensAt && !this.#hasWidened);
+  }
+
   /** True while an agent may still grant a slot. */
   get isPending(): boolean {
     return this.#pendingCount > 0;
