--- a/src/peers/report-rate.ts
+++ b/src/peers/report-rate.ts
@@ -25,3 +25,12 @@
 
 /** Time between two looks at which reports are due, in milliseconds. */
 export const REPORT_TICK = NEAR_INTERVAL;
+
+/** Signs of life are as frequent as between few up to this many other entries, and half as frequent from twice as many on. */
+const FREQUENT_SIGNS = 50;
+const RAREST_SIGNS = 2;
+
+/** How much rarer signs of life are asked for among `peerCount` other entries: with 99, each would ask for 70 a second. */
+export function signRarity(peerCount: number): number {
+  return Math.min(RAREST_SIGNS, Math.max(1, peerCount / FREQUENT_SIGNS));
+}
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -82,6 +82,8 @@
 export class Connection {
   /** What the other side said of itself. */
   readonly remote: HelloMessage;
+  /** A sign of life is asked for after this long without one, in milliseconds. */
+  quietTime = QUIET_TIME;
   onClose: () => void = () => {};
   /** Called when the other side has answered a sign of life that was sent at the given time. */
   onConfirmed: (sentAt: number) => void = () => {};
@@ -219,7 +221,7 @@
   #beat(): void {
     const now = performance.now();
     if (this.#isSilent(now)) return this.#closeIfSilent();
-    const quiet = now - Math.min(this.#heardAt, this.#sentAt) >= QUIET_TIME;
+    const quiet = now - Math.min(this.#heardAt, this.#sentAt) >= this.quietTime;
     const isHome = this.remote.role === 'entry' && this.#context.hello().role === 'agent';
     const isDue = quiet || isHome;
     if (!this.#dialled || !isDue || this.#socket.readyState !== WebSocket.OPEN) return;
--- a/test/peers/report-rate.test.ts
+++ b/test/peers/report-rate.test.ts
@@ -1,6 +1,6 @@
 /** What entries tell one another stays in bounds however many there are. */
 import { describe, expect, it } from 'vitest';
-import { reportInterval, reportLife } from '../../src/peers/report-rate.js';
+import { reportInterval, reportLife, signRarity } from '../../src/peers/report-rate.js';
 
 const SECOND = 1_000;
 
@@ -29,4 +29,13 @@
         3 * reportInterval(isNear, entryCount - 1),
       );
   });
+
+  it.each([
+    [8, 1],
+    [42, 1],
+    [100, 1.98],
+    [400, 2],
+  ])('of %i have signs of life that are rarer by %f', (entryCount, rarity) => {
+    expect(signRarity(entryCount - 1)).toBeCloseTo(rarity);
+  });
 });
