A version spreads over the entries of a zone as a tree, and only as many hold a copy as its engines need

Cause: each piece was wanted by up to 19 other entries at the moment at which the collecting one got it, and all took it from there: 19 copies over a link of 40 Mbit/s are 9 s. Change: an entry takes pieces of one that comes before it in its zone's order, three of each, and turns to others after 300 ms without a piece; beyond a third of the zone's engines and two, entries hold no copy.

--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -14,6 +14,7 @@
 import type { Log } from '../observability/log.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
 import type { EntryReport, HeldPieces } from '../peers/reports.js';
+import { holdsCopy, parentOf } from '../systems/copy-spread.js';
 import {
   type HeldWeights,
   keyOf,
@@ -52,6 +53,9 @@
 const AGENT_BATCH = 2;
 /** Without news for this long an entry that is not responsible fetches as well, in milliseconds, times its place. */
 const STAND_IN_PATIENCE = 1_200;
+/** Other entries of the zone than the one before this are asked after this time without a piece, in milliseconds: about
+ * twice the time in which a piece that has come somewhere is told of and asked for. */
+const NEAR_PATIENCE = 300;
 /** Entries of other zones are asked after this, in milliseconds: their bytes are dear, those of the origin are dearer. */
 const FAR_PATIENCE = 300;
 /** The next entry draws from the origin when no piece came for this long, in milliseconds; three step in so soon. */
@@ -172,6 +176,10 @@
   async #collect(collection: Collection): Promise<void> {
     const { signal } = collection.stopped;
     const { library, random, log, onHeldChanged } = this.#options;
+    while (!this.#isHolder(collection)) {
+      await sleep(REVIEW_INTERVAL, signal);
+      if (signal.aborted) return;
+    }
     void this.#list(collection, signal);
     const manifest = await this.#manifest(collection.version, signal);
     if (manifest === undefined) return;
@@ -192,6 +200,17 @@
     await this.#keepStored(collection, held, signal);
   }
 
+  /** Whether this entry is among those of its zone that hold a copy. */
+  #isHolder(collection: Collection): boolean {
+    return holdsCopy(this.#place(collection).inZone, this.#enginesOfZone());
+  }
+
+  #enginesOfZone(): number {
+    const { fleet, self } = this.#options;
+    const records = [...fleet.backEnds.records.values()].filter(({ zone }) => zone === self.zone);
+    return records.filter(({ service }) => fleet.routes?.service(service)?.engine !== undefined).length;
+  }
+
   #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
     const { library, objects } = this.#options;
     const processes = () => this.#peersHolding(version).map(({ address }) => address);
@@ -205,15 +224,17 @@
     const standIn = place.inZone * STAND_IN_PATIENCE;
     const sources: PieceSource[] = [];
     const holders = this.#holders(version);
+    const parent = place.parent;
     for (const { peer, have } of holders) {
       const isNear = peer.zone === this.#options.self.zone;
+      const nearPatience = parent === undefined || peer.id === parent ? 0 : NEAR_PATIENCE;
       sources.push(
         processSource({
           name: `entry ${peer.address}`,
           address: peer.address,
           manifest,
           has: holds(have),
-          patience: isNear ? 0 : FAR_PATIENCE + standIn,
+          patience: isNear ? nearPatience : FAR_PATIENCE + standIn,
           parallel: 2,
           batchSize: ENTRY_BATCH,
           batchTime: BATCH_LIMIT,
@@ -279,8 +300,11 @@
     return sources;
   }
 
-  /** This entry's place in the order of those responsible: in its zone and overall; 0 is the first. */
-  #place({ version }: Collection): { inZone: number; overall: number; count: number } {
+  /**
+   * This entry's place in the order of those responsible, in its zone and overall, 0 being the first; and the entry of its
+   * zone of which it takes pieces.
+   */
+  #place({ version }: Collection): { inZone: number; overall: number; parent: string | undefined } {
     const { self, peers } = this.#options;
     const entries = [self, ...peers()];
     const key = keyOf(version);
@@ -291,7 +315,13 @@
     );
     // The first of all is the first of its zone.
     const inZone = rendezvousOrder(key, near);
-    return { inZone: inZone.indexOf(self.id), overall: overall.indexOf(self.id), count: overall.length };
+    const place = inZone.indexOf(self.id);
+    const parent = parentOf(place);
+    return {
+      inZone: place,
+      overall: overall.indexOf(self.id),
+      parent: parent === undefined ? undefined : inZone[parent],
+    };
   }
 
   #holders(version: WeightsVersion): Array<{ peer: EntryReport; have: ChunkSet }> {
--- /dev/null
+++ b/test/systems/copy-spread.test.ts
@@ -0,0 +1,26 @@
+/** A version over the entries of one zone: no link carries a copy for each of them. */
+import { describe, expect, it } from 'vitest';
+import { holdsCopy, parentOf } from '../../src/systems/copy-spread.js';
+
+const ENTRIES = 20;
+const PLACES = Array.from({ length: ENTRIES }, (_, place) => place);
+
+function depthOf(place: number): number {
+  const parent = parentOf(place);
+  return parent === undefined ? 0 : 1 + depthOf(parent);
+}
+
+describe('a version over the entries of a zone', () => {
+  it('goes over no link more than three times, and reaches 20 in three steps', () => {
+    for (const place of PLACES)
+      expect(PLACES.filter((other) => parentOf(other) === place).length).toBeLessThanOrEqual(3);
+    expect(Math.max(...PLACES.map(depthOf))).toBe(3);
+    expect(PLACES.filter((place) => parentOf(place) === undefined)).toEqual([0]);
+  });
+
+  it('is held by as many as its engines need, and by two more', () => {
+    expect(PLACES.filter((place) => holdsCopy(place, 28))).toHaveLength(12);
+    expect(PLACES.filter((place) => holdsCopy(place, 3))).toHaveLength(3);
+    expect(holdsCopy(0, 0)).toBe(true);
+  });
+});
