A request's wait for a back end is a module of its own

Change: request-wait holds the search for a slot, the wait for capacity and when both are given up; request-outcome what ends mean for back ends, counters and callers. No change of behaviour; forwarded-request has 483 lines.

--- a/src/forwarding/drain-figures.ts
+++ b/src/forwarding/drain-figures.ts
@@ -1,7 +1,7 @@
 /** What becomes of requests that arrive after the order to stop, for on-call: how late each came and how it ended. */
 import { Histogram } from 'prom-client';
 import type { Metrics } from '../observability/metrics.js';
-import type { RequestOutcome } from './forwarded-request.js';
+import type { RequestOutcome } from './request-outcome.js';
 
 /** Bounds of the times since the order to stop, in seconds: users give 8 s, with finer steps where it is decided. */
 const ARRIVAL_BUCKETS = [0.5, 1, 1.5, 2, 2.5, 3, 3.5, 4, 5, 6, 7, 8];
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -9,7 +9,7 @@
 import type { Readable } from 'node:stream';
 import type { Standstills } from '../model/standstills.js';
 import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
-import { type AnswerHead, Attempt, type AttemptFailure, MISDIRECTED } from './attempt.js';
+import { type AnswerHead, Attempt, type AttemptFailure } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
 import type { Requirements, Selection } from './back-end-selector.js';
 import { type BackEndRow, loadOf } from './back-end-table.js';
@@ -19,9 +19,9 @@
 import type { SlotClaim } from './engine-slots.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
-import type { HoldEnd, HoldRecord } from './hold-record.js';
+import { outcomeAtTimeout, outcomeOf, outcomeOfError, type RequestOutcome } from './request-outcome.js';
+import { RequestWait, type WaitingRequest } from './request-wait.js';
 import { type Silence, silenceOf } from './silence.js';
-import { SlotSeeker } from './slot-seeker.js';
 import { TimeToEnd } from './time-to-end.js';
 
 /** A new connection that is not there after this is given up, in milliseconds. */
@@ -37,18 +37,6 @@
 const INTERNAL_ERROR = 500;
 const MILLISECONDS = 1_000;
 
-/** How a request ended, for counters: `stopped` by the stop of this process, `left` by its caller. */
-export type RequestOutcome =
-  | 'served'
-  | 'failedAnswer'
-  | 'refused'
-  | 'rejected'
-  | 'failed'
-  | 'timedOut'
-  | 'cut'
-  | 'stopped'
-  | 'left';
-
 /** A request in progress. */
 export class ForwardedRequest {
   readonly #components: ForwardingComponents;
@@ -70,14 +58,10 @@
   #runs = 0;
   /** It has reached a back end, or may have: each further send is a repetition, and is paid for as it goes out. */
   #isRepetition = false;
-  /** Since when it waits for capacity. */
-  #heldSince: number | undefined;
-  /** Its search for a slot of an engine. */
-  #seeker: SlotSeeker | undefined;
+  /** Its way to a back end; set before anything is sent. */
+  #wait!: RequestWait;
   /** The slot that the attempt in progress has. */
   #claim: SlotClaim | undefined;
-  /** Waits of this kind that it counts among, while it waits for one of many back ends to be free. */
-  #hold: HoldRecord | undefined;
   readonly #answer: CallerAnswer;
   #version: number | undefined;
   #settled = false;
@@ -106,7 +90,7 @@
     if (this.#body.type === 'tooLarge') return this.#finish({ type: 'bodyTooLarge' });
     if (this.#body.type === 'cut') return this.#finish({ type: 'malformed', reason: 'cut body' });
     this.#components.budgetOf(this.#admitted.service).earn(performance.now());
-    this.#send();
+    this.#wait.begin();
   }
 
   /** Ends a request that this process cannot handle: a fault of its own takes down one request, never the process. */
@@ -138,10 +122,9 @@
   /** Ends attempts that are owed something for too long; called by the shared tick. */
   check(now: number, standstills: Standstills): void {
     if (this.#settled) return;
-    if (this.#seeker !== undefined) return this.#checkSeeker(this.#seeker, now);
-    if (this.#heldSince !== undefined) return this.#send();
+    if (this.#wait?.isUnderWay) return this.#wait.check(now);
     const use = this.#use;
-    if (use === undefined || this.#settled) return;
+    if (use === undefined) return;
     const { attempt, row } = use;
     this.#timeToEnd.noteProgress(attempt, now);
     if (!attempt.sent) {
@@ -174,88 +157,39 @@
     this.#admitted = admission.value;
     const { route, answerTokens, timing } = admission.value;
     this.#timeToEnd = new TimeToEnd(this.#components, route.name, answerTokens, timing.endsAt);
+    this.#wait = this.#createWait(admission.value);
     return undefined;
   }
 
-  #send(): void {
-    if (!this.#canEnd()) return this.#refuseForStop();
-    if (!this.#seekSlot()) this.#sendWithoutSlot();
-  }
-
-  /** Looks for a slot of an engine; false where no agent is to be asked. */
-  #seekSlot(): boolean {
-    const { selector, backEnds, slots, random } = this.#components;
-    if (!selector.looksForSlot(this.#requirements())) return false;
-    const now = performance.now();
-    this.#heldSince = undefined;
-    this.#seeker = new SlotSeeker({
-      slots,
-      table: backEnds,
-      random,
-      candidates: () => selector.slotCandidates(this.#requirements()),
-      mayTake: (row) => selector.mayTakeSlot(row, this.#requirements()),
-      urgency: this.#answer.started ? 0 : this.#urgency(now),
-      arrivedAt: this.arrivedAt,
-      endsAt: this.#admitted.timing.waitsForSlotUntil(now, this.#sends > 0),
-      onGranted: (row, claim, asked) => this.#sendWithSlot(row, claim, asked),
-      onWait: () => this.#onWaitForSlot(),
-      onNobody: () => {
-        this.#endSearch();
-        this.#sendWithoutSlot();
-      },
+  #createWait({ route, timing, rank }: AdmittedRequest): RequestWait {
+    const request: WaitingRequest = {
+      timing,
+      isStream: route.isStream,
+      urgency: (now) => timing.urgency(rank, now),
+      requirements: () => this.#requirements(),
+      wasSent: () => this.#sends > 0,
+      goesOn: () => this.#answer.started,
+      canEnd: (wait) => this.#canEnd(wait),
+      mayBeSent: () => !this.#isRepetition || this.#mayRepeat(),
+    };
+    return new RequestWait(this.#components, request, {
+      onChosen: (selection, claim) => this.#send(selection, claim),
+      onGivenUp: (reason, capacity) => this.#giveUp(reason, capacity),
+      onNoTime: () => this.#refuseForStop(),
+      onNote: (message, fields) => this.#log(message, fields),
     });
-    this.#seeker.begin();
-    return true;
-  }
-
-  /** No slot is free at once. One that comes again waits only where that has been worth it lately. */
-  #onWaitForSlot(): void {
-    if (this.#answer.started || this.#sends > 0 || this.#beginHold()) return;
-    this.#giveUp('back ends full');
   }
 
-  #sendWithSlot(row: BackEndRow, claim: SlotClaim, choices: number): void {
-    this.#seeker = undefined;
+  #send(selection: Selection, claim: SlotClaim | undefined): void {
     this.#claim = claim;
     if (!this.#canEnd()) return this.#refuseForStop();
-    this.#sendTo(this.#components.selector.selectionOf(row.record.id, this.#requirements(), 0, choices));
-  }
-
-  /** Gives up what waits for a slot too long. */
-  #checkSeeker(seeker: SlotSeeker, now: number): void {
-    if (!this.#canEnd()) return this.#refuseForStop();
-    if (seeker.isOver(now)) return this.#giveUp('back ends full');
-    seeker.check(now);
-  }
-
-  #endSearch(): void {
-    this.#seeker?.cancel();
-    this.#seeker = undefined;
-  }
-
-  #sendWithoutSlot(): void {
-    const selection = this.#components.selector.select(this.#requirements());
-    if (selection === undefined) return this.#holdOrGiveUp();
-    if (selection.expectedWait > this.#admitted.timing.longestWait(this.#sends > 0))
-      return this.#giveUp('back ends full');
-    this.#sendTo(selection);
-  }
-
-  #urgency(now: number): number {
-    const { timing, rank } = this.#admitted;
-    return timing.urgency(rank, now);
-  }
-
-  #sendTo(selection: Selection): void {
     if (this.#isRepetition && !this.#components.budgetOf(this.#admitted.service).spend(performance.now()))
       return this.#giveUp('no budget');
-    this.#heldSince = undefined;
-    this.#endHold('sent');
     const { row } = selection;
     this.#tried.add(row.record.id);
     this.#sends++;
-    const { promptTokens, answerTokens } = this.#admitted;
-    const urgency = this.#urgency(performance.now());
+    const { timing, rank, promptTokens, answerTokens } = this.#admitted;
+    const urgency = timing.urgency(rank, performance.now());
     const attempt = new Attempt(
       {
         requestId: this.#id,
@@ -300,27 +234,6 @@
     };
   }
 
-  /** Waits for capacity that is in sight; gives up at once where it is not. */
-  #holdOrGiveUp(): void {
-    if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
-    const now = performance.now();
-    const capacity = this.#components.selector.expectedCapacity(this.#admitted.service);
-    const wasHeld = this.#heldSince !== undefined;
-    this.#heldSince ??= now;
-    // Where back ends serve, but none may take a request, one is free soon or not.
-    const holdsUntil = this.#admitted.timing.holdsUntil(this.#heldSince);
-    const isInSight = capacity === undefined ? this.#admitted.route.isStream : now + capacity < holdsUntil;
-    const mayWait = isInSight && now < holdsUntil && !this.#answer.started;
-    if (!this.#canEnd(capacity)) return this.#refuseForStop();
-    const waits = mayWait && (wasHeld || capacity !== undefined || this.#beginHold());
-    if (!waits) {
-      const excluded = this.#components.selector.exclusions(this.#requirements());
-      this.#log('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(now - this.#heldSince) });
-      return this.#giveUp('no back end', capacity);
-    }
-    if (!wasHeld) this.#log('held', { capacityMs: Math.round(capacity ?? 0) });
-  }
-
   /** Whether it can still end before this process does, if it is sent after `wait` milliseconds; a begun answer goes on. */
   #canEnd(wait = 0): boolean {
     return this.#answer.started || this.#timeToEnd.suffices(performance.now(), wait);
@@ -328,8 +241,7 @@
 
   /** Refuses what this process has no time for: another one can take it now. */
   #refuseForStop(): void {
-    this.#heldSince = undefined;
-    this.#endSearch();
+    this.#wait.end('inVain');
     this.#releaseSlot();
     const reason = 'stop';
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
@@ -342,21 +254,6 @@
     return this.#runs > 0 || this.#use?.attempt.sent === true;
   }
 
-  /** Counts the wait of a request that comes again; false where it is not to wait. A first one waits for a moment only. */
-  #beginHold(): boolean {
-    if (!this.#admitted.timing.isLastChance || this.#hold !== undefined) return true;
-    const holds = this.#components.backEnds.holdsOf(this.#admitted.service);
-    if (!holds.allowsMore) return false;
-    holds.begin();
-    this.#hold = holds;
-    return true;
-  }
-
-  #endHold(how: HoldEnd): void {
-    this.#hold?.end(how);
-    this.#hold = undefined;
-  }
-
   #bodyToSend(): Buffer | Readable | null {
     if (this.#body.type === 'kept') return this.#body.bytes;
     return this.#body.type === 'streamed' ? this.#body.stream : null;
@@ -406,7 +303,7 @@
     this.#isRepetition = true;
     this.#answer.forget();
     this.#log('sent again', { reason, sends: this.#sends });
-    this.#send();
+    this.#wait.begin();
     return true;
   }
 
@@ -420,7 +317,7 @@
     if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
     if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     if (this.#body.type === 'streamed' && failure.type === 'refused') return this.#giveUp('body not kept');
-    this.#send();
+    this.#wait.begin();
   }
 
   /** A back end whose connection was at fault takes the request over another one where no other back end can. */
@@ -437,7 +334,7 @@
     this.#answer.forget();
     if (this.#mayRunAgain(this.#runs) && this.#mayRepeat()) {
       this.#log('sent again', { reason, sends: this.#sends, after: this.#answer.lastEventId });
-      return this.#send();
+      return this.#wait.begin();
     }
     if (this.#answer.started) return this.#cut(reason);
     this.#finish({ type: 'backEndFailed', reason });
@@ -475,10 +372,8 @@
 
   /** No back end can take the request now. */
   #giveUp(reason: string, capacity = 0): void {
-    this.#heldSince = undefined;
-    this.#endSearch();
+    this.#wait.end('inVain');
     this.#releaseSlot();
-    this.#endHold('inVain');
     if (this.#answer.started) return this.#cut(reason);
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
     const soon = RETRY_AFTER * (1 + this.#components.random.fraction());
@@ -569,9 +464,8 @@
   #settle(outcome: RequestOutcome): void {
     this.#settled = true;
     clearTimeout(this.#timer);
-    this.#endSearch();
+    this.#wait?.end(outcome === 'left' ? 'left' : 'inVain');
     this.#releaseSlot();
-    this.#endHold(outcome === 'left' ? 'left' : 'inVain');
     this.#request.socket.off('end', this.#onCallerEnded);
     this.#components.onSettled(this, outcome, this.#age());
   }
@@ -587,25 +481,3 @@
     log.info(message, { request: this.#id, service: this.#admitted?.service ?? '', ...ofStop, ...fields });
   }
 }
-
-/** A back end that has said nothing is silent, unless its connection alone is. */
-function outcomeAtTimeout({ attempt, hasAnswered, isOvertaken }: BackEndUse): BackEndOutcome | undefined {
-  if (hasAnswered || !attempt.sent) return undefined;
-  return attempt.isOnSilentConnection && isOvertaken ? undefined : 'silent';
-}
-
-function outcomeOf(failure: AttemptFailure): BackEndOutcome | undefined {
-  if (failure.type === 'withdrawn') return undefined;
-  if (failure.type === 'silentConnection') return failure.isBackEndHeard ? undefined : 'silentConnection';
-  if (failure.type === 'refused') return failure.status === MISDIRECTED ? 'misdirected' : 'overloaded';
-  if (failure.type === 'notSent' || failure.reason === 'silent') return 'silent';
-  return 'failed';
-}
-
-function outcomeOfError(error: ForwardingError): RequestOutcome {
-  if (error.type === 'unavailable' || error.type === 'notConfigured' || error.type === 'expired')
-    return 'refused';
-  if (error.type === 'timedOut') return 'timedOut';
-  if (error.type === 'stopped') return 'stopped';
-  return error.type === 'backEndFailed' ? 'failed' : 'rejected';
-}
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -15,8 +15,9 @@
 import type { BackEndTable } from './back-end-table.js';
 import { type ArrivalsWithOutcome, DrainFigures } from './drain-figures.js';
 import type { EngineSlots } from './engine-slots.js';
-import { ForwardedRequest, type RequestOutcome } from './forwarded-request.js';
+import { ForwardedRequest } from './forwarded-request.js';
 import type { HeaderNames } from './header-names.js';
+import type { RequestOutcome } from './request-outcome.js';
 import type { TimeToEndComponents } from './time-to-end.js';
 
 /** Time between two looks at requests in progress, in milliseconds. */
--- /dev/null
+++ b/src/forwarding/request-outcome.ts
@@ -0,0 +1,45 @@
+/** What the ends of attempts and requests mean: for the health of back ends, for counters and for the caller. */
+import { type AttemptFailure, MISDIRECTED } from './attempt.js';
+import type { BackEndOutcome } from './back-end-health.js';
+import type { BackEndUse } from './back-end-use.js';
+import type { ForwardingError } from './forwarding-errors.js';
+
+/** How a request ended, for counters: `stopped` by the stop of this process, `left` by its caller. */
+export type RequestOutcome =
+  | 'served'
+  | 'failedAnswer'
+  | 'refused'
+  | 'rejected'
+  | 'failed'
+  | 'timedOut'
+  | 'cut'
+  | 'stopped'
+  | 'left';
+
+/** What a time-out says of the back end: one that has said nothing is silent, unless its connection alone is. */
+export function outcomeAtTimeout({
+  attempt,
+  hasAnswered,
+  isOvertaken,
+}: BackEndUse): BackEndOutcome | undefined {
+  if (hasAnswered || !attempt.sent) return undefined;
+  return attempt.isOnSilentConnection && isOvertaken ? undefined : 'silent';
+}
+
+/** What a failed attempt says of the back end; undefined for nothing. */
+export function outcomeOf(failure: AttemptFailure): BackEndOutcome | undefined {
+  if (failure.type === 'withdrawn') return undefined;
+  if (failure.type === 'silentConnection') return failure.isBackEndHeard ? undefined : 'silentConnection';
+  if (failure.type === 'refused') return failure.status === MISDIRECTED ? 'misdirected' : 'overloaded';
+  if (failure.type === 'notSent' || failure.reason === 'silent') return 'silent';
+  return 'failed';
+}
+
+/** What an error is counted as. */
+export function outcomeOfError(error: ForwardingError): RequestOutcome {
+  if (error.type === 'unavailable' || error.type === 'notConfigured' || error.type === 'expired')
+    return 'refused';
+  if (error.type === 'timedOut') return 'timedOut';
+  if (error.type === 'stopped') return 'stopped';
+  return error.type === 'backEndFailed' ? 'failed' : 'rejected';
+}
--- /dev/null
+++ b/src/forwarding/request-wait.ts
@@ -0,0 +1,187 @@
+/**
+ * How one request comes to a back end: it looks for a slot of an engine, or takes a back end that has no agent, or waits for
+ * capacity that is in sight. What cannot be served in its time is given up at once.
+ */
+import type { Random } from '../model/random.js';
+import type { BackEndSelector, Requirements, Selection } from './back-end-selector.js';
+import type { BackEndRow, BackEndTable } from './back-end-table.js';
+import type { EngineSlots, SlotClaim } from './engine-slots.js';
+import type { HoldEnd, HoldRecord } from './hold-record.js';
+import type { RequestTiming } from './request-timing.js';
+import { SlotSeeker } from './slot-seeker.js';
+
+/** What waits are decided with. */
+export interface RequestWaitComponents {
+  selector: BackEndSelector;
+  slots: EngineSlots;
+  backEnds: BackEndTable;
+  random: Random;
+}
+
+/** The request that waits, as it stands at the moment of each question. */
+export interface WaitingRequest {
+  readonly timing: RequestTiming;
+  readonly isStream: boolean;
+  /** Its place in the queues of back ends, 0 first. */
+  urgency(now: number): number;
+  requirements(): Requirements;
+  /** A back end was sent to before. */
+  wasSent(): boolean;
+  /** Its caller has a part of the answer: it goes on. */
+  goesOn(): boolean;
+  /** Whether it can still end before this process does, if it is sent after `wait` milliseconds. */
+  canEnd(wait?: number): boolean;
+  /** Whether the budget has a repetition, where it would be one. */
+  mayBeSent(): boolean;
+}
+
+/** What comes of it. */
+export interface RequestWaitEvents {
+  /** It is to be sent there; with a claim, it has a slot. */
+  onChosen(selection: Selection, claim: SlotClaim | undefined): void;
+  /** No back end can take it; `capacity`: one may in so many milliseconds. */
+  onGivenUp(reason: string, capacity?: number): void;
+  /** This process has no time for it. */
+  onNoTime(): void;
+  /** A change of state, for logs. */
+  onNote(message: string, fields: object): void;
+}
+
+/** The wait of one request. */
+export class RequestWait {
+  readonly #components: RequestWaitComponents;
+  readonly #request: WaitingRequest;
+  readonly #events: RequestWaitEvents;
+  /** Its search for a slot of an engine. */
+  #seeker: SlotSeeker | undefined;
+  /** Since when it waits for capacity, in milliseconds of the steady clock. */
+  #heldSince: number | undefined;
+  /** Waits of this kind that it counts among, while it waits for one of many back ends to be free. */
+  #hold: HoldRecord | undefined;
+
+  constructor(components: RequestWaitComponents, request: WaitingRequest, events: RequestWaitEvents) {
+    this.#components = components;
+    this.#request = request;
+    this.#events = events;
+  }
+
+  /** True from a search, or the wait for capacity, until a back end is chosen or it is given up. */
+  get isUnderWay(): boolean {
+    return this.#seeker !== undefined || this.#heldSince !== undefined;
+  }
+
+  /** Looks for a back end. */
+  begin(): void {
+    if (!this.#request.canEnd()) return this.#events.onNoTime();
+    if (!this.#seekSlot()) this.#chooseWithoutSlot();
+  }
+
+  /** Looks again; called by the shared tick while it is under way. */
+  check(now: number): void {
+    if (this.#seeker === undefined) return this.begin();
+    if (!this.#request.canEnd()) return this.#events.onNoTime();
+    if (this.#seeker.isOver(now)) return this.#events.onGivenUp('back ends full');
+    this.#seeker.check(now);
+  }
+
+  /** Ends it, however the request goes on. */
+  end(how: HoldEnd): void {
+    this.#heldSince = undefined;
+    this.#endSearch();
+    this.#hold?.end(how);
+    this.#hold = undefined;
+  }
+
+  /** Looks for a slot of an engine; false where no agent is to be asked. */
+  #seekSlot(): boolean {
+    const { selector, backEnds, slots, random } = this.#components;
+    const { timing, requirements, wasSent, goesOn, urgency } = this.#request;
+    if (!selector.looksForSlot(requirements())) return false;
+    const now = performance.now();
+    this.#heldSince = undefined;
+    this.#seeker = new SlotSeeker({
+      slots,
+      table: backEnds,
+      random,
+      candidates: () => selector.slotCandidates(requirements()),
+      mayTake: (row) => selector.mayTakeSlot(row, requirements()),
+      urgency: goesOn() ? 0 : urgency(now),
+      arrivedAt: timing.arrivedAt,
+      endsAt: timing.waitsForSlotUntil(now, wasSent()),
+      onGranted: (row, claim, asked) => this.#takeSlot(row, claim, asked),
+      onWait: () => this.#onWaitForSlot(),
+      onNobody: () => {
+        this.#endSearch();
+        this.#chooseWithoutSlot();
+      },
+    });
+    this.#seeker.begin();
+    return true;
+  }
+
+  #takeSlot(row: BackEndRow, claim: SlotClaim, asked: number): void {
+    const selection = this.#components.selector.selectionOf(
+      row.record.id,
+      this.#request.requirements(),
+      0,
+      asked,
+    );
+    this.end('sent');
+    this.#events.onChosen(selection, claim);
+  }
+
+  /** No slot is free at once. One that comes again waits only where that has been worth it lately. */
+  #onWaitForSlot(): void {
+    if (this.#request.goesOn() || this.#request.wasSent() || this.#beginHold()) return;
+    this.#events.onGivenUp('back ends full');
+  }
+
+  #endSearch(): void {
+    this.#seeker?.cancel();
+    this.#seeker = undefined;
+  }
+
+  #chooseWithoutSlot(): void {
+    const selection = this.#components.selector.select(this.#request.requirements());
+    if (selection === undefined) return this.#holdOrGiveUp();
+    if (selection.expectedWait > this.#request.timing.longestWait(this.#request.wasSent()))
+      return this.#events.onGivenUp('back ends full');
+    this.end('sent');
+    this.#events.onChosen(selection, undefined);
+  }
+
+  /** Waits for capacity that is in sight; gives up at once where it is not. */
+  #holdOrGiveUp(): void {
+    const { timing, isStream, canEnd, goesOn, mayBeSent } = this.#request;
+    if (!mayBeSent()) return this.#events.onGivenUp('no budget');
+    const now = performance.now();
+    const service = this.#request.requirements().service;
+    const capacity = this.#components.selector.expectedCapacity(service);
+    const wasHeld = this.#heldSince !== undefined;
+    this.#heldSince ??= now;
+    // Where back ends serve, but none may take a request, one is free soon or not.
+    const holdsUntil = timing.holdsUntil(this.#heldSince);
+    const isInSight = capacity === undefined ? isStream : now + capacity < holdsUntil;
+    const mayWait = isInSight && now < holdsUntil && !goesOn();
+    if (!canEnd(capacity)) return this.#events.onNoTime();
+    const waits = mayWait && (wasHeld || capacity !== undefined || this.#beginHold());
+    if (waits) {
+      if (!wasHeld) this.#events.onNote('held', { capacityMs: Math.round(capacity ?? 0) });
+      return;
+    }
+    const excluded = this.#components.selector.exclusions(this.#request.requirements());
+    const heldMs = Math.round(now - this.#heldSince);
+    this.#events.onNote('no back end', { excluded, capacityMs: capacity, heldMs });
+    this.#events.onGivenUp('no back end', capacity);
+  }
+
+  /** Counts the wait of a request that comes again; false where it is not to wait. A first one waits for a moment only. */
+  #beginHold(): boolean {
+    if (!this.#request.timing.isLastChance || this.#hold !== undefined) return true;
+    const holds = this.#components.backEnds.holdsOf(this.#request.requirements().service);
+    if (!holds.allowsMore) return false;
+    holds.begin();
+    this.#hold = holds;
+    return true;
+  }
+}
