Guards of slots, of readers of the store and of limits

Cause: none of the new decisions had a guard that shows its test can fail. Change: eight guards; tests of what a process does with news of the store that another one read.

--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -126,3 +126,56 @@
     expect(fleet.versions.newest('model')?.notBefore).toBe(notBefore);
   });
 });
+
+describe('a process for which another one reads the store', () => {
+  /** News of the operator's table after revision `after`, as the reader passes them on. */
+  const news = (after: number, revision: number, value: string, key = 'configuration') => ({
+    table: 'operator' as const,
+    after,
+    revision,
+    storeTime: performance.now(),
+    since: performance.now() - 50,
+    rows: [{ table: 'operator', partition: '', key, value: Buffer.from(value), revision }],
+    holdsRemovalsFor: 0,
+  });
+
+  it('takes what it passes on, and asks the store for nothing', async () => {
+    sync.isReader = () => false;
+    await new Promise((resolve) => setTimeout(resolve, 1_200));
+    const asked = { ...store.calls };
+    sync.take(news(store.revision, store.revision + 1, '7'));
+    expect(fleet.configurationRevision).toBe(7);
+    await new Promise((resolve) => setTimeout(resolve, 400));
+    expect(store.calls).toEqual(asked);
+  });
+
+  it('reads the store itself where it has missed something', async () => {
+    sync.isReader = () => false;
+    await new Promise((resolve) => setTimeout(resolve, 1_200));
+    store.write('operator', 'configuration', '8');
+    sync.take(news(store.revision + 5, store.revision + 6, '9'));
+    expect(fleet.configurationRevision).toBe(1);
+    await until(() => fleet.configurationRevision === 8, 'what the store has');
+  });
+
+  it('dates a version by when the reader saw it', async () => {
+    sync.isReader = () => false;
+    await new Promise((resolve) => setTimeout(resolve, 1_200));
+    const passed = news(store.revision, store.revision + 1, '2', 'model');
+    sync.take(passed);
+    expect(fleet.versions.newest('model')).toMatchObject({ version: 2, notBefore: passed.since });
+  });
+
+  it('keeps back ends for as long as the reader does', async () => {
+    sync.isReader = () => false;
+    const { revision } = store;
+    sync.take({
+      ...news(revision, revision + 1, ''),
+      table: 'backEnds',
+      rows: [{ table: 'backEnds', partition: '', key: 'one', value: undefined, revision: revision + 1 }],
+      holdsRemovalsFor: 300,
+    });
+    expect(ids()).toEqual(['one', 'two']);
+    await until(() => ids().join() === 'two', 'the end of the hold');
+  });
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -420,7 +420,7 @@
   {
     fault: 'entries that start together do not hear one another',
     file: 'src/peers/entry-peers.ts',
-    find: 'this.#tellNewAddresses();',
+    find: 'this.#tellNewAddresses(row);',
     replace: '',
     test: 'test/peers/entry-peers.test.ts',
   },
@@ -473,6 +473,62 @@
     replace: '(source as NodeJS.Process).once(',
     test: 'test/model/stop-order.test.ts',
   },
+  {
+    fault: 'an engine gets more requests than it has slots',
+    file: 'src/systems/slot-table.ts',
+    find: 'this.#leases.size + this.#unleased < this.#slots',
+    replace: 'this.#waiting.size > 0',
+    test: 'test/systems/slot-table.test.ts',
+  },
+  {
+    fault: 'slots of an entry that has vanished stay taken',
+    file: 'src/systems/slot-table.ts',
+    find: 'for (const [id] of settled.slice(0, vanished)) this.#leases.delete(id);',
+    replace: '',
+    test: 'test/systems/slot-table.test.ts',
+  },
+  {
+    fault: 'requests that run without a slot do not count',
+    file: 'src/systems/slot-table.ts',
+    find: 'Math.max(0, load - this.#leases.size - this.#releasedAt.length)',
+    replace: '0',
+    test: 'test/systems/slot-table.test.ts',
+  },
+  {
+    fault: 'a silent agent is waited for',
+    file: 'src/systems/slot-search.ts',
+    find: 'now - askedAt >= SILENT_AFTER',
+    replace: 'false',
+    test: 'test/systems/slot-search.test.ts test/forwarding/slots.test.ts',
+  },
+  {
+    fault: 'slots are kept by requests that have ended',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: 'this.#claim?.release();',
+    replace: '',
+    test: 'test/forwarding/slots.test.ts',
+  },
+  {
+    fault: 'nobody takes over from a reader of the store that is silent',
+    file: 'src/systems/store-readers.ts',
+    find: 'if (place === 0) return true;',
+    replace: 'return place === 0;',
+    test: 'test/systems/store-readers.test.ts',
+  },
+  {
+    fault: 'news of the store are taken though some before them were missed',
+    file: 'src/fleet/table-follower.ts',
+    find: 'if (this.#hasGap) return;',
+    replace: '',
+    test: 'test/fleet/store-sync.test.ts',
+  },
+  {
+    fault: 'a limit that passed in a standstill ends its call before what came is read',
+    file: 'src/model/time-limit.ts',
+    find: 'if (!stoodStill) return onPassed();',
+    replace: 'return onPassed();',
+    test: 'test/model/time-limit.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
