Few ask the origin of weights, and keep no connections there

It accepts 48 connections; those of the askers stayed open, idle, and each draw of a piece was reset from 18.38 s on ("connect ECONNRESET", 250 of them), until the origin went away at 20.5 s: no entry held the version at 24 s, when it must serve at 26 s. Change: a manifest is asked of the origin by the entry whose turn it is to draw, the next ones 0.3 s later each; all others take it of whoever holds it, and are told at once. Agents ask entries alone for 1 to 2 s, the origin after 2.5 to 5 s. Calls to the origin close their connections. Agents of a zone turn to the origin for pieces a second after one another.

--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -27,6 +27,8 @@
   bytes?: Uint8Array;
   /** Sent besides the content type. */
   headers?: Record<string, string>;
+  /** The connection is closed after the answer: the server accepts few. */
+  closes?: boolean;
   signal: AbortSignal;
 }
 
@@ -70,6 +72,7 @@
     body: body as Buffer | string | undefined,
     headers: body === undefined ? call.headers : { 'content-type': contentType, ...call.headers },
     signal: call.signal,
+    reset: call.closes === true,
     dispatcher: poolOf(new URL(call.url).origin),
   });
 }
--- a/src/weights/agent-sources.ts
+++ b/src/weights/agent-sources.ts
@@ -21,6 +21,8 @@
 const FAR_PATIENCE = 2_000;
 const OBJECT_PARALLEL = 2;
 const ORIGIN_PATIENCE = 6_000;
+/** Each agent of a zone turns to the origin this much later, in milliseconds: it accepts some 50 connections of all. */
+const ORIGIN_STEP = 1_000;
 const ORIGIN_PARALLEL = 2;
 
 /** What the sources are made of. */
@@ -76,7 +78,7 @@
     originSource({
       origin: originAt(plan.origin),
       version: manifest,
-      patience: ORIGIN_PATIENCE * impatience,
+      patience: ORIGIN_PATIENCE * impatience + ORIGIN_STEP * plan.position,
       parallel: ORIGIN_PARALLEL,
       batchTime: ORIGIN_LIMIT,
       mayDraw: () => true,
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -95,6 +95,8 @@
 
 interface Collection {
   version: WeightsVersion;
+  /** When it began, in milliseconds of the steady clock. */
+  begunAt: number;
   stopped: AbortController;
   held: HeldWeights | undefined;
   /** Parts that are known to lie in the object store. */
@@ -161,6 +163,7 @@
   #begin(key: string, version: WeightsVersion): void {
     const collection: Collection = {
       version,
+      begunAt: performance.now(),
       stopped: new AbortController(),
       held: undefined,
       stored: new Set(),
@@ -181,11 +184,12 @@
       if (signal.aborted) return;
     }
     void this.#list(collection, signal);
-    const manifest = await this.#manifest(collection.version, signal);
+    const manifest = await this.#manifest(collection, signal);
     if (manifest === undefined) return;
     const held = library.open(manifest);
     collection.held = held;
-    onHeldChanged(false);
+    // All others wait for the manifest of whoever draws.
+    onHeldChanged(this.#place(collection).overall <= QUICK_STAND_INS);
     const fetcher = new PieceFetcher({
       held,
       library,
@@ -211,10 +215,22 @@
     return records.filter(({ service }) => fleet.routes?.service(service)?.engine !== undefined).length;
   }
 
-  #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
+  #manifest(collection: Collection, signal: AbortSignal): Promise<PieceManifest | undefined> {
     const { library, objects } = this.#options;
-    const processes = () => this.#peersHolding(version).map(({ address }) => address);
-    return findManifest(version, { library, processes, origin: () => this.#origin(), objects }, signal);
+    const { version, begunAt } = collection;
+    const age = () => performance.now() - begunAt;
+    const mayAskOrigin = () => age() >= drawPatience(this.#place(collection).overall);
+    const mayAskObjects = () => age() >= this.#place(collection).inZone * STAND_IN_PATIENCE;
+    return findManifest(
+      version,
+      {
+        library,
+        processes: () => this.#peersHolding(version).map(({ address }) => address),
+        origin: () => (mayAskOrigin() ? this.#origin() : undefined),
+        objects: () => (mayAskObjects() ? objects : undefined),
+      },
+      signal,
+    );
   }
 
   #sources(collection: Collection, held: HeldWeights): PieceSource[] {
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -48,6 +48,12 @@
 const FIRST_FETCH = 4_000;
 /** Report at once when the expected time of the switch has moved by this much, in milliseconds. */
 const TOLD_SWITCH_STEP = 400;
+/**
+ * An agent asks entries alone for a manifest until this long, in milliseconds times its impatience (1 to 2): they have it
+ * within 0.3 s of the naming where the origin answers. Where no entry is known the object store is asked at once.
+ */
+const MANIFEST_OBJECT_PATIENCE = 1_000;
+const MANIFEST_ORIGIN_PATIENCE = 2_500;
 /** A fetch without a piece for this long is stalled and lets the next version go first, in milliseconds. */
 const STALLED = 700;
 
@@ -298,13 +304,24 @@
 
   #manifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
     const { library, objects, originAt } = this.#options;
+    const startedAt = performance.now();
     const isHolder = ({ held }: { held: HeldPieces[] }) => held.some((one) => keyOf(one) === keyOf(version));
-    const processes = () => (this.#plan?.holders ?? []).filter(isHolder).map(({ address }) => address);
+    const isPatienceOver = (patience: number) => performance.now() - startedAt >= patience * this.#impatience;
     const origin = () => {
       const address = this.#plan?.origin ?? '';
-      return address === '' ? undefined : originAt(address);
+      return address === '' || !isPatienceOver(MANIFEST_ORIGIN_PATIENCE) ? undefined : originAt(address);
     };
-    return findManifest(version, { library, processes, origin, objects }, signal);
+    const hasEntries = () => (this.#plan?.entries.length ?? 0) > 0;
+    return findManifest(
+      version,
+      {
+        library,
+        processes: () => (this.#plan?.holders ?? []).filter(isHolder).map(({ address }) => address),
+        origin,
+        objects: () => (!hasEntries() || isPatienceOver(MANIFEST_OBJECT_PATIENCE) ? objects : undefined),
+      },
+      signal,
+    );
   }
 
   #sources({ manifest }: HeldWeights): PieceSource[] {
--- a/src/weights/manifest-search.ts
+++ b/src/weights/manifest-search.ts
@@ -16,9 +16,13 @@
   library: WeightsLibrary;
   /** Addresses of processes of the system that hold something of the version; read anew at each round. */
   processes: () => string[];
-  /** The origin of weights, where one is known; read anew at each round. */
+  /**
+   * The origin of weights, where one is known and it is this process's turn to ask it; read anew at each round. It accepts
+   * few connections: if 100 entries and their agents ask it at once, it turns away whoever is to draw the pieces.
+   */
   origin: () => PieceOrigin | undefined;
-  objects: ObjectStore;
+  /** The object store, where it is this process's turn to ask it; read anew at each round. */
+  objects: () => ObjectStore | undefined;
 }
 
 /** Asks everybody in turn until the manifest is found; undefined only at `signal`. */
@@ -37,7 +41,8 @@
     }
     const drawn = await origin()?.manifest(version, limit());
     if (drawn?.ok) return drawn.value;
-    const stored = await fetchStoredManifest(objects, version, limit());
+    const store = objects();
+    const stored = store && (await fetchStoredManifest(store, version, limit()));
     if (stored !== undefined) return stored;
     await sleep(PAUSE, signal);
   }
