A slot of an engine that has gone is not used; a fault ends one request; pieces of a silent holder are drawn again

Change: (1) A grant counts only while its engine is listed. A fault in what a slot or the shared tick calls ends its request, with a line in the log, not the process. (2) Without a piece for 0.7 s the first entries in the order draw whatever is missing, a step later each, four at the most; a batch that has not come after 0.8 s (before: 1.5 s) is asked of another source too.

--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -163,8 +163,9 @@
     return managed > 0 && (others === 0 || this.#random.below(managed + others) < managed);
   }
 
-  /** Whether `row` may take the request, with a slot of it. */
+  /** Whether `row` may take the request, with a slot of it; it may have gone from the list since it was asked. */
   mayTakeSlot(row: BackEndRow, requirements: Requirements): boolean {
+    if (this.#table.rows.get(row.record.id) !== row) return false;
     return this.#exclusion(row, { ...requirements, mayQueue: true }, performance.now()) === undefined;
   }
 
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -176,6 +176,7 @@
       onChosen: (selection, claim) => this.#send(selection, claim),
       onGivenUp: (reason, capacity) => this.#giveUp(reason, capacity),
       onNoTime: () => this.#refuseForStop(),
+      onFault: (cause) => this.abandon(cause),
       onNote: (message, fields) => this.#log(message, fields),
     });
   }
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -209,12 +209,21 @@
   #check(): void {
     const now = performance.now();
     this.#standstills.tick(now);
-    for (const request of this.#active) request.check(now, this.#standstills);
+    for (const request of this.#active) this.#checkOne(request, now);
     if (this.#active.size > 0) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
   }
 
+  /** A fault at one request ends that one. */
+  #checkOne(request: ForwardedRequest, now: number): void {
+    try {
+      request.check(now, this.#standstills);
+    } catch (cause) {
+      request.abandon(cause);
+    }
+  }
+
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
     if (!this.#arrivedAfterOrder(request)) this.#lingersSince = performance.now();
--- a/src/forwarding/request-wait.ts
+++ b/src/forwarding/request-wait.ts
@@ -43,6 +43,8 @@
   onGivenUp(reason: string, capacity?: number): void;
   /** This process has no time for it. */
   onNoTime(): void;
+  /** A fault of this process. */
+  onFault(cause: unknown): void;
   /** A change of state, for logs. */
   onNote(message: string, fields: object): void;
 }
@@ -114,6 +116,7 @@
         this.#endSearch();
         this.#chooseWithoutSlot();
       },
+      onFault: (cause) => this.#events.onFault(cause),
     });
     this.#seeker.begin();
     return true;
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -25,6 +25,8 @@
   onWait: () => void;
   /** No agent is left that may grant a slot. */
   onNobody: () => void;
+  /** A fault of this process: it ends one request, not the process. */
+  onFault: (cause: unknown) => void;
 }
 
 /** The search for a slot of one request. */
@@ -71,8 +73,10 @@
 
   #widen(): void {
     if (this.#isOver) return;
-    this.#options.onWait();
-    if (!this.#isOver) this.#ask(performance.now());
+    this.#guard(() => {
+      this.#options.onWait();
+      if (!this.#isOver) this.#ask(performance.now());
+    });
   }
 
   #ask(now: number): void {
@@ -94,7 +98,7 @@
     const claim = slots.ask(agent.address, wish, {
       onGranted: () => {
         agent.noteAnswer();
-        this.#take(row);
+        this.#guard(() => this.#take(row));
       },
       onQueued: () => {
         agent.noteAnswer();
@@ -102,16 +106,24 @@
       },
       onRefused: () => {
         agent.noteAnswer();
-        this.#goElsewhere(id);
+        this.#guard(() => this.#goElsewhere(id));
       },
       onUnready: () => {
         agent.noteUnready(performance.now());
-        this.#goElsewhere(id);
+        this.#guard(() => this.#goElsewhere(id));
       },
     });
     this.#claims.set(id, claim);
   }
 
+  #guard(handle: () => void): void {
+    try {
+      handle();
+    } catch (cause) {
+      this.#options.onFault(cause);
+    }
+  }
+
   /** Waits at this engine no more. */
   #giveBack(id: string): void {
     this.#claims.get(id)?.release();
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -14,7 +14,7 @@
 import type { Log } from '../observability/log.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
 import type { EntryReport, HeldPieces } from '../peers/reports.js';
-import { holdsCopy, parentOf } from '../systems/copy-spread.js';
+import { holdsCopy, isDrawn, parentOf } from '../systems/copy-spread.js';
 import {
   type HeldWeights,
   keyOf,
@@ -46,8 +46,8 @@
 /** Time for a batch from another process, and for a piece of the origin, in milliseconds. */
 const BATCH_LIMIT = 2_000;
 const ORIGIN_LIMIT = 1_500;
-/** A piece that is on its way for longer is asked of another source as well, in milliseconds. */
-const OVERDUE = 1_500;
+/** A piece that is on its way for longer is asked of another source as well, in milliseconds: a batch takes 0.1 to 0.7 s. */
+const OVERDUE = 800;
 /** Pieces of one answer of an entry, and of an agent whose link is narrow. */
 const ENTRY_BATCH = 12;
 const AGENT_BATCH = 2;
@@ -99,6 +99,7 @@
   begunAt: number;
   stopped: AbortController;
   held: HeldWeights | undefined;
+  fetcher: PieceFetcher | undefined;
   /** Parts that are known to lie in the object store. */
   stored: Set<number>;
   /** True once the object store has said what it has. */
@@ -166,6 +167,7 @@
       begunAt: performance.now(),
       stopped: new AbortController(),
       held: undefined,
+      fetcher: undefined,
       stored: new Set(),
       isListed: false,
       listedAt: Number.NEGATIVE_INFINITY,
@@ -190,7 +192,7 @@
     collection.held = held;
     // All others wait for the manifest of whoever draws.
     onHeldChanged(this.#place(collection).overall <= QUICK_STAND_INS);
-    const fetcher = new PieceFetcher({
+    collection.fetcher = new PieceFetcher({
       held,
       library,
       sources: () => this.#sources(collection, held),
@@ -199,7 +201,7 @@
       random,
       log,
     });
-    await fetcher.run(signal);
+    await collection.fetcher.run(signal);
     if (signal.aborted) return;
     await this.#keepStored(collection, held, signal);
   }
@@ -296,6 +298,7 @@
     const isElsewhere = (index: number) =>
       storedPieces.has(index) || holders.some(({ have }) => have.has(index));
     const isServed = this.#options.servedVersions().some((served) => keyOf(served) === keyOf(version));
+    const quietFor = performance.now() - (collection.fetcher?.progressAt ?? collection.begunAt);
     // What another entry has drawn comes from there; drawing beside it would halve the rate of both.
     const isDrawnElsewhere = place.overall > 0 && holders.some(({ have }) => have.size > 0);
     const patience =
@@ -309,7 +312,7 @@
         patience,
         parallel: ORIGIN_PARALLEL,
         batchTime: ORIGIN_LIMIT,
-        mayDraw: (index) => collection.isListed && !isElsewhere(index),
+        mayDraw: (index) => collection.isListed && isDrawn(isElsewhere(index), quietFor, place.overall),
         offset: Math.floor(((place.overall * DRAW_STRIDE) % 1) * manifest.digests.length),
       }),
     );
--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { seededRandom } from '../../src/model/random.js';
 import { SlotClient } from '../../src/peers/slot-client.js';
 import { SlotServer } from '../../src/peers/slot-server.js';
@@ -56,10 +57,10 @@
   return { backEnd, agent, address };
 }
 
-function tell({ backEnd, address }: Engine, isSwitching = false): void {
+function tell({ backEnd, address }: Engine, isSwitching = false, entry = forwarding): void {
   const toldAt = performance.now();
   const switchAt = Number.POSITIVE_INFINITY;
-  forwarding.backEnds.takeNews(backEnd.address, {
+  entry.backEnds.takeNews(backEnd.address, {
     version: 1,
     isReached: true,
     isSwitching,
@@ -70,6 +71,16 @@
   });
 }
 
+function list(entry: ForwardingHarness): void {
+  const layers = { from: 0, end: 4, version: 1 };
+  const listed = engines.map(({ backEnd }, index): Parameters<ForwardingHarness['list']>[0] => [
+    `engine-${index}`,
+    backEnd,
+    { slots: SLOTS, layers },
+  ]);
+  entry.list(...listed);
+}
+
 function answerAll(): void {
   for (const answer of held.splice(0)) answer();
 }
@@ -86,14 +97,7 @@
   forwarding = new ForwardingHarness('engines');
   forwarding.slots = client;
   await forwarding.start(CONFIGURATION);
-  const layers = { from: 0, end: 4, version: 1 };
-  forwarding.list(
-    ...engines.map(({ backEnd }, index): Parameters<ForwardingHarness['list']>[0] => [
-      `engine-${index}`,
-      backEnd,
-      { slots: SLOTS, layers },
-    ]),
-  );
+  list(forwarding);
   for (const engine of engines) tell(engine);
 });
 
@@ -159,6 +163,27 @@
   expect((await Promise.all(answers)).map(({ status }) => status)).toEqual(answers.map(() => 200));
 });
 
+it('a slot of an engine that has gone from the list meanwhile is not used', async () => {
+  const asked: SlotAnswers[] = [];
+  const other = new ForwardingHarness('engines');
+  other.slots = {
+    ask(_agent, _wish, answers) {
+      asked.push(answers);
+      return { release: () => {} };
+    },
+  };
+  await other.start(CONFIGURATION);
+  list(other);
+  for (const engine of engines) tell(engine, false, other);
+  const sent = other.send('/write/a');
+  await until(() => asked.length === 2, 'both engines to be asked');
+  other.list();
+  for (const answers of asked) answers.onGranted();
+  expect((await sent).status).toBe(503);
+  expect(requests()).toBe(0);
+  await other.stop();
+});
+
 it('a request that gets no slot in its time is refused, and told when to come back', async () => {
   const taken = Array.from({ length: 2 * SLOTS }, () => forwarding.send('/write/a'));
   await until(() => requests() === 2 * SLOTS, 'all slots to be taken');
--- a/test/systems/copy-spread.test.ts
+++ b/test/systems/copy-spread.test.ts
@@ -1,6 +1,6 @@
 /** A version over the entries of one zone: no link carries a copy for each of them. */
 import { describe, expect, it } from 'vitest';
-import { holdsCopy, parentOf } from '../../src/systems/copy-spread.js';
+import { holdsCopy, isDrawn, parentOf } from '../../src/systems/copy-spread.js';
 
 const ENTRIES = 20;
 const PLACES = Array.from({ length: ENTRIES }, (_, place) => place);
@@ -23,4 +23,11 @@
     expect(PLACES.filter((place) => holdsCopy(place, 3))).toHaveLength(3);
     expect(holdsCopy(0, 0)).toBe(true);
   });
+
+  it('is drawn where nobody has it, or where nothing comes of those that are said to', () => {
+    expect(isDrawn(false, 0, 9)).toBe(true);
+    expect([0, 1, 2].map((place) => isDrawn(true, 500, place))).toEqual([false, false, false]);
+    expect([0, 1, 2].map((place) => isDrawn(true, 1_500, place))).toEqual([true, true, false]);
+    expect(isDrawn(true, 60_000, 4)).toBe(false);
+  });
 });
