--- a/src/systems/copy-spread.ts
+++ b/src/systems/copy-spread.ts
@@ -7,7 +7,7 @@
 
 /** Entries that take pieces of the same one. Three copies of 2.4 MB over 40 Mbit/s are 1.4 s; 20 entries are 3 steps deep. */
 const CHILDREN = 3;
-/** Engines that one entry's copy serves: an entry's link carries four times as much as an agent's, or more. */
+/** Engines that one entry's copy serves: by the users' sheets an entry's link carries four times as much as an agent's. */
 const ENGINES_OF_HOLDER = 3;
 /** Entries that hold a copy besides, so that some may be lost. */
 const SPARE_HOLDERS = 2;
--- a/src/systems/slot-search.ts
+++ b/src/systems/slot-search.ts
@@ -3,19 +3,21 @@
  *
  * The load that this answers is that of the slot table: entries that cannot know what the others have just sent. Two agents
  * are asked, of the own zone where there is no reason against it, by chance among those that nothing tells apart, and the
- * first slot is taken; where none is free within a moment the zone is busy, and others are asked beside them, elsewhere too. Four to five in all bring what six do: a request goes to the first
- * of them with a free slot. Times are in milliseconds of the steady clock.
+ * first slot is taken. Where none is free within a moment the zone is busy, and others are asked beside them, elsewhere too:
+ * five in all, as more brought nothing in virtual time. Times are in milliseconds of the steady clock.
  */
 import type { Random } from '../model/random.js';
 
-/** Agents that are asked first. Fewer leave slots empty that others wait for; each one more is a message pair more. */
+/** Agents that are asked first. Chosen: one alone would leave slots empty that others wait for; each is a message pair. */
 const FIRST_ASKED = 2;
 /** Agents that are asked besides, once none of the first had a slot: one of the own zone, the others elsewhere. */
 const NEAR_ASKED_LATER = 1;
 const FAR_ASKED_LATER = 2;
-/** More agents are asked after this: above a message pair between zones, 4 ms measured, and a busy agent's turn. */
+/** More agents are asked after this. Chosen, above a message pair between zones (4 ms by the users' sheets) and the turn of
+ * a busy agent. */
 const WIDEN_AFTER = 25;
-/** An agent that has not said a word after this is taken for silent: agents answer within 10 ms, beside a fetch 60. */
+/** An agent that has not said a word after this is taken for silent. Chosen, above the 100 ms that two pieces of weights
+ * take on an agent's link. */
 const SILENT_AFTER = 120;
 
 /** An engine whose agent may be asked. */
