An entry refuses batches of weights that its link cannot carry soon; reports are signs of life

Besides, entries ping one another every 2 s between reports: reckoned, 9,900 pings a second among 100 entries, three times as many messages as reports. Change: systems/upload-limit: batches for entries beyond 2 MB on their way are refused at once; those for agents are small and are not; entries take different pieces first. A connection is asked for a sign of life only when a report is overdue.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -23,19 +23,11 @@
 import { lacksAddresses, toldInTurn, toldOfNew } from '../systems/address-gossip.js';
 import type { EntriesKnown } from '../systems/entry-retry-window.js';
 import { Dialling } from './dialling.js';
-import { REPORT_TICK, reportInterval, reportLife, signRarity } from './report-rate.js';
+import { REPORT_TICK, reportInterval, reportLife, signTime, silenceLimit } from './report-rate.js';
 import type { EntryReport } from './reports.js';
 
 /** Longest time between two tries to reach an entry, in milliseconds. */
 const LONGEST_REDIAL = 4_000;
-/**
- * A connection on which nothing came for this long is replaced, in milliseconds: two signs of life are missing. With the
- * next look and a new connection it stays below the 3 s after which a process counts as in touch again, and among a hundred
- * entries, where signs are half as frequent, below the 5 s that the users give there.
- */
-const SILENCE_LIMIT = 2_300;
-/** A sign of life is asked for after this long without one, in milliseconds: timers may be early by some milliseconds. */
-const SIGN_TIME = 900;
 /** Time between two tellings of all addresses, to all or to some, in milliseconds. */
 const ADDRESSES_INTERVAL = 2_000;
 /**
@@ -188,11 +180,13 @@
   }
 
   /** A connection may go silent for good, without an end or a reset, while new ones work. */
-  #endSilent({ connection, address }: PeerRow): void {
+  #endSilent(row: PeerRow): void {
+    const { connection, address } = row;
     if (connection === undefined) return;
-    const rarity = signRarity(this.#rows.size);
-    connection.quietTime = SIGN_TIME * rarity;
-    if (connection.quietFor <= SILENCE_LIMIT * rarity) return;
+    const isNear = this.#isNear(row);
+    connection.quietTime = signTime(isNear, this.#rows.size);
+    connection.silenceLimit = silenceLimit(isNear, this.#rows.size);
+    if (connection.quietFor <= connection.silenceLimit) return;
     this.#options.log.info('entry silent', { address, silentMs: Math.round(connection.quietFor) });
     connection.close();
   }
--- a/src/peers/report-rate.ts
+++ b/src/peers/report-rate.ts
@@ -26,11 +26,29 @@
 /** Time between two looks at which reports are due, in milliseconds. */
 export const REPORT_TICK = NEAR_INTERVAL;
 
-/** Signs of life are as frequent as between few up to this many other entries, and half as frequent from twice as many on. */
-const FREQUENT_SIGNS = 50;
-const RAREST_SIGNS = 2;
+/** A sign of life is asked for after this long without a message, in milliseconds: timers may be early by some milliseconds. */
+const SIGN_TIME = 900;
+/** The same in intervals of reports, which are signs of life themselves: none is asked for while they come. */
+const SIGN_INTERVALS = 1.2;
+/**
+ * A connection on which nothing came for this long is replaced, in milliseconds: two signs of life are missing. With the next
+ * look and a new connection it stays below the 3 s after which a process counts as in touch again, and to others of the zone, who
+ * pass on what the store says, below the 5 s that the users give where there are a hundred entries.
+ */
+const SILENCE_LIMIT = 2_300;
+/** The same in intervals of reports. */
+const SILENCE_INTERVALS = 2.2;
+
+/**
+ * Time without a message after which one of `peerCount` other entries is asked for a sign of life, in milliseconds. Asked every
+ * 2 s whatever the reports were, 100 entries sent 9,900 such messages a second, three times as many as reports (reckoned from
+ * the intervals).
+ */
+export function signTime(isNear: boolean, peerCount: number): number {
+  return Math.max(SIGN_TIME, SIGN_INTERVALS * reportInterval(isNear, peerCount));
+}
 
-/** How much rarer signs of life are asked for among `peerCount` other entries: with 99, each would ask for 70 a second. */
-export function signRarity(peerCount: number): number {
-  return Math.min(RAREST_SIGNS, Math.max(1, peerCount / FREQUENT_SIGNS));
+/** Time without a message after which the connection to one of `peerCount` other entries is replaced, in milliseconds. */
+export function silenceLimit(isNear: boolean, peerCount: number): number {
+  return Math.max(SILENCE_LIMIT, SILENCE_INTERVALS * reportInterval(isNear, peerCount));
 }
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -16,7 +16,8 @@
 const HEARTBEAT_INTERVAL = 1_000;
 /** A sign of life is asked for after this long without one, in milliseconds: timers may be early by some milliseconds. */
 const QUIET_TIME = 900;
-/** A connection on which nothing came for this long while this process ran is ended, in milliseconds. */
+/** A connection on which nothing came for this long while this process ran is ended, unless its owner says otherwise, in
+ * milliseconds. */
 const SILENCE_LIMIT = 3_500;
 /** Time for the other side's hello, in milliseconds. */
 const HELLO_TIMEOUT = 2_000;
@@ -84,6 +85,8 @@
   readonly remote: HelloMessage;
   /** A sign of life is asked for after this long without one, in milliseconds. */
   quietTime = QUIET_TIME;
+  /** It is ended after this long without anything from the other side while this process ran, in milliseconds. */
+  silenceLimit = SILENCE_LIMIT;
   onClose: () => void = () => {};
   /** Called when the other side has answered a sign of life that was sent at the given time. */
   onConfirmed: (sentAt: number) => void = () => {};
@@ -122,7 +125,7 @@
 
   /**
    * Time since anything came in which this process ran, in milliseconds; the side that dialled sees to it that something
-   * does every second.
+   * does whenever it has been quiet for `quietTime`.
    */
   get quietFor(): number {
     return heartbeats.runningTime(this.#heardAt, performance.now());
@@ -232,7 +235,7 @@
   }
 
   #isSilent(now: number): boolean {
-    return heartbeats.runningTime(this.#heardAt, now) > SILENCE_LIMIT;
+    return heartbeats.runningTime(this.#heardAt, now) > this.silenceLimit;
   }
 
   /** Ends the connection unless something waits to be read: timers come before what has arrived meanwhile. */
--- a/src/weights/agent-sources.ts
+++ b/src/weights/agent-sources.ts
@@ -2,6 +2,7 @@
 import type { ObjectStore } from '../clients/object-store.js';
 import { ChunkSet } from '../model/chunk-set.js';
 import type { WeightsPlan } from '../peers/reports.js';
+import { SMALL_BATCH } from '../systems/upload-limit.js';
 import { keyOf, type PieceManifest } from './held-weights.js';
 import type { PieceOriginFactory, PieceSource } from './piece-source.js';
 import { holds, objectSource, originSource, partsOf, processSource } from './piece-sources.js';
@@ -9,8 +10,6 @@
 /** Asking for a piece again while it is on its way would fill a narrow link with copies: it has until this, in milliseconds. */
 export const BATCH_LIMIT = 4_000;
 const ORIGIN_LIMIT = 4_000;
-/** Pieces of one answer of an entry. */
-export const ENTRY_BATCH = 3;
 /**
  * Without a piece for this long, in milliseconds times `impatience`, the object store, far entries and the origin are
  * asked too. Links between regions carry about one copy a second: agents at the store would delay the entries, on whose
@@ -54,7 +53,7 @@
         has: holds(ChunkSet.fromBytes(there.count, there.have)),
         patience: isNear ? 0 : FAR_PATIENCE * impatience,
         parallel: 1,
-        batchSize: ENTRY_BATCH,
+        batchSize: SMALL_BATCH,
         batchTime: BATCH_LIMIT,
         offset,
       }),
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -241,10 +241,11 @@
     const place = this.#place(collection);
     const standIn = place.inZone * STAND_IN_PATIENCE;
     const sources: PieceSource[] = [];
+    const { objects, self, peers } = this.#options;
     const holders = this.#holders(version);
     const parent = place.parent;
     for (const { peer, have } of holders) {
-      const isNear = peer.zone === this.#options.self.zone;
+      const isNear = peer.zone === self.zone;
       const nearPatience = parent === undefined || peer.id === parent ? 0 : NEAR_PATIENCE;
       sources.push(
         processSource({
@@ -256,11 +257,12 @@
           parallel: 2,
           batchSize: ENTRY_BATCH,
           batchTime: BATCH_LIMIT,
+          // Entries take different pieces first, which they then have for one another.
+          offset: hash32(self.id),
         }),
       );
     }
     const stored = this.#storedParts(collection);
-    const { objects, self, peers } = this.#options;
     const isAlone = !peers().some(({ zone }) => zone === self.zone);
     sources.push(
       objectSource({
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -13,7 +13,8 @@
 import type { Log } from '../observability/log.js';
 import type { EngineReport, HeldPieces, WeightsPlan } from '../peers/reports.js';
 import type { ObservedEngine } from '../systems/slot-table.js';
-import { agentSources, BATCH_LIMIT, ENTRY_BATCH } from './agent-sources.js';
+import { SMALL_BATCH } from '../systems/upload-limit.js';
+import { agentSources, BATCH_LIMIT } from './agent-sources.js';
 import { EngineStage } from './engine-stage.js';
 import { EngineSwitch } from './engine-switch.js';
 import {
@@ -39,7 +40,7 @@
 const TOLD_LOAD_STEP = 3;
 const CALL_LIMIT = 1_000;
 /** Fetch rates: an engine without weights leaves its whole link to the fetch, one that serves shares it with requests. */
-const IDLE_PACE: FetchPace = { open: 2, batch: ENTRY_BATCH, share: 1 };
+const IDLE_PACE: FetchPace = { open: 2, batch: SMALL_BATCH, share: 1 };
 const SERVING_PACE: FetchPace = { open: 2, batch: 1, share: 1 };
 /** Above this time per piece the link is narrow, in milliseconds: several pieces at a time would delay requests. */
 const SLOW_PIECE = 250;
--- a/src/weights/piece-server.ts
+++ b/src/weights/piece-server.ts
@@ -1,13 +1,20 @@
 /** Serves what a process holds of weights to the system's other processes. */
+import type { ServerResponse } from 'node:http';
 import Router from '@koa/router';
+import { UploadLimit } from '../systems/upload-limit.js';
 import type { HeldWeights, WeightsLibrary } from './held-weights.js';
 
 /** Paths below which pieces are served. */
 const PREFIX = '/weights';
+/** What a process answers that sends as much as its link carries soon. */
+export const BUSY = 503;
+/** A batch counts as on its way for this long at the most, in milliseconds: whoever asked has given it up by then. */
+const LONGEST_UPLOAD = 4_000;
 
 /** Routes that serve the manifests and pieces in `library`. */
 export function pieceRoutes(library: WeightsLibrary): Router {
   const router = new Router({ prefix: PREFIX });
+  const uploads = new UploadLimit();
   const held = (parameters: Record<string, string>) =>
     library.of({ model: parameters.model, version: Number(parameters.version) });
   router.get('/:model/:version/manifest', (context) => {
@@ -19,12 +26,32 @@
     const found = held(context.params);
     const pieces = found && piecesOf(found, context.params.indexes);
     if (pieces === undefined) return;
+    if (!beginUpload(uploads, pieces, context.res)) {
+      context.status = BUSY;
+      return;
+    }
     context.type = 'application/octet-stream';
     context.body = Buffer.concat(pieces);
   });
   return router;
 }
 
+/** Counts a batch until `response` has closed, as an answer that was sent or given up does; false where it is one too many. */
+function beginUpload(uploads: UploadLimit, pieces: readonly Buffer[], response: ServerResponse): boolean {
+  const bytes = pieces.reduce((sum, { byteLength }) => sum + byteLength, 0);
+  if (!uploads.begin(pieces.length, bytes)) return false;
+  const end = () => {
+    clearTimeout(timer);
+    response.off('close', end);
+    uploads.end(pieces.length, bytes);
+  };
+  // A connection that has gone silent does not close.
+  const timer = setTimeout(end, LONGEST_UPLOAD);
+  timer.unref();
+  response.on('close', end);
+  return true;
+}
+
 /** Path of the manifest of a version. */
 export function manifestPath(model: string, version: number): string {
   return `${PREFIX}/${encodeURIComponent(model)}/${version}/manifest`;
--- a/src/weights/piece-sources.ts
+++ b/src/weights/piece-sources.ts
@@ -5,7 +5,7 @@
 import { failure, type Result, success } from '../model/result.js';
 import type { PieceManifest, WeightsVersion } from './held-weights.js';
 import { keyOf } from './held-weights.js';
-import { manifestPath, piecesPath } from './piece-server.js';
+import { BUSY, manifestPath, piecesPath } from './piece-server.js';
 import type { PieceOrigin, PieceSource, PieceSourceError, Pieces } from './piece-source.js';
 
 /** Objects into which the pieces of a version are put together. */
@@ -39,6 +39,7 @@
       const url = `http://${address}${piecesPath(manifest.model, manifest.version, batch)}`;
       const answer = await callHttp({ service: 'pieces', method: 'GET', url, signal });
       if (!answer.ok) return failed('reason' in answer.error ? answer.error.reason : answer.error.type);
+      if (answer.value.status === BUSY) return failed('busy');
       if (answer.value.status !== 200) return failed(`status ${answer.value.status}`);
       return success(split(answer.value.body, batch, manifest.pieceBytes));
     },
--- /dev/null
+++ b/test/weights/piece-server.test.ts
@@ -0,0 +1,64 @@
+/** Pieces served to the system's other processes. */
+import { get, type IncomingMessage } from 'node:http';
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import { digestOf } from '../../src/model/manifest.js';
+import { httpServer, listenerOf } from '../../src/server/http-server.js';
+import { SMALL_BATCH } from '../../src/systems/upload-limit.js';
+import { type PieceManifest, WeightsLibrary } from '../../src/weights/held-weights.js';
+import { BUSY, pieceRoutes, piecesPath } from '../../src/weights/piece-server.js';
+import { until } from '../support.js';
+
+/** A batch is more than the sockets of this machine hold for a reader that has stopped. */
+const PIECE_BYTES = 2_000_000;
+const PIECES = 12;
+const ALL = [...Array(PIECES).keys()];
+const pieceOf = (index: number) => Buffer.alloc(PIECE_BYTES, index);
+
+let address: string;
+let server: ReturnType<typeof httpServer>;
+
+beforeEach(async () => {
+  address = await freeAddress();
+  const library = new WeightsLibrary();
+  const digests = ALL.map((index) => digestOf(pieceOf(index)));
+  const manifest: PieceManifest = { model: 'm', version: 1, pieceBytes: PIECE_BYTES, digests };
+  const held = library.open(manifest);
+  for (const index of ALL) library.add(held, index, pieceOf(index));
+  server = httpServer(address, listenerOf(pieceRoutes(library)));
+  await server.start();
+});
+
+afterEach(() => server.stop());
+
+/** Asks for a batch, of which nothing is read until the test does. */
+function ask(pieces: readonly number[]): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    get(`http://${address}${piecesPath('m', 1, pieces)}`, resolve).on('error', reject);
+  });
+}
+
+it('a large batch is refused at once while as much is on its way as the link carries soon', async () => {
+  const first = await ask(ALL);
+  expect(first.statusCode).toBe(200);
+  expect((await ask(ALL)).statusCode).toBe(BUSY);
+  const small = await ask(ALL.slice(0, SMALL_BATCH));
+  expect(small.statusCode).toBe(200);
+  small.destroy();
+  first.destroy();
+});
+
+it('a batch counts no more once it was read, or given up', async () => {
+  for (const end of [
+    (answer: IncomingMessage) => answer.resume(),
+    (answer: IncomingMessage) => answer.destroy(),
+  ]) {
+    end(await ask(ALL));
+    const isServed = async () => {
+      const next = await ask(ALL);
+      next.destroy();
+      return next.statusCode === 200;
+    };
+    await until(isServed, 'the next batch to be served');
+  }
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -550,6 +550,20 @@
     replace: 'row.dialAt = now;',
     test: 'test/peers/entry-peers.test.ts',
   },
+  {
+    fault: 'signs of life are asked for between reports',
+    file: 'src/peers/report-rate.ts',
+    find: 'return Math.max(SIGN_TIME, SIGN_INTERVALS * reportInterval(isNear, peerCount));',
+    replace: 'return SIGN_TIME;',
+    test: 'test/peers/report-rate.test.ts',
+  },
+  {
+    fault: 'an entry sends weights to all others of its zone at the same time',
+    file: 'src/systems/upload-limit.ts',
+    find: 'if (this.#bytes > 0 && this.#bytes + bytes > MOST_BYTES) return false;',
+    replace: '',
+    test: 'test/simulation/spread.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
