Where an entry fetches pieces from is a module of its own

Cause: collection-duty had grown to 450 lines, of which 90 made the sources of one version, beside the agents' own module for that. Change: entry-sources, as agent-sources; no change of behaviour. Result: 341 and 173 lines, tests of weights and roles pass.

--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -8,13 +8,22 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import { sleep } from '../fleet/table-follower.js';
 import { ChunkSet } from '../model/chunk-set.js';
-import { hash32, type Random, rendezvousOrder } from '../model/random.js';
+import { type Random, rendezvousOrder } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
 import type { EntryReport, HeldPieces } from '../peers/reports.js';
-import { holdsCopy, isDrawn, parentOf } from '../systems/copy-spread.js';
+import { holdsCopy, parentOf } from '../systems/copy-spread.js';
+import {
+  drawPatience,
+  type EntryHolding,
+  entrySources,
+  OBJECT_LIMIT,
+  type PlaceInOrder,
+  QUICK_STAND_INS,
+  STAND_IN_PATIENCE,
+} from './entry-sources.js';
 import {
   type HeldWeights,
   keyOf,
@@ -25,15 +34,7 @@
 import { findManifest } from './manifest-search.js';
 import { PieceFetcher } from './piece-fetcher.js';
 import type { PieceOrigin, PieceOriginFactory, PieceSource } from './piece-source.js';
-import {
-  holds,
-  objectSource,
-  originSource,
-  partsOf,
-  processSource,
-  storedManifestKey,
-  storedPrefix,
-} from './piece-sources.js';
+import { partsOf, storedManifestKey, storedPrefix } from './piece-sources.js';
 
 /** Time between two looks at what is wanted, in milliseconds. */
 const REVIEW_INTERVAL = 200;
@@ -41,37 +42,8 @@
 const CALL_LIMIT = 1_000;
 /** The object store is asked again what it has after this, in milliseconds. */
 const LISTING_INTERVAL = 2_000;
-/** Time for one object, in milliseconds. */
-const OBJECT_LIMIT = 3_000;
-/** Time for a batch from another process, and for a piece of the origin, in milliseconds. */
-const BATCH_LIMIT = 2_000;
-const ORIGIN_LIMIT = 1_500;
 /** A piece that is on its way for longer is asked of another source as well, in milliseconds: a batch takes 0.1 to 0.7 s. */
 const OVERDUE = 800;
-/** Pieces of one answer of an entry, and of an agent whose link is narrow. */
-const ENTRY_BATCH = 12;
-const AGENT_BATCH = 2;
-/** Without news for this long an entry that is not responsible fetches as well, in milliseconds, times its place. */
-const STAND_IN_PATIENCE = 1_200;
-/** Other entries of the zone than the one before this are asked after this time without a piece, in milliseconds: about
- * twice the time in which a piece that has come somewhere is told of and asked for. */
-const NEAR_PATIENCE = 300;
-/** Entries of other zones are asked after this, in milliseconds: their bytes are dear, those of the origin are dearer. */
-const FAR_PATIENCE = 300;
-/** The next entry draws from the origin when no piece came for this long, in milliseconds; three step in so soon. */
-const ORIGIN_STAND_IN_PATIENCE = 300;
-const QUICK_STAND_INS = 3;
-/** Several that draw begin this share of a version apart, whatever their number (the golden ratio). */
-const DRAW_STRIDE = 0.618;
-/** The origin is asked for a version that engines hold only after this, in milliseconds. */
-const HELD_ELSEWHERE_PATIENCE = 10_000;
-const ORIGIN_PARALLEL = 5;
-/**
- * Parts that are read from the object store at the same time. An entry that has heard no other of its zone may not be
- * the only one: those that start together would share the link between regions for a copy each.
- */
-const OBJECT_PARALLEL = 2;
-
 /** What the duty works with. */
 export interface CollectionDutyOptions {
   self: { id: string; zone: string };
@@ -236,96 +208,26 @@
   }
 
   #sources(collection: Collection, held: HeldWeights): PieceSource[] {
-    const { manifest } = held;
-    const { version } = collection;
-    const place = this.#place(collection);
-    const standIn = place.inZone * STAND_IN_PATIENCE;
-    const sources: PieceSource[] = [];
-    const { objects, self, peers } = this.#options;
-    const holders = this.#holders(version);
-    const parent = place.parent;
-    for (const { peer, have } of holders) {
-      const isNear = peer.zone === self.zone;
-      const nearPatience = parent === undefined || peer.id === parent ? 0 : NEAR_PATIENCE;
-      sources.push(
-        processSource({
-          name: `entry ${peer.address}`,
-          address: peer.address,
-          manifest,
-          has: holds(have),
-          patience: isNear ? nearPatience : FAR_PATIENCE + standIn,
-          parallel: 2,
-          batchSize: ENTRY_BATCH,
-          batchTime: BATCH_LIMIT,
-          // Entries take different pieces first, which they then have for one another.
-          offset: hash32(self.id),
-        }),
-      );
-    }
-    const stored = this.#storedParts(collection);
-    const isAlone = !peers().some(({ zone }) => zone === self.zone);
-    sources.push(
-      objectSource({
-        objects,
-        manifest,
-        stored,
-        patience: standIn,
-        parallel: isAlone ? 1 : OBJECT_PARALLEL,
-        batchTime: OBJECT_LIMIT,
-        offset: hash32(self.id),
-      }),
-    );
-    for (const { address, report } of this.#options.agents()) {
-      const there = report?.held.find((other) => keyOf(other) === keyOf(version));
-      if (there === undefined) continue;
-      const have = ChunkSet.fromBytes(there.count, there.have);
-      sources.push(
-        processSource({
-          name: `agent ${address}`,
-          address,
-          manifest,
-          has: holds(have),
-          patience: standIn,
-          parallel: 1,
-          batchSize: AGENT_BATCH,
-          batchTime: BATCH_LIMIT,
-        }),
-      );
-    }
-    const origin = this.#origin();
-    if (origin === undefined) return sources;
-    const storedPieces = new Set(
-      partsOf(manifest).flatMap(({ index, pieces }) => (stored.has(index) ? pieces : [])),
-    );
-    const isElsewhere = (index: number) =>
-      storedPieces.has(index) || holders.some(({ have }) => have.has(index));
-    const isServed = this.#options.servedVersions().some((served) => keyOf(served) === keyOf(version));
-    const quietFor = performance.now() - (collection.fetcher?.progressAt ?? collection.begunAt);
-    // What another entry has drawn comes from there; drawing beside it would halve the rate of both.
-    const isDrawnElsewhere = place.overall > 0 && holders.some(({ have }) => have.size > 0);
-    const patience =
-      (isServed ? HELD_ELSEWHERE_PATIENCE : 0) +
-      (isDrawnElsewhere ? FAR_PATIENCE : 0) +
-      drawPatience(place.overall);
-    sources.push(
-      originSource({
-        origin,
-        version,
-        patience,
-        parallel: ORIGIN_PARALLEL,
-        batchTime: ORIGIN_LIMIT,
-        mayDraw: (index) => collection.isListed && isDrawn(isElsewhere(index), quietFor, place.overall),
-        offset: Math.floor(((place.overall * DRAW_STRIDE) % 1) * manifest.digests.length),
-      }),
-    );
-    return sources;
+    const { objects, self, peers, agents, servedVersions } = this.#options;
+    const { version, isListed, fetcher, begunAt } = collection;
+    const isServed = servedVersions().some((served) => keyOf(served) === keyOf(version));
+    return entrySources({
+      self,
+      place: this.#place(collection),
+      manifest: held.manifest,
+      holders: this.#holders(version),
+      agents: agents(),
+      isAlone: !peers().some(({ zone }) => zone === self.zone),
+      objects,
+      stored: this.#storedParts(collection),
+      origin: isListed ? this.#origin() : undefined,
+      isServed,
+      quietFor: performance.now() - (fetcher?.progressAt ?? begunAt),
+    });
   }
 
-  /**
-   * This entry's place in the order of those responsible, in its zone and overall, 0 being the first; and the entry of its
-   * zone of which it takes pieces.
-   */
-  #place({ version }: Collection): { inZone: number; overall: number; parent: string | undefined } {
+  /** This entry's place in the order of those responsible. */
+  #place({ version }: Collection): PlaceInOrder {
     const { self, peers } = this.#options;
     const entries = [self, ...peers()];
     const key = keyOf(version);
@@ -345,7 +247,7 @@
     };
   }
 
-  #holders(version: WeightsVersion): Array<{ peer: EntryReport; have: ChunkSet }> {
+  #holders(version: WeightsVersion): EntryHolding[] {
     return this.#peersHolding(version).map((peer) => {
       const { have, count } = peer.held.find((held) => keyOf(held) === keyOf(version))!;
       return { peer, have: ChunkSet.fromBytes(count, have) };
@@ -437,9 +339,3 @@
     return endpoint === undefined ? undefined : this.#options.originAt(endpoint.address);
   }
 }
-
-/** Time without a piece after which the entry at `place` in the order draws from the origin, in milliseconds. */
-export function drawPatience(place: number): number {
-  const quick = Math.min(place, QUICK_STAND_INS) * ORIGIN_STAND_IN_PATIENCE;
-  return quick + Math.max(0, place - QUICK_STAND_INS) * STAND_IN_PATIENCE;
-}
--- /dev/null
+++ b/src/weights/entry-sources.ts
@@ -0,0 +1,173 @@
+/** Where an entry fetches pieces from: the entry before it in its zone, others, the object store, agents, the origin. */
+import type { ObjectStore } from '../clients/object-store.js';
+import { ChunkSet } from '../model/chunk-set.js';
+import { hash32 } from '../model/random.js';
+import type { EngineAgentRow } from '../peers/engine-agents.js';
+import type { EntryReport } from '../peers/reports.js';
+import { isDrawn } from '../systems/copy-spread.js';
+import { keyOf, type PieceManifest } from './held-weights.js';
+import type { PieceOrigin, PieceSource } from './piece-source.js';
+import { holds, objectSource, originSource, partsOf, processSource } from './piece-sources.js';
+
+/** Time for one object, in milliseconds. */
+export const OBJECT_LIMIT = 3_000;
+/** Time for a batch from another process, and for a piece of the origin, in milliseconds. */
+const BATCH_LIMIT = 2_000;
+const ORIGIN_LIMIT = 1_500;
+/** Pieces of one answer of an entry, and of an agent whose link is narrow. */
+const ENTRY_BATCH = 12;
+const AGENT_BATCH = 2;
+/** Batches that are open at the same time at one entry. */
+const ENTRY_PARALLEL = 2;
+/** Without news for this long an entry that is not responsible fetches as well, in milliseconds, times its place. */
+export const STAND_IN_PATIENCE = 1_200;
+/** Other entries of the zone than the one before this are asked after this time without a piece, in milliseconds: about
+ * twice the time in which a piece that has come somewhere is told of and asked for. */
+const NEAR_PATIENCE = 300;
+/** Entries of other zones are asked after this, in milliseconds: their bytes are dear, those of the origin are dearer. */
+const FAR_PATIENCE = 300;
+/** The next entry draws from the origin when no piece came for this long, in milliseconds; three step in so soon. */
+const ORIGIN_STAND_IN_PATIENCE = 300;
+export const QUICK_STAND_INS = 3;
+/** Several that draw begin this share of a version apart, whatever their number (the golden ratio). */
+const DRAW_STRIDE = 0.618;
+/** The origin is asked for a version that engines hold only after this, in milliseconds. */
+const HELD_ELSEWHERE_PATIENCE = 10_000;
+const ORIGIN_PARALLEL = 5;
+/**
+ * Parts that are read from the object store at the same time. An entry that has heard no other of its zone may not be
+ * the only one: those that start together would share the link between regions for a copy each.
+ */
+const OBJECT_PARALLEL = 2;
+
+/** An entry's place in the order of those responsible for a version, 0 being the first. */
+export interface PlaceInOrder {
+  inZone: number;
+  overall: number;
+  /** The entry of its zone of which it takes pieces; undefined for the first. */
+  parent: string | undefined;
+}
+
+/** Another entry, and what it holds of the version. */
+export interface EntryHolding {
+  peer: EntryReport;
+  have: ChunkSet;
+}
+
+/** What the sources are made of. */
+export interface EntrySourceOptions {
+  self: { id: string; zone: string };
+  place: PlaceInOrder;
+  manifest: PieceManifest;
+  holders: readonly EntryHolding[];
+  /** Agents that are connected here. */
+  agents: readonly EngineAgentRow[];
+  /** No other entry of the zone was heard. */
+  isAlone: boolean;
+  objects: ObjectStore;
+  /** Parts that are known to lie in the object store. */
+  stored: ReadonlySet<number>;
+  /** Undefined where it is not known, or what the object store has is not. */
+  origin: PieceOrigin | undefined;
+  /** Engines serve the version. */
+  isServed: boolean;
+  /** Time since the latest piece came, in milliseconds. */
+  quietFor: number;
+}
+
+/** The sources of one version, in order of preference. */
+export function entrySources(options: EntrySourceOptions): PieceSource[] {
+  return [
+    ...options.holders.map((holder) => entrySource(holder, options)),
+    storedSource(options),
+    ...options.agents.flatMap((agent) => agentSource(agent, options)),
+    ...drawnSource(options),
+  ];
+}
+
+function entrySource(
+  { peer, have }: EntryHolding,
+  { self, place, manifest }: EntrySourceOptions,
+): PieceSource {
+  const { parent } = place;
+  const isNear = peer.zone === self.zone;
+  const nearPatience = parent === undefined || peer.id === parent ? 0 : NEAR_PATIENCE;
+  return processSource({
+    name: `entry ${peer.address}`,
+    address: peer.address,
+    manifest,
+    has: holds(have),
+    patience: isNear ? nearPatience : FAR_PATIENCE + standInPatience(place),
+    parallel: ENTRY_PARALLEL,
+    batchSize: ENTRY_BATCH,
+    batchTime: BATCH_LIMIT,
+    // Entries take different pieces first, which they then have for one another.
+    offset: hash32(self.id),
+  });
+}
+
+function storedSource({ self, place, manifest, isAlone, objects, stored }: EntrySourceOptions): PieceSource {
+  return objectSource({
+    objects,
+    manifest,
+    stored,
+    patience: standInPatience(place),
+    parallel: isAlone ? 1 : OBJECT_PARALLEL,
+    batchTime: OBJECT_LIMIT,
+    offset: hash32(self.id),
+  });
+}
+
+function agentSource(
+  { address, report }: EngineAgentRow,
+  { place, manifest }: EntrySourceOptions,
+): PieceSource[] {
+  const there = report?.held.find((other) => keyOf(other) === keyOf(manifest));
+  if (there === undefined) return [];
+  const source = processSource({
+    name: `agent ${address}`,
+    address,
+    manifest,
+    has: holds(ChunkSet.fromBytes(there.count, there.have)),
+    patience: standInPatience(place),
+    parallel: 1,
+    batchSize: AGENT_BATCH,
+    batchTime: BATCH_LIMIT,
+  });
+  return [source];
+}
+
+function drawnSource(options: EntrySourceOptions): PieceSource[] {
+  const { place, manifest, holders, stored, origin, isServed, quietFor } = options;
+  if (origin === undefined) return [];
+  const storedPieces = new Set(
+    partsOf(manifest).flatMap(({ index, pieces }) => (stored.has(index) ? pieces : [])),
+  );
+  const isElsewhere = (index: number) =>
+    storedPieces.has(index) || holders.some(({ have }) => have.has(index));
+  // What another entry has drawn comes from there; drawing beside it would halve the rate of both.
+  const isDrawnElsewhere = place.overall > 0 && holders.some(({ have }) => have.size > 0);
+  const source = originSource({
+    origin,
+    version: manifest,
+    patience:
+      (isServed ? HELD_ELSEWHERE_PATIENCE : 0) +
+      (isDrawnElsewhere ? FAR_PATIENCE : 0) +
+      drawPatience(place.overall),
+    parallel: ORIGIN_PARALLEL,
+    batchTime: ORIGIN_LIMIT,
+    mayDraw: (index) => isDrawn(isElsewhere(index), quietFor, place.overall),
+    offset: Math.floor(((place.overall * DRAW_STRIDE) % 1) * manifest.digests.length),
+  });
+  return [source];
+}
+
+function standInPatience({ inZone }: PlaceInOrder): number {
+  return inZone * STAND_IN_PATIENCE;
+}
+
+/** Time without a piece after which the entry at `place` in the order draws from the origin, in milliseconds. */
+export function drawPatience(place: number): number {
+  const quick = Math.min(place, QUICK_STAND_INS) * ORIGIN_STAND_IN_PATIENCE;
+  return quick + Math.max(0, place - QUICK_STAND_INS) * STAND_IN_PATIENCE;
+}
