--- /dev/null
+++ b/src/roles/direct-entry-components.ts
@@ -0,0 +1,98 @@
+/** What an entry is composed of where back ends are called at their own address. */
+import { randomBytes } from 'node:crypto';
+import type Router from '@koa/router';
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import type { ListedObjectStore } from '../clients/object-store.js';
+import type { WatchedTables } from '../clients/watched-tables.js';
+import { FleetView } from '../fleet/fleet-view.js';
+import type { RecordDecoder } from '../fleet/record-decoder.js';
+import { StoreSync, type StoreSyncOptions } from '../fleet/store-sync.js';
+import { BackEndTable } from '../forwarding/back-end-table.js';
+import type { HeaderNames } from '../forwarding/header-names.js';
+import { hash32, type Random, seededRandom } from '../model/random.js';
+import { HybridClock } from '../observability/hybrid-clock.js';
+import type { Log } from '../observability/log.js';
+import { Metrics } from '../observability/metrics.js';
+import {
+  type ConnectionContext,
+  createTrafficCounters,
+  type TrafficCounters,
+} from '../protocol/connection.js';
+import { WeightsLibrary } from '../weights/held-weights.js';
+import type { PieceOriginFactory } from '../weights/piece-source.js';
+import { DirectEntry } from './direct-entry.js';
+import type { DirectEntrySettings } from './settings.js';
+
+/** How a platform is met. */
+export interface DirectEntryContracts {
+  decoder: RecordDecoder;
+  tables: WatchedTables;
+  objects: ListedObjectStore;
+  originAt: PieceOriginFactory;
+  headers: HeaderNames;
+  /** Routes of the platform's checks and of callers that look for entries. */
+  readyRoutes: (isReady: () => boolean) => Router;
+  directoryRoutes: (addresses: (zone: string, region: string) => string[], lifetimeSeconds: number) => Router;
+  metricsPath: string;
+}
+
+/** What an entry is composed of. */
+export interface DirectEntryComponents extends DirectEntryContracts {
+  settings: DirectEntrySettings;
+  /** Identity of this process. */
+  identity: string;
+  random: Random;
+  log: Log;
+  metrics: Metrics;
+  counters: TrafficCounters;
+  context: ConnectionContext;
+  fleet: FleetView;
+  sync: StoreSync;
+  backEnds: BackEndTable;
+  library: WeightsLibrary;
+  directEntry: DirectEntry;
+}
+
+/** Creates an entry from its settings. */
+export function createDirectEntry(
+  settings: DirectEntrySettings,
+  contracts: DirectEntryContracts,
+  log: Log,
+): DirectEntry {
+  const identity = `${settings.name}#${randomBytes(4).toString('hex')}`;
+  const container = createContainer<DirectEntryComponents>({
+    injectionMode: InjectionMode.PROXY,
+    strict: true,
+  });
+  for (const [name, value] of Object.entries(contracts)) container.register(name, asValue(value));
+  container.register({
+    settings: asValue(settings),
+    identity: asValue(identity),
+    random: asValue(seededRandom(hash32(identity))),
+    log: asValue(log),
+    metrics: asFunction(() => new Metrics('entry')).singleton(),
+    counters: asValue(createTrafficCounters()),
+    context: asFunction(({ counters }: DirectEntryComponents) =>
+      contextOf(settings, identity, counters),
+    ).singleton(),
+    fleet: asFunction(() => new FleetView()).singleton(),
+    sync: asFunction(
+      (components: DirectEntryComponents) => new StoreSync(storeSyncOptions(components)),
+    ).singleton(),
+    backEnds: asFunction(() => new BackEndTable()).singleton(),
+    library: asFunction(() => new WeightsLibrary()).singleton(),
+    directEntry: asFunction((components: DirectEntryComponents) => new DirectEntry(components)).singleton(),
+  });
+  return container.cradle.directEntry;
+}
+
+/** The container's own object cannot be spread: it resolves every part as it is read. */
+function storeSyncOptions({ tables, decoder, fleet, random, log }: DirectEntryComponents): StoreSyncOptions {
+  return { tables, decoder, fleet, random, log };
+}
+
+function contextOf(settings: DirectEntrySettings, id: string, counters: TrafficCounters): ConnectionContext {
+  const { peers: address, zone, region } = settings;
+  const peer = { id, address, place: zone, region, zone };
+  return { clock: new HybridClock(), counters, hello: () => ({ type: 'hello', role: 'entry', peer }) };
+}
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -1,48 +1,26 @@
-/**
- * The role of an entry machine where back ends are called at their own address: it forwards callers' requests, tells
- * callers which entries there are, and holds weights for the agents of its zone.
- */
-import { randomBytes } from 'node:crypto';
-import type Router from '@koa/router';
-import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
-import type { ListedObjectStore } from '../clients/object-store.js';
-import type { WatchedTables } from '../clients/watched-tables.js';
-import { FleetView } from '../fleet/fleet-view.js';
-import type { RecordDecoder } from '../fleet/record-decoder.js';
-import { type FollowedTable, StoreSync, type StoreSyncOptions } from '../fleet/store-sync.js';
+import type { FollowedTable } from '../fleet/store-sync.js';
 import { sleep } from '../fleet/table-follower.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
-import { BackEndTable, type EngineNews } from '../forwarding/back-end-table.js';
+import type { EngineNews } from '../forwarding/back-end-table.js';
 import { ForwardingServer } from '../forwarding/forwarding-server.js';
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
-import { hash32, type Random, seededRandom } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import { endsWithin } from '../model/time-limit.js';
-import { HybridClock } from '../observability/hybrid-clock.js';
-import type { Log } from '../observability/log.js';
-import { Metrics, trafficMetrics } from '../observability/metrics.js';
+import { trafficMetrics } from '../observability/metrics.js';
 import { metricsServer } from '../observability/metrics-server.js';
 import { EngineAgents } from '../peers/engine-agents.js';
 import { EntryPeers } from '../peers/entry-peers.js';
 import type { EngineReport, EntryReport } from '../peers/reports.js';
 import { SlotClient } from '../peers/slot-client.js';
-import {
-  type Connection,
-  type ConnectionContext,
-  ConnectionListener,
-  createTrafficCounters,
-  type TrafficCounters,
-} from '../protocol/connection.js';
+import { type Connection, ConnectionListener } from '../protocol/connection.js';
 import { httpServer, listenerOf } from '../server/http-server.js';
 import { DrainSchedule } from '../systems/drain-schedule.js';
 import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import { StoreReaders } from '../systems/store-readers.js';
 import { CollectionDuty } from '../weights/collection-duty.js';
-import { WeightsLibrary } from '../weights/held-weights.js';
 import { pieceRoutes } from '../weights/piece-server.js';
-import type { PieceOriginFactory } from '../weights/piece-source.js';
-import type { DirectEntrySettings } from './settings.js';
+import type { DirectEntryComponents } from './direct-entry-components.js';
 import { servedVersions, WeightsPlanner } from './weights-planner.js';
 
 const DRAIN_CHECK = 50;
@@ -54,80 +32,6 @@
 const MOST_ADDRESSES = 64;
 const MILLISECONDS = 1_000;
 
-/** How a platform is met. */
-export interface DirectEntryContracts {
-  decoder: RecordDecoder;
-  tables: WatchedTables;
-  objects: ListedObjectStore;
-  originAt: PieceOriginFactory;
-  headers: HeaderNames;
-  /** Routes of the platform's checks and of callers that look for entries. */
-  readyRoutes: (isReady: () => boolean) => Router;
-  directoryRoutes: (addresses: (zone: string, region: string) => string[], lifetimeSeconds: number) => Router;
-  metricsPath: string;
-}
-
-/** What an entry is composed of. */
-export interface DirectEntryComponents extends DirectEntryContracts {
-  settings: DirectEntrySettings;
-  /** Identity of this process. */
-  identity: string;
-  random: Random;
-  log: Log;
-  metrics: Metrics;
-  counters: TrafficCounters;
-  context: ConnectionContext;
-  fleet: FleetView;
-  sync: StoreSync;
-  backEnds: BackEndTable;
-  library: WeightsLibrary;
-  directEntry: DirectEntry;
-}
-
-/** Creates an entry from its settings. */
-export function createDirectEntry(
-  settings: DirectEntrySettings,
-  contracts: DirectEntryContracts,
-  log: Log,
-): DirectEntry {
-  const identity = `${settings.name}#${randomBytes(4).toString('hex')}`;
-  const container = createContainer<DirectEntryComponents>({
-    injectionMode: InjectionMode.PROXY,
-    strict: true,
-  });
-  for (const [name, value] of Object.entries(contracts)) container.register(name, asValue(value));
-  container.register({
-    settings: asValue(settings),
-    identity: asValue(identity),
-    random: asValue(seededRandom(hash32(identity))),
-    log: asValue(log),
-    metrics: asFunction(() => new Metrics('entry')).singleton(),
-    counters: asValue(createTrafficCounters()),
-    context: asFunction(({ counters }: DirectEntryComponents) =>
-      contextOf(settings, identity, counters),
-    ).singleton(),
-    fleet: asFunction(() => new FleetView()).singleton(),
-    sync: asFunction(
-      (components: DirectEntryComponents) => new StoreSync(storeSyncOptions(components)),
-    ).singleton(),
-    backEnds: asFunction(() => new BackEndTable()).singleton(),
-    library: asFunction(() => new WeightsLibrary()).singleton(),
-    directEntry: asFunction((components: DirectEntryComponents) => new DirectEntry(components)).singleton(),
-  });
-  return container.cradle.directEntry;
-}
-
-/** The container's own object cannot be spread: it resolves every part as it is read. */
-function storeSyncOptions({ tables, decoder, fleet, random, log }: DirectEntryComponents): StoreSyncOptions {
-  return { tables, decoder, fleet, random, log };
-}
-
-function contextOf(settings: DirectEntrySettings, id: string, counters: TrafficCounters): ConnectionContext {
-  const { peers: address, zone, region } = settings;
-  const peer = { id, address, place: zone, region, zone };
-  return { clock: new HybridClock(), counters, hello: () => ({ type: 'hello', role: 'entry', peer }) };
-}
-
 /** A running entry. */
 export class DirectEntry implements Startable {
   readonly #components: DirectEntryComponents;
