A standstill of an entry makes no agent silent; callers stay away from an overload for as long as it has lasted

An entry that stood still for over 120 ms read its clock before the answers of agents, and after two such questions used their engines without slots for 0.5 s. Callers that were refused for want of a slot were told to come back after 0.4 to 0.8 s, however long that had lasted (after a loss of power 200 such refusals in 2 s), and come back once. Change: silence of agents counts only time in which this process ran; systems/return-time.

--- a/bench/simulation/placement-simulation.ts
+++ b/bench/simulation/placement-simulation.ts
@@ -303,7 +303,7 @@
     };
     const check = () => {
       if (isOver || entry.isLost) return;
-      for (const id of search.silent(this.#clock.now)) search.noteFailed(id);
+      for (const id of search.silent((since) => this.#clock.now - since)) search.noteFailed(id);
       if (this.#clock.now >= endsAt) {
         end();
         return this.#refuse(caller);
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -3,6 +3,7 @@
  * and from other entries, and how they did. Rows go with their records.
  */
 import type { BackEndChange, BackEndRecord, HeldLayers } from '../fleet/back-end-list.js';
+import { ReturnTime } from '../systems/return-time.js';
 import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
 import { HoldRecord } from './hold-record.js';
@@ -72,6 +73,7 @@
   /** The rows of each address: a back end that starts again there has another row until its former one lapses. */
   readonly #rowsByAddress = new Map<string, Set<BackEndRow>>();
   readonly #holds = new Map<string, HoldRecord>();
+  readonly #returns = new Map<string, ReturnTime>();
   /** What each other entry has in flight, as it told last. */
   readonly #loadsOf = new Map<string, ReadonlyArray<readonly [row: BackEndRow, inFlight: number]>>();
   /** Most connections that are kept to a back end of a service. */
@@ -155,6 +157,13 @@
     this.#silentConnection = { id, at: now };
   }
 
+  /** When callers of a service that are refused are told to come back. */
+  returnsOf(service: string): ReturnTime {
+    const known = this.#returns.get(service) ?? new ReturnTime();
+    this.#returns.set(service, known);
+    return known;
+  }
+
   /** Share of failures that is usual among the back ends of a service. */
   usualFailureShare(service: string): number {
     const shares = [...this.ofService(service)]
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -27,8 +27,6 @@
 
 /** A new connection that is not there after this is given up, in milliseconds. */
 const CONNECT_LIMIT = 400;
-/** A request that is refused comes back after this, in milliseconds times 1 to 2, or once a back end is to serve. */
-const RETRY_AFTER = 400;
 /** Time after which another process can have a request that this one has no time for, in seconds, times 1 to 2. */
 const RETRY_ELSEWHERE = 0.05;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
@@ -121,7 +119,7 @@
   /** Ends attempts that are owed something for too long; called by the shared tick. */
   check(now: number, standstills: Standstills): void {
     if (this.#settled) return;
-    if (this.#wait?.isUnderWay) return this.#wait.check(now);
+    if (this.#wait?.isUnderWay) return this.#wait.check(now, standstills);
     const use = this.#use;
     if (use === undefined) return;
     const { attempt, row } = use;
@@ -376,9 +374,10 @@
     this.#releaseSlot();
     if (this.#answer.started) return this.#cut(reason);
     if (this.#runs > 0) return this.#finish({ type: 'backEndFailed', reason });
-    const { selector, random } = this.#components;
-    const capacity = selector.expectedCapacity(this.#admitted.service) ?? 0;
-    const soon = RETRY_AFTER * (1 + random.fraction());
+    const { selector, backEnds, random } = this.#components;
+    const { service } = this.#admitted;
+    const capacity = selector.expectedCapacity(service) ?? 0;
+    const soon = backEnds.returnsOf(service).refuse(performance.now(), random);
     const retryAfter = Math.min(LONGEST_RETURN, soon + capacity) / MILLISECONDS;
     this.#finish({ type: 'unavailable', reason, retryAfter });
   }
--- a/src/forwarding/request-wait.ts
+++ b/src/forwarding/request-wait.ts
@@ -3,6 +3,7 @@
  * capacity that is in sight. What cannot be served in its time is given up at once.
  */
 import type { Random } from '../model/random.js';
+import type { Standstills } from '../model/standstills.js';
 import type { BackEndSelector, Requirements, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
 import type { EngineSlots, SlotClaim } from './engine-slots.js';
@@ -81,11 +82,11 @@
   }
 
   /** Looks again; called by the shared tick while it is under way. */
-  check(now: number): void {
+  check(now: number, standstills: Standstills): void {
     if (this.#seeker === undefined) return this.begin();
     if (!this.#request.canEnd()) return this.#events.onNoTime();
     if (this.#seeker.isOver(now)) return this.#events.onGivenUp('back ends full');
-    this.#seeker.check(now);
+    this.#seeker.check(now, standstills);
   }
 
   /** Ends it, however the request goes on. */
--- a/src/systems/slot-search.ts
+++ b/src/systems/slot-search.ts
@@ -91,10 +91,13 @@
     if (row !== undefined) row.state = 'failed';
   }
 
-  /** Engines whose agents have been silent for too long. */
-  silent(now: number): string[] {
+  /**
+   * Engines whose agents have been silent for too long.
+   * @param runningTime - the time since a moment in which this process ran: answers that came in a standstill are not read yet
+   */
+  silent(runningTime: (since: number) => number): string[] {
     const rows = [...this.#asked].filter(
-      ([, { askedAt, state }]) => state === 'asked' && now - askedAt >= SILENT_AFTER,
+      ([, { askedAt, state }]) => state === 'asked' && runningTime(askedAt) >= SILENT_AFTER,
     );
     return rows.map(([id]) => id);
   }
--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -6,7 +6,7 @@
 import { seededRandom } from '../../src/model/random.js';
 import { SlotClient } from '../../src/peers/slot-client.js';
 import { SlotServer } from '../../src/peers/slot-server.js';
-import { contextAt, until } from '../support.js';
+import { contextAt, standStill, until } from '../support.js';
 import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
 import { events, reply, StandInBackEnd } from './stand-in-back-end.js';
 
@@ -150,6 +150,24 @@
   expect((await Promise.all(answers)).map(({ status }) => status)).toEqual([200, 200, 200]);
 });
 
+it('agents whose answers come while this process stands still are not taken for silent', async () => {
+  const taken = Array.from({ length: 2 * SLOTS }, () => forwarding.send('/write/a'));
+  await until(() => requests() === 2 * SLOTS, 'all slots to be taken');
+  let asked = 0;
+  const ask = client.ask.bind(client);
+  client.ask = (...question) => {
+    const claim = ask(...question);
+    // Both agents of a request are asked before it stands still.
+    if (++asked % 2 === 0 && asked <= 2 * SLOTS) standStill(400);
+    return claim;
+  };
+  const waiting = Array.from({ length: SLOTS }, () => forwarding.send('/write/a'));
+  expect((await Promise.all(waiting)).map(({ status }) => status)).toEqual(waiting.map(() => 503));
+  expect(requests()).toBe(2 * SLOTS);
+  answerAll();
+  await Promise.all(taken);
+});
+
 it('a request that waits at an engine that begins to switch goes to another', async () => {
   const [first, second] = engines;
   tell(second, true);
--- a/test/systems/slot-search.test.ts
+++ b/test/systems/slot-search.test.ts
@@ -46,7 +46,7 @@
     const [third] = one.next(ALL, 5);
     one.noteQueued(third);
     expect(third).not.toBe(refusing);
-    expect(one.silent(SILENT)).toEqual([silent]);
+    expect(one.silent((since) => SILENT - since)).toEqual([silent]);
     one.noteFailed(silent);
     expect(one.next(ALL, SILENT).length).toBeGreaterThan(0);
   });
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -564,6 +564,20 @@
     replace: '',
     test: 'test/simulation/spread.test.ts',
   },
+  {
+    fault: 'agents whose answers wait to be read are taken for silent',
+    file: 'src/systems/slot-search.ts',
+    find: "state === 'asked' && runningTime(askedAt) >= SILENT_AFTER",
+    replace: "state === 'asked' && performance.now() - askedAt >= SILENT_AFTER",
+    test: 'test/forwarding/slots.test.ts',
+  },
+  {
+    fault: 'callers come back into the overload that refused them',
+    file: 'src/systems/return-time.ts',
+    find: 'Math.max(SHORTEST_RETURN, lasted)',
+    replace: 'SHORTEST_RETURN',
+    test: 'test/systems/return-time.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
