--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -42,9 +42,17 @@
  */
 const OTHER_DIALS_FIRST = 400;
 
+/**
+ * A connection that was reset is there again within this, in milliseconds, or the other entry cannot be reached: a look each
+ * 150 and a message pair. Such an entry is believed to live for seconds more, but is not to be waited for.
+ */
+const RECONNECT_TIME = 300;
+
 interface PeerRow {
   address: string;
   connection: Connection | undefined;
+  /** Since when there is none, in milliseconds of the steady clock; undefined while there is one. */
+  closedAt: number | undefined;
   isDialling: boolean;
   dialAt: number;
   dialling: Dialling;
@@ -125,6 +133,14 @@
     return rows.flatMap(({ report }) => report ?? []);
   }
 
+  /** The latest reports of entries that live and to which there is a connection, or was a moment ago. */
+  reached(): EntryReport[] {
+    const now = performance.now();
+    const isReached = ({ closedAt }: PeerRow) => closedAt === undefined || now - closedAt < RECONNECT_TIME;
+    const rows = [...this.#rows.values()].filter((row) => isReached(row) && this.#lives(row, now));
+    return rows.flatMap(({ report }) => report ?? []);
+  }
+
   /** What this entry knows of how many entries there are. It forgets none: those that it does not hear may live. */
   known(): EntriesKnown {
     const { address, seeds } = this.#options;
@@ -272,9 +288,12 @@
   #take(row: PeerRow, connection: Connection): void {
     // Both may dial at the same time: the later connection is used for sending, both are heard.
     row.connection = connection;
+    row.closedAt = undefined;
     row.dialling.noteSuccess();
     connection.onClose = () => {
-      if (row.connection === connection) row.connection = undefined;
+      if (row.connection !== connection) return;
+      row.connection = undefined;
+      row.closedAt = performance.now();
     };
     connection.handleMessages((message) => this.#handle(row, connection, message));
     this.#tell(row, this.#encodedReport());
@@ -359,6 +378,7 @@
   return {
     address,
     connection: undefined,
+    closedAt: undefined,
     isDialling: false,
     dialAt: 0,
     dialling: new Dialling(LONGEST_REDIAL),
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -97,7 +97,8 @@
       library,
       objects: components.objects,
       originAt: components.originAt,
-      peers: () => this.#peers.live(),
+      // A version would wait for the pieces of an entry that is cut off, or for it to draw them.
+      peers: () => this.#peers.reached(),
       agents: () => [...this.#agents.rows.values()],
       servedVersions: () => servedVersions(fleet.routes?.configuration.services ?? [], backEnds),
       versionBound: settings.versionBound,
@@ -213,7 +214,7 @@
   /** Whether this entry reads a table of the store, or another of its zone does and passes on what is new. */
   #reads(table: FollowedTable): boolean {
     const { identity, settings } = this.#components;
-    const others = this.#peers.live().filter(({ zone, isReady }) => zone === settings.zone && isReady);
+    const others = this.#peers.reached().filter(({ zone, isReady }) => zone === settings.zone && isReady);
     return this.#storeReaders[table].isReader(
       identity,
       others.map(({ id }) => id),
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -153,6 +153,17 @@
   expect(lapsed).toEqual(['two#1']);
 });
 
+it('an entry that cannot be connected to any more is not reached, though it is believed to live', async () => {
+  const [one, two] = await Promise.all([freeAddress(), freeAddress()]);
+  const first = await startEntry('one', one, [two]);
+  const second = await startEntry('two', two, [one]);
+  await until(() => first.reached().length === 1, 'the first to reach the second');
+  await second.stop();
+  await started.splice(2, 1)[0].stop();
+  await until(() => first.reached().length === 0, 'the first not to reach the second');
+  expect(first.live()).toHaveLength(1);
+});
+
 it('an entry takes in how many the others know, and forgets none that it does not hear any more', async () => {
   const [seed, one, silent] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
   const first = await startEntry('one', one, [seed, silent, one]);
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -578,6 +578,13 @@
     replace: 'SHORTEST_RETURN',
     test: 'test/systems/return-time.test.ts',
   },
+  {
+    fault: 'an entry that cannot be connected to is waited for',
+    file: 'src/peers/entry-peers.ts',
+    find: 'closedAt === undefined || now - closedAt < RECONNECT_TIME',
+    replace: 'true',
+    test: 'test/peers/entry-peers.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
