--- a/src/weights/entry-sources.ts
+++ b/src/weights/entry-sources.ts
@@ -24,7 +24,10 @@
 /** Other entries of the zone than the one before this are asked after this time without a piece, in milliseconds: about
  * twice the time in which a piece that has come somewhere is told of and asked for. */
 const NEAR_PATIENCE = 300;
-/** Entries of other zones are asked after this, in milliseconds: their bytes are dear, those of the origin are dearer. */
+/**
+ * Entries of other zones are asked after this, in milliseconds: their bytes are dear, those of the origin are dearer. The
+ * first of a zone asks them at once: nobody nearer has the piece sooner, and whoever draws it may be cut off meanwhile.
+ */
 const FAR_PATIENCE = 300;
 /** The next entry draws from the origin when no piece came for this long, in milliseconds; three step in so soon. */
 const ORIGIN_STAND_IN_PATIENCE = 300;
@@ -97,7 +100,7 @@
     address: peer.address,
     manifest,
     has: holds(have),
-    patience: isNear ? nearPatience : FAR_PATIENCE + standInPatience(place),
+    patience: isNear ? nearPatience : farPatience(place),
     parallel: ENTRY_PARALLEL,
     batchSize: ENTRY_BATCH,
     batchTime: BATCH_LIMIT,
@@ -162,6 +165,10 @@
   return [source];
 }
 
+function farPatience(place: PlaceInOrder): number {
+  return place.inZone === 0 ? 0 : FAR_PATIENCE + standInPatience(place);
+}
+
 function standInPatience({ inZone }: PlaceInOrder): number {
   return inZone * STAND_IN_PATIENCE;
 }
--- /dev/null
+++ b/test/weights/entry-sources.test.ts
@@ -0,0 +1,51 @@
+/** Where an entry fetches pieces from, by its place in the order of those responsible. */
+import { describe, expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { ChunkSet } from '../../src/model/chunk-set.js';
+import type { EntryReport } from '../../src/peers/reports.js';
+import { entrySources, type PlaceInOrder } from '../../src/weights/entry-sources.js';
+import type { PieceManifest } from '../../src/weights/held-weights.js';
+
+const PIECES = 12;
+const manifest: PieceManifest = {
+  model: 'm',
+  version: 2,
+  pieceBytes: 32,
+  digests: Array.from({ length: PIECES }, (_, index) => `digest ${index}`),
+};
+
+function holder(id: string, zone: string): { peer: EntryReport; have: ChunkSet } {
+  const peer = { id, zone, address: `${id}:1` } as EntryReport;
+  return { peer, have: ChunkSet.fromBytes(PIECES, new Uint8Array([0xff, 0x0f])) };
+}
+
+/** Patience with each holder, by the zone that it is in. */
+function patienceAt(place: PlaceInOrder): Record<string, number> {
+  const sources = entrySources({
+    self: { id: 'self', zone: 'zone-a' },
+    place,
+    manifest,
+    holders: [holder('near', 'zone-a'), holder('far', 'zone-b')],
+    agents: [],
+    isAlone: false,
+    objects: new MemoryStore(),
+    stored: new Set(),
+    origin: undefined,
+    isServed: false,
+    quietFor: 0,
+  });
+  return Object.fromEntries(sources.map(({ name, patience }) => [name, patience]));
+}
+
+describe('an entry that fetches a version', () => {
+  it('asks entries of other zones at once if it is the first of its own', () => {
+    expect(patienceAt({ inZone: 0, overall: 4, parent: undefined })['entry far:1']).toBe(0);
+  });
+
+  it('asks those of its zone first otherwise, the one before it at once', () => {
+    const patience = patienceAt({ inZone: 1, overall: 6, parent: 'near' });
+    expect(patience['entry near:1']).toBe(0);
+    expect(patience['entry far:1']).toBeGreaterThan(1_000);
+    expect(patienceAt({ inZone: 5, overall: 6, parent: 'other' })['entry near:1']).toBeGreaterThan(0);
+  });
+});
