--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -3,6 +3,7 @@
  * and from other entries, and how they did. Rows go with their records.
  */
 import type { BackEndChange, BackEndRecord, HeldLayers } from '../fleet/back-end-list.js';
+import { CapacityForecast } from '../systems/capacity-forecast.js';
 import { ReturnTime } from '../systems/return-time.js';
 import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
@@ -74,6 +75,7 @@
   readonly #rowsByAddress = new Map<string, Set<BackEndRow>>();
   readonly #holds = new Map<string, HoldRecord>();
   readonly #returns = new Map<string, ReturnTime>();
+  readonly #forecasts = new Map<string, CapacityForecast>();
   /** What each other entry has in flight, as it told last. */
   readonly #loadsOf = new Map<string, ReadonlyArray<readonly [row: BackEndRow, inFlight: number]>>();
   /** Most connections that are kept to a back end of a service. */
@@ -164,6 +166,13 @@
     return known;
   }
 
+  /** What is expected of a service while no back end of it serves. */
+  forecastOf(service: string): CapacityForecast {
+    const known = this.#forecasts.get(service) ?? new CapacityForecast();
+    this.#forecasts.set(service, known);
+    return known;
+  }
+
   /** Share of failures that is usual among the back ends of a service. */
   usualFailureShare(service: string): number {
     const shares = [...this.ofService(service)]
--- a/src/forwarding/request-wait.ts
+++ b/src/forwarding/request-wait.ts
@@ -178,10 +178,11 @@
 
   /** @param capacity - time until a back end serves; undefined where some do, so that one of them is free soon or not */
   #waitsFor(capacity: number | undefined, heldSince: number, now: number): boolean {
-    const { timing, isStream } = this.#request;
+    const { timing, isStream, requirements } = this.#request;
     if (capacity === undefined && this.#wasHeldForCapacity) return now < timing.latestBegin;
     if (capacity === undefined) return isStream && now < timing.holdsUntil(heldSince) && this.#beginHold();
-    if (!timing.waitsForCapacity(now, capacity)) return false;
+    const forecast = this.#components.backEnds.forecastOf(requirements().service);
+    if (!forecast.note(now + capacity, now) || !timing.waitsForCapacity(now, capacity)) return false;
     if (now + capacity <= timing.latestBegin && !this.#takePlace()) return false;
     this.#wasHeldForCapacity = true;
     return true;
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -182,6 +182,18 @@
     expect(await answer).toMatchObject({ status: 200, body: 'served' });
   });
 
+  it('nobody waits for an engine that is put off again and again', async () => {
+    const tellAgain = () => tell({ switchAt: performance.now() + 1_000 });
+    tellAgain();
+    const putOff = setInterval(tellAgain, 50);
+    const first = await forwarding.send('/write/', COMES_AGAIN);
+    const sentAt = performance.now();
+    const second = await forwarding.send('/write/', COMES_AGAIN);
+    clearInterval(putOff);
+    expect([first.status, second.status]).toEqual([503, 503]);
+    expect(performance.now() - sentAt).toBeLessThan(500);
+  });
+
   it('no more wait for the first slots than there are', async () => {
     tell({ switchAt: performance.now() + 1_000 });
     const answers = Array.from({ length: 6 }, () => forwarding.send('/write/', COMES_AGAIN));
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -585,6 +585,20 @@
     replace: 'true',
     test: 'test/peers/entry-peers.test.ts',
   },
+  {
+    fault: 'requests wait for engines that are put off again and again',
+    file: 'src/systems/capacity-forecast.ts',
+    find: 'return expectedAt - this.#earliest <= MOST_PUT_OFF;',
+    replace: 'return true;',
+    test: 'test/systems/capacity-forecast.test.ts',
+  },
+  {
+    fault: 'more requests wait for the first slots than there are',
+    file: 'src/forwarding/hold-record.ts',
+    find: 'if (this.#placesTaken >= Math.max(1, places)) return false;',
+    replace: '',
+    test: 'test/forwarding/capacity.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
