The test of agents' silence notices its guard again; tests without races under load

The test of one connection a pair rested on 0.4 s in which others connect, that of an end put off on 0.5 s. Change: requests one after the other, 0.48 s of wait, 0.3 s of standstill; the time of the other's turn is an option that the test sets; a wait of 1.7 s is told from a refusal by 1.5 s.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -77,6 +77,8 @@
   hearsStore: () => boolean;
   /** Time between two tellings of all addresses, in milliseconds. */
   addressesInterval?: number;
+  /** Time for which the other of two entries that learn of one another may connect first, in milliseconds. */
+  otherDialsFirst?: number;
   random: Random;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
@@ -336,9 +338,10 @@
     if (unknown.length === 0) return;
     this.learn(unknown);
     const now = performance.now();
+    const { address: own, otherDialsFirst = OTHER_DIALS_FIRST } = this.#options;
     for (const address of unknown) {
       const row = this.#rows.get(address);
-      if (row !== undefined && address < this.#options.address) row.dialAt = now + OTHER_DIALS_FIRST;
+      if (row !== undefined && address < own) row.dialAt = now + otherDialsFirst;
     }
     for (const row of this.#rows.values()) if (row.connection === undefined) this.#dial(row, now);
   }
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -187,11 +187,14 @@
     tellAgain();
     const putOff = setInterval(tellAgain, 50);
     const first = await forwarding.send('/write/', COMES_AGAIN);
-    const sentAt = performance.now();
-    const second = await forwarding.send('/write/', COMES_AGAIN);
+    // One that waits does so for 1.7 s.
+    const isHeld = sleep(1_500).then(() => 'held');
+    const second = await Promise.race([
+      forwarding.send('/write/', COMES_AGAIN).then(({ status }) => status),
+      isHeld,
+    ]);
     clearInterval(putOff);
-    expect([first.status, second.status]).toEqual([503, 503]);
-    expect(performance.now() - sentAt).toBeLessThan(500);
+    expect([first.status, second]).toEqual([503, 503]);
   });
 
   it('no more wait for the first slots than there are', async () => {
--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -151,7 +151,8 @@
 });
 
 it('agents whose answers come while this process stands still are not taken for silent', async () => {
-  const routes = CONFIGURATION.routes.map((route) => ({ ...route, objective: 400 }));
+  // It waits for 0.48 s: long enough for the queue of an engine, shorter than engines may be silent.
+  const routes = CONFIGURATION.routes.map((route) => ({ ...route, objective: 800 }));
   const configuration = { ...CONFIGURATION, revision: 2, routes };
   forwarding.fleet.takeConfiguration({ document: Buffer.from(''), configuration });
   const taken = Array.from({ length: 2 * SLOTS }, () => forwarding.send('/write/a'));
@@ -160,12 +161,13 @@
   const ask = client.ask.bind(client);
   client.ask = (...question) => {
     const claim = ask(...question);
-    // Both agents of a request are asked before it stands still.
-    if (++asked % 2 === 0 && asked <= 2 * SLOTS) standStill(400);
+    // Both agents of a request are asked before it stands still, for longer than agents may be silent, and less than it waits.
+    if (++asked % 2 === 0) standStill(300);
     return claim;
   };
-  const waiting = Array.from({ length: SLOTS }, () => forwarding.send('/write/a'));
-  expect((await Promise.all(waiting)).map(({ status }) => status)).toEqual(waiting.map(() => 503));
+  // An agent that left one question unanswered is asked again: the second one would show it.
+  expect((await forwarding.send('/write/a')).status).toBe(503);
+  expect((await forwarding.send('/write/a')).status).toBe(503);
   expect(requests()).toBe(2 * SLOTS);
   answerAll();
   await Promise.all(taken);
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -58,6 +58,7 @@
   onLapsed?: (report: EntryReport) => void;
   /** Another entry has connected. */
   onAccepted?: () => void;
+  otherDialsFirst?: number;
 }
 
 async function startEntry(
@@ -71,6 +72,7 @@
     onReport = () => {},
     onLapsed = () => {},
     onAccepted = () => {},
+    otherDialsFirst,
   }: EntryInit = {},
 ): Promise<EntryPeers> {
   const context: ConnectionContext = {
@@ -93,6 +95,7 @@
     random: seededRandom(1),
     // None are told in their turn while this test runs.
     addressesInterval: 3_600_000,
+    otherDialsFirst,
     report: () => ({ ...reportOf(id, address), zone, configurationRevision: revision() }),
     onReport,
     onStoreNews: () => {},
@@ -130,11 +133,12 @@
   const onAccepted = () => void accepted++;
   const hub = await startEntry('seed', seed, [], { onAccepted });
   const others = await Promise.all(
-    addresses.map((address) => startEntry(address, address, [seed], { onAccepted })),
+    // However slow this machine is, the others have connected by then.
+    addresses.map((address) => startEntry(address, address, [seed], { onAccepted, otherDialsFirst: 20_000 })),
   );
   const all = [hub, ...others];
   await until(() => all.every((entry) => entry.live().length === others.length), 'all to hear all');
-  // Whoever would connect besides does so within half a second.
+  // Whoever would connect besides does so with the next look.
   await pause(600);
   expect(accepted).toBe((all.length * (all.length - 1)) / 2);
 });
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -546,7 +546,7 @@
   {
     fault: 'entries that learn of one another both connect',
     file: 'src/peers/entry-peers.ts',
-    find: 'row.dialAt = now + OTHER_DIALS_FIRST;',
+    find: 'row.dialAt = now + otherDialsFirst;',
     replace: 'row.dialAt = now;',
     test: 'test/peers/entry-peers.test.ts',
   },
