Test processes that run side by side take ports of their own shares; a start in vain tells who ended

A run of all tests with each given port noted: of 424 ports of 25 processes, four were given to two processes within 25 s, two within 8 s; pairs of ports given within 5 s by different processes lead one to expect 0.96 equal ones a run. A port is free until its taker listens, which is seconds later on a busy machine. Change: 16 shares of the ports, by the number of the test worker; a cluster that does not start names the processes that ended, and why.

--- a/bench/processes/child.ts
+++ b/bench/processes/child.ts
@@ -13,12 +13,20 @@
 const FIRST_PORT = 12_000;
 const LAST_PORT = 32_000;
 
+/**
+ * Processes that run tests side by side, of which each takes ports of its own share: a port is free until whoever was given it
+ * listens there, which takes seconds on a busy machine, and another process could be given it meanwhile.
+ */
+const SHARES = 16;
+const SHARE_SIZE = Math.floor((LAST_PORT - FIRST_PORT) / SHARES);
+const share = Number(process.env.VITEST_POOL_ID ?? 0) % SHARES;
+
 const given = new Set<number>();
 
 /** A free port of the loopback address, given once by this process. */
 export async function freeAddress(): Promise<string> {
   for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    const port = FIRST_PORT + share * SHARE_SIZE + Math.floor(Math.random() * SHARE_SIZE);
     if (given.has(port) || !(await isFree(port))) continue;
     given.add(port);
     return `127.0.0.1:${port}`;
@@ -94,6 +102,15 @@
     return found;
   }
 
+  /** The last words of processes that have ended, for whoever waits for them in vain. */
+  lastWords(): string {
+    const ended = [...this.#processes.values()].filter(({ child }) => child.exitCode !== null);
+    const words = ended.map(
+      ({ name, child, errors }) => `${name} ended with ${child.exitCode}: ${errors.at(-1) ?? ''}`,
+    );
+    return words.join('; ');
+  }
+
   /** Ends a process at once. */
   kill(name: string, signal: NodeJS.Signals = 'SIGKILL'): void {
     this.get(name).child.kill(signal);
--- a/bench/processes/cluster.ts
+++ b/bench/processes/cluster.ts
@@ -93,11 +93,22 @@
     );
     for (const entry of this.entries) this.#startEntry(entry);
     for (const agent of this.plan.agents) this.agents.push(await this.#startAgent(agent));
-    await Promise.all(this.entries.map((entry) => waitForHttp(`http://${entry.callers}/status`)));
-    await Promise.all(this.agents.map((agent) => waitForHttp(`http://${agent.operators}/status`)));
+    await this.#untilAllAnswer();
     await this.listMachines(this.agents);
   }
 
+  async #untilAllAnswer(): Promise<void> {
+    const addresses = [
+      ...this.entries.map(({ callers }) => callers),
+      ...this.agents.map(({ operators }) => operators),
+    ];
+    try {
+      await Promise.all(addresses.map((address) => waitForHttp(`http://${address}/status`)));
+    } catch (cause) {
+      throw new Error(`the processes do not all answer; ended: ${this.processes.lastWords()}`, { cause });
+    }
+  }
+
   stop(): void {
     this.processes.stopAll();
     for (const { link } of [...this.agents, ...this.entries]) link?.stop();
