--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -328,16 +328,16 @@
   },
   {
     fault: 'a request that comes again is refused although capacity is in sight',
-    file: 'src/forwarding/request-timing.ts',
-    find: 'if (!this.isLastChance) return heldSince + SHORT_HOLD;',
-    replace: 'return heldSince + SHORT_HOLD;',
+    file: 'src/systems/capacity-wait.ts',
+    find: 'if (caller.comesAgain) return soonest < heldUntil;',
+    replace: 'if (caller.comesAgain) return false;',
     test: 'test/forwarding/capacity.test.ts',
   },
   {
     fault: 'a request is held until its caller has left',
-    file: 'src/forwarding/request-timing.ts',
-    find: 'Math.min(this.endsAt - TIME_TO_SERVE, patienceEnds - TIME_TO_FIRST_EVENT)',
-    replace: 'this.endsAt - TIME_TO_SERVE',
+    file: 'src/systems/capacity-wait.ts',
+    find: 'Math.min(endsAt - TIME_TO_SERVE, arrivedAt + patience - TIME_TO_FIRST_EVENT)',
+    replace: 'endsAt - TIME_TO_SERVE',
     test: 'test/forwarding/request-timing.test.ts',
   },
   {
@@ -497,7 +497,7 @@
   {
     fault: 'a silent agent is waited for',
     file: 'src/systems/slot-search.ts',
-    find: 'now - askedAt >= SILENT_AFTER',
+    find: 'runningTime(askedAt) >= SILENT_AFTER',
     replace: 'false',
     test: 'test/systems/slot-search.test.ts test/forwarding/slots.test.ts',
   },
