Sight: late begins, withdrawals and standstills are counted and logged

Cause: nothing told that a withdrawal was due and did not come, on which send a request was, or whether the process stood still then, so that the hypotheses about VERSION could not be told apart. Change: counters of withdrawals and of answers that begin on an expired version, a line for each of the latter, a line and a counter of standstills.

--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -257,6 +257,15 @@
     return version > 0 && version < this.#lowestVersion(engine, now, WITHDRAWAL_LEAD);
   }
 
+  /** Time since requests may not start on `version` of `service` any more, in milliseconds; negative while they may. */
+  expiredFor(service: string, version: number, now: number): number {
+    const models = this.#fleet.routes?.service(service)?.engine?.models ?? [];
+    const expiries = models.map(({ name }) =>
+      this.#fleet.versions.expiryOf(name, version, this.#versionBound),
+    );
+    return now - Math.min(Number.POSITIVE_INFINITY, ...expiries);
+  }
+
   /** Lowest version that a request may start on after `wait` milliseconds; 0 for any. */
   #lowestVersion(engine: EngineShape, now: number, wait: number): number {
     const lowest = engine.models.map(({ name }) => {
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -281,6 +281,23 @@
       return this.#use?.attempt.fail(`status ${head.status} to a stream that goes on`);
     const version = Number(head.headers[this.#components.names.servedVersion]);
     if (!goesOn && Number.isFinite(version) && version > 0) this.#version = version;
+    this.#noteBegin(version);
+  }
+
+  /** An answer begins on `version`. */
+  #noteBegin(version: number): void {
+    const { selector, expiryFigures } = this.#components;
+    const expiredFor = selector.expiredFor(this.#admitted.service, version, performance.now());
+    if (!(expiredFor > 0)) return;
+    expiryFigures.begunLate++;
+    const { row, attempt } = this.#use!;
+    this.#log('began on an expired version', {
+      backEnd: row.record.id,
+      version,
+      expiredMs: Math.round(expiredFor),
+      send: this.#sends,
+      sentMsAgo: Math.round(performance.now() - attempt.startedAt),
+    });
   }
 
   #onData(chunk: Buffer): void {
@@ -314,6 +331,7 @@
   #onFailure(failure: AttemptFailure): void {
     const { row } = this.#use!;
     this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
+    if (failure.type === 'withdrawn') this.#components.expiryFigures.withdrawn++;
     this.#endAttempt(outcomeOf(failure));
     if (failure.type !== 'notSent') this.#isRepetition = true;
     if (failure.type === 'silentConnection') this.#allowAgain(row);
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -19,6 +19,7 @@
 import type { HeaderNames } from './header-names.js';
 import type { RequestOutcome } from './request-outcome.js';
 import type { TimeToEndComponents } from './time-to-end.js';
+import { VersionExpiryFigures } from './version-expiry-figures.js';
 
 /** Time between two looks at requests in progress, in milliseconds. */
 const CHECK_INTERVAL = 50;
@@ -49,6 +50,7 @@
   slots: EngineSlots;
   random: Random;
   log: Log;
+  expiryFigures: VersionExpiryFigures;
   budgetOf(service: string): RetryWindow;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
 }
@@ -64,6 +66,8 @@
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   readonly #standstills = new Standstills(CHECK_INTERVAL, performance.now());
+  /** Time in which this process got no processor while requests were in progress, in milliseconds. */
+  #stoodStill = 0;
   #acceptedAt = 0;
   #isClosed = false;
   /** Since when callers may be sending on connections that they were not told to leave: the close, and early answers. */
@@ -74,13 +78,14 @@
 
   constructor(
     address: string,
-    components: Omit<ForwardingComponents, 'onSettled' | 'durations'>,
+    components: Omit<ForwardingComponents, 'onSettled' | 'durations' | 'expiryFigures'>,
     metrics: Metrics,
   ) {
     this.#address = address;
     this.#components = {
       ...components,
       durations: new LongestDurations(),
+      expiryFigures: new VersionExpiryFigures(metrics),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
     this.#latency = new Histogram({
@@ -99,6 +104,11 @@
         read: () => ({ ...this.#counters }) as Record<string, number>,
       },
       { name: 'forwarded_in_progress', help: 'Requests in progress', read: () => this.active },
+      {
+        name: 'stood_still_milliseconds',
+        help: 'Time in which this process got no processor while requests were in progress',
+        read: () => this.#stoodStill,
+      },
       {
         name: 'silent_connections',
         help: 'Kept connections to back ends on which nothing came any more',
@@ -208,13 +218,23 @@
 
   #check(): void {
     const now = performance.now();
-    this.#standstills.tick(now);
+    const stoodStill = this.#standstills.tick(now);
+    if (stoodStill > 0) this.#noteStandstill(stoodStill);
     for (const request of this.#active) this.#checkOne(request, now);
     if (this.#active.size > 0) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
   }
 
+  /** What was due meanwhile comes late: time-outs, withdrawals, answers to others. */
+  #noteStandstill(milliseconds: number): void {
+    this.#stoodStill += milliseconds;
+    this.#components.log.warn('stood still', {
+      milliseconds: Math.round(milliseconds),
+      inProgress: this.active,
+    });
+  }
+
   /** A fault at one request ends that one. */
   #checkOne(request: ForwardedRequest, now: number): void {
     try {
--- a/src/model/standstills.ts
+++ b/src/model/standstills.ts
@@ -42,12 +42,13 @@
     this.#tickedAt = now;
   }
 
-  /** The tick that was due has come. */
-  tick(now: number): void {
+  /** The tick that was due has come; returns for how long this process stood still before it, in milliseconds. */
+  tick(now: number): number {
     const current = this.#current(now);
     if (current !== undefined) this.#known.push(current);
     this.#tickedAt = now;
     if (this.#known.length > 0) this.#known = this.#known.filter(({ to }) => now - to < KEPT_TIME);
+    return current === undefined ? 0 : current.to - current.from;
   }
 
   /** Time since `since` in which this process ran. */
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -1,38 +1,15 @@
 /** Requests for engines when none can take them at once. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import type { EngineNews } from '../../src/forwarding/back-end-table.js';
 import { until } from '../support.js';
+import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
 import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
-const LAYERS = 4;
+const LAYERS = ENGINE_LAYERS;
 const TIMEOUT = STREAM_ROUTE.timeout;
 
-const CONFIGURATION: FleetConfiguration = {
-  revision: 1,
-  routes: [STREAM_ROUTE],
-  services: [
-    {
-      name: 'engines',
-      maxConnections: 0,
-      engine: {
-        slots: 4,
-        models: [{ name: 'm' }],
-        layers: LAYERS,
-        pieceCount: 8,
-        pieceBytes: 16,
-        readTokensPerSecond: 30_000,
-        tokenTime: 8,
-      },
-    },
-  ],
-  origin: undefined,
-  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
-  tenants: undefined,
-};
-
 const LISTED = { layers: { from: 0, end: LAYERS, version: 1 } };
 /** What a caller that was refused two seconds ago sends. */
 const COMES_AGAIN = { headers: { 'x-time-left': String(TIMEOUT - 2_000) } };
@@ -59,7 +36,7 @@
 beforeEach(async () => {
   engine = await new StandInBackEnd(reply(200, 'served')).start();
   forwarding = new ForwardingHarness('engines');
-  await forwarding.start(CONFIGURATION);
+  await forwarding.start(ENGINE_CONFIGURATION);
   forwarding.list(['one', engine, LISTED]);
 });
 
