--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -9,7 +9,7 @@
 import type { EngineSlots } from '../../src/forwarding/engine-slots.js';
 import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
 import { seededRandom } from '../../src/model/random.js';
-import { silentLog } from '../../src/observability/log.js';
+import { type Log, silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
 import { DrainSchedule } from '../../src/systems/drain-schedule.js';
 import { RetryWindow } from '../../src/systems/retry-window.js';
@@ -67,6 +67,8 @@
   readonly fleet = new FleetView();
   readonly backEnds = new BackEndTable();
   readonly metrics = new Metrics('test');
+  /** What the entry logs goes here. */
+  log: Log = silentLog;
   readonly drain = new DrainSchedule({ graceTime: 8_000, addressLifetime: 1_000 });
   /** Who gives out slots; nobody does until a test says so. */
   slots: EngineSlots = { ask: () => ({ release: () => {} }) };
@@ -123,7 +125,7 @@
         selector,
         slots: this.slots,
         random,
-        log: silentLog,
+        log: this.log,
         budgetOf: () => budget,
         drain: this.drain,
       },
