What has not begun as a version expires is taken back, whether or not it may be sent again

Cause: a right (may it be sent again?) was asked where a duty (it must not begin any more) was due; the same early return kept requests of routes without repetition, with bodies that are not kept, and of callers that do not read. A head without a token counted as begun, and an attempt that had not gone out would have counted as a run. Change: the duty is asked first; begun is the first part of an answer; a withdrawal tells whether the request went out; a version binds a request only once its caller has a part of the answer.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -37,8 +37,13 @@
   | { type: 'broken'; reason: string }
   /** Nothing came on a kept connection: it may have run. `isBackEndHeard` where the back end went on with others. */
   | { type: 'silentConnection'; reason: string; isBackEndHeard: boolean }
-  /** This process has ended it, through no fault of the back end, which may have run the request. */
-  | { type: 'withdrawn'; reason: string };
+  /** This process has ended it, through no fault of the back end, which may have run the request if it `wentOut`. */
+  | { type: 'withdrawn'; reason: string; wentOut: boolean };
+
+/** True where bytes of the request may have reached the back end. */
+export function wentOut(failure: AttemptFailure): boolean {
+  return failure.type === 'withdrawn' ? failure.wentOut : failure.type !== 'notSent';
+}
 
 /** Told as the answer comes. Nothing follows `onEnd` or `onFailure`. */
 export interface AttemptListener {
@@ -112,8 +117,9 @@
   /** Ends an attempt that could go wrong, and tells why. */
   withdraw(reason: string): void {
     if (this.#ended) return;
+    const wentOut = this.sent;
     this.abort(reason);
-    this.#listener.onFailure({ type: 'withdrawn', reason });
+    this.#listener.onFailure({ type: 'withdrawn', reason, wentOut });
   }
 
   pause(): void {
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -54,6 +54,11 @@
     return this.#answeredAt !== undefined;
   }
 
+  /** True once the first part of an answer has come. */
+  get hasBegun(): boolean {
+    return this.#firstAnswerAfter !== undefined;
+  }
+
   /** Time to the first part of the answer, in milliseconds; undefined before it. */
   get firstAnswerAfter(): number | undefined {
     return this.#firstAnswerAfter;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -10,7 +10,7 @@
 import type { Standstills } from '../model/standstills.js';
 import { LONGEST_RETURN } from '../systems/capacity-wait.js';
 import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
-import { type AnswerHead, Attempt, type AttemptFailure } from './attempt.js';
+import { type AnswerHead, Attempt, type AttemptFailure, wentOut } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
 import type { Requirements, Selection } from './back-end-selector.js';
 import { type BackEndRow, loadOf } from './back-end-table.js';
@@ -128,7 +128,10 @@
     if (this.#wait?.isUnderWay) return this.#wait.check(now, standstills);
     const use = this.#use;
     if (use === undefined) return;
-    const { attempt, row } = use;
+    // It must not begin, whether or not it may be sent again and its caller reads: asked after that, last sends were left where
+    // they were and began up to 0.23 s after the bound.
+    if (this.#mustNotBegin(use, now)) return use.attempt.withdraw('version expires');
+    const { attempt } = use;
     this.#timeToEnd.noteProgress(attempt, now);
     if (!attempt.sent) {
       if (standstills.runningTime(attempt.startedAt, now) > CONNECT_LIMIT)
@@ -139,11 +142,14 @@
     const silence = this.#silence(now, use, standstills);
     if (silence === 'connection') use.suspectConnections(this.#components.backEnds);
     if (!this.#mayRunAgain()) return;
-    if (!use.hasAnswered && this.#components.selector.mustWithdraw(row, now))
-      return attempt.withdraw('version expires');
     if (silence !== 'none') this.#giveUpSilent(use, silence, now);
   }
 
+  /** True where it has not begun at a back end whose version is about to expire: a request begins with its first token. */
+  #mustNotBegin({ row, hasBegun }: BackEndUse, now: number): boolean {
+    return !hasBegun && this.#components.selector.mustWithdraw(row, now);
+  }
+
   #giveUpSilent(use: BackEndUse, silence: Exclude<Silence, 'none'>, now: number): void {
     if (!this.#mayRepeat()) return;
     const silentFor = Math.round(now - use.progressAt);
@@ -233,7 +239,7 @@
       mayQueue: this.#sends > 0 || !this.#admitted.timing.isLastChance,
       answerTokens: this.#admitted.answerTokens,
       goesOn: this.#answer.started,
-      version: this.#version,
+      version: this.#answer.started ? this.#version : undefined,
       tried: this.#tried,
     };
   }
@@ -333,9 +339,9 @@
     this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
     if (failure.type === 'withdrawn') this.#components.expiryFigures.withdrawn++;
     this.#endAttempt(outcomeOf(failure));
-    if (failure.type !== 'notSent') this.#isRepetition = true;
+    if (wentOut(failure)) this.#isRepetition = true;
     if (failure.type === 'silentConnection') this.#allowAgain(row);
-    if (failure.type !== 'notSent' && failure.type !== 'refused') return this.#onBroken(failure.reason);
+    if (wentOut(failure) && failure.type !== 'refused') return this.#onBroken(failure.reason);
     if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
     if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
     if (this.#body.type === 'streamed' && failure.type === 'refused') return this.#giveUp('body not kept');
--- a/test/forwarding/attempt.test.ts
+++ b/test/forwarding/attempt.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
-import { Attempt, type AttemptFailure } from '../../src/forwarding/attempt.js';
+import { Attempt, type AttemptFailure, wentOut } from '../../src/forwarding/attempt.js';
 import { BackEndConnections } from '../../src/forwarding/back-end-connections.js';
 import { until } from '../support.js';
 import { NAMES } from './forwarding-harness.js';
@@ -110,6 +110,19 @@
     expect(backEnd.received).not.toContain('/late');
   });
 
+  it('is told apart from one that went out, where the version of the back end expires', async () => {
+    await backEnd.start(address);
+    const early = attemptOf('early');
+    early.attempt.send(connections);
+    early.attempt.withdraw('version expires');
+    const ending = await early.ending;
+    expect(ending).toEqual({ type: 'withdrawn', reason: 'version expires', wentOut: false });
+    expect(wentOut(ending as AttemptFailure)).toBe(false);
+    expect(wentOut({ type: 'withdrawn', reason: 'version expires', wentOut: true })).toBe(true);
+    await until(() => backEnd.accepted > 0, 'the connection to open');
+    expect(backEnd.received).not.toContain('/early');
+  });
+
   it('shows the back end no byte where its kept connection is reset at that moment', async () => {
     await backEnd.start(address);
     const endings: string[] = [];
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -592,6 +592,13 @@
     replace: '',
     test: 'test/forwarding/capacity.test.ts',
   },
+  {
+    fault: 'what may not be sent again begins on an expired version',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: 'return !hasBegun && this.',
+    replace: 'return !hasBegun && this.#mayRunAgain() && this.',
+    test: 'test/forwarding/last-send-expires.test.ts',
+  },
 ];
 
 const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
