--- a/bench/processes/child.ts
+++ b/bench/processes/child.ts
@@ -19,7 +19,10 @@
  */
 const SHARES = 16;
 const SHARE_SIZE = Math.floor((LAST_PORT - FIRST_PORT) / SHARES);
-const share = Number(process.env.VITEST_POOL_ID ?? 0) % SHARES;
+/** Shares that lie between those of two runs of tests beside one another: each has at most this many processes. */
+const SHARES_OF_A_RUN = 4;
+const run = Number(process.env.TEST_RUN ?? 0);
+const share = (Number(process.env.VITEST_POOL_ID ?? 0) + SHARES_OF_A_RUN * run) % SHARES;
 
 const given = new Set<number>();
 
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -2,9 +2,9 @@
  * Shows that tests can fail: each guard below is taken out of a copy of the code, and the test named beside it
  * must then fail. `npm run guards` prints the table; a guard whose absence no test notices is an error.
  */
-import { spawnSync } from 'node:child_process';
+import { spawn } from 'node:child_process';
 import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
+import { availableParallelism, tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 
 const DISTRIBUTION = 'src/systems/distribution';
@@ -601,8 +601,10 @@
   },
 ];
 
-const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
-for (const name of [
+/** Copies of the code in which guards are taken out side by side: most tests wait more than they compute. */
+const LANES = Math.max(1, Math.min(4, Math.floor(availableParallelism() / 4)));
+
+const COPIED = [
   'src',
   'test',
   'bench',
@@ -611,14 +613,30 @@
   'package.json',
   'tsconfig.json',
   'vitest.config.ts',
-]) {
-  cpSync(name, join(root, name), { recursive: true });
+];
+
+/** Makes a copy of the code, which goes with this process. */
+function copyOfCode() {
+  const root = mkdtempSync(join(tmpdir(), 'thistleway-guards-'));
+  for (const name of COPIED) cpSync(name, join(root, name), { recursive: true });
+  symlinkSync(resolve('node_modules'), join(root, 'node_modules'));
+  process.once('exit', () => rmSync(root, { recursive: true, force: true }));
+  return root;
 }
-symlinkSync(resolve('node_modules'), join(root, 'node_modules'));
-process.once('exit', () => rmSync(root, { recursive: true, force: true }));
 
-let unnoticed = 0;
-for (const guard of GUARDS) {
+/** Resolves with true where the tests fail. */
+function testsFail(root, files, lane) {
+  return new Promise((resolve, reject) => {
+    // Each lane takes ports of its own, or a port taken twice could look like a test that notices.
+    const env = { ...process.env, TEST_RUN: String(lane) };
+    const run = spawn('npx', ['vitest', 'run', ...files], { cwd: root, env, stdio: 'ignore' });
+    run.once('error', reject);
+    run.once('exit', (status) => resolve(status !== 0));
+  });
+}
+
+/** Takes `guard` out of the copy at `root`, runs its tests, and puts it back. */
+async function isNoticed(guard, root, lane) {
   const edits = [guard, guard.also, guard.extra].filter((edit) => edit !== undefined);
   const originals = edits.map(({ file }) => readFileSync(join(root, file), 'utf8'));
   for (const [index, { file, find, replace }] of edits.entries()) {
@@ -626,11 +644,23 @@
       throw new Error(`${file} has no "${find}": mend the table of guards`);
     writeFileSync(join(root, file), originals[index].replace(find, replace));
   }
-  const run = spawnSync('npx', ['vitest', 'run', ...guard.test.split(' ')], { cwd: root, stdio: 'ignore' });
+  const noticed = await testsFail(root, guard.test.split(' '), lane);
   for (const [index, { file }] of edits.entries()) writeFileSync(join(root, file), originals[index]);
-  const noticed = run.status !== 0;
-  if (!noticed) unnoticed++;
-  console.log(`${noticed ? 'fails as it should' : 'NOT NOTICED       '}  ${guard.fault}`);
+  return noticed;
 }
+
+let unnoticed = 0;
+const waiting = [...GUARDS];
+
+async function runLane(_, lane) {
+  const root = copyOfCode();
+  for (let guard = waiting.shift(); guard !== undefined; guard = waiting.shift()) {
+    const noticed = await isNoticed(guard, root, lane);
+    if (!noticed) unnoticed++;
+    console.log(`${noticed ? 'fails as it should' : 'NOT NOTICED       '}  ${guard.fault}`);
+  }
+}
+
+await Promise.all(Array.from({ length: LANES }).map(runLane));
 console.log(`guards: ${GUARDS.length - unnoticed} passed, ${unnoticed} failed`);
 process.exit(unnoticed === 0 ? 0 : 1);
