Tests of engines share one route, one agent's voice and one naming; the table of guards is checked before it runs

Cause: the route to engines stood in the harness and in a simulation, what an agent tells in four tests, the empty counts of a caller in three places; a guard that named a line which had moved stopped the run after two minutes. Change: each stands once; all entries of the table are looked up first.

--- a/bench/processes/caller.ts
+++ b/bench/processes/caller.ts
@@ -34,9 +34,9 @@
   choices: Array<{ delta: { content: string }; finish_reason: string | null }>;
 }
 
-/** Sends requests for a model at a steady rate until it is stopped. */
-export class Caller {
-  readonly counts: CallerCounts = {
+/** What a caller has counted before its first request. */
+export function noCounts(): CallerCounts {
+  return {
     sent: 0,
     answeredWhole: 0,
     refusedNotRun: 0,
@@ -49,6 +49,11 @@
     crossed: 0,
     byVersion: {},
   };
+}
+
+/** Sends requests for a model at a steady rate until it is stopped. */
+export class Caller {
+  readonly counts: CallerCounts = noCounts();
   /** Microseconds until the first part of an answer, and between its parts. */
   readonly firstToken = createHistogram();
   readonly betweenTokens = createHistogram();
--- a/bench/simulation/outage-simulation.ts
+++ b/bench/simulation/outage-simulation.ts
@@ -3,10 +3,10 @@
  * their weights, and each caller that is refused comes back once. What a request does meanwhile is decided by the code of the
  * entries. Times are in milliseconds.
  */
-import type { Route } from '../../src/fleet/configuration.js';
 import { RequestTiming } from '../../src/forwarding/request-timing.js';
 import { seededRandom } from '../../src/model/random.js';
 import { LONGEST_RETURN } from '../../src/systems/capacity-wait.js';
+import { STREAM_ROUTE } from './stream-route.js';
 
 /** Requests wait for capacity as entries let them, or first ones are refused at once, as before. */
 export type OutagePolicy = 'wait' | 'refuseFirst';
@@ -38,22 +38,6 @@
 const SHORTEST_RETURN = 400;
 const RETURN_SHARE = 1 / 3;
 
-const ROUTE: Route = {
-  name: 'write',
-  host: 'api.example',
-  pathPrefix: '/write/',
-  targets: [{ service: 'engines', weight: 1 }],
-  isStream: true,
-  repeatability: 'resumable',
-  timeout: 6_000,
-  objective: 400,
-  longestPause: 300,
-  patience: 2_400,
-  priority: 1,
-  maxAttempts: 2,
-  isPublic: true,
-};
-
 interface Attempt {
   timing: RequestTiming;
   nextLook: number;
@@ -92,13 +76,21 @@
     return false;
   };
 
-  for (let now = 0; now < outage + ROUTE.timeout; now += STEP) {
+  for (let now = 0; now < outage + STREAM_ROUTE.timeout; now += STEP) {
     while (come < callers && (come * outage) / callers <= now) {
       come++;
-      waiting.push({ timing: new RequestTiming(now, ROUTE, ROUTE.timeout), nextLook: now, isSecond: false });
+      waiting.push({
+        timing: new RequestTiming(now, STREAM_ROUTE, STREAM_ROUTE.timeout),
+        nextLook: now,
+        isSecond: false,
+      });
     }
     for (const { at, endsAt } of returning.filter((caller) => caller.at <= now && caller.at > now - STEP))
-      waiting.push({ timing: new RequestTiming(at, ROUTE, endsAt - at), nextLook: now, isSecond: true });
+      waiting.push({
+        timing: new RequestTiming(at, STREAM_ROUTE, endsAt - at),
+        nextLook: now,
+        isSecond: true,
+      });
     running = running.filter((endsAt) => endsAt > now);
     if (now >= outage) {
       const begun = waiting.splice(0, slots - running.length);
--- a/test/cluster/cluster.test.ts
+++ b/test/cluster/cluster.test.ts
@@ -4,7 +4,7 @@
 import { join, resolve } from 'node:path';
 import { promisify } from 'node:util';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { Caller, type CallerCounts } from '../../bench/processes/caller.js';
+import { Caller, type CallerCounts, noCounts } from '../../bench/processes/caller.js';
 import { Cluster } from '../../bench/processes/cluster.js';
 import { engineState, getJson, waitForAgents } from '../../bench/processes/observation.js';
 import type { DeploymentStatus } from '../../src/resources/deployment-status.js';
@@ -233,18 +233,8 @@
 
   it('loses no request while it goes over to a new version', () => {
     const { byVersion: _, ...outcomes } = duringChange!;
-    expect(outcomes).toEqual({
-      sent: outcomes.sent,
-      answeredWhole: outcomes.sent,
-      refusedNotRun: 0,
-      unreachable: 0,
-      unknown: 0,
-      cut: 0,
-      lost: 0,
-      lostBy: {},
-      mixedVersions: 0,
-      crossed: 0,
-    });
+    const { byVersion: _none, ...nothingElse } = noCounts();
+    expect(outcomes).toEqual({ ...nothingElse, sent: outcomes.sent, answeredWhole: outcomes.sent });
   });
 
   it('takes no new work at an agent that drains, and cuts nothing off', async () => {
--- a/test/cluster/standstill.test.ts
+++ b/test/cluster/standstill.test.ts
@@ -2,7 +2,7 @@
 import { resolve } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import { afterAll, beforeAll, expect, it } from 'vitest';
-import { Caller } from '../../bench/processes/caller.js';
+import { Caller, noCounts } from '../../bench/processes/caller.js';
 import { Cluster } from '../../bench/processes/cluster.js';
 import { getJson, waitForAgents } from '../../bench/processes/observation.js';
 import type { DeploymentStatus } from '../../src/resources/deployment-status.js';
@@ -84,18 +84,8 @@
   cluster.stop();
 });
 
-const ALL_WHOLE = {
-  sent: STREAMS,
-  answeredWhole: STREAMS,
-  refusedNotRun: 0,
-  unreachable: 0,
-  unknown: 0,
-  cut: 0,
-  lost: 0,
-  lostBy: {},
-  mixedVersions: 0,
-  crossed: 0,
-};
+const { byVersion: _, ...NOTHING } = noCounts();
+const ALL_WHOLE = { ...NOTHING, sent: STREAMS, answeredWhole: STREAMS };
 
 it('cuts no answer when all processes get no processor for a while', async () => {
   expect(await outcomesOfStandstill(1_000)).toEqual(ALL_WHOLE);
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -1,10 +1,11 @@
 /** Requests for engines when none can take them at once. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import type { EngineNews } from '../../src/forwarding/back-end-table.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
-import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
+import { ForwardingHarness } from './forwarding-harness.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
 const LAYERS = ENGINE_LAYERS;
@@ -20,17 +21,7 @@
 
 /** The engine's agent tells, as of now. */
 function tell(news: Partial<EngineNews>, of = engine): void {
-  const toldAt = performance.now();
-  forwarding.backEnds.takeNews(of.address, {
-    version: 0,
-    isReached: true,
-    isSwitching: false,
-    slotAddress: '',
-    load: 0,
-    toldAt,
-    switchAt: Number.POSITIVE_INFINITY,
-    ...news,
-  });
+  forwarding.tell(of, news);
 }
 
 beforeEach(async () => {
@@ -234,23 +225,15 @@
 });
 
 describe('an engine whose version expires', () => {
-  const BOUND = 8_000;
-  /** The next version is named so that the one before expires after `milliseconds`. */
-  function expireIn(milliseconds: number): void {
-    const now = performance.now();
-    forwarding.fleet.clock.note(now, now);
-    forwarding.fleet.takeNamedVersion({ model: 'm', version: 2, notBefore: now + milliseconds - BOUND });
-  }
-
   it('gets requests while they can begin in time, whoever overtakes them', async () => {
     tell({ version: 1 });
-    expireIn(3_000);
+    forwarding.expireIn(3_000);
     expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(200);
     expect((await forwarding.send('/write/', COMES_AGAIN)).status).toBe(200);
   });
 
   it('gets none that might begin too late: where its queue is long, or its load is not known', async () => {
-    expireIn(2_000);
+    forwarding.expireIn(2_000);
     tell({ version: 1, load: 12 });
     expect((await forwarding.send('/write/', COMES_FIRST)).status).toBe(503);
     tell({ version: 1, toldAt: performance.now() - 1_000 });
@@ -264,7 +247,7 @@
     const next = await new StandInBackEnd(reply(200, 'served by the next')).start();
     engine.answer(() => {});
     tell({ version: 1 });
-    expireIn(1_000);
+    forwarding.expireIn(1_000);
     const answer = forwarding.send('/write/', COMES_FIRST);
     await until(() => engine.requests.length === 1, 'the request there');
     forwarding.list(['one', engine, LISTED], ['two', next, { layers: { from: 0, end: LAYERS, version: 2 } }]);
--- a/test/forwarding/drain.test.ts
+++ b/test/forwarding/drain.test.ts
@@ -1,9 +1,10 @@
 /** Forwarding while its process stops. */
 import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { until } from '../support.js';
-import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
+import { ForwardingHarness } from './forwarding-harness.js';
 import { events, StandInBackEnd } from './stand-in-back-end.js';
 
 const CONFIGURATION: FleetConfiguration = {
--- a/test/forwarding/engine-configuration.ts
+++ b/test/forwarding/engine-configuration.ts
@@ -1,6 +1,7 @@
 /** A configuration with one service of engines, as tests of their versions and capacity need it. */
+
+import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
-import { STREAM_ROUTE } from './forwarding-harness.js';
 
 /** Layers of the model that its engines serve. */
 export const ENGINE_LAYERS = 4;
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -2,10 +2,10 @@
 import { type ClientRequest, request as httpRequest } from 'node:http';
 import { freeAddress } from '../../bench/processes/child.js';
 import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
-import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
-import { BackEndTable } from '../../src/forwarding/back-end-table.js';
+import { BackEndTable, type EngineNews } from '../../src/forwarding/back-end-table.js';
 import type { EngineSlots } from '../../src/forwarding/engine-slots.js';
 import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
 import { seededRandom } from '../../src/model/random.js';
@@ -29,22 +29,8 @@
   tokenCounts: 'x-tokens',
 };
 
-/** A route to engines, as the users have it. */
-export const STREAM_ROUTE: Route = {
-  name: 'write',
-  host: 'api.example',
-  pathPrefix: '/write/',
-  targets: [{ service: 'engines', weight: 1 }],
-  isStream: true,
-  repeatability: 'resumable',
-  timeout: 6_000,
-  objective: 400,
-  longestPause: 300,
-  patience: 2_400,
-  priority: 1,
-  maxAttempts: 2,
-  isPublic: true,
-};
+/** Time from the naming of a version to the moment from which no request may start on an older one, in milliseconds. */
+const VERSION_BOUND = 8_000;
 
 /** What a caller got. */
 export interface Answer {
@@ -103,7 +89,7 @@
       random,
       self: { zone: 'zone-a', region: 'region-a' },
       regionOf: () => 'region-a',
-      versionBound: 8_000,
+      versionBound: VERSION_BOUND,
       entryCount: () => 1,
     });
     const headersSet = new Set([
@@ -169,6 +155,27 @@
     });
   }
 
+  /** The agent beside `engine` tells of it, as of now; it gives out no slots unless `news` says so. */
+  tell(engine: StandInBackEnd, news: Partial<EngineNews> = {}): void {
+    this.backEnds.takeNews(engine.address, {
+      version: 0,
+      isReached: true,
+      isSwitching: false,
+      slotAddress: '',
+      load: 0,
+      toldAt: performance.now(),
+      switchAt: Number.POSITIVE_INFINITY,
+      ...news,
+    });
+  }
+
+  /** Names `version` of the model `m` so that those before it expire after `milliseconds`. */
+  expireIn(milliseconds: number, version = 2): void {
+    const now = performance.now();
+    this.fleet.clock.note(now, now);
+    this.fleet.takeNamedVersion({ model: 'm', version, notBefore: now + milliseconds - VERSION_BOUND });
+  }
+
   /** Sends a request without a body whose caller is going to leave. */
   open(path: string): ClientRequest {
     const [host, port] = this.#address.split(':');
--- a/test/forwarding/last-send-expires.test.ts
+++ b/test/forwarding/last-send-expires.test.ts
@@ -14,14 +14,13 @@
  * Nothing was withdrawn in between, while first sends at the same moment were.
  */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import { silentLog } from '../../src/observability/log.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
-import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
+import { ForwardingHarness } from './forwarding-harness.js';
 import { raw, reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
-/** Time from the naming of a version to the moment from which no request may start on an older one, in milliseconds. */
-const BOUND = 8_000;
 /** Time from the naming to the expiry of the version that engines hold, in milliseconds: enough for a request to go there. */
 const EXPIRES_IN = 1_000;
 const LISTED = { layers: { from: 0, end: ENGINE_LAYERS, version: 1 } };
@@ -44,19 +43,6 @@
   };
 }
 
-/** The agent of `engine` tells, as of now, that it holds the first version and is idle. */
-function tell(engine: StandInBackEnd): void {
-  forwarding.backEnds.takeNews(engine.address, {
-    version: 1,
-    isReached: true,
-    isSwitching: false,
-    slotAddress: '',
-    load: 0,
-    toldAt: performance.now(),
-    switchAt: Number.POSITIVE_INFINITY,
-  });
-}
-
 /** Starts `scripts.length` engines on the first version and names the next one. */
 async function serve(scripts: Script[], route: Partial<typeof STREAM_ROUTE> = {}): Promise<void> {
   engines = await Promise.all(scripts.map((script) => new StandInBackEnd(script).start()));
@@ -64,11 +50,9 @@
   forwarding.list(
     ...engines.map((engine, index): Parameters<typeof forwarding.list>[0] => [`e${index}`, engine, LISTED]),
   );
-  engines.forEach(tell);
-  const now = performance.now();
-  namedAt = now;
-  forwarding.fleet.clock.note(now, now);
-  forwarding.fleet.takeNamedVersion({ model: 'm', version: 2, notBefore: now + EXPIRES_IN - BOUND });
+  for (const engine of engines) forwarding.tell(engine, { version: 1 });
+  namedAt = performance.now();
+  forwarding.expireIn(EXPIRES_IN);
 }
 
 /** Checks that requests were withdrawn, and that none waits at an engine any more. */
--- a/test/forwarding/request-timing.test.ts
+++ b/test/forwarding/request-timing.test.ts
@@ -1,9 +1,9 @@
 /** How a request waits, by its time. */
 import { describe, expect, it } from 'vitest';
+import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { RouteTable } from '../../src/fleet/route-table.js';
 import { MOST_RANK, RequestTiming } from '../../src/forwarding/request-timing.js';
-import { STREAM_ROUTE } from './forwarding-harness.js';
 
 const ARRIVED = 10_000;
 const first = new RequestTiming(ARRIVED, STREAM_ROUTE, 6_030);
--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -1,13 +1,14 @@
 /** An entry's requests take the slots that agents give out, by datagrams as on machines of their own. */
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
+import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { seededRandom } from '../../src/model/random.js';
 import { SlotClient } from '../../src/peers/slot-client.js';
 import { SlotServer } from '../../src/peers/slot-server.js';
 import { contextAt, standStill, until } from '../support.js';
-import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
+import { ForwardingHarness } from './forwarding-harness.js';
 import { events, reply, StandInBackEnd } from './stand-in-back-end.js';
 
 const SLOTS = 2;
--- a/test/forwarding/standstill.test.ts
+++ b/test/forwarding/standstill.test.ts
@@ -1,8 +1,9 @@
 /** An entry that gets no processor for a while does not take that time for the silence of its back ends. */
 import { afterEach, beforeEach, expect, it } from 'vitest';
+import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { standStill } from '../support.js';
-import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
+import { ForwardingHarness } from './forwarding-harness.js';
 import { events, StandInBackEnd } from './stand-in-back-end.js';
 
 /** Above the longest silence after which a request goes to another back end, in milliseconds. */
--- a/test/forwarding/version-expiry.test.ts
+++ b/test/forwarding/version-expiry.test.ts
@@ -5,8 +5,6 @@
 import { ForwardingHarness } from './forwarding-harness.js';
 import { reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
-/** Time from the naming of a version to the moment from which no request may start on an older one, in milliseconds. */
-const BOUND = 8_000;
 const LISTED = { layers: { from: 0, end: ENGINE_LAYERS, version: 1 } };
 const LISTED_NEXT = { layers: { from: 0, end: ENGINE_LAYERS, version: 2 } };
 const silent: Script = () => {};
@@ -15,33 +13,13 @@
 let next: StandInBackEnd;
 let forwarding: ForwardingHarness;
 
-/** The agent of `of` tells, as of now, that its engine holds `version` and is idle. */
-function tell(version: number, of = engine): void {
-  forwarding.backEnds.takeNews(of.address, {
-    version,
-    isReached: true,
-    isSwitching: false,
-    slotAddress: '',
-    load: 0,
-    toldAt: performance.now(),
-    switchAt: Number.POSITIVE_INFINITY,
-  });
-}
-
-/** The next version is named so that the one before expires after `milliseconds`. */
-function expireIn(milliseconds: number): void {
-  const now = performance.now();
-  forwarding.fleet.clock.note(now, now);
-  forwarding.fleet.takeNamedVersion({ model: 'm', version: 2, notBefore: now + milliseconds - BOUND });
-}
-
 beforeEach(async () => {
   engine = await new StandInBackEnd(silent).start();
   next = await new StandInBackEnd(reply(200, 'served by the next', { 'x-version': '2' })).start();
   forwarding = new ForwardingHarness('engines');
   await forwarding.start(ENGINE_CONFIGURATION);
   forwarding.list(['one', engine, LISTED]);
-  tell(1);
+  forwarding.tell(engine, { version: 1 });
 });
 
 afterEach(async () => {
@@ -52,7 +30,7 @@
 
 describe('figures of versions that expire', () => {
   it('tell of a request that was taken back', async () => {
-    expireIn(1_000);
+    forwarding.expireIn(1_000);
     const answer = forwarding.send('/write/');
     await until(() => engine.requests.length === 1, 'the request there');
     forwarding.list(['one', engine, LISTED], ['two', next, LISTED_NEXT]);
@@ -65,8 +43,8 @@
   it('tell of an answer on a version that had expired, as of an engine that holds another one than it told', async () => {
     engine.answer(reply(200, 'late', { 'x-version': '1' }));
     forwarding.list(['one', engine, LISTED_NEXT]);
-    tell(2);
-    expireIn(0);
+    forwarding.tell(engine, { version: 2 });
+    forwarding.expireIn(0);
     expect((await forwarding.send('/write/')).body).toBe('late');
     expect(await forwarding.metrics.text()).toMatch(/thistleway_version_late_begins\{[^}]*\} 1/);
   });
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -343,7 +343,7 @@
   {
     fault: 'a request begins on a version that has expired while it waited',
     file: 'src/forwarding/forwarded-request.ts',
-    find: "return attempt.withdraw('version expires');",
+    find: "return use.attempt.withdraw('version expires');",
     replace: 'return;',
     test: 'test/forwarding/capacity.test.ts',
   },
@@ -635,13 +635,22 @@
   });
 }
 
+function editsOf({ file, find, replace, also, extra }) {
+  return [{ file, find, replace }, also, extra].filter((edit) => edit !== undefined);
+}
+
+/** Ends this process where an entry of the table names a line that is not there: minutes before its turn would come. */
+function checkTable() {
+  for (const { file, find } of GUARDS.flatMap(editsOf))
+    if (!readFileSync(file, 'utf8').includes(find))
+      throw new Error(`${file} has no "${find}": mend the table of guards`);
+}
+
 /** Takes `guard` out of the copy at `root`, runs its tests, and puts it back. */
 async function isNoticed(guard, root, lane) {
-  const edits = [guard, guard.also, guard.extra].filter((edit) => edit !== undefined);
+  const edits = editsOf(guard);
   const originals = edits.map(({ file }) => readFileSync(join(root, file), 'utf8'));
   for (const [index, { file, find, replace }] of edits.entries()) {
-    if (!originals[index].includes(find))
-      throw new Error(`${file} has no "${find}": mend the table of guards`);
     writeFileSync(join(root, file), originals[index].replace(find, replace));
   }
   const noticed = await testsFail(root, guard.test.split(' '), lane);
@@ -649,6 +658,7 @@
   return noticed;
 }
 
+checkTable();
 let unnoticed = 0;
 const waiting = [...GUARDS];
 
