A request that waits asks for its engine's version, though the service has left the configuration

Cause: the question whether a version expires was put to the configuration in force alone; without the service there, its engines counted as back ends without versions, and what waited for a slot went to an expired version and was not withdrawn. Change: a request brings along the engines that it was admitted for. Result: the new case of version-expiry failed (the request was sent) and passes; 135 tests of forwarding pass.

--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -51,6 +51,8 @@
 /** What a request needs of a back end. */
 export interface Requirements {
   service: string;
+  /** Its engines as declared when it was admitted; undefined for back ends that are none. */
+  engine: EngineShape | undefined;
   isRepeatable: boolean;
   /** False where it is to go only where it begins at once. */
   mayQueue: boolean;
@@ -131,7 +133,7 @@
   select(requirements: Requirements): Selection | undefined {
     const now = performance.now();
     const candidates = this.#candidates(requirements, now).filter(({ id }) => !this.#givesOutSlots(id, now));
-    const isEngine = this.#fleet.routes?.service(requirements.service)?.engine !== undefined;
+    const isEngine = this.#engineOf(requirements) !== undefined;
     const considered = isEngine ? this.#twoOf(candidates) : candidates;
     const choice = chooseBackEnd(considered, this.#self, this.#random);
     if (choice === undefined) return undefined;
@@ -141,13 +143,13 @@
   /** The back end `id` as the choice for a request. */
   selectionOf(id: string, requirements: Requirements, wait: number, choices: number): Selection {
     const row = this.#table.rows.get(id)!;
-    const engine = this.#fleet.routes?.service(requirements.service)?.engine;
+    const engine = this.#engineOf(requirements);
     return {
       row,
       engine,
       version: wholeVersion(row, engine?.layers ?? 0),
       expectedWait: wait,
-      expectedVersion: requirements.version ?? this.#expectedVersion(id, performance.now()),
+      expectedVersion: requirements.version ?? this.#expectedVersion(row, engine, performance.now()),
       choices,
     };
   }
@@ -283,6 +285,14 @@
     return now - Math.min(Number.POSITIVE_INFINITY, ...expiries);
   }
 
+  /**
+   * The engines of a request's service: where that has left the configuration since the request came, as they were. The request
+   * still goes to them, and their versions expire as before.
+   */
+  #engineOf({ service, engine }: Requirements): EngineShape | undefined {
+    return this.#fleet.routes?.service(service)?.engine ?? engine;
+  }
+
   /** Lowest version that a request may start on after `wait` milliseconds; 0 for any. */
   #lowestVersion(engine: EngineShape, now: number, wait: number): number {
     const lowest = engine.models.map(({ name }) => {
@@ -310,7 +320,7 @@
     if (requirements.tried.has(record.id)) return 'tried';
     if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
     if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
-    const engine = this.#fleet.routes?.service(record.service)?.engine;
+    const engine = this.#engineOf(requirements);
     const exclusion =
       engine === undefined ? undefined : this.#versionExclusion(row, engine, requirements, now);
     if (exclusion !== undefined) return exclusion;
@@ -366,9 +376,7 @@
   }
 
   /** The version that a back end is asked to have, once an older one may not answer any more. */
-  #expectedVersion(id: string, now: number): number | undefined {
-    const row = this.#table.rows.get(id)!;
-    const engine = this.#fleet.routes?.service(row.record.service)?.engine;
+  #expectedVersion(row: BackEndRow, engine: EngineShape | undefined, now: number): number | undefined {
     if (engine === undefined || this.#lowestVersion(engine, now, 0) === 0) return undefined;
     return wholeVersion(row, engine.layers);
   }
--- a/test/forwarding/version-expiry.test.ts
+++ b/test/forwarding/version-expiry.test.ts
@@ -1,6 +1,7 @@
 /** Requests at engines whose version expires: none may begin there from then on. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
 import { ForwardingHarness, STREAM_ROUTE } from './forwarding-harness.js';
@@ -15,14 +16,16 @@
 let engine: StandInBackEnd;
 let next: StandInBackEnd;
 let forwarding: ForwardingHarness;
+/** Answers of the agent that was asked for a slot last. */
+let asked: SlotAnswers | undefined;
 
 /** The agent of `of` tells, as of now, that its engine holds `version` and is idle. */
-function tell(version: number, of = engine): void {
+function tell(version: number, of = engine, slotAddress = ''): void {
   forwarding.backEnds.takeNews(of.address, {
     version,
     isReached: true,
     isSwitching: false,
-    slotAddress: '',
+    slotAddress,
     load: 0,
     toldAt: performance.now(),
     switchAt: Number.POSITIVE_INFINITY,
@@ -36,10 +39,23 @@
   forwarding.fleet.takeNamedVersion({ model: 'm', version: 2, notBefore: now + milliseconds - BOUND });
 }
 
+/** A newer configuration with `changes` comes into force. */
+function configure(changes: Partial<FleetConfiguration>): void {
+  const configuration = { ...ENGINE_CONFIGURATION, revision: 2, ...changes };
+  forwarding.fleet.takeConfiguration({ document: Buffer.from(''), configuration });
+}
+
 beforeEach(async () => {
   engine = await new StandInBackEnd(silent).start();
   next = await new StandInBackEnd(reply(200, 'served by the next', { 'x-version': '2' })).start();
+  asked = undefined;
   forwarding = new ForwardingHarness('engines');
+  forwarding.slots = {
+    ask: (_agent, _wish, answers) => {
+      asked = answers;
+      return { release: () => {} };
+    },
+  };
   await forwarding.start(ENGINE_CONFIGURATION);
   forwarding.list(['one', engine, LISTED]);
   tell(1);
@@ -85,12 +101,6 @@
     expect(await forwarding.metrics.text()).toMatch(/thistleway_version_withdrawals\{[^}]*\} 1/);
     await until(() => engine.open === 0, 'no request there');
   }
-  /** A newer configuration with `changes` comes into force. */
-  function configure(changes: Partial<FleetConfiguration>): void {
-    const configuration = { ...ENGINE_CONFIGURATION, revision: 2, ...changes };
-    forwarding.fleet.takeConfiguration({ document: Buffer.from(''), configuration });
-  }
-
   it('whose service has left the configuration', () => withdrawnThough(() => configure({ services: [] })));
 
   it('whose service is no service of engines any more', () =>
@@ -126,3 +136,16 @@
     expect(await forwarding.metrics.text()).toMatch(/thistleway_version_withdrawals\{[^}]*\} 0/);
   });
 });
+
+describe('a request that waits for a slot', () => {
+  it('does not go to an engine whose version has expired, though its service has left the configuration', async () => {
+    tell(1, engine, '127.0.0.1:1');
+    const answer = forwarding.send('/write/');
+    await until(() => asked !== undefined, 'an agent asked');
+    configure({ services: [] });
+    expireIn(0);
+    asked!.onGranted();
+    expect((await answer).status).toBe(503);
+    expect(engine.requests).toHaveLength(0);
+  });
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -613,6 +613,13 @@
     replace: 'wholeVersion(row, engine.layers, now);',
     test: 'test/forwarding/version-expiry.test.ts',
   },
+  {
+    fault: 'what waits for a slot goes to an expired version where its service has left the configuration',
+    file: 'src/forwarding/back-end-selector.ts',
+    find: 'this.#fleet.routes?.service(service)?.engine ?? engine;',
+    replace: 'this.#fleet.routes?.service(service)?.engine;',
+    test: 'test/forwarding/version-expiry.test.ts',
+  },
 ];
 
 /** Copies of the code in which guards are taken out side by side: most tests wait more than they compute. */
