An entry that lags asks one other for the whole configuration, not all of them

Cause: each report of a newer configuration was answered with a request for all of it, to every other entry at once; with 41 others 2,100 routes (0.5 MB) came and were decoded 41 times. Change: the configuration, and the list of back ends, are asked of one entry at a time, of another after 400 ms without an answer.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -23,6 +23,7 @@
 import { lacksAddresses, toldInTurn, toldOfNew } from '../systems/address-gossip.js';
 import type { EntriesKnown } from '../systems/entry-retry-window.js';
 import { Dialling } from './dialling.js';
+import { FleetWish } from './fleet-wish.js';
 import { REPORT_TICK, reportInterval, reportLife, signTime, silenceLimit } from './report-rate.js';
 import type { EntryReport } from './reports.js';
 
@@ -79,6 +80,8 @@
   addressesInterval?: number;
   /** Time for which the other of two entries that learn of one another may connect first, in milliseconds. */
   otherDialsFirst?: number;
+  /** Time after which another entry is asked for what the first has not sent, in milliseconds. */
+  answerTime?: number;
   random: Random;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
@@ -94,6 +97,7 @@
   readonly #options: EntryPeersOptions;
   readonly #rows = new Map<string, PeerRow>();
   readonly #standstills = new Standstills(REPORT_TICK, performance.now());
+  readonly #wishes: Record<'configuration' | 'backEnds', FleetWish>;
   #timer: NodeJS.Timeout | undefined;
   #stopped = new AbortController();
   #addressesToldAt = performance.now();
@@ -103,6 +107,8 @@
 
   constructor(options: EntryPeersOptions) {
     this.#options = options;
+    const { answerTime } = options;
+    this.#wishes = { configuration: new FleetWish(answerTime), backEnds: new FleetWish(answerTime) };
     this.learn(options.seeds);
   }
 
@@ -326,12 +332,19 @@
     }
     fleet.clock.note(report.storeTime, now);
     for (const named of report.versions) fleet.takeNamedVersion(named);
-    const configuration = report.configurationRevision > fleet.configurationRevision;
-    const backEnds = !this.#options.hearsStore() && report.backEndsRevision > fleet.backEnds.revision;
-    if (configuration || backEnds) connection.send({ type: 'fleetWanted', configuration, backEnds });
+    this.#askForNewer(connection, report, now);
     this.#options.onReport(report);
   }
 
+  #askForNewer(connection: Connection, report: EntryReport, now: number): void {
+    const { fleet, hearsStore } = this.#options;
+    const isNewer = report.configurationRevision > fleet.configurationRevision;
+    const isListNewer = !hearsStore() && report.backEndsRevision > fleet.backEnds.revision;
+    const configuration = isNewer && this.#wishes.configuration.mayAsk(connection, now);
+    const backEnds = isListNewer && this.#wishes.backEnds.mayAsk(connection, now);
+    if (configuration || backEnds) connection.send({ type: 'fleetWanted', configuration, backEnds });
+  }
+
   /** Entries that learn of one another at the same time do not both connect: one lets the other go first. */
   #learnAndDial(addresses: readonly string[]): void {
     const unknown = addresses.filter((address) => !this.#rows.has(address));
@@ -355,12 +368,14 @@
 
   #takeConfiguration(row: PeerRow, document: Buffer): void {
     const { fleet, decoder, log } = this.#options;
+    this.#wishes.configuration.noteAnswer();
     const decoded = decoder.configuration(document);
     if (decoded === undefined || !fleet.takeConfiguration(decoded)) return;
     log.info('configuration taken', { revision: fleet.configurationRevision, from: row.address });
   }
 
   #takeBackEnds({ revision, records }: BackEndListState): void {
+    this.#wishes.backEnds.noteAnswer();
     if (this.#options.hearsStore()) return;
     // The codec carries no undefined.
     const whole = records.map((record) => ({ ...record, layers: record.layers ?? undefined }));
--- /dev/null
+++ b/test/peers/fleet-wish.test.ts
@@ -0,0 +1,126 @@
+/** An entry that lacks the configuration asks for it once, however many others have it. */
+import { afterEach, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import { seededRandom } from '../../src/model/random.js';
+import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { silentLog } from '../../src/observability/log.js';
+import { EntryPeers } from '../../src/peers/entry-peers.js';
+import {
+  type ConnectionContext,
+  ConnectionListener,
+  createTrafficCounters,
+} from '../../src/protocol/connection.js';
+import { textRecords } from '../fleet/text-records.js';
+import { until } from '../support.js';
+
+const OTHERS = 6;
+const REVISION = 2;
+/** The time for an answer, in milliseconds: longer than a test lasts, however slow the machine is. */
+const LONG = 3_600_000;
+
+const started: Array<{ stop(): Promise<void> }> = [];
+
+afterEach(async () => {
+  for (const part of started.splice(0).reverse()) await part.stop();
+});
+
+interface Entry {
+  fleet: FleetView;
+  peers: EntryPeers;
+  /** Configurations that others sent it. */
+  sent: number;
+}
+
+/** @param tells - the revision that it says to have; it has the document where it is given */
+async function startEntry(
+  address: string,
+  seeds: string[],
+  init: { tells?: number; document?: string; answerTime?: number },
+): Promise<Entry> {
+  const peer = { id: address, address, place: 'zone-a', region: 'region-a', zone: 'zone-a' };
+  const context: ConnectionContext = {
+    clock: new HybridClock(),
+    counters: createTrafficCounters(),
+    hello: () => ({ type: 'hello', role: 'entry', peer }),
+  };
+  const fleet = new FleetView();
+  if (init.document !== undefined)
+    fleet.takeConfiguration(textRecords.configuration(Buffer.from(init.document))!);
+  const decoder = {
+    ...textRecords,
+    configuration: (document: Buffer) => {
+      entry.sent++;
+      return textRecords.configuration(document);
+    },
+  };
+  const peers = new EntryPeers({
+    context,
+    address,
+    zone: 'zone-a',
+    seeds,
+    fleet,
+    decoder,
+    hearsStore: () => true,
+    answerTime: init.answerTime ?? LONG,
+    random: seededRandom(1),
+    report: () => ({
+      id: address,
+      address,
+      callerAddress: address,
+      zone: 'zone-a',
+      region: 'region-a',
+      isReady: true,
+      configurationRevision: init.tells ?? fleet.configurationRevision,
+      backEndsRevision: 0,
+      storeTime: Number.NEGATIVE_INFINITY,
+      versions: [],
+      entriesKnown: 0,
+      loads: [],
+      held: [],
+      engines: [],
+    }),
+    onReport: () => {},
+    onStoreNews: () => {},
+    onLapsed: () => {},
+    log: silentLog,
+  });
+  const entry: Entry = { fleet, peers, sent: 0 };
+  const listener = new ConnectionListener(
+    address,
+    context,
+    (connection) => peers.accept(connection),
+    (_request, response) => void response.writeHead(404).end(),
+  );
+  await listener.start();
+  await peers.start();
+  started.push(listener, peers);
+  return entry;
+}
+
+it('the whole configuration comes from one of many others that have it', async () => {
+  const addresses = await Promise.all(Array.from({ length: OTHERS }, () => freeAddress()));
+  for (const address of addresses) await startEntry(address, [], { document: `${REVISION}` });
+  const late = await startEntry(await freeAddress(), addresses, {});
+  await until(() => late.peers.live().length === OTHERS, 'all heard');
+  await until(() => late.fleet.configurationRevision === REVISION, 'the configuration');
+  expect(late.sent).toBe(1);
+});
+
+it('another one is asked where the first does not answer', async () => {
+  const [silent, other, own] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
+  await startEntry(silent, [], { tells: REVISION });
+  const late = await startEntry(own, [silent, other], { answerTime: 100 });
+  await until(() => late.peers.live().length === 1, 'the silent one heard');
+  await startEntry(other, [], { document: `${REVISION}` });
+  await until(() => late.fleet.configurationRevision === REVISION, 'the configuration');
+});
+
+it('a newer configuration is asked for as soon as the one before has come', async () => {
+  const [first, second, own] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
+  await startEntry(first, [], { document: `${REVISION}` });
+  const late = await startEntry(own, [first, second], {});
+  await until(() => late.fleet.configurationRevision === REVISION, 'the configuration');
+  await startEntry(second, [], { document: `${REVISION + 1}` });
+  await until(() => late.fleet.configurationRevision === REVISION + 1, 'the newer configuration');
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -620,6 +620,13 @@
     replace: 'this.#fleet.routes?.service(service)?.engine;',
     test: 'test/forwarding/version-expiry.test.ts',
   },
+  {
+    fault: 'the whole configuration comes from each entry that has it',
+    file: 'src/peers/fleet-wish.ts',
+    find: 'if (isWaiting) return false;',
+    replace: '',
+    test: 'test/peers/fleet-wish.test.ts',
+  },
 ];
 
 /** Copies of the code in which guards are taken out side by side: most tests wait more than they compute. */
