The store's clock is taken to be late by 100 ms at the most, where a call tells

Cause: a bound was believed to come later than it does by the least time that any message had been under way; a process that has just started, or hears all over slow links, could err by more than the 250 ms by which withdrawals go ahead. Change: an answer of the store was made after its call, so the believed time of a bound is kept within 100 ms of that; what others are told of the clock is as before.

--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -74,6 +74,16 @@
   events: TableFollowerEvents;
 }
 
+/** One call to the store. */
+interface FollowerCall {
+  /** When it was made, in milliseconds of the steady clock. */
+  askedAt: number;
+  /** Time between the answer before and this call, in milliseconds. */
+  gap: number;
+  /** Aborted when the follower stops. */
+  signal: AbortSignal;
+}
+
 /** Follows one table. */
 export class TableFollower implements Startable {
   readonly #options: TableFollowerOptions;
@@ -138,19 +148,20 @@
   /** One call; returns the least pause before the next, in milliseconds. */
   async #step(signal: AbortSignal): Promise<number> {
     const { tables, table, wait, events, clock } = this.#options;
-    const askedAt = clock.isKnown ? clock.storeTimeAt(performance.now()) : Number.POSITIVE_INFINITY;
-    const gap = askedAt - this.#storeTime;
+    const askedAt = performance.now();
+    const gap = clock.isKnown ? clock.storeTimeAt(askedAt) - this.#storeTime : Number.POSITIVE_INFINITY;
+    const call = { askedAt, gap, signal };
     if (this.#revision === undefined) {
       const limit = withLimit(signal, ANSWER_LIMIT);
       const read = await this.#timed(0, () => tables.read(table, '', limit));
-      return this.#take(read, limit, gap, (rows, since) => events.onWhole(rows, since), signal);
+      return this.#take(read, limit, call, (rows, since) => events.onWhole(rows, since));
     }
     // A store that was lost is asked for an answer at once: that it is back must not wait for a change.
     const patience = this.#failures > 0 ? 0 : wait;
     const limit = withLimit(signal, patience === 0 ? ANSWER_LIMIT : patience + this.#answerLimit);
     const query = { table, after: this.#revision, wait: patience };
     const changes = await this.#timed(patience, () => tables.changes(query, limit));
-    return this.#take(changes, limit, gap, (rows, since) => events.onChanges(rows, since), signal);
+    return this.#take(changes, limit, call, (rows, since) => events.onChanges(rows, since));
   }
 
   /** Time that the store may take for an answer beyond the wait, in milliseconds. */
@@ -170,15 +181,14 @@
   #take(
     answer: Result<RowsAt, ChangesError>,
     limit: AbortSignal,
-    gap: number,
+    { askedAt, gap, signal }: FollowerCall,
     tell: (rows: RowsAt, since: number) => void,
-    signal: AbortSignal,
   ): number {
     if (signal.aborted) return 0;
     if (answer.ok) {
       const since = this.#writtenSince(answer.value, gap);
       const { rows, storeTime } = answer.value;
-      this.#noteAnswer(storeTime);
+      this.#noteAnswer(storeTime, askedAt);
       const after = this.#revision;
       // What was passed on meanwhile may be newer.
       const revision = Math.max(after ?? 0, answer.value.revision);
@@ -208,9 +218,10 @@
     return gap <= GAPLESS ? Math.max(this.#storeTime, storeTime - GAPLESS) : this.#storeTime;
   }
 
-  #noteAnswer(storeTime: number): void {
+  /** @param askedAt - when the store was asked; undefined where another process was */
+  #noteAnswer(storeTime: number, askedAt?: number): void {
     const now = performance.now();
-    this.#options.clock.note(storeTime, now);
+    this.#options.clock.note(storeTime, now, askedAt);
     this.#storeTime = Math.max(this.#storeTime, storeTime);
     const isOutage = this.#wasRefused || this.#failures > 1;
     if (this.#failures > 0) this.#options.events.onRegained(now - this.#answeredAt, isOutage);
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -35,8 +35,8 @@
  * time of a full queue. */
 const UNKNOWN_LOAD_MARGIN = 1_600;
 /** What has not begun this long before the version expires is withdrawn, in milliseconds. Closing a connection
- * reaches an engine within 6 ms; the rest is for links that are busy. Chosen. */
-const WITHDRAWAL_LEAD = 250;
+ * reaches an engine within 6 ms; the rest is for links that are busy, the tick of 50 ms and `CLOCK_TOLERANCE`. Chosen. */
+export const WITHDRAWAL_LEAD = 250;
 const MILLISECONDS = 1_000;
 /** A back end that answered late gets a request again after this, in milliseconds. */
 const SLOWNESS_LIFE = 4_000;
--- a/test/fleet/named-versions.test.ts
+++ b/test/fleet/named-versions.test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { NamedVersions } from '../../src/fleet/named-versions.js';
-import { StoreClock } from '../../src/fleet/store-clock.js';
+import { CLOCK_TOLERANCE, StoreClock } from '../../src/fleet/store-clock.js';
+import { WITHDRAWAL_LEAD } from '../../src/forwarding/back-end-selector.js';
 
 const NEVER = Number.NEGATIVE_INFINITY;
 const BOUND = 8_000;
@@ -69,6 +70,49 @@
   });
 });
 
+describe('the believed time of a bound, whatever way the calls to the store take', () => {
+  const call = fc.record({
+    pause: fc.integer({ min: 0, max: 2_000 }),
+    /** Time until the store has stamped its answer: the way there, and what it waits for changes. */
+    there: fc.integer({ min: 0, max: 1_500 }),
+    back: fc.integer({ min: 0, max: 3_000 }),
+    /** A message of another process alone, of which it is not known when it was made. */
+    isTold: fc.boolean(),
+  });
+
+  it('is later than the truth by less than withdrawals go ahead, once the store has answered a call', () => {
+    fc.assert(
+      fc.property(fc.array(call, { minLength: 1, maxLength: 20 }), (calls) => {
+        const clock = new StoreClock();
+        let now = 0;
+        let hasAnswered = false;
+        let quickest = Number.POSITIVE_INFINITY;
+        for (const { pause, there, back, isTold } of calls) {
+          const askedAt = now + pause;
+          const stamp = askedAt + there;
+          now = stamp + back;
+          if (isTold) clock.note(stamp, now);
+          else clock.note(stamp, now, askedAt);
+          hasAnswered ||= !isTold;
+          if (!isTold) quickest = Math.min(quickest, there);
+          // The clock of this process is that of the store.
+          if (hasAnswered) expect(clock.localTimeAt(0)).toBeLessThanOrEqual(CLOCK_TOLERANCE);
+          // Nor is it earlier than calls account for: engines would be given up too soon.
+          if (hasAnswered)
+            expect(clock.localTimeAt(0)).toBeGreaterThanOrEqual(Math.min(0, CLOCK_TOLERANCE - quickest));
+          // What others are told is never ahead of the store.
+          expect(clock.storeTimeAt(now)).toBeLessThanOrEqual(now);
+        }
+      }),
+      { seed: 20_261_203, numRuns: 500 },
+    );
+  });
+
+  it('leaves the rest of what withdrawals go ahead to a tick and to the way of a close', () => {
+    expect(CLOCK_TOLERANCE).toBeLessThanOrEqual(WITHDRAWAL_LEAD - 150);
+  });
+});
+
 describe('processes that start, stand still, hear the store and one another in any order', () => {
   const PROCESSES = 4;
   /** What happens, after a pause; `delay` is how long a message lies unread by a receiver that stands still. */
--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -1,7 +1,9 @@
 /** Following the store through its faults. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
+import type { RowsAt, WatchedTables } from '../../src/clients/watched-tables.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
+import { CLOCK_TOLERANCE } from '../../src/fleet/store-clock.js';
 import { StoreSync } from '../../src/fleet/store-sync.js';
 import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
@@ -38,6 +40,29 @@
     await until(() => fleet.backEnds.records.get('two')?.leaving === true, 'the leaving back end');
   });
 
+  it('knows how late it may take the clock of the store to be, where all answers are long under way', async () => {
+    const stamps: Array<{ stamp: number; at: number }> = [];
+    /** The answer is made at once and arrives much later. */
+    const late = async <T extends { ok: boolean; value?: unknown }>(answer: Promise<T>): Promise<T> => {
+      const made = await answer;
+      if (made.ok) stamps.push({ stamp: (made.value as RowsAt).storeTime, at: performance.now() });
+      await new Promise((resolve) => setTimeout(resolve, 4 * CLOCK_TOLERANCE));
+      return made;
+    };
+    const tables: WatchedTables = {
+      read: (table, partition, signal) => late(store.read(table, partition, signal)),
+      changes: (query, signal) => late(store.changes({ ...query, wait: 0 }, signal)),
+      transact: (...call) => store.transact(...call),
+    };
+    const view = new FleetView();
+    const slow = new StoreSync({ tables, decoder, fleet: view, random: seededRandom(1), log: silentLog });
+    await slow.start();
+    await until(() => view.complete, 'the first reading');
+    await slow.stop();
+    const [{ stamp, at }] = stamps;
+    expect(view.clock.localTimeAt(stamp)).toBeLessThanOrEqual(at + CLOCK_TOLERANCE);
+  });
+
   it('takes a removal at once while the store answers', async () => {
     store.write('backEnds', 'one', undefined);
     await until(() => ids().length === 1, 'the removal');
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -627,6 +627,20 @@
     replace: '',
     test: 'test/peers/fleet-wish.test.ts',
   },
+  {
+    fault: 'a clock heard over slow ways alone makes each bound seem to come late',
+    file: 'src/fleet/store-clock.ts',
+    find: 'storeTime + Math.min(this.#offset, latest)',
+    replace: 'storeTime + this.#offset',
+    test: 'test/fleet/named-versions.test.ts',
+  },
+  {
+    fault: 'the store’s answers do not tell how long they can have been under way',
+    file: 'src/fleet/table-follower.ts',
+    find: 'this.#noteAnswer(storeTime, askedAt);',
+    replace: 'this.#noteAnswer(storeTime);',
+    test: 'test/fleet/store-sync.test.ts',
+  },
 ];
 
 /** Copies of the code in which guards are taken out side by side: most tests wait more than they compute. */
