A wait for capacity does not begin anew with each search for a slot

Cause: each search for a slot forgot since when its request waited for capacity; agents that refuse while the news of their engines say that they serve were asked again each tick, and the 45 ms for which a first request is held began anew each time, up to the time-out of its route. Change: the time of the wait is kept through searches.

--- a/src/forwarding/request-wait.ts
+++ b/src/forwarding/request-wait.ts
@@ -57,7 +57,10 @@
   readonly #events: RequestWaitEvents;
   /** Its search for a slot of an engine. */
   #seeker: SlotSeeker | undefined;
-  /** Since when it waits for capacity, in milliseconds of the steady clock. */
+  /**
+   * Since when it waits for capacity, in milliseconds of the steady clock; searches for a slot meanwhile do not begin it anew:
+   * agents that refused again and again held a first request for all the time of its route in place of 45 ms.
+   */
   #heldSince: number | undefined;
   /** It has waited while no back end served: it is owed one of the first slots that come free. */
   #wasHeldForCapacity = false;
@@ -107,7 +110,6 @@
     const { timing, requirements, wasSent, goesOn, urgency } = this.#request;
     if (!selector.looksForSlot(requirements())) return false;
     const now = performance.now();
-    this.#heldSince = undefined;
     this.#seeker = new SlotSeeker({
       slots,
       table: backEnds,
--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -4,6 +4,7 @@
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
 import { SlotClient } from '../../src/peers/slot-client.js';
 import { SlotServer } from '../../src/peers/slot-server.js';
 import { contextAt, standStill, until } from '../support.js';
@@ -96,6 +97,7 @@
   await client.start();
   forwarding = new ForwardingHarness('engines');
   forwarding.slots = client;
+  forwarding.log = { ...silentLog };
   await forwarding.start(CONFIGURATION);
   list(forwarding);
   for (const engine of engines) tell(engine);
@@ -186,6 +188,18 @@
   expect((await Promise.all(answers)).map(({ status }) => status)).toEqual(answers.map(() => 200));
 });
 
+it('a first request is not held on by agents that refuse it again and again', async () => {
+  const reasons: unknown[] = [];
+  forwarding.log.info = (message, fields) => {
+    if (message === 'ended') reasons.push((fields as { reason?: string }).reason);
+  };
+  // They take nothing, and the news of that have not come.
+  for (const { agent } of engines) agent.observe({ isServing: false, load: 0 });
+  expect((await forwarding.send('/write/a')).status).toBe(503);
+  // It was given up, and did not wait until its time was over.
+  expect(reasons).toEqual(['no back end']);
+});
+
 it('a slot of an engine that has gone from the list meanwhile is not used', async () => {
   const asked: SlotAnswers[] = [];
   const other = new ForwardingHarness('engines');
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -627,6 +627,13 @@
     replace: '',
     test: 'test/peers/fleet-wish.test.ts',
   },
+  {
+    fault: 'each search for a slot begins the time anew for which a first request is held',
+    file: 'src/forwarding/request-wait.ts',
+    find: 'this.#seeker = new SlotSeeker({',
+    replace: 'this.#heldSince = undefined;\n    this.#seeker = new SlotSeeker({',
+    test: 'test/forwarding/slots.test.ts',
+  },
   {
     fault: 'a clock heard over slow ways alone makes each bound seem to come late',
     file: 'src/fleet/store-clock.ts',
