An agent looks at its engine while it seeks the manifest of what that holds

Cause: once an engine was reached, the look at it waited until somebody had the manifest of the engine's version; where nobody had, as of a version that entries have let go, the agent looked no more: it told nothing, and did not order the next version as its turn came. Change: the stage is read beside the looks, and the reading ends as the engine is lost, the next version is laid or the agent stops.

--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -98,7 +98,8 @@
   #plan: WeightsPlan | undefined;
   #engine: EngineState | undefined;
   #isAdvancing = false;
-  #isStageRead = false;
+  /** Ends the reading of the stage; undefined where none has begun since the engine was reached. */
+  #stageReading: AbortController | undefined;
   #reportedAt = 0;
   #reported = '';
   /** When the engine was last said to switch, in milliseconds of the steady clock; infinite where it is not. */
@@ -128,6 +129,7 @@
 
   async stop(): Promise<void> {
     this.#stopped.abort();
+    this.#endStageReading();
     for (const { stopped } of this.#fetches.values()) stopped.abort();
   }
 
@@ -179,11 +181,8 @@
         address: this.#options.engineAddress,
       });
     this.#tell();
-    if (!state.ok) {
-      this.#isStageRead = false;
-      return;
-    }
-    if (!this.#isStageRead) await this.#readStage(state.value, signal);
+    if (!state.ok) return this.#endStageReading();
+    this.#beginStageReading(state.value);
     await this.#advance(state.value, signal);
   }
 
@@ -213,17 +212,25 @@
     return layers !== undefined && layers.from === 0 && layers.end >= count ? layers.version : 0;
   }
 
-  /** Takes over what lies in the stage already: others can have it from here. */
-  async #readStage(state: EngineState, signal: AbortSignal): Promise<void> {
+  /**
+   * Takes over what lies in the stage already: others can have it from here. Beside the looks at the engine, which must not wait
+   * for it: while nobody had the manifest of the engine's version, its agent looked no more and never ordered the next one.
+   */
+  #beginStageReading({ model }: EngineState): void {
+    if (this.#plan === undefined || this.#stageReading !== undefined) return;
+    this.#stageReading = new AbortController();
     const version = this.#wholeVersion;
-    if (this.#plan === undefined) return;
-    this.#isStageRead = true;
-    if (version === 0) return;
-    const manifest = await this.#manifest({ model: state.model, version }, signal);
-    if (manifest === undefined) {
-      this.#isStageRead = false;
-      return;
-    }
+    if (version > 0) void this.#readStage({ model, version }, this.#stageReading.signal);
+  }
+
+  #endStageReading(): void {
+    this.#stageReading?.abort();
+    this.#stageReading = undefined;
+  }
+
+  async #readStage(version: WeightsVersion, signal: AbortSignal): Promise<void> {
+    const manifest = await this.#manifest(version, signal);
+    if (manifest === undefined) return;
     const { library } = this.#options;
     await this.#stage.read(library.open(manifest), library, signal);
   }
@@ -338,6 +345,8 @@
     this.#isAdvancing = true;
     const held = this.#next(state);
     if (held !== undefined) {
+      // What lies there goes.
+      this.#stageReading?.abort();
       await this.#stage.lay(held, signal);
       if (performance.now() >= this.#switchTime(held, this.#completeAt.get(keyOf(held.manifest)) ?? 0))
         await this.#switch(held, state, signal);
--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -12,7 +12,7 @@
 import { HeldWeights, type PieceManifest, WeightsLibrary } from '../../src/weights/held-weights.js';
 import { PieceFetcher } from '../../src/weights/piece-fetcher.js';
 import type { PieceOrigin, PieceSource } from '../../src/weights/piece-source.js';
-import { objectSource, originSource, partsOf } from '../../src/weights/piece-sources.js';
+import { objectSource, originSource, partsOf, storedManifestKey } from '../../src/weights/piece-sources.js';
 import type { EngineState, StagedEngine, StartOrder } from '../../src/weights/staged-engine.js';
 import { SWITCH_WAVES, shouldSkip, switchTime, waveOf } from '../../src/weights/switch-schedule.js';
 import { until } from '../support.js';
@@ -382,6 +382,38 @@
     expect(reports.slice(noticed, held).every(({ isSwitching }) => isSwitching)).toBe(true);
   });
 
+  it('goes over in time though nobody has the manifest of what it holds', async () => {
+    const engine = new FakeEngine();
+    engine.layers = { from: 0, end: 16, version: 1 };
+    const objects = await objectsWith(2);
+    const manifest = Buffer.from(JSON.stringify(manifestOf(2)));
+    await objects.put(storedManifestKey(manifestOf(2)), manifest, AbortSignal.timeout(1_000));
+    const reports: EngineReport[] = [];
+    const loader = new EngineLoader({
+      engine,
+      engineAddress: 'engine',
+      address: 'agent',
+      slotAddress: 'slots',
+      onEngine: () => {},
+      library: new WeightsLibrary(),
+      objects,
+      originAt: () => ({
+        ...origin,
+        manifest: async ({ version }) =>
+          version === 1 ? failure({ type: 'sourceFailed', reason: 'gone' }) : success(manifestOf(version)),
+      }),
+      tell: (report) => reports.push(report),
+      random: seededRandom(5),
+      log: silentLog,
+    });
+    await loader.start();
+    // Its pieces are there before its turn comes, 6.4 s after the naming at the latest.
+    loader.takePlan({ ...planOf([[2, 2_500]]), position: 3 });
+    await until(() => reports.at(-1)?.version === 2, 'the next version');
+    await loader.stop();
+    expect(engine.orders).toEqual([2]);
+  });
+
   it('says before it orders that the engine is about to switch', async () => {
     const engine = new FakeEngine();
     engine.layers = { from: 0, end: 16, version: 1 };
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -627,6 +627,13 @@
     replace: '',
     test: 'test/peers/fleet-wish.test.ts',
   },
+  {
+    fault: 'looks at an engine wait for the manifest of what it holds',
+    file: 'src/weights/engine-loader.ts',
+    find: 'this.#beginStageReading(state.value);',
+    replace: 'await this.#manifest({ model: state.value.model, version: this.#wholeVersion }, signal);',
+    test: 'test/weights/weights.test.ts',
+  },
   {
     fault: 'each search for a slot begins the time anew for which a first request is held',
     file: 'src/forwarding/request-wait.ts',
