No call is handed over for a caller that has gone, or whose time is over, while its agent is connected

Cause: connecting an agent takes up to a second; a caller that left meanwhile had aborted its signal before anybody listened, so its call ran to its end, and the time left was reckoned before, so that calls outlasted their deadline by the time of the connect. Change: both are asked as the call is handed over.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -23,13 +23,20 @@
 /** A call as it is handed over. */
 export type CallHandOver = CallMessage & { type: 'call' };
 
-/** Hands a call over and waits for the end of its answer. */
+/** Nothing was sent. */
+const NOT_SENT: AttemptOutcome = { type: 'refused', reason: 'unreachable', notRun: true, retryAfter: 0 };
+
+/**
+ * Hands a call over and waits for the end of its answer. Nothing is handed over for a caller that has gone, or whose time is over:
+ * a signal that was aborted before tells nobody any more, and the call would run to its end.
+ */
 export function attemptCall(
   link: CallLink,
   call: CallHandOver,
   sink: AnswerSink,
   signal: AbortSignal,
 ): Promise<AttemptOutcome> {
+  if (signal.aborted || call.timeLeft <= 0) return Promise.resolve(NOT_SENT);
   return new Promise((resolve) => {
     const taken = (bytes: number) => link.taken(call.callId, call.attempt, bytes);
     const answer = new AttemptAnswer(call.timeLeft, link.remoteId, sink, taken, (outcome) => {
@@ -121,7 +128,7 @@
 
   /** Nothing was sent: the connection was gone before. */
   notSent(): void {
-    this.#settle({ type: 'refused', reason: 'unreachable', notRun: true, retryAfter: 0 });
+    this.#settle(NOT_SENT);
   }
 
   #fail(ran: Ran, reason: string): void {
--- a/src/entry/call-router.ts
+++ b/src/entry/call-router.ts
@@ -124,7 +124,7 @@
     sink: AnswerSink,
     signal: AbortSignal,
   ): Promise<AttemptOutcome | undefined> {
-    const timeLeft = Math.ceil(endsAt - performance.now());
+    const timeLeft = () => Math.ceil(endsAt - performance.now());
     const query = {
       places: call.places,
       versions: call.versions,
@@ -133,7 +133,7 @@
       now: performance.now(),
     };
     const route = chooseRoute(this.#replicas(call), query, this.#components.random);
-    if (route === undefined || timeLeft <= 0) return undefined;
+    if (route === undefined || timeLeft() <= 0) return undefined;
     const { replica, version } = route;
     excluded.add(replica.id);
     const link = await this.#components.links.to(
@@ -146,7 +146,7 @@
     this.counters.attempts++;
     this.#ownActive.set(replica.id, (this.#ownActive.get(replica.id) ?? 0) + 1);
     try {
-      return await attemptCall(link.value, { ...hand, version, timeLeft }, sink, signal);
+      return await attemptCall(link.value, { ...hand, version, timeLeft: timeLeft() }, sink, signal);
     } finally {
       this.#ownActive.set(replica.id, (this.#ownActive.get(replica.id) ?? 1) - 1);
     }
--- a/test/entry/call-router.test.ts
+++ b/test/entry/call-router.test.ts
@@ -35,27 +35,35 @@
 }
 
 /** A router before agents that answer by script; the first agent listed is always tried first. */
-function routerBefore(scripts: Record<string, Script>, place = 'place-a') {
+function routerBefore(scripts: Record<string, Script>, place = 'place-a', connected = async () => {}) {
   const directory = new AgentDirectory();
   for (const [index, name] of Object.keys(scripts).entries()) {
     const told = { ...status(name, place), active: index };
     directory.set(told.info.address, { status: told, home: 'home', homeZone: 'zone' });
   }
   const ran: string[] = [];
+  const calls: Array<CallMessage & { type: 'call' }> = [];
   const links = {
     to: async ({ id }: { id: string }) => {
       const script = scripts[id];
+      await connected();
       if (script === 'unreachable') return { ok: false, error: { type: 'peerUnreachable' } };
-      return { ok: true, value: linkTo(id, script, ran) };
+      return { ok: true, value: linkTo(id, script, ran, calls) };
     },
   } as unknown as CallLinks;
-  return { router: new CallRouter({ directory, links, random: seededRandom(1) }), ran };
+  return { router: new CallRouter({ directory, links, random: seededRandom(1) }), ran, calls };
 }
 
-function linkTo(id: string, script: Exclude<Script, 'unreachable'>, ran: string[]) {
+function linkTo(
+  id: string,
+  script: Exclude<Script, 'unreachable'>,
+  ran: string[],
+  calls: Array<CallMessage & { type: 'call' }>,
+) {
   return {
     start(call: CallMessage & { type: 'call' }, listener: CallListener) {
       ran.push(id);
+      calls.push(call);
       const { callId, attempt } = call;
       queueMicrotask(() => {
         for (const step of script) {
@@ -70,7 +78,11 @@
   };
 }
 
-async function route(router: CallRouter, overrides: Partial<RoutedCall> = {}) {
+async function route(
+  router: CallRouter,
+  overrides: Partial<RoutedCall> = {},
+  signal = new AbortController().signal,
+) {
   const received: string[] = [];
   const sink = {
     head: () => {},
@@ -92,7 +104,7 @@
     deadline: 1_000,
     ...overrides,
   };
-  return { outcome: await router.route(call, sink, new AbortController().signal), received };
+  return { outcome: await router.route(call, sink, signal), received };
 }
 
 describe('routing of calls', () => {
@@ -157,4 +169,35 @@
     expect((await route(router, { versions: ['b'.repeat(64)] })).outcome.ok).toBe(false);
     expect(ran).toEqual([]);
   });
+
+  describe('while the agent is connected', () => {
+    /** A router whose connection to its only agent is there once `until` is. */
+    function routerThatConnects(until: () => Promise<void>) {
+      const { router, ran, calls } = routerBefore({ a: WHOLE }, 'place-a', until);
+      return { router, ran, calls };
+    }
+
+    it('hands over nothing for a caller that has gone meanwhile', async () => {
+      const gone = new AbortController();
+      const { router, ran } = routerThatConnects(async () => gone.abort());
+      expect((await route(router, {}, gone.signal)).outcome.ok).toBe(false);
+      expect(ran).toEqual([]);
+    });
+
+    it('tells the agent no more time than is left', async () => {
+      const connecting = 60;
+      const { router, calls } = routerThatConnects(
+        () => new Promise((resolve) => setTimeout(resolve, connecting)),
+      );
+      await route(router, { deadline: 1_000 });
+      // Timers may fire a millisecond early.
+      expect(calls[0].timeLeft).toBeLessThanOrEqual(1_000 - connecting + 2);
+    });
+
+    it('hands over nothing whose time is over meanwhile', async () => {
+      const { router, ran } = routerThatConnects(() => new Promise((resolve) => setTimeout(resolve, 40)));
+      expect((await route(router, { deadline: 20 })).outcome.ok).toBe(false);
+      expect(ran).toEqual([]);
+    });
+  });
 });
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -627,6 +627,13 @@
     replace: '',
     test: 'test/peers/fleet-wish.test.ts',
   },
+  {
+    fault: 'a call runs for a caller that has gone while its agent was connected',
+    file: 'src/entry/attempt.ts',
+    find: 'if (signal.aborted || call.timeLeft <= 0) return Promise.resolve(NOT_SENT);',
+    replace: '',
+    test: 'test/entry/call-router.test.ts',
+  },
   {
     fault: 'looks at an engine wait for the manifest of what it holds',
     file: 'src/weights/engine-loader.ts',
