The time to a switch that an entry passes on is that of the moment

Cause: agents tell how long it is to the switch of their engine, and entries passed that on as it had come, so that it began anew at others: they took switches for up to a second later than they were, the time between two reports. Change: the age of a report is taken off as it is passed on.

--- a/src/peers/engine-agents.ts
+++ b/src/peers/engine-agents.ts
@@ -12,6 +12,8 @@
   /** `host:port` at which it serves pieces. */
   address: string;
   report: EngineReport | undefined;
+  /** When that came, in milliseconds of the steady clock. */
+  reportedAt: number;
 }
 
 /** The agents. */
@@ -44,7 +46,7 @@
 
   accept(connection: Connection): void {
     const { id, address } = connection.remote.peer;
-    const row: EngineAgentRow = { connection, address, report: undefined };
+    const row: EngineAgentRow = { connection, address, report: undefined, reportedAt: 0 };
     this.rows.set(id, row);
     connection.onClose = () => {
       if (this.rows.get(id) === row) this.rows.delete(id);
@@ -53,6 +55,7 @@
       if (message.type !== 'engineReport') return;
       const before = row.report;
       row.report = message.report;
+      row.reportedAt = performance.now();
       this.#onReport(message.report, before);
     });
     this.#tellOne(row);
@@ -63,9 +66,18 @@
     for (const row of this.rows.values()) this.#tellOne(row);
   }
 
-  /** The latest reports. */
+  /**
+   * The latest reports, as of now: passed on as it came, the time to a switch would begin anew here, and others would send to
+   * an engine for up to a second more, the time between two reports.
+   */
   reports(): EngineReport[] {
-    return [...this.rows.values()].flatMap(({ report }) => report ?? []);
+    const now = performance.now();
+    return [...this.rows.values()].flatMap(({ report, reportedAt }) => {
+      if (report === undefined) return [];
+      // The codec carries no undefined in lists.
+      if (report.switchesIn === undefined || report.switchesIn === null) return report;
+      return { ...report, switchesIn: Math.max(0, report.switchesIn - (now - reportedAt)) };
+    });
   }
 
   #tellOne(row: EngineAgentRow): void {
--- /dev/null
+++ b/test/peers/engine-agents.test.ts
@@ -0,0 +1,61 @@
+/** What an entry passes on of the agents that are connected to it. */
+import { expect, it } from 'vitest';
+import { EngineAgents } from '../../src/peers/engine-agents.js';
+import type { EngineReport } from '../../src/peers/reports.js';
+import type { Connection } from '../../src/protocol/connection.js';
+import type { Message } from '../../src/protocol/messages.js';
+
+const REPORT: EngineReport = {
+  address: 'engine',
+  slotAddress: '',
+  version: 1,
+  isReached: true,
+  isSwitching: false,
+  load: 0,
+  switchesIn: 500,
+  held: [],
+};
+
+/** Agents of which one has told `report`. */
+function agentsTold(report: EngineReport): { agents: EngineAgents } {
+  let tell: (message: Message) => void = () => {};
+  const connection = {
+    remote: { peer: { id: 'agent', address: 'agent' } },
+    handleMessages: (handler: (message: Message) => void) => {
+      tell = handler;
+    },
+    send: () => true,
+  } as unknown as Connection;
+  const agents = new EngineAgents(
+    () => ({}) as never,
+    () => {},
+  );
+  agents.accept(connection);
+  tell({ type: 'engineReport', report });
+  return { agents };
+}
+
+/** Resolves `milliseconds` later at the soonest. */
+async function passed(milliseconds: number): Promise<void> {
+  const endsAt = performance.now() + milliseconds;
+  while (performance.now() < endsAt) await new Promise((resolve) => setTimeout(resolve, 5));
+}
+
+it('the time to a switch grows shorter until it is passed on', async () => {
+  const { agents } = agentsTold(REPORT);
+  await passed(100);
+  expect(agents.reports()[0].switchesIn).toBeLessThanOrEqual(400);
+  expect(agents.reports()[0].switchesIn).toBeGreaterThanOrEqual(0);
+});
+
+it('a switch that was due meanwhile is due at once', async () => {
+  const { agents } = agentsTold({ ...REPORT, switchesIn: 20 });
+  await passed(40);
+  expect(agents.reports()[0].switchesIn).toBe(0);
+});
+
+it('no switch stays none', async () => {
+  const { agents } = agentsTold({ ...REPORT, switchesIn: undefined });
+  await passed(5);
+  expect(agents.reports()[0].switchesIn).toBeUndefined();
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -641,6 +641,13 @@
     replace: 'await answer;',
     test: 'test/weights/manifest-search.test.ts',
   },
+  {
+    fault: 'the time to a switch begins anew as it is passed on',
+    file: 'src/peers/engine-agents.ts',
+    find: 'report.switchesIn - (now - reportedAt)',
+    replace: 'report.switchesIn',
+    test: 'test/peers/engine-agents.test.ts',
+  },
   {
     fault: 'looks at an engine wait for the manifest of what it holds',
     file: 'src/weights/engine-loader.ts',
