Rows of the store are decoded by schemas; a bad one names nothing

Cause: platform/records.ts parsed JSON and believed it. A row without slots, with slots as text, a state that is not named or an address without a port became a back end; a configuration whose routes were no list threw in the follower; a bad row of a back end that was known changed nothing, so the back end went on being used. Change: platform/schemas.ts holds the schemas of rows, configurations, named versions and reports, platform/reading.ts reads bytes by them, platform/records.ts only translates. RecordDecoder returns a Result with what is wrong. A bad row of a back end counts as one that names none, at once (also while removals are held back after the store's return), and what runs there goes on as for a row that is gone; the next good row brings it back. A bad configuration or named version changes nothing; entries of a good one that cannot be used are left out, the rest holds. RecordFaults tells of each once (a log line "record left out" or "entry of a record left out", and the metric thistleway_records_left_out by kind). A row that is passed on and then taken is decoded once, not twice. `born` of an entry or report must be a whole number where it is there; it is BackEndRecord.startedAt. Result: test/platform/foreign-rows.test.ts: 51 of its then 58 tests failed on the code before (bad rows taken as back ends, configurations replaced or never told of), the 7 of what is allowed passed; all 59 pass now.

--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -23,6 +23,8 @@
   leaving: boolean;
   /** Undefined where the service has no weights, or none are held. */
   layers: HeldLayers | undefined;
+  /** When it started, in Unix milliseconds by its own clock; absent where it does not say. */
+  startedAt?: number;
   /** The store's revision of this record. */
   revision: number;
 }
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -5,6 +5,7 @@
 import { type BackEndChange, BackEndList, type BackEndListState } from './back-end-list.js';
 import type { FleetConfiguration } from './configuration.js';
 import { type NamedVersion, NamedVersions } from './named-versions.js';
+import type { RecordFault } from './record-decoder.js';
 import { RouteTable } from './route-table.js';
 import { StoreClock } from './store-clock.js';
 
@@ -12,6 +13,8 @@
 export interface ConfigurationDocument {
   document: Buffer;
   configuration: FleetConfiguration;
+  /** What is wrong with the entries that were left out of it. */
+  leftOut?: readonly RecordFault[];
 }
 
 /** Told when a belief changes. */
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -4,11 +4,13 @@
  */
 import type { RowsAt, StoredRow, WatchedTables } from '../clients/watched-tables.js';
 import type { Random } from '../model/random.js';
+import type { Result } from '../model/result.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
-import { type BackEndChange, isAlike } from './back-end-list.js';
+import { type BackEndChange, type BackEndRecord, isAlike } from './back-end-list.js';
 import type { FleetView } from './fleet-view.js';
-import type { RecordDecoder } from './record-decoder.js';
+import type { OperatorRecord, RecordDecoder, RecordFault } from './record-decoder.js';
+import { RecordFaults } from './record-faults.js';
 import { TableFollower, type TableFollowerEvents, type TableNews } from './table-follower.js';
 
 /**
@@ -37,6 +39,14 @@
 /** The tables that are followed. */
 export type FollowedTable = 'operator' | 'backEnds';
 
+/** What a row says of a back end. */
+interface RowNews {
+  /** A row that cannot be used names no back end, as one that is gone. */
+  change: BackEndChange;
+  /** The row is gone: only such news are held back after the store's return, as rows also lapse while it is away. */
+  isRemoval: boolean;
+}
+
 /** What is new in the store, as one process passes it on to others. */
 export interface StoreNews extends TableNews {
   table: FollowedTable;
@@ -54,14 +64,19 @@
   isReader: (table: FollowedTable) => boolean = () => true;
   /** Takes what this process has read, for others. */
   onNews: (news: StoreNews) => void = () => {};
+  /** The records that cannot be used. */
+  readonly faults: RecordFaults;
   /** The newest version of each model that the store has told of. */
   readonly #versionsRead = new Map<string, number>();
   readonly #held = new Map<string, BackEndChange>();
+  /** What rows say: one that is passed on as news and then taken is decoded once. */
+  readonly #decoded = new WeakMap<StoredRow, Result<BackEndRecord, RecordFault>>();
   #holdUntil = 0;
   #holdTimer: NodeJS.Timeout | undefined;
 
   constructor(options: StoreSyncOptions) {
     this.#options = options;
+    this.faults = new RecordFaults(options.log);
     const { tables, random, decoder, fleet } = options;
     const { clock } = fleet;
     this.#operator = new TableFollower({
@@ -123,12 +138,14 @@
   }
 
   #isNews(row: StoredRow): boolean {
-    const { decoder, fleet } = this.#options;
-    const known = fleet.backEnds.records.get(row.key);
-    const record = row.value === undefined ? undefined : decoder.backEnd(row);
-    if (record === undefined || known === undefined || !isAlike(record, known)) return true;
+    if (row.value === undefined) return true;
     // Others may have held its removal back as well.
-    return this.#held.has(row.key);
+    if (this.#held.has(row.key)) return true;
+    const known = this.#options.fleet.backEnds.records.get(row.key);
+    const decoded = this.#backEnd(row);
+    // A bad row is news when it turns bad, not at each heartbeat.
+    if (!decoded.ok) return known !== undefined;
+    return known === undefined || !isAlike(decoded.value, known);
   }
 
   #events(
@@ -149,20 +166,27 @@
 
   /** @param since - what is new was written after this, in milliseconds of the store's clock */
   #takeOperatorRows({ rows }: RowsAt, since: number): void {
-    const { decoder, fleet, log } = this.#options;
     for (const row of rows) {
-      const record = decoder.operatorRecord(row);
-      if (record === undefined) continue;
-      if (record.type === 'configuration') {
-        if (fleet.takeConfiguration(record.document))
-          log.info('configuration taken', { revision: fleet.configurationRevision, from: 'store' });
-        continue;
-      }
-      const notBefore = this.#isNew(record) ? since : Number.NEGATIVE_INFINITY;
-      fleet.takeNamedVersion({ model: record.model, version: record.version, notBefore });
+      const decoded = this.#options.decoder.operatorRecord(row);
+      if (decoded === undefined) continue;
+      if (decoded.ok) this.#takeOperatorRecord(row, decoded.value, since);
+      else this.faults.noteRevision(row, decoded.error);
     }
   }
 
+  #takeOperatorRecord(row: StoredRow, record: OperatorRecord, since: number): void {
+    const { fleet, log } = this.#options;
+    if (record.type === 'configuration') {
+      this.faults.noteLeftOut(row, record.document.leftOut ?? []);
+      if (fleet.takeConfiguration(record.document))
+        log.info('configuration taken', { revision: fleet.configurationRevision, from: 'store' });
+      return;
+    }
+    this.faults.noteGood(row);
+    const notBefore = this.#isNew(record) ? since : Number.NEGATIVE_INFINITY;
+    fleet.takeNamedVersion({ model: record.model, version: record.version, notBefore });
+  }
+
   /** False for a version that is read again, as after lost history: it was named before. */
   #isNew({ model, version }: { model: string; version: number }): boolean {
     if (version <= (this.#versionsRead.get(model) ?? 0)) return false;
@@ -172,9 +196,10 @@
 
   #takeWholeList({ rows, revision }: RowsAt): void {
     const present = new Set(rows.map(({ key }) => key));
+    this.faults.keepOnly(this.#options.decoder.backEndTable, present);
     const missing = [...this.#options.fleet.backEnds.records.keys()]
       .filter((id) => !present.has(id))
-      .map((id): BackEndChange => ({ type: 'gone', id, revision }));
+      .map((id): RowNews => ({ change: { type: 'gone', id, revision }, isRemoval: true }));
     this.#apply([...missing, ...this.#decode(rows)], revision);
   }
 
@@ -182,21 +207,25 @@
     this.#apply(this.#decode(rows), revision);
   }
 
-  #apply(changes: BackEndChange[], revision: number): void {
-    const now = performance.now();
-    for (const change of changes) {
-      if (change.type === 'changed') this.#held.delete(change.record.id);
+  #apply(news: readonly RowNews[], revision: number): void {
+    const isHolding = performance.now() < this.#holdUntil;
+    const taken: BackEndChange[] = [];
+    for (const { change, isRemoval } of news) {
+      if (isRemoval && isHolding) {
+        this.#hold(change);
+        continue;
+      }
+      if (!isRemoval) this.#held.delete(idOf(change));
+      taken.push(change);
     }
-    const isHolding = now < this.#holdUntil;
-    const taken = changes.filter((change) => !isHolding || change.type === 'changed');
-    for (const change of changes) if (!taken.includes(change) && change.type === 'gone') this.#hold(change);
     this.#options.fleet.takeBackEndChanges(taken, revision);
   }
 
-  #hold(change: BackEndChange & { type: 'gone' }): void {
-    if (!this.#options.fleet.backEnds.records.has(change.id)) return;
-    this.#options.log.info('removal held back', { backEnd: change.id, revision: change.revision });
-    this.#held.set(change.id, change);
+  #hold(change: BackEndChange): void {
+    const id = idOf(change);
+    if (!this.#options.fleet.backEnds.records.has(id)) return;
+    this.#options.log.info('removal held back', { backEnd: id });
+    this.#held.set(id, change);
     this.#holdTimer ??= setTimeout(() => this.#endHold(), this.#holdUntil - performance.now());
   }
 
@@ -206,16 +235,28 @@
     this.#held.clear();
   }
 
-  #decode(rows: readonly StoredRow[]): BackEndChange[] {
-    const changes: BackEndChange[] = [];
-    for (const row of rows) {
-      if (row.value === undefined) {
-        changes.push({ type: 'gone', id: row.key, revision: row.revision });
-        continue;
-      }
-      const record = this.#options.decoder.backEnd(row);
-      if (record !== undefined) changes.push({ type: 'changed', record });
-    }
-    return changes;
+  #decode(rows: readonly StoredRow[]): RowNews[] {
+    return rows.map((row) => {
+      const { key: id, revision } = row;
+      const isRemoval = row.value === undefined;
+      const decoded = isRemoval ? undefined : this.#backEnd(row);
+      if (decoded?.ok === false) this.faults.noteRepeated(row, decoded.error);
+      else this.faults.noteGood(row);
+      return decoded?.ok === true
+        ? { change: { type: 'changed', record: decoded.value }, isRemoval }
+        : { change: { type: 'gone', id, revision }, isRemoval };
+    });
   }
+
+  #backEnd(row: StoredRow): Result<BackEndRecord, RecordFault> {
+    const known = this.#decoded.get(row);
+    if (known !== undefined) return known;
+    const decoded = this.#options.decoder.backEnd(row);
+    this.#decoded.set(row, decoded);
+    return decoded;
+  }
+}
+
+function idOf(change: BackEndChange): string {
+  return change.type === 'gone' ? change.id : change.record.id;
 }
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -356,7 +356,9 @@
   #takeConfiguration(row: PeerRow, document: Buffer): void {
     const { fleet, decoder, log } = this.#options;
     const decoded = decoder.configuration(document);
-    if (decoded === undefined || !fleet.takeConfiguration(decoded)) return;
+    if (!decoded.ok)
+      return log.warn('configuration of a peer left out', { from: row.address, ...decoded.error });
+    if (!fleet.takeConfiguration(decoded.value)) return;
     log.info('configuration taken', { revision: fleet.configurationRevision, from: row.address });
   }
 
--- a/src/roles/direct-agent.ts
+++ b/src/roles/direct-agent.ts
@@ -70,7 +70,9 @@
     onPlan: (plan) => loader.takePlan(plan),
     onConnected: () => loader.report(),
   });
+  const storePlan = new StorePlan({ tables, decoder, versionBound: settings.versionBound, loader, log });
   metrics.add([
+    storePlan.faults.metric,
     trafficMetrics(counters),
     {
       name: 'entry_connected',
@@ -91,7 +93,7 @@
     link,
     slots,
     loader,
-    new StorePlan({ tables, decoder, versionBound: settings.versionBound, loader, log }),
+    storePlan,
   ]);
   return {
     async start() {
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -314,6 +314,7 @@
       { name: 'entries_live', help: 'Other entries that live', read: () => this.#peers.live().length },
       { name: 'agents_connected', help: 'Agents connected here', read: () => this.#agents.rows.size },
       { name: 'store_connected', help: '1 while the store answers', read: () => Number(sync.connected) },
+      sync.faults.metric,
     ]);
   }
 }
--- a/src/weights/store-plan.ts
+++ b/src/weights/store-plan.ts
@@ -6,6 +6,7 @@
 import type { FleetConfiguration } from '../fleet/configuration.js';
 import type { NamedVersion } from '../fleet/named-versions.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
+import { RecordFaults } from '../fleet/record-faults.js';
 import { sleep } from '../fleet/table-follower.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
@@ -31,10 +32,13 @@
 /** Asks the store until there is a plan from anywhere. */
 export class StorePlan implements Startable {
   readonly #options: StorePlanOptions;
+  /** The records that cannot be used. */
+  readonly faults: RecordFaults;
   #stopped = new AbortController();
 
   constructor(options: StorePlanOptions) {
     this.#options = options;
+    this.faults = new RecordFaults(options.log);
   }
 
   async start(): Promise<void> {
@@ -68,9 +72,15 @@
     let configuration: FleetConfiguration | undefined;
     const versions: NamedVersion[] = [];
     for (const row of read.value.rows) {
-      const record = decoder.operatorRecord(row);
-      if (record?.type === 'configuration') configuration = record.document.configuration;
-      if (record?.type === 'namedVersion')
+      const decoded = decoder.operatorRecord(row);
+      if (decoded === undefined) continue;
+      if (!decoded.ok) {
+        this.faults.noteRevision(row, decoded.error);
+        continue;
+      }
+      const record = decoded.value;
+      if (record.type === 'configuration') configuration = record.document.configuration;
+      else
         versions.push({ model: record.model, version: record.version, notBefore: Number.NEGATIVE_INFINITY });
     }
     if (configuration === undefined || versions.length === 0) return undefined;
--- a/test/fleet/text-records.ts
+++ b/test/fleet/text-records.ts
@@ -1,5 +1,7 @@
 /** Records of a store as plain text: a configuration is its revision, a back end is `ready` or `leaving`. */
+import type { ConfigurationDocument } from '../../src/fleet/fleet-view.js';
 import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+import { success } from '../../src/model/result.js';
 
 const LIMITS = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
 
@@ -10,10 +12,25 @@
   operatorRecord(row) {
     if (row.value === undefined) return undefined;
     if (row.key === 'configuration')
-      return { type: 'configuration', document: textRecords.configuration(row.value)! };
-    return { type: 'namedVersion', model: row.key, version: Number(row.value.toString()) };
+      return success({ type: 'configuration', document: documentOf(row.value) });
+    return success({ type: 'namedVersion', model: row.key, version: Number(row.value.toString()) });
   },
-  configuration: (document) => ({
+  configuration: (document) => success(documentOf(document)),
+  backEnd: (row) =>
+    success({
+      id: row.key,
+      service: 's',
+      address: '127.0.0.1:1',
+      zone: 'z',
+      slots: 1,
+      leaving: row.value!.toString() === 'leaving',
+      layers: undefined,
+      revision: row.revision,
+    }),
+};
+
+function documentOf(document: Buffer): ConfigurationDocument {
+  return {
     document,
     configuration: {
       revision: Number(document.toString()),
@@ -23,15 +40,5 @@
       limits: LIMITS,
       tenants: undefined,
     },
-  }),
-  backEnd: (row) => ({
-    id: row.key,
-    service: 's',
-    address: '127.0.0.1:1',
-    zone: 'z',
-    slots: 1,
-    leaving: row.value!.toString() === 'leaving',
-    layers: undefined,
-    revision: row.revision,
-  }),
-};
+  };
+}
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { heldLayers, platformRecords } from '../../platform/records.js';
 import { agentSettings, entrySettings, parseSettings } from '../../platform/settings.js';
+import { workerRow } from './wire-rows.js';
 
 const CONFIGURATION = {
   version: 7,
@@ -62,41 +63,47 @@
   it('give a configuration', () => {
     const record = platformRecords.operatorRecord(row('config', CONFIGURATION));
     expect(record).toMatchObject({
-      type: 'configuration',
-      document: {
-        configuration: {
-          revision: 7,
-          routes: [
-            {
-              repeatability: 'resumable',
-              isStream: true,
-              longestPause: 300,
-              patience: 2_400,
-              targets: [{ weight: 90 }, { weight: 10 }],
-            },
-            { repeatability: 'never', targets: [{ service: 'kafi81c', weight: 1 }] },
-          ],
-          origin: { service: 'kafi81c', address: '172.20.0.3:8006' },
-          tenants: [{ keys: ['k1', 'k2'] }],
+      ok: true,
+      value: {
+        type: 'configuration',
+        document: {
+          configuration: {
+            revision: 7,
+            routes: [
+              {
+                repeatability: 'resumable',
+                isStream: true,
+                longestPause: 300,
+                patience: 2_400,
+                targets: [{ weight: 90 }, { weight: 10 }],
+              },
+              { repeatability: 'never', targets: [{ service: 'kafi81c', weight: 1 }] },
+            ],
+            origin: { service: 'kafi81c', address: '172.20.0.3:8006' },
+            tenants: [{ keys: ['k1', 'k2'] }],
+          },
+          leftOut: [],
         },
       },
     });
   });
 
-  it('give a named version, and nothing for a deleted or unreadable row', () => {
+  it('give a named version, nothing for a deleted row and a fault for an unreadable one', () => {
     const named = platformRecords.operatorRecord(row('version/m', { model: 'm', version: 2 }));
-    expect(named).toEqual({ type: 'namedVersion', model: 'm', version: 2 });
+    expect(named).toEqual({ ok: true, value: { type: 'namedVersion', model: 'm', version: 2 } });
     expect(platformRecords.operatorRecord({ ...row('config', {}), value: undefined })).toBeUndefined();
-    expect(platformRecords.operatorRecord({ ...row('config', {}), value: Buffer.from('{') })).toBeUndefined();
+    expect(platformRecords.operatorRecord({ ...row('config', {}), value: Buffer.from('{') })).toMatchObject({
+      ok: false,
+      error: { kind: 'unreadable' },
+    });
   });
 
   it('give a back end with the layers that it holds', () => {
-    const server = { service: 's', address: '10.0.0.1:1', zone: 'z', slots: 4, state: 'draining' };
+    const server = workerRow({ slots: 4, state: 'draining' });
     const layers = { from: 0, target_version: 16, version: 2 };
     expect(platformRecords.backEnd(row('i-1', { ...server, layers }))).toMatchObject({
-      id: 'i-1',
-      leaving: true,
-      layers: { from: 0, end: 16, version: 2 },
+      ok: true,
+      value: { id: 'i-1', leaving: true, slots: 4, layers: { from: 0, end: 16, version: 2 } },
     });
     expect(heldLayers({ from: 0, target_version: 0, version: 0 })).toBeUndefined();
   });
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -356,7 +356,9 @@
         service: worker.service,
         address: link.address,
         zone,
+        version: 'v1',
         state: worker.leaving ? 'draining' : 'ready',
+        cold_left_ms: 0,
         seq: this.#beats,
         ...worker.record(),
       };
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -6,7 +6,7 @@
 import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
-import { failure } from '../../src/model/result.js';
+import { failure, success } from '../../src/model/result.js';
 import { type Log, silentLog } from '../../src/observability/log.js';
 import type { DirectEntry } from '../../src/roles/direct-entry.js';
 import { createDirectEntry } from '../../src/roles/direct-entry-components.js';
@@ -37,18 +37,23 @@
   tenants: undefined,
 });
 
+const documentOf = (document: Buffer) => ({
+  document,
+  configuration: configurationOf(Number(document.toString())),
+});
+
 /** Rows hold JSON of the product's own records. */
 const decoder: RecordDecoder = {
   operatorTable: 'operator',
   backEndTable: 'backEnds',
-  operatorRecord: (row) =>
-    row.value && { type: 'configuration', document: decoder.configuration(row.value)! },
-  configuration: (document) => ({ document, configuration: configurationOf(Number(document.toString())) }),
-  backEnd: (row) => ({
-    ...(JSON.parse(row.value!.toString()) as BackEndRecord),
-    id: row.key,
-    revision: row.revision,
-  }),
+  operatorRecord: (row) => row.value && success({ type: 'configuration', document: documentOf(row.value) }),
+  configuration: (document) => success(documentOf(document)),
+  backEnd: (row) =>
+    success({
+      ...(JSON.parse(row.value!.toString()) as BackEndRecord),
+      id: row.key,
+      revision: row.revision,
+    }),
 };
 
 const noOrigin: PieceOriginFactory = () => ({
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -599,6 +599,35 @@
     replace: 'return !hasBegun && this.#mayRunAgain() && this.',
     test: 'test/forwarding/last-send-expires.test.ts',
   },
+  {
+    fault: 'a bad record of a back end is believed',
+    file: 'platform/reading.ts',
+    find: 'read.success ? success(read.data)',
+    replace: 'true ? success(value)',
+    test: 'test/platform/foreign-rows.test.ts',
+  },
+  {
+    fault: 'a back end whose record turned bad goes on being used',
+    file: 'src/fleet/store-sync.ts',
+    find: "decoded?.ok === true\n        ? { change: { type: 'changed', record: decoded.value }, isRemoval }\n        : { change: { type: 'gone', id, revision }, isRemoval };",
+    replace:
+      "decoded?.ok === true\n        ? { change: { type: 'changed', record: decoded.value }, isRemoval }\n        : { change: { type: 'gone', id: isRemoval ? id : '', revision }, isRemoval };",
+    test: 'test/platform/foreign-rows.test.ts',
+  },
+  {
+    fault: 'a bad record is told of at each heartbeat',
+    file: 'src/fleet/record-faults.ts',
+    find: 'if (told.get(key) === mark) return false;',
+    replace: '',
+    test: 'test/platform/foreign-rows.test.ts',
+  },
+  {
+    fault: 'bytes that are no text become a name',
+    file: 'platform/reading.ts',
+    find: "if (!isUtf8(bytes)) return failure({ kind: 'unreadable', reason: 'is not UTF-8' });",
+    replace: '',
+    test: 'test/platform/foreign-rows.test.ts',
+  },
 ];
 
 /** Copies of the code in which guards are taken out side by side: most tests wait more than they compute. */
