A service that is not named, or layers beyond the model, name no back end to use

Cause: requests went to any listed back end of the service that a route leads to, whether or not the configuration names that service. A listed row of such a service at the address of a sound back end was taken for its next start, and the sound one got nothing. An engine that told of more layers than its model has counted as whole. Change: the selector passes over back ends of services that are not named; such a record takes nobody's place; layers are whole where they end at the model's last.

--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -67,6 +67,7 @@
 /** Why a back end may not take a request. */
 export type Exclusion =
   | 'leaving'
+  | 'unnamedService'
   | 'superseded'
   | 'tried'
   | 'suspended'
@@ -228,7 +229,7 @@
     let soonest = Number.POSITIVE_INFINITY;
     for (const row of this.#table.ofService(service)) {
       const { record, news, health } = row;
-      if (record.leaving || this.#table.isSuperseded(row)) continue;
+      if (record.leaving || this.#isSuperseded(row)) continue;
       const version = wholeVersion(row, engine.layers);
       const serves = version > 0 && version >= this.#lowestVersion(engine, now, 0);
       if (serves && news?.isSwitching !== true && health.admits(now, true)) return undefined;
@@ -243,7 +244,7 @@
   /** Slots of the back ends of `service`, divided among all entries. */
   slotShare(service: string): number {
     const rows = [...this.#table.ofService(service)].filter(
-      (row) => !row.record.leaving && !this.#table.isSuperseded(row),
+      (row) => !row.record.leaving && !this.#isSuperseded(row),
     );
     const slots = rows.reduce((sum, { record }) => sum + record.slots, 0);
     return Math.ceil(slots / this.#entryCount());
@@ -289,7 +290,8 @@
   #exclusion(row: BackEndRow, requirements: Requirements, now: number): Exclusion | undefined {
     const { record, health } = row;
     if (record.leaving) return 'leaving';
-    if (this.#table.isSuperseded(row)) return 'superseded';
+    if (!this.#isNamed(record.service)) return 'unnamedService';
+    if (this.#isSuperseded(row)) return 'superseded';
     if (requirements.tried.has(record.id)) return 'tried';
     if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
     if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
@@ -300,6 +302,15 @@
     return !requirements.mayQueue && this.#isFullForLate(row) ? 'full' : undefined;
   }
 
+  /** Whether the configuration names `service`: a back end of another one is none to use, whoever listed it. */
+  #isNamed(service: string): boolean {
+    return this.#fleet.routes?.service(service) !== undefined;
+  }
+
+  #isSuperseded(row: BackEndRow): boolean {
+    return this.#table.isSuperseded(row, (service) => this.#isNamed(service));
+  }
+
   /** Why the weights of `row` keep it from taking the request. */
   #versionExclusion(
     row: BackEndRow,
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -100,11 +100,14 @@
    * True where another back end has started at the address of `row` since: the row is of one that is gone, although its
    * record lapses only after three missing heartbeats. After a loss of power nine entries sent 290 requests to such rows in
    * the first second, which used up the budget of repetitions (counted in the logs of 15 engines).
+   * @param isNamed - whether the configuration names a service: a record of any other takes nobody's place
    */
-  isSuperseded({ record }: BackEndRow): boolean {
+  isSuperseded({ record }: BackEndRow, isNamed: (service: string) => boolean): boolean {
     const rows = this.#rowsByAddress.get(record.address);
     if (rows === undefined || rows.size < 2) return false;
-    return [...rows].some((other) => other.record.revision > record.revision);
+    return [...rows].some(
+      (other) => other.record.revision > record.revision && isNamed(other.record.service),
+    );
   }
 
   /** The waits for back ends of a service. */
@@ -243,8 +246,10 @@
   return Math.max(listed, news?.version ?? 0);
 }
 
+/** Whoever tells of more layers than the model has holds something else; a count of 0 is none that is known. */
 function isWhole(layers: HeldLayers | undefined, layerCount: number): boolean {
-  return layers !== undefined && layers.from === 0 && layers.end >= layerCount;
+  if (layers === undefined || layers.from !== 0) return false;
+  return layerCount === 0 || layers.end === layerCount;
 }
 
 /** Requests of all entries at `row`, as far as known: the more of what entries and its agent say. */
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -628,6 +628,27 @@
     replace: '',
     test: 'test/platform/foreign-rows.test.ts',
   },
+  {
+    fault: 'a back end of a service that is not named gets requests',
+    file: 'src/forwarding/back-end-selector.ts',
+    find: "if (!this.#isNamed(record.service)) return 'unnamedService';",
+    replace: '',
+    test: 'test/forwarding/foreign-back-ends.test.ts',
+  },
+  {
+    fault: 'a record of a service that is not named takes the place of a sound one',
+    file: 'src/forwarding/back-end-table.ts',
+    find: 'other.record.revision > record.revision && isNamed(other.record.service)',
+    replace: 'other.record.revision > record.revision',
+    test: 'test/forwarding/foreign-back-ends.test.ts',
+  },
+  {
+    fault: 'an engine that tells of more layers than its model has gets requests',
+    file: 'src/forwarding/back-end-table.ts',
+    find: 'layers.end === layerCount',
+    replace: 'layers.end >= layerCount',
+    test: 'test/forwarding/foreign-back-ends.test.ts',
+  },
 ];
 
 /** Copies of the code in which guards are taken out side by side: most tests wait more than they compute. */
