--- a/src/weights/piece-sources.ts
+++ b/src/weights/piece-sources.ts
@@ -1,5 +1,6 @@
 /** The sources of pieces: other processes of the system, the object store, the origin. */
-import { callHttp, parseJson } from '../clients/http.js';
+import { z } from 'zod';
+import { callHttp } from '../clients/http.js';
 import type { ObjectStore } from '../clients/object-store.js';
 import type { ChunkSet } from '../model/chunk-set.js';
 import { failure, type Result, success } from '../model/result.js';
@@ -49,14 +50,14 @@
 /** Asks another process for the manifest of a version. */
 export async function fetchManifest(
   address: string,
-  { model, version }: WeightsVersion,
+  version: WeightsVersion,
   signal: AbortSignal,
 ): Promise<Result<PieceManifest, PieceSourceError>> {
-  const url = `http://${address}${manifestPath(model, version)}`;
+  const url = `http://${address}${manifestPath(version.model, version.version)}`;
   const answer = await callHttp({ service: 'manifest', method: 'GET', url, signal });
   if (!answer.ok || answer.value.status !== 200) return failed('no manifest there');
-  const parsed = parseJson<PieceManifest>('manifest', answer.value);
-  return parsed.ok ? parsed : failed(parsed.error.type);
+  const manifest = parseManifest(answer.value.body, version);
+  return manifest === undefined ? failed('malformed manifest') : success(manifest);
 }
 
 /** Reads the manifest of a version from the object store; undefined where it is not there, or cannot be read. */
@@ -69,10 +70,20 @@
   return stored.ok ? parseManifest(stored.value, version) : undefined;
 }
 
+/** What other processes tell or stored: a manifest without digests of its pieces would pass for one that is whole. */
+const manifestSchema = z.object({
+  model: z.string(),
+  version: z.int(),
+  pieceBytes: z.int().min(1),
+  digests: z.array(z.string()).min(1),
+});
+
+/** The manifest of a version; undefined for bytes that are none, or that of another version. */
 function parseManifest(bytes: Buffer, { model, version }: WeightsVersion): PieceManifest | undefined {
   try {
-    const manifest = JSON.parse(bytes.toString('utf8')) as PieceManifest;
-    return manifest.model === model && manifest.version === version ? manifest : undefined;
+    const read = manifestSchema.safeParse(JSON.parse(bytes.toString('utf8')));
+    if (!read.success) return undefined;
+    return read.data.model === model && read.data.version === version ? read.data : undefined;
   } catch {
     return undefined;
   }
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -684,6 +684,13 @@
     replace: 'return milliseconds;',
     test: 'test/platform/foreign-rows.test.ts',
   },
+  {
+    fault: 'a manifest without digests of its pieces is believed',
+    file: 'src/weights/piece-sources.ts',
+    find: 'digests: z.array(z.string()).min(1),',
+    replace: 'digests: z.any(),',
+    test: 'test/weights/foreign-manifest.test.ts',
+  },
 ];
 
 /** Copies of the code in which guards are taken out side by side: most tests wait more than they compute. */
