A back end whose record tells of another service or address is taken as another

Cause: the table kept the row of a known identity under its first service and its connections at its first address: requests of the former service went on to a worker that now names another, and to an address that it has left. Change: such a record replaces the row; what runs at the former one goes on, as at a back end that is gone. Result: test/forwarding/foreign-back-ends.test.ts: the new address was not called before the change; with the address alone compared, the request of the former service was answered 200.

--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -181,12 +181,12 @@
 
   #set(record: BackEndRecord): void {
     const known = this.rows.get(record.id);
-    if (known !== undefined) {
-      removeFrom(this.#rowsByAddress, known.record.address, known);
+    if (known !== undefined && isAtSamePlace(known.record, record)) {
       known.record = record;
-      addTo(this.#rowsByAddress, record.address, known);
       return;
     }
+    // Connections lead to the former address, and requests of the former service may not run here any more.
+    if (known !== undefined) this.#remove(record.id);
     const row = createRow(record, () => this.mostConnectionsKept(record.service));
     this.rows.set(record.id, row);
     addTo(this.#rowsByService, record.service, row);
@@ -203,6 +203,10 @@
   }
 }
 
+function isAtSamePlace(one: BackEndRecord, other: BackEndRecord): boolean {
+  return one.service === other.service && one.address === other.address;
+}
+
 function addTo(index: Map<string, Set<BackEndRow>>, key: string, row: BackEndRow): void {
   index.set(key, (index.get(key) ?? new Set<BackEndRow>()).add(row));
 }
--- a/test/forwarding/foreign-back-ends.test.ts
+++ b/test/forwarding/foreign-back-ends.test.ts
@@ -68,3 +68,28 @@
     expect(engine.requests).toHaveLength(1);
   });
 });
+
+describe('a back end whose record tells of another service or address', () => {
+  it('gets nothing more of its former service', async () => {
+    const services = [
+      ...ENGINE_CONFIGURATION.services,
+      { name: 'plain', maxConnections: 0, engine: undefined },
+    ];
+    const configuration = { ...ENGINE_CONFIGURATION, revision: 2, services };
+    forwarding.fleet.takeConfiguration({ document: Buffer.from(''), configuration });
+    forwarding.list(['one', engine, LISTED]);
+    expect((await forwarding.send('/write/')).status).toBe(200);
+    forwarding.list(['one', engine, { ...LISTED, service: 'plain' }]);
+    expect((await forwarding.send('/write/')).status).toBe(503);
+    expect(engine.requests).toHaveLength(1);
+  });
+
+  it('is called at its new address', async () => {
+    const moved = await new StandInBackEnd(reply(200, 'moved')).start();
+    forwarding.list(['one', engine, LISTED]);
+    expect((await forwarding.send('/write/')).body).toBe('served');
+    forwarding.list(['one', moved, LISTED]);
+    expect((await forwarding.send('/write/')).body).toBe('moved');
+    await moved.stop();
+  });
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -691,6 +691,13 @@
     replace: 'digests: z.any(),',
     test: 'test/weights/foreign-manifest.test.ts',
   },
+  {
+    fault: 'a back end gets requests of its former service, and at its former address',
+    file: 'src/forwarding/back-end-table.ts',
+    find: 'return one.service === other.service && one.address === other.address;',
+    replace: 'return true;',
+    test: 'test/forwarding/foreign-back-ends.test.ts',
+  },
 ];
 
 /** Copies of the code in which guards are taken out side by side: most tests wait more than they compute. */
