A back end is its id and its start, read once at the boundary

Cause: code names a back end by its id alone, and nothing reads which start of it an entry or a report tells of. Change: BackEndIdentity (id and start), read by platform/start.ts from entries and reports alike. An entry without a start stays as it was; one whose start is no whole number names no back end, and such a report counts as no answer.

--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -3,6 +3,8 @@
  * revision. It never goes back: older news of a record, or an older list, changes nothing.
  */
 
+import { type BackEndIdentity, isSameStart } from './back-end-identity.js';
+
 /** Layers of a model that a back end holds. */
 export interface HeldLayers {
   from: number;
@@ -12,9 +14,7 @@
 }
 
 /** One start of a back end, as it tells of itself. */
-export interface BackEndRecord {
-  /** Names this start; every start has another. */
-  id: string;
+export interface BackEndRecord extends BackEndIdentity {
   service: string;
   address: string;
   zone: string;
@@ -89,6 +89,7 @@
 /** Whether two records say the same of a back end, whenever they were written. */
 export function isAlike(one: BackEndRecord, other: BackEndRecord): boolean {
   return (
+    isSameStart(one.start, other.start) &&
     one.service === other.service &&
     one.address === other.address &&
     one.zone === other.zone &&
--- a/src/weights/staged-engine.ts
+++ b/src/weights/staged-engine.ts
@@ -1,4 +1,5 @@
 /** The contract of an engine that loads weights from a stage on its own machine. */
+import type { BackEndIdentity } from '../fleet/back-end-identity.js';
 import type { HeldLayers } from '../fleet/back-end-list.js';
 import type { Result } from '../model/result.js';
 import type { WeightsVersion } from './held-weights.js';
@@ -8,6 +9,8 @@
 
 /** The state of an engine. */
 export interface EngineState {
+  /** Names its start ({@link BackEndIdentity}); undefined where it does not tell it. */
+  start?: BackEndIdentity['start'];
   /** The model that it serves or is to serve; empty where it tells none. */
   model: string;
   /** Undefined where it holds none. */
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -101,6 +101,15 @@
     expect(heldLayers({ from: 0, target_version: 0, version: 0 })).toBeUndefined();
   });
 
+  it('give the start of a back end; one that is no whole number makes its entry of no use', () => {
+    const server = { service: 's', address: '10.0.0.1:1', zone: 'z', slots: 4, state: 'ready' };
+    const startOfEntry = (born: unknown) => platformRecords.backEnd(row('i-1', { ...server, born }))?.start;
+    expect(startOfEntry(1_796_266_800_123)).toBe(1_796_266_800_123);
+    expect(platformRecords.backEnd(row('i-1', server))).toMatchObject({ id: 'i-1', start: undefined });
+    for (const born of ['1796266800123', 1.5, null, true, [1], {}, 1e300])
+      expect(platformRecords.backEnd(row('i-1', { ...server, born }))).toBeUndefined();
+  });
+
   it('give settings of both roles', () => {
     const document = {
       node_name: 'n',
