Rows, loads and news are of one start of a back end

Cause: rows of the table, loads that entries tell one another, what agents report and which back ends a request tried went by the id alone, so that a back end that starts again under its id was used for what its former start held, ran and failed. Change: BackEndStarts decides which start is the present one: the store's order for entries, the starts themselves for reports, which have no revision. FleetView.takeStart takes a start from a report as from the store. A newer start has a new row; loads and engine reports carry the start; tried back ends are a BackEndSet. A reader passes on an entry that it passes over, and the next one.

--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -1,9 +1,10 @@
 /**
  * The platform's list of back ends as one process knows it: records with the store's revision, whole as of one
- * revision. It never goes back: older news of a record, or an older list, changes nothing.
+ * revision. It never goes back: older news of a record, of a former start of its back end, or an older list change nothing.
  */
 
 import { type BackEndIdentity, isSameStart } from './back-end-identity.js';
+import { BackEndStarts } from './back-end-starts.js';
 
 /** Layers of a model that a back end holds. */
 export interface HeldLayers {
@@ -41,6 +42,7 @@
 /** The list. */
 export class BackEndList {
   readonly records = new Map<string, BackEndRecord>();
+  readonly #starts = new BackEndStarts();
   #revision = 0;
 
   /** The list is whole as of this revision of the store; 0 before the first reading. */
@@ -50,7 +52,7 @@
 
   /** Takes changes that lead from the present revision to `revision`; returns those that were news. */
   apply(changes: readonly BackEndChange[], revision: number): BackEndChange[] {
-    const news = changes.filter((change) => this.#take(change));
+    const news = changes.flatMap((change) => this.#take(change) ?? []);
     this.#revision = Math.max(this.#revision, revision);
     return news;
   }
@@ -66,23 +68,49 @@
     return this.apply([...gone, ...changed], state.revision);
   }
 
+  /**
+   * Takes the start that a back end has reported itself; returns what changed by it. One that started again holds nothing,
+   * and does not leave: its entry, which is of the former start, says nothing else of it that does not last.
+   */
+  takeStart(identity: BackEndIdentity): BackEndChange[] {
+    const known = this.records.get(identity.id);
+    if (known === undefined) return [];
+    const news = this.#starts.takeReported(identity);
+    const start = this.#starts.presentOf(identity.id);
+    if (news === 'older' || start === known.start) return [];
+    const record =
+      news === 'same' ? { ...known, start } : { ...known, start, leaving: false, layers: undefined };
+    this.records.set(record.id, record);
+    return [{ type: 'changed', record }];
+  }
+
   /** The whole list. */
   state(): BackEndListState {
     return { revision: this.#revision, records: [...this.records.values()] };
   }
 
-  #take(change: BackEndChange): boolean {
-    if (change.type === 'gone') {
-      const known = this.records.get(change.id);
-      if (known === undefined || known.revision > change.revision) return false;
-      return this.records.delete(change.id);
-    }
-    const { record } = change;
-    const known = this.records.get(record.id);
-    if (known !== undefined && known.revision >= record.revision) return false;
-    if (known === undefined && record.revision <= this.#revision) return false;
+  /** Takes one change; returns what it comes to, undefined where it is no news. */
+  #take(change: BackEndChange): BackEndChange | undefined {
+    return change.type === 'gone' ? this.#remove(change) : this.#set(change.record);
+  }
+
+  #remove(change: BackEndChange & { type: 'gone' }): BackEndChange | undefined {
+    const known = this.records.get(change.id);
+    if (known === undefined || known.revision > change.revision) return undefined;
+    this.#starts.noteGone(change.id);
+    this.records.delete(change.id);
+    return change;
+  }
+
+  #set(told: BackEndRecord): BackEndChange | undefined {
+    const known = this.records.get(told.id);
+    if (known !== undefined && known.revision >= told.revision) return undefined;
+    if (known === undefined && told.revision <= this.#revision) return undefined;
+    if (this.#starts.takeListed(told, told.revision) === 'older') return undefined;
+    // An entry that tells no start is taken for one of the start that is known.
+    const record = { ...told, start: this.#starts.presentOf(told.id) };
     this.records.set(record.id, record);
-    return true;
+    return { type: 'changed', record };
   }
 }
 
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -2,6 +2,7 @@
  * What one process believes about the deployment: the configuration in force, the back ends, the versions that the
  * operator has named. Every part only moves forward; who told it, the store or a peer, makes no difference.
  */
+import type { BackEndIdentity } from './back-end-identity.js';
 import { type BackEndChange, BackEndList, type BackEndListState } from './back-end-list.js';
 import type { FleetConfiguration } from './configuration.js';
 import { type NamedVersion, NamedVersions } from './named-versions.js';
@@ -79,6 +80,11 @@
     this.#tell(this.backEnds.replace(state));
   }
 
+  /** Takes the start that a back end has reported itself: it counts as much as one that the store tells. */
+  takeStart(identity: BackEndIdentity): void {
+    this.#tell(this.backEnds.takeStart(identity));
+  }
+
   /**
    * Takes removals that were held back; they are older than the list's revision, and hold unless the record came back.
    */
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -6,6 +6,7 @@
 import type { Random } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
+import { isSameStart } from './back-end-identity.js';
 import { type BackEndChange, isAlike } from './back-end-list.js';
 import type { FleetView } from './fleet-view.js';
 import type { RecordDecoder } from './record-decoder.js';
@@ -57,6 +58,8 @@
   /** The newest version of each model that the store has told of. */
   readonly #versionsRead = new Map<string, number>();
   readonly #held = new Map<string, BackEndChange>();
+  /** Back ends whose latest entry that was passed on had another start than the present one here. */
+  readonly #restartsPassed = new Set<string>();
   #holdUntil = 0;
   #holdTimer: NodeJS.Timeout | undefined;
 
@@ -126,9 +129,14 @@
     const { decoder, fleet } = this.#options;
     const known = fleet.backEnds.records.get(row.key);
     const record = row.value === undefined ? undefined : decoder.backEnd(row);
-    if (record === undefined || known === undefined || !isAlike(record, known)) return true;
-    // Others may have held its removal back as well.
-    return this.#held.has(row.key);
+    if (record === undefined || known === undefined) return true;
+    if (!isSameStart(record.start, known.start)) {
+      this.#restartsPassed.add(row.key);
+      return true;
+    }
+    // Others may have held its removal back as well, or have taken a start for newer that was passed over here.
+    const wasContested = this.#restartsPassed.delete(row.key);
+    return wasContested || !isAlike(record, known) || this.#held.has(row.key);
   }
 
   #events(
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -1,4 +1,5 @@
 /** Gathers the back ends that may take a request, and chooses one. */
+import type { BackEndSet } from '../fleet/back-end-identity.js';
 import type { EngineShape } from '../fleet/configuration.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
@@ -61,7 +62,7 @@
   /** Version that must answer, where a stream goes on. */
   version: number | undefined;
   /** Back ends that were tried already. */
-  tried: ReadonlySet<string>;
+  tried: Pick<BackEndSet, 'has'>;
 }
 
 /** Why a back end may not take a request. */
@@ -290,7 +291,7 @@
     const { record, health } = row;
     if (record.leaving) return 'leaving';
     if (this.#table.isSuperseded(row)) return 'superseded';
-    if (requirements.tried.has(record.id)) return 'tried';
+    if (requirements.tried.has(record)) return 'tried';
     if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
     if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
     const engine = this.#fleet.routes?.service(record.service)?.engine;
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -1,7 +1,9 @@
 /**
  * The back ends that requests may go to: what the list says, what their agents say, what is in flight there from here
- * and from other entries, and how they did. Rows go with their records.
+ * and from other entries, and how they did. Rows go with their records, and are of one start of their back end each: one
+ * that starts again has a new row, and what is told of the former start is passed over.
  */
+import { type BackEndIdentity, isSameStart } from '../fleet/back-end-identity.js';
 import type { BackEndChange, BackEndRecord, HeldLayers } from '../fleet/back-end-list.js';
 import { CapacityForecast } from '../systems/capacity-forecast.js';
 import { BackEndConnections } from './back-end-connections.js';
@@ -24,6 +26,8 @@
 
 /** What an agent says of the engine beside it. */
 export interface EngineNews {
+  /** The start of the engine that this is about; undefined where it does not tell it. */
+  start?: BackEndIdentity['start'];
   /** Version whose layers are all there; 0 for none, or where that is not known. */
   version: number;
   /** The agent reads the engine's state: what it tells is newer than the list. */
@@ -39,7 +43,12 @@
   switchAt: number;
 }
 
-/** One back end. */
+/** Requests in flight at a back end from one entry. */
+export interface BackEndLoad extends BackEndIdentity {
+  inFlight: number;
+}
+
+/** One start of a back end. */
 export interface BackEndRow {
   record: BackEndRecord;
   connections: BackEndConnections;
@@ -114,9 +123,20 @@
     return known;
   }
 
+  /**
+   * The row that news of the back end at `address` with this start are about: the one of that start, or else the one whose
+   * record is the newest, which has started again; undefined where none is listed there.
+   */
+  rowAt(address: string, start: BackEndIdentity['start']): BackEndRow | undefined {
+    const rows = [...(this.#rowsByAddress.get(address) ?? [])];
+    const own = rows.find(({ record }) => record.start === start);
+    return own ?? rows.sort((one, other) => other.record.revision - one.record.revision)[0];
+  }
+
   /** An agent tells of the engine at `address`. */
   takeNews(address: string, news: EngineNews): void {
     for (const row of this.#rowsByAddress.get(address) ?? []) {
+      if (!isSameStart(row.record.start, news.start)) continue;
       if (row.news?.version !== news.version) row.health.noteNews();
       row.news = news;
       if (news.slotAddress !== (row.agent?.address ?? ''))
@@ -125,11 +145,11 @@
   }
 
   /** Another entry tells what it has in flight. */
-  takeLoads(entry: string, loads: ReadonlyArray<readonly [id: string, inFlight: number]>): void {
+  takeLoads(entry: string, loads: readonly BackEndLoad[]): void {
     for (const [row, inFlight] of this.#loadsOf.get(entry) ?? []) row.inFlightElsewhere -= inFlight;
-    const taken = loads.flatMap(([id, inFlight]): Array<[BackEndRow, number]> => {
+    const taken = loads.flatMap(({ id, start, inFlight }): Array<[BackEndRow, number]> => {
       const row = this.rows.get(id);
-      return row === undefined ? [] : [[row, inFlight]];
+      return row === undefined || !isSameStart(row.record.start, start) ? [] : [[row, inFlight]];
     });
     for (const [row, inFlight] of taken) row.inFlightElsewhere += inFlight;
     if (taken.length > 0) this.#loadsOf.set(entry, taken);
@@ -137,9 +157,9 @@
   }
 
   /** What is in flight from here. */
-  loads(): Array<[id: string, inFlight: number]> {
+  loads(): BackEndLoad[] {
     const busy = [...this.rows.values()].filter(({ inFlight }) => inFlight > 0);
-    return busy.map(({ record, inFlight }) => [record.id, inFlight]);
+    return busy.map(({ record: { id, start }, inFlight }) => ({ id, start, inFlight }));
   }
 
   /**
@@ -150,6 +170,9 @@
     const now = performance.now();
     const { id } = row.record;
     this.silentConnections++;
+    // The connections to a former start are silent because it has ended.
+    const present = this.rows.get(id);
+    if (present !== undefined && present !== row) return;
     const last = this.#silentConnection;
     const isSpread = last !== undefined && last.id !== id && now - last.at < SPREAD_TIME;
     const suspect = isSpread ? this.rows.values() : [row];
@@ -178,18 +201,25 @@
 
   #set(record: BackEndRecord): void {
     const known = this.rows.get(record.id);
-    if (known !== undefined) {
+    if (known !== undefined && isSameStart(known.record.start, record.start)) {
       removeFrom(this.#rowsByAddress, known.record.address, known);
       known.record = record;
       addTo(this.#rowsByAddress, record.address, known);
       return;
     }
+    if (known !== undefined) this.#endFormer(known);
     const row = createRow(record, () => this.mostConnectionsKept(record.service));
     this.rows.set(record.id, row);
     addTo(this.#rowsByService, record.service, row);
     addTo(this.#rowsByAddress, record.address, row);
   }
 
+  /** Forgets all of a start that another has followed; its requests in flight end by themselves, in no books that count. */
+  #endFormer({ record }: BackEndRow): void {
+    this.#remove(record.id);
+    if (this.#silentConnection?.id === record.id) this.#silentConnection = undefined;
+  }
+
   #remove(id: string): void {
     const row = this.rows.get(id);
     if (row === undefined) return;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -7,6 +7,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
+import { BackEndSet } from '../fleet/back-end-identity.js';
 import type { Standstills } from '../model/standstills.js';
 import { LONGEST_RETURN } from '../systems/capacity-wait.js';
 import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
@@ -48,7 +49,7 @@
   /** When it arrived, in milliseconds of the steady clock. */
   readonly arrivedAt = performance.now();
   readonly #id: string;
-  readonly #tried = new Set<string>();
+  readonly #tried = new BackEndSet();
   /** Set before anything is sent. */
   #admitted!: AdmittedRequest;
   #timeToEnd!: TimeToEnd;
@@ -196,7 +197,7 @@
     if (this.#isRepetition && !this.#components.budgetOf(this.#admitted.service).spend(performance.now()))
       return this.#giveUp('no budget');
     const { row } = selection;
-    this.#tried.add(row.record.id);
+    this.#tried.add(row.record);
     this.#sends++;
     const { timing, rank, promptTokens, answerTokens } = this.#admitted;
     const urgency = timing.urgency(rank, performance.now());
@@ -354,7 +355,7 @@
     const requirements = this.#requirements();
     const isOther =
       selector.slotCandidates(requirements).length > 0 || selector.select(requirements) !== undefined;
-    if (!isOther) this.#tried.delete(record.id);
+    if (!isOther) this.#tried.delete(record);
   }
 
   #onBroken(reason: string): void {
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -363,7 +363,11 @@
   #takeBackEnds({ revision, records }: BackEndListState): void {
     if (this.#options.hearsStore()) return;
     // The codec carries no undefined.
-    const whole = records.map((record) => ({ ...record, layers: record.layers ?? undefined }));
+    const whole = records.map((record) => ({
+      ...record,
+      start: record.start ?? undefined,
+      layers: record.layers ?? undefined,
+    }));
     this.#options.fleet.takeBackEnds({ revision, records: whole });
   }
 }
--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -1,7 +1,9 @@
 /** What entries and agents of directly called back ends tell one another. */
+import type { BackEndIdentity } from '../fleet/back-end-identity.js';
 import type { BackEndListState } from '../fleet/back-end-list.js';
 import type { NamedVersion } from '../fleet/named-versions.js';
 import type { StoreNews } from '../fleet/store-sync.js';
+import type { BackEndLoad } from '../forwarding/back-end-table.js';
 
 /** What a process holds of a version of weights. */
 export interface HeldPieces {
@@ -16,6 +18,8 @@
 
 /** The state of the engine beside an agent. */
 export interface EngineReport {
+  /** The start of the engine that all of this is about; undefined where it does not tell it. */
+  start?: BackEndIdentity['start'];
   /** Address at which the engine takes requests. */
   address: string;
   /** `host:port` at which its agent is asked for slots of it. */
@@ -52,7 +56,7 @@
   /** Most entries that it has known since its start, or was told of by another. */
   entriesKnown: number;
   /** Requests in flight, by back end. */
-  loads: Array<[id: string, inFlight: number]>;
+  loads: BackEndLoad[];
   held: HeldPieces[];
   /** Engines whose agents are connected to it. */
   engines: EngineReport[];
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -64,7 +64,8 @@
   ],
   ['model', 'version', 'age'],
   ['model', 'version', 'count', 'have', 'stored'],
-  ['address', 'slotAddress', 'version', 'isReached', 'isSwitching', 'load', 'switchesIn', 'held'],
+  ['address', 'slotAddress', 'version', 'isReached', 'isSwitching', 'load', 'switchesIn', 'held', 'start'],
+  ['id', 'start', 'inFlight'],
 ];
 
 const packr = new Packr({
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -87,7 +87,7 @@
     this.#agents = new EngineAgents(
       (row) => this.#planner.planFor(row),
       (report, before) => {
-        backEnds.takeNews(report.address, engineNews(report));
+        this.#takeEngineReport(report);
         if (before === undefined || hasChangedService(before, report)) this.#announce('all');
       },
     );
@@ -263,7 +263,16 @@
   #onPeerReport(report: EntryReport): void {
     const { backEnds } = this.#components;
     backEnds.takeLoads(report.id, report.loads);
-    for (const engine of report.engines) backEnds.takeNews(engine.address, engineNews(engine));
+    for (const engine of report.engines) this.#takeEngineReport(engine);
+  }
+
+  /** The start of an engine first: what is told of one that has started again must not go to its former start. */
+  #takeEngineReport(report: EngineReport): void {
+    const { fleet, backEnds } = this.#components;
+    const news = engineNews(report);
+    const row = backEnds.rowAt(report.address, news.start);
+    if (row !== undefined) fleet.takeStart({ id: row.record.id, start: news.start });
+    backEnds.takeNews(report.address, news);
   }
 
   /**
@@ -323,6 +332,7 @@
   const toldAt = performance.now();
   // The codec carries no undefined in lists.
   return {
+    start: report.start ?? undefined,
     version,
     isReached,
     isSwitching,
@@ -351,6 +361,7 @@
 /** Whether what requests may be sent to an engine depends on has changed; its load is told with the next report. */
 function hasChangedService(before: EngineReport, after: EngineReport): boolean {
   return (
+    before.start !== after.start ||
     before.version !== after.version ||
     before.isReached !== after.isReached ||
     before.isSwitching !== after.isSwitching ||
--- /dev/null
+++ b/test/fleet/back-end-starts.test.ts
@@ -0,0 +1,130 @@
+/** Back ends that start again under their id: the newer start holds, in whatever order the news of it come. */
+import { describe, expect, it } from 'vitest';
+import { BackEndSet } from '../../src/fleet/back-end-identity.js';
+import { BackEndList, type BackEndRecord } from '../../src/fleet/back-end-list.js';
+
+const LAYERS = { from: 0, end: 4, version: 3 };
+
+function record(
+  start: number | undefined,
+  revision: number,
+  changes: Partial<BackEndRecord> = {},
+): BackEndRecord {
+  return {
+    id: 'one',
+    start,
+    service: 's',
+    address: '10.0.0.1:1',
+    zone: 'z',
+    slots: 4,
+    leaving: false,
+    layers: undefined,
+    revision,
+    ...changes,
+  };
+}
+
+/** A list that takes rows of the store as they come. */
+class ReadList extends BackEndList {
+  read(start: number | undefined, revision: number, changes: Partial<BackEndRecord> = {}): boolean {
+    return this.apply([{ type: 'changed', record: record(start, revision, changes) }], revision).length > 0;
+  }
+
+  get present(): BackEndRecord | undefined {
+    return this.records.get('one');
+  }
+}
+
+describe('a back end that starts again under its id', () => {
+  it('is known by its newer start, and a late entry of the former changes nothing', () => {
+    const list = new ReadList();
+    list.read(100, 1, { layers: LAYERS });
+    expect(list.read(200, 2)).toBe(true);
+    expect(list.read(100, 3, { layers: LAYERS })).toBe(false);
+    expect(list.present).toMatchObject({ start: 200, layers: undefined, revision: 2 });
+  });
+
+  it('is known by the start that it reports itself before the store has it, and holds nothing then', () => {
+    const list = new ReadList();
+    list.read(100, 1, { layers: LAYERS, leaving: true });
+    expect(list.takeStart({ id: 'one', start: 200 })).toHaveLength(1);
+    expect(list.present).toMatchObject({ start: 200, layers: undefined, leaving: false });
+    expect(list.read(100, 2, { layers: LAYERS })).toBe(false);
+    expect(list.present).toMatchObject({ start: 200, layers: undefined });
+    expect(list.read(200, 3, { layers: LAYERS })).toBe(true);
+  });
+
+  it('is not known by an older start that a late report tells of', () => {
+    const list = new ReadList();
+    list.read(200, 1, { layers: LAYERS });
+    expect(list.takeStart({ id: 'one', start: 100 })).toEqual([]);
+    list.read(300, 2);
+    expect(list.takeStart({ id: 'one', start: 200 })).toEqual([]);
+    expect(list.present?.start).toBe(300);
+  });
+
+  it('is known by its start after its clock stepped back, in the order of the store', () => {
+    const list = new ReadList();
+    list.read(200, 1, { layers: LAYERS });
+    expect(list.read(150, 2)).toBe(true);
+    expect(list.takeStart({ id: 'one', start: 200 })).toEqual([]);
+    expect(list.present).toMatchObject({ start: 150, layers: undefined });
+  });
+
+  it('is not kept out for good by an entry of an older start that came late, nor by a late report', () => {
+    const late = new ReadList();
+    late.read(200, 1);
+    // That this is older cannot be told: a clock may have stepped back.
+    late.read(100, 2);
+    expect(late.read(200, 3)).toBe(true);
+    expect(late.present?.start).toBe(200);
+
+    const misled = new ReadList();
+    misled.read(50, 1);
+    misled.takeStart({ id: 'one', start: 100 });
+    for (const revision of [2, 3, 4]) misled.read(50, revision);
+    expect(misled.present?.start).toBe(50);
+  });
+
+  it('counts each entry of a former start once, however often it is read', () => {
+    const list = new ReadList();
+    list.read(100, 1);
+    list.takeStart({ id: 'one', start: 200 });
+    for (let reading = 0; reading < 9; reading++) list.read(100, 2);
+    expect(list.present?.start).toBe(200);
+  });
+
+  it('is remembered after its entry has gone', () => {
+    const list = new ReadList();
+    list.read(100, 1);
+    list.read(200, 2);
+    list.apply([{ type: 'gone', id: 'one', revision: 3 }], 3);
+    expect(list.read(100, 4)).toBe(false);
+    expect(list.read(200, 5)).toBe(true);
+  });
+
+  it('is the same where no start is told', () => {
+    const list = new ReadList();
+    list.read(undefined, 1, { layers: LAYERS });
+    expect(list.read(undefined, 2, { layers: LAYERS })).toBe(true);
+    expect(list.takeStart({ id: 'one', start: undefined })).toEqual([]);
+    list.takeStart({ id: 'one', start: 100 });
+    expect(list.present).toMatchObject({ start: 100, layers: LAYERS });
+    list.read(undefined, 3, { layers: LAYERS });
+    expect(list.present).toMatchObject({ start: 100, layers: LAYERS, revision: 3 });
+  });
+});
+
+it('a set of back ends has the start that was added, and no other', () => {
+  const tried = new BackEndSet();
+  tried.add({ id: 'one', start: 100 });
+  tried.add({ id: 'two' });
+  expect(tried.has({ id: 'one', start: 100 })).toBe(true);
+  expect(tried.has({ id: 'one', start: 200 })).toBe(false);
+  expect(tried.has({ id: 'two' })).toBe(true);
+  expect(tried.has({ id: 'three' })).toBe(false);
+  tried.delete({ id: 'one', start: 200 });
+  expect(tried.has({ id: 'one', start: 100 })).toBe(true);
+  tried.delete({ id: 'one', start: 100 });
+  expect(tried.has({ id: 'one', start: 100 })).toBe(false);
+});
--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -127,6 +127,28 @@
   });
 });
 
+describe('a process that reads the store for others', () => {
+  it('passes on an entry of a former start that it does not take itself, and the one after it', async () => {
+    const passed: string[] = [];
+    sync.onNews = ({ table, rows }) => {
+      if (table === 'backEnds') passed.push(...rows.map(({ value }) => value?.toString() ?? ''));
+    };
+    const write = async (entry: string) => {
+      store.write('backEnds', 'one', entry);
+      await until(() => fleet.backEnds.revision === store.revision, entry);
+    };
+    await write('ready 100');
+    await write('ready 200');
+    passed.length = 0;
+    await write('ready 100');
+    expect(fleet.backEnds.records.get('one')?.start).toBe(200);
+    // Others may have taken the late entry: they did not know of the start before it.
+    await write('ready 200');
+    await write('ready 200');
+    expect(passed).toEqual(['ready 100', 'ready 200']);
+  });
+});
+
 describe('a process for which another one reads the store', () => {
   /** News of the operator's table after revision `after`, as the reader passes them on. */
   const news = (after: number, revision: number, value: string, key = 'configuration') => ({
--- a/test/fleet/text-records.ts
+++ b/test/fleet/text-records.ts
@@ -1,4 +1,4 @@
-/** Records of a store as plain text: a configuration is its revision, a back end is `ready` or `leaving`. */
+/** Records of a store as plain text: a configuration is its revision, a back end is `ready` or `leaving`, and its start. */
 import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
 
 const LIMITS = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
@@ -26,12 +26,18 @@
   }),
   backEnd: (row) => ({
     id: row.key,
+    start: startIn(row.value!.toString()),
     service: 's',
     address: '127.0.0.1:1',
     zone: 'z',
     slots: 1,
-    leaving: row.value!.toString() === 'leaving',
+    leaving: row.value!.toString().startsWith('leaving'),
     layers: undefined,
     revision: row.revision,
   }),
 };
+
+function startIn(text: string): number | undefined {
+  const [, start] = text.split(' ');
+  return start === undefined ? undefined : Number(start);
+}
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -169,6 +169,12 @@
     });
   }
 
+  /** The agent of the engine at `address` has read this start of it. */
+  takeEngineStart(address: string, start: number): void {
+    const row = this.backEnds.rowAt(address, start);
+    if (row !== undefined) this.fleet.takeStart({ id: row.record.id, start });
+  }
+
   /** Sends a request without a body whose caller is going to leave. */
   open(path: string): ClientRequest {
     const [host, port] = this.#address.split(':');
--- /dev/null
+++ b/test/forwarding/restart.test.ts
@@ -0,0 +1,214 @@
+/** Back ends that start again under their id: nothing that was remembered of the former start is used for the next. */
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { BackEndSet } from '../../src/fleet/back-end-identity.js';
+import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
+import { type BackEndRow, loadOf, wholeVersion } from '../../src/forwarding/back-end-table.js';
+import { seededRandom } from '../../src/model/random.js';
+import { SilentProxy } from '../silent-proxy.js';
+import { until } from '../support.js';
+import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
+import { ForwardingHarness } from './forwarding-harness.js';
+import { routeNamed } from './routes.js';
+import { reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
+
+const FORMER = 100;
+const NEXT = 200;
+const LAYERS = { from: 0, end: ENGINE_LAYERS, version: 1 };
+const silent: Script = () => {};
+
+let backEnd: StandInBackEnd;
+let forwarding: ForwardingHarness;
+
+beforeEach(async () => {
+  backEnd = await new StandInBackEnd(reply(200, 'done')).start();
+  forwarding = new ForwardingHarness('engines');
+  const once = routeNamed('once', { repeatability: 'never', targets: [{ service: 'engines', weight: 1 }] });
+  const again = routeNamed('again', { maxAttempts: 2, targets: [{ service: 'engines', weight: 1 }] });
+  const { routes } = ENGINE_CONFIGURATION;
+  await forwarding.start({ ...ENGINE_CONFIGURATION, routes: [...routes, once, again] });
+  start(FORMER, true);
+});
+
+afterEach(async () => {
+  await forwarding.stop();
+  await backEnd.stop();
+});
+
+/** The list tells of a start of the back end. */
+function start(which: number, isLoaded: boolean): void {
+  forwarding.list(['one', backEnd, { start: which, layers: isLoaded ? LAYERS : undefined }]);
+}
+
+function row(): BackEndRow {
+  return forwarding.backEnds.rows.get('one')!;
+}
+
+/** The agent tells that the engine of this start holds version 1 and has 3 requests. */
+function tell(which: number | undefined): void {
+  forwarding.backEnds.takeNews(backEnd.address, {
+    start: which,
+    version: 1,
+    isReached: true,
+    isSwitching: true,
+    slotAddress: '127.0.0.1:1',
+    load: 3,
+    toldAt: performance.now(),
+    switchAt: Number.POSITIVE_INFINITY,
+  });
+}
+
+describe('a back end that starts again under its id', () => {
+  it('has nothing in flight, unread or failed, and none of the marks and figures of before', async () => {
+    await forwarding.send('/again/');
+    tell(FORMER);
+    forwarding.backEnds.takeLoads('other', [{ id: 'one', start: FORMER, inFlight: 7 }]);
+    const former = row();
+    former.health.note('silent', performance.now(), 0);
+    former.health.note('silent', performance.now(), 0);
+    expect(loadOf(former)).toBe(7);
+    start(NEXT, false);
+    expect(row()).not.toBe(former);
+    expect(row()).toMatchObject({
+      inFlight: 0,
+      unreadTokens: 0,
+      inFlightElsewhere: 0,
+      firstAnswerTime: 0,
+      duration: 0,
+      news: undefined,
+      agent: undefined,
+    });
+    expect(row().health.suspended).toBe(false);
+    expect(loadOf(row())).toBe(0);
+    expect(wholeVersion(row(), ENGINE_LAYERS)).toBe(0);
+    expect([...forwarding.backEnds.ofService('engines')]).toEqual([row()]);
+  });
+
+  it('gets its requests over new connections, and the kept ones to the former start close', async () => {
+    const proxy = await new SilentProxy(backEnd.address).start();
+    const listed = { address: proxy.address, layers: LAYERS };
+    forwarding.list(['one', backEnd, { ...listed, start: FORMER + 1 }]);
+    await forwarding.send('/again/');
+    expect(proxy.open).toBe(1);
+    // What a kept connection to the former start carries does not reach the next one.
+    proxy.silence();
+    forwarding.list(['one', backEnd, { ...listed, start: NEXT }]);
+    expect((await forwarding.send('/again/')).status).toBe(200);
+    expect(forwarding.backEnds.silentConnections).toBe(0);
+    await proxy.stop();
+  });
+
+  it('is not what late news of the former start tell, from its agent or from other entries', () => {
+    start(NEXT, false);
+    tell(FORMER);
+    expect(row().news).toBeUndefined();
+    forwarding.backEnds.takeLoads('other', [{ id: 'one', start: FORMER, inFlight: 7 }]);
+    expect(row().inFlightElsewhere).toBe(0);
+    tell(NEXT);
+    forwarding.backEnds.takeLoads('other', [{ id: 'one', start: NEXT, inFlight: 2 }]);
+    expect(row()).toMatchObject({ inFlightElsewhere: 2, news: { load: 3 } });
+  });
+
+  it('is found by the report of its agent before the store tells', () => {
+    const former = row();
+    forwarding.takeEngineStart(backEnd.address, NEXT);
+    tell(NEXT);
+    expect(row()).not.toBe(former);
+    expect(row().record).toMatchObject({ start: NEXT, layers: undefined });
+    expect(row().news).toMatchObject({ start: NEXT });
+    start(FORMER, true);
+    expect(row().record).toMatchObject({ start: NEXT, layers: undefined });
+  });
+
+  it('does not make the connections to others suspect by those to its former start', () => {
+    const two = ['two', backEnd, { address: '127.0.0.1:1' }] as const;
+    const three = ['three', backEnd, { address: '127.0.0.1:2' }] as const;
+    const listWith = (which: number) =>
+      forwarding.list(['one', backEnd, { start: which }], [...two], [...three]);
+    listWith(FORMER);
+    const { backEnds } = forwarding;
+    const former = row();
+    backEnds.noteSilentConnection(former, performance.now());
+    listWith(NEXT);
+    backEnds.noteSilentConnection(former, performance.now());
+    const closes = vi.spyOn(backEnds.rows.get('three')!.connections, 'closeIdleSince');
+    backEnds.noteSilentConnection(backEnds.rows.get('two')!, performance.now());
+    expect(closes).not.toHaveBeenCalled();
+    backEnds.noteSilentConnection(row(), performance.now());
+    expect(closes).toHaveBeenCalled();
+  });
+
+  it('is told to others with its start', async () => {
+    backEnd.answer(silent);
+    const sent = forwarding.open('/again/');
+    await until(() => row().inFlight === 1, 'the request there');
+    expect(forwarding.backEnds.loads()).toEqual([{ id: 'one', start: FORMER, inFlight: 1 }]);
+    start(NEXT, true);
+    expect(forwarding.backEnds.loads()).toEqual([]);
+    sent.destroy();
+  });
+
+  it('may get a request that the former start refused', () => {
+    const { fleet, backEnds } = forwarding;
+    const selector = new BackEndSelector({
+      fleet,
+      table: backEnds,
+      random: seededRandom(3),
+      self: { zone: 'zone-a', region: 'region-a' },
+      regionOf: () => 'region-a',
+      versionBound: 8_000,
+      entryCount: () => 1,
+    });
+    const tried = new BackEndSet();
+    tried.add(row().record);
+    const requirements = {
+      service: 'engines',
+      isRepeatable: true,
+      mayQueue: true,
+      answerTokens: 0,
+      goesOn: false,
+      version: undefined,
+      tried,
+    };
+    expect(selector.select(requirements)).toBeUndefined();
+    start(NEXT, true);
+    expect(selector.select(requirements)?.row).toBe(row());
+  });
+
+  it('gets no request again that may run once and was sent to the former start', async () => {
+    let cut = () => {};
+    backEnd.answer((request) => {
+      cut = () => request.socket.destroy();
+    });
+    const answering = forwarding.send('/once/', { method: 'POST', body: 'pay' });
+    await until(() => backEnd.requests.length === 1, 'the request there');
+    start(NEXT, true);
+    backEnd.answer(reply(200, 'done'));
+    cut();
+    // Not "not run": it may have run before the restart.
+    expect((await answering).status).toBe(502);
+    expect(backEnd.requests).toHaveLength(1);
+  });
+
+  it('gets a request again that may run more than once, and its failure at the former start is not held against it', async () => {
+    let cut = () => {};
+    backEnd.answer((request) => {
+      cut = () => request.socket.destroy();
+    });
+    const answering = forwarding.send('/again/');
+    await until(() => backEnd.requests.length === 1, 'the request there');
+    start(NEXT, true);
+    backEnd.answer(reply(200, 'done'));
+    cut();
+    expect((await answering).status).toBe(200);
+    expect(row().health.failureShare).toBe(0);
+  });
+
+  it('is the same one where no start is told', () => {
+    forwarding.list(['plain', backEnd, { layers: LAYERS }]);
+    const known = forwarding.backEnds.rows.get('plain');
+    forwarding.list(['plain', backEnd, { layers: LAYERS, slots: 8 }]);
+    expect(forwarding.backEnds.rows.get('plain')).toBe(known);
+    tell(undefined);
+    expect(known?.news).toMatchObject({ load: 3 });
+  });
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -12,6 +12,69 @@
 
 /** What is taken out: `find` becomes `replace`; `fault` names what then goes wrong. */
 const GUARDS = [
+  {
+    fault: 'what was known of a back end goes on for its next start',
+    file: 'src/forwarding/back-end-table.ts',
+    find: 'if (known !== undefined && isSameStart(known.record.start, record.start)) {',
+    replace: 'if (known !== undefined) {',
+    test: 'test/forwarding/restart.test.ts',
+  },
+  {
+    fault: 'what an agent told of a former start is believed of the next',
+    file: 'src/forwarding/back-end-table.ts',
+    find: 'if (!isSameStart(row.record.start, news.start)) continue;',
+    replace: '',
+    test: 'test/forwarding/restart.test.ts',
+  },
+  {
+    fault: 'requests in flight at a former start count at the next',
+    file: 'src/forwarding/back-end-table.ts',
+    find: '|| !isSameStart(row.record.start, start) ?',
+    replace: '?',
+    test: 'test/forwarding/restart.test.ts',
+  },
+  {
+    fault: 'a silent connection to a former start makes those to all others suspect',
+    file: 'src/forwarding/back-end-table.ts',
+    find: 'if (present !== undefined && present !== row) return;',
+    replace: '',
+    test: 'test/forwarding/restart.test.ts',
+  },
+  {
+    fault: 'a back end is left out for what its former start refused',
+    file: 'src/fleet/back-end-identity.ts',
+    find: 'this.#starts.has(id) && isSameStart(this.#starts.get(id), start)',
+    replace: 'this.#starts.has(id)',
+    test: 'test/forwarding/restart.test.ts test/fleet/back-end-starts.test.ts',
+  },
+  {
+    fault: 'a late entry of a former start is taken',
+    file: 'src/fleet/back-end-starts.ts',
+    find: "if (isFormer && start < known.present && !hasReturned(known, start, revision)) return 'older';",
+    replace: '',
+    test: 'test/fleet/back-end-starts.test.ts',
+  },
+  {
+    fault: 'a late report of a former start is taken',
+    file: 'src/fleet/back-end-starts.ts',
+    find: "if (known.former.includes(start) || start < known.present) return 'older';",
+    replace: '',
+    test: 'test/fleet/back-end-starts.test.ts',
+  },
+  {
+    fault: 'a start that was passed over by mistake is passed over for good',
+    file: 'src/fleet/back-end-starts.ts',
+    find: 'return returning.entries >= ENTRIES_TO_RETURN;',
+    replace: 'return false;',
+    test: 'test/fleet/back-end-starts.test.ts',
+  },
+  {
+    fault: 'others that took a late entry of a former start never hear of the present one',
+    file: 'src/fleet/store-sync.ts',
+    find: 'return wasContested || ',
+    replace: 'return ',
+    test: 'test/fleet/store-sync.test.ts',
+  },
   {
     fault: 'corrupt chunks are kept',
     file: 'src/agent/exchange.ts',
