What an agent knows of its engine is of one start of it

Cause: the stage, orders with their count, the wait for a switch and the slots given out went on over a restart of the engine under its id; an order that was meant for the former start fits the next, whose count of orders begins anew. Change: EngineStarts tells which start answers (by the order of the calls, of those that overlap by the start). A newer one empties what is believed of the stage and is told to entries at once; the engine is asked once more before an order; a switch ends with its engine's start; SlotTable takes all slots back. The agent's own pieces stay: they are checked by digest.

--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -11,6 +11,7 @@
  * for (const decision of table.release(id, now)) tell(decision);
  * ```
  */
+import { type BackEndIdentity, isSameStart } from '../fleet/back-end-identity.js';
 
 /**
  * An engine tells of its load as it stood some hundred ms earlier, and a request takes some ms to reach it: what is
@@ -44,6 +45,8 @@
 
 /** The state of the engine, as its agent reads it. */
 export interface ObservedEngine {
+  /** Its start; undefined where it does not tell it. */
+  start?: BackEndIdentity['start'];
   /** False while it takes no new requests, as during a switch of versions. */
   isServing: boolean;
   /** Requests of all callers that run or wait there. */
@@ -56,6 +59,7 @@
   readonly #leases = new Map<string, number>();
   readonly #waiting = new Map<string, SlotAsk>();
   #slots = 0;
+  #start: BackEndIdentity['start'];
   /** Undefined until the engine has been observed. */
   #isServing: boolean | undefined;
   /** Requests that run there without a slot from here: of entries that do not ask, or from before a restart. */
@@ -102,7 +106,9 @@
   }
 
   /** Takes what was read of the engine: slots of entries that have vanished come free, others' requests count. */
-  observe({ isServing, load }: ObservedEngine, now: number): SlotDecision[] {
+  observe({ start, isServing, load }: ObservedEngine, now: number): SlotDecision[] {
+    if (!isSameStart(start, this.#start)) this.#forgetLeases();
+    this.#start = start ?? this.#start;
     this.#isServing = isServing;
     this.#releasedAt = this.#releasedAt.filter((at) => now - at < REPORT_LAG);
     this.#unleased = Math.max(0, load - this.#leases.size - this.#releasedAt.length);
@@ -118,6 +124,13 @@
     return refused.map((id) => ({ type: 'refused', id }));
   }
 
+  /** The engine has started again: what ran there did not survive it. */
+  #forgetLeases(): void {
+    this.#leases.clear();
+    this.#releasedAt = [];
+    this.#unused = 0;
+  }
+
   /** Takes back slots whose requests the engine did not run at this look nor at the one before. */
   #reclaim(load: number, now: number): void {
     const settled = [...this.#leases].filter(([, grantedAt]) => now - grantedAt >= REPORT_LAG);
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -16,6 +16,7 @@
 import { SMALL_BATCH } from '../systems/upload-limit.js';
 import { agentSources, BATCH_LIMIT } from './agent-sources.js';
 import { EngineStage } from './engine-stage.js';
+import { EngineStarts } from './engine-starts.js';
 import { EngineSwitch } from './engine-switch.js';
 import {
   type HeldWeights,
@@ -88,6 +89,7 @@
   readonly #options: EngineLoaderOptions;
   readonly #stage: EngineStage;
   readonly #engineSwitch: EngineSwitch;
+  readonly #starts = new EngineStarts();
   readonly #clock = new StoreClock();
   readonly #versions = new NamedVersions(this.#clock);
   readonly #fetches = new Map<string, Fetch>();
@@ -111,7 +113,7 @@
     this.#stage = new EngineStage(options.engine, options.log);
     this.#engineSwitch = new EngineSwitch({
       engine: options.engine,
-      onState: (state) => this.#takeState(state),
+      onState: (state, askedAt) => void this.#takeState(state, askedAt),
       onChange: () => {
         this.#observe();
         this.#tell();
@@ -171,9 +173,10 @@
   }
 
   async #look(signal: AbortSignal): Promise<void> {
+    const askedAt = performance.now();
     const state = await this.#options.engine.state(withLimit(signal, CALL_LIMIT));
     const wasReachable = this.#engine !== undefined;
-    this.#takeState(state.ok ? state.value : undefined);
+    if (!this.#takeState(state.ok ? state.value : undefined, askedAt)) return;
     if (wasReachable !== state.ok)
       this.#options.log.info(state.ok ? 'engine regained' : 'engine lost', {
         address: this.#options.engineAddress,
@@ -187,9 +190,22 @@
     await this.#advance(state.value, signal);
   }
 
-  #takeState(state: EngineState | undefined): void {
+  /** Takes a state that was asked for at `askedAt`; false where it is of a former start of the engine. */
+  #takeState(state: EngineState | undefined, askedAt: number): boolean {
+    const news = state && this.#starts.take(state.start, askedAt, performance.now());
+    if (news === 'older') return false;
+    if (news === 'newer') this.#forgetEngine();
     this.#engine = state;
     this.#observe();
+    return true;
+  }
+
+  /** The engine has started again. What this process holds itself is as good as before. */
+  #forgetEngine(): void {
+    this.#stage.forget();
+    this.#isStageRead = false;
+    const { engineAddress: address, log } = this.#options;
+    log.info('engine started again', { address, start: this.#starts.present });
   }
 
   /** Tells who gives out the engine's slots how it stands. */
@@ -197,6 +213,7 @@
     // Without a plan it is not known how many layers a whole version has.
     if (this.#plan === undefined || this.#engine === undefined) return this.#options.onEngine(undefined);
     this.#options.onEngine({
+      start: this.#starts.present,
       isServing: this.#wholeVersion > 0 && !this.#isSwitching,
       load: this.#engine.load,
     });
@@ -441,6 +458,7 @@
 
   #tell(): void {
     const report: EngineReport = {
+      start: this.#starts.present,
       address: this.#options.engineAddress,
       slotAddress: this.#options.slotAddress,
       version: this.#wholeVersion,
@@ -451,6 +469,7 @@
       held: this.#held(),
     };
     const text = JSON.stringify([
+      report.start,
       report.version,
       report.isReached,
       report.isSwitching,
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -18,20 +18,29 @@
   readonly #log: Log;
   /** Version whose pieces lie there, as far as this process knows. */
   #version = 0;
+  /** How often what lies there had to be forgotten. */
+  #forgotten = 0;
 
   constructor(engine: StagedEngine, log: Log) {
     this.#engine = engine;
     this.#log = log;
   }
 
+  /** The engine has started again: what lies there is not known. */
+  forget(): void {
+    this.#version = 0;
+    this.#forgotten++;
+  }
+
   /** Lays every piece of a whole version down, unless it lies there already. */
   async lay(held: HeldWeights, signal: AbortSignal): Promise<void> {
     const { model, version, digests } = held.manifest;
     if (this.#version === version) return;
+    const forgotten = this.#forgotten;
     await eachOf([...digests.keys()], async (index) => {
       await this.#engine.stage(model, index, held.piece(index)!, withLimit(signal, CALL_LIMIT));
     });
-    this.#version = version;
+    if (forgotten === this.#forgotten) this.#version = version;
   }
 
   /** Reads every piece back and replaces those that have turned bad; false where one cannot be mended. */
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -3,6 +3,7 @@
  * nothing but the engine: that the version is not wanted any more, or its fetch has ended, does not end it, as an order
  * that was taken cannot be taken back.
  */
+import { isSameStart } from '../fleet/back-end-identity.js';
 import { sleep } from '../fleet/table-follower.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
@@ -18,8 +19,8 @@
 /** What a switch works with. */
 export interface EngineSwitchOptions {
   engine: StagedEngine;
-  /** Takes each state that was read; undefined where the engine did not answer. */
-  onState: (state: EngineState | undefined) => void;
+  /** Takes each state that was read, and when it was asked for; undefined where the engine did not answer. */
+  onState: (state: EngineState | undefined, askedAt: number) => void;
   /** Called when a switch begins and ends. */
   onChange: () => void;
   log: Log;
@@ -55,11 +56,32 @@
     this.#isRunning = true;
     this.#options.onChange();
     if (order.served > 0) await sleep(NOTICE, signal);
-    if (await this.#order(order, signal)) await this.#awaitEnd(order.target, signal);
+    const isTaken = (await this.#isUnchanged(order.state, signal)) && (await this.#order(order, signal));
+    if (isTaken) await this.#awaitEnd(order, signal);
     this.#isRunning = false;
     this.#options.onChange();
   }
 
+  /**
+   * True where the engine has not started again since `before` was read: its stage may be empty now, and its count of orders
+   * begins anew, so that an order that was meant for the former start could fit the next.
+   */
+  async #isUnchanged({ start }: EngineState, signal: AbortSignal): Promise<boolean> {
+    if (start === undefined) return true;
+    const state = await this.#readState(signal);
+    if (state !== undefined && isSameStart(state.start, start)) return true;
+    this.#options.log.info('order not given', { start, found: state?.start, isReached: state !== undefined });
+    return false;
+  }
+
+  async #readState(signal: AbortSignal): Promise<EngineState | undefined> {
+    const askedAt = performance.now();
+    const answer = await this.#options.engine.state(withLimit(signal, CALL_LIMIT));
+    const state = answer.ok ? answer.value : undefined;
+    this.#options.onState(state, askedAt);
+    return state;
+  }
+
   /** True where the engine has taken the order. */
   async #order({ target, state, served, running }: SwitchOrder, signal: AbortSignal): Promise<boolean> {
     const { model, version } = target;
@@ -71,16 +93,20 @@
     return !outcome.ok || outcome.value.type === 'taken';
   }
 
-  async #awaitEnd({ version }: WeightsVersion, signal: AbortSignal): Promise<void> {
+  async #awaitEnd({ target, state: before }: SwitchOrder, signal: AbortSignal): Promise<void> {
     const startedAt = performance.now();
     while (!signal.aborted) {
       await sleep(LOOK_INTERVAL, signal);
-      const state = await this.#options.engine.state(withLimit(signal, CALL_LIMIT));
-      this.#options.onState(state.ok ? state.value : undefined);
-      if (state.ok && state.value.isBusy) continue;
-      const layers = state.ok ? state.value.layers : undefined;
+      const state = await this.#readState(signal);
+      // One that has started again does not carry the order out.
+      if (state?.isBusy === true && isSameStart(state.start, before.start)) continue;
       const tookMs = Math.round(performance.now() - startedAt);
-      this.#options.log.info('switch ended', { wanted: version, layers, isReached: state.ok, tookMs });
+      this.#options.log.info('switch ended', {
+        wanted: target.version,
+        layers: state?.layers,
+        isReached: state !== undefined,
+        tookMs,
+      });
       return;
     }
   }
--- a/test/systems/slot-table.test.ts
+++ b/test/systems/slot-table.test.ts
@@ -20,6 +20,25 @@
   return decisions.filter(({ type }) => type === 'granted').map(({ id }) => id);
 }
 
+describe('the slots of an engine that started again', () => {
+  it('are free, though the former start had given them out and not all come back', () => {
+    const table = new SlotTable();
+    table.observe({ start: 100, isServing: true, load: 0 }, 0);
+    for (const id of ['a', 'b', 'c']) table.ask(ask(id), 0);
+    expect(granted(table.observe({ start: 200, isServing: true, load: 0 }, 10))).toEqual(['c']);
+    expect(table.leased).toBe(1);
+    // A slot of the former start that is given back late is none of these.
+    expect(table.release('a', 20)).toEqual([]);
+    expect(table.ask(ask('d'), 20).at(-1)?.type).toBe('granted');
+    expect(table.ask(ask('e'), 20).at(-1)?.type).toBe('queued');
+    // That the engine does not answer for a while, or does not tell its start, says nothing of a restart.
+    table.lose();
+    table.observe({ isServing: true, load: 2 }, 30);
+    table.observe({ start: 200, isServing: true, load: 2 }, 40);
+    expect(table.leased).toBe(2);
+  });
+});
+
 describe('the slots of an engine', () => {
   it('are filled and no further; a request that ends lets the next one in', () => {
     const table = servingTable();
--- /dev/null
+++ b/test/weights/engine-restart.test.ts
@@ -0,0 +1,242 @@
+/** An engine that starts again beside its agent, under the same id: it holds nothing, and has taken no orders. */
+import { afterEach, describe, expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { digestOf } from '../../src/model/manifest.js';
+import { seededRandom } from '../../src/model/random.js';
+import { failure, success } from '../../src/model/result.js';
+import { silentLog } from '../../src/observability/log.js';
+import type { EngineReport, WeightsPlan } from '../../src/peers/reports.js';
+import type { ObservedEngine } from '../../src/systems/slot-table.js';
+import { EngineLoader } from '../../src/weights/engine-loader.js';
+import { EngineStage } from '../../src/weights/engine-stage.js';
+import { EngineStarts } from '../../src/weights/engine-starts.js';
+import { EngineSwitch } from '../../src/weights/engine-switch.js';
+import { HeldWeights, type PieceManifest, WeightsLibrary } from '../../src/weights/held-weights.js';
+import type { PieceOrigin } from '../../src/weights/piece-source.js';
+import { partsOf, storedManifestKey } from '../../src/weights/piece-sources.js';
+import type { EngineState, StagedEngine, StartOrder } from '../../src/weights/staged-engine.js';
+import { until } from '../support.js';
+
+const PIECES = 6;
+const LAYERS = 4;
+const pieceOf = (version: number, index: number) => Buffer.from(`piece ${index} of ${version}`.padEnd(32));
+
+function manifestOf(version: number): PieceManifest {
+  const digests = Array.from({ length: PIECES }, (_, index) => digestOf(pieceOf(version, index)));
+  return { model: 'm', version, pieceBytes: 32, digests };
+}
+
+function wholeWeights(version: number): HeldWeights {
+  const held = new HeldWeights(manifestOf(version));
+  for (let index = 0; index < PIECES; index++) held.add(index, pieceOf(version, index));
+  return held;
+}
+
+/** An engine that loses everything when it starts again. */
+class RestartingEngine implements StagedEngine {
+  present = 100;
+  layers: EngineState['layers'];
+  load = 0;
+  sequence = 0;
+  stagePuts = 0;
+  readonly stageArea = new Map<number, Buffer>();
+  /** Each order, with the start that took or refused it. */
+  readonly orders: Array<{ start: number; version: number; isWhole: boolean }> = [];
+
+  restart(): void {
+    this.present += 100;
+    this.layers = undefined;
+    this.load = 0;
+    this.sequence = 0;
+    this.stageArea.clear();
+  }
+
+  async state() {
+    const { present: start, layers, load, sequence } = this;
+    return success({ start, model: 'm', layers, isBusy: false, load, sequence });
+  }
+
+  async stage(_model: string, index: number, bytes: Buffer) {
+    this.stagePuts++;
+    this.stageArea.set(index, bytes);
+    return success(undefined);
+  }
+
+  async staged(_model: string, index: number) {
+    return success(this.stageArea.get(index));
+  }
+
+  async start({ version, expectedSequence }: StartOrder) {
+    const pieces = Array.from({ length: PIECES }, (_, index) => index);
+    const isWhole = pieces.every((index) => this.stageArea.get(index)?.equals(pieceOf(version, index)));
+    this.orders.push({ start: this.present, version, isWhole });
+    if (expectedSequence !== this.sequence) return success({ type: 'refused', status: 409 } as const);
+    this.sequence++;
+    this.layers = { from: 0, end: LAYERS, version };
+    return success({ type: 'taken' } as const);
+  }
+}
+
+const signal = () => AbortSignal.timeout(10_000);
+
+describe('the stage', () => {
+  it('is filled anew where the engine started again, also while it was being filled', async () => {
+    const engine = new RestartingEngine();
+    const stage = new EngineStage(engine, silentLog);
+    const held = wholeWeights(1);
+    await stage.lay(held, signal());
+    await stage.lay(held, signal());
+    expect(engine.stagePuts).toBe(PIECES);
+    stage.forget();
+    await stage.lay(held, signal());
+    expect(engine.stagePuts).toBe(2 * PIECES);
+    stage.forget();
+    const laying = stage.lay(held, signal());
+    stage.forget();
+    await laying;
+    await stage.lay(held, signal());
+    expect(engine.stagePuts).toBe(4 * PIECES);
+  });
+});
+
+describe('an order', () => {
+  it('is not given to an engine that has started again since its stage was read, though the count of orders fits', async () => {
+    const engine = new RestartingEngine();
+    const engineSwitch = new EngineSwitch({ engine, onState: () => {}, onChange: () => {}, log: silentLog });
+    const { value: state } = await engine.state();
+    engine.restart();
+    await engineSwitch.run(
+      { target: { model: 'm', version: 1 }, state, served: 0, running: 'finish' },
+      signal(),
+    );
+    expect(engine.orders).toEqual([]);
+    expect(engineSwitch.isRunning).toBe(false);
+  });
+
+  it('is waited for no longer where the engine that took it has started again', async () => {
+    const engine = new RestartingEngine();
+    const engineSwitch = new EngineSwitch({ engine, onState: () => {}, onChange: () => {}, log: silentLog });
+    const { value: state } = await engine.state();
+    let isBusy = false;
+    engine.state = async () => {
+      const { value } = await RestartingEngine.prototype.state.call(engine);
+      return success({ ...value, isBusy });
+    };
+    engine.start = async () => {
+      isBusy = true;
+      return success({ type: 'taken' } as const);
+    };
+    const order = { target: { model: 'm', version: 1 }, state, served: 0, running: 'finish' } as const;
+    const running = engineSwitch.run(order, new AbortController().signal);
+    await until(() => isBusy, 'the order');
+    // The next start is busy too, with what another told it to do.
+    engine.restart();
+    await running;
+    expect(engineSwitch.isRunning).toBe(false);
+  });
+});
+
+describe('the start of the engine that answers', () => {
+  it('is that of the call that began last; of calls that overlap the later start', () => {
+    const starts = new EngineStarts();
+    expect(starts.take(100, 0, 10)).toBe('same');
+    // Asked before the answer above had come.
+    expect(starts.take(50, 5, 20)).toBe('older');
+    expect(starts.take(200, 15, 30)).toBe('newer');
+    expect(starts.take(100, 25, 40)).toBe('older');
+    expect(starts.present).toBe(200);
+    // The clock stepped back: it was asked after the answer of the former start.
+    expect(starts.take(150, 50, 60)).toBe('newer');
+    expect(starts.take(200, 55, 70)).toBe('older');
+    expect(starts.take(undefined, 80, 90)).toBe('same');
+    expect(starts.present).toBe(150);
+  });
+});
+
+async function storedWeights(version: number): Promise<MemoryStore> {
+  const objects = new MemoryStore();
+  const manifest = Buffer.from(JSON.stringify(manifestOf(version)));
+  await objects.put(storedManifestKey(manifestOf(version)), manifest, signal());
+  for (const { key, pieces } of partsOf(manifestOf(version))) {
+    const bytes = Buffer.concat(pieces.map((index) => pieceOf(version, index)));
+    await objects.put(key, bytes, signal());
+  }
+  return objects;
+}
+
+describe('the loader beside an engine that starts again', () => {
+  const origin: PieceOrigin = {
+    manifest: async ({ version }) => success(manifestOf(version)),
+    piece: async ({ version }, index) => success(pieceOf(version, index)),
+  };
+  let loader: EngineLoader | undefined;
+
+  afterEach(async () => {
+    await loader?.stop();
+  });
+
+  function plan(version: number): WeightsPlan {
+    return {
+      versions: [{ model: 'm', version, notBefore: performance.now() - 1_000_000 }],
+      storeTime: performance.now(),
+      bound: 8_000,
+      origin: 'origin',
+      layers: LAYERS,
+      position: 0,
+      canMoveRequests: false,
+      holders: [],
+      entries: [],
+      hasNearEntry: false,
+    };
+  }
+
+  async function load(engine: StagedEngine, reports: EngineReport[], observed: ObservedEngine[] = []) {
+    loader = new EngineLoader({
+      engine,
+      engineAddress: 'engine',
+      address: 'agent',
+      slotAddress: 'slots',
+      onEngine: (state) => {
+        if (state !== undefined) observed.push(state);
+      },
+      library: new WeightsLibrary(),
+      objects: await storedWeights(1),
+      originAt: () => origin,
+      tell: (report) => reports.push(report),
+      random: seededRandom(5),
+      log: silentLog,
+    });
+    await loader.start();
+    loader.takePlan(plan(1));
+  }
+
+  it('tells of the new start at once, fills its stage again and orders it anew', async () => {
+    const engine = new RestartingEngine();
+    const reports: EngineReport[] = [];
+    const observed: ObservedEngine[] = [];
+    await load(engine, reports, observed);
+    await until(() => reports.at(-1)?.version === 1, 'the version');
+    expect(reports.at(-1)?.start).toBe(100);
+    engine.restart();
+    await until(() => reports.at(-1)?.start === 200, 'the new start');
+    const first = reports.find(({ start }) => start === 200)!;
+    expect(first).toMatchObject({ version: 0, load: 0 });
+    await until(() => reports.at(-1)?.version === 1, 'the version at the new start');
+    expect(engine.orders).toEqual([
+      { start: 100, version: 1, isWhole: true },
+      { start: 200, version: 1, isWhole: true },
+    ]);
+    expect(engine.stagePuts).toBe(2 * PIECES);
+    expect(observed.some(({ start, isServing }) => start === 200 && isServing)).toBe(true);
+  });
+
+  it('takes an engine that does not answer for none, and not for another start', async () => {
+    const engine = new RestartingEngine();
+    const reports: EngineReport[] = [];
+    await load(engine, reports);
+    await until(() => reports.at(-1)?.version === 1, 'the version');
+    engine.state = async () => failure({ type: 'engineUnreachable', reason: 'away' }) as never;
+    await until(() => reports.at(-1)?.isReached === false, 'the loss');
+    expect(reports.at(-1)?.start).toBe(100);
+  });
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -12,6 +12,48 @@
 
 /** What is taken out: `find` becomes `replace`; `fault` names what then goes wrong. */
 const GUARDS = [
+  {
+    fault: 'pieces that a former start of the engine held count as staged',
+    file: 'src/weights/engine-loader.ts',
+    find: "if (news === 'newer') this.#forgetEngine();",
+    replace: '',
+    test: 'test/weights/engine-restart.test.ts',
+  },
+  {
+    fault: 'pieces that were laid while the engine started again count as staged',
+    file: 'src/weights/engine-stage.ts',
+    find: 'if (forgotten === this.#forgotten) this.#version = version;',
+    replace: 'this.#version = version;',
+    test: 'test/weights/engine-restart.test.ts',
+  },
+  {
+    fault: 'an order that was meant for a former start is given to the next',
+    file: 'src/weights/engine-switch.ts',
+    find: 'if (state !== undefined && isSameStart(state.start, start)) return true;',
+    replace: 'return true;',
+    test: 'test/weights/engine-restart.test.ts',
+  },
+  {
+    fault: 'the switch of a former start is waited for',
+    file: 'src/weights/engine-switch.ts',
+    find: 'if (state?.isBusy === true && isSameStart(state.start, before.start)) continue;',
+    replace: 'if (state?.isBusy === true) continue;',
+    test: 'test/weights/engine-restart.test.ts',
+  },
+  {
+    fault: 'a late answer of a former start of the engine is believed',
+    file: 'src/weights/engine-starts.ts',
+    find: "(start === this.#former || start < this.#present!)) return 'older';",
+    replace: "false) return 'older';",
+    test: 'test/weights/engine-restart.test.ts',
+  },
+  {
+    fault: 'slots that a former start had given out stay taken',
+    file: 'src/systems/slot-table.ts',
+    find: 'if (!isSameStart(start, this.#start)) this.#forgetLeases();',
+    replace: '',
+    test: 'test/systems/slot-table.test.ts',
+  },
   {
     fault: 'what was known of a back end goes on for its next start',
     file: 'src/forwarding/back-end-table.ts',
