Soak: workers start again under their id, also behind a cut and in the middle of a switch

Cause: stand-in workers came back under a new id alone, and told no start. Change: they tell their start in entry and report; `--faults restarts` adds to all faults restarts at any time, behind a cut, during a switch, with staged pieces, with requests and of all workers, a quarter with the clock an hour behind, half of them seen in the worker's report before the store tells.

--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -320,11 +320,100 @@
   },
 ];
 
+/** Longest time for which a moment to start an engine again is looked for, in milliseconds, and between two looks. */
+const MOMENT_LIMIT = 6_000;
+const MOMENT_INTERVAL = 5;
+/** Some clocks are an hour behind after a restart, in milliseconds. */
+const CLOCK_STEP = -3_600_000;
+
+/** Starts the worker at `place` again under its id. */
+function restart(world: SoakWorld, random: Random, place: number): void {
+  const clockStep = random.below(4) === 0 ? CLOCK_STEP : 0;
+  void world.restartWorker(place, clockStep, random.below(2) === 0);
+}
+
+/** Starts an engine again at the first moment at which `isMoment` says so. */
+function restartAt(
+  world: SoakWorld,
+  random: Random,
+  isMoment: (engine: StandInEngine) => boolean,
+): BegunFault {
+  const engines = world.workers.flatMap(({ worker }, place) =>
+    worker instanceof StandInEngine ? [place] : [],
+  );
+  const place = one(engines, random);
+  const { id } = world.workers[place].worker;
+  const timer = setInterval(() => {
+    const { worker } = world.workers[place];
+    if (!(worker instanceof StandInEngine) || !isMoment(worker)) return;
+    clearInterval(timer);
+    restart(world, random, place);
+  }, MOMENT_INTERVAL);
+  return { lasts: MOMENT_LIMIT, end: () => clearInterval(timer), about: id, strikes: [id] };
+}
+
+/** Workers that start again under their id. */
+const RESTARTS: Fault[] = [
+  {
+    name: 'worker started again',
+    begin(world, random) {
+      const place = random.below(world.workers.length);
+      const { id } = world.workers[place].worker;
+      restart(world, random, place);
+      return { lasts: 0, end: nothing, about: id, strikes: [id] };
+    },
+  },
+  {
+    name: 'worker started again behind a cut',
+    begin(world, random) {
+      const place = random.below(world.workers.length);
+      const { link, worker } = world.workers[place];
+      const how = one(['toTarget', 'fromTarget', 'both'] as const, random);
+      const lasts = between(random, 300, 2_000);
+      link.cut(how);
+      setTimeout(() => restart(world, random, place), lasts / 2);
+      return { lasts, end: () => link.cut('none'), about: `${worker.id} ${how}`, strikes: [worker.id] };
+    },
+  },
+  {
+    name: 'engine started again during a switch',
+    begin(world, random) {
+      world.bumpVersion();
+      return restartAt(world, random, ({ isBusy }) => isBusy);
+    },
+  },
+  {
+    name: 'engine started again while pieces are staged',
+    begin(world, random) {
+      world.bumpVersion();
+      return restartAt(world, random, ({ isStaged }) => isStaged);
+    },
+  },
+  {
+    name: 'engine started again while it has requests',
+    begin: (world, random) => restartAt(world, random, ({ isAtWork }) => isAtWork),
+  },
+  {
+    name: 'all workers started again',
+    begin(world, random) {
+      for (const place of world.workers.keys()) restart(world, random, place);
+      return { lasts: 0, end: nothing, about: 'all', strikes: [EVERYTHING] };
+    },
+  },
+];
+
 /** Longest pause between two faults, in milliseconds: series overlap. */
 const LONGEST_PAUSE = 900;
 
 /** Which faults a seed plays: with planned work alone, everything that it harms is a loss. */
-export type FaultChoice = 'planned' | 'all';
+export type FaultChoice = 'planned' | 'all' | 'restarts';
+
+const FAULTS: Record<FaultChoice, Fault[]> = {
+  planned: PLANNED,
+  all: [...PLANNED, ...UNPLANNED],
+  // Restarts are two in five, or few would come.
+  restarts: [...PLANNED, ...UNPLANNED, ...RESTARTS, ...RESTARTS, ...RESTARTS],
+};
 
 /** Provokes faults until `signal`; returns their time line. */
 export async function provoke(
@@ -335,7 +424,7 @@
 ): Promise<string[]> {
   const timeline: string[] = [];
   const startedAt = performance.now();
-  const faults = choice === 'planned' ? PLANNED : [...PLANNED, ...UNPLANNED];
+  const faults = FAULTS[choice];
   const replaced = new Set<string>();
   let seriesEndAt = startedAt;
   while (!signal.aborted) {
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -2,7 +2,7 @@
  * A soak: the real programs as processes, faults from outside, callers that judge every answer; then quiet, in which
  * everything must serve by the newest configuration and version again.
  *
- * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all]
+ * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts]
  * [--kept]` prints each seed's outcome; a seed that breaks a promise prints
  * its time line and keeps its logs, and the exit code is 1.
  */
@@ -29,7 +29,7 @@
   folder: string;
   size: WorldSize;
   callers: number;
-  /** Undefined: even seeds play planned work, odd ones all faults. */
+  /** Undefined: even seeds play planned work, odd ones all faults, every other one with workers that start again too. */
   faults: FaultChoice | undefined;
 }
 
@@ -94,7 +94,7 @@
 async function playSeed({ seed, seconds, folder, size, ...plan }: SeedPlan): Promise<SeedOutcome> {
   const world = new SoakWorld(folder, 1 + (seed % SUBNETS), size);
   const random = seededRandom(seed);
-  const faults = plan.faults ?? (seed % 2 === 0 ? 'planned' : 'all');
+  const faults = plan.faults ?? usualFaults(seed);
   const probes: SentRequest[] = [];
   const callers = Array.from({ length: plan.callers }, (_, index) => {
     return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index));
@@ -137,6 +137,11 @@
   }
 }
 
+function usualFaults(seed: number): FaultChoice {
+  if (seed % 2 === 0) return 'planned';
+  return seed % 4 === 1 ? 'all' : 'restarts';
+}
+
 function failedToStart(faults: FaultChoice, reason: string): SeedOutcome {
   return { faults, violations: [`START: ${reason}`], timeline: [], statuses: {}, recoveredAfter: undefined };
 }
@@ -159,10 +164,13 @@
 }
 
 /** The seeds that failed once: the first of each cause, or all. */
-function keptSeeds(all: boolean): Array<{ seed: number; seconds: number }> {
+function keptSeeds(all: boolean): Array<{ seed: number; seconds: number; faults: FaultChoice }> {
   const kept = JSON.parse(readFileSync('test/platform/soak/kept-seeds.json', 'utf8')) as KeptSeeds[];
   return kept.flatMap(({ seconds, seeds }) =>
-    seeds.slice(0, all ? seeds.length : 1).map((seed) => ({ seed, seconds })),
+    seeds.slice(0, all ? seeds.length : 1).map((seed) => {
+      // As they were played when they failed.
+      return { seed, seconds, faults: seed % 2 === 0 ? 'planned' : 'all' } as const;
+    }),
   );
 }
 
@@ -194,7 +202,6 @@
     const folder = join(values.folder, String(seed));
     rmSync(folder, { recursive: true, force: true });
     const outcome = await playSeed({
-      faults: undefined,
       ...play,
       folder,
       size,
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -128,9 +128,21 @@
   }
 }
 
+/** What a worker is made with. */
+export interface WorkerOptions {
+  id: string;
+  service: string;
+  address: string;
+  log: RunLog;
+  /** By how much its clock is wrong, in milliseconds. */
+  clockStep?: number;
+}
+
 /** A worker of any service. */
 export abstract class StandInWorker extends StandIn {
   readonly id: string;
+  /** When it began by its own clock, in milliseconds since 1970: it tells this wherever it tells of itself. */
+  readonly born: number;
   readonly service: string;
   protected readonly log: RunLog;
   leaving = false;
@@ -139,9 +151,10 @@
   #runs = 0;
   #offers = 0;
 
-  constructor(options: { id: string; service: string; address: string; log: RunLog }) {
+  constructor(options: WorkerOptions) {
     super(options.address);
     this.id = options.id;
+    this.born = Date.now() + (options.clockStep ?? 0);
     this.service = options.service;
     this.log = options.log;
   }
@@ -221,7 +234,7 @@
   readonly #running = new Set<() => void>();
 
   /** @param version - what it holds at its start, staged too; 0 for nothing */
-  constructor(options: { id: string; service: string; address: string; log: RunLog; version: number }) {
+  constructor(options: WorkerOptions & { version: number }) {
     super(options);
     this.#version = options.version;
     if (options.version === 0) return;
@@ -232,6 +245,25 @@
     return this.#version;
   }
 
+  /** An order is being carried out. */
+  get isBusy(): boolean {
+    return this.#isBusy;
+  }
+
+  /** Pieces of a version that it does not hold lie in its stage. */
+  get isStaged(): boolean {
+    return this.#isStagedFor(this.#version + 1);
+  }
+
+  #isStagedFor(version: number): boolean {
+    return [...this.#stage].some(([index, bytes]) => bytes.equals(pieceOf(version, index)));
+  }
+
+  /** Requests run there. */
+  get isAtWork(): boolean {
+    return this.#active > 0;
+  }
+
   /** One staged piece turns bad. */
   rot(index: number): void {
     if (!this.#stage.has(index)) return;
@@ -267,6 +299,7 @@
 
   #report(): object {
     return {
+      born: this.born,
       models: [{ name: 'm', version: this.#version }],
       layers: this.#layers(),
       busy: this.#isBusy,
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -82,6 +82,8 @@
   #weightsVersion = 1;
   #beats = 0;
   #workersStarted = 0;
+  /** Places whose worker has ended and whose next one does not run yet. */
+  readonly #vacant = new Set<number>();
   #stopped = false;
   #graceTimers = new Set<NodeJS.Timeout>();
 
@@ -252,6 +254,8 @@
 
   /** A worker ends as in a crash; its record lapses, and another comes in its place without weights. */
   async replaceWorker(place: number): Promise<void> {
+    if (this.#vacant.has(place)) return;
+    this.#vacant.add(place);
     const { worker, link } = this.workers[place];
     worker.stop();
     link.stop();
@@ -260,9 +264,35 @@
     this.store.write('servers', worker.id, undefined);
     if (worker instanceof StandInEngine) await this.#addEngine(place + 1, 0, place);
     else await this.#addService(place - this.#size.agents + 1, place);
+    this.#vacant.delete(place);
     this.#beat();
   }
 
+  /**
+   * A worker ends as in a crash and comes back at once under its id, with nothing in memory or in its stage.
+   * @param clockStep - by how much its clock is wrong then, in milliseconds
+   * @param isTold - the store has its new entry at once; otherwise its own report may tell first
+   */
+  async restartWorker(place: number, clockStep: number, isTold: boolean): Promise<void> {
+    if (this.#vacant.has(place)) return;
+    this.#vacant.add(place);
+    const { worker, zone, link } = this.workers[place];
+    const { id, service, address } = worker;
+    worker.stop();
+    // Its address is free once the loop has closed it.
+    await new Promise((resolve) => setImmediate(resolve));
+    if (this.#stopped) return;
+    const options = { id, service, address, log: this.log, clockStep };
+    const next =
+      worker instanceof StandInEngine
+        ? new StandInEngine({ ...options, version: 0 })
+        : new StandInService(options);
+    this.workers[place] = { worker: next, zone, link };
+    await next.start();
+    this.#vacant.delete(place);
+    if (isTold) this.#beat();
+  }
+
   /** Heals everything that a fault may have left. */
   heal(): void {
     Object.assign(this.store.faults, { down: false, silent: false, losesAnswers: false });
@@ -358,6 +388,7 @@
         zone,
         state: worker.leaving ? 'draining' : 'ready',
         seq: this.#beats,
+        born: worker.born,
         ...worker.record(),
       };
       return [worker.id, JSON.stringify(record)];
