Back ends that start again: what a restart resets and keeps, and why

Two tests more: a request that the former start may have run is not called "not run" when the next one refuses it; a slot that a former start granted is given back unused.

--- a/test/forwarding/restart.test.ts
+++ b/test/forwarding/restart.test.ts
@@ -2,7 +2,13 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { BackEndSet } from '../../src/fleet/back-end-identity.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
-import { type BackEndRow, loadOf, wholeVersion } from '../../src/forwarding/back-end-table.js';
+import {
+  type BackEndRow,
+  type EngineNews,
+  loadOf,
+  wholeVersion,
+} from '../../src/forwarding/back-end-table.js';
+import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { seededRandom } from '../../src/model/random.js';
 import { SilentProxy } from '../silent-proxy.js';
 import { until } from '../support.js';
@@ -45,7 +51,11 @@
 
 /** The agent tells that the engine of this start holds version 1 and has 3 requests. */
 function tell(which: number | undefined): void {
-  forwarding.backEnds.takeNews(backEnd.address, {
+  forwarding.backEnds.takeNews(backEnd.address, engineNews(which));
+}
+
+function engineNews(which: number | undefined): EngineNews {
+  return {
     start: which,
     version: 1,
     isReached: true,
@@ -54,7 +64,7 @@
     load: 3,
     toldAt: performance.now(),
     switchAt: Number.POSITIVE_INFINITY,
-  });
+  };
 }
 
 describe('a back end that starts again under its id', () => {
@@ -203,6 +213,45 @@
     expect(row().health.failureShare).toBe(0);
   });
 
+  it('may refuse a request that the former start had: that one may have run all the same', async () => {
+    let cut = () => {};
+    backEnd.answer((request) => {
+      cut = () => request.socket.destroy();
+    });
+    const answering = forwarding.send('/again/');
+    await until(() => backEnd.requests.length === 1, 'the request there');
+    start(NEXT, true);
+    backEnd.answer(reply(503, '', { 'x-not-run': '1' }));
+    cut();
+    expect((await answering).status).toBe(502);
+    expect(backEnd.requests).toHaveLength(2);
+  });
+
+  it('gives no request a slot that its former start granted', async () => {
+    const asked: SlotAnswers[] = [];
+    const release = vi.fn();
+    const other = new ForwardingHarness('engines');
+    other.slots = {
+      ask: (_agent, _wish, answers) => {
+        asked.push(answers);
+        return { release };
+      },
+    };
+    await other.start(ENGINE_CONFIGURATION);
+    const listed = (which: number) => other.list(['one', backEnd, { start: which, layers: LAYERS }]);
+    listed(FORMER);
+    other.backEnds.takeNews(backEnd.address, { ...engineNews(FORMER), isSwitching: false });
+    const answering = other.send('/write/');
+    await until(() => asked.length === 1, 'the question');
+    const dispatches = vi.spyOn(other.backEnds.rows.get('one')!.connections, 'dispatch');
+    listed(NEXT);
+    asked[0].onGranted();
+    expect(release).toHaveBeenCalled();
+    expect((await answering).status).toBe(200);
+    expect(dispatches).not.toHaveBeenCalled();
+    await other.stop();
+  });
+
   it('is the same one where no start is told', () => {
     forwarding.list(['plain', backEnd, { layers: LAYERS }]);
     const known = forwarding.backEnds.rows.get('plain');
