Restarts seen in reports: shown with whole entries and with a worker's report

Cause: that an entry takes a start from an agent's report and passes it on, and that a report whose start is no whole number is no answer, was shown by no test. Change: a test with two entries and an agent, one of reports on the wire; `born` is a word of the boundary; two guards. Without taking the start from the report the new test of direct-entry fails, without the check of the number 5 of engine-start and records do.

--- a/test/forwarding/restart.test.ts
+++ b/test/forwarding/restart.test.ts
@@ -259,5 +259,10 @@
     expect(forwarding.backEnds.rows.get('plain')).toBe(known);
     tell(undefined);
     expect(known?.news).toMatchObject({ load: 3 });
+    // As it is after its way in a message.
+    forwarding.backEnds.takeLoads('other', [
+      { id: 'plain', start: null as unknown as undefined, inFlight: 2 },
+    ]);
+    expect(known?.inFlightElsewhere).toBe(2);
   });
 });
--- a/test/roles/direct-entry.test.ts
+++ b/test/roles/direct-entry.test.ts
@@ -1,13 +1,25 @@
 /** Entries as whole processes would run, on a stand-in store and scripted back ends. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { connect } from '../../src/protocol/connection.js';
 import { reply, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { SilentProxy } from '../silent-proxy.js';
-import { until } from '../support.js';
+import { contextAt, until } from '../support.js';
 import { FEW_CONNECTIONS, type Received, send, startEntry, stopEntries, write } from './running-entry.js';
 
 /** What a caller has left that was refused before, in milliseconds. */
 const COMES_AGAIN = 2_000;
 
+/** What an agent tells of an engine, but for where it is and which start it has. */
+const ENGINE_REPORT = {
+  slotAddress: '',
+  version: 0,
+  isReached: true,
+  isSwitching: false,
+  load: 0,
+  switchesIn: undefined,
+  held: [],
+};
+
 let backEnd: StandInBackEnd;
 
 beforeEach(async () => {
@@ -93,6 +105,40 @@
     await proxy.stop();
   });
 
+  it('learns of a restart from the report of an agent, passes it on, and passes over a late report of the former start', async () => {
+    const proxy = await new SilentProxy(backEnd.address).start();
+    const one = await startEntry('one', []);
+    const two = await startEntry('two', [one.settings.peers]);
+    for (const { store } of [one, two]) write(store, 1, proxy, 4, 'billing', 100);
+    await until(() => one.entry.addresses('zone-a', 'region-a').length === 2, 'the other, to the first');
+    await until(() => two.entry.addresses('zone-a', 'region-a').length === 2, 'the other, to the second');
+    const { context } = await contextAt('agent');
+    const connected = await connect(one.settings.peers, context, AbortSignal.timeout(5_000));
+    if (!connected.ok) throw new Error('no connection to the entry');
+    const agent = connected.value;
+    agent.handleMessages(() => {});
+    const report = (start: number) =>
+      agent.send({ type: 'engineReport', report: { ...ENGINE_REPORT, address: proxy.address, start } });
+    const sendToBoth = () => Promise.all([one, two].map((entry) => send(entry, '/1/')));
+    report(100);
+    await sendToBoth();
+    expect(proxy.accepted).toBe(2);
+    report(200);
+    // Connections to the former start are used no more; those that are in use do not end by being idle.
+    await until(async () => {
+      await sendToBoth();
+      return proxy.accepted === 4;
+    }, 'a new connection of both');
+    report(100);
+    report(200);
+    // Entries tell one another of what engines report several times a second.
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    await sendToBoth();
+    expect(proxy.accepted).toBe(4);
+    agent.close();
+    await proxy.stop();
+  });
+
   it('that leaves is told to callers no more, serves on, and ends what is in progress', async () => {
     const one = await startEntry('one', []);
     const two = await startEntry('two', [one.settings.peers]);
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -125,9 +125,10 @@
   backEnd: { readonly address: string },
   slots = 4,
   service = 'billing',
+  start?: number,
 ): void {
   store.write('operator', 'configuration', String(revision));
-  const record = { service, address: backEnd.address, zone: 'zone-a', slots, leaving: false };
+  const record = { service, address: backEnd.address, zone: 'zone-a', slots, leaving: false, start };
   store.write('backEnds', 'one', JSON.stringify(record));
 }
 
--- a/tools/boundary.mjs
+++ b/tools/boundary.mjs
@@ -29,6 +29,7 @@
   'slo_ms',
   'gap_target_ms',
   'api_keys',
+  '\\bborn\\b',
 ];
 const PATTERN = new RegExp(WORDS.join('|'), 'i');
 const ALLOWED = /^(platform|test\/platform)\//;
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -12,6 +12,20 @@
 
 /** What is taken out: `find` becomes `replace`; `fault` names what then goes wrong. */
 const GUARDS = [
+  {
+    fault: 'a start that is no whole number is taken for one',
+    file: 'platform/start.ts',
+    find: "typeof born === 'number' && Number.isSafeInteger(born) ? born : 'unreadable'",
+    replace: 'born as number',
+    test: 'test/platform/records.test.ts test/platform/engine-start.test.ts',
+  },
+  {
+    fault: 'a restart that an agent reports before the store tells is not noticed',
+    file: 'src/roles/direct-entry.ts',
+    find: 'if (row !== undefined) fleet.takeStart({ id: row.record.id, start: news.start });',
+    replace: '',
+    test: 'test/roles/direct-entry.test.ts',
+  },
   {
     fault: 'an entry that was written before a reported start brings an older one back',
     file: 'src/fleet/back-end-starts.ts',
