Merge: a back end is its id and its start

Cause: both sides read the start of a back end from its entry and its report, and say when a row of the table is of another. Change: the schemas read it, an identity carries it; a row goes with its start, its service and its address. A test of reports looked for the words of a check that the schema has replaced: it looks for the field.

--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -8,6 +8,7 @@
 import type { Result } from '../model/result.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
+import { isSameStart } from './back-end-identity.js';
 import { type BackEndChange, type BackEndRecord, isAlike } from './back-end-list.js';
 import type { FleetView } from './fleet-view.js';
 import type { OperatorRecord, RecordDecoder, RecordFault } from './record-decoder.js';
@@ -78,6 +79,8 @@
   readonly #held = new Map<string, BackEndChange>();
   /** What rows say: one that is passed on as news and then taken is decoded once. */
   readonly #decoded = new WeakMap<StoredRow, Result<BackEndRecord, RecordFault>>();
+  /** Back ends whose latest entry that was passed on had another start than the present one here. */
+  readonly #restartsPassed = new Set<string>();
   #holdUntil = 0;
   #holdTimer: NodeJS.Timeout | undefined;
 
@@ -146,13 +149,18 @@
 
   #isNews(row: StoredRow): boolean {
     if (row.value === undefined) return true;
-    // Others may have held its removal back as well.
-    if (this.#held.has(row.key)) return true;
     const known = this.#options.fleet.backEnds.records.get(row.key);
     const decoded = this.#backEnd(row);
     // A bad row is news when it turns bad, not at each heartbeat.
-    if (!decoded.ok) return known !== undefined;
-    return known === undefined || !isAlike(decoded.value, known);
+    if (!decoded.ok) return known !== undefined || this.#held.has(row.key);
+    if (known === undefined) return true;
+    if (!isSameStart(decoded.value.start, known.start)) {
+      this.#restartsPassed.add(row.key);
+      return true;
+    }
+    // Others may have held its removal back as well, or have taken a start for newer that was passed over here.
+    const wasContested = this.#restartsPassed.delete(row.key);
+    return wasContested || !isAlike(decoded.value, known) || this.#held.has(row.key);
   }
 
   #events(
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -1,4 +1,5 @@
 /** Gathers the back ends that may take a request, and chooses one. */
+import type { BackEndSet } from '../fleet/back-end-identity.js';
 import type { EngineShape } from '../fleet/configuration.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
@@ -63,7 +64,7 @@
   /** Version that must answer, where a stream goes on. */
   version: number | undefined;
   /** Back ends that were tried already. */
-  tried: ReadonlySet<string>;
+  tried: Pick<BackEndSet, 'has'>;
 }
 
 /** Why a back end may not take a request. */
@@ -319,7 +320,7 @@
     if (record.leaving) return 'leaving';
     if (!this.#isNamed(record.service)) return 'unnamedService';
     if (this.#isSuperseded(row)) return 'superseded';
-    if (requirements.tried.has(record.id)) return 'tried';
+    if (requirements.tried.has(record)) return 'tried';
     if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
     if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
     const engine = this.#engineOf(requirements);
--- a/test/fleet/text-records.ts
+++ b/test/fleet/text-records.ts
@@ -1,4 +1,4 @@
-/** Records of a store as plain text: a configuration is its revision, a back end is `ready` or `leaving`. */
+/** Records of a store as plain text: a configuration is its revision, a back end is `ready` or `leaving`, and its start. */
 import type { ConfigurationDocument } from '../../src/fleet/fleet-view.js';
 import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
 import { success } from '../../src/model/result.js';
@@ -19,11 +19,12 @@
   backEnd: (row) =>
     success({
       id: row.key,
+      start: startIn(row.value!.toString()),
       service: 's',
       address: '127.0.0.1:1',
       zone: 'z',
       slots: 1,
-      leaving: row.value!.toString() === 'leaving',
+      leaving: row.value!.toString().startsWith('leaving'),
       layers: undefined,
       revision: row.revision,
     }),
@@ -42,3 +43,8 @@
     },
   };
 }
+
+function startIn(text: string): number | undefined {
+  const [, start] = text.split(' ');
+  return start === undefined ? undefined : Number(start);
+}
--- a/test/platform/records-generated.test.ts
+++ b/test/platform/records-generated.test.ts
@@ -87,7 +87,7 @@
   expect(record.address).toMatch(/^[^\s:/]+:[0-9]{1,5}$/);
   expectWholeNumber(record.slots, 1);
   expect(typeof record.leaving).toBe('boolean');
-  if (record.startedAt !== undefined) expectWholeNumber(record.startedAt, 0);
+  if (record.start !== undefined) expectWholeNumber(record.start, 0);
   if (record.layers === undefined) return;
   expectWholeNumber(record.layers.from, 0);
   expectWholeNumber(record.layers.end, record.layers.from + 1);
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -108,6 +108,19 @@
     expect(heldLayers({ from: 0, target_version: 0, version: 0 })).toBeUndefined();
   });
 
+  it('give the start of a back end; one that is no whole number makes its entry of no use', () => {
+    const server = workerRow();
+    const entryWith = (born: unknown) => platformRecords.backEnd(row('i-1', { ...server, born }));
+    const start = 1_796_266_800_123;
+    expect(entryWith(start)).toMatchObject({ ok: true, value: { id: 'i-1', start } });
+    expect(platformRecords.backEnd(row('i-1', server))).toMatchObject({
+      ok: true,
+      value: { start: undefined },
+    });
+    for (const born of ['1796266800123', 1.5, null, true, [1], {}, 1e300])
+      expect(entryWith(born)).toMatchObject({ ok: false });
+  });
+
   it('give settings of both roles', () => {
     const document = {
       node_name: 'n',
