--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -11,6 +11,7 @@
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import { StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
+import { workerRow } from './wire-rows.js';
 import { wireStore } from './wire-store.js';
 
 const HOST = 'stop.example';
@@ -69,7 +70,7 @@
     services: [{ name: 'plain', max_conns: 50 }],
   };
   store.write('op', 'config', JSON.stringify(configuration));
-  const record = { service: 'plain', address: backEnd.address, zone: 'zone-a', slots: 8, state: 'ready' };
+  const record = workerRow({ service: 'plain', address: backEnd.address, slots: 8, layers: null });
   store.write('servers', 'i-1', JSON.stringify(record));
   storeAddress = wire.address;
 });
