The guard for looks at an engine takes out what it says

Cause: without its condition the guard waited for a manifest that the test's origin had, and was not noticed. Change: it waits only for what the engine holds, and the origin of its test has the next version alone.

--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -400,7 +400,7 @@
       originAt: () => ({
         ...origin,
         manifest: async ({ version }) =>
-          version === 1 ? failure({ type: 'sourceFailed', reason: 'gone' }) : success(manifestOf(version)),
+          version === 2 ? success(manifestOf(2)) : failure({ type: 'sourceFailed', reason: 'gone' }),
       }),
       tell: (report) => reports.push(report),
       random: seededRandom(5),
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -652,7 +652,8 @@
     fault: 'looks at an engine wait for the manifest of what it holds',
     file: 'src/weights/engine-loader.ts',
     find: 'this.#beginStageReading(state.value);',
-    replace: 'await this.#manifest({ model: state.value.model, version: this.#wholeVersion }, signal);',
+    replace:
+      'if (this.#wholeVersion > 0) await this.#manifest({ ...state.value, version: this.#wholeVersion }, signal);',
     test: 'test/weights/weights.test.ts',
   },
   {
