A report names the start before: a restart with a clock that stepped back is seen at once

Cause: a report has no revision, so that a start whose clock stepped back was taken for a late one until its entry came, which it does not while the store is away. Change: an agent tells which start its engine's start follows, where it has seen that; it holds against the clock.

--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -71,11 +71,12 @@
   /**
    * Takes the start that a back end has reported itself; returns what changed by it. One that started again holds nothing,
    * and does not leave: its entry, which is of the former start, says nothing else of it that does not last.
+   * @param follows - the start before it, where that is known
    */
-  takeStart(identity: BackEndIdentity): BackEndChange[] {
+  takeStart(identity: BackEndIdentity, follows?: BackEndIdentity['start']): BackEndChange[] {
     const known = this.records.get(identity.id);
     if (known === undefined) return [];
-    const news = this.#starts.takeReported(identity);
+    const news = this.#starts.takeReported(identity, follows);
     const start = this.#starts.presentOf(identity.id);
     if (news === 'older' || start === known.start) return [];
     const record =
--- a/src/fleet/back-end-starts.ts
+++ b/src/fleet/back-end-starts.ts
@@ -4,8 +4,8 @@
  *
  * - A start that was not known before and comes in a newer entry than the present one follows that, also where it looks
  *   older: its clock has stepped back. Where the present one was reported and has no entry yet, the later of both holds.
- * - A start that was not known before and is reported follows the present one if it is later. If it is earlier, the report
- *   is late, or a clock has stepped back: the next entry in the store tells.
+ * - A start that is reported follows the present one where the report says so. Else it does if it is later and was not known
+ *   before. If it is earlier, the report is late, or a clock has stepped back: the next entry in the store tells.
  * - A start that another has followed does not come back with a report. An entry of it is late, unless it is the later one.
  * - An entry that is passed over is late. More of them are not: then the present one was taken for newer by mistake, and would
  *   be kept for good.
@@ -60,12 +60,16 @@
     return follow(known, start, true);
   }
 
-  /** Takes the start that a back end has reported itself. */
-  takeReported({ id, start }: BackEndIdentity): StartNews {
+  /**
+   * Takes the start that a back end has reported itself.
+   * @param follows - the start before it, where its agent has seen that
+   */
+  takeReported({ id, start }: BackEndIdentity, follows?: BackEndIdentity['start']): StartNews {
     const known = this.#known.get(id);
     if (start == null || start === known?.present) return 'same';
     if (known === undefined) return this.#begin(id, start, false);
-    if (known.former.includes(start) || start < known.present) return 'older';
+    const isNext = follows === known.present;
+    if (!isNext && (known.former.includes(start) || start < known.present)) return 'older';
     return follow(known, start, false);
   }
 
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -80,9 +80,12 @@
     this.#tell(this.backEnds.replace(state));
   }
 
-  /** Takes the start that a back end has reported itself: it counts as much as one that the store tells. */
-  takeStart(identity: BackEndIdentity): void {
-    this.#tell(this.backEnds.takeStart(identity));
+  /**
+   * Takes the start that a back end has reported itself: it counts as much as one that the store tells.
+   * @param follows - the start before it, where that is known
+   */
+  takeStart(identity: BackEndIdentity, follows?: BackEndIdentity['start']): void {
+    this.#tell(this.backEnds.takeStart(identity, follows));
   }
 
   /**
--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -20,6 +20,8 @@
 export interface EngineReport {
   /** The start of the engine that all of this is about; undefined where it does not tell it. */
   start?: BackEndIdentity['start'];
+  /** The start of the engine before this one, where the agent has seen it: it tells the order where a clock stepped back. */
+  follows?: BackEndIdentity['start'];
   /** Address at which the engine takes requests. */
   address: string;
   /** `host:port` at which its agent is asked for slots of it. */
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -64,7 +64,18 @@
   ],
   ['model', 'version', 'age'],
   ['model', 'version', 'count', 'have', 'stored'],
-  ['address', 'slotAddress', 'version', 'isReached', 'isSwitching', 'load', 'switchesIn', 'held', 'start'],
+  [
+    'address',
+    'slotAddress',
+    'version',
+    'isReached',
+    'isSwitching',
+    'load',
+    'switchesIn',
+    'held',
+    'start',
+    'follows',
+  ],
   ['id', 'start', 'inFlight'],
 ];
 
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -271,7 +271,7 @@
     const { fleet, backEnds } = this.#components;
     const news = engineNews(report);
     const row = backEnds.rowAt(report.address, news.start);
-    if (row !== undefined) fleet.takeStart({ id: row.record.id, start: news.start });
+    if (row !== undefined) fleet.takeStart({ id: row.record.id, start: news.start }, report.follows);
     backEnds.takeNews(report.address, news);
   }
 
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -459,6 +459,7 @@
   #tell(): void {
     const report: EngineReport = {
       start: this.#starts.present,
+      follows: this.#starts.former,
       address: this.#options.engineAddress,
       slotAddress: this.#options.slotAddress,
       version: this.#wholeVersion,
--- a/src/weights/engine-starts.ts
+++ b/src/weights/engine-starts.ts
@@ -16,6 +16,11 @@
     return this.#present;
   }
 
+  /** The start before the present one; undefined where none was seen. */
+  get former(): BackEndIdentity['start'] {
+    return this.#former;
+  }
+
   /**
    * Takes the start that an answer tells. What was asked after the latest answer had come is answered by the present start,
    * whatever it looks like; of calls that overlap the later start is.
--- a/test/fleet/back-end-starts.test.ts
+++ b/test/fleet/back-end-starts.test.ts
@@ -72,6 +72,17 @@
     expect(list.present).toMatchObject({ start: 150, layers: undefined });
   });
 
+  it('is known by its start after its clock stepped back, by a report that names the start before', () => {
+    const list = new ReadList();
+    list.read(200, 1, { layers: LAYERS });
+    expect(list.takeStart({ id: 'one', start: 150 }, 200)).toHaveLength(1);
+    expect(list.present).toMatchObject({ start: 150, layers: undefined });
+    // Late: another has followed the start that this one followed.
+    list.read(300, 2);
+    expect(list.takeStart({ id: 'one', start: 150 }, 200)).toEqual([]);
+    expect(list.present?.start).toBe(300);
+  });
+
   it('is not kept out for good by an entry of an older start that came late, nor by a late report', () => {
     const late = new ReadList();
     late.read(200, 1);
--- a/test/forwarding/restart-order.test.ts
+++ b/test/forwarding/restart-order.test.ts
@@ -40,7 +40,7 @@
 /** News on their way to the entry. */
 type News =
   | { type: 'entry'; record: BackEndRecord }
-  | { type: 'report'; start: number }
+  | { type: 'report'; start: number; follows: number | undefined }
   | { type: 'load'; load: BackEndLoad }
   | { type: 'list'; state: BackEndListState };
 
@@ -88,7 +88,7 @@
     if (step.type === 'restart') this.starts.push(this.#nextStart(step.clockStep));
     else if (step.type === 'write') this.#pool.push(this.#entryOf(this.present));
     else if (step.type === 'lateWrite') this.#pool.push(this.#entryOf(this.starts.at(-2) ?? this.present));
-    else if (step.type === 'report') this.#pool.push({ type: 'report', start: this.present });
+    else if (step.type === 'report') this.#pool.push(this.#report());
     else if (step.type === 'load') this.#pool.push(this.#loadOf(this.present));
     else if (step.type === 'peerReads') this.#peerReads(step.pick);
     else if (step.type === 'peerTells') this.#pool.push({ type: 'list', state: this.peer.state() });
@@ -102,7 +102,7 @@
     this.#pool = [];
     for (let round = 0; round < SETTLING; round++) {
       this.deliver(this.#entryOf(this.present));
-      this.deliver({ type: 'report', start: this.present });
+      this.deliver(this.#report());
       this.deliver(this.#loadOf(this.present));
     }
   }
@@ -116,7 +116,7 @@
     } else if (news.type === 'report') {
       const isListed = this.row !== undefined;
       const row = this.table.rowAt(ADDRESS, news.start);
-      if (row !== undefined) this.fleet.takeStart({ id: ID, start: news.start });
+      if (row !== undefined) this.fleet.takeStart({ id: ID, start: news.start }, news.follows);
       this.table.takeNews(ADDRESS, this.#engineNews(news.start));
       // A report says nothing while no entry has told whose address it is.
       if (isListed) this.#noteTold(news.start);
@@ -191,6 +191,12 @@
     return { type: 'entry', record };
   }
 
+  /** The agent may not have seen the start before, as after a restart of its own. */
+  #report(): News & { type: 'report' } {
+    const follows = this.#revision % 2 === 0 ? this.starts.at(-2) : undefined;
+    return { type: 'report', start: this.present, follows };
+  }
+
   #loadOf(start: number): News & { type: 'load' } {
     return { type: 'load', load: { id: ID, start, inFlight: this.#placeOf(start) + 1 } };
   }
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -150,6 +150,7 @@
     expect(starts.take(200, 55, 70)).toBe('older');
     expect(starts.take(undefined, 80, 90)).toBe('same');
     expect(starts.present).toBe(150);
+    expect(starts.former).toBe(200);
   });
 });
 
@@ -226,7 +227,7 @@
     engine.restart();
     await until(() => reports.at(-1)?.start === 200, 'the new start');
     const first = reports.find(({ start }) => start === 200)!;
-    expect(first).toMatchObject({ version: 0, load: 0 });
+    expect(first).toMatchObject({ version: 0, load: 0, follows: 100 });
     await until(() => reports.at(-1)?.version === 1, 'the version at the new start');
     expect(engine.orders).toEqual([
       { start: 100, version: 1, isWhole: true },
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -12,6 +12,14 @@
 
 /** What is taken out: `find` becomes `replace`; `fault` names what then goes wrong. */
 const GUARDS = [
+  {
+    fault:
+      'a restart is not noticed in a report where the clock stepped back, though it names the start before',
+    file: 'src/fleet/back-end-starts.ts',
+    find: 'const isNext = follows === known.present;',
+    replace: 'const isNext = false;',
+    test: 'test/fleet/back-end-starts.test.ts',
+  },
   {
     fault: 'a start that is no whole number is taken for one',
     file: 'platform/start.ts',
@@ -22,7 +30,7 @@
   {
     fault: 'a restart that an agent reports before the store tells is not noticed',
     file: 'src/roles/direct-entry.ts',
-    find: 'if (row !== undefined) fleet.takeStart({ id: row.record.id, start: news.start });',
+    find: 'if (row !== undefined) fleet.takeStart({ id: row.record.id, start: news.start }, report.follows);',
     replace: '',
     test: 'test/roles/direct-entry.test.ts',
   },
@@ -120,7 +128,7 @@
   {
     fault: 'a late report of a former start is taken',
     file: 'src/fleet/back-end-starts.ts',
-    find: "if (known.former.includes(start) || start < known.present) return 'older';",
+    find: "if (!isNext && (known.former.includes(start) || start < known.present)) return 'older';",
     replace: '',
     test: 'test/fleet/back-end-starts.test.ts',
   },
