Guards follow the merged code; two edits of a guard may be in one file

Cause: five entries of the table named lines that the merge had changed, and the second edit of a guard in a file undid the first. Change: the entries name the lines as they are, edits are made one after the other.

--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -22,9 +22,14 @@
   },
   {
     fault: 'a start that is no whole number is taken for one',
-    file: 'platform/start.ts',
-    find: "typeof born === 'number' && Number.isSafeInteger(born) ? born : 'unreadable'",
-    replace: 'born as number',
+    file: 'platform/schemas.ts',
+    find: '{ service: isName, address: isAddress, zone: isName, slots: isSlots, born: isCount }',
+    replace: '{ service: isName, address: isAddress, zone: isName, slots: isSlots }',
+    also: {
+      file: 'platform/schemas.ts',
+      find: '{ queued: isCount, active: isCount, seq: isCount, born: isCount }',
+      replace: '{ queued: isCount, active: isCount, seq: isCount }',
+    },
     test: 'test/platform/records.test.ts test/platform/engine-start.test.ts',
   },
   {
@@ -86,8 +91,8 @@
   {
     fault: 'what was known of a back end goes on for its next start',
     file: 'src/forwarding/back-end-table.ts',
-    find: 'if (known !== undefined && isSameStart(known.record.start, record.start)) {',
-    replace: 'if (known !== undefined) {',
+    find: 'return isAtSamePlace && isSameStart(one.start, other.start);',
+    replace: 'return isAtSamePlace;',
     test: 'test/forwarding/restart.test.ts',
   },
   {
@@ -414,7 +419,7 @@
   {
     fault: 'records that lapsed with the store are dropped at its return',
     file: 'src/fleet/store-sync.ts',
-    find: 'const isHolding = now < this.#holdUntil;',
+    find: 'const isHolding = performance.now() < this.#holdUntil;',
     replace: 'const isHolding = false;',
     test: 'test/fleet/store-sync.test.ts',
   },
@@ -666,7 +671,7 @@
   {
     fault: 'requests go to a back end in whose place another has started',
     file: 'src/forwarding/back-end-selector.ts',
-    find: "if (this.#table.isSuperseded(row)) return 'superseded';",
+    find: "if (this.#isSuperseded(row)) return 'superseded';",
     replace: '',
     test: 'test/forwarding/capacity.test.ts',
   },
@@ -906,8 +911,8 @@
   {
     fault: 'a back end gets requests of its former service, and at its former address',
     file: 'src/forwarding/back-end-table.ts',
-    find: 'return one.service === other.service && one.address === other.address;',
-    replace: 'return true;',
+    find: 'const isAtSamePlace = one.service === other.service && one.address === other.address;',
+    replace: 'const isAtSamePlace = true;',
     test: 'test/forwarding/foreign-back-ends.test.ts',
   },
 ];
@@ -959,13 +964,16 @@
 
 /** Takes `guard` out of the copy at `root`, runs its tests, and puts it back. */
 async function isNoticed(guard, root, lane) {
-  const edits = editsOf(guard);
-  const originals = edits.map(({ file }) => readFileSync(join(root, file), 'utf8'));
-  for (const [index, { file, find, replace }] of edits.entries()) {
-    writeFileSync(join(root, file), originals[index].replace(find, replace));
-  }
+  const edits = editsOf(guard).map((edit) => ({ ...edit, path: join(root, edit.file) }));
+  const originals = new Map(edits.map(({ path }) => [path, readFileSync(path, 'utf8')]));
+  // One after the other: two edits of a guard may be in the same file.
+  for (const { path, find, replace } of edits)
+    writeFileSync(
+      path,
+      readFileSync(path, 'utf8').replace(find, () => replace),
+    );
   const noticed = await testsFail(root, guard.test.split(' '), lane);
-  for (const [index, { file }] of edits.entries()) writeFileSync(join(root, file), originals[index]);
+  for (const [path, original] of originals) writeFileSync(path, original);
   return noticed;
 }
 
