Sight: where the slots of engines are, over time

Cause: nothing told how many of an engine's slots are granted, run and idle while requests wait, so a loss of service under restarts could not be told from overload. Change: agents log `slots` at each look at their engine while any are granted or waited for (granted, used by others, running as the engine tells, waiting), as the metric `slots`; `thistleway losses` adds them up by span, with the share idle while somebody waited.

--- a/src/cli/losses.ts
+++ b/src/cli/losses.ts
@@ -1,6 +1,7 @@
 /** `thistleway losses`: when service was lost in a run, and for which reasons. */
 import { Command, Option } from 'clipanion';
 import { formatLosses, lossTable, switchOutages } from '../observability/loss-table.js';
+import { formatSlotUses, slotUses } from '../observability/slot-use.js';
 import { ThistlewayCommand } from './command.js';
 import { CommandFailure, EXIT_UNKNOWN, EXIT_USAGE } from './errors.js';
 import { readLogs } from './logs.js';
@@ -12,7 +13,7 @@
     category: 'Operators',
     description: 'show from the logs of all processes when service was lost, and why',
     details:
-      'One line for each span and service: attempts, answers, refusals with the reasons for which back ends were left out; then the switches of engines to other versions, with the time that each took.',
+      'One line for each span and service: attempts, answers, refusals with the reasons for which back ends were left out; then the switches of engines to other versions, with the time that each took; then where the slots of engines were: granted, used and waited for.',
   });
   step = Option.String('--step', '1', { description: 'length of a span, in seconds' });
   files = Option.Rest({ required: 1 });
@@ -26,7 +27,9 @@
       this.context.stderr.write('no line tells of a request\n');
       return EXIT_UNKNOWN;
     }
-    this.context.stdout.write(`${formatLosses(rows, switchOutages(lines)).join('\n')}\n`);
+    const losses = formatLosses(rows, switchOutages(lines));
+    const slots = formatSlotUses(slotUses(lines, step));
+    this.context.stdout.write(`${[...losses, ...slots].join('\n')}\n`);
     return 0;
   }
 }
--- a/src/observability/loss-table.ts
+++ b/src/observability/loss-table.ts
@@ -120,7 +120,8 @@
   return ['requests:', ...losses, 'engines away:', ...switches];
 }
 
-function firstTime(lines: readonly LogLine[]): number {
+/** Time of the first line, from which spans are counted. */
+export function firstTime(lines: readonly LogLine[]): number {
   return lines.reduce((first, { time }) => Math.min(first, time), Number.POSITIVE_INFINITY);
 }
 
--- a/src/peers/slot-server.ts
+++ b/src/peers/slot-server.ts
@@ -1,9 +1,15 @@
 /** The agent's side of slots: answers entries by datagram, from the slot table of the engine beside it. */
 import type { Startable } from '../model/startable.js';
+import type { Log } from '../observability/log.js';
 import type { ConnectionContext } from '../protocol/connection.js';
 import { DatagramEndpoint } from '../protocol/datagrams.js';
 import type { Message } from '../protocol/messages.js';
-import { type ObservedEngine, type SlotDecision, SlotTable } from '../systems/slot-table.js';
+import {
+  type ObservedEngine,
+  type SlotDecision,
+  type SlotFigures,
+  SlotTable,
+} from '../systems/slot-table.js';
 import type { SlotMessage } from './slot-messages.js';
 
 const ANSWERS = {
@@ -17,6 +23,7 @@
 export class SlotServer implements Startable {
   readonly #table = new SlotTable();
   readonly #endpoint: DatagramEndpoint;
+  readonly #log: Log;
   /** Decisions by what became of the requests, since the start. */
   readonly decisions: Record<SlotDecision['type'], number> = {
     granted: 0,
@@ -26,13 +33,14 @@
   };
 
   /** @param address - `host:port` at which entries ask */
-  constructor(address: string, context: ConnectionContext) {
+  constructor(address: string, context: ConnectionContext, log: Log) {
+    this.#log = log;
     this.#endpoint = new DatagramEndpoint(address, context, (message, from) => this.#handle(message, from));
   }
 
-  /** Slots that are given out. */
-  get leased(): number {
-    return this.#table.leased;
+  /** Where the slots are. */
+  get figures(): SlotFigures {
+    return this.#table.figures;
   }
 
   start(): Promise<void> {
@@ -48,6 +56,8 @@
   /** Takes what the agent has read of its engine; undefined where that did not answer. */
   observe(engine: ObservedEngine | undefined): void {
     this.#tell(engine === undefined ? this.#table.lose() : this.#table.observe(engine, performance.now()));
+    const { figures } = this;
+    if (figures.granted > 0 || figures.waiting > 0) this.#log.info('slots', figures);
   }
 
   #handle(message: Message, from: string): void {
--- a/src/roles/direct-agent.ts
+++ b/src/roles/direct-agent.ts
@@ -49,7 +49,7 @@
   const random = seededRandom(hash32(id));
   const library = new WeightsLibrary();
   const metrics = new Metrics('agent');
-  const slots = new SlotServer(settings.slots, context);
+  const slots = new SlotServer(settings.slots, context, log);
   const loader = new EngineLoader({
     engine,
     slotAddress: settings.slots,
@@ -83,7 +83,12 @@
       label: 'kind',
       read: () => slots.decisions,
     },
-    { name: 'slots_leased', help: 'Slots that are given out', read: () => slots.leased },
+    {
+      name: 'slots',
+      help: 'Slots of the engine, and where they are: granted, used by others, running as the engine tells; requests waiting',
+      label: 'state',
+      read: () => ({ ...slots.figures }),
+    },
   ]);
   const parts = new StartableGroup([
     httpServer(address, listenerOf(pieceRoutes(library))),
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -50,6 +50,20 @@
   load: number;
 }
 
+/** Where the slots of one engine are. */
+export interface SlotFigures {
+  /** As entries tell; 0 until one has asked. */
+  slots: number;
+  /** Given out. */
+  granted: number;
+  /** Taken by requests that run there without a slot from here. */
+  others: number;
+  /** Requests of all callers that ran or waited at the engine, as it told last. */
+  running: number;
+  /** Requests that wait for a slot. */
+  waiting: number;
+}
+
 /** The slots of one engine. */
 export class SlotTable {
   /** When each slot that is given out was granted, the earliest first. */
@@ -60,19 +74,21 @@
   #isServing: boolean | undefined;
   /** Requests that run there without a slot from here: of entries that do not ask, or from before a restart. */
   #unleased = 0;
+  #load = 0;
   /** When slots were released lately: the engine may still tell of these requests. */
   #releasedAt: number[] = [];
   /** Slots given out that the engine did not seem to use at the latest look. */
   #unused = 0;
 
-  /** Slots that are given out. */
-  get leased(): number {
-    return this.#leases.size;
-  }
-
-  /** Requests that wait. */
-  get waiting(): number {
-    return this.#waiting.size;
+  /** Where the slots are. */
+  get figures(): SlotFigures {
+    return {
+      slots: this.#slots,
+      granted: this.#leases.size,
+      others: this.#unleased,
+      running: this.#load,
+      waiting: this.#waiting.size,
+    };
   }
 
   /** A request asks for a slot; one that is told again is answered again. */
@@ -104,6 +120,7 @@
   /** Takes what was read of the engine: slots of entries that have vanished come free, others' requests count. */
   observe({ isServing, load }: ObservedEngine, now: number): SlotDecision[] {
     this.#isServing = isServing;
+    this.#load = load;
     this.#releasedAt = this.#releasedAt.filter((at) => now - at < REPORT_LAG);
     this.#unleased = Math.max(0, load - this.#leases.size - this.#releasedAt.length);
     this.#reclaim(load, now);
--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -4,6 +4,7 @@
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
 import { SlotClient } from '../../src/peers/slot-client.js';
 import { SlotServer } from '../../src/peers/slot-server.js';
 import { contextAt, standStill, until } from '../support.js';
@@ -51,7 +52,7 @@
     held.push(() => reply(200, events(1, 1), { 'x-version': '1' })(request, response, body));
   }).start();
   const address = await freeAddress();
-  const agent = new SlotServer(address, (await contextAt('agent')).context);
+  const agent = new SlotServer(address, (await contextAt('agent')).context, silentLog);
   await agent.start();
   agent.observe({ isServing: true, load: 0 });
   return { backEnd, agent, address };
@@ -120,14 +121,14 @@
   await until(() => requests() === 2 * SLOTS + 1, 'the one that waited');
   answerAll();
   expect((await Promise.all(answers)).map(({ status }) => status)).toEqual(answers.map(() => 200));
-  await until(() => engines.every(({ agent }) => agent.leased === 0), 'all slots to be given back');
+  await until(() => engines.every(({ agent }) => agent.figures.granted === 0), 'all slots to be given back');
 });
 
 it('a caller that leaves gives back its slot, and its place among those that wait', async () => {
   const left = Array.from({ length: 2 * SLOTS + 1 }, () => forwarding.open('/write/a'));
   await until(() => requests() === 2 * SLOTS, 'all slots to be taken');
   for (const one of left) one.destroy();
-  await until(() => engines.every(({ agent }) => agent.leased === 0), 'all slots to be given back');
+  await until(() => engines.every(({ agent }) => agent.figures.granted === 0), 'all slots to be given back');
 });
 
 it('an engine whose agent is silent is used all the same', async () => {
@@ -141,7 +142,7 @@
 it('an engine is used all the same while its agent, that has just started, knows nothing of it', async () => {
   for (const [index, { agent, address }] of engines.entries()) {
     await agent.stop();
-    engines[index].agent = new SlotServer(address, (await contextAt('agent')).context);
+    engines[index].agent = new SlotServer(address, (await contextAt('agent')).context, silentLog);
     await engines[index].agent.start();
   }
   const answers = Array.from({ length: 3 }, () => forwarding.send('/write/a'));
--- a/test/systems/slot-table.test.ts
+++ b/test/systems/slot-table.test.ts
@@ -47,14 +47,14 @@
     for (const id of ['a', 'b']) table.ask(ask(id), 0);
     table.ask(ask('gone', { endsAt: 50 }), 0);
     expect(table.release('a', 60)).toEqual([]);
-    expect(table.waiting).toBe(0);
+    expect(table.figures.waiting).toBe(0);
   });
 
   it('are granted again to a request whose grant was lost', () => {
     const table = servingTable();
     table.ask(ask('a'), 0);
     expect(table.ask(ask('a'), 5)).toEqual([{ type: 'granted', id: 'a' }]);
-    expect(table.leased).toBe(1);
+    expect(table.figures.granted).toBe(1);
   });
 
   it('count requests that run there without one', () => {
@@ -79,7 +79,7 @@
     const table = servingTable();
     for (const id of ['a', 'b', 'c']) table.ask(ask(id), 0);
     table.observe({ isServing: true, load: 1 }, SETTLED);
-    expect(table.leased).toBe(2);
+    expect(table.figures.granted).toBe(2);
     expect(granted(table.observe({ isServing: true, load: 1 }, SETTLED + 300))).toEqual(['c']);
   });
 
@@ -87,7 +87,7 @@
     const table = servingTable();
     table.ask(ask('a'), 0);
     for (const at of [100, 200, 300]) table.observe({ isServing: true, load: 0 }, at);
-    expect(table.leased).toBe(1);
+    expect(table.figures.granted).toBe(1);
   });
 
   it('are not given out before anything is known of the engine, which may serve all the same', () => {
