--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -53,6 +53,20 @@
   load: number;
 }
 
+/** Where the slots of one engine are. */
+export interface SlotFigures {
+  /** As entries tell; 0 until one has asked. */
+  slots: number;
+  /** Given out. */
+  granted: number;
+  /** Taken by requests that run there without a slot from here. */
+  others: number;
+  /** Requests of all callers that ran or waited at the engine, as it told last. */
+  running: number;
+  /** Requests that wait for a slot. */
+  waiting: number;
+}
+
 /** The slots of one engine. */
 export class SlotTable {
   /** When each slot that is given out was granted, the earliest first. */
@@ -64,19 +78,21 @@
   #isServing: boolean | undefined;
   /** Requests that run there without a slot from here: of entries that do not ask, or from before a restart. */
   #unleased = 0;
+  #load = 0;
   /** When slots were released lately: the engine may still tell of these requests. */
   #releasedAt: number[] = [];
   /** Slots given out that the engine did not seem to use at the latest look. */
   #unused = 0;
 
-  /** Slots that are given out. */
-  get leased(): number {
-    return this.#leases.size;
-  }
-
-  /** Requests that wait. */
-  get waiting(): number {
-    return this.#waiting.size;
+  /** Where the slots are. */
+  get figures(): SlotFigures {
+    return {
+      slots: this.#slots,
+      granted: this.#leases.size,
+      others: this.#unleased,
+      running: this.#load,
+      waiting: this.#waiting.size,
+    };
   }
 
   /** A request asks for a slot; one that is told again is answered again. */
@@ -98,6 +114,32 @@
     return this.#grantFree(now);
   }
 
+  /** All requests that have a slot or wait for one. */
+  ids(): string[] {
+    return [...this.#leases.keys(), ...this.#waiting.keys()];
+  }
+
+  /** A request has a slot that is not known here, as its entry says: it runs at the engine. */
+  adopt(id: string, now: number): void {
+    this.#waiting.delete(id);
+    if (!this.#leases.has(id)) this.#leases.set(id, now);
+  }
+
+  /** Takes back the slots and places of requests of which it is not known whether they have ended. */
+  forget(ids: readonly string[], now: number): SlotDecision[] {
+    for (const id of ids) {
+      this.#waiting.delete(id);
+      this.#leases.delete(id);
+    }
+    return this.#grantFree(now);
+  }
+
+  /** A request waits for an answer that may have been lost: says again what became of it, unless it waits here. */
+  repeat(id: string): SlotDecision[] {
+    if (this.#waiting.has(id)) return [];
+    return [{ type: this.#leases.has(id) ? 'granted' : 'refused', id }];
+  }
+
   /** Nothing is known of the engine: what waits goes elsewhere, and slots are given out once it has been observed again. */
   lose(): SlotDecision[] {
     const refused = this.refuseAll();
@@ -110,6 +152,7 @@
     if (!isSameStart(start, this.#start)) this.#forgetLeases();
     this.#start = start ?? this.#start;
     this.#isServing = isServing;
+    this.#load = load;
     this.#releasedAt = this.#releasedAt.filter((at) => now - at < REPORT_LAG);
     this.#unleased = Math.max(0, load - this.#leases.size - this.#releasedAt.length);
     this.#reclaim(load, now);
