What waits for a service that has left the configuration is refused; it needs no copy of its engines

Cause: back ends of a service that is not named get no requests any more, so the engines that a waiting request brought along were never asked; taking the copy away was not noticed by any test. Change: the copy is gone, the guard takes out the rule that holds instead.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -233,10 +233,8 @@
   }
 
   #requirements(): Requirements {
-    const { service, table } = this.#admitted;
     return {
-      service,
-      engine: table.service(service)?.engine,
+      service: this.#admitted.service,
       isRepeatable: this.#admitted.route.repeatability !== 'never',
       // The queues of back ends are for those that can be in time: one that comes again waits here for a free slot.
       mayQueue: this.#sends > 0 || !this.#admitted.timing.isLastChance,
--- a/test/forwarding/restart-order.test.ts
+++ b/test/forwarding/restart-order.test.ts
@@ -245,7 +245,6 @@
 function requirements(): Requirements {
   return {
     service: 'engines',
-    engine: undefined,
     isRepeatable: true,
     mayQueue: true,
     answerTokens: 0,
