Tests: a version expires for the choice as for the withdrawal, and however many follow

Cause: two ways in which a request can still begin on an expired version. The choice of a back end asks the configuration in force alone, where the withdrawal also asks the one that the request was admitted by; and of more than four named versions the oldest is forgotten before those after it reach their own bounds. Change: a test of each.

--- a/test/fleet/named-versions.test.ts
+++ b/test/fleet/named-versions.test.ts
@@ -25,6 +25,16 @@
     expect(versions.lowestAllowed('m', 13_000, BOUND)).toBe(3);
   });
 
+  it('forbid what the oldest of them forbids, however many follow before their own bounds', () => {
+    const { versions } = beliefs();
+    for (const version of [2, 3, 4, 5, 6, 7]) {
+      versions.note({ model: 'm', version, notBefore: version * 1_000 });
+      expect(versions.lowestAllowed('m', 9_999, BOUND)).toBe(0);
+    }
+    expect(versions.lowestAllowed('m', 10_000, BOUND)).toBe(2);
+    expect(versions.expiryOf('m', 1, BOUND)).toBe(10_000);
+  });
+
   it('forbid older ones at once where nothing is known of their naming', () => {
     const { versions } = beliefs();
     expect(versions.note({ model: 'm', version: 2, notBefore: NEVER })).toBe(true);
--- a/test/forwarding/version-expiry.test.ts
+++ b/test/forwarding/version-expiry.test.ts
@@ -117,6 +117,26 @@
   });
 });
 
+describe('a request that was taken back', () => {
+  it('does not go to another engine on the same version, though its model has left the configuration', async () => {
+    const other = await new StandInBackEnd(reply(200, 'late', { 'x-version': '1' })).start();
+    try {
+      forwarding.expireIn(1_000);
+      const answer = forwarding.send('/write/');
+      await until(() => engine.open === 1, 'the request there');
+      const [service] = ENGINE_CONFIGURATION.services;
+      const renamed = { ...service, engine: { ...service.engine!, models: [{ name: 'other' }] } };
+      configure({ services: [renamed] });
+      forwarding.list(['one', engine, LISTED], ['two', other, LISTED]);
+      forwarding.tell(other, { version: 1 });
+      expect((await answer).status).toBe(502);
+      expect(other.requests).toHaveLength(0);
+    } finally {
+      await other.stop();
+    }
+  });
+});
+
 describe('a request that waits for a slot', () => {
   it('does not go to an engine whose version has expired, though its service has left the configuration', async () => {
     forwarding.tell(engine, { version: 1, slotAddress: '127.0.0.1:1' });
