A back end is chosen by the versions that the request was admitted for, too; no version is forgotten before its bound

Cause: the choice asked the configuration in force alone, so that a request that was withdrawn went to another engine on the same version where a configuration without its model had come; and the oldest of more than four named versions was forgotten though it alone forbade those before it. Change: the choice asks both configurations, as the withdrawal does; the oldest is forgotten once the one after it was named 60 s before the latest.

--- a/src/fleet/named-versions.ts
+++ b/src/fleet/named-versions.ts
@@ -17,8 +17,13 @@
   notBefore: number;
 }
 
-/** Versions of a model that are remembered. */
+/** Versions of a model that are remembered at least. */
 const REMEMBERED = 4;
+/**
+ * The oldest of more is forgotten only once the one after it was named this long ago, in milliseconds: until that one's bound the
+ * oldest alone forbids what was before it. Chosen, far above the bounds in use (8 s).
+ */
+const FORGOTTEN_AFTER = 60_000;
 
 /** All named versions that matter. */
 export class NamedVersions {
@@ -40,7 +45,7 @@
     }
     versions.push({ ...named });
     versions.sort((a, b) => a.version - b.version);
-    if (versions.length > REMEMBERED) versions.shift();
+    while (versions.length > REMEMBERED && isOldestReplaced(versions)) versions.shift();
     return true;
   }
 
@@ -74,3 +79,9 @@
     return [...this.#byModel.values()].flat();
   }
 }
+
+/** Whether the second of `versions` forbids by now all that the first one does. */
+function isOldestReplaced([, second, ...newer]: readonly NamedVersion[]): boolean {
+  const latest = Math.max(...newer.map(({ notBefore }) => notBefore));
+  return second.notBefore === Number.NEGATIVE_INFINITY || latest - second.notBefore > FORGOTTEN_AFTER;
+}
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -350,9 +350,14 @@
     const version = wholeVersion(row, engine.layers);
     if (version === 0) return 'noWeights';
     // The margin is reckoned only where the version will expire at all: over all engines it costs more than all else.
-    const mayExpire = version < this.#lowestVersion(engine, now, this.#versionBound);
-    if (mayExpire && version < this.#lowestVersion(engine, now, this.#expiryMargin(row, now)))
-      return 'expired';
+    // As it is withdrawn: by the engines that it was admitted for too, or it would be sent where it may not begin.
+    const lowestAfter = (wait: number) =>
+      Math.max(
+        this.#lowestVersion(engine, now, wait),
+        this.#lowestVersion(requirements.engine ?? engine, now, wait),
+      );
+    const mayExpire = version < lowestAfter(this.#versionBound);
+    if (mayExpire && version < lowestAfter(this.#expiryMargin(row, now))) return 'expired';
     const isOther = requirements.version !== undefined && requirements.version !== version;
     return isOther ? 'otherVersion' : undefined;
   }
--- a/test/fleet/named-versions.test.ts
+++ b/test/fleet/named-versions.test.ts
@@ -35,6 +35,16 @@
     expect(versions.expiryOf('m', 1, BOUND)).toBe(10_000);
   });
 
+  it('are forgotten once others have long taken their place', () => {
+    const { versions } = beliefs();
+    for (let version = 2; version <= 40; version++)
+      versions.note({ model: 'm', version, notBefore: version * 20_000 });
+    expect(versions.all().length).toBeLessThanOrEqual(6);
+    for (let version = 2; version <= 40; version++)
+      versions.note({ model: 'other', version, notBefore: NEVER });
+    expect(versions.all().filter(({ model }) => model === 'other')).toHaveLength(4);
+  });
+
   it('forbid older ones at once where nothing is known of their naming', () => {
     const { versions } = beliefs();
     expect(versions.note({ model: 'm', version: 2, notBefore: NEVER })).toBe(true);
--- a/test/forwarding/version-expiry.test.ts
+++ b/test/forwarding/version-expiry.test.ts
@@ -118,15 +118,17 @@
 });
 
 describe('a request that was taken back', () => {
-  it('does not go to another engine on the same version, though its model has left the configuration', async () => {
+  const [service] = ENGINE_CONFIGURATION.services;
+  it.each([
+    ['its model has left the configuration', { ...service.engine!, models: [{ name: 'other' }] }],
+    ['its service is no service of engines any more', undefined],
+  ])('does not go to another engine on the same version, though %s', async (_change, declared) => {
     const other = await new StandInBackEnd(reply(200, 'late', { 'x-version': '1' })).start();
     try {
       forwarding.expireIn(1_000);
       const answer = forwarding.send('/write/');
       await until(() => engine.open === 1, 'the request there');
-      const [service] = ENGINE_CONFIGURATION.services;
-      const renamed = { ...service, engine: { ...service.engine!, models: [{ name: 'other' }] } };
-      configure({ services: [renamed] });
+      configure({ services: [{ ...service, engine: declared }] });
       forwarding.list(['one', engine, LISTED], ['two', other, LISTED]);
       forwarding.tell(other, { version: 1 });
       expect((await answer).status).toBe(502);
