--- a/test/forwarding/version-expiry.test.ts
+++ b/test/forwarding/version-expiry.test.ts
@@ -117,6 +117,28 @@
   });
 });
 
+describe('a request that was taken back', () => {
+  const [service] = ENGINE_CONFIGURATION.services;
+  it.each([
+    ['its model has left the configuration', { ...service.engine!, models: [{ name: 'other' }] }],
+    ['its service is no service of engines any more', undefined],
+  ])('does not go to another engine on the same version, though %s', async (_change, declared) => {
+    const other = await new StandInBackEnd(reply(200, 'late', { 'x-version': '1' })).start();
+    try {
+      forwarding.expireIn(1_000);
+      const answer = forwarding.send('/write/');
+      await until(() => engine.open === 1, 'the request there');
+      configure({ services: [{ ...service, engine: declared }] });
+      forwarding.list(['one', engine, LISTED], ['two', other, LISTED]);
+      forwarding.tell(other, { version: 1 });
+      expect((await answer).status).toBe(502);
+      expect(other.requests).toHaveLength(0);
+    } finally {
+      await other.stop();
+    }
+  });
+});
+
 describe('a request that waits for a slot', () => {
   it('does not go to an engine whose version has expired, though its service has left the configuration', async () => {
     forwarding.tell(engine, { version: 1, slotAddress: '127.0.0.1:1' });
