--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -52,6 +52,8 @@
 /** What a request needs of a back end. */
 export interface Requirements {
   service: string;
+  /** Its engines as declared when it was admitted; undefined for back ends that are none. */
+  engine: EngineShape | undefined;
   isRepeatable: boolean;
   /** False where it is to go only where it begins at once. */
   mayQueue: boolean;
@@ -133,7 +135,7 @@
   select(requirements: Requirements): Selection | undefined {
     const now = performance.now();
     const candidates = this.#candidates(requirements, now).filter(({ id }) => !this.#givesOutSlots(id, now));
-    const isEngine = this.#engineOf(requirements.service) !== undefined;
+    const isEngine = this.#engineOf(requirements) !== undefined;
     const considered = isEngine ? this.#twoOf(candidates) : candidates;
     const choice = chooseBackEnd(considered, this.#self, this.#random);
     if (choice === undefined) return undefined;
@@ -143,7 +145,7 @@
   /** The back end `id` as the choice for a request. */
   selectionOf(id: string, requirements: Requirements, wait: number, choices: number): Selection {
     const row = this.#table.rows.get(id)!;
-    const engine = this.#engineOf(requirements.service);
+    const engine = this.#engineOf(requirements);
     return {
       row,
       engine,
@@ -232,7 +234,7 @@
    */
   expectedCapacity(service: string): number | undefined {
     const now = performance.now();
-    const engine = this.#engineOf(service);
+    const engine = this.#fleet.routes?.service(service)?.engine;
     if (engine === undefined) return undefined;
     const isNew = now - this.#createdAt < FIRST_NEWS;
     let soonest = Number.POSITIVE_INFINITY;
@@ -266,7 +268,7 @@
    */
   mustWithdraw(row: BackEndRow, sentFor: SentFor, now: number): boolean {
     if (this.#isAboutToExpire(row, sentFor.engine, sentFor, now)) return true;
-    const engine = this.#engineOf(row.record.service);
+    const engine = this.#fleet.routes?.service(row.record.service)?.engine;
     return engine !== sentFor.engine && this.#isAboutToExpire(row, engine, sentFor, now);
   }
 
@@ -285,9 +287,12 @@
     return now - Math.min(Number.POSITIVE_INFINITY, ...expiries);
   }
 
-  /** The engines of a service as the configuration in force has them; undefined where it has none. */
-  #engineOf(service: string): EngineShape | undefined {
-    return this.#fleet.routes?.service(service)?.engine;
+  /**
+   * The engines of a request's service: where that has left the configuration since the request came, as they were. The request
+   * still goes to them, and their versions expire as before.
+   */
+  #engineOf({ service, engine }: Requirements): EngineShape | undefined {
+    return this.#fleet.routes?.service(service)?.engine ?? engine;
   }
 
   /** Lowest version that a request may start on after `wait` milliseconds; 0 for any. */
@@ -318,7 +323,7 @@
     if (requirements.tried.has(record)) return 'tried';
     if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
     if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
-    const engine = this.#engineOf(requirements.service);
+    const engine = this.#engineOf(requirements);
     const exclusion =
       engine === undefined ? undefined : this.#versionExclusion(row, engine, requirements, now);
     if (exclusion !== undefined) return exclusion;
@@ -395,7 +400,7 @@
 
   #candidate(row: BackEndRow, answerTokens: number, now: number, goesOn = false): Candidate {
     const { record, health } = row;
-    const engine = this.#engineOf(record.service);
+    const engine = this.#fleet.routes?.service(record.service)?.engine;
     const slots = record.slots > 0 ? record.slots : DEFAULT_SLOTS;
     const usual = engine === undefined ? DEFAULT_DURATION : DEFAULT_ENGINE_DURATION;
     return {
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -233,8 +233,10 @@
   }
 
   #requirements(): Requirements {
+    const { service, table } = this.#admitted;
     return {
-      service: this.#admitted.service,
+      service,
+      engine: table.service(service)?.engine,
       isRepeatable: this.#admitted.route.repeatability !== 'never',
       // The queues of back ends are for those that can be in time: one that comes again waits here for a free slot.
       mayQueue: this.#sends > 0 || !this.#admitted.timing.isLastChance,
--- a/test/forwarding/restart-order.test.ts
+++ b/test/forwarding/restart-order.test.ts
@@ -245,6 +245,7 @@
 function requirements(): Requirements {
   return {
     service: 'engines',
+    engine: undefined,
     isRepeatable: true,
     mayQueue: true,
     answerTokens: 0,
--- a/test/forwarding/restart.test.ts
+++ b/test/forwarding/restart.test.ts
@@ -174,6 +174,7 @@
       service: 'engines',
       isRepeatable: true,
       mayQueue: true,
+      engine: undefined,
       answerTokens: 0,
       goesOn: false,
       version: undefined,
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -811,8 +811,8 @@
   {
     fault: 'what waits for a slot goes to an expired version where its service has left the configuration',
     file: 'src/forwarding/back-end-selector.ts',
-    find: "if (!this.#isNamed(record.service)) return 'unnamedService';",
-    replace: '',
+    find: 'this.#fleet.routes?.service(service)?.engine ?? engine;',
+    replace: 'this.#fleet.routes?.service(service)?.engine;',
     test: 'test/forwarding/version-expiry.test.ts',
   },
   {
