--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -288,8 +288,8 @@
   }
 
   /**
-   * The engines of a request's service: where that has left the configuration since the request came, as they were. The request
-   * still goes to them, and their versions expire as before.
+   * The engines of a request's service: as the configuration in force has them, or as they were when the request was admitted
+   * where it names none any more.
    */
   #engineOf({ service, engine }: Requirements): EngineShape | undefined {
     return this.#fleet.routes?.service(service)?.engine ?? engine;
