What an entry lags behind in is asked of its own zone first, and more seldom while nobody answers

Change: what comes from the own zone's reader has 0.2 s to come by itself, other zones are asked after 0.6 s, and each unanswered ask doubles the wait for the next.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -340,8 +340,12 @@
     const { fleet, hearsStore } = this.#options;
     const isNewer = report.configurationRevision > fleet.configurationRevision;
     const isListNewer = !hearsStore() && report.backEndsRevision > fleet.backEnds.revision;
-    const configuration = isNewer && this.#wishes.configuration.mayAsk(connection, now);
-    const backEnds = isListNewer && this.#wishes.backEnds.mayAsk(connection, now);
+    const isNear = report.zone === this.#options.zone;
+    const { configurationRevision, backEnds: list } = fleet;
+    const configuration =
+      isNewer && this.#wishes.configuration.mayAsk(connection, { own: configurationRevision, isNear, now });
+    const backEnds =
+      isListNewer && this.#wishes.backEnds.mayAsk(connection, { own: list.revision, isNear, now });
     if (configuration || backEnds) connection.send({ type: 'fleetWanted', configuration, backEnds });
   }
 
--- a/test/peers/fleet-wish.test.ts
+++ b/test/peers/fleet-wish.test.ts
@@ -1,11 +1,12 @@
 /** An entry that lacks the configuration asks for it once, however many others have it. */
-import { afterEach, expect, it } from 'vitest';
+import { afterEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import { seededRandom } from '../../src/model/random.js';
 import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { silentLog } from '../../src/observability/log.js';
 import { EntryPeers } from '../../src/peers/entry-peers.js';
+import { FleetWish } from '../../src/peers/fleet-wish.js';
 import {
   type ConnectionContext,
   ConnectionListener,
@@ -129,3 +130,46 @@
   await startEntry(second, [], { document: `${REVISION + 1}` });
   await until(() => late.fleet.configurationRevision === REVISION + 1, 'the newer configuration');
 });
+
+describe('what is newer than the own revision', () => {
+  const near = { open: true };
+  const far = { open: true };
+  const other = { open: true };
+
+  it('is asked of the own zone first, once it has had the time to come by itself', () => {
+    const wish = new FleetWish();
+    expect(wish.mayAsk(far, { own: 4, isNear: false, now: 0 })).toBe(false);
+    expect(wish.mayAsk(near, { own: 4, isNear: true, now: 150 })).toBe(false);
+    expect(wish.mayAsk(far, { own: 4, isNear: false, now: 300 })).toBe(false);
+    expect(wish.mayAsk(near, { own: 4, isNear: true, now: 300 })).toBe(true);
+    expect(wish.mayAsk(far, { own: 4, isNear: false, now: 900 })).toBe(false);
+  });
+
+  it('is asked of another zone where the own one does not have it', () => {
+    const wish = new FleetWish();
+    expect(wish.mayAsk(far, { own: 4, isNear: false, now: 0 })).toBe(false);
+    expect(wish.mayAsk(far, { own: 4, isNear: false, now: 600 })).toBe(true);
+  });
+
+  it('begins anew with each revision that is taken', () => {
+    const wish = new FleetWish();
+    wish.mayAsk(far, { own: 4, isNear: false, now: 0 });
+    expect(wish.mayAsk(far, { own: 5, isNear: false, now: 600 })).toBe(false);
+  });
+
+  it('is asked for more and more seldom while nobody answers', () => {
+    const wish = new FleetWish(100);
+    const asks: number[] = [];
+    for (let now = 0; now <= 4_000; now += 50) {
+      const connection = asks.length % 2 === 0 ? near : other;
+      if (wish.mayAsk(connection, { own: 4, isNear: true, now })) asks.push(now);
+    }
+    expect(asks).toEqual([200, 300, 500, 900, 1_700, 2_500, 3_300]);
+    wish.noteAnswer();
+    expect(wish.mayAsk(near, { own: 4, isNear: true, now: 4_050 })).toBe(true);
+  });
+
+  it('is asked for at once where this process has nothing', () => {
+    expect(new FleetWish().mayAsk(near, { own: 0, isNear: true, now: 0 })).toBe(true);
+  });
+});
--- a/tools/guards.mjs
+++ b/tools/guards.mjs
@@ -822,6 +822,20 @@
     replace: '',
     test: 'test/peers/fleet-wish.test.ts',
   },
+  {
+    fault: 'entries of other zones are asked for what comes from the own one',
+    file: 'src/peers/fleet-wish.ts',
+    find: 'if (now - this.#behind.since < patienceFor(isNear, own === 0)) return false;',
+    replace: '',
+    test: 'test/peers/fleet-wish.test.ts',
+  },
+  {
+    fault: 'copies of one configuration are asked for again while they are on their way',
+    file: 'src/peers/fleet-wish.ts',
+    find: '* 2 ** Math.min(this.#unanswered - 1, MOST_DOUBLINGS)',
+    replace: '',
+    test: 'test/peers/fleet-wish.test.ts',
+  },
   {
     fault: 'a call runs for a caller that has gone while its agent was connected',
     file: 'src/entry/attempt.ts',
