--- a/tools/known-red.mjs
+++ b/tools/known-red.mjs
@@ -1,6 +1,7 @@
 /**
- * Reads KNOWN-RED.txt: tests that fail for a real fault which is not mended yet, one line each: name | cause | issue.
- * Prints the lines to standard error, and to standard output a pattern for the test runner that passes over just these;
+ * Reads KNOWN-RED.txt: tests that fail for a real fault which is not mended yet, one line each: name | cause | issue. A name
+ * that begins with "day " is one of a deployment's days, which no test plays: its line gives the command and what was seen.
+ * Prints the lines to standard error, and to standard output a pattern for the test runner that passes over just the tests;
  * nothing where none is listed.
  */
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
@@ -8,6 +9,7 @@
 
 const FILE = 'KNOWN-RED.txt';
 const MOST = 3;
+const DAY = 'day ';
 
 function fail(message) {
   console.error(`${FILE}: ${message}`);
@@ -24,12 +26,16 @@
 const sources = readdirSync('test', { recursive: true })
   .filter((name) => name.endsWith('.test.ts'))
   .map((name) => readFileSync(join('test', name), 'utf8'));
-const names = lines.map((line) => {
+const names = lines.flatMap((line) => {
   const parts = line.split(' | ');
   if (parts.length !== 3) fail(`not "name | cause | issue": ${line}`);
   const [name] = parts;
+  if (name.startsWith(DAY)) {
+    console.error(`known red, a day: ${line}`);
+    return [];
+  }
   if (!sources.some((source) => source.includes(name))) fail(`no test is called "${name}"`);
   console.error(`known red, passed over: ${line}`);
-  return name.replace(/[.*+?^${}()|[\]\\]/g, '\\$&');
+  return [name.replace(/[.*+?^${}()|[\]\\]/g, '\\$&')];
 });
 if (names.length > 0) console.log(`^(?!.*(${names.join('|')}))`);
