Sight of crashes: the product's figures first, and what calls to broken back ends came to

Cause: operators' monitoring keeps the first 4 kB of a metrics page, which the runtime's figures fill, so that no count of crashes or quarantines was there; a connection that broke without a crash being recognised left no line. Change: the product's figures come first; thistleway_crash_calls counts calls by answer, and a line tells of those that were not refused. No decision changes.

--- a/src/forwarding/crash-witness.ts
+++ b/src/forwarding/crash-witness.ts
@@ -25,6 +25,8 @@
 
 /** What the witness works with. */
 export interface CrashWitnessOptions {
+  /** Counts what the back ends' machines said to the calls. */
+  calls: Record<ConnectionAnswer, number>;
   /** Takes a crash, and further suspects of it as they become known. */
   onCrash: (crash: BackEndCrash) => void;
   log: Log;
@@ -66,10 +68,15 @@
   }
 
   async #ask(broken: BrokenConnections): Promise<void> {
-    const { call = callOnce, log } = this.#options;
+    const { call = callOnce, calls, log } = this.#options;
     const { row } = broken;
-    broken.hasCrashed = (await call(row.record.address)) === 'refused';
-    if (!broken.hasCrashed) return;
+    const answer = await call(row.record.address);
+    calls[answer]++;
+    broken.hasCrashed = answer === 'refused';
+    if (!broken.hasCrashed) {
+      log.info('connection broke, back end not seen to crash', { backEnd: row.record.id, answer });
+      return;
+    }
     row.health.noteCrashed(performance.now());
     log.info('back end crashed', { backEnd: row.record.id, suspects: broken.suspects.size });
     this.#tell(broken, [...broken.suspects]);
--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -49,6 +49,7 @@
   readonly #requests: PoisonRequests;
   readonly #witness: CrashWitness;
   readonly #counts = { crashes: 0, quarantined: 0, trials: 0, acquitted: 0 };
+  readonly #calls: Record<ConnectionAnswer, number> = { refused: 0, accepted: 0, silent: 0 };
   #withdrawn: WithdrawnRequest[] = [];
   readonly #refusedByService = new Map<string, number>();
   /** Takes what other entries are to know. */
@@ -59,7 +60,12 @@
   constructor({ log, metrics, placeOf, call }: PoisonGuardOptions) {
     this.#log = log;
     this.#requests = new PoisonRequests(placeOf);
-    this.#witness = new CrashWitness({ log, call, onCrash: (crash) => this.#onCrash(crash) });
+    this.#witness = new CrashWitness({
+      log,
+      call,
+      calls: this.#calls,
+      onCrash: (crash) => this.#onCrash(crash),
+    });
     metrics.add([
       {
         name: 'poison_events',
@@ -67,6 +73,12 @@
         label: 'kind',
         read: () => ({ ...this.#counts }),
       },
+      {
+        name: 'crash_calls',
+        help: 'Calls since the start to back ends whose connections broke, by what came of them: only a refused one is a crash',
+        label: 'answer',
+        read: () => ({ ...this.#calls }),
+      },
       {
         name: 'poison_refusals',
         help: 'Requests refused since the start as back ends crash under their content, by service',
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -17,11 +17,12 @@
 /** The metrics of one process. */
 export class Metrics {
   readonly registry = new Registry();
+  readonly #runtime = new Registry();
 
   constructor(role: string) {
-    this.registry.setDefaultLabels({ role });
+    for (const registry of [this.registry, this.#runtime]) registry.setDefaultLabels({ role });
     collectDefaultMetrics({
-      register: this.registry,
+      register: this.#runtime,
       prefix: 'thistleway_',
       eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL,
     });
@@ -46,9 +47,10 @@
     }
   }
 
-  /** The metrics in the Prometheus text format. */
-  text(): Promise<string> {
-    return this.registry.metrics();
+  /** The metrics in the Prometheus text format: the product's own first, as a reader that cuts a page off would lose them. */
+  async text(): Promise<string> {
+    const pages = await Promise.all([this.registry.metrics(), this.#runtime.metrics()]);
+    return pages.join('\n');
   }
 }
 
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -110,8 +110,8 @@
   {
     fault: 'a connection that breaks is taken for the crash of its back end',
     file: 'src/forwarding/crash-witness.ts',
-    find: "broken.hasCrashed = (await call(row.record.address)) === 'refused';",
-    replace: 'broken.hasCrashed = (await call(row.record.address)) !== undefined;',
+    find: "broken.hasCrashed = answer === 'refused';",
+    replace: 'broken.hasCrashed = answer !== undefined;',
     test: 'test/forwarding/poison-request.test.ts',
   },
   {
