--- /dev/null
+++ b/test/roles/deadly-content.test.ts
@@ -0,0 +1,102 @@
+/**
+ * What entries know of a content that ends back ends was kept by them alone, and told to those of the own zone that started later. All
+ * entries killed at once learnt it anew with two back ends each time, without end: 10 ended within five such kills. Entries of a zone that
+ * started again together were told nothing by those of other zones, who knew.
+ */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { reply, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
+import { until } from '../support.js';
+import { type RunningEntry, send, startEntry, stopEntries } from './running-entry.js';
+
+const DEADLY = '/1/deadly';
+const HARMLESS = '/1/harmless';
+const BACK_ENDS = 20;
+/** Ends that are allowed in all: three, and three more sends. */
+const MOST_ENDED = 6;
+const NAMES = ['one', 'two'];
+/** Sends of the content to each entry between two kills. */
+const SENDS = 3;
+
+let store: MemoryStore;
+let backEnds: StandInBackEnd[];
+let ended: number;
+
+beforeEach(async () => {
+  ended = 0;
+  store = new MemoryStore();
+  store.write('operator', 'configuration', '1');
+  backEnds = await Promise.all(Array.from({ length: BACK_ENDS }, () => fragileBackEnd().start()));
+  backEnds.forEach(({ address }, index) => {
+    const record = { service: 'billing', address, zone: 'zone-a', slots: 4, leaving: false };
+    store.write('backEnds', `b${index}`, JSON.stringify(record));
+  });
+});
+
+afterEach(async () => {
+  await stopEntries();
+  await Promise.all(backEnds.map((backEnd) => backEnd.stop()));
+});
+
+function fragileBackEnd(): StandInBackEnd {
+  const backEnd: StandInBackEnd = new StandInBackEnd((request, response, body) => {
+    if (request.url !== DEADLY) return reply(200, 'done')(request, response, body);
+    ended++;
+    void backEnd.stop();
+  });
+  return backEnd;
+}
+
+const statusAt = async (entry: RunningEntry, path: string) => (await send(entry, path)).status;
+
+/** Starts entries that know nothing, and waits until they serve and know one another. */
+async function startAll(): Promise<RunningEntry[]> {
+  const entries: RunningEntry[] = [];
+  for (const name of NAMES)
+    entries.push(
+      await startEntry(
+        name,
+        entries.map(({ settings }) => settings.peers),
+        {},
+        undefined,
+        store,
+      ),
+    );
+  await untilAllServe(entries);
+  return entries;
+}
+
+async function untilAllServe(entries: readonly RunningEntry[]): Promise<void> {
+  for (const entry of entries) {
+    await until(async () => (await statusAt(entry, HARMLESS)) === 200, 'service');
+    const { zone, region } = entry.settings;
+    await until(() => entry.entry.addresses(zone, region).length === entries.length, 'the others');
+  }
+}
+
+describe('a content that ends every back end which runs it', () => {
+  it('is sent at most three times more after the third by entries that are all killed at once, again and again', async () => {
+    for (let kill = 0; kill < 5; kill++) {
+      const entries = await startAll();
+      for (let sent = 0; sent < SENDS; sent++) for (const entry of entries) await statusAt(entry, DEADLY);
+      await stopEntries();
+    }
+    expect(ended).toBeLessThanOrEqual(MOST_ENDED);
+  });
+
+  it('is refused by the entries of a zone that start again together, as those of another zone know it', async () => {
+    const regions = { regions: { 'zone-a': 'region-a', 'zone-b': 'region-a' } };
+    const far = await startEntry('far', [], { ...regions, zone: 'zone-b' }, undefined, store);
+    await until(async () => (await statusAt(far, HARMLESS)) === 200, 'service');
+    for (let sent = 0; sent < SENDS; sent++) await statusAt(far, DEADLY);
+    const before = ended;
+    const seeds = [far.settings.peers];
+    // Nothing but the other entries can tell.
+    store.faults.down = true;
+    const near = await startEntry('near', seeds, regions, undefined, store);
+    await until(async () => (await statusAt(near, HARMLESS)) === 200, 'service');
+    await until(() => near.entry.addresses('zone-a', 'region-a').length === 2, 'the other zone');
+    expect(await statusAt(near, DEADLY)).toBe(503);
+    expect(ended).toBe(before);
+  });
+});
