A content is not tried any more after its third crash or its second trial

What callers saw: one content ended a back end at each trial, each 10 minutes for ever, and the requests beside it broke. Cause: a quarantine ended by time whatever was known, and nothing counted trials. Change: a third crash, or a second trial that showed nothing, ends the trials; the content is refused at once from there on until it is served. Its crashes are not forgotten by age. Why it holds: between the third crash and the end of all trials there are two sends at the most, whatever time passes.

--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -6,8 +6,9 @@
  * (each back after 3 s), and up to eleven requests of other callers broke with each.
  *
  * All that was in progress at a back end as it crashed is suspect alike. A second crash that a content shares tells it from
- * the others, which have different companions then: it is in quarantine from there on, for a time that grows with further
- * crashes, after which one request with it is let through as a trial. A content that is served is suspect no more.
+ * the others, which have different companions then: it is in quarantine from there on, and after a while one request with it
+ * is let through as a trial. A third crash leaves no doubt, and trials are few: then nothing with it is sent any more. A content
+ * that is served is suspect no more.
  *
  * Several back ends that crash in one moment crash by something else: a machine, a zone or a release. That counts against no
  * content but one that ran at two of them, so that callers who are unlucky twice in such a wave are not shut out.
@@ -39,16 +40,19 @@
   | { type: 'allowed' }
   /** It is the one that tries whether back ends still crash under its content: it is sent once at the most. */
   | { type: 'trial' }
-  /** It is not sent; after `retryAfter` milliseconds one like it may be tried here. */
+  /** It is not sent; callers may ask again after `retryAfter` milliseconds, when one like it may be tried here, if any may. */
   | { type: 'quarantined'; retryAfter: number };
 
 /** Crashes that a content shares before it is in quarantine: of one crash, all companions are suspect alike. */
 export const CRASHES_TO_QUARANTINE = 2;
-/**
- * Time in quarantine by the number of crashes, the last one for all above, in milliseconds. Chosen: a content that two crashes
- * blame by chance is tried again while a person still waits; a third crash leaves no doubt, and the fourth is to come late.
- */
-const QUARANTINE_TIMES = [10_000, 120_000, 600_000];
+/** Crashes that a content shares from which on it is not tried any more. */
+const CRASHES_WITHOUT_DOUBT = 3;
+/** Trials of a content whose end shows nothing, as the caller left or an entry ended, before it is not tried any more. */
+const MOST_TRIALS = 2;
+/** Time from the latest crash to a trial, in milliseconds: a person who was unlucky twice is served while still waiting. */
+const QUARANTINE_TIME = 10_000;
+/** What callers are told where no trial is to come, in milliseconds: an operator may have mended the back ends then. */
+const RETRY_WITHOUT_TRIAL = 600_000;
 /** A crash counts against a content that is not in quarantine for this long, in milliseconds: chosen, as callers that repeat a
  * request do so within their deadline, and others with the same content come several times a minute. */
 const SUSPECT_LIFE = 60_000;
@@ -79,13 +83,19 @@
   suspects: Set<Fingerprint>;
 }
 
+/** The trials of one content. */
+interface Trials {
+  count: number;
+  /** Until when the latest one is under way, in milliseconds of the steady clock. */
+  endsAt: number;
+}
+
 /** The contents that back ends crash under, as one entry knows them. */
 export class PoisonRequests {
   readonly #placeOf: (fingerprint: Fingerprint) => number;
   readonly #crashes = new Map<string, KnownCrash>();
   readonly #crashesBySuspect = new Map<Fingerprint, Set<KnownCrash>>();
-  /** Until when a trial of each content is under way. */
-  readonly #trials = new Map<Fingerprint, number>();
+  readonly #trials = new Map<Fingerprint, Trials>();
   #expiredAt = Number.NEGATIVE_INFINITY;
 
   /** @param placeOf - this entry's place among those that may try a content, 0 for the first */
@@ -116,15 +126,20 @@
 
   /** Decides on a request with this content. */
   decide(fingerprint: Fingerprint, now: number): PoisonDecision {
-    const endsAt = this.#quarantineEnd(fingerprint, now);
-    if (endsAt === undefined) return ALLOWED;
-    const retryAt = Math.max(endsAt, this.#trials.get(fingerprint) ?? 0);
+    const crashes = this.#crashesAgainst(fingerprint, now);
+    if (crashes.length < CRASHES_TO_QUARANTINE) return ALLOWED;
+    const trials = this.#trials.get(fingerprint);
+    if (crashes.length >= CRASHES_WITHOUT_DOUBT || trialsOf(trials) >= MOST_TRIALS)
+      return { type: 'quarantined', retryAfter: RETRY_WITHOUT_TRIAL };
+    const retryAt = Math.max(this.#quarantineEnd(fingerprint, crashes), trials?.endsAt ?? now);
     return now < retryAt ? { type: 'quarantined', retryAfter: retryAt - now } : { type: 'trial' };
   }
 
-  /** A trial has begun, here or at another entry: there is no other meanwhile. */
+  /** A trial has begun, here or at another entry: there is no other meanwhile, and few in all. */
   noteTrial(fingerprint: Fingerprint, now: number): void {
-    if (this.#crashesBySuspect.has(fingerprint)) this.#trials.set(fingerprint, now + TRIAL_TIME);
+    const count = trialsOf(this.#trials.get(fingerprint)) + 1;
+    if (this.#crashesBySuspect.has(fingerprint))
+      this.#trials.set(fingerprint, { count, endsAt: now + TRIAL_TIME });
   }
 
   /** A request with this content was served; returns whether it was suspect. */
@@ -165,12 +180,10 @@
     this.#trials.delete(fingerprint);
   }
 
-  /** When a content that is in quarantine may be tried here; undefined where it is in none. */
-  #quarantineEnd(fingerprint: Fingerprint, now: number): number | undefined {
-    const crashes = this.#crashesAgainst(fingerprint, now);
-    if (crashes.length < CRASHES_TO_QUARANTINE) return undefined;
+  /** When a content with these crashes may be tried here. */
+  #quarantineEnd(fingerprint: Fingerprint, crashes: readonly KnownCrash[]): number {
     const latest = Math.max(...crashes.map(({ at }) => at));
-    return latest + quarantineTime(crashes.length) + TRIAL_STEP * this.#placeOf(fingerprint);
+    return latest + QUARANTINE_TIME + TRIAL_STEP * this.#placeOf(fingerprint);
   }
 
   #isBlamed(fingerprint: Fingerprint, now: number): boolean {
@@ -194,11 +207,11 @@
       if (now - crash.at > this.#lifeOf(crash, now)) this.#forget(crash);
   }
 
-  /** While a crash is remembered, a content whose quarantine has ended is tried by one request, not sent by all. */
+  /** What a quarantine rests on is not forgotten by its age: the content would be sent as if nothing had been. */
   #lifeOf({ suspects }: KnownCrash, now: number): number {
     const counts = [...suspects].map((fingerprint) => this.#crashesAgainst(fingerprint, now).length);
     const most = Math.max(0, ...counts);
-    return most < CRASHES_TO_QUARANTINE ? SUSPECT_LIFE : quarantineTime(most) + SUSPECT_LIFE;
+    return most < CRASHES_TO_QUARANTINE ? SUSPECT_LIFE : Number.POSITIVE_INFINITY;
   }
 
   /** Makes room: the earliest crash that no quarantine rests on goes first, so that many suspects cannot end a quarantine. */
@@ -214,9 +227,8 @@
   }
 }
 
-function quarantineTime(crashes: number): number {
-  const index = Math.min(crashes - CRASHES_TO_QUARANTINE, QUARANTINE_TIMES.length - 1);
-  return QUARANTINE_TIMES[index];
+function trialsOf(trials: Trials | undefined): number {
+  return trials?.count ?? 0;
 }
 
 function keyOf({ backEnd, start }: Pick<BackEndCrash, 'backEnd' | 'start'>): string {
--- a/test/systems/poison-requests.test.ts
+++ b/test/systems/poison-requests.test.ts
@@ -4,7 +4,6 @@
 import { type BackEndCrash, MOST_SUSPECTS, PoisonRequests } from '../../src/systems/poison-requests.js';
 
 const FIRST_QUARANTINE = 10_000;
-const SECOND_QUARANTINE = 120_000;
 /** Between two crashes that one request causes one after the other, in milliseconds. */
 const APART = 200;
 
@@ -63,13 +62,25 @@
     expect(poison.decide('deadly', now + 1)).toMatchObject({ type: 'quarantined' });
   });
 
-  it('is in quarantine for longer after a third crash', () => {
+  it('is not tried any more after a third crash', () => {
     const poison = blamed();
     const now = APART + FIRST_QUARANTINE;
     poison.noteTrial('deadly', now);
     poison.noteCrash(crashOf('b3', now + APART, 'deadly'), now + APART);
-    expect(poison.decide('deadly', now + SECOND_QUARANTINE).type).toBe('quarantined');
-    expect(poison.decide('deadly', now + APART + SECOND_QUARANTINE).type).toBe('trial');
+    for (const later of [APART, 120_000, 600_000, 86_400_000])
+      expect(poison.decide('deadly', now + later).type).toBe('quarantined');
+  });
+
+  it('is not tried any more after two trials that showed nothing', () => {
+    const poison = blamed();
+    let now = APART + FIRST_QUARANTINE;
+    for (let trial = 0; trial < 2; trial++) {
+      expect(poison.decide('deadly', now).type).toBe('trial');
+      poison.noteTrial('deadly', now);
+      now += FIRST_QUARANTINE;
+    }
+    expect(poison.decide('deadly', now).type).toBe('quarantined');
+    expect(poison.decide('deadly', now + 86_400_000).type).toBe('quarantined');
   });
 
   it('is suspect no more once it is served', () => {
