A crash counts against a content until that is served, whatever time passes

What callers saw: a content that comes less than once a minute ended one back end each time, for ever. Cause: a single crash was forgotten after 60 s, and crashes beyond 100 in all. Change: crashes are kept without regard to their age, 500 of them; those that a quarantine rests on go last. Why it holds: a content that is served in between is suspect no more, so that age tells nothing of guilt; what bounds the memory is the number.

--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -88,7 +88,7 @@
       {
         name: 'poison_quarantined',
         help: 'Contents in quarantine now',
-        read: () => this.#requests.quarantined(performance.now()).length,
+        read: () => this.#requests.quarantined().length,
       },
     ]);
   }
@@ -147,7 +147,7 @@
   /** All that is known of crashes, for an entry that has just started. */
   allNews(): PoisonNews[] {
     const now = performance.now();
-    return this.#requests.crashes(now).map((crash) => newsOf(crash, now));
+    return this.#requests.crashes().map((crash) => newsOf(crash, now));
   }
 
   #beginTrial(fingerprint: Fingerprint, now: number): void {
@@ -171,7 +171,7 @@
 
   #takeCrash(crash: BackEndCrash, now: number): void {
     this.#addWithdrawn(crash, now);
-    const quarantined = this.#requests.noteCrash(crash, now);
+    const quarantined = this.#requests.noteCrash(crash);
     if (quarantined.length === 0) return;
     this.#counts.quarantined += quarantined.length;
     for (const fingerprint of quarantined)
--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -17,7 +17,7 @@
  * Pure; times are in milliseconds of the steady clock.
  *
  * ```ts
- * const quarantined = poison.noteCrash({ backEnd: 'b1', start: 7, at: now, suspects: ['f1', 'f2'] }, now);
+ * const quarantined = poison.noteCrash({ backEnd: 'b1', start: 7, at: now, suspects: ['f1', 'f2'] });
  * const decision = poison.decide('f1', now);
  * ```
  */
@@ -53,9 +53,6 @@
 const QUARANTINE_TIME = 10_000;
 /** What callers are told where no trial is to come, in milliseconds: an operator may have mended the back ends then. */
 const RETRY_WITHOUT_TRIAL = 600_000;
-/** A crash counts against a content that is not in quarantine for this long, in milliseconds: chosen, as callers that repeat a
- * request do so within their deadline, and others with the same content come several times a minute. */
-const SUSPECT_LIFE = 60_000;
 /**
  * Back ends that crash within this of one another crash by something else, in milliseconds. An entry learns of a crash from the
  * first connection that breaks and a refused one after it (measured 20 ms at the most); one request takes 150 ms and more
@@ -66,10 +63,8 @@
 const TRIAL_TIME = 3_000;
 /** The entries may try one after the other, in the order that each content gives them, with this between, in milliseconds. */
 const TRIAL_STEP = 250;
-/** Time between two looks for crashes that count for nothing any more, in milliseconds. */
-const EXPIRY_INTERVAL = 1_000;
-/** Crashes that are remembered. Chosen: eight engines a minute for as long as the longest quarantine, and some. */
-const MOST_CRASHES = 100;
+/** Crashes that are remembered, whatever their age: a content that comes seldom ends one back end each time. */
+const MOST_CRASHES = 500;
 /** Suspects of one crash that are remembered: back ends run fewer requests at the same time. */
 export const MOST_SUSPECTS = 64;
 const ALLOWED: PoisonDecision = { type: 'allowed' };
@@ -96,7 +91,6 @@
   readonly #crashes = new Map<string, KnownCrash>();
   readonly #crashesBySuspect = new Map<Fingerprint, Set<KnownCrash>>();
   readonly #trials = new Map<Fingerprint, Trials>();
-  #expiredAt = Number.NEGATIVE_INFINITY;
 
   /** @param placeOf - this entry's place among those that may try a content, 0 for the first */
   constructor(placeOf: (fingerprint: Fingerprint) => number) {
@@ -109,24 +103,23 @@
   }
 
   /** The contents that are in quarantine, or wait for a trial. */
-  quarantined(now: number): Fingerprint[] {
-    return [...this.#crashesBySuspect.keys()].filter((fingerprint) => this.#isBlamed(fingerprint, now));
+  quarantined(): Fingerprint[] {
+    return [...this.#crashesBySuspect.keys()].filter((fingerprint) => this.#isBlamed(fingerprint));
   }
 
   /** Takes a crash, or more suspects of a known one; returns the contents that are in quarantine by it and were not before. */
-  noteCrash(crash: BackEndCrash, now: number): Fingerprint[] {
-    if (now - this.#expiredAt > EXPIRY_INTERVAL) this.#expire(now);
-    const known = this.#crashes.get(keyOf(crash)) ?? this.#begin(crash, now);
+  noteCrash(crash: BackEndCrash): Fingerprint[] {
+    const known = this.#crashes.get(keyOf(crash)) ?? this.#begin(crash);
     const suspects = crash.suspects.slice(0, MOST_SUSPECTS - known.suspects.size);
     const added = suspects.filter((fingerprint) => !known.suspects.has(fingerprint));
-    const wereBlamed = added.filter((fingerprint) => this.#isBlamed(fingerprint, now));
+    const wereBlamed = added.filter((fingerprint) => this.#isBlamed(fingerprint));
     for (const fingerprint of added) this.#addSuspect(fingerprint, known);
-    return added.filter((one) => this.#isBlamed(one, now) && !wereBlamed.includes(one));
+    return added.filter((one) => this.#isBlamed(one) && !wereBlamed.includes(one));
   }
 
   /** Decides on a request with this content. */
   decide(fingerprint: Fingerprint, now: number): PoisonDecision {
-    const crashes = this.#crashesAgainst(fingerprint, now);
+    const crashes = this.#crashesAgainst(fingerprint);
     if (crashes.length < CRASHES_TO_QUARANTINE) return ALLOWED;
     const trials = this.#trials.get(fingerprint);
     if (crashes.length >= CRASHES_WITHOUT_DOUBT || trialsOf(trials) >= MOST_TRIALS)
@@ -150,14 +143,13 @@
   }
 
   /** All crashes that are remembered, for an entry that has just started. */
-  crashes(now: number): BackEndCrash[] {
-    this.#expire(now);
+  crashes(): BackEndCrash[] {
     const known = [...this.#crashes.values()].filter(({ suspects }) => suspects.size > 0);
     return known.map((crash) => ({ ...crash, suspects: [...crash.suspects] }));
   }
 
-  #begin({ backEnd, start, at }: BackEndCrash, now: number): KnownCrash {
-    if (this.#crashes.size >= MOST_CRASHES) this.#forgetOne(now);
+  #begin({ backEnd, start, at }: BackEndCrash): KnownCrash {
+    if (this.#crashes.size >= MOST_CRASHES) this.#forgetOne();
     const sameMoment = [...this.#crashes.values()].filter((other) => Math.abs(other.at - at) < WAVE);
     for (const other of sameMoment) other.isPartOfWave = true;
     const crash = { backEnd, start, at, isPartOfWave: sameMoment.length > 0, suspects: new Set<string>() };
@@ -186,38 +178,22 @@
     return latest + QUARANTINE_TIME + TRIAL_STEP * this.#placeOf(fingerprint);
   }
 
-  #isBlamed(fingerprint: Fingerprint, now: number): boolean {
-    return this.#crashesAgainst(fingerprint, now).length >= CRASHES_TO_QUARANTINE;
+  #isBlamed(fingerprint: Fingerprint): boolean {
+    return this.#crashesAgainst(fingerprint).length >= CRASHES_TO_QUARANTINE;
   }
 
-  /** The crashes that count against a content: of a wave those alone that it shares, and a single one for a while. */
-  #crashesAgainst(fingerprint: Fingerprint, now: number): KnownCrash[] {
+  /** The crashes that count against a content: of a wave those alone that it shares. */
+  #crashesAgainst(fingerprint: Fingerprint): KnownCrash[] {
     const all = [...(this.#crashesBySuspect.get(fingerprint) ?? [])];
     const isShared = (crash: KnownCrash) =>
       all.some((other) => other !== crash && Math.abs(other.at - crash.at) < WAVE);
-    const crashes = all.filter((crash) => !crash.isPartOfWave || isShared(crash));
-    if (crashes.length >= CRASHES_TO_QUARANTINE) return crashes;
-    return crashes.filter(({ at }) => now - at < SUSPECT_LIFE);
-  }
-
-  /** Forgets crashes that count for nothing any more. */
-  #expire(now: number): void {
-    this.#expiredAt = now;
-    for (const crash of this.#crashes.values())
-      if (now - crash.at > this.#lifeOf(crash, now)) this.#forget(crash);
-  }
-
-  /** What a quarantine rests on is not forgotten by its age: the content would be sent as if nothing had been. */
-  #lifeOf({ suspects }: KnownCrash, now: number): number {
-    const counts = [...suspects].map((fingerprint) => this.#crashesAgainst(fingerprint, now).length);
-    const most = Math.max(0, ...counts);
-    return most < CRASHES_TO_QUARANTINE ? SUSPECT_LIFE : Number.POSITIVE_INFINITY;
+    return all.filter((crash) => !crash.isPartOfWave || isShared(crash));
   }
 
   /** Makes room: the earliest crash that no quarantine rests on goes first, so that many suspects cannot end a quarantine. */
-  #forgetOne(now: number): void {
+  #forgetOne(): void {
     const all = [...this.#crashes.values()];
-    const isNeeded = ({ suspects }: KnownCrash) => [...suspects].some((one) => this.#isBlamed(one, now));
+    const isNeeded = ({ suspects }: KnownCrash) => [...suspects].some((one) => this.#isBlamed(one));
     this.#forget(all.find((crash) => !isNeeded(crash)) ?? all[0]);
   }
 
