Three crashes that a content shares put it into quarantine, whatever crashed beside them

What callers saw: where other back ends crashed within 60 ms of its own crashes, a content was sent on without end. Cause: crashes of one moment count against nobody, without a bound on how often that may be. Change: a content that was in progress at three crashes is in quarantine even if each came beside another; it has trials like any. Why it holds: the third crash is the last that can be excused, so that at most two trials follow it.

--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -11,7 +11,8 @@
  * that is served is suspect no more.
  *
  * Several back ends that crash in one moment crash by something else: a machine, a zone or a release. That counts against no
- * content but one that ran at two of them, so that callers who are unlucky twice in such a wave are not shut out.
+ * content but one that ran at two of them, so that callers who are unlucky twice in such a wave are not shut out. One that was
+ * in progress at three crashes is in quarantine all the same: its own may each have come beside another.
  *
  * Entries exchange crashes, trials and acquittals, and each decides by itself: the order in which news arrive changes nothing.
  * Pure; times are in milliseconds of the steady clock.
@@ -45,7 +46,9 @@
 
 /** Crashes that a content shares before it is in quarantine: of one crash, all companions are suspect alike. */
 export const CRASHES_TO_QUARANTINE = 2;
-/** Crashes that a content shares from which on it is not tried any more. */
+/** Crashes that a content shares before it is in quarantine whatever crashed beside them. */
+const CRASHES_IN_WAVES_TO_QUARANTINE = 3;
+/** Crashes that count against a content from which on it is not tried any more. */
 const CRASHES_WITHOUT_DOUBT = 3;
 /** Trials of a content whose end shows nothing, as the caller left or an entry ended, before it is not tried any more. */
 const MOST_TRIALS = 2;
@@ -119,12 +122,12 @@
 
   /** Decides on a request with this content. */
   decide(fingerprint: Fingerprint, now: number): PoisonDecision {
-    const crashes = this.#crashesAgainst(fingerprint);
-    if (crashes.length < CRASHES_TO_QUARANTINE) return ALLOWED;
+    if (!this.#isBlamed(fingerprint)) return ALLOWED;
     const trials = this.#trials.get(fingerprint);
-    if (crashes.length >= CRASHES_WITHOUT_DOUBT || trialsOf(trials) >= MOST_TRIALS)
+    const isBeyondDoubt = this.#crashesAgainst(fingerprint).length >= CRASHES_WITHOUT_DOUBT;
+    if (isBeyondDoubt || trialsOf(trials) >= MOST_TRIALS)
       return { type: 'quarantined', retryAfter: RETRY_WITHOUT_TRIAL };
-    const retryAt = Math.max(this.#quarantineEnd(fingerprint, crashes), trials?.endsAt ?? now);
+    const retryAt = Math.max(this.#quarantineEnd(fingerprint), trials?.endsAt ?? now);
     return now < retryAt ? { type: 'quarantined', retryAfter: retryAt - now } : { type: 'trial' };
   }
 
@@ -172,19 +175,26 @@
     this.#trials.delete(fingerprint);
   }
 
-  /** When a content with these crashes may be tried here. */
-  #quarantineEnd(fingerprint: Fingerprint, crashes: readonly KnownCrash[]): number {
-    const latest = Math.max(...crashes.map(({ at }) => at));
+  /** When a content that is in quarantine may be tried here. */
+  #quarantineEnd(fingerprint: Fingerprint): number {
+    const latest = Math.max(...this.#crashesOf(fingerprint).map(({ at }) => at));
     return latest + QUARANTINE_TIME + TRIAL_STEP * this.#placeOf(fingerprint);
   }
 
   #isBlamed(fingerprint: Fingerprint): boolean {
-    return this.#crashesAgainst(fingerprint).length >= CRASHES_TO_QUARANTINE;
+    return (
+      this.#crashesAgainst(fingerprint).length >= CRASHES_TO_QUARANTINE ||
+      this.#crashesOf(fingerprint).length >= CRASHES_IN_WAVES_TO_QUARANTINE
+    );
+  }
+
+  #crashesOf(fingerprint: Fingerprint): KnownCrash[] {
+    return [...(this.#crashesBySuspect.get(fingerprint) ?? [])];
   }
 
   /** The crashes that count against a content: of a wave those alone that it shares. */
   #crashesAgainst(fingerprint: Fingerprint): KnownCrash[] {
-    const all = [...(this.#crashesBySuspect.get(fingerprint) ?? [])];
+    const all = this.#crashesOf(fingerprint);
     const isShared = (crash: KnownCrash) =>
       all.some((other) => other !== crash && Math.abs(other.at - crash.at) < WAVE);
     return all.filter((crash) => !crash.isPartOfWave || isShared(crash));
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -145,8 +145,8 @@
   {
     fault: 'all requests with a content are let through when its quarantine ends',
     file: 'src/systems/poison-requests.ts',
-    find: 'const retryAt = Math.max(this.#quarantineEnd(fingerprint, crashes), trials?.endsAt ?? now);',
-    replace: 'const retryAt = this.#quarantineEnd(fingerprint, crashes);',
+    find: 'const retryAt = Math.max(this.#quarantineEnd(fingerprint), trials?.endsAt ?? now);',
+    replace: 'const retryAt = this.#quarantineEnd(fingerprint);',
     test: 'test/systems/poison-requests.test.ts',
   },
   {
