A back end that ends after its connections broke, or after its callers left, has crashed under what was there

What callers saw: a content ended one back end after the other where no entry took that for a crash: the process was back before the call that is to show its end, or the request had been given up just before (its caller left, its time passed, its version expired). Cause: the only proof of a crash was a refused call right after a connection broke, and of what was given up only quarantined contents were remembered. Only an answer below 400 acquits, as a back end may reject a request without running it. Why it holds: the list tells of each unplanned end within three heartbeats, whoever was connected.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -66,6 +66,7 @@
   #connection: BackEndConnection | undefined;
   #controller: Dispatcher.DispatchController | undefined;
   #ended = false;
+  #isGivenUp = false;
 
   constructor(request: AttemptRequest, names: HeaderNames, listener: AttemptListener) {
     this.#request = request;
@@ -78,6 +79,11 @@
     return this.#controller !== undefined;
   }
 
+  /** True where this process ended it after it had gone out: its back end may still run the request. */
+  get isGivenUp(): boolean {
+    return this.#isGivenUp;
+  }
+
   /** True while nothing has come on a kept connection since it was sent there. */
   get isOnSilentConnection(): boolean {
     return this.sent && this.#connection?.isSilent === true;
@@ -93,6 +99,7 @@
 
   /** Ends the attempt; the connection closes, so that the back end stops working on it. Tells the listener nothing. */
   abort(reason: string): void {
+    this.#isGivenUp ||= this.sent && !this.#ended;
     this.#ended = true;
     if (this.#controller !== undefined && !this.#controller.aborted)
       this.#controller.abort(new Error(reason));
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -119,6 +119,14 @@
     );
   }
 
+  /** True where this start of a back end has ended without notice: it is listed no more, or another one listens at its address. */
+  hasEnded(row: BackEndRow): boolean {
+    const { id, address, revision, leaving } = row.record;
+    if (leaving) return false;
+    if (this.rows.get(id) !== row) return true;
+    return [...(this.#rowsByAddress.get(address) ?? [])].some((other) => other.record.revision > revision);
+  }
+
   /** The waits for back ends of a service. */
   holdsOf(service: string): HoldRecord {
     const known = this.#holds.get(service) ?? new HoldRecord();
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -22,7 +22,7 @@
 import type { SlotClaim } from './engine-slots.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
-import { fingerprintOf } from './request-fingerprint.js';
+import { fingerprintsOf } from './request-fingerprint.js';
 import { outcomeAtTimeout, outcomeOf, outcomeOfError, type RequestOutcome } from './request-outcome.js';
 import { RequestWait, type WaitingRequest } from './request-wait.js';
 import { type Silence, silenceOf } from './silence.js';
@@ -41,6 +41,7 @@
 const RETRY_ELSEWHERE = 0.05;
 /** Repeatable requests are sent at most this often, whatever a route allows. */
 const MOST_SENDS = 4;
+const FIRST_FAILURE = 400;
 const INTERNAL_ERROR = 500;
 const MILLISECONDS = 1_000;
 
@@ -81,7 +82,7 @@
     this.#response = response;
     this.#id = String(request.headers[components.names.requestId] ?? '');
     this.#content = new SuspectContent(components.poison, () =>
-      fingerprintOf(request, this.#body, components.names),
+      fingerprintsOf({ request, body: this.#body, tenant: this.#admitted.tenant }, components.names),
     );
     this.#answer = new CallerAnswer(request, response, () => components.drain.isUnderWay);
     response.on('close', () => this.#onCallerGone());
@@ -110,10 +111,9 @@
   onQuarantined(fingerprints: ReadonlySet<Fingerprint>): void {
     const isWaiting = !this.#settled && this.#wait?.isUnderWay;
     if (this.#use === undefined && !isWaiting) return;
-    if (!fingerprints.has(this.#content.fingerprint) || this.#content.mayBeSent) return;
+    if (!this.#content.isAmong(fingerprints) || this.#content.mayBeSent) return;
     if (this.#use === undefined) return this.#giveUpQuarantined();
     if (this.#use.hasBegun) return;
-    this.#content.noteWithdrawn(this.#use.row);
     this.#use.attempt.withdraw('quarantined');
   }
 
@@ -295,7 +295,7 @@
 
   /** @param milliseconds - until one like it may be tried */
   #refuseQuarantined(milliseconds: number): void {
-    this.#log('quarantined', { fingerprint: this.#content.fingerprint });
+    this.#log('quarantined', { fingerprint: this.#content.fingerprints[0] });
     this.#finish({ type: 'quarantined', retryAfter: milliseconds / MILLISECONDS });
   }
 
@@ -508,6 +508,7 @@
     const use = this.#use;
     if (use === undefined) return;
     this.#use = undefined;
+    if (use.attempt.isGivenUp) this.#content.noteGivenUp(use.row);
     const took = use.end();
     const { record, health } = use.row;
     this.#timeToEnd.noteEnded(use.attempt, outcome === 'served', performance.now());
@@ -519,7 +520,8 @@
         this.#components.backEnds.usualFailureShare(this.#admitted.service),
       );
     if (outcome !== 'served') return;
-    this.#content.noteServed();
+    // A back end may reject a request without running it.
+    if (this.#answer.status < FIRST_FAILURE) this.#content.noteServed();
     use.noteServed(took);
     this.#log('served', {
       backEnd: record.id,
--- a/src/forwarding/header-names.ts
+++ b/src/forwarding/header-names.ts
@@ -25,8 +25,6 @@
   servedVersion: string;
   /** Tokens of the prompt, and the most that may be written. */
   tokenCounts: string;
-  /** Further headers that a back end's work depends on. */
-  shaping: readonly string[];
 }
 
 /** The event after which a stream goes on, as in the standard for server-sent events. */
--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -2,7 +2,6 @@
  * Keeps requests that crash back ends from being sent on: what this entry sees break, what other entries tell, and what
  * follows for requests that arrive, wait or are under way. What is decided stands in `systems/poison-requests.ts`.
  */
-import { type BackEndIdentity, isSameStart } from '../fleet/back-end-identity.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
 import {
@@ -11,6 +10,7 @@
   type PoisonDecision,
   PoisonRequests,
 } from '../systems/poison-requests.js';
+import type { BackEndRow } from './back-end-table.js';
 import { type ConnectionAnswer, type CrashSuspect, CrashWitness } from './crash-witness.js';
 
 /** What entries tell one another of contents that crash back ends. Messages carry ages, as their clocks differ. */
@@ -22,23 +22,14 @@
   /** A request with this content was served. */
   | { type: 'served'; fingerprint: Fingerprint };
 
-/** A request that was taken back is suspect in a crash of its back end up to this long after, in milliseconds: chosen, above the
- * time from the begin of a request to the end of the engine that it ends (45 measured), and from there to the news of it. */
-const WITHDRAWN_LIFE = 1_000;
-
-/** A request that was taken back, which its back end may have begun already. */
-interface WithdrawnRequest {
-  backEnd: BackEndIdentity;
-  fingerprint: Fingerprint;
-  at: number;
-}
-
 /** What the guard works with. */
 export interface PoisonGuardOptions {
   log: Log;
   metrics: Metrics;
   /** This entry's place among those that may try a content, 0 for the first. */
   placeOf: (fingerprint: Fingerprint) => number;
+  /** Whether this start of a back end has ended without notice. */
+  hasEnded: (row: BackEndRow) => boolean;
   /** Opens a connection to a back end that may have crashed. */
   call?: (address: string) => Promise<ConnectionAnswer>;
 }
@@ -50,19 +41,19 @@
   readonly #witness: CrashWitness;
   readonly #counts = { crashes: 0, quarantined: 0, trials: 0, acquitted: 0 };
   readonly #calls: Record<ConnectionAnswer, number> = { refused: 0, accepted: 0, silent: 0 };
-  #withdrawn: WithdrawnRequest[] = [];
   readonly #refusedByService = new Map<string, number>();
   /** Takes what other entries are to know. */
   onNews: (news: PoisonNews) => void = () => {};
   /** Takes contents that are in quarantine from now on. */
   onQuarantined: (fingerprints: ReadonlySet<Fingerprint>) => void = () => {};
 
-  constructor({ log, metrics, placeOf, call }: PoisonGuardOptions) {
+  constructor({ log, metrics, placeOf, hasEnded, call }: PoisonGuardOptions) {
     this.#log = log;
     this.#requests = new PoisonRequests(placeOf);
     this.#witness = new CrashWitness({
       log,
       call,
+      hasEnded,
       calls: this.#calls,
       onCrash: (crash) => this.#onCrash(crash),
     });
@@ -99,23 +90,23 @@
   }
 
   /** Decides on a request of `service` that is to be sent for the first time; a trial begins here. */
-  admit(fingerprint: Fingerprint, service: string): PoisonDecision {
+  admit(fingerprints: readonly Fingerprint[], service: string): PoisonDecision {
     const now = performance.now();
-    const decision = this.#requests.decide(fingerprint, now);
+    const decision = this.#decide(fingerprints, now);
     if (decision.type === 'quarantined')
       this.#refusedByService.set(service, (this.#refusedByService.get(service) ?? 0) + 1);
-    if (decision.type === 'trial') this.#beginTrial(fingerprint, now);
+    if (decision.type === 'trial') this.#beginTrial(fingerprints, now);
     return decision;
   }
 
   /** Whether a request that waits, or is to be sent again, may still be sent. */
-  allows(fingerprint: Fingerprint): boolean {
-    return this.#requests.decide(fingerprint, performance.now()).type === 'allowed';
+  allows(fingerprints: readonly Fingerprint[]): boolean {
+    return this.#decide(fingerprints, performance.now()).type === 'allowed';
   }
 
   /** Time after which a request with this content may be tried here, in milliseconds. */
-  retryAfter(fingerprint: Fingerprint): number {
-    const decision = this.#requests.decide(fingerprint, performance.now());
+  retryAfter(fingerprints: readonly Fingerprint[]): number {
+    const decision = this.#decide(fingerprints, performance.now());
     return decision.type === 'quarantined' ? decision.retryAfter : 0;
   }
 
@@ -124,15 +115,20 @@
     this.#witness.noteBroken(suspect);
   }
 
-  /** A request in progress at `backEnd` was taken back, as its content is in quarantine now. */
-  noteWithdrawn({ id, start }: BackEndIdentity, fingerprint: Fingerprint): void {
-    this.#withdrawn.push({ backEnd: { id, start }, fingerprint, at: performance.now() });
+  /** A request in progress was given up, and its back end may still run it. */
+  noteGivenUp(suspect: CrashSuspect): void {
+    this.#witness.noteGivenUp(suspect);
   }
 
   /** A request was served whole. */
-  noteServed(fingerprint: Fingerprint): void {
-    if (!this.#acquit(fingerprint)) return;
-    this.onNews({ type: 'served', fingerprint });
+  noteServed(fingerprints: readonly Fingerprint[]): void {
+    for (const fingerprint of fingerprints)
+      if (this.#acquit(fingerprint)) this.onNews({ type: 'served', fingerprint });
+  }
+
+  /** Looks for crashes no more. */
+  stop(): void {
+    this.#witness.stop();
   }
 
   /** Takes what another entry tells. */
@@ -141,7 +137,7 @@
     if (news.type === 'trial') return this.#requests.noteTrial(news.fingerprint, now);
     if (news.type === 'served') return void this.#acquit(news.fingerprint);
     const { backEnd, start, age, suspects } = news;
-    this.#takeCrash({ backEnd, start, at: now - age, suspects }, now);
+    this.#takeCrash({ backEnd, start, at: now - age, suspects });
   }
 
   /** All that is known of crashes, for an entry that has just started. */
@@ -150,11 +146,22 @@
     return this.#requests.crashes().map((crash) => newsOf(crash, now));
   }
 
-  #beginTrial(fingerprint: Fingerprint, now: number): void {
+  /** The strictest of what its fingerprints say, as each stands for the whole content. */
+  #decide(fingerprints: readonly Fingerprint[], now: number): PoisonDecision {
+    const decisions = fingerprints.map((fingerprint) => this.#requests.decide(fingerprint, now));
+    const quarantined = decisions.filter((decision) => decision.type === 'quarantined');
+    if (quarantined.length > 0)
+      return quarantined.reduce((one, other) => (other.retryAfter > one.retryAfter ? other : one));
+    return decisions.find(({ type }) => type === 'trial') ?? { type: 'allowed' };
+  }
+
+  #beginTrial(fingerprints: readonly Fingerprint[], now: number): void {
     this.#counts.trials++;
-    this.#requests.noteTrial(fingerprint, now);
-    this.#log.info('quarantined content tried', { fingerprint });
-    this.onNews({ type: 'trial', fingerprint });
+    this.#log.info('quarantined content tried', { fingerprints });
+    for (const fingerprint of fingerprints) {
+      this.#requests.noteTrial(fingerprint, now);
+      this.onNews({ type: 'trial', fingerprint });
+    }
   }
 
   #onCrash(crash: BackEndCrash): void {
@@ -164,13 +171,12 @@
 
   /** A crash, or suspects of one, that this entry knows of by itself. */
   #takeOwnCrash(crash: BackEndCrash): void {
-    const now = performance.now();
-    this.onNews(newsOf(crash, now));
-    this.#takeCrash(crash, now);
+    this.onNews(newsOf(crash, performance.now()));
+    this.#takeCrash(crash);
   }
 
-  #takeCrash(crash: BackEndCrash, now: number): void {
-    this.#addWithdrawn(crash, now);
+  #takeCrash(crash: BackEndCrash): void {
+    this.#addGivenUp(crash);
     const quarantined = this.#requests.noteCrash(crash);
     if (quarantined.length === 0) return;
     this.#counts.quarantined += quarantined.length;
@@ -180,17 +186,12 @@
   }
 
   /**
-   * What was taken back from a back end that crashes nevertheless was in progress there as well. Left out, a content seemed to have
+   * What was given up at a back end that crashes nevertheless was in progress there as well. Left out, a content seemed to have
    * no part in a crash that it caused, which took another crash of the same moment for one of a wave and ended its quarantine.
    */
-  #addWithdrawn({ backEnd, start, at }: BackEndCrash, now: number): void {
-    this.#withdrawn = this.#withdrawn.filter((one) => now - one.at < WITHDRAWN_LIFE);
-    const isThere = (one: WithdrawnRequest) =>
-      one.backEnd.id === backEnd && isSameStart(one.backEnd.start, start);
-    const suspects = this.#withdrawn.filter(isThere).map(({ fingerprint }) => fingerprint);
-    if (suspects.length === 0) return;
-    this.#withdrawn = this.#withdrawn.filter((one) => !isThere(one));
-    this.#takeOwnCrash({ backEnd, start, at, suspects });
+  #addGivenUp({ backEnd, start, at }: BackEndCrash): void {
+    const suspects = this.#witness.takeGivenUp({ id: backEnd, start });
+    if (suspects.length > 0) this.#takeOwnCrash({ backEnd, start, at, suspects });
   }
 
   #acquit(fingerprint: Fingerprint): boolean {
--- a/src/forwarding/request-fingerprint.ts
+++ b/src/forwarding/request-fingerprint.ts
@@ -1,6 +1,7 @@
 /**
- * What is the same request, whoever sends it again: a digest of what a back end would get. Its identity, its deadline and the
- * entry that it came to are not part of it; the caller's key is, so that no tenant can have another one's request shut out.
+ * What is the same request, whoever sends it again: digests of its method, host, path, body and caller. Its identity, its
+ * deadline, its other headers and the entry that it came to are not part of it. The caller is, so that no tenant can have another
+ * one's request shut out: once by its key and once by its tenant, as a tenant's keys are replaced and keys pass to other tenants.
  */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
@@ -12,13 +13,26 @@
 const LENGTH = 22;
 const SEPARATOR = '\n';
 
-/** The fingerprint of a request whose body has been read; of a body that is streamed, its beginning and length count. */
-export function fingerprintOf(request: IncomingMessage, body: CallerBody, names: HeaderNames): Fingerprint {
-  const { method = '', url = '', headers } = request;
-  const shaping = names.shaping.map((name) => String(headers[name] ?? ''));
-  const caller = String(headers[names.callerKey] ?? '');
+/** What a request's fingerprints are taken of. */
+export interface FingerprintedRequest {
+  request: IncomingMessage;
+  /** Its body, which has been read; of one that is streamed, its beginning and length count. */
+  body: CallerBody;
+  /** Name of its key's tenant; undefined where no key is needed. */
+  tenant: string | undefined;
+}
+
+/** The fingerprints of a request. It is the same as another one that shares any of them. */
+export function fingerprintsOf({ request, body }: FingerprintedRequest, names: HeaderNames): Fingerprint[] {
+  const callers = [`key ${String(request.headers[names.callerKey] ?? '')}`];
+  return callers.map((caller) =>
+    digestOf(request, body, `${caller} ${request.headers[names.tokenCounts] ?? ''}`),
+  );
+}
+
+function digestOf({ method = '', url = '', headers }: IncomingMessage, body: CallerBody, caller: string) {
   const hash = createHash('sha256');
-  hash.update([method, headers.host ?? '', url, caller, ...shaping].join(SEPARATOR));
+  hash.update([method, headers.host ?? '', url, caller].join(SEPARATOR));
   hash.update(SEPARATOR);
   if (body.type === 'kept') hash.update(body.bytes);
   if (body.type === 'streamed') hash.update(`${body.beginning} ${headers['content-length'] ?? ''}`);
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -59,7 +59,12 @@
       addressLifetime: settings.addressLifetimeSeconds * MILLISECONDS,
     });
     fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
-    this.#poison = new PoisonGuard({ log, metrics, placeOf: (content) => this.#placeAmongEntries(content) });
+    this.#poison = new PoisonGuard({
+      log,
+      metrics,
+      placeOf: (content) => this.#placeAmongEntries(content),
+      hasEnded: (row) => backEnds.hasEnded(row),
+    });
     this.#poison.onNews = (news) => this.#peers.passPoisonNews(news);
     this.#peers = new EntryPeers({
       context,
@@ -193,6 +198,7 @@
 
   async stop(): Promise<void> {
     await this.#parts.stop();
+    this.#poison.stop();
     await this.#components.backEnds.stop();
   }
 
--- a/test/forwarding/deadly-content.test.ts
+++ b/test/forwarding/deadly-content.test.ts
@@ -17,6 +17,9 @@
 /** Ends within this of one another count as one wave, in milliseconds. */
 const SAME_MOMENT = 60;
 
+/** Time in which an entry notices that a back end is listed no more, in milliseconds. */
+const LOOK = 400;
+
 let forwarding: ForwardingHarness;
 let backEnds: StandInBackEnd[];
 let ended: number;
@@ -37,7 +40,7 @@
   await Promise.all(backEnds.map((backEnd) => backEnd.stop()));
 });
 
-describe('a content that ends every back end which runs it', () => {
+describe('a content under which back ends crash unseen', () => {
   it('is sent at most three times more after the third where each is back before it can be called', async () => {
     const [backEnd] = backEnds;
     // Its process ends and the next one listens at once: the connection is lost, and the port accepts.
@@ -80,6 +83,30 @@
     expect(ended).toBeLessThanOrEqual(MOST_ENDED);
   });
 
+  it('is sent at most three times more after the third where it is alone at each and its caller leaves before the end', async () => {
+    for (const [index, backEnd] of backEnds.entries()) {
+      const run = new Promise<void>((resolve) => {
+        backEnd.answer(() => {
+          ended++;
+          resolve();
+        });
+      });
+      forwarding.list([`b${index}`, backEnd]);
+      const caller = forwarding.open('/once/deadly');
+      const refused = new Promise<void>((resolve) => caller.once('response', () => resolve()));
+      await Promise.race([run, refused]);
+      caller.destroy();
+      await until(() => forwarding.active === 0, 'its end');
+      await backEnd.stop();
+      // Its entry in the list lapses.
+      forwarding.list();
+      await pause(LOOK);
+    }
+    expect(ended).toBeLessThanOrEqual(MOST_ENDED);
+  });
+});
+
+describe('a content that ends every back end which runs it', () => {
   it('is sent at most three times more after the third whatever headers it comes with', async () => {
     for (const [index, backEnd] of backEnds.entries()) {
       backEnd.answer(() => {
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -28,7 +28,6 @@
   notRun: 'x-not-run',
   servedVersion: 'x-version',
   tokenCounts: 'x-tokens',
-  shaping: ['x-tokens'],
 };
 
 /** Time from the naming of a version to the moment from which no request may start on an older one, in milliseconds. */
@@ -116,7 +115,12 @@
         log: this.log,
         budgetOf: () => budget,
         drain: this.drain,
-        poison: new PoisonGuard({ log: this.log, metrics: this.metrics, placeOf: () => 0 }),
+        poison: new PoisonGuard({
+          log: this.log,
+          metrics: this.metrics,
+          placeOf: () => 0,
+          hasEnded: (row) => backEnds.hasEnded(row),
+        }),
       },
       this.metrics,
     );
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -103,7 +103,7 @@
   {
     fault: 'what was taken back from a back end that crashes nevertheless has no part in its crash',
     file: 'src/forwarding/forwarded-request.ts',
-    find: 'this.#content.noteWithdrawn(this.#use.row);',
+    find: 'if (use.attempt.isGivenUp) this.#content.noteGivenUp(use.row);',
     replace: '',
     test: 'test/forwarding/poison-request.test.ts',
   },
@@ -114,11 +114,25 @@
     replace: 'broken.hasCrashed = answer !== undefined;',
     test: 'test/forwarding/poison-request.test.ts',
   },
+  {
+    fault: 'a back end that has started again before it is called is not taken for one that crashed',
+    file: 'src/forwarding/crash-witness.ts',
+    find: 'if (broken.hasCrashed === false && this.#options.hasEnded(broken.row)) this.#noteCrashed(broken);',
+    replace: '',
+    test: 'test/forwarding/deadly-content.test.ts',
+  },
+  {
+    fault: 'a crash after all callers of a back end have left is nobody’s',
+    file: 'src/forwarding/crash-witness.ts',
+    find: 'for (const { row, at, fingerprints } of ended) this.#tell({ row, at }, fingerprints);',
+    replace: '',
+    test: 'test/forwarding/deadly-content.test.ts',
+  },
   {
     fault: 'requests of two tenants that are alike are taken for one content',
     file: 'src/forwarding/request-fingerprint.ts',
-    find: "const caller = String(headers[names.callerKey] ?? '');",
-    replace: "const caller = '';",
+    find: "const callers = [`key ${String(request.headers[names.callerKey] ?? '')}`];",
+    replace: "const callers = [''];",
     test: 'test/forwarding/poison-request.test.ts',
   },
   {
