A content is what has the same path, body and caller, by its key or by its tenant

What callers saw: a content was sent on to ten back ends of ten where it came with other headers, or with another key of its tenant. Cause: the fingerprint held headers that shape the work, and the key alone stood for the caller. Change: headers are no part of it, and a request has two fingerprints, by its key and by its tenant; it is the same as another one that shares either. The bounds of suspects are doubled with that. Why it holds: a replaced key keeps its tenant, and a key that passes to another tenant stays the same key; nobody else's requests match.

--- a/src/forwarding/request-fingerprint.ts
+++ b/src/forwarding/request-fingerprint.ts
@@ -23,11 +23,13 @@
 }
 
 /** The fingerprints of a request. It is the same as another one that shares any of them. */
-export function fingerprintsOf({ request, body }: FingerprintedRequest, names: HeaderNames): Fingerprint[] {
+export function fingerprintsOf(
+  { request, body, tenant }: FingerprintedRequest,
+  names: HeaderNames,
+): Fingerprint[] {
   const callers = [`key ${String(request.headers[names.callerKey] ?? '')}`];
-  return callers.map((caller) =>
-    digestOf(request, body, `${caller} ${request.headers[names.tokenCounts] ?? ''}`),
-  );
+  if (tenant !== undefined) callers.push(`tenant ${tenant}`);
+  return callers.map((caller) => digestOf(request, body, caller));
 }
 
 function digestOf({ method = '', url = '', headers }: IncomingMessage, body: CallerBody, caller: string) {
--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -68,8 +68,8 @@
 const TRIAL_STEP = 250;
 /** Crashes that are remembered, whatever their age: a content that comes seldom ends one back end each time. */
 const MOST_CRASHES = 500;
-/** Suspects of one crash that are remembered: back ends run fewer requests at the same time. */
-export const MOST_SUSPECTS = 64;
+/** Suspects of one crash that are remembered, two for a request: back ends run fewer requests at the same time. */
+export const MOST_SUSPECTS = 128;
 const ALLOWED: PoisonDecision = { type: 'allowed' };
 
 interface KnownCrash {
--- a/test/forwarding/deadly-content.test.ts
+++ b/test/forwarding/deadly-content.test.ts
@@ -17,6 +17,7 @@
 /** Ends within this of one another count as one wave, in milliseconds. */
 const SAME_MOMENT = 60;
 
+const SERVICES = [{ name: 'billing', maxConnections: 0, engine: undefined }];
 /** Time in which an entry notices that a back end is listed no more, in milliseconds. */
 const LOOK = 400;
 
@@ -28,8 +29,7 @@
   ended = 0;
   forwarding = new ForwardingHarness('billing');
   const once = routeNamed('once', { repeatability: 'never', maxAttempts: 1, objective: 5_000 });
-  const services = [{ name: 'billing', maxConnections: 0, engine: undefined }];
-  await forwarding.start({ ...ENGINE_CONFIGURATION, routes: [once], services });
+  await forwarding.start({ ...ENGINE_CONFIGURATION, routes: [once], services: SERVICES });
   backEnds = await Promise.all(
     Array.from({ length: SENDS }, () => new StandInBackEnd(reply(200, 'done')).start()),
   );
@@ -106,7 +106,7 @@
   });
 });
 
-describe('a content that ends every back end which runs it', () => {
+describe('a content under which back ends crash, in another guise each time', () => {
   it('is sent at most three times more after the third whatever headers it comes with', async () => {
     for (const [index, backEnd] of backEnds.entries()) {
       backEnd.answer(() => {
@@ -120,4 +120,37 @@
     }
     expect(ended).toBeLessThanOrEqual(MOST_ENDED);
   });
+
+  /** A tenant may replace its keys, and a key may pass to another tenant. */
+  const changes: Array<[string, (index: number) => { key: string; tenant: string }]> = [
+    ['key of its tenant', (index) => ({ key: `key ${index}`, tenant: 'tenant' })],
+    ['tenant its key belongs to', (index) => ({ key: 'key', tenant: `tenant ${index}` })],
+  ];
+  it.each(changes)(
+    'is sent at most three times more after the third whatever %s',
+    async (_name, callerOf) => {
+      const [route] = forwarding.fleet.routes!.configuration.routes;
+      for (const [index, backEnd] of backEnds.entries()) {
+        backEnd.answer(() => {
+          ended++;
+          void backEnd.stop();
+        });
+        const { key, tenant } = callerOf(index);
+        const tenants = [{ name: tenant, keys: [key], priority: undefined }];
+        const routes = [{ ...route, isPublic: false }];
+        const configuration = {
+          ...ENGINE_CONFIGURATION,
+          revision: index + 2,
+          routes,
+          services: SERVICES,
+          tenants,
+        };
+        forwarding.fleet.takeConfiguration({ document: Buffer.from(''), configuration });
+        forwarding.list([`b${index}`, backEnd]);
+        await forwarding.send('/once/', { method: 'POST', body: 'deadly', headers: { 'x-key': key } });
+        await pause(2 * SAME_MOMENT);
+      }
+      expect(ended).toBeLessThanOrEqual(MOST_ENDED);
+    },
+  );
 });
--- a/test/systems/poison-requests.test.ts
+++ b/test/systems/poison-requests.test.ts
@@ -126,7 +126,10 @@
     const poison = blamed();
     for (let index = 0; index < 5_000; index++) {
       const at = 2 * APART + index;
-      const suspects = Array.from({ length: 100 }, (_, suspect) => `random ${index} ${suspect}`);
+      const suspects = Array.from(
+        { length: 2 * MOST_SUSPECTS },
+        (_, suspect) => `random ${index} ${suspect}`,
+      );
       poison.noteCrash(crashOf(`c${index}`, at, ...suspects));
     }
     expect(poison.decide('deadly', 9_999).type).toBe('quarantined');
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -114,6 +114,13 @@
     replace: 'broken.hasCrashed = answer !== undefined;',
     test: 'test/forwarding/poison-request.test.ts',
   },
+  {
+    fault: 'a content is another one with each key of its tenant',
+    file: 'src/forwarding/request-fingerprint.ts',
+    find: 'if (tenant !== undefined) callers.push(`tenant ${tenant}`);',
+    replace: '',
+    test: 'test/forwarding/deadly-content.test.ts',
+  },
   {
     fault: 'a back end that has started again before it is called is not taken for one that crashed',
     file: 'src/forwarding/crash-witness.ts',
@@ -132,7 +139,7 @@
     fault: 'requests of two tenants that are alike are taken for one content',
     file: 'src/forwarding/request-fingerprint.ts',
     find: "const callers = [`key ${String(request.headers[names.callerKey] ?? '')}`];",
-    replace: "const callers = [''];",
+    replace: "const callers: string[] = [''];",
     test: 'test/forwarding/poison-request.test.ts',
   },
   {
