What quarantines rest on is told on each new connection between entries, to all zones

What callers saw: all entries of a zone that started again together sent a content on which those of the other zones refused. Cause: only entries of the own zone were told, and only as they were newcomers: one that was cut off for a moment heard nothing either. Change: whoever hears another entry on a connection for the first time tells it. Why it holds: news are lost only with a connection, and each connection that follows begins with all of them.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -63,6 +63,8 @@
   heardAt: number;
   /** Told that its latest report has lapsed. */
   hasLapsed: boolean;
+  /** The connection on which it was told of contents that crash back ends. */
+  toldPoisonNewsOn: Connection | undefined;
 }
 
 /** What the peers work with. */
@@ -86,7 +88,7 @@
   random: Random;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
-  /** Takes what another entry tells of contents that crash back ends; and all that one of this zone that starts is to know. */
+  /** Takes what another entry tells of contents that crash back ends; and what one that starts is to know. */
   poison: { takeNews(news: PoisonNews): void; allNews(): PoisonNews[] };
   /** Takes what the entry `id` has read of the store. */
   onStoreNews: (news: StoreNews, id: string) => void;
@@ -342,17 +344,18 @@
       this.#tellNewAddresses(row);
     }
     // A process that is back before the former one has lapsed is no newcomer, and knows nothing.
-    if (isNewcomer || isNextProcess) this.#tellPoisonNews(row);
+    if (row.toldPoisonNewsOn !== connection) this.#tellPoisonNews(row, connection);
     fleet.clock.note(report.storeTime, now);
     for (const named of report.versions) fleet.takeNamedVersion(named);
     this.#askForNewer(connection, report, now);
     this.#options.onReport(report);
   }
 
-  /** An entry that has just started would send on what others have in quarantine. */
-  #tellPoisonNews(newcomer: PeerRow): void {
-    const news = this.#isNear(newcomer) ? this.#options.poison.allNews() : [];
-    if (news.length > 0) newcomer.connection?.send({ type: 'poisonNews', news });
+  /** An entry that has just started, or was cut off, would send on what others have in quarantine. */
+  #tellPoisonNews(row: PeerRow, connection: Connection): void {
+    row.toldPoisonNewsOn = connection;
+    const news = this.#options.poison.allNews();
+    if (news.length > 0) connection.send({ type: 'poisonNews', news });
   }
 
   #takePoisonNews(news: readonly PoisonNews[]): void {
@@ -439,5 +442,6 @@
     report: undefined,
     heardAt: Number.NEGATIVE_INFINITY,
     hasLapsed: false,
+    toldPoisonNewsOn: undefined,
   };
 }
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -30,8 +30,8 @@
   {
     fault: 'an entry that is started again at once does not learn of contents in quarantine',
     file: 'src/peers/entry-peers.ts',
-    find: 'if (isNewcomer || isNextProcess) this.#tellPoisonNews(row);',
-    replace: 'if (isNewcomer) this.#tellPoisonNews(row);',
+    find: 'if (row.toldPoisonNewsOn !== connection) this.#tellPoisonNews(row, connection);',
+    replace: 'if (isNewcomer) this.#tellPoisonNews(row, connection);',
     test: 'test/roles/poison-request.test.ts',
   },
   {
@@ -152,7 +152,7 @@
   {
     fault: 'an entry that starts does not learn of contents in quarantine',
     file: 'src/peers/entry-peers.ts',
-    find: 'if (isNewcomer || isNextProcess) this.#tellPoisonNews(row);',
+    find: 'if (row.toldPoisonNewsOn !== connection) this.#tellPoisonNews(row, connection);',
     replace: '',
     test: 'test/roles/poison-request.test.ts',
   },
