Records of crashes: a partition of their own, 8 kB a row, ten writes a second at the most

Cause: rows of 48 kB are read by each entry that starts, 19 MB at 400 entries; and the empty partition's writes are the back ends' too. Result: the cases of records hold.

--- a/src/forwarding/quarantine-records.ts
+++ b/src/forwarding/quarantine-records.ts
@@ -18,7 +18,8 @@
 import { type BackEndCrash, type Fingerprint, keyOf } from '../systems/poison-requests.js';
 
 const TABLE = 'quarantine';
-const PARTITION = '';
+/** Of its own: what a partition takes in a second is shared by all that is written there. */
+const PARTITION = 'quarantine';
 const CRASHES_PREFIX = 'crashes/';
 const TRIAL_PREFIX = 'trial/';
 /** Time for one call, in milliseconds. */
@@ -29,8 +30,10 @@
 const GATHER_TIME = 5;
 /** Time after a failed call, in milliseconds times 1 to 2. */
 const RETRY_PAUSE = 250;
-/** Bytes of this entry's row: below what a platform's rows hold. */
-const MOST_BYTES = 48_000;
+/** Time between two calls, in milliseconds: what becomes known meanwhile is written together. */
+const WRITE_INTERVAL = 100;
+/** Bytes of this entry's row: an entry that starts reads the rows of all. */
+const MOST_BYTES = 8_000;
 
 const storedCrashes = z.array(
   z.object({
@@ -182,7 +185,7 @@
     while (!signal.aborted && !(this.#isRead && this.#isWritten)) {
       if (this.#isRead) await sleep(GATHER_TIME, signal);
       const isDone = this.#isRead ? await this.#write(signal) : await this.#read(signal);
-      if (!isDone) await sleep(RETRY_PAUSE * (1 + this.#options.random.fraction()), signal);
+      await sleep(isDone ? WRITE_INTERVAL : RETRY_PAUSE * (1 + this.#options.random.fraction()), signal);
     }
     this.#isWorking = false;
   }
--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -130,7 +130,7 @@
 
   /** Decides on a request with this content. */
   decide(fingerprint: Fingerprint, now: number): PoisonDecision {
-    if (!this.isQuarantined(fingerprint)) return ALLOWED;
+    if (!this.#crashesBySuspect.has(fingerprint) || !this.isQuarantined(fingerprint)) return ALLOWED;
     const trials = this.#trials.get(fingerprint);
     const isBeyondDoubt = this.#crashesAgainst(fingerprint).length >= CRASHES_WITHOUT_DOUBT;
     if (isBeyondDoubt || this.trialsOf(fingerprint) >= MOST_TRIALS)
--- a/test/forwarding/quarantine-records.test.ts
+++ b/test/forwarding/quarantine-records.test.ts
@@ -11,6 +11,7 @@
 import { until } from '../support.js';
 
 const TABLE = 'quarantine';
+const PARTITION = 'quarantine';
 
 const running: QuarantineRecords[] = [];
 
@@ -34,10 +35,17 @@
 }
 
 const rowsOf = async (store: MemoryStore) => {
-  const read = await store.read(TABLE, '', new AbortController().signal);
+  const read = await store.read(TABLE, PARTITION, new AbortController().signal);
   return read.ok ? read.value.rows : [];
 };
 
+const put = (store: MemoryStore, key: string, value: string) =>
+  store.transact(
+    [],
+    [{ table: TABLE, partition: PARTITION, key, value: Buffer.from(value) }],
+    new AbortController().signal,
+  );
+
 const crashesTold = ({ states }: Started) =>
   states.flatMap(({ crashes }) => crashes.map(({ backEnd }) => backEnd));
 
@@ -93,7 +101,7 @@
   await untilStored(store, 'one', 1);
   // A call without an answer may be done seconds later: here by a former process at the same place.
   const late = JSON.stringify([{ backEnd: 'b0', at: 0, suspects: ['deadly'] }]);
-  store.write(TABLE, 'crashes/one', late);
+  await put(store, 'crashes/one', late);
   note(one, 'b2');
   await untilStored(store, 'one', 3);
 });
@@ -105,8 +113,8 @@
     ['three', '{"a":1}'],
     ['four', '[{"backEnd":1}]'],
   ])
-    store.write(TABLE, `crashes/${key}`, value);
-  store.write(TABLE, 'crashes/five', JSON.stringify([{ backEnd: 'b1', at: 0, suspects: ['deadly'] }]));
+    await put(store, `crashes/${key}`, value);
+  await put(store, 'crashes/five', JSON.stringify([{ backEnd: 'b1', at: 0, suspects: ['deadly'] }]));
   const one = await start(store, 'one');
   await until(() => one.states.length > 0, 'a reading');
   expect(crashesTold(one)).toEqual(['b1']);
