Soak: a content that ends each worker which runs it, beside all faults

Cause: the soak had no requests that end their workers, so that nothing showed what entries know after kills, pauses and cuts of real processes.

--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -431,13 +431,15 @@
 const LONGEST_PAUSE = 900;
 
 /** Which faults a seed plays: with planned work alone, everything that it harms is a loss. */
-export type FaultChoice = 'planned' | 'all' | 'restarts' | 'drills';
+export type FaultChoice = 'planned' | 'all' | 'restarts' | 'drills' | 'deadly';
 
 const FAULTS: Record<FaultChoice, Fault[]> = {
   planned: PLANNED,
   all: [...PLANNED, ...UNPLANNED],
   // Restarts are two in five, or few would come.
   restarts: [...PLANNED, ...UNPLANNED, ...RESTARTS, ...RESTARTS, ...RESTARTS],
+  // Beside them a content ends the workers that run it: see `deadly-content.ts`.
+  deadly: [...PLANNED, ...UNPLANNED],
   drills: [...PLANNED, ...UNPLANNED, ...RESTARTS, ...DRILLS, ...DRILLS, ...DRILLS, ...DRILLS],
 };
 
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -2,7 +2,7 @@
  * A soak: the real programs as processes, faults from outside, callers that judge every answer; then quiet, in which
  * everything must serve by the newest configuration and version again.
  *
- * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills]
+ * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly]
  * [--kept]` prints each seed's outcome; a seed that breaks a promise prints
  * its time line and keeps its logs, and the exit code is 1.
  */
@@ -11,6 +11,7 @@
 import { parseArgs } from 'node:util';
 import { seededRandom } from '../../../src/model/random.js';
 import { judgeAnswer, judgeRuns, type SentRequest, SoakCaller, sendRequest } from './callers.js';
+import { DeadlyContent } from './deadly-content.js';
 import { type FaultChoice, provoke } from './faults.js';
 import { judgeDepartures, judgePlannedStops, judgeRepetitions } from './judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
@@ -96,6 +97,7 @@
   const random = seededRandom(seed);
   const faults = plan.faults ?? usualFaults(seed);
   const probes: SentRequest[] = [];
+  let deadly: DeadlyContent | undefined;
   const callers = Array.from({ length: plan.callers }, (_, index) => {
     return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index));
   });
@@ -106,14 +108,17 @@
     const started = await untilDeclared(world, START_LIMIT, probes);
     if (typeof started === 'string') return failedToStart(faults, started);
     const running = callers.map((caller) => caller.run());
+    if (faults === 'deadly') deadly = new DeadlyContent(world, seededRandom(seed + 1));
+    if (deadly !== undefined) running.push(deadly.run());
     const timeline = await provoke(world, random, AbortSignal.timeout(seconds * SECOND), faults);
     world.heal();
     // Planned stops that have begun are part of the faults.
     await world.untilStopped();
     const recovered = await untilDeclared(world, RECOVERY_LIMIT, probes);
     for (const caller of callers) caller.stop();
+    deadly?.stop();
     await Promise.all(running);
-    const sent = [...callers.flatMap((caller) => caller.sent), ...probes];
+    const sent = [...callers.flatMap((caller) => caller.sent), ...(deadly?.sent ?? []), ...probes];
     const violations = [
       ...callers.flatMap((caller) => caller.violations),
       ...probes.filter(({ path }) => !path.startsWith('/added-')).flatMap(judgeAnswer),
@@ -123,6 +128,7 @@
       ...judgeDepartures(world, sent),
       ...world.log.violations,
       ...world.violations,
+      ...(deadly?.judge() ?? []),
       ...(typeof recovered === 'string' ? [`RECOVER: ${recovered}`] : []),
     ];
     return {
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -49,6 +49,8 @@
 
 /** All runs, and what the stand-ins saw go wrong. */
 export class RunLog {
+  /** Told of each run as it begins. */
+  onRun: (run: Run) => void = () => {};
   readonly runs: Run[] = [];
   readonly arrivals: Arrival[] = [];
   readonly violations: string[] = [];
@@ -193,6 +195,7 @@
       isBrokenOff: false,
     };
     this.log.runs.push(run);
+    this.log.onRun(run);
     return { run, seal: `${this.id}.${++this.#runs}` };
   }
 
