One crash that is told with and without the start of its back end counts once

What callers saw: requests beside a single crash could be refused for 10 s. Cause: an entry that does not know a back end's start yet tells of its crash under another name; two crashes within 60 ms with the same contents looked like one content at two back ends. Change: a crash of the same back end within 2 s is the same one where either start is not known. Why it holds: a back end takes longer than that to start again, and known starts still tell crashes apart.

--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -22,6 +22,7 @@
  * const decision = poison.decide('f1', now);
  * ```
  */
+import { isSameStart } from '../fleet/back-end-identity.js';
 
 /** Identifies the content of a request: see `forwarding/request-fingerprint.ts`. */
 export type Fingerprint = string;
@@ -62,6 +63,8 @@
  * from a crash to the next.
  */
 const WAVE = 60;
+/** Entries tell of the same end of a back end within this of one another, in milliseconds: it takes longer to start again. */
+const SAME_END = 2_000;
 /** A trial is under way for this long at the most, in milliseconds: above the time to a first answer of a loaded engine. */
 const TRIAL_TIME = 3_000;
 /** The entries may try one after the other, in the order that each content gives them, with this between, in milliseconds. */
@@ -120,7 +123,7 @@
 
   /** Takes a crash, or more suspects of a known one; returns the contents that are in quarantine by it and were not before. */
   noteCrash(crash: BackEndCrash): Fingerprint[] {
-    const known = this.#crashes.get(keyOf(crash)) ?? this.#begin(crash);
+    const known = this.#find(crash) ?? this.#begin(crash);
     const suspects = crash.suspects.slice(0, MOST_SUSPECTS - known.suspects.size);
     const added = suspects.filter((fingerprint) => !known.suspects.has(fingerprint));
     const wereBlamed = added.filter((fingerprint) => this.isQuarantined(fingerprint));
@@ -184,6 +187,15 @@
       .filter(({ suspects }) => suspects.length > 0);
   }
 
+  /** Who does not know the start of a back end tells of its crash under another name. */
+  #find(crash: BackEndCrash): KnownCrash | undefined {
+    const exact = this.#crashes.get(keyOf(crash));
+    if (exact !== undefined) return exact;
+    const isSame = ({ backEnd, start, at }: KnownCrash) =>
+      backEnd === crash.backEnd && isSameStart(start, crash.start) && Math.abs(at - crash.at) < SAME_END;
+    return [...this.#crashes.values()].find(isSame);
+  }
+
   #begin({ backEnd, start, at }: BackEndCrash): KnownCrash {
     if (this.#crashes.size >= MOST_CRASHES) this.#forgetOne();
     const sameMoment = [...this.#crashes.values()].filter((other) => Math.abs(other.at - at) < WAVE);
--- a/test/systems/poison-requests.test.ts
+++ b/test/systems/poison-requests.test.ts
@@ -47,6 +47,24 @@
     expect(poison.decide('deadly', 10).type).toBe('allowed');
   });
 
+  /**
+   * An entry that does not know the start of a back end yet tells of the same crash under another name, some milliseconds apart. Taken for
+   * two back ends that ended in one moment, all that ran there seemed to have ended both, and was in quarantine by a single crash.
+   */
+  it('is blamed once for a crash that some tell with the start of the back end and others without', () => {
+    for (const starts of [
+      [7, undefined],
+      [undefined, 7],
+    ]) {
+      const poison = first();
+      starts.forEach((start, index) => {
+        poison.noteCrash({ ...crashOf('b1', 5 * index, 'deadly', 'beside'), start });
+      });
+      expect(poison.decide('beside', 10).type).toBe('allowed');
+      expect(poison.crashes().length).toBe(1);
+    }
+  });
+
   it('is blamed for the crash of the next start of the same back end as for another one', () => {
     const poison = first();
     poison.noteCrash({ ...crashOf('only', 0, 'deadly'), start: 1 });
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -149,6 +149,13 @@
     replace: '{}',
     test: 'test/forwarding/quarantine-records.test.ts',
   },
+  {
+    fault: 'one crash that is told with and without the start of its back end counts twice',
+    file: 'src/systems/poison-requests.ts',
+    find: 'return [...this.#crashes.values()].find(isSame);',
+    replace: 'return undefined;',
+    test: 'test/systems/poison-requests.test.ts',
+  },
   {
     fault: 'trials of a content have no end',
     file: 'src/systems/poison-requests.ts',
