--- a/test/roles/deadly-content.test.ts
+++ b/test/roles/deadly-content.test.ts
@@ -5,12 +5,10 @@
  */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
-import { reply, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
+import { DEADLY, FragileBackEnds, HARMLESS } from './fragile-back-ends.js';
 import { type RunningEntry, send, startEntry, stopEntries } from './running-entry.js';
 
-const DEADLY = '/1/deadly';
-const HARMLESS = '/1/harmless';
 const BACK_ENDS = 20;
 /** Ends that are allowed in all: three, and three more sends. */
 const MOST_ENDED = 6;
@@ -19,34 +17,20 @@
 const SENDS = 3;
 
 let store: MemoryStore;
-let backEnds: StandInBackEnd[];
-let ended: number;
+let backEnds: FragileBackEnds;
 
 beforeEach(async () => {
-  ended = 0;
   store = new MemoryStore();
   store.write('operator', 'configuration', '1');
-  backEnds = await Promise.all(Array.from({ length: BACK_ENDS }, () => fragileBackEnd().start()));
-  backEnds.forEach(({ address }, index) => {
-    const record = { service: 'billing', address, zone: 'zone-a', slots: 4, leaving: false };
-    store.write('backEnds', `b${index}`, JSON.stringify(record));
-  });
+  backEnds = new FragileBackEnds();
+  await backEnds.start(BACK_ENDS, store);
 });
 
 afterEach(async () => {
   await stopEntries();
-  await Promise.all(backEnds.map((backEnd) => backEnd.stop()));
+  await backEnds.stop();
 });
 
-function fragileBackEnd(): StandInBackEnd {
-  const backEnd: StandInBackEnd = new StandInBackEnd((request, response, body) => {
-    if (request.url !== DEADLY) return reply(200, 'done')(request, response, body);
-    ended++;
-    void backEnd.stop();
-  });
-  return backEnd;
-}
-
 const statusAt = async (entry: RunningEntry, path: string) => (await send(entry, path)).status;
 
 /** Crashes that the entries have written to the store. */
@@ -89,7 +73,7 @@
       for (let sent = 0; sent < SENDS; sent++) for (const entry of entries) await statusAt(entry, DEADLY);
       await stopEntries();
     }
-    expect(ended).toBeLessThanOrEqual(MOST_ENDED);
+    expect(backEnds.ended).toBeLessThanOrEqual(MOST_ENDED);
   });
 
   it('is refused by the entries of a zone that start again together, as those of another zone know it', async () => {
@@ -97,7 +81,7 @@
     const far = await startEntry('far', [], { ...regions, zone: 'zone-b' }, undefined, store);
     await until(async () => (await statusAt(far, HARMLESS)) === 200, 'service');
     for (let sent = 0; sent < SENDS; sent++) await statusAt(far, DEADLY);
-    const before = ended;
+    const before = backEnds.ended;
     const seeds = [far.settings.peers];
     // Nothing but the other entries can tell.
     store.faults.down = true;
@@ -105,6 +89,6 @@
     await until(async () => (await statusAt(near, HARMLESS)) === 200, 'service');
     await until(() => near.entry.addresses('zone-a', 'region-a').length === 2, 'the other zone');
     expect(await statusAt(near, DEADLY)).toBe(503);
-    expect(ended).toBe(before);
+    expect(backEnds.ended).toBe(before);
   });
 });
--- a/test/roles/poison-request.test.ts
+++ b/test/roles/poison-request.test.ts
@@ -4,34 +4,29 @@
  */
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
-import { reply, type Script, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
+import { reply, type Script } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
+import { DEADLY, FragileBackEnds, HARMLESS } from './fragile-back-ends.js';
 import { type RunningEntry, send, startEntry, stopEntries } from './running-entry.js';
 
-const DEADLY = '/1/deadly';
 const BACK_ENDS = 6;
 
 let store: MemoryStore;
-let backEnds: StandInBackEnd[];
-let ended: number;
+let backEnds: FragileBackEnds;
 let entries: RunningEntry[];
 
 beforeEach(async () => {
-  ended = 0;
   store = new MemoryStore();
   store.write('operator', 'configuration', '1');
-  backEnds = await Promise.all(Array.from({ length: BACK_ENDS }, () => fragileBackEnd().start()));
-  backEnds.forEach(({ address }, index) => {
-    const record = { service: 'billing', address, zone: 'zone-a', slots: 4, leaving: false };
-    store.write('backEnds', `b${index}`, JSON.stringify(record));
-  });
+  backEnds = new FragileBackEnds();
+  await backEnds.start(BACK_ENDS, store);
   entries = [];
   for (const name of ['one', 'two', 'three']) await start(name);
 });
 
 afterEach(async () => {
   await stopEntries();
-  await Promise.all(backEnds.map((backEnd) => backEnd.stop()));
+  await backEnds.stop();
 });
 
 async function start(name: string): Promise<RunningEntry> {
@@ -43,15 +38,6 @@
   return entry;
 }
 
-function fragileBackEnd(): StandInBackEnd {
-  const backEnd: StandInBackEnd = new StandInBackEnd((request, response, body) => {
-    if (request.url !== DEADLY) return reply(200, 'done')(request, response, body);
-    ended++;
-    void backEnd.stop();
-  });
-  return backEnd;
-}
-
 const statusAt = async (entry: RunningEntry, path = DEADLY) => (await send(entry, path)).status;
 
 it('a content that ended a back end at each of two entries is refused by all', async () => {
@@ -60,45 +46,45 @@
   expect(await statusAt(two)).toBe(502);
   await until(async () => (await statusAt(three)) === 503, 'the refusal');
   for (const entry of entries) expect(await statusAt(entry)).toBe(503);
-  expect(ended).toBeLessThanOrEqual(3);
-  expect(await statusAt(three, '/1/harmless')).toBe(200);
+  expect(backEnds.ended).toBeLessThanOrEqual(3);
+  expect(await statusAt(three, HARMLESS)).toBe(200);
 });
 
 it('an entry that starts later refuses it, too', async () => {
   await statusAt(entries[0]);
   await statusAt(entries[1]);
   await until(async () => (await statusAt(entries[2])) === 503, 'the refusal');
-  const before = ended;
+  const before = backEnds.ended;
   const four = await start('four');
   expect(await statusAt(four)).toBe(503);
-  expect(ended).toBe(before);
+  expect(backEnds.ended).toBe(before);
 });
 
 it('an entry that is started again at its address, before the others take it for gone, refuses it, too', async () => {
   await statusAt(entries[0]);
   await statusAt(entries[1]);
   await until(async () => (await statusAt(entries[2])) === 503, 'the refusal');
-  const before = ended;
+  const before = backEnds.ended;
   const [former] = entries.splice(2, 1);
   await former.entry.stop();
   const seeds = entries.map(({ settings }) => settings.peers);
   const next = await startEntry('three', seeds, { peers: former.settings.peers }, undefined, store);
   entries.push(next);
-  await until(async () => (await statusAt(next, '/1/harmless')) === 200, 'its start');
+  await until(async () => (await statusAt(next, HARMLESS)) === 200, 'its start');
   await until(() => next.entry.addresses('zone-a', 'region-a').length === 3, 'the other entries');
   expect(await statusAt(next)).toBe(503);
-  expect(ended).toBe(before);
+  expect(backEnds.ended).toBe(before);
 });
 
 it('what is served at one entry is suspect at none', async () => {
   const [one, two, three] = entries;
   const answerAll = (script: Script) => {
-    for (const backEnd of backEnds) backEnd.answer(script);
+    for (const backEnd of backEnds.all) backEnd.answer(script);
   };
   await statusAt(one);
   answerAll(reply(200, 'done'));
   await until(async () => (await statusAt(two)) === 200, 'an answer');
-  for (const backEnd of backEnds) backEnd.answer(() => void backEnd.stop());
+  for (const backEnd of backEnds.all) backEnd.answer(() => void backEnd.stop());
   expect(await statusAt(one)).toBe(502);
   answerAll(reply(200, 'done'));
   // Two back ends ended under it, and it was served in between.
