The test of killed entries waits until the store has been told, as was said of it

Cause: an edit that the commit on writes 5 ms after a crash tells of had not been made: the test still killed within milliseconds. Change: it waits.

--- a/test/roles/deadly-content.test.ts
+++ b/test/roles/deadly-content.test.ts
@@ -71,6 +71,8 @@
     for (let kill = 0; kill < 5; kill++) {
       const entries = await startAll();
       for (let sent = 0; sent < SENDS; sent++) for (const entry of entries) await statusAt(entry, DEADLY);
+      // What is written some milliseconds after a crash is lost only by a kill right then.
+      await until(async () => (await crashesStored()) >= backEnds.ended, 'what the store keeps');
       await stopEntries();
     }
     expect(backEnds.ended).toBeLessThanOrEqual(MOST_ENDED);
