Read, log and count the rate limits that back ends name

Cause: a back end names the rate that it takes from all entries together in a header of its answers. Nothing read the header, so no log line or metric showed whether a limit was known, since when, and what was sent to the back end after that. Change: an entry parses the header of each answer and keeps the limit for that start of the back end until a later request is answered without the header. The value must be a decimal number; anything else is malformed, and is counted and logged. Adds the log lines `rate limit named`, `rate limit lifted` and `rate limit malformed`, the known rate in each `sent` line, and the metrics back_end_rate_limit, back_end_rate_limit_changes and sends_to_limited_back_ends (with a slot of an agent, or directly). A gauge whose labels change now exports only the current ones. No decision uses the limit yet.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -27,6 +27,14 @@
   rawHeaders: string[];
 }
 
+/** Status and headers of an answer, reported for refusals as well. */
+export interface AnswerSummary {
+  status: number;
+  headers: IncomingHttpHeaders;
+  /** The back end did not run the request. */
+  isRefusal: boolean;
+}
+
 /** Why an attempt has no whole answer. */
 export type AttemptFailure =
   /** No byte of the request went out: it cannot have run. */
@@ -47,6 +55,8 @@
 
 /** Told as the answer comes. Nothing follows `onEnd` or `onFailure`. */
 export interface AttemptListener {
+  /** The back end has answered this request, possibly with a refusal; called before `onHead` or `onFailure`. */
+  onAnswer(answer: AnswerSummary): void;
   onHead(head: AnswerHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
@@ -160,7 +170,9 @@
     const isOwn = answered === this.#request.requestId;
     const isRefused = headers[this.#names.notRun] !== undefined || status === MISDIRECTED;
     // A back end may refuse what it has not read the identity of; an extra answer to an earlier request has one.
-    if (isRefused && (isOwn || answered === undefined)) return this.#endRefused(status);
+    const isRefusal = isRefused && (isOwn || answered === undefined);
+    if (isRefusal || isOwn) this.#listener.onAnswer({ status, headers, isRefusal });
+    if (isRefusal) return this.#endRefused(status);
     if (!isOwn) return this.fail('answer of another request');
     this.#listener.onHead({ status, headers, rawHeaders: rawPairs(controller.rawHeaders) });
   }
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -12,7 +12,7 @@
 import { LONGEST_RETURN } from '../systems/capacity-wait.js';
 import type { Fingerprint } from '../systems/poison-requests.js';
 import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
-import { type AnswerHead, Attempt, type AttemptFailure, wentOut } from './attempt.js';
+import { type AnswerHead, type AnswerSummary, Attempt, type AttemptFailure, wentOut } from './attempt.js';
 import type { BackEndOutcome } from './back-end-health.js';
 import type { Requirements, Selection } from './back-end-selector.js';
 import { type BackEndRow, loadOf } from './back-end-table.js';
@@ -22,6 +22,7 @@
 import type { SlotClaim } from './engine-slots.js';
 import { type ForwardingError, finalAnswer } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
+import { readRateLimit } from './rate-limit-notice.js';
 import { fingerprintsOf } from './request-fingerprint.js';
 import { outcomeAtTimeout, outcomeOf, outcomeOfError, type RequestOutcome } from './request-outcome.js';
 import { RequestWait, type WaitingRequest } from './request-wait.js';
@@ -233,6 +234,7 @@
       },
       this.#components.names,
       {
+        onAnswer: (answer) => this.#onAnswer(answer),
         onHead: (head) => this.#onHead(head),
         onData: (chunk) => this.#onData(chunk),
         onEnd: () => this.#onEnd(),
@@ -241,6 +243,8 @@
     );
     this.#use = new BackEndUse(selection, attempt, urgency, promptTokens, answerTokens);
     this.#timeToEnd.noteSent(attempt);
+    const { limits } = this.#components;
+    limits.noteSent(row.record, this.#claim !== undefined);
     this.#log('sent', {
       send: this.#sends,
       backEnd: row.record.id,
@@ -249,6 +253,7 @@
       choices: selection.choices,
       version: selection.version,
       hasSlot: this.#claim !== undefined,
+      rateLimit: limits.rateOf(row.record),
       configuration: this.#admitted.table.configuration.revision,
     });
     attempt.send(row.connections);
@@ -321,6 +326,14 @@
     return headersToSend(this.#request, this.#admitted, attempt, this.#components, performance.now());
   }
 
+  #onAnswer({ status, headers, isRefusal }: AnswerSummary): void {
+    const { row, attempt } = this.#use!;
+    const notice = readRateLimit(headers[this.#components.names.rateLimit]);
+    const mayLift = !isRefusal && status < INTERNAL_ERROR;
+    const observation = { backEnd: row.record, notice, sentAt: attempt.startedAt, mayLift };
+    this.#components.limits.noteAnswer(observation, performance.now());
+  }
+
   #onHead(head: AnswerHead): void {
     this.#use?.noteHead();
     const goesOn = this.#answer.started;
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from '../observability/metrics.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
+import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
 import { type ArrivalsWithOutcome, DrainFigures } from './drain-figures.js';
@@ -47,6 +48,7 @@
   headersSet: ReadonlySet<string>;
   fleet: FleetView;
   backEnds: BackEndTable;
+  limits: BackEndLimits;
   selector: BackEndSelector;
   slots: EngineSlots;
   random: Random;
--- a/src/forwarding/header-names.ts
+++ b/src/forwarding/header-names.ts
@@ -23,6 +23,8 @@
   notRun: string;
   /** Version of weights that answers. */
   servedVersion: string;
+  /** Requests a second that the answering back end takes from all entries together; absent if it has no limit. */
+  rateLimit: string;
   /** Tokens of the prompt, and the most that may be written. */
   tokenCounts: string;
 }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -41,6 +41,8 @@
         collect() {
           const value = read();
           if (typeof value === 'number') return this.set(value);
+          // Otherwise, labels that are no longer in the record would keep their last value.
+          this.reset();
           for (const [key, figure] of Object.entries(value)) this.set({ [label!]: key }, figure);
         },
       });
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -1,5 +1,6 @@
 import type { FollowedTable } from '../fleet/store-sync.js';
 import { sleep } from '../fleet/table-follower.js';
+import { BackEndLimits } from '../forwarding/back-end-limits.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
 import type { EngineNews } from '../forwarding/back-end-table.js';
 import { ForwardingServer } from '../forwarding/forwarding-server.js';
@@ -145,6 +146,7 @@
         headersSet: headersSet(components.headers),
         fleet,
         backEnds,
+        limits: new BackEndLimits(log, metrics),
         selector: this.#createSelector(),
         slots: this.#slots,
         random,
--- a/test/forwarding/attempt.test.ts
+++ b/test/forwarding/attempt.test.ts
@@ -80,6 +80,7 @@
       onHead: () => {},
       onData: () => {},
       onEnd: () => end({ type: 'answered' }),
+      onAnswer: () => {},
       onFailure: (failure) => end(failure),
     },
   );
--- /dev/null
+++ b/test/forwarding/back-end-limits.test.ts
@@ -0,0 +1,73 @@
+/** Tests which answers set, change and lift the rate limit of a back end. */
+import { beforeEach, describe, expect, it } from 'vitest';
+import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
+import { readRateLimit } from '../../src/forwarding/rate-limit-notice.js';
+import { silentLog } from '../../src/observability/log.js';
+import { Metrics } from '../../src/observability/metrics.js';
+
+const BACK_END = { id: 'b1', start: 100 };
+
+let metrics: Metrics;
+let limits: BackEndLimits;
+
+function receiveAnswer(header: string | undefined, sentAt: number, now: number, changes = {}): void {
+  const notice = readRateLimit(header);
+  limits.noteAnswer({ backEnd: BACK_END, notice, sentAt, mayLift: true, ...changes }, now);
+}
+
+beforeEach(() => {
+  metrics = new Metrics('test');
+  limits = new BackEndLimits(silentLog, metrics);
+});
+
+describe('the rate limit of a back end', () => {
+  it('applies until a later request is answered without the header', () => {
+    receiveAnswer('2.5', 0, 50);
+    expect(limits.rateOf(BACK_END)).toBe(2.5);
+    receiveAnswer('2.7', 60, 90);
+    expect(limits.rateOf(BACK_END)).toBe(2.7);
+    receiveAnswer(undefined, 91, 140);
+    expect(limits.rateOf(BACK_END)).toBeUndefined();
+  });
+
+  it('is not lifted by the answer to a request sent before the limit was named', () => {
+    receiveAnswer('2.5', 10, 50);
+    receiveAnswer(undefined, 0, 60);
+    receiveAnswer(undefined, 50, 70);
+    expect(limits.rateOf(BACK_END)).toBe(2.5);
+  });
+
+  it('is not lifted by an answer with mayLift false or a malformed header', () => {
+    receiveAnswer('2.5', 0, 50);
+    receiveAnswer(undefined, 60, 70, { mayLift: false });
+    receiveAnswer('none', 60, 70);
+    expect(limits.rateOf(BACK_END)).toBe(2.5);
+  });
+
+  it('can be zero', () => {
+    receiveAnswer('0', 0, 50);
+    expect(limits.rateOf(BACK_END)).toBe(0);
+  });
+
+  it('applies to one start of the back end only', () => {
+    receiveAnswer('2.5', 0, 50);
+    expect(limits.rateOf({ id: 'b1', start: 200 })).toBeUndefined();
+    expect(limits.rateOf({ id: 'b1', start: undefined })).toBe(2.5);
+  });
+
+  it('is exported in the metrics only while it applies', async () => {
+    receiveAnswer('2.5', 0, 50);
+    limits.noteSent(BACK_END, true);
+    limits.noteSent(BACK_END, false);
+    limits.noteSent({ id: 'b2' }, false);
+    const before = await metrics.registry.metrics();
+    expect(before).toContain('thistleway_back_end_rate_limit{back_end="b1",role="test"} 2.5');
+    expect(before).toContain('thistleway_sends_to_limited_back_ends{way="direct",role="test"} 1');
+    receiveAnswer(undefined, 60, 70);
+    receiveAnswer('-', 60, 70);
+    const after = await metrics.registry.metrics();
+    expect(after).not.toContain('back_end="b1"');
+    expect(after).toContain('thistleway_back_end_rate_limit_changes{kind="lifted",role="test"} 1');
+    expect(after).toContain('thistleway_back_end_rate_limit_changes{kind="malformed",role="test"} 1');
+  });
+});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -5,6 +5,7 @@
 import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
+import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import { BackEndTable, type EngineNews } from '../../src/forwarding/back-end-table.js';
 import type { EngineSlots } from '../../src/forwarding/engine-slots.js';
@@ -29,6 +30,7 @@
   urgency: 'x-urgency',
   notRun: 'x-not-run',
   servedVersion: 'x-version',
+  rateLimit: 'x-rate-limit',
   tokenCounts: 'x-tokens',
 };
 
@@ -113,6 +115,7 @@
         headersSet,
         fleet,
         backEnds,
+        limits: new BackEndLimits(this.log, this.metrics),
         selector,
         slots: this.slots,
         random,
