--- /dev/null
+++ b/test/forwarding/rate-limited-engine.test.ts
@@ -0,0 +1,88 @@
+/** An engine whose free slots are filled without regard to its rate limit gets more requests than it takes. */
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
+import { SlotClient } from '../../src/peers/slot-client.js';
+import { SlotServer } from '../../src/peers/slot-server.js';
+import { contextAt, until } from '../support.js';
+import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
+import { ForwardingHarness } from './forwarding-harness.js';
+import { allowedInWindow, mostInWindow } from './rate-limit-audit.js';
+import { events, reply, StandInBackEnd } from './stand-in-back-end.js';
+
+const RATE = 2;
+const SLOTS = 16;
+const ENTRIES = 3;
+/** Requests at once to each entry, how often, and the time between, in milliseconds. */
+const BURST = 5;
+const ROUNDS = 15;
+const ROUND_PAUSE = 100;
+/** Limits bind from this long after an answer with them was passed on, in milliseconds. */
+const NOTICE_TIME = 500;
+
+interface Entry {
+  forwarding: ForwardingHarness;
+  client: SlotClient;
+}
+
+let engine: StandInBackEnd;
+let agent: SlotServer;
+let agentAddress: string;
+let entries: Entry[];
+let arrivals: number[];
+
+const pause = (milliseconds: number) => new Promise((resolve) => setTimeout(resolve, milliseconds));
+const statusAt = async ({ forwarding }: Entry) => (await forwarding.send('/write/a')).status;
+
+/** An entry that knows of the engine and its agent. */
+async function startEntry(): Promise<Entry> {
+  const client = new SlotClient(await freeAddress(), (await contextAt('entry')).context, seededRandom(3));
+  await client.start();
+  const forwarding = new ForwardingHarness('engines');
+  forwarding.slots = client;
+  await forwarding.start(ENGINE_CONFIGURATION);
+  const layers = { from: 0, end: ENGINE_LAYERS, version: 1 };
+  forwarding.list(['engine', engine, { slots: SLOTS, layers }]);
+  forwarding.tell(engine, { version: 1, slotAddress: agentAddress });
+  return { forwarding, client };
+}
+
+beforeEach(async () => {
+  arrivals = [];
+  engine = await new StandInBackEnd((request, response, body) => {
+    arrivals.push(performance.now());
+    const headers = { 'x-version': '1', 'x-rate-limit': String(RATE) };
+    reply(200, events(1, 1), headers)(request, response, body);
+  }).start();
+  agentAddress = await freeAddress();
+  agent = new SlotServer(agentAddress, (await contextAt('agent')).context, silentLog);
+  await agent.start();
+  agent.observe({ isServing: true, load: 0 });
+  entries = [];
+  for (let index = 0; index < ENTRIES; index++) entries.push(await startEntry());
+});
+
+afterEach(async () => {
+  for (const { forwarding, client } of entries) {
+    await forwarding.stop();
+    await client.stop();
+  }
+  await agent.stop();
+  await engine.stop();
+});
+
+it('an engine with an agent gets no more from all entries together than its rate limit allows', async () => {
+  for (const entry of entries)
+    await until(async () => (await statusAt(entry)) === 200, 'an answer with the limit');
+  await pause(NOTICE_TIME);
+  const before = arrivals.length;
+  const statuses: number[] = [];
+  for (let round = 0; round < ROUNDS; round++) {
+    const sent = entries.flatMap((entry) => Array.from({ length: BURST }, () => statusAt(entry)));
+    statuses.push(...(await Promise.all(sent)));
+    await pause(ROUND_PAUSE);
+  }
+  expect(mostInWindow(arrivals.slice(before))).toBeLessThanOrEqual(allowedInWindow(RATE));
+  expect(new Set(statuses)).toEqual(new Set([200, 503]));
+});
