Limit slot grants to the rate limit that the engine names

What callers saw: nothing. Two engines that named limits of 2.9 and 2.5 requests per second received 28 and 27 requests in 4 s from the entries that had passed on an answer with the limit; 22 and 20 were allowed.

Cause: slots were granted by the number of concurrent requests only. No process read the limit, and every entry sent as before.

Change: the requests of all entries to an engine go through its agent, so the agent enforces the limit and the entries need no agreement among themselves. - Each grant takes a permit of a rate limiter (generic cell rate algorithm). Any time span has as many permits as its length allows plus two, and the limiter starts empty. - Entries report to the agent the limit that an answer names (`slotAnswered`), and also an answer without a limit if the agent knows of one. - An answer lifts the limit only if its slot was granted after the limit was last named. - A slot that is released unused returns its permit to the limiter that issued it. - A request that the limit is known to delay past its end time is refused at once. - A restarted agent uses the limit that entries send with their slot requests until an answer shows the current state.

--- a/src/forwarding/engine-slots.ts
+++ b/src/forwarding/engine-slots.ts
@@ -10,6 +10,8 @@
   patience: number;
   /** Requests that the engine runs at the same time. */
   slots: number;
+  /** Rate limit of the engine in requests per second; undefined if none is known. */
+  rateLimit: number | undefined;
 }
 
 /** Takes the answers to one request for a slot; they may never come. */
@@ -24,8 +26,16 @@
 
 /** A request for a slot, or the slot itself once it is granted. */
 export interface SlotClaim {
-  /** Gives it back; nothing is answered any more. */
-  release(): void;
+  /**
+   * Reports that the engine has answered the request that holds the slot.
+   * @param rateLimit - limit named by the answer, in requests per second; undefined if it names none
+   */
+  noteAnswer(rateLimit: number | undefined): void;
+  /**
+   * Gives it back; nothing is answered any more.
+   * @param wasUsed - whether the request may have been sent to the engine
+   */
+  release(wasUsed: boolean): void;
 }
 
 /** The slots of all engines whose agents give them out. */
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -332,6 +332,8 @@
     const mayLift = !isRefusal && status < INTERNAL_ERROR;
     const observation = { backEnd: row.record, notice, sentAt: attempt.startedAt, mayLift };
     this.#components.limits.noteAnswer(observation, performance.now());
+    if (notice.type === 'named') this.#claim?.noteAnswer(notice.rate);
+    else if (notice.type === 'absent' && mayLift) this.#claim?.noteAnswer(undefined);
   }
 
   #onHead(head: AnswerHead): void {
@@ -547,7 +549,7 @@
   }
 
   #releaseSlot(): void {
-    this.#claim?.release();
+    this.#claim?.release(this.#use?.attempt.sent === true);
     this.#claim = undefined;
   }
 
--- a/src/forwarding/request-wait.ts
+++ b/src/forwarding/request-wait.ts
@@ -4,6 +4,7 @@
  */
 import type { Random } from '../model/random.js';
 import type { Standstills } from '../model/standstills.js';
+import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector, Requirements, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
 import type { EngineSlots, SlotClaim } from './engine-slots.js';
@@ -16,6 +17,7 @@
   selector: BackEndSelector;
   slots: EngineSlots;
   backEnds: BackEndTable;
+  limits: BackEndLimits;
   random: Random;
 }
 
@@ -106,7 +108,7 @@
 
   /** Looks for a slot of an engine; false where no agent is to be asked. */
   #seekSlot(): boolean {
-    const { selector, backEnds, slots, random } = this.#components;
+    const { selector, backEnds, limits, slots, random } = this.#components;
     const { timing, requirements, wasSent, goesOn, urgency } = this.#request;
     if (!selector.looksForSlot(requirements())) return false;
     const now = performance.now();
@@ -116,6 +118,7 @@
       random,
       candidates: () => selector.slotCandidates(requirements()),
       mayTake: (row) => selector.mayTakeSlot(row, requirements()),
+      rateLimitOf: (row) => limits.rateOf(row.record),
       urgency: goesOn() ? 0 : urgency(now),
       arrivedAt: timing.arrivedAt,
       endsAt: timing.waitsForSlotUntil(now, wasSent(), this.#wasHeldForCapacity),
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -15,6 +15,8 @@
   candidates: () => SlotCandidate[];
   /** Whether this engine still may, now that it has a slot for it. */
   mayTake: (row: BackEndRow) => boolean;
+  /** Rate limit of an engine in requests per second; undefined if none is known. */
+  rateLimitOf: (row: BackEndRow) => number | undefined;
   /** 0 goes first. */
   urgency: number;
   /** When the request arrived, and until when it waits for a slot, in milliseconds of the steady clock. */
@@ -68,7 +70,7 @@
   cancel(): void {
     this.#isOver = true;
     clearTimeout(this.#timer);
-    for (const claim of this.#claims.values()) claim.release();
+    for (const claim of this.#claims.values()) claim.release(false);
     this.#claims.clear();
   }
 
@@ -86,7 +88,7 @@
   }
 
   #askOne(id: string, now: number): void {
-    const { slots, table, urgency, arrivedAt, endsAt } = this.#options;
+    const { slots, table, rateLimitOf, urgency, arrivedAt, endsAt } = this.#options;
     const row = table.rows.get(id);
     if (row?.agent === undefined) return this.#search.noteFailed(id);
     const { agent } = row;
@@ -95,6 +97,7 @@
       waitedFor: Math.round(now - arrivedAt),
       patience: Math.round(Math.max(0, endsAt - now)),
       slots: row.record.slots,
+      rateLimit: rateLimitOf(row),
     };
     const claim = slots.ask(agent.address, wish, {
       onGranted: () => {
@@ -127,7 +130,7 @@
 
   /** Waits at this engine no more. */
   #giveBack(id: string): void {
-    this.#claims.get(id)?.release();
+    this.#claims.get(id)?.release(false);
     this.#claims.delete(id);
     this.#search.noteFailed(id);
   }
--- a/src/peers/slot-client.ts
+++ b/src/peers/slot-client.ts
@@ -13,11 +13,17 @@
  */
 const STATEMENT_INTERVAL = 100;
 
+interface OpenClaim {
+  answers: SlotAnswers;
+  /** Whether the agent knew of a rate limit when it granted the slot. */
+  isLimited: boolean;
+}
+
 /** Asks for slots. */
 export class SlotClient implements EngineSlots, Startable {
   readonly #endpoint: DatagramEndpoint;
   readonly #claims: SlotClaims;
-  readonly #answers = new Map<number, SlotAnswers>();
+  readonly #openClaims = new Map<number, OpenClaim>();
   #timer: NodeJS.Timeout | undefined;
 
   /** @param address - `host:port` at which agents answer */
@@ -34,18 +40,23 @@
   /** Gives back all that is open. */
   async stop(): Promise<void> {
     clearInterval(this.#timer);
-    for (const id of this.#answers.keys()) this.#end(id);
+    for (const id of this.#openClaims.keys()) this.#end(id);
     this.#state();
     await this.#endpoint.stop();
   }
 
   ask(agent: string, wish: SlotWish, answers: SlotAnswers): SlotClaim {
     const id = this.#claims.open(agent);
-    this.#answers.set(id, answers);
+    this.#openClaims.set(id, { answers, isLimited: false });
     this.#endpoint.send(agent, { type: 'slotAsked', id, ...wish });
     return {
-      release: () => {
-        if (this.#end(id) !== undefined) this.#endpoint.send(agent, { type: 'slotReleased', id });
+      noteAnswer: (rateLimit) => {
+        const open = this.#openClaims.get(id);
+        if (open === undefined || (rateLimit === undefined && !open.isLimited)) return;
+        this.#endpoint.send(agent, { type: 'slotAnswered', id, rateLimit });
+      },
+      release: (wasUsed) => {
+        if (this.#end(id) !== undefined) this.#endpoint.send(agent, { type: 'slotReleased', id, wasUsed });
       },
     };
   }
@@ -57,20 +68,23 @@
 
   /** Ends a request for a slot; returns who asked. */
   #end(id: number): SlotAnswers | undefined {
-    const answers = this.#answers.get(id);
-    this.#answers.delete(id);
+    const open = this.#openClaims.get(id);
+    this.#openClaims.delete(id);
     this.#claims.close(id);
-    return answers;
+    return open?.answers;
   }
 
   #handle(message: Message, from: string): void {
-    if (message.type === 'slotQueued') return this.#answers.get(message.id)?.onQueued();
+    if (message.type === 'slotQueued') return this.#openClaims.get(message.id)?.answers.onQueued();
     if (message.type === 'slotRefused') return this.#end(message.id)?.onRefused();
     if (message.type === 'slotUnready') return this.#end(message.id)?.onUnready();
     if (message.type !== 'slotGranted') return;
-    if (this.#claims.noteGranted(message.id)) return this.#answers.get(message.id)?.onGranted();
-    if (this.#claims.isOpen(message.id)) return;
+    const { id, isLimited } = message;
+    const open = this.#openClaims.get(id);
+    if (open !== undefined) open.isLimited = isLimited;
+    if (this.#claims.noteGranted(id)) return open?.answers.onGranted();
+    if (this.#claims.isOpen(id)) return;
     // It was given up as the grant was on its way, and the release of the claim may have been lost.
-    this.#endpoint.send(from, { type: 'slotReleased', id: message.id });
+    this.#endpoint.send(from, { type: 'slotReleased', id, wasUsed: false });
   }
 }
--- a/src/peers/slot-server.ts
+++ b/src/peers/slot-server.ts
@@ -15,7 +15,6 @@
 import type { SlotMessage } from './slot-messages.js';
 
 const ANSWERS = {
-  granted: 'slotGranted',
   queued: 'slotQueued',
   refused: 'slotRefused',
   unready: 'slotUnready',
@@ -30,6 +29,9 @@
   readonly #holders = new SlotHolders(this.#table);
   readonly #standstills = new Standstills(CHECK_INTERVAL, performance.now());
   #timer: NodeJS.Timeout | undefined;
+  /** Fires when the rate limit allows the next grant. */
+  #grantTimer: NodeJS.Timeout | undefined;
+  #loggedRateLimit: number | undefined;
   readonly #endpoint: DatagramEndpoint;
   readonly #log: Log;
   /** Decisions by what became of the requests, since the start. */
@@ -51,6 +53,11 @@
     return this.#table.figures;
   }
 
+  /** Rate limit of the engine in requests per second; undefined if none is known. */
+  get rateLimit(): number | undefined {
+    return this.#table.rateLimit;
+  }
+
   async start(): Promise<void> {
     await this.#endpoint.start();
     this.#standstills.begin(performance.now());
@@ -60,6 +67,7 @@
   /** Sends those that wait elsewhere. */
   async stop(): Promise<void> {
     clearInterval(this.#timer);
+    clearTimeout(this.#grantTimer);
     this.#tell(this.#table.refuseAll());
     await this.#endpoint.stop();
   }
@@ -80,10 +88,14 @@
   #handle(message: Message, from: string): void {
     const now = performance.now();
     if (message.type === 'slotReleased')
-      return this.#tell(this.#table.release(tableId(from, message.id), now));
+      return this.#tell(this.#table.release(tableId(from, message.id), now, message.wasUsed));
+    if (message.type === 'slotAnswered')
+      return this.#tell(
+        this.#table.noteAnswer(tableId(from, message.id), message.rateLimit ?? undefined, now),
+      );
     if (message.type === 'slotsStated') return this.#tell(this.#holders.takeStatement(from, message, now));
     if (message.type !== 'slotAsked') return;
-    const { id, urgency, waitedFor, patience, slots } = message;
+    const { id, urgency, waitedFor, patience, slots, rateLimit } = message;
     this.#tell(this.#holders.noteAsk(from, id, now));
     const ask = {
       id: tableId(from, id),
@@ -91,16 +103,40 @@
       waitsSince: now - waitedFor,
       endsAt: now + patience,
       slots,
+      rateLimit: rateLimit ?? undefined,
     };
     this.#tell(this.#table.ask(ask, now));
   }
 
   #tell(decisions: readonly SlotDecision[]): void {
+    const isLimited = this.rateLimit !== undefined;
     for (const { type, id } of decisions) {
       this.decisions[type]++;
       const claim = claimOf(id);
-      const answer: SlotMessage = { type: ANSWERS[type], id: claim.id };
+      const answer: SlotMessage =
+        type === 'granted'
+          ? { type: 'slotGranted', id: claim.id, isLimited }
+          : { type: ANSWERS[type], id: claim.id };
       this.#endpoint.send(claim.entry, answer);
     }
+    this.#logRateLimit();
+    this.#scheduleGrant();
+  }
+
+  #logRateLimit(): void {
+    if (this.rateLimit === this.#loggedRateLimit) return;
+    const previousRate = this.#loggedRateLimit;
+    this.#loggedRateLimit = this.rateLimit;
+    if (this.rateLimit === undefined) this.#log.info('rate limit lifted', { previousRate });
+    else this.#log.info('rate limit named', { rate: this.rateLimit, previousRate });
+  }
+
+  /** Schedules the next grant for when the rate limit allows it. */
+  #scheduleGrant(): void {
+    clearTimeout(this.#grantTimer);
+    const { nextGrantAt } = this.#table;
+    if (nextGrantAt === undefined) return;
+    const delay = Math.max(0, Math.ceil(nextGrantAt - performance.now()));
+    this.#grantTimer = setTimeout(() => this.#tell(this.#table.grantFree(performance.now())), delay);
   }
 }
--- a/src/roles/direct-agent.ts
+++ b/src/roles/direct-agent.ts
@@ -91,6 +91,12 @@
       label: 'state',
       read: () => ({ ...slots.figures }),
     },
+    {
+      name: 'engine_rate_limit',
+      help: 'Requests a second that the engine takes from all entries together, while it limits them',
+      label: 'engine',
+      read: () => (slots.rateLimit === undefined ? {} : { [settings.engine]: slots.rateLimit }),
+    },
   ]);
   const parts = new StartableGroup([
     httpServer(address, listenerOf(pieceRoutes(library))),
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -215,6 +215,7 @@
       start: this.#starts.present,
       isServing: this.#wholeVersion > 0 && !this.#isSwitching,
       load: this.#engine.load,
+      rateLimit: this.#engine.rateLimit,
     });
   }
 
--- a/src/weights/staged-engine.ts
+++ b/src/weights/staged-engine.ts
@@ -21,6 +21,8 @@
   load: number;
   /** Orders that it has taken. */
   sequence: number;
+  /** Rate limit in requests per second; undefined if this answer names none. */
+  rateLimit?: number | undefined;
 }
 
 /** What became of an order. */
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -8,7 +8,7 @@
 import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import { BackEndTable, type EngineNews } from '../../src/forwarding/back-end-table.js';
-import type { EngineSlots } from '../../src/forwarding/engine-slots.js';
+import type { EngineSlots, SlotClaim } from '../../src/forwarding/engine-slots.js';
 import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
 import { PoisonGuard } from '../../src/forwarding/poison-guard.js';
 import { QuarantineRecords } from '../../src/forwarding/quarantine-records.js';
@@ -37,6 +37,9 @@
 /** Time from the naming of a version to the moment from which no request may start on an older one, in milliseconds. */
 const VERSION_BOUND = 8_000;
 
+/** A claim that ignores all calls. */
+export const NOOP_CLAIM: SlotClaim = { noteAnswer: () => {}, release: () => {} };
+
 /** What a caller got. */
 export interface Answer {
   status: number;
@@ -64,7 +67,7 @@
   log: Log = silentLog;
   readonly drain = new DrainSchedule({ graceTime: 8_000, addressLifetime: 1_000 });
   /** Who gives out slots; nobody does until a test says so. */
-  slots: EngineSlots = { ask: () => ({ release: () => {} }) };
+  slots: EngineSlots = { ask: () => NOOP_CLAIM };
   readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
--- a/test/forwarding/rate-limit-audit.ts
+++ b/test/forwarding/rate-limit-audit.ts
@@ -1,12 +1,13 @@
-/** Counts what a back end gets against the rate limit that it names. Times are in milliseconds. */
+/** Checks the requests that a back end receives against its rate limit. Times are in milliseconds. */
 
-/** Length of the windows in which arrivals are counted. */
+/** Length of the sliding window in which arrivals are counted. */
 const WINDOW = 4_000;
-/** Arrivals in a window beyond those of the rate, and the share of the rate that is tolerated on top. */
+/** Arrivals allowed in a window in addition to those of the tolerated rate. */
 const SLACK = 5;
+/** Tolerated rate as a multiple of the limit. */
 const TOLERANCE = 1.5;
 
-/** Most arrivals within any window, of `times` in any order. */
+/** Maximum number of arrivals in any window; `times` need not be sorted. */
 export function mostInWindow(times: readonly number[]): number {
   const sorted = [...times].sort((one, other) => one - other);
   let first = 0;
@@ -18,7 +19,7 @@
   return most;
 }
 
-/** Arrivals in a window that a limit of `rate` requests a second allows. */
+/** Maximum number of arrivals in a window that is accepted for a limit of `rate` requests per second. */
 export function allowedInWindow(rate: number): number {
   return (TOLERANCE * rate * WINDOW) / 1_000 + SLACK;
 }
--- a/test/forwarding/rate-limited-engine.test.ts
+++ b/test/forwarding/rate-limited-engine.test.ts
@@ -1,4 +1,4 @@
-/** An engine whose free slots are filled without regard to its rate limit gets more requests than it takes. */
+/** Tests that the agent does not grant free slots faster than the rate limit of its engine. */
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
 import { seededRandom } from '../../src/model/random.js';
@@ -14,11 +14,12 @@
 const RATE = 2;
 const SLOTS = 16;
 const ENTRIES = 3;
-/** Requests at once to each entry, how often, and the time between, in milliseconds. */
+/** Concurrent requests to each entry per round. */
 const BURST = 5;
 const ROUNDS = 15;
+/** Time between two rounds, in milliseconds. */
 const ROUND_PAUSE = 100;
-/** Limits bind from this long after an answer with them was passed on, in milliseconds. */
+/** Time after the first answer with a limit from which the limit must be kept, in milliseconds. */
 const NOTICE_TIME = 500;
 
 interface Entry {
@@ -35,7 +36,7 @@
 const pause = (milliseconds: number) => new Promise((resolve) => setTimeout(resolve, milliseconds));
 const statusAt = async ({ forwarding }: Entry) => (await forwarding.send('/write/a')).status;
 
-/** An entry that knows of the engine and its agent. */
+/** Starts an entry that knows the engine and its agent. */
 async function startEntry(): Promise<Entry> {
   const client = new SlotClient(await freeAddress(), (await contextAt('entry')).context, seededRandom(3));
   await client.start();
--- a/test/forwarding/restart.test.ts
+++ b/test/forwarding/restart.test.ts
@@ -13,7 +13,7 @@
 import { SilentProxy } from '../silent-proxy.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
-import { ForwardingHarness } from './forwarding-harness.js';
+import { ForwardingHarness, NOOP_CLAIM } from './forwarding-harness.js';
 import { routeNamed } from './routes.js';
 import { reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
@@ -235,7 +235,7 @@
     other.slots = {
       ask: (_agent, _wish, answers) => {
         asked.push(answers);
-        return { release };
+        return { ...NOOP_CLAIM, release };
       },
     };
     await other.start(ENGINE_CONFIGURATION);
--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -9,7 +9,7 @@
 import { SlotClient } from '../../src/peers/slot-client.js';
 import { SlotServer } from '../../src/peers/slot-server.js';
 import { contextAt, standStill, until } from '../support.js';
-import { ForwardingHarness } from './forwarding-harness.js';
+import { ForwardingHarness, NOOP_CLAIM } from './forwarding-harness.js';
 import { events, reply, StandInBackEnd } from './stand-in-back-end.js';
 
 const SLOTS = 2;
@@ -207,7 +207,7 @@
   other.slots = {
     ask(_agent, _wish, answers) {
       asked.push(answers);
-      return { release: () => {} };
+      return NOOP_CLAIM;
     },
   };
   await other.start(CONFIGURATION);
--- a/test/forwarding/version-expiry.test.ts
+++ b/test/forwarding/version-expiry.test.ts
@@ -5,7 +5,7 @@
 import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
-import { ForwardingHarness } from './forwarding-harness.js';
+import { ForwardingHarness, NOOP_CLAIM } from './forwarding-harness.js';
 import { reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
 const LISTED = { layers: { from: 0, end: ENGINE_LAYERS, version: 1 } };
@@ -32,7 +32,7 @@
   forwarding.slots = {
     ask: (_agent, _wish, answers) => {
       asked = answers;
-      return { release: () => {} };
+      return NOOP_CLAIM;
     },
   };
   await forwarding.start(ENGINE_CONFIGURATION);
--- a/test/peers/slot-messages.test.ts
+++ b/test/peers/slot-messages.test.ts
@@ -9,7 +9,7 @@
 import type { Message } from '../../src/protocol/messages.js';
 import { contextAt, until } from '../support.js';
 
-const WISH = { urgency: 0, waitedFor: 0, patience: 60_000, slots: 1 };
+const WISH = { urgency: 0, waitedFor: 0, patience: 60_000, slots: 1, rateLimit: undefined };
 
 let address: string;
 let heard: Message[];
@@ -57,9 +57,9 @@
   );
   await until(() => heardOf('slotsStated').some(({ waiting }) => waiting.length === 2), 'both that wait');
   const [{ id }] = heardOf('slotAsked');
-  other.send(entryAddress, { type: 'slotGranted', id });
+  other.send(entryAddress, { type: 'slotGranted', id, isLimited: false });
   await until(() => heardOf('slotsStated').some(({ held }) => held.length === 1), 'the one with a slot');
-  for (const claim of claims) claim.release();
+  for (const claim of claims) claim.release(true);
   await until(() => {
     const latest = heardOf('slotsStated').at(-1)!;
     return latest.held.length + latest.waiting.length === 0;
@@ -75,7 +75,7 @@
     );
   await until(() => heardOf('slotAsked').length === 3, 'the questions');
   const [{ id }] = heardOf('slotAsked');
-  other.send(entryAddress, { type: 'slotGranted', id });
+  other.send(entryAddress, { type: 'slotGranted', id, isLimited: false });
   await until(() => heardOf('slotsStated').some(({ held }) => held.length === 1), 'the grant');
   await client.stop();
   await until(() => {
@@ -94,8 +94,9 @@
   );
   await until(() => heardOf('slotAsked').length === 1, 'the question');
   const [{ id }] = heardOf('slotAsked');
-  for (const type of ['slotGranted', 'slotGranted', 'slotQueued'] as const)
-    other.send(entryAddress, { type, id });
+  for (let time = 0; time < 2; time++)
+    other.send(entryAddress, { type: 'slotGranted', id, isLimited: false });
+  other.send(entryAddress, { type: 'slotQueued', id });
   await until(() => told.includes('queued'), 'the answers');
   expect(told).toEqual(['granted', 'queued']);
   expect(heardOf('slotReleased')).toEqual([]);
@@ -119,3 +120,50 @@
   await until(() => told.includes('granted'), 'the second to have the slot');
   await agent.stop();
 });
+
+it('an entry reports an answer with a rate limit, and one without if the agent knows of a limit', async () => {
+  const claims = [1, 2, 3].map(() =>
+    client.ask(
+      address,
+      WISH,
+      answers(() => {}),
+    ),
+  );
+  await until(() => heardOf('slotAsked').length === 3, 'the questions');
+  for (const [index, { id }] of heardOf('slotAsked').entries())
+    other.send(entryAddress, { type: 'slotGranted', id, isLimited: index === 2 });
+  await until(() => heardOf('slotsStated').some(({ held }) => held.length === 3), 'the grants');
+  const [named, unlimited, limited] = heardOf('slotAsked').map(({ id }) => id);
+  claims[0].noteAnswer(2.5);
+  claims[1].noteAnswer(undefined);
+  claims[2].noteAnswer(undefined);
+  for (const claim of claims) claim.release(true);
+  await until(() => heardOf('slotReleased').length === 3, 'the releases');
+  const reported = heardOf('slotAnswered').map(({ id, rateLimit }) => [id, rateLimit ?? undefined]);
+  expect(reported).toEqual([
+    [named, 2.5],
+    [limited, undefined],
+  ]);
+  expect(reported.flat()).not.toContain(unlimited);
+});
+
+it('a restarted agent applies the rate limit that entries know until the engine has answered', async () => {
+  const agentAddress = await freeAddress();
+  const agent = new SlotServer(agentAddress, (await contextAt('agent')).context, silentLog);
+  await agent.start();
+  agent.observe({ isServing: true, load: 0 });
+  expect(agent.rateLimit).toBeUndefined();
+  const told: string[] = [];
+  const wish = { ...WISH, slots: 4, rateLimit: 5 };
+  const note = (what: string) => told.push(what);
+  const claim = client.ask(agentAddress, wish, answers(note));
+  await until(() => told.includes('granted'), 'the grant');
+  expect(told[0]).toBe('queued');
+  expect(agent.rateLimit).toBe(5);
+  claim.noteAnswer(undefined);
+  await until(() => agent.rateLimit === undefined, 'the limit to be lifted');
+  client.ask(agentAddress, wish, answers(note));
+  await until(() => told.filter((what) => what === 'granted').length === 2, 'the next grant');
+  expect(agent.rateLimit).toBeUndefined();
+  await agent.stop();
+});
--- a/test/systems/slot-table.test.ts
+++ b/test/systems/slot-table.test.ts
@@ -133,3 +133,84 @@
     expect(granted(table.observe({ isServing: true, load: 0 }, SETTLED + 10))).toEqual(['e']);
   });
 });
+
+describe('the slots of an engine with a rate limit', () => {
+  const MANY_SLOTS = 16;
+  /** The table of an engine that named a limit of 2 requests per second at 1,000 ms. */
+  function limitedTable(): SlotTable {
+    const table = servingTable();
+    table.ask(ask('first', { slots: MANY_SLOTS }), 900);
+    table.noteAnswer('first', 2, 1_000);
+    return table;
+  }
+  const askAt = (table: SlotTable, id: string, now: number, changes: Partial<SlotAsk> = {}) =>
+    table.ask(ask(id, { slots: MANY_SLOTS, ...changes }), now).at(-1)?.type;
+
+  it('are granted no faster than the limit, however many are free', () => {
+    const table = limitedTable();
+    for (let index = 0; index < 8; index++) askAt(table, `r${index}`, 1_010);
+    const times: number[] = [];
+    for (let now = 1_010; now <= 4_000; now += 10)
+      if (granted(table.grantFree(now)).length > 0) times.push(now);
+    expect(times).toEqual([1_500, 2_000, 2_500, 3_000, 3_500, 4_000]);
+  });
+
+  it('are refused at once to a request whose permit is due only after its end time', () => {
+    const table = limitedTable();
+    expect(askAt(table, 'impatient', 1_010, { endsAt: 1_400 })).toBe('refused');
+    expect(askAt(table, 'patient', 1_010, { endsAt: 1_600 })).toBe('queued');
+    expect(askAt(table, 'behind', 1_010, { endsAt: 1_900 })).toBe('refused');
+    expect(askAt(table, 'last', 1_010, { endsAt: 2_100 })).toBe('queued');
+    expect(table.nextGrantAt).toBe(1_500);
+  });
+
+  it('return their permit if they are released unused', () => {
+    const table = limitedTable();
+    expect(askAt(table, 'a', 1_500)).toBe('granted');
+    expect(askAt(table, 'b', 1_510)).toBe('queued');
+    expect(granted(table.release('a', 1_520, false))).toEqual(['b']);
+    expect(askAt(table, 'c', 1_530)).toBe('queued');
+    expect(table.release('b', 1_540, true)).toEqual([]);
+  });
+
+  it('return no permit if they were granted before the limit was known', () => {
+    const table = limitedTable();
+    expect(askAt(table, 'a', 1_010)).toBe('queued');
+    expect(table.release('first', 1_020, false)).toEqual([]);
+  });
+
+  it('are no longer limited after an answer without a limit, if its slot was granted after the limit was last named', () => {
+    const table = limitedTable();
+    askAt(table, 'early', 1_500);
+    table.noteAnswer('early', 2, 1_600);
+    table.noteAnswer('early', undefined, 1_610);
+    table.noteAnswer('first', undefined, 1_610);
+    expect(table.rateLimit).toBe(2);
+    askAt(table, 'late', 2_000);
+    table.noteAnswer('late', undefined, 2_100);
+    expect(table.rateLimit).toBeUndefined();
+    expect(askAt(table, 'next', 2_110)).toBe('granted');
+  });
+
+  it('use the limit that entries know only until the engine has answered', () => {
+    const table = servingTable();
+    expect(askAt(table, 'a', 0, { rateLimit: 2 })).toBe('queued');
+    expect(granted(table.grantFree(500))).toEqual(['a']);
+    table.noteAnswer('a', undefined, 600);
+    expect(askAt(table, 'b', 610, { rateLimit: 2 })).toBe('granted');
+  });
+
+  it('are no longer limited after a restart of the engine', () => {
+    const table = limitedTable();
+    table.observe({ start: 100, isServing: true, load: 0 }, 1_010);
+    expect(table.rateLimit).toBe(2);
+    table.observe({ start: 200, isServing: true, load: 0 }, 1_020);
+    expect(table.rateLimit).toBeUndefined();
+  });
+
+  it('are limited by the rate that the engine names to its agent', () => {
+    const table = servingTable();
+    table.observe({ isServing: true, load: 0, rateLimit: 2 }, 1_000);
+    expect(askAt(table, 'a', 1_010)).toBe('queued');
+  });
+});
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -878,7 +878,7 @@
   {
     fault: 'an entry that stops keeps its slots',
     file: 'src/peers/slot-client.ts',
-    find: 'for (const id of this.#answers.keys()) this.#end(id);',
+    find: 'for (const id of this.#openClaims.keys()) this.#end(id);',
     replace: '',
     test: 'test/peers/slot-messages.test.ts',
   },
@@ -913,7 +913,7 @@
   {
     fault: 'slots are kept by requests that have ended',
     file: 'src/forwarding/forwarded-request.ts',
-    find: 'this.#claim?.release();',
+    find: 'this.#claim?.release(this.#use?.attempt.sent === true);',
     replace: '',
     test: 'test/forwarding/slots.test.ts',
   },
