Enforce rate limits across entries for requests sent without a slot

What callers saw: nothing. A service without an agent, or an engine whose agent does not answer, received all requests regardless of the limit it named.

Cause: requests sent directly to a back end pass through no process that sees all of them; each entry sent independently.

Change: the permit schedule of each such back end is a row of the platform's store. Entries advance it by conditional writes, so each permit is claimed only once, whichever entries are live, cut off or unable to reach one another, and the row outlives all of them. No permits are granted while the store is unavailable: the request goes to another back end or is refused immediately. All entries together make at most 60 claims per second on average for one back end, of two calls at most each. An engine, whose agent grants slots at the full rate, may be sent a quarter of that rate directly; both together stay below 1.5 times the rate for limits above 0.4 per second, and below that the floor of 0.2 per second of each stays within the five requests of slack.

Entries announce limits to one another immediately, and in full on each new connection; an entry that starts reads the rows. If all back ends of a service name limits, Retry-After is at least the time until they accept one more request. News of contents that crash back ends and news of limits are now handled in one place (`peer-news`).

Adds six guards.

--- a/src/forwarding/back-end-limits.ts
+++ b/src/forwarding/back-end-limits.ts
@@ -18,12 +18,34 @@
   mayLift: boolean;
 }
 
+/** Rate limit changes exchanged between entries. */
+export type LimitNews =
+  | { type: 'named'; backEnd: string; start?: number | undefined; rate: number }
+  | { type: 'lifted'; backEnd: string; start?: number | undefined };
+
+/** Notified of changes that this entry learned from an answer. */
+export interface LimitListener {
+  onNamed(backEnd: BackEndIdentity, rate: number): void;
+  onLifted(backEnd: BackEndIdentity): void;
+  /** Called with news to send to all other entries. */
+  onNews(news: LimitNews): void;
+}
+
+/** Time after an answer that named a limit during which news from other entries is ignored, in milliseconds. */
+const ANSWER_PRECEDENCE = 2_000;
+/** Relative change from the last announced rate above which a new rate is announced to other entries. */
+const ANNOUNCED_CHANGE = 0.1;
+
 interface KnownLimit {
   start: BackEndIdentity['start'];
   /** Requests a second from all entries together. */
   rate: number;
   /** When the limit was last named. */
   namedAt: number;
+  /** When an answer to this entry last named the limit; minus infinity if none has. */
+  answeredAt: number;
+  /** The rate that was last announced to other entries or received from them or the store. */
+  announcedRate: number;
 }
 
 /** The current rate limit of each back end. */
@@ -32,6 +54,7 @@
   readonly #counts = { named: 0, lifted: 0, malformed: 0 };
   readonly #sends = { slot: 0, direct: 0 };
   readonly #log: Log;
+  #listener: LimitListener | undefined;
 
   constructor(log: Log, metrics: Metrics) {
     this.#log = log;
@@ -65,11 +88,14 @@
 
   /** Updates the limit of a back end from an answer. */
   noteAnswer({ backEnd, notice, sentAt, mayLift }: RateLimitObservation, now: number): void {
-    if (notice.type === 'named') return this.#name(backEnd, notice.rate, now);
+    if (this.#isFormerStart(backEnd)) return;
+    if (notice.type === 'named') return this.#noteNamed(backEnd, notice.rate, now);
     if (notice.type === 'malformed') return this.#noteMalformed(backEnd, notice.text);
     const known = this.#limits.get(backEnd.id);
-    if (known === undefined || !mayLift || !isSameStart(known.start, backEnd.start)) return;
-    if (sentAt > known.namedAt) this.#lift(backEnd.id, known);
+    if (known === undefined || !mayLift || sentAt <= known.namedAt) return;
+    this.#lift(backEnd.id, known, now);
+    this.#listener?.onLifted(backEnd);
+    this.#listener?.onNews({ type: 'lifted', backEnd: backEnd.id, start: backEnd.start });
   }
 
   /** Counts a request sent to a back end with a known limit. */
@@ -77,19 +103,66 @@
     if (this.rateOf(backEnd) !== undefined) this.#sends[hasSlot ? 'slot' : 'direct']++;
   }
 
-  #name(backEnd: BackEndIdentity, rate: number, now: number): void {
+  listen(listener: LimitListener): void {
+    this.#listener = listener;
+  }
+
+  /** Applies news from another entry. */
+  takeNews(news: LimitNews, now: number): void {
+    const backEnd = { id: news.backEnd, start: news.start };
+    const known = this.#limits.get(backEnd.id);
+    const hasOwnAnswer = known !== undefined && now - known.answeredAt < ANSWER_PRECEDENCE;
+    if (hasOwnAnswer || this.#isFormerStart(backEnd)) return;
+    if (news.type === 'named') this.restore(backEnd, news.rate, now);
+    else if (known !== undefined) this.#lift(backEnd.id, known, now);
+  }
+
+  /** Sets a limit that was learned from another entry or from the store. */
+  restore(backEnd: BackEndIdentity, rate: number, now: number): void {
+    const answeredAt = this.#limits.get(backEnd.id)?.answeredAt ?? Number.NEGATIVE_INFINITY;
+    this.#set(backEnd, { start: backEnd.start, rate, namedAt: now, answeredAt, announcedRate: rate });
+  }
+
+  /** All known limits, to send on a new connection. */
+  allNews(): LimitNews[] {
+    return [...this.#limits].map(([backEnd, { start, rate }]) => ({ type: 'named', backEnd, start, rate }));
+  }
+
+  #noteNamed(backEnd: BackEndIdentity, rate: number, now: number): void {
+    const isKnown = this.rateOf(backEnd) !== undefined;
+    const announcedRate = isKnown ? this.#limits.get(backEnd.id)!.announcedRate : Number.NaN;
+    const isAnnounced = Math.abs(rate - announcedRate) <= ANNOUNCED_CHANGE * announcedRate;
+    const { start } = backEnd;
+    this.#set(backEnd, {
+      start,
+      rate,
+      namedAt: now,
+      answeredAt: now,
+      announcedRate: isAnnounced ? announcedRate : rate,
+    });
+    if (!isKnown) this.#listener?.onNamed(backEnd, rate);
+    if (!isAnnounced) this.#listener?.onNews({ type: 'named', backEnd: backEnd.id, start, rate });
+  }
+
+  #set(backEnd: BackEndIdentity, limit: KnownLimit): void {
     const previousRate = this.rateOf(backEnd);
-    this.#limits.set(backEnd.id, { start: backEnd.start, rate, namedAt: now });
-    if (previousRate === rate) return;
+    this.#limits.set(backEnd.id, limit);
+    if (previousRate === limit.rate) return;
     this.#counts.named++;
-    this.#log.info('rate limit named', { backEnd: backEnd.id, rate, previousRate });
+    const isFromAnswer = limit.answeredAt === limit.namedAt;
+    this.#log.info('rate limit named', { backEnd: backEnd.id, rate: limit.rate, previousRate, isFromAnswer });
   }
 
-  #lift(id: string, { rate, namedAt }: KnownLimit): void {
+  #lift(id: string, { rate, namedAt }: KnownLimit, now: number): void {
     this.#limits.delete(id);
     this.#counts.lifted++;
-    const sinceNamedMs = Math.round(performance.now() - namedAt);
-    this.#log.info('rate limit lifted', { backEnd: id, rate, sinceNamedMs });
+    this.#log.info('rate limit lifted', { backEnd: id, rate, sinceNamedMs: Math.round(now - namedAt) });
+  }
+
+  /** Whether `start` is earlier than the known one: late answers and news from before a restart are ignored. */
+  #isFormerStart({ id, start }: BackEndIdentity): boolean {
+    const known = this.#limits.get(id)?.start;
+    return known != null && start != null && start < known;
   }
 
   /** Counts and logs a malformed header; the known limit is kept. */
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -4,7 +4,9 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
 import type { SlotCandidate } from '../systems/slot-search.js';
+import type { BackEndLimits } from './back-end-limits.js';
 import { type BackEndRow, type BackEndTable, isLoadTold, loadOf, wholeVersion } from './back-end-table.js';
+import type { DirectPermits } from './direct-permits.js';
 import {
   ALIKE,
   ALIKE_UNKNOWN,
@@ -76,6 +78,7 @@
   | 'suspended'
   | 'connections'
   | 'full'
+  | 'rateLimited'
   | 'switching'
   | 'noWeights'
   | 'expired'
@@ -109,6 +112,8 @@
   readonly #regionOf: (zone: string) => string;
   readonly #versionBound: number;
   readonly #entryCount: () => number;
+  readonly #limits: BackEndLimits;
+  readonly #permits: Pick<DirectPermits, 'mayClaim'>;
   readonly #createdAt = performance.now();
 
   constructor(options: {
@@ -121,6 +126,8 @@
     versionBound: number;
     /** Entries that send requests, this one among them. */
     entryCount: () => number;
+    limits: BackEndLimits;
+    permits: Pick<DirectPermits, 'mayClaim'>;
   }) {
     this.#fleet = options.fleet;
     this.#table = options.table;
@@ -129,12 +136,14 @@
     this.#regionOf = options.regionOf;
     this.#versionBound = options.versionBound;
     this.#entryCount = options.entryCount;
+    this.#limits = options.limits;
+    this.#permits = options.permits;
   }
 
   /** The best back end among those without an agent that gives out slots; undefined where none may take the request now. */
   select(requirements: Requirements): Selection | undefined {
     const now = performance.now();
-    const candidates = this.#candidates(requirements, now).filter(({ id }) => !this.#givesOutSlots(id, now));
+    const candidates = this.#candidates(requirements, now).filter(({ id }) => this.#maySendDirectly(id, now));
     const isEngine = this.#engineOf(requirements) !== undefined;
     const considered = isEngine ? this.#twoOf(candidates) : candidates;
     const choice = chooseBackEnd(considered, this.#self, this.#random);
@@ -177,7 +186,7 @@
       const isManaged = row.agent?.answers(now) === true;
       if (this.#exclusion(row, { ...requirements, mayQueue: isManaged }, now) !== undefined) continue;
       if (isManaged) managed++;
-      else others++;
+      else if (this.#permits.mayClaim(row.record, now)) others++;
     }
     return managed > 0 && (others === 0 || this.#random.below(managed + others) < managed);
   }
@@ -213,6 +222,32 @@
     return this.#table.rows.get(id)?.agent?.answers(now) === true;
   }
 
+  /** Whether a request may be sent to the back end without a slot now; a back end with a rate limit needs a permit as well. */
+  #maySendDirectly(id: string, now: number): boolean {
+    return !this.#givesOutSlots(id, now) && this.#permits.mayClaim(this.#table.rows.get(id)!.record, now);
+  }
+
+  /** Whether a request that is sent to `row` without a slot needs a permit. */
+  needsPermit({ record }: BackEndRow): boolean {
+    return this.#limits.rateOf(record) !== undefined;
+  }
+
+  /** Whether the back ends of the service have agents that give out slots, even if these do not answer now. */
+  hasAgents(service: string): boolean {
+    return this.#fleet.routes?.service(service)?.engine !== undefined;
+  }
+
+  /**
+   * Interval between requests at the sum of the rate limits of all back ends of `service`, in milliseconds; 0 if any of them
+   * has no limit.
+   */
+  requestInterval(service: string): number {
+    const present = [...this.#table.ofService(service)].filter(({ record }) => !record.leaving);
+    const rates = present.map(({ record }) => this.#limits.rateOf(record));
+    if (rates.length === 0 || rates.includes(undefined)) return 0;
+    return MILLISECONDS / rates.reduce<number>((sum, rate) => sum + rate!, 0);
+  }
+
   /**
    * Two by chance, one of them of the own zone: what entries know of one another's requests is older than these are, so
    * the least loaded of all would be the choice of all of them at once.
@@ -308,7 +343,9 @@
     const now = performance.now();
     const counts: Partial<Record<Exclusion, number>> = {};
     for (const row of this.#table.ofService(requirements.service)) {
-      const exclusion = this.#exclusion(row, requirements, now);
+      const isRateLimited = row.agent?.answers(now) !== true && !this.#permits.mayClaim(row.record, now);
+      const exclusion =
+        this.#exclusion(row, requirements, now) ?? (isRateLimited ? 'rateLimited' : undefined);
       if (exclusion !== undefined) counts[exclusion] = (counts[exclusion] ?? 0) + 1;
     }
     return counts;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -465,7 +465,8 @@
     const { selector, random } = this.#components;
     const capacity = selector.expectedCapacity(this.#admitted.service) ?? 0;
     const soon = RETRY_AFTER * (1 + random.fraction());
-    const retryAfter = Math.min(LONGEST_RETURN, soon + capacity) / MILLISECONDS;
+    const delay = Math.max(soon + capacity, selector.requestInterval(this.#admitted.service));
+    const retryAfter = Math.min(LONGEST_RETURN, delay) / MILLISECONDS;
     this.#finish({ type: 'unavailable', reason, retryAfter });
   }
 
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -14,6 +14,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import type { DirectPermits } from './direct-permits.js';
 import { type ArrivalsWithOutcome, DrainFigures } from './drain-figures.js';
 import type { EngineSlots } from './engine-slots.js';
 import { ForwardedRequest } from './forwarded-request.js';
@@ -49,6 +50,7 @@
   fleet: FleetView;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  permits: DirectPermits;
   selector: BackEndSelector;
   slots: EngineSlots;
   random: Random;
--- a/src/forwarding/request-wait.ts
+++ b/src/forwarding/request-wait.ts
@@ -7,6 +7,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector, Requirements, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
+import type { DirectPermits } from './direct-permits.js';
 import type { EngineSlots, SlotClaim } from './engine-slots.js';
 import type { HoldEnd, HoldRecord } from './hold-record.js';
 import type { RequestTiming } from './request-timing.js';
@@ -18,6 +19,7 @@
   slots: EngineSlots;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  permits: Pick<DirectPermits, 'claim'>;
   random: Random;
 }
 
@@ -59,6 +61,8 @@
   readonly #events: RequestWaitEvents;
   /** Its search for a slot of an engine. */
   #seeker: SlotSeeker | undefined;
+  /** The selection for which a permit is being claimed. */
+  #claiming: Selection | undefined;
   /**
    * Since when it waits for capacity, in milliseconds of the steady clock; searches for a slot meanwhile do not begin it anew:
    * agents that refused again and again held a first request for all the time of its route in place of 45 ms.
@@ -79,7 +83,7 @@
 
   /** True from a search, or the wait for capacity, until a back end is chosen or it is given up. */
   get isUnderWay(): boolean {
-    return this.#seeker !== undefined || this.#heldSince !== undefined;
+    return this.#seeker !== undefined || this.#claiming !== undefined || this.#heldSince !== undefined;
   }
 
   /** Looks for a back end. */
@@ -90,6 +94,7 @@
 
   /** Looks again; called by the shared tick while it is under way. */
   check(now: number, standstills: Standstills): void {
+    if (this.#claiming !== undefined) return;
     if (this.#seeker === undefined) return this.begin();
     if (!this.#request.canEnd()) return this.#events.onNoTime();
     if (this.#seeker.isOver(now)) return this.#events.onGivenUp('back ends full');
@@ -99,6 +104,7 @@
   /** Ends it, however the request goes on. */
   end(how: HoldEnd): void {
     this.#heldSince = undefined;
+    this.#claiming = undefined;
     this.#endSearch();
     this.#hold?.end(how);
     this.#hold = undefined;
@@ -163,10 +169,30 @@
     const isOwed = this.#request.wasSent() || this.#wasHeldForCapacity;
     if (selection.expectedWait > this.#request.timing.longestWait(isOwed))
       return this.#events.onGivenUp('back ends full');
+    if (this.#components.selector.needsPermit(selection.row)) return void this.#claimPermit(selection);
     this.end('sent');
     this.#events.onChosen(selection, undefined);
   }
 
+  /** Claims a permit of a rate-limited back end before it is chosen; selects again if none is granted. */
+  async #claimPermit(selection: Selection): Promise<void> {
+    const { permits, selector } = this.#components;
+    const { record } = selection.row;
+    this.#claiming = selection;
+    try {
+      const isGranted = await permits.claim(record, selector.hasAgents(record.service));
+      // The wait may have ended during the claim.
+      if (this.#claiming !== selection) return;
+      this.#claiming = undefined;
+      if (!isGranted || !selector.mayTakeSlot(selection.row, this.#request.requirements()))
+        return this.begin();
+      this.end('sent');
+      this.#events.onChosen(selection, undefined);
+    } catch (cause) {
+      this.#events.onFault(cause);
+    }
+  }
+
   /** Waits for capacity that is in sight; gives up at once where it is not. */
   #holdOrGiveUp(): void {
     const { canEnd, goesOn, mayBeSent } = this.#request;
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -7,7 +7,6 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
 import type { StoreNews } from '../fleet/store-sync.js';
-import type { PoisonNews } from '../forwarding/poison-guard.js';
 import type { Random } from '../model/random.js';
 import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
@@ -25,6 +24,7 @@
 import type { EntriesKnown } from '../systems/entry-retry-window.js';
 import { Dialling } from './dialling.js';
 import { FleetWish } from './fleet-wish.js';
+import type { PeerNews } from './peer-news.js';
 import { REPORT_TICK, reportInterval, reportLife, signTime, silenceLimit } from './report-rate.js';
 import type { EntryReport } from './reports.js';
 
@@ -63,8 +63,8 @@
   heardAt: number;
   /** Told that its latest report has lapsed. */
   hasLapsed: boolean;
-  /** The connection on which it was told of contents that crash back ends. */
-  toldPoisonNewsOn: Connection | undefined;
+  /** The connection on which it was last sent all news. */
+  toldNewsOn: Connection | undefined;
 }
 
 /** What the peers work with. */
@@ -88,8 +88,7 @@
   random: Random;
   report: () => EntryReport;
   onReport: (report: EntryReport) => void;
-  /** Takes what another entry tells of contents that crash back ends; and what one that starts is to know. */
-  poison: { takeNews(news: PoisonNews): void; allNews(): PoisonNews[] };
+  news: PeerNews;
   /** Takes what the entry `id` has read of the store. */
   onStoreNews: (news: StoreNews, id: string) => void;
   /** The process of this latest report is not heard any more, or another one has started at its address. */
@@ -189,9 +188,9 @@
     for (const { connection } of near) connection?.sendEncoded(message);
   }
 
-  /** Tells all of contents that crash back ends: any of them may be sent the next request. */
-  passPoisonNews(news: PoisonNews): void {
-    const message = encodeForMany({ type: 'poisonNews', news: [news] }, this.#options.context);
+  /** Sends news to all entries immediately, because any of them may receive the next request it applies to. */
+  passNews(news: Message): void {
+    const message = encodeForMany(news, this.#options.context);
     for (const { connection } of this.#rows.values()) connection?.sendEncoded(message);
   }
 
@@ -324,8 +323,8 @@
     if (message.type === 'fleetWanted') return this.#answer(connection, message);
     if (message.type === 'fleetConfiguration')
       return this.#takeConfiguration(row, Buffer.from(message.document));
-    if (message.type === 'poisonNews') return this.#takePoisonNews(message.news);
     if (message.type === 'fleetBackEnds') return this.#takeBackEnds(message.state);
+    if (this.#options.news.take(message)) return;
     if (message.type === 'storeNews' && row.report !== undefined)
       return this.#options.onStoreNews(withoutNulls(message.news), row.report.id);
   }
@@ -344,24 +343,17 @@
       this.#tellNewAddresses(row);
     }
     // A process that is back before the former one has lapsed is no newcomer, and knows nothing.
-    if (row.toldPoisonNewsOn !== connection) this.#tellPoisonNews(row, connection);
+    if (row.toldNewsOn !== connection) this.#tellNews(row, connection);
     fleet.clock.note(report.storeTime, now);
     for (const named of report.versions) fleet.takeNamedVersion(named);
     this.#askForNewer(connection, report, now);
     this.#options.onReport(report);
   }
 
-  /** An entry that has just started, or was cut off, would send on what others have in quarantine. */
-  #tellPoisonNews(row: PeerRow, connection: Connection): void {
-    row.toldPoisonNewsOn = connection;
-    const news = this.#options.poison.allNews();
-    if (news.length > 0) connection.send({ type: 'poisonNews', news });
-  }
-
-  #takePoisonNews(news: readonly PoisonNews[]): void {
-    // The codec carries no undefined.
-    for (const one of news)
-      this.#options.poison.takeNews(one.type === 'crashed' ? { ...one, start: one.start ?? undefined } : one);
+  /** Sends all news: an entry that has just started or was cut off would otherwise forward requests that others hold back. */
+  #tellNews(row: PeerRow, connection: Connection): void {
+    row.toldNewsOn = connection;
+    for (const message of this.#options.news.all()) connection.send(message);
   }
 
   #askForNewer(connection: Connection, report: EntryReport, now: number): void {
@@ -442,6 +434,6 @@
     report: undefined,
     heardAt: Number.NEGATIVE_INFINITY,
     hasLapsed: false,
-    toldPoisonNewsOn: undefined,
+    toldNewsOn: undefined,
   };
 }
--- a/src/peers/reports.ts
+++ b/src/peers/reports.ts
@@ -3,6 +3,7 @@
 import type { BackEndListState } from '../fleet/back-end-list.js';
 import type { NamedVersion } from '../fleet/named-versions.js';
 import type { StoreNews } from '../fleet/store-sync.js';
+import type { LimitNews } from '../forwarding/back-end-limits.js';
 import type { BackEndLoad } from '../forwarding/back-end-table.js';
 import type { PoisonNews } from '../forwarding/poison-guard.js';
 
@@ -107,5 +108,7 @@
   | { type: 'storeNews'; news: StoreNews }
   /** Of contents under which back ends crash. */
   | { type: 'poisonNews'; news: PoisonNews[] }
+  /** Of rate limits that back ends name or lift. */
+  | { type: 'limitNews'; news: LimitNews[] }
   | { type: 'engineReport'; report: EngineReport }
   | { type: 'weightsPlan'; plan: WeightsPlan };
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -286,6 +286,7 @@
   fleetBackEnds: ['type', 'state'],
   storeNews: ['type', 'news'],
   poisonNews: ['type', 'news'],
+  limitNews: ['type', 'news'],
   engineReport: ['type', 'report'],
   weightsPlan: ['type', 'plan'],
   slotAsked: ['type', 'id', 'urgency', 'waitedFor', 'patience', 'slots', 'rateLimit'],
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -3,6 +3,7 @@
 import { BackEndLimits } from '../forwarding/back-end-limits.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
 import type { EngineNews } from '../forwarding/back-end-table.js';
+import { DirectPermits } from '../forwarding/direct-permits.js';
 import { ForwardingServer } from '../forwarding/forwarding-server.js';
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
 import { PoisonGuard } from '../forwarding/poison-guard.js';
@@ -14,6 +15,7 @@
 import { metricsServer } from '../observability/metrics-server.js';
 import { EngineAgents } from '../peers/engine-agents.js';
 import { EntryPeers } from '../peers/entry-peers.js';
+import { PeerNews } from '../peers/peer-news.js';
 import type { EngineReport, EntryReport } from '../peers/reports.js';
 import { SlotClient } from '../peers/slot-client.js';
 import { type Connection, ConnectionListener } from '../protocol/connection.js';
@@ -47,6 +49,8 @@
   readonly #slots: SlotClient;
   readonly #forwarding: ForwardingServer;
   readonly #poison: PoisonGuard;
+  readonly #limits: BackEndLimits;
+  readonly #permits: DirectPermits;
   readonly #parts: StartableGroup;
   readonly #budgets = new Map<string, RetryWindow>();
   readonly #createdAt = performance.now();
@@ -75,7 +79,22 @@
       hasEnded: (row) => backEnds.hasEnded(row),
       records: quarantineRecords,
     });
-    this.#poison.onNews = (news) => this.#peers.passPoisonNews(news);
+    this.#poison.onNews = (news) => this.#peers.passNews({ type: 'poisonNews', news: [news] });
+    this.#limits = new BackEndLimits(log, metrics);
+    this.#permits = new DirectPermits({
+      tables: components.tables,
+      clock: fleet.clock,
+      limits: this.#limits,
+      entryCount: () => this.#entryCount,
+      random,
+      log,
+      metrics,
+    });
+    this.#limits.listen({
+      onNamed: (backEnd, rate) => void this.#permits.noteNamed(backEnd, rate),
+      onLifted: (backEnd) => void this.#permits.noteLifted(backEnd),
+      onNews: (news) => this.#peers.passNews({ type: 'limitNews', news: [news] }),
+    });
     this.#peers = new EntryPeers({
       context,
       address: settings.peers,
@@ -87,7 +106,7 @@
       random,
       report: () => this.#report(),
       onReport: (report) => this.#onPeerReport(report),
-      poison: this.#poison,
+      news: new PeerNews(this.#poison, this.#limits),
       onStoreNews: (news, id) => {
         this.#storeReaders[news.table].noteNews(id, performance.now());
         sync.take(news);
@@ -106,6 +125,7 @@
     sync.onOlderCopy = () => {
       this.#collection.noteOlderCopy();
       quarantineRecords.noteOlderCopy();
+      this.#permits.noteOlderCopy();
     };
     sync.onNews = (news) => this.#peers.passStoreNews(news);
     backEnds.mostConnectionsKept = (service) => this.#connectionsKept(service);
@@ -146,7 +166,8 @@
         headersSet: headersSet(components.headers),
         fleet,
         backEnds,
-        limits: new BackEndLimits(log, metrics),
+        limits: this.#limits,
+        permits: this.#permits,
         selector: this.#createSelector(),
         slots: this.#slots,
         random,
@@ -167,6 +188,7 @@
       new ConnectionListener(settings.peers, context, accept, pieces),
       sync,
       quarantineRecords,
+      this.#permits,
       this.#peers,
       this.#agents,
       this.#collection,
@@ -236,10 +258,17 @@
       self: { zone, region },
       regionOf: (name) => regions[name] ?? name,
       versionBound,
-      entryCount: () => this.#peers.live().length + 1,
+      entryCount: () => this.#entryCount,
+      limits: this.#limits,
+      permits: this.#permits,
     });
   }
 
+  /** Number of live entries, including this one. */
+  get #entryCount(): number {
+    return this.#peers.live().length + 1;
+  }
+
   /** Whether this entry reads a table of the store, or another of its zone does and passes on what is new. */
   #reads(table: FollowedTable): boolean {
     const { identity, settings } = this.#components;
--- a/src/systems/rate-limiter.ts
+++ b/src/systems/rate-limiter.ts
@@ -18,10 +18,18 @@
   return MILLISECONDS / Math.max(MIN_RATE, rate);
 }
 
-/** When the permit after one acquired at `now` is due; undefined if the permit due at `dueAt` is not available yet. */
-export function nextPermitAt(dueAt: number, interval: number, now: number): number | undefined {
+/**
+ * When the permit after one acquired at `now` is due; undefined if the permit due at `dueAt` is not available yet.
+ * @param burstIntervals - intervals of idle time whose permits are saved up
+ */
+export function nextPermitAt(
+  dueAt: number,
+  interval: number,
+  now: number,
+  burstIntervals: number,
+): number | undefined {
   if (now < dueAt) return undefined;
-  return Math.max(dueAt, now - BURST_INTERVALS * interval) + interval;
+  return Math.max(dueAt, now - burstIntervals * interval) + interval;
 }
 
 /** Limits the rate of requests from one process to one back end. */
@@ -52,7 +60,7 @@
 
   /** Acquires a permit; false if none is available. */
   tryAcquire(now: number): boolean {
-    const next = nextPermitAt(this.#dueAt, this.#interval, now);
+    const next = nextPermitAt(this.#dueAt, this.#interval, now, BURST_INTERVALS);
     if (next !== undefined) this.#dueAt = next;
     return next !== undefined;
   }
--- a/test/forwarding/back-end-limits.test.ts
+++ b/test/forwarding/back-end-limits.test.ts
@@ -1,6 +1,6 @@
 /** Tests which answers set, change and lift the rate limit of a back end. */
 import { beforeEach, describe, expect, it } from 'vitest';
-import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
+import { BackEndLimits, type LimitNews } from '../../src/forwarding/back-end-limits.js';
 import { readRateLimit } from '../../src/forwarding/rate-limit-notice.js';
 import { silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
@@ -71,3 +71,54 @@
     expect(after).toContain('thistleway_back_end_rate_limit_changes{kind="malformed",role="test"} 1');
   });
 });
+
+describe('rate limit news', () => {
+  let news: LimitNews[];
+
+  beforeEach(() => {
+    news = [];
+    limits.listen({ onNamed: () => {}, onLifted: () => {}, onNews: (one) => news.push(one) });
+  });
+
+  it('is sent when a limit is first named, changes by more than a tenth, and is lifted', () => {
+    for (const [header, sentAt] of [
+      ['2.5', 0],
+      ['2.6', 10],
+      ['2.8', 20],
+      [undefined, 30],
+    ] as const)
+      receiveAnswer(header, sentAt, sentAt + 5);
+    const start = 100;
+    expect(news).toEqual([
+      { type: 'named', backEnd: 'b1', start, rate: 2.5 },
+      { type: 'named', backEnd: 'b1', start, rate: 2.8 },
+      { type: 'lifted', backEnd: 'b1', start },
+    ]);
+  });
+
+  it('is applied, and not sent on', () => {
+    limits.takeNews({ type: 'named', backEnd: 'b1', start: 100, rate: 2.5 }, 0);
+    expect(limits.rateOf(BACK_END)).toBe(2.5);
+    expect(limits.allNews()).toEqual([{ type: 'named', backEnd: 'b1', start: 100, rate: 2.5 }]);
+    limits.takeNews({ type: 'lifted', backEnd: 'b1', start: 100 }, 10);
+    expect(limits.rateOf(BACK_END)).toBeUndefined();
+    expect(news).toEqual([]);
+  });
+
+  it('does not lift a limit that an answer to this entry has just named', () => {
+    receiveAnswer('2.5', 0, 50);
+    limits.takeNews({ type: 'lifted', backEnd: 'b1', start: 100 }, 1_000);
+    expect(limits.rateOf(BACK_END)).toBe(2.5);
+    limits.takeNews({ type: 'lifted', backEnd: 'b1', start: 100 }, 3_000);
+    expect(limits.rateOf(BACK_END)).toBeUndefined();
+  });
+
+  it('does not apply to a later start of the back end', () => {
+    const next = { id: 'b1', start: 200 };
+    receiveAnswer('5', 0, 50, { backEnd: next });
+    limits.takeNews({ type: 'named', backEnd: 'b1', start: 100, rate: 1 }, 9_000);
+    limits.takeNews({ type: 'lifted', backEnd: 'b1', start: 100 }, 9_000);
+    receiveAnswer('1', 9_000, 9_000);
+    expect(limits.rateOf(next)).toBe(5);
+  });
+});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -8,6 +8,7 @@
 import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import { BackEndTable, type EngineNews } from '../../src/forwarding/back-end-table.js';
+import { DirectPermits } from '../../src/forwarding/direct-permits.js';
 import type { EngineSlots, SlotClaim } from '../../src/forwarding/engine-slots.js';
 import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
 import { PoisonGuard } from '../../src/forwarding/poison-guard.js';
@@ -93,6 +94,16 @@
   async start(configuration: FleetConfiguration): Promise<void> {
     const { fleet, backEnds, budget } = this;
     const random = seededRandom(7);
+    const limits = new BackEndLimits(this.log, this.metrics);
+    const permits = new DirectPermits({
+      tables: this.store,
+      clock: fleet.clock,
+      limits,
+      entryCount: () => 1,
+      random,
+      log: this.log,
+      metrics: this.metrics,
+    });
     const selector = new BackEndSelector({
       fleet,
       table: backEnds,
@@ -101,6 +112,8 @@
       regionOf: () => 'region-a',
       versionBound: VERSION_BOUND,
       entryCount: () => 1,
+      limits,
+      permits,
     });
     const headersSet = new Set([
       'x-key',
@@ -118,7 +131,8 @@
         headersSet,
         fleet,
         backEnds,
-        limits: new BackEndLimits(this.log, this.metrics),
+        limits,
+        permits,
         selector,
         slots: this.slots,
         random,
--- a/test/forwarding/restart-order.test.ts
+++ b/test/forwarding/restart-order.test.ts
@@ -8,9 +8,12 @@
 import { BackEndList, type BackEndListState, type BackEndRecord } from '../../src/fleet/back-end-list.js';
 import { ENTRIES_TO_BELIEVE } from '../../src/fleet/back-end-starts.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
+import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector, type Requirements } from '../../src/forwarding/back-end-selector.js';
 import { type BackEndLoad, type BackEndRow, BackEndTable } from '../../src/forwarding/back-end-table.js';
 import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
+import { Metrics } from '../../src/observability/metrics.js';
 import { SlotTable } from '../../src/systems/slot-table.js';
 import { EngineStarts } from '../../src/weights/engine-starts.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
@@ -73,6 +76,8 @@
       regionOf: () => 'region-a',
       versionBound: 8_000,
       entryCount: () => 1,
+      limits: new BackEndLimits(silentLog, new Metrics('test')),
+      permits: { mayClaim: () => true },
     });
   }
 
--- a/test/forwarding/restart.test.ts
+++ b/test/forwarding/restart.test.ts
@@ -1,6 +1,7 @@
 /** Back ends that start again under their id: nothing that was remembered of the former start is used for the next. */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { BackEndSet } from '../../src/fleet/back-end-identity.js';
+import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import {
   type BackEndRow,
@@ -10,6 +11,8 @@
 } from '../../src/forwarding/back-end-table.js';
 import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
+import { Metrics } from '../../src/observability/metrics.js';
 import { SilentProxy } from '../silent-proxy.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
@@ -167,6 +170,8 @@
       regionOf: () => 'region-a',
       versionBound: 8_000,
       entryCount: () => 1,
+      limits: new BackEndLimits(silentLog, new Metrics('test')),
+      permits: { mayClaim: () => true },
     });
     const tried = new BackEndSet();
     tried.add(row().record);
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -15,7 +15,7 @@
   createTrafficCounters,
 } from '../../src/protocol/connection.js';
 import { SilentProxy } from '../silent-proxy.js';
-import { until } from '../support.js';
+import { NO_NEWS, until } from '../support.js';
 
 /** Entries must hear one another again this long after their connections went silent, in milliseconds. */
 const HEARD_WITHIN = 2_800;
@@ -99,7 +99,7 @@
     otherDialsFirst,
     report: () => ({ ...reportOf(id, address), zone, configurationRevision: revision() }),
     onReport,
-    poison: { takeNews: () => {}, allNews: () => [] },
+    news: NO_NEWS,
     onStoreNews: () => {},
     onLapsed,
     log: silentLog,
--- a/test/peers/fleet-wish.test.ts
+++ b/test/peers/fleet-wish.test.ts
@@ -13,7 +13,7 @@
   createTrafficCounters,
 } from '../../src/protocol/connection.js';
 import { textRecords } from '../fleet/text-records.js';
-import { until } from '../support.js';
+import { NO_NEWS, until } from '../support.js';
 
 const OTHERS = 6;
 const REVISION = 2;
@@ -88,7 +88,7 @@
       engines: [],
     }),
     onReport: () => {},
-    poison: { takeNews: () => {}, allNews: () => [] },
+    news: NO_NEWS,
     onStoreNews: () => {},
     onLapsed: () => {},
     log: silentLog,
--- a/test/peers/standstill.test.ts
+++ b/test/peers/standstill.test.ts
@@ -8,7 +8,7 @@
 import { EntryPeers } from '../../src/peers/entry-peers.js';
 import type { EntryReport } from '../../src/peers/reports.js';
 import { ConnectionListener } from '../../src/protocol/connection.js';
-import { contextAt, standStill, until } from '../support.js';
+import { contextAt, NO_NEWS, standStill, until } from '../support.js';
 
 /** Longer than an entry is taken to live after its latest report, in milliseconds. */
 const STANDSTILL = 2_000;
@@ -50,7 +50,7 @@
     random: seededRandom(1),
     report,
     onReport: () => {},
-    poison: { takeNews: () => {}, allNews: () => [] },
+    news: NO_NEWS,
     onStoreNews: () => {},
     onLapsed: () => {},
     log: silentLog,
--- a/test/support.ts
+++ b/test/support.ts
@@ -3,9 +3,14 @@
 import { freeAddress } from '../bench/processes/child.js';
 import { HybridClock } from '../src/observability/hybrid-clock.js';
 import { Timeline } from '../src/observability/timeline.js';
+import { type NewsHandler, PeerNews } from '../src/peers/peer-news.js';
 import { type ConnectionContext, createTrafficCounters } from '../src/protocol/connection.js';
 import type { PeerInfo } from '../src/systems/distribution/transfer.js';
 
+const noNews: NewsHandler<never> = { takeNews: () => {}, allNews: () => [] };
+/** For tests of entries that exchange no news. */
+export const NO_NEWS = new PeerNews(noNews, noNews);
+
 const WAIT_LIMIT = 20_000;
 const WAIT_INTERVAL = 10;
 
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -6,6 +6,49 @@
 
 /** What is taken out: `find` becomes `replace`; `fault` names what then goes wrong. */
 export const GUARDS = [
+  {
+    fault: 'an agent grants slots without regard to the rate limit of its engine',
+    file: 'src/systems/slot-table.ts',
+    find: 'limiter?.tryAcquire(now) === false',
+    replace: 'false',
+    test: 'test/forwarding/rate-limited-engine.test.ts',
+  },
+  {
+    fault: 'an answer to an earlier request lifts the rate limit of an engine',
+    file: 'src/systems/slot-table.ts',
+    find: 'grantedAt > (this.#limit?.namedAt ?? Number.NEGATIVE_INFINITY)',
+    replace: 'true',
+    test: 'test/systems/slot-table.test.ts',
+  },
+  {
+    fault: 'an answer to an earlier request lifts the rate limit of a back end at an entry',
+    file: 'src/forwarding/back-end-limits.ts',
+    find: '!mayLift || sentAt <= known.namedAt',
+    replace: '!mayLift',
+    test: 'test/forwarding/back-end-limits.test.ts',
+  },
+  {
+    fault: 'a request is sent to a rate-limited back end without a permit',
+    file: 'src/forwarding/request-wait.ts',
+    find: 'if (this.#components.selector.needsPermit(selection.row))',
+    replace: 'if (false)',
+    test: 'test/roles/rate-limit.test.ts',
+  },
+  {
+    fault: 'two entries claim the same permit',
+    file: 'src/forwarding/direct-permits.ts',
+    find: '[{ ...name, revision: row.revision }],',
+    replace: '[],',
+    test: 'test/forwarding/direct-permits.test.ts',
+  },
+  {
+    fault:
+      'a rate limiter starts with a permit, although requests sent before its limit was known count towards it',
+    file: 'src/systems/rate-limiter.ts',
+    find: 'this.#dueAt = now + this.#interval;',
+    replace: 'this.#dueAt = Number.NEGATIVE_INFINITY;',
+    test: 'test/systems/rate-limiter.test.ts',
+  },
   {
     fault: 'a piece that another entry draws is drawn beside it',
     file: 'src/weights/entry-sources.ts',
@@ -30,8 +73,8 @@
   {
     fault: 'an entry that is started again at once does not learn of contents in quarantine',
     file: 'src/peers/entry-peers.ts',
-    find: 'if (row.toldPoisonNewsOn !== connection) this.#tellPoisonNews(row, connection);',
-    replace: 'if (isNewcomer) this.#tellPoisonNews(row, connection);',
+    find: 'if (row.toldNewsOn !== connection) this.#tellNews(row, connection);',
+    replace: 'if (isNewcomer) this.#tellNews(row, connection);',
     test: 'test/roles/poison-request.test.ts',
   },
   {
@@ -194,14 +237,14 @@
   {
     fault: 'entries do not tell one another of contents that crash back ends',
     file: 'src/roles/direct-entry.ts',
-    find: 'this.#poison.onNews = (news) => this.#peers.passPoisonNews(news);',
+    find: "this.#poison.onNews = (news) => this.#peers.passNews({ type: 'poisonNews', news: [news] });",
     replace: '',
     test: 'test/roles/poison-request.test.ts',
   },
   {
     fault: 'an entry that starts does not learn of contents in quarantine',
     file: 'src/peers/entry-peers.ts',
-    find: 'if (row.toldPoisonNewsOn !== connection) this.#tellPoisonNews(row, connection);',
+    find: 'if (row.toldNewsOn !== connection) this.#tellNews(row, connection);',
     replace: '',
     test: 'test/roles/poison-request.test.ts',
   },
