End a lifted rate limit at every entry within two seconds

Cause: an entry ignored news that a limit was lifted if it arrived within 2 s of an answer that had named the limit, and the news was not sent again. The entry then had to receive an answer without the limit itself, at the rate of the limit. On each new connection, such entries announced the limit again to entries that had already lifted it.

Change: the news ends the limit once those 2 s have passed without another answer that names it. A limit that an answer has just lifted is not restored by news for 2 s.

--- a/src/forwarding/back-end-limits.ts
+++ b/src/forwarding/back-end-limits.ts
@@ -31,7 +31,10 @@
   onNews(news: LimitNews): void;
 }
 
-/** Time after an answer that named a limit during which news from other entries is ignored, in milliseconds. */
+/**
+ * Time during which an answer takes precedence over news from other entries, in milliseconds: news can arrive late, and a new
+ * connection can repeat outdated news.
+ */
 const ANSWER_PRECEDENCE = 2_000;
 /** Relative change from the last announced rate above which a new rate is announced to other entries. */
 const ANNOUNCED_CHANGE = 0.1;
@@ -46,11 +49,15 @@
   answeredAt: number;
   /** The rate that was last announced to other entries or received from them or the store. */
   announcedRate: number;
+  /** When the limit ends after another entry reported it lifted; infinity without such news. */
+  endsAt: number;
 }
 
 /** The current rate limit of each back end. */
 export class BackEndLimits {
   readonly #limits = new Map<string, KnownLimit>();
+  /** When an answer to this entry last lifted a limit, by back end. */
+  readonly #liftedAt = new Map<string, number>();
   readonly #counts = { named: 0, lifted: 0, malformed: 0 };
   readonly #sends = { slot: 0, direct: 0 };
   readonly #log: Log;
@@ -80,10 +87,16 @@
     ]);
   }
 
-  /** Requests a second that a back end takes from all entries together; undefined if no limit is known. */
-  rateOf({ id, start }: BackEndIdentity): number | undefined {
+  /**
+   * Requests a second that a back end takes from all entries together; undefined if no limit is known. Removes a limit that
+   * has ended.
+   */
+  rateOf({ id, start }: BackEndIdentity, now = performance.now()): number | undefined {
     const known = this.#limits.get(id);
-    return known !== undefined && isSameStart(known.start, start) ? known.rate : undefined;
+    if (known === undefined || !isSameStart(known.start, start)) return undefined;
+    if (now < known.endsAt) return known.rate;
+    this.#lift(id, known, now);
+    return undefined;
   }
 
   /** Updates the limit of a back end from an answer. */
@@ -94,6 +107,7 @@
     const known = this.#limits.get(backEnd.id);
     if (known === undefined || !mayLift || sentAt <= known.namedAt) return;
     this.#lift(backEnd.id, known, now);
+    this.#liftedAt.set(backEnd.id, now);
     this.#listener?.onLifted(backEnd);
     this.#listener?.onNews({ type: 'lifted', backEnd: backEnd.id, start: backEnd.start });
   }
@@ -107,45 +121,64 @@
     this.#listener = listener;
   }
 
-  /** Applies news from another entry. */
+  /**
+   * Applies news from another entry. While a recent answer takes precedence, a named limit is ignored, and a lifted one is kept
+   * until that time has passed.
+   */
   takeNews(news: LimitNews, now: number): void {
     const backEnd = { id: news.backEnd, start: news.start };
+    if (this.#isFormerStart(backEnd)) return;
     const known = this.#limits.get(backEnd.id);
-    const hasOwnAnswer = known !== undefined && now - known.answeredAt < ANSWER_PRECEDENCE;
-    if (hasOwnAnswer || this.#isFormerStart(backEnd)) return;
-    if (news.type === 'named') this.restore(backEnd, news.rate, now);
-    else if (known !== undefined) this.#lift(backEnd.id, known, now);
+    if (news.type === 'lifted') {
+      if (known === undefined) return;
+      known.endsAt = Math.max(now, known.answeredAt + ANSWER_PRECEDENCE);
+      this.rateOf(backEnd, now);
+      return;
+    }
+    const lastAnswerAt = Math.max(
+      known?.answeredAt ?? Number.NEGATIVE_INFINITY,
+      this.#liftedAt.get(backEnd.id) ?? Number.NEGATIVE_INFINITY,
+    );
+    if (now - lastAnswerAt >= ANSWER_PRECEDENCE) this.restore(backEnd, news.rate, now);
   }
 
   /** Sets a limit that was learned from another entry or from the store. */
   restore(backEnd: BackEndIdentity, rate: number, now: number): void {
     const answeredAt = this.#limits.get(backEnd.id)?.answeredAt ?? Number.NEGATIVE_INFINITY;
-    this.#set(backEnd, { start: backEnd.start, rate, namedAt: now, answeredAt, announcedRate: rate });
+    const endsAt = Number.POSITIVE_INFINITY;
+    this.#set(
+      backEnd,
+      { start: backEnd.start, rate, namedAt: now, answeredAt, announcedRate: rate, endsAt },
+      now,
+    );
   }
 
-  /** All known limits, to send on a new connection. */
+  /** All known limits that no other entry has reported lifted, to send on a new connection. */
   allNews(): LimitNews[] {
-    return [...this.#limits].map(([backEnd, { start, rate }]) => ({ type: 'named', backEnd, start, rate }));
+    const active = [...this.#limits].filter(([, { endsAt }]) => endsAt === Number.POSITIVE_INFINITY);
+    return active.map(([backEnd, { start, rate }]) => ({ type: 'named', backEnd, start, rate }));
   }
 
   #noteNamed(backEnd: BackEndIdentity, rate: number, now: number): void {
-    const isKnown = this.rateOf(backEnd) !== undefined;
+    const isKnown = this.rateOf(backEnd, now) !== undefined;
     const announcedRate = isKnown ? this.#limits.get(backEnd.id)!.announcedRate : Number.NaN;
     const isAnnounced = Math.abs(rate - announcedRate) <= ANNOUNCED_CHANGE * announcedRate;
     const { start } = backEnd;
-    this.#set(backEnd, {
+    const limit: KnownLimit = {
       start,
       rate,
       namedAt: now,
       answeredAt: now,
       announcedRate: isAnnounced ? announcedRate : rate,
-    });
+      endsAt: Number.POSITIVE_INFINITY,
+    };
+    this.#set(backEnd, limit, now);
     if (!isKnown) this.#listener?.onNamed(backEnd, rate);
     if (!isAnnounced) this.#listener?.onNews({ type: 'named', backEnd: backEnd.id, start, rate });
   }
 
-  #set(backEnd: BackEndIdentity, limit: KnownLimit): void {
-    const previousRate = this.rateOf(backEnd);
+  #set(backEnd: BackEndIdentity, limit: KnownLimit, now: number): void {
+    const previousRate = this.rateOf(backEnd, now);
     this.#limits.set(backEnd.id, limit);
     if (previousRate === limit.rate) return;
     this.#counts.named++;
