Soak: workers that name rate limits

Cause: no test ran real processes against rate limits.

Change: a fault choice `limits`, in which workers name 0.5, 1 or 2 requests per second for 4.5 to 8 s, alongside planned work and process kills, and a judge that counts arrivals in windows of 4 s, starting 3 s after the limit is named, from entries without a disruption in the last 4 s.

--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { SentRequest } from './soak/callers.js';
 import { Disruptions } from './soak/disruptions.js';
-import { judgeDepartures, judgePlannedStops, judgeRepetitions } from './soak/judges.js';
+import { judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './soak/judges.js';
 import { type Run, RunLog } from './soak/workers.js';
 import { RETRIES, type SoakWorld } from './soak/world.js';
 
@@ -146,3 +146,46 @@
     expect(judgeDepartures(world, left)).toEqual([expect.stringMatching(/^GONE: 8 arrivals/)]);
   });
 });
+
+describe('LIMIT', () => {
+  const RATE = 2;
+  /** Requests allowed in 4 s at this rate. */
+  const ALLOWED = 17;
+
+  /** Records requests to a worker that names a limit from `START` on, one every 100 ms from `from`. */
+  function recordArrivals(count: number, from: number): SentRequest[] {
+    log.limits.push({ worker: 'i-1', rate: RATE, from: START, to: START + 8_000 });
+    return Array.from({ length: count }, (_, index) => {
+      const at = from + 100 * index;
+      log.arrivals.push({ requestId: `r${index}`, service: 'engines', worker: 'i-1', at });
+      return sent(`r${index}`, { sentAt: at });
+    });
+  }
+
+  it('is broken by more than 1.5 times the limit plus five requests within 4 s', () => {
+    expect(judgeLimits(world, recordArrivals(ALLOWED, START + 3_000))).toEqual([]);
+    log.arrivals.length = 0;
+    log.limits.length = 0;
+    expect(judgeLimits(world, recordArrivals(ALLOWED + 1, START + 3_000))).toEqual([
+      'LIMIT: i-1 got 18 in 4 s at 2 a second, allowed 17',
+    ]);
+  });
+
+  it('is not broken in the first 3 s of a limit or after its end', () => {
+    expect(judgeLimits(world, recordArrivals(30, START))).toEqual([]);
+    log.arrivals.length = 0;
+    log.limits.length = 0;
+    expect(judgeLimits(world, recordArrivals(30, START + 8_001))).toEqual([]);
+  });
+
+  it('is not broken by requests from disrupted entries', () => {
+    disruptions.note(['entry-1'], Number.POSITIVE_INFINITY);
+    log.arrivals.length = 0;
+    const firstAt = performance.now() + 1_000;
+    const requests = recordArrivals(ALLOWED + 1, START + 3_000);
+    for (const [index, arrival] of log.arrivals.entries()) arrival.at = firstAt + index;
+    log.limits[0].from = firstAt - 3_000;
+    log.limits[0].to = firstAt + 3_000;
+    expect(judgeLimits(world, requests)).toEqual([]);
+  });
+});
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -427,11 +427,41 @@
   },
 ];
 
+/** Rate limits that workers name, in requests a second, and the range of their durations, in milliseconds. */
+const LIMIT_RATES = [0.5, 1, 2] as const;
+const SHORTEST_LIMIT = 4_500;
+const LONGEST_LIMIT = 8_000;
+
+/** Workers name a rate limit in their answers for a time. */
+const LIMITS: Fault[] = [
+  {
+    name: 'worker limits its rate',
+    begin(world, random) {
+      const { worker } = one(world.workers, random);
+      const rate = one(LIMIT_RATES, random);
+      const lasts = between(random, SHORTEST_LIMIT, LONGEST_LIMIT);
+      if (worker.rateLimit !== undefined) return { lasts: 0, end: nothing, about: `${worker.id} already` };
+      worker.rateLimit = rate;
+      const from = performance.now();
+      world.log.limits.push({ worker: worker.id, rate, from, to: from + lasts });
+      const end = () => {
+        worker.rateLimit = undefined;
+      };
+      return { lasts, end, about: `${worker.id} to ${rate} a second` };
+    },
+  },
+];
+
 /** Longest pause between two faults, in milliseconds: series overlap. */
 const LONGEST_PAUSE = 900;
 
 /** Which faults a seed plays: with planned work alone, everything that it harms is a loss. */
-export type FaultChoice = 'planned' | 'all' | 'restarts' | 'drills' | 'deadly';
+export type FaultChoice = 'planned' | 'all' | 'restarts' | 'drills' | 'deadly' | 'limits';
+
+const PROCESS_KILLS = UNPLANNED.filter(({ name }) => name === 'process killed');
+
+const repeat = (faults: readonly Fault[], count: number) =>
+  Array.from({ length: count }, () => faults).flat();
 
 const FAULTS: Record<FaultChoice, Fault[]> = {
   planned: PLANNED,
@@ -440,6 +470,8 @@
   restarts: [...PLANNED, ...UNPLANNED, ...RESTARTS, ...RESTARTS, ...RESTARTS],
   // Beside them a content ends the workers that run it: see `deadly-content.ts`.
   deadly: [...PLANNED, ...UNPLANNED],
+  // Kills are only two in 24: requests from recently disrupted entries are not judged.
+  limits: [...PLANNED, ...PLANNED, ...PROCESS_KILLS, ...PROCESS_KILLS, ...repeat(LIMITS, 8)],
   drills: [...PLANNED, ...UNPLANNED, ...RESTARTS, ...DRILLS, ...DRILLS, ...DRILLS, ...DRILLS],
 };
 
--- a/test/platform/soak/judges.ts
+++ b/test/platform/soak/judges.ts
@@ -1,4 +1,5 @@
-/** Promises over time that are judged once a soak has ended: planned stops, repetitions, and callers that left. */
+/** Promises over time that are judged once a soak has ended: planned stops, repetitions, callers that left, and rate limits. */
+import { allowedInWindow, mostInWindow } from '../../forwarding/rate-limit-audit.js';
 import type { SentRequest } from './callers.js';
 import type { PlannedStop } from './disruptions.js';
 import type { Arrival, Run } from './workers.js';
@@ -13,6 +14,8 @@
 const LAST_PART = GRACE_TIME / 6;
 /** Time in which the news that a caller has left must reach its worker, in milliseconds. */
 const LEAVING_TIME = 500;
+/** Time after a worker starts to name a rate limit before its arrivals are counted, in milliseconds: entries must learn it. */
+const LIMIT_LEARNING_TIME = 3_000;
 /** Arrivals for callers that left which are too few to count, and the share of runs that may go on. */
 const FEW = 3;
 const MOST_LEFT_RUNNING = 0.25;
@@ -113,6 +116,29 @@
   return broken;
 }
 
+/** Workers that got more than their rate limit allows, counting only requests from entries without a recent disruption. */
+export function judgeLimits(world: SoakWorld, sent: readonly SentRequest[]): string[] {
+  const entryOf = new Map(sent.map(({ id, entry }) => [id, world.entryAt(entry)]));
+  return world.log.limits.flatMap(({ worker, rate, from, to }) => {
+    const times = world.log.arrivals
+      .filter(
+        (arrival) =>
+          arrival.worker === worker && arrival.at >= from + LIMIT_LEARNING_TIME && arrival.at <= to,
+      )
+      .filter(({ requestId, at }) => isEntryCalm(world, entryOf.get(requestId), at))
+      .map(({ at }) => at);
+    const most = mostInWindow(times);
+    const allowed = allowedInWindow(rate);
+    return most > allowed
+      ? [`LIMIT: ${worker} got ${most} in 4 s at ${rate} a second, allowed ${allowed}`]
+      : [];
+  });
+}
+
+function isEntryCalm(world: SoakWorld, entry: string | undefined, at: number): boolean {
+  return entry !== undefined && world.disruptions.areCalm([entry], at - CALM_BEFORE, at);
+}
+
 function isCalmAround(world: SoakWorld, { entry, sentAt, leftAt, id }: SentRequest): boolean {
   const workers = world.log.of(id).map(({ worker }) => worker);
   const parts = [world.entryAt(entry), ...workers];
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -2,7 +2,7 @@
  * A soak: the real programs as processes, faults from outside, callers that judge every answer; then quiet, in which
  * everything must serve by the newest configuration and version again.
  *
- * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly]
+ * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits]
  * [--kept]` prints each seed's outcome; a seed that breaks a promise prints
  * its time line and keeps its logs, and the exit code is 1.
  */
@@ -13,7 +13,7 @@
 import { judgeAnswer, judgeRuns, type SentRequest, SoakCaller, sendRequest } from './callers.js';
 import { DeadlyContent } from './deadly-content.js';
 import { type FaultChoice, provoke } from './faults.js';
-import { judgeDepartures, judgePlannedStops, judgeRepetitions } from './judges.js';
+import { judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
 
 const SECOND = 1_000;
@@ -126,6 +126,7 @@
       ...judgePlannedStops(world, sent),
       ...judgeRepetitions(world, sent),
       ...judgeDepartures(world, sent),
+      ...judgeLimits(world, sent),
       ...world.log.violations,
       ...world.violations,
       ...(deadly?.judge() ?? []),
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -47,12 +47,22 @@
   at: number;
 }
 
+/** A period in which a worker names a rate limit; times are in milliseconds of the steady clock. */
+export interface NamedLimit {
+  worker: string;
+  /** Requests a second. */
+  rate: number;
+  from: number;
+  to: number;
+}
+
 /** All runs, and what the stand-ins saw go wrong. */
 export class RunLog {
   /** Told of each run as it begins. */
   onRun: (run: Run) => void = () => {};
   readonly runs: Run[] = [];
   readonly arrivals: Arrival[] = [];
+  readonly limits: NamedLimit[] = [];
   readonly violations: string[] = [];
 
   of(requestId: string): Run[] {
@@ -150,6 +160,8 @@
   leaving = false;
   /** Share of requests that it refuses though it is healthy. */
   shedShare = 0;
+  /** Rate limit that its answers name, in requests a second; undefined for none. The worker itself does not enforce it. */
+  rateLimit: number | undefined;
   #runs = 0;
   #offers = 0;
 
@@ -175,10 +187,15 @@
 
   /** Answers that the request did not run. */
   protected refuse(request: IncomingMessage, response: ServerResponse, status: number): void {
-    response.writeHead(status, { 'Attempt-Id': requestIdOf(request), 'Not-Executed': '1' });
+    const headers = { 'Attempt-Id': requestIdOf(request), 'Not-Executed': '1', ...this.limitHeaders };
+    response.writeHead(status, headers);
     response.end();
   }
 
+  protected get limitHeaders(): Record<string, string> {
+    return this.rateLimit === undefined ? {} : { 'Server-Limit': String(this.rateLimit) };
+  }
+
   /** Notes a run; returns it with the signature of its answer. */
   protected run(request: IncomingMessage, body: Buffer, version: number): { run: Run; seal: string } {
     const run: Run = {
@@ -217,7 +234,7 @@
     setTimeout(() => {
       run.endedAt = performance.now();
       const id = requestIdOf(request);
-      response.writeHead(200, { 'Attempt-Id': id, 'Server-Seal': seal });
+      response.writeHead(200, { 'Attempt-Id': id, 'Server-Seal': seal, ...this.limitHeaders });
       response.end(JSON.stringify({ id, seal }));
     }, SERVICE_TIME);
   }
@@ -361,6 +378,7 @@
       'Server-Seal': seal,
       'Weight-Versions': String(this.#version),
       'Content-Type': 'text/event-stream',
+      ...this.limitHeaders,
     });
     const breakOff = () => {
       run.isBrokenOff = true;
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -332,7 +332,10 @@
       link.cut('none');
       link.delay = 0;
       worker.shedShare = 0;
+      worker.rateLimit = undefined;
     }
+    const now = performance.now();
+    for (const limit of this.log.limits) limit.to = Math.min(limit.to, now);
   }
 
   #address(kind: number, index: number, port: number): string {
