Log and count why answers are cut

An `answer cut` line told a reason and an age. Whether a silent back end, a connection that broke, a standstill of the entry or a configuration came before it could not be told, and no metric counted cuts by cause.

`answer cut` now carries the latest failed attempt with the time for which its back end was silent, the back ends left out by reason, and the age of the configuration in force; `back end silent` tells how much of the silence was a standstill of the entry. `thistleway_answers_cut` counts by reason.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -34,6 +34,7 @@
   readonly #listeners: FleetListener[] = [];
   #routes: RouteTable | undefined;
   #document: Buffer | undefined;
+  #configurationTakenAt = Number.NEGATIVE_INFINITY;
 
   /** The configuration in force; undefined before any was heard of. */
   get routes(): RouteTable | undefined {
@@ -50,6 +51,11 @@
     return this.#routes?.configuration.revision ?? 0;
   }
 
+  /** When the configuration in force was taken, in milliseconds of the steady clock; before all time where there is none. */
+  get configurationTakenAt(): number {
+    return this.#configurationTakenAt;
+  }
+
   /** True once requests can be routed. */
   get complete(): boolean {
     return this.#routes !== undefined && this.backEnds.revision > 0;
@@ -64,6 +70,7 @@
     if (this.#routes !== undefined && configuration.revision <= this.configurationRevision) return false;
     this.#routes = new RouteTable(configuration);
     this.#document = document;
+    this.#configurationTakenAt = performance.now();
     for (const listener of this.#listeners) listener.onConfiguration?.(this.#routes);
     return true;
   }
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -46,6 +46,15 @@
 const INTERNAL_ERROR = 500;
 const MILLISECONDS = 1_000;
 
+/** An attempt that has failed, as logs tell of it. */
+interface FailedAttempt {
+  backEnd: string;
+  type: AttemptFailure['type'];
+  reason: string;
+  /** Time since the back end had sent anything of it, in milliseconds. */
+  silentMs: number;
+}
+
 /** A request in progress. */
 export class ForwardedRequest {
   readonly #components: ForwardingComponents;
@@ -74,6 +83,8 @@
   #claim: SlotClaim | undefined;
   readonly #answer: CallerAnswer;
   #version: number | undefined;
+  /** How its latest attempt failed. */
+  #latestFailure: FailedAttempt | undefined;
   #settled = false;
   readonly #onCallerEnded = () => this.#endCaller();
 
@@ -138,6 +149,7 @@
       this.#endAttempt(undefined);
       return mayHaveRun ? this.#finish({ type: 'stopped' }) : this.#refuseForStop();
     }
+    this.#components.cutFigures.note('stop');
     this.#log('answer cut', { reason: 'stop', backEnd: this.#use?.row.record.id, ageMs: this.#age() });
     this.#use?.attempt.abort('stop');
     this.#endAttempt(undefined);
@@ -165,7 +177,7 @@
     const silence = this.#silence(now, use, standstills);
     if (silence === 'connection') use.suspectConnections(this.#components.backEnds);
     if (!this.#mayRunAgain()) return;
-    if (silence !== 'none') this.#giveUpSilent(use, silence, now);
+    if (silence !== 'none') this.#giveUpSilent(use, silence, now, standstills);
   }
 
   /** True where it has not begun at a back end whose version is about to expire: a request begins with its first token. */
@@ -173,10 +185,22 @@
     return !hasBegun && this.#components.selector.mustWithdraw(row, sentFor, now);
   }
 
-  #giveUpSilent(use: BackEndUse, silence: Exclude<Silence, 'none'>, now: number): void {
+  #giveUpSilent(
+    use: BackEndUse,
+    silence: Exclude<Silence, 'none'>,
+    now: number,
+    standstills: Standstills,
+  ): void {
     if (!this.#mayRepeat()) return;
-    const silentFor = Math.round(now - use.progressAt);
-    this.#log('back end silent', { backEnd: use.row.record.id, silence, silentMs: silentFor });
+    const { progressAt } = use;
+    const silentFor = now - progressAt;
+    this.#log('back end silent', {
+      backEnd: use.row.record.id,
+      silence,
+      silentMs: Math.round(silentFor),
+      stoodStillMs: Math.round(silentFor - standstills.runningTime(progressAt, now)),
+      hasPart: this.#answer.started,
+    });
     if (silence === 'backEnd') return use.attempt.fail('silent');
     use.suspectConnections(this.#components.backEnds);
     use.attempt.failSilentConnection(silence === 'connection');
@@ -391,8 +415,21 @@
   }
 
   #onFailure(failure: AttemptFailure): void {
-    const { row } = this.#use!;
-    this.#log('attempt failed', { backEnd: row.record.id, ...failure, ageMs: this.#age() });
+    const { row, progressAt } = this.#use!;
+    const silentMs = Math.round(performance.now() - progressAt);
+    this.#latestFailure = {
+      backEnd: row.record.id,
+      type: failure.type,
+      reason: failure.type === 'refused' ? `status ${failure.status}` : failure.reason,
+      silentMs,
+    };
+    this.#log('attempt failed', {
+      backEnd: row.record.id,
+      ...failure,
+      silentMs,
+      hasPart: this.#answer.started,
+      ageMs: this.#age(),
+    });
     if (failure.type === 'broken' && failure.isLost) this.#content.noteBroken(row);
     if (failure.type === 'withdrawn') this.#components.expiryFigures.withdrawn++;
     this.#endAttempt(outcomeOf(failure));
@@ -499,7 +536,17 @@
 
   /** Ends an answer whose beginning the caller has: it must not look whole. */
   #cut(reason: string): void {
-    this.#log('answer cut', { reason, ageMs: this.#age() });
+    const { fleet, selector, cutFigures } = this.#components;
+    cutFigures.note(this.#latestFailure?.reason ?? reason);
+    this.#log('answer cut', {
+      reason,
+      latestFailure: this.#latestFailure,
+      sends: this.#sends,
+      excluded: selector.exclusions(this.#requirements()),
+      configuration: fleet.configurationRevision,
+      configurationAgeMs: Math.round(performance.now() - fleet.configurationTakenAt),
+      ageMs: this.#age(),
+    });
     this.#settle('cut');
     this.#response.destroy();
   }
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -14,6 +14,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import { CutFigures } from './cut-figures.js';
 import type { DirectPermits } from './direct-permits.js';
 import { type ArrivalsWithOutcome, DrainFigures } from './drain-figures.js';
 import type { EngineSlots } from './engine-slots.js';
@@ -56,6 +57,7 @@
   random: Random;
   log: Log;
   expiryFigures: VersionExpiryFigures;
+  cutFigures: CutFigures;
   poison: PoisonGuard;
   budgetOf(service: string): RetryWindow;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
@@ -84,7 +86,7 @@
 
   constructor(
     address: string,
-    components: Omit<ForwardingComponents, 'onSettled' | 'durations' | 'expiryFigures'>,
+    components: Omit<ForwardingComponents, 'onSettled' | 'durations' | 'expiryFigures' | 'cutFigures'>,
     metrics: Metrics,
   ) {
     this.#address = address;
@@ -92,6 +94,7 @@
       ...components,
       durations: new LongestDurations(),
       expiryFigures: new VersionExpiryFigures(metrics),
+      cutFigures: new CutFigures(metrics),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
     components.poison.onQuarantined = (fingerprints) => {
