Keep a silent back end until another one has sent a part of the answer

Symptoms: streams that had begun ended with a closed connection 0.6 to 0.7 s after their engine paused, often several of one entry at once and around new configurations; requests whose answer had not begun got 502 after 0.4 s.

Cause: `ForwardedRequest.check` treated a back end that had sent nothing for 600 ms as silent, aborted the attempt, and only then looked for another one. If none could take the stream (there is no other, the others refuse, fail or are silent too, there is no slot or no budget, or a configuration no longer names the service), the answer was cut although its back end would have continued.

Fix: a request may have several attempts open, as many as its route allows. Silence is recorded and counts for the health of the back end. When all open attempts are silent, a search for a replacement starts while they stay open. The first attempt that sends a whole event (or a whole answer, if the caller has no part yet) is selected and the others are aborted, so no event is duplicated or missing. An unsuccessful search, or a refusal or failure of the replacement, ends nothing; a back end that is gone is abandoned as soon as the replacement sends its first part.

`ForwardedRequest.#end` is the only place that ends a request and releases its slots, attempts, waits and timers. Checking attempts, writing log lines, the endings of a request, tracking open attempts and buffering the answer of an attempt move to modules of their own.

--- /dev/null
+++ b/src/forwarding/attempt-answer.ts
@@ -0,0 +1,70 @@
+/**
+ * Buffers the answer of one attempt until it can be passed on to the caller. Event streams are released one whole event at
+ * a time, so that another back end can resume them. Other answers are buffered up to a limit, so that a failed one can
+ * still be replaced.
+ */
+import type { AnswerHead } from './attempt.js';
+import { EventRelay } from './event-relay.js';
+
+/** Limit in bytes up to which an answer that is not an event stream is buffered. */
+const KEPT_BYTES = 65_536;
+const OK = 200;
+
+/** The buffered answer of one attempt. */
+export class AttemptAnswer {
+  readonly #resumeEventId: string | undefined;
+  #head: AnswerHead | undefined;
+  #events: EventRelay | undefined;
+  #buffered: Buffer[] = [];
+  #bufferedBytes = 0;
+
+  /** @param resumeEventId - id of the event after which a stream resumes; undefined to start at its beginning */
+  constructor(resumeEventId: string | undefined) {
+    this.#resumeEventId = resumeEventId;
+  }
+
+  get head(): AnswerHead | undefined {
+    return this.#head;
+  }
+
+  get status(): number {
+    return this.#head?.status ?? 0;
+  }
+
+  /** True for a successful event stream, which another back end can resume. */
+  get isEventStream(): boolean {
+    return this.#events !== undefined;
+  }
+
+  /** Id of the last whole event, or of the event after which the stream resumes. */
+  get lastEventId(): string | undefined {
+    return this.#events?.lastEventId ?? this.#resumeEventId;
+  }
+
+  /** Records the status and headers, and detects event streams. */
+  begin(head: AnswerHead): void {
+    this.#head = head;
+    const isEventStream = String(head.headers['content-type'] ?? '').startsWith('text/event-stream');
+    this.#events = isEventStream && head.status === OK ? new EventRelay(this.#resumeEventId) : undefined;
+  }
+
+  /** Buffers bytes of the body; returns whether the buffer is ready to be passed on. */
+  push(chunk: Buffer): boolean {
+    const bytes = this.#events === undefined ? chunk : this.#events.push(chunk);
+    if (bytes === undefined) return false;
+    this.#buffered.push(bytes);
+    this.#bufferedBytes += bytes.byteLength;
+    return this.#events !== undefined || this.#bufferedBytes > KEPT_BYTES;
+  }
+
+  /** Marks the end of the body; bytes after the last whole event of a stream become ready too. */
+  end(): void {
+    const rest = this.#events?.end();
+    if (rest !== undefined && rest.byteLength > 0) this.#buffered.push(rest);
+  }
+
+  /** Removes and returns the buffered bytes. */
+  takeBuffered(): Buffer[] {
+    return this.#buffered.splice(0);
+  }
+}
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -43,8 +43,6 @@
   | { type: 'refused'; status: number }
   /** The request went out, and the answer is missing, cut or another request's. `isLost`: the connection broke by itself. */
   | { type: 'broken'; reason: string; isLost: boolean }
-  /** Nothing came on a kept connection: it may have run. `isBackEndHeard` where the back end went on with others. */
-  | { type: 'silentConnection'; reason: string; isBackEndHeard: boolean }
   /** This process has ended it, through no fault of the back end, which may have run the request if it `wentOut`. */
   | { type: 'withdrawn'; reason: string; wentOut: boolean };
 
@@ -131,14 +129,6 @@
     this.#listener.onFailure(failure);
   }
 
-  /** Gives up an attempt on a kept connection that went silent. */
-  failSilentConnection(isBackEndHeard: boolean): void {
-    if (this.#ended) return;
-    const reason = 'silent connection';
-    this.abort(reason);
-    this.#listener.onFailure({ type: 'silentConnection', reason, isBackEndHeard });
-  }
-
   /** Ends an attempt that could go wrong, and tells why. */
   withdraw(reason: string): void {
     if (this.#ended) return;
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -3,6 +3,7 @@
  * how long its answers take. Times are in milliseconds of the steady clock.
  */
 import type { Attempt } from './attempt.js';
+import type { AttemptAnswer } from './attempt-answer.js';
 import type { SentFor } from './back-end-selector.js';
 import {
   type BackEndRow,
@@ -12,11 +13,28 @@
   noteFirstAnswer,
   noteOvertaking,
 } from './back-end-table.js';
+import type { SlotClaim } from './engine-slots.js';
+
+export interface BackEndUseOptions {
+  /** The selected back end, and the engine and version for which it was selected. */
+  selection: SentFor & { row: BackEndRow };
+  attempt: Attempt;
+  answer: AttemptAnswer;
+  /** The slot held by the attempt; undefined if it holds none. */
+  claim: SlotClaim | undefined;
+  /** Position in the back end's queue, 0 first. */
+  urgency: number;
+  promptTokens: number;
+  /** Maximum number of tokens of the answer; 0 if unknown. */
+  answerTokens: number;
+}
 
 /** The use of one back end by one attempt. */
 export class BackEndUse {
   readonly row: BackEndRow;
   readonly attempt: Attempt;
+  readonly answer: AttemptAnswer;
+  readonly claim: SlotClaim | undefined;
   readonly sentFor: SentFor;
   readonly #urgency: number;
   readonly #promptTokens: number;
@@ -27,29 +45,22 @@
   #firstAnswerAfter: number | undefined;
   #progressAt: number;
   #hasSuspectedConnections = false;
+  #isSilent = false;
+  #hasBeenSilent = false;
 
-  /**
-   * @param selection - the back end, and what the attempt goes there for
-   * @param urgency - the place that it has in the back end's queue, 0 first
-   * @param answerTokens - tokens that the answer may have; 0 where that is not known
-   */
-  constructor(
-    selection: SentFor & { row: BackEndRow },
-    attempt: Attempt,
-    urgency: number,
-    promptTokens: number,
-    answerTokens: number,
-  ) {
-    const { row, engine, version } = selection;
+  constructor(options: BackEndUseOptions) {
+    const { row, engine, version } = options.selection;
     this.row = row;
     this.sentFor = { engine, version };
-    this.attempt = attempt;
-    this.#urgency = urgency;
-    this.#promptTokens = promptTokens;
-    this.#answerTokens = answerTokens;
+    this.attempt = options.attempt;
+    this.answer = options.answer;
+    this.claim = options.claim;
+    this.#urgency = options.urgency;
+    this.#promptTokens = options.promptTokens;
+    this.#answerTokens = options.answerTokens;
     this.#progressAt = performance.now();
     row.inFlight++;
-    row.unreadTokens += promptTokens;
+    row.unreadTokens += options.promptTokens;
     row.health.noteSent();
     if (row.inFlight === 1) row.progressAt = this.#progressAt;
   }
@@ -74,6 +85,11 @@
     return this.#progressAt;
   }
 
+  /** True after `noteSilence` until the next part of the answer arrives. */
+  get isSilent(): boolean {
+    return this.#isSilent;
+  }
+
   /** True where a request that was sent there later, and is no more urgent, has been answered. */
   get isOvertaken(): boolean {
     return isOvertaken(this.row, this.#urgency, this.attempt.startedAt);
@@ -93,6 +109,17 @@
     this.noteRead();
   }
 
+  /** True after the first `noteSilence`. */
+  get hasBeenSilent(): boolean {
+    return this.#hasBeenSilent;
+  }
+
+  /** Marks the attempt as silent. */
+  noteSilence(): void {
+    this.#hasBeenSilent = true;
+    this.#isSilent = true;
+  }
+
   /** The caller does not read: the back end is not let send, and owes nothing at `now`. */
   noteCallerBlocks(now: number): void {
     this.#progressAt = now;
@@ -116,8 +143,9 @@
     table.noteSilentConnection(this.row, this.attempt.startedAt);
   }
 
-  /** The attempt has ended; returns how long it took, in milliseconds. */
+  /** Ends the attempt and releases its slot; returns its duration in milliseconds. */
   end(): number {
+    this.claim?.release(this.attempt.sent);
     this.noteRead();
     this.row.inFlight--;
     return performance.now() - this.attempt.startedAt;
@@ -131,6 +159,7 @@
   }
 
   #noteProgress(): void {
+    this.#isSilent = false;
     this.#progressAt = performance.now();
     this.row.progressAt = this.#progressAt;
   }
--- a/src/forwarding/caller-answer.ts
+++ b/src/forwarding/caller-answer.ts
@@ -1,32 +1,28 @@
 /**
- * The answer that a caller gets of what back ends send. Nothing of it goes out before its first part is there: of a
- * stream the first whole event, of anything else as much as is kept; until then another back end's answer can take its
- * place.
+ * Writes the answer to the caller: the output of one or more attempts in sequence, or an error of this system.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AnswerHead, Attempt } from './attempt.js';
-import { EventRelay } from './event-relay.js';
+import type { AttemptAnswer } from './attempt-answer.js';
+import type { FinalAnswer } from './forwarding-errors.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
 
-/** Answers that are not streams are kept up to this, so that a broken one can be replaced, in bytes. */
-const KEPT_BYTES = 65_536;
-const OK = 200;
-
 /** The answer to one request. */
 export class CallerAnswer {
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   readonly #isLeaving: () => boolean;
-  #head: AnswerHead | undefined;
-  #kept: Buffer[] = [];
-  #keptBytes = 0;
-  #events: EventRelay | undefined;
+  /** Id of the last event written to the caller. */
+  #lastEventId: string | undefined;
+  #isEventStream = false;
 
   /** @param isLeaving - whether the caller is to use its connection no more */
   constructor(request: IncomingMessage, response: ServerResponse, isLeaving: () => boolean) {
     this.#request = request;
     this.#response = response;
     this.#isLeaving = isLeaving;
+    const requested = request.headers[LAST_EVENT_ID];
+    this.#lastEventId = requested === undefined ? undefined : String(requested);
   }
 
   /** True once the caller has a part of it. */
@@ -34,77 +30,65 @@
     return this.#response.headersSent;
   }
 
-  get status(): number {
-    return this.#head?.status ?? 0;
-  }
-
-  /** True where another back end can go on with it. */
+  /** True if an event stream has begun, which another back end can resume. */
   get isEventStream(): boolean {
-    return this.#events !== undefined;
+    return this.#isEventStream;
   }
 
   /** The event after which it would go on. */
   get lastEventId(): string | undefined {
-    return this.#events?.lastEventId ?? this.#requestedEventId;
+    return this.#lastEventId;
   }
 
-  /** Takes the head of a back end's answer; false where it cannot go on with what the caller has. */
-  begin(head: AnswerHead): boolean {
-    if (this.started) return head.status === OK;
-    this.#head = head;
-    const isEventStream = String(head.headers['content-type'] ?? '').startsWith('text/event-stream');
-    this.#events = isEventStream && head.status === OK ? new EventRelay(this.#requestedEventId) : undefined;
-    return true;
+  /** True while the write buffer is full, as the caller is not reading. */
+  get isBlocked(): boolean {
+    return this.#response.writableNeedDrain;
   }
 
-  /** Takes bytes of `attempt`, which is paused while the caller does not read. */
-  push(chunk: Buffer, attempt: Attempt): void {
-    const bytes = this.#events === undefined ? chunk : this.#events.push(chunk);
-    if (bytes === undefined) return;
-    if (this.#events === undefined && !this.started && this.#keep(bytes)) return;
-    for (const kept of this.#kept.splice(0)) this.#write(kept);
-    if (this.#write(bytes)) return;
+  /** Writes the buffered part of the answer of `attempt`, and pauses the attempt while the caller is not reading. */
+  forward(answer: AttemptAnswer, attempt: Attempt): void {
+    if (this.#write(answer)) return;
     attempt.pause();
     this.#response.once('drain', () => attempt.resume());
   }
 
-  /** Forgets what the caller has not got of an answer that broke off. */
-  forget(): void {
-    this.#events?.cut();
-    this.#kept = [];
-    this.#keptBytes = 0;
-  }
-
-  /** The back end's answer is whole. */
-  end(): void {
-    for (const kept of this.#kept.splice(0)) this.#write(kept);
-    const rest = this.#events?.end();
-    if (rest !== undefined && rest.byteLength > 0) this.#write(rest);
-    if (!this.started) this.#writeHead();
+  /** Writes the rest of a complete answer and ends the response. */
+  end(answer: AttemptAnswer): void {
+    answer.end();
+    this.#write(answer);
+    if (!this.started) this.#writeHead(answer);
     this.#response.end();
   }
 
-  get #requestedEventId(): string | undefined {
-    const requested = this.#request.headers[LAST_EVENT_ID];
-    return requested === undefined ? undefined : String(requested);
+  /** Responds with an error of this system, or cuts an answer that has begun, which must not look complete. */
+  fail({ status, retryAfter }: FinalAnswer, requestIdHeader: Record<string, string>): void {
+    if (this.started || this.#response.destroyed) return this.cut();
+    const headers: Record<string, string> = { 'content-length': '0', ...requestIdHeader };
+    if (retryAfter !== undefined) headers['retry-after'] = retryAfter.toFixed(2);
+    // The unread rest of a request body would be parsed as the next request.
+    if (this.#isLeaving() || !this.#request.complete) headers.connection = 'close';
+    this.#response.writeHead(status, headers);
+    this.#response.end();
   }
 
-  /** Keeps the beginning; false when it has grown too large for that. */
-  #keep(bytes: Buffer): boolean {
-    if (this.#keptBytes + bytes.byteLength > KEPT_BYTES) return false;
-    this.#kept.push(bytes);
-    this.#keptBytes += bytes.byteLength;
-    return true;
+  /** Closes the connection, so that the caller can tell that the answer is incomplete. */
+  cut(): void {
+    this.#response.destroy();
   }
 
-  #write(bytes: Buffer): boolean {
-    if (!this.started) this.#writeHead();
-    return this.#response.write(bytes);
+  /** Returns false if the caller is not reading. */
+  #write(answer: AttemptAnswer): boolean {
+    const parts = answer.takeBuffered();
+    if (parts.length === 0) return true;
+    if (!this.started) this.#writeHead(answer);
+    this.#lastEventId = answer.lastEventId;
+    return parts.map((part) => this.#response.write(part)).every((canContinue) => canContinue);
   }
 
-  #writeHead(): void {
-    const { status, rawHeaders, headers } = this.#head!;
-    const left = new Set(this.isEventStream ? ['content-length'] : []);
+  #writeHead(answer: AttemptAnswer): void {
+    const { status, rawHeaders, headers } = answer.head!;
+    this.#isEventStream = answer.isEventStream;
+    const left = new Set(answer.isEventStream ? ['content-length'] : []);
     const kept = endToEndHeaders(rawHeaders, headers.connection, left);
     if (this.#isLeaving()) kept.push('Connection', 'close');
     // An answer that ends with its connection may have been cut: it must not get a frame that says that it is whole.
--- a/src/forwarding/event-relay.ts
+++ b/src/forwarding/event-relay.ts
@@ -39,11 +39,6 @@
     this.#held = Buffer.alloc(0);
     return rest;
   }
-
-  /** The stream broke off: what was held of an event is forgotten. */
-  cut(): void {
-    this.#held = Buffer.alloc(0);
-  }
 }
 
 /** Offset after the last empty line, which ends an event; 0 where there is none. */
--- a/src/forwarding/hold-record.ts
+++ b/src/forwarding/hold-record.ts
@@ -17,7 +17,9 @@
   /** None has in its time. */
   | 'inVain'
   /** Its caller left before. */
-  | 'left';
+  | 'left'
+  /** No longer needed, as an open attempt has answered. */
+  | 'cancelled';
 
 /** The waits for back ends of one service. */
 export class HoldRecord {
@@ -38,7 +40,7 @@
   /** A request waits no more. */
   end(how: HoldEnd): void {
     this.#held--;
-    if (how === 'left') return;
+    if (how === 'left' || how === 'cancelled') return;
     const sample = how === 'sent' ? 1 : 0;
     this.#sentShare += END_WEIGHT * (sample - this.#sentShare);
   }
--- /dev/null
+++ b/src/forwarding/open-attempts.ts
@@ -0,0 +1,84 @@
+/**
+ * Tracks the open attempts of one request and the number of back ends that may have run it. Several attempts are open while
+ * a silent back end is being replaced; the first that sends a part of the answer is kept.
+ */
+import type { BackEndOutcome } from './back-end-health.js';
+import type { BackEndUse } from './back-end-use.js';
+import type { SuspectContent } from './suspect-content.js';
+import type { TimeToEnd } from './time-to-end.js';
+
+export interface OpenAttemptsOptions {
+  content: SuspectContent;
+  timeToEnd: () => TimeToEnd;
+  /** Usual share of failures among the back ends of the request's service. */
+  usualFailureShare: () => number;
+}
+
+/** The attempts of one request that have not ended. */
+export class OpenAttempts {
+  readonly #options: OpenAttemptsOptions;
+  readonly #all = new Set<BackEndUse>();
+  #endedRuns = 0;
+
+  constructor(options: OpenAttemptsOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#all.size;
+  }
+
+  /** The attempts in the order in which they were added. */
+  all(): BackEndUse[] {
+    return [...this.#all];
+  }
+
+  /** Number of back ends that may have run the request or may still run it. */
+  get runs(): number {
+    return this.#endedRuns + this.#all.size;
+  }
+
+  /** True if the request may have run at a back end. */
+  get mayHaveRun(): boolean {
+    return this.#endedRuns > 0 || this.all().some(({ attempt }) => attempt.sent);
+  }
+
+  /** True if there are open attempts and all of them are silent. */
+  get areAllSilent(): boolean {
+    return this.#all.size > 0 && this.all().every(({ isSilent }) => isSilent);
+  }
+
+  add(use: BackEndUse): void {
+    this.#all.add(use);
+  }
+
+  /**
+   * Removes an attempt that has ended and records its outcome; returns its duration in milliseconds.
+   * @param outcome - outcome for the health of the back end; undefined for none
+   */
+  close(use: BackEndUse, outcome: BackEndOutcome | undefined): number {
+    const { content, timeToEnd, usualFailureShare } = this.#options;
+    this.#all.delete(use);
+    if (use.attempt.mayHaveRun) {
+      this.#endedRuns++;
+      content.noteMayHaveRun();
+    }
+    if (use.attempt.isGivenUp) content.noteGivenUp(use.row);
+    const took = use.end();
+    const now = performance.now();
+    timeToEnd().noteEnded(use.attempt, outcome === 'served', now);
+    const { health } = use.row;
+    if (outcome === undefined) health.noteAbandoned();
+    else health.note(outcome, now, usualFailureShare());
+    return took;
+  }
+
+  /** Aborts and closes all attempts except `kept`. */
+  abortAll(reason: string, kept?: BackEndUse): void {
+    for (const use of this.all()) {
+      if (use === kept) continue;
+      use.attempt.abort(reason);
+      this.close(use, undefined);
+    }
+  }
+}
--- /dev/null
+++ b/src/forwarding/request-log.ts
@@ -0,0 +1,112 @@
+/** Writes the log lines of one request. */
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { Log } from '../observability/log.js';
+import type { DrainSchedule } from '../systems/drain-schedule.js';
+import type { AttemptFailure } from './attempt.js';
+import type { BackEndUse } from './back-end-use.js';
+import type { CutFigures } from './cut-figures.js';
+import { finalAnswer } from './forwarding-errors.js';
+import type { RequestEnding } from './request-ending.js';
+
+export interface RequestLogComponents {
+  log: Log;
+  drain: DrainSchedule;
+  fleet: FleetView;
+  cutFigures: CutFigures;
+}
+
+/** The properties of a request that are logged. */
+export interface LoggedRequest {
+  id: string;
+  arrivedAt: number;
+  service(): string;
+  /** Whether the caller has received a part of the answer. */
+  hasPart(): boolean;
+}
+
+interface FailedAttempt {
+  backEnd: string;
+  type: AttemptFailure['type'];
+  reason: string;
+  /** Time since the back end last sent a part of the answer, in milliseconds. */
+  silentMs: number;
+}
+
+/** Additional fields of the log line for a cut answer. */
+export interface CutContext {
+  sends: number;
+  /** Excluded back ends by reason. */
+  excluded: object;
+}
+
+export class RequestLog {
+  readonly #components: RequestLogComponents;
+  readonly #request: LoggedRequest;
+  #latestFailure: FailedAttempt | undefined;
+
+  constructor(components: RequestLogComponents, request: LoggedRequest) {
+    this.#components = components;
+    this.#request = request;
+  }
+
+  /** Age of the request in milliseconds. */
+  get age(): number {
+    return Math.round(performance.now() - this.#request.arrivedAt);
+  }
+
+  note(message: string, fields: object): void {
+    const { drain, log } = this.#components;
+    const { id, service } = this.#request;
+    const sinceStop = drain.elapsed(performance.now());
+    const ofStop = sinceStop === undefined ? {} : { sinceStopMs: Math.round(sinceStop) };
+    log.info(message, { request: id, service: service(), ...ofStop, ...fields });
+  }
+
+  noteAbandoned(cause: unknown): void {
+    const text = String((cause as Error)?.stack ?? cause);
+    this.#components.log.error('request abandoned', { request: this.#request.id, cause: text });
+  }
+
+  noteFailure({ row, progressAt }: BackEndUse, failure: AttemptFailure): void {
+    const backEnd = row.record.id;
+    const silentMs = Math.round(performance.now() - progressAt);
+    const reason = failure.type === 'refused' ? `status ${failure.status}` : failure.reason;
+    this.#latestFailure = { backEnd, type: failure.type, reason, silentMs };
+    const hasPart = this.#request.hasPart();
+    this.note('attempt failed', { backEnd, ...failure, silentMs, hasPart, ageMs: this.age });
+  }
+
+  /**
+   * @param use - the first attempt that is open
+   * @param routeName - the route of the request; undefined where it has none
+   */
+  noteEnding(ending: RequestEnding, use: BackEndUse | undefined, routeName: string | undefined): void {
+    if (ending.type === 'left')
+      return this.note('caller left', { backEnd: use?.row.record.id, ageMs: this.age });
+    if (ending.type !== 'failed') return;
+    const { status } = finalAnswer(ending.error);
+    const route = ending.routeName ?? routeName;
+    this.note('ended', { status, ...ending.error, ageMs: this.age, route });
+  }
+
+  noteCut(
+    { reason, isStop }: RequestEnding & { type: 'cut' },
+    use: BackEndUse | undefined,
+    context: CutContext,
+  ): void {
+    const { fleet, cutFigures } = this.#components;
+    const now = performance.now();
+    const open =
+      use === undefined ? {} : { backEnd: use.row.record.id, silentMs: Math.round(now - use.progressAt) };
+    cutFigures.note(isStop ? reason : (this.#latestFailure?.reason ?? reason));
+    this.note('answer cut', {
+      reason,
+      ...open,
+      latestFailure: this.#latestFailure,
+      ...context,
+      configuration: fleet.configurationRevision,
+      configurationAgeMs: Math.round(now - fleet.configurationTakenAt),
+      ageMs: this.age,
+    });
+  }
+}
--- a/src/forwarding/request-outcome.ts
+++ b/src/forwarding/request-outcome.ts
@@ -21,17 +21,18 @@
   attempt,
   hasAnswered,
   isOvertaken,
+  hasBeenSilent,
 }: BackEndUse): BackEndOutcome | undefined {
-  if (hasAnswered || !attempt.sent) return undefined;
+  // The health of the back end already includes a detected silence.
+  if (hasAnswered || hasBeenSilent || !attempt.sent) return undefined;
   return attempt.isOnSilentConnection && isOvertaken ? undefined : 'silent';
 }
 
 /** What a failed attempt says of the back end; undefined for nothing. */
 export function outcomeOf(failure: AttemptFailure): BackEndOutcome | undefined {
   if (failure.type === 'withdrawn') return undefined;
-  if (failure.type === 'silentConnection') return failure.isBackEndHeard ? undefined : 'silentConnection';
   if (failure.type === 'refused') return failure.status === MISDIRECTED ? 'misdirected' : 'overloaded';
-  if (failure.type === 'notSent' || failure.reason === 'silent') return 'silent';
+  if (failure.type === 'notSent') return 'silent';
   return 'failed';
 }
 
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -6,6 +6,20 @@
 
 /** What is taken out: `find` becomes `replace`; `fault` names what then goes wrong. */
 export const GUARDS = [
+  {
+    fault: 'a silent attempt is aborted before another back end has sent a part of the answer',
+    file: 'src/forwarding/attempt-watch.ts',
+    find: 'use.noteSilence();',
+    replace: "use.noteSilence();\n    if (true) return use.attempt.fail('silent');",
+    test: 'test/forwarding/stream-cut-while-back-end-pauses.test.ts',
+  },
+  {
+    fault: 'the other attempts stay open after one has been selected',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: "this.#openAttempts.abortAll('another back end answers', use);",
+    replace: '',
+    test: 'test/forwarding/stream-cut-while-back-end-pauses.test.ts',
+  },
   {
     fault: 'an agent grants slots without regard to the rate limit of its engine',
     file: 'src/systems/slot-table.ts',
@@ -131,7 +145,7 @@
     replace: '',
     also: {
       file: 'src/forwarding/forwarded-request.ts',
-      find: 'if (!this.#content.mayBeSent) return this.#giveUpQuarantined();',
+      find: 'if (!this.#content.mayBeSent) return () => this.#giveUpQuarantined();',
       replace: '',
     },
     test: 'test/forwarding/poison-request.test.ts',
@@ -139,14 +153,14 @@
   {
     fault: 'a request is left at a back end that is going to crash under it',
     file: 'src/forwarding/forwarded-request.ts',
-    find: "this.#use.attempt.withdraw('quarantined');",
+    find: "if (!hasBegun) attempt.withdraw('quarantined');",
     replace: '',
     test: 'test/forwarding/poison-request.test.ts',
   },
   {
     fault: 'what was taken back from a back end that crashes nevertheless has no part in its crash',
-    file: 'src/forwarding/forwarded-request.ts',
-    find: 'if (use.attempt.isGivenUp) this.#content.noteGivenUp(use.row);',
+    file: 'src/forwarding/open-attempts.ts',
+    find: 'if (use.attempt.isGivenUp) content.noteGivenUp(use.row);',
     replace: '',
     test: 'test/forwarding/poison-request.test.ts',
   },
@@ -669,7 +683,7 @@
   {
     fault: 'a back end works on after its caller has left',
     file: 'src/forwarding/forwarded-request.ts',
-    find: "this.#use?.attempt.abort('caller left');",
+    find: "this.#openAttempts.abortAll(ending.type === 'left' ? 'caller left' : 'request ended');",
     replace: '',
     test: 'test/forwarding/forwarding.test.ts',
   },
@@ -738,7 +752,7 @@
   },
   {
     fault: 'a request begins on a version that has expired while it waited',
-    file: 'src/forwarding/forwarded-request.ts',
+    file: 'src/forwarding/attempt-watch.ts',
     find: "return use.attempt.withdraw('version expires');",
     replace: 'return;',
     test: 'test/forwarding/capacity.test.ts',
@@ -955,8 +969,8 @@
   },
   {
     fault: 'slots are kept by requests that have ended',
-    file: 'src/forwarding/forwarded-request.ts',
-    find: 'this.#claim?.release(this.#use?.attempt.sent === true);',
+    file: 'src/forwarding/back-end-use.ts',
+    find: 'this.claim?.release(this.attempt.sent);',
     replace: '',
     test: 'test/forwarding/slots.test.ts',
   },
@@ -1046,9 +1060,9 @@
   },
   {
     fault: 'what may not be sent again begins on an expired version',
-    file: 'src/forwarding/forwarded-request.ts',
+    file: 'src/forwarding/attempt-watch.ts',
     find: 'return !hasBegun && this.',
-    replace: 'return !hasBegun && this.#mayRunAgain() && this.',
+    replace: 'return !hasBegun && this.#request.maySendAgain() && this.',
     test: 'test/forwarding/last-send-expires.test.ts',
   },
   {
