Move the types of messages into src/protocol

Cause: the types of the news and reports that processes exchange stood in the parts that produce them, and src/protocol imported them from there. Nine files of fleet, forwarding, observability, peers and protocol formed one import ring, which grew with each kind of news.

Change: src/protocol holds these types, one copy each: store-news, limit-news, poison-news, back-end-list-state, reports, slot-messages and fleet-messages. The parts import them from there. BackEndIdentity and isSameStart, and the hybrid clock, move to src/model. BackEndSet stays in src/fleet/back-end-identity.ts. Only types, their doc comments and imports move; names on the wire stay the same.

Result: src/protocol imports from src/clients, src/model and src/systems alone, and no file of it is in an import ring.

--- a/bench/processes/witness.ts
+++ b/bench/processes/witness.ts
@@ -6,8 +6,8 @@
 
 import { setMaxListeners } from 'node:events';
 import type { OriginVersion } from '../../emulator/platform/weights.js';
+import { HybridClock } from '../../src/model/hybrid-clock.js';
 import { digestOf } from '../../src/model/manifest.js';
-import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { type Connection, connect, createTrafficCounters } from '../../src/protocol/connection.js';
 import { type Message, transferKeyOf } from '../../src/protocol/messages.js';
 import type { StartedAgent } from './cluster.js';
--- a/bench/scale/hollow-agent.ts
+++ b/bench/scale/hollow-agent.ts
@@ -4,9 +4,9 @@
  */
 import { EntryLink } from '../../src/agent/entry-link.js';
 import { homeCandidates } from '../../src/agent/home-candidates.js';
+import { HybridClock } from '../../src/model/hybrid-clock.js';
 import { hash32, seededRandom } from '../../src/model/random.js';
 import type { Startable } from '../../src/model/startable.js';
-import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { type ConnectionContext, createTrafficCounters } from '../../src/protocol/connection.js';
 import type { AgentStatus, EntryInfo, Message } from '../../src/protocol/messages.js';
 import type { PeerInfo } from '../../src/systems/distribution/transfer.js';
--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -1,7 +1,7 @@
 /** The operators' commands: declarations in, progress and time lines out. */
 import { randomUUID } from 'node:crypto';
 import { Command, Option } from 'clipanion';
-import { stampTime } from '../observability/hybrid-clock.js';
+import { stampTime } from '../model/hybrid-clock.js';
 import { mergeTimelines, type TimelineEntry } from '../observability/timeline.js';
 import type { AgentStatus, EntryInfo } from '../protocol/messages.js';
 import type { DeploymentStatus } from '../resources/deployment-status.js';
--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -6,43 +6,17 @@
  * have written themselves anew. One that has gone does not come back with the copy, and one that leaves goes on leaving.
  */
 
-import { eraOf, type StoreRevision } from '../clients/store-revision.js';
-import { type BackEndIdentity, BackEndSet, isSameStart } from './back-end-identity.js';
+import { eraOf } from '../clients/store-revision.js';
+import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
+import type { BackEndListState, BackEndRecord } from '../protocol/back-end-list-state.js';
+import { BackEndSet } from './back-end-identity.js';
 import { BackEndStarts } from './back-end-starts.js';
 
-/** Layers of a model that a back end holds. */
-export interface HeldLayers {
-  from: number;
-  /** The first layer after those held. */
-  end: number;
-  version: number;
-}
-
-/** One start of a back end, as it tells of itself. */
-export interface BackEndRecord extends BackEndIdentity {
-  service: string;
-  address: string;
-  zone: string;
-  /** Requests that it runs at the same time. */
-  slots: number;
-  leaving: boolean;
-  /** Undefined where the service has no weights, or none are held. */
-  layers: HeldLayers | undefined;
-  /** The store's revision of this record. */
-  revision: StoreRevision;
-}
-
 /** A change of the list: a record that is new or has changed, or an identity that is gone. */
 export type BackEndChange =
   | { type: 'changed'; record: BackEndRecord }
   | { type: 'gone'; id: string; revision: number };
 
-/** The records as of `revision`. */
-export interface BackEndListState {
-  revision: number;
-  records: BackEndRecord[];
-}
-
 /** Back ends that have gone and are remembered: the latest. Chosen, above those that go within the seconds that a copy is old. */
 const MOST_GONE = 1_000;
 
--- a/src/fleet/back-end-starts.ts
+++ b/src/fleet/back-end-starts.ts
@@ -10,7 +10,7 @@
  * - An entry that is passed over is late. More of them are not: then the present one was taken for newer by mistake, and would
  *   be kept for good.
  */
-import type { BackEndIdentity } from './back-end-identity.js';
+import type { BackEndIdentity } from '../model/back-end-identity.js';
 
 /**
  * Entries in a row with a start that is passed over after which that is the present one. Chosen: a reader sees the latest
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -2,10 +2,12 @@
  * What one process believes about the deployment: the configuration in force, the back ends, the versions that the
  * operator has named. Every part only moves forward; who told it, the store or a peer, makes no difference.
  */
-import type { BackEndIdentity } from './back-end-identity.js';
-import { type BackEndChange, BackEndList, type BackEndListState } from './back-end-list.js';
+import type { BackEndIdentity } from '../model/back-end-identity.js';
+import type { BackEndListState } from '../protocol/back-end-list-state.js';
+import type { NamedVersion } from '../protocol/reports.js';
+import { type BackEndChange, BackEndList } from './back-end-list.js';
 import type { FleetConfiguration } from './configuration.js';
-import { type NamedVersion, NamedVersions } from './named-versions.js';
+import { NamedVersions } from './named-versions.js';
 import type { RecordFault } from './record-decoder.js';
 import { RouteTable } from './route-table.js';
 import { StoreClock } from './store-clock.js';
--- a/src/fleet/named-versions.ts
+++ b/src/fleet/named-versions.ts
@@ -7,16 +7,9 @@
  * it, so processes exchange them and keep the maximum. A process that has just started knows none (minus infinity) and
  * forbids older versions at once, until the store's history or a peer tells it more.
  */
+import type { NamedVersion } from '../protocol/reports.js';
 import type { StoreClock } from './store-clock.js';
 
-/** One version of a model that was named. */
-export interface NamedVersion {
-  model: string;
-  version: number;
-  /** It was not named before this, in milliseconds of the store's clock; minus infinity where nothing is known. */
-  notBefore: number;
-}
-
 /** Versions of a model that are remembered at least. */
 const REMEMBERED = 4;
 /**
--- a/src/fleet/record-decoder.ts
+++ b/src/fleet/record-decoder.ts
@@ -1,7 +1,7 @@
 /** The contract of what reads the store's rows: the words of a platform stay behind it. */
 import type { StoredRow } from '../clients/watched-tables.js';
 import type { Result } from '../model/result.js';
-import type { BackEndRecord } from './back-end-list.js';
+import type { BackEndRecord } from '../protocol/back-end-list-state.js';
 import type { ConfigurationDocument } from './fleet-view.js';
 
 /** What is wrong with a record, as it is counted. */
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -5,16 +5,18 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { eraOf, type StoreRevision } from '../clients/store-revision.js';
 import type { RowsAt, StoredRow, WatchedTables } from '../clients/watched-tables.js';
+import { isSameStart } from '../model/back-end-identity.js';
 import type { Random } from '../model/random.js';
 import type { Result } from '../model/result.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import type { Log } from '../observability/log.js';
-import { isSameStart } from './back-end-identity.js';
-import { type BackEndChange, type BackEndRecord, isAlike } from './back-end-list.js';
+import type { BackEndRecord } from '../protocol/back-end-list-state.js';
+import type { FollowedTable, StoreNews, TableNews } from '../protocol/store-news.js';
+import { type BackEndChange, isAlike } from './back-end-list.js';
 import type { FleetView } from './fleet-view.js';
 import type { OperatorRecord, RecordDecoder, RecordFault } from './record-decoder.js';
 import { RecordFaults } from './record-faults.js';
-import { TableFollower, type TableFollowerEvents, type TableNews } from './table-follower.js';
+import { TableFollower, type TableFollowerEvents } from './table-follower.js';
 
 /**
  * Longest wait for changes in one call, in milliseconds: those that this process reads for hear of it at least that often,
@@ -48,9 +50,6 @@
   log: Log;
 }
 
-/** The tables that are followed. */
-export type FollowedTable = 'operator' | 'backEnds';
-
 /** What a row says of a back end. */
 interface RowNews {
   /** A row that cannot be used names no back end, as one that is gone. */
@@ -59,13 +58,6 @@
   isRemoval: boolean;
 }
 
-/** What is new in the store, as one process passes it on to others. */
-export interface StoreNews extends TableNews {
-  table: FollowedTable;
-  /** Back ends that seem to be gone are kept for this long yet, in milliseconds. */
-  holdsRemovalsFor: number;
-}
-
 /** Follows the store's tables. */
 export class StoreSync implements Startable {
   readonly #options: StoreSyncOptions;
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -7,6 +7,7 @@
 import type { Result } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
+import type { TableNews } from '../protocol/store-news.js';
 import type { StoreClock } from './store-clock.js';
 
 /** Time that the store may take beyond the wait that it was asked for, in milliseconds. */
@@ -49,17 +50,6 @@
   onNews(news: TableNews): void;
 }
 
-/** What is new in a table, as one who reads it passes it on. */
-export interface TableNews {
-  /** The news follow on what was known as of this revision. */
-  after: number;
-  revision: number;
-  storeTime: number;
-  /** What is new was written after this, in milliseconds of the store's clock. */
-  since: number;
-  rows: StoredRow[];
-}
-
 /** What to follow, and how often it may be asked for. */
 export interface TableFollowerOptions {
   tables: WatchedTables;
--- a/src/forwarding/back-end-limits.ts
+++ b/src/forwarding/back-end-limits.ts
@@ -3,9 +3,10 @@
  * lifted by an answer without a limit, if the request was sent after the limit was last named: answers can arrive out of
  * order. Times are in milliseconds of the steady clock.
  */
-import { type BackEndIdentity, isSameStart } from '../fleet/back-end-identity.js';
+import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
+import type { LimitNews } from '../protocol/limit-news.js';
 import type { RateLimitNotice } from './rate-limit-notice.js';
 
 /** Rate limit information from one answer. */
@@ -18,11 +19,6 @@
   mayLift: boolean;
 }
 
-/** Rate limit changes exchanged between entries. */
-export type LimitNews =
-  | { type: 'named'; backEnd: string; start?: number | undefined; rate: number }
-  | { type: 'lifted'; backEnd: string; start?: number | undefined };
-
 /** Notified of changes that this entry learned from an answer. */
 export interface LimitListener {
   onNamed(backEnd: BackEndIdentity, rate: number): void;
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -3,8 +3,10 @@
  * and from other entries, and how they did. Rows go with their records, and are of one start of their back end each: one
  * that starts again has a new row, and what is told of the former start is passed over.
  */
-import { type BackEndIdentity, isSameStart } from '../fleet/back-end-identity.js';
-import type { BackEndChange, BackEndRecord, HeldLayers } from '../fleet/back-end-list.js';
+import type { BackEndChange } from '../fleet/back-end-list.js';
+import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
+import type { BackEndRecord, HeldLayers } from '../protocol/back-end-list-state.js';
+import type { BackEndLoad } from '../protocol/reports.js';
 import { CapacityForecast } from '../systems/capacity-forecast.js';
 import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
@@ -43,11 +45,6 @@
   switchAt: number;
 }
 
-/** Requests in flight at a back end from one entry. */
-export interface BackEndLoad extends BackEndIdentity {
-  inFlight: number;
-}
-
 /** One start of a back end. */
 export interface BackEndRow {
   record: BackEndRecord;
--- a/src/forwarding/crash-witness.ts
+++ b/src/forwarding/crash-witness.ts
@@ -5,7 +5,7 @@
  * later, that was a crash as well.
  */
 import { connect as connectSocket } from 'node:net';
-import { type BackEndIdentity, isSameStart } from '../fleet/back-end-identity.js';
+import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import type { Log } from '../observability/log.js';
 import type { BackEndCrash, Fingerprint } from '../systems/poison-requests.js';
 import type { BackEndRow } from './back-end-table.js';
--- a/src/forwarding/direct-permits.ts
+++ b/src/forwarding/direct-permits.ts
@@ -8,10 +8,10 @@
  */
 import { z } from 'zod';
 import type { StoredRow, WatchedTables } from '../clients/watched-tables.js';
-import type { BackEndIdentity } from '../fleet/back-end-identity.js';
-import { isSameStart } from '../fleet/back-end-identity.js';
 import type { StoreClock } from '../fleet/store-clock.js';
 import { sleep } from '../fleet/table-follower.js';
+import type { BackEndIdentity } from '../model/back-end-identity.js';
+import { isSameStart } from '../model/back-end-identity.js';
 import type { Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -4,6 +4,7 @@
  */
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
+import type { PoisonNews } from '../protocol/poison-news.js';
 import {
   type BackEndCrash,
   type Fingerprint,
@@ -14,17 +15,6 @@
 import { type ConnectionAnswer, type CrashSuspect, CrashWitness } from './crash-witness.js';
 import type { QuarantineRecords, QuarantineState } from './quarantine-records.js';
 
-/** What entries tell one another of contents that crash back ends. Messages carry ages, as their clocks differ. */
-export type PoisonNews =
-  /** A back end crashed `age` milliseconds ago with these contents in progress. */
-  | { type: 'crashed'; backEnd: string; start?: number | undefined; age: number; suspects: Fingerprint[] }
-  /** One request with this content is let through. */
-  | { type: 'trial'; fingerprint: Fingerprint }
-  /** That request reached no back end. */
-  | { type: 'notTried'; fingerprint: Fingerprint }
-  /** A request with this content was served. */
-  | { type: 'served'; fingerprint: Fingerprint };
-
 /** After a trial that could not be claimed callers may ask again after this, in milliseconds: the store may be back then. */
 const RETRY_CLAIM = 2_000;
 
--- a/src/observability/timeline.ts
+++ b/src/observability/timeline.ts
@@ -1,5 +1,5 @@
 /** The time line of one process: a bounded ring of its latest changes of state. */
-import type { HybridClock, Stamp } from './hybrid-clock.js';
+import type { HybridClock, Stamp } from '../model/hybrid-clock.js';
 
 /** What can happen. A new kind of event is added here first. */
 export type TimelineEvent =
--- a/src/peers/engine-agents.ts
+++ b/src/peers/engine-agents.ts
@@ -1,7 +1,7 @@
 /** The agents of engines that are connected to an entry: what they report, and the plan that they are told. */
 import type { Startable } from '../model/startable.js';
 import type { Connection } from '../protocol/connection.js';
-import type { EngineReport, WeightsPlan } from './reports.js';
+import type { EngineReport, WeightsPlan } from '../protocol/reports.js';
 
 /** Time between two tellings of the plan, in milliseconds. */
 const PLAN_INTERVAL = 700;
--- a/src/peers/entry-link.ts
+++ b/src/peers/entry-link.ts
@@ -6,8 +6,8 @@
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import { type Connection, type ConnectionContext, connect } from '../protocol/connection.js';
+import type { WeightsPlan } from '../protocol/reports.js';
 import { Dialling } from './dialling.js';
-import type { WeightsPlan } from './reports.js';
 
 /** Longest pause between two rounds over all known entries, in milliseconds. */
 const LONGEST_ROUND_PAUSE = 400;
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -3,15 +3,14 @@
  * what it has in flight and how far it knows the store's news, so that one that is cut off from the store learns from
  * those that are not.
  */
-import type { BackEndListState } from '../fleet/back-end-list.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
-import type { StoreNews } from '../fleet/store-sync.js';
 import type { Random } from '../model/random.js';
 import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
+import type { BackEndListState } from '../protocol/back-end-list-state.js';
 import {
   type Connection,
   type ConnectionContext,
@@ -20,13 +19,14 @@
   encodeForMany,
 } from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
+import type { EntryReport } from '../protocol/reports.js';
+import type { StoreNews } from '../protocol/store-news.js';
 import { lacksAddresses, toldInTurn, toldOfNew } from '../systems/address-gossip.js';
 import type { EntriesKnown } from '../systems/entry-retry-window.js';
 import { Dialling } from './dialling.js';
 import { FleetWish } from './fleet-wish.js';
 import type { PeerNews } from './peer-news.js';
 import { REPORT_TICK, reportInterval, reportLife, signTime, silenceLimit } from './report-rate.js';
-import type { EntryReport } from './reports.js';
 
 /** Longest time between two tries to reach an entry, in milliseconds. */
 const LONGEST_REDIAL = 4_000;
--- a/src/peers/peer-news.ts
+++ b/src/peers/peer-news.ts
@@ -2,9 +2,9 @@
  * News that entries send one another as it occurs, and in full on each new connection, because an entry that has just started
  * or was cut off has missed it: contents that crash back ends, and rate limits of back ends.
  */
-import type { LimitNews } from '../forwarding/back-end-limits.js';
-import type { PoisonNews } from '../forwarding/poison-guard.js';
+import type { LimitNews } from '../protocol/limit-news.js';
 import type { Message } from '../protocol/messages.js';
+import type { PoisonNews } from '../protocol/poison-news.js';
 
 /** Applies and provides one kind of news. */
 export interface NewsHandler<T> {
--- a/src/peers/slot-server.ts
+++ b/src/peers/slot-server.ts
@@ -5,6 +5,7 @@
 import type { ConnectionContext } from '../protocol/connection.js';
 import { DatagramEndpoint } from '../protocol/datagrams.js';
 import type { Message } from '../protocol/messages.js';
+import type { SlotMessage } from '../protocol/slot-messages.js';
 import { claimOf, SlotHolders, tableId } from '../systems/slot-holders.js';
 import {
   type ObservedEngine,
@@ -12,7 +13,6 @@
   type SlotFigures,
   SlotTable,
 } from '../systems/slot-table.js';
-import type { SlotMessage } from './slot-messages.js';
 
 const ANSWERS = {
   queued: 'slotQueued',
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -3,7 +3,7 @@
  * that a message costs its content and not its field names; nested objects go as maps.
  */
 import { Packr } from 'msgpackr';
-import type { Stamp } from '../observability/hybrid-clock.js';
+import type { Stamp } from '../model/hybrid-clock.js';
 import { MESSAGE_FIELDS, type Message } from './messages.js';
 
 /** A frame that is not a message of this protocol. */
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -4,11 +4,11 @@
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
 import { type RawData, WebSocket, WebSocketServer } from 'ws';
+import type { HybridClock } from '../model/hybrid-clock.js';
 import { failure, type Result, success } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
 import { Ticker } from '../model/ticker.js';
 import { startLimit } from '../model/time-limit.js';
-import type { HybridClock } from '../observability/hybrid-clock.js';
 import { decode, encode } from './codec.js';
 import type { HelloMessage, Message } from './messages.js';
 
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -5,12 +5,12 @@
 
 import type { Row } from '../clients/table-service.js';
 import type { Digest, Manifest } from '../model/manifest.js';
-import type { FleetMessage } from '../peers/reports.js';
-import type { SlotMessage } from '../peers/slot-messages.js';
 import type { RefusalReason } from '../systems/distribution/commands.js';
 import type { Grant, Objective, PeerInfo } from '../systems/distribution/transfer.js';
 import type { KeyedCall } from '../systems/once-ledger.js';
 import type { OwnersRow } from '../systems/ownership.js';
+import type { FleetMessage } from './fleet-messages.js';
+import type { SlotMessage } from './slot-messages.js';
 
 /** Short name of a version on the wire: the first 48 bits of its digest. Chunks are verified all the same. */
 export type TransferKey = number;
--- a/src/peers/reports.ts
+++ b/src/protocol/reports.ts
@@ -1,11 +1,18 @@
-/** What entries and agents of directly called back ends tell one another. */
-import type { BackEndIdentity } from '../fleet/back-end-identity.js';
-import type { BackEndListState } from '../fleet/back-end-list.js';
-import type { NamedVersion } from '../fleet/named-versions.js';
-import type { StoreNews } from '../fleet/store-sync.js';
-import type { LimitNews } from '../forwarding/back-end-limits.js';
-import type { BackEndLoad } from '../forwarding/back-end-table.js';
-import type { PoisonNews } from '../forwarding/poison-guard.js';
+/** What entries and agents of directly called back ends tell one another of themselves. */
+import type { BackEndIdentity } from '../model/back-end-identity.js';
+
+/** One version of a model that was named. */
+export interface NamedVersion {
+  model: string;
+  version: number;
+  /** It was not named before this, in milliseconds of the store's clock; minus infinity where nothing is known. */
+  notBefore: number;
+}
+
+/** Requests in flight at a back end from one entry. */
+export interface BackEndLoad extends BackEndIdentity {
+  inFlight: number;
+}
 
 /** What a process holds of a version of weights. */
 export interface HeldPieces {
@@ -93,22 +100,3 @@
   /** The first of them is in the agent's own zone. */
   hasNearEntry: boolean;
 }
-
-/** Messages of these processes. */
-export type FleetMessage =
-  | { type: 'entryReport'; report: EntryReport }
-  /** Addresses of entries that the sender hears. */
-  | { type: 'entryAddresses'; addresses: string[] }
-  /** Asks for what the sender lacks. */
-  | { type: 'fleetWanted'; configuration: boolean; backEnds: boolean }
-  /** The configuration as the operator wrote it. */
-  | { type: 'fleetConfiguration'; document: Uint8Array }
-  | { type: 'fleetBackEnds'; state: BackEndListState }
-  /** What the sender has read of the store, for the others of its zone. */
-  | { type: 'storeNews'; news: StoreNews }
-  /** Of contents under which back ends crash. */
-  | { type: 'poisonNews'; news: PoisonNews[] }
-  /** Of rate limits that back ends name or lift. */
-  | { type: 'limitNews'; news: LimitNews[] }
-  | { type: 'engineReport'; report: EngineReport }
-  | { type: 'weightsPlan'; plan: WeightsPlan };
--- a/src/roles/direct-entry-components.ts
+++ b/src/roles/direct-entry-components.ts
@@ -9,8 +9,8 @@
 import { StoreSync, type StoreSyncOptions } from '../fleet/store-sync.js';
 import { BackEndTable } from '../forwarding/back-end-table.js';
 import type { HeaderNames } from '../forwarding/header-names.js';
+import { HybridClock } from '../model/hybrid-clock.js';
 import { hash32, type Random, seededRandom } from '../model/random.js';
-import { HybridClock } from '../observability/hybrid-clock.js';
 import type { Log } from '../observability/log.js';
 import { Metrics } from '../observability/metrics.js';
 import {
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -1,4 +1,3 @@
-import type { FollowedTable } from '../fleet/store-sync.js';
 import { sleep } from '../fleet/table-follower.js';
 import { BackEndLimits } from '../forwarding/back-end-limits.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
@@ -16,9 +15,10 @@
 import { EngineAgents } from '../peers/engine-agents.js';
 import { EntryPeers } from '../peers/entry-peers.js';
 import { PeerNews } from '../peers/peer-news.js';
-import type { EngineReport, EntryReport } from '../peers/reports.js';
 import { SlotClient } from '../peers/slot-client.js';
 import { type Connection, ConnectionListener } from '../protocol/connection.js';
+import type { EngineReport, EntryReport } from '../protocol/reports.js';
+import type { FollowedTable } from '../protocol/store-news.js';
 import { httpServer, listenerOf } from '../server/http-server.js';
 import { DrainSchedule } from '../systems/drain-schedule.js';
 import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -4,7 +4,7 @@
 import { type BackEndRow, type BackEndTable, loadOf, wholeVersion } from '../forwarding/back-end-table.js';
 import { rendezvousOrder } from '../model/random.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
-import type { EntryReport, WeightsPlan } from '../peers/reports.js';
+import type { EntryReport, WeightsPlan } from '../protocol/reports.js';
 import type { WeightsVersion } from '../weights/held-weights.js';
 import { canMoveRequests } from '../weights/request-moves.js';
 
--- a/src/systems/permit-schedule.ts
+++ b/src/systems/permit-schedule.ts
@@ -3,7 +3,7 @@
  * advances the due time by a conditional write may send one request. Idle time saves up no permits, so any time span has at
  * most one permit more than its length allows, whichever entries claim them. Times are in milliseconds of the store's clock.
  */
-import type { BackEndIdentity } from '../fleet/back-end-identity.js';
+import type { BackEndIdentity } from '../model/back-end-identity.js';
 import { nextPermitAt, permitInterval } from './rate-limiter.js';
 
 /** Content of the row. */
--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -22,7 +22,7 @@
  * const decision = poison.decide('f1', now);
  * ```
  */
-import { isSameStart } from '../fleet/back-end-identity.js';
+import { isSameStart } from '../model/back-end-identity.js';
 
 /** Identifies the content of a request: see `forwarding/request-fingerprint.ts`. */
 export type Fingerprint = string;
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -12,7 +12,7 @@
  * for (const decision of table.release(id, now)) tell(decision);
  * ```
  */
-import { type BackEndIdentity, isSameStart } from '../fleet/back-end-identity.js';
+import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import { RateLimiter } from './rate-limiter.js';
 
 /**
--- a/src/weights/agent-sources.ts
+++ b/src/weights/agent-sources.ts
@@ -1,7 +1,7 @@
 /** Where an agent fetches pieces from: near entries first, then the object store, far entries, the origin. */
 import type { ObjectStore } from '../clients/object-store.js';
 import { ChunkSet } from '../model/chunk-set.js';
-import type { WeightsPlan } from '../peers/reports.js';
+import type { WeightsPlan } from '../protocol/reports.js';
 import { SMALL_BATCH } from '../systems/upload-limit.js';
 import { keyOf, type PieceManifest } from './held-weights.js';
 import type { PieceOriginFactory, PieceSource } from './piece-source.js';
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -13,7 +13,7 @@
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
-import type { EntryReport, HeldPieces } from '../peers/reports.js';
+import type { EntryReport, HeldPieces } from '../protocol/reports.js';
 import { holdsCopy, parentOf } from '../systems/copy-spread.js';
 import { drawOrder, drawPatience, QUICK_STAND_INS } from '../systems/origin-draw.js';
 import {
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -11,7 +11,7 @@
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
-import type { EngineReport, HeldPieces, WeightsPlan } from '../peers/reports.js';
+import type { EngineReport, HeldPieces, WeightsPlan } from '../protocol/reports.js';
 import type { ObservedEngine } from '../systems/slot-table.js';
 import { SMALL_BATCH } from '../systems/upload-limit.js';
 import { agentSources, BATCH_LIMIT } from './agent-sources.js';
--- a/src/weights/engine-starts.ts
+++ b/src/weights/engine-starts.ts
@@ -2,8 +2,8 @@
  * Which start of the engine beside this process answers. Calls to it overlap, so that an answer of a former start may come
  * after one of the next; an engine's clock may have stepped back, so that the next start may look older.
  */
-import type { BackEndIdentity } from '../fleet/back-end-identity.js';
 import type { StartNews } from '../fleet/back-end-starts.js';
+import type { BackEndIdentity } from '../model/back-end-identity.js';
 
 /** The starts of one engine. */
 export class EngineStarts {
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -3,8 +3,8 @@
  * nothing but the engine: that the version is not wanted any more, or its fetch has ended, does not end it, as an order
  * that was taken cannot be taken back.
  */
-import { isSameStart } from '../fleet/back-end-identity.js';
 import { sleep } from '../fleet/table-follower.js';
+import { isSameStart } from '../model/back-end-identity.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { WeightsVersion } from './held-weights.js';
--- a/src/weights/entry-sources.ts
+++ b/src/weights/entry-sources.ts
@@ -3,7 +3,7 @@
 import { ChunkSet } from '../model/chunk-set.js';
 import { hash32 } from '../model/random.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
-import type { EntryReport } from '../peers/reports.js';
+import type { EntryReport } from '../protocol/reports.js';
 import { drawPlan, isDrawn } from '../systems/origin-draw.js';
 import { keyOf, type PieceManifest } from './held-weights.js';
 import type { PieceOrigin, PieceSource } from './piece-source.js';
--- a/src/weights/staged-engine.ts
+++ b/src/weights/staged-engine.ts
@@ -1,7 +1,7 @@
 /** The contract of an engine that loads weights from a stage on its own machine. */
-import type { BackEndIdentity } from '../fleet/back-end-identity.js';
-import type { HeldLayers } from '../fleet/back-end-list.js';
+import type { BackEndIdentity } from '../model/back-end-identity.js';
 import type { Result } from '../model/result.js';
+import type { HeldLayers } from '../protocol/back-end-list-state.js';
 import type { WeightsVersion } from './held-weights.js';
 
 /** Why a call to the engine has no result. */
--- a/src/weights/store-plan.ts
+++ b/src/weights/store-plan.ts
@@ -4,14 +4,13 @@
  */
 import type { WatchedTables } from '../clients/watched-tables.js';
 import type { FleetConfiguration } from '../fleet/configuration.js';
-import type { NamedVersion } from '../fleet/named-versions.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
 import { RecordFaults } from '../fleet/record-faults.js';
 import { sleep } from '../fleet/table-follower.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
-import type { WeightsPlan } from '../peers/reports.js';
+import type { NamedVersion, WeightsPlan } from '../protocol/reports.js';
 import type { EngineLoader } from './engine-loader.js';
 
 /** An entry has this long to tell before the store is asked, and again between two tries, in milliseconds. */
--- a/test/agent/versions.test.ts
+++ b/test/agent/versions.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { OriginWeights } from '../../emulator/platform/weights.js';
 import { Versions, type VersionsComponents } from '../../src/agent/versions.js';
-import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { HybridClock } from '../../src/model/hybrid-clock.js';
 import { Timeline } from '../../src/observability/timeline.js';
 import type { Assignment } from '../../src/protocol/messages.js';
 
--- a/test/entry/configuration.test.ts
+++ b/test/entry/configuration.test.ts
@@ -1,9 +1,9 @@
 import { describe, expect, it } from 'vitest';
 import type { Changes, Row, TableService } from '../../src/clients/table-service.js';
 import { Configuration } from '../../src/entry/configuration.js';
+import { HybridClock } from '../../src/model/hybrid-clock.js';
 import { seededRandom } from '../../src/model/random.js';
 import { failure, success } from '../../src/model/result.js';
-import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { Timeline } from '../../src/observability/timeline.js';
 
 /** A table service that answers each reading with the next of `answers`. */
--- a/test/fleet/back-end-starts.test.ts
+++ b/test/fleet/back-end-starts.test.ts
@@ -1,8 +1,9 @@
 /** Back ends that start again under their id: the newer start holds, in whatever order the news of it come. */
 import { describe, expect, it } from 'vitest';
 import { BackEndSet } from '../../src/fleet/back-end-identity.js';
-import { BackEndList, type BackEndRecord } from '../../src/fleet/back-end-list.js';
+import { BackEndList } from '../../src/fleet/back-end-list.js';
 import { ENTRIES_TO_BELIEVE } from '../../src/fleet/back-end-starts.js';
+import type { BackEndRecord } from '../../src/protocol/back-end-list-state.js';
 
 const LAYERS = { from: 0, end: 4, version: 3 };
 
--- a/test/fleet/beliefs.test.ts
+++ b/test/fleet/beliefs.test.ts
@@ -1,9 +1,10 @@
 /** What a process believes: only forward, whoever tells. */
 import { describe, expect, it } from 'vitest';
-import { BackEndList, type BackEndRecord } from '../../src/fleet/back-end-list.js';
+import { BackEndList } from '../../src/fleet/back-end-list.js';
 import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import { pathOf, RouteTable, targetService } from '../../src/fleet/route-table.js';
+import type { BackEndRecord } from '../../src/protocol/back-end-list-state.js';
 
 function record(id: string, revision: number, changes: Partial<BackEndRecord> = {}): BackEndRecord {
   return {
--- a/test/fleet/store-drill-orders.test.ts
+++ b/test/fleet/store-drill-orders.test.ts
@@ -7,7 +7,8 @@
 import { expect, it } from 'vitest';
 import { MemoryStore, type StoreCopy } from '../../emulator/store/memory-store.js';
 import { eraOf } from '../../src/clients/store-revision.js';
-import { BackEndList, type BackEndRecord } from '../../src/fleet/back-end-list.js';
+import { BackEndList } from '../../src/fleet/back-end-list.js';
+import type { BackEndRecord } from '../../src/protocol/back-end-list-state.js';
 import { textRecords } from './text-records.js';
 
 const IDS = ['one', 'two', 'three'];
--- a/test/forwarding/back-end-limits.test.ts
+++ b/test/forwarding/back-end-limits.test.ts
@@ -1,9 +1,10 @@
 /** Tests which answers set, change and lift the rate limit of a back end. */
 import { beforeEach, describe, expect, it } from 'vitest';
-import { BackEndLimits, type LimitNews } from '../../src/forwarding/back-end-limits.js';
+import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { readRateLimit } from '../../src/forwarding/rate-limit-notice.js';
 import { silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
+import type { LimitNews } from '../../src/protocol/limit-news.js';
 
 const BACK_END = { id: 'b1', start: 100 };
 
--- a/test/forwarding/deadly-content-orders.test.ts
+++ b/test/forwarding/deadly-content-orders.test.ts
@@ -9,11 +9,12 @@
 import { MemoryStore, type StoreCopy } from '../../emulator/store/memory-store.js';
 import { StoreClock } from '../../src/fleet/store-clock.js';
 import type { BackEndRow } from '../../src/forwarding/back-end-table.js';
-import { PoisonGuard, type PoisonNews } from '../../src/forwarding/poison-guard.js';
+import { PoisonGuard } from '../../src/forwarding/poison-guard.js';
 import { QuarantineRecords } from '../../src/forwarding/quarantine-records.js';
 import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
+import type { PoisonNews } from '../../src/protocol/poison-news.js';
 
 const ENTRIES = 3;
 const CONTENT = ['by key', 'by tenant'];
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -2,7 +2,6 @@
 import { type ClientRequest, request as httpRequest } from 'node:http';
 import { freeAddress } from '../../bench/processes/child.js';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
-import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
@@ -16,6 +15,7 @@
 import { seededRandom } from '../../src/model/random.js';
 import { type Log, silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
+import type { BackEndRecord } from '../../src/protocol/back-end-list-state.js';
 import { DrainSchedule } from '../../src/systems/drain-schedule.js';
 import { RetryWindow } from '../../src/systems/retry-window.js';
 import type { StandInBackEnd } from './stand-in-back-end.js';
--- a/test/peers/engine-agents.test.ts
+++ b/test/peers/engine-agents.test.ts
@@ -1,9 +1,9 @@
 /** What an entry passes on of the agents that are connected to it. */
 import { expect, it } from 'vitest';
 import { EngineAgents } from '../../src/peers/engine-agents.js';
-import type { EngineReport } from '../../src/peers/reports.js';
 import type { Connection } from '../../src/protocol/connection.js';
 import type { Message } from '../../src/protocol/messages.js';
+import type { EngineReport } from '../../src/protocol/reports.js';
 
 const REPORT: EngineReport = {
   address: 'engine',
--- a/test/peers/entry-link.test.ts
+++ b/test/peers/entry-link.test.ts
@@ -3,8 +3,8 @@
 import { seededRandom } from '../../src/model/random.js';
 import { EngineAgents } from '../../src/peers/engine-agents.js';
 import { EntryLink } from '../../src/peers/entry-link.js';
-import type { EngineReport, WeightsPlan } from '../../src/peers/reports.js';
 import { ConnectionListener } from '../../src/protocol/connection.js';
+import type { EngineReport, WeightsPlan } from '../../src/protocol/reports.js';
 import { SilentProxy } from '../silent-proxy.js';
 import { contextAt, until } from '../support.js';
 
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -4,16 +4,16 @@
 import { freeAddress } from '../../bench/processes/child.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import type { RecordDecoder } from '../../src/fleet/record-decoder.js';
+import { HybridClock } from '../../src/model/hybrid-clock.js';
 import { seededRandom } from '../../src/model/random.js';
-import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { silentLog } from '../../src/observability/log.js';
 import { EntryPeers } from '../../src/peers/entry-peers.js';
-import type { EntryReport } from '../../src/peers/reports.js';
 import {
   type ConnectionContext,
   ConnectionListener,
   createTrafficCounters,
 } from '../../src/protocol/connection.js';
+import type { EntryReport } from '../../src/protocol/reports.js';
 import { SilentProxy } from '../silent-proxy.js';
 import { NO_NEWS, until } from '../support.js';
 
--- a/test/peers/fleet-wish.test.ts
+++ b/test/peers/fleet-wish.test.ts
@@ -2,8 +2,8 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
+import { HybridClock } from '../../src/model/hybrid-clock.js';
 import { seededRandom } from '../../src/model/random.js';
-import { HybridClock } from '../../src/observability/hybrid-clock.js';
 import { silentLog } from '../../src/observability/log.js';
 import { EntryPeers } from '../../src/peers/entry-peers.js';
 import { FleetWish } from '../../src/peers/fleet-wish.js';
--- a/test/peers/standstill.test.ts
+++ b/test/peers/standstill.test.ts
@@ -6,8 +6,8 @@
 import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
 import { EntryPeers } from '../../src/peers/entry-peers.js';
-import type { EntryReport } from '../../src/peers/reports.js';
 import { ConnectionListener } from '../../src/protocol/connection.js';
+import type { EntryReport } from '../../src/protocol/reports.js';
 import { contextAt, NO_NEWS, standStill, until } from '../support.js';
 
 /** Longer than an entry is taken to live after its latest report, in milliseconds. */
--- a/test/platform/records-generated.test.ts
+++ b/test/platform/records-generated.test.ts
@@ -2,10 +2,10 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { platformRecords } from '../../platform/records.js';
-import type { BackEndRecord } from '../../src/fleet/back-end-list.js';
 import { BackEndList } from '../../src/fleet/back-end-list.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { RouteTable, targetService } from '../../src/fleet/route-table.js';
+import type { BackEndRecord } from '../../src/protocol/back-end-list-state.js';
 import { configurationDocument, workerRow } from './wire-rows.js';
 
 const RUNS = { seed: 27, numRuns: 1_500 };
--- a/test/protocol/codec.test.ts
+++ b/test/protocol/codec.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { HybridClock } from '../../src/observability/hybrid-clock.js';
+import { HybridClock } from '../../src/model/hybrid-clock.js';
 import { mergeTimelines, Timeline } from '../../src/observability/timeline.js';
 import { decode, encode } from '../../src/protocol/codec.js';
 import { MESSAGE_FIELDS, type Message } from '../../src/protocol/messages.js';
--- a/test/simulation/rate-limit-fleet.ts
+++ b/test/simulation/rate-limit-fleet.ts
@@ -6,13 +6,14 @@
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import type { WatchedTables } from '../../src/clients/watched-tables.js';
 import { StoreClock } from '../../src/fleet/store-clock.js';
-import { BackEndLimits, type LimitNews } from '../../src/forwarding/back-end-limits.js';
+import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { DirectPermits } from '../../src/forwarding/direct-permits.js';
 import type { RateLimitNotice } from '../../src/forwarding/rate-limit-notice.js';
 import { type Random, seededRandom } from '../../src/model/random.js';
 import { failure } from '../../src/model/result.js';
 import { silentLog } from '../../src/observability/log.js';
 import type { Metrics } from '../../src/observability/metrics.js';
+import type { LimitNews } from '../../src/protocol/limit-news.js';
 import { type SlotDecision, SlotTable } from '../../src/systems/slot-table.js';
 
 const BACK_END = { id: 'back-end', start: 1 };
--- a/test/support.ts
+++ b/test/support.ts
@@ -1,7 +1,7 @@
 /** Helpers that several tests share. */
 
 import { freeAddress } from '../bench/processes/child.js';
-import { HybridClock } from '../src/observability/hybrid-clock.js';
+import { HybridClock } from '../src/model/hybrid-clock.js';
 import { Timeline } from '../src/observability/timeline.js';
 import { type NewsHandler, PeerNews } from '../src/peers/peer-news.js';
 import { type ConnectionContext, createTrafficCounters } from '../src/protocol/connection.js';
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -5,7 +5,7 @@
 import { seededRandom } from '../../src/model/random.js';
 import { failure, success } from '../../src/model/result.js';
 import { type Log, silentLog } from '../../src/observability/log.js';
-import type { EngineReport, WeightsPlan } from '../../src/peers/reports.js';
+import type { EngineReport, WeightsPlan } from '../../src/protocol/reports.js';
 import type { ObservedEngine } from '../../src/systems/slot-table.js';
 import { EngineLoader } from '../../src/weights/engine-loader.js';
 import { EngineStage } from '../../src/weights/engine-stage.js';
--- a/test/weights/entry-sources.test.ts
+++ b/test/weights/entry-sources.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import { ChunkSet } from '../../src/model/chunk-set.js';
-import type { EntryReport } from '../../src/peers/reports.js';
+import type { EntryReport } from '../../src/protocol/reports.js';
 import { type EntryHolding, entrySources, type PlaceInOrder } from '../../src/weights/entry-sources.js';
 import type { PieceManifest } from '../../src/weights/held-weights.js';
 
--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -6,7 +6,7 @@
 import { seededRandom } from '../../src/model/random.js';
 import { failure, success } from '../../src/model/result.js';
 import { silentLog } from '../../src/observability/log.js';
-import type { EngineReport, WeightsPlan } from '../../src/peers/reports.js';
+import type { EngineReport, WeightsPlan } from '../../src/protocol/reports.js';
 import { drawPatience } from '../../src/systems/origin-draw.js';
 import { EngineLoader } from '../../src/weights/engine-loader.js';
 import { HeldWeights, type PieceManifest, WeightsLibrary } from '../../src/weights/held-weights.js';
