--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -10,7 +10,6 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
-import { BackEndSet } from '../fleet/back-end-identity.js';
 import type { Standstills } from '../model/standstills.js';
 import { LONGEST_RETURN, latestBegin } from '../systems/capacity-wait.js';
 import type { Fingerprint } from '../systems/poison-requests.js';
@@ -18,7 +17,7 @@
 import { type AnswerHead, type AnswerSummary, Attempt, type AttemptFailure, wentOut } from './attempt.js';
 import { AttemptAnswer } from './attempt-answer.js';
 import { AttemptWatch } from './attempt-watch.js';
-import type { Requirements, Selection } from './back-end-selector.js';
+import type { Selection } from './back-end-selector.js';
 import { type BackEndRow, loadOf } from './back-end-table.js';
 import { BackEndUse } from './back-end-use.js';
 import { CallerAnswer } from './caller-answer.js';
@@ -33,6 +32,7 @@
 import { RequestLog } from './request-log.js';
 import { outcomeOf } from './request-outcome.js';
 import { RequestWait, type WaitingRequest } from './request-wait.js';
+import { SendPolicy } from './send-policy.js';
 import { SuspectContent } from './suspect-content.js';
 import { TimeToEnd } from './time-to-end.js';
 
@@ -44,8 +44,6 @@
 const RETRY_AFTER = 400;
 /** Time after which another process can have a request that this one has no time for, in seconds, times 1 to 2. */
 const RETRY_ELSEWHERE = 0.05;
-/** Repeatable requests are sent at most this often, whatever a route allows. */
-const MOST_SENDS = 4;
 /** Interval between searches for a replacement for a silent back end, in milliseconds. */
 const SEARCH_INTERVAL = 200;
 const FIRST_FAILURE = 400;
@@ -59,7 +57,6 @@
   /** When it arrived, in milliseconds of the steady clock. */
   readonly arrivedAt = performance.now();
   readonly #id: string;
-  readonly #tried = new BackEndSet();
   /** Set before anything is sent. */
   #admitted!: AdmittedRequest;
   #timeToEnd!: TimeToEnd;
@@ -68,9 +65,8 @@
   readonly #content: SuspectContent;
   readonly #openAttempts: OpenAttempts;
   readonly #log: RequestLog;
-  #sends = 0;
-  /** It has reached a back end, or may have: each further send is a repetition, and is paid for as it goes out. */
-  #isRepetition = false;
+  /** Set before anything is sent. */
+  #policy!: SendPolicy;
   /** Its way to a back end; set before anything is sent. */
   #wait!: RequestWait;
   /** Set before anything is sent. */
@@ -78,7 +74,6 @@
   /** Earliest time of the next search for a replacement, in milliseconds of the steady clock. */
   #nextSearchAt = Number.NEGATIVE_INFINITY;
   readonly #answer: CallerAnswer;
-  #version: number | undefined;
   #settled = false;
   readonly #onCallerEnded = () => this.#endCaller();
 
@@ -167,8 +162,8 @@
   /** Looks for another back end while the attempts at the silent ones stay open. */
   #findReplacement(now: number): void {
     if (now < this.#nextSearchAt) return;
-    if (!this.#mayRunAgain() || !this.#mayRepeat()) return this.#giveUp('no budget');
-    this.#isRepetition = true;
+    if (!this.#policy.maySendAgain) return this.#giveUp('no budget');
+    this.#policy.noteRepetition();
     this.#wait.begin();
   }
 
@@ -179,19 +174,32 @@
     this.#admitted = admission.value;
     const { route, answerTokens, timing } = admission.value;
     this.#timeToEnd = new TimeToEnd(this.#components, route.name, answerTokens, timing.endsAt);
+    this.#policy = this.#createPolicy(admission.value);
     this.#wait = this.#createWait(admission.value);
     this.#watch = this.#createWatch(admission.value);
     return undefined;
   }
 
+  #createPolicy(admitted: AdmittedRequest): SendPolicy {
+    return new SendPolicy({
+      admitted,
+      isBodyStreamed: () => this.#body.type === 'streamed',
+      content: this.#content,
+      attempts: this.#openAttempts,
+      answer: this.#answer,
+      selector: this.#components.selector,
+      budget: this.#components.budgetOf(admitted.service),
+    });
+  }
+
   #createWatch(admitted: AdmittedRequest): AttemptWatch {
     return new AttemptWatch(this.#components, {
       admitted,
       timeToEnd: this.#timeToEnd,
       hasPart: () => this.#answer.started,
       isCallerBlocked: () => this.#answer.isBlocked,
-      maySendAgain: () => this.#mayRunAgain() && this.#mayRepeat(),
-      onSilentConnection: (row) => this.#allowAgain(row),
+      maySendAgain: () => this.#policy.maySendAgain,
+      onSilentConnection: (row) => this.#policy.allowOnOtherConnection(row),
       onNote: (message, fields) => this.#log.note(message, fields),
     });
   }
@@ -201,11 +209,11 @@
       timing,
       isStream: route.isStream,
       urgency: (now) => timing.urgency(rank, now),
-      requirements: () => this.#requirements(),
-      wasSent: () => this.#sends > 0,
+      requirements: () => this.#policy.requirements(),
+      wasSent: () => this.#policy.sends > 0,
       goesOn: () => this.#answer.started,
       canEnd: (wait) => this.#canEnd(wait),
-      mayBeSent: () => !this.#isRepetition || this.#mayRepeat(),
+      mayBeSent: () => this.#policy.isAllowedByBudget,
     };
     return new RequestWait(this.#components, request, {
       onChosen: (selection, claim) => this.#send(selection, claim),
@@ -225,12 +233,11 @@
       return refuse();
     }
     const { row } = selection;
-    this.#tried.add(row.record);
-    this.#sends++;
+    this.#policy.noteSent(row);
     const { limits } = this.#components;
     limits.noteSent(row.record, claim !== undefined);
     this.#log.note('sent', {
-      send: this.#sends,
+      send: this.#policy.sends,
       backEnd: row.record.id,
       load: loadOf(row),
       waitMs: Math.round(selection.expectedWait),
@@ -249,9 +256,7 @@
   #refusalBeforeSend(): (() => void) | undefined {
     if (!this.#canEnd()) return () => this.#refuseForStop();
     if (!this.#content.mayBeSent) return () => this.#giveUpQuarantined();
-    const isUnpaid =
-      this.#isRepetition && !this.#components.budgetOf(this.#admitted.service).spend(performance.now());
-    return isUnpaid ? () => this.#giveUp('no budget') : undefined;
+    return this.#policy.pay() ? undefined : () => this.#giveUp('no budget');
   }
 
   #createAttempt(selection: Selection, claim: SlotClaim | undefined): BackEndUse {
@@ -280,21 +285,6 @@
     return use;
   }
 
-  #requirements(): Requirements {
-    const { service, table } = this.#admitted;
-    return {
-      service,
-      engine: table.service(service)?.engine,
-      isRepeatable: this.#admitted.route.repeatability !== 'never',
-      // The queues of back ends are for those that can be in time: one that comes again waits here for a free slot.
-      mayQueue: this.#sends > 0 || !this.#admitted.timing.isLastChance,
-      answerTokens: this.#admitted.answerTokens,
-      goesOn: this.#answer.started,
-      version: this.#answer.started ? this.#version : undefined,
-      tried: this.#tried,
-    };
-  }
-
   /** Whether it can still end before this process does, if it is sent after `wait` milliseconds; a begun answer goes on. */
   #canEnd(wait = 0): boolean {
     return this.#answer.started || this.#timeToEnd.suffices(performance.now(), wait);
@@ -375,7 +365,7 @@
       backEnd: row.record.id,
       version,
       expiredMs: Math.round(expiredFor),
-      send: this.#sends,
+      send: this.#policy.sends,
       sentMsAgo: Math.round(performance.now() - attempt.startedAt),
     });
   }
@@ -389,7 +379,7 @@
 
   /** Selects `use` as the source of the answer; cancels the search and the other attempts, so that no event is sent twice. */
   #selectAttempt(use: BackEndUse): void {
-    if (!this.#answer.started) this.#version = this.#versionOf(use);
+    if (!this.#answer.started) this.#policy.version = this.#versionOf(use);
     if (this.#openAttempts.size === 1 && !this.#wait.isUnderWay) return;
     const backEnds = this.#openAttempts.all().map(({ row }) => row.record.id);
     this.#log.note('attempt selected', {
@@ -412,11 +402,11 @@
   /** Retries after an error response of the back end; returns false if the request may not be sent again. */
   #tryAgainAfter(use: BackEndUse, reason: string): boolean {
     const hasActiveAttempt = this.#openAttempts.all().some((other) => other !== use && !other.isSilent);
-    if (!hasActiveAttempt && !(this.#mayRunAgain() && this.#mayRepeat())) return false;
+    if (!hasActiveAttempt && !this.#policy.maySendAgain) return false;
     this.#openAttempts.close(use, 'failed');
-    this.#isRepetition = true;
+    this.#policy.noteRepetition();
     if (hasActiveAttempt || this.#wait.isUnderWay) return true;
-    this.#log.note('sent again', { reason, sends: this.#sends });
+    this.#log.note('sent again', { reason, sends: this.#policy.sends });
     this.#wait.begin();
     return true;
   }
@@ -427,52 +417,27 @@
     if (failure.type === 'broken' && failure.isLost) this.#content.noteBroken(row);
     if (failure.type === 'withdrawn') this.#components.expiryFigures.withdrawn++;
     this.#openAttempts.close(use, outcomeOf(failure));
-    // A back end that was full may take it later.
-    if (failure.type === 'refused' && this.#answer.started) this.#tried.delete(row.record);
-    if (wentOut(failure)) this.#isRepetition = true;
+    if (failure.type === 'refused' && this.#answer.started) this.#policy.allowAfterRefusal(row);
+    if (wentOut(failure)) this.#policy.noteRepetition();
     // Another attempt is open, or a search is in progress.
     if (this.#openAttempts.size > 0 || this.#wait.isUnderWay) return;
     if (wentOut(failure) && failure.type !== 'refused') return this.#onBroken(failure.reason);
-    if (this.#sends >= MOST_SENDS) return this.#giveUp('back ends refuse');
-    if (this.#isRepetition && !this.#mayRepeat()) return this.#giveUp('no budget');
+    if (this.#policy.isExhausted) return this.#giveUp('back ends refuse');
+    if (!this.#policy.isAllowedByBudget) return this.#giveUp('no budget');
     if (this.#body.type === 'streamed' && failure.type === 'refused') return this.#giveUp('body not kept');
     if (!this.#content.mayBeSent) return this.#giveUpQuarantined();
     this.#wait.begin();
   }
 
-  /** A back end whose connection was at fault takes the request over another one where no other back end can. */
-  #allowAgain({ record }: BackEndRow): void {
-    const { selector } = this.#components;
-    const requirements = this.#requirements();
-    const isOther =
-      selector.slotCandidates(requirements).length > 0 || selector.select(requirements) !== undefined;
-    if (!isOther) this.#tried.delete(record);
-  }
-
   #onBroken(reason: string): void {
-    if (this.#mayRunAgain() && this.#mayRepeat()) {
-      this.#log.note('sent again', { reason, sends: this.#sends, after: this.#answer.lastEventId });
+    if (this.#policy.maySendAgain) {
+      this.#log.note('sent again', { reason, sends: this.#policy.sends, after: this.#answer.lastEventId });
       return this.#wait.begin();
     }
     if (this.#answer.started) return this.#giveUp(reason);
     this.#fail({ type: 'backEndFailed', reason });
   }
 
-  /** Whether the budget has a repetition now; it is taken only as the request goes out, which may be later. */
-  #mayRepeat(): boolean {
-    return this.#components.budgetOf(this.#admitted.service).allows(performance.now());
-  }
-
-  /** Whether one more back end may run the request. */
-  #mayRunAgain(): boolean {
-    const { repeatability, maxAttempts } = this.#admitted.route;
-    if (repeatability === 'never' || this.#body.type === 'streamed') return false;
-    if (this.#openAttempts.runs >= maxAttempts || this.#sends >= MOST_SENDS || !this.#content.mayRunAgain)
-      return false;
-    if (!this.#answer.started) return true;
-    return repeatability === 'resumable' && this.#answer.isEventStream;
-  }
-
   /** No back end can take the request now. */
   #giveUp(reason: string): void {
     if (this.#openAttempts.size > 0) return this.#endSearch(reason);
@@ -502,7 +467,7 @@
     const { route, timing } = this.#admitted;
     const latest = latestBegin(this.#answer.forwardedAt, timing.endsAt, route.patience);
     if (performance.now() + SEARCH_INTERVAL > latest) return false;
-    return this.#mayRunAgain() && this.#components.selector.mayTakeLater(this.#requirements());
+    return this.#policy.mayRunAgain && this.#components.selector.mayTakeLater(this.#policy.requirements());
   }
 
   #onTimeout(): void {
@@ -571,15 +536,15 @@
       backEnd: use.row.record.id,
       tookMs: Math.round(took),
       firstMs: use.firstAnswerAfter,
-      version: this.#version ?? this.#versionOf(use),
+      version: this.#policy.version ?? this.#versionOf(use),
     });
   }
 
   #logEnding(ending: RequestEnding): void {
     const [use] = this.#openAttempts.all();
     if (ending.type !== 'cut') return this.#log.noteEnding(ending, use, this.#admitted?.route.name);
-    const excluded = this.#components.selector.exclusions(this.#requirements());
-    this.#log.noteCut(ending, use, { sends: this.#sends, excluded });
+    const excluded = this.#components.selector.exclusions(this.#policy.requirements());
+    this.#log.noteCut(ending, use, { sends: this.#policy.sends, excluded });
   }
 
   #idHeader(): Record<string, string> {
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -668,9 +668,9 @@
   },
   {
     fault: 'a request that may run once is repeated',
-    file: 'src/forwarding/forwarded-request.ts',
-    find: "if (repeatability === 'never' || this.#body",
-    replace: 'if (this.#body',
+    file: 'src/forwarding/send-policy.ts',
+    find: "if (repeatability === 'never' || isBodyStreamed()",
+    replace: 'if (isBodyStreamed()',
     test: 'test/forwarding/forwarding.test.ts',
   },
   {
@@ -822,9 +822,9 @@
   },
   {
     fault: 'a repetition is counted before it goes out',
-    file: 'src/forwarding/forwarded-request.ts',
-    find: 'return this.#components.budgetOf(this.#admitted.service).allows(performance.now());',
-    replace: 'return this.#components.budgetOf(this.#admitted.service).spend(performance.now());',
+    file: 'src/forwarding/send-policy.ts',
+    find: 'return this.#options.budget.allows(performance.now());',
+    replace: 'return this.#options.budget.spend(performance.now());',
     test: 'test/forwarding/capacity.test.ts',
   },
   {
