Keep an answer under way when unreadable bytes follow its request

Symptoms: an answer under way ended with a closed connection where bytes that are no request came behind its request (garbage, a head that is too long, a malformed body of the next request).

Cause: the handler of `clientError` destroyed the socket, together with an answer that has nothing to do with the bytes at fault.

Fix: a connection from which nothing more can be read closes once the last request that came whole there is answered, and its caller is told so if the head of that answer is still to be written. Callers that leave meanwhile are noticed as before.

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -1,6 +1,7 @@
 /** The interface for callers of back ends at their own address. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, type Server } from 'node:http';
+import type { Duplex } from 'node:stream';
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
@@ -83,6 +84,8 @@
   /** Answers that have not gone out. */
   readonly #responses = new Set<ServerResponse>();
   #onFlushed: () => void = () => {};
+  /** Connections that close once what was asked there is answered: nothing more can be read from them. */
+  readonly #unreadable = new WeakSet<Duplex>();
 
   constructor(
     address: string,
@@ -145,7 +148,10 @@
       { maxHeaderSize: MOST_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT, requestTimeout: 0 },
       (request, response) => this.#accept(request, response),
     );
-    server.on('clientError', (_error, socket) => socket.destroy());
+    server.on('clientError', (_error, socket) => {
+      this.#unreadable.add(socket);
+      this.#closeOnceAnswered(socket);
+    });
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen(Number(port), host, resolve);
@@ -220,9 +226,19 @@
 
   #onResponseClosed(response: ServerResponse): void {
     this.#responses.delete(response);
+    const { socket } = response.req;
+    if (this.#unreadable.has(socket)) this.#closeOnceAnswered(socket);
     if (this.#responses.size === 0) this.#onFlushed();
   }
 
+  /** Closes `socket`, unless a request that came whole there is not answered yet; its caller reads that answer first. */
+  #closeOnceAnswered(socket: Duplex): void {
+    const owed = [...this.#responses].filter(({ req }) => req.socket === socket && req.complete);
+    const last = owed.at(-1);
+    if (last === undefined) socket.destroy();
+    else if (!last.headersSent) last.shouldKeepAlive = false;
+  }
+
   #beginChecks(): void {
     this.#standstills.begin(performance.now());
     this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL);
--- /dev/null
+++ b/test/forwarding/answer-cut-by-connection.test.ts
@@ -0,0 +1,193 @@
+/** Answers under way on a connection on which something else happens: they are not cut. */
+import { connect, type Socket } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { FleetConfiguration } from '../../src/fleet/configuration.js';
+import { until } from '../support.js';
+import { ForwardingHarness } from './forwarding-harness.js';
+import { routeNamed } from './routes.js';
+import { events, type Script, StandInBackEnd } from './stand-in-back-end.js';
+
+const EVENTS = 10;
+/** Time between two events, in milliseconds. */
+const INTERVAL = 30;
+/** After this nothing may run for a caller that has gone, in milliseconds. */
+const ENDED_WITHIN = 500;
+/** Answers that fill all buffers on the way. */
+const _ANSWERS = 120;
+const _ANSWER_BYTES = 60_000;
+const NO_REQUEST = 'this is no request\r\n\r\n';
+
+const CONFIGURATION: FleetConfiguration = {
+  revision: 1,
+  routes: [
+    routeNamed('write', {
+      isStream: true,
+      repeatability: 'resumable',
+      timeout: 20_000,
+      objective: 2_000,
+      longestPause: 2_000,
+    }),
+  ],
+  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
+  origin: undefined,
+  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
+  tenants: undefined,
+};
+
+let backEnd: StandInBackEnd;
+let forwarding: ForwardingHarness;
+let caller: Socket;
+let received: string;
+let isClosed: boolean;
+
+const head = (request: { headers: Record<string, unknown> }) => ({
+  'x-request': String(request.headers['x-request']),
+  'content-type': 'text/event-stream',
+});
+
+/** Writes events one after the other. */
+const stream: Script = (request, response) => {
+  response.writeHead(200, head(request));
+  let id = 0;
+  const timer = setInterval(() => {
+    id++;
+    response.write(events(id, id));
+    if (id === EVENTS) response.end();
+  }, INTERVAL);
+  response.on('close', () => clearInterval(timer));
+};
+
+/** Writes one event, and then nothing. */
+const beginning: Script = (request, response) => {
+  response.writeHead(200, head(request));
+  response.write(events(1, 1));
+};
+
+beforeEach(async () => {
+  backEnd = await new StandInBackEnd(stream).start();
+  forwarding = new ForwardingHarness('billing');
+  await forwarding.start(CONFIGURATION);
+  forwarding.list(['one', backEnd]);
+  const [host, port] = forwarding.address.split(':');
+  caller = connect({ host, port: Number(port), allowHalfOpen: true });
+  received = '';
+  isClosed = false;
+  caller.on('data', (bytes) => {
+    received += bytes.toString('latin1');
+  });
+  caller.on('error', () => {});
+  caller.on('close', () => {
+    isClosed = true;
+  });
+  caller.on('end', () => caller.end());
+  await new Promise<void>((resolve) => caller.once('connect', resolve));
+});
+
+afterEach(async () => {
+  caller.destroy();
+  await forwarding.stop();
+  await backEnd.stop();
+});
+
+function request(id: string, more = ''): string {
+  return `GET /write/a HTTP/1.1\r\nhost: api.example\r\nx-request: ${id}\r\n${more}\r\n`;
+}
+
+/** Whole streams that the caller has. */
+const wholeStreams = () => received.split('\r\n0\r\n\r\n').length - 1;
+
+async function untilBegun(): Promise<void> {
+  await until(() => received.includes('id: 1\n'), 'the first event');
+}
+
+async function expectClosedSoon(): Promise<void> {
+  const from = performance.now();
+  await until(() => isClosed, 'the end of the connection');
+  expect(performance.now() - from).toBeLessThan(ENDED_WITHIN);
+}
+
+describe('a stream under way', () => {
+  it('is not cut where bytes that are no request follow its request', async () => {
+    caller.write(request('r1'));
+    await untilBegun();
+    caller.write(NO_REQUEST);
+    await until(() => isClosed, 'the end of the connection');
+    expect(received).toContain(`id: ${EVENTS}\n`);
+    expect(wholeStreams()).toBe(1);
+  });
+
+  it('is not cut where they come with its request, and its caller is told that the connection closes', async () => {
+    caller.write(`${request('r1')}${NO_REQUEST}`);
+    await until(() => isClosed, 'the end of the connection');
+    expect(received.toLowerCase()).toContain('connection: close');
+    expect(wholeStreams()).toBe(1);
+  });
+
+  it('is not cut where they come again and again', async () => {
+    caller.write(request('r1'));
+    await untilBegun();
+    for (let count = 0; count < 5; count++) {
+      caller.write(NO_REQUEST);
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    await until(() => isClosed, 'the end of the connection');
+    expect(wholeStreams()).toBe(1);
+  });
+
+  it('is not cut, nor the one behind it, where they follow two requests', async () => {
+    caller.write(request('r1'));
+    await untilBegun();
+    caller.write(`${request('r2')}${NO_REQUEST}`);
+    await until(() => isClosed, 'the end of the connection');
+    expect(wholeStreams()).toBe(2);
+  });
+
+  it('is not cut where the head of the next request is too long', async () => {
+    caller.write(request('r1'));
+    await untilBegun();
+    caller.write(request('r2', `x-long: ${'x'.repeat(80_000)}\r\n`));
+    await until(() => isClosed, 'the end of the connection');
+    expect(wholeStreams()).toBe(1);
+  });
+
+  it('is not cut where the body of the next request is malformed', async () => {
+    caller.write(request('r1'));
+    await untilBegun();
+    caller.write(`${request('r2', 'transfer-encoding: chunked\r\n')}no length\r\n`);
+    await until(() => isClosed, 'the end of the connection');
+    expect(wholeStreams()).toBe(1);
+    await until(() => forwarding.active === 0, 'the end of both requests');
+  });
+
+  it.each<[string, (socket: Socket) => void]>([
+    ['closes', (socket) => socket.destroy()],
+    ['resets', (socket) => socket.resetAndDestroy()],
+    ['ends its side', (socket) => socket.end()],
+  ])('ends where its caller has sent them and %s', async (_name, go) => {
+    backEnd.answer(beginning);
+    caller.write(request('r1'));
+    await untilBegun();
+    caller.write(NO_REQUEST);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(backEnd.open).toBe(1);
+    go(caller);
+    const goneAt = performance.now();
+    await until(() => backEnd.open === 0 && forwarding.active === 0, 'the end of it');
+    expect(performance.now() - goneAt).toBeLessThan(ENDED_WITHIN);
+  });
+});
+
+describe('a connection without an answer under way', () => {
+  it('closes at bytes that are no request', async () => {
+    caller.write(request('r1'));
+    await until(() => wholeStreams() === 1, 'the stream');
+    caller.write(NO_REQUEST);
+    await expectClosedSoon();
+  });
+
+  it('closes at a body that is malformed', async () => {
+    caller.write(`${request('r1', 'transfer-encoding: chunked\r\n')}no length\r\n`);
+    await expectClosedSoon();
+    expect(backEnd.requests).toHaveLength(0);
+  });
+});
