Keep connections whose last bytes are still going out when a server closes

Symptoms: an answer whose last bytes had not gone out was cut when the process stopped to take connections.

Cause: `close` of Node's HTTP server destroys connections that it takes for idle, which they are to it once the end of an answer is written, although the bytes still wait for the caller to read.

Fix: idle connections are left open while the end of any answer is still going out; requests that come there are answered with the order to leave.

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -1,6 +1,7 @@
 /** The interface for callers of back ends at their own address. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, type Server } from 'node:http';
+import { Server as ConnectionServer } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
@@ -182,8 +183,19 @@
     this.#isClosed = true;
     this.#lingersSince = performance.now();
     this.#server.keepAliveTimeout = LINGER;
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // The `close` of an HTTP server also ends the connections that it takes for idle.
+    ConnectionServer.prototype.close.call(this.#server);
+    if (!this.#isAnswerGoingOut) this.#server.closeIdleConnections();
+  }
+
+  /**
+   * True while the end of an answer is written, but not out. The HTTP server takes its connection for idle, although the
+   * caller does not have the whole answer yet. Connections that are left open for this serve what still comes there.
+   */
+  get #isAnswerGoingOut(): boolean {
+    return [...this.#responses].some(
+      ({ writableEnded, writableFinished }) => writableEnded && !writableFinished,
+    );
   }
 
   /** True once each answer is out and no caller may still be using a connection that it was not told to leave. */
--- a/test/forwarding/answer-cut-by-connection.test.ts
+++ b/test/forwarding/answer-cut-by-connection.test.ts
@@ -5,7 +5,7 @@
 import { until } from '../support.js';
 import { ForwardingHarness } from './forwarding-harness.js';
 import { routeNamed } from './routes.js';
-import { events, type Script, StandInBackEnd } from './stand-in-back-end.js';
+import { events, reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
 const EVENTS = 10;
 /** Time between two events, in milliseconds. */
@@ -13,8 +13,8 @@
 /** After this nothing may run for a caller that has gone, in milliseconds. */
 const ENDED_WITHIN = 500;
 /** Answers that fill all buffers on the way. */
-const _ANSWERS = 120;
-const _ANSWER_BYTES = 60_000;
+const ANSWERS = 120;
+const ANSWER_BYTES = 60_000;
 const NO_REQUEST = 'this is no request\r\n\r\n';
 
 const CONFIGURATION: FleetConfiguration = {
@@ -191,3 +191,23 @@
     expect(backEnd.requests).toHaveLength(0);
   });
 });
+
+describe('an answer that has not gone out', () => {
+  it('is not cut where the process takes no more connections', async () => {
+    backEnd.answer(reply(200, 'x'.repeat(ANSWER_BYTES)));
+    forwarding.list(['one', backEnd, { slots: ANSWERS }]);
+    let bytes = 0;
+    caller.pause();
+    caller.removeAllListeners('data');
+    caller.write(Array.from({ length: ANSWERS }, (_, index) => request(`r${index}`)).join(''));
+    await until(() => backEnd.requests.length === ANSWERS && forwarding.active === 0, 'the last answer');
+    await forwarding.close();
+    caller.on('data', (part) => {
+      bytes += part.byteLength;
+    });
+    caller.resume();
+    await until(() => isClosed, 'the end of the connection');
+    expect(bytes).toBeGreaterThan(ANSWERS * ANSWER_BYTES);
+    expect(forwarding.isSettled).toBe(true);
+  });
+});
