Ask back ends again that refused a begun stream or were not reached

Symptoms: a begun stream whose back end broke off was cut if all others were full at that moment; a request at a silent back end got 504 beside load, as the only other back end was not reached within the time for a connection and was not asked again.

Cause: a back end to which a request was sent is not asked again, and a request is sent four times at most, whether or not the back ends ran it.

Evidence: 'is not cut where all other back ends are full for a moment' fails on the previous code. The 504 was seen once, at a load of about 50 on 16 cores; that this was its cause is supposed from the code, not traced.

Fix: while a request has an open attempt, or its caller has a part of the answer, a back end that refused it or was not reached may take it later; a begun stream is sent up to eight times. Each send is still paid from the retry budget.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -417,7 +417,8 @@
     if (failure.type === 'broken' && failure.isLost) this.#content.noteBroken(row);
     if (failure.type === 'withdrawn') this.#components.expiryFigures.withdrawn++;
     this.#openAttempts.close(use, outcomeOf(failure));
-    if (failure.type === 'refused' && this.#answer.started) this.#policy.allowAfterRefusal(row);
+    const isKept = this.#answer.started || this.#openAttempts.size > 0;
+    if (isKept && (failure.type === 'refused' || failure.type === 'notSent')) this.#policy.allowLater(row);
     if (wentOut(failure)) this.#policy.noteRepetition();
     // Another attempt is open, or a search is in progress.
     if (this.#openAttempts.size > 0 || this.#wait.isUnderWay) return;
--- a/src/forwarding/send-policy.ts
+++ b/src/forwarding/send-policy.ts
@@ -10,6 +10,8 @@
 
 /** Repeatable requests are sent at most this often, whatever a route allows. */
 const MOST_SENDS = 4;
+/** Bounds the sends of a request whose caller has a part of the answer: refusals must not end it. */
+const MOST_SENDS_TO_RESUME = 8;
 
 /** The request that is sent. */
 export interface SendPolicyOptions {
@@ -43,7 +45,7 @@
 
   /** True once it has been sent as often as any request may be. */
   get isExhausted(): boolean {
-    return this.#sends >= MOST_SENDS;
+    return this.#sends >= (this.#options.answer.started ? MOST_SENDS_TO_RESUME : MOST_SENDS);
   }
 
   /** What it needs of a back end. */
@@ -74,8 +76,8 @@
     this.#isRepetition = true;
   }
 
-  /** A back end that was full may take it later. */
-  allowAfterRefusal({ record }: BackEndRow): void {
+  /** A back end that refused it, or was not reached, may take it later. */
+  allowLater({ record }: BackEndRow): void {
     this.#tried.delete(record);
   }
 
