Pass on a back end's own failure if no other back end answers

Symptoms: a back end's 500 with its text reached the caller as an empty 502.

Cause: the answer was dropped before another back end had taken the request, also if there was none.

Fix: the failed answer is kept while the request is sent again, and is what its caller gets if no other back end answers.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -74,6 +74,8 @@
   /** Earliest time of the next search for a replacement, in milliseconds of the steady clock. */
   #nextSearchAt = Number.NEGATIVE_INFINITY;
   readonly #answer: CallerAnswer;
+  /** The attempt whose back end answered with a failure; its answer is used if no other back end answers. */
+  #failedAnswer: BackEndUse | undefined;
   #settled = false;
   readonly #onCallerEnded = () => this.#endCaller();
 
@@ -404,6 +406,7 @@
     const hasActiveAttempt = this.#openAttempts.all().some((other) => other !== use && !other.isSilent);
     if (!hasActiveAttempt && !this.#policy.maySendAgain) return false;
     this.#openAttempts.close(use, 'failed');
+    this.#failedAnswer = use;
     this.#policy.noteRepetition();
     if (hasActiveAttempt || this.#wait.isUnderWay) return true;
     this.#log.note('sent again', { reason, sends: this.#policy.sends });
@@ -494,6 +497,7 @@
   }
 
   #fail(error: ForwardingError, routeName?: string): void {
+    if (this.#failedAnswer !== undefined) return this.#end({ type: 'answered', use: this.#failedAnswer });
     this.#end({ type: 'failed', error, routeName });
   }
 
@@ -518,7 +522,7 @@
   #releaseResources(ending: RequestEnding): void {
     clearTimeout(this.#timer);
     this.#request.socket.off('end', this.#onCallerEnded);
-    if (ending.type === 'answered') this.#closeAnswered(ending.use);
+    if (ending.type === 'answered' && this.#openAttempts.has(ending.use)) this.#closeAnswered(ending.use);
     this.#wait?.end(holdEndOf(ending));
     this.#openAttempts.abortAll(ending.type === 'left' ? 'caller left' : 'request ended');
     this.#content.noteSettled();
--- a/src/forwarding/open-attempts.ts
+++ b/src/forwarding/open-attempts.ts
@@ -48,6 +48,10 @@
     return this.#all.size > 0 && this.all().every(({ isSilent }) => isSilent);
   }
 
+  has(use: BackEndUse): boolean {
+    return this.#all.has(use);
+  }
+
   add(use: BackEndUse): void {
     this.#all.add(use);
   }
