--- /dev/null
+++ b/test/weights/drop-on-old-plan.test.ts
@@ -0,0 +1,108 @@
+/** An engine is told to drop what runs only on a plan that holds when the order is given. */
+import { expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { digestOf } from '../../src/model/manifest.js';
+import { seededRandom } from '../../src/model/random.js';
+import { failure, success } from '../../src/model/result.js';
+import { silentLog } from '../../src/observability/log.js';
+import type { WeightsPlan } from '../../src/protocol/reports.js';
+import { EngineLoader } from '../../src/weights/engine-loader.js';
+import { type PieceManifest, WeightsLibrary } from '../../src/weights/held-weights.js';
+import type { PieceOrigin } from '../../src/weights/piece-source.js';
+import { partsOf, storedManifestKey } from '../../src/weights/piece-sources.js';
+import type { EngineState, StagedEngine, StartOrder } from '../../src/weights/staged-engine.js';
+import { until } from '../support.js';
+
+const LAYERS = 16;
+const PIECES = 4;
+/** The last wave goes this long after the naming, in milliseconds. */
+const TURN = 6_400;
+/** An entry tells its plan every 0.7 s: one that is this much older says nothing of the others' room. */
+const SILENT_FOR = 2_500;
+
+const pieceOf = (version: number, index: number) =>
+  Buffer.from(`piece ${index} of version ${version}`.padEnd(32));
+
+function manifestOf(version: number): PieceManifest {
+  const digests = Array.from({ length: PIECES }, (_, index) => digestOf(pieceOf(version, index)));
+  return { model: 'm', version, pieceBytes: 32, digests };
+}
+
+const noOrigin: PieceOrigin = {
+  manifest: async () => failure({ type: 'sourceFailed', reason: 'away' }),
+  piece: async () => failure({ type: 'sourceFailed', reason: 'away' }),
+};
+
+/** An object store with all of a version. */
+async function objectsWith(version: number): Promise<MemoryStore> {
+  const objects = new MemoryStore();
+  const manifest = manifestOf(version);
+  const objectOf = (key: string, bytes: Buffer) => objects.put(key, bytes, AbortSignal.timeout(1_000));
+  for (const { key, pieces } of partsOf(manifest))
+    await objectOf(key, Buffer.concat(pieces.map((index) => pieceOf(version, index))));
+  await objectOf(storedManifestKey(manifest), Buffer.from(JSON.stringify(manifest)));
+  return objects;
+}
+
+class FakeEngine implements StagedEngine {
+  readonly running: StartOrder['running'][] = [];
+  readonly #stage = new Map<number, Buffer>();
+  #layers: EngineState['layers'] = { from: 0, end: LAYERS, version: 1 };
+
+  async state() {
+    const sequence = this.running.length;
+    return success({ model: 'm', layers: this.#layers, isBusy: false, load: 6, sequence });
+  }
+
+  async stage(_model: string, index: number, bytes: Buffer) {
+    this.#stage.set(index, bytes);
+    return success(undefined);
+  }
+
+  async staged(_model: string, index: number) {
+    return success(this.#stage.get(index));
+  }
+
+  async start({ version, running }: StartOrder) {
+    this.running.push(running);
+    this.#layers = { from: 0, end: LAYERS, version };
+    return success({ type: 'taken' } as const);
+  }
+}
+
+it('an order to drop what runs: streams are not dropped on the word of an entry that has said nothing for seconds', async () => {
+  const engine = new FakeEngine();
+  const loader = new EngineLoader({
+    engine,
+    engineAddress: 'engine',
+    address: 'agent',
+    slotAddress: 'slots',
+    onEngine: () => {},
+    library: new WeightsLibrary(),
+    objects: await objectsWith(2),
+    originAt: () => noOrigin,
+    tell: () => {},
+    random: seededRandom(5),
+    log: silentLog,
+  });
+  const plan: WeightsPlan = {
+    versions: [{ model: 'm', version: 2, notBefore: performance.now() - (TURN - SILENT_FOR) }],
+    storeTime: performance.now(),
+    bound: 8_000,
+    origin: 'origin',
+    layers: LAYERS,
+    position: 5,
+    canMoveRequests: true,
+    holders: [],
+    entries: [],
+    hasNearEntry: false,
+  };
+  await loader.start();
+  const toldAt = performance.now();
+  loader.takePlan(plan);
+  await until(() => engine.running.length === 1, 'the order');
+  const age = performance.now() - toldAt;
+  await loader.stop();
+  expect(age).toBeGreaterThan(SILENT_FOR - 500);
+  expect(engine.running).toEqual(['finish']);
+});
--- /dev/null
+++ b/test/weights/joint-drop.test.ts
@@ -0,0 +1,67 @@
+/** Engines that switch together drop no more than the others have room for. */
+import { expect, it } from 'vitest';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import { BackEndTable } from '../../src/forwarding/back-end-table.js';
+import type { EngineAgentRow } from '../../src/peers/engine-agents.js';
+import type { EngineReport } from '../../src/protocol/reports.js';
+import { WeightsPlanner } from '../../src/roles/weights-planner.js';
+import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from '../forwarding/engine-configuration.js';
+
+const SLOTS = 16;
+/** Requests at each engine that switches. */
+const LOAD = 8;
+const ZONES = ['zone-a', 'zone-b', 'zone-c', 'zone-d'];
+
+/** Engines of the zones in the order of {@link ZONES}, each the first of its zone: all but the last have given notice. */
+function plannerOfFour(): { planner: WeightsPlanner; rows: EngineAgentRow[] } {
+  const fleet = new FleetView();
+  const backEnds = new BackEndTable();
+  fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
+  fleet.takeConfiguration({ document: Buffer.from(''), configuration: ENGINE_CONFIGURATION });
+  const layers = { from: 0, end: ENGINE_LAYERS, version: 1 };
+  const records = ZONES.map((zone, index) => ({
+    id: `engine-${index}`,
+    service: 'engines',
+    address: `127.0.0.1:${index + 1}`,
+    zone,
+    slots: SLOTS,
+    leaving: false,
+    layers,
+    revision: 1,
+  }));
+  fleet.takeBackEnds({ revision: 1, records });
+  for (const [index, { address }] of records.entries()) {
+    const isSwitching = index < ZONES.length - 1;
+    backEnds.takeNews(address, {
+      version: 1,
+      isReached: true,
+      isSwitching,
+      slotAddress: '',
+      load: isSwitching ? LOAD : 0,
+      toldAt: performance.now(),
+      switchAt: Number.POSITIVE_INFINITY,
+    });
+  }
+  const planner = new WeightsPlanner({
+    fleet,
+    backEnds,
+    versionBound: 8_000,
+    wanted: () => [{ model: 'm', version: 2 }],
+    entries: () => [],
+  });
+  const rows = records.map(({ address, zone }) => {
+    const remote = { peer: { id: address, address, place: '', region: '', zone } };
+    const connection = { remote } as unknown as EngineAgentRow['connection'];
+    return { connection, address, report: { address } as EngineReport, reportedAt: 0 };
+  });
+  return { planner, rows };
+}
+
+it('an order to drop what runs: the same room is not promised to several engines that switch at a time', () => {
+  const { planner, rows } = plannerOfFour();
+  const plans = rows.map((row) => planner.planFor(row));
+  // The first engine of each zone goes in the first wave.
+  expect(plans.map(({ position }) => position)).toEqual([0, 0, 0, 0]);
+  const dropped = plans.slice(0, -1).filter((plan) => plan.canMoveRequests).length * LOAD;
+  expect(dropped).toBeLessThanOrEqual(SLOTS);
+});
