Test of paused back ends: pauses end once the other back end was asked

One test failed once at a load of 17 to 27 on 16 cores: its pause of 1 s was over before the silence was noticed, as time in which the process did not run does not count as silence (supposed, the run was not traced).

--- a/test/forwarding/stream-cut-while-back-end-pauses.test.ts
+++ b/test/forwarding/stream-cut-while-back-end-pauses.test.ts
@@ -13,6 +13,8 @@
 const EVENTS_BEFORE_PAUSE = 2;
 /** Longer than the silence threshold and shorter than the request timeout, in milliseconds. */
 const PAUSE = 1_000;
+/** A pause that waits for something goes on for this long after it, in milliseconds. */
+const PAUSE_REST = 150;
 /** Time between two events after the pause, in milliseconds. */
 const EVENT_INTERVAL = 15;
 const SEED = 43;
@@ -35,16 +37,21 @@
 let forwarding: ForwardingHarness;
 let askForSlot: (answers: SlotAnswers) => void;
 
-/** Streams the events after `last-event-id`, with a pause in the middle of the stream. */
-function pausingStream(pause: number, firstAfter = 0): Script {
+/**
+ * Streams the events after `last-event-id`, with a pause in the middle of the stream.
+ * @param pause - its length in milliseconds, or a condition: the pause ends `PAUSE_REST` after it holds
+ */
+function pausingStream(pause: number | (() => boolean), firstAfter = 0): Script {
   return (request, response) => {
     const from = Number(request.headers['last-event-id'] ?? 0) + 1;
     const head = { 'x-request': String(request.headers['x-request']), 'content-type': 'text/event-stream' };
     setTimeout(() => {
       response.writeHead(200, head);
       if (from <= EVENTS_BEFORE_PAUSE) response.write(events(from, EVENTS_BEFORE_PAUSE));
-      if (from > EVENTS_BEFORE_PAUSE) writeEventsFrom(response, from);
-      else setTimeout(() => writeEventsFrom(response, EVENTS_BEFORE_PAUSE + 1), pause);
+      const goOn = () => writeEventsFrom(response, Math.max(from, EVENTS_BEFORE_PAUSE + 1));
+      if (from > EVENTS_BEFORE_PAUSE) goOn();
+      else if (typeof pause === 'number') setTimeout(goOn, pause);
+      else void until(pause, 'the end of the pause').then(() => setTimeout(goOn, PAUSE_REST), goOn);
     }, firstAfter);
   };
 }
@@ -65,6 +72,7 @@
 }
 
 const requestCount = () => one.requests.length + two.requests.length;
+const isOtherAsked = () => requestCount() > 1;
 const whole = { status: 200, whole: true, body: events(1, EVENTS) };
 
 beforeEach(async () => {
@@ -95,28 +103,28 @@
   });
 
   it('is not cut where the other back end refuses it', async () => {
-    answerFirstWith(pausingStream(PAUSE), notRun);
+    answerFirstWith(pausingStream(isOtherAsked), notRun);
     expect(await forwarding.send('/write/a')).toMatchObject(whole);
   });
 
   it('is not cut where the other back end fails before its first event', async () => {
-    answerFirstWith(pausingStream(PAUSE), (_request, response) => response.destroy());
+    answerFirstWith(pausingStream(isOtherAsked), (_request, response) => response.destroy());
     expect(await forwarding.send('/write/a')).toMatchObject(whole);
     expect(requestCount()).toBe(2);
   });
 
   it('is not cut where the other back end answers with an error', async () => {
-    answerFirstWith(pausingStream(PAUSE), reply(500, 'mine'));
+    answerFirstWith(pausingStream(isOtherAsked), reply(500, 'mine'));
     expect(await forwarding.send('/write/a')).toMatchObject(whole);
   });
 
   it('is not cut where the other back end answers with something that is no stream', async () => {
-    answerFirstWith(pausingStream(PAUSE), reply(200, 'x'.repeat(100_000)));
+    answerFirstWith(pausingStream(isOtherAsked), reply(200, 'x'.repeat(100_000)));
     expect(await forwarding.send('/write/a')).toMatchObject(whole);
   });
 
   it('is not cut where the other back end sends nothing', async () => {
-    answerFirstWith(pausingStream(PAUSE), () => {});
+    answerFirstWith(pausingStream(isOtherAsked), () => {});
     expect(await forwarding.send('/write/a')).toMatchObject(whole);
     await until(() => one.cancelled + two.cancelled === 1, 'the other back end is cancelled');
   });
@@ -133,6 +141,10 @@
 
   it('is not cut where no engine has a slot for it', async () => {
     let refusals = 0;
+    answerFirstWith(
+      pausingStream(() => refusals > 0),
+      () => {},
+    );
     askForSlot = (answers) => {
       refusals++;
       setTimeout(() => answers.onRefused(), 0);
@@ -190,7 +202,8 @@
 
   it('is sent to no more back ends than its route allows', async () => {
     const three = await new StandInBackEnd(() => {}).start();
-    answerFirstWith(pausingStream(PAUSE), () => {});
+    const isThirdOrOtherAsked = () => requestCount() + three.requests.length > 1;
+    answerFirstWith(pausingStream(isThirdOrOtherAsked), () => {});
     forwarding.list(['one', one], ['two', two], ['three', three]);
     expect(await forwarding.send('/write/a')).toMatchObject(whole);
     expect(requestCount() + three.requests.length).toBe(2);
