Bound the time that a request is held at silent back ends

Fix: if a search for another back end is in vain, a request without a part of the answer ends halfway through its caller's time, which leaves time for a repetition, and with the failure of a back end at once. Whether a back end may be asked over another connection is decided at each search, and the attempt on the silent connection is aborted then. A stream that is resumed elsewhere owes its next event within the time that any begun stream does.

--- a/src/forwarding/attempt-watch.ts
+++ b/src/forwarding/attempt-watch.ts
@@ -76,12 +76,12 @@
 
   /** Classifies the silence of an attempt, not counting time in which this process was not running. */
   #silence(use: BackEndUse, now: number, standstills: Standstills): Silence {
-    const { row, attempt, progressAt, isOvertaken, hasBegun } = use;
+    const { row, attempt, progressAt, isOvertaken } = use;
     const awaited = {
       route: this.#request.admitted.route,
       sentAt: attempt.startedAt,
       progressAt: now - standstills.runningTime(progressAt, now),
-      isStreaming: this.#request.hasPart() && hasBegun,
+      isStreaming: this.#request.hasPart(),
       isOnSilentConnection: attempt.isOnSilentConnection,
       isOvertaken,
       backEndProgressAt: now - standstills.runningTime(row.progressAt, now),
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -164,7 +164,13 @@
   /** Looks for another back end while the attempts at the silent ones stay open. */
   #findReplacement(now: number): void {
     if (now < this.#nextSearchAt) return;
+    if (!this.#policy.mayRunAgain) {
+      // The open attempts are the last ones.
+      if (this.#openAttempts.size === 0) this.#giveUp('attempts used up');
+      return;
+    }
     if (!this.#policy.maySendAgain) return this.#giveUp('no budget');
+    this.#policy.allowOtherConnections();
     this.#policy.noteRepetition();
     this.#wait.begin();
   }
@@ -201,7 +207,7 @@
       hasPart: () => this.#answer.started,
       isCallerBlocked: () => this.#answer.isBlocked,
       maySendAgain: () => this.#policy.maySendAgain,
-      onSilentConnection: (row) => this.#policy.allowOnOtherConnection(row),
+      onSilentConnection: (row) => this.#policy.noteSilentConnection(row),
       onNote: (message, fields) => this.#log.note(message, fields),
     });
   }
@@ -235,6 +241,8 @@
       return refuse();
     }
     const { row } = selection;
+    // It goes there over another connection than one that is silent.
+    this.#openAttempts.abortAt(row, 'silent connection');
     this.#policy.noteSent(row);
     const { limits } = this.#components;
     limits.noteSent(row.record, claim !== undefined);
@@ -444,7 +452,7 @@
 
   /** No back end can take the request now. */
   #giveUp(reason: string): void {
-    if (this.#openAttempts.size > 0) return this.#endSearch(reason);
+    if (this.#openAttempts.size > 0 && this.#waitsForSilent) return this.#endSearch(reason);
     if (this.#answer.started) return this.#canGoOnLater() ? this.#endSearch(reason) : this.#cut(reason);
     if (this.#openAttempts.runs > 0) return this.#fail({ type: 'backEndFailed', reason });
     const { selector, random } = this.#components;
@@ -455,6 +463,13 @@
     this.#fail({ type: 'unavailable', reason, retryAfter });
   }
 
+  /** Whether it is left at silent back ends, though no other one can take it now. */
+  get #waitsForSilent(): boolean {
+    if (this.#answer.started) return true;
+    if (this.#failedAnswer !== undefined && this.#openAttempts.areAllSilent) return false;
+    return performance.now() < this.#admitted.timing.waitsForSilentUntil;
+  }
+
   /** Ends a search that found no replacement; the next one starts after `SEARCH_INTERVAL`. */
   #endSearch(reason: string): void {
     this.#wait.end('inVain');
--- a/src/forwarding/open-attempts.ts
+++ b/src/forwarding/open-attempts.ts
@@ -3,6 +3,7 @@
  * a silent back end is being replaced; the first that sends a part of the answer is kept.
  */
 import type { BackEndOutcome } from './back-end-health.js';
+import type { BackEndRow } from './back-end-table.js';
 import type { BackEndUse } from './back-end-use.js';
 import type { SuspectContent } from './suspect-content.js';
 import type { TimeToEnd } from './time-to-end.js';
@@ -79,10 +80,16 @@
 
   /** Aborts and closes all attempts except `kept`. */
   abortAll(reason: string, kept?: BackEndUse): void {
-    for (const use of this.all()) {
-      if (use === kept) continue;
-      use.attempt.abort(reason);
-      this.close(use, undefined);
-    }
+    for (const use of this.all()) if (use !== kept) this.#abort(use, reason);
+  }
+
+  /** Aborts and closes the attempts at `row`. */
+  abortAt(row: BackEndRow, reason: string): void {
+    for (const use of this.all()) if (use.row === row) this.#abort(use, reason);
+  }
+
+  #abort(use: BackEndUse, reason: string): void {
+    use.attempt.abort(reason);
+    this.close(use, undefined);
   }
 }
--- a/src/forwarding/request-log.ts
+++ b/src/forwarding/request-log.ts
@@ -90,7 +90,7 @@
   }
 
   noteCut(
-    { reason, isStop }: RequestEnding & { type: 'cut' },
+    { reason }: RequestEnding & { type: 'cut' },
     use: BackEndUse | undefined,
     context: CutContext,
   ): void {
@@ -98,7 +98,9 @@
     const now = performance.now();
     const open =
       use === undefined ? {} : { backEnd: use.row.record.id, silentMs: Math.round(now - use.progressAt) };
-    cutFigures.note(isStop ? reason : (this.#latestFailure?.reason ?? reason));
+    // With an open attempt no earlier failure is the cause.
+    const cause = use === undefined ? (this.#latestFailure?.reason ?? reason) : reason;
+    cutFigures.note(cause);
     this.note('answer cut', {
       reason,
       ...open,
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -23,6 +23,8 @@
 const REPEATED_AFTER = 150;
 /** A request that can still be in time waits here for capacity no longer than this, in milliseconds. */
 const SHORT_HOLD = 45;
+/** Share of a caller's time after which it is told that its back ends are silent. */
+const CALLER_SHARE = 0.5;
 /** Highest rank of a kind of request that counts, 0 being the most urgent. */
 export const MOST_RANK = 3;
 /** Urgency of the most urgent request that comes again: first requests of all ranks go before it. */
@@ -90,6 +92,16 @@
     return waitsForCapacity({ arrivedAt, endsAt, patience, comesAgain }, now, now + capacityIn);
   }
 
+  /**
+   * Until when it waits for back ends that are silent, if its caller has no part of the answer: half of the time is left for a
+   * repetition by the caller.
+   */
+  get waitsForSilentUntil(): number {
+    const { isStream, patience } = this.#route;
+    const time = this.endsAt - this.arrivedAt;
+    return this.arrivedAt + CALLER_SHARE * (isStream ? Math.min(time, patience) : time);
+  }
+
   /** Latest time at which a back end may begin with it. */
   get latestBegin(): number {
     return latestBegin(this.arrivedAt, this.endsAt, this.#route.patience);
--- a/src/forwarding/send-policy.ts
+++ b/src/forwarding/send-policy.ts
@@ -30,6 +30,8 @@
 export class SendPolicy {
   readonly #options: SendPolicyOptions;
   readonly #tried = new BackEndSet();
+  /** Back ends that may take it again over another connection. */
+  readonly #onSilentConnections = new Set<BackEndRow>();
   #sends = 0;
   #isRepetition = false;
   /** Version of the weights that began the answer; undefined before, and where none is told. */
@@ -81,13 +83,21 @@
     this.#tried.delete(record);
   }
 
-  /** A back end whose connection was at fault takes the request over another one where no other back end can. */
-  allowOnOtherConnection({ record }: BackEndRow): void {
+  /** Nothing comes on the connection of an attempt at `row`, while others may be answered there. */
+  noteSilentConnection(row: BackEndRow): void {
+    this.#onSilentConnections.add(row);
+  }
+
+  /** Back ends whose connections are silent may take the request over others where no other back end can. */
+  allowOtherConnections(): void {
+    if (this.#onSilentConnections.size === 0) return;
     const { selector } = this.#options;
     const requirements = this.requirements();
     const isOther =
       selector.slotCandidates(requirements).length > 0 || selector.select(requirements) !== undefined;
-    if (!isOther) this.#tried.delete(record);
+    if (isOther) return;
+    for (const { record } of this.#onSilentConnections) this.#tried.delete(record);
+    this.#onSilentConnections.clear();
   }
 
   /** Whether the budget allows the next send now; it is paid only as the request goes out, which may be later. */
