--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -9,7 +9,7 @@
 import { readFileSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
-import { seededRandom } from '../../../src/model/random.js';
+import { hash32, seededRandom } from '../../../src/model/random.js';
 import {
   judgeAnswer,
   judgeMissing,
@@ -156,7 +156,7 @@
 
 /** Neighbouring seeds draw alike at first; those of the newer choices are far from one another. */
 function scatter(seed: number): number {
-  return Math.imul(seed, 0x9e3779b1) >>> 0;
+  return hash32(`soak ${seed}`);
 }
 
 function usualFaults(seed: number): FaultChoice {
