--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -1,9 +1,15 @@
 /** The judges of the soak find what they are for, and leave alone what is allowed. */
 import { beforeEach, describe, expect, it } from 'vitest';
-import type { SentRequest } from './soak/callers.js';
+import { judgeAnswer, judgeMissing, type SentRequest } from './soak/callers.js';
 import { Disruptions } from './soak/disruptions.js';
-import { judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './soak/judges.js';
-import { type Run, RunLog } from './soak/workers.js';
+import {
+  judgeCuts,
+  judgeDepartures,
+  judgeLimits,
+  judgePlannedStops,
+  judgeRepetitions,
+} from './soak/judges.js';
+import { eventData, type Run, RunLog } from './soak/workers.js';
 import { RETRIES, type SoakWorld } from './soak/world.js';
 
 const START = 100_000;
@@ -106,6 +112,112 @@
   });
 });
 
+describe('LOST at any time', () => {
+  const cut = { isWhole: false };
+
+  function configure(at: number, long: number): void {
+    disruptions.plannedWork.push({ kind: 'configuration', about: '7', at });
+    disruptions.configurations.push({ at, timeouts: { long }, missing: [] });
+  }
+
+  it('is an answer that is cut around a configuration, and names both', () => {
+    configure(START + 2_800, 7_000);
+    log.runs.push(run('one'), run('one', { at: START + 2_700, after: 2, isContinuationBroken: true }));
+    const answer = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+    expect(judgeCuts(world, [sent('one', { ...cut, answer })])).toEqual([
+      'LOST: one (long) at entry-1: a cut answer (200) with 2 events 3000 ms after it was sent, 200 ms after configuration 7; ' +
+        '2 runs: i-1 from 0 ms after event 0 (5000 ms), i-1 from 2700 ms after event 2 (failed to go on)',
+    ]);
+  });
+
+  it('is an answer that is cut beside no work', () => {
+    log.runs.push(run('one'));
+    expect(judgeCuts(world, [sent('one', cut)])).toEqual([expect.stringMatching(/no planned work/)]);
+  });
+
+  it('is a request that was read and gets no answer', () => {
+    const unanswered = { ...cut, status: undefined };
+    expect(judgeCuts(world, [sent('one', unanswered)])).toHaveLength(1);
+    const crossing = { ...unanswered, writtenAt: START + 2_900 };
+    expect(judgeCuts(world, [sent('one', crossing)])).toEqual([]);
+  });
+
+  it('is an answer that ends by a time-out declared after it was sent', () => {
+    configure(START - 10_000, 7_000);
+    configure(START + 1_000, 3_000);
+    log.runs.push(run('one'));
+    expect(judgeCuts(world, [sent('one', cut)])).toHaveLength(1);
+  });
+
+  it('is no answer that ends by the time-out in force, and one that ends long after it', () => {
+    configure(START - 1_000, 2_900);
+    configure(START - 500, 7_000);
+    log.runs.push(run('one'));
+    expect(judgeCuts(world, [sent('one', cut)])).toEqual([]);
+    expect(judgeCuts(world, [sent('one', { ...cut, endedAt: START + 3_500 })])).toHaveLength(1);
+  });
+
+  it.each([
+    ['is whole', {}, {}],
+    ['was left by its caller', { ...cut, leftAt: START + 10 }, {}],
+    ['was broken off by its worker', cut, { isBrokenOff: true }],
+    ['reached its deadline', { ...cut, endedAt: START + 7_000 }, {}],
+  ])('is no answer that %s', (_, changes, changesOfRun) => {
+    log.runs.push(run('one', changesOfRun));
+    expect(judgeCuts(world, [sent('one', changes)])).toEqual([]);
+  });
+
+  it('is nothing that a planned stop may cut, and nothing that is judged with it', () => {
+    log.runs.push(run('one'));
+    disruptions.stops.push({ process: 'entry-1', at: START - 5_000, endedAt: Number.POSITIVE_INFINITY });
+    const late = sent('one', { ...cut, sentAt: START - 2_100, endedAt: START + 2_900 });
+    expect(judgeCuts(world, [late])).toEqual([]);
+    const early = sent('one', { ...cut, endedAt: START + 1_000 });
+    expect([judgeCuts(world, [early]), judgePlannedStops(world, [early])]).toEqual([[], [expect.anything()]]);
+  });
+
+  it('is nothing where its worker was struck', () => {
+    const now = performance.now();
+    log.runs.push(run('one', { at: now }));
+    disruptions.note(['i-1'], 100);
+    const request = sent('one', { ...cut, sentAt: now - 100, writtenAt: now - 100, endedAt: now + 100 });
+    expect(judgeCuts(world, [request])).toEqual([]);
+  });
+});
+
+describe('ORDER', () => {
+  const event = (id: number) => `id: ${id}\ndata: ${eventData('/long/1', id)}\n\n`;
+  const cutWith = (...ids: number[]) =>
+    judgeAnswer(sent('one', { isWhole: false, answer: ids.map(event).join('') }));
+
+  it('is broken by a cut stream with an event twice, missing or changed', () => {
+    for (const ids of [[1, 2, 2], [1, 3], [2]]) expect(cutWith(...ids)).toHaveLength(1);
+    expect(judgeAnswer(sent('one', { isWhole: false, answer: 'id: 1\ndata: x\n\n' }))).toHaveLength(1);
+  });
+
+  it('is kept by a cut stream that is a beginning', () => {
+    for (const ids of [[], [1], [1, 2, 3]]) expect(cutWith(...ids)).toEqual([]);
+  });
+});
+
+describe('DENIED', () => {
+  const denied = () => judgeMissing(world, [sent('one', { kind: 'moved', status: 404 })]);
+
+  it('is broken by 404 for the moved route while all configurations name it', () => {
+    disruptions.configurations.push({ at: START - 60_000, timeouts: {}, missing: [] });
+    expect(denied()).toEqual(['DENIED: one got 404']);
+    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'] });
+    disruptions.configurations.push({ at: START - 20_000, timeouts: {}, missing: [] });
+    expect(denied()).toHaveLength(1);
+  });
+
+  it('is kept while a configuration without it may be in force', () => {
+    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'] });
+    disruptions.configurations.push({ at: START - 1_000, timeouts: {}, missing: [] });
+    expect(denied()).toEqual([]);
+  });
+});
+
 describe('BUDGET', () => {
   /** 100 requests in a second, of which `repetitions` reach a second worker. */
   function play(repetitions: number): string[] {
--- a/test/platform/soak/disruptions.ts
+++ b/test/platform/soak/disruptions.ts
@@ -76,10 +76,9 @@
     return concerning.sort((one, other) => Math.abs(one.at - at) - Math.abs(other.at - at))[0];
   }
 
-  /** Least time-out of a route in the configurations that an entry may have had as it took a request sent then, if any. */
-  leastTimeout(route: string, sentAt: number): number | undefined {
-    const timeouts = this.#mayBeInForce(sentAt, sentAt).flatMap(({ timeouts }) => timeouts[route] ?? []);
-    return timeouts.length === 0 ? undefined : Math.min(...timeouts);
+  /** Time-outs of a route in the configurations that an entry may have had as it took a request sent then. */
+  timeoutsOf(route: string, sentAt: number): number[] {
+    return this.#mayBeInForce(sentAt, sentAt).flatMap(({ timeouts }) => timeouts[route] ?? []);
   }
 
   /** Whether a configuration without this route may have been in force in this time. */
