--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -2,18 +2,25 @@
  * A soak: the real programs as processes, faults from outside, callers that judge every answer; then quiet, in which
  * everything must serve by the newest configuration and version again.
  *
- * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits]
+ * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|stalls|mixed]
  * [--kept]` prints each seed's outcome; a seed that breaks a promise prints
  * its time line and keeps its logs, and the exit code is 1.
  */
 import { readFileSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
-import { seededRandom } from '../../../src/model/random.js';
-import { judgeAnswer, judgeRuns, type SentRequest, SoakCaller, sendRequest } from './callers.js';
+import { hash32, seededRandom } from '../../../src/model/random.js';
+import {
+  judgeAnswer,
+  judgeMissing,
+  judgeRuns,
+  type SentRequest,
+  SoakCaller,
+  sendRequest,
+} from './callers.js';
 import { DeadlyContent } from './deadly-content.js';
-import { type FaultChoice, provoke } from './faults.js';
-import { judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
+import { type FaultChoice, MOVES_ROUTE, provoke } from './faults.js';
+import { judgeCuts, judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
 
 const SECOND = 1_000;
@@ -94,14 +101,15 @@
 
 async function playSeed({ seed, seconds, folder, size, ...plan }: SeedPlan): Promise<SeedOutcome> {
   const world = new SoakWorld(folder, 1 + (seed % SUBNETS), size);
-  const random = seededRandom(seed);
   const faults = plan.faults ?? usualFaults(seed);
+  const random = seededRandom(MOVES_ROUTE.has(faults) ? scatter(seed) : seed);
   const probes: SentRequest[] = [];
   let deadly: DeadlyContent | undefined;
   const callers = Array.from({ length: plan.callers }, (_, index) => {
-    return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index));
+    return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index), MOVES_ROUTE.has(faults));
   });
   try {
+    if (MOVES_ROUTE.has(faults)) world.declareMovedRoute();
     await world.start();
     // The first configuration has a predecessor of which no route is left.
     world.configure();
@@ -123,7 +131,9 @@
       ...callers.flatMap((caller) => caller.violations),
       ...probes.filter(({ path }) => !path.startsWith('/added-')).flatMap(judgeAnswer),
       ...judgeRuns(world, sent),
+      ...judgeMissing(world, sent),
       ...judgePlannedStops(world, sent),
+      ...judgeCuts(world, sent),
       ...judgeRepetitions(world, sent),
       ...judgeDepartures(world, sent),
       ...judgeLimits(world, sent),
@@ -144,6 +154,11 @@
   }
 }
 
+/** Neighbouring seeds draw alike at first; those of the newer choices are far from one another. */
+function scatter(seed: number): number {
+  return hash32(`soak ${seed}`);
+}
+
 function usualFaults(seed: number): FaultChoice {
   if (seed % 2 === 0) return 'planned';
   return seed % 4 === 1 ? 'all' : 'restarts';
