Do not pass on a kept failure into an answer that has begun

A request that kept a back end's failure and then began the answer of another back end could end with the body of the failure, if a fault of this process ended it in between. Found by reading; the kept failure is used only while the caller has no part of an answer.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -512,7 +512,8 @@
   }
 
   #fail(error: ForwardingError, routeName?: string): void {
-    if (this.#failedAnswer !== undefined) return this.#end({ type: 'answered', use: this.#failedAnswer });
+    if (this.#failedAnswer !== undefined && !this.#answer.started)
+      return this.#end({ type: 'answered', use: this.#failedAnswer });
     this.#end({ type: 'failed', error, routeName });
   }
 
