Keep an answer of the other HTTP servers when unreadable bytes follow its request

Symptoms: on the older callers' interface and on those of operators, an answer under way ended with a closed connection where bytes that are no request followed.

Cause: Node's server destroys the connection by itself.

Fix: `UnreadableConnections`, taken out of the forwarding server, serves both. Where nothing is owed the caller gets the status that Node's server gives (400, 408, 413, 431).

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, type Server } from 'node:http';
 import { Server as ConnectionServer } from 'node:net';
-import type { Duplex } from 'node:stream';
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
@@ -11,6 +10,7 @@
 import { endsWithin } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
+import { UnreadableConnections } from '../server/unreadable-connections.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import type { BackEndLimits } from './back-end-limits.js';
@@ -85,8 +85,6 @@
   /** Answers that have not gone out. */
   readonly #responses = new Set<ServerResponse>();
   #onFlushed: () => void = () => {};
-  /** Connections that close once what was asked there is answered: nothing more can be read from them. */
-  readonly #unreadable = new WeakSet<Duplex>();
 
   constructor(
     address: string,
@@ -149,10 +147,7 @@
       { maxHeaderSize: MOST_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT, requestTimeout: 0 },
       (request, response) => this.#accept(request, response),
     );
-    server.on('clientError', (_error, socket) => {
-      this.#unreadable.add(socket);
-      this.#closeOnceAnswered(socket);
-    });
+    new UnreadableConnections(server, (_error, socket) => socket.destroy());
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen(Number(port), host, resolve);
@@ -238,19 +233,9 @@
 
   #onResponseClosed(response: ServerResponse): void {
     this.#responses.delete(response);
-    const { socket } = response.req;
-    if (this.#unreadable.has(socket)) this.#closeOnceAnswered(socket);
     if (this.#responses.size === 0) this.#onFlushed();
   }
 
-  /** Closes `socket`, unless a request that came whole there is not answered yet; its caller reads that answer first. */
-  #closeOnceAnswered(socket: Duplex): void {
-    const owed = [...this.#responses].filter(({ req }) => req.socket === socket && req.complete);
-    const last = owed.at(-1);
-    if (last === undefined) socket.destroy();
-    else if (!last.headersSent) last.shouldKeepAlive = false;
-  }
-
   #beginChecks(): void {
     this.#standstills.begin(performance.now());
     this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL);
--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -1,8 +1,18 @@
 /** An HTTP server on a given address that can be stopped at once. */
-import { createServer, type RequestListener, type Server } from 'node:http';
+import { createServer, type RequestListener, type Server, STATUS_CODES } from 'node:http';
+import type { Duplex } from 'node:stream';
 import type Router from '@koa/router';
 import Koa from 'koa';
 import type { Startable } from '../model/startable.js';
+import { UnreadableConnections } from './unreadable-connections.js';
+
+const BAD_REQUEST = 400;
+/** Statuses for errors of Node's parser, as Node's server gives them by itself. */
+const STATUS_OF_ERROR: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
 
 /** Creates a server of `handler` at `address` (`host:port`). */
 export function httpServer(address: string, handler: RequestListener): Startable {
@@ -11,6 +21,7 @@
     async start() {
       const [host, port] = address.split(':');
       const created = createServer(handler);
+      new UnreadableConnections(created, rejectUnreadable);
       await new Promise<void>((resolve, reject) => {
         created.once('error', reject);
         created.listen(Number(port), host, resolve);
@@ -27,6 +38,14 @@
   };
 }
 
+/** Answers what is no request as Node's server does by itself, and closes its connection. */
+function rejectUnreadable(error: Error & { code?: string }, socket: Duplex): void {
+  const status = STATUS_OF_ERROR[error.code ?? ''] ?? BAD_REQUEST;
+  if (socket.writable)
+    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+  socket.destroy(error);
+}
+
 /** Creates a koa application that answers every failure of a handler with status 500 and its text. */
 export function application(): Koa {
   const app = new Koa();
--- a/test/server/answer-cut-by-connection.test.ts
+++ b/test/server/answer-cut-by-connection.test.ts
@@ -32,3 +32,24 @@
   await server.stop();
   expect(received).toContain('ended');
 });
+
+it('bytes that are no request are answered with 400, and their connection closes', async () => {
+  const address = await freeAddress();
+  const server = httpServer(address, (_request, response) => response.end());
+  await server.start();
+  const [host, port] = address.split(':');
+  const caller = connect(Number(port), host);
+  let received = '';
+  let isClosed = false;
+  caller.on('data', (bytes) => {
+    received += bytes.toString('latin1');
+  });
+  caller.on('error', () => {});
+  caller.on('close', () => {
+    isClosed = true;
+  });
+  caller.write('this is no request\r\n\r\n');
+  await until(() => isClosed, 'the end of the connection');
+  await server.stop();
+  expect(received).toMatch(/^HTTP\/1.1 400 Bad Request\r\n/);
+});
