Answer connections that were just opened when an entry takes no more

Cause: the event loop was given one turn to accept and read what waited, and connections that were accepted and not yet read count as idle and were destroyed.

Evidence: 'has its request answered where the process takes no more connections right after a standstill' fails on the previous code and passes now.

Fix: the server closes once four turns of the event loop have brought no new connection; idle connections are closed 0.3 s later, after what came there was read.

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -42,6 +42,9 @@
  * to stop. A caller that is busy sends its next request within a round trip, far less.
  */
 const LINGER = 300;
+/** Turns of the event loop in a row without a new connection after which none waits, and the most that are waited for. */
+const QUIET_TURNS = 4;
+const MOST_TURNS = 100;
 /** Bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
 
@@ -172,15 +175,19 @@
    * otherwise when it has had the time to send its next request there, whose answer tells it.
    */
   async close(): Promise<void> {
-    // Right after the event loop has accepted and read what was there, so that as little as can be is reset unread.
-    await new Promise((resolve) => setImmediate(resolve));
     if (this.#server === undefined) return;
+    await acceptWaiting(this.#server);
     this.#isClosed = true;
     this.#lingersSince = performance.now();
     this.#server.keepAliveTimeout = LINGER;
     // The `close` of an HTTP server also ends the connections that it takes for idle.
     ConnectionServer.prototype.close.call(this.#server);
-    if (!this.#isAnswerGoingOut) this.#server.closeIdleConnections();
+    setTimeout(() => setImmediate(() => this.#closeIdleConnections()), LINGER).unref();
+  }
+
+  /** Connections that were just accepted count as idle, too, until their first request is read. */
+  #closeIdleConnections(): void {
+    if (!this.#isAnswerGoingOut) this.#server?.closeIdleConnections();
   }
 
   /**
@@ -278,3 +285,19 @@
     this.#drainFigures.note(outcome, this.#components.drain.elapsed(request.arrivedAt) ?? 0);
   }
 }
+
+/**
+ * Waits until the event loop has accepted and read what was waiting, as after a standstill: a server that closes resets the
+ * connections that wait for it.
+ */
+async function acceptWaiting(server: Server): Promise<void> {
+  let accepted = 0;
+  const count = () => accepted++;
+  server.on('connection', count);
+  for (let turns = 0, quietTurns = 0; turns < MOST_TURNS && quietTurns < QUIET_TURNS; turns++) {
+    const before = accepted;
+    await new Promise((resolve) => setImmediate(resolve));
+    quietTurns = accepted === before ? quietTurns + 1 : 0;
+  }
+  server.off('connection', count);
+}
--- a/test/forwarding/answer-cut-by-connection.test.ts
+++ b/test/forwarding/answer-cut-by-connection.test.ts
@@ -2,7 +2,7 @@
 import { connect, type Socket } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
-import { until } from '../support.js';
+import { standStill, until } from '../support.js';
 import { ForwardingHarness } from './forwarding-harness.js';
 import { routeNamed } from './routes.js';
 import { events, reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
@@ -34,6 +34,8 @@
   tenants: undefined,
 };
 
+/** Connections that are opened at once. */
+const CONNECTIONS = 20;
 let backEnd: StandInBackEnd;
 let forwarding: ForwardingHarness;
 let caller: Socket;
@@ -211,3 +213,27 @@
     expect(forwarding.isSettled).toBe(true);
   });
 });
+
+describe('a connection that has just been opened', () => {
+  it('has its request answered where the process takes no more connections right after a standstill', async () => {
+    backEnd.answer(reply(200, 'whole'));
+    forwarding.list(['one', backEnd, { slots: CONNECTIONS }]);
+    const [host, port] = forwarding.address.split(':');
+    const outcomes = Array.from({ length: CONNECTIONS }, (_, index) => {
+      const socket = connect(Number(port), host);
+      socket.write(request(`new-${index}`));
+      return new Promise<string>((resolve) => {
+        let got = '';
+        socket.on('data', (part) => {
+          got += part.toString('latin1');
+        });
+        socket.on('error', () => {});
+        socket.on('close', () => resolve(got));
+      });
+    });
+    await new Promise((resolve) => setTimeout(resolve, 0));
+    standStill(100);
+    await forwarding.close();
+    for (const got of await Promise.all(outcomes)) expect(got).toMatch(/^HTTP\/1.1 200 /);
+  });
+});
