--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -17,7 +17,7 @@
   | { type: 'changed'; record: BackEndRecord }
   | { type: 'gone'; id: string; revision: number };
 
-/** Back ends that have gone and are remembered: the latest. Chosen, above those that go within the seconds that a copy is old. */
+/** Back ends that have gone and are remembered: the latest, more than go within the seconds that a copy is old. */
 const MOST_GONE = 1_000;
 
 /** The list. */
--- a/src/fleet/back-end-starts.ts
+++ b/src/fleet/back-end-starts.ts
@@ -13,14 +13,14 @@
 import type { BackEndIdentity } from '../model/back-end-identity.js';
 
 /**
- * Entries in a row with a start that is passed over after which that is the present one. Chosen: a reader sees the latest
+ * Entries in a row with a start that is passed over after which that is the present one: a reader sees the latest
  * entry alone, twice a second, so that of those written before a restart one or two come after the report of it. A start
  * that was passed over by mistake is out for six seconds with an entry each 1.2 s.
  */
 export const ENTRIES_TO_BELIEVE = 5;
 /** Former starts of one back end that are remembered: the latest; news are late by seconds, not by so many starts. */
 const FORMER_KEPT = 16;
-/** Back ends without an entry whose starts are remembered: the latest to go. Chosen, above those of a large deployment. */
+/** Back ends without an entry whose starts are remembered: the latest to go, more than a large deployment has. */
 const GONE_KEPT = 1_000;
 
 /** What the news of a start are worth. */
--- a/src/fleet/named-versions.ts
+++ b/src/fleet/named-versions.ts
@@ -14,7 +14,7 @@
 const REMEMBERED = 4;
 /**
  * The oldest of more is forgotten only once the one after it was named this long ago, in milliseconds: until that one's bound the
- * oldest alone forbids what was before it. Chosen, far above the bounds in use (8 s).
+ * oldest alone forbids what was before it. It is far above the bounds in use (8 s).
  */
 const FORGOTTEN_AFTER = 60_000;
 
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -14,7 +14,7 @@
 const ANSWER_LIMIT = 1_500;
 /**
  * A call that waits is given up sooner than that, so that a connection that went silent is noticed: after this many of the
- * store's latest answer times, but after this time at least, in milliseconds. Chosen, above a packet that is lost and sent
+ * store's latest answer times, but after this time at least, in milliseconds: above a packet that is lost and sent
  * again.
  */
 const SILENT_ANSWERS = 4;
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -25,7 +25,7 @@
 /**
  * A request must begin before the version of its back end expires. It is sent there until this long before, in
  * milliseconds, and this many times the usual time to a first answer or the wait for a slot, whichever is longer. Both
- * are chosen: 0.9 s and the longest wait before them left engines out that could serve (docs/design/decisions.md).
+ * leave few engines out: 0.9 s and the longest wait before them left engines out that could serve (docs/design/decisions.md).
  */
 const EXPIRY_MARGIN = 600;
 const EXPIRY_MARGIN_WAITS = 1.5;
@@ -34,11 +34,11 @@
 const LATE_SHARE = 0.75;
 /** Share of the slots assumed to be taken by requests of other entries that have not been reported yet (150 to 450 ms). */
 const UNSEEN_SHARE = 0.25;
-/** Where the agent says nothing of the engine's load, its queue may be longer by this, in milliseconds: chosen, about the
+/** Where the agent says nothing of the engine's load, its queue may be longer by this, in milliseconds: about the
  * time of a full queue. */
 const UNKNOWN_LOAD_MARGIN = 1_600;
 /** What has not begun this long before the version expires is withdrawn, in milliseconds. Closing a connection
- * reaches an engine within 6 ms; the rest is for links that are busy, the tick of 50 ms and `CLOCK_TOLERANCE`. Chosen. */
+ * reaches an engine within 6 ms; the rest is for links that are busy, the tick of 50 ms and `CLOCK_TOLERANCE`. */
 export const WITHDRAWAL_LEAD = 250;
 const MILLISECONDS = 1_000;
 /** A back end that answered late gets a request again after this, in milliseconds. */
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -22,7 +22,7 @@
 
 /**
  * Kept connections to two back ends that are found silent within this, in milliseconds, make those to all others suspect:
- * chosen, above the longest time in which a silent connection that is in use is noticed.
+ * above the longest time in which a silent connection that is in use is noticed.
  */
 const SPREAD_TIME = 1_500;
 
--- a/src/forwarding/crash-witness.ts
+++ b/src/forwarding/crash-witness.ts
@@ -10,7 +10,7 @@
 import type { BackEndCrash, Fingerprint } from '../systems/poison-requests.js';
 import type { BackEndRow } from './back-end-table.js';
 
-/** Time after which a call that nobody answers is given up, in milliseconds: chosen, above a packet that is lost and sent again. */
+/** Time after which a call that nobody answers is given up, in milliseconds: above a packet that is lost and sent again. */
 const CALL_LIMIT = 400;
 /** Connections that break this long after the first one of a crash broke by it, in milliseconds: 15 were measured. */
 const SAME_CRASH = 500;
--- a/src/forwarding/hold-record.ts
+++ b/src/forwarding/hold-record.ts
@@ -3,11 +3,11 @@
  * better refused at once than after a wait; a few requests are held all the same, and tell when that is over.
  */
 
-/** Weight of the newest end of a wait: chosen, so that seven in a row change what is done. */
+/** Weight of the newest end of a wait: seven in a row change what is done. */
 const END_WEIGHT = 0.1;
-/** Share of waits that must have ended at a back end: chosen. */
+/** Share of waits that must have ended at a back end. */
 const LEAST_SENT_SHARE = 0.5;
-/** Requests that may be held at the same time whatever became of others: chosen. */
+/** Requests that may be held at the same time whatever became of others. */
 const MOST_TRIALS = 2;
 
 /** How a wait ended. */
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -40,7 +40,7 @@
 /**
  * Of two entries that have just learnt of one another, the one whose address sorts last leaves it to the other to connect for
  * this long, in milliseconds. Otherwise both do, and each pair keeps two connections of which one only asks for signs of life:
- * 9,900 of them among 100 entries in place of 4,950. Chosen, above the time that news take to reach all entries of a start.
+ * 9,900 of them among 100 entries in place of 4,950. It is above the time that news take to reach all entries of a start.
  */
 const OTHER_DIALS_FIRST = 400;
 
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -17,7 +17,7 @@
 
 /**
  * An engine tells of its load as it stood some hundred ms earlier, and a request takes some ms to reach it: what is
- * younger than this is not looked for there, in milliseconds. Chosen, at twice the lag that the users' sheets name.
+ * younger than this is not looked for there, in milliseconds: twice the lag that the users' sheets name.
  */
 const REPORT_LAG = 400;
 
