--- a/src/forwarding/attempt-answer.ts
+++ b/src/forwarding/attempt-answer.ts
@@ -16,6 +16,7 @@
   #head: AnswerHead | undefined;
   #events: EventRelay | undefined;
   readonly #buffered: Buffer[] = [];
+  /** Bytes buffered so far, including those already taken: beyond the limit all bytes are passed on as they come. */
   #bufferedBytes = 0;
 
   /** @param resumeEventId - id of the event after which a stream resumes; undefined to start at its beginning */
@@ -68,7 +69,6 @@
     if (this.#buffered.length === 0) return undefined;
     const bytes = this.#buffered.length === 1 ? this.#buffered[0] : Buffer.concat(this.#buffered);
     this.#buffered.length = 0;
-    this.#bufferedBytes = 0;
     return bytes;
   }
 }
