Open connections of the HTTP server's tests in one place

Cause: two tests held the same 13 lines. Change: one function opens server and connection. Result: both tests pass, with the checks that they had.

--- a/test/server/answer-cut-by-connection.test.ts
+++ b/test/server/answer-cut-by-connection.test.ts
@@ -1,22 +1,29 @@
 /** An answer under way on a server of this system is not cut by what else comes on its connection. */
-import { connect } from 'node:net';
-import { expect, it } from 'vitest';
+
+import type { RequestListener } from 'node:http';
+import { connect, type Socket } from 'node:net';
+import { afterEach, expect, it } from 'vitest';
 import { freeAddress } from '../../bench/processes/child.js';
+import type { Startable } from '../../src/model/startable.js';
 import { httpServer } from '../../src/server/http-server.js';
 import { until } from '../support.js';
 
-it('an answer of the HTTP server is not cut by bytes that are no request', async () => {
+const NO_REQUEST = 'this is no request\r\n\r\n';
+
+let server: Startable;
+let caller: Socket;
+let received: string;
+let isClosed: boolean;
+
+/** Starts a server and opens a connection to it. */
+async function open(handler: RequestListener): Promise<void> {
   const address = await freeAddress();
-  const server = httpServer(address, (_request, response) => {
-    response.writeHead(200);
-    response.write('begun');
-    setTimeout(() => response.end('ended'), 200);
-  });
+  server = httpServer(address, handler);
   await server.start();
   const [host, port] = address.split(':');
-  const caller = connect(Number(port), host);
-  let received = '';
-  let isClosed = false;
+  received = '';
+  isClosed = false;
+  caller = connect(Number(port), host);
   caller.on('data', (bytes) => {
     received += bytes.toString('latin1');
   });
@@ -24,32 +31,29 @@
   caller.on('close', () => {
     isClosed = true;
   });
+}
+
+afterEach(async () => {
+  caller.destroy();
+  await server.stop();
+});
+
+it('an answer of the HTTP server is not cut by bytes that are no request', async () => {
+  await open((_request, response) => {
+    response.writeHead(200);
+    response.write('begun');
+    setTimeout(() => response.end('ended'), 200);
+  });
   caller.write('GET / HTTP/1.1\r\nhost: api.example\r\n\r\n');
   await until(() => received.includes('begun'), 'the first part');
-  caller.write('this is no request\r\n\r\n');
+  caller.write(NO_REQUEST);
   await until(() => isClosed || received.includes('ended'), 'the end');
-  caller.destroy();
-  await server.stop();
   expect(received).toContain('ended');
 });
 
 it('bytes that are no request are answered with 400, and their connection closes', async () => {
-  const address = await freeAddress();
-  const server = httpServer(address, (_request, response) => response.end());
-  await server.start();
-  const [host, port] = address.split(':');
-  const caller = connect(Number(port), host);
-  let received = '';
-  let isClosed = false;
-  caller.on('data', (bytes) => {
-    received += bytes.toString('latin1');
-  });
-  caller.on('error', () => {});
-  caller.on('close', () => {
-    isClosed = true;
-  });
-  caller.write('this is no request\r\n\r\n');
+  await open((_request, response) => response.end());
+  caller.write(NO_REQUEST);
   await until(() => isClosed, 'the end of the connection');
-  await server.stop();
   expect(received).toMatch(/^HTTP\/1.1 400 Bad Request\r\n/);
 });
