Close an idle connection only once what has come there was read

Cause: after a standstill of the process the event loop runs timers before it reads sockets, so a connection on which a request waits times out as idle.

That Keep-Alive names a time without a margin is refuted: Node's server adds a second.

Change: a connection whose idle time is over is closed after one turn of the event loop, and only where nothing has been read. All servers of the project do so, as the fault was the same in each.

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -10,6 +10,7 @@
 import { endsWithin } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
+import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
 import { UnreadableConnections } from '../server/unreadable-connections.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
@@ -151,6 +152,7 @@
       (request, response) => this.#accept(request, response),
     );
     new UnreadableConnections(server, (_error, socket) => socket.destroy());
+    closeIdleConnectionsOnceRead(server);
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen(Number(port), host, resolve);
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -9,6 +9,7 @@
 import type { Startable } from '../model/startable.js';
 import { Ticker } from '../model/ticker.js';
 import { startLimit } from '../model/time-limit.js';
+import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
 import { decode, encode } from './codec.js';
 import type { HelloMessage, Message } from './messages.js';
 
@@ -313,6 +314,7 @@
   async start(): Promise<void> {
     const [host, port] = this.#address.split(':');
     const http = this.#onRequest === undefined ? createServer() : createServer(this.#onRequest);
+    closeIdleConnectionsOnceRead(http);
     const options = { server: http, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES };
     const sockets = new WebSocketServer(options);
     sockets.on('connection', (socket) => this.#accept(socket));
--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -4,6 +4,7 @@
 import type Router from '@koa/router';
 import Koa from 'koa';
 import type { Startable } from '../model/startable.js';
+import { closeIdleConnectionsOnceRead } from './idle-connections.js';
 import { UnreadableConnections } from './unreadable-connections.js';
 
 const BAD_REQUEST = 400;
@@ -22,6 +23,7 @@
       const [host, port] = address.split(':');
       const created = createServer(handler);
       new UnreadableConnections(created, rejectUnreadable);
+      closeIdleConnectionsOnceRead(created);
       await new Promise<void>((resolve, reject) => {
         created.once('error', reject);
         created.listen(Number(port), host, resolve);
--- /dev/null
+++ b/test/forwarding/idle-connection.test.ts
@@ -0,0 +1,94 @@
+/** Guards against requests without an answer: their connection was closed as idle before this process had read them. */
+import { connect, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { standStill, until } from '../support.js';
+import { ForwardingHarness } from './forwarding-harness.js';
+import { routeNamed } from './routes.js';
+import { reply, StandInBackEnd } from './stand-in-back-end.js';
+
+const IDLE_TIMEOUT = 300;
+/** A request is sent this long before its connection would be closed; the process then stands still beyond that time. */
+const SENT_BEFORE_END = 100;
+const STANDSTILL = 500;
+
+let backEnd: StandInBackEnd;
+let forwarding: ForwardingHarness;
+
+/** A caller that keeps its connection. */
+class Caller {
+  readonly #socket: Socket;
+  #received = '';
+
+  constructor(address: string) {
+    const [host, port] = address.split(':');
+    this.#socket = connect({ host, port: Number(port) });
+    this.#socket.on('error', () => {});
+    this.#socket.on('data', (bytes) => {
+      this.#received += bytes;
+    });
+  }
+
+  get answers(): number {
+    return this.#received.split('HTTP/1.1 200 OK').length - 1;
+  }
+
+  get isClosed(): boolean {
+    return this.#socket.closed;
+  }
+
+  send(id: string): void {
+    const head = ['GET /read/a HTTP/1.1', 'Host: api.example', `x-request: ${id}`, 'x-key: key-a'];
+    this.#socket.write(`${head.join('\r\n')}\r\n\r\n`);
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+}
+
+beforeEach(async () => {
+  backEnd = await new StandInBackEnd(reply(200, 'answer')).start();
+  forwarding = new ForwardingHarness('billing');
+  await forwarding.start({
+    revision: 1,
+    routes: [routeNamed('read')],
+    services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
+    origin: undefined,
+    limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: IDLE_TIMEOUT },
+    tenants: undefined,
+  });
+  forwarding.list(['one', backEnd]);
+});
+
+afterEach(async () => {
+  await forwarding.stop();
+  await backEnd.stop();
+});
+
+/** Sends a first request on a new connection. */
+async function callerWithAnswer(): Promise<Caller> {
+  const caller = new Caller(forwarding.address);
+  caller.send('first');
+  await until(() => caller.answers === 1, 'the first answer');
+  return caller;
+}
+
+/** Time for which a connection stays open after an answer, in milliseconds. */
+async function timeToClose(): Promise<number> {
+  const caller = await callerWithAnswer();
+  const answeredAt = performance.now();
+  await until(() => caller.isClosed, 'the end of the connection');
+  return performance.now() - answeredAt;
+}
+
+it('an idle connection is not closed while a request waits there to be read', async () => {
+  const time = await timeToClose();
+  const caller = await callerWithAnswer();
+  await sleep(time - SENT_BEFORE_END);
+  caller.send('second');
+  standStill(STANDSTILL);
+  await until(() => caller.isClosed || caller.answers > 1, 'the second answer');
+  expect(caller.answers).toBe(2);
+  caller.close();
+});
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -27,6 +27,13 @@
     replace: '{}',
     test: 'test/forwarding/stream-moves-off-switching-engine.test.ts',
   },
+  {
+    fault: 'an idle connection is closed while a request waits there to be read',
+    file: 'src/server/idle-connections.ts',
+    find: 'if (socket.bytesRead === bytesRead) socket.destroy();',
+    replace: 'socket.destroy();',
+    test: 'test/forwarding/idle-connection.test.ts',
+  },
   {
     fault: 'an engine is ordered to drop what runs',
     file: 'src/weights/engine-switch.ts',
