Soak: judge a time of grace by what ended the process

Cause of one kind of such reports: at the end of the time of grace the soak asked whether it had seen the exit. After a standstill of its own process, timers run before exits are handled, so one that had ended long before was taken for alive.

Evidence: a process that ends at SIGTERM, while the soak's process stands still beyond the time of grace, is blamed by the former logic and not by this one; one that ignores SIGTERM is blamed by both, with and without a standstill.

The check is as strict: the SIGKILL at the end of the time of grace is sent as before, and whoever ends by it is blamed.

--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -9,6 +9,7 @@
 import { MemoryStore } from '../../../emulator/store/memory-store.js';
 import { wireStore } from '../wire-store.js';
 import { Disruptions } from './disruptions.js';
+import { endAfterGrace } from './grace.js';
 import { RunLog, StandInEngine, StandInOrigin, StandInService, type StandInWorker } from './workers.js';
 
 const SERVICES = 2;
@@ -114,7 +115,8 @@
   /** Places whose worker has ended and whose next one does not run yet. */
   readonly #vacant = new Set<number>();
   #stopped = false;
-  #graceTimers = new Set<NodeJS.Timeout>();
+  /** Functions that cancel the times of grace of processes that are stopping. */
+  readonly #graceTimes = new Set<() => void>();
 
   /** @param subnet - 1 to 250: the loopback network 127.`subnet`.0.0 is used */
   constructor(folder: string, subnet: number, size: WorldSize) {
@@ -169,7 +171,7 @@
     process.off('exit', this.#endWithProcess);
     this.#stopped = true;
     clearInterval(this.#heartbeat);
-    for (const timer of this.#graceTimers) clearTimeout(timer);
+    for (const cancel of this.#graceTimes) cancel();
     for (const link of this.seedLinks) link.stop();
     for (const { child, storeLink } of this.processes) {
       child?.kill('SIGCONT');
@@ -317,14 +319,12 @@
     const at = performance.now();
     this.disruptions.notePlanned('SIGTERM', name);
     this.disruptions.stops.push({ process: name, at, endedAt: Number.POSITIVE_INFINITY });
-    const timer = setTimeout(() => {
-      this.#graceTimers.delete(timer);
-      if (stopped.child !== child) return;
+    const cancel = endAfterGrace(child, GRACE_TIME, () => {
       if (this.disruptions.areCalm([name], at, performance.now()))
         this.violations.push(`GRACE: ${name} outlived its time of grace`);
-      child.kill('SIGKILL');
-    }, GRACE_TIME);
-    this.#graceTimers.add(timer);
+    });
+    this.#graceTimes.add(cancel);
+    child.once('exit', () => this.#graceTimes.delete(cancel));
   }
 
   /** Tells a process that its settings have changed. */
