Read a slow answer of the store to its end

Cause: a call had one limit for its whole answer, 1.5 s for a table. What takes longer to come was given up in the middle and asked for again from its beginning, for ever. The zone's other entries, which hear from their reader only when it has an answer, began to read over the same link.

Change: the limit begins anew with each part of an answer, and a reader whose answer is coming tells its zone so twice a second. A connection that goes silent is still given up after 1.5 s.

--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -30,6 +30,8 @@
   /** The connection is closed after the answer: the server accepts few. */
   closes?: boolean;
   signal: AbortSignal;
+  /** Called when the head of the answer has come, and each part of its body. */
+  onPart?: () => void;
 }
 
 /** A whole answer. */
@@ -54,7 +56,7 @@
     return failure(errorOf(call, cause));
   }
   try {
-    const body = Buffer.from(await stream.body.arrayBuffer());
+    const body = await readWhole(stream, call.onPart);
     const { statusCode, headers } = stream;
     if (statusCode < 500 && statusCode !== 429) return success({ status: statusCode, body, headers });
     return failure(unavailable(call, `status ${statusCode}`, retryAfterOf(stream)));
@@ -64,6 +66,16 @@
   }
 }
 
+async function readWhole({ body }: HttpStream, onPart: () => void = () => {}): Promise<Buffer> {
+  onPart();
+  const parts: Buffer[] = [];
+  for await (const part of body) {
+    parts.push(part as Buffer);
+    onPart();
+  }
+  return Buffer.concat(parts);
+}
+
 /** Sends a call and returns as soon as the headers are there. Throws what the client library throws. */
 export function openHttp(call: HttpCall): Promise<HttpStream> {
   const body = call.json === undefined ? call.bytes : JSON.stringify(call.json);
--- a/src/clients/watched-tables.ts
+++ b/src/clients/watched-tables.ts
@@ -48,14 +48,20 @@
 /** Why changes cannot be listed. */
 export type ChangesError = PlatformError | { type: 'historyForgotten' };
 
-/** The table service. */
+/** The table service. Where an answer comes in parts, `onPart` is called with each. */
 export interface WatchedTables {
   /** All rows of a partition, as of one moment. */
-  read(table: string, partition: string, signal: AbortSignal): Promise<Result<RowsAt, PlatformError>>;
+  read(
+    table: string,
+    partition: string,
+    signal: AbortSignal,
+    onPart?: () => void,
+  ): Promise<Result<RowsAt, PlatformError>>;
   /** The rows of a table changed after `revision`; waits up to `wait` milliseconds for one. */
   changes(
     query: { table: string; after: StoreRevision; wait: number },
     signal: AbortSignal,
+    onPart?: () => void,
   ): Promise<Result<RowsAt, ChangesError>>;
   /** All of the writes if every condition holds, or none. */
   transact(
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -6,12 +6,17 @@
 import type { Random } from '../model/random.js';
 import type { Result } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
-import { withLimit } from '../model/time-limit.js';
+import { AnswerLimit } from '../model/time-limit.js';
 import type { TableNews } from '../protocol/store-news.js';
 import type { StoreClock } from './store-clock.js';
 
-/** Time that the store may take beyond the wait that it was asked for, in milliseconds. */
+/**
+ * Time that the store may take to begin an answer, beyond the wait that it was asked for, and from one part of it to the next,
+ * in milliseconds. A slow answer is read to its end: asked for again, it would come no sooner and fill the link longer.
+ */
 const ANSWER_LIMIT = 1_500;
+/** While a long answer comes, others are told this often that this process reads the table, in milliseconds. */
+const TOLD_INTERVAL = 500;
 /**
  * A call that waits is given up sooner than that, so that a connection that went silent is noticed: after this many of the
  * store's latest answer times, but after this time at least, in milliseconds: above a packet that is lost and sent
@@ -91,6 +96,8 @@
   #hasGap = false;
   /** Time of the latest answer beyond the wait that was asked for, in milliseconds. */
   #answerTime = 0;
+  /** When others were last told of an answer that was still coming. */
+  #toldAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: TableFollowerOptions) {
     this.#options = options;
@@ -144,18 +151,35 @@
     const gap = clock.isKnown ? clock.storeTimeAt(askedAt) - this.#storeTime : Number.POSITIVE_INFINITY;
     const call = { askedAt, gap, signal };
     if (this.#revision === undefined) {
-      const limit = withLimit(signal, ANSWER_LIMIT);
-      const read = await this.#timed(0, () => tables.read(table, '', limit));
+      const limit = new AnswerLimit(signal, { first: ANSWER_LIMIT, next: ANSWER_LIMIT });
+      const read = await this.#timed(0, () =>
+        tables.read(table, '', limit.signal, () => this.#onPart(limit)),
+      );
+      limit.end();
       if (read.ok) await events.prepare(read.value.rows);
-      return this.#take(read, limit, call, (rows, since) => events.onWhole(rows, since));
+      return this.#take(read, limit.signal, call, (rows, since) => events.onWhole(rows, since));
     }
     // A store that was lost is asked for an answer at once: that it is back must not wait for a change.
     const patience = this.#failures > 0 ? 0 : wait;
-    const limit = withLimit(signal, patience === 0 ? ANSWER_LIMIT : patience + this.#answerLimit);
+    const first = patience === 0 ? ANSWER_LIMIT : patience + this.#answerLimit;
+    const limit = new AnswerLimit(signal, { first, next: ANSWER_LIMIT });
     const query = { table, after: this.#revision, wait: patience };
-    const changes = await this.#timed(patience, () => tables.changes(query, limit));
+    const changes = await this.#timed(patience, () =>
+      tables.changes(query, limit.signal, () => this.#onPart(limit)),
+    );
+    limit.end();
     if (changes.ok) await events.prepare(changes.value.rows);
-    return this.#take(changes, limit, call, (rows, since) => events.onChanges(rows, since));
+    return this.#take(changes, limit.signal, call, (rows, since) => events.onChanges(rows, since));
+  }
+
+  /** A part of an answer has come: those for whom this process reads need not read themselves. */
+  #onPart(limit: AnswerLimit): void {
+    limit.notePart();
+    const now = performance.now();
+    if (this.#revision === undefined || now - this.#toldAt < TOLD_INTERVAL) return;
+    this.#toldAt = now;
+    const [revision, storeTime] = [this.#revision, this.#storeTime];
+    this.#options.events.onNews({ after: revision, revision, storeTime, since: storeTime, rows: [] });
   }
 
   /** Time that the store may take for an answer beyond the wait, in milliseconds. */
--- a/src/model/time-limit.ts
+++ b/src/model/time-limit.ts
@@ -62,6 +62,56 @@
   return limited.signal;
 }
 
+/** The times that an answer may take, in milliseconds. */
+export interface AnswerTimes {
+  /** Until its first part. */
+  first: number;
+  /** From one part to the next. */
+  next: number;
+}
+
+/** The limit of a call whose answer comes in parts: it begins anew with each, so that a slow answer is read to its end. */
+export class AnswerLimit {
+  readonly #next: number;
+  readonly #limited = new AbortController();
+  readonly #onPassed = () =>
+    this.#limited.abort(new DOMException('the limit of the call has passed', 'TimeoutError'));
+  readonly #signal: AbortSignal;
+  readonly #onAborted: () => void;
+  #limit: RunningLimit;
+
+  constructor(signal: AbortSignal, { first, next }: AnswerTimes) {
+    this.#next = next;
+    this.#signal = signal;
+    this.#limit = startLimit(first, this.#onPassed);
+    this.#onAborted = () => {
+      this.#limit.cancel();
+      this.#limited.abort(signal.reason);
+    };
+    if (signal.aborted) this.#onAborted();
+    setMaxListeners(0, signal);
+    signal.addEventListener('abort', this.#onAborted, { once: true });
+  }
+
+  /** Aborted when the limit has passed, and with the signal that was given. */
+  get signal(): AbortSignal {
+    return this.#limited.signal;
+  }
+
+  /** A part of the answer has come. */
+  notePart(): void {
+    if (this.signal.aborted) return;
+    this.#limit.cancel();
+    this.#limit = startLimit(this.#next, this.#onPassed);
+  }
+
+  /** The call has ended. */
+  end(): void {
+    this.#limit.cancel();
+    this.#signal.removeEventListener('abort', this.#onAborted);
+  }
+}
+
 /** Whether `work` ends within `milliseconds`; rejects as it does. What takes longer goes on unobserved. */
 export async function endsWithin(work: Promise<unknown>, milliseconds: number): Promise<boolean> {
   let timer: NodeJS.Timeout | undefined;
--- /dev/null
+++ b/test/platform/slow-store.test.ts
@@ -0,0 +1,118 @@
+/** Guards against giving a slow answer of the store up in the middle, and against asking for it from several processes. */
+import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { platformTables } from '../../platform/store.js';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import { StoreSync } from '../../src/fleet/store-sync.js';
+import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
+import { textRecords } from '../fleet/text-records.js';
+import { until } from '../support.js';
+import { wireStore } from './wire-store.js';
+
+/** The link passes on this many bytes each so many milliseconds. */
+const PART = 5_000;
+const PART_INTERVAL = 50;
+/** A configuration that takes 2.7 s over the link as it is encoded there, longer than a call may go without any part. */
+const CONFIGURATION_BYTES = 200_000;
+/** Others take over the reading after this without news, in milliseconds. */
+const TAKEOVER = 1_300;
+
+/** A link of a low rate in front of a server. */
+class SlowLink {
+  readonly #open = new Set<Socket>();
+  readonly #server: Server;
+
+  constructor(target: string) {
+    const [host, port] = target.split(':');
+    this.#server = createServer((caller) => {
+      const server = connect({ host, port: Number(port) });
+      let waiting = Buffer.alloc(0);
+      const timer = setInterval(() => {
+        if (waiting.byteLength === 0) return;
+        caller.write(waiting.subarray(0, PART));
+        waiting = waiting.subarray(PART);
+      }, PART_INTERVAL);
+      server.on('data', (bytes) => {
+        waiting = Buffer.concat([waiting, bytes]);
+      });
+      caller.pipe(server);
+      for (const socket of [caller, server]) {
+        this.#open.add(socket);
+        socket.on('error', () => {});
+        socket.on('close', () => {
+          clearInterval(timer);
+          caller.destroy();
+          server.destroy();
+        });
+      }
+    });
+  }
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  async stop(): Promise<void> {
+    for (const socket of this.#open) socket.destroy();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+}
+
+let store: MemoryStore;
+let link: SlowLink;
+let stopStore: () => void;
+let fleet: FleetView;
+let sync: StoreSync;
+/** When this process told others of what it reads. */
+let toldAt: number[];
+
+beforeEach(async () => {
+  store = new MemoryStore();
+  const wire = await wireStore(store);
+  stopStore = wire.stop;
+  link = new SlowLink(wire.address);
+  const address = await link.start();
+  fleet = new FleetView();
+  sync = new StoreSync({
+    tables: platformTables(address),
+    decoder: textRecords,
+    fleet,
+    random: seededRandom(1),
+    log: silentLog,
+  });
+  toldAt = [];
+  sync.onNews = ({ table }) => {
+    if (table === 'operator') toldAt.push(performance.now());
+  };
+});
+
+afterEach(async () => {
+  await sync.stop();
+  await link.stop();
+  stopStore();
+});
+
+const configurationOf = (revision: number) => String(revision).padStart(CONFIGURATION_BYTES, '0');
+
+it('a table that takes long to come is read once, to its end', async () => {
+  store.write('operator', 'configuration', configurationOf(7));
+  await sync.start();
+  await until(() => fleet.configurationRevision === 7, 'the configuration');
+  // Both tables are read whole.
+  expect(store.calls.read).toBe(2);
+});
+
+it('a change that takes long to come is read once, and others hear meanwhile that it is', async () => {
+  store.write('operator', 'configuration', '1');
+  await sync.start();
+  await until(() => toldAt.length > 0, 'the first news');
+  store.write('operator', 'configuration', configurationOf(7));
+  toldAt = [performance.now()];
+  await until(() => fleet.configurationRevision === 7, 'the configuration');
+  const gaps = toldAt.map((at, index) => at - (toldAt[index - 1] ?? at));
+  expect(Math.max(...gaps)).toBeLessThan(TAKEOVER);
+  expect(store.calls.read).toBe(2);
+});
--- a/test/simulation/rate-limit-fleet.ts
+++ b/test/simulation/rate-limit-fleet.ts
@@ -141,7 +141,7 @@
 
   /** The store, unavailable while the entry cannot reach it. */
   #storeOf(entry: Entry): WatchedTables {
-    const store = this.#store;
+    const store: WatchedTables = this.#store;
     const isUnavailable = () => !this.#isReachable(entry);
     const unavailable = failure({
       type: 'unavailable',
