Entries of a zone ask other zones for a configuration one after another

Cause: all entries of a zone that lags behind asked another zone at the same moment, 0.6 s after they had heard of a newer configuration, so each got a whole copy (0.3 to 0.5 MB at that size) over the same link.

The test allows two, as the next in turn asks where the first has no answer in its time.

Change: by their place in the zone they ask 0.7 s after one another; the first that has the answer is asked by the others. Lists of back ends, and entries that have nothing yet, are as before.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -5,7 +5,7 @@
  */
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { RecordDecoder } from '../fleet/record-decoder.js';
-import type { Random } from '../model/random.js';
+import { type Random, rendezvousOrder } from '../model/random.js';
 import { Standstills } from '../model/standstills.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
@@ -362,13 +362,21 @@
     const isListNewer = !hearsStore() && report.backEndsRevision > fleet.backEnds.revision;
     const isNear = report.zone === this.#options.zone;
     const { configurationRevision, backEnds: list } = fleet;
+    const wishes = this.#wishes;
+    const place = isNewer && !isNear ? this.#placeInZone() : 0;
     const configuration =
-      isNewer && this.#wishes.configuration.mayAsk(connection, { own: configurationRevision, isNear, now });
-    const backEnds =
-      isListNewer && this.#wishes.backEnds.mayAsk(connection, { own: list.revision, isNear, now });
+      isNewer && wishes.configuration.mayAsk(connection, { own: configurationRevision, isNear, place, now });
+    const backEnds = isListNewer && wishes.backEnds.mayAsk(connection, { own: list.revision, isNear, now });
     if (configuration || backEnds) connection.send({ type: 'fleetWanted', configuration, backEnds });
   }
 
+  /** Place of this entry, from 0, among those of its zone that are reached. */
+  #placeInZone(): number {
+    const { address, zone } = this.#options;
+    const near = this.reached().filter((report) => report.zone === zone);
+    return rendezvousOrder(zone, [address, ...near.map((report) => report.address)]).indexOf(address);
+  }
+
   /** Entries that learn of one another at the same time do not both connect: one lets the other go first. */
   #learnAndDial(addresses: readonly string[]): void {
     const unknown = addresses.filter((address) => !this.#rows.has(address));
--- a/src/peers/fleet-wish.ts
+++ b/src/peers/fleet-wish.ts
@@ -6,7 +6,7 @@
  * the store, it need not be asked for.
  *
  * ```ts
- * if (wish.mayAsk(connection, { own, isNear, now })) connection.send(wanted);
+ * if (wish.mayAsk(connection, { own, isNear, place, now })) connection.send(wanted);
  * // As the answer has come:
  * wish.noteAnswer();
  * ```
@@ -24,6 +24,13 @@
 const OWN_ZONE_PATIENCE = 200;
 /** The same before one of another zone is: chosen, so that within 2 s of a change a zone that does not hear the store has it. */
 const OTHER_ZONE_PATIENCE = 600;
+/**
+ * Entries of a zone that lag behind together ask other zones this long after one another, in milliseconds: once the first one
+ * has the answer, the next ones ask it, and one copy crosses the link between the zones.
+ */
+const OTHER_ZONE_STEP = 700;
+/** From this place on all wait equally long. */
+const LAST_STEP = 2;
 /** The same where this entry has nothing yet and cannot serve. */
 const FRESH_OTHER_ZONE_PATIENCE = 250;
 
@@ -38,6 +45,8 @@
   own: number;
   /** The entry that may be asked is of the own zone. */
   isNear: boolean;
+  /** Place of this process among the entries of its zone that take turns in asking other zones; 0 for no turns. */
+  place?: number;
   /** In milliseconds of the steady clock. */
   now: number;
 }
@@ -58,9 +67,9 @@
   }
 
   /** Whether `connection` is to be asked; it counts as asked then. */
-  mayAsk(connection: Asked, { own, isNear, now }: WishMoment): boolean {
+  mayAsk(connection: Asked, { own, isNear, place = 0, now }: WishMoment): boolean {
     if (this.#behind.own !== own) this.#behind = { own, since: now };
-    if (now - this.#behind.since < patienceFor(isNear, own === 0)) return false;
+    if (now - this.#behind.since < patienceFor(isNear, own === 0, place)) return false;
     const isWaiting = this.#asked?.open === true && now - this.#askedAt < this.#limitFor(connection);
     if (isWaiting) return false;
     this.#asked = connection;
@@ -82,7 +91,8 @@
   }
 }
 
-function patienceFor(isNear: boolean, isFresh: boolean): number {
+function patienceFor(isNear: boolean, isFresh: boolean, place: number): number {
   if (isNear) return isFresh ? 0 : OWN_ZONE_PATIENCE;
-  return isFresh ? FRESH_OTHER_ZONE_PATIENCE : OTHER_ZONE_PATIENCE;
+  if (isFresh) return FRESH_OTHER_ZONE_PATIENCE;
+  return OTHER_ZONE_PATIENCE + OTHER_ZONE_STEP * Math.min(place, LAST_STEP);
 }
--- /dev/null
+++ b/test/peers/configuration-copies.test.ts
@@ -0,0 +1,112 @@
+/** Guards against filling the links between zones with one copy of the configuration for each entry that lags behind. */
+import { afterEach, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
+import { FleetView } from '../../src/fleet/fleet-view.js';
+import { HybridClock } from '../../src/model/hybrid-clock.js';
+import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
+import { EntryPeers } from '../../src/peers/entry-peers.js';
+import {
+  type ConnectionContext,
+  ConnectionListener,
+  createTrafficCounters,
+} from '../../src/protocol/connection.js';
+import type { EntryReport } from '../../src/protocol/reports.js';
+import { textRecords } from '../fleet/text-records.js';
+import { NO_NEWS, until } from '../support.js';
+
+const LAGGING = 4;
+/** The next in turn asks as well where the first one has no answer in its time. */
+const MOST_COPIES = 2;
+
+const started: Array<{ stop(): Promise<void> }> = [];
+
+afterEach(async () => {
+  for (const part of started.splice(0).reverse()) await part.stop();
+});
+
+/** Counts how often the document is sent to others. */
+class CountingFleet extends FleetView {
+  copies = 0;
+  isCounting = false;
+
+  override get document(): Buffer | undefined {
+    const document = super.document;
+    if (this.isCounting && document !== undefined) this.copies += 1 / READS_PER_COPY;
+    return document;
+  }
+}
+
+/** Once to see that there is one, once to send it. */
+const READS_PER_COPY = 2;
+
+function takeRevision(fleet: FleetView, revision: number): void {
+  const read = textRecords.configuration(Buffer.from(String(revision)));
+  if (read.ok) fleet.takeConfiguration(read.value);
+}
+
+async function startEntry(zone: string, address: string, seeds: string[]) {
+  const fleet = new CountingFleet();
+  takeRevision(fleet, 1);
+  const context: ConnectionContext = {
+    clock: new HybridClock(),
+    counters: createTrafficCounters(),
+    hello: () => ({
+      type: 'hello',
+      role: 'entry',
+      peer: { id: address, address, place: zone, region: zone, zone },
+    }),
+  };
+  const report = (): EntryReport => ({
+    id: address,
+    address,
+    callerAddress: address,
+    zone,
+    region: zone,
+    linkRate: 0,
+    isReady: true,
+    configurationRevision: fleet.configurationRevision,
+    backEndsRevision: 0,
+    storeTime: Number.NEGATIVE_INFINITY,
+    versions: [],
+    entriesKnown: 0,
+    loads: [],
+    held: [],
+    engines: [],
+  });
+  const peers = new EntryPeers({
+    context,
+    address,
+    zone,
+    seeds,
+    fleet,
+    decoder: textRecords,
+    hearsStore: () => true,
+    random: seededRandom(1),
+    report,
+    onReport: () => {},
+    news: NO_NEWS,
+    onStoreNews: () => {},
+    onLapsed: () => {},
+    log: silentLog,
+  });
+  const listener = new ConnectionListener(address, context, (connection) => peers.accept(connection));
+  await listener.start();
+  await peers.start();
+  started.push(listener, peers);
+  return { fleet, peers };
+}
+
+it('a zone whose entries all lag behind gets no copy of the configuration for each from another zone', async () => {
+  const addresses = await Promise.all(Array.from({ length: LAGGING + 1 }, () => freeAddress()));
+  const [farAddress, ...nearAddresses] = addresses;
+  const far = await startEntry('zone-b', farAddress, addresses);
+  const near = await Promise.all(nearAddresses.map((address) => startEntry('zone-a', address, addresses)));
+  const all = [far, ...near];
+  await until(() => all.every(({ peers }) => peers.reached().length === LAGGING), 'all to reach all');
+  far.fleet.isCounting = true;
+  takeRevision(far.fleet, 2);
+  far.peers.announce('all');
+  await until(() => all.every(({ fleet }) => fleet.configurationRevision === 2), 'the newer configuration');
+  expect(far.fleet.copies).toBeLessThanOrEqual(MOST_COPIES);
+});
