Answer 503 in place of 404 or 401 while a newer configuration is known of

Cause: an entry judged a request by its own configuration alone, also while it had heard from others that a newer one was in force and was waiting for it.

Change: while an entry knows of a newer configuration, what its own does not allow gets 503 with Retry-After: it has not run, and may be tried again. Once the newest one is there, 404 and 401 are as before.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -37,6 +37,8 @@
   #routes: RouteTable | undefined;
   #document: Buffer | undefined;
   #configurationTakenAt = Number.NEGATIVE_INFINITY;
+  /** Newest revision of a configuration that another process is known to have. */
+  #configurationRevisionElsewhere = 0;
 
   /** The configuration in force; undefined before any was heard of. */
   get routes(): RouteTable | undefined {
@@ -58,6 +60,16 @@
     return this.#configurationTakenAt;
   }
 
+  /** True while a newer configuration is known to be in force: what this one lacks may be in that one. */
+  get isConfigurationBehind(): boolean {
+    return this.#configurationRevisionElsewhere > this.configurationRevision;
+  }
+
+  /** Another process has the configuration of `revision`. */
+  noteConfigurationElsewhere(revision: number): void {
+    this.#configurationRevisionElsewhere = Math.max(this.#configurationRevisionElsewhere, revision);
+  }
+
   /** True once requests can be routed. */
   get complete(): boolean {
     return this.#routes !== undefined && this.backEnds.revision > 0;
--- a/src/forwarding/admitted-request.ts
+++ b/src/forwarding/admitted-request.ts
@@ -46,10 +46,12 @@
   const table = fleet.routes;
   if (table === undefined || !fleet.complete) return failure({ error: { type: 'notConfigured' } });
   const route = table.match(headers.host ?? '', pathOf(url ?? '/'));
-  if (route === undefined) return failure({ error: { type: 'noRoute' } });
+  const isBehind = fleet.isConfigurationBehind;
+  if (route === undefined) return failure({ error: { type: isBehind ? 'configurationBehind' : 'noRoute' } });
   const needsKey = table.needsKeys && !route.isPublic;
   const tenant = needsKey ? table.tenantOf(String(headers[names.callerKey] ?? '')) : undefined;
-  if (needsKey && tenant === undefined) return failure({ error: { type: 'unknownKey' }, route: route.name });
+  if (needsKey && tenant === undefined)
+    return failure({ error: { type: isBehind ? 'configurationBehind' : 'unknownKey' }, route: route.name });
   const timeLeft = Number(headers[names.timeLeft]);
   const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
   return success({
--- a/src/forwarding/forwarding-errors.ts
+++ b/src/forwarding/forwarding-errors.ts
@@ -4,6 +4,8 @@
 export type ForwardingError =
   /** This process knows no configuration yet. */
   | { type: 'notConfigured' }
+  /** The request is not in the configuration of this process, and may be in a newer one that is in force elsewhere. */
+  | { type: 'configurationBehind' }
   | { type: 'noRoute' }
   | { type: 'unknownKey' }
   | { type: 'bodyTooLarge' }
@@ -35,6 +37,7 @@
 export function finalAnswer(error: ForwardingError): FinalAnswer {
   switch (error.type) {
     case 'notConfigured':
+    case 'configurationBehind':
       return { status: 503, retryAfter: SHORT_RETRY_AFTER };
     case 'noRoute':
       return { status: 404, retryAfter: undefined };
--- a/src/forwarding/request-outcome.ts
+++ b/src/forwarding/request-outcome.ts
@@ -40,6 +40,7 @@
 const NOT_RUN: ReadonlySet<ForwardingError['type']> = new Set([
   'unavailable',
   'notConfigured',
+  'configurationBehind',
   'expired',
   'quarantined',
 ]);
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -358,6 +358,7 @@
 
   #askForNewer(connection: Connection, report: EntryReport, now: number): void {
     const { fleet, hearsStore } = this.#options;
+    fleet.noteConfigurationElsewhere(report.configurationRevision);
     const isNewer = report.configurationRevision > fleet.configurationRevision;
     const isListNewer = !hearsStore() && report.backEndsRevision > fleet.backEnds.revision;
     const isNear = report.zone === this.#options.zone;
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -60,6 +60,7 @@
   /** Another entry has connected. */
   onAccepted?: () => void;
   otherDialsFirst?: number;
+  fleet?: FleetView;
 }
 
 async function startEntry(
@@ -74,6 +75,7 @@
     onLapsed = () => {},
     onAccepted = () => {},
     otherDialsFirst,
+    fleet = new FleetView(),
   }: EntryInit = {},
 ): Promise<EntryPeers> {
   const context: ConnectionContext = {
@@ -90,7 +92,7 @@
     address,
     zone,
     seeds,
-    fleet: new FleetView(),
+    fleet,
     decoder: {} as RecordDecoder,
     hearsStore: () => true,
     random: seededRandom(1),
@@ -145,6 +147,18 @@
   expect(accepted).toBe((all.length * (all.length - 1)) / 2);
 });
 
+it('an entry that hears of a newer configuration knows that its own is behind', async () => {
+  const [one, two] = await Promise.all([freeAddress(), freeAddress()]);
+  const fleet = new FleetView();
+  const first = await startEntry('one', one, [two], { fleet });
+  let revision = 0;
+  await startEntry('two', two, [one], { revision: () => revision });
+  await until(() => first.live().length === 1, 'the first to hear the second');
+  expect(fleet.isConfigurationBehind).toBe(false);
+  revision = 2;
+  await until(() => fleet.isConfigurationBehind, 'the news of a newer configuration');
+});
+
 it('an entry that is heard no more is told of once, and one that starts again at its address replaces it', async () => {
   const [one, two] = await Promise.all([freeAddress(), freeAddress()]);
   const lapsed: string[] = [];
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -34,6 +34,34 @@
     replace: 'socket.destroy();',
     test: 'test/forwarding/idle-connection.test.ts',
   },
+  {
+    fault: 'an entry refuses for good what a newer configuration may allow',
+    file: 'src/fleet/fleet-view.ts',
+    find: 'return this.#configurationRevisionElsewhere > this.configurationRevision;',
+    replace: 'return false;',
+    test: 'test/forwarding/configuration-behind.test.ts',
+  },
+  {
+    fault: 'a slow answer of the store is given up in the middle',
+    file: 'src/fleet/table-follower.ts',
+    find: 'limit.notePart();',
+    replace: '',
+    test: 'test/platform/slow-store.test.ts',
+  },
+  {
+    fault: 'others are not told that a long answer of the store is still coming',
+    file: 'src/fleet/table-follower.ts',
+    find: 'this.#options.events.onNews({ after: revision, revision, storeTime, since: storeTime, rows: [] });',
+    replace: '',
+    test: 'test/platform/slow-store.test.ts',
+  },
+  {
+    fault: 'all entries of a zone ask another zone for the configuration at the same time',
+    file: 'src/peers/fleet-wish.ts',
+    find: 'OTHER_ZONE_STEP * Math.min(place, LAST_STEP)',
+    replace: '0',
+    test: 'test/peers/configuration-copies.test.ts',
+  },
   {
     fault: 'an engine is ordered to drop what runs',
     file: 'src/weights/engine-switch.ts',
@@ -1124,7 +1152,7 @@
   {
     fault: 'entries of other zones are asked for what comes from the own one',
     file: 'src/peers/fleet-wish.ts',
-    find: 'if (now - this.#behind.since < patienceFor(isNear, own === 0)) return false;',
+    find: 'if (now - this.#behind.since < patienceFor(isNear, own === 0, place)) return false;',
     replace: '',
     test: 'test/peers/fleet-wish.test.ts',
   },
