--- a/src/fleet/store-clock.ts
+++ b/src/fleet/store-clock.ts
@@ -8,7 +8,7 @@
 /**
  * A time of the store is believed to be later than it was by this at the most, in milliseconds, once a call has told how long
  * its answer can have been under way. What must not begin after a bound is taken back 250 ms before it: the rest of that is for
- * the tick in which it is noticed (50 ms) and for the way of the close. Chosen.
+ * the tick in which it is noticed (50 ms) and for the way of the close.
  */
 export const CLOCK_TOLERANCE = 100;
 
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -15,8 +15,7 @@
  * A first request for a stream waits for a slot within this share of its objective. An engine whose slots are all taken gives a
  * first event 160 ms after it begins (median), 0.4 to 0.53 of objectives of 400 and 300 ms, so that one that has waited for
  * longer is late with its slot, which another could have used in time. As requests that have waited longest go first, under
- * lasting overload all that are served have waited almost that long. Chosen in virtual time: at 0.92 of a peak that is 1.2 times
- * what engines do, 0.6, 0.5 and 0.4 earn 0.83, 0.86 and 0.87 of the credit; with a fifth of the agents silent, 0.4 is too short.
+ * lasting overload all that are served have waited almost that long.
  */
 const SLOT_WAIT_SHARE = 0.5;
 /** A caller whose time is short by more than this has asked before, in milliseconds. */
--- a/src/forwarding/silence.ts
+++ b/src/forwarding/silence.ts
@@ -4,17 +4,17 @@
  */
 import type { Route } from '../fleet/configuration.js';
 
-/** A back end that owes a first answer and says nothing to anybody for this many objectives is silent: chosen. */
+/** A back end that owes a first answer and says nothing to anybody for this many objectives is silent. */
 const SILENT_OBJECTIVES = 2;
-/** Bounds of that time, in milliseconds: chosen. */
+/** Bounds of that time, in milliseconds. */
 const SHORTEST_SILENCE = 350;
 const LONGEST_SILENCE = 1_200;
-/** A stream that owes an event for this many of its longest pauses stands still: chosen. */
+/** A stream that owes an event for this many of its longest pauses stands still. */
 const SILENT_PAUSES = 2;
 const SHORTEST_STREAM_SILENCE = 600;
 /**
  * A kept connection is silent after this many of its back end's usual times to a first answer, if the back end goes on
- * with other requests meanwhile: chosen, above what the queue of a back end adds while it grows.
+ * with other requests meanwhile: above what the queue of a back end adds while it grows.
  */
 const SILENT_FIRST_ANSWERS = 4;
 
--- a/src/model/time-limit.ts
+++ b/src/model/time-limit.ts
@@ -9,7 +9,7 @@
 /**
  * Time that a limit which passed while this process stood still is given again, in milliseconds, or the whole limit where
  * that is shorter. What came meanwhile waits in the sockets and is read in the next turn; the other side may have stood
- * still too and answers then. Chosen.
+ * still too and answers then.
  */
 const TIME_AFTER_STANDSTILL = 500;
 
--- a/src/peers/fleet-wish.ts
+++ b/src/peers/fleet-wish.ts
@@ -14,15 +14,15 @@
 
 /**
  * Another entry is asked where one has not answered in this time, in milliseconds, then in twice, four and eight times that.
- * Chosen: 0.5 MB take 0.1 s over an entry's link of 40 Mbit/s, and 1 s where ten others are sent them. Where each that waits
+ * 0.5 MB take 0.1 s over an entry's link of 40 Mbit/s, and 1 s where ten others are sent them. Where each that waits
  * asks again sooner, copies of one configuration fill the links between regions and none is whole in time.
  */
 export const ANSWER_TIME = 700;
 const MOST_DOUBLINGS = 3;
-/** Time for which what is newer may come by itself before an entry of the own zone is asked for it, in milliseconds: chosen,
+/** Time for which what is newer may come by itself before an entry of the own zone is asked for it, in milliseconds:
  * above the way from the store over the zone's reader (0.1 s). */
 const OWN_ZONE_PATIENCE = 200;
-/** The same before one of another zone is: chosen, so that within 2 s of a change a zone that does not hear the store has it. */
+/** The same before one of another zone is, so that within 2 s of a change a zone that does not hear the store has it. */
 const OTHER_ZONE_PATIENCE = 600;
 /**
  * Entries of a zone that lag behind together ask other zones this long after one another, in milliseconds: once the first one
--- a/src/peers/slot-client.ts
+++ b/src/peers/slot-client.ts
@@ -8,7 +8,7 @@
 import { SlotClaims } from '../systems/slot-claims.js';
 
 /**
- * Time between two statements of all that is open at an agent, in milliseconds. Chosen: a slot whose release was lost is idle
+ * Time between two statements of all that is open at an agent, in milliseconds: a slot whose release was lost is idle
  * for half of it on average, and an entry that uses ten engines sends 100 datagrams a second, each of some 100 bytes.
  */
 const STATEMENT_INTERVAL = 100;
--- a/src/systems/entry-retry-window.ts
+++ b/src/systems/entry-retry-window.ts
@@ -28,7 +28,7 @@
   hasHeardMostSeeds: boolean;
 }
 
-/** Share of the slack that is handed out: the rest is for entries that were added unheard. Chosen. */
+/** Share of the slack that is handed out: the rest is for entries that were added unheard. */
 const SLACK_SHARE = 0.9;
 
 /**
--- a/src/systems/retry-window.ts
+++ b/src/systems/retry-window.ts
@@ -23,7 +23,7 @@
  * after 400, at the next look 50 later.
  */
 export const LONGEST_TO_ARRIVE = 500;
-/** Longest time from a caller's sending to its count here, in milliseconds: chosen, some ways of 3 and a short queue. */
+/** Longest time from a caller's sending to its count here, in milliseconds: some ways of 3 and a short queue. */
 const LONGEST_TO_COUNT = 500;
 
 interface Part {
--- a/src/systems/slot-holders.ts
+++ b/src/systems/slot-holders.ts
@@ -13,7 +13,7 @@
 import type { SlotDecision, SlotTable } from './slot-table.js';
 
 /**
- * An entry that has slots or waits for them is heard every 100 ms; one that is not heard for this has ended. Chosen: of three
+ * An entry that has slots or waits for them is heard every 100 ms; one that is not heard for this has ended: of three
  * statements one arrives while a link is full for 400 ms; of seven entries that share the slots of an engine, one that is
  * killed costs 0.3 s times its seventh, 43 ms of the engine's time.
  */
--- a/src/systems/slot-search.ts
+++ b/src/systems/slot-search.ts
@@ -8,15 +8,15 @@
  */
 import type { Random } from '../model/random.js';
 
-/** Agents that are asked first. Chosen: one alone would leave slots empty that others wait for; each is a message pair. */
+/** Agents that are asked first: one alone would leave slots empty that others wait for; each is a message pair. */
 const FIRST_ASKED = 2;
 /** Agents that are asked besides, once none of the first had a slot: one of the own zone, the others elsewhere. */
 const NEAR_ASKED_LATER = 1;
 const FAR_ASKED_LATER = 2;
-/** More agents are asked after this. Chosen, above a message pair between zones (4 ms by the users' sheets) and the turn of
+/** More agents are asked after this, above a message pair between zones (4 ms by the users' sheets) and the turn of
  * a busy agent. */
 const WIDEN_AFTER = 25;
-/** An agent that has not said a word after this is taken for silent. Chosen, above the 100 ms that two pieces of weights
+/** An agent that has not said a word after this is taken for silent: above the 100 ms that two pieces of weights
  * take on an agent's link. */
 const SILENT_AFTER = 120;
 
--- a/src/systems/upload-limit.ts
+++ b/src/systems/upload-limit.ts
@@ -6,7 +6,7 @@
  * Mbit/s have a version after 2.1 s; without this they do not within 15 s, and 108 batches are given up on their way.
  */
 
-/** Bytes of batches for entries that are on their way at the same time: 0.4 s of a link of 40 Mbit/s. Chosen. */
+/** Bytes of batches for entries that are on their way at the same time: 0.4 s of a link of 40 Mbit/s. */
 const MOST_BYTES = 2_000_000;
 /**
  * Pieces that agents ask for at a time. Their links are narrow, so that those which an entry serves do not fill its own: such
--- a/src/weights/manifest-search.ts
+++ b/src/weights/manifest-search.ts
@@ -9,7 +9,7 @@
 /** Time for one call, in milliseconds: a manifest is a few kilobytes. */
 const CALL_LIMIT = 1_000;
 /**
- * The next holder is asked where one has not answered in this time, in milliseconds: chosen, above an answer over a busy link. Asked
+ * The next holder is asked where one has not answered in this time, in milliseconds: above an answer over a busy link. Asked
  * only after the time for a call, five holders on machines that are frozen would take 5 of the 8 s in which a version must serve.
  */
 const STAGGER = 150;
--- a/src/weights/request-moves.ts
+++ b/src/weights/request-moves.ts
@@ -4,9 +4,9 @@
  */
 import type { Route } from '../fleet/configuration.js';
 
-/** Share of the room of the others that moved requests may take: new requests need some too. Chosen. */
+/** Share of the room of the others that moved requests may take: new requests need some too. */
 const USABLE_SHARE = 0.5;
-/** Room of an engine beside its slots, as a share of them: moved requests may wait there for a short while. Chosen. */
+/** Room of an engine beside its slots, as a share of them: moved requests may wait there for a short while. */
 const QUEUE_SHARE = 0.25;
 /** A moved request needs this long, in milliseconds, or it would be cut when the next engine drops it as well. Streams
  * took 0.75 to 1.2 s in the median, and are about half over when they move. */
