--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -28,6 +28,7 @@
 import { findManifest } from './manifest-search.js';
 import { type FetchPace, PieceFetcher } from './piece-fetcher.js';
 import type { PieceOriginFactory, PieceSource } from './piece-source.js';
+import { ReportNews } from './report-news.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
 import { shouldSkip, switchTime } from './switch-schedule.js';
 
@@ -35,10 +36,6 @@
 const LOOK_INTERVAL = 250;
 /** The same where the engine serves and nothing is due there, in milliseconds. */
 const CALM_LOOK_INTERVAL = 400;
-/** The engine is reported at least this often, in milliseconds. */
-const REPORT_INTERVAL = 1_000;
-/** Report at once when the load has changed by this many requests: one report a second is due anyway. */
-const TOLD_LOAD_STEP = 3;
 const CALL_LIMIT = 1_000;
 /** Fetch rates: an engine without weights leaves its whole link to the fetch, one that serves shares it with requests. */
 const IDLE_PACE: FetchPace = { open: 2, batch: SMALL_BATCH, share: 1 };
@@ -48,8 +45,6 @@
 const NARROW_PACE: FetchPace = { open: 1, batch: 1, share: 0.5 };
 /** Time to fetch a version before this agent has fetched one, in milliseconds: 3.5 to 4.3 s were measured. */
 const FIRST_FETCH = 4_000;
-/** Report at once when the expected time of the switch has moved by this much, in milliseconds. */
-const TOLD_SWITCH_STEP = 400;
 /**
  * An agent asks entries alone for a manifest until this long, in milliseconds times its impatience (1 to 2): they have it
  * within 0.3 s of the naming where the origin answers. Where no entry is known the object store is asked at once.
@@ -102,10 +97,7 @@
   #isAdvancing = false;
   /** Ends the reading of the stage; undefined where none has begun since the engine was reached. */
   #stageReading: AbortController | undefined;
-  #reportedAt = 0;
-  #reported = '';
-  /** When the engine was last said to switch, in milliseconds of the steady clock; infinite where it is not. */
-  #reportedSwitchAt = Number.POSITIVE_INFINITY;
+  readonly #reportNews = new ReportNews();
   /** Time that the latest fetch took, in milliseconds. */
   #fetchTime = FIRST_FETCH;
 
@@ -157,7 +149,7 @@
 
   /** Tells an entry that has just been connected. */
   report(): void {
-    this.#reported = '';
+    this.#reportNews.forget();
     this.#tell();
   }
 
@@ -478,24 +470,7 @@
       switchesIn: this.#switchesIn(),
       held: this.#held(),
     };
-    const text = JSON.stringify([
-      report.start,
-      report.version,
-      report.isReached,
-      report.isSwitching,
-      Math.round(report.load / TOLD_LOAD_STEP),
-      report.held.map(({ version, have }) => [version, have]),
-    ]);
-    const now = performance.now();
-    const switchAt = now + (report.switchesIn ?? Number.POSITIVE_INFINITY);
-    const isSwitchNews =
-      switchAt !== this.#reportedSwitchAt &&
-      !(Math.abs(switchAt - this.#reportedSwitchAt) < TOLD_SWITCH_STEP);
-    if (text === this.#reported && !isSwitchNews && now - this.#reportedAt < REPORT_INTERVAL) return;
-    this.#reported = text;
-    this.#reportedSwitchAt = switchAt;
-    this.#reportedAt = now;
-    this.#options.tell(report);
+    if (this.#reportNews.take(report, performance.now())) this.#options.tell(report);
   }
 
   #held(): HeldPieces[] {
