--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -12,7 +12,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Standstills } from '../model/standstills.js';
-import { LONGEST_RETURN, latestBegin } from '../systems/capacity-wait.js';
+import { latestBegin } from '../systems/capacity-wait.js';
 import type { Fingerprint } from '../systems/poison-requests.js';
 import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
 import { type AnswerHead, type AnswerSummary, Attempt, type AttemptFailure, wentOut } from './attempt.js';
@@ -33,19 +33,12 @@
 import { RequestLog } from './request-log.js';
 import { outcomeOf } from './request-outcome.js';
 import { RequestWait, type WaitingRequest } from './request-wait.js';
+import { retryElsewhere, retryOnceServed } from './retry-after.js';
 import { SendPolicy } from './send-policy.js';
 import { StreamMove } from './stream-move.js';
 import { SuspectContent } from './suspect-content.js';
 import { TimeToEnd } from './time-to-end.js';
 
-/**
- * A request that is refused comes back after this, in milliseconds times 1 to 2, or once a back end is to serve. Told to stay
- * away for as long as an overload had lasted, callers of a switch under load were served no more often, and after 2.4 s in place of
- * 1.3 s in the worst hundredth (the same day with both).
- */
-const RETRY_AFTER = 400;
-/** Time after which another process can have a request that this one has no time for, in seconds, times 1 to 2. */
-const RETRY_ELSEWHERE = 0.05;
 /** Interval between searches for a replacement for a silent or switching back end, in milliseconds. */
 const SEARCH_INTERVAL = 200;
 const FIRST_FAILURE = 400;
@@ -338,8 +331,7 @@
     if (this.#openAttempts.size > 0) return this.#endSearch('stop');
     const reason = 'stop';
     if (this.#openAttempts.runs > 0) return this.#fail({ type: 'backEndFailed', reason });
-    const retryAfter = RETRY_ELSEWHERE * (1 + this.#components.random.fraction());
-    this.#fail({ type: 'unavailable', reason, retryAfter });
+    this.#fail({ type: 'unavailable', reason, retryAfter: retryElsewhere(this.#components.random) });
   }
 
   /** It is sent to no further back end. */
@@ -491,10 +483,7 @@
     if (this.#answer.started) return this.#canGoOnLater() ? this.#endSearch(reason) : this.#cut(reason);
     if (this.#openAttempts.runs > 0) return this.#fail({ type: 'backEndFailed', reason });
     const { selector, random } = this.#components;
-    const capacity = selector.expectedCapacity(this.#admitted.service) ?? 0;
-    const soon = RETRY_AFTER * (1 + random.fraction());
-    const delay = Math.max(soon + capacity, selector.requestInterval(this.#admitted.service));
-    const retryAfter = Math.min(LONGEST_RETURN, delay) / MILLISECONDS;
+    const retryAfter = retryOnceServed(this.#admitted.service, selector, random);
     this.#fail({ type: 'unavailable', reason, retryAfter });
   }
 
