Count moves of streams, and move only where the version is known

Where an engine does not tell its version, a stream that moves could go on with weights of another one; such a stream now ends where it is. Moves are counted by outcome, and the log tells of those that were given up after another engine was asked, in place of two lines for each try.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -180,9 +180,9 @@
     if (this.#openAttempts.size !== 1 || now < this.#nextSearchAt) return;
     const [use] = this.#openAttempts.all();
     if (!this.#answer.isEventStream || use.row.news?.isSwitching !== true) return;
-    if (!this.#policy.mayRunAgain) return;
+    // Another engine must go on with the same version, so it has to be known.
+    if (this.#policy.version === undefined || !this.#policy.mayRunAgain) return;
     if (!this.#policy.maySendAgain) return this.#endSearch('no budget');
-    this.#log.note('moves off a switching engine', { backEnd: use.row.record.id });
     this.#move.begin(use);
     this.#policy.noteRepetition();
     this.#wait.begin();
@@ -192,9 +192,11 @@
   #endMove(reason: string): void {
     if (!this.#move.isUnderWay) return;
     this.#nextSearchAt = performance.now() + SEARCH_INTERVAL;
+    this.#components.moveFigures.givenUp++;
     const source = this.#move.end();
-    this.#log.note('move ended', { reason });
-    if (source === undefined || !this.#openAttempts.has(source) || !source.answer.hasBuffered) return;
+    if (source === undefined) return;
+    this.#log.note('move given up', { backEnd: source.row.record.id, reason });
+    if (!this.#openAttempts.has(source) || !source.answer.hasBuffered) return;
     this.#selectAttempt(source);
     this.#answer.forward(source.answer, source.attempt);
   }
@@ -422,7 +424,7 @@
       backEnds,
       after: this.#answer.lastEventId,
     });
-    this.#move.end();
+    if (this.#move.end() !== undefined) this.#components.moveFigures.moved++;
     this.#wait.end('cancelled');
     this.#openAttempts.abortAll('another back end answers', use);
   }
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -25,6 +25,7 @@
 import type { HeaderNames } from './header-names.js';
 import type { PoisonGuard } from './poison-guard.js';
 import type { RequestOutcome } from './request-outcome.js';
+import { StreamMoveFigures } from './stream-move-figures.js';
 import type { TimeToEndComponents } from './time-to-end.js';
 import { VersionExpiryFigures } from './version-expiry-figures.js';
 
@@ -63,6 +64,7 @@
   random: Random;
   log: Log;
   expiryFigures: VersionExpiryFigures;
+  moveFigures: StreamMoveFigures;
   cutFigures: CutFigures;
   poison: PoisonGuard;
   budgetOf(service: string): RetryWindow;
@@ -92,7 +94,10 @@
 
   constructor(
     address: string,
-    components: Omit<ForwardingComponents, 'onSettled' | 'durations' | 'expiryFigures' | 'cutFigures'>,
+    components: Omit<
+      ForwardingComponents,
+      'onSettled' | 'durations' | 'expiryFigures' | 'moveFigures' | 'cutFigures'
+    >,
     metrics: Metrics,
   ) {
     this.#address = address;
@@ -100,6 +105,7 @@
       ...components,
       durations: new LongestDurations(),
       expiryFigures: new VersionExpiryFigures(metrics),
+      moveFigures: new StreamMoveFigures(metrics),
       cutFigures: new CutFigures(metrics),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
