Ask entries of other zones for little of a version at a time

Cause: an entry asked each holder in another zone for two batches of 12 pieces at a time, 1.2 MB from each of three holders and for each of three zones, over the 30 Mbit/s of the one region that had the version. What was sent after them waited, and batches that took more than 2 s were given up and asked for again.

Change: one batch at a time of 200 kB at the most from an entry of another zone. Inside a zone nothing changes.

--- a/src/weights/entry-sources.ts
+++ b/src/weights/entry-sources.ts
@@ -19,6 +19,12 @@
 const AGENT_BATCH = 2;
 /** Batches that are open at the same time at one entry. */
 const ENTRY_PARALLEL = 2;
+/**
+ * Batches that are open at the same time at one entry of another zone, and the bytes of each: all that processes of two
+ * regions tell one another shares the link between them, and waits behind what is on its way there.
+ */
+const FAR_PARALLEL = 1;
+const FAR_BATCH_BYTES = 200_000;
 /** Without news for this long an entry that is not responsible fetches as well, in milliseconds, times its place. */
 export const STAND_IN_PATIENCE = 1_200;
 /** Other entries of the zone than the one before this are asked after this time without a piece, in milliseconds: about
@@ -98,14 +104,19 @@
     manifest,
     has: holds(have),
     patience: isNear ? nearPatience : farPatience(place, isServed),
-    parallel: ENTRY_PARALLEL,
-    batchSize: ENTRY_BATCH,
+    parallel: isNear ? ENTRY_PARALLEL : FAR_PARALLEL,
+    batchSize: isNear ? ENTRY_BATCH : farBatch(manifest),
     batchTime: BATCH_LIMIT,
     // Entries take different pieces first, which they then have for one another.
     offset: hash32(self.id),
   });
 }
 
+/** Pieces that are asked for at a time in another zone. */
+function farBatch({ pieceBytes }: PieceManifest): number {
+  return Math.max(1, Math.min(ENTRY_BATCH, Math.floor(FAR_BATCH_BYTES / pieceBytes)));
+}
+
 function storedSource({ self, place, manifest, isAlone, objects, stored }: EntrySourceOptions): PieceSource {
   return objectSource({
     objects,
--- a/test/weights/entry-sources.test.ts
+++ b/test/weights/entry-sources.test.ts
@@ -5,6 +5,7 @@
 import type { EntryReport } from '../../src/protocol/reports.js';
 import { type EntryHolding, entrySources, type PlaceInOrder } from '../../src/weights/entry-sources.js';
 import type { PieceManifest } from '../../src/weights/held-weights.js';
+import type { PieceSource } from '../../src/weights/piece-source.js';
 
 const PIECES = 12;
 const manifest: PieceManifest = {
@@ -56,6 +57,41 @@
   });
 });
 
+/** Guards against links between regions on which everything else waits behind pieces of weights. */
+describe('what is asked of one entry at a time', () => {
+  /** Bytes that are on their way from each holder at the most. */
+  function bytesOnTheirWay(pieceBytes: number): Record<string, number> {
+    const sources = entrySources({
+      self: { id: 'self', zone: 'zone-a' },
+      place: { inZone: 0, overall: 0, parent: undefined },
+      manifest: { ...manifest, pieceBytes },
+      holders: [holder('near', 'zone-a'), holder('far', 'zone-b')],
+      agents: [],
+      isAlone: false,
+      objects: new MemoryStore(),
+      stored: new Set(),
+      origin: undefined,
+      isServed: false,
+      quietFor: 0,
+    });
+    const wanted = Array.from({ length: PIECES }, (_, index) => index);
+    const bytesOf = ({ nextBatch, parallel }: PieceSource) =>
+      nextBatch(wanted).length * parallel * pieceBytes;
+    return Object.fromEntries(sources.map((source) => [source.name, bytesOf(source)]));
+  }
+
+  it('takes a link between regions of 30 Mbit/s for less than a tenth of a second', () => {
+    const most = (30_000_000 / 8) * 0.1;
+    expect(bytesOnTheirWay(49_152)['entry far:1']).toBeLessThan(most);
+    expect(bytesOnTheirWay(32)['entry far:1']).toBe(PIECES * 32);
+  });
+
+  it('is one piece where a piece is larger, and more inside a zone', () => {
+    expect(bytesOnTheirWay(1_000_000)['entry far:1']).toBe(1_000_000);
+    expect(bytesOnTheirWay(49_152)['entry near:1']).toBe(2 * PIECES * 49_152);
+  });
+});
+
 describe('a piece that another entry draws', () => {
   const origin = { manifest: async () => never(), piece: async () => never() };
   const never = () => ({ ok: false, error: { type: 'sourceFailed', reason: 'none' } }) as const;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -69,6 +69,13 @@
     replace: 'const left = this.#at(address).filter((known) => known.status.info.id !== id);',
     test: 'test/entry/entry-mesh.test.ts',
   },
+  {
+    fault: 'links between regions are filled with batches of weights',
+    file: 'src/weights/entry-sources.ts',
+    find: 'batchSize: isNear ? ENTRY_BATCH : farBatch(manifest),',
+    replace: 'batchSize: ENTRY_BATCH,',
+    test: 'test/weights/entry-sources.test.ts',
+  },
   {
     fault: 'an engine is ordered to drop what runs',
     file: 'src/weights/engine-switch.ts',
