Put parts of a version into the object store one at a time

Cause: each piece that comes to the entry that draws a version began a round of puts, so that all eight parts (2.4 MB) went over the link to the store's region at once, beside the pieces for other zones. Calls to the store waited behind them and were given up.

Change: one put at a time; the next part is looked for when one has been taken.

--- a/src/peers/fleet-wish.ts
+++ b/src/peers/fleet-wish.ts
@@ -24,6 +24,8 @@
 const OWN_ZONE_PATIENCE = 200;
 /** The same before one of another zone is, so that within 2 s of a change a zone that does not hear the store has it. */
 const OTHER_ZONE_PATIENCE = 600;
+/** The same where this entry has nothing yet and cannot serve. */
+const FRESH_OTHER_ZONE_PATIENCE = 250;
 /**
  * Entries of a zone that lag behind together ask other zones this long after one another, in milliseconds: once the first one
  * has the answer, the next ones ask it, and one copy crosses the link between the zones.
@@ -31,8 +33,6 @@
 const OTHER_ZONE_STEP = 700;
 /** From this place on all wait equally long. */
 const LAST_STEP = 2;
-/** The same where this entry has nothing yet and cannot serve. */
-const FRESH_OTHER_ZONE_PATIENCE = 250;
 
 /** A connection to an entry that may be asked. */
 interface Asked {
--- a/src/weights/collection-duty.ts
+++ b/src/weights/collection-duty.ts
@@ -33,7 +33,7 @@
 import { findManifest } from './manifest-search.js';
 import { PieceFetcher } from './piece-fetcher.js';
 import type { PieceOrigin, PieceOriginFactory, PieceSource } from './piece-source.js';
-import { partsOf, storedManifestKey, storedPrefix } from './piece-sources.js';
+import { partsOf, type StoredPart, storedManifestKey, storedPrefix } from './piece-sources.js';
 
 /** Time between two looks at what is wanted, in milliseconds. */
 const REVIEW_INTERVAL = 200;
@@ -79,8 +79,8 @@
   /** True once the object store has said what it has. */
   isListed: boolean;
   listedAt: number;
-  /** Parts that are being put. */
-  putting: Set<number>;
+  /** A part is being put there. */
+  isPutting: boolean;
   /** The manifest lies in the object store, put there from here. */
   isManifestStored: boolean;
 }
@@ -161,7 +161,7 @@
       stored: new Set(),
       isListed: false,
       listedAt: Number.NEGATIVE_INFINITY,
-      putting: new Set(),
+      isPutting: false,
       isManifestStored: false,
     };
     this.#collections.set(key, collection);
@@ -320,22 +320,36 @@
     if (place === 0) void this.#putParts(collection, held, collection.stopped.signal);
   }
 
-  /** Puts parts that are whole here and not in the object store yet. */
+  /**
+   * Puts parts that are whole here and not in the object store yet, one at a time: what else goes to the store waits behind
+   * them on the link between regions.
+   */
   async #putParts(collection: Collection, held: HeldWeights, signal: AbortSignal): Promise<void> {
-    if (!collection.isListed) return;
+    if (!collection.isListed || collection.isPutting) return;
+    collection.isPutting = true;
+    try {
+      while (await this.#putNextPart(collection, held, signal));
+    } finally {
+      collection.isPutting = false;
+    }
+  }
+
+  /** Puts one part; false where none is due, or the object store has not taken it. */
+  async #putNextPart(collection: Collection, held: HeldWeights, signal: AbortSignal): Promise<boolean> {
+    const part = this.#nextToPut(collection, held);
+    if (part === undefined || signal.aborted) return false;
+    const bytes = Buffer.concat(part.pieces.map((piece) => held.piece(piece)!));
+    const put = await this.#options.objects.put(part.key, bytes, withLimit(signal, OBJECT_LIMIT));
+    if (put.ok) collection.stored.add(part.index);
+    this.#options.onHeldChanged(true);
+    return put.ok;
+  }
+
+  #nextToPut(collection: Collection, held: HeldWeights): StoredPart | undefined {
     const stored = this.#storedParts(collection);
-    const due = partsOf(held.manifest).filter(
-      ({ index, pieces }) =>
-        !stored.has(index) && !collection.putting.has(index) && pieces.every((piece) => held.have.has(piece)),
+    return partsOf(held.manifest).find(
+      ({ index, pieces }) => !stored.has(index) && pieces.every((piece) => held.have.has(piece)),
     );
-    for (const { index, key, pieces } of due) {
-      collection.putting.add(index);
-      const bytes = Buffer.concat(pieces.map((piece) => held.piece(piece)!));
-      const put = await this.#options.objects.put(key, bytes, withLimit(signal, OBJECT_LIMIT));
-      collection.putting.delete(index);
-      if (put.ok) collection.stored.add(index);
-      this.#options.onHeldChanged(true);
-    }
   }
 
   /** Sees to it that a whole version lies in the object store, whoever was to put it there. */
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -76,6 +76,13 @@
     replace: 'batchSize: ENTRY_BATCH,',
     test: 'test/weights/entry-sources.test.ts',
   },
+  {
+    fault: 'all parts of a version go to the object store at the same time',
+    file: 'src/weights/collection-duty.ts',
+    find: 'if (!collection.isListed || collection.isPutting) return;',
+    replace: 'if (!collection.isListed) return;',
+    test: 'test/weights/object-puts.test.ts',
+  },
   {
     fault: 'an engine is ordered to drop what runs',
     file: 'src/weights/engine-switch.ts',
