Soak: a process that is told to stop again keeps its time of grace

Each further signal added a timer and two listeners to the same process, of which Node warned in the soak's output. The first time of grace ends in the SIGKILL, so later ones could add nothing.

--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -117,6 +117,7 @@
   #stopped = false;
   /** Functions that cancel the times of grace of processes that are stopping. */
   readonly #graceTimes = new Set<() => void>();
+  readonly #isStopping = new WeakSet<ChildProcess>();
 
   /** @param subnet - 1 to 250: the loopback network 127.`subnet`.0.0 is used */
   constructor(folder: string, subnet: number, size: WorldSize) {
@@ -319,6 +320,9 @@
     const at = performance.now();
     this.disruptions.notePlanned('SIGTERM', name);
     this.disruptions.stops.push({ process: name, at, endedAt: Number.POSITIVE_INFINITY });
+    // A process that is told again keeps the time of grace that it has.
+    if (this.#isStopping.has(child)) return;
+    this.#isStopping.add(child);
     const cancel = endAfterGrace(child, GRACE_TIME, () => {
       if (this.disruptions.areCalm([name], at, performance.now()))
         this.violations.push(`GRACE: ${name} outlived its time of grace`);
