Guards of news for entries that start: a test that hears of nothing else

Cause: its entries learn of contents in quarantine from the store as well.

Change: both guards name a new test of the entries' connections, in which nothing but the news can come: an entry that starts is sent them, and so is the next process at its address. The tests of the role are as they were.

--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -8,11 +8,13 @@
 import { seededRandom } from '../../src/model/random.js';
 import { silentLog } from '../../src/observability/log.js';
 import { EntryPeers } from '../../src/peers/entry-peers.js';
+import { PeerNews } from '../../src/peers/peer-news.js';
 import {
   type ConnectionContext,
   ConnectionListener,
   createTrafficCounters,
 } from '../../src/protocol/connection.js';
+import type { PoisonNews } from '../../src/protocol/poison-news.js';
 import type { EntryReport } from '../../src/protocol/reports.js';
 import { SilentProxy } from '../silent-proxy.js';
 import { NO_NEWS, until } from '../support.js';
@@ -61,6 +63,7 @@
   onAccepted?: () => void;
   otherDialsFirst?: number;
   fleet?: FleetView;
+  news?: PeerNews;
 }
 
 async function startEntry(
@@ -76,6 +79,7 @@
     onAccepted = () => {},
     otherDialsFirst,
     fleet = new FleetView(),
+    news = NO_NEWS,
   }: EntryInit = {},
 ): Promise<EntryPeers> {
   const context: ConnectionContext = {
@@ -101,7 +105,7 @@
     otherDialsFirst,
     report: () => ({ ...reportOf(id, address), zone, configurationRevision: revision() }),
     onReport,
-    news: NO_NEWS,
+    news,
     onStoreNews: () => {},
     onLapsed,
     log: silentLog,
@@ -159,6 +163,28 @@
   await until(() => fleet.isConfigurationBehind, 'the news of a newer configuration');
 });
 
+it('an entry that starts is sent all news, and so is the next process at its address', async () => {
+  const [one, two] = await Promise.all([freeAddress(), freeAddress()]);
+  const known: PoisonNews = { type: 'notTried', fingerprint: 'f' };
+  const none = { takeNews: () => {}, allNews: () => [] };
+  await startEntry('one', one, [two], {
+    news: new PeerNews({ takeNews: () => {}, allNews: () => [known] }, none),
+  });
+  /** Starts the other entry and waits until it has been sent the news. */
+  const hears = async (id: string) => {
+    const taken: PoisonNews[] = [];
+    const poison = { takeNews: (news: PoisonNews) => void taken.push(news), allNews: () => [] };
+    const entry = await startEntry(id, two, [one], { news: new PeerNews(poison, none) });
+    await until(() => taken.length > 0, 'the news');
+    expect(taken[0]).toEqual(known);
+    return entry;
+  };
+  const former = await hears('two#1');
+  await former.stop();
+  await started.splice(2, 1)[0].stop();
+  await hears('two#2');
+});
+
 it('an entry that is heard no more is told of once, and one that starts again at its address replaces it', async () => {
   const [one, two] = await Promise.all([freeAddress(), freeAddress()]);
   const lapsed: string[] = [];
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -166,7 +166,7 @@
     file: 'src/peers/entry-peers.ts',
     find: 'if (row.toldNewsOn !== connection) this.#tellNews(row, connection);',
     replace: 'if (isNewcomer) this.#tellNews(row, connection);',
-    test: 'test/roles/poison-request.test.ts',
+    test: 'test/peers/entry-peers.test.ts',
   },
   {
     fault: 'versions of a store that has come back from an older copy are taken for those of before',
@@ -337,7 +337,7 @@
     file: 'src/peers/entry-peers.ts',
     find: 'if (row.toldNewsOn !== connection) this.#tellNews(row, connection);',
     replace: '',
-    test: 'test/roles/poison-request.test.ts',
+    test: 'test/peers/entry-peers.test.ts',
   },
   {
     fault: 'back ends that crash in one moment make their requests suspect',
