--- a/test/weights/entry-sources.test.ts
+++ b/test/weights/entry-sources.test.ts
@@ -3,7 +3,12 @@
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import { ChunkSet } from '../../src/model/chunk-set.js';
 import type { EntryReport } from '../../src/protocol/reports.js';
-import { type EntryHolding, entrySources, type PlaceInOrder } from '../../src/weights/entry-sources.js';
+import {
+  type EntryHolding,
+  type EntrySourceOptions,
+  entrySources,
+  type PlaceInOrder,
+} from '../../src/weights/entry-sources.js';
 import type { PieceManifest } from '../../src/weights/held-weights.js';
 import type { PieceSource } from '../../src/weights/piece-source.js';
 
@@ -20,11 +25,11 @@
   return { peer, have: ChunkSet.fromBytes(PIECES, new Uint8Array([0xff, 0x0f])), drawing: [] };
 }
 
-/** Patience with each holder, by the zone that it is in. */
-function patienceAt(place: PlaceInOrder, isServed = false): Record<string, number> {
-  const sources = entrySources({
+/** The sources of an entry that knows a holder in its own zone and one in another. */
+function sourcesOf(changes: Partial<EntrySourceOptions>): PieceSource[] {
+  return entrySources({
     self: { id: 'self', zone: 'zone-a' },
-    place,
+    place: { inZone: 0, overall: 0, parent: undefined },
     manifest,
     holders: [holder('near', 'zone-a'), holder('far', 'zone-b')],
     agents: [],
@@ -32,9 +37,15 @@
     objects: new MemoryStore(),
     stored: new Set(),
     origin: undefined,
-    isServed,
+    isServed: false,
     quietFor: 0,
+    ...changes,
   });
+}
+
+/** Patience with each holder, by the zone that it is in. */
+function patienceAt(place: PlaceInOrder, isServed = false): Record<string, number> {
+  const sources = sourcesOf({ place, isServed });
   return Object.fromEntries(sources.map(({ name, patience }) => [name, patience]));
 }
 
@@ -61,19 +72,7 @@
 describe('what is asked of one entry at a time', () => {
   /** Bytes that are on their way from each holder at the most. */
   function bytesOnTheirWay(pieceBytes: number): Record<string, number> {
-    const sources = entrySources({
-      self: { id: 'self', zone: 'zone-a' },
-      place: { inZone: 0, overall: 0, parent: undefined },
-      manifest: { ...manifest, pieceBytes },
-      holders: [holder('near', 'zone-a'), holder('far', 'zone-b')],
-      agents: [],
-      isAlone: false,
-      objects: new MemoryStore(),
-      stored: new Set(),
-      origin: undefined,
-      isServed: false,
-      quietFor: 0,
-    });
+    const sources = sourcesOf({ manifest: { ...manifest, pieceBytes } });
     const wanted = Array.from({ length: PIECES }, (_, index) => index);
     const bytesOf = ({ nextBatch, parallel }: PieceSource) =>
       nextBatch(wanted).length * parallel * pieceBytes;
