A stream that ends inside an event has been broken off

Callers got streams as complete whose back end had crashed: an answer with neither a length nor chunks ends with its connection, and any close without a reset was taken for its proper end. Such a stream also counted as served, which credited the back end and acquitted its content of the crash.

A stream that ends inside an event is now a broken attempt, whatever delimits it, and so is one without a length or chunks that has no event. It is resumed, or fails with 502, and its back end is probed for a crash. An answer that is delimited by the end of its connection is reset when it is cut, since a close marks it as complete.

--- a/src/forwarding/attempt-answer.ts
+++ b/src/forwarding/attempt-answer.ts
@@ -3,7 +3,7 @@
  * a time, so that another back end can resume them. Other answers are buffered up to a limit, so that a failed one can
  * still be replaced.
  */
-import type { AnswerHead } from './attempt.js';
+import { type AnswerHead, isDelimitedByClose } from './attempt.js';
 import { EventRelay } from './event-relay.js';
 
 /** Limit in bytes up to which an answer that is not an event stream is buffered. */
@@ -37,6 +37,20 @@
     return this.#events !== undefined;
   }
 
+  /** True for an answer whose end is marked only by the end of its connection: a crash of the back end looks the same. */
+  get isDelimitedByClose(): boolean {
+    return this.#head !== undefined && isDelimitedByClose(this.#head);
+  }
+
+  /**
+   * Call at the end of the body: true for an event stream that ends inside an event. Without a length or chunks, a stream that
+   * has no event is taken to be broken off too.
+   */
+  get isBrokenOff(): boolean {
+    if (this.#events === undefined) return false;
+    return this.#events.isInsideEvent || (this.isDelimitedByClose && !this.#events.hasEvents);
+  }
+
   /** Id of the last whole event, or of the event after which the stream resumes. */
   get lastEventId(): string | undefined {
     return this.#events?.lastEventId ?? this.#resumeEventId;
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -26,6 +26,11 @@
   rawHeaders: string[];
 }
 
+/** True for an answer with neither a length nor chunks, which is delimited only by the end of its connection. */
+export function isDelimitedByClose({ headers }: AnswerHead): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 /** Summary of any answer to the request, including refusals. */
 export interface AnswerSummary {
   status: number;
--- a/src/forwarding/caller-answer.ts
+++ b/src/forwarding/caller-answer.ts
@@ -2,7 +2,7 @@
  * Writes the answer to the caller: the output of one or more attempts in sequence, or an error of this system.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AnswerHead, Attempt } from './attempt.js';
+import type { Attempt } from './attempt.js';
 import type { AttemptAnswer } from './attempt-answer.js';
 import type { ErrorResponse } from './forwarding-errors.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
@@ -14,6 +14,7 @@
   /** Id of the last event written to the caller. */
   #lastEventId: string | undefined;
   #isEventStream = false;
+  #isDelimitedByClose = false;
   #forwardedAt = Number.NEGATIVE_INFINITY;
 
   /** @param mustClose - whether the response must tell the caller to close its connection */
@@ -76,8 +77,12 @@
     this.#response.end();
   }
 
-  /** Closes the connection, so that the caller can tell that the answer is incomplete. */
+  /**
+   * Ends the connection, so that the caller can tell that the answer is incomplete. An answer that is delimited by the end of its
+   * connection is reset, since a close would mark it as complete.
+   */
   cut(): void {
+    if (this.#isDelimitedByClose) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
@@ -94,16 +99,12 @@
   #writeHead(answer: AttemptAnswer): void {
     const { status, rawHeaders, headers } = answer.head!;
     this.#isEventStream = answer.isEventStream;
+    this.#isDelimitedByClose = answer.isDelimitedByClose;
     const left = new Set(answer.isEventStream ? ['content-length'] : []);
     const kept = endToEndHeaders(rawHeaders, headers.connection, left);
     if (this.#mustClose()) kept.push('Connection', 'close');
     // An answer delimited by the end of its connection may be truncated. Chunked encoding would mark it as complete.
-    if (isUnframed(headers)) this.#response.useChunkedEncodingByDefault = false;
+    if (answer.isDelimitedByClose) this.#response.useChunkedEncodingByDefault = false;
     this.#response.writeHead(status, kept);
   }
 }
-
-/** True for an answer that is delimited only by the end of its connection. */
-function isUnframed(headers: AnswerHead['headers']): boolean {
-  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
--- a/src/forwarding/event-relay.ts
+++ b/src/forwarding/event-relay.ts
@@ -10,6 +10,7 @@
 export class EventRelay {
   #incomplete: Buffer = Buffer.alloc(0);
   #lastEventId: string | undefined;
+  #hasEvents = false;
 
   /** @param lastEventId - id of the event after which the stream resumes; undefined to start at its beginning */
   constructor(lastEventId: string | undefined) {
@@ -21,6 +22,16 @@
     return this.#lastEventId;
   }
 
+  /** Whether `push` has returned any event. */
+  get hasEvents(): boolean {
+    return this.#hasEvents;
+  }
+
+  /** Whether bytes of an event have arrived that is not whole yet. */
+  get isInsideEvent(): boolean {
+    return this.#incomplete.some((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+  }
+
   /** Adds bytes of the stream; returns all whole events that are now available, undefined if there are none. */
   push(chunk: Buffer): Buffer | undefined {
     const bytes = this.#incomplete.byteLength === 0 ? chunk : Buffer.concat([this.#incomplete, chunk]);
@@ -28,6 +39,7 @@
     this.#incomplete = bytes.subarray(end);
     if (end === 0) return undefined;
     const whole = bytes.subarray(0, end);
+    this.#hasEvents = true;
     this.#lastEventId = findLastId(whole) ?? this.#lastEventId;
     return whole;
   }
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -452,6 +452,8 @@
   }
 
   #onEnd(use: BackEndUse): void {
+    if (use.answer.isBrokenOff)
+      return this.#onFailure(use, { type: 'broken', reason: 'stream broken off', isLost: true });
     use.notePromptRead();
     const { status } = use.answer;
     if (status >= INTERNAL_ERROR && !this.#answer.started && this.#retryAfterError(use, `status ${status}`))
--- a/test/forwarding/broken-off-stream.test.ts
+++ b/test/forwarding/broken-off-stream.test.ts
@@ -74,8 +74,9 @@
   it('that its back end breaks off does not appear complete (after a whole event)', async () => {
     answerThenClose(`${events(1, 1)}id: 2\ndata`);
     forwarding.list(['one', backEnd]);
-    const { body } = await forwarding.send('/once/a').catch(() => ({ body: '' }));
+    const { body, whole } = await forwarding.send('/once/a').catch(() => ({ body: '', whole: false }));
     expect([events(1, 1), '']).toContain(body);
+    expect(whole).toBe(false);
   });
 
   it('is complete if it ends after a whole event', async () => {
