A back end's crash that looks like the proper end of an answer acquits nothing

An answer with neither a length nor chunks ends with its connection.

Such an answer now counts as served only once the back end has answered another request, or is still listed after 8 s. Until then a refused connection or the list can show that the back end crashed, with that request in progress. A refused connection also shows the crash of a back end that still accepted the probe, as a process does that is about to end.

--- a/src/forwarding/crash-detector.ts
+++ b/src/forwarding/crash-detector.ts
@@ -3,7 +3,10 @@
  * breaks, a new connection to the back end is opened as a probe. If the process has ended, its machine refuses the
  * connection. If the connection is accepted, the back end is running or has restarted. If there is no answer, the
  * machine is unreachable or without power, or the probe was lost. If that start of the back end is found to have
- * ended shortly afterwards, it counts as a crash as well.
+ * ended shortly afterwards, it counts as a crash as well, and so does one that refuses a later connection.
+ *
+ * An answer that is delimited by the end of its connection ends in the same way if its back end crashes. It counts as served
+ * only once the back end has answered another request since.
  */
 import { connect as connectSocket } from 'node:net';
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
@@ -25,6 +28,11 @@
  * milliseconds: its record in the list expires after three heartbeats, and the list is read shortly afterwards.
  */
 const END_DETECTION_TIME = 8_000;
+/**
+ * Maximum time from a broken connection to a refused one of the same crash, in milliseconds: a back end that leaves as planned
+ * later refuses connections too.
+ */
+const REFUSAL_TIME = 2_000;
 /** Maximum number of contents kept for one crash, or as aborted or ended ones; above the number of requests in progress. */
 const MAX_CONTENTS = 1_000;
 /** Interval of the checks whether back ends with broken connections have ended, in milliseconds. */
@@ -42,7 +50,7 @@
   content: RequestContent;
 }
 
-/** A request that was aborted, but which its back end may still run. */
+/** A request that was aborted, but which its back end may still run, or one whose answer ended with its connection. */
 interface PastRequest extends CrashSuspect {
   at: number;
 }
@@ -52,6 +60,8 @@
   calls: Record<ProbeResult, number>;
   /** Called with each crash, and again with further suspects of it as they become known. */
   onCrash: (crash: BackEndCrash) => void;
+  /** Called with the content of an answer that ended with its connection at `at`, once its back end proves to be running. */
+  onServed: (content: RequestContent, at: number) => void;
   /**
    * Whether this start of a back end has ended without notice: it is no longer listed, or another back end listens at
    * its address.
@@ -76,6 +86,8 @@
   readonly #broken = new Map<string, BrokenConnections>();
   /** In the order in which they were aborted. */
   #givenUp: PastRequest[] = [];
+  /** Requests whose answers ended with their connections, in that order. */
+  #endedByClose: PastRequest[] = [];
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: CrashDetectorOptions) {
@@ -99,14 +111,45 @@
     this.#startChecks();
   }
 
-  /** Removes and returns the requests that were recently aborted at a back end that has crashed. */
+  /** The answer to a request ended with its connection. */
+  noteEndedByClose(suspect: CrashSuspect): void {
+    const now = performance.now();
+    this.#expirePast(now);
+    keepLatest(this.#endedByClose, { ...suspect, at: now });
+    this.#startChecks();
+  }
+
+  /** A new connection to a back end was refused: connections that broke or ended shortly before did so at its crash. */
+  noteRefused(row: BackEndRow): void {
+    const now = performance.now();
+    const broken = this.#broken.get(keyOf(row.record));
+    if (broken?.hasCrashed === false && now - broken.at < REFUSAL_TIME) this.#noteCrashed(broken);
+    const [first] = this.#endedByClose.filter((one) => one.row === row && now - one.at < REFUSAL_TIME);
+    if (first !== undefined) this.#noteCrashed({ row, at: first.at, hasCrashed: false, contents: [] });
+  }
+
+  /** A back end has answered an attempt that began at `startedAt`: it did not crash before. */
+  noteAnswering(row: BackEndRow, startedAt: number): void {
+    if (this.#endedByClose.length === 0) return;
+    const isServed = (one: PastRequest) => one.row === row && one.at < startedAt;
+    const served = this.#endedByClose.filter(isServed);
+    if (served.length === 0) return;
+    this.#endedByClose = this.#endedByClose.filter((one) => !isServed(one));
+    for (const { content, at } of served) this.#options.onServed(content, at);
+  }
+
+  /**
+   * Removes and returns the requests that may have been in progress at the crash of a back end although their connections did
+   * not break: those aborted there recently, and those whose answers have ended with their connections.
+   */
   removePast({ id, start }: BackEndIdentity): RequestContent[] {
     const isThere = ({ row: { record } }: PastRequest) =>
       record.id === id && isSameStart(record.start, start);
     this.#expirePast(performance.now());
-    const taken = this.#givenUp.filter(isThere);
+    const taken = [...this.#givenUp, ...this.#endedByClose].filter(isThere);
     if (taken.length === 0) return [];
     this.#givenUp = this.#givenUp.filter((one) => !isThere(one));
+    this.#endedByClose = this.#endedByClose.filter((one) => !isThere(one));
     return taken.map(({ content }) => content);
   }
 
@@ -116,6 +159,7 @@
     this.#timer = undefined;
     this.#broken.clear();
     this.#givenUp = [];
+    this.#endedByClose = [];
   }
 
   #startProbe(row: BackEndRow, content: RequestContent, now: number): void {
@@ -129,10 +173,15 @@
     this.#timer ??= setInterval(() => this.#checkEnded(), CHECK_INTERVAL).unref();
   }
 
+  /** Discards aborted requests after `END_DETECTION_TIME`; answers that ended by then count as served. */
   #expirePast(now: number): void {
     const isExpired = (one: PastRequest | undefined) =>
       one !== undefined && now - one.at > END_DETECTION_TIME;
     while (isExpired(this.#givenUp[0])) this.#givenUp.shift();
+    while (isExpired(this.#endedByClose[0])) {
+      const { content, at } = this.#endedByClose.shift()!;
+      this.#options.onServed(content, at);
+    }
   }
 
   /**
@@ -146,11 +195,14 @@
       if (now - broken.at > END_DETECTION_TIME) this.#broken.delete(key);
     }
     this.#expirePast(now);
-    // If all callers had left before the crash, no connection broke.
-    const ended = this.#givenUp.filter(({ row }) => this.#options.hasEnded(row));
+    // If all callers had left before the crash, or all answers ended with their connections, no connection broke.
+    const ended = [...this.#givenUp, ...this.#endedByClose].filter(({ row }) => this.#options.hasEnded(row));
     for (const { row, at, content } of ended) this.#reportSuspects({ row, at }, [content]);
-    if (ended.length > 0) this.#givenUp = this.#givenUp.filter((one) => !ended.includes(one));
-    if (this.#broken.size === 0 && this.#givenUp.length === 0) this.stop();
+    if (ended.length > 0) {
+      this.#givenUp = this.#givenUp.filter((one) => !ended.includes(one));
+      this.#endedByClose = this.#endedByClose.filter((one) => !ended.includes(one));
+    }
+    if (this.#broken.size + this.#givenUp.length + this.#endedByClose.length === 0) this.stop();
   }
 
   async #probe(broken: BrokenConnections): Promise<void> {
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -49,6 +49,8 @@
 const SEARCH_INTERVAL = 200;
 const FIRST_ERROR_STATUS = 400;
 const INTERNAL_ERROR = 500;
+/** Error code of a connection that no process accepts. */
+const CONNECTION_REFUSED = 'ECONNREFUSED';
 const MILLISECONDS = 1_000;
 
 /** A request in progress. */
@@ -395,6 +397,7 @@
     const mayLift = !isRefusal && status < INTERNAL_ERROR;
     const observation = { backEnd: row.record, notice, sentAt: attempt.startedAt, mayLift };
     this.#components.limits.noteAnswer(observation, performance.now());
+    this.#content.noteAnswering(row, attempt.startedAt);
     if (notice.type === 'named') claim?.noteAnswer(notice.rate);
     else if (notice.type === 'absent' && mayLift) claim?.noteAnswer(undefined);
   }
@@ -479,6 +482,7 @@
     const { row } = use;
     this.#log.noteFailure(use, failure);
     if (failure.type === 'broken' && failure.isLost) this.#content.noteBroken(row);
+    if (failure.type === 'notSent' && failure.reason === CONNECTION_REFUSED) this.#content.noteRefused(row);
     if (failure.type === 'withdrawn') this.#components.expiryFigures.withdrawn++;
     this.#openAttempts.close(use, healthOutcomeOf(failure));
     const isKept = this.#answer.started || this.#openAttempts.size > 0;
@@ -605,7 +609,7 @@
     const took = this.#openAttempts.close(use, isFailure ? 'failed' : 'served');
     if (isFailure) return;
     // A back end may reject a request without running it.
-    if (status < FIRST_ERROR_STATUS) this.#content.noteServed();
+    if (status < FIRST_ERROR_STATUS) this.#noteContentServed(use);
     use.noteServed(took);
     this.#log.note('served', {
       backEnd: use.row.record.id,
@@ -615,6 +619,11 @@
     });
   }
 
+  #noteContentServed({ row, answer }: BackEndUse): void {
+    if (answer.isDelimitedByClose) this.#content.noteEndedByClose(row);
+    else this.#content.noteServed();
+  }
+
   #logEnding(ending: RequestEnding): void {
     const [use] = this.#openAttempts.all();
     if (ending.type !== 'cut') return this.#log.noteEnding(ending, use, this.#admitted?.route.name);
--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -61,6 +61,7 @@
       hasEnded,
       calls: this.#probes,
       onCrash: (crash) => this.#onCrash(crash),
+      onServed: (content, at) => this.#noteServedAt(content, at),
     });
     metrics.add([
       {
@@ -137,6 +138,21 @@
     this.#detector.noteGivenUp(suspect);
   }
 
+  /** The answer to a request ended with its connection. */
+  noteEndedByClose(suspect: CrashSuspect): void {
+    this.#detector.noteEndedByClose(suspect);
+  }
+
+  /** A new connection to a back end was refused. */
+  noteRefused(row: BackEndRow): void {
+    this.#detector.noteRefused(row);
+  }
+
+  /** A back end has answered an attempt that began at `startedAt`, in milliseconds of the monotonic clock. */
+  noteAnswering(row: BackEndRow, startedAt: number): void {
+    this.#detector.noteAnswering(row, startedAt);
+  }
+
   /** A request was served completely: its content and its prompt parts are acquitted. */
   noteServed(content: RequestContent): void {
     this.#noteServedAt(content, performance.now());
--- a/src/forwarding/suspect-content.ts
+++ b/src/forwarding/suspect-content.ts
@@ -69,4 +69,19 @@
   noteServed(): void {
     if (this.#guard.hasSuspects) this.#guard.noteServed(this.content);
   }
+
+  /** The answer ended with its connection, as it would at a crash of the back end. */
+  noteEndedByClose(row: BackEndRow): void {
+    this.#guard.noteEndedByClose({ row, content: this.content });
+  }
+
+  /** A new connection to the back end was refused. */
+  noteRefused(row: BackEndRow): void {
+    this.#guard.noteRefused(row);
+  }
+
+  /** The back end has answered on an attempt that began at `startedAt`, in milliseconds of the monotonic clock. */
+  noteAnswering(row: BackEndRow, startedAt: number): void {
+    this.#guard.noteAnswering(row, startedAt);
+  }
 }
