--- a/src/systems/crashing-parts.ts
+++ b/src/systems/crashing-parts.ts
@@ -81,11 +81,17 @@
   /** Parts that were in progress at enough crashes, or that another entry has quarantined. */
   readonly #compared = new Set<PromptPart>();
   readonly #quarantined = new Set<PromptPart>();
+  /** Number of quarantined parts that were in progress at each crash; only crashes with any. */
+  readonly #explanations = new Map<PartsCrash, number>();
   /** Suspect parts that another entry has quarantined: it has seen the service work without them. */
   readonly #confirmed = new Set<PromptPart>();
   /** When parts that were suspect were last served, in order of time. */
   readonly #acquittedAt = new Map<PromptPart, number>();
   #served = 0;
+  /** Whether crashes or parts have changed since the last comparison. */
+  #isChanged = false;
+  /** Whether parts were left that more served requests may convict. */
+  #hasCandidates = false;
 
   /** @param placeOf - position of this entry in the order of the entries that may make a trial of a part, from 0 */
   constructor(placeOf: (part: PromptPart) => number, trials: TrialCounts) {
@@ -113,8 +119,7 @@
 
   /** Whether a quarantined part was in progress at the crash. */
   explains(crash: PartsCrash): boolean {
-    for (const part of this.#quarantined) if (this.#crashesOf(part).has(crash)) return true;
-    return false;
+    return this.#explanations.has(crash);
   }
 
   /** Adds parts that were in progress at a crash, up to `MAX_PARTS`. */
@@ -129,6 +134,7 @@
     if (!this.#crashesByPart.has(part)) return;
     this.#confirmed.add(part);
     this.#compared.add(part);
+    this.#isChanged = true;
   }
 
   /** A request with these parts was served at `servedAt`; returns those that were suspect. */
@@ -157,12 +163,13 @@
   /** Quarantines the parts that explain crashes; returns those that are newly quarantined. */
   update(): PromptPart[] {
     const added: PromptPart[] = [];
-    for (;;) {
+    while (this.#isChanged || this.#hasCandidates) {
       const next = this.#findConvincing();
-      if (next.length === 0) return added;
-      for (const part of next) this.#quarantined.add(part);
+      if (next.length === 0) break;
+      for (const part of next) this.#quarantine(part);
       added.push(...next);
     }
+    return added;
   }
 
   /** Decides on a request of `tenant` with this part. */
@@ -209,13 +216,28 @@
     const crashes = this.#crashesByPart.get(part) ?? new Set();
     this.#crashesByPart.set(part, crashes.add(crash));
     if (crashes.size >= CRASHES_TO_SUSPECT) this.#compared.add(part);
+    if (this.#quarantined.has(part)) this.#explain(crash, 1);
+    this.#isChanged = true;
     return true;
   }
 
+  #quarantine(part: PromptPart): void {
+    this.#quarantined.add(part);
+    for (const crash of this.#crashesOf(part)) this.#explain(crash, 1);
+  }
+
+  /** @param change - 1 if one more quarantined part was in progress at the crash, -1 for one less */
+  #explain(crash: PartsCrash, change: 1 | -1): void {
+    const count = (this.#explanations.get(crash) ?? 0) + change;
+    if (count > 0) this.#explanations.set(crash, count);
+    else this.#explanations.delete(crash);
+  }
+
   #remove(crash: PartsCrash, part: PromptPart): void {
     crash.parts.delete(part);
     const crashes = this.#crashesByPart.get(part);
-    crashes?.delete(crash);
+    if (crashes?.delete(crash) && this.#quarantined.has(part)) this.#explain(crash, -1);
+    this.#isChanged = true;
     if (crashes?.size !== 0) return;
     this.#crashesByPart.delete(part);
     this.#compared.delete(part);
@@ -231,6 +253,8 @@
   /** The next part to quarantine, with those that were in progress at exactly the same crashes; empty if there is none. */
   #findConvincing(): PromptPart[] {
     const candidates = this.#candidates();
+    this.#isChanged = false;
+    this.#hasCandidates = candidates.length > 0;
     for (const one of candidates) {
       const others = candidates.filter((other) => other !== one && includesAll(other.crashes, one.crashes));
       const same = others.filter(({ crashes }) => crashes.size === one.crashes.size);
