--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -151,18 +151,21 @@
   agent?: Agent;
   /** Time that the caller waits, in milliseconds; the header is omitted if undefined. */
   timeLeft?: number;
+  /** The list of prompt parts; the header is omitted if undefined. */
+  parts?: string;
 }
 
 /** Sends a request; rejects if its connection ends before the response head. */
 export function send(
   { settings }: RunningEntry,
   path: string,
-  { requestId = 'r1', agent, timeLeft }: SendOptions = {},
+  { requestId = 'r1', agent, timeLeft, parts }: SendOptions = {},
 ): Promise<Received> {
   const [host, port] = settings.callers.split(':');
   return new Promise((resolve, reject) => {
     const timeLeftHeader = timeLeft === undefined ? {} : { 'x-time-left': String(timeLeft) };
-    const headers = { host: 'api.example', 'x-request': requestId, ...timeLeftHeader };
+    const partsHeader = parts === undefined ? {} : { 'x-parts': parts };
+    const headers = { host: 'api.example', 'x-request': requestId, ...timeLeftHeader, ...partsHeader };
     const sent = httpRequest({ host, port, path, headers, agent }, (response) => {
       const end = () =>
         resolve({
