soak: a prompt part that crashes engines, with the choice deadly

The stand-in engine crashes under requests with the part, whose connections end before a head, after it, inside an event, by a reset, in chunks or with a length. Streams of all callers name prompt parts and share the first one.

--- a/test/platform/soak/callers.ts
+++ b/test/platform/soak/callers.ts
@@ -1,6 +1,6 @@
 /** Callers of a soak: they resolve entry addresses, keep connections open, send requests and check every answer. */
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
-import type { Random } from '../../../src/model/random.js';
+import { hash32, type Random } from '../../../src/model/random.js';
 import { eventData, streamShape } from './workers.js';
 import { ADDRESS_LIFETIME, HOST, KEY, LONG_TIMEOUT, ROUTE_TIMEOUT, type SoakWorld, TENANT } from './world.js';
 
@@ -19,6 +19,16 @@
 /** Statuses by which an entry guarantees that the request was not executed. */
 const NOT_EXECUTED_STATUSES = new Set([429, 503, 408, 421]);
 
+/** Prompt part that all streams share, and the number of those of which each has one. */
+export const FIRST_PART = 'aaaa';
+const SUBJECTS = 12;
+
+/** The prompt of a request: shared parts, and one of its own. */
+export function partsOf(shared: readonly string[], requestId: string): string {
+  const own = hash32(requestId).toString(16);
+  return [...shared, own].map((part) => `${part}:100`).join(',');
+}
+
 /** A sent request and its outcome. */
 export interface SentRequest {
   id: string;
@@ -47,6 +57,8 @@
   kind: SentRequest['kind'];
   path: string;
   body: string;
+  /** The list of prompt parts; undefined for none. */
+  parts?: string;
   /** The caller abandons the request after this time, in milliseconds. */
   abandonAfter?: number;
 }
@@ -55,7 +67,7 @@
 export function sendRequest(
   entry: string,
   agent: Agent | undefined,
-  { id, kind, path, body, abandonAfter }: RequestToSend,
+  { id, kind, path, body, parts, abandonAfter }: RequestToSend,
 ): Promise<SentRequest> {
   const [host, port] = entry.split(':');
   const timeout = deadlineOf(kind);
@@ -68,6 +80,7 @@
     'Api-Key': KEY,
     'Deadline-Ms': String(timeout),
     Tenant: 'forged',
+    ...(parts === undefined ? {} : { 'Prompt-Prefix': parts }),
   };
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
@@ -263,7 +276,9 @@
     const path = `/${kind}/${this.#random.below(1_000)}?of=${this.#name}${shape}`;
     const isAbandoned = this.#random.below(ABANDONED_ONE_IN) === 0;
     const abandonAfter = isAbandoned ? 1 + this.#random.below(MAX_ABANDON_DELAY) : undefined;
-    const toSend = { id, kind, path, body: `body of ${id}`, abandonAfter };
+    const subject = `b${(this.sent.length % SUBJECTS).toString(16)}`;
+    const parts = isStream(kind) ? partsOf([FIRST_PART, subject], id) : undefined;
+    const toSend = { id, kind, path, body: `body of ${id}`, parts, abandonAfter };
     const sent = await sendRequest(this.#chooseEntry(), this.#agent, toSend);
     this.sent.push(sent);
     this.violations.push(...judgeAnswer(sent));
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -658,7 +658,7 @@
   all: [...PLANNED, ...UNPLANNED],
   // Restarts make up about two in five faults, since otherwise few would be drawn.
   restarts: [...PLANNED, ...UNPLANNED, ...RESTARTS, ...RESTARTS, ...RESTARTS],
-  // Meanwhile a content crashes the workers that run it: see `deadly-content.ts`.
+  // Meanwhile a content and a prompt part crash the workers: see `deadly-content.ts` and `deadly-part.ts`.
   deadly: [...PLANNED, ...UNPLANNED],
   // Kills are only two in 24: requests from recently disrupted entries are not judged.
   limits: [...PLANNED, ...PLANNED, ...PROCESS_KILLS, ...PROCESS_KILLS, ...repeat(LIMITS, 8)],
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -19,6 +19,7 @@
   sendRequest,
 } from './callers.js';
 import { DeadlyContent } from './deadly-content.js';
+import { DeadlyPart } from './deadly-part.js';
 import { type FaultChoice, injectFaults, MOVES_ROUTE } from './faults.js';
 import { judgeCuts, judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
@@ -46,6 +47,8 @@
   timeline: string[];
   statuses: Record<string, number>;
   recoveredAfter: number | undefined;
+  /** Number of engines that a prompt part crashed. */
+  partCrashes: number | undefined;
 }
 
 async function pause(milliseconds: number): Promise<void> {
@@ -107,6 +110,7 @@
   const random = seededRandom(MOVES_ROUTE.has(faults) ? scatterSeed(seed) : seed);
   const probes: SentRequest[] = [];
   let deadly: DeadlyContent | undefined;
+  let deadlyPart: DeadlyPart | undefined;
   const callers = Array.from({ length: plan.callers }, (_, index) => {
     return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index), MOVES_ROUTE.has(faults));
   });
@@ -118,8 +122,11 @@
     const started = await waitUntilConverged(world, START_LIMIT, probes);
     if (typeof started === 'string') return failedToStart(faults, started);
     const running = callers.map((caller) => caller.run());
-    if (faults === 'deadly') deadly = new DeadlyContent(world, seededRandom(seed + 1));
-    if (deadly !== undefined) running.push(deadly.run());
+    if (faults === 'deadly') {
+      deadly = new DeadlyContent(world, seededRandom(seed + 1));
+      deadlyPart = new DeadlyPart(world, seededRandom(scatterSeed(seed)));
+      running.push(deadly.run(), deadlyPart.run());
+    }
     const timeline = await injectFaults(world, random, AbortSignal.timeout(seconds * SECOND), faults);
     world.clearFaults();
     // Recovery is timed from the end of the planned stops in progress, which belong to the faults.
@@ -127,8 +134,10 @@
     const recovered = await waitUntilConverged(world, RECOVERY_LIMIT, probes);
     for (const caller of callers) caller.stop();
     deadly?.stop();
+    deadlyPart?.stop();
     await Promise.all(running);
-    const sent = [...callers.flatMap((caller) => caller.sent), ...(deadly?.sent ?? []), ...probes];
+    const byCallers = callers.flatMap((caller) => caller.sent);
+    const sent = [...byCallers, ...(deadly?.sent ?? []), ...(deadlyPart?.sent ?? []), ...probes];
     const violations = [
       ...callers.flatMap((caller) => caller.violations),
       ...probes.filter(({ path }) => !path.startsWith('/added-')).flatMap(judgeAnswer),
@@ -142,6 +151,7 @@
       ...world.log.violations,
       ...world.violations,
       ...(deadly?.judge() ?? []),
+      ...(deadlyPart?.judge(byCallers) ?? []),
       ...(typeof recovered === 'string' ? [`RECOVER: ${recovered}`] : []),
     ];
     return {
@@ -150,6 +160,7 @@
       timeline,
       statuses: countStatuses(sent),
       recoveredAfter: typeof recovered === 'number' ? Math.round(recovered) : undefined,
+      partCrashes: deadlyPart?.crashes,
     };
   } finally {
     world.stop();
@@ -167,7 +178,14 @@
 }
 
 function failedToStart(faults: FaultChoice, reason: string): SeedOutcome {
-  return { faults, violations: [`START: ${reason}`], timeline: [], statuses: {}, recoveredAfter: undefined };
+  return {
+    faults,
+    violations: [`START: ${reason}`],
+    timeline: [],
+    statuses: {},
+    recoveredAfter: undefined,
+    partCrashes: undefined,
+  };
 }
 
 function countStatuses(sent: readonly SentRequest[]): Record<string, number> {
@@ -237,13 +255,14 @@
       size,
       callers: Number(values.callers),
     });
-    const { violations, timeline, statuses, recoveredAfter } = outcome;
+    const { violations, timeline, statuses, recoveredAfter, partCrashes } = outcome;
     const line = {
       seed,
       choice: outcome.faults,
       violations: violations.length,
       faults: timeline.length,
       recoveredAfter,
+      partCrashes,
       ...statuses,
     };
     process.stdout.write(`${JSON.stringify(line)}\n`);
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -27,6 +27,21 @@
 /** Response headers by which a caller matches a response to its request and run. */
 type AnswerHeaders = Record<'Attempt-Id' | 'Server-Seal', string>;
 
+/** How the connection of a request ends that crashes its engine. */
+export type CrashEnding = 'noHead' | 'headOnly' | 'insideEvent' | 'reset' | 'chunked' | 'length';
+export const CRASH_ENDINGS: readonly CrashEnding[] = [
+  'noHead',
+  'headOnly',
+  'insideEvent',
+  'reset',
+  'chunked',
+  'length',
+];
+/** Time from the start of a run to the crash that it causes, in milliseconds. */
+const CRASH_DELAY = 20;
+/** Length that the answer of a crashing request announces, in bytes. */
+const ANNOUNCED_LENGTH = 10_000;
+
 /** One run of a request at a worker. */
 export interface Run {
   requestId: string;
@@ -70,6 +85,10 @@
 export class RunLog {
   /** Called at the start of each run. */
   onRun: (run: Run) => void = () => {};
+  /** How a request ends that crashes its engine; undefined for all others. */
+  crashEndingOf: (request: IncomingMessage) => CrashEnding | undefined = () => undefined;
+  /** Called when a request has crashed the engine with this id, to stop it. */
+  onCrash: (worker: string) => void = () => {};
   readonly runs: Run[] = [];
   readonly arrivals: Arrival[] = [];
   readonly limits: RateLimitPeriod[] = [];
@@ -422,6 +441,17 @@
     for (const wake of this.#waiting.splice(0)) wake();
   }
 
+  /** Breaks off the answer and asks to be stopped, as a crash does. */
+  async #crash(ending: CrashEnding, run: Run, response: ServerResponse, seal: string): Promise<void> {
+    await pause(CRASH_DELAY);
+    run.isAborted = true;
+    run.endedAt = performance.now();
+    if (response.destroyed) return;
+    const headers = { 'Attempt-Id': run.requestId, 'Server-Seal': seal };
+    breakOff(ending, run.path, headers, response);
+    this.log.onCrash(this.id);
+  }
+
   async #generate(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
     if (!this.admits(request)) return this.refuse(request, response, 503);
     const hasOtherVersion = () => {
@@ -446,6 +476,8 @@
     }
     const { run, seal } = this.run(request, body, this.#version);
     if (this.breaksContinuation(run, response, met, seal)) return this.#waiting.shift()?.();
+    const crashEnding = this.log.crashEndingOf(request);
+    if (crashEnding !== undefined) return this.#crash(crashEnding, run, response, seal);
     this.#active++;
     response.writeHead(200, {
       'Attempt-Id': requestIdOf(request),
@@ -469,6 +501,21 @@
   }
 }
 
+/** Writes the beginning of an answer and ends its connection before its end. */
+function breakOff(ending: CrashEnding, path: string, headers: AnswerHeaders, response: ServerResponse): void {
+  const { socket } = response;
+  if (ending === 'noHead') return void socket?.end();
+  if (ending === 'length') response.setHeader('Content-Length', ANNOUNCED_LENGTH);
+  else if (ending !== 'chunked') response.useChunkedEncodingByDefault = false;
+  response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
+  response.flushHeaders();
+  const event = `id: 1\ndata: ${eventData(path, 1)}\n\n`;
+  if (ending === 'insideEvent' || ending === 'reset') response.write(event.slice(0, -3));
+  else if (ending !== 'headOnly') response.write(event);
+  if (ending === 'reset') setImmediate(() => socket?.resetAndDestroy());
+  else socket?.end();
+}
+
 function requestIdOf(request: IncomingMessage): string {
   return String(request.headers['attempt-id'] ?? '');
 }
