Refuse only requests with all parts that crashes cannot tell apart

The requests in progress at a crash become known one after the other, and five crashes were counted before the last of them had its deadly request: crashes count once they are 60 ms old. And five crashes quarantined each part that was in progress at all of them: they now quarantine a group, the part that is in the fewest of these requests with those that all requests with it have, and only requests with the whole group are refused. If back ends crash on without such a request, its rarest part is left. Crashes 30 ms apart, not 60, count as one, since a retry can crash the next back end 45 ms later.

--- a/src/forwarding/crash-detector.ts
+++ b/src/forwarding/crash-detector.ts
@@ -11,7 +11,6 @@
 import { connect as connectSocket } from 'node:net';
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import type { Log } from '../observability/log.js';
-import type { PartUse, PromptPart } from '../systems/crashing-parts.js';
 import type { BackEndCrash, RequestContent } from '../systems/poison-requests.js';
 import type { BackEndRow } from './back-end-table.js';
 
@@ -239,15 +238,11 @@
 
 /** The fingerprints and parts of requests that were in progress at a crash. */
 export function suspectsOf(contents: readonly RequestContent[]): Pick<BackEndCrash, 'suspects' | 'parts'> {
-  const partsByTenant = new Map<string, Set<PromptPart>>();
-  for (const { tenant, parts } of contents) {
-    const known = partsByTenant.get(tenant) ?? new Set();
-    for (const part of parts) known.add(part);
-    if (known.size > 0) partsByTenant.set(tenant, known);
-  }
   return {
     suspects: [...new Set(contents.flatMap(({ fingerprints }) => fingerprints))],
-    parts: [...partsByTenant].map(([tenant, parts]): PartUse => ({ tenant, parts: [...parts] })),
+    parts: contents
+      .filter(({ parts }) => parts.length > 0)
+      .map(({ tenant, parts }) => ({ tenant, parts: [...parts] })),
   };
 }
 
--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -6,7 +6,7 @@
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
 import type { PoisonUpdate } from '../protocol/poison-update.js';
-import type { PromptPart } from '../systems/crashing-parts.js';
+import { type PartGroup, SETTLE_TIME } from '../systems/crashing-parts.js';
 import {
   type BackEndCrash,
   type PoisonDecision,
@@ -41,6 +41,8 @@
   readonly #records: QuarantineRecords;
   /** Contents and parts for which this entry is currently claiming a trial. */
   readonly #claiming = new Set<string>();
+  /** Set while crashes are known that `updateParts` does not consider yet. */
+  #updateTimer: NodeJS.Timeout | undefined;
   readonly #counts = { crashes: 0, quarantined: 0, quarantinedParts: 0, trials: 0, acquitted: 0 };
   readonly #probes: Record<ProbeResult, number> = { refused: 0, accepted: 0, silent: 0 };
   readonly #refusedByService = new Map<string, number>();
@@ -90,7 +92,7 @@
       {
         name: 'poison_parts_quarantined',
         help: 'Prompt parts in quarantine now',
-        read: () => this.#requests.parts.quarantined.size,
+        read: () => this.#requests.parts.quarantined.length,
       },
       {
         name: 'poison_crashes_remembered',
@@ -170,6 +172,8 @@
 
   /** Stops detecting crashes. */
   stop(): void {
+    clearTimeout(this.#updateTimer);
+    this.#updateTimer = undefined;
     this.#detector.stop();
   }
 
@@ -235,34 +239,41 @@
     this.#counts.quarantined += quarantined.length;
     for (const fingerprint of quarantined)
       this.#log.warn('content quarantined', { fingerprint, backEnd: crash.backEnd });
-    const isNew = this.#updateParts(crash.quarantinedParts ?? []);
-    if (isNew || quarantined.length > 0) this.onQuarantined();
+    this.#noteQuarantinedParts(this.#requests.confirmParts(crash.quarantinedParts ?? []), true);
+    this.#updateTimer ??= setTimeout(() => this.#updateParts(), SETTLE_TIME).unref();
+    if (quarantined.length > 0 || crash.quarantinedParts !== undefined) this.onQuarantined();
   }
 
   /**
-   * Quarantines the prompt parts that explain the known crashes; returns whether there are any new ones. Tells the other
-   * entries of them, as these may not have seen the service work without the part.
-   * @param told - parts that another entry has quarantined
+   * Quarantines the prompt parts that explain the known crashes. Tells the other entries of new ones, as these may not have
+   * seen the service work without the parts.
    */
-  #updateParts(told: readonly PromptPart[]): boolean {
-    const quarantined = this.#requests.updateParts();
-    if (quarantined.length === 0) return false;
-    this.#counts.quarantinedParts += quarantined.length;
-    for (const part of quarantined) {
-      const tenants = [...this.#requests.parts.tenantsOf(part)];
-      const crashes = this.#requests.parts.crashCountOf(part);
-      this.#log.warn('prompt part quarantined', { part, crashes, tenants, isTold: told.includes(part) });
-    }
-    this.#records.noteQuarantined();
-    const own = new Set(quarantined.filter((part) => !told.includes(part)));
-    if (own.size > 0) this.#announceParts(own);
-    return true;
-  }
-
-  #announceParts(parts: ReadonlySet<PromptPart>): void {
+  #updateParts(): void {
+    clearTimeout(this.#updateTimer);
+    this.#updateTimer = undefined;
     const now = performance.now();
+    const quarantined = this.#requests.updateParts(now);
+    if (this.#requests.hasUnsettled(now))
+      this.#updateTimer = setTimeout(() => this.#updateParts(), SETTLE_TIME).unref();
+    if (quarantined.length === 0) return;
+    this.#noteQuarantinedParts(quarantined, false);
     for (const crash of this.#requests.crashesOfQuarantined())
-      if (crash.quarantinedParts?.some((part) => parts.has(part))) this.onNews(newsOf(crash, now));
+      if (crash.quarantinedParts?.some((group) => quarantined.includes(group)))
+        this.onNews(newsOf(crash, now));
+    this.onQuarantined();
+  }
+
+  /** @param isTold - whether another entry has quarantined the groups */
+  #noteQuarantinedParts(groups: readonly PartGroup[], isTold: boolean): void {
+    if (groups.length === 0) return;
+    this.#counts.quarantinedParts += groups.length;
+    for (const group of groups) {
+      const { parts } = this.#requests;
+      const tenants = [...parts.tenantsOf(group)];
+      const crashes = parts.crashCountOf(group);
+      this.#log.warn('prompt parts quarantined', { parts: group, crashes, tenants, isTold });
+    }
+    this.#records.noteQuarantined();
   }
 
   /**
@@ -298,7 +309,7 @@
   /** A crash that an acquitted part does not explain any more may be explained by another one. */
   #noteAcquitted(keys: readonly string[]): void {
     this.#counts.acquitted += keys.length;
-    if (this.#updateParts([])) this.onQuarantined();
+    this.#updateParts();
   }
 }
 
--- a/src/forwarding/quarantine-records.ts
+++ b/src/forwarding/quarantine-records.ts
@@ -49,7 +49,7 @@
     at: z.number(),
     suspects: z.array(z.string()),
     parts: z.array(z.object({ tenant: z.string(), parts: z.array(z.string()) })).optional(),
-    quarantinedParts: z.array(z.string()).optional(),
+    quarantinedParts: z.array(z.array(z.string())).optional(),
   }),
 );
 
@@ -111,7 +111,7 @@
   noteCrash(crash: BackEndCrash): void {
     const known = this.#ownCrashes.get(keyOf(crash));
     const suspects = [...new Set([...(known?.suspects ?? []), ...crash.suspects])];
-    const parts = mergedUses([...(known?.parts ?? []), ...(crash.parts ?? [])]);
+    const parts = [...(known?.parts ?? []), ...(crash.parts ?? [])];
     this.#ownCrashes.set(keyOf(crash), { ...crash, at: known?.at ?? crash.at, suspects, parts });
     this.#markChanged();
   }
@@ -297,7 +297,7 @@
       at: Math.round(this.#options.clock.storeTimeAt(at)),
       suspects: [...suspects],
       parts: [...parts],
-      quarantinedParts: [...(this.quarantinedOf(crash)?.quarantinedParts ?? [])],
+      quarantinedParts: (this.quarantinedOf(crash)?.quarantinedParts ?? []).map((group) => [...group]),
     };
   }
 
@@ -310,14 +310,6 @@
   return { table: TABLE, partition: PARTITION, key: `${TRIAL_PREFIX}${fingerprint}/${number}` };
 }
 
-/** Uses of parts with one entry for each tenant. */
-function mergedUses(uses: readonly PartUse[]): PartUse[] {
-  const byTenant = new Map<string, Set<PromptPart>>();
-  for (const { tenant, parts } of uses)
-    byTenant.set(tenant, new Set([...(byTenant.get(tenant) ?? []), ...parts]));
-  return [...byTenant].map(([tenant, parts]) => ({ tenant, parts: [...parts] }));
-}
-
 function withoutPart(uses: readonly PartUse[], part: PromptPart): PartUse[] {
   return uses
     .map((use) => ({ tenant: use.tenant, parts: use.parts.filter((one) => one !== part) }))
--- a/src/protocol/poison-update.ts
+++ b/src/protocol/poison-update.ts
@@ -1,4 +1,4 @@
-import type { PartUse, PromptPart } from '../systems/crashing-parts.js';
+import type { PartGroup, PartUse, PromptPart } from '../systems/crashing-parts.js';
 import type { Fingerprint } from '../systems/poison-requests.js';
 
 /**
@@ -13,10 +13,10 @@
       start?: number | undefined;
       age: number;
       suspects: Fingerprint[];
-      /** Prompt parts of these requests; earlier versions of the system do not send them. */
+      /** Prompt parts of these requests, one entry for each; earlier versions of the system do not send them. */
       parts?: PartUse[];
-      /** Those of the parts that the sender has quarantined. */
-      quarantinedParts?: PromptPart[];
+      /** Groups of these parts that the sender has quarantined. */
+      quarantinedParts?: PartGroup[];
     }
   /** One request with this content is admitted as a trial. */
   | { type: 'trial'; fingerprint: Fingerprint | PromptPart }
--- a/src/systems/crashing-parts.ts
+++ b/src/systems/crashing-parts.ts
@@ -6,11 +6,12 @@
  * suspect, so that popular parts are cleared within milliseconds, while a part that always crashes its back end is in
  * progress at every crash that it causes and is never served.
  *
- * A part is quarantined once it alone explains several crashes while the service works for requests without it, or once it
- * explains even more crashes. Crashes that a quarantined part explains do not count against other parts. Crashes at the same
- * moment count once, as they have a common cause.
+ * A part is quarantined once it alone explains several crashes while the service works for requests without it. Once a part
+ * explains even more crashes, it is quarantined in any case, together with the parts that all requests with it had there:
+ * only requests with all parts of such a group are refused. Crashes that a group explains do not count against other
+ * parts. Crashes at the same moment count once, as they have a common cause.
  *
- * Parts are shared by tenants. A part is refused only to the tenant whose requests were in progress at its crashes,
+ * Parts are shared by tenants. A group is refused only to the tenant whose requests were in progress at its crashes,
  * and to all tenants once there are several of these, so that no tenant can cause a part of another one to be refused
  * by naming it in requests that crash back ends for another reason.
  *
@@ -21,7 +22,7 @@
 /** Identifies a prompt part of a service: see `forwarding/prompt-parts.ts`. */
 export type PromptPart = string;
 
-/** Prompt parts of the requests of one tenant that were in progress at a crash. */
+/** Prompt parts of a request that was in progress at a crash. */
 export interface PartUse {
   /** Name of the tenant; empty for callers without one. */
   tenant: string;
@@ -31,34 +32,44 @@
 /** A crash at which parts were in progress. */
 export interface PartsCrash {
   at: number;
+  /** The requests, up to `MAX_PARTS` parts in all. */
+  readonly uses: PartUse[];
   /** Tenants whose requests contained each part. Parts that have been served since are removed. */
   readonly parts: Map<PromptPart, Set<string>>;
   /** Value of the counter of served requests when the crash became known here. */
   servedBefore: number;
 }
 
-/** Decision on a part for one tenant. */
+/** Parts of which a request must have all to be refused. The first one is the most specific, and stands for the group. */
+export type PartGroup = readonly PromptPart[];
+
+/** Decision on a group of parts for one tenant. */
 export type PartDecision =
   | { type: 'allowed' }
   | { type: 'trial' }
   /** `retryAfter` in milliseconds. */
   | { type: 'quarantined'; retryAfter: number };
 
-/** Crashes that quarantine a part which alone explains them, if the service works without it. */
+/** Crashes for which a part is quarantined that alone explains them, if the service works without it. */
 const CRASHES_TO_SUSPECT = 3;
 /** Number of requests without the part that must be served since its first crash, to rule out an outage of the service. */
 const SERVED_WITHOUT_PART = 5;
-/** Crashes that quarantine a part in any case, even if other parts were in progress at all of them too. */
+/** Crashes for which a part is quarantined in any case, with the parts that all of its requests had there. */
 const CRASHES_TO_QUARANTINE = 5;
 /** Crashes within this time of one another count once, in milliseconds. */
-const SAME_MOMENT = 60;
+const SAME_MOMENT = 30;
+/**
+ * Time after which all requests in progress at a crash are known, in milliseconds: other entries report theirs within 30 ms. Before, a
+ * shared part may seem to explain a crash because the request with the deadly one is not known yet.
+ */
+export const SETTLE_TIME = 60;
 /** Time from the latest crash to the first and to the second trial, in milliseconds. There are no more. */
 const TRIAL_DELAYS = [3_000, 10_000];
 /** Delay between the times at which consecutive entries in a part's order may make a trial, in milliseconds. */
 const TRIAL_STEP = 250;
 /** Retry delay if no trial will be made, in milliseconds: by then an operator may have fixed the back ends. */
 const RETRY_WITHOUT_TRIAL = 600_000;
-/** Maximum number of parts kept for one crash, counted for each tenant. */
+/** Maximum number of parts kept for one crash, counted for each request. */
 export const MAX_PARTS = 256;
 /** Maximum number of parts that are compared with one another. */
 const MAX_CANDIDATES = 64;
@@ -66,7 +77,7 @@
 const MAX_ACQUITTED = 1_000;
 const ALLOWED: PartDecision = { type: 'allowed' };
 
-/** A part with the crashes that no quarantined part explains. */
+/** A part with the crashes that no quarantined group explains. */
 interface Candidate {
   part: PromptPart;
   crashes: ReadonlySet<PartsCrash>;
@@ -78,19 +89,17 @@
   readonly #placeOf: (part: PromptPart) => number;
   readonly #trials: TrialCounts;
   readonly #crashesByPart = new Map<PromptPart, Set<PartsCrash>>();
-  /** Parts that were in progress at enough crashes, or that another entry has quarantined. */
+  /** Parts that were in progress at enough crashes. */
   readonly #compared = new Set<PromptPart>();
-  readonly #quarantined = new Set<PromptPart>();
-  /** Number of quarantined parts that were in progress at each crash; only crashes with any. */
-  readonly #explanations = new Map<PartsCrash, number>();
-  /** Suspect parts that another entry has quarantined: it has seen the service work without them. */
-  readonly #confirmed = new Set<PromptPart>();
+  #groups: PartGroup[] = [];
   /** When parts that were suspect were last served, in order of time. */
   readonly #acquittedAt = new Map<PromptPart, number>();
   #served = 0;
-  /** Whether crashes or parts have changed since the last comparison. */
+  /** Time of the latest crash. */
+  #latestAt = Number.NEGATIVE_INFINITY;
+  /** Whether the crashes have changed since the last comparison. */
   #isChanged = false;
-  /** Whether parts were left that more served requests may convict. */
+  /** Whether parts were left for which more served requests may decide. */
   #hasCandidates = false;
 
   /** @param placeOf - position of this entry in the order of the entries that may make a trial of a part, from 0 */
@@ -104,9 +113,16 @@
     return this.#served;
   }
 
-  /** The quarantined parts. */
-  get quarantined(): ReadonlySet<PromptPart> {
-    return this.#quarantined;
+  /** The quarantined groups. */
+  get quarantined(): readonly PartGroup[] {
+    return this.#groups;
+  }
+
+  /** The quarantined groups that a request with these parts has all parts of. */
+  groupsIn(parts: readonly PromptPart[]): PartGroup[] {
+    if (this.#groups.length === 0) return [];
+    const present = new Set(parts);
+    return this.#groups.filter((group) => group.every((part) => present.has(part)));
   }
 
   isSuspect(part: PromptPart): boolean {
@@ -117,24 +133,26 @@
     return this.#crashesByPart.size > 0;
   }
 
-  /** Whether a quarantined part was in progress at the crash. */
-  explains(crash: PartsCrash): boolean {
-    return this.#explanations.has(crash);
+  /** Whether a request with all parts of a quarantined group was in progress at the crash. */
+  explains({ uses }: Pick<PartsCrash, 'uses'>): boolean {
+    return this.#groups.some((group) => uses.some((use) => hasAll(use, group)));
   }
 
-  /** Adds parts that were in progress at a crash, up to `MAX_PARTS`. */
+  /** Adds requests that were in progress at a crash, up to `MAX_PARTS` parts. */
   noteCrash(crash: PartsCrash, uses: readonly PartUse[]): void {
-    let size = [...crash.parts.values()].reduce((sum, tenants) => sum + tenants.size, 0);
-    for (const { tenant, parts } of uses)
-      for (const part of parts) if (size < MAX_PARTS && this.#add(crash, part, tenant)) size++;
+    let size = crash.uses.reduce((sum, { parts }) => sum + parts.length, 0);
+    for (const use of uses) {
+      size += use.parts.length;
+      if (size > MAX_PARTS) return;
+      if (crash.uses.some((known) => isSameUse(known, use))) continue;
+      crash.uses.push(use);
+      for (const part of use.parts) this.#add(crash, part, use.tenant);
+    }
   }
 
-  /** Another entry has quarantined the part. */
-  confirm(part: PromptPart): void {
-    if (!this.#crashesByPart.has(part)) return;
-    this.#confirmed.add(part);
-    this.#compared.add(part);
-    this.#isChanged = true;
+  /** Another entry has quarantined the group. Parts that are not suspect here have been served since. */
+  confirm(group: PartGroup): PartGroup | undefined {
+    return this.#quarantine(group.filter((part) => this.isSuspect(part)));
   }
 
   /** A request with these parts was served at `servedAt`; returns those that were suspect. */
@@ -160,134 +178,195 @@
     for (const part of [...crash.parts.keys()]) this.#remove(crash, part);
   }
 
-  /** Quarantines the parts that explain crashes; returns those that are newly quarantined. */
-  update(): PromptPart[] {
-    const added: PromptPart[] = [];
+  /** Quarantines the groups that explain crashes older than `SETTLE_TIME`; returns those that are new. */
+  update(now: number): PartGroup[] {
+    const settledAt = now - SETTLE_TIME;
+    const added: PartGroup[] = this.#isChanged ? this.#narrowed(settledAt) : [];
     while (this.#isChanged || this.#hasCandidates) {
-      const next = this.#findConvincing();
+      const next = this.#findConvincing(settledAt)
+        .map((group) => this.#quarantine(group))
+        .filter((group) => group !== undefined);
       if (next.length === 0) break;
-      for (const part of next) this.#quarantine(part);
       added.push(...next);
     }
     return added;
   }
 
-  /** Decides on a request of `tenant` with this part. */
-  decide(part: PromptPart, tenant: string, now: number): PartDecision {
-    if (!this.#quarantined.has(part)) return ALLOWED;
-    const involved = this.tenantsOf(part);
+  /** Whether a crash is too recent for `update` to consider it at `now`. */
+  hasUnsettled(now: number): boolean {
+    return this.#latestAt > now - SETTLE_TIME;
+  }
+
+  /** Decides on a request of `tenant` with all parts of a quarantined group. */
+  decide(group: PartGroup, tenant: string, now: number): PartDecision {
+    const involved = this.tenantsOf(group);
     const isShared = involved.size > 1;
     if (!isShared && !involved.has(tenant)) return ALLOWED;
-    const trials = this.#trials.countOf(part);
+    const key = trialKeyOf(group);
+    const trials = this.#trials.countOf(key);
     if (trials >= TRIAL_DELAYS.length) return { type: 'quarantined', retryAfter: RETRY_WITHOUT_TRIAL };
     // The last trial is left to a tenant whose requests were not in progress at the crashes.
     if (isShared && trials > 0 && involved.has(tenant))
       return { type: 'quarantined', retryAfter: TRIAL_DELAYS[trials] };
-    const latest = Math.max(...[...this.#crashesOf(part)].map(({ at }) => at));
-    const delay = TRIAL_DELAYS[trials] + TRIAL_STEP * this.#placeOf(part);
-    const retryAt = Math.max(latest + delay, this.#trials.endOf(part));
+    const latest = Math.max(...this.#commonCrashesOf(group).map(({ at }) => at));
+    const delay = TRIAL_DELAYS[trials] + TRIAL_STEP * this.#placeOf(key);
+    const retryAt = Math.max(latest + delay, this.#trials.endOf(key));
     return now < retryAt ? { type: 'quarantined', retryAfter: retryAt - now } : { type: 'trial' };
   }
 
-  /** Tenants whose requests with the part were in progress at its crashes. */
-  tenantsOf(part: PromptPart): Set<string> {
-    const crashes = [...this.#crashesOf(part)];
-    return new Set(crashes.flatMap(({ parts }) => [...(parts.get(part) ?? [])]));
+  /** Tenants whose requests with all parts of the group were in progress at its crashes. */
+  tenantsOf(group: PartGroup): Set<string> {
+    const uses = this.#commonCrashesOf(group).flatMap((crash) => crash.uses);
+    return new Set(uses.filter((use) => hasAll(use, group)).map(({ tenant }) => tenant));
   }
 
-  /** Number of crashes at which the part was in progress. */
-  crashCountOf(part: PromptPart): number {
-    return this.#crashesOf(part).size;
+  /** Number of crashes at which all parts of the group were in progress. */
+  crashCountOf(group: PartGroup): number {
+    return this.#commonCrashesOf(group).length;
   }
 
-  /** The parts in progress at a crash, by tenant. */
-  usesAt({ parts }: Pick<PartsCrash, 'parts'>): PartUse[] {
-    const byTenant = new Map<string, PromptPart[]>();
-    for (const [part, tenants] of parts)
-      for (const tenant of tenants) byTenant.set(tenant, [...(byTenant.get(tenant) ?? []), part]);
-    return [...byTenant].map(([tenant, ofTenant]) => ({ tenant, parts: ofTenant }));
-  }
-
-  #add(crash: PartsCrash, part: PromptPart, tenant: string): boolean {
-    if (crash.at <= (this.#acquittedAt.get(part) ?? Number.NEGATIVE_INFINITY)) return false;
-    const tenants = crash.parts.get(part) ?? new Set();
-    if (tenants.has(tenant)) return false;
-    crash.parts.set(part, tenants.add(tenant));
+  #add(crash: PartsCrash, part: PromptPart, tenant: string): void {
+    if (crash.at <= (this.#acquittedAt.get(part) ?? Number.NEGATIVE_INFINITY)) return;
+    this.#latestAt = Math.max(this.#latestAt, crash.at);
+    crash.parts.set(part, (crash.parts.get(part) ?? new Set()).add(tenant));
     const crashes = this.#crashesByPart.get(part) ?? new Set();
     this.#crashesByPart.set(part, crashes.add(crash));
     if (crashes.size >= CRASHES_TO_SUSPECT) this.#compared.add(part);
-    if (this.#quarantined.has(part)) this.#explain(crash, 1);
     this.#isChanged = true;
-    return true;
-  }
-
-  #quarantine(part: PromptPart): void {
-    this.#quarantined.add(part);
-    for (const crash of this.#crashesOf(part)) this.#explain(crash, 1);
   }
 
-  /** @param change - 1 if one more quarantined part was in progress at the crash, -1 for one less */
-  #explain(crash: PartsCrash, change: 1 | -1): void {
-    const count = (this.#explanations.get(crash) ?? 0) + change;
-    if (count > 0) this.#explanations.set(crash, count);
-    else this.#explanations.delete(crash);
+  /** Adds a group, unless it is empty or another one already refuses its requests; returns it if it was added. */
+  #quarantine(group: PartGroup): PartGroup | undefined {
+    if (group.length === 0 || this.groupsIn(group).length > 0) return undefined;
+    // Groups with more parts refuse only requests that this one refuses too.
+    this.#groups = this.#groups.filter((other) => !group.every((part) => other.includes(part)));
+    this.#groups.push(group);
+    return group;
   }
 
   #remove(crash: PartsCrash, part: PromptPart): void {
     crash.parts.delete(part);
     const crashes = this.#crashesByPart.get(part);
-    if (crashes?.delete(crash) && this.#quarantined.has(part)) this.#explain(crash, -1);
+    crashes?.delete(crash);
     this.#isChanged = true;
     if (crashes?.size !== 0) return;
     this.#crashesByPart.delete(part);
     this.#compared.delete(part);
-    this.#quarantined.delete(part);
-    this.#confirmed.delete(part);
+    for (const group of this.#groups)
+      if (group.includes(part))
+        this.#replace(group, group[0] === part ? [] : group.filter((one) => one !== part));
     this.#trials.forget(part);
   }
 
+  /** Replaces a group by some of its parts, or removes it. */
+  #replace(group: PartGroup, left: PartGroup): void {
+    this.#groups = this.#groups.filter((other) => other !== group);
+    if (left.length > 0) this.#quarantine(left);
+  }
+
+  /**
+   * Back ends crash on although no request in progress has all parts of a group: leaves of it the part that is in the fewest
+   * of these requests, since sound requests share the others.
+   */
+  #narrowed(settledAt: number): PartGroup[] {
+    const narrowed: PartGroup[] = [];
+    for (const group of this.#groups) {
+      const unexplained = this.#commonCrashesOf(group).filter(
+        (crash) => crash.at <= settledAt && !this.explains(crash),
+      );
+      if (unexplained.length === 0) continue;
+      const uses = unexplained.flatMap((crash) => crash.uses);
+      const countOf = (part: PromptPart) => uses.filter(({ parts }) => parts.includes(part)).length;
+      const [rarest] = [...group].sort((one, other) => countOf(one) - countOf(other));
+      const left = [rarest];
+      this.#replace(group, left);
+      narrowed.push(left);
+    }
+    return narrowed;
+  }
+
   #crashesOf(part: PromptPart): ReadonlySet<PartsCrash> {
     return this.#crashesByPart.get(part) ?? new Set();
   }
 
-  /** The next part to quarantine, with those that were in progress at exactly the same crashes; empty if there is none. */
-  #findConvincing(): PromptPart[] {
-    const candidates = this.#candidates();
-    this.#isChanged = false;
+  #commonCrashesOf([first, ...others]: PartGroup): PartsCrash[] {
+    return [...this.#crashesOf(first)].filter(({ parts }) => others.every((part) => parts.has(part)));
+  }
+
+  /** The next groups to quarantine. */
+  #findConvincing(settledAt: number): PartGroup[] {
+    const candidates = this.#candidates(settledAt);
+    this.#isChanged = this.#latestAt > settledAt;
     this.#hasCandidates = candidates.length > 0;
-    for (const one of candidates) {
-      const others = candidates.filter((other) => other !== one && includesAll(other.crashes, one.crashes));
-      const same = others.filter(({ crashes }) => crashes.size === one.crashes.size);
-      // A part that was in progress at more crashes explains those of this one too.
-      if (others.length > same.length && !this.#confirmed.has(one.part)) continue;
-      if (this.#isConvincing(one, same.length > 0)) return [one, ...same].map(({ part }) => part);
-    }
-    return [];
+    // A part that was in progress at the same crashes as another one, or at more, explains those of the other one too.
+    const isAlone = (one: Candidate) =>
+      candidates.every((other) => other === one || !includesAll(other.crashes, one.crashes));
+    const alone = candidates.find((one) => isAlone(one) && this.#isServedWithout(one.crashes));
+    if (alone !== undefined) return [[alone.part]];
+    const certain = candidates.filter(({ moments }) => moments >= CRASHES_TO_QUARANTINE);
+    const [best] = certain.sort((one, other) => explanatoryPower(other) - explanatoryPower(one));
+    return best === undefined ? [] : groupsOf(certain, best.crashes);
   }
 
-  /** Parts that may have caused crashes which no quarantined part explains, those with the most crashes first. */
-  #candidates(): Candidate[] {
+  /** Parts that may have caused crashes which no quarantined group explains, those with the most crashes first. */
+  #candidates(settledAt: number): Candidate[] {
     const candidates: Candidate[] = [];
     for (const part of this.#compared) {
-      if (this.#quarantined.has(part)) continue;
-      const isConfirmed = this.#confirmed.has(part);
       const crashes = new Set(
-        [...this.#crashesOf(part)].filter((crash) => isConfirmed || !this.explains(crash)),
+        [...this.#crashesOf(part)].filter((crash) => crash.at <= settledAt && !this.explains(crash)),
       );
       const moments = countMoments(crashes);
-      if (moments >= CRASHES_TO_SUSPECT || isConfirmed) candidates.push({ part, crashes, moments });
+      if (moments >= CRASHES_TO_SUSPECT) candidates.push({ part, crashes, moments });
     }
     return candidates.sort((one, other) => other.moments - one.moments).slice(0, MAX_CANDIDATES);
   }
 
-  #isConvincing({ part, crashes, moments }: Candidate, hasCompanions: boolean): boolean {
-    if (this.#confirmed.has(part) || moments >= CRASHES_TO_QUARANTINE) return true;
-    if (hasCompanions) return false;
+  /** Whether the service has worked for requests without a part that was in progress at these crashes, and not served since. */
+  #isServedWithout(crashes: ReadonlySet<PartsCrash>): boolean {
     const servedBefore = Math.min(...[...crashes].map((crash) => crash.servedBefore));
     return this.#served - servedBefore >= SERVED_WITHOUT_PART;
   }
 }
 
+/** Key under which the trials of a group are counted. */
+export function trialKeyOf(group: PartGroup): string {
+  return group[0];
+}
+
+/** Highest for a part that explains many crashes by few requests: shared parts are in most of the requests in progress. */
+function explanatoryPower({ part, crashes }: Candidate): number {
+  const uses = [...crashes].flatMap((crash) => crash.uses.filter(({ parts }) => parts.includes(part)));
+  return crashes.size ** 2 / uses.length;
+}
+
+/**
+ * The groups that explain the same crashes: the parts that are in the fewest requests, each with the parts that all
+ * requests with it have.
+ */
+function groupsOf(candidates: readonly Candidate[], crashes: ReadonlySet<PartsCrash>): PartGroup[] {
+  const uses = [...crashes].flatMap((crash) => crash.uses);
+  const present = candidates.filter((one) => includesAll(one.crashes, crashes)).map(({ part }) => part);
+  const isInAllWith = (other: PromptPart, part: PromptPart) =>
+    uses.every(({ parts }) => !parts.includes(part) || parts.includes(other));
+  const isSpecific = (part: PromptPart) =>
+    present.every((other) => !isInAllWith(part, other) || isInAllWith(other, part));
+  const groups = candidates
+    .filter((one) => one.crashes.size === crashes.size && present.includes(one.part) && isSpecific(one.part))
+    .map(({ part }) => part)
+    .map((part) => [part, ...present.filter((other) => other !== part && isInAllWith(other, part))]);
+  // Parts that are always in the same requests have the same group.
+  return groups.filter(([part], index) => groups.findIndex((group) => group.includes(part)) === index);
+}
+
+function hasAll({ parts }: PartUse, group: PartGroup): boolean {
+  return group.every((part) => parts.includes(part));
+}
+
+function isSameUse(one: PartUse, other: PartUse): boolean {
+  if (one.tenant !== other.tenant || one.parts.length !== other.parts.length) return false;
+  return one.parts.every((part, index) => part === other.parts[index]);
+}
+
 function includesAll(all: ReadonlySet<PartsCrash>, some: ReadonlySet<PartsCrash>): boolean {
   if (all.size < some.size) return false;
   for (const crash of some) if (!all.has(crash)) return false;
--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -28,7 +28,13 @@
  * ```
  */
 import { isSameStart } from '../model/back-end-identity.js';
-import { CrashingParts, type PartUse, type PromptPart } from './crashing-parts.js';
+import {
+  CrashingParts,
+  type PartGroup,
+  type PartUse,
+  type PromptPart,
+  trialKeyOf,
+} from './crashing-parts.js';
 import { TrialCounts } from './trial-counts.js';
 
 /** Identifies the content of a request: see `forwarding/request-fingerprint.ts`. */
@@ -42,10 +48,10 @@
   at: number;
   /** Contents of the requests that were in progress there. */
   suspects: readonly Fingerprint[];
-  /** Prompt parts of these requests. */
+  /** Prompt parts of these requests, one entry for each. */
   parts?: readonly PartUse[] | undefined;
-  /** Those parts that the sender has quarantined. */
-  quarantinedParts?: readonly PromptPart[] | undefined;
+  /** Groups of these parts that the sender has quarantined. */
+  quarantinedParts?: readonly PartGroup[] | undefined;
 }
 
 /** What a request has in common with others that may crash back ends. */
@@ -100,6 +106,7 @@
   /** True if other back ends crashed at the same moment. */
   isPartOfWave: boolean;
   suspects: Set<Fingerprint>;
+  uses: PartUse[];
   parts: Map<PromptPart, Set<string>>;
   servedBefore: number;
 }
@@ -148,20 +155,29 @@
     const wereQuarantined = added.filter((fingerprint) => this.isQuarantined(fingerprint));
     for (const fingerprint of added) this.#addSuspect(fingerprint, known);
     this.#parts.noteCrash(known, crash.parts ?? []);
-    for (const part of crash.quarantinedParts ?? []) this.#parts.confirm(part);
     return added.filter((one) => this.isQuarantined(one) && !wereQuarantined.includes(one));
   }
 
-  /** Quarantines the prompt parts that explain crashes; returns those that are newly quarantined. */
-  updateParts(): PromptPart[] {
-    return this.#parts.update();
+  /** Adopts groups that another entry has quarantined; returns those that are new here. */
+  confirmParts(groups: readonly PartGroup[]): PartGroup[] {
+    return groups.map((group) => this.#parts.confirm(group)).filter((group) => group !== undefined);
+  }
+
+  /** Quarantines the groups of prompt parts that explain crashes; returns those that are newly quarantined. */
+  updateParts(now: number): PartGroup[] {
+    return this.#parts.update(now);
+  }
+
+  /** Whether a crash is too recent for `updateParts` to consider it at `now`. */
+  hasUnsettled(now: number): boolean {
+    return this.#parts.hasUnsettled(now);
   }
 
   /** Decides on a request: the strictest of the decisions on its fingerprints and parts. */
   decideOn({ fingerprints, tenant, parts }: RequestContent, now: number): PoisonDecision {
     const decisions = [
       ...fingerprints.map((fingerprint) => this.decide(fingerprint, now)),
-      ...parts.map((part) => this.#parts.decide(part, tenant, now)),
+      ...this.#parts.groupsIn(parts).map((group) => this.#parts.decide(group, tenant, now)),
     ];
     const quarantined = decisions.filter((decision) => decision.type === 'quarantined');
     if (quarantined.length > 0)
@@ -169,9 +185,9 @@
     return decisions.find(({ type }) => type === 'trial') ?? ALLOWED;
   }
 
-  /** The fingerprints of a request, and those of its parts that are quarantined: what a trial of it tests. */
+  /** The fingerprints of a request and the keys of the quarantined groups that it has all parts of: what a trial of it tests. */
   trialKeysOf({ fingerprints, parts }: RequestContent): string[] {
-    return [...fingerprints, ...parts.filter((part) => this.#parts.quarantined.has(part))];
+    return [...fingerprints, ...this.#parts.groupsIn(parts).map(trialKeyOf)];
   }
 
   /** Decides on a request with this content. */
@@ -227,8 +243,8 @@
     const known = [...this.#crashes.values()].filter(
       ({ suspects, parts }) => suspects.size > 0 || parts.size > 0,
     );
-    return known.map(({ backEnd, start, at, suspects, parts }) => {
-      return { backEnd, start, at, suspects: [...suspects], parts: this.#parts.usesAt({ parts }) };
+    return known.map(({ backEnd, start, at, suspects, uses }) => {
+      return { backEnd, start, at, suspects: [...suspects], parts: [...uses] };
     });
   }
 
@@ -242,12 +258,13 @@
   /** The crash with only those of its contents and parts that are quarantined; undefined if there are none. */
   quarantinedOf(crash: BackEndCrash): BackEndCrash | undefined {
     const suspects = crash.suspects.filter((fingerprint) => this.isQuarantined(fingerprint));
-    const isQuarantined = (part: PromptPart) => this.#parts.quarantined.has(part);
+    const groups = (crash.parts ?? []).flatMap((use) => this.#parts.groupsIn(use.parts));
+    const quarantinedParts = [...new Set(groups)];
+    const needed = new Set(quarantinedParts.flat());
     const parts = (crash.parts ?? [])
-      .map((use) => ({ tenant: use.tenant, parts: use.parts.filter(isQuarantined) }))
-      .filter((use) => use.parts.length > 0);
+      .map((use) => ({ tenant: use.tenant, parts: use.parts.filter((part) => needed.has(part)) }))
+      .filter((use) => this.#parts.groupsIn(use.parts).length > 0);
     if (suspects.length === 0 && parts.length === 0) return undefined;
-    const quarantinedParts = [...new Set(parts.flatMap((use) => use.parts))];
     return { ...crash, suspects, parts, quarantinedParts };
   }
 
@@ -272,6 +289,7 @@
       at,
       isPartOfWave: sameMoment.length > 0,
       suspects: new Set(),
+      uses: [],
       parts: new Map(),
       servedBefore: this.#parts.served,
     };
--- a/test/forwarding/crashing-fleet.ts
+++ b/test/forwarding/crashing-fleet.ts
@@ -37,7 +37,7 @@
 const CRASH_DELAY = 30;
 /** Time from a crash to the next start of the back end, in milliseconds. */
 const RESTART_TIME = 400;
-/** Number of events of a complete answer, and the interval between two in milliseconds. */
+/** Number of events of a complete answer, and the default interval between two in milliseconds. */
 const EVENTS = 6;
 const EVENT_INTERVAL = 25;
 
@@ -57,6 +57,7 @@
   readonly #size: number;
   readonly #deadlyParts: readonly string[];
   readonly #ending: CrashEnding;
+  readonly #eventInterval: number;
   readonly #places: Place[] = [];
   #isStopped = false;
   readonly #restarts = new Set<NodeJS.Timeout>();
@@ -68,7 +69,13 @@
   onListChanged: (listed: ListedBackEnd[]) => void = () => {};
 
   /** @param deadlyParts - ids of the parts that crash back ends */
-  constructor(size: number, deadlyParts: readonly string[], ending: CrashEnding) {
+  constructor(
+    size: number,
+    deadlyParts: readonly string[],
+    ending: CrashEnding,
+    eventInterval = EVENT_INTERVAL,
+  ) {
+    this.#eventInterval = eventInterval;
     this.#size = size;
     this.#deadlyParts = deadlyParts;
     this.#ending = ending;
@@ -125,7 +132,7 @@
         .slice(0, -1)
         .map((part) => part.split(':')[0]);
       const deadly = parts.find((part) => this.#deadlyParts.includes(part));
-      if (deadly === undefined) return answerWhole(request, response);
+      if (deadly === undefined) return answerWhole(request, response, this.#eventInterval);
       note(this.arrivals, deadly);
       const { backEnd } = place;
       setTimeout(() => {
@@ -159,7 +166,7 @@
 }
 
 /** Some answers have neither a length nor chunks and end with their connection. */
-function answerWhole(request: IncomingMessage, response: ServerResponse): void {
+function answerWhole(request: IncomingMessage, response: ServerResponse, interval: number): void {
   const id = String(request.headers['x-request']);
   const isUnframed = id.endsWith('0');
   if (isUnframed) response.useChunkedEncodingByDefault = false;
@@ -168,7 +175,7 @@
   const timer = setInterval(() => {
     response.write(events(next, next));
     if (next++ === EVENTS) response.end();
-  }, EVENT_INTERVAL);
+  }, interval);
   response.on('close', () => clearInterval(timer));
 }
 
--- a/test/forwarding/crashing-prompt-part.test.ts
+++ b/test/forwarding/crashing-prompt-part.test.ts
@@ -18,6 +18,8 @@
 /** Time between two rounds of requests, in milliseconds. */
 const INTERVAL = 120;
 const SOUND_IN_A_ROUND = 4;
+/** Interval of the events of slow answers, in milliseconds: they take 3 s. */
+const SLOW_INTERVAL = 500;
 const FIRST_PART = 'aaaa';
 const DEADLY = 'dead';
 
@@ -29,8 +31,12 @@
 let fleet: CrashingFleet;
 let forwarding: ForwardingHarness;
 
-async function startFleet(ending: CrashEnding, deadlyParts: readonly string[] = [DEADLY]): Promise<void> {
-  fleet = new CrashingFleet(BACK_ENDS, deadlyParts, ending);
+async function startFleet(
+  ending: CrashEnding,
+  deadlyParts: readonly string[] = [DEADLY],
+  eventInterval?: number,
+): Promise<void> {
+  fleet = new CrashingFleet(BACK_ENDS, deadlyParts, ending, eventInterval);
   forwarding = new ForwardingHarness('billing');
   const stream = { isStream: true, objective: 5_000, longestPause: 1_000, patience: 4_000 } as const;
   const again = routeNamed('again', { ...stream, repeatability: 'resumable' });
@@ -81,6 +87,16 @@
   expect(later.filter(({ answer }) => !answer.whole)).toEqual([]);
 }
 
+describe('a part that is in progress wherever a back end crashes', () => {
+  it('is not refused while answers with it go on, however long they take', async () => {
+    await startFleet('noHead', [DEADLY], SLOW_INTERVAL);
+    const sound = await play('/again/', [[FIRST_PART, DEADLY]]);
+    expect(fleet.sendsAfterFifthCrash(DEADLY)).toBeLessThanOrEqual(MAX_SENDS);
+    const refused = sound.filter(({ answer }) => answer.status === 503);
+    expect(refused.length).toBeLessThanOrEqual(sound.length / 20);
+  });
+});
+
 describe('a prompt part that crashes back ends', () => {
   it.each(CRASH_ENDINGS)('is sent at most three more times after its fifth crash (%s)', async (ending) => {
     await startFleet(ending);
--- a/test/systems/crashing-parts.test.ts
+++ b/test/systems/crashing-parts.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import type { PartUse } from '../../src/systems/crashing-parts.js';
-import { MAX_PARTS } from '../../src/systems/crashing-parts.js';
+import { MAX_PARTS, SETTLE_TIME } from '../../src/systems/crashing-parts.js';
 import { PoisonRequests, type RequestContent } from '../../src/systems/poison-requests.js';
 
 /** Time between two consecutive crashes, in milliseconds. */
@@ -32,13 +32,13 @@
   crash(uses: PartUse[], suspects: string[] = [], wait = APART): string[] {
     this.now += wait;
     this.poison.noteCrash({ backEnd: `b${++this.#crashes}`, at: this.now, suspects, parts: uses });
-    return this.poison.updateParts();
+    return this.poison.updateParts(this.now + SETTLE_TIME).map((group) => [...group].sort().join('+'));
   }
 
   serve(parts: string[] = []): string[] {
     this.now++;
     this.poison.noteRequestServed(contentOf(parts), this.now);
-    return this.poison.updateParts();
+    return this.poison.updateParts(this.now + SETTLE_TIME).map((group) => [...group].sort().join('+'));
   }
 
   serveMany(count: number, parts: string[] = []): string[] {
@@ -73,7 +73,35 @@
   it('is quarantined after five crashes in any case, with those that are always beside it', () => {
     const player = new Player();
     for (let crash = 0; crash < 4; crash++) expect(player.crash(usesOf(['deadly', 'beside']))).toEqual([]);
-    expect(player.crash(usesOf(['deadly', 'beside'])).sort()).toEqual(['beside', 'deadly']);
+    expect(player.crash(usesOf(['deadly', 'beside']))).toEqual(['beside+deadly']);
+    for (const sound of ['deadly', 'beside']) expect(player.decision([sound])).toBe('allowed');
+    expect(player.decision(['other', 'beside', 'deadly'])).toBe('quarantined');
+  });
+
+  it('is quarantined alone once it crashes back ends without a part that was always beside it', () => {
+    const player = new Player();
+    for (let crash = 0; crash < 5; crash++)
+      player.crash([...usesOf(['deadly', 'common']), ...usesOf(['common', `b${crash}`])]);
+    expect(player.decision(['deadly', 'common'])).toBe('quarantined');
+    expect(player.decision(['common', 'b'])).toBe('allowed');
+    expect(player.crash([...usesOf(['deadly', 'other']), ...usesOf(['common', 'b'])])).toEqual(['deadly']);
+    expect(player.decision(['common'])).toBe('allowed');
+  });
+
+  it('is not blamed for crashes of another cause, if it was always beside a deadly one', () => {
+    const player = new Player();
+    for (let crash = 0; crash < 5; crash++)
+      player.crash([...usesOf(['deadly', 'common']), ...usesOf(['common', `b${crash}`])]);
+    for (let crash = 0; crash < 2; crash++) expect(player.crash(usesOf(['common', 'c']))).toEqual([]);
+    expect(player.decision(['common', 'c'])).toBe('allowed');
+    expect(player.decision(['deadly', 'common'])).toBe('quarantined');
+  });
+
+  it('remains quarantined if a part beside it is cleared', () => {
+    const player = new Player();
+    for (let crash = 0; crash < 5; crash++) player.crash(usesOf(['common', 'deadly']));
+    player.serve(['common']);
+    expect(player.decision(['other', 'deadly'])).toBe('quarantined');
   });
 
   it('is cleared by a request that is served, at whatever entry', () => {
@@ -102,7 +130,7 @@
         suspects: [],
         parts: usesOf(['sound']),
       });
-    expect(player.poison.updateParts()).toEqual([]);
+    expect(player.poison.updateParts(player.now + SETTLE_TIME)).toEqual([]);
   });
 
   it('is not blamed for back ends that crash at the same moment, however many', () => {
@@ -141,9 +169,12 @@
   it('is quarantined at an entry that another one has told, and not by what it does not know', () => {
     const [one, other] = [new Player(), new Player()];
     one.quarantine();
-    for (const crash of one.poison.crashesOfQuarantined()) other.poison.noteCrash(crash);
-    other.poison.noteCrash({ backEnd: 'x', at: 0, suspects: [], quarantinedParts: ['unknown'] });
-    expect(other.poison.updateParts()).toEqual(['deadly']);
+    for (const crash of one.poison.crashesOfQuarantined()) {
+      other.poison.noteCrash(crash);
+      other.poison.confirmParts(crash.quarantinedParts ?? []);
+    }
+    expect(other.poison.confirmParts([['unknown']])).toEqual([]);
+    expect(other.poison.parts.quarantined).toEqual([['deadly']]);
     other.now = one.now;
     expect(other.decision(['deadly'])).toBe('quarantined');
     expect(other.decision(['unknown'])).toBe('allowed');
@@ -256,8 +287,8 @@
           }
           for (const { at, parts, isServed } of sequence)
             if (isServed) for (const one of parts) poison.acquit(one, at);
-          poison.updateParts();
-          return [...poison.parts.quarantined].sort();
+          poison.updateParts(Number.POSITIVE_INFINITY);
+          return poison.parts.quarantined.map((group) => [...group].sort().join('+')).sort();
         });
         expect(inAnyOrder).toEqual(inOrder);
       }),
