--- a/test/systems/crashing-parts.test.ts
+++ b/test/systems/crashing-parts.test.ts
@@ -88,6 +88,17 @@
     expect(player.decision(['common'])).toBe('allowed');
   });
 
+  it('is not blamed for a crash before all requests in progress at it are known', () => {
+    const player = new Player();
+    for (let crash = 0; crash < 4; crash++) player.crash(usesOf(['common', 'deadly']));
+    const { poison } = player;
+    const fifth = { backEnd: 'fifth', at: player.now + APART, suspects: [] };
+    poison.noteCrash({ ...fifth, parts: usesOf(['common', 'b']) });
+    expect(poison.updateParts(fifth.at + SETTLE_TIME / 2)).toEqual([]);
+    poison.noteCrash({ ...fifth, parts: usesOf(['common', 'deadly']) });
+    expect(poison.updateParts(fifth.at + SETTLE_TIME)).toEqual([['deadly', 'common']]);
+  });
+
   it('is not blamed for crashes of another cause, if it was always beside a deadly one', () => {
     const player = new Player();
     for (let crash = 0; crash < 5; crash++)
