Quarantine groups of prompt parts after four crashes, and tell tenants that crash back ends from those beside them

Four crashes are enough, as a group refuses only requests that have all of its parts.

A tenant whose request happened to be in progress beside that of a tenant which crashes back ends counted as involved, so that the part was refused to it too. Only tenants count that were alone with the group at some crash, if there are any. A group told by another entry is left out where its first part has been served since.

What compares parts moves to systems/part-groups.ts.

--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -6,7 +6,8 @@
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
 import type { PoisonUpdate } from '../protocol/poison-update.js';
-import { type PartGroup, SETTLE_TIME } from '../systems/crashing-parts.js';
+import { SETTLE_TIME } from '../systems/crashing-parts.js';
+import type { PartGroup } from '../systems/part-groups.js';
 import {
   type BackEndCrash,
   type PoisonDecision,
--- a/src/forwarding/prompt-parts.ts
+++ b/src/forwarding/prompt-parts.ts
@@ -3,7 +3,7 @@
  * requests, except the last one, which belongs to the request itself or to its session.
  */
 import { createHash } from 'node:crypto';
-import type { PromptPart } from '../systems/crashing-parts.js';
+import type { PromptPart } from '../systems/part-groups.js';
 
 /** Number of parts of one request that are considered, the first ones. */
 const MAX_PARTS = 32;
--- a/src/forwarding/quarantine-records.ts
+++ b/src/forwarding/quarantine-records.ts
@@ -17,7 +17,7 @@
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
-import type { PartUse, PromptPart } from '../systems/crashing-parts.js';
+import type { PartUse, PromptPart } from '../systems/part-groups.js';
 import { type BackEndCrash, type Fingerprint, keyOf } from '../systems/poison-requests.js';
 
 const TABLE = 'quarantine';
--- a/src/protocol/poison-update.ts
+++ b/src/protocol/poison-update.ts
@@ -1,4 +1,4 @@
-import type { PartGroup, PartUse, PromptPart } from '../systems/crashing-parts.js';
+import type { PartGroup, PartUse, PromptPart } from '../systems/part-groups.js';
 import type { Fingerprint } from '../systems/poison-requests.js';
 
 /**
--- a/src/systems/crashing-parts.ts
+++ b/src/systems/crashing-parts.ts
@@ -17,32 +17,22 @@
  *
  * Pure; times are in milliseconds of the monotonic clock.
  */
+import {
+  type Candidate,
+  countMoments,
+  explanatoryPower,
+  groupsOf,
+  hasAll,
+  includesAll,
+  isSameUse,
+  type PartGroup,
+  type PartsCrash,
+  type PartUse,
+  type PromptPart,
+  trialKeyOf,
+} from './part-groups.js';
 import type { TrialCounts } from './trial-counts.js';
 
-/** Identifies a prompt part of a service: see `forwarding/prompt-parts.ts`. */
-export type PromptPart = string;
-
-/** Prompt parts of a request that was in progress at a crash. */
-export interface PartUse {
-  /** Name of the tenant; empty for callers without one. */
-  tenant: string;
-  parts: PromptPart[];
-}
-
-/** A crash at which parts were in progress. */
-export interface PartsCrash {
-  at: number;
-  /** The requests, up to `MAX_PARTS` parts in all. */
-  readonly uses: PartUse[];
-  /** Tenants whose requests contained each part. Parts that have been served since are removed. */
-  readonly parts: Map<PromptPart, Set<string>>;
-  /** Value of the counter of served requests when the crash became known here. */
-  servedBefore: number;
-}
-
-/** Parts of which a request must have all to be refused. The first one is the most specific, and stands for the group. */
-export type PartGroup = readonly PromptPart[];
-
 /** Decision on a group of parts for one tenant. */
 export type PartDecision =
   | { type: 'allowed' }
@@ -55,9 +45,7 @@
 /** Number of requests without the part that must be served since its first crash, to rule out an outage of the service. */
 const SERVED_WITHOUT_PART = 5;
 /** Crashes for which a part is quarantined in any case, with the parts that all of its requests had there. */
-const CRASHES_TO_QUARANTINE = 5;
-/** Crashes within this time of one another count once, in milliseconds. */
-const SAME_MOMENT = 30;
+const CRASHES_TO_QUARANTINE = 4;
 /**
  * Time after which all requests in progress at a crash are known, in milliseconds: other entries report theirs within 30 ms. Before, a
  * shared part may seem to explain a crash because the request with the deadly one is not known yet.
@@ -77,13 +65,6 @@
 const MAX_ACQUITTED = 1_000;
 const ALLOWED: PartDecision = { type: 'allowed' };
 
-/** A part with the crashes that no quarantined group explains. */
-interface Candidate {
-  part: PromptPart;
-  crashes: ReadonlySet<PartsCrash>;
-  moments: number;
-}
-
 /** One entry's view of the prompt parts that crash back ends. */
 export class CrashingParts {
   readonly #placeOf: (part: PromptPart) => number;
@@ -142,16 +123,17 @@
   noteCrash(crash: PartsCrash, uses: readonly PartUse[]): void {
     let size = crash.uses.reduce((sum, { parts }) => sum + parts.length, 0);
     for (const use of uses) {
+      if (crash.uses.some((known) => isSameUse(known, use))) continue;
       size += use.parts.length;
       if (size > MAX_PARTS) return;
-      if (crash.uses.some((known) => isSameUse(known, use))) continue;
       crash.uses.push(use);
-      for (const part of use.parts) this.#add(crash, part, use.tenant);
+      for (const part of use.parts) this.#add(crash, part);
     }
   }
 
   /** Another entry has quarantined the group. Parts that are not suspect here have been served since. */
   confirm(group: PartGroup): PartGroup | undefined {
+    if (!this.isSuspect(trialKeyOf(group))) return undefined;
     return this.#quarantine(group.filter((part) => this.isSuspect(part)));
   }
 
@@ -175,7 +157,7 @@
 
   /** Discards a crash. */
   forget(crash: PartsCrash): void {
-    for (const part of [...crash.parts.keys()]) this.#remove(crash, part);
+    for (const part of [...crash.parts]) this.#remove(crash, part);
   }
 
   /** Quarantines the groups that explain crashes older than `SETTLE_TIME`; returns those that are new. */
@@ -214,10 +196,16 @@
     return now < retryAt ? { type: 'quarantined', retryAfter: retryAt - now } : { type: 'trial' };
   }
 
-  /** Tenants whose requests with all parts of the group were in progress at its crashes. */
+  /**
+   * Tenants whose requests with all parts of the group may have caused its crashes. Where requests of several tenants were in
+   * progress at a crash, one that caused other crashes by itself may have caused this one too.
+   */
   tenantsOf(group: PartGroup): Set<string> {
-    const uses = this.#commonCrashesOf(group).flatMap((crash) => crash.uses);
-    return new Set(uses.filter((use) => hasAll(use, group)).map(({ tenant }) => tenant));
+    const byCrash = this.#commonCrashesOf(group).map(
+      ({ uses }) => new Set(uses.filter((use) => hasAll(use, group)).map(({ tenant }) => tenant)),
+    );
+    const alone = byCrash.filter(({ size }) => size === 1);
+    return new Set((alone.length > 0 ? alone : byCrash).flatMap((tenants) => [...tenants]));
   }
 
   /** Number of crashes at which all parts of the group were in progress. */
@@ -225,10 +213,10 @@
     return this.#commonCrashesOf(group).length;
   }
 
-  #add(crash: PartsCrash, part: PromptPart, tenant: string): void {
+  #add(crash: PartsCrash, part: PromptPart): void {
     if (crash.at <= (this.#acquittedAt.get(part) ?? Number.NEGATIVE_INFINITY)) return;
     this.#latestAt = Math.max(this.#latestAt, crash.at);
-    crash.parts.set(part, (crash.parts.get(part) ?? new Set()).add(tenant));
+    crash.parts.add(part);
     const crashes = this.#crashesByPart.get(part) ?? new Set();
     this.#crashesByPart.set(part, crashes.add(crash));
     if (crashes.size >= CRASHES_TO_SUSPECT) this.#compared.add(part);
@@ -327,60 +315,3 @@
     return this.#served - servedBefore >= SERVED_WITHOUT_PART;
   }
 }
-
-/** Key under which the trials of a group are counted. */
-export function trialKeyOf(group: PartGroup): string {
-  return group[0];
-}
-
-/** Highest for a part that explains many crashes by few requests: shared parts are in most of the requests in progress. */
-function explanatoryPower({ part, crashes }: Candidate): number {
-  const uses = [...crashes].flatMap((crash) => crash.uses.filter(({ parts }) => parts.includes(part)));
-  return crashes.size ** 2 / uses.length;
-}
-
-/**
- * The groups that explain the same crashes: the parts that are in the fewest requests, each with the parts that all
- * requests with it have.
- */
-function groupsOf(candidates: readonly Candidate[], crashes: ReadonlySet<PartsCrash>): PartGroup[] {
-  const uses = [...crashes].flatMap((crash) => crash.uses);
-  const present = candidates.filter((one) => includesAll(one.crashes, crashes)).map(({ part }) => part);
-  const isInAllWith = (other: PromptPart, part: PromptPart) =>
-    uses.every(({ parts }) => !parts.includes(part) || parts.includes(other));
-  const isSpecific = (part: PromptPart) =>
-    present.every((other) => !isInAllWith(part, other) || isInAllWith(other, part));
-  const groups = candidates
-    .filter((one) => one.crashes.size === crashes.size && present.includes(one.part) && isSpecific(one.part))
-    .map(({ part }) => part)
-    .map((part) => [part, ...present.filter((other) => other !== part && isInAllWith(other, part))]);
-  // Parts that are always in the same requests have the same group.
-  return groups.filter(([part], index) => groups.findIndex((group) => group.includes(part)) === index);
-}
-
-function hasAll({ parts }: PartUse, group: PartGroup): boolean {
-  return group.every((part) => parts.includes(part));
-}
-
-function isSameUse(one: PartUse, other: PartUse): boolean {
-  if (one.tenant !== other.tenant || one.parts.length !== other.parts.length) return false;
-  return one.parts.every((part, index) => part === other.parts[index]);
-}
-
-function includesAll(all: ReadonlySet<PartsCrash>, some: ReadonlySet<PartsCrash>): boolean {
-  if (all.size < some.size) return false;
-  for (const crash of some) if (!all.has(crash)) return false;
-  return true;
-}
-
-/** Number of crashes, of which those within `SAME_MOMENT` of the first of them count once. */
-function countMoments(crashes: ReadonlySet<PartsCrash>): number {
-  let moments = 0;
-  let momentAt = Number.NEGATIVE_INFINITY;
-  for (const at of [...crashes].map((crash) => crash.at).sort((one, other) => one - other)) {
-    if (at - momentAt < SAME_MOMENT) continue;
-    momentAt = at;
-    moments++;
-  }
-  return moments;
-}
--- a/src/systems/poison-requests.ts
+++ b/src/systems/poison-requests.ts
@@ -28,13 +28,8 @@
  * ```
  */
 import { isSameStart } from '../model/back-end-identity.js';
-import {
-  CrashingParts,
-  type PartGroup,
-  type PartUse,
-  type PromptPart,
-  trialKeyOf,
-} from './crashing-parts.js';
+import { CrashingParts } from './crashing-parts.js';
+import { type PartGroup, type PartUse, type PromptPart, trialKeyOf } from './part-groups.js';
 import { TrialCounts } from './trial-counts.js';
 
 /** Identifies the content of a request: see `forwarding/request-fingerprint.ts`. */
@@ -107,7 +102,7 @@
   isPartOfWave: boolean;
   suspects: Set<Fingerprint>;
   uses: PartUse[];
-  parts: Map<PromptPart, Set<string>>;
+  parts: Set<PromptPart>;
   servedBefore: number;
 }
 
@@ -290,7 +285,7 @@
       isPartOfWave: sameMoment.length > 0,
       suspects: new Set(),
       uses: [],
-      parts: new Map(),
+      parts: new Set(),
       servedBefore: this.#parts.served,
     };
     this.#crashes.set(keyOf(crash), crash);
--- a/test/systems/crashing-parts.test.ts
+++ b/test/systems/crashing-parts.test.ts
@@ -1,8 +1,8 @@
 /** Tests that prompt parts that crash back ends are distinguished from those that merely ran beside them. */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import type { PartUse } from '../../src/systems/crashing-parts.js';
 import { MAX_PARTS, SETTLE_TIME } from '../../src/systems/crashing-parts.js';
+import type { PartUse } from '../../src/systems/part-groups.js';
 import { PoisonRequests, type RequestContent } from '../../src/systems/poison-requests.js';
 
 /** Time between two consecutive crashes, in milliseconds. */
@@ -51,9 +51,9 @@
 
   /** Brings `deadly` into quarantine for the tenants `one` and `two`. */
   quarantine(): this {
-    this.crash([...usesOf(['deadly']), ...usesOf(['deadly'], 'two')]);
-    this.serveMany(ENOUGH_SERVED);
     this.crash(usesOf(['deadly']));
+    this.serveMany(ENOUGH_SERVED);
+    this.crash(usesOf(['deadly'], 'two'));
     this.crash(usesOf(['deadly']));
     expect(this.decision(['deadly'])).toBe('quarantined');
     return this;
@@ -70,9 +70,9 @@
     expect(player.decision(['common', 'deadly'])).toBe('quarantined');
   });
 
-  it('is quarantined after five crashes in any case, with those that are always beside it', () => {
+  it('is quarantined after four crashes in any case, with those that are always beside it', () => {
     const player = new Player();
-    for (let crash = 0; crash < 4; crash++) expect(player.crash(usesOf(['deadly', 'beside']))).toEqual([]);
+    for (let crash = 0; crash < 3; crash++) expect(player.crash(usesOf(['deadly', 'beside']))).toEqual([]);
     expect(player.crash(usesOf(['deadly', 'beside']))).toEqual(['beside+deadly']);
     for (const sound of ['deadly', 'beside']) expect(player.decision([sound])).toBe('allowed');
     expect(player.decision(['other', 'beside', 'deadly'])).toBe('quarantined');
@@ -80,7 +80,7 @@
 
   it('is quarantined alone once it crashes back ends without a part that was always beside it', () => {
     const player = new Player();
-    for (let crash = 0; crash < 5; crash++)
+    for (let crash = 0; crash < 4; crash++)
       player.crash([...usesOf(['deadly', 'common']), ...usesOf(['common', `b${crash}`])]);
     expect(player.decision(['deadly', 'common'])).toBe('quarantined');
     expect(player.decision(['common', 'b'])).toBe('allowed');
@@ -90,18 +90,18 @@
 
   it('is not blamed for a crash before all requests in progress at it are known', () => {
     const player = new Player();
-    for (let crash = 0; crash < 4; crash++) player.crash(usesOf(['common', 'deadly']));
+    for (let crash = 0; crash < 3; crash++) player.crash(usesOf(['common', 'deadly']));
     const { poison } = player;
-    const fifth = { backEnd: 'fifth', at: player.now + APART, suspects: [] };
-    poison.noteCrash({ ...fifth, parts: usesOf(['common', 'b']) });
-    expect(poison.updateParts(fifth.at + SETTLE_TIME / 2)).toEqual([]);
-    poison.noteCrash({ ...fifth, parts: usesOf(['common', 'deadly']) });
-    expect(poison.updateParts(fifth.at + SETTLE_TIME)).toEqual([['deadly', 'common']]);
+    const latest = { backEnd: 'latest', at: player.now + APART, suspects: [] };
+    poison.noteCrash({ ...latest, parts: usesOf(['common', 'b']) });
+    expect(poison.updateParts(latest.at + SETTLE_TIME / 2)).toEqual([]);
+    poison.noteCrash({ ...latest, parts: usesOf(['common', 'deadly']) });
+    expect(poison.updateParts(latest.at + SETTLE_TIME)).toEqual([['deadly', 'common']]);
   });
 
   it('is not blamed for crashes of another cause, if it was always beside a deadly one', () => {
     const player = new Player();
-    for (let crash = 0; crash < 5; crash++)
+    for (let crash = 0; crash < 4; crash++)
       player.crash([...usesOf(['deadly', 'common']), ...usesOf(['common', `b${crash}`])]);
     for (let crash = 0; crash < 2; crash++) expect(player.crash(usesOf(['common', 'c']))).toEqual([]);
     expect(player.decision(['common', 'c'])).toBe('allowed');
@@ -110,23 +110,23 @@
 
   it('remains quarantined if a part beside it is cleared', () => {
     const player = new Player();
-    for (let crash = 0; crash < 5; crash++) player.crash(usesOf(['common', 'deadly']));
+    for (let crash = 0; crash < 4; crash++) player.crash(usesOf(['common', 'deadly']));
     player.serve(['common']);
     expect(player.decision(['other', 'deadly'])).toBe('quarantined');
   });
 
   it('is cleared by a request that is served, at whatever entry', () => {
     const player = new Player();
-    for (let crash = 0; crash < 4; crash++) player.crash(usesOf(['common']));
+    for (let crash = 0; crash < 3; crash++) player.crash(usesOf(['common']));
     player.poison.acquit('common', player.now);
-    for (let crash = 0; crash < 4; crash++) expect(player.crash(usesOf(['common']))).toEqual([]);
+    for (let crash = 0; crash < 3; crash++) expect(player.crash(usesOf(['common']))).toEqual([]);
   });
 
   it('is not cleared of a crash by a request that was served before it', () => {
     const player = new Player();
     player.crash(usesOf(['deadly']));
     expect(player.poison.acquit('deadly', player.now - 1)).toBe(false);
-    for (let crash = 0; crash < 3; crash++) player.crash(usesOf(['deadly']));
+    for (let crash = 0; crash < 2; crash++) player.crash(usesOf(['deadly']));
     expect(player.crash(usesOf(['deadly']))).toEqual(['deadly']);
   });
 
@@ -153,7 +153,7 @@
 
   it('is not blamed for an outage in which nothing is served', () => {
     const player = new Player();
-    for (let crash = 0; crash < 4; crash++)
+    for (let crash = 0; crash < 3; crash++)
       expect(player.crash(usesOf(['common', `rare${crash}`]))).toEqual([]);
     expect(player.decision(['common'])).toBe('allowed');
   });
@@ -237,9 +237,17 @@
     expect(player.decision(['of the other'], 'other')).toBe('allowed');
   });
 
+  it('has only its own requests refused if one of the other one was in progress beside them', () => {
+    const player = new Player();
+    for (let crash = 0; crash < 4; crash++) player.crash(usesOf(['of the other'], 'attacker'));
+    player.crash([...usesOf(['of the other'], 'attacker'), ...usesOf(['of the other'], 'other')]);
+    expect(player.decision(['of the other'], 'attacker')).toBe('quarantined');
+    expect(player.decision(['of the other'], 'other')).toBe('allowed');
+  });
+
   it('has the part refused to all once requests of a second tenant with it crash back ends', () => {
     const player = new Player();
-    for (let crash = 0; crash < 5; crash++) player.crash(usesOf(['deadly'], 'one'));
+    for (let crash = 0; crash < 4; crash++) player.crash(usesOf(['deadly'], 'one'));
     expect(player.decision(['deadly'], 'three')).toBe('allowed');
     player.crash(usesOf(['deadly'], 'two'));
     expect(player.decision(['deadly'], 'three')).toBe('quarantined');
@@ -247,8 +255,8 @@
 
   it('cannot do so longer than until the other one’s trial, with an accomplice', () => {
     const player = new Player();
-    for (let crash = 0; crash < 5; crash++)
-      player.crash([...usesOf(['of the other'], 'attacker'), ...usesOf(['of the other'], 'accomplice')]);
+    for (const tenant of ['attacker', 'accomplice', 'attacker', 'accomplice'])
+      player.crash(usesOf(['of the other'], tenant));
     player.now += FIRST_TRIAL;
     // The attackers make the first trial, and crash one more back end.
     expect(player.decision(['of the other'], 'attacker')).toBe('trial');
