Check requests in progress only where a crash brings a new quarantine

Every crash that another entry told made this one compute the content of each request in progress, as the list of quarantined parts is always sent.

--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -92,7 +92,7 @@
       },
       {
         name: 'poison_parts_quarantined',
-        help: 'Prompt parts in quarantine now',
+        help: 'Groups of prompt parts in quarantine now',
         read: () => this.#requests.parts.quarantined.length,
       },
       {
@@ -240,9 +240,10 @@
     this.#counts.quarantined += quarantined.length;
     for (const fingerprint of quarantined)
       this.#log.warn('content quarantined', { fingerprint, backEnd: crash.backEnd });
-    this.#noteQuarantinedParts(this.#requests.confirmParts(crash.quarantinedParts ?? []), true);
+    const told = this.#requests.confirmParts(crash.quarantinedParts ?? []);
+    this.#noteQuarantinedParts(told, true);
     this.#updateTimer ??= setTimeout(() => this.#updateParts(), SETTLE_TIME).unref();
-    if (quarantined.length > 0 || crash.quarantinedParts !== undefined) this.onQuarantined();
+    if (quarantined.length + told.length > 0) this.onQuarantined();
   }
 
   /**
