Tests: the late close of an earlier connection does not count as that of the current one

Traced: the connection of the previous test, destroyed at its end, emitted its close after the next one had been opened, and set the flag that both tests share. Each connection now reports only its own close; what is checked stays.

--- a/test/forwarding/answer-cut-by-connection.test.ts
+++ b/test/forwarding/answer-cut-by-connection.test.ts
@@ -74,18 +74,20 @@
   await forwarding.start(CONFIGURATION);
   forwarding.list(['one', backEnd]);
   const [host, port] = forwarding.address.split(':');
-  caller = connect({ host, port: Number(port), allowHalfOpen: true });
+  const opened = connect({ host, port: Number(port), allowHalfOpen: true });
+  caller = opened;
   received = '';
   isClosed = false;
-  caller.on('data', (bytes) => {
+  opened.on('data', (bytes) => {
     received += bytes.toString('latin1');
   });
-  caller.on('error', () => {});
-  caller.on('close', () => {
-    isClosed = true;
+  opened.on('error', () => {});
+  // The connection of the previous test may close only now.
+  opened.on('close', () => {
+    if (opened === caller) isClosed = true;
   });
-  caller.on('end', () => caller.end());
-  await new Promise<void>((resolve) => caller.once('connect', resolve));
+  opened.on('end', () => opened.end());
+  await new Promise<void>((resolve) => opened.once('connect', resolve));
 });
 
 afterEach(async () => {
--- a/test/server/answer-cut-by-connection.test.ts
+++ b/test/server/answer-cut-by-connection.test.ts
@@ -23,13 +23,15 @@
   const [host, port] = address.split(':');
   received = '';
   isClosed = false;
-  caller = connect(Number(port), host);
-  caller.on('data', (bytes) => {
+  const opened = connect(Number(port), host);
+  caller = opened;
+  opened.on('data', (bytes) => {
     received += bytes.toString('latin1');
   });
-  caller.on('error', () => {});
-  caller.on('close', () => {
-    isClosed = true;
+  opened.on('error', () => {});
+  // The connection of the previous test may close only now.
+  opened.on('close', () => {
+    if (opened === caller) isClosed = true;
   });
 }
 
