--- a/test/forwarding/crashing-prompt-part.test.ts
+++ b/test/forwarding/crashing-prompt-part.test.ts
@@ -1,7 +1,6 @@
 /**
- * Guards against prompt parts that crash each back end which begins to answer a request with them. No two of these requests are
- * alike, so that the quarantine of whole contents never applied: 39 and 65 back ends crashed in two series, and
- * up to 35 requests were sent after the fifth crash.
+ * Guards against prompt parts that crash each back end which begins to answer a request with them: no two of these requests are
+ * alike, so that the quarantine of whole contents never applies.
  */
 import { afterEach, describe, expect, it } from 'vitest';
 import type { BackEndRecord } from '../../src/protocol/back-end-list-state.js';
