Log and count what back ends state in their answers: that they leave, and a back-off time

Change: AnswerNotices reads both headers beside the rate limit, which ForwardedRequest read before. A line tells of the first answer by which a start of a back end leaves, and of each back-off that begins; counters tell of answers, malformed times and requests that are sent during a back-off; a gauge tells of back ends that back off. No logic is changed.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -35,7 +35,6 @@
 import { errorResponseOf, type ForwardingError } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import { OpenAttempts } from './open-attempts.js';
-import { readRateLimit } from './rate-limit-notice.js';
 import { holdOutcomeOf, outcomeOfEnding, type RequestEnding } from './request-ending.js';
 import { contentOf } from './request-fingerprint.js';
 import { RequestLog } from './request-log.js';
@@ -284,8 +283,9 @@
     // An open attempt at this back end is on a silent connection; the new attempt uses another connection.
     this.#openAttempts.abortAt(row, 'silent connection');
     this.#policy.noteSent(row);
-    const { limits } = this.#components;
+    const { limits, backoffs } = this.#components;
     limits.noteSent(row.record, claim !== undefined);
+    backoffs.noteSent(row.record, performance.now());
     this.#log.note('sent', {
       send: this.#policy.sends,
       backEnd: row.record.id,
@@ -392,14 +392,9 @@
     return headersToSend(this.#request, this.#admitted, attempt, this.#components, performance.now());
   }
 
-  #onAnswer({ row, attempt, claim }: BackEndUse, { status, headers, isRefusal }: AnswerSummary): void {
-    const notice = readRateLimit(headers[this.#components.names.rateLimit]);
-    const mayLift = !isRefusal && status < INTERNAL_ERROR;
-    const observation = { backEnd: row.record, notice, sentAt: attempt.startedAt, mayLift };
-    this.#components.limits.noteAnswer(observation, performance.now());
-    this.#content.noteAnswering(row, attempt.startedAt);
-    if (notice.type === 'named') claim?.noteAnswer(notice.rate);
-    else if (notice.type === 'absent' && mayLift) claim?.noteAnswer(undefined);
+  #onAnswer(use: BackEndUse, answer: AnswerSummary): void {
+    this.#components.notices.apply(use, answer);
+    this.#content.noteAnswering(use.row, use.attempt.startedAt);
   }
 
   #onHead(use: BackEndUse, head: AnswerHead): void {
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -14,6 +14,8 @@
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
+import { AnswerNotices } from './answer-notices.js';
+import type { BackEndBackoffs } from './back-end-backoffs.js';
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
@@ -58,6 +60,8 @@
   fleet: FleetView;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  backoffs: BackEndBackoffs;
+  notices: AnswerNotices;
   permits: DirectPermits;
   selector: BackEndSelector;
   slots: EngineSlots;
@@ -95,7 +99,7 @@
     address: string,
     components: Omit<
       ForwardingComponents,
-      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics'
+      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices'
     >,
     metrics: Metrics,
   ) {
@@ -106,6 +110,7 @@
       expiryFigures: new VersionExpiryFigures(metrics),
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
+      notices: new AnswerNotices({ ...components, metrics }),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
     components.poison.onQuarantined = () => {
--- a/src/forwarding/header-names.ts
+++ b/src/forwarding/header-names.ts
@@ -22,6 +22,8 @@
   servedVersion: string;
   /** Requests per second that the answering back end accepts from all entries together; absent if it has no limit. */
   rateLimit: string;
+  /** Present with the value 1 in each answer of a back end that is leaving. */
+  leaving: string;
   /** Number of prompt tokens and maximum number of answer tokens, separated by a comma. */
   tokenCounts: string;
   /** The parts of the prompt in order, as ID:TOKENS, separated by commas; the last one belongs to the request alone. */
@@ -30,6 +32,8 @@
 
 /** Id of the event after which a stream resumes, as defined for server-sent events. */
 export const LAST_EVENT_ID = 'last-event-id';
+/** Time after which a refused request may be sent again, in seconds, as defined for HTTP. */
+export const RETRY_AFTER = 'retry-after';
 
 /** Hop-by-hop headers. */
 const CONNECTION_HEADERS = new Set([
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -1,4 +1,5 @@
 import { sleep } from '../fleet/table-follower.js';
+import { BackEndBackoffs } from '../forwarding/back-end-backoffs.js';
 import { BackEndLimits } from '../forwarding/back-end-limits.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
 import type { EngineNews } from '../forwarding/back-end-table.js';
@@ -50,6 +51,7 @@
   readonly #forwarding: ForwardingServer;
   readonly #poison: PoisonGuard;
   readonly #limits: BackEndLimits;
+  readonly #backoffs: BackEndBackoffs;
   readonly #permits: DirectPermits;
   readonly #parts: StartableGroup;
   readonly #retryBudgets = new Map<string, RetryWindow>();
@@ -81,6 +83,7 @@
     });
     this.#poison.onNews = (news) => this.#peers.broadcastNews({ type: 'poisonNews', news: [news] });
     this.#limits = new BackEndLimits(log, metrics);
+    this.#backoffs = new BackEndBackoffs(log, metrics);
     this.#permits = new DirectPermits({
       tables: components.tables,
       clock: fleet.clock,
@@ -167,6 +170,7 @@
         fleet,
         backEnds,
         limits: this.#limits,
+        backoffs: this.#backoffs,
         permits: this.#permits,
         selector: this.#createSelector(),
         slots: this.#slots,
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -4,6 +4,7 @@
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
+import { BackEndBackoffs } from '../../src/forwarding/back-end-backoffs.js';
 import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import { BackEndTable, type EngineNews } from '../../src/forwarding/back-end-table.js';
@@ -32,6 +33,7 @@
   notRun: 'x-not-run',
   servedVersion: 'x-version',
   rateLimit: 'x-rate-limit',
+  leaving: 'x-leaving',
   tokenCounts: 'x-tokens',
   promptParts: 'x-parts',
 };
@@ -95,6 +97,7 @@
     const { fleet, backEnds, budget } = this;
     const random = seededRandom(7);
     const limits = new BackEndLimits(this.log, this.metrics);
+    const backoffs = new BackEndBackoffs(this.log, this.metrics);
     const permits = new DirectPermits({
       tables: this.store,
       clock: fleet.clock,
@@ -132,6 +135,7 @@
         fleet,
         backEnds,
         limits,
+        backoffs,
         permits,
         selector,
         slots: this.slots,
