--- /dev/null
+++ b/test/forwarding/leaving-back-end.test.ts
@@ -0,0 +1,52 @@
+/** Guards against requests to a back end that has stated in an answer that it is leaving while the store does not say so. */
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { ForwardingHarness } from './forwarding-harness.js';
+import { routeNamed } from './routes.js';
+import { reply, StandInBackEnd } from './stand-in-back-end.js';
+
+const CONFIGURATION = {
+  revision: 1,
+  routes: [routeNamed('read')],
+  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
+  origin: undefined,
+  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
+  tenants: undefined,
+};
+const LEAVING = { 'x-leaving': '1' };
+/** Requests enough that each of two eligible back ends gets some of them. */
+const MANY = 30;
+
+let leaving: StandInBackEnd;
+let staying: StandInBackEnd;
+let forwarding: ForwardingHarness;
+
+beforeEach(async () => {
+  leaving = await new StandInBackEnd(reply(200, 'leaving', LEAVING)).start();
+  staying = await new StandInBackEnd(reply(200, 'staying')).start();
+  forwarding = new ForwardingHarness('billing');
+  await forwarding.start(CONFIGURATION);
+});
+
+afterEach(async () => {
+  await forwarding.stop();
+  await Promise.all([leaving.stop(), staying.stop()]);
+});
+
+async function sendMany(): Promise<Set<string>> {
+  const answers: string[] = [];
+  for (let sent = 0; sent < MANY; sent++) answers.push((await forwarding.send('/read/')).body);
+  return new Set(answers);
+}
+
+it('a back end that has stated in an answer that it is leaving gets no more requests, whatever the list says', async () => {
+  forwarding.list(['one', leaving, { start: 100 }]);
+  expect((await forwarding.send('/read/')).body).toBe('leaving');
+  forwarding.list(['one', leaving, { start: 100 }], ['two', staying]);
+  expect(await sendMany()).toEqual(new Set(['staying']));
+  forwarding.list(['two', staying]);
+  forwarding.list(['one', leaving, { start: 100 }], ['two', staying]);
+  expect(await sendMany()).toEqual(new Set(['staying']));
+  expect(leaving.requests).toHaveLength(1);
+  forwarding.list(['one', leaving, { start: 200 }], ['two', staying]);
+  expect(await sendMany()).toContain('leaving');
+});
