Keep the back-off times that back ends ask for, and use what they leave for callers who would be refused

Change: BackEndBackoffs keeps the latest end by id and start, beside the rows, for this process alone. Selection passes over a back end that backs off, whatever sends: searches, granted slots, second attempts, moved streams, probes of suspended back ends and trials all go through it. A search that waits for a slot of such an engine asks another agent; an attempt whose connection opens only then is withdrawn unsent. After the end one request is sent first, and the others once it is answered. Where all back ends of a service back off, the two requests that the users' rules allow in each back-off go to callers who would be refused otherwise; others wait for the end if that is in their time and such waits have not failed lately, and are refused at once with the time that is left if not, also beyond the 2 s at which estimates are cut off. Withdrawn attempts count for expired versions only if that is why they were withdrawn.

--- a/src/forwarding/answer-notices.ts
+++ b/src/forwarding/answer-notices.ts
@@ -48,7 +48,7 @@
   apply(use: BackEndUse, answer: AnswerSummary): void {
     const now = performance.now();
     this.#applyRateLimit(use, answer, now);
-    this.#applyBackoff(use.row.record, answer, now);
+    this.#applyBackoff(use, answer, now);
     if (isLeaving(answer.headers[this.#options.names.leaving])) this.#noteLeaving(use.row.record);
   }
 
@@ -61,9 +61,9 @@
     else if (notice.type === 'absent' && mayLift) claim?.noteAnswer(undefined);
   }
 
-  #applyBackoff(backEnd: BackEndIdentity, { status, headers }: AnswerSummary, now: number): void {
-    if (status !== SERVICE_UNAVAILABLE) return;
-    this.#options.backoffs.noteRefusal(backEnd, readRetryAfter(headers[RETRY_AFTER]), now);
+  #applyBackoff({ row, attempt }: BackEndUse, { status, headers }: AnswerSummary, now: number): void {
+    const header = status === SERVICE_UNAVAILABLE ? headers[RETRY_AFTER] : undefined;
+    this.#options.backoffs.noteAnswer(row.record, readRetryAfter(header), attempt.startedAt, now);
   }
 
   #noteLeaving(backEnd: BackEndIdentity): void {
--- a/src/forwarding/attempt-watch.ts
+++ b/src/forwarding/attempt-watch.ts
@@ -9,6 +9,8 @@
 import { healthOutcomeAtTimeout } from './request-outcome.js';
 import { type Silence, silenceOf } from './silence.js';
 
+/** Reason of attempts that are withdrawn because the version at their back end is about to expire. */
+export const VERSION_EXPIRES = 'version expires';
 /** Timeout for opening a new connection, in milliseconds. */
 const CONNECT_TIMEOUT = 400;
 
@@ -46,7 +48,7 @@
   /** Checks one attempt: ends it if it must not continue, and records it if it is silent. */
   check(use: BackEndUse, now: number, standstills: StallDetector): void {
     // Checked first: otherwise an attempt that cannot be sent again could begin on an expired version.
-    if (this.#mustNotBegin(use, now)) return use.attempt.withdraw('version expires');
+    if (this.#mustNotBegin(use, now)) return use.attempt.withdraw(VERSION_EXPIRES);
     const { attempt } = use;
     this.#request.completionEstimate.noteProgress(attempt, now);
     if (!attempt.sent) {
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -60,6 +60,11 @@
 
 /** Receives the events of an attempt; the last one is `onEnd` or `onFailure`. */
 export interface AttemptListener {
+  /**
+   * Whether the request may still be sent, now that a connection is open for it: this may have taken some time. If not, the
+   * attempt is withdrawn.
+   */
+  maySend(): boolean;
   /** The back end has answered this request, possibly with a refusal; called before `onHead` or `onFailure`. */
   onAnswer(answer: AnswerSummary): void;
   onHead(head: AnswerHead): void;
@@ -152,6 +157,7 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (!this.#ended && !this.#listener.maySend()) this.withdraw('back end no longer available');
     if (this.#ended) return controller.abort(new Error('aborted before it was sent'));
     this.#controller = controller;
   }
--- a/src/forwarding/back-end-backoffs.ts
+++ b/src/forwarding/back-end-backoffs.ts
@@ -1,19 +1,31 @@
 /**
  * Tracks the back-off times of back ends: one that refuses a request may state for how long it wants no further request from
- * this process. Times are in milliseconds of the monotonic clock.
+ * this process. It then gets none, but for `MAX_SENDS` requests that no other back end can take. After the back-off it gets a
+ * single request as a probe, and others once that is answered without another back-off: requests that were waiting would
+ * overload it again if they were sent all at once.
+ *
+ * A back-off belongs to one start of a back end and outlasts the removal of its record. It applies to this process only, so
+ * other processes are not told of it. Times are in milliseconds of the monotonic clock.
  */
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
 import type { RetryAfterNotice } from './retry-after-notice.js';
 
+/** Requests that may be sent to a back end during one back-off, as the users' rules allow. */
+const MAX_SENDS = 2;
 /** Back-offs that ended this long ago are discarded, in milliseconds. */
 const RETENTION = 60_000;
 
 /** The back-off of one start of a back end. */
 interface Backoff {
   start: BackEndIdentity['start'];
+  /** The latest end of all times for which it has asked. */
   endsAt: number;
+  /** Number of requests sent to it since it first asked. */
+  sends: number;
+  /** The first request sent after the end, while it is unanswered. */
+  probe: object | undefined;
 }
 
 /** The back-off times that back ends have requested from this process. */
@@ -51,36 +63,77 @@
     return Math.max(0, (this.#find(backEnd)?.endsAt ?? 0) - now);
   }
 
-  /** A request is sent to a back end. */
-  noteSent(backEnd: BackEndIdentity, now: number): void {
-    if (this.timeLeft(backEnd, now) > 0) this.#sendsDuringBackoff++;
+  /** Whether the request that was sent first after the back-off is unanswered. */
+  isProbed(backEnd: BackEndIdentity): boolean {
+    return this.#find(backEnd)?.probe !== undefined;
   }
 
-  /** A back end has refused a request with this header; of several back-off times the one that ends last applies. */
-  noteRefusal(backEnd: BackEndIdentity, notice: RetryAfterNotice, now: number): void {
-    const { id, start } = backEnd;
-    if (notice.type === 'absent') return;
-    if (notice.type === 'malformed') {
-      this.#counts.malformed++;
-      this.#log.warn('back-off time malformed', { backEnd: id, text: notice.text });
+  /**
+   * Whether a request may be sent to a back end now.
+   * @param isLastResort - whether no other back end can take the request
+   */
+  admits(backEnd: BackEndIdentity, now: number, isLastResort: boolean): boolean {
+    const backoff = this.#find(backEnd);
+    if (backoff === undefined) return true;
+    if (now < backoff.endsAt) return isLastResort && backoff.sends < MAX_SENDS;
+    return backoff.probe === undefined;
+  }
+
+  /** An attempt is sent to a back end. */
+  noteSent(backEnd: BackEndIdentity, attempt: object, now: number): void {
+    const backoff = this.#find(backEnd);
+    if (backoff === undefined) return;
+    if (now >= backoff.endsAt) {
+      backoff.probe = attempt;
       return;
     }
-    this.#counts.requested++;
-    const isNew = this.timeLeft(backEnd, now) === 0;
-    this.#extend(backEnd, now + notice.milliseconds, now);
-    if (isNew)
-      this.#log.info('back end backs off', { backEnd: id, start, milliseconds: notice.milliseconds });
+    backoff.sends++;
+    this.#sendsDuringBackoff++;
+  }
+
+  /**
+   * A back end has answered a request that was sent at `sentAt`, with this `Retry-After` if the answer was a 503. The back-off
+   * that ends last applies. One that has ended is over if the answer asks for no other.
+   */
+  noteAnswer(backEnd: BackEndIdentity, notice: RetryAfterNotice, sentAt: number, now: number): void {
+    if (notice.type === 'malformed') this.#noteMalformed(backEnd, notice.text);
+    if (notice.type === 'requested' && notice.milliseconds > 0)
+      return this.#noteRequested(backEnd, notice.milliseconds, now);
+    const backoff = this.#find(backEnd);
+    if (backoff !== undefined && sentAt >= backoff.endsAt) this.#remove(backEnd.id, backoff);
+  }
+
+  /** An attempt has ended, answered or not. */
+  noteEnded(backEnd: BackEndIdentity, attempt: object): void {
+    const backoff = this.#find(backEnd);
+    if (backoff?.probe === attempt) backoff.probe = undefined;
+  }
+
+  #noteMalformed({ id }: BackEndIdentity, text: string): void {
+    this.#counts.malformed++;
+    this.#log.warn('back-off time malformed', { backEnd: id, text });
   }
 
-  #extend(backEnd: BackEndIdentity, endsAt: number, now: number): void {
+  #noteRequested(backEnd: BackEndIdentity, milliseconds: number, now: number): void {
+    this.#counts.requested++;
+    const endsAt = now + milliseconds;
     const known = this.#find(backEnd);
-    if (known !== undefined) {
+    if (known !== undefined && now < known.endsAt) {
       known.endsAt = Math.max(known.endsAt, endsAt);
       return;
     }
+    const { id, start } = backEnd;
+    this.#log.info('back end backs off', { backEnd: id, start, milliseconds });
+    if (known !== undefined) this.#remove(id, known);
     this.#discardEnded(now);
-    const ofId = this.#backoffs.get(backEnd.id) ?? [];
-    this.#backoffs.set(backEnd.id, [...ofId, { start: backEnd.start, endsAt }]);
+    const others = this.#backoffs.get(id) ?? [];
+    this.#backoffs.set(id, [...others, { start, endsAt, sends: 0, probe: undefined }]);
+  }
+
+  #remove(id: string, backoff: Backoff): void {
+    const others = this.#backoffs.get(id)?.filter((one) => one !== backoff) ?? [];
+    if (others.length > 0) this.#backoffs.set(id, others);
+    else this.#backoffs.delete(id);
   }
 
   #find({ id, start }: BackEndIdentity): Backoff | undefined {
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -5,7 +5,7 @@
 import type { Random } from '../model/random.js';
 import type { StallDetector } from '../model/stall-detector.js';
 import type { BackEndLimits } from './back-end-limits.js';
-import type { BackEndSelector, Requirements, Selection } from './back-end-selector.js';
+import type { BackEndSelector, ExpectedCapacity, Requirements, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
 import type { DirectPermits } from './direct-permits.js';
 import type { EngineSlots, SlotClaim } from './engine-slots.js';
@@ -13,6 +13,9 @@
 import type { RequestTiming } from './request-timing.js';
 import { SlotSeeker } from './slot-seeker.js';
 
+/** Reason given if no back end is eligible, as opposed to those that are eligible but full. */
+const NO_BACK_END = 'no back end';
+
 export interface BackEndSearchComponents {
   selector: BackEndSelector;
   slots: EngineSlots;
@@ -28,7 +31,8 @@
   readonly isStream: boolean;
   /** Position in the queues of back ends, 0 first. */
   urgency(now: number): number;
-  requirements(): Requirements;
+  /** @param isLastResort - whether the request would be refused otherwise */
+  requirements(isLastResort?: boolean): Requirements;
   /** Whether the request has been sent to a back end before. */
   wasSent(): boolean;
   /** Whether the caller has received a part of the answer, so that a back end has to resume it. */
@@ -37,6 +41,8 @@
   canComplete(wait?: number): boolean;
   /** Whether the retry budget allows the next send; always true if that send is not a retry. */
   isAllowedByBudget(): boolean;
+  /** Whether a back end may still answer the request, so that it is not refused if this search fails. */
+  hasOpenAttempt(): boolean;
 }
 
 /** Results of the search. */
@@ -73,6 +79,8 @@
   #reservation: HoldRecord | undefined;
   /** Where the request is counted while it is held until one of the serving back ends is free. */
   #hold: HoldRecord | undefined;
+  /** True once the request would be refused unless a back end that backs off takes it. */
+  #isLastResort = false;
 
   constructor(components: BackEndSearchComponents, request: PendingRequest, events: BackEndSearchEvents) {
     this.#components = components;
@@ -95,13 +103,14 @@
     if (this.#claiming !== undefined) return;
     if (this.#seeker === undefined) return this.begin();
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
-    if (this.#seeker.hasExpired(now)) return this.#events.onGivenUp('back ends full');
+    if (this.#seeker.hasExpired(now)) return this.#giveUp('back ends full');
     this.#seeker.check(now, standstills);
   }
 
   /** Ends the search and releases what it holds. */
   end(outcome: HoldOutcome): void {
     this.#heldSince = undefined;
+    this.#isLastResort = false;
     this.#claiming = undefined;
     this.#cancelSeeker();
     this.#hold?.end(outcome);
@@ -113,15 +122,16 @@
   /** Starts to look for a slot of an engine; returns false if there is no agent to ask. */
   #seekSlot(): boolean {
     const { selector, backEnds, limits, slots, random } = this.#components;
-    const { timing, requirements, wasSent, isResuming, urgency } = this.#request;
-    if (!selector.shouldAcquireSlot(requirements())) return false;
+    const { timing, wasSent, isResuming, urgency } = this.#request;
+    if (!selector.shouldAcquireSlot(this.#requirements)) return false;
     const now = performance.now();
     this.#seeker = new SlotSeeker({
       slots,
       table: backEnds,
       random,
-      candidates: () => selector.slotCandidates(requirements()),
-      isEligible: (row) => selector.isEligibleWithSlot(row, requirements()),
+      candidates: () => selector.slotCandidates(this.#requirements),
+      isEligible: (row) => selector.isEligibleWithSlot(row, this.#requirements),
+      isUnavailable: (row, when) => !this.#isLastResort && selector.isUnavailable(row, when),
       rateLimitOf: (row) => limits.rateOf(row.record),
       urgency: isResuming() ? 0 : urgency(now),
       arrivedAt: timing.arrivedAt,
@@ -139,12 +149,7 @@
   }
 
   #takeSlot(row: BackEndRow, claim: SlotClaim, asked: number): void {
-    const selection = this.#components.selector.selectionOf(
-      row.record.id,
-      this.#request.requirements(),
-      0,
-      asked,
-    );
+    const selection = this.#components.selector.selectionOf(row.record.id, this.#requirements, 0, asked);
     this.end('sent');
     this.#events.onChosen(selection, claim);
   }
@@ -158,7 +163,7 @@
       this.#beginHold()
     )
       return;
-    this.#events.onGivenUp('back ends full');
+    this.#giveUp('back ends full');
   }
 
   #cancelSeeker(): void {
@@ -167,11 +172,11 @@
   }
 
   #chooseWithoutSlot(): void {
-    const selection = this.#components.selector.select(this.#request.requirements());
+    const selection = this.#components.selector.select(this.#requirements);
     if (selection === undefined) return this.#holdOrGiveUp();
     const wasSentOrHeld = this.#request.wasSent() || this.#wasHeldForCapacity;
     if (selection.expectedWait > this.#request.timing.maxQueueWait(wasSentOrHeld))
-      return this.#events.onGivenUp('back ends full');
+      return this.#giveUp('back ends full');
     if (this.#components.selector.needsPermit(selection.row)) return void this.#claimPermit(selection);
     this.end('sent');
     this.#events.onChosen(selection, undefined);
@@ -187,8 +192,7 @@
       // The wait may have ended during the claim.
       if (this.#claiming !== selection) return;
       this.#claiming = undefined;
-      if (!isGranted || !selector.isEligibleWithSlot(selection.row, this.#request.requirements()))
-        return this.begin();
+      if (!isGranted || !selector.isEligibleWithSlot(selection.row, this.#requirements)) return this.begin();
       this.end('sent');
       this.#events.onChosen(selection, undefined);
     } catch (cause) {
@@ -196,31 +200,50 @@
     }
   }
 
+  get #requirements(): Requirements {
+    return this.#request.requirements(this.#isLastResort);
+  }
+
   /** Holds the request if capacity is expected in its time, and gives up otherwise. */
   #holdOrGiveUp(): void {
     const { canComplete, isResuming, isAllowedByBudget } = this.#request;
     const now = performance.now();
-    const capacity = this.#components.selector.timeToCapacity(this.#request.requirements().service);
+    const capacity = this.#components.selector.timeToCapacity(this.#requirements.service);
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
-    if (!canComplete(capacity)) return this.#events.onOutOfTime();
+    if (!canComplete(capacity?.wait)) return this.#events.onOutOfTime();
     if (capacity === undefined && !isAllowedByBudget()) return this.#events.onGivenUp('no budget');
+    // Sent at once, as each refusal of such a request prolongs the back-off by the time that has passed since it began.
+    if (capacity?.isBackoff === true && this.#tryLastResort()) return;
     const mayWait = !isResuming() && this.#shouldHold(capacity, this.#heldSince, now);
-    if (!mayWait) return this.#giveUp(capacity, now - this.#heldSince);
-    if (!wasHeld) this.#events.onNote('held', { capacityMs: Math.round(capacity ?? 0) });
+    if (!mayWait) return this.#giveUp(NO_BACK_END, capacity);
+    if (!wasHeld) this.#events.onNote('held', { capacityMs: Math.round(capacity?.wait ?? 0) });
   }
 
   /**
    * Whether to hold the request.
-   * @param capacity - time until the first back end serves; undefined if some serve but none of them can take the request
+   * @param capacity - undefined if some back ends serve but none of them can take the request
    */
-  #shouldHold(capacity: number | undefined, heldSince: number, now: number): boolean {
-    const { timing, isStream, requirements } = this.#request;
+  #shouldHold(capacity: ExpectedCapacity | undefined, heldSince: number, now: number): boolean {
+    const { timing, isStream } = this.#request;
     if (capacity === undefined && this.#wasHeldForCapacity) return now < timing.latestBegin;
     if (capacity === undefined) return isStream && now < timing.holdDeadline(heldSince) && this.#beginHold();
-    const forecast = this.#components.backEnds.forecastOf(requirements().service);
-    if (!forecast.note(now + capacity, now) || !timing.waitsForCapacity(now, capacity)) return false;
-    if (now + capacity <= timing.latestBegin && !this.#reservePlace()) return false;
+    const isInTime = now + capacity.wait <= timing.latestBegin;
+    if (capacity.isBackoff) return isInTime && this.#holdForBackoff();
+    const forecast = this.#components.backEnds.forecastOf(this.#requirements.service);
+    if (!forecast.note(now + capacity.wait, now) || !timing.waitsForCapacity(now, capacity.wait))
+      return false;
+    if (isInTime && !this.#reservePlace()) return false;
+    this.#wasHeldForCapacity = true;
+    return true;
+  }
+
+  /**
+   * Holds the request until a back end may get requests again, unless such waits have failed lately, as back ends ask for one
+   * back-off after the other. Their end is known, so that a caller would only lose time by coming again after it.
+   */
+  #holdForBackoff(): boolean {
+    if (!this.#countHold() || !this.#reservePlace()) return false;
     this.#wasHeldForCapacity = true;
     return true;
   }
@@ -228,26 +251,47 @@
   /** Reserves one of the places for requests that wait for the first slots; returns false if all of them are taken. */
   #reservePlace(): boolean {
     if (this.#reservation !== undefined) return true;
-    const { service } = this.#request.requirements();
+    const { service } = this.#requirements;
     const holds = this.#components.backEnds.holdsOf(service);
     if (!holds.reservePlace(this.#components.selector.slotShare(service))) return false;
     this.#reservation = holds;
     return true;
   }
 
-  #giveUp(capacity: number | undefined, heldFor: number): void {
-    const excluded = this.#components.selector.exclusions(this.#request.requirements());
-    this.#events.onNote('no back end', { excluded, capacityMs: capacity, heldMs: Math.round(heldFor) });
-    this.#events.onGivenUp('no back end');
+  /** Ends the search, unless a back end that backs off may get the request. */
+  #giveUp(reason: string, capacity?: ExpectedCapacity): void {
+    if (this.#tryLastResort()) return;
+    if (reason === NO_BACK_END) this.#noteExclusions(capacity);
+    this.#events.onGivenUp(reason);
   }
 
-  /**
-   * Counts the wait of a caller's retry; returns false if the request must not wait. First requests are not counted, as they
-   * wait only briefly.
-   */
+  /** Starts to search among back ends that back off for one that may get the request all the same; false if there is none. */
+  #tryLastResort(): boolean {
+    if (this.#isLastResort || this.#request.hasOpenAttempt() || !this.#request.isAllowedByBudget())
+      return false;
+    if (!this.#components.selector.hasLastResort(this.#requirements)) return false;
+    this.#isLastResort = true;
+    this.#cancelSeeker();
+    this.begin();
+    return true;
+  }
+
+  #noteExclusions(capacity: ExpectedCapacity | undefined): void {
+    const excluded = this.#components.selector.exclusions(this.#requirements);
+    const now = performance.now();
+    const heldMs = Math.round(now - (this.#heldSince ?? now));
+    this.#events.onNote(NO_BACK_END, { excluded, capacityMs: capacity?.wait, heldMs });
+  }
+
+  /** Counts the wait of a caller's retry; returns false if it must not wait. First requests wait only briefly. */
   #beginHold(): boolean {
-    if (!this.#request.timing.isCallerRetry || this.#hold !== undefined) return true;
-    const holds = this.#components.backEnds.holdsOf(this.#request.requirements().service);
+    return !this.#request.timing.isCallerRetry || this.#countHold();
+  }
+
+  /** Counts a wait; returns false if the request must not wait. */
+  #countHold(): boolean {
+    if (this.#hold !== undefined) return true;
+    const holds = this.#components.backEnds.holdsOf(this.#requirements.service);
     if (!holds.allowsMore) return false;
     holds.begin();
     this.#hold = holds;
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -4,6 +4,7 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
 import type { SlotCandidate } from '../systems/slot-search.js';
+import type { BackEndBackoffs } from './back-end-backoffs.js';
 import type { BackEndLimits } from './back-end-limits.js';
 import {
   type BackEndRow,
@@ -25,6 +26,8 @@
 
 /** Number of concurrent requests assumed for a back end whose record does not state its slots. */
 const DEFAULT_SLOTS = 4;
+/** Assumed time to the first answer of a back end that has not answered yet, in milliseconds. */
+const DEFAULT_FIRST_ANSWER = 100;
 /** Assumed request duration at a back end that has not yet completed one, in milliseconds. */
 const DEFAULT_DURATION = 100;
 const DEFAULT_ENGINE_DURATION = 800;
@@ -90,6 +93,16 @@
   version: number | undefined;
   /** Back ends that have already been tried. */
   tried: Pick<BackEndSet, 'has'>;
+  /** Back ends that back off are eligible if a request may be sent to them all the same. */
+  isLastResort: boolean;
+}
+
+/** When back ends of a service are expected to take requests again. */
+export interface ExpectedCapacity {
+  /** Time until then, in milliseconds; infinite if none is expected to. */
+  wait: number;
+  /** True if the back ends themselves have asked for this time, false if it is estimated. */
+  isBackoff: boolean;
 }
 
 /** Why a back end is not eligible for a request. */
@@ -99,6 +112,7 @@
   | 'superseded'
   | 'tried'
   | 'suspended'
+  | 'backingOff'
   | 'connections'
   | 'full'
   | 'rateLimited'
@@ -108,7 +122,13 @@
   | 'otherVersion';
 
 /** Reasons that may no longer apply after a wait. */
-const TRANSIENT: ReadonlySet<Exclusion> = new Set(['suspended', 'connections', 'full', 'rateLimited']);
+const TRANSIENT: ReadonlySet<Exclusion> = new Set([
+  'suspended',
+  'backingOff',
+  'connections',
+  'full',
+  'rateLimited',
+]);
 
 /** The engine and version that a selection assumed when the request was sent. */
 export interface AssumedEngine {
@@ -139,6 +159,7 @@
   readonly #versionBound: number;
   readonly #entryCount: () => number;
   readonly #limits: BackEndLimits;
+  readonly #backoffs: Pick<BackEndBackoffs, 'admits' | 'isProbed' | 'timeLeft'>;
   readonly #permits: Pick<DirectPermits, 'mayClaim'>;
   readonly #createdAt = performance.now();
 
@@ -153,6 +174,7 @@
     /** Number of entries that send requests, including this one. */
     entryCount: () => number;
     limits: BackEndLimits;
+    backoffs: Pick<BackEndBackoffs, 'admits' | 'isProbed' | 'timeLeft'>;
     permits: Pick<DirectPermits, 'mayClaim'>;
   }) {
     this.#fleet = options.fleet;
@@ -163,6 +185,7 @@
     this.#versionBound = options.versionBound;
     this.#entryCount = options.entryCount;
     this.#limits = options.limits;
+    this.#backoffs = options.backoffs;
     this.#permits = options.permits;
   }
 
@@ -227,6 +250,22 @@
     return this.#exclusion(row, { ...requirements, mayQueue: true }, performance.now()) === undefined;
   }
 
+  /** Whether a back end wants no more requests at all, or none for now. */
+  isUnavailable({ record }: BackEndRow, now: number): boolean {
+    return record.leaving || this.#backoffs.timeLeft(record, now) > 0;
+  }
+
+  /** Whether a back end that backs off may get a request that no other back end can take. */
+  hasLastResort(requirements: Requirements): boolean {
+    const now = performance.now();
+    const rows = [...this.#table.ofService(requirements.service)];
+    return rows.some(
+      (row) =>
+        this.#backoffs.timeLeft(row.record, now) > 0 &&
+        this.#exclusion(row, { ...requirements, isLastResort: true }, now) === undefined,
+    );
+  }
+
   #slotCandidate(candidate: Candidate, now: number): SlotCandidate {
     const { id, zone } = candidate;
     const isLoadFresh = isLoadReported(this.#table.rows.get(id)!, now);
@@ -300,27 +339,58 @@
   }
 
   /**
-   * Expected time until an engine of `service` takes requests, in milliseconds. Infinite if no engine is expected to;
-   * undefined if some serve now, but not every request can be placed.
+   * When a back end of `service` is expected to take requests; undefined if some do now, but not every request can be placed,
+   * or if nothing is known of it.
    */
-  timeToCapacity(service: string): number | undefined {
+  timeToCapacity(service: string): ExpectedCapacity | undefined {
     const now = performance.now();
     const engine = this.#fleet.routes?.service(service)?.engine;
-    if (engine === undefined) return undefined;
-    const isNew = now - this.#createdAt < FIRST_REPORT_TIME;
-    let soonest = Number.POSITIVE_INFINITY;
+    let soonest: ExpectedCapacity = { wait: Number.POSITIVE_INFINITY, isBackoff: false };
     for (const row of this.#table.ofService(service)) {
-      const { record, news, health } = row;
-      if (record.leaving || this.#isSuperseded(row)) continue;
-      const version = completeVersion(row, engine.layers);
-      const serves = version > 0 && version >= this.#lowestVersion(engine, now, 0);
-      if (serves && news?.isSwitching !== true && health.admits(now, true)) return undefined;
-      if (news === undefined && version === 0 && isNew) soonest = Math.min(soonest, FIRST_WEIGHTS_TIME);
-      if (news === undefined || (serves && !news.isSwitching)) continue;
-      const readyAt = news.isSwitching ? now + SWITCH_TIME : news.switchAt + SWITCH_TIME;
-      soonest = Math.min(soonest, Math.max(0, readyAt - now));
+      if (row.record.leaving || this.#isSuperseded(row)) continue;
+      const backoff = this.#timeToAdmission(row, now);
+      const serves = engine === undefined || this.#servesIfAdmitted(row, engine, now);
+      if (serves && backoff === 0) return undefined;
+      const estimate = serves ? 0 : this.#timeToVersion(row, engine, now);
+      const wait = Math.max(backoff, estimate);
+      if (wait < soonest.wait) soonest = { wait, isBackoff: backoff >= estimate };
+    }
+    return engine === undefined && !soonest.isBackoff ? undefined : soonest;
+  }
+
+  /** Time until `row` may get requests without restriction as far as its back-off is concerned, in milliseconds. */
+  #timeToAdmission({ record, firstAnswerTime }: BackEndRow, now: number): number {
+    const left = this.#backoffs.timeLeft(record, now);
+    if (left > 0 || !this.#backoffs.isProbed(record)) return left;
+    return firstAnswerTime || DEFAULT_FIRST_ANSWER;
+  }
+
+  /** Whether an engine holds a version on which requests may start, apart from its back-off. */
+  #servesIfAdmitted(row: BackEndRow, engine: EngineShape, now: number): boolean {
+    return (
+      this.#holdsAllowedVersion(row, engine, now) &&
+      row.news?.isSwitching !== true &&
+      row.health.admits(now, true)
+    );
+  }
+
+  #holdsAllowedVersion(row: BackEndRow, engine: EngineShape, now: number): boolean {
+    const version = completeVersion(row, engine.layers);
+    return version > 0 && version >= this.#lowestVersion(engine, now, 0);
+  }
+
+  /** Expected time until an engine has switched to a version on which requests may start, in milliseconds. */
+  #timeToVersion(row: BackEndRow, engine: EngineShape, now: number): number {
+    const { news } = row;
+    if (news === undefined) {
+      const isNew = now - this.#createdAt < FIRST_REPORT_TIME;
+      return isNew && completeVersion(row, engine.layers) === 0
+        ? FIRST_WEIGHTS_TIME
+        : Number.POSITIVE_INFINITY;
     }
-    return soonest;
+    if (news.isSwitching) return SWITCH_TIME;
+    if (this.#holdsAllowedVersion(row, engine, now)) return Number.POSITIVE_INFINITY;
+    return Math.max(0, news.switchAt + SWITCH_TIME - now);
   }
 
   /** This entry's share of the slots of `service`: all entries share them equally. */
@@ -408,6 +478,7 @@
     if (!this.#isConfigured(record.service)) return 'unnamedService';
     if (this.#isSuperseded(row)) return 'superseded';
     if (requirements.tried.has(record)) return 'tried';
+    if (!this.#backoffs.admits(record, now, requirements.isLastResort)) return 'backingOff';
     if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
     if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
     const engine = this.#engineOf(requirements);
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -4,6 +4,7 @@
  */
 import type { Attempt } from './attempt.js';
 import type { AttemptAnswer } from './attempt-answer.js';
+import type { BackEndBackoffs } from './back-end-backoffs.js';
 import type { AssumedEngine } from './back-end-selector.js';
 import {
   type BackEndRow,
@@ -22,6 +23,7 @@
   answer: AttemptAnswer;
   /** The slot held by the attempt; undefined if it holds none. */
   claim: SlotClaim | undefined;
+  backoffs: Pick<BackEndBackoffs, 'noteSent' | 'noteEnded'>;
   /** Position in the back end's queue, 0 first. */
   urgency: number;
   promptTokens: number;
@@ -36,6 +38,7 @@
   readonly answer: AttemptAnswer;
   readonly claim: SlotClaim | undefined;
   readonly assumedEngine: AssumedEngine;
+  readonly #backoffs: BackEndUseOptions['backoffs'];
   readonly #urgency: number;
   readonly #promptTokens: number;
   readonly #answerTokens: number;
@@ -55,6 +58,7 @@
     this.attempt = options.attempt;
     this.answer = options.answer;
     this.claim = options.claim;
+    this.#backoffs = options.backoffs;
     this.#urgency = options.urgency;
     this.#promptTokens = options.promptTokens;
     this.#answerTokens = options.answerTokens;
@@ -62,6 +66,7 @@
     row.inFlight++;
     row.pendingPromptTokens += options.promptTokens;
     row.health.noteSent();
+    options.backoffs.noteSent(row.record, this.attempt, this.#progressAt);
     if (row.inFlight === 1) row.progressAt = this.#progressAt;
   }
 
@@ -149,6 +154,7 @@
   /** Ends the attempt and releases its slot; returns its duration in milliseconds. */
   end(): number {
     this.claim?.release(this.attempt.sent);
+    this.#backoffs.noteEnded(this.row.record, this.attempt);
     this.notePromptRead();
     this.row.inFlight--;
     return performance.now() - this.attempt.startedAt;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -23,7 +23,7 @@
   mayHaveReachedBackEnd,
 } from './attempt.js';
 import { AttemptAnswer } from './attempt-answer.js';
-import { AttemptWatch } from './attempt-watch.js';
+import { AttemptWatch, VERSION_EXPIRES } from './attempt-watch.js';
 import { BackEndSearch, type PendingRequest } from './back-end-search.js';
 import type { Selection } from './back-end-selector.js';
 import { type BackEndRow, loadOf } from './back-end-table.js';
@@ -256,11 +256,12 @@
       timing,
       isStream: route.isStream,
       urgency: (now) => timing.urgency(rank, now),
-      requirements: () => this.#policy.requirements(),
+      requirements: (isLastResort) => this.#policy.requirements(isLastResort),
       wasSent: () => this.#policy.sends > 0,
       isResuming: () => this.#answer.started,
       canComplete: (wait) => this.#canComplete(wait),
       isAllowedByBudget: () => this.#policy.isAllowedByBudget,
+      hasOpenAttempt: () => this.#openAttempts.size > 0,
     };
     return new BackEndSearch(this.#components, request, {
       onChosen: (selection, claim) => this.#send(selection, claim),
@@ -283,9 +284,8 @@
     // An open attempt at this back end is on a silent connection; the new attempt uses another connection.
     this.#openAttempts.abortAt(row, 'silent connection');
     this.#policy.noteSent(row);
-    const { limits, backoffs } = this.#components;
+    const { limits } = this.#components;
     limits.noteSent(row.record, claim !== undefined);
-    backoffs.noteSent(row.record, performance.now());
     this.#log.note('sent', {
       send: this.#policy.sends,
       backEnd: row.record.id,
@@ -316,17 +316,21 @@
 
   #createAttempt(selection: Selection, claim: SlotClaim | undefined): BackEndUse {
     const { timing, rank, promptTokens, answerTokens } = this.#admitted;
+    const { selector, backoffs } = this.#components;
+    const { row } = selection;
     const urgency = timing.urgency(rank, performance.now());
+    const isLastResort = selector.isUnavailable(row, performance.now());
     const attempt = new Attempt(
       {
         requestId: this.#id,
         method: this.#request.method ?? 'GET',
         path: this.#request.url ?? '/',
-        headers: this.#headersFor(selection.row, selection.expectedVersion, urgency),
+        headers: this.#headersFor(row, selection.expectedVersion, urgency),
         body: this.#bodyToSend(),
       },
       this.#components.names,
       {
+        maySend: () => isLastResort || !selector.isUnavailable(row, performance.now()),
         onAnswer: (answer) => this.#onAnswer(use, answer),
         onHead: (head) => this.#onHead(use, head),
         onData: (chunk) => this.#onData(use, chunk),
@@ -335,7 +339,16 @@
       },
     );
     const answer = new AttemptAnswer(this.#answer.lastEventId);
-    const use = new BackEndUse({ selection, attempt, answer, claim, urgency, promptTokens, answerTokens });
+    const use = new BackEndUse({
+      selection,
+      attempt,
+      answer,
+      claim,
+      backoffs,
+      urgency,
+      promptTokens,
+      answerTokens,
+    });
     this.#openAttempts.add(use);
     return use;
   }
@@ -478,10 +491,10 @@
     this.#log.noteFailure(use, failure);
     if (failure.type === 'broken' && failure.isLost) this.#content.noteBroken(row);
     if (failure.type === 'notSent' && failure.reason === CONNECTION_REFUSED) this.#content.noteRefused(row);
-    if (failure.type === 'withdrawn') this.#components.expiryFigures.withdrawn++;
+    if (failure.type === 'withdrawn' && failure.reason === VERSION_EXPIRES)
+      this.#components.expiryFigures.withdrawn++;
     this.#openAttempts.close(use, healthOutcomeOf(failure));
-    const isKept = this.#answer.started || this.#openAttempts.size > 0;
-    if (isKept && (failure.type === 'refused' || failure.type === 'notSent')) this.#policy.allowResend(row);
+    if (this.#mayResend(row, failure)) this.#policy.allowResend(row);
     if (mayHaveReachedBackEnd(failure)) this.#policy.noteRepetition();
     if (this.#move.isSource(use) || !this.#search.isUnderWay) this.#endMove(failure.type);
     // Another attempt is open, or a search is in progress.
@@ -494,6 +507,15 @@
     this.#search.begin();
   }
 
+  /** Whether a back end that has not run the request may get it again. */
+  #mayResend(row: BackEndRow, failure: AttemptFailure): boolean {
+    if (failure.type === 'withdrawn') return !failure.wentOut;
+    if (failure.type !== 'refused' && failure.type !== 'notSent') return false;
+    if (this.#answer.started || this.#openAttempts.size > 0) return true;
+    // Until its back-off has ended, only requests that no other back end can take go there.
+    return failure.type === 'refused' && this.#components.selector.isUnavailable(row, performance.now());
+  }
+
   #onBroken(reason: string): void {
     if (this.#policy.maySendAgain) {
       this.#log.note('sent again', { reason, sends: this.#policy.sends, after: this.#answer.lastEventId });
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -108,7 +108,8 @@
 
   /** Latest time at which a back end may start the request. */
   get latestBegin(): number {
-    return latestStart(this.arrivedAt, this.deadline, this.#route.patience);
+    const { isStream, patience, objective } = this.#route;
+    return isStream ? latestStart(this.arrivedAt, this.deadline, patience) : this.deadline - objective;
   }
 
   /**
--- a/src/forwarding/retry-after.ts
+++ b/src/forwarding/retry-after.ts
@@ -20,8 +20,10 @@
 
 /** `Retry-After` for a request that no back end of `service` can take now. */
 export function retryAfterForCapacity(service: string, selector: BackEndSelector, random: Random): number {
-  const capacity = selector.timeToCapacity(service) ?? 0;
+  const capacity = selector.timeToCapacity(service);
   const minDelay = RETRY_DELAY * (1 + random.fraction());
-  const delay = Math.max(minDelay + capacity, selector.requestInterval(service));
-  return Math.min(MAX_RETRY_DELAY, delay) / MILLISECONDS;
+  const delay = Math.max(minDelay + (capacity?.wait ?? 0), selector.requestInterval(service));
+  // The end of a back-off is known, however far ahead it is. Estimates are not reliable that far ahead.
+  const maxDelay = capacity?.isBackoff === true ? Number.POSITIVE_INFINITY : MAX_RETRY_DELAY;
+  return Math.min(maxDelay, delay) / MILLISECONDS;
 }
--- a/src/forwarding/send-policy.ts
+++ b/src/forwarding/send-policy.ts
@@ -49,8 +49,11 @@
     return this.#sends >= (this.#options.answer.started ? MAX_SENDS_TO_RESUME : MAX_SENDS);
   }
 
-  /** What a back end must fulfil to get the next send. */
-  requirements(): Requirements {
+  /**
+   * What a back end must fulfil to get the next send.
+   * @param isLastResort - whether the request would be refused otherwise
+   */
+  requirements(isLastResort = false): Requirements {
     const { admitted, answer } = this.#options;
     const { service, table, route, timing, answerTokens } = admitted;
     return {
@@ -63,6 +66,7 @@
       isContinuation: answer.started,
       version: answer.started ? this.version : undefined,
       tried: this.#tried,
+      isLastResort,
     };
   }
 
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -17,6 +17,8 @@
   candidates: () => SlotCandidate[];
   /** Whether an engine is still eligible; called when its slot has been granted. */
   isEligible: (row: BackEndRow) => boolean;
+  /** Whether an engine takes no requests any more or for some time; its slot is then not waited for. */
+  isUnavailable: (row: BackEndRow, now: number) => boolean;
   /** Rate limit of an engine in requests per second; undefined if none is known. */
   rateLimitOf: (row: BackEndRow) => number | undefined;
   /** Rank of the request in the queues of agents; 0 is first. */
@@ -66,6 +68,7 @@
       this.#options.table.rows.get(id)?.agent?.noteUnanswered(now);
       this.#release(id);
     }
+    for (const id of [...this.#claims.keys()]) if (this.#isUnavailable(id, now)) this.#release(id);
     this.#askOthers(now);
   }
 
@@ -131,6 +134,11 @@
     }
   }
 
+  #isUnavailable(id: string, now: number): boolean {
+    const row = this.#options.table.rows.get(id);
+    return row !== undefined && this.#options.isUnavailable(row, now);
+  }
+
   /** Releases the claim at one engine. */
   #release(id: string): void {
     this.#claims.get(id)?.release(false);
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -266,6 +266,7 @@
       versionBound,
       entryCount: () => this.#entryCount,
       limits: this.#limits,
+      backoffs: this.#backoffs,
       permits: this.#permits,
     });
   }
--- a/test/forwarding/answer-notices.test.ts
+++ b/test/forwarding/answer-notices.test.ts
@@ -51,10 +51,10 @@
 });
 
 it('a back-off time is counted and logged once, and a malformed one counted and logged', async () => {
-  backEnd.answer(reply(503, '', { 'x-not-run': '1', 'retry-after': '2.5' }));
+  backEnd.answer(reply(503, '', { 'x-not-run': '1', 'retry-after': '600.5' }));
   await forwarding.send('/read/');
   expect(linesOf('back end backs off')).toEqual([
-    { message: 'back end backs off', fields: { backEnd: 'one', start: 100, milliseconds: 2_500 } },
+    { message: 'back end backs off', fields: { backEnd: 'one', start: 100, milliseconds: 600_500 } },
   ]);
   forwarding.list(['two', backEnd]);
   backEnd.answer(reply(503, '', { 'x-not-run': '1', 'retry-after': 'soon' }));
--- a/test/forwarding/attempt.test.ts
+++ b/test/forwarding/attempt.test.ts
@@ -68,7 +68,7 @@
   await backEnd.stop();
 });
 
-function attemptOf(id: string): { attempt: Attempt; ending: Promise<Ending> } {
+function attemptOf(id: string, maySend = true): { attempt: Attempt; ending: Promise<Ending> } {
   let end: (ending: Ending) => void;
   const ending = new Promise<Ending>((resolve) => {
     end = resolve;
@@ -77,6 +77,7 @@
     { requestId: id, method: 'POST', path: `/${id}`, headers: ['x-request', id], body: Buffer.from('body') },
     NAMES,
     {
+      maySend: () => maySend,
       onHead: () => {},
       onData: () => {},
       onEnd: () => end({ type: 'answered' }),
@@ -87,6 +88,17 @@
   return { attempt, ending };
 }
 
+it('an attempt whose back end is no longer available once a connection is open sends nothing', async () => {
+  await backEnd.start(address);
+  const { attempt, ending } = attemptOf('late', false);
+  attempt.send(connections);
+  expect(await ending).toMatchObject({ type: 'withdrawn', wentOut: false });
+  const next = attemptOf('next');
+  next.attempt.send(connections);
+  expect(await next.ending).toEqual({ type: 'answered' });
+  expect(backEnd.received).not.toContain('late');
+});
+
 describe('an attempt that is reported as not sent', () => {
   it('finds no listener at the address', async () => {
     const { attempt, ending } = attemptOf('refused');
--- a/test/forwarding/back-off.test.ts
+++ b/test/forwarding/back-off.test.ts
@@ -1,7 +1,10 @@
 /** Guards against requests to a back end that has refused one and asked for a back-off time. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, expect, it } from 'vitest';
-import { ForwardingHarness } from './forwarding-harness.js';
+import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
+import { until } from '../support.js';
+import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
+import { ForwardingHarness, NOOP_CLAIM } from './forwarding-harness.js';
 import { routeNamed } from './routes.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
@@ -38,9 +41,13 @@
 });
 
 it('a back end gets no request during the back-off time for which it has asked', async () => {
-  forwarding.list(['one', busy]);
-  await forwarding.send('/read/');
+  forwarding.list(['one', busy], ['two', free]);
+  await until(
+    async () => (await forwarding.send('/read/')).status === 200 && busy.requests.length > 0,
+    'a refusal',
+  );
   busy.answer(reply(200, 'busy'));
+  forwarding.list(['two', free]);
   forwarding.list(['one', busy], ['two', free]);
   for (let sent = 0; sent < MANY; sent++) {
     expect(await forwarding.send('/read/')).toMatchObject({ status: 200, body: 'free' });
@@ -48,3 +55,85 @@
   }
   expect(busy.requests).toHaveLength(1);
 });
+
+it('while all back ends back off, two requests are sent and the others refused at once with the time that is left', async () => {
+  forwarding.list(['one', busy]);
+  const answers = await Promise.all(Array.from({ length: 10 }, () => forwarding.send('/read/')));
+  const after = await Promise.all(Array.from({ length: 10 }, () => forwarding.send('/read/')));
+  expect([...answers, ...after].map(({ status }) => status)).toEqual(Array(20).fill(503));
+  for (const { headers } of after) expect(Number(headers['retry-after'])).toBeGreaterThan(500);
+  // Those of the first ten that were sent before the first refusal, and two more.
+  expect(busy.requests.length).toBeLessThanOrEqual(12);
+  await forwarding.send('/read/');
+  expect(busy.requests.length).toBeLessThanOrEqual(12);
+});
+
+it('a request that no other back end can take is served by one that backs off, if that takes it', async () => {
+  forwarding.list(['one', busy]);
+  await forwarding.send('/read/');
+  busy.answer(reply(200, 'busy'));
+  await until(async () => (await forwarding.send('/read/')).body === 'busy', 'the pause after a refusal');
+  expect(busy.requests).toHaveLength(2);
+});
+
+it('a request that is refused waits for the end of a short back-off, and is served', async () => {
+  forwarding.list(['one', busy]);
+  let refusals = 0;
+  busy.answer((request, response, body) => {
+    refuse('0.2')(request, response, body);
+    if (++refusals === 3) busy.answer(reply(200, 'busy'));
+  });
+  expect(await forwarding.send('/read/')).toMatchObject({ status: 200, body: 'busy' });
+});
+
+it('requests that have waited for the end of a back-off follow one that is sent first', async () => {
+  forwarding.list(['one', busy]);
+  const held: Array<() => void> = [];
+  let refused = 0;
+  busy.answer((request, response, body) => {
+    if (++refused <= 3) return refuse('0.2')(request, response, body);
+    held.push(() => reply(200, 'busy')(request, response, body));
+  });
+  const answers = Array.from({ length: 3 }, () => forwarding.send('/read/'));
+  await until(() => held.length > 0, 'the first request after the back-off');
+  await sleep(PAUSE * 10);
+  expect(held).toHaveLength(1);
+  busy.answer(reply(200, 'busy'));
+  held[0]();
+  expect((await Promise.all(answers)).map(({ status }) => status)).toEqual([200, 200, 200]);
+});
+
+it('a search that waits for a slot of an engine which begins to back off asks the agents of other engines', async () => {
+  const engines = new ForwardingHarness('engines');
+  busy.answer(reply(200, 'busy'));
+  const asked = new Map<string, SlotAnswers>();
+  engines.slots = {
+    ask: (agent, _request, answers) => {
+      asked.set(agent, answers);
+      answers.onQueued();
+      return NOOP_CLAIM;
+    },
+  };
+  await engines.start(ENGINE_CONFIGURATION);
+  const LAYERS = { from: 0, end: ENGINE_LAYERS, version: 1 };
+  const third = await new StandInBackEnd(reply(200, 'third')).start();
+  const list = () =>
+    engines.list(
+      ['one', busy, { layers: LAYERS }],
+      ['two', free, { layers: LAYERS }],
+      ['three', third, { layers: LAYERS }],
+    );
+  list();
+  for (const [index, engine] of [busy, free, third].entries())
+    engines.reportEngine(engine, { version: 1, slotAddress: `127.0.0.1:${index + 1}`, start: undefined });
+  const answer = engines.send('/write/');
+  await until(() => asked.size === 2, 'two agents');
+  const [first] = asked.keys();
+  const waitedFor = ['one', 'two', 'three'][Number(first.split(':')[1]) - 1];
+  engines.fleet.applyLeaving({ id: waitedFor });
+  await until(() => asked.size === 3, 'the agent of the other engine');
+  asked.get([...asked.keys()][2])!.onGranted();
+  expect((await answer).status).toBe(200);
+  await engines.stop();
+  await third.stop();
+});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -116,6 +116,7 @@
       versionBound: VERSION_BOUND,
       entryCount: () => 1,
       limits,
+      backoffs,
       permits,
     });
     const reservedHeaders = new Set([
--- a/test/forwarding/restart-order.test.ts
+++ b/test/forwarding/restart-order.test.ts
@@ -8,6 +8,7 @@
 import { BackEndList } from '../../src/fleet/back-end-list.js';
 import { RECORDS_TO_CONFIRM } from '../../src/fleet/back-end-starts.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
+import { BackEndBackoffs } from '../../src/forwarding/back-end-backoffs.js';
 import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector, type Requirements } from '../../src/forwarding/back-end-selector.js';
 import { type BackEndRow, BackEndTable } from '../../src/forwarding/back-end-table.js';
@@ -79,6 +80,7 @@
       versionBound: 8_000,
       entryCount: () => 1,
       limits: new BackEndLimits(silentLog, new Metrics('test')),
+      backoffs: new BackEndBackoffs(silentLog, new Metrics('test')),
       permits: { mayClaim: () => true },
     });
   }
@@ -258,6 +260,7 @@
     mayQueue: true,
     answerTokens: 0,
     isContinuation: false,
+    isLastResort: false,
     version: undefined,
     tried: new BackEndSet(),
   };
--- a/test/forwarding/restart.test.ts
+++ b/test/forwarding/restart.test.ts
@@ -1,6 +1,7 @@
 /** Guards against using state of a back end's previous process start for the next one, which has the same id. */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { BackEndSet } from '../../src/fleet/back-end-identity.js';
+import { BackEndBackoffs } from '../../src/forwarding/back-end-backoffs.js';
 import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import {
@@ -171,6 +172,7 @@
       versionBound: 8_000,
       entryCount: () => 1,
       limits: new BackEndLimits(silentLog, new Metrics('test')),
+      backoffs: new BackEndBackoffs(silentLog, new Metrics('test')),
       permits: { mayClaim: () => true },
     });
     const tried = new BackEndSet();
@@ -182,6 +184,7 @@
       engine: undefined,
       answerTokens: 0,
       isContinuation: false,
+      isLastResort: false,
       version: undefined,
       tried,
     };
