soak: workers that state that they are leaving, and workers that ask for a back-off

Choices leaving and backoffs: workers say both in their answers, alone and all of a service at once, while the store is away, while their records say so or not, or are removed and come back, with back-offs that are no time, beside restarts under the same id, signals, configurations and kills. The judges go by what workers and callers saw: which start of a worker answered which entry, and what reached it from that entry later; an outage of the store excuses nothing. At the end each worker must be used again.

--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -9,6 +9,7 @@
   judgePlannedStops,
   judgeRepetitions,
 } from './soak/judges.js';
+import { judgeBackoffs, judgeLeaving } from './soak/notice-judges.js';
 import { eventData, type Run, RunLog } from './soak/workers.js';
 import { RETRY_BUDGET, type SoakWorld } from './soak/world.js';
 
@@ -35,6 +36,7 @@
     answer: '',
     isComplete: true,
     sentAt: START,
+    answeredAt: START + 10,
     writtenAt: START + 1,
     endedAt: START + 3_000,
     abandonedAt: undefined,
@@ -226,9 +228,9 @@
       sent(`r${index}`, { kind: 'again', sentAt: START + index * 10 }),
     );
     for (const { id, sentAt } of requests)
-      log.arrivals.push({ requestId: id, service: 'plain', worker: 'i-1', at: sentAt });
+      log.arrivals.push({ requestId: id, service: 'plain', worker: 'i-1', born: 1, at: sentAt });
     for (let index = 0; index < repetitions; index++)
-      log.arrivals.push({ requestId: `r${index}`, service: 'plain', worker: 'i-2', at: START + 1_000 });
+      log.arrivals.push({ requestId: `r${index}`, service: 'plain', worker: 'i-2', born: 1, at: START + 1_000 });
     return judgeRepetitions(world, requests);
   }
   const allowed = 100 * RETRY_BUDGET.share + RETRY_BUDGET.slack;
@@ -257,7 +259,7 @@
 
   it('is requests that reach a worker later than that', () => {
     for (const { id: requestId } of left)
-      log.arrivals.push({ requestId, service: 'engines', worker: 'i-1', at: START + 700 });
+      log.arrivals.push({ requestId, service: 'engines', worker: 'i-1', born: 1, at: START + 700 });
     expect(judgeDepartures(world, left)).toEqual([expect.stringMatching(/^GONE: 8 arrivals/)]);
   });
 });
@@ -272,7 +274,7 @@
     log.limits.push({ worker: 'i-1', rate: RATE, from: START, to: START + 8_000 });
     return Array.from({ length: count }, (_, index) => {
       const at = from + 100 * index;
-      log.arrivals.push({ requestId: `r${index}`, service: 'engines', worker: 'i-1', at });
+      log.arrivals.push({ requestId: `r${index}`, service: 'engines', worker: 'i-1', born: 1, at });
       return sent(`r${index}`, { sentAt: at });
     });
   }
@@ -304,3 +306,63 @@
     expect(judgeLimits(world, requests)).toEqual([]);
   });
 });
+
+const START_OF_WORKER = { worker: 'i-1', born: 1 };
+
+function arrive(requestId: string, at: number, changes: Partial<typeof START_OF_WORKER> = {}): void {
+  log.arrivals.push({ requestId, service: 'plain', ...START_OF_WORKER, at, ...changes });
+}
+
+describe('DRAIN', () => {
+  const told = sent('told', { headers: { 'server-seal': 'i-1.1', 'server-leaving': '1' } });
+  const late = sent('late', { sentAt: START + 2_011 });
+
+  beforeEach(() => {
+    log.leavingAnswers.push({ requestId: 'told', ...START_OF_WORKER });
+  });
+
+  it('is a request that is sent more than two seconds after an answer and reaches that start of the worker', () => {
+    arrive('late', START + 2_100);
+    expect(judgeLeaving(world, [told, late])).toEqual([expect.stringMatching(/^DRAIN: 1 /)]);
+  });
+
+  it('is no earlier request, no other start, and no answer of another worker', () => {
+    arrive('early', START + 2_500);
+    arrive('late', START + 2_100, { born: 2 });
+    expect(judgeLeaving(world, [told, late, sent('early', { sentAt: START + 2_009 })])).toEqual([]);
+    arrive('late', START + 2_100);
+    const other = { ...told, headers: { 'server-seal': 'i-2.1', 'server-leaving': '1' } };
+    expect(judgeLeaving(world, [other, late])).toEqual([]);
+  });
+
+  it('is excused by a stop of the entry, and not by an outage of the store', () => {
+    const now = performance.now();
+    const recent = { ...told, answeredAt: now - 3_000 };
+    const later = sent('late', { sentAt: now });
+    arrive('late', now + 10);
+    disruptions.record(['everything'], 100);
+    expect(judgeLeaving(world, [recent, later])).toHaveLength(1);
+    disruptions.recordInterruption('entry-1');
+    expect(judgeLeaving(world, [recent, later])).toEqual([]);
+  });
+});
+
+describe('BUDGET in a back-off', () => {
+  const requests = ['a', 'b', 'c', 'd'].map((id) => sent(id));
+
+  beforeEach(() => {
+    log.backoffRequests.push({ requestId: 'a', ...START_OF_WORKER, at: START, backoff: 3_000 });
+  });
+
+  it('is a third request that reaches the worker from the same entry between half a second and the end', () => {
+    for (const [index, id] of ['b', 'c', 'd'].entries()) arrive(id, START + 501 + index);
+    expect(judgeBackoffs(world, requests)).toEqual([expect.stringMatching(/^BUDGET: 3 requests/)]);
+  });
+
+  it('is nothing before half a second, after the end, or at another start', () => {
+    for (const at of [START + 10, START + 400, START + 3_001]) arrive('b', at);
+    for (const at of [501, 502, 503]) arrive('c', START + at, { born: 2 });
+    for (const at of [501, 502]) arrive('d', START + at);
+    expect(judgeBackoffs(world, requests)).toEqual([]);
+  });
+});
--- a/test/platform/soak/callers.ts
+++ b/test/platform/soak/callers.ts
@@ -44,6 +44,8 @@
   /** Whether the response was complete according to HTTP framing. */
   isComplete: boolean;
   sentAt: number;
+  /** When the head of its response was received; undefined if none was. */
+  answeredAt: number | undefined;
   /** When its last byte was written; undefined if the connection never accepted all of it. */
   writtenAt: number | undefined;
   endedAt: number;
@@ -72,6 +74,7 @@
   const [host, port] = entry.split(':');
   const timeout = deadlineOf(kind);
   const sentAt = performance.now();
+  let answeredAt: number | undefined;
   let writtenAt: number | undefined;
   let abandonedAt: number | undefined;
   const headers = {
@@ -96,11 +99,13 @@
         answer: Buffer.concat(parts).toString('utf8'),
         isComplete: answer?.complete ?? false,
         sentAt,
+        answeredAt,
         writtenAt,
         endedAt: performance.now(),
         abandonedAt,
       });
     const sent = httpRequest({ host, port, path, method: 'POST', agent, headers }, (answer) => {
+      answeredAt = performance.now();
       answer.on('data', (part) => parts.push(part));
       answer.on('error', () => end(answer));
       answer.on('end', () => end(answer));
--- a/test/platform/soak/disruptions.ts
+++ b/test/platform/soak/disruptions.ts
@@ -50,6 +50,7 @@
   readonly plannedWork: PlannedWork[] = [];
   readonly configurations: DeclaredConfiguration[] = [];
   readonly #disruptions: Disruption[] = [];
+  readonly #interruptions: Disruption[] = [];
 
   record(parts: readonly string[], duration: number): void {
     const from = performance.now();
@@ -64,6 +65,20 @@
     );
   }
 
+  /** Records that a process stops or pauses, or that a worker cannot be reached, for `duration` milliseconds from now. */
+  recordInterruption(part: string, duration = 0): void {
+    const now = performance.now();
+    this.#interruptions.push({ part, from: now, to: now + duration });
+  }
+
+  /**
+   * Whether none of these parts stopped, paused or was cut off from others in a period. In contrast to `areUndisturbed`, an
+   * outage of the store does not count.
+   */
+  wereRunning(parts: readonly string[], from: number, to: number): boolean {
+    return !this.#interruptions.some((one) => parts.includes(one.part) && one.from <= to && one.to >= from);
+  }
+
   recordPlanned(kind: PlannedWork['kind'], about: string): void {
     this.plannedWork.push({ kind, about, at: performance.now() });
   }
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -1,6 +1,8 @@
 /** Faults of a soak, drawn from its seed: what is done to processes, links, workers and the store, and when it ends. */
 import { type Random, seededRandom } from '../../../src/model/random.js';
 import { EVERYTHING } from './disruptions.js';
+import { drawBetween, type Fault, noCleanup, pick, type StartedFault } from './fault.js';
+import { BACKOFFS, LEAVING } from './notices.js';
 import type { Stalls } from './stalls.js';
 import { PIECES, StandInEngine } from './workers.js';
 import {
@@ -12,39 +14,13 @@
   type SystemProcess,
 } from './world.js';
 
-/** A fault in progress. */
-interface StartedFault {
-  /** In milliseconds. */
-  duration: number;
-  end: () => void;
-  detail: string;
-  /** Parts that it disrupts; absent for planned work and for faults that must harm no request. */
-  disrupts?: string[];
-}
-
-/** A kind of fault. */
-interface Fault {
-  name: string;
-  /** Whether the soak waits until its duration is over before it ends the phase of faults. */
-  mustFinish?: boolean;
-  begin(world: SoakWorld, random: Random): StartedFault;
-}
-
 /** After a fault its parts count as disrupted for this long, in milliseconds, while processes restart and connections reopen. */
 const RECOVERY_TIME = 2_000;
 
-const noCleanup = () => {};
-
-function pick<T>(items: readonly T[], random: Random): T {
-  return items[random.below(items.length)];
-}
-
 function signal(started: SystemProcess, name: NodeJS.Signals): void {
   started.child?.kill(name);
 }
 
-const drawBetween = (random: Random, least: number, most: number) => least + random.below(most - least);
-
 const entriesOf = (world: SoakWorld) => world.processes.filter(({ role }) => role === 'entry');
 
 /** Applies `act` to each part, `gap` milliseconds apart; returns how long that takes. */
@@ -642,12 +618,21 @@
   | 'drills'
   | 'deadly'
   | 'limits'
+  | 'leaving'
+  | 'backoffs'
   | 'stalls'
   | 'mixed';
 
 /** Choices in which configurations move a route that callers use. */
 export const MOVES_ROUTE: ReadonlySet<FaultChoice> = new Set(['stalls', 'mixed']);
 
+/** Outages of the store, of which the processes learn nothing about workers. */
+const STORE_OUTAGES = UNPLANNED.filter(
+  ({ name }) => name === 'store unavailable' || name === 'link to the store cut',
+);
+/** Choices in which workers state in their answers that they are leaving, or ask for a back-off. */
+export const STATES_NOTICES: ReadonlySet<FaultChoice> = new Set(['leaving', 'backoffs']);
+
 const PROCESS_KILLS = UNPLANNED.filter(({ name }) => name === 'process killed');
 
 const repeat = (faults: readonly Fault[], count: number) =>
@@ -662,6 +647,8 @@
   deadly: [...PLANNED, ...UNPLANNED],
   // Kills are only two in 24: requests from recently disrupted entries are not judged.
   limits: [...PLANNED, ...PLANNED, ...PROCESS_KILLS, ...PROCESS_KILLS, ...repeat(LIMITS, 8)],
+  leaving: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...STORE_OUTAGES, ...repeat(LEAVING, 3)],
+  backoffs: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...RESTARTS.slice(0, 1), ...repeat(BACKOFFS, 3)],
   stalls: [...PLANNED, ...repeat(CONFIGURATIONS, 3), ...repeat(STALLS, 3)],
   mixed: [...PLANNED, ...UNPLANNED, ...CONFIGURATIONS, ...STALLS, ...STALLS],
   drills: [
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -2,7 +2,8 @@
  * A soak test: runs the real programs as processes, injects faults and sends requests whose every response is checked. Once the
  * faults end, all entries must serve according to the newest configuration and version again within a time limit.
  *
- * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|stalls|mixed]
+ * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|
+ * leaving|backoffs|stalls|mixed]
  * [--kept]` prints each seed's outcome. For a seed with violations it also prints the timeline of faults and keeps the logs, and the
  * exit code is 1.
  */
@@ -20,8 +21,9 @@
 } from './callers.js';
 import { DeadlyContent } from './deadly-content.js';
 import { DeadlyPart } from './deadly-part.js';
-import { type FaultChoice, injectFaults, MOVES_ROUTE } from './faults.js';
+import { type FaultChoice, injectFaults, MOVES_ROUTE, STATES_NOTICES } from './faults.js';
 import { judgeCuts, judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
+import { judgeBackoffs, judgeLeaving } from './notice-judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
 
 const SECOND = 1_000;
@@ -55,6 +57,21 @@
   await new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+let probesSent = 0;
+
+async function sendProbe(
+  entry: string,
+  kind: SentRequest['kind'],
+  path: string,
+  sent: SentRequest[],
+  name: string,
+): Promise<SentRequest> {
+  const id = `${name}-${probesSent++}`;
+  const answer = await sendRequest(entry, undefined, { id, kind, path, body: 'probe' });
+  sent.push(answer);
+  return answer;
+}
+
 /** Describes how an entry still differs from the declared state; undefined if it does not. */
 async function probe(
   world: SoakWorld,
@@ -62,16 +79,7 @@
   sent: SentRequest[],
   name: string,
 ): Promise<string | undefined> {
-  const ask = async (kind: SentRequest['kind'], path: string) => {
-    const answer = await sendRequest(entry, undefined, {
-      id: `${name}-${sent.length}`,
-      kind,
-      path,
-      body: 'probe',
-    });
-    sent.push(answer);
-    return answer;
-  };
+  const ask = (kind: SentRequest['kind'], path: string) => sendProbe(entry, kind, path, sent, name);
   const stream = await ask('write', '/write/probe');
   if (stream.status !== 200) return `a stream gets ${stream.status}`;
   const version = Number(stream.headers['weight-versions']);
@@ -104,6 +112,26 @@
   }
 }
 
+/** Sends requests to all entries until each worker has received one; resolves with the ids of those that have not in time. */
+async function findUnusedWorkers(world: SoakWorld, limit: number, sent: SentRequest[]): Promise<string[]> {
+  const startedAt = performance.now();
+  const unused = () => {
+    const used = new Set(world.log.arrivals.filter(({ at }) => at > startedAt).map(({ worker }) => worker));
+    return world.workers.map(({ worker }) => worker.id).filter((id) => !used.has(id));
+  };
+  while (unused().length > 0 && performance.now() - startedAt < limit) {
+    // Entries prefer the workers of their zone, and callers may all use the entries of the other one.
+    const entries = world.entryAddresses().map(({ callers }) => callers);
+    const asked = entries.flatMap((entry) => [
+      sendProbe(entry, 'write', '/write/probe', sent, `use-${entry}`),
+      sendProbe(entry, 'once', '/once/probe', sent, `use-${entry}`),
+    ]);
+    await Promise.all(asked);
+    await pause(PROBE_PAUSE);
+  }
+  return unused();
+}
+
 async function playSeed({ seed, seconds, folder, size, ...plan }: SeedPlan): Promise<SeedOutcome> {
   const world = new SoakWorld(folder, 1 + (seed % SUBNETS), size);
   const faults = plan.faults ?? defaultFaults(seed);
@@ -132,6 +160,7 @@
     // Recovery is timed from the end of the planned stops in progress, which belong to the faults.
     await world.untilStopped();
     const recovered = await waitUntilConverged(world, RECOVERY_LIMIT, probes);
+    const unused = STATES_NOTICES.has(faults) ? await findUnusedWorkers(world, RECOVERY_LIMIT, probes) : [];
     for (const caller of callers) caller.stop();
     deadly?.stop();
     deadlyPart?.stop();
@@ -148,11 +177,14 @@
       ...judgeRepetitions(world, sent),
       ...judgeDepartures(world, sent),
       ...judgeLimits(world, sent),
+      ...judgeLeaving(world, sent),
+      ...judgeBackoffs(world, sent),
       ...world.log.violations,
       ...world.violations,
       ...(deadly?.judge() ?? []),
       ...(deadlyPart?.judge(byCallers) ?? []),
       ...(typeof recovered === 'string' ? [`RECOVER: ${recovered}`] : []),
+      ...unused.map((id) => `UNUSED: ${id} got no request within ${RECOVERY_LIMIT} ms after the last fault`),
     ];
     return {
       faults,
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -23,6 +23,9 @@
 const SERVICE_TIME = 20;
 /** Time after which a continued stream is broken off, in milliseconds. */
 const BREAK_DELAY = 10;
+const MILLISECONDS = 1_000;
+/** A back-off is stated in seconds, which may have a fraction. */
+const SECONDS = /^\d+(\.\d+)?$/;
 
 /** Response headers by which a caller matches a response to its request and run. */
 type AnswerHeaders = Record<'Attempt-Id' | 'Server-Seal', string>;
@@ -64,14 +67,32 @@
   isContinuationBroken: boolean;
 }
 
+/** One start of a worker. */
+export interface WorkerStart {
+  worker: string;
+  /** When it started by its own clock. */
+  born: number;
+}
+
 /** A request that reached a worker, whether or not it ran there. */
-export interface Arrival {
+export interface Arrival extends WorkerStart {
   requestId: string;
   service: string;
-  worker: string;
   at: number;
 }
 
+/** An answer by which a worker stated that it is leaving. */
+export interface LeavingAnswer extends WorkerStart {
+  requestId: string;
+}
+
+/** A refusal by which a worker asked for a back-off; times are in milliseconds. */
+export interface BackoffRequest extends WorkerStart {
+  requestId: string;
+  at: number;
+  backoff: number;
+}
+
 /** A period in which a worker announces a rate limit; times are in milliseconds of the monotonic clock. */
 export interface RateLimitPeriod {
   worker: string;
@@ -92,6 +113,8 @@
   readonly runs: Run[] = [];
   readonly arrivals: Arrival[] = [];
   readonly limits: RateLimitPeriod[] = [];
+  readonly leavingAnswers: LeavingAnswer[] = [];
+  readonly backoffRequests: BackoffRequest[] = [];
   readonly violations: string[] = [];
 
   of(requestId: string): Run[] {
@@ -187,8 +210,12 @@
   protected readonly log: RunLog;
   leaving = false;
   readonly stalls = new Stalls();
+  /** Whether it states in all its answers that it is leaving; its record may say so or not. */
+  statesLeaving = false;
   /** Share of requests that it refuses although it is healthy. */
   shedShare = 0;
+  /** `Retry-After` of these refusals; undefined for none. */
+  shedRetryAfter: string | undefined;
   /** Rate limit announced in its responses, in requests per second; undefined for none. The worker does not enforce it. */
   rateLimit: number | undefined;
   #runs = 0;
@@ -207,22 +234,50 @@
 
   /** Records the arrival of a request; returns false if the worker sheds it. */
   protected admits(request: IncomingMessage): boolean {
-    const { id: worker, service } = this;
-    this.log.arrivals.push({ requestId: requestIdOf(request), service, worker, at: performance.now() });
+    const { id: worker, born, service } = this;
+    this.log.arrivals.push({ requestId: requestIdOf(request), service, worker, born, at: performance.now() });
     // Shed requests are evenly spaced, so that they depend only on the share.
     const before = Math.floor(this.#offered * this.shedShare);
     return Math.floor(++this.#offered * this.shedShare) === before;
   }
 
+  /** Refuses a request that is shed, with the back-off for which the worker asks. */
+  protected shed(request: IncomingMessage, response: ServerResponse): void {
+    const retryAfter = this.shedRetryAfter;
+    if (retryAfter === undefined) return this.refuse(request, response, 503);
+    const { id: worker, born } = this;
+    const [requestId, at] = [requestIdOf(request), performance.now()];
+    if (SECONDS.test(retryAfter))
+      this.log.backoffRequests.push({
+        requestId,
+        worker,
+        born,
+        at,
+        backoff: Number(retryAfter) * MILLISECONDS,
+      });
+    this.refuse(request, response, 503, { 'Retry-After': retryAfter });
+  }
+
   /** Responds that the request was not executed. */
-  protected refuse(request: IncomingMessage, response: ServerResponse, status: number): void {
-    const headers = { 'Attempt-Id': requestIdOf(request), 'Not-Executed': '1', ...this.limitHeaders };
+  protected refuse(request: IncomingMessage, response: ServerResponse, status: number, more = {}): void {
+    const headers = {
+      'Attempt-Id': requestIdOf(request),
+      'Not-Executed': '1',
+      ...this.noticeHeaders(request),
+      ...more,
+    };
     response.writeHead(status, headers);
     response.end();
   }
 
-  protected get limitHeaders(): Record<string, string> {
-    return this.rateLimit === undefined ? {} : { 'Server-Limit': String(this.rateLimit) };
+  /** Headers in which the worker states its rate limit, and that it is leaving. */
+  protected noticeHeaders(request: IncomingMessage): Record<string, string> {
+    const { id: worker, born } = this;
+    if (this.statesLeaving) this.log.leavingAnswers.push({ requestId: requestIdOf(request), worker, born });
+    return {
+      ...(this.rateLimit === undefined ? {} : { 'Server-Limit': String(this.rateLimit) }),
+      ...(this.statesLeaving ? { 'Server-Leaving': '1' } : {}),
+    };
   }
 
   /** Records a run; returns it with the signature of its response. */
@@ -290,13 +345,17 @@
   }
 
   protected handle(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
-    if (!this.admits(request)) return this.refuse(request, response, 503);
+    if (!this.admits(request)) return this.shed(request, response);
     if (!this.isAddressedHere(request)) return this.refuse(request, response, 421);
     const met = this.continuationFor(request);
     if (met === 'refuses') return this.refuse(request, response, 503);
     const { run, seal } = this.run(request, body, 0);
     if (this.breaksContinuation(run, response, met, seal)) return;
-    const headers = { 'Attempt-Id': requestIdOf(request), 'Server-Seal': seal, ...this.limitHeaders };
+    const headers = {
+      'Attempt-Id': requestIdOf(request),
+      'Server-Seal': seal,
+      ...this.noticeHeaders(request),
+    };
     let isGone = false;
     response.on('close', () => {
       isGone = true;
@@ -453,7 +512,7 @@
   }
 
   async #generate(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
-    if (!this.admits(request)) return this.refuse(request, response, 503);
+    if (!this.admits(request)) return this.shed(request, response);
     const hasOtherVersion = () => {
       const expected = request.headers['expect-version'];
       return expected !== undefined && Number(expected) !== this.#version;
@@ -484,7 +543,7 @@
       'Server-Seal': seal,
       'Weight-Versions': String(this.#version),
       'Content-Type': 'text/event-stream',
-      ...this.limitHeaders,
+      ...this.noticeHeaders(request),
     });
     const breakOff = () => {
       run.isAborted = true;
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -32,6 +32,8 @@
 /** Delay before an exited process is restarted, in milliseconds. */
 export const RESTART_DELAY = 200;
 const ROLE_MEMORY_MB = 120;
+/** Requests in progress at a worker that ends may be cut for this long, in milliseconds. */
+const LEAVING_END_TIME = 2_000;
 
 /** Number of entries that every process has as seeds in its settings. */
 const SEEDS = 2;
@@ -298,6 +300,7 @@
     started.child = child;
     child.once('exit', (code) => {
       started.child = undefined;
+      this.disruptions.recordInterruption(started.name);
       for (const stop of this.disruptions.stops) {
         if (stop.process === started.name) stop.endedAt = Math.min(stop.endedAt, performance.now());
       }
@@ -383,6 +386,17 @@
     if (isRegisteredAtOnce) this.#writeHeartbeats();
   }
 
+  /** Ends a worker that is leaving and restarts it under its id, so that it may be used again. */
+  endLeaving(place: number): void {
+    this.disruptions.record([this.workers[place].worker.id], LEAVING_END_TIME);
+    void this.restartWorker(place, 0, true);
+  }
+
+  /** Removes a worker's record; its next heartbeat writes it again. */
+  removeRecord({ id }: StandInWorker): void {
+    this.store.write('servers', id, undefined);
+  }
+
   /** Ends all effects that faults may have left behind. */
   clearFaults(): void {
     Object.assign(this.store.faults, { down: false, silent: false, losesAnswers: false });
@@ -395,9 +409,12 @@
       link.cut('none');
       link.delay = 0;
       worker.shedShare = 0;
+      worker.shedRetryAfter = undefined;
       worker.rateLimit = undefined;
       worker.stalls.clear();
     }
+    for (const [place, { worker }] of this.workers.entries())
+      if (worker.statesLeaving) this.endLeaving(place);
     if (JSON.stringify(this.#shape) !== JSON.stringify(DEFAULT_SHAPE)) this.configure(DEFAULT_SHAPE);
     const now = performance.now();
     for (const limit of this.log.limits) limit.to = Math.min(limit.to, now);
