Forwarding: the estimate of capacity, failed attempts and expired answers go where they belong

CapacityEstimator tells when back ends take requests again; SendPolicy decides after a failed attempt whether its back end may get the request again; AttemptWatch counts what it withdraws, RequestLog words the line on an expired version.

--- a/src/forwarding/attempt-watch.ts
+++ b/src/forwarding/attempt-watch.ts
@@ -8,15 +8,15 @@
 import type { CompletionEstimate } from './completion-estimate.js';
 import { healthOutcomeAtTimeout } from './request-outcome.js';
 import { type Silence, silenceOf } from './silence.js';
+import type { VersionExpiryFigures } from './version-expiry-figures.js';
 
-/** Reason of attempts that are withdrawn because the version at their back end is about to expire. */
-export const VERSION_EXPIRES = 'version expires';
 /** Timeout for opening a new connection, in milliseconds. */
 const CONNECT_TIMEOUT = 400;
 
 export interface AttemptWatchComponents {
   backEnds: BackEndTable;
   selector: BackEndSelector;
+  expiryFigures: Pick<VersionExpiryFigures, 'withdrawn'>;
 }
 
 /** The current state of the watched request. */
@@ -48,7 +48,7 @@
   /** Checks one attempt: ends it if it must not continue, and records it if it is silent. */
   check(use: BackEndUse, now: number, standstills: StallDetector): void {
     // Checked first: otherwise an attempt that cannot be sent again could begin on an expired version.
-    if (this.#mustNotBegin(use, now)) return use.attempt.withdraw(VERSION_EXPIRES);
+    if (this.#mustNotBegin(use, now)) return this.#withdraw(use);
     const { attempt } = use;
     this.#request.completionEstimate.noteProgress(attempt, now);
     if (!attempt.sent) {
@@ -63,6 +63,11 @@
     this.#noteSilence(use, silence, now, standstills);
   }
 
+  #withdraw({ attempt }: BackEndUse): void {
+    this.#components.expiryFigures.withdrawn++;
+    attempt.withdraw('version expires');
+  }
+
   /** Called at the timeout of the request: records a back end that has not answered at all as silent. */
   noteTimeout(use: BackEndUse): void {
     const { backEnds } = this.#components;
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -13,6 +13,7 @@
   isLoadReported,
   loadOf,
 } from './back-end-table.js';
+import { CapacityEstimator, type ExpectedCapacity } from './capacity-estimator.js';
 import type { DirectPermits } from './direct-permits.js';
 import {
   type Candidate,
@@ -26,8 +27,6 @@
 
 /** Number of concurrent requests assumed for a back end whose record does not state its slots. */
 const DEFAULT_SLOTS = 4;
-/** Assumed time to the first answer of a back end that has not answered yet, in milliseconds. */
-const DEFAULT_FIRST_ANSWER = 100;
 /** Assumed request duration at a back end that has not yet completed one, in milliseconds. */
 const DEFAULT_DURATION = 100;
 const DEFAULT_ENGINE_DURATION = 800;
@@ -63,20 +62,6 @@
 const MILLISECONDS = 1_000;
 /** Time after which a slow first answer no longer counts against a back end, in milliseconds. */
 const SLOWNESS_VALIDITY = 4_000;
-/** Usual time from the order to switch to a version until the engine takes requests on it, in milliseconds. */
-const SWITCH_TIME = 400;
-
-/**
- * Time after its start within which an entry receives the first reports on its engines, in milliseconds: they arrive
- * after 0.5 to 0.9 s.
- */
-const FIRST_REPORT_TIME = 1_500;
-/**
- * Time in which an engine without weights is expected to serve if `FIRST_REPORT_TIME` has not passed and its agent has
- * not reported on it yet, in milliseconds: fetching a copy of the weights takes 3.5 to 4.3 s.
- */
-const FIRST_WEIGHTS_TIME = 4_000;
-
 /** Requirements of a request for its back end. */
 export interface Requirements {
   service: string;
@@ -97,14 +82,6 @@
   isLastResort: boolean;
 }
 
-/** When back ends of a service are expected to take requests again. */
-export interface ExpectedCapacity {
-  /** Time until then, in milliseconds; infinite if none is expected to. */
-  wait: number;
-  /** True if the back ends themselves have asked for this time, false if it is estimated. */
-  isBackoff: boolean;
-}
-
 /** Why a back end is not eligible for a request. */
 export type Exclusion =
   | 'leaving'
@@ -161,7 +138,7 @@
   readonly #limits: BackEndLimits;
   readonly #backoffs: Pick<BackEndBackoffs, 'admits' | 'isProbed' | 'timeLeft'>;
   readonly #permits: Pick<DirectPermits, 'mayClaim'>;
-  readonly #createdAt = performance.now();
+  readonly #capacity: CapacityEstimator;
 
   constructor(options: {
     fleet: FleetView;
@@ -187,6 +164,13 @@
     this.#limits = options.limits;
     this.#backoffs = options.backoffs;
     this.#permits = options.permits;
+    this.#capacity = new CapacityEstimator({
+      fleet: options.fleet,
+      table: options.table,
+      backoffs: options.backoffs,
+      lowestVersion: (engine, now) => this.#lowestVersion(engine, now, 0),
+      isSuperseded: (row) => this.#isSuperseded(row),
+    });
   }
 
   /** Selects the best back end among those without a responsive agent; undefined if none is eligible now. */
@@ -343,54 +327,7 @@
    * or if nothing is known of it.
    */
   timeToCapacity(service: string): ExpectedCapacity | undefined {
-    const now = performance.now();
-    const engine = this.#fleet.routes?.service(service)?.engine;
-    let soonest: ExpectedCapacity = { wait: Number.POSITIVE_INFINITY, isBackoff: false };
-    for (const row of this.#table.ofService(service)) {
-      if (row.record.leaving || this.#isSuperseded(row)) continue;
-      const backoff = this.#timeToAdmission(row, now);
-      const serves = engine === undefined || this.#servesIfAdmitted(row, engine, now);
-      if (serves && backoff === 0) return undefined;
-      const estimate = serves ? 0 : this.#timeToVersion(row, engine, now);
-      const wait = Math.max(backoff, estimate);
-      if (wait < soonest.wait) soonest = { wait, isBackoff: backoff >= estimate };
-    }
-    return engine === undefined && !soonest.isBackoff ? undefined : soonest;
-  }
-
-  /** Time until `row` may get requests without restriction as far as its back-off is concerned, in milliseconds. */
-  #timeToAdmission({ record, firstAnswerTime }: BackEndRow, now: number): number {
-    const left = this.#backoffs.timeLeft(record, now);
-    if (left > 0 || !this.#backoffs.isProbed(record)) return left;
-    return firstAnswerTime || DEFAULT_FIRST_ANSWER;
-  }
-
-  /** Whether an engine holds a version on which requests may start, apart from its back-off. */
-  #servesIfAdmitted(row: BackEndRow, engine: EngineShape, now: number): boolean {
-    return (
-      this.#holdsAllowedVersion(row, engine, now) &&
-      row.news?.isSwitching !== true &&
-      row.health.admits(now, true)
-    );
-  }
-
-  #holdsAllowedVersion(row: BackEndRow, engine: EngineShape, now: number): boolean {
-    const version = completeVersion(row, engine.layers);
-    return version > 0 && version >= this.#lowestVersion(engine, now, 0);
-  }
-
-  /** Expected time until an engine has switched to a version on which requests may start, in milliseconds. */
-  #timeToVersion(row: BackEndRow, engine: EngineShape, now: number): number {
-    const { news } = row;
-    if (news === undefined) {
-      const isNew = now - this.#createdAt < FIRST_REPORT_TIME;
-      return isNew && completeVersion(row, engine.layers) === 0
-        ? FIRST_WEIGHTS_TIME
-        : Number.POSITIVE_INFINITY;
-    }
-    if (news.isSwitching) return SWITCH_TIME;
-    if (this.#holdsAllowedVersion(row, engine, now)) return Number.POSITIVE_INFINITY;
-    return Math.max(0, news.switchAt + SWITCH_TIME - now);
+    return this.#capacity.timeToCapacity(service);
   }
 
   /** This entry's share of the slots of `service`: all entries share them equally. */
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -23,7 +23,7 @@
   mayHaveReachedBackEnd,
 } from './attempt.js';
 import { AttemptAnswer } from './attempt-answer.js';
-import { AttemptWatch, VERSION_EXPIRES } from './attempt-watch.js';
+import { AttemptWatch } from './attempt-watch.js';
 import { BackEndSearch, type PendingRequest } from './back-end-search.js';
 import type { Selection } from './back-end-selector.js';
 import { type BackEndRow, loadOf } from './back-end-table.js';
@@ -428,17 +428,11 @@
     const version = this.#versionOf(use);
     if (version === undefined) return;
     const { selector, expiryFigures } = this.#components;
-    const { row, attempt, assumedEngine } = use;
-    const timeSinceExpiry = selector.timeSinceExpiry(assumedEngine.engine, version, performance.now());
+    const { engine } = use.assumedEngine;
+    const timeSinceExpiry = selector.timeSinceExpiry(engine, version, performance.now());
     if (!(timeSinceExpiry > 0)) return;
     expiryFigures.begunLate++;
-    this.#log.note('began on an expired version', {
-      backEnd: row.record.id,
-      version,
-      expiredMs: Math.round(timeSinceExpiry),
-      send: this.#policy.sends,
-      sentMsAgo: Math.round(performance.now() - attempt.startedAt),
-    });
+    this.#log.noteExpiredVersion(use, { version, timeSinceExpiry, send: this.#policy.sends });
   }
 
   #onData(use: BackEndUse, chunk: Buffer): void {
@@ -491,11 +485,8 @@
     this.#log.noteFailure(use, failure);
     if (failure.type === 'broken' && failure.isLost) this.#content.noteBroken(row);
     if (failure.type === 'notSent' && failure.reason === CONNECTION_REFUSED) this.#content.noteRefused(row);
-    if (failure.type === 'withdrawn' && failure.reason === VERSION_EXPIRES)
-      this.#components.expiryFigures.withdrawn++;
     this.#openAttempts.close(use, healthOutcomeOf(failure));
-    if (this.#mayResend(row, failure)) this.#policy.allowResend(row);
-    if (mayHaveReachedBackEnd(failure)) this.#policy.noteRepetition();
+    this.#policy.noteFailure(row, failure);
     if (this.#move.isSource(use) || !this.#search.isUnderWay) this.#endMove(failure.type);
     // Another attempt is open, or a search is in progress.
     if (this.#openAttempts.size > 0 || this.#search.isUnderWay) return;
@@ -507,15 +498,6 @@
     this.#search.begin();
   }
 
-  /** Whether a back end that has not run the request may get it again. */
-  #mayResend(row: BackEndRow, failure: AttemptFailure): boolean {
-    if (failure.type === 'withdrawn') return !failure.wentOut;
-    if (failure.type !== 'refused' && failure.type !== 'notSent') return false;
-    if (this.#answer.started || this.#openAttempts.size > 0) return true;
-    // Until its back-off has ended, only requests that no other back end can take go there.
-    return failure.type === 'refused' && this.#components.selector.isUnavailable(row, performance.now());
-  }
-
   #onBroken(reason: string): void {
     if (this.#policy.maySendAgain) {
       this.#log.note('sent again', { reason, sends: this.#policy.sends, after: this.#answer.lastEventId });
--- a/src/forwarding/request-log.ts
+++ b/src/forwarding/request-log.ts
@@ -76,6 +76,23 @@
     this.note('attempt failed', { backEnd, ...failure, silentMs, hasPart, ageMs: this.age });
   }
 
+  /**
+   * An answer has begun on a version that had expired.
+   * @param answer - the version, the time since its expiry in milliseconds, and the number of the send
+   */
+  noteExpiredVersion(
+    { row, attempt }: BackEndUse,
+    { version, timeSinceExpiry, send }: { version: number; timeSinceExpiry: number; send: number },
+  ): void {
+    this.note('began on an expired version', {
+      backEnd: row.record.id,
+      version,
+      expiredMs: Math.round(timeSinceExpiry),
+      send,
+      sentMsAgo: Math.round(performance.now() - attempt.startedAt),
+    });
+  }
+
   /**
    * @param use - the first attempt that is open
    * @param routeName - the route of the request; undefined if none matched
--- a/src/forwarding/send-policy.ts
+++ b/src/forwarding/send-policy.ts
@@ -2,6 +2,7 @@
 import { BackEndSet } from '../fleet/back-end-identity.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import type { AdmittedRequest } from './admitted-request.js';
+import { type AttemptFailure, mayHaveReachedBackEnd } from './attempt.js';
 import type { BackEndSelector, Requirements } from './back-end-selector.js';
 import type { BackEndRow } from './back-end-table.js';
 import type { CallerAnswer } from './caller-answer.js';
@@ -18,7 +19,7 @@
   /** Whether the body is streamed without being buffered, and so cannot be sent twice. */
   isBodyStreamed: () => boolean;
   content: Pick<SuspectContent, 'mayRunAgain'>;
-  attempts: Pick<OpenAttempts, 'runs'>;
+  attempts: Pick<OpenAttempts, 'runs' | 'size'>;
   answer: Pick<CallerAnswer, 'started' | 'isEventStream'>;
   selector: BackEndSelector;
   /** Retry budget of the service. */
@@ -81,9 +82,20 @@
     this.#isRepetition = true;
   }
 
-  /** Allows another send to a back end that refused the request or was not reached. */
-  allowResend({ record }: BackEndRow): void {
-    this.#tried.delete(record);
+  /** An attempt at `row` has failed: allows another send there if that is of use, and counts further sends as retries. */
+  noteFailure(row: BackEndRow, failure: AttemptFailure): void {
+    if (this.#mayResend(row, failure)) this.#tried.delete(row.record);
+    if (mayHaveReachedBackEnd(failure)) this.noteRepetition();
+  }
+
+  /** Whether a back end that has not run the request may get it again. */
+  #mayResend(row: BackEndRow, failure: AttemptFailure): boolean {
+    if (failure.type === 'withdrawn') return !failure.wentOut;
+    if (failure.type !== 'refused' && failure.type !== 'notSent') return false;
+    const { answer, attempts, selector } = this.#options;
+    if (answer.started || attempts.size > 0) return true;
+    // Until its back-off has ended, only requests that no other back end can take go there.
+    return failure.type === 'refused' && selector.isUnavailable(row, performance.now());
   }
 
   /** Nothing arrives on the connection of an attempt at `row`, though the back end may answer on other connections. */
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1005,7 +1005,7 @@
   {
     fault: 'a request begins on a version that has expired while it waited',
     file: 'src/forwarding/attempt-watch.ts',
-    find: 'return use.attempt.withdraw(VERSION_EXPIRES);',
+    find: 'return this.#withdraw(use);',
     replace: 'return;',
     test: 'test/forwarding/capacity.test.ts',
   },
