Agents keep the back-off times of their back ends; emulated engines and services ask for them

Cause: the same as for entries that call back ends at their own address: Retry-After of a local engine or service was not read, and all calls went on to it. Change: an agent refuses calls as not run until the end of the time, with what is left of it, and lets one call through first after it. The 503 itself is passed on as before: nothing says in this interface that it has not run. `emulate engine` and `emulate service` take shedShare and retryAfterSeconds, and their audits tell how many requests they refused.

--- a/emulator/engine/engine.ts
+++ b/emulator/engine/engine.ts
@@ -7,6 +7,7 @@
 import type { Startable } from '../../src/model/startable.js';
 import { createApplication, delay, httpServer, readBody, readJson } from '../../src/server/http-server.js';
 import type { EngineEmulatorSettings } from '../../src/settings/schemas.js';
+import { Shedder } from '../shedder.js';
 import { Batch, type EngineRequest, type RunningRequest } from './batch.js';
 import { EngineWeights, type Fence } from './weights.js';
 
@@ -59,6 +60,7 @@
   readonly #settings: EngineEmulatorSettings;
   readonly #weights: EngineWeights;
   readonly #batch: Batch;
+  readonly #shedder: Shedder;
   readonly #runs = new Map<string, { runs: number; at: number }>();
   #role = 'serving';
   /** Loads of the past, so that an old one can be reported. */
@@ -68,6 +70,7 @@
   constructor(settings: EngineEmulatorSettings) {
     this.#settings = settings;
     this.#weights = new EngineWeights(settings.checksFences);
+    this.#shedder = new Shedder(settings);
     this.#batch = new Batch({
       size: settings.batch,
       stepMilliseconds: settings.stepMilliseconds,
@@ -108,7 +111,8 @@
       context.body = this.#cacheEvents(Number(context.query.since ?? 0));
     });
     router.get('/audit', (context) => {
-      context.body = { weights: this.#weights.audit, runs: this.#auditRuns() };
+      const { refused } = this.#shedder;
+      context.body = { weights: this.#weights.audit, runs: this.#auditRuns(), refused };
     });
     const app = createApplication();
     app.use(router.routes());
@@ -153,6 +157,7 @@
       context.body = { error: 'versionNotLoaded' };
       return;
     }
+    if (this.#shedder.refuses(context)) return;
     const request: EngineRequest = {
       id: call.request_id,
       version: call.version,
--- a/emulator/service/service.ts
+++ b/emulator/service/service.ts
@@ -2,6 +2,7 @@
 import type { Startable } from '../../src/model/startable.js';
 import { createApplication, delay, httpServer, readBody } from '../../src/server/http-server.js';
 import type { ServiceEmulatorSettings } from '../../src/settings/schemas.js';
+import { Shedder } from '../shedder.js';
 
 /** One run of a call. */
 export interface ServiceRun {
@@ -16,13 +17,15 @@
 /** Creates the stand-in. */
 export function serviceEmulator(settings: ServiceEmulatorSettings): Startable {
   const runs: ServiceRun[] = [];
+  const shedder = new Shedder(settings);
   const app = createApplication();
   app.use(async (context) => {
     if (context.path === '/audit') {
-      context.body = { runs };
+      context.body = { runs, refused: shedder.refused };
       return;
     }
     const body = await readBody(context);
+    if (shedder.refuses(context)) return;
     const run = {
       method: context.method,
       path: context.path,
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -7,6 +7,7 @@
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
 import { httpOrigin, type Origin } from '../clients/origin.js';
 import { type EngineClient, httpEngineClient } from '../engine/engine-client.js';
+import { BackEndBackoffs } from '../forwarding/back-end-backoffs.js';
 import { HybridClock } from '../model/hybrid-clock.js';
 import type { Digest } from '../model/manifest.js';
 import { hash32, type Random, seededRandom } from '../model/random.js';
@@ -27,6 +28,7 @@
 import { lowestOfEachZone } from '../systems/entry-topology.js';
 import type { OwnersRow } from '../systems/ownership.js';
 import { engineBackEnd, serviceBackEnd } from './back-ends.js';
+import { keepBackoffs } from './backing-off.js';
 import { BurstLinks } from './burst-links.js';
 import { type BackEnd, Calls } from './calls.js';
 import { ChunkStore } from './chunk-store.js';
@@ -193,9 +195,11 @@
   }
 
   #createBackEnd(): BackEnd {
-    const { backEnd } = this.#components.settings;
-    if (backEnd.kind === 'service') return serviceBackEnd(backEnd.url);
-    return engineBackEnd(this.#components.engine, this.#loader);
+    const { settings, engine, log, metrics } = this.#components;
+    const { backEnd } = settings;
+    const local =
+      backEnd.kind === 'service' ? serviceBackEnd(backEnd.url) : engineBackEnd(engine, this.#loader);
+    return keepBackoffs(local, new BackEndBackoffs(log, metrics));
   }
 
   #accept(connection: Connection): void {
--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -37,6 +37,8 @@
 export interface BackEnd {
   /** Why a request for this version may not run now; undefined if it may. */
   refusalFor(version: string): CallRefusal | undefined;
+  /** Remaining time for which the back end has asked for no calls, in milliseconds; 0 if none. */
+  backoffLeft?(): number;
   /** Starts a request; the answer is streamed. Errors of the HTTP client are passed through. */
   run(call: CallRequest, signal: AbortSignal): Promise<HttpStream>;
   /** Cancels a request that is no longer needed. */
@@ -134,7 +136,7 @@
     const refusal = this.#refusal(call);
     if (refusal !== undefined) {
       this.counters.refused++;
-      return refuseCall(connection, call, refusal, true);
+      return refuseCall(connection, call, refusal, true, this.#backEnd.backoffLeft?.());
     }
     const abort = new AbortController();
     const window = new SendWindow();
@@ -245,15 +247,19 @@
   return Number.isFinite(milliseconds) ? Math.min(Math.max(milliseconds, 1), MAX_TIME_LEFT) : 1;
 }
 
-/** Refuses a call. `notRun` states whether it provably did not run. */
+/**
+ * Refuses a call. `notRun` states whether it provably did not run.
+ * @param backoffLeft - time for which the back end wants no calls, in milliseconds
+ */
 export function refuseCall(
   connection: Connection,
   call: CallRequest,
   reason: CallRefusal,
   notRun: boolean,
+  backoffLeft = 0,
 ): void {
   const { callId, attempt } = call;
-  const retryAfter = RETRY_AFTER[reason];
+  const retryAfter = Math.max(RETRY_AFTER[reason], backoffLeft);
   connection.send({ type: 'callRefused', callId, attempt, reason, notRun, retryAfter });
 }
 
--- a/src/agent/once-calls.ts
+++ b/src/agent/once-calls.ts
@@ -159,7 +159,7 @@
   #refuse(connection: Connection, call: CallRequest, reason: CallRefusal, notRun: boolean): void {
     if (notRun) this.counters.refusedNotRun++;
     else this.counters.unknown++;
-    refuseCall(connection, call, reason, notRun);
+    refuseCall(connection, call, reason, notRun, this.#components.backEnd.backoffLeft?.());
   }
 }
 
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -126,6 +126,14 @@
   machineListLag: z.number().min(0).default(1_000),
 });
 
+/** How a stand-in back end refuses requests. */
+const shedding = {
+  /** Share of requests that it answers with 503, evenly spaced; none of them runs. */
+  shedShare: z.number().min(0).max(1).default(0),
+  /** `Retry-After` of these answers, in seconds; 0 for none. */
+  retryAfterSeconds: z.number().min(0).default(0),
+};
+
 /** Settings of `thistleway emulate engine`. */
 export const engineEmulatorSettings = z.strictObject({
   listen: address,
@@ -146,6 +154,7 @@
   /** Delay of cache events, and the fraction of them that is lost. */
   cacheEventLag: z.number().min(0).default(500),
   cacheEventLoss: z.number().min(0).max(1).default(0.05),
+  ...shedding,
 });
 
 /** Settings of `thistleway emulate service`. */
@@ -153,6 +162,7 @@
   listen: address,
   /** Duration of a call. */
   callMilliseconds: z.number().min(0).default(10),
+  ...shedding,
 });
 
 export type EntrySettings = z.output<typeof entrySettings>;
