The health of a back end outlasts the loss and return of its record

A back end that was suspended after a crash got requests at once. Change: the table keeps the health of the latest 1,000 removed back ends for a record of the same service, address and start. Result: a test that fails without it; a new start begins without health, as before.

--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -1,7 +1,8 @@
 /**
  * The known back ends: their records in the list, the reports of their agents, the requests in flight from this and
  * other entries, and the outcomes of requests. A row exists as long as its record and describes one start of a back
- * end. A back end that restarts gets a new row, and reports on its previous start are ignored.
+ * end. A back end that restarts gets a new row, and reports on its previous start are ignored. If a record is lost and comes back
+ * with the same start, its new row has the health of the previous one.
  */
 import type { BackEndChange } from '../fleet/back-end-list.js';
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
@@ -26,6 +27,9 @@
  */
 const SILENCE_CORRELATION_TIME = 1_500;
 
+/** Number of removed back ends of which the health is kept, the latest ones. */
+const MAX_REMOVED = 1_000;
+
 /** The state of an engine as reported by its agent. */
 export interface EngineNews {
   /** The start of the engine that the report describes; undefined if the agent does not state it. */
@@ -90,6 +94,8 @@
    * record expires.
    */
   readonly #rowsByAddress = new Map<string, Set<BackEndRow>>();
+  /** The latest rows that were removed, in the order of their removal. */
+  readonly #removed = new Map<string, Pick<BackEndRow, 'record' | 'health'>>();
   readonly #holds = new Map<string, HoldRecord>();
   readonly #forecasts = new Map<string, CapacityForecast>();
   /** Requests in flight from each other entry, according to its latest report. */
@@ -227,7 +233,7 @@
       return;
     }
     if (known !== undefined) this.#removePrevious(known);
-    const row = createRow(record, () => this.maxKeptConnections(record.service));
+    const row = createRow(record, this.#takeHealth(record), () => this.maxKeptConnections(record.service));
     this.rows.set(record.id, row);
     addTo(this.#rowsByService, record.service, row);
     addTo(this.#rowsByAddress, record.address, row);
@@ -242,9 +248,27 @@
     if (this.#lastSilentConnection?.id === record.id) this.#lastSilentConnection = undefined;
   }
 
+  /** The health of this back end from before its record was lost, or that of a new one. */
+  #takeHealth(record: BackEndRecord): BackEndHealth {
+    const removed = this.#removed.get(record.id);
+    this.#removed.delete(record.id);
+    return removed !== undefined && isSameBackEnd(removed.record, record)
+      ? removed.health
+      : new BackEndHealth();
+  }
+
+  #keepHealth(id: string, { record, health }: BackEndRow): void {
+    this.#removed.delete(id);
+    this.#removed.set(id, { record, health });
+    if (this.#removed.size <= MAX_REMOVED) return;
+    const [first] = this.#removed.keys();
+    this.#removed.delete(first);
+  }
+
   #remove(id: string): void {
     const row = this.rows.get(id);
     if (row === undefined) return;
+    this.#keepHealth(id, row);
     this.rows.delete(id);
     removeFrom(this.#rowsByService, row.record.service, row);
     removeFrom(this.#rowsByAddress, row.record.address, row);
@@ -271,11 +295,15 @@
   if (rows?.size === 0) index.delete(key);
 }
 
-function createRow(record: BackEndRecord, maxKeptConnections: () => number): BackEndRow {
+function createRow(
+  record: BackEndRecord,
+  health: BackEndHealth,
+  maxKeptConnections: () => number,
+): BackEndRow {
   return {
     record,
     connections: new BackEndConnections(record.address, maxKeptConnections),
-    health: new BackEndHealth(),
+    health,
     inFlight: 0,
     pendingPromptTokens: 0,
     inFlightElsewhere: 0,
--- a/test/forwarding/restart.test.ts
+++ b/test/forwarding/restart.test.ts
@@ -97,6 +97,16 @@
     expect([...forwarding.backEnds.ofService('engines')]).toEqual([row()]);
   });
 
+  it('that has not restarted is still suspended after its record was lost and has come back', () => {
+    row().health.noteCrashed(performance.now());
+    forwarding.list();
+    start(PREVIOUS_START, true);
+    expect(row().health.suspended).toBe(true);
+    forwarding.list();
+    start(NEXT_START, true);
+    expect(row().health.suspended).toBe(false);
+  });
+
   it('gets its requests over new connections, and kept-alive ones to the previous start are closed', async () => {
     const proxy = await new SilentProxy(backEnd.address).start();
     const listed = { address: proxy.address, layers: LAYERS };
