A request whose body is not buffered is not withdrawn once its connection is open

Cause: an attempt whose back end begins to back off while the connection opens is withdrawn unsent, and the client library destroys the body with it. A body that is streamed from the caller would be lost, and the request failed though it has not run.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -319,7 +319,8 @@
     const { selector, backoffs } = this.#components;
     const { row } = selection;
     const urgency = timing.urgency(rank, performance.now());
-    const isLastResort = selector.isUnavailable(row, performance.now());
+    // A body that is not buffered would be lost with an attempt that is withdrawn.
+    const mustSend = this.#body.type === 'streamed' || selector.isUnavailable(row, performance.now());
     const attempt = new Attempt(
       {
         requestId: this.#id,
@@ -330,7 +331,7 @@
       },
       this.#components.names,
       {
-        maySend: () => isLastResort || !selector.isUnavailable(row, performance.now()),
+        maySend: () => mustSend || !selector.isUnavailable(row, performance.now()),
         onAnswer: (answer) => this.#onAnswer(use, answer),
         onHead: (head) => this.#onHead(use, head),
         onData: (chunk) => this.#onData(use, chunk),
