Requests for which there is no place to wait do not count as failed waits for a back-off

Cause: a request was counted as held before it was known whether there is a place for it; refused at once, it counted as a wait that ended unserved, and seven in a row ended the holding of further ones. Change: the place comes first.

--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -244,7 +244,7 @@
    * back-off after the other. Their end is known, so that a caller would only lose time by coming again after it.
    */
   #holdForBackoff(): boolean {
-    if (!this.#countHold() || !this.#reservePlace()) return false;
+    if (!this.#reservePlace() || !this.#countHold()) return false;
     this.#wasHeldForCapacity = true;
     return true;
   }
