The end of an engine's back-off is known during the pause after the refusal that asked for it

What callers saw: where all engines back off, those refused within 120 ms of the last refusal were told to come back after 2 s, however long the back-offs were, and none was held for one that ended in its time. Cause: an engine that is paused counts as one that is not expected to serve, and each refusal pauses it for 120 ms. Change: its back-off, which is longer, decides.

--- a/src/forwarding/capacity-estimator.ts
+++ b/src/forwarding/capacity-estimator.ts
@@ -61,7 +61,7 @@
     for (const row of this.#options.table.ofService(service)) {
       if (row.record.leaving || this.#options.isSuperseded(row)) continue;
       const backoff = this.#timeToAdmission(row, now);
-      const serves = engine === undefined || this.#servesIfAdmitted(row, engine, now);
+      const serves = engine === undefined || this.#serves(row, engine, backoff, now);
       if (serves && backoff === 0) return undefined;
       const estimate = serves ? 0 : this.#timeToVersion(row, engine, now);
       const wait = Math.max(backoff, estimate);
@@ -77,13 +77,11 @@
     return firstAnswerTime || DEFAULT_FIRST_ANSWER;
   }
 
-  /** Whether an engine holds a version on which requests may start, apart from its back-off. */
-  #servesIfAdmitted(row: BackEndRow, engine: EngineShape, now: number): boolean {
-    return (
-      this.#holdsAllowedVersion(row, engine, now) &&
-      row.news?.isSwitching !== true &&
-      row.health.admits(now, true)
-    );
+  /** Whether an engine takes requests now, or at the end of its back-off. */
+  #serves(row: BackEndRow, engine: EngineShape, backoff: number, now: number): boolean {
+    if (!this.#holdsAllowedVersion(row, engine, now) || row.news?.isSwitching === true) return false;
+    // The refusal that asked for the back-off has paused it too, for a shorter time.
+    return backoff > 0 || row.health.admits(now, true);
   }
 
   #holdsAllowedVersion(row: BackEndRow, engine: EngineShape, now: number): boolean {
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -201,6 +201,28 @@
   });
 });
 
+describe('while all engines back off', () => {
+  const refuse = (seconds: string) => reply(503, '', { 'x-not-run': '1', 'retry-after': seconds });
+
+  it('a request is refused with a Retry-After at which the first back-off has ended', async () => {
+    engine.answer(refuse('30'));
+    report({ version: 1 });
+    const answer = await forwarding.send('/write/', FIRST_REQUEST);
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(29);
+  });
+
+  it('a request waits for the end of a back-off that comes in its time', async () => {
+    engine.answer((request, response, body) => {
+      refuse('0.4')(request, response, body);
+      engine.answer(reply(200, 'served'));
+    });
+    report({ version: 1 });
+    expect(await forwarding.send('/write/', FIRST_REQUEST)).toMatchObject({ status: 200, body: 'served' });
+    expect(engine.requests).toHaveLength(2);
+  });
+});
+
 describe('a request that an engine has refused', () => {
   it('is charged as a repetition when it is sent again, not while it waits for capacity', async () => {
     engine.answer(reply(503, '', { 'x-not-run': '1' }));
