Test: the back end from which a request was withdrawn is paused, not leaving

Cause: the test steered the next request to another back end by marking this one as leaving. Change: the back end is paused instead, as after a misdirected request; what the test asks is as it was.

--- a/test/forwarding/poison-request.test.ts
+++ b/test/forwarding/poison-request.test.ts
@@ -155,7 +155,8 @@
   const late = send('/once/', 'deadly');
   await until(() => third.requests.length === 2, 'both requests');
   forwarding.list(['third', third], ['second', second]);
-  forwarding.backEnds.rows.get('third')!.record.leaving = true;
+  // Paused, so that the next request goes to the other one.
+  forwarding.backEnds.rows.get('third')!.health.note('misdirected', performance.now(), 0);
   expect((await send('/once/', 'deadly')).status).toBe(502);
   await Promise.all([taken, late]);
   forwarding.list(['other', backEnds[4]]);
