A call that is refused for another reason is not told to wait for the end of a back-off

Cause: gave the remaining time to every refusal. Change: only calls that are refused as overloaded get it. Result: a test that fails before; test/agent passes.

--- a/src/agent/calls.ts
+++ b/src/agent/calls.ts
@@ -249,7 +249,8 @@
 
 /**
  * Refuses a call. `notRun` states whether it provably did not run.
- * @param backoffLeft - time for which the back end wants no calls, in milliseconds
+ * @param backoffLeft - time for which the back end wants no calls, in milliseconds; it delays retries of overloaded calls only,
+ * as others may go to another agent at once
  */
 export function refuseCall(
   connection: Connection,
@@ -259,7 +260,7 @@
   backoffLeft = 0,
 ): void {
   const { callId, attempt } = call;
-  const retryAfter = Math.max(RETRY_AFTER[reason], backoffLeft);
+  const retryAfter = Math.max(RETRY_AFTER[reason], reason === 'overloaded' ? backoffLeft : 0);
   connection.send({ type: 'callRefused', callId, attempt, reason, notRun, retryAfter });
 }
 
--- a/test/agent/backing-off.test.ts
+++ b/test/agent/backing-off.test.ts
@@ -79,6 +79,13 @@
   expect(await audit()).toMatchObject({ runs: [], refused: 1 });
 });
 
+it('a call that is refused for another reason is not told to wait for the end of a back-off', async () => {
+  await start(1, 600);
+  await send();
+  calls.leave();
+  expect(await send()).toMatchObject({ type: 'callRefused', reason: 'leaving', retryAfter: 0 });
+});
+
 it('a back end gets calls again after its back-off', async () => {
   await start(0.5, 0.2);
   await send();
