--- a/test/agent/backing-off.test.ts
+++ b/test/agent/backing-off.test.ts
@@ -9,10 +9,10 @@
 import type { Startable } from '../../src/model/startable.js';
 import { silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
-import type { Connection } from '../../src/protocol/connection.js';
 import type { Message } from '../../src/protocol/messages.js';
 import { serviceEmulatorSettings } from '../../src/settings/schemas.js';
 import { until } from '../support.js';
+import { connectionTo } from './fake-connection.js';
 
 let emulator: Startable;
 let address: string;
@@ -31,15 +31,8 @@
 /** Sends one call; resolves with the first message of its outcome. */
 async function send(): Promise<Message> {
   const sent: Message[] = [];
-  let handle: (message: Message) => void = () => {};
-  const connection = {
-    send: (message: Message) => sent.push(message) > 0,
-    handleMessages: (handler: (message: Message) => void) => {
-      handle = handler;
-    },
-    onClose: () => {},
-  };
-  calls.serve(connection as unknown as Connection);
+  const { connection, receive } = connectionTo(sent);
+  calls.serve(connection);
   const call: CallRequest = {
     type: 'call',
     callId: 'c',
@@ -52,7 +45,7 @@
     timeLeft: 10_000,
     once: undefined,
   };
-  handle(call);
+  receive(call);
   const endings = ['callEnd', 'callRefused', 'callFailed'];
   await until(() => sent.some(({ type }) => endings.includes(type)), 'the end of a call');
   return sent[0];
--- a/test/agent/calls.test.ts
+++ b/test/agent/calls.test.ts
@@ -3,25 +3,12 @@
 import { type BackEnd, type CallRequest, Calls } from '../../src/agent/calls.js';
 import { WINDOW_BYTES } from '../../src/agent/send-window.js';
 import type { HttpStream } from '../../src/clients/http.js';
-import type { Connection } from '../../src/protocol/connection.js';
 import type { Message } from '../../src/protocol/messages.js';
 import { until } from '../support.js';
+import { connectionTo } from './fake-connection.js';
 
 const VERSION = 'a'.repeat(64);
 
-/** A fake connection: sent messages are added to `sent`, and `receive` delivers a message to its handler. */
-function connectionTo(sent: Message[]) {
-  let handler: (message: Message) => void = () => {};
-  const connection = {
-    send: (message: Message) => sent.push(message) > 0,
-    handleMessages: (newHandler: (message: Message) => void) => {
-      handler = newHandler;
-    },
-    onClose: () => {},
-  };
-  return { connection: connection as unknown as Connection, receive: (message: Message) => handler(message) };
-}
-
 function call(fields: Partial<CallRequest> = {}): CallRequest {
   return {
     type: 'call',
--- a/test/forwarding/answer-notices.test.ts
+++ b/test/forwarding/answer-notices.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { silentLog } from '../../src/observability/log.js';
 import { ForwardingHarness } from './forwarding-harness.js';
-import { routeNamed } from './routes.js';
+import { billingConfiguration, routeNamed } from './routes.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
 let backEnd: StandInBackEnd;
@@ -17,14 +17,7 @@
   backEnd = await new StandInBackEnd(reply(200, 'done')).start();
   forwarding = new ForwardingHarness('billing');
   forwarding.log = { ...silentLog, info: write, warn: write };
-  await forwarding.start({
-    revision: 1,
-    routes: [routeNamed('read')],
-    services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
-    origin: undefined,
-    limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
-    tenants: undefined,
-  });
+  await forwarding.start(billingConfiguration(routeNamed('read')));
   forwarding.list(['one', backEnd, { start: 100 }]);
 });
 
--- a/test/forwarding/back-off.test.ts
+++ b/test/forwarding/back-off.test.ts
@@ -5,17 +5,9 @@
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
 import { ForwardingHarness, NOOP_CLAIM } from './forwarding-harness.js';
-import { routeNamed } from './routes.js';
+import { billingConfiguration, routeNamed } from './routes.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
-const CONFIGURATION = {
-  revision: 1,
-  routes: [routeNamed('read')],
-  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
-  origin: undefined,
-  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
-  tenants: undefined,
-};
 /** Back-off time in seconds; longer than any test takes. */
 const LONG_BACKOFF = '600';
 /** Requests enough that each of two eligible back ends gets some of them, and the pause between them in milliseconds. */
@@ -32,7 +24,7 @@
   busy = await new StandInBackEnd(refuse(LONG_BACKOFF)).start();
   free = await new StandInBackEnd(reply(200, 'free')).start();
   forwarding = new ForwardingHarness('billing');
-  await forwarding.start(CONFIGURATION);
+  await forwarding.start(billingConfiguration(routeNamed('read')));
 });
 
 afterEach(async () => {
@@ -56,6 +48,19 @@
   expect(busy.requests).toHaveLength(1);
 });
 
+it('a refusal that names no request asks for a back-off too', async () => {
+  forwarding.list(['one', busy], ['two', free]);
+  busy.answer((_request, response) => {
+    response.writeHead(503, { 'x-not-run': '1', 'retry-after': LONG_BACKOFF });
+    response.end();
+  });
+  for (let sent = 0; sent < MANY; sent++) {
+    expect(await forwarding.send('/read/')).toMatchObject({ status: 200, body: 'free' });
+    await sleep(PAUSE);
+  }
+  expect(busy.requests.length).toBe(1);
+});
+
 it('while all back ends back off, two requests are sent and the others refused at once with the time that is left', async () => {
   forwarding.list(['one', busy]);
   const answers = await Promise.all(Array.from({ length: 10 }, () => forwarding.send('/read/')));
--- a/test/forwarding/leaving-back-end.test.ts
+++ b/test/forwarding/leaving-back-end.test.ts
@@ -2,17 +2,9 @@
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { until } from '../support.js';
 import { ForwardingHarness } from './forwarding-harness.js';
-import { routeNamed } from './routes.js';
+import { billingConfiguration, routeNamed } from './routes.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
-const CONFIGURATION = {
-  revision: 1,
-  routes: [routeNamed('read')],
-  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
-  origin: undefined,
-  limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
-  tenants: undefined,
-};
 const LEAVING = { 'x-leaving': '1' };
 /** Requests enough that each of two eligible back ends gets some of them. */
 const MANY = 30;
@@ -25,7 +17,7 @@
   leaving = await new StandInBackEnd(reply(200, 'leaving', LEAVING)).start();
   staying = await new StandInBackEnd(reply(200, 'staying')).start();
   forwarding = new ForwardingHarness('billing');
-  await forwarding.start(CONFIGURATION);
+  await forwarding.start(billingConfiguration(routeNamed('read')));
 });
 
 afterEach(async () => {
--- a/test/forwarding/routes.ts
+++ b/test/forwarding/routes.ts
@@ -1,5 +1,5 @@
-/** Routes for tests. */
-import type { Route } from '../../src/fleet/configuration.js';
+/** Routes, and configurations of a service without agents, for tests. */
+import type { FleetConfiguration, Route } from '../../src/fleet/configuration.js';
 
 /** A route for the path `/<name>/` to the service `billing`; its requests may run more than once. */
 export function routeNamed(name: string, changes: Partial<Route> = {}): Route {
@@ -20,3 +20,15 @@
     ...changes,
   };
 }
+
+/** A configuration of the service `billing`, whose back ends have no agents. */
+export function billingConfiguration(...routes: Route[]): FleetConfiguration {
+  return {
+    revision: 1,
+    routes,
+    services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
+    origin: undefined,
+    limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
+    tenants: undefined,
+  };
+}
--- a/test/forwarding/shedding.test.ts
+++ b/test/forwarding/shedding.test.ts
@@ -2,6 +2,7 @@
 import { expect, it } from 'vitest';
 import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import { ForwardingHarness } from './forwarding-harness.js';
+import { billingConfiguration } from './routes.js';
 import { type Shedding, SheddingBackEnd, sendEvenly } from './shedding-back-ends.js';
 
 const NONE: Shedding = { share: 0, backoff: 0 };
@@ -27,14 +28,8 @@
   const backEnds = shedding.map((one, index) => new SheddingBackEnd(one, index + 1));
   for (const { backEnd } of backEnds) await backEnd.start();
   const forwarding = new ForwardingHarness('billing');
-  await forwarding.start({
-    revision: 1,
-    routes: [{ ...STREAM_ROUTE, targets: [{ service: 'billing', weight: 1 }] }],
-    services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
-    origin: undefined,
-    limits: { headerBytes: 16_384, bodyBytes: 200_000, headerTimeout: 5_000, idleTimeout: 10_000 },
-    tenants: undefined,
-  });
+  const route = { ...STREAM_ROUTE, targets: [{ service: 'billing', weight: 1 }] };
+  await forwarding.start(billingConfiguration(route));
   forwarding.list(
     ...backEnds.map(({ backEnd }, index): Parameters<ForwardingHarness['list']>[0] => [`b${index}`, backEnd]),
   );
