Eligibility of back ends, rules about versions and estimates have modules of their own

What is still to come (regions, zones out of service, back ends that warm up) has to be decided in one place. Change: back-end-eligibility.ts decides whether a back end may get a request, for all that send; version-rules.ts on which versions a request may start; candidate-estimates.ts what a request can expect. The table of guards follows the moved lines.

--- a/src/forwarding/attempt-watch.ts
+++ b/src/forwarding/attempt-watch.ts
@@ -78,7 +78,7 @@
 
   /** True if the answer has not begun and the version at the back end is about to expire. */
   #mustNotBegin({ row, assumedEngine, hasBegun }: BackEndUse, now: number): boolean {
-    return !hasBegun && this.#components.selector.mustWithdraw(row, assumedEngine, now);
+    return !hasBegun && this.#components.selector.versions.mustWithdraw(row, assumedEngine, now);
   }
 
   /** Classifies the silence of an attempt, not counting time in which this process was not running. */
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -4,8 +4,9 @@
  */
 import type { Random } from '../model/random.js';
 import type { StallDetector } from '../model/stall-detector.js';
+import type { Requirements } from './back-end-eligibility.js';
 import type { BackEndLimits } from './back-end-limits.js';
-import type { BackEndSelector, Requirements, Selection } from './back-end-selector.js';
+import type { BackEndSelector, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
 import type { ExpectedCapacity } from './capacity-estimator.js';
 import type { DirectPermits } from './direct-permits.js';
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -5,7 +5,6 @@
 import type { Attempt } from './attempt.js';
 import type { AttemptAnswer } from './attempt-answer.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
-import type { AssumedEngine } from './back-end-selector.js';
 import {
   type BackEndRow,
   type BackEndTable,
@@ -15,6 +14,7 @@
   noteOvertaking,
 } from './back-end-table.js';
 import type { SlotClaim } from './engine-slots.js';
+import type { AssumedEngine } from './version-rules.js';
 
 export interface BackEndUseOptions {
   /** The selected back end, and the engine and version for which it was selected. */
--- a/src/forwarding/capacity-estimator.ts
+++ b/src/forwarding/capacity-estimator.ts
@@ -37,8 +37,8 @@
   backoffs: Pick<BackEndBackoffs, 'isProbed' | 'timeLeft'>;
   /** Lowest version on which a request may start at `now`; 0 if any. */
   lowestVersion: (engine: EngineShape, now: number) => number;
-  /** Whether another back end has started at the address of this one. */
-  isSuperseded: (row: BackEndRow) => boolean;
+  /** Whether a back end gets no requests of any kind until this changes. */
+  isOutOfService: (row: BackEndRow) => boolean;
 }
 
 /** Estimates the capacity of one entry's services. */
@@ -59,7 +59,7 @@
     const engine = this.#options.fleet.routes?.service(service)?.engine;
     let soonest: ExpectedCapacity = { wait: Number.POSITIVE_INFINITY, isBackoff: false };
     for (const row of this.#options.table.ofService(service)) {
-      if (row.record.leaving || this.#options.isSuperseded(row)) continue;
+      if (this.#options.isOutOfService(row)) continue;
       const backoff = this.#timeToAdmission(row, now);
       const serves = engine === undefined || this.#serves(row, engine, backoff, now);
       if (serves && backoff === 0) return undefined;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -430,7 +430,7 @@
     if (version === undefined) return;
     const { selector, expiryFigures } = this.#components;
     const { engine } = use.assumedEngine;
-    const timeSinceExpiry = selector.timeSinceExpiry(engine, version, performance.now());
+    const timeSinceExpiry = selector.versions.timeSinceExpiry(engine, version, performance.now());
     if (!(timeSinceExpiry > 0)) return;
     expiryFigures.begunLate++;
     this.#log.noteExpiredVersion(use, { version, timeSinceExpiry, send: this.#policy.sends });
--- a/test/fleet/named-versions.test.ts
+++ b/test/fleet/named-versions.test.ts
@@ -3,7 +3,7 @@
 import { describe, expect, it } from 'vitest';
 import { NamedVersions } from '../../src/fleet/named-versions.js';
 import { CLOCK_TOLERANCE, StoreClock } from '../../src/fleet/store-clock.js';
-import { WITHDRAWAL_LEAD } from '../../src/forwarding/back-end-selector.js';
+import { WITHDRAWAL_LEAD } from '../../src/forwarding/version-rules.js';
 
 const NEVER = Number.NEGATIVE_INFINITY;
 const BOUND = 8_000;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -379,8 +379,8 @@
   },
   {
     fault: 'a request is sent to a back end that backs off although another one can take it',
-    file: 'src/forwarding/back-end-selector.ts',
-    find: "if (!this.#backoffs.admits(record, now, requirements.isLastResort)) return 'backingOff';",
+    file: 'src/forwarding/back-end-eligibility.ts',
+    find: "if (!this.#options.backoffs.admits(record, now, requirements.isLastResort)) return 'backingOff';",
     replace: '',
     test: 'test/forwarding/back-off.test.ts',
   },
@@ -1011,7 +1011,7 @@
   },
   {
     fault: 'requests go to engines of whose queue nothing is known until their version expires',
-    file: 'src/forwarding/back-end-selector.ts',
+    file: 'src/forwarding/candidate-estimates.ts',
     find: '(isLoadReported(row, now) ? 0 : UNKNOWN_LOAD_MARGIN)',
     replace: '0',
     test: 'test/forwarding/capacity.test.ts',
@@ -1249,8 +1249,8 @@
   },
   {
     fault: 'requests go to a back end in whose place another has started',
-    file: 'src/forwarding/back-end-selector.ts',
-    find: "if (this.#isSuperseded(row)) return 'superseded';",
+    file: 'src/forwarding/back-end-eligibility.ts',
+    find: "if (this.isSuperseded(row)) return 'superseded';",
     replace: '',
     test: 'test/forwarding/capacity.test.ts',
   },
@@ -1319,23 +1319,23 @@
   },
   {
     fault: 'a configuration without its engine hides that the version of a request expires',
-    file: 'src/forwarding/back-end-selector.ts',
+    file: 'src/forwarding/version-rules.ts',
     find: 'if (this.#isAboutToExpire(row, assumed.engine, assumed, now)) return true;',
     replace: '',
     test: 'test/forwarding/version-expiry.test.ts',
   },
   {
     fault: 'news that an engine holds nothing hide that the version of a request there expires',
-    file: 'src/forwarding/back-end-selector.ts',
+    file: 'src/forwarding/version-rules.ts',
     find: 'completeVersion(row, engine.layers, now) || version;',
     replace: 'completeVersion(row, engine.layers, now);',
     test: 'test/forwarding/version-expiry.test.ts',
   },
   {
     fault: 'what waits for a slot goes to an expired version where its service has left the configuration',
-    file: 'src/forwarding/back-end-selector.ts',
-    find: 'this.#fleet.routes?.service(service)?.engine ?? engine;',
-    replace: 'this.#fleet.routes?.service(service)?.engine;',
+    file: 'src/forwarding/back-end-eligibility.ts',
+    find: 'this.#options.fleet.routes?.service(service)?.engine ?? engine;',
+    replace: 'this.#options.fleet.routes?.service(service)?.engine;',
     test: 'test/forwarding/version-expiry.test.ts',
   },
   {
@@ -1440,7 +1440,7 @@
   },
   {
     fault: 'a back end of a service that is not named gets requests',
-    file: 'src/forwarding/back-end-selector.ts',
+    file: 'src/forwarding/back-end-eligibility.ts',
     find: "if (!this.#isConfigured(record.service)) return 'unnamedService';",
     replace: '',
     test: 'test/forwarding/foreign-back-ends.test.ts',
