Entries tell agents until when a slot serves its request in time, and the size of its prompt

Cause: an agent could not tell requests that would miss their objective from those in time, nor long prompts from short ones. Change: the messages that ask for and refuse a slot carry inTimeFor, promptTokens and availableIn; nothing decides by them yet.

--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -31,6 +31,8 @@
 export interface PendingRequest {
   readonly timing: RequestTiming;
   readonly isStream: boolean;
+  /** Tokens of the prompt; 0 if unknown. */
+  readonly promptTokens: number;
   /** Position in the queues of back ends, 0 first. */
   urgency(now: number): number;
   /** @param isLastResort - whether the request would be refused otherwise */
@@ -124,7 +126,7 @@
   /** Starts to look for a slot of an engine; returns false if there is no agent to ask. */
   #seekSlot(): boolean {
     const { selector, backEnds, limits, slots, random } = this.#components;
-    const { timing, wasSent, isResuming, urgency } = this.#request;
+    const { timing, wasSent, isResuming, urgency, promptTokens } = this.#request;
     if (!selector.shouldAcquireSlot(this.#requirements)) return false;
     const now = performance.now();
     this.#seeker = new SlotSeeker({
@@ -137,6 +139,8 @@
       rateLimitOf: (row) => limits.rateOf(row.record),
       urgency: isResuming() ? 0 : urgency(now),
       arrivedAt: timing.arrivedAt,
+      inTimeUntil: timing.inTimeUntil,
+      promptTokens,
       endsAt: timing.slotWaitDeadline(now, wasSent(), this.#wasHeldForCapacity),
       onGranted: (row, claim, asked) => this.#takeSlot(row, claim, asked),
       onWait: () => this.#onWaitForSlot(),
--- a/src/forwarding/engine-slots.ts
+++ b/src/forwarding/engine-slots.ts
@@ -12,14 +12,21 @@
   slots: number;
   /** Rate limit of the engine in requests per second; undefined if none is known. */
   rateLimit: number | undefined;
+  /** Time during which a grant still lets the request meet its objective; 0 if it cannot be met any more. */
+  inTimeFor: number;
+  /** Tokens of the prompt; 0 if unknown. */
+  promptTokens: number;
 }
 
 /** Callbacks for the answers to one request for a slot. None is called if the agent does not answer. */
 export interface SlotAnswers {
   onGranted(): void;
   onQueued(): void;
-  /** The engine takes no requests now. */
-  onRefused(): void;
+  /**
+   * The engine takes no requests now, or none that can wait no longer than this one.
+   * @param availableIn - time until a slot is expected for such a request; undefined if the agent predicts none
+   */
+  onRefused(availableIn?: number): void;
   /** The agent does not know the state of its engine yet and grants no slots. */
   onUnready(): void;
 }
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -251,10 +251,11 @@
     });
   }
 
-  #createSearch({ route, timing, rank }: AdmittedRequest): BackEndSearch {
+  #createSearch({ route, timing, rank, promptTokens }: AdmittedRequest): BackEndSearch {
     const request: PendingRequest = {
       timing,
       isStream: route.isStream,
+      promptTokens,
       urgency: (now) => timing.urgency(rank, now),
       requirements: (isLastResort) => this.#policy.requirements(isLastResort),
       wasSent: () => this.#policy.sends > 0,
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -57,6 +57,11 @@
     return this.#route.isStream && spentBefore > CALLER_RETRY_THRESHOLD;
   }
 
+  /** Until when a slot of an engine still lets the request meet its objective. */
+  get inTimeUntil(): number {
+    return this.arrivedAt + SLOT_WAIT_SHARE * this.#route.objective;
+  }
+
   /** True if the answer can no longer meet the objective. */
   isPastObjective(now: number): boolean {
     return now - this.arrivedAt > this.#route.objective;
@@ -79,7 +84,7 @@
     if (wasSent) return Math.min(this.deadline, now + MAX_WAIT);
     if (this.isCallerRetry || wasHeld) return this.latestBegin;
     if (!this.#route.isStream) return this.arrivedAt + MAX_WAIT;
-    return this.arrivedAt + SLOT_WAIT_SHARE * this.#route.objective;
+    return this.inTimeUntil;
   }
 
   /** Time until which the request is held while the serving back ends are full, if it has been held since `heldSince`. */
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -27,6 +27,10 @@
   arrivedAt: number;
   /** Until when the request waits for a slot, in milliseconds of the monotonic clock. */
   endsAt: number;
+  /** Until when a slot still lets the request meet its objective, in milliseconds of the monotonic clock. */
+  inTimeUntil: number;
+  /** Tokens of the prompt; 0 if unknown. */
+  promptTokens: number;
   /** Called with the first slot granted; the receiver must release the claim. All other claims have been released. */
   onGranted: (row: BackEndRow, claim: SlotClaim, asked: number) => void;
   /** Called if no agent has granted a slot when more agents are to be asked: the request waits. */
@@ -94,7 +98,8 @@
   }
 
   #askOne(id: string, now: number): void {
-    const { slots, table, rateLimitOf, urgency, arrivedAt, endsAt } = this.#options;
+    const { slots, table, rateLimitOf, urgency, arrivedAt, endsAt, inTimeUntil, promptTokens } =
+      this.#options;
     const row = table.rows.get(id);
     if (row?.agent === undefined) return this.#search.noteFailed(id);
     const { agent } = row;
@@ -104,6 +109,8 @@
       patience: Math.round(Math.max(0, endsAt - now)),
       slots: row.record.slots,
       rateLimit: rateLimitOf(row),
+      inTimeFor: Math.round(Math.max(0, inTimeUntil - now)),
+      promptTokens,
     };
     const claim = slots.ask(agent.address, request, {
       onGranted: () => {
--- a/src/peers/slot-server.ts
+++ b/src/peers/slot-server.ts
@@ -104,7 +104,7 @@
     if (message.type === 'slotsStated')
       return this.#sendDecisions(this.#holders.takeStatement(from, message, now));
     if (message.type !== 'slotAsked') return;
-    const { id, urgency, waitedFor, patience, slots, rateLimit } = message;
+    const { id, urgency, waitedFor, patience, slots, rateLimit, inTimeFor, promptTokens } = message;
     this.#sendDecisions(this.#holders.noteRequest(from, id, now));
     const ask = {
       id: tableId(from, id),
@@ -113,6 +113,8 @@
       endsAt: now + patience,
       slots,
       rateLimit: rateLimit ?? undefined,
+      inTimeUntil: inTimeFor == null ? undefined : now + inTimeFor,
+      promptTokens: promptTokens ?? 0,
     };
     this.#sendDecisions(this.#table.ask(ask, now));
   }
--- a/src/protocol/slot-messages.ts
+++ b/src/protocol/slot-messages.ts
@@ -17,6 +17,10 @@
       slots: number;
       /** Rate limit of the engine, in requests per second; undefined if the entry knows none. */
       rateLimit: number | undefined;
+      /** Time during which a grant still lets the request meet its objective, in milliseconds; absent from earlier releases. */
+      inTimeFor?: number | undefined;
+      /** Tokens of the prompt; 0 if unknown, absent from earlier releases. */
+      promptTokens?: number | undefined;
     }
   /** The entry releases the slot or cancels its request; `wasUsed` is false if no request was sent with the slot. */
   | { type: 'slotReleased'; id: number; wasUsed: boolean }
@@ -34,6 +38,11 @@
   /** The request waits in the agent's queue. */
   | { type: 'slotQueued'; id: number }
   /** The agent refuses the request; the entry should try another back end. */
-  | { type: 'slotRefused'; id: number }
+  | {
+      type: 'slotRefused';
+      id: number;
+      /** Time until a slot is expected for such a request, in milliseconds; undefined if the agent predicts none. */
+      availableIn?: number | undefined;
+    }
   /** The agent does not grant slots yet. */
   | { type: 'slotUnready'; id: number };
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -36,6 +36,10 @@
   slots: number;
   /** Rate limit of the engine in requests per second, as the asking entry knows it; undefined if it knows of none. */
   rateLimit?: number | undefined;
+  /** Until when a grant lets the request meet its objective; undefined if the asking entry does not say. */
+  inTimeUntil?: number | undefined;
+  /** Tokens of its prompt; 0 or undefined if unknown. */
+  promptTokens?: number | undefined;
 }
 
 /** The decision on a request for a slot. */
--- a/test/peers/slot-messages.test.ts
+++ b/test/peers/slot-messages.test.ts
@@ -9,7 +9,15 @@
 import type { Message } from '../../src/protocol/messages.js';
 import { createConnectionContext, until } from '../support.js';
 
-const WISH = { urgency: 0, waitedFor: 0, patience: 60_000, slots: 1, rateLimit: undefined };
+const WISH = {
+  urgency: 0,
+  waitedFor: 0,
+  patience: 60_000,
+  slots: 1,
+  rateLimit: undefined,
+  inTimeFor: 200,
+  promptTokens: 0,
+};
 
 let address: string;
 let heard: Message[];
