Tests of evacuated zones, the row and its state; nothing heeds them yet

Cause: an operator takes a zone out of service by the row evacuate/ZONE. No reader of the operator's table knows the row, so streams go on to engines of the zone for as long as it is there. Change: the row and its removal are decoded; EvacuatedZones keeps the latest change of each zone by store revision; reports and plans have a place for it. Nothing uses them yet.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -1,12 +1,13 @@
 /**
- * The state of the deployment as known to this process: the active configuration, the back ends, and the versions that the
- * operator has named. Each part only moves forward, whether an update comes from the store or from a peer.
+ * The state of the deployment as known to this process: the active configuration, the back ends, the versions that the
+ * operator has named, and the zones that it has taken out of service. Each part only moves forward, whether an update comes from the store or from a peer.
  */
 import type { BackEndIdentity } from '../model/back-end-identity.js';
 import type { BackEndListState } from '../protocol/back-end-list-state.js';
-import type { NamedVersion } from '../protocol/reports.js';
+import type { NamedVersion, ZoneEvacuation } from '../protocol/reports.js';
 import { type BackEndChange, BackEndList } from './back-end-list.js';
 import type { FleetConfiguration } from './configuration.js';
+import { EvacuatedZones } from './evacuated-zones.js';
 import { NamedVersions } from './named-versions.js';
 import type { RecordFault } from './record-decoder.js';
 import { RouteTable } from './route-table.js';
@@ -25,6 +26,8 @@
   onConfiguration?(table: RouteTable): void;
   onBackEnds?(changes: readonly BackEndChange[]): void;
   onNamedVersion?(named: NamedVersion): void;
+  /** A zone went out of service or was taken back; `source` is `store` or the address of a peer. */
+  onEvacuation?(change: ZoneEvacuation, source: string): void;
 }
 
 /** The state of the deployment as known to this process. */
@@ -33,6 +36,7 @@
   /** The store's clock; processes exchange times of events in store time. */
   readonly clock = new StoreClock();
   readonly versions = new NamedVersions(this.clock);
+  readonly evacuations = new EvacuatedZones();
   readonly #listeners: FleetListener[] = [];
   #routes: RouteTable | undefined;
   #document: Buffer | undefined;
@@ -94,6 +98,12 @@
     for (const listener of this.#listeners) listener.onNamedVersion?.(named);
   }
 
+  /** @param source - `store` or the address of a peer */
+  applyEvacuation(change: ZoneEvacuation, source: string): void {
+    if (!this.evacuations.apply(change)) return;
+    for (const listener of this.#listeners) listener.onEvacuation?.(change, source);
+  }
+
   /** Applies changes of the list of back ends up to `revision`. */
   applyBackEndChanges(changes: readonly BackEndChange[], revision: number): void {
     this.#notifyBackEnds(this.backEnds.apply(changes, revision));
--- a/src/fleet/record-decoder.ts
+++ b/src/fleet/record-decoder.ts
@@ -25,7 +25,9 @@
 /** What a row that the operator writes contains. */
 export type OperatorRecord =
   | { type: 'configuration'; document: ConfigurationDocument }
-  | { type: 'namedVersion'; model: string; version: number };
+  | { type: 'namedVersion'; model: string; version: number }
+  /** The back ends of `zone` get no new requests; in service again once the row is removed. */
+  | { type: 'evacuation'; zone: string; isEvacuated: boolean };
 
 /** Decodes rows; never throws, whatever bytes they contain. */
 export interface RecordDecoder {
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -199,6 +199,7 @@
       return;
     }
     this.faults.noteValid(row);
+    if (record.type !== 'namedVersion') return;
     const notBefore = this.#isNew(record) ? since : Number.NEGATIVE_INFINITY;
     fleet.applyNamedVersion({ model: record.model, version: record.version, notBefore });
   }
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -1,4 +1,5 @@
 /** Reports about themselves that entries and agents of directly called back ends exchange. */
+import type { StoreRevision } from '../clients/store-revision.js';
 import type { BackEndIdentity } from '../model/back-end-identity.js';
 
 /** A version of a model that the configuration or the operator names. */
@@ -9,6 +10,14 @@
   notBefore: number;
 }
 
+/** The operator's latest decision on whether the back ends of a zone get new requests. */
+export interface ZoneEvacuation {
+  zone: string;
+  /** Revision of the row that takes the zone out of service, or of its removal. */
+  revision: StoreRevision;
+  isEvacuated: boolean;
+}
+
 /** Number of requests that one entry has in flight at a back end. */
 export interface BackEndLoad extends BackEndIdentity {
   inFlight: number;
@@ -75,6 +84,8 @@
   held: HeldPieces[];
   /** Engines whose agents are connected to this entry. */
   engines: EngineReport[];
+  /** All evacuations that the entry knows of; absent if there are none, and from earlier releases. */
+  evacuations?: ZoneEvacuation[];
 }
 
 /** State that an agent needs to load and distribute weights. */
@@ -102,4 +113,6 @@
   entries: string[];
   /** The first of `entries` is in the agent's own zone. */
   hasNearEntry: boolean;
+  /** Whether the agent's zone is evacuated; absent if the sender does not know, and from earlier releases. */
+  evacuation?: ZoneEvacuation | undefined;
 }
--- a/src/roles/direct-agent.ts
+++ b/src/roles/direct-agent.ts
@@ -53,6 +53,7 @@
   const loader = new EngineLoader({
     engine,
     slotAddress: settings.slots,
+    zone,
     onEngineState: (observed) => slots.observe(observed),
     engineAddress: settings.engine,
     address,
@@ -73,6 +74,7 @@
   const storePlan = new StorePlanReader({
     tables,
     decoder,
+    zone,
     versionBound: settings.versionBound,
     loader,
     log,
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -81,6 +81,7 @@
   address: string;
   /** `host:port` at which the engine's slots are granted. */
   slotAddress: string;
+  zone: string;
   /** Called with the engine's state after each poll; undefined if the state is unknown. */
   onEngineState: (engine: ObservedEngine | undefined) => void;
   library: WeightsLibrary;
--- a/src/weights/store-plan-reader.ts
+++ b/src/weights/store-plan-reader.ts
@@ -24,6 +24,8 @@
 export interface StorePlanReaderOptions {
   tables: WatchedTables;
   decoder: RecordDecoder;
+  /** Zone of the agent. */
+  zone: string;
   /** Time after its naming within which a version must be serving everywhere, in milliseconds. */
   versionBound: number;
   loader: EngineLoader;
@@ -84,7 +86,7 @@
       }
       const record = decoded.value;
       if (record.type === 'configuration') configuration = record.document.configuration;
-      else
+      if (record.type === 'namedVersion')
         versions.push({ model: record.model, version: record.version, notBefore: Number.NEGATIVE_INFINITY });
     }
     if (configuration === undefined || versions.length === 0) return undefined;
--- a/test/fleet/text-records.ts
+++ b/test/fleet/text-records.ts
@@ -9,6 +9,9 @@
   operatorTable: 'operator',
   backEndTable: 'backEnds',
   operatorRecord(row) {
+    const [kind, zone] = row.key.split('/');
+    if (zone !== undefined && kind === 'evacuate')
+      return success({ type: 'evacuation', zone, isEvacuated: row.value !== undefined });
     if (row.value === undefined) return undefined;
     if (row.key === 'configuration')
       return success({ type: 'configuration', document: parseDocument(row.value) });
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -74,6 +74,7 @@
   readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
+  #selector: BackEndSelector | undefined;
   #address = '';
   #requests = 0;
 
@@ -88,6 +89,11 @@
     return this.#address;
   }
 
+  /** Chooses the back ends, from `start` on. */
+  get selector(): BackEndSelector {
+    return this.#selector!;
+  }
+
   /** Number of requests in progress. */
   get active(): number {
     return this.#server?.active ?? 0;
@@ -119,6 +125,7 @@
       backoffs,
       permits,
     });
+    this.#selector = selector;
     const reservedHeaders = new Set([
       'x-key',
       'x-tenant',
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -98,6 +98,22 @@
     });
   });
 
+  it('are decoded to the evacuation of a zone while the row is there, and to its end when it is deleted', () => {
+    const read = (key: string, value: Buffer | undefined) =>
+      platformRecords.operatorRecord({ ...row(key, {}), value });
+    const evacuation = { type: 'evacuation', zone: 'z-1' };
+    expect(read('evacuate/z-1', Buffer.from('{}'))).toEqual({
+      ok: true,
+      value: { ...evacuation, isEvacuated: true },
+    });
+    expect(read('evacuate/z-1', Buffer.from('{'))).toMatchObject({ ok: true, value: { isEvacuated: true } });
+    expect(read('evacuate/z-1', undefined)).toEqual({
+      ok: true,
+      value: { ...evacuation, isEvacuated: false },
+    });
+    expect(read('evacuate/', Buffer.from('{}'))).toMatchObject({ ok: false, error: { kind: 'missing' } });
+  });
+
   it('are decoded to a back end with the layers that it holds', () => {
     const server = workerRow({ slots: 4, state: 'draining' });
     const layers = { from: 0, target_version: 16, version: 2 };
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -42,11 +42,19 @@
   configuration: configurationOf(Number(document.toString())),
 });
 
+/** Key of the row that takes a zone out of service. */
+export const evacuationOf = (zone: string) => `evacuate/${zone}`;
+
 /** Rows contain this system's own records as JSON. */
 const decoder: RecordDecoder = {
   operatorTable: 'operator',
   backEndTable: 'backEnds',
-  operatorRecord: (row) => row.value && success({ type: 'configuration', document: documentOf(row.value) }),
+  operatorRecord: ({ key, value }) => {
+    const [kind, zone] = key.split('/');
+    if (zone !== undefined && kind === 'evacuate')
+      return success({ type: 'evacuation', zone, isEvacuated: value !== undefined });
+    return value && success({ type: 'configuration', document: documentOf(value) });
+  },
   configuration: (document) => success(documentOf(document)),
   backEnd: (row) =>
     success({
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -201,6 +201,7 @@
       engineAddress: 'engine',
       address: 'agent',
       slotAddress: 'slots',
+      zone: 'zone-a',
       onEngineState: (state) => {
         if (state !== undefined) observed.push(state);
       },
--- a/test/weights/joint-drop.test.ts
+++ b/test/weights/joint-drop.test.ts
@@ -16,7 +16,7 @@
  * A planner for four engines, one per zone in the order of {@link ZONES}, of which all but the last have
  * given notice.
  */
-function plannerOfFour(): { planner: WeightsPlanner; rows: EngineAgentRow[] } {
+function plannerOfFour(): { fleet: FleetView; planner: WeightsPlanner; rows: EngineAgentRow[] } {
   const fleet = new FleetView();
   const backEnds = new BackEndTable();
   fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
@@ -57,7 +57,7 @@
     const connection = { remote } as unknown as EngineAgentRow['connection'];
     return { connection, address, report: { address } as EngineReport, reportedAt: 0 };
   });
-  return { planner, rows };
+  return { fleet, planner, rows };
 }
 
 it('the same spare capacity is not promised to several engines that switch at the same time', () => {
@@ -68,3 +68,14 @@
   const dropped = plans.slice(0, -1).filter((plan) => plan.canMoveRequests).length * LOAD;
   expect(dropped).toBeLessThanOrEqual(SLOTS);
 });
+
+it('an agent is told whether its zone is evacuated, as far as the entry knows', () => {
+  const { fleet, planner, rows } = plannerOfFour();
+  const toldTo = (index: number) => planner.planFor(rows[index]).evacuation;
+  expect(toldTo(0)).toBeUndefined();
+  fleet.evacuations.noteReading(4);
+  const evacuation = { zone: ZONES[1], revision: 5, isEvacuated: true };
+  fleet.applyEvacuation(evacuation, 'store');
+  expect(toldTo(0)).toEqual({ zone: ZONES[0], revision: 4, isEvacuated: false });
+  expect(toldTo(1)).toEqual(evacuation);
+});
