Nothing new is sent to a zone that the operator has taken out of service

Cause: nobody heeded the row evacuate/ZONE. Streams went on to engines of a zone whose evacuation was acknowledged 5 s before. Change: StoreSync applies the row, its removal, and a complete reading in which it is missing (EvacuationReadings; after an older copy only after 10 s). Entries tell the state of all zones in their reports, and agents that of their own in plans; the plan read from the store has it too. BackEndEligibility answers for it (exclusion evacuated; isOutOfService, isUnavailable), so slots granted late, searches that wait, attempts still connecting, moves, shares and estimates follow. The planner asks the same owner. Agents of the zone grant no slots and go on loading. Entries keep the revision of their latest complete reading, so that a state that nobody tells any more does not stay for ever. Seen once in a test before it was mended: an entry that reads the older copy only after the row was written and removed again holds the zone for the whole 10 s.

--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -13,6 +13,7 @@
 import type { BackEndRecord } from '../protocol/back-end-list-state.js';
 import type { FollowedTable, StoreUpdate, TableUpdate } from '../protocol/store-update.js';
 import { type BackEndChange, hasSameContent } from './back-end-list.js';
+import { EvacuationReadings } from './evacuation-readings.js';
 import type { FleetView } from './fleet-view.js';
 import type { OperatorRecord, RecordDecoder, RecordFault } from './record-decoder.js';
 import { RecordFaults } from './record-faults.js';
@@ -78,12 +79,14 @@
   readonly #decoded = new WeakMap<StoredRow, Result<BackEndRecord, RecordFault>>();
   /** Back ends whose last forwarded record had a start other than the current one here. */
   readonly #forwardedRestarts = new Set<string>();
+  readonly #evacuationReadings: EvacuationReadings;
   #holdRemovalsUntil = 0;
   #holdTimer: NodeJS.Timeout | undefined;
 
   constructor(options: StoreSyncOptions) {
     this.#options = options;
     this.faults = new RecordFaults(options.log);
+    this.#evacuationReadings = new EvacuationReadings(options.fleet, options.log);
     const { tables, random, decoder, fleet } = options;
     const { clock } = fleet;
     this.#operator = new TableFollower({
@@ -95,8 +98,8 @@
       interval: () => OPERATOR_INTERVAL,
       isPaused: () => !this.isReader('operator'),
       events: this.#events('operator', {
-        onSnapshot: (rows, since) => this.#applyOperatorRows(rows, since),
-        onChanges: (rows, since) => this.#applyOperatorRows(rows, since),
+        onSnapshot: (rows, since) => this.#applyOperatorSnapshot(rows, since),
+        onChanges: (rows, since) => void this.#applyOperatorRows(rows, since),
       }),
     });
     this.#backEnds = new TableFollower({
@@ -126,6 +129,7 @@
 
   async stop(): Promise<void> {
     clearTimeout(this.#holdTimer);
+    this.#evacuationReadings.stop();
     await this.#followers.stop();
   }
 
@@ -180,14 +184,29 @@
     };
   }
 
-  /** @param since - the changes were written after this, in milliseconds of the store's clock */
-  #applyOperatorRows({ rows }: RowsSnapshot, since: number): void {
+  #applyOperatorSnapshot(snapshot: RowsSnapshot, since: number): void {
+    const records = this.#applyOperatorRows(snapshot, since);
+    const evacuated = records.flatMap((record) => (record.type === 'evacuation' ? record.zone : []));
+    this.#evacuationReadings.apply(new Set(evacuated), snapshot.revision);
+  }
+
+  /**
+   * Applies the valid records among `rows` and returns them.
+   * @param since - the changes were written after this, in milliseconds of the store's clock
+   */
+  #applyOperatorRows({ rows }: RowsSnapshot, since: number): OperatorRecord[] {
+    const records: OperatorRecord[] = [];
     for (const row of rows) {
       const decoded = this.#options.decoder.operatorRecord(row);
       if (decoded === undefined) continue;
-      if (decoded.ok) this.#applyOperatorRecord(row, decoded.value, since);
-      else this.faults.noteRevision(row, decoded.error);
+      if (!decoded.ok) {
+        this.faults.noteRevision(row, decoded.error);
+        continue;
+      }
+      records.push(decoded.value);
+      this.#applyOperatorRecord(row, decoded.value, since);
     }
+    return records;
   }
 
   #applyOperatorRecord(row: StoredRow, record: OperatorRecord, since: number): void {
@@ -199,7 +218,10 @@
       return;
     }
     this.faults.noteValid(row);
-    if (record.type !== 'namedVersion') return;
+    if (record.type === 'evacuation') {
+      const { zone, isEvacuated } = record;
+      return fleet.applyEvacuation({ zone, isEvacuated, revision: row.revision }, 'store');
+    }
     const notBefore = this.#isNew(record) ? since : Number.NEGATIVE_INFINITY;
     fleet.applyNamedVersion({ model: record.model, version: record.version, notBefore });
   }
--- a/src/forwarding/back-end-eligibility.ts
+++ b/src/forwarding/back-end-eligibility.ts
@@ -34,6 +34,7 @@
 /** Why a back end is not eligible for a request. */
 export type Exclusion =
   | 'leaving'
+  | 'evacuated'
   | 'unnamedService'
   | 'superseded'
   | 'tried'
@@ -54,7 +55,7 @@
 ]);
 
 export interface BackEndEligibilityOptions {
-  fleet: Pick<FleetView, 'routes'>;
+  fleet: Pick<FleetView, 'routes' | 'evacuations'>;
   table: Pick<BackEndTable, 'isSuperseded'>;
   backoffs: Pick<BackEndBackoffs, 'admits' | 'timeLeft'>;
   versions: Pick<VersionRules, 'exclusionOf'>;
@@ -74,6 +75,7 @@
   exclusionOf(row: BackEndRow, requirements: Requirements, now: number): Exclusion | undefined {
     const { record, health } = row;
     if (record.leaving) return 'leaving';
+    if (this.#isEvacuated(row)) return 'evacuated';
     if (!this.#isConfigured(record.service)) return 'unnamedService';
     if (this.isSuperseded(row)) return 'superseded';
     if (requirements.tried.has(record)) return 'tried';
@@ -99,12 +101,18 @@
 
   /** Whether a back end gets no requests of any kind until this changes; its slots do not count as capacity. */
   isOutOfService(row: BackEndRow): boolean {
-    return row.record.leaving || this.isSuperseded(row);
+    return row.record.leaving || this.#isEvacuated(row) || this.isSuperseded(row);
   }
 
   /** Whether a back end wants no more requests at all, or none for now. */
-  isUnavailable({ record }: BackEndRow, now: number): boolean {
-    return record.leaving || this.#options.backoffs.timeLeft(record, now) > 0;
+  isUnavailable(row: BackEndRow, now: number): boolean {
+    const { record } = row;
+    return record.leaving || this.#isEvacuated(row) || this.#options.backoffs.timeLeft(record, now) > 0;
+  }
+
+  /** Whether the operator has taken the zone of a back end out of service. */
+  #isEvacuated({ record }: BackEndRow): boolean {
+    return this.#options.fleet.evacuations.has(record.zone);
   }
 
   /** Whether the reason for which `row` is excluded may no longer apply after a wait. */
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -145,7 +145,12 @@
     );
   }
 
-  /** Whether a back end wants no more requests at all, or none for now. */
+  /** Whether a back end gets no requests of any kind until this changes; its slots do not count as capacity. */
+  isOutOfService(row: BackEndRow): boolean {
+    return this.#eligibility.isOutOfService(row);
+  }
+
+  /** Whether a back end gets no more requests at all, or none for now. */
   isUnavailable(row: BackEndRow, now: number): boolean {
     return this.#eligibility.isUnavailable(row, now);
   }
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -380,6 +380,7 @@
     if (row.newsSentOn !== connection) this.#sendAllNews(row, connection);
     fleet.clock.addSample(report.storeTime, now);
     for (const named of report.versions) fleet.applyNamedVersion(named);
+    for (const change of report.evacuations ?? []) fleet.applyEvacuation(change, report.address);
     this.#requestNewer(connection, report, now);
     this.#options.onReport(report);
   }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -66,7 +66,13 @@
       graceTime: settings.graceTime,
       addressLifetime: settings.addressLifetimeSeconds * MILLISECONDS,
     });
-    fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
+    fleet.listen({
+      onBackEnds: (changes) => backEnds.apply(changes),
+      onEvacuation: ({ zone, revision, isEvacuated }, source) => {
+        log.info(isEvacuated ? 'zone evacuated' : 'zone taken back', { zone, revision, source });
+        this.#agents.sendPlans();
+      },
+    });
     const quarantineRecords = new QuarantineRecords({
       tables: components.tables,
       name: settings.name,
@@ -155,10 +161,12 @@
       random,
       log,
     });
+    const selector = this.#createSelector();
     this.#planner = new WeightsPlanner({
       fleet,
       backEnds,
       versionBound: settings.versionBound,
+      isOutOfService: (row) => selector.isOutOfService(row),
       wanted: () => this.#collection.wantedVersions(),
       entries: () => [this.#report(), ...this.#peers.live()],
     });
@@ -173,7 +181,7 @@
         limits: this.#limits,
         backoffs: this.#backoffs,
         permits: this.#permits,
-        selector: this.#createSelector(),
+        selector,
         slots: this.#slots,
         random,
         log,
@@ -300,6 +308,7 @@
 
   #report(): EntryReport {
     const { identity, settings, fleet, backEnds } = this.#components;
+    const evacuations = fleet.evacuations.all();
     return {
       id: identity,
       address: settings.peers,
@@ -316,6 +325,7 @@
       loads: backEnds.loads(),
       held: this.#collection.held(),
       engines: this.#agents.reports().map((report) => ({ ...report, held: [] })),
+      ...(evacuations.length === 0 ? {} : { evacuations }),
     };
   }
 
@@ -395,6 +405,12 @@
       { name: 'entries_known', help: 'Entries known since the start', read: () => this.#peers.known().known },
       { name: 'entries_live', help: 'Other entries that live', read: () => this.#peers.live().length },
       { name: 'agents_connected', help: 'Agents connected here', read: () => this.#agents.rows.size },
+      {
+        name: 'zones_evacuated',
+        help: '1 for each zone that the operator has taken out of service',
+        label: 'zone',
+        read: () => Object.fromEntries(fleet.evacuations.evacuated().map((zone) => [zone, 1])),
+      },
       { name: 'store_connected', help: '1 while the store answers', read: () => Number(sync.connected) },
       sync.faults.metric,
     ]);
--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -18,6 +18,8 @@
   backEnds: BackEndTable;
   /** Time after its naming within which a version must be served everywhere, in milliseconds. */
   versionBound: number;
+  /** Whether a back end gets no requests of any kind until this changes. */
+  isOutOfService: (row: BackEndRow) => boolean;
   /** The versions that are to be distributed. */
   wanted: () => WeightsVersion[];
   /** Reports of all live entries, including this one. */
@@ -57,6 +59,7 @@
       holders,
       entries: toConnect.map((entry) => entry.address),
       hasNearEntry: near.length > 0,
+      evacuation: fleet.evacuations.stateOf(zone),
     };
   }
 
@@ -79,7 +82,7 @@
 
   /** Whether other engines can continue the requests that run at `address`. */
   #canMoveRequests(address: string): boolean {
-    const { fleet, backEnds } = this.#options;
+    const { fleet, backEnds, isOutOfService } = this.#options;
     const ownRow = [...backEnds.rows.values()].find(({ record }) => record.address === address);
     const { routes } = fleet;
     const layers = ownRow && routes?.service(ownRow.record.service)?.engine?.layers;
@@ -95,7 +98,7 @@
       load: loadOf(row),
     });
     const others = [...backEnds.ofService(ownRow.record.service)].filter(
-      (row) => row !== ownRow && !row.record.leaving,
+      (row) => row !== ownRow && !isOutOfService(row),
     );
     return canMoveRequests(routesToService, engineOf(ownRow), others.map(engineOf));
   }
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -15,6 +15,7 @@
 import type { EngineReport, HeldPieces, WeightsPlan } from '../protocol/reports.js';
 import type { ObservedEngine } from '../systems/slot-table.js';
 import { SMALL_BATCH } from '../systems/upload-limit.js';
+import { AgentEvacuation } from './agent-evacuation.js';
 import { agentSources, BATCH_TIMEOUT } from './agent-sources.js';
 import { EngineStage } from './engine-stage.js';
 import { EngineStarts } from './engine-starts.js';
@@ -98,6 +99,7 @@
   readonly #stage: EngineStage;
   readonly #engineSwitch: EngineSwitch;
   readonly #starts = new EngineStarts();
+  readonly #evacuation: AgentEvacuation;
   readonly #clock = new StoreClock();
   readonly #versions = new NamedVersions(this.#clock);
   readonly #fetches = new Map<string, Fetch>();
@@ -117,6 +119,7 @@
   constructor(options: EngineLoaderOptions) {
     this.#options = options;
     this.#stage = new EngineStage(options.engine, options.log);
+    this.#evacuation = new AgentEvacuation(options.zone, options.log);
     this.#engineSwitch = new EngineSwitch({
       engine: options.engine,
       onState: (state, askedAt) => void this.#applyState(state, askedAt),
@@ -146,6 +149,7 @@
     const plan =
       received.versions.length === 0 ? { ...received, versions: this.#plan?.versions ?? [] } : received;
     this.#plan = plan;
+    if (this.#evacuation.apply(received.evacuation)) this.#publishState();
     const now = performance.now();
     this.#clock.addSample(plan.storeTime, now);
     for (const named of plan.versions) {
@@ -227,7 +231,7 @@
       return this.#options.onEngineState(undefined);
     this.#options.onEngineState({
       start: this.#starts.current,
-      isServing: this.#loadedVersion > 0 && !this.#isSwitching,
+      isServing: this.#loadedVersion > 0 && !this.#isSwitching && !this.#evacuation.isInForce,
       load: this.#engineState.load,
       rateLimit: this.#engineState.rateLimit,
     });
--- a/src/weights/store-plan-reader.ts
+++ b/src/weights/store-plan-reader.ts
@@ -10,7 +10,7 @@
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
-import type { NamedVersion, WeightsPlan } from '../protocol/reports.js';
+import type { NamedVersion, WeightsPlan, ZoneEvacuation } from '../protocol/reports.js';
 import type { EngineLoader } from './engine-loader.js';
 
 /**
@@ -71,12 +71,13 @@
    * no version.
    */
   async #read(signal: AbortSignal): Promise<WeightsPlan | undefined> {
-    const { tables, decoder, versionBound } = this.#options;
+    const { tables, decoder, zone, versionBound } = this.#options;
     const limit = withLimit(signal, CALL_TIMEOUT);
     const read = await tables.read(decoder.operatorTable, '', limit);
     if (!read.ok) return undefined;
     let configuration: FleetConfiguration | undefined;
     const versions: NamedVersion[] = [];
+    let evacuation: ZoneEvacuation = { zone, revision: read.value.revision, isEvacuated: false };
     for (const row of read.value.rows) {
       const decoded = decoder.operatorRecord(row);
       if (decoded === undefined) continue;
@@ -88,6 +89,8 @@
       if (record.type === 'configuration') configuration = record.document.configuration;
       if (record.type === 'namedVersion')
         versions.push({ model: record.model, version: record.version, notBefore: Number.NEGATIVE_INFINITY });
+      if (record.type === 'evacuation' && record.zone === zone)
+        evacuation = { zone, revision: row.revision, isEvacuated: record.isEvacuated };
     }
     if (configuration === undefined || versions.length === 0) return undefined;
     return {
@@ -101,6 +104,7 @@
       holders: [],
       entries: [],
       hasNearEntry: false,
+      evacuation,
     };
   }
 }
--- a/test/protocol/codec.test.ts
+++ b/test/protocol/codec.test.ts
@@ -4,6 +4,7 @@
 import { mergeTimelines, Timeline } from '../../src/observability/timeline.js';
 import { decode, encode } from '../../src/protocol/codec.js';
 import { MESSAGE_FIELDS, type Message } from '../../src/protocol/messages.js';
+import type { EntryReport } from '../../src/protocol/reports.js';
 import { peer } from '../support.js';
 
 const MESSAGES: Message[] = [
@@ -17,6 +18,24 @@
   { type: 'ping' },
 ];
 
+const REPORT: EntryReport = {
+  id: 'a',
+  address: 'a',
+  callerAddress: 'a',
+  zone: 'zone-a',
+  region: 'region-a',
+  linkRate: 0,
+  isReady: true,
+  configurationRevision: 1,
+  backEndsRevision: 1,
+  storeTime: 1,
+  versions: [],
+  entriesKnown: 1,
+  loads: [],
+  held: [],
+  engines: [],
+};
+
 describe('the codec', () => {
   it.each(MESSAGES.map((message) => [message.type, message] as const))(
     'decodes %s to what was encoded',
@@ -32,6 +51,16 @@
     },
   );
 
+  it('decodes a report with and without evacuations, which earlier releases lack', () => {
+    const evacuations = [{ zone: 'zone-a', revision: 2 ** 42 + 7, isEvacuated: true }];
+    for (const report of [REPORT, { ...REPORT, evacuations }]) {
+      const decoded = decode(encode({ type: 'entryReport', report }, 1));
+      expect(decoded).toMatchObject({ ok: true, messages: [{ message: { report } }] });
+      // The field names are sent, so that releases that know other fields read the rest.
+      expect(encode({ type: 'entryReport', report }, 1).includes('backEndsRevision')).toBe(true);
+    }
+  });
+
   it('decodes several messages of one frame in their order', () => {
     const frame = Buffer.concat(MESSAGES.map((message, index) => encode(message, index)));
     const decoded = decode(frame);
--- a/test/roles/evacuation.test.ts
+++ b/test/roles/evacuation.test.ts
@@ -1,6 +1,7 @@
 /** An entry sends nothing to the zone that the operator has taken out of service, whoever tells it so. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { silentLog } from '../../src/observability/log.js';
 import { reply, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
 import {
@@ -14,8 +15,6 @@
 
 /** Requests by which each back end in service is chosen: two equal ones, one of them in another zone. */
 const MANY = 12;
-/** Time in which an entry that has read an older copy has applied all of it, in milliseconds. */
-const SETTLE_TIME = 700;
 /** A refusal after this long is not one that came at once, in milliseconds. */
 const AT_ONCE = 150;
 
@@ -24,6 +23,8 @@
 let store: MemoryStore;
 let near: StandInBackEnd;
 let far: StandInBackEnd;
+/** Messages that the entries have logged. */
+let logged: string[];
 
 const evacuate = () => store.write('operator', evacuationOf(ZONE), '{}');
 const takeBack = () => store.write('operator', evacuationOf(ZONE), undefined);
@@ -45,7 +46,8 @@
 const used = (entry: RunningEntry) => until(async () => !(await avoidsZone(entry)), 'the zone to be used');
 
 async function start(name: string, seeds: string[] = [], own = store): Promise<RunningEntry> {
-  return startEntry(name, seeds, {}, undefined, own);
+  const note = (message: string) => void logged.push(message);
+  return startEntry(name, seeds, {}, { ...silentLog, info: note, warn: note }, own);
 }
 
 async function startReady(name: string, seeds: string[] = [], own = store): Promise<RunningEntry> {
@@ -62,6 +64,7 @@
 }
 
 beforeEach(async () => {
+  logged = [];
   store = new MemoryStore();
   near = await new StandInBackEnd(reply(200, 'near')).start();
   far = await new StandInBackEnd(reply(200, 'far')).start();
@@ -82,6 +85,10 @@
     await avoided(one);
     takeBack();
     await used(one);
+    expect(logged.filter((message) => message.startsWith('zone '))).toEqual([
+      'zone evacuated',
+      'zone taken back',
+    ]);
   });
 
   it('knows of an evacuation when it takes its first request', async () => {
@@ -107,7 +114,7 @@
     evacuate();
     await avoided(one);
     store.restore(copy);
-    await pause(SETTLE_TIME);
+    await until(() => logged.includes('evacuated zone missing from an older copy'), 'the copy');
     expect(await avoidsZone(one)).toBe(true);
     evacuate();
     takeBack();
--- a/test/weights/joint-drop.test.ts
+++ b/test/weights/joint-drop.test.ts
@@ -49,6 +49,7 @@
     fleet,
     backEnds,
     versionBound: 8_000,
+    isOutOfService: ({ record }) => record.leaving,
     wanted: () => [{ model: 'm', version: 2 }],
     entries: () => [],
   });
