Soak: zones are taken out of service and back beside other faults, judged by what their workers get

Cause: nothing but small tests showed that an evacuation holds while the store is away, entries are killed or start without it. Change: choice evacuations: the operator evacuates one zone or all, with the store away from 1 to 2.5 s later, with an entry killed and started without the store, and with an older copy of the store (the operator writes its rows anew, removals too). Judge EVAC: arrivals in the zone later than 3 s after the acknowledgement, from entries that had 4 s without a disruption at any time since and have not ended after it; UNUSED: each worker is used again at the end.

--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -2,6 +2,7 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { judgeAnswer, judgeMissingRoute, type SentRequest } from './soak/callers.js';
 import { Disruptions } from './soak/disruptions.js';
+import { judgeEvacuations } from './soak/evacuations.js';
 import {
   judgeCuts,
   judgeDepartures,
@@ -21,7 +22,8 @@
 beforeEach(() => {
   log = new RunLog();
   disruptions = new Disruptions();
-  world = { log, disruptions, entryAt: () => 'entry-1' } as unknown as SoakWorld;
+  const zoneOf = (worker: string) => (worker === 'i-1' ? 'zone-a' : 'zone-b');
+  world = { log, disruptions, entryAt: () => 'entry-1', zoneOf } as unknown as SoakWorld;
 });
 
 function sent(id: string, changes: Partial<SentRequest> = {}): SentRequest {
@@ -372,3 +374,42 @@
     expect(judgeBackoffs(world, requests)).toEqual([]);
   });
 });
+
+describe('EVAC', () => {
+  /** Evacuates a zone at `from`, for 20 s. */
+  const evacuate = (from: number) => log.evacuations.push({ zone: 'zone-a', from, to: from + 20_000 });
+
+  it('is a request that reaches a worker of the zone more than three seconds after the acknowledgement', () => {
+    evacuate(START);
+    arrive('r', START + 3_001);
+    expect(judgeEvacuations(world, [sent('r')])).toEqual([expect.stringMatching(/^EVAC: 1 .*after 3001 ms/)]);
+  });
+
+  it('is no earlier request, none after the zone is taken back, and none in another zone', () => {
+    evacuate(START);
+    arrive('r', START + 2_999);
+    arrive('r', START + 20_001);
+    arrive('r', START + 5_000, { worker: 'i-2' });
+    expect(judgeEvacuations(world, [sent('r')])).toEqual([]);
+  });
+
+  it('is excused until an entry that was disrupted has had time to learn of the evacuation', () => {
+    const now = performance.now();
+    evacuate(now - 2_000);
+    disruptions.record(['entry-1'], 1_000);
+    arrive('r', now + 4_900);
+    expect(judgeEvacuations(world, [sent('r')])).toEqual([]);
+    arrive('r', now + 5_100);
+    expect(judgeEvacuations(world, [sent('r')])).toHaveLength(1);
+  });
+
+  it('is not excused by a disruption of an entry that knew before, unless it has ended', () => {
+    const now = performance.now();
+    evacuate(now - 10_000);
+    disruptions.record(['everything'], 1_000);
+    arrive('r', now + 500);
+    expect(judgeEvacuations(world, [sent('r')])).toHaveLength(1);
+    disruptions.recordInterruption('entry-1');
+    expect(judgeEvacuations(world, [sent('r')])).toEqual([]);
+  });
+});
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -1,6 +1,7 @@
 /** Faults of a soak, drawn from its seed: what is done to processes, links, workers and the store, and when it ends. */
 import { type Random, seededRandom } from '../../../src/model/random.js';
 import { EVERYTHING } from './disruptions.js';
+import { EVACUATIONS } from './evacuations.js';
 import { drawBetween, type Fault, noCleanup, pick, type StartedFault } from './fault.js';
 import { BACKOFFS, LEAVING } from './notices.js';
 import type { Stalls } from './stalls.js';
@@ -620,6 +621,7 @@
   | 'limits'
   | 'leaving'
   | 'backoffs'
+  | 'evacuations'
   | 'stalls'
   | 'mixed';
 
@@ -630,8 +632,8 @@
 const STORE_OUTAGES = UNPLANNED.filter(
   ({ name }) => name === 'store unavailable' || name === 'link to the store cut',
 );
-/** Choices in which workers state in their answers that they are leaving, or ask for a back-off. */
-export const STATES_NOTICES: ReadonlySet<FaultChoice> = new Set(['leaving', 'backoffs']);
+/** Choices that exclude workers for some time; each of them must be used again at the end. */
+export const EXCLUDES_WORKERS: ReadonlySet<FaultChoice> = new Set(['leaving', 'backoffs', 'evacuations']);
 
 const PROCESS_KILLS = UNPLANNED.filter(({ name }) => name === 'process killed');
 
@@ -649,6 +651,14 @@
   limits: [...PLANNED, ...PLANNED, ...PROCESS_KILLS, ...PROCESS_KILLS, ...repeat(LIMITS, 8)],
   leaving: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...STORE_OUTAGES, ...repeat(LEAVING, 3)],
   backoffs: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...RESTARTS.slice(0, 1), ...repeat(BACKOFFS, 3)],
+  // Other outages of the store are few: they excuse all entries.
+  evacuations: [
+    ...repeat(PLANNED, 2),
+    ...PROCESS_KILLS,
+    ...RESTARTS.slice(0, 1),
+    ...STORE_RESTORES.slice(0, 1),
+    ...repeat(EVACUATIONS, 4),
+  ],
   stalls: [...PLANNED, ...repeat(CONFIGURATIONS, 3), ...repeat(STALLS, 3)],
   mixed: [...PLANNED, ...UNPLANNED, ...CONFIGURATIONS, ...STALLS, ...STALLS],
   drills: [
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -3,7 +3,7 @@
  * faults end, all entries must serve according to the newest configuration and version again within a time limit.
  *
  * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|
- * leaving|backoffs|stalls|mixed]
+ * leaving|backoffs|evacuations|stalls|mixed]
  * [--kept]` prints each seed's outcome. For a seed with violations it also prints the timeline of faults and keeps the logs, and the
  * exit code is 1.
  */
@@ -21,7 +21,8 @@
 } from './callers.js';
 import { DeadlyContent } from './deadly-content.js';
 import { DeadlyPart } from './deadly-part.js';
-import { type FaultChoice, injectFaults, MOVES_ROUTE, STATES_NOTICES } from './faults.js';
+import { judgeEvacuations } from './evacuations.js';
+import { EXCLUDES_WORKERS, type FaultChoice, injectFaults, MOVES_ROUTE } from './faults.js';
 import { judgeCuts, judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
 import { judgeBackoffs, judgeLeaving } from './notice-judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
@@ -160,7 +161,7 @@
     // Recovery is timed from the end of the planned stops in progress, which belong to the faults.
     await world.untilStopped();
     const recovered = await waitUntilConverged(world, RECOVERY_LIMIT, probes);
-    const unused = STATES_NOTICES.has(faults) ? await findUnusedWorkers(world, RECOVERY_LIMIT, probes) : [];
+    const unused = EXCLUDES_WORKERS.has(faults) ? await findUnusedWorkers(world, RECOVERY_LIMIT, probes) : [];
     for (const caller of callers) caller.stop();
     deadly?.stop();
     deadlyPart?.stop();
@@ -179,6 +180,7 @@
       ...judgeLimits(world, sent),
       ...judgeLeaving(world, sent),
       ...judgeBackoffs(world, sent),
+      ...judgeEvacuations(world, sent),
       ...world.log.violations,
       ...world.violations,
       ...(deadly?.judge() ?? []),
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -102,6 +102,14 @@
   to: number;
 }
 
+/** A period in which the operator has a zone out of service; times are in milliseconds of the monotonic clock. */
+export interface EvacuationPeriod {
+  zone: string;
+  from: number;
+  /** Infinite while it lasts. */
+  to: number;
+}
+
 /** Everything that the stand-ins recorded, and the violations that they saw. */
 export class RunLog {
   /** Called at the start of each run. */
@@ -113,6 +121,7 @@
   readonly runs: Run[] = [];
   readonly arrivals: Arrival[] = [];
   readonly limits: RateLimitPeriod[] = [];
+  readonly evacuations: EvacuationPeriod[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
   readonly backoffRequests: BackoffRequest[] = [];
   readonly violations: string[] = [];
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -13,7 +13,7 @@
 import { RunLog, StandInEngine, StandInOrigin, StandInService, type StandInWorker } from './workers.js';
 
 const SERVICES = 2;
-const ZONES = ['zone-a', 'zone-b'];
+export const ZONES: readonly string[] = ['zone-a', 'zone-b'];
 export const HOST = 'soak.example';
 export const KEY = 'key-of-tenant';
 export const TENANT = 'tenant-a';
@@ -29,6 +29,8 @@
 /** Lifetime of addresses from the directory, in seconds. */
 export const ADDRESS_LIFETIME = 1;
 const HEARTBEAT = 600;
+/** Interval at which the operator repeats a write that the store does not accept, in milliseconds. */
+const RETRY_INTERVAL = 50;
 /** Delay before an exited process is restarted, in milliseconds. */
 export const RESTART_DELAY = 200;
 const ROLE_MEMORY_MB = 120;
@@ -87,8 +89,10 @@
 
 export class SoakWorld {
   readonly store = new MemoryStore();
-  /** Latest rows written by the operator, by key. */
-  readonly #operatorRows = new Map<string, string>();
+  /** Latest rows written by the operator, by key; undefined for those that it removed. */
+  readonly #operatorRows = new Map<string, string | undefined>();
+  /** Zone of each worker that was ever registered, by its id. */
+  readonly #zones = new Map<string, string>();
   #isRestoring = false;
   readonly log = new RunLog();
   readonly disruptions = new Disruptions();
@@ -206,8 +210,8 @@
   }
 
   /** Writes a row as the operator and remembers it for a restored store. */
-  #writeAsOperator(key: string, value: object): void {
-    this.#operatorRows.set(key, JSON.stringify(value));
+  #writeAsOperator(key: string, value: object | undefined): void {
+    this.#operatorRows.set(key, value && JSON.stringify(value));
     this.store.write('op', key, this.#operatorRows.get(key));
   }
 
@@ -287,6 +291,34 @@
     this.#writeAsOperator('version/m', { model: 'm', version });
   }
 
+  /** Takes a zone out of service, unless it is or the store is unavailable; returns whether it did. */
+  evacuate(zone: string): boolean {
+    const key = `evacuate/${zone}`;
+    if (!this.#isStoreAvailable || this.#operatorRows.get(key) !== undefined) return false;
+    this.#writeAsOperator(key, {});
+    this.log.evacuations.push({ zone, from: performance.now(), to: Number.POSITIVE_INFINITY });
+    return true;
+  }
+
+  /** Takes a zone back as soon as the store is available. */
+  takeBack(zone: string): void {
+    if (this.#stopped) return;
+    if (!this.#isStoreAvailable) return void setTimeout(() => this.takeBack(zone), RETRY_INTERVAL);
+    this.#writeAsOperator(`evacuate/${zone}`, undefined);
+    for (const evacuation of this.log.evacuations)
+      if (evacuation.zone === zone) evacuation.to = Math.min(evacuation.to, performance.now());
+  }
+
+  /** Zone of a worker, which may have ended. */
+  zoneOf(worker: string): string | undefined {
+    return this.#zones.get(worker);
+  }
+
+  get #isStoreAvailable(): boolean {
+    const { down, silent, losesAnswers } = this.store.faults;
+    return !down && !silent && !losesAnswers && !this.#isRestoring;
+  }
+
   /** Starts a process, and restarts it whenever it exits. */
   spawn(started: SystemProcess): void {
     if (this.#stopped || !started.isWanted) return;
@@ -442,7 +474,9 @@
     const link = new CuttableLink(linkAddress, worker.address);
     await worker.start();
     await link.start();
-    this.workers[place] = { worker, zone: ZONES[index % ZONES.length], link };
+    const zone = ZONES[index % ZONES.length];
+    this.workers[place] = { worker, zone, link };
+    this.#zones.set(worker.id, zone);
   }
 
   async #addSeedLink(seed: number): Promise<void> {
