--- /dev/null
+++ b/src/forwarding/attempt-factory.ts
@@ -0,0 +1,110 @@
+/** Creates the attempts of one request: the request as one back end gets it, and its use of that back end. */
+import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
+import { type AdmittedRequest, headersToSend } from './admitted-request.js';
+import { type AnswerHead, type AnswerSummary, Attempt, type AttemptFailure } from './attempt.js';
+import { AttemptAnswer } from './attempt-answer.js';
+import type { BackEndBackoffs } from './back-end-backoffs.js';
+import type { BackEndSelector, Selection } from './back-end-selector.js';
+import { BackEndUse } from './back-end-use.js';
+import type { CallerBody } from './caller-body.js';
+import type { SlotClaim } from './engine-slots.js';
+import type { HeaderNames } from './header-names.js';
+
+export interface AttemptFactoryComponents {
+  names: HeaderNames;
+  reservedHeaders: ReadonlySet<string>;
+  selector: Pick<BackEndSelector, 'isUnavailable'>;
+  backoffs: BackEndBackoffs;
+}
+
+/** The request of which attempts are made; each method returns the state at the time of the call. */
+export interface AttemptedRequest {
+  readonly request: IncomingMessage;
+  readonly id: string;
+  readonly admitted: AdmittedRequest;
+  body(): CallerBody;
+  /** Id of the last event that the caller has received; undefined if it has received none. */
+  lastEventId(): string | undefined;
+}
+
+/** What happens to an attempt. */
+export interface AttemptEvents {
+  onAnswer(use: BackEndUse, answer: AnswerSummary): void;
+  onHead(use: BackEndUse, head: AnswerHead): void;
+  onData(use: BackEndUse, chunk: Buffer): void;
+  onEnd(use: BackEndUse): void;
+  onFailure(use: BackEndUse, failure: AttemptFailure): void;
+}
+
+/** Creates the attempts of one request. */
+export class AttemptFactory {
+  readonly #components: AttemptFactoryComponents;
+  readonly #request: AttemptedRequest;
+  readonly #events: AttemptEvents;
+
+  constructor(components: AttemptFactoryComponents, request: AttemptedRequest, events: AttemptEvents) {
+    this.#components = components;
+    this.#request = request;
+    this.#events = events;
+  }
+
+  /** Creates an attempt, which is not sent yet, and counts it at the back end. */
+  create(selection: Selection, claim: SlotClaim | undefined): BackEndUse {
+    const { request, id, admitted, body, lastEventId } = this.#request;
+    const { timing, rank, promptTokens, answerTokens } = admitted;
+    const { names, selector, backoffs } = this.#components;
+    const events = this.#events;
+    const { row } = selection;
+    const urgency = timing.urgency(rank, performance.now());
+    // A body that is not buffered would be lost with an attempt that is withdrawn.
+    const mustSend = body().type === 'streamed' || selector.isUnavailable(row, performance.now());
+    const attempt = new Attempt(
+      {
+        requestId: id,
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        headers: this.#headersFor(selection, urgency),
+        body: bytesOf(body()),
+      },
+      names,
+      {
+        maySend: () => mustSend || !selector.isUnavailable(row, performance.now()),
+        onAnswer: (answer) => events.onAnswer(use, answer),
+        onHead: (head) => events.onHead(use, head),
+        onData: (chunk) => events.onData(use, chunk),
+        onEnd: () => events.onEnd(use),
+        onFailure: (failure) => events.onFailure(use, failure),
+      },
+    );
+    const answer = new AttemptAnswer(lastEventId());
+    const use: BackEndUse = new BackEndUse({
+      selection,
+      attempt,
+      answer,
+      claim,
+      backoffs,
+      urgency,
+      promptTokens,
+      answerTokens,
+    });
+    return use;
+  }
+
+  #headersFor({ row, expectedVersion }: Selection, urgency: number): string[] {
+    const { request, admitted, body, lastEventId } = this.#request;
+    const attempt = {
+      backEnd: row.record.id,
+      version: expectedVersion,
+      urgency,
+      lastEventId: lastEventId(),
+      isStreamed: body().type === 'streamed',
+    };
+    return headersToSend(request, admitted, attempt, this.#components, performance.now());
+  }
+}
+
+function bytesOf(body: CallerBody): Buffer | Readable | null {
+  if (body.type === 'kept') return body.bytes;
+  return body.type === 'streamed' ? body.stream : null;
+}
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -11,23 +11,21 @@
  * to switch to another version, the attempt at that engine stays open until another engine has resumed the stream.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Readable } from 'node:stream';
 import type { StallDetector } from '../model/stall-detector.js';
 import { latestStart } from '../systems/capacity-wait.js';
-import { type AdmittedRequest, admit, headersToSend, type RejectedRequest } from './admitted-request.js';
+import { type AdmittedRequest, admit, type RejectedRequest } from './admitted-request.js';
 import {
   type AnswerHead,
   type AnswerSummary,
-  Attempt,
   type AttemptFailure,
   mayHaveReachedBackEnd,
 } from './attempt.js';
-import { AttemptAnswer } from './attempt-answer.js';
+import { AttemptFactory } from './attempt-factory.js';
 import { AttemptWatch } from './attempt-watch.js';
 import { BackEndSearch, type PendingRequest } from './back-end-search.js';
 import type { Selection } from './back-end-selector.js';
-import { type BackEndRow, loadOf } from './back-end-table.js';
-import { BackEndUse } from './back-end-use.js';
+import { loadOf } from './back-end-table.js';
+import type { BackEndUse } from './back-end-use.js';
 import { CallerAnswer } from './caller-answer.js';
 import { type CallerBody, readCallerBody } from './caller-body.js';
 import { CompletionEstimate } from './completion-estimate.js';
@@ -70,6 +68,7 @@
   #policy!: SendPolicy;
   #search!: BackEndSearch;
   #watch!: AttemptWatch;
+  #attempts!: AttemptFactory;
   /** Earliest time of the next search for a replacement, in milliseconds of the monotonic clock. */
   #nextSearchAt = Number.NEGATIVE_INFINITY;
   readonly #move = new StreamMove();
@@ -224,9 +223,27 @@
     this.#policy = this.#createPolicy(admission.value);
     this.#search = this.#createSearch(admission.value);
     this.#watch = this.#createWatch(admission.value);
+    this.#attempts = this.#createAttempts(admission.value);
     return undefined;
   }
 
+  #createAttempts(admitted: AdmittedRequest): AttemptFactory {
+    const request = {
+      request: this.#request,
+      id: this.#id,
+      admitted,
+      body: () => this.#body,
+      lastEventId: () => this.#answer.lastEventId,
+    };
+    return new AttemptFactory(this.#components, request, {
+      onAnswer: (use, answer) => this.#onAnswer(use, answer),
+      onHead: (use, head) => this.#onHead(use, head),
+      onData: (use, chunk) => this.#onData(use, chunk),
+      onEnd: (use) => this.#onEnd(use),
+      onFailure: (use, failure) => this.#onFailure(use, failure),
+    });
+  }
+
   #createPolicy(admitted: AdmittedRequest): SendPolicy {
     return new SendPolicy({
       admitted,
@@ -298,8 +315,9 @@
       rateLimit: limits.rateOf(row.record),
       configuration: this.#admitted.table.configuration.revision,
     });
-    const use = this.#createAttempt(selection, claim);
+    const use = this.#attempts.create(selection, claim);
     const { attempt } = use;
+    this.#openAttempts.add(use);
     this.#move.noteSent(use);
     this.#completionEstimate.noteSent(attempt);
     attempt.send(row.connections);
@@ -315,46 +333,6 @@
     return this.#policy.chargeBudget() ? undefined : () => this.#giveUp('no budget');
   }
 
-  #createAttempt(selection: Selection, claim: SlotClaim | undefined): BackEndUse {
-    const { timing, rank, promptTokens, answerTokens } = this.#admitted;
-    const { selector, backoffs } = this.#components;
-    const { row } = selection;
-    const urgency = timing.urgency(rank, performance.now());
-    // A body that is not buffered would be lost with an attempt that is withdrawn.
-    const mustSend = this.#body.type === 'streamed' || selector.isUnavailable(row, performance.now());
-    const attempt = new Attempt(
-      {
-        requestId: this.#id,
-        method: this.#request.method ?? 'GET',
-        path: this.#request.url ?? '/',
-        headers: this.#headersFor(row, selection.expectedVersion, urgency),
-        body: this.#bodyToSend(),
-      },
-      this.#components.names,
-      {
-        maySend: () => mustSend || !selector.isUnavailable(row, performance.now()),
-        onAnswer: (answer) => this.#onAnswer(use, answer),
-        onHead: (head) => this.#onHead(use, head),
-        onData: (chunk) => this.#onData(use, chunk),
-        onEnd: () => this.#onEnd(use),
-        onFailure: (failure) => this.#onFailure(use, failure),
-      },
-    );
-    const answer = new AttemptAnswer(this.#answer.lastEventId);
-    const use = new BackEndUse({
-      selection,
-      attempt,
-      answer,
-      claim,
-      backoffs,
-      urgency,
-      promptTokens,
-      answerTokens,
-    });
-    this.#openAttempts.add(use);
-    return use;
-  }
-
   /**
    * Whether the request can complete before this process exits if it is sent after `wait` milliseconds. Always true for an
    * answer that has begun, which is resumed in any case.
@@ -391,22 +369,6 @@
     this.#fail({ type: 'quarantined', retryAfter: milliseconds / MILLISECONDS });
   }
 
-  #bodyToSend(): Buffer | Readable | null {
-    if (this.#body.type === 'kept') return this.#body.bytes;
-    return this.#body.type === 'streamed' ? this.#body.stream : null;
-  }
-
-  #headersFor(row: BackEndRow, version: number | undefined, urgency: number): string[] {
-    const attempt = {
-      backEnd: row.record.id,
-      version,
-      urgency,
-      lastEventId: this.#answer.lastEventId,
-      isStreamed: this.#body.type === 'streamed',
-    };
-    return headersToSend(this.#request, this.#admitted, attempt, this.#components, performance.now());
-  }
-
   #onAnswer(use: BackEndUse, answer: AnswerSummary): void {
     this.#components.notices.apply(use, answer);
     this.#content.noteAnswering(use.row, use.attempt.startedAt);
