Callers that read slowly no longer hold up back ends, and unread answers end

Cause: the back end of a caller that did not read was paused at once: its slot stayed taken, and a back end that breaks off answers left unread counted as failed, the stream being resumed elsewhere. A complete answer that its caller never read was kept for ever.

--- a/src/forwarding/caller-answer.ts
+++ b/src/forwarding/caller-answer.ts
@@ -2,26 +2,38 @@
  * Writes the answer to the caller: the output of one or more attempts in sequence, or an error of this system.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { CallerPatience } from '../systems/unread-budget.js';
 import type { Attempt } from './attempt.js';
 import type { AttemptAnswer } from './attempt-answer.js';
 import type { ErrorResponse } from './forwarding-errors.js';
 import { endToEndHeaders, LAST_EVENT_ID } from './header-names.js';
+import type { UnreadAnswers } from './unread-answers.js';
 
 export class CallerAnswer {
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   readonly #mustClose: () => boolean;
+  readonly #unread: Pick<UnreadAnswers, 'hold'>;
+  /** How long the caller waits; set before the first part of an answer is written. */
+  patience: CallerPatience = { deadline: Number.POSITIVE_INFINITY, patience: 0 };
+  /** Whether the back end is not read, as the caller has left too much unread. */
+  #isPaused = false;
   /** Id of the last event written to the caller. */
   #lastEventId: string | undefined;
   #isEventStream = false;
   #isDelimitedByClose = false;
   #forwardedAt = Number.NEGATIVE_INFINITY;
 
-  /** @param mustClose - whether the response must tell the caller to close its connection */
-  constructor(request: IncomingMessage, response: ServerResponse, mustClose: () => boolean) {
+  /** @param options - `mustClose`: whether the response must tell the caller to close its connection */
+  constructor(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { mustClose, unread }: { mustClose: () => boolean; unread: Pick<UnreadAnswers, 'hold'> },
+  ) {
     this.#request = request;
     this.#response = response;
     this.#mustClose = mustClose;
+    this.#unread = unread;
     const requested = request.headers[LAST_EVENT_ID];
     this.#lastEventId = requested === undefined ? undefined : String(requested);
   }
@@ -46,16 +58,20 @@
     return this.#forwardedAt;
   }
 
-  /** True while the write buffer is full, as the caller is not reading. */
+  /** True while the back end is not read, as the caller has left too much of the answer unread. */
   get isBlocked(): boolean {
-    return this.#response.writableNeedDrain;
+    return this.#isPaused;
   }
 
-  /** Writes the buffered part of the answer of `attempt`, and pauses the attempt while the caller is not reading. */
+  /** Writes the buffered part of the answer of `attempt`, and pauses the attempt while too much of it is unread. */
   forward(answer: AttemptAnswer, attempt: Attempt): void {
-    if (this.#write(answer)) return;
+    if (this.#write(answer) || this.#unread.hold(this.#response, this.patience)) return;
+    this.#isPaused = true;
     attempt.pause();
-    this.#response.once('drain', () => attempt.resume());
+    this.#response.once('drain', () => {
+      this.#isPaused = false;
+      attempt.resume();
+    });
   }
 
   /** Writes the rest of a complete answer and ends the response. */
@@ -64,6 +80,7 @@
     this.#write(answer);
     if (!this.started) this.#writeHead(answer);
     this.#response.end();
+    if (this.#response.writableLength > 0) this.#unread.hold(this.#response, this.patience);
   }
 
   /** Responds with an error of this system, or cuts an answer that has begun, which must not look complete. */
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -97,7 +97,10 @@
       completionEstimate: () => this.#completionEstimate,
       usualFailureShare: () => components.backEnds.usualFailureShare(this.#admitted.service),
     });
-    this.#answer = new CallerAnswer(request, response, () => components.drain.isUnderWay);
+    this.#answer = new CallerAnswer(request, response, {
+      mustClose: () => components.drain.isUnderWay,
+      unread: components.unread,
+    });
     response.on('close', () => this.#onCallerGone());
     // `close` of the response waits until buffered data has been written, which a caller that has gone never reads.
     request.socket.once('end', this.#onCallerEnded);
@@ -214,6 +217,7 @@
     if (!admission.ok) return admission.error;
     this.#admitted = admission.value;
     const { route, answerTokens, timing } = admission.value;
+    this.#answer.patience = { deadline: timing.deadline, patience: route.patience };
     this.#completionEstimate = new CompletionEstimate(
       this.#components,
       route.name,
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -29,6 +29,7 @@
 import type { PoisonGuard } from './poison-guard.js';
 import type { RequestOutcome } from './request-outcome.js';
 import { StreamMoveMetrics } from './stream-move-metrics.js';
+import { UnreadAnswers } from './unread-answers.js';
 import { VersionExpiryFigures } from './version-expiry-figures.js';
 
 /** Interval at which requests in progress are checked, in milliseconds. */
@@ -70,6 +71,7 @@
   expiryFigures: VersionExpiryFigures;
   moveMetrics: StreamMoveMetrics;
   cutMetrics: CutAnswerMetrics;
+  unread: UnreadAnswers;
   poison: PoisonGuard;
   budgetOf(service: string): RetryWindow;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
@@ -99,7 +101,7 @@
     address: string,
     components: Omit<
       ForwardingComponents,
-      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices'
+      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices' | 'unread'
     >,
     metrics: Metrics,
   ) {
@@ -110,6 +112,7 @@
       expiryFigures: new VersionExpiryFigures(metrics),
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
+      unread: new UnreadAnswers(components.log, metrics),
       notices: new AnswerNotices({ ...components, metrics }),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
@@ -223,6 +226,7 @@
     this.#components.drain.finish(performance.now());
     for (const request of this.#active) request.stop();
     await endsWithin(this.#flushed(), FLUSH_TIMEOUT);
+    this.#components.unread.stop();
     this.#server?.closeAllConnections();
     this.#server?.close();
     this.#server = undefined;
