Tests of routes and tenants that name regions

Cause: requests of a route or tenant that names regions go to back ends of any region; nothing reads the list. Nothing reads the fields yet.

--- a/src/fleet/configuration.ts
+++ b/src/fleet/configuration.ts
@@ -41,6 +41,8 @@
   maxAttempts: number;
   /** Requests need no API key. */
   isPublic: boolean;
+  /** Regions in which requests may be served; undefined for any. */
+  regions?: readonly string[] | undefined;
 }
 
 /** A model that an engine service serves. */
@@ -92,6 +94,8 @@
   keys: string[];
   /** 0 is the highest priority; overrides the priority of the route. */
   priority: number | undefined;
+  /** Regions in which the tenant's requests may be served, beside those of the route; undefined for any. */
+  regions?: readonly string[] | undefined;
 }
 
 /** A complete configuration; a higher revision replaces a lower one. */
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -71,6 +71,8 @@
   readonly drain = new DrainSchedule({ graceTime: 8_000, addressLifetime: 1_000 });
   /** Grants slots of engines; the default never answers. */
   slots: EngineSlots = { ask: () => NOOP_CLAIM };
+  /** Region of a zone as the settings name it; to be set before `start`. */
+  regionOf: (zone: string) => string | undefined = () => 'region-a';
   readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
@@ -112,7 +114,7 @@
       table: backEnds,
       random,
       self: { zone: 'zone-a', region: 'region-a' },
-      regionOf: () => 'region-a',
+      regionOf: (zone) => this.regionOf(zone),
       versionBound: VERSION_BOUND,
       entryCount: () => 1,
       limits,
