Requests reach back ends only in regions that their route and tenant allow

Cause: nothing read the regions that routes and tenants name, so requests, also those that only test which configuration is in force, reached back ends of any region. Change: the platform's records are decoded to the regions of routes and tenants (none or an empty list: any; what is no list of names invalidates its entry). Each send asks BackEndEligibility with the regions that both the configuration of the admission and the active one allow (RequestRegions); a back end whose zone the settings do not name stands in none. An attempt whose connection opens only after a change is withdrawn. Capacity, shares of slots and Retry-After count the back ends of the allowed regions. Where the regions exclude all back ends of a service, the request is refused at once with 503 without Retry-After, as 'regionNotServed' in log and metrics.

--- a/src/fleet/route-table.ts
+++ b/src/fleet/route-table.ts
@@ -7,6 +7,7 @@
  * const route = table.match('api.example', '/complete/v1');
  * ```
  */
+import { type AllowedRegions, commonRegions } from '../systems/allowed-regions.js';
 import type { BackEndService, DeclaredTenant, FleetConfiguration, Route } from './configuration.js';
 
 /** The lookup tables of the active configuration. */
@@ -14,6 +15,7 @@
   readonly configuration: FleetConfiguration;
   readonly #routesByHost = new Map<string, Map<string, Route>>();
   readonly #tenantsByKey = new Map<string, DeclaredTenant>();
+  readonly #tenantsByName = new Map<string, DeclaredTenant>();
   readonly #services = new Map<string, BackEndService>();
   /** Each priority that occurs in a route or a tenant, once. */
   readonly #priorities: readonly number[];
@@ -25,6 +27,7 @@
     const priorities = [...configuration.routes, ...(configuration.tenants ?? [])].map((one) => one.priority);
     this.#priorities = [...new Set(priorities)].filter((priority) => priority !== undefined);
     for (const tenant of configuration.tenants ?? []) {
+      this.#tenantsByName.set(tenant.name, tenant);
       for (const key of tenant.keys) this.#tenantsByKey.set(key, tenant);
     }
   }
@@ -45,6 +48,12 @@
     return this.#tenantsByKey.get(key);
   }
 
+  /** The regions in which requests of `tenant` (its name) on `route` may be served: both bind. */
+  regionsOf(route: Route | undefined, tenant: string | undefined): AllowedRegions {
+    const declared = tenant === undefined ? undefined : this.#tenantsByName.get(tenant);
+    return commonRegions([route?.regions, declared?.regions]);
+  }
+
   service(name: string): BackEndService | undefined {
     return this.#services.get(name);
   }
--- a/src/forwarding/admitted-request.ts
+++ b/src/forwarding/admitted-request.ts
@@ -7,6 +7,7 @@
 import { failure, type Result, success } from '../model/result.js';
 import type { ForwardingError } from './forwarding-errors.js';
 import { endToEndHeaders, type HeaderNames, LAST_EVENT_ID } from './header-names.js';
+import { RequestRegions } from './request-regions.js';
 import { RequestTiming } from './request-timing.js';
 
 /** A request that the configuration allows. */
@@ -17,6 +18,7 @@
   service: string;
   /** Name of the tenant to which the caller's key belongs; undefined if no key is required. */
   tenant: string | undefined;
+  regions: RequestRegions;
   /** Rank of the request's priority among all priorities, 0 for the most urgent. */
   rank: number;
   timing: RequestTiming;
@@ -61,6 +63,7 @@
     route,
     service: targetService(route, hash32(String(headers[names.requestId] ?? '')) / 2 ** 32),
     tenant: tenant?.name,
+    regions: new RequestRegions(fleet, table, { route, tenant: tenant?.name }),
     rank: table.rankOf(tenant?.priority ?? route.priority),
     timing: new RequestTiming(arrivedAt, route, timeLeft > 0 ? timeLeft : undefined),
     promptTokens: tokenCount(promptTokens),
--- a/src/forwarding/back-end-eligibility.ts
+++ b/src/forwarding/back-end-eligibility.ts
@@ -5,6 +5,7 @@
 import type { BackEndSet } from '../fleet/back-end-identity.js';
 import type { EngineShape } from '../fleet/configuration.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import { type AllowedRegions, allowsRegion } from '../systems/allowed-regions.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
 import { type BackEndRow, type BackEndTable, loadOf } from './back-end-table.js';
 import type { VersionExclusion, VersionRequirements, VersionRules } from './version-rules.js';
@@ -18,6 +19,8 @@
 /** Requirements of a request for its back end. */
 export interface Requirements extends VersionRequirements {
   service: string;
+  /** Regions in which a back end may stand. */
+  regions: AllowedRegions;
   isRepeatable: boolean;
   /** If false, only back ends that can start the request at once are eligible. */
   mayQueue: boolean;
@@ -35,6 +38,7 @@
 export type Exclusion =
   | 'leaving'
   | 'unnamedService'
+  | 'region'
   | 'superseded'
   | 'tried'
   | 'suspended'
@@ -55,6 +59,8 @@
 
 export interface BackEndEligibilityOptions {
   fleet: Pick<FleetView, 'routes'>;
+  /** Region of a zone; undefined if the settings do not name it. */
+  regionOf: (zone: string) => string | undefined;
   table: Pick<BackEndTable, 'isSuperseded'>;
   backoffs: Pick<BackEndBackoffs, 'admits' | 'timeLeft'>;
   versions: Pick<VersionRules, 'exclusionOf'>;
@@ -75,6 +81,7 @@
     const { record, health } = row;
     if (record.leaving) return 'leaving';
     if (!this.#isConfigured(record.service)) return 'unnamedService';
+    if (!this.isInRegions(row, requirements.regions)) return 'region';
     if (this.isSuperseded(row)) return 'superseded';
     if (requirements.tried.has(record)) return 'tried';
     if (!this.#options.backoffs.admits(record, now, requirements.isLastResort)) return 'backingOff';
@@ -97,6 +104,11 @@
     return this.#options.table.isSuperseded(row, (service) => this.#isConfigured(service));
   }
 
+  /** Whether a back end stands in an allowed region; one of a zone that the settings do not name stands in none. */
+  isInRegions({ record }: BackEndRow, allowed: AllowedRegions): boolean {
+    return allowed === undefined || allowsRegion(allowed, this.#options.regionOf(record.zone));
+  }
+
   /** Whether a back end gets no requests of any kind until this changes; its slots do not count as capacity. */
   isOutOfService(row: BackEndRow): boolean {
     return row.record.leaving || this.isSuperseded(row);
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -17,6 +17,10 @@
 
 /** Reason given if no back end is eligible, as opposed to those that are eligible but full. */
 const NO_BACK_END = 'no back end';
+/** Reason given if eligible back ends are full. */
+const BACK_ENDS_FULL = 'back ends full';
+/** Reason given if the regions of the request exclude all back ends of its service. */
+const NO_REGION = 'no back end in an allowed region';
 
 export interface BackEndSearchComponents {
   selector: BackEndSelector;
@@ -99,6 +103,7 @@
 
   begin(): void {
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
+    if (!this.#components.selector.isServedInRegions(this.#requirements)) return this.#giveUp(NO_REGION);
     if (!this.#seekSlot()) this.#chooseWithoutSlot();
   }
 
@@ -107,7 +112,7 @@
     if (this.#claiming !== undefined) return;
     if (this.#seeker === undefined) return this.begin();
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
-    if (this.#seeker.hasExpired(now)) return this.#giveUp('back ends full');
+    if (this.#seeker.hasExpired(now)) return this.#giveUp(BACK_ENDS_FULL);
     this.#seeker.check(now, standstills);
   }
 
@@ -169,7 +174,7 @@
       this.#beginHold()
     )
       return;
-    this.#giveUp('back ends full');
+    this.#giveUp(BACK_ENDS_FULL);
   }
 
   #cancelSeeker(): void {
@@ -182,7 +187,7 @@
     if (selection === undefined) return this.#holdOrGiveUp();
     const wasSentOrHeld = this.#request.wasSent() || this.#wasHeldForCapacity;
     if (selection.expectedWait > this.#request.timing.maxQueueWait(wasSentOrHeld))
-      return this.#giveUp('back ends full');
+      return this.#giveUp(BACK_ENDS_FULL);
     if (this.#components.selector.needsPermit(selection.row)) return void this.#claimPermit(selection);
     this.end('sent');
     this.#events.onChosen(selection, undefined);
@@ -214,7 +219,8 @@
   #holdOrGiveUp(): void {
     const { canComplete, isResuming, isAllowedByBudget } = this.#request;
     const now = performance.now();
-    const capacity = this.#components.selector.timeToCapacity(this.#requirements.service);
+    const { service, regions } = this.#requirements;
+    const capacity = this.#components.selector.timeToCapacity(service, regions);
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
     if (!canComplete(capacity?.wait)) return this.#events.onOutOfTime();
@@ -257,9 +263,9 @@
   /** Reserves one of the places for requests that wait for the first slots; returns false if all of them are taken. */
   #reservePlace(): boolean {
     if (this.#reservation !== undefined) return true;
-    const { service } = this.#requirements;
+    const { service, regions } = this.#requirements;
     const holds = this.#components.backEnds.holdsOf(service);
-    if (!holds.reservePlace(this.#components.selector.slotShare(service))) return false;
+    if (!holds.reservePlace(this.#components.selector.slotShare(service, regions))) return false;
     this.#reservation = holds;
     return true;
   }
@@ -267,7 +273,7 @@
   /** Ends the search, unless a back end that backs off may get the request. */
   #giveUp(reason: string, capacity?: ExpectedCapacity): void {
     if (this.#tryLastResort()) return;
-    if (reason === NO_BACK_END) this.#noteExclusions(capacity);
+    if (reason !== BACK_ENDS_FULL) this.#noteExclusions(capacity);
     this.#events.onGivenUp(reason);
   }
 
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -1,6 +1,7 @@
 /** Selects a back end for a request from those that are eligible. */
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
+import type { AllowedRegions } from '../systems/allowed-regions.js';
 import type { SlotCandidate } from '../systems/slot-search.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
 import { BackEndEligibility, type Exclusion, type Requirements } from './back-end-eligibility.js';
@@ -52,7 +53,8 @@
     table: BackEndTable;
     random: Random;
     self: Position;
-    regionOf: (zone: string) => string;
+    /** Region of a zone; undefined if the settings do not name it. */
+    regionOf: (zone: string) => string | undefined;
     /** Time within which a named version must serve everywhere, in milliseconds. */
     versionBound: number;
     /** Number of entries that send requests, including this one. */
@@ -78,6 +80,7 @@
       backoffs: options.backoffs,
       lowestVersion: (engine, now) => this.versions.lowestVersion(engine, now, 0),
       isOutOfService: (row) => this.#eligibility.isOutOfService(row),
+      isInRegions: (row, allowed) => this.#eligibility.isInRegions(row, allowed),
     });
   }
 
@@ -150,6 +153,22 @@
     return this.#eligibility.isUnavailable(row, now);
   }
 
+  /** Whether a back end stands in an allowed region. */
+  isInRegions(row: BackEndRow, allowed: AllowedRegions): boolean {
+    return this.#eligibility.isInRegions(row, allowed);
+  }
+
+  /**
+   * False if the regions of the request exclude all back ends of its service. Always true while no back end of the service is
+   * known, unless no region is allowed at all.
+   */
+  isServedInRegions({ service, regions }: Requirements): boolean {
+    if (regions === undefined) return true;
+    const rows = [...this.#table.ofService(service)];
+    if (rows.length === 0) return regions.size > 0;
+    return rows.some((row) => this.isInRegions(row, regions));
+  }
+
   /** Whether a back end that backs off may get a request that no other back end can take. */
   hasLastResort(requirements: Requirements): boolean {
     const now = performance.now();
@@ -209,14 +228,11 @@
   }
 
   /**
-   * Interval between requests at the sum of the rate limits of all back ends of `service`, in milliseconds; 0 if any
-   * of them has no limit.
+   * Interval between requests at the sum of the rate limits of all back ends of `service` in `regions`, in milliseconds; 0 if
+   * any of them has no limit.
    */
-  requestInterval(service: string): number {
-    const present = [...this.#table.ofService(service)].filter(
-      (row) => !this.#eligibility.isOutOfService(row),
-    );
-    const rates = present.map(({ record }) => this.#limits.rateOf(record));
+  requestInterval(service: string, regions?: AllowedRegions): number {
+    const rates = this.#inService(service, regions).map(({ record }) => this.#limits.rateOf(record));
     if (rates.length === 0 || rates.includes(undefined)) return 0;
     return MILLISECONDS / rates.reduce<number>((sum, rate) => sum + rate!, 0);
   }
@@ -238,17 +254,23 @@
   }
 
   /**
-   * When a back end of `service` is expected to take requests; undefined if some do now, but not every request can be placed,
+   * When a back end of `service` in `regions` is expected to take requests; undefined if some do now, but not every request can be placed,
    * or if nothing is known of it.
    */
-  timeToCapacity(service: string): ExpectedCapacity | undefined {
-    return this.#capacity.timeToCapacity(service);
+  timeToCapacity(service: string, regions?: AllowedRegions): ExpectedCapacity | undefined {
+    return this.#capacity.timeToCapacity(service, regions);
+  }
+
+  /** The back ends of `service` in `regions` that are in service. */
+  #inService(service: string, regions: AllowedRegions): BackEndRow[] {
+    return [...this.#table.ofService(service)].filter(
+      (row) => !this.#eligibility.isOutOfService(row) && this.isInRegions(row, regions),
+    );
   }
 
-  /** This entry's share of the slots of `service`: all entries share them equally. */
-  slotShare(service: string): number {
-    const rows = [...this.#table.ofService(service)].filter((row) => !this.#eligibility.isOutOfService(row));
-    const slots = rows.reduce((sum, { record }) => sum + record.slots, 0);
+  /** This entry's share of the slots of `service` in `regions`: all entries share them equally. */
+  slotShare(service: string, regions?: AllowedRegions): number {
+    const slots = this.#inService(service, regions).reduce((sum, { record }) => sum + record.slots, 0);
     return Math.ceil(slots / this.#entryCount());
   }
 
--- a/src/forwarding/candidate-estimates.ts
+++ b/src/forwarding/candidate-estimates.ts
@@ -35,7 +35,8 @@
 
 export interface CandidateEstimatesOptions {
   fleet: Pick<FleetView, 'routes'>;
-  regionOf: (zone: string) => string;
+  /** Region of a zone; undefined if the settings do not name it. */
+  regionOf: (zone: string) => string | undefined;
 }
 
 /** Estimates for the back ends of one entry. */
@@ -55,7 +56,7 @@
     return {
       id: record.id,
       zone: record.zone,
-      region: this.#options.regionOf(record.zone),
+      region: this.#options.regionOf(record.zone) ?? record.zone,
       slots,
       load: loadOf(row),
       pendingPromptTokens: row.pendingPromptTokens,
--- a/src/forwarding/capacity-estimator.ts
+++ b/src/forwarding/capacity-estimator.ts
@@ -4,6 +4,7 @@
  */
 import type { EngineShape } from '../fleet/configuration.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { AllowedRegions } from '../systems/allowed-regions.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
 import { type BackEndRow, type BackEndTable, completeVersion } from './back-end-table.js';
 
@@ -39,6 +40,8 @@
   lowestVersion: (engine: EngineShape, now: number) => number;
   /** Whether a back end gets no requests of any kind until this changes. */
   isOutOfService: (row: BackEndRow) => boolean;
+  /** Whether a back end stands in an allowed region. */
+  isInRegions: (row: BackEndRow, allowed: AllowedRegions) => boolean;
 }
 
 /** Estimates the capacity of one entry's services. */
@@ -51,15 +54,15 @@
   }
 
   /**
-   * When a back end of `service` is expected to take requests; undefined if some do now, but not every request can be placed,
+   * When a back end of `service` in `regions` is expected to take requests; undefined if some do now, but not every request can be placed,
    * or if nothing is known of it.
    */
-  timeToCapacity(service: string): ExpectedCapacity | undefined {
+  timeToCapacity(service: string, regions?: AllowedRegions): ExpectedCapacity | undefined {
     const now = performance.now();
     const engine = this.#options.fleet.routes?.service(service)?.engine;
     let soonest: ExpectedCapacity = { wait: Number.POSITIVE_INFINITY, isBackoff: false };
     for (const row of this.#options.table.ofService(service)) {
-      if (this.#options.isOutOfService(row)) continue;
+      if (this.#options.isOutOfService(row) || !this.#options.isInRegions(row, regions)) continue;
       const backoff = this.#timeToAdmission(row, now);
       const serves = engine === undefined || this.#serves(row, engine, backoff, now);
       if (serves && backoff === 0) return undefined;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -35,11 +35,12 @@
 import { errorResponseOf, type ForwardingError } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import { OpenAttempts } from './open-attempts.js';
+import { refusalOf } from './refusal.js';
 import { holdOutcomeOf, outcomeOfEnding, type RequestEnding } from './request-ending.js';
 import { contentOf } from './request-fingerprint.js';
 import { RequestLog } from './request-log.js';
 import { healthOutcomeOf } from './request-outcome.js';
-import { retryAfterForCapacity, retryAfterForOtherProcess } from './retry-after.js';
+import { retryAfterForOtherProcess } from './retry-after.js';
 import { SendPolicy } from './send-policy.js';
 import { StreamMove } from './stream-move.js';
 import { SuspectContent } from './suspect-content.js';
@@ -332,7 +333,7 @@
       },
       this.#components.names,
       {
-        maySend: () => mustSend || !selector.isUnavailable(row, performance.now()),
+        maySend: () => this.#policy.mayGoOut(row, mustSend),
         onAnswer: (answer) => this.#onAnswer(use, answer),
         onHead: (head) => this.#onHead(use, head),
         onData: (chunk) => this.#onData(use, chunk),
@@ -515,8 +516,7 @@
     if (this.#answer.started) return this.#canResumeLater() ? this.#endSearch(reason) : this.#cut(reason);
     if (this.#openAttempts.runs > 0) return this.#fail({ type: 'backEndFailed', reason });
     const { selector, random } = this.#components;
-    const retryAfter = retryAfterForCapacity(this.#admitted.service, selector, random);
-    this.#fail({ type: 'unavailable', reason, retryAfter });
+    this.#fail(refusalOf(this.#policy.requirements(), reason, selector, random));
   }
 
   /** Whether to keep waiting for the silent back ends when no other one can take the request now. */
--- a/src/forwarding/forwarding-errors.ts
+++ b/src/forwarding/forwarding-errors.ts
@@ -11,6 +11,8 @@
   | { type: 'malformed'; reason: string }
   /** No back end can take the request; it has not run. */
   | { type: 'unavailable'; reason: string; retryAfter: number }
+  /** No back end of its service stands in a region in which it may be served; it has not run. */
+  | { type: 'regionNotServed'; reason: string }
   /** Its content crashes back ends; it has not run. */
   | { type: 'quarantined'; retryAfter: number }
   /** The request timed out; it may have run. */
@@ -46,6 +48,8 @@
       return { status: 413, retryAfter: undefined };
     case 'malformed':
       return { status: 400, retryAfter: undefined };
+    case 'regionNotServed':
+      return { status: 503, retryAfter: undefined };
     case 'unavailable':
     case 'quarantined':
       return { status: 503, retryAfter: error.retryAfter };
--- a/src/forwarding/request-outcome.ts
+++ b/src/forwarding/request-outcome.ts
@@ -9,6 +9,7 @@
   | 'served'
   | 'failedAnswer'
   | 'refused'
+  | 'regionNotServed'
   | 'rejected'
   | 'failed'
   | 'timedOut'
@@ -51,6 +52,6 @@
 export function outcomeOfError(error: ForwardingError): RequestOutcome {
   if (NOT_RUN.has(error.type)) return 'refused';
   if (error.type === 'timedOut') return 'timedOut';
-  if (error.type === 'stopped') return 'stopped';
+  if (error.type === 'stopped' || error.type === 'regionNotServed') return error.type;
   return error.type === 'backEndFailed' ? 'failed' : 'rejected';
 }
--- a/src/forwarding/retry-after.ts
+++ b/src/forwarding/retry-after.ts
@@ -1,6 +1,7 @@
 /** Values of `Retry-After` for requests that have not run, in seconds. */
 import type { Random } from '../model/random.js';
 import { MAX_RETRY_DELAY } from '../systems/capacity-wait.js';
+import type { Requirements } from './back-end-eligibility.js';
 import type { BackEndSelector } from './back-end-selector.js';
 
 /**
@@ -18,11 +19,15 @@
   return (OTHER_PROCESS_DELAY * (1 + random.fraction())) / MILLISECONDS;
 }
 
-/** `Retry-After` for a request that no back end of `service` can take now. */
-export function retryAfterForCapacity(service: string, selector: BackEndSelector, random: Random): number {
-  const capacity = selector.timeToCapacity(service);
+/** `Retry-After` for a request that no back end can take now. */
+export function retryAfterForCapacity(
+  { service, regions }: Pick<Requirements, 'service' | 'regions'>,
+  selector: BackEndSelector,
+  random: Random,
+): number {
+  const capacity = selector.timeToCapacity(service, regions);
   const minDelay = RETRY_DELAY * (1 + random.fraction());
-  const delay = Math.max(minDelay + (capacity?.wait ?? 0), selector.requestInterval(service));
+  const delay = Math.max(minDelay + (capacity?.wait ?? 0), selector.requestInterval(service, regions));
   // The end of a back-off is known, however far ahead it is. Estimates are not reliable that far ahead.
   const maxDelay = capacity?.isBackoff === true ? Number.POSITIVE_INFINITY : MAX_RETRY_DELAY;
   return Math.min(maxDelay, delay) / MILLISECONDS;
--- a/src/forwarding/send-policy.ts
+++ b/src/forwarding/send-policy.ts
@@ -57,10 +57,11 @@
    */
   requirements(isLastResort = false): Requirements {
     const { admitted, answer } = this.#options;
-    const { service, table, route, timing, answerTokens } = admitted;
+    const { service, table, route, regions, timing, answerTokens } = admitted;
     return {
       service,
       engine: table.service(service)?.engine,
+      regions: regions.allowed,
       isRepeatable: route.repeatability !== 'never',
       // Queues of back ends are for requests that can meet their objective: a caller's retry waits here for a free slot.
       mayQueue: this.#sends > 0 || !timing.isCallerRetry,
@@ -72,6 +73,16 @@
     };
   }
 
+  /**
+   * Whether an attempt at `row` may go out now that a connection is open for it.
+   * @param mustSend - whether it goes out even if the back end has asked for no more requests
+   */
+  mayGoOut(row: BackEndRow, mustSend: boolean): boolean {
+    const { admitted, selector } = this.#options;
+    if (!selector.isInRegions(row, admitted.regions.allowed)) return false;
+    return mustSend || !selector.isUnavailable(row, performance.now());
+  }
+
   /** Records a send to `row`. */
   noteSent({ record }: BackEndRow): void {
     this.#tried.add(record);
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -257,12 +257,13 @@
   #createSelector(): BackEndSelector {
     const { fleet, backEnds, random, settings } = this.#components;
     const { zone, region, regions, versionBound } = settings;
+    const regionOf = new Map(Object.entries(regions));
     return new BackEndSelector({
       fleet,
       table: backEnds,
       random,
       self: { zone, region },
-      regionOf: (name) => regions[name] ?? name,
+      regionOf: (name) => regionOf.get(name),
       versionBound,
       entryCount: () => this.#entryCount,
       limits: this.#limits,
--- a/test/forwarding/restart-order.test.ts
+++ b/test/forwarding/restart-order.test.ts
@@ -257,6 +257,7 @@
   return {
     service: 'engines',
     engine: undefined,
+    regions: undefined,
     isRepeatable: true,
     mayQueue: true,
     answerTokens: 0,
--- a/test/forwarding/restart.test.ts
+++ b/test/forwarding/restart.test.ts
@@ -189,6 +189,7 @@
     tried.add(row().record);
     const requirements = {
       service: 'engines',
+      regions: undefined,
       isRepeatable: true,
       mayQueue: true,
       engine: undefined,
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -88,6 +88,26 @@
     });
   });
 
+  it('are decoded to the regions of routes and tenants; no list and an empty one allow any', () => {
+    const regionsOf = (list: object) => {
+      const [route] = CONFIGURATION.routes;
+      const [tenant] = CONFIGURATION.tenants;
+      const routes = [{ ...route, ...list }];
+      const tenants = [{ ...tenant, ...list }];
+      const read = platformRecords.operatorRecord(row('config', { ...CONFIGURATION, routes, tenants }));
+      if (read?.ok !== true || read.value.type !== 'configuration') throw new Error('no configuration');
+      const { configuration, skippedEntries } = read.value.document;
+      const { routes: decoded, tenants: declared } = configuration;
+      return [decoded[0]?.regions, declared?.[0]?.regions, skippedEntries?.length];
+    };
+    expect(regionsOf({ allowed_regions: ['r-1', 'r-2'] })).toEqual([['r-1', 'r-2'], ['r-1', 'r-2'], 0]);
+    for (const list of [{}, { allowed_regions: [] }, { allowed_regions: null }])
+      expect(regionsOf(list)).toEqual([undefined, undefined, 0]);
+    // Without the faulty list, the requests would be served in any region.
+    for (const list of ['r-1', [1], { 'r-1': true }])
+      expect(regionsOf({ allowed_regions: list })).toEqual([undefined, undefined, 2]);
+  });
+
   it('are decoded to a named version; a deleted row is ignored and an unreadable one is a fault', () => {
     const named = platformRecords.operatorRecord(row('version/m', { model: 'm', version: 2 }));
     expect(named).toEqual({ ok: true, value: { type: 'namedVersion', model: 'm', version: 2 } });
