The directory's choice of entries is a module of its own

Cause: the choice stood in the entry's role, where no test reached it without processes. Change: moved to systems/entry-choice without a change of behaviour, with tests.

--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -22,6 +22,7 @@
 import type { FollowedTable } from '../protocol/store-update.js';
 import { createRequestListener, httpServer } from '../server/http-server.js';
 import { DrainSchedule } from '../systems/drain-schedule.js';
+import { entriesFor } from '../systems/entry-choice.js';
 import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import { StoreReaders } from '../systems/store-readers.js';
@@ -35,8 +36,6 @@
 const STOP_TIMEOUT = 300;
 /** Delay in which changes are batched before they are sent to peers and agents, by audience, in milliseconds. */
 const ANNOUNCE_DELAY = { all: 50, zone: 120 };
-/** Maximum number of addresses in one answer to a caller. */
-const MAX_ADDRESSES = 64;
 const MILLISECONDS = 1_000;
 
 /** An entry: accepts callers' requests and forwards them to back ends. */
@@ -245,13 +244,10 @@
     await this.#components.backEnds.stop();
   }
 
-  /** Addresses of ready entries for a caller of `zone`; those of its zone or region if there are at least two. */
+  /** Addresses of ready entries for a caller of `zone`. */
   addresses(zone: string, region: string): string[] {
     const ready = [this.#report(), ...this.#peers.live()].filter(({ isReady }) => isReady);
-    const ofRegion = ready.filter((entry) => entry.region === region);
-    const ofZone = ofRegion.filter((entry) => entry.zone === zone);
-    const chosen = [ofZone, ofRegion, ready].find((entries) => entries.length >= 2) ?? ready;
-    return chosen.slice(0, MAX_ADDRESSES).map(({ callerAddress }) => callerAddress);
+    return entriesFor({ zone, region }, ready).map(({ callerAddress }) => callerAddress);
   }
 
   #createSelector(): BackEndSelector {
