The directory names entries of regions through which requests may go

Cause: a caller whose region had fewer than two ready entries was told of entries everywhere, also where its requests must not pass. Change: where a route of the caller's host or a tenant names regions, a caller gets only entries of its own region while one is ready there, and otherwise those of the regions that most of the lists allow. Other callers are served as before.

--- a/src/fleet/route-table.ts
+++ b/src/fleet/route-table.ts
@@ -54,6 +54,14 @@
     return commonRegions([route?.regions, declared?.regions]);
   }
 
+  /** The lists of regions that routes of `host` and tenants name; those of all routes if the host is empty. */
+  regionLists(host: string): Array<ReadonlySet<string>> {
+    const { routes, tenants } = this.configuration;
+    const ofHost = host === '' ? routes : [...(this.#routesByHost.get(hostName(host))?.values() ?? [])];
+    const lists = [...ofHost, ...(tenants ?? [])].map(({ regions }) => regions);
+    return lists.filter((regions) => regions !== undefined).map((regions) => new Set(regions));
+  }
+
   service(name: string): BackEndService | undefined {
     return this.#services.get(name);
   }
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -290,9 +290,15 @@
 
   #noteExclusions(capacity: ExpectedCapacity | undefined): void {
     const excluded = this.#components.selector.exclusions(this.#requirements);
+    const { regions } = this.#requirements;
     const now = performance.now();
     const heldMs = Math.round(now - (this.#heldSince ?? now));
-    this.#events.onNote(NO_BACK_END, { excluded, capacityMs: capacity?.wait, heldMs });
+    this.#events.onNote(NO_BACK_END, {
+      excluded,
+      regions: regions && [...regions],
+      capacityMs: capacity?.wait,
+      heldMs,
+    });
   }
 
   /** Counts the wait of a caller's retry; returns false if it must not wait. First requests wait only briefly. */
--- a/src/roles/direct-entry-components.ts
+++ b/src/roles/direct-entry-components.ts
@@ -32,7 +32,10 @@
   headers: HeaderNames;
   /** Routes for the platform's readiness checks, and for callers that discover entries. */
   readyRoutes: (isReady: () => boolean) => Router;
-  directoryRoutes: (addresses: (zone: string, region: string) => string[], lifetimeSeconds: number) => Router;
+  directoryRoutes: (
+    addresses: (zone: string, region: string, host: string) => string[],
+    lifetimeSeconds: number,
+  ) => Router;
   metricsPath: string;
 }
 
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -185,7 +185,7 @@
     const accept = (connection: Connection) => this.#accept(connection);
     const pieces = createRequestListener(pieceRoutes(library));
     const directory = components.directoryRoutes(
-      (zone, region) => this.addresses(zone, region),
+      (zone, region, host) => this.addresses(zone, region, host),
       settings.addressLifetimeSeconds,
     );
     this.#parts = new StartableGroup([
@@ -244,10 +244,11 @@
     await this.#components.backEnds.stop();
   }
 
-  /** Addresses of ready entries for a caller of `zone`. */
-  addresses(zone: string, region: string): string[] {
+  /** Addresses of ready entries for a caller of `zone` with requests for `host`, or for any host if that is empty. */
+  addresses(zone: string, region: string, host = ''): string[] {
+    const lists = this.#components.fleet.routes?.regionLists(host);
     const ready = [this.#report(), ...this.#peers.live()].filter(({ isReady }) => isReady);
-    return entriesFor({ zone, region }, ready).map(({ callerAddress }) => callerAddress);
+    return entriesFor({ zone, region }, ready, lists).map(({ callerAddress }) => callerAddress);
   }
 
   #createSelector(): BackEndSelector {
--- a/test/fleet/fleet-view.test.ts
+++ b/test/fleet/fleet-view.test.ts
@@ -55,6 +55,27 @@
     expect(table.match('api.example:80', path)?.pathPrefix).toBe(prefix);
   });
 
+  it('name the regions of their host and of all tenants, or those of every host', () => {
+    const [first, second] = configuration(1, ['/', '/a/']).routes;
+    const named = new RouteTable({
+      ...configuration(1),
+      routes: [
+        { ...first, regions: ['r-1'] },
+        { ...second, host: 'other.example', regions: ['r-2'] },
+        { ...second, host: 'free.example' },
+      ],
+      tenants: [
+        { name: 'bound', keys: [], priority: undefined, regions: ['r-3'] },
+        { name: 'free', keys: [], priority: undefined },
+      ],
+    });
+    const listsOf = (host: string) => named.regionLists(host).map((regions) => [...regions]);
+    expect(listsOf('other.example:80')).toEqual([['r-2'], ['r-3']]);
+    expect(listsOf('free.example')).toEqual([['r-3']]);
+    expect(listsOf('')).toEqual([['r-1'], ['r-2'], ['r-3']]);
+    expect(new RouteTable(configuration(1, ['/'])).regionLists('')).toEqual([]);
+  });
+
   it('does not match another host', () => expect(table.match('other.example', '/a/')).toBeUndefined());
 
   it('strips the query', () => expect(pathOf('/a/b?c=/d/')).toBe('/a/b'));
--- a/test/forwarding/allowed-regions.test.ts
+++ b/test/forwarding/allowed-regions.test.ts
@@ -83,7 +83,9 @@
   it('is refused at once where none of the regions has a back end', async () => {
     await serve(routeNamed('bound', { regions: ['region-c'] }));
     await expectRefused('/bound/');
-    expect(lines.find(({ message }) => message === 'no back end')?.fields.excluded).toEqual({ region: 2 });
+    const line = lines.find(({ message }) => message === 'no back end');
+    expect(line?.fields).toMatchObject({ excluded: { region: 2 }, regions: ['region-c'] });
+    expect(await forwarding.metrics.registry.metrics()).toContain('outcome="regionNotServed"} 1');
   });
 
   it('is not served in a zone that the settings do not name, whatever the zone is called', async () => {
--- a/test/observability/loss-table.test.ts
+++ b/test/observability/loss-table.test.ts
@@ -19,6 +19,8 @@
   line(1.1, 'entry-2', 'ended', request('b', { status: 503, type: 'unavailable', reason: 'no back end' })),
   line(1.2, 'entry-2', 'no back end', request('c', { excluded: { expired: 1 } })),
   line(1.2, 'entry-2', 'ended', request('c', { status: 503, type: 'unavailable', reason: 'no back end' })),
+  line(2.1, 'entry-2', 'no back end', request('d', { excluded: { region: 3 }, regions: ['region-a'] })),
+  line(2.1, 'entry-2', 'ended', request('d', { status: 503, type: 'regionNotServed', reason: 'no region' })),
   line(1.5, 'agent-1', 'engine ordered', { version: 2, from: 1, running: 'drop', load: 7 }),
   line(1.8, 'agent-1', 'switch ended', { wanted: 2, tookMs: 310 }),
   line(1.9, 'agent-2', 'engine ordered', { version: 2, from: 0, running: 'finish', load: 0 }),
@@ -26,11 +28,12 @@
 
 describe('losses', () => {
   it('are counted by interval and service', () => {
-    const [first, second] = lossTable(LINES, 1);
+    const [first, second, third] = lossTable(LINES, 1);
     expect(first).toMatchObject({ from: 0, service: 'engines', sent: 2, sentRetries: 1, served: 1 });
     expect(first).toMatchObject({ firstPartMedian: 120, failures: { ECONNRESET: 1 }, versions: { 2: 1 } });
     expect(second).toMatchObject({ from: 1, refused: { '503 no back end': 2 } });
     expect(second.excluded).toEqual({ expired: 1.5, switching: 0.5 });
+    expect(third).toMatchObject({ from: 2, refused: { '503 no region': 1 }, excluded: { region: 3 } });
   });
 
   it('include engine outages, also those without a logged end', () => {
@@ -50,8 +53,8 @@
 
   it('are printed with one line per row and outage', () => {
     const lines = formatLosses(lossTable(LINES, 1), switchOutages(LINES));
-    expect(lines).toHaveLength(6);
+    expect(lines).toHaveLength(7);
     expect(lines[1]).toContain('sent=2 again=1 served=1');
-    expect(lines[5]).toContain('took=?ms');
+    expect(lines[6]).toContain('took=?ms');
   });
 });
