--- a/src/forwarding/attempt-factory.ts
+++ b/src/forwarding/attempt-factory.ts
@@ -6,6 +6,7 @@
 import { AttemptAnswer } from './attempt-answer.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
 import type { BackEndSelector, Selection } from './back-end-selector.js';
+import type { BackEndRow } from './back-end-table.js';
 import { BackEndUse } from './back-end-use.js';
 import type { CallerBody } from './caller-body.js';
 import type { SlotClaim } from './engine-slots.js';
@@ -26,6 +27,11 @@
   body(): CallerBody;
   /** Id of the last event that the caller has received; undefined if it has received none. */
   lastEventId(): string | undefined;
+  /**
+   * Whether an attempt at `row` may go out now that a connection is open for it.
+   * @param mustSend - whether it goes out even if the back end has asked for no more requests
+   */
+  mayGoOut(row: BackEndRow, mustSend: boolean): boolean;
 }
 
 /** What happens to an attempt. */
@@ -51,7 +57,7 @@
 
   /** Creates an attempt, which is not sent yet, and counts it at the back end. */
   create(selection: Selection, claim: SlotClaim | undefined): BackEndUse {
-    const { request, id, admitted, body, lastEventId } = this.#request;
+    const { request, id, admitted, body, lastEventId, mayGoOut } = this.#request;
     const { timing, rank, promptTokens, answerTokens } = admitted;
     const { names, selector, backoffs } = this.#components;
     const events = this.#events;
@@ -69,7 +75,7 @@
       },
       names,
       {
-        maySend: () => mustSend || !selector.isUnavailable(row, performance.now()),
+        maySend: () => mayGoOut(row, mustSend),
         onAnswer: (answer) => events.onAnswer(use, answer),
         onHead: (head) => events.onHead(use, head),
         onData: (chunk) => events.onData(use, chunk),
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -24,7 +24,7 @@
 import { AttemptWatch } from './attempt-watch.js';
 import { BackEndSearch, type PendingRequest } from './back-end-search.js';
 import type { Selection } from './back-end-selector.js';
-import { loadOf } from './back-end-table.js';
+import { type BackEndRow, loadOf } from './back-end-table.js';
 import type { BackEndUse } from './back-end-use.js';
 import { CallerAnswer } from './caller-answer.js';
 import { type CallerBody, readCallerBody } from './caller-body.js';
@@ -33,11 +33,12 @@
 import { errorResponseOf, type ForwardingError } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import { OpenAttempts } from './open-attempts.js';
+import { refusalOf } from './refusal.js';
 import { holdOutcomeOf, outcomeOfEnding, type RequestEnding } from './request-ending.js';
 import { contentOf } from './request-fingerprint.js';
 import { RequestLog } from './request-log.js';
 import { healthOutcomeOf } from './request-outcome.js';
-import { retryAfterForCapacity, retryAfterForOtherProcess } from './retry-after.js';
+import { retryAfterForOtherProcess } from './retry-after.js';
 import { SendPolicy } from './send-policy.js';
 import { StreamMove } from './stream-move.js';
 import { SuspectContent } from './suspect-content.js';
@@ -238,6 +239,7 @@
       admitted,
       body: () => this.#body,
       lastEventId: () => this.#answer.lastEventId,
+      mayGoOut: (row: BackEndRow, mustSend: boolean) => this.#policy.mayGoOut(row, mustSend),
     };
     return new AttemptFactory(this.#components, request, {
       onAnswer: (use, answer) => this.#onAnswer(use, answer),
@@ -481,8 +483,7 @@
     if (this.#answer.started) return this.#canResumeLater() ? this.#endSearch(reason) : this.#cut(reason);
     if (this.#openAttempts.runs > 0) return this.#fail({ type: 'backEndFailed', reason });
     const { selector, random } = this.#components;
-    const retryAfter = retryAfterForCapacity(this.#admitted.service, selector, random);
-    this.#fail({ type: 'unavailable', reason, retryAfter });
+    this.#fail(refusalOf(this.#policy.requirements(), reason, selector, random));
   }
 
   /** Whether to keep waiting for the silent back ends when no other one can take the request now. */
