--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -76,6 +76,7 @@
   readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
+  #selector: BackEndSelector | undefined;
   #address = '';
   #requests = 0;
 
@@ -90,6 +91,11 @@
     return this.#address;
   }
 
+  /** Chooses the back ends, from `start` on. */
+  get selector(): BackEndSelector {
+    return this.#selector!;
+  }
+
   /** Number of requests in progress. */
   get active(): number {
     return this.#server?.active ?? 0;
@@ -121,6 +127,7 @@
       backoffs,
       permits,
     });
+    this.#selector = selector;
     const reservedHeaders = new Set([
       'x-key',
       'x-tenant',
