The placement simulation learns ranks, tenants, sizes and lasting overload, beside a bound

Cause: the simulation knew one load of kinds of one rank, so that what is granted to whom under overload could not be seen. Callers gave the whole timeout of their route, so that the guess which requests are a caller's retry stayed unseen.

Change: deployments and load shapes are data of placement-loads.ts ('hundreds' as before, 'threeRanks', 'uneven'; peak, step, burst, largeTenant, slowEngines); callers, machines, placements and the report have modules of their own. The entry's waits are those of RequestTiming and HoldRecord. Two policies are bounds: one queue that knows each slot, with and without floors for kinds, tenants and the larger requests.

--- a/bench/simulation/simulated-engine.ts
+++ b/bench/simulation/simulated-engine.ts
@@ -4,16 +4,19 @@
  */
 import type { VirtualClock } from './virtual-clock.js';
 
-/** The pace of an engine; times in milliseconds. The figures of the users' sheet for hundreds of machines. */
-export const ENGINE_PACE = {
-  slots: 8,
-  queue: 16,
-  step: 11.1,
-  stepPerRequest: 0.058,
-  tokensReadPerMillisecond: 21.3,
-  tokensReadPerPass: 2_048,
-  tokensPerEvent: 6,
-} as const;
+/** The pace of an engine; times in milliseconds. */
+export interface EnginePace {
+  /** Requests that it runs at once, and requests that it queues beyond them. */
+  slots: number;
+  queue: number;
+  /** Length of a pass that writes a token for each request, and what each request adds to it. */
+  step: number;
+  stepPerRequest: number;
+  tokensReadPerMillisecond: number;
+  tokensReadPerPass: number;
+  tokensPerEvent: number;
+}
+
 /** Length of a pass in which only prompts are read, beside the reading, in milliseconds. */
 const READING_PASS = 3;
 
@@ -35,12 +38,16 @@
 /** One engine. */
 export class SimulatedEngine {
   readonly #clock: VirtualClock;
+  readonly #pace: EnginePace;
+  /** Passes take this many times as long as the pace says. */
+  slowness = 1;
   readonly #queue: RunningJob[] = [];
   #running: RunningJob[] = [];
   #isWorking = false;
 
-  constructor(clock: VirtualClock) {
+  constructor(clock: VirtualClock, pace: EnginePace) {
     this.#clock = clock;
+    this.#pace = pace;
   }
 
   /** Requests that run or wait. */
@@ -50,7 +57,7 @@
 
   /** Takes a request; undefined where its queue is full, else what drops the request again. */
   take(job: EngineJob): (() => void) | undefined {
-    if (this.load >= ENGINE_PACE.slots + ENGINE_PACE.queue) return undefined;
+    if (this.load >= this.#pace.slots + this.#pace.queue) return undefined;
     const taken = { ...job, unread: job.promptTokens, written: 0 };
     this.#queue.push(taken);
     if (!this.#isWorking) {
@@ -75,16 +82,16 @@
     }
     const read = this.#read();
     const isWriting = this.#running.some(({ unread }) => unread <= 0);
-    const writing = ENGINE_PACE.step + ENGINE_PACE.stepPerRequest * this.#running.length;
-    const length = read / ENGINE_PACE.tokensReadPerMillisecond + (isWriting ? writing : READING_PASS);
-    this.#clock.schedule(this.#clock.now + length, () => {
+    const writing = this.#pace.step + this.#pace.stepPerRequest * this.#running.length;
+    const length = read / this.#pace.tokensReadPerMillisecond + (isWriting ? writing : READING_PASS);
+    this.#clock.schedule(this.#clock.now + length * this.slowness, () => {
       this.#write();
       this.#pass();
     });
   }
 
   #letIn(): void {
-    while (this.#running.length < ENGINE_PACE.slots && this.#queue.length > 0) {
+    while (this.#running.length < this.#pace.slots && this.#queue.length > 0) {
       const least = Math.min(...this.#queue.map(({ urgency }) => urgency));
       const next = this.#queue.findIndex(({ urgency }) => urgency === least);
       this.#running.push(...this.#queue.splice(next, 1));
@@ -93,20 +100,20 @@
 
   /** Reads prompts; returns how many tokens. */
   #read(): number {
-    let left: number = ENGINE_PACE.tokensReadPerPass;
+    let left: number = this.#pace.tokensReadPerPass;
     for (const job of this.#running) {
       const part = Math.min(left, job.unread);
       job.unread -= part;
       left -= part;
     }
-    return ENGINE_PACE.tokensReadPerPass - left;
+    return this.#pace.tokensReadPerPass - left;
   }
 
   #write(): void {
     const writing = this.#running.filter(({ unread }) => unread <= 0);
     for (const job of writing) {
       job.written++;
-      if (job.written % ENGINE_PACE.tokensPerEvent === 0) job.onEvent();
+      if (job.written % this.#pace.tokensPerEvent === 0) job.onEvent();
       if (job.written < job.answerTokens) continue;
       this.#running = this.#running.filter((other) => other !== job);
       job.onEnd();
--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -243,10 +243,21 @@
   static override paths = [['bench', 'placement']];
   static override usage = ThistlewayCommand.Usage({
     category: 'Development',
-    description: 'compare request placement policies with 100 entries and 84 to 143 engines, in virtual time',
+    description: 'compare request placement policies with many entries and engines, in virtual time',
+    examples: [
+      [
+        'A lasting overload beside its bound',
+        'thistleway bench placement --site threeRanks --shape step --load 1.3',
+      ],
+    ],
   });
   policy = Option.String('--policy', {
-    description: 'run only this policy: reportedLoads, ownCounts or slots',
+    description:
+      'run only this policy: reportedLoads, ownCounts, slots, central or centralByRank (the bounds)',
+  });
+  site = Option.String('--site', 'hundreds', { description: 'deployment: hundreds, threeRanks or uneven' });
+  shape = Option.String('--shape', 'peak', {
+    description: 'load over time: peak, step, burst, largeTenant or slowEngines',
   });
   load = Option.String('--load', '1', { description: 'load as a fraction of the peak' });
   seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
@@ -255,6 +266,7 @@
     const { PLACEMENT_POLICIES, simulatePlacement } = await import(
       '../../bench/simulation/placement-simulation.js'
     );
+    const { LOAD_SHAPES, PLACEMENT_SITES } = await import('../../bench/simulation/placement-loads.js');
     const policies = PLACEMENT_POLICIES.filter(
       (policy) => this.policy === undefined || policy === this.policy,
     );
@@ -263,8 +275,16 @@
         `unknown policy "${this.policy}"; available: ${PLACEMENT_POLICIES.join(', ')}`,
         EXIT_USAGE,
       );
+    const site = nameIn(PLACEMENT_SITES, 'site', this.site);
+    const shape = nameIn(LOAD_SHAPES, 'shape', this.shape);
     for (const policy of policies) {
-      const report = simulatePlacement({ policy, load: Number(this.load), seed: Number(this.seed) });
+      const report = simulatePlacement({
+        policy,
+        site,
+        shape,
+        load: Number(this.load),
+        seed: Number(this.seed),
+      });
       this.context.stdout.write(`${JSON.stringify(report)}\n`);
     }
     return 0;
@@ -276,6 +296,13 @@
   return lost + crossed + ranTwice + falseNotRun + newWorkAfterLeaving + (planned ? cut : 0) === 0;
 }
 
+/** Returns `name` if `known` has it, and fails otherwise. */
+function nameIn<T extends object>(known: T, option: string, name: string): keyof T {
+  if (Object.hasOwn(known, name)) return name as keyof T;
+  const names = Object.keys(known).join(', ');
+  throw new CommandFailure(`--${option} must be one of ${names}, not "${name}"`, EXIT_USAGE);
+}
+
 /** Returns the cases selected by `--faults`; undefined stands for a run without faults. */
 function selectFaults<T extends { name: string }>(wanted: string, cases: readonly T[]): Array<T | undefined> {
   if (wanted === 'none') return [undefined];
