Agents refuse at once what cannot get a slot in its time, and grant slots to requests in time first

Cause: under lasting overload requests that had no chance waited until their patience was over: at a load of 1.3 the median refusal came after 200 ms. Late requests were told from others by their urgency alone.

Change: the waiting requests of an engine have a module of their own, SlotQueue. It grants to requests in time before late ones, each by urgency, then arrival, and predicts the wait of a new one from those ahead of it and from how fast the queue has moved in 2 s: grants to its urgency and to less urgent ones, and requests of its urgency that left for a slot elsewhere. What would wait beyond its end is refused with the time until a slot is expected; if nobody of its urgency waits it is queued, so that it is seen when the queue moves again. A search ends once five agents, or all, have refused for that reason. An answer that has begun is never late.

--- a/bench/simulation/placement-callers.ts
+++ b/bench/simulation/placement-callers.ts
@@ -40,6 +40,8 @@
 export class PlacementCallers {
   readonly #init: PlacementCallersInit;
   readonly all: Caller[] = [];
+  /** Times from an attempt to its refusal, in milliseconds. */
+  readonly refusedAfter: number[] = [];
   readonly #tenantWeights: number[];
 
   constructor(init: PlacementCallersInit) {
@@ -65,6 +67,7 @@
   /** The caller comes again once, at any entry, after `retryAfter` milliseconds. */
   refuse(caller: Caller, retryAfter: number): void {
     caller.refusals++;
+    this.refusedAfter.push(this.#init.clock.now - caller.attemptedAt);
     const now = this.#init.clock.now + CALLER_DELAY;
     const backAt = now + Math.min(retryAfter, RETRY_DELAY_SHARE * (caller.deadline - now));
     if (caller.refusals > 1 || backAt > caller.deadline) return;
--- a/bench/simulation/placement-simulation.ts
+++ b/bench/simulation/placement-simulation.ts
@@ -78,6 +78,8 @@
   load: number;
   site: PlacementSiteName;
   shape: LoadShapeName;
+  /** Median time from an attempt to its refusal, in milliseconds; 0 if none was refused. */
+  refusedAfterP50: number;
   /** Requests that engines rejected as their queues were full. */
   rejected: number;
   /** Share of slots that no request used, of all slots of engines at whose agents somebody waited, from 12 s on. */
@@ -306,9 +308,14 @@
       site,
       shape,
       ...serviceReport(counted, this.site),
+      refusedAfterP50: Math.round(medianOf(this.#callers.refusedAfter)),
       rejected: this.#rejected,
       idleWhileWaiting: rounded(this.#idleSlots / Math.max(1, this.#wantedSlots)),
       passedOver: placement instanceof SlotPlacement ? rounded(placement.passedOver) : 0,
     };
   }
 }
+
+function medianOf(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+}
--- a/bench/simulation/slot-placement.ts
+++ b/bench/simulation/slot-placement.ts
@@ -97,26 +97,33 @@
       this.#refuse(caller);
     };
     const ask = () => {
+      if (!search.wantsMore(clock.now)) return;
       for (const id of search.next(this.#candidates(entry), clock.now)) {
         const engine = this.#context.engines[Number(id)];
         const claim = claims.open(id);
         open.set(engine, claim);
-        this.#seekers.set(tableId(String(entry.number), claim), ({ type }) => {
+        this.#seekers.set(tableId(String(entry.number), claim), (decision) => {
+          const { type } = decision;
           // A process that has started since knows nothing of it.
           if (entry.life !== life) return this.#release(entry, engine, claim);
           if (!claims.isOpen(claim) && type === 'granted') return this.#release(entry, engine, claim);
           if (isOver) return;
           if (type === 'queued') return search.noteQueued(id);
-          if (type === 'refused') {
+          if (decision.type === 'refused') {
             claims.close(claim);
             open.delete(engine);
-            return search.noteFailed(id);
+            if (decision.availableIn === undefined) return search.noteFailed(id);
+            search.noteFull(id);
+            ask();
+            return search.isPending ? undefined : giveUp();
           }
           if (!claims.noteGranted(claim)) return;
           open.delete(engine);
           end(true);
           this.#countGrant(urgency);
-          this.#context.send(caller, entry, engine, urgency, () => this.#release(entry, engine, claim));
+          this.#context.send(caller, entry, engine, urgency, () => {
+            this.#release(entry, engine, claim);
+          });
         });
         this.#ask(entry, engine, claim, { urgency, timing, endsAt, caller });
       }
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -129,6 +129,7 @@
     const { timing, wasSent, isResuming, urgency, promptTokens } = this.#request;
     if (!selector.shouldAcquireSlot(this.#requirements)) return false;
     const now = performance.now();
+    const endsAt = timing.slotWaitDeadline(now, wasSent(), this.#wasHeldForCapacity);
     this.#seeker = new SlotSeeker({
       slots,
       table: backEnds,
@@ -139,15 +140,17 @@
       rateLimitOf: (row) => limits.rateOf(row.record),
       urgency: isResuming() ? 0 : urgency(now),
       arrivedAt: timing.arrivedAt,
-      inTimeUntil: timing.inTimeUntil,
+      // An answer that has begun is never late.
+      inTimeUntil: isResuming() ? endsAt : timing.inTimeUntil,
       promptTokens,
-      endsAt: timing.slotWaitDeadline(now, wasSent(), this.#wasHeldForCapacity),
+      endsAt,
       onGranted: (row, claim, asked) => this.#takeSlot(row, claim, asked),
       onWait: () => this.#onWaitForSlot(),
       onExhausted: () => {
         this.#cancelSeeker();
         this.#chooseWithoutSlot();
       },
+      onFull: () => this.#giveUp('back ends full'),
       onFault: (cause) => this.#events.onError(cause),
     });
     this.#seeker.begin();
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -37,6 +37,11 @@
   onWait: () => void;
   /** Called when no agent is left that may grant a slot. */
   onExhausted: () => void;
+  /**
+   * Called when the agents that were asked predict no slot in the time of the request.
+   * @param availableIn - shortest time until one of them expects a slot for such a request, in milliseconds
+   */
+  onFull: (availableIn: number) => void;
   /** Called on an exception in this process, which must end only the request. */
   onFault: (cause: unknown) => void;
 }
@@ -47,6 +52,8 @@
   readonly #search: SlotSearch;
   readonly #claims = new Map<string, SlotClaim>();
   #timer: NodeJS.Timeout | undefined;
+  /** Shortest time until a slot that an agent predicts; infinite if none of them has refused for that reason. */
+  #availableIn = Number.POSITIVE_INFINITY;
   #isStopped = false;
 
   constructor(options: SlotSeekerOptions) {
@@ -121,9 +128,9 @@
         agent.noteAnswer();
         this.#search.noteQueued(id);
       },
-      onRefused: () => {
+      onRefused: (availableIn) => {
         agent.noteAnswer();
-        this.#catchFaults(() => this.#tryOthers(id));
+        this.#catchFaults(() => this.#onRefused(id, availableIn));
       },
       onUnready: () => {
         agent.noteUnready(performance.now());
@@ -153,6 +160,15 @@
     this.#search.noteFailed(id);
   }
 
+  #onRefused(id: string, availableIn: number | undefined): void {
+    this.#release(id);
+    if (availableIn !== undefined) {
+      this.#search.noteFull(id);
+      this.#availableIn = Math.min(availableIn, this.#availableIn);
+    }
+    this.#askOthers(performance.now());
+  }
+
   #tryOthers(id: string): void {
     this.#release(id);
     this.#askOthers(performance.now());
@@ -161,7 +177,9 @@
   #askOthers(now: number): void {
     if (this.#isStopped) return;
     this.#ask(now);
-    if (!this.#search.isPending) this.#options.onExhausted();
+    if (this.#search.isPending) return;
+    if (this.#availableIn === Number.POSITIVE_INFINITY) this.#options.onExhausted();
+    else this.#options.onFull(this.#availableIn);
   }
 
   /** Takes a granted slot, unless its engine is no longer eligible. */
--- a/src/peers/slot-client.ts
+++ b/src/peers/slot-client.ts
@@ -81,7 +81,8 @@
 
   #handle(message: Message, from: string): void {
     if (message.type === 'slotQueued') return this.#openClaims.get(message.id)?.answers.onQueued();
-    if (message.type === 'slotRefused') return this.#closeClaim(message.id)?.onRefused();
+    if (message.type === 'slotRefused')
+      return this.#closeClaim(message.id)?.onRefused(message.availableIn ?? undefined);
     if (message.type === 'slotUnready') return this.#closeClaim(message.id)?.onUnready();
     if (message.type !== 'slotGranted') return;
     const { id, isLimited } = message;
--- a/src/peers/slot-server.ts
+++ b/src/peers/slot-server.ts
@@ -17,12 +17,6 @@
   SlotTable,
 } from '../systems/slot-table.js';
 
-const ANSWERS = {
-  queued: 'slotQueued',
-  refused: 'slotRefused',
-  unready: 'slotUnready',
-} as const;
-
 /**
  * Interval at which silent entries are looked for, in milliseconds: a third of the silence after which an
  * entry's slots are released.
@@ -120,20 +114,29 @@
   }
 
   #sendDecisions(decisions: readonly SlotDecision[]): void {
-    const isLimited = this.rateLimit !== undefined;
-    for (const { type, id } of decisions) {
-      this.decisions[type]++;
-      const claim = claimOf(id);
-      const answer: SlotMessage =
-        type === 'granted'
-          ? { type: 'slotGranted', id: claim.id, isLimited }
-          : { type: ANSWERS[type], id: claim.id };
-      this.#endpoint.send(claim.entry, answer);
+    for (const decision of decisions) {
+      this.decisions[decision.type]++;
+      const { entry, id } = claimOf(decision.id);
+      this.#endpoint.send(entry, this.#answerTo(id, decision));
     }
     this.#logRateLimit();
     this.#scheduleGrant();
   }
 
+  /** The message that tells an entry of the decision on its request `id`. */
+  #answerTo(id: number, decision: SlotDecision): SlotMessage {
+    switch (decision.type) {
+      case 'granted':
+        return { type: 'slotGranted', id, isLimited: this.rateLimit !== undefined };
+      case 'queued':
+        return { type: 'slotQueued', id };
+      case 'refused':
+        return { type: 'slotRefused', id, availableIn: decision.availableIn };
+      case 'unready':
+        return { type: 'slotUnready', id };
+    }
+  }
+
   #logRateLimit(): void {
     if (this.rateLimit === this.#loggedRateLimit) return;
     const previousRate = this.#loggedRateLimit;
--- a/src/systems/slot-search.ts
+++ b/src/systems/slot-search.ts
@@ -35,12 +35,15 @@
   spread: number;
 }
 
+/** Number of agents that predict no slot in time after which no others are asked: as many as a search asks in all. */
+const MAX_FULL = FIRST_ASKED + NEAR_ASKED_LATER + FAR_ASKED_LATER;
+
 /** Time for which a request does not ask an agent again after it refused or was silent: about the time of a switch. */
 const ASKED_AGAIN_AFTER = 500;
 
 interface AskedRow {
   askedAt: number;
-  state: 'asked' | 'queued' | 'failed';
+  state: 'asked' | 'queued' | 'failed' | 'full';
 }
 
 /** The slot search of one request. */
@@ -68,6 +71,7 @@
 
   /** Whether more agents should be asked now, if there are any. */
   wantsMore(now: number): boolean {
+    if (this.isFull) return false;
     return this.#pendingCount < FIRST_ASKED || (now >= this.widensAt && !this.#hasWidened);
   }
 
@@ -89,6 +93,17 @@
     if (row !== undefined) row.state = 'queued';
   }
 
+  /** Records that the agent of `id` predicts no slot in the time of the request; another one is asked in its place. */
+  noteFull(id: string): void {
+    const row = this.#asked.get(id);
+    if (row !== undefined) row.state = 'full';
+  }
+
+  /** Whether enough agents have predicted no slot in the time of the request. */
+  get isFull(): boolean {
+    return this.#countOf('full') >= MAX_FULL;
+  }
+
   /** Records that the engine `id` accepts no requests or its agent is silent; another one is asked in its place. */
   noteFailed(id: string): void {
     const row = this.#asked.get(id);
@@ -108,7 +123,11 @@
   }
 
   get #pendingCount(): number {
-    return [...this.#asked.values()].filter(({ state }) => state !== 'failed').length;
+    return this.#countOf('asked') + this.#countOf('queued');
+  }
+
+  #countOf(wanted: AskedRow['state']): number {
+    return [...this.#asked.values()].filter(({ state }) => state === wanted).length;
   }
 
   #choose(candidates: readonly SlotCandidate[], now: number): string[] {
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -15,6 +15,7 @@
  */
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import { RateLimiter } from './rate-limiter.js';
+import { type SlotAsk, SlotQueue } from './slot-queue.js';
 
 /**
  * Age below which grants and releases may not be visible in the reported load yet, in milliseconds. An engine reports its
@@ -23,33 +24,17 @@
  */
 const REPORT_LAG = 400;
 
-/** A request that wants a slot. */
-export interface SlotAsk {
-  id: string;
-  /** 0 is the most urgent. */
-  urgency: number;
-  /** Since when its caller has been waiting; at equal urgency, the earliest goes first. */
-  waitsSince: number;
-  /** When the request expires. */
-  endsAt: number;
-  /** Number of concurrent requests of the engine, as known to the asking entry. */
-  slots: number;
-  /** Rate limit of the engine in requests per second, as the asking entry knows it; undefined if it knows of none. */
-  rateLimit?: number | undefined;
-  /** Until when a grant lets the request meet its objective; undefined if the asking entry does not say. */
-  inTimeUntil?: number | undefined;
-  /** Tokens of its prompt; 0 or undefined if unknown. */
-  promptTokens?: number | undefined;
-}
-
 /** The decision on a request for a slot. */
 export type SlotDecision =
   /** The request holds a slot until it is released. */
   | { type: 'granted'; id: string }
   /** The request waits for a slot. */
   | { type: 'queued'; id: string }
-  /** The engine accepts no requests now, or cannot accept this one in time. */
-  | { type: 'refused'; id: string }
+  /**
+   * The engine accepts no requests now, or cannot accept this one in time. `availableIn` is the time until a slot is expected
+   * for such a request; undefined if none is predicted.
+   */
+  | { type: 'refused'; id: string; availableIn?: number }
   /** The state of the engine is not known yet; it may accept requests. */
   | { type: 'unready'; id: string };
 
@@ -99,7 +84,7 @@
 export class SlotTable {
   /** The granted slots, earliest first. */
   readonly #leases = new Map<string, Lease>();
-  readonly #waiting = new Map<string, SlotAsk>();
+  readonly #waiting = new SlotQueue();
   #slots = 0;
   #start: BackEndIdentity['start'];
   /** Undefined until the engine has been observed. */
@@ -146,7 +131,11 @@
     if (this.#isServing === undefined) return [{ type: 'unready', id: ask.id }];
     if (!this.#isLimitObserved && this.#limit === undefined) this.#setLimit(ask.rateLimit, now);
     if (!this.#isServing || this.#wouldMissEnd(ask)) return [{ type: 'refused', id: ask.id }];
-    this.#waiting.set(ask.id, ask);
+    const isWaiting = this.#waiting.has(ask.id);
+    const availableIn = this.#hasFreeSlot || isWaiting ? 0 : this.#waiting.expectedWait(ask, now);
+    if (availableIn !== undefined && now + availableIn > ask.endsAt)
+      return [{ type: 'refused', id: ask.id, availableIn }];
+    this.#waiting.add(ask);
     const decisions = this.grantFree(now);
     if (this.#waiting.has(ask.id)) decisions.push({ type: 'queued', id: ask.id });
     return decisions;
@@ -157,7 +146,7 @@
    * @param wasUsed - false if nothing was sent to the engine with the slot; its permit is then returned
    */
   release(id: string, now: number, wasUsed = true): SlotDecision[] {
-    this.#waiting.delete(id);
+    this.#waiting.withdraw(id, now);
     const lease = this.#leases.get(id);
     if (lease !== undefined) {
       this.#leases.delete(id);
@@ -184,19 +173,19 @@
 
   /** The ids of all requests that have a slot or wait for one. */
   ids(): string[] {
-    return [...this.#leases.keys(), ...this.#waiting.keys()];
+    return [...this.#leases.keys(), ...this.#waiting.ids()];
   }
 
   /** Records a slot that a request holds according to its entry, although it may be unknown here. */
   adopt(id: string, now: number): void {
-    this.#waiting.delete(id);
+    this.#waiting.remove(id);
     if (!this.#leases.has(id)) this.#leases.set(id, { grantedAt: now, limiter: undefined });
   }
 
   /** Takes back the slots and queue positions of requests that may or may not have ended. */
   forget(ids: readonly string[], now: number): SlotDecision[] {
     for (const id of ids) {
-      this.#waiting.delete(id);
+      this.#waiting.remove(id);
       this.#leases.delete(id);
     }
     return this.grantFree(now);
@@ -231,9 +220,7 @@
   /** Stops granting slots and refuses all queued requests. */
   refuseAll(): SlotDecision[] {
     this.#isServing = false;
-    const refused = [...this.#waiting.keys()];
-    this.#waiting.clear();
-    return refused.map((id) => ({ type: 'refused', id }));
+    return this.#waiting.clear().map((id) => ({ type: 'refused', id }));
   }
 
   /** Handles a restart of the engine, which ended all requests there. */
@@ -280,28 +267,13 @@
   grantFree(now: number): SlotDecision[] {
     const decisions: SlotDecision[] = [];
     while (this.#hasFreeSlot) {
-      const next = this.#next(now);
+      const next = this.#waiting.next(now);
       const limiter = this.#limit?.limiter;
       if (next === undefined || limiter?.tryAcquire(now) === false) break;
-      this.#waiting.delete(next.id);
+      this.#waiting.noteGranted(next, now);
       this.#leases.set(next.id, { grantedAt: now, limiter });
       decisions.push({ type: 'granted', id: next.id });
     }
     return decisions;
   }
-
-  /** The request to grant next; removes expired requests. */
-  #next(now: number): SlotAsk | undefined {
-    let next: SlotAsk | undefined;
-    for (const ask of this.#waiting.values()) {
-      if (ask.endsAt <= now) this.#waiting.delete(ask.id);
-      else if (next === undefined || precedes(ask, next)) next = ask;
-    }
-    return next;
-  }
-}
-
-function precedes(one: SlotAsk, other: SlotAsk): boolean {
-  if (one.urgency !== other.urgency) return one.urgency < other.urgency;
-  return one.waitsSince < other.waitsSince;
 }
--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -212,6 +212,34 @@
   expect(reasons).toEqual(['no back end']);
 });
 
+it('a request for which the agents predict no slot in its time is refused at once', async () => {
+  const asked: SlotAnswers[] = [];
+  const reasons: unknown[] = [];
+  const other = new ForwardingHarness('engines');
+  other.log = {
+    ...silentLog,
+    info: (message, fields) => {
+      if (message === 'ended') reasons.push((fields as { reason?: string }).reason);
+    },
+  };
+  other.slots = {
+    ask(_agent, _wish, answers) {
+      asked.push(answers);
+      return NOOP_CLAIM;
+    },
+  };
+  await other.start(CONFIGURATION);
+  list(other);
+  for (const engine of engines) report(engine, false, other);
+  const sent = other.send('/write/a');
+  await until(() => asked.length === 2, 'both engines to be asked');
+  for (const answers of asked) answers.onRefused(3_000);
+  expect((await sent).status).toBe(503);
+  expect(reasons).toEqual(['back ends full']);
+  expect(asked).toHaveLength(2);
+  await other.stop();
+});
+
 it('a slot is not used if its engine has been removed from the list in the meantime', async () => {
   const asked: SlotAnswers[] = [];
   const other = new ForwardingHarness('engines');
--- a/test/peers/slot-messages.test.ts
+++ b/test/peers/slot-messages.test.ts
@@ -55,6 +55,23 @@
   await other.stop();
 });
 
+it('an agent that refuses a request tells when it expects a slot for such a request, if it predicts that', async () => {
+  const expected: Array<number | undefined> = [];
+  for (let number = 0; number < 2; number++) {
+    client.ask(address, WISH, {
+      ...answers(() => {}),
+      onRefused: (availableIn) => expected.push(availableIn),
+    });
+  }
+  await until(() => heardOf('slotAsked').length === 2, 'both to be asked');
+  const [one, two] = heardOf('slotAsked');
+  other.send(entryAddress, { type: 'slotRefused', id: one.id, availableIn: 700 });
+  await until(() => expected.length === 1, 'the first answer');
+  other.send(entryAddress, { type: 'slotRefused', id: two.id, availableIn: undefined });
+  await until(() => expected.length === 2, 'the second answer');
+  expect(expected).toEqual([700, undefined]);
+});
+
 it('an entry repeatedly states which claims are open and which have ended', async () => {
   const claims = [1, 2].map(() =>
     client.ask(
--- a/test/systems/slot-search.test.ts
+++ b/test/systems/slot-search.test.ts
@@ -51,6 +51,20 @@
     expect(one.next(ALL, SILENT).length).toBeGreaterThan(0);
   });
 
+  it('asks others in place of agents that predict no slot in time, until five have', () => {
+    const one = search();
+    const asked: string[] = [];
+    while (one.wantsMore(0)) {
+      const [id, ...others] = one.next(ALL, 0);
+      asked.push(id, ...others);
+      for (const full of [id, ...others]) one.noteFull(full);
+    }
+    expect(one.isFull).toBe(true);
+    expect(one.isPending).toBe(false);
+    // They are asked in pairs.
+    expect(new Set(asked).size).toBe(6);
+  });
+
   it('asks in other zones immediately if its zone has too few agents', () => {
     expect(
       search()
--- a/test/systems/slot-table.test.ts
+++ b/test/systems/slot-table.test.ts
@@ -1,6 +1,7 @@
 /** Tests the slots of one engine: which request is granted the next one, and how slots of lost entries are reclaimed. */
 import { describe, expect, it } from 'vitest';
-import { type SlotAsk, type SlotDecision, SlotTable } from '../../src/systems/slot-table.js';
+import type { SlotAsk } from '../../src/systems/slot-queue.js';
+import { type SlotDecision, SlotTable } from '../../src/systems/slot-table.js';
 
 const SLOTS = 2;
 /** Longer than the lag of the load that the agent reads from its engine, in milliseconds. */
