Tests of back ends that are cold after a start

Cause: a back end that warms up gets as many requests as any other. Change: fields for what services declare, records and reports say and entries tell agents; nothing reads or sets them yet.

--- a/src/fleet/configuration.ts
+++ b/src/fleet/configuration.ts
@@ -3,6 +3,8 @@
  * at their own address. Durations are in milliseconds, sizes in bytes.
  */
 
+import type { WarmUp } from '../model/warm-up.js';
+
 /** Whether a request may be sent again after a back end may already have run it. */
 export type Repeatability =
   /** Idempotent: it may be run any number of times. */
@@ -72,6 +74,8 @@
   /** Maximum number of connections that one back end accepts from all callers together. */
   maxConnections: number;
   engine: EngineShape | undefined;
+  /** Undefined if its back ends bear as many requests after a start as ever. */
+  warmUp?: WarmUp | undefined;
 }
 
 /** The origin of weights. The list of back ends does not contain its address, so the configuration names it. */
--- a/src/protocol/back-end-list-state.ts
+++ b/src/protocol/back-end-list-state.ts
@@ -20,6 +20,8 @@
   leaving: boolean;
   /** Undefined if the service has no weights or the back end holds none. */
   layers: HeldLayers | undefined;
+  /** Time for which it stays cold after the record was written, in milliseconds; 0 or undefined if it is warm. */
+  coldLeft?: number | undefined;
   /** Store revision of this record. */
   revision: StoreRevision;
 }
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -1,5 +1,6 @@
 /** Reports about themselves that entries and agents of directly called back ends exchange. */
 import type { BackEndIdentity } from '../model/back-end-identity.js';
+import type { WarmUp } from '../model/warm-up.js';
 
 /** A version of a model that the configuration or the operator names. */
 export interface NamedVersion {
@@ -46,6 +47,8 @@
   load: number;
   /** Time until the engine is ordered to switch to another version, in milliseconds; undefined if no switch is due. */
   switchesIn: number | undefined;
+  /** Time for which the engine stays cold, in milliseconds; 0 if it is warm, undefined from earlier releases. */
+  coldLeft?: number | undefined;
   /** Pieces that the agent holds. */
   held: HeldPieces[];
 }
@@ -89,6 +92,11 @@
   origin: string;
   /** Number of layers of a model. */
   layers: number;
+  /**
+   * How the engine warms up, at a rate of 0 if its service declares nothing; undefined if the sender knows no configuration, or
+   * is of an earlier release.
+   */
+  warmUp?: WarmUp | undefined;
   /** Index of the engine among those of its zone that hold a version. */
   position: number;
   /**
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -40,6 +40,15 @@
   inTimeUntil?: number | undefined;
   /** Tokens of its prompt; 0 or undefined if unknown. */
   promptTokens?: number | undefined;
+  /** Set if the asking entry knows that the engine is cold. */
+  cold?: ColdEngine | undefined;
+}
+
+/** An engine that bears few requests until a certain time. */
+export interface ColdEngine {
+  /** In requests per second, from all entries together. */
+  rate: number;
+  until: number;
 }
 
 /** The decision on a request for a slot. */
@@ -63,6 +72,8 @@
   load: number;
   /** Rate limit in requests per second that the engine names to its agent; undefined if it names none. */
   rateLimit?: number | undefined;
+  /** Set if the agent knows that the engine is cold. */
+  cold?: ColdEngine | undefined;
 }
 
 /** Metrics of the slots of one engine. */
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -128,6 +128,23 @@
     expect(heldLayers({ from: 0, target_version: 0, version: 0 })).toBeUndefined();
   });
 
+  it('are decoded to how back ends warm up; a service whose back ends are never cold declares nothing', () => {
+    const warmUpOf = (fields: object) => {
+      const services = [{ ...CONFIGURATION.services[0], ...fields }];
+      const read = platformRecords.operatorRecord(row('config', { ...CONFIGURATION, services }));
+      if (read?.ok !== true || read.value.type !== 'configuration') throw new Error('no configuration');
+      return read.value.document.configuration.services[0]?.warmUp;
+    };
+    expect(warmUpOf({ cold_s: 3, cold_per_s: 15 })).toEqual({ rate: 15, time: 3_000 });
+    for (const fields of [{}, { cold_s: 3, cold_per_s: 0 }, { cold_s: 0, cold_per_s: 15 }, { cold_s: null }])
+      expect(warmUpOf(fields)).toBeUndefined();
+    const coldLeftOf = (left: number) => {
+      const read = platformRecords.backEnd(row('i-1', workerRow({ cold_left_ms: left })));
+      return read.ok ? read.value.coldLeft : undefined;
+    };
+    expect([1_800, 0, -5, 1e300].map(coldLeftOf)).toEqual([1_800, 0, 0, 86_400_000]);
+  });
+
   it('are decoded to the start of a back end; a record whose start is not an integer is rejected', () => {
     const server = workerRow();
     const entryWith = (born: unknown) => platformRecords.backEnd(row('i-1', { ...server, born }));
--- a/test/systems/slot-table.test.ts
+++ b/test/systems/slot-table.test.ts
@@ -214,3 +214,61 @@
     expect(askAt(table, 'a', 1_010)).toBe('queued');
   });
 });
+
+describe('the slots of a cold engine', () => {
+  const MANY_SLOTS = 16;
+  const UNTIL = 2_200;
+  const COLD = { rate: 2, until: UNTIL };
+  const askAt = (table: SlotTable, id: string, now: number, changes: Partial<SlotAsk> = {}) =>
+    table.ask(ask(id, { slots: MANY_SLOTS, ...changes }), now).at(-1)?.type;
+  const coldTable = (changes: object = {}) => {
+    const table = new SlotTable();
+    table.observe({ isServing: true, load: 0, cold: COLD, ...changes }, 0);
+    return table;
+  };
+  /** When the table grants each of many requests that wait from the beginning. */
+  function grantTimes(table: SlotTable): number[] {
+    for (let index = 0; index < 8; index++) askAt(table, `r${index}`, 10);
+    const times: number[] = [];
+    for (let now = 10; now <= 3_000; now += 10) times.push(...granted(table.grantFree(now)).map(() => now));
+    return times;
+  }
+
+  it('are granted at its rate until it is warm, and then at once', () => {
+    expect(grantTimes(coldTable())).toEqual([500, 1_000, 1_500, 2_000, 2_200, 2_200, 2_200, 2_200]);
+  });
+
+  it('are granted at the lower one of its rate and the limit that it names', () => {
+    expect(grantTimes(coldTable({ rateLimit: 1 }))).toEqual([1_000, 2_000, 3_000]);
+    expect(grantTimes(coldTable({ rateLimit: 4 })).slice(0, 5)).toEqual([500, 1_000, 1_500, 2_000, 2_250]);
+  });
+
+  it('stay limited although its answers name no limit', () => {
+    const table = coldTable();
+    expect(askAt(table, 'a', 500)).toBe('granted');
+    table.noteAnswer('a', undefined, 600);
+    expect(askAt(table, 'b', 610)).toBe('queued');
+  });
+
+  it('are limited as soon as one entry knows of it, whatever the others know', () => {
+    const table = servingTable();
+    expect(askAt(table, 'unaware', 0)).toBe('granted');
+    table.noteAnswer('unaware', undefined, 10);
+    expect(askAt(table, 'aware', 20, { cold: COLD })).toBe('queued');
+    expect(askAt(table, 'also unaware', 30)).toBe('queued');
+    expect(granted(table.grantFree(520))).toEqual(['aware']);
+  });
+
+  it('are granted to a request that is in time once the engine is warm', () => {
+    const table = coldTable({ cold: { rate: 0.2, until: UNTIL } });
+    expect(askAt(table, 'late', 10, { endsAt: UNTIL - 1 })).toBe('refused');
+    expect(askAt(table, 'in time', 10, { endsAt: UNTIL + 1 })).toBe('queued');
+    expect(table.nextGrantAt).toBe(UNTIL);
+  });
+
+  it('are not limited by the state of its former start', () => {
+    const table = coldTable({ start: 100 });
+    table.observe({ start: 200, isServing: true, load: 0 }, 10);
+    expect(table.rateLimit).toBeUndefined();
+  });
+});
