A cold back end gets no more requests than its service declares

Cause: a back end bears few requests for some seconds after a start under load, and when it says so; nothing read that, and it got as many as any other. Change: services declare rate and time (WarmUp), records say how long a back end stays cold. Entries keep until when each is (BackEndWarmUps: record, agent's report, a start seen), and the rate counts as its rate limit: for direct sends with permits of the store, for slots through the limiter of the agent, which learns rate and time with its plan and counts the time from each start of its engine (EngineWarmUp). Entries tell it with each request for a slot. The limit ends by itself; answers without a limit do not lift it. Directly called, a back end that was suspended counts as cold until it has answered for the declared time. Shares of slots count a cold back end by its rate. Rows of the store for cold back ends limit no entry that starts later.

--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -158,6 +158,7 @@
     one.zone === other.zone &&
     one.slots === other.slots &&
     one.leaving === other.leaving &&
+    (one.coldLeft ?? 0) === (other.coldLeft ?? 0) &&
     one.layers?.from === other.layers?.from &&
     one.layers?.end === other.layers?.end &&
     one.layers?.version === other.layers?.version
--- a/src/forwarding/back-end-health.ts
+++ b/src/forwarding/back-end-health.ts
@@ -45,6 +45,8 @@
   #pausedUntil = 0;
   #isProbed = false;
   #isInDoubt = false;
+  /** When a request first showed that it serves again after its latest suspension. */
+  #resumedAt = Number.NEGATIVE_INFINITY;
 
   /** Share of its recent requests that failed, 0 to 1. */
   get failureShare(): number {
@@ -56,6 +58,11 @@
     return this.#suspension > 0;
   }
 
+  /** Whether the back end is suspended, or was within the last `time` milliseconds. */
+  wasSuspendedWithin(time: number, now: number): boolean {
+    return this.suspended || now - this.#resumedAt < time;
+  }
+
   /**
    * Whether a request may be sent now. Only a repeatable request may probe a suspended back end. A back end in doubt,
    * after a silent connection, may be probed by any request: it uses a new connection, which fails before the request
@@ -116,7 +123,7 @@
     if (outcome === 'served') {
       this.#silences = 0;
       this.#failureShare *= this.suspended ? 0.5 : 1 - OUTCOME_WEIGHT;
-      if (this.#failureShare < usualShare + EXCESS_TO_SUSPEND) this.#suspension = 0;
+      if (this.#failureShare < usualShare + EXCESS_TO_SUSPEND) this.#resume(now);
       return;
     }
     this.#failureShare += (1 - this.#failureShare) * OUTCOME_WEIGHT;
@@ -127,6 +134,11 @@
     if (isSuspect || isConfirmed || this.suspended) this.#suspend(now);
   }
 
+  #resume(now: number): void {
+    if (this.suspended) this.#resumedAt = now;
+    this.#suspension = 0;
+  }
+
   #suspend(now: number): void {
     if (now < this.#suspendedUntil) return;
     this.#suspension = Math.min(LONGEST_SUSPENSION, Math.max(FIRST_SUSPENSION, this.#suspension * 2));
--- a/src/forwarding/back-end-limits.ts
+++ b/src/forwarding/back-end-limits.ts
@@ -7,6 +7,7 @@
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
 import type { RateLimitUpdate } from '../protocol/rate-limit-update.js';
+import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import type { RateLimitNotice } from './rate-limit-notice.js';
 
 /** Rate limit information from one answer. */
@@ -57,10 +58,13 @@
   readonly #counts = { named: 0, lifted: 0, malformed: 0 };
   readonly #sends = { slot: 0, direct: 0 };
   readonly #log: Log;
+  readonly #warmUps: Pick<BackEndWarmUps, 'rateOf'> | undefined;
   #listener: LimitListener | undefined;
 
-  constructor(log: Log, metrics: Metrics) {
+  /** @param warmUps - the cold back ends, which are limited without naming it; undefined for none */
+  constructor(log: Log, metrics: Metrics, warmUps?: Pick<BackEndWarmUps, 'rateOf'>) {
     this.#log = log;
+    this.#warmUps = warmUps;
     metrics.add([
       {
         name: 'back_end_rate_limit',
@@ -84,10 +88,22 @@
   }
 
   /**
-   * Requests per second that a back end takes from all entries together; undefined if no limit is known. Removes a limit
-   * that has ended.
+   * Requests per second that a back end takes from all entries together: the lower one of the limit that it names and what it
+   * bears while it is cold; undefined if there is neither.
    */
-  rateOf({ id, start }: BackEndIdentity, now = performance.now()): number | undefined {
+  rateOf(backEnd: BackEndIdentity, now = performance.now()): number | undefined {
+    const named = this.namedRateOf(backEnd, now);
+    const cold = this.coldRateOf(backEnd, now);
+    return named === undefined || cold === undefined ? (named ?? cold) : Math.min(named, cold);
+  }
+
+  /** Requests per second that a back end bears while it is cold; undefined if it is warm. */
+  coldRateOf(backEnd: BackEndIdentity, now = performance.now()): number | undefined {
+    return this.#warmUps?.rateOf(backEnd, now);
+  }
+
+  /** The limit that a back end names, in requests per second; undefined if none is known. Removes a limit that has ended. */
+  namedRateOf({ id, start }: BackEndIdentity, now = performance.now()): number | undefined {
     const known = this.#limits.get(id);
     if (known === undefined || !isSameStart(known.start, start)) return undefined;
     if (now < known.endsAt) return known.rate;
@@ -128,7 +144,7 @@
     if (news.type === 'lifted') {
       if (known === undefined) return;
       known.endsAt = Math.max(now, known.answeredAt + ANSWER_PRECEDENCE);
-      this.rateOf(backEnd, now);
+      this.namedRateOf(backEnd, now);
       return;
     }
     const lastAnswerAt = Math.max(
@@ -156,7 +172,7 @@
   }
 
   #noteNamed(backEnd: BackEndIdentity, rate: number, now: number): void {
-    const isKnown = this.rateOf(backEnd, now) !== undefined;
+    const isKnown = this.namedRateOf(backEnd, now) !== undefined;
     const announcedRate = isKnown ? this.#limits.get(backEnd.id)!.announcedRate : Number.NaN;
     const isAnnounced = Math.abs(rate - announcedRate) <= ANNOUNCED_CHANGE * announcedRate;
     const { start } = backEnd;
@@ -174,7 +190,7 @@
   }
 
   #set(backEnd: BackEndIdentity, limit: KnownLimit, now: number): void {
-    const previousRate = this.rateOf(backEnd, now);
+    const previousRate = this.namedRateOf(backEnd, now);
     this.#limits.set(backEnd.id, limit);
     if (previousRate === limit.rate) return;
     this.#counts.named++;
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -8,6 +8,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
+import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import type { ExpectedCapacity } from './capacity-estimator.js';
 import type { DirectPermits } from './direct-permits.js';
 import type { EngineSlots, SlotClaim } from './engine-slots.js';
@@ -27,6 +28,7 @@
   slots: EngineSlots;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  warmUps: Pick<BackEndWarmUps, 'stateOf'>;
   permits: Pick<DirectPermits, 'claim'>;
   random: Random;
 }
@@ -130,7 +132,7 @@
 
   /** Starts to look for a slot of an engine; returns false if there is no agent to ask. */
   #seekSlot(): boolean {
-    const { selector, backEnds, limits, slots, random } = this.#components;
+    const { selector, backEnds, limits, warmUps, slots, random } = this.#components;
     const { timing, wasSent, isResuming, urgency, promptTokens } = this.#request;
     if (!selector.shouldAcquireSlot(this.#requirements)) return false;
     const now = performance.now();
@@ -141,7 +143,8 @@
       candidates: () => selector.slotCandidates(this.#requirements),
       isEligible: (row) => selector.isEligibleWithSlot(row, this.#requirements),
       isUnavailable: (row, when) => !this.#isLastResort && selector.isUnavailable(row, when),
-      rateLimitOf: (row) => limits.rateOf(row.record),
+      rateLimitOf: (row) => limits.namedRateOf(row.record),
+      coldStateOf: (row, when) => warmUps.stateOf(row.record, when),
       urgency: isResuming() ? 0 : urgency(now),
       arrivedAt: timing.arrivedAt,
       inTimeUntil: timing.inTimeUntil,
--- a/src/forwarding/back-end-selector.ts
+++ b/src/forwarding/back-end-selector.ts
@@ -270,10 +270,17 @@
 
   /** This entry's share of the slots of `service` in `regions`: all entries share them equally. */
   slotShare(service: string, regions?: AllowedRegions): number {
-    const slots = this.#inService(service, regions).reduce((sum, { record }) => sum + record.slots, 0);
+    const slots = this.#inService(service, regions).reduce((sum, row) => sum + this.#usableSlots(row), 0);
     return Math.ceil(slots / this.#entryCount());
   }
 
+  /** Number of requests that `row` can run concurrently, as far as its rate limit lets it. */
+  #usableSlots({ record, duration }: BackEndRow): number {
+    const rate = this.#limits.coldRateOf(record);
+    if (rate === undefined || duration === 0) return record.slots;
+    return Math.min(record.slots, (rate * duration) / MILLISECONDS);
+  }
+
   /** Whether a back end is eligible now, or is excluded only for a transient reason. */
   mayBecomeEligible(requirements: Requirements): boolean {
     const now = performance.now();
--- /dev/null
+++ b/src/forwarding/back-end-warm-ups.ts
@@ -0,0 +1,156 @@
+/**
+ * Tracks which back ends are cold: they bear few requests for some time after a start under load, or whenever they say so. Each
+ * source can only prolong that time, as sources are late in different ways: the back end's record, the report of its agent, and a
+ * start that this process has seen. Times are in milliseconds of the monotonic clock.
+ */
+import type { BackEndChange } from '../fleet/back-end-list.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
+import type { ColdState, WarmUp } from '../model/warm-up.js';
+import type { Log } from '../observability/log.js';
+import type { Metrics } from '../observability/metrics.js';
+import type { BackEndRecord } from '../protocol/back-end-list-state.js';
+import type { BackEndHealth } from './back-end-health.js';
+
+/** Maximum number of back ends without a record that are kept, the latest ones: their starts are told apart when they return. */
+const MAX_REMOVED = 1_000;
+
+/** From what a back end is known to be cold. */
+type ColdSource = 'record' | 'report' | 'start';
+
+export interface BackEndWarmUpsOptions {
+  fleet: Pick<FleetView, 'routes' | 'listen'>;
+  /** Health of a back end; undefined if it is not listed. */
+  healthOf: (id: string) => Pick<BackEndHealth, 'wasSuspendedWithin'> | undefined;
+  log: Log;
+  metrics: Metrics;
+}
+
+interface KnownBackEnd {
+  start: BackEndIdentity['start'];
+  service: string;
+  /** Revision of the latest record whose statement was applied. */
+  revision: number;
+  coldUntil: number;
+}
+
+/** The cold back ends as known to one entry. */
+export class BackEndWarmUps {
+  readonly #options: BackEndWarmUpsOptions;
+  readonly #known = new Map<string, KnownBackEnd>();
+  readonly #removed = new Set<string>();
+  readonly #counts: Record<ColdSource, number> = { record: 0, report: 0, start: 0 };
+
+  constructor(options: BackEndWarmUpsOptions) {
+    this.#options = options;
+    options.fleet.listen({ onBackEnds: (changes) => this.apply(changes, performance.now()) });
+    options.metrics.add([
+      {
+        name: 'back_ends_cold',
+        help: 'Back ends that are cold after a start or by their own word',
+        read: () => this.#coldNow(performance.now()),
+      },
+      {
+        name: 'back_end_warm_ups',
+        help: 'Times since the start that a back end was found to be cold, by how it became known',
+        label: 'source',
+        read: () => ({ ...this.#counts }),
+      },
+    ]);
+  }
+
+  /** Applies changes of the list. */
+  apply(changes: readonly BackEndChange[], now: number): void {
+    for (const change of changes) {
+      if (change.type === 'gone') this.#noteRemoved(change.id);
+      else this.#noteRecord(change.record, now);
+    }
+  }
+
+  /**
+   * Applies the report of its agent.
+   * @param left - time for which the back end stays cold, in milliseconds
+   */
+  noteReported({ id, start }: BackEndIdentity, left: number, now: number): void {
+    const known = this.#known.get(id);
+    if (known !== undefined && isSameStart(known.start, start))
+      this.#prolong(id, known, now + left, 'report');
+  }
+
+  /** The state of a back end that is known to be cold, for its agent. */
+  stateOf({ id, start }: BackEndIdentity, now: number): ColdState | undefined {
+    const known = this.#known.get(id);
+    if (known === undefined || !isSameStart(known.start, start) || now >= known.coldUntil) return undefined;
+    const rate = this.#warmUpOf(known.service)?.rate;
+    return rate === undefined ? undefined : { rate, left: known.coldUntil - now };
+  }
+
+  /**
+   * Requests per second that a back end bears from all entries together when it is called directly; undefined if it is warm. One
+   * that did not answer counts as cold until it has answered for as long as it would be cold: it may have started anew.
+   */
+  rateOf(backEnd: BackEndIdentity, now: number): number | undefined {
+    const cold = this.stateOf(backEnd, now);
+    if (cold !== undefined) return cold.rate;
+    const service = this.#known.get(backEnd.id)?.service;
+    const warmUp = service === undefined ? undefined : this.#warmUpOf(service);
+    if (warmUp === undefined) return undefined;
+    const wasLost = this.#options.healthOf(backEnd.id)?.wasSuspendedWithin(warmUp.time, now) === true;
+    return wasLost ? warmUp.rate : undefined;
+  }
+
+  #noteRecord({ id, start, service, revision, coldLeft }: BackEndRecord, now: number): void {
+    const known = this.#known.get(id);
+    this.#removed.delete(id);
+    const hasStarted = known !== undefined && !isSameStart(known.start, start);
+    // A record is applied again when something else becomes known of its back end.
+    const isNew = known === undefined || revision > known.revision;
+    const current: KnownBackEnd = {
+      start,
+      service,
+      revision,
+      coldUntil: hasStarted ? Number.NEGATIVE_INFINITY : (known?.coldUntil ?? Number.NEGATIVE_INFINITY),
+    };
+    this.#known.set(id, current);
+    if (isNew) this.#prolong(id, current, now + (coldLeft ?? 0), 'record');
+    if (hasStarted) this.#prolong(id, current, now + (this.#warmUpOf(service)?.time ?? 0), 'start');
+  }
+
+  #noteRemoved(id: string): void {
+    this.#removed.delete(id);
+    this.#removed.add(id);
+    if (this.#removed.size <= MAX_REMOVED) return;
+    const [first] = this.#removed;
+    this.#removed.delete(first);
+    this.#known.delete(first);
+  }
+
+  #prolong(id: string, known: KnownBackEnd, until: number, source: ColdSource): void {
+    const now = performance.now();
+    if (until <= Math.max(now, known.coldUntil)) return;
+    const isFirst = known.coldUntil <= now;
+    known.coldUntil = until;
+    const warmUp = this.#warmUpOf(known.service);
+    if (!isFirst || warmUp === undefined) return;
+    this.#counts[source]++;
+    const { rate } = warmUp;
+    this.#options.log.info('back end cold', {
+      backEnd: id,
+      start: known.start,
+      milliseconds: Math.round(until - now),
+      rate,
+      source,
+    });
+  }
+
+  #warmUpOf(service: string): WarmUp | undefined {
+    return this.#options.fleet.routes?.service(service)?.warmUp;
+  }
+
+  #coldNow(now: number): number {
+    const cold = [...this.#known.values()].filter(
+      ({ service, coldUntil }) => now < coldUntil && this.#warmUpOf(service) !== undefined,
+    );
+    return cold.length;
+  }
+}
--- a/src/forwarding/direct-permits.ts
+++ b/src/forwarding/direct-permits.ts
@@ -40,7 +40,13 @@
 const MAX_DELETED_ROWS = 100;
 const MILLISECONDS = 1_000;
 
-const storedSchedule = z.object({ start: z.number().optional(), rate: z.number(), dueAt: z.number() });
+const storedSchedule = z.object({
+  start: z.number().optional(),
+  rate: z.number(),
+  dueAt: z.number(),
+  // Rows of earlier releases hold named limits only.
+  isNamed: z.boolean().default(true),
+});
 
 export interface DirectPermitsOptions {
   tables: WatchedTables;
@@ -108,16 +114,17 @@
     const rate = limits.rateOf(backEnd);
     if (rate === undefined) return true;
     if (!clock.isKnown || !this.mayClaim(backEnd, performance.now())) return false;
+    const isNamed = limits.namedRateOf(backEnd) !== undefined;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const storeTime = clock.storeTimeAt(performance.now());
       const { schedule } = this.#rowOf(backEnd.id);
       if (!isScheduleOf(schedule, backEnd)) {
-        await this.#write(backEnd.id, newSchedule(backEnd.start, rate, storeTime), rate);
+        await this.#write(backEnd.id, newSchedule(backEnd.start, rate, isNamed, storeTime), rate);
         return false;
       }
       const next = acquirePermit(schedule, rate, hasAgent, storeTime);
       if (next === undefined) return false;
-      const outcome = await this.#write(backEnd.id, next, rate);
+      const outcome = await this.#write(backEnd.id, { ...next, isNamed }, rate);
       if (outcome === 'conflict') continue;
       if (outcome === 'written') this.#counts.granted++;
       return outcome === 'written';
@@ -130,8 +137,14 @@
     const now = performance.now();
     const { clock } = this.#options;
     const row = this.#rowOf(backEnd.id);
-    if (!clock.isKnown || row.isWriting || isScheduleOf(row.schedule, backEnd)) return;
-    await this.#write(backEnd.id, newSchedule(backEnd.start, rate, clock.storeTimeAt(now)), rate);
+    if (!clock.isKnown || row.isWriting) return;
+    const known = isScheduleOf(row.schedule, backEnd) ? row.schedule : undefined;
+    if (known?.isNamed === true) return;
+    const schedule =
+      known === undefined
+        ? newSchedule(backEnd.start, rate, true, clock.storeTimeAt(now))
+        : { ...known, rate, isNamed: true };
+    await this.#write(backEnd.id, schedule, rate);
   }
 
   /** Deletes the row of a lifted limit. If the limit is named again, its new schedule starts without a permit. */
@@ -207,7 +220,8 @@
       const schedule = this.#noteRow(stored.key, stored);
       if (schedule === undefined) continue;
       if (schedule.dueAt < read.value.storeTime - ROW_RETENTION) expired.push(stored.key);
-      else limits.restore({ id: stored.key, start: schedule.start }, schedule.rate, performance.now());
+      else if (schedule.isNamed)
+        limits.restore({ id: stored.key, start: schedule.start }, schedule.rate, performance.now());
     }
     if (read.value.rows.length > 0) log.info('rate limits read', { rows: read.value.rows.length });
     if (expired.length > 0) await this.#delete(expired.slice(0, MAX_DELETED_ROWS));
--- a/src/forwarding/engine-slots.ts
+++ b/src/forwarding/engine-slots.ts
@@ -1,5 +1,7 @@
 /** Interface to the agents that grant the slots of engines. */
 
+import type { ColdState } from '../model/warm-up.js';
+
 /** A request for a slot. Times are in milliseconds. */
 export interface SlotRequest {
   /** Rank in the agent's queue; 0 is first. */
@@ -16,6 +18,8 @@
   inTimeFor: number;
   /** Tokens of the prompt; 0 if unknown. */
   promptTokens: number;
+  /** Set if the engine is known to be cold. */
+  cold?: ColdState | undefined;
 }
 
 /** Callbacks for the answers to one request for a slot. None is called if the agent does not answer. */
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -19,6 +19,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import type { CompletionEstimateComponents } from './completion-estimate.js';
 import { CutAnswerMetrics } from './cut-answer-metrics.js';
 import type { DirectPermits } from './direct-permits.js';
@@ -60,6 +61,7 @@
   fleet: FleetView;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  warmUps: BackEndWarmUps;
   backoffs: BackEndBackoffs;
   notices: AnswerNotices;
   permits: DirectPermits;
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -4,6 +4,7 @@
  */
 import type { Random } from '../model/random.js';
 import type { StallDetector } from '../model/stall-detector.js';
+import type { ColdState } from '../model/warm-up.js';
 import type { SlotCandidate } from '../systems/slot-search.js';
 import { SlotSearch } from '../systems/slot-search.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
@@ -21,6 +22,8 @@
   isUnavailable: (row: BackEndRow, now: number) => boolean;
   /** Rate limit of an engine in requests per second; undefined if none is known. */
   rateLimitOf: (row: BackEndRow) => number | undefined;
+  /** Undefined if an engine is not known to be cold. */
+  coldStateOf: (row: BackEndRow, now: number) => ColdState | undefined;
   /** Rank of the request in the queues of agents; 0 is first. */
   urgency: number;
   /** When the request arrived, in milliseconds of the monotonic clock. */
@@ -98,7 +101,7 @@
   }
 
   #askOne(id: string, now: number): void {
-    const { slots, table, rateLimitOf, urgency, arrivedAt, endsAt, inTimeUntil, promptTokens } =
+    const { slots, table, rateLimitOf, coldStateOf, urgency, arrivedAt, endsAt, inTimeUntil, promptTokens } =
       this.#options;
     const row = table.rows.get(id);
     if (row?.agent === undefined) return this.#search.noteFailed(id);
@@ -111,6 +114,7 @@
       rateLimit: rateLimitOf(row),
       inTimeFor: Math.round(Math.max(0, inTimeUntil - now)),
       promptTokens,
+      cold: coldStateOf(row, now),
     };
     const claim = slots.ask(agent.address, request, {
       onGranted: () => {
--- a/src/model/warm-up.ts
+++ b/src/model/warm-up.ts
@@ -15,3 +15,6 @@
   /** Time for which it stays cold, in milliseconds. */
   left: number;
 }
+
+/** What a service whose back ends are never cold declares to their agents. */
+export const NO_WARM_UP: WarmUp = { rate: 0, time: 0 };
--- a/src/peers/engine-agents.ts
+++ b/src/peers/engine-agents.ts
@@ -67,7 +67,7 @@
   }
 
   /**
-   * The latest reports, with the time until a switch reduced by the age of the report. If it were passed on
+   * The latest reports, with the times until a switch and until the engine is warm reduced by the age of the report. If it were passed on
    * unchanged, it would count from the moment of forwarding, and other entries would send requests to an
    * engine for up to a second too long, the time between two reports.
    */
@@ -76,8 +76,9 @@
     return [...this.rows.values()].flatMap(({ report, reportedAt }) => {
       if (report === undefined) return [];
       // The codec turns undefined in lists into null.
-      if (report.switchesIn === undefined || report.switchesIn === null) return report;
-      return { ...report, switchesIn: Math.max(0, report.switchesIn - (now - reportedAt)) };
+      const left = (time: number | undefined) =>
+        time == null ? undefined : Math.max(0, time - (now - reportedAt));
+      return { ...report, switchesIn: left(report.switchesIn), coldLeft: left(report.coldLeft) };
     });
   }
 
--- a/src/peers/slot-server.ts
+++ b/src/peers/slot-server.ts
@@ -104,7 +104,7 @@
     if (message.type === 'slotsStated')
       return this.#sendDecisions(this.#holders.takeStatement(from, message, now));
     if (message.type !== 'slotAsked') return;
-    const { id, urgency, waitedFor, patience, slots, rateLimit, inTimeFor, promptTokens } = message;
+    const { id, urgency, waitedFor, patience, slots, rateLimit, inTimeFor, promptTokens, cold } = message;
     this.#sendDecisions(this.#holders.noteRequest(from, id, now));
     const ask = {
       id: tableId(from, id),
@@ -115,6 +115,7 @@
       rateLimit: rateLimit ?? undefined,
       inTimeUntil: inTimeFor == null ? undefined : now + inTimeFor,
       promptTokens: promptTokens ?? 0,
+      cold: cold ? { rate: cold.rate, until: now + cold.left } : undefined,
     };
     this.#sendDecisions(this.#table.ask(ask, now));
   }
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -298,6 +298,7 @@
     'rateLimit',
     'inTimeFor',
     'promptTokens',
+    'cold',
   ],
   slotReleased: ['type', 'id', 'wasUsed'],
   slotAnswered: ['type', 'id', 'rateLimit'],
--- a/src/protocol/slot-messages.ts
+++ b/src/protocol/slot-messages.ts
@@ -1,5 +1,6 @@
 /** Messages between entries and agents about slots of engines. */
 
+import type { ColdState } from '../model/warm-up.js';
 import type { SlotStatement } from '../systems/slot-claims.js';
 
 /** `id` identifies a slot request within one entry; together with the address of the entry it is globally unique. */
@@ -21,6 +22,8 @@
       inTimeFor?: number | undefined;
       /** Tokens of the prompt; 0 if unknown, absent from earlier releases. */
       promptTokens?: number | undefined;
+      /** Set if the entry knows that the engine is cold; absent from earlier releases. */
+      cold?: ColdState | undefined;
     }
   /** The entry releases the slot or cancels its request; `wasUsed` is false if no request was sent with the slot. */
   | { type: 'slotReleased'; id: number; wasUsed: boolean }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -3,6 +3,7 @@
 import { BackEndLimits } from '../forwarding/back-end-limits.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
 import type { EngineNews } from '../forwarding/back-end-table.js';
+import { BackEndWarmUps } from '../forwarding/back-end-warm-ups.js';
 import { DirectPermits } from '../forwarding/direct-permits.js';
 import { ForwardingServer } from '../forwarding/forwarding-server.js';
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
@@ -49,6 +50,7 @@
   readonly #slots: SlotClient;
   readonly #forwarding: ForwardingServer;
   readonly #poison: PoisonGuard;
+  readonly #warmUps: BackEndWarmUps;
   readonly #limits: BackEndLimits;
   readonly #backoffs: BackEndBackoffs;
   readonly #permits: DirectPermits;
@@ -82,7 +84,13 @@
       records: quarantineRecords,
     });
     this.#poison.onNews = (news) => this.#peers.broadcastNews({ type: 'poisonNews', news: [news] });
-    this.#limits = new BackEndLimits(log, metrics);
+    this.#warmUps = new BackEndWarmUps({
+      fleet,
+      healthOf: (id) => backEnds.rows.get(id)?.health,
+      log,
+      metrics,
+    });
+    this.#limits = new BackEndLimits(log, metrics, this.#warmUps);
     this.#backoffs = new BackEndBackoffs(log, metrics);
     this.#permits = new DirectPermits({
       tables: components.tables,
@@ -170,6 +178,7 @@
         fleet,
         backEnds,
         limits: this.#limits,
+        warmUps: this.#warmUps,
         backoffs: this.#backoffs,
         permits: this.#permits,
         selector: this.#createSelector(),
@@ -342,7 +351,11 @@
     const { fleet, backEnds } = this.#components;
     const news = engineStateOf(report);
     const row = backEnds.rowAt(report.address, news.start);
-    if (row !== undefined) fleet.applyReportedStart({ id: row.record.id, start: news.start }, report.follows);
+    if (row !== undefined) {
+      const identity = { id: row.record.id, start: news.start };
+      fleet.applyReportedStart(identity, report.follows);
+      this.#warmUps.noteReported(identity, report.coldLeft ?? 0, performance.now());
+    }
     backEnds.applyReport(report.address, news);
   }
 
--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -3,6 +3,7 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import { type BackEndRow, type BackEndTable, completeVersion, loadOf } from '../forwarding/back-end-table.js';
 import { rendezvousOrder } from '../model/random.js';
+import { NO_WARM_UP, type WarmUp } from '../model/warm-up.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
 import type { EntryReport, WeightsPlan } from '../protocol/reports.js';
 import type { WeightsVersion } from '../weights/held-weights.js';
@@ -52,6 +53,7 @@
       bound: versionBound,
       origin: configuration?.origin?.address ?? '',
       layers: configuration?.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
+      warmUp: configuration && this.#warmUpOf(report?.address ?? ''),
       position: this.#positionOf(report?.address ?? '', zone),
       canMoveRequests: this.#canMoveRequests(report?.address ?? ''),
       holders,
@@ -77,6 +79,17 @@
     return Math.max(0, addresses.sort().indexOf(address));
   }
 
+  /** What the service of the engine at `address` declares; before the engine is listed, that of the first service of engines. */
+  #warmUpOf(address: string): WarmUp {
+    const { fleet, backEnds } = this.#options;
+    const row = [...backEnds.rows.values()].find(({ record }) => record.address === address);
+    const services = fleet.routes?.configuration.services ?? [];
+    const service = services.find(({ name, engine }) =>
+      row === undefined ? engine !== undefined : name === row.record.service,
+    );
+    return service?.warmUp ?? NO_WARM_UP;
+  }
+
   /** Whether other engines can continue the requests that run at `address`. */
   #canMoveRequests(address: string): boolean {
     const { fleet, backEnds } = this.#options;
--- a/src/systems/permit-schedule.ts
+++ b/src/systems/permit-schedule.ts
@@ -14,6 +14,8 @@
   rate: number;
   /** When the next permit is due. */
   dueAt: number;
+  /** Whether the back end names the limit; if not, it is cold. */
+  isNamed: boolean;
 }
 
 /**
@@ -28,8 +30,13 @@
 }
 
 /** Creates a schedule without a permit due, because requests sent before the limit was known also count towards it. */
-export function newSchedule(start: BackEndIdentity['start'], rate: number, now: number): PermitSchedule {
-  return { start, rate, dueAt: now + permitInterval(rate) };
+export function newSchedule(
+  start: BackEndIdentity['start'],
+  rate: number,
+  isNamed: boolean,
+  now: number,
+): PermitSchedule {
+  return { start, rate, dueAt: now + permitInterval(rate), isNamed };
 }
 
 /** The schedule after a permit is acquired at `now`; undefined if none is due. */
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -90,11 +90,10 @@
   waiting: number;
 }
 
-/** The rate limit of an engine. */
-interface EngineLimit {
+/** The rate limit that an engine names. */
+interface NamedLimit {
   /** In requests per second. */
   rate: number;
-  limiter: RateLimiter;
   /** When it was last named, by the engine or by an entry. */
   namedAt: number;
 }
@@ -122,8 +121,12 @@
   #releasedAt: number[] = [];
   /** Granted slots that the engine did not seem to use when it was last observed. */
   #unused = 0;
-  /** The engine's rate limit; undefined if none is known. */
-  #limit: EngineLimit | undefined;
+  /** The rate limit that the engine names; undefined if none is known. */
+  #limit: NamedLimit | undefined;
+  /** Undefined if the engine is warm. */
+  #cold: ColdEngine | undefined;
+  /** Issues the permits of the lower one of both rates; undefined if there is neither. */
+  #limiter: RateLimiter | undefined;
   /** Whether the engine has shown if it has a limit. Until then, a restarted agent uses the limit known to entries. */
   #isLimitObserved = false;
 
@@ -140,14 +143,13 @@
 
   /** Rate limit of the engine in requests per second; undefined if none is known. */
   get rateLimit(): number | undefined {
-    return this.#limit?.rate;
+    const rates = [this.#limit?.rate, this.#cold?.rate].filter((rate) => rate !== undefined);
+    return rates.length === 0 ? undefined : Math.min(...rates);
   }
 
   /** When the rate limit allows the next grant; undefined unless a request waits and a slot is free. */
   get nextGrantAt(): number | undefined {
-    return this.#limit !== undefined && this.#waiting.size > 0 && this.#hasFreeSlot
-      ? this.#limit.limiter.dueAt()
-      : undefined;
+    return this.#waiting.size > 0 && this.#hasFreeSlot ? this.#permitDueAt(0) : undefined;
   }
 
   /** Handles a request for a slot. A repeated message is answered again. */
@@ -156,6 +158,8 @@
     if (this.#leases.has(ask.id)) return [{ type: 'granted', id: ask.id }];
     if (this.#isServing === undefined) return [{ type: 'unready', id: ask.id }];
     if (!this.#isLimitObserved && this.#limit === undefined) this.#setLimit(ask.rateLimit, now);
+    this.#noteCold(ask.cold);
+    this.#updateLimiter(now);
     if (!this.#isServing || this.#wouldMissEnd(ask)) return [{ type: 'refused', id: ask.id }];
     this.#waiting.set(ask.id, ask);
     const decisions = this.grantFree(now);
@@ -227,10 +231,11 @@
   }
 
   /** Applies the observed state of the engine: reclaims unused slots and counts requests that run without a grant. */
-  observe({ start, isServing, load, rateLimit }: ObservedEngine, now: number): SlotDecision[] {
+  observe({ start, isServing, load, rateLimit, cold }: ObservedEngine, now: number): SlotDecision[] {
     if (!isSameStart(start, this.#start)) this.#forgetLeases();
     this.#start = start ?? this.#start;
     if (rateLimit !== undefined) this.#observeLimit(rateLimit, now);
+    this.#noteCold(cold);
     this.#isServing = isServing;
     this.#load = load;
     this.#releasedAt = this.#releasedAt.filter((at) => now - at < REPORT_LAG);
@@ -253,6 +258,8 @@
     this.#releasedAt = [];
     this.#unused = 0;
     this.#limit = undefined;
+    this.#cold = undefined;
+    this.#limiter = undefined;
     this.#isLimitObserved = false;
   }
 
@@ -263,15 +270,38 @@
 
   #setLimit(rate: number | undefined, now: number): void {
     if (rate === undefined) return;
-    const limiter = this.#limit?.limiter ?? new RateLimiter(rate, now);
-    limiter.setRate(rate, now);
-    this.#limit = { rate, limiter, namedAt: now };
+    this.#limit = { rate, namedAt: now };
+    this.#updateLimiter(now);
+  }
+
+  /** Each statement can only prolong the time for which the engine is cold. */
+  #noteCold(cold: ColdEngine | undefined): void {
+    if (cold === undefined) return;
+    this.#cold = { rate: cold.rate, until: Math.max(cold.until, this.#cold?.until ?? cold.until) };
+  }
+
+  #updateLimiter(now: number): void {
+    if (this.#cold !== undefined && now >= this.#cold.until) this.#cold = undefined;
+    const rate = this.rateLimit;
+    if (rate === undefined) {
+      this.#limiter = undefined;
+      return;
+    }
+    this.#limiter ??= new RateLimiter(rate, now);
+    this.#limiter.setRate(rate, now);
+  }
+
+  /** When the permit after `permitsAhead` others is due, at the latest as the engine gets warm; undefined without a limit. */
+  #permitDueAt(permitsAhead: number): number | undefined {
+    const dueAt = this.#limiter?.dueAt(permitsAhead);
+    if (dueAt === undefined || this.#cold === undefined || this.#limit !== undefined) return dueAt;
+    return Math.min(dueAt, this.#cold.until);
   }
 
   /** Whether the rate limit delays a request past its `endsAt`, given the requests already queued. */
   #wouldMissEnd({ id, endsAt }: SlotAsk): boolean {
     const ahead = this.#waiting.has(id) ? this.#waiting.size - 1 : this.#waiting.size;
-    return this.#limit !== undefined && this.#limit.limiter.dueAt(ahead) > endsAt;
+    return (this.#permitDueAt(ahead) ?? Number.NEGATIVE_INFINITY) > endsAt;
   }
 
   /** Takes back slots that the engine used neither in this observation nor in the previous one. */
@@ -290,9 +320,10 @@
   /** Grants free slots to waiting requests, as far as the rate limit allows. */
   grantFree(now: number): SlotDecision[] {
     const decisions: SlotDecision[] = [];
+    this.#updateLimiter(now);
     while (this.#hasFreeSlot) {
       const next = this.#next(now);
-      const limiter = this.#limit?.limiter;
+      const limiter = this.#limiter;
       if (next === undefined || limiter?.tryAcquire(now) === false) break;
       this.#waiting.delete(next.id);
       this.#leases.set(next.id, { grantedAt: now, limiter });
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -13,6 +13,7 @@
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import type { EngineReport, HeldPieces, WeightsPlan } from '../protocol/reports.js';
+import { EngineWarmUp } from '../systems/engine-warm-up.js';
 import type { ObservedEngine } from '../systems/slot-table.js';
 import { SMALL_BATCH } from '../systems/upload-limit.js';
 import { agentSources, BATCH_TIMEOUT } from './agent-sources.js';
@@ -97,6 +98,7 @@
   readonly #stage: EngineStage;
   readonly #engineSwitch: EngineSwitch;
   readonly #starts = new EngineStarts();
+  readonly #warmUp = new EngineWarmUp();
   readonly #clock = new StoreClock();
   readonly #versions = new NamedVersions(this.#clock);
   readonly #fetches = new Map<string, Fetch>();
@@ -145,6 +147,7 @@
     const plan =
       received.versions.length === 0 ? { ...received, versions: this.#plan?.versions ?? [] } : received;
     this.#plan = plan;
+    this.#warmUp.declare(received.warmUp ?? undefined);
     const now = performance.now();
     this.#clock.addSample(plan.storeTime, now);
     for (const named of plan.versions) {
@@ -203,6 +206,7 @@
     const news = state && this.#starts.noteAnswer(state.start, askedAt, performance.now());
     if (news === 'older') return false;
     if (news === 'newer') this.#handleRestart();
+    this.#warmUp.observe(state && { start: this.#starts.current }, performance.now());
     this.#engineState = state;
     this.#publishState();
     return true;
@@ -229,6 +233,7 @@
       isServing: this.#loadedVersion > 0 && !this.#isSwitching,
       load: this.#engineState.load,
       rateLimit: this.#engineState.rateLimit,
+      cold: this.#warmUp.cold(performance.now()),
     });
   }
 
@@ -509,6 +514,7 @@
       isSwitching: this.#isSwitching,
       load: this.#engineState?.load ?? 0,
       switchesIn: this.#switchesIn(),
+      coldLeft: this.#warmUp.coldLeft(performance.now()),
       held: this.#heldPieces(),
     };
     if (this.#reportThrottle.admit(report, performance.now())) this.#options.sendReport(report);
--- a/src/weights/report-throttle.ts
+++ b/src/weights/report-throttle.ts
@@ -45,13 +45,22 @@
 }
 
 /** The fields of which any change is reported at once, serialized for comparison. */
-function immediateFieldsOf({ start, version, isReached, isSwitching, load, held }: EngineReport): string {
+function immediateFieldsOf({
+  start,
+  version,
+  isReached,
+  isSwitching,
+  load,
+  coldLeft,
+  held,
+}: EngineReport): string {
   return JSON.stringify([
     start,
     version,
     isReached,
     isSwitching,
     Math.round(load / LOAD_STEP),
+    (coldLeft ?? 0) > 0,
     held.map((one) => [one.version, one.have]),
   ]);
 }
--- a/src/weights/store-plan-reader.ts
+++ b/src/weights/store-plan-reader.ts
@@ -9,6 +9,7 @@
 import { sleep } from '../fleet/table-follower.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
+import { NO_WARM_UP } from '../model/warm-up.js';
 import type { Log } from '../observability/log.js';
 import type { NamedVersion, WeightsPlan } from '../protocol/reports.js';
 import type { EngineLoader } from './engine-loader.js';
@@ -94,6 +95,7 @@
       bound: versionBound,
       origin: configuration.origin?.address ?? '',
       layers: configuration.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
+      warmUp: configuration.services.find(({ engine }) => engine !== undefined)?.warmUp ?? NO_WARM_UP,
       position: 0,
       canMoveRequests: false,
       holders: [],
--- a/test/peers/engine-agents.test.ts
+++ b/test/peers/engine-agents.test.ts
@@ -54,6 +54,14 @@
   expect(agents.reports()[0].switchesIn).toBe(0);
 });
 
+it('the time until an engine is warm is reduced by the age of the report', async () => {
+  const { agents } = agentsWithReport({ ...REPORT, switchesIn: undefined, coldLeft: 500 });
+  await waitAtLeast(100);
+  expect(agents.reports()[0].coldLeft).toBeLessThanOrEqual(400);
+  await waitAtLeast(420);
+  expect(agents.reports()[0].coldLeft).toBe(0);
+});
+
 it('a report without a switch stays without one', async () => {
   const { agents } = agentsWithReport({ ...REPORT, switchesIn: undefined });
   await waitAtLeast(5);
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -238,6 +238,23 @@
     expect(observed.some(({ start, isServing }) => start === 200 && isServing)).toBe(true);
   });
 
+  it('tells that the engine is cold for the declared time from each start', async () => {
+    const engine = new RestartingEngine();
+    const reports: EngineReport[] = [];
+    const observed: ObservedEngine[] = [];
+    const warmUp = { rate: 15, time: 700 };
+    await load(engine, reports, observed);
+    loader!.applyPlan({ ...plan(1), warmUp });
+    const isCold = () => observed.at(-1)?.cold?.rate === warmUp.rate && reports.at(-1)!.coldLeft! > 0;
+    await until(isCold, 'the first start');
+    await until(() => !isCold() && observed.at(-1)?.cold === undefined, 'the end of its time');
+    // An entry that knows no configuration yet does not take back what another one has declared.
+    loader!.applyPlan({ ...plan(1), warmUp: undefined });
+    engine.restart();
+    await until(isCold, 'the next start');
+    expect(observed.at(-1)?.start).toBe(200);
+  });
+
   it('treats an engine that does not answer as unreachable, not as restarted', async () => {
     const engine = new RestartingEngine();
     const reports: EngineReport[] = [];
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -554,7 +554,7 @@
   {
     fault: 'a restart that an agent reports before the store tells is not noticed',
     file: 'src/roles/direct-entry.ts',
-    find: 'if (row !== undefined) fleet.applyReportedStart({ id: row.record.id, start: news.start }, report.follows);',
+    find: 'fleet.applyReportedStart(identity, report.follows);',
     replace: '',
     test: 'test/roles/direct-entry.test.ts',
   },
@@ -1376,8 +1376,8 @@
   {
     fault: 'the time to a switch begins anew as it is passed on',
     file: 'src/peers/engine-agents.ts',
-    find: 'report.switchesIn - (now - reportedAt)',
-    replace: 'report.switchesIn',
+    find: 'time - (now - reportedAt)',
+    replace: 'time',
     test: 'test/peers/engine-agents.test.ts',
   },
   {
@@ -1543,4 +1543,46 @@
     replace: 'ready',
     test: 'test/systems/entry-choice.test.ts',
   },
+  {
+    fault: 'an agent grants the slots of a cold engine without a limit',
+    file: 'src/systems/slot-table.ts',
+    find: 'this.#noteCold(cold);',
+    replace: '',
+    test: 'test/systems/slot-table.test.ts',
+  },
+  {
+    fault: 'what entries know of a cold engine does not reach its agent',
+    file: 'src/systems/slot-table.ts',
+    find: 'this.#noteCold(ask.cold);',
+    replace: '',
+    test: 'test/systems/slot-table.test.ts',
+  },
+  {
+    fault: 'an engine stays limited for good after it was cold',
+    file: 'src/systems/slot-table.ts',
+    find: 'if (this.#cold !== undefined && now >= this.#cold.until) this.#cold = undefined;',
+    replace: '',
+    test: 'test/systems/slot-table.test.ts',
+  },
+  {
+    fault: 'a cold back end without an agent gets requests without a limit',
+    file: 'src/forwarding/back-end-limits.ts',
+    find: 'return named === undefined || cold === undefined ? (named ?? cold) : Math.min(named, cold);',
+    replace: 'return named;',
+    test: 'test/forwarding/cold-back-end.test.ts',
+  },
+  {
+    fault: 'a back end is cold for longer each time its record becomes known again',
+    file: 'src/forwarding/back-end-warm-ups.ts',
+    find: 'if (isNew) this.#prolong(',
+    replace: 'this.#prolong(',
+    test: 'test/forwarding/back-end-warm-ups.test.ts',
+  },
+  {
+    fault: 'an engine that was cold counts as limited at entries that start later',
+    file: 'src/forwarding/direct-permits.ts',
+    find: 'else if (schedule.isNamed)',
+    replace: 'else',
+    test: 'test/forwarding/direct-permits.test.ts',
+  },
 ];
