--- a/bench/simulation/slot-placement.ts
+++ b/bench/simulation/slot-placement.ts
@@ -83,7 +83,7 @@
     const { claims, life } = entry;
     const open = new Map<PlacementEngine, number>();
     const holds = this.#holds[entry.number];
-    let isHeld = false;
+    const isHeld = false;
     let isWaiting = false;
     let isOver = false;
     const end = (isSent: boolean) => {
