A slot in a region that is no longer allowed is not waited for; whole entries keep regions and cold back ends

Cause: a request went on waiting at the agent of an engine that a new configuration excludes, until the slot was granted and returned. Change: such waits are given up at the next check. Tests with whole entries: a bound route is refused at an entry that knows back ends of other regions only, the directory names entries by region and host, and what an agent reports of a cold back end limits it at another entry.

--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -142,7 +142,9 @@
       random,
       candidates: () => selector.slotCandidates(this.#requirements),
       isEligible: (row) => selector.isEligibleWithSlot(row, this.#requirements),
-      isUnavailable: (row, when) => !this.#isLastResort && selector.isUnavailable(row, when),
+      isUnavailable: (row, when) =>
+        !selector.isInRegions(row, this.#requirements.regions) ||
+        (!this.#isLastResort && selector.isUnavailable(row, when)),
       rateLimitOf: (row) => limits.namedRateOf(row.record),
       coldStateOf: (row, when) => warmUps.stateOf(row.record, when),
       urgency: isResuming() ? 0 : urgency(now),
--- a/test/forwarding/allowed-regions.test.ts
+++ b/test/forwarding/allowed-regions.test.ts
@@ -9,7 +9,7 @@
 import { silentLog } from '../../src/observability/log.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
-import { ForwardingHarness } from './forwarding-harness.js';
+import { type Answer, ForwardingHarness } from './forwarding-harness.js';
 import { billingConfiguration, routeNamed } from './routes.js';
 import { events, reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
@@ -191,9 +191,12 @@
   });
 });
 
-describe('a granted slot', () => {
-  it('is returned unused if its engine is no longer in an allowed region', async () => {
-    const asked: Array<{ agent: string; answers: SlotAnswers; released: boolean[] }> = [];
+describe('a slot', () => {
+  let asked: Array<{ agent: string; answers: SlotAnswers; released: boolean[] }>;
+
+  /** Serves with an engine and its agent in each of two regions, and sends a request, for which both are asked. */
+  async function askBoth(): Promise<readonly [answer: Promise<Answer>]> {
+    asked = [];
     forwarding = replaceHarness('engines');
     forwarding.slots = {
       ask: (agent, _request, answers) => {
@@ -207,7 +210,23 @@
     forwarding.list(['near', near, { layers }], ['far', far, { layers, zone: 'zone-b' }]);
     forwarding.reportEngine(near, { version: 1, slotAddress: 'agent-near' });
     forwarding.reportEngine(far, { version: 1, slotAddress: 'agent-far' });
-    const answer = forwarding.send('/write/');
+    return [forwarding.send('/write/')] as const;
+  }
+
+  it('that is waited for is given up if its engine is no longer in an allowed region', async () => {
+    const [answer] = await askBoth();
+    await until(() => asked.length === 2, 'both agents');
+    for (const { answers } of asked) answers.onQueued();
+    apply({ ...ENGINE_CONFIGURATION, routes: [{ ...STREAM_ROUTE, regions: ['region-b'] }] });
+    const ofNear = asked.find(({ agent }) => agent === 'agent-near')!;
+    await until(() => ofNear.released.length > 0, 'the release');
+    expect(ofNear.released).toEqual([false]);
+    asked.find(({ agent }) => agent === 'agent-far')!.answers.onGranted();
+    expect((await answer).body).toBe('far');
+  });
+
+  it('that is granted is returned unused if its engine is no longer in an allowed region', async () => {
+    const [answer] = await askBoth();
     await until(() => asked.length === 2, 'both agents');
     apply({ ...ENGINE_CONFIGURATION, routes: [{ ...STREAM_ROUTE, regions: ['region-b'] }] });
     const ofNear = asked.find(({ agent }) => agent === 'agent-near')!;
--- a/test/roles/direct-entry.test.ts
+++ b/test/roles/direct-entry.test.ts
@@ -5,6 +5,8 @@
 import { SilentProxy } from '../silent-proxy.js';
 import { createConnectionContext, until } from '../support.js';
 import {
+  BOUND_REVISION,
+  COLD_RATE,
   FEW_CONNECTIONS,
   type Received,
   send,
@@ -146,6 +148,45 @@
     await proxy.stop();
   });
 
+  it('serves a route in its regions only, and names itself alone to callers of its region', async () => {
+    const regions = { 'zone-a': 'region-a', 'zone-b': 'region-b' };
+    const one = await startEntry('one', [], { regions });
+    const place = { zone: 'zone-b', region: 'region-b', regions };
+    const two = await startEntry('two', [one.settings.peers], place);
+    for (const { store } of [one, two]) writeRecords(store, BOUND_REVISION, backEnd);
+    // Callers of unknown regions are sent to the region of the bound route.
+    const ofOther = JSON.stringify([two.settings.callers]);
+    await until(() => JSON.stringify(one.entry.addresses('', '')) === ofOther, 'the other');
+    expect(one.entry.addresses('zone-a', 'region-a', 'api.example')).toEqual([one.settings.callers]);
+    expect(one.entry.addresses('zone-a', 'region-a', 'other.example')).toHaveLength(2);
+    const refused = await send(one, `/${BOUND_REVISION}/`);
+    expect(refused).toMatchObject({ status: 503, retryAfter: undefined });
+    expect((await send(one, '/stream/')).status).toBe(200);
+    expect(backEnd.requests).toHaveLength(1);
+  });
+
+  it('limits a back end of which an agent of another entry says that it is cold', async () => {
+    const one = await startEntry('one', []);
+    const two = await startEntry('two', [one.settings.peers], {}, undefined, one.store);
+    writeRecords(one.store, BOUND_REVISION, backEnd, 4, 'billing', 100);
+    for (const { entry } of [one, two])
+      await until(() => entry.addresses('zone-a', 'region-a').length === 2, 'the other');
+    const { context } = await createConnectionContext('agent');
+    const connected = await connect(one.settings.peers, context, AbortSignal.timeout(5_000));
+    if (!connected.ok) throw new Error('no connection to the entry');
+    const agent = connected.value;
+    agent.handleMessages(() => {});
+    const report = { ...ENGINE_REPORT, address: backEnd.address, start: 100, coldLeft: 60_000 };
+    agent.send({ type: 'engineReport', report });
+    await until(async () => (await send(two, '/stream/')).status === 503, 'the limit at the other entry');
+    const before = backEnd.requests.length;
+    const begun = performance.now();
+    while (performance.now() < begun + 1_000)
+      await Promise.all([one, one, two, two].map((entry) => send(entry, '/stream/')));
+    expect(backEnd.requests.length - before).toBeLessThanOrEqual(1.5 * COLD_RATE + 5);
+    agent.close();
+  });
+
   it('is removed from the directory when it drains, but serves on and finishes requests in progress', async () => {
     const one = await startEntry('one', []);
     const two = await startEntry('two', [one.settings.peers]);
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -18,18 +18,32 @@
 /** Connections that a back end of the service `few` accepts from all entries together. */
 export const FEW_CONNECTIONS = 2;
 
+/** The revision in which the route with the path of its revision is bound to `region-b`, and `billing` warms up. */
+export const BOUND_REVISION = 90;
+/** Requests a second that a cold back end of `billing` bears in that revision. */
+export const COLD_RATE = 5;
+
 /** Route options for requests that are sent to at most one back end. */
 const ONCE = { repeatability: 'never', objective: 500, maxAttempts: 1 } as const;
 
 const configurationOf = (revision: number): FleetConfiguration => ({
   revision,
   routes: [
-    routeNamed('route', { ...ONCE, pathPrefix: `/${revision}/` }),
+    routeNamed('route', {
+      ...ONCE,
+      pathPrefix: `/${revision}/`,
+      regions: revision === BOUND_REVISION ? ['region-b'] : undefined,
+    }),
     routeNamed('stream', { ...ONCE, isStream: true, longestPause: 500 }),
     routeNamed('few', { ...ONCE, targets: [{ service: 'few', weight: 1 }] }),
   ],
   services: [
-    { name: 'billing', maxConnections: 0, engine: undefined },
+    {
+      name: 'billing',
+      maxConnections: 0,
+      engine: undefined,
+      warmUp: revision === BOUND_REVISION ? { rate: COLD_RATE, time: 60_000 } : undefined,
+    },
     { name: 'few', maxConnections: FEW_CONNECTIONS, engine: undefined },
   ],
   origin: undefined,
