--- a/src/fleet/configuration.ts
+++ b/src/fleet/configuration.ts
@@ -3,6 +3,8 @@
  * at their own address. Durations are in milliseconds, sizes in bytes.
  */
 
+import type { WarmUp } from '../model/warm-up.js';
+
 /** Whether a request may be sent again after a back end may already have run it. */
 export type Repeatability =
   /** Idempotent: it may be run any number of times. */
@@ -41,6 +43,8 @@
   maxAttempts: number;
   /** Requests need no API key. */
   isPublic: boolean;
+  /** Regions in which requests may be served; undefined for any. */
+  regions?: readonly string[] | undefined;
 }
 
 /** A model that an engine service serves. */
@@ -70,6 +74,8 @@
   /** Maximum number of connections that one back end accepts from all callers together. */
   maxConnections: number;
   engine: EngineShape | undefined;
+  /** Undefined if its back ends bear as many requests after a start as ever. */
+  warmUp?: WarmUp | undefined;
 }
 
 /** The origin of weights. The list of back ends does not contain its address, so the configuration names it. */
@@ -92,6 +98,8 @@
   keys: string[];
   /** 0 is the highest priority; overrides the priority of the route. */
   priority: number | undefined;
+  /** Regions in which the tenant's requests may be served, beside those of the route; undefined for any. */
+  regions?: readonly string[] | undefined;
 }
 
 /** A complete configuration; a higher revision replaces a lower one. */
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -8,6 +8,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
+import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import type { ExpectedCapacity } from './capacity-estimator.js';
 import type { DirectPermits } from './direct-permits.js';
 import type { EngineSlots, SlotClaim } from './engine-slots.js';
@@ -17,12 +18,17 @@
 
 /** Reason given if no back end is eligible, as opposed to those that are eligible but full. */
 const NO_BACK_END = 'no back end';
+/** Reason given if eligible back ends are full. */
+const BACK_ENDS_FULL = 'back ends full';
+/** Reason given if the regions of the request exclude all back ends of its service. */
+const NO_REGION = 'no back end in an allowed region';
 
 export interface BackEndSearchComponents {
   selector: BackEndSelector;
   slots: EngineSlots;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  warmUps: Pick<BackEndWarmUps, 'stateOf'>;
   permits: Pick<DirectPermits, 'claim'>;
   random: Random;
 }
@@ -73,8 +79,8 @@
   #claiming: Selection | undefined;
   /**
    * Time at which the request was first held for capacity, in milliseconds of the monotonic clock. A search for a slot in
-   * between does not reset it: otherwise agents that refused repeatedly held a first request for the whole timeout of its
-   * route instead of 45 ms.
+   * between does not reset it: otherwise agents that refused repeatedly held a request for the whole timeout of its route
+   * instead of 45 ms.
    */
   #heldSince: number | undefined;
   /** True once the request was held while no back end served; it then waits for one of the first slots that become free. */
@@ -99,6 +105,7 @@
 
   begin(): void {
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
+    if (!this.#components.selector.isServedInRegions(this.#requirements)) return this.#giveUp(NO_REGION);
     if (!this.#seekSlot()) this.#chooseWithoutSlot();
   }
 
@@ -107,7 +114,7 @@
     if (this.#claiming !== undefined) return;
     if (this.#seeker === undefined) return this.begin();
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
-    if (this.#seeker.hasExpired(now)) return this.#giveUp('back ends full');
+    if (this.#seeker.hasExpired(now)) return this.#giveUp(BACK_ENDS_FULL);
     this.#seeker.check(now, standstills);
   }
 
@@ -125,29 +132,35 @@
 
   /** Starts to look for a slot of an engine; returns false if there is no agent to ask. */
   #seekSlot(): boolean {
-    const { selector, backEnds, limits, slots, random } = this.#components;
+    const { selector, backEnds, limits, warmUps, slots, random } = this.#components;
     const { timing, wasSent, isResuming, urgency, promptTokens } = this.#request;
     if (!selector.shouldAcquireSlot(this.#requirements)) return false;
     const now = performance.now();
+    const endsAt = timing.slotWaitDeadline(now, wasSent(), this.#wasHeldForCapacity);
     this.#seeker = new SlotSeeker({
       slots,
       table: backEnds,
       random,
       candidates: () => selector.slotCandidates(this.#requirements),
       isEligible: (row) => selector.isEligibleWithSlot(row, this.#requirements),
-      isUnavailable: (row, when) => !this.#isLastResort && selector.isUnavailable(row, when),
-      rateLimitOf: (row) => limits.rateOf(row.record),
+      isUnavailable: (row, when) =>
+        !selector.isInRegions(row, this.#requirements.regions) ||
+        (!this.#isLastResort && selector.isUnavailable(row, when)),
+      rateLimitOf: (row) => limits.namedRateOf(row.record),
+      coldStateOf: (row, when) => warmUps.stateOf(row.record, when),
       urgency: isResuming() ? 0 : urgency(now),
       arrivedAt: timing.arrivedAt,
-      inTimeUntil: timing.inTimeUntil,
+      // An answer that has begun is never late.
+      inTimeUntil: isResuming() ? endsAt : timing.inTimeUntil,
       promptTokens,
-      endsAt: timing.slotWaitDeadline(now, wasSent(), this.#wasHeldForCapacity),
+      endsAt,
       onGranted: (row, claim, asked) => this.#takeSlot(row, claim, asked),
-      onWait: () => this.#onWaitForSlot(),
+      onWait: () => {},
       onExhausted: () => {
         this.#cancelSeeker();
         this.#chooseWithoutSlot();
       },
+      onFull: () => this.#giveUp(BACK_ENDS_FULL),
       onFault: (cause) => this.#events.onError(cause),
     });
     this.#seeker.begin();
@@ -160,18 +173,6 @@
     this.#events.onChosen(selection, claim);
   }
 
-  /** No slot is free at once. A caller's retry keeps waiting only if such waits have been successful lately. */
-  #onWaitForSlot(): void {
-    if (
-      this.#request.isResuming() ||
-      this.#request.wasSent() ||
-      this.#wasHeldForCapacity ||
-      this.#beginHold()
-    )
-      return;
-    this.#giveUp('back ends full');
-  }
-
   #cancelSeeker(): void {
     this.#seeker?.cancel();
     this.#seeker = undefined;
@@ -182,7 +183,7 @@
     if (selection === undefined) return this.#holdOrGiveUp();
     const wasSentOrHeld = this.#request.wasSent() || this.#wasHeldForCapacity;
     if (selection.expectedWait > this.#request.timing.maxQueueWait(wasSentOrHeld))
-      return this.#giveUp('back ends full');
+      return this.#giveUp(BACK_ENDS_FULL);
     if (this.#components.selector.needsPermit(selection.row)) return void this.#claimPermit(selection);
     this.end('sent');
     this.#events.onChosen(selection, undefined);
@@ -214,7 +215,8 @@
   #holdOrGiveUp(): void {
     const { canComplete, isResuming, isAllowedByBudget } = this.#request;
     const now = performance.now();
-    const capacity = this.#components.selector.timeToCapacity(this.#requirements.service);
+    const { service, regions } = this.#requirements;
+    const capacity = this.#components.selector.timeToCapacity(service, regions);
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
     if (!canComplete(capacity?.wait)) return this.#events.onOutOfTime();
@@ -233,13 +235,13 @@
   #shouldHold(capacity: ExpectedCapacity | undefined, heldSince: number, now: number): boolean {
     const { timing, isStream } = this.#request;
     if (capacity === undefined && this.#wasHeldForCapacity) return now < timing.latestBegin;
-    if (capacity === undefined) return isStream && now < timing.holdDeadline(heldSince) && this.#beginHold();
+    if (capacity === undefined) return isStream && now < timing.holdDeadline(heldSince);
     const isInTime = now + capacity.wait <= timing.latestBegin;
     if (capacity.isBackoff) return isInTime && this.#holdForBackoff();
     const forecast = this.#components.backEnds.forecastOf(this.#requirements.service);
     if (!forecast.note(now + capacity.wait, now) || !timing.waitsForCapacity(now, capacity.wait))
       return false;
-    if (isInTime && !this.#reservePlace()) return false;
+    if (isInTime && !this.#reservePlace(timing.mayReturnFor(now, capacity.wait))) return false;
     this.#wasHeldForCapacity = true;
     return true;
   }
@@ -254,12 +256,16 @@
     return true;
   }
 
-  /** Reserves one of the places for requests that wait for the first slots; returns false if all of them are taken. */
-  #reservePlace(): boolean {
+  /**
+   * Reserves one of the places for requests that wait for the first slots; returns false if all of them are taken.
+   * @param mayReturn - whether the caller also reaches these slots by retrying
+   */
+  #reservePlace(mayReturn = false): boolean {
     if (this.#reservation !== undefined) return true;
-    const { service } = this.#requirements;
+    const { service, regions } = this.#requirements;
     const holds = this.#components.backEnds.holdsOf(service);
-    if (!holds.reservePlace(this.#components.selector.slotShare(service))) return false;
+    const places = this.#components.selector.slotShare(service, regions);
+    if (!holds.reservePlace(places, mayReturn)) return false;
     this.#reservation = holds;
     return true;
   }
@@ -267,7 +273,7 @@
   /** Ends the search, unless a back end that backs off may get the request. */
   #giveUp(reason: string, capacity?: ExpectedCapacity): void {
     if (this.#tryLastResort()) return;
-    if (reason === NO_BACK_END) this.#noteExclusions(capacity);
+    if (reason !== BACK_ENDS_FULL) this.#noteExclusions(capacity);
     this.#events.onGivenUp(reason);
   }
 
@@ -284,14 +290,15 @@
 
   #noteExclusions(capacity: ExpectedCapacity | undefined): void {
     const excluded = this.#components.selector.exclusions(this.#requirements);
+    const { regions } = this.#requirements;
     const now = performance.now();
     const heldMs = Math.round(now - (this.#heldSince ?? now));
-    this.#events.onNote(NO_BACK_END, { excluded, capacityMs: capacity?.wait, heldMs });
-  }
-
-  /** Counts the wait of a caller's retry; returns false if it must not wait. First requests wait only briefly. */
-  #beginHold(): boolean {
-    return !this.#request.timing.isCallerRetry || this.#countHold();
+    this.#events.onNote(NO_BACK_END, {
+      excluded,
+      regions: regions && [...regions],
+      capacityMs: capacity?.wait,
+      heldMs,
+    });
   }
 
   /** Counts a wait; returns false if the request must not wait. */
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -19,6 +19,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import type { CompletionEstimateComponents } from './completion-estimate.js';
 import { CutAnswerMetrics } from './cut-answer-metrics.js';
 import type { DirectPermits } from './direct-permits.js';
@@ -29,6 +30,7 @@
 import type { PoisonGuard } from './poison-guard.js';
 import type { RequestOutcome } from './request-outcome.js';
 import { StreamMoveMetrics } from './stream-move-metrics.js';
+import { UnreadAnswers } from './unread-answers.js';
 import { VersionExpiryFigures } from './version-expiry-figures.js';
 
 /** Interval at which requests in progress are checked, in milliseconds. */
@@ -60,6 +62,7 @@
   fleet: FleetView;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  warmUps: BackEndWarmUps;
   backoffs: BackEndBackoffs;
   notices: AnswerNotices;
   permits: DirectPermits;
@@ -70,6 +73,7 @@
   expiryFigures: VersionExpiryFigures;
   moveMetrics: StreamMoveMetrics;
   cutMetrics: CutAnswerMetrics;
+  unread: UnreadAnswers;
   poison: PoisonGuard;
   budgetOf(service: string): RetryWindow;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
@@ -99,7 +103,7 @@
     address: string,
     components: Omit<
       ForwardingComponents,
-      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices'
+      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices' | 'unread'
     >,
     metrics: Metrics,
   ) {
@@ -110,6 +114,7 @@
       expiryFigures: new VersionExpiryFigures(metrics),
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
+      unread: new UnreadAnswers(components.log, metrics),
       notices: new AnswerNotices({ ...components, metrics }),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
@@ -223,6 +228,7 @@
     this.#components.drain.finish(performance.now());
     for (const request of this.#active) request.stop();
     await endsWithin(this.#flushed(), FLUSH_TIMEOUT);
+    this.#components.unread.stop();
     this.#server?.closeAllConnections();
     this.#server?.close();
     this.#server = undefined;
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -4,6 +4,7 @@
  */
 import type { Random } from '../model/random.js';
 import type { StallDetector } from '../model/stall-detector.js';
+import type { ColdState } from '../model/warm-up.js';
 import type { SlotCandidate } from '../systems/slot-search.js';
 import { SlotSearch } from '../systems/slot-search.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
@@ -21,6 +22,8 @@
   isUnavailable: (row: BackEndRow, now: number) => boolean;
   /** Rate limit of an engine in requests per second; undefined if none is known. */
   rateLimitOf: (row: BackEndRow) => number | undefined;
+  /** Undefined if an engine is not known to be cold. */
+  coldStateOf: (row: BackEndRow, now: number) => ColdState | undefined;
   /** Rank of the request in the queues of agents; 0 is first. */
   urgency: number;
   /** When the request arrived, in milliseconds of the monotonic clock. */
@@ -37,6 +40,11 @@
   onWait: () => void;
   /** Called when no agent is left that may grant a slot. */
   onExhausted: () => void;
+  /**
+   * Called when the agents that were asked predict no slot in the time of the request.
+   * @param availableIn - shortest time until one of them expects a slot for such a request, in milliseconds
+   */
+  onFull: (availableIn: number) => void;
   /** Called on an exception in this process, which must end only the request. */
   onFault: (cause: unknown) => void;
 }
@@ -47,6 +55,8 @@
   readonly #search: SlotSearch;
   readonly #claims = new Map<string, SlotClaim>();
   #timer: NodeJS.Timeout | undefined;
+  /** Shortest time until a slot that an agent predicts; infinite if none of them has refused for that reason. */
+  #availableIn = Number.POSITIVE_INFINITY;
   #isStopped = false;
 
   constructor(options: SlotSeekerOptions) {
@@ -98,7 +108,7 @@
   }
 
   #askOne(id: string, now: number): void {
-    const { slots, table, rateLimitOf, urgency, arrivedAt, endsAt, inTimeUntil, promptTokens } =
+    const { slots, table, rateLimitOf, coldStateOf, urgency, arrivedAt, endsAt, inTimeUntil, promptTokens } =
       this.#options;
     const row = table.rows.get(id);
     if (row?.agent === undefined) return this.#search.noteFailed(id);
@@ -111,6 +121,7 @@
       rateLimit: rateLimitOf(row),
       inTimeFor: Math.round(Math.max(0, inTimeUntil - now)),
       promptTokens,
+      cold: coldStateOf(row, now),
     };
     const claim = slots.ask(agent.address, request, {
       onGranted: () => {
@@ -121,9 +132,9 @@
         agent.noteAnswer();
         this.#search.noteQueued(id);
       },
-      onRefused: () => {
+      onRefused: (availableIn) => {
         agent.noteAnswer();
-        this.#catchFaults(() => this.#tryOthers(id));
+        this.#catchFaults(() => this.#onRefused(id, availableIn));
       },
       onUnready: () => {
         agent.noteUnready(performance.now());
@@ -153,6 +164,15 @@
     this.#search.noteFailed(id);
   }
 
+  #onRefused(id: string, availableIn: number | undefined): void {
+    this.#release(id);
+    if (availableIn !== undefined) {
+      this.#search.noteFull(id);
+      this.#availableIn = Math.min(availableIn, this.#availableIn);
+    }
+    this.#askOthers(performance.now());
+  }
+
   #tryOthers(id: string): void {
     this.#release(id);
     this.#askOthers(performance.now());
@@ -161,7 +181,9 @@
   #askOthers(now: number): void {
     if (this.#isStopped) return;
     this.#ask(now);
-    if (!this.#search.isPending) this.#options.onExhausted();
+    if (this.#search.isPending) return;
+    if (this.#availableIn === Number.POSITIVE_INFINITY) this.#options.onExhausted();
+    else this.#options.onFull(this.#availableIn);
   }
 
   /** Takes a granted slot, unless its engine is no longer eligible. */
--- a/src/peers/slot-server.ts
+++ b/src/peers/slot-server.ts
@@ -17,12 +17,6 @@
   SlotTable,
 } from '../systems/slot-table.js';
 
-const ANSWERS = {
-  queued: 'slotQueued',
-  refused: 'slotRefused',
-  unready: 'slotUnready',
-} as const;
-
 /**
  * Interval at which silent entries are looked for, in milliseconds: a third of the silence after which an
  * entry's slots are released.
@@ -104,7 +98,7 @@
     if (message.type === 'slotsStated')
       return this.#sendDecisions(this.#holders.takeStatement(from, message, now));
     if (message.type !== 'slotAsked') return;
-    const { id, urgency, waitedFor, patience, slots, rateLimit, inTimeFor, promptTokens } = message;
+    const { id, urgency, waitedFor, patience, slots, rateLimit, inTimeFor, promptTokens, cold } = message;
     this.#sendDecisions(this.#holders.noteRequest(from, id, now));
     const ask = {
       id: tableId(from, id),
@@ -115,25 +109,35 @@
       rateLimit: rateLimit ?? undefined,
       inTimeUntil: inTimeFor == null ? undefined : now + inTimeFor,
       promptTokens: promptTokens ?? 0,
+      cold: cold ? { rate: cold.rate, until: now + cold.left } : undefined,
     };
     this.#sendDecisions(this.#table.ask(ask, now));
   }
 
   #sendDecisions(decisions: readonly SlotDecision[]): void {
-    const isLimited = this.rateLimit !== undefined;
-    for (const { type, id } of decisions) {
-      this.decisions[type]++;
-      const claim = claimOf(id);
-      const answer: SlotMessage =
-        type === 'granted'
-          ? { type: 'slotGranted', id: claim.id, isLimited }
-          : { type: ANSWERS[type], id: claim.id };
-      this.#endpoint.send(claim.entry, answer);
+    for (const decision of decisions) {
+      this.decisions[decision.type]++;
+      const { entry, id } = claimOf(decision.id);
+      this.#endpoint.send(entry, this.#answerTo(id, decision));
     }
     this.#logRateLimit();
     this.#scheduleGrant();
   }
 
+  /** The message that tells an entry of the decision on its request `id`. */
+  #answerTo(id: number, decision: SlotDecision): SlotMessage {
+    switch (decision.type) {
+      case 'granted':
+        return { type: 'slotGranted', id, isLimited: this.rateLimit !== undefined };
+      case 'queued':
+        return { type: 'slotQueued', id };
+      case 'refused':
+        return { type: 'slotRefused', id, availableIn: decision.availableIn };
+      case 'unready':
+        return { type: 'slotUnready', id };
+    }
+  }
+
   #logRateLimit(): void {
     if (this.rateLimit === this.#loggedRateLimit) return;
     const previousRate = this.#loggedRateLimit;
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -3,6 +3,7 @@
 import { BackEndLimits } from '../forwarding/back-end-limits.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
 import type { EngineNews } from '../forwarding/back-end-table.js';
+import { BackEndWarmUps } from '../forwarding/back-end-warm-ups.js';
 import { DirectPermits } from '../forwarding/direct-permits.js';
 import { ForwardingServer } from '../forwarding/forwarding-server.js';
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
@@ -22,6 +23,7 @@
 import type { FollowedTable } from '../protocol/store-update.js';
 import { createRequestListener, httpServer } from '../server/http-server.js';
 import { DrainSchedule } from '../systems/drain-schedule.js';
+import { entriesFor } from '../systems/entry-choice.js';
 import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import { StoreReaders } from '../systems/store-readers.js';
@@ -35,8 +37,6 @@
 const STOP_TIMEOUT = 300;
 /** Delay in which changes are batched before they are sent to peers and agents, by audience, in milliseconds. */
 const ANNOUNCE_DELAY = { all: 50, zone: 120 };
-/** Maximum number of addresses in one answer to a caller. */
-const MAX_ADDRESSES = 64;
 const MILLISECONDS = 1_000;
 
 /** An entry: accepts callers' requests and forwards them to back ends. */
@@ -50,6 +50,7 @@
   readonly #slots: SlotClient;
   readonly #forwarding: ForwardingServer;
   readonly #poison: PoisonGuard;
+  readonly #warmUps: BackEndWarmUps;
   readonly #limits: BackEndLimits;
   readonly #backoffs: BackEndBackoffs;
   readonly #permits: DirectPermits;
@@ -89,7 +90,13 @@
       records: quarantineRecords,
     });
     this.#poison.onNews = (news) => this.#peers.broadcastNews({ type: 'poisonNews', news: [news] });
-    this.#limits = new BackEndLimits(log, metrics);
+    this.#warmUps = new BackEndWarmUps({
+      fleet,
+      healthOf: (id) => backEnds.rows.get(id)?.health,
+      log,
+      metrics,
+    });
+    this.#limits = new BackEndLimits(log, metrics, this.#warmUps);
     this.#backoffs = new BackEndBackoffs(log, metrics);
     this.#permits = new DirectPermits({
       tables: components.tables,
@@ -179,6 +186,7 @@
         fleet,
         backEnds,
         limits: this.#limits,
+        warmUps: this.#warmUps,
         backoffs: this.#backoffs,
         permits: this.#permits,
         selector,
@@ -194,7 +202,7 @@
     const accept = (connection: Connection) => this.#accept(connection);
     const pieces = createRequestListener(pieceRoutes(library));
     const directory = components.directoryRoutes(
-      (zone, region) => this.addresses(zone, region),
+      (zone, region, host) => this.addresses(zone, region, host),
       settings.addressLifetimeSeconds,
     );
     this.#parts = new StartableGroup([
@@ -253,24 +261,23 @@
     await this.#components.backEnds.stop();
   }
 
-  /** Addresses of ready entries for a caller of `zone`; those of its zone or region if there are at least two. */
-  addresses(zone: string, region: string): string[] {
+  /** Addresses of ready entries for a caller of `zone` with requests for `host`, or for any host if that is empty. */
+  addresses(zone: string, region: string, host = ''): string[] {
+    const lists = this.#components.fleet.routes?.regionLists(host);
     const ready = [this.#report(), ...this.#peers.live()].filter(({ isReady }) => isReady);
-    const ofRegion = ready.filter((entry) => entry.region === region);
-    const ofZone = ofRegion.filter((entry) => entry.zone === zone);
-    const chosen = [ofZone, ofRegion, ready].find((entries) => entries.length >= 2) ?? ready;
-    return chosen.slice(0, MAX_ADDRESSES).map(({ callerAddress }) => callerAddress);
+    return entriesFor({ zone, region }, ready, lists).map(({ callerAddress }) => callerAddress);
   }
 
   #createSelector(): BackEndSelector {
     const { fleet, backEnds, random, settings } = this.#components;
     const { zone, region, regions, versionBound } = settings;
+    const regionOf = new Map(Object.entries(regions));
     return new BackEndSelector({
       fleet,
       table: backEnds,
       random,
       self: { zone, region },
-      regionOf: (name) => regions[name] ?? name,
+      regionOf: (name) => regionOf.get(name),
       versionBound,
       entryCount: () => this.#entryCount,
       limits: this.#limits,
@@ -354,7 +361,11 @@
     const { fleet, backEnds } = this.#components;
     const news = engineStateOf(report);
     const row = backEnds.rowAt(report.address, news.start);
-    if (row !== undefined) fleet.applyReportedStart({ id: row.record.id, start: news.start }, report.follows);
+    if (row !== undefined) {
+      const identity = { id: row.record.id, start: news.start };
+      fleet.applyReportedStart(identity, report.follows);
+      this.#warmUps.noteReported(identity, report.coldLeft ?? 0, performance.now());
+    }
     backEnds.applyReport(report.address, news);
   }
 
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -15,6 +15,7 @@
  */
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import { RateLimiter } from './rate-limiter.js';
+import { type ColdEngine, type SlotAsk, SlotQueue } from './slot-queue.js';
 
 /**
  * Age below which grants and releases may not be visible in the reported load yet, in milliseconds. An engine reports its
@@ -23,33 +24,17 @@
  */
 const REPORT_LAG = 400;
 
-/** A request that wants a slot. */
-export interface SlotAsk {
-  id: string;
-  /** 0 is the most urgent. */
-  urgency: number;
-  /** Since when its caller has been waiting; at equal urgency, the earliest goes first. */
-  waitsSince: number;
-  /** When the request expires. */
-  endsAt: number;
-  /** Number of concurrent requests of the engine, as known to the asking entry. */
-  slots: number;
-  /** Rate limit of the engine in requests per second, as the asking entry knows it; undefined if it knows of none. */
-  rateLimit?: number | undefined;
-  /** Until when a grant lets the request meet its objective; undefined if the asking entry does not say. */
-  inTimeUntil?: number | undefined;
-  /** Tokens of its prompt; 0 or undefined if unknown. */
-  promptTokens?: number | undefined;
-}
-
 /** The decision on a request for a slot. */
 export type SlotDecision =
   /** The request holds a slot until it is released. */
   | { type: 'granted'; id: string }
   /** The request waits for a slot. */
   | { type: 'queued'; id: string }
-  /** The engine accepts no requests now, or cannot accept this one in time. */
-  | { type: 'refused'; id: string }
+  /**
+   * The engine accepts no requests now, or cannot accept this one in time. `availableIn` is the time until a slot is expected
+   * for such a request; undefined if none is predicted.
+   */
+  | { type: 'refused'; id: string; availableIn?: number }
   /** The state of the engine is not known yet; it may accept requests. */
   | { type: 'unready'; id: string };
 
@@ -63,6 +48,8 @@
   load: number;
   /** Rate limit in requests per second that the engine names to its agent; undefined if it names none. */
   rateLimit?: number | undefined;
+  /** Set if the agent knows that the engine is cold. */
+  cold?: ColdEngine | undefined;
 }
 
 /** Metrics of the slots of one engine. */
@@ -79,11 +66,10 @@
   waiting: number;
 }
 
-/** The rate limit of an engine. */
-interface EngineLimit {
+/** The rate limit that an engine names. */
+interface NamedLimit {
   /** In requests per second. */
   rate: number;
-  limiter: RateLimiter;
   /** When it was last named, by the engine or by an entry. */
   namedAt: number;
 }
@@ -99,7 +85,7 @@
 export class SlotTable {
   /** The granted slots, earliest first. */
   readonly #leases = new Map<string, Lease>();
-  readonly #waiting = new Map<string, SlotAsk>();
+  readonly #waiting = new SlotQueue();
   #slots = 0;
   #start: BackEndIdentity['start'];
   /** Undefined until the engine has been observed. */
@@ -111,8 +97,12 @@
   #releasedAt: number[] = [];
   /** Granted slots that the engine did not seem to use when it was last observed. */
   #unused = 0;
-  /** The engine's rate limit; undefined if none is known. */
-  #limit: EngineLimit | undefined;
+  /** The rate limit that the engine names; undefined if none is known. */
+  #limit: NamedLimit | undefined;
+  /** Undefined if the engine is warm. */
+  #cold: ColdEngine | undefined;
+  /** Issues the permits of the lower one of both rates; undefined if there is neither. */
+  #limiter: RateLimiter | undefined;
   /** Whether the engine has shown if it has a limit. Until then, a restarted agent uses the limit known to entries. */
   #isLimitObserved = false;
 
@@ -129,14 +119,13 @@
 
   /** Rate limit of the engine in requests per second; undefined if none is known. */
   get rateLimit(): number | undefined {
-    return this.#limit?.rate;
+    const rates = [this.#limit?.rate, this.#cold?.rate].filter((rate) => rate !== undefined);
+    return rates.length === 0 ? undefined : Math.min(...rates);
   }
 
   /** When the rate limit allows the next grant; undefined unless a request waits and a slot is free. */
   get nextGrantAt(): number | undefined {
-    return this.#limit !== undefined && this.#waiting.size > 0 && this.#hasFreeSlot
-      ? this.#limit.limiter.dueAt()
-      : undefined;
+    return this.#waiting.size > 0 && this.#hasFreeSlot ? this.#permitDueAt(0) : undefined;
   }
 
   /** Handles a request for a slot. A repeated message is answered again. */
@@ -145,8 +134,14 @@
     if (this.#leases.has(ask.id)) return [{ type: 'granted', id: ask.id }];
     if (this.#isServing === undefined) return [{ type: 'unready', id: ask.id }];
     if (!this.#isLimitObserved && this.#limit === undefined) this.#setLimit(ask.rateLimit, now);
+    this.#noteCold(ask.cold);
+    this.#updateLimiter(now);
     if (!this.#isServing || this.#wouldMissEnd(ask)) return [{ type: 'refused', id: ask.id }];
-    this.#waiting.set(ask.id, ask);
+    const isWaiting = this.#waiting.has(ask.id);
+    const availableIn = this.#hasFreeSlot || isWaiting ? 0 : this.#waiting.expectedWait(ask, now);
+    if (availableIn !== undefined && now + availableIn > ask.endsAt)
+      return [{ type: 'refused', id: ask.id, availableIn }];
+    this.#waiting.add(ask);
     const decisions = this.grantFree(now);
     if (this.#waiting.has(ask.id)) decisions.push({ type: 'queued', id: ask.id });
     return decisions;
@@ -157,7 +152,7 @@
    * @param wasUsed - false if nothing was sent to the engine with the slot; its permit is then returned
    */
   release(id: string, now: number, wasUsed = true): SlotDecision[] {
-    this.#waiting.delete(id);
+    this.#waiting.withdraw(id, now);
     const lease = this.#leases.get(id);
     if (lease !== undefined) {
       this.#leases.delete(id);
@@ -184,19 +179,19 @@
 
   /** The ids of all requests that have a slot or wait for one. */
   ids(): string[] {
-    return [...this.#leases.keys(), ...this.#waiting.keys()];
+    return [...this.#leases.keys(), ...this.#waiting.ids()];
   }
 
   /** Records a slot that a request holds according to its entry, although it may be unknown here. */
   adopt(id: string, now: number): void {
-    this.#waiting.delete(id);
+    this.#waiting.remove(id);
     if (!this.#leases.has(id)) this.#leases.set(id, { grantedAt: now, limiter: undefined });
   }
 
   /** Takes back the slots and queue positions of requests that may or may not have ended. */
   forget(ids: readonly string[], now: number): SlotDecision[] {
     for (const id of ids) {
-      this.#waiting.delete(id);
+      this.#waiting.remove(id);
       this.#leases.delete(id);
     }
     return this.grantFree(now);
@@ -216,10 +211,11 @@
   }
 
   /** Applies the observed state of the engine: reclaims unused slots and counts requests that run without a grant. */
-  observe({ start, isServing, load, rateLimit }: ObservedEngine, now: number): SlotDecision[] {
+  observe({ start, isServing, load, rateLimit, cold }: ObservedEngine, now: number): SlotDecision[] {
     if (!isSameStart(start, this.#start)) this.#forgetLeases();
     this.#start = start ?? this.#start;
     if (rateLimit !== undefined) this.#observeLimit(rateLimit, now);
+    this.#noteCold(cold);
     this.#isServing = isServing;
     this.#load = load;
     this.#releasedAt = this.#releasedAt.filter((at) => now - at < REPORT_LAG);
@@ -231,9 +227,7 @@
   /** Stops granting slots and refuses all queued requests. */
   refuseAll(): SlotDecision[] {
     this.#isServing = false;
-    const refused = [...this.#waiting.keys()];
-    this.#waiting.clear();
-    return refused.map((id) => ({ type: 'refused', id }));
+    return this.#waiting.clear().map((id) => ({ type: 'refused', id }));
   }
 
   /** Handles a restart of the engine, which ended all requests there. */
@@ -242,6 +236,8 @@
     this.#releasedAt = [];
     this.#unused = 0;
     this.#limit = undefined;
+    this.#cold = undefined;
+    this.#limiter = undefined;
     this.#isLimitObserved = false;
   }
 
@@ -252,15 +248,38 @@
 
   #setLimit(rate: number | undefined, now: number): void {
     if (rate === undefined) return;
-    const limiter = this.#limit?.limiter ?? new RateLimiter(rate, now);
-    limiter.setRate(rate, now);
-    this.#limit = { rate, limiter, namedAt: now };
+    this.#limit = { rate, namedAt: now };
+    this.#updateLimiter(now);
+  }
+
+  /** Each statement can only prolong the time for which the engine is cold. */
+  #noteCold(cold: ColdEngine | undefined): void {
+    if (cold === undefined) return;
+    this.#cold = { rate: cold.rate, until: Math.max(cold.until, this.#cold?.until ?? cold.until) };
+  }
+
+  #updateLimiter(now: number): void {
+    if (this.#cold !== undefined && now >= this.#cold.until) this.#cold = undefined;
+    const rate = this.rateLimit;
+    if (rate === undefined) {
+      this.#limiter = undefined;
+      return;
+    }
+    this.#limiter ??= new RateLimiter(rate, now);
+    this.#limiter.setRate(rate, now);
+  }
+
+  /** When the permit after `permitsAhead` others is due, at the latest as the engine gets warm; undefined without a limit. */
+  #permitDueAt(permitsAhead: number): number | undefined {
+    const dueAt = this.#limiter?.dueAt(permitsAhead);
+    if (dueAt === undefined || this.#cold === undefined || this.#limit !== undefined) return dueAt;
+    return Math.min(dueAt, this.#cold.until);
   }
 
   /** Whether the rate limit delays a request past its `endsAt`, given the requests already queued. */
   #wouldMissEnd({ id, endsAt }: SlotAsk): boolean {
     const ahead = this.#waiting.has(id) ? this.#waiting.size - 1 : this.#waiting.size;
-    return this.#limit !== undefined && this.#limit.limiter.dueAt(ahead) > endsAt;
+    return (this.#permitDueAt(ahead) ?? Number.NEGATIVE_INFINITY) > endsAt;
   }
 
   /** Takes back slots that the engine used neither in this observation nor in the previous one. */
@@ -279,29 +298,15 @@
   /** Grants free slots to waiting requests, as far as the rate limit allows. */
   grantFree(now: number): SlotDecision[] {
     const decisions: SlotDecision[] = [];
+    this.#updateLimiter(now);
     while (this.#hasFreeSlot) {
-      const next = this.#next(now);
-      const limiter = this.#limit?.limiter;
+      const next = this.#waiting.next(now);
+      const limiter = this.#limiter;
       if (next === undefined || limiter?.tryAcquire(now) === false) break;
-      this.#waiting.delete(next.id);
+      this.#waiting.noteGranted(next, now);
       this.#leases.set(next.id, { grantedAt: now, limiter });
       decisions.push({ type: 'granted', id: next.id });
     }
     return decisions;
   }
-
-  /** The request to grant next; removes expired requests. */
-  #next(now: number): SlotAsk | undefined {
-    let next: SlotAsk | undefined;
-    for (const ask of this.#waiting.values()) {
-      if (ask.endsAt <= now) this.#waiting.delete(ask.id);
-      else if (next === undefined || precedes(ask, next)) next = ask;
-    }
-    return next;
-  }
-}
-
-function precedes(one: SlotAsk, other: SlotAsk): boolean {
-  if (one.urgency !== other.urgency) return one.urgency < other.urgency;
-  return one.waitsSince < other.waitsSince;
 }
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -8,6 +8,7 @@
 import { BackEndLimits } from '../../src/forwarding/back-end-limits.js';
 import { BackEndSelector } from '../../src/forwarding/back-end-selector.js';
 import { BackEndTable, type EngineNews } from '../../src/forwarding/back-end-table.js';
+import { BackEndWarmUps } from '../../src/forwarding/back-end-warm-ups.js';
 import { DirectPermits } from '../../src/forwarding/direct-permits.js';
 import type { EngineSlots, SlotClaim } from '../../src/forwarding/engine-slots.js';
 import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
@@ -71,6 +72,8 @@
   readonly drain = new DrainSchedule({ graceTime: 8_000, addressLifetime: 1_000 });
   /** Grants slots of engines; the default never answers. */
   slots: EngineSlots = { ask: () => NOOP_CLAIM };
+  /** Region of a zone as the settings name it; to be set before `start`. */
+  regionOf: (zone: string) => string | undefined = () => 'region-a';
   readonly budget = new RetryWindow({ span: 10_000, share: 1, slack: () => 10 });
   readonly #service: string;
   #server: ForwardingServer | undefined;
@@ -102,7 +105,13 @@
   async start(configuration: FleetConfiguration): Promise<void> {
     const { fleet, backEnds, budget } = this;
     const random = seededRandom(7);
-    const limits = new BackEndLimits(this.log, this.metrics);
+    const warmUps = new BackEndWarmUps({
+      fleet,
+      healthOf: (id) => backEnds.rows.get(id)?.health,
+      log: this.log,
+      metrics: this.metrics,
+    });
+    const limits = new BackEndLimits(this.log, this.metrics, warmUps);
     const backoffs = new BackEndBackoffs(this.log, this.metrics);
     const permits = new DirectPermits({
       tables: this.store,
@@ -118,7 +127,7 @@
       table: backEnds,
       random,
       self: { zone: 'zone-a', region: 'region-a' },
-      regionOf: () => 'region-a',
+      regionOf: (zone) => this.regionOf(zone),
       versionBound: VERSION_BOUND,
       entryCount: () => 1,
       limits,
@@ -143,6 +152,7 @@
         fleet,
         backEnds,
         limits,
+        warmUps,
         backoffs,
         permits,
         selector,
