Soak: routes are bound to regions beside other faults, judged by where their requests arrive

Cause: the regions of routes and tenants were tested on single entries only. Change: choice regions: configurations bind routes to one region, to all or none, and change that under running streams, beside planned work, restarts, stalls and a region that is evacuated. Judge HOME: arrivals at a worker in a region that no configuration allows which may have been in force. Tenants with regions are not part of it yet.

--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -11,6 +11,7 @@
   judgeRepetitions,
 } from './soak/judges.js';
 import { judgeBackoffs, judgeLeaving } from './soak/notice-judges.js';
+import { judgeRegions } from './soak/regions.js';
 import { eventData, type Run, RunLog } from './soak/workers.js';
 import { RETRY_BUDGET, type SoakWorld } from './soak/world.js';
 
@@ -121,7 +122,7 @@
 
   function configure(at: number, long: number): void {
     disruptions.plannedWork.push({ kind: 'configuration', about: '7', at });
-    disruptions.configurations.push({ at, timeouts: { long }, missing: [] });
+    disruptions.configurations.push({ at, timeouts: { long }, missing: [], regions: {} });
   }
 
   it('is an answer cut near a configuration change, and names both', () => {
@@ -209,16 +210,16 @@
   const denied = () => judgeMissingRoute(world, [sent('one', { kind: 'moved', status: 404 })]);
 
   it('is violated by a 404 on the moved route while all configurations contain it', () => {
-    disruptions.configurations.push({ at: START - 60_000, timeouts: {}, missing: [] });
+    disruptions.configurations.push({ at: START - 60_000, timeouts: {}, missing: [], regions: {} });
     expect(denied()).toEqual(['DENIED: one got 404']);
-    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'] });
-    disruptions.configurations.push({ at: START - 20_000, timeouts: {}, missing: [] });
+    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'], regions: {} });
+    disruptions.configurations.push({ at: START - 20_000, timeouts: {}, missing: [], regions: {} });
     expect(denied()).toHaveLength(1);
   });
 
   it('is met while a configuration without the route may be in force', () => {
-    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'] });
-    disruptions.configurations.push({ at: START - 1_000, timeouts: {}, missing: [] });
+    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'], regions: {} });
+    disruptions.configurations.push({ at: START - 1_000, timeouts: {}, missing: [], regions: {} });
     expect(denied()).toEqual([]);
   });
 });
@@ -413,3 +414,27 @@
     expect(judgeEvacuations(world, [sent('r')])).toEqual([]);
   });
 });
+
+describe('HOME', () => {
+  const declare = (at: number, regions: string[]) =>
+    disruptions.configurations.push({ at, timeouts: {}, missing: [], regions: { long: regions } });
+
+  it('is a request that reaches a worker in a region which no configuration allows', () => {
+    declare(START - 10_000, ['zone-b']);
+    arrive('r', START + 100);
+    expect(judgeRegions(world, [sent('r')])).toEqual([expect.stringMatching(/^HOME: 1 .* r /)]);
+  });
+
+  it('is none in an allowed region, on a route that is bound to none, or while another configuration may be in force', () => {
+    declare(START - 10_000, ['zone-b']);
+    arrive('r', START + 100, { worker: 'i-2' });
+    arrive('other', START + 100);
+    expect(judgeRegions(world, [sent('r'), sent('other', { kind: 'write' })])).toEqual([]);
+    declare(START - 1_000, ['zone-a']);
+    arrive('r', START + 100);
+    expect(judgeRegions(world, [sent('r')])).toEqual([]);
+    declare(START - 500, []);
+    arrive('r', START + 4_000);
+    expect(judgeRegions(world, [sent('r')])).toEqual([]);
+  });
+});
--- a/test/platform/soak/disruptions.ts
+++ b/test/platform/soak/disruptions.ts
@@ -31,6 +31,8 @@
   timeouts: Readonly<Record<string, number>>;
   /** Routes that callers use and that it does not contain. */
   missing: readonly string[];
+  /** Regions to which routes are bound, by route; any if there are none. */
+  regions: Readonly<Record<string, readonly string[]>>;
 }
 
 /** Time within which every entry applies a configuration, in milliseconds: after it, the previous one is no longer in force. */
@@ -96,6 +98,11 @@
     return this.#possiblyInForce(sentAt, sentAt).flatMap(({ timeouts }) => timeouts[route] ?? []);
   }
 
+  /** Regions of a route in the configurations that may have been in force in this period; an empty list allows any. */
+  regionsOf(route: string, from: number, to: number): Array<readonly string[]> {
+    return this.#possiblyInForce(from, to).map(({ regions }) => regions[route] ?? []);
+  }
+
   /** Whether a configuration without this route may have been in force in this period. */
   mayLackRoute(route: string, from: number, to: number): boolean {
     return this.#possiblyInForce(from, to).some(({ missing }) => missing.includes(route));
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -4,6 +4,7 @@
 import { EVACUATIONS } from './evacuations.js';
 import { drawBetween, type Fault, noCleanup, pick, type StartedFault } from './fault.js';
 import { BACKOFFS, LEAVING } from './notices.js';
+import { REGION_CHANGES } from './regions.js';
 import type { Stalls } from './stalls.js';
 import { PIECES, StandInEngine } from './workers.js';
 import {
@@ -622,6 +623,7 @@
   | 'leaving'
   | 'backoffs'
   | 'evacuations'
+  | 'regions'
   | 'stalls'
   | 'mixed';
 
@@ -633,7 +635,12 @@
   ({ name }) => name === 'store unavailable' || name === 'link to the store cut',
 );
 /** Choices that exclude workers for some time; each of them must be used again at the end. */
-export const EXCLUDES_WORKERS: ReadonlySet<FaultChoice> = new Set(['leaving', 'backoffs', 'evacuations']);
+export const EXCLUDES_WORKERS: ReadonlySet<FaultChoice> = new Set([
+  'leaving',
+  'backoffs',
+  'evacuations',
+  'regions',
+]);
 
 const PROCESS_KILLS = UNPLANNED.filter(({ name }) => name === 'process killed');
 
@@ -659,6 +666,8 @@
     ...STORE_RESTORES.slice(0, 1),
     ...repeat(EVACUATIONS, 4),
   ],
+  // Few changes of regions, as both the old and the new ones are allowed for some time.
+  regions: [...repeat(PLANNED, 2), ...RESTARTS, ...STALLS, ...EVACUATIONS.slice(0, 1), ...REGION_CHANGES],
   stalls: [...PLANNED, ...repeat(CONFIGURATIONS, 3), ...repeat(STALLS, 3)],
   mixed: [...PLANNED, ...UNPLANNED, ...CONFIGURATIONS, ...STALLS, ...STALLS],
   drills: [
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -3,7 +3,7 @@
  * faults end, all entries must serve according to the newest configuration and version again within a time limit.
  *
  * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|
- * leaving|backoffs|evacuations|stalls|mixed]
+ * leaving|backoffs|evacuations|regions|stalls|mixed]
  * [--kept]` prints each seed's outcome. For a seed with violations it also prints the timeline of faults and keeps the logs, and the
  * exit code is 1.
  */
@@ -25,6 +25,7 @@
 import { EXCLUDES_WORKERS, type FaultChoice, injectFaults, MOVES_ROUTE } from './faults.js';
 import { judgeCuts, judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
 import { judgeBackoffs, judgeLeaving } from './notice-judges.js';
+import { drawRegions, judgeRegions } from './regions.js';
 import { SoakWorld, type WorldSize } from './world.js';
 
 const SECOND = 1_000;
@@ -147,7 +148,7 @@
     if (MOVES_ROUTE.has(faults)) world.declareMovedRoute();
     await world.start();
     // A second configuration, so that `probe` can check that the route of the previous one is gone.
-    world.configure();
+    world.configure(faults === 'regions' ? drawRegions(random) : {});
     const started = await waitUntilConverged(world, START_LIMIT, probes);
     if (typeof started === 'string') return failedToStart(faults, started);
     const running = callers.map((caller) => caller.run());
@@ -181,6 +182,7 @@
       ...judgeLeaving(world, sent),
       ...judgeBackoffs(world, sent),
       ...judgeEvacuations(world, sent),
+      ...judgeRegions(world, sent),
       ...world.log.violations,
       ...world.violations,
       ...(deadly?.judge() ?? []),
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -72,6 +72,8 @@
   /** Services of the moved route, with their traffic weights. */
   movedTo: Readonly<Record<string, number>>;
   lacksMovedRoute: boolean;
+  /** Regions to which routes are bound, by route; any if there are none. */
+  regions: Readonly<Record<string, readonly string[]>>;
   /** A service that is left out; undefined for none. */
   dropped: string | undefined;
   /** Number of additional unused routes. */
@@ -83,6 +85,7 @@
   timeouts: { write: ROUTE_TIMEOUT, long: LONG_TIMEOUT, moved: LONG_TIMEOUT },
   movedTo: { engines: 1 },
   lacksMovedRoute: false,
+  regions: {},
   dropped: undefined,
   moreRoutes: 0,
 };
@@ -227,12 +230,13 @@
   configure(changes: Partial<ConfigurationShape> = {}): void {
     const version = ++this.#configurationVersion;
     this.#shape = { ...this.#shape, ...changes };
-    const { idleTimeout, timeouts, movedTo, lacksMovedRoute, dropped, moreRoutes } = this.#shape;
+    const { idleTimeout, timeouts, movedTo, lacksMovedRoute, regions, dropped, moreRoutes } = this.#shape;
     this.disruptions.recordPlanned('configuration', String(version));
     this.disruptions.configurations.push({
       at: performance.now(),
       timeouts,
       missing: lacksMovedRoute ? ['moved'] : [],
+      regions,
     });
     const route = (name: string, kind: string, service: string, more: object = {}) => ({
       name,
@@ -244,6 +248,7 @@
       slo_ms: 400,
       max_attempts: kind === 'non_idempotent' ? 1 : 2,
       priority: 1,
+      allowed_regions: regions[name],
       ...more,
     });
     const configuration = {
