Soak: workers that are cold after a start, judged by what each gets in a second; test: a zone that is taken back

Cause: cold back ends were tested in virtual time only. Change: choice cold: services declare 5 s at 3 requests a second; workers restart, turn cold, and are cold when their zone is taken back, beside planned work, kills and outages of the store. Judge FAILBACK: more than 1.5 times the rate and 5 in a second, from 1.5 s after, whoever sent them. Not built: workers that fall over above the rate. A test in back-end-warm-ups says what is missing when a zone is taken back: its row is read every 60 ms, records of back ends come up to a heartbeat and a reading later. Result: soak-judges green. Red: back-end-warm-ups, 'counts as cold for some time after its zone is taken back' (expected 0 to be greater than 1000).

--- a/test/forwarding/back-end-warm-ups.test.ts
+++ b/test/forwarding/back-end-warm-ups.test.ts
@@ -81,6 +81,19 @@
     expect([coldFor(), rate()]).toEqual([0, undefined]);
   });
 
+  it('counts as cold for some time after its zone is taken back, as its record may be late', () => {
+    list(1, { zone: 'zone-a', coldLeft: 0 });
+    fleet.applyEvacuation({ zone: 'zone-a', revision: 2, isEvacuated: true }, 'store');
+    fleet.applyEvacuation({ zone: 'zone-b', revision: 3, isEvacuated: true }, 'store');
+    fleet.applyEvacuation({ zone: 'zone-b', revision: 4, isEvacuated: false }, 'store');
+    expect([coldFor(), rate()]).toEqual([0, undefined]);
+    fleet.applyEvacuation({ zone: 'zone-a', revision: 5, isEvacuated: false }, 'store');
+    expect(coldFor()).toBeGreaterThan(1_000);
+    expect(rate()).toBe(RATE);
+    vi.advanceTimersByTime(3_000);
+    expect([coldFor(), rate()]).toEqual([0, undefined]);
+  });
+
   it('is not cold for longer as its record becomes known again with something else of it', () => {
     list(1, { coldLeft: 1_200 });
     vi.advanceTimersByTime(1_000);
--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -1,6 +1,7 @@
 /** Tests that the judges of the soak report each kind of violation and nothing that is allowed. */
 import { beforeEach, describe, expect, it } from 'vitest';
 import { judgeAnswer, judgeMissingRoute, type SentRequest } from './soak/callers.js';
+import { judgeColdStarts } from './soak/cold-starts.js';
 import { Disruptions } from './soak/disruptions.js';
 import { judgeEvacuations } from './soak/evacuations.js';
 import {
@@ -438,3 +439,28 @@
     expect(judgeRegions(world, [sent('r')])).toEqual([]);
   });
 });
+
+describe('FAILBACK', () => {
+  /** Ten requests at this start of a worker within a second. */
+  const sendTen = (at: number, changes: Partial<typeof START_OF_WORKER> = {}) => {
+    for (let index = 0; index < 10; index++) arrive(`r${index}`, at + 100 * index, changes);
+  };
+
+  beforeEach(() => {
+    log.coldPeriods.push({ ...START_OF_WORKER, cause: 'started', from: START, to: START + 5_000 });
+  });
+
+  it('is more requests in a second than a cold worker bears, once that is known', () => {
+    sendTen(START + 2_000);
+    expect(judgeColdStarts(world)).toEqual([expect.stringMatching(/^FAILBACK: i-1 got 10 in a second/)]);
+  });
+
+  it('is nothing right after the start, at another start, or among requests that were misdirected', () => {
+    sendTen(START + 500);
+    sendTen(START + 6_000);
+    sendTen(START + 2_000, { born: 2 });
+    sendTen(START + 2_000);
+    for (const arrival of log.arrivals.slice(-1)) arrival.isMisdirected = true;
+    expect(judgeColdStarts(world)).toEqual([]);
+  });
+});
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -1,5 +1,6 @@
 /** Faults of a soak, drawn from its seed: what is done to processes, links, workers and the store, and when it ends. */
 import { type Random, seededRandom } from '../../../src/model/random.js';
+import { COLD_STARTS } from './cold-starts.js';
 import { EVERYTHING } from './disruptions.js';
 import { EVACUATIONS } from './evacuations.js';
 import { drawBetween, type Fault, noCleanup, pick, type StartedFault } from './fault.js';
@@ -624,6 +625,7 @@
   | 'backoffs'
   | 'evacuations'
   | 'regions'
+  | 'cold'
   | 'stalls'
   | 'mixed';
 
@@ -640,6 +642,7 @@
   'backoffs',
   'evacuations',
   'regions',
+  'cold',
 ]);
 
 const PROCESS_KILLS = UNPLANNED.filter(({ name }) => name === 'process killed');
@@ -668,6 +671,7 @@
   ],
   // Few changes of regions, as both the old and the new ones are allowed for some time.
   regions: [...repeat(PLANNED, 2), ...RESTARTS, ...STALLS, ...EVACUATIONS.slice(0, 1), ...REGION_CHANGES],
+  cold: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...RESTARTS, ...repeat(COLD_STARTS, 2)],
   stalls: [...PLANNED, ...repeat(CONFIGURATIONS, 3), ...repeat(STALLS, 3)],
   mixed: [...PLANNED, ...UNPLANNED, ...CONFIGURATIONS, ...STALLS, ...STALLS],
   drills: [
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -3,7 +3,7 @@
  * faults end, all entries must serve according to the newest configuration and version again within a time limit.
  *
  * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|
- * leaving|backoffs|evacuations|regions|stalls|mixed]
+ * leaving|backoffs|evacuations|regions|cold|stalls|mixed]
  * [--kept]` prints each seed's outcome. For a seed with violations it also prints the timeline of faults and keeps the logs, and the
  * exit code is 1.
  */
@@ -19,6 +19,7 @@
   SoakCaller,
   sendRequest,
 } from './callers.js';
+import { judgeColdStarts } from './cold-starts.js';
 import { DeadlyContent } from './deadly-content.js';
 import { DeadlyPart } from './deadly-part.js';
 import { judgeEvacuations } from './evacuations.js';
@@ -146,6 +147,7 @@
   });
   try {
     if (MOVES_ROUTE.has(faults)) world.declareMovedRoute();
+    if (faults === 'cold') world.declareColdStarts();
     await world.start();
     // A second configuration, so that `probe` can check that the route of the previous one is gone.
     world.configure(faults === 'regions' ? drawRegions(random) : {});
@@ -183,6 +185,7 @@
       ...judgeBackoffs(world, sent),
       ...judgeEvacuations(world, sent),
       ...judgeRegions(world, sent),
+      ...judgeColdStarts(world),
       ...world.log.violations,
       ...world.violations,
       ...(deadly?.judge() ?? []),
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -21,6 +21,7 @@
 /** An order to load a version with a corrupted piece is allowed for this long after the corruption, in milliseconds: the users' rule. */
 const CORRUPTION_DETECTION_TIME = 3_000;
 const SERVICE_TIME = 20;
+const MISDIRECTED = 421;
 /** Time after which a continued stream is broken off, in milliseconds. */
 const BREAK_DELAY = 10;
 const MILLISECONDS = 1_000;
@@ -79,6 +80,8 @@
   requestId: string;
   service: string;
   at: number;
+  /** It was refused as it was meant for another worker or version. */
+  isMisdirected?: boolean;
 }
 
 /** An answer by which a worker stated that it is leaving. */
@@ -110,6 +113,13 @@
   to: number;
 }
 
+/** A period in which a worker is cold; times are in milliseconds of the monotonic clock. */
+export interface ColdPeriod extends WorkerStart {
+  cause: 'started' | 'turned cold';
+  from: number;
+  to: number;
+}
+
 /** Everything that the stand-ins recorded, and the violations that they saw. */
 export class RunLog {
   /** Called at the start of each run. */
@@ -122,6 +132,7 @@
   readonly arrivals: Arrival[] = [];
   readonly limits: RateLimitPeriod[] = [];
   readonly evacuations: EvacuationPeriod[] = [];
+  readonly coldPeriods: ColdPeriod[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
   readonly backoffRequests: BackoffRequest[] = [];
   readonly violations: string[] = [];
@@ -225,6 +236,8 @@
   shedShare = 0;
   /** `Retry-After` of these refusals; undefined for none. */
   shedRetryAfter: string | undefined;
+  /** Until when it is cold, in milliseconds of the monotonic clock; part of its record. */
+  coldUntil = 0;
   /** Rate limit announced in its responses, in requests per second; undefined for none. The worker does not enforce it. */
   rateLimit: number | undefined;
   #runs = 0;
@@ -269,6 +282,8 @@
 
   /** Responds that the request was not executed. */
   protected refuse(request: IncomingMessage, response: ServerResponse, status: number, more = {}): void {
+    const arrival = this.log.arrivals.findLast(({ requestId }) => requestId === requestIdOf(request));
+    if (arrival !== undefined && status === MISDIRECTED) arrival.isMisdirected = true;
     const headers = {
       'Attempt-Id': requestIdOf(request),
       'Not-Executed': '1',
