The back ends of a zone that is taken back count as cold until their records can be known

Cause: the row of a zone is read every 60 ms, while records of back ends come up to a heartbeat and 0.5 s later: for that time back ends that turned cold shortly before their zone is taken back got what warm ones bear. Change: where services declare a time of warming up, the back ends of the zone count as cold for 2 s from the end of its evacuation. Others are used in full at once. Result: the red test green (back-end-warm-ups 13, with evacuation tests and the simulation of warm-ups 35 of 35), its guard fails as it should.

--- a/src/forwarding/back-end-warm-ups.ts
+++ b/src/forwarding/back-end-warm-ups.ts
@@ -1,7 +1,7 @@
 /**
  * Tracks which back ends are cold: they bear few requests for some time after a start under load, or whenever they say so. Each
- * source can only prolong that time, as sources are late in different ways: the back end's record, the report of its agent, and a
- * start that this process has seen. Times are in milliseconds of the monotonic clock.
+ * source can only prolong that time, as sources are late in different ways: the back end's record, the report of its agent, a
+ * start that this process has seen, and the end of an evacuation. Times are in milliseconds of the monotonic clock.
  */
 import type { BackEndChange } from '../fleet/back-end-list.js';
 import type { FleetView } from '../fleet/fleet-view.js';
@@ -15,8 +15,14 @@
 /** Maximum number of back ends without a record that are kept, the latest ones: their starts are told apart when they return. */
 const MAX_REMOVED = 1_000;
 
+/**
+ * Time for which the back ends of a zone count as cold after the operator has taken it back, in milliseconds. They are mostly cold then,
+ * and their records come up to a heartbeat and a reading of the list later than the row.
+ */
+const TAKEN_BACK_TIME = 2_000;
+
 /** From what a back end is known to be cold. */
-type ColdSource = 'record' | 'report' | 'start';
+type ColdSource = 'record' | 'report' | 'start' | 'takenBack';
 
 export interface BackEndWarmUpsOptions {
   fleet: Pick<FleetView, 'routes' | 'listen'>;
@@ -29,6 +35,7 @@
 interface KnownBackEnd {
   start: BackEndIdentity['start'];
   service: string;
+  zone: string;
   /** Revision of the latest record whose statement was applied. */
   revision: number;
   coldUntil: number;
@@ -39,11 +46,16 @@
   readonly #options: BackEndWarmUpsOptions;
   readonly #known = new Map<string, KnownBackEnd>();
   readonly #removed = new Set<string>();
-  readonly #counts: Record<ColdSource, number> = { record: 0, report: 0, start: 0 };
+  readonly #counts: Record<ColdSource, number> = { record: 0, report: 0, start: 0, takenBack: 0 };
 
   constructor(options: BackEndWarmUpsOptions) {
     this.#options = options;
-    options.fleet.listen({ onBackEnds: (changes) => this.apply(changes, performance.now()) });
+    options.fleet.listen({
+      onBackEnds: (changes) => this.apply(changes, performance.now()),
+      onEvacuation: ({ zone, isEvacuated }) => {
+        if (!isEvacuated) this.#noteTakenBack(zone, performance.now());
+      },
+    });
     options.metrics.add([
       {
         name: 'back_ends_cold',
@@ -99,7 +111,12 @@
     return wasLost ? warmUp.rate : undefined;
   }
 
-  #noteRecord({ id, start, service, revision, coldLeft }: BackEndRecord, now: number): void {
+  #noteTakenBack(zone: string, now: number): void {
+    for (const [id, known] of this.#known)
+      if (known.zone === zone) this.#prolong(id, known, now + TAKEN_BACK_TIME, 'takenBack');
+  }
+
+  #noteRecord({ id, start, service, zone, revision, coldLeft }: BackEndRecord, now: number): void {
     const known = this.#known.get(id);
     this.#removed.delete(id);
     const hasStarted = known !== undefined && !isSameStart(known.start, start);
@@ -108,6 +125,7 @@
     const current: KnownBackEnd = {
       start,
       service,
+      zone,
       revision,
       coldUntil: hasStarted ? Number.NEGATIVE_INFINITY : (known?.coldUntil ?? Number.NEGATIVE_INFINITY),
     };
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1599,6 +1599,13 @@
     replace: '',
     test: 'test/fleet/evacuation-readings.test.ts',
   },
+  {
+    fault: 'the back ends of a zone that is taken back get what warm ones bear before their records come',
+    file: 'src/forwarding/back-end-warm-ups.ts',
+    find: 'if (!isEvacuated) this.#noteTakenBack(zone, performance.now());',
+    replace: '',
+    test: 'test/forwarding/back-end-warm-ups.test.ts',
+  },
   {
     fault: 'an agent grants slots in an evacuated zone',
     file: 'src/weights/engine-loader.ts',
