--- a/test/platform/soak/cold-starts.ts
+++ b/test/platform/soak/cold-starts.ts
@@ -51,7 +51,7 @@
     if (most <= TOLERATED) return [];
     const first = Math.round(times[0] - from);
     return [
-      `FAILBACK: ${worker} got ${most} in a second, allowed ${TOLERATED}, from ${first} ms after it ${cause} on`,
+      `FAILBACK: ${worker} (born ${born}) got ${most} in a second, allowed ${TOLERATED}, from ${first} ms after it ${cause} on`,
     ];
   });
 }
