Waits follow what is observed, and refused callers come back when there is room

Cause: the wait for a slot was half of the objective, taken from engines whose first events take 160 ms; nobody waited longer, so late requests got no slots that were left; refused callers came back after 0.4 to 0.8 s by chance, into the same overload. Change: WaitPolicy learns the time to the first event by the size of the prompt (moving regression, from the declared pace before) and lets a request wait as long as a slot still serves it in time. It waits longer only if late waits of its rank have ended with a send lately or nearly all get slots in time, and if fewer than two late ones wait. ReturnSchedule spreads refused callers, urgent ones first, over the pace of sends less the arrivals that are as urgent, after those that wait and after what agents predict or the end of an outage. HoldRecord is a system. Metrics: slot_waits by ending, refused_seconds by reason. The placement simulation runs both modules, and has a load of all callers of 3 s at once.

--- a/bench/simulation/outage-simulation.ts
+++ b/bench/simulation/outage-simulation.ts
@@ -3,10 +3,11 @@
  * their weights, and each caller that is refused comes back once. What a request does meanwhile is decided by the code of the
  * entries. Times are in milliseconds.
  */
-import { HoldRecord } from '../../src/forwarding/hold-record.js';
+
 import { RequestTiming } from '../../src/forwarding/request-timing.js';
 import { seededRandom } from '../../src/model/random.js';
 import { MAX_RETRY_DELAY } from '../../src/systems/capacity-wait.js';
+import { HoldRecord } from '../../src/systems/hold-record.js';
 import { STREAM_ROUTE } from './stream-route.js';
 
 /** Requests wait for capacity as entries let them, or first ones are refused at once, as before. */
--- a/bench/simulation/placement-loads.ts
+++ b/bench/simulation/placement-loads.ts
@@ -236,6 +236,17 @@
     end: 17_000,
     countedFrom: 4_000,
   },
+  /** All callers of 3 s at once, as after an outage. */
+  herd: {
+    steps: [
+      [4_400, 0.08],
+      [4_000, 1],
+      [0, 0.05],
+    ],
+    arrivalsEnd: 10_000,
+    end: 16_000,
+    countedFrom: 4_000,
+  },
   largeTenant: { ...STEP, largeTenant: { tenant: 5, times: 10, from: 4_000 } },
   slowEngines: { ...STEP, slowEngines: { share: 0.3, slowness: 2.5, from: 7_000, to: 13_000 } },
 } satisfies Record<string, LoadShape>;
--- a/bench/simulation/placement-machines.ts
+++ b/bench/simulation/placement-machines.ts
@@ -57,13 +57,14 @@
   readonly entries: readonly PlacementEntry[];
   /** The engines that have started. */
   living(): PlacementEngine[];
-  /** Sends a request to an engine; `onEnd` is called once its end is known at the entry. */
+  /** Sends a request to an engine; `onEnd` is called once its end is known at the entry, `onFirstEvent` at its first event. */
   send(
     caller: Caller,
     entry: PlacementEntry,
     engine: PlacementEngine,
     urgency: number,
     onEnd: () => void,
+    onFirstEvent?: () => void,
   ): void;
   /** Refuses a request; its caller may come back after `retryAfter` milliseconds. */
   refuse(caller: Caller, retryAfter: number): void;
--- a/bench/simulation/placement-simulation.ts
+++ b/bench/simulation/placement-simulation.ts
@@ -190,8 +190,10 @@
     engine: PlacementEngine,
     urgency: number,
     onEnd: () => void,
+    onFirstEvent?: () => void,
   ): void {
     const { clock } = this;
+    let hasBegun = false;
     entry.own[engine.number]++;
     const way = delayBetween(entry, engine);
     const refuse = () => this.refuse(caller, RETRY_AFTER * (1 + this.random.fraction()));
@@ -216,7 +218,11 @@
         urgency,
         promptTokens,
         answerTokens,
-        onEvent: () => this.#callers.noteEvent(caller, way),
+        onEvent: () => {
+          if (!hasBegun) clock.schedule(clock.now + way, () => onFirstEvent?.());
+          hasBegun = true;
+          this.#callers.noteEvent(caller, way);
+        },
         onEnd: () => {
           end();
           if (!entry.isLost) this.#callers.noteServed(caller, way);
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -4,14 +4,16 @@
  */
 import type { Random } from '../model/random.js';
 import type { StallDetector } from '../model/stall-detector.js';
+import type { HoldOutcome, HoldRecord } from '../systems/hold-record.js';
+import type { SlotWait } from '../systems/wait-policy.js';
 import type { Requirements } from './back-end-eligibility.js';
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
+import type { CallerReturns } from './caller-returns.js';
 import type { ExpectedCapacity } from './capacity-estimator.js';
 import type { DirectPermits } from './direct-permits.js';
 import type { EngineSlots, SlotClaim } from './engine-slots.js';
-import type { HoldOutcome, HoldRecord } from './hold-record.js';
 import type { RequestTiming } from './request-timing.js';
 import { SlotSeeker } from './slot-seeker.js';
 
@@ -25,6 +27,7 @@
   limits: BackEndLimits;
   permits: Pick<DirectPermits, 'claim'>;
   random: Random;
+  returns: Pick<CallerReturns, 'noteArrival' | 'noteSent'>;
 }
 
 /** The request that needs a back end; each method returns the state at the time of the call. */
@@ -33,8 +36,8 @@
   readonly isStream: boolean;
   /** Tokens of the prompt; 0 if unknown. */
   readonly promptTokens: number;
-  /** Position in the queues of back ends, 0 first. */
-  urgency(now: number): number;
+  /** Rank of the request's priority, 0 for the most urgent. */
+  readonly rank: number;
   /** @param isLastResort - whether the request would be refused otherwise */
   requirements(isLastResort?: boolean): Requirements;
   /** Whether the request has been sent to a back end before. */
@@ -83,6 +86,10 @@
   #reservation: HoldRecord | undefined;
   /** Where the request is counted while it is held until one of the serving back ends is free. */
   #hold: HoldRecord | undefined;
+  /** The wait for a slot of a request that was neither sent nor held before. */
+  #wait: SlotWait | undefined;
+  #slotIn: number | undefined;
+  #hasBegun = false;
   /** True once the request would be refused unless a back end that backs off takes it. */
   #isLastResort = false;
 
@@ -97,7 +104,15 @@
     return this.#seeker !== undefined || this.#claiming !== undefined || this.#heldSince !== undefined;
   }
 
+  /** Time until agents expect a slot for the request, in milliseconds; undefined if none has refused it for that reason. */
+  get slotIn(): number | undefined {
+    return this.#slotIn;
+  }
+
   begin(): void {
+    if (!this.#hasBegun)
+      this.#components.returns.noteArrival(this.#requirements.service, this.#request.rank, performance.now());
+    this.#hasBegun = true;
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
     if (!this.#seekSlot()) this.#chooseWithoutSlot();
   }
@@ -117,6 +132,8 @@
     this.#isLastResort = false;
     this.#claiming = undefined;
     this.#cancelSeeker();
+    this.#wait?.end(outcome, performance.now());
+    this.#wait = undefined;
     this.#hold?.end(outcome);
     this.#hold = undefined;
     this.#reservation?.releasePlace();
@@ -126,10 +143,10 @@
   /** Starts to look for a slot of an engine; returns false if there is no agent to ask. */
   #seekSlot(): boolean {
     const { selector, backEnds, limits, slots, random } = this.#components;
-    const { timing, wasSent, isResuming, urgency, promptTokens } = this.#request;
+    const { timing, rank, isResuming, promptTokens } = this.#request;
     if (!selector.shouldAcquireSlot(this.#requirements)) return false;
     const now = performance.now();
-    const endsAt = timing.slotWaitDeadline(now, wasSent(), this.#wasHeldForCapacity);
+    const { endsAt, inTimeUntil } = this.#slotWaitTimes(now);
     this.#seeker = new SlotSeeker({
       slots,
       table: backEnds,
@@ -138,10 +155,9 @@
       isEligible: (row) => selector.isEligibleWithSlot(row, this.#requirements),
       isUnavailable: (row, when) => !this.#isLastResort && selector.isUnavailable(row, when),
       rateLimitOf: (row) => limits.rateOf(row.record),
-      urgency: isResuming() ? 0 : urgency(now),
+      urgency: isResuming() ? 0 : timing.urgency(rank, now),
       arrivedAt: timing.arrivedAt,
-      // An answer that has begun is never late.
-      inTimeUntil: isResuming() ? endsAt : timing.inTimeUntil,
+      inTimeUntil,
       promptTokens,
       endsAt,
       onGranted: (row, claim, asked) => this.#takeSlot(row, claim, asked),
@@ -150,16 +166,40 @@
         this.#cancelSeeker();
         this.#chooseWithoutSlot();
       },
-      onFull: () => this.#giveUp('back ends full'),
+      onFull: (availableIn) => {
+        this.#slotIn = availableIn;
+        this.#giveUp('back ends full');
+      },
       onFault: (cause) => this.#events.onError(cause),
     });
     this.#seeker.begin();
     return true;
   }
 
+  /** Until when the request waits for a slot, and until when a slot lets it meet its objective. */
+  #slotWaitTimes(now: number): Pick<SlotWait, 'endsAt' | 'inTimeUntil'> {
+    const { timing, rank, promptTokens, isResuming, wasSent } = this.#request;
+    const { service, engine } = this.#requirements;
+    const waits = this.#components.backEnds.waitsOf(service);
+    const request = timing.waitingRequest(rank, promptTokens, engine);
+    if (wasSent() || this.#wasHeldForCapacity || request === undefined) {
+      const endsAt = timing.slotWaitDeadline(now, wasSent());
+      // An answer that has begun is never late.
+      const isInTime = isResuming() || request === undefined;
+      return { endsAt, inTimeUntil: isInTime ? endsAt : waits.inTimeUntil(request) };
+    }
+    this.#wait ??= waits.begin(request, timing.latestBegin, now);
+    return this.#wait;
+  }
+
   #takeSlot(row: BackEndRow, claim: SlotClaim, asked: number): void {
     const selection = this.#components.selector.selectionOf(row.record.id, this.#requirements, 0, asked);
+    this.#choose(selection, claim);
+  }
+
+  #choose(selection: Selection, claim: SlotClaim | undefined): void {
     this.end('sent');
+    this.#components.returns.noteSent(this.#requirements.service, performance.now());
     this.#events.onChosen(selection, claim);
   }
 
@@ -175,8 +215,7 @@
     if (selection.expectedWait > this.#request.timing.maxQueueWait(wasSentOrHeld))
       return this.#giveUp('back ends full');
     if (this.#components.selector.needsPermit(selection.row)) return void this.#claimPermit(selection);
-    this.end('sent');
-    this.#events.onChosen(selection, undefined);
+    this.#choose(selection, undefined);
   }
 
   /** Claims a permit of a rate-limited back end before it is chosen; selects again if none is granted. */
@@ -190,8 +229,7 @@
       if (this.#claiming !== selection) return;
       this.#claiming = undefined;
       if (!isGranted || !selector.isEligibleWithSlot(selection.row, this.#requirements)) return this.begin();
-      this.end('sent');
-      this.#events.onChosen(selection, undefined);
+      this.#choose(selection, undefined);
     } catch (cause) {
       this.#events.onError(cause);
     }
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -9,9 +9,10 @@
 import type { BackEndRecord, HeldLayers } from '../protocol/back-end-list-state.js';
 import type { BackEndLoad } from '../protocol/reports.js';
 import { CapacityForecast } from '../systems/capacity-forecast.js';
+import { HoldRecord } from '../systems/hold-record.js';
+import { WaitPolicy } from '../systems/wait-policy.js';
 import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
-import { HoldRecord } from './hold-record.js';
 import { SlotAgent } from './slot-agent.js';
 
 /** Weight of the latest sample in moving averages of times. */
@@ -83,6 +84,8 @@
   news: EngineNews | undefined;
   /** The agent that grants its slots; undefined if none is known. */
   agent: SlotAgent | undefined;
+  /** The waits for slots of all back ends of its service. */
+  waits: WaitPolicy;
 }
 
 /** The table of back ends of one entry. */
@@ -97,6 +100,7 @@
   /** The latest rows that were removed, in the order of their removal. */
   readonly #removed = new Map<string, Pick<BackEndRow, 'record' | 'health'>>();
   readonly #holds = new Map<string, HoldRecord>();
+  readonly #waits = new Map<string, WaitPolicy>();
   readonly #forecasts = new Map<string, CapacityForecast>();
   /** Requests in flight from each other entry, according to its latest report. */
   readonly #loadsOf = new Map<string, ReadonlyArray<readonly [row: BackEndRow, inFlight: number]>>();
@@ -149,6 +153,21 @@
     return known;
   }
 
+  /** The waits for slots of engines of a service. */
+  waitsOf(service: string): WaitPolicy {
+    const known = this.#waits.get(service) ?? new WaitPolicy();
+    this.#waits.set(service, known);
+    return known;
+  }
+
+  /** The waits for slots that have ended, of all services. */
+  get waitFigures(): Record<string, number> {
+    const sums: Record<string, number> = {};
+    for (const { figures } of this.#waits.values())
+      for (const [name, count] of Object.entries(figures)) sums[name] = (sums[name] ?? 0) + count;
+    return sums;
+  }
+
   /**
    * The row that a report on `address` with this start refers to: the row of that start, or else the row with the
    * latest record, as the back end has restarted; undefined if none is listed there.
@@ -233,7 +252,12 @@
       return;
     }
     if (known !== undefined) this.#removePrevious(known);
-    const row = createRow(record, this.#takeHealth(record), () => this.maxKeptConnections(record.service));
+    const row = createRow(
+      record,
+      this.#takeHealth(record),
+      () => this.maxKeptConnections(record.service),
+      this.waitsOf(record.service),
+    );
     this.rows.set(record.id, row);
     addTo(this.#rowsByService, record.service, row);
     addTo(this.#rowsByAddress, record.address, row);
@@ -299,6 +323,7 @@
   record: BackEndRecord,
   health: BackEndHealth,
   maxKeptConnections: () => number,
+  waits: WaitPolicy,
 ): BackEndRow {
   return {
     record,
@@ -315,6 +340,7 @@
     answeredSends: new Map(),
     news: undefined,
     agent: undefined,
+    waits,
   };
 }
 
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -111,7 +111,11 @@
   /** A part of the answer has been received, so the back end has read the prompt. */
   notePart(): void {
     this.#noteProgress();
+    const isFirst = this.#firstAnswerAfter === undefined;
     this.notePromptRead();
+    // Without a slot, the time also contains the wait in the queue of the engine.
+    if (isFirst && this.#firstAnswerAfter !== undefined && this.claim !== undefined)
+      this.row.waits.noteFirstEvent(this.#promptTokens, this.#firstAnswerAfter);
   }
 
   /** True after the first `noteSilence`. */
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -39,7 +39,7 @@
 import { contentOf } from './request-fingerprint.js';
 import { RequestLog } from './request-log.js';
 import { healthOutcomeOf } from './request-outcome.js';
-import { retryAfterForCapacity, retryAfterForOtherProcess } from './retry-after.js';
+import { retryAfterForOtherProcess } from './retry-after.js';
 import { SendPolicy } from './send-policy.js';
 import { StreamMove } from './stream-move.js';
 import { SuspectContent } from './suspect-content.js';
@@ -256,7 +256,7 @@
       timing,
       isStream: route.isStream,
       promptTokens,
-      urgency: (now) => timing.urgency(rank, now),
+      rank,
       requirements: (isLastResort) => this.#policy.requirements(isLastResort),
       wasSent: () => this.#policy.sends > 0,
       isResuming: () => this.#answer.started,
@@ -514,8 +514,7 @@
     if (this.#openAttempts.size > 0 && this.#mayWaitForSilent) return this.#endSearch(reason);
     if (this.#answer.started) return this.#canResumeLater() ? this.#endSearch(reason) : this.#cut(reason);
     if (this.#openAttempts.runs > 0) return this.#fail({ type: 'backEndFailed', reason });
-    const { selector, random } = this.#components;
-    const retryAfter = retryAfterForCapacity(this.#admitted.service, selector, random);
+    const retryAfter = this.#components.returns.refuse(this.#admitted, reason, this.#search.slotIn);
     this.#fail({ type: 'unavailable', reason, retryAfter });
   }
 
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -19,6 +19,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import { CallerReturns } from './caller-returns.js';
 import type { CompletionEstimateComponents } from './completion-estimate.js';
 import { CutAnswerMetrics } from './cut-answer-metrics.js';
 import type { DirectPermits } from './direct-permits.js';
@@ -71,6 +72,7 @@
   moveMetrics: StreamMoveMetrics;
   cutMetrics: CutAnswerMetrics;
   poison: PoisonGuard;
+  returns: CallerReturns;
   budgetOf(service: string): RetryWindow;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
 }
@@ -99,7 +101,7 @@
     address: string,
     components: Omit<
       ForwardingComponents,
-      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices'
+      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices' | 'returns'
     >,
     metrics: Metrics,
   ) {
@@ -111,6 +113,7 @@
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
       notices: new AnswerNotices({ ...components, metrics }),
+      returns: new CallerReturns({ ...components, metrics }),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
     components.poison.onQuarantined = () => {
--- a/src/forwarding/request-ending.ts
+++ b/src/forwarding/request-ending.ts
@@ -1,7 +1,8 @@
 /** How a request ends for its caller. */
+
+import type { HoldOutcome } from '../systems/hold-record.js';
 import type { BackEndUse } from './back-end-use.js';
 import type { ForwardingError } from './forwarding-errors.js';
-import type { HoldOutcome } from './hold-record.js';
 import { outcomeOfError, type RequestOutcome } from './request-outcome.js';
 
 const INTERNAL_ERROR = 500;
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -10,6 +10,7 @@
   returnsInTime,
   shouldWaitForCapacity,
 } from '../systems/capacity-wait.js';
+import type { DeclaredPace, WaitingRequest } from '../systems/wait-policy.js';
 
 /**
  * Maximum wait at a back end before it starts a request, in milliseconds. For a slot of an engine, held requests wait until
@@ -19,13 +20,6 @@
 /** Share of its objective that a request for a stream may wait in a queue; the rest is for reading its prompt. */
 const QUEUE_WAIT_SHARE = 0.6;
 const MIN_QUEUE_WAIT_LIMIT = 150;
-/**
- * Share of its objective that a request for a stream may wait for a slot. An engine whose slots are all taken sends the
- * first event 160 ms after it starts a request (median), which is 0.4 to 0.53 of objectives of 400 and 300 ms. So a request
- * that has waited longer would miss its objective with a slot that another one could have used in time. As requests that have
- * waited longest are served first, nearly all that are served under lasting overload have waited almost this long.
- */
-const SLOT_WAIT_SHARE = 0.5;
 /** Time for which a request is held while the serving back ends are full, in milliseconds. */
 const FULL_HOLD = 45;
 /** Share of a caller's time for which its request waits for silent back ends. */
@@ -49,11 +43,6 @@
     this.#route = route;
   }
 
-  /** Until when a slot of an engine still lets the request meet its objective. */
-  get inTimeUntil(): number {
-    return this.arrivedAt + SLOT_WAIT_SHARE * this.#route.objective;
-  }
-
   /** True if the answer can no longer meet the objective. */
   isPastObjective(now: number): boolean {
     return now - this.arrivedAt > this.#route.objective;
@@ -68,15 +57,23 @@
     return Math.max(MIN_QUEUE_WAIT_LIMIT, QUEUE_WAIT_SHARE * this.#route.objective);
   }
 
+  /** The request as `WaitPolicy` takes it; undefined if its objective does not end with a first event. */
+  waitingRequest(
+    rank: number,
+    promptTokens: number,
+    pace: DeclaredPace | undefined,
+  ): WaitingRequest | undefined {
+    const { isStream, objective } = this.#route;
+    return isStream ? { arrivedAt: this.arrivedAt, objective, promptTokens, rank, pace } : undefined;
+  }
+
   /**
-   * Time until which the request waits for a slot of an engine, if it starts to look for one at `now`.
-   * @param wasHeld - whether it has been held for capacity before
+   * Time until which the request waits for a slot of an engine from `now` on if it is no longer subject to `WaitPolicy`.
+   * @param wasSent - whether it was sent to a back end before, rather than held for capacity
    */
-  slotWaitDeadline(now: number, wasSent: boolean, wasHeld: boolean): number {
+  slotWaitDeadline(now: number, wasSent: boolean): number {
     if (wasSent) return Math.min(this.deadline, now + MAX_WAIT);
-    if (wasHeld) return this.latestBegin;
-    if (!this.#route.isStream) return this.arrivedAt + MAX_WAIT;
-    return this.inTimeUntil;
+    return this.#route.isStream ? this.latestBegin : this.arrivedAt + MAX_WAIT;
   }
 
   /** Time until which the request is held while the serving back ends are full, if it has been held since `heldSince`. */
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -393,7 +393,7 @@
   },
   {
     fault: 'callers are told to come back before all back-offs have ended',
-    file: 'src/forwarding/retry-after.ts',
+    file: 'src/forwarding/caller-returns.ts',
     find: 'capacity?.isBackoff === true ? Number.POSITIVE_INFINITY : MAX_RETRY_DELAY',
     replace: 'MAX_RETRY_DELAY',
     test: 'test/forwarding/back-off.test.ts',
@@ -997,7 +997,7 @@
   },
   {
     fault: 'callers that could come back take all places of those that could not',
-    file: 'src/forwarding/hold-record.ts',
+    file: 'src/systems/hold-record.ts',
     find: 'mayReturn ? RETURNING_SHARE * slots : slots',
     replace: 'slots',
     test: 'test/forwarding/capacity.test.ts',
@@ -1207,10 +1207,24 @@
   },
   {
     fault: 'requests wait for slots with which they would be late',
-    file: 'src/forwarding/request-timing.ts',
-    find: 'SLOT_WAIT_SHARE * this.#route.objective',
-    replace: 'QUEUE_WAIT_SHARE * this.#route.objective',
-    test: 'test/forwarding/request-timing.test.ts',
+    file: 'src/systems/wait-policy.ts',
+    find: 'return arrivedAt + objective - time;',
+    replace: 'return arrivedAt + objective;',
+    test: 'test/systems/wait-policy.test.ts',
+  },
+  {
+    fault: 'late requests wait under an overload that lasts',
+    file: 'src/systems/wait-policy.ts',
+    find: 'mayBeLate ? latestBegin : inTimeUntil',
+    replace: 'latestBegin',
+    test: 'test/systems/wait-policy.test.ts test/forwarding/caller-deadline.test.ts',
+  },
+  {
+    fault: 'callers that are less urgent delay the return of others',
+    file: 'src/systems/return-schedule.ts',
+    find: 'let other = place; other < RANKS',
+    replace: 'let other = 0; other < RANKS',
+    test: 'test/systems/return-schedule.test.ts',
   },
   {
     fault: 'requests that run without a slot do not count',
@@ -1312,7 +1326,7 @@
   },
   {
     fault: 'more requests wait for the first slots than there are',
-    file: 'src/forwarding/hold-record.ts',
+    file: 'src/systems/hold-record.ts',
     find: 'if (this.#reservedPlaces >= Math.max(1, places)) return false;',
     replace: '',
     test: 'test/forwarding/capacity.test.ts',
