--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -20,6 +20,7 @@
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
 import type { BackEndWarmUps } from './back-end-warm-ups.js';
+import { CallerReturns } from './caller-returns.js';
 import type { CompletionEstimateComponents } from './completion-estimate.js';
 import { CutAnswerMetrics } from './cut-answer-metrics.js';
 import type { DirectPermits } from './direct-permits.js';
@@ -75,6 +76,7 @@
   cutMetrics: CutAnswerMetrics;
   unread: UnreadAnswers;
   poison: PoisonGuard;
+  returns: CallerReturns;
   budgetOf(service: string): RetryWindow;
   onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
 }
@@ -103,7 +105,14 @@
     address: string,
     components: Omit<
       ForwardingComponents,
-      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices' | 'unread'
+      | 'onSettled'
+      | 'durations'
+      | 'expiryFigures'
+      | 'moveMetrics'
+      | 'cutMetrics'
+      | 'notices'
+      | 'unread'
+      | 'returns'
     >,
     metrics: Metrics,
   ) {
@@ -116,6 +125,7 @@
       cutMetrics: new CutAnswerMetrics(metrics),
       unread: new UnreadAnswers(components.log, metrics),
       notices: new AnswerNotices({ ...components, metrics }),
+      returns: new CallerReturns({ ...components, metrics }),
       onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
     };
     components.poison.onQuarantined = () => {
