A part of less urgent requests goes with the most urgent ones, so that no kind is starved under lasting overload

Cause: slots go strictly by rank.

Drawn requests go with rank 0. Outcomes are noted where requests end. An agent refuses a request whose expected wait, times 1.5, exceeds its time, as later and more urgent requests overtake it.

--- a/bench/simulation/central-placement.ts
+++ b/bench/simulation/central-placement.ts
@@ -15,6 +15,8 @@
 /** Floor of a kind and of a tenant, as a share of the service that all get, and of the larger requests of a kind. */
 const FLOOR = 0.25;
 const SIZE_FLOOR = 0.5;
+/** More than the ranks of any kind. */
+const RANKS = 10;
 /** Sizes above which a request is in the largest tenth of its kind, and in the fifth below it, as multiples of the mean. */
 const LARGEST_TENTH = 1.7;
 const LARGEST_THREE_TENTHS = 1.15;
@@ -29,16 +31,28 @@
 /** Counts of those asked and begun are halved after this, in milliseconds, so that they tell of the present load. */
 const HALVING_INTERVAL = 2_500;
 
+const HOPELESS_INTERVAL = 20;
+
 interface Group {
   asked: number;
   begun: number;
 }
 
+/** A caller in the queue, and the groups that it belongs to. */
+interface WaitingCaller {
+  caller: Caller;
+  entry: PlacementEntry;
+  kind: Group;
+  tenant: Group;
+  /** The requests of its kind that are of similar size. */
+  size: Group;
+}
+
 /** One queue for all engines. */
 export class CentralPlacement implements RequestPlacement {
   readonly #context: PlacementContext;
   readonly #isWithFloors: boolean;
-  #waiting: Array<{ caller: Caller; entry: PlacementEntry }> = [];
+  #waiting: WaitingCaller[] = [];
   /** Requests begun at each engine that have not ended. */
   readonly #begun: number[];
   readonly #all: Group = { asked: 0, begun: 0 };
@@ -55,19 +69,39 @@
   }
 
   begin(): void {
+    this.#forgetHopeless();
+    this.#halveCounts();
+  }
+
+  #halveCounts(): void {
     const { clock } = this.#context;
     clock.schedule(clock.now + HALVING_INTERVAL, () => {
       for (const group of [this.#all, ...this.#groups.values()]) {
         group.asked /= 2;
         group.begun /= 2;
       }
-      this.begin();
+      this.#halveCounts();
     });
   }
 
+  /** Drops those whose answers cannot end before their callers leave, now and then. */
+  #forgetHopeless(): void {
+    const { clock } = this.#context;
+    this.#waiting = this.#waiting.filter(({ caller }) => this.#canEnd(caller, clock.now));
+    clock.schedule(clock.now + HOPELESS_INTERVAL, () => this.#forgetHopeless());
+  }
+
   place(caller: Caller, entry: PlacementEntry): void {
-    this.#waiting.push({ caller, entry });
-    for (const group of this.#groupsOf(caller)) group.asked++;
+    const { name } = caller.kind;
+    const waiting = {
+      caller,
+      entry,
+      kind: this.#groupOf(name),
+      tenant: this.#groupOf(`tenant ${caller.tenant}`),
+      size: this.#groupOf(`${name} ${this.#sizeClass(caller)}`),
+    };
+    this.#waiting.push(waiting);
+    for (const group of this.#groupsOf(waiting)) group.asked++;
     this.#dispatch();
   }
 
@@ -77,17 +111,17 @@
       const engine = this.#freest();
       if (engine === undefined) return;
       const { now } = clock;
-      this.#waiting = this.#waiting.filter(({ caller }) => this.#canEnd(caller, now));
       const next = this.#next(now);
       if (next === undefined) return;
       this.#waiting.splice(this.#waiting.indexOf(next), 1);
-      this.#begin(next.caller, next.entry, engine);
+      this.#begin(next, engine);
     }
   }
 
-  #begin(caller: Caller, entry: PlacementEntry, engine: PlacementEngine): void {
+  #begin(waiting: WaitingCaller, engine: PlacementEngine): void {
     const { clock, site } = this.#context;
-    for (const group of this.#groupsOf(caller)) group.begun++;
+    const { caller, entry } = waiting;
+    for (const group of this.#groupsOf(waiting)) group.begun++;
     const startedAt = clock.now;
     this.#begun[engine.number]++;
     this.#context.send(caller, entry, engine, 0, () => {
@@ -107,42 +141,33 @@
     return now + duration * (1 + DURATION_MARGIN) < deadline;
   }
 
-  #next(now: number) {
-    let best: { caller: Caller; entry: PlacementEntry } | undefined;
-    let bestOrder: readonly number[] = [];
+  #next(now: number): WaitingCaller | undefined {
+    let best: WaitingCaller | undefined;
+    let bestPlace = Number.POSITIVE_INFINITY;
     for (const waiting of this.#waiting) {
-      const order = this.#orderOf(waiting.caller, now);
-      if (best === undefined || precedes(order, bestOrder)) [best, bestOrder] = [waiting, order];
+      const place = this.#placeOf(waiting, now);
+      if (place < bestPlace || (place === bestPlace && waiting.caller.startedAt < best!.caller.startedAt))
+        [best, bestPlace] = [waiting, place];
     }
     return best;
   }
 
-  #orderOf(caller: Caller, now: number): readonly number[] {
-    const { kind, promptTokens, startedAt } = caller;
+  /** Place in the order, before that of arrival: in time before late, those below their floor first, then by rank. */
+  #placeOf(waiting: WaitingCaller, now: number): number {
+    const { kind, promptTokens, startedAt } = waiting.caller;
     const firstEvent = now + this.#lead + promptTokens / this.#context.site.pace.tokensReadPerMillisecond;
     const isLate = firstEvent > startedAt + kind.objective;
-    const isBelowFloor = this.#isWithFloors && this.#isBelowFloor(caller);
-    return [isLate ? 1 : 0, isBelowFloor ? 0 : 1, kind.rank, startedAt];
+    const isBelowFloor = this.#isWithFloors && this.#isBelowFloor(waiting);
+    return (isLate ? 2 : 0) * RANKS + (isBelowFloor ? 0 : RANKS) + kind.rank;
   }
 
-  #isBelowFloor({ kind, tenant, ...caller }: Caller): boolean {
-    const all = shareOf(this.#all);
-    const ofKind = this.#groupOf(kind.name);
-    const isLower = (group: Group, share: number) => shareOf(group) < share;
-    return (
-      isLower(ofKind, FLOOR * all) ||
-      isLower(this.#groupOf(`tenant ${tenant}`), FLOOR * all) ||
-      isLower(
-        this.#groupOf(`${kind.name} ${this.#sizeClass({ kind, ...caller })}`),
-        SIZE_FLOOR * shareOf(ofKind),
-      )
-    );
+  #isBelowFloor({ kind, tenant, size }: WaitingCaller): boolean {
+    const floor = FLOOR * shareOf(this.#all);
+    return shareOf(kind) < floor || shareOf(tenant) < floor || shareOf(size) < SIZE_FLOOR * shareOf(kind);
   }
 
-  #groupsOf(caller: Caller): Group[] {
-    const { kind, tenant } = caller;
-    const names = [kind.name, `tenant ${tenant}`, `${kind.name} ${this.#sizeClass(caller)}`];
-    return [this.#all, ...names.map((name) => this.#groupOf(name))];
+  #groupsOf({ kind, tenant, size }: WaitingCaller): Group[] {
+    return [this.#all, kind, tenant, size];
   }
 
   #sizeClass(caller: Pick<Caller, 'kind' | 'promptTokens' | 'answerTokens'>): string {
@@ -171,8 +196,3 @@
 function shareOf({ asked, begun }: Group): number {
   return begun / Math.max(1, asked);
 }
-
-function precedes(one: readonly number[], other: readonly number[]): boolean {
-  for (const [place, value] of one.entries()) if (value !== other[place]) return value < other[place];
-  return false;
-}
--- a/bench/simulation/load-based-placement.ts
+++ b/bench/simulation/load-based-placement.ts
@@ -5,9 +5,9 @@
   type PlacementContext,
   type PlacementEngine,
   type PlacementEntry,
+  RETRY_AFTER,
   type RequestPlacement,
 } from './placement-machines.js';
-import { RETRY_AFTER } from './slot-placement.js';
 
 /** A first request waits for this share of its objective; one that comes again for `LONGEST_WAIT`, in milliseconds. */
 const WAIT_SHARE = 0.6;
--- a/bench/simulation/placement-callers.ts
+++ b/bench/simulation/placement-callers.ts
@@ -7,6 +7,8 @@
 export const CALLER_DELAY = 3;
 /** Callers honour `Retry-After` up to this share of the time that they have left. */
 const RETRY_DELAY_SHARE = 1 / 3;
+/** Share of its objective within which a request is refused early. */
+const EARLY_REFUSAL = 0.25;
 /** Greatest size of a prompt or an answer, as a multiple of the mean of its kind. */
 const MAX_SIZE = 4;
 
@@ -23,6 +25,8 @@
   firstEventAt: number;
   /** Number of refusals so far. */
   refusals: number;
+  /** Whether the latest refusal came so early that little was lost for its caller. */
+  isRefusedEarly: boolean;
   servedAt: number | undefined;
 }
 
@@ -67,7 +71,9 @@
   /** The caller comes again once, at any entry, after `retryAfter` milliseconds. */
   refuse(caller: Caller, retryAfter: number): void {
     caller.refusals++;
-    this.refusedAfter.push(this.#init.clock.now - caller.attemptedAt);
+    const refusedAfter = this.#init.clock.now - caller.attemptedAt;
+    this.refusedAfter.push(refusedAfter);
+    caller.isRefusedEarly = refusedAfter <= EARLY_REFUSAL * caller.kind.objective;
     const now = this.#init.clock.now + CALLER_DELAY;
     const backAt = now + Math.min(retryAfter, RETRY_DELAY_SHARE * (caller.deadline - now));
     if (caller.refusals > 1 || backAt > caller.deadline) return;
@@ -109,6 +115,7 @@
       deadline: now + shortest + random.fraction() * (longest - shortest),
       firstEventAt: 0,
       refusals: 0,
+      isRefusedEarly: false,
       servedAt: undefined,
     };
   }
--- a/bench/simulation/placement-machines.ts
+++ b/bench/simulation/placement-machines.ts
@@ -11,6 +11,8 @@
 /** One way between an entry and an engine of the same zone, and of another one, in milliseconds. */
 const NEAR_DELAY = 0.9;
 const FAR_DELAY = 1.8;
+/** Delay after which a refused caller comes back, in milliseconds, times 1 to 2. */
+export const RETRY_AFTER = 400;
 /** Cost of an engine in another zone. */
 export const OTHER_ZONE_COST = 55;
 
--- a/bench/simulation/placement-report.ts
+++ b/bench/simulation/placement-report.ts
@@ -15,6 +15,8 @@
   name: string;
   asked: number;
   inTime: number;
+  /** Refused early, and in time when they came again. */
+  inTimeOnReturn: number;
   late: number;
   /** Refused once or more. */
   refused: number;
@@ -27,13 +29,17 @@
   fifthBelow: number;
 }
 
-/** What all callers got, as shares of the requests; the credit is what they were worth of what they could have been. */
+/**
+ * What all callers got, as shares of the requests; the credit is what they were worth of what they could have been. A request
+ * that was refused early and was in time when it came again is worth the mean of one in time and a late one.
+ */
 export interface ServiceReport {
   credit: number;
   inTime: number;
+  inTimeOnReturn: number;
   late: number;
   refused: number;
-  /** Share of the served requests that were in time. */
+  /** Share of the served requests that were in time, at the first attempt or after an early refusal. */
   inTimeOfServed: number;
   kinds: KindReport[];
   /** Share served of the tenant that was served least, divided by the share served of all requests. */
@@ -46,12 +52,11 @@
 /** Reports on `callers`, which must not be empty. */
 export function serviceReport(callers: readonly Caller[], site: PlacementSite): ServiceReport {
   const inTime = callers.filter(isInTime);
+  const inTimeOnReturn = callers.filter(isInTimeOnReturn);
   const served = callers.filter(isServed);
   const servedShare = shareServed(callers);
   const owed = sumOf(callers, (caller) => worthOf(caller, caller.kind.worth, site));
-  const earned = sumOf(served, (caller) =>
-    worthOf(caller, isInTime(caller) ? caller.kind.worth : caller.kind.worthLate, site),
-  );
+  const earned = sumOf(served, (caller) => worthOf(caller, worthEarned(caller), site));
   const times = callers
     .filter(({ firstEventAt }) => firstEventAt > 0)
     .map(({ firstEventAt, startedAt }) => firstEventAt - startedAt)
@@ -59,9 +64,10 @@
   return {
     credit: rounded(earned / owed),
     inTime: rounded(inTime.length / callers.length),
-    late: rounded((served.length - inTime.length) / callers.length),
+    inTimeOnReturn: rounded(inTimeOnReturn.length / callers.length),
+    late: rounded((served.length - inTime.length - inTimeOnReturn.length) / callers.length),
     refused: rounded(1 - servedShare),
-    inTimeOfServed: rounded(inTime.length / served.length),
+    inTimeOfServed: rounded((inTime.length + inTimeOnReturn.length) / served.length),
     kinds: site.kinds.map((kind) =>
       kindReport(
         kind.name,
@@ -97,7 +103,8 @@
     name,
     asked: callers.length,
     inTime: share(isInTime),
-    late: share((caller) => isServed(caller) && !isInTime(caller)),
+    inTimeOnReturn: share(isInTimeOnReturn),
+    late: share((caller) => isServed(caller) && !isInTime(caller) && !isInTimeOnReturn(caller)),
     refused: share(({ refusals }) => refusals > 0),
     refusedAgain: share(({ refusals }) => refusals > 1),
     ofAll: rounded(ofKind / servedShare),
@@ -123,6 +130,20 @@
   return isServed(caller) && caller.firstEventAt - caller.startedAt <= caller.kind.objective;
 }
 
+function isInTimeOnReturn(caller: Caller): boolean {
+  const { firstEventAt, attemptedAt, isRefusedEarly, kind } = caller;
+  return (
+    isServed(caller) && !isInTime(caller) && isRefusedEarly && firstEventAt - attemptedAt <= kind.objective
+  );
+}
+
+/** Worth of a served request. */
+function worthEarned(caller: Caller): number {
+  const { worth, worthLate } = caller.kind;
+  if (isInTime(caller)) return worth;
+  return isInTimeOnReturn(caller) ? (worth + worthLate) / 2 : worthLate;
+}
+
 function shareServed(callers: readonly Caller[]): number {
   return callers.filter(isServed).length / callers.length;
 }
--- a/bench/simulation/placement-simulation.ts
+++ b/bench/simulation/placement-simulation.ts
@@ -22,10 +22,11 @@
   type PlacementContext,
   type PlacementEngine,
   type PlacementEntry,
+  RETRY_AFTER,
   type RequestPlacement,
 } from './placement-machines.js';
 import { rounded, type ServiceReport, serviceReport } from './placement-report.js';
-import { RETRY_AFTER, SlotPlacement } from './slot-placement.js';
+import { SlotPlacement } from './slot-placement.js';
 import { VirtualClock } from './virtual-clock.js';
 
 /** How an engine is chosen. */
--- a/bench/simulation/slot-placement.ts
+++ b/bench/simulation/slot-placement.ts
@@ -1,13 +1,11 @@
 /** Placement by slots that agents grant, with the systems that entries and agents run. */
-import type { Route } from '../../src/fleet/configuration.js';
-import { HoldRecord } from '../../src/forwarding/hold-record.js';
-import { RequestTiming } from '../../src/forwarding/request-timing.js';
 import type { Random } from '../../src/model/random.js';
+import { ServiceFloor } from '../../src/systems/service-floor.js';
 import { claimOf, tableId } from '../../src/systems/slot-holders.js';
-import { SlotSearch } from '../../src/systems/slot-search.js';
+import type { SlotAsk } from '../../src/systems/slot-queue.js';
+import type { SlotCandidate } from '../../src/systems/slot-search.js';
 import type { SlotDecision } from '../../src/systems/slot-table.js';
 import type { Caller } from './placement-callers.js';
-import { TIMEOUT } from './placement-loads.js';
 import {
   delayBetween,
   OTHER_ZONE_COST,
@@ -16,12 +14,9 @@
   type PlacementEntry,
   type RequestPlacement,
 } from './placement-machines.js';
-import { STREAM_ROUTE } from './stream-route.js';
+import { SlotAttempt } from './slot-attempt.js';
 
-/** Delay after which a refused caller comes back, in milliseconds, times 1 to 2. */
-export const RETRY_AFTER = 400;
 const LOOK_INTERVAL = 250;
-const CHECK_INTERVAL = 50;
 const STATEMENT_INTERVAL = 100;
 const HOLDERS_CHECK = 100;
 /** An engine tells of its load as it stood this long before, in milliseconds. */
@@ -38,11 +33,11 @@
 
 /** Entries look for slots at the agents of a few engines. */
 export class SlotPlacement implements RequestPlacement {
-  readonly #context: PlacementContext;
+  readonly context: PlacementContext;
   readonly #options: SlotPlacementOptions;
   /** Who waits for the answers of agents, by the request's name there. */
-  readonly #seekers = new Map<string, (decision: SlotDecision, engine: PlacementEngine) => void>();
-  readonly #holds: HoldRecord[];
+  readonly #seekers = new Map<string, (decision: SlotDecision) => void>();
+  readonly #floors: ServiceFloor[];
   /** Requests that have waited long enough to ask more agents, by urgency. */
   readonly #waiting = new Map<number, number>();
   /** Grants, and those given while a more urgent request waited elsewhere. */
@@ -50,9 +45,9 @@
   #grantsPastUrgent = 0;
 
   constructor(context: PlacementContext, options: SlotPlacementOptions) {
-    this.#context = context;
+    this.context = context;
     this.#options = options;
-    this.#holds = context.entries.map(() => new HoldRecord());
+    this.#floors = context.entries.map(() => new ServiceFloor(context.random));
   }
 
   /** Share of the grants that were given while a more urgent request waited elsewhere. */
@@ -61,7 +56,7 @@
   }
 
   begin(): void {
-    const { clock, engines, entries } = this.#context;
+    const { clock, engines, entries } = this.context;
     for (const engine of engines) {
       clock.schedule(engine.startsAt, () => this.#look(engine));
       clock.schedule(engine.startsAt, () => this.#checkHolders(engine));
@@ -72,103 +67,23 @@
     }
   }
 
-  /** Looks for a slot as an entry does. */
   place(caller: Caller, entry: PlacementEntry): void {
-    const { clock, random } = this.#context;
-    const startedAt = clock.now;
-    const timing = new RequestTiming(startedAt, routeOf(caller, this.#context), caller.deadline - startedAt);
-    const endsAt = timing.slotWaitDeadline(startedAt, false, false);
-    const urgency = timing.urgency(caller.kind.rank, startedAt);
-    const search = new SlotSearch(startedAt, random);
-    const { claims, life } = entry;
-    const open = new Map<PlacementEngine, number>();
-    const holds = this.#holds[entry.number];
-    let isHeld = false;
-    let isWaiting = false;
-    let isOver = false;
-    const end = (isSent: boolean) => {
-      isOver = true;
-      for (const [engine, claim] of open) this.#release(entry, engine, claim);
-      if (isHeld) holds.end(isSent ? 'sent' : 'unserved');
-      if (isWaiting) this.#countWaiting(urgency, -1);
-    };
-    const giveUp = () => {
-      end(false);
-      this.#refuse(caller);
-    };
-    const ask = () => {
-      if (!search.wantsMore(clock.now)) return;
-      for (const id of search.next(this.#candidates(entry), clock.now)) {
-        const engine = this.#context.engines[Number(id)];
-        const claim = claims.open(id);
-        open.set(engine, claim);
-        this.#seekers.set(tableId(String(entry.number), claim), (decision) => {
-          const { type } = decision;
-          // A process that has started since knows nothing of it.
-          if (entry.life !== life) return this.#release(entry, engine, claim);
-          if (!claims.isOpen(claim) && type === 'granted') return this.#release(entry, engine, claim);
-          if (isOver) return;
-          if (type === 'queued') return search.noteQueued(id);
-          if (decision.type === 'refused') {
-            claims.close(claim);
-            open.delete(engine);
-            if (decision.availableIn === undefined) return search.noteFailed(id);
-            search.noteFull(id);
-            ask();
-            return search.isPending ? undefined : giveUp();
-          }
-          if (!claims.noteGranted(claim)) return;
-          open.delete(engine);
-          end(true);
-          this.#countGrant(urgency);
-          this.#context.send(caller, entry, engine, urgency, () => {
-            this.#release(entry, engine, claim);
-          });
-        });
-        this.#ask(entry, engine, claim, { urgency, timing, endsAt, caller });
-      }
-    };
-    const check = () => {
-      if (isOver) return;
-      if (entry.isLost || entry.life !== life) {
-        isOver = true;
-        if (isWaiting) this.#countWaiting(urgency, -1);
-        return this.#refuse(caller);
-      }
-      for (const id of search.silent((since) => clock.now - since)) search.noteFailed(id);
-      if (clock.now >= endsAt) return giveUp();
-      if (!isWaiting) {
-        isWaiting = true;
-        this.#countWaiting(urgency, 1);
-        if (timing.isCallerRetry && !holds.allowsMore) return giveUp();
-        if (timing.isCallerRetry) {
-          isHeld = true;
-          holds.begin();
-        }
-      }
-      ask();
-      clock.schedule(Math.min(endsAt, clock.now + CHECK_INTERVAL), check);
-    };
-    ask();
-    clock.schedule(search.widensAt, check);
+    new SlotAttempt(caller, entry, this.#floors[entry.number], this).begin();
   }
 
-  #refuse(caller: Caller): void {
-    this.#context.refuse(caller, RETRY_AFTER * (1 + this.#context.random.fraction()));
-  }
-
-  #countWaiting(urgency: number, change: number): void {
+  /** Records that a request has begun to wait, or no longer waits, after it has asked more agents. */
+  countWaiting(urgency: number, change: number): void {
     this.#waiting.set(urgency, (this.#waiting.get(urgency) ?? 0) + change);
   }
 
-  #countGrant(urgency: number): void {
+  countGrant(urgency: number): void {
     this.#grants++;
     const isPastUrgent = [...this.#waiting].some(([other, count]) => other < urgency && count > 0);
     if (isPastUrgent) this.#grantsPastUrgent++;
   }
 
-  #candidates(entry: PlacementEntry) {
-    return this.#context.living().map(({ number, zone }) => ({
+  candidates(entry: PlacementEntry): SlotCandidate[] {
+    return this.context.living().map(({ number, zone }) => ({
       id: String(number),
       isNear: zone === entry.zone,
       cost: zone === entry.zone ? 0 : OTHER_ZONE_COST,
@@ -176,43 +91,37 @@
     }));
   }
 
-  #ask(
+  /** Asks the agent of `engine` for a slot; `onDecision` is called with each of its answers. */
+  ask(
     entry: PlacementEntry,
     engine: PlacementEngine,
     claim: number,
-    request: { urgency: number; timing: RequestTiming; endsAt: number; caller: Caller },
+    request: Omit<SlotAsk, 'id' | 'slots'>,
+    onDecision: (decision: SlotDecision) => void,
   ): void {
-    const { urgency, timing, endsAt, caller } = request;
-    const { clock, site } = this.#context;
+    const { clock, site } = this.context;
+    const name = String(entry.number);
+    const id = tableId(name, claim);
+    this.#seekers.set(id, onDecision);
     this.#deliver(entry, engine, () => {
       if (engine.isAgentSilent) return;
-      const name = String(entry.number);
       this.#tell(engine, engine.holders.noteRequest(name, claim, clock.now));
-      const ask = {
-        id: tableId(name, claim),
-        urgency,
-        waitsSince: timing.arrivedAt,
-        endsAt,
-        slots: site.pace.slots,
-        inTimeUntil: timing.inTimeUntil,
-        promptTokens: caller.promptTokens,
-      };
-      this.#tell(engine, engine.slots.ask(ask, clock.now));
+      this.#tell(engine, engine.slots.ask({ ...request, id, slots: site.pace.slots }, clock.now));
     });
   }
 
-  #release(entry: PlacementEntry, engine: PlacementEngine, claim: number): void {
+  release(entry: PlacementEntry, engine: PlacementEngine, claim: number): void {
     entry.claims.close(claim);
     const id = tableId(String(entry.number), claim);
-    const { clock } = this.#context;
+    const { clock } = this.context;
     this.#deliver(entry, engine, () => this.#tell(engine, engine.slots.release(id, clock.now)));
   }
 
   /** Sends an agent's answers. */
   #tell(engine: PlacementEngine, decisions: readonly SlotDecision[]): void {
     for (const decision of decisions) {
-      const entry = this.#context.entries[Number(claimOf(decision.id).entry)];
-      this.#deliver(entry, engine, () => this.#seekers.get(decision.id)?.(decision, engine));
+      const entry = this.context.entries[Number(claimOf(decision.id).entry)];
+      this.#deliver(entry, engine, () => this.#seekers.get(decision.id)?.(decision));
     }
   }
 
@@ -221,16 +130,16 @@
     entry: PlacementEntry,
     engine: PlacementEngine,
     take: () => void,
-    random = this.#context.random,
+    random = this.context.random,
   ): void {
-    const { clock } = this.#context;
+    const { clock } = this.context;
     if (entry.isLost || random.fraction() < this.#options.lossBetween(entry, engine)) return;
     clock.schedule(clock.now + delayBetween(entry, engine), take);
   }
 
   /** Tells each agent what the entry has open there, now and then. */
   #stateClaims(entry: PlacementEntry): void {
-    const { clock, engines } = this.#context;
+    const { clock, engines } = this.context;
     const { statementRandom } = this.#options;
     const statements = entry.isLost ? [] : entry.claims.statements();
     for (const { agent, statement } of statements) {
@@ -243,7 +152,7 @@
   }
 
   #look(engine: PlacementEngine): void {
-    const { clock } = this.#context;
+    const { clock } = this.context;
     const { load } = engine.engine;
     clock.schedule(clock.now + REPORT_LAG, () =>
       this.#tell(engine, engine.slots.observe({ isServing: true, load }, clock.now)),
@@ -252,7 +161,7 @@
   }
 
   #checkHolders(engine: PlacementEngine): void {
-    const { clock } = this.#context;
+    const { clock } = this.context;
     const { now } = clock;
     this.#tell(
       engine,
@@ -261,8 +170,3 @@
     clock.schedule(now + HOLDERS_CHECK, () => this.#checkHolders(engine));
   }
 }
-
-function routeOf({ kind }: Caller, { site }: PlacementContext): Route {
-  const { objective, rank } = kind;
-  return { ...STREAM_ROUTE, objective, patience: site.patience, timeout: TIMEOUT, priority: rank };
-}
--- a/src/forwarding/admitted-request.ts
+++ b/src/forwarding/admitted-request.ts
@@ -5,6 +5,7 @@
 import { pathOf, type RouteTable, targetService } from '../fleet/route-table.js';
 import { hash32 } from '../model/random.js';
 import { failure, type Result, success } from '../model/result.js';
+import type { ServiceFloor } from '../systems/service-floor.js';
 import type { ForwardingError } from './forwarding-errors.js';
 import { endToEndHeaders, type HeaderNames, LAST_EVENT_ID } from './header-names.js';
 import { RequestTiming } from './request-timing.js';
@@ -18,6 +19,10 @@
   /** Name of the tenant to which the caller's key belongs; undefined if no key is required. */
   tenant: string | undefined;
   /** Rank of the request's priority among all priorities, 0 for the most urgent. */
+  priorityRank: number;
+  /** Whether it goes with the most urgent requests all the same, so that its kind is not starved. */
+  isDrawn: boolean;
+  /** Rank with which the request goes: 0 if it is drawn. */
   rank: number;
   timing: RequestTiming;
   promptTokens: number;
@@ -34,6 +39,7 @@
 export interface AdmissionComponents {
   fleet: FleetView;
   names: HeaderNames;
+  floor: ServiceFloor;
 }
 
 /**
@@ -43,7 +49,7 @@
 export function admit(
   { headers, url }: IncomingMessage,
   arrivedAt: number,
-  { fleet, names }: AdmissionComponents,
+  { fleet, names, floor }: AdmissionComponents,
 ): Result<AdmittedRequest, RejectedRequest> {
   const table = fleet.routes;
   if (table === undefined || !fleet.complete) return failure({ error: { type: 'notConfigured' } });
@@ -55,13 +61,17 @@
   if (needsKey && tenant === undefined)
     return failure({ error: { type: isBehind ? 'configurationBehind' : 'unknownKey' }, route: route.name });
   const timeLeft = Number(headers[names.timeLeft]);
+  const priorityRank = table.rankOf(tenant?.priority ?? route.priority);
+  const isDrawn = route.isStream && floor.draws(priorityRank, arrivedAt);
   const [promptTokens, answerTokens] = String(headers[names.tokenCounts] ?? '').split(',');
   return success({
     table,
     route,
     service: targetService(route, hash32(String(headers[names.requestId] ?? '')) / 2 ** 32),
     tenant: tenant?.name,
-    rank: table.rankOf(tenant?.priority ?? route.priority),
+    priorityRank,
+    isDrawn,
+    rank: isDrawn ? 0 : priorityRank,
     timing: new RequestTiming(arrivedAt, route, timeLeft > 0 ? timeLeft : undefined),
     promptTokens: tokenCount(promptTokens),
     answerTokens: tokenCount(answerTokens),
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -582,7 +582,7 @@
     this.#logEnding(ending);
     this.#settled = true;
     this.#releaseResources(ending);
-    this.#components.onSettled(this, outcomeOfEnding(ending), this.#log.age);
+    this.#components.onSettled(this, outcomeOfEnding(ending), this.#log.age, this.#admitted);
     switch (ending.type) {
       case 'answered':
         return this.#answer.end(ending.use.answer);
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -14,6 +14,8 @@
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
+import { ServiceFloor } from '../systems/service-floor.js';
+import type { AdmittedRequest } from './admitted-request.js';
 import { AnswerNotices } from './answer-notices.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
 import type { BackEndLimits } from './back-end-limits.js';
@@ -72,7 +74,14 @@
   cutMetrics: CutAnswerMetrics;
   poison: PoisonGuard;
   budgetOf(service: string): RetryWindow;
-  onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
+  floor: ServiceFloor;
+  /** @param admitted - undefined if the request was rejected on arrival */
+  onSettled(
+    request: ForwardedRequest,
+    outcome: RequestOutcome,
+    milliseconds: number,
+    admitted: AdmittedRequest | undefined,
+  ): void;
 }
 
 export class ForwardingServer implements Startable {
@@ -99,7 +108,7 @@
     address: string,
     components: Omit<
       ForwardingComponents,
-      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices'
+      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices' | 'floor'
     >,
     metrics: Metrics,
   ) {
@@ -111,7 +120,11 @@
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
       notices: new AnswerNotices({ ...components, metrics }),
-      onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
+      floor: new ServiceFloor(components.random),
+      onSettled: (request, outcome, milliseconds, admitted) => {
+        this.#onSettled(request, outcome, milliseconds);
+        if (admitted?.route.isStream) this.#noteService(admitted, outcome);
+      },
     };
     components.poison.onQuarantined = () => {
       for (const request of this.#active) request.onQuarantined();
@@ -288,6 +301,13 @@
     }
   }
 
+  /** Tells the floor of service who is served; a caller that leaves, or a stop of this process, says nothing about that. */
+  #noteService({ priorityRank, isDrawn }: AdmittedRequest, outcome: RequestOutcome): void {
+    if (outcome === 'left' || outcome === 'stopped') return;
+    const isServed = outcome === 'served';
+    this.#components.floor.note({ rank: priorityRank, isDrawn, isServed }, performance.now());
+  }
+
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
     if (!this.#arrivedWhileDraining(request)) this.#lingerStartedAt = performance.now();
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -24,6 +24,9 @@
  */
 const REPORT_LAG = 400;
 
+/** Factor by which a wait may exceed the expected one, as more urgent requests that arrive later go first. */
+const WAIT_MARGIN = 1.5;
+
 /** The decision on a request for a slot. */
 export type SlotDecision =
   /** The request holds a slot until it is released. */
@@ -133,7 +136,7 @@
     if (!this.#isServing || this.#wouldMissEnd(ask)) return [{ type: 'refused', id: ask.id }];
     const isWaiting = this.#waiting.has(ask.id);
     const availableIn = this.#hasFreeSlot || isWaiting ? 0 : this.#waiting.expectedWait(ask, now);
-    if (availableIn !== undefined && now + availableIn > ask.endsAt)
+    if (availableIn !== undefined && now + WAIT_MARGIN * availableIn > ask.endsAt)
       return [{ type: 'refused', id: ask.id, availableIn }];
     this.#waiting.add(ask);
     const decisions = this.grantFree(now);
