--- a/bench/simulation/slot-placement.ts
+++ b/bench/simulation/slot-placement.ts
@@ -1,10 +1,12 @@
 /** Placement by slots that agents grant, with the systems that entries and agents run. */
 import type { Random } from '../../src/model/random.js';
+import { ReturnSchedule } from '../../src/systems/return-schedule.js';
 import { ServiceFloor } from '../../src/systems/service-floor.js';
 import { claimOf, tableId } from '../../src/systems/slot-holders.js';
 import type { SlotAsk } from '../../src/systems/slot-queue.js';
 import type { SlotCandidate } from '../../src/systems/slot-search.js';
 import type { SlotDecision } from '../../src/systems/slot-table.js';
+import { WaitPolicy } from '../../src/systems/wait-policy.js';
 import type { Caller } from './placement-callers.js';
 import {
   delayBetween,
@@ -14,7 +16,7 @@
   type PlacementEntry,
   type RequestPlacement,
 } from './placement-machines.js';
-import { SlotAttempt } from './slot-attempt.js';
+import { type EntryDecisions, SlotAttempt } from './slot-attempt.js';
 
 const LOOK_INTERVAL = 250;
 const STATEMENT_INTERVAL = 100;
@@ -37,7 +39,7 @@
   readonly #options: SlotPlacementOptions;
   /** Who waits for the answers of agents, by the request's name there. */
   readonly #seekers = new Map<string, (decision: SlotDecision) => void>();
-  readonly #floors: ServiceFloor[];
+  readonly #decisions: EntryDecisions[];
   /** Requests that have waited long enough to ask more agents, by urgency. */
   readonly #waiting = new Map<number, number>();
   /** Grants, and those given while a more urgent request waited elsewhere. */
@@ -47,7 +49,11 @@
   constructor(context: PlacementContext, options: SlotPlacementOptions) {
     this.context = context;
     this.#options = options;
-    this.#floors = context.entries.map(() => new ServiceFloor(context.random));
+    this.#decisions = context.entries.map(() => ({
+      floor: new ServiceFloor(context.random),
+      waits: new WaitPolicy(),
+      returns: new ReturnSchedule(context.random),
+    }));
   }
 
   /** Share of the grants that were given while a more urgent request waited elsewhere. */
@@ -68,7 +74,7 @@
   }
 
   place(caller: Caller, entry: PlacementEntry): void {
-    new SlotAttempt(caller, entry, this.#floors[entry.number], this).begin();
+    new SlotAttempt(caller, entry, this.#decisions[entry.number], this).begin();
   }
 
   /** Records that a request has begun to wait, or no longer waits, after it has asked more agents. */
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -21,6 +21,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import { CallerReturns } from './caller-returns.js';
 import type { CompletionEstimateComponents } from './completion-estimate.js';
 import { CutAnswerMetrics } from './cut-answer-metrics.js';
 import type { DirectPermits } from './direct-permits.js';
@@ -73,6 +74,7 @@
   moveMetrics: StreamMoveMetrics;
   cutMetrics: CutAnswerMetrics;
   poison: PoisonGuard;
+  returns: CallerReturns;
   budgetOf(service: string): RetryWindow;
   floor: ServiceFloor;
   /** @param admitted - undefined if the request was rejected on arrival */
@@ -108,7 +110,14 @@
     address: string,
     components: Omit<
       ForwardingComponents,
-      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices' | 'floor'
+      | 'onSettled'
+      | 'durations'
+      | 'expiryFigures'
+      | 'moveMetrics'
+      | 'cutMetrics'
+      | 'notices'
+      | 'returns'
+      | 'floor'
     >,
     metrics: Metrics,
   ) {
@@ -120,6 +129,7 @@
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
       notices: new AnswerNotices({ ...components, metrics }),
+      returns: new CallerReturns({ ...components, metrics }),
       floor: new ServiceFloor(components.random),
       onSettled: (request, outcome, milliseconds, admitted) => {
         this.#onSettled(request, outcome, milliseconds);
