--- a/src/systems/return-schedule.ts
+++ b/src/systems/return-schedule.ts
@@ -18,6 +18,8 @@
  * the room that they leave is never known to be none.
  */
 const LEAST_ROOM_SHARE = 0.25;
+/** If a smaller share of the arrivals is sent, more arrives than can be sent. Otherwise the pace only shows what arrives. */
+const OVERLOAD_SHARE = 0.9;
 /** Delay while nothing is known of the pace, times 1 to 2. */
 const UNKNOWN_PACE_DELAY = 400;
 /** Earliest part of its time at which a caller comes back if all room is given out until then. */
@@ -78,10 +80,14 @@
   /** Requests per second of this rank for which there is room beside the arrivals; undefined if the pace is unknown. */
   #roomFor(rank: number, now: number): number | undefined {
     if (this.#pace === undefined) return undefined;
-    const arrivals = this.#arrivals
-      .slice(0, placeOf(rank) + 1)
-      .reduce((sum, rate) => sum + rate.perSecond(now), 0);
-    return Math.max(LEAST_ROOM_SHARE * this.#pace, this.#pace - arrivals);
+    const isOverload = this.#pace < OVERLOAD_SHARE * this.#arrivalsUpTo(RANKS - 1, now);
+    if (!isOverload) return this.#pace;
+    return Math.max(LEAST_ROOM_SHARE * this.#pace, this.#pace - this.#arrivalsUpTo(placeOf(rank), now));
+  }
+
+  /** Arrivals per second of this place and more urgent ones. */
+  #arrivalsUpTo(place: number, now: number): number {
+    return this.#arrivals.slice(0, place + 1).reduce((sum, rate) => sum + rate.perSecond(now), 0);
   }
 
   #between(from: number, to: number): number {
--- a/src/systems/wait-policy.ts
+++ b/src/systems/wait-policy.ts
@@ -119,7 +119,8 @@
       const isLate = endedAt >= inTimeUntil;
       this.#open.delete(open);
       this.#noteOutcome(rank, isLate, mayBeLate, outcome);
-      this.#noteFigure(isLate, outcome);
+      // A request that gave up when it could no longer be in time has not waited late.
+      this.#noteFigure(isLate && (mayBeLate || outcome === 'sent'), outcome);
     };
     return { inTimeUntil, endsAt: Math.max(mayBeLate ? latestBegin : inTimeUntil, now + ASKING_TIME), end };
   }
