A named version is collected until its own successor has expired it

Cause: entries collected a named version for a bound after its own naming. With two versions 3 s apart and the origin away, the first was dropped at the moment in which its predecessor expired, 3 s before the second expires it, and agents left it with their plans. Change: a version is wanted while requests may start on it.

--- a/src/weights/version-collector.ts
+++ b/src/weights/version-collector.ts
@@ -119,16 +119,16 @@
   }
 
   /**
-   * The versions to collect: the newest named version of each model, named versions whose bound has not
-   * passed, and the served version of models without a named one.
+   * The versions to collect: named versions on which requests may start, the newest of each model among them,
+   * and the served version of models without a named one. A version named late in its predecessor's bound may
+   * be all that serves until its own successor is complete.
    */
   wantedVersions(): WeightsVersion[] {
     const { fleet, versionBound, servedVersions } = this.#options;
     const now = performance.now();
-    const named = fleet.versions.all().filter((one) => {
-      const isNewest = one.version === fleet.versions.newest(one.model)?.version;
-      return isNewest || now < fleet.versions.namedAt(one) + versionBound;
-    });
+    const named = fleet.versions
+      .all()
+      .filter(({ model, version }) => now < fleet.versions.expiryOf(model, version, versionBound));
     const served = servedVersions().filter(({ model }) => fleet.versions.newest(model) === undefined);
     return [...named, ...served].map(({ model, version }) => ({ model, version }));
   }
--- a/test/weights/version-replay.ts
+++ b/test/weights/version-replay.ts
@@ -53,7 +53,9 @@
 
 /** What came of it. */
 export interface ReplayOutcome {
-  /** When the first engine held each version and was not switching, from version 2 on; infinite if none did. */
+  /** When the first and the last agent had all pieces of each version, from version 2 on; infinite if none did. */
+  wholeAt: Array<{ first: number; last: number }>;
+  /** When the first engine held each version and was not switching. */
   firstAt: number[];
   /** The same for half of the engines. */
   halfAt: number[];
@@ -232,8 +234,10 @@
     if (rot !== undefined) setTimeout(() => this.#rot(rot.share, rot.every), rot.at);
     const announcing = setInterval(() => this.#announce(), ANNOUNCE_DELAY);
     const serving: number[] = [];
-    const firstAt = namedAt.map(() => Number.POSITIVE_INFINITY);
-    const halfAt = namedAt.map(() => Number.POSITIVE_INFINITY);
+    const never = Number.POSITIVE_INFINITY;
+    const wholeAt = namedAt.map(() => ({ first: never, last: never }));
+    const firstAt = namedAt.map(() => never);
+    const halfAt = namedAt.map(() => never);
     const sample = () => {
       const now = performance.now();
       const versions = this.#agents.map(({ engine, report }) =>
@@ -242,7 +246,11 @@
       const lowest = Math.max(1, this.#named.lowestAllowed(MODEL, now, bound));
       serving.push(versions.filter((version) => version >= lowest).length);
       namedAt.forEach((_, index) => {
-        const holding = versions.filter((version) => version >= index + 2).length;
+        const version = index + 2;
+        const whole = this.#agents.filter(({ library }) => library.of({ model: MODEL, version })?.complete);
+        if (whole.length > 0) wholeAt[index].first = Math.min(wholeAt[index].first, now);
+        if (whole.length === this.#agents.length) wholeAt[index].last = Math.min(wholeAt[index].last, now);
+        const holding = versions.filter((held) => held >= version).length;
         if (holding > 0) firstAt[index] = Math.min(firstAt[index], now);
         if (holding >= versions.length / 2) halfAt[index] = Math.min(halfAt[index], now);
       });
@@ -256,6 +264,7 @@
     const { pieces } = this.#init;
     const storeCalls = Object.values(this.#objects.calls).reduce((sum, count) => sum + count, 0);
     return {
+      wholeAt,
       firstAt,
       halfAt,
       serving,
