The predecessor's last pieces go first when the origin is back

Cause: when the origin came back, the entries that draw the older and the newer version shared its link; several entries drew the same last pieces, because the first pieces of their strides fell together; the first entry of the order noticed the return after up to 0.5 s, with five refused connections at a time. Change: a version leaves the origin to its predecessor while pieces of that are neither held nor drawn and it can still be used (`version-succession`); the stride counts over the pieces that are left, and pieces that nobody draws go before those that others draw; the first two entries try the origin again within 200 ms; a source that has failed is asked for one batch at a time.

--- a/src/systems/origin-draw.ts
+++ b/src/systems/origin-draw.ts
@@ -31,7 +31,15 @@
 const REDUNDANT_DRAW_DELAY = 700;
 /** Number of entries that do so: with more, a slow link would cause one extra copy for each. */
 const MAX_REDUNDANT_DRAWERS = 4;
-/** Offset between the first pieces of consecutive entries, as a share of the version (golden ratio, for any number). */
+/**
+ * Longest time between two attempts of the first entries in the order while the origin is unavailable: everything waits for
+ * its return. One entry more than the first, which may be the one that is cut off.
+ */
+const PROBE_INTERVAL = 200;
+const PROBING_ENTRIES = 2;
+/** The same for all others. */
+const LATE_PROBE_INTERVAL = 500;
+/** Offset between the first pieces of consecutive entries, as a share of the pieces left (golden ratio, for any number). */
 const DRAW_STRIDE = 0.618;
 
 /** An entry that may fetch from the origin. */
@@ -77,7 +85,9 @@
   patience: number;
   /** Maximum number of concurrent pieces. */
   parallel: number;
-  /** Index of the first piece to fetch in a version of `pieces` pieces. */
+  /** Longest time between two attempts while the origin is unavailable. */
+  retryInterval: number;
+  /** Position of the first piece to fetch among `pieces` that are left. */
   firstOf(pieces: number): number;
 }
 
@@ -88,6 +98,7 @@
   return {
     patience: served + drawn + drawDelay(place),
     parallel: place === 0 ? FIRST_PARALLEL : TAKEOVER_PARALLEL,
+    retryInterval: place < PROBING_ENTRIES ? PROBE_INTERVAL : LATE_PROBE_INTERVAL,
     firstOf: (pieces) => Math.floor(((place * DRAW_STRIDE) % 1) * pieces),
   };
 }
--- a/src/weights/agent-sources.ts
+++ b/src/weights/agent-sources.ts
@@ -89,7 +89,7 @@
       concurrency: ORIGIN_CONCURRENCY,
       batchTimeout: ORIGIN_TIMEOUT,
       mayDraw: () => true,
-      offset: offset % manifest.digests.length,
+      firstOf: (count) => offset % count,
     }),
   );
   return sources;
--- a/src/weights/entry-sources.ts
+++ b/src/weights/entry-sources.ts
@@ -180,9 +180,11 @@
     version: manifest,
     patience: plan.patience,
     concurrency: plan.parallel,
+    longestBackOff: plan.retryInterval,
     batchTimeout: ORIGIN_TIMEOUT,
     mayDraw: (index) => isDrawn(isAvailableElsewhere(index), sinceLastPiece, place.overall),
-    offset: plan.firstOf(manifest.digests.length),
+    isElsewhere: isAvailableElsewhere,
+    firstOf: plan.firstOf,
   });
   return [source];
 }
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -73,7 +73,7 @@
   readonly #drawing = new Set<number>();
   #lastPieceAt = performance.now();
   #wake: () => void = () => {};
-  #startedAt = 0;
+  #startedAt = performance.now();
   #duration = 0;
   #sizeAtStart = 0;
   #openBatches = 0;
@@ -89,6 +89,11 @@
     return this.#lastPieceAt;
   }
 
+  /** When the fetch began, in milliseconds of the monotonic clock. */
+  get startedAt(): number {
+    return this.#startedAt;
+  }
+
   /** Pieces in flight from the origin. */
   get drawing(): number[] {
     return [...this.#drawing];
@@ -160,7 +165,7 @@
       const row = this.#stateOf(source);
       if (now - this.#lastPieceAt < source.patience && now >= row.preferredUntil) continue;
       while (
-        row.openBatches < source.concurrency &&
+        row.openBatches < concurrencyOf(source, row) &&
         now >= row.backOffUntil &&
         this.#openBatches < limits.open
       ) {
@@ -236,7 +241,8 @@
   }
 
   #backOff(source: PieceSource, row: SourceState, reason: string): void {
-    const backOff = Math.min(MAX_BACKOFF, INITIAL_BACKOFF * 2 ** row.failures++);
+    const longest = source.longestBackOff ?? MAX_BACKOFF;
+    const backOff = Math.min(longest, INITIAL_BACKOFF * 2 ** row.failures++);
     row.backOffUntil = performance.now() + backOff * (0.5 + this.#options.random.fraction() / 2);
     const { model, version } = this.#options.held.manifest;
     this.#options.log.info('piece source failed', { source: source.name, model, version, reason });
@@ -250,3 +256,8 @@
     return row;
   }
 }
+
+/** Concurrent batches from a source; a source that has failed gets one until it delivers again. */
+function concurrencyOf({ concurrency }: PieceSource, { failures }: SourceState): number {
+  return failures > 0 ? 1 : concurrency;
+}
--- a/src/weights/piece-source.ts
+++ b/src/weights/piece-source.ts
@@ -23,6 +23,8 @@
   readonly batchTimeout: number;
   /** The source is the origin, from which each piece should be fetched only once. */
   readonly isOrigin: boolean;
+  /** Longest time for which the source is not used after a failure, in milliseconds; the fetcher's own limit if undefined. */
+  readonly longestBackOff?: number;
   /** False if a part of a batch costs as much as the whole batch. */
   readonly isDivisible: boolean;
   /** Selects the wanted pieces to request next; empty if the source has none of them. */
--- a/src/weights/piece-sources.ts
+++ b/src/weights/piece-sources.ts
@@ -185,20 +185,33 @@
   patience: number;
   concurrency: number;
   batchTimeout: number;
+  /** Longest time without an attempt after a failure, in milliseconds. */
+  longestBackOff?: number;
   /** Whether a piece may be fetched from the origin; false if another process has it. */
   mayDraw: (index: number) => boolean;
-  /** Index at which to start, so that several processes that draw at the same time fetch different pieces. */
-  offset: number;
+  /** Whether another process is known to hold or draw a piece; such a piece is fetched after all others. */
+  isElsewhere?: (index: number) => boolean;
+  /**
+   * Position of the first piece to fetch among `count` that may be fetched, so that several processes that draw at the same time
+   * fetch different pieces, even if few are left.
+   */
+  firstOf: (count: number) => number;
 }): PieceSource {
-  const { origin, version, patience, concurrency, batchTimeout, mayDraw, offset } = options;
+  const { origin, version, patience, concurrency, batchTimeout, mayDraw, isElsewhere, firstOf } = options;
   return {
     name: 'origin',
     patience,
+    longestBackOff: options.longestBackOff,
     concurrency,
     batchTimeout,
     isOrigin: true,
     isDivisible: true,
-    nextBatch: (wanted) => rotateFrom(wanted, offset).filter(mayDraw).slice(0, 1),
+    nextBatch(wanted) {
+      const drawable = wanted.filter(mayDraw);
+      const unclaimed = drawable.filter((piece) => isElsewhere?.(piece) !== true);
+      const candidates = unclaimed.length > 0 ? unclaimed : drawable;
+      return candidates.length === 0 ? [] : [candidates[firstOf(candidates.length)]];
+    },
     async fetch([index], signal) {
       const piece = await origin.piece(version, index, signal);
       return piece.ok ? success<Pieces>([[index, piece.value]]) : piece;
@@ -227,11 +240,6 @@
   ]);
 }
 
-/** The indexes from `start` on, then those before it. */
-function rotateFrom(indexes: readonly number[], start: number): number[] {
-  return [...indexes.filter((index) => index >= start), ...indexes.filter((index) => index < start)];
-}
-
 function rotate<T>(items: T[], offset: number): T[] {
   if (items.length === 0) return items;
   const start = offset % items.length;
--- a/src/weights/version-collector.ts
+++ b/src/weights/version-collector.ts
@@ -17,6 +17,7 @@
 import type { EntryReport, HeldPieces } from '../protocol/reports.js';
 import { holdsCopy, parentOf } from '../systems/copy-spread.js';
 import { drawDelay, drawOrder, QUICK_TAKEOVERS } from '../systems/origin-draw.js';
+import { waitsForPredecessor } from '../systems/version-succession.js';
 import {
   type EntryHolding,
   type EntryRank,
@@ -256,12 +257,45 @@
       isOnlyEntryOfZone: !peers().some(({ zone }) => zone === self.zone),
       objects,
       stored: this.#storedParts(collection),
-      origin: isListed ? this.#origin() : undefined,
+      origin: isListed && !this.#waitsForPredecessor(collection) ? this.#origin() : undefined,
       isServed,
       sinceLastPiece: performance.now() - (fetcher?.lastPieceAt ?? startedAt),
     });
   }
 
+  /** Whether the origin is left to a version of the model that was named before and is not complete. */
+  #waitsForPredecessor({ version, fetcher }: Collection): boolean {
+    const { fleet, versionBound } = this.#options;
+    const now = performance.now();
+    return [...this.#collections.values()].some((other) => {
+      const { model, version: number } = other.version;
+      if (model !== version.model || number >= version.version) return false;
+      return waitsForPredecessor({
+        undrawn: this.#undrawnPieces(other),
+        expiresIn: fleet.versions.expiryOf(model, number, versionBound) - now,
+        sincePredecessorPiece: now - (other.fetcher?.lastPieceAt ?? other.startedAt),
+        sinceStart: now - (fetcher?.startedAt ?? now),
+      });
+    });
+  }
+
+  /** Number of pieces of a version that neither this entry nor a peer holds or draws, and that are not stored. */
+  #undrawnPieces(collection: Collection): number {
+    const { held, fetcher, version } = collection;
+    const holders = this.#holders(version);
+    // An entry that is not to hold a copy knows the version from its peers.
+    const count = held?.have.capacity ?? holders[0]?.have.capacity;
+    if (count === undefined) return Number.POSITIVE_INFINITY;
+    const drawn = new Set([...(fetcher?.drawing ?? []), ...holders.flatMap(({ drawing }) => drawing)]);
+    const parts = held === undefined ? [] : partsOf(held.manifest);
+    const stored = this.#storedParts(collection);
+    for (const { index, pieces } of parts)
+      if (stored.has(index)) for (const piece of pieces) drawn.add(piece);
+    const isClaimed = (piece: number) =>
+      drawn.has(piece) || held?.have.has(piece) || holders.some(({ have }) => have.has(piece));
+    return Array.from({ length: count }, (_, piece) => piece).filter((piece) => !isClaimed(piece)).length;
+  }
+
   /** This entry's position in the orders in which entries fetch the version. */
   #place({ version }: Collection): EntryRank {
     const { self, peers } = this.#options;
