The first engines run out of requests before a version that completes late

Change: the engines of the first two of six waves accept no more requests from 1.5 s before the expected completion, if that is close to the expiry (`drainsAhead`), and load the version when it is complete; the others serve up to 0.7 s before the expiry instead of 1 s. The replay counts an engine only until entries stop sending to it, ends running requests after the last that can have been sent, and knows the engines of a zone. Trials: an estimate of the drain from the last switch was too short, as engines had drained before the order.

--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -31,7 +31,7 @@
 import type { PieceOriginFactory, PieceSource } from './piece-source.js';
 import { ReportThrottle } from './report-throttle.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
-import { shouldSkip, switchTime } from './switch-schedule.js';
+import { drainsAhead, shouldSkip, switchTime } from './switch-schedule.js';
 
 /** Interval at which the engine's state is polled, in milliseconds. */
 const POLL_INTERVAL = 250;
@@ -107,6 +107,8 @@
   #plan: WeightsPlan | undefined;
   #engineState: EngineState | undefined;
   #isAdvancing = false;
+  /** The engine accepts no requests, so that it is idle when the next version is complete. */
+  #isDrainingAhead = false;
   /** Cancels the import of the stage; undefined if none was started since the engine became reachable. */
   #stageRead: AbortController | undefined;
   readonly #reportThrottle = new ReportThrottle();
@@ -187,6 +189,7 @@
     const askedAt = performance.now();
     const state = await this.#options.engine.state(withLimit(signal, CALL_TIMEOUT));
     const wasReachable = this.#engineState !== undefined;
+    this.#isDrainingAhead = this.#drainsAhead();
     if (!this.#applyState(state.ok ? state.value : undefined, askedAt)) return;
     if (wasReachable !== state.ok)
       this.#options.log.info(state.ok ? 'engine regained' : 'engine lost', {
@@ -233,7 +236,7 @@
   }
 
   get #isSwitching(): boolean {
-    return this.#engineSwitch.isRunning || this.#engineState?.isBusy === true;
+    return this.#engineSwitch.isRunning || this.#isDrainingAhead || this.#engineState?.isBusy === true;
   }
 
   /** The version of which the engine holds every layer; 0 if none. */
@@ -394,8 +397,8 @@
       // The stage is about to be overwritten.
       this.#stageRead?.abort();
       await this.#stage.fill(held, signal);
-      if (performance.now() >= this.#switchTime(held, this.#completeAt.get(versionKey(held.manifest)) ?? 0))
-        await this.#switch(held, state, signal);
+      const switchTime = this.#switchTime(held, this.#completeAt.get(versionKey(held.manifest)) ?? 0);
+      if (this.#isDrainingAhead || performance.now() >= switchTime) await this.#switch(held, state, signal);
     }
     this.#isAdvancing = false;
   }
@@ -475,6 +478,24 @@
     return this.#versions.expiryOf(model, this.#loadedVersion, this.#plan?.bound ?? 0);
   }
 
+  /** Whether the engine stops accepting requests before the next version is complete. */
+  #drainsAhead(): boolean {
+    const now = performance.now();
+    return [...this.#fetches.values()].some(({ held, fetcher }) => {
+      if (held === undefined || fetcher === undefined || held.manifest.version <= this.#loadedVersion)
+        return false;
+      if (!this.#shouldLoad(held.manifest)) return false;
+      const isStalled = !held.complete && now - fetcher.lastPieceAt > STALL_TIME;
+      return drainsAhead({
+        version: this.#loadedVersion,
+        expiresAt: this.#servedVersionExpiry(held.manifest.model),
+        completeAt: isStalled ? Number.POSITIVE_INFINITY : fetcher.imminentEnd,
+        position: this.#plan?.position ?? 0,
+        now,
+      });
+    });
+  }
+
   /** Expected time until the engine is ordered to switch, in milliseconds; undefined if no switch is due. */
   #switchesIn(): number | undefined {
     if (this.#engineSwitch.isRunning) return undefined;
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -23,6 +23,9 @@
  */
 const FALLBACK_PREFERRED_TIME = 2_000;
 
+/** Number of intervals between pieces from which the current rate is taken. */
+const RATE_WINDOW = 8;
+
 interface SourceState {
   openBatches: number;
   /**
@@ -73,6 +76,8 @@
   readonly #drawing = new Set<number>();
   #lastPieceAt = performance.now();
   #wake: () => void = () => {};
+  /** The latest times between two pieces, in milliseconds. */
+  readonly #intervals: number[] = [];
   #startedAt = performance.now();
   #duration = 0;
   #sizeAtStart = 0;
@@ -117,6 +122,17 @@
     return now + ((now - this.#startedAt) / received) * (capacity - size);
   }
 
+  /**
+   * When the version will be complete at the rate of the latest pieces, in milliseconds of the monotonic clock;
+   * infinite if none has arrived. A pause between pieces has no effect on the rate.
+   */
+  get imminentEnd(): number {
+    const intervals = [...this.#intervals].sort((a, b) => a - b);
+    if (intervals.length === 0) return Number.POSITIVE_INFINITY;
+    const { size, capacity } = this.#options.held.have;
+    return performance.now() + intervals[Math.floor(intervals.length / 2)] * (capacity - size);
+  }
+
   /**
    * Duration of the fetch of all pieces, in milliseconds; 0 if it has not ended or nothing had to be fetched.
    */
@@ -235,7 +251,10 @@
     const { held, library } = this.#options;
     const isNew = !held.have.has(index);
     if (!library.add(held, index, bytes)) return false;
-    this.#lastPieceAt = performance.now();
+    const now = performance.now();
+    this.#intervals.push(now - this.#lastPieceAt);
+    if (this.#intervals.length > RATE_WINDOW) this.#intervals.shift();
+    this.#lastPieceAt = now;
     if (isNew) this.#piecesBySource.set(source.name, (this.#piecesBySource.get(source.name) ?? 0) + 1);
     return true;
   }
--- a/src/weights/switch-schedule.ts
+++ b/src/weights/switch-schedule.ts
@@ -13,10 +13,18 @@
 const WAVE_INTERVAL_SHARE = 0.1;
 const LATEST_SWITCH_SHARE = 0.875;
 /**
- * An engine switches at the latest this long before its version expires, in milliseconds: it could accept
+ * An engine switches at the latest this long before its version expires, in milliseconds: entries send it
  * hardly any new requests in that time.
  */
-const EXPIRY_MARGIN = 1_000;
+const EXPIRY_MARGIN = 700;
+/** Time in which the requests that run at an engine end, in milliseconds; a few of the longest take more. */
+const DRAIN_TIME = 1_500;
+/** Number of waves whose engines stop accepting requests before the new version is complete, if little time is left. */
+const AHEAD_WAVES = 2;
+/**
+ * Engines that drained ahead serve again this long before the others get no more requests, in milliseconds: the time of a load.
+ */
+const AHEAD_LEAD = 300;
 
 /** One engine in this many skips a version that a newer one follows. */
 const SKIP_EVERY = 3;
@@ -56,6 +64,31 @@
   return Math.min(waveTime, namedAt + LATEST_SWITCH_SHARE * bound, expiresAt - EXPIRY_MARGIN);
 }
 
+/** Inputs of {@link drainsAhead}. Times are in milliseconds of the monotonic clock. */
+export interface AheadTiming {
+  /** The engine's version; 0 if it holds none. */
+  version: number;
+  /** Until when requests may start on that version. */
+  expiresAt: number;
+  /** When all pieces of the new version are expected to have been fetched; infinite if its fetch is stalled. */
+  completeAt: number;
+  /** Index of the engine among those of its zone. */
+  position: number;
+  now: number;
+}
+
+/**
+ * Whether an engine accepts no more requests although the new version is not complete yet. A version that completes shortly
+ * before its predecessor expires would find every engine with running requests, and none would serve until the longest of them
+ * has ended. So the first waves let theirs end before, while the others serve, and load the version as soon as it is complete.
+ */
+export function drainsAhead(timing: AheadTiming): boolean {
+  const { version, expiresAt, completeAt, position, now } = timing;
+  if (version === 0 || waveOf(position) >= AHEAD_WAVES || !Number.isFinite(completeAt)) return false;
+  const loadAt = Math.max(completeAt, expiresAt - EXPIRY_MARGIN - AHEAD_LEAD);
+  return now >= loadAt - DRAIN_TIME;
+}
+
 /** Inputs of {@link shouldSkip}. Times are in milliseconds of the monotonic clock. */
 export interface SkipTiming {
   /** When the version and the newest version were named. */
--- a/test/weights/version-replay.ts
+++ b/test/weights/version-replay.ts
@@ -5,6 +5,7 @@
  */
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import type { callHttp } from '../../src/clients/http.js';
+import { storeRevision } from '../../src/clients/store-revision.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import { NamedVersions } from '../../src/fleet/named-versions.js';
 import { StoreClock } from '../../src/fleet/store-clock.js';
@@ -14,6 +15,7 @@
 import { failure, success } from '../../src/model/result.js';
 import { silentLog } from '../../src/observability/log.js';
 import type { EngineAgentRow } from '../../src/peers/engine-agents.js';
+import type { BackEndRecord } from '../../src/protocol/back-end-list-state.js';
 import type { EngineReport, EntryReport, HeldPieces, WeightsPlan } from '../../src/protocol/reports.js';
 import { EngineLoader } from '../../src/weights/engine-loader.js';
 import { type PieceManifest, WeightsLibrary, type WeightsVersion } from '../../src/weights/held-weights.js';
@@ -79,6 +81,8 @@
 const REPORT_LIFETIME = 1_400;
 /** Time in which an engine takes weights from its stage. */
 export const LOAD_TIME = 300;
+/** Entries send an engine no requests this long before its version expires. */
+export const EXPIRY_LEAD = 550;
 /** Time that an entry is away when it is restarted. */
 const RESTART_TIME = 500;
 const BYTES_IN_MEMORY = 24;
@@ -126,6 +130,8 @@
   readonly stagedPieces = new Map<number, Buffer>();
   readonly #drainTime: number;
   readonly #expiryOf: (version: number) => number;
+  /** Since when entries have sent it no requests because of a switch; undefined if they do. */
+  avoidedSince: number | undefined;
   #version = 1;
   #next = 1;
   #busyUntil = 0;
@@ -146,13 +152,19 @@
     return this.isBusy ? 0 : this.#version;
   }
 
+  /** When the latest request can have started. */
+  get #lastStartAt(): number {
+    const lastSentAt = this.avoidedSince ?? performance.now();
+    return Math.min(lastSentAt, this.#expiryOf(this.#version) - EXPIRY_LEAD);
+  }
+
   async state() {
     const layers = { from: 0, end: ENGINE_LAYERS, version: this.version || this.#version };
     const state: EngineState = {
       model: MODEL,
       layers,
       isBusy: this.isBusy,
-      load: 6,
+      load: performance.now() < this.#lastStartAt + this.#drainTime ? 1 : 0,
       sequence: this.#sequence,
     };
     return success(state);
@@ -171,10 +183,9 @@
     for (const [index, bytes] of this.stagedPieces)
       if (!bytes.equals(pieceOf(version, index))) throw new Error('ordered to load corrupt pieces');
     const now = performance.now();
-    const lastStartAt = Math.min(now, this.#expiryOf(this.#version));
+    this.#busyUntil = Math.max(now, this.#lastStartAt + this.#drainTime) + LOAD_TIME;
     this.#sequence++;
     this.#next = version;
-    this.#busyUntil = Math.max(now, lastStartAt + this.#drainTime) + LOAD_TIME;
     return success({ type: 'taken' } as const);
   }
 }
@@ -243,7 +254,7 @@
       const versions = this.#agents.map(({ engine, report }) =>
         report?.isSwitching === true ? 0 : engine.version,
       );
-      const lowest = Math.max(1, this.#named.lowestAllowed(MODEL, now, bound));
+      const lowest = Math.max(1, this.#named.lowestAllowed(MODEL, now + EXPIRY_LEAD, bound));
       serving.push(versions.filter((version) => version >= lowest).length);
       namedAt.forEach((_, index) => {
         const version = index + 2;
@@ -374,9 +385,24 @@
       configuration: { ...ENGINE_CONFIGURATION, origin: { service: 'weights', address: 'origin' } },
     });
     fleet.clock.addSample(performance.now(), performance.now());
+    fleet.applyBackEndList({ revision: 1, records: this.#backEndsOf(zone) });
     return entry;
   }
 
+  #backEndsOf(zone: string): BackEndRecord[] {
+    return Array.from({ length: this.#init.agentsPerZone }, (_, index) => ({
+      id: `${zone}-engine-${index}`,
+      start: undefined,
+      service: 'engines',
+      address: `${zone}-agent-${index}`,
+      zone,
+      slots: 12,
+      leaving: false,
+      layers: { from: 0, end: ENGINE_LAYERS, version: 1 },
+      revision: storeRevision(0, 1)!,
+    }));
+  }
+
   #addAgent(id: string, zone: string): void {
     const library = new WeightsLibrary();
     const engine = new ReplayEngine(this.#init.drainTime, (version) =>
@@ -402,6 +428,7 @@
         originAt: () => this.#origin,
         sendReport: (report) => {
           agent.report = report;
+          engine.avoidedSince = report.isSwitching ? (engine.avoidedSince ?? performance.now()) : undefined;
         },
         random: this.#random,
         log: silentLog,
--- a/test/weights/version-succession.test.ts
+++ b/test/weights/version-succession.test.ts
@@ -1,6 +1,13 @@
 /** Versions named in close succession while the origin of weights is away, replayed in virtual time. */
 import { describe, expect, it, vi } from 'vitest';
-import { LOAD_TIME, type ReplayInit, type ReplayOutcome, SAMPLE, VersionReplay } from './version-replay.js';
+import {
+  EXPIRY_LEAD,
+  LOAD_TIME,
+  type ReplayInit,
+  type ReplayOutcome,
+  SAMPLE,
+  VersionReplay,
+} from './version-replay.js';
 import { VirtualTime } from './virtual-time.js';
 
 const current = vi.hoisted(() => ({ replay: undefined as VersionReplay | undefined }));
@@ -39,12 +46,16 @@
  * Time between what the links allow and what processes can do: to notice that the origin is back, for two announcements
  * and for the poll of an engine.
  */
-const REACTION_TIME = 700;
+const REACTION_TIME = 400;
+/** Time in which entries notice that the one that draws has gone silent. */
+const TAKEOVER_TIME = 600;
 
 /** When an engine can have loaded version 2 at best, in milliseconds: the origin's pieces, one piece on an agent's link. */
-function earliestLoad({ pieces, pieceBytes, rates, originAway, drainTime }: ReplayInit): number {
+function earliestLoad(init: ReplayInit): number {
+  const { pieces, pieceBytes, rates, originAway, drainTime, killedAt, spoilt = 0 } = init;
   const pieceTime = (megabits: number) => (pieceBytes * 8) / (megabits * 1_000);
-  const drawn = Math.floor(originAway!.from / pieceTime(rates.origin));
+  const drawnFor = originAway!.from - (killedAt === undefined ? 0 : TAKEOVER_TIME);
+  const drawn = Math.floor((drawnFor * (1 - spoilt)) / pieceTime(rates.origin));
   const isWholeAt = originAway!.until + (pieces - drawn) * pieceTime(rates.origin);
   return isWholeAt + pieceTime(rates.agent) + drainTime + LOAD_TIME;
 }
@@ -74,8 +85,16 @@
     it.each(SEEDS)('leave engines that serve, but for the time of one load: seed %i', async (seed) => {
       const init = { ...DEPLOYMENT, ...changes, seed };
       const outcome = await replay(init);
-      const unavoidable = Math.max(0, earliestLoad(init) - (init.namedAt[0] + init.bound));
+      const lastSentAt = init.namedAt[0] + init.bound - EXPIRY_LEAD;
+      const unavoidable = Math.max(0, earliestLoad(init) - lastSentAt);
       expect(longestGap(outcome, 1)).toBeLessThanOrEqual(unavoidable + REACTION_TIME);
     });
   });
+
+  it.each(SEEDS)('leave engines that serve sooner than all could load the second: seed %i', async (seed) => {
+    const outcome = await replay({ ...DEPLOYMENT, seed });
+    // By then the first has been loaded. The second is whole shortly before the first expires.
+    const afterFirst = outcome.serving.slice(12_000 / SAMPLE);
+    expect(longestGap({ ...outcome, serving: afterFirst }, 1)).toBeLessThan(DEPLOYMENT.drainTime);
+  });
 });
--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -14,7 +14,13 @@
 import type { PieceOrigin, PieceSource } from '../../src/weights/piece-source.js';
 import { objectSource, originSource, partsOf, storedManifestKey } from '../../src/weights/piece-sources.js';
 import type { EngineState, StagedEngine, StartOrder } from '../../src/weights/staged-engine.js';
-import { SWITCH_WAVES, shouldSkip, switchTime, waveOf } from '../../src/weights/switch-schedule.js';
+import {
+  drainsAhead,
+  SWITCH_WAVES,
+  shouldSkip,
+  switchTime,
+  waveOf,
+} from '../../src/weights/switch-schedule.js';
 import { until } from '../support.js';
 
 const PIECES = 12;
@@ -200,6 +206,23 @@
     expect(waveOf(SWITCH_WAVES)).toBe(0);
   });
 
+  it('lets the first engines run out of requests before a version that completes shortly before the expiry', () => {
+    const late = { version: 1, expiresAt: 9_000, completeAt: 8_600, position: 0, now: 7_200 };
+    expect(drainsAhead(late)).toBe(true);
+    expect(drainsAhead({ ...late, now: 6_000 })).toBe(false);
+    const draining = [0, 1, 2, 3, 4, 5].filter((position) => drainsAhead({ ...late, position }));
+    expect(draining.length).toBe(2);
+    // There is time for the usual waves.
+    expect(drainsAhead({ ...late, completeAt: 4_000, now: 3_900 })).toBe(false);
+  });
+
+  it('lets no engine run out of requests for a version whose fetch is stalled, or while none expires', () => {
+    const late = { version: 1, expiresAt: 9_000, completeAt: 8_600, position: 0, now: 8_500 };
+    expect(drainsAhead({ ...late, completeAt: Number.POSITIVE_INFINITY })).toBe(false);
+    expect(drainsAhead({ ...late, expiresAt: Number.POSITIVE_INFINITY })).toBe(false);
+    expect(drainsAhead({ ...late, version: 0 })).toBe(false);
+  });
+
   it('skips a version closely followed by another, if that will be complete in time', () => {
     const closely = { namedAt: 1_000, newestNamedAt: 3_000, expiresAt: 9_000, bound: 8_000, position: 0 };
     expect(shouldSkip({ ...closely, newestCompleteAt: 7_000 })).toBe(true);
