An engine that may serve nothing loads what is complete

Cause: an empty engine loaded nothing but the newest version, and a version whose manifest is nowhere to be found counted as complete in 4 s. While the origin is away a restarted engine served nothing although its zone held the version before. The test waits 20 s in vain on the former code. Change: an engine without a version that may serve loads an older one that serves for a second before it expires or the newest one is complete (`servesInBetween`); a version without a manifest for 1.5 s is not expected; a version that is about to expire is not loaded.

--- a/src/systems/version-succession.ts
+++ b/src/systems/version-succession.ts
@@ -31,3 +31,21 @@
   if (undrawn === 0 || expiresIn < MIN_USEFUL_TIME) return false;
   return Math.min(sincePredecessorPiece, sinceStart) < PREDECESSOR_PATIENCE;
 }
+
+/** When an older version and the newest one are available to an engine. */
+export interface Alternatives {
+  /** Time until the older version is complete here; 0 if it is. */
+  completesIn: number;
+  /** Time until requests may no longer start on it. */
+  expiresIn: number;
+  /** Time until the newest version is complete here; infinite if its fetch is stalled or has not begun. */
+  newestCompletesIn: number;
+}
+
+/**
+ * Whether an engine that may start no request on what it holds loads an older version before the newest one: it serves long
+ * enough until that is complete.
+ */
+export function servesInBetween({ completesIn, expiresIn, newestCompletesIn }: Alternatives): boolean {
+  return Math.min(expiresIn, newestCompletesIn) - completesIn >= MIN_USEFUL_TIME;
+}
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -31,7 +31,7 @@
 import type { PieceOriginFactory, PieceSource } from './piece-source.js';
 import { ReportThrottle } from './report-throttle.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
-import { drainsAhead, shouldSkip, switchTime } from './switch-schedule.js';
+import { type VersionFetch, VersionOrder } from './version-order.js';
 
 /** Interval at which the engine's state is polled, in milliseconds. */
 const POLL_INTERVAL = 250;
@@ -50,10 +50,6 @@
  */
 const SLOW_LINK_PIECE_TIME = 250;
 const SLOW_LINK_FETCH_LIMITS: FetchLimits = { open: 1, batch: 1, share: 0.5 };
-/**
- * Expected duration of a fetch until this agent has completed one, in milliseconds: a fetch takes 3.5 to 4.3 s.
- */
-const INITIAL_FETCH_TIME = 4_000;
 /**
  * Only entries are asked for a manifest until these times, in milliseconds times the patience factor (1 to
  * 2): they have it within 0.3 s of the naming if the origin answers. If no entry is known, the object store
@@ -61,18 +57,6 @@
  */
 const MANIFEST_OBJECT_PATIENCE = 1_000;
 const MANIFEST_ORIGIN_PATIENCE = 2_500;
-/**
- * A fetch that has received no piece for this long is stalled and lets the next version go first, in
- * milliseconds.
- */
-const STALL_TIME = 700;
-
-interface Fetch {
-  stopped: AbortController;
-  held: HeldWeights | undefined;
-  fetcher: PieceFetcher | undefined;
-}
-
 export interface EngineLoaderOptions {
   engine: StagedEngine;
   /** Address at which the engine accepts requests. */
@@ -99,7 +83,8 @@
   readonly #starts = new EngineStarts();
   readonly #clock = new StoreClock();
   readonly #versions = new NamedVersions(this.#clock);
-  readonly #fetches = new Map<string, Fetch>();
+  readonly #fetches = new Map<string, VersionFetch>();
+  readonly #order: VersionOrder;
   readonly #patienceFactor: number;
   /** When all pieces of each version had been fetched, by version key. */
   readonly #completeAt = new Map<string, number>();
@@ -112,8 +97,6 @@
   /** Cancels the import of the stage; undefined if none was started since the engine became reachable. */
   #stageRead: AbortController | undefined;
   readonly #reportThrottle = new ReportThrottle();
-  /** Duration of the last fetch, in milliseconds. */
-  #fetchTime = INITIAL_FETCH_TIME;
 
   constructor(options: EngineLoaderOptions) {
     this.#options = options;
@@ -127,6 +110,12 @@
       },
       log: options.log,
     });
+    this.#order = new VersionOrder({
+      versions: this.#versions,
+      fetches: this.#fetches,
+      plan: () => this.#plan,
+      loadedVersion: () => this.#loadedVersion,
+    });
     this.#patienceFactor = 1 + options.random.fraction();
   }
 
@@ -189,7 +178,7 @@
     const askedAt = performance.now();
     const state = await this.#options.engine.state(withLimit(signal, CALL_TIMEOUT));
     const wasReachable = this.#engineState !== undefined;
-    this.#isDrainingAhead = this.#drainsAhead();
+    this.#isDrainingAhead = this.#order.drainsAhead();
     if (!this.#applyState(state.ok ? state.value : undefined, askedAt)) return;
     if (wasReachable !== state.ok)
       this.#options.log.info(state.ok ? 'engine regained' : 'engine lost', {
@@ -282,13 +271,18 @@
     }
     for (const [key, version] of wanted) {
       if (this.#fetches.has(key)) continue;
-      const fetch: Fetch = { stopped: new AbortController(), held: undefined, fetcher: undefined };
+      const fetch: VersionFetch = {
+        startedAt: performance.now(),
+        stopped: new AbortController(),
+        held: undefined,
+        fetcher: undefined,
+      };
       this.#fetches.set(key, fetch);
       void this.#fetch(fetch, version);
     }
   }
 
-  async #fetch(fetch: Fetch, version: WeightsVersion): Promise<void> {
+  async #fetch(fetch: VersionFetch, version: WeightsVersion): Promise<void> {
     const { signal } = fetch.stopped;
     const { library, random, log } = this.#options;
     const manifest = await this.#findManifest(version, signal);
@@ -296,7 +290,7 @@
     const held = library.open(manifest);
     fetch.held = held;
     const sources = () => this.#sources(held);
-    const mayFetch = () => this.#mayFetch(version);
+    const mayFetch = () => this.#engineState !== undefined && this.#order.mayFetch(version);
     const limits = () => this.#fetchLimits(fetch.fetcher);
     fetch.fetcher = new PieceFetcher({
       held,
@@ -311,29 +305,13 @@
     await fetch.fetcher.run(signal);
     if (!held.complete) return;
     this.#completeAt.set(versionKey(version), performance.now());
-    if (fetch.fetcher.duration > 0) this.#fetchTime = fetch.fetcher.duration;
+    if (fetch.fetcher.duration > 0) this.#order.fetchTime = fetch.fetcher.duration;
     // Uses the loader's signal, not that of this fetch: a switch continues even if the version is no longer
     // wanted.
     if (!signal.aborted && this.#engineState !== undefined)
       await this.#advance(this.#engineState, this.#stopped.signal);
   }
 
-  /**
-   * Versions are fetched one after another in the order in which they were named, except that a version this
-   * engine will skip comes last. A stalled fetch does not hold back the others.
-   */
-  #mayFetch({ model, version }: WeightsVersion): boolean {
-    if (this.#engineState === undefined || this.#loadedVersion >= version) return false;
-    const now = performance.now();
-    for (const { held, fetcher } of this.#fetches.values()) {
-      if (held === undefined || fetcher === undefined || held.complete || held.manifest.model !== model)
-        continue;
-      if (now - fetcher.lastPieceAt > STALL_TIME || this.#loadedVersion >= held.manifest.version) continue;
-      if (this.#precedes(held.manifest, { model, version })) return false;
-    }
-    return true;
-  }
-
   #fetchLimits(fetcher: PieceFetcher | undefined): FetchLimits {
     if (this.#loadedVersion === 0) return UNLOADED_FETCH_LIMITS;
     return (fetcher?.lastBatchDuration ?? 0) > SLOW_LINK_PIECE_TIME
@@ -341,13 +319,6 @@
       : SERVING_FETCH_LIMITS;
   }
 
-  /** Whether `one` is fetched before `other`. */
-  #precedes(one: WeightsVersion, other: WeightsVersion): boolean {
-    if (one.version === other.version) return false;
-    const older = one.version < other.version ? one : other;
-    return this.#shouldLoad(older) ? one.version < other.version : one.version > other.version;
-  }
-
   #findManifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
     const { library, objects, originAt } = this.#options;
     const startedAt = performance.now();
@@ -397,7 +368,8 @@
       // The stage is about to be overwritten.
       this.#stageRead?.abort();
       await this.#stage.fill(held, signal);
-      const switchTime = this.#switchTime(held, this.#completeAt.get(versionKey(held.manifest)) ?? 0);
+      const completeAt = this.#completeAt.get(versionKey(held.manifest)) ?? 0;
+      const switchTime = this.#order.switchTime(held, completeAt);
       if (this.#isDrainingAhead || performance.now() >= switchTime) await this.#switch(held, state, signal);
     }
     this.#isAdvancing = false;
@@ -413,87 +385,7 @@
       .filter(({ complete, manifest }) => complete && (state.model === '' || manifest.model === state.model))
       .filter(({ manifest }) => manifest.version > this.#loadedVersion)
       .sort((a, b) => b.manifest.version - a.manifest.version);
-    return candidates.find(({ manifest }) => this.#shouldLoad(manifest));
-  }
-
-  /** False for a version that is skipped because a newer one will be complete in time. */
-  #shouldLoad(version: WeightsVersion): boolean {
-    const { model } = version;
-    const newest = this.#versions.newest(model);
-    const candidate = this.#versions.all().find((one) => versionKey(one) === versionKey(version));
-    if (newest === undefined || candidate === undefined || newest.version <= version.version) return true;
-    if (this.#loadedVersion === 0) return false;
-    return !shouldSkip({
-      namedAt: this.#versions.namedAt(candidate),
-      newestNamedAt: this.#versions.namedAt(newest),
-      newestCompleteAt: this.#expectedCompletion(newest),
-      expiresAt: this.#servedVersionExpiry(model),
-      bound: this.#plan?.bound ?? 0,
-      position: this.#plan?.position ?? 0,
-    });
-  }
-
-  /** When all pieces of a version are expected to have been fetched; infinite for a stalled fetch. */
-  #expectedCompletion(version: WeightsVersion): number {
-    const now = performance.now();
-    const fetch = this.#fetches.get(versionKey(version));
-    if (fetch?.held?.complete === true) return now;
-    if (fetch?.fetcher === undefined || fetch.held === undefined) return now + this.#fetchTime;
-    const precedingEnd = this.#precedingFetchesEnd(fetch.held.manifest);
-    if (precedingEnd !== undefined) return precedingEnd + this.#fetchTime;
-    if (now - fetch.fetcher.lastPieceAt > STALL_TIME) return Number.POSITIVE_INFINITY;
-    return Math.min(fetch.fetcher.expectedEnd, now + this.#fetchTime);
-  }
-
-  /** When the fetches that precede that of `version` are expected to end; undefined if there are none. */
-  #precedingFetchesEnd(version: WeightsVersion): number | undefined {
-    const now = performance.now();
-    const ends = [...this.#fetches.values()].flatMap(({ held, fetcher }) => {
-      if (held === undefined || fetcher === undefined || held.complete) return [];
-      const { manifest } = held;
-      const isOlder = manifest.model === version.model && manifest.version < version.version;
-      const isStalled = now - fetcher.lastPieceAt > STALL_TIME;
-      if (!isOlder || isStalled || manifest.version <= this.#loadedVersion) return [];
-      return Math.min(fetcher.expectedEnd, now + this.#fetchTime);
-    });
-    return ends.length === 0 ? undefined : Math.max(...ends);
-  }
-
-  #switchTime({ manifest }: HeldWeights, completeAt: number): number {
-    const named = this.#versions.all().find((one) => versionKey(one) === versionKey(manifest));
-    return switchTime({
-      version: this.#loadedVersion,
-      expiresAt: this.#servedVersionExpiry(manifest.model),
-      namedAt: named === undefined ? Number.NEGATIVE_INFINITY : this.#versions.namedAt(named),
-      completeAt,
-      bound: this.#plan?.bound ?? 0,
-      position: this.#plan?.position ?? 0,
-    });
-  }
-
-  /**
-   * Until when requests may start on the engine's version: a bound after the next newer version was named.
-   */
-  #servedVersionExpiry(model: string): number {
-    return this.#versions.expiryOf(model, this.#loadedVersion, this.#plan?.bound ?? 0);
-  }
-
-  /** Whether the engine stops accepting requests before the next version is complete. */
-  #drainsAhead(): boolean {
-    const now = performance.now();
-    return [...this.#fetches.values()].some(({ held, fetcher }) => {
-      if (held === undefined || fetcher === undefined || held.manifest.version <= this.#loadedVersion)
-        return false;
-      if (!this.#shouldLoad(held.manifest)) return false;
-      const isStalled = !held.complete && now - fetcher.lastPieceAt > STALL_TIME;
-      return drainsAhead({
-        version: this.#loadedVersion,
-        expiresAt: this.#servedVersionExpiry(held.manifest.model),
-        completeAt: isStalled ? Number.POSITIVE_INFINITY : fetcher.imminentEnd,
-        position: this.#plan?.position ?? 0,
-        now,
-      });
-    });
+    return candidates.find(({ manifest }) => this.#order.shouldLoad(manifest));
   }
 
   /** Expected time until the engine is ordered to switch, in milliseconds; undefined if no switch is due. */
@@ -503,10 +395,10 @@
     const due = [...this.#fetches.values()].flatMap(({ held, fetcher }) => {
       if (held === undefined || fetcher === undefined || held.manifest.version <= this.#loadedVersion)
         return [];
-      if (!this.#shouldLoad(held.manifest)) return [];
+      if (!this.#order.shouldLoad(held.manifest)) return [];
       const completeAt =
-        this.#completeAt.get(versionKey(held.manifest)) ?? this.#expectedCompletion(held.manifest);
-      return Math.max(now, completeAt, this.#switchTime(held, completeAt)) - now;
+        this.#completeAt.get(versionKey(held.manifest)) ?? this.#order.expectedCompletion(held.manifest);
+      return Math.max(now, completeAt, this.#order.switchTime(held, completeAt)) - now;
     });
     const next = Math.min(...due);
     return Number.isFinite(next) ? next : undefined;
--- a/test/systems/version-succession.test.ts
+++ b/test/systems/version-succession.test.ts
@@ -1,7 +1,11 @@
 /** Which of two versions named in close succession gets the origin's link. */
 import { describe, expect, it } from 'vitest';
 import { drawPlan } from '../../src/systems/origin-draw.js';
-import { type Precedence, waitsForPredecessor } from '../../src/systems/version-succession.js';
+import {
+  type Precedence,
+  servesInBetween,
+  waitsForPredecessor,
+} from '../../src/systems/version-succession.js';
 
 describe('a version whose predecessor is incomplete', () => {
   const precedence: Precedence = {
@@ -27,6 +31,22 @@
   });
 });
 
+describe('an engine that may start no request on what it holds', () => {
+  it('loads a complete version while the newest one is not in sight', () => {
+    const alternatives = { completesIn: 0, expiresIn: 3_000, newestCompletesIn: Number.POSITIVE_INFINITY };
+    expect(servesInBetween(alternatives)).toBe(true);
+    expect(servesInBetween({ ...alternatives, newestCompletesIn: 3_200 })).toBe(true);
+  });
+
+  it('waits for the newest one if that is as soon complete, or the older one expires by then', () => {
+    const alternatives = { completesIn: 400, expiresIn: 3_000, newestCompletesIn: 900 };
+    expect(servesInBetween(alternatives)).toBe(false);
+    expect(servesInBetween({ ...alternatives, expiresIn: 500, newestCompletesIn: 5_000 })).toBe(false);
+    const never = Number.POSITIVE_INFINITY;
+    expect(servesInBetween({ completesIn: never, expiresIn: 3_000, newestCompletesIn: never })).toBe(false);
+  });
+});
+
 describe('entries that draw the last pieces of a version', () => {
   it('begin at different ones', () => {
     const situation = { isServed: false, isDrawnElsewhere: false };
--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -311,6 +311,7 @@
     plan: WeightsPlan,
     done: (reports: EngineReport[]) => boolean,
     later?: WeightsPlan,
+    originUsed = origin,
   ): Promise<EngineReport[]> {
     const reports: EngineReport[] = [];
     const loader = new EngineLoader({
@@ -321,7 +322,7 @@
       onEngineState: () => {},
       library: new WeightsLibrary(),
       objects: await objectsWith(1, 2),
-      originAt: () => origin,
+      originAt: () => originUsed,
       sendReport: (report) => reports.push(report),
       random: seededRandom(5),
       log: silentLog,
@@ -380,6 +381,25 @@
     expect(reports.at(-1)?.version).toBe(2);
   });
 
+  it('loads a complete version into an empty engine while a newer one is nowhere to be found', async () => {
+    const engine = new FakeEngine();
+    const isAway = ({ version }: { version: number }) => version === 3;
+    const away = failure({ type: 'sourceFailed', reason: 'away' } as const);
+    const returning: PieceOrigin = {
+      manifest: async (version, signal) => (isAway(version) ? away : origin.manifest(version, signal)),
+      piece: async (version, index, signal) =>
+        isAway(version) ? away : origin.piece(version, index, signal),
+    };
+    const named = planOf([
+      [2, 2_000],
+      [3, 1_500],
+    ]);
+    // Without entries the agent asks the origin for the manifest after some seconds.
+    const plan = { ...named, bound: 20_000 };
+    await run(engine, plan, (sent) => sent.at(-1)?.version === 2, undefined, returning);
+    expect(engine.orders).toEqual([2]);
+  });
+
   it('replaces pieces that became corrupt in the stage before it sends the order', async () => {
     const engine = new FakeEngine();
     engine.corruptedOnce = new Set([3, 7]);
