Agents use an idle link for the next version; guards of the succession of versions

Cause: an agent that waited for the last pieces of one version left its link idle for up to 0.7 s before it fetched the next. Change: a fetch that has requested all that its sources have does not hold back the next one.

--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -82,6 +82,7 @@
   #duration = 0;
   #sizeAtStart = 0;
   #openBatches = 0;
+  #isIdle = false;
   #lastBatchDuration = 0;
   #pausedUntil = 0;
 
@@ -104,6 +105,11 @@
     return [...this.#drawing];
   }
 
+  /** The sources had nothing more to request at the last check; another fetch may use the link. */
+  get isIdle(): boolean {
+    return this.#isIdle;
+  }
+
   /** Duration of the last batch, in milliseconds. */
   get lastBatchDuration(): number {
     return this.#lastBatchDuration;
@@ -191,6 +197,7 @@
         void this.#fetch(source, row, batch, signal);
       }
     }
+    this.#isIdle = this.#openBatches === 0;
   }
 
   #requestable(now: number): number[] {
--- a/src/weights/version-order.ts
+++ b/src/weights/version-order.ts
@@ -59,7 +59,8 @@
 
   /**
    * Versions are fetched one after another in the order in which they were named, except that a version this
-   * engine will skip comes last. A stalled fetch does not hold back the others.
+   * engine will skip comes last. A fetch that is stalled, or has requested all that its sources have, does not
+   * hold back the others.
    */
   mayFetch({ model, version }: WeightsVersion): boolean {
     if (this.#loaded >= version) return false;
@@ -68,6 +69,7 @@
       if (held === undefined || fetcher === undefined || held.complete || held.manifest.model !== model)
         continue;
       if (now - fetcher.lastPieceAt > STALL_TIME || this.#loaded >= held.manifest.version) continue;
+      if (fetcher.isIdle) continue;
       if (this.#precedes(held.manifest, { model, version })) return false;
     }
     return true;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -76,6 +76,42 @@
     replace: 'batchSize: ENTRY_BATCH_SIZE,',
     test: 'test/weights/entry-sources.test.ts',
   },
+  {
+    fault: 'a named version is given up before its successor has expired it',
+    file: 'src/weights/version-collector.ts',
+    find: 'now < fleet.versions.expiryOf(model, version, versionBound)',
+    replace:
+      'version === fleet.versions.newest(model)?.version || now < fleet.versions.expiryOf(model, version - 1, versionBound)',
+    test: 'test/weights/version-succession.test.ts',
+  },
+  {
+    fault: 'entries that draw the last pieces of a version all draw the same ones',
+    file: 'src/weights/piece-sources.ts',
+    find: 'candidates[firstOf(candidates.length)]',
+    replace: 'candidates[0]',
+    test: 'test/weights/weights.test.ts',
+  },
+  {
+    fault: 'a version takes the origin from its predecessor',
+    file: 'src/systems/version-succession.ts',
+    find: 'return Math.min(sincePredecessorPiece, sinceStart) < PREDECESSOR_PATIENCE;',
+    replace: 'return false;',
+    test: 'test/systems/version-succession.test.ts',
+  },
+  {
+    fault: 'all engines wait for a late version with requests running',
+    file: 'src/weights/engine-loader.ts',
+    find: 'this.#isDrainingAhead = this.#order.drainsAhead();',
+    replace: '',
+    test: 'test/weights/version-succession.test.ts',
+  },
+  {
+    fault: 'an empty engine waits for a version that is nowhere to be found',
+    file: 'src/weights/version-order.ts',
+    find: 'return isOverdue ? Number.POSITIVE_INFINITY : now + this.fetchTime;',
+    replace: 'return now + this.fetchTime;',
+    test: 'test/weights/weights.test.ts',
+  },
   {
     fault: 'all parts of a version go to the object store at the same time',
     file: 'src/weights/version-collector.ts',
