--- a/test/weights/weights.test.ts
+++ b/test/weights/weights.test.ts
@@ -14,7 +14,13 @@
 import type { PieceOrigin, PieceSource } from '../../src/weights/piece-source.js';
 import { objectSource, originSource, partsOf, storedManifestKey } from '../../src/weights/piece-sources.js';
 import type { EngineState, StagedEngine, StartOrder } from '../../src/weights/staged-engine.js';
-import { SWITCH_WAVES, shouldSkip, switchTime, waveOf } from '../../src/weights/switch-schedule.js';
+import {
+  drainsAhead,
+  SWITCH_WAVES,
+  shouldSkip,
+  switchTime,
+  waveOf,
+} from '../../src/weights/switch-schedule.js';
 import { until } from '../support.js';
 
 const PIECES = 12;
@@ -127,7 +133,7 @@
       concurrency: 3,
       batchTimeout: 1_000,
       mayDraw: (index) => index >= 6,
-      offset: 9,
+      firstOf: (count) => Math.floor(count / 2),
     });
     const held = await fetchAll([peer, fromOrigin]);
     expect(held.complete).toBe(true);
@@ -135,6 +141,27 @@
     expect(drawn.sort((a, b) => a - b)).toEqual([6, 7, 8, 9, 10, 11]);
   });
 
+  it('asks a source that has failed for one batch at a time until it delivers', async () => {
+    const failures = 7;
+    let open = 0;
+    const openAtCall: number[] = [];
+    const returning = source('returning', {
+      concurrency: 4,
+      nextBatch: (wanted) => wanted.slice(0, 1),
+      fetch: async (batch) => {
+        const call = openAtCall.push(++open);
+        await new Promise((resolve) => setTimeout(resolve, 20));
+        open--;
+        if (call <= failures) return failure({ type: 'sourceFailed', reason: 'away' });
+        return success(batch.map((index) => [index, pieceOf(1, index)]));
+      },
+    });
+    const held = await fetchAll([returning]);
+    expect(held.complete).toBe(true);
+    expect(openAtCall.slice(0, failures)).toEqual([1, 2, 3, 4, 1, 1, 1]);
+    expect(Math.max(...openAtCall.slice(failures))).toBe(4);
+  });
+
   it('reads whole objects from the object store', async () => {
     const objects = new MemoryStore();
     const manifest = manifestOf(1);
@@ -179,6 +206,23 @@
     expect(waveOf(SWITCH_WAVES)).toBe(0);
   });
 
+  it('lets the first engines run out of requests before a version that completes shortly before the expiry', () => {
+    const late = { version: 1, expiresAt: 9_000, completeAt: 8_600, position: 0, now: 7_200 };
+    expect(drainsAhead(late)).toBe(true);
+    expect(drainsAhead({ ...late, now: 6_000 })).toBe(false);
+    const draining = [0, 1, 2, 3, 4, 5].filter((position) => drainsAhead({ ...late, position }));
+    expect(draining.length).toBe(2);
+    // There is time for the usual waves.
+    expect(drainsAhead({ ...late, completeAt: 4_000, now: 3_900 })).toBe(false);
+  });
+
+  it('lets no engine run out of requests for a version whose fetch is stalled, or while none expires', () => {
+    const late = { version: 1, expiresAt: 9_000, completeAt: 8_600, position: 0, now: 8_500 };
+    expect(drainsAhead({ ...late, completeAt: Number.POSITIVE_INFINITY })).toBe(false);
+    expect(drainsAhead({ ...late, expiresAt: Number.POSITIVE_INFINITY })).toBe(false);
+    expect(drainsAhead({ ...late, version: 0 })).toBe(false);
+  });
+
   it('skips a version closely followed by another, if that will be complete in time', () => {
     const closely = { namedAt: 1_000, newestNamedAt: 3_000, expiresAt: 9_000, bound: 8_000, position: 0 };
     expect(shouldSkip({ ...closely, newestCompleteAt: 7_000 })).toBe(true);
@@ -267,6 +311,7 @@
     plan: WeightsPlan,
     done: (reports: EngineReport[]) => boolean,
     later?: WeightsPlan,
+    originUsed = origin,
   ): Promise<EngineReport[]> {
     const reports: EngineReport[] = [];
     const loader = new EngineLoader({
@@ -278,7 +323,7 @@
       onEngineState: () => {},
       library: new WeightsLibrary(),
       objects: await objectsWith(1, 2),
-      originAt: () => origin,
+      originAt: () => originUsed,
       sendReport: (report) => reports.push(report),
       random: seededRandom(5),
       log: silentLog,
@@ -338,6 +383,25 @@
     expect(reports.at(-1)?.version).toBe(2);
   });
 
+  it('loads a complete version into an empty engine while a newer one is nowhere to be found', async () => {
+    const engine = new FakeEngine();
+    const isAway = ({ version }: { version: number }) => version === 3;
+    const away = failure({ type: 'sourceFailed', reason: 'away' } as const);
+    const returning: PieceOrigin = {
+      manifest: async (version, signal) => (isAway(version) ? away : origin.manifest(version, signal)),
+      piece: async (version, index, signal) =>
+        isAway(version) ? away : origin.piece(version, index, signal),
+    };
+    const named = planOf([
+      [2, 2_000],
+      [3, 1_500],
+    ]);
+    // Without entries the agent asks the origin for the manifest after some seconds.
+    const plan = { ...named, bound: 20_000 };
+    await run(engine, plan, (sent) => sent.at(-1)?.version === 2, undefined, returning);
+    expect(engine.orders).toEqual([2]);
+  });
+
   it('replaces pieces that became corrupt in the stage before it sends the order', async () => {
     const engine = new FakeEngine();
     engine.corruptedOnce = new Set([3, 7]);
