Late requests wait as long as observed service times leave their callers

Cause: the latest begin of a request assumed 0.7 s to the first event and 1.2 s to the end, which is wrong for answers of 45 events and for engines that are slower for a while: callers leave before the end, and the slot was used in vain. Change: WaitPolicy learns both times from answers; late waits end by them. The assumed times remain for outages, after which nothing has been observed.

--- a/bench/simulation/slot-attempt.ts
+++ b/bench/simulation/slot-attempt.ts
@@ -66,7 +66,8 @@
     decisions.returns.noteArrival(this.#rank, now);
     const request = this.#timing.waitingRequest(this.#rank, caller.promptTokens, paceOf(this.#context));
     if (request === undefined) throw new Error('all requests of the simulation are streams');
-    this.#wait = decisions.waits.begin(request, this.#timing.latestBegin, now);
+    const latestBegin = this.#timing.latestBeginFor(decisions.waits.serviceTimes(request));
+    this.#wait = decisions.waits.begin(request, latestBegin, now);
     this.#life = entry.life;
   }
 
@@ -136,6 +137,7 @@
       this.#urgency,
       () => {
         this.#slots.release(this.#entry, engine, claim);
+        waits.noteServed(clock.now - sentAt);
         this.#noteOutcome(true);
       },
       () => waits.noteFirstEvent(this.#caller.promptTokens, clock.now - sentAt),
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -188,7 +188,7 @@
       const isInTime = isResuming() || request === undefined;
       return { endsAt, inTimeUntil: isInTime ? endsAt : waits.inTimeUntil(request) };
     }
-    this.#wait ??= waits.begin(request, timing.latestBegin, now);
+    this.#wait ??= waits.begin(request, timing.latestBeginFor(waits.serviceTimes(request)), now);
     return this.#wait;
   }
 
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -167,6 +167,7 @@
   /** The complete answer was received after `took` milliseconds. */
   noteServed(took: number): void {
     this.row.duration = movingAverage(this.row.duration, took);
+    if (this.claim !== undefined) this.row.waits.noteServed(took);
     if (this.#answerTokens > 0)
       this.row.timePerToken = movingAverage(this.row.timePerToken, took / this.#answerTokens);
   }
--- a/src/forwarding/request-timing.ts
+++ b/src/forwarding/request-timing.ts
@@ -5,9 +5,11 @@
  */
 import type { Route } from '../fleet/configuration.js';
 import {
+  ASSUMED_TIMES,
   type CallerTime,
   latestStart,
   returnsInTime,
+  type ServiceTimes,
   shouldWaitForCapacity,
 } from '../systems/capacity-wait.js';
 import type { DeclaredPace, WaitingRequest } from '../systems/wait-policy.js';
@@ -107,8 +109,14 @@
 
   /** Latest time at which a back end may start the request. */
   get latestBegin(): number {
+    return this.latestBeginFor(ASSUMED_TIMES);
+  }
+
+  /** The same at back ends that take so long for a request. */
+  latestBeginFor(times: ServiceTimes): number {
     const { isStream, patience, objective } = this.#route;
-    return isStream ? latestStart(this.arrivedAt, this.deadline, patience) : this.deadline - objective;
+    if (!isStream) return this.deadline - objective;
+    return latestStart(this.arrivedAt, this.deadline, patience, times);
   }
 
   /**
--- a/src/systems/capacity-wait.ts
+++ b/src/systems/capacity-wait.ts
@@ -12,10 +12,16 @@
  * 4.3 s, and 0.94 at 4.9 s. Times are in milliseconds of the monotonic clock.
  */
 
-/** Time from the start of a request to the end of its answer, in milliseconds: it is 0.9 to 1.4 s. */
-const TIME_TO_SERVE = 1_200;
-/** Part of the caller's patience reserved for the time to the first event, in milliseconds; without an event, it leaves. */
-const TIME_TO_FIRST_EVENT = 700;
+/** How long a back end takes for a request that it starts, in milliseconds. */
+export interface ServiceTimes {
+  /** Until the first event; without one, the caller leaves in the end. */
+  firstEvent: number;
+  /** Until the end of the answer. */
+  answer: number;
+}
+
+/** What is assumed while nothing was observed, as after an outage. */
+export const ASSUMED_TIMES: ServiceTimes = { firstEvent: 700, answer: 1_200 };
 /** Callers honour a retry delay up to this share of their remaining time, as existing callers do. */
 const RETRY_DELAY_SHARE = 1 / 3;
 /** Maximum retry delay that callers are asked for, in milliseconds. */
@@ -39,8 +45,13 @@
 }
 
 /** Latest time at which a back end can start a request so that its caller still receives the answer. */
-export function latestStart(arrivedAt: number, endsAt: number, patience: number): number {
-  return Math.min(endsAt - TIME_TO_SERVE, arrivedAt + patience - TIME_TO_FIRST_EVENT);
+export function latestStart(
+  arrivedAt: number,
+  endsAt: number,
+  patience: number,
+  { firstEvent, answer }: ServiceTimes = ASSUMED_TIMES,
+): number {
+  return Math.min(endsAt - answer, arrivedAt + patience - firstEvent);
 }
 
 /**
--- a/src/systems/wait-policy.ts
+++ b/src/systems/wait-policy.ts
@@ -10,6 +10,7 @@
  * Before anything was observed, times follow from what the configuration declares. Times are in milliseconds of the caller's
  * clock.
  */
+import { ASSUMED_TIMES, type ServiceTimes } from './capacity-wait.js';
 import type { HoldOutcome } from './hold-record.js';
 
 /** What the configuration declares of the engines. */
@@ -46,6 +47,8 @@
 const TOKENS_RIDGE = 200;
 /** Mean deviations above the mean within which a first event is expected: about four of five arrive before. */
 const DEVIATIONS = 1;
+/** The same for nearly all: a caller that leaves before the first event or the end has used a slot in vain. */
+const BOUND_DEVIATIONS = 4;
 /** Weights of the latest wait in moving averages of outcomes; late waits are few, and three of them must be enough. */
 const IN_TIME_WEIGHT = 0.1;
 const LATE_WEIGHT = 0.25;
@@ -74,7 +77,8 @@
 
 /** The waits for one service at one entry. */
 export class WaitPolicy {
-  readonly #firstEvents = new FirstEventTimes();
+  readonly #firstEvents = new ObservedTimes();
+  readonly #answers = new ObservedTimes();
   /** Moving averages of the shares of waits that ended with a send: of those in time, and of late ones by rank. */
   #inTimeSentShare = 0;
   readonly #lateSentShare = new Map<number, number>();
@@ -94,6 +98,19 @@
     this.#firstEvents.note(promptTokens, milliseconds);
   }
 
+  /** A whole answer has arrived `milliseconds` after its request was sent with a slot. */
+  noteServed(milliseconds: number): void {
+    this.#answers.note(0, milliseconds);
+  }
+
+  /** Times within which nearly all requests are served, as observed. */
+  serviceTimes({ promptTokens, pace }: WaitingRequest): ServiceTimes {
+    return {
+      firstEvent: this.#firstEvents.bound(promptTokens, pace) ?? ASSUMED_TIMES.firstEvent,
+      answer: this.#answers.bound(0, undefined) ?? ASSUMED_TIMES.answer,
+    };
+  }
+
   /** Until when a slot lets a request meet its objective. */
   inTimeUntil({ arrivedAt, objective, promptTokens, pace }: WaitingRequest): number {
     const time = this.#firstEvents.expected(promptTokens, pace) ?? UNKNOWN_TIME_SHARE * objective;
@@ -150,8 +167,8 @@
   }
 }
 
-/** Times from the send of a request to its first event, by the size of the prompt: moving averages and their regression. */
-class FirstEventTimes {
+/** Times from the send of a request on, by the size of its prompt: moving averages and their regression. */
+class ObservedTimes {
   #observed = 0;
   #tokens = 0;
   #time = 0;
@@ -173,12 +190,20 @@
     this.#deviation += weight * (error - this.#deviation);
   }
 
-  /** Time within which the first event of most requests of this size arrives; undefined if nothing is known. */
+  /** Time that most requests of this size take; what is declared before any was observed, undefined if nothing is. */
   expected(tokens: number, pace: DeclaredPace | undefined): number | undefined {
-    const declared = declaredTime(tokens, pace);
-    if (this.#observed < LEAST_OBSERVED) return declared;
+    return this.#within(DEVIATIONS, tokens, pace) ?? declaredTime(tokens, pace);
+  }
+
+  /** Time that nearly all requests of this size take; undefined if none was observed. */
+  bound(tokens: number, pace: DeclaredPace | undefined): number | undefined {
+    return this.#within(BOUND_DEVIATIONS, tokens, pace);
+  }
+
+  #within(deviations: number, tokens: number, pace: DeclaredPace | undefined): number | undefined {
+    if (this.#observed < LEAST_OBSERVED) return undefined;
     const perToken = pace === undefined || pace.readTokensPerSecond === 0 ? 0 : timePerToken(pace);
-    return this.#mean(tokens, perToken) + DEVIATIONS * this.#deviation;
+    return this.#mean(tokens, perToken) + deviations * this.#deviation;
   }
 
   #mean(tokens: number, declaredPerToken: number): number {
--- a/test/systems/wait-policy.test.ts
+++ b/test/systems/wait-policy.test.ts
@@ -107,6 +107,28 @@
   });
 });
 
+describe('the time that a caller must have left', () => {
+  it('is assumed before anything was observed', () => {
+    expect(new WaitPolicy().serviceTimes(request())).toEqual({ firstEvent: 700, answer: 1_200 });
+  });
+
+  it('follows answers of 10 to 45 events, also at engines that are 2.5 times slower', () => {
+    const policy = new WaitPolicy();
+    const serve = (slowness: number) => {
+      observe(policy, slowness);
+      for (let index = 0; index < 60; index++)
+        policy.noteServed(slowness * (140 + 60 * (10 + ((index * 13) % 36))));
+    };
+    serve(1);
+    const usual = policy.serviceTimes(request());
+    expect(usual.firstEvent).toBeLessThan(400);
+    expect(usual.answer).toBeGreaterThan(140 + 60 * 45);
+    serve(2.5);
+    expect(policy.serviceTimes(request()).firstEvent).toBeGreaterThan(1.7 * usual.firstEvent);
+    expect(policy.serviceTimes(request()).answer).toBeGreaterThan(2 * usual.answer);
+  });
+});
+
 it('counts waits by when and how they ended', () => {
   const policy = new WaitPolicy();
   play(policy, 3, 'sent', 50);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1005,8 +1005,8 @@
   {
     fault: 'a request is held until its caller has left',
     file: 'src/systems/capacity-wait.ts',
-    find: 'Math.min(endsAt - TIME_TO_SERVE, arrivedAt + patience - TIME_TO_FIRST_EVENT)',
-    replace: 'endsAt - TIME_TO_SERVE',
+    find: 'Math.min(endsAt - answer, arrivedAt + patience - firstEvent)',
+    replace: 'endsAt - answer',
     test: 'test/forwarding/request-timing.test.ts',
   },
   {
