--- a/test/weights/version-replay.ts
+++ b/test/weights/version-replay.ts
@@ -420,6 +420,7 @@
       loader: new EngineLoader({
         engine,
         engineAddress: id,
+        zone,
         address: id,
         slotAddress: id,
         onEngineState: () => {},
