--- a/bench/simulation/placement-simulation.ts
+++ b/bench/simulation/placement-simulation.ts
@@ -22,10 +22,11 @@
   type PlacementContext,
   type PlacementEngine,
   type PlacementEntry,
+  RETRY_AFTER,
   type RequestPlacement,
 } from './placement-machines.js';
 import { rounded, type ServiceReport, serviceReport } from './placement-report.js';
-import { RETRY_AFTER, SlotPlacement } from './slot-placement.js';
+import { SlotPlacement } from './slot-placement.js';
 import { VirtualClock } from './virtual-clock.js';
 
 /** How an engine is chosen. */
@@ -190,8 +191,10 @@
     engine: PlacementEngine,
     urgency: number,
     onEnd: () => void,
+    onFirstEvent?: () => void,
   ): void {
     const { clock } = this;
+    let hasBegun = false;
     entry.own[engine.number]++;
     const way = delayBetween(entry, engine);
     const refuse = () => this.refuse(caller, RETRY_AFTER * (1 + this.random.fraction()));
@@ -216,7 +219,11 @@
         urgency,
         promptTokens,
         answerTokens,
-        onEvent: () => this.#callers.noteEvent(caller, way),
+        onEvent: () => {
+          if (!hasBegun) clock.schedule(clock.now + way, () => onFirstEvent?.());
+          hasBegun = true;
+          this.#callers.noteEvent(caller, way);
+        },
         onEnd: () => {
           end();
           if (!entry.isLost) this.#callers.noteServed(caller, way);
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -33,7 +33,6 @@
 import { errorResponseOf, type ForwardingError } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import { OpenAttempts } from './open-attempts.js';
-import { refusalOf } from './refusal.js';
 import { holdOutcomeOf, outcomeOfEnding, type RequestEnding } from './request-ending.js';
 import { contentOf } from './request-fingerprint.js';
 import { RequestLog } from './request-log.js';
@@ -279,7 +278,7 @@
       timing,
       isStream: route.isStream,
       promptTokens,
-      urgency: (now) => timing.urgency(rank, now),
+      rank,
       requirements: (isLastResort) => this.#policy.requirements(isLastResort),
       wasSent: () => this.#policy.sends > 0,
       isResuming: () => this.#answer.started,
@@ -482,8 +481,8 @@
     if (this.#openAttempts.size > 0 && this.#mayWaitForSilent) return this.#endSearch(reason);
     if (this.#answer.started) return this.#canResumeLater() ? this.#endSearch(reason) : this.#cut(reason);
     if (this.#openAttempts.runs > 0) return this.#fail({ type: 'backEndFailed', reason });
-    const { selector, random } = this.#components;
-    this.#fail(refusalOf(this.#policy.requirements(), reason, selector, random));
+    const { returns } = this.#components;
+    this.#fail(returns.refuse(this.#admitted, this.#policy.requirements(), reason, this.#search.slotIn));
   }
 
   /** Whether to keep waiting for the silent back ends when no other one can take the request now. */
@@ -549,7 +548,7 @@
     this.#logEnding(ending);
     this.#settled = true;
     this.#releaseResources(ending);
-    this.#components.onSettled(this, outcomeOfEnding(ending), this.#log.age);
+    this.#components.onSettled(this, outcomeOfEnding(ending), this.#log.age, this.#admitted);
     switch (ending.type) {
       case 'answered':
         return this.#answer.end(ending.use.answer);
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -14,12 +14,15 @@
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
+import { ServiceFloor } from '../systems/service-floor.js';
+import type { AdmittedRequest } from './admitted-request.js';
 import { AnswerNotices } from './answer-notices.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
 import type { BackEndWarmUps } from './back-end-warm-ups.js';
+import { CallerReturns } from './caller-returns.js';
 import type { CompletionEstimateComponents } from './completion-estimate.js';
 import { CutAnswerMetrics } from './cut-answer-metrics.js';
 import type { DirectPermits } from './direct-permits.js';
@@ -75,8 +78,16 @@
   cutMetrics: CutAnswerMetrics;
   unread: UnreadAnswers;
   poison: PoisonGuard;
+  returns: CallerReturns;
   budgetOf(service: string): RetryWindow;
-  onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void;
+  floor: ServiceFloor;
+  /** @param admitted - undefined if the request was rejected on arrival */
+  onSettled(
+    request: ForwardedRequest,
+    outcome: RequestOutcome,
+    milliseconds: number,
+    admitted: AdmittedRequest | undefined,
+  ): void;
 }
 
 export class ForwardingServer implements Startable {
@@ -103,7 +114,15 @@
     address: string,
     components: Omit<
       ForwardingComponents,
-      'onSettled' | 'durations' | 'expiryFigures' | 'moveMetrics' | 'cutMetrics' | 'notices' | 'unread'
+      | 'onSettled'
+      | 'durations'
+      | 'expiryFigures'
+      | 'moveMetrics'
+      | 'cutMetrics'
+      | 'notices'
+      | 'unread'
+      | 'returns'
+      | 'floor'
     >,
     metrics: Metrics,
   ) {
@@ -116,7 +135,12 @@
       cutMetrics: new CutAnswerMetrics(metrics),
       unread: new UnreadAnswers(components.log, metrics),
       notices: new AnswerNotices({ ...components, metrics }),
-      onSettled: (request, outcome, milliseconds) => this.#onSettled(request, outcome, milliseconds),
+      returns: new CallerReturns({ ...components, metrics }),
+      floor: new ServiceFloor(components.random),
+      onSettled: (request, outcome, milliseconds, admitted) => {
+        this.#onSettled(request, outcome, milliseconds);
+        if (admitted?.route.isStream) this.#noteService(admitted, outcome);
+      },
     };
     components.poison.onQuarantined = () => {
       for (const request of this.#active) request.onQuarantined();
@@ -294,6 +318,13 @@
     }
   }
 
+  /** Tells the floor of service who is served; a caller that leaves, or a stop of this process, says nothing about that. */
+  #noteService({ priorityRank, isDrawn }: AdmittedRequest, outcome: RequestOutcome): void {
+    if (outcome === 'left' || outcome === 'stopped') return;
+    const isServed = outcome === 'served';
+    this.#components.floor.note({ rank: priorityRank, isDrawn, isServed }, performance.now());
+  }
+
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
     if (!this.#arrivedWhileDraining(request)) this.#lingerStartedAt = performance.now();
--- a/src/weights/piece-fetcher.ts
+++ b/src/weights/piece-fetcher.ts
@@ -23,6 +23,9 @@
  */
 const FALLBACK_PREFERRED_TIME = 2_000;
 
+/** Number of intervals between pieces from which the current rate is taken. */
+const RATE_WINDOW = 8;
+
 interface SourceState {
   openBatches: number;
   /**
@@ -73,10 +76,13 @@
   readonly #drawing = new Set<number>();
   #lastPieceAt = performance.now();
   #wake: () => void = () => {};
-  #startedAt = 0;
+  /** The latest times between two pieces, in milliseconds. */
+  readonly #intervals: number[] = [];
+  #startedAt = performance.now();
   #duration = 0;
   #sizeAtStart = 0;
   #openBatches = 0;
+  #isIdle = false;
   #lastBatchDuration = 0;
   #pausedUntil = 0;
 
@@ -89,11 +95,21 @@
     return this.#lastPieceAt;
   }
 
+  /** When the fetch began, in milliseconds of the monotonic clock. */
+  get startedAt(): number {
+    return this.#startedAt;
+  }
+
   /** Pieces in flight from the origin. */
   get drawing(): number[] {
     return [...this.#drawing];
   }
 
+  /** The sources had nothing more to request at the last check; another fetch may use the link. */
+  get isIdle(): boolean {
+    return this.#isIdle;
+  }
+
   /** Duration of the last batch, in milliseconds. */
   get lastBatchDuration(): number {
     return this.#lastBatchDuration;
@@ -112,6 +128,17 @@
     return now + ((now - this.#startedAt) / received) * (capacity - size);
   }
 
+  /**
+   * When the version will be complete at the rate of the latest pieces, in milliseconds of the monotonic clock;
+   * infinite if none has arrived. A pause between pieces has no effect on the rate.
+   */
+  get imminentEnd(): number {
+    const intervals = [...this.#intervals].sort((a, b) => a - b);
+    if (intervals.length === 0) return Number.POSITIVE_INFINITY;
+    const { size, capacity } = this.#options.held.have;
+    return performance.now() + intervals[Math.floor(intervals.length / 2)] * (capacity - size);
+  }
+
   /**
    * Duration of the fetch of all pieces, in milliseconds; 0 if it has not ended or nothing had to be fetched.
    */
@@ -160,7 +187,7 @@
       const row = this.#stateOf(source);
       if (now - this.#lastPieceAt < source.patience && now >= row.preferredUntil) continue;
       while (
-        row.openBatches < source.concurrency &&
+        row.openBatches < concurrencyOf(source, row) &&
         now >= row.backOffUntil &&
         this.#openBatches < limits.open
       ) {
@@ -170,6 +197,7 @@
         void this.#fetch(source, row, batch, signal);
       }
     }
+    this.#isIdle = this.#openBatches === 0;
   }
 
   #requestable(now: number): number[] {
@@ -230,13 +258,17 @@
     const { held, library } = this.#options;
     const isNew = !held.have.has(index);
     if (!library.add(held, index, bytes)) return false;
-    this.#lastPieceAt = performance.now();
+    const now = performance.now();
+    this.#intervals.push(now - this.#lastPieceAt);
+    if (this.#intervals.length > RATE_WINDOW) this.#intervals.shift();
+    this.#lastPieceAt = now;
     if (isNew) this.#piecesBySource.set(source.name, (this.#piecesBySource.get(source.name) ?? 0) + 1);
     return true;
   }
 
   #backOff(source: PieceSource, row: SourceState, reason: string): void {
-    const backOff = Math.min(MAX_BACKOFF, INITIAL_BACKOFF * 2 ** row.failures++);
+    const longest = source.longestBackOff ?? MAX_BACKOFF;
+    const backOff = Math.min(longest, INITIAL_BACKOFF * 2 ** row.failures++);
     row.backOffUntil = performance.now() + backOff * (0.5 + this.#options.random.fraction() / 2);
     const { model, version } = this.#options.held.manifest;
     this.#options.log.info('piece source failed', { source: source.name, model, version, reason });
@@ -250,3 +282,8 @@
     return row;
   }
 }
+
+/** Concurrent batches from a source; a source that has failed gets one until it delivers again. */
+function concurrencyOf({ concurrency }: PieceSource, { failures }: SourceState): number {
+  return failures > 0 ? 1 : concurrency;
+}
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -76,6 +76,42 @@
     replace: 'batchSize: ENTRY_BATCH_SIZE,',
     test: 'test/weights/entry-sources.test.ts',
   },
+  {
+    fault: 'a named version is given up before its successor has expired it',
+    file: 'src/weights/version-collector.ts',
+    find: 'now < fleet.versions.expiryOf(model, version, versionBound)',
+    replace:
+      'version === fleet.versions.newest(model)?.version || now < fleet.versions.expiryOf(model, version - 1, versionBound)',
+    test: 'test/weights/version-succession.test.ts',
+  },
+  {
+    fault: 'entries that draw the last pieces of a version all draw the same ones',
+    file: 'src/weights/piece-sources.ts',
+    find: 'candidates[firstOf(candidates.length)]',
+    replace: 'candidates[0]',
+    test: 'test/weights/weights.test.ts',
+  },
+  {
+    fault: 'a version takes the origin from its predecessor',
+    file: 'src/systems/version-succession.ts',
+    find: 'return Math.min(sincePredecessorPiece, sinceStart) < PREDECESSOR_PATIENCE;',
+    replace: 'return false;',
+    test: 'test/systems/version-succession.test.ts',
+  },
+  {
+    fault: 'all engines wait for a late version with requests running',
+    file: 'src/weights/engine-loader.ts',
+    find: 'this.#isDrainingAhead = this.#order.drainsAhead();',
+    replace: '',
+    test: 'test/weights/version-succession.test.ts',
+  },
+  {
+    fault: 'an empty engine waits for a version that is nowhere to be found',
+    file: 'src/weights/version-order.ts',
+    find: 'return isOverdue ? Number.POSITIVE_INFINITY : now + this.fetchTime;',
+    replace: 'return now + this.fetchTime;',
+    test: 'test/weights/weights.test.ts',
+  },
   {
     fault: 'all parts of a version go to the object store at the same time',
     file: 'src/weights/version-collector.ts',
@@ -393,7 +429,7 @@
   },
   {
     fault: 'callers are told to come back before all back-offs have ended',
-    file: 'src/forwarding/retry-after.ts',
+    file: 'src/forwarding/caller-returns.ts',
     find: 'capacity?.isBackoff === true ? Number.POSITIVE_INFINITY : MAX_RETRY_DELAY',
     replace: 'MAX_RETRY_DELAY',
     test: 'test/forwarding/back-off.test.ts',
@@ -997,7 +1033,7 @@
   },
   {
     fault: 'callers that could come back take all places of those that could not',
-    file: 'src/forwarding/hold-record.ts',
+    file: 'src/systems/hold-record.ts',
     find: 'mayReturn ? RETURNING_SHARE * slots : slots',
     replace: 'slots',
     test: 'test/forwarding/capacity.test.ts',
@@ -1005,8 +1041,8 @@
   {
     fault: 'a request is held until its caller has left',
     file: 'src/systems/capacity-wait.ts',
-    find: 'Math.min(endsAt - TIME_TO_SERVE, arrivedAt + patience - TIME_TO_FIRST_EVENT)',
-    replace: 'endsAt - TIME_TO_SERVE',
+    find: 'Math.min(endsAt - answer, arrivedAt + patience - firstEvent)',
+    replace: 'endsAt - answer',
     test: 'test/forwarding/request-timing.test.ts',
   },
   {
@@ -1207,10 +1243,24 @@
   },
   {
     fault: 'requests wait for slots with which they would be late',
-    file: 'src/forwarding/request-timing.ts',
-    find: 'SLOT_WAIT_SHARE * this.#route.objective',
-    replace: 'QUEUE_WAIT_SHARE * this.#route.objective',
-    test: 'test/forwarding/request-timing.test.ts',
+    file: 'src/systems/wait-policy.ts',
+    find: 'return arrivedAt + objective - time;',
+    replace: 'return arrivedAt + objective;',
+    test: 'test/systems/wait-policy.test.ts',
+  },
+  {
+    fault: 'late requests wait under an overload that lasts',
+    file: 'src/systems/wait-policy.ts',
+    find: 'mayBeLate ? latestBegin : inTimeUntil',
+    replace: 'latestBegin',
+    test: 'test/systems/wait-policy.test.ts test/forwarding/caller-deadline.test.ts',
+  },
+  {
+    fault: 'callers that are less urgent delay the return of others',
+    file: 'src/systems/return-schedule.ts',
+    find: 'let other = place; other < RANKS',
+    replace: 'let other = 0; other < RANKS',
+    test: 'test/systems/return-schedule.test.ts',
   },
   {
     fault: 'requests that run without a slot do not count',
@@ -1312,7 +1362,7 @@
   },
   {
     fault: 'more requests wait for the first slots than there are',
-    file: 'src/forwarding/hold-record.ts',
+    file: 'src/systems/hold-record.ts',
     find: 'if (this.#reservedPlaces >= Math.max(1, places)) return false;',
     replace: '',
     test: 'test/forwarding/capacity.test.ts',
