Entries count how requests ended by route, tenant and rank

Cause: who is served in time, late or refused under overload could not be seen by kind or tenant. Requests hand their ending to the server.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -35,7 +35,7 @@
 import { errorResponseOf, type ForwardingError } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
 import { OpenAttempts } from './open-attempts.js';
-import { holdOutcomeOf, outcomeOfEnding, type RequestEnding } from './request-ending.js';
+import { holdOutcomeOf, type RequestEnding } from './request-ending.js';
 import { contentOf } from './request-fingerprint.js';
 import { RequestLog } from './request-log.js';
 import { healthOutcomeOf } from './request-outcome.js';
@@ -581,7 +581,7 @@
     this.#logEnding(ending);
     this.#settled = true;
     this.#releaseResources(ending);
-    this.#components.onSettled(this, outcomeOfEnding(ending), this.#log.age, this.#admitted);
+    this.#components.onSettled(this, ending, this.#log.age, this.#admitted);
     switch (ending.type) {
       case 'answered':
         return this.#answer.end(ending.use.answer);
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -30,7 +30,9 @@
 import { ForwardedRequest } from './forwarded-request.js';
 import type { HeaderNames } from './header-names.js';
 import type { PoisonGuard } from './poison-guard.js';
+import { outcomeOfEnding, type RequestEnding } from './request-ending.js';
 import type { RequestOutcome } from './request-outcome.js';
+import { ServiceRecord } from './service-record.js';
 import { StreamMoveMetrics } from './stream-move-metrics.js';
 import { VersionExpiryFigures } from './version-expiry-figures.js';
 
@@ -80,7 +82,7 @@
   /** @param admitted - undefined if the request was rejected on arrival */
   onSettled(
     request: ForwardedRequest,
-    outcome: RequestOutcome,
+    ending: RequestEnding,
     milliseconds: number,
     admitted: AdmittedRequest | undefined,
   ): void;
@@ -93,6 +95,7 @@
   readonly #counters: Partial<Record<RequestOutcome, number>> = {};
   readonly #latency: Histogram;
   readonly #drainMetrics: DrainMetrics;
+  readonly #service: ServiceRecord;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   readonly #standstills = new StallDetector(CHECK_INTERVAL, performance.now());
@@ -122,6 +125,8 @@
     metrics: Metrics,
   ) {
     this.#address = address;
+    const floor = new ServiceFloor(components.random);
+    this.#service = new ServiceRecord(floor, metrics);
     this.#components = {
       ...components,
       durations: new LongestDurations(),
@@ -130,10 +135,10 @@
       cutMetrics: new CutAnswerMetrics(metrics),
       notices: new AnswerNotices({ ...components, metrics }),
       returns: new CallerReturns({ ...components, metrics }),
-      floor: new ServiceFloor(components.random),
-      onSettled: (request, outcome, milliseconds, admitted) => {
-        this.#onSettled(request, outcome, milliseconds);
-        if (admitted?.route.isStream) this.#noteService(admitted, outcome);
+      floor,
+      onSettled: (request, ending, milliseconds, admitted) => {
+        this.#onSettled(request, outcomeOfEnding(ending), milliseconds);
+        if (admitted !== undefined) this.#service.note(admitted, ending, performance.now());
       },
     };
     components.poison.onQuarantined = () => {
@@ -311,13 +316,6 @@
     }
   }
 
-  /** Tells the floor of service who is served; a caller that leaves, or a stop of this process, says nothing about that. */
-  #noteService({ priorityRank, isDrawn }: AdmittedRequest, outcome: RequestOutcome): void {
-    if (outcome === 'left' || outcome === 'stopped') return;
-    const isServed = outcome === 'served';
-    this.#components.floor.note({ rank: priorityRank, isDrawn, isServed }, performance.now());
-  }
-
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
     if (!this.#arrivedWhileDraining(request)) this.#lingerStartedAt = performance.now();
