Test: the load of another entry shows in the queue that callers would have to wait in

Cause: the test took a caller with 2 s left for a retry, which only a back end with a free slot took. That guess is gone, and a stream may queue as long as its objective allows. Change: the other entry holds four requests, the back end answers after 300 ms, and a stream is refused until the load of the other entry is dropped. Without the line that drops the load it fails: 503 for 200.

--- a/test/roles/direct-entry.test.ts
+++ b/test/roles/direct-entry.test.ts
@@ -13,8 +13,9 @@
   writeRecords,
 } from './running-entry.js';
 
-/** Remaining time that a caller sends when it retries after a refusal, in milliseconds. */
-const RETRY_TIME_LEFT = 2_000;
+/** Requests of another entry that a back end holds, and its time for an answer, in milliseconds. */
+const HELD_ELSEWHERE = 4;
+const ANSWER_TIME = 300;
 
 /** A report of an engine, without its address and start. */
 const ENGINE_REPORT = {
@@ -73,16 +74,16 @@
     for (const { store } of [one, two]) writeRecords(store, 1, backEnd, 1);
     await until(() => one.entry.addresses('zone-a', 'region-a').length === 2, 'both entries');
     backEnd.answer(() => {});
-    const cut = send(one, '/1/').catch(() => {});
-    await until(() => backEnd.requests.length === 1, 'the request of the other');
-    backEnd.answer(reply(200, 'done'));
-    // A retried request goes only to a back end with a free slot.
-    const retryStatus = async () => (await send(two, '/stream/', { timeLeft: RETRY_TIME_LEFT })).status;
-    await until(async () => (await retryStatus()) === 503, 'the load of the other');
+    const cut = Array.from({ length: HELD_ELSEWHERE }, () => send(one, '/1/').catch(() => {}));
+    await until(() => backEnd.requests.length === HELD_ELSEWHERE, 'the requests of the other');
+    backEnd.answer((...call) => void setTimeout(() => reply(200, 'done')(...call), ANSWER_TIME));
+    // A stream is refused if the requests ahead of it take longer than its objective allows.
+    const streamStatus = async () => (await send(two, '/stream/')).status;
+    await until(async () => (await streamStatus()) === 503, 'the load of the other');
     await one.entry.stop();
-    await cut;
+    await Promise.all(cut);
     await until(() => two.entry.addresses('zone-a', 'region-a').length === 1, 'the other is gone');
-    expect(await retryStatus()).toBe(200);
+    expect(await streamStatus()).toBe(200);
   });
 
   it('keeps only its share of the connections that a back end accepts from all entries together', async () => {
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -149,8 +149,6 @@
   requestId?: string;
   /** Keeps connections alive; without an agent each request opens its own connection. */
   agent?: Agent;
-  /** Time that the caller waits, in milliseconds; the header is omitted if undefined. */
-  timeLeft?: number;
   /** The list of prompt parts; the header is omitted if undefined. */
   parts?: string;
 }
@@ -159,13 +157,12 @@
 export function send(
   { settings }: RunningEntry,
   path: string,
-  { requestId = 'r1', agent, timeLeft, parts }: SendOptions = {},
+  { requestId = 'r1', agent, parts }: SendOptions = {},
 ): Promise<Received> {
   const [host, port] = settings.callers.split(':');
   return new Promise((resolve, reject) => {
-    const timeLeftHeader = timeLeft === undefined ? {} : { 'x-time-left': String(timeLeft) };
     const partsHeader = parts === undefined ? {} : { 'x-parts': parts };
-    const headers = { host: 'api.example', 'x-request': requestId, ...timeLeftHeader, ...partsHeader };
+    const headers = { host: 'api.example', 'x-request': requestId, ...partsHeader };
     const sent = httpRequest({ host, port, path, headers, agent }, (response) => {
       const end = () =>
         resolve({
