A search counts its arrival in one place; the seeker has no callback that nobody uses

Cause: no wait is counted at the moment at which more agents are asked any more. Change: SlotSeekerOptions.onWait is gone; doc comments in BackEndSearch.

--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -88,8 +88,10 @@
   #hold: HoldRecord | undefined;
   /** The wait for a slot of a request that was neither sent nor held before. */
   #wait: SlotWait | undefined;
+  /** Time until agents expect a slot for the request, in milliseconds; undefined if none has refused it for that reason. */
   #slotIn: number | undefined;
-  #hasBegun = false;
+  /** True once the arrival of the request has been counted. */
+  #isCounted = false;
   /** True once the request would be refused unless a back end that backs off takes it. */
   #isLastResort = false;
 
@@ -104,19 +106,24 @@
     return this.#seeker !== undefined || this.#claiming !== undefined || this.#heldSince !== undefined;
   }
 
-  /** Time until agents expect a slot for the request, in milliseconds; undefined if none has refused it for that reason. */
+  /** Time until agents expect a slot for the request, in milliseconds; undefined if they predict none. */
   get slotIn(): number | undefined {
     return this.#slotIn;
   }
 
   begin(): void {
-    if (!this.#hasBegun)
-      this.#components.returns.noteArrival(this.#requirements.service, this.#request.rank, performance.now());
-    this.#hasBegun = true;
+    this.#countArrival();
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
     if (!this.#seekSlot()) this.#chooseWithoutSlot();
   }
 
+  #countArrival(): void {
+    if (this.#isCounted) return;
+    this.#isCounted = true;
+    const { service } = this.#requirements;
+    this.#components.returns.noteArrival(service, this.#request.rank, performance.now());
+  }
+
   /** Tries again; called periodically while the search is under way. */
   check(now: number, standstills: StallDetector): void {
     if (this.#claiming !== undefined) return;
@@ -161,7 +168,6 @@
       promptTokens,
       endsAt,
       onGranted: (row, claim, asked) => this.#takeSlot(row, claim, asked),
-      onWait: () => {},
       onExhausted: () => {
         this.#cancelSeeker();
         this.#chooseWithoutSlot();
--- a/src/forwarding/slot-seeker.ts
+++ b/src/forwarding/slot-seeker.ts
@@ -33,8 +33,6 @@
   promptTokens: number;
   /** Called with the first slot granted; the receiver must release the claim. All other claims have been released. */
   onGranted: (row: BackEndRow, claim: SlotClaim, asked: number) => void;
-  /** Called if no agent has granted a slot when more agents are to be asked: the request waits. */
-  onWait: () => void;
   /** Called when no agent is left that may grant a slot. */
   onExhausted: () => void;
   /**
@@ -93,10 +91,7 @@
 
   #widen(): void {
     if (this.#isStopped) return;
-    this.#catchFaults(() => {
-      this.#options.onWait();
-      if (!this.#isStopped) this.#ask(performance.now());
-    });
+    this.#catchFaults(() => this.#ask(performance.now()));
   }
 
   #ask(now: number): void {
