--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -452,7 +452,9 @@
 
   it('is more requests in a second than a cold worker bears, once that is known', () => {
     sendTen(START + 2_000);
-    expect(judgeColdStarts(world)).toEqual([expect.stringMatching(/^FAILBACK: i-1 \(born 1\) got 10 in a second/)]);
+    expect(judgeColdStarts(world)).toEqual([
+      expect.stringMatching(/^FAILBACK: i-1 \(born 1\) got 10 in a second/),
+    ]);
   });
 
   it('is nothing right after the start, at another start, or among requests that were misdirected', () => {
