Agents grant slots as engines read prompts, not as slots are free

Cause: an agent counted requests. After a start, a switch or in a burst it granted all 12 free slots at once; the last prompt was read some 480 ms later, and its request could have gone to an engine with less to read.

Change: PromptBacklog keeps the prompts that have been granted and are not read. A slot is granted only once what is unread takes less than 50 ms at the declared rate and the present pace: what the engine reports, or what an overdue answer shows. Agents get the declared pace with the plan, and ask entries to report the first part of an answer: one datagram a request. Without a declared rate, from earlier releases or for prompts of unknown size nothing changes. The simulation replays bursts and a start with free slots at engines that are 2.5 times slower for 0.6 s of each 3 s.

--- a/bench/simulation/placement-callers.ts
+++ b/bench/simulation/placement-callers.ts
@@ -28,6 +28,8 @@
   /** Whether the latest refusal came so early that little was lost for its caller. */
   isRefusedEarly: boolean;
   servedAt: number | undefined;
+  /** Number of the engine that it was last sent to. */
+  engine?: number;
 }
 
 export interface PlacementCallersInit {
--- a/bench/simulation/placement-loads.ts
+++ b/bench/simulation/placement-loads.ts
@@ -186,6 +186,18 @@
 export const PLACEMENT_SITES = { hundreds: HUNDREDS, threeRanks: THREE_RANKS, uneven: UNEVEN } as const;
 export type PlacementSiteName = keyof typeof PLACEMENT_SITES;
 
+/** Engines that are slower for a while, in milliseconds. */
+export interface SlowEngines {
+  /** Share of the engines. */
+  share: number;
+  /** How many times as long their passes take. */
+  slowness: number;
+  from: number;
+  to: number;
+  /** Set if each is slow only for `length` of each `every`. */
+  pulse?: { every: number; length: number };
+}
+
 /** How the load goes over time; times in milliseconds. */
 export interface LoadShape {
   /** Load from each of these times on, as a share of the load that is simulated, the latest first. */
@@ -195,7 +207,7 @@
   /** Requests that arrive earlier are not counted. */
   countedFrom: number;
   /** Engines that are slower for a while: share of the engines, and how many times as long their passes take. */
-  slowEngines?: { share: number; slowness: number; from: number; to: number };
+  slowEngines?: SlowEngines;
   /** A tenant that asks more than its share: its number, how many times its share, and since when. */
   largeTenant?: { tenant: number; times: number; from: number };
 }
@@ -210,6 +222,10 @@
   countedFrom: 4_000,
 };
 
+/** Interval and length of short bursts, in milliseconds. */
+const BURST_EVERY = 1_500;
+const BURST_LENGTH = 250;
+
 export const LOAD_SHAPES = {
   /** A morning peak. */
   peak: {
@@ -223,6 +239,34 @@
     end: 30_000,
     countedFrom: 0,
   },
+  /** Bursts of 250 ms while most slots are free, at engines that are slow now and then. */
+  unevenBursts: {
+    steps: [
+      ...Array.from({ length: 8 }, (_, burst) => BURST_EVERY * (8 - burst)).flatMap(
+        (from) =>
+          [
+            [from + BURST_LENGTH, 0.1],
+            [from, 1],
+          ] as const,
+      ),
+      [0, 0.1],
+    ],
+    arrivalsEnd: 14_000,
+    end: 20_000,
+    countedFrom: 1_000,
+    slowEngines: { share: 1, slowness: 2.5, from: 0, to: 14_000, pulse: { every: 3_000, length: 600 } },
+  },
+  /** All load comes at once where all slots are free, at engines that are slow now and then. */
+  unevenStart: {
+    steps: [
+      [1_000, 1],
+      [0, 0],
+    ],
+    arrivalsEnd: 5_000,
+    end: 11_000,
+    countedFrom: 0,
+    slowEngines: { share: 1, slowness: 2.5, from: 0, to: 9_000, pulse: { every: 3_000, length: 600 } },
+  },
   /** A load that lasts for 15 s. */
   step: STEP,
   /** A load that lasts for 3 s, between 0.4 of it. */
--- a/bench/simulation/placement-report.ts
+++ b/bench/simulation/placement-report.ts
@@ -45,6 +45,9 @@
   /** Share served of the tenant that was served least, divided by the share served of all requests. */
   worstTenant: number;
   /** Time to a first event, in milliseconds. */
+  /** Shares in time of the tenth of all sizes, and of the engine, that has the least. */
+  worstTenthInTime: number;
+  worstEngineInTime: number;
   firstEventP50: number;
   firstEventP95: number;
 }
@@ -76,6 +79,8 @@
       ),
     ),
     worstTenant: rounded(worstTenantShare(callers, site.tenants) / servedShare),
+    worstTenthInTime: rounded(Math.min(...tenthsBySize(callers).map(shareInTime))),
+    worstEngineInTime: rounded(Math.min(...byEngine(callers).map(shareInTime))),
     firstEventP50: Math.round(times[Math.floor(times.length * 0.5)]),
     firstEventP95: Math.round(times[Math.floor(times.length * 0.95)]),
   };
@@ -158,3 +163,19 @@
 function sumOf(callers: readonly Caller[], value: (caller: Caller) => number): number {
   return callers.reduce((sum, caller) => sum + value(caller), 0);
 }
+
+function shareInTime(callers: readonly Caller[]): number {
+  return callers.filter(isInTime).length / callers.length;
+}
+
+function tenthsBySize(callers: readonly Caller[]): Caller[][] {
+  const bySize = [...callers].sort((one, other) => sizeOf(other) - sizeOf(one));
+  const tenth = Math.floor(callers.length / 10);
+  return Array.from({ length: 10 }, (_, number) => bySize.slice(number * tenth, (number + 1) * tenth));
+}
+
+/** The callers that were sent to each engine. */
+function byEngine(callers: readonly Caller[]): Caller[][] {
+  const engines = new Set(callers.map(({ engine }) => engine).filter((engine) => engine !== undefined));
+  return [...engines].map((number) => callers.filter(({ engine }) => engine === number));
+}
--- a/bench/simulation/placement-simulation.ts
+++ b/bench/simulation/placement-simulation.ts
@@ -14,6 +14,7 @@
   PLACEMENT_SITES,
   type PlacementSite,
   type PlacementSiteName,
+  type SlowEngines,
 } from './placement-loads.js';
 import {
   createEngine,
@@ -71,6 +72,8 @@
   addedEngines?: number;
   /** Entries are killed in turn from 9 s on, and start again. */
   areEntriesRestarted?: boolean;
+  /** Whether agents limit grants by the work that engines have not done; true by default. */
+  isLimitedByWork?: boolean;
 }
 
 /** What came out. */
@@ -105,6 +108,8 @@
  */
 const DRAWING_TIME = 400;
 const LOST_WHILE_DRAWING = 0.5;
+/** Spreads the times of engines evenly, however many there are. */
+const GOLDEN_SHARE = 0.618;
 const IDLE_CHECK = 50;
 const IDLE_COUNTED_FROM = 12_000;
 
@@ -139,6 +144,7 @@
       lostMessages: 0,
       addedEngines: init.site === undefined || init.site === 'hundreds' ? ADDED_ENGINES : 0,
       areEntriesRestarted: false,
+      isLimitedByWork: true,
       ...init,
     };
     const { seed, site, shape, load } = this.#init;
@@ -195,6 +201,7 @@
   ): void {
     const { clock } = this;
     let hasBegun = false;
+    caller.engine = engine.number;
     entry.own[engine.number]++;
     const way = delayBetween(entry, engine);
     const refuse = () => this.refuse(caller, RETRY_AFTER * (1 + this.random.fraction()));
@@ -242,6 +249,7 @@
       return new CentralPlacement(this, policy === 'central');
     if (policy !== 'slots') return new LoadBasedPlacement(this, policy === 'reportedLoads');
     return new SlotPlacement(this, {
+      isLimitedByWork: this.#init.isLimitedByWork,
       statementRandom: this.#statementRandom,
       lossBetween: (entry, engine) => this.#lossBetween(entry, engine),
     });
@@ -259,6 +267,10 @@
     const slow = this.#shape.slowEngines;
     if (slow === undefined) return;
     const engines = this.engines.slice(0, Math.round(slow.share * this.engines.length));
+    if (slow.pulse !== undefined) {
+      for (const engine of engines) this.#slowInPulses(engine, slow);
+      return;
+    }
     const setSlowness = (slowness: number) => {
       for (const { engine } of engines) engine.slowness = slowness;
     };
@@ -266,6 +278,21 @@
     this.clock.schedule(slow.to, () => setSlowness(1));
   }
 
+  /** Slows an engine for a while now and then; each has its own times. */
+  #slowInPulses({ engine, number }: PlacementEngine, slow: SlowEngines): void {
+    const { clock } = this;
+    const { every, length } = slow.pulse!;
+    const begin = () => {
+      if (clock.now >= slow.to) return;
+      engine.slowness = slow.slowness;
+      clock.schedule(clock.now + length, () => {
+        engine.slowness = 1;
+      });
+      clock.schedule(clock.now + every, begin);
+    };
+    clock.schedule(slow.from + ((number * GOLDEN_SHARE * every) % every), begin);
+  }
+
   /** Kills one entry after the other; each starts again. */
   #restartLater(number: number): void {
     const { clock } = this;
--- a/bench/simulation/slot-attempt.ts
+++ b/bench/simulation/slot-attempt.ts
@@ -138,7 +138,10 @@
         this.#slots.release(this.#entry, engine, claim);
         this.#noteOutcome(true);
       },
-      () => waits.noteFirstEvent(this.#caller.promptTokens, clock.now - sentAt),
+      () => {
+        this.#slots.notePromptRead(this.#entry, engine, claim);
+        waits.noteFirstEvent(this.#caller.promptTokens, clock.now - sentAt);
+      },
     );
   }
 
@@ -195,7 +198,7 @@
 }
 
 /** What a configuration declares of the engines. */
-function paceOf({ site }: PlacementContext): DeclaredPace {
+export function paceOf({ site }: PlacementContext): DeclaredPace {
   const { tokensReadPerMillisecond, step, slots, stepPerRequest } = site.pace;
   return {
     readTokensPerSecond: tokensReadPerMillisecond * 1_000,
--- a/bench/simulation/slot-placement.ts
+++ b/bench/simulation/slot-placement.ts
@@ -16,7 +16,7 @@
   type PlacementEntry,
   type RequestPlacement,
 } from './placement-machines.js';
-import { type EntryDecisions, SlotAttempt } from './slot-attempt.js';
+import { type EntryDecisions, paceOf, SlotAttempt } from './slot-attempt.js';
 
 const LOOK_INTERVAL = 250;
 const STATEMENT_INTERVAL = 100;
@@ -27,6 +27,8 @@
 const SPREAD = 40;
 
 export interface SlotPlacementOptions {
+  /** Whether agents know the reading rate, and grant no more than engines read ahead. */
+  isLimitedByWork: boolean;
   /** What entries state, and whether it arrives, has a stream of its own: the load is the same with and without it. */
   statementRandom: Random;
   /** Share of the messages between the two that is lost at present. */
@@ -42,6 +44,8 @@
   readonly #decisions: EntryDecisions[];
   /** Requests that have waited long enough to ask more agents, by urgency. */
   readonly #waiting = new Map<number, number>();
+  /** When each agent can grant its next slot. */
+  readonly #grantsDue = new Map<PlacementEngine, number>();
   /** Grants, and those given while a more urgent request waited elsewhere. */
   #grants = 0;
   #grantsPastUrgent = 0;
@@ -123,14 +127,34 @@
     this.#deliver(entry, engine, () => this.#tell(engine, engine.slots.release(id, clock.now)));
   }
 
-  /** Sends an agent's answers. */
+  /** Tells the agent that the engine has read the prompt. */
+  notePromptRead(entry: PlacementEntry, engine: PlacementEngine, claim: number): void {
+    const id = tableId(String(entry.number), claim);
+    const { clock } = this.context;
+    this.#deliver(entry, engine, () => this.#tell(engine, engine.slots.notePromptRead(id, clock.now)));
+  }
+
+  /** Sends an agent's answers, and looks again when it can grant the next slot. */
   #tell(engine: PlacementEngine, decisions: readonly SlotDecision[]): void {
+    this.#grantLater(engine);
     for (const decision of decisions) {
       const entry = this.context.entries[Number(claimOf(decision.id).entry)];
       this.#deliver(entry, engine, () => this.#seekers.get(decision.id)?.(decision));
     }
   }
 
+  #grantLater(engine: PlacementEngine): void {
+    const { clock } = this.context;
+    const { nextGrantAt } = engine.slots;
+    if (nextGrantAt === undefined || this.#grantsDue.get(engine) === nextGrantAt) return;
+    this.#grantsDue.set(engine, nextGrantAt);
+    clock.schedule(Math.max(nextGrantAt, clock.now + 1), () => {
+      if (this.#grantsDue.get(engine) !== nextGrantAt) return;
+      this.#grantsDue.delete(engine);
+      this.#tell(engine, engine.slots.grantFree(clock.now));
+    });
+  }
+
   /** Carries a message between an entry and an agent; some are lost, and all of an entry that is gone. */
   #deliver(
     entry: PlacementEntry,
@@ -159,9 +183,10 @@
 
   #look(engine: PlacementEngine): void {
     const { clock } = this.context;
-    const { load } = engine.engine;
+    const { load, slowness: pace } = engine.engine;
+    const declaredPace = this.#options.isLimitedByWork ? paceOf(this.context) : undefined;
     clock.schedule(clock.now + REPORT_LAG, () =>
-      this.#tell(engine, engine.slots.observe({ isServing: true, load }, clock.now)),
+      this.#tell(engine, engine.slots.observe({ isServing: true, load, pace, declaredPace }, clock.now)),
     );
     clock.schedule(clock.now + LOOK_INTERVAL, () => this.#look(engine));
   }
--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -257,7 +257,8 @@
   });
   site = Option.String('--site', 'hundreds', { description: 'deployment: hundreds, threeRanks or uneven' });
   shape = Option.String('--shape', 'peak', {
-    description: 'load over time: peak, step, burst, largeTenant or slowEngines',
+    description:
+      'load over time: peak, step, burst, herd, largeTenant, slowEngines, unevenBursts or unevenStart',
   });
   load = Option.String('--load', '1', { description: 'load as a fraction of the peak' });
   seed = Option.String('--seed', '1', { description: 'seed of all random choices' });
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -143,7 +143,7 @@
   /** Starts to look for a slot of an engine; returns false if there is no agent to ask. */
   #seekSlot(): boolean {
     const { selector, backEnds, limits, slots, random } = this.#components;
-    const { timing, rank, isResuming, promptTokens } = this.#request;
+    const { timing, rank, isResuming, isStream, promptTokens } = this.#request;
     if (!selector.shouldAcquireSlot(this.#requirements)) return false;
     const now = performance.now();
     const { endsAt, inTimeUntil } = this.#slotWaitTimes(now);
@@ -158,7 +158,8 @@
       urgency: isResuming() ? 0 : timing.urgency(rank, now),
       arrivedAt: timing.arrivedAt,
       inTimeUntil,
-      promptTokens,
+      // Only the answer of a stream shows when its prompt has been read.
+      promptTokens: isStream ? promptTokens : 0,
       endsAt,
       onGranted: (row, claim, asked) => this.#takeSlot(row, claim, asked),
       onWait: () => {},
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -138,6 +138,7 @@
   notePromptRead(): void {
     if (this.#isPromptRead) return;
     this.#isPromptRead = true;
+    this.claim?.notePromptRead();
     this.row.pendingPromptTokens -= this.#promptTokens;
     if (this.#answeredAt === undefined) return;
     const now = performance.now();
--- a/src/forwarding/engine-slots.ts
+++ b/src/forwarding/engine-slots.ts
@@ -38,6 +38,8 @@
    * @param rateLimit - limit named by the answer, in requests per second; undefined if it names none
    */
   noteAnswer(rateLimit: number | undefined): void;
+  /** Reports that the engine has read the prompt of the request that holds the slot; without effect once it is released. */
+  notePromptRead(): void;
   /**
    * Releases the slot or cancels the request for it. No callback is called afterwards.
    * @param wasUsed - whether the request may have been sent to the engine
--- a/src/peers/slot-client.ts
+++ b/src/peers/slot-client.ts
@@ -21,6 +21,8 @@
   answers: SlotAnswers;
   /** Whether the agent knew of a rate limit when it granted the slot. */
   isLimited: boolean;
+  /** Whether the agent wants to know when the engine has read the prompt. */
+  isLimitedByWork: boolean;
 }
 
 /** Requests and releases slots. */
@@ -51,7 +53,7 @@
 
   ask(agent: string, request: SlotRequest, answers: SlotAnswers): SlotClaim {
     const id = this.#claims.open(agent);
-    this.#openClaims.set(id, { answers, isLimited: false });
+    this.#openClaims.set(id, { answers, isLimited: false, isLimitedByWork: false });
     this.#endpoint.send(agent, { type: 'slotAsked', id, ...request });
     return {
       noteAnswer: (rateLimit) => {
@@ -59,6 +61,10 @@
         if (open === undefined || (rateLimit === undefined && !open.isLimited)) return;
         this.#endpoint.send(agent, { type: 'slotAnswered', id, rateLimit });
       },
+      notePromptRead: () => {
+        if (this.#openClaims.get(id)?.isLimitedByWork)
+          this.#endpoint.send(agent, { type: 'slotPromptRead', id });
+      },
       release: (wasUsed) => {
         if (this.#closeClaim(id) !== undefined)
           this.#endpoint.send(agent, { type: 'slotReleased', id, wasUsed });
@@ -85,9 +91,9 @@
       return this.#closeClaim(message.id)?.onRefused(message.availableIn ?? undefined);
     if (message.type === 'slotUnready') return this.#closeClaim(message.id)?.onUnready();
     if (message.type !== 'slotGranted') return;
-    const { id, isLimited } = message;
+    const { id, isLimited, isLimitedByWork } = message;
     const open = this.#openClaims.get(id);
-    if (open !== undefined) open.isLimited = isLimited;
+    if (open !== undefined) Object.assign(open, { isLimited, isLimitedByWork: isLimitedByWork === true });
     if (this.#claims.noteGranted(id)) return open?.answers.onGranted();
     if (this.#claims.isOpen(id)) return;
     // The claim was closed while the grant was in flight, and its release may have been lost.
--- a/src/peers/slot-server.ts
+++ b/src/peers/slot-server.ts
@@ -29,7 +29,7 @@
   readonly #holders = new SlotHolders(this.#table);
   readonly #standstills = new StallDetector(CHECK_INTERVAL, performance.now());
   #timer: NodeJS.Timeout | undefined;
-  /** Fires when the rate limit allows the next grant. */
+  /** Fires when the backlog and the rate limit allow the next grant. */
   #grantTimer: NodeJS.Timeout | undefined;
   #loggedRateLimit: number | undefined;
   readonly #endpoint: DatagramEndpoint;
@@ -95,6 +95,8 @@
       return this.#sendDecisions(
         this.#table.noteAnswer(tableId(from, message.id), message.rateLimit ?? undefined, now),
       );
+    if (message.type === 'slotPromptRead')
+      return this.#sendDecisions(this.#table.notePromptRead(tableId(from, message.id), now));
     if (message.type === 'slotsStated')
       return this.#sendDecisions(this.#holders.takeStatement(from, message, now));
     if (message.type !== 'slotAsked') return;
@@ -127,7 +129,12 @@
   #answerTo(id: number, decision: SlotDecision): SlotMessage {
     switch (decision.type) {
       case 'granted':
-        return { type: 'slotGranted', id, isLimited: this.rateLimit !== undefined };
+        return {
+          type: 'slotGranted',
+          id,
+          isLimited: this.rateLimit !== undefined,
+          isLimitedByWork: this.#table.isLimitedByWork,
+        };
       case 'queued':
         return { type: 'slotQueued', id };
       case 'refused':
@@ -145,7 +152,7 @@
     else this.#log.info('rate limit named', { rate: this.rateLimit, previousRate });
   }
 
-  /** Schedules the next grant for when the rate limit allows it. */
+  /** Schedules the next grant for when the backlog and the rate limit allow it. */
   #scheduleGrant(): void {
     clearTimeout(this.#grantTimer);
     const { nextGrantAt } = this.#table;
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -1,5 +1,6 @@
 /** Reports about themselves that entries and agents of directly called back ends exchange. */
 import type { BackEndIdentity } from '../model/back-end-identity.js';
+import type { DeclaredPace } from '../systems/wait-policy.js';
 
 /** A version of a model that the configuration or the operator names. */
 export interface NamedVersion {
@@ -96,6 +97,11 @@
    * set.
    */
   canMoveRequests: boolean;
+  /**
+   * What the engine's service declares of its pace; undefined if that is not known, or from earlier releases: grants are then
+   * not limited by work.
+   */
+  declaredPace?: DeclaredPace | undefined;
   /** Pieces that entries hold; entries of the agent's zone are marked as near. */
   holders: Array<{ address: string; isNear: boolean; held: HeldPieces[] }>;
   /** Entries of all zones, those of the agent's own zone first. */
--- a/src/protocol/slot-messages.ts
+++ b/src/protocol/slot-messages.ts
@@ -26,6 +26,8 @@
   | { type: 'slotReleased'; id: number; wasUsed: boolean }
   /** The engine has answered the request that holds the slot; `rateLimit` is undefined if the answer names none. */
   | { type: 'slotAnswered'; id: number; rateLimit: number | undefined }
+  /** The engine has read the prompt of the request that holds the slot; sent only if the grant asks for it. */
+  | { type: 'slotPromptRead'; id: number }
   /** All slot requests that the entry has open at the agent, sent periodically because messages may be lost. */
   | ({ type: 'slotsStated' } & SlotStatement)
   /** The agent grants a slot to the request. */
@@ -34,6 +36,8 @@
       id: number;
       /** The agent knows a rate limit, so the entry must also report answers that name none. */
       isLimited: boolean;
+      /** The entry is to report when the engine has read the prompt; absent from earlier releases. */
+      isLimitedByWork?: boolean | undefined;
     }
   /** The request waits in the agent's queue. */
   | { type: 'slotQueued'; id: number }
--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -5,6 +5,7 @@
 import { rendezvousOrder } from '../model/random.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
 import type { EntryReport, WeightsPlan } from '../protocol/reports.js';
+import type { DeclaredPace } from '../systems/wait-policy.js';
 import type { WeightsVersion } from '../weights/held-weights.js';
 import { canMoveRequests } from '../weights/request-moves.js';
 
@@ -54,6 +55,7 @@
       layers: configuration?.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
       position: this.#positionOf(report?.address ?? '', zone),
       canMoveRequests: this.#canMoveRequests(report?.address ?? ''),
+      declaredPace: this.#paceOf(report?.address ?? ''),
       holders,
       entries: toConnect.map((entry) => entry.address),
       hasNearEntry: near.length > 0,
@@ -77,6 +79,14 @@
     return Math.max(0, addresses.sort().indexOf(address));
   }
 
+  /** What the service of the engine at `address` declares of its pace; undefined before the engine is listed. */
+  #paceOf(address: string): DeclaredPace | undefined {
+    const { fleet, backEnds } = this.#options;
+    const row = [...backEnds.rows.values()].find(({ record }) => record.address === address);
+    const engine = row && fleet.routes?.service(row.record.service)?.engine;
+    return engine && { readTokensPerSecond: engine.readTokensPerSecond, tokenTime: engine.tokenTime };
+  }
+
   /** Whether other engines can continue the requests that run at `address`. */
   #canMoveRequests(address: string): boolean {
     const { fleet, backEnds } = this.#options;
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -14,6 +14,7 @@
  * ```
  */
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
+import { type KnownPace, PromptBacklog } from './prompt-backlog.js';
 import { RateLimiter } from './rate-limiter.js';
 import { type SlotAsk, SlotQueue } from './slot-queue.js';
 
@@ -42,7 +43,7 @@
   | { type: 'unready'; id: string };
 
 /** The state of the engine, as read by its agent. */
-export interface ObservedEngine {
+export interface ObservedEngine extends KnownPace {
   /** Its start; undefined if it does not report one. */
   start?: BackEndIdentity['start'];
   /** False while it accepts no new requests, for example during a version switch. */
@@ -88,6 +89,9 @@
   /** The granted slots, earliest first. */
   readonly #leases = new Map<string, Lease>();
   readonly #waiting = new SlotQueue();
+  readonly #backlog = new PromptBacklog();
+  /** When the backlog lets the next request have a slot, as of the last attempt to grant it one. */
+  #readableAt: number | undefined;
   #slots = 0;
   #start: BackEndIdentity['start'];
   /** Undefined until the engine has been observed. */
@@ -120,8 +124,10 @@
     return this.#limit?.rate;
   }
 
-  /** When the rate limit allows the next grant; undefined unless a request waits and a slot is free. */
+  /** When the backlog and the rate limit allow the next grant; undefined unless a request waits and a slot is free. */
   get nextGrantAt(): number | undefined {
+    if (this.#waiting.size > 0 && this.#hasFreeSlot && this.#readableAt !== undefined)
+      return Math.max(this.#readableAt, this.#limit?.limiter.dueAt() ?? this.#readableAt);
     return this.#limit !== undefined && this.#waiting.size > 0 && this.#hasFreeSlot
       ? this.#limit.limiter.dueAt()
       : undefined;
@@ -150,6 +156,7 @@
    */
   release(id: string, now: number, wasUsed = true): SlotDecision[] {
     this.#waiting.withdraw(id, now);
+    this.#backlog.noteReleased(id);
     const lease = this.#leases.get(id);
     if (lease !== undefined) {
       this.#leases.delete(id);
@@ -174,6 +181,17 @@
     return this.grantFree(now);
   }
 
+  /** The engine has read the prompt of the request `id`. */
+  notePromptRead(id: string, now: number): SlotDecision[] {
+    this.#backlog.noteRead(id);
+    return this.grantFree(now);
+  }
+
+  /** Whether entries are to report when a prompt is read. */
+  get isLimitedByWork(): boolean {
+    return this.#backlog.isLimiting;
+  }
+
   /** The ids of all requests that have a slot or wait for one. */
   ids(): string[] {
     return [...this.#leases.keys(), ...this.#waiting.ids()];
@@ -189,6 +207,7 @@
   forget(ids: readonly string[], now: number): SlotDecision[] {
     for (const id of ids) {
       this.#waiting.remove(id);
+      this.#backlog.noteReleased(id);
       this.#leases.delete(id);
     }
     return this.grantFree(now);
@@ -208,8 +227,10 @@
   }
 
   /** Applies the observed state of the engine: reclaims unused slots and counts requests that run without a grant. */
-  observe({ start, isServing, load, rateLimit }: ObservedEngine, now: number): SlotDecision[] {
+  observe(engine: ObservedEngine, now: number): SlotDecision[] {
+    const { start, isServing, load, rateLimit } = engine;
     if (!isSameStart(start, this.#start)) this.#forgetLeases();
+    this.#backlog.observe(engine);
     this.#start = start ?? this.#start;
     if (rateLimit !== undefined) this.#observeLimit(rateLimit, now);
     this.#isServing = isServing;
@@ -229,6 +250,7 @@
   /** Handles a restart of the engine, which ended all requests there. */
   #forgetLeases(): void {
     this.#leases.clear();
+    this.#backlog.clear();
     this.#releasedAt = [];
     this.#unused = 0;
     this.#limit = undefined;
@@ -272,8 +294,11 @@
     while (this.#hasFreeSlot) {
       const next = this.#waiting.next(now);
       const limiter = this.#limit?.limiter;
+      this.#readableAt = next && this.#backlog.grantableAt(next, now);
+      if (this.#readableAt !== undefined && this.#readableAt > now) break;
       if (next === undefined || limiter?.tryAcquire(now) === false) break;
       this.#waiting.noteGranted(next, now);
+      this.#backlog.noteGranted(next, now);
       this.#leases.set(next.id, { grantedAt: now, limiter });
       decisions.push({ type: 'granted', id: next.id });
     }
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -228,6 +228,8 @@
       start: this.#starts.current,
       isServing: this.#loadedVersion > 0 && !this.#isSwitching,
       load: this.#engineState.load,
+      pace: this.#engineState.pace,
+      declaredPace: this.#plan.declaredPace ?? undefined,
       rateLimit: this.#engineState.rateLimit,
     });
   }
--- a/src/weights/staged-engine.ts
+++ b/src/weights/staged-engine.ts
@@ -19,6 +19,8 @@
   isBusy: boolean;
   /** Requests of all callers that run or wait there. */
   load: number;
+  /** How many times as long as its service declares it takes at present; undefined if it does not report it. */
+  pace?: number | undefined;
   /** Number of orders accepted since the start. */
   sequence: number;
   /** Rate limit in requests per second; undefined if this answer names none. */
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -42,7 +42,7 @@
 const VERSION_BOUND = 8_000;
 
 /** A claim that ignores all calls. */
-export const NOOP_CLAIM: SlotClaim = { noteAnswer: () => {}, release: () => {} };
+export const NOOP_CLAIM: SlotClaim = { noteAnswer: () => {}, notePromptRead: () => {}, release: () => {} };
 
 /** The answer as the caller received it. */
 export interface Answer {
--- a/test/peers/slot-messages.test.ts
+++ b/test/peers/slot-messages.test.ts
@@ -172,6 +172,54 @@
   expect(reported.flat()).not.toContain(unlimited);
 });
 
+it('an entry reports once that a prompt has been read if the agent asks for it, and not after the release', async () => {
+  const claims = [1, 2, 3].map(() =>
+    client.ask(
+      address,
+      WISH,
+      answers(() => {}),
+    ),
+  );
+  await until(() => heardOf('slotAsked').length === 3, 'the questions');
+  const ids = heardOf('slotAsked').map(({ id }) => id);
+  for (const [index, id] of ids.entries())
+    other.send(entryAddress, { type: 'slotGranted', id, isLimited: false, isLimitedByWork: index > 0 });
+  await until(() => heardOf('slotsStated').some(({ held }) => held.length === 3), 'the grants');
+  claims[0].notePromptRead();
+  claims[1].notePromptRead();
+  for (const claim of claims) claim.release(true);
+  claims[2].notePromptRead();
+  await until(() => heardOf('slotReleased').length === 3, 'the releases');
+  expect(heardOf('slotPromptRead').map(({ id }) => id)).toEqual([ids[1]]);
+});
+
+it('an agent grants the next slot when an entry reports that the prompt before has been read', async () => {
+  const agentAddress = await freeAddress();
+  const agent = new SlotServer(agentAddress, (await createConnectionContext('agent')).context, silentLog);
+  await agent.start();
+  // The first prompt is read in 1.6 s.
+  const declaredPace = { readTokensPerSecond: 1_000, tokenTime: 8 };
+  agent.observe({ isServing: true, load: 0, declaredPace });
+  const received: string[] = [];
+  const wish = { ...WISH, slots: 4, promptTokens: 1_600 };
+  const ask = (name: string) =>
+    client.ask(
+      agentAddress,
+      wish,
+      answers((what) => received.push(`${name} ${what}`)),
+    );
+  const first = ask('first');
+  await until(() => received.includes('first granted'), 'the first grant');
+  const second = ask('second');
+  await until(() => received.includes('second queued'), 'the second to wait');
+  const askedAt = performance.now();
+  first.notePromptRead();
+  await until(() => received.includes('second granted'), 'the second grant');
+  expect(performance.now() - askedAt).toBeLessThan(1_000);
+  for (const claim of [first, second]) claim.release(true);
+  await agent.stop();
+});
+
 it('a restarted agent applies the rate limit that entries know until the engine has answered', async () => {
   const agentAddress = await freeAddress();
   const agent = new SlotServer(agentAddress, (await createConnectionContext('agent')).context, silentLog);
