--- a/bench/simulation/slot-attempt.ts
+++ b/bench/simulation/slot-attempt.ts
@@ -140,7 +140,10 @@
         waits.noteServed(clock.now - sentAt);
         this.#noteOutcome(true);
       },
-      () => waits.noteFirstEvent(this.#caller.promptTokens, clock.now - sentAt),
+      () => {
+        this.#slots.notePromptRead(this.#entry, engine, claim);
+        waits.noteFirstEvent(this.#caller.promptTokens, clock.now - sentAt);
+      },
     );
   }
 
@@ -197,7 +200,7 @@
 }
 
 /** What a configuration declares of the engines. */
-function paceOf({ site }: PlacementContext): DeclaredPace {
+export function paceOf({ site }: PlacementContext): DeclaredPace {
   const { tokensReadPerMillisecond, step, slots, stepPerRequest } = site.pace;
   return {
     readTokensPerSecond: tokensReadPerMillisecond * 1_000,
--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -6,6 +6,7 @@
 import { NO_WARM_UP, type WarmUp } from '../model/warm-up.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
 import type { EntryReport, WeightsPlan } from '../protocol/reports.js';
+import type { DeclaredPace } from '../systems/wait-policy.js';
 import type { WeightsVersion } from '../weights/held-weights.js';
 import { canMoveRequests } from '../weights/request-moves.js';
 
@@ -58,6 +59,7 @@
       warmUp: configuration && this.#warmUpOf(report?.address ?? ''),
       position: this.#positionOf(report?.address ?? '', zone),
       canMoveRequests: this.#canMoveRequests(report?.address ?? ''),
+      declaredPace: this.#paceOf(report?.address ?? ''),
       holders,
       entries: toConnect.map((entry) => entry.address),
       hasNearEntry: near.length > 0,
@@ -93,6 +95,14 @@
     return service?.warmUp ?? NO_WARM_UP;
   }
 
+  /** What the service of the engine at `address` declares of its pace; undefined before the engine is listed. */
+  #paceOf(address: string): DeclaredPace | undefined {
+    const { fleet, backEnds } = this.#options;
+    const row = [...backEnds.rows.values()].find(({ record }) => record.address === address);
+    const engine = row && fleet.routes?.service(row.record.service)?.engine;
+    return engine && { readTokensPerSecond: engine.readTokensPerSecond, tokenTime: engine.tokenTime };
+  }
+
   /** Whether other engines can continue the requests that run at `address`. */
   #canMoveRequests(address: string): boolean {
     const { fleet, backEnds, isOutOfService } = this.#options;
--- a/test/forwarding/allowed-regions.test.ts
+++ b/test/forwarding/allowed-regions.test.ts
@@ -9,7 +9,7 @@
 import { silentLog } from '../../src/observability/log.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
-import { type Answer, ForwardingHarness } from './forwarding-harness.js';
+import { type Answer, ForwardingHarness, NOOP_CLAIM } from './forwarding-harness.js';
 import { billingConfiguration, routeNamed } from './routes.js';
 import { events, reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
@@ -202,7 +202,10 @@
       ask: (agent, _request, answers) => {
         const released: boolean[] = [];
         asked.push({ agent, answers, released });
-        return { noteAnswer: () => {}, release: (wasUsed) => void released.push(wasUsed) };
+        return {
+          ...NOOP_CLAIM,
+          release: (wasUsed) => void released.push(wasUsed),
+        };
       },
     };
     await forwarding.start(ENGINE_CONFIGURATION);
--- a/test/forwarding/evacuated-zone.test.ts
+++ b/test/forwarding/evacuated-zone.test.ts
@@ -4,7 +4,7 @@
 import type { SlotAnswers } from '../../src/forwarding/engine-slots.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
-import { ForwardingHarness } from './forwarding-harness.js';
+import { ForwardingHarness, NOOP_CLAIM } from './forwarding-harness.js';
 import { events, reply, type Script, StandInBackEnd } from './stand-in-back-end.js';
 
 /** Events of the stream that is to move, and the interval between them, in milliseconds. */
@@ -52,7 +52,7 @@
       const release = () => {
         slot.isReleased = true;
       };
-      return { noteAnswer: () => {}, release };
+      return { ...NOOP_CLAIM, release };
     },
   };
   await forwarding.start({
