--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -302,9 +302,11 @@
   ],
   slotReleased: ['type', 'id', 'wasUsed'],
   slotAnswered: ['type', 'id', 'rateLimit'],
-  slotGranted: ['type', 'id', 'isLimited'],
+  slotGranted: ['type', 'id', 'isLimited', 'isLimitedByWork'],
   slotQueued: ['type', 'id'],
   slotRefused: ['type', 'id', 'availableIn'],
   slotUnready: ['type', 'id'],
   slotsStated: ['type', 'process', 'next', 'held', 'waiting'],
+  // New types are added at the end: a type is sent by its number.
+  slotPromptRead: ['type', 'id'],
 };
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -2,6 +2,7 @@
 import type { StoreRevision } from '../clients/store-revision.js';
 import type { BackEndIdentity } from '../model/back-end-identity.js';
 import type { WarmUp } from '../model/warm-up.js';
+import type { DeclaredPace } from '../systems/wait-policy.js';
 
 /** A version of a model that the configuration or the operator names. */
 export interface NamedVersion {
@@ -115,6 +116,11 @@
    * set.
    */
   canMoveRequests: boolean;
+  /**
+   * What the engine's service declares of its pace; undefined if that is not known, or from earlier releases: grants are then
+   * not limited by work.
+   */
+  declaredPace?: DeclaredPace | undefined;
   /** Pieces that entries hold; entries of the agent's zone are marked as near. */
   holders: Array<{ address: string; isNear: boolean; held: HeldPieces[] }>;
   /** Entries of all zones, those of the agent's own zone first. */
