--- a/test/platform/engine-start.test.ts
+++ b/test/platform/engine-start.test.ts
@@ -1,4 +1,4 @@
-/** The start time in a worker's report. */
+/** The start time and the pace in a worker's report. */
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { afterEach, expect, it } from 'vitest';
@@ -26,6 +26,13 @@
   expect(await stateOf({ seq: 2 })).toMatchObject({ ok: true, value: { start: undefined, sequence: 2 } });
 });
 
+it.each([
+  [{ pace: 2.5 }, 2.5],
+  [{}, undefined],
+])('its pace of %j is part of the state', async (told, pace) => {
+  expect(await stateOf({ seq: 2, ...told })).toMatchObject({ ok: true, value: { pace } });
+});
+
 it.each([['1796266800123'], [0.5], [null], [{}]])('invalidates the report if it is %j', async (born) => {
   expect(await stateOf({ seq: 2, born })).toMatchObject({
     ok: false,
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1205,6 +1205,27 @@
     replace: 'place.inZone === 0',
     test: 'test/weights/entry-sources.test.ts',
   },
+  {
+    fault: 'an engine is granted more than it reads in time',
+    file: 'src/systems/prompt-backlog.ts',
+    find: 'return now + this.#ahead(now, pace) * pace - READ_AHEAD;',
+    replace: 'return now;',
+    test: 'test/systems/prompt-backlog.test.ts',
+  },
+  {
+    fault: 'an engine whose answers are overdue counts as fast until it reports',
+    file: 'src/systems/prompt-backlog.ts',
+    find: 'pace = Math.max(pace, this.#paceOf(prompt, now));',
+    replace: 'pace = Math.max(pace, 0 * this.#paceOf(prompt, now));',
+    test: 'test/systems/prompt-backlog.test.ts',
+  },
+  {
+    fault: 'prompts whose slots were not used delay further grants',
+    file: 'src/systems/prompt-backlog.ts',
+    find: 'prompt.readAfter -= released.own',
+    replace: 'prompt.readAfter -= 0',
+    test: 'test/systems/prompt-backlog.test.ts',
+  },
   {
     fault: 'requests wait for slots with which they would be late',
     file: 'src/systems/wait-policy.ts',
