--- a/test/forwarding/slots.test.ts
+++ b/test/forwarding/slots.test.ts
@@ -46,10 +46,17 @@
 let client: SlotClient;
 let engines: Engine[];
 let held: Array<() => void>;
+/** Begin each held answer with a first event. */
+let begins: Array<() => void>;
 
 /** Starts an engine that holds its answers until `answerAll` or `held`, and its agent. */
 async function startEngine(): Promise<Engine> {
   const backEnd = await new StandInBackEnd((request, response, body) => {
+    begins.push(() => {
+      response.writeHead(200, { 'x-request': String(request.headers['x-request']), 'x-version': '1' });
+      response.write(events(1, 1));
+      held.push(() => response.end());
+    });
     held.push(() => reply(200, events(1, 1), { 'x-version': '1' })(request, response, body));
   }).start();
   const address = await freeAddress();
@@ -93,6 +100,7 @@
 
 beforeEach(async () => {
   held = [];
+  begins = [];
   engines = [await startEngine(), await startEngine()];
   client = new SlotClient(
     await freeAddress(),
@@ -137,6 +145,25 @@
   await until(() => engines.every(({ agent }) => agent.figures.granted === 0), 'all slots to be released');
 });
 
+it('an engine that reads slowly gets the next request once the answer before it has begun', async () => {
+  // A prompt is read in 1.9 s.
+  const declaredPace = { readTokensPerSecond: 1_000, tokenTime: 8 };
+  for (const { agent } of engines) agent.observe({ isServing: true, load: 0, declaredPace });
+  const headers = { 'x-tokens': '1900,10' };
+  const answers = Array.from({ length: 3 }, () => forwarding.send('/write/a', { headers }));
+  await until(() => requests() === 2, 'a request at each engine');
+  expect(engines.map(({ backEnd }) => backEnd.requests.length)).toEqual([1, 1]);
+  const [, ...others] = held.splice(0);
+  const begunAt = performance.now();
+  begins[0]();
+  await until(() => requests() === 3, 'the third request');
+  expect(performance.now() - begunAt).toBeLessThan(1_000);
+  expect(engines.reduce((sum, { agent }) => sum + agent.figures.granted, 0)).toBe(3);
+  for (const answer of others) answer();
+  answerAll();
+  await Promise.all(answers);
+});
+
 it('an engine whose agent does not respond is used without slots', async () => {
   for (const { agent } of engines) await agent.stop();
   const answers = Array.from({ length: 3 }, () => forwarding.send('/write/a'));
--- a/test/weights/joint-drop.test.ts
+++ b/test/weights/joint-drop.test.ts
@@ -60,6 +60,19 @@
   return { planner, rows };
 }
 
+it('a plan tells what the service of the engine declares of its pace', () => {
+  const { planner, rows } = plannerOfFour();
+  const declared = ENGINE_CONFIGURATION.services.find(({ engine }) => engine !== undefined)?.engine;
+  expect(declared?.readTokensPerSecond).toBeGreaterThan(0);
+  expect(planner.planFor(rows[0]).declaredPace).toEqual({
+    readTokensPerSecond: declared?.readTokensPerSecond,
+    tokenTime: declared?.tokenTime,
+  });
+  // Nothing is known of an engine that is not listed.
+  const unlisted = { ...rows[0], report: { ...rows[0].report, address: '127.0.0.1:99' } as EngineReport };
+  expect(planner.planFor(unlisted).declaredPace).toBeUndefined();
+});
+
 it('the same spare capacity is not promised to several engines that switch at the same time', () => {
   const { planner, rows } = plannerOfFour();
   const plans = rows.map((row) => planner.planFor(row));
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1226,6 +1226,13 @@
     replace: 'prompt.readAfter -= 0',
     test: 'test/systems/prompt-backlog.test.ts',
   },
+  {
+    fault: 'agents do not learn that a prompt has been read',
+    file: 'src/forwarding/back-end-use.ts',
+    find: 'this.claim?.notePromptRead();',
+    replace: '',
+    test: 'test/forwarding/slots.test.ts',
+  },
   {
     fault: 'requests wait for slots with which they would be late',
     file: 'src/systems/wait-policy.ts',
