--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -108,8 +108,8 @@
   {
     fault: 'an empty engine waits for a version that is nowhere to be found',
     file: 'src/weights/version-order.ts',
-    find: 'return isOverdue ? Number.POSITIVE_INFINITY : now + this.fetchTime;',
-    replace: 'return now + this.fetchTime;',
+    find: 'return servesInBetween({ completesIn, expiresIn, newestCompletesIn: newestCompleteAt - now });',
+    replace: 'return false;',
     test: 'test/weights/weights.test.ts',
   },
   {
