--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -178,7 +178,7 @@
     const askedAt = performance.now();
     const state = await this.#options.engine.state(withLimit(signal, CALL_TIMEOUT));
     const wasReachable = this.#engineState !== undefined;
-    this.#isDrainingAhead = this.#order.drainsAhead();
+    this.#updateDrain(this.#order.drainsAhead());
     if (!this.#applyState(state.ok ? state.value : undefined, askedAt)) return;
     if (wasReachable !== state.ok)
       this.#options.log.info(state.ok ? 'engine regained' : 'engine lost', {
@@ -190,6 +190,13 @@
     await this.#advance(state.value, signal);
   }
 
+  #updateDrain(isDrainingAhead: boolean): void {
+    if (isDrainingAhead === this.#isDrainingAhead) return;
+    this.#isDrainingAhead = isDrainingAhead;
+    const message = isDrainingAhead ? 'engine drains before a version is complete' : 'early drain ended';
+    this.#options.log.info(message, { address: this.#options.engineAddress, version: this.#loadedVersion });
+  }
+
   /** Applies a state requested at `askedAt`; returns false if it is from an earlier start of the engine. */
   #applyState(state: EngineState | undefined, askedAt: number): boolean {
     const news = state && this.#starts.noteAnswer(state.start, askedAt, performance.now());
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -101,7 +101,7 @@
   {
     fault: 'all engines wait for a late version with requests running',
     file: 'src/weights/engine-loader.ts',
-    find: 'this.#isDrainingAhead = this.#order.drainsAhead();',
+    find: 'this.#updateDrain(this.#order.drainsAhead());',
     replace: '',
     test: 'test/weights/version-succession.test.ts',
   },
