--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -101,15 +101,15 @@
   {
     fault: 'all engines wait for a late version with requests running',
     file: 'src/weights/engine-loader.ts',
-    find: 'this.#isDrainingAhead = this.#order.drainsAhead();',
+    find: 'this.#updateDrain(this.#order.drainsAhead());',
     replace: '',
     test: 'test/weights/version-succession.test.ts',
   },
   {
     fault: 'an empty engine waits for a version that is nowhere to be found',
     file: 'src/weights/version-order.ts',
-    find: 'return isOverdue ? Number.POSITIVE_INFINITY : now + this.fetchTime;',
-    replace: 'return now + this.fetchTime;',
+    find: 'return servesInBetween({ completesIn, expiresIn, newestCompletesIn: newestCompleteAt - now });',
+    replace: 'return false;',
     test: 'test/weights/weights.test.ts',
   },
   {
