A queue for a slot that has stood still expects a wait that is finite

Cause: where nothing had moved for two seconds, the expected wait was infinite. Entries take an infinite time for none (SlotSeeker), so engines that stood still counted as if their agents had refused for another reason: the request was held for 45 ms, asked the agents anew at each check, and its caller was told no time at which a slot is expected. Change: at least one movement in the window is assumed.

--- a/src/systems/slot-queue.ts
+++ b/src/systems/slot-queue.ts
@@ -144,13 +144,16 @@
     return (beside / rate + (before === 0 ? 0 : before / rateOfAll)) * MILLISECONDS;
   }
 
-  /** Requests a second that were granted a slot, or left for one elsewhere, at the given places in the order. */
+  /**
+   * Requests a second that were granted a slot, or left for one elsewhere, at the given places in the order. Where none was,
+   * one in the window is assumed: that the queue stands still is no reason to expect that it always will.
+   */
   #rate(isGrantCounted: (place: number) => boolean, isLeavingCounted: (place: number) => boolean): number {
     const moved = this.#movements.reduce(
       (sum, { granted, left }) => sum + total(granted, isGrantCounted) + total(left, isLeavingCounted),
       0,
     );
-    return (moved * MILLISECONDS) / (WINDOW_PARTS * PART_LENGTH);
+    return (Math.max(1, moved) * MILLISECONDS) / (WINDOW_PARTS * PART_LENGTH);
   }
 
   #movementAt(now: number): Movement {
