Late requests that get slots at once count as late requests that get slots

Cause: outcomes of late waits were recorded only of requests that were allowed to wait late. Where no first event can meet the objective (engines slower than declared, long prompts), no wait ends in time, so none was ever allowed: requests were refused after 60 ms for ever, although each that asked got a slot. The metrics counted these sends as late already. Change: a send counts in any case; a request that gave up without waiting late still does not.

--- a/src/systems/wait-policy.ts
+++ b/src/systems/wait-policy.ts
@@ -156,7 +156,8 @@
     if (outcome === 'left' || outcome === 'cancelled') return;
     const isSent = outcome === 'sent';
     this.#inTimeSentShare = average(this.#inTimeSentShare, IN_TIME_WEIGHT, isSent && !isLate);
-    if (isLate && mayBeLate)
+    // A request that gave up when it could no longer be in time has not tried to get a late slot.
+    if (isLate && (mayBeLate || isSent))
       this.#lateSentShare.set(rank, average(this.#lateSentShare.get(rank) ?? 0, LATE_WEIGHT, isSent));
   }
 
