Test that fails: callers are told to come back later than they honour

Cause: the test of that name allowed 900 ms to callers that honour 700. Change: it allows no more than they honour, also for 300 ms, at a slow pace, and while the pace is unknown.

--- a/test/systems/return-schedule.test.ts
+++ b/test/systems/return-schedule.test.ts
@@ -57,8 +57,10 @@
   });
 
   it('come no later than they honour, so that they are not refused for having believed the answer', () => {
-    for (const delay of delays(scheduleAfter(10, 5, 10), 20, { longest: 700 }))
-      expect(delay).toBeLessThanOrEqual(900);
+    const unknown = new ReturnSchedule(seededRandom(5));
+    for (const schedule of [scheduleAfter(10, 5, 10), scheduleAfter(2, 1, 2), unknown])
+      for (const longest of [300, 700])
+        for (const delay of delays(schedule, 20, { longest })) expect(delay).toBeLessThanOrEqual(longest);
   });
 
   it('are spread after the end of an outage that is expected', () => {
