Callers are told to come back no later than they honour

Cause: the spread around the expected room, and the delay while the pace is unknown (400 to 800 ms), were added after the check of the caller's time. Clients wait no longer than a third of what they have left. Change: ReturnSchedule bounds the delay once for all cases; only known room later than that (the end of an outage) exceeds it.

--- a/src/systems/return-schedule.ts
+++ b/src/systems/return-schedule.ts
@@ -63,15 +63,19 @@
     this.#pace = this.#sent.perSecond(now);
   }
 
-  /** Time after which the caller comes back, in milliseconds. */
-  delayFor({ rank, roomIn, longest, waiting }: RefusedCaller, now: number): number {
+  /** Time after which the caller comes back, in milliseconds; no longer than it honours, unless there is no room before. */
+  delayFor(caller: RefusedCaller, now: number): number {
+    return Math.max(caller.roomIn, Math.min(caller.longest, this.#expectedRoomIn(caller, now)));
+  }
+
+  #expectedRoomIn({ rank, roomIn, longest, waiting }: RefusedCaller, now: number): number {
     const room = this.#roomFor(rank, now);
     if (room === undefined) return roomIn + UNKNOWN_PACE_DELAY * (1 + this.#random.fraction());
     const interval = MILLISECONDS / room;
     const place = placeOf(rank);
     const earliest = now + roomIn + (waiting * MILLISECONDS) / this.#pace!;
     const at = Math.max(earliest, this.#nextAt[place]);
-    if (at + interval > now + longest) return Math.max(roomIn, longest * this.#between(FULL_FROM_SHARE, 1));
+    if (at + interval > now + longest) return longest * this.#between(FULL_FROM_SHARE, 1);
     for (let other = place; other < RANKS; other++)
       this.#nextAt[other] = Math.max(earliest, this.#nextAt[other]) + interval;
     return at + interval * this.#between(0.5, 1.5) - now;
