An agent drains its engine only for a version that the engine can load

Cause: the plan names the versions of all models. With a version of another model complete, above the engine's own and past its naming by more than the bound less 2.5 s, the agent of wave 0 or 1 took its engine for due and granted no slots, for good. Change: VersionOrder.isSuccessor says which versions the engine can load; draining, the next version and the expected switch ask it.

--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -120,6 +120,7 @@
       versions: this.#versions,
       fetches: this.#fetches,
       plan: () => this.#plan,
+      model: () => this.#engineState?.model ?? '',
       loadedVersion: () => this.#loadedVersion,
     });
     this.#patienceFactor = 1 + options.random.fraction();
@@ -373,7 +374,7 @@
   async #advance(state: EngineState, signal: AbortSignal): Promise<void> {
     if (state.isBusy || this.#isAdvancing) return;
     this.#isAdvancing = true;
-    const held = this.#nextVersion(state);
+    const held = this.#nextVersion();
     if (held !== undefined) {
       // The stage is about to be overwritten.
       this.#stageRead?.abort();
@@ -389,11 +390,10 @@
    * The version to load next: the newest that is complete here, newer than the engine's and not to be
    * skipped.
    */
-  #nextVersion(state: EngineState): HeldWeights | undefined {
+  #nextVersion(): HeldWeights | undefined {
     const candidates = this.#options.library
       .all()
-      .filter(({ complete, manifest }) => complete && (state.model === '' || manifest.model === state.model))
-      .filter(({ manifest }) => manifest.version > this.#loadedVersion)
+      .filter(({ complete, manifest }) => complete && this.#order.isSuccessor(manifest))
       .sort((a, b) => b.manifest.version - a.manifest.version);
     return candidates.find(({ manifest }) => this.#order.shouldLoad(manifest));
   }
@@ -403,8 +403,7 @@
     if (this.#engineSwitch.isRunning) return undefined;
     const now = performance.now();
     const due = [...this.#fetches.values()].flatMap(({ held, fetcher }) => {
-      if (held === undefined || fetcher === undefined || held.manifest.version <= this.#loadedVersion)
-        return [];
+      if (held === undefined || fetcher === undefined || !this.#order.isSuccessor(held.manifest)) return [];
       if (!this.#order.shouldLoad(held.manifest)) return [];
       const completeAt =
         this.#completeAt.get(versionKey(held.manifest)) ?? this.#order.expectedCompletion(held.manifest);
--- a/src/weights/version-order.ts
+++ b/src/weights/version-order.ts
@@ -35,6 +35,8 @@
   /** The fetches of the versions of the plan, by version key. */
   fetches: ReadonlyMap<string, VersionFetch>;
   plan: () => WeightsPlan | undefined;
+  /** The model that the engine serves or is to serve; empty if it is not known. */
+  model: () => string;
   /** Version of which the engine holds every layer; 0 if none. */
   loadedVersion: () => number;
 }
@@ -75,6 +77,12 @@
     return true;
   }
 
+  /** Whether a version is one that the engine can load after its own. The plan also names versions of other models. */
+  isSuccessor({ model, version }: WeightsVersion): boolean {
+    const own = this.#options.model();
+    return version > this.#loaded && (own === '' || model === own);
+  }
+
   /** Whether `one` is fetched before `other`. */
   #precedes(one: WeightsVersion, other: WeightsVersion): boolean {
     if (one.version === other.version) return false;
@@ -166,7 +174,7 @@
   drainsAhead(): boolean {
     const now = performance.now();
     return [...this.#options.fetches.values()].some(({ held, fetcher }) => {
-      if (held === undefined || fetcher === undefined || held.manifest.version <= this.#loaded) return false;
+      if (held === undefined || fetcher === undefined || !this.isSuccessor(held.manifest)) return false;
       if (!this.shouldLoad(held.manifest)) return false;
       const isStalled = !held.complete && now - fetcher.lastPieceAt > STALL_TIME;
       return drainsAhead({
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -105,6 +105,13 @@
     replace: '',
     test: 'test/weights/version-succession.test.ts',
   },
+  {
+    fault: 'an engine drains for a version of another model, which it never loads',
+    file: 'src/weights/version-order.ts',
+    find: "(own === '' || model === own)",
+    replace: 'true',
+    test: 'test/weights/version-order.test.ts',
+  },
   {
     fault: 'an empty engine waits for a version that is nowhere to be found',
     file: 'src/weights/version-order.ts',
