Test: in zones of two engines too, a late version leaves engines that serve

Cause: the engines of the first two waves drain ahead of a late version: all those of a zone of one or two. Change: the replay of two versions named in close succession in zones of two engines.

--- a/test/weights/version-succession.test.ts
+++ b/test/weights/version-succession.test.ts
@@ -97,4 +97,10 @@
     const afterFirst = outcome.serving.slice(12_000 / SAMPLE);
     expect(longestGap({ ...outcome, serving: afterFirst }, 1)).toBeLessThan(DEPLOYMENT.drainTime + LOAD_TIME);
   });
+
+  it.each(SEEDS)('do so in zones of two engines too: seed %i', async (seed) => {
+    const outcome = await replay({ ...DEPLOYMENT, agentsPerZone: 2, seed });
+    const afterFirst = outcome.serving.slice(12_000 / SAMPLE);
+    expect(longestGap({ ...outcome, serving: afterFirst }, 1)).toBeLessThan(DEPLOYMENT.drainTime + LOAD_TIME);
+  });
 });
