Engines that run out of requests ahead of a version count as capacity only from its expected completion

Cause: such an engine is reported as switching, and was expected to serve after 400 ms. Change: the time until the order, which its agent states, is added.

--- a/src/forwarding/capacity-estimator.ts
+++ b/src/forwarding/capacity-estimator.ts
@@ -101,7 +101,9 @@
         ? FIRST_WEIGHTS_TIME
         : Number.POSITIVE_INFINITY;
     }
-    if (news.isSwitching) return SWITCH_TIME;
+    // One that runs out of requests ahead of a version states when it will be ordered to load it.
+    if (news.isSwitching)
+      return SWITCH_TIME + (Number.isFinite(news.switchAt) ? Math.max(0, news.switchAt - now) : 0);
     if (this.#holdsAllowedVersion(row, engine, now)) return Number.POSITIVE_INFINITY;
     return Math.max(0, news.switchAt + SWITCH_TIME - now);
   }
--- a/test/forwarding/capacity.test.ts
+++ b/test/forwarding/capacity.test.ts
@@ -106,6 +106,15 @@
     report({ switchAt: performance.now() + TIMEOUT });
     expect((await forwarding.send('/write/', SHORT)).status).toBe(503);
   });
+
+  it('no request waits for an engine that runs out of requests for a version which it will have too late', async () => {
+    report({ isSwitching: true, switchAt: performance.now() + TIMEOUT });
+    const ends = forwarding.send('/write/', SHORT).then(({ status }) => status);
+    // An engine that has been ordered to load a version serves after 400 ms; the request would be held for that long.
+    const stillHeld = new Promise((resolve) => setTimeout(() => resolve('held'), 350));
+    expect(await Promise.race([ends, stillHeld])).toBe(503);
+    await ends;
+  });
 });
 
 describe('after a power loss', () => {
