Test that fails: a refused caller is told to come back after its own request

Cause: Retry-After is computed while the wait of the refused request is still open. Change: slot-wait.test.ts looks at the number of waiting requests that the delay is computed with. Result: fails with 'expected [ 1 ] to deeply equal [ +0 ]'.

--- a/test/forwarding/slot-wait.test.ts
+++ b/test/forwarding/slot-wait.test.ts
@@ -1,5 +1,5 @@
 /** What an entry tells agents about how long a request waits, and its callers about when to come back. */
-import { afterEach, beforeEach, expect, it } from 'vitest';
+import { afterEach, beforeEach, expect, it, vi } from 'vitest';
 import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import type { SlotAnswers, SlotRequest } from '../../src/forwarding/engine-slots.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
@@ -62,6 +62,14 @@
   expect(engine.requests).toHaveLength(0);
 });
 
+it('a caller that is refused does not come back after its own request', async () => {
+  const waits = forwarding.backEnds.waitsOf('engines');
+  const waiting = vi.spyOn(waits, 'waiting');
+  answer = (answers) => answers.onRefused(900);
+  await forwarding.send('/write/');
+  expect(waiting.mock.results.map(({ value }) => value)).toEqual([0]);
+});
+
 it('refusals are counted by reason with the age of the request, and waits by their ending', async () => {
   await forwarding.send('/write/');
   answer = (answers) => answers.onQueued();
