A refused caller no longer comes back after its own request

Cause: BackEndSearch reported that it gave up while its own wait was open, so ReturnSchedule counted the refused request among those that go first: one interval more, which is a second at an entry that sends one request a second. Change: the search ends as unserved before it tells. Result: slot-wait.test.ts failed with 'expected [ 1 ] to deeply equal [ +0 ]'; with the change 77 tests of slot-wait, slots, capacity, back-off, stream-cut-while-back-ends-are-full, caller-deadline and retry-after-notice pass.

--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -264,7 +264,7 @@
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
     if (!canComplete(capacity?.wait)) return this.#events.onOutOfTime();
-    if (capacity === undefined && !isAllowedByBudget()) return this.#events.onGivenUp('no budget');
+    if (capacity === undefined && !isAllowedByBudget()) return this.#endUnserved('no budget');
     // Sent at once, as each refusal of such a request prolongs the back-off by the time that has passed since it began.
     if (capacity?.isBackoff === true && this.#tryLastResort()) return;
     const mayWait = !isResuming() && this.#shouldHold(capacity, this.#heldSince, now);
@@ -318,6 +318,12 @@
   #giveUp(reason: string, capacity?: ExpectedCapacity): void {
     if (this.#tryLastResort()) return;
     if (reason !== BACK_ENDS_FULL) this.#noteExclusions(capacity);
+    this.#endUnserved(reason);
+  }
+
+  /** Ends the search first, as a refused caller comes back after the requests that wait, of which it is no longer one. */
+  #endUnserved(reason: string): void {
+    this.end('unserved');
     this.#events.onGivenUp(reason);
   }
 
