Test that fails: requests bound to regions without back ends are drawn

Cause: a request that no back end may serve ends as failed, which the floor of service takes for a lack of room. Change: service-record.test.ts ends ten such requests beside ten that are served. Result: fails with 'expected 0.125 to be +0'.

--- a/test/forwarding/service-record.test.ts
+++ b/test/forwarding/service-record.test.ts
@@ -65,3 +65,11 @@
   }
   expect(floor.drawnShare(1, 0)).toBeCloseTo(0.25 / 2);
 });
+
+it('tells the floor nothing of requests that no back end may serve: going first would not help them', () => {
+  for (let number = 0; number < 10; number++) {
+    record.note(request({ priorityRank: 0 }), answeredAt(1), 0);
+    record.note(request(), { type: 'failed', error: { type: 'regionNotServed', reason: 'no back end' } }, 0);
+  }
+  expect(floor.drawnShare(1, 0)).toBe(0);
+});
