Requests that no back end may serve do not count in the floor of service

Cause: a route bound to regions without back ends lowered what its rank seemed to get, so up to 30 % of the requests of that rank went with the most urgent ones, of all services of the entry, which cannot help the bound route. Change: ServiceRecord tells the floor nothing of them; the metrics count them as before. Result: service-record.test.ts failed with 'expected 0.125 to be +0'; with the change it and allowed-regions.test.ts pass (16).

--- a/src/forwarding/service-record.ts
+++ b/src/forwarding/service-record.ts
@@ -54,8 +54,8 @@
     this.#byTenant.count(tenant ?? NO_TENANT, serviceEnding);
     this.#byRank.count(String(priorityRank), serviceEnding);
     if (isDrawn) this.#drawn++;
-    // A caller that leaves says nothing about who is served.
-    if (!route.isStream || serviceEnding === 'left') return;
+    // A caller that leaves says nothing about who is served, nor does a request that no back end may serve.
+    if (!route.isStream || serviceEnding === 'left' || outcomeOfEnding(ending) === 'regionNotServed') return;
     const isServed = serviceEnding === 'inTime' || serviceEnding === 'late';
     this.#floor.note({ rank: priorityRank, isDrawn, isServed }, now);
   }
