--- a/src/forwarding/admitted-request.ts
+++ b/src/forwarding/admitted-request.ts
@@ -8,6 +8,7 @@
 import type { ServiceFloor } from '../systems/service-floor.js';
 import type { ForwardingError } from './forwarding-errors.js';
 import { endToEndHeaders, type HeaderNames, LAST_EVENT_ID } from './header-names.js';
+import { RequestRegions } from './request-regions.js';
 import { RequestTiming } from './request-timing.js';
 
 /** A request that the configuration allows. */
@@ -18,6 +19,7 @@
   service: string;
   /** Name of the tenant to which the caller's key belongs; undefined if no key is required. */
   tenant: string | undefined;
+  regions: RequestRegions;
   /** Rank of the request's priority among all priorities, 0 for the most urgent. */
   priorityRank: number;
   /** Whether it goes with the most urgent requests all the same, so that its kind is not starved. */
@@ -69,6 +71,7 @@
     route,
     service: targetService(route, hash32(String(headers[names.requestId] ?? '')) / 2 ** 32),
     tenant: tenant?.name,
+    regions: new RequestRegions(fleet, table, { route, tenant: tenant?.name }),
     priorityRank,
     isDrawn,
     rank: isDrawn ? 0 : priorityRank,
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -10,6 +10,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector, Selection } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
+import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import type { CallerReturns } from './caller-returns.js';
 import type { ExpectedCapacity } from './capacity-estimator.js';
 import type { DirectPermits } from './direct-permits.js';
@@ -19,12 +20,17 @@
 
 /** Reason given if no back end is eligible, as opposed to those that are eligible but full. */
 const NO_BACK_END = 'no back end';
+/** Reason given if eligible back ends are full. */
+const BACK_ENDS_FULL = 'back ends full';
+/** Reason given if the regions of the request exclude all back ends of its service. */
+const NO_REGION = 'no back end in an allowed region';
 
 export interface BackEndSearchComponents {
   selector: BackEndSelector;
   slots: EngineSlots;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  warmUps: Pick<BackEndWarmUps, 'stateOf'>;
   permits: Pick<DirectPermits, 'claim'>;
   random: Random;
   returns: Pick<CallerReturns, 'noteArrival' | 'noteSent'>;
@@ -88,8 +94,10 @@
   #hold: HoldRecord | undefined;
   /** The wait for a slot of a request that was neither sent nor held before. */
   #wait: SlotWait | undefined;
+  /** Time until agents expect a slot for the request, in milliseconds; undefined if none has refused it for that reason. */
   #slotIn: number | undefined;
-  #hasBegun = false;
+  /** True once the arrival of the request has been counted. */
+  #isCounted = false;
   /** True once the request would be refused unless a back end that backs off takes it. */
   #isLastResort = false;
 
@@ -104,25 +112,31 @@
     return this.#seeker !== undefined || this.#claiming !== undefined || this.#heldSince !== undefined;
   }
 
-  /** Time until agents expect a slot for the request, in milliseconds; undefined if none has refused it for that reason. */
+  /** Time until agents expect a slot for the request, in milliseconds; undefined if they predict none. */
   get slotIn(): number | undefined {
     return this.#slotIn;
   }
 
   begin(): void {
-    if (!this.#hasBegun)
-      this.#components.returns.noteArrival(this.#requirements.service, this.#request.rank, performance.now());
-    this.#hasBegun = true;
+    this.#countArrival();
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
+    if (!this.#components.selector.isServedInRegions(this.#requirements)) return this.#giveUp(NO_REGION);
     if (!this.#seekSlot()) this.#chooseWithoutSlot();
   }
 
+  #countArrival(): void {
+    if (this.#isCounted) return;
+    this.#isCounted = true;
+    const { service } = this.#requirements;
+    this.#components.returns.noteArrival(service, this.#request.rank, performance.now());
+  }
+
   /** Tries again; called periodically while the search is under way. */
   check(now: number, standstills: StallDetector): void {
     if (this.#claiming !== undefined) return;
     if (this.#seeker === undefined) return this.begin();
     if (!this.#request.canComplete()) return this.#events.onOutOfTime();
-    if (this.#seeker.hasExpired(now)) return this.#giveUp('back ends full');
+    if (this.#seeker.hasExpired(now)) return this.#giveUp(BACK_ENDS_FULL);
     this.#seeker.check(now, standstills);
   }
 
@@ -142,7 +156,7 @@
 
   /** Starts to look for a slot of an engine; returns false if there is no agent to ask. */
   #seekSlot(): boolean {
-    const { selector, backEnds, limits, slots, random } = this.#components;
+    const { selector, backEnds, limits, warmUps, slots, random } = this.#components;
     const { timing, rank, isResuming, isStream, promptTokens } = this.#request;
     if (!selector.shouldAcquireSlot(this.#requirements)) return false;
     const now = performance.now();
@@ -153,8 +167,11 @@
       random,
       candidates: () => selector.slotCandidates(this.#requirements),
       isEligible: (row) => selector.isEligibleWithSlot(row, this.#requirements),
-      isUnavailable: (row, when) => !this.#isLastResort && selector.isUnavailable(row, when),
-      rateLimitOf: (row) => limits.rateOf(row.record),
+      isUnavailable: (row, when) =>
+        !selector.isInRegions(row, this.#requirements.regions) ||
+        (!this.#isLastResort && selector.isUnavailable(row, when)),
+      rateLimitOf: (row) => limits.namedRateOf(row.record),
+      coldStateOf: (row, when) => warmUps.stateOf(row.record, when),
       urgency: isResuming() ? 0 : timing.urgency(rank, now),
       arrivedAt: timing.arrivedAt,
       inTimeUntil,
@@ -162,14 +179,13 @@
       promptTokens: isStream ? promptTokens : 0,
       endsAt,
       onGranted: (row, claim, asked) => this.#takeSlot(row, claim, asked),
-      onWait: () => {},
       onExhausted: () => {
         this.#cancelSeeker();
         this.#chooseWithoutSlot();
       },
       onFull: (availableIn) => {
         this.#slotIn = availableIn;
-        this.#giveUp('back ends full');
+        this.#giveUp(BACK_ENDS_FULL);
       },
       onFault: (cause) => this.#events.onError(cause),
     });
@@ -189,7 +205,7 @@
       const isInTime = isResuming() || request === undefined;
       return { endsAt, inTimeUntil: isInTime ? endsAt : waits.inTimeUntil(request) };
     }
-    this.#wait ??= waits.begin(request, timing.latestBegin, now);
+    this.#wait ??= waits.begin(request, timing.latestBeginFor(waits.serviceTimes(request)), now);
     return this.#wait;
   }
 
@@ -214,7 +230,7 @@
     if (selection === undefined) return this.#holdOrGiveUp();
     const wasSentOrHeld = this.#request.wasSent() || this.#wasHeldForCapacity;
     if (selection.expectedWait > this.#request.timing.maxQueueWait(wasSentOrHeld))
-      return this.#giveUp('back ends full');
+      return this.#giveUp(BACK_ENDS_FULL);
     if (this.#components.selector.needsPermit(selection.row)) return void this.#claimPermit(selection);
     this.#choose(selection, undefined);
   }
@@ -244,7 +260,8 @@
   #holdOrGiveUp(): void {
     const { canComplete, isResuming, isAllowedByBudget } = this.#request;
     const now = performance.now();
-    const capacity = this.#components.selector.timeToCapacity(this.#requirements.service);
+    const { service, regions } = this.#requirements;
+    const capacity = this.#components.selector.timeToCapacity(service, regions);
     const wasHeld = this.#heldSince !== undefined;
     this.#heldSince ??= now;
     if (!canComplete(capacity?.wait)) return this.#events.onOutOfTime();
@@ -290,9 +307,10 @@
    */
   #reservePlace(mayReturn = false): boolean {
     if (this.#reservation !== undefined) return true;
-    const { service } = this.#requirements;
+    const { service, regions } = this.#requirements;
     const holds = this.#components.backEnds.holdsOf(service);
-    if (!holds.reservePlace(this.#components.selector.slotShare(service), mayReturn)) return false;
+    const places = this.#components.selector.slotShare(service, regions);
+    if (!holds.reservePlace(places, mayReturn)) return false;
     this.#reservation = holds;
     return true;
   }
@@ -300,7 +318,7 @@
   /** Ends the search, unless a back end that backs off may get the request. */
   #giveUp(reason: string, capacity?: ExpectedCapacity): void {
     if (this.#tryLastResort()) return;
-    if (reason === NO_BACK_END) this.#noteExclusions(capacity);
+    if (reason !== BACK_ENDS_FULL) this.#noteExclusions(capacity);
     this.#events.onGivenUp(reason);
   }
 
@@ -317,9 +335,15 @@
 
   #noteExclusions(capacity: ExpectedCapacity | undefined): void {
     const excluded = this.#components.selector.exclusions(this.#requirements);
+    const { regions } = this.#requirements;
     const now = performance.now();
     const heldMs = Math.round(now - (this.#heldSince ?? now));
-    this.#events.onNote(NO_BACK_END, { excluded, capacityMs: capacity?.wait, heldMs });
+    this.#events.onNote(NO_BACK_END, {
+      excluded,
+      regions: regions && [...regions],
+      capacityMs: capacity?.wait,
+      heldMs,
+    });
   }
 
   /** Counts a wait; returns false if the request must not wait. */
--- a/src/forwarding/caller-returns.ts
+++ b/src/forwarding/caller-returns.ts
@@ -5,8 +5,11 @@
 import { longestDelay, MAX_RETRY_DELAY } from '../systems/capacity-wait.js';
 import { ReturnSchedule } from '../systems/return-schedule.js';
 import type { AdmittedRequest } from './admitted-request.js';
+import type { Requirements } from './back-end-eligibility.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import type { ForwardingError } from './forwarding-errors.js';
+import type { RequestTiming } from './request-timing.js';
 
 const MILLISECONDS = 1_000;
 /** Bounds of the histogram of ages at refusal, in seconds. */
@@ -22,7 +25,7 @@
 ]);
 
 export interface CallerReturnsOptions {
-  selector: Pick<BackEndSelector, 'timeToCapacity' | 'requestInterval'>;
+  selector: Pick<BackEndSelector, 'isServedInRegions' | 'timeToCapacity' | 'requestInterval'>;
   backEnds: Pick<BackEndTable, 'waitsOf' | 'waitFigures'>;
   random: Random;
   metrics: Metrics;
@@ -65,28 +68,41 @@
   }
 
   /**
-   * Counts a refusal; returns the `Retry-After` of its answer in seconds.
+   * The error of a request that no back end can take and that has not run.
+   * @param reason - why the search for a back end was given up
    * @param slotIn - time until a slot is expected for the request, in milliseconds; undefined if no agent predicts one
    */
   refuse(
-    { service, rank, timing }: Pick<AdmittedRequest, 'service' | 'rank' | 'timing'>,
+    { rank, timing }: Pick<AdmittedRequest, 'rank' | 'timing'>,
+    requirements: Requirements,
     reason: string,
     slotIn: number | undefined,
+  ): ForwardingError {
+    if (!this.#options.selector.isServedInRegions(requirements)) return { type: 'regionNotServed', reason };
+    const label = COUNTED_REASONS.has(reason) ? reason : 'other';
+    this.#ages.observe({ reason: label }, (performance.now() - timing.arrivedAt) / MILLISECONDS);
+    return { type: 'unavailable', reason, retryAfter: this.#retryAfter(rank, timing, requirements, slotIn) };
+  }
+
+  /** `Retry-After` of a refused request, in seconds. */
+  #retryAfter(
+    rank: number,
+    { deadline }: Pick<RequestTiming, 'deadline'>,
+    { service, regions }: Pick<Requirements, 'service' | 'regions'>,
+    slotIn: number | undefined,
   ): number {
     const { selector, backEnds } = this.#options;
     const now = performance.now();
-    const label = COUNTED_REASONS.has(reason) ? reason : 'other';
-    this.#ages.observe({ reason: label }, (now - timing.arrivedAt) / MILLISECONDS);
-    const capacity = selector.timeToCapacity(service);
+    const capacity = selector.timeToCapacity(service, regions);
     const refused = {
       rank,
       roomIn: Math.max(capacity?.wait ?? 0, slotIn ?? 0),
-      longest: longestDelay(timing.deadline, now),
+      longest: longestDelay(deadline, now),
       waiting: backEnds.waitsOf(service).waiting(rank),
     };
     const delay = Math.max(
       this.#scheduleOf(service).delayFor(refused, now),
-      selector.requestInterval(service),
+      selector.requestInterval(service, regions),
     );
     // The end of a back-off is known, however far ahead it is. Estimates are not reliable that far ahead.
     const maxDelay = capacity?.isBackoff === true ? Number.POSITIVE_INFINITY : MAX_RETRY_DELAY;
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -21,6 +21,7 @@
 import type { BackEndLimits } from './back-end-limits.js';
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndTable } from './back-end-table.js';
+import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import { CallerReturns } from './caller-returns.js';
 import type { CompletionEstimateComponents } from './completion-estimate.js';
 import { CutAnswerMetrics } from './cut-answer-metrics.js';
@@ -30,8 +31,11 @@
 import { ForwardedRequest } from './forwarded-request.js';
 import type { HeaderNames } from './header-names.js';
 import type { PoisonGuard } from './poison-guard.js';
+import { outcomeOfEnding, type RequestEnding } from './request-ending.js';
 import type { RequestOutcome } from './request-outcome.js';
+import { ServiceRecord } from './service-record.js';
 import { StreamMoveMetrics } from './stream-move-metrics.js';
+import { UnreadAnswers } from './unread-answers.js';
 import { VersionExpiryFigures } from './version-expiry-figures.js';
 
 /** Interval at which requests in progress are checked, in milliseconds. */
@@ -63,6 +67,7 @@
   fleet: FleetView;
   backEnds: BackEndTable;
   limits: BackEndLimits;
+  warmUps: BackEndWarmUps;
   backoffs: BackEndBackoffs;
   notices: AnswerNotices;
   permits: DirectPermits;
@@ -73,6 +78,7 @@
   expiryFigures: VersionExpiryFigures;
   moveMetrics: StreamMoveMetrics;
   cutMetrics: CutAnswerMetrics;
+  unread: UnreadAnswers;
   poison: PoisonGuard;
   returns: CallerReturns;
   budgetOf(service: string): RetryWindow;
@@ -80,7 +86,7 @@
   /** @param admitted - undefined if the request was rejected on arrival */
   onSettled(
     request: ForwardedRequest,
-    outcome: RequestOutcome,
+    ending: RequestEnding,
     milliseconds: number,
     admitted: AdmittedRequest | undefined,
   ): void;
@@ -93,6 +99,7 @@
   readonly #counters: Partial<Record<RequestOutcome, number>> = {};
   readonly #latency: Histogram;
   readonly #drainMetrics: DrainMetrics;
+  readonly #service: ServiceRecord;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   readonly #standstills = new StallDetector(CHECK_INTERVAL, performance.now());
@@ -116,24 +123,28 @@
       | 'moveMetrics'
       | 'cutMetrics'
       | 'notices'
+      | 'unread'
       | 'returns'
       | 'floor'
     >,
     metrics: Metrics,
   ) {
     this.#address = address;
+    const floor = new ServiceFloor(components.random);
+    this.#service = new ServiceRecord(floor, metrics);
     this.#components = {
       ...components,
       durations: new LongestDurations(),
       expiryFigures: new VersionExpiryFigures(metrics),
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
+      unread: new UnreadAnswers(components.log, metrics),
       notices: new AnswerNotices({ ...components, metrics }),
       returns: new CallerReturns({ ...components, metrics }),
-      floor: new ServiceFloor(components.random),
-      onSettled: (request, outcome, milliseconds, admitted) => {
-        this.#onSettled(request, outcome, milliseconds);
-        if (admitted?.route.isStream) this.#noteService(admitted, outcome);
+      floor,
+      onSettled: (request, ending, milliseconds, admitted) => {
+        this.#onSettled(request, outcomeOfEnding(ending), milliseconds);
+        if (admitted !== undefined) this.#service.note(admitted, ending, performance.now());
       },
     };
     components.poison.onQuarantined = () => {
@@ -246,6 +257,7 @@
     this.#components.drain.finish(performance.now());
     for (const request of this.#active) request.stop();
     await endsWithin(this.#flushed(), FLUSH_TIMEOUT);
+    this.#components.unread.stop();
     this.#server?.closeAllConnections();
     this.#server?.close();
     this.#server = undefined;
@@ -311,13 +323,6 @@
     }
   }
 
-  /** Tells the floor of service who is served; a caller that leaves, or a stop of this process, says nothing about that. */
-  #noteService({ priorityRank, isDrawn }: AdmittedRequest, outcome: RequestOutcome): void {
-    if (outcome === 'left' || outcome === 'stopped') return;
-    const isServed = outcome === 'served';
-    this.#components.floor.note({ rank: priorityRank, isDrawn, isServed }, performance.now());
-  }
-
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
     if (!this.#arrivedWhileDraining(request)) this.#lingerStartedAt = performance.now();
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -298,13 +298,15 @@
     'rateLimit',
     'inTimeFor',
     'promptTokens',
+    'cold',
   ],
   slotReleased: ['type', 'id', 'wasUsed'],
   slotAnswered: ['type', 'id', 'rateLimit'],
-  slotPromptRead: ['type', 'id'],
   slotGranted: ['type', 'id', 'isLimited', 'isLimitedByWork'],
   slotQueued: ['type', 'id'],
   slotRefused: ['type', 'id', 'availableIn'],
   slotUnready: ['type', 'id'],
   slotsStated: ['type', 'process', 'next', 'held', 'waiting'],
+  // New types are added at the end: a type is sent by its number.
+  slotPromptRead: ['type', 'id'],
 };
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -1,5 +1,7 @@
 /** Reports about themselves that entries and agents of directly called back ends exchange. */
+import type { StoreRevision } from '../clients/store-revision.js';
 import type { BackEndIdentity } from '../model/back-end-identity.js';
+import type { WarmUp } from '../model/warm-up.js';
 import type { DeclaredPace } from '../systems/wait-policy.js';
 
 /** A version of a model that the configuration or the operator names. */
@@ -10,6 +12,14 @@
   notBefore: number;
 }
 
+/** The operator's latest decision on whether the back ends of a zone get new requests. */
+export interface ZoneEvacuation {
+  zone: string;
+  /** Revision of the row that takes the zone out of service, or of its removal. */
+  revision: StoreRevision;
+  isEvacuated: boolean;
+}
+
 /** Number of requests that one entry has in flight at a back end. */
 export interface BackEndLoad extends BackEndIdentity {
   inFlight: number;
@@ -47,6 +57,8 @@
   load: number;
   /** Time until the engine is ordered to switch to another version, in milliseconds; undefined if no switch is due. */
   switchesIn: number | undefined;
+  /** Time for which the engine stays cold, in milliseconds; 0 if it is warm, undefined from earlier releases. */
+  coldLeft?: number | undefined;
   /** Pieces that the agent holds. */
   held: HeldPieces[];
 }
@@ -76,6 +88,8 @@
   held: HeldPieces[];
   /** Engines whose agents are connected to this entry. */
   engines: EngineReport[];
+  /** All evacuations that the entry knows of; absent if there are none, and from earlier releases. */
+  evacuations?: ZoneEvacuation[];
 }
 
 /** State that an agent needs to load and distribute weights. */
@@ -90,6 +104,11 @@
   origin: string;
   /** Number of layers of a model. */
   layers: number;
+  /**
+   * How the engine warms up, at a rate of 0 if its service declares nothing; undefined if the sender knows no configuration, or
+   * is of an earlier release.
+   */
+  warmUp?: WarmUp | undefined;
   /** Index of the engine among those of its zone that hold a version. */
   position: number;
   /**
@@ -108,4 +127,6 @@
   entries: string[];
   /** The first of `entries` is in the agent's own zone. */
   hasNearEntry: boolean;
+  /** Whether the agent's zone is evacuated; absent if the sender does not know, and from earlier releases. */
+  evacuation?: ZoneEvacuation | undefined;
 }
--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -3,6 +3,7 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import { type BackEndRow, type BackEndTable, completeVersion, loadOf } from '../forwarding/back-end-table.js';
 import { rendezvousOrder } from '../model/random.js';
+import { NO_WARM_UP, type WarmUp } from '../model/warm-up.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
 import type { EntryReport, WeightsPlan } from '../protocol/reports.js';
 import type { DeclaredPace } from '../systems/wait-policy.js';
@@ -19,6 +20,8 @@
   backEnds: BackEndTable;
   /** Time after its naming within which a version must be served everywhere, in milliseconds. */
   versionBound: number;
+  /** Whether a back end gets no requests of any kind until this changes. */
+  isOutOfService: (row: BackEndRow) => boolean;
   /** The versions that are to be distributed. */
   wanted: () => WeightsVersion[];
   /** Reports of all live entries, including this one. */
@@ -53,12 +56,14 @@
       bound: versionBound,
       origin: configuration?.origin?.address ?? '',
       layers: configuration?.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
+      warmUp: configuration && this.#warmUpOf(report?.address ?? ''),
       position: this.#positionOf(report?.address ?? '', zone),
       canMoveRequests: this.#canMoveRequests(report?.address ?? ''),
       declaredPace: this.#paceOf(report?.address ?? ''),
       holders,
       entries: toConnect.map((entry) => entry.address),
       hasNearEntry: near.length > 0,
+      evacuation: fleet.evacuations.stateOf(zone),
     };
   }
 
@@ -79,6 +84,17 @@
     return Math.max(0, addresses.sort().indexOf(address));
   }
 
+  /** What the service of the engine at `address` declares; before the engine is listed, that of the first service of engines. */
+  #warmUpOf(address: string): WarmUp {
+    const { fleet, backEnds } = this.#options;
+    const row = [...backEnds.rows.values()].find(({ record }) => record.address === address);
+    const services = fleet.routes?.configuration.services ?? [];
+    const service = services.find(({ name, engine }) =>
+      row === undefined ? engine !== undefined : name === row.record.service,
+    );
+    return service?.warmUp ?? NO_WARM_UP;
+  }
+
   /** What the service of the engine at `address` declares of its pace; undefined before the engine is listed. */
   #paceOf(address: string): DeclaredPace | undefined {
     const { fleet, backEnds } = this.#options;
@@ -89,7 +105,7 @@
 
   /** Whether other engines can continue the requests that run at `address`. */
   #canMoveRequests(address: string): boolean {
-    const { fleet, backEnds } = this.#options;
+    const { fleet, backEnds, isOutOfService } = this.#options;
     const ownRow = [...backEnds.rows.values()].find(({ record }) => record.address === address);
     const { routes } = fleet;
     const layers = ownRow && routes?.service(ownRow.record.service)?.engine?.layers;
@@ -105,7 +121,7 @@
       load: loadOf(row),
     });
     const others = [...backEnds.ofService(ownRow.record.service)].filter(
-      (row) => row !== ownRow && !row.record.leaving,
+      (row) => row !== ownRow && !isOutOfService(row),
     );
     return canMoveRequests(routesToService, engineOf(ownRow), others.map(engineOf));
   }
--- a/src/systems/slot-queue.ts
+++ b/src/systems/slot-queue.ts
@@ -24,6 +24,15 @@
   inTimeUntil?: number | undefined;
   /** Tokens of its prompt; 0 or undefined if unknown. */
   promptTokens?: number | undefined;
+  /** Set if the asking entry knows that the engine is cold. */
+  cold?: ColdEngine | undefined;
+}
+
+/** An engine that bears few requests until a certain time. */
+export interface ColdEngine {
+  /** In requests per second, from all entries together. */
+  rate: number;
+  until: number;
 }
 
 /** Added to the urgency of late requests; no urgency is as large. */
--- a/src/systems/slot-table.ts
+++ b/src/systems/slot-table.ts
@@ -16,7 +16,7 @@
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import { type KnownPace, PromptBacklog } from './prompt-backlog.js';
 import { RateLimiter } from './rate-limiter.js';
-import { type SlotAsk, SlotQueue } from './slot-queue.js';
+import { type ColdEngine, type SlotAsk, SlotQueue } from './slot-queue.js';
 
 /**
  * Age below which grants and releases may not be visible in the reported load yet, in milliseconds. An engine reports its
@@ -52,6 +52,8 @@
   load: number;
   /** Rate limit in requests per second that the engine names to its agent; undefined if it names none. */
   rateLimit?: number | undefined;
+  /** Set if the agent knows that the engine is cold. */
+  cold?: ColdEngine | undefined;
 }
 
 /** Metrics of the slots of one engine. */
@@ -68,11 +70,10 @@
   waiting: number;
 }
 
-/** The rate limit of an engine. */
-interface EngineLimit {
+/** The rate limit that an engine names. */
+interface NamedLimit {
   /** In requests per second. */
   rate: number;
-  limiter: RateLimiter;
   /** When it was last named, by the engine or by an entry. */
   namedAt: number;
 }
@@ -103,8 +104,12 @@
   #releasedAt: number[] = [];
   /** Granted slots that the engine did not seem to use when it was last observed. */
   #unused = 0;
-  /** The engine's rate limit; undefined if none is known. */
-  #limit: EngineLimit | undefined;
+  /** The rate limit that the engine names; undefined if none is known. */
+  #limit: NamedLimit | undefined;
+  /** Undefined if the engine is warm. */
+  #cold: ColdEngine | undefined;
+  /** Issues the permits of the lower one of both rates; undefined if there is neither. */
+  #limiter: RateLimiter | undefined;
   /** Whether the engine has shown if it has a limit. Until then, a restarted agent uses the limit known to entries. */
   #isLimitObserved = false;
 
@@ -121,16 +126,16 @@
 
   /** Rate limit of the engine in requests per second; undefined if none is known. */
   get rateLimit(): number | undefined {
-    return this.#limit?.rate;
+    const rates = [this.#limit?.rate, this.#cold?.rate].filter((rate) => rate !== undefined);
+    return rates.length === 0 ? undefined : Math.min(...rates);
   }
 
   /** When the backlog and the rate limit allow the next grant; undefined unless a request waits and a slot is free. */
   get nextGrantAt(): number | undefined {
-    if (this.#waiting.size > 0 && this.#hasFreeSlot && this.#readableAt !== undefined)
-      return Math.max(this.#readableAt, this.#limit?.limiter.dueAt() ?? this.#readableAt);
-    return this.#limit !== undefined && this.#waiting.size > 0 && this.#hasFreeSlot
-      ? this.#limit.limiter.dueAt()
-      : undefined;
+    if (this.#waiting.size === 0 || !this.#hasFreeSlot) return undefined;
+    const permitAt = this.#permitDueAt(0);
+    if (this.#readableAt === undefined) return permitAt;
+    return Math.max(this.#readableAt, permitAt ?? this.#readableAt);
   }
 
   /** Handles a request for a slot. A repeated message is answered again. */
@@ -139,6 +144,8 @@
     if (this.#leases.has(ask.id)) return [{ type: 'granted', id: ask.id }];
     if (this.#isServing === undefined) return [{ type: 'unready', id: ask.id }];
     if (!this.#isLimitObserved && this.#limit === undefined) this.#setLimit(ask.rateLimit, now);
+    this.#noteCold(ask.cold);
+    this.#updateLimiter(now);
     if (!this.#isServing || this.#wouldMissEnd(ask)) return [{ type: 'refused', id: ask.id }];
     const isWaiting = this.#waiting.has(ask.id);
     const availableIn = this.#hasFreeSlot || isWaiting ? 0 : this.#waiting.expectedWait(ask, now);
@@ -228,11 +235,12 @@
 
   /** Applies the observed state of the engine: reclaims unused slots and counts requests that run without a grant. */
   observe(engine: ObservedEngine, now: number): SlotDecision[] {
-    const { start, isServing, load, rateLimit } = engine;
+    const { start, isServing, load, rateLimit, cold } = engine;
     if (!isSameStart(start, this.#start)) this.#forgetLeases();
     this.#backlog.observe(engine);
     this.#start = start ?? this.#start;
     if (rateLimit !== undefined) this.#observeLimit(rateLimit, now);
+    this.#noteCold(cold);
     this.#isServing = isServing;
     this.#load = load;
     this.#releasedAt = this.#releasedAt.filter((at) => now - at < REPORT_LAG);
@@ -254,6 +262,8 @@
     this.#releasedAt = [];
     this.#unused = 0;
     this.#limit = undefined;
+    this.#cold = undefined;
+    this.#limiter = undefined;
     this.#isLimitObserved = false;
   }
 
@@ -264,15 +274,38 @@
 
   #setLimit(rate: number | undefined, now: number): void {
     if (rate === undefined) return;
-    const limiter = this.#limit?.limiter ?? new RateLimiter(rate, now);
-    limiter.setRate(rate, now);
-    this.#limit = { rate, limiter, namedAt: now };
+    this.#limit = { rate, namedAt: now };
+    this.#updateLimiter(now);
+  }
+
+  /** Each statement can only prolong the time for which the engine is cold. */
+  #noteCold(cold: ColdEngine | undefined): void {
+    if (cold === undefined) return;
+    this.#cold = { rate: cold.rate, until: Math.max(cold.until, this.#cold?.until ?? cold.until) };
+  }
+
+  #updateLimiter(now: number): void {
+    if (this.#cold !== undefined && now >= this.#cold.until) this.#cold = undefined;
+    const rate = this.rateLimit;
+    if (rate === undefined) {
+      this.#limiter = undefined;
+      return;
+    }
+    this.#limiter ??= new RateLimiter(rate, now);
+    this.#limiter.setRate(rate, now);
+  }
+
+  /** When the permit after `permitsAhead` others is due, at the latest as the engine gets warm; undefined without a limit. */
+  #permitDueAt(permitsAhead: number): number | undefined {
+    const dueAt = this.#limiter?.dueAt(permitsAhead);
+    if (dueAt === undefined || this.#cold === undefined || this.#limit !== undefined) return dueAt;
+    return Math.min(dueAt, this.#cold.until);
   }
 
   /** Whether the rate limit delays a request past its `endsAt`, given the requests already queued. */
   #wouldMissEnd({ id, endsAt }: SlotAsk): boolean {
     const ahead = this.#waiting.has(id) ? this.#waiting.size - 1 : this.#waiting.size;
-    return this.#limit !== undefined && this.#limit.limiter.dueAt(ahead) > endsAt;
+    return (this.#permitDueAt(ahead) ?? Number.NEGATIVE_INFINITY) > endsAt;
   }
 
   /** Takes back slots that the engine used neither in this observation nor in the previous one. */
@@ -291,9 +324,10 @@
   /** Grants free slots to waiting requests, as far as the rate limit allows. */
   grantFree(now: number): SlotDecision[] {
     const decisions: SlotDecision[] = [];
+    this.#updateLimiter(now);
     while (this.#hasFreeSlot) {
       const next = this.#waiting.next(now);
-      const limiter = this.#limit?.limiter;
+      const limiter = this.#limiter;
       this.#readableAt = next && this.#backlog.grantableAt(next, now);
       if (this.#readableAt !== undefined && this.#readableAt > now) break;
       if (next === undefined || limiter?.tryAcquire(now) === false) break;
--- a/src/weights/store-plan-reader.ts
+++ b/src/weights/store-plan-reader.ts
@@ -9,8 +9,9 @@
 import { sleep } from '../fleet/table-follower.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
+import { NO_WARM_UP } from '../model/warm-up.js';
 import type { Log } from '../observability/log.js';
-import type { NamedVersion, WeightsPlan } from '../protocol/reports.js';
+import type { NamedVersion, WeightsPlan, ZoneEvacuation } from '../protocol/reports.js';
 import type { EngineLoader } from './engine-loader.js';
 
 /**
@@ -24,6 +25,8 @@
 export interface StorePlanReaderOptions {
   tables: WatchedTables;
   decoder: RecordDecoder;
+  /** Zone of the agent. */
+  zone: string;
   /** Time after its naming within which a version must be serving everywhere, in milliseconds. */
   versionBound: number;
   loader: EngineLoader;
@@ -69,12 +72,13 @@
    * no version.
    */
   async #read(signal: AbortSignal): Promise<WeightsPlan | undefined> {
-    const { tables, decoder, versionBound } = this.#options;
+    const { tables, decoder, zone, versionBound } = this.#options;
     const limit = withLimit(signal, CALL_TIMEOUT);
     const read = await tables.read(decoder.operatorTable, '', limit);
     if (!read.ok) return undefined;
     let configuration: FleetConfiguration | undefined;
     const versions: NamedVersion[] = [];
+    let evacuation: ZoneEvacuation = { zone, revision: read.value.revision, isEvacuated: false };
     for (const row of read.value.rows) {
       const decoded = decoder.operatorRecord(row);
       if (decoded === undefined) continue;
@@ -84,8 +88,10 @@
       }
       const record = decoded.value;
       if (record.type === 'configuration') configuration = record.document.configuration;
-      else
+      if (record.type === 'namedVersion')
         versions.push({ model: record.model, version: record.version, notBefore: Number.NEGATIVE_INFINITY });
+      if (record.type === 'evacuation' && record.zone === zone)
+        evacuation = { zone, revision: row.revision, isEvacuated: record.isEvacuated };
     }
     if (configuration === undefined || versions.length === 0) return undefined;
     return {
@@ -94,11 +100,13 @@
       bound: versionBound,
       origin: configuration.origin?.address ?? '',
       layers: configuration.services.find(({ engine }) => engine !== undefined)?.engine?.layers ?? 0,
+      warmUp: configuration.services.find(({ engine }) => engine !== undefined)?.warmUp ?? NO_WARM_UP,
       position: 0,
       canMoveRequests: false,
       holders: [],
       entries: [],
       hasNearEntry: false,
+      evacuation,
     };
   }
 }
--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -1,7 +1,9 @@
 /** Tests that the judges of the soak report each kind of violation and nothing that is allowed. */
 import { beforeEach, describe, expect, it } from 'vitest';
 import { judgeAnswer, judgeMissingRoute, type SentRequest } from './soak/callers.js';
+import { judgeColdStarts } from './soak/cold-starts.js';
 import { Disruptions } from './soak/disruptions.js';
+import { judgeEvacuations } from './soak/evacuations.js';
 import {
   judgeCuts,
   judgeDepartures,
@@ -10,6 +12,7 @@
   judgeRepetitions,
 } from './soak/judges.js';
 import { judgeBackoffs, judgeLeaving } from './soak/notice-judges.js';
+import { judgeRegions } from './soak/regions.js';
 import { eventData, type Run, RunLog } from './soak/workers.js';
 import { RETRY_BUDGET, type SoakWorld } from './soak/world.js';
 
@@ -21,7 +24,8 @@
 beforeEach(() => {
   log = new RunLog();
   disruptions = new Disruptions();
-  world = { log, disruptions, entryAt: () => 'entry-1' } as unknown as SoakWorld;
+  const zoneOf = (worker: string) => (worker === 'i-1' ? 'zone-a' : 'zone-b');
+  world = { log, disruptions, entryAt: () => 'entry-1', zoneOf } as unknown as SoakWorld;
 });
 
 function sent(id: string, changes: Partial<SentRequest> = {}): SentRequest {
@@ -119,7 +123,7 @@
 
   function configure(at: number, long: number): void {
     disruptions.plannedWork.push({ kind: 'configuration', about: '7', at });
-    disruptions.configurations.push({ at, timeouts: { long }, missing: [] });
+    disruptions.configurations.push({ at, timeouts: { long }, missing: [], regions: {} });
   }
 
   it('is an answer cut near a configuration change, and names both', () => {
@@ -207,16 +211,16 @@
   const denied = () => judgeMissingRoute(world, [sent('one', { kind: 'moved', status: 404 })]);
 
   it('is violated by a 404 on the moved route while all configurations contain it', () => {
-    disruptions.configurations.push({ at: START - 60_000, timeouts: {}, missing: [] });
+    disruptions.configurations.push({ at: START - 60_000, timeouts: {}, missing: [], regions: {} });
     expect(denied()).toEqual(['DENIED: one got 404']);
-    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'] });
-    disruptions.configurations.push({ at: START - 20_000, timeouts: {}, missing: [] });
+    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'], regions: {} });
+    disruptions.configurations.push({ at: START - 20_000, timeouts: {}, missing: [], regions: {} });
     expect(denied()).toHaveLength(1);
   });
 
   it('is met while a configuration without the route may be in force', () => {
-    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'] });
-    disruptions.configurations.push({ at: START - 1_000, timeouts: {}, missing: [] });
+    disruptions.configurations.push({ at: START - 30_000, timeouts: {}, missing: ['moved'], regions: {} });
+    disruptions.configurations.push({ at: START - 1_000, timeouts: {}, missing: [], regions: {} });
     expect(denied()).toEqual([]);
   });
 });
@@ -372,3 +376,93 @@
     expect(judgeBackoffs(world, requests)).toEqual([]);
   });
 });
+
+describe('EVAC', () => {
+  /** Evacuates a zone at `from`, for 20 s. */
+  const evacuate = (from: number) => log.evacuations.push({ zone: 'zone-a', from, to: from + 20_000 });
+
+  it('is a request that reaches a worker of the zone more than three seconds after the acknowledgement', () => {
+    evacuate(START);
+    arrive('r', START + 3_001);
+    expect(judgeEvacuations(world, [sent('r')])).toEqual([expect.stringMatching(/^EVAC: 1 .*after 3001 ms/)]);
+  });
+
+  it('is no earlier request, none after the zone is taken back, and none in another zone', () => {
+    evacuate(START);
+    arrive('r', START + 2_999);
+    arrive('r', START + 20_001);
+    arrive('r', START + 5_000, { worker: 'i-2' });
+    expect(judgeEvacuations(world, [sent('r')])).toEqual([]);
+  });
+
+  it('is excused until an entry that was disrupted has had time to learn of the evacuation', () => {
+    const now = performance.now();
+    evacuate(now - 2_000);
+    disruptions.record(['entry-1'], 1_000);
+    arrive('r', now + 4_900);
+    expect(judgeEvacuations(world, [sent('r')])).toEqual([]);
+    arrive('r', now + 5_100);
+    expect(judgeEvacuations(world, [sent('r')])).toHaveLength(1);
+  });
+
+  it('is not excused by a disruption of an entry that knew before, unless it has ended', () => {
+    const now = performance.now();
+    evacuate(now - 10_000);
+    disruptions.record(['everything'], 1_000);
+    arrive('r', now + 500);
+    expect(judgeEvacuations(world, [sent('r')])).toHaveLength(1);
+    disruptions.recordInterruption('entry-1');
+    expect(judgeEvacuations(world, [sent('r')])).toEqual([]);
+  });
+});
+
+describe('HOME', () => {
+  const declare = (at: number, regions: string[]) =>
+    disruptions.configurations.push({ at, timeouts: {}, missing: [], regions: { long: regions } });
+
+  it('is a request that reaches a worker in a region which no configuration allows', () => {
+    declare(START - 10_000, ['zone-b']);
+    arrive('r', START + 100);
+    expect(judgeRegions(world, [sent('r')])).toEqual([expect.stringMatching(/^HOME: 1 .* r /)]);
+  });
+
+  it('is none in an allowed region, on a route that is bound to none, or while another configuration may be in force', () => {
+    declare(START - 10_000, ['zone-b']);
+    arrive('r', START + 100, { worker: 'i-2' });
+    arrive('other', START + 100);
+    expect(judgeRegions(world, [sent('r'), sent('other', { kind: 'write' })])).toEqual([]);
+    declare(START - 1_000, ['zone-a']);
+    arrive('r', START + 100);
+    expect(judgeRegions(world, [sent('r')])).toEqual([]);
+    declare(START - 500, []);
+    arrive('r', START + 4_000);
+    expect(judgeRegions(world, [sent('r')])).toEqual([]);
+  });
+});
+
+describe('FAILBACK', () => {
+  /** Ten requests at this start of a worker within a second. */
+  const sendTen = (at: number, changes: Partial<typeof START_OF_WORKER> = {}) => {
+    for (let index = 0; index < 10; index++) arrive(`r${index}`, at + 100 * index, changes);
+  };
+
+  beforeEach(() => {
+    log.coldPeriods.push({ ...START_OF_WORKER, cause: 'started', from: START, to: START + 5_000 });
+  });
+
+  it('is more requests in a second than a cold worker bears, once that is known', () => {
+    sendTen(START + 2_000);
+    expect(judgeColdStarts(world)).toEqual([
+      expect.stringMatching(/^FAILBACK: i-1 \(born 1\) got 10 in a second/),
+    ]);
+  });
+
+  it('is nothing right after the start, at another start, or among requests that were misdirected', () => {
+    sendTen(START + 500);
+    sendTen(START + 6_000);
+    sendTen(START + 2_000, { born: 2 });
+    sendTen(START + 2_000);
+    for (const arrival of log.arrivals.slice(-1)) arrival.isMisdirected = true;
+    expect(judgeColdStarts(world)).toEqual([]);
+  });
+});
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -1,8 +1,11 @@
 /** Faults of a soak, drawn from its seed: what is done to processes, links, workers and the store, and when it ends. */
 import { type Random, seededRandom } from '../../../src/model/random.js';
+import { COLD_STARTS } from './cold-starts.js';
 import { EVERYTHING } from './disruptions.js';
+import { EVACUATIONS } from './evacuations.js';
 import { drawBetween, type Fault, noCleanup, pick, type StartedFault } from './fault.js';
 import { BACKOFFS, LEAVING } from './notices.js';
+import { REGION_CHANGES } from './regions.js';
 import type { Stalls } from './stalls.js';
 import { PIECES, StandInEngine } from './workers.js';
 import {
@@ -620,6 +623,9 @@
   | 'limits'
   | 'leaving'
   | 'backoffs'
+  | 'evacuations'
+  | 'regions'
+  | 'cold'
   | 'stalls'
   | 'mixed';
 
@@ -630,8 +636,14 @@
 const STORE_OUTAGES = UNPLANNED.filter(
   ({ name }) => name === 'store unavailable' || name === 'link to the store cut',
 );
-/** Choices in which workers state in their answers that they are leaving, or ask for a back-off. */
-export const STATES_NOTICES: ReadonlySet<FaultChoice> = new Set(['leaving', 'backoffs']);
+/** Choices that exclude workers for some time; each of them must be used again at the end. */
+export const EXCLUDES_WORKERS: ReadonlySet<FaultChoice> = new Set([
+  'leaving',
+  'backoffs',
+  'evacuations',
+  'regions',
+  'cold',
+]);
 
 const PROCESS_KILLS = UNPLANNED.filter(({ name }) => name === 'process killed');
 
@@ -649,6 +661,17 @@
   limits: [...PLANNED, ...PLANNED, ...PROCESS_KILLS, ...PROCESS_KILLS, ...repeat(LIMITS, 8)],
   leaving: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...STORE_OUTAGES, ...repeat(LEAVING, 3)],
   backoffs: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...RESTARTS.slice(0, 1), ...repeat(BACKOFFS, 3)],
+  // Other outages of the store are few: they excuse all entries.
+  evacuations: [
+    ...repeat(PLANNED, 2),
+    ...PROCESS_KILLS,
+    ...RESTARTS.slice(0, 1),
+    ...STORE_RESTORES.slice(0, 1),
+    ...repeat(EVACUATIONS, 4),
+  ],
+  // Few changes of regions, as both the old and the new ones are allowed for some time.
+  regions: [...repeat(PLANNED, 2), ...RESTARTS, ...STALLS, ...EVACUATIONS.slice(0, 1), ...REGION_CHANGES],
+  cold: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...RESTARTS, ...repeat(COLD_STARTS, 2)],
   stalls: [...PLANNED, ...repeat(CONFIGURATIONS, 3), ...repeat(STALLS, 3)],
   mixed: [...PLANNED, ...UNPLANNED, ...CONFIGURATIONS, ...STALLS, ...STALLS],
   drills: [
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -8,12 +8,20 @@
 import { CuttableLink } from '../../../bench/processes/cuttable-link.js';
 import { MemoryStore } from '../../../emulator/store/memory-store.js';
 import { startStoreServer } from '../wire-store.js';
+import { COLD_RATE, COLD_SECONDS } from './cold-starts.js';
 import { Disruptions } from './disruptions.js';
 import { killAfterGrace } from './grace.js';
-import { RunLog, StandInEngine, StandInOrigin, StandInService, type StandInWorker } from './workers.js';
+import {
+  type ColdPeriod,
+  RunLog,
+  StandInEngine,
+  StandInOrigin,
+  StandInService,
+  type StandInWorker,
+} from './workers.js';
 
 const SERVICES = 2;
-const ZONES = ['zone-a', 'zone-b'];
+export const ZONES: readonly string[] = ['zone-a', 'zone-b'];
 export const HOST = 'soak.example';
 export const KEY = 'key-of-tenant';
 export const TENANT = 'tenant-a';
@@ -29,6 +37,9 @@
 /** Lifetime of addresses from the directory, in seconds. */
 export const ADDRESS_LIFETIME = 1;
 const HEARTBEAT = 600;
+const SECOND = 1_000;
+/** Interval at which the operator repeats a write that the store does not accept, in milliseconds. */
+const RETRY_INTERVAL = 50;
 /** Delay before an exited process is restarted, in milliseconds. */
 export const RESTART_DELAY = 200;
 const ROLE_MEMORY_MB = 120;
@@ -70,6 +81,8 @@
   /** Services of the moved route, with their traffic weights. */
   movedTo: Readonly<Record<string, number>>;
   lacksMovedRoute: boolean;
+  /** Regions to which routes are bound, by route; any if there are none. */
+  regions: Readonly<Record<string, readonly string[]>>;
   /** A service that is left out; undefined for none. */
   dropped: string | undefined;
   /** Number of additional unused routes. */
@@ -81,14 +94,17 @@
   timeouts: { write: ROUTE_TIMEOUT, long: LONG_TIMEOUT, moved: LONG_TIMEOUT },
   movedTo: { engines: 1 },
   lacksMovedRoute: false,
+  regions: {},
   dropped: undefined,
   moreRoutes: 0,
 };
 
 export class SoakWorld {
   readonly store = new MemoryStore();
-  /** Latest rows written by the operator, by key. */
-  readonly #operatorRows = new Map<string, string>();
+  /** Latest rows written by the operator, by key; undefined for those that it removed. */
+  readonly #operatorRows = new Map<string, string | undefined>();
+  /** Zone of each worker that was ever registered, by its id. */
+  readonly #zones = new Map<string, string>();
   #isRestoring = false;
   readonly log = new RunLog();
   readonly disruptions = new Disruptions();
@@ -109,6 +125,7 @@
   #configurationVersion = 0;
   #shape = DEFAULT_SHAPE;
   #hasMovedRoute = false;
+  #hasColdStarts = false;
   #weightsVersion = 1;
   #heartbeats = 0;
   #workersStarted = 0;
@@ -206,11 +223,26 @@
   }
 
   /** Writes a row as the operator and remembers it for a restored store. */
-  #writeAsOperator(key: string, value: object): void {
-    this.#operatorRows.set(key, JSON.stringify(value));
+  #writeAsOperator(key: string, value: object | undefined): void {
+    this.#operatorRows.set(key, value && JSON.stringify(value));
     this.store.write('op', key, this.#operatorRows.get(key));
   }
 
+  /** Declares in later configurations that workers are cold after a start; all that start from now on are. */
+  declareColdStarts(): void {
+    this.#hasColdStarts = true;
+  }
+
+  /**
+   * Makes a worker cold and writes its record; does nothing while the store is unavailable, as only the worker's health answers
+   * would tell.
+   */
+  turnCold(worker: StandInWorker): void {
+    if (!this.#isStoreAvailable) return;
+    this.#recordCold(worker, 'turned cold');
+    this.#writeHeartbeats();
+  }
+
   /** Includes in later configurations the moved route: a route of streams whose services change. */
   declareMovedRoute(): void {
     this.#hasMovedRoute = true;
@@ -223,12 +255,13 @@
   configure(changes: Partial<ConfigurationShape> = {}): void {
     const version = ++this.#configurationVersion;
     this.#shape = { ...this.#shape, ...changes };
-    const { idleTimeout, timeouts, movedTo, lacksMovedRoute, dropped, moreRoutes } = this.#shape;
+    const { idleTimeout, timeouts, movedTo, lacksMovedRoute, regions, dropped, moreRoutes } = this.#shape;
     this.disruptions.recordPlanned('configuration', String(version));
     this.disruptions.configurations.push({
       at: performance.now(),
       timeouts,
       missing: lacksMovedRoute ? ['moved'] : [],
+      regions,
     });
     const route = (name: string, kind: string, service: string, more: object = {}) => ({
       name,
@@ -240,8 +273,10 @@
       slo_ms: 400,
       max_attempts: kind === 'non_idempotent' ? 1 : 2,
       priority: 1,
+      allowed_regions: regions[name],
       ...more,
     });
+    const warmUp = this.#hasColdStarts ? { cold_s: COLD_SECONDS, cold_per_s: COLD_RATE } : {};
     const configuration = {
       version,
       routes: [
@@ -269,9 +304,10 @@
         {
           name: 'engines',
           max_conns: 100,
+          ...warmUp,
           engine: { slots: 8, models: [{ name: 'm' }], layers: 4, chunks: 8, chunk_bytes: 4_096, step_ms: 1 },
         },
-        { name: 'plain', max_conns: 100 },
+        { name: 'plain', max_conns: 100, ...warmUp },
         { name: 'weights', origin: this.#origin.address },
       ].filter(({ name }) => name !== dropped),
       limits: { max_body_bytes: 1_000_000, idle_timeout_ms: idleTimeout },
@@ -287,6 +323,34 @@
     this.#writeAsOperator('version/m', { model: 'm', version });
   }
 
+  /** Takes a zone out of service, unless it is or the store is unavailable; returns whether it did. */
+  evacuate(zone: string): boolean {
+    const key = `evacuate/${zone}`;
+    if (!this.#isStoreAvailable || this.#operatorRows.get(key) !== undefined) return false;
+    this.#writeAsOperator(key, {});
+    this.log.evacuations.push({ zone, from: performance.now(), to: Number.POSITIVE_INFINITY });
+    return true;
+  }
+
+  /** Takes a zone back as soon as the store is available. */
+  takeBack(zone: string): void {
+    if (this.#stopped) return;
+    if (!this.#isStoreAvailable) return void setTimeout(() => this.takeBack(zone), RETRY_INTERVAL);
+    this.#writeAsOperator(`evacuate/${zone}`, undefined);
+    for (const evacuation of this.log.evacuations)
+      if (evacuation.zone === zone) evacuation.to = Math.min(evacuation.to, performance.now());
+  }
+
+  /** Zone of a worker, which may have ended. */
+  zoneOf(worker: string): string | undefined {
+    return this.#zones.get(worker);
+  }
+
+  get #isStoreAvailable(): boolean {
+    const { down, silent, losesAnswers } = this.store.faults;
+    return !down && !silent && !losesAnswers && !this.#isRestoring;
+  }
+
   /** Starts a process, and restarts it whenever it exits. */
   spawn(started: SystemProcess): void {
     if (this.#stopped || !started.isWanted) return;
@@ -358,6 +422,7 @@
     if (worker instanceof StandInEngine) await this.#addEngine(place + 1, 0, place);
     else await this.#addService(place - this.#size.agents + 1, place);
     this.#beingReplaced.delete(place);
+    this.#recordCold(this.workers[place].worker, 'started');
     this.#writeHeartbeats();
   }
 
@@ -383,9 +448,18 @@
     this.workers[place] = { worker: next, zone, link };
     await next.start();
     this.#beingReplaced.delete(place);
+    this.#recordCold(next, 'started');
     if (isRegisteredAtOnce) this.#writeHeartbeats();
   }
 
+  /** A worker is cold from now on; its next heartbeat says so. */
+  #recordCold(worker: StandInWorker, cause: ColdPeriod['cause']): void {
+    if (!this.#hasColdStarts) return;
+    const from = performance.now();
+    worker.coldUntil = from + COLD_SECONDS * SECOND;
+    this.log.coldPeriods.push({ worker: worker.id, born: worker.born, cause, from, to: worker.coldUntil });
+  }
+
   /** Ends a worker that is leaving and restarts it under its id, so that it may be used again. */
   endLeaving(place: number): void {
     this.disruptions.record([this.workers[place].worker.id], LEAVING_END_TIME);
@@ -442,7 +516,9 @@
     const link = new CuttableLink(linkAddress, worker.address);
     await worker.start();
     await link.start();
-    this.workers[place] = { worker, zone: ZONES[index % ZONES.length], link };
+    const zone = ZONES[index % ZONES.length];
+    this.workers[place] = { worker, zone, link };
+    this.#zones.set(worker.id, zone);
   }
 
   async #addSeedLink(seed: number): Promise<void> {
@@ -500,7 +576,7 @@
         zone,
         version: 'v1',
         state: worker.leaving ? 'draining' : 'ready',
-        cold_left_ms: 0,
+        cold_left_ms: Math.max(0, Math.round(worker.coldUntil - performance.now())),
         seq: this.#heartbeats,
         born: worker.born,
         ...worker.record(),
--- a/test/roles/running-entry.ts
+++ b/test/roles/running-entry.ts
@@ -18,18 +18,32 @@
 /** Connections that a back end of the service `few` accepts from all entries together. */
 export const FEW_CONNECTIONS = 2;
 
+/** The revision in which the route with the path of its revision is bound to `region-b`, and `billing` warms up. */
+export const BOUND_REVISION = 90;
+/** Requests a second that a cold back end of `billing` bears in that revision. */
+export const COLD_RATE = 5;
+
 /** Route options for requests that are sent to at most one back end. */
 const ONCE = { repeatability: 'never', objective: 500, maxAttempts: 1 } as const;
 
 const configurationOf = (revision: number): FleetConfiguration => ({
   revision,
   routes: [
-    routeNamed('route', { ...ONCE, pathPrefix: `/${revision}/` }),
+    routeNamed('route', {
+      ...ONCE,
+      pathPrefix: `/${revision}/`,
+      regions: revision === BOUND_REVISION ? ['region-b'] : undefined,
+    }),
     routeNamed('stream', { ...ONCE, isStream: true, longestPause: 500 }),
     routeNamed('few', { ...ONCE, targets: [{ service: 'few', weight: 1 }] }),
   ],
   services: [
-    { name: 'billing', maxConnections: 0, engine: undefined },
+    {
+      name: 'billing',
+      maxConnections: 0,
+      engine: undefined,
+      warmUp: revision === BOUND_REVISION ? { rate: COLD_RATE, time: 60_000 } : undefined,
+    },
     { name: 'few', maxConnections: FEW_CONNECTIONS, engine: undefined },
   ],
   origin: undefined,
@@ -42,11 +56,19 @@
   configuration: configurationOf(Number(document.toString())),
 });
 
+/** Key of the row that takes a zone out of service. */
+export const evacuationOf = (zone: string) => `evacuate/${zone}`;
+
 /** Rows contain this system's own records as JSON. */
 const decoder: RecordDecoder = {
   operatorTable: 'operator',
   backEndTable: 'backEnds',
-  operatorRecord: (row) => row.value && success({ type: 'configuration', document: documentOf(row.value) }),
+  operatorRecord: ({ key, value }) => {
+    const [kind, zone] = key.split('/');
+    if (zone !== undefined && kind === 'evacuate')
+      return success({ type: 'evacuation', zone, isEvacuated: value !== undefined });
+    return value && success({ type: 'configuration', document: documentOf(value) });
+  },
   configuration: (document) => success(documentOf(document)),
   backEnd: (row) =>
     success({
@@ -149,8 +171,6 @@
   requestId?: string;
   /** Keeps connections alive; without an agent each request opens its own connection. */
   agent?: Agent;
-  /** Time that the caller waits, in milliseconds; the header is omitted if undefined. */
-  timeLeft?: number;
   /** The list of prompt parts; the header is omitted if undefined. */
   parts?: string;
 }
@@ -159,13 +179,12 @@
 export function send(
   { settings }: RunningEntry,
   path: string,
-  { requestId = 'r1', agent, timeLeft, parts }: SendOptions = {},
+  { requestId = 'r1', agent, parts }: SendOptions = {},
 ): Promise<Received> {
   const [host, port] = settings.callers.split(':');
   return new Promise((resolve, reject) => {
-    const timeLeftHeader = timeLeft === undefined ? {} : { 'x-time-left': String(timeLeft) };
     const partsHeader = parts === undefined ? {} : { 'x-parts': parts };
-    const headers = { host: 'api.example', 'x-request': requestId, ...timeLeftHeader, ...partsHeader };
+    const headers = { host: 'api.example', 'x-request': requestId, ...partsHeader };
     const sent = httpRequest({ host, port, path, headers, agent }, (response) => {
       const end = () =>
         resolve({
