--- a/src/systems/service-floor.ts
+++ b/src/systems/service-floor.ts
@@ -3,8 +3,9 @@
  * would get nothing while more urgent ones take all slots. So that no kind and no tenant falls below a quarter of the service
  * that all get, a random part of the requests of each rank goes with the most urgent ones. The part is as large as the rank
  * lacks: a quarter of the share of requests that this entry has lately seen served, less what the others of that rank get
- * anyway; where a rank is served anyway, nothing is drawn. Each kind, tenant and size of a rank gets its part, without state for any of them. Counts by tenant cannot replace
- * it, as a rare tenant asks an entry too seldom. Times are in milliseconds of the monotonic clock.
+ * anyway; where a rank is served anyway, nothing is drawn. Each kind, tenant and size of a rank gets its part, without state
+ * for any of them. Counts by tenant cannot replace it, as a rare tenant asks an entry too seldom. Times are in milliseconds of
+ * the monotonic clock.
  *
  * ```ts
  * const isDrawn = floor.draws(rank, now);
