--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -4,7 +4,7 @@
  */
 import type { Random } from '../model/random.js';
 import type { StallDetector } from '../model/stall-detector.js';
-import type { HoldOutcome, HoldRecord } from '../systems/hold-record.js';
+import type { HoldOutcome } from '../systems/hold-record.js';
 import type { SlotWait } from '../systems/wait-policy.js';
 import type { Requirements } from './back-end-eligibility.js';
 import type { BackEndLimits } from './back-end-limits.js';
@@ -13,6 +13,7 @@
 import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import type { CallerReturns } from './caller-returns.js';
 import type { ExpectedCapacity } from './capacity-estimator.js';
+import { CapacityHold } from './capacity-hold.js';
 import type { DirectPermits } from './direct-permits.js';
 import type { EngineSlots, SlotClaim } from './engine-slots.js';
 import type { RequestTiming } from './request-timing.js';
@@ -80,18 +81,7 @@
   #seeker: SlotSeeker | undefined;
   /** The selection for which a permit is being claimed. */
   #claiming: Selection | undefined;
-  /**
-   * Time at which the request was first held for capacity, in milliseconds of the monotonic clock. A search for a slot in
-   * between does not reset it: otherwise agents that refused repeatedly held a request for the whole timeout of its route
-   * instead of 45 ms.
-   */
-  #heldSince: number | undefined;
-  /** True once the request was held while no back end served; it then waits for one of the first slots that become free. */
-  #wasHeldForCapacity = false;
-  /** Where the request has reserved one of the limited places for waiting until back ends serve. */
-  #reservation: HoldRecord | undefined;
-  /** Where the request is counted while it is held until one of the serving back ends is free. */
-  #hold: HoldRecord | undefined;
+  readonly #hold: CapacityHold;
   /** The wait for a slot of a request that was neither sent nor held before. */
   #wait: SlotWait | undefined;
   /** Time until agents expect a slot for the request, in milliseconds; undefined if none has refused it for that reason. */
@@ -105,11 +95,12 @@
     this.#components = components;
     this.#request = request;
     this.#events = events;
+    this.#hold = new CapacityHold(components, request);
   }
 
   /** True until a back end is chosen or the search ends. */
   get isUnderWay(): boolean {
-    return this.#seeker !== undefined || this.#claiming !== undefined || this.#heldSince !== undefined;
+    return this.#seeker !== undefined || this.#claiming !== undefined || this.#hold.isUnderWay;
   }
 
   /** Time until agents expect a slot for the request, in milliseconds; undefined if they predict none. */
@@ -142,16 +133,12 @@
 
   /** Ends the search and releases what it holds. */
   end(outcome: HoldOutcome): void {
-    this.#heldSince = undefined;
     this.#isLastResort = false;
     this.#claiming = undefined;
     this.#cancelSeeker();
     this.#wait?.end(outcome, performance.now());
     this.#wait = undefined;
-    this.#hold?.end(outcome);
-    this.#hold = undefined;
-    this.#reservation?.releasePlace();
-    this.#reservation = undefined;
+    this.#hold.end(outcome);
   }
 
   /** Starts to look for a slot of an engine; returns false if there is no agent to ask. */
@@ -199,7 +186,7 @@
     const { service, engine } = this.#requirements;
     const waits = this.#components.backEnds.waitsOf(service);
     const request = timing.waitingRequest(rank, promptTokens, engine);
-    if (wasSent() || this.#wasHeldForCapacity || request === undefined) {
+    if (wasSent() || this.#hold.wasForCapacity || request === undefined) {
       const endsAt = timing.slotWaitDeadline(now, wasSent());
       // An answer that has begun is never late.
       const isInTime = isResuming() || request === undefined;
@@ -228,7 +215,7 @@
   #chooseWithoutSlot(): void {
     const selection = this.#components.selector.select(this.#requirements);
     if (selection === undefined) return this.#holdOrGiveUp();
-    const wasSentOrHeld = this.#request.wasSent() || this.#wasHeldForCapacity;
+    const wasSentOrHeld = this.#request.wasSent() || this.#hold.wasForCapacity;
     if (selection.expectedWait > this.#request.timing.maxQueueWait(wasSentOrHeld))
       return this.#giveUp(BACK_ENDS_FULL);
     if (this.#components.selector.needsPermit(selection.row)) return void this.#claimPermit(selection);
@@ -260,61 +247,18 @@
   #holdOrGiveUp(): void {
     const { canComplete, isResuming, isAllowedByBudget } = this.#request;
     const now = performance.now();
-    const { service, regions } = this.#requirements;
-    const capacity = this.#components.selector.timeToCapacity(service, regions);
-    const wasHeld = this.#heldSince !== undefined;
-    this.#heldSince ??= now;
+    const requirements = this.#requirements;
+    const capacity = this.#components.selector.timeToCapacity(requirements.service, requirements.regions);
+    const wasHeld = this.#hold.begin(now);
     if (!canComplete(capacity?.wait)) return this.#events.onOutOfTime();
     if (capacity === undefined && !isAllowedByBudget()) return this.#endUnserved('no budget');
     // Sent at once, as each refusal of such a request prolongs the back-off by the time that has passed since it began.
     if (capacity?.isBackoff === true && this.#tryLastResort()) return;
-    const mayWait = !isResuming() && this.#shouldHold(capacity, this.#heldSince, now);
+    const mayWait = !isResuming() && this.#hold.continues(capacity, requirements, now);
     if (!mayWait) return this.#giveUp(NO_BACK_END, capacity);
     if (!wasHeld) this.#events.onNote('held', { capacityMs: Math.round(capacity?.wait ?? 0) });
   }
 
-  /**
-   * Whether to hold the request.
-   * @param capacity - undefined if some back ends serve but none of them can take the request
-   */
-  #shouldHold(capacity: ExpectedCapacity | undefined, heldSince: number, now: number): boolean {
-    const { timing, isStream } = this.#request;
-    if (capacity === undefined && this.#wasHeldForCapacity) return now < timing.latestBegin;
-    if (capacity === undefined) return isStream && now < timing.holdDeadline(heldSince);
-    const isInTime = now + capacity.wait <= timing.latestBegin;
-    if (capacity.isBackoff) return isInTime && this.#holdForBackoff();
-    const forecast = this.#components.backEnds.forecastOf(this.#requirements.service);
-    if (!forecast.note(now + capacity.wait, now) || !timing.waitsForCapacity(now, capacity.wait))
-      return false;
-    if (isInTime && !this.#reservePlace(timing.mayReturnFor(now, capacity.wait))) return false;
-    this.#wasHeldForCapacity = true;
-    return true;
-  }
-
-  /**
-   * Holds the request until a back end may get requests again, unless such waits have failed lately, as back ends ask for one
-   * back-off after the other. Their end is known, so that a caller would only lose time by coming again after it.
-   */
-  #holdForBackoff(): boolean {
-    if (!this.#reservePlace() || !this.#countHold()) return false;
-    this.#wasHeldForCapacity = true;
-    return true;
-  }
-
-  /**
-   * Reserves one of the places for requests that wait for the first slots; returns false if all of them are taken.
-   * @param mayReturn - whether the caller also reaches these slots by retrying
-   */
-  #reservePlace(mayReturn = false): boolean {
-    if (this.#reservation !== undefined) return true;
-    const { service, regions } = this.#requirements;
-    const holds = this.#components.backEnds.holdsOf(service);
-    const places = this.#components.selector.slotShare(service, regions);
-    if (!holds.reservePlace(places, mayReturn)) return false;
-    this.#reservation = holds;
-    return true;
-  }
-
   /** Ends the search, unless a back end that backs off may get the request. */
   #giveUp(reason: string, capacity?: ExpectedCapacity): void {
     if (this.#tryLastResort()) return;
@@ -342,8 +286,7 @@
   #noteExclusions(capacity: ExpectedCapacity | undefined): void {
     const excluded = this.#components.selector.exclusions(this.#requirements);
     const { regions } = this.#requirements;
-    const now = performance.now();
-    const heldMs = Math.round(now - (this.#heldSince ?? now));
+    const heldMs = Math.round(this.#hold.heldFor(performance.now()));
     this.#events.onNote(NO_BACK_END, {
       excluded,
       regions: regions && [...regions],
@@ -351,14 +294,4 @@
       heldMs,
     });
   }
-
-  /** Counts a wait; returns false if the request must not wait. */
-  #countHold(): boolean {
-    if (this.#hold !== undefined) return true;
-    const holds = this.#components.backEnds.holdsOf(this.#requirements.service);
-    if (!holds.allowsMore) return false;
-    holds.begin();
-    this.#hold = holds;
-    return true;
-  }
 }
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -457,8 +457,8 @@
   },
   {
     fault: 'a request that could wait for the end of a back-off is refused',
-    file: 'src/forwarding/back-end-search.ts',
-    find: 'if (capacity.isBackoff) return isInTime && this.#holdForBackoff();',
+    file: 'src/forwarding/capacity-hold.ts',
+    find: 'if (capacity.isBackoff) return isInTime && this.#holdForBackoff(requirements);',
     replace: 'if (capacity.isBackoff) return false;',
     test: 'test/forwarding/back-off.test.ts',
   },
@@ -1561,7 +1561,7 @@
     fault: 'each search for a slot begins the time anew for which a first request is held',
     file: 'src/forwarding/back-end-search.ts',
     find: 'this.#seeker = new SlotSeeker({',
-    replace: 'this.#heldSince = undefined;\n    this.#seeker = new SlotSeeker({',
+    replace: "this.#hold.end('cancelled');\n    this.#seeker = new SlotSeeker({",
     test: 'test/forwarding/slots.test.ts',
   },
   {
