--- a/test/forwarding/stream-cut-while-back-end-pauses.test.ts
+++ b/test/forwarding/stream-cut-while-back-end-pauses.test.ts
@@ -169,6 +169,23 @@
     await until(() => one.cancelled + two.cancelled === 1, 'the silent back end is cancelled');
   });
 
+  it('is cancelled at its own silent back end as soon as the other goes on, not when the answer ends', async () => {
+    let finish: () => void = () => {};
+    answerFirstWith(pausingStream(60_000), (request, response) => {
+      response.writeHead(200, {
+        'x-request': String(request.headers['x-request']),
+        'content-type': 'text/event-stream',
+      });
+      const next = EVENTS_BEFORE_PAUSE + 1;
+      response.write(events(next, next));
+      finish = () => writeEventsFrom(response, next + 1);
+    });
+    const answer = forwarding.send('/write/a');
+    await until(() => one.cancelled + two.cancelled === 1, 'the silent back end is cancelled');
+    finish();
+    expect(await answer).toMatchObject(whole);
+  });
+
   it('resumes at the other back end where its own fails after the other received the request', async () => {
     let first: ServerResponse | undefined;
     answerFirstWith(
