--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -30,6 +30,10 @@
     this.#bounds = bounds;
     process.once('exit', () => this.#kill());
     for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(2));
+    process.once('uncaughtException', (error) => {
+      process.stderr.write(`${error.stack}\n`);
+      process.exit(2);
+    });
   }
 
   /** Address `index` of the deployment's network. */
@@ -64,13 +68,18 @@
     }, HEARTBEAT);
   }
 
+  /** Writes the record of a worker at once, as after its restart. */
+  refresh(worker) {
+    this.#writeHeartbeat(worker);
+  }
+
   /** Removes the record of a worker; returns the time of the acknowledgement. */
   unregister(worker) {
     this.#workers = this.#workers.filter((one) => one !== worker);
     return this.store.write('servers', worker.id, undefined);
   }
 
-  #writeHeartbeat({ id, service, address, zone, slots }) {
+  #writeHeartbeat({ id, service, address, zone, slots, born, coldUntil = 0 }) {
     const seq = ++this.#sequence;
     this.store.write('servers', id, {
       service,
@@ -79,8 +88,9 @@
       version: 'v1',
       slots,
       state: 'ready',
-      cold_left_ms: 0,
+      cold_left_ms: Math.max(0, Math.round(coldUntil - performance.now())),
       seq,
+      ...(born === undefined ? {} : { born }),
     });
   }
 
