An event without end is held up to a limit, and its bytes are copied a bounded number of times

Cause: each part of an event was joined to all that came before it, and the whole was searched again. Nothing limited the size of an event.

Fix: EventRelay keeps an incomplete event in a buffer that doubles and searches new bytes only.

--- a/src/forwarding/attempt-answer.ts
+++ b/src/forwarding/attempt-answer.ts
@@ -3,6 +3,7 @@
  * a time, so that another back end can resume them. Other answers are buffered up to a limit, so that a failed one can
  * still be replaced.
  */
+import type { EventBudget } from '../systems/event-budget.js';
 import { type AnswerHead, isDelimitedByClose } from './attempt.js';
 import { EventRelay } from './event-relay.js';
 
@@ -13,6 +14,10 @@
 /** The buffered answer of one attempt. */
 export class AttemptAnswer {
   readonly #resumeEventId: string | undefined;
+  readonly #eventBudget: EventBudget;
+  /** Bytes held of an event that is not whole, as counted in the budget. */
+  #heldBytes = 0;
+  #isEventTooLong = false;
   #head: AnswerHead | undefined;
   #events: EventRelay | undefined;
   readonly #buffered: Buffer[] = [];
@@ -20,8 +25,9 @@
   #bufferedBytes = 0;
 
   /** @param resumeEventId - id of the event after which a stream resumes; undefined to start at its beginning */
-  constructor(resumeEventId: string | undefined) {
+  constructor(resumeEventId: string | undefined, eventBudget: EventBudget) {
     this.#resumeEventId = resumeEventId;
+    this.#eventBudget = eventBudget;
   }
 
   get head(): AnswerHead | undefined {
@@ -63,9 +69,14 @@
     this.#events = isEventStream && head.status === OK ? new EventRelay(this.#resumeEventId) : undefined;
   }
 
+  /** True once an event has exceeded the largest size that may be held: the answer is broken. */
+  get isEventTooLong(): boolean {
+    return this.#isEventTooLong;
+  }
+
   /** Buffers bytes of the body; returns whether the buffer is ready to be passed on. */
   push(chunk: Buffer): boolean {
-    const bytes = this.#events === undefined ? chunk : this.#events.push(chunk);
+    const bytes = this.#events === undefined ? chunk : this.#pushToEvents(this.#events, chunk);
     if (bytes === undefined) return false;
     this.#buffered.push(bytes);
     this.#bufferedBytes += bytes.byteLength;
@@ -77,9 +88,15 @@
     return this.#buffered.length > 0;
   }
 
+  /** Call at the end of the attempt: an event that is not whole no longer counts as held. */
+  release(): void {
+    this.#noteHeld(0);
+  }
+
   /** Marks the end of the body; bytes after the last whole event of a stream become ready too. */
   end(): void {
     const rest = this.#events?.end();
+    this.#noteHeld(0);
     if (rest !== undefined && rest.byteLength > 0) this.#buffered.push(rest);
   }
 
@@ -90,4 +107,17 @@
     this.#buffered.length = 0;
     return bytes;
   }
+
+  #pushToEvents(events: EventRelay, chunk: Buffer): Buffer | undefined {
+    const whole = events.push(chunk);
+    this.#isEventTooLong ||= !this.#noteHeld(events.incompleteBytes);
+    return whole;
+  }
+
+  /** Updates how much is held of an event that is not whole; returns whether that may be held. */
+  #noteHeld(bytes: number): boolean {
+    const mayBeHeld = this.#eventBudget.note(this.#heldBytes, bytes);
+    this.#heldBytes = bytes;
+    return mayBeHeld;
+  }
 }
--- a/src/forwarding/attempt-factory.ts
+++ b/src/forwarding/attempt-factory.ts
@@ -1,6 +1,7 @@
 /** Creates the attempts of one request: the request as one back end gets it, and its use of that back end. */
 import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
+import type { EventBudget } from '../systems/event-budget.js';
 import { type AdmittedRequest, headersToSend } from './admitted-request.js';
 import { type AnswerHead, type AnswerSummary, Attempt, type AttemptFailure } from './attempt.js';
 import { AttemptAnswer } from './attempt-answer.js';
@@ -17,6 +18,7 @@
   reservedHeaders: ReadonlySet<string>;
   selector: Pick<BackEndSelector, 'isUnavailable'>;
   backoffs: BackEndBackoffs;
+  eventBudget: EventBudget;
 }
 
 /** The request of which attempts are made; each method returns the state at the time of the call. */
@@ -38,7 +40,8 @@
 export interface AttemptEvents {
   onAnswer(use: BackEndUse, answer: AnswerSummary): void;
   onHead(use: BackEndUse, head: AnswerHead): void;
-  onData(use: BackEndUse, chunk: Buffer): void;
+  /** A part of the answer has arrived that is ready to be passed on. */
+  onPart(use: BackEndUse): void;
   onEnd(use: BackEndUse): void;
   onFailure(use: BackEndUse, failure: AttemptFailure): void;
 }
@@ -78,12 +81,12 @@
         maySend: () => mayGoOut(row, mustSend),
         onAnswer: (answer) => events.onAnswer(use, answer),
         onHead: (head) => events.onHead(use, head),
-        onData: (chunk) => events.onData(use, chunk),
+        onData: (chunk) => this.#onData(use, chunk),
         onEnd: () => events.onEnd(use),
         onFailure: (failure) => events.onFailure(use, failure),
       },
     );
-    const answer = new AttemptAnswer(lastEventId());
+    const answer = new AttemptAnswer(lastEventId(), this.#components.eventBudget);
     const use: BackEndUse = new BackEndUse({
       selection,
       attempt,
@@ -98,6 +101,13 @@
     return use;
   }
 
+  #onData(use: BackEndUse, chunk: Buffer): void {
+    use.notePart();
+    const isReady = use.answer.push(chunk);
+    if (isReady) this.#events.onPart(use);
+    if (use.answer.isEventTooLong) use.attempt.fail('event too long');
+  }
+
   #headersFor({ row, expectedVersion }: Selection, urgency: number): string[] {
     const { request, admitted, body, lastEventId } = this.#request;
     const attempt = {
--- a/src/forwarding/back-end-use.ts
+++ b/src/forwarding/back-end-use.ts
@@ -164,6 +164,7 @@
   /** Ends the attempt and releases its slot; returns its duration in milliseconds. */
   end(): number {
     this.claim?.release(this.attempt.sent);
+    this.answer.release();
     this.#backoffs.noteEnded(this.row.record, this.attempt);
     this.notePromptRead();
     this.row.inFlight--;
--- a/src/forwarding/event-relay.ts
+++ b/src/forwarding/event-relay.ts
@@ -1,14 +1,19 @@
 /**
  * Splits a stream of server-sent events at event boundaries and tracks the id of the last whole event, so that another back
- * end can resume the stream after it.
+ * end can resume the stream after it. Each byte is searched once and copied a bounded number of times.
  */
+import { GrowingBuffer } from './growing-buffer.js';
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELD = /^id: ?(.*)$/;
+const ID_FIELD = 'id:';
+const SPACE = ' ';
 
 export class EventRelay {
-  #incomplete: Buffer = Buffer.alloc(0);
+  /** The beginning of an event that is not whole yet. */
+  #incomplete = new GrowingBuffer();
+  /** Whether the incomplete event consists of more than line ends. */
+  #isInsideEvent = false;
   #lastEventId: string | undefined;
   #hasEvents = false;
 
@@ -29,16 +34,27 @@
 
   /** Whether bytes of an event have arrived that is not whole yet. */
   get isInsideEvent(): boolean {
-    return this.#incomplete.some((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+    return this.#isInsideEvent;
+  }
+
+  /** Number of bytes held of an event that is not whole yet. */
+  get incompleteBytes(): number {
+    return this.#incomplete.byteLength;
   }
 
   /** Adds bytes of the stream; returns all whole events that are now available, undefined if there are none. */
   push(chunk: Buffer): Buffer | undefined {
-    const bytes = this.#incomplete.byteLength === 0 ? chunk : Buffer.concat([this.#incomplete, chunk]);
-    const end = endOfLastEvent(bytes);
-    this.#incomplete = bytes.subarray(end);
-    if (end === 0) return undefined;
-    const whole = bytes.subarray(0, end);
+    const end = this.#endOfLastEvent(chunk);
+    if (end === 0) {
+      this.#incomplete.append(chunk);
+      this.#isInsideEvent ||= hasContent(chunk);
+      return undefined;
+    }
+    this.#incomplete.append(chunk.subarray(0, end));
+    const whole = this.#incomplete.take();
+    const rest = chunk.subarray(end);
+    this.#incomplete.append(rest);
+    this.#isInsideEvent = hasContent(rest);
     this.#hasEvents = true;
     this.#lastEventId = findLastId(whole) ?? this.#lastEventId;
     return whole;
@@ -46,27 +62,39 @@
 
   /** Call at the proper end of the stream: returns the bytes after the last whole event. */
   end(): Buffer {
-    const rest = this.#incomplete;
-    this.#incomplete = Buffer.alloc(0);
-    return rest;
+    this.#isInsideEvent = false;
+    return this.#incomplete.take();
+  }
+
+  /** Offset in `chunk` after the last empty line, which ends an event; 0 if no empty line ends in it. */
+  #endOfLastEvent(chunk: Buffer): number {
+    let index = chunk.lastIndexOf(LINE_FEED);
+    while (index >= 0) {
+      const before = this.#byteAt(chunk, index - 1) === CARRIAGE_RETURN ? index - 2 : index - 1;
+      if (this.#byteAt(chunk, before) === LINE_FEED) return index + 1;
+      index = index === 0 ? -1 : chunk.lastIndexOf(LINE_FEED, index - 1);
+    }
+    return 0;
   }
-}
 
-/** Offset after the last empty line, which ends an event; 0 if there is none. */
-function endOfLastEvent(bytes: Buffer): number {
-  for (let index = bytes.byteLength - 1; index > 0; index--) {
-    if (bytes[index] !== LINE_FEED) continue;
-    const before = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1;
-    if (before >= 0 && bytes[before] === LINE_FEED) return index + 1;
+  /** A byte of `chunk`, or of the incomplete event before it for a negative index; undefined before its beginning. */
+  #byteAt(chunk: Buffer, index: number): number | undefined {
+    return index >= 0 ? chunk[index] : this.#incomplete.byteAt(this.#incomplete.byteLength + index);
   }
-  return 0;
 }
 
+function hasContent(bytes: Buffer): boolean {
+  return bytes.some((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+}
+
+/** The value of the last line with an id; undefined if there is none. */
 function findLastId(events: Buffer): string | undefined {
-  const lines = events.toString('latin1').split(/\r?\n/);
-  for (let index = lines.length - 1; index >= 0; index--) {
-    const id = ID_FIELD.exec(lines[index]);
-    if (id !== null) return id[1];
-  }
-  return undefined;
+  const fieldAfterLine = events.lastIndexOf(`\n${ID_FIELD}`);
+  const isFirstLine = events.toString('latin1', 0, ID_FIELD.length) === ID_FIELD;
+  if (fieldAfterLine < 0 && !isFirstLine) return undefined;
+  const from = fieldAfterLine + 1 + ID_FIELD.length;
+  const lineEnd = events.indexOf(LINE_FEED, from);
+  const end = events[lineEnd - 1] === CARRIAGE_RETURN ? lineEnd - 1 : lineEnd;
+  const value = events.toString('latin1', from, end);
+  return value.startsWith(SPACE) ? value.slice(SPACE.length) : value;
 }
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -243,7 +243,7 @@
     return new AttemptFactory(this.#components, request, {
       onAnswer: (use, answer) => this.#onAnswer(use, answer),
       onHead: (use, head) => this.#onHead(use, head),
-      onData: (use, chunk) => this.#onData(use, chunk),
+      onPart: (use) => this.#onPart(use),
       onEnd: (use) => this.#onEnd(use),
       onFailure: (use, failure) => this.#onFailure(use, failure),
     });
@@ -404,9 +404,8 @@
     this.#log.noteExpiredVersion(use, { version, timeSinceExpiry, send: this.#policy.sends });
   }
 
-  #onData(use: BackEndUse, chunk: Buffer): void {
-    use.notePart();
-    if (!use.answer.push(chunk) || this.#move.withholds(use)) return;
+  #onPart(use: BackEndUse): void {
+    if (this.#move.withholds(use)) return;
     if (!this.#move.isSource(use)) this.#selectAttempt(use);
     this.#answer.forward(use.answer, use.attempt);
   }
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -12,6 +12,7 @@
 import type { Metrics } from '../observability/metrics.js';
 import { ClientErrorHandler } from '../server/client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
+import type { EventBudget } from '../systems/event-budget.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import { ServiceFloor } from '../systems/service-floor.js';
@@ -30,6 +31,7 @@
 import type { EngineSlots } from './engine-slots.js';
 import { ForwardedRequest } from './forwarded-request.js';
 import type { HeaderNames } from './header-names.js';
+import { createEventBudget } from './held-events.js';
 import type { PoisonGuard } from './poison-guard.js';
 import { outcomeOfEnding, type RequestEnding } from './request-ending.js';
 import type { RequestOutcome } from './request-outcome.js';
@@ -79,6 +81,7 @@
   moveMetrics: StreamMoveMetrics;
   cutMetrics: CutAnswerMetrics;
   unread: UnreadAnswers;
+  eventBudget: EventBudget;
   poison: PoisonGuard;
   returns: CallerReturns;
   budgetOf(service: string): RetryWindow;
@@ -124,6 +127,7 @@
       | 'cutMetrics'
       | 'notices'
       | 'unread'
+      | 'eventBudget'
       | 'returns'
       | 'floor'
     >,
@@ -139,6 +143,7 @@
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
       unread: new UnreadAnswers(components.log, metrics),
+      eventBudget: createEventBudget(metrics),
       notices: new AnswerNotices({ ...components, metrics }),
       returns: new CallerReturns({ ...components, metrics }),
       floor,
--- a/test/forwarding/attempt-answer.test.ts
+++ b/test/forwarding/attempt-answer.test.ts
@@ -1,12 +1,13 @@
 /** How much of an answer is buffered before it is forwarded to the caller. */
 import { expect, it } from 'vitest';
 import { AttemptAnswer } from '../../src/forwarding/attempt-answer.js';
+import { EventBudget } from '../../src/systems/event-budget.js';
 import { events } from './stand-in-back-end.js';
 
 const LIMIT = 65_536;
 
 function begun(headers: Record<string, string>): AttemptAnswer {
-  const answer = new AttemptAnswer('2');
+  const answer = new AttemptAnswer('2', new EventBudget());
   answer.begin({ status: 200, headers, rawHeaders: [] });
   return answer;
 }
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -978,8 +978,8 @@
   {
     fault: 'half an event is passed on before a stream goes on elsewhere',
     file: 'src/forwarding/event-relay.ts',
-    find: 'const end = endOfLastEvent(bytes);',
-    replace: 'const end = bytes.byteLength;',
+    find: 'const end = this.#endOfLastEvent(chunk);',
+    replace: 'const end = chunk.byteLength;',
     test: 'test/forwarding/forwarding.test.ts',
   },
   {
@@ -1024,6 +1024,34 @@
     replace: '',
     test: 'test/fleet/reader-cut-off.test.ts',
   },
+  {
+    fault: 'each part of an answer sums all that is queued for its caller',
+    file: 'src/forwarding/unread-answers.ts',
+    find: 'this.#budget.has(response) ? undefined : takenOf(response)',
+    replace: 'takenOf(response)',
+    test: 'test/forwarding/unread-answers.test.ts',
+  },
+  {
+    fault: 'a body in chunks of a few bytes is passed on chunk by chunk',
+    file: 'src/forwarding/attempt.ts',
+    find: 'if (this.#parts.length === 1) queueMicrotask(() => this.#deliver());',
+    replace: 'this.#deliver();',
+    test: 'test/forwarding/attempt.test.ts',
+  },
+  {
+    fault: 'an event without end is held without a limit',
+    file: 'src/forwarding/attempt-factory.ts',
+    find: "if (use.answer.isEventTooLong) use.attempt.fail('event too long');",
+    replace: '',
+    test: 'test/forwarding/endless-answer.test.ts',
+  },
+  {
+    fault: 'each part of an event copies all that came before it',
+    file: 'src/forwarding/growing-buffer.ts',
+    find: 'Math.max(length, 2 * this.#bytes.byteLength)',
+    replace: 'length',
+    test: 'test/forwarding/event-relay.test.ts',
+  },
   {
     fault: 'the last entries of a zone take over from silent readers after the bound of a removal',
     file: 'src/systems/store-readers.ts',
