An entry that takes over from a silent reader learns at once that the store is there

What callers saw: nothing on this code before; found by new cases of test/fleet/reader-cut-off.test.ts. A removal reached the entry that had taken over from a silent reader 1.9 s late, at the edge of the bound of 2 s.

Cause: the call that takes over waited up to 0.9 s for a change. With the 1.3 s before it, the answers were up to 2.2 s apart, which the entry took for an outage of the store, and held the removal back. An answer to a call after a change could also come 1.4 s after the one before, so that others took over from a reader that was well.

Fix: an answer is due 0.9 s after the one before, whoever got that; the call waits for what is left of it. Forwarded answers without changes count too.

A guard; one type for removals.

--- a/src/fleet/back-end-list.ts
+++ b/src/fleet/back-end-list.ts
@@ -21,6 +21,8 @@
   | { type: 'changed'; record: BackEndRecord }
   | { type: 'gone'; id: string; revision: number };
 
+export type BackEndRemoval = Extract<BackEndChange, { type: 'gone' }>;
+
 /** Number of removed back ends kept, the latest ones; more than are removed in the few seconds by which a copy is old. */
 const MAX_REMOVED = 1_000;
 /** Number of leaving back ends kept apart from their records, the latest ones; more than leave at the same time. */
@@ -115,7 +117,7 @@
     return change.type === 'gone' ? this.#remove(change) : this.#set(change.record);
   }
 
-  #remove(change: BackEndChange & { type: 'gone' }): BackEndChange | undefined {
+  #remove(change: BackEndRemoval): BackEndChange | undefined {
     const known = this.records.get(change.id);
     if (known === undefined || known.revision > change.revision) return undefined;
     this.#starts.noteRemoved(change.id);
--- a/src/fleet/removal-hold.ts
+++ b/src/fleet/removal-hold.ts
@@ -3,17 +3,15 @@
  * data: their records may have expired although they are running, and those that are running write their records again.
  */
 import type { StoreRevision } from '../clients/store-revision.js';
-import type { BackEndChange } from './back-end-list.js';
+import type { BackEndRemoval } from './back-end-list.js';
 
 /** How long removals are held back, in milliseconds; running back ends write their records again within two seconds. */
 const HOLD_TIME = 1_900;
 
-type Removal = BackEndChange & { type: 'gone' };
-
 /** The removals that are held back. */
 export class RemovalHold {
-  readonly #onEnd: (removals: readonly Removal[]) => void;
-  readonly #held = new Map<string, Removal>();
+  readonly #onEnd: (removals: readonly BackEndRemoval[]) => void;
+  readonly #held = new Map<string, BackEndRemoval>();
   /** Back ends that have written their records since the store returned; their removals are not expirations. */
   readonly #written = new Set<string>();
   #returnedAt: StoreRevision = 0;
@@ -21,7 +19,7 @@
   #timer: NodeJS.Timeout | undefined;
 
   /** @param onEnd - receives the removals of back ends that have not written their records when the hold ends */
-  constructor(onEnd: (removals: readonly Removal[]) => void) {
+  constructor(onEnd: (removals: readonly BackEndRemoval[]) => void) {
     this.#onEnd = onEnd;
   }
 
@@ -40,7 +38,7 @@
   }
 
   /** Holds a removal back; returns false if it is to be applied. */
-  hold(removal: Removal): boolean {
+  hold(removal: BackEndRemoval): boolean {
     if (!this.#isActive || this.#written.has(removal.id)) return false;
     this.#held.set(removal.id, removal);
     return true;
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -12,7 +12,7 @@
 import type { Log } from '../observability/log.js';
 import type { BackEndRecord } from '../protocol/back-end-list-state.js';
 import type { FollowedTable, StoreUpdate, TableUpdate } from '../protocol/store-update.js';
-import { type BackEndChange, hasSameContent } from './back-end-list.js';
+import { type BackEndChange, type BackEndRemoval, hasSameContent } from './back-end-list.js';
 import { EvacuationReadings } from './evacuation-readings.js';
 import type { FleetView } from './fleet-view.js';
 import type { OperatorRecord, RecordDecoder, RecordFault } from './record-decoder.js';
@@ -293,7 +293,7 @@
     this.#options.fleet.applyBackEndChanges(taken, revision);
   }
 
-  #isHeldBack(removal: BackEndChange & { type: 'gone' }): boolean {
+  #isHeldBack(removal: BackEndRemoval): boolean {
     const { fleet, log } = this.#options;
     if (!fleet.backEnds.records.has(removal.id) || !this.#removals.hold(removal)) return false;
     log.info('removal held back', { backEnd: removal.id });
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -137,7 +137,8 @@
 
   /** Applies changes that another process has read. */
   applyForwarded({ after, revision, storeTime, since, rows }: TableUpdate): void {
-    if (this.#revision === undefined || revision <= this.#revision) return;
+    if (this.#revision === undefined || revision < this.#revision) return;
+    if (revision === this.#revision) return this.#noteUnchanged(storeTime);
     this.#hasGap = after > this.#revision;
     if (this.#hasGap) return;
     this.#revision = revision;
@@ -145,6 +146,11 @@
     this.#options.events.onChanges({ rows, revision, storeTime }, since);
   }
 
+  /** Another process has read that nothing has changed. One that reads itself goes by its own calls. */
+  #noteUnchanged(storeTime: number): void {
+    if (this.#options.timeUntilReading() > 0) this.#noteResponse(storeTime);
+  }
+
   /** Makes one call; returns the minimum pause before the next, in milliseconds. */
   async #poll(signal: AbortSignal): Promise<number> {
     const { tables, table, wait, events, clock } = this.#options;
@@ -160,8 +166,7 @@
       if (read.ok) await events.prepare(read.value.rows);
       return this.#handleResponse(read, call, (rows, since) => events.onSnapshot(rows, since));
     }
-    // After a failure the call does not wait for a change, so that the store's return is noticed at once.
-    const patience = this.#failures > 0 ? 0 : wait;
+    const patience = this.#waitOf(wait, requestedAt);
     const first = patience === 0 ? RESPONSE_TIMEOUT : patience + this.#responseTimeout;
     const limit = new ResponseLimit(signal, { first, next: RESPONSE_TIMEOUT });
     const query = { table, after: this.#revision, wait: patience };
@@ -173,6 +178,15 @@
     return this.#handleResponse(changes, call, (rows, since) => events.onChanges(rows, since));
   }
 
+  /**
+   * Longest wait for a change in a call, in milliseconds. The answer is due `wait` after the one before, whoever got that, so
+   * that the processes for which this one reads hear from it in time. After a failure the call does not wait, so that the
+   * store's return is noticed at once.
+   */
+  #waitOf(wait: number, requestedAt: number): number {
+    return this.#failures > 0 ? 0 : Math.max(0, Math.round(wait - (requestedAt - this.#answeredAt)));
+  }
+
   /** Handles a part of a response. Notifies the processes for which this one reads, so that they do not read themselves. */
   #onPart(limit: ResponseLimit): void {
     limit.notePart();
--- a/test/fleet/reader-cut-off.test.ts
+++ b/test/fleet/reader-cut-off.test.ts
@@ -6,15 +6,18 @@
 import { seededRandom } from '../../src/model/random.js';
 import { advance, type Cut, HEARTBEAT_INTERVAL, ReadingZone } from './reading-zone.js';
 
-/** A back end gets no new requests this long after the store has acknowledged that it is gone, in milliseconds. */
-const DRAIN_BOUND = 2_000;
+/**
+ * A back end gets no new requests 2 s after the store has acknowledged that it is gone; requests that were sent before its removal
+ * is known arrive within 200 ms. In milliseconds.
+ */
+const DRAIN_BOUND = 1_800;
 /** An entry is bound by this once it has reached the store for this time, in milliseconds. */
 const CONTACT_TIME = 3_000;
 /** Time in which back ends whose records expired during an outage write them again, in milliseconds. */
 const RETURN_TIME = 1_800;
-const BACK_ENDS = 6;
+const BACK_ENDS = 10;
 const SEEDS = [1, 2, 3, 4];
-const ROUNDS = 4;
+const ROUNDS = 8;
 
 let zone: ReadingZone;
 
@@ -60,11 +63,18 @@
   { what: 'the first reader for 0.7 s', entries: 3, places: [0], step: 0, duration: 700 },
   { what: 'the first reader for 1.1 s', entries: 2, places: [0], step: 0, duration: 1_100 },
   { what: 'the first reader for 2 s', entries: 4, places: [0], step: 0, duration: 2_000 },
+  { what: 'the first reader for 4 s', entries: 2, places: [0], step: 0, duration: 4_000 },
   { what: 'three readers at once for 2.5 s', entries: 5, places: [0, 1, 2], step: 0, duration: 2_500 },
   { what: 'three readers by turns', entries: 5, places: [0, 1, 2], step: 650, duration: 700 },
   { what: 'six readers by turns, shortly', entries: 7, places: [0, 1, 2, 3, 4, 5], step: 280, duration: 300 },
 ];
 
+/**
+ * When the back end leaves: just after the last answer of the reader, which is the longest silence before it is known, shortly
+ * afterwards, while others begin to read, or late.
+ */
+const DEPARTURES = ['atOnce', 'soon', 'duringTakeover', 'late'] as const;
+
 describe.each(LOSSES)('a back end that leaves while $what cannot reach the store', (loss) => {
   it.each([
     { how: 'reset' as Cut, heartbeatsChangeRecords: true },
@@ -79,12 +89,13 @@
         const random = seededRandom(seed);
         for (let round = 0; round < ROUNDS; round++) {
           await advance(random.below(1_500));
-          // Every other back end leaves just after the last answer of the reader, which is the longest silence before it is known.
-          const isAtOnce = round % 2 === 0;
-          if (isAtOnce) await zone.advanceToAnswer();
+          const departure = DEPARTURES[round % DEPARTURES.length];
+          if (departure === 'atOnce') await zone.advanceToAnswer();
           for (const [index, place] of loss.places.entries())
             setTimeout(() => void zone.cut(place, how, loss.duration), index * loss.step);
-          if (!isAtOnce) await advance(random.below(400));
+          if (departure === 'soon') await advance(random.below(400));
+          if (departure === 'duringTakeover') await advance(1_200 + random.below(1_200));
+          if (departure === 'late') await advance(random.below(loss.duration + 1_500));
           const id = `back-end-${round}`;
           zone.leave(id);
           await advance(DRAIN_BOUND);
@@ -161,7 +172,7 @@
       await startZone(1, 3, heartbeatsChangeRecords);
       zone.crash('back-end-0');
       void zone.interrupt(5_000);
-      await advance(5_000 + DRAIN_BOUND + 1_000);
+      await advance(5_000 + DRAIN_BOUND + 1_200);
       for (const { fleet } of zone.entries) expect(fleet.backEnds.records.has('back-end-0')).toBe(false);
     });
 
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1052,6 +1052,14 @@
     replace: 'length',
     test: 'test/forwarding/event-relay.test.ts',
   },
+  {
+    fault:
+      'an entry that takes over from a silent reader waits for a change before it tells that the store is there',
+    file: 'src/fleet/table-follower.ts',
+    find: 'Math.max(0, Math.round(wait - (requestedAt - this.#answeredAt)))',
+    replace: 'wait',
+    test: 'test/fleet/reader-cut-off.test.ts',
+  },
   {
     fault: 'the last entries of a zone take over from silent readers after the bound of a removal',
     file: 'src/systems/store-readers.ts',
