An id with a line end inside is not taken as the last id of a stream

What callers saw: nothing; found while reading the change to EventRelay. Cause: the search for the last id by offsets took the text up to the line feed, a carriage return inside included, which cannot be sent in a header when the stream is resumed; the former search skipped such a line.

Result: the tests of event-relay.test.ts pass (four cases and a kind of line in the random streams are new).

--- a/src/forwarding/event-relay.ts
+++ b/src/forwarding/event-relay.ts
@@ -7,7 +7,8 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = 'id:';
-const SPACE = ' ';
+/** A line with an id. A value with a line end inside is none: it could not be sent in a header when a stream is resumed. */
+const ID_LINE = /^id: ?(.*)$/;
 
 export class EventRelay {
   /** The beginning of an event that is not whole yet. */
@@ -89,12 +90,22 @@
 
 /** The value of the last line with an id; undefined if there is none. */
 function findLastId(events: Buffer): string | undefined {
-  const fieldAfterLine = events.lastIndexOf(`\n${ID_FIELD}`);
-  const isFirstLine = events.toString('latin1', 0, ID_FIELD.length) === ID_FIELD;
-  if (fieldAfterLine < 0 && !isFirstLine) return undefined;
-  const from = fieldAfterLine + 1 + ID_FIELD.length;
-  const lineEnd = events.indexOf(LINE_FEED, from);
-  const end = events[lineEnd - 1] === CARRIAGE_RETURN ? lineEnd - 1 : lineEnd;
-  const value = events.toString('latin1', from, end);
-  return value.startsWith(SPACE) ? value.slice(SPACE.length) : value;
+  let start = startOfIdLine(events, events.byteLength);
+  while (start >= 0) {
+    const lineEnd = events.indexOf(LINE_FEED, start);
+    const end = events[lineEnd - 1] === CARRIAGE_RETURN ? lineEnd - 1 : lineEnd;
+    const id = ID_LINE.exec(events.toString('latin1', start, end));
+    if (id !== null) return id[1];
+    start = startOfIdLine(events, start - 1);
+  }
+  return undefined;
+}
+
+/** Offset of the last line before `end` that begins as one with an id does; negative if there is none. */
+function startOfIdLine(events: Buffer, end: number): number {
+  // A negative offset would be one from the end.
+  if (end <= 0) return -1;
+  const lineFeed = events.lastIndexOf(`\n${ID_FIELD}`, end - 1);
+  if (lineFeed >= 0) return lineFeed + 1;
+  return events.toString('latin1', 0, ID_FIELD.length) === ID_FIELD ? 0 : -1;
 }
--- a/test/forwarding/event-relay.test.ts
+++ b/test/forwarding/event-relay.test.ts
@@ -44,6 +44,7 @@
   'event: x',
   'idle: 3',
   'id',
+  'id: 4\r5',
 );
 const text = fc
   .array(fc.tuple(line, fc.constantFrom('\n', '\r\n')), { maxLength: 30 })
@@ -73,6 +74,13 @@
     });
   });
 
+  it('takes no id with a line end inside, which could not be sent in a header', () => {
+    expect(relay([Buffer.from('id: 1\n\nid: 2\r3\n\n')]).lastEventId).toBe('1');
+    expect(relay([Buffer.from('id: 2\r3\n\n')]).lastEventId).toBe(undefined);
+    expect(relay([Buffer.from('\nid: 2\r3\n\n')]).lastEventId).toBe(undefined);
+    expect(relay([Buffer.from('id: 1\n\n'), Buffer.from('id: 2\r3\n\n')]).lastEventId).toBe('1');
+  });
+
   // Guards against work that grows with the square of the bytes of an event that does not end.
   it.each([
     { what: 'small parts of a line', part: 'abcd' },
