A request answered before its body was read no longer blocks its connection

Cause: the HTTP client destroys the stream of a body whose answer is complete. The listener that filled it went on, `write` returned false, and the caller's request was paused for a `drain` that never comes. Own errors closed the connection at once, with data still arriving. Change: a closed stream gets no more of the body.

--- a/src/forwarding/caller-answer.ts
+++ b/src/forwarding/caller-answer.ts
@@ -2,6 +2,7 @@
  * Writes the answer to the caller: the output of one or more attempts in sequence, or an error of this system.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { isRemainderTooLong } from '../server/request-remainders.js';
 import type { CallerPatience } from '../systems/unread-budget.js';
 import type { Attempt } from './attempt.js';
 import type { AttemptAnswer } from './attempt-answer.js';
@@ -119,7 +120,7 @@
     this.#isDelimitedByClose = answer.isDelimitedByClose;
     const left = new Set(answer.isEventStream ? ['content-length'] : []);
     const kept = endToEndHeaders(rawHeaders, headers.connection, left);
-    if (this.#mustClose()) kept.push('Connection', 'close');
+    if (this.#mustClose() || isRemainderTooLong(this.#request)) kept.push('Connection', 'close');
     // An answer delimited by the end of its connection may be truncated. Chunked encoding would mark it as complete.
     if (answer.isDelimitedByClose) this.#response.useChunkedEncodingByDefault = false;
     this.#response.writeHead(status, kept);
--- a/src/forwarding/caller-body.ts
+++ b/src/forwarding/caller-body.ts
@@ -73,6 +73,8 @@
   for (const chunk of read) pass(chunk);
   stream.on('drain', () => request.resume());
   request.on('data', pass);
+  // An attempt that ends before it has read the body destroys the stream, which then never drains.
+  stream.once('close', () => request.off('data', pass).resume());
   request.on('end', () => stream.end());
   request.on('close', () => {
     if (!request.complete) stream.destroy(new Error('the caller broke off'));
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -12,6 +12,7 @@
 import type { Metrics } from '../observability/metrics.js';
 import { ClientErrorHandler } from '../server/client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
+import { RequestRemainders } from '../server/request-remainders.js';
 import type { EventBudget } from '../systems/event-budget.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
@@ -104,6 +105,7 @@
   readonly #drainMetrics: DrainMetrics;
   readonly #service: ServiceRecord;
   #server: Server | undefined;
+  #remainders: RequestRemainders | undefined;
   #timer: NodeJS.Timeout | undefined;
   readonly #standstills = new StallDetector(CHECK_INTERVAL, performance.now());
   /** Total time in which this process was not scheduled while requests were in progress, in milliseconds. */
@@ -181,6 +183,12 @@
         help: 'Kept connections to back ends on which nothing came any more',
         read: () => components.backEnds.silentConnections,
       },
+      {
+        name: 'request_remainders',
+        help: 'Requests since the start that were answered before their body had been read, by how the rest of it ended',
+        label: 'outcome',
+        read: () => ({ ...this.#remainders?.counts }),
+      },
     ]);
   }
 
@@ -202,6 +210,7 @@
     );
     new ClientErrorHandler(server, (_error, socket) => socket.destroy());
     closeIdleConnectionsOnceRead(server);
+    this.#remainders = new RequestRemainders(server);
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen(Number(port), host, resolve);
--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -6,6 +6,7 @@
 import type { Startable } from '../model/startable.js';
 import { ClientErrorHandler } from './client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from './idle-connections.js';
+import { RequestRemainders } from './request-remainders.js';
 
 const BAD_REQUEST = 400;
 /** Statuses for errors of Node's HTTP parser, as in the default error handling of Node's server. */
@@ -24,6 +25,7 @@
       const created = createServer(handler);
       new ClientErrorHandler(created, rejectMalformedRequest);
       closeIdleConnectionsOnceRead(created);
+      new RequestRemainders(created);
       await new Promise<void>((resolve, reject) => {
         created.once('error', reject);
         created.listen(Number(port), host, resolve);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1895,4 +1895,18 @@
     replace: 'else',
     test: 'test/forwarding/direct-permits.test.ts',
   },
+  {
+    fault: 'a connection whose request was answered before its body had been read is paused for good',
+    file: 'src/server/request-remainders.ts',
+    find: 'if (!request.complete || request.readableLength > 0) this.#discard(request);',
+    replace: '',
+    test: 'test/server/request-remainders.test.ts',
+  },
+  {
+    fault: 'a connection that closes before the rest of a body has come is reset, with the answer',
+    file: 'src/server/request-remainders.ts',
+    find: 'if (request.complete || request.destroyed) return',
+    replace: 'return',
+    test: 'test/server/request-remainders.test.ts',
+  },
 ];
