An entry that does not know the store's time no longer stands still at a limited back end

Cause: DirectPermits.mayClaim takes minus infinity for a time at which a permit is due, claim refuses without waiting, and the search chooses the same back end again within the microtask queue. Evidence: paused three times by the debugger, the process was in this loop each time. Change: mayClaim says no while the time is unknown, and is the only one to decide.

--- a/src/forwarding/direct-permits.ts
+++ b/src/forwarding/direct-permits.ts
@@ -99,9 +99,10 @@
     this.#stopped.abort();
   }
 
-  /** Whether a claim may succeed now; always true for a back end without a limit. */
+  /** Whether a claim may succeed now; always true for a back end without a limit, and false while the store's time is unknown. */
   mayClaim(backEnd: BackEndIdentity, now: number): boolean {
     if (this.#options.limits.rateOf(backEnd) === undefined) return true;
+    if (!this.#options.clock.isKnown) return false;
     const { schedule, isWriting, nextClaimAt } = this.#rowOf(backEnd.id);
     if (isWriting || now < nextClaimAt) return false;
     const dueAt = isScheduleOf(schedule, backEnd) ? schedule.dueAt : Number.NEGATIVE_INFINITY;
@@ -113,7 +114,7 @@
     const { limits, clock } = this.#options;
     const rate = limits.rateOf(backEnd);
     if (rate === undefined) return true;
-    if (!clock.isKnown || !this.mayClaim(backEnd, performance.now())) return false;
+    if (!this.mayClaim(backEnd, performance.now())) return false;
     const isNamed = limits.namedRateOf(backEnd) !== undefined;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const storeTime = clock.storeTimeAt(performance.now());
--- a/test/forwarding/cold-back-end.test.ts
+++ b/test/forwarding/cold-back-end.test.ts
@@ -85,3 +85,17 @@
   expect(mostInSecond()).toBeLessThanOrEqual(MOST_A_SECOND);
   await sendUntil(() => mostInSecond() > MOST_A_SECOND);
 });
+
+it('a request does not block the process while the time of the store is unknown', async () => {
+  // An entry that starts during an outage of the store has its list from other entries.
+  const other = new ForwardingHarness('billing');
+  const configuration = billingConfiguration(routeNamed('bill'));
+  const [service] = configuration.services;
+  const warmUp = { rate: RATE, time: COLD_TIME };
+  await other.start({ ...configuration, services: [{ ...service, warmUp }] });
+  other.store.faults.down = true;
+  other.list(['cold', cold, { coldLeft: COLD_TIME }]);
+  expect((await other.send('/bill/')).status).toBe(503);
+  expect(arrivals).toHaveLength(0);
+  await other.stop();
+});
