A restart that the store does not tell yet is noticed by the connections it breaks

Cause: an entry knew of a new start from the list, an agent or a suspension, which takes two attempts without an answer. Change: RestartDetector probes a back end that closes a connection unannounced or refuses one. Its health answer tells for how long it is cold; a refused connection, that a new start is due; nothing else counts. One that is known to be warm needs no permit for an earlier suspension. The soak's services give health answers.

--- a/src/fleet/configuration.ts
+++ b/src/fleet/configuration.ts
@@ -76,6 +76,8 @@
   engine: EngineShape | undefined;
   /** Undefined if its back ends bear as many requests after a start as ever. */
   warmUp?: WarmUp | undefined;
+  /** Path of the health answers of its back ends; undefined if they give none. */
+  healthPath?: string | undefined;
 }
 
 /** The origin of weights. The list of back ends does not contain its address, so the configuration names it. */
--- a/src/forwarding/back-end-connection.ts
+++ b/src/forwarding/back-end-connection.ts
@@ -14,12 +14,21 @@
 
 const connector = buildConnector({ timeout: CONNECT_TIMEOUT });
 
+/** How a back end ended a connection that this process did not close: unannounced, or by accepting none. */
+export type ConnectionLoss = 'closed' | 'refused';
+
+/** Error codes of connections that the other side has closed or reset. */
+const CLOSED_CODES: ReadonlySet<string | undefined> = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+const REFUSED_CODE = 'ECONNREFUSED';
+
 /** Callbacks for the state changes of a connection. */
 export interface BackEndConnectionListener {
   /** The connection can take another request. */
   onIdle(connection: BackEndConnection): void;
   /** The connection has closed or could not be opened. */
   onClosed(connection: BackEndConnection): void;
+  /** The back end has closed the connection unannounced, or refused it. */
+  onLost(loss: ConnectionLoss): void;
   /** The connection has failed. An answer that ends while the library handles the error is incomplete. */
   onInterruption(): void;
 }
@@ -52,8 +61,14 @@
         }),
     });
     this.#client.on('drain', () => this.#onFree());
-    this.#client.on('disconnect', () => this.#onDisconnected());
-    this.#client.on('connectionError', () => listener.onClosed(this));
+    this.#client.on('disconnect', (_origin, _targets, { code }) => {
+      this.#onDisconnected();
+      if (CLOSED_CODES.has(code)) listener.onLost('closed');
+    });
+    this.#client.on('connectionError', (_origin, _targets, { code }) => {
+      listener.onClosed(this);
+      if (code === REFUSED_CODE) listener.onLost('refused');
+    });
   }
 
   /** When the connection last became idle, in milliseconds of the monotonic clock. At that time it was still working. */
--- a/src/forwarding/back-end-connections.ts
+++ b/src/forwarding/back-end-connections.ts
@@ -4,7 +4,7 @@
  * connection has just failed.
  */
 import type { Dispatcher } from 'undici';
-import { BackEndConnection } from './back-end-connection.js';
+import { BackEndConnection, type ConnectionLoss } from './back-end-connection.js';
 
 /** Maximum number of connections. The number of requests in flight is limited separately. */
 const MAX_CONNECTIONS = 128;
@@ -21,14 +21,21 @@
   #isInterrupted = false;
   #isClosed = false;
   readonly #maxKept: () => number;
+  readonly #onLost: (loss: ConnectionLoss) => void;
 
   /**
    * @param address - `host:port`
    * @param maxKept - maximum number of connections above which one that becomes idle is closed; called each time
+   * @param onLost - called for each connection that the back end closes unannounced or refuses
    */
-  constructor(address: string, maxKept: () => number = () => MAX_CONNECTIONS) {
+  constructor(
+    address: string,
+    maxKept: () => number = () => MAX_CONNECTIONS,
+    onLost: (loss: ConnectionLoss) => void = () => {},
+  ) {
     this.#address = address;
     this.#maxKept = maxKept;
+    this.#onLost = onLost;
   }
 
   /** Whether the library is handling the error of a connection: an answer that ends now is incomplete. */
@@ -72,6 +79,7 @@
     const connection = new BackEndConnection(this.#address, {
       onIdle: (idle) => this.#keep(idle),
       onClosed: (closed) => this.#discard(closed),
+      onLost: (loss) => this.#onLost(loss),
       onInterruption: () => this.#noteInterruption(),
     });
     this.#all.add(connection);
--- a/src/forwarding/back-end-health.ts
+++ b/src/forwarding/back-end-health.ts
@@ -42,6 +42,7 @@
   #silences = 0;
   #suspension = 0;
   #suspendedUntil = 0;
+  #suspendedAt = Number.NEGATIVE_INFINITY;
   #pausedUntil = 0;
   #isProbed = false;
   #isInDoubt = false;
@@ -58,6 +59,11 @@
     return this.#suspension > 0;
   }
 
+  /** When its latest suspension began. */
+  get suspendedAt(): number {
+    return this.#suspendedAt;
+  }
+
   /** Whether the back end is suspended, or was within the last `time` milliseconds. */
   wasSuspendedWithin(time: number, now: number): boolean {
     return this.suspended || now - this.#resumedAt < time;
@@ -141,6 +147,7 @@
 
   #suspend(now: number): void {
     if (now < this.#suspendedUntil) return;
+    if (!this.suspended) this.#suspendedAt = now;
     this.#suspension = Math.min(LONGEST_SUSPENSION, Math.max(FIRST_SUSPENSION, this.#suspension * 2));
     this.#suspendedUntil = now + this.#suspension;
   }
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -11,6 +11,7 @@
 import { CapacityForecast } from '../systems/capacity-forecast.js';
 import { HoldRecord } from '../systems/hold-record.js';
 import { WaitPolicy } from '../systems/wait-policy.js';
+import type { ConnectionLoss } from './back-end-connection.js';
 import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
 import { SlotAgent } from './slot-agent.js';
@@ -106,6 +107,8 @@
   readonly #loadsOf = new Map<string, ReadonlyArray<readonly [row: BackEndRow, inFlight: number]>>();
   /** Maximum number of kept connections to a back end of a service. */
   maxKeptConnections: (service: string) => number = () => Number.POSITIVE_INFINITY;
+  /** Called for each connection that a back end closes unannounced or refuses. */
+  onConnectionLost: (row: BackEndRow, loss: ConnectionLoss) => void = () => {};
   /** Number of kept connections found silent since the start. */
   silentConnections = 0;
   /** The back end whose kept connection was most recently found silent, and when. */
@@ -252,12 +255,12 @@
       return;
     }
     if (known !== undefined) this.#removePrevious(known);
-    const row = createRow(
-      record,
-      this.#takeHealth(record),
+    const connections: BackEndConnections = new BackEndConnections(
+      record.address,
       () => this.maxKeptConnections(record.service),
-      this.waitsOf(record.service),
+      (loss) => this.onConnectionLost(row, loss),
     );
+    const row = createRow(record, this.#takeHealth(record), connections, this.waitsOf(record.service));
     this.rows.set(record.id, row);
     addTo(this.#rowsByService, record.service, row);
     addTo(this.#rowsByAddress, record.address, row);
@@ -322,12 +325,12 @@
 function createRow(
   record: BackEndRecord,
   health: BackEndHealth,
-  maxKeptConnections: () => number,
+  connections: BackEndConnections,
   waits: WaitPolicy,
 ): BackEndRow {
   return {
     record,
-    connections: new BackEndConnections(record.address, maxKeptConnections),
+    connections,
     health,
     inFlight: 0,
     pendingPromptTokens: 0,
--- a/src/forwarding/back-end-warm-ups.ts
+++ b/src/forwarding/back-end-warm-ups.ts
@@ -1,7 +1,8 @@
 /**
  * Tracks which back ends are cold: they bear few requests for some time after a start under load, or whenever they say so. Each
  * source can only prolong that time, as sources are late in different ways: the back end's record, the report of its agent, a
- * start that this process has seen, and the end of an evacuation. Times are in milliseconds of the monotonic clock.
+ * start that this process has seen, its health answer, and the end of an evacuation. Times are in milliseconds of the monotonic
+ * clock.
  */
 import type { BackEndChange } from '../fleet/back-end-list.js';
 import type { FleetView } from '../fleet/fleet-view.js';
@@ -22,12 +23,12 @@
 const TAKEN_BACK_TIME = 2_000;
 
 /** From what a back end is known to be cold. */
-type ColdSource = 'record' | 'report' | 'start' | 'takenBack';
+type ColdSource = 'record' | 'report' | 'start' | 'health' | 'takenBack';
 
 export interface BackEndWarmUpsOptions {
   fleet: Pick<FleetView, 'routes' | 'listen'>;
   /** Health of a back end; undefined if it is not listed. */
-  healthOf: (id: string) => Pick<BackEndHealth, 'wasSuspendedWithin'> | undefined;
+  healthOf: (id: string) => Pick<BackEndHealth, 'wasSuspendedWithin' | 'suspendedAt'> | undefined;
   log: Log;
   metrics: Metrics;
 }
@@ -39,6 +40,10 @@
   /** Revision of the latest record whose statement was applied. */
   revision: number;
   coldUntil: number;
+  /** Whether it has refused connections since it last accepted one. */
+  isStopped: boolean;
+  /** When it last became known, without its record, for how long it stays cold. */
+  toldAt: number;
 }
 
 /** The cold back ends as known to one entry. */
@@ -46,7 +51,7 @@
   readonly #options: BackEndWarmUpsOptions;
   readonly #known = new Map<string, KnownBackEnd>();
   readonly #removed = new Set<string>();
-  readonly #counts: Record<ColdSource, number> = { record: 0, report: 0, start: 0, takenBack: 0 };
+  readonly #counts: Record<ColdSource, number> = { record: 0, report: 0, start: 0, health: 0, takenBack: 0 };
 
   constructor(options: BackEndWarmUpsOptions) {
     this.#options = options;
@@ -89,6 +94,30 @@
       this.#prolong(id, known, now + left, 'report');
   }
 
+  /**
+   * A back end refuses connections: its process has ended, and the next one will be cold. Returns whether this was not known.
+   */
+  noteStopped({ id, start }: BackEndIdentity): boolean {
+    const known = this.#known.get(id);
+    if (known === undefined || known.isStopped || !isSameStart(known.start, start)) return false;
+    known.isStopped = true;
+    return true;
+  }
+
+  /**
+   * A back end accepts connections; if it refused them before, it has started anew.
+   * @param left - time for which it stays cold by its own word, in milliseconds; undefined if it has not told
+   */
+  noteAccepting({ id, start }: BackEndIdentity, left: number | undefined, now: number): void {
+    const known = this.#known.get(id);
+    if (known === undefined || !isSameStart(known.start, start)) return;
+    const time = known.isStopped ? (this.#warmUpOf(known.service)?.time ?? 0) : 0;
+    if (left !== undefined || known.isStopped) known.toldAt = now;
+    known.isStopped = false;
+    if (left !== undefined) this.#prolong(id, known, now + left, 'health');
+    else this.#prolong(id, known, now + time, 'start');
+  }
+
   /** The state of a back end that is known to be cold, for its agent. */
   stateOf({ id, start }: BackEndIdentity, now: number): ColdState | undefined {
     const known = this.#known.get(id);
@@ -99,16 +128,19 @@
 
   /**
    * Requests per second that a back end bears from all entries together when it is called directly; undefined if it is warm. One
-   * that did not answer counts as cold until it has answered for as long as it would be cold: it may have started anew.
+   * that did not answer counts as cold until it has answered for as long as it would be cold: it may have started anew. That does
+   * not apply once it is known whether it has.
    */
   rateOf(backEnd: BackEndIdentity, now: number): number | undefined {
     const cold = this.stateOf(backEnd, now);
     if (cold !== undefined) return cold.rate;
-    const service = this.#known.get(backEnd.id)?.service;
-    const warmUp = service === undefined ? undefined : this.#warmUpOf(service);
-    if (warmUp === undefined) return undefined;
-    const wasLost = this.#options.healthOf(backEnd.id)?.wasSuspendedWithin(warmUp.time, now) === true;
-    return wasLost ? warmUp.rate : undefined;
+    const known = this.#known.get(backEnd.id);
+    const warmUp = known === undefined ? undefined : this.#warmUpOf(known.service);
+    if (known === undefined || warmUp === undefined) return undefined;
+    if (known.isStopped) return warmUp.rate;
+    const health = this.#options.healthOf(backEnd.id);
+    if (health === undefined || health.suspendedAt <= known.toldAt) return undefined;
+    return health.wasSuspendedWithin(warmUp.time, now) ? warmUp.rate : undefined;
   }
 
   #noteTakenBack(zone: string, now: number): void {
@@ -128,6 +160,8 @@
       zone,
       revision,
       coldUntil: hasStarted ? Number.NEGATIVE_INFINITY : (known?.coldUntil ?? Number.NEGATIVE_INFINITY),
+      isStopped: !hasStarted && known?.isStopped === true,
+      toldAt: hasStarted ? Number.NEGATIVE_INFINITY : (known?.toldAt ?? Number.NEGATIVE_INFINITY),
     };
     this.#known.set(id, current);
     if (isNew) this.#prolong(id, current, now + (coldLeft ?? 0), 'record');
--- a/src/forwarding/crash-detector.ts
+++ b/src/forwarding/crash-detector.ts
@@ -8,14 +8,12 @@
  * An answer that is delimited by the end of its connection ends in the same way if its back end crashes. It counts as served
  * only once the back end has answered another request since.
  */
-import { connect as connectSocket } from 'node:net';
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import type { Log } from '../observability/log.js';
 import type { BackEndCrash, RequestContent } from '../systems/poison-requests.js';
+import { type ProbeResult, probeConnection } from './back-end-probe.js';
 import type { BackEndRow } from './back-end-table.js';
 
-/** Timeout of a probe, in milliseconds: longer than the retransmission of a lost packet. */
-const PROBE_TIMEOUT = 400;
 /**
  * Connections that break within this time of the first one belong to the same crash, in milliseconds: the connections
  * to a crashed back end break within 15 ms.
@@ -40,9 +38,6 @@
 /** Maximum number of parts in a log line. */
 const MAX_LOGGED_PARTS = 32;
 
-/** Result of a probe. */
-export type ProbeResult = 'refused' | 'accepted' | 'silent';
-
 /** A request in progress at a back end, which may have caused its crash. */
 export interface CrashSuspect {
   row: BackEndRow;
@@ -209,7 +204,7 @@
   }
 
   async #probe(broken: BrokenConnections): Promise<void> {
-    const { call = probe, calls, log } = this.#options;
+    const { call = probeConnection, calls, log } = this.#options;
     const { row } = broken;
     const answer = await call(row.record.address);
     calls[answer]++;
@@ -258,19 +253,3 @@
 function keyOf({ id, start }: BackEndIdentity): string {
   return `${id} ${start ?? ''}`;
 }
-
-function probe(address: string): Promise<ProbeResult> {
-  const [host, port] = address.split(':');
-  return new Promise((resolve) => {
-    const socket = connectSocket({ host, port: Number(port), timeout: PROBE_TIMEOUT });
-    const settle = (answer: ProbeResult) => {
-      socket.destroy();
-      resolve(answer);
-    };
-    socket.once('connect', () => settle('accepted'));
-    socket.once('timeout', () => settle('silent'));
-    socket.once('error', ({ code }: NodeJS.ErrnoException) =>
-      settle(code === 'ECONNREFUSED' ? 'refused' : 'silent'),
-    );
-  });
-}
--- a/src/forwarding/header-names.ts
+++ b/src/forwarding/header-names.ts
@@ -16,6 +16,10 @@
   expectedVersion: string;
   /** Position in the back end's queue, 0 to 9, 0 first. */
   urgency: string;
+  /** Id of the back end that gives a health answer. */
+  answeringBackEnd: string;
+  /** Time for which that back end stays cold, in milliseconds. */
+  coldLeft: string;
   /** Present in an answer if the request did not run. */
   notRun: string;
   /** Version of the weights that produced the answer. */
--- a/src/forwarding/poison-guard.ts
+++ b/src/forwarding/poison-guard.ts
@@ -15,8 +15,9 @@
   PoisonRequests,
   type RequestContent,
 } from '../systems/poison-requests.js';
+import type { ProbeResult } from './back-end-probe.js';
 import type { BackEndRow } from './back-end-table.js';
-import { CrashDetector, type CrashSuspect, type ProbeResult, suspectsOf } from './crash-detector.js';
+import { CrashDetector, type CrashSuspect, suspectsOf } from './crash-detector.js';
 import type { QuarantineRecords, QuarantineState } from './quarantine-records.js';
 
 /** Retry delay for callers whose trial could not be claimed, in milliseconds: the store may be available again by then. */
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -9,6 +9,7 @@
 import { type HeaderNames, LAST_EVENT_ID } from '../forwarding/header-names.js';
 import { PoisonGuard } from '../forwarding/poison-guard.js';
 import { QuarantineRecords } from '../forwarding/quarantine-records.js';
+import { RestartDetector } from '../forwarding/restart-detector.js';
 import { rendezvousOrder } from '../model/random.js';
 import { type Startable, StartableGroup } from '../model/startable.js';
 import { endsWithin } from '../model/time-limit.js';
@@ -146,6 +147,15 @@
     };
     sync.onForward = (news) => this.#peers.forwardStoreNews(news);
     backEnds.maxKeptConnections = (service) => this.#maxKeptConnections(service);
+    const restarts = new RestartDetector({
+      fleet,
+      table: backEnds,
+      warmUps: this.#warmUps,
+      names: components.headers,
+      log,
+      metrics,
+    });
+    backEnds.onConnectionLost = (row, loss) => restarts.noteLost(row, loss);
     this.#agents = new EngineAgents(
       (row) => this.#planner.planFor(row),
       (report, before) => {
@@ -209,6 +219,7 @@
       new ConnectionListener(settings.peers, context, accept, pieces),
       sync,
       quarantineRecords,
+      restarts,
       this.#permits,
       this.#peers,
       this.#agents,
--- a/test/forwarding/back-end-warm-ups.test.ts
+++ b/test/forwarding/back-end-warm-ups.test.ts
@@ -57,7 +57,7 @@
   const metrics = new Metrics('test');
   warmUps = new BackEndWarmUps({
     fleet,
-    healthOf: () => ({ wasSuspendedWithin: () => wasLost }),
+    healthOf: () => ({ suspendedAt: 0, wasSuspendedWithin: () => wasLost }),
     log: silentLog,
     metrics,
   });
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -14,6 +14,7 @@
 import { ForwardingServer } from '../../src/forwarding/forwarding-server.js';
 import { PoisonGuard } from '../../src/forwarding/poison-guard.js';
 import { QuarantineRecords } from '../../src/forwarding/quarantine-records.js';
+import { RestartDetector } from '../../src/forwarding/restart-detector.js';
 import { seededRandom } from '../../src/model/random.js';
 import { type Log, silentLog } from '../../src/observability/log.js';
 import { Metrics } from '../../src/observability/metrics.js';
@@ -30,6 +31,8 @@
   tenant: 'x-tenant',
   expectedBackEnd: 'x-back-end',
   expectedVersion: 'x-expected-version',
+  answeringBackEnd: 'x-answering-back-end',
+  coldLeft: 'x-cold-left',
   urgency: 'x-urgency',
   notRun: 'x-not-run',
   servedVersion: 'x-version',
@@ -111,6 +114,16 @@
       log: this.log,
       metrics: this.metrics,
     });
+    const restarts = new RestartDetector({
+      fleet,
+      table: backEnds,
+      warmUps,
+      names: NAMES,
+      log: this.log,
+      metrics: this.metrics,
+    });
+    await restarts.start();
+    backEnds.onConnectionLost = (row, loss) => restarts.noteLost(row, loss);
     const limits = new BackEndLimits(this.log, this.metrics, warmUps);
     const backoffs = new BackEndBackoffs(this.log, this.metrics);
     const permits = new DirectPermits({
--- a/test/forwarding/stand-in-back-end.ts
+++ b/test/forwarding/stand-in-back-end.ts
@@ -33,7 +33,8 @@
     this.#script = script;
   }
 
-  async start(): Promise<this> {
+  /** @param port - 0 for a free one */
+  async start(port = 0): Promise<this> {
     const server = createServer(async (request, response) => {
       this.open++;
       response.on('close', () => {
@@ -50,7 +51,7 @@
       this.requests.push({ method, url, headers, body: body.toString('utf8') });
       this.#script(request, response, body);
     });
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
     this.#server = server;
     return this;
   }
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -161,6 +161,19 @@
     expect([1_800, 0, -5, 1e300].map(coldLeftOf)).toEqual([1_800, 0, 0, 86_400_000]);
   });
 
+  it('are decoded to the path of health answers; one that cannot be requested is left out, its service is not', () => {
+    const healthPathsOf = (fields: object) => {
+      const services = [{ ...CONFIGURATION.services[0], ...fields }];
+      const read = platformRecords.operatorRecord(row('config', { ...CONFIGURATION, services }));
+      if (read?.ok !== true || read.value.type !== 'configuration') throw new Error('no configuration');
+      return read.value.document.configuration.services.map(({ healthPath }) => healthPath);
+    };
+    expect(healthPathsOf({ health_path: '/healthz?full' })).toEqual(['/healthz?full']);
+    for (const path of [undefined, null, '', 'healthz', '/a b', '/a\r\nHost: b', `/${'a'.repeat(2_000)}`, 7])
+      expect(healthPathsOf({ health_path: path })).toEqual([undefined]);
+    expect(healthPathsOf({})).toEqual([undefined]);
+  });
+
   it('are decoded to the start of a back end; a record whose start is not an integer is rejected', () => {
     const server = workerRow();
     const entryWith = (born: unknown) => platformRecords.backEnd(row('i-1', { ...server, born }));
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -212,6 +212,9 @@
   }
 }
 
+/** Path of the health answers of plain services. */
+export const HEALTH_PATH = '/healthz';
+
 export interface WorkerOptions {
   id: string;
   service: string;
@@ -369,6 +372,7 @@
   }
 
   protected handle(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
+    if (request.url === HEALTH_PATH) return this.#answerHealth(response);
     if (!this.admits(request)) return this.shed(request, response);
     if (!this.isAddressedHere(request)) return this.refuse(request, response, 421);
     const met = this.continuationFor(request);
@@ -390,6 +394,12 @@
     setTimeout(() => void answer(), SERVICE_TIME);
   }
 
+  #answerHealth(response: ServerResponse): void {
+    const coldLeft = Math.max(0, Math.round(this.coldUntil - performance.now()));
+    response.writeHead(this.leaving ? 503 : 200, { 'Instance-Id': this.id, 'Cold-Ms': coldLeft });
+    response.end();
+  }
+
   async #answerInParts(run: Run, response: ServerResponse, headers: AnswerHeaders, isGone: () => boolean) {
     await this.stalls.beforeStart(isGone);
     response.writeHead(200, headers);
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -13,6 +13,7 @@
 import { killAfterGrace } from './grace.js';
 import {
   type ColdPeriod,
+  HEALTH_PATH,
   RunLog,
   StandInEngine,
   StandInOrigin,
@@ -307,7 +308,7 @@
           ...warmUp,
           engine: { slots: 8, models: [{ name: 'm' }], layers: 4, chunks: 8, chunk_bytes: 4_096, step_ms: 1 },
         },
-        { name: 'plain', max_conns: 100, ...warmUp },
+        { name: 'plain', max_conns: 100, health_path: HEALTH_PATH, ...warmUp },
         { name: 'weights', origin: this.#origin.address },
       ].filter(({ name }) => name !== dropped),
       limits: { max_body_bytes: 1_000_000, idle_timeout_ms: idleTimeout },
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1910,10 +1910,25 @@
     test: 'test/server/request-remainders.test.ts',
   },
   {
-    fault: 'an entry that does not know the time of the store stands still at its first request to a limited back end',
+    fault:
+      'an entry that does not know the time of the store stands still at its first request to a limited back end',
     file: 'src/forwarding/direct-permits.ts',
     find: 'if (!this.#options.clock.isKnown) return false;',
     replace: '',
     test: 'test/forwarding/cold-back-end.test.ts',
   },
+  {
+    fault: 'a restart that only broken connections tell of is not noticed',
+    file: 'src/forwarding/back-end-connection.ts',
+    find: "if (CLOSED_CODES.has(code)) listener.onLost('closed');",
+    replace: '',
+    test: 'test/forwarding/restart-without-record.test.ts',
+  },
+  {
+    fault: 'a back end that was down counts as cold from its end, not from its start',
+    file: 'src/forwarding/back-end-warm-ups.ts',
+    find: 'const time = known.isStopped ? (this.#warmUpOf(known.service)?.time ?? 0) : 0;',
+    replace: 'const time = 0;',
+    test: 'test/forwarding/restart-without-record.test.ts',
+  },
 ];
