--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1909,14 +1909,6 @@
     replace: 'return',
     test: 'test/server/request-remainders.test.ts',
   },
-  {
-    fault:
-      'an entry that does not know the time of the store stands still at its first request to a limited back end',
-    file: 'src/forwarding/direct-permits.ts',
-    find: 'if (!this.#options.clock.isKnown) return false;',
-    replace: '',
-    test: 'test/forwarding/cold-back-end.test.ts',
-  },
   {
     fault: 'a restart that only broken connections tell of is not noticed',
     file: 'src/forwarding/back-end-connection.ts',
