Orders log the age of the oldest check of a piece, and how long reading back and the answer took

Change: reading the stage back returns what it found (complete, oldest check, duration, replaced pieces), and the line carries `oldestCheckMs`, `readBackMs`, `replaced` and `answerMs`. No decision changes.

--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -423,9 +423,10 @@
   }
 
   async #switch(held: HeldWeights, state: EngineState, signal: AbortSignal): Promise<void> {
-    if (!(await this.#stage.verify(held, signal))) return;
+    const check = await this.#stage.verify(held, signal);
+    if (!check.isComplete) return;
     const { model, version } = held.manifest;
-    const order = { target: { model, version }, state, served: this.#loadedVersion };
+    const order = { target: { model, version }, state, served: this.#loadedVersion, check };
     await this.#engineSwitch.run(order, signal);
   }
 
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -12,6 +12,18 @@
 const CONCURRENCY = 4;
 const CALL_TIMEOUT = 1_000;
 
+/** What reading back a whole version found. Times are in milliseconds, the first one of the monotonic clock. */
+export interface StageCheck {
+  /** False if a piece stayed corrupt. */
+  isComplete: boolean;
+  /** When the oldest of the checks that found a piece intact began. */
+  oldestAt: number;
+  /** How long reading back took. */
+  took: number;
+  /** Number of corrupt pieces that were written again. */
+  replaced: number;
+}
+
 /** Writes, verifies and imports the pieces of the stage. */
 export class EngineStage {
   readonly #engine: StagedEngine;
@@ -45,21 +57,26 @@
     if (generation === this.#generation) this.#version = version;
   }
 
-  /** Reads every piece back and rewrites corrupt ones; returns false if one stays corrupt. */
-  async verify(held: HeldWeights, signal: AbortSignal): Promise<boolean> {
+  /** Reads every piece back and rewrites corrupt ones. */
+  async verify(held: HeldWeights, signal: AbortSignal): Promise<StageCheck> {
     const { model, version, digests } = held.manifest;
-    let isComplete = true;
+    const beganAt = performance.now();
+    const check: StageCheck = { isComplete: true, oldestAt: beganAt, took: 0, replaced: 0 };
+    const intactAt: number[] = [];
     await forEachConcurrently([...digests.keys()], async (index) => {
       const isIntact = async () => {
+        const askedAt = performance.now();
         const bytes = await this.#engine.staged(model, index, withLimit(signal, CALL_TIMEOUT));
+        intactAt[index] = askedAt;
         return bytes.ok && bytes.value !== undefined && digestOf(bytes.value) === digests[index];
       };
       if (await isIntact()) return;
       this.#log.info('staged piece was bad', { model, version, piece: index });
+      check.replaced++;
       await this.#engine.stage(model, index, held.piece(index)!, withLimit(signal, CALL_TIMEOUT));
-      if (!(await isIntact())) isComplete = false;
+      if (!(await isIntact())) check.isComplete = false;
     });
-    return isComplete;
+    return { ...check, oldestAt: Math.min(...intactAt), took: performance.now() - beganAt };
   }
 
   /**
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -7,6 +7,7 @@
 import { isSameStart } from '../model/back-end-identity.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
+import type { StageCheck } from './engine-stage.js';
 import type { WeightsVersion } from './held-weights.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
 
@@ -37,6 +38,8 @@
   state: EngineState;
   /** Version that the engine serves; 0 if none. */
   served: number;
+  /** What reading the stage back found. */
+  check: StageCheck;
 }
 
 /** The switches of one engine, one at a time. */
@@ -91,14 +94,24 @@
   }
 
   /** True if the engine has accepted the order, or may have. */
-  async #sendOrder({ target, state, served }: SwitchOrder, signal: AbortSignal): Promise<boolean> {
+  async #sendOrder({ target, state, served, check }: SwitchOrder, signal: AbortSignal): Promise<boolean> {
     const { model, version } = target;
     // Running requests are never dropped: the agent does not know which of them could continue elsewhere.
     // Entries move streams to other engines.
     const order = { model, version, running: 'finish', expectedSequence: state.sequence } as const;
+    const sentAt = performance.now();
     const outcome = await this.#options.engine.start(order, withLimit(signal, CALL_TIMEOUT));
     const answer = outcome.ok ? outcome.value : outcome.error;
-    this.#options.log.info('engine ordered', { ...order, from: served, load: state.load, answer });
+    this.#options.log.info('engine ordered', {
+      ...order,
+      from: served,
+      load: state.load,
+      answer,
+      answerMs: Math.round(performance.now() - sentAt),
+      oldestCheckMs: Math.round(sentAt - check.oldestAt),
+      readBackMs: Math.round(check.took),
+      replaced: check.replaced,
+    });
     // An order without an answer may have been accepted: the engine's state will show.
     return !outcome.ok || outcome.value.type === 'taken';
   }
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -107,7 +107,8 @@
     const engineSwitch = new EngineSwitch({ engine, onState: () => {}, onChange: () => {}, log: silentLog });
     const { value: state } = await engine.state();
     engine.restart();
-    await engineSwitch.run({ target: { model: 'm', version: 1 }, state, served: 0 }, signal());
+    const check = await new EngineStage(engine, silentLog).verify(completeWeights(1), signal());
+    await engineSwitch.run({ target: { model: 'm', version: 1 }, state, served: 0, check }, signal());
     expect(engine.orders).toEqual([]);
     expect(engineSwitch.isRunning).toBe(false);
   });
@@ -125,7 +126,8 @@
       isBusy = true;
       return success({ type: 'taken' } as const);
     };
-    const order = { target: { model: 'm', version: 1 }, state, served: 0, running: 'finish' } as const;
+    const check = await new EngineStage(engine, silentLog).verify(completeWeights(1), signal());
+    const order = { target: { model: 'm', version: 1 }, state, served: 0, check };
     const running = engineSwitch.run(order, new AbortController().signal);
     await until(() => isBusy, 'the order');
     // The next start is busy too, with an order from another process.
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1084,8 +1084,8 @@
   {
     fault: 'an engine is ordered to take pieces that turned bad',
     file: 'src/weights/engine-loader.ts',
-    find: 'if (!(await this.#stage.verify(held, signal))) return;',
-    replace: '',
+    find: 'const check = await this.#stage.verify(held, signal);',
+    replace: 'const check = { isComplete: true, oldestAt: 0, took: 0, replaced: 0 };',
     test: 'test/weights/weights.test.ts',
   },
   {
