Tests of engines that serve corrupt weights, failing: checks that are old, orders that are late

Change: an agent next to an engine whose stage is slow, whose pieces become corrupt at any time, which stands still and carries out late what has arrived, in virtual time.

--- /dev/null
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -0,0 +1,240 @@
+/** Engines must not serve with weights of which a piece had been corrupt for too long when the engine loaded it. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { seededRandom } from '../../src/model/random.js';
+import { silentLog } from '../../src/observability/log.js';
+import type { EngineReport, WeightsPlan } from '../../src/protocol/reports.js';
+import type { ObservedEngine } from '../../src/systems/slot-table.js';
+import { EngineLoader } from '../../src/weights/engine-loader.js';
+import { WeightsLibrary } from '../../src/weights/held-weights.js';
+import { partsOf, storedManifestKey } from '../../src/weights/piece-sources.js';
+import {
+  ALLOWED_CORRUPTION,
+  DecayingEngine,
+  LAYERS,
+  manifestOf,
+  PIECES,
+  pieceOf,
+} from './decaying-engine.js';
+import { unavailableOrigin } from './fake-engine.js';
+import { VirtualTime } from './virtual-time.js';
+
+/** Interval at which the test looks at what the engine would answer with, in milliseconds. */
+const SAMPLE = 5;
+
+/** An object store that holds versions 1 to 3. */
+async function storedWeights(): Promise<MemoryStore> {
+  const objects = new MemoryStore();
+  const put = (key: string, bytes: Buffer) => objects.put(key, bytes, new AbortController().signal);
+  for (const manifest of [1, 2, 3].map(manifestOf)) {
+    await put(storedManifestKey(manifest), Buffer.from(JSON.stringify(manifest)));
+    for (const { key, pieces } of partsOf(manifest))
+      await put(key, Buffer.concat(pieces.map((index) => pieceOf(manifest.version, index))));
+  }
+  return objects;
+}
+
+/** One agent process next to an engine. */
+class Agent {
+  readonly loader: EngineLoader;
+  #observed: ObservedEngine | undefined;
+  report: EngineReport | undefined;
+
+  constructor(engine: DecayingEngine, objects: MemoryStore) {
+    this.loader = new EngineLoader({
+      engine,
+      engineAddress: 'engine',
+      address: 'agent',
+      slotAddress: 'slots',
+      zone: 'zone-a',
+      onEngineState: (state) => {
+        this.#observed = state;
+      },
+      library: new WeightsLibrary(),
+      objects,
+      originAt: () => unavailableOrigin,
+      sendReport: (report) => {
+        this.report = report;
+      },
+      random: seededRandom(3),
+      log: silentLog,
+    });
+  }
+
+  /** Whether requests reach the engine: by its slots, or by what its agent reports. */
+  get letsRequestsIn(): boolean {
+    const { report } = this;
+    const isReported = report?.isReached === true && !report.isSwitching && report.version > 0;
+    return this.#observed?.isServing === true || isReported;
+  }
+
+  servesVersion(version: number): boolean {
+    return this.letsRequestsIn && this.report?.version === version;
+  }
+}
+
+function plan(...versions: number[]): WeightsPlan {
+  return {
+    versions: versions.map((version) => ({ model: 'm', version, notBefore: performance.now() - 1_000_000 })),
+    storeTime: performance.now(),
+    bound: 8_000,
+    origin: 'origin',
+    layers: LAYERS,
+    position: 0,
+    canMoveRequests: false,
+    holders: [],
+    entries: [],
+    hasNearEntry: false,
+  };
+}
+
+describe('an engine whose staged pieces become corrupt', () => {
+  let time: VirtualTime;
+  let engine: DecayingEngine;
+  let agent: Agent;
+  let hasServedCorrupt: boolean;
+
+  beforeEach(() => {
+    time = new VirtualTime();
+    engine = new DecayingEngine();
+    hasServedCorrupt = false;
+    setInterval(() => {
+      hasServedCorrupt ||= agent.letsRequestsIn && engine.servesCorruptLayer;
+    }, SAMPLE);
+  });
+
+  afterEach(async () => {
+    await agent.loader.stop();
+    time.restore();
+  });
+
+  async function startAgent(...versions: number[]): Promise<void> {
+    agent = new Agent(engine, await storedWeights());
+    await agent.loader.start();
+    agent.loader.applyPlan(plan(...versions));
+  }
+
+  /** Runs until the agent lets requests in to `version`, or until `limit`; returns whether it does. */
+  async function runUntilServing(version: number, limit: number): Promise<boolean> {
+    while (performance.now() < limit && !agent.servesVersion(version))
+      await time.runUntil(performance.now() + SAMPLE);
+    return agent.servesVersion(version);
+  }
+
+  it.each([100, 300, 500])(
+    'is not ordered to load them while reading back takes longer than a check is valid: %i ms a read',
+    async (readTime) => {
+      engine.readTime = readTime;
+      engine.onRead = (index) => {
+        if (index === 0) setTimeout(() => engine.corrupt(0), 1);
+      };
+      await startAgent(1);
+      expect(await runUntilServing(1, 40_000)).toBe(true);
+      await time.runUntil(performance.now() + 5_000);
+      expect(Math.max(...engine.accepted.map(({ corruptFor }) => corruptFor))).toBeLessThan(
+        ALLOWED_CORRUPTION,
+      );
+      expect(hasServedCorrupt).toBe(false);
+    },
+  );
+
+  it('is not ordered to load them by an agent that stood still since it had read them back', async () => {
+    let hasStood = false;
+    engine.onRead = (index) => {
+      if (hasStood || index !== PIECES - 1) return;
+      hasStood = true;
+      engine.corrupt(0);
+      time.standStill(4_000);
+    };
+    await startAgent(1);
+    expect(await runUntilServing(1, 20_000)).toBe(true);
+    await time.runUntil(performance.now() + 5_000);
+    expect(Math.max(...engine.accepted.map(({ corruptFor }) => corruptFor))).toBeLessThan(ALLOWED_CORRUPTION);
+    expect(hasServedCorrupt).toBe(false);
+  });
+
+  it.each([
+    ['one piece', [7]],
+    ['a piece of each layer', Array.from({ length: LAYERS }, (_, layer) => layer * 3)],
+  ])(
+    'gets no requests after it stood still as an order reached it, until it has loaded sound ones: %s',
+    async (_, pieces) => {
+      let hasStood = false;
+      engine.onOrder = () => {
+        if (hasStood) return;
+        hasStood = true;
+        engine.standStill(5_000);
+        setTimeout(() => {
+          for (const index of pieces) engine.corrupt(index);
+        }, 50);
+      };
+      await startAgent(1);
+      expect(await runUntilServing(1, 20_000)).toBe(true);
+      await time.runUntil(performance.now() + 5_000);
+      expect(hasServedCorrupt).toBe(false);
+      expect(engine.servesCorruptLayer).toBe(false);
+    },
+  );
+
+  it('gets no requests when only the answers to its orders are lost and a piece is corrupt by the next look', async () => {
+    engine.losesAnswers = true;
+    engine.onOrder = () => {
+      engine.corrupt(20);
+      setTimeout(() => {
+        engine.losesAnswers = false;
+      }, 4_000);
+    };
+    await startAgent(1);
+    expect(await runUntilServing(1, 20_000)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+    expect(engine.accepted).toHaveLength(1);
+  });
+
+  it('does not load the next version from the stage by an order for the one before that arrives late', async () => {
+    engine.holdFromStart(1);
+    engine.orderDelay = 3_000;
+    engine.writeTime = 50;
+    await startAgent(2);
+    setTimeout(() => {
+      agent.loader.applyPlan(plan(2, 3));
+      engine.onOrder = () => {
+        engine.orderDelay = 0;
+      };
+    }, 3_200);
+    expect(await runUntilServing(3, 40_000)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+    expect(engine.accepted.map(({ corruptFor }) => corruptFor)).not.toContain(Number.POSITIVE_INFINITY);
+  });
+
+  it('does not serve with a piece of an older version that was written late', async () => {
+    engine.holdFromStart(1);
+    engine.heldWrites.add(5);
+    await startAgent(2);
+    expect(await runUntilServing(2, 20_000)).toBe(true);
+    engine.onOrder = () => engine.releaseWrites();
+    agent.loader.applyPlan(plan(2, 3));
+    expect(await runUntilServing(3, 40_000)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+  });
+
+  it.each([1, 2, 3])('serves while pieces become corrupt all the time: seed %i', async (seed) => {
+    const random = seededRandom(seed);
+    engine.holdFromStart(1);
+    engine.load = 4;
+    setInterval(() => engine.corrupt(random.below(PIECES)), 200);
+    setInterval(() => {
+      engine.readTime = 150 + random.below(300);
+    }, 90);
+    await startAgent(2);
+    setTimeout(() => {
+      engine.load = 0;
+    }, 4_000);
+    expect(await runUntilServing(2, 30_000)).toBe(true);
+    await time.runUntil(performance.now() + 5_000);
+    agent.loader.applyPlan(plan(2, 3));
+    expect(await runUntilServing(3, performance.now() + 30_000)).toBe(true);
+    await time.runUntil(performance.now() + 5_000);
+    expect(agent.servesVersion(3)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+  });
+});
--- a/test/weights/virtual-time.ts
+++ b/test/weights/virtual-time.ts
@@ -10,6 +10,7 @@
 /** Replaces the timers and the clock until {@link VirtualTime.restore}; starts at 0. */
 export class VirtualTime {
   readonly #clock = new VirtualClock();
+  #resumesAt = 0;
 
   constructor() {
     vi.spyOn(performance, 'now').mockImplementation(() => this.#clock.now);
@@ -32,6 +33,11 @@
     }
   }
 
+  /** No timer fires for `milliseconds`, as in a process that stands still; those that were due fire late. */
+  standStill(milliseconds: number): void {
+    this.#resumesAt = this.#clock.now + milliseconds;
+  }
+
   restore(): void {
     vi.unstubAllGlobals();
     vi.restoreAllMocks();
@@ -41,6 +47,7 @@
     let isCancelled = false;
     const fire = () => {
       if (isCancelled) return;
+      if (this.#clock.now < this.#resumesAt) return this.#clock.schedule(this.#resumesAt, fire);
       if (repeats) this.#clock.schedule(this.#clock.now + delay, fire);
       run();
     };
