An engine serves only weights that are proven: checks of its stage have an age, and late orders are followed up

Cause: reading the stage back said "intact" of as many moments as there are pieces, the oldest of which had any age when the order was sent, and the engine loads what is there when it accepts the order. An order that was not answered within 1 s was forgotten, although the engine may accept it seconds later, with whatever the stage holds then, also the next version's pieces; a late write of an older version could follow a check in the same way. Class: a check is acted on as if it held at the moment of the act.

Change: - `StageChecks`: when the read began that found each piece intact. An order is sent only while all checks of the pieces that it loads are younger than 2 s, looked at again right before it is sent; pieces are read back oldest first, more of them at a time the slower they are. - `EngineOrder`: an order without an answer is repeated with the same expected number of orders until an answer, that number or a restart tells what became of it; until then the stage keeps its version and is read back. - A piece counts as proven if its check was valid (2.5 s) when the order had certainly been accepted, or if it was read back intact, unwritten, after that. Layers without a proof are loaded anew: an order for a range without them, then for all (`LayerProofs`). A stage too slow for all layers is loaded in ranges. - `EngineHoldings`: weights are in doubt also where another process gave the order; until proven the agent grants no slots and reports version 0 and a switch.

--- /dev/null
+++ b/src/systems/stage-checks.ts
@@ -0,0 +1,89 @@
+/**
+ * When each piece of an engine's stage was last found intact, and what that proves of the weights that the engine loads.
+ *
+ * An engine loads what is in its stage at the moment at which it accepts an order, and a staged piece may become corrupt at any
+ * moment. A check holds for the moment at which it began, so whatever acts on it bounds its age: an order is sent only on
+ * young checks, and a piece counts as proven only if its check was still valid when the order had certainly been accepted, or if
+ * it was read back intact after that. A corrupt piece stays corrupt until it is written again, so the latter proves that it was
+ * intact all the time since the order was sent, if nothing was written in between. Times are in milliseconds of the monotonic clock.
+ */
+
+/**
+ * A check is valid for this long, in milliseconds: engines must not load a piece that has been corrupt for 3 s. The rest allows for
+ * clocks that do not run at the same rate.
+ */
+export const CHECK_VALIDITY = 2_500;
+/**
+ * Maximum age of the oldest check when an order is sent, in milliseconds. An order that is answered within the rest of the validity
+ * was accepted while all checks were valid.
+ */
+export const MAX_CHECK_AGE = 2_000;
+
+/** The time in which an engine has accepted an order: no sooner than `from`, no later than `by`. */
+export interface AcceptanceTime {
+  from: number;
+  by: number;
+}
+
+/** The checks of the pieces of one version in one engine's stage. */
+export class StageChecks {
+  readonly #intactAt: number[];
+  /** Pieces that were corrupt when they were last read. */
+  readonly #corrupt = new Set<number>();
+  /** Until when each piece may have been corrupt for longer than a check is valid. */
+  readonly #doubtfulUntil = new Map<number, number>();
+  /** Pieces that a write may still reach with the bytes of another version. */
+  readonly #overwritable: ReadonlySet<number>;
+
+  /** @param overwritable - pieces that a late write may still overwrite with the bytes of another version */
+  constructor(pieces: number, overwritable: ReadonlySet<number> = new Set()) {
+    this.#intactAt = new Array(pieces).fill(Number.NEGATIVE_INFINITY);
+    this.#overwritable = overwritable;
+  }
+
+  /** When the oldest check of `pieces` began; minus infinity if one of them was not found intact when it was last read. */
+  oldestOf(pieces: readonly number[]): number {
+    const times = pieces.map((piece) =>
+      this.#corrupt.has(piece) ? Number.NEGATIVE_INFINITY : this.#checkedAt(piece),
+    );
+    return Math.min(...times);
+  }
+
+  /** Those of `pieces` whose check is older than `time`, and the corrupt ones. */
+  uncheckedSince(time: number, pieces: readonly number[]): number[] {
+    return pieces.filter((piece) => this.oldestOf([piece]) < time);
+  }
+
+  /** A read that began at `askedAt` and was answered at `answeredAt` has found the piece intact. */
+  noteIntact(piece: number, askedAt: number, answeredAt: number): void {
+    const wasCorrupt = this.#corrupt.delete(piece);
+    if (wasCorrupt && answeredAt > this.#validUntil(piece)) this.#doubtfulUntil.set(piece, answeredAt);
+    this.#intactAt[piece] = Math.max(this.#checkedAt(piece), askedAt);
+  }
+
+  noteCorrupt(piece: number): void {
+    this.#corrupt.add(piece);
+  }
+
+  /** Whether the piece was corrupt when it was last read. */
+  isCorrupt(piece: number): boolean {
+    return this.#corrupt.has(piece);
+  }
+
+  /** Those of `pieces` that are not proven to have been sound whenever the engine accepted the order. */
+  unproven({ from, by }: AcceptanceTime, pieces: readonly number[]): number[] {
+    const isDoubtful = (piece: number) => {
+      const until = this.#doubtfulUntil.get(piece);
+      return until !== undefined && until >= from;
+    };
+    return pieces.filter((piece) => isDoubtful(piece) || this.#validUntil(piece) < by);
+  }
+
+  #checkedAt(piece: number): number {
+    return this.#intactAt[piece] ?? Number.NEGATIVE_INFINITY;
+  }
+
+  #validUntil(piece: number): number {
+    return this.#checkedAt(piece) + (this.#overwritable.has(piece) ? 0 : CHECK_VALIDITY);
+  }
+}
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -14,13 +14,15 @@
 import type { Log } from '../observability/log.js';
 import type { EngineReport, HeldPieces, WeightsPlan } from '../protocol/reports.js';
 import { EngineWarmUp } from '../systems/engine-warm-up.js';
+import type { LayerProofs } from '../systems/layer-proofs.js';
 import type { ObservedEngine } from '../systems/slot-table.js';
 import { SMALL_BATCH } from '../systems/upload-limit.js';
 import { AgentEvacuation } from './agent-evacuation.js';
 import { agentSources, BATCH_TIMEOUT } from './agent-sources.js';
+import { EngineHoldings } from './engine-holdings.js';
 import { EngineStage } from './engine-stage.js';
 import { EngineStarts } from './engine-starts.js';
-import { EngineSwitch } from './engine-switch.js';
+import { EngineSwitch, WHOLE_REFRESH_TIME } from './engine-switch.js';
 import {
   type HeldWeights,
   type PieceManifest,
@@ -83,6 +85,7 @@
   readonly #options: EngineLoaderOptions;
   readonly #stage: EngineStage;
   readonly #engineSwitch: EngineSwitch;
+  readonly #holdings: EngineHoldings;
   readonly #starts = new EngineStarts();
   readonly #evacuation: AgentEvacuation;
   readonly #warmUp = new EngineWarmUp();
@@ -107,8 +110,10 @@
     this.#options = options;
     this.#stage = new EngineStage(options.engine, options.log);
     this.#evacuation = new AgentEvacuation(options.zone, options.log);
+    this.#holdings = new EngineHoldings(options.log);
     this.#engineSwitch = new EngineSwitch({
       engine: options.engine,
+      stage: this.#stage,
       onState: (state, askedAt) => void this.#applyState(state, askedAt),
       onChange: () => {
         this.#publishState();
@@ -139,10 +144,11 @@
 
   /** Applies a plan received from an entry or read from the store. */
   applyPlan(received: WeightsPlan): void {
-    // An entry that has just started knows no versions yet: fetches in progress continue.
-    const plan =
-      received.versions.length === 0 ? { ...received, versions: this.#plan?.versions ?? [] } : received;
+    // An entry that has just started knows no versions and no configuration yet: fetches in progress continue.
+    const versions = received.versions.length === 0 ? (this.#plan?.versions ?? []) : received.versions;
+    const plan = { ...received, versions, layers: received.layers || (this.#plan?.layers ?? 0) };
     this.#plan = plan;
+    if (received.hasUnfinishedSwitch === true) this.#holdings.noteUnfinishedSwitch();
     this.#warmUp.declare(received.warmUp ?? undefined);
     if (this.#evacuation.apply(received.evacuation)) this.#publishState();
     const now = performance.now();
@@ -213,6 +219,7 @@
     if (news === 'newer') this.#handleRestart();
     this.#warmUp.observe(state && { start: this.#starts.current }, performance.now());
     this.#engineState = state;
+    if (state !== undefined) this.#holdings.observe(state, this.#engineSwitch.isRunning);
     this.#publishState();
     return true;
   }
@@ -245,11 +252,13 @@
   }
 
   get #isSwitching(): boolean {
-    return this.#engineSwitch.isRunning || this.#isDrainingAhead || this.#engineState?.isBusy === true;
+    const isOccupied = this.#engineSwitch.isRunning || this.#engineState?.isBusy === true;
+    return isOccupied || this.#isDrainingAhead || this.#holdings.isInDoubt;
   }
 
-  /** The version of which the engine holds every layer; 0 if none. */
+  /** The version of which the engine holds every layer; 0 if none, or if its weights are in doubt. */
   get #loadedVersion(): number {
+    if (this.#holdings.isInDoubt) return 0;
     const layers = this.#engineState?.layers;
     const count = this.#plan?.layers ?? Number.POSITIVE_INFINITY;
     return layers !== undefined && layers.from === 0 && layers.end >= count ? layers.version : 0;
@@ -260,10 +269,10 @@
    * concurrently with the polling of the engine: when polling waited for it and no process had the manifest
    * of the engine's version, polling stopped and the next version was never ordered.
    */
-  #startStageRead({ model }: EngineState): void {
+  #startStageRead({ model, layers }: EngineState): void {
     if (this.#plan === undefined || this.#stageRead !== undefined) return;
     this.#stageRead = new AbortController();
-    const version = this.#loadedVersion;
+    const version = layers?.version ?? 0;
     if (version > 0) void this.#importStage({ model, version }, this.#stageRead.signal);
   }
 
@@ -387,7 +396,9 @@
     if (held !== undefined) {
       // The stage is about to be overwritten.
       this.#stageRead?.abort();
-      await this.#stage.fill(held, signal);
+      if (this.#holdings.isInDoubt && state.layers?.version === held.manifest.version)
+        await this.#proveHeld(held, state, signal);
+      else await this.#stage.fill(held, signal);
       const completeAt = this.#completeAt.get(versionKey(held.manifest)) ?? 0;
       const switchTime = this.#order.switchTime(held, completeAt);
       if (this.#isDrainingAhead || performance.now() >= switchTime) await this.#switch(held, state, signal);
@@ -422,12 +433,27 @@
     return Number.isFinite(next) ? next : undefined;
   }
 
+  /** Proves as much as can be proven of a version in doubt that the engine has loaded by an order of another process. */
+  async #proveHeld(held: HeldWeights, state: EngineState, signal: AbortSignal): Promise<void> {
+    if (!this.#stage.adopt(held)) return;
+    await this.#engineSwitch.prove(held, this.#proofsOf(held, state), signal);
+  }
+
+  #proofsOf({ manifest }: HeldWeights, state: EngineState): LayerProofs {
+    return this.#holdings.proofsOf(manifest.version, state, this.#plan?.layers ?? 0);
+  }
+
+  /** Orders the engine to load a version that is in the stage, unless it holds that version proven. */
   async #switch(held: HeldWeights, state: EngineState, signal: AbortSignal): Promise<void> {
-    const check = await this.#stage.verify(held, signal);
-    if (!check.isComplete) return;
-    const { model, version } = held.manifest;
-    const order = { target: { model, version }, state, served: this.#loadedVersion, check };
-    await this.#engineSwitch.run(order, signal);
+    const proofs = this.#proofsOf(held, state);
+    const pieces = [...held.manifest.digests.keys()];
+    const isFresh = () => this.#stage.isFresh(pieces);
+    // The engine goes on serving while its stage is read back; the order needs little more time then.
+    if (!proofs.isComplete) await this.#stage.refresh(held, pieces, isFresh, WHOLE_REFRESH_TIME, signal);
+    const order = { held, state, served: this.#loadedVersion, proofs };
+    this.#holdings.noteEnding(proofs.isComplete ? 'proven' : await this.#engineSwitch.run(order, signal));
+    this.#publishState();
+    this.#sendReport();
   }
 
   #sendReport(): void {
@@ -439,6 +465,7 @@
       version: this.#loadedVersion,
       isReached: this.#engineState !== undefined && this.#plan !== undefined,
       isSwitching: this.#isSwitching,
+      isProven: this.#holdings.isProven && !this.#engineSwitch.isRunning,
       load: this.#engineState?.load ?? 0,
       switchesIn: this.#switchesIn(),
       coldLeft: this.#warmUp.coldLeft(performance.now()),
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -1,82 +1,141 @@
 /**
  * The staging area of the engine next to this agent, which holds one version of a model. Pieces are written
- * there, and read back before the engine is ordered to load them, as they may become corrupt there.
+ * there, and read back before and, where needed, after the engine is ordered to load them, as they may become
+ * corrupt there at any time.
  */
-import { digestOf } from '../model/manifest.js';
+import { type Digest, digestOf } from '../model/manifest.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
+import { MAX_CHECK_AGE, StageChecks } from '../systems/stage-checks.js';
+import { forEachConcurrently, ReadTime } from './concurrency.js';
 import type { HeldWeights, WeightsLibrary } from './held-weights.js';
 import type { StagedEngine } from './staged-engine.js';
 
-/** Pieces that are written or read back concurrently; the stage is on the same machine. */
-const CONCURRENCY = 4;
+/** Pieces that are written concurrently; the stage is on the same machine. */
+const WRITE_CONCURRENCY = 4;
 const CALL_TIMEOUT = 1_000;
-
-/** What reading back a whole version found. Times are in milliseconds, the first one of the monotonic clock. */
-export interface StageCheck {
-  /** False if a piece stayed corrupt. */
-  isComplete: boolean;
-  /** When the oldest of the checks that found a piece intact began. */
-  oldestAt: number;
-  /** How long reading back took. */
-  took: number;
-  /** Number of corrupt pieces that were written again. */
-  replaced: number;
-}
+/** Maximum age of checks on which an order is prepared, in milliseconds. The rest is for reading the engine's state. */
+const REFRESHED_AGE = 0.85 * MAX_CHECK_AGE;
+/** Checks older than this are renewed while any is too old, so that all are young at the same time. */
+const RENEWED_AGE = 0.25 * MAX_CHECK_AGE;
 
 /** Writes, verifies and imports the pieces of the stage. */
 export class EngineStage {
   readonly #engine: StagedEngine;
   readonly #log: Log;
+  readonly #readTime = new ReadTime();
+  /** The checks in progress, by piece. */
+  readonly #inProgress = new Map<number, Promise<void>>();
   /** Version whose pieces are in the stage, as far as is known; 0 if unknown. */
   #version = 0;
+  #checks = new StageChecks(0);
   /**
    * Incremented by each invalidation, so that a write that was in progress then does not count as complete.
    */
   #generation = 0;
+  /** The digests of writes without an answer, which may still be carried out, by piece. */
+  readonly #unanswered = new Map<number, Set<Digest>>();
+  /** Number of corrupt pieces that were written again since the start of this process. */
+  replaced = 0;
 
   constructor(engine: StagedEngine, log: Log) {
     this.#engine = engine;
     this.#log = log;
   }
 
+  /** The checks of the pieces of the version that was filled in last. */
+  get checks(): StageChecks {
+    return this.#checks;
+  }
+
   /** Marks the contents of the stage as unknown, because the engine has restarted. */
   invalidate(): void {
     this.#version = 0;
+    this.#checks = new StageChecks(0);
+    this.#unanswered.clear();
     this.#generation++;
   }
 
   /** Writes every piece of a complete version, unless the stage already holds that version. */
   async fill(held: HeldWeights, signal: AbortSignal): Promise<void> {
-    const { model, version, digests } = held.manifest;
+    const { version, digests } = held.manifest;
     if (this.#version === version) return;
     const generation = this.#generation;
-    await forEachConcurrently([...digests.keys()], async (index) => {
-      await this.#engine.stage(model, index, held.piece(index)!, withLimit(signal, CALL_TIMEOUT));
-    });
-    if (generation === this.#generation) this.#version = version;
+    await forEachConcurrently(
+      [...digests.keys()],
+      () => WRITE_CONCURRENCY,
+      (index) => this.#write(held, index, signal),
+    );
+    if (generation !== this.#generation) return;
+    this.#version = version;
+    this.#checks = new StageChecks(digests.length, this.#overwritableBy(held));
+  }
+
+  /**
+   * Takes the stage to hold a version that another process has written there; nothing is checked or written yet. Returns false if
+   * this process has written that version itself.
+   */
+  adopt({ manifest }: HeldWeights): boolean {
+    if (this.#version === manifest.version) return false;
+    this.#version = manifest.version;
+    this.#checks = new StageChecks(manifest.digests.length);
+    return true;
+  }
+
+  /**
+   * Reads back those of `pieces` whose checks become too old for an order, oldest first, and rewrites corrupt ones, until `isDone`
+   * holds or `timeLimit` has passed, in milliseconds. Reads in progress then go on. Returns whether `isDone` holds.
+   */
+  async refresh(
+    held: HeldWeights,
+    pieces: readonly number[],
+    isDone: () => boolean,
+    timeLimit: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const checks = this.#checks;
+    const endsAt = performance.now() + timeLimit;
+    while (!isDone()) {
+      const now = performance.now();
+      if (signal.aborted || now >= endsAt || checks !== this.#checks) return false;
+      const due = checks
+        .uncheckedSince(now - RENEWED_AGE, pieces)
+        .filter((piece) => !this.#inProgress.has(piece))
+        .slice(0, Math.max(0, this.#readTime.concurrency(pieces.length) - this.#inProgress.size));
+      for (const piece of due) this.#startCheck(held, piece, checks, signal);
+      if (this.#inProgress.size === 0) return isDone();
+      await Promise.race(this.#inProgress.values());
+    }
+    return true;
   }
 
-  /** Reads every piece back and rewrites corrupt ones. */
-  async verify(held: HeldWeights, signal: AbortSignal): Promise<StageCheck> {
-    const { model, version, digests } = held.manifest;
-    const beganAt = performance.now();
-    const check: StageCheck = { isComplete: true, oldestAt: beganAt, took: 0, replaced: 0 };
-    const intactAt: number[] = [];
-    await forEachConcurrently([...digests.keys()], async (index) => {
-      const isIntact = async () => {
-        const askedAt = performance.now();
-        const bytes = await this.#engine.staged(model, index, withLimit(signal, CALL_TIMEOUT));
-        intactAt[index] = askedAt;
-        return bytes.ok && bytes.value !== undefined && digestOf(bytes.value) === digests[index];
-      };
-      if (await isIntact()) return;
-      this.#log.info('staged piece was bad', { model, version, piece: index });
-      check.replaced++;
-      await this.#engine.stage(model, index, held.piece(index)!, withLimit(signal, CALL_TIMEOUT));
-      if (!(await isIntact())) check.isComplete = false;
+  /** Whether the checks of all `pieces` leave enough time for an order now. */
+  isFresh(pieces: readonly number[]): boolean {
+    return performance.now() - this.#checks.oldestOf(pieces) <= REFRESHED_AGE;
+  }
+
+  #startCheck(held: HeldWeights, piece: number, checks: StageChecks, signal: AbortSignal): void {
+    const check = this.#check(held, piece, checks, signal).finally(() => this.#inProgress.delete(piece));
+    this.#inProgress.set(piece, check);
+  }
+
+  /** Reads a piece back; rewrites it if it is corrupt. */
+  async #check(held: HeldWeights, piece: number, checks: StageChecks, signal: AbortSignal): Promise<void> {
+    if ((await this.#isIntact(held, piece, checks, signal)) !== false || signal.aborted) return;
+    const { model, version } = held.manifest;
+    this.#log.info('staged piece was bad', { model, version, piece });
+    this.replaced++;
+    await this.#write(held, piece, signal);
+    await this.#isIntact(held, piece, checks, signal);
+  }
+
+  /** Reads pieces back without writing any, and records what it finds. */
+  async readBack(held: HeldWeights, pieces: readonly number[], signal: AbortSignal): Promise<void> {
+    const checks = this.#checks;
+    const limit = () => this.#readTime.concurrency(pieces.length);
+    await forEachConcurrently(pieces, limit, async (piece) => {
+      await this.#isIntact(held, piece, checks, signal);
     });
-    return { ...check, oldestAt: Math.min(...intactAt), took: performance.now() - beganAt };
   }
 
   /**
@@ -91,13 +150,37 @@
     }
     this.#log.info('pieces imported from stage', { model, version, pieces: held.have.size });
   }
-}
 
-/** Runs `work` for each item, {@link CONCURRENCY} at a time. */
-async function forEachConcurrently<T>(items: readonly T[], work: (item: T) => Promise<void>): Promise<void> {
-  const rest = [...items];
-  const worker = async () => {
-    for (let item = rest.shift(); item !== undefined; item = rest.shift()) await work(item);
-  };
-  await Promise.all(Array.from({ length: CONCURRENCY }, worker));
+  /** Reads a piece back; undefined if the engine did not answer. */
+  async #isIntact(
+    { manifest: { model, digests } }: HeldWeights,
+    index: number,
+    checks: StageChecks,
+    signal: AbortSignal,
+  ): Promise<boolean | undefined> {
+    const askedAt = performance.now();
+    const bytes = await this.#engine.staged(model, index, withLimit(signal, CALL_TIMEOUT));
+    this.#readTime.note(performance.now() - askedAt);
+    if (!bytes.ok) return undefined;
+    const isIntact = bytes.value !== undefined && digestOf(bytes.value) === digests[index];
+    if (isIntact) checks.noteIntact(index, askedAt, performance.now());
+    else checks.noteCorrupt(index);
+    return isIntact;
+  }
+
+  async #write(held: HeldWeights, index: number, signal: AbortSignal): Promise<void> {
+    const { model, digests } = held.manifest;
+    const limited = withLimit(signal, CALL_TIMEOUT);
+    const written = await this.#engine.stage(model, index, held.piece(index)!, limited);
+    if (written.ok) return;
+    const digest = digests[index];
+    this.#unanswered.set(index, new Set(this.#unanswered.get(index)).add(digest));
+  }
+
+  /** The pieces that a write of another version without an answer may still overwrite. */
+  #overwritableBy({ manifest: { digests } }: HeldWeights): Set<number> {
+    const isOverwritable = (index: number) =>
+      [...(this.#unanswered.get(index) ?? [])].some((digest) => digest !== digests[index]);
+    return new Set([...digests.keys()].filter(isOverwritable));
+  }
 }
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -1,14 +1,16 @@
 /**
- * Switches an engine to another version: gives notice, sends the order, and waits until the engine has
- * carried it out. The switch depends on nothing but the engine. It continues if the version is no longer
- * wanted or its fetch has ended, since an order that was accepted cannot be withdrawn.
+ * Switches an engine to another version: gives notice, orders the engine to load it, and proves that what it loaded was sound;
+ * layers of which that cannot be proven are loaded anew. The switch depends on nothing but the engine. It continues if the
+ * version is no longer wanted or its fetch has ended, since an order that was accepted cannot be withdrawn.
  */
 import { sleep } from '../fleet/table-follower.js';
-import { isSameStart } from '../model/back-end-identity.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
-import type { StageCheck } from './engine-stage.js';
-import type { WeightsVersion } from './held-weights.js';
+import { type LayerProofs, type LayerRange, layersOfPiece } from '../systems/layer-proofs.js';
+import type { AcceptanceTime } from '../systems/stage-checks.js';
+import { EngineOrder, type OrderEnding } from './engine-order.js';
+import type { EngineStage } from './engine-stage.js';
+import type { HeldWeights } from './held-weights.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
 
 /**
@@ -16,12 +18,19 @@
  * requests.
  */
 const NOTICE_PERIOD = 60;
-/** Interval at which an engine that carries out an order is polled, in milliseconds. */
-const POLL_INTERVAL = 60;
 const CALL_TIMEOUT = 1_000;
+const NO_LAYERS: LayerRange = { from: 0, end: 0 };
+/** Time in which all pieces are to be read back before an order, and any of them if that fails, in milliseconds. */
+export const WHOLE_REFRESH_TIME = 1_500;
+const PART_REFRESH_TIME = 3_000;
+/** Orders of one switch that were not sent as checks became too old at the last moment. */
+const MAX_STALE_ORDERS = 20;
+/** Times that pieces are read back after an order that was accepted late, until the engine has answered for each. */
+const MAX_PROOF_ROUNDS = 5;
 
 export interface EngineSwitchOptions {
   engine: StagedEngine;
+  stage: EngineStage;
   /**
    * Called with each state that was read and the time of the request; undefined if the engine did not answer.
    */
@@ -33,56 +42,171 @@
 
 /** The version to load, and the state of the engine on which the decision was based. */
 export interface SwitchOrder {
-  target: WeightsVersion;
+  /** The complete version, which is in the stage. */
+  held: HeldWeights;
   /** The engine's state before the order. */
   state: EngineState;
   /** Version that the engine serves; 0 if none. */
   served: number;
-  /** What reading the stage back found. */
-  check: StageCheck;
+  /** Which layers of the version the engine holds proven; updated as orders are carried out. */
+  proofs: LayerProofs;
+}
+
+/** How a switch ended. */
+export type SwitchEnding =
+  /** The engine holds all layers of the version, each of them proven. */
+  | 'proven'
+  /** The engine has accepted no order. */
+  | 'unchanged'
+  /** The engine has accepted an order, and may hold a layer that is not proven. */
+  | 'unproven'
+  | 'restarted';
+
+/** Figures of all switches since the start of this process. */
+export interface SwitchFigures {
+  /** Orders by how they ended. */
+  orders: Record<OrderEnding['type'], number>;
+  /** Layers that were loaded anew, as they could not be proven. */
+  layersInDoubt: number;
 }
 
 /** The switches of one engine, one at a time. */
 export class EngineSwitch {
   readonly #options: EngineSwitchOptions;
+  readonly figures: SwitchFigures = {
+    orders: { accepted: 0, alreadyHeld: 0, refused: 0, notSent: 0, stale: 0, restarted: 0, aborted: 0 },
+    layersInDoubt: 0,
+  };
   #isRunning = false;
 
   constructor(options: EngineSwitchOptions) {
     this.#options = options;
   }
 
-  /** True from the notice until the engine has carried out the order or not accepted it. */
+  /** True from the notice until the engine has loaded proven weights, or the switch has ended otherwise. */
   get isRunning(): boolean {
     return this.#isRunning;
   }
 
-  /** Orders the engine to load `order.target`; returns when that is done, has failed, or `signal` aborts. */
-  async run(order: SwitchOrder, signal: AbortSignal): Promise<void> {
+  /** Orders the engine to load `order.held`; returns when that is done and proven, has failed, or `signal` aborts. */
+  async run(order: SwitchOrder, signal: AbortSignal): Promise<SwitchEnding> {
     this.#isRunning = true;
     this.#options.onChange();
     if (order.served > 0) await sleep(NOTICE_PERIOD, signal);
-    const isAccepted =
-      (await this.#hasNotRestarted(order.state, signal)) && (await this.#sendOrder(order, signal));
-    if (isAccepted) await this.#awaitCompletion(order, signal);
+    const ending = await this.#loadAll(order, signal);
     this.#isRunning = false;
     this.#options.onChange();
+    return ending;
   }
 
   /**
-   * True if the engine has not restarted since `before` was read. After a restart its stage may be empty and
-   * its count of orders begins anew, so that an order meant for the previous start could be accepted by the
-   * next.
+   * Reads back what the engine holds of a version that another process has staged and ordered, without writing: pieces that are
+   * still intact were so when the engine loaded them.
    */
-  async #hasNotRestarted({ start }: EngineState, signal: AbortSignal): Promise<boolean> {
-    if (start === undefined) return true;
-    const state = await this.#readState(signal);
-    if (state !== undefined && isSameStart(state.start, start)) return true;
-    this.#options.log.info('order not sent: engine restarted or unreachable', {
-      start,
-      found: state?.start,
-      isReached: state !== undefined,
+  async prove(held: HeldWeights, proofs: LayerProofs, signal: AbortSignal): Promise<void> {
+    const accepted = { from: Number.NEGATIVE_INFINITY, by: performance.now() };
+    proofs.noteChecked(await this.#unprovenLayers(held, proofs, [...proofs.inDoubt], accepted, signal));
+  }
+
+  async #loadAll(order: SwitchOrder, signal: AbortSignal): Promise<SwitchEnding> {
+    const { proofs, held } = order;
+    let before = order.state;
+    let hasAccepted = false;
+    let staleOrders = 0;
+    while (!proofs.isComplete) {
+      const range = await this.#nextRange(held, proofs, signal);
+      if (range === undefined) return hasAccepted ? 'unproven' : 'unchanged';
+      const loaded = proofs.loadedBy(range);
+      const engineOrder = this.#orderFor(order, before, range);
+      const ending = await engineOrder.send(signal);
+      this.figures.orders[ending.type]++;
+      if (ending.type === 'stale' && ++staleOrders < MAX_STALE_ORDERS) continue;
+      if (ending.type === 'restarted') return 'restarted';
+      if (ending.type !== 'accepted')
+        return hasAccepted || ending.type === 'alreadyHeld' ? 'unproven' : 'unchanged';
+      hasAccepted = true;
+      const [state, unproven] = await Promise.all([
+        engineOrder.awaitCompletion(signal),
+        this.#unprovenLayers(held, proofs, loaded, ending.time, signal),
+      ]);
+      if (state === undefined) return signal.aborted ? 'unproven' : 'restarted';
+      if (!engineOrder.isCarriedOut(state)) {
+        // Another process has given an order meanwhile.
+        const { layers } = state;
+        proofs.noteHeld(layers?.version === held.manifest.version ? layers : NO_LAYERS, new Set(proofs.all));
+        return 'unproven';
+      }
+      proofs.noteOrdered(range, unproven);
+      this.figures.layersInDoubt += unproven.size;
+      this.#options.log.info('engine loaded', {
+        model: held.manifest.model,
+        version: held.manifest.version,
+        layers: state.layers,
+        inDoubt: [...unproven],
+        tookMs: Math.round(performance.now() - ending.time.from),
+      });
+      before = state;
+    }
+    return 'proven';
+  }
+
+  /** Waits until pieces can be loaded; undefined if none can be, or not in time. */
+  async #nextRange(
+    held: HeldWeights,
+    proofs: LayerProofs,
+    signal: AbortSignal,
+  ): Promise<LayerRange | undefined> {
+    const { stage } = this.#options;
+    const piecesOfLayers = (layers: readonly number[]) => piecesOf(layers, held, proofs.count);
+    const isReady = (layer: number) => stage.isFresh(piecesOfLayers([layer]));
+    const pieces = piecesOfLayers(proofs.missing);
+    // All layers at once, if reading them back in time is possible; else those that are ready.
+    await stage.refresh(held, pieces, () => stage.isFresh(pieces), WHOLE_REFRESH_TIME, signal);
+    const isAnyReady = () => proofs.next(isReady).type !== 'wait';
+    await stage.refresh(held, pieces, isAnyReady, PART_REFRESH_TIME, signal);
+    const next = proofs.next(isReady);
+    return next.type === 'hold' ? next.range : undefined;
+  }
+
+  #orderFor({ held, proofs }: SwitchOrder, before: EngineState, range: LayerRange): EngineOrder {
+    const { engine, stage, log } = this.#options;
+    const isWhole = range.from === 0 && range.end === proofs.count;
+    return new EngineOrder({
+      engine,
+      stage,
+      readState: (signal) => this.#readState(signal),
+      held,
+      before,
+      layers: isWhole ? undefined : range,
+      layerCount: proofs.count,
+      pieces: piecesOf(proofs.loadedBy(range), held, proofs.count),
+      log,
     });
-    return false;
+  }
+
+  /** The layers of `loaded` that are not proven to have been sound when the engine accepted the order. */
+  async #unprovenLayers(
+    held: HeldWeights,
+    proofs: LayerProofs,
+    loaded: readonly number[],
+    accepted: AcceptanceTime,
+    signal: AbortSignal,
+  ): Promise<ReadonlySet<number>> {
+    const { checks } = this.#options.stage;
+    const pieces = piecesOf(loaded, held, proofs.count);
+    let unproven = checks.unproven(accepted, pieces);
+    for (let round = 0; round < MAX_PROOF_ROUNDS && unproven.length > 0 && !signal.aborted; round++) {
+      const isUnread = (piece: number) => checks.uncheckedSince(accepted.by, [piece]).length > 0;
+      const unread = unproven.filter((piece) => isUnread(piece) && !checks.isCorrupt(piece));
+      if (unread.length === 0) break;
+      // Nothing is written: only a piece that has not been written since the order proves what the engine loaded.
+      await this.#options.stage.readBack(held, unread, signal);
+      unproven = checks.unproven(accepted, pieces);
+    }
+    const count = held.manifest.digests.length;
+    const wanted = new Set(loaded);
+    const layers = unproven.flatMap((piece) => layersOfPiece(piece, count, proofs.count));
+    return new Set(layers.filter((layer) => wanted.has(layer)));
   }
 
   async #readState(signal: AbortSignal): Promise<EngineState | undefined> {
@@ -92,45 +216,13 @@
     this.#options.onState(state, askedAt);
     return state;
   }
+}
 
-  /** True if the engine has accepted the order, or may have. */
-  async #sendOrder({ target, state, served, check }: SwitchOrder, signal: AbortSignal): Promise<boolean> {
-    const { model, version } = target;
-    // Running requests are never dropped: the agent does not know which of them could continue elsewhere.
-    // Entries move streams to other engines.
-    const order = { model, version, running: 'finish', expectedSequence: state.sequence } as const;
-    const sentAt = performance.now();
-    const outcome = await this.#options.engine.start(order, withLimit(signal, CALL_TIMEOUT));
-    const answer = outcome.ok ? outcome.value : outcome.error;
-    this.#options.log.info('engine ordered', {
-      ...order,
-      from: served,
-      load: state.load,
-      answer,
-      answerMs: Math.round(performance.now() - sentAt),
-      oldestCheckMs: Math.round(sentAt - check.oldestAt),
-      readBackMs: Math.round(check.took),
-      replaced: check.replaced,
-    });
-    // An order without an answer may have been accepted: the engine's state will show.
-    return !outcome.ok || outcome.value.type === 'taken';
-  }
-
-  async #awaitCompletion({ target, state: before }: SwitchOrder, signal: AbortSignal): Promise<void> {
-    const startedAt = performance.now();
-    while (!signal.aborted) {
-      await sleep(POLL_INTERVAL, signal);
-      const state = await this.#readState(signal);
-      // An engine that has restarted does not carry out the order.
-      if (state?.isBusy === true && isSameStart(state.start, before.start)) continue;
-      const tookMs = Math.round(performance.now() - startedAt);
-      this.#options.log.info('switch ended', {
-        wanted: target.version,
-        layers: state?.layers,
-        isReached: state !== undefined,
-        tookMs,
-      });
-      return;
-    }
-  }
+/** The pieces that hold a part of `layers`. */
+function piecesOf(layers: readonly number[], { manifest }: HeldWeights, layerCount: number): number[] {
+  const wanted = new Set(layers);
+  const count = manifest.digests.length;
+  return [...manifest.digests.keys()].filter((piece) =>
+    layersOfPiece(piece, count, layerCount).some((layer) => wanted.has(layer)),
+  );
 }
--- a/src/weights/staged-engine.ts
+++ b/src/weights/staged-engine.ts
@@ -2,6 +2,7 @@
 import type { BackEndIdentity } from '../model/back-end-identity.js';
 import type { Result } from '../model/result.js';
 import type { HeldLayers } from '../protocol/back-end-list-state.js';
+import type { LayerRange } from '../systems/layer-proofs.js';
 import type { WeightsVersion } from './held-weights.js';
 
 /** Why a call to the engine has no result. */
@@ -29,8 +30,10 @@
 
 /** The engine's answer to an order. */
 export type OrderOutcome =
-  /** The order is being carried out, or the engine already holds the version. */
+  /** The order is being carried out: the engine loads what is in its stage at this moment. */
   | { type: 'taken' }
+  /** The engine already holds the layers and loads nothing. */
+  | { type: 'held' }
   /** The order does not match the engine's state, or a newer one was accepted. */
   | { type: 'refused'; status: number };
 
@@ -41,8 +44,10 @@
   /** The engine drops them at once; their senders continue them elsewhere. */
   | 'drop';
 
-/** An order to load the version in the stage. */
+/** An order to hold layers of the version in the stage; the engine loads those that it does not hold yet. */
 export interface StartOrder extends WeightsVersion {
+  /** The layers to hold; all if undefined. */
+  layers?: LayerRange | undefined;
   running: RunningRequests;
   /** Number of orders accepted so far; the engine refuses an order with any other number. */
   expectedSequence: number;
--- /dev/null
+++ b/test/systems/stage-checks.test.ts
@@ -0,0 +1,59 @@
+import { describe, expect, it } from 'vitest';
+import { CHECK_VALIDITY, StageChecks } from '../../src/systems/stage-checks.js';
+
+describe('the checks of a stage', () => {
+  it('are as old as the beginning of the oldest read, and none if a piece is corrupt', () => {
+    const checks = new StageChecks(3);
+    for (const piece of [0, 1, 2]) checks.noteIntact(piece, 100 * piece, 500);
+    expect(checks.oldestOf([0, 1, 2])).toBe(0);
+    expect(checks.oldestOf([1, 2])).toBe(100);
+    expect(checks.uncheckedSince(150, [0, 1, 2])).toEqual([0, 1]);
+    checks.noteCorrupt(2);
+    expect(checks.oldestOf([1, 2])).toBe(Number.NEGATIVE_INFINITY);
+    checks.noteIntact(2, 600, 610);
+    expect(checks.oldestOf([1, 2])).toBe(100);
+  });
+
+  it('prove a piece while they are valid, and no longer', () => {
+    const checks = new StageChecks(1);
+    checks.noteIntact(0, 1_000, 1_100);
+    expect(checks.unproven({ from: 1_200, by: 1_000 + CHECK_VALIDITY }, [0])).toEqual([]);
+    expect(checks.unproven({ from: 1_200, by: 1_001 + CHECK_VALIDITY }, [0])).toEqual([0]);
+  });
+
+  it('prove a piece that was read back intact after the order was accepted, however late', () => {
+    const checks = new StageChecks(1);
+    checks.noteIntact(0, 1_000, 1_100);
+    const accepted = { from: 1_200, by: 9_000 };
+    expect(checks.unproven(accepted, [0])).toEqual([0]);
+    checks.noteIntact(0, 9_001, 9_100);
+    expect(checks.unproven(accepted, [0])).toEqual([]);
+  });
+
+  it('do not prove a piece that was corrupt for too long and has been written since', () => {
+    const checks = new StageChecks(1);
+    checks.noteIntact(0, 1_000, 1_100);
+    checks.noteCorrupt(0);
+    checks.noteIntact(0, 5_000, 5_100);
+    expect(checks.unproven({ from: 1_200, by: 4_900 }, [0])).toEqual([0]);
+    // What was sent after the write is not affected.
+    expect(checks.unproven({ from: 5_200, by: 5_300 }, [0])).toEqual([]);
+  });
+
+  it('prove a piece that was written again in time', () => {
+    const checks = new StageChecks(1);
+    checks.noteIntact(0, 1_000, 1_100);
+    checks.noteCorrupt(0);
+    checks.noteIntact(0, 2_000, 2_100);
+    expect(checks.unproven({ from: 1_200, by: 4_000 }, [0])).toEqual([]);
+  });
+
+  it('prove nothing before the order was accepted of a piece that a late write may overwrite', () => {
+    const checks = new StageChecks(2, new Set([1]));
+    for (const piece of [0, 1]) checks.noteIntact(piece, 1_000, 1_010);
+    const accepted = { from: 1_020, by: 1_030 };
+    expect(checks.unproven(accepted, [0, 1])).toEqual([1]);
+    checks.noteIntact(1, 1_040, 1_050);
+    expect(checks.unproven(accepted, [0, 1])).toEqual([]);
+  });
+});
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -97,6 +97,7 @@
   beforeEach(() => {
     time = new VirtualTime();
     engine = new DecayingEngine();
+    agent = new Agent(engine, new MemoryStore());
     hasServedCorrupt = false;
     setInterval(() => {
       hasServedCorrupt ||= agent.letsRequestsIn && engine.servesCorruptLayer;
@@ -217,6 +218,68 @@
     expect(hasServedCorrupt).toBe(false);
   });
 
+  /** An agent that has sent an order to an engine that stands still for 5 s is replaced; a piece becomes corrupt at once. */
+  async function replaceAgentWithOrderPending(newPlan: () => WeightsPlan): Promise<void> {
+    engine.holdFromStart(1);
+    let hasStood = false;
+    engine.onOrder = () => {
+      if (hasStood) return;
+      hasStood = true;
+      engine.standStill(5_000);
+      setTimeout(() => engine.corrupt(20), 50);
+      setTimeout(() => void agent.loader.stop(), 100);
+    };
+    await startAgent(2);
+    await time.runUntil(4_000);
+    expect(hasStood).toBe(true);
+    agent = new Agent(engine, await storedWeights());
+    await agent.loader.start();
+    agent.loader.applyPlan(newPlan());
+  }
+
+  it('gets no requests from an agent that replaced the one whose order was accepted late', async () => {
+    await replaceAgentWithOrderPending(() => plan(2));
+    expect(await runUntilServing(2, 30_000)).toBe(true);
+    await time.runUntil(performance.now() + 5_000);
+    expect(hasServedCorrupt).toBe(false);
+    expect(engine.servesCorruptLayer).toBe(false);
+  });
+
+  it('gets no requests from an agent that finds it loaded and is told of an unfinished switch', async () => {
+    engine.holdFromStart(1);
+    engine.corrupt(20);
+    // The previous agent's order was accepted late, as only an entry knows.
+    await time.runUntil(4_000);
+    const order = { model: 'm', version: 2, running: 'finish', expectedSequence: 0 } as const;
+    const { signal } = new AbortController();
+    for (let index = 0; index < PIECES; index++)
+      if (index !== 20) void engine.stage('m', index, pieceOf(2, index), signal);
+    await time.runUntil(4_500);
+    void engine.start(order, signal);
+    await time.runUntil(5_000);
+    expect(engine.servesCorruptLayer).toBe(true);
+    agent = new Agent(engine, await storedWeights());
+    agent.loader.applyPlan({ ...plan(2), hasUnfinishedSwitch: true });
+    await agent.loader.start();
+    expect(await runUntilServing(2, 30_000)).toBe(true);
+    expect(agent.report?.isProven).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+    expect(engine.servesCorruptLayer).toBe(false);
+  });
+
+  it('serves without another order once an agent that is told of an unfinished switch has read its stage back intact', async () => {
+    engine.holdFromStart(1);
+    agent = new Agent(engine, await storedWeights());
+    agent.loader.applyPlan({ ...plan(1), hasUnfinishedSwitch: true });
+    await agent.loader.start();
+    await time.runUntil(50);
+    expect(agent.letsRequestsIn).toBe(false);
+    expect(await runUntilServing(1, 10_000)).toBe(true);
+    expect(agent.report?.isProven).toBe(true);
+    expect(engine.accepted).toEqual([]);
+    expect(engine.writes).toBe(0);
+  });
+
   it.each([1, 2, 3])('serves while pieces become corrupt all the time: seed %i', async (seed) => {
     const random = seededRandom(seed);
     engine.holdFromStart(1);
--- a/test/weights/decaying-engine.ts
+++ b/test/weights/decaying-engine.ts
@@ -34,8 +34,6 @@
   return { model: 'm', version, pieceBytes: 32, digests };
 }
 
-type PartialOrder = StartOrder & { layers?: { from: number; end: number } };
-
 /** One order that the engine accepted. */
 export interface AcceptedOrder {
   at: number;
@@ -160,7 +158,7 @@
     return sent.ok ? success(bytes) : sent;
   }
 
-  async start(order: PartialOrder, signal: AbortSignal): Promise<Result<OrderOutcome, EngineError>> {
+  async start(order: StartOrder, signal: AbortSignal): Promise<Result<OrderOutcome, EngineError>> {
     this.onOrder();
     const outcome = await this.#handle(signal, CALL_TIME + this.orderDelay, () => this.#accept(order));
     return this.losesAnswers ? UNREACHABLE : outcome;
@@ -180,12 +178,12 @@
     });
   }
 
-  #accept({ version, expectedSequence, layers = { from: 0, end: LAYERS } }: PartialOrder): OrderOutcome {
+  #accept({ version, expectedSequence, layers = { from: 0, end: LAYERS } }: StartOrder): OrderOutcome {
     this.#finishLoad();
     if (this.#loading !== undefined || expectedSequence !== this.#sequence)
       return { type: 'refused', status: 409 };
     const held = this.#layers?.version === version ? this.#layers : undefined;
-    if (held?.from === layers.from && held.end === layers.end) return { type: 'taken' };
+    if (held?.from === layers.from && held.end === layers.end) return { type: 'held' };
     this.#sequence++;
     const now = performance.now();
     const [keptFrom, keptEnd] = [
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -8,6 +8,7 @@
 import { failure, success } from '../../src/model/result.js';
 import { type Log, silentLog } from '../../src/observability/log.js';
 import type { EngineReport, WeightsPlan } from '../../src/protocol/reports.js';
+import { LayerProofs } from '../../src/systems/layer-proofs.js';
 import type { ObservedEngine } from '../../src/systems/slot-table.js';
 import { EngineLoader } from '../../src/weights/engine-loader.js';
 import { EngineStage } from '../../src/weights/engine-stage.js';
@@ -104,19 +105,40 @@
 describe('an order', () => {
   it('is not sent to an engine that has restarted since its stage was read, even if the count of orders matches', async () => {
     const engine = new RestartingEngine();
-    const engineSwitch = new EngineSwitch({ engine, onState: () => {}, onChange: () => {}, log: silentLog });
+    const stage = new EngineStage(engine, silentLog);
+    const engineSwitch = new EngineSwitch({
+      engine,
+      stage,
+      onState: () => {},
+      onChange: () => {},
+      log: silentLog,
+    });
     const { value: state } = await engine.state();
+    const held = completeWeights(1);
+    await stage.fill(held, signal());
     engine.restart();
-    const check = await new EngineStage(engine, silentLog).verify(completeWeights(1), signal());
-    await engineSwitch.run({ target: { model: 'm', version: 1 }, state, served: 0, check }, signal());
+    const ending = await engineSwitch.run(
+      { held, state, served: 0, proofs: new LayerProofs(LAYERS) },
+      signal(),
+    );
+    expect(ending).toBe('restarted');
     expect(engine.orders).toEqual([]);
     expect(engineSwitch.isRunning).toBe(false);
   });
 
   it('is no longer awaited once the engine that accepted it has restarted', async () => {
     const engine = new RestartingEngine();
-    const engineSwitch = new EngineSwitch({ engine, onState: () => {}, onChange: () => {}, log: silentLog });
+    const stage = new EngineStage(engine, silentLog);
+    const engineSwitch = new EngineSwitch({
+      engine,
+      stage,
+      onState: () => {},
+      onChange: () => {},
+      log: silentLog,
+    });
     const { value: state } = await engine.state();
+    const held = completeWeights(1);
+    await stage.fill(held, signal());
     let isBusy = false;
     engine.state = async () => {
       const { value } = await RestartingEngine.prototype.state.call(engine);
@@ -126,8 +148,7 @@
       isBusy = true;
       return success({ type: 'taken' } as const);
     };
-    const check = await new EngineStage(engine, silentLog).verify(completeWeights(1), signal());
-    const order = { target: { model: 'm', version: 1 }, state, served: 0, check };
+    const order = { held, state, served: 0, proofs: new LayerProofs(LAYERS) };
     const running = engineSwitch.run(order, new AbortController().signal);
     await until(() => isBusy, 'the order');
     // The next start is busy too, with an order from another process.
