Soak: the stand-in engine in a file of its own

Change: StandInEngine, its constants and the end of its crashing answers move to engine.ts; what both files use is exported. Nothing else changes.

--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -2,12 +2,13 @@
 import { type Random, seededRandom } from '../../../src/model/random.js';
 import { COLD_STARTS } from './cold-starts.js';
 import { EVERYTHING } from './disruptions.js';
+import { StandInEngine } from './engine.js';
 import { EVACUATIONS } from './evacuations.js';
 import { drawBetween, type Fault, noCleanup, pick, type StartedFault } from './fault.js';
 import { BACKOFFS, LEAVING } from './notices.js';
 import { REGION_CHANGES } from './regions.js';
 import type { Stalls } from './stalls.js';
-import { PIECES, StandInEngine } from './workers.js';
+import { PIECES } from './workers.js';
 import {
   type ConfigurationShape,
   LONG_TIMEOUT,
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -10,12 +10,12 @@
 import { startStoreServer } from '../wire-store.js';
 import { COLD_RATE, COLD_SECONDS } from './cold-starts.js';
 import { Disruptions } from './disruptions.js';
+import { StandInEngine } from './engine.js';
 import { killAfterGrace } from './grace.js';
 import {
   type ColdPeriod,
   HEALTH_PATH,
   RunLog,
-  StandInEngine,
   StandInOrigin,
   StandInService,
   type StandInWorker,
