Soak: engines with 48 pieces that can be slow, late and stand still; WHOLE judged by the layers that requests use

Cause: engines made tokens with layers of which a piece had been corrupt for over 3 s when the order was accepted, and no soak could show it. Its engine had 8 pieces, answered its stage at once, accepted every order as it arrived and never stood still.

Change: the engine has 48 pieces and 16 layers. Reads and writes of its stage may take a drawn time; it may stand still and then handle what has arrived, in that order, also for senders that have given up; an order alone may be held back, and a write be carried out late. A piece that is corrupt keeps the time since which it has been so. The stage outlasts a crash of the engine, its count of orders and its layers do not; a loss of power loses the stage too. One more draw decides whether a restarted engine keeps its stage, so the draws of choices with restarts shift.

What is judged: each run records its layers, and each load the faults of its pieces. A run with a layer that was loaded with a piece missing, of another version, or corrupt for over 3 s is a violation, whatever its engine did to the order. Orders are judged as before, where the engine accepted them as they arrived. An order that it held back can't be judged by itself: its sender can't call it back, and pieces may turn corrupt meanwhile. The check is no weaker for it: what callers get from such an order is judged as from any other, missing pieces and other versions are never excused, and the check of runs also sees what was loaded after the acceptance, which the old one did not.

--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -3,6 +3,7 @@
 import { judgeAnswer, judgeMissingRoute, type SentRequest } from './soak/callers.js';
 import { judgeColdStarts } from './soak/cold-starts.js';
 import { Disruptions } from './soak/disruptions.js';
+import type { EngineLoad, PieceFault } from './soak/engine-stage.js';
 import { judgeEvacuations } from './soak/evacuations.js';
 import {
   judgeCuts,
@@ -13,6 +14,7 @@
 } from './soak/judges.js';
 import { judgeBackoffs, judgeLeaving } from './soak/notice-judges.js';
 import { judgeRegions } from './soak/regions.js';
+import { judgeOrders, judgeUsedLayers } from './soak/weights-judges.js';
 import { eventData, type Run, RunLog } from './soak/workers.js';
 import { RETRY_BUDGET, type SoakWorld } from './soak/world.js';
 
@@ -58,6 +60,7 @@
     path: '/long/1',
     body: '',
     version: 1,
+    layers: [],
     at: START,
     endedAt: START + 5_000,
     isAborted: false,
@@ -466,3 +469,44 @@
     expect(judgeColdStarts(world)).toEqual([]);
   });
 });
+
+describe('WHOLE', () => {
+  const corrupt = (age: number): PieceFault => ({ piece: 5, kind: 'corrupt', age });
+  const missing: PieceFault = { piece: 5, kind: 'missing', age: Number.POSITIVE_INFINITY };
+  const other: PieceFault = { piece: 5, kind: 'other', age: Number.POSITIVE_INFINITY };
+  const load = (fault: PieceFault, layer = 1): EngineLoad => ({
+    worker: 'i-1',
+    version: 2,
+    at: START,
+    orderDelay: 4_000,
+    faults: new Map([[layer, [fault]]]),
+  });
+  const use = (loaded: EngineLoad, layer = 1) =>
+    log.runs.push(
+      run('r1', { layers: [{ layer, load: loaded }] }),
+      run('r2', { layers: [{ layer, load: loaded }] }),
+    );
+
+  it('is a run with a layer that was loaded with a piece missing, of another version, or corrupt for over 3 s', () => {
+    for (const fault of [corrupt(3_100), missing, other]) use(load(fault));
+    expect(judgeUsedLayers(world)).toEqual([
+      'WHOLE: 2 runs at i-1 used version 2 (loaded at 100000 ms, its order 4000 ms late), pieces: 5 corrupt for 3100 ms',
+      'WHOLE: 2 runs at i-1 used version 2 (loaded at 100000 ms, its order 4000 ms late), pieces: 5 missing',
+      'WHOLE: 2 runs at i-1 used version 2 (loaded at 100000 ms, its order 4000 ms late), pieces: 5 other',
+    ]);
+  });
+
+  it('is none with a piece that was corrupt for less, or of a layer that was loaded anew', () => {
+    use(load(corrupt(2_900)));
+    use(load(corrupt(9_000), 1), 2);
+    expect(judgeUsedLayers(world)).toEqual([]);
+  });
+
+  it('is an order that was accepted as it arrived with such a piece, whether or not a run uses it', () => {
+    const order = { worker: 'i-1', version: 2, at: START, isHeldBack: false };
+    for (const fault of [corrupt(3_100), missing, other, corrupt(2_900)])
+      log.orders.push({ ...order, faults: [fault] });
+    log.orders.push({ ...order, isHeldBack: true, faults: [corrupt(9_000)] });
+    expect(judgeOrders(world)).toHaveLength(3);
+  });
+});
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -322,7 +322,7 @@
 /** Restarts the worker at `place` under its id. */
 function restart(world: SoakWorld, random: Random, place: number): void {
   const clockError = random.below(4) === 0 ? CLOCK_ERROR : 0;
-  void world.restartWorker(place, clockError, random.below(2) === 0);
+  void world.restartWorker(place, clockError, random.below(2) === 0, random.below(4) > 0);
 }
 
 /** Restarts an engine as soon as `isInState` holds for it. */
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -27,6 +27,7 @@
 import { judgeCuts, judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
 import { judgeBackoffs, judgeLeaving } from './notice-judges.js';
 import { drawRegions, judgeRegions } from './regions.js';
+import { judgeOrders, judgeUsedLayers } from './weights-judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
 
 const SECOND = 1_000;
@@ -136,7 +137,7 @@
 }
 
 async function playSeed({ seed, seconds, folder, size, ...plan }: SeedPlan): Promise<SeedOutcome> {
-  const world = new SoakWorld(folder, 1 + (seed % SUBNETS), size);
+  const world = new SoakWorld(folder, 1 + (seed % SUBNETS), size, seed);
   const faults = plan.faults ?? defaultFaults(seed);
   const random = seededRandom(MOVES_ROUTE.has(faults) ? scatterSeed(seed) : seed);
   const probes: SentRequest[] = [];
@@ -186,6 +187,8 @@
       ...judgeEvacuations(world, sent),
       ...judgeRegions(world, sent),
       ...judgeColdStarts(world),
+      ...judgeUsedLayers(world),
+      ...judgeOrders(world),
       ...world.log.violations,
       ...world.violations,
       ...(deadly?.judge() ?? []),
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -4,12 +4,13 @@
  */
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AcceptedOrder, LoadedLayer } from './engine-stage.js';
 import { type Continuation, Stalls } from './stalls.js';
 
 /** Number of pieces of a version, and of layers of the model. */
-export const PIECES = 8;
-export const LAYERS = 4;
-export const PIECE_BYTES = 4_096;
+export const PIECES = 48;
+export const LAYERS = 16;
+const PIECE_BYTES = 4_096;
 /** Default number of events of a stream, and the default interval between them in milliseconds. */
 const EVENTS = 6;
 const EVENT_INTERVAL = 15;
@@ -48,6 +49,8 @@
   body: string;
   /** Version of the weights that ran it; 0 for a plain service. */
   version: number;
+  /** The layers of the engine that ran it; none for a plain service. */
+  layers: readonly LoadedLayer[];
   at: number;
   /** When the run ended; undefined while it is in progress. */
   endedAt: number | undefined;
@@ -121,6 +124,7 @@
   onCrash: (worker: string) => void = () => {};
   readonly runs: Run[] = [];
   readonly arrivals: Arrival[] = [];
+  readonly orders: AcceptedOrder[] = [];
   readonly limits: RateLimitPeriod[] = [];
   readonly evacuations: EvacuationPeriod[] = [];
   readonly coldPeriods: ColdPeriod[] = [];
@@ -249,9 +253,9 @@
   abstract record(): object;
 
   /** Records the arrival of a request; returns false if the worker sheds it. */
-  protected admits(request: IncomingMessage): boolean {
+  protected admits(request: IncomingMessage, at = performance.now()): boolean {
     const { id: worker, born, service } = this;
-    this.log.arrivals.push({ requestId: requestIdOf(request), service, worker, born, at: performance.now() });
+    this.log.arrivals.push({ requestId: requestIdOf(request), service, worker, born, at });
     // Shed requests are evenly spaced, so that they depend only on the share.
     const before = Math.floor(this.#offered * this.shedShare);
     return Math.floor(++this.#offered * this.shedShare) === before;
@@ -299,7 +303,12 @@
   }
 
   /** Records a run; returns it with the signature of its response. */
-  protected run(request: IncomingMessage, body: Buffer, version: number): { run: Run; seal: string } {
+  protected run(
+    request: IncomingMessage,
+    body: Buffer,
+    version: number,
+    layers: readonly LoadedLayer[] = [],
+  ): { run: Run; seal: string } {
     const run: Run = {
       requestId: requestIdOf(request),
       worker: this.id,
@@ -309,6 +318,7 @@
       path: request.url ?? '',
       body: body.toString('utf8'),
       version,
+      layers,
       at: performance.now(),
       endedAt: undefined,
       isAborted: false,
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -7,14 +7,17 @@
 import { join } from 'node:path';
 import { CuttableLink } from '../../../bench/processes/cuttable-link.js';
 import { MemoryStore } from '../../../emulator/store/memory-store.js';
+import { hash32, seededRandom } from '../../../src/model/random.js';
 import { startStoreServer } from '../wire-store.js';
 import { COLD_RATE, COLD_SECONDS } from './cold-starts.js';
 import { Disruptions } from './disruptions.js';
-import { StandInEngine } from './engine.js';
+import { type EngineOptions, StandInEngine } from './engine.js';
 import { killAfterGrace } from './grace.js';
 import {
   type ColdPeriod,
   HEALTH_PATH,
+  LAYERS,
+  PIECES,
   RunLog,
   StandInOrigin,
   StandInService,
@@ -120,6 +123,7 @@
   readonly #stopOnExit = () => this.stop();
   readonly #folder: string;
   readonly #subnet: number;
+  readonly #seed: number;
   #origin: StandInOrigin;
   #stopStore: () => void = () => {};
   #heartbeat: NodeJS.Timeout | undefined;
@@ -130,6 +134,7 @@
   #weightsVersion = 1;
   #heartbeats = 0;
   #workersStarted = 0;
+  #enginesStarted = 0;
   /** Places whose worker has ended and whose successor is not running yet. */
   readonly #beingReplaced = new Set<number>();
   #stopped = false;
@@ -137,9 +142,13 @@
   readonly #graceTimers = new Set<() => void>();
   readonly #isStopping = new WeakSet<ChildProcess>();
 
-  /** @param subnet - 1 to 250: the loopback network 127.`subnet`.0.0 is used */
-  constructor(folder: string, subnet: number, size: WorldSize) {
+  /**
+   * @param subnet - 1 to 250: the loopback network 127.`subnet`.0.0 is used
+   * @param seed - seed of the engines' times and traits
+   */
+  constructor(folder: string, subnet: number, size: WorldSize, seed: number) {
     this.#size = size;
+    this.#seed = seed;
     this.#folder = folder;
     this.#subnet = subnet;
     this.#origin = new StandInOrigin(this.#address(9, 1, 8_000));
@@ -306,7 +315,14 @@
           name: 'engines',
           max_conns: 100,
           ...warmUp,
-          engine: { slots: 8, models: [{ name: 'm' }], layers: 4, chunks: 8, chunk_bytes: 4_096, step_ms: 1 },
+          engine: {
+            slots: 8,
+            models: [{ name: 'm' }],
+            layers: LAYERS,
+            chunks: PIECES,
+            chunk_bytes: 4_096,
+            step_ms: 1,
+          },
         },
         { name: 'plain', max_conns: 100, health_path: HEALTH_PATH, ...warmUp },
         { name: 'weights', origin: this.#origin.address },
@@ -352,6 +368,18 @@
     return !down && !silent && !losesAnswers && !this.#isRestoring;
   }
 
+  /** The engines that run at present, with their places. */
+  engines(): Array<{ engine: StandInEngine; place: number }> {
+    return this.workers.flatMap(({ worker }, place) =>
+      worker instanceof StandInEngine ? [{ engine: worker, place }] : [],
+    );
+  }
+
+  /** The agent next to the engine at `place`. */
+  agentOf(place: number): SystemProcess {
+    return this.processes.find(({ name }) => name === `agent-${place + 1}`)!;
+  }
+
   /** Starts a process, and restarts it whenever it exits. */
   spawn(started: SystemProcess): void {
     if (this.#stopped || !started.isWanted) return;
@@ -428,11 +456,17 @@
   }
 
   /**
-   * Crashes a worker and restarts it at once under its id, with no weights loaded or staged.
+   * Crashes a worker and restarts it at once under its id, with no weights loaded.
+   * @param keepsStage - whether the stage of an engine outlasts the crash; it does not outlast a loss of power
    * @param clockError - error of its clock after the restart, in milliseconds
    * @param isRegisteredAtOnce - whether its new record is written to the store at once; otherwise its own report may come first
    */
-  async restartWorker(place: number, clockError: number, isRegisteredAtOnce: boolean): Promise<void> {
+  async restartWorker(
+    place: number,
+    clockError: number,
+    isRegisteredAtOnce: boolean,
+    keepsStage: boolean,
+  ): Promise<void> {
     if (this.#beingReplaced.has(place)) return;
     this.#beingReplaced.add(place);
     const { worker, zone, link } = this.workers[place];
@@ -444,7 +478,7 @@
     const options = { id, service, address, log: this.log, clockError };
     const next =
       worker instanceof StandInEngine
-        ? new StandInEngine({ ...options, version: 0 })
+        ? this.#createEngine({ ...options, version: 0, stage: keepsStage ? worker.stage : undefined })
         : new StandInService(options);
     this.workers[place] = { worker: next, zone, link };
     await next.start();
@@ -464,7 +498,7 @@
   /** Ends a worker that is leaving and restarts it under its id, so that it may be used again. */
   endLeaving(place: number): void {
     this.disruptions.record([this.workers[place].worker.id], LEAVING_END_TIME);
-    void this.restartWorker(place, 0, true);
+    void this.restartWorker(place, 0, true, true);
   }
 
   /** Removes a worker's record; its next heartbeat writes it again. */
@@ -487,6 +521,7 @@
       worker.shedRetryAfter = undefined;
       worker.rateLimit = undefined;
       worker.stalls.clear();
+      if (worker instanceof StandInEngine) worker.endFaults();
     }
     for (const [place, { worker }] of this.workers.entries())
       if (worker.statesLeaving) this.endLeaving(place);
@@ -499,10 +534,15 @@
     return `127.${this.#subnet}.${kind}.${index}:${port}`;
   }
 
+  #createEngine(options: EngineOptions): StandInEngine {
+    const random = seededRandom(hash32(`engine ${this.#seed} ${options.id} ${++this.#enginesStarted}`));
+    return new StandInEngine({ ...options, random });
+  }
+
   async #addEngine(index: number, version: number, place = this.workers.length): Promise<void> {
     const id = `i-engine-${++this.#workersStarted}`;
     const address = this.#address(3, index, 8_001);
-    const worker = new StandInEngine({ id, service: 'engines', address, log: this.log, version });
+    const worker = this.#createEngine({ id, service: 'engines', address, log: this.log, version });
     await this.#register(worker, index, place, this.#address(5, index, 8_001));
   }
 
