Soak: the choice `weights`, with faults around every order to load a version

Cause: the faults of the soak seldom met an order: one random piece turned corrupt now and then, engines never stood still, and agents were paused for 2.5 s at most. Change: `--faults weights` plays slow stages, corruption and new versions all the time, and draws versions in series, engines that stand still, late orders and writes, agents that are stopped or end at a call to their engine, and restarts of engines with pieces staged. When the other faults have ended, another version is named and must be served while pieces go on turning corrupt. Seeds are scattered, since those of adjacent numbers draw similar faults at first.

--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -8,6 +8,7 @@
 import { BACKOFFS, LEAVING } from './notices.js';
 import { REGION_CHANGES } from './regions.js';
 import type { Stalls } from './stalls.js';
+import { WEIGHTS_FAULTS } from './weights-faults.js';
 import { PIECES } from './workers.js';
 import {
   type ConfigurationShape,
@@ -395,6 +396,9 @@
   },
 ];
 
+/** Restarts of engines with a version under way. */
+const RESTARTS_OF_STAGED = RESTARTS.filter(({ name }) => name.startsWith('engine restarted while'));
+
 /** The store is restored from an older copy, alone and together with a replaced worker, a new version and a new configuration. */
 const STORE_RESTORES: Fault[] = [
   {
@@ -613,6 +617,8 @@
 
 /** Longest pause between two faults, in milliseconds; faults that last longer overlap. */
 const MAX_FAULT_PAUSE = 900;
+/** The same for faults that need an order under way, of which there are few. */
+const MAX_WEIGHTS_FAULT_PAUSE = 2_000;
 
 /** Set of faults that a seed runs. With `planned` nothing excuses a request that is harmed. */
 export type FaultChoice =
@@ -628,7 +634,11 @@
   | 'regions'
   | 'cold'
   | 'stalls'
-  | 'mixed';
+  | 'mixed'
+  | 'weights';
+
+/** Choices whose draws differ much between adjacent seeds. */
+export const SCATTERS_SEED: ReadonlySet<FaultChoice> = new Set(['stalls', 'mixed', 'weights']);
 
 /** Choices in which configurations move a route that callers use. */
 export const MOVES_ROUTE: ReadonlySet<FaultChoice> = new Set(['stalls', 'mixed']);
@@ -675,6 +685,8 @@
   cold: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...RESTARTS, ...repeat(COLD_STARTS, 2)],
   stalls: [...PLANNED, ...repeat(CONFIGURATIONS, 3), ...repeat(STALLS, 3)],
   mixed: [...PLANNED, ...UNPLANNED, ...CONFIGURATIONS, ...STALLS, ...STALLS],
+  // Meanwhile stages are slow, pieces turn corrupt and versions are named: see `weights-faults.ts`.
+  weights: [...repeat(WEIGHTS_FAULTS, 2), ...RESTARTS_OF_STAGED],
   drills: [
     ...PLANNED,
     ...UNPLANNED,
@@ -696,10 +708,11 @@
   const timeline: string[] = [];
   const startedAt = performance.now();
   const faults = FAULTS[choice];
+  const maxPause = choice === 'weights' ? MAX_WEIGHTS_FAULT_PAUSE : MAX_FAULT_PAUSE;
   const replaced = new Set<string>();
   let seriesEndAt = startedAt;
   while (!signal.aborted) {
-    await new Promise((resolve) => setTimeout(resolve, random.below(MAX_FAULT_PAUSE)));
+    await new Promise((resolve) => setTimeout(resolve, random.below(maxPause)));
     if (signal.aborted) break;
     const fault = pick(faults, random);
     // No worker is replaced while another replacement is still under way.
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -3,7 +3,7 @@
  * faults end, all entries must serve according to the newest configuration and version again within a time limit.
  *
  * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|
- * leaving|backoffs|evacuations|regions|cold|stalls|mixed]
+ * leaving|backoffs|evacuations|regions|cold|stalls|mixed|weights]
  * [--kept]` prints each seed's outcome. For a seed with violations it also prints the timeline of faults and keeps the logs, and the
  * exit code is 1.
  */
@@ -23,10 +23,11 @@
 import { DeadlyContent } from './deadly-content.js';
 import { DeadlyPart } from './deadly-part.js';
 import { judgeEvacuations } from './evacuations.js';
-import { EXCLUDES_WORKERS, type FaultChoice, injectFaults, MOVES_ROUTE } from './faults.js';
+import { EXCLUDES_WORKERS, type FaultChoice, injectFaults, MOVES_ROUTE, SCATTERS_SEED } from './faults.js';
 import { judgeCuts, judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
 import { judgeBackoffs, judgeLeaving } from './notice-judges.js';
 import { drawRegions, judgeRegions } from './regions.js';
+import { WeightsTrouble } from './weights-faults.js';
 import { judgeOrders, judgeUsedLayers } from './weights-judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
 
@@ -136,10 +137,23 @@
   return unused();
 }
 
+/** Names another version while pieces keep turning corrupt, which must be served all the same; then ends the trouble. */
+async function judgeService(
+  world: SoakWorld,
+  trouble: WeightsTrouble,
+  sent: SentRequest[],
+): Promise<string[]> {
+  world.declareNextVersion();
+  const served = await waitUntilConverged(world, RECOVERY_LIMIT, sent);
+  trouble.stop();
+  world.clearFaults();
+  return typeof served === 'string' ? [`RECOVER: while pieces turn corrupt: ${served}`] : [];
+}
+
 async function playSeed({ seed, seconds, folder, size, ...plan }: SeedPlan): Promise<SeedOutcome> {
   const world = new SoakWorld(folder, 1 + (seed % SUBNETS), size, seed);
   const faults = plan.faults ?? defaultFaults(seed);
-  const random = seededRandom(MOVES_ROUTE.has(faults) ? scatterSeed(seed) : seed);
+  const random = seededRandom(SCATTERS_SEED.has(faults) ? scatterSeed(seed) : seed);
   const probes: SentRequest[] = [];
   let deadly: DeadlyContent | undefined;
   let deadlyPart: DeadlyPart | undefined;
@@ -160,8 +174,13 @@
       deadlyPart = new DeadlyPart(world, seededRandom(scatterSeed(seed)));
       running.push(deadly.run(), deadlyPart.run());
     }
+    const trouble =
+      faults === 'weights' ? new WeightsTrouble(world, seededRandom(scatterSeed(seed))) : undefined;
+    trouble?.start();
     const timeline = await injectFaults(world, random, AbortSignal.timeout(seconds * SECOND), faults);
+    trouble?.stopVersions();
     world.clearFaults();
+    const troubled = trouble === undefined ? undefined : await judgeService(world, trouble, probes);
     // Recovery is timed from the end of the planned stops in progress, which belong to the faults.
     await world.untilStopped();
     const recovered = await waitUntilConverged(world, RECOVERY_LIMIT, probes);
@@ -189,6 +208,7 @@
       ...judgeColdStarts(world),
       ...judgeUsedLayers(world),
       ...judgeOrders(world),
+      ...(troubled ?? []),
       ...world.log.violations,
       ...world.violations,
       ...(deadly?.judge() ?? []),
