--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -625,8 +625,8 @@
   {
     fault: 'pieces that were laid while the engine started again count as staged',
     file: 'src/weights/engine-stage.ts',
-    find: 'if (generation === this.#generation) this.#version = version;',
-    replace: 'this.#version = version;',
+    find: 'if (generation !== this.#generation) return;',
+    replace: '',
     test: 'test/weights/engine-restart.test.ts',
   },
   {
