Interface: proof of weights in engine reports, unfinished switches in plans and entry reports

Fields by which an entry can tell an agent that its predecessor announced a switch and did not report its end, and by which the agent says that the weights are proven. Nothing sets or reads them yet.

- `WeightsPlan.hasUnfinishedSwitch`: the agent reports `isSwitching` from its receipt until it has proven the weights.
- `EngineReport.isProven`: this agent process has itself proven the loaded weights.
A new agent's reports from before its first plan have it false, so that they cannot end a switch that another process began.
- `EngineReport.agent` and `stamp`, set by the entry that receives a report: they tell agent processes apart and order reports that arrive through different entries.
Handlers of connections get the stamp of each message for this.
- `EntryReport.unfinishedSwitches`: for entries that have just started or were cut off.

All are fields of nested objects, which are sent with their names: earlier releases pass them on or ignore them.

--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -4,13 +4,13 @@
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
 import { type RawData, WebSocket, WebSocketServer } from 'ws';
-import type { HybridClock } from '../model/hybrid-clock.js';
+import type { HybridClock, Stamp } from '../model/hybrid-clock.js';
 import { failure, type Result, success } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
 import { Ticker } from '../model/ticker.js';
 import { startLimit } from '../model/time-limit.js';
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
-import { decode, encode } from './codec.js';
+import { decode, encode, type StampedMessage } from './codec.js';
 import type { HelloMessage, Message } from './messages.js';
 
 /** Interval between heartbeats, in milliseconds. */
@@ -103,13 +103,13 @@
   #lastSentAt = performance.now();
   #lastPingAt = performance.now();
   #open = true;
-  #handler: ((message: Message) => void) | undefined;
+  #handler: ((message: Message, stamp: Stamp) => void) | undefined;
   /** Encoded messages to be sent in the next frame. */
   #outgoing: Buffer[] = [];
   /** Traffic class to which the overhead of the next frame is counted. */
   #frameClass: TrafficClass = 'control';
   /** Messages received before a handler was set. */
-  #pending: Message[] = [];
+  #pending: StampedMessage[] = [];
 
   constructor(socket: WebSocket, remote: HelloMessage, context: ConnectionContext, dialled: boolean) {
     this.#dialled = dialled;
@@ -136,10 +136,10 @@
     return heartbeats.runningTime(this.#lastReceivedAt, performance.now());
   }
 
-  /** Sets the message handler and passes it the messages received so far. */
-  handleMessages(handler: (message: Message) => void): void {
+  /** Sets the message handler and passes it the messages received so far, each with the stamp of the sender's clock. */
+  handleMessages(handler: (message: Message, stamp: Stamp) => void): void {
     this.#handler = handler;
-    for (const message of this.#pending.splice(0)) this.#handle(handler, message);
+    for (const { message, stamp } of this.#pending.splice(0)) this.#handle(handler, message, stamp);
   }
 
   /** Bytes queued for sending that the operating system has not accepted yet. */
@@ -203,15 +203,15 @@
     for (const { message, stamp } of decoded.messages) {
       clock.observe(stamp);
       counters[`${trafficClassOf(message)}Received`] += bytes;
-      if (this.#handler === undefined) this.#pending.push(message);
-      else this.#handle(this.#handler, message);
+      if (this.#handler === undefined) this.#pending.push({ message, stamp });
+      else this.#handle(this.#handler, message, stamp);
     }
   }
 
   /** Closes the connection if the handler throws, so that a bad message cannot end the process. */
-  #handle(handler: (message: Message) => void, message: Message): void {
+  #handle(handler: (message: Message, stamp: Stamp) => void, message: Message, stamp: Stamp): void {
     try {
-      handler(message);
+      handler(message, stamp);
     } catch {
       this.#context.counters.malformedMessages++;
       this.close();
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -1,6 +1,7 @@
 /** Reports about themselves that entries and agents of directly called back ends exchange. */
 import type { StoreRevision } from '../clients/store-revision.js';
 import type { BackEndIdentity } from '../model/back-end-identity.js';
+import type { Stamp } from '../model/hybrid-clock.js';
 import type { WarmUp } from '../model/warm-up.js';
 import type { DeclaredPace } from '../systems/wait-policy.js';
 
@@ -52,7 +53,25 @@
   version: number;
   /** The engine answers its agent, so this report takes precedence over the list of back ends. */
   isReached: boolean;
+  /**
+   * The engine must get no requests: its agent is about to order it to load a version, it carries out an order, or the weights
+   * that it loaded by one are not proven yet. Reported before the order is sent.
+   */
   isSwitching: boolean;
+  /**
+   * This agent process has itself proven, at this start of the engine, the weights that the engine holds. False as long as it has
+   * not: in all reports before its first proof, also if it has found no reason for doubt, and again from an order until the
+   * layers that this loads are proven. Entries need it only to forget an unfinished switch ({@link UnfinishedSwitch}) of another
+   * agent process: an engine that is not proven gets requests if none is known. Absent from earlier releases.
+   */
+  isProven?: boolean;
+  /** Identity of the agent process; set by the entry that received the report from it, absent from earlier releases. */
+  agent?: string;
+  /**
+   * Stamp of the message in which the agent sent the report, by which receivers order reports on one engine that reach them
+   * through different entries; set like `agent`.
+   */
+  stamp?: Stamp;
   /** Requests of all callers that run or wait at the engine. */
   load: number;
   /** Time until the engine is ordered to switch to another version, in milliseconds; undefined if no switch is due. */
@@ -63,6 +82,21 @@
   held: HeldPieces[];
 }
 
+/**
+ * A switch that an agent process has announced for one start of its engine and of which it has not reported the end: the engine may
+ * hold weights that are not proven.
+ */
+export interface UnfinishedSwitch {
+  /** Address at which the engine accepts requests. */
+  address: string;
+  /** The start of the engine; undefined if it does not report it. */
+  start?: BackEndIdentity['start'];
+  /** Identity of the agent process; empty if it is unknown. */
+  agent: string;
+  /** Stamp of the report that announced the switch; 0 if it is unknown. */
+  stamp: Stamp;
+}
+
 /** The report that an entry sends about itself several times per second. */
 export interface EntryReport {
   id: string;
@@ -90,6 +124,11 @@
   engines: EngineReport[];
   /** All evacuations that the entry knows of; absent if there are none, and from earlier releases. */
   evacuations?: ZoneEvacuation[];
+  /**
+   * All unfinished switches that the entry knows of; only in the first report on each connection, as all entries hear of later ones
+   * from the agents' reports. Absent if there are none, and from earlier releases.
+   */
+  unfinishedSwitches?: UnfinishedSwitch[];
 }
 
 /** State that an agent needs to load and distribute weights. */
@@ -131,4 +170,13 @@
   hasNearEntry: boolean;
   /** Whether the agent's zone is evacuated; absent if the sender does not know, and from earlier releases. */
   evacuation?: ZoneEvacuation | undefined;
+  /**
+   * A previous agent process of this engine has announced a switch for the start in the agent's latest report, and has not reported
+   * its end: the engine may hold weights that are not proven, or may still carry out an order of that process. The agent reports
+   * `isSwitching` from the receipt of such a plan until it has proven the weights, then `isProven` and no longer `isSwitching`.
+   * Plans repeat this until the entry has received that report, so one that arrives after the agent's own proof asks for no
+   * other. Absent if the entry knows of no such switch, if the agent has not reported yet, and from earlier releases: this
+   * does not tell that there was none.
+   */
+  hasUnfinishedSwitch?: boolean;
 }
