Keep an engine out of use until the switch that its agent announced has ended

What callers saw: answers from weights that nobody has proven. An agent announced a switch and was killed while the engine carried its order out. Its successor's first report, sent as it connects and before it has read anything, says that the engine does not switch. Entries took that for the end of the switch and used the engine by the list, which shows the new version as soon as the engine has loaded it, intact or not.

Cause: the latest report replaced all others, whichever process sent it and whatever it knew.

`EngineSwitches` (pure, one a start of an engine) keeps each announced switch until the process that announced it reports its end, or another one reports that it has proven the weights itself (`isProven`). Stamps of the agents' clocks order reports that arrive through different entries, so that one from before the announcement, still passed on by an entry that has lost the agent, ends nothing. Nothing ends by age; a restart of the engine does, as it gets a new row. The check no longer depends on what the configuration declares.

Agents of earlier releases send no `isProven`: their reports end a switch as before. Reports through entries of earlier releases carry no stamp and count as the latest, as before.

Evidence: test/forwarding/unfinished-switch.test.ts, "while the next agent has not proven the weights", failed before: `AssertionError: expected true to be false` (the engine got requests).

--- a/src/forwarding/back-end-eligibility.ts
+++ b/src/forwarding/back-end-eligibility.ts
@@ -7,7 +7,7 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import { type AllowedRegions, allowsRegion } from '../systems/allowed-regions.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
-import { type BackEndRow, type BackEndTable, loadOf } from './back-end-table.js';
+import { type BackEndRow, type BackEndTable, isInSwitch, loadOf } from './back-end-table.js';
 import type { VersionExclusion, VersionRequirements, VersionRules } from './version-rules.js';
 
 /**
@@ -47,6 +47,7 @@
   | 'connections'
   | 'full'
   | 'rateLimited'
+  | 'switching'
   | VersionExclusion;
 
 /** Reasons that may no longer apply after a wait. */
@@ -89,6 +90,8 @@
     if (!this.#options.backoffs.admits(record, now, requirements.isLastResort)) return 'backingOff';
     if (!health.admits(now, requirements.isRepeatable)) return 'suspended';
     if (row.inFlight >= this.#connectionShare(record.service)) return 'connections';
+    // Whatever the configuration declares: it may have dropped the engine during the switch.
+    if (isInSwitch(row)) return 'switching';
     const engine = this.engineOf(requirements);
     const exclusion =
       engine === undefined ? undefined : this.#options.versions.exclusionOf(row, engine, requirements, now);
--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -7,8 +7,9 @@
 import type { BackEndChange } from '../fleet/back-end-list.js';
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
 import type { BackEndRecord, HeldLayers } from '../protocol/back-end-list-state.js';
-import type { BackEndLoad } from '../protocol/reports.js';
+import type { BackEndLoad, UnfinishedSwitch } from '../protocol/reports.js';
 import { CapacityForecast } from '../systems/capacity-forecast.js';
+import { EngineSwitches, type SwitchReport } from '../systems/engine-switches.js';
 import { HoldRecord } from '../systems/hold-record.js';
 import { WaitPolicy } from '../systems/wait-policy.js';
 import type { ConnectionLoss } from './back-end-connection.js';
@@ -33,7 +34,7 @@
 const MAX_REMOVED = 1_000;
 
 /** The state of an engine as reported by its agent. */
-export interface EngineNews {
+export interface EngineNews extends SwitchReport {
   /** The start of the engine that the report describes; undefined if the agent does not state it. */
   start?: BackEndIdentity['start'];
   /** The version of which the engine holds all layers; 0 if none or unknown. */
@@ -83,6 +84,8 @@
   answeredSends: Map<number, number>;
   /** The latest report of its agent. */
   news: EngineNews | undefined;
+  /** The switches to other versions that its agents have announced. */
+  switches: EngineSwitches;
   /** The agent that grants its slots; undefined if none is known. */
   agent: SlotAgent | undefined;
   /** The waits for slots of all back ends of its service. */
@@ -184,14 +187,23 @@
   /** Applies an agent's report on the engine at `address`. */
   applyReport(address: string, news: EngineNews): void {
     for (const row of this.#rowsByAddress.get(address) ?? []) {
-      if (!isSameStart(row.record.start, news.start)) continue;
-      if (row.news?.version !== news.version) row.health.noteVersionReport();
-      row.news = news;
-      if (news.slotAddress !== (row.agent?.address ?? ''))
-        row.agent = news.slotAddress === '' ? undefined : new SlotAgent(news.slotAddress);
+      if (isSameStart(row.record.start, news.start)) applyNews(row, news);
     }
   }
 
+  /** Applies a switch that another entry knows to be unfinished. */
+  applyUnfinishedSwitch({ id, start, ...announced }: UnfinishedSwitch): void {
+    const row = this.rows.get(id);
+    if (row !== undefined && isSameStart(row.record.start, start)) row.switches.applyUnfinished(announced);
+  }
+
+  /** The unfinished switches of all engines, to report to other entries. */
+  unfinishedSwitches(): UnfinishedSwitch[] {
+    return [...this.rows.values()].flatMap(({ record: { id, start }, switches }) =>
+      switches.unfinished.map((announced) => ({ id, start, ...announced })),
+    );
+  }
+
   /** Applies another entry's report of its requests in flight. */
   applyLoads(entry: string, loads: readonly BackEndLoad[]): void {
     for (const [row, inFlight] of this.#loadsOf.get(entry) ?? []) row.inFlightElsewhere -= inFlight;
@@ -342,11 +354,29 @@
     progressAt: performance.now(),
     answeredSends: new Map(),
     news: undefined,
+    switches: new EngineSwitches(),
     agent: undefined,
     waits,
   };
 }
 
+function applyNews(row: BackEndRow, news: EngineNews): void {
+  if (!row.switches.apply(news)) return;
+  if (row.news?.version !== news.version) row.health.noteVersionReport();
+  row.news = news;
+  if (news.slotAddress !== (row.agent?.address ?? ''))
+    row.agent = news.slotAddress === '' ? undefined : new SlotAgent(news.slotAddress);
+}
+
+/**
+ * Whether `row` is an engine that switches to another version, or may have done so with weights that are not proven. It gets
+ * no requests of any kind.
+ */
+export function isInSwitch({ record, news, switches }: BackEndRow): boolean {
+  if (news?.isSwitching === true || switches.isUnfinished) return true;
+  return record.layers !== undefined && switches.hasSwitchedTo(record.layers.version);
+}
+
 /**
  * The version of which `row` holds all layers, or 0 if none: the version that its agent has recently read from the
  * engine, or else the later of the listed and the reported one. The list still names the version of an engine that
--- a/src/forwarding/capacity-estimator.ts
+++ b/src/forwarding/capacity-estimator.ts
@@ -6,7 +6,7 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { AllowedRegions } from '../systems/allowed-regions.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
-import { type BackEndRow, type BackEndTable, completeVersion } from './back-end-table.js';
+import { type BackEndRow, type BackEndTable, completeVersion, isInSwitch } from './back-end-table.js';
 
 /** Assumed time to the first answer of a back end that has not answered yet, in milliseconds. */
 const DEFAULT_FIRST_ANSWER = 100;
@@ -82,7 +82,7 @@
 
   /** Whether an engine takes requests now, or at the end of its back-off. */
   #serves(row: BackEndRow, engine: EngineShape, backoff: number, now: number): boolean {
-    if (!this.#holdsAllowedVersion(row, engine, now) || row.news?.isSwitching === true) return false;
+    if (!this.#holdsAllowedVersion(row, engine, now) || isInSwitch(row)) return false;
     // The refusal that asked for the back-off has paused it too, for a shorter time.
     return backoff > 0 || row.health.admits(now, true);
   }
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -24,7 +24,7 @@
 import { AttemptWatch } from './attempt-watch.js';
 import { BackEndSearch, type PendingRequest } from './back-end-search.js';
 import type { Selection } from './back-end-selector.js';
-import { type BackEndRow, loadOf } from './back-end-table.js';
+import { type BackEndRow, isInSwitch, loadOf } from './back-end-table.js';
 import type { BackEndUse } from './back-end-use.js';
 import { CallerAnswer } from './caller-answer.js';
 import { type CallerBody, isTooLarge, readCallerBody } from './caller-body.js';
@@ -189,7 +189,7 @@
   #moveOffSwitchingEngine(now: number): void {
     if (this.#openAttempts.size !== 1 || now < this.#nextSearchAt) return;
     const [use] = this.#openAttempts.all();
-    if (!this.#answer.isEventStream || use.row.news?.isSwitching !== true) return;
+    if (!this.#answer.isEventStream || !isInSwitch(use.row)) return;
     // Another engine must resume the stream with the same version, so the version must be known.
     if (this.#policy.version === undefined || !this.#policy.mayRunAgain) return;
     if (!this.#policy.maySendAgain) return this.#endSearch('no budget');
--- a/src/forwarding/version-rules.ts
+++ b/src/forwarding/version-rules.ts
@@ -30,7 +30,7 @@
 }
 
 /** Why the version that an engine holds excludes it. */
-export type VersionExclusion = 'switching' | 'noWeights' | 'expired' | 'otherVersion';
+export type VersionExclusion = 'noWeights' | 'expired' | 'otherVersion';
 
 export interface VersionRulesOptions {
   fleet: Pick<FleetView, 'routes' | 'versions'>;
@@ -54,7 +54,6 @@
     requirements: VersionRequirements,
     now: number,
   ): VersionExclusion | undefined {
-    if (row.news?.isSwitching === true) return 'switching';
     const version = completeVersion(row, engine.layers);
     if (version === 0) return 'noWeights';
     // The margin is computed only for a version that will expire: for all engines it would be the most expensive check.
--- a/src/peers/engine-agents.ts
+++ b/src/peers/engine-agents.ts
@@ -51,12 +51,13 @@
     connection.onClose = () => {
       if (this.rows.get(id) === row) this.rows.delete(id);
     };
-    connection.handleMessages((message) => {
+    connection.handleMessages((message, stamp) => {
       if (message.type !== 'engineReport') return;
       const previous = row.report;
-      row.report = message.report;
+      const report = { ...message.report, agent: id, stamp };
+      row.report = report;
       row.reportedAt = performance.now();
-      this.#onReport(message.report, previous);
+      this.#onReport(report, previous);
     });
     this.#sendPlan(row);
   }
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -3,6 +3,7 @@
 import type { BackEndIdentity } from '../model/back-end-identity.js';
 import type { Stamp } from '../model/hybrid-clock.js';
 import type { WarmUp } from '../model/warm-up.js';
+import type { AnnouncedSwitch } from '../systems/engine-switches.js';
 import type { DeclaredPace } from '../systems/wait-policy.js';
 
 /** A version of a model that the configuration or the operator names. */
@@ -86,16 +87,7 @@
  * A switch that an agent process has announced for one start of its engine and of which it has not reported the end: the engine may
  * hold weights that are not proven.
  */
-export interface UnfinishedSwitch {
-  /** Address at which the engine accepts requests. */
-  address: string;
-  /** The start of the engine; undefined if it does not report it. */
-  start?: BackEndIdentity['start'];
-  /** Identity of the agent process; empty if it is unknown. */
-  agent: string;
-  /** Stamp of the report that announced the switch; 0 if it is unknown. */
-  stamp: Stamp;
-}
+export interface UnfinishedSwitch extends BackEndIdentity, AnnouncedSwitch {}
 
 /** The report that an entry sends about itself several times per second. */
 export interface EntryReport {
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -440,14 +440,17 @@
 }
 
 function engineStateOf(report: EngineReport): EngineNews {
-  const { version, isReached, isSwitching, slotAddress, load, switchesIn } = report;
+  const { agent, stamp, version, isReached, isSwitching, isProven, slotAddress, load, switchesIn } = report;
   const reportedAt = performance.now();
   // The codec encodes undefined in lists as null.
   return {
     start: report.start ?? undefined,
+    agent: agent ?? undefined,
+    stamp: stamp ?? undefined,
     version,
     isReached,
     isSwitching,
+    isProven: isProven ?? undefined,
     slotAddress,
     load,
     reportedAt,
@@ -477,6 +480,7 @@
     before.version !== after.version ||
     before.isReached !== after.isReached ||
     before.isSwitching !== after.isSwitching ||
+    before.isProven !== after.isProven ||
     (before.switchesIn === undefined) !== (after.switchesIn === undefined) ||
     before.address !== after.address
   );
--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -1,7 +1,13 @@
 /** Plans for agents: which versions to load, who holds their pieces, which entries to connect to, and how the engine may switch. */
 import type { BackEndService } from '../fleet/configuration.js';
 import type { FleetView } from '../fleet/fleet-view.js';
-import { type BackEndRow, type BackEndTable, completeVersion, loadOf } from '../forwarding/back-end-table.js';
+import {
+  type BackEndRow,
+  type BackEndTable,
+  completeVersion,
+  isInSwitch,
+  loadOf,
+} from '../forwarding/back-end-table.js';
 import { rendezvousOrder } from '../model/random.js';
 import { NO_WARM_UP, type WarmUp } from '../model/warm-up.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
@@ -115,7 +121,7 @@
     );
     const engineOf = (row: BackEndRow) => ({
       version: completeVersion(row, layers),
-      isSwitching: row.news?.isSwitching === true,
+      isSwitching: isInSwitch(row),
       switchesIn: (row.news?.switchAt ?? Number.POSITIVE_INFINITY) - performance.now(),
       slots: row.record.slots,
       load: loadOf(row),
--- /dev/null
+++ b/test/forwarding/unfinished-switch.test.ts
@@ -0,0 +1,78 @@
+/** Guards against requests to an engine that may hold weights which are not proven, because its agent has ended during a switch. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { EngineNews } from '../../src/forwarding/back-end-table.js';
+import { until } from '../support.js';
+import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
+import { ForwardingHarness } from './forwarding-harness.js';
+import { reply, StandInBackEnd } from './stand-in-back-end.js';
+
+/** Requests enough that each of two eligible engines gets some of them. */
+const MANY = 20;
+const layersOf = (version: number) => ({ layers: { from: 0, end: ENGINE_LAYERS, version } });
+
+let switching: StandInBackEnd;
+let other: StandInBackEnd;
+let forwarding: ForwardingHarness;
+let stamp: number;
+
+/** Lists both engines; the one that switches has this version and start. */
+function listBoth(version = 1, start = 100): void {
+  forwarding.list(['one', switching, { ...layersOf(version), start }], ['two', other, layersOf(1)]);
+}
+
+/** Reports the switching engine as the agent process `agent` does. */
+function report(agent: string, news: Partial<EngineNews>): void {
+  forwarding.reportEngine(switching, { agent, stamp: ++stamp, start: 100, isProven: false, ...news });
+}
+
+const announce = () => report('first', { version: 1, isSwitching: true });
+
+/** Whether the switching engine gets requests. */
+async function isUsed(): Promise<boolean> {
+  const before = switching.requests.length;
+  for (let sent = 0; sent < MANY; sent++) expect((await forwarding.send('/write/')).status).toBe(200);
+  return switching.requests.length > before;
+}
+
+beforeEach(async () => {
+  stamp = 0;
+  switching = await new StandInBackEnd(reply(200, 'one', { 'x-version': '2' })).start();
+  other = await new StandInBackEnd(reply(200, 'two', { 'x-version': '1' })).start();
+  forwarding = new ForwardingHarness('engines');
+  await forwarding.start(ENGINE_CONFIGURATION);
+  listBoth();
+  report('first', { version: 1, isProven: true });
+  await until(isUsed, 'requests to the engine');
+});
+
+afterEach(async () => {
+  await forwarding.stop();
+  await Promise.all([switching.stop(), other.stop()]);
+});
+
+describe('an engine whose agent has ended during a switch gets no requests', () => {
+  it('while no agent is heard, though the list shows the new version complete', async () => {
+    announce();
+    listBoth(2);
+    expect(await isUsed()).toBe(false);
+  });
+
+  it('while the next agent has not proven the weights', async () => {
+    announce();
+    listBoth(2);
+    report('second', { version: 0, isReached: false });
+    expect(await isUsed()).toBe(false);
+    report('second', { version: 2 });
+    expect(await isUsed()).toBe(false);
+    report('second', { version: 2, isSwitching: true });
+    expect(await isUsed()).toBe(false);
+    report('second', { version: 2, isProven: true });
+    await until(isUsed, 'requests to the engine');
+  });
+
+  it('until it restarts', async () => {
+    announce();
+    listBoth(1, 200);
+    await until(isUsed, 'requests to the engine');
+  });
+});
