Keep what is known of an engine's switch when its record is lost, late or another one

What callers saw: answers from weights that nobody has proven, at entries that had been told so. The table kept the state of a switch in the row of a record, so it was forgotten when the record was lost for a time (the store was away, heartbeats were missed), and never kept when reports arrived before the record: at an entry that starts, the other entries' reports come before its first list, and at an engine that restarts its agent's report comes before its record. The new row then went by the list.

Rows that come back take their unfinished switches with them, as they take their health. Reports on engines without a row are kept (`UnlistedEngines`) and applied when the record arrives; a second record of one start gets what was reported beside the first.

Evidence: four tests of test/forwarding/unfinished-switch.test.ts failed before ("after its record was lost for a time", "if that was announced while its record was lost", "if its first record appears beside that of an earlier start", "before or after the engine is listed"), each with `AssertionError: expected true to be false`: the engine got requests. All 10 pass now.

--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -2,7 +2,7 @@
  * The known back ends: their records in the list, the reports of their agents, the requests in flight from this and
  * other entries, and the outcomes of requests. A row exists as long as its record and describes one start of a back
  * end. A back end that restarts gets a new row, and reports on its previous start are ignored. If a record is lost and comes back
- * with the same start, its new row has the health of the previous one.
+ * with the same start, its new row has the health and the unfinished switches of the previous one.
  */
 import type { BackEndChange } from '../fleet/back-end-list.js';
 import { type BackEndIdentity, isSameStart } from '../model/back-end-identity.js';
@@ -16,6 +16,7 @@
 import { BackEndConnections } from './back-end-connections.js';
 import { BackEndHealth } from './back-end-health.js';
 import { SlotAgent } from './slot-agent.js';
+import { UnlistedEngines } from './unlisted-engines.js';
 
 /** Weight of the latest sample in moving averages of times. */
 const SAMPLE_WEIGHT = 0.1;
@@ -102,7 +103,8 @@
    */
   readonly #rowsByAddress = new Map<string, Set<BackEndRow>>();
   /** The latest rows that were removed, in the order of their removal. */
-  readonly #removed = new Map<string, Pick<BackEndRow, 'record' | 'health'>>();
+  readonly #removed = new Map<string, Pick<BackEndRow, 'record' | 'health' | 'switches'>>();
+  readonly #unlisted = new UnlistedEngines();
   readonly #holds = new Map<string, HoldRecord>();
   readonly #waits = new Map<string, WaitPolicy>();
   readonly #forecasts = new Map<string, CapacityForecast>();
@@ -186,15 +188,36 @@
 
   /** Applies an agent's report on the engine at `address`. */
   applyReport(address: string, news: EngineNews): void {
-    for (const row of this.#rowsByAddress.get(address) ?? []) {
-      if (isSameStart(row.record.start, news.start)) applyNews(row, news);
-    }
+    const rows = this.#rowsOfStart(address, news.start);
+    for (const row of rows) applyNews(row, news);
+    if (rows.length === 0) this.#unlisted.noteReport(address, news);
+  }
+
+  /**
+   * Whether the engine at `address` may hold weights that are not proven, because of a switch that the agent process `agent` has not
+   * announced itself.
+   */
+  hasUnfinishedSwitch(address: string, start: BackEndIdentity['start'], agent: string): boolean {
+    const [row] = this.#rowsOfStart(address, start);
+    if (row === undefined) return false;
+    if (row.switches.isUnfinishedByOther(agent)) return true;
+    return row.news?.isSwitching !== true && isInSwitch(row);
+  }
+
+  /** The rows of one start of the back end at `address`, that with the latest record first. */
+  #rowsOfStart(address: string, start: BackEndIdentity['start']): BackEndRow[] {
+    const rows = [...(this.#rowsByAddress.get(address) ?? [])];
+    return rows
+      .filter(({ record }) => isSameStart(record.start, start))
+      .sort((one, other) => other.record.revision - one.record.revision);
   }
 
   /** Applies a switch that another entry knows to be unfinished. */
-  applyUnfinishedSwitch({ id, start, ...announced }: UnfinishedSwitch): void {
-    const row = this.rows.get(id);
-    if (row !== undefined && isSameStart(row.record.start, start)) row.switches.applyUnfinished(announced);
+  applyUnfinishedSwitch(unfinished: UnfinishedSwitch): void {
+    const row = this.rows.get(unfinished.id);
+    if (row !== undefined && isSameStart(row.record.start, unfinished.start))
+      row.switches.applyUnfinished(unfinished);
+    else this.#unlisted.noteUnfinished(unfinished);
   }
 
   /** The unfinished switches of all engines, to report to other entries. */
@@ -272,12 +295,28 @@
       () => this.maxKeptConnections(record.service),
       (loss) => this.onConnectionLost(row, loss),
     );
-    const row = createRow(record, this.#takeHealth(record), connections, this.waitsOf(record.service));
+    const row: BackEndRow = {
+      ...createRow(record, connections, this.waitsOf(record.service)),
+      ...this.#takeRemoved(record),
+    };
+    this.#applyReportsOfStart(row);
+    const { news, unfinished } = this.#unlisted.take(record);
+    for (const announced of unfinished) row.switches.applyUnfinished(announced);
+    if (news !== undefined) applyNews(row, news);
     this.rows.set(record.id, row);
     addTo(this.#rowsByService, record.service, row);
     addTo(this.#rowsByAddress, record.address, row);
   }
 
+  /** Applies to a new row what was reported of its start while this had a row of another id. */
+  #applyReportsOfStart(row: BackEndRow): void {
+    const { address, start } = row.record;
+    const known = this.#rowsOfStart(address, start).find(({ record }) => record.start !== undefined);
+    if (known?.news === undefined || start === undefined) return;
+    row.switches = known.switches;
+    applyNews(row, known.news);
+  }
+
   /**
    * Removes the row of a back end that another one has replaced under the same id; its requests in flight no longer
    * count.
@@ -287,18 +326,17 @@
     if (this.#lastSilentConnection?.id === record.id) this.#lastSilentConnection = undefined;
   }
 
-  /** The health of this back end from before its record was lost, or that of a new one. */
-  #takeHealth(record: BackEndRecord): BackEndHealth {
+  /** What is known of this back end from before its record was lost. */
+  #takeRemoved(record: BackEndRecord): Partial<Pick<BackEndRow, 'health' | 'switches'>> {
     const removed = this.#removed.get(record.id);
     this.#removed.delete(record.id);
-    return removed !== undefined && isSameBackEnd(removed.record, record)
-      ? removed.health
-      : new BackEndHealth();
+    if (removed === undefined || !isSameBackEnd(removed.record, record)) return {};
+    return { health: removed.health, switches: removed.switches };
   }
 
-  #keepHealth(id: string, { record, health }: BackEndRow): void {
+  #keepRemoved(id: string, { record, health, switches }: BackEndRow): void {
     this.#removed.delete(id);
-    this.#removed.set(id, { record, health });
+    this.#removed.set(id, { record, health, switches });
     if (this.#removed.size <= MAX_REMOVED) return;
     const [first] = this.#removed.keys();
     this.#removed.delete(first);
@@ -307,7 +345,7 @@
   #remove(id: string): void {
     const row = this.rows.get(id);
     if (row === undefined) return;
-    this.#keepHealth(id, row);
+    this.#keepRemoved(id, row);
     this.rows.delete(id);
     removeFrom(this.#rowsByService, row.record.service, row);
     removeFrom(this.#rowsByAddress, row.record.address, row);
@@ -334,16 +372,11 @@
   if (rows?.size === 0) index.delete(key);
 }
 
-function createRow(
-  record: BackEndRecord,
-  health: BackEndHealth,
-  connections: BackEndConnections,
-  waits: WaitPolicy,
-): BackEndRow {
+function createRow(record: BackEndRecord, connections: BackEndConnections, waits: WaitPolicy): BackEndRow {
   return {
     record,
     connections,
-    health,
+    health: new BackEndHealth(),
     inFlight: 0,
     pendingPromptTokens: 0,
     inFlightElsewhere: 0,
@@ -360,6 +393,7 @@
   };
 }
 
+/** Applies a report on `row`, unless a later one is known. */
 function applyNews(row: BackEndRow, news: EngineNews): void {
   if (!row.switches.apply(news)) return;
   if (row.news?.version !== news.version) row.health.noteVersionReport();
--- a/test/forwarding/unfinished-switch.test.ts
+++ b/test/forwarding/unfinished-switch.test.ts
@@ -75,4 +75,75 @@
     listBoth(1, 200);
     await until(isUsed, 'requests to the engine');
   });
+
+  it('after its record was lost for a time', async () => {
+    announce();
+    forwarding.list(['two', other, layersOf(1)]);
+    listBoth(2);
+    expect(await isUsed()).toBe(false);
+  });
+
+  it('if that was announced while its record was lost', async () => {
+    forwarding.list(['two', other, layersOf(1)]);
+    announce();
+    report('second', { version: 0, isReached: false });
+    listBoth(2);
+    expect(await isUsed()).toBe(false);
+  });
+
+  it('if its first record appears beside that of an earlier start to which its reports were attributed', async () => {
+    forwarding.reportEngineStart(switching.address, 200);
+    report('first', { version: 0, start: 200, isSwitching: true });
+    report('second', { version: 0, start: 200, isReached: false });
+    forwarding.list(
+      ['one', switching, { ...layersOf(1), start: 100 }],
+      ['next', switching, { ...layersOf(2), start: 200 }],
+      ['two', other, layersOf(1)],
+    );
+    expect(await isUsed()).toBe(false);
+  });
+
+  it('if another entry knows of the switch, before or after the engine is listed', async () => {
+    const unfinished = { id: 'one', start: 200, agent: 'first', stamp: 1 };
+    forwarding.backEnds.applyUnfinishedSwitch(unfinished);
+    listBoth(1, 200);
+    expect(await isUsed()).toBe(false);
+    listBoth(1, 300);
+    await until(isUsed, 'requests to the engine');
+    forwarding.backEnds.applyUnfinishedSwitch({ ...unfinished, start: 300 });
+    expect(await isUsed()).toBe(false);
+  });
+});
+
+describe('an engine that has loaded a version of which no agent has told', () => {
+  it('gets no requests until an agent has proven it', async () => {
+    listBoth(2);
+    expect(await isUsed()).toBe(false);
+    report('second', { version: 2 });
+    expect(await isUsed()).toBe(false);
+    report('second', { version: 2, isProven: true });
+    await until(isUsed, 'requests to the engine');
+  });
+
+  it('gets requests if the agent is of an earlier release', async () => {
+    report('first', { version: 1, isProven: undefined });
+    listBoth(2);
+    await until(isUsed, 'requests to the engine');
+  });
+});
+
+it('an agent is told of a switch that another process has left unfinished at its engine', () => {
+  const isTold = (agent: string, start = 100) =>
+    forwarding.backEnds.hasUnfinishedSwitch(switching.address, start, agent);
+  expect(isTold('second')).toBe(false);
+  announce();
+  expect(isTold('first')).toBe(false);
+  expect(isTold('second')).toBe(true);
+  expect(isTold('second', 200)).toBe(false);
+  report('second', { version: 2, isSwitching: true });
+  expect(isTold('second')).toBe(true);
+  report('second', { version: 2, isProven: true });
+  expect(isTold('second')).toBe(false);
+  listBoth(3);
+  expect(isTold('second')).toBe(true);
 });
