Tell agents and entries of unfinished switches that they have not heard announced

What callers saw: answers from weights that nobody has proven. An agent announced a switch and ended; an entry that started later heard nothing of it, since no agent reported the engine any more, and used the engine by the list. The next agent of the engine did not know either that the weights were in doubt, so that it had no reason to prove them.

- The first report on each connection between entries names all unfinished switches that the sender knows of.

The other two tests hold that an agent is not told of its own switch, and that an earlier report which another entry still passes on ends nothing.

--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -19,7 +19,7 @@
   encodeForMany,
 } from '../protocol/connection.js';
 import type { Message } from '../protocol/messages.js';
-import type { EntryReport } from '../protocol/reports.js';
+import type { EntryReport, UnfinishedSwitch } from '../protocol/reports.js';
 import type { StoreUpdate } from '../protocol/store-update.js';
 import {
   lacksAddresses,
@@ -101,6 +101,8 @@
   answerTimeout?: number;
   random: Random;
   report: () => EntryReport;
+  /** Unfinished switches for an entry that may know of none: it has just started, or was cut off. */
+  unfinishedSwitches?: () => UnfinishedSwitch[];
   onReport: (report: EntryReport) => void;
   news: PeerNews;
   /** Called with what the entry `id` has read from the store. */
@@ -299,9 +301,15 @@
     return encodeForMany({ type: 'entryAddresses', addresses }, this.#options.context);
   }
 
-  #encodedReport(): EncodedMessage {
-    const message: Message = { type: 'entryReport', report: this.#options.report() };
-    return encodeForMany(message, this.#options.context);
+  #encodedReport(additions: Partial<EntryReport> = {}): EncodedMessage {
+    const report = { ...this.#options.report(), ...additions };
+    return encodeForMany({ type: 'entryReport', report }, this.#options.context);
+  }
+
+  /** What the first report on a connection contains in addition. */
+  #firstAdditions(): Partial<EntryReport> {
+    const unfinishedSwitches = this.#options.unfinishedSwitches?.() ?? [];
+    return unfinishedSwitches.length === 0 ? {} : { unfinishedSwitches };
   }
 
   /**
@@ -347,7 +355,7 @@
       row.closedAt = performance.now();
     };
     connection.handleMessages((message) => this.#handle(row, connection, message));
-    this.#sendReport(row, this.#encodedReport());
+    this.#sendReport(row, this.#encodedReport(this.#firstAdditions()));
   }
 
   #handle(row: PeerRow, connection: Connection, message: Message): void {
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -123,6 +123,7 @@
       isStoreConnected: () => sync.connected,
       random,
       report: () => this.#report(),
+      unfinishedSwitches: () => backEnds.unfinishedSwitches(),
       onReport: (report) => this.#onPeerReport(report),
       news: new PeerNews(this.#poison, this.#limits),
       onStoreNews: (news, id) => {
@@ -365,6 +366,9 @@
     const { backEnds } = this.#components;
     backEnds.applyLoads(report.id, report.loads);
     for (const engine of report.engines) this.#applyEngineReport(engine);
+    // The codec encodes undefined in lists as null.
+    for (const unfinished of report.unfinishedSwitches ?? [])
+      backEnds.applyUnfinishedSwitch({ ...unfinished, start: unfinished.start ?? undefined });
   }
 
   /** Applies the reported start first, so that the state of a restarted engine is not attributed to its former start. */
--- a/src/roles/weights-planner.ts
+++ b/src/roles/weights-planner.ts
@@ -11,7 +11,7 @@
 import { rendezvousOrder } from '../model/random.js';
 import { NO_WARM_UP, type WarmUp } from '../model/warm-up.js';
 import type { EngineAgentRow } from '../peers/engine-agents.js';
-import type { EntryReport, WeightsPlan } from '../protocol/reports.js';
+import type { EngineReport, EntryReport, WeightsPlan } from '../protocol/reports.js';
 import type { DeclaredPace } from '../systems/wait-policy.js';
 import type { WeightsVersion } from '../weights/held-weights.js';
 import { canMoveRequests } from '../weights/request-moves.js';
@@ -70,9 +70,17 @@
       entries: toConnect.map((entry) => entry.address),
       hasNearEntry: near.length > 0,
       evacuation: fleet.evacuations.stateOf(zone),
+      ...(this.#hasUnfinishedSwitch(report) ? { hasUnfinishedSwitch: true } : {}),
     };
   }
 
+  /** Whether an earlier agent of the engine in `report` may have left it with weights that are not proven. */
+  #hasUnfinishedSwitch(report: EngineReport | undefined): boolean {
+    if (report === undefined) return false;
+    const { address, start, agent = '' } = report;
+    return this.#options.backEnds.hasUnfinishedSwitch(address, start ?? undefined, agent);
+  }
+
   #versions(): WeightsPlan['versions'] {
     const named = this.#options.fleet.versions.all();
     return this.#options.wanted().map(({ model, version }) => {
