Send nothing to an engine whose switch is announced while the connection opens

What callers saw: an answer from weights that nobody has proven. A request was chosen for an engine and waited for its connection, up to 400 ms, while the engine's agent announced a switch. The check before the first byte asked whether the back end leaves or backs off, not whether it switches, and the request reached the engine under the order or after it.

The check now refuses an engine that may hold weights which are not proven, also to a request whose body cannot be sent twice: unlike a back end that leaves, it would answer wrongly.

Evidence: "is sent to another one if its connection opens after that" (test/forwarding/unfinished-switch.test.ts) failed before: the answer came from the engine that switches in place of the other one, `expected { Object (status, headers, ...) } to match object { status: 200, body: 'two' }`.

--- a/src/forwarding/send-policy.ts
+++ b/src/forwarding/send-policy.ts
@@ -5,7 +5,7 @@
 import { type AttemptFailure, mayHaveReachedBackEnd } from './attempt.js';
 import type { Requirements } from './back-end-eligibility.js';
 import type { BackEndSelector } from './back-end-selector.js';
-import type { BackEndRow } from './back-end-table.js';
+import { type BackEndRow, isInSwitch } from './back-end-table.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { OpenAttempts } from './open-attempts.js';
 import type { SuspectContent } from './suspect-content.js';
@@ -75,10 +75,12 @@
 
   /**
    * Whether an attempt at `row` may go out now that a connection is open for it.
-   * @param mustSend - whether it goes out even if the back end has asked for no more requests
+   * @param mustSend - whether it goes out even if the back end has asked for no more requests; it never does to an engine that
+   * may hold weights which are not proven
    */
   mayGoOut(row: BackEndRow, mustSend: boolean): boolean {
     const { admitted, selector } = this.#options;
+    if (isInSwitch(row)) return false;
     if (!selector.isInRegions(row, admitted.regions.allowed)) return false;
     return mustSend || !selector.isUnavailable(row, performance.now());
   }
--- a/test/forwarding/unfinished-switch.test.ts
+++ b/test/forwarding/unfinished-switch.test.ts
@@ -1,6 +1,7 @@
 /** Guards against requests to an engine that may hold weights which are not proven, because its agent has ended during a switch. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { EngineNews } from '../../src/forwarding/back-end-table.js';
+import { silentLog } from '../../src/observability/log.js';
 import { until } from '../support.js';
 import { ENGINE_CONFIGURATION, ENGINE_LAYERS } from './engine-configuration.js';
 import { ForwardingHarness } from './forwarding-harness.js';
@@ -14,6 +15,8 @@
 let other: StandInBackEnd;
 let forwarding: ForwardingHarness;
 let stamp: number;
+/** Called when a request is about to be sent, before a connection is open for it. */
+let onSent: () => void;
 
 /** Lists both engines; the one that switches has this version and start. */
 function listBoth(version = 1, start = 100): void {
@@ -38,7 +41,9 @@
   stamp = 0;
   switching = await new StandInBackEnd(reply(200, 'one', { 'x-version': '2' })).start();
   other = await new StandInBackEnd(reply(200, 'two', { 'x-version': '1' })).start();
+  onSent = () => {};
   forwarding = new ForwardingHarness('engines');
+  forwarding.log = { ...silentLog, info: (message) => (message === 'sent' ? onSent() : undefined) };
   await forwarding.start(ENGINE_CONFIGURATION);
   listBoth();
   report('first', { version: 1, isProven: true });
@@ -147,3 +152,17 @@
   listBoth(3);
   expect(isTold('second')).toBe(true);
 });
+
+describe('a request that is under way to an engine when its agent announces a switch', () => {
+  it('is sent to another one if its connection opens after that', async () => {
+    const before = switching.requests.length;
+    forwarding.list(['one', switching, { ...layersOf(1), start: 100 }]);
+    onSent = () => {
+      onSent = () => {};
+      listBoth();
+      announce();
+    };
+    expect(await forwarding.send('/write/')).toMatchObject({ status: 200, body: 'two' });
+    expect(switching.requests).toHaveLength(before);
+  });
+});
