--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -123,6 +123,7 @@
       isStoreConnected: () => sync.connected,
       random,
       report: () => this.#report(),
+      unfinishedSwitches: () => backEnds.unfinishedSwitches(),
       onReport: (report) => this.#onPeerReport(report),
       news: new PeerNews(this.#poison, this.#limits),
       onStoreNews: (news, id) => {
@@ -365,6 +366,9 @@
     const { backEnds } = this.#components;
     backEnds.applyLoads(report.id, report.loads);
     for (const engine of report.engines) this.#applyEngineReport(engine);
+    // The codec encodes undefined in lists as null.
+    for (const unfinished of report.unfinishedSwitches ?? [])
+      backEnds.applyUnfinishedSwitch({ ...unfinished, start: unfinished.start ?? undefined });
   }
 
   /** Applies the reported start first, so that the state of a restarted engine is not attributed to its former start. */
@@ -440,14 +444,17 @@
 }
 
 function engineStateOf(report: EngineReport): EngineNews {
-  const { version, isReached, isSwitching, slotAddress, load, switchesIn } = report;
+  const { agent, stamp, version, isReached, isSwitching, isProven, slotAddress, load, switchesIn } = report;
   const reportedAt = performance.now();
   // The codec encodes undefined in lists as null.
   return {
     start: report.start ?? undefined,
+    agent: agent ?? undefined,
+    stamp: stamp ?? undefined,
     version,
     isReached,
     isSwitching,
+    isProven: isProven ?? undefined,
     slotAddress,
     load,
     reportedAt,
@@ -477,6 +484,7 @@
     before.version !== after.version ||
     before.isReached !== after.isReached ||
     before.isSwitching !== after.isSwitching ||
+    before.isProven !== after.isProven ||
     (before.switchesIn === undefined) !== (after.switchesIn === undefined) ||
     before.address !== after.address
   );
