Machine watch: a machine is dead only if reads without long gaps lacked it

Callers: a call with an idempotency key could run at two machines. The owner of a key that still runs calls is replaced once its machine counts as dead, and the new owner takes new keys at once. Cause: the age of an absence was counted from one read of the machine list to the present time. Nothing showed that the list still lacked the machine, or that its agent had not been connected, in between: the list may have stopped answering, and the entry may have stood still. Evidence: three tests of `test/entry/machine-watch.test.ts` fail on the code before this change with `expected Set{ 'a' } to deeply equal Set{}` (list stops answering after one read; 11 s between two reads) and `expected Set{ 'a', 'b' } to deeply equal Set{ 'b' }` (agent connected after the first read without it). Change: `MachineAbsences` (pure) counts an absence from read to read, ends it when an agent of the machine connects, and begins it anew if two reads are more than 4 s apart. 4 s and the 6 s for which an agent owns its keys after its last answered heartbeat make up the 10 s after which a machine is dead. Result: `npx vitest run test/entry/machine-watch.test.ts`: 10 passed; `test/entry`, `test/systems/once.test.ts`: 79 passed; `npm run types` and `npm run boundary` pass. Not shown: the doubled run itself, end to end.

--- a/src/agent/key-ownership.ts
+++ b/src/agent/key-ownership.ts
@@ -5,7 +5,7 @@
 /**
  * Longest time between two heartbeats answered by a home entry, in milliseconds. After a longer gap the entries may have
  * declared this process dead, so it owns nothing until it receives a list again. The entries wait longer than this before
- * they declare a machine dead (`DEAD_AFTER` in `src/entry/machine-watch.ts`).
+ * they declare a machine dead (`DEAD_AFTER` in `src/systems/machine-absences.ts`).
  */
 export const MAX_CONFIRMATION_GAP = 6_000;
 
--- a/src/entry/agent-directory.ts
+++ b/src/entry/agent-directory.ts
@@ -23,6 +23,11 @@
     this.#listeners.add(listener);
   }
 
+  /** Whether an agent at this address is connected to an entry. */
+  isConnected(address: string): boolean {
+    return this.#byAddress.has(address);
+  }
+
   /**
    * Sets the agent at an address; undefined removes it. A status that is no newer than the known one from the same home
    * and process is ignored: a row's age is used to compute for how long the process has owned its keys.
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -165,7 +165,7 @@
       mayTakeOver: () => this.#mesh.isFirstOfZone,
     });
     const lease = this.#lease;
-    const machines = new MachineWatch(components.machineList);
+    const machines = new MachineWatch(components.machineList, directory);
     const placement = new PlacementDuty({ configuration, directory, lease, timeline, machines });
     const owners = new OwnersDuty({ configuration, directory, lease, machines });
     const operations = new OperationsDuty(configuration, lease);
