Owners duty: decide by the agents that are connected after the wait

Callers: a call with an idempotency key could run at two machines, as a list of owners took effect while one of its former owners had not acknowledged it. Cause: the connected agents were read before `findDead`, which may take 2 s, and the list was settled by them after it. An owner that connected meanwhile counted as dead. Evidence: `test/entry/owners-duty.test.ts` fails on the code before this change: expected no write, received `{ epoch: 2, next: undefined, owners: ['b'] }` with owner `a` connected. Change: row and agents are read after the wait, and `decideOwners` does not count a connected machine as dead. Not shown: the doubled run itself, end to end.

--- a/src/entry/owners-duty.ts
+++ b/src/entry/owners-duty.ts
@@ -29,18 +29,23 @@
 
   async #reviewService(service: string, places: readonly string[]): Promise<void> {
     const { configuration, lease, machines } = this.#components;
+    const dead = await machines.findDead(this.#disconnectedOwners(service, places));
+    // Read after the wait, in which agents may have connected or acknowledged a list.
     const row = configuration.row(TABLES.owners, service);
-    const owners = row?.value as OwnersRow | undefined;
-    const candidates = this.#candidates(service, places);
-    const connected = new Set(candidates.map((candidate) => candidate.address));
-    const disconnected = (owners?.owners ?? []).filter((address) => !connected.has(address));
-    const next = decideOwners(owners, candidates, await machines.findDead(disconnected));
+    const next = decideOwners(row?.value as OwnersRow | undefined, this.#candidates(service, places), dead);
     if (next === undefined) return;
     const table = TABLES.owners;
     const key = service;
     await lease.write([{ table, key, revision: row?.revision ?? 0 }], [{ table, key, value: next }]);
   }
 
+  /** Owners of which no agent that may own keys is connected. */
+  #disconnectedOwners(service: string, places: readonly string[]): string[] {
+    const owners = this.#components.configuration.row(TABLES.owners, service)?.value as OwnersRow | undefined;
+    const connected = new Set(this.#candidates(service, places).map(({ address }) => address));
+    return (owners?.owners ?? []).filter((address) => !connected.has(address));
+  }
+
   #candidates(service: string, places: readonly string[]): OwnerCandidate[] {
     const rows = [...this.#components.directory.rows.values()].filter(({ status }) => {
       return status.backEnd === 'service' && status.pool === service && places.includes(status.info.place);
--- a/src/systems/ownership.ts
+++ b/src/systems/ownership.ts
@@ -38,7 +38,7 @@
  * The row to write, or undefined if the current one needs no change.
  *
  * @param candidates - machines of the service that are connected
- * @param dead - addresses that the platform's list of machines has dropped
+ * @param dead - addresses that the platform's list of machines has dropped; those of candidates do not count
  */
 export function decideOwners(
   row: OwnersRow | undefined,
@@ -52,7 +52,8 @@
     return sameList(wanted, row.owners) || wanted.length === 0 ? undefined : { ...row, next: wanted };
   }
   const acknowledged = new Map(candidates.map((machine) => [machine.address, machine.acknowledgedEpoch]));
-  const settled = row.owners.every((address) => dead.has(address) || acknowledged.get(address) === row.epoch);
+  const isGone = (address: string) => dead.has(address) && !acknowledged.has(address);
+  const settled = row.owners.every((address) => isGone(address) || acknowledged.get(address) === row.epoch);
   return settled ? { epoch: row.epoch + 1, owners: row.next, next: undefined } : undefined;
 }
 
