Agent: a version that its engine has lost is loaded again

Callers: a machine whose engine restarted after it had loaded a version served nothing until its agent restarted too. Cause: a load ended for good once the engine reported the version, and only the end of a transfer started one. That the engine held the version was never asked of later reports. Evidence: `test/agent/engine-orders.test.ts` fails on the code before this change: `timed out waiting for: the second load`, 20 s after the engine restarted. Change: each reconciliation loads a complete version that is not ready. An attempt begins with a report of the engine, so that one which did not answer for a moment is not staged again.

--- a/src/agent/version-loader.ts
+++ b/src/agent/version-loader.ts
@@ -100,6 +100,9 @@
   }
 
   async #tryLoad(version: Digest, manifest: Manifest, revision: number): Promise<void> {
+    // An engine that did not answer for a moment may still hold the version.
+    const isReached = await this.#refresh();
+    if (!isReached || this.#ready.has(version)) return;
     for (const [chunk, { digest }] of manifest.chunks.entries()) {
       const data = this.#components.store.get(digest);
       if (data === undefined || !(await this.#stage(version, chunk, data))) return;
@@ -152,10 +155,12 @@
     return this.#epoch;
   }
 
-  async #refresh(): Promise<void> {
+  /** Reads the state of the engine; returns whether it answered. */
+  async #refresh(): Promise<boolean> {
     const state = await this.#components.engine.state(this.#callSignal());
-    if (this.#stopping.signal.aborted) return;
+    if (this.#stopping.signal.aborted) return false;
     this.#applyState(state.ok ? state.value : { versions: [], fence: { epoch: 0, revision: 0 }, active: 0 });
+    return state.ok;
   }
 
   #applyState(state: EngineState): void {
--- a/src/agent/version-reconciler.ts
+++ b/src/agent/version-reconciler.ts
@@ -111,6 +111,8 @@
     }
     this.#problems.delete(version);
     bursts.join(assignment);
+    // An engine that restarts loses what it had loaded.
+    if (exchange.held(version)?.complete) this.onComplete(version);
   }
 
   #stopUnwantedTransfers(wanted: ReadonlySet<Digest>): void {
