Version loader: pauses leave no listeners behind

Callers: none noticed; an agent whose engine does not become ready kept a listener for each pause. Cause: a pause that ended by its timer left its abort listener at the loader's signal. Evidence: `npx vitest run test/agent` printed `MaxListenersExceededWarning: Possible EventTarget memory leak detected. 11 abort listeners added to [AbortSignal]`. Change: the listener is removed with the timer. Result: `engine-orders` and `version-loader`: 7 passed, without the warning.

--- a/src/agent/version-loader.ts
+++ b/src/agent/version-loader.ts
@@ -191,14 +191,12 @@
 
 function pause(milliseconds: number, signal: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
-    const timer = setTimeout(resolve, milliseconds);
-    signal.addEventListener(
-      'abort',
-      () => {
-        clearTimeout(timer);
-        resolve();
-      },
-      { once: true },
-    );
+    const end = () => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', end);
+      resolve();
+    };
+    const timer = setTimeout(end, milliseconds);
+    signal.addEventListener('abort', end);
   });
 }
