Agent: orders to its engine carry the latest revision of its assignments

Callers: a machine that took a deployment over after its engine had unloaded a version of a newer deployment never served it. Cause: a load was ordered under the revision of the deployment, an unload under that of the assignments, which is newer. The engine refuses an order that is older than another which it has accepted, and each retry of the load carried the revision with which the load had begun. Evidence: `a version of an older deployment is loaded after an order for a newer one` fails on the code before this change: `timed out waiting for: the load for the older deployment`. Change: the loader keeps the latest revision requested of it and orders under that; the reconciler states the revision of the assignments for both kinds. Late orders of older assignments are refused as before.

--- a/src/agent/version-loader.ts
+++ b/src/agent/version-loader.ts
@@ -40,6 +40,8 @@
   readonly #staging = new Map<string, Promise<boolean>>();
   #wanted = new Set<Digest>();
   #epoch: number | undefined;
+  /** The latest revision with which a load or an unload was requested. */
+  #revision = 0;
   #active = 0;
   #timer: NodeJS.Timeout | undefined;
 
@@ -73,14 +75,18 @@
     void this.#stage(version, chunk, data);
   }
 
-  /** Stages and loads a version whose chunks are all in the store; retries until it is ready or is to be unloaded. */
+  /**
+   * Stages and loads a version whose chunks are all in the store; retries until it is ready or is to be unloaded.
+   * @param revision - of the assignments that want the version now
+   */
   async load(version: Digest, manifest: Manifest, revision: number): Promise<void> {
+    this.#noteRevision(revision);
     if (this.#loading.has(version) || this.#ready.has(version)) return;
     this.#loading.add(version);
     this.#wanted.add(version);
     try {
       while (this.#wanted.has(version) && !this.#ready.has(version) && !this.#stopping.signal.aborted) {
-        await this.#tryLoad(version, manifest, revision);
+        await this.#tryLoad(version, manifest);
         await pause(LOAD_RETRY_DELAY, this.#stopping.signal);
       }
     } finally {
@@ -90,16 +96,17 @@
 
   /** Unloads a version from the engine. It stops counting as ready at once, before the engine has confirmed. */
   async unload(version: Digest, revision: number): Promise<void> {
+    this.#noteRevision(revision);
     this.#wanted.delete(version);
     this.#unloading.add(version);
     if (this.#ready.delete(version)) this.onChange();
     this.#forgetStaged(version);
-    const unloaded = await this.#order('unload', version, revision);
+    const unloaded = await this.#order('unload', version);
     if (unloaded) this.#components.timeline.record({ type: 'versionUnloaded', version });
     else this.#unloading.delete(version);
   }
 
-  async #tryLoad(version: Digest, manifest: Manifest, revision: number): Promise<void> {
+  async #tryLoad(version: Digest, manifest: Manifest): Promise<void> {
     // An engine that did not answer for a moment may still hold the version.
     const isReached = await this.#refresh();
     if (!isReached || this.#ready.has(version)) return;
@@ -107,7 +114,7 @@
       const data = this.#components.store.get(digest);
       if (data === undefined || !(await this.#stage(version, chunk, data))) return;
     }
-    if (!(await this.#order('load', version, revision))) return;
+    if (!(await this.#order('load', version))) return;
     this.#forgetStaged(version);
     const deadline = performance.now() + CALL_TIMEOUT;
     while (!this.#ready.has(version) && performance.now() < deadline && !this.#stopping.signal.aborted) {
@@ -136,10 +143,16 @@
     }
   }
 
-  async #order(kind: 'load' | 'unload', version: Digest, revision: number): Promise<boolean> {
+  #noteRevision(revision: number): void {
+    this.#revision = Math.max(this.#revision, revision);
+  }
+
+  /** Sends an order under the latest revision: the engine refuses one that is older than another which it has accepted. */
+  async #order(kind: 'load' | 'unload', version: Digest): Promise<boolean> {
     const { engine, timeline, log } = this.#components;
     const epoch = await this.#claim();
     if (epoch === undefined) return false;
+    const revision = this.#revision;
     timeline.record({ type: 'orderSent', order: kind, version, revision });
     const outcome = await engine.order({ kind, version, fence: { epoch, revision } }, this.#callSignal());
     if (outcome.ok) return true;
--- a/src/agent/version-reconciler.ts
+++ b/src/agent/version-reconciler.ts
@@ -67,10 +67,10 @@
 
   /** Handles a complete and verified version: loads it into the engine. */
   onComplete(version: Digest): void {
-    const assignment = this.#assignments.find((row) => row.version === version);
+    const isAssigned = this.#assignments.some((row) => row.version === version);
     const manifest = this.#manifests.get(version);
-    if (assignment === undefined || manifest === undefined) return;
-    void this.#components.loader.load(version, manifest, assignment.revision);
+    if (isAssigned && manifest !== undefined)
+      void this.#components.loader.load(version, manifest, this.#revision);
   }
 
   /** Brings transfers and the engine in line with the assignments; called periodically and after each change. */
--- a/src/engine/engine-client.ts
+++ b/src/engine/engine-client.ts
@@ -9,7 +9,7 @@
 export interface OrderFence {
   /** Increases with each agent process of the machine; claimed at the engine itself. */
   epoch: number;
-  /** Revision of the declaration that caused the order. */
+  /** Revision of the assignments that caused the order. */
   revision: number;
 }
 
--- a/test/agent/engine-orders.test.ts
+++ b/test/agent/engine-orders.test.ts
@@ -158,4 +158,15 @@
     await until(() => isServed(first), 'the engine answers');
     expect(stagedChunks).toBe(staged);
   });
+
+  // Orders to load were stamped with the age of the deployment, those to unload with that of the assignments.
+  it('a version of an older deployment is loaded after an order for a newer one', async () => {
+    reconciler.assign([assignment(second, 9)], 10);
+    await until(() => isServed(second), 'the load for the newer deployment');
+    reconciler.assign([assignment(first, 5)], 12);
+    await until(() => isServed(first), 'the load for the older deployment');
+    await until(() => weights.serving(second.version) === undefined, 'the unload');
+    reconciler.assign([assignment(third, 7)], 14);
+    await until(() => isServed(third), 'the load after the unload');
+  });
 });
