Agent: an unload order without an answer may still be carried out

Callers: a version that was assigned again shortly after its unloading had begun could vanish from the engine seconds later, under the requests for it. Cause: an unload order without an answer counted as one that is never carried out. The version counted as ready again at the next report of the engine, and nothing that the engine could compare with the late order was sent. Evidence: `a late unload order does not remove a version that is assigned again` fails on the code before this change: the engine serves `undefined` instead of the version. Change: an order has three outcomes, one of which is that there is no answer. Such a version is not ready until the engine no longer reports it or has accepted a later order to load it, which fences the late one; a version that the engine still holds is not staged for that. The unload order is repeated until it is answered.

--- a/src/agent/version-loader.ts
+++ b/src/agent/version-loader.ts
@@ -15,8 +15,11 @@
 const LOADING_STATE_INTERVAL = 50;
 /** Time limit for a call to the engine, and for a load to take effect, in milliseconds. */
 const CALL_TIMEOUT = 5_000;
-/** Delay before a failed load is retried, in milliseconds. */
-const LOAD_RETRY_DELAY = 1_000;
+/** Delay before a failed load or an order without an answer is retried, in milliseconds. */
+const RETRY_DELAY = 1_000;
+
+/** What came of an order: one without an answer may be carried out at any later time. */
+type OrderOutcome = 'accepted' | 'refused' | 'unanswered';
 
 /** Components of a version loader. */
 export interface VersionLoaderComponents {
@@ -34,7 +37,9 @@
   readonly #stopping = new AbortController();
   readonly #loading = new Set<Digest>();
   readonly #ready = new Set<Digest>();
-  /** Versions with an unload order in progress; they do not count as ready. */
+  /** Versions that the engine last reported as loaded with a matching digest. */
+  #loaded: ReadonlySet<Digest> = new Set();
+  /** Versions with an unload order that may still be carried out; they do not count as ready. */
   readonly #unloading = new Set<Digest>();
   /** Chunks staged at the engine, or being staged, by version and index. */
   readonly #staging = new Map<string, Promise<boolean>>();
@@ -81,40 +86,46 @@
    */
   async load(version: Digest, manifest: Manifest, revision: number): Promise<void> {
     this.#noteRevision(revision);
+    this.#wanted.add(version);
     if (this.#loading.has(version) || this.#ready.has(version)) return;
     this.#loading.add(version);
-    this.#wanted.add(version);
     try {
       while (this.#wanted.has(version) && !this.#ready.has(version) && !this.#stopping.signal.aborted) {
         await this.#tryLoad(version, manifest);
-        await pause(LOAD_RETRY_DELAY, this.#stopping.signal);
+        await pause(RETRY_DELAY, this.#stopping.signal);
       }
     } finally {
       this.#loading.delete(version);
     }
   }
 
-  /** Unloads a version from the engine. It stops counting as ready at once, before the engine has confirmed. */
+  /**
+   * Unloads a version from the engine, which is repeated until it is answered or the version is wanted again. The version stops
+   * counting as ready at once, and counts again only after a later order to load it: the engine then refuses a late one to unload.
+   */
   async unload(version: Digest, revision: number): Promise<void> {
     this.#noteRevision(revision);
     this.#wanted.delete(version);
+    if (this.#unloading.has(version)) return;
     this.#unloading.add(version);
     if (this.#ready.delete(version)) this.onChange();
     this.#forgetStaged(version);
-    const unloaded = await this.#order('unload', version);
-    if (unloaded) this.#components.timeline.record({ type: 'versionUnloaded', version });
-    else this.#unloading.delete(version);
+    while (this.#unloading.has(version) && !this.#wanted.has(version) && !this.#stopping.signal.aborted) {
+      const outcome = await this.#order('unload', version);
+      if (outcome === 'accepted')
+        return this.#components.timeline.record({ type: 'versionUnloaded', version });
+      if (outcome === 'refused') return void this.#unloading.delete(version);
+      await pause(RETRY_DELAY, this.#stopping.signal);
+    }
   }
 
   async #tryLoad(version: Digest, manifest: Manifest): Promise<void> {
     // An engine that did not answer for a moment may still hold the version.
     const isReached = await this.#refresh();
     if (!isReached || this.#ready.has(version)) return;
-    for (const [chunk, { digest }] of manifest.chunks.entries()) {
-      const data = this.#components.store.get(digest);
-      if (data === undefined || !(await this.#stage(version, chunk, data))) return;
-    }
-    if (!(await this.#order('load', version))) return;
+    if (!this.#loaded.has(version) && !(await this.#stageAll(version, manifest))) return;
+    if ((await this.#order('load', version)) !== 'accepted') return;
+    this.#unloading.delete(version);
     this.#forgetStaged(version);
     const deadline = performance.now() + CALL_TIMEOUT;
     while (!this.#ready.has(version) && performance.now() < deadline && !this.#stopping.signal.aborted) {
@@ -123,6 +134,15 @@
     }
   }
 
+  /** Stages all chunks; returns false if one is missing or the engine did not accept it. */
+  async #stageAll(version: Digest, manifest: Manifest): Promise<boolean> {
+    for (const [chunk, { digest }] of manifest.chunks.entries()) {
+      const data = this.#components.store.get(digest);
+      if (data === undefined || !(await this.#stage(version, chunk, data))) return false;
+    }
+    return true;
+  }
+
   /** Stages a chunk once. A failure is not kept, so that the next call stages the chunk again. */
   #stage(version: Digest, chunk: number, data: Buffer): Promise<boolean> {
     const key = `${version}/${chunk}`;
@@ -148,17 +168,18 @@
   }
 
   /** Sends an order under the latest revision: the engine refuses one that is older than another which it has accepted. */
-  async #order(kind: 'load' | 'unload', version: Digest): Promise<boolean> {
+  async #order(kind: 'load' | 'unload', version: Digest): Promise<OrderOutcome> {
     const { engine, timeline, log } = this.#components;
     const epoch = await this.#claim();
-    if (epoch === undefined) return false;
+    if (epoch === undefined) return 'refused';
     const revision = this.#revision;
     timeline.record({ type: 'orderSent', order: kind, version, revision });
     const outcome = await engine.order({ kind, version, fence: { epoch, revision } }, this.#callSignal());
-    if (outcome.ok) return true;
-    timeline.record({ type: 'orderRefused', order: kind, version, reason: outcome.error.type });
-    log.warn('engine refused order', { order: kind, version, reason: outcome.error.reason });
-    return false;
+    if (outcome.ok) return 'accepted';
+    const { type, reason } = outcome.error;
+    timeline.record({ type: 'orderRefused', order: kind, version, reason: type });
+    log.warn('engine did not accept order', { order: kind, version, reason });
+    return type === 'fenced' ? 'refused' : 'unanswered';
   }
 
   async #claim(): Promise<number | undefined> {
@@ -172,19 +193,20 @@
   async #refresh(): Promise<boolean> {
     const state = await this.#components.engine.state(this.#callSignal());
     if (this.#stopping.signal.aborted) return false;
+    if (state.ok) this.#noteUnloaded(state.value);
     this.#applyState(state.ok ? state.value : { versions: [], fence: { epoch: 0, revision: 0 }, active: 0 });
     return state.ok;
   }
 
+  /** Unload orders of versions that the engine does not report any more have been carried out. */
+  #noteUnloaded(state: EngineState): void {
+    const loaded = loadedVersions(state);
+    for (const version of this.#unloading) if (!loaded.has(version)) this.#unloading.delete(version);
+  }
+
   #applyState(state: EngineState): void {
-    const verified = state.versions.filter(
-      (row) => row.state === 'loaded' && row.loadedDigest === row.version,
-    );
-    const reported = new Set(verified.map((row) => row.version));
-    for (const version of this.#unloading) {
-      if (!reported.delete(version)) this.#unloading.delete(version);
-    }
-    const loaded: ReadonlySet<Digest> = reported;
+    this.#loaded = loadedVersions(state);
+    const loaded = new Set([...this.#loaded].filter((version) => !this.#unloading.has(version)));
     const gone = [...this.#ready].filter((version) => !loaded.has(version));
     const fresh = [...loaded].filter((version) => !this.#ready.has(version));
     for (const version of gone) this.#ready.delete(version);
@@ -202,6 +224,12 @@
   }
 }
 
+/** The versions that an engine reports as loaded with a matching digest. */
+function loadedVersions({ versions }: EngineState): Set<Digest> {
+  const verified = versions.filter((row) => row.state === 'loaded' && row.loadedDigest === row.version);
+  return new Set(verified.map((row) => row.version));
+}
+
 function pause(milliseconds: number, signal: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
     const end = () => {
--- a/test/agent/engine-orders.test.ts
+++ b/test/agent/engine-orders.test.ts
@@ -26,6 +26,9 @@
 
 /** The weights of the engine; replaced when it restarts. */
 let weights: EngineWeights;
+/** Carries out the unload orders that got no answer, as an engine does that stood still. */
+let lateOrders: Array<() => void>;
+let answersUnloads: boolean;
 let answersState: boolean;
 let stagedChunks: number;
 let loader: VersionLoader;
@@ -33,6 +36,8 @@
 
 beforeEach(async () => {
   weights = new EngineWeights(true);
+  lateOrders = [];
+  answersUnloads = true;
   answersState = true;
   stagedChunks = 0;
   await startAgent();
@@ -102,6 +107,10 @@
       return success(weights.stage(version, chunk, data));
     },
     order: async (order: { kind: string; version: string; fence: Fence }) => {
+      if (order.kind === 'unload' && !answersUnloads) {
+        lateOrders.push(() => carryOut(order));
+        return failure({ type: 'engineUnreachable', reason: 'no answer in time' });
+      }
       return carryOut(order) ? success(undefined) : failure(fenced);
     },
     complete: () => Promise.reject(new Error('not used')),
@@ -169,4 +178,27 @@
     reconciler.assign([assignment(third, 7)], 14);
     await until(() => isServed(third), 'the load after the unload');
   });
+
+  // An unload order without an answer was taken for one that is never carried out.
+  it('a late unload order does not remove a version that is assigned again', async () => {
+    reconciler.assign([assignment(first, 1)], 1);
+    await until(() => isServed(first), 'the first version');
+    answersUnloads = false;
+    reconciler.assign([assignment(second, 2)], 2);
+    await until(() => lateOrders.length > 0, 'the unload order');
+    reconciler.assign([assignment(first, 3), assignment(second, 2)], 3);
+    await until(() => isServed(first), 'the first version again');
+    for (const carryOutLate of lateOrders) carryOutLate();
+    expect(weights.serving(first.version)?.loadedDigest).toBe(first.version);
+  });
+
+  it('an unload order that was lost is sent again', async () => {
+    reconciler.assign([assignment(first, 1)], 1);
+    await until(() => isServed(first), 'the first version');
+    answersUnloads = false;
+    reconciler.assign([assignment(second, 2)], 2);
+    await until(() => lateOrders.length > 0, 'the unload order');
+    answersUnloads = true;
+    await until(() => weights.serving(first.version) === undefined, 'the unload');
+  });
 });
