Forwarding: an attempt whose connection opens late is chosen and written anew

Callers: a request whose entry stood still while its connection to the back end opened was sent with the time that had been left before. The back end worked on for that much longer than its caller waited. A retry was sent outside of the time span in which its budget had been spent. Cause: the choice of the back end, the headers and the retry budget were those of the time at which the attempt was created. A new connection that takes long is given up, but time in which the entry was not scheduled does not count for that; nothing bounded the age of the attempt once the connection was open. Change: an attempt older than `MAX_ARRIVAL_DELAY` (0.5 s) is withdrawn before its first byte, and the search goes on. A body that is streamed cannot be sent by another attempt, so such a request is still sent.

--- a/src/forwarding/attempt-factory.ts
+++ b/src/forwarding/attempt-factory.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { EventBudget } from '../systems/event-budget.js';
+import { MAX_ARRIVAL_DELAY } from '../systems/retry-window.js';
 import { type AdmittedRequest, headersToSend } from './admitted-request.js';
 import { type AnswerHead, type AnswerSummary, Attempt, type AttemptFailure } from './attempt.js';
 import { AttemptAnswer } from './attempt-answer.js';
@@ -67,8 +68,11 @@
     const { row } = selection;
     const urgency = timing.urgency(rank, performance.now());
     // A body that is not buffered would be lost with an attempt that is withdrawn.
-    const mustSend = body().type === 'streamed' || selector.isUnavailable(row, performance.now());
-    const attempt = new Attempt(
+    const isStreamed = body().type === 'streamed';
+    const mustSend = isStreamed || selector.isUnavailable(row, performance.now());
+    // Choice, headers and retry budget are those of the time at which the attempt was created.
+    const isOutdated = () => performance.now() - attempt.startedAt > MAX_ARRIVAL_DELAY;
+    const attempt: Attempt = new Attempt(
       {
         requestId: id,
         method: request.method ?? 'GET',
@@ -78,7 +82,7 @@
       },
       names,
       {
-        maySend: () => mayGoOut(row, mustSend),
+        maySend: () => mayGoOut(row, mustSend) && (isStreamed || !isOutdated()),
         onAnswer: (answer) => events.onAnswer(use, answer),
         onHead: (head) => events.onHead(use, head),
         onData: (chunk) => this.#onData(use, chunk),
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -159,7 +159,7 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    if (!this.#ended && !this.#listener.maySend()) this.withdraw('back end no longer available');
+    if (!this.#ended && !this.#listener.maySend()) this.withdraw('no longer to be sent');
     if (this.#ended) return controller.abort(new Error('aborted before it was sent'));
     this.#controller = controller;
   }
--- a/src/systems/retry-window.ts
+++ b/src/systems/retry-window.ts
@@ -20,7 +20,7 @@
 const PARTS = 20;
 /**
  * Longest time from the grant of a retry to its arrival at the back end, in milliseconds: a new connection is abandoned
- * after 400 ms, by a check that runs every 50 ms.
+ * after 400 ms, by a check that runs every 50 ms, and an attempt is not sent on one that opens later than this.
  */
 export const MAX_ARRIVAL_DELAY = 500;
 /** Longest time from sending by a caller to being counted here, in milliseconds: several hops of 3 ms and a short queue. */
