Fleet: a restored store is noticed whoever tells of it first

Callers: after the store came back from an older copy, quarantined contents, permits and stored weights that the copy lacked were not written again by an entry to which the store did not answer at that moment. Others went on to rely on its word that they were there. Cause: the new era was looked for in what this process read itself, compared with the list of back ends that it knew. A list of a peer had moved that to the new era before, so nothing was noticed. Evidence: `notices that the store was restored although a peer with a newer list noticed it first` in `test/fleet/store-sync.test.ts` fails on the code before this change: `expected +0 to be 1`. Change: the fleet's view tells its listeners when the list of back ends passes to a later era by any update, and `StoreSync` passes that on.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -2,6 +2,7 @@
  * The state of the deployment as known to this process: the active configuration, the back ends, the versions that the
  * operator has named, and the zones that it has taken out of service. Each part only moves forward, whether an update comes from the store or from a peer.
  */
+import { eraOf } from '../clients/store-revision.js';
 import type { BackEndIdentity } from '../model/back-end-identity.js';
 import type { BackEndListState } from '../protocol/back-end-list-state.js';
 import type { NamedVersion, ZoneEvacuation } from '../protocol/reports.js';
@@ -28,6 +29,8 @@
   onNamedVersion?(named: NamedVersion): void;
   /** A zone went out of service or was taken back; `source` is `store` or the address of a peer. */
   onEvacuation?(change: ZoneEvacuation, source: string): void;
+  /** The list of back ends is from a later era than before: the store was restored from an older copy. */
+  onNewEra?(): void;
 }
 
 /** The state of the deployment as known to this process. */
@@ -106,12 +109,12 @@
 
   /** Applies changes of the list of back ends up to `revision`. */
   applyBackEndChanges(changes: readonly BackEndChange[], revision: number): void {
-    this.#notifyBackEnds(this.backEnds.apply(changes, revision));
+    this.#updateBackEnds(() => this.backEnds.apply(changes, revision));
   }
 
   /** Replaces the list of back ends if the given one is newer. */
   applyBackEndList(state: BackEndListState): void {
-    this.#notifyBackEnds(this.backEnds.replace(state));
+    this.#updateBackEnds(() => this.backEnds.replace(state));
   }
 
   /**
@@ -134,6 +137,13 @@
     this.#notifyBackEnds(this.backEnds.apply(changes, this.backEnds.revision));
   }
 
+  #updateBackEnds(update: () => BackEndChange[]): void {
+    const before = this.backEnds.revision;
+    this.#notifyBackEnds(update());
+    if (before === 0 || eraOf(this.backEnds.revision) === eraOf(before)) return;
+    for (const listener of this.#listeners) listener.onNewEra?.();
+  }
+
   #notifyBackEnds(changes: readonly BackEndChange[]): void {
     if (changes.length === 0) return;
     for (const listener of this.#listeners) listener.onBackEnds?.(changes);
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -69,7 +69,10 @@
   timeUntilReading: (table: FollowedTable) => number = () => 0;
   /** Receives what this process has read, to be forwarded to others. */
   onForward: (news: StoreUpdate) => void = () => {};
-  /** Called when the store was restored from an older copy: recent writes of this process may be lost. */
+  /**
+   * Called when the store was restored from an older copy, whether it or another process told so: recent writes of this process
+   * may be lost.
+   */
   onStoreRestored: () => void = () => {};
   readonly faults: RecordFaults;
   /** The newest version of each model that was read from the store. */
@@ -90,6 +93,7 @@
     this.#evacuationReadings = new EvacuationReadings(options.fleet, options.log);
     const { tables, random, decoder, fleet, log, heartbeatInterval } = options;
     const { clock } = fleet;
+    fleet.listen({ onNewEra: () => this.onStoreRestored() });
     this.#outages = new StoreOutages(heartbeatInterval);
     this.#removals = new RemovalHold((removals) => {
       log.info('held removals applied', { backEnds: removals.map(({ id }) => id) });
@@ -266,7 +270,6 @@
     if (known === 0 || eraOf(revision) <= eraOf(known)) return;
     this.#options.log.warn('store came back from an older copy', { era: eraOf(revision) });
     this.#removals.begin(revision);
-    this.onStoreRestored();
   }
 
   #applySnapshot({ rows, revision }: RowsSnapshot): void {
--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -127,6 +127,21 @@
     await until(() => ids().join() === 'one,two', 'the end of the one that is still missing');
   });
 
+  // What this process had written was not written again, and it went on telling others that it was there.
+  it('notices that the store was restored although a peer with a newer list noticed it first', async () => {
+    let restorations = 0;
+    sync.onStoreRestored = () => restorations++;
+    const copy = store.copy();
+    store.faults.down = true;
+    await until(() => !sync.connected, 'the loss');
+    store.restore(copy);
+    const records = [...fleet.backEnds.records.values()];
+    fleet.applyBackEndList({ revision: store.revision, records });
+    store.faults.down = false;
+    await until(() => sync.connected, 'the answers of the store');
+    expect(restorations).toBe(1);
+  });
+
   it('keeps a back end as leaving while the store is unavailable and a peer has an older list', async () => {
     store.write('backEnds', 'one', 'leaving');
     await until(() => fleet.backEnds.records.get('one')?.leaving === true, 'the notice');
