Version collector: what a restored store held before is not relied on

Parts of a version that the store had lost were not written again, so machines that lose everything could not load it once the origin had dropped it. Cause: an entry adds to its list of stored parts what its peers report, and after a restoration ignored that for 3 s. A peer that is cut off for longer, or a restored store that takes no objects for longer, brought the lost parts back into the list, where they stayed. A listing or a write under way at the restoration did so too. Change: each report already carries the era in which it was made (`backEndsRevision`). Parts reported in an earlier era than the one known here do not count, nor do those listed or written across a change of era; the fixed time is gone. A new era is told before other changes of the list are, so that no report mixes both.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -139,9 +139,10 @@
 
   #updateBackEnds(update: () => BackEndChange[]): void {
     const before = this.backEnds.revision;
-    this.#notifyBackEnds(update());
-    if (before === 0 || eraOf(this.backEnds.revision) === eraOf(before)) return;
-    for (const listener of this.#listeners) listener.onNewEra?.();
+    const changes = update();
+    const isNewEra = before > 0 && eraOf(this.backEnds.revision) > eraOf(before);
+    if (isNewEra) for (const listener of this.#listeners) listener.onNewEra?.();
+    this.#notifyBackEnds(changes);
   }
 
   #notifyBackEnds(changes: readonly BackEndChange[]): void {
--- a/src/weights/version-collector.ts
+++ b/src/weights/version-collector.ts
@@ -6,6 +6,7 @@
  * duplicated work costs bytes, never correctness.
  */
 import type { ListedObjectStore } from '../clients/object-store.js';
+import { eraOf } from '../clients/store-revision.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import { sleep } from '../fleet/table-follower.js';
 import { ChunkSet } from '../model/chunk-set.js';
@@ -46,12 +47,6 @@
  * milliseconds.
  */
 const LISTING_INTERVAL = 2_000;
-/**
- * After the store has been restored from an older copy, what peers say of its contents is ignored for this
- * long, in milliseconds: entries that do not know of the restoration yet still report lost objects; they
- * learn of it within two seconds.
- */
-const STALE_LISTING_TIME = 3_000;
 /**
  * A piece in flight for longer than this is requested from another source as well, in milliseconds: a batch
  * takes 0.1 to 0.7 s.
@@ -101,8 +96,6 @@
   readonly #options: VersionCollectorOptions;
   readonly #collections = new Map<string, Collection>();
   #timer: NodeJS.Timeout | undefined;
-  /** Until when peers may report objects that no longer exist, in milliseconds of the monotonic clock. */
-  #staleListingsUntil = Number.NEGATIVE_INFINITY;
 
   constructor(options: VersionCollectorOptions) {
     this.#options = options;
@@ -139,7 +132,6 @@
    * missing.
    */
   noteOlderCopy(): void {
-    this.#staleListingsUntil = performance.now() + STALE_LISTING_TIME;
     for (const collection of this.#collections.values()) {
       collection.stored.clear();
       collection.isManifestStored = false;
@@ -332,10 +324,15 @@
     return holding.sort((a, b) => isOtherZone(a) - isOtherZone(b));
   }
 
+  /** Era of the store, as known to this entry: what was there in an earlier one may be missing. */
+  get #era(): number {
+    return eraOf(this.#options.fleet.backEnds.revision);
+  }
+
   /** Indexes of the parts that this entry and its peers know to be in the object store. */
   #storedParts({ version, stored }: Collection): Set<number> {
-    const peers = performance.now() < this.#staleListingsUntil ? [] : this.#options.peers();
-    for (const { held } of peers) {
+    for (const { held, backEndsRevision } of this.#options.peers()) {
+      if (eraOf(backEndsRevision) < this.#era) continue;
       const advertised = held.find((one) => versionKey(one) === versionKey(version));
       for (const index of advertised?.stored ?? []) stored.add(index);
     }
@@ -351,8 +348,10 @@
     while (!signal.aborted) {
       collection.listedAt = performance.now();
       const prefix = storedPrefix(collection.version);
+      const era = this.#era;
       const names = await objects.list(prefix, withLimit(signal, CALL_TIMEOUT));
       collection.isListed = true;
+      if (names.ok && era !== this.#era) continue;
       if (names.ok) {
         for (const name of names.value) {
           const index = Number(name.slice(prefix.length));
@@ -392,8 +391,9 @@
     const part = this.#nextUnstoredPart(collection, held);
     if (part === undefined || signal.aborted) return false;
     const bytes = Buffer.concat(part.pieces.map((piece) => held.piece(piece)!));
+    const era = this.#era;
     const put = await this.#options.objects.put(part.key, bytes, withLimit(signal, OBJECT_TIMEOUT));
-    if (put.ok) collection.stored.add(part.index);
+    if (put.ok && era === this.#era) collection.stored.add(part.index);
     this.#options.onHeldChanged(true);
     return put.ok;
   }
@@ -418,8 +418,9 @@
       if (collection.isManifestStored || this.#storedParts(collection).size < parts.length) continue;
       const key = storedManifestKey(collection.version);
       const bytes = Buffer.from(JSON.stringify(held.manifest));
+      const era = this.#era;
       const put = await this.#options.objects.put(key, bytes, withLimit(signal, CALL_TIMEOUT));
-      collection.isManifestStored = put.ok;
+      collection.isManifestStored = put.ok && era === this.#era;
     }
   }
 
