Exchange: the place of a peer is checked again when its chunk is sent

Callers: none notice it; weights could reach a machine in a place that the operator had excluded seconds before. Cause: the place was checked when a request was queued. It then waits for its turn and for the rate of the link, which takes seconds on a slow one. A change of the allowed places removed the peer as a source, but neither its queued requests nor a chunk that was about to be sent; the end of a transfer kept the latter too. Evidence: two tests fail on the code before this change: `refuses a queued request from a place that is no longer allowed` (received a `send`), `sends no chunk to a place that has been excluded while the chunk waited for the link` (received `chunk` instead of `refuse`). Change: uploads carry the place of their peer. A change of the places refuses queued ones, and an upload that has waited for the link is confirmed before it is sent.

--- a/src/agent/exchange.ts
+++ b/src/agent/exchange.ts
@@ -257,7 +257,7 @@
         return;
       }
       case 'send':
-        return void this.#sendChunk(command.version, command.chunk, command.peer, command.queueLength);
+        return void this.#sendChunk(command);
       case 'draw':
         return void this.#fetchFromOrigin(command.version, command.chunk);
       case 'report': {
@@ -277,17 +277,14 @@
     this.#components.timeline.record({ type: 'chunkRefused', version, chunk, peer, reason });
   }
 
-  async #sendChunk(version: Digest, chunk: number, peer: string, queueLength: number): Promise<void> {
+  async #sendChunk(upload: DistributionCommand & { type: 'send' }): Promise<void> {
+    const { version, chunk, peer, queueLength } = upload;
     const data = this.#chunkData(version, chunk);
     if (data !== undefined) {
       await this.#outgoing.take(data.byteLength, this.#stopping.signal);
-      this.#links.sendIfConnected(peer, {
-        type: 'chunk',
-        transfer: transferKeyOf(version),
-        chunk,
-        queueLength,
-        data,
-      });
+      const transfer = transferKeyOf(version);
+      if (this.node.confirmUpload(upload))
+        this.#links.sendIfConnected(peer, { type: 'chunk', transfer, chunk, queueLength, data });
     }
     this.#updateNode(() => this.node.onUploadEnded());
   }
--- a/src/systems/distribution/commands.ts
+++ b/src/systems/distribution/commands.ts
@@ -21,7 +21,8 @@
   | { type: 'cancel'; version: Digest; chunk: number; peer: PeerId }
   /** Fetch a chunk from the origin. */
   | { type: 'draw'; version: Digest; chunk: number; grantId: number | undefined }
-  | { type: 'send'; version: Digest; chunk: number; peer: PeerId; queueLength: number }
+  /** Send a chunk; `place` is that of the peer, which {@link DistributionNode.confirmUpload} checks after a wait. */
+  | { type: 'send'; version: Digest; chunk: number; peer: PeerId; place: string; queueLength: number }
   | {
       type: 'refuse';
       version: Digest;
--- a/src/systems/distribution/node.ts
+++ b/src/systems/distribution/node.ts
@@ -30,7 +30,7 @@
   type Transfer,
   type TransferInit,
 } from './transfer.js';
-import { selectUploads, type UploadTable } from './upload-selection.js';
+import { selectUploads, type UploadRow, type UploadTable } from './upload-selection.js';
 
 /** Weight of the latest response time in the exponentially smoothed one. */
 const RESPONSE_TIME_WEIGHT = 0.1;
@@ -70,6 +70,7 @@
       running.priority = init.priority;
       running.allowedPlaces = init.allowedPlaces;
       this.#dropDisallowedNeighbours(running, now);
+      this.#refuseDisallowedUploads(running);
       return running;
     }
     const transfer = createTransfer(init, now);
@@ -131,6 +132,7 @@
     }
     this.uploads.queued.push({
       peer: peer.id,
+      place: peer.place,
       version,
       chunk,
       peerHave: request.have,
@@ -231,6 +233,19 @@
     }
   }
 
+  /** Whether an upload may still be sent after it has waited for the link; refuses it if not. */
+  confirmUpload({
+    version,
+    chunk,
+    peer,
+    place,
+  }: Pick<UploadRow, 'version' | 'chunk' | 'peer' | 'place'>): boolean {
+    const transfer = this.transfers.get(version);
+    if (transfer?.allowedPlaces.has(place)) return true;
+    this.#refuse(peer, version, chunk, transfer === undefined ? 'absent' : 'place');
+    return false;
+  }
+
   /** Handles the end of an upload started by a `send` command, whether or not it was complete. */
   onUploadEnded(): void {
     this.uploads.active--;
@@ -307,6 +322,11 @@
     }
   }
 
+  #refuseDisallowedUploads({ version, allowedPlaces }: Transfer): void {
+    const disallowed = this.#takeQueued((row) => row.version === version && !allowedPlaces.has(row.place));
+    for (const { peer, chunk } of disallowed) this.#refuse(peer, version, chunk, 'place');
+  }
+
   #refuse(peer: PeerId, version: Digest, chunk: number, reason: RefusalReason): void {
     const queueLength = this.uploads.queued.length;
     this.#commands.push({ type: 'refuse', version, chunk, peer, reason, queueLength });
--- a/src/systems/distribution/upload-selection.ts
+++ b/src/systems/distribution/upload-selection.ts
@@ -10,6 +10,8 @@
 /** A peer's queued request for a chunk. */
 export interface UploadRow {
   peer: PeerId;
+  /** Place of the peer. */
+  place: string;
   version: Digest;
   chunk: number;
   /** Number of chunks the peer had when it sent the request. */
@@ -34,8 +36,8 @@
   while (table.active < limits.uploadsActive && table.queued.length > 0) {
     const next = takeNext(table.queued);
     table.active++;
-    const { version, chunk, peer } = next;
-    commands.push({ type: 'send', version, chunk, peer, queueLength: table.queued.length });
+    const { version, chunk, peer, place } = next;
+    commands.push({ type: 'send', version, chunk, peer, place, queueLength: table.queued.length });
   }
 }
 
--- a/test/agent/exchange.test.ts
+++ b/test/agent/exchange.test.ts
@@ -65,14 +65,19 @@
   return origin;
 }
 
-async function agent(name: string, origin: Origin, place = 'place-a'): Promise<TestAgent> {
+async function agent(
+  name: string,
+  origin: Origin,
+  place = 'place-a',
+  linkBytesPerSecond = 10_000_000,
+): Promise<TestAgent> {
   const { context, info, timeline } = await createConnectionContext(name, place);
   const store = new ChunkStore(100 * CHUNK_BYTES);
   const completed: string[] = [];
   const toCoordinator: Message[] = [];
   const exchange = new Exchange(
     { context, store, origin, timeline, log: silentLog },
-    { linkBytesPerSecond: 10_000_000, linkDuplex: 'shared', seed: 1 },
+    { linkBytesPerSecond, linkDuplex: 'shared', seed: 1 },
     {
       onVerified: () => {},
       onComplete: (version) => completed.push(version),
@@ -88,8 +93,8 @@
 }
 
 /** An agent that has all chunks of the version. */
-async function seed(name: string): Promise<TestAgent> {
-  const seeded = await agent(name, originOf(WEIGHTS, MANIFEST));
+async function seed(name: string, linkBytesPerSecond?: number): Promise<TestAgent> {
+  const seeded = await agent(name, originOf(WEIGHTS, MANIFEST), 'place-a', linkBytesPerSecond);
   for (const [index, { digest }] of MANIFEST.chunks.entries()) {
     seeded.store.put(digest, WEIGHTS.subarray(index * CHUNK_BYTES, (index + 1) * CHUNK_BYTES));
   }
@@ -222,4 +227,17 @@
     target.exchange.onNeighbours(KEY, [source.info]);
     await until(() => target.completed.length > 0, 'completion');
   });
+
+  // The place was checked before the chunk waited for its turn on the link.
+  it('sends no chunk to a place that has been excluded while the chunk waited for the link', async () => {
+    const source = await seed('seed', CHUNK_BYTES);
+    source.exchange.begin(assignment(VERSION, ['place-a', 'place-b']), MANIFEST);
+    const { connection, received } = await manualPeer(source, 'place-b');
+    connection.send({ type: 'request', transfer: KEY, chunk: 0, have: 0, urgent: false });
+    await until(() => source.exchange.node.uploads.active === 1, 'the upload');
+    source.exchange.begin(assignment(), MANIFEST);
+    await until(() => source.exchange.node.uploads.active === 0, 'the end of the upload');
+    await until(() => received.length > 0, 'an answer');
+    expect(received).toMatchObject([{ type: 'refuse', chunk: 0, reason: 'place' }]);
+  });
 });
--- a/test/systems/distribution-node.test.ts
+++ b/test/systems/distribution-node.test.ts
@@ -57,6 +57,22 @@
     expect(ofType(commands, 'refuse')).toMatchObject([{ chunk, reason }]);
   });
 
+  // The place was checked when the request was queued; on a slow link it waits there for seconds.
+  it('refuses a queued request from a place that is no longer allowed', () => {
+    const node = nodeWith([3], { ...DEFAULT_DISTRIBUTION_LIMITS, uploadsActive: 1 });
+    ask(node, 'first', 3);
+    expect(ofType(node.tick(1), 'send')).toHaveLength(1);
+    ask(node, 'second', 3);
+    node.startTransfer(
+      { version: VERSION, chunkCount: CHUNKS, priority: 0, allowedPlaces: new Set(['place-b']) },
+      2,
+    );
+    node.onUploadEnded();
+    const commands = node.tick(3);
+    expect(ofType(commands, 'send')).toEqual([]);
+    expect(ofType(commands, 'refuse')).toMatchObject([{ peer: 'second', chunk: 3, reason: 'place' }]);
+  });
+
   it('refuses requests beyond its queue limit as busy', () => {
     const node = nodeWith([3]);
     const { uploadQueue } = DEFAULT_DISTRIBUTION_LIMITS;
