--- a/src/roles/direct-agent.ts
+++ b/src/roles/direct-agent.ts
@@ -99,6 +99,27 @@
       label: 'state',
       read: () => ({ ...slots.figures }),
     },
+    {
+      name: 'engine_orders',
+      help: 'Orders to the engine to load weights, by how they ended',
+      label: 'ending',
+      read: () => ({ ...loader.figures.orders }),
+    },
+    {
+      name: 'staged_pieces_replaced',
+      help: "Corrupt pieces of weights in the engine's stage that were written again",
+      read: () => loader.figures.piecesReplaced,
+    },
+    {
+      name: 'layers_in_doubt',
+      help: 'Layers that the engine was ordered to load anew, as it could not be proven that they were sound',
+      read: () => loader.figures.layersInDoubt,
+    },
+    {
+      name: 'weights_in_doubt',
+      help: '1 while the engine gets no requests, as its weights are not proven',
+      read: () => Number(loader.figures.isInDoubt),
+    },
     {
       name: 'engine_rate_limit',
       help: 'Requests a second that the engine takes from all entries together, while it limits them',
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -22,7 +22,7 @@
 import { EngineHoldings } from './engine-holdings.js';
 import { EngineStage } from './engine-stage.js';
 import { EngineStarts } from './engine-starts.js';
-import { EngineSwitch, WHOLE_REFRESH_TIME } from './engine-switch.js';
+import { EngineSwitch, type SwitchFigures, WHOLE_REFRESH_TIME } from './engine-switch.js';
 import {
   type HeldWeights,
   type PieceManifest,
@@ -61,6 +61,14 @@
  */
 const MANIFEST_OBJECT_PATIENCE = 1_000;
 const MANIFEST_ORIGIN_PATIENCE = 2_500;
+/** What {@link EngineLoader} counts. */
+export interface LoaderFigures extends SwitchFigures {
+  /** Corrupt pieces of the stage that were written again. */
+  piecesReplaced: number;
+  /** The engine is held back from requests until its weights are proven. */
+  isInDoubt: boolean;
+}
+
 export interface EngineLoaderOptions {
   engine: StagedEngine;
   /** Address at which the engine accepts requests. */
@@ -170,6 +178,17 @@
     return this.#plan !== undefined;
   }
 
+  /** Figures of the orders to the engine since the start of this process. */
+  get figures(): LoaderFigures {
+    const { orders, layersInDoubt } = this.#engineSwitch.figures;
+    return {
+      orders,
+      layersInDoubt,
+      piecesReplaced: this.#stage.replaced,
+      isInDoubt: this.#holdings.isInDoubt,
+    };
+  }
+
   /** Sends a report at once, for an entry that has just been connected. */
   report(): void {
     this.#reportThrottle.reset();
