Soak: all, mixed, restarts and drills draw faults around orders too

Cause: only `weights` met late engines and stopped agents. Change: the four choices draw from those faults as well, with the same judges and without the constant trouble; restarts and restored stores keep about their share. Pieces are computed once, as engines compare them at each poll of a fault that waits for a staged version.

--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -663,9 +663,9 @@
 
 const FAULTS: Record<FaultChoice, Fault[]> = {
   planned: PLANNED,
-  all: [...PLANNED, ...UNPLANNED],
+  all: [...PLANNED, ...UNPLANNED, ...WEIGHTS_FAULTS],
   // Restarts make up about two in five faults, since otherwise few would be drawn.
-  restarts: [...PLANNED, ...UNPLANNED, ...RESTARTS, ...RESTARTS, ...RESTARTS],
+  restarts: [...PLANNED, ...UNPLANNED, ...WEIGHTS_FAULTS, ...repeat(RESTARTS, 4)],
   // Meanwhile a content and a prompt part crash the workers: see `deadly-content.ts` and `deadly-part.ts`.
   deadly: [...PLANNED, ...UNPLANNED],
   // Kills are only two in 24: requests from recently disrupted entries are not judged.
@@ -684,18 +684,10 @@
   regions: [...repeat(PLANNED, 2), ...RESTARTS, ...STALLS, ...EVACUATIONS.slice(0, 1), ...REGION_CHANGES],
   cold: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...RESTARTS, ...repeat(COLD_STARTS, 2)],
   stalls: [...PLANNED, ...repeat(CONFIGURATIONS, 3), ...repeat(STALLS, 3)],
-  mixed: [...PLANNED, ...UNPLANNED, ...CONFIGURATIONS, ...STALLS, ...STALLS],
+  mixed: [...PLANNED, ...UNPLANNED, ...WEIGHTS_FAULTS, ...CONFIGURATIONS, ...STALLS, ...STALLS],
   // Meanwhile stages are slow, pieces turn corrupt and versions are named: see `weights-faults.ts`.
   weights: [...repeat(WEIGHTS_FAULTS, 2), ...RESTARTS_OF_STAGED],
-  drills: [
-    ...PLANNED,
-    ...UNPLANNED,
-    ...RESTARTS,
-    ...STORE_RESTORES,
-    ...STORE_RESTORES,
-    ...STORE_RESTORES,
-    ...STORE_RESTORES,
-  ],
+  drills: [...PLANNED, ...UNPLANNED, ...WEIGHTS_FAULTS, ...RESTARTS, ...repeat(STORE_RESTORES, 6)],
 };
 
 /** Injects faults until `signal` aborts; returns their timeline. */
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -137,9 +137,17 @@
   }
 }
 
+/** The pieces that have been asked for, as engines compare them again and again; they must not be changed. */
+const pieces = new Map<string, Buffer>();
+
 /** Bytes of a piece. */
 export function pieceOf(version: number, index: number): Buffer {
-  return Buffer.alloc(PIECE_BYTES, createHash('sha256').update(`${version}/${index}`).digest());
+  const name = `${version}/${index}`;
+  const known = pieces.get(name);
+  if (known !== undefined) return known;
+  const bytes = Buffer.alloc(PIECE_BYTES, createHash('sha256').update(name).digest());
+  pieces.set(name, bytes);
+  return bytes;
 }
 
 /** Number of events and interval of the stream at `path`, whose query may override the defaults. */
