Soak: the longest time for which the soak's own process got no processor is printed

Cause: on a busy machine RECOVER, START and GONE were reported, and nothing told whether the workers, links and callers, which all live in the soak's process, had stood still themselves.

--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -9,6 +9,7 @@
  */
 import { readFileSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { parseArgs } from 'node:util';
 import { hash32, seededRandom } from '../../../src/model/random.js';
 import {
@@ -32,6 +33,7 @@
 import { SoakWorld, type WorldSize } from './world.js';
 
 const SECOND = 1_000;
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 /** Time limit for the recovery after the last fault, in milliseconds. */
 const RECOVERY_LIMIT = 14_000;
 const START_LIMIT = 15_000;
@@ -311,6 +313,8 @@
     const { seed } = play;
     const folder = join(values.folder, String(seed));
     rmSync(folder, { recursive: true, force: true });
+    const ownDelay = monitorEventLoopDelay({ resolution: 10 });
+    ownDelay.enable();
     const outcome = await playSeed({
       ...play,
       folder,
@@ -325,6 +329,8 @@
       faults: timeline.length,
       recoveredAfter,
       partCrashes,
+      // The longest time, in milliseconds, for which this process got no processor: it plays the workers, links and callers.
+      longestOwnDelay: Math.round(ownDelay.max / NANOSECONDS_PER_MILLISECOND),
       ...statuses,
     };
     process.stdout.write(`${JSON.stringify(line)}\n`);
