A slow stage is written as concurrently as it is read; a newer version ends the loading of an older one

Callers of a service whose engines have slow stages got 503 for longer than needed after a version was named.

Change: one class for both kinds of calls, 24 at the most; a switch asks before each order whether the version is still the one to load.

--- a/src/weights/concurrency.ts
+++ b/src/weights/concurrency.ts
@@ -17,16 +17,19 @@
   }
 }
 
-/** Number of concurrent reads. A fast stage needs few; more of a slow one do not hold up the engine's requests for longer. */
-const MIN_READS = 4;
-const MAX_READS = 32;
-/** Time in which all pieces are to be read, in milliseconds: a fraction of the time for which a check may be acted on. */
-const PASS_TIME = 500;
-/** Weight of the latest read in the mean duration. */
+/**
+ * Bounds of the number of concurrent calls. A quick server needs few. The upper bound leaves connections to other calls to it:
+ * a pool has 32.
+ */
+const MIN_CALLS = 4;
+const MAX_CALLS = 24;
+/** Time in which a series of calls is to end, in milliseconds: a fraction of the time for which a check may be acted on. */
+const SERIES_TIME = 500;
+/** Weight of the latest call in the mean duration. */
 const LATEST_WEIGHT = 0.2;
 
-/** The mean duration of recent reads, and how many of them to make concurrently. */
-export class ReadTime {
+/** The mean duration of recent calls of one kind, and how many of them to make concurrently. */
+export class CallTime {
   /** In milliseconds; undefined before the first. */
   #mean: number | undefined;
 
@@ -35,9 +38,9 @@
     this.#mean = mean + LATEST_WEIGHT * (duration - mean);
   }
 
-  /** Number of concurrent reads with which `count` reads end in {@link PASS_TIME}, within bounds. */
+  /** Number of concurrent calls with which `count` calls end in {@link SERIES_TIME}, within bounds. */
   concurrency(count: number): number {
-    const needed = Math.ceil((count * (this.#mean ?? 0)) / PASS_TIME);
-    return Math.min(MAX_READS, Math.max(MIN_READS, needed));
+    const needed = Math.ceil((count * (this.#mean ?? 0)) / SERIES_TIME);
+    return Math.min(MAX_CALLS, Math.max(MIN_CALLS, needed));
   }
 }
--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -464,12 +464,15 @@
 
   /** Orders the engine to load a version that is in the stage, unless it holds that version proven. */
   async #switch(held: HeldWeights, state: EngineState, signal: AbortSignal): Promise<void> {
+    const { version } = held.manifest;
     const proofs = this.#proofsOf(held, state);
     const pieces = [...held.manifest.digests.keys()];
     const isFresh = () => this.#stage.isFresh(pieces);
     // The engine goes on serving while its stage is read back; the order needs little more time then.
     if (!proofs.isComplete) await this.#stage.refresh(held, pieces, isFresh, WHOLE_REFRESH_TIME, signal);
-    const order = { held, state, served: this.#loadedVersion, proofs };
+    // Without a newer version that is complete, loading goes on, also if a plan no longer names this one.
+    const isWanted = () => (this.#nextVersion()?.manifest.version ?? 0) <= version;
+    const order = { held, state, served: this.#loadedVersion, proofs, isWanted };
     this.#holdings.noteEnding(proofs.isComplete ? 'proven' : await this.#engineSwitch.run(order, signal));
     this.#publishState();
     this.#sendReport();
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -7,12 +7,10 @@
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
 import { MAX_CHECK_AGE, StageChecks } from '../systems/stage-checks.js';
-import { forEachConcurrently, ReadTime } from './concurrency.js';
+import { CallTime, forEachConcurrently } from './concurrency.js';
 import type { HeldWeights, WeightsLibrary } from './held-weights.js';
 import type { StagedEngine } from './staged-engine.js';
 
-/** Pieces that are written concurrently; the stage is on the same machine. */
-const WRITE_CONCURRENCY = 4;
 const CALL_TIMEOUT = 1_000;
 /** Maximum age of checks on which an order is prepared, in milliseconds. The rest is for reading the engine's state. */
 const REFRESHED_AGE = 0.85 * MAX_CHECK_AGE;
@@ -23,7 +21,8 @@
 export class EngineStage {
   readonly #engine: StagedEngine;
   readonly #log: Log;
-  readonly #readTime = new ReadTime();
+  readonly #readTime = new CallTime();
+  readonly #writeTime = new CallTime();
   /** The checks in progress, by piece. */
   readonly #inProgress = new Map<number, Promise<void>>();
   /** Version whose pieces are in the stage, as far as is known; 0 if unknown. */
@@ -63,7 +62,7 @@
     const generation = this.#generation;
     await forEachConcurrently(
       [...digests.keys()],
-      () => WRITE_CONCURRENCY,
+      () => this.#writeTime.concurrency(digests.length),
       (index) => this.#write(held, index, signal),
     );
     if (generation !== this.#generation) return;
@@ -171,7 +170,9 @@
   async #write(held: HeldWeights, index: number, signal: AbortSignal): Promise<void> {
     const { model, digests } = held.manifest;
     const limited = withLimit(signal, CALL_TIMEOUT);
+    const beganAt = performance.now();
     const written = await this.#engine.stage(model, index, held.piece(index)!, limited);
+    this.#writeTime.note(performance.now() - beganAt);
     if (written.ok) return;
     const digest = digests[index];
     this.#unanswered.set(index, new Set(this.#unanswered.get(index)).add(digest));
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -1,6 +1,6 @@
 /**
  * Switches an engine to another version: gives notice, orders the engine to load it, and proves that what it loaded was sound;
- * layers of which that cannot be proven are loaded anew. The switch depends on nothing but the engine. It continues if the
+ * layers of which that cannot be proven are loaded anew. An order depends on nothing but the engine: it is followed up if the
  * version is no longer wanted or its fetch has ended, since an order that was accepted cannot be withdrawn.
  */
 import { sleep } from '../fleet/table-follower.js';
@@ -50,6 +50,8 @@
   served: number;
   /** Which layers of the version the engine holds proven; updated as orders are carried out. */
   proofs: LayerProofs;
+  /** Whether the version is still to be loaded; asked before each order. */
+  isWanted: () => boolean;
 }
 
 /** How a switch ended. */
@@ -113,7 +115,7 @@
     let before = order.state;
     let hasAccepted = false;
     let staleOrders = 0;
-    while (!proofs.isComplete) {
+    while (!proofs.isComplete && order.isWanted()) {
       const range = await this.#nextRange(held, proofs, signal);
       if (range === undefined) return hasAccepted ? 'unproven' : 'unchanged';
       const loaded = proofs.loadedBy(range);
@@ -147,7 +149,8 @@
       });
       before = state;
     }
-    return 'proven';
+    if (proofs.isComplete) return 'proven';
+    return hasAccepted ? 'unproven' : 'unchanged';
   }
 
   /** Waits until pieces can be loaded; undefined if none can be, or not in time. */
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -118,7 +118,7 @@
     await stage.fill(held, signal());
     engine.restart();
     const ending = await engineSwitch.run(
-      { held, state, served: 0, proofs: new LayerProofs(LAYERS) },
+      { held, state, served: 0, proofs: new LayerProofs(LAYERS), isWanted: () => true },
       signal(),
     );
     expect(ending).toBe('restarted');
@@ -148,7 +148,7 @@
       isBusy = true;
       return success({ type: 'taken' } as const);
     };
-    const order = { held, state, served: 0, proofs: new LayerProofs(LAYERS) };
+    const order = { held, state, served: 0, proofs: new LayerProofs(LAYERS), isWanted: () => true };
     const running = engineSwitch.run(order, new AbortController().signal);
     await until(() => isBusy, 'the order');
     // The next start is busy too, with an order from another process.
