End a switch by another process's proof only if that followed it

What callers saw: nothing yet; found by reading. While an agent stops and its successor starts, both report on the engine. The old one's report that it has proven the weights, a second old or sent each second, ended the switch that the new one had just announced, and the engine counted as usable until the new one's next report.

A proof now ends the switches that were last reported before its process began to prove the weights, which it reports as a switch of its own. Where that report was not heard (entries pass on the latest one only), it ends those of which nothing was reported for 3 s, three times the interval of reports.

Evidence: "is not ended by the proof of another process that runs beside it" (test/systems/engine-switches.test.ts) failed before: `AssertionError: expected false to be true`. The two tests on switches left by an agent that has ended still pass.

--- a/src/systems/engine-switches.ts
+++ b/src/systems/engine-switches.ts
@@ -6,7 +6,8 @@
  * - The agent process that announced a switch ends it by a report that the engine does not switch. It reports that only when the
  *   weights are proven or unchanged.
  * - Another process, which does not know what the first one has done, ends it only by a report that it has proven the weights
- *   itself. Entries ask it for that in its plan; its reports from before that plan end nothing.
+ *   itself after that. Entries ask it for that in its plan, and it reports that the engine switches until it has done so; its reports
+ *   from before end nothing. Two processes may run for a moment, and a proof of the one says nothing of an order of the other.
  * - A version that is listed, or reported by another process without proof, although no agent has reported it before, comes from
  *   a switch whose announcement was lost.
  *
@@ -16,7 +17,13 @@
  * Reports reach an entry through several others, so an old one may arrive after a newer one. Stamps of the agents' hybrid logical
  * clocks order them. Reports without a stamp, from earlier releases, count as the latest.
  */
-import type { Stamp } from '../model/hybrid-clock.js';
+import { type Stamp, stampTime } from '../model/hybrid-clock.js';
+
+/**
+ * An announced switch of which the process has not reported again for this time has been left unfinished, in milliseconds; agents
+ * report every second. A proof of another process then ends it, even if it is not known when that began to prove the weights.
+ */
+const ABANDONED_AFTER = 3_000;
 
 /** What an agent reports on one start of its engine. */
 export interface SwitchReport {
@@ -40,10 +47,16 @@
   stamp: Stamp;
 }
 
+/** Stamps of the first and the latest report of a switch. */
+interface SwitchStamps {
+  since: Stamp;
+  latest: Stamp;
+}
+
 /** The switches of one start of an engine. */
 export class EngineSwitches {
-  /** Stamps of the unfinished switches, by agent process. */
-  readonly #unfinished = new Map<string, Stamp>();
+  /** The unfinished switches, by agent process. */
+  readonly #unfinished = new Map<string, SwitchStamps>();
   /** Process and stamp of the latest report. */
   #latest: AnnouncedSwitch | undefined;
   /** Stamp of the latest report of proven weights. */
@@ -62,7 +75,7 @@
 
   /** The unfinished switches. */
   get unfinished(): AnnouncedSwitch[] {
-    return [...this.#unfinished].map(([agent, stamp]) => ({ agent, stamp }));
+    return [...this.#unfinished].map(([agent, { latest }]) => ({ agent, stamp: latest }));
   }
 
   /** Whether a switch that `agent` has not announced itself has not ended. */
@@ -81,7 +94,7 @@
     const { agent = '', stamp = known } = report;
     if (stamp < known) return false;
     this.#latest = { agent, stamp };
-    if (report.isSwitching) this.#unfinished.set(agent, report.stamp ?? 0);
+    if (report.isSwitching) this.#noteUnfinished(agent, report.stamp ?? 0);
     else this.#applyEnd(report);
     return true;
   }
@@ -90,13 +103,15 @@
   applyUnfinished({ agent, stamp }: AnnouncedSwitch): void {
     const isEnded = agent === this.#latest?.agent && stamp <= this.#latest.stamp;
     if (isEnded || stamp <= this.#provenAt) return;
-    this.#unfinished.set(agent, Math.max(stamp, this.#unfinished.get(agent) ?? 0));
+    this.#noteUnfinished(agent, stamp);
   }
 
   /** Applies a report that the engine does not switch. */
   #applyEnd({ agent = '', stamp, version, isReached, isProven }: SwitchReport): void {
+    const own = this.#unfinished.get(agent);
     this.#unfinished.delete(agent);
-    if (isProven !== false) this.#endUntil(stamp ?? Number.POSITIVE_INFINITY);
+    if (isProven === true && stamp !== undefined) this.#endProven(own?.since ?? 0, stamp);
+    else if (isProven !== false) this.#unfinished.clear();
     // Agents of earlier releases do not tell whether they have proven the weights.
     if (isProven === undefined) this.#version = undefined;
     else if (isReached) this.#applyVersion(version, isProven, stamp);
@@ -105,12 +120,24 @@
   /** Applies the version that the engine is reported to hold while it does not switch. */
   #applyVersion(version: number, isProven: boolean, stamp: Stamp | undefined): void {
     if (isProven) this.#provenAt = stamp ?? this.#provenAt;
-    else if (this.hasSwitchedTo(version)) this.#unfinished.set('', stamp ?? 0);
+    else if (this.hasSwitchedTo(version)) this.#noteUnfinished('', stamp ?? 0);
     if (!this.isUnfinished) this.#version = version;
   }
 
-  #endUntil(stamp: Stamp): void {
-    for (const [agent, announcedAt] of this.#unfinished)
-      if (announcedAt <= stamp) this.#unfinished.delete(agent);
+  #noteUnfinished(agent: string, stamp: Stamp): void {
+    const known = this.#unfinished.get(agent) ?? { since: stamp, latest: stamp };
+    this.#unfinished.set(agent, { since: known.since, latest: Math.max(known.latest, stamp) });
+  }
+
+  /**
+   * Ends the switches that a proof covers.
+   * @param since - stamp of the first report of the process that it was about to prove the weights; 0 if it has not arrived
+   * @param stamp - stamp of the report that it has
+   */
+  #endProven(since: Stamp, stamp: Stamp): void {
+    for (const [agent, { latest }] of this.#unfinished) {
+      const isAbandoned = stampTime(stamp) - stampTime(latest) > ABANDONED_AFTER;
+      if (latest <= since || isAbandoned) this.#unfinished.delete(agent);
+    }
   }
 }
--- a/test/forwarding/unfinished-switch.test.ts
+++ b/test/forwarding/unfinished-switch.test.ts
@@ -126,6 +126,8 @@
     expect(await isUsed()).toBe(false);
     report('second', { version: 2 });
     expect(await isUsed()).toBe(false);
+    report('second', { version: 2, isSwitching: true });
+    expect(await isUsed()).toBe(false);
     report('second', { version: 2, isProven: true });
     await until(isUsed, 'requests to the engine');
   });
--- a/test/systems/engine-switches.test.ts
+++ b/test/systems/engine-switches.test.ts
@@ -55,6 +55,23 @@
     expect(state()).toEqual({ isUnfinished: false, version: 2 });
   });
 
+  it('is not ended by the proof of another process that runs beside it', () => {
+    report(21, { isProven: true }, { ...NEW, isReached: true, version: 1 });
+    expect(switches.isUnfinished).toBe(true);
+    report(22, { isSwitching: true }, NEW);
+    report(23, { isSwitching: true });
+    report(24, { isProven: true }, { ...NEW, isReached: true, version: 1 });
+    expect(switches.isUnfinished).toBe(true);
+  });
+
+  it('is ended by the proof of another process once it has been left, if the beginning of that proof was not heard', () => {
+    const seconds = 1_000_000;
+    report(20 + 2 * seconds, { isProven: true }, { ...NEW, isReached: true });
+    expect(switches.isUnfinished).toBe(true);
+    report(20 + 4 * seconds, { isProven: true }, { ...NEW, isReached: true });
+    expect(switches.isUnfinished).toBe(false);
+  });
+
   it('is not ended by an earlier report that arrives later', () => {
     expect(report(15, {})).toBe(false);
     expect(switches.isUnfinished).toBe(true);
