Keep a report on the next start of an engine while the list shows the former one

What callers saw: answers from weights that nobody has proven, at an entry that read its list late. A report on a start that is not listed yet was forgotten when a record of the former start arrived, so that the record of the next start found nothing.

What is kept of an unlisted start now stays until that start is listed, or a later report on another one arrives.

Evidence: "if that was announced while the list still showed an earlier start" (test/forwarding/unfinished-switch.test.ts) failed before: `AssertionError: expected true to be false`.

--- a/src/forwarding/unlisted-engines.ts
+++ b/src/forwarding/unlisted-engines.ts
@@ -32,6 +32,8 @@
   /** Keeps an agent's report on an engine at `address`. */
   noteReport(address: string, news: EngineNews): void {
     const known = this.#reported.get(address);
+    // Of two starts, the one with the latest report is kept.
+    if (news.stamp !== undefined && news.stamp < (known?.news.stamp ?? 0)) return;
     const isSame = known !== undefined && isSameStart(known.news.start, news.start);
     const switches = isSame ? known.switches : new EngineSwitches();
     if (switches.apply(news)) setLatest(this.#reported, address, { news, switches });
@@ -45,14 +47,18 @@
     setLatest(this.#unfinished, unfinished.id, [...others, unfinished]);
   }
 
-  /** Returns what has been reported of an engine that is listed now, and forgets it. */
+  /** Returns what has been reported of a start of an engine that is listed now, and forgets it. */
   take({ id, address, start }: BackEndIdentity & { address: string }): UnlistedReports {
     const reported = this.#reported.get(address);
     const own = reported !== undefined && isSameStart(reported.news.start, start) ? reported : undefined;
-    const elsewhere = (this.#unfinished.get(id) ?? []).filter((one) => isSameStart(one.start, start));
-    this.#reported.delete(address);
-    this.#unfinished.delete(id);
-    return { news: own?.news, unfinished: [...(own?.switches.unfinished ?? []), ...elsewhere] };
+    if (own !== undefined) this.#reported.delete(address);
+    const elsewhere = this.#unfinished.get(id) ?? [];
+    const isOwn = (unfinished: UnfinishedSwitch) => isSameStart(unfinished.start, start);
+    const left = elsewhere.filter((unfinished) => !isOwn(unfinished));
+    if (left.length === 0) this.#unfinished.delete(id);
+    else this.#unfinished.set(id, left);
+    const unfinished = [...(own?.switches.unfinished ?? []), ...elsewhere.filter(isOwn)];
+    return { news: own?.news, unfinished };
   }
 }
 
--- a/test/forwarding/unfinished-switch.test.ts
+++ b/test/forwarding/unfinished-switch.test.ts
@@ -108,6 +108,14 @@
     expect(await isUsed()).toBe(false);
   });
 
+  it('if that was announced while the list still showed an earlier start', async () => {
+    report('first', { version: 0, start: 300, isSwitching: true });
+    report('second', { version: 0, start: 300, isReached: false });
+    listBoth(1, 200);
+    listBoth(2, 300);
+    expect(await isUsed()).toBe(false);
+  });
+
   it('if another entry knows of the switch, before or after the engine is listed', async () => {
     const unfinished = { id: 'one', start: 200, agent: 'first', stamp: 1 };
     forwarding.backEnds.applyUnfinishedSwitch(unfinished);
