--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -437,6 +437,11 @@
         label: 'zone',
         read: () => Object.fromEntries(fleet.evacuations.evacuated().map((zone) => [zone, 1])),
       },
+      {
+        name: 'unfinished_switches',
+        help: 'Switches of engines that an agent has announced and not reported as ended; the engines get no requests',
+        read: () => backEnds.unfinishedSwitches().length,
+      },
       { name: 'store_connected', help: '1 while the store answers', read: () => Number(sync.connected) },
       sync.faults.metric,
     ]);
