Manifest search: a manifest of the origin counts once two answers agree

Callers: a version whose manifest had arrived with one corrupt digest was never complete at any machine: no piece matches that digest, and the manifest was passed on to all entries and agents and written to the object store. Cause: the first well-formed answer of the origin was relied on for as long as the version was collected. Bytes from the origin may be corrupt; pieces are compared with the manifest, and the manifest was compared with nothing. Evidence: the new test in `test/weights/manifest-search.test.ts` fails on the code before this change: it gets the digests `a`, `c` instead of `a`, `b`. Change: the origin is asked again, three times at most in a round, until two answers are equal. `queries the origin only when it is the turn of this process` expected exactly one query after that turn; it now expects exactly two.

--- a/src/weights/manifest-search.ts
+++ b/src/weights/manifest-search.ts
@@ -14,6 +14,8 @@
  * of the 8 s within which a version must be serving.
  */
 const HOLDER_STAGGER = 150;
+/** Queries of the origin in one round: two answers must agree, and one of them may be corrupt. */
+const ORIGIN_QUERIES = 3;
 /** Pause between two rounds, in milliseconds. */
 const ROUND_PAUSE = 200;
 
@@ -39,13 +41,14 @@
   signal: AbortSignal,
 ): Promise<PieceManifest | undefined> {
   const callSignal = () => withLimit(signal, CALL_TIMEOUT);
+  const drawn = new DrawnManifests();
   while (!signal.aborted) {
     const known = library.of(version);
     if (known !== undefined) return known.manifest;
     const held = await queryHolders(processes(), version, callSignal, signal);
     if (held !== undefined) return held;
-    const drawn = await origin()?.manifest(version, callSignal());
-    if (drawn?.ok) return drawn.value;
+    const agreed = await drawn.query(origin, version, callSignal);
+    if (agreed !== undefined) return agreed;
     const store = objects();
     const stored = store && (await fetchStoredManifest(store, version, callSignal()));
     if (stored !== undefined) return stored;
@@ -54,6 +57,30 @@
   return undefined;
 }
 
+/**
+ * The answers of the origin, which may be corrupt in transit. No digest is known that a manifest could be compared with, so one is
+ * accepted only if two answers agree.
+ */
+class DrawnManifests {
+  readonly #answers = new Set<string>();
+
+  /** Queries the origin until two answers agree, at most {@link ORIGIN_QUERIES} times; undefined if none do. */
+  async query(
+    origin: () => PieceOrigin | undefined,
+    version: WeightsVersion,
+    limit: () => AbortSignal,
+  ): Promise<PieceManifest | undefined> {
+    for (let query = 0; query < ORIGIN_QUERIES; query++) {
+      const answer = await origin()?.manifest(version, limit());
+      if (!answer?.ok) return undefined;
+      const text = JSON.stringify(answer.value);
+      if (this.#answers.has(text)) return answer.value;
+      this.#answers.add(text);
+    }
+    return undefined;
+  }
+}
+
 /**
  * Queries the processes at `addresses`, each as soon as the one before has no manifest or does not answer in
  * time; undefined if none of them has it.
--- a/test/weights/manifest-search.test.ts
+++ b/test/weights/manifest-search.test.ts
@@ -61,7 +61,15 @@
     expect(asked).toBe(0);
     isTurn = true;
     expect(await found).toEqual(MANIFEST);
-    expect(asked).toBe(1);
+    expect(asked).toBe(2);
+  });
+
+  // No piece matches a corrupt digest, so the version was never complete at any machine.
+  it('accepts a manifest of the origin only if another answer of the origin agrees with it', async () => {
+    const corrupt = { ...MANIFEST, digests: ['a', 'c'] };
+    const answers = [success(corrupt), failure({ type: 'sourceFailed' as const, reason: 'broken off' })];
+    const spoiling: PieceOrigin = { ...origin, manifest: async () => answers.shift() ?? success(MANIFEST) };
+    expect(await search({ origin: () => spoiling })).toEqual(MANIFEST);
   });
 
   it('queries the object store only when it is the turn of this process', async () => {
