A switch counts as ended only once what it left is noted

An agent whose switch ended without proof told entries and the server of its slots that its engine served, and only then noted that the weights were in doubt: requests that waited for slots got in between. An agent that stopped before it knew what became of its order told them that the switch had ended unchanged, so that entries forgot the switch and its successor was told of none.

Cause: EngineSwitch.run reported its end before the loader had noted the ending, and took an aborted order for one never sent. The ending is now noted before the switch counts as ended, and an aborted order leaves the weights in doubt unless none was sent.

The tests failed before: 'hasServedCorrupt' was true, and 'isSwitching' false in the last report of the agent that stopped.

--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -115,6 +115,7 @@
       engine: options.engine,
       stage: this.#stage,
       onState: (state, askedAt) => void this.#applyState(state, askedAt),
+      onEnding: (ending) => this.#holdings.noteEnding(ending),
       onChange: () => {
         this.#publishState();
         this.#sendReport();
@@ -451,7 +452,8 @@
     // The engine goes on serving while its stage is read back; the order needs little more time then.
     if (!proofs.isComplete) await this.#stage.refresh(held, pieces, isFresh, WHOLE_REFRESH_TIME, signal);
     const order = { held, state, served: this.#loadedVersion, proofs };
-    this.#holdings.noteEnding(proofs.isComplete ? 'proven' : await this.#engineSwitch.run(order, signal));
+    if (!proofs.isComplete) return void (await this.#engineSwitch.run(order, signal));
+    this.#holdings.noteEnding('proven');
     this.#publishState();
     this.#sendReport();
   }
--- a/src/weights/engine-order.ts
+++ b/src/weights/engine-order.ts
@@ -34,6 +34,7 @@
   | { type: 'stale' }
   /** The engine has restarted; whatever it accepted before is lost. */
   | { type: 'restarted' }
+  /** This process stops; an attempt without an answer may still be accepted. */
   | { type: 'aborted' };
 
 export interface EngineOrderOptions {
@@ -70,7 +71,7 @@
       if (ending !== undefined) return ending;
       await sleep(POLL_INTERVAL, signal);
     }
-    return { type: 'aborted' };
+    return this.#endUnless('notSent') ?? { type: 'aborted' };
   }
 
   /** Waits until the engine has carried out the order; returns its state then, or undefined if it has restarted. */
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -35,7 +35,9 @@
    * Called with each state that was read and the time of the request; undefined if the engine did not answer.
    */
   onState: (state: EngineState | undefined, askedAt: number) => void;
-  /** Called when a switch begins and when it ends. */
+  /** Called with how a switch ended, before it counts as ended. */
+  onEnding: (ending: SwitchEnding) => void;
+  /** Called when a switch has begun and when it has ended. */
   onChange: () => void;
   log: Log;
 }
@@ -58,7 +60,7 @@
   | 'proven'
   /** The engine has accepted no order. */
   | 'unchanged'
-  /** The engine has accepted an order, and may hold a layer that is not proven. */
+  /** The engine has accepted an order, or still may, and may hold a layer that is not proven. */
   | 'unproven'
   | 'restarted';
 
@@ -94,6 +96,8 @@
     this.#options.onChange();
     if (order.served > 0) await sleep(NOTICE_PERIOD, signal);
     const ending = await this.#loadAll(order, signal);
+    // Weights that are not proven are in doubt before the switch counts as ended: no request may get in between.
+    this.#options.onEnding(ending);
     this.#isRunning = false;
     this.#options.onChange();
     return ending;
@@ -122,8 +126,8 @@
       this.figures.orders[ending.type]++;
       if (ending.type === 'stale' && ++staleOrders < MAX_STALE_ORDERS) continue;
       if (ending.type === 'restarted') return 'restarted';
-      if (ending.type !== 'accepted')
-        return hasAccepted || ending.type === 'alreadyHeld' ? 'unproven' : 'unchanged';
+      if (ending.type === 'aborted' || ending.type === 'alreadyHeld') return 'unproven';
+      if (ending.type !== 'accepted') return hasAccepted ? 'unproven' : 'unchanged';
       hasAccepted = true;
       const [state, unproven] = await Promise.all([
         engineOrder.awaitCompletion(signal),
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -39,6 +39,8 @@
   readonly loader: EngineLoader;
   #observed: ObservedEngine | undefined;
   report: EngineReport | undefined;
+  /** Called with each change of what the agent tells of its engine. */
+  onChange: () => void = () => {};
 
   constructor(engine: DecayingEngine, objects: MemoryStore) {
     this.loader = new EngineLoader({
@@ -49,12 +51,14 @@
       zone: 'zone-a',
       onEngineState: (state) => {
         this.#observed = state;
+        this.onChange();
       },
       library: new WeightsLibrary(),
       objects,
       originAt: () => unavailableOrigin,
       sendReport: (report) => {
         this.report = report;
+        this.onChange();
       },
       random: seededRandom(3),
       log: silentLog,
@@ -99,9 +103,7 @@
     engine = new DecayingEngine();
     agent = new Agent(engine, new MemoryStore());
     hasServedCorrupt = false;
-    setInterval(() => {
-      hasServedCorrupt ||= agent.letsRequestsIn && engine.servesCorruptLayer;
-    }, SAMPLE);
+    setInterval(noteServed, SAMPLE);
   });
 
   afterEach(async () => {
@@ -109,8 +111,17 @@
     time.restore();
   });
 
-  async function startAgent(...versions: number[]): Promise<void> {
+  function noteServed(): void {
+    hasServedCorrupt ||= agent.letsRequestsIn && engine.servesCorruptLayer;
+  }
+
+  async function createAgent(): Promise<void> {
     agent = new Agent(engine, await storedWeights());
+    agent.onChange = noteServed;
+  }
+
+  async function startAgent(...versions: number[]): Promise<void> {
+    await createAgent();
     await agent.loader.start();
     agent.loader.applyPlan(plan(...versions));
   }
@@ -232,7 +243,7 @@
     await startAgent(2);
     await time.runUntil(4_000);
     expect(hasStood).toBe(true);
-    agent = new Agent(engine, await storedWeights());
+    await createAgent();
     await agent.loader.start();
     agent.loader.applyPlan(newPlan());
   }
@@ -258,7 +269,7 @@
     void engine.start(order, signal);
     await time.runUntil(5_000);
     expect(engine.servesCorruptLayer).toBe(true);
-    agent = new Agent(engine, await storedWeights());
+    await createAgent();
     agent.loader.applyPlan({ ...plan(2), hasUnfinishedSwitch: true });
     await agent.loader.start();
     expect(await runUntilServing(2, 30_000)).toBe(true);
@@ -269,7 +280,7 @@
 
   it('serves without another order once an agent that is told of an unfinished switch has read its stage back intact', async () => {
     engine.holdFromStart(1);
-    agent = new Agent(engine, await storedWeights());
+    await createAgent();
     agent.loader.applyPlan({ ...plan(1), hasUnfinishedSwitch: true });
     await agent.loader.start();
     await time.runUntil(50);
@@ -280,6 +291,36 @@
     expect(engine.writes).toBe(0);
   });
 
+  it('gets no requests, not even for a moment, when a switch ends without proof', async () => {
+    engine.onOrder = () => {
+      engine.onOrder = () => {};
+      engine.standStill(5_000);
+      setTimeout(() => engine.corrupt(20), 50);
+    };
+    await createAgent();
+    await agent.loader.start();
+    // As long as the number of layers is unknown, none can be loaded anew.
+    agent.loader.applyPlan({ ...plan(1), layers: 0 });
+    await time.runUntil(20_000);
+    expect(engine.servesCorruptLayer).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+    agent.loader.applyPlan(plan(1));
+    expect(await runUntilServing(1, 30_000)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+  });
+
+  it('is not reported as having ended its switch by an agent that stops before it knows what became of its order', async () => {
+    engine.holdFromStart(1);
+    engine.onOrder = () => {
+      engine.standStill(5_000);
+      setTimeout(() => void agent.loader.stop(), 100);
+    };
+    await startAgent(2);
+    await time.runUntil(4_000);
+    expect(agent.report?.isSwitching).toBe(true);
+    expect(agent.letsRequestsIn).toBe(false);
+  });
+
   it.each([1, 2, 3])('serves while pieces become corrupt all the time: seed %i', async (seed) => {
     const random = seededRandom(seed);
     engine.holdFromStart(1);
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -110,6 +110,7 @@
       engine,
       stage,
       onState: () => {},
+      onEnding: () => {},
       onChange: () => {},
       log: silentLog,
     });
@@ -133,6 +134,7 @@
       engine,
       stage,
       onState: () => {},
+      onEnding: () => {},
       onChange: () => {},
       log: silentLog,
     });
