Weights loaded by an order of a former agent are in doubt, whenever it was accepted

An agent whose engine accepted an order of its predecessor while its own switch had begun served with what that order had loaded, although nobody had proven it. Where it got a 409 instead, it noticed later, but went on with what it had known of the layers before: it ordered what the engine held already, got 200, and repeated that without end, with the engine out of service.

Cause: a count of orders that rises during a switch was put down to that switch, also if its order had been refused; what is known of the layers outlived the other order. A refused order now tells whether the count has risen, a switch ends then as 'otherOrder', and the layers are read anew from the engine's state.

Both tests failed before: 'hasServedCorrupt' was true; version 2 was not served within 20 s.

--- a/src/weights/engine-holdings.ts
+++ b/src/weights/engine-holdings.ts
@@ -52,7 +52,7 @@
     this.#sequence = sequence;
     if (hasRestarted) this.#reset();
     if (isFirst && isBusy) this.#doubt('occupied');
-    else if (sequence > previous && (hasRestarted || !isSwitching)) this.#doubt('otherOrder');
+    else if (sequence > previous && (hasRestarted || !isSwitching)) this.#noteOtherOrder();
   }
 
   /** A previous agent process has not finished a switch of the engine's current start, as an entry knows. */
@@ -73,12 +73,19 @@
   /** A switch has ended, or what the engine holds has been proven without one. */
   noteEnding(ending: SwitchEnding): void {
     if (ending === 'unproven') this.#doubt('notProven');
+    if (ending === 'otherOrder') this.#noteOtherOrder();
     if (ending !== 'proven') return;
     this.#loading = undefined;
     this.#isProven = true;
     this.#isInDoubt = false;
   }
 
+  #noteOtherOrder(): void {
+    // The engine may have given up proven layers, or loaded them anew.
+    this.#loading = undefined;
+    this.#doubt('otherOrder');
+  }
+
   #reset(): void {
     this.#isInDoubt = false;
     this.#isProven = false;
--- a/src/weights/engine-order.ts
+++ b/src/weights/engine-order.ts
@@ -28,6 +28,8 @@
   | { type: 'alreadyHeld' }
   /** The engine did not accept it and never will. */
   | { type: 'refused' }
+  /** The same, as it has accepted an order of another process. */
+  | { type: 'otherOrder' }
   /** It was not sent: the engine is unreachable or occupied. */
   | { type: 'notSent' }
   /** It was not sent: the pieces cannot be read back fast enough. */
@@ -104,13 +106,13 @@
   }
 
   /** Ends with `type`, unless an earlier attempt may still be accepted. */
-  #endUnless(type: 'notSent' | 'stale' | 'refused'): OrderEnding | undefined {
+  #endUnless(type: 'notSent' | 'stale'): OrderEnding | undefined {
     return this.#unansweredSince === undefined ? { type } : undefined;
   }
 
   /** The number of orders has risen: by an attempt without an answer, or by an order of another process. */
   #acceptedEarlier(): OrderEnding {
-    if (this.#unansweredSince === undefined) return { type: 'refused' };
+    if (this.#unansweredSince === undefined) return { type: 'otherOrder' };
     return { type: 'accepted', time: { from: this.#unansweredSince, by: performance.now() } };
   }
 
@@ -138,13 +140,26 @@
       return undefined;
     }
     if (outcome.value.type === 'taken') return { type: 'accepted', time: { from: sentAt, by: answeredAt } };
-    if (outcome.value.type === 'refused') return this.#endUnless('refused');
     const from = this.#unansweredSince;
+    if (outcome.value.type === 'refused') return from === undefined ? this.#refusal(signal) : undefined;
     return from === undefined
       ? { type: 'alreadyHeld' }
       : { type: 'accepted', time: { from, by: answeredAt } };
   }
 
+  /** Why the engine refused the only attempt. */
+  async #refusal(signal: AbortSignal): Promise<OrderEnding> {
+    const state = await this.#options.readState(signal);
+    if (state !== undefined && this.#hasRestarted(state)) return { type: 'restarted' };
+    const isUnchanged = state?.sequence === this.#options.before.sequence;
+    return { type: isUnchanged ? 'refused' : 'otherOrder' };
+  }
+
+  /** Whether the engine has accepted another order after this one. */
+  isFollowed({ sequence }: EngineState): boolean {
+    return sequence > this.#options.before.sequence + 1;
+  }
+
   /** Whether the engine holds just what was ordered. */
   isCarriedOut({ layers }: EngineState): boolean {
     const { held, layers: ordered, layerCount } = this.#options;
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -19,7 +19,6 @@
  */
 const NOTICE_PERIOD = 60;
 const CALL_TIMEOUT = 1_000;
-const NO_LAYERS: LayerRange = { from: 0, end: 0 };
 /** Time in which all pieces are to be read back before an order, and any of them if that fails, in milliseconds. */
 export const WHOLE_REFRESH_TIME = 1_500;
 const PART_REFRESH_TIME = 3_000;
@@ -62,6 +61,8 @@
   | 'unchanged'
   /** The engine has accepted an order, or still may, and may hold a layer that is not proven. */
   | 'unproven'
+  /** The engine has accepted an order of another process, so that it is not known what it holds. */
+  | 'otherOrder'
   | 'restarted';
 
 /** Figures of all switches since the start of this process. */
@@ -76,7 +77,16 @@
 export class EngineSwitch {
   readonly #options: EngineSwitchOptions;
   readonly figures: SwitchFigures = {
-    orders: { accepted: 0, alreadyHeld: 0, refused: 0, notSent: 0, stale: 0, restarted: 0, aborted: 0 },
+    orders: {
+      accepted: 0,
+      alreadyHeld: 0,
+      refused: 0,
+      otherOrder: 0,
+      notSent: 0,
+      stale: 0,
+      restarted: 0,
+      aborted: 0,
+    },
     layersInDoubt: 0,
   };
   #isRunning = false;
@@ -126,7 +136,9 @@
       this.figures.orders[ending.type]++;
       if (ending.type === 'stale' && ++staleOrders < MAX_STALE_ORDERS) continue;
       if (ending.type === 'restarted') return 'restarted';
-      if (ending.type === 'aborted' || ending.type === 'alreadyHeld') return 'unproven';
+      if (ending.type === 'aborted') return 'unproven';
+      // What this process has not ordered, another one has.
+      if (ending.type === 'otherOrder' || ending.type === 'alreadyHeld') return 'otherOrder';
       if (ending.type !== 'accepted') return hasAccepted ? 'unproven' : 'unchanged';
       hasAccepted = true;
       const [state, unproven] = await Promise.all([
@@ -134,12 +146,7 @@
         this.#unprovenLayers(held, proofs, loaded, ending.time, signal),
       ]);
       if (state === undefined) return signal.aborted ? 'unproven' : 'restarted';
-      if (!engineOrder.isCarriedOut(state)) {
-        // Another process has given an order meanwhile.
-        const { layers } = state;
-        proofs.noteHeld(layers?.version === held.manifest.version ? layers : NO_LAYERS, new Set(proofs.all));
-        return 'unproven';
-      }
+      if (!engineOrder.isCarriedOut(state) || engineOrder.isFollowed(state)) return 'otherOrder';
       proofs.noteOrdered(range, unproven);
       this.figures.layersInDoubt += unproven.size;
       this.#options.log.info('engine loaded', {
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -321,6 +321,43 @@
     expect(agent.letsRequestsIn).toBe(false);
   });
 
+  /** The engine accepts an order that another agent process has sent. */
+  function acceptOtherOrder(version: number): void {
+    const order = { model: 'm', version, running: 'finish', expectedSequence: 0 } as const;
+    void engine.start(order, new AbortController().signal);
+  }
+
+  it('gets no requests after an order of a former agent was accepted while its successor was about to send its own', async () => {
+    engine.holdFromStart(1);
+    await createAgent();
+    let hasOrdered = false;
+    agent.onChange = () => {
+      noteServed();
+      if (hasOrdered || agent.report?.version !== 1 || !agent.report.isSwitching) return;
+      hasOrdered = true;
+      // The stage holds version 2.
+      acceptOtherOrder(3);
+    };
+    await agent.loader.start();
+    agent.loader.applyPlan(plan(1, 2));
+    await time.runUntil(15_000);
+    expect(hasOrdered).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+    expect(agent.servesVersion(2)).toBe(true);
+  });
+
+  it('serves again after an order of a former agent has loaded what its successor was about to order', async () => {
+    engine.holdFromStart(1);
+    engine.onOrder = () => {
+      engine.onOrder = () => {};
+      acceptOtherOrder(2);
+    };
+    await startAgent(2);
+    expect(await runUntilServing(2, 20_000)).toBe(true);
+    expect(agent.report?.isProven).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+  });
+
   it.each([1, 2, 3])('serves while pieces become corrupt all the time: seed %i', async (seed) => {
     const random = seededRandom(seed);
     engine.holdFromStart(1);
