The engine's state that was requested last is the one that counts

An engine was out of service for the time of a whole load after its switch, with every piece sound, if the answer to a state request from before the order arrived after the switch. In the same way doubt about weights could be cleared without proof.

Cause: polls overlap the switch that the end of a fetch begins. A late answer with the former count of orders looked like a restart, which clears what is known of the layers, and the next answer like an order of another process.

A state requested before the one applied last is now ignored, unless it is from a newer start. The test failed before: the agent reported that the engine did not serve version 2.

--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -99,6 +99,8 @@
   #stopped = new AbortController();
   #plan: WeightsPlan | undefined;
   #engineState: EngineState | undefined;
+  /** When the engine's state was requested that was applied last. */
+  #stateAskedAt = Number.NEGATIVE_INFINITY;
   #isAdvancing = false;
   /** The engine accepts no requests, so that it is idle when the next version is complete. */
   #isDrainingAhead = false;
@@ -213,10 +215,12 @@
     this.#options.log.info(message, { address: this.#options.engineAddress, version: this.#loadedVersion });
   }
 
-  /** Applies a state requested at `askedAt`; returns false if it is from an earlier start of the engine. */
+  /** Applies a state requested at `askedAt`; returns false if a later one is known. */
   #applyState(state: EngineState | undefined, askedAt: number): boolean {
     const news = state && this.#starts.noteAnswer(state.start, askedAt, performance.now());
-    if (news === 'older') return false;
+    // Calls overlap; a late answer must not take the number of orders back.
+    if (news === 'older' || (news !== 'newer' && askedAt < this.#stateAskedAt)) return false;
+    this.#stateAskedAt = askedAt;
     if (news === 'newer') this.#handleRestart();
     this.#warmUp.observe(state && { start: this.#starts.current }, performance.now());
     this.#engineState = state;
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -385,6 +385,23 @@
     expect(hasServedCorrupt).toBe(false);
   });
 
+  it('stays in service when a state that was requested before its switch arrives after it', async () => {
+    engine.holdFromStart(1);
+    await startAgent(1);
+    await time.runUntil(1_000);
+    engine.writeTime = 50;
+    agent.loader.applyPlan(plan(1, 2));
+    while (engine.writes === 0) await time.runUntil(performance.now() + SAMPLE);
+    engine.nextStateTime = 980;
+    expect(await runUntilServing(2, 10_000)).toBe(true);
+    expect(engine.nextStateTime).toBe(0);
+    const reported: boolean[] = [];
+    agent.onChange = () => reported.push(agent.servesVersion(2));
+    await time.runUntil(5_000);
+    expect(reported).not.toContain(false);
+    expect(engine.accepted).toHaveLength(1);
+  });
+
   it.each([1, 2, 3])('serves while pieces become corrupt all the time: seed %i', async (seed) => {
     const random = seededRandom(seed);
     engine.holdFromStart(1);
--- a/test/weights/decaying-engine.ts
+++ b/test/weights/decaying-engine.ts
@@ -49,6 +49,8 @@
   /** Time that a read and a write of the stage take, in milliseconds. */
   readTime = 1;
   writeTime = 1;
+  /** Time that the answer to the next state request takes, in milliseconds. */
+  nextStateTime = 0;
   /** Requests that run; an engine that switches waits until they have ended. */
   load = 0;
   readonly accepted: AcceptedOrder[] = [];
@@ -112,8 +114,10 @@
     this.#isSound.clear();
   }
 
-  state(signal: AbortSignal): Promise<Result<EngineState, EngineError>> {
-    return this.#handle(signal, CALL_TIME, () => {
+  async state(signal: AbortSignal): Promise<Result<EngineState, EngineError>> {
+    const answerTime = this.nextStateTime;
+    this.nextStateTime = 0;
+    const state = await this.#handle(signal, CALL_TIME, () => {
       this.#finishLoad();
       const isBusy = this.#loading !== undefined;
       const { load } = this;
@@ -126,6 +130,7 @@
         sequence: this.#sequence,
       };
     });
+    return state.ok && answerTime > 0 ? this.#handle(signal, answerTime, () => state.value) : state;
   }
 
   async stage(_model: string, index: number, bytes: Buffer, signal: AbortSignal) {
