Stage: late writes of any version count, also those of checks that outlast their version

A check in progress when the next version was written to the stage could overwrite it with the former one; if its write had no answer in time, that was not taken into account, and checks from before an order proved the piece. A late write of the piece's own bytes could mend it after the order had been accepted, so that reading it back proved what had been corrupt.

Cause: the pieces that late writes may reach were determined once, as a version was filled in, and only for other bytes. The checks are now told of each write without an answer; a gap between the checks of a piece that a late write may mend counts like a corrupt piece. Filling in ends the checks in progress first. Without unanswered writes and checks in progress, nothing changes.

Those of StageChecks use the new method.

--- a/src/systems/stage-checks.ts
+++ b/src/systems/stage-checks.ts
@@ -32,13 +32,17 @@
   readonly #corrupt = new Set<number>();
   /** Until when each piece may have been corrupt for longer than a check is valid. */
   readonly #doubtfulUntil = new Map<number, number>();
-  /** Pieces that a write may still reach with the bytes of another version. */
-  readonly #overwritable: ReadonlySet<number>;
+  /** Pieces that a late write may overwrite with other bytes, and those that one may mend unnoticed. */
+  readonly #overwritable = new Set<number>();
+  readonly #mendable = new Set<number>();
 
-  /** @param overwritable - pieces that a late write may still overwrite with the bytes of another version */
-  constructor(pieces: number, overwritable: ReadonlySet<number> = new Set()) {
+  constructor(pieces: number) {
     this.#intactAt = new Array(pieces).fill(Number.NEGATIVE_INFINITY);
-    this.#overwritable = overwritable;
+  }
+
+  /** A write of `piece` has had no answer and may still be carried out, with the bytes of this version or with others. */
+  noteLateWrite(piece: number, bytes: 'sameBytes' | 'otherBytes'): void {
+    (bytes === 'sameBytes' ? this.#mendable : this.#overwritable).add(piece);
   }
 
   /** When the oldest check of `pieces` began; minus infinity if one of them was not found intact when it was last read. */
@@ -56,8 +60,9 @@
 
   /** A read that began at `askedAt` and was answered at `answeredAt` has found the piece intact. */
   noteIntact(piece: number, askedAt: number, answeredAt: number): void {
-    const wasCorrupt = this.#corrupt.delete(piece);
-    if (wasCorrupt && answeredAt > this.#validUntil(piece)) this.#doubtfulUntil.set(piece, answeredAt);
+    const wasCorrupt = this.#corrupt.delete(piece) && answeredAt > this.#validUntil(piece);
+    const wasMendable = this.#mendable.has(piece) && answeredAt > this.#checkedAt(piece) + CHECK_VALIDITY;
+    if (wasCorrupt || wasMendable) this.#doubtfulUntil.set(piece, answeredAt);
     this.#intactAt[piece] = Math.max(this.#checkedAt(piece), askedAt);
   }
 
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -29,6 +29,8 @@
   /** Version whose pieces are in the stage, as far as is known; 0 if unknown. */
   #version = 0;
   #checks = new StageChecks(0);
+  /** The digests of that version. */
+  #digests: readonly Digest[] = [];
   /**
    * Incremented by each invalidation, so that a write that was in progress then does not count as complete.
    */
@@ -61,6 +63,10 @@
     const { version, digests } = held.manifest;
     if (this.#version === version) return;
     const generation = this.#generation;
+    this.#version = 0;
+    // Checks in progress compare with another version and must not write it from now on.
+    this.#checks = new StageChecks(0);
+    await Promise.all(this.#inProgress.values());
     await forEachConcurrently(
       [...digests.keys()],
       () => WRITE_CONCURRENCY,
@@ -68,7 +74,9 @@
     );
     if (generation !== this.#generation) return;
     this.#version = version;
-    this.#checks = new StageChecks(digests.length, this.#overwritableBy(held));
+    this.#checks = new StageChecks(digests.length);
+    this.#digests = digests;
+    for (const index of this.#unanswered.keys()) this.#noteLateWrites(index);
   }
 
   /**
@@ -111,6 +119,7 @@
   /** Reads a piece back; rewrites it if it is corrupt. */
   async #check(held: HeldWeights, piece: number, checks: StageChecks, signal: AbortSignal): Promise<void> {
     if ((await this.#isIntact(held, piece, checks, signal)) !== false || signal.aborted) return;
+    if (checks !== this.#checks) return;
     const { model, version } = held.manifest;
     this.#log.info('staged piece was bad', { model, version, piece });
     this.replaced++;
@@ -164,12 +173,12 @@
     if (written.ok) return;
     const digest = digests[index];
     this.#unanswered.set(index, new Set(this.#unanswered.get(index)).add(digest));
+    this.#noteLateWrites(index);
   }
 
-  /** The pieces that a write of another version without an answer may still overwrite. */
-  #overwritableBy({ manifest: { digests } }: HeldWeights): Set<number> {
-    const isOverwritable = (index: number) =>
-      [...(this.#unanswered.get(index) ?? [])].some((digest) => digest !== digests[index]);
-    return new Set([...digests.keys()].filter(isOverwritable));
+  /** Notes in the checks what writes of a piece without an answer may still do. */
+  #noteLateWrites(index: number): void {
+    for (const digest of this.#unanswered.get(index) ?? [])
+      this.#checks.noteLateWrite(index, digest === this.#digests[index] ? 'sameBytes' : 'otherBytes');
   }
 }
--- a/test/systems/stage-checks.test.ts
+++ b/test/systems/stage-checks.test.ts
@@ -49,11 +49,31 @@
   });
 
   it('prove nothing before the order was accepted of a piece that a late write may overwrite', () => {
-    const checks = new StageChecks(2, new Set([1]));
+    const checks = new StageChecks(2);
+    checks.noteLateWrite(1, 'otherBytes');
     for (const piece of [0, 1]) checks.noteIntact(piece, 1_000, 1_010);
     const accepted = { from: 1_020, by: 1_030 };
     expect(checks.unproven(accepted, [0, 1])).toEqual([1]);
     checks.noteIntact(1, 1_040, 1_050);
     expect(checks.unproven(accepted, [0, 1])).toEqual([]);
   });
+
+  it('do not prove by a late read what a late write of the same bytes may have mended since', () => {
+    const checks = new StageChecks(2);
+    checks.noteLateWrite(1, 'sameBytes');
+    for (const piece of [0, 1]) {
+      checks.noteIntact(piece, 1_000, 1_010);
+      checks.noteIntact(piece, 9_001, 9_100);
+    }
+    expect(checks.unproven({ from: 1_200, by: 9_000 }, [0, 1])).toEqual([1]);
+    expect(checks.unproven({ from: 9_200, by: 9_300 }, [0, 1])).toEqual([]);
+  });
+
+  it('prove a piece that a late write may mend as long as they follow on one another in time', () => {
+    const checks = new StageChecks(1);
+    checks.noteLateWrite(0, 'otherBytes');
+    checks.noteLateWrite(0, 'sameBytes');
+    for (const askedAt of [1_000, 3_000, 5_001]) checks.noteIntact(0, askedAt, askedAt + 10);
+    expect(checks.unproven({ from: 1_200, by: 5_000 }, [0])).toEqual([]);
+  });
 });
--- a/test/weights/decaying-engine.ts
+++ b/test/weights/decaying-engine.ts
@@ -157,9 +157,10 @@
       this.reads++;
       this.onRead(index);
     });
+    const { readTime } = this;
     const answer = await arrival;
     if (!answer.ok) return answer;
-    const sent = await this.#handle(signal, this.readTime, () => {});
+    const sent = await this.#handle(signal, readTime, () => {});
     return sent.ok ? success(bytes) : sent;
   }
 
