--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -19,9 +19,8 @@
  */
 const NOTICE_PERIOD = 60;
 const CALL_TIMEOUT = 1_000;
-const NO_LAYERS: LayerRange = { from: 0, end: 0 };
 /** Time in which all pieces are to be read back before an order, and any of them if that fails, in milliseconds. */
-export const WHOLE_REFRESH_TIME = 1_500;
+const WHOLE_REFRESH_TIME = 1_500;
 const PART_REFRESH_TIME = 3_000;
 /** Orders of one switch that were not sent as checks became too old at the last moment. */
 const MAX_STALE_ORDERS = 20;
@@ -35,7 +34,9 @@
    * Called with each state that was read and the time of the request; undefined if the engine did not answer.
    */
   onState: (state: EngineState | undefined, askedAt: number) => void;
-  /** Called when a switch begins and when it ends. */
+  /** Called with how a switch ended, before it counts as ended. */
+  onEnding: (ending: SwitchEnding) => void;
+  /** Called when a switch has begun and when it has ended. */
   onChange: () => void;
   log: Log;
 }
@@ -60,8 +61,10 @@
   | 'proven'
   /** The engine has accepted no order. */
   | 'unchanged'
-  /** The engine has accepted an order, and may hold a layer that is not proven. */
+  /** The engine has accepted an order, or still may, and may hold a layer that is not proven. */
   | 'unproven'
+  /** The engine has accepted an order of another process, so that it is not known what it holds. */
+  | 'otherOrder'
   | 'restarted';
 
 /** Figures of all switches since the start of this process. */
@@ -76,7 +79,16 @@
 export class EngineSwitch {
   readonly #options: EngineSwitchOptions;
   readonly figures: SwitchFigures = {
-    orders: { accepted: 0, alreadyHeld: 0, refused: 0, notSent: 0, stale: 0, restarted: 0, aborted: 0 },
+    orders: {
+      accepted: 0,
+      alreadyHeld: 0,
+      refused: 0,
+      otherOrder: 0,
+      notSent: 0,
+      stale: 0,
+      restarted: 0,
+      aborted: 0,
+    },
     layersInDoubt: 0,
   };
   #isRunning = false;
@@ -96,18 +108,16 @@
     this.#options.onChange();
     if (order.served > 0) await sleep(NOTICE_PERIOD, signal);
     const ending = await this.#loadAll(order, signal);
+    // Weights that are not proven are in doubt before the switch counts as ended: no request may get in between.
+    this.#options.onEnding(ending);
     this.#isRunning = false;
     this.#options.onChange();
     return ending;
   }
 
-  /**
-   * Reads back what the engine holds of a version that another process has staged and ordered, without writing: pieces that are
-   * still intact were so when the engine loaded them.
-   */
-  async prove(held: HeldWeights, proofs: LayerProofs, signal: AbortSignal): Promise<void> {
-    const accepted = { from: Number.NEGATIVE_INFINITY, by: performance.now() };
-    proofs.noteChecked(await this.#unprovenLayers(held, proofs, [...proofs.inDoubt], accepted, signal));
+  /** Reads back what a switch to `held` orders first; returns whether it can be ordered. The engine goes on serving meanwhile. */
+  async prepare(held: HeldWeights, proofs: LayerProofs, signal: AbortSignal): Promise<boolean> {
+    return proofs.isComplete || (await this.#nextRange(held, proofs, 0, signal)) !== undefined;
   }
 
   async #loadAll(order: SwitchOrder, signal: AbortSignal): Promise<SwitchEnding> {
@@ -116,7 +126,7 @@
     let hasAccepted = false;
     let staleOrders = 0;
     while (!proofs.isComplete && order.isWanted()) {
-      const range = await this.#nextRange(held, proofs, signal);
+      const range = await this.#nextRange(held, proofs, PART_REFRESH_TIME, signal);
       if (range === undefined) return hasAccepted ? 'unproven' : 'unchanged';
       const loaded = proofs.loadedBy(range);
       const engineOrder = this.#orderFor(order, before, range);
@@ -124,20 +134,17 @@
       this.figures.orders[ending.type]++;
       if (ending.type === 'stale' && ++staleOrders < MAX_STALE_ORDERS) continue;
       if (ending.type === 'restarted') return 'restarted';
-      if (ending.type !== 'accepted')
-        return hasAccepted || ending.type === 'alreadyHeld' ? 'unproven' : 'unchanged';
+      if (ending.type === 'aborted') return 'unproven';
+      // What this process has not ordered, another one has.
+      if (ending.type === 'otherOrder' || ending.type === 'alreadyHeld') return 'otherOrder';
+      if (ending.type !== 'accepted') return hasAccepted ? 'unproven' : 'unchanged';
       hasAccepted = true;
       const [state, unproven] = await Promise.all([
         engineOrder.awaitCompletion(signal),
         this.#unprovenLayers(held, proofs, loaded, ending.time, signal),
       ]);
       if (state === undefined) return signal.aborted ? 'unproven' : 'restarted';
-      if (!engineOrder.isCarriedOut(state)) {
-        // Another process has given an order meanwhile.
-        const { layers } = state;
-        proofs.noteHeld(layers?.version === held.manifest.version ? layers : NO_LAYERS, new Set(proofs.all));
-        return 'unproven';
-      }
+      if (!engineOrder.isCarriedOut(state) || engineOrder.isFollowed(state)) return 'otherOrder';
       proofs.noteOrdered(range, unproven);
       this.figures.layersInDoubt += unproven.size;
       this.#options.log.info('engine loaded', {
@@ -153,10 +160,11 @@
     return hasAccepted ? 'unproven' : 'unchanged';
   }
 
-  /** Waits until pieces can be loaded; undefined if none can be, or not in time. */
+  /** Waits until pieces can be loaded, `partTime` longer for a part of them than for all; undefined if none can be, or not in time. */
   async #nextRange(
     held: HeldWeights,
     proofs: LayerProofs,
+    partTime: number,
     signal: AbortSignal,
   ): Promise<LayerRange | undefined> {
     const { stage } = this.#options;
@@ -166,7 +174,7 @@
     // All layers at once, if reading them back in time is possible; else those that are ready.
     await stage.refresh(held, pieces, () => stage.isFresh(pieces), WHOLE_REFRESH_TIME, signal);
     const isAnyReady = () => proofs.next(isReady).type !== 'wait';
-    await stage.refresh(held, pieces, isAnyReady, PART_REFRESH_TIME, signal);
+    await stage.refresh(held, pieces, isAnyReady, partTime, signal);
     const next = proofs.next(isReady);
     return next.type === 'hold' ? next.range : undefined;
   }
