--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -102,18 +102,21 @@
   });
 });
 
+const switchOf = (engine: StagedEngine, stage: EngineStage) =>
+  new EngineSwitch({
+    engine,
+    stage,
+    onState: () => {},
+    onEnding: () => {},
+    onChange: () => {},
+    log: silentLog,
+  });
+
 describe('an order', () => {
   it('is not sent to an engine that has restarted since its stage was read, even if the count of orders matches', async () => {
     const engine = new RestartingEngine();
     const stage = new EngineStage(engine, silentLog);
-    const engineSwitch = new EngineSwitch({
-      engine,
-      stage,
-      onState: () => {},
-      onEnding: () => {},
-      onChange: () => {},
-      log: silentLog,
-    });
+    const engineSwitch = switchOf(engine, stage);
     const { value: state } = await engine.state();
     const held = completeWeights(1);
     await stage.fill(held, signal());
@@ -130,14 +133,7 @@
   it('is no longer awaited once the engine that accepted it has restarted', async () => {
     const engine = new RestartingEngine();
     const stage = new EngineStage(engine, silentLog);
-    const engineSwitch = new EngineSwitch({
-      engine,
-      stage,
-      onState: () => {},
-      onEnding: () => {},
-      onChange: () => {},
-      log: silentLog,
-    });
+    const engineSwitch = switchOf(engine, stage);
     const { value: state } = await engine.state();
     const held = completeWeights(1);
     await stage.fill(held, signal());
