A former agent's write that is carried out late is expected

What callers could get: answers made with a piece of an older version. Cause: an agent that was replaced may have left a write to the stage that the engine carries out seconds later, between the next agent's check of that piece and its order. Checks before the order counted as proofs, as only the agent's own writes without an answer were taken into account. Change: in the first 10 s of a process only a read after the order proves a piece, unless the engine has restarted since, which ends such writes. One more pass over the stage for a switch in that time, none later.

--- a/src/systems/stage-checks.ts
+++ b/src/systems/stage-checks.ts
@@ -28,6 +28,7 @@
 /** The checks of the pieces of one version in one engine's stage. */
 export class StageChecks {
   readonly #intactAt: number[];
+  readonly #otherWritesUntil: number;
   /** Pieces that were corrupt when they were last read. */
   readonly #corrupt = new Set<number>();
   /** Until when each piece may have been corrupt for longer than a check is valid. */
@@ -36,7 +37,9 @@
   readonly #overwritable = new Set<number>();
   readonly #mendable = new Set<number>();
 
-  constructor(pieces: number) {
+  /** @param otherWritesUntil - until when writes of another process may overwrite any piece with other bytes */
+  constructor(pieces: number, otherWritesUntil = Number.NEGATIVE_INFINITY) {
+    this.#otherWritesUntil = otherWritesUntil;
     this.#intactAt = new Array(pieces).fill(Number.NEGATIVE_INFINITY);
   }
 
@@ -81,7 +84,9 @@
       const until = this.#doubtfulUntil.get(piece);
       return until !== undefined && until >= from;
     };
-    return pieces.filter((piece) => isDoubtful(piece) || this.#validUntil(piece) < by);
+    // A write of another process may have come between a check and the order.
+    const isBefore = (piece: number) => from < this.#otherWritesUntil && this.#checkedAt(piece) < by;
+    return pieces.filter((piece) => isDoubtful(piece) || this.#validUntil(piece) < by || isBefore(piece));
   }
 
   #checkedAt(piece: number): number {
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -12,6 +12,11 @@
 import type { StagedEngine } from './staged-engine.js';
 
 const CALL_TIMEOUT = 1_000;
+/**
+ * Time after the start of this process in which the engine may still carry out a write of the process before, in milliseconds. An
+ * engine that stands still for longer is not expected.
+ */
+const OTHER_WRITES_TIME = 10_000;
 /** Maximum age of checks on which an order is prepared, in milliseconds. The rest is for reading the engine's state. */
 const REFRESHED_AGE = 0.85 * MAX_CHECK_AGE;
 /** Checks older than this are renewed while any is too old, so that all are young at the same time. */
@@ -36,6 +41,8 @@
   #generation = 0;
   /** The digests of writes without an answer, which may still be carried out, by piece. */
   readonly #unanswered = new Map<number, Set<Digest>>();
+  /** Until when a previous process's writes may still be carried out, in milliseconds of the monotonic clock. */
+  #otherWritesUntil = performance.now() + OTHER_WRITES_TIME;
   /** Number of corrupt pieces that were written again since the start of this process. */
   replaced = 0;
 
@@ -54,6 +61,8 @@
     this.#version = 0;
     this.#checks = new StageChecks(0);
     this.#unanswered.clear();
+    // They ended with the engine's connections.
+    this.#otherWritesUntil = Number.NEGATIVE_INFINITY;
     this.#generation++;
   }
 
@@ -73,7 +82,7 @@
     );
     if (generation !== this.#generation) return;
     this.#version = version;
-    this.#checks = new StageChecks(digests.length);
+    this.#checks = new StageChecks(digests.length, this.#otherWritesUntil);
     this.#digests = digests;
     for (const index of this.#unanswered.keys()) this.#noteLateWrites(index);
   }
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1168,15 +1168,15 @@
   {
     fault: 'what an engine loaded by a late order counts as proven',
     file: 'src/systems/stage-checks.ts',
-    find: 'isDoubtful(piece) || this.#validUntil(piece) < by',
-    replace: 'isDoubtful(piece)',
+    find: 'isDoubtful(piece) || this.#validUntil(piece) < by || isBefore(piece)',
+    replace: 'isDoubtful(piece) || isBefore(piece)',
     test: 'test/weights/corrupt-weights-served.test.ts',
   },
   {
     fault: 'a piece that was written since the order proves what the engine loaded',
     file: 'src/systems/stage-checks.ts',
-    find: 'isDoubtful(piece) || this.#validUntil(piece) < by',
-    replace: 'this.#validUntil(piece) < by',
+    find: 'isDoubtful(piece) || this.#validUntil(piece) < by || isBefore(piece)',
+    replace: 'this.#validUntil(piece) < by || isBefore(piece)',
     test: 'test/systems/stage-checks.test.ts',
   },
   {
@@ -1186,6 +1186,13 @@
     replace: 'CHECK_VALIDITY',
     test: 'test/weights/corrupt-weights-served.test.ts',
   },
+  {
+    fault: 'a late write of the previous agent is not expected',
+    file: 'src/weights/engine-stage.ts',
+    find: 'new StageChecks(digests.length, this.#otherWritesUntil)',
+    replace: 'new StageChecks(digests.length)',
+    test: 'test/weights/corrupt-weights-served.test.ts',
+  },
   {
     fault: 'an order without an answer is given up while the engine may still accept it',
     file: 'src/weights/engine-order.ts',
