An order that is refused for good is not repeated without end

What callers saw: an engine out of service until it restarted. Cause: an attempt without an answer may still be accepted, so the order was repeated until it was accepted; a refusal never ended that, also one that no later attempt can avoid (a malformed order, a fencing token that is too low).

--- a/src/weights/engine-order.ts
+++ b/src/weights/engine-order.ts
@@ -141,18 +141,20 @@
     }
     if (outcome.value.type === 'taken') return { type: 'accepted', time: { from: sentAt, by: answeredAt } };
     const from = this.#unansweredSince;
-    if (outcome.value.type === 'refused') return from === undefined ? this.#refusal(signal) : undefined;
+    if (outcome.value.type === 'refused')
+      return from === undefined || outcome.value.isFinal ? this.#refusal(signal) : undefined;
     return from === undefined
       ? { type: 'alreadyHeld' }
       : { type: 'accepted', time: { from, by: answeredAt } };
   }
 
-  /** Why the engine refused the only attempt. */
-  async #refusal(signal: AbortSignal): Promise<OrderEnding> {
+  /** What a refusal says of all attempts: the only one was refused, or none will be accepted from now on. */
+  async #refusal(signal: AbortSignal): Promise<OrderEnding | undefined> {
     const state = await this.#options.readState(signal);
-    if (state !== undefined && this.#hasRestarted(state)) return { type: 'restarted' };
-    const isUnchanged = state?.sequence === this.#options.before.sequence;
-    return { type: isUnchanged ? 'refused' : 'otherOrder' };
+    if (state === undefined) return this.#unansweredSince === undefined ? { type: 'otherOrder' } : undefined;
+    if (this.#hasRestarted(state)) return { type: 'restarted' };
+    if (state.sequence === this.#options.before.sequence) return { type: 'refused' };
+    return this.#acceptedEarlier();
   }
 
   /** Whether the engine has accepted another order after this one. */
--- a/src/weights/staged-engine.ts
+++ b/src/weights/staged-engine.ts
@@ -34,8 +34,11 @@
   | { type: 'taken' }
   /** The engine already holds the layers and loads nothing. */
   | { type: 'held' }
-  /** The order does not match the engine's state, or a newer one was accepted. */
-  | { type: 'refused'; status: number };
+  /**
+   * The order does not match the engine's state, or a newer one was accepted. If `isFinal`, it is refused at any later time too, as it is
+   * malformed or its fencing token is too low.
+   */
+  | { type: 'refused'; status: number; isFinal: boolean };
 
 /** What happens to an engine's running requests when it switches to another version. */
 export type RunningRequests =
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -451,6 +451,18 @@
     expect(await runUntilServing(2, 40_000)).toBe(true);
   });
 
+  it('serves its version again after an order without an answer that it refuses for good when it is repeated', async () => {
+    engine.holdFromStart(1);
+    engine.losesOrders = true;
+    await startAgent(2);
+    await time.runUntil(4_000);
+    expect(agent.letsRequestsIn).toBe(false);
+    engine.losesOrders = false;
+    engine.refusesAllWith = 412;
+    expect(await runUntilServing(1, 10_000)).toBe(true);
+    expect(engine.accepted).toEqual([]);
+  });
+
   it('does not serve with a piece that the previous agent wrote late', async () => {
     engine.holdFromStart(1);
     engine.heldWrites.add(5);
--- a/test/weights/decaying-engine.ts
+++ b/test/weights/decaying-engine.ts
@@ -64,6 +64,10 @@
   readonly heldWrites = new Set<number>();
   /** Answers to orders are lost. */
   losesAnswers = false;
+  /** Orders are lost on their way. */
+  losesOrders = false;
+  /** Status with which it refuses every order, whatever its state. */
+  refusesAllWith: number | undefined;
   reads = 0;
   writes = 0;
   readonly #stage = new Map<number, Buffer>();
@@ -167,6 +171,8 @@
 
   async start(order: StartOrder, signal: AbortSignal): Promise<Result<OrderOutcome, EngineError>> {
     this.onOrder();
+    if (this.losesOrders)
+      return this.#handle(signal, Number.MAX_SAFE_INTEGER, () => ({ type: 'held' }) as const);
     const outcome = await this.#handle(signal, CALL_TIME + this.orderDelay, () => this.#accept(order));
     return this.losesAnswers ? UNREACHABLE : outcome;
   }
@@ -187,8 +193,10 @@
 
   #accept({ version, expectedSequence, layers = { from: 0, end: LAYERS } }: StartOrder): OrderOutcome {
     this.#finishLoad();
+    const status = this.refusesAllWith;
+    if (status !== undefined) return { type: 'refused', status, isFinal: true };
     if (this.#loading !== undefined || expectedSequence !== this.#sequence)
-      return { type: 'refused', status: 409 };
+      return { type: 'refused', status: 409, isFinal: false };
     const held = this.#layers?.version === version ? this.#layers : undefined;
     if (held?.from === layers.from && held.end === layers.end) return { type: 'held' };
     this.#sequence++;
--- a/test/weights/engine-restart.test.ts
+++ b/test/weights/engine-restart.test.ts
@@ -73,7 +73,8 @@
     const pieces = Array.from({ length: PIECES }, (_, index) => index);
     const isComplete = pieces.every((index) => this.stagedPieces.get(index)?.equals(pieceOf(version, index)));
     this.orders.push({ start: this.currentStart, version, isComplete });
-    if (expectedSequence !== this.sequence) return success({ type: 'refused', status: 409 } as const);
+    if (expectedSequence !== this.sequence)
+      return success({ type: 'refused', status: 409, isFinal: false } as const);
     this.sequence++;
     this.layers = { from: 0, end: LAYERS, version };
     return success({ type: 'taken' } as const);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1193,6 +1193,13 @@
     replace: 'new StageChecks(digests.length)',
     test: 'test/weights/corrupt-weights-served.test.ts',
   },
+  {
+    fault: 'an order that is refused for good is repeated without end',
+    file: 'src/weights/engine-order.ts',
+    find: 'from === undefined || outcome.value.isFinal ? this',
+    replace: 'from === undefined ? this',
+    test: 'test/weights/corrupt-weights-served.test.ts',
+  },
   {
     fault: 'an order without an answer is given up while the engine may still accept it',
     file: 'src/weights/engine-order.ts',
