Test of a judge of the soak: the stop comes before the arrival, however long the test gets no processor

What was seen: `is excused by a stop of the entry, and not by an outage of the store` failed once in seven runs beside load. Cause: it set an arrival 10 ms after a reading of the clock, and recorded the stop at a later reading; with more than 10 ms between both, the stop came after the arrival. Evidence: a pause of 20 ms put there made it fail each time, with the same assertion; with the change it passes with that pause. Change: one reading of the clock for all of the test; it asks for the same.

--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -1,5 +1,5 @@
 /** Tests that the judges of the soak report each kind of violation and nothing that is allowed. */
-import { beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { judgeAnswer, judgeMissingRoute, type SentRequest } from './soak/callers.js';
 import { judgeColdStarts } from './soak/cold-starts.js';
 import { Disruptions } from './soak/disruptions.js';
@@ -23,6 +23,8 @@
 let disruptions: Disruptions;
 let world: SoakWorld;
 
+afterEach(() => vi.restoreAllMocks());
+
 beforeEach(() => {
   log = new RunLog();
   disruptions = new Disruptions();
@@ -350,6 +352,8 @@
 
   it('is excused by a stop of the entry, and not by an outage of the store', () => {
     const now = performance.now();
+    // The stop comes before the arrival, however long this test gets no processor.
+    vi.spyOn(performance, 'now').mockReturnValue(now);
     const recent = { ...told, answeredAt: now - 3_000 };
     const later = sent('late', { sentAt: now });
     arrive('late', now + 10);
