Tests of late orders and late writes run also in an agent that has run for long

Cause: since only a read after the order proves a piece in the first 10 s of an agent, and the tests that notice these guards began in that time, so the new rule hid what they take out. Change: both tests are played also after those 10 s, and the late write of an older version at 5 s as well as at 11 s.

--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -19,6 +19,8 @@
 import { unavailableOrigin } from './fake-engine.js';
 import { VirtualTime } from './virtual-time.js';
 
+/** Time from which an agent expects no writes of a process before it, in milliseconds after its start. */
+const OTHER_WRITES_END = 11_000;
 /** Interval at which the test looks at what the engine would answer with, in milliseconds. */
 const SAMPLE = 5;
 
@@ -166,11 +168,12 @@
   });
 
   it.each([
-    ['one piece', [7]],
-    ['a piece of each layer', Array.from({ length: LAYERS }, (_, layer) => layer * 3)],
+    ['one piece', [7], 0],
+    ['a piece of each layer', Array.from({ length: LAYERS }, (_, layer) => layer * 3), 0],
+    ['one piece, of an agent that has run for long', [7], OTHER_WRITES_END],
   ])(
     'gets no requests after it stood still as an order reached it, until it has loaded sound ones: %s',
-    async (_, pieces) => {
+    async (_, pieces, plannedAt) => {
       let hasStood = false;
       engine.onOrder = () => {
         if (hasStood) return;
@@ -180,8 +183,11 @@
           for (const index of pieces) engine.corrupt(index);
         }, 50);
       };
-      await startAgent(1);
-      expect(await runUntilServing(1, 20_000)).toBe(true);
+      await createAgent();
+      await agent.loader.start();
+      await time.runUntil(plannedAt);
+      agent.loader.applyPlan(plan(1));
+      expect(await runUntilServing(1, plannedAt + 20_000)).toBe(true);
       await time.runUntil(performance.now() + 5_000);
       expect(hasServedCorrupt).toBe(false);
       expect(engine.servesCorruptLayer).toBe(false);
@@ -196,10 +202,9 @@
         engine.losesAnswers = false;
       }, 4_000);
     };
-    agent = new Agent(engine, await storedWeights());
+    await createAgent();
     await agent.loader.start();
-    // No write of a previous agent is expected any more.
-    await time.runUntil(11_000);
+    await time.runUntil(OTHER_WRITES_END);
     agent.loader.applyPlan(plan(1));
     expect(await runUntilServing(1, 20_000)).toBe(true);
     expect(hasServedCorrupt).toBe(false);
@@ -222,16 +227,20 @@
     expect(engine.accepted.map(({ corruptFor }) => corruptFor)).not.toContain(Number.POSITIVE_INFINITY);
   });
 
-  it('does not serve with a piece of an older version that was written late', async () => {
-    engine.holdFromStart(1);
-    engine.heldWrites.add(5);
-    await startAgent(2);
-    expect(await runUntilServing(2, 20_000)).toBe(true);
-    engine.onOrder = () => engine.releaseWrites();
-    agent.loader.applyPlan(plan(2, 3));
-    expect(await runUntilServing(3, 40_000)).toBe(true);
-    expect(hasServedCorrupt).toBe(false);
-  });
+  it.each([5_000, OTHER_WRITES_END])(
+    'does not serve with a piece of an older version that was written late: %i ms after the start',
+    async (plannedAt) => {
+      engine.holdFromStart(1);
+      engine.heldWrites.add(5);
+      await startAgent(2);
+      expect(await runUntilServing(2, 20_000)).toBe(true);
+      await time.runUntil(plannedAt);
+      engine.onOrder = () => engine.releaseWrites();
+      agent.loader.applyPlan(plan(2, 3));
+      expect(await runUntilServing(3, 40_000)).toBe(true);
+      expect(hasServedCorrupt).toBe(false);
+    },
+  );
 
   /** An agent that has sent an order to an engine that stands still for 5 s is replaced; a piece becomes corrupt at once. */
   async function replaceAgentWithOrderPending(newPlan: () => WeightsPlan): Promise<void> {
