Agents: the fetches of the planned versions have a class of their own

Change: PlannedFetches starts and stops the fetches of a plan, finds manifests and sources, and keeps when each version was complete; the loader keeps what concerns the engine. No behaviour changes.

--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -8,7 +8,7 @@
 import { NamedVersions } from '../fleet/named-versions.js';
 import { StoreClock } from '../fleet/store-clock.js';
 import { sleep } from '../fleet/table-follower.js';
-import { hash32, type Random } from '../model/random.js';
+import type { Random } from '../model/random.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
@@ -16,23 +16,14 @@
 import { EngineWarmUp } from '../systems/engine-warm-up.js';
 import type { LayerProofs } from '../systems/layer-proofs.js';
 import type { ObservedEngine } from '../systems/slot-table.js';
-import { SMALL_BATCH } from '../systems/upload-limit.js';
 import { AgentEvacuation } from './agent-evacuation.js';
-import { agentSources, BATCH_TIMEOUT } from './agent-sources.js';
 import { EngineHoldings } from './engine-holdings.js';
 import { EngineStage } from './engine-stage.js';
 import { EngineStarts } from './engine-starts.js';
 import { EngineSwitch, type SwitchFigures } from './engine-switch.js';
-import {
-  type HeldWeights,
-  type PieceManifest,
-  versionKey,
-  type WeightsLibrary,
-  type WeightsVersion,
-} from './held-weights.js';
-import { findManifest } from './manifest-search.js';
-import { type FetchLimits, PieceFetcher } from './piece-fetcher.js';
-import type { PieceOriginFactory, PieceSource } from './piece-source.js';
+import type { HeldWeights, WeightsLibrary, WeightsVersion } from './held-weights.js';
+import type { PieceOriginFactory } from './piece-source.js';
+import { PlannedFetches } from './planned-fetches.js';
 import { ReportThrottle } from './report-throttle.js';
 import type { EngineState, StagedEngine } from './staged-engine.js';
 import { type VersionFetch, VersionOrder } from './version-order.js';
@@ -42,25 +33,6 @@
 /** The same while the engine serves the newest wanted version, in milliseconds. */
 const UP_TO_DATE_POLL_INTERVAL = 400;
 const CALL_TIMEOUT = 1_000;
-/**
- * Fetch limits: while the engine has no weights, the fetch may use the whole link; once it serves, requests
- * share the link.
- */
-const UNLOADED_FETCH_LIMITS: FetchLimits = { open: 2, batch: SMALL_BATCH, share: 1 };
-const SERVING_FETCH_LIMITS: FetchLimits = { open: 2, batch: 1, share: 1 };
-/**
- * A piece that takes longer than this indicates a slow link, in milliseconds: fetching several at a time
- * would delay requests.
- */
-const SLOW_LINK_PIECE_TIME = 250;
-const SLOW_LINK_FETCH_LIMITS: FetchLimits = { open: 1, batch: 1, share: 0.5 };
-/**
- * Only entries are asked for a manifest until these times, in milliseconds times the patience factor (1 to
- * 2): they have it within 0.3 s of the naming if the origin answers. If no entry is known, the object store
- * is asked at once.
- */
-const MANIFEST_OBJECT_PATIENCE = 1_000;
-const MANIFEST_ORIGIN_PATIENCE = 2_500;
 /** What {@link EngineLoader} counts. */
 export interface LoaderFigures extends SwitchFigures {
   /** Corrupt pieces of the stage that were written again. */
@@ -99,11 +71,8 @@
   readonly #warmUp = new EngineWarmUp();
   readonly #clock = new StoreClock();
   readonly #versions = new NamedVersions(this.#clock);
-  readonly #fetches = new Map<string, VersionFetch>();
+  readonly #fetches: PlannedFetches;
   readonly #order: VersionOrder;
-  readonly #patienceFactor: number;
-  /** When all pieces of each version had been fetched, by version key. */
-  readonly #completeAt = new Map<string, number>();
   #stopped = new AbortController();
   #plan: WeightsPlan | undefined;
   #engineState: EngineState | undefined;
@@ -132,14 +101,25 @@
       },
       log: options.log,
     });
+    this.#fetches = new PlannedFetches({
+      address: options.address,
+      library: options.library,
+      objects: options.objects,
+      originAt: options.originAt,
+      plan: () => this.#plan,
+      mayFetch: (version) => this.#engineState !== undefined && this.#order.mayFetch(version),
+      isServing: () => this.#loadedVersion > 0,
+      onComplete: (fetch) => void this.#handleFetched(fetch),
+      random: options.random,
+      log: options.log,
+    });
     this.#order = new VersionOrder({
       versions: this.#versions,
-      fetches: this.#fetches,
+      fetches: this.#fetches.byVersion,
       plan: () => this.#plan,
       model: () => this.#engineState?.model ?? '',
       loadedVersion: () => this.#loadedVersion,
     });
-    this.#patienceFactor = 1 + options.random.fraction();
   }
 
   async start(): Promise<void> {
@@ -150,7 +130,7 @@
   async stop(): Promise<void> {
     this.#stopped.abort();
     this.#cancelStageRead();
-    for (const { stopped } of this.#fetches.values()) stopped.abort();
+    this.#fetches.stop();
   }
 
   /** Applies a plan received from an entry or read from the store. */
@@ -173,7 +153,7 @@
         ageMs,
       });
     }
-    this.#reconcileFetches();
+    this.#fetches.reconcile(plan.versions);
   }
 
   /** True once a plan has come from an entry or the store. */
@@ -306,107 +286,18 @@
   }
 
   async #importStage(version: WeightsVersion, signal: AbortSignal): Promise<void> {
-    const manifest = await this.#findManifest(version, signal);
+    const manifest = await this.#fetches.findManifest(version, signal);
     if (manifest === undefined) return;
     const { library } = this.#options;
     await this.#stage.read(library.open(manifest), library, signal);
   }
 
-  /** Starts and stops fetches to match the plan. */
-  #reconcileFetches(): void {
-    const wanted = new Map(
-      this.#plan!.versions.map(({ model, version }) => [versionKey({ model, version }), { model, version }]),
-    );
-    for (const [key, fetch] of this.#fetches) {
-      if (wanted.has(key)) continue;
-      fetch.stopped.abort();
-      this.#fetches.delete(key);
-    }
-    for (const [key, version] of wanted) {
-      if (this.#fetches.has(key)) continue;
-      const fetch: VersionFetch = {
-        startedAt: performance.now(),
-        stopped: new AbortController(),
-        held: undefined,
-        fetcher: undefined,
-      };
-      this.#fetches.set(key, fetch);
-      void this.#fetch(fetch, version);
-    }
-  }
-
-  async #fetch(fetch: VersionFetch, version: WeightsVersion): Promise<void> {
-    const { signal } = fetch.stopped;
-    const { library, random, log } = this.#options;
-    const manifest = await this.#findManifest(version, signal);
-    if (manifest === undefined) return;
-    const held = library.open(manifest);
-    fetch.held = held;
-    const sources = () => this.#sources(held);
-    const mayFetch = () => this.#engineState !== undefined && this.#order.mayFetch(version);
-    const limits = () => this.#fetchLimits(fetch.fetcher);
-    fetch.fetcher = new PieceFetcher({
-      held,
-      library,
-      sources,
-      mayFetch,
-      limits,
-      overdueAfter: BATCH_TIMEOUT,
-      random,
-      log,
-    });
-    await fetch.fetcher.run(signal);
-    if (!held.complete) return;
-    this.#completeAt.set(versionKey(version), performance.now());
-    if (fetch.fetcher.duration > 0) this.#order.fetchTime = fetch.fetcher.duration;
-    // Uses the loader's signal, not that of this fetch: a switch continues even if the version is no longer
-    // wanted.
-    if (!signal.aborted && this.#engineState !== undefined)
-      await this.#advance(this.#engineState, this.#stopped.signal);
-  }
-
-  #fetchLimits(fetcher: PieceFetcher | undefined): FetchLimits {
-    if (this.#loadedVersion === 0) return UNLOADED_FETCH_LIMITS;
-    return (fetcher?.lastBatchDuration ?? 0) > SLOW_LINK_PIECE_TIME
-      ? SLOW_LINK_FETCH_LIMITS
-      : SERVING_FETCH_LIMITS;
-  }
-
-  #findManifest(version: WeightsVersion, signal: AbortSignal): Promise<PieceManifest | undefined> {
-    const { library, objects, originAt } = this.#options;
-    const startedAt = performance.now();
-    const isHolder = ({ held }: { held: HeldPieces[] }) =>
-      held.some((one) => versionKey(one) === versionKey(version));
-    const hasElapsed = (patience: number) => performance.now() - startedAt >= patience * this.#patienceFactor;
-    const origin = () => {
-      const address = this.#plan?.origin ?? '';
-      return address === '' || !hasElapsed(MANIFEST_ORIGIN_PATIENCE) ? undefined : originAt(address);
-    };
-    const hasEntries = () => (this.#plan?.entries.length ?? 0) > 0;
-    return findManifest(
-      version,
-      {
-        library,
-        processes: () => (this.#plan?.holders ?? []).filter(isHolder).map(({ address }) => address),
-        origin,
-        objects: () => (!hasEntries() || hasElapsed(MANIFEST_OBJECT_PATIENCE) ? objects : undefined),
-      },
-      signal,
-    );
-  }
-
-  #sources({ manifest }: HeldWeights): PieceSource[] {
-    const { objects, originAt, address } = this.#options;
-    const plan = this.#plan!;
-    const patienceFactor = this.#patienceFactor;
-    return agentSources({
-      plan,
-      manifest,
-      objects,
-      originAt,
-      offset: hash32(address),
-      patienceFactor,
-    });
+  /** Orders the engine to load a version that has just been fetched, if its turn has come. */
+  async #handleFetched({ stopped, fetcher }: VersionFetch): Promise<void> {
+    if (fetcher !== undefined && fetcher.duration > 0) this.#order.fetchTime = fetcher.duration;
+    if (stopped.signal.aborted || this.#engineState === undefined) return;
+    // Not the signal of the fetch: a switch continues even if the version is no longer wanted.
+    await this.#advance(this.#engineState, this.#stopped.signal);
   }
 
   /**
@@ -421,7 +312,7 @@
       // The stage is about to be overwritten.
       this.#stageRead?.abort();
       await this.#stage.fill(held, signal);
-      const completeAt = this.#completeAt.get(versionKey(held.manifest)) ?? 0;
+      const completeAt = this.#fetches.completeAt(held.manifest) ?? 0;
       const switchTime = this.#order.switchTime(held, completeAt);
       if (this.#isDrainingAhead || performance.now() >= switchTime) await this.#switch(held, state, signal);
     }
@@ -444,11 +335,11 @@
   #switchesIn(): number | undefined {
     if (this.#engineSwitch.isRunning) return undefined;
     const now = performance.now();
-    const due = [...this.#fetches.values()].flatMap(({ held, fetcher }) => {
+    const due = [...this.#fetches.byVersion.values()].flatMap(({ held, fetcher }) => {
       if (held === undefined || fetcher === undefined || !this.#order.isSuccessor(held.manifest)) return [];
       if (!this.#order.shouldLoad(held.manifest)) return [];
       const completeAt =
-        this.#completeAt.get(versionKey(held.manifest)) ?? this.#order.expectedCompletion(held.manifest);
+        this.#fetches.completeAt(held.manifest) ?? this.#order.expectedCompletion(held.manifest);
       return Math.max(now, completeAt, this.#order.switchTime(held, completeAt)) - now;
     });
     const next = Math.min(...due);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1302,7 +1302,7 @@
     fault: 'a switch ends with the fetch that led to it',
     file: 'src/weights/engine-loader.ts',
     find: 'await this.#advance(this.#engineState, this.#stopped.signal);',
-    replace: 'await this.#advance(this.#engineState, signal);',
+    replace: 'await this.#advance(this.#engineState, stopped.signal);',
     test: 'test/weights/weights.test.ts',
   },
   {
@@ -1765,7 +1765,7 @@
     file: 'src/weights/engine-loader.ts',
     find: 'this.#startStageRead(state.value);',
     replace:
-      'if (this.#loadedVersion > 0) await this.#findManifest({ ...state.value, version: this.#loadedVersion }, signal);',
+      'if (this.#loadedVersion > 0) await this.#fetches.findManifest({ ...state.value, version: this.#loadedVersion }, signal);',
     test: 'test/weights/weights.test.ts',
   },
   {
