A trial is not freed by a release that the store carries out late

What callers could see: one more crash of a back end by a content in quarantine. Cause: the rows of a content's trials were deleted without a condition. Change: rows are deleted on their revisions, which rise for all tables. An entry knows those of its own trials; a conflict tells it those of others, which it then deletes within the call's time limit.

--- a/src/forwarding/quarantine-records.ts
+++ b/src/forwarding/quarantine-records.ts
@@ -10,10 +10,18 @@
  * another directly.
  */
 import { z } from 'zod';
-import type { StoredRow, WatchedTables } from '../clients/watched-tables.js';
+import type { PlatformError } from '../clients/errors.js';
+import type { StoreRevision } from '../clients/store-revision.js';
+import type {
+  StoredRow,
+  StoredRowCondition,
+  StoreOutcome,
+  WatchedTables,
+} from '../clients/watched-tables.js';
 import type { StoreClock } from '../fleet/store-clock.js';
 import { sleep } from '../fleet/table-follower.js';
 import type { Random } from '../model/random.js';
+import type { Result } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
 import { withLimit } from '../model/time-limit.js';
 import type { Log } from '../observability/log.js';
@@ -83,6 +91,8 @@
   /** Crashes detected by this entry or an earlier process on its machine, in the order in which they were noted. */
   readonly #ownCrashes = new Map<string, BackEndCrash>();
   #revision = 0;
+  /** The revisions of the rows of trials that this entry has claimed, by row key. */
+  readonly #claimedTrials = new Map<string, StoreRevision>();
   #isRead = false;
   #isWritten = true;
   #isSynchronizing = false;
@@ -162,7 +172,10 @@
       this.#options.log.warn('trial not claimed', { ...outcome.error });
       return { type: 'unknown' };
     }
-    if (outcome.value.type === 'committed') return { type: 'claimed' };
+    if (outcome.value.type === 'committed') {
+      for (const { key } of rows) this.#claimedTrials.set(key, outcome.value.revision);
+      return { type: 'claimed' };
+    }
     const taken = new Set(
       outcome.value.rows.filter(({ value }) => value !== undefined).map(({ key }) => key),
     );
@@ -185,15 +198,38 @@
     );
     if (rows.length === 0) return;
     const signal = withLimit(this.#stopped.signal, CALL_LIMIT);
-    const outcome = await this.#options.tables.transact(
-      [],
-      rows.map((row) => ({ ...row, value: undefined })),
+    const known = new Map(rows.map(({ key }) => [key, this.#claimedTrials.get(key) ?? 0]));
+    for (const { key } of rows) this.#claimedTrials.delete(key);
+    let outcome = await this.#deleteTrials(
+      rows.map((row) => ({ ...row, revision: known.get(row.key)! })),
       signal,
     );
+    if (outcome.ok && outcome.value.type === 'conflict') {
+      // It tells the revisions of rows that other entries have claimed. An own row that has changed is of a later trial.
+      const isReleased = ({ key, revision }: StoredRow) => [0, revision].includes(known.get(key)!);
+      const released = outcome.value.rows.filter(isReleased);
+      if (released.length > 0) outcome = await this.#deleteTrials(released, signal);
+    }
     // Remaining rows only reduce the number of later trials; they never permit an additional request.
     if (!outcome.ok) this.#options.log.warn('trial rows not deleted', { ...outcome.error });
   }
 
+  /**
+   * Deletes rows on the condition that they still have their revisions: a call that the store executes late must not delete the row of
+   * a trial claimed since.
+   */
+  #deleteTrials(
+    rows: readonly StoredRowCondition[],
+    signal: AbortSignal,
+  ): Promise<Result<StoreOutcome, PlatformError>> {
+    const named = rows.map(({ table, partition, key, revision }) => ({ table, partition, key, revision }));
+    return this.#options.tables.transact(
+      named,
+      named.map(({ table, partition, key }) => ({ table, partition, key, value: undefined })),
+      signal,
+    );
+  }
+
   #markChanged(): void {
     this.#isWritten = false;
     void this.#synchronize();
--- a/test/forwarding/quarantine-records.test.ts
+++ b/test/forwarding/quarantine-records.test.ts
@@ -174,6 +174,55 @@
   expect((await one.records.claimTrial(new Map([['deadly', 0]]))).type).toBe('claimed');
 });
 
+/** A store that executes deletions late, as after calls that were given up. */
+class LateDeletions extends MemoryStore {
+  isLate = false;
+  readonly #held: Array<() => void> = [];
+
+  override async transact(...call: Parameters<MemoryStore['transact']>): ReturnType<MemoryStore['transact']> {
+    const [, writes] = call;
+    if (this.isLate && writes.some(({ value }) => value === undefined))
+      await new Promise<void>((resolve) => this.#held.push(resolve));
+    return super.transact(...call);
+  }
+
+  /** Executes the deletions that have arrived, and waits until those to which their answers lead have arrived. */
+  async release(): Promise<void> {
+    for (const resume of this.#held.splice(0)) resume();
+    await pause(20);
+  }
+}
+
+it.each(['the entry that claimed it', 'another entry'])(
+  'a trial that %s releases late does not free one that was claimed since',
+  async (releasing) => {
+    const store = new LateDeletions();
+    const [one, two] = [await start(store, 'one'), await start(store, 'two')];
+    const [late, other] = releasing === 'another entry' ? [two, one] : [one, two];
+    const noTrials = new Map([['deadly', 0]]);
+    const oneTrial = new Map([['deadly', 1]]);
+    await one.records.claimTrial(noTrials);
+    store.isLate = true;
+    void late.records.releaseTrials(oneTrial, 1);
+    // Its first call only tells it the revision of the row.
+    if (late === two) await store.release();
+    store.isLate = false;
+    await other.records.releaseTrials(oneTrial, 1);
+    expect((await other.records.claimTrial(noTrials)).type).toBe('claimed');
+    await store.release();
+    expect((await late.records.claimTrial(noTrials)).type).toBe('taken');
+  },
+);
+
+it('a trial that another entry claimed is released', async () => {
+  const store = new MemoryStore();
+  const [one, two] = [await start(store, 'one'), await start(store, 'two')];
+  await one.records.claimTrial(new Map([['deadly', 0]]));
+  await two.records.claimTrial(new Map([['deadly', 1]]));
+  await one.records.releaseTrials(new Map([['deadly', 2]]), Number.POSITIVE_INFINITY);
+  expect((await rowsOf(store)).map(({ key }) => key)).toEqual([]);
+});
+
 it('one of two entries that claim a trial concurrently sends the request, and neither while the store is unavailable', async () => {
   const store = new MemoryStore();
   const guards = await Promise.all(
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -567,6 +567,13 @@
     replace: '[],',
     test: 'test/forwarding/quarantine-records.test.ts',
   },
+  {
+    fault: 'a release of trials that is carried out late frees a trial claimed since',
+    file: 'src/forwarding/quarantine-records.ts',
+    find: 'return this.#options.tables.transact(\n      named,',
+    replace: 'return this.#options.tables.transact(\n      [],',
+    test: 'test/forwarding/quarantine-records.test.ts',
+  },
   {
     fault: 'crashes of a former process at the same place are overwritten',
     file: 'src/forwarding/quarantine-records.ts',
