--- a/test/platform/soak/fault.ts
+++ b/test/platform/soak/fault.ts
@@ -29,3 +29,11 @@
 /** Draws a number from `least` to below `most`. */
 export const drawBetween = (random: Random, least: number, most: number) =>
   least + random.below(most - least);
+
+export const entriesOf = (world: SoakWorld) => world.processes.filter(({ role }) => role === 'entry');
+
+/** Applies `act` to each part, `gap` milliseconds apart; returns how long that takes. */
+export function staggered<T>(parts: readonly T[], gap: number, act: (part: T) => void): number {
+  for (const [place, part] of parts.entries()) setTimeout(() => act(part), place * gap);
+  return parts.length * gap;
+}
