A former agent's late write does not hide a corrupt piece from the read after an order

What callers could get: answers made with a piece that had been corrupt for 4.95 s. Cause: a read after a late order proves a piece only if nothing was written in between. The agent's own writes without an answer were taken into account there; a former agent's were only as writes of other bytes. Written late with the same bytes, such a piece is intact again when it is read. Evidence: "gets no requests after a late order has loaded a corrupt piece that the previous agent wrote again since" failed before: hasServedCorrupt was true. Change: as long as such writes may come, a piece is in doubt from the end of a check's validity until the next check. The beginning of the doubt is kept too, so that an order that was answered in time is not affected, however long the read after it takes.

--- a/src/systems/stage-checks.ts
+++ b/src/systems/stage-checks.ts
@@ -31,13 +31,13 @@
   readonly #otherWritesUntil: number;
   /** Pieces that were corrupt when they were last read. */
   readonly #corrupt = new Set<number>();
-  /** Until when each piece may have been corrupt for longer than a check is valid. */
-  readonly #doubtfulUntil = new Map<number, number>();
+  /** The time in which each piece may have been corrupt for longer than a check is valid. */
+  readonly #doubtful = new Map<number, { after: number; until: number }>();
   /** Pieces that a late write may overwrite with other bytes, and those that one may mend unnoticed. */
   readonly #overwritable = new Set<number>();
   readonly #mendable = new Set<number>();
 
-  /** @param otherWritesUntil - until when writes of another process may overwrite any piece with other bytes */
+  /** @param otherWritesUntil - until when writes of another process may overwrite any piece, with other bytes or with the same */
   constructor(pieces: number, otherWritesUntil = Number.NEGATIVE_INFINITY) {
     this.#otherWritesUntil = otherWritesUntil;
     this.#intactAt = new Array(pieces).fill(Number.NEGATIVE_INFINITY);
@@ -63,10 +63,18 @@
 
   /** A read that began at `askedAt` and was answered at `answeredAt` has found the piece intact. */
   noteIntact(piece: number, askedAt: number, answeredAt: number): void {
-    const wasCorrupt = this.#corrupt.delete(piece) && answeredAt > this.#validUntil(piece);
-    const wasMendable = this.#mendable.has(piece) && answeredAt > this.#checkedAt(piece) + CHECK_VALIDITY;
-    if (wasCorrupt || wasMendable) this.#doubtfulUntil.set(piece, answeredAt);
-    this.#intactAt[piece] = Math.max(this.#checkedAt(piece), askedAt);
+    const checkedAt = this.#checkedAt(piece);
+    if (this.#corrupt.delete(piece)) this.#noteDoubtful(piece, this.#validUntil(piece), answeredAt);
+    else if (this.#mendable.has(piece) || checkedAt < this.#otherWritesUntil)
+      this.#noteDoubtful(piece, checkedAt + CHECK_VALIDITY, answeredAt);
+    this.#intactAt[piece] = Math.max(checkedAt, askedAt);
+  }
+
+  #noteDoubtful(piece: number, after: number, until: number): void {
+    // No order is sent before the first check.
+    if (until <= after || after === Number.NEGATIVE_INFINITY) return;
+    const known = this.#doubtful.get(piece);
+    this.#doubtful.set(piece, { after: Math.min(after, known?.after ?? after), until });
   }
 
   noteCorrupt(piece: number): void {
@@ -81,8 +89,8 @@
   /** Those of `pieces` that are not proven to have been sound whenever the engine accepted the order. */
   unproven({ from, by }: AcceptanceTime, pieces: readonly number[]): number[] {
     const isDoubtful = (piece: number) => {
-      const until = this.#doubtfulUntil.get(piece);
-      return until !== undefined && until >= from;
+      const doubtful = this.#doubtful.get(piece);
+      return doubtful !== undefined && doubtful.until >= from && doubtful.after < by;
     };
     return pieces.filter((piece) => isDoubtful(piece) || this.#validUntil(piece) < by);
   }
--- a/test/systems/stage-checks.test.ts
+++ b/test/systems/stage-checks.test.ts
@@ -95,4 +95,15 @@
     checks.noteIntact(0, 10_310, 10_320);
     expect(checks.unproven(accepted, [0])).toEqual([0]);
   });
+
+  it('do not prove by a late read what another process may have mended since, unless the order was accepted in time', () => {
+    const checks = new StageChecks(1, 10_000);
+    checks.noteIntact(0, 1_000, 1_010);
+    checks.noteIntact(0, 9_001, 9_100);
+    expect(checks.unproven({ from: 1_200, by: 9_000 }, [0])).toEqual([0]);
+    expect(checks.unproven({ from: 1_200, by: 1_000 + CHECK_VALIDITY }, [0])).toEqual([]);
+    expect(checks.unproven({ from: 9_200, by: 9_300 }, [0])).toEqual([0]);
+    checks.noteIntact(0, 9_310, 9_320);
+    expect(checks.unproven({ from: 9_200, by: 9_300 }, [0])).toEqual([]);
+  });
 });
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -506,6 +506,25 @@
     expect(engine.servesCorruptLayer).toBe(false);
   });
 
+  it('gets no requests after a late order has loaded a corrupt piece that the previous agent wrote again since', async () => {
+    engine.holdFromStart(1);
+    engine.heldWrites.add(40);
+    void engine.stage('m', 40, pieceOf(2, 40), new AbortController().signal);
+    engine.onOrder = () => {
+      engine.onOrder = () => {};
+      engine.standStill(5_000);
+      setTimeout(() => engine.corrupt(40), 50);
+      setInterval(() => {
+        if (engine.accepted.length > 0) engine.releaseWrites();
+      }, 1);
+    };
+    await startAgent(2);
+    expect(await runUntilServing(2, 30_000)).toBe(true);
+    expect(engine.accepted[0]?.corruptFor).toBeGreaterThan(ALLOWED_CORRUPTION);
+    expect(hasServedCorrupt).toBe(false);
+    expect(engine.servesCorruptLayer).toBe(false);
+  });
+
   it.each([1, 2, 3])('serves while pieces become corrupt all the time: seed %i', async (seed) => {
     const random = seededRandom(seed);
     engine.holdFromStart(1);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1200,6 +1200,13 @@
     replace: ';',
     test: 'test/systems/stage-checks.test.ts',
   },
+  {
+    fault: 'a late write of the previous agent hides a corrupt piece from the read after the order',
+    file: 'src/systems/stage-checks.ts',
+    find: 'this.#mendable.has(piece) || checkedAt < this.#otherWritesUntil',
+    replace: 'this.#mendable.has(piece)',
+    test: 'test/weights/corrupt-weights-served.test.ts',
+  },
   {
     fault: 'an order that is refused for good is repeated without end',
     file: 'src/weights/engine-order.ts',
