An engine stays in service while it refuses the next versions for good

Cause: a refusal that is final ended the order, but the loader ordered the same version again at its next poll, each time after the notice to the entries. Change: the ending of the switch says that the refusal is final; neither that version nor an older one, whose fencing token is lower still, is ordered for 10 s, unless the engine restarts. After that it is tried again, so that a refusal that was not final does no lasting harm.

--- a/src/weights/engine-loader.ts
+++ b/src/weights/engine-loader.ts
@@ -254,6 +254,7 @@
    */
   #handleRestart(): void {
     this.#stage.invalidate();
+    this.#order.forgetRefusal();
     this.#cancelStageRead();
     const { engineAddress: address, log } = this.#options;
     log.info('engine restarted', { address, start: this.#starts.current });
@@ -467,7 +468,8 @@
     // Without a newer version that is complete, loading goes on, also if a plan no longer names this one.
     const isWanted = () => (this.#nextVersion()?.manifest.version ?? 0) <= version;
     const order = { held, state, served: this.#loadedVersion, proofs, isWanted };
-    await this.#engineSwitch.run(order, signal);
+    const ending = await this.#engineSwitch.run(order, signal);
+    if (ending === 'refused') this.#order.noteRefused(held.manifest);
   }
 
   #sendReport(): void {
--- a/src/weights/engine-order.ts
+++ b/src/weights/engine-order.ts
@@ -26,8 +26,8 @@
   | { type: 'accepted'; time: AcceptanceTime }
   /** The engine holds what was ordered, and has loaded nothing. */
   | { type: 'alreadyHeld' }
-  /** The engine did not accept it and never will. */
-  | { type: 'refused' }
+  /** The engine did not accept it and never will; if `isFinal`, nor will it accept the same order sent again. */
+  | { type: 'refused'; isFinal: boolean }
   /** The same, as it has accepted an order of another process. */
   | { type: 'otherOrder' }
   /** It was not sent: the engine is unreachable or occupied. */
@@ -141,19 +141,21 @@
     }
     if (outcome.value.type === 'taken') return { type: 'accepted', time: { from: sentAt, by: answeredAt } };
     const from = this.#unansweredSince;
-    if (outcome.value.type === 'refused')
-      return from === undefined || outcome.value.isFinal ? this.#refusal(signal) : undefined;
+    if (outcome.value.type === 'refused') {
+      const { isFinal } = outcome.value;
+      return from === undefined || isFinal ? this.#refusal(isFinal, signal) : undefined;
+    }
     return from === undefined
       ? { type: 'alreadyHeld' }
       : { type: 'accepted', time: { from, by: answeredAt } };
   }
 
   /** What a refusal says of all attempts: the only one was refused, or none will be accepted from now on. */
-  async #refusal(signal: AbortSignal): Promise<OrderEnding | undefined> {
+  async #refusal(isFinal: boolean, signal: AbortSignal): Promise<OrderEnding | undefined> {
     const state = await this.#options.readState(signal);
     if (state === undefined) return this.#unansweredSince === undefined ? { type: 'otherOrder' } : undefined;
     if (this.#hasRestarted(state)) return { type: 'restarted' };
-    if (state.sequence === this.#options.before.sequence) return { type: 'refused' };
+    if (state.sequence === this.#options.before.sequence) return { type: 'refused', isFinal };
     return this.#acceptedEarlier();
   }
 
--- a/src/weights/engine-switch.ts
+++ b/src/weights/engine-switch.ts
@@ -61,6 +61,8 @@
   | 'proven'
   /** The engine has accepted no order. */
   | 'unchanged'
+  /** The same, and it refuses the order for good. */
+  | 'refused'
   /** The engine has accepted an order, or still may, and may hold a layer that is not proven. */
   | 'unproven'
   /** The engine has accepted an order of another process, so that it is not known what it holds. */
@@ -137,7 +139,9 @@
       if (ending.type === 'aborted') return 'unproven';
       // What this process has not ordered, another one has.
       if (ending.type === 'otherOrder' || ending.type === 'alreadyHeld') return 'otherOrder';
-      if (ending.type !== 'accepted') return hasAccepted ? 'unproven' : 'unchanged';
+      if (ending.type !== 'accepted' && hasAccepted) return 'unproven';
+      if (ending.type === 'refused' && ending.isFinal) return 'refused';
+      if (ending.type !== 'accepted') return 'unchanged';
       hasAccepted = true;
       const [state, unproven] = await Promise.all([
         engineOrder.awaitCompletion(signal),
--- a/src/weights/version-order.ts
+++ b/src/weights/version-order.ts
@@ -21,6 +21,12 @@
 /** A version whose manifest has not been found for this long is not available for now, in milliseconds. */
 const MANIFEST_TIME = 1_500;
 
+/**
+ * Time in which an engine is not ordered again to load a version that it refuses for good, in milliseconds: each order takes it
+ * out of service for a moment.
+ */
+const REFUSAL_TIME = 10_000;
+
 /** The fetch of one version. */
 export interface VersionFetch {
   startedAt: number;
@@ -46,6 +52,8 @@
   readonly #options: VersionOrderOptions;
   /** Duration of the last fetch, in milliseconds. */
   fetchTime = INITIAL_FETCH_TIME;
+  /** The version that the engine has refused last, and until when neither it nor an older one is ordered. */
+  #refused: (WeightsVersion & { until: number }) | undefined;
 
   constructor(options: VersionOrderOptions) {
     this.#options = options;
@@ -80,7 +88,24 @@
   /** Whether a version is one that the engine can load after its own. The plan also names versions of other models. */
   isSuccessor({ model, version }: WeightsVersion): boolean {
     const own = this.#options.model();
-    return version > this.#loaded && (own === '' || model === own);
+    return version > this.#loaded && (own === '' || model === own) && !this.#isRefused({ model, version });
+  }
+
+  /** The engine refuses to load a version as long as it does not restart. */
+  noteRefused({ model, version }: WeightsVersion): void {
+    this.#refused = { model, version, until: performance.now() + REFUSAL_TIME };
+  }
+
+  /** The engine has restarted. */
+  forgetRefusal(): void {
+    this.#refused = undefined;
+  }
+
+  #isRefused({ model, version }: WeightsVersion): boolean {
+    const refused = this.#refused;
+    // A fencing token that is too low is so for older versions too.
+    const isNamed = refused?.model === model && version <= refused.version;
+    return isNamed && performance.now() < refused.until;
   }
 
   /** Whether `one` is fetched before `other`. */
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -472,6 +472,29 @@
     expect(engine.accepted).toEqual([]);
   });
 
+  it('stays in service while it refuses the next versions for good, and loads one once it has restarted', async () => {
+    engine.holdFromStart(1);
+    await startAgent(1);
+    expect(await runUntilServing(1, 2_000)).toBe(true);
+    await time.runUntil(3_000);
+    engine.refusesAllWith = 412;
+    let orders = 0;
+    engine.onOrder = () => orders++;
+    agent.loader.applyPlan(plan(1, 2, 3));
+    let outOfService = 0;
+    while (performance.now() < 33_000) {
+      await time.runUntil(performance.now() + SAMPLE);
+      if (!agent.letsRequestsIn) outOfService += SAMPLE;
+    }
+    expect(orders).toBeGreaterThan(0);
+    expect(orders).toBeLessThanOrEqual(4);
+    expect(outOfService).toBeLessThan(1_000);
+    engine.refusesAllWith = undefined;
+    engine.restart();
+    expect(await runUntilServing(3, 36_000)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+  });
+
   it('does not serve with a piece that the previous agent wrote late', async () => {
     engine.holdFromStart(1);
     engine.heldWrites.add(5);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1210,10 +1210,17 @@
   {
     fault: 'an order that is refused for good is repeated without end',
     file: 'src/weights/engine-order.ts',
-    find: 'from === undefined || outcome.value.isFinal ? this',
+    find: 'from === undefined || isFinal ? this',
     replace: 'from === undefined ? this',
     test: 'test/weights/corrupt-weights-served.test.ts',
   },
+  {
+    fault: 'an engine is taken out of service again and again for a version that it refuses for good',
+    file: 'src/weights/engine-loader.ts',
+    find: "if (ending === 'refused') this.#order.noteRefused(held.manifest);",
+    replace: '',
+    test: 'test/weights/corrupt-weights-served.test.ts',
+  },
   {
     fault: 'an order without an answer is given up while the engine may still accept it',
     file: 'src/weights/engine-order.ts',
