Soak: a piece that was written late excuses an order only as long as no check can tell of it

Cause: since a piece of another version that the engine wrote late was left out of the judgement of orders however long it had been there, so that an agent that never looked at the piece, or wrote nothing, passed that judge if no request used the layer. An agent's check is at most 2 s old when it sends an order. What requests use is judged as before.

--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -515,11 +515,17 @@
   });
 
   it('is no order, but any run, with a piece of another version that was written late', () => {
-    const lateOther: PieceFault = { ...other, isLate: true };
+    const lateOther: PieceFault = { ...other, lateFor: 2_900 };
     const order = { worker: 'i-1', version: 2, at: START, isHeldBack: false };
     log.orders.push({ ...order, faults: [lateOther] }, { ...order, faults: [lateOther, missing] });
     expect(judgeOrders(world)).toHaveLength(1);
     use(load(lateOther));
     expect(judgeUsedLayers(world)).toHaveLength(1);
   });
+
+  it('is an order with a piece of another version that was written late, but so long before that a check tells', () => {
+    const order = { worker: 'i-1', version: 2, at: START, isHeldBack: false };
+    log.orders.push({ ...order, faults: [{ ...other, lateFor: 3_100 }] });
+    expect(judgeOrders(world)).toHaveLength(1);
+  });
 });
--- a/test/platform/soak/engine-stage.ts
+++ b/test/platform/soak/engine-stage.ts
@@ -4,8 +4,8 @@
 interface StagedPiece {
   /** As it was written. */
   written: Buffer;
-  /** Whether the engine carried the write out late, when its sender may have given it up. */
-  isLate: boolean;
+  /** When the engine carried the write out, if that was late and its sender may have given it up. */
+  lateAt: number | undefined;
   /** Since when it has been corrupt, in milliseconds of the monotonic clock; undefined if it is intact. */
   corruptSince: number | undefined;
 }
@@ -17,8 +17,8 @@
   kind: 'missing' | 'other' | 'corrupt';
   /** For how long it has been corrupt, in milliseconds; infinite for the other kinds. */
   age: number;
-  /** Whether it was written late, so that its sender could not call the write back. */
-  isLate?: boolean | undefined;
+  /** For how long it has been so, in milliseconds, if it was written late and its sender could not call the write back. */
+  lateFor?: number | undefined;
 }
 
 /** What an engine loaded at one time. */
@@ -67,8 +67,9 @@
     for (let index = 0; index < PIECES; index++) this.write(index, pieceOf(version, index));
   }
 
-  write(index: number, bytes: Buffer, isLate = false): void {
-    this.#pieces.set(index, { written: bytes, isLate, corruptSince: undefined });
+  /** @param lateAt - the time, if the write is carried out late */
+  write(index: number, bytes: Buffer, lateAt?: number): void {
+    this.#pieces.set(index, { written: bytes, lateAt, corruptSince: undefined });
   }
 
   read(index: number): Buffer | undefined {
@@ -95,9 +96,11 @@
     return piecesOfLayer(layer).flatMap((piece): PieceFault[] => {
       const staged = this.#pieces.get(piece);
       if (staged === undefined) return [{ piece, kind: 'missing', age: Number.POSITIVE_INFINITY }];
-      if (!staged.written.equals(pieceOf(version, piece)))
-        return [{ piece, kind: 'other', age: Number.POSITIVE_INFINITY, isLate: staged.isLate || undefined }];
-      const { corruptSince } = staged;
+      const { written, lateAt, corruptSince } = staged;
+      if (!written.equals(pieceOf(version, piece))) {
+        const lateFor = lateAt === undefined ? undefined : now - lateAt;
+        return [{ piece, kind: 'other', age: Number.POSITIVE_INFINITY, lateFor }];
+      }
       return corruptSince === undefined ? [] : [{ piece, kind: 'corrupt', age: now - corruptSince }];
     });
   }
--- a/test/platform/soak/engine.ts
+++ b/test/platform/soak/engine.ts
@@ -248,7 +248,7 @@
     const delay = lateness ?? before;
     if (delay > 0) await this.#pause(delay);
     if (this.#isStopped) return;
-    this.stage.write(index, body, lateness !== undefined);
+    this.stage.write(index, body, lateness === undefined ? undefined : performance.now());
     await this.#pause(after);
     json(response, 200, {});
   }
--- a/test/platform/soak/weights-judges.ts
+++ b/test/platform/soak/weights-judges.ts
@@ -41,10 +41,12 @@
 /**
  * Reports orders that an engine accepted as they arrived, while a piece was missing, of another version, or corrupt for too long,
  * whether or not requests used what was loaded. An order that the engine held back cannot be recalled by its sender, nor can a
- * write of another version that it carried out late; requests must not use what came of either ({@link judgeUsedLayers}).
+ * write of another version that it carried out late, since a check on which the order may be sent; requests must not use what came
+ * of either ({@link judgeUsedLayers}).
  */
 export function judgeOrders({ log }: SoakWorld): string[] {
-  const isAvoidable = (fault: PieceFault) => isForbidden(fault) && fault.isLate !== true;
+  const isAvoidable = (fault: PieceFault) =>
+    isForbidden(fault) && !(fault.lateFor !== undefined && fault.lateFor <= CORRUPTION_DETECTION_TIME);
   const broken = log.orders.filter(({ isHeldBack, faults }) => !isHeldBack && faults.some(isAvoidable));
   return broken.map(({ worker, version, at, faults }: AcceptedOrder) => {
     const pieces = describe(faults.filter(isAvoidable));
