A piece that late writes may overwrite and mend is not proven by a read after an order

What callers could get: answers made with a piece of an older version. Cause: the agent's own writes without an answer were taken into account one by one: of a piece that one of them may overwrite, a read after the order was the proof; of one that another may mend, its doubt began only once a check was no longer valid. With both pending, the engine may load the older piece, and the read after it find the right one. Evidence: "does not serve with a piece that two late writes have overwritten and mended around the order" failed before: hasServedCorrupt was true. Change: such a piece is not loaded, nor proven by a read, until a check from 10 s after one of the writes, the time in which late writes are expected.

--- a/src/systems/stage-checks.ts
+++ b/src/systems/stage-checks.ts
@@ -33,9 +33,9 @@
   readonly #corrupt = new Set<number>();
   /** The time in which each piece may have been corrupt for longer than a check is valid. */
   readonly #doubtful = new Map<number, { after: number; until: number }>();
-  /** Pieces that a late write may overwrite with other bytes, and those that one may mend unnoticed. */
-  readonly #overwritable = new Set<number>();
-  readonly #mendable = new Set<number>();
+  /** Pieces that a late write may overwrite with other bytes, and those that one may mend unnoticed; until when it is expected. */
+  readonly #overwritable = new Map<number, number>();
+  readonly #mendable = new Map<number, number>();
 
   /** @param otherWritesUntil - until when writes of another process may overwrite any piece, with other bytes or with the same */
   constructor(pieces: number, otherWritesUntil = Number.NEGATIVE_INFINITY) {
@@ -43,9 +43,13 @@
     this.#intactAt = new Array(pieces).fill(Number.NEGATIVE_INFINITY);
   }
 
-  /** A write of `piece` has had no answer and may still be carried out, with the bytes of this version or with others. */
-  noteLateWrite(piece: number, bytes: 'sameBytes' | 'otherBytes'): void {
-    (bytes === 'sameBytes' ? this.#mendable : this.#overwritable).add(piece);
+  /**
+   * A write of `piece` has had no answer and may still be carried out, with the bytes of this version or with others.
+   * @param until - until when it is expected
+   */
+  noteLateWrite(piece: number, bytes: 'sameBytes' | 'otherBytes', until: number): void {
+    const pieces = bytes === 'sameBytes' ? this.#mendable : this.#overwritable;
+    pieces.set(piece, Math.max(until, pieces.get(piece) ?? until));
   }
 
   /** When the oldest check of `pieces` began; minus infinity if one of them was not found intact when it was last read. */
@@ -66,10 +70,15 @@
     const checkedAt = this.#checkedAt(piece);
     if (this.#corrupt.delete(piece)) this.#noteDoubtful(piece, this.#validUntil(piece), answeredAt);
     else if (this.#mendable.has(piece) || checkedAt < this.#otherWritesUntil)
-      this.#noteDoubtful(piece, checkedAt + CHECK_VALIDITY, answeredAt);
+      this.#noteDoubtful(piece, this.#mendableAfter(piece), answeredAt);
     this.#intactAt[piece] = Math.max(checkedAt, askedAt);
   }
 
+  /** From when on the piece may have been overwritten, or corrupt for longer than a check is valid, and mended since. */
+  #mendableAfter(piece: number): number {
+    return this.#checkedAt(piece) + (this.isProvable(piece) ? CHECK_VALIDITY : 0);
+  }
+
   #noteDoubtful(piece: number, after: number, until: number): void {
     // No order is sent before the first check.
     if (until <= after || after === Number.NEGATIVE_INFINITY) return;
@@ -86,6 +95,16 @@
     return this.#corrupt.has(piece);
   }
 
+  /**
+   * Whether a read after an order can prove the piece: since its check, it is not to be expected that a late write overwrites it and
+   * another one mends it.
+   */
+  isProvable(piece: number): boolean {
+    const [overwritten, mended] = [this.#overwritable.get(piece), this.#mendable.get(piece)];
+    if (overwritten === undefined || mended === undefined) return true;
+    return this.#checkedAt(piece) >= Math.min(overwritten, mended);
+  }
+
   /** Those of `pieces` that are not proven to have been sound whenever the engine accepted the order. */
   unproven({ from, by }: AcceptanceTime, pieces: readonly number[]): number[] {
     const isDoubtful = (piece: number) => {
--- a/src/weights/engine-stage.ts
+++ b/src/weights/engine-stage.ts
@@ -13,10 +13,10 @@
 
 const CALL_TIMEOUT = 1_000;
 /**
- * Time after the start of this process in which the engine may still carry out a write of the process before, in milliseconds. An
- * engine that stands still for longer is not expected.
+ * Time in which the engine may still carry out a write whose sender has given it up or has ended, in milliseconds. An engine that
+ * stands still for longer is not expected.
  */
-const OTHER_WRITES_TIME = 10_000;
+const LATE_WRITE_TIME = 10_000;
 /** Maximum age of checks on which an order is prepared, in milliseconds. The rest is for reading the engine's state. */
 const REFRESHED_AGE = 0.85 * MAX_CHECK_AGE;
 /** Checks older than this are renewed while any is too old, so that all are young at the same time. */
@@ -39,10 +39,10 @@
    * Incremented by each invalidation, so that a write that was in progress then does not count as complete.
    */
   #generation = 0;
-  /** The digests of writes without an answer, which may still be carried out, by piece. */
-  readonly #unanswered = new Map<number, Set<Digest>>();
+  /** The digests of writes without an answer, which may still be carried out, and when each began last, by piece. */
+  readonly #unanswered = new Map<number, Map<Digest, number>>();
   /** Until when a previous process's writes may still be carried out, in milliseconds of the monotonic clock. */
-  #otherWritesUntil = performance.now() + OTHER_WRITES_TIME;
+  #otherWritesUntil = performance.now() + LATE_WRITE_TIME;
   /** Number of corrupt pieces that were written again since the start of this process. */
   replaced = 0;
 
@@ -114,8 +114,9 @@
     return true;
   }
 
-  /** Whether the checks of all `pieces` leave enough time for an order now. */
+  /** Whether the checks of all `pieces` leave enough time for an order now, and what it loads can be proven. */
   isFresh(pieces: readonly number[]): boolean {
+    if (!pieces.every((piece) => this.#checks.isProvable(piece))) return false;
     return performance.now() - this.#checks.oldestOf(pieces) <= REFRESHED_AGE;
   }
 
@@ -181,14 +182,15 @@
     const written = await this.#engine.stage(model, index, held.piece(index)!, limited);
     this.#writeTime.note(performance.now() - beganAt);
     if (written.ok) return;
-    const digest = digests[index];
-    this.#unanswered.set(index, new Set(this.#unanswered.get(index)).add(digest));
+    this.#unanswered.set(index, new Map(this.#unanswered.get(index)).set(digests[index], beganAt));
     this.#noteLateWrites(index);
   }
 
   /** Notes in the checks what writes of a piece without an answer may still do. */
   #noteLateWrites(index: number): void {
-    for (const digest of this.#unanswered.get(index) ?? [])
-      this.#checks.noteLateWrite(index, digest === this.#digests[index] ? 'sameBytes' : 'otherBytes');
+    for (const [digest, beganAt] of this.#unanswered.get(index) ?? []) {
+      const bytes = digest === this.#digests[index] ? 'sameBytes' : 'otherBytes';
+      this.#checks.noteLateWrite(index, bytes, beganAt + LATE_WRITE_TIME);
+    }
   }
 }
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -548,6 +548,28 @@
     expect(engine.servesCorruptLayer).toBe(false);
   });
 
+  it('does not serve with a piece that two late writes have overwritten and mended around the order', async () => {
+    engine.holdFromStart(1);
+    engine.heldWrites.add(5);
+    await createAgent();
+    await agent.loader.start();
+    await time.runUntil(OTHER_WRITES_END);
+    agent.loader.applyPlan(plan(2));
+    expect(await runUntilServing(2, 20_000)).toBe(true);
+    const { length } = engine.accepted;
+    engine.heldWrites.add(5);
+    engine.onOrder = () => {
+      engine.onOrder = () => {};
+      engine.releaseWrite();
+    };
+    engine.onAccepted = () => engine.releaseWrite();
+    agent.loader.applyPlan(plan(2, 3));
+    expect(await runUntilServing(3, 60_000)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+    // The layer is loaded once, when one of the writes is no longer expected.
+    expect(engine.accepted.length - length).toBeLessThanOrEqual(3);
+  });
+
   it.each([1, 2, 3])('serves while pieces become corrupt all the time: seed %i', async (seed) => {
     const random = seededRandom(seed);
     engine.holdFromStart(1);
--- a/test/weights/decaying-engine.ts
+++ b/test/weights/decaying-engine.ts
@@ -58,6 +58,8 @@
   onRead: (index: number) => void = () => {};
   /** Called when an order arrives, before it is handled. */
   onOrder: () => void = () => {};
+  /** Called when an order has been accepted. */
+  onAccepted: () => void = () => {};
   /** Time after which an order alone is handled, in milliseconds. */
   orderDelay = 0;
   /** Pieces of which the next write is held back until {@link releaseWrites}. */
@@ -149,6 +151,11 @@
     return this.#handle(signal, Number.MAX_SAFE_INTEGER, () => {});
   }
 
+  /** Carries out the first of the writes that were held back. */
+  releaseWrite(): void {
+    this.#releases.shift()?.();
+  }
+
   /** Carries out the writes that were held back. */
   releaseWrites(): void {
     for (const write of this.#releases.splice(0)) write();
@@ -219,6 +226,7 @@
       this.#isSound.set(layer, oldest <= ALLOWED_CORRUPTION);
     }
     this.accepted.push({ at: now, version, layers, corruptFor });
+    this.onAccepted();
     const wanted = { ...layers, version };
     const isOnlyShrunk = kept && keptFrom === layers.from && keptEnd === layers.end;
     if (isOnlyShrunk) this.#layers = wanted;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1207,6 +1207,13 @@
     replace: 'this.#mendable.has(piece)',
     test: 'test/weights/corrupt-weights-served.test.ts',
   },
+  {
+    fault: 'a piece counts as proven although late writes may have overwritten and mended it',
+    file: 'src/systems/stage-checks.ts',
+    find: 'return this.#checkedAt(piece) >= Math.min(overwritten, mended);',
+    replace: 'return true;',
+    test: 'test/weights/corrupt-weights-served.test.ts',
+  },
   {
     fault: 'an order that is refused for good is repeated without end',
     file: 'src/weights/engine-order.ts',
