Manifest search: the origin is queried for both answers at once

Cause: since a manifest of the origin counts once two answers agree, queried one after the other; pieces were drawn that much later, some were undrawn when the origin went, and no engine got the version. Change: two queries at once, a third if they differ.

--- a/src/weights/manifest-search.ts
+++ b/src/weights/manifest-search.ts
@@ -14,8 +14,6 @@
  * of the 8 s within which a version must be serving.
  */
 const HOLDER_STAGGER = 150;
-/** Queries of the origin in one round: two answers must agree, and one of them may be corrupt. */
-const ORIGIN_QUERIES = 3;
 /** Pause between two rounds, in milliseconds. */
 const ROUND_PAUSE = 200;
 
@@ -64,19 +62,26 @@
 class DrawnManifests {
   readonly #answers = new Set<string>();
 
-  /** Queries the origin until two answers agree, at most {@link ORIGIN_QUERIES} times; undefined if none do. */
+  /** Queries the origin until two answers agree, at most three times; undefined if none do. */
   async query(
     origin: () => PieceOrigin | undefined,
     version: WeightsVersion,
     limit: () => AbortSignal,
   ): Promise<PieceManifest | undefined> {
-    for (let query = 0; query < ORIGIN_QUERIES; query++) {
-      const answer = await origin()?.manifest(version, limit());
-      if (!answer?.ok) return undefined;
-      const text = JSON.stringify(answer.value);
-      if (this.#answers.has(text)) return answer.value;
-      this.#answers.add(text);
-    }
+    const ask = async () => origin()?.manifest(version, limit());
+    // Two at once, as each takes a round trip to the origin's region.
+    const answers = await Promise.all([ask(), ask()]);
+    const agreed = answers.map((answer) => this.#agreed(answer)).find((manifest) => manifest !== undefined);
+    if (agreed !== undefined || !answers.every((answer) => answer?.ok)) return agreed;
+    return this.#agreed(await ask());
+  }
+
+  /** The manifest of an answer if an earlier answer was the same. */
+  #agreed(answer: Awaited<ReturnType<PieceOrigin['manifest']>> | undefined): PieceManifest | undefined {
+    if (!answer?.ok) return undefined;
+    const text = JSON.stringify(answer.value);
+    if (this.#answers.has(text)) return answer.value;
+    this.#answers.add(text);
     return undefined;
   }
 }
--- a/test/weights/manifest-search.test.ts
+++ b/test/weights/manifest-search.test.ts
@@ -72,6 +72,23 @@
     expect(await search({ origin: () => spoiling })).toEqual(MANIFEST);
   });
 
+  // The second query delayed the pieces, of which some were missing when the origin became unreachable.
+  it('queries the origin for a second answer while it waits for the first', async () => {
+    let answer = () => {};
+    const isAskedTwice = new Promise<void>((resolve) => {
+      answer = resolve;
+    });
+    const slow: PieceOrigin = {
+      ...origin,
+      manifest: async () => {
+        if (++asked === 2) answer();
+        await isAskedTwice;
+        return success(MANIFEST);
+      },
+    };
+    expect(await search({ origin: () => slow })).toEqual(MANIFEST);
+  });
+
   it('queries the object store only when it is the turn of this process', async () => {
     const store = new MemoryStore();
     let isTurn = false;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -76,6 +76,13 @@
     replace: 'return answer.value;',
     test: 'test/weights/manifest-search.test.ts',
   },
+  {
+    fault: 'the second answer of the origin delays the pieces by a round trip',
+    file: 'src/weights/manifest-search.ts',
+    find: 'await Promise.all([ask(), ask()])',
+    replace: '[await ask(), await ask()]',
+    test: 'test/weights/manifest-search.test.ts',
+  },
   {
     fault: 'a silent attempt is aborted before another back end has sent a part of the answer',
     file: 'src/forwarding/attempt-watch.ts',
