--- a/src/systems/stage-checks.ts
+++ b/src/systems/stage-checks.ts
@@ -31,21 +31,25 @@
   readonly #otherWritesUntil: number;
   /** Pieces that were corrupt when they were last read. */
   readonly #corrupt = new Set<number>();
-  /** Until when each piece may have been corrupt for longer than a check is valid. */
-  readonly #doubtfulUntil = new Map<number, number>();
-  /** Pieces that a late write may overwrite with other bytes, and those that one may mend unnoticed. */
-  readonly #overwritable = new Set<number>();
-  readonly #mendable = new Set<number>();
+  /** The time in which each piece may have been corrupt for longer than a check is valid. */
+  readonly #doubtful = new Map<number, { after: number; until: number }>();
+  /** Pieces that a late write may overwrite with other bytes, and those that one may mend unnoticed; until when it is expected. */
+  readonly #overwritable = new Map<number, number>();
+  readonly #mendable = new Map<number, number>();
 
-  /** @param otherWritesUntil - until when writes of another process may overwrite any piece with other bytes */
+  /** @param otherWritesUntil - until when writes of another process may overwrite any piece, with other bytes or with the same */
   constructor(pieces: number, otherWritesUntil = Number.NEGATIVE_INFINITY) {
     this.#otherWritesUntil = otherWritesUntil;
     this.#intactAt = new Array(pieces).fill(Number.NEGATIVE_INFINITY);
   }
 
-  /** A write of `piece` has had no answer and may still be carried out, with the bytes of this version or with others. */
-  noteLateWrite(piece: number, bytes: 'sameBytes' | 'otherBytes'): void {
-    (bytes === 'sameBytes' ? this.#mendable : this.#overwritable).add(piece);
+  /**
+   * A write of `piece` has had no answer and may still be carried out, with the bytes of this version or with others.
+   * @param until - until when it is expected
+   */
+  noteLateWrite(piece: number, bytes: 'sameBytes' | 'otherBytes', until: number): void {
+    const pieces = bytes === 'sameBytes' ? this.#mendable : this.#overwritable;
+    pieces.set(piece, Math.max(until, pieces.get(piece) ?? until));
   }
 
   /** When the oldest check of `pieces` began; minus infinity if one of them was not found intact when it was last read. */
@@ -63,10 +67,23 @@
 
   /** A read that began at `askedAt` and was answered at `answeredAt` has found the piece intact. */
   noteIntact(piece: number, askedAt: number, answeredAt: number): void {
-    const wasCorrupt = this.#corrupt.delete(piece) && answeredAt > this.#validUntil(piece);
-    const wasMendable = this.#mendable.has(piece) && answeredAt > this.#checkedAt(piece) + CHECK_VALIDITY;
-    if (wasCorrupt || wasMendable) this.#doubtfulUntil.set(piece, answeredAt);
-    this.#intactAt[piece] = Math.max(this.#checkedAt(piece), askedAt);
+    const checkedAt = this.#checkedAt(piece);
+    if (this.#corrupt.delete(piece)) this.#noteDoubtful(piece, this.#validUntil(piece), answeredAt);
+    else if (this.#mendable.has(piece) || checkedAt < this.#otherWritesUntil)
+      this.#noteDoubtful(piece, this.#mendableAfter(piece), answeredAt);
+    this.#intactAt[piece] = Math.max(checkedAt, askedAt);
+  }
+
+  /** From when on the piece may have been overwritten, or corrupt for longer than a check is valid, and mended since. */
+  #mendableAfter(piece: number): number {
+    return this.#checkedAt(piece) + (this.isProvable(piece) ? CHECK_VALIDITY : 0);
+  }
+
+  #noteDoubtful(piece: number, after: number, until: number): void {
+    // No order is sent before the first check.
+    if (until <= after || after === Number.NEGATIVE_INFINITY) return;
+    const known = this.#doubtful.get(piece);
+    this.#doubtful.set(piece, { after: Math.min(after, known?.after ?? after), until });
   }
 
   noteCorrupt(piece: number): void {
@@ -78,22 +95,33 @@
     return this.#corrupt.has(piece);
   }
 
+  /**
+   * Whether a read after an order can prove the piece: since its check, it is not to be expected that a late write overwrites it and
+   * another one mends it.
+   */
+  isProvable(piece: number): boolean {
+    const [overwritten, mended] = [this.#overwritable.get(piece), this.#mendable.get(piece)];
+    if (overwritten === undefined || mended === undefined) return true;
+    return this.#checkedAt(piece) >= Math.min(overwritten, mended);
+  }
+
   /** Those of `pieces` that are not proven to have been sound whenever the engine accepted the order. */
   unproven({ from, by }: AcceptanceTime, pieces: readonly number[]): number[] {
     const isDoubtful = (piece: number) => {
-      const until = this.#doubtfulUntil.get(piece);
-      return until !== undefined && until >= from;
+      const doubtful = this.#doubtful.get(piece);
+      return doubtful !== undefined && doubtful.until >= from && doubtful.after < by;
     };
-    // A write of another process may have come between a check and the order.
-    const isBefore = (piece: number) => from < this.#otherWritesUntil && this.#checkedAt(piece) < by;
-    return pieces.filter((piece) => isDoubtful(piece) || this.#validUntil(piece) < by || isBefore(piece));
+    return pieces.filter((piece) => isDoubtful(piece) || this.#validUntil(piece) < by);
   }
 
   #checkedAt(piece: number): number {
     return this.#intactAt[piece] ?? Number.NEGATIVE_INFINITY;
   }
 
+  /** A check does not outlast its beginning if other bytes may have been written since. */
   #validUntil(piece: number): number {
-    return this.#checkedAt(piece) + (this.#overwritable.has(piece) ? 0 : CHECK_VALIDITY);
+    const checkedAt = this.#checkedAt(piece);
+    const isOverwritable = this.#overwritable.has(piece) || checkedAt < this.#otherWritesUntil;
+    return checkedAt + (isOverwritable ? 0 : CHECK_VALIDITY);
   }
 }
--- a/test/weights/corrupt-weights-served.test.ts
+++ b/test/weights/corrupt-weights-served.test.ts
@@ -472,6 +472,29 @@
     expect(engine.accepted).toEqual([]);
   });
 
+  it('stays in service while it refuses the next versions for good, and loads one once it has restarted', async () => {
+    engine.holdFromStart(1);
+    await startAgent(1);
+    expect(await runUntilServing(1, 2_000)).toBe(true);
+    await time.runUntil(3_000);
+    engine.refusesAllWith = 412;
+    let orders = 0;
+    engine.onOrder = () => orders++;
+    agent.loader.applyPlan(plan(1, 2, 3));
+    let outOfService = 0;
+    while (performance.now() < 33_000) {
+      await time.runUntil(performance.now() + SAMPLE);
+      if (!agent.letsRequestsIn) outOfService += SAMPLE;
+    }
+    expect(orders).toBeGreaterThan(0);
+    expect(orders).toBeLessThanOrEqual(4);
+    expect(outOfService).toBeLessThan(1_000);
+    engine.refusesAllWith = undefined;
+    engine.restart();
+    expect(await runUntilServing(3, 36_000)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+  });
+
   it('does not serve with a piece that the previous agent wrote late', async () => {
     engine.holdFromStart(1);
     engine.heldWrites.add(5);
@@ -483,6 +506,70 @@
     expect(engine.servesCorruptLayer).toBe(false);
   });
 
+  it('does not serve with a piece that the previous agent wrote late, if its order comes when no more of them are expected', async () => {
+    engine.holdFromStart(1);
+    engine.heldWrites.add(5);
+    void engine.stage('m', 5, pieceOf(1, 5), new AbortController().signal);
+    await createAgent();
+    let wroteAt = 0;
+    agent.onChange = () => {
+      noteServed();
+      if (wroteAt > 0 || agent.report?.isSwitching !== true) return;
+      wroteAt = performance.now();
+      engine.releaseWrites();
+      time.standStill(1_000);
+    };
+    await agent.loader.start();
+    await time.runUntil(7_100);
+    agent.loader.applyPlan(plan(2));
+    expect(await runUntilServing(2, 30_000)).toBe(true);
+    expect(wroteAt).toBeLessThan(10_000);
+    expect(engine.accepted[0]?.at).toBeGreaterThan(10_000);
+    expect(hasServedCorrupt).toBe(false);
+    expect(engine.servesCorruptLayer).toBe(false);
+  });
+
+  it('gets no requests after a late order has loaded a corrupt piece that the previous agent wrote again since', async () => {
+    engine.holdFromStart(1);
+    engine.heldWrites.add(40);
+    void engine.stage('m', 40, pieceOf(2, 40), new AbortController().signal);
+    engine.onOrder = () => {
+      engine.onOrder = () => {};
+      engine.standStill(5_000);
+      setTimeout(() => engine.corrupt(40), 50);
+      setInterval(() => {
+        if (engine.accepted.length > 0) engine.releaseWrites();
+      }, 1);
+    };
+    await startAgent(2);
+    expect(await runUntilServing(2, 30_000)).toBe(true);
+    expect(engine.accepted[0]?.corruptFor).toBeGreaterThan(ALLOWED_CORRUPTION);
+    expect(hasServedCorrupt).toBe(false);
+    expect(engine.servesCorruptLayer).toBe(false);
+  });
+
+  it('does not serve with a piece that two late writes have overwritten and mended around the order', async () => {
+    engine.holdFromStart(1);
+    engine.heldWrites.add(5);
+    await createAgent();
+    await agent.loader.start();
+    await time.runUntil(OTHER_WRITES_END);
+    agent.loader.applyPlan(plan(2));
+    expect(await runUntilServing(2, 20_000)).toBe(true);
+    const { length } = engine.accepted;
+    engine.heldWrites.add(5);
+    engine.onOrder = () => {
+      engine.onOrder = () => {};
+      engine.releaseWrite();
+    };
+    engine.onAccepted = () => engine.releaseWrite();
+    agent.loader.applyPlan(plan(2, 3));
+    expect(await runUntilServing(3, 60_000)).toBe(true);
+    expect(hasServedCorrupt).toBe(false);
+    // The layer is loaded once, when one of the writes is no longer expected.
+    expect(engine.accepted.length - length).toBeLessThanOrEqual(3);
+  });
+
   it.each([1, 2, 3])('serves while pieces become corrupt all the time: seed %i', async (seed) => {
     const random = seededRandom(seed);
     engine.holdFromStart(1);
