Tests of unfinished switches and of absent machines: steps that stood twice have one place

Cause: six lines of steps stood twice in each of two test files. Change: a function each, with the same expectations in the same order.

--- a/test/entry/machine-watch.test.ts
+++ b/test/entry/machine-watch.test.ts
@@ -19,6 +19,17 @@
 beforeEach(() => vi.useFakeTimers({ toFake: ['performance'] }));
 afterEach(() => vi.useRealTimers());
 
+/** A watch that has seen machine `a` in one list and missed it in the next, 2.5 s later. */
+async function watchOfMissingMachine(): Promise<MachineWatch> {
+  const watch = new MachineWatch(list, new AgentDirectory());
+  listed = ['a'];
+  await watch.findDead(['a']);
+  vi.advanceTimersByTime(2_500);
+  listed = [];
+  await watch.findDead(['a']);
+  return watch;
+}
+
 describe('MachineWatch', () => {
   it.each([
     ['a machine that is listed', ['a'], ['a'], 60_000, false],
@@ -54,12 +65,7 @@
 
   // One list that lacked the machine says nothing about the time after it.
   it('does not take a machine for dead that one list lacked before the list stopped answering', async () => {
-    const watch = new MachineWatch(list, new AgentDirectory());
-    listed = ['a'];
-    await watch.findDead(['a']);
-    vi.advanceTimersByTime(2_500);
-    listed = [];
-    await watch.findDead(['a']);
+    const watch = await watchOfMissingMachine();
     listed = undefined;
     await queryFor(watch, 12_000);
     expect(await watch.findDead(['a'])).toEqual(new Set());
@@ -67,12 +73,7 @@
 
   // While this process is suspended, the machine may be listed and connected without being noticed.
   it('does not take a machine for dead because its own process stood still between two reads', async () => {
-    const watch = new MachineWatch(list, new AgentDirectory());
-    listed = ['a'];
-    await watch.findDead(['a']);
-    vi.advanceTimersByTime(2_500);
-    listed = [];
-    await watch.findDead(['a']);
+    const watch = await watchOfMissingMachine();
     vi.advanceTimersByTime(11_000);
     expect(await watch.findDead(['a'])).toEqual(new Set());
   });
--- a/test/forwarding/unfinished-switch.test.ts
+++ b/test/forwarding/unfinished-switch.test.ts
@@ -55,6 +55,16 @@
   await Promise.all([switching.stop(), other.stop()]);
 });
 
+/** Expects no requests to the engine until its second agent reports a proof of version 2. */
+async function expectUseOnceProven(): Promise<void> {
+  report('second', { version: 2 });
+  expect(await isUsed()).toBe(false);
+  report('second', { version: 2, isSwitching: true });
+  expect(await isUsed()).toBe(false);
+  report('second', { version: 2, isProven: true });
+  await until(isUsed, 'requests to the engine');
+}
+
 describe('an engine whose agent has ended during a switch gets no requests', () => {
   it('while no agent is heard, though the list shows the new version complete', async () => {
     announce();
@@ -67,12 +77,7 @@
     listBoth(2);
     report('second', { version: 0, isReached: false });
     expect(await isUsed()).toBe(false);
-    report('second', { version: 2 });
-    expect(await isUsed()).toBe(false);
-    report('second', { version: 2, isSwitching: true });
-    expect(await isUsed()).toBe(false);
-    report('second', { version: 2, isProven: true });
-    await until(isUsed, 'requests to the engine');
+    await expectUseOnceProven();
   });
 
   it('until it restarts', async () => {
@@ -132,12 +137,7 @@
   it('gets no requests until an agent has proven it', async () => {
     listBoth(2);
     expect(await isUsed()).toBe(false);
-    report('second', { version: 2 });
-    expect(await isUsed()).toBe(false);
-    report('second', { version: 2, isSwitching: true });
-    expect(await isUsed()).toBe(false);
-    report('second', { version: 2, isProven: true });
-    await until(isUsed, 'requests to the engine');
+    await expectUseOnceProven();
   });
 
   it('gets requests if the agent is of an earlier release', async () => {
