Observability: each send names the age of the list of back ends, its source and its revision

What was missing: the line `sent` named the revision of the configuration only.

Change: the list carries the store's time as of which it is complete and the process that has read it (`ListFreshness`), also when an entry takes it from a peer. `sent` has `listAgeMs`, `listFrom` and `listRevision`; `back end is leaving` and `back end gone` name source and age, once for each back end; `back_end_list_age_milliseconds` stands first on the page of metrics, now and the longest at a send. No decision depends on any of it.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -9,6 +9,7 @@
 import { type BackEndChange, BackEndList } from './back-end-list.js';
 import type { FleetConfiguration } from './configuration.js';
 import { EvacuatedZones } from './evacuated-zones.js';
+import { ListFreshness } from './list-freshness.js';
 import { NamedVersions } from './named-versions.js';
 import type { RecordFault } from './record-decoder.js';
 import { RouteTable } from './route-table.js';
@@ -38,6 +39,8 @@
   readonly backEnds = new BackEndList();
   /** The store's clock; processes exchange times of events in store time. */
   readonly clock = new StoreClock();
+  /** How current the list of back ends is. */
+  readonly freshness = new ListFreshness(this.clock);
   readonly versions = new NamedVersions(this.clock);
   readonly evacuations = new EvacuatedZones();
   readonly #listeners: FleetListener[] = [];
@@ -112,11 +115,21 @@
     this.#updateBackEnds(() => this.backEnds.apply(changes, revision));
   }
 
-  /** Replaces the list of back ends if the given one is newer. */
-  applyBackEndList(state: BackEndListState): void {
+  /**
+   * Replaces the list of back ends if the given one is newer.
+   * @param source - the process that it is from
+   */
+  applyBackEndList(state: BackEndListState, source: string): void {
+    if (state.revision < this.backEnds.revision) return;
+    if (state.completeAsOf !== undefined) this.freshness.noteComplete(state.completeAsOf, source);
     this.#updateBackEnds(() => this.backEnds.replace(state));
   }
 
+  /** The list of back ends, to be sent to peers. */
+  backEndListState(): BackEndListState {
+    return { ...this.backEnds.state(), completeAsOf: this.freshness.completeAsOf };
+  }
+
   /**
    * Applies the start that a back end reports itself; it has the same weight as one read from the store.
    * @param follows - the preceding start, if it is known
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -143,10 +143,10 @@
     await this.#followers.stop();
   }
 
-  /** Applies what another process has read from the store. */
-  applyForwarded({ table, ...news }: StoreUpdate): void {
+  /** Applies what another process, `source`, has read from the store. */
+  applyForwarded({ table, ...news }: StoreUpdate, source: string): void {
     this.#noteAnswer(news);
-    (table === 'operator' ? this.#operator : this.#backEnds).applyForwarded(news);
+    (table === 'operator' ? this.#operator : this.#backEnds).applyForwarded(news, source);
   }
 
   /** Forwards changes to others; heartbeats that change nothing are left out. */
@@ -189,7 +189,7 @@
     table: FollowedTable,
     handlers: Pick<TableFollowerEvents, 'onSnapshot' | 'onChanges'>,
   ): TableFollowerEvents {
-    const { log } = this.#options;
+    const { log, fleet } = this.#options;
     return {
       ...handlers,
       prepare: async (rows) => {
@@ -198,6 +198,9 @@
       onForward: (news) => this.#forward(table, news),
       onStoreLost: (reason) => log.warn('store lost', { table, reason }),
       onAnswer: (answer) => this.#noteAnswer(answer),
+      onComplete: (storeTime, source) => {
+        if (table === 'backEnds') fleet.freshness.noteComplete(storeTime, source);
+      },
       onStoreRegained: (silence) => {
         log.info('store regained', { table, silenceMs: Math.round(silence) });
         if (table === 'backEnds') this.#mayLackRemovals = true;
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -8,6 +8,7 @@
 import type { Startable } from '../model/startable.js';
 import { ResponseLimit } from '../model/time-limit.js';
 import type { TableUpdate } from '../protocol/store-update.js';
+import { FROM_STORE } from './list-freshness.js';
 import type { StoreClock } from './store-clock.js';
 import type { StoreAnswer } from './store-outages.js';
 
@@ -46,6 +47,11 @@
   onChanges(rows: RowsSnapshot, since: number): void;
   /** The store has answered a call of this process; called before the other events of the answer. */
   onAnswer(answer: StoreAnswer): void;
+  /**
+   * The table is complete here as of `storeTime`; called before the changes that make it so.
+   * @param source - the process that has read it; `store` if this one has
+   */
+  onComplete(storeTime: number, source: string): void;
   /** The store answers again after `silence` milliseconds. */
   onStoreRegained(silence: number): void;
   /** The store does not answer, or answers with an error. */
@@ -135,20 +141,20 @@
     return mayPause ? this.#options.timeUntilReading() : 0;
   }
 
-  /** Applies changes that another process has read. */
-  applyForwarded({ after, revision, storeTime, since, rows }: TableUpdate): void {
+  /** Applies changes that another process, `source`, has read. */
+  applyForwarded({ after, revision, storeTime, since, rows }: TableUpdate, source: string): void {
     if (this.#revision === undefined || revision < this.#revision) return;
-    if (revision === this.#revision) return this.#noteUnchanged(storeTime);
+    if (revision === this.#revision) return this.#noteUnchanged(storeTime, source);
     this.#hasGap = after > this.#revision;
     if (this.#hasGap) return;
     this.#revision = revision;
-    this.#noteResponse(storeTime);
+    this.#noteResponse(storeTime, source);
     this.#options.events.onChanges({ rows, revision, storeTime }, since);
   }
 
   /** Another process has read that nothing has changed. One that reads itself goes by its own calls. */
-  #noteUnchanged(storeTime: number): void {
-    if (this.#options.timeUntilReading() > 0) this.#noteResponse(storeTime);
+  #noteUnchanged(storeTime: number, source: string): void {
+    if (this.#options.timeUntilReading() > 0) this.#noteResponse(storeTime, source);
   }
 
   /** Makes one call; returns the minimum pause before the next, in milliseconds. */
@@ -227,7 +233,7 @@
       const since = this.#writtenSince(answer.value, gap);
       const { rows, storeTime } = answer.value;
       this.#options.events.onAnswer(answer.value);
-      this.#noteResponse(storeTime, requestedAt);
+      this.#noteResponse(storeTime, FROM_STORE, requestedAt);
       const after = this.#revision;
       // Changes forwarded by another process meanwhile may be newer.
       const revision = Math.max(after ?? 0, answer.value.revision);
@@ -259,10 +265,11 @@
   }
 
   /** @param requestedAt - when the store was called; undefined if another process called it */
-  #noteResponse(storeTime: number, requestedAt?: number): void {
+  #noteResponse(storeTime: number, source: string, requestedAt?: number): void {
     const now = performance.now();
     this.#options.clock.addSample(storeTime, now, requestedAt);
     this.#storeTime = Math.max(this.#storeTime, storeTime);
+    this.#options.events.onComplete(storeTime, source);
     if (this.#failures > 0) this.#options.events.onStoreRegained(now - this.#answeredAt);
     this.#failures = 0;
     this.#answeredAt = now;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -308,6 +308,7 @@
     this.#openAttempts.abortAt(row, 'silent connection');
     this.#policy.noteSent(row);
     const { limits } = this.#components;
+    const { backEnds, freshness } = this.#components.fleet;
     limits.noteSent(row.record, claim !== undefined);
     this.#log.note('sent', {
       send: this.#policy.sends,
@@ -319,6 +320,9 @@
       hasSlot: claim !== undefined,
       rateLimit: limits.rateOf(row.record),
       configuration: this.#admitted.table.configuration.revision,
+      listAgeMs: Math.round(freshness.noteSend(performance.now())),
+      listFrom: freshness.source,
+      listRevision: backEnds.revision,
     });
     const use = this.#attempts.create(selection, claim);
     const { attempt } = use;
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -364,7 +364,7 @@
     if (message.type === 'fleetWanted') return this.#sendWanted(connection, message);
     if (message.type === 'fleetConfiguration')
       return this.#applyConfiguration(row, Buffer.from(message.document));
-    if (message.type === 'fleetBackEnds') return this.#applyBackEnds(message.state);
+    if (message.type === 'fleetBackEnds') return this.#applyBackEnds(row, message.state);
     if (this.#options.news.apply(message)) return;
     if (message.type === 'storeNews' && row.report !== undefined)
       return this.#options.onStoreNews(withoutNulls(message.news), row.report.id);
@@ -453,7 +453,7 @@
     const { fleet } = this.#options;
     if (wanted.configuration && fleet.document !== undefined)
       connection.send({ type: 'fleetConfiguration', document: fleet.document });
-    if (wanted.backEnds) connection.send({ type: 'fleetBackEnds', state: fleet.backEnds.state() });
+    if (wanted.backEnds) connection.send({ type: 'fleetBackEnds', state: fleet.backEndListState() });
   }
 
   #applyConfiguration(row: PeerRow, document: Buffer): void {
@@ -466,7 +466,7 @@
     log.info('configuration taken', { revision: fleet.configurationRevision, from: row.address });
   }
 
-  #applyBackEnds({ revision, records }: BackEndListState): void {
+  #applyBackEnds(row: PeerRow, { revision, completeAsOf, records }: BackEndListState): void {
     this.#requestGates.backEnds.noteAnswer();
     if (this.#options.isStoreConnected()) return;
     // The codec turns undefined into null.
@@ -475,7 +475,10 @@
       start: record.start ?? undefined,
       layers: record.layers ?? undefined,
     }));
-    this.#options.fleet.applyBackEndList({ revision, records: decoded });
+    this.#options.fleet.applyBackEndList(
+      { revision, completeAsOf: completeAsOf ?? undefined, records: decoded },
+      row.address,
+    );
   }
 }
 
--- a/src/protocol/back-end-list-state.ts
+++ b/src/protocol/back-end-list-state.ts
@@ -29,5 +29,7 @@
 /** A snapshot of the records at `revision`. */
 export interface BackEndListState {
   revision: number;
+  /** It is complete as of this time of the store, in milliseconds; undefined if its sender does not tell. */
+  completeAsOf?: number | undefined;
   records: BackEndRecord[];
 }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -1,3 +1,4 @@
+import { DepartureLog } from '../fleet/departure-log.js';
 import { sleep } from '../fleet/table-follower.js';
 import { BackEndBackoffs } from '../forwarding/back-end-backoffs.js';
 import { BackEndLimits } from '../forwarding/back-end-limits.js';
@@ -64,10 +65,12 @@
   constructor(components: DirectEntryComponents) {
     const { settings, fleet, backEnds, sync, library, log, random, metrics, context } = components;
     this.#components = components;
+    this.#addListMetrics();
     this.#drain = new DrainSchedule({
       graceTime: settings.graceTime,
       addressLifetime: settings.addressLifetimeSeconds * MILLISECONDS,
     });
+    fleet.listen(new DepartureLog(fleet.freshness, log));
     fleet.listen({
       onBackEnds: (changes) => backEnds.apply(changes),
       onEvacuation: ({ zone, revision, isEvacuated }, source) => {
@@ -128,7 +131,7 @@
       news: new PeerNews(this.#poison, this.#limits),
       onStoreNews: (news, id) => {
         this.#storeReaders[news.table].noteNews(id, performance.now());
-        sync.applyForwarded(news);
+        sync.applyForwarded(news, id);
       },
       onExpired: ({ id }) => {
         for (const readers of Object.values(this.#storeReaders)) readers.forget(id);
@@ -412,6 +415,20 @@
     return counts;
   }
 
+  /** Registered first: a scraper may truncate a long page. */
+  #addListMetrics(): void {
+    const { metrics, fleet } = this.#components;
+    const { freshness } = fleet;
+    metrics.add([
+      {
+        name: 'back_end_list_age_milliseconds',
+        help: 'Time of the store since the list of back ends was complete: now, and the longest since the start as a request was sent',
+        label: 'at',
+        read: () => ({ now: freshness.age(performance.now()), send: freshness.longestAgeAtSend }),
+      },
+    ]);
+  }
+
   #addMetrics(): void {
     const { metrics, counters, fleet, backEnds, sync } = this.#components;
     metrics.add([
--- a/test/fleet/reading-zone.ts
+++ b/test/fleet/reading-zone.ts
@@ -233,7 +233,7 @@
     for (const { id, sync, readers, isIsolated } of this.entries) {
       if (id === from || isIsolated) continue;
       readers[news.table].noteNews(from, performance.now());
-      sync.applyForwarded(news);
+      sync.applyForwarded(news, from);
     }
   }
 
--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -136,7 +136,7 @@
     await until(() => !sync.connected, 'the loss');
     store.restore(copy);
     const records = [...fleet.backEnds.records.values()];
-    fleet.applyBackEndList({ revision: store.revision, records });
+    fleet.applyBackEndList({ revision: store.revision, records }, 'peer');
     store.faults.down = false;
     await until(() => sync.connected, 'the answers of the store');
     expect(restorations).toBe(1);
@@ -149,8 +149,8 @@
     store.faults.down = true;
     await until(() => !sync.connected, 'the loss');
     const older = { ...fleet.backEnds.records.get('one')!, leaving: false, revision: revision - 1 };
-    fleet.applyBackEndList({ revision: fleet.backEnds.revision - 1, records: [older] });
-    fleet.applyBackEndList({ revision: fleet.backEnds.revision + 1, records: [older] });
+    fleet.applyBackEndList({ revision: fleet.backEnds.revision - 1, records: [older] }, 'peer');
+    fleet.applyBackEndList({ revision: fleet.backEnds.revision + 1, records: [older] }, 'peer');
     expect(fleet.backEnds.records.get('one')?.leaving).toBe(true);
   });
 
@@ -242,7 +242,7 @@
     sync.timeUntilReading = () => Number.POSITIVE_INFINITY;
     await new Promise((resolve) => setTimeout(resolve, 1_200));
     const callsBefore = { ...store.calls };
-    sync.applyForwarded(news(store.revision, store.revision + 1, '7'));
+    sync.applyForwarded(news(store.revision, store.revision + 1, '7'), 'reader');
     expect(fleet.configurationRevision).toBe(7);
     await new Promise((resolve) => setTimeout(resolve, 400));
     expect(store.calls).toEqual(callsBefore);
@@ -252,7 +252,7 @@
     sync.timeUntilReading = () => Number.POSITIVE_INFINITY;
     await new Promise((resolve) => setTimeout(resolve, 1_200));
     store.write('operator', 'configuration', '8');
-    sync.applyForwarded(news(store.revision + 5, store.revision + 6, '9'));
+    sync.applyForwarded(news(store.revision + 5, store.revision + 6, '9'), 'reader');
     expect(fleet.configurationRevision).toBe(1);
     await until(() => fleet.configurationRevision === 8, 'what the store has');
   });
@@ -261,7 +261,7 @@
     sync.timeUntilReading = () => Number.POSITIVE_INFINITY;
     await new Promise((resolve) => setTimeout(resolve, 1_200));
     const update = news(store.revision, store.revision + 1, '2', 'model');
-    sync.applyForwarded(update);
+    sync.applyForwarded(update, 'reader');
     expect(fleet.versions.newest('model')).toMatchObject({ version: 2, notBefore: update.since });
   });
 
@@ -275,7 +275,7 @@
 
   it('holds a removal back if the update is the first answer of the store after an outage', async () => {
     sync.timeUntilReading = () => Number.POSITIVE_INFINITY;
-    sync.applyForwarded(removalAfter(2_000));
+    sync.applyForwarded(removalAfter(2_000), 'reader');
     expect(ids()).toEqual(['one', 'two']);
     await until(() => ids().join() === 'two', 'the end of the hold');
   });
@@ -284,14 +284,17 @@
     sync.timeUntilReading = () => Number.POSITIVE_INFINITY;
     const update = removalAfter(2_000);
     const { revision } = store;
-    sync.applyForwarded({
-      ...update,
-      after: revision,
-      revision,
-      storeTime: update.storeTime - 1_000,
-      rows: [],
-    });
-    sync.applyForwarded(update);
+    sync.applyForwarded(
+      {
+        ...update,
+        after: revision,
+        revision,
+        storeTime: update.storeTime - 1_000,
+        rows: [],
+      },
+      'reader',
+    );
+    sync.applyForwarded(update, 'reader');
     expect(ids()).toEqual(['two']);
   });
 });
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -213,20 +213,18 @@
   /** Replaces the list of back ends. */
   list(...backEnds: Array<[id: string, backEnd: StandInBackEnd, changes?: Partial<BackEndRecord>]>): void {
     const revision = this.fleet.backEnds.revision + 1;
-    this.fleet.applyBackEndList({
+    const records = backEnds.map(([id, backEnd, changes]) => ({
+      id,
+      service: this.#service,
+      address: backEnd.address,
+      zone: 'zone-a',
+      slots: 4,
+      leaving: false,
+      layers: undefined,
       revision,
-      records: backEnds.map(([id, backEnd, changes]) => ({
-        id,
-        service: this.#service,
-        address: backEnd.address,
-        zone: 'zone-a',
-        slots: 4,
-        leaving: false,
-        layers: undefined,
-        revision,
-        ...changes,
-      })),
-    });
+      ...changes,
+    }));
+    this.fleet.applyBackEndList({ revision, records }, 'peer');
   }
 
   /** Reports the current state of `engine` as its agent does; the agent grants slots only if `news` has a slot address. */
--- a/test/forwarding/restart-order.test.ts
+++ b/test/forwarding/restart-order.test.ts
@@ -134,7 +134,7 @@
     } else if (news.type === 'load') this.table.applyLoads('peer', [news.load]);
     else {
       if (news.state.records.some((record) => this.#isLost(record))) return;
-      this.fleet.applyBackEndList(news.state);
+      this.fleet.applyBackEndList(news.state, 'peer');
       for (const { start } of news.state.records) this.#noteReported(start!);
     }
   }
--- a/test/roles/weights-planner.test.ts
+++ b/test/roles/weights-planner.test.ts
@@ -28,7 +28,10 @@
   const backEnds = new BackEndTable();
   fleet.listen({ onBackEnds: (changes) => backEnds.apply(changes) });
   const record = { service: 'engines', address: 'listed', zone: 'zone-a', slots: 4, leaving: false };
-  fleet.applyBackEndList({ revision: 1, records: [{ ...record, id: 'e', layers: undefined, revision: 1 }] });
+  fleet.applyBackEndList(
+    { revision: 1, records: [{ ...record, id: 'e', layers: undefined, revision: 1 }] },
+    'peer',
+  );
   if (services !== undefined)
     fleet.applyConfiguration({
       document: Buffer.from(''),
--- a/test/weights/joint-drop.test.ts
+++ b/test/weights/joint-drop.test.ts
@@ -32,7 +32,7 @@
     layers,
     revision: 1,
   }));
-  fleet.applyBackEndList({ revision: 1, records });
+  fleet.applyBackEndList({ revision: 1, records }, 'peer');
   for (const [index, { address }] of records.entries()) {
     const isSwitching = index < ZONES.length - 1;
     backEnds.applyReport(address, {
--- a/test/weights/version-replay.ts
+++ b/test/weights/version-replay.ts
@@ -385,7 +385,7 @@
       configuration: { ...ENGINE_CONFIGURATION, origin: { service: 'weights', address: 'origin' } },
     });
     fleet.clock.addSample(performance.now(), performance.now());
-    fleet.applyBackEndList({ revision: 1, records: this.#backEndsOf(zone) });
+    fleet.applyBackEndList({ revision: 1, records: this.#backEndsOf(zone) }, 'peer');
     return entry;
   }
 
