Reproduce DRAIN: a leaving is unknown to a zone whose reader hears of it, or tells of it, late

All other entries reach the store within 5 ms and none calls it: messages that arrive put that off, whatever the time of the store in them.

--- a/test/fleet/reading-zone.ts
+++ b/test/fleet/reading-zone.ts
@@ -24,6 +24,9 @@
 const MESSAGE_DELAY = 2;
 const EXPIRY_CHECK_INTERVAL = 50;
 
+/** Interval of the parts of an answer that arrives in parts, in milliseconds. */
+const PART_INTERVAL = 300;
+
 /** How an entry loses the store: connections are reset and refused, or get no answer. */
 export type Cut = 'reset' | 'silent';
 
@@ -35,6 +38,10 @@
   readonly #listsLatestOnly: boolean;
   #cut: Cut | undefined;
   #ended = new AbortController();
+  /** Time from the first part of an answer to its last, in milliseconds; 0 if it arrives whole. */
+  transferTime = 0;
+  /** Called for each call to the store. */
+  onCall: () => void = () => {};
 
   /** @param listsLatestOnly - changes that were overtaken by others of the same row are left out */
   constructor(store: MemoryStore, listsLatestOnly: boolean) {
@@ -52,15 +59,21 @@
     this.#ended = new AbortController();
   }
 
-  read(table: string, partition: string, signal: AbortSignal): Promise<Result<RowsSnapshot, PlatformError>> {
-    return this.#call(signal, () => this.#store.read(table, partition, signal));
+  read(
+    table: string,
+    partition: string,
+    signal: AbortSignal,
+    onPart?: () => void,
+  ): Promise<Result<RowsSnapshot, PlatformError>> {
+    return this.#call(signal, () => this.#store.read(table, partition, signal), onPart);
   }
 
   async changes(
     query: { table: string; after: number; wait: number },
     signal: AbortSignal,
+    onPart?: () => void,
   ): Promise<Result<RowsSnapshot, ChangesError>> {
-    const answer = await this.#call(signal, () => this.#store.changes(query, signal));
+    const answer = await this.#call(signal, () => this.#store.changes(query, signal), onPart);
     if (!answer.ok || !this.#listsLatestOnly) return answer;
     const latest = new Map(answer.value.rows.map((row) => [row.key, row]));
     return success({ ...answer.value, rows: answer.value.rows.filter((row) => latest.get(row.key) === row) });
@@ -70,19 +83,34 @@
     throw new Error('entries write nothing here');
   }
 
-  async #call<T extends { ok: boolean }>(signal: AbortSignal, call: () => Promise<T>): Promise<T> {
+  async #call<T extends { ok: boolean }>(
+    signal: AbortSignal,
+    call: () => Promise<T>,
+    onPart: () => void = () => {},
+  ): Promise<T> {
     const reset = this.#ended.signal;
     const wasSilent = this.#cut === 'silent';
+    this.onCall();
     if (this.#cut === 'reset') return failure(lost) as unknown as T;
     await pause(CALL_DELAY);
     const answer = await Promise.race([
-      wasSilent ? never<T>() : call(),
+      wasSilent ? never<T>() : this.#transfer(signal, call, onPart),
       aborted<T>(reset),
       aborted<T>(signal),
     ]);
     // A connection that was cut while the call waited delivers nothing.
     return this.#cut === 'silent' ? aborted<T>(signal) : answer;
   }
+
+  async #transfer<T>(signal: AbortSignal, call: () => Promise<T>, onPart: () => void): Promise<T> {
+    const answer = await call();
+    const { transferTime } = this;
+    for (let time = 0; time < transferTime && !signal.aborted; time += PART_INTERVAL) {
+      onPart();
+      await pause(Math.min(PART_INTERVAL, transferTime - time));
+    }
+    return answer;
+  }
 }
 
 interface Entry {
@@ -95,10 +123,15 @@
   cutUntil: number;
   /** Messages to and from other entries are lost. */
   isIsolated: boolean;
+  /** Delay of messages to other entries, in milliseconds; they arrive in order. */
+  messageDelay: number;
+  /** When its last message arrives. */
+  messagesArriveAt: number;
 }
 
 interface BackEnd {
   id: string;
+  state: 'ready' | 'leaving';
   nextHeartbeat: number;
   writtenAt: number;
 }
@@ -142,7 +175,7 @@
   /** Adds a back end, which writes heartbeats from now on. */
   join(id: string): void {
     const nextHeartbeat = performance.now() + this.#random.fraction() * HEARTBEAT_INTERVAL;
-    this.#backEnds.set(id, { id, nextHeartbeat, writtenAt: performance.now() });
+    this.#backEnds.set(id, { id, state: 'ready', nextHeartbeat, writtenAt: performance.now() });
     this.store.write('backEnds', id, 'ready');
   }
 
@@ -157,6 +190,22 @@
     this.#backEnds.get(id)!.nextHeartbeat = Number.POSITIVE_INFINITY;
   }
 
+  /** Makes a back end state that it is leaving; its heartbeats go on. */
+  announceLeaving(id: string): void {
+    this.#backEnds.get(id)!.state = 'leaving';
+    this.store.write('backEnds', id, 'leaving');
+  }
+
+  /** From now on the store's answers to an entry arrive in parts over `transferTime` milliseconds; 0: whole. */
+  slowAnswers(place: number, transferTime: number): void {
+    this.entries[place].link.transferTime = transferTime;
+  }
+
+  /** From now on an entry's messages to the others arrive late by `delay` milliseconds, as over a link with a queue. */
+  delayMessages(place: number, delay: number): void {
+    this.entries[place].messageDelay = MESSAGE_DELAY + delay;
+  }
+
   /** Cuts an entry off from the store for a time, and waits until it is over. */
   async cut(place: number, how: Cut, duration: number): Promise<void> {
     const entry = this.entries[place];
@@ -221,14 +270,22 @@
       readers,
       cutUntil: Number.NEGATIVE_INFINITY,
       isIsolated: false,
+      messageDelay: MESSAGE_DELAY,
+      messagesArriveAt: 0,
     };
     sync.onForward = (news) => {
       if (news.table === 'backEnds') this.forwarded++;
-      if (!entry.isIsolated) setTimeout(() => this.#deliver(id, news), MESSAGE_DELAY);
+      if (!entry.isIsolated) this.#send(entry, news);
     };
     return entry;
   }
 
+  #send(entry: Entry, news: StoreUpdate): void {
+    const now = performance.now();
+    entry.messagesArriveAt = Math.max(entry.messagesArriveAt, now + entry.messageDelay);
+    setTimeout(() => this.#deliver(entry.id, news), entry.messagesArriveAt - now);
+  }
+
   #deliver(from: string, news: StoreUpdate): void {
     for (const { id, sync, readers, isIsolated } of this.entries) {
       if (id === from || isIsolated) continue;
@@ -251,7 +308,7 @@
     if (this.#isDown) return;
     backEnd.writtenAt = now;
     if (this.#heartbeatsChangeRecords || !this.#isListed(backEnd.id))
-      this.store.write('backEnds', backEnd.id, 'ready');
+      this.store.write('backEnds', backEnd.id, backEnd.state);
   }
 
   #isListed(id: string): boolean {
