News of the store count from the store's time in them, not from when they arrive

Cause: an entry reads the store itself once it has heard nothing for 1.3 to 1.6 s from the entry of its zone that reads for it. Any message put that off: one that had waited in a queue on its way, one that says that an answer is still arriving, one that is about an older state than the own one. So a reader whose answers or messages are slow held its whole zone back without a bound, and as such entries count as connected they asked no peer for a newer list either. The class: a message is taken as proof that a state is current, with no age.

Change: each entry keeps the store's time as of which its table is complete, hands it on, and reads itself when that is 1.3 to 1.6 s ago (`ZoneReaders`, out of DirectEntry). The wait of a call counts from it as well. A notice that a long answer of the operator's table is arriving delays all but the second entry by 1 s at the most; for back ends there is none. Reports name the time of the list, so that an entry whose list is older than 1.1 s takes one that is at least 0.5 s newer from a peer, or learns that nothing has changed.

Why it works: the age of the list, unlike the time since the last message, grows whatever is slow, and each step is bounded by it.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -125,6 +125,11 @@
     this.#updateBackEnds(() => this.backEnds.replace(state));
   }
 
+  /** Records that `source` knew of no change after `revision` up to `asOf`, in milliseconds of the store's clock. */
+  noteListAsOf(revision: number, asOf: number, source: string): void {
+    if (revision === this.backEnds.revision) this.freshness.noteComplete(asOf, source);
+  }
+
   /** The list of back ends, to be sent to peers. */
   backEndListState(): BackEndListState {
     return { ...this.backEnds.state(), completeAsOf: this.freshness.completeAsOf };
--- a/src/fleet/list-freshness.ts
+++ b/src/fleet/list-freshness.ts
@@ -4,6 +4,11 @@
  */
 import type { StoreClock } from './store-clock.js';
 
+/**
+ * Highest age of a list that is current, in milliseconds: what another entry of the zone forwards is usually younger (`StoreReaders`).
+ */
+const MAX_AGE = 1_100;
+
 /** Source of what this process has read from the store itself. */
 export const FROM_STORE = 'store';
 
@@ -46,6 +51,12 @@
     return Math.max(0, this.#clock.storeTimeAt(now) - this.#completeAsOf);
   }
 
+  /** Since when the list has not been current, in milliseconds of the monotonic clock; undefined if it is. */
+  outdatedSince(now: number): number | undefined {
+    const excess = this.age(now) - MAX_AGE;
+    return excess > 0 ? now - excess : undefined;
+  }
+
   /** Records that a request is sent; returns the age of the list, by which that was decided. */
   noteSend(now: number): number {
     const age = this.age(now);
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -106,6 +106,8 @@
       table: decoder.operatorTable,
       wait: LONG_POLL_WAIT,
       interval: () => OPERATOR_INTERVAL,
+      // A configuration is large; changes of back ends are small and more urgent.
+      announcesLongAnswers: true,
       timeUntilReading: () => this.timeUntilReading('operator'),
       events: this.#events('operator', {
         onSnapshot: (rows, since) => this.#applyOperatorSnapshot(rows, since),
@@ -119,6 +121,7 @@
       table: decoder.backEndTable,
       wait: LONG_POLL_WAIT,
       interval: () => BACK_END_INTERVAL,
+      announcesLongAnswers: false,
       timeUntilReading: () => this.timeUntilReading('backEnds'),
       events: this.#events('backEnds', {
         onSnapshot: (rows) => this.#applySnapshot(rows),
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -18,7 +18,7 @@
  * for longer.
  */
 const RESPONSE_TIMEOUT = 1_500;
-/** Interval at which others are notified, while a long response arrives, that this process reads the table, in milliseconds. */
+/** Interval at which others are notified while a long response arrives, in milliseconds. */
 const PROGRESS_INTERVAL = 500;
 /**
  * A waiting call is given up earlier than that, so that a connection that has gone silent is noticed: after this multiple of
@@ -74,6 +74,8 @@
    * reads the table now.
    */
   timeUntilReading: () => number;
+  /** Whether others are told that a long answer is arriving. */
+  announcesLongAnswers: boolean;
   /** Receives the store's time from each response. */
   clock: StoreClock;
   random: Random;
@@ -152,9 +154,13 @@
     this.#options.events.onChanges({ rows, revision, storeTime }, since);
   }
 
-  /** Another process has read that nothing has changed. One that reads itself goes by its own calls. */
+  /**
+   * Another process has read that nothing has changed; a message that is no newer than what is known here proves nothing. One that
+   * reads itself goes by its own calls.
+   */
   #noteUnchanged(storeTime: number, source: string): void {
-    if (this.#options.timeUntilReading() > 0) this.#noteResponse(storeTime, source);
+    if (storeTime > this.#storeTime && this.#options.timeUntilReading() > 0)
+      this.#noteResponse(storeTime, source);
   }
 
   /** Makes one call; returns the minimum pause before the next, in milliseconds. */
@@ -185,22 +191,26 @@
   }
 
   /**
-   * Longest wait for a change in a call, in milliseconds. The answer is due `wait` after the one before, whoever got that, so
-   * that the processes for which this one reads hear from it in time. After a failure the call does not wait, so that the
-   * store's return is noticed at once.
+   * Longest wait for a change in a call, in milliseconds. The answer is due `wait` after the store gave the one before, whoever got
+   * that, so that the state of the processes for which this one reads does not become too old. After a failure the call does not
+   * wait, so that the store's return is noticed at once.
    */
   #waitOf(wait: number, requestedAt: number): number {
-    return this.#failures > 0 ? 0 : Math.max(0, Math.round(wait - (requestedAt - this.#answeredAt)));
+    if (this.#failures > 0) return 0;
+    const age = requestedAt - this.#options.clock.localTimeAt(this.#storeTime);
+    return Math.min(wait, Math.max(0, Math.round(wait - age)));
   }
 
-  /** Handles a part of a response. Notifies the processes for which this one reads, so that they do not read themselves. */
+  /** Handles a part of a response. */
   #onPart(limit: ResponseLimit): void {
     limit.notePart();
     const now = performance.now();
-    if (this.#revision === undefined || now - this.#notifiedAt < PROGRESS_INTERVAL) return;
+    if (!this.#options.announcesLongAnswers || this.#revision === undefined) return;
+    if (now - this.#notifiedAt < PROGRESS_INTERVAL) return;
     this.#notifiedAt = now;
     const [revision, storeTime] = [this.#revision, this.#storeTime];
-    this.#options.events.onForward({ after: revision, revision, storeTime, since: storeTime, rows: [] });
+    const unchanged = { after: revision, revision, storeTime, since: storeTime, rows: [] };
+    this.#options.events.onForward({ ...unchanged, isLongAnswerArriving: true });
   }
 
   /** Timeout of a waiting call beyond its wait, in milliseconds. */
--- /dev/null
+++ b/src/fleet/zone-readers.ts
@@ -0,0 +1,43 @@
+/** Which tables of the store one entry reads itself, and which another entry of its zone reads for it. */
+import type { FollowedTable, StoreUpdate } from '../protocol/store-update.js';
+import { StoreReaders } from '../systems/store-readers.js';
+import type { StoreClock } from './store-clock.js';
+
+export interface ZoneReadersOptions {
+  /** Identity of this entry. */
+  self: string;
+  zone: string;
+  /** Identities of the other live entries of the zone. */
+  others: () => readonly string[];
+  clock: StoreClock;
+}
+
+/** One entry's view of the readers of its zone. */
+export class ZoneReaders {
+  readonly #options: ZoneReadersOptions;
+  readonly #readers: Record<FollowedTable, StoreReaders>;
+
+  constructor(options: ZoneReadersOptions) {
+    this.#options = options;
+    const { zone } = options;
+    this.#readers = { operator: new StoreReaders(zone), backEnds: new StoreReaders(zone) };
+  }
+
+  /** Records what the entry `from` has forwarded. */
+  noteNews({ table, storeTime, isLongAnswerArriving }: StoreUpdate, from: string): void {
+    const readers = this.#readers[table];
+    readers.noteNews(from, this.#options.clock.localTimeAt(storeTime));
+    if (isLongAnswerArriving === true) readers.noteLongAnswer(from, performance.now());
+  }
+
+  /** Time until this entry reads the table unless another forwards its changes before, in milliseconds; 0 if it reads now. */
+  timeUntilReading(table: FollowedTable): number {
+    const { self, others } = this.#options;
+    return this.#readers[table].timeUntilReading(self, others(), performance.now());
+  }
+
+  /** Removes an entry that is no longer live. */
+  forget(entry: string): void {
+    for (const readers of Object.values(this.#readers)) readers.forget(entry);
+  }
+}
--- a/src/peers/entry-peers.ts
+++ b/src/peers/entry-peers.ts
@@ -57,6 +57,12 @@
  */
 const RECONNECT_GRACE = 300;
 
+/**
+ * The whole list of back ends is requested from an entry whose list is more current than the own one by at least this, in
+ * milliseconds of the store's clock: while the store is slow for all, lists differ by less, and requests would help nobody.
+ */
+const MIN_LIST_GAIN = 500;
+
 interface PeerRow {
   address: string;
   connection: Connection | undefined;
@@ -85,8 +91,6 @@
   seeds: readonly string[];
   fleet: FleetView;
   decoder: RecordDecoder;
-  /** False while this entry has no connection to the store. */
-  isStoreConnected: () => boolean;
   /** Interval at which all known addresses are sent, in milliseconds. */
   addressGossipInterval?: number;
   /**
@@ -389,6 +393,8 @@
     fleet.clock.addSample(report.storeTime, now);
     for (const named of report.versions) fleet.applyNamedVersion(named);
     for (const change of report.evacuations ?? []) fleet.applyEvacuation(change, report.address);
+    if (report.backEndsAsOf !== undefined)
+      fleet.noteListAsOf(report.backEndsRevision, report.backEndsAsOf, report.address);
     this.#requestNewer(connection, report, now);
     this.#options.onReport(report);
   }
@@ -403,14 +409,14 @@
   }
 
   #requestNewer(connection: Connection, report: EntryReport, now: number): void {
-    const { fleet, isStoreConnected } = this.#options;
+    const { fleet } = this.#options;
     fleet.noteRemoteConfigurationRevision(report.configurationRevision);
     const isNewer = report.configurationRevision > fleet.configurationRevision;
-    const isListNewer = !isStoreConnected() && report.backEndsRevision > fleet.backEnds.revision;
+    const isListWanted = this.#isListWanted(report, now);
     const isNear = report.zone === this.#options.zone;
-    const { configurationRevision, backEnds: list } = fleet;
+    const { configurationRevision, backEnds: list, freshness } = fleet;
     const requestGates = this.#requestGates;
-    const place = isNewer && !isNear ? this.#rankInZone() : 0;
+    const place = (isNewer || isListWanted) && !isNear ? this.#rankInZone() : 0;
     const configuration =
       isNewer &&
       requestGates.configuration.tryRequest(connection, {
@@ -420,11 +426,24 @@
         now,
       });
     const backEnds =
-      isListNewer &&
-      requestGates.backEnds.tryRequest(connection, { ownRevision: list.revision, isNear, now });
+      isListWanted &&
+      requestGates.backEnds.tryRequest(connection, {
+        ownRevision: list.revision,
+        isNear,
+        place,
+        behindSince: list.revision === 0 ? undefined : freshness.outdatedSince(now),
+        now,
+      });
     if (configuration || backEnds) connection.send({ type: 'fleetWanted', configuration, backEnds });
   }
 
+  /** Whether this entry's list of back ends is outdated, and the one of the entry that reports is more current. */
+  #isListWanted({ backEndsRevision, backEndsAsOf }: EntryReport, now: number): boolean {
+    const { backEnds, freshness } = this.#options.fleet;
+    if (freshness.outdatedSince(now) === undefined || backEndsRevision <= backEnds.revision) return false;
+    return (backEndsAsOf ?? Number.POSITIVE_INFINITY) - freshness.completeAsOf >= MIN_LIST_GAIN;
+  }
+
   /** Index of this entry in the order of the connected entries of its zone. */
   #rankInZone(): number {
     const { address, zone } = this.#options;
@@ -468,14 +487,15 @@
 
   #applyBackEnds(row: PeerRow, { revision, completeAsOf, records }: BackEndListState): void {
     this.#requestGates.backEnds.noteAnswer();
-    if (this.#options.isStoreConnected()) return;
+    const { fleet } = this.#options;
+    if (fleet.freshness.outdatedSince(performance.now()) === undefined) return;
     // The codec turns undefined into null.
     const decoded = records.map((record) => ({
       ...record,
       start: record.start ?? undefined,
       layers: record.layers ?? undefined,
     }));
-    this.#options.fleet.applyBackEndList(
+    fleet.applyBackEndList(
       { revision, completeAsOf: completeAsOf ?? undefined, records: decoded },
       row.address,
     );
--- a/src/peers/fleet-request-gate.ts
+++ b/src/peers/fleet-request-gate.ts
@@ -57,6 +57,8 @@
    * no turns.
    */
   place?: number;
+  /** Since when this process has been known to lag behind; by default since the first call with this `ownRevision`. */
+  behindSince?: number;
   /** In milliseconds of the monotonic clock. */
   now: number;
 }
@@ -79,10 +81,11 @@
   /** Whether to send a request on `connection`; if so, the request counts as sent. */
   tryRequest(
     connection: AskableConnection,
-    { ownRevision, isNear, place = 0, now }: RequestConditions,
+    { ownRevision, isNear, place = 0, behindSince, now }: RequestConditions,
   ): boolean {
     if (this.#behind.ownRevision !== ownRevision) this.#behind = { ownRevision, since: now };
-    if (now - this.#behind.since < delayFor(isNear, ownRevision === 0, place)) return false;
+    const since = behindSince ?? this.#behind.since;
+    if (now - since < delayFor(isNear, ownRevision === 0, place)) return false;
     const isPending = this.#asked?.open === true && now - this.#askedAt < this.#timeoutFor(connection);
     if (isPending) return false;
     this.#asked = connection;
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -104,6 +104,11 @@
   isReady: boolean;
   configurationRevision: number;
   backEndsRevision: number;
+  /**
+   * Its list of back ends is complete as of this time of the store, in milliseconds; -Infinity before the first read, absent from
+   * earlier releases.
+   */
+  backEndsAsOf?: number;
   /** Store time when the report is sent, in milliseconds; -Infinity if the sender does not know it. */
   storeTime: number;
   versions: NamedVersion[];
--- a/src/protocol/store-update.ts
+++ b/src/protocol/store-update.ts
@@ -13,6 +13,11 @@
   /** The changes were written after this time, in milliseconds of the store's clock. */
   since: number;
   rows: StoredRow[];
+  /**
+   * The message has no changes: it tells that a long answer of the store is arriving at its sender, so that others do not request
+   * it as well. Absent otherwise.
+   */
+  isLongAnswerArriving?: true;
 }
 
 /** Changes of one store table, as sent to other processes. */
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -1,5 +1,6 @@
 import { DepartureLog } from '../fleet/departure-log.js';
 import { sleep } from '../fleet/table-follower.js';
+import { ZoneReaders } from '../fleet/zone-readers.js';
 import { BackEndBackoffs } from '../forwarding/back-end-backoffs.js';
 import { BackEndLimits } from '../forwarding/back-end-limits.js';
 import { BackEndSelector } from '../forwarding/back-end-selector.js';
@@ -22,13 +23,11 @@
 import { SlotClient } from '../peers/slot-client.js';
 import { type Connection, ConnectionListener } from '../protocol/connection.js';
 import type { EngineReport, EntryReport } from '../protocol/reports.js';
-import type { FollowedTable } from '../protocol/store-update.js';
 import { createRequestListener, httpServer } from '../server/http-server.js';
 import { DrainSchedule } from '../systems/drain-schedule.js';
 import { entriesFor } from '../systems/entry-choice.js';
 import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
 import type { RetryWindow } from '../systems/retry-window.js';
-import { StoreReaders } from '../systems/store-readers.js';
 import { pieceRoutes } from '../weights/piece-server.js';
 import { VersionCollector } from '../weights/version-collector.js';
 import type { DirectEntryComponents } from './direct-entry-components.js';
@@ -48,7 +47,7 @@
   readonly #agents: EngineAgents;
   readonly #collection: VersionCollector;
   readonly #planner: WeightsPlanner;
-  readonly #storeReaders: Record<FollowedTable, StoreReaders>;
+  readonly #readers: ZoneReaders;
   readonly #slots: SlotClient;
   readonly #forwarding: ForwardingServer;
   readonly #poison: PoisonGuard;
@@ -123,27 +122,28 @@
       seeds: settings.seeds,
       fleet,
       decoder: components.decoder,
-      isStoreConnected: () => sync.connected,
       random,
       report: () => this.#report(),
       unfinishedSwitches: () => backEnds.unfinishedSwitches(),
       onReport: (report) => this.#onPeerReport(report),
       news: new PeerNews(this.#poison, this.#limits),
       onStoreNews: (news, id) => {
-        this.#storeReaders[news.table].noteNews(id, performance.now());
+        this.#readers.noteNews(news, id);
         sync.applyForwarded(news, id);
       },
       onExpired: ({ id }) => {
-        for (const readers of Object.values(this.#storeReaders)) readers.forget(id);
+        this.#readers.forget(id);
         backEnds.applyLoads(id, []);
       },
       log,
     });
-    this.#storeReaders = {
-      operator: new StoreReaders(settings.zone),
-      backEnds: new StoreReaders(settings.zone),
-    };
-    sync.timeUntilReading = (table) => this.#timeUntilReading(table);
+    this.#readers = new ZoneReaders({
+      self: components.identity,
+      zone: settings.zone,
+      others: () => this.#readyInZone(),
+      clock: fleet.clock,
+    });
+    sync.timeUntilReading = (table) => this.#readers.timeUntilReading(table);
     sync.onStoreRestored = () => {
       this.#collection.noteOlderCopy();
       quarantineRecords.noteOlderCopy();
@@ -306,15 +306,11 @@
     return this.#peers.live().length + 1;
   }
 
-  /** Time until this entry reads a table of the store itself; meanwhile another entry of its zone reads it and forwards the changes. */
-  #timeUntilReading(table: FollowedTable): number {
-    const { identity, settings } = this.#components;
-    const others = this.#peers.reached().filter(({ zone, isReady }) => zone === settings.zone && isReady);
-    return this.#storeReaders[table].timeUntilReading(
-      identity,
-      others.map(({ id }) => id),
-      performance.now(),
-    );
+  /** Identities of the other entries of this zone that are connected and ready. */
+  #readyInZone(): string[] {
+    const own = this.#components.settings.zone;
+    const ready = this.#peers.reached().filter(({ zone, isReady }) => zone === own && isReady);
+    return ready.map(({ id }) => id);
   }
 
   /** Rank of this entry among all live entries by the rendezvous hash of `key`. */
@@ -341,6 +337,7 @@
       isReady: this.isReady,
       configurationRevision: fleet.configurationRevision,
       backEndsRevision: fleet.backEnds.revision,
+      backEndsAsOf: fleet.freshness.completeAsOf,
       storeTime: fleet.clock.storeTimeAt(performance.now()),
       versions: fleet.versions.all(),
       entriesKnown: this.#peers.known().known,
--- a/src/systems/store-readers.ts
+++ b/src/systems/store-readers.ts
@@ -2,35 +2,57 @@
  * Selects the entries of a zone that read the platform's store. All entries need its content within seconds, but if each
  * read it itself, the number of calls, which are billed, would grow with the number of entries. The first entry of a
  * zone, by rendezvous hash over the live ones, reads the store and forwards changes. The next ones take over one after
- * the other when nothing arrives from those before them, whatever the reason: crashed, frozen, disconnected, or rejected
- * by the store. Times are in milliseconds of the monotonic clock.
+ * the other when what those before them have forwarded is too old, whatever the reason: crashed, frozen, disconnected, rejected
+ * by the store, or slow. When a message arrives says nothing about that, as it may have waited in queues on its way. Times are in
+ * milliseconds of the monotonic clock.
  */
 import { rendezvousOrder } from '../model/random.js';
 
-/** Maximum interval of messages from an entry that reads the store successfully: longest wait of a call, and latency. */
-const USUAL_NEWS_INTERVAL = 1_000;
-/** Silence after which the second entry of a zone reads: the usual interval plus the time to resend a lost packet. */
-const FIRST_TAKEOVER = USUAL_NEWS_INTERVAL + 300;
+/** Maximum age of what an entry that reads the store successfully has forwarded: longest wait of a call, and latency. */
+const USUAL_AGE = 1_000;
+/** Age at which the second entry of a zone reads: the usual one plus the time to resend a lost packet. */
+const FIRST_TAKEOVER = USUAL_AGE + 300;
 /** Each further entry waits this much longer, so that only one takes over if it can: a call to the store and its forwarding. */
 const TAKEOVER_STEP = 150;
 /**
- * Entries beyond this step all read after the same time. The longest silence leaves 400 ms of the shortest bound of 2 s, within
+ * Entries beyond this step all read after the same time. The highest age leaves 400 ms of the shortest bound of 2 s, within
  * which a removal or a configuration takes effect, for the call and for the requests under way.
  */
 const LAST_STEP = 2;
+/**
+ * Entries beyond the second wait this much longer while a long answer of the store is arriving at an entry before them: its copies
+ * would fill the link of the zone. The second one does not, since the link of the first alone may be slow.
+ */
+const LONG_ANSWER_EXTENSION = 1_000;
+/** Time for which a notice of a long answer holds: twice the interval at which it is repeated. */
+const LONG_ANSWER_NOTICE_LIFETIME = 1_000;
+
+/** What one entry has forwarded. */
+interface ForwardedState {
+  /** Its state of the table is complete as of this time. */
+  asOf: number;
+  /** When it last told that a long answer is arriving. */
+  longAnswerAt: number;
+}
 
 /** One entry's view of the readers of one table in its zone. */
 export class StoreReaders {
   readonly #zone: string;
-  readonly #newsAt = new Map<string, number>();
+  readonly #forwarded = new Map<string, ForwardedState>();
 
   constructor(zone: string) {
     this.#zone = zone;
   }
 
-  /** Records a message from `entry` with changes of the table, or with the notice that there are none. */
-  noteNews(entry: string, now: number): void {
-    this.#newsAt.set(entry, now);
+  /** Records that `entry` has forwarded all changes of the table up to `asOf`. */
+  noteNews(entry: string, asOf: number): void {
+    const state = this.#stateOf(entry);
+    state.asOf = Math.max(state.asOf, asOf);
+  }
+
+  /** Records a notice that a long answer is arriving at `entry`. */
+  noteLongAnswer(entry: string, now: number): void {
+    this.#stateOf(entry).longAnswerAt = now;
   }
 
   /**
@@ -41,13 +63,24 @@
     const order = rendezvousOrder(this.#zone, [self, ...others]);
     const place = order.indexOf(self);
     if (place === 0) return 0;
-    const news = order.slice(0, place).map((entry) => this.#newsAt.get(entry) ?? Number.NEGATIVE_INFINITY);
-    const longestSilence = FIRST_TAKEOVER + TAKEOVER_STEP * Math.min(place - 1, LAST_STEP);
-    return Math.max(0, Math.max(...news) + longestSilence - now);
+    const before = order.slice(0, place).flatMap((entry) => this.#forwarded.get(entry) ?? []);
+    const asOf = Math.max(...before.map((state) => state.asOf));
+    const steps = TAKEOVER_STEP * Math.min(place - 1, LAST_STEP);
+    const isLong = before.some(({ longAnswerAt }) => now - longAnswerAt < LONG_ANSWER_NOTICE_LIFETIME);
+    const extension = place > 1 && isLong ? LONG_ANSWER_EXTENSION : 0;
+    return Math.max(0, asOf + FIRST_TAKEOVER + steps + extension - now);
   }
 
   /** Removes an entry that is no longer live. */
   forget(entry: string): void {
-    this.#newsAt.delete(entry);
+    this.#forwarded.delete(entry);
+  }
+
+  #stateOf(entry: string): ForwardedState {
+    const known = this.#forwarded.get(entry);
+    if (known !== undefined) return known;
+    const created = { asOf: Number.NEGATIVE_INFINITY, longAnswerAt: Number.NEGATIVE_INFINITY };
+    this.#forwarded.set(entry, created);
+    return created;
   }
 }
--- a/test/fleet/late-store-news.test.ts
+++ b/test/fleet/late-store-news.test.ts
@@ -35,7 +35,7 @@
 
 /** The entries that take a back end for one that serves. */
 function unawareOf(id: string): string[] {
-  const unaware = zone.entries.filter(({ fleet }) => !fleet.backEnds.records.get(id)!.leaving);
+  const unaware = zone.entries.filter(({ fleet }) => fleet.backEnds.records.get(id)?.leaving === false);
   return unaware.map((entry) => entry.id);
 }
 
@@ -70,9 +70,14 @@
 }
 
 describe.each(TROUBLES)('late news of the store: a back end that says it leaves while $what', (trouble) => {
-  it.each([0, ONSET])(
-    'is known in time to leave by every entry of the zone, %d ms after that began',
-    async (onset) => {
+  it.each([
+    { onset: 0, departure: 'announceLeaving' as const },
+    { onset: ONSET, departure: 'announceLeaving' as const },
+    { onset: 0, departure: 'leave' as const },
+    { onset: ONSET, departure: 'leave' as const },
+  ])(
+    'is known in time to leave by every entry of the zone ($departure, $onset ms after that began)',
+    async ({ onset, departure }) => {
       for (const seed of SEEDS) {
         await startZone(seed);
         const random = seededRandom(seed);
@@ -82,7 +87,7 @@
           begin(trouble);
           await advance(onset + (round === 0 ? 0 : random.below(900)));
           const id = `back-end-${round}`;
-          zone.announceLeaving(id);
+          zone[departure](id);
           await advance(DRAIN_BOUND);
           expect(unawareOf(id), `seed ${seed}, round ${round}`).toEqual([]);
           end(trouble);
--- a/test/fleet/reading-zone.ts
+++ b/test/fleet/reading-zone.ts
@@ -8,11 +8,11 @@
 import type { ChangesError, RowsSnapshot, WatchedTables } from '../../src/clients/watched-tables.js';
 import { FleetView } from '../../src/fleet/fleet-view.js';
 import { StoreSync } from '../../src/fleet/store-sync.js';
+import { ZoneReaders } from '../../src/fleet/zone-readers.js';
 import { rendezvousOrder, seededRandom } from '../../src/model/random.js';
 import { failure, type Result, success } from '../../src/model/result.js';
 import { silentLog } from '../../src/observability/log.js';
-import type { FollowedTable, StoreUpdate } from '../../src/protocol/store-update.js';
-import { StoreReaders } from '../../src/systems/store-readers.js';
+import type { StoreUpdate } from '../../src/protocol/store-update.js';
 import { textRecordDecoder } from './text-records.js';
 
 const ZONE = 'zone-a';
@@ -118,7 +118,7 @@
   link: StoreLink;
   fleet: FleetView;
   sync: StoreSync;
-  readers: Record<FollowedTable, StoreReaders>;
+  readers: ZoneReaders;
   /** When it was last cut off from the store. */
   cutUntil: number;
   /** Messages to and from other entries are lost. */
@@ -246,7 +246,6 @@
   #createEntry(id: string): Entry {
     const link = new StoreLink(this.store, this.#listsLatestOnly);
     const fleet = new FleetView();
-    const readers = { operator: new StoreReaders(ZONE), backEnds: new StoreReaders(ZONE) };
     const sync = new StoreSync({
       tables: link,
       decoder: textRecordDecoder,
@@ -255,13 +254,9 @@
       random: seededRandom(this.#random.below(2 ** 31)),
       log: silentLog,
     });
-    const others = () => this.entries.filter((entry) => entry.id !== id);
-    sync.timeUntilReading = (table) =>
-      readers[table].timeUntilReading(
-        id,
-        others().map((entry) => entry.id),
-        performance.now(),
-      );
+    const others = () => this.entries.map((entry) => entry.id).filter((other) => other !== id);
+    const readers = new ZoneReaders({ self: id, zone: ZONE, others, clock: fleet.clock });
+    sync.timeUntilReading = (table) => readers.timeUntilReading(table);
     const entry: Entry = {
       id,
       link,
@@ -289,7 +284,7 @@
   #deliver(from: string, news: StoreUpdate): void {
     for (const { id, sync, readers, isIsolated } of this.entries) {
       if (id === from || isIsolated) continue;
-      readers[news.table].noteNews(from, performance.now());
+      readers.noteNews(news, from);
       sync.applyForwarded(news, from);
     }
   }
--- a/test/peers/configuration-copies.test.ts
+++ b/test/peers/configuration-copies.test.ts
@@ -84,7 +84,6 @@
     seeds,
     fleet,
     decoder: textRecordDecoder,
-    isStoreConnected: () => true,
     random: seededRandom(1),
     report,
     onReport: () => {},
--- a/test/peers/entry-peers.test.ts
+++ b/test/peers/entry-peers.test.ts
@@ -33,6 +33,8 @@
 
 /** Number of known entries in the reports made up here. */
 const KNOWN_ELSEWHERE = 5;
+/** Time in which an entry has reported to one of another zone several times, in milliseconds. */
+const REPORTED_TIME = 2_000;
 
 function reportOf(id: string, address: string): EntryReport {
   return {
@@ -101,12 +103,17 @@
     seeds,
     fleet,
     decoder: {} as RecordDecoder,
-    isStoreConnected: () => true,
     random: seededRandom(1),
     // Addresses are not sent periodically while this test runs.
     addressGossipInterval: 3_600_000,
     dialDeferral,
-    report: () => ({ ...reportOf(id, address), zone, configurationRevision: revision() }),
+    report: () => ({
+      ...reportOf(id, address),
+      zone,
+      configurationRevision: revision(),
+      backEndsRevision: fleet.backEnds.revision,
+      backEndsAsOf: fleet.freshness.completeAsOf,
+    }),
     onReport,
     news,
     onStoreNews: () => {},
@@ -249,3 +256,47 @@
     expect(performance.now() - silentAt).toBeLessThan(RECOVERY_LIMIT);
   });
 });
+
+describe('a list of back ends', () => {
+  const record = { service: 's', address: 'a', zone: 'z', slots: 1, leaving: false, layers: undefined };
+
+  /** A fleet that knows the store's time, with a list that was complete `age` milliseconds ago. */
+  function fleetWithList(revision: number, age: number): FleetView {
+    const fleet = new FleetView();
+    const now = performance.now();
+    fleet.clock.addSample(now, now, now);
+    const records = [{ ...record, id: `as-of-${revision}`, revision }];
+    fleet.applyBackEndList({ revision, completeAsOf: now - age, records }, 'store');
+    return fleet;
+  }
+
+  /** Starts an entry with one list in a zone, and one with another list in another zone. */
+  async function startApart(own: FleetView, other: FleetView): Promise<void> {
+    const [one, two] = await Promise.all([freeAddress(), freeAddress()]);
+    await startEntry('one', one, [], { fleet: other, zone: 'zone-b' });
+    const peers = await startEntry('two', two, [one], { fleet: own });
+    await until(() => peers.live().length === 1, 'the other');
+  }
+
+  it('that is outdated is requested from an entry of another zone whose list is more current', async () => {
+    const own = fleetWithList(1, 5_000);
+    await startApart(own, fleetWithList(2, 0));
+    await until(() => own.backEnds.revision === 2, 'the list');
+    expect([...own.backEnds.records.keys()]).toEqual(['as-of-2']);
+    expect(own.freshness.age(performance.now())).toBeLessThan(5_000);
+  });
+
+  it('that is outdated is not requested from an entry whose list is hardly more current', async () => {
+    const own = fleetWithList(1, 60_000);
+    await startApart(own, fleetWithList(2, 59_700));
+    await pause(REPORTED_TIME);
+    expect(own.backEnds.revision).toBe(1);
+  });
+
+  it('is known to be current as long as an entry knows of no change since, without a transfer', async () => {
+    const own = fleetWithList(1, 60_000);
+    await startApart(own, fleetWithList(1, 0));
+    await until(() => own.freshness.age(performance.now()) < 60_000, 'its report');
+    expect(own.freshness.source).not.toBe('store');
+  });
+});
--- a/test/peers/fleet-request-gate.test.ts
+++ b/test/peers/fleet-request-gate.test.ts
@@ -70,7 +70,6 @@
     seeds,
     fleet,
     decoder,
-    isStoreConnected: () => true,
     answerTimeout: init.answerTimeout ?? LONG,
     random: seededRandom(1),
     report: () => ({
--- a/test/peers/standstill.test.ts
+++ b/test/peers/standstill.test.ts
@@ -46,7 +46,6 @@
     seeds,
     fleet: new FleetView(),
     decoder: {} as RecordDecoder,
-    isStoreConnected: () => true,
     random: seededRandom(1),
     report,
     onReport: () => {},
--- a/test/systems/store-readers.test.ts
+++ b/test/systems/store-readers.test.ts
@@ -67,6 +67,20 @@
     expect(readersAt(SHORT, [[SECOND, 0]], [SECOND, THIRD, ...REST])).toEqual([SECOND]);
   });
 
+  it('are joined by the second, but not at once by all, while a long answer is arriving at the first', () => {
+    const readsLong = (self: string, now: number) => {
+      const readers = new StoreReaders(ZONE);
+      readers.noteNews(FIRST, 0);
+      for (let at = 0; at <= now; at += 500) readers.noteLongAnswer(FIRST, at);
+      const others = ENTRIES.filter((entry) => entry !== self);
+      return readsNow(readers, self, others, now);
+    };
+    expect(readsLong(SECOND, LONG)).toBe(true);
+    expect(readsLong(THIRD, LONGEST + 1)).toBe(false);
+    for (const entry of ENTRIES.filter((entry) => entry !== FIRST))
+      expect(readsLong(entry, LONGEST + 1_001)).toBe(true);
+  });
+
   it('ignore messages from entries after them in the order', () => {
     const readers = new StoreReaders(ZONE);
     readers.noteNews(SECOND, 0);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -128,7 +128,7 @@
   {
     fault: 'others are not told that a long answer of the store is still coming',
     file: 'src/fleet/table-follower.ts',
-    find: 'this.#options.events.onForward({ after: revision, revision, storeTime, since: storeTime, rows: [] });',
+    find: 'this.#options.events.onForward({ ...unchanged, isLongAnswerArriving: true });',
     replace: '',
     test: 'test/platform/slow-store.test.ts',
   },
@@ -1140,7 +1140,7 @@
     fault:
       'an entry that takes over from a silent reader waits for a change before it tells that the store is there',
     file: 'src/fleet/table-follower.ts',
-    find: 'Math.max(0, Math.round(wait - (requestedAt - this.#answeredAt)))',
+    find: 'Math.min(wait, Math.max(0, Math.round(wait - age)))',
     replace: 'wait',
     test: 'test/fleet/reader-cut-off.test.ts',
   },
@@ -1648,6 +1648,34 @@
     replace: '',
     test: 'test/forwarding/slots.test.ts',
   },
+  {
+    fault: 'news of the store that arrive late count as current',
+    file: 'src/fleet/zone-readers.ts',
+    find: 'readers.noteNews(from, this.#options.clock.localTimeAt(storeTime));',
+    replace: 'readers.noteNews(from, performance.now());',
+    test: 'test/fleet/late-store-news.test.ts',
+  },
+  {
+    fault: 'a long answer that arrives at one entry holds up its whole zone without end',
+    file: 'src/systems/store-readers.ts',
+    find: 'place > 1 && isLong ? LONG_ANSWER_EXTENSION : 0',
+    replace: 'isLong ? Number.POSITIVE_INFINITY : 0',
+    test: 'test/systems/store-readers.test.ts',
+  },
+  {
+    fault: 'an outdated list of back ends is not requested from others while the store answers',
+    file: 'src/peers/entry-peers.ts',
+    find: 'if (freshness.outdatedSince(now) === undefined || backEndsRevision <= backEnds.revision) return false;',
+    replace: 'return false;',
+    test: 'test/peers/entry-peers.test.ts',
+  },
+  {
+    fault: 'lists of back ends are requested that are hardly more current',
+    file: 'src/peers/entry-peers.ts',
+    find: '- freshness.completeAsOf >= MIN_LIST_GAIN',
+    replace: '- freshness.completeAsOf > 0',
+    test: 'test/peers/entry-peers.test.ts',
+  },
   {
     fault: 'nobody takes over from a reader of the store that is silent',
     file: 'src/systems/store-readers.ts',
@@ -1770,7 +1798,7 @@
   {
     fault: 'entries of other zones are asked for what comes from the own one',
     file: 'src/peers/fleet-request-gate.ts',
-    find: 'if (now - this.#behind.since < delayFor(isNear, ownRevision === 0, place)) return false;',
+    find: 'if (now - since < delayFor(isNear, ownRevision === 0, place)) return false;',
     replace: '',
     test: 'test/peers/fleet-request-gate.test.ts',
   },
@@ -1827,8 +1855,8 @@
   {
     fault: 'the store’s answers do not tell how long they can have been under way',
     file: 'src/fleet/table-follower.ts',
-    find: 'this.#noteResponse(storeTime, requestedAt);',
-    replace: 'this.#noteResponse(storeTime);',
+    find: 'this.#noteResponse(storeTime, FROM_STORE, requestedAt);',
+    replace: 'this.#noteResponse(storeTime, FROM_STORE);',
     test: 'test/fleet/store-sync.test.ts',
   },
   {
