What a reader of the store has read is forwarded although another has taken over meanwhile

What callers saw: nothing by itself; all entries of a zone call the store at once after each change of readers, which loads a link that may be the reason for the change.

Cause: whether an answer is forwarded was decided when it arrived. One that arrives just after an earlier entry in the order has been heard again was applied here and forwarded to nobody, so this entry was ahead of the others; the next time it took over, its changes followed on a revision that they lacked.

Change: it is decided when the call is made.

--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -154,7 +154,6 @@
 
   /** Forwards changes to others; heartbeats that change nothing are left out. */
   #forward(table: FollowedTable, news: TableUpdate): void {
-    if (this.timeUntilReading(table) > 0) return;
     const rows = table === 'operator' ? news.rows : this.#rowsToForward(news.rows);
     this.onForward({ ...news, rows, table });
   }
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -87,6 +87,8 @@
   requestedAt: number;
   /** Time between the previous response and this call, in milliseconds. */
   gap: number;
+  /** Others rely on this process to forward the response, also if another takes over before it arrives. */
+  isReader: boolean;
   /** Aborted when the follower stops. */
   signal: AbortSignal;
 }
@@ -168,11 +170,12 @@
     const { tables, table, wait, events, clock } = this.#options;
     const requestedAt = performance.now();
     const gap = clock.isKnown ? clock.storeTimeAt(requestedAt) - this.#storeTime : Number.POSITIVE_INFINITY;
-    const call = { requestedAt, gap, signal };
+    const isReader = this.#options.timeUntilReading() === 0;
+    const call = { requestedAt, gap, isReader, signal };
     if (this.#revision === undefined) {
       const limit = new ResponseLimit(signal, { first: RESPONSE_TIMEOUT, next: RESPONSE_TIMEOUT });
       const read = await this.#measureResponse(0, () =>
-        tables.read(table, '', limit.signal, () => this.#onPart(limit)),
+        tables.read(table, '', limit.signal, () => this.#onPart(limit, call)),
       );
       limit.end();
       if (read.ok) await events.prepare(read.value.rows);
@@ -183,7 +186,7 @@
     const limit = new ResponseLimit(signal, { first, next: RESPONSE_TIMEOUT });
     const query = { table, after: this.#revision, wait: patience };
     const changes = await this.#measureResponse(patience, () =>
-      tables.changes(query, limit.signal, () => this.#onPart(limit)),
+      tables.changes(query, limit.signal, () => this.#onPart(limit, call)),
     );
     limit.end();
     if (changes.ok) await events.prepare(changes.value.rows);
@@ -202,10 +205,10 @@
   }
 
   /** Handles a part of a response. */
-  #onPart(limit: ResponseLimit): void {
+  #onPart(limit: ResponseLimit, { isReader }: FollowerCall): void {
     limit.notePart();
     const now = performance.now();
-    if (!this.#options.announcesLongAnswers || this.#revision === undefined) return;
+    if (!this.#options.announcesLongAnswers || !isReader || this.#revision === undefined) return;
     if (now - this.#notifiedAt < PROGRESS_INTERVAL) return;
     this.#notifiedAt = now;
     const [revision, storeTime] = [this.#revision, this.#storeTime];
@@ -235,7 +238,7 @@
 
   #handleResponse(
     answer: Result<RowsSnapshot, ChangesError>,
-    { requestedAt, gap, signal }: FollowerCall,
+    { requestedAt, gap, isReader, signal }: FollowerCall,
     tell: (rows: RowsSnapshot, since: number) => void,
   ): number {
     if (signal.aborted) return 0;
@@ -249,7 +252,8 @@
       const revision = Math.max(after ?? 0, answer.value.revision);
       this.#revision = revision;
       this.#hasGap = false;
-      if (after !== undefined) this.#options.events.onForward({ after, revision, storeTime, since, rows });
+      if (after !== undefined && isReader)
+        this.#options.events.onForward({ after, revision, storeTime, since, rows });
       tell(answer.value, since);
       return 0;
     }
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1676,6 +1676,13 @@
     replace: '- freshness.completeAsOf > 0',
     test: 'test/peers/entry-peers.test.ts',
   },
+  {
+    fault: 'entries that miss what a reader has read while another took over all call the store',
+    file: 'src/fleet/table-follower.ts',
+    find: 'after !== undefined && isReader',
+    replace: 'after !== undefined && this.#options.timeUntilReading() === 0',
+    test: 'test/fleet/late-store-news.test.ts',
+  },
   {
     fault: 'nobody takes over from a reader of the store that is silent',
     file: 'src/systems/store-readers.ts',
