An entry that was out of touch asks others before it takes its own silence for an outage of the store

Cause: an entry that has got no answer of the store for 1.8 s, neither itself nor through others, takes that for an outage in which records of running back ends may have expired, and holds all removals back for 1.9 s. It cannot tell an outage from its own links being slow or cut, or from those of its whole zone.

Change: reports name the time in which the store has answered the sender or others without an outage. Times that touch are joined. If they cover what was taken for an outage, the hold ends at once, or does not begin.

Why it works: a real outage is a silence towards all, so no time that is told can cover it, whoever tells it to whom (property test).

--- a/src/fleet/removal-hold.ts
+++ b/src/fleet/removal-hold.ts
@@ -29,7 +29,12 @@
     this.#isActive = true;
     this.#written.clear();
     clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => this.#end(), HOLD_TIME);
+    this.#timer = setTimeout(() => this.end(), HOLD_TIME);
+  }
+
+  /** Whether removals are being held back. */
+  get isActive(): boolean {
+    return this.#isActive;
   }
 
   /** Whether the removal of a back end is held back. */
@@ -54,7 +59,9 @@
     clearTimeout(this.#timer);
   }
 
-  #end(): void {
+  /** Ends now. */
+  end(): void {
+    clearTimeout(this.#timer);
     this.#isActive = false;
     const removals = [...this.#held.values()];
     this.#held.clear();
--- a/src/fleet/store-outages.ts
+++ b/src/fleet/store-outages.ts
@@ -1,7 +1,7 @@
 /**
  * Detects outages of the store that are long enough for records of running back ends to expire. The store counts as available
- * whenever it has answered any process: a process that loses its own connection learns from the answers of others that the
- * store was there.
+ * whenever it has answered any process: a process that loses its own connection, or all its connections, learns from others that
+ * the store was there meanwhile.
  */
 import type { StoreRevision } from '../clients/store-revision.js';
 
@@ -25,10 +25,18 @@
   revision: StoreRevision;
 }
 
+/** A time in which the store has answered without an outage, in milliseconds of its clock. */
+export interface AvailableTime {
+  since: number;
+  until: number;
+}
+
 /** Detects outages from the times of the store's answers. */
 export class StoreOutages {
   readonly #shortest: number;
-  #answeredAt: number | undefined;
+  #available: AvailableTime | undefined;
+  /** The time before the latest outage. */
+  #before: AvailableTime | undefined;
 
   /** @param heartbeatInterval - interval at which back ends write their records, in milliseconds */
   constructor(heartbeatInterval: number) {
@@ -40,8 +48,44 @@
    * and undefined otherwise.
    */
   noteAnswer({ storeTime }: StoreAnswer): number | undefined {
-    const silence = storeTime - (this.#answeredAt ?? storeTime);
-    this.#answeredAt = Math.max(this.#answeredAt ?? storeTime, storeTime);
-    return silence >= this.#shortest ? silence : undefined;
+    const known = this.#available;
+    const silence = storeTime - (known?.until ?? storeTime);
+    const isOutage = silence >= this.#shortest;
+    if (isOutage) this.#before = known;
+    if (isOutage || known === undefined) this.#available = { since: storeTime, until: storeTime };
+    else known.until = Math.max(known.until, storeTime);
+    return isOutage ? silence : undefined;
+  }
+
+  /** The time up to the latest answer in which the store has been available; undefined before the first answer. */
+  get available(): AvailableTime | undefined {
+    return this.#available;
+  }
+
+  /**
+   * Adds a time in which the store has been available to another process. Returns whether the latest outage here was none: this
+   * process alone, and those that it hears from, got no answers.
+   */
+  noteAvailable(other: AvailableTime): boolean {
+    const [before, known] = [this.#before, this.#available];
+    const isBridged =
+      before !== undefined &&
+      known !== undefined &&
+      this.#isContiguous(before, other) &&
+      this.#isContiguous(other, known);
+    if (isBridged) this.#before = undefined;
+    if (known === undefined || this.#isContiguous(known, other))
+      this.#available = union(known ?? other, other);
+    if (isBridged) this.#available = union(this.#available ?? other, before);
+    return isBridged;
+  }
+
+  /** Whether no outage can have been between two times. */
+  #isContiguous(one: AvailableTime, other: AvailableTime): boolean {
+    return one.since - other.until < this.#shortest && other.since - one.until < this.#shortest;
   }
 }
+
+function union(one: AvailableTime, other: AvailableTime): AvailableTime {
+  return { since: Math.min(one.since, other.since), until: Math.max(one.until, other.until) };
+}
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -18,7 +18,7 @@
 import type { OperatorRecord, RecordDecoder, RecordFault } from './record-decoder.js';
 import { RecordFaults } from './record-faults.js';
 import { RemovalHold } from './removal-hold.js';
-import { type StoreAnswer, StoreOutages } from './store-outages.js';
+import { type AvailableTime, type StoreAnswer, StoreOutages } from './store-outages.js';
 import { TableFollower, type TableFollowerEvents } from './table-follower.js';
 
 /**
@@ -79,6 +79,8 @@
   readonly #versionsRead = new Map<string, number>();
   readonly #outages: StoreOutages;
   readonly #removals: RemovalHold;
+  /** Removals are held back for nothing but an outage that this process has detected. */
+  #isHeldForOutage = false;
   /** Decoded rows: a row is both forwarded and applied, but decoded only once. */
   readonly #decoded = new WeakMap<StoredRow, Result<BackEndRecord, RecordFault>>();
   /** Back ends whose last forwarded record had a start other than the current one here. */
@@ -146,6 +148,18 @@
     await this.#followers.stop();
   }
 
+  /** The time up to the latest answer in which the store has been available, to whichever process. */
+  get storeAvailable(): AvailableTime | undefined {
+    return this.#outages.available;
+  }
+
+  /** Applies that the store has been available to another process. */
+  noteStoreAvailable(available: AvailableTime): void {
+    if (!this.#outages.noteAvailable(available) || !this.#isHeldForOutage) return;
+    this.#options.log.info('store was available to others, removals are not held back', { ...available });
+    this.#removals.end();
+  }
+
   /** Applies what another process, `source`, has read from the store. */
   applyForwarded({ table, ...news }: StoreUpdate, source: string): void {
     this.#noteAnswer(news);
@@ -217,6 +231,7 @@
     this.#options.log.info('store was unavailable, removals are held back', {
       silenceMs: Math.round(silence),
     });
+    this.#isHeldForOutage = !this.#removals.isActive;
     this.#removals.begin(answer.revision);
   }
 
@@ -274,6 +289,7 @@
     const known = this.#options.fleet.backEnds.revision;
     if (known === 0 || eraOf(revision) <= eraOf(known)) return;
     this.#options.log.warn('store came back from an older copy', { era: eraOf(revision) });
+    this.#isHeldForOutage = false;
     this.#removals.begin(revision);
   }
 
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -104,6 +104,11 @@
   isReady: boolean;
   configurationRevision: number;
   backEndsRevision: number;
+  /**
+   * The store has answered it or others without an outage between these times of the store, in milliseconds; undefined before the
+   * first answer, absent from earlier releases.
+   */
+  storeAvailable?: { since: number; until: number } | undefined;
   /**
    * Its list of back ends is complete as of this time of the store, in milliseconds; -Infinity before the first read, absent from
    * earlier releases.
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -325,7 +325,7 @@
   }
 
   #report(): EntryReport {
-    const { identity, settings, fleet, backEnds } = this.#components;
+    const { identity, settings, fleet, backEnds, sync } = this.#components;
     const evacuations = fleet.evacuations.all();
     return {
       id: identity,
@@ -337,6 +337,7 @@
       isReady: this.isReady,
       configurationRevision: fleet.configurationRevision,
       backEndsRevision: fleet.backEnds.revision,
+      storeAvailable: sync.storeAvailable,
       backEndsAsOf: fleet.freshness.completeAsOf,
       storeTime: fleet.clock.storeTimeAt(performance.now()),
       versions: fleet.versions.all(),
@@ -363,7 +364,8 @@
   }
 
   #onPeerReport(report: EntryReport): void {
-    const { backEnds } = this.#components;
+    const { backEnds, sync } = this.#components;
+    if (report.storeAvailable) sync.noteStoreAvailable(report.storeAvailable);
     backEnds.applyLoads(report.id, report.loads);
     for (const engine of report.engines) this.#applyEngineReport(engine);
     // The codec encodes undefined in lists as null.
--- a/test/fleet/reading-zone.ts
+++ b/test/fleet/reading-zone.ts
@@ -23,6 +23,8 @@
 const CALL_DELAY = 5;
 const MESSAGE_DELAY = 2;
 const EXPIRY_CHECK_INTERVAL = 50;
+/** Interval at which entries report to one another, in milliseconds. */
+const REPORT_INTERVAL = 450;
 
 /** Interval of the parts of an answer that arrives in parts, in milliseconds. */
 const PART_INTERVAL = 300;
@@ -147,7 +149,7 @@
   readonly #listsLatestOnly: boolean;
   /** Whether each heartbeat is a change of the record, as the store reports it. */
   readonly #heartbeatsChangeRecords: boolean;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #timers: NodeJS.Timeout[] = [];
   #isDown = false;
 
   /** @param listsLatestOnly - the store leaves out changes that were overtaken by others of the same row */
@@ -162,13 +164,14 @@
   async start(backEnds: number): Promise<void> {
     this.store.write('operator', 'configuration', '1');
     for (let index = 0; index < backEnds; index++) this.join(`back-end-${index}`);
-    this.#timer = setInterval(() => this.#tick(), EXPIRY_CHECK_INTERVAL);
+    this.#timers.push(setInterval(() => this.#tick(), EXPIRY_CHECK_INTERVAL));
+    this.#timers.push(setInterval(() => this.#report(), REPORT_INTERVAL));
     for (const { sync } of this.entries) await sync.start();
     await pause(3_000);
   }
 
   async stop(): Promise<void> {
-    clearInterval(this.#timer);
+    for (const timer of this.#timers) clearInterval(timer);
     await Promise.all(this.entries.map(({ sync }) => sync.stop()));
   }
 
@@ -289,6 +292,17 @@
     }
   }
 
+  #report(): void {
+    for (const sender of this.entries) {
+      const available = sender.sync.storeAvailable;
+      if (sender.isIsolated || available === undefined) continue;
+      setTimeout(() => {
+        for (const entry of this.entries)
+          if (entry !== sender && !entry.isIsolated) entry.sync.noteStoreAvailable(available);
+      }, MESSAGE_DELAY);
+    }
+  }
+
   #tick(): void {
     const now = performance.now();
     for (const backEnd of this.#backEnds.values()) {
--- a/test/roles/store-readers.test.ts
+++ b/test/roles/store-readers.test.ts
@@ -1,6 +1,7 @@
 /** One entry of each zone reads the store and forwards changes to the others, which take over if it fails. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
+import { type Log, silentLog } from '../../src/observability/log.js';
 import { reply, StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
 import { type RunningEntry, send, startEntry, stopEntries, writeRecords } from './running-entry.js';
@@ -9,6 +10,9 @@
 const SETTLE_TIME = 1_500;
 const OBSERVATION_TIME = 2_000;
 
+/** Time without an answer after which an entry takes the store for unavailable, and more, in milliseconds. */
+const OUTAGE_TIME = 2_500;
+
 /** A store that counts one entry's calls for changes. */
 class CountingStore extends MemoryStore {
   changeCalls = 0;
@@ -95,3 +99,24 @@
     for (const entry of entries) await until(async () => !(await serves(entry, 2)()), 'the removal');
   });
 });
+
+it('an entry alone in its zone learns from others, while it does not reach the store, what leaves and that the store is there', async () => {
+  const messages: string[] = [];
+  const log: Log = {
+    ...silentLog,
+    info: (message) => messages.push(message),
+    warn: (message) => messages.push(message),
+  };
+  const store = new CountingStore(shared);
+  const seeds = entries.map(({ settings }) => settings.peers);
+  const alone = await startEntry('alone', seeds, { zone: 'zone-b' }, log, store);
+  await until(serves(alone, 1), 'its start');
+  store.faults.down = true;
+  shared.write('backEnds', 'one', undefined);
+  await until(async () => !(await serves(alone, 1)()), 'the removal');
+  expect(messages).not.toContain('store regained');
+  await pause(OUTAGE_TIME);
+  store.faults.down = false;
+  await until(async () => messages.includes('store regained'), 'the store');
+  expect(messages).not.toContain('store was unavailable, removals are held back');
+});
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1090,8 +1090,8 @@
   {
     fault: 'the loss of one reader’s connection counts as an outage of the store',
     file: 'src/fleet/store-outages.ts',
-    find: 'return silence >= this.#shortest ? silence : undefined;',
-    replace: 'return silence >= 900 ? silence : undefined;',
+    find: 'const isOutage = silence >= this.#shortest;',
+    replace: 'const isOutage = silence >= 900;',
     test: 'test/fleet/reader-cut-off.test.ts',
   },
   {
@@ -1683,6 +1683,27 @@
     replace: 'after !== undefined && this.#options.timeUntilReading() === 0',
     test: 'test/fleet/late-store-news.test.ts',
   },
+  {
+    fault: 'an outage of the store is taken back by those that have answers after it',
+    file: 'src/fleet/store-outages.ts',
+    find: 'this.#isContiguous(before, other) &&',
+    replace: '',
+    test: 'test/fleet/store-outages.test.ts',
+  },
+  {
+    fault: 'an entry that was out of touch holds removals back though the store was there',
+    file: 'src/fleet/store-sync.ts',
+    find: 'this.#removals.end();',
+    replace: '',
+    test: 'test/fleet/out-of-touch.test.ts',
+  },
+  {
+    fault: 'entries do not tell one another that the store is there',
+    file: 'src/roles/direct-entry.ts',
+    find: 'if (report.storeAvailable) sync.noteStoreAvailable(report.storeAvailable);',
+    replace: '',
+    test: 'test/roles/store-readers.test.ts',
+  },
   {
     fault: 'nobody takes over from a reader of the store that is silent',
     file: 'src/systems/store-readers.ts',
