--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -211,7 +211,11 @@
   }
 
   /** Replaces the list of back ends. */
-  list(...backEnds: Array<[id: string, backEnd: StandInBackEnd, changes?: Partial<BackEndRecord>]>): void {
+  list(
+    ...backEnds: Array<
+      [id: string, backEnd: Pick<StandInBackEnd, 'address'>, changes?: Partial<BackEndRecord>]
+    >
+  ): void {
     const revision = this.fleet.backEnds.revision + 1;
     const records = backEnds.map(([id, backEnd, changes]) => ({
       id,
