A report on an engine keeps its age when entries pass it on

Cause: an entry passes on the latest report of each agent connected to it several times a second, however long ago the agent has been heard. The others dated it by its arrival, so the version and the load of an engine whose agent has gone silent never became outdated there (600 ms and 2.5 s are meant) until the connection of that agent was found dead.

Change: a report that is passed on names its age, and is dated by it.

--- a/src/forwarding/back-end-table.ts
+++ b/src/forwarding/back-end-table.ts
@@ -48,7 +48,7 @@
   slotAddress: string;
   /** Requests of all callers that ran or waited at the engine. */
   load: number;
-  /** When the report was received, in milliseconds of the monotonic clock. */
+  /** When the first entry received the report from the agent, in milliseconds of the monotonic clock. */
   reportedAt: number;
   /**
    * When the engine is to be ordered to switch, in milliseconds of the monotonic clock; infinite if no switch is
--- a/src/peers/engine-agents.ts
+++ b/src/peers/engine-agents.ts
@@ -68,18 +68,18 @@
   }
 
   /**
-   * The latest reports, with the times until a switch and until the engine is warm reduced by the age of the report. If it were passed on
-   * unchanged, it would count from the moment of forwarding, and other entries would send requests to an
-   * engine for up to a second too long, the time between two reports.
+   * The latest reports with their age, by which the times until a switch and until the engine is warm are reduced. If a report were
+   * passed on unchanged, it would count from the moment of forwarding: other entries would send requests to an engine for up to
+   * a second too long, the time between two reports, and one whose agent has gone silent would never be outdated.
    */
   reports(): EngineReport[] {
     const now = performance.now();
     return [...this.rows.values()].flatMap(({ report, reportedAt }) => {
       if (report === undefined) return [];
+      const age = now - reportedAt;
       // The codec turns undefined in lists into null.
-      const left = (time: number | undefined) =>
-        time == null ? undefined : Math.max(0, time - (now - reportedAt));
-      return { ...report, switchesIn: left(report.switchesIn), coldLeft: left(report.coldLeft) };
+      const left = (time: number | undefined) => (time == null ? undefined : Math.max(0, time - age));
+      return { ...report, age, switchesIn: left(report.switchesIn), coldLeft: left(report.coldLeft) };
     });
   }
 
--- a/src/protocol/reports.ts
+++ b/src/protocol/reports.ts
@@ -68,6 +68,11 @@
   isProven?: boolean;
   /** Identity of the agent process; set by the entry that received the report from it, absent from earlier releases. */
   agent?: string;
+  /**
+   * Time since the report reached the entry that passes it on, in milliseconds; absent in the agent's own message, and from earlier
+   * releases.
+   */
+  age?: number;
   /**
    * Stamp of the message in which the agent sent the report, by which receivers order reports on one engine that reach them
    * through different entries; set like `agent`.
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -464,9 +464,9 @@
   }
 }
 
-function engineStateOf(report: EngineReport): EngineNews {
+/** @param now - when the report was received, in milliseconds of the monotonic clock */
+export function engineStateOf(report: EngineReport, now = performance.now()): EngineNews {
   const { agent, stamp, version, isReached, isSwitching, isProven, slotAddress, load, switchesIn } = report;
-  const reportedAt = performance.now();
   // The codec encodes undefined in lists as null.
   return {
     start: report.start ?? undefined,
@@ -478,8 +478,8 @@
     isProven: isProven ?? undefined,
     slotAddress,
     load,
-    reportedAt,
-    switchAt: reportedAt + (switchesIn ?? Number.POSITIVE_INFINITY),
+    reportedAt: now - (report.age ?? 0),
+    switchAt: now + (switchesIn ?? Number.POSITIVE_INFINITY),
   };
 }
 
--- a/test/peers/engine-agents.test.ts
+++ b/test/peers/engine-agents.test.ts
@@ -4,6 +4,7 @@
 import type { Connection } from '../../src/protocol/connection.js';
 import type { Message } from '../../src/protocol/messages.js';
 import type { EngineReport } from '../../src/protocol/reports.js';
+import { engineStateOf } from '../../src/roles/direct-entry.js';
 
 const REPORT: EngineReport = {
   address: 'engine',
@@ -67,3 +68,11 @@
   await waitAtLeast(5);
   expect(agents.reports()[0].switchesIn).toBeUndefined();
 });
+
+it('a report that is passed on again and again does not become newer', async () => {
+  const { agents } = agentsWithReport(REPORT);
+  await waitAtLeast(100);
+  const [passedOn] = agents.reports();
+  const now = performance.now();
+  expect(engineStateOf(passedOn, now).reportedAt).toBeLessThanOrEqual(now - 100);
+});
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1711,6 +1711,13 @@
     replace: '',
     test: 'test/roles/store-readers.test.ts',
   },
+  {
+    fault: 'a report on an engine becomes newer each time it is passed on',
+    file: 'src/roles/direct-entry.ts',
+    find: 'reportedAt: now - (report.age ?? 0),',
+    replace: 'reportedAt: now,',
+    test: 'test/peers/engine-agents.test.ts',
+  },
   {
     fault: 'nobody takes over from a reader of the store that is silent',
     file: 'src/systems/store-readers.ts',
@@ -1861,7 +1868,7 @@
   {
     fault: 'the time to a switch begins anew as it is passed on',
     file: 'src/peers/engine-agents.ts',
-    find: 'time - (now - reportedAt)',
+    find: 'Math.max(0, time - age)',
     replace: 'time',
     test: 'test/peers/engine-agents.test.ts',
   },
