Entries log when they begin to read the store themselves, and how old their state is then

What was missing: `store lost` tells that a call has failed; nothing told that an entry has taken over from the reader of its zone, and why.

Change: `reads the store` (table, `ageMs`) and `leaves the store to another reader`, once for each change. The soak knows workers that leave by their records while up to half of the entries get news late (`--faults departures`), with a judge of what reaches them later than 2 s.

--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -212,6 +212,11 @@
         if (table === 'backEnds') await this.#predecode(rows);
       },
       onForward: (news) => this.#forward(table, news),
+      onReading: (isReading, age) => {
+        if (isReading)
+          log.info('reads the store', { table, ageMs: Number.isFinite(age) ? Math.round(age) : undefined });
+        else log.info('leaves the store to another reader', { table });
+      },
       onStoreLost: (reason) => log.warn('store lost', { table, reason }),
       onAnswer: (answer) => this.#noteAnswer(answer),
       onComplete: (storeTime, source) => {
--- a/src/fleet/table-follower.ts
+++ b/src/fleet/table-follower.ts
@@ -52,6 +52,11 @@
    * @param source - the process that has read it; `store` if this one has
    */
   onComplete(storeTime: number, source: string): void;
+  /**
+   * This process begins to read the table itself, or leaves that to another one.
+   * @param age - time of the store since the table was complete here, in milliseconds; infinite if it never was
+   */
+  onReading(isReading: boolean, age: number): void;
   /** The store answers again after `silence` milliseconds. */
   onStoreRegained(silence: number): void;
   /** The store does not answer, or answers with an error. */
@@ -105,6 +110,7 @@
   #hasGap = false;
   /** Duration of the latest response beyond the requested wait, in milliseconds. */
   #responseTime = 0;
+  #isReading = false;
   /** When others were last notified of a response still arriving. */
   #notifiedAt = Number.NEGATIVE_INFINITY;
 
@@ -130,6 +136,7 @@
   async #run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const pauseTime = this.#pauseTime;
+      this.#noteReading(pauseTime === 0);
       if (pauseTime > 0) {
         await sleep(Math.min(pauseTime, MAX_PAUSE_CHECK_INTERVAL), signal);
         continue;
@@ -140,6 +147,17 @@
     }
   }
 
+  #noteReading(isReading: boolean): void {
+    if (isReading === this.#isReading) return;
+    this.#isReading = isReading;
+    this.#options.events.onReading(isReading, this.#ageAt(performance.now()));
+  }
+
+  /** Time of the store since the table was complete here, in milliseconds; infinite before the first read. */
+  #ageAt(now: number): number {
+    return now - this.#options.clock.localTimeAt(this.#storeTime);
+  }
+
   get #pauseTime(): number {
     const mayPause = this.#revision !== undefined && !this.#hasGap;
     return mayPause ? this.#options.timeUntilReading() : 0;
@@ -200,8 +218,7 @@
    */
   #waitOf(wait: number, requestedAt: number): number {
     if (this.#failures > 0) return 0;
-    const age = requestedAt - this.#options.clock.localTimeAt(this.#storeTime);
-    return Math.min(wait, Math.max(0, Math.round(wait - age)));
+    return Math.min(wait, Math.max(0, Math.round(wait - this.#ageAt(requestedAt))));
   }
 
   /** Handles a part of a response. */
--- a/test/fleet/late-store-news.test.ts
+++ b/test/fleet/late-store-news.test.ts
@@ -110,3 +110,15 @@
   callers.delete(first.id);
   expect([...callers]).toEqual([second.id]);
 });
+
+it('late news of the store: an entry logs when it begins to read the store itself, and how old its state is', async () => {
+  await startZone(1);
+  const [, second] = zone.entries;
+  expect(second.lines.at(-1)).toMatchObject({ message: 'leaves the store to another reader' });
+  const before = second.lines.length;
+  zone.delayMessages(0, 5_000);
+  await advance(1_500);
+  const begun = second.lines.slice(before).filter(({ message }) => message === 'reads the store');
+  expect(begun.map(({ table }) => table).sort()).toEqual(['backEnds', 'operator']);
+  for (const { ageMs } of begun) expect(ageMs).toBeGreaterThanOrEqual(1_300);
+});
--- a/test/fleet/reading-zone.ts
+++ b/test/fleet/reading-zone.ts
@@ -11,7 +11,7 @@
 import { ZoneReaders } from '../../src/fleet/zone-readers.js';
 import { rendezvousOrder, seededRandom } from '../../src/model/random.js';
 import { failure, type Result, success } from '../../src/model/result.js';
-import { silentLog } from '../../src/observability/log.js';
+import { type Log, silentLog } from '../../src/observability/log.js';
 import type { StoreUpdate } from '../../src/protocol/store-update.js';
 import { textRecordDecoder } from './text-records.js';
 
@@ -115,12 +115,21 @@
   }
 }
 
+interface LogLine {
+  message: string;
+  table?: string;
+  /** In milliseconds. */
+  ageMs?: number;
+}
+
 interface Entry {
   id: string;
   link: StoreLink;
   fleet: FleetView;
   sync: StoreSync;
   readers: ZoneReaders;
+  /** The lines that it has logged. */
+  lines: LogLine[];
   /** When it was last cut off from the store. */
   cutUntil: number;
   /** Messages to and from other entries are lost. */
@@ -249,13 +258,16 @@
   #createEntry(id: string): Entry {
     const link = new StoreLink(this.store, this.#listsLatestOnly);
     const fleet = new FleetView();
+    const lines: LogLine[] = [];
+    const note = (message: string, fields: object = {}) => lines.push({ message, ...fields });
+    const log: Log = { ...silentLog, info: note, warn: note };
     const sync = new StoreSync({
       tables: link,
       decoder: textRecordDecoder,
       fleet,
       heartbeatInterval: HEARTBEAT_INTERVAL,
       random: seededRandom(this.#random.below(2 ** 31)),
-      log: silentLog,
+      log,
     });
     const others = () => this.entries.map((entry) => entry.id).filter((other) => other !== id);
     const readers = new ZoneReaders({ self: id, zone: ZONE, others, clock: fleet.clock });
@@ -266,6 +278,7 @@
       fleet,
       sync,
       readers,
+      lines,
       cutUntil: Number.NEGATIVE_INFINITY,
       isIsolated: false,
       messageDelay: MESSAGE_DELAY,
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -2,6 +2,7 @@
 import type { Random } from '../../../src/model/random.js';
 import { COLD_STARTS } from './cold-starts.js';
 import { CONFIGURATIONS } from './configuration-faults.js';
+import { DEPARTURES } from './departures.js';
 import { EVACUATIONS } from './evacuations.js';
 import { type Fault, pick } from './fault.js';
 import { BACKOFFS, LEAVING } from './notices.js';
@@ -31,6 +32,7 @@
   | 'deadly'
   | 'limits'
   | 'leaving'
+  | 'departures'
   | 'backoffs'
   | 'evacuations'
   | 'regions'
@@ -40,7 +42,7 @@
   | 'weights';
 
 /** Choices whose draws differ much between adjacent seeds. */
-export const SCATTERS_SEED: ReadonlySet<FaultChoice> = new Set(['stalls', 'mixed', 'weights']);
+export const SCATTERS_SEED: ReadonlySet<FaultChoice> = new Set(['departures', 'stalls', 'mixed', 'weights']);
 
 /** Choices in which configurations move a route that callers use. */
 export const MOVES_ROUTE: ReadonlySet<FaultChoice> = new Set(['stalls', 'mixed']);
@@ -52,6 +54,7 @@
 /** Choices that exclude workers for some time; each of them must be used again at the end. */
 export const EXCLUDES_WORKERS: ReadonlySet<FaultChoice> = new Set([
   'leaving',
+  'departures',
   'backoffs',
   'evacuations',
   'regions',
@@ -73,6 +76,7 @@
   // Kills are only two in 24: requests from recently disrupted entries are not judged.
   limits: [...PLANNED, ...PLANNED, ...PROCESS_KILLS, ...PROCESS_KILLS, ...repeat(LIMITS, 8)],
   leaving: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...STORE_OUTAGES, ...repeat(LEAVING, 3)],
+  departures: [...PLANNED, ...PROCESS_KILLS, ...repeat(DEPARTURES, 4)],
   backoffs: [...PLANNED, ...PROCESS_KILLS, ...STORE_OUTAGES, ...RESTARTS.slice(0, 1), ...repeat(BACKOFFS, 3)],
   // Other outages of the store are few: they excuse all entries.
   evacuations: [
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -3,7 +3,7 @@
  * faults end, all entries must serve according to the newest configuration and version again within a time limit.
  *
  * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|
- * leaving|backoffs|evacuations|regions|cold|stalls|mixed|weights]
+ * leaving|departures|backoffs|evacuations|regions|cold|stalls|mixed|weights]
  * [--kept]` prints each seed's outcome. For a seed with violations it also prints the timeline of faults and keeps the logs, and the
  * exit code is 1.
  */
@@ -23,6 +23,7 @@
 import { judgeColdStarts } from './cold-starts.js';
 import { DeadlyContent } from './deadly-content.js';
 import { DeadlyPart } from './deadly-part.js';
+import { judgeArrivalsAfterDepartures } from './departures.js';
 import { judgeEvacuations } from './evacuations.js';
 import { EXCLUDES_WORKERS, type FaultChoice, injectFaults, MOVES_ROUTE, SCATTERS_SEED } from './faults.js';
 import { judgeCuts, judgeDepartures, judgeLimits, judgePlannedStops, judgeRepetitions } from './judges.js';
@@ -204,6 +205,7 @@
       ...judgeDepartures(world, sent),
       ...judgeLimits(world, sent),
       ...judgeLeaving(world, sent),
+      ...judgeArrivalsAfterDepartures(world, sent),
       ...judgeBackoffs(world, sent),
       ...judgeEvacuations(world, sent),
       ...judgeRegions(world, sent),
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -78,6 +78,11 @@
   isMisdirected?: boolean;
 }
 
+/** The store has acknowledged that a worker leaves or is gone; it serves on for some time. */
+export interface Departure extends WorkerStart {
+  at: number;
+}
+
 /** An answer by which a worker stated that it is leaving. */
 export interface LeavingAnswer extends WorkerStart {
   requestId: string;
@@ -129,6 +134,7 @@
   readonly evacuations: EvacuationPeriod[] = [];
   readonly coldPeriods: ColdPeriod[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
+  readonly departures: Departure[] = [];
   readonly backoffRequests: BackoffRequest[] = [];
   readonly violations: string[] = [];
 
@@ -235,6 +241,8 @@
   readonly service: string;
   protected readonly log: RunLog;
   leaving = false;
+  /** Its record is removed, and not written again. */
+  isUnlisted = false;
   readonly stalls = new Stalls();
   /** Whether it states in all its answers that it is leaving; its record may say so or not. */
   statesLeaving = false;
--- a/test/platform/soak/world.ts
+++ b/test/platform/soak/world.ts
@@ -501,6 +501,18 @@
     void this.restartWorker(place, 0, true, true);
   }
 
+  /** The worker at `place` leaves: its record says so, or is removed. It serves on. Returns false if it has left before. */
+  depart(place: number, how: 'stated' | 'unlisted'): boolean {
+    const { worker } = this.workers[place];
+    if (worker.leaving || worker.isUnlisted || this.#beingReplaced.has(place)) return false;
+    worker.leaving = how === 'stated';
+    worker.isUnlisted = how === 'unlisted';
+    if (worker.isUnlisted) this.removeRecord(worker);
+    else this.#writeHeartbeats();
+    this.log.departures.push({ worker: worker.id, born: worker.born, at: performance.now() });
+    return true;
+  }
+
   /** Removes a worker's record; its next heartbeat writes it again. */
   removeRecord({ id }: StandInWorker): void {
     this.store.write('servers', id, undefined);
@@ -512,6 +524,7 @@
     for (const { storeLink, child, isWanted } of this.processes) {
       storeLink.cut('none');
       storeLink.delay = 0;
+      storeLink.parts = undefined;
       if (isWanted) child?.kill('SIGCONT');
     }
     for (const { link, worker } of this.workers) {
@@ -610,7 +623,8 @@
     if (down || silent) return;
     this.#heartbeats++;
     // One write for all, because each write wakes every reader and all stand-ins share one process.
-    const rows = this.workers.map(({ worker, zone, link }): [string, string] => {
+    const listed = this.workers.filter(({ worker }) => !worker.isUnlisted);
+    const rows = listed.map(({ worker, zone, link }): [string, string] => {
       const record = {
         service: worker.service,
         address: link.address,
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1147,7 +1147,7 @@
     fault:
       'an entry that takes over from a silent reader waits for a change before it tells that the store is there',
     file: 'src/fleet/table-follower.ts',
-    find: 'Math.min(wait, Math.max(0, Math.round(wait - age)))',
+    find: 'Math.min(wait, Math.max(0, Math.round(wait - this.#ageAt(requestedAt))))',
     replace: 'wait',
     test: 'test/fleet/reader-cut-off.test.ts',
   },
