--- a/bench/processes/cuttable-link.ts
+++ b/bench/processes/cuttable-link.ts
@@ -13,8 +13,20 @@
   far: Socket;
   /** True once nothing passes any more, not even an end. */
   isSilent: boolean;
+  /** When the last part from the target passes, in milliseconds of the monotonic clock. */
+  lastPartAt: number;
 }
 
+/** Parts in which data pass. */
+export interface PartSize {
+  bytes: number;
+  /** Time between two parts, in milliseconds. */
+  interval: number;
+}
+
+/** Time over which recent bytes are averaged, in milliseconds. */
+const RECENT_TIME = 1_500;
+
 /** A link from `address` to `target` (`host:port`). */
 export class CuttableLink {
   readonly address: string;
@@ -24,12 +36,22 @@
   #cut: Cut = 'none';
   /** What passes is late by this, in milliseconds. */
   delay = 0;
+  /** What comes from the target passes in parts; undefined: at once. */
+  parts: PartSize | undefined;
+  /** Bytes from the target, exponentially decayed, as of `#countedAt`. */
+  #recentBytes = 0;
+  #countedAt = 0;
 
   constructor(address: string, target: string) {
     this.address = address;
     this.target = target;
   }
 
+  /** Bytes that have recently come from the target. */
+  get recentBytes(): number {
+    return this.#recentBytes * Math.exp((this.#countedAt - performance.now()) / RECENT_TIME);
+  }
+
   async start(): Promise<void> {
     const [host, port] = this.address.split(':');
     const server = createServer((near) => this.#join(near));
@@ -71,7 +93,7 @@
     const [host, port] = this.target.split(':');
     const far = new Socket();
     far.connect(Number(port), host);
-    const pair: Pair = { near, far, isSilent: false };
+    const pair: Pair = { near, far, isSilent: false, lastPartAt: 0 };
     this.#pairs.add(pair);
     for (const [from, to] of [
       [near, far],
@@ -79,7 +101,7 @@
     ]) {
       // Without it the link itself would hold small messages back for tens of milliseconds.
       from.setNoDelay(true);
-      from.on('data', (data) => this.#pass(data, to));
+      from.on('data', (data) => (from === far ? this.#passFromTarget(data, pair) : this.#pass(data, to)));
       from.on('error', () => to.destroy());
       from.on('close', () => {
         to.destroy();
@@ -95,6 +117,18 @@
     else setTimeout(() => to.write(data), this.delay);
   }
 
+  #passFromTarget(data: Buffer, pair: Pair): void {
+    const now = performance.now();
+    this.#recentBytes = this.recentBytes + data.byteLength;
+    this.#countedAt = now;
+    if (this.parts === undefined && pair.lastPartAt <= now) return this.#pass(data, pair.near);
+    const { bytes, interval } = this.parts ?? { bytes: data.byteLength, interval: 0 };
+    for (let from = 0; from < data.byteLength; from += bytes) {
+      pair.lastPartAt = Math.max(pair.lastPartAt, now) + interval;
+      setTimeout(() => pair.near.write(data.subarray(from, from + bytes)), pair.lastPartAt - now);
+    }
+  }
+
   #apply({ near, far, isSilent }: Pair): void {
     if (isSilent || this.#cut === 'toTarget' || this.#cut === 'both') near.pause();
     else near.resume();
--- a/test/platform/soak/departures.ts
+++ b/test/platform/soak/departures.ts
@@ -38,13 +38,28 @@
   child?.kill('SIGCONT');
 }
 
-/** Up to half of the entries get news late, each in its own way. */
-function delayNews(world: SoakWorld, random: Random): StartedFault {
+function pickEntries(world: SoakWorld, count: number, random: Random): SystemProcess[] {
+  return Array.from({ length: count }, () => pick(entriesOf(world), random));
+}
+
+/** The entries that read most from the store, in other words those that read for others. */
+function readersOf(world: SoakWorld, count: number): SystemProcess[] {
+  const entries = entriesOf(world).sort(
+    (one, other) => other.storeLink.recentBytes - one.storeLink.recentBytes,
+  );
+  return entries.slice(0, count);
+}
+
+/** Up to half of the entries get news late, each in its own way: any, or those that read for others. */
+function delayNews(
+  world: SoakWorld,
+  random: Random,
+  choose = pick([pickEntries, readersOf], random),
+): StartedFault {
   const duration = drawBetween(random, MIN_TROUBLE, MAX_TROUBLE);
-  const entries = entriesOf(world);
-  const count = drawBetween(random, 1, Math.ceil(entries.length / 2) + 1);
+  const count = drawBetween(random, 1, Math.ceil(entriesOf(world).length / 2) + 1);
   const details: string[] = [];
-  const chosen = new Set(Array.from({ length: count }, () => pick(entries, random)));
+  const chosen = new Set(choose(world, count, random));
   for (const entry of chosen) {
     const kind = pick(KINDS, random);
     TROUBLES[kind](entry, random);
@@ -83,7 +98,22 @@
     mustFinish: true,
     begin: (world, random) => depart(world, random, 3),
   },
-  { name: 'entries get news late', begin: delayNews },
+  { name: 'entries get news late', begin: (world, random) => delayNews(world, random) },
+  {
+    name: 'worker leaves while the readers of the store get news late',
+    mustFinish: true,
+    begin(world, random) {
+      const trouble = delayNews(world, random, readersOf);
+      const delay = drawBetween(random, 200, MIN_TROUBLE);
+      let departure: StartedFault | undefined;
+      setTimeout(() => {
+        departure = depart(world, random, 2);
+      }, delay);
+      setTimeout(() => trouble.end(), trouble.duration);
+      const detail = `${trouble.detail} for ${trouble.duration} ms; after ${delay} ms two leave`;
+      return { ...trouble, duration: MAX_SERVING_TIME, detail, end: () => departure?.end() };
+    },
+  },
   {
     name: 'worker leaves just before entries get news late',
     mustFinish: true,
