Removals after an older copy of the store stay held whatever others tell of its answers: test and guard

Cause: the reason for which removals are held back decides whether a report of others ends that, and no test told the two reasons apart. Change: a test with an outage and an older copy at once, and a guard.

--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -11,6 +11,8 @@
 import { textRecordDecoder as decoder } from './text-records.js';
 
 const HEARTBEAT_INTERVAL = 1_200;
+/** Longer than a silence of the store after which records may have expired, in milliseconds. */
+const OUTAGE_TIME = 2_200;
 
 let store: MemoryStore;
 let fleet: FleetView;
@@ -127,6 +129,21 @@
     await until(() => ids().join() === 'one,two', 'the end of the one that is still missing');
   });
 
+  it('keeps them although the store was available to others, as it was while it went back', async () => {
+    const copy = store.copy();
+    store.write('backEnds', 'three', 'ready');
+    await until(() => ids().includes('three'), 'the one that joins');
+    const since = performance.now() - 60_000;
+    store.faults.down = true;
+    await until(() => !sync.connected, 'the loss');
+    await new Promise((resolve) => setTimeout(resolve, OUTAGE_TIME));
+    store.restore(copy);
+    store.faults.down = false;
+    await until(() => fleet.backEnds.revision === store.revision, 'the copy');
+    sync.noteStoreAvailable({ since, until: performance.now() });
+    expect(ids()).toEqual(['one', 'three', 'two']);
+  });
+
   // What this process had written was not written again, and it went on telling others that it was there.
   it('notices that the store was restored although a peer with a newer list noticed it first', async () => {
     let restorations = 0;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1718,6 +1718,13 @@
     replace: 'reportedAt: now,',
     test: 'test/peers/engine-agents.test.ts',
   },
+  {
+    fault: 'what an older copy of the store lacks goes as soon as others tell that the store was there',
+    file: 'src/fleet/store-sync.ts',
+    find: '{ era: eraOf(revision) });\n    this.#isHeldForOutage = false;',
+    replace: '{ era: eraOf(revision) });',
+    test: 'test/fleet/store-sync.test.ts',
+  },
   {
     fault: 'nobody takes over from a reader of the store that is silent',
     file: 'src/systems/store-readers.ts',
