--- a/test/fleet/late-store-news.test.ts
+++ b/test/fleet/late-store-news.test.ts
@@ -1,7 +1,7 @@
 /** Guards against requests sent to a back end that has said it leaves: news of the store that keep arriving, but late, are not current. */
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { describe, expect, it } from 'vitest';
 import { seededRandom } from '../../src/model/random.js';
-import { advance, ReadingZone } from './reading-zone.js';
+import { advance, ReadingZone, simulateClock } from './reading-zone.js';
 
 /**
  * A back end gets no new requests 2 s after the store has acknowledged that it leaves; requests that were sent before that is known
@@ -18,13 +18,7 @@
 
 let zone: ReadingZone;
 
-beforeEach(() => {
-  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] });
-});
-afterEach(async () => {
-  await zone.stop();
-  vi.useRealTimers();
-});
+simulateClock(() => zone.stop());
 
 async function startZone(seed: number): Promise<void> {
   zone = new ReadingZone(seed, ENTRIES, true);
--- a/test/fleet/out-of-touch.test.ts
+++ b/test/fleet/out-of-touch.test.ts
@@ -2,9 +2,9 @@
  * Guards against requests sent to back ends that are gone: an entry that was out of touch must not take the time in which it got no
  * answers of the store for an outage of the store, and hold removals back.
  */
-import { afterEach, beforeEach, expect, it, vi } from 'vitest';
+import { expect, it } from 'vitest';
 import { seededRandom } from '../../src/model/random.js';
-import { advance, ReadingZone } from './reading-zone.js';
+import { advance, ReadingZone, simulateClock } from './reading-zone.js';
 
 /** Time until an entry that is in touch again has the store's answer and a report of another entry, in milliseconds. */
 const CATCH_UP_TIME = 1_300;
@@ -13,13 +13,7 @@
 
 let zone: ReadingZone;
 
-beforeEach(() => {
-  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] });
-});
-afterEach(async () => {
-  await zone.stop();
-  vi.useRealTimers();
-});
+simulateClock(() => zone.stop());
 
 it.each([
   { place: 0, duration: 2_000 },
--- a/test/fleet/reader-cut-off.test.ts
+++ b/test/fleet/reader-cut-off.test.ts
@@ -2,9 +2,9 @@
  * Guards against requests sent to back ends that have left: an entry that loses its own connection to the store for a moment
  * must not delay removals at the entries for which it reads, as an outage of the store does at all.
  */
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { describe, expect, it } from 'vitest';
 import { seededRandom } from '../../src/model/random.js';
-import { advance, type Cut, HEARTBEAT_INTERVAL, ReadingZone } from './reading-zone.js';
+import { advance, type Cut, HEARTBEAT_INTERVAL, ReadingZone, simulateClock } from './reading-zone.js';
 
 /**
  * A back end gets no new requests 2 s after the store has acknowledged that it is gone; requests that were sent before its removal
@@ -21,13 +21,7 @@
 
 let zone: ReadingZone;
 
-beforeEach(() => {
-  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] });
-});
-afterEach(async () => {
-  await zone.stop();
-  vi.useRealTimers();
-});
+simulateClock(() => zone.stop());
 
 async function startZone(
   seed: number,
--- a/test/fleet/reading-zone.ts
+++ b/test/fleet/reading-zone.ts
@@ -2,7 +2,7 @@
  * A zone of entries that read one store in turn, in simulated time: each entry can lose its own connection to the store, and
  * back ends write heartbeats whose records expire when they are missing.
  */
-import { vi } from 'vitest';
+import { afterEach, beforeEach, vi } from 'vitest';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import type { PlatformError } from '../../src/clients/errors.js';
 import type { ChangesError, RowsSnapshot, WatchedTables } from '../../src/clients/watched-tables.js';
@@ -338,6 +338,19 @@
   }
 }
 
+/** Simulates the clock in all tests of a file; `stop` is called after each of them. */
+export function simulateClock(stop: () => Promise<void>): void {
+  beforeEach(() => {
+    vi.useFakeTimers({
+      toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'],
+    });
+  });
+  afterEach(async () => {
+    await stop();
+    vi.useRealTimers();
+  });
+}
+
 /** Advances the simulated clock. */
 export async function advance(milliseconds: number): Promise<void> {
   await vi.advanceTimersByTimeAsync(milliseconds);
--- a/test/forwarding/cut-head.test.ts
+++ b/test/forwarding/cut-head.test.ts
@@ -1,22 +1,14 @@
 /** Guards against answers whose head is cut off reaching callers as whole ones. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { callHttp } from '../../src/clients/http.js';
-import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import { CLOSE_DELIMITED, CLOSINGS, CuttingServer, DELIMITED, type Framing } from '../cut-answers.js';
 import { ForwardingHarness } from './forwarding-harness.js';
-import { routeNamed } from './routes.js';
+import { billingConfiguration, routeNamed } from './routes.js';
 
 const FRAMINGS = [...DELIMITED, ...CLOSE_DELIMITED];
 const BAD_GATEWAY = 502;
 
-const CONFIGURATION: FleetConfiguration = {
-  revision: 1,
-  routes: [routeNamed('once', { repeatability: 'never', maxAttempts: 1 })],
-  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
-  origin: undefined,
-  limits: { headerBytes: 16_384, bodyBytes: 100_000, headerTimeout: 5_000, idleTimeout: 10_000 },
-  tenants: undefined,
-};
+const CONFIGURATION = billingConfiguration(routeNamed('once', { repeatability: 'never', maxAttempts: 1 }));
 
 let server: CuttingServer;
 let forwarding: ForwardingHarness;
--- a/test/forwarding/reset-answer.test.ts
+++ b/test/forwarding/reset-answer.test.ts
@@ -1,7 +1,6 @@
 /** Guards against answers that end early in their body reaching callers as whole ones, above all those that are reset with their last bytes. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { callHttp } from '../../src/clients/http.js';
-import type { FleetConfiguration } from '../../src/fleet/configuration.js';
 import {
   CLOSE_DELIMITED,
   CLOSINGS,
@@ -12,7 +11,7 @@
   type ReceivedBytes,
 } from '../cut-answers.js';
 import { type Answer, ForwardingHarness } from './forwarding-harness.js';
-import { routeNamed } from './routes.js';
+import { billingConfiguration, routeNamed } from './routes.js';
 
 const OK = 200;
 const BAD_GATEWAY = 502;
@@ -20,14 +19,7 @@
 /** Whether the last bytes and a reset are seen together is up to the system, so each case is repeated. */
 const ROUNDS = 60;
 
-const CONFIGURATION: FleetConfiguration = {
-  revision: 1,
-  routes: [routeNamed('once', { repeatability: 'never', maxAttempts: 1 })],
-  services: [{ name: 'billing', maxConnections: 0, engine: undefined }],
-  origin: undefined,
-  limits: { headerBytes: 16_384, bodyBytes: 100_000, headerTimeout: 5_000, idleTimeout: 10_000 },
-  tenants: undefined,
-};
+const CONFIGURATION = billingConfiguration(routeNamed('once', { repeatability: 'never', maxAttempts: 1 }));
 
 let server: CuttingServer;
 let forwarding: ForwardingHarness;
