An answer that arrives after another entry has taken over: a test that does not depend on who takes over when

Since no other entry reads the operator's table beside a long answer, so the case of late-store-news no longer brings the fault about.

Change: a test of StoreSync in which another process takes over while a call waits; the guard names it.

--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -265,6 +265,18 @@
     expect(store.calls).toEqual(callsBefore);
   });
 
+  it('forwards what it has read although another process has taken over before the answer', async () => {
+    const forwarded: string[] = [];
+    sync.onForward = ({ rows }) => forwarded.push(...rows.map((row) => row.key));
+    const calls = store.calls.changes ?? 0;
+    await until(() => (store.calls.changes ?? 0) > calls, 'a call that waits for changes');
+    sync.timeUntilReading = () => Number.POSITIVE_INFINITY;
+    // The call may be for either table.
+    store.write('operator', 'configuration', '7');
+    store.write('backEnds', 'three', 'ready');
+    await until(() => forwarded.length > 0, 'its answer');
+  });
+
   it('reads the store itself after a missed update', async () => {
     sync.timeUntilReading = () => Number.POSITIVE_INFINITY;
     await new Promise((resolve) => setTimeout(resolve, 1_200));
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1688,7 +1688,7 @@
     file: 'src/fleet/table-follower.ts',
     find: 'after !== undefined && isReader',
     replace: 'after !== undefined && this.#options.timeUntilReading() === 0',
-    test: 'test/fleet/late-store-news.test.ts',
+    test: 'test/fleet/store-sync.test.ts',
   },
   {
     fault: 'an outage of the store is taken back by those that have answers after it',
