Observability: each request names its connection where it ends, also one that got a failure of its back end

Nobody could tell from the log on which connection a request had been, or how one ended that got a back end's 500: it left no line at all. `served`, `failure passed on` (new), `ended`, `answer cut` and `caller left` name the caller's side of the connection; `connections closed` (new) tells how many were open as a process closed the last ones.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -89,6 +89,7 @@
     this.#log = new RequestLog(components, {
       id: this.#id,
       arrivedAt: this.arrivedAt,
+      connection: `${request.socket.remoteAddress}:${request.socket.remotePort}`,
       service: () => this.#admitted?.service ?? '',
       hasPart: () => this.#answer.started,
     });
@@ -566,27 +567,22 @@
   #releaseResources(ending: RequestEnding): void {
     clearTimeout(this.#timer);
     this.#request.socket.off('end', this.#onCallerEnded);
-    if (ending.type === 'answered' && this.#openAttempts.has(ending.use)) this.#closeAnswered(ending.use);
+    if (ending.type === 'answered') this.#closeAnswered(ending.use);
     this.#search?.end(holdOutcomeOf(ending));
     this.#openAttempts.abortAll(ending.type === 'left' ? 'caller left' : 'request ended');
     this.#content.noteEnded();
   }
 
-  /** Closes the attempt that completed the answer, and records its outcome. */
+  /** Closes the attempt that completed the answer, and records its outcome; an earlier failure has been recorded before. */
   #closeAnswered(use: BackEndUse): void {
-    const { status } = use.answer;
-    const isFailure = status >= INTERNAL_ERROR;
-    const took = this.#openAttempts.close(use, isFailure ? 'failed' : 'served');
+    const isFailure = use.answer.status >= INTERNAL_ERROR;
+    const isOpen = this.#openAttempts.has(use);
+    const took = isOpen ? this.#openAttempts.close(use, isFailure ? 'failed' : 'served') : this.#log.age;
+    this.#log.noteAnswered(use, took, this.#policy.version ?? this.#versionOf(use));
     if (isFailure) return;
     // A back end may reject a request without running it.
-    if (status < FIRST_ERROR_STATUS) this.#noteContentServed(use);
+    if (use.answer.status < FIRST_ERROR_STATUS) this.#noteContentServed(use);
     use.noteServed(took);
-    this.#log.note('served', {
-      backEnd: use.row.record.id,
-      tookMs: Math.round(took),
-      firstMs: use.firstAnswerAfter,
-      version: this.#policy.version ?? this.#versionOf(use),
-    });
   }
 
   #noteContentServed({ row, answer }: BackEndUse): void {
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -1,7 +1,7 @@
 /** HTTP server that accepts requests of callers and forwards them to back ends. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, type Server } from 'node:http';
-import { Server as ConnectionServer } from 'node:net';
+import { Server as ConnectionServer, type Socket } from 'node:net';
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
@@ -105,6 +105,8 @@
   readonly #drainMetrics: DrainMetrics;
   readonly #service: ServiceRecord;
   #server: Server | undefined;
+  /** Open connections of callers. */
+  readonly #connections = new Set<Socket>();
   #remainders: RequestRemainders | undefined;
   #timer: NodeJS.Timeout | undefined;
   readonly #standstills = new StallDetector(CHECK_INTERVAL, performance.now());
@@ -209,6 +211,10 @@
       (request, response) => this.#accept(request, response),
     );
     new ClientErrorHandler(server, (_error, socket) => socket.destroy());
+    server.on('connection', (socket) => {
+      this.#connections.add(socket);
+      socket.once('close', () => this.#connections.delete(socket));
+    });
     closeIdleConnectionsOnceRead(server);
     this.#remainders = new RequestRemainders(server);
     await new Promise<void>((resolve, reject) => {
@@ -272,11 +278,20 @@
     for (const request of this.#active) request.stop();
     await endsWithin(this.#flushed(), FLUSH_TIMEOUT);
     this.#components.unread.stop();
+    if (this.#server !== undefined) this.#noteConnectionsClosed();
     this.#server?.closeAllConnections();
     this.#server?.close();
     this.#server = undefined;
   }
 
+  #noteConnectionsClosed(): void {
+    this.#components.log.info('connections closed', {
+      open: this.#connections.size,
+      unanswered: this.#responses.size,
+      sinceLastRequestMs: Math.round(this.timeSinceLastRequest),
+    });
+  }
+
   #accept(request: IncomingMessage, response: ServerResponse): void {
     this.#responses.add(response);
     response.once('close', () => this.#onResponseClosed(response));
--- a/src/forwarding/request-log.ts
+++ b/src/forwarding/request-log.ts
@@ -8,6 +8,8 @@
 import { errorResponseOf } from './forwarding-errors.js';
 import type { RequestEnding } from './request-ending.js';
 
+const INTERNAL_ERROR = 500;
+
 export interface RequestLogComponents {
   log: Log;
   drain: DrainSchedule;
@@ -19,6 +21,8 @@
 export interface LoggedRequest {
   id: string;
   arrivedAt: number;
+  /** `host:port` of the caller's side of its connection. */
+  connection: string;
   service(): string;
   /** Whether the caller has received a part of the answer. */
   hasPart(): boolean;
@@ -64,7 +68,25 @@
 
   noteAbandoned(cause: unknown): void {
     const text = String((cause as Error)?.stack ?? cause);
-    this.#components.log.error('request abandoned', { request: this.#request.id, cause: text });
+    const { id, connection } = this.#request;
+    this.#components.log.error('request abandoned', { request: id, connection, cause: text });
+  }
+
+  /** The caller gets the whole answer of a back end. */
+  noteAnswered(
+    { row, answer, firstAnswerAfter }: BackEndUse,
+    took: number,
+    version: number | undefined,
+  ): void {
+    const { status } = answer;
+    const isFailure = status >= INTERNAL_ERROR;
+    this.#noteEnd(isFailure ? 'failure passed on' : 'served', {
+      backEnd: row.record.id,
+      ...(isFailure ? { status } : {}),
+      tookMs: Math.round(took),
+      firstMs: firstAnswerAfter,
+      version,
+    });
   }
 
   noteFailure({ row, progressAt }: BackEndUse, failure: AttemptFailure): void {
@@ -99,11 +121,11 @@
    */
   noteEnding(ending: RequestEnding, use: BackEndUse | undefined, routeName: string | undefined): void {
     if (ending.type === 'left')
-      return this.note('caller left', { backEnd: use?.row.record.id, ageMs: this.age });
+      return this.#noteEnd('caller left', { backEnd: use?.row.record.id, ageMs: this.age });
     if (ending.type !== 'failed') return;
     const { status } = errorResponseOf(ending.error);
     const route = ending.routeName ?? routeName;
-    this.note('ended', { status, ...ending.error, ageMs: this.age, route });
+    this.#noteEnd('ended', { status, ...ending.error, ageMs: this.age, route });
   }
 
   noteCut(
@@ -118,7 +140,7 @@
     // With an open attempt no earlier failure is the cause.
     const cause = use === undefined ? (this.#latestFailure?.reason ?? reason) : reason;
     cutMetrics.note(cause);
-    this.note('answer cut', {
+    this.#noteEnd('answer cut', {
       reason,
       ...open,
       latestFailure: this.#latestFailure,
@@ -128,4 +150,9 @@
       ageMs: this.age,
     });
   }
+
+  /** Writes the line that tells how the request ended. */
+  #noteEnd(message: string, fields: object): void {
+    this.note(message, { connection: this.#request.connection, ...fields });
+  }
 }
