A stopping entry reads its sockets before it takes its callers for gone, and again before it closes their connections

What callers saw: a connection reset without an answer up to 0.6 s after the request on it was sent, as their entry stopped. Cause: the stop decides by elapsed time that nothing comes any more, and closes all connections in the same turn of the event loop. After a standstill timers run before sockets are read, so what had arrived meanwhile was never read. The class: elapsed time counts as proof that nothing has arrived, though the process has not looked.

Why it works: after the time has passed, one whole turn of the event loop reads the sockets before the decision is made again; the last turn before the close refuses what has arrived, and the close follows in that turn. The same before no more connections are accepted, where turns that may hold a standstill no longer count as quiet. The limits of `endsWithin` are extended once after a standstill, as those of calls are: a stop was given up by them unread as well. The servers of callers stop first and apart, so that no other part takes their time. Standstills are logged during a stop also where no request is in progress.

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, type Server } from 'node:http';
 import { Server as ConnectionServer, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { Random } from '../model/random.js';
@@ -13,6 +14,7 @@
 import { ClientErrorHandler } from '../server/client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
 import { RequestRemainders } from '../server/request-remainders.js';
+import { socketsRead } from '../server/sockets-read.js';
 import type { EventBudget } from '../systems/event-budget.js';
 import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
@@ -60,6 +62,12 @@
 /** Consecutive turns of the event loop without a new connection after which none is pending, and the limit of all turns. */
 const QUIET_TURNS = 4;
 const MAX_TURNS = 100;
+/** A turn of the event loop that takes longer may have been a stall, in which connections have arrived; in milliseconds. */
+const MAX_QUIET_TURN = 20;
+/** Interval at which it is checked whether the server is drained, in milliseconds. */
+const DRAIN_CHECK_INTERVAL = 50;
+/** Maximum number of times that answers are waited for at the stop, as further requests are read meanwhile. */
+const MAX_FLUSHES = 3;
 /** Bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
 
@@ -248,7 +256,24 @@
     this.#server.keepAliveTimeout = LINGER_TIME;
     // `close` of an HTTP server would also close connections that it considers idle.
     ConnectionServer.prototype.close.call(this.#server);
-    setTimeout(() => setImmediate(() => this.#closeIdleConnections()), LINGER_TIME).unref();
+    setTimeout(() => void socketsRead().then(() => this.#closeIdleConnections()), LINGER_TIME).unref();
+  }
+
+  /**
+   * Resolves once each answer has been written and no caller can have another request here, or at the end of the grace time.
+   * To be called after `close`.
+   */
+  async drained(): Promise<void> {
+    const { drain } = this.#components;
+    const standstills = new StallDetector(DRAIN_CHECK_INTERVAL, performance.now());
+    while (performance.now() < drain.endsAt) {
+      // What has arrived during a stall is read before its time counts.
+      if (this.isDrained) await socketsRead();
+      if (this.isDrained) return;
+      await sleep(DRAIN_CHECK_INTERVAL);
+      const stoodStill = standstills.tick(performance.now());
+      if (stoodStill > 0 && this.#timer === undefined) this.#noteStandstill(stoodStill);
+    }
   }
 
   /** Closes idle connections; those just accepted count as idle too, until their first request has been read. */
@@ -275,8 +300,7 @@
     clearInterval(this.#timer);
     // Requests that are read while the last answers are written are refused.
     this.#components.drain.finish(performance.now());
-    for (const request of this.#active) request.stop();
-    await endsWithin(this.#flushed(), FLUSH_TIMEOUT);
+    await this.#writeLastAnswers();
     this.#components.unread.stop();
     if (this.#server !== undefined) this.#noteConnectionsClosed();
     this.#server?.closeAllConnections();
@@ -284,6 +308,19 @@
     this.#server = undefined;
   }
 
+  /**
+   * Ends the requests in progress, and reads and refuses those that have arrived, so that none is reset unread. The connections
+   * must be closed in the turn in which this resolves.
+   */
+  async #writeLastAnswers(): Promise<void> {
+    for (let flushes = 0; flushes < MAX_FLUSHES; flushes++) {
+      for (const request of this.#active) request.stop();
+      await endsWithin(this.#flushed(), FLUSH_TIMEOUT);
+      await socketsRead();
+      if (this.#active.size === 0) return;
+    }
+  }
+
   #noteConnectionsClosed(): void {
     this.#components.log.info('connections closed', {
       open: this.#connections.size,
@@ -372,8 +409,10 @@
   server.on('connection', count);
   for (let turns = 0, quietTurns = 0; turns < MAX_TURNS && quietTurns < QUIET_TURNS; turns++) {
     const before = accepted;
+    const startedAt = performance.now();
     await new Promise((resolve) => setImmediate(resolve));
-    quietTurns = accepted === before ? quietTurns + 1 : 0;
+    const isQuiet = accepted === before && performance.now() - startedAt <= MAX_QUIET_TURN;
+    quietTurns = isQuiet ? quietTurns + 1 : 0;
   }
   server.off('connection', count);
 }
--- a/src/model/time-limit.ts
+++ b/src/model/time-limit.ts
@@ -13,6 +13,12 @@
  */
 const STALL_EXTENSION = 500;
 
+/** Options of a time limit. */
+interface LimitOptions {
+  /** Whether the timer keeps the process alive; by default it does not, as with `AbortSignal.timeout`. */
+  keepsAlive?: boolean;
+}
+
 /** A running time limit. */
 export interface RunningLimit {
   /** Stops the limit; its callback is not called any more. */
@@ -23,17 +29,22 @@
  * Calls `onPassed` after `milliseconds`. If this process was stalled when the limit expired, the limit is extended once, so that
  * a process that resumes does not abort calls whose responses it is about to read.
  */
-export function startLimit(milliseconds: number, onPassed: () => void): RunningLimit {
+export function startLimit(
+  milliseconds: number,
+  onPassed: () => void,
+  { keepsAlive = false }: LimitOptions = {},
+): RunningLimit {
   const dueAt = performance.now() + milliseconds;
+  const start = (onTimer: () => void, after: number) => {
+    const timer = setTimeout(onTimer, after);
+    return keepsAlive ? timer : timer.unref();
+  };
   const onTimer = () => {
     const wasStalled = performance.now() - dueAt > MAX_TIMER_LATENESS;
     if (!wasStalled) return onPassed();
-    timer = setTimeout(onPassed, Math.min(milliseconds, STALL_EXTENSION));
-    timer.unref();
+    timer = start(onPassed, Math.min(milliseconds, STALL_EXTENSION));
   };
-  let timer = setTimeout(onTimer, milliseconds);
-  // As with `AbortSignal.timeout`, the timer does not keep the process alive.
-  timer.unref();
+  let timer = start(onTimer, milliseconds);
   return { cancel: () => clearTimeout(timer) };
 }
 
@@ -112,15 +123,18 @@
   }
 }
 
-/** Whether `work` settles within `milliseconds`; rejects if `work` does in that time. Work that takes longer is not cancelled. */
+/**
+ * Whether `work` settles within `milliseconds`; rejects if `work` does in that time. Work that takes longer is not cancelled.
+ * The limit is extended once if this process was stalled when it expired, as with {@link startLimit}.
+ */
 export async function endsWithin(work: Promise<unknown>, milliseconds: number): Promise<boolean> {
-  let timer: NodeJS.Timeout | undefined;
-  const limit = new Promise<false>((resolve) => {
-    timer = setTimeout(() => resolve(false), milliseconds);
+  let limit: RunningLimit | undefined;
+  const passed = new Promise<false>((resolve) => {
+    limit = startLimit(milliseconds, () => resolve(false), { keepsAlive: true });
   });
   try {
-    return await Promise.race([work.then(() => true), limit]);
+    return await Promise.race([work.then(() => true), passed]);
   } finally {
-    clearTimeout(timer);
+    limit?.cancel();
   }
 }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -24,6 +24,7 @@
 import { type Connection, ConnectionListener } from '../protocol/connection.js';
 import type { EngineReport, EntryReport } from '../protocol/reports.js';
 import { createRequestListener, httpServer } from '../server/http-server.js';
+import { socketsRead } from '../server/sockets-read.js';
 import { DrainSchedule } from '../systems/drain-schedule.js';
 import { entriesFor } from '../systems/entry-choice.js';
 import { createEntryRetryWindow } from '../systems/entry-retry-window.js';
@@ -257,15 +258,19 @@
     this.#drain.begin(signalledAt);
     this.#peers.announce('all');
     log.info('entry leaves', { inProgress: this.#forwarding.active });
-    while (this.#drain.acceptsConnections(performance.now(), this.#forwarding.timeSinceLastRequest))
+    while (this.#drain.acceptsConnections(performance.now(), this.#forwarding.timeSinceLastRequest)) {
       await pause();
+      await socketsRead();
+    }
     await this.#forwarding.close();
-    while (performance.now() < this.#drain.endsAt && !this.#forwarding.isDrained) await pause();
+    await this.#forwarding.drained();
     log.info('entry stops', {
       inProgress: this.#forwarding.active,
       tookMs: Math.round(performance.now() - signalledAt),
       arrivals: this.#forwarding.arrivalsWhileDraining,
     });
+    // First and apart from the others, so that the last requests are read and answered however long those take.
+    await this.#forwarding.stop();
     if (!(await endsWithin(this.stop(), STOP_TIMEOUT)))
       log.warn('parts have not stopped', { after: STOP_TIMEOUT });
   }
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -1,6 +1,5 @@
 /** Runs a forwarding server on a free port with a fleet that the test declares, and sends requests to it as a caller. */
 import { type ClientRequest, request as httpRequest } from 'node:http';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { freeAddress } from '../../bench/processes/child.js';
 import { MemoryStore } from '../../emulator/store/memory-store.js';
 import type { FleetConfiguration } from '../../src/fleet/configuration.js';
@@ -46,8 +45,6 @@
 /** Time from the naming of a version to the moment from which no request may start on an older one, in milliseconds. */
 const VERSION_BOUND = 8_000;
 
-const DRAIN_CHECK_INTERVAL = 50;
-
 /** A claim that ignores all calls. */
 export const NOOP_CLAIM: SlotClaim = { noteAnswer: () => {}, notePromptRead: () => {}, release: () => {} };
 
@@ -216,7 +213,7 @@
   /** Stops as an entry does after SIGTERM: waits until no caller can have another request, then closes all connections. */
   async leave(): Promise<void> {
     await this.close();
-    while (performance.now() < this.drain.endsAt && !this.isDrained) await sleep(DRAIN_CHECK_INTERVAL);
+    await this.#server?.drained();
     await this.stop();
   }
 
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1438,6 +1438,25 @@
     replace: '',
     test: 'test/roles/direct-entry-drain.test.ts',
   },
+  {
+    fault: 'a request that arrives during a standstill at the end of a stop is reset unread',
+    file: 'src/forwarding/forwarding-server.ts',
+    find: 'if (this.isDrained) await socketsRead();',
+    replace: '',
+    test: 'test/forwarding/request-unread-at-stop.test.ts',
+    extra: {
+      file: 'src/forwarding/forwarding-server.ts',
+      find: 'await socketsRead();\n      if (this.#active.size === 0) return;',
+      replace: 'if (this.#active.size === 0) return;',
+    },
+  },
+  {
+    fault: 'a request that arrives during a standstill before a server stops is reset unread',
+    file: 'src/server/http-server.ts',
+    find: 'await socketsRead();',
+    replace: '',
+    test: 'test/server/request-unread-at-stop.test.ts',
+  },
   {
     fault: 'who waits for an answer at the end of a stop is not told',
     file: 'src/forwarding/forwarded-request.ts',
