Directory, metrics, pieces and the product's own interface read their sockets before they stop, too

Callers of these servers got a reset for a request that had arrived during a standstill before the stop: the same cause as at the entries' requests. The server reads its sockets once more before it closes, and a draining role looks at its requests in progress only after that.

--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -5,6 +5,7 @@
 import type { Startable } from '../model/startable.js';
 import { StopSignal, startUntilStopSignal } from '../model/stop-signal.js';
 import { endsWithin } from '../model/time-limit.js';
+import { socketsRead } from '../server/sockets-read.js';
 import { formatProblem, readDocument } from '../settings/document.js';
 import { CommandFailure, EXIT_USAGE } from './errors.js';
 
@@ -50,5 +51,6 @@
   const elapsed = () => performance.now() - startedAt;
   while (elapsed() < DRAIN_TIMEOUT && (elapsed() < minMilliseconds || part.active > 0)) {
     await new Promise((resolve) => setTimeout(resolve, DRAIN_CHECK_INTERVAL));
+    await socketsRead();
   }
 }
--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -7,6 +7,7 @@
 import { ClientErrorHandler } from './client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from './idle-connections.js';
 import { RequestRemainders } from './request-remainders.js';
+import { socketsRead } from './sockets-read.js';
 
 const BAD_REQUEST = 400;
 /** Statuses for errors of Node's HTTP parser, as in the default error handling of Node's server. */
@@ -33,11 +34,14 @@
       server = created;
     },
     async stop() {
-      server?.closeAllConnections();
-      await new Promise<void>((resolve) =>
-        server === undefined ? resolve() : server.close(() => resolve()),
-      );
+      if (server === undefined) return;
+      const stopping = server;
       server = undefined;
+      // Requests that have arrived are read, and get an answer if that takes no time.
+      await socketsRead();
+      const closed = new Promise<void>((resolve) => stopping.close(() => resolve()));
+      stopping.closeAllConnections();
+      await closed;
     },
   };
 }
