An error in a step of a request ends that request, not the process

What callers saw: all connections of an entry break off at once, kept ones included, and it starts anew; nothing in its log. Cause: a request is sent again from inside a callback of the client library, after another back end has broken it off; an error there (an address that no URL can hold, a header, a bug) goes to the library, which emits it as an 'error' that nobody listens to, and the runtime ends the process. First attempts were contained, so that a list with such an address did no harm until a sound back end failed. Steps that timers, events of the caller's connection, the stop and quarantines call were not contained either.

Why it works: each step that comes from outside the request runs in its own catch and ends only the request, with 503 if no back end may have run it, else 502 or a cut answer.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -118,7 +118,11 @@
   send(connections: BackEndConnections): void {
     const { method, path, headers, body } = this.#request;
     const options = { method: method as Dispatcher.HttpMethod, path, headers, body };
-    this.#connection = connections.dispatch(options, this);
+    try {
+      this.#connection = connections.dispatch(options, this);
+    } catch (cause) {
+      return this.fail(`cannot be sent: ${String(cause)}`);
+    }
     if (this.#connection === undefined) this.fail('no free connection');
   }
 
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -76,7 +76,7 @@
   /** The latest attempt that got an error response (5xx); the caller gets that response if no other back end answers. */
   #failedAnswer: BackEndUse | undefined;
   #settled = false;
-  readonly #onCallerEnded = () => this.#onCallerHalfClosed();
+  readonly #onCallerEnded = () => this.#contain(() => this.#onCallerHalfClosed());
 
   constructor(components: ForwardingComponents, request: IncomingMessage, response: ServerResponse) {
     this.#components = components;
@@ -102,7 +102,7 @@
       mustClose: () => components.drain.isUnderWay,
       unread: components.unread,
     });
-    response.on('close', () => this.#onCallerGone());
+    response.on('close', () => this.#contain(() => this.#onCallerGone()));
     // `close` of the response waits until buffered data has been written, which a caller that has gone never reads.
     request.socket.once('end', this.#onCallerEnded);
     response.on('error', () => {});
@@ -113,7 +113,8 @@
   async start(): Promise<void> {
     const rejected = this.#admit();
     if (rejected !== undefined) return this.#fail(rejected.error, rejected.route);
-    this.#timer = setTimeout(() => this.#onTimeout(), this.#admitted.timing.deadline - this.arrivedAt);
+    const timeLeft = this.#admitted.timing.deadline - this.arrivedAt;
+    this.#timer = setTimeout(() => this.#contain(() => this.#onTimeout()), timeLeft);
     this.#body = await readCallerBody(this.#request, this.#admitted.table.configuration.limits.bodyBytes);
     if (this.#settled) return;
     if (isTooLarge(this.#body)) return this.#fail({ type: 'bodyTooLarge' });
@@ -130,6 +131,10 @@
    * begun to answer, if the request has such content.
    */
   onQuarantined(): void {
+    this.#contain(() => this.#withdrawQuarantined());
+  }
+
+  #withdrawQuarantined(): void {
     const isSearching = !this.#settled && this.#search?.isUnderWay;
     if (this.#openAttempts.size === 0 && !isSearching) return;
     if (this.#content.mayBeSent) return;
@@ -138,14 +143,32 @@
       if (!hasBegun) attempt.withdraw('quarantined');
   }
 
-  /** Fails the request after an internal error, so that the error affects only this request and not the process. */
+  /** Ends the request after an internal error, so that the error affects only this request and not the process. */
   abandon(cause: unknown): void {
     this.#log.noteAbandoned(cause);
-    this.#fail({ type: 'backEndFailed', reason: 'internal error' });
+    if (this.#settled) return;
+    const reason = 'internal error';
+    if (this.#answer.started || this.#openAttempts.mayHaveRun)
+      return this.#fail({ type: 'backEndFailed', reason });
+    const retryAfter = retryAfterForOtherProcess(this.#components.random);
+    this.#fail({ type: 'unavailable', reason, retryAfter });
+  }
+
+  /** Runs a step that a timer, a socket or the client library calls, where an error would end the process. */
+  #contain(step: () => void): void {
+    try {
+      step();
+    } catch (cause) {
+      this.abandon(cause);
+    }
   }
 
   /** Ends the request because the process exits: fails it with an error response, or cuts an answer that has begun. */
   stop(): void {
+    this.#contain(() => this.#stop());
+  }
+
+  #stop(): void {
     if (this.#settled) return;
     if (!this.#answer.started) {
       if (this.#openAttempts.mayHaveRun) return this.#fail({ type: 'stopped' });
@@ -157,6 +180,10 @@
 
   /** Checks the open attempts, and looks for a replacement if all are silent; called at each `CHECK_INTERVAL` of the server. */
   check(now: number, standstills: StallDetector): void {
+    this.#contain(() => this.#check(now, standstills));
+  }
+
+  #check(now: number, standstills: StallDetector): void {
     if (this.#settled) return;
     if (this.#search?.isUnderWay) this.#search.check(now, standstills);
     for (const use of this.#openAttempts.all()) this.#watch.check(use, now, standstills);
@@ -242,11 +269,11 @@
       mayGoOut: (row: BackEndRow, mustSend: boolean) => this.#policy.mayGoOut(row, mustSend),
     };
     return new AttemptFactory(this.#components, request, {
-      onAnswer: (use, answer) => this.#onAnswer(use, answer),
-      onHead: (use, head) => this.#onHead(use, head),
-      onPart: (use) => this.#onPart(use),
-      onEnd: (use) => this.#onEnd(use),
-      onFailure: (use, failure) => this.#onFailure(use, failure),
+      onAnswer: (use, answer) => this.#contain(() => this.#onAnswer(use, answer)),
+      onHead: (use, head) => this.#contain(() => this.#onHead(use, head)),
+      onPart: (use) => this.#contain(() => this.#onPart(use)),
+      onEnd: (use) => this.#contain(() => this.#onEnd(use)),
+      onFailure: (use, failure) => this.#contain(() => this.#onFailure(use, failure)),
     });
   }
 
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -365,7 +365,7 @@
     const now = performance.now();
     const stoodStill = this.#standstills.tick(now);
     if (stoodStill > 0) this.#noteStandstill(stoodStill);
-    for (const request of this.#active) this.#checkRequest(request, now);
+    for (const request of this.#active) request.check(now, this.#standstills);
     if (this.#active.size > 0) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
@@ -380,15 +380,6 @@
     });
   }
 
-  /** Checks one request; an error in it ends only that request. */
-  #checkRequest(request: ForwardedRequest, now: number): void {
-    try {
-      request.check(now, this.#standstills);
-    } catch (cause) {
-      request.abandon(cause);
-    }
-  }
-
   #onSettled(request: ForwardedRequest, outcome: RequestOutcome, milliseconds: number): void {
     this.#active.delete(request);
     if (!this.#arrivedWhileDraining(request)) this.#lingerStartedAt = performance.now();
