A request whose end meets an error is still answered

What callers saw: a request that a back end has answered gets no answer (or not its end), and its connection stays open until they give up or the entry closes it. Cause: a request was marked as settled first and answered last; an error in between, in the log, the release of its attempts, the health of the back end, metrics or the answer itself, left it to nobody, as all that might end it asks whether it is settled.

Why it works: each step of the end is done whatever becomes of the others, the answer last; one that cannot be written becomes a 502, or is cut.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -576,10 +576,28 @@
   /** Ends the request once: logs the ending, releases resources and completes the answer. */
   #end(ending: RequestEnding): void {
     if (this.#settled) return;
-    this.#logEnding(ending);
     this.#settled = true;
-    this.#releaseResources(ending);
-    this.#components.onSettled(this, ending, this.#log.age, this.#admitted);
+    // An error in one step must not keep the others from being done, least of all the answer.
+    this.#finish(() => this.#logEnding(ending));
+    this.#finish(() => this.#closeAnswered(ending));
+    this.#finish(() => this.#releaseResources(ending));
+    this.#finish(() => this.#components.onSettled(this, ending, this.#log.age, this.#admitted));
+    if (!this.#finish(() => this.#completeAnswer(ending)))
+      this.#answer.fail(errorResponseOf({ type: 'backEndFailed', reason: 'internal error' }), {});
+  }
+
+  /** Runs a step of the end of the request; returns whether it succeeded. */
+  #finish(step: () => void): boolean {
+    try {
+      step();
+      return true;
+    } catch (cause) {
+      this.#log.noteAbandoned(cause);
+      return false;
+    }
+  }
+
+  #completeAnswer(ending: RequestEnding): void {
     switch (ending.type) {
       case 'answered':
         return this.#answer.end(ending.use.answer);
@@ -594,14 +612,15 @@
   #releaseResources(ending: RequestEnding): void {
     clearTimeout(this.#timer);
     this.#request.socket.off('end', this.#onCallerEnded);
-    if (ending.type === 'answered') this.#closeAnswered(ending.use);
     this.#search?.end(holdOutcomeOf(ending));
     this.#openAttempts.abortAll(ending.type === 'left' ? 'caller left' : 'request ended');
     this.#content.noteEnded();
   }
 
   /** Closes the attempt that completed the answer, and records its outcome; an earlier failure has been recorded before. */
-  #closeAnswered(use: BackEndUse): void {
+  #closeAnswered(ending: RequestEnding): void {
+    if (ending.type !== 'answered') return;
+    const { use } = ending;
     const isFailure = use.answer.status >= INTERNAL_ERROR;
     const isOpen = this.#openAttempts.has(use);
     const took = isOpen ? this.#openAttempts.close(use, isFailure ? 'failed' : 'served') : this.#log.age;
--- a/test/forwarding/error-in-step-of-attempt.test.ts
+++ b/test/forwarding/error-in-step-of-attempt.test.ts
@@ -1,6 +1,6 @@
 /**
  * Guards against errors in this process while a request is sent or answered: thrown in a callback of the client library they
- * ended the process with all its requests.
+ * ended the process with all its requests, and thrown after the request had been settled they left it without an answer.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { AnswerNotices } from '../../src/forwarding/answer-notices.js';
@@ -8,8 +8,12 @@
 import { AttemptFactory } from '../../src/forwarding/attempt-factory.js';
 import { BackEndConnections } from '../../src/forwarding/back-end-connections.js';
 import { BackEndSearch } from '../../src/forwarding/back-end-search.js';
+import { BackEndUse } from '../../src/forwarding/back-end-use.js';
 import { CallerAnswer } from '../../src/forwarding/caller-answer.js';
+import { OpenAttempts } from '../../src/forwarding/open-attempts.js';
+import { RequestLog } from '../../src/forwarding/request-log.js';
 import { SendPolicy } from '../../src/forwarding/send-policy.js';
+import { ServiceRecord } from '../../src/forwarding/service-record.js';
 import { until } from '../support.js';
 import { ForwardingHarness } from './forwarding-harness.js';
 import { billingConfiguration, routeNamed } from './routes.js';
@@ -73,6 +77,12 @@
   ['the head of an answer', () => throwOnceIn(AttemptAnswer.prototype, 'begin')],
   ['a part of an answer', () => throwOnceIn(AttemptAnswer.prototype, 'push')],
   ['the forwarding of a part', () => throwOnceIn(CallerAnswer.prototype, 'forward')],
+  ['the record of an answer', () => throwOnceIn(BackEndUse.prototype, 'noteServed')],
+  ['the log line of an answer', () => throwOnceIn(RequestLog.prototype, 'noteAnswered')],
+  ['the end of an attempt', () => throwOnceIn(OpenAttempts.prototype, 'close')],
+  ['the release of attempts', () => throwOnceIn(OpenAttempts.prototype, 'abortAll')],
+  ['the record of the service', () => throwOnceIn(ServiceRecord.prototype, 'note')],
+  ['the end of an answer', () => throwOnceIn(CallerAnswer.prototype, 'end')],
 ];
 
 describe('an error in a step of an attempt ends at most its request', () => {
