A process in which an error is not handled logs it and leaves in order

What callers saw: every connection of an entry breaks off at once. What operators saw: a restart, a stack on standard error, and no line in the log that says why the process ended. Cause: no process listened for uncaught exceptions and rejections, so the runtime ended it.

Why it works: errors are counted and logged, and order the same stop as SIGTERM, at a time drawn from the time of grace. The product's own roles stop in the same way.

--- a/src/cli/errors.ts
+++ b/src/cli/errors.ts
@@ -1,5 +1,7 @@
 /** Failures of commands: a message without a stack trace, and an exit code that scripts can check. */
 
+/** Exit code for an error in this process. */
+export const EXIT_FAILURE = 1;
 /** Exit code for invalid arguments, settings or files. */
 export const EXIT_USAGE = 2;
 /** Exit code for a conflict with a change by another operator. */
--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -5,9 +5,10 @@
 import type { Startable } from '../model/startable.js';
 import { StopSignal, startUntilStopSignal } from '../model/stop-signal.js';
 import { endsWithin } from '../model/time-limit.js';
+import { UncaughtErrors } from '../model/uncaught-errors.js';
 import { socketsRead } from '../server/sockets-read.js';
 import { formatProblem, readDocument } from '../settings/document.js';
-import { CommandFailure, EXIT_USAGE } from './errors.js';
+import { CommandFailure, EXIT_FAILURE, EXIT_USAGE } from './errors.js';
 
 /** Maximum time to wait for requests in progress at a planned stop, in milliseconds. */
 const DRAIN_TIMEOUT = 120_000;
@@ -38,11 +39,17 @@
   setFlagsFromString('--semi-space-growth-factor=1');
 }
 
-/** Runs a component until the first signal. A drainable role then finishes its requests; later signals are ignored. */
+/**
+ * Runs a component until the first signal, or an error that nobody handled. A drainable role then finishes its requests; later
+ * signals are ignored. Throws a {@link CommandFailure} after an error.
+ */
 export async function runUntilSignal(part: Startable | Drainable, minDrainMilliseconds = 0): Promise<void> {
-  await startUntilStopSignal(part, new StopSignal(['SIGTERM', 'SIGINT']));
+  const signal = new StopSignal(['SIGTERM', 'SIGINT']);
+  const errors = new UncaughtErrors(({ cause }) => process.stderr.write(`uncaught error: ${cause}\n`));
+  await startUntilStopSignal(part, { received: Promise.race([signal.received, errors.first]) });
   if ('drain' in part) await drainFully(part, minDrainMilliseconds);
   await endsWithin(part.stop(), STOP_TIMEOUT);
+  if (errors.count > 0) throw new CommandFailure('stopped after an uncaught error', EXIT_FAILURE);
 }
 
 async function drainFully(part: Drainable, minMilliseconds: number): Promise<void> {
--- a/src/model/stop-signal.ts
+++ b/src/model/stop-signal.ts
@@ -29,7 +29,7 @@
 /** Starts `part`; resolves with the time of the stop signal, which may arrive during the start. */
 export async function startUntilStopSignal(
   part: Pick<Startable, 'start'>,
-  order: StopSignal,
+  order: Pick<StopSignal, 'received'>,
 ): Promise<number> {
   const started = part.start();
   const signalledAt = await Promise.race([started.then(() => order.received), order.received]);
--- a/src/model/uncaught-errors.ts
+++ b/src/model/uncaught-errors.ts
@@ -3,6 +3,8 @@
  * runtime ends the process at once, with all requests in progress.
  */
 
+import { inspect } from 'node:util';
+
 /** Source of the errors: the process, or an emitter in tests. */
 export interface ErrorSource {
   on(
@@ -26,6 +28,11 @@
   readonly first: Promise<number>;
   #count = 0;
 
+  /** Number of such errors since the start. */
+  get count(): number {
+    return this.#count;
+  }
+
   /** @param onError - called for each error; must not throw */
   constructor(onError: (error: UncaughtError) => void, source: ErrorSource = process) {
     this.first = new Promise((resolve) => {
@@ -41,6 +48,7 @@
   }
 }
 
+/** Never throws: a value without a prototype has no text. */
 function textOf(cause: unknown): string {
-  return cause instanceof Error ? (cause.stack ?? cause.message) : String(cause);
+  return cause instanceof Error ? (cause.stack ?? cause.message) : inspect(cause);
 }
