What is accepted as an address is what can be connected to

Cause: the records' check of an address was a pattern, and the URL parser of the clients knows more (`worker.999:9`, `a.0x9999999999:9`, `xn--a:9` throw as a client is made; `0x7f.1:9` reaches 127.0.0.1). The same text threw at every other reader: `connect` to entries (the agent's dial then ends the agent as a rejection that nobody handles), calls to an origin (`callHttp` threw outside its catch), probes of back ends, datagrams.

Why it works: one parser (src/model/address.ts) accepts a text only if the URL parser keeps its host, and records, origin, settings, connections, datagrams and probes all use it. A row that it rejects is left out, counted and logged once, as any other; a seed is left out with a warning; other settings are a reason not to start.

--- a/emulator/store/memory-store.ts
+++ b/emulator/store/memory-store.ts
@@ -78,7 +78,7 @@
   }
 
   /** Writes one row at once, whatever is wrong with the store: as the operator and back ends do. */
-  write(table: string, key: string, value: string | undefined): number {
+  write(table: string, key: string, value: string | Buffer | undefined): number {
     this.#commit([
       { table, partition: '', key, value: value === undefined ? undefined : Buffer.from(value) },
     ]);
--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -48,6 +48,7 @@
 /** Sends a call and reads the whole answer. Status 429 and statuses from 500 are errors. */
 export async function callHttp(call: HttpCall): Promise<Result<HttpAnswer, PlatformError>> {
   let stream: HttpStream;
+  if (!URL.canParse(call.url)) return failure(unavailable(call, 'not a URL', DEFAULT_RETRY_AFTER));
   const { origin } = new URL(call.url);
   const pool = poolOf(origin);
   try {
--- a/src/forwarding/back-end-probe.ts
+++ b/src/forwarding/back-end-probe.ts
@@ -1,6 +1,7 @@
 /** Probes of a back end beside the requests of callers: whether its machine accepts connections, and its health answer. */
 import { connect } from 'node:net';
 import { Client } from 'undici';
+import { addressOf } from '../model/address.js';
 import type { BackEndIdentity } from '../model/back-end-identity.js';
 import type { HeaderNames } from './header-names.js';
 
@@ -26,9 +27,9 @@
 
 /** Opens a connection to `host:port` and closes it again. */
 export function probeConnection(address: string): Promise<ProbeResult> {
-  const [host, port] = address.split(':');
+  const { host, port } = addressOf(address);
   return new Promise((resolve) => {
-    const socket = connect({ host, port: Number(port), timeout: CONNECT_TIMEOUT });
+    const socket = connect({ host, port, timeout: CONNECT_TIMEOUT });
     const settle = (result: ProbeResult) => {
       socket.destroy();
       resolve(result);
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
+import { addressOf } from '../model/address.js';
 import type { Random } from '../model/random.js';
 import { StallDetector } from '../model/stall-detector.js';
 import type { Startable } from '../model/startable.js';
@@ -213,7 +214,7 @@
   }
 
   async start(): Promise<void> {
-    const [host, port] = this.#address.split(':');
+    const { host, port } = addressOf(this.#address);
     const server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT, requestTimeout: 0 },
       (request, response) => this.#accept(request, response),
@@ -227,7 +228,7 @@
     this.#remainders = new RequestRemainders(server);
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(Number(port), host, resolve);
+      server.listen(port, host, resolve);
     });
     this.#server = server;
     this.#components.fleet.listen({
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
 import { type RawData, WebSocket, WebSocketServer } from 'ws';
+import { addressOf, parseAddress } from '../model/address.js';
 import type { HybridClock, Stamp } from '../model/hybrid-clock.js';
 import { failure, type Result, success } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
@@ -279,6 +280,7 @@
 ): Promise<Result<Connection, ConnectionError>> {
   return new Promise((resolve) => {
     if (signal.aborted) return resolve(unreachable(address, 'aborted'));
+    if (parseAddress(address) === undefined) return resolve(unreachable(address, 'not an address'));
     const socket = new WebSocket(`ws://${address}`, {
       perMessageDeflate: false,
       maxPayload: MAX_FRAME_BYTES,
@@ -316,7 +318,7 @@
   }
 
   async start(): Promise<void> {
-    const [host, port] = this.#address.split(':');
+    const { host, port } = addressOf(this.#address);
     const http = this.#onRequest === undefined ? createServer() : createServer(this.#onRequest);
     closeIdleConnectionsOnceRead(http);
     const options = { server: http, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES };
@@ -324,7 +326,7 @@
     sockets.on('connection', (socket) => this.#accept(socket));
     await new Promise<void>((resolve, reject) => {
       sockets.once('error', reject);
-      http.listen(Number(port), host, resolve);
+      http.listen(port, host, resolve);
     });
     this.#http = http;
     this.#sockets = sockets;
--- a/src/protocol/datagrams.ts
+++ b/src/protocol/datagrams.ts
@@ -4,6 +4,7 @@
  * for each pair.
  */
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
+import { type Address, addressOf, parseAddress } from '../model/address.js';
 import type { Startable } from '../model/startable.js';
 import { decode, encode } from './codec.js';
 import type { ConnectionContext } from './connection.js';
@@ -11,6 +12,8 @@
 
 /** Bytes that UDP and IP headers add to a datagram. */
 const DATAGRAM_OVERHEAD_BYTES = 28;
+/** Destinations that are kept parsed: several times the agents of the largest deployment, whose addresses change with restarts. */
+const MAX_DESTINATIONS = 10_000;
 
 /** Handles a message; `from` is the `host:port` of its sender. */
 export type DatagramHandler = (message: Message, from: string) => void;
@@ -21,6 +24,8 @@
   readonly #context: ConnectionContext;
   readonly #handler: DatagramHandler;
   #socket: Socket | undefined;
+  /** Parsed destinations; undefined for what is no address. */
+  readonly #destinations = new Map<string, Address | undefined>();
   /** Number of datagrams not yet handed to the operating system. */
   #unsent = 0;
   #onAllSent: (() => void) | undefined;
@@ -34,12 +39,12 @@
 
   /** Throws if the address cannot be bound. */
   async start(): Promise<void> {
-    const [address, port] = this.#address.split(':');
+    const { host: address, port } = addressOf(this.#address);
     const socket = createSocket('udp4');
     socket.on('message', (bytes, from) => this.#receive(bytes, from));
     await new Promise<void>((resolve, reject) => {
       socket.once('error', reject);
-      socket.bind({ address, port: Number(port), exclusive: true }, resolve);
+      socket.bind({ address, port, exclusive: true }, resolve);
     });
     socket.removeAllListeners('error');
     // A datagram that cannot be sent counts as lost; senders must cope with missing answers anyway.
@@ -58,15 +63,23 @@
     socket?.close();
   }
 
-  /** Sends `message` to `host:port` without a delivery guarantee. */
+  /** Sends `message` to `host:port` without a delivery guarantee; what is no address gets nothing. */
   send(to: string, message: Message): void {
-    if (this.#socket === undefined) return;
+    const address = this.#destination(to);
+    if (this.#socket === undefined || address === undefined) return;
     const { clock, counters } = this.#context;
     const bytes = encode(message, clock.next());
-    const [address, port] = to.split(':');
     counters.controlSent += bytes.byteLength + DATAGRAM_OVERHEAD_BYTES;
     this.#unsent++;
-    this.#socket.send(bytes, Number(port), address, () => this.#noteSent());
+    this.#socket.send(bytes, address.port, address.host, () => this.#noteSent());
+  }
+
+  #destination(to: string): Address | undefined {
+    if (!this.#destinations.has(to)) {
+      if (this.#destinations.size >= MAX_DESTINATIONS) this.#destinations.clear();
+      this.#destinations.set(to, parseAddress(to));
+    }
+    return this.#destinations.get(to);
   }
 
   #noteSent(): void {
--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from 'node:stream';
 import type Router from '@koa/router';
 import Koa from 'koa';
+import { addressOf } from '../model/address.js';
 import type { Startable } from '../model/startable.js';
 import { ClientErrorHandler } from './client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from './idle-connections.js';
@@ -22,14 +23,14 @@
   let server: Server | undefined;
   return {
     async start() {
-      const [host, port] = address.split(':');
+      const { host, port } = addressOf(address);
       const created = createServer(handler);
       new ClientErrorHandler(created, rejectMalformedRequest);
       closeIdleConnectionsOnceRead(created);
       new RequestRemainders(created);
       await new Promise<void>((resolve, reject) => {
         created.once('error', reject);
-        created.listen(Number(port), host, resolve);
+        created.listen(port, host, resolve);
       });
       server = created;
     },
--- a/test/platform/entry-processes.ts
+++ b/test/platform/entry-processes.ts
@@ -42,6 +42,8 @@
   readonly folder = mkdtempSync(join(tmpdir(), 'thistleway-entries-'));
   readonly #processes: EntryProcess[] = [];
   readonly #network: number;
+  /** Seeds of the processes that are started. */
+  seeds: string[] = [];
   store = new MemoryStore();
   backEnd!: StandInBackEnd;
   #storeAddress = '';
@@ -80,17 +82,28 @@
     this.#stopStore = wire.stop;
     this.#storeAddress = wire.address;
     this.backEnd = await new StandInBackEnd(script).start();
+    this.configure(1);
+    this.list('i-1', { address: this.backEnd.address });
+  }
+
+  /** Writes a configuration with the usual routes and more of them; each service is declared. */
+  configure(version: number, more: ReadonlyArray<{ service: string; [field: string]: unknown }> = []): void {
     const route = { host: HOST, service: 'plain', timeout_ms: 20_000, slo_ms: 400, priority: 1 };
     const configuration = {
-      version: 1,
+      version,
       routes: [
         { ...route, name: 'once', path_prefix: '/once/', kind: 'non_idempotent', max_attempts: 1 },
         { ...route, name: 'again', path_prefix: '/again/', kind: 'idempotent', max_attempts: 2 },
+        ...more.map((fields) => ({ ...route, ...fields })),
       ],
-      services: [{ name: 'plain', max_conns: 50 }],
+      services: ['plain', ...more.map(({ service }) => service)].map((name) => ({ name, max_conns: 50 })),
     };
     this.store.write('op', 'config', JSON.stringify(configuration));
-    this.list('i-1', { address: this.backEnd.address });
+  }
+
+  /** Number of the process that is started next. */
+  get nextNumber(): number {
+    return this.#started + 1;
   }
 
   /** Writes the record of a back end; fields of `change` replace the usual ones. */
@@ -106,18 +119,29 @@
     this.#stopStore();
   }
 
-  /** Starts an entry with its settings in a file. */
-  async startEntry(environment: Record<string, string> = {}): Promise<EntryProcess> {
-    const { file, callers, settings } = await this.nextSettings();
+  /**
+   * Starts a process with its settings in a file.
+   * @param changes - fields of the settings that replace the usual ones
+   */
+  async startProcess(
+    role: 'entry' | 'agent',
+    changes: object = {},
+    environment: Record<string, string> = {},
+  ): Promise<EntryProcess> {
+    const { file, callers, settings } = await this.nextSettings(changes);
     writeFileSync(file, settings);
-    return this.spawn(file, callers, environment);
+    return this.spawn(file, callers, { role, environment });
+  }
+
+  startEntry(environment: Record<string, string> = {}): Promise<EntryProcess> {
+    return this.startProcess('entry', {}, environment);
   }
 
-  /** Settings of another entry, and the path of its settings file, which is not written. */
-  async nextSettings(): Promise<{ file: string; callers: string; settings: string }> {
+  /** Settings of another process, and the path of its settings file, which is not written. */
+  async nextSettings(changes: object = {}): Promise<{ file: string; callers: string; settings: string }> {
     const number = ++this.#started;
     const callers = await freeAddress();
-    const ip = `127.${SUBNET}.${this.#network}.${number}`;
+    const ip = this.ip(number);
     const settings = JSON.stringify({
       node_name: `entry-${number}`,
       machine_class: 'front',
@@ -125,16 +149,27 @@
       zone: 'zone-a',
       region: 'region-a',
       port_range: [7_700, 7_715],
+      seeds: this.seeds,
       zones: { 'zone-a': 'region-a' },
       listen: { front: callers, ready: `${ip}:8002`, control: `${ip}:8000`, directory: `${ip}:8009` },
       bounds: { grace_s: GRACE_SECONDS, ttl_max_s: 1 },
       platform: { address: this.#storeAddress },
+      ...changes,
     });
     return { file: join(this.folder, `entry-${number}.json`), callers, settings };
   }
 
-  spawn(settingsFile: string, callers: string, environment: Record<string, string> = {}): EntryProcess {
-    const child = spawn(process.execPath, [join(this.folder, 'roles.cjs'), 'entry'], {
+  /** Address of the process that was started as number `number`, from 1 on. */
+  ip(number: number): string {
+    return `127.${SUBNET}.${this.#network}.${number}`;
+  }
+
+  spawn(
+    settingsFile: string,
+    callers: string,
+    { role = 'entry', environment = {} }: { role?: string; environment?: Record<string, string> } = {},
+  ): EntryProcess {
+    const child = spawn(process.execPath, [join(this.folder, 'roles.cjs'), role], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, ...environment, THISTLEWAY_BOOT: settingsFile },
     });
--- /dev/null
+++ b/test/platform/odd-rows.test.ts
@@ -0,0 +1,225 @@
+/**
+ * Guards against one odd row of another writer among those of back ends: entries ended or stopped following the list, and requests
+ * of the row's service were lost. Real processes, with sockets; the row is written again at each heartbeat, and removed.
+ */
+import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import { StandInBackEnd } from '../forwarding/stand-in-back-end.js';
+import { until } from '../support.js';
+import { type EntryProcess, EntryProcesses, waitUntilServing } from './entry-processes.js';
+import { workerRow } from './wire-rows.js';
+
+const HEARTBEATS = 3;
+const HEARTBEAT = 300;
+/** Requests of each kind to each entry while the rows are there. */
+const REQUESTS = 24;
+
+const entries = new EntryProcesses(79);
+/** Breaks every second request off, so that requests are sent again. */
+let breaking: StandInBackEnd;
+let running: EntryProcess[];
+let attempts: number;
+
+const answer = (id: unknown) => ({ 'attempt-id': String(id) });
+
+beforeAll(() => entries.build());
+afterAll(() => entries.removeFolder());
+
+beforeEach(async () => {
+  attempts = 0;
+  await entries.start((request, response) => {
+    response.writeHead(200, answer(request.headers['attempt-id']));
+    response.end('done');
+  });
+  breaking = await new StandInBackEnd((request, response) => {
+    if (attempts++ % 2 === 0) return request.socket.destroy();
+    response.writeHead(200, answer(request.headers['attempt-id']));
+    response.end('done');
+  }).start();
+  // The second entry cannot reach the store and has everything from the first.
+  entries.seeds = [`${entries.ip(entries.nextNumber)}:8000`];
+  const first = await entries.startEntry();
+  const unreachable = { platform: { address: '127.0.0.1:1' } };
+  const second = await entries.startProcess('entry', unreachable);
+  const agent = await entries.startProcess('agent', { machine_class: 'side', app: entries.backEnd.address });
+  await Promise.all([first, second].map(waitUntilServing));
+  await until(() => agent.output.includes('agent started'), 'the agent');
+  running = [first, second, agent];
+});
+
+afterEach(async () => {
+  await entries.stop();
+  await breaking.stop();
+});
+
+/** Statuses of sequential requests to both entries, by kind and entry. */
+async function statusesOf(path: string, count = REQUESTS): Promise<number[]> {
+  const [first, second] = running;
+  const statuses = await Promise.all(
+    [first, second].map(async ({ callers }) => {
+      const own: number[] = [];
+      for (let request = 0; request < count; request++) own.push((await entries.send(callers, path)).status);
+      return own;
+    }),
+  );
+  return statuses.flat();
+}
+
+/** Checks that all processes live and that a change of the list reaches both entries. */
+async function expectFollowing(): Promise<void> {
+  const late = await new StandInBackEnd((request, response) => {
+    response.writeHead(200, answer(request.headers['attempt-id']));
+    response.end('late');
+  }).start();
+  entries.list('i-late', { address: late.address, service: 'late' });
+  entries.configure(2, [
+    { name: 'late', path_prefix: '/late/', kind: 'idempotent', max_attempts: 2, service: 'late' },
+  ]);
+  for (const { callers } of running.slice(0, 2))
+    await until(
+      async () => (await entries.send(callers, '/late/a')).body === 'late',
+      'the change of the list',
+    );
+  await late.stop();
+  for (const { child, output } of running) {
+    expect(child.exitCode).toBeNull();
+    expect(output).not.toContain('uncaught error');
+    expect(output).not.toContain('request abandoned');
+  }
+}
+
+const deep = (levels: number) => '['.repeat(levels) + ']'.repeat(levels);
+const row = (change: object = {}) =>
+  JSON.stringify(workerRow({ service: 'plain', slots: 8, layers: null, ...change }));
+/** A row in whose JSON the value of `field` is the text `value`. */
+const raw = (field: string, value: string) => row({ [field]: '@' }).replace('"@"', () => value);
+const FIELDS = Object.keys(workerRow({ born: 1, extra: 1 }));
+const ODD_VALUES = [
+  ['deeply nested', deep(30_000)],
+  ['a huge number', '1e400'],
+  ['a large number', '1e308'],
+  ['a number of 30,000 digits', '9'.repeat(30_000)],
+  ['a negative number', '-1'],
+  ['null', 'null'],
+  ['an object', '{"__proto__":{"x":1},"constructor":1}'],
+  ['a lone surrogate', '"\\ud800"'],
+  ['a control character', '"a\\u0000\\r\\n"'],
+  ['a long text', `"${'x'.repeat(60_000)}"`],
+] as const;
+
+/** Rows by key; each is written beside sound back ends of its service. */
+const ODD_ROWS: Array<[key: string, value: string | Buffer]> = [
+  ...FIELDS.flatMap((field) =>
+    ODD_VALUES.map(([name, value]): [string, string] => [`${field}: ${name}`, raw(field, value)]),
+  ),
+  ...[
+    ...[
+      'worker.999:9',
+      '0x7f.1:9',
+      'a.0x9999999999:9',
+      'xn--a:9',
+      '..:9',
+      '-a:9',
+      'a:0',
+      'a:65536',
+      'a:99999',
+      'a:-1',
+      'a:1e3',
+    ],
+    ...[
+      '[::1]:9',
+      'a b:9',
+      'a/b:9',
+      'a@b:9',
+      'http://a:9',
+      ':9',
+      'a:',
+      '10.0.0.256:9',
+      '127.1:9',
+      `${'a'.repeat(300)}:9`,
+    ],
+  ].map((address): [string, string] => [`address ${address}`, row({ address })]),
+  ['not JSON', '{"service":'],
+  ['deep alone', deep(30_000)],
+  ['empty', ''],
+  ['a number', '7'],
+  ['invalid UTF-8', Buffer.from([0x7b, 0xff, 0xfe, 0x7d])],
+  ['__proto__', row({ address: 'worker.999:9' })],
+  ['constructor', row({ address: 'xn--a:9' })],
+  ['\0', row({ address: 'worker.999:9' })],
+  ['a\nb', row({ address: 'worker.999:9' })],
+  ['i-1 ', row({ address: 'worker.999:9' })],
+];
+
+/** Writes the rows now and at some heartbeats, in which their `seq` rises. */
+async function writeAtHeartbeats(rows: typeof ODD_ROWS, whileThere: () => Promise<void>): Promise<void> {
+  let seq = 1;
+  const write = () => {
+    seq++;
+    for (const [key, value] of rows)
+      entries.store.write(
+        'servers',
+        key,
+        typeof value === 'string' ? value.replace('"seq":1', `"seq":${seq}`) : value,
+      );
+  };
+  write();
+  const heartbeat = setInterval(write, HEARTBEAT);
+  try {
+    await whileThere();
+    await until(() => seq > HEARTBEATS, 'the heartbeats');
+  } finally {
+    clearInterval(heartbeat);
+  }
+  for (const [key] of rows) entries.store.write('servers', key, undefined);
+}
+
+describe('odd rows among those of back ends cost no request and stop nothing', () => {
+  it('beside a sound back end', async () => {
+    await writeAtHeartbeats(ODD_ROWS, async () => {
+      expect(await statusesOf('/again/a')).toEqual(Array(2 * REQUESTS).fill(200));
+      expect(await statusesOf('/once/a')).toEqual(Array(2 * REQUESTS).fill(200));
+      await expectFollowing();
+    });
+    await until(async () => (await statusesOf('/again/a', 1)).every((status) => status === 200), 'service');
+  }, 60_000);
+
+  it('beside back ends that break requests off, so that they are sent again', async () => {
+    entries.list('i-2', { address: breaking.address });
+    await writeAtHeartbeats(ODD_ROWS, async () => {
+      const statuses = await statusesOf('/again/a');
+      expect(statuses.filter((status) => status !== 200 && status !== 502)).toEqual([]);
+      await expectFollowing();
+    });
+  }, 60_000);
+
+  it('alone in their service', async () => {
+    entries.store.write('servers', 'i-1', undefined);
+    await until(
+      async () => (await statusesOf('/again/a', 1)).every((status) => status === 503),
+      'the removal',
+    );
+    await writeAtHeartbeats(ODD_ROWS, async () => {
+      expect(await statusesOf('/again/a', 4)).toEqual(Array(8).fill(503));
+      await expectFollowing();
+    });
+    entries.list('i-1', { address: entries.backEnd.address });
+    await until(async () => (await statusesOf('/again/a', 1)).every((status) => status === 200), 'service');
+  }, 60_000);
+
+  it('one by one', async () => {
+    for (const [key, value] of ODD_ROWS.filter(([name]) => /^(address|slots|__|layers|\0)/.test(name))) {
+      entries.store.write('servers', key, value);
+      expect(await statusesOf('/again/a', 2)).toEqual(Array(4).fill(200));
+      entries.store.write('servers', key, undefined);
+    }
+    await expectFollowing();
+  }, 60_000);
+});
+
+it('a name that resolves to nothing, or to several addresses, costs no request', async () => {
+  entries.list('i-none', { address: 'nowhere.invalid:9' });
+  entries.list('i-several', { address: 'localhost:9' });
+  expect(await statusesOf('/again/a')).toEqual(Array(2 * REQUESTS).fill(200));
+  expect(await statusesOf('/once/a')).toEqual(Array(2 * REQUESTS).fill(200));
+  await expectFollowing();
+}, 60_000);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1485,6 +1485,13 @@
     replace: 'throw cause; (`',
     test: 'test/forwarding/error-in-step-of-attempt.test.ts',
   },
+  {
+    fault: 'an address is accepted that no URL can hold',
+    file: 'src/model/address.ts',
+    find: ' || !isKeptByUrl(host)',
+    replace: '',
+    test: 'test/model/address.test.ts',
+  },
   {
     fault: 'who waits for an answer at the end of a stop is not told',
     file: 'src/forwarding/forwarded-request.ts',
