During a stop the last answer closes a connection, not the first

What callers saw: of requests that were sent one after another without waiting for the answers, the first is answered and the connection closes; the others ran at back ends. Cause: from the order to stop on, each answer said `Connection: close`, and the server closes the connection after such an answer whatever it has read behind the request. The class: a process takes work, here by reading and forwarding it, before it is sure that it can answer.

Why it works: an answer closes its connection only if no further request has been read there. Pending responses by connection stand in one class, which the handling of malformed requests shares.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -99,7 +99,8 @@
       usualFailureShare: () => components.backEnds.usualFailureShare(this.#admitted.service),
     });
     this.#answer = new CallerAnswer(request, response, {
-      mustClose: () => components.drain.isUnderWay,
+      // Requests that have been read behind this one are answered on the same connection.
+      mustClose: () => components.drain.isUnderWay && components.isLastOnConnection(response),
       unread: components.unread,
     });
     response.on('close', () => this.#contain(() => this.#onCallerGone()));
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -14,6 +14,7 @@
 import type { Metrics } from '../observability/metrics.js';
 import { ClientErrorHandler } from '../server/client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
+import { PendingResponses } from '../server/pending-responses.js';
 import { RequestRemainders } from '../server/request-remainders.js';
 import { socketsRead } from '../server/sockets-read.js';
 import type { EventBudget } from '../systems/event-budget.js';
@@ -96,6 +97,8 @@
   returns: CallerReturns;
   budgetOf(service: string): RetryWindow;
   floor: ServiceFloor;
+  /** Whether no further request has been read on the connection of a response. */
+  isLastOnConnection(response: ServerResponse): boolean;
   /** @param admitted - undefined if the request was rejected on arrival */
   onSettled(
     request: ForwardedRequest,
@@ -117,6 +120,7 @@
   /** Open connections of callers. */
   readonly #connections = new Set<Socket>();
   #remainders: RequestRemainders | undefined;
+  #pending: PendingResponses | undefined;
   #timer: NodeJS.Timeout | undefined;
   readonly #standstills = new StallDetector(CHECK_INTERVAL, performance.now());
   /** Total time in which this process was not scheduled while requests were in progress, in milliseconds. */
@@ -134,6 +138,7 @@
     components: Omit<
       ForwardingComponents,
       | 'onSettled'
+      | 'isLastOnConnection'
       | 'durations'
       | 'expiryFigures'
       | 'moveMetrics'
@@ -160,6 +165,7 @@
       notices: new AnswerNotices({ ...components, metrics }),
       returns: new CallerReturns({ ...components, metrics }),
       floor,
+      isLastOnConnection: (response) => this.#pending?.isLast(response) ?? true,
       onSettled: (request, ending, milliseconds, admitted) => {
         this.#onSettled(request, outcomeOfEnding(ending), milliseconds);
         if (admitted !== undefined) this.#service.note(admitted, ending, performance.now());
@@ -219,6 +225,7 @@
       { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT, requestTimeout: 0 },
       (request, response) => this.#accept(request, response),
     );
+    this.#pending = new PendingResponses(server);
     new ClientErrorHandler(server, (_error, socket) => socket.destroy());
     server.on('connection', (socket) => {
       this.#connections.add(socket);
--- a/src/server/client-error-handler.ts
+++ b/src/server/client-error-handler.ts
@@ -4,17 +4,18 @@
  */
 import type { Server, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
+import { PendingResponses } from './pending-responses.js';
 
 /** Handles the client errors of one server. */
 export class ClientErrorHandler {
   readonly #failedSockets = new WeakSet<Duplex>();
-  /** Responses that have not been closed, in the order of their requests. */
-  readonly #responses = new Set<ServerResponse>();
+  readonly #pending: PendingResponses;
 
   /**
    * @param reject - closes a connection that has no pending response
    */
   constructor(server: Server, reject: (error: Error, socket: Duplex) => void) {
+    this.#pending = new PendingResponses(server);
     server.on('request', (_request, response) => this.#add(response));
     server.on('clientError', (error, socket) => {
       this.#failedSockets.add(socket);
@@ -23,9 +24,7 @@
   }
 
   #add(response: ServerResponse): void {
-    this.#responses.add(response);
     response.once('close', () => {
-      this.#responses.delete(response);
       const { socket } = response.req;
       if (this.#failedSockets.has(socket) && !this.#announceClose(socket)) socket.destroy();
     });
@@ -36,8 +35,7 @@
    * no response is pending.
    */
   #announceClose(socket: Duplex): boolean {
-    const pending = [...this.#responses].filter(({ req }) => req.socket === socket && req.complete);
-    const last = pending.at(-1);
+    const last = this.#pending.of(socket).findLast(({ req }) => req.complete);
     if (last === undefined) return false;
     if (!last.headersSent) last.shouldKeepAlive = false;
     return true;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1492,6 +1492,13 @@
     replace: '',
     test: 'test/model/address.test.ts',
   },
+  {
+    fault: 'an answer closes its connection while requests that were read behind it have none',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: ' && components.isLastOnConnection(response)',
+    replace: '',
+    test: 'test/forwarding/pipelined-request-at-stop.test.ts',
+  },
   {
     fault: 'who waits for an answer at the end of a stop is not told',
     file: 'src/forwarding/forwarded-request.ts',
