A connection that cannot be accepted is no error of the process

The servers of entries and agents had a listener for errors until they listened only, so that a failure to accept a connection, as descriptors have run out, would have been thrown as an 'error' that nobody listens to. Found beside: requests on such connections are closed unread.

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -5,7 +5,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Histogram } from 'prom-client';
 import type { FleetView } from '../fleet/fleet-view.js';
-import { addressOf } from '../model/address.js';
 import type { Random } from '../model/random.js';
 import { StallDetector } from '../model/stall-detector.js';
 import type { Startable } from '../model/startable.js';
@@ -14,6 +13,7 @@
 import type { Metrics } from '../observability/metrics.js';
 import { ClientErrorHandler } from '../server/client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
+import { listen } from '../server/listen.js';
 import { PendingResponses } from '../server/pending-responses.js';
 import { RequestRemainders } from '../server/request-remainders.js';
 import { socketsRead } from '../server/sockets-read.js';
@@ -220,7 +220,6 @@
   }
 
   async start(): Promise<void> {
-    const { host, port } = addressOf(this.#address);
     const server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT, requestTimeout: 0 },
       (request, response) => this.#accept(request, response),
@@ -233,10 +232,7 @@
     });
     closeIdleConnectionsOnceRead(server);
     this.#remainders = new RequestRemainders(server);
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, resolve);
-    });
+    await listen(server, this.#address);
     this.#server = server;
     this.#components.fleet.listen({
       onConfiguration: ({ configuration }) => {
--- a/src/protocol/connection.ts
+++ b/src/protocol/connection.ts
@@ -4,13 +4,14 @@
  */
 import { createServer, type RequestListener, type Server } from 'node:http';
 import { type RawData, WebSocket, WebSocketServer } from 'ws';
-import { addressOf, parseAddress } from '../model/address.js';
+import { parseAddress } from '../model/address.js';
 import type { HybridClock, Stamp } from '../model/hybrid-clock.js';
 import { failure, type Result, success } from '../model/result.js';
 import type { Startable } from '../model/startable.js';
 import { Ticker } from '../model/ticker.js';
 import { startLimit } from '../model/time-limit.js';
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
+import { listen } from '../server/listen.js';
 import { decode, encode, type StampedMessage } from './codec.js';
 import type { HelloMessage, Message } from './messages.js';
 
@@ -318,16 +319,14 @@
   }
 
   async start(): Promise<void> {
-    const { host, port } = addressOf(this.#address);
     const http = this.#onRequest === undefined ? createServer() : createServer(this.#onRequest);
     closeIdleConnectionsOnceRead(http);
     const options = { server: http, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES };
     const sockets = new WebSocketServer(options);
     sockets.on('connection', (socket) => this.#accept(socket));
-    await new Promise<void>((resolve, reject) => {
-      sockets.once('error', reject);
-      http.listen(port, host, resolve);
-    });
+    // The WebSocket server repeats the errors of the HTTP server, which are handled there.
+    sockets.on('error', () => {});
+    await listen(http, this.#address);
     this.#http = http;
     this.#sockets = sockets;
   }
--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -3,10 +3,10 @@
 import type { Duplex } from 'node:stream';
 import type Router from '@koa/router';
 import Koa from 'koa';
-import { addressOf } from '../model/address.js';
 import type { Startable } from '../model/startable.js';
 import { ClientErrorHandler } from './client-error-handler.js';
 import { closeIdleConnectionsOnceRead } from './idle-connections.js';
+import { listen } from './listen.js';
 import { RequestRemainders } from './request-remainders.js';
 import { socketsRead } from './sockets-read.js';
 
@@ -23,15 +23,11 @@
   let server: Server | undefined;
   return {
     async start() {
-      const { host, port } = addressOf(address);
       const created = createServer(handler);
       new ClientErrorHandler(created, rejectMalformedRequest);
       closeIdleConnectionsOnceRead(created);
       new RequestRemainders(created);
-      await new Promise<void>((resolve, reject) => {
-        created.once('error', reject);
-        created.listen(port, host, resolve);
-      });
+      await listen(created, address);
       server = created;
     },
     async stop() {
