A request times out only after the sockets have been read

What callers saw: 504, or a cut answer, for a request whose answer had arrived while its entry stood still. Cause: the same as of the resets at a stop: after a standstill timers run before sockets are read, and the time-out of a request took elapsed time as proof that nothing had come.

Evidence: test/forwarding/answer-unread-at-timeout.test.ts got 504 before, the answer now; a guard takes the wait out.

--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -12,6 +12,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { StallDetector } from '../model/stall-detector.js';
+import { socketsRead } from '../server/sockets-read.js';
 import { latestStart } from '../systems/capacity-wait.js';
 import { type AdmittedRequest, admit, type RejectedRequest } from './admitted-request.js';
 import {
@@ -115,7 +116,9 @@
     const rejected = this.#admit();
     if (rejected !== undefined) return this.#fail(rejected.error, rejected.route);
     const timeLeft = this.#admitted.timing.deadline - this.arrivedAt;
-    this.#timer = setTimeout(() => this.#contain(() => this.#onTimeout()), timeLeft);
+    // An answer that has arrived during a stall is read first.
+    const onTimeout = () => socketsRead().then(() => this.#contain(() => this.#onTimeout()));
+    this.#timer = setTimeout(() => void onTimeout(), timeLeft);
     this.#body = await readCallerBody(this.#request, this.#admitted.table.configuration.limits.bodyBytes);
     if (this.#settled) return;
     if (isTooLarge(this.#body)) return this.#fail({ type: 'bodyTooLarge' });
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1499,6 +1499,13 @@
     replace: '',
     test: 'test/forwarding/pipelined-request-at-stop.test.ts',
   },
+  {
+    fault: 'a request times out although its answer has arrived during a standstill',
+    file: 'src/forwarding/forwarded-request.ts',
+    find: 'const onTimeout = () => socketsRead().then(',
+    replace: 'const onTimeout = () => Promise.resolve().then(',
+    test: 'test/forwarding/answer-unread-at-timeout.test.ts',
+  },
   {
     fault: 'who waits for an answer at the end of a stop is not told',
     file: 'src/forwarding/forwarded-request.ts',
