Soak: callers send bodies around planned work, while entries get no processor for moments

Choice `uploads`: bodies of 2 to 512 KB, whole, in parts, in chunks, after 100-continue, beside signals, configurations and standstills of up to 0.4 s; all judges as before, which check the body at the worker.

--- a/test/platform/soak/callers.ts
+++ b/test/platform/soak/callers.ts
@@ -1,6 +1,7 @@
 /** Callers of a soak: they resolve entry addresses, keep connections open, send requests and check every answer. */
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
 import { hash32, type Random } from '../../../src/model/random.js';
+import { drawUpload, sendBody, type Upload, uploadHeaders } from './uploads.js';
 import { eventData, streamShape } from './workers.js';
 import { ADDRESS_LIFETIME, HOST, KEY, LONG_TIMEOUT, ROUTE_TIMEOUT, type SoakWorld, TENANT } from './world.js';
 
@@ -63,13 +64,15 @@
   parts?: string;
   /** The caller abandons the request after this time, in milliseconds. */
   abandonAfter?: number;
+  /** How the body is sent; at once if undefined. */
+  upload?: Upload | undefined;
 }
 
 /** Sends one request to an entry and resolves with its outcome. */
 export function sendRequest(
   entry: string,
   agent: Agent | undefined,
-  { id, kind, path, body, parts, abandonAfter }: RequestToSend,
+  { id, kind, path, body, parts, abandonAfter, upload }: RequestToSend,
 ): Promise<SentRequest> {
   const [host, port] = entry.split(':');
   const timeout = deadlineOf(kind);
@@ -84,6 +87,7 @@
     'Deadline-Ms': String(timeout),
     Tenant: 'forged',
     ...(parts === undefined ? {} : { 'Prompt-Prefix': parts }),
+    ...(upload === undefined ? {} : uploadHeaders(body, upload)),
   };
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
@@ -121,7 +125,8 @@
     });
     sent.on('close', () => clearTimeout(limit));
     sent.on('error', () => end());
-    sent.end(body);
+    if (upload === undefined) sent.end(body);
+    else void sendBody(sent, body, upload);
   });
 }
 
@@ -205,6 +210,14 @@
 
 const USUAL_KINDS = ['write', 'write', 'long', 'once', 'again'] as const;
 const KINDS_WITH_MOVED = ['write', 'long', 'moved', 'moved', 'once', 'again'] as const;
+const KINDS_WITH_BODIES = ['write', 'long', 'once', 'once', 'again', 'again'] as const;
+
+/** What a caller does besides the usual. */
+interface CallerTraits {
+  usesMovedRoute?: boolean;
+  /** Whether requests to plain services have bodies, which are sent in parts. */
+  sendsBodies?: boolean;
+}
 
 /** A caller that sends requests until it is stopped. */
 export class SoakCaller {
@@ -220,13 +233,20 @@
   /** Whether it keeps using its current entry while a connection to it is open. */
   readonly #isSticky: boolean;
   readonly #kinds: readonly SentRequest['kind'][];
+  readonly #sendsBodies: boolean;
   #entry: string | undefined;
   #addresses: string[] = [];
   #resolvedAt = Number.NEGATIVE_INFINITY;
   #running = true;
 
-  constructor(name: string, world: SoakWorld, random: Random, usesMovedRoute = false) {
-    this.#kinds = usesMovedRoute ? KINDS_WITH_MOVED : USUAL_KINDS;
+  constructor(
+    name: string,
+    world: SoakWorld,
+    random: Random,
+    { usesMovedRoute = false, sendsBodies = false }: CallerTraits = {},
+  ) {
+    this.#kinds = usesMovedRoute ? KINDS_WITH_MOVED : sendsBodies ? KINDS_WITH_BODIES : USUAL_KINDS;
+    this.#sendsBodies = sendsBodies;
     this.#name = name;
     this.#world = world;
     this.#random = random;
@@ -283,7 +303,10 @@
     const abandonAfter = isAbandoned ? 1 + this.#random.below(MAX_ABANDON_DELAY) : undefined;
     const subject = `b${(this.sent.length % SUBJECTS).toString(16)}`;
     const parts = isStream(kind) ? partsOf([FIRST_PART, subject], id) : undefined;
-    const toSend = { id, kind, path, body: `body of ${id}`, parts, abandonAfter };
+    const body = `body of ${id}`;
+    const { bytes, upload } =
+      this.#sendsBodies && !isStream(kind) ? drawUpload(this.#random) : { bytes: 0, upload: undefined };
+    const toSend = { id, kind, path, body: body.padEnd(bytes, 'b'), parts, abandonAfter, upload };
     const sent = await sendRequest(this.#chooseEntry(), this.#agent, toSend);
     this.sent.push(sent);
     this.violations.push(...judgeAnswer(sent));
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -12,6 +12,7 @@
 import { STALLS } from './stall-faults.js';
 import { STORE_RESTORES } from './store-restores.js';
 import { UNPLANNED } from './unplanned-faults.js';
+import { STANDSTILLS } from './uploads.js';
 import { WEIGHTS_FAULTS } from './weights-faults.js';
 import { RESTARTS, RESTARTS_OF_STAGED } from './worker-restarts.js';
 import type { SoakWorld } from './world.js';
@@ -39,10 +40,17 @@
   | 'cold'
   | 'stalls'
   | 'mixed'
-  | 'weights';
+  | 'weights'
+  | 'uploads';
 
 /** Choices whose draws differ much between adjacent seeds. */
-export const SCATTERS_SEED: ReadonlySet<FaultChoice> = new Set(['departures', 'stalls', 'mixed', 'weights']);
+export const SCATTERS_SEED: ReadonlySet<FaultChoice> = new Set([
+  'departures',
+  'stalls',
+  'mixed',
+  'weights',
+  'uploads',
+]);
 
 /** Choices in which configurations move a route that callers use. */
 export const MOVES_ROUTE: ReadonlySet<FaultChoice> = new Set(['stalls', 'mixed']);
@@ -93,6 +101,8 @@
   mixed: [...PLANNED, ...UNPLANNED, ...WEIGHTS_FAULTS, ...CONFIGURATIONS, ...STALLS, ...STALLS],
   // Meanwhile stages are slow, pieces turn corrupt and versions are named: see `weights-faults.ts`.
   weights: [...repeat(WEIGHTS_FAULTS, 2), ...RESTARTS_OF_STAGED],
+  // Callers send bodies, in parts; nothing excuses a request that is lost.
+  uploads: [...repeat(PLANNED, 2), ...CONFIGURATIONS, ...repeat(STANDSTILLS, 3)],
   drills: [...PLANNED, ...UNPLANNED, ...WEIGHTS_FAULTS, ...RESTARTS, ...repeat(STORE_RESTORES, 6)],
 };
 
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -3,7 +3,7 @@
  * faults end, all entries must serve according to the newest configuration and version again within a time limit.
  *
  * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|
- * leaving|departures|backoffs|evacuations|regions|cold|stalls|mixed|weights]
+ * leaving|departures|backoffs|evacuations|regions|cold|stalls|mixed|weights|uploads]
  * [--kept]` prints each seed's outcome. For a seed with violations it also prints the timeline of faults and keeps the logs, and the
  * exit code is 1.
  */
@@ -161,7 +161,10 @@
   let deadly: DeadlyContent | undefined;
   let deadlyPart: DeadlyPart | undefined;
   const callers = Array.from({ length: plan.callers }, (_, index) => {
-    return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index), MOVES_ROUTE.has(faults));
+    return new SoakCaller(`c${index}`, world, seededRandom(seed * 1_000 + index), {
+      usesMovedRoute: MOVES_ROUTE.has(faults),
+      sendsBodies: faults === 'uploads',
+    });
   });
   try {
     if (MOVES_ROUTE.has(faults)) world.declareMovedRoute();
