An error as an entry begins to stop does not end it at once

What callers saw: a closed connection without an answer, as their entry got SIGTERM. Cause: a stop that begins with an error (here of the announcement to the other entries) failed as a whole, and the process ended with its requests. Found by looking for further ways out of the process after an uncaught error, which may well meet its cause again in the stop.

The others notice a missing announcement by the silence of the entry. Drawn odd rows join the test of odd rows (300 a run with a fixed seed; more by ODD_ROW_BATCHES).

--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -256,7 +256,7 @@
   async leave(signalledAt = performance.now()): Promise<void> {
     const { log } = this.#components;
     this.#drain.begin(signalledAt);
-    this.#peers.announce('all');
+    this.#announceLeaving();
     log.info('entry leaves', { inProgress: this.#forwarding.active });
     while (this.#drain.acceptsConnections(performance.now(), this.#forwarding.timeSinceLastRequest)) {
       await pause();
@@ -275,6 +275,15 @@
       log.warn('parts have not stopped', { after: STOP_TIMEOUT });
   }
 
+  /** The others notice without it that this entry leaves, only later; an error here must not cut off callers. */
+  #announceLeaving(): void {
+    try {
+      this.#peers.announce('all');
+    } catch (cause) {
+      this.#components.log.error('leaving was not announced', { cause: String(cause) });
+    }
+  }
+
   async stop(): Promise<void> {
     await this.#parts.stop();
     this.#poison.stop();
--- a/test/platform/failing-entry.ts
+++ b/test/platform/failing-entry.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 import { connect } from 'node:net';
 import '../../platform/main.js';
+import { EntryPeers } from '../../src/peers/entry-peers.js';
 
 function fail(): never {
   throw new Error('provoked');
@@ -20,6 +21,11 @@
   },
   errorEvent: () => void setImmediate(() => new EventEmitter().emit('error', new Error('provoked'))),
   promise: () => void Promise.reject(new Error('provoked')),
+  // The stop that the first error orders meets another one.
+  stop: () => {
+    EntryPeers.prototype.announce = fail;
+    setTimeout(fail, 1);
+  },
   noError: () => void Promise.reject(undefined),
 };
 
--- a/test/platform/odd-rows.test.ts
+++ b/test/platform/odd-rows.test.ts
@@ -2,7 +2,9 @@
  * Guards against one odd row of another writer among those of back ends: entries ended or stopped following the list, and requests
  * of the row's service were lost. Real processes, with sockets; the row is written again at each heartbeat, and removed.
  */
+import fc from 'fast-check';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import { platformRecords } from '../../platform/records.js';
 import { StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
 import { type EntryProcess, EntryProcesses, waitUntilServing } from './entry-processes.js';
@@ -10,6 +12,7 @@
 
 const HEARTBEATS = 3;
 const HEARTBEAT = 300;
+const DRAWN_ROWS = 300;
 /** Requests of each kind to each entry while the rows are there. */
 const REQUESTS = 24;
 
@@ -216,6 +219,64 @@
   }, 60_000);
 });
 
+/** Draws the text of a field's value: sound, or of a wrong type, size or form. */
+const drawnValue = (sound: unknown) =>
+  fc.oneof(
+    { weight: 3, arbitrary: fc.constant(JSON.stringify(sound) ?? 'null') },
+    { weight: 1, arbitrary: fc.constantFrom(...ODD_VALUES.map(([, value]) => value)) },
+    { weight: 1, arbitrary: fc.jsonValue().map((value) => JSON.stringify(value)) },
+  );
+const drawnAddress = fc
+  .oneof(
+    fc.string({ maxLength: 12 }),
+    fc.constantFrom('worker.', '0x', 'xn--', 'a.', '127.'),
+    fc.nat().map(String),
+  )
+  .chain((host) =>
+    fc.oneof(fc.nat(99_999).map(String), fc.string({ maxLength: 5 })).map((port) => `${host}:${port}`),
+  );
+
+/** Rows of which at most some are sound, and those name an address that refuses connections. */
+const drawnRow = fc
+  .tuple(
+    fc.string({ minLength: 1, maxLength: 30 }),
+    fc.record(
+      Object.fromEntries(
+        Object.entries(workerRow({ service: 'plain', layers: null, born: 1 })).map(([field, sound]) => [
+          field,
+          field === 'address' ? drawnAddress.map((text) => JSON.stringify(text)) : drawnValue(sound),
+        ]),
+      ),
+      { requiredKeys: ['address', 'service'] },
+    ),
+  )
+  .map(([key, fields]): [string, string] => [
+    `drawn ${key}`,
+    `{${Object.entries(fields)
+      .map(([field, value]) => `${JSON.stringify(field)}:${value}`)
+      .join(',')}}`,
+  ]);
+
+it('drawn rows cost no request and stop nothing', async () => {
+  const batches = Number(process.env.ODD_ROW_BATCHES ?? 1);
+  for (let batch = 0; batch < batches; batch++) {
+    const drawn = fc.sample(drawnRow, {
+      seed: Number(process.env.ODD_ROW_SEED ?? 82) + batch,
+      numRuns: DRAWN_ROWS,
+    });
+    const rows = drawn.filter(([key, value]) => {
+      const stored = { table: 'servers', partition: '', key, value: Buffer.from(value), revision: 1 };
+      return !platformRecords.backEnd(stored).ok;
+    });
+    expect(rows.length).toBeGreaterThan(DRAWN_ROWS / 2);
+    await writeAtHeartbeats([...rows, ['refuses', row({ address: '127.0.0.1:1' })]], async () => {
+      expect(await statusesOf('/again/a', 8)).toEqual(Array(16).fill(200));
+      expect(await statusesOf('/once/a', 8)).toEqual(Array(16).fill(200));
+    });
+  }
+  await expectFollowing();
+}, 600_000);
+
 it('a name that resolves to nothing, or to several addresses, costs no request', async () => {
   entries.list('i-none', { address: 'nowhere.invalid:9' });
   entries.list('i-several', { address: 'localhost:9' });
--- a/test/platform/uncaught-error.test.ts
+++ b/test/platform/uncaught-error.test.ts
@@ -43,3 +43,18 @@
     if (failure !== 'noError') expect(JSON.parse(lines[0]).cause).toContain('provoked');
     expect(one.output).toContain('"message":"process ends"');
   });
+
+it('an error as an entry begins to stop loses no request', async () => {
+  const one = await entries.startEntry({ FAILURE: 'stop' });
+  await waitUntilServing(one);
+  const answer = entries.send(one.callers);
+  await until(() => held.length === 1, 'a request at its back end');
+  one.child.kill('SIGUSR2');
+  await until(() => one.output.includes('uncaught error'), 'the line of the error');
+  one.child.kill('SIGTERM');
+  const ended = exitWithin(one);
+  await until(() => /"message":"(entry leaves|process fails)"/.test(one.output), 'the stop');
+  setTimeout(() => held[0](), 300);
+  expect(await answer).toEqual({ status: 200, body: 'done', whole: true });
+  expect(await ended).toEqual({ code: 1, signal: null });
+});
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1506,6 +1506,13 @@
     replace: 'const onTimeout = () => Promise.resolve().then(',
     test: 'test/forwarding/answer-unread-at-timeout.test.ts',
   },
+  {
+    fault: 'an error as an entry begins to stop ends it at once',
+    file: 'src/roles/direct-entry.ts',
+    find: 'this.#announceLeaving();',
+    replace: "this.#peers.announce('all');",
+    test: 'test/platform/uncaught-error.test.ts',
+  },
   {
     fault: 'who waits for an answer at the end of a stop is not told',
     file: 'src/forwarding/forwarded-request.ts',
