--- a/test/platform/soak/engine.ts
+++ b/test/platform/soak/engine.ts
@@ -145,6 +145,17 @@
     return this.stage.hasOther(this.#version);
   }
 
+  /** Number of requests that it runs. */
+  get active(): number {
+    return this.#active;
+  }
+
+  /** Whether it would run another request if a slot is free. */
+  get takesRequests(): boolean {
+    const isStandingStill = performance.now() < this.#standsStillUntil;
+    return !this.#isStopped && !this.#isBusy && !isStandingStill && this.#servedVersion > 0;
+  }
+
   /** Whether requests are running. */
   get hasRequests(): boolean {
     return this.#active > 0;
