--- a/emulator/store/memory-store.ts
+++ b/emulator/store/memory-store.ts
@@ -86,8 +86,12 @@
   }
 
   /** Writes rows of one table in one change, as {@link write} does: readers that wait are told once. */
-  writeAll(table: string, rows: ReadonlyArray<[key: string, value: string]>): void {
-    this.#commit(rows.map(([key, value]) => ({ table, partition: '', key, value: Buffer.from(value) })));
+  writeAll(table: string, rows: ReadonlyArray<[key: string, value: string | Buffer | undefined]>): void {
+    this.#commit(
+      rows.map(([key, value]) => {
+        return { table, partition: '', key, value: value === undefined ? undefined : Buffer.from(value) };
+      }),
+    );
   }
 
   /** Forgets which rows changed when. */
