--- a/test/platform/entry-processes.ts
+++ b/test/platform/entry-processes.ts
@@ -14,6 +14,9 @@
 
 export const HOST = 'stop.example';
 export const GRACE_SECONDS = 4;
+/** Name of a service whose back ends are engines. */
+export const ENGINES = 'engines';
+const ENGINE = { slots: 8, models: [{ name: 'm' }], layers: 16, chunks: 48, chunk_bytes: 4_096, step_ms: 1 };
 /** Each process has its own loopback address, because its metrics port is fixed. */
 const SUBNET = 1 + (process.pid % 200);
 
@@ -94,9 +97,14 @@
       routes: [
         { ...route, name: 'once', path_prefix: '/once/', kind: 'non_idempotent', max_attempts: 1 },
         { ...route, name: 'again', path_prefix: '/again/', kind: 'idempotent', max_attempts: 2 },
+        { ...route, name: 'flow', path_prefix: '/flow/', kind: 'stream', resumable: true, max_attempts: 2 },
         ...more.map((fields) => ({ ...route, ...fields })),
       ],
-      services: ['plain', ...more.map(({ service }) => service)].map((name) => ({ name, max_conns: 50 })),
+      services: ['plain', ...more.map(({ service }) => service)].map((name) => ({
+        name,
+        max_conns: 50,
+        ...(name === ENGINES ? { engine: ENGINE } : {}),
+      })),
     };
     this.store.write('op', 'config', JSON.stringify(configuration));
   }
--- a/test/platform/odd-rows.test.ts
+++ b/test/platform/odd-rows.test.ts
@@ -7,7 +7,7 @@
 import { platformRecords } from '../../platform/records.js';
 import { StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
-import { type EntryProcess, EntryProcesses, waitUntilServing } from './entry-processes.js';
+import { ENGINES, type EntryProcess, EntryProcesses, waitUntilServing } from './entry-processes.js';
 import { workerRow } from './wire-rows.js';
 
 const HEARTBEATS = 3;
@@ -19,6 +19,7 @@
   max_attempts: 2,
   service: 'marker',
 };
+const ENGINE_LAYERS = '"layers":{"from":0,"target_version":16,"version":1}';
 const DRAWN_ROWS = 100;
 /** Requests of each kind to each entry while the rows are there. */
 const REQUESTS = 24;
@@ -80,14 +81,15 @@
 }
 
 /** Checks that all processes live and that a change of the list reaches both entries. */
-async function expectFollowing(): Promise<void> {
+async function expectFollowing(routes: Parameters<EntryProcesses['configure']>[1] = []): Promise<void> {
   const late = await new StandInBackEnd((request, response) => {
     response.writeHead(200, answer(request.headers['attempt-id']));
     response.end('late');
   }).start();
   entries.list('i-late', { address: late.address, service: 'late' });
-  entries.configure(2, [
+  entries.configure(3, [
     MARKER_ROUTE,
+    ...routes,
 
     { name: 'late', path_prefix: '/late/', kind: 'idempotent', max_attempts: 2, service: 'late' },
   ]);
@@ -232,6 +234,7 @@
     await writeAtHeartbeats(ODD_ROWS, async () => {
       expect(await statusesOf('/again/a')).toEqual(Array(2 * REQUESTS).fill(200));
       expect(await statusesOf('/once/a')).toEqual(Array(2 * REQUESTS).fill(200));
+      expect(await statusesOf('/flow/a')).toEqual(Array(2 * REQUESTS).fill(200));
       await expectFollowing();
     });
     await until(async () => (await statusesOf('/again/a', 1)).every((status) => status === 200), 'service');
@@ -260,6 +263,26 @@
     await until(async () => (await statusesOf('/again/a', 1)).every((status) => status === 200), 'service');
   }, 60_000);
 
+  it('beside a sound engine whose version is named', async () => {
+    const route = { name: 'write', path_prefix: '/write/', kind: 'stream', resumable: true, max_attempts: 2 };
+    entries.configure(2, [MARKER_ROUTE, { ...route, service: ENGINES }]);
+    entries.store.write('op', 'version/m', JSON.stringify({ model: 'm', version: 1 }));
+    const engine = workerRow({ address: entries.backEnd.address, slots: 8 });
+    entries.store.write('servers', 'i-engine', JSON.stringify(engine));
+    await until(async () => (await statusesOf('/write/a', 1)).every((status) => status === 200), 'service');
+    const rows = ODD_ROWS.map(([key, value]): Row => {
+      // The layers of a sound engine, unless they are what is odd.
+      const ofEngine = String(value)
+        .replace('"plain"', `"${ENGINES}"`)
+        .replace('"layers":null', ENGINE_LAYERS);
+      return [key, typeof value === 'string' ? ofEngine : value];
+    });
+    await writeAtHeartbeats(rows, async () => {
+      expect(await statusesOf('/write/a')).toEqual(Array(2 * REQUESTS).fill(200));
+      await expectFollowing([{ ...route, service: ENGINES }]);
+    });
+  }, 60_000);
+
   it('one by one', async () => {
     const keys = [
       'address worker.999:9',
