--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -30,6 +30,7 @@
 import { CallerAnswer } from './caller-answer.js';
 import { type CallerBody, isTooLarge, readCallerBody } from './caller-body.js';
 import { CompletionEstimate } from './completion-estimate.js';
+import { ContainedSteps } from './contained-steps.js';
 import type { SlotClaim } from './engine-slots.js';
 import { errorResponseOf, type ForwardingError } from './forwarding-errors.js';
 import type { ForwardingComponents } from './forwarding-server.js';
@@ -77,7 +78,10 @@
   /** The latest attempt that got an error response (5xx); the caller gets that response if no other back end answers. */
   #failedAnswer: BackEndUse | undefined;
   #settled = false;
-  readonly #onCallerEnded = () => this.#contain(() => this.#onCallerHalfClosed());
+  readonly #steps = new ContainedSteps((cause) => this.abandon(cause));
+  /** The steps after the request has been settled, each of which is taken whatever becomes of the others. */
+  readonly #endSteps = new ContainedSteps((cause) => this.#log.noteAbandoned(cause));
+  readonly #onCallerEnded = () => this.#steps.run(() => this.#onCallerHalfClosed());
 
   constructor(components: ForwardingComponents, request: IncomingMessage, response: ServerResponse) {
     this.#components = components;
@@ -104,7 +108,7 @@
       mustClose: () => components.drain.isUnderWay && components.isLastOnConnection(response),
       unread: components.unread,
     });
-    response.on('close', () => this.#contain(() => this.#onCallerGone()));
+    response.on('close', () => this.#steps.run(() => this.#onCallerGone()));
     // `close` of the response waits until buffered data has been written, which a caller that has gone never reads.
     request.socket.once('end', this.#onCallerEnded);
     response.on('error', () => {});
@@ -117,7 +121,7 @@
     if (rejected !== undefined) return this.#fail(rejected.error, rejected.route);
     const timeLeft = this.#admitted.timing.deadline - this.arrivedAt;
     // An answer that has arrived during a stall is read first.
-    const onTimeout = () => socketsRead().then(() => this.#contain(() => this.#onTimeout()));
+    const onTimeout = () => socketsRead().then(() => this.#steps.run(() => this.#onTimeout()));
     this.#timer = setTimeout(() => void onTimeout(), timeLeft);
     this.#body = await readCallerBody(this.#request, this.#admitted.table.configuration.limits.bodyBytes);
     if (this.#settled) return;
@@ -135,7 +139,7 @@
    * begun to answer, if the request has such content.
    */
   onQuarantined(): void {
-    this.#contain(() => this.#withdrawQuarantined());
+    this.#steps.run(() => this.#withdrawQuarantined());
   }
 
   #withdrawQuarantined(): void {
@@ -158,18 +162,9 @@
     this.#fail({ type: 'unavailable', reason, retryAfter });
   }
 
-  /** Runs a step that a timer, a socket or the client library calls, where an error would end the process. */
-  #contain(step: () => void): void {
-    try {
-      step();
-    } catch (cause) {
-      this.abandon(cause);
-    }
-  }
-
   /** Ends the request because the process exits: fails it with an error response, or cuts an answer that has begun. */
   stop(): void {
-    this.#contain(() => this.#stop());
+    this.#steps.run(() => this.#stop());
   }
 
   #stop(): void {
@@ -184,7 +179,7 @@
 
   /** Checks the open attempts, and looks for a replacement if all are silent; called at each `CHECK_INTERVAL` of the server. */
   check(now: number, standstills: StallDetector): void {
-    this.#contain(() => this.#check(now, standstills));
+    this.#steps.run(() => this.#check(now, standstills));
   }
 
   #check(now: number, standstills: StallDetector): void {
@@ -273,11 +268,11 @@
       mayGoOut: (row: BackEndRow, mustSend: boolean) => this.#policy.mayGoOut(row, mustSend),
     };
     return new AttemptFactory(this.#components, request, {
-      onAnswer: (use, answer) => this.#contain(() => this.#onAnswer(use, answer)),
-      onHead: (use, head) => this.#contain(() => this.#onHead(use, head)),
-      onPart: (use) => this.#contain(() => this.#onPart(use)),
-      onEnd: (use) => this.#contain(() => this.#onEnd(use)),
-      onFailure: (use, failure) => this.#contain(() => this.#onFailure(use, failure)),
+      onAnswer: (use, answer) => this.#steps.run(() => this.#onAnswer(use, answer)),
+      onHead: (use, head) => this.#steps.run(() => this.#onHead(use, head)),
+      onPart: (use) => this.#steps.run(() => this.#onPart(use)),
+      onEnd: (use) => this.#steps.run(() => this.#onEnd(use)),
+      onFailure: (use, failure) => this.#steps.run(() => this.#onFailure(use, failure)),
     });
   }
 
@@ -581,26 +576,14 @@
   #end(ending: RequestEnding): void {
     if (this.#settled) return;
     this.#settled = true;
-    // An error in one step must not keep the others from being done, least of all the answer.
-    this.#finish(() => this.#logEnding(ending));
-    this.#finish(() => this.#closeAnswered(ending));
-    this.#finish(() => this.#releaseResources(ending));
-    this.#finish(() => this.#components.onSettled(this, ending, this.#log.age, this.#admitted));
-    if (!this.#finish(() => this.#completeAnswer(ending)))
+    this.#endSteps.run(() => this.#logEnding(ending));
+    this.#endSteps.run(() => this.#closeAnswered(ending));
+    this.#endSteps.run(() => this.#releaseResources(ending));
+    this.#endSteps.run(() => this.#components.onSettled(this, ending, this.#log.age, this.#admitted));
+    if (!this.#endSteps.run(() => this.#completeAnswer(ending)))
       this.#answer.fail(errorResponseOf({ type: 'backEndFailed', reason: 'internal error' }), {});
   }
 
-  /** Runs a step of the end of the request; returns whether it succeeded. */
-  #finish(step: () => void): boolean {
-    try {
-      step();
-      return true;
-    } catch (cause) {
-      this.#log.noteAbandoned(cause);
-      return false;
-    }
-  }
-
   #completeAnswer(ending: RequestEnding): void {
     switch (ending.type) {
       case 'answered':
--- a/test/forwarding/idle-connection.test.ts
+++ b/test/forwarding/idle-connection.test.ts
@@ -2,11 +2,11 @@
  * Guards against closing a connection as idle while a request on it has not been read yet, so that the request got no answer.
  * This happens if the process is stalled when the request arrives.
  */
-import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { blockEventLoop, until } from '../support.js';
 import { ForwardingHarness } from './forwarding-harness.js';
+import { KeepingCaller } from './keeping-caller.js';
 import { routeNamed } from './routes.js';
 import { reply, StandInBackEnd } from './stand-in-back-end.js';
 
@@ -18,38 +18,6 @@
 let backEnd: StandInBackEnd;
 let forwarding: ForwardingHarness;
 
-/** A caller that keeps its connection. */
-class Caller {
-  readonly #socket: Socket;
-  #received = '';
-
-  constructor(address: string) {
-    const [host, port] = address.split(':');
-    this.#socket = connect({ host, port: Number(port) });
-    this.#socket.on('error', () => {});
-    this.#socket.on('data', (bytes) => {
-      this.#received += bytes;
-    });
-  }
-
-  get answers(): number {
-    return this.#received.split('HTTP/1.1 200 OK').length - 1;
-  }
-
-  get isClosed(): boolean {
-    return this.#socket.closed;
-  }
-
-  send(id: string): void {
-    const head = ['GET /read/a HTTP/1.1', 'Host: api.example', `x-request: ${id}`, 'x-key: key-a'];
-    this.#socket.write(`${head.join('\r\n')}\r\n\r\n`);
-  }
-
-  close(): void {
-    this.#socket.destroy();
-  }
-}
-
 beforeEach(async () => {
   backEnd = await new StandInBackEnd(reply(200, 'answer')).start();
   forwarding = new ForwardingHarness('billing');
@@ -70,10 +38,10 @@
 });
 
 /** Sends a first request on a new connection. */
-async function callerWithAnswer(): Promise<Caller> {
-  const caller = new Caller(forwarding.address);
+async function callerWithAnswer(): Promise<KeepingCaller> {
+  const caller = new KeepingCaller(forwarding.address, 'GET', '/read/a');
   caller.send('first');
-  await until(() => caller.answers === 1, 'the first answer');
+  await until(() => caller.servedAnswers === 1, 'the first answer');
   return caller;
 }
 
@@ -91,7 +59,7 @@
   await sleep(time - SENT_BEFORE_END);
   caller.send('second');
   blockEventLoop(STANDSTILL);
-  await until(() => caller.isClosed || caller.answers > 1, 'the second answer');
-  expect(caller.answers).toBe(2);
+  await until(() => caller.isClosed || caller.servedAnswers > 1, 'the second answer');
+  expect(caller.servedAnswers).toBe(2);
   caller.close();
 });
--- a/test/forwarding/request-unread-at-stop.test.ts
+++ b/test/forwarding/request-unread-at-stop.test.ts
@@ -2,12 +2,12 @@
  * Guards against closing connections at the end of a stop while requests on them have not been read, so that they got no
  * answer. This happens if the process is stalled when they arrive: its timers then fire before its sockets are read.
  */
-import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { STREAM_ROUTE } from '../../bench/simulation/stream-route.js';
 import { blockEventLoop, until } from '../support.js';
 import { ForwardingHarness } from './forwarding-harness.js';
+import { KeepingCaller } from './keeping-caller.js';
 import { events, StandInBackEnd } from './stand-in-back-end.js';
 
 /** Longer than the time for which connections stay open after the last answer. */
@@ -19,46 +19,7 @@
 let forwarding: ForwardingHarness;
 /** Ends the stream that the back end began last. */
 let endStream: () => void;
-let callers: Caller[];
-
-/** A caller that keeps its connection. */
-class Caller {
-  readonly #socket: Socket;
-  #received = '';
-
-  constructor(address: string) {
-    const [host, port] = address.split(':');
-    this.#socket = connect({ host, port: Number(port) });
-    this.#socket.on('error', () => {});
-    this.#socket.on('data', (bytes) => {
-      this.#received += bytes.toString('latin1');
-    });
-    callers.push(this);
-  }
-
-  /** Number of answers of which the head has been received. */
-  get answers(): number {
-    return this.#received.split('HTTP/1.1 ').length - 1;
-  }
-
-  /** Number of answers that have been received to their end. */
-  get wholeAnswers(): number {
-    return this.#received.split(/\r\n0\r\n\r\n|content-length: 0\r\n(?:.+\r\n)*\r\n/i).length - 1;
-  }
-
-  get isClosed(): boolean {
-    return this.#socket.closed;
-  }
-
-  send(id: string, body = ''): void {
-    const head = ['POST /write/a HTTP/1.1', 'Host: api.example', `X-Request: ${id}`, 'x-key: key-a'];
-    this.#socket.write(`${[...head, `Content-Length: ${body.length}`].join('\r\n')}\r\n\r\n${body}`);
-  }
-
-  close(): void {
-    this.#socket.destroy();
-  }
-}
+let callers: KeepingCaller[];
 
 beforeEach(async () => {
   callers = [];
@@ -90,52 +51,41 @@
 });
 
 /** A caller whose stream has begun, so that it has not been told to close its connection. */
-async function callerWithStream(): Promise<Caller> {
-  const caller = new Caller(forwarding.address);
+async function callerWithStream(): Promise<KeepingCaller> {
+  const caller = new KeepingCaller(forwarding.address, 'POST', '/write/a');
+  callers.push(caller);
   caller.send('first');
   await until(() => caller.answers === 1, 'the head of the stream');
   return caller;
 }
 
 /** Sends a request, and stalls the process until its timers are due; they fire before its sockets are read. */
-async function sendDuringStandstill(caller: Caller, body?: string): Promise<void> {
+async function sendDuringStandstill(caller: KeepingCaller, body?: string): Promise<void> {
   await new Promise((resolve) => setImmediate(resolve));
   caller.send('second', body);
   blockEventLoop(STANDSTILL);
 }
 
 describe('a request that arrives during a standstill at the end of a stop is answered', () => {
-  it('on a connection whose stream has just ended', async () => {
-    const caller = await callerWithStream();
-    forwarding.drain.begin(performance.now());
-    const left = forwarding.leave();
-    await sleep(100);
-    endStream();
-    await until(() => caller.wholeAnswers === 1, 'the end of the stream');
-    await sendDuringStandstill(caller);
-    await until(() => caller.isClosed || caller.answers === 2, 'the second answer');
-    expect(caller.answers).toBe(2);
-    endStream();
-    await left;
-    await until(() => caller.isClosed, 'the end of the connection');
-    expect(caller.wholeAnswers).toBe(2);
-  });
-
-  it('with a body', async () => {
-    const caller = await callerWithStream();
-    forwarding.drain.begin(performance.now());
-    const left = forwarding.leave();
-    await sleep(100);
-    endStream();
-    await until(() => caller.wholeAnswers === 1, 'the end of the stream');
-    await sendDuringStandstill(caller, 'b'.repeat(100_000));
-    await until(() => caller.isClosed || caller.answers === 2, 'the second answer');
-    expect(caller.answers).toBe(2);
-    endStream();
-    await left;
-    await until(() => caller.isClosed, 'the end of the connection');
-    expect(caller.wholeAnswers).toBe(2);
-  });
+  for (const [what, body] of [
+    ['without a body', ''],
+    ['with a body', 'b'.repeat(100_000)],
+  ])
+    it(`${what}, on a connection whose stream has just ended`, async () => {
+      const caller = await callerWithStream();
+      forwarding.drain.begin(performance.now());
+      const left = forwarding.leave();
+      await sleep(100);
+      endStream();
+      await until(() => caller.wholeAnswers === 1, 'the end of the stream');
+      await sendDuringStandstill(caller, body);
+      await until(() => caller.isClosed || caller.answers === 2, 'the second answer');
+      expect(caller.answers).toBe(2);
+      endStream();
+      await left;
+      await until(() => caller.isClosed, 'the end of the connection');
+      expect(caller.wholeAnswers).toBe(2);
+    });
 
   it('as the time of grace ends beside a stream that goes on', async () => {
     const caller = await callerWithStream();
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1467,14 +1467,14 @@
   {
     fault: 'an error as a request is sent again ends the process',
     file: 'src/forwarding/forwarded-request.ts',
-    find: 'this.#contain(() => this.#onFailure(use, failure))',
+    find: 'this.#steps.run(() => this.#onFailure(use, failure))',
     replace: 'this.#onFailure(use, failure)',
     test: 'test/forwarding/error-in-step-of-attempt.test.ts',
   },
   {
     fault: 'a request whose end meets an error gets no answer',
     file: 'src/forwarding/forwarded-request.ts',
-    find: 'this.#finish(() => this.#closeAnswered(ending));',
+    find: 'this.#endSteps.run(() => this.#closeAnswered(ending));',
     replace: 'this.#closeAnswered(ending);',
     test: 'test/forwarding/error-in-step-of-attempt.test.ts',
   },
