--- a/src/model/time-limit.ts
+++ b/src/model/time-limit.ts
@@ -116,7 +116,6 @@
     this.#limit = startLimit(this.#next, this.#onPassed);
   }
   /** Ends the limit: the call has ended. */
-  /** The call has ended. */
   end(): void {
     this.#limit.cancel();
     this.#signal.removeEventListener('abort', this.#onAborted);
--- a/src/model/uncaught-errors.ts
+++ b/src/model/uncaught-errors.ts
@@ -2,7 +2,6 @@
  * Errors that nobody handles: thrown in timers or events of sockets, and reasons of rejected promises. Without a listener the
  * runtime ends the process at once, with all requests in progress.
  */
-
 import { inspect } from 'node:util';
 
 /** Source of the errors: the process, or an emitter in tests. */
--- a/test/platform/uncaught-error.test.ts
+++ b/test/platform/uncaught-error.test.ts
@@ -44,6 +44,12 @@
     expect(one.output).toContain('"message":"process ends"');
   });
 
+it('invalid settings end the process at once, with the field', async () => {
+  const one = await entries.startProcess('entry', { platform: { address: 'worker.999:9' } });
+  expect(await exitWithin(one)).toEqual({ code: 1, signal: null });
+  expect(one.output).toContain('address');
+});
+
 it('an error as an entry begins to stop loses no request', async () => {
   const one = await entries.startEntry({ FAILURE: 'stop' });
   await waitUntilServing(one);
