--- a/src/roles/process-life.ts
+++ b/src/roles/process-life.ts
@@ -9,6 +9,17 @@
 
 const EXIT_FAILURE = 1;
 
+/** How a process ends. */
+export interface ProcessEnding {
+  /** Stops it in order; called with the time of the order, in milliseconds of the monotonic clock. */
+  leave: (orderedAt: number) => Promise<unknown>;
+  /**
+   * After an uncaught error the stop is ordered within this time, in milliseconds, drawn at random: processes that fail together,
+   * at the same data, must not leave together.
+   */
+  spread: number;
+}
+
 /** The life of one process. To be created before anything else, so that no signal ends the process. */
 export class ProcessLife {
   readonly #signal = new StopSignal(['SIGTERM']);
@@ -19,17 +30,8 @@
     this.#log = log;
   }
 
-  /**
-   * Runs `part` until the process ends.
-   * @param leave - stops it in order; called with the time of the order, in milliseconds of the monotonic clock
-   * @param spread - after an uncaught error the stop is ordered within this time, in milliseconds, drawn at random: processes that
-   * fail together, at the same data, must not leave together
-   */
-  async run(
-    part: Pick<Startable, 'start'>,
-    leave: (orderedAt: number) => Promise<unknown>,
-    spread: number,
-  ): Promise<never> {
+  /** Runs `part` until the process ends. */
+  async run(part: Pick<Startable, 'start'>, { leave, spread }: ProcessEnding): Promise<never> {
     const failed = this.#errors.first.then(() => this.#noteFailure(Math.random() * spread));
     const received = Promise.race([this.#signal.received, failed]);
     try {
