--- a/test/platform/odd-rows.test.ts
+++ b/test/platform/odd-rows.test.ts
@@ -4,6 +4,7 @@
  */
 import fc from 'fast-check';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import { freeAddress } from '../../bench/processes/child.js';
 import { platformRecords } from '../../platform/records.js';
 import { StandInBackEnd } from '../forwarding/stand-in-back-end.js';
 import { until } from '../support.js';
@@ -21,6 +22,9 @@
 };
 const ENGINE_LAYERS = '"layers":{"from":0,"target_version":16,"version":1}';
 const DRAWN_ROWS = 100;
+/** Log lines about requests that were not served, and why. */
+const UNSERVED =
+  /"message":"(ended|no back end|attempt failed|failure passed on|back end silent|stood still)"/;
 /** Requests of each kind to each entry while the rows are there. */
 const REQUESTS = 24;
 
@@ -55,7 +59,8 @@
   const first = await entries.startEntry();
   const unreachable = { platform: { address: '127.0.0.1:1' } };
   const second = await entries.startProcess('entry', unreachable);
-  const agent = await entries.startProcess('agent', { machine_class: 'side', app: entries.backEnd.address });
+  // Its engine is no back end of the list, whose requests would need slots of the agent.
+  const agent = await entries.startProcess('agent', { machine_class: 'side', app: await freeAddress() });
   await Promise.all([first, second].map(waitUntilServing));
   await until(() => agent.output.includes('agent started'), 'the agent');
   running = [first, second, agent];
@@ -80,6 +85,18 @@
   return statuses.flat();
 }
 
+/** Checks that all requests are served; a failure shows how the entries ended those that were not. */
+async function expectServed(path: string, count = REQUESTS): Promise<void> {
+  const statuses = await statusesOf(path, count);
+  const ends = running.flatMap(({ output }) =>
+    output
+      .split('\n')
+      .filter((line) => UNSERVED.test(line))
+      .slice(-20),
+  );
+  expect(statuses, ends.join('\n')).toEqual(Array(2 * count).fill(200));
+}
+
 /** Checks that all processes live and that a change of the list reaches both entries. */
 async function expectFollowing(routes: Parameters<EntryProcesses['configure']>[1] = []): Promise<void> {
   const late = await new StandInBackEnd((request, response) => {
@@ -232,9 +249,9 @@
 describe('odd rows among those of back ends cost no request and stop nothing', () => {
   it('beside a sound back end', async () => {
     await writeAtHeartbeats(ODD_ROWS, async () => {
-      expect(await statusesOf('/again/a')).toEqual(Array(2 * REQUESTS).fill(200));
-      expect(await statusesOf('/once/a')).toEqual(Array(2 * REQUESTS).fill(200));
-      expect(await statusesOf('/flow/a')).toEqual(Array(2 * REQUESTS).fill(200));
+      await expectServed('/again/a');
+      await expectServed('/once/a');
+      await expectServed('/flow/a');
       await expectFollowing();
     });
     await until(async () => (await statusesOf('/again/a', 1)).every((status) => status === 200), 'service');
@@ -278,7 +295,7 @@
       return [key, typeof value === 'string' ? ofEngine : value];
     });
     await writeAtHeartbeats(rows, async () => {
-      expect(await statusesOf('/write/a')).toEqual(Array(2 * REQUESTS).fill(200));
+      await expectServed('/write/a');
       await expectFollowing([{ ...route, service: ENGINES }]);
     });
   }, 60_000);
@@ -295,8 +312,8 @@
     for (const [key, value] of ODD_ROWS.filter(([name]) => keys.includes(name))) {
       entries.store.write('servers', key, value);
       await untilKnown();
-      expect(await statusesOf('/again/a', 4)).toEqual(Array(8).fill(200));
-      expect(await statusesOf('/once/a', 4)).toEqual(Array(8).fill(200));
+      await expectServed('/again/a', 4);
+      await expectServed('/once/a', 4);
       entries.store.write('servers', key, undefined);
     }
     await expectFollowing();
@@ -349,8 +366,8 @@
       numRuns: DRAWN_ROWS,
     });
     await writeAtHeartbeats([...drawn.map(movedIfUsable), ['refuses', row()]], async () => {
-      expect(await statusesOf('/again/a', 8)).toEqual(Array(16).fill(200));
-      expect(await statusesOf('/once/a', 8)).toEqual(Array(16).fill(200));
+      await expectServed('/again/a', 8);
+      await expectServed('/once/a', 8);
     });
     // The stand-in searches all changes that it remembers.
     entries.store.forgetHistory();
@@ -361,7 +378,7 @@
 it('a name that resolves to nothing, or to several addresses, costs no request', async () => {
   entries.list('i-none', { address: 'nowhere.invalid:9' });
   entries.list('i-several', { address: 'localhost:9' });
-  expect(await statusesOf('/again/a')).toEqual(Array(2 * REQUESTS).fill(200));
-  expect(await statusesOf('/once/a')).toEqual(Array(2 * REQUESTS).fill(200));
+  await expectServed('/again/a');
+  await expectServed('/once/a');
   await expectFollowing();
 }, 60_000);
