A stopping entry takes only requests whose deadline is before its exit

Cause: from 1.3 s after SIGTERM on an entry took what it expected to end in time: the longest of at least 16 recent requests of the route and size, times 1.35. Answers that become slower by more than that outlast it, and they do where entries stop in series. Callers whose answer had begun before the signal cannot be told to leave, and send their next request on the same connection, at any time in the stop.

Why it works: the deadline of a request, or the timeout of its route, is an upper bound of its time; an estimate is none, whatever its factor. LongestDurations and CompletionEstimate go, and the unit test of the former with them: what it checked no longer exists; the test of the schedule and the new one check the bound. A request that cannot be promised is refused before its body is read.

--- a/src/forwarding/attempt-watch.ts
+++ b/src/forwarding/attempt-watch.ts
@@ -5,7 +5,6 @@
 import type { BackEndSelector } from './back-end-selector.js';
 import type { BackEndRow, BackEndTable } from './back-end-table.js';
 import type { BackEndUse } from './back-end-use.js';
-import type { CompletionEstimate } from './completion-estimate.js';
 import { healthOutcomeAtTimeout } from './request-outcome.js';
 import { type Silence, silenceOf } from './silence.js';
 import type { VersionExpiryFigures } from './version-expiry-figures.js';
@@ -22,7 +21,6 @@
 /** The current state of the watched request. */
 export interface WatchedRequest {
   readonly admitted: Pick<AdmittedRequest, 'route' | 'service'>;
-  readonly completionEstimate: CompletionEstimate;
   /** Whether the caller has received a part of the answer. */
   hasPart(): boolean;
   /** Whether the caller is not reading, so that writes to it would be buffered. */
@@ -50,7 +48,6 @@
     // Checked first: otherwise an attempt that cannot be sent again could begin on an expired version.
     if (this.#mustNotBegin(use, now)) return this.#withdraw(use);
     const { attempt } = use;
-    this.#request.completionEstimate.noteProgress(attempt, now);
     if (!attempt.sent) {
       if (standstills.runningTime(attempt.startedAt, now) > CONNECT_TIMEOUT)
         attempt.fail('no connection in time');
--- a/src/forwarding/back-end-search.ts
+++ b/src/forwarding/back-end-search.ts
@@ -51,8 +51,8 @@
   wasSent(): boolean;
   /** Whether the caller has received a part of the answer, so that a back end has to resume it. */
   isResuming(): boolean;
-  /** Whether the request can complete before this process exits if it is sent after `wait` milliseconds. */
-  canComplete(wait?: number): boolean;
+  /** Whether the request will have ended before this process exits. */
+  canComplete(): boolean;
   /** Whether the retry budget allows the next send; always true if that send is not a retry. */
   isAllowedByBudget(): boolean;
   /** Whether a back end may still answer the request, so that it is not refused if this search fails. */
@@ -250,7 +250,7 @@
     const requirements = this.#requirements;
     const capacity = this.#components.selector.timeToCapacity(requirements.service, requirements.regions);
     const wasHeld = this.#hold.begin(now);
-    if (!canComplete(capacity?.wait)) return this.#events.onOutOfTime();
+    if (!canComplete()) return this.#events.onOutOfTime();
     if (capacity === undefined && !isAllowedByBudget()) return this.#endUnserved('no budget');
     // Sent at once, as each refusal of such a request prolongs the back-off by the time that has passed since it began.
     if (capacity?.isBackoff === true && this.#tryLastResort()) return;
--- a/src/forwarding/forwarded-request.ts
+++ b/src/forwarding/forwarded-request.ts
@@ -29,7 +29,6 @@
 import type { BackEndUse } from './back-end-use.js';
 import { CallerAnswer } from './caller-answer.js';
 import { type CallerBody, isTooLarge, readCallerBody } from './caller-body.js';
-import { CompletionEstimate } from './completion-estimate.js';
 import { ContainedSteps } from './contained-steps.js';
 import type { SlotClaim } from './engine-slots.js';
 import { errorResponseOf, type ForwardingError } from './forwarding-errors.js';
@@ -61,7 +60,6 @@
   readonly #id: string;
   /** Set by `#admit`, before anything is sent; so are the other fields with `!`. */
   #admitted!: AdmittedRequest;
-  #completionEstimate!: CompletionEstimate;
   #timer: NodeJS.Timeout | undefined;
   #body: CallerBody = { type: 'none' };
   readonly #content: SuspectContent;
@@ -100,7 +98,6 @@
     });
     this.#openAttempts = new OpenAttempts({
       content: this.#content,
-      completionEstimate: () => this.#completionEstimate,
       usualFailureShare: () => components.backEnds.usualFailureShare(this.#admitted.service),
     });
     this.#answer = new CallerAnswer(request, response, {
@@ -119,6 +116,7 @@
   async start(): Promise<void> {
     const rejected = this.#admit();
     if (rejected !== undefined) return this.#fail(rejected.error, rejected.route);
+    if (!this.#canComplete()) return this.#refuseForStop();
     const timeLeft = this.#admitted.timing.deadline - this.arrivedAt;
     // An answer that has arrived during a stall is read first.
     const onTimeout = () => socketsRead().then(() => this.#steps.run(() => this.#onTimeout()));
@@ -243,14 +241,8 @@
     const admission = admit(this.#request, this.arrivedAt, this.#components);
     if (!admission.ok) return admission.error;
     this.#admitted = admission.value;
-    const { route, answerTokens, timing } = admission.value;
+    const { route, timing } = admission.value;
     this.#answer.patience = { deadline: timing.deadline, patience: route.patience };
-    this.#completionEstimate = new CompletionEstimate(
-      this.#components,
-      route.name,
-      answerTokens,
-      timing.deadline,
-    );
     this.#policy = this.#createPolicy(admission.value);
     this.#search = this.#createSearch(admission.value);
     this.#watch = this.#createWatch(admission.value);
@@ -291,7 +283,6 @@
   #createWatch(admitted: AdmittedRequest): AttemptWatch {
     return new AttemptWatch(this.#components, {
       admitted,
-      completionEstimate: this.#completionEstimate,
       hasPart: () => this.#answer.started,
       isCallerBlocked: () => this.#answer.isBlocked,
       maySendAgain: () => this.#policy.maySendAgain,
@@ -309,7 +300,7 @@
       requirements: (isLastResort) => this.#policy.requirements(isLastResort),
       wasSent: () => this.#policy.sends > 0,
       isResuming: () => this.#answer.started,
-      canComplete: (wait) => this.#canComplete(wait),
+      canComplete: () => this.#canComplete(),
       isAllowedByBudget: () => this.#policy.isAllowedByBudget,
       hasOpenAttempt: () => this.#openAttempts.size > 0,
     };
@@ -355,7 +346,6 @@
     const { attempt } = use;
     this.#openAttempts.add(use);
     this.#move.noteSent(use);
-    this.#completionEstimate.noteSent(attempt);
     attempt.send(row.connections);
   }
 
@@ -369,12 +359,9 @@
     return this.#policy.chargeBudget() ? undefined : () => this.#giveUp('no budget');
   }
 
-  /**
-   * Whether the request can complete before this process exits if it is sent after `wait` milliseconds. Always true for an
-   * answer that has begun, which is resumed in any case.
-   */
-  #canComplete(wait = 0): boolean {
-    return this.#answer.started || this.#completionEstimate.canComplete(performance.now(), wait);
+  /** Whether the request may be sent before this process exits; an answer that has begun is resumed in any case. */
+  #canComplete(): boolean {
+    return this.#answer.started || this.#components.drain.canComplete(this.#admitted.timing.deadline);
   }
 
   /** Refuses a request that cannot complete before this process exits; another process can take it at once. */
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -17,8 +17,8 @@
 import { PendingResponses } from '../server/pending-responses.js';
 import { RequestRemainders } from '../server/request-remainders.js';
 import { socketsRead } from '../server/sockets-read.js';
+import type { DrainSchedule } from '../systems/drain-schedule.js';
 import type { EventBudget } from '../systems/event-budget.js';
-import { LongestDurations } from '../systems/longest-durations.js';
 import type { RetryWindow } from '../systems/retry-window.js';
 import { ServiceFloor } from '../systems/service-floor.js';
 import type { AdmittedRequest } from './admitted-request.js';
@@ -29,7 +29,6 @@
 import type { BackEndTable } from './back-end-table.js';
 import type { BackEndWarmUps } from './back-end-warm-ups.js';
 import { CallerReturns } from './caller-returns.js';
-import type { CompletionEstimateComponents } from './completion-estimate.js';
 import { CutAnswerMetrics } from './cut-answer-metrics.js';
 import type { DirectPermits } from './direct-permits.js';
 import { DrainMetrics, type OutcomeArrivals } from './drain-metrics.js';
@@ -73,7 +72,9 @@
 /** Bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
 
-export interface ForwardingComponents extends CompletionEstimateComponents {
+export interface ForwardingComponents {
+  /** Schedule of the stop of this process. */
+  drain: DrainSchedule;
   names: HeaderNames;
   /** Names of headers that this system sets; they are removed from requests of callers. */
   reservedHeaders: ReadonlySet<string>;
@@ -139,7 +140,6 @@
       ForwardingComponents,
       | 'onSettled'
       | 'isLastOnConnection'
-      | 'durations'
       | 'expiryFigures'
       | 'moveMetrics'
       | 'cutMetrics'
@@ -156,7 +156,6 @@
     this.#service = new ServiceRecord(floor, metrics);
     this.#components = {
       ...components,
-      durations: new LongestDurations(),
       expiryFigures: new VersionExpiryFigures(metrics),
       moveMetrics: new StreamMoveMetrics(metrics),
       cutMetrics: new CutAnswerMetrics(metrics),
--- a/src/forwarding/open-attempts.ts
+++ b/src/forwarding/open-attempts.ts
@@ -5,12 +5,10 @@
 import type { BackEndOutcome } from './back-end-health.js';
 import type { BackEndRow } from './back-end-table.js';
 import type { BackEndUse } from './back-end-use.js';
-import type { CompletionEstimate } from './completion-estimate.js';
 import type { SuspectContent } from './suspect-content.js';
 
 export interface OpenAttemptsOptions {
   content: SuspectContent;
-  completionEstimate: () => CompletionEstimate;
   /** Usual share of failures among the back ends of the request's service. */
   usualFailureShare: () => number;
 }
@@ -71,7 +69,7 @@
    * @param outcome - outcome for the health of the back end; undefined for none
    */
   close(use: BackEndUse, outcome: BackEndOutcome | undefined): number {
-    const { content, completionEstimate, usualFailureShare } = this.#options;
+    const { content, usualFailureShare } = this.#options;
     this.#all.delete(use);
     if (use.attempt.mayHaveRun) {
       this.#endedRuns++;
@@ -80,7 +78,6 @@
     if (use.attempt.isGivenUp) content.noteGivenUp(use.row);
     const took = use.end();
     const now = performance.now();
-    completionEstimate().noteEnded(use.attempt, outcome === 'served', now);
     const { health } = use.row;
     if (outcome === undefined) health.noteAbandoned();
     else health.note(outcome, now, usualFailureShare());
--- a/src/systems/drain-schedule.ts
+++ b/src/systems/drain-schedule.ts
@@ -1,6 +1,6 @@
 /**
  * Schedule of a graceful shutdown, from the order to stop until the process must have exited. Callers that still use the
- * address of the process are served as long as their requests can complete in time. Requests that cannot are refused
+ * address of the process are served if their requests have ended, one way or the other, before it exits. All others are refused
  * immediately, so that another process can take them. Times are in milliseconds of the monotonic clock.
  */
 
@@ -71,9 +71,12 @@
     return Math.min(latest, this.#finishedAt ?? latest);
   }
 
-  /** Whether a request that starts at `now` and takes `duration` completes before the process exits. */
-  canComplete(now: number, duration: number): boolean {
-    return now + duration <= this.endsAt;
+  /**
+   * Whether a request may be taken that must have its final answer by `deadline`. How long its answer takes does not matter: while
+   * processes stop, answers of the same kind may take many times as long as before.
+   */
+  canComplete(deadline: number): boolean {
+    return deadline <= this.endsAt;
   }
 
   /**
--- a/test/systems/drain-schedule.test.ts
+++ b/test/systems/drain-schedule.test.ts
@@ -15,7 +15,7 @@
 describe('a drain', () => {
   it('has no end before the order to stop, and a second order does not move the end', () => {
     const drain = new DrainSchedule({ graceTime: GRACE_TIME, addressLifetime: LIFETIME });
-    expect(drain.canComplete(ORDERED_AT, 60_000)).toBe(true);
+    expect(drain.canComplete(ORDERED_AT + 60_000)).toBe(true);
     expect(drain.acceptsConnections(ORDERED_AT, 60_000)).toBe(true);
     drain.begin(ORDERED_AT);
     const { endsAt } = drain;
@@ -24,10 +24,10 @@
     expect(drain.endsAt).toBe(endsAt);
   });
 
-  it('permits only requests that complete before it ends', () => {
+  it('permits only requests whose deadlines are before it ends', () => {
     const drain = ordered();
-    expect(drain.canComplete(ORDERED_AT + 3_000, drain.endsAt - ORDERED_AT - 3_000)).toBe(true);
-    expect(drain.canComplete(ORDERED_AT + 3_000, drain.endsAt - ORDERED_AT - 2_999)).toBe(false);
+    expect(drain.canComplete(drain.endsAt)).toBe(true);
+    expect(drain.canComplete(drain.endsAt + 1)).toBe(false);
   });
 
   it('accepts connections for the address lifetime, and three times as long while requests arrive', () => {
@@ -41,7 +41,7 @@
   it('permits no requests once it is finished, even before its latest end', () => {
     const drain = ordered();
     drain.finish(ORDERED_AT + 1_500);
-    expect(drain.canComplete(ORDERED_AT + 1_510, 1)).toBe(false);
+    expect(drain.canComplete(ORDERED_AT + 1_511)).toBe(false);
     expect(drain.acceptsConnections(ORDERED_AT + 1_510, 10)).toBe(false);
   });
 
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1420,16 +1420,9 @@
   {
     fault: 'an entry that leaves takes requests that it cannot end',
     file: 'src/forwarding/forwarded-request.ts',
-    find: 'this.#answer.started || this.#completionEstimate.canComplete(performance.now(), wait)',
-    replace: 'wait >= 0',
-    test: 'test/roles/direct-entry-drain.test.ts',
-  },
-  {
-    fault: 'long requests are taken for short ones while only short ones have ended',
-    file: 'src/systems/longest-durations.ts',
-    find: ' || now - periods[0].since < limit',
-    replace: '',
-    test: 'test/systems/longest-durations.test.ts',
+    find: 'this.#answer.started || this.#components.drain.canComplete(this.#admitted.timing.deadline)',
+    replace: 'true',
+    test: 'test/platform/requests-cut-at-end-of-grace.test.ts',
   },
   {
     fault: 'a connection whose caller could not be told to leave it stays open',
