A stop is counted from when its signal may have been sent, not from when it was noticed

Cause: the schedule of a stop began when the listener of the signal ran. A process that notices it late believes that it has as much more time.

The unit test fails without the change too.

Why it works: every 100 ms the process notes when its event loop last handled what had arrived. A signal that it handles was sent after that. The last steps of the stop are bounded by what is left, so that one that begins late ends in time too. `entry leaves` has `noticedMs`; thistleway_stop_noticed_milliseconds tells the same. A standstill that lasts until the kill is not helped by this.

--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -316,9 +316,10 @@
    * must be closed in the turn in which this resolves.
    */
   async #writeLastAnswers(): Promise<void> {
+    const { drain } = this.#components;
     for (let flushes = 0; flushes < MAX_FLUSHES; flushes++) {
       for (const request of this.#active) request.stop();
-      await endsWithin(this.#flushed(), FLUSH_TIMEOUT);
+      await endsWithin(this.#flushed(), drain.lastStepTime(FLUSH_TIMEOUT, performance.now()));
       await socketsRead();
       if (this.#active.size === 0) return;
     }
--- a/src/model/stop-signal.ts
+++ b/src/model/stop-signal.ts
@@ -2,6 +2,7 @@
  * The signal to stop a process. Listeners stay registered for the whole life of the process: a signal without a listener
  * terminates it at once and cuts off every answer in progress.
  */
+import { EventLoopTurns } from './event-loop-turns.js';
 import type { Startable } from './startable.js';
 import { endsWithin } from './time-limit.js';
 
@@ -15,13 +16,20 @@
 
 /** Waits for the first of several signals; later ones have no effect. */
 export class StopSignal {
-  /** Resolves with the time of the first signal, in milliseconds of the monotonic clock. */
+  /**
+   * Resolves with the earliest time at which the first signal may have been sent, in milliseconds of the monotonic clock. Whoever
+   * sends it counts from then on, while this process may have got no processor.
+   */
   readonly received: Promise<number>;
 
   /** @param signals - signals that stop the process; create the object before anything is started */
-  constructor(signals: readonly NodeJS.Signals[], source: SignalSource = process) {
+  constructor(
+    signals: readonly NodeJS.Signals[],
+    source: SignalSource = process,
+    turns: Pick<EventLoopTurns, 'handledUntil'> = new EventLoopTurns(),
+  ) {
     this.received = new Promise((resolve) => {
-      for (const signal of signals) source.on(signal, () => resolve(performance.now()));
+      for (const signal of signals) source.on(signal, () => resolve(turns.handledUntil));
     });
   }
 }
--- a/src/roles/direct-entry.ts
+++ b/src/roles/direct-entry.ts
@@ -61,6 +61,8 @@
   readonly #createdAt = performance.now();
   readonly #drain: DrainSchedule;
   #announcement: 'all' | 'zone' | undefined;
+  /** Time from the stop signal until it was noticed, in milliseconds. */
+  #stopNoticedAfter = 0;
 
   constructor(components: DirectEntryComponents) {
     const { settings, fleet, backEnds, sync, library, log, random, metrics, context } = components;
@@ -251,13 +253,17 @@
 
   /**
    * Leaves the directory at once, serves callers that have cached the address, finishes requests in progress, and stops.
-   * @param signalledAt - when the stop signal was received, in milliseconds of the monotonic clock
+   * @param signalledAt - when the stop signal was sent at the earliest, in milliseconds of the monotonic clock
    */
   async leave(signalledAt = performance.now()): Promise<void> {
     const { log } = this.#components;
     this.#drain.begin(signalledAt);
+    this.#stopNoticedAfter = performance.now() - signalledAt;
     this.#announceLeaving();
-    log.info('entry leaves', { inProgress: this.#forwarding.active });
+    log.info('entry leaves', {
+      inProgress: this.#forwarding.active,
+      noticedMs: Math.round(this.#stopNoticedAfter),
+    });
     while (this.#drain.acceptsConnections(performance.now(), this.#forwarding.timeSinceLastRequest)) {
       await pause();
       await socketsRead();
@@ -271,8 +277,9 @@
     });
     // First and apart from the others, so that the last requests are read and answered however long those take.
     await this.#forwarding.stop();
-    if (!(await endsWithin(this.stop(), STOP_TIMEOUT)))
-      log.warn('parts have not stopped', { after: STOP_TIMEOUT });
+    const stopTimeout = this.#drain.lastStepTime(STOP_TIMEOUT, performance.now());
+    if (!(await endsWithin(this.stop(), stopTimeout)))
+      log.warn('parts have not stopped', { after: Math.round(stopTimeout) });
   }
 
   /** The others notice without it that this entry leaves, only later; an error here must not cut off callers. */
@@ -451,6 +458,11 @@
         help: 'Revision in force here',
         read: () => fleet.configurationRevision,
       },
+      {
+        name: 'stop_noticed_milliseconds',
+        help: 'Time from the stop signal until this process noticed it, at the most; 0 before a signal',
+        read: () => this.#stopNoticedAfter,
+      },
       { name: 'back_ends_known', help: 'Back ends known here', read: () => backEnds.rows.size },
       {
         name: 'repetitions',
--- a/src/systems/drain-schedule.ts
+++ b/src/systems/drain-schedule.ts
@@ -14,6 +14,8 @@
 const LAST_REQUESTS_TIME = 3_100;
 /** Upper bound of the address lifetime; a longer one would save few look-ups. */
 const MAX_ADDRESS_LIFETIME = 2_000;
+/** Each of the last steps takes at most this fraction of the time that is left. */
+const LAST_STEPS = 3;
 const SECOND = 1_000;
 
 /** Parameters of a shutdown. */
@@ -71,6 +73,16 @@
     return Math.min(latest, this.#finishedAt ?? latest);
   }
 
+  /**
+   * Time that one of the last steps before the exit may take: `limit`, or a part of what is left until the process is killed, so that
+   * it exits by itself even if it could not begin in time.
+   */
+  lastStepTime(limit: number, now: number): number {
+    if (this.#orderedAt === undefined) return limit;
+    const left = this.#orderedAt + this.#limits.graceTime - now;
+    return Math.max(0, Math.min(limit, left / LAST_STEPS));
+  }
+
   /**
    * Whether a request may be taken that must have its final answer by `deadline`. How long its answer takes does not matter: while
    * processes stop, answers of the same kind may take many times as long as before.
--- a/test/model/stop-signal.test.ts
+++ b/test/model/stop-signal.test.ts
@@ -13,6 +13,18 @@
   expect(await order.received).toBe(orderedAt);
 });
 
+it('dates a signal that is noticed late from before the standstill', async () => {
+  const signals = new EventEmitter();
+  const order = new StopSignal(['SIGTERM'], signals);
+  await new Promise((resolve) => setTimeout(resolve, 250));
+  const blockedAt = performance.now();
+  while (performance.now() < blockedAt + 400);
+  signals.emit('SIGTERM');
+  const orderedAt = await order.received;
+  expect(orderedAt).toBeLessThanOrEqual(blockedAt);
+  expect(orderedAt).toBeGreaterThan(blockedAt - 250);
+});
+
 it('lets a start in progress finish', async () => {
   const signals = new EventEmitter();
   const order = new StopSignal(['SIGTERM'], signals);
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1513,6 +1513,13 @@
     replace: 'if (this.#settled) {',
     test: 'test/roles/direct-entry-drain.test.ts',
   },
+  {
+    fault: 'a process that notices SIGTERM late is killed with its requests',
+    file: 'src/model/stop-signal.ts',
+    find: 'resolve(turns.handledUntil)',
+    replace: 'resolve(performance.now())',
+    test: 'test/model/stop-signal.test.ts',
+  },
   {
     fault: 'a second order to stop ends the process at once',
     file: 'src/model/stop-signal.ts',
