An answer that never ends is given up once it is longer than any that is expected

Cause: calls of the platform, of engines, of peers and of the origin keep the whole answer and limit neither its size nor, where each part restarts the limit, its time.

--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -13,6 +13,9 @@
 /** Retry delay if the server does not name one, in milliseconds. */
 const DEFAULT_RETRY_AFTER = 1_000;
 
+/** Default of `maxBytes`: above the largest object of the store (8 MB) and the longest change of its tables. */
+export const MAX_ANSWER_BYTES = 33_554_432;
+
 /** The current connection pool of each server, by origin. */
 const pools = new Map<string, Pool>();
 
@@ -31,6 +34,8 @@
   /** Closes the connection after the answer, for servers that accept few connections. */
   closes?: boolean;
   signal: AbortSignal;
+  /** Largest body of the answer that is kept, in bytes; the connection of a longer one is closed. Default {@link MAX_ANSWER_BYTES}. */
+  maxBytes?: number | undefined;
   /** Called when the headers of the answer arrive, and for each part of its body. */
   onPart?: () => void;
 }
@@ -58,7 +63,8 @@
     return failure(errorOf(call, cause));
   }
   try {
-    const body = await readWhole(stream, call.onPart);
+    const body = await readWhole(stream, call);
+    if (body === undefined) return failure(tooLong(call));
     const { statusCode, headers } = stream;
     if (statusCode < 500 && statusCode !== 429) return success({ status: statusCode, body, headers });
     return failure(unavailable(call, `status ${statusCode}`, retryAfterOf(stream)));
@@ -68,16 +74,27 @@
   }
 }
 
-async function readWhole({ body }: HttpStream, onPart: () => void = () => {}): Promise<Buffer> {
+/** Reads the body of an answer; undefined if it is too long. Leaving the loop closes the connection. */
+async function readWhole(
+  { body }: HttpStream,
+  { onPart = () => {}, maxBytes = MAX_ANSWER_BYTES }: HttpCall,
+): Promise<Buffer | undefined> {
   onPart();
   const parts: Buffer[] = [];
+  let bytes = 0;
   for await (const part of body) {
+    bytes += (part as Buffer).byteLength;
+    if (bytes > maxBytes) return undefined;
     parts.push(part as Buffer);
     onPart();
   }
   return Buffer.concat(parts);
 }
 
+function tooLong({ service, maxBytes = MAX_ANSWER_BYTES }: HttpCall): PlatformError {
+  return { type: 'malformedAnswer', service, reason: `answer of more than ${maxBytes} bytes` };
+}
+
 /** Sends a call and resolves when the headers have arrived. Rejects with the errors of the client library. */
 export function openHttp(call: HttpCall): Promise<HttpStream> {
   const body = call.json === undefined ? call.bytes : JSON.stringify(call.json);
--- a/src/weights/piece-sources.ts
+++ b/src/weights/piece-sources.ts
@@ -9,6 +9,8 @@
 import { BUSY_STATUS, manifestPath, piecesPath } from './piece-server.js';
 import type { PieceOrigin, PieceSource, PieceSourceError, Pieces } from './piece-source.js';
 
+/** Largest manifest that is read, in bytes: 64 for each of 60,000 pieces. */
+const MAX_MANIFEST_BYTES = 4_194_304;
 /** Number of objects into which the pieces of a version are combined. */
 const PARTS_PER_VERSION = 8;
 
@@ -49,7 +51,8 @@
     nextBatch: (wanted) => rotate(wanted.filter(has), offset).slice(0, batchSize),
     async fetch(batch, signal) {
       const url = `http://${address}${piecesPath(manifest.model, manifest.version, batch)}`;
-      const answer = await callHttp({ service: 'pieces', method: 'GET', url, signal });
+      const maxBytes = batch.length * manifest.pieceBytes;
+      const answer = await callHttp({ service: 'pieces', method: 'GET', url, maxBytes, signal });
       if (!answer.ok) return failed('reason' in answer.error ? answer.error.reason : answer.error.type);
       if (answer.value.status === BUSY_STATUS) return failed('busy');
       if (answer.value.status !== 200) return failed(`status ${answer.value.status}`);
@@ -65,7 +68,13 @@
   signal: AbortSignal,
 ): Promise<Result<PieceManifest, PieceSourceError>> {
   const url = `http://${address}${manifestPath(version.model, version.version)}`;
-  const answer = await callHttp({ service: 'manifest', method: 'GET', url, signal });
+  const answer = await callHttp({
+    service: 'manifest',
+    method: 'GET',
+    url,
+    maxBytes: MAX_MANIFEST_BYTES,
+    signal,
+  });
   if (!answer.ok || answer.value.status !== 200) return failed('manifest not available');
   const manifest = parseManifest(answer.value.body, version);
   return manifest === undefined ? failed('malformed manifest') : success(manifest);
