A back end that sends faster than its bytes are parsed takes a bounded part of each turn

Cause: the client library parses all that a connection has received before it returns to the event loop. Chunks, header lines, trailers and interim answers cost a call for each of some bytes, and a header that is too long an error for each further line.

Why it works: a connection yields parts of 4 KB, and none once 1 ms of the turn is used; the rest follows after the sockets of others have been read.

--- a/src/clients/reset-aware-connector.ts
+++ b/src/clients/reset-aware-connector.ts
@@ -5,6 +5,7 @@
  */
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
+import { limitTimePerTurn } from './turn-allowance.js';
 
 /** Code of {@link ConnectionResetError}, which the client library does not take for a close. */
 export const CONNECTION_RESET = 'CONNECTION_RESET';
@@ -33,6 +34,7 @@
     connect(options, (error, socket) => {
       if (socket === null || error !== null) return callback(error as Error, null);
       reportResets(socket);
+      limitTimePerTurn(socket);
       onConnected(socket);
       callback(null, socket);
     });
