Soak: stops beside standstills, with answers that slow down as entries stop

The stand-ins answered in constant time, so that an estimate of it always held, and standstills never met a signal. Each part of an answer now takes up to 30 times as long in this choice, by a factor that is drawn and grows with the time for which entries have been stopping; entries get no processor before, around and after SIGTERM. A 504 before the deadline of a request that was taken after the signal counts as lost.

--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -10,6 +10,7 @@
 import { LIMITS } from './rate-limits.js';
 import { REGION_CHANGES } from './regions.js';
 import { STALLS } from './stall-faults.js';
+import { STOPS } from './stops.js';
 import { STORE_RESTORES } from './store-restores.js';
 import { UNPLANNED } from './unplanned-faults.js';
 import { STANDSTILLS } from './uploads.js';
@@ -41,7 +42,8 @@
   | 'stalls'
   | 'mixed'
   | 'weights'
-  | 'uploads';
+  | 'uploads'
+  | 'stops';
 
 /** Choices whose draws differ much between adjacent seeds. */
 export const SCATTERS_SEED: ReadonlySet<FaultChoice> = new Set([
@@ -50,6 +52,7 @@
   'mixed',
   'weights',
   'uploads',
+  'stops',
 ]);
 
 /** Choices in which configurations move a route that callers use. */
@@ -103,6 +106,8 @@
   weights: [...repeat(WEIGHTS_FAULTS, 2), ...RESTARTS_OF_STAGED],
   // Callers send bodies, in parts; nothing excuses a request that is lost.
   uploads: [...repeat(PLANNED, 2), ...CONFIGURATIONS, ...repeat(STANDSTILLS, 3)],
+  // Workers slow down as entries stop; nothing excuses a request that is lost.
+  stops: [...PLANNED, ...CONFIGURATIONS, ...repeat(STOPS, 5)],
   drills: [...PLANNED, ...UNPLANNED, ...WEIGHTS_FAULTS, ...RESTARTS, ...repeat(STORE_RESTORES, 6)],
 };
 
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -3,7 +3,7 @@
  * faults end, all entries must serve according to the newest configuration and version again within a time limit.
  *
  * `npm run soak -- [--seed S] [--seeds N] [--seconds T] [--entries E] [--agents A] [--callers C] [--faults planned|all|restarts|drills|deadly|limits|
- * leaving|departures|backoffs|evacuations|regions|cold|stalls|mixed|weights|uploads]
+ * leaving|departures|backoffs|evacuations|regions|cold|stalls|mixed|weights|uploads|stops]
  * [--kept]` prints each seed's outcome. For a seed with violations it also prints the timeline of faults and keeps the logs, and the
  * exit code is 1.
  */
@@ -30,6 +30,7 @@
 import { judgeBackoffs, judgeLeaving } from './notice-judges.js';
 import { isRefusedStream, judgeRefusals, occupancyOf, SlotWatch, servicesOf, wereFull } from './recovery.js';
 import { drawRegions, judgeRegions } from './regions.js';
+import { judgeStopPromises, slowDownWithStops } from './stops.js';
 import { WeightsTrouble } from './weights-faults.js';
 import { judgeOrders, judgeUsedLayers } from './weights-judges.js';
 import { SoakWorld, type WorldSize } from './world.js';
@@ -235,6 +236,7 @@
   try {
     if (MOVES_ROUTE.has(faults)) world.declareMovedRoute();
     if (faults === 'cold') world.declareColdStarts();
+    if (faults === 'stops') slowDownWithStops(world, seededRandom(scatterSeed(seed)));
     await world.start();
     // A second configuration, so that `probe` can check that the route of the previous one is gone.
     world.configure(faults === 'regions' ? drawRegions(random) : {});
@@ -273,6 +275,7 @@
       ...judgeMissingRoute(world, sent),
       ...judgePlannedStops(world, sent),
       ...judgeCuts(world, sent),
+      ...judgeStopPromises(world, sent),
       ...judgeRepetitions(world, sent),
       ...judgeDepartures(world, sent),
       ...judgeLimits(world, sent),
--- a/test/platform/soak/workers.ts
+++ b/test/platform/soak/workers.ts
@@ -121,6 +121,8 @@
 
 /** Everything that the stand-ins recorded, and the violations that they saw. */
 export class RunLog {
+  /** How long a step of an answer takes that usually takes `usual` milliseconds. */
+  timeOf: (usual: number) => number = (usual) => usual;
   /** Called at the start of each run. */
   onRun: (run: Run) => void = () => {};
   /** How a request ends that crashes its engine; undefined for all others. */
@@ -357,7 +359,7 @@
       await this.stalls.beforePart(isGone);
       if (isGone()) break;
       response.write(`id: ${id}\ndata: ${eventData(run.path, id)}\n\n`);
-      await pause(interval);
+      await pause(this.log.timeOf(interval));
     }
   }
 
@@ -408,7 +410,7 @@
     const answer = request.url?.startsWith('/moved/')
       ? () => this.#answerStream(run, response, headers, () => isGone)
       : () => this.#answerInParts(run, response, headers, () => isGone);
-    setTimeout(() => void answer(), SERVICE_TIME);
+    setTimeout(() => void answer(), this.log.timeOf(SERVICE_TIME));
   }
 
   #answerHealth(response: ServerResponse): void {
