--- a/src/systems/drain-schedule.ts
+++ b/src/systems/drain-schedule.ts
@@ -10,7 +10,7 @@
 const ADDRESS_OVERUSE_FACTOR = 3;
 /** After its lifetime, an address is considered unused once no request has arrived for this long. */
 const QUIET_PERIOD = 800;
-/** Time reserved for the last accepted requests: the longest streams take this long under full load. */
+/** Expected duration of the last requests, which only decides for how long callers may keep an address. */
 const LAST_REQUESTS_TIME = 3_100;
 /** Upper bound of the address lifetime; a longer one would save few look-ups. */
 const MAX_ADDRESS_LIFETIME = 2_000;
@@ -27,8 +27,8 @@
 }
 
 /**
- * The address lifetime for a grace time, in whole seconds and at least one. It is short enough that even the requests of
- * the callers that keep the address longest complete before the process exits.
+ * The address lifetime for a grace time, in whole seconds and at least one. It is short enough that the requests of the callers that
+ * keep the address longest usually complete before the process exits.
  */
 export function addressLifetimeFor(graceTime: number): number {
   const fitting = (graceTime - KILL_MARGIN - LAST_REQUESTS_TIME) / ADDRESS_OVERUSE_FACTOR;
--- a/test/systems/drain-schedule.test.ts
+++ b/test/systems/drain-schedule.test.ts
@@ -45,6 +45,18 @@
     expect(drain.acceptsConnections(ORDERED_AT + 1_510, 10)).toBe(false);
   });
 
+  it('leaves time for its last steps before the process is killed, however late they begin', () => {
+    const drain = ordered();
+    const killedAt = ORDERED_AT + GRACE_TIME;
+    expect(drain.lastStepTime(150, drain.endsAt)).toBe(150);
+    for (const late of [500, 100, 10]) {
+      let now = killedAt - late;
+      for (let step = 0; step < 4; step++) now += drain.lastStepTime(300, now);
+      expect(now).toBeLessThan(killedAt);
+    }
+    expect(drain.lastStepTime(300, killedAt + 1)).toBe(0);
+  });
+
   it('accepts no connections after its end, however long the address lifetime', () => {
     const drain = new DrainSchedule({ graceTime: GRACE_TIME, addressLifetime: 60_000 });
     drain.begin(ORDERED_AT);
