A request body that never ends is answered with 413 once it is too long

Cause: the product's own interfaces kept the whole body of a request, however long: the same cause as for answers that never end, in the other direction. Evidence: `test/server/endless-body`: no answer within 20 s and everything kept before, 413 after 32 MiB now.

--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -11,6 +11,9 @@
 import { socketsRead } from './sockets-read.js';
 
 const BAD_REQUEST = 400;
+const BODY_TOO_LARGE = 413;
+/** Largest body of a request that is kept, in bytes: above the largest set of declarations. */
+export const MAX_BODY_BYTES = 33_554_432;
 /** Statuses for errors of Node's HTTP parser, as in the default error handling of Node's server. */
 const STATUS_OF_ERROR: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -65,10 +68,16 @@
   return app.callback();
 }
 
-/** Reads the whole body of a request. */
+/** Reads the whole body of a request; one that is longer than {@link MAX_BODY_BYTES} is answered with status 413. */
 export async function readBody(context: Koa.Context): Promise<Buffer> {
   const parts: Buffer[] = [];
-  for await (const part of context.req) parts.push(part as Buffer);
+  let bytes = 0;
+  // The request is not destroyed with the loop, so that its answer can be written.
+  for await (const part of context.req.iterator({ destroyOnReturn: false })) {
+    bytes += (part as Buffer).byteLength;
+    if (bytes > MAX_BODY_BYTES) context.throw(BODY_TOO_LARGE, `body of more than ${MAX_BODY_BYTES} bytes`);
+    parts.push(part as Buffer);
+  }
   return Buffer.concat(parts);
 }
 
