Soak: a request that reached the timeout of its declared route is no broken promise of a stop

Cause: the judge went by the deadline of the caller (3 s) alone; the logs name both `timedOut` after 1,521 and 1,509 ms, and a configuration had declared a timeout of 1,500 ms. It goes by the shortest timeout that may have been in force now, as the judge of cut answers does; everything else is judged as before. Tests of the judge for both sides.

--- a/test/platform/soak-judges.test.ts
+++ b/test/platform/soak-judges.test.ts
@@ -14,6 +14,7 @@
 } from './soak/judges.js';
 import { judgeBackoffs, judgeLeaving } from './soak/notice-judges.js';
 import { judgeRegions } from './soak/regions.js';
+import { judgeStopPromises } from './soak/stops.js';
 import { judgeOrders, judgeUsedLayers } from './soak/weights-judges.js';
 import { eventData, type Run, RunLog } from './soak/workers.js';
 import { RETRY_BUDGET, type SoakWorld } from './soak/world.js';
@@ -123,6 +124,42 @@
   });
 });
 
+describe('LOST as a request was taken in a stop', () => {
+  const late = { status: 504, sentAt: START + 2_000, endedAt: START + 3_000 };
+
+  beforeEach(() => {
+    disruptions.stops.push({ process: 'entry-1', at: START, endedAt: START + 7_300 });
+  });
+
+  it('is one that had run and got 504 before its timeout', () => {
+    log.runs.push(run('one'));
+    expect(judgeStopPromises(world, [sent('one', late)])).toEqual([
+      'LOST: one (long) at entry-1, sent 2000 ms after SIGTERM, got 504 after 3000 ms',
+    ]);
+  });
+
+  it('is none that reached its timeout, or that of a configuration in force', () => {
+    log.runs.push(run('one'));
+    expect(judgeStopPromises(world, [sent('one', { ...late, endedAt: START + 9_000 })])).toEqual([]);
+    disruptions.configurations.push({ at: START, timeouts: { long: 1_000 }, missing: [], regions: {} });
+    expect(judgeStopPromises(world, [sent('one', late)])).toEqual([]);
+  });
+
+  it.each([
+    ['was served', { ...late, status: 200 }],
+    ['was refused', { ...late, status: 503 }],
+    ['was left by its caller', { ...late, abandonedAt: START + 2_500 }],
+    ['was sent before the signal', { ...late, sentAt: START - 100 }],
+  ])('is none that %s', (_, changes) => {
+    log.runs.push(run('one'));
+    expect(judgeStopPromises(world, [sent('one', changes)])).toEqual([]);
+  });
+
+  it('is none that did not run', () => {
+    expect(judgeStopPromises(world, [sent('one', late)])).toEqual([]);
+  });
+});
+
 describe('LOST at any time', () => {
   const cut = { isComplete: false };
 
--- a/test/platform/soak/judges.ts
+++ b/test/platform/soak/judges.ts
@@ -57,7 +57,7 @@
 }
 
 /** The shortest timeout that may have applied to a request: its caller's, or that of a configuration in force when it was sent. */
-function shortestTimeout({ disruptions }: SoakWorld, { kind, sentAt }: SentRequest): number {
+export function shortestTimeout({ disruptions }: SoakWorld, { kind, sentAt }: SentRequest): number {
   return Math.min(deadlineOf(kind), ...disruptions.timeoutsOf(kind, sentAt));
 }
 
--- a/test/platform/soak/stops.ts
+++ b/test/platform/soak/stops.ts
@@ -1,8 +1,9 @@
 /** Stops of entries beside standstills and slow workers: none of them is a reason to lose a request. */
 
 import type { Random } from '../../../src/model/random.js';
-import { deadlineOf, type SentRequest } from './callers.js';
+import type { SentRequest } from './callers.js';
 import { drawBetween, entriesOf, type Fault, noCleanup, pick } from './fault.js';
+import { shortestTimeout } from './judges.js';
 import type { Run } from './workers.js';
 import { GRACE_PERIOD, type SoakWorld, type SystemProcess } from './world.js';
 
@@ -17,8 +18,8 @@
 const LONG_INTERVAL = 100;
 const MAX_SLOWDOWN = 30;
 const SLOWDOWN_OF_LONG = 0.1;
-/** A request that ends this long before its deadline, in milliseconds, did not time out. */
-const DEADLINE_MARGIN = 100;
+/** A request that ends this long before its timeout, in milliseconds, did not time out. */
+const TIMEOUT_MARGIN = 100;
 const GATEWAY_TIMEOUT = 504;
 
 /** Suspends a process; resolves once it has been resumed. */
@@ -82,16 +83,17 @@
 }
 
 /**
- * Reports requests that an entry took after SIGTERM, passed on, and answered with 504 before their deadline: it could not wait for
+ * Reports requests that an entry took after SIGTERM, passed on, and answered with 504 before their timeout: it could not wait for
  * what it had promised. Those whose connection it closed are reported as cut.
  */
 export function judgeStopPromises(world: SoakWorld, sent: readonly SentRequest[]): string[] {
   const runs = new Map<string, Run>(world.log.runs.map((run) => [run.requestId, run]));
-  return sent.flatMap(({ id, kind, entry, status, abandonedAt, sentAt, endedAt }) => {
-    const hasTimedOut = endedAt - sentAt >= deadlineOf(kind) - DEADLINE_MARGIN;
+  return sent.flatMap((request) => {
+    const { id, kind, entry, status, abandonedAt, sentAt, endedAt } = request;
+    const hasTimedOut = endedAt - sentAt >= shortestTimeout(world, request) - TIMEOUT_MARGIN;
     if (status !== GATEWAY_TIMEOUT || abandonedAt !== undefined || hasTimedOut || !runs.has(id)) return [];
     const process = world.entryAt(entry);
-    const stop = world.disruptions.stops.findLast(
+    const stop = world.disruptions.stops.find(
       (one) => one.process === process && one.at <= sentAt && sentAt < one.endedAt,
     );
     if (stop === undefined) return [];
