A chunk or a body of an allowed size is not taken for one that never ends

What operators would see: chunks of more than 32 MiB from the origin, and declarations or calls with a body of more than 32 MiB, failed since. Cause: the limits against bytes without end were set below what one frame between processes may hold (80 MiB), and so below sizes that worked before. The product's own roles alone use these; the platform's read pieces and objects of up to 8 MB.

--- a/src/clients/origin.ts
+++ b/src/clients/origin.ts
@@ -11,6 +11,8 @@
 }
 
 const SERVICE = 'origin';
+/** Largest chunk that is read, in bytes: what one frame between processes holds. */
+const MAX_CHUNK_BYTES = 83_886_080;
 
 /** Creates a client of the origin at `url`. */
 export function httpOrigin(url: string): Origin {
@@ -20,6 +22,7 @@
         service: SERVICE,
         method: 'GET',
         url: `${url}/chunks/${digest}`,
+        maxBytes: MAX_CHUNK_BYTES,
         signal,
       });
       if (!answer.ok) return answer;
--- a/src/server/http-server.ts
+++ b/src/server/http-server.ts
@@ -12,8 +12,8 @@
 
 const BAD_REQUEST = 400;
 const BODY_TOO_LARGE = 413;
-/** Largest body of a request that is kept, in bytes: above the largest set of declarations. */
-export const MAX_BODY_BYTES = 33_554_432;
+/** Largest body of a request that is kept, in bytes: what one frame between processes holds. */
+export const MAX_BODY_BYTES = 83_886_080;
 /** Statuses for errors of Node's HTTP parser, as in the default error handling of Node's server. */
 const STATUS_OF_ERROR: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
