Log the connection of an attempt that failed

Whether a refusal belongs to this send or is a late second copy of the answer to an earlier one cannot be told from the log: it names the back end, but not the connection. The line 'attempt failed' now has the local port and the number of requests sent on the connection so far.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -115,6 +115,11 @@
     return this.sent && this.#connection?.isSilent === true;
   }
 
+  /** The connection to the back end; undefined before `send` and if there was none. */
+  get connection(): Pick<BackEndConnection, 'localPort' | 'requests'> | undefined {
+    return this.#connection;
+  }
+
   send(connections: BackEndConnections): void {
     const { method, path, headers, body } = this.#request;
     const options = { method: method as Dispatcher.HttpMethod, path, headers, body };
--- a/src/forwarding/back-end-connection.ts
+++ b/src/forwarding/back-end-connection.ts
@@ -76,6 +76,16 @@
     );
   }
 
+  /** Number of requests sent on this connection so far. */
+  get requests(): number {
+    return this.#requests;
+  }
+
+  /** Port of this process; undefined before the connection is open. */
+  get localPort(): number | undefined {
+    return this.#socket?.localPort;
+  }
+
   /** Sends a request. No other request may be in progress. */
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.#requests++;
--- a/src/forwarding/request-log.ts
+++ b/src/forwarding/request-log.ts
@@ -89,13 +89,22 @@
     });
   }
 
-  noteFailure({ row, progressAt }: BackEndUse, failure: AttemptFailure): void {
+  noteFailure({ row, attempt, progressAt }: BackEndUse, failure: AttemptFailure): void {
     const backEnd = row.record.id;
     const silentMs = Math.round(performance.now() - progressAt);
     const reason = failure.type === 'refused' ? `status ${failure.status}` : failure.reason;
     this.#latestFailure = { backEnd, type: failure.type, reason, silentMs };
     const hasPart = this.#request.hasPart();
-    this.note('attempt failed', { backEnd, ...failure, silentMs, hasPart, ageMs: this.age });
+    const { localPort, requests } = attempt.connection ?? {};
+    const connection = { localPort, requestsOnConnection: requests };
+    this.note('attempt failed', {
+      backEnd,
+      ...failure,
+      ...connection,
+      silentMs,
+      hasPart,
+      ageMs: this.age,
+    });
   }
 
   /**
