A request is not sent again on a connection on which it has had an answer

Cause: the id in an answer tells requests apart, but not two sends of one request. After a refusal with Retry-After the request goes to the same back end again, and the pool hands out the connection that was used last, on which the refusal came. A late second copy of the refusal, which has the right id, is then taken for the answer to the second send, which is running.

Fix: the attempts of a request share the set of connections on which it has been answered, and the pool leaves these out. A copy that arrives on such a connection now meets no request, which closes the connection, or another request, whose id differs. This holds for every further send of the request: after refusals with any status, after error responses, and when a stream is resumed.

--- a/src/forwarding/attempt-factory.ts
+++ b/src/forwarding/attempt-factory.ts
@@ -7,6 +7,7 @@
 import { type AnswerHead, type AnswerSummary, Attempt, type AttemptFailure } from './attempt.js';
 import { AttemptAnswer } from './attempt-answer.js';
 import type { BackEndBackoffs } from './back-end-backoffs.js';
+import type { BackEndConnection } from './back-end-connection.js';
 import type { BackEndSelector, Selection } from './back-end-selector.js';
 import type { BackEndRow } from './back-end-table.js';
 import { BackEndUse } from './back-end-use.js';
@@ -52,6 +53,8 @@
   readonly #components: AttemptFactoryComponents;
   readonly #request: AttemptedRequest;
   readonly #events: AttemptEvents;
+  /** Shared by all attempts of the request. */
+  readonly #answeredOn = new Set<BackEndConnection>();
 
   constructor(components: AttemptFactoryComponents, request: AttemptedRequest, events: AttemptEvents) {
     this.#components = components;
@@ -79,6 +82,7 @@
         path: request.url ?? '/',
         headers: this.#headersFor(selection, urgency),
         body: bytesOf(body()),
+        answeredOn: this.#answeredOn,
       },
       names,
       {
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -16,6 +16,11 @@
   /** Names and values in turn. */
   headers: string[];
   body: Buffer | Readable | null;
+  /**
+   * Connections on which the request has had an answer, kept up to date by its attempts. It is not sent on them again: a late
+   * second copy of that answer has the same id as the answer to the next send.
+   */
+  answeredOn: Set<BackEndConnection>;
 }
 
 /** Status and headers of an answer. */
@@ -121,10 +126,10 @@
   }
 
   send(connections: BackEndConnections): void {
-    const { method, path, headers, body } = this.#request;
+    const { method, path, headers, body, answeredOn } = this.#request;
     const options = { method: method as Dispatcher.HttpMethod, path, headers, body };
     try {
-      this.#connection = connections.dispatch(options, this);
+      this.#connection = connections.dispatch(options, this, answeredOn);
     } catch (cause) {
       return this.fail(`cannot be sent: ${String(cause)}`);
     }
@@ -177,6 +182,7 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (this.#ended || status < 200) return;
+    if (this.#connection !== undefined) this.#request.answeredOn.add(this.#connection);
     const answered = headers[this.#names.requestId];
     const isOwn = answered === this.#request.requestId;
     const isRefused = headers[this.#names.notRun] !== undefined || status === MISDIRECTED;
--- a/src/forwarding/back-end-connections.ts
+++ b/src/forwarding/back-end-connections.ts
@@ -36,12 +36,14 @@
   /**
    * Sends a request over an idle or new connection and returns the connection. Returns undefined without calling the
    * handler if no more connections are allowed.
+   * @param excluded - connections that must not be used
    */
   dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
+    excluded: ReadonlySet<BackEndConnection> = new Set(),
   ): BackEndConnection | undefined {
-    const connection = this.#idle.pop() ?? this.#open();
+    const connection = this.#takeIdle(excluded) ?? this.#open();
     connection?.dispatch(options, handler);
     return connection;
   }
@@ -64,6 +66,11 @@
     await Promise.all([...this.#all].map((connection) => connection.destroy()));
   }
 
+  #takeIdle(excluded: ReadonlySet<BackEndConnection>): BackEndConnection | undefined {
+    const index = this.#idle.findLastIndex((connection) => !excluded.has(connection));
+    return index < 0 ? undefined : this.#idle.splice(index, 1)[0];
+  }
+
   #open(): BackEndConnection | undefined {
     if (this.#isClosed || this.#all.size >= MAX_CONNECTIONS) return undefined;
     const connection = new BackEndConnection(this.#address, {
--- a/test/forwarding/attempt.test.ts
+++ b/test/forwarding/attempt.test.ts
@@ -78,7 +78,14 @@
     end = resolve;
   });
   const attempt = new Attempt(
-    { requestId: id, method: 'POST', path: `/${id}`, headers: ['x-request', id], body: Buffer.from('body') },
+    {
+      requestId: id,
+      method: 'POST',
+      path: `/${id}`,
+      headers: ['x-request', id],
+      body: Buffer.from('body'),
+      answeredOn: new Set(),
+    },
     NAMES,
     {
       maySend: () => maySend,
