A connection on which a refusal names no request takes no further requests

Callers saw: a request was refused although it was running, or ran twice, after another request had been refused on the same connection by a back end whose refusals have no id.

Cause: a refusal without an id is taken for the answer to the request that is in progress on its connection. Its late second copy then refuses the next request, whichever that is.

Fix: after such a refusal the connection is closed, so that it is the only answer without an id on its connection.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -48,8 +48,8 @@
 export type AttemptFailure =
   /** No byte of the request was written: it cannot have run. */
   | { type: 'notSent'; reason: string }
-  /** The back end answered that it did not run the request. */
-  | { type: 'refused'; status: number }
+  /** The back end answered that it did not run the request. `isNamed`: the answer has the id of the request. */
+  | { type: 'refused'; status: number; isNamed: boolean }
   /**
    * The request was sent, but the answer is missing, incomplete or that of another request. `isLost`: the connection broke,
    * and was not closed by this process.
@@ -189,7 +189,7 @@
     // A back end may refuse a request before it has read its id. An extra answer to an earlier request has that one's id.
     const isRefusal = isRefused && (isOwn || answered === undefined);
     if (isRefusal || isOwn) this.#listener.onAnswer({ status, headers, isRefusal });
-    if (isRefusal) return this.#endRefused(status);
+    if (isRefusal) return this.#endRefused(status, isOwn);
     if (!isOwn) return this.fail('answer of another request');
     this.#listener.onHead({ status, headers, rawHeaders: rawPairs(controller.rawHeaders) });
   }
@@ -224,11 +224,15 @@
     this.#listener.onData(parts.length === 1 ? parts[0] : Buffer.concat(parts));
   }
 
-  /** Ends the attempt, but lets the few remaining bytes of the answer arrive, so that the connection can be reused. */
-  #endRefused(status: number): void {
+  /**
+   * Ends the attempt, but lets the few remaining bytes of the answer arrive, so that the connection can be reused. After a refusal
+   * without an id it is not: a late second copy of it could be that of any request.
+   */
+  #endRefused(status: number, isNamed: boolean): void {
     this.#ended = true;
     this.#isRefused = true;
-    this.#listener.onFailure({ type: 'refused', status });
+    if (!isNamed) this.#connection?.retire();
+    this.#listener.onFailure({ type: 'refused', status, isNamed });
   }
 }
 
--- a/src/forwarding/back-end-connection.ts
+++ b/src/forwarding/back-end-connection.ts
@@ -24,7 +24,7 @@
 export interface BackEndConnectionListener {
   /** The connection can take another request. */
   onIdle(connection: BackEndConnection): void;
-  /** The connection has closed or could not be opened. */
+  /** The connection has closed, could not be opened or takes no further requests. */
   onClosed(connection: BackEndConnection): void;
   /** The back end has closed the connection unannounced, or refused it. */
   onLost(loss: ConnectionLoss): void;
@@ -96,6 +96,11 @@
     if (this.#isFree) queueMicrotask(() => this.#onFree());
   }
 
+  /** Takes no further requests; closes once the request in progress has ended. */
+  retire(): void {
+    this.#listener.onClosed(this);
+  }
+
   /** Closes the connection once the request in progress has ended. */
   async close(): Promise<void> {
     if (!this.#client.closed) await this.#client.close();
--- a/test/forwarding/late-second-refusal.test.ts
+++ b/test/forwarding/late-second-refusal.test.ts
@@ -81,6 +81,18 @@
   await repeating.backEnd.stop();
 });
 
+it('a request runs once, although a refusal that names no request comes again as its answer is due', async () => {
+  const repeating = new RepeatingBackEnd({ hasId: false });
+  forwarding.list(['one', await repeating.backEnd.start()]);
+  for (let round = 0; round < ROUNDS; round++) {
+    const answer = await forwarding.send('/charge/', { method: 'POST', body: 'once' });
+    expect(answer).toMatchObject({ status: 200, body: 'ran' });
+  }
+  expect(repeating.mostRuns).toBe(1);
+  expect(repeating.runs.size).toBe(ROUNDS);
+  await repeating.backEnd.stop();
+});
+
 it('a stream that was refused begins once, although its refusal comes again as its next answer is due', async () => {
   const stream = events(1, 3);
   const onRun = reply(200, stream, { 'content-type': 'text/event-stream' });
