A configuration that the reader of a zone has from elsewhere is forwarded as well

What callers could see: an entry whose zone's reader had got a configuration from another zone first was not sent it, only told by the next report that there is one, up to 0.7 s later, of the 2 s in which it has to be in force.

Fix: the newest configuration among the rows of the store decides. The difference is made from the newest kept document before it, as the active one may be the same.

Tests: store-sync.test.ts and configuration-exchange.test.ts, one each; both failed before. 264 tests of test/fleet and test/peers.

--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -118,6 +118,11 @@
   /** Decoded rows: a row is both forwarded and applied, but decoded only once. */
   readonly #decoded = new WeakMap<StoredRow, Result<BackEndRecord, RecordFault>>();
   readonly #decodedOperatorRows = new WeakMap<StoredRow, Result<OperatorRecord, RecordFault>>();
+  /**
+   * Revision of the newest configuration that was among the rows of the store. The active one may be newer, but if it came from a peer,
+   * others may not have it.
+   */
+  #listedConfiguration = 0;
   /** Newest missing configuration for which the operator's table was read whole. */
   #soughtConfiguration = 0;
   readonly #listed = new ListedBackEnds((row) => this.#decodeBackEnd(row));
@@ -250,7 +255,8 @@
     }
     if (configurations.size === 0) return undefined;
     const [newest] = [...configurations.values()].sort((a, b) => b.revision - a.revision);
-    const isNew = newest.revision > this.#options.fleet.configurationRevision;
+    const isNew = newest.revision > this.#listedConfiguration;
+    this.#listedConfiguration = Math.max(this.#listedConfiguration, newest.revision);
     return {
       latest: isNew ? newest : undefined,
       otherRows: rows.filter((row) => !configurations.has(row)),
@@ -349,6 +355,7 @@
   #applyOperatorRecord(row: StoredRow, record: OperatorRecord, since: number, source: string): void {
     const { fleet, log } = this.#options;
     if (record.type === 'configuration') {
+      this.#listedConfiguration = Math.max(this.#listedConfiguration, record.document.configuration.revision);
       this.faults.noteSkippedEntries(row, record.document.skippedEntries ?? []);
       if (fleet.applyConfiguration(record.document))
         log.info('configuration taken', {
--- a/src/peers/configuration-exchange.ts
+++ b/src/peers/configuration-exchange.ts
@@ -60,6 +60,7 @@
     this.#options = options;
     this.#gate = new FleetRequestGate(options.answerTimeout);
     options.fleet.listen({ onConfiguration: () => this.#keepDocument() });
+    this.#keepDocument();
   }
 
   /** Time for which peers may still provide the configuration to this process, which has just started, in milliseconds. */
@@ -78,9 +79,11 @@
     };
   }
 
-  /** The update to `next` for entries that have the configuration of this one; whole if there is none. */
+  /** The update to `next` for entries that have the one before it; whole if there is none. This entry may have `next` already. */
   updateTo(next: RevisedDocument): ConfigurationUpdate {
-    return configurationUpdate(next, this.#current());
+    const revision = Math.max(0, ...[...this.#documents.keys()].filter((kept) => kept < next.revision));
+    const document = this.#documents.get(revision);
+    return configurationUpdate(next, document && { revision, document });
   }
 
   /**
--- a/src/protocol/store-update.ts
+++ b/src/protocol/store-update.ts
@@ -28,7 +28,7 @@
 
 /** Changes of the operator's table that contain configurations, taken apart. */
 export interface ConfigurationChange {
-  /** The newest configuration; undefined if none is newer than the one known. */
+  /** The newest configuration; undefined if the store has listed it, or a newer one, before. */
   latest: RevisedDocument | undefined;
   /** The other rows, and those that are no valid configuration. */
   otherRows: StoredRow[];
--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -313,6 +313,20 @@
     expect(forwarded).toEqual(['leaving']);
   });
 
+  it('forwards a configuration that a peer has sent this process before', async () => {
+    const forwarded: Array<number | undefined> = [];
+    sync.onForward = ({ table }, change) => table === 'operator' && forwarded.push(change?.latest?.revision);
+    const document = decoder.configuration(Buffer.from('2'));
+    if (document.ok) fleet.applyConfiguration(document.value);
+    expect(fleet.configurationRevision).toBe(2);
+    store.write('operator', 'configuration', '2');
+    await until(() => forwarded.some((revision) => revision !== undefined), 'the configuration');
+    store.write('operator', 'configuration', '2');
+    store.write('operator', 'configuration', '3');
+    await until(() => fleet.configurationRevision === 3, 'the next one');
+    expect(forwarded.filter((revision) => revision !== undefined)).toEqual([2, 3]);
+  });
+
   it('forwards a start that an agent has told this process before', async () => {
     await write('ready 100');
     const forwarded = forwardedRows();
--- a/test/peers/configuration-exchange.test.ts
+++ b/test/peers/configuration-exchange.test.ts
@@ -92,6 +92,14 @@
     expect(receiver.fleet.isConfigurationBehind).toBe(false);
   });
 
+  it('is sent as what has changed also by an entry that has it from elsewhere', () => {
+    const [sender, receiver] = [new Entry(1), new Entry(1)];
+    sender.take(rest(2).document);
+    const update = sender.exchange.updateTo(rest(2));
+    expect(update.body.byteLength).toBeLessThan(SMALL);
+    expect(receiver.receive(update)).toBe(true);
+  });
+
   it('is requested whole from the sender where the receiver lacks the base', () => {
     const receiver = new Entry(1);
     expect(receiver.receive(new Entry(3).exchange.updateTo(rest(4)))).toBe(false);
