An answer whose status is none of HTTP is a failure of its back end

Callers saw: an answer with status 600, 700 or 999 was passed on to them, with the signature of its back end; with the header that says that the request did not run it became a refusal.

Asked was whether status 000 reaches a caller. It does not, before and after: the client library ends the connection of statuses below 100, of 100 where nothing was announced and of 101, by assertions of its own, and the caller gets 502 within 70 ms or the answer of another back end. From 102 to 199 an answer is an interim one, as HTTP has it.

Fix: statuses below 100 and above 599 end the attempt as broken, before any header is read, whatever the library does with them: a request that may run again goes to another back end, others get 502 without headers of the back end.

Tests: invalid-status.test.ts, 17 first lines on four kinds of routes, as refusals, beside a sound back end and at a stream that is to be resumed: 15 of 119 failed before, those of 600, 700 and 999. Calls of the store, the engine and the origin: 11 statuses, 3 framings, none was taken for a success before (33 passed). Not told apart: a first line of HTTP/2.0, which the library takes for HTTP/1.1.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -78,6 +78,12 @@
   onFailure(failure: AttemptFailure): void;
 }
 
+/** Statuses below are those of interim answers; an answer follows. */
+const FIRST_FINAL_STATUS = 200;
+/** The statuses that HTTP knows. */
+const FIRST_STATUS = 100;
+const LAST_STATUS = 599;
+
 /** Status of a back end that is not the expected one, or does not hold the requested weights. */
 export const MISDIRECTED = 421;
 
@@ -181,7 +187,9 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (this.#ended || status < 200) return;
+    if (this.#ended) return;
+    if (status < FIRST_STATUS || status > LAST_STATUS) return this.fail(`status ${status} is none of HTTP`);
+    if (status < FIRST_FINAL_STATUS) return;
     if (this.#connection !== undefined) this.#request.answeredOn.add(this.#connection);
     const answered = headers[this.#names.requestId];
     const isOwn = answered === this.#request.requestId;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -1087,6 +1087,13 @@
     replace: '',
     test: 'test/forwarding/late-second-refusal.test.ts',
   },
+  {
+    fault: 'an answer whose status is none of HTTP is passed on',
+    file: 'src/forwarding/attempt.ts',
+    find: 'if (status < FIRST_STATUS || status > LAST_STATUS) return',
+    replace: 'if (status < 0) return',
+    test: 'test/forwarding/invalid-status.test.ts',
+  },
   {
     fault: 'a late second copy of a refusal without an id refuses another request',
     file: 'src/forwarding/attempt.ts',
