An answer whose rest is dropped resets its connection

Cause: what the entry still held for a caller was dropped, while the part that the system had taken was delivered and followed by a close in order. Only some of the ways to end an answer reset the connection: a cut in the middle, and a caller that read nothing for too long, but not the stop of the process for answers that their back ends had completed.

Fix: one function for all of them, which resets the connection of an answer of which bytes are held, whatever its framing. An answer of which nothing is held is closed in order as before: its end is marked by its length or its last chunk.

--- a/src/forwarding/caller-answer.ts
+++ b/src/forwarding/caller-answer.ts
@@ -2,6 +2,7 @@
  * Writes the answer to the caller: the output of one or more attempts in sequence, or an error of this system.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { dropAnswer } from '../server/dropped-answer.js';
 import { isRemainderTooLong } from '../server/request-remainders.js';
 import type { CallerPatience } from '../systems/unread-budget.js';
 import type { Attempt } from './attempt.js';
@@ -96,7 +97,7 @@
 
   /** Ends the connection before the end of the answer that its length or its last chunk marks. */
   cut(): void {
-    this.#response.destroy();
+    dropAnswer(this.#response);
   }
 
   /** Returns false if the caller is not reading. */
--- a/src/forwarding/forwarding-server.ts
+++ b/src/forwarding/forwarding-server.ts
@@ -12,6 +12,7 @@
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
 import { ClientErrorHandler } from '../server/client-error-handler.js';
+import { dropAnswer } from '../server/dropped-answer.js';
 import { closeIdleConnectionsOnceRead } from '../server/idle-connections.js';
 import { listen } from '../server/listen.js';
 import { PendingResponses } from '../server/pending-responses.js';
@@ -306,6 +307,7 @@
     await this.#writeLastAnswers();
     this.#components.unread.stop();
     if (this.#server !== undefined) this.#noteConnectionsClosed();
+    for (const response of this.#responses) dropAnswer(response);
     this.#server?.closeAllConnections();
     this.#server?.close();
     this.#server = undefined;
--- a/src/forwarding/unread-answers.ts
+++ b/src/forwarding/unread-answers.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Log } from '../observability/log.js';
 import type { Metrics } from '../observability/metrics.js';
+import { dropAnswer } from '../server/dropped-answer.js';
 import { type CallerPatience, UnreadBudget } from '../systems/unread-budget.js';
 
 /** Interval at which progress of the callers is checked, in milliseconds. */
@@ -72,8 +73,7 @@
     const unreadMs = Math.round(this.#budget.unreadFor(response, now));
     this.#log.info('answer ended unread', { bytes: unread, unreadMs, isComplete: response.writableEnded });
     this.#budget.forget(response);
-    // A plain close would let the caller take the part that it may still read for the whole of an answer without a length.
-    response.socket?.resetAndDestroy();
+    dropAnswer(response);
   }
 }
 
--- a/test/forwarding/unread-answers.test.ts
+++ b/test/forwarding/unread-answers.test.ts
@@ -23,6 +23,7 @@
       return state.unread;
     },
     destroyed: false,
+    destroy: () => {},
     writableEnded: true,
     get writableFinished() {
       return state.unread === 0;
--- a/tools/guard-table.mjs
+++ b/tools/guard-table.mjs
@@ -418,7 +418,7 @@
   {
     fault: 'an answer that ends with its connection looks complete when it is cut',
     file: 'src/forwarding/caller-answer.ts',
-    find: 'this.#response.destroy();',
+    find: 'dropAnswer(this.#response);',
     replace: 'this.#response.end();',
     test: 'test/forwarding/broken-off-stream.test.ts',
   },
@@ -1066,6 +1066,13 @@
     replace: 'return false;',
     test: 'test/forwarding/reset-answer.test.ts',
   },
+  {
+    fault: 'an answer whose rest is dropped unread at the stop is closed in order',
+    file: 'src/forwarding/forwarding-server.ts',
+    find: 'for (const response of this.#responses) dropAnswer(response);',
+    replace: '',
+    test: 'test/forwarding/answer-unread-at-stop.test.ts',
+  },
   {
     fault: 'an answer without a length looks complete when its entry is killed',
     file: 'src/forwarding/caller-answer.ts',
