Reading a table in pages: a store that forgets its history or comes back from a copy meanwhile

The read fails as unavailable and is repeated by those who follow the table; changes without a row end the reading, whatever version they name. Names and a type that stood twice are mended with it.

--- a/src/fleet/listed-back-ends.ts
+++ b/src/fleet/listed-back-ends.ts
@@ -3,17 +3,13 @@
  * knows beyond the store does not count, as the others may not know it: statements of back ends in their answers, reports of agents,
  * and lists of other entries.
  */
-import type { StoredRow } from '../clients/watched-tables.js';
+import type { RowsSnapshot, StoredRow } from '../clients/watched-tables.js';
 import type { Result } from '../model/result.js';
 import type { BackEndRecord } from '../protocol/back-end-list-state.js';
 import { hasSameContent } from './back-end-list.js';
 import type { RecordFault } from './record-decoder.js';
 
-/** Rows of a table up to a revision of the store. */
-export interface RowsUpTo {
-  rows: readonly StoredRow[];
-  revision: number;
-}
+type RowsAsOf = Pick<RowsSnapshot, 'rows' | 'revision'>;
 
 /** The latest valid record of each back end in the store. */
 export class ListedBackEnds {
@@ -27,7 +23,7 @@
   }
 
   /** Replaces the list by a whole table, unless that is older. */
-  replace({ rows, revision }: RowsUpTo): void {
+  replace({ rows, revision }: RowsAsOf): void {
     if (revision < this.#revision) return;
     this.#records.clear();
     for (const row of rows) this.#apply(row);
@@ -38,7 +34,7 @@
    * Applies changes, and returns those rows that others need: all but heartbeats. Rows that were applied before, as another process has
    * forwarded them, are among them, since they may be new to some of the others.
    */
-  apply({ rows, revision }: RowsUpTo): StoredRow[] {
+  apply({ rows, revision }: RowsAsOf): StoredRow[] {
     const needed = rows.filter((row) => {
       const isNew = row.revision > this.#revision;
       const isChange = isNew && this.#apply(row);
--- a/src/fleet/store-sync.ts
+++ b/src/fleet/store-sync.ts
@@ -229,7 +229,7 @@
       const rows = this.#latestVersions(news.rows);
       return this.onForward({ ...news, rows, table }, this.#configurationChange(rows));
     }
-    this.onForward({ ...news, rows: [...this.#rowsToForward(news)], table });
+    this.onForward({ ...news, rows: this.#rowsToForward(news), table });
   }
 
   /** Leaves out versions of a row that a later valid one overtakes, as large ones take long to decode. */
@@ -278,7 +278,7 @@
    * Leaves out heartbeats. All rows of the first answer after a failed call are forwarded, as the others may have been told of removals
    * that are unknown here.
    */
-  #rowsToForward(news: TableUpdate): readonly StoredRow[] {
+  #rowsToForward(news: TableUpdate): StoredRow[] {
     const needed = this.#listed.apply(news);
     if (!this.#mayLackRemovals) return needed;
     this.#mayLackRemovals = false;
--- a/src/forwarding/request-log.ts
+++ b/src/forwarding/request-log.ts
@@ -95,12 +95,12 @@
     const reason = failure.type === 'refused' ? `status ${failure.status}` : failure.reason;
     this.#latestFailure = { backEnd, type: failure.type, reason, silentMs };
     const hasPart = this.#request.hasPart();
-    const { localPort, requests } = attempt.connection ?? {};
-    const connection = { localPort, requestsOnConnection: requests };
+    const { localPort, requests: requestsOnConnection } = attempt.connection ?? {};
     this.note('attempt failed', {
       backEnd,
       ...failure,
-      ...connection,
+      localPort,
+      requestsOnConnection,
       silentMs,
       hasPart,
       ageMs: this.age,
--- a/test/contracts/store-contract.ts
+++ b/test/contracts/store-contract.ts
@@ -118,6 +118,43 @@
       expect(rows.every((one) => one.table === 'things' && one.revision <= revision)).toBe(true);
     });
 
+    it.each([
+      ['its history is forgotten', (behind: MemoryStore) => behind.forgetHistory()],
+      ['the store comes back from a copy', (behind: MemoryStore) => behind.restore(behind.copy())],
+    ])('reads a table of many rows as of one moment or not at all if %s meanwhile', async (_name, fail) => {
+      const { tables, behind } = store;
+      const keys = Array.from({ length: MANY_ROWS }, (_, index) => `row-${String(index).padStart(4, '0')}`);
+      const history = new WrittenRows(behind, keys);
+      let reads = 0;
+      const read = behind.read.bind(behind);
+      behind.read = async (...call) => {
+        const answer = await read(...call);
+        if (reads++ > 0) return answer;
+        history.write(keys[0], undefined);
+        fail(behind);
+        return answer;
+      };
+      const first = await tables.read('things', '', forever());
+      if (first.ok) expect(first.value.rows).toHaveLength(MANY_ROWS);
+      else expect(first.error.type).toBe('unavailable');
+      const second = await tables.read('things', '', forever());
+      expect(second.ok && second.value.rows).toHaveLength(MANY_ROWS - 1);
+    });
+
+    it('reads a table of many rows that does not change while others do', async () => {
+      const { tables, behind } = store;
+      const keys = Array.from({ length: MANY_ROWS }, (_, index) => `row-${index}`);
+      new WrittenRows(behind, keys);
+      const read = behind.read.bind(behind);
+      behind.read = async (...call) => {
+        const answer = await read(...call);
+        behind.write('other things', 'a', 'changed');
+        return answer;
+      };
+      const snapshot = await tables.read('things', '', forever());
+      expect(snapshot.ok && snapshot.value.rows).toHaveLength(MANY_ROWS);
+    });
+
     it('leaves the rows of other partitions out of a table that is read in parts', async () => {
       const { tables, behind } = store;
       new WrittenRows(
