Test: the date of a version after a stall of the process is bounded by the answer before

'dates a version whose naming it observes' failed once, in npm test at a load of 20 on 8 cores: 897 ms before the write where 500 are allowed. The date is bounded by the last answer of the store before the write if more than 400 ms passed until the next call; a stall of the process does that.

'receives a leaving and a removed back end in time' failed in the same run and is listed: not traced.

--- a/test/fleet/store-sync.test.ts
+++ b/test/fleet/store-sync.test.ts
@@ -19,6 +19,8 @@
 let store: MemoryStore;
 let fleet: FleetView;
 let sync: StoreSync;
+/** When the first reading began, in milliseconds of the monotonic clock. */
+let startedAt: number;
 
 const ids = () => [...fleet.backEnds.records.keys()].sort();
 
@@ -37,6 +39,7 @@
     random: seededRandom(1),
     log: silentLog,
   });
+  startedAt = performance.now();
   await sync.start();
   await until(() => fleet.complete, 'the first reading');
 });
@@ -246,7 +249,9 @@
     await until(() => fleet.versions.newest('model')?.version === 2, 'the version');
     // The in-memory store uses the clock of this process.
     expect(fleet.versions.newest('model')?.notBefore).toBeLessThanOrEqual(writtenAt);
-    expect(fleet.versions.newest('model')?.notBefore).toBeGreaterThan(writtenAt - 500);
+    // After a stall of this process the answer before is the bound, which is the first reading here.
+    const bound = Math.min(writtenAt - 500, startedAt);
+    expect(fleet.versions.newest('model')?.notBefore).toBeGreaterThan(bound);
   });
 
   it('dates a version named during an outage from the last response before it', async () => {
